--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,869 @@
+// Package brain makes every decision of a ledgespread sidecar.
+//
+// A caller makes one Balancer per sidecar with New and tells it what happens, always with the time:
+// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed. The module acts only
+// through the Ports it was given (ports.go, with the id types); it knows no wire, clock or goroutine,
+// and instances share nothing. docs/design.md tells what each rule here is for.
+package brain
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"math"
+	"slices"
+	"strconv"
+)
+
+// The figures of the design page.
+const (
+	firstWait   Micros = 50_000     // wait before a visit's first retry; it doubles from there
+	retryCost          = 10.0       // tokens that arming a retry takes
+	failedGives        = 5.0        // of these, back after a failed retry
+	refill             = 1.0        // tokens back for a first try delivered without a retry
+	fewRetries         = 5.0        // the least a full bucket holds, in retries
+	retryShare         = 0.2        // the most it holds, in first tries of
+	retrySpan   Micros = 10_000_000 // these ten seconds
+)
+
+// Ratios of this module's own; what they are ratios of stands beside each.
+const (
+	memory      = 40.0 // beats after which what was seen of a server has faded to 1/e
+	firmness    = 2.0  // mean visits' worth of the common pace that a server's own pace is mixed with
+	tieBand     = 2.0  // idle servers whose expected answer is within this multiple of the best tie
+	crossWeight = 10.0 // visits held that one point of a crossing's price counts as
+	badShare    = 0.25 // share of errors at which a server sits out
+	badLeast    = 2.0  // and the errors seen lately that this takes at least
+	coldSafety  = 0.5  // part of a cold server's budget that is used
+	patience    = 3.0  // multiple of the expected answer after which silence is looked into
+	fullLimit   = 0.8  // part of the time to the target latency that an expected answer may take
+	lowLimit    = 0.4  // the same for a visit that is worth nothing
+	dozen       = 32   // samples before a path prefix's mean moves slowly
+	overBand    = 1.5  // multiple of the median tenant's use of its share that counts as beyond it
+)
+
+// prefix is a path prefix as the site has it, and what its visits were seen to take.
+type prefix struct {
+	target, timeout, window Micros
+	value, late             float64
+	effect, group           string
+	seen, mean              float64 // answers seen; their mean latency, where visits carry no hint
+}
+
+// realm is a tenant: its share, and what this sidecar lately took in for it.
+type realm struct{ quota, used float64 }
+
+// backend is a server as this sidecar knows it.
+type backend struct {
+	id        Backend
+	zone      Zone
+	cell      Cell
+	standing  Standing
+	rating    float64
+	started   Micros // 0: long ago
+	coldSince Micros // when its warming began; 0: warm
+	fresh     bool   // no outcome since it was new
+	listed    bool   // named by the list that is being read
+
+	held     int
+	idle     []Micros // when each idle connection closes
+	answered Micros   // last sign of life
+	took     float64  // latency of lately delivered visits, fading
+	work     float64  // their work times the visits held, fading alike
+	carried  float64  // their work alone
+	credit   float64  // work that may still be sent while cold
+	good     float64  // delivered lately
+	bad      float64  // errors lately
+	outUntil Micros   // sits out; 0: in service
+	outSpan  Micros   // how long it sat out last
+	proved   int      // trials passed since it sat out
+}
+
+// fetch is one backend fetch. Its step's closure is handed the result.
+type fetch struct {
+	no     FetchNo
+	be     *backend
+	sent   Micros
+	held   int
+	reused bool
+	done   bool
+	ran    bool // may have run: out, or ended without proof that it never ran
+	then   func(Result)
+}
+
+// visit is an accepted visit that is not yet over.
+type visit struct {
+	id      VisitID
+	on      *prefix
+	work    float64 // expected, in core time or, without a hint, in its path prefix's mean latency
+	wanted  Micros  // after this an answer is worth nothing, or little
+	until   Micros  // the client quits
+	value   float64
+	fetches []*fetch
+	out     int
+	charged int
+	freed   bool
+	ended   bool
+}
+
+// due is something to do at a time. All due times but the beat's are in one heap.
+type due struct {
+	at  Micros
+	seq uint64
+	do  func()
+}
+type dues []due
+
+func (d dues) Len() int { return len(d) }
+func (d dues) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
+}
+func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	last := len(*d) - 1
+	x := (*d)[last]
+	(*d)[last] = due{}
+	*d = (*d)[:last]
+	return x
+}
+
+const (
+	beatToken Token = iota // the one periodic timer
+	dueToken               // something in the heap is due
+)
+
+// Balancer decides for one sidecar.
+type Balancer struct {
+	out   Ports
+	site  Site
+	now   Micros
+	seed  uint64
+	drawn uint64
+	hash  hash.Hash64
+
+	myZone   Zone
+	prefixes []*prefix
+	realms   []realm
+	topValue float64
+	known    map[Backend]*backend
+	row      []*backend // all known, by id
+	visits   map[VisitID]*visit
+	due      dues
+	seq      uint64
+	armed    Micros // earliest wake-up asked for the heap; 0: none
+
+	news     News
+	asked    Micros // last call of the list; 0: answered
+	askWait  Micros
+	spent    float64 // tokens missing from the bucket
+	firsts   float64 // first tries of the last ten seconds, fading
+	meanWork float64
+	pace     float64 // answer time per unit of work and visit held, all servers
+	carry    float64 // work lately carried by a warm server, per rating
+	scratch  []*backend
+	weights  []float64
+}
+
+// New starts a sidecar. A setting that the module can't do without and lacks is an error that names it.
+func New(now Micros, site Site, seed uint64, out Ports) (b *Balancer, err error) {
+	defer func() {
+		if missing, ok := recover().(error); ok {
+			b, err = nil, missing
+		}
+	}()
+	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1,
+		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}}
+	b.myZone = Zone(b.num("my_zone"))
+	for i := range int(b.num("path_prefixes")) {
+		at := "path_prefixes." + strconv.Itoa(i) + "."
+		p := &prefix{target: b.span(at + "target_latency_us"), timeout: b.span(at + "client_timeout_us"),
+			window: b.span(at + "memory_span_us"), value: b.num(at + "value"),
+			late: b.num(at + "late_value"), effect: b.word(at + "effect"), group: b.word(at + "group")}
+		p.mean = float64(p.target) / 4 // until visits are seen: a quarter of what is wanted
+		b.prefixes = append(b.prefixes, p)
+		b.topValue = max(b.topValue, p.value)
+	}
+	for i := range int(b.maybe("realms")) {
+		at := "realms." + strconv.Itoa(i) + "."
+		b.realms = append(b.realms, realm{quota: max(b.num(at+"quota_per_s"), 1e-9)})
+	}
+	for _, needed := range []string{"allowed.max_backend_fetches", "allowed.conn_idle_us", "step_us",
+		"obligations.cold_from", "obligations.cold_us", "obligations.fall_multiple",
+		"obligations.fall_us"} {
+		b.num(needed)
+	}
+	if b.word("discovery") == "on_request" {
+		b.subscribe()
+	}
+	b.out.Wake(firstWait, beatToken)
+	return b, nil
+}
+
+func (b *Balancer) num(name string) float64 {
+	f, ok := b.site[name].(float64)
+	if !ok {
+		panic(fmt.Errorf("settings lack the figure %s", name))
+	}
+	return f
+}
+func (b *Balancer) maybe(name string) float64 { f, _ := b.site[name].(float64); return f }
+func (b *Balancer) allows(name string) bool   { ok, _ := b.site[name].(bool); return ok }
+func (b *Balancer) span(name string) Micros   { return Micros(b.num(name)) }
+func (b *Balancer) word(name string) string {
+	s, ok := b.site[name].(string)
+	if !ok {
+		panic(fmt.Errorf("settings lack the word %s", name))
+	}
+	return s
+}
+
+// chance draws a number from 0 up to 1 out of the seed and a counter.
+func (b *Balancer) chance() float64 {
+	var in [16]byte
+	b.drawn++
+	binary.BigEndian.PutUint64(in[:], b.seed)
+	binary.BigEndian.PutUint64(in[8:], b.drawn)
+	b.hash.Reset()
+	b.hash.Write(in[:])
+	x := b.hash.Sum64()
+	x ^= x >> 33 // FNV leaves the high bits of near counters alike
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
+
+// at puts something in the heap of due times.
+func (b *Balancer) at(t Micros, do func()) {
+	b.seq++
+	heap.Push(&b.due, due{max(t, b.now+1), b.seq, do})
+	b.arm()
+}
+
+func (b *Balancer) arm() {
+	if len(b.due) > 0 && (b.armed == 0 || b.due[0].at < b.armed) {
+		b.armed = b.due[0].at
+		b.out.Wake(max(b.armed-b.now, 1), dueToken)
+	}
+}
+
+// Woken hears that a wake-up is due.
+func (b *Balancer) Woken(now Micros, t Token) {
+	b.now = now
+	if t == beatToken {
+		b.beat()
+		b.out.Wake(firstWait, beatToken)
+		return
+	}
+	b.armed = 0
+	for len(b.due) > 0 && b.due[0].at <= now {
+		heap.Pop(&b.due).(due).do()
+	}
+	b.arm()
+}
+
+// beat is the periodic work: what was seen fades, cold servers earn credit.
+func (b *Balancer) beat() {
+	fade := 1 - 1/memory
+	b.firsts *= 1 - float64(firstWait)/float64(retrySpan)
+	var took, work, carried, rated float64
+	for _, be := range b.row {
+		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
+		be.good, be.bad = be.good*fade, be.bad*fade
+		if be.usable() && be.outUntil == 0 {
+			took, work = took+be.took, work+be.work
+			if be.coldSince == 0 {
+				carried, rated = carried+be.carried, rated+be.rating
+			}
+		}
+	}
+	prior := firmness * b.meanWork
+	b.pace = 1
+	if work+prior > 0 {
+		b.pace = (took + prior) / (work + prior)
+	}
+	b.carry = 0
+	if rated > 0 {
+		b.carry = carried / memory / rated
+	}
+	for _, be := range b.row {
+		if be.coldSince != 0 && b.now-be.coldSince >= b.span("obligations.cold_us") {
+			be.coldSince = 0
+		}
+		if be.coldSince != 0 {
+			// Guards against pushing a cold server over: every sidecar holds its own sends to the
+			// same share of what it sends to warm ones, so that together they stay under the
+			// budget however unevenly the traffic is spread; a burst spends a part of a window.
+			rate := b.carry * be.rating * b.warmth(be) * b.num("obligations.fall_multiple") * coldSafety
+			most := rate * b.num("obligations.fall_us") / float64(firstWait) / 4
+			be.credit = min(be.credit+rate, most)
+		}
+	}
+	for i := range b.realms {
+		b.realms[i].used *= fade
+	}
+	if b.asked != 0 && b.now-b.asked > b.span("obligations.ask_every_us")/2 {
+		b.subscribe() // the call's answer got lost
+	}
+}
+
+// warmth is the part of its capacity that a server is sure to have by now.
+func (b *Balancer) warmth(be *backend) float64 {
+	if be.coldSince == 0 {
+		return 1
+	}
+	from := b.num("obligations.cold_from")
+	return min(1, from+(1-from)*float64(b.now-be.coldSince)/b.num("obligations.cold_us"))
+}
+
+// --- the list
+
+func (b *Balancer) subscribe() {
+	b.asked = b.now
+	b.out.Subscribe()
+}
+
+// ListBegins opens the reading of a list; Listed tells its lines; ListEnds closes it.
+func (b *Balancer) ListBegins(now Micros, news News) {
+	b.now, b.news = now, news
+	if news == NoListCame {
+		// The list's service has little capacity and all sidecars call it: come back later each
+		// time, and not all at once.
+		b.askWait = min(max(2*b.askWait, 4*firstWait), b.span("obligations.ask_every_us")/4)
+		b.asked = 0
+		b.at(now+Micros(float64(b.askWait)*(0.5+b.chance())), b.subscribe)
+		return
+	}
+	if news != Saved {
+		b.asked, b.askWait = 0, 0
+	}
+	if news != Changes {
+		for _, be := range b.row {
+			be.listed = false
+		}
+	}
+}
+
+// Listed tells of one server.
+func (b *Balancer) Listed(now Micros, id Backend, zone Zone, cell Cell, st Standing, rating float64,
+	started Micros) {
+	be := b.known[id]
+	returns := be != nil && be.standing == Gone && st == Ready
+	if be == nil {
+		be = &backend{id: id}
+		b.known[id] = be
+		i, _ := slices.BinarySearchFunc(b.row, id, func(be *backend, id Backend) int {
+			return int(min(max(int64(be.id)-int64(id), -1), 1))
+		})
+		b.row = slices.Insert(b.row, i, be)
+		returns = b.news == Changes // a new machine
+		be.fresh = returns
+	}
+	be.zone, be.cell, be.standing, be.listed = zone, cell, st, true
+	be.rating = 1
+	if r := rating; r > 0 && !math.IsInf(r, 0) {
+		be.rating = r
+	}
+	restarted := started > be.started
+	be.started = started
+	if (restarted || returns) && st == Ready {
+		be.coldSince, be.credit, be.fresh = max(started, 1), 0, true
+		if started == 0 || started > now || returns && !restarted {
+			be.coldSince = now // it came back from we know not what: cold
+		}
+		be.took, be.work, be.carried, be.good, be.bad, be.idle = 0, 0, 0, 0, 0, nil
+		be.outUntil, be.proved = 0, 0
+		if now-be.coldSince >= b.span("obligations.cold_us") {
+			be.coldSince = 0
+		}
+	}
+}
+
+// ListEnds closes the reading of a list.
+func (b *Balancer) ListEnds(now Micros) {
+	for _, be := range b.row {
+		if b.news != NoListCame && b.news != Changes && !be.listed {
+			be.standing = Gone
+		}
+	}
+}
+
+// Drained and gone servers get nothing new at once; the grace is not used.
+func (be *backend) usable() bool { return be.standing == Ready }
+
+// --- the rules
+
+// may is the one gate of all sends: whether the rules let this visit go to this server now.
+func (b *Balancer) may(v *visit, be *backend) bool {
+	if v.ended || b.now >= v.until || !be.usable() ||
+		len(v.fetches) >= int(b.num("allowed.max_backend_fetches")) {
+		return false
+	}
+	if v.out > 0 && (v.on.effect == "mutating" || !b.allows("allowed.may_duplicate")) {
+		return false
+	}
+	if be.coldSince != 0 && be.credit < v.work {
+		return false // guards against pushing a cold server over
+	}
+	if v.on.effect == "read_like" {
+		return true
+	}
+	for _, f := range v.fetches {
+		if !f.ran {
+			continue
+		}
+		if v.on.effect != "tagged" || b.now >= f.sent+v.on.window {
+			return false // guards against a second effect
+		}
+		if v.on.group == "zone" && f.be.zone != be.zone || v.on.group == "cell" && f.be.cell != be.cell {
+			return false // only its group knows the tag
+		}
+	}
+	return true
+}
+
+// harmless tells whether a retry by the client does no harm, which is what a bounce says.
+func (b *Balancer) harmless(v *visit) bool {
+	for _, f := range v.fetches {
+		if f.ran && v.on.effect != "read_like" &&
+			(v.on.effect != "tagged" || v.on.group != "all" || b.now >= f.sent+v.on.window) {
+			return false
+		}
+	}
+	return true
+}
+
+// send is the only place that sends. It leaves the step's closure with the fetch.
+func (b *Balancer) send(v *visit, be *backend, then func(Result)) {
+	if !b.may(v, be) {
+		panic(fmt.Sprintf("visit %d must not go to %d", v.id, be.id))
+	}
+	for len(be.idle) > 0 && be.idle[0] <= b.now {
+		be.idle = be.idle[1:]
+	}
+	be.held++
+	f := &fetch{no: FetchNo(len(v.fetches)), be: be, sent: b.now, held: be.held, ran: true, then: then}
+	if n := len(be.idle); n > 0 {
+		f.reused, be.idle = true, be.idle[:n-1]
+	} else {
+		for range int(b.maybe("allowed.multiplex")) - 1 {
+			be.idle = append(be.idle, b.now+b.span("allowed.conn_idle_us"))
+		}
+	}
+	if be.coldSince != 0 {
+		be.credit -= v.work
+	}
+	v.out++
+	v.fetches = append(v.fetches, f)
+	b.out.Dispatch(v.id, be.id, 0)
+	b.watch(v, f)
+}
+
+// end closes a visit's account; its fetches that are still out are called off.
+func (b *Balancer) end(v *visit) {
+	v.ended = true
+	for _, f := range v.fetches {
+		if !f.done && b.allows("allowed.cancel") {
+			b.out.Cancel(v.id, f.no)
+		}
+	}
+	if v.out == 0 {
+		delete(b.visits, v.id)
+	}
+}
+
+// giveUp answers a visit that goes nowhere any more, at once, unless a fetch is still out.
+func (b *Balancer) giveUp(v *visit) {
+	if v.ended || v.out > 0 {
+		return
+	}
+	if b.harmless(v) {
+		b.out.Bounce(v.id, b.comeBack(v))
+	} else {
+		b.out.ErrorPage(v.id)
+	}
+	b.end(v)
+}
+
+// comeBack is when a bounced client had best try again: soon enough to still meet its target.
+func (b *Balancer) comeBack(v *visit) Micros {
+	if !b.allows("allowed.retry_after") {
+		return 0
+	}
+	return min(v.on.target/4, Micros(b.maybe("allowed.max_retry_after_us")))
+}
+
+// --- the life of a visit
+
+// Inbound takes a visit in. effort 0: no hint. again: the client says it repeats itself.
+func (b *Balancer) Inbound(now Micros, id VisitID, on Prefix, of Realm, key Key, left, effort Micros,
+	again bool) {
+	b.now = now
+	if int(on) >= len(b.prefixes) {
+		panic(fmt.Sprintf("path prefix %d is not among the settings", on))
+	}
+	p := b.prefixes[on]
+	v := &visit{id: id, on: p, work: p.mean, wanted: now + min(p.target, left), until: now + left,
+		value: p.value / b.topValue}
+	if effort > 0 {
+		v.work = float64(effort)
+	}
+	if p.late > 0 {
+		v.wanted = v.until
+	}
+	if b.meanWork == 0 {
+		b.meanWork = v.work
+	}
+	b.meanWork += (v.work - b.meanWork) / dozen
+	b.visits[id] = v
+	b.firsts++
+	if int(of) < len(b.realms) {
+		b.realms[of].used++
+		if b.chance() < b.beyond(of) {
+			v.value *= b.maybe("beyond_share_value")
+		}
+	}
+	// Guards against losing the visit: whatever happens to its fetches, this is its last answer.
+	b.at(v.until-b.span("step_us"), func() {
+		if !v.ended {
+			v.ended = true
+			b.out.ErrorPage(v.id)
+			b.end(v)
+		}
+	})
+	be := b.pick(v)
+	if be == nil || !b.admit(v, be) {
+		b.giveUp(v)
+		return
+	}
+	b.send(v, be, b.after(v, false))
+}
+
+// beyond is the part of a tenant's visits that lies beyond its share, judged by how much more of its
+// share it uses here than the median tenant does: one sidecar can't see the tenant's whole traffic.
+func (b *Balancer) beyond(of Realm) float64 {
+	b.weights = b.weights[:0]
+	for _, r := range b.realms {
+		b.weights = append(b.weights, r.used/r.quota)
+	}
+	use := b.weights[of]
+	slices.Sort(b.weights)
+	usual := b.weights[len(b.weights)/2] * overBand
+	if use <= usual {
+		return 0
+	}
+	return 1 - usual/use
+}
+
+// admit turns a visit away early when its answer can't be expected in time. Visits worth less are
+// turned away sooner. Guards against an overload that makes every answer late, and against tipping
+// crowded servers.
+func (b *Balancer) admit(v *visit, be *backend) bool {
+	left := float64(v.wanted - b.now)
+	limit := left * (lowLimit + (fullLimit-lowLimit)*v.value)
+	need := b.expect(be) * v.work
+	return need <= limit || b.chance() < 1.5-need/limit || be.held == 0 && b.chance() < 1/memory
+}
+
+// after is the step that follows a backend fetch.
+func (b *Balancer) after(v *visit, charged bool) func(Result) {
+	return func(rc Result) {
+		f := v.fetches[len(v.fetches)-1]
+		if charged {
+			b.settle(rc == Delivered)
+		}
+		if rc == Delivered && len(v.fetches) == 1 {
+			b.spent = max(0, b.spent-refill)
+		}
+		if v.ended || v.out > 0 {
+			return
+		}
+		if f.reused && (rc == Reset || rc == ConnectFailed) {
+			b.out.CloseIdle(f.be.id)
+			f.be.idle = nil
+			if !v.freed && b.may(v, f.be) {
+				v.freed = true
+				b.send(v, f.be, b.after(v, false))
+				return
+			}
+		}
+		b.retry(v)
+	}
+}
+
+// capacity of the bucket, in tokens.
+func (b *Balancer) capacity() float64 { return retryCost * max(fewRetries, retryShare*b.firsts) }
+
+// settle gives back what a retry reserved.
+func (b *Balancer) settle(delivered bool) {
+	back := failedGives
+	if delivered {
+		back = retryCost
+	}
+	b.spent = max(0, b.spent-back)
+}
+
+// retry arms one, if the bucket and the time left allow.
+func (b *Balancer) retry(v *visit) {
+	wait := firstWait << v.charged
+	if b.now+wait >= v.wanted {
+		b.giveUp(v)
+		return
+	}
+	b.spent = min(b.spent, b.capacity())
+	if b.capacity()-b.spent < retryCost {
+		b.giveUp(v)
+		return
+	}
+	b.spent += retryCost
+	v.charged++
+	b.at(b.now+wait, func() {
+		var be *backend
+		if !v.ended {
+			be = b.pick(v)
+		}
+		if be == nil {
+			b.settle(true) // never sent: nothing was spent
+			b.giveUp(v)
+			return
+		}
+		b.send(v, be, b.after(v, true))
+	})
+}
+
+// watch looks into a fetch that has been out for long. Guards against servers that take visits and
+// answer none: one that has given no sign of life since the fetch went out sits out, and the fetch is
+// called off while there is time for another, where the rules allow one.
+func (b *Balancer) watch(v *visit, f *fetch) {
+	left := v.wanted - b.now
+	if left <= 0 {
+		return
+	}
+	guess := Micros(b.expect(f.be) * v.work)
+	look := max(left/2, Micros(patience*float64(guess)))
+	if f.be.outUntil != 0 {
+		look = max(left/3, guess) // on trial
+	}
+	again := look+firstWait<<v.charged+guess < left
+	b.at(b.now+min(look, left), func() {
+		if f.done || v.ended || f.be.answered > f.sent {
+			return
+		}
+		b.sitOut(f.be, "silent")
+		if !again || v.on.effect == "mutating" || v.out > 1 || !b.allows("allowed.cancel") ||
+			b.capacity()-b.spent < retryCost {
+			return
+		}
+		for _, be := range b.row {
+			if be != f.be && be.outUntil == 0 && be.usable() && (v.on.effect == "read_like" ||
+				v.on.group == "all" || v.on.group == "zone" && be.zone == f.be.zone ||
+				v.on.group == "cell" && be.cell == f.be.cell) {
+				b.out.Cancel(v.id, f.no)
+				return
+			}
+		}
+	})
+}
+
+// Outcome hears how a backend fetch ended. over: the visit has ended, by this or earlier.
+func (b *Balancer) Outcome(now Micros, id VisitID, no FetchNo, rc Result, took Micros, over bool) {
+	b.now = now
+	v := b.visits[id]
+	if v == nil || int(no) >= len(v.fetches) || v.fetches[no].done {
+		return
+	}
+	f := v.fetches[no]
+	f.done = true
+	f.ran = rc != Full && rc != ConnectFailed && rc != NeverSent
+	v.out--
+	f.be.held--
+	if rc == Delivered || rc == Errored || rc == Full {
+		f.be.idle = append(f.be.idle, now+b.span("allowed.conn_idle_us"))
+	}
+	b.learn(v, f, rc, float64(took))
+	if over && !v.ended {
+		b.end(v)
+	}
+	f.then(rc)
+	if v.ended && v.out == 0 {
+		delete(b.visits, id)
+	}
+}
+
+// Flowing hears that a streamed answer has begun: it is the client's now.
+func (b *Balancer) Flowing(now Micros, id VisitID, no FetchNo) {
+	b.now = now
+	if v := b.visits[id]; v != nil && int(no) < len(v.fetches) {
+		v.fetches[no].be.answered = now
+		v.ended = true
+	}
+}
+
+// Dropped hears that the client has gone.
+func (b *Balancer) Dropped(now Micros, id VisitID) {
+	b.now = now
+	if v := b.visits[id]; v != nil && !v.ended {
+		b.end(v)
+	}
+}
+
+// Probed hears the result of a health check; the module sends none so far.
+func (b *Balancer) Probed(now Micros, id Backend, rc Result) { b.now = now }
+
+// --- what is seen of servers
+
+func (b *Balancer) learn(v *visit, f *fetch, rc Result, took float64) {
+	be, load := f.be, v.work*float64(f.held)
+	switch rc {
+	case Delivered:
+		be.answered, be.fresh = b.now, false
+		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+v.work
+		be.good++
+		p := v.on
+		p.seen = min(p.seen+1, 16*dozen)
+		p.mean += (took - p.mean) / max(p.seen, dozen)
+		if be.outUntil != 0 && f.sent >= be.outUntil {
+			be.proved++
+			if be.proved >= 2 {
+				be.outUntil, be.proved, be.bad = 0, 0, 0
+			}
+		} else if be.good > memory/2 {
+			be.outSpan = 0
+		}
+		return
+	case Errored:
+		be.answered, be.fresh = b.now, false
+		be.bad++
+	case Full:
+		// Refusals come fast: count them as late answers, or the fullest server looks the fastest.
+		be.answered = b.now
+		be.took, be.work = be.took+float64(v.on.target), be.work+load
+	case ConnectFailed:
+		if !f.reused {
+			b.sitOut(be, "no connection")
+		}
+	case Reset:
+		be.bad++
+		if !f.reused {
+			b.sitOut(be, "connection broke")
+		}
+	default:
+		if took > b.expect(be)*v.work { // no answer, and that took longer than answers do
+			be.took, be.work = be.took+took, be.work+load
+		}
+		return
+	}
+	if be.bad >= badLeast && be.bad > badShare*(be.good+be.bad) {
+		b.sitOut(be, "errors")
+	} else if be.outUntil != 0 && f.sent >= be.outUntil {
+		b.sitOut(be, "trial failed")
+	}
+}
+
+// sitOut keeps a server off the ordinary pick, longer each time. Then it gets one visit at a time until
+// two came back well: a server that returns is not met by everyone's whole traffic.
+func (b *Balancer) sitOut(be *backend, why string) {
+	if be.outUntil > b.now {
+		return
+	}
+	longest := b.span("obligations.cold_us") / 2
+	be.outSpan = min(max(2*be.outSpan, 10*firstWait), longest)
+	be.outUntil = b.now + Micros(float64(be.outSpan)*(0.75+b.chance()/2))
+	be.proved, be.bad = 0, 0
+	b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
+}
+
+// expect is the answer time per unit of work that one more visit would see at a server.
+func (b *Balancer) expect(be *backend) float64 {
+	prior := firmness * b.meanWork
+	own := b.pace
+	if be.work+prior > 0 {
+		own = (be.took + prior*b.pace) / (be.work + prior)
+	}
+	held := float64(be.held)
+	if be.fresh {
+		held = max(held, b.meanHeld())
+	}
+	return own * (held + 1) / b.warmth(be)
+}
+
+func (b *Balancer) meanHeld() float64 {
+	sum, n := 0.0, 0.0
+	for _, be := range b.row {
+		if be.usable() && !be.fresh {
+			sum, n = sum+float64(be.held), n+1
+		}
+	}
+	return sum / max(n, 1)
+}
+
+// pick chooses a server: a random one among those without a visit of ours, else the one with the
+// fewest, where a visit counts by how slowly the server was seen to answer. A server that sits out is
+// used for a trial, or when there is no other.
+func (b *Balancer) pick(v *visit) *backend {
+	var best *backend
+	least, last := math.Inf(1), math.Inf(1)
+	var lastResort *backend
+	b.scratch = b.scratch[:0]
+	for _, be := range b.row {
+		if !b.may(v, be) {
+			continue
+		}
+		score := b.expect(be) * b.distance(be)
+		tried := false
+		for _, f := range v.fetches {
+			tried = tried || f.be == be
+		}
+		if be.outUntil != 0 || tried {
+			if !tried && be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
+				len(v.fetches) == 0 {
+				return be // a trial
+			}
+			if score < last {
+				last, lastResort = score, be
+			}
+			continue
+		}
+		b.scratch = append(b.scratch, be)
+		if score < least {
+			least, best = score, be
+		}
+	}
+	if best == nil {
+		return lastResort
+	}
+	b.weights = b.weights[:0]
+	sum, near := 0.0, false
+	for _, be := range b.scratch {
+		near = near || be.held == 0 && be.zone == b.myZone && b.expect(be) <= tieBand*least
+	}
+	for _, be := range b.scratch {
+		w := 0.0
+		if pace := b.expect(be); be.held == 0 && pace <= tieBand*least && (!near || be.zone == b.myZone) {
+			w = 1 / (pace * pace)
+		}
+		sum += w
+		b.weights = append(b.weights, w)
+	}
+	if sum == 0 {
+		return best
+	}
+	at := b.chance() * sum
+	for i, w := range b.weights {
+		if at -= w; at < 0 {
+			return b.scratch[i]
+		}
+	}
+	return best
+}
+
+// distance makes a crossing count as some visits held, by its price.
+func (b *Balancer) distance(be *backend) float64 {
+	if be.zone == b.myZone {
+		return 1
+	}
+	held := float64(be.held)
+	return (held + 1 + crossWeight*b.maybe("tariffs.cross_zone")) / (held + 1)
+}
--- /dev/null
+++ b/brain/ports.go
@@ -0,0 +1,67 @@
+package brain
+
+// Micros is a point in time or a span, in whole microseconds.
+type Micros int64
+
+// The kinds of id. None tells anything but sameness.
+type (
+	VisitID uint64 // one accepted visit
+	Backend uint64 // one server, the same at every sidecar
+	FetchNo uint8  // a visit's backend fetches, counted from 0
+	Prefix  uint16 // place among the path prefixes
+	Realm   uint32 // place among the tenants
+	Zone    uint16 // place among the data centres
+	Cell    uint16 // small group of servers that share a memory of tags
+	Key     uint64 // what the visit is about; 0: nothing said
+	Token   uint32 // names a wake-up
+)
+
+// Result tells how a backend fetch ended.
+type Result uint8
+
+const (
+	Delivered     Result = iota + 1
+	Errored              // answered with an error; may have run
+	Full                 // turned away unseen
+	TimedOut             // no answer in time; may have run
+	ConnectFailed        // no connection; never ran
+	Reset                // connection broke unanswered; may have run
+	Cancelled            // called off; may have run
+	NeverSent            // did not go out
+)
+
+// Standing is what the list says of a server.
+type Standing uint8
+
+const (
+	Gone Standing = iota
+	Draining
+	Ready
+)
+
+// News says what kind of list came.
+type News uint8
+
+const (
+	Changes    News = iota // changed lines only
+	Whole                  // the complete list
+	Saved                  // the complete list as last held, perhaps outdated
+	NoListCame             // a call failed or the subscription broke
+)
+
+// Site holds the settings of the place the sidecar runs in: plain names ("allowed.cancel",
+// "path_prefixes.0.value") to a float64, string or bool.
+type Site map[string]any
+
+// Ports is all that the module can do to the world. Calls must not call back into the module.
+type Ports interface {
+	Dispatch(v VisitID, be Backend, tryFor Micros) // one backend fetch; tryFor 0: until the client quits
+	Bounce(v VisitID, comeBackIn Micros)           // final: a retry is harmless
+	ErrorPage(v VisitID)                           // final: promises nothing
+	Cancel(v VisitID, no FetchNo)                  // stop waiting for one fetch
+	Wake(in Micros, t Token)                       // Balancer.Woken(t) is due after this
+	Probe(be Backend)                              // health check
+	CloseIdle(be Backend)                          // give back connections that carry nothing
+	Subscribe()                                    // ask the list to send its changes
+	Print(line string)                             // one line for the operators
+}
