--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,6 +38,7 @@
 	badLeast    = 2.0  // and the errors seen lately that this takes at least
 	coldSafety  = 0.5  // part of a cold server's budget that is used
 	patience    = 3.0  // multiple of the expected answer after which silence is looked into
+	muteLeast   = 2    // fetches that must wait too long, with no sign of life, before a server counts as silent
 	fullLimit   = 0.8  // part of the time to the target latency that an expected answer may take
 	lowLimit    = 0.4  // the same for a visit that is worth nothing
 	dozen       = 32   // samples before a path prefix's mean moves slowly
@@ -70,6 +71,7 @@
 	held     int
 	idle     []Micros // when each idle connection closes
 	answered Micros   // last sign of life
+	mute     int      // fetches found waiting too long since then
 	took     float64  // latency of lately delivered visits, fading
 	work     float64  // their work times the visits held, fading alike
 	carried  float64  // their work alone
@@ -651,6 +653,10 @@
 		if f.done || v.ended || f.be.answered > f.sent {
 			return
 		}
+		// One long visit at a server with little of our traffic is no silence: it takes two.
+		if f.be.mute++; f.be.mute < muteLeast && f.be.outUntil == 0 {
+			return
+		}
 		b.sitOut(f.be, "silent")
 		if !again || v.on.effect == "mutating" || v.out > 1 || !b.allows("allowed.cancel") ||
 			b.capacity()-b.spent < retryCost {
@@ -718,7 +724,7 @@
 	be, load := f.be, v.work*float64(f.held)
 	switch rc {
 	case Delivered:
-		be.answered, be.fresh = b.now, false
+		be.answered, be.mute, be.fresh = b.now, 0, false
 		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+v.work
 		be.good++
 		p := v.on
@@ -734,11 +740,11 @@
 		}
 		return
 	case Errored:
-		be.answered, be.fresh = b.now, false
+		be.answered, be.mute, be.fresh = b.now, 0, false
 		be.bad++
 	case Full:
 		// Refusals come fast: count them as late answers, or the fullest server looks the fastest.
-		be.answered = b.now
+		be.answered, be.mute = b.now, 0
 		be.took, be.work = be.took+float64(v.on.target), be.work+load
 	case ConnectFailed:
 		if !f.reused {
