--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,8 +39,8 @@
 	coldSafety  = 0.5  // part of a cold server's budget that is used
 	patience    = 3.0  // multiple of the expected answer after which silence is looked into
 	muteLeast   = 2    // fetches that must wait too long, with no sign of life, before a server counts as silent
-	fullLimit   = 0.8  // part of the time to the target latency that an expected answer may take
-	lowLimit    = 0.4  // the same for a visit that is worth nothing
+	fullLimit   = 0.35  // part of the time to the target latency that an expected answer may take
+	lowLimit    = .175  // the same for a visit that is worth nothing
 	dozen       = 32   // samples before a path prefix's mean moves slowly
 	overBand    = 1.5  // multiple of the median tenant's use of its share that counts as beyond it
 )
