--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,8 +39,9 @@
 	coldSafety  = 0.5  // part of a cold server's budget that is used
 	patience    = 3.0  // multiple of the expected answer after which silence is looked into
 	muteLeast   = 2    // fetches that must wait too long, with no sign of life, before a server counts as silent
-	fullLimit   = 0.35  // part of the time to the target latency that an expected answer may take
-	lowLimit    = .175  // the same for a visit that is worth nothing
+	fullLimit   = 0.4  // part of the target latency that a usual visit may take where this one is sent
+	lowLimit    = 0.25 // the same for a visit that is worth nothing
+	ownLimit    = 0.9  // part of the time to its target latency that its own answer may take
 	dozen       = 32   // samples before a path prefix's mean moves slowly
 	overBand    = 1.5  // multiple of the median tenant's use of its share that counts as beyond it
 )
@@ -51,6 +52,7 @@
 	value, late             float64
 	effect, group           string
 	seen, mean              float64 // answers seen; their mean latency, where visits carry no hint
+	usual                   float64 // mean work expected of a visit
 }
 
 // realm is a tenant: its share, and what this sidecar lately took in for it.
@@ -519,6 +521,10 @@
 		b.meanWork = v.work
 	}
 	b.meanWork += (v.work - b.meanWork) / dozen
+	if p.usual == 0 {
+		p.usual = v.work
+	}
+	p.usual += (v.work - p.usual) / (4 * dozen)
 	b.visits[id] = v
 	b.firsts++
 	if int(of) < len(b.realms) {
@@ -559,14 +565,14 @@
 	return 1 - usual/use
 }
 
-// admit turns a visit away early when its answer can't be expected in time. Visits worth less are
-// turned away sooner. Guards against an overload that makes every answer late, and against tipping
-// crowded servers.
+// admit turns a visit away early when its answer can't be expected in time, or when the server is so
+// crowded that a usual visit takes much of its target latency; sooner, the less the visit is worth. Guards
+// against an overload that makes every answer late, and against tipping crowded servers.
 func (b *Balancer) admit(v *visit, be *backend) bool {
-	left := float64(v.wanted - b.now)
-	limit := left * (lowLimit + (fullLimit-lowLimit)*v.value)
-	need := b.expect(be) * v.work
-	return need <= limit || b.chance() < 1.5-need/limit || be.held == 0 && b.chance() < 1/memory
+	limit := float64(v.on.target) * (lowLimit + (fullLimit-lowLimit)*v.value)
+	pace := b.expect(be)
+	strain := max(pace*v.on.usual/limit, pace*v.work/float64(v.wanted-b.now)/ownLimit)
+	return strain <= 1 || b.chance() < 1.5-strain || be.held == 0 && b.chance() < 1/memory
 }
 
 // after is the step that follows a backend fetch.
