--- a/brain/brain.go
+++ b/brain/brain.go
@@ -541,10 +541,12 @@
 			b.end(v)
 		}
 	})
-	be := b.pick(v)
+	be := b.pick(v, false)
 	if be == nil || !b.admit(v, be) {
-		b.giveUp(v)
-		return
+		if be = b.pick(v, true); be == nil || !b.admit(v, be) {
+			b.giveUp(v)
+			return
+		}
 	}
 	b.send(v, be, b.after(v, false))
 }
@@ -630,7 +632,7 @@
 	b.at(b.now+wait, func() {
 		var be *backend
 		if !v.ended {
-			be = b.pick(v)
+			be = b.pick(v, false)
 		}
 		if be == nil {
 			b.settle(true) // never sent: nothing was spent
@@ -813,8 +815,8 @@
 
 // pick chooses a server: a random one among those without a visit of ours, else the one with the
 // fewest, where a visit counts by how slowly the server was seen to answer. A server that sits out is
-// used for a trial, or when there is no other.
-func (b *Balancer) pick(v *visit) *backend {
+// used for a trial, or when there is no other. afar: the way to the other data centres counts nothing.
+func (b *Balancer) pick(v *visit, afar bool) *backend {
 	var best *backend
 	least, last := math.Inf(1), math.Inf(1)
 	var lastResort *backend
@@ -823,7 +825,10 @@
 		if !b.may(v, be) {
 			continue
 		}
-		score := b.expect(be) * b.distance(be)
+		score := b.expect(be)
+		if !afar {
+			score *= b.distance(be)
+		}
 		tried := false
 		for _, f := range v.fetches {
 			tried = tried || f.be == be
@@ -849,7 +854,7 @@
 	b.weights = b.weights[:0]
 	sum, near := 0.0, false
 	for _, be := range b.scratch {
-		near = near || be.held == 0 && be.zone == b.myZone && b.expect(be) <= tieBand*least
+		near = near || !afar && be.held == 0 && be.zone == b.myZone && b.expect(be) <= tieBand*least
 	}
 	for _, be := range b.scratch {
 		w := 0.0
