--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,22 +30,23 @@
 
 // Ratios of this module's own; what they are ratios of stands beside each.
 const (
-	memory      = 40.0   // beats after which what was seen of a server has faded to 1/e
-	firmness    = 2.0    // mean visits' worth of the common pace that a server's own pace is mixed with
-	tieBand     = 2.0    // idle servers whose expected answer is within this multiple of the best tie
-	crossWeight = 10.0   // visits held that one point of a crossing's price counts as
-	badShare    = 0.25   // share of errors at which a server sits out
-	badLeast    = 2.0    // and the errors seen lately that this takes at least
-	coldSafety  = 0.5    // part of a cold server's budget that is used
-	patience    = 3.0    // multiple of the expected answer after which silence is looked into
-	muteLeast   = 2      // fetches that must wait too long, with no sign of life, before a server counts as silent
-	bulk        = 16.0   // mean visits' worth of the calm pace that the fleet's pace is mixed with
-	calmFalls   = 20.0   // beats in which the calm pace follows the fleet's down
-	calmRises   = 1000.0 // and up
-	lowLimit    = 0.6    // part of the crowding limit that holds for a visit worth nothing
-	ownLimit    = 0.9    // part of the time to its target latency that its own answer may take
-	dozen       = 32     // samples before a path prefix's mean moves slowly
-	overBand    = 1.5    // multiple of the median tenant's use of its share that counts as beyond it
+	memory      = 40.0  // beats after which what was seen of a server has faded to 1/e
+	firmness    = 2.0   // mean visits' worth of the common pace that a server's own pace is mixed with
+	tieBand     = 2.0   // idle servers whose expected answer is within this multiple of the best tie
+	crossWeight = 10.0  // visits held that one point of a crossing's price counts as
+	badShare    = 0.25  // share of errors at which a server sits out
+	badLeast    = 2.0   // and the errors seen lately that this takes at least
+	coldSafety  = 0.5   // part of a cold server's budget that is used
+	patience    = 3.0   // multiple of the expected answer after which silence is looked into
+	muteLeast   = 2     // fetches that must wait too long, with no sign of life, before a server counts as silent
+	bulk        = 16.0  // mean visits' worth of the calm pace that the fleet's pace is mixed with
+	calmFalls   = 20.0  // beats in which the calm pace follows the fleet's down
+	calmRises   = 400.0 // and up
+	calmBand    = 1.5   // multiple of the calm pace from which on the fleet is crowded: nothing calm is learnt
+	lowLimit    = 0.6   // part of the crowding limit that holds for a visit worth nothing
+	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
+	dozen       = 32    // samples before a path prefix's mean moves slowly
+	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
 )
 
 // prefix is a path prefix as the site has it, and what its visits were seen to take.
@@ -298,7 +299,7 @@
 	}
 	if b.level < b.calm {
 		b.calm += (b.level - b.calm) / calmFalls
-	} else {
+	} else if b.level < calmBand*b.calm {
 		b.calm += (b.level - b.calm) / calmRises
 	}
 	b.carry = 0
@@ -751,7 +752,9 @@
 		be.good++
 		p := v.on
 		p.seen = min(p.seen+1, 16*dozen)
-		p.mean += (took/max(1, b.level/b.calm) - p.mean) / max(p.seen, dozen)
+		if b.level < calmBand*b.calm { // what a crowd adds is no part of the visit's own work
+			p.mean += (took - p.mean) / max(p.seen, dozen)
+		}
 		if be.outUntil != 0 && f.sent >= be.outUntil {
 			be.proved++
 			if be.proved >= 2 {
