--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,23 +30,20 @@
 
 // Ratios of this module's own; what they are ratios of stands beside each.
 const (
-	memory      = 40.0  // beats after which what was seen of a server has faded to 1/e
-	firmness    = 2.0   // mean visits' worth of the common pace that a server's own pace is mixed with
-	tieBand     = 2.0   // idle servers whose expected answer is within this multiple of the best tie
-	crossWeight = 10.0  // visits held that one point of a crossing's price counts as
-	badShare    = 0.25  // share of errors at which a server sits out
-	badLeast    = 2.0   // and the errors seen lately that this takes at least
-	coldSafety  = 0.5   // part of a cold server's budget that is used
-	patience    = 3.0   // multiple of the expected answer after which silence is looked into
-	muteLeast   = 2     // fetches that must wait too long, with no sign of life, before a server counts as silent
-	bulk        = 16.0  // mean visits' worth of the calm pace that the fleet's pace is mixed with
-	calmFalls   = 20.0  // beats in which the calm pace follows the fleet's down
-	calmRises   = 400.0 // and up
-	calmBand    = 1.5   // multiple of the calm pace from which on the fleet is crowded: nothing calm is learnt
-	lowLimit    = 0.6   // part of the crowding limit that holds for a visit worth nothing
-	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
-	dozen       = 32    // samples before a path prefix's mean moves slowly
-	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
+	memory      = 40.0 // beats after which what was seen of a server has faded to 1/e
+	firmness    = 2.0  // mean visits' worth of the common pace that a server's own pace is mixed with
+	tieBand     = 2.0  // idle servers whose expected answer is within this multiple of the best tie
+	crossWeight = 10.0 // visits held that one point of a crossing's price counts as
+	badShare    = 0.25 // share of errors at which a server sits out
+	badLeast    = 2.0  // and the errors seen lately that this takes at least
+	coldSafety  = 0.5  // part of a cold server's budget that is used
+	patience    = 3.0  // multiple of the expected answer after which silence is looked into
+	muteLeast   = 2    // fetches that must wait too long, with no sign of life, before a server counts as silent
+	fullLimit   = 0.4  // part of the target latency that a usual visit may take where this one is sent
+	lowLimit    = 0.25 // the same for a visit that is worth nothing
+	ownLimit    = 0.9  // part of the time to its target latency that its own answer may take
+	dozen       = 32   // samples before a path prefix's mean moves slowly
+	overBand    = 1.5  // multiple of the median tenant's use of its share that counts as beyond it
 )
 
 // prefix is a path prefix as the site has it, and what its visits were seen to take.
@@ -168,8 +165,6 @@
 	spent    float64 // tokens missing from the bucket
 	firsts   float64 // first tries of the last ten seconds, fading
 	meanWork float64
-	level    float64 // answer time per unit of work, all servers, lately
-	calm     float64 // the same when the fleet is calm
 	pace     float64 // answer time per unit of work and visit held, all servers
 	carry    float64 // work lately carried by a warm server, per rating
 	scratch  []*backend
@@ -183,7 +178,7 @@
 			b, err = nil, missing
 		}
 	}()
-	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1, calm: 1, level: 1,
+	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1,
 		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
@@ -277,12 +272,12 @@
 func (b *Balancer) beat() {
 	fade := 1 - 1/memory
 	b.firsts *= 1 - float64(firstWait)/float64(retrySpan)
-	var took, work, plain, carried, rated float64
+	var took, work, carried, rated float64
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
 		be.good, be.bad = be.good*fade, be.bad*fade
 		if be.usable() && be.outUntil == 0 {
-			took, work, plain = took+be.took, work+be.work, plain+be.carried
+			took, work = took+be.took, work+be.work
 			if be.coldSince == 0 {
 				carried, rated = carried+be.carried, rated+be.rating
 			}
@@ -293,15 +288,6 @@
 	if work+prior > 0 {
 		b.pace = (took + prior) / (work + prior)
 	}
-	b.level = b.calm
-	if prior = bulk * b.meanWork; prior > 0 {
-		b.level = (took + prior*b.calm) / (plain + prior)
-	}
-	if b.level < b.calm {
-		b.calm += (b.level - b.calm) / calmFalls
-	} else if b.level < calmBand*b.calm {
-		b.calm += (b.level - b.calm) / calmRises
-	}
 	b.carry = 0
 	if rated > 0 {
 		b.carry = carried / memory / rated
@@ -582,14 +568,13 @@
 }
 
 // admit turns a visit away early when its answer can't be expected in time, or when the server is so
-// crowded that a usual visit's answer lies nearer, in ratio, to its target latency than to what it takes
-// when the fleet is calm; sooner, the less the visit is worth. Guards
+// crowded that a usual visit takes much of its target latency; sooner, the less the visit is worth. Guards
 // against an overload that makes every answer late, and against tipping crowded servers.
 func (b *Balancer) admit(v *visit, be *backend) bool {
-	limit := math.Sqrt(float64(v.on.target)*b.calm*v.on.usual) * (lowLimit + (1-lowLimit)*v.value)
+	limit := float64(v.on.target) * (lowLimit + (fullLimit-lowLimit)*v.value)
 	pace := b.expect(be)
 	strain := max(pace*v.on.usual/limit, pace*v.work/float64(v.wanted-b.now)/ownLimit)
-	return strain <= 1 || b.chance() < 1.5-strain || be.held == 0 && b.chance() < 1/memory
+	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
 
 // after is the step that follows a backend fetch.
@@ -752,9 +737,7 @@
 		be.good++
 		p := v.on
 		p.seen = min(p.seen+1, 16*dozen)
-		if b.level < calmBand*b.calm { // what a crowd adds is no part of the visit's own work
-			p.mean += (took - p.mean) / max(p.seen, dozen)
-		}
+		p.mean += (took - p.mean) / max(p.seen, dozen)
 		if be.outUntil != 0 && f.sent >= be.outUntil {
 			be.proved++
 			if be.proved >= 2 {
