--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,7 +31,7 @@
 // Ratios of this module's own; what they are ratios of stands beside each.
 const (
 	memory      = 40.0 // beats after which what was seen of a server has faded to 1/e
-	firmness    = 2.0  // mean visits' worth of the common pace that a server's own pace is mixed with
+	firmness    = 6.0  // mean visits' worth of the common pace that a server's own pace is mixed with
 	tieBand     = 2.0  // idle servers whose expected answer is within this multiple of the best tie
 	crossWeight = 10.0 // visits held that one point of a crossing's price counts as
 	badShare    = 0.25 // share of errors at which a server sits out
