--- a/brain/brain.go
+++ b/brain/brain.go
@@ -166,6 +166,7 @@
 	firsts   float64 // first tries of the last ten seconds, fading
 	meanWork float64
 	pace     float64 // answer time per unit of work and visit held, all servers
+	size     float64 // mean rating of the servers in use
 	carry    float64 // work lately carried by a warm server, per rating
 	scratch  []*backend
 	weights  []float64
@@ -178,7 +179,7 @@
 			b, err = nil, missing
 		}
 	}()
-	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1,
+	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1, size: 1,
 		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
@@ -272,17 +273,21 @@
 func (b *Balancer) beat() {
 	fade := 1 - 1/memory
 	b.firsts *= 1 - float64(firstWait)/float64(retrySpan)
-	var took, work, carried, rated float64
+	var took, work, carried, rated, sizes, inUse float64
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
 		be.good, be.bad = be.good*fade, be.bad*fade
 		if be.usable() && be.outUntil == 0 {
 			took, work = took+be.took, work+be.work
+			sizes, inUse = sizes+be.rating, inUse+1
 			if be.coldSince == 0 {
 				carried, rated = carried+be.carried, rated+be.rating
 			}
 		}
 	}
+	if inUse > 0 {
+		b.size = sizes / inUse
+	}
 	prior := firmness * b.meanWork
 	b.pace = 1
 	if work+prior > 0 {
@@ -792,9 +797,9 @@
 // expect is the answer time per unit of work that one more visit would see at a server.
 func (b *Balancer) expect(be *backend) float64 {
 	prior := firmness * b.meanWork
-	own := b.pace
+	own := b.pace * b.size / be.rating // a server twice the size answers in half the time, until seen
 	if be.work+prior > 0 {
-		own = (be.took + prior*b.pace) / (be.work + prior)
+		own = (be.took + prior*own) / (be.work + prior)
 	}
 	held := float64(be.held)
 	if be.fresh {
