--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,6 +38,7 @@
 	badLeast    = 2.0  // and the errors seen lately that this takes at least
 	coldSafety  = 0.5  // part of a cold server's budget that is used
 	patience    = 3.0  // multiple of the expected answer after which silence is looked into
+	restLimit   = 2.0  // multiple of the crowding limit at which a server is left to rest
 	muteLeast   = 2    // fetches that must wait too long, with no sign of life, before a server counts as silent
 	fullLimit   = 0.4  // part of the target latency that a usual visit may take where this one is sent
 	lowLimit    = 0.25 // the same for a visit that is worth nothing
@@ -83,6 +84,7 @@
 	outUntil Micros   // sits out; 0: in service
 	outSpan  Micros   // how long it sat out last
 	proved   int      // trials passed since it sat out
+	resting  bool     // it sits out because it is crowded, and is no last resort either
 }
 
 // fetch is one backend fetch. Its step's closure is handed the result.
@@ -383,7 +385,7 @@
 			be.coldSince = now // it came back from we know not what: cold
 		}
 		be.took, be.work, be.carried, be.good, be.bad, be.idle = 0, 0, 0, 0, 0, nil
-		be.outUntil, be.proved = 0, 0
+		be.outUntil, be.proved, be.resting = 0, 0, false
 		if now-be.coldSince >= b.span("obligations.cold_us") {
 			be.coldSince = 0
 		}
@@ -746,11 +748,12 @@
 		if be.outUntil != 0 && f.sent >= be.outUntil {
 			be.proved++
 			if be.proved >= 2 {
-				be.outUntil, be.proved, be.bad = 0, 0, 0
+				be.outUntil, be.proved, be.bad, be.resting = 0, 0, 0, false
 			}
 		} else if be.good > memory/2 {
 			be.outSpan = 0
 		}
+		b.rest(v.on, be)
 		return
 	case Errored:
 		be.answered, be.mute, be.fresh = b.now, 0, false
@@ -771,6 +774,7 @@
 	default:
 		if took > b.expect(be)*v.work { // no answer, and that took longer than answers do
 			be.took, be.work = be.took+took, be.work+load
+			b.rest(v.on, be)
 		}
 		return
 	}
@@ -794,6 +798,18 @@
 	b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
 }
 
+// rest gives a server that is crowded far beyond the limit no visit for a while. Guards against jams that
+// last: a server in its slow state leaves it only when it has been mostly idle for some time, and a little
+// traffic from every sidecar keeps it there.
+func (b *Balancer) rest(on *prefix, be *backend) {
+	if be.outUntil == 0 && be.took > 0 &&
+		b.expect(be)*on.usual > restLimit*fullLimit*float64(on.target) {
+		be.outSpan = b.span("obligations.cold_us") / 4
+		b.sitOut(be, "crowded")
+		be.resting = true
+	}
+}
+
 // expect is the answer time per unit of work that one more visit would see at a server.
 func (b *Balancer) expect(be *backend) float64 {
 	prior := firmness * b.meanWork
@@ -843,7 +859,7 @@
 				len(v.fetches) == 0 {
 				return be // a trial
 			}
-			if score < last {
+			if score < last && !be.resting {
 				last, lastResort = score, be
 			}
 			continue
