--- a/brain/brain.go
+++ b/brain/brain.go
@@ -168,6 +168,8 @@
 	firsts   float64 // first tries of the last ten seconds, fading
 	meanWork float64
 	pace     float64 // answer time per unit of work and visit held, all servers
+	done     float64 // work lately delivered, per microsecond
+	level    float64 // answer time per unit of work
 	size     float64 // mean rating of the servers in use
 	carry    float64 // work lately carried by a warm server, per rating
 	scratch  []*backend
@@ -181,7 +183,7 @@
 			b, err = nil, missing
 		}
 	}()
-	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1, size: 1,
+	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1, level: 1, size: 1,
 		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
@@ -275,12 +277,12 @@
 func (b *Balancer) beat() {
 	fade := 1 - 1/memory
 	b.firsts *= 1 - float64(firstWait)/float64(retrySpan)
-	var took, work, carried, rated, sizes, inUse float64
+	var took, work, plain, carried, rated, sizes, inUse float64
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
 		be.good, be.bad = be.good*fade, be.bad*fade
 		if be.usable() && be.outUntil == 0 {
-			took, work = took+be.took, work+be.work
+			took, work, plain = took+be.took, work+be.work, plain+be.carried
 			sizes, inUse = sizes+be.rating, inUse+1
 			if be.coldSince == 0 {
 				carried, rated = carried+be.carried, rated+be.rating
@@ -295,6 +297,11 @@
 	if work+prior > 0 {
 		b.pace = (took + prior) / (work + prior)
 	}
+	b.done = plain / memory / float64(firstWait)
+	b.level = 1
+	if plain+prior > 0 {
+		b.level = (took + prior) / (plain + prior)
+	}
 	b.carry = 0
 	if rated > 0 {
 		b.carry = carried / memory / rated
@@ -558,6 +565,18 @@
 	b.send(v, be, b.after(v, false))
 }
 
+// rush is the answer time per unit of work that the visits now out point to, by Little's law. Guards against
+// a burst that is seen in answers only when the servers are full: visits held rise at once.
+func (b *Balancer) rush() float64 {
+	held := firmness
+	for _, be := range b.row {
+		if be.usable() && be.outUntil == 0 {
+			held += float64(be.held)
+		}
+	}
+	return held / (b.done + firmness/b.level)
+}
+
 // beyond is the part of a tenant's visits that lies beyond its share, judged by how much more of its
 // share it uses here than the median tenant does: one sidecar can't see the tenant's whole traffic.
 func (b *Balancer) beyond(of Realm) float64 {
@@ -580,7 +599,7 @@
 func (b *Balancer) admit(v *visit, be *backend) bool {
 	limit := float64(v.on.target) * (lowLimit + (fullLimit-lowLimit)*v.value)
 	pace := b.expect(be)
-	strain := max(pace*v.on.usual/limit, pace*v.work/float64(v.wanted-b.now)/ownLimit)
+	strain := max(b.rush()*v.on.usual/limit, pace*v.on.usual/limit, pace*v.work/float64(v.wanted-b.now)/ownLimit)
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
 
