--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,8 +40,8 @@
 	patience    = 3.0  // multiple of the expected answer after which silence is looked into
 	restLimit   = 2.0  // multiple of the crowding limit at which a server is left to rest
 	muteLeast   = 2    // fetches that must wait too long, with no sign of life, before a server counts as silent
-	fullLimit   = 0.28  // part of the target latency that a usual visit may take where this one is sent
-	lowLimit    = 0.22 // the same for a visit that is worth nothing
+	fullLimit   = 0.4  // part of the target latency that a usual visit may take where this one is sent
+	lowLimit    = 0.3 // the same for a visit that is worth nothing
 	ownLimit    = 0.9  // part of the time to its target latency that its own answer may take
 	dozen       = 32   // samples before a path prefix's mean moves slowly
 	overBand    = 1.5  // multiple of the median tenant's use of its share that counts as beyond it
