--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,7 +41,7 @@
 	restLimit   = 2.0  // multiple of the crowding limit at which a server is left to rest
 	muteLeast   = 2    // fetches that must wait too long, with no sign of life, before a server counts as silent
 	fullLimit   = 0.4  // part of the target latency that a usual visit may take where this one is sent
-	lowLimit    = 0.3 // the same for a visit that is worth nothing
+	lowLimit    = 0.3  // the same for a visit that is worth nothing
 	ownLimit    = 0.9  // part of the time to its target latency that its own answer may take
 	dozen       = 32   // samples before a path prefix's mean moves slowly
 	overBand    = 1.5  // multiple of the median tenant's use of its share that counts as beyond it
@@ -599,7 +599,8 @@
 func (b *Balancer) admit(v *visit, be *backend) bool {
 	limit := float64(v.on.target) * (lowLimit + (fullLimit-lowLimit)*v.value)
 	pace := b.expect(be)
-	strain := max(b.rush()*v.on.usual/limit, pace*v.on.usual/limit, pace*v.work/float64(v.wanted-b.now)/ownLimit)
+	crowd := max(b.rush(), pace) * v.on.usual / limit
+	strain := math.Hypot(crowd, pace*v.work/float64(v.wanted-b.now)/ownLimit)
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
 
