--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,21 +30,26 @@
 
 // Ratios of this module's own; what they are ratios of stands beside each.
 const (
-	memory      = 40.0 // beats after which what was seen of a server has faded to 1/e
-	firmness    = 6.0  // mean visits' worth of the common pace that a server's own pace is mixed with
-	tieBand     = 2.0  // idle servers whose expected answer is within this multiple of the best tie
-	crossWeight = 10.0 // visits held that one point of a crossing's price counts as
-	badShare    = 0.25 // share of errors at which a server sits out
-	badLeast    = 2.0  // and the errors seen lately that this takes at least
-	coldSafety  = 0.5  // part of a cold server's budget that is used
-	patience    = 3.0  // multiple of the expected answer after which silence is looked into
-	restLimit   = 2.0  // multiple of the crowding limit at which a server is left to rest
-	muteLeast   = 2    // fetches that must wait too long, with no sign of life, before a server counts as silent
-	fullLimit   = 0.4  // part of the target latency that a usual visit may take where this one is sent
-	lowLimit    = 0.3  // the same for a visit that is worth nothing
-	ownLimit    = 0.9  // part of the time to its target latency that its own answer may take
-	dozen       = 32   // samples before a path prefix's mean moves slowly
-	overBand    = 1.5  // multiple of the median tenant's use of its share that counts as beyond it
+	memory      = 40.0  // beats after which what was seen of a server has faded to 1/e
+	firmness    = 6.0   // mean visits' worth of the common pace that a server's own pace is mixed with
+	tieBand     = 2.0   // idle servers whose expected answer is within this multiple of the best tie
+	crossWeight = 10.0  // visits held that one point of a crossing's price counts as
+	badShare    = 0.25  // share of errors at which a server sits out
+	badLeast    = 2.0   // and the errors seen lately that this takes at least
+	coldSafety  = 0.5   // part of a cold server's budget that is used
+	patience    = 3.0   // multiple of the expected answer after which silence is looked into
+	restLimit   = 2.0   // multiple of the crowding limit at which a server is left to rest
+	muteLeast   = 2     // fetches that must wait too long, with no sign of life, before a server counts as silent
+	calmTimes   = 2.2   // multiple of a calm answer that a usual visit may take where this one is sent,
+	leastLimit  = 0.25  // but never less than this part of its target latency
+	mostLimit   = 0.5   // nor more than this
+	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
+	calmRises   = 400.0 // and up
+	calmBand    = 1.5   // multiple of the calm pace from which on the fleet is crowded
+	lowLimit    = 0.7   // part of that limit that holds for a visit worth nothing
+	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
+	dozen       = 32    // samples before a path prefix's mean moves slowly
+	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
 )
 
 // prefix is a path prefix as the site has it, and what its visits were seen to take.
@@ -169,6 +174,8 @@
 	meanWork float64
 	pace     float64 // answer time per unit of work and visit held, all servers
 	done     float64 // work lately delivered, per microsecond
+	calm     float64 // the same when the fleet is calm
+	crowd    float64 // multiple of the calm pace that answers lately took
 	level    float64 // answer time per unit of work
 	size     float64 // mean rating of the servers in use
 	carry    float64 // work lately carried by a warm server, per rating
@@ -183,7 +190,7 @@
 			b, err = nil, missing
 		}
 	}()
-	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1, level: 1, size: 1,
+	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1, level: 1, calm: 1, crowd: 1, size: 1,
 		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
@@ -302,6 +309,17 @@
 	if plain+prior > 0 {
 		b.level = (took + prior) / (plain + prior)
 	}
+	// The calm pace hardly follows a crowd: a jam must not raise the limit that is to end it.
+	rate := 1 / calmRises
+	if b.level < b.calm {
+		rate = 1 / calmFalls
+	} else if b.level > calmBand*b.calm {
+		rate /= 10
+	}
+	b.calm += (b.level - b.calm) * rate
+	if b.crowd = 1; plain > 0 {
+		b.crowd = took / plain / b.calm
+	}
 	b.carry = 0
 	if rated > 0 {
 		b.carry = carried / memory / rated
@@ -565,6 +583,12 @@
 	b.send(v, be, b.after(v, false))
 }
 
+// limit is how long a usual visit's answer may take before its server counts as crowded.
+func (b *Balancer) limit(on *prefix) float64 {
+	target := float64(on.target)
+	return min(max(calmTimes*b.calm*on.usual, leastLimit*target), mostLimit*target)
+}
+
 // rush is the answer time per unit of work that the visits now out point to, by Little's law. Guards against
 // a burst that is seen in answers only when the servers are full: visits held rise at once.
 func (b *Balancer) rush() float64 {
@@ -597,7 +621,7 @@
 // crowded that a usual visit takes much of its target latency; sooner, the less the visit is worth. Guards
 // against an overload that makes every answer late, and against tipping crowded servers.
 func (b *Balancer) admit(v *visit, be *backend) bool {
-	limit := float64(v.on.target) * (lowLimit + (fullLimit-lowLimit)*v.value)
+	limit := b.limit(v.on) * (lowLimit + (1-lowLimit)*v.value)
 	pace := b.expect(be)
 	crowd := max(b.rush(), pace) * v.on.usual / limit
 	strain := math.Hypot(crowd, pace*v.work/float64(v.wanted-b.now)/ownLimit)
@@ -764,7 +788,10 @@
 		be.good++
 		p := v.on
 		p.seen = min(p.seen+1, 16*dozen)
-		p.mean += (took - p.mean) / max(p.seen, dozen)
+		if p.seen > dozen { // what a crowd adds is no work of the visit's own
+			took /= max(1, b.crowd)
+		}
+		p.mean += (took - p.mean) / p.seen
 		if be.outUntil != 0 && f.sent >= be.outUntil {
 			be.proved++
 			if be.proved >= 2 {
@@ -823,7 +850,7 @@
 // traffic from every sidecar keeps it there.
 func (b *Balancer) rest(on *prefix, be *backend) {
 	if be.outUntil == 0 && be.took > 0 &&
-		b.expect(be)*on.usual > restLimit*fullLimit*float64(on.target) {
+		b.expect(be)*on.usual > restLimit*b.limit(on) {
 		be.outSpan = b.span("obligations.cold_us") / 4
 		b.sitOut(be, "crowded")
 		be.resting = true
