--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,8 +40,8 @@
 	patience    = 3.0   // multiple of the expected answer after which silence is looked into
 	restLimit   = 2.0   // multiple of the crowding limit at which a server is left to rest
 	muteLeast   = 2     // fetches that must wait too long, with no sign of life, before a server counts as silent
-	calmTimes   = 2.2   // multiple of a calm answer that a usual visit may take where this one is sent,
-	leastLimit  = 0.25  // but never less than this part of its target latency
+	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
+	leastLimit  = 0.2  // but never less than this part of its target latency
 	mostLimit   = 0.5   // nor more than this
 	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
 	calmRises   = 400.0 // and up
