--- a/brain/brain.go
+++ b/brain/brain.go
@@ -175,7 +175,7 @@
 	pace     float64 // answer time per unit of work and visit held, all servers
 	done     float64 // work lately delivered, per microsecond
 	calm     float64 // the same when the fleet is calm
-	crowd    float64 // multiple of the calm pace that answers lately took
+	crowd    float64 // the same, unmixed
 	level    float64 // answer time per unit of work
 	size     float64 // mean rating of the servers in use
 	carry    float64 // work lately carried by a warm server, per rating
@@ -318,7 +318,7 @@
 	}
 	b.calm += (b.level - b.calm) * rate
 	if b.crowd = 1; plain > 0 {
-		b.crowd = took / plain / b.calm
+		b.crowd = took / plain
 	}
 	b.carry = 0
 	if rated > 0 {
@@ -787,11 +787,13 @@
 		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+v.work
 		be.good++
 		p := v.on
-		p.seen = min(p.seen+1, 16*dozen)
-		if p.seen > dozen { // what a crowd adds is no work of the visit's own
-			took /= max(1, b.crowd)
+		if p.seen > dozen { // the mean tells prefixes apart; how fast the fleet is, the pace tells
+			took /= b.crowd
+		}
+		if be.outUntil == 0 { // nor is what a jammed server adds
+			p.seen = min(p.seen+1, 16*dozen)
+			p.mean += (took - p.mean) / p.seen
 		}
-		p.mean += (took - p.mean) / p.seen
 		if be.outUntil != 0 && f.sent >= be.outUntil {
 			be.proved++
 			if be.proved >= 2 {
