--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,7 +41,7 @@
 	restLimit   = 2.0   // multiple of the crowding limit at which a server is left to rest
 	muteLeast   = 2     // fetches that must wait too long, with no sign of life, before a server counts as silent
 	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
-	leastLimit  = 0.2  // but never less than this part of its target latency
+	leastLimit  = 0.2   // but never less than this part of its target latency
 	mostLimit   = 0.5   // nor more than this
 	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
 	calmRises   = 400.0 // and up
@@ -101,7 +101,7 @@
 	reused bool
 	done   bool
 	ran    bool // may have run: out, or ended without proof that it never ran
-	then   func(Result)
+	then   func(*fetch, Result)
 }
 
 // visit is an accepted visit that is not yet over.
@@ -432,12 +432,15 @@
 // --- the rules
 
 // may is the one gate of all sends: whether the rules let this visit go to this server now.
-func (b *Balancer) may(v *visit, be *backend) bool {
-	if v.ended || b.now >= v.until || !be.usable() ||
+func (b *Balancer) may(v *visit, be *backend) bool { return b.mayAt(v, be, b.now, v.out) }
+
+// mayAt tells the same for a later time, with so many fetches still out.
+func (b *Balancer) mayAt(v *visit, be *backend, at Micros, out int) bool {
+	if v.ended || at >= v.until || !be.usable() ||
 		len(v.fetches) >= int(b.num("allowed.max_backend_fetches")) {
 		return false
 	}
-	if v.out > 0 && (v.on.effect == "mutating" || !b.allows("allowed.may_duplicate")) {
+	if out > 0 && (v.on.effect == "mutating" || !b.allows("allowed.may_duplicate")) {
 		return false
 	}
 	if be.coldSince != 0 && be.credit < v.work {
@@ -450,7 +453,7 @@
 		if !f.ran {
 			continue
 		}
-		if v.on.effect != "tagged" || b.now >= f.sent+v.on.window {
+		if v.on.effect != "tagged" || at >= f.sent+v.on.window {
 			return false // guards against a second effect
 		}
 		if v.on.group == "zone" && f.be.zone != be.zone || v.on.group == "cell" && f.be.cell != be.cell {
@@ -460,6 +463,17 @@
 	return true
 }
 
+// onward tells whether some server in service, but this one, may get the visit when the next wait is over.
+// A visit for which there is none is answered at once and its running fetch is left alone.
+func (b *Balancer) onward(v *visit, but *backend, out int) bool {
+	for _, be := range b.row {
+		if be != but && !be.resting && b.mayAt(v, be, b.now+firstWait<<v.charged, out) {
+			return true
+		}
+	}
+	return false
+}
+
 // harmless tells whether a retry by the client does no harm, which is what a bounce says.
 func (b *Balancer) harmless(v *visit) bool {
 	for _, f := range v.fetches {
@@ -472,7 +486,7 @@
 }
 
 // send is the only place that sends. It leaves the step's closure with the fetch.
-func (b *Balancer) send(v *visit, be *backend, then func(Result)) {
+func (b *Balancer) send(v *visit, be *backend, then func(*fetch, Result)) {
 	if !b.may(v, be) {
 		panic(fmt.Sprintf("visit %d must not go to %d", v.id, be.id))
 	}
@@ -629,9 +643,8 @@
 }
 
 // after is the step that follows a backend fetch.
-func (b *Balancer) after(v *visit, charged bool) func(Result) {
-	return func(rc Result) {
-		f := v.fetches[len(v.fetches)-1]
+func (b *Balancer) after(v *visit, charged bool) func(*fetch, Result) {
+	return func(f *fetch, rc Result) {
 		if charged {
 			b.settle(rc == Delivered)
 		}
@@ -641,7 +654,7 @@
 		if v.ended || v.out > 0 {
 			return
 		}
-		if f.reused && (rc == Reset || rc == ConnectFailed) {
+		if f.reused && rc == Reset {
 			b.out.CloseIdle(f.be.id)
 			f.be.idle = nil
 			if !v.freed && b.may(v, f.be) {
@@ -669,7 +682,7 @@
 // retry arms one, if the bucket and the time left allow.
 func (b *Balancer) retry(v *visit) {
 	wait := firstWait << v.charged
-	if b.now+wait >= v.wanted {
+	if b.now+wait >= v.wanted || !b.onward(v, nil, v.out) {
 		b.giveUp(v)
 		return
 	}
@@ -717,17 +730,9 @@
 			return
 		}
 		b.sitOut(f.be, "silent")
-		if !again || v.on.effect == "mutating" || v.out > 1 || !b.allows("allowed.cancel") ||
-			b.capacity()-b.spent < retryCost {
-			return
-		}
-		for _, be := range b.row {
-			if be != f.be && be.outUntil == 0 && be.usable() && (v.on.effect == "read_like" ||
-				v.on.group == "all" || v.on.group == "zone" && be.zone == f.be.zone ||
-				v.on.group == "cell" && be.cell == f.be.cell) {
-				b.out.Cancel(v.id, f.no)
-				return
-			}
+		if again && v.out == 1 && b.allows("allowed.cancel") && b.capacity()-b.spent >= retryCost &&
+			b.onward(v, f.be, 0) {
+			b.out.Cancel(v.id, f.no)
 		}
 	})
 }
@@ -751,7 +756,7 @@
 	if over && !v.ended {
 		b.end(v)
 	}
-	f.then(rc)
+	f.then(f, rc)
 	if v.ended && v.out == 0 {
 		delete(b.visits, id)
 	}
@@ -812,9 +817,8 @@
 		be.answered, be.mute = b.now, 0
 		be.took, be.work = be.took+float64(v.on.target), be.work+load
 	case ConnectFailed:
-		if !f.reused {
-			b.sitOut(be, "no connection")
-		}
+		be.idle = nil // it had to be dialled: no connection was left to reuse
+		b.sitOut(be, "no connection")
 	case Reset:
 		be.bad++
 		if !f.reused {
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,299 @@
+package brain
+
+import "testing"
+
+func TestBucket(t *testing.T) {
+	d := begin(t, site("all"), "a b c d e f g h i j k l m n o p q r s t u v w x y z")
+	d.warm(30)
+	d.title("full at start; retries that fail keep half their cost, until the bucket denies")
+	d.tokens()
+	for id := VisitID(1); id <= 11; id++ {
+		d.visit(id, 0)
+		d.ends(id, 0, Errored)
+		d.pass(60 * ms)
+		if d.b.visits[id] != nil {
+			d.ends(id, 1, Errored)
+			d.b.Dropped(d.now, id)
+		}
+		d.tokens()
+	}
+	d.title("a retry that is delivered gets all back, a first try delivered one token")
+	d.b.spent = d.b.capacity() - 10
+	d.visit(20, 0)
+	d.ends(20, 0, Full)
+	d.tokens()
+	d.pass(60 * ms)
+	d.ends(20, 1, Delivered)
+	d.tokens()
+	d.visit(21, 0)
+	d.ends(21, 0, Delivered)
+	d.tokens()
+	d.title("capacity follows the first tries of ten seconds: a fifth of them, in retries")
+	d.warm(200)
+	d.tokens()
+	d.matches(t)
+}
+
+func TestBackoff(t *testing.T) {
+	d := begin(t, site("all"), "a b c d e f")
+	d.title("waits of 50, 100, 200 ms; the next would outrun the time left, so the visit is bounced")
+	d.visit(1, 2)
+	for no := range FetchNo(4) {
+		d.ends(1, no, ConnectFailed)
+		d.pass(50 * ms << no)
+	}
+	d.matches(t)
+}
+
+func TestFreeRetry(t *testing.T) {
+	d := begin(t, site("cell"), "a")
+	for on, kind := range []string{"read-like", "tagged", "mutating"} {
+		id := VisitID(10 * on)
+		d.title("%s: the reused connection breaks", kind)
+		d.visit(id, Prefix(on))
+		d.ends(id, 0, Delivered)
+		d.visit(id+1, Prefix(on))
+		d.ends(id+1, 0, Reset)
+		if d.b.visits[id+1] != nil {
+			d.title("the fresh one breaks too: that is charged")
+			d.ends(id+1, 1, Reset)
+		}
+		d.tokens()
+		d.pass(100 * ms)
+		if d.b.visits[id+1] != nil {
+			d.ends(id+1, 2, Delivered)
+		}
+		d.pass(3000 * ms)
+		d.b.known['a'].outUntil, d.b.known['a'].bad = 0, 0
+	}
+	d.matches(t)
+}
+
+func TestPick(t *testing.T) {
+	d := begin(t, site("all", "tariffs.cross_zone", 0.02), "a b C")
+	d.warm(12)
+	d.title("idle ones here first, then the idle one over there, then the fewest")
+	for id := range VisitID(6) {
+		d.visit(id, 0)
+	}
+	d.title("a new machine counts as holding what the others hold on average until its first outcome")
+	d.list(Changes, "d")
+	d.b.known['d'].coldSince = 0
+	d.visit(7, 0)
+	d.matches(t)
+}
+
+func TestColdServer(t *testing.T) {
+	d := begin(t, site("all"), "a b c")
+	busy := func(from VisitID, beats int) {
+		d.quiet = true
+		d.count = map[Backend]int{}
+		for i := range beats {
+			for j := range VisitID(10) {
+				d.visit(from+VisitID(i)*10+j, 0)
+			}
+			d.pass(50 * ms)
+			for j := range VisitID(10) {
+				if id := from + VisitID(i)*10 + j; d.b.visits[id] != nil {
+					d.ends(id, 0, Delivered)
+				}
+			}
+		}
+		d.quiet = false
+		d.say("sent to a %d, b %d, c %d", d.count['a'], d.count['b'], d.count['c'])
+	}
+	d.title("three warm servers share alike")
+	busy(1000, 60)
+	d.title("c restarts: nothing at first, then a share that its warming allows")
+	d.list(Changes, "c*")
+	for i := range VisitID(6) {
+		busy(10000*(i+1), 30)
+	}
+	d.title("a sidecar that restarts knows only its list and nothing carried: nothing to a cold server")
+	d.b, _ = New(d.now, site("all"), 8, d)
+	d.list(Saved, "a b c*")
+	busy(90000, 1)
+	d.matches(t)
+}
+
+func TestNoVisitLost(t *testing.T) {
+	d := begin(t, site("cell"), "a")
+	d.title("never answered: an error page before the client timeout, and the fetch is called off")
+	d.visit(1, 2)
+	d.pass(2100 * ms)
+	d.title("the late outcome changes nothing")
+	d.ends(1, 0, Cancelled)
+	d.title("the client leaves: what is out is called off, nothing more is sent")
+	d.visit(2, 0)
+	d.b.Dropped(d.now, 2)
+	d.ends(2, 0, Errored)
+	d.b.Dropped(d.now, 2)
+	d.title("no server is left: a prompt bounce")
+	d.list(Whole, "")
+	d.visit(3, 1)
+	d.title("odd news is passed over")
+	d.b.Outcome(d.now, 99, 0, Delivered, 5, true)
+	d.b.Outcome(d.now, 3, 7, Delivered, 5, true)
+	d.pass(3000 * ms)
+	d.say("visits kept: %d", len(d.b.visits))
+	d.matches(t)
+}
+
+func TestNoEffectTwice(t *testing.T) {
+	d := begin(t, site("cell"), "a1 b1 c2 d2")
+	d.title("mutating, an error that may have run: no other fetch, no bounce")
+	d.visit(1, 2)
+	d.ends(1, 0, Errored)
+	d.title("mutating, proven unrun: retried")
+	d.visit(2, 2)
+	d.ends(2, 0, ConnectFailed)
+	d.pass(60 * ms)
+	d.ends(2, 1, Delivered)
+	d.title("tagged, may have run: only to the same cell, and no bounce when that is spent")
+	d.visit(3, 1)
+	d.ends(3, 0, Errored)
+	d.pass(60 * ms)
+	d.ends(3, 1, Errored)
+	d.pass(110 * ms)
+	d.ends(3, 2, Errored)
+	d.title("tagged, its cell drains before the retry: an error page")
+	d.visit(4, 1)
+	d.ends(4, 0, Errored)
+	d.list(Changes, "a1~ b1~ c2~ d2~")
+	d.pass(60 * ms)
+	d.list(Changes, "a1 b1 c2 d2")
+	d.b.row[0].coldSince, d.b.row[1].coldSince = 0, 0
+	d.title("tagged, the window of 250 ms from the first send is over: an error page")
+	d.visit(5, 1)
+	d.pass(240 * ms)
+	d.ends(5, 0, Reset)
+	d.pass(60 * ms)
+	d.title("tagged, proven unrun each time: bounced")
+	d.visit(6, 1)
+	for no := range FetchNo(4) {
+		if d.b.visits[6] != nil {
+			d.ends(6, no, Full)
+		}
+		d.pass(210 * ms)
+	}
+	d.matches(t)
+}
+
+func TestDrains(t *testing.T) {
+	d := begin(t, site("all"), "a b")
+	d.title("a drains: nothing new to it, retries neither")
+	d.list(Changes, "a~")
+	for id := range VisitID(4) {
+		d.visit(id, 0)
+	}
+	d.ends(0, 0, Full)
+	d.pass(60 * ms)
+	d.title("b is missing from a whole list: gone")
+	d.list(Whole, "a~")
+	d.visit(9, 0)
+	d.matches(t)
+}
+
+func TestSilence(t *testing.T) {
+	d := begin(t, site("all"), "a b")
+	d.warm(40)
+	d.title("one long fetch is no silence; two are: the server sits out, its fetches go elsewhere")
+	d.list(Changes, "b~")
+	d.visit(1, 0)
+	d.pass(310 * ms)
+	d.visit(2, 1)
+	d.list(Changes, "b")
+	d.b.known['b'].coldSince = 0
+	d.pass(310 * ms)
+	d.ends(2, 0, Cancelled)
+	d.pass(60 * ms)
+	d.ends(2, 1, Delivered)
+	d.visit(3, 0)
+	d.title("after its time out it gets one visit at a time, and two answers bring it back")
+	d.pass(500 * ms)
+	for id := VisitID(4); id < 10; id += 2 {
+		d.visit(id, 0)
+		d.visit(id+1, 0)
+		d.pass(30 * ms)
+		d.ends(id, 0, Delivered)
+		d.ends(id+1, 0, Delivered)
+	}
+	d.matches(t)
+}
+
+func TestOverlappingFailures(t *testing.T) {
+	d := begin(t, site("all"), "a b c")
+	d.warm(30)
+	d.title("a fails quickly, b is dead, c is left")
+	for id := range VisitID(12) {
+		d.visit(id, 0)
+		d.pass(5 * ms)
+		for no := FetchNo(0); d.b.visits[id] != nil && no < 4; no++ {
+			switch d.b.visits[id].fetches[no].be.id {
+			case 'a':
+				d.ends(id, no, Errored)
+			case 'b':
+				d.ends(id, no, ConnectFailed)
+			case 'c':
+				d.ends(id, no, Delivered)
+			}
+			d.pass(50 * ms << no)
+		}
+	}
+	d.matches(t)
+}
+
+func TestTurnedAwayEarly(t *testing.T) {
+	s := site("all", "realms", 3.0, "realms.0.quota_per_s", 10.0, "realms.1.quota_per_s", 10.0,
+		"realms.2.quota_per_s", 10.0, "beyond_share_value", 0.1, "allowed.retry_after", true,
+		"allowed.max_retry_after_us", 1e6)
+	d := begin(t, s, "a b")
+	d.warm(150)
+	d.title("a burst of one tenant: visits held rise, and it is bounced before servers are full")
+	for id := range VisitID(30) {
+		d.visitOf(id, 0, 1+Realm(id%10/9), 0)
+	}
+	d.title("a jam does not teach the sidecar that answers are slow: prefix mean and limit stay")
+	mean, limit := d.b.prefixes[0].mean, d.b.limit(d.b.prefixes[0])
+	d.quiet = true
+	for range 30 {
+		d.pass(100 * ms)
+		for id := range VisitID(30) {
+			if d.b.visits[id] != nil {
+				d.ends(id, 0, Delivered)
+				d.visitOf(id, 0, 0, 0)
+				break
+			}
+		}
+	}
+	d.quiet = false
+	d.say("mean x %.1f, limit x %.1f", d.b.prefixes[0].mean/mean, d.b.limit(d.b.prefixes[0])/limit)
+	d.matches(t)
+}
+
+func TestListOutOfReach(t *testing.T) {
+	d := begin(t, site("all", "discovery", "on_request", "obligations.ask_every_us", 10e6), "a")
+	d.title("each failed call is followed by another after a longer wait, each time a little apart")
+	for range 6 {
+		d.b.ListBegins(d.now, NoListCame)
+		d.b.ListEnds(d.now)
+		d.pass(4000 * ms)
+	}
+	d.title("a call that is never answered is made again")
+	d.list(Whole, "a")
+	d.b.ListBegins(d.now, NoListCame)
+	d.b.ListEnds(d.now)
+	d.pass(7000 * ms)
+	d.matches(t)
+}
+
+func TestSettingsMissing(t *testing.T) {
+	d := &day{}
+	for _, name := range []string{"obligations.cold_from", "path_prefixes.1.effect", "my_zone"} {
+		s := site("all")
+		delete(s, name)
+		_, err := New(0, s, 1, d)
+		d.say("%v", err)
+	}
+	d.matches(t)
+}
--- /dev/null
+++ b/brain/helper_test.go
@@ -0,0 +1,173 @@
+package brain
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
+
+const ms = Micros(1000)
+
+// day plays a short script against one Balancer and prints what it decides. It stands in for the
+// caller: it keeps the clock and the wake-ups, and knows nothing of servers.
+type day struct {
+	b     *Balancer
+	now   Micros
+	lines strings.Builder
+	wakes []wake
+	sent  map[string]Micros
+	count map[Backend]int
+	quiet bool
+}
+
+type wake struct {
+	at Micros
+	t  Token
+}
+
+// site has three path prefixes: 0 read-like, 1 tagged (group by the argument), 2 mutating.
+func site(group string, more ...any) Site {
+	s := Site{"my_zone": 0.0, "path_prefixes": 3.0, "discovery": "pushed", "step_us": 1000.0,
+		"allowed.max_backend_fetches": 5.0, "allowed.conn_idle_us": 10e6, "allowed.cancel": true,
+		"allowed.multiplex": 1.0, "obligations.cold_from": 0.3, "obligations.cold_us": 8e6,
+		"obligations.fall_multiple": 3.0, "obligations.fall_us": 1.5e6}
+	for i, effect := range []string{"read_like", "tagged", "mutating"} {
+		at := fmt.Sprintf("path_prefixes.%d.", i)
+		s[at+"target_latency_us"], s[at+"client_timeout_us"] = 600e3, 2e6
+		s[at+"memory_span_us"], s[at+"value"], s[at+"late_value"] = 250e3, 1.0, 0.0
+		s[at+"effect"], s[at+"group"] = effect, group
+	}
+	for i := 0; i < len(more); i += 2 {
+		s[more[i].(string)] = more[i+1]
+	}
+	return s
+}
+
+// begin starts a sidecar with servers a, b, c ... as named: "a b" lie here, "A B" in the other data centre.
+func begin(t *testing.T, s Site, servers string) *day {
+	t.Helper()
+	d := &day{now: 1e9, sent: map[string]Micros{}, count: map[Backend]int{}}
+	b, err := New(d.now, s, 7, d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.b = b
+	d.list(Saved, servers)
+	return d
+}
+
+// list tells the sidecar a list. A letter may be followed by ~ (draining), - (gone) or * (started now),
+// and by a digit, its cell.
+func (d *day) list(news News, servers string) {
+	d.b.ListBegins(d.now, news)
+	for _, word := range strings.Fields(servers) {
+		st, started, cell, zone := Ready, Micros(0), Cell(0), Zone(0)
+		for _, c := range word[1:] {
+			switch c {
+			case '~':
+				st = Draining
+			case '-':
+				st = Gone
+			case '*':
+				started = d.now
+			default:
+				cell = Cell(c - '0')
+			}
+		}
+		if word[0] < 'a' {
+			zone = 1
+		}
+		d.b.Listed(d.now, Backend(word[0]), zone, cell, st, 1, started)
+	}
+	d.b.ListEnds(d.now)
+}
+
+func (d *day) say(format string, a ...any) {
+	if !d.quiet {
+		fmt.Fprintf(&d.lines, "%7.1f  %s\n", float64(d.now-1e9)/1000, fmt.Sprintf(format, a...))
+	}
+}
+
+func (d *day) Dispatch(v VisitID, be Backend, tryFor Micros) {
+	d.say("visit %d to %c", v, be)
+	d.count[be]++
+	d.sent[fmt.Sprint(v, "/", len(d.b.visits[v].fetches)-1)] = d.now
+}
+func (d *day) Bounce(v VisitID, in Micros) {
+	d.say("visit %d bounced, come back in %d ms", v, in/ms)
+}
+func (d *day) ErrorPage(v VisitID)           { d.say("visit %d error page", v) }
+func (d *day) Cancel(v VisitID, no FetchNo)  { d.say("visit %d fetch %d called off", v, no) }
+func (d *day) Wake(in Micros, t Token)       { d.wakes = append(d.wakes, wake{d.now + in, t}) }
+func (d *day) Probe(be Backend)              { d.say("probe %c", be) }
+func (d *day) CloseIdle(be Backend)          { d.say("idle connections to %c closed", be) }
+func (d *day) Subscribe()                    { d.say("list subscribed") }
+func (d *day) Print(line string)             { d.say("log: %s", line) }
+func (d *day) visit(id VisitID, on Prefix)   { d.visitOf(id, on, 0, 0) }
+func (d *day) tokens()                       { d.say("tokens %.0f of %.0f", d.b.capacity()-d.b.spent, d.b.capacity()) }
+func (d *day) title(format string, a ...any) { fmt.Fprintf(&d.lines, "# "+format+"\n", a...) }
+func (d *day) visitOf(id VisitID, on Prefix, of Realm, effort Micros) {
+	d.b.Inbound(d.now, id, on, of, 0, 2000*ms, effort, false)
+}
+
+// ends tells how a visit's fetch ended, after the time it was out.
+func (d *day) ends(id VisitID, no FetchNo, rc Result) {
+	names := []string{"", "delivered", "errored", "full", "timed out", "not connected", "reset", "cancelled", "not sent"}
+	d.say("visit %d fetch %d ends: %s", id, no, names[rc])
+	took := d.now - d.sent[fmt.Sprint(id, "/", no)]
+	d.b.Outcome(d.now, id, no, rc, took, rc == Delivered)
+}
+
+// pass lets time go by and fires what falls due.
+func (d *day) pass(span Micros) {
+	end := d.now + span
+	for {
+		sort.SliceStable(d.wakes, func(i, j int) bool { return d.wakes[i].at < d.wakes[j].at })
+		if len(d.wakes) == 0 || d.wakes[0].at > end {
+			break
+		}
+		w := d.wakes[0]
+		d.wakes = d.wakes[1:]
+		d.now = max(d.now, w.at)
+		d.b.Woken(d.now, w.t)
+	}
+	d.now = end
+}
+
+// warm delivers n read-like visits in 40 ms each, so that paces and prefix means are known.
+func (d *day) warm(n int) {
+	d.quiet = true
+	for i := range n {
+		id := VisitID(1e6 + i + int(d.now))
+		d.visit(id, Prefix(i%3))
+		d.pass(40 * ms)
+		if d.b.visits[id] != nil {
+			d.ends(id, 0, Delivered)
+		}
+	}
+	d.quiet = false
+}
+
+// matches compares the printed trace with the one kept under testdata.
+func (d *day) matches(t *testing.T) {
+	t.Helper()
+	name := "testdata/" + t.Name() + ".trace"
+	if *update {
+		os.MkdirAll("testdata", 0o777)
+		os.WriteFile(name, []byte(d.lines.String()), 0o666)
+	}
+	kept, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(kept), d.lines.String()); diff != "" {
+		t.Errorf("decisions differ from %s (-kept +now):\n%s", name, diff)
+	}
+}
