--- a/brain/brain.go
+++ b/brain/brain.go
@@ -108,6 +108,7 @@
 type visit struct {
 	id      VisitID
 	on      *prefix
+	key     Key
 	work    float64 // expected, in core time or, without a hint, in its path prefix's mean latency
 	wanted  Micros  // after this an answer is worth nothing, or little
 	until   Micros  // the client quits
@@ -172,14 +173,15 @@
 	spent    float64 // tokens missing from the bucket
 	firsts   float64 // first tries of the last ten seconds, fading
 	meanWork float64
-	pace     float64 // answer time per unit of work and visit held, all servers
-	done     float64 // work lately delivered, per microsecond
-	seen     float64 // answers seen
-	calm     float64 // the same when the fleet is calm
-	crowd    float64 // the same, unmixed
-	level    float64 // answer time per unit of work
-	size     float64 // mean rating of the servers in use
-	carry    float64 // work lately carried by a warm server, per rating
+	met      map[Key]*backend // where each key was last delivered, where that saves work
+	pace     float64          // answer time per unit of work and visit held, all servers
+	done     float64          // work lately delivered, per microsecond
+	seen     float64          // answers seen
+	calm     float64          // the same when the fleet is calm
+	crowd    float64          // the same, unmixed
+	level    float64          // answer time per unit of work
+	size     float64          // mean rating of the servers in use
+	carry    float64          // work lately carried by a warm server, per rating
 	scratch  []*backend
 	weights  []float64
 }
@@ -192,7 +194,7 @@
 		}
 	}()
 	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1, level: 1, calm: 1, crowd: 1, size: 1,
-		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}}
+		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}, met: map[Key]*backend{}}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
 		at := "path_prefixes." + strconv.Itoa(i) + "."
@@ -557,7 +559,7 @@
 		panic(fmt.Sprintf("path prefix %d is not among the settings", on))
 	}
 	p := b.prefixes[on]
-	v := &visit{id: id, on: p, work: p.mean, wanted: now + min(p.target, left), until: now + left,
+	v := &visit{id: id, on: p, key: key, work: p.mean, wanted: now + min(p.target, left), until: now + left,
 		value: p.value / b.topValue}
 	if effort > 0 {
 		v.work = float64(effort)
@@ -812,6 +814,9 @@
 		} else if be.good > memory/2 {
 			be.outSpan = 0
 		}
+		if v.key != 0 && b.allows("family_info.warm_keys") {
+			b.met[v.key] = be
+		}
 		b.rest(v.on, be)
 		return
 	case Errored:
@@ -930,6 +935,11 @@
 	if best == nil {
 		return lastResort
 	}
+	// A server that met the visit's key lately does less work for it: it wins where servers tie.
+	if warm := b.met[v.key]; warm != nil && slices.Contains(b.scratch, warm) &&
+		b.expect(warm)*b.distance(warm) <= tieBand*least {
+		return warm
+	}
 	b.weights = b.weights[:0]
 	sum, near := 0.0, false
 	for _, be := range b.scratch {
