--- a/brain/brain.go
+++ b/brain/brain.go
@@ -173,15 +173,14 @@
 	spent    float64 // tokens missing from the bucket
 	firsts   float64 // first tries of the last ten seconds, fading
 	meanWork float64
-	met      map[Key]*backend // where each key was last delivered, where that saves work
-	pace     float64          // answer time per unit of work and visit held, all servers
-	done     float64          // work lately delivered, per microsecond
-	seen     float64          // answers seen
-	calm     float64          // the same when the fleet is calm
-	crowd    float64          // the same, unmixed
-	level    float64          // answer time per unit of work
-	size     float64          // mean rating of the servers in use
-	carry    float64          // work lately carried by a warm server, per rating
+	pace     float64 // answer time per unit of work and visit held, all servers
+	done     float64 // work lately delivered, per microsecond
+	seen     float64 // answers seen
+	calm     float64 // the same when the fleet is calm
+	crowd    float64 // the same, unmixed
+	level    float64 // answer time per unit of work
+	size     float64 // mean rating of the servers in use
+	carry    float64 // work lately carried by a warm server, per rating
 	scratch  []*backend
 	weights  []float64
 }
@@ -194,7 +193,7 @@
 		}
 	}()
 	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1, level: 1, calm: 1, crowd: 1, size: 1,
-		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}, met: map[Key]*backend{}}
+		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
 		at := "path_prefixes." + strconv.Itoa(i) + "."
@@ -241,17 +240,20 @@
 
 // chance draws a number from 0 up to 1 out of the seed and a counter.
 func (b *Balancer) chance() float64 {
-	var in [16]byte
 	b.drawn++
-	binary.BigEndian.PutUint64(in[:], b.seed)
-	binary.BigEndian.PutUint64(in[8:], b.drawn)
+	return float64(b.mix(b.seed, b.drawn)>>11) / (1 << 53)
+}
+
+func (b *Balancer) mix(a, c uint64) uint64 {
+	var in [16]byte
+	binary.BigEndian.PutUint64(in[:], a)
+	binary.BigEndian.PutUint64(in[8:], c)
 	b.hash.Reset()
 	b.hash.Write(in[:])
 	x := b.hash.Sum64()
 	x ^= x >> 33 // FNV leaves the high bits of near counters alike
 	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
+	return x ^ x>>33
 }
 
 // at puts something in the heap of due times.
@@ -814,9 +816,6 @@
 		} else if be.good > memory/2 {
 			be.outSpan = 0
 		}
-		if v.key != 0 && b.allows("family_info.warm_keys") {
-			b.met[v.key] = be
-		}
 		b.rest(v.on, be)
 		return
 	case Errored:
@@ -935,9 +934,16 @@
 	if best == nil {
 		return lastResort
 	}
-	// A server that met the visit's key lately does less work for it: it wins where servers tie.
-	if warm := b.met[v.key]; warm != nil && slices.Contains(b.scratch, warm) &&
-		b.expect(warm)*b.distance(warm) <= tieBand*least {
+	// A server that met the visit's key lately does less work for it: the one that all sidecars reckon from
+	// the key (rendezvous hashing, no messages) wins where servers tie.
+	if v.key != 0 && b.allows("family_info.warm_keys") {
+		var warm *backend
+		top := uint64(0)
+		for _, be := range b.scratch {
+			if h := b.mix(uint64(v.key), uint64(be.id)); h >= top && b.expect(be)*b.distance(be) <= tieBand*least {
+				top, warm = h, be
+			}
+		}
 		return warm
 	}
 	b.weights = b.weights[:0]
