--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,6 +31,7 @@
 // Ratios of this module's own; what they are ratios of stands beside each.
 const (
 	memory      = 40.0  // beats after which what was seen of a server has faded to 1/e
+	rushMemory  = 10.0  // the same for the work delivered that a burst is held against
 	firmness    = 6.0   // mean visits' worth of the common pace that a server's own pace is mixed with
 	tieBand     = 2.0   // idle servers whose expected answer is within this multiple of the best tie
 	crossWeight = 10.0  // visits held that one point of a crossing's price counts as
@@ -174,7 +175,7 @@
 	firsts   float64 // first tries of the last ten seconds, fading
 	meanWork float64
 	pace     float64 // answer time per unit of work and visit held, all servers
-	done     float64 // work lately delivered, per microsecond
+	done     float64 // work lately delivered, fading fast
 	seen     float64 // answers seen
 	calm     float64 // the same when the fleet is calm
 	crowd    float64 // the same, unmixed
@@ -309,7 +310,7 @@
 	if work+prior > 0 {
 		b.pace = (took + prior) / (work + prior)
 	}
-	b.done = plain / memory / float64(firstWait)
+	b.done *= 1 - 1/rushMemory
 	b.level = 1
 	if plain+prior > 0 {
 		b.level = (took + prior) / (plain + prior)
@@ -618,7 +619,7 @@
 			held += float64(be.held)
 		}
 	}
-	return held / (b.done + firmness/b.level)
+	return held / (b.done/rushMemory/float64(firstWait) + firmness/b.level)
 }
 
 // beyond is the part of a tenant's visits that lies beyond its share, judged by how much more of its
@@ -800,6 +801,9 @@
 		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+v.work
 		be.good++
 		b.seen++
+		if be.outUntil == 0 {
+			b.done += v.work
+		}
 		p := v.on
 		if p.seen > dozen { // the mean tells prefixes apart; how fast the fleet is, the pace tells
 			took /= b.crowd
