--- a/brain/brain.go
+++ b/brain/brain.go
@@ -90,6 +90,8 @@
 	outUntil Micros   // sits out; 0: in service
 	outSpan  Micros   // how long it sat out last
 	proved   int      // trials passed since it sat out
+	down     bool     // it sits out for want of a connection: probed before a visit is risked
+	probing  bool     // a probe of it is out
 	resting  bool     // it sits out because it is crowded, and is no last resort either
 }
 
@@ -331,6 +333,11 @@
 		b.carry = carried / memory / rated
 	}
 	for _, be := range b.row {
+		if be.down && !be.probing && be.usable() && be.outUntil <= b.now && b.allows("allowed.probes") {
+			// Guards against losing a visit's time to a dead server, when a whole data centre is dead.
+			be.probing = true
+			b.out.Probe(be.id)
+		}
 		if be.coldSince != 0 && b.now-be.coldSince >= b.span("obligations.cold_us") {
 			be.coldSince = 0
 		}
@@ -416,7 +423,7 @@
 			be.coldSince = now // it came back from we know not what: cold
 		}
 		be.took, be.work, be.carried, be.good, be.bad, be.idle = 0, 0, 0, 0, 0, nil
-		be.outUntil, be.proved, be.resting = 0, 0, false
+		be.outUntil, be.proved, be.resting, be.down = 0, 0, false, false
 		if now-be.coldSince >= b.span("obligations.cold_us") {
 			be.coldSince = 0
 		}
@@ -473,7 +480,7 @@
 // A visit for which there is none is answered at once and its running fetch is left alone.
 func (b *Balancer) onward(v *visit, but *backend, out int) bool {
 	for _, be := range b.row {
-		if be != but && !be.resting && b.mayAt(v, be, b.now+firstWait<<v.charged, out) {
+		if be != but && !be.resting && !be.down && b.mayAt(v, be, b.now+firstWait<<v.charged, out) {
 			return true
 		}
 	}
@@ -788,8 +795,18 @@
 	}
 }
 
-// Probed hears the result of a health check; the module sends none so far.
-func (b *Balancer) Probed(now Micros, id Backend, rc Result) { b.now = now }
+// Probed hears the result of a health check: whether a server that took no connection runs again.
+func (b *Balancer) Probed(now Micros, id Backend, rc Result) {
+	b.now = now
+	if be := b.known[id]; be != nil && be.probing {
+		be.probing = false
+		if rc == Delivered {
+			be.down = false // runs; a visit tries it next
+		} else {
+			b.sitOut(be, "still no connection")
+		}
+	}
+}
 
 // --- what is seen of servers
 
@@ -815,7 +832,7 @@
 		if be.outUntil != 0 && f.sent >= be.outUntil {
 			be.proved++
 			if be.proved >= 2 {
-				be.outUntil, be.proved, be.bad, be.resting = 0, 0, 0, false
+				be.outUntil, be.proved, be.bad, be.resting, be.down = 0, 0, 0, false, false
 			}
 		} else if be.good > memory/2 {
 			be.outSpan = 0
@@ -832,6 +849,7 @@
 	case ConnectFailed:
 		be.idle = nil // it had to be dialled: no connection was left to reuse
 		b.sitOut(be, "no connection")
+		be.down = true
 	case Reset:
 		be.bad++
 		if !f.reused {
@@ -922,10 +940,10 @@
 		}
 		if be.outUntil != 0 || tried {
 			if !tried && be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
-				len(v.fetches) == 0 {
+				len(v.fetches) == 0 && !(be.down && b.allows("allowed.probes")) {
 				return be // a trial
 			}
-			if score < last && !be.resting {
+			if score < last && !be.resting && !be.down {
 				last, lastResort = score, be
 			}
 			continue
