--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,7 +39,7 @@
 	badLeast    = 2.0   // and the errors seen lately that this takes at least
 	coldSafety  = 0.5   // part of a cold server's budget that is used
 	patience    = 3.0   // multiple of the expected answer after which silence is looked into
-	restLimit   = 2.0   // multiple of the crowding limit at which a server is left to rest
+	restLimit   = 3.0   // multiple of the crowding limit at which a server is left to rest
 	muteLeast   = 2     // fetches that must wait too long, with no sign of life, before a server counts as silent
 	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
 	leastLimit  = 0.2   // but never less than this part of its target latency
