--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,7 +39,6 @@
 	badLeast    = 2.0   // and the errors seen lately that this takes at least
 	coldSafety  = 0.5   // part of a cold server's budget that is used
 	patience    = 3.0   // multiple of the expected answer after which silence is looked into
-	restLimit   = 3.0   // multiple of the crowding limit at which a server is left to rest
 	muteLeast   = 2     // fetches that must wait too long, with no sign of life, before a server counts as silent
 	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
 	leastLimit  = 0.2   // but never less than this part of its target latency
@@ -92,7 +91,6 @@
 	proved   int      // trials passed since it sat out
 	down     bool     // it sits out for want of a connection: probed before a visit is risked
 	probing  bool     // a probe of it is out
-	resting  bool     // it sits out because it is crowded, and is no last resort either
 }
 
 // fetch is one backend fetch. Its step's closure is handed the result.
@@ -423,7 +421,7 @@
 			be.coldSince = now // it came back from we know not what: cold
 		}
 		be.took, be.work, be.carried, be.good, be.bad, be.idle = 0, 0, 0, 0, 0, nil
-		be.outUntil, be.proved, be.resting, be.down = 0, 0, false, false
+		be.outUntil, be.proved, be.down = 0, 0, false
 		if now-be.coldSince >= b.span("obligations.cold_us") {
 			be.coldSince = 0
 		}
@@ -480,7 +478,7 @@
 // A visit for which there is none is answered at once and its running fetch is left alone.
 func (b *Balancer) onward(v *visit, but *backend, out int) bool {
 	for _, be := range b.row {
-		if be != but && !be.resting && !be.down && b.mayAt(v, be, b.now+firstWait<<v.charged, out) {
+		if be != but && !be.down && b.mayAt(v, be, b.now+firstWait<<v.charged, out) {
 			return true
 		}
 	}
@@ -832,12 +830,11 @@
 		if be.outUntil != 0 && f.sent >= be.outUntil {
 			be.proved++
 			if be.proved >= 2 {
-				be.outUntil, be.proved, be.bad, be.resting, be.down = 0, 0, 0, false, false
+				be.outUntil, be.proved, be.bad, be.down = 0, 0, 0, false
 			}
 		} else if be.good > memory/2 {
 			be.outSpan = 0
 		}
-		b.rest(v.on, be)
 		return
 	case Errored:
 		be.answered, be.mute, be.fresh = b.now, 0, false
@@ -858,7 +855,6 @@
 	default:
 		if took > b.expect(be)*v.work { // no answer, and that took longer than answers do
 			be.took, be.work = be.took+took, be.work+load
-			b.rest(v.on, be)
 		}
 		return
 	}
@@ -882,18 +878,6 @@
 	b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
 }
 
-// rest gives a server that is crowded far beyond the limit no visit for a while. Guards against jams that
-// last: a server in its slow state leaves it only when it has been mostly idle for some time, and a little
-// traffic from every sidecar keeps it there.
-func (b *Balancer) rest(on *prefix, be *backend) {
-	if be.outUntil == 0 && be.took > 0 &&
-		b.expect(be)*on.usual > restLimit*b.limit(on) {
-		be.outSpan = b.span("obligations.cold_us") / 4
-		b.sitOut(be, "crowded")
-		be.resting = true
-	}
-}
-
 // expect is the answer time per unit of work that one more visit would see at a server.
 func (b *Balancer) expect(be *backend) float64 {
 	prior := firmness * b.meanWork
@@ -943,7 +927,7 @@
 				len(v.fetches) == 0 && !(be.down && b.allows("allowed.probes")) {
 				return be // a trial
 			}
-			if score < last && !be.resting && !be.down {
+			if score < last && !be.down {
 				last, lastResort = score, be
 			}
 			continue
