--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,6 +49,7 @@
 	lowLimit    = 0.7   // part of that limit that holds for a visit worth nothing
 	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
 	dozen       = 32    // samples before a path prefix's mean moves slowly
+	beyondLimit = 0.6   // part of the crowding limit for visits beyond their tenant's share
 	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
 )
 
@@ -114,6 +115,7 @@
 	wanted  Micros  // after this an answer is worth nothing, or little
 	until   Micros  // the client quits
 	value   float64
+	beyond  bool // lies beyond its tenant's share
 	fetches []*fetch
 	out     int
 	charged int
@@ -589,6 +591,7 @@
 		b.realms[of].used++
 		if b.chance() < b.beyond(of) {
 			v.value *= b.maybe("beyond_share_value")
+			v.beyond = true
 		}
 	}
 	// Guards against losing the visit: whatever happens to its fetches, this is its last answer.
@@ -636,7 +639,7 @@
 	}
 	use := b.weights[of]
 	slices.Sort(b.weights)
-	usual := b.weights[len(b.weights)/2] * overBand
+	usual := b.weights[(len(b.weights)-1)/2] * overBand
 	if use <= usual {
 		return 0
 	}
@@ -648,6 +651,9 @@
 // against an overload that makes every answer late, and against tipping crowded servers.
 func (b *Balancer) admit(v *visit, be *backend) bool {
 	limit := b.limit(v.on) * (lowLimit + (1-lowLimit)*v.value)
+	if v.beyond {
+		limit *= beyondLimit
+	}
 	pace := b.expect(be)
 	prior := firmness * b.meanWork
 	plain := (be.took + prior*b.level) / (be.carried + prior) / b.warmth(be)
