--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,7 +37,7 @@
 	crossWeight = 10.0  // visits held that one point of a crossing's price counts as
 	badShare    = 0.25  // share of errors at which a server sits out
 	badLeast    = 2.0   // and the errors seen lately that this takes at least
-	coldSafety  = 0.5   // part of a cold server's budget that is used
+	coldSafety  = 0.7   // part of a cold server's budget that is used
 	patience    = 3.0   // multiple of the expected answer after which silence is looked into
 	muteLeast   = 2     // fetches that must wait too long, with no sign of life, before a server counts as silent
 	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
