--- a/brain/brain.go
+++ b/brain/brain.go
@@ -59,7 +59,6 @@
 	value, late             float64
 	effect, group           string
 	seen, mean              float64 // answers seen; their mean latency, where visits carry no hint
-	usual                   float64 // mean work expected of a visit
 }
 
 // realm is a tenant: its share, and what this sidecar lately took in for it.
@@ -170,22 +169,23 @@
 	seq      uint64
 	armed    Micros // earliest wake-up asked for the heap; 0: none
 
-	news     News
-	asked    Micros // last call of the list; 0: answered
-	askWait  Micros
-	spent    float64 // tokens missing from the bucket
-	firsts   float64 // first tries of the last ten seconds, fading
-	meanWork float64
-	pace     float64 // answer time per unit of work and visit held, all servers
-	done     float64 // work lately delivered, fading fast
-	seen     float64 // answers seen
-	calm     float64 // the same when the fleet is calm
-	crowd    float64 // the same, unmixed
-	level    float64 // answer time per unit of work
-	size     float64 // mean rating of the servers in use
-	carry    float64 // work lately carried by a warm server, per rating
-	scratch  []*backend
-	weights  []float64
+	news       News
+	asked      Micros // last call of the list; 0: answered
+	askWait    Micros
+	spent      float64 // tokens missing from the bucket
+	firsts     float64 // first tries of the last ten seconds, fading
+	meanWork   float64 // of the visits that come
+	meanTarget float64
+	pace       float64 // answer time per unit of work and visit held, all servers
+	done       float64 // work lately delivered, fading fast
+	seen       float64 // answers seen
+	calm       float64 // the same when the fleet is calm
+	crowd      float64 // the same, unmixed
+	level      float64 // answer time per unit of work
+	size       float64 // mean rating of the servers in use
+	carry      float64 // work lately carried by a warm server, per rating
+	scratch    []*backend
+	weights    []float64
 }
 
 // New starts a sidecar. A setting that the module can't do without and lacks is an error that names it.
@@ -578,13 +578,10 @@
 		v.wanted = v.until
 	}
 	if b.meanWork == 0 {
-		b.meanWork = v.work
+		b.meanWork, b.meanTarget = v.work, float64(p.target)
 	}
-	b.meanWork += (v.work - b.meanWork) / dozen
-	if p.usual == 0 {
-		p.usual = v.work
-	}
-	p.usual += (v.work - p.usual) / (4 * dozen)
+	b.meanWork += (v.work - b.meanWork) / (4 * dozen)
+	b.meanTarget += (float64(p.target) - b.meanTarget) / (4 * dozen)
 	b.visits[id] = v
 	b.firsts++
 	if int(of) < len(b.realms) {
@@ -612,10 +609,9 @@
 	b.send(v, be, b.after(v, false))
 }
 
-// limit is how long a usual visit's answer may take before its server counts as crowded.
-func (b *Balancer) limit(on *prefix) float64 {
-	target := float64(on.target)
-	return min(max(calmTimes*b.calm*on.usual, leastLimit*target), mostLimit*target)
+// limit is how long a mean visit's answer may take before its server counts as crowded.
+func (b *Balancer) limit() float64 {
+	return min(max(calmTimes*b.calm*b.meanWork, leastLimit*b.meanTarget), mostLimit*b.meanTarget)
 }
 
 // rush is the answer time per unit of work that the visits now out point to, by Little's law. Guards against
@@ -650,14 +646,14 @@
 // crowded that a usual visit takes much of its target latency; sooner, the less the visit is worth. Guards
 // against an overload that makes every answer late, and against tipping crowded servers.
 func (b *Balancer) admit(v *visit, be *backend) bool {
-	limit := b.limit(v.on) * (lowLimit + (1-lowLimit)*v.value)
+	limit := b.limit() * (lowLimit + (1-lowLimit)*v.value)
 	if v.beyond {
 		limit *= beyondLimit
 	}
 	pace := b.expect(be)
 	prior := firmness * b.meanWork
 	plain := (be.took + prior*b.level) / (be.carried + prior) / b.warmth(be)
-	crowd := max(b.rush(), plain) * v.on.usual / limit
+	crowd := max(b.rush(), plain) * b.meanWork / limit
 	crowd *= min(1, b.seen/dozen) // at the start nothing is known: rather send and learn
 	strain := math.Hypot(crowd, pace*v.work/float64(v.wanted-b.now)/ownLimit)
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -254,7 +254,7 @@
 		d.visitOf(id, 0, 1+Realm(id%10/9), 0)
 	}
 	d.title("a jam does not teach the sidecar that answers are slow: prefix mean and limit stay")
-	mean, limit := d.b.prefixes[0].mean, d.b.limit(d.b.prefixes[0])
+	mean, limit := d.b.prefixes[0].mean, d.b.limit()
 	d.quiet = true
 	for range 30 {
 		d.pass(100 * ms)
@@ -267,7 +267,7 @@
 		}
 	}
 	d.quiet = false
-	d.say("mean x %.1f, limit x %.1f", d.b.prefixes[0].mean/mean, d.b.limit(d.b.prefixes[0])/limit)
+	d.say("mean x %.1f, limit x %.1f", d.b.prefixes[0].mean/mean, d.b.limit()/limit)
 	d.matches(t)
 }
 
