--- a/brain/brain.go
+++ b/brain/brain.go
@@ -84,6 +84,7 @@
 	work     float64  // their work times the visits held, fading alike
 	carried  float64  // their work alone
 	credit   float64  // work that may still be sent while cold
+	done     float64  // the same, fading fast
 	good     float64  // delivered lately
 	bad      float64  // errors lately
 	outUntil Micros   // sits out; 0: in service
@@ -177,7 +178,6 @@
 	meanWork   float64 // of the visits that come
 	meanTarget float64
 	pace       float64 // answer time per unit of work and visit held, all servers
-	done       float64 // work lately delivered, fading fast
 	seen       float64 // answers seen
 	calm       float64 // the same when the fleet is calm
 	crowd      float64 // the same, unmixed
@@ -295,7 +295,7 @@
 	var took, work, plain, carried, rated, sizes, inUse float64
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
-		be.good, be.bad = be.good*fade, be.bad*fade
+		be.good, be.bad, be.done = be.good*fade, be.bad*fade, be.done*(1-1/rushMemory)
 		if be.usable() && be.outUntil == 0 {
 			took, work, plain = took+be.took, work+be.work, plain+be.carried
 			sizes, inUse = sizes+be.rating, inUse+1
@@ -312,7 +312,6 @@
 	if work+prior > 0 {
 		b.pace = (took + prior) / (work + prior)
 	}
-	b.done *= 1 - 1/rushMemory
 	b.level = 1
 	if plain+prior > 0 {
 		b.level = (took + prior) / (plain + prior)
@@ -614,16 +613,21 @@
 	return min(max(calmTimes*b.calm*b.meanWork, leastLimit*b.meanTarget), mostLimit*b.meanTarget)
 }
 
-// rush is the answer time per unit of work that the visits now out point to, by Little's law. Guards against
-// a burst that is seen in answers only when the servers are full: visits held rise at once.
-func (b *Balancer) rush() float64 {
-	held := firmness
+// rush is the answer time per unit of work that the visits now out to a data centre point to, by Little's
+// law. Guards against a burst that is seen in answers only when the servers are full: visits held rise at
+// once. Each data centre is judged alone, or one that is full keeps visits from one that has room.
+func (b *Balancer) rush(in Zone) float64 {
+	held, done, here, all := 0.0, 0.0, 0.0, 0.0
 	for _, be := range b.row {
 		if be.usable() && be.outUntil == 0 {
-			held += float64(be.held)
+			all++
+			if be.zone == in {
+				held, done, here = held+float64(be.held), done+be.done, here+1
+			}
 		}
 	}
-	return held / (b.done/rushMemory/float64(firstWait) + firmness/b.level)
+	prior := firmness * here / max(all, 1)
+	return (held + prior) / (done/rushMemory/float64(firstWait) + prior/b.level + 1e-9)
 }
 
 // beyond is the part of a tenant's visits that lies beyond its share, judged by how much more of its
@@ -653,7 +657,7 @@
 	pace := b.expect(be)
 	prior := firmness * b.meanWork
 	plain := (be.took + prior*b.level) / (be.carried + prior) / b.warmth(be)
-	crowd := max(b.rush(), plain) * b.meanWork / limit
+	crowd := max(b.rush(be.zone), plain) * b.meanWork / limit
 	crowd *= min(1, b.seen/dozen) // at the start nothing is known: rather send and learn
 	strain := math.Hypot(crowd, pace*v.work/float64(v.wanted-b.now)/ownLimit)
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
@@ -816,11 +820,9 @@
 	case Delivered:
 		be.answered, be.mute, be.fresh = b.now, 0, false
 		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+v.work
+		be.done += v.work
 		be.good++
 		b.seen++
-		if be.outUntil == 0 {
-			b.done += v.work
-		}
 		p := v.on
 		if p.seen > dozen { // the mean tells prefixes apart; how fast the fleet is, the pace tells
 			took /= b.crowd
