--- a/brain/brain.go
+++ b/brain/brain.go
@@ -946,7 +946,7 @@
 	}
 	// A server that met the visit's key lately does less work for it: the one that all sidecars reckon from
 	// the key (rendezvous hashing, no messages) wins where servers tie.
-	if v.key != 0 && b.allows("family_info.warm_keys") {
+	if !afar && v.key != 0 && b.allows("family_info.warm_keys") {
 		var warm *backend
 		top := uint64(0)
 		for _, be := range b.scratch {
