--- a/brain/brain.go
+++ b/brain/brain.go
@@ -177,13 +177,13 @@
 	firsts     float64 // first tries of the last ten seconds, fading
 	meanWork   float64 // of the visits that come
 	meanTarget float64
-	pace       float64 // answer time per unit of work and visit held, all servers
-	seen       float64 // answers seen
-	calm       float64 // the same when the fleet is calm
-	crowd      float64 // the same, unmixed
-	level      float64 // answer time per unit of work
-	size       float64 // mean rating of the servers in use
-	carry      float64 // work lately carried by a warm server, per rating
+	centres    []centre // by data centre
+	seen       float64  // answers seen
+	calm       float64  // the same when the fleet is calm
+	crowd      float64  // the same, unmixed
+	level      float64  // answer time per unit of work
+	size       float64  // mean rating of the servers in use
+	carry      float64  // work lately carried by a warm server, per rating
 	scratch    []*backend
 	weights    []float64
 }
@@ -195,7 +195,7 @@
 			b, err = nil, missing
 		}
 	}()
-	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), pace: 1, level: 1, calm: 1, crowd: 1, size: 1,
+	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), level: 1, calm: 1, crowd: 1, size: 1,
 		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
@@ -288,16 +288,37 @@
 	b.arm()
 }
 
+// centre is what was lately seen of a data centre's servers in service.
+type centre struct {
+	took, work, plain float64 // their sums
+	pace, level       float64 // answer time per unit of work and visit held, and per unit of work
+}
+
+func (c *centre) add(be *backend) {
+	c.took, c.work, c.plain = c.took+be.took, c.work+be.work, c.plain+be.carried
+}
+
+func (c *centre) reckon(prior, usual float64) {
+	if c.pace, c.level = usual, usual; prior > 0 {
+		c.pace, c.level = (c.took+prior*usual)/(c.work+prior), (c.took+prior*usual)/(c.plain+prior)
+	}
+}
+
 // beat is the periodic work: what was seen fades, cold servers earn credit.
 func (b *Balancer) beat() {
 	fade := 1 - 1/memory
 	b.firsts *= 1 - float64(firstWait)/float64(retrySpan)
-	var took, work, plain, carried, rated, sizes, inUse float64
+	for i := range b.centres {
+		b.centres[i] = centre{}
+	}
+	var all centre
+	var carried, rated, sizes, inUse float64
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
 		be.good, be.bad, be.done = be.good*fade, be.bad*fade, be.done*(1-1/rushMemory)
 		if be.usable() && be.outUntil == 0 {
-			took, work, plain = took+be.took, work+be.work, plain+be.carried
+			b.centres[be.zone].add(be)
+			all.add(be)
 			sizes, inUse = sizes+be.rating, inUse+1
 			if be.coldSince == 0 {
 				carried, rated = carried+be.carried, rated+be.rating
@@ -307,15 +328,12 @@
 	if inUse > 0 {
 		b.size = sizes / inUse
 	}
-	prior := firmness * b.meanWork
-	b.pace = 1
-	if work+prior > 0 {
-		b.pace = (took + prior) / (work + prior)
-	}
-	b.level = 1
-	if plain+prior > 0 {
-		b.level = (took + prior) / (plain + prior)
+	// A data centre that was not lately heard of is believed calm: a full one must not speak for it.
+	for i := range b.centres {
+		b.centres[i].reckon(firmness*b.meanWork, b.calm)
 	}
+	all.reckon(firmness*b.meanWork, 1)
+	b.level = all.level
 	// The calm pace hardly follows a crowd: a jam must not raise the limit that is to end it.
 	rate := 1 / calmRises
 	if b.level < b.calm {
@@ -324,8 +342,8 @@
 		rate /= 10
 	}
 	b.calm += (b.level - b.calm) * rate
-	if b.crowd = 1; plain > 0 {
-		b.crowd = took / plain
+	if b.crowd = 1; all.plain > 0 {
+		b.crowd = all.took / all.plain
 	}
 	b.carry = 0
 	if rated > 0 {
@@ -409,6 +427,9 @@
 		returns = b.news == Changes // a new machine
 		be.fresh = returns
 	}
+	for len(b.centres) <= int(zone) {
+		b.centres = append(b.centres, centre{pace: b.calm, level: b.calm})
+	}
 	be.zone, be.cell, be.standing, be.listed = zone, cell, st, true
 	be.rating = 1
 	if r := rating; r > 0 && !math.IsInf(r, 0) {
@@ -627,7 +648,7 @@
 		}
 	}
 	prior := firmness * here / max(all, 1)
-	return (held + prior) / (done/rushMemory/float64(firstWait) + prior/b.level + 1e-9)
+	return (held + prior) / (done/rushMemory/float64(firstWait) + prior/b.centres[in].level + 1e-9)
 }
 
 // beyond is the part of a tenant's visits that lies beyond its share, judged by how much more of its
@@ -656,7 +677,7 @@
 	}
 	pace := b.expect(be)
 	prior := firmness * b.meanWork
-	plain := (be.took + prior*b.level) / (be.carried + prior) / b.warmth(be)
+	plain := (be.took + prior*b.centres[be.zone].level) / (be.carried + prior) / b.warmth(be)
 	crowd := max(b.rush(be.zone), plain) * b.meanWork / limit
 	crowd *= min(1, b.seen/dozen) // at the start nothing is known: rather send and learn
 	strain := math.Hypot(crowd, pace*v.work/float64(v.wanted-b.now)/ownLimit)
@@ -885,7 +906,7 @@
 // expect is the answer time per unit of work that one more visit would see at a server.
 func (b *Balancer) expect(be *backend) float64 {
 	prior := firmness * b.meanWork
-	own := b.pace * b.size / be.rating // a server twice the size answers in half the time, until seen
+	own := b.centres[be.zone].pace * b.size / be.rating // a server twice the size answers in half the time, until seen
 	if be.work+prior > 0 {
 		own = (be.took + prior*own) / (be.work + prior)
 	}
