--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,7 +46,7 @@
 	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
 	calmRises   = 400.0 // and up
 	calmBand    = 1.5   // multiple of the calm pace from which on the fleet is crowded
-	lowLimit    = 0.7   // part of that limit that holds for a visit worth nothing
+	lowLimit    = 0.6   // part of that limit that holds for a visit worth nothing; worth half it loses a quarter of that
 	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
 	dozen       = 32    // samples before a path prefix's mean moves slowly
 	beyondLimit = 0.6   // part of the crowding limit for visits beyond their tenant's share
@@ -671,7 +671,7 @@
 // crowded that a usual visit takes much of its target latency; sooner, the less the visit is worth. Guards
 // against an overload that makes every answer late, and against tipping crowded servers.
 func (b *Balancer) admit(v *visit, be *backend) bool {
-	limit := b.limit() * (lowLimit + (1-lowLimit)*v.value)
+	limit := b.limit() * (1 - (1-lowLimit)*(1-v.value)*(1-v.value))
 	if v.beyond {
 		limit *= beyondLimit
 	}
