Memory of 1.25 s in place of 2

Cause: neighbours come and go every one to four seconds; a server stayed slow in the books long after.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,7 +30,7 @@
 
 // Ratios of this module's own; what they are ratios of stands beside each.
 const (
-	memory      = 40.0  // beats after which what was seen of a server has faded to 1/e
+	memory      = 25.0  // beats after which what was seen of a server has faded to 1/e
 	rushMemory  = 10.0  // the same for the work delivered that a burst is held against
 	firmness    = 6.0   // mean visits' worth of the common pace that a server's own pace is mixed with
 	tieBand     = 2.0   // idle servers whose expected answer is within this multiple of the best tie
