Trials only at the first offer, exact ties random, one pending call of the list, denied retries told

Found by reading: a visit that a trial server could not take in time was bounced though others had room.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -174,6 +174,7 @@
 	asked      Micros // last call of the list; 0: answered
 	askWait    Micros
 	spent      float64 // tokens missing from the bucket
+	empty      bool    // the bucket denied the last retry
 	firsts     float64 // first tries of the last ten seconds, fading
 	meanWork   float64 // of the visits that come
 	meanTarget float64
@@ -399,7 +400,11 @@
 		// time, and not all at once.
 		b.askWait = min(max(2*b.askWait, 4*firstWait), b.span("obligations.ask_every_us")/4)
 		b.asked = 0
-		b.at(now+Micros(float64(b.askWait)*(0.5+b.chance())), b.subscribe)
+		b.at(now+Micros(float64(b.askWait)*(0.5+b.chance())), func() {
+			if b.asked == 0 {
+				b.subscribe()
+			}
+		})
 		return
 	}
 	if news != Saved {
@@ -730,9 +735,14 @@
 	}
 	b.spent = min(b.spent, b.capacity())
 	if b.capacity()-b.spent < retryCost {
+		if !b.empty { // told once, or a denied retry looks like a visit that can't be repeated
+			b.empty = true
+			b.out.Print("retries denied: the bucket is empty")
+		}
 		b.giveUp(v)
 		return
 	}
+	b.empty = false
 	b.spent += retryCost
 	v.charged++
 	b.at(b.now+wait, func() {
@@ -931,9 +941,8 @@
 // fewest, where a visit counts by how slowly the server was seen to answer. A server that sits out is
 // used for a trial, or when there is no other. afar: the way to the other data centres counts nothing.
 func (b *Balancer) pick(v *visit, afar bool) *backend {
-	var best *backend
-	least, last := math.Inf(1), math.Inf(1)
-	var lastResort *backend
+	var best, lastResort *backend
+	least, last, ties := math.Inf(1), math.Inf(1), 0.0
 	b.scratch = b.scratch[:0]
 	for _, be := range b.row {
 		if !b.may(v, be) {
@@ -948,7 +957,7 @@
 			tried = tried || f.be == be
 		}
 		if be.outUntil != 0 || tried {
-			if !tried && be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
+			if !afar && !tried && be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
 				len(v.fetches) == 0 && !(be.down && b.allows("allowed.probes")) {
 				return be // a trial
 			}
@@ -959,7 +968,12 @@
 		}
 		b.scratch = append(b.scratch, be)
 		if score < least {
-			least, best = score, be
+			ties = 0
+		}
+		if score <= least {
+			if ties++; ties == 1 || b.chance() < 1/ties {
+				least, best = score, be
+			}
 		}
 	}
 	if best == nil {
