--- a/brain/brain.go
+++ b/brain/brain.go
@@ -58,6 +58,7 @@
 	target, timeout, window Micros
 	value, late             float64
 	effect, group           string
+	patience                Micros  // how long clients wait for a first try
 	seen, mean              float64 // answers seen; their mean latency, where visits carry no hint
 }
 
@@ -601,6 +602,16 @@
 	}
 	if p.late > 0 {
 		v.wanted = v.until
+	} else if !again {
+		p.patience = left
+	} else if slack := p.target / 10; left < p.patience-slack || p.patience > p.timeout-slack {
+		// A repeat with less time than a first try, or with all that its time-out over all tries leaves,
+		// tells when the visit began, and how much of its target latency is left.
+		if w := now + left - (p.timeout - p.target); w > now+Micros(v.work) {
+			v.wanted = min(v.wanted, w)
+		} else {
+			v.value = 0 // too late to be worth anything, but an answer still beats an error
+		}
 	}
 	if b.meanWork == 0 {
 		b.meanWork, b.meanTarget = v.work, float64(p.target)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -271,6 +271,23 @@
 	d.matches(t)
 }
 
+func TestRepeats(t *testing.T) {
+	d := begin(t, site("all"), "a b")
+	d.visit(1, 0)
+	for id, left := range []Micros{1999 * ms, 1700 * ms, 1390 * ms} {
+		d.b.Inbound(d.now, VisitID(10+id), 0, 0, 0, left, 0, true)
+		v := d.b.visits[VisitID(10+id)]
+		d.say("a repeat with %d ms left: target in %d ms, value %.0f", left/ms, (v.wanted-d.now)/ms, v.value)
+	}
+	d.title("where first tries get less than the whole time-out, equal times tell nothing")
+	for _, left := range []Micros{1000 * ms, 990 * ms, 900 * ms} {
+		d.b.Inbound(d.now, VisitID(left), 0, 0, 0, left, 0, left < 1000*ms)
+		v := d.b.visits[VisitID(left)]
+		d.say("%d ms left: target in %d ms, value %.0f", left/ms, (v.wanted-d.now)/ms, v.value)
+	}
+	d.matches(t)
+}
+
 func TestListOutOfReach(t *testing.T) {
 	d := begin(t, site("all", "discovery", "on_request", "obligations.ask_every_us", 10e6), "a")
 	d.title("each failed call is followed by another after a longer wait, each time a little apart")
