--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,6 +45,7 @@
 	mostLimit   = 0.5   // nor more than this
 	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
 	calmRises   = 400.0 // and up
+	nearCalm    = 1.1   // multiple of the calm pace up to which the own data centre has room
 	calmBand    = 1.5   // multiple of the calm pace from which on the fleet is crowded
 	lowLimit    = 0.6   // part of that limit that holds for a visit worth nothing; worth half it loses a quarter of that
 	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
@@ -433,7 +434,7 @@
 		returns = b.news == Changes // a new machine
 		be.fresh = returns
 	}
-	for len(b.centres) <= int(zone) {
+	for len(b.centres) <= int(max(zone, b.myZone)) {
 		b.centres = append(b.centres, centre{pace: b.calm, level: b.calm})
 	}
 	be.zone, be.cell, be.standing, be.listed = zone, cell, st, true
@@ -994,9 +995,16 @@
 	// the key (rendezvous hashing, no messages) wins where servers tie.
 	if !afar && v.key != 0 && b.allows("family_info.warm_keys") {
 		var warm *backend
+		calm := b.centres[b.myZone].level < nearCalm*b.calm
+		band := func(be *backend) float64 {
+			if calm && be.zone != b.myZone {
+				return math.Sqrt(tieBand) // where there is room, a warm key is little reason to cross
+			}
+			return tieBand
+		}
 		top := uint64(0)
 		for _, be := range b.scratch {
-			if h := b.mix(uint64(v.key), uint64(be.id)); h >= top && b.expect(be)*b.distance(be) <= tieBand*least {
+			if h := b.mix(uint64(v.key), uint64(be.id)); h >= top && b.expect(be)*b.distance(be) <= band(be)*least {
 				top, warm = h, be
 			}
 		}
