--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,6 +34,7 @@
 	rushMemory  = 10.0  // the same for the work delivered that a burst is held against
 	firmness    = 6.0   // mean visits' worth of the common pace that a server's own pace is mixed with
 	tieBand     = 2.0   // idle servers whose expected answer is within this multiple of the best tie
+	paceBias    = 4.0   // chance among them goes by this power of how quickly they answer
 	crossWeight = 10.0  // visits held that one point of a crossing's price counts as
 	badShare    = 0.25  // share of errors at which a server sits out
 	badLeast    = 2.0   // and the errors seen lately that this takes at least
@@ -1018,7 +1019,7 @@
 	for _, be := range b.scratch {
 		w := 0.0
 		if pace := b.expect(be); be.held == 0 && pace <= tieBand*least && (!near || be.zone == b.myZone) {
-			w = 1 / (pace * pace)
+			w = math.Pow(pace, -paceBias)
 		}
 		sum += w
 		b.weights = append(b.weights, w)
