--- /dev/null
+++ b/brain/books.go
@@ -0,0 +1,201 @@
+package brain
+
+// What a sidecar keeps in mind: types, the look-up of settings, chance and the due times. No decisions.
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash"
+
+	"github.com/google/btree"
+)
+
+// prefix is a path prefix as the site has it, and what its visits were seen to take.
+type prefix struct {
+	target, timeout, window Micros
+	value, late             float64
+	effect, group           string
+	patience                Micros  // how long clients wait for a first try
+	seen, mean              float64 // answers seen; their mean latency, where visits carry no hint
+}
+
+// realm is a tenant: its share, and what this sidecar lately took in for it.
+type realm struct{ quota, used float64 }
+
+// backend is a server as this sidecar knows it.
+type backend struct {
+	id        Backend
+	zone      Zone
+	cell      Cell
+	standing  Standing
+	rating    float64
+	started   Micros // 0: long ago
+	coldSince Micros // when its warming began; 0: warm
+	fresh     bool   // no outcome since it was new
+	listed    bool   // named by the list that is being read
+
+	held     int
+	idle     []Micros // when each idle connection closes
+	answered Micros   // last sign of life
+	mute     int      // fetches found waiting too long since then
+	took     float64  // latency of lately delivered visits, fading
+	work     float64  // their work times the visits held, fading alike
+	carried  float64  // their work alone
+	credit   float64  // work that may still be sent while cold
+	done     float64  // the same, fading fast
+	good     float64  // delivered lately
+	bad      float64  // errors lately
+	outUntil Micros   // sits out; 0: in service
+	outSpan  Micros   // how long it sat out last
+	proved   int      // trials passed since it sat out
+	down     bool     // it sits out for want of a connection: probed before a visit is risked
+	probing  bool     // a probe of it is out
+}
+
+// fetch is one backend fetch. Its step's closure is handed the result.
+type fetch struct {
+	no     FetchNo
+	be     *backend
+	sent   Micros
+	held   int
+	reused bool
+	done   bool
+	ran    bool // may have run: out, or ended without proof that it never ran
+	then   func(*fetch, Result)
+}
+
+// visit is an accepted visit that is not yet over.
+type visit struct {
+	id      VisitID
+	on      *prefix
+	key     Key
+	work    float64 // expected, in core time or, without a hint, in its path prefix's mean latency
+	wanted  Micros  // after this an answer is worth nothing, or little
+	until   Micros  // the client quits
+	value   float64
+	beyond  bool // lies beyond its tenant's share
+	fetches []*fetch
+	out     int
+	charged int
+	freed   bool
+	ended   bool
+}
+
+// due is something to do at a time. All due times but the beat's are in one tree.
+type due struct {
+	at  Micros
+	seq uint64
+	do  func()
+}
+
+func (d due) before(e due) bool { return d.at < e.at || d.at == e.at && d.seq < e.seq }
+
+const (
+	beatToken Token = iota // the one periodic timer
+	dueToken               // something in the tree is due
+)
+
+// Balancer decides for one sidecar.
+type Balancer struct {
+	out   Ports
+	site  Site
+	now   Micros
+	seed  uint64
+	drawn uint64
+	hash  hash.Hash64
+
+	myZone   Zone
+	prefixes []*prefix
+	realms   []realm
+	topValue float64
+	known    map[Backend]*backend
+	row      []*backend // all known, by id
+	visits   map[VisitID]*visit
+	due      *btree.BTreeG[due]
+	seq      uint64
+	armed    Micros // earliest wake-up asked for the tree; 0: none
+
+	news       News
+	asked      Micros // last call of the list; 0: answered
+	askWait    Micros
+	spent      float64 // tokens missing from the bucket
+	empty      bool    // the bucket denied the last retry
+	firsts     float64 // first tries of the last ten seconds, fading
+	meanWork   float64 // of the visits that come
+	meanTarget float64
+	centres    []centre // by data centre
+	seen       float64  // answers seen
+	calm       float64  // the same when the fleet is calm
+	crowd      float64  // the same, unmixed
+	level      float64  // answer time per unit of work
+	size       float64  // mean rating of the servers in use
+	carry      float64  // work lately carried by a warm server, per rating
+	scratch    []*backend
+	weights    []float64
+}
+
+// centre is what was lately seen of a data centre's servers in service.
+type centre struct {
+	took, work, plain float64 // their sums
+	pace, level       float64 // answer time per unit of work and visit held, and per unit of work
+}
+
+func (c *centre) add(be *backend) {
+	c.took, c.work, c.plain = c.took+be.took, c.work+be.work, c.plain+be.carried
+}
+
+func (c *centre) reckon(prior, usual float64) {
+	if c.pace, c.level = usual, usual; prior > 0 {
+		c.pace, c.level = (c.took+prior*usual)/(c.work+prior), (c.took+prior*usual)/(c.plain+prior)
+	}
+}
+
+func (b *Balancer) num(name string) float64 {
+	f, ok := b.site[name].(float64)
+	if !ok {
+		panic(fmt.Errorf("settings lack the figure %s", name))
+	}
+	return f
+}
+func (b *Balancer) maybe(name string) float64 { f, _ := b.site[name].(float64); return f }
+func (b *Balancer) allows(name string) bool   { ok, _ := b.site[name].(bool); return ok }
+func (b *Balancer) span(name string) Micros   { return Micros(b.num(name)) }
+func (b *Balancer) word(name string) string {
+	s, ok := b.site[name].(string)
+	if !ok {
+		panic(fmt.Errorf("settings lack the word %s", name))
+	}
+	return s
+}
+
+// chance draws a number from 0 up to 1 out of the seed and a counter.
+func (b *Balancer) chance() float64 {
+	b.drawn++
+	return float64(b.mix(b.seed, b.drawn)>>11) / (1 << 53)
+}
+
+func (b *Balancer) mix(a, c uint64) uint64 {
+	var in [16]byte
+	binary.BigEndian.PutUint64(in[:], a)
+	binary.BigEndian.PutUint64(in[8:], c)
+	b.hash.Reset()
+	b.hash.Write(in[:])
+	x := b.hash.Sum64()
+	x ^= x >> 33 // FNV leaves the high bits of near counters alike
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// at puts something among the due times.
+func (b *Balancer) at(t Micros, do func()) {
+	b.seq++
+	b.due.ReplaceOrInsert(due{max(t, b.now+1), b.seq, do})
+	b.arm()
+}
+
+func (b *Balancer) arm() {
+	if d, ok := b.due.Min(); ok && (b.armed == 0 || d.at < b.armed) {
+		b.armed = d.at
+		b.out.Wake(max(b.armed-b.now, 1), dueToken)
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -2,19 +2,19 @@
 //
 // A caller makes one Balancer per sidecar with New and tells it what happens, always with the time:
 // ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed. The module acts only
-// through the Ports it was given (ports.go, with the id types); it knows no wire, clock or goroutine,
+// through the Ports it was given (ports.go, with the id types; what a sidecar keeps in mind is declared in
+// books.go); it knows no wire, clock or goroutine,
 // and instances share nothing. docs/design.md tells what each rule here is for.
 package brain
 
 import (
-	"container/heap"
-	"encoding/binary"
 	"fmt"
-	"hash"
 	"hash/fnv"
 	"math"
 	"slices"
 	"strconv"
+
+	"github.com/google/btree"
 )
 
 // The figures of the design page.
@@ -40,7 +40,7 @@
 	badLeast    = 2.0   // and the errors seen lately that this takes at least
 	coldSafety  = 0.7   // part of a cold server's budget that is used
 	patience    = 3.0   // multiple of the expected answer after which silence is looked into
-	muteLeast   = 2     // fetches that must wait too long, with no sign of life, before a server counts as silent
+	muteLeast   = 2     // fetches that wait too long with no sign of life, until a server counts as silent
 	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
 	leastLimit  = 0.2   // but never less than this part of its target latency
 	mostLimit   = 0.5   // nor more than this
@@ -48,150 +48,13 @@
 	calmRises   = 400.0 // and up
 	nearCalm    = 1.1   // multiple of the calm pace up to which the own data centre has room
 	calmBand    = 1.5   // multiple of the calm pace from which on the fleet is crowded
-	lowLimit    = 0.6   // part of that limit that holds for a visit worth nothing; worth half it loses a quarter of that
+	lowLimit    = 0.6   // part of that limit for a visit worth nothing; half the value costs a quarter
 	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
 	dozen       = 32    // samples before a path prefix's mean moves slowly
 	beyondLimit = 0.6   // part of the crowding limit for visits beyond their tenant's share
 	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
 )
 
-// prefix is a path prefix as the site has it, and what its visits were seen to take.
-type prefix struct {
-	target, timeout, window Micros
-	value, late             float64
-	effect, group           string
-	patience                Micros  // how long clients wait for a first try
-	seen, mean              float64 // answers seen; their mean latency, where visits carry no hint
-}
-
-// realm is a tenant: its share, and what this sidecar lately took in for it.
-type realm struct{ quota, used float64 }
-
-// backend is a server as this sidecar knows it.
-type backend struct {
-	id        Backend
-	zone      Zone
-	cell      Cell
-	standing  Standing
-	rating    float64
-	started   Micros // 0: long ago
-	coldSince Micros // when its warming began; 0: warm
-	fresh     bool   // no outcome since it was new
-	listed    bool   // named by the list that is being read
-
-	held     int
-	idle     []Micros // when each idle connection closes
-	answered Micros   // last sign of life
-	mute     int      // fetches found waiting too long since then
-	took     float64  // latency of lately delivered visits, fading
-	work     float64  // their work times the visits held, fading alike
-	carried  float64  // their work alone
-	credit   float64  // work that may still be sent while cold
-	done     float64  // the same, fading fast
-	good     float64  // delivered lately
-	bad      float64  // errors lately
-	outUntil Micros   // sits out; 0: in service
-	outSpan  Micros   // how long it sat out last
-	proved   int      // trials passed since it sat out
-	down     bool     // it sits out for want of a connection: probed before a visit is risked
-	probing  bool     // a probe of it is out
-}
-
-// fetch is one backend fetch. Its step's closure is handed the result.
-type fetch struct {
-	no     FetchNo
-	be     *backend
-	sent   Micros
-	held   int
-	reused bool
-	done   bool
-	ran    bool // may have run: out, or ended without proof that it never ran
-	then   func(*fetch, Result)
-}
-
-// visit is an accepted visit that is not yet over.
-type visit struct {
-	id      VisitID
-	on      *prefix
-	key     Key
-	work    float64 // expected, in core time or, without a hint, in its path prefix's mean latency
-	wanted  Micros  // after this an answer is worth nothing, or little
-	until   Micros  // the client quits
-	value   float64
-	beyond  bool // lies beyond its tenant's share
-	fetches []*fetch
-	out     int
-	charged int
-	freed   bool
-	ended   bool
-}
-
-// due is something to do at a time. All due times but the beat's are in one heap.
-type due struct {
-	at  Micros
-	seq uint64
-	do  func()
-}
-type dues []due
-
-func (d dues) Len() int { return len(d) }
-func (d dues) Less(i, j int) bool {
-	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
-}
-func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *dues) Push(x any)   { *d = append(*d, x.(due)) }
-func (d *dues) Pop() any {
-	last := len(*d) - 1
-	x := (*d)[last]
-	(*d)[last] = due{}
-	*d = (*d)[:last]
-	return x
-}
-
-const (
-	beatToken Token = iota // the one periodic timer
-	dueToken               // something in the heap is due
-)
-
-// Balancer decides for one sidecar.
-type Balancer struct {
-	out   Ports
-	site  Site
-	now   Micros
-	seed  uint64
-	drawn uint64
-	hash  hash.Hash64
-
-	myZone   Zone
-	prefixes []*prefix
-	realms   []realm
-	topValue float64
-	known    map[Backend]*backend
-	row      []*backend // all known, by id
-	visits   map[VisitID]*visit
-	due      dues
-	seq      uint64
-	armed    Micros // earliest wake-up asked for the heap; 0: none
-
-	news       News
-	asked      Micros // last call of the list; 0: answered
-	askWait    Micros
-	spent      float64 // tokens missing from the bucket
-	empty      bool    // the bucket denied the last retry
-	firsts     float64 // first tries of the last ten seconds, fading
-	meanWork   float64 // of the visits that come
-	meanTarget float64
-	centres    []centre // by data centre
-	seen       float64  // answers seen
-	calm       float64  // the same when the fleet is calm
-	crowd      float64  // the same, unmixed
-	level      float64  // answer time per unit of work
-	size       float64  // mean rating of the servers in use
-	carry      float64  // work lately carried by a warm server, per rating
-	scratch    []*backend
-	weights    []float64
-}
-
 // New starts a sidecar. A setting that the module can't do without and lacks is an error that names it.
 func New(now Micros, site Site, seed uint64, out Ports) (b *Balancer, err error) {
 	defer func() {
@@ -199,8 +62,9 @@
 			b, err = nil, missing
 		}
 	}()
-	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(), level: 1, calm: 1, crowd: 1, size: 1,
-		known: map[Backend]*backend{}, visits: map[VisitID]*visit{}}
+	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(),
+		due: btree.NewG(16, due.before), known: map[Backend]*backend{}, visits: map[VisitID]*visit{},
+		level: 1, calm: 1, crowd: 1, size: 1}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
 		at := "path_prefixes." + strconv.Itoa(i) + "."
@@ -227,56 +91,6 @@
 	return b, nil
 }
 
-func (b *Balancer) num(name string) float64 {
-	f, ok := b.site[name].(float64)
-	if !ok {
-		panic(fmt.Errorf("settings lack the figure %s", name))
-	}
-	return f
-}
-func (b *Balancer) maybe(name string) float64 { f, _ := b.site[name].(float64); return f }
-func (b *Balancer) allows(name string) bool   { ok, _ := b.site[name].(bool); return ok }
-func (b *Balancer) span(name string) Micros   { return Micros(b.num(name)) }
-func (b *Balancer) word(name string) string {
-	s, ok := b.site[name].(string)
-	if !ok {
-		panic(fmt.Errorf("settings lack the word %s", name))
-	}
-	return s
-}
-
-// chance draws a number from 0 up to 1 out of the seed and a counter.
-func (b *Balancer) chance() float64 {
-	b.drawn++
-	return float64(b.mix(b.seed, b.drawn)>>11) / (1 << 53)
-}
-
-func (b *Balancer) mix(a, c uint64) uint64 {
-	var in [16]byte
-	binary.BigEndian.PutUint64(in[:], a)
-	binary.BigEndian.PutUint64(in[8:], c)
-	b.hash.Reset()
-	b.hash.Write(in[:])
-	x := b.hash.Sum64()
-	x ^= x >> 33 // FNV leaves the high bits of near counters alike
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
-// at puts something in the heap of due times.
-func (b *Balancer) at(t Micros, do func()) {
-	b.seq++
-	heap.Push(&b.due, due{max(t, b.now+1), b.seq, do})
-	b.arm()
-}
-
-func (b *Balancer) arm() {
-	if len(b.due) > 0 && (b.armed == 0 || b.due[0].at < b.armed) {
-		b.armed = b.due[0].at
-		b.out.Wake(max(b.armed-b.now, 1), dueToken)
-	}
-}
-
 // Woken hears that a wake-up is due.
 func (b *Balancer) Woken(now Micros, t Token) {
 	b.now = now
@@ -286,28 +100,13 @@
 		return
 	}
 	b.armed = 0
-	for len(b.due) > 0 && b.due[0].at <= now {
-		heap.Pop(&b.due).(due).do()
+	for d, ok := b.due.Min(); ok && d.at <= now; d, ok = b.due.Min() {
+		b.due.DeleteMin()
+		d.do()
 	}
 	b.arm()
 }
 
-// centre is what was lately seen of a data centre's servers in service.
-type centre struct {
-	took, work, plain float64 // their sums
-	pace, level       float64 // answer time per unit of work and visit held, and per unit of work
-}
-
-func (c *centre) add(be *backend) {
-	c.took, c.work, c.plain = c.took+be.took, c.work+be.work, c.plain+be.carried
-}
-
-func (c *centre) reckon(prior, usual float64) {
-	if c.pace, c.level = usual, usual; prior > 0 {
-		c.pace, c.level = (c.took+prior*usual)/(c.work+prior), (c.took+prior*usual)/(c.plain+prior)
-	}
-}
-
 // beat is the periodic work: what was seen fades, cold servers earn credit.
 func (b *Balancer) beat() {
 	fade := 1 - 1/memory
@@ -929,7 +728,7 @@
 // expect is the answer time per unit of work that one more visit would see at a server.
 func (b *Balancer) expect(be *backend) float64 {
 	prior := firmness * b.meanWork
-	own := b.centres[be.zone].pace * b.size / be.rating // a server twice the size answers in half the time, until seen
+	own := b.centres[be.zone].pace * b.size / be.rating // until seen: twice the size, half the time
 	if be.work+prior > 0 {
 		own = (be.took + prior*own) / (be.work + prior)
 	}
@@ -1005,7 +804,8 @@
 		}
 		top := uint64(0)
 		for _, be := range b.scratch {
-			if h := b.mix(uint64(v.key), uint64(be.id)); h >= top && b.expect(be)*b.distance(be) <= band(be)*least {
+			h := b.mix(uint64(v.key), uint64(be.id))
+			if h >= top && b.expect(be)*b.distance(be) <= band(be)*least {
 				top, warm = h, be
 			}
 		}
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -119,7 +119,8 @@
 
 // ends tells how a visit's fetch ended, after the time it was out.
 func (d *day) ends(id VisitID, no FetchNo, rc Result) {
-	names := []string{"", "delivered", "errored", "full", "timed out", "not connected", "reset", "cancelled", "not sent"}
+	names := []string{"", "delivered", "errored", "full", "timed out", "not connected", "reset", "cancelled",
+		"not sent"}
 	d.say("visit %d fetch %d ends: %s", id, no, names[rc])
 	took := d.now - d.sent[fmt.Sprint(id, "/", no)]
 	d.b.Outcome(d.now, id, no, rc, took, rc == Delivered)
