Sidecars tell each other their tenants' use, where messages are allowed

Cause: a sidecar alone can't tell which visits lie beyond a tenant's share, so bursts and jams cost all tenants alike. Every action of the wire is now encoded and tested; load reports and messages are checked.

--- a/brain/books.go
+++ b/brain/books.go
@@ -22,6 +22,12 @@
 // realm is a tenant: its share, and what this sidecar lately took in for it.
 type realm struct{ quota, used float64 }
 
+// heard is what another sidecar told last: its tenants' use, as counted here.
+type heard struct {
+	at   Micros
+	used []float64
+}
+
 // backend is a server as this sidecar knows it.
 type backend struct {
 	id        Backend
@@ -107,6 +113,8 @@
 	myZone   Zone
 	prefixes []*prefix
 	realms   []realm
+	peers    []heard // by number
+	beats    int
 	topValue float64
 	known    map[Backend]*backend
 	row      []*backend // all known, by id
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -8,6 +8,7 @@
 package brain
 
 import (
+	"encoding/binary"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -51,7 +52,8 @@
 	lowLimit    = 0.6   // part of that limit for a visit worth nothing; half the value costs a quarter
 	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
 	dozen       = 32    // samples before a path prefix's mean moves slowly
-	beyondLimit = 0.6   // part of the crowding limit for visits beyond their tenant's share
+	beyondLimit = 0.8   // part of the crowding limit for visits beyond their tenant's share
+	tellBeats   = 10    // beats between two messages to the other sidecars
 	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
 )
 
@@ -75,6 +77,7 @@
 		b.prefixes = append(b.prefixes, p)
 		b.topValue = max(b.topValue, p.value)
 	}
+	b.peers = make([]heard, int(b.maybe("balancers")))
 	for i := range int(b.maybe("realms")) {
 		at := "realms." + strconv.Itoa(i) + "."
 		b.realms = append(b.realms, realm{quota: max(b.num(at+"quota_per_s"), 1e-9)})
@@ -173,6 +176,9 @@
 	for i := range b.realms {
 		b.realms[i].used *= fade
 	}
+	if b.beats++; b.beats%tellBeats == 0 && len(b.realms) > 0 && b.allows("allowed.peer_messages") {
+		b.tell()
+	}
 	if b.asked != 0 && b.now-b.asked > b.span("obligations.ask_every_us")/2 {
 		b.subscribe() // the call's answer got lost
 	}
@@ -468,16 +474,48 @@
 	return (held + prior) / (done/rushMemory/float64(firstWait) + prior/b.centres[in].level + 1e-9)
 }
 
-// beyond is the part of a tenant's visits that lies beyond its share, judged by how much more of its
-// share it uses here than the median tenant does: one sidecar can't see the tenant's whole traffic.
-func (b *Balancer) beyond(of Realm) float64 {
-	b.weights = b.weights[:0]
+// tell lets the other sidecars know what each tenant lately sent here, in quarters of a visit.
+func (b *Balancer) tell() {
+	msg := make([]byte, 0, 2*len(b.realms))
 	for _, r := range b.realms {
-		b.weights = append(b.weights, r.used/r.quota)
+		msg = binary.BigEndian.AppendUint16(msg, uint16(min(4*r.used, math.MaxUint16)))
+	}
+	b.out.Tell(msg)
+}
+
+// Heard takes what another sidecar told. A message that is not of this form is passed over.
+func (b *Balancer) Heard(now Micros, from Peer, msg []byte) {
+	b.now = now
+	if len(msg) != 2*len(b.realms) || int(from) >= len(b.peers) {
+		return
+	}
+	used := make([]float64, len(b.realms))
+	for i := range used {
+		used[i] = float64(binary.BigEndian.Uint16(msg[2*i:])) / 4
+	}
+	b.peers[from] = heard{now, used}
+}
+
+// beyond is the part of a tenant's visits that lies beyond its share. Where other sidecars have told
+// lately, it is what all took in against the share; else it is judged by how much more of its share the tenant
+// uses here than the median tenant does, since one sidecar can't see the tenant's whole traffic.
+func (b *Balancer) beyond(of Realm) float64 {
+	use, told := b.realms[of].used, 1
+	for _, h := range b.peers {
+		if h.used != nil && b.now-h.at <= 4*tellBeats*firstWait {
+			use, told = use+h.used[of], told+1
+		}
+	}
+	usual := b.realms[of].quota * memory * float64(firstWait) / 1e6
+	if told == 1 && len(b.peers) != 1 {
+		b.weights = b.weights[:0]
+		for _, r := range b.realms {
+			b.weights = append(b.weights, r.used/r.quota)
+		}
+		use = b.weights[of]
+		slices.Sort(b.weights)
+		usual = b.weights[(len(b.weights)-1)/2] * overBand
 	}
-	use := b.weights[of]
-	slices.Sort(b.weights)
-	usual := b.weights[(len(b.weights)-1)/2] * overBand
 	if use <= usual {
 		return 0
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -288,6 +288,24 @@
 	d.matches(t)
 }
 
+func TestShares(t *testing.T) {
+	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0, "balancers", 3.0,
+		"allowed.peer_messages", true)
+	d := begin(t, s, "a b")
+	d.b.realms[0].used, d.b.realms[1].used = 60, 20
+	d.title("alone, a tenant is measured against the median one")
+	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
+	d.title("the others told: all traffic against the share; what is malformed or from nobody is passed over")
+	d.b.Heard(d.now, 1, []byte{0, 40, 0, 200})
+	d.b.Heard(d.now, 2, []byte{0, 40, 1})
+	d.b.Heard(d.now, 3, []byte{255, 255, 255, 255})
+	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
+	d.title("nothing heard for two seconds: alone again")
+	d.pass(2100 * ms)
+	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
+	d.matches(t)
+}
+
 func TestListOutOfReach(t *testing.T) {
 	d := begin(t, site("all", "discovery", "on_request", "obligations.ask_every_us", 10e6), "a")
 	d.title("each failed call is followed by another after a longer wait, each time a little apart")
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -14,6 +14,7 @@
 	Cell    uint16 // small group of servers that share a memory of tags
 	Key     uint64 // what the visit is about; 0: nothing said
 	Token   uint32 // names a wake-up
+	Peer    uint16 // another sidecar
 )
 
 // Result tells how a backend fetch ended.
@@ -63,5 +64,6 @@
 	Probe(be Backend)                              // health check
 	CloseIdle(be Backend)                          // give back connections that carry nothing
 	Subscribe()                                    // ask the list to send its changes
+	Tell(msg []byte)                               // a short message to all other sidecars; may be lost
 	Print(line string)                             // one line for the operators
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -101,6 +101,14 @@
 func (o outlet) Print(line string)         { o.out.text(9, o.who, line) }
 func (o outlet) Subscribe()                { o.out.rec(11, o.who)[3] = 1 }
 
+func (o outlet) Tell(msg []byte) {
+	p := o.out.rec(8, o.who)
+	be.PutUint32(p[3:], math.MaxUint32) // every other instance
+	be.PutUint32(p[7:], uint32(len(o.out.tail)))
+	be.PutUint32(p[11:], uint32(len(msg)))
+	o.out.tail = append(o.out.tail, msg...)
+}
+
 // host holds the instances of one process. They share nothing but the reply they write to.
 type host struct {
 	here  map[uint16]*brain.Balancer
@@ -168,7 +176,7 @@
 	return tail[off : off+n], nil
 }
 
-func (h *host) event(now brain.Micros, p, tail []byte) (err error) {
+func (h *host) event(now brain.Micros, p, tail []byte) error {
 	if p[0] == 11 { // a list, for whichever instances refer to it next
 		id := be.Uint32(p[1:])
 		if id >= uint32(len(h.lists)) {
@@ -236,6 +244,9 @@
 		if p[18] < 1 || p[18] > 8 {
 			return fmt.Errorf("unknown outcome %d", p[18])
 		}
+		if p[24] > 4 {
+			return fmt.Errorf("load report of %d values", p[24])
+		}
 		b.Outcome(now, brain.VisitID(be.Uint64(p[3:])), brain.FetchNo(p[11]), brain.Result(p[18]),
 			brain.Micros(be.Uint32(p[19:])), p[23] != 0)
 	case 6:
@@ -246,11 +257,18 @@
 		if p[9] < 1 || p[9] > 8 {
 			return fmt.Errorf("unknown outcome %d", p[9])
 		}
+		if p[14] > 4 {
+			return fmt.Errorf("load report of %d values", p[14])
+		}
 		b.Probed(now, server(p[3:]), brain.Result(p[9]))
-	case 9: // the module sends its peers nothing and takes nothing from them
-		_, err = piece(p[5:], tail, 1)
+	case 9:
+		msg, err := piece(p[5:], tail, 1)
+		if err != nil {
+			return err
+		}
+		b.Heard(now, brain.Peer(be.Uint16(p[3:])), msg)
 	}
-	return err
+	return nil
 }
 
 func (h *host) update(now brain.Micros, b *brain.Balancer, p []byte) error {
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -147,6 +147,10 @@
 			frame(1, 2, nil, rec(2, 3, 1, 4, 8, 0, 4, 0))},
 		{"outcome", "batch 2, record 0: unknown outcome 9",
 			frame(1, 2, nil, rec(5, 3, 8, 1, 1, 0, 6, 0, 1, 9))},
+		{"load report", "batch 2, record 0: load report of 5 values",
+			frame(1, 2, nil, rec(8, 3, 6, 0, 1, 1, 4, 0, 1, 5))},
+		{"message", "batch 2, record 0: 9 bytes at 0 lie outside the tail of 0",
+			frame(1, 2, nil, rec(9, 3, 2, 1, 4, 0, 4, 9))},
 		{"retired", "batch 2, record 1: event 6 for instance 3, which is not attached",
 			frame(1, 2, nil, rec(10, 3), rec(6, 3, 8, 1))},
 	} {
@@ -170,6 +174,28 @@
 	same(t, "path prefix 7 is not among the settings\n", got[strings.Index(got, "path"):])
 }
 
+func TestEveryAction(t *testing.T) {
+	var r reply
+	o := outlet{5, &r}
+	o.Bounce(1, 250000)
+	o.Cancel(1, 2)
+	o.Probe(0x0a0000012bc0)
+	o.CloseIdle(0x0a0000012bc0)
+	o.Print("two")
+	o.Tell([]byte("hi 7"))
+	same(t, `
+reply 6 to batch 0
+  02000500000000000000010003d090000000000000000000
+  040005000000000000000102000000000000000000000000
+  0600050a0000012bc0000000000000000000000000000000
+  0700050a0000012bc0000000000000000000000000000000
+  090005000000000000000300000000000000000000000000
+  080005ffffffff0000000300000004000000000000000000
+  twohi 7
+`, show(append(append(append(be.AppendUint32(nil, uint32(replyHead-4+len(r.recs)+len(r.tail))),
+		0, 0, 0, byte(r.count), 0, 0, 0, 0), r.recs...), r.tail...)))
+}
+
 func TestFlatten(t *testing.T) {
 	site, err := Flatten([]byte(`{"a":{"b":[{"effect":"non_idempotent"},2]},"c":true}`))
 	got, _ := json.Marshal(site)
