--- a/brain/books.go
+++ b/brain/books.go
@@ -53,7 +53,6 @@
 	bad      float64  // errors lately
 	outUntil Micros   // sits out; 0: in service
 	outSpan  Micros   // how long it sat out last
-	proved   int      // trials passed since it sat out
 	down     bool     // it sits out for want of a connection: probed before a visit is risked
 	probing  bool     // a probe of it is out
 }
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -256,7 +256,7 @@
 			be.coldSince = now // it came back from we know not what: cold
 		}
 		be.took, be.work, be.carried, be.good, be.bad, be.idle = 0, 0, 0, 0, 0, nil
-		be.outUntil, be.proved, be.down = 0, 0, false
+		be.outUntil, be.down = 0, false
 		if now-be.coldSince >= b.span("obligations.cold_us") {
 			be.coldSince = 0
 		}
@@ -713,10 +713,7 @@
 			p.mean += (took - p.mean) / p.seen
 		}
 		if be.outUntil != 0 && f.sent >= be.outUntil {
-			be.proved++
-			if be.proved >= 2 {
-				be.outUntil, be.proved, be.bad, be.down = 0, 0, 0, false
-			}
+			be.outUntil, be.bad, be.down = 0, 0, false
 		} else if be.good > memory/2 {
 			be.outSpan = 0
 		}
@@ -750,8 +747,8 @@
 	}
 }
 
-// sitOut keeps a server off the ordinary pick, longer each time. Then it gets one visit at a time until
-// two came back well: a server that returns is not met by everyone's whole traffic.
+// sitOut keeps a server off the ordinary pick, longer each time. Then it gets one visit, and is back
+// in service when that came back well: a server that returns is not met by everyone's whole traffic.
 func (b *Balancer) sitOut(be *backend, why string) {
 	if be.outUntil > b.now {
 		return
@@ -759,7 +756,7 @@
 	longest := b.span("obligations.cold_us") / 2
 	be.outSpan = min(max(2*be.outSpan, 10*firstWait), longest)
 	be.outUntil = b.now + Micros(float64(be.outSpan)*(0.75+b.chance()/2))
-	be.proved, be.bad = 0, 0
+	be.bad = 0
 	b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
 }
 
