--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -101,6 +101,10 @@
 func (o outlet) Print(line string)         { o.out.text(9, o.who, line) }
 func (o outlet) Subscribe()                { o.out.rec(11, o.who)[3] = 1 }
 
+// Unsubscribe and Snapshot are on the wire; the module has no use for them so far.
+func (o outlet) Unsubscribe() { o.out.rec(11, o.who) }
+func (o outlet) Snapshot()    { o.out.rec(12, o.who) }
+
 func (o outlet) Tell(msg []byte) {
 	p := o.out.rec(8, o.who)
 	be.PutUint32(p[3:], math.MaxUint32) // every other instance
