--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,7 +1,7 @@
 // Package brain makes every decision of a ledgespread sidecar.
 //
 // A caller makes one Balancer per sidecar with New and tells it what happens, always with the time:
-// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed. The module acts only
+// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed, Heard. The module acts only
 // through the Ports it was given (ports.go, with the id types; what a sidecar keeps in mind is declared in
 // books.go); it knows no wire, clock or goroutine,
 // and instances share nothing. docs/design.md tells what each rule here is for.
@@ -51,7 +51,7 @@
 	calmBand    = 1.5   // multiple of the calm pace from which on the fleet is crowded
 	lowLimit    = 0.6   // part of that limit for a visit worth nothing; half the value costs a quarter
 	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
-	dozen       = 32    // samples before a path prefix's mean moves slowly
+	enough      = 32    // answers that make a mean worth trusting; several means count in multiples of it
 	beyondLimit = 0.8   // part of the crowding limit for visits beyond their tenant's share
 	tellBeats   = 10    // beats between two messages to the other sidecars
 	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
@@ -423,8 +423,8 @@
 	if b.meanWork == 0 {
 		b.meanWork, b.meanTarget = v.work, float64(p.target)
 	}
-	b.meanWork += (v.work - b.meanWork) / (4 * dozen)
-	b.meanTarget += (float64(p.target) - b.meanTarget) / (4 * dozen)
+	b.meanWork += (v.work - b.meanWork) / (4 * enough)
+	b.meanTarget += (float64(p.target) - b.meanTarget) / (4 * enough)
 	b.visits[id] = v
 	b.firsts++
 	if int(of) < len(b.realms) {
@@ -534,7 +534,7 @@
 	prior := firmness * b.meanWork
 	plain := (be.took + prior*b.centres[be.zone].level) / (be.carried + prior) / b.warmth(be)
 	crowd := max(b.rush(be.zone), plain) * b.meanWork / limit
-	crowd *= min(1, b.seen/dozen) // at the start nothing is known: rather send and learn
+	crowd *= min(1, b.seen/enough) // at the start nothing is known: rather send and learn
 	strain := math.Hypot(crowd, pace*v.work/float64(v.wanted-b.now)/ownLimit)
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
@@ -705,11 +705,11 @@
 		be.good++
 		b.seen++
 		p := v.on
-		if p.seen > dozen { // the mean tells prefixes apart; how fast the fleet is, the pace tells
+		if p.seen > enough { // the mean tells prefixes apart; how fast the fleet is, the pace tells
 			took /= b.crowd
 		}
 		if be.outUntil == 0 { // nor is what a jammed server adds
-			p.seen = min(p.seen+1, 16*dozen)
+			p.seen = min(p.seen+1, 16*enough)
 			p.mean += (took - p.mean) / p.seen
 		}
 		if be.outUntil != 0 && f.sent >= be.outUntil {
