--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,10 +1,9 @@
 // Package brain makes every decision of a ledgespread sidecar.
 //
 // A caller makes one Balancer per sidecar with New and tells it what happens, always with the time:
-// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed, Heard. The module acts only
-// through the Ports it was given (ports.go, with the id types; what a sidecar keeps in mind is declared in
-// books.go); it knows no wire, clock or goroutine,
-// and instances share nothing. docs/design.md tells what each rule here is for.
+// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed, Heard. The module acts
+// only through the Ports it was given (ports.go, with the id types; books.go declares what a sidecar keeps in
+// mind). It knows no wire, clock or goroutine, and instances share nothing. docs/design.md tells what each rule here is for.
 package brain
 
 import (
@@ -496,9 +495,9 @@
 	b.peers[from] = heard{now, used}
 }
 
-// beyond is the part of a tenant's visits that lies beyond its share. Where other sidecars have told
-// lately, it is what all took in against the share; else it is judged by how much more of its share the tenant
-// uses here than the median tenant does, since one sidecar can't see the tenant's whole traffic.
+// beyond is the part of a tenant's visits that lies beyond its share. Where other sidecars have told lately,
+// it is what all took in against the share; else it is judged by how much more of its share the tenant uses
+// here than the median tenant does, since one sidecar can't see the tenant's whole traffic.
 func (b *Balancer) beyond(of Realm) float64 {
 	use, told := b.realms[of].used, 1
 	for _, h := range b.peers {
@@ -522,9 +521,9 @@
 	return 1 - usual/use
 }
 
-// admit turns a visit away early when its answer can't be expected in time, or when the server is so
-// crowded that a usual visit takes much of its target latency; sooner, the less the visit is worth. Guards
-// against an overload that makes every answer late, and against tipping crowded servers.
+// admit turns a visit away early when its answer can't be expected in time, or when the server is so crowded
+// that a mean visit takes a multiple of its calm answer; sooner, the less the visit is worth. Guards against
+// an overload that makes every answer late, and against tipping crowded servers.
 func (b *Balancer) admit(v *visit, be *backend) bool {
 	limit := b.limit() * (1 - (1-lowLimit)*(1-v.value)*(1-v.value))
 	if v.beyond {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -289,8 +289,8 @@
 }
 
 func TestShares(t *testing.T) {
-	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0, "balancers", 3.0,
-		"allowed.peer_messages", true)
+	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
+		"balancers", 3.0, "allowed.peer_messages", true)
 	d := begin(t, s, "a b")
 	d.b.realms[0].used, d.b.realms[1].used = 60, 20
 	d.title("alone, a tenant is measured against the median one")
