--- a/brain/brain.go
+++ b/brain/brain.go
@@ -3,7 +3,8 @@
 // A caller makes one Balancer per sidecar with New and tells it what happens, always with the time:
 // ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed, Heard. The module acts
 // only through the Ports it was given (ports.go, with the id types; books.go declares what a sidecar keeps in
-// mind). It knows no wire, clock or goroutine, and instances share nothing. docs/design.md tells what each rule here is for.
+// mind). It knows no wire, clock or goroutine, and instances share nothing. docs/design.md tells what each
+// rule here is for.
 package brain
 
 import (
