--- a/brain/books.go
+++ b/brain/books.go
@@ -15,7 +15,7 @@
 	target, timeout, window Micros
 	value, late             float64
 	effect, group           string
-	patience                Micros  // how long clients wait for a first try
+	firstLeft               Micros  // how long clients wait for a first try
 	seen, mean              float64 // answers seen; their mean latency, where visits carry no hint
 }
 
@@ -47,8 +47,8 @@
 	took     float64  // latency of lately delivered visits, fading
 	work     float64  // their work times the visits held, fading alike
 	carried  float64  // their work alone
+	done     float64  // their work alone, fading fast
 	credit   float64  // work that may still be sent while cold
-	done     float64  // the same, fading fast
 	good     float64  // delivered lately
 	bad      float64  // errors lately
 	outUntil Micros   // sits out; 0: in service
@@ -132,13 +132,14 @@
 	meanTarget float64
 	centres    []centre // by data centre
 	seen       float64  // answers seen
-	calm       float64  // the same when the fleet is calm
-	crowd      float64  // the same, unmixed
 	level      float64  // answer time per unit of work
+	crowd      float64  // the same, not mixed with a prior
+	calm       float64  // the same when the fleet is calm
 	size       float64  // mean rating of the servers in use
 	carry      float64  // work lately carried by a warm server, per rating
 	scratch    []*backend
 	weights    []float64
+	paces      []float64
 }
 
 // centre is what was lately seen of a data centre's servers in service.
@@ -152,9 +153,15 @@
 }
 
 func (c *centre) reckon(prior, usual float64) {
-	if c.pace, c.level = usual, usual; prior > 0 {
-		c.pace, c.level = (c.took+prior*usual)/(c.work+prior), (c.took+prior*usual)/(c.plain+prior)
+	c.pace, c.level = blend(c.took, c.work, prior, usual), blend(c.took, c.plain, prior, usual)
+}
+
+// blend is an answer time per unit of work, mixed with so much work's worth of the usual one.
+func blend(took, work, prior, usual float64) float64 {
+	if work+prior <= 0 {
+		return usual
 	}
+	return (took + prior*usual) / (work + prior)
 }
 
 func (b *Balancer) num(name string) float64 {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -122,7 +122,7 @@
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
 		be.good, be.bad, be.done = be.good*fade, be.bad*fade, be.done*(1-1/rushMemory)
-		if be.usable() && be.outUntil == 0 {
+		if be.inService() {
 			b.centres[be.zone].add(be)
 			all.add(be)
 			sizes, inUse = sizes+be.rating, inUse+1
@@ -275,6 +275,9 @@
 // Drained and gone servers get nothing new at once; the grace is not used.
 func (be *backend) usable() bool { return be.standing == Ready }
 
+// A server in service is on the ordinary pick.
+func (be *backend) inService() bool { return be.usable() && be.outUntil == 0 }
+
 // --- the rules
 
 // may is the one gate of all sends: whether the rules let this visit go to this server now.
@@ -313,7 +316,7 @@
 // A visit for which there is none is answered at once and its running fetch is left alone.
 func (b *Balancer) onward(v *visit, but *backend, out int) bool {
 	for _, be := range b.row {
-		if be != but && !be.down && b.mayAt(v, be, b.now+firstWait<<v.charged, out) {
+		if be != but && !be.down && b.mayAt(v, be, b.now+v.wait(), out) {
 			return true
 		}
 	}
@@ -410,8 +413,8 @@
 	if p.late > 0 {
 		v.wanted = v.until
 	} else if !again {
-		p.patience = left
-	} else if slack := p.target / 10; left < p.patience-slack || p.patience > p.timeout-slack {
+		p.firstLeft = left
+	} else if slack := p.target / 10; left < p.firstLeft-slack || p.firstLeft > p.timeout-slack {
 		// A repeat with less time than a first try, or with all that its time-out over all tries leaves,
 		// tells when the visit began, and how much of its target latency is left.
 		if w := now + left - (p.timeout - p.target); w > now+Micros(v.work) {
@@ -437,7 +440,6 @@
 	// Guards against losing the visit: whatever happens to its fetches, this is its last answer.
 	b.at(v.until-b.span("step_us"), func() {
 		if !v.ended {
-			v.ended = true
 			b.out.ErrorPage(v.id)
 			b.end(v)
 		}
@@ -463,7 +465,7 @@
 func (b *Balancer) rush(in Zone) float64 {
 	held, done, here, all := 0.0, 0.0, 0.0, 0.0
 	for _, be := range b.row {
-		if be.usable() && be.outUntil == 0 {
+		if be.inService() {
 			all++
 			if be.zone == in {
 				held, done, here = held+float64(be.held), done+be.done, here+1
@@ -531,8 +533,7 @@
 		limit *= beyondLimit
 	}
 	pace := b.expect(be)
-	prior := firmness * b.meanWork
-	plain := (be.took + prior*b.centres[be.zone].level) / (be.carried + prior) / b.warmth(be)
+	plain := blend(be.took, be.carried, firmness*b.meanWork, b.centres[be.zone].level) / b.warmth(be)
 	crowd := max(b.rush(be.zone), plain) * b.meanWork / limit
 	crowd *= min(1, b.seen/enough) // at the start nothing is known: rather send and learn
 	strain := math.Hypot(crowd, pace*v.work/float64(v.wanted-b.now)/ownLimit)
@@ -576,9 +577,12 @@
 	b.spent = max(0, b.spent-back)
 }
 
+// wait is how long the visit's next retry waits.
+func (v *visit) wait() Micros { return firstWait << v.charged }
+
 // retry arms one, if the bucket and the time left allow.
 func (b *Balancer) retry(v *visit) {
-	wait := firstWait << v.charged
+	wait := v.wait()
 	if b.now+wait >= v.wanted || !b.onward(v, nil, v.out) {
 		b.giveUp(v)
 		return
@@ -621,7 +625,7 @@
 	if f.be.outUntil != 0 {
 		look = max(left/3, guess) // on trial
 	}
-	again := look+firstWait<<v.charged+guess < left
+	again := look+v.wait()+guess < left
 	b.at(b.now+min(look, left), func() {
 		if f.done || v.ended || f.be.answered > f.sent {
 			return
@@ -708,7 +712,7 @@
 		if p.seen > enough { // the mean tells prefixes apart; how fast the fleet is, the pace tells
 			took /= b.crowd
 		}
-		if be.outUntil == 0 { // nor is what a jammed server adds
+		if be.outUntil == 0 { // a jammed server's answers tell nothing of the prefix
 			p.seen = min(p.seen+1, 16*enough)
 			p.mean += (took - p.mean) / p.seen
 		}
@@ -762,11 +766,8 @@
 
 // expect is the answer time per unit of work that one more visit would see at a server.
 func (b *Balancer) expect(be *backend) float64 {
-	prior := firmness * b.meanWork
-	own := b.centres[be.zone].pace * b.size / be.rating // until seen: twice the size, half the time
-	if be.work+prior > 0 {
-		own = (be.took + prior*own) / (be.work + prior)
-	}
+	usual := b.centres[be.zone].pace * b.size / be.rating // until seen: twice the size, half the time
+	own := blend(be.took, be.work, firmness*b.meanWork, usual)
 	held := float64(be.held)
 	if be.fresh {
 		held = max(held, b.meanHeld())
@@ -790,12 +791,13 @@
 func (b *Balancer) pick(v *visit, afar bool) *backend {
 	var best, lastResort *backend
 	least, last, ties := math.Inf(1), math.Inf(1), 0.0
-	b.scratch = b.scratch[:0]
+	b.scratch, b.paces = b.scratch[:0], b.paces[:0]
 	for _, be := range b.row {
 		if !b.may(v, be) {
 			continue
 		}
-		score := b.expect(be)
+		pace := b.expect(be)
+		score := pace
 		if !afar {
 			score *= b.distance(be)
 		}
@@ -813,7 +815,7 @@
 			}
 			continue
 		}
-		b.scratch = append(b.scratch, be)
+		b.scratch, b.paces = append(b.scratch, be), append(b.paces, pace)
 		if score < least {
 			ties = 0
 		}
@@ -838,9 +840,9 @@
 			return tieBand
 		}
 		top := uint64(0)
-		for _, be := range b.scratch {
+		for i, be := range b.scratch {
 			h := b.mix(uint64(v.key), uint64(be.id))
-			if h >= top && b.expect(be)*b.distance(be) <= band(be)*least {
+			if h >= top && b.paces[i]*b.distance(be) <= band(be)*least {
 				top, warm = h, be
 			}
 		}
@@ -848,12 +850,12 @@
 	}
 	b.weights = b.weights[:0]
 	sum, near := 0.0, false
-	for _, be := range b.scratch {
-		near = near || !afar && be.held == 0 && be.zone == b.myZone && b.expect(be) <= tieBand*least
+	for i, be := range b.scratch {
+		near = near || !afar && be.held == 0 && be.zone == b.myZone && b.paces[i] <= tieBand*least
 	}
-	for _, be := range b.scratch {
+	for i, be := range b.scratch {
 		w := 0.0
-		if pace := b.expect(be); be.held == 0 && pace <= tieBand*least && (!near || be.zone == b.myZone) {
+		if pace := b.paces[i]; be.held == 0 && pace <= tieBand*least && (!near || be.zone == b.myZone) {
 			w = math.Pow(pace, -paceBias)
 		}
 		sum += w
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -163,11 +163,12 @@
 	d.pass(60 * ms)
 	d.list(Changes, "a1 b1 c2 d2")
 	d.b.row[0].coldSince, d.b.row[1].coldSince = 0, 0
-	d.title("tagged, the window of 250 ms from the first send is over: an error page")
+	d.title("tagged, 240 ms after the first send: once more; at 300 ms its window of 250 is over: an error page")
 	d.visit(5, 1)
 	d.pass(240 * ms)
 	d.ends(5, 0, Reset)
 	d.pass(60 * ms)
+	d.ends(5, 1, Errored)
 	d.title("tagged, proven unrun each time: bounced")
 	d.visit(6, 1)
 	for no := range FetchNo(4) {
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -245,11 +245,8 @@
 	case 4:
 		b.Flowing(now, brain.VisitID(be.Uint64(p[3:])), brain.FetchNo(p[11]))
 	case 5:
-		if p[18] < 1 || p[18] > 8 {
-			return fmt.Errorf("unknown outcome %d", p[18])
-		}
-		if p[24] > 4 {
-			return fmt.Errorf("load report of %d values", p[24])
+		if err := sane(p[18], p[24]); err != nil {
+			return err
 		}
 		b.Outcome(now, brain.VisitID(be.Uint64(p[3:])), brain.FetchNo(p[11]), brain.Result(p[18]),
 			brain.Micros(be.Uint32(p[19:])), p[23] != 0)
@@ -258,11 +255,8 @@
 	case 7:
 		b.Woken(now, brain.Token(be.Uint32(p[3:])))
 	case 8:
-		if p[9] < 1 || p[9] > 8 {
-			return fmt.Errorf("unknown outcome %d", p[9])
-		}
-		if p[14] > 4 {
-			return fmt.Errorf("load report of %d values", p[14])
+		if err := sane(p[9], p[14]); err != nil {
+			return err
 		}
 		b.Probed(now, server(p[3:]), brain.Result(p[9]))
 	case 9:
@@ -275,6 +269,17 @@
 	return nil
 }
 
+// sane refuses an outcome or the length of a load report that the wire does not know.
+func sane(rc, values byte) error {
+	if rc < 1 || rc > 8 {
+		return fmt.Errorf("unknown outcome %d", rc)
+	}
+	if values > 4 {
+		return fmt.Errorf("load report of %d values", values)
+	}
+	return nil
+}
+
 func (h *host) update(now brain.Micros, b *brain.Balancer, p []byte) error {
 	news := brain.News(p[3])
 	if news > brain.NoListCame {
