--- a/brain/books.go
+++ b/brain/books.go
@@ -125,10 +125,11 @@
 	news       News
 	asked      Micros // last call of the list; 0: answered
 	askWait    Micros
-	spent      float64 // tokens missing from the bucket
-	empty      bool    // the bucket denied the last retry
-	firsts     float64 // first tries of the last ten seconds, fading
-	meanWork   float64 // of the visits that come
+	spent      float64         // tokens missing from the bucket
+	empty      bool            // the bucket denied the last retry
+	firsts     float64         // first tries of the last ten seconds, fading
+	keys       map[Key]float64 // how often each was lately asked for, fading like firsts
+	meanWork   float64         // of the visits that come
 	meanTarget float64
 	centres    []centre // by data centre
 	seen       float64  // answers seen
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -54,6 +54,7 @@
 	enough      = 32    // answers that make a mean worth trusting; several means count in multiples of it
 	beyondLimit = 0.8   // part of the crowding limit for visits beyond their tenant's share
 	tellBeats   = 10    // beats between two messages to the other sidecars
+	keyParts    = 2.0   // servers a key is spread over, for each mean server's worth of the visits that it makes
 	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
 )
 
@@ -65,7 +66,7 @@
 		}
 	}()
 	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(),
-		due: btree.NewG(16, due.before), known: map[Backend]*backend{}, visits: map[VisitID]*visit{},
+		due: btree.NewG(16, due.before), known: map[Backend]*backend{}, visits: map[VisitID]*visit{}, keys: map[Key]float64{},
 		level: 1, calm: 1, crowd: 1, size: 1}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
@@ -176,6 +177,11 @@
 	for i := range b.realms {
 		b.realms[i].used *= fade
 	}
+	for key := range b.keys {
+		if b.keys[key] *= 1 - float64(firstWait)/float64(retrySpan); b.keys[key] < 1/memory {
+			delete(b.keys, key)
+		}
+	}
 	if b.beats++; b.beats%tellBeats == 0 && len(b.realms) > 0 && b.allows("allowed.peer_messages") {
 		b.tell()
 	}
@@ -430,6 +436,9 @@
 	b.meanTarget += (float64(p.target) - b.meanTarget) / (4 * enough)
 	b.visits[id] = v
 	b.firsts++
+	if key != 0 {
+		b.keys[key]++
+	}
 	if int(of) < len(b.realms) {
 		b.realms[of].used++
 		if b.chance() < b.beyond(of) {
@@ -839,9 +848,12 @@
 			}
 			return tieBand
 		}
+		// Guards against a popular key that pushes its server over: no one sidecar sees that server's
+		// crowd, so the key goes to as many servers as its share of the visits here makes up.
+		part := uint64(b.chance() * (1 + keyParts*(b.keys[v.key]-1)/b.firsts*float64(len(b.scratch))))
 		top := uint64(0)
 		for i, be := range b.scratch {
-			h := b.mix(uint64(v.key), uint64(be.id))
+			h := b.mix(uint64(v.key)+part<<32, uint64(be.id))
 			if h >= top && b.paces[i]*b.distance(be) <= band(be)*least {
 				top, warm = h, be
 			}
