--- a/brain/books.go
+++ b/brain/books.go
@@ -146,11 +146,12 @@
 // centre is what was lately seen of a data centre's servers in service.
 type centre struct {
 	took, work, plain float64 // their sums
+	seen              float64 // answers in them
 	pace, level       float64 // answer time per unit of work and visit held, and per unit of work
 }
 
-func (c *centre) add(be *backend) {
-	c.took, c.work, c.plain = c.took+be.took, c.work+be.work, c.plain+be.carried
+func (c *centre) add(took, work, plain float64) {
+	c.took, c.work, c.plain, c.seen = c.took+took, c.work+work, c.plain+plain, c.seen+1
 }
 
 func (c *centre) reckon(prior, usual float64) {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -115,17 +115,12 @@
 func (b *Balancer) beat() {
 	fade := 1 - 1/memory
 	b.firsts *= 1 - float64(firstWait)/float64(retrySpan)
-	for i := range b.centres {
-		b.centres[i] = centre{}
-	}
 	var all centre
 	var carried, rated, sizes, inUse float64
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
 		be.good, be.bad, be.done = be.good*fade, be.bad*fade, be.done*(1-1/rushMemory)
 		if be.inService() {
-			b.centres[be.zone].add(be)
-			all.add(be)
 			sizes, inUse = sizes+be.rating, inUse+1
 			if be.coldSince == 0 {
 				carried, rated = carried+be.carried, rated+be.rating
@@ -136,8 +131,13 @@
 		b.size = sizes / inUse
 	}
 	// A data centre that was not lately heard of is believed calm: a full one must not speak for it.
+	// Guards against forgetting what a sidecar of few visits learns before it can add up to anything.
 	for i := range b.centres {
-		b.centres[i].reckon(firmness*b.meanWork, b.calm)
+		c := &b.centres[i]
+		keep := 1 - min(1, c.seen/enough)/memory
+		c.took, c.work, c.plain, c.seen = c.took*keep, c.work*keep, c.plain*keep, c.seen*keep
+		c.reckon(firmness*b.meanWork, b.calm)
+		all.took, all.work, all.plain = all.took+c.took, all.work+c.work, all.plain+c.plain
 	}
 	all.reckon(firmness*b.meanWork, 1)
 	b.level = all.level
@@ -714,6 +714,9 @@
 	case Delivered:
 		be.answered, be.mute, be.fresh = b.now, 0, false
 		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+v.work
+		if be.outUntil == 0 {
+			b.centres[be.zone].add(took, load, v.work)
+		}
 		be.done += v.work
 		be.good++
 		b.seen++
@@ -738,6 +741,7 @@
 		// Refusals come fast: count them as late answers, or the fullest server looks the fastest.
 		be.answered, be.mute = b.now, 0
 		be.took, be.work = be.took+float64(v.on.target), be.work+load
+		b.centres[be.zone].add(float64(v.on.target), load, 0)
 	case ConnectFailed:
 		be.idle = nil // it had to be dialled: no connection was left to reuse
 		b.sitOut(be, "no connection")
