--- a/brain/brain.go
+++ b/brain/brain.go
@@ -818,11 +818,11 @@
 		for _, f := range v.fetches {
 			tried = tried || f.be == be
 		}
-		if be.outUntil != 0 || tried {
-			if !afar && !tried && be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
-				len(v.fetches) == 0 && !(be.down && b.allows("allowed.probes")) {
-				return be // a trial
-			}
+		// Guards against a storm of trials: a server whose time out is over is picked no more often than
+		// others, until a visit that went well brings it back.
+		trial := be.outUntil != 0 && be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
+			len(v.fetches) == 0 && !(be.down && b.allows("allowed.probes"))
+		if be.outUntil != 0 && !trial || tried {
 			if score < last && !be.down {
 				last, lastResort = score, be
 			}
