--- a/brain/books.go
+++ b/brain/books.go
@@ -19,10 +19,11 @@
 	seen, mean              float64 // answers seen; their mean latency, where visits carry no hint
 }
 
-// realm is a tenant: its share, and what this sidecar lately took in for it.
-type realm struct{ quota, used float64 }
+// realm is a tenant: its share, what this sidecar lately took in for it, what all did as a ledger last
+// told, and what those that told this sidecar did.
+type realm struct{ quota, used, total, kept float64 }
 
-// heard is what another sidecar told last: its tenants' use, as counted here.
+// heard is what another sidecar told last, where this one keeps a ledger.
 type heard struct {
 	at   Micros
 	used []float64
@@ -113,6 +114,8 @@
 	prefixes []*prefix
 	realms   []realm
 	peers    []heard // by number
+	me       Peer
+	totalled Micros // when a ledger last told the totals
 	beats    int
 	topValue float64
 	known    map[Backend]*backend
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -53,7 +53,8 @@
 	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
 	enough      = 32    // answers that make a mean worth trusting; several means count in multiples of it
 	beyondLimit = 0.8   // part of the crowding limit for visits beyond their tenant's share
-	tellBeats   = 10    // beats between two messages to the other sidecars
+	tellBeats   = 10    // beats between two messages to a ledger
+	ledgers     = 3     // sidecars that keep one
 	keyParts    = 2.0   // servers a key is spread over, for each mean server's worth of the visits that it makes
 	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
 )
@@ -78,7 +79,10 @@
 		b.prefixes = append(b.prefixes, p)
 		b.topValue = max(b.topValue, p.value)
 	}
-	b.peers = make([]heard, int(b.maybe("balancers")))
+	b.peers, b.me = make([]heard, max(1, int(b.maybe("balancers")))), Peer(b.maybe("me"))
+	if int(b.me) >= len(b.peers) {
+		panic(fmt.Errorf("settings: me is %d of %d balancers", b.me, len(b.peers)))
+	}
 	for i := range int(b.maybe("realms")) {
 		at := "realms." + strconv.Itoa(i) + "."
 		b.realms = append(b.realms, realm{quota: max(b.num(at+"quota_per_s"), 1e-9)})
@@ -485,40 +489,90 @@
 	return (held + prior) / (done/rushMemory/float64(firstWait) + prior/b.centres[in].level + 1e-9)
 }
 
-// tell lets the other sidecars know what each tenant lately sent here, in quarters of a visit.
+// tell sends what each tenant lately sent here, in quarters of a visit, to a sidecar that keeps a ledger and
+// answers with the totals. Guards against messages that grow with the square of the sidecars. The ledgers are
+// taken in turn, so that the loss of one leaves the others.
 func (b *Balancer) tell() {
-	msg := make([]byte, 0, 2*len(b.realms))
-	for _, r := range b.realms {
-		msg = binary.BigEndian.AppendUint16(msg, uint16(min(4*r.used, math.MaxUint16)))
+	used := make([]float64, len(b.realms))
+	for i, r := range b.realms {
+		used[i] = r.used
+	}
+	for i, h := range b.peers { // who fell silent counts no longer
+		if h.used != nil && b.now-h.at > 4*tellBeats*firstWait {
+			b.enter(Peer(i), nil)
+		}
 	}
-	b.out.Tell(msg)
+	b.enter(b.me, used)
+	to := Peer(b.mix(0, uint64(b.beats/tellBeats%ledgers)) % uint64(len(b.peers)))
+	if to == b.me {
+		b.total()
+		return
+	}
+	b.out.Tell(to, note('u', used))
 }
 
-// Heard takes what another sidecar told. A message that is not of this form is passed over.
+// enter puts another sidecar's use in the ledger; nil takes it out.
+func (b *Balancer) enter(from Peer, used []float64) {
+	for i := range b.realms {
+		if old := b.peers[from].used; old != nil {
+			b.realms[i].kept -= old[i]
+		}
+		if used != nil {
+			b.realms[i].kept += used[i]
+		}
+	}
+	b.peers[from] = heard{b.now, used}
+}
+
+// total takes this sidecar's own ledger for the totals.
+func (b *Balancer) total() {
+	b.totalled = b.now
+	for i := range b.realms {
+		b.realms[i].total = b.realms[i].kept
+	}
+}
+
+// Heard takes what another sidecar told. A message that is not of a known form is passed over.
 func (b *Balancer) Heard(now Micros, from Peer, msg []byte) {
 	b.now = now
-	if len(msg) != 2*len(b.realms) || int(from) >= len(b.peers) {
+	if int(from) >= len(b.peers) || len(msg) != 1+2*len(b.realms) {
 		return
 	}
-	used := make([]float64, len(b.realms))
-	for i := range used {
-		used[i] = float64(binary.BigEndian.Uint16(msg[2*i:])) / 4
+	figures := make([]float64, len(b.realms))
+	for i := range figures {
+		figures[i] = float64(binary.BigEndian.Uint16(msg[1+2*i:])) / 4
+	}
+	switch msg[0] {
+	case 'u':
+		b.enter(from, figures)
+		for i, r := range b.realms {
+			figures[i] = r.kept
+		}
+		b.out.Tell(from, note('t', figures))
+	case 't':
+		b.totalled = now
+		for i := range b.realms {
+			b.realms[i].total = figures[i]
+		}
+	}
+}
+
+// note writes a message: its kind, then figures in quarters.
+func note(kind byte, figures []float64) []byte {
+	msg := []byte{kind}
+	for _, f := range figures {
+		msg = binary.BigEndian.AppendUint16(msg, uint16(min(4*f+0.5, math.MaxUint16)))
 	}
-	b.peers[from] = heard{now, used}
+	return msg
 }
 
-// beyond is the part of a tenant's visits that lies beyond its share. Where other sidecars have told lately,
-// it is what all took in against the share; else it is judged by how much more of its share the tenant uses
+// beyond is the part of a tenant's visits that lies beyond its share. Where a ledger has told lately, it is
+// what all took in against the share; else it is judged by how much more of its share the tenant uses
 // here than the median tenant does, since one sidecar can't see the tenant's whole traffic.
 func (b *Balancer) beyond(of Realm) float64 {
-	use, told := b.realms[of].used, 1
-	for _, h := range b.peers {
-		if h.used != nil && b.now-h.at <= 4*tellBeats*firstWait {
-			use, told = use+h.used[of], told+1
-		}
-	}
+	use := max(b.realms[of].used, b.realms[of].total)
 	usual := b.realms[of].quota * memory * float64(firstWait) / 1e6
-	if told == 1 && len(b.peers) != 1 {
+	if (b.totalled == 0 || b.now-b.totalled > 4*tellBeats*firstWait) && len(b.peers) != 1 {
 		b.weights = b.weights[:0]
 		for _, r := range b.realms {
 			b.weights = append(b.weights, r.used/r.quota)
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -108,7 +108,7 @@
 func (d *day) Wake(in Micros, t Token)       { d.wakes = append(d.wakes, wake{d.now + in, t}) }
 func (d *day) Probe(be Backend)              { d.say("probe %c", be) }
 func (d *day) CloseIdle(be Backend)          { d.say("idle connections to %c closed", be) }
-func (d *day) Tell(msg []byte)               { d.say("told the others: %x", msg) }
+func (d *day) Tell(to Peer, msg []byte)      { d.say("told sidecar %d: %x", to, msg) }
 func (d *day) Subscribe()                    { d.say("list subscribed") }
 func (d *day) Print(line string)             { d.say("log: %s", line) }
 func (d *day) visit(id VisitID, on Prefix)   { d.visitOf(id, on, 0, 0) }
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -64,6 +64,6 @@
 	Probe(be Backend)                              // health check
 	CloseIdle(be Backend)                          // give back connections that carry nothing
 	Subscribe()                                    // ask the list to send its changes
-	Tell(msg []byte)                               // a short message to all other sidecars; may be lost
+	Tell(to Peer, msg []byte)                      // a short message to another sidecar; may be lost
 	Print(line string)                             // one line for the operators
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -105,9 +105,9 @@
 func (o outlet) Unsubscribe() { o.out.rec(11, o.who) }
 func (o outlet) Snapshot()    { o.out.rec(12, o.who) }
 
-func (o outlet) Tell(msg []byte) {
+func (o outlet) Tell(to brain.Peer, msg []byte) {
 	p := o.out.rec(8, o.who)
-	be.PutUint32(p[3:], math.MaxUint32) // every other instance
+	be.PutUint32(p[3:], uint32(to))
 	be.PutUint32(p[7:], uint32(len(o.out.tail)))
 	be.PutUint32(p[11:], uint32(len(msg)))
 	o.out.tail = append(o.out.tail, msg...)
