Thin sidecars ask a server's desk, or probe, before a visit goes out

Cause: with more sidecars than servers a sidecar holds 0 or 1 visit at each and picks near random. Where messages are allowed the sidecar that keeps count of a server (the same for all, by hash) is told of every visit sent there and how it ended, and three servers are compared before a visit goes out; else two are probed and the first to answer gets it. What is lost now is mostly bounced: admission judges by too little.

--- a/brain/books.go
+++ b/brain/books.go
@@ -42,6 +42,8 @@
 	listed    bool   // named by the list that is being read
 
 	held     int
+	away     float64  // visits that other sidecars told they have out there, fading
+	asking   []*visit // wait to hear of it
 	idle     []Micros // when each idle connection closes
 	answered Micros   // last sign of life
 	mute     int      // fetches found waiting too long since then
@@ -63,8 +65,9 @@
 	no     FetchNo
 	be     *backend
 	sent   Micros
-	held   int
+	held   float64 // visits it met there, with itself
 	reused bool
+	told   bool // its server's desk knows of it
 	done   bool
 	ran    bool // may have run: out, or ended without proof that it never ran
 	then   func(*fetch, Result)
@@ -84,6 +87,13 @@
 	out     int
 	charged int
 	freed   bool
+
+	asked   []*backend // servers it waits to hear of
+	missing int        // of these, not yet heard of
+	settled bool       // it waits no longer
+	offer   *backend   // the best of them
+	offered float64    // its answer time per unit of work
+	meets   float64    // visits held there
 	ended   bool
 }
 
@@ -140,6 +150,8 @@
 	crowd      float64  // the same, not mixed with a prior
 	calm       float64  // the same when the fleet is calm
 	size       float64  // mean rating of the servers in use
+	inUse      float64  // servers in service
+	tells      float64  // share of probes before sending that came back late or failed
 	carry      float64  // work lately carried by a warm server, per rating
 	scratch    []*backend
 	weights    []float64
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -55,6 +55,8 @@
 	beyondLimit = 0.8   // part of the crowding limit for visits beyond their tenant's share
 	tellBeats   = 10    // beats between two messages to a ledger
 	ledgers     = 3     // sidecars that keep one
+	deskAsks    = 3     // servers compared by message before a visit goes out
+	probeAsks   = 2     // and by probe
 	keyParts    = 2.0   // servers a key is spread over, for each mean server's worth of the visits that it makes
 	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
 )
@@ -124,6 +126,7 @@
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
 		be.good, be.bad, be.done = be.good*fade, be.bad*fade, be.done*(1-1/rushMemory)
+		be.away *= 1 - 1/calmFalls // a lost message must not count for ever
 		if be.inService() {
 			sizes, inUse = sizes+be.rating, inUse+1
 			if be.coldSince == 0 {
@@ -131,6 +134,7 @@
 			}
 		}
 	}
+	b.inUse = inUse
 	if inUse > 0 {
 		b.size = sizes / inUse
 	}
@@ -275,10 +279,14 @@
 
 // ListEnds closes the reading of a list.
 func (b *Balancer) ListEnds(now Micros) {
+	b.inUse = 0
 	for _, be := range b.row {
 		if b.news != NoListCame && b.news != Changes && !be.listed {
 			be.standing = Gone
 		}
+		if be.inService() {
+			b.inUse++
+		}
 	}
 }
 
@@ -354,7 +362,11 @@
 	}
 	guess := Micros(b.expect(be) * v.work)
 	be.held++
-	f := &fetch{no: FetchNo(len(v.fetches)), be: be, sent: b.now, held: be.held, ran: true, then: then}
+	f := &fetch{no: FetchNo(len(v.fetches)), be: be, sent: b.now, held: float64(be.held) + be.away, ran: true, then: then}
+	if b.allows("allowed.peer_messages") && b.thin() && b.desk(be) != b.me {
+		f.told, f.held = true, max(f.held, v.meets+1)
+		b.out.Tell(b.desk(be), note('b', be.id))
+	}
 	if n := len(be.idle); n > 0 {
 		f.reused, be.idle = true, be.idle[:n-1]
 	} else {
@@ -457,9 +469,13 @@
 			b.end(v)
 		}
 	})
-	be := b.pick(v, false)
+	b.ask(v)
+}
+
+// place sends a visit to a server, if it is let in.
+func (b *Balancer) place(v *visit, be *backend) {
 	if be == nil || !b.admit(v, be) {
-		if be = b.pick(v, true); be == nil || !b.admit(v, be) {
+		if be = b.pick(v, true); be == nil || v.offer != nil || !b.admit(v, be) {
 			b.giveUp(v)
 			return
 		}
@@ -467,6 +483,93 @@
 	b.send(v, be, b.after(v, false))
 }
 
+// --- asking before sending
+
+// thin tells whether sidecars outnumber servers. One sidecar's traffic is then less than a server's worth, and
+// what it holds and saw there says little of the server's crowd.
+func (b *Balancer) thin() bool { return float64(len(b.peers)) > b.inUse }
+
+// ask has a few servers compared before a visit goes out. Guards against thin sidecars that send to a
+// server they know nothing of. Where messages are allowed, the server's desk is asked: the sidecar, the
+// same for all, that is told of every visit sent there. Else a probe is sent, and who answers first has room.
+func (b *Balancer) ask(v *visit) {
+	first := b.pick(v, false)
+	most, wait := 0, v.on.target/4
+	if b.allows("allowed.peer_messages") {
+		most = deskAsks
+	} else if b.allows("allowed.probes") {
+		most, wait = probeAsks, v.on.target/8
+	}
+	if first == nil || most == 0 || !b.thin() {
+		b.place(v, first)
+		return
+	}
+	for be := first; be != nil && len(v.asked) < most && !slices.Contains(v.asked, be); {
+		v.asked = append(v.asked, be)
+		be.asking = append(be.asking, v)
+		be = b.pick(v, len(v.asked) > 1)
+	}
+	v.missing = len(v.asked)
+	b.at(b.now+wait, func() { b.decide(v) })
+	for _, be := range v.asked {
+		if !b.allows("allowed.peer_messages") {
+			b.out.Probe(be.id)
+		} else if d := b.desk(be); d != b.me {
+			b.out.Tell(d, note('a', be.id))
+		} else {
+			b.quoted(be, b.quote(be), float64(be.held)+be.away)
+		}
+	}
+}
+
+// quoted hands what was heard of a server to the visits that wait for it.
+func (b *Balancer) quoted(be *backend, pace, held float64) {
+	waiting := be.asking
+	be.asking = nil
+	for _, v := range waiting {
+		if v.settled {
+			continue
+		}
+		v.missing--
+		if score := pace * b.distance(be); !math.IsInf(pace, 1) && (v.offer == nil || score < v.offered*b.distance(v.offer)) {
+			v.offer, v.offered, v.meets = be, pace, held
+		}
+		if v.missing == 0 || v.offer != nil && !b.allows("allowed.peer_messages") {
+			b.decide(v)
+		}
+	}
+}
+
+// decide ends the wait.
+func (b *Balancer) decide(v *visit) {
+	if v.settled || v.ended {
+		return
+	}
+	v.settled = true
+	for _, be := range v.asked {
+		be.asking = slices.DeleteFunc(be.asking, func(w *visit) bool { return w == v })
+	}
+	be := v.offer
+	if be == nil || !b.may(v, be) {
+		v.offer = nil
+		be = b.pick(v, false)
+	}
+	b.place(v, be)
+}
+
+// desk is the sidecar that keeps count of a server.
+func (b *Balancer) desk(be *backend) Peer {
+	return Peer(b.mix(uint64(be.id), 1) % uint64(len(b.peers)))
+}
+
+// quote is what a desk tells of its server: the answer time per unit of work that one more visit would see.
+func (b *Balancer) quote(be *backend) float64 {
+	if !be.usable() || be.outUntil > b.now || be.outUntil != 0 && (be.down || float64(be.held)+be.away >= 1) {
+		return math.Inf(1)
+	}
+	return b.expect(be)
+}
+
 // limit is how long a mean visit's answer may take before its server counts as crowded.
 func (b *Balancer) limit() float64 {
 	return min(max(calmTimes*b.calm*b.meanWork, leastLimit*b.meanTarget), mostLimit*b.meanTarget)
@@ -508,7 +611,7 @@
 		b.total()
 		return
 	}
-	b.out.Tell(to, note('u', used))
+	b.out.Tell(to, note('u', 0, used...))
 }
 
 // enter puts another sidecar's use in the ledger; nil takes it out.
@@ -535,33 +638,50 @@
 // Heard takes what another sidecar told. A message that is not of a known form is passed over.
 func (b *Balancer) Heard(now Micros, from Peer, msg []byte) {
 	b.now = now
-	if int(from) >= len(b.peers) || len(msg) != 1+2*len(b.realms) {
+	if int(from) >= len(b.peers) || len(msg) < 7 {
 		return
 	}
-	figures := make([]float64, len(b.realms))
+	kind, id := msg[0], Backend(binary.BigEndian.Uint64(append([]byte{0, 0}, msg[1:7]...)))
+	figures := make([]float64, len(msg[7:])/2)
 	for i := range figures {
-		figures[i] = float64(binary.BigEndian.Uint16(msg[1+2*i:])) / 4
+		figures[i] = float64(math.Float32frombits(uint32(binary.BigEndian.Uint16(msg[7+2*i:])) << 16))
+		if math.IsNaN(figures[i]) || figures[i] < 0 {
+			return
+		}
 	}
-	switch msg[0] {
-	case 'u':
+	be := b.known[id]
+	switch {
+	case kind == 'u' && len(figures) == len(b.realms):
 		b.enter(from, figures)
 		for i, r := range b.realms {
 			figures[i] = r.kept
 		}
-		b.out.Tell(from, note('t', figures))
-	case 't':
+		b.out.Tell(from, note('t', 0, figures...))
+	case kind == 't' && len(figures) == len(b.realms):
 		b.totalled = now
 		for i := range b.realms {
 			b.realms[i].total = figures[i]
 		}
+	case be == nil:
+	case kind == 'a':
+		b.out.Tell(from, note('q', id, b.quote(be), float64(be.held)+be.away))
+	case kind == 'q' && len(figures) == 2:
+		b.quoted(be, figures[0], figures[1])
+	case kind == 'b':
+		be.away++
+	case kind == 'm':
+		b.missed(be)
+	case kind == 'e' && len(figures) == 4:
+		be.away = max(0, be.away-1)
+		b.account(be, Result(figures[0]), now-Micros(figures[1]), figures[1], figures[2], figures[3])
 	}
 }
 
-// note writes a message: its kind, then figures in quarters.
-func note(kind byte, figures []float64) []byte {
-	msg := []byte{kind}
+// note writes a message: its kind, the server it is about, and figures in the upper half of a float32.
+func note(kind byte, about Backend, figures ...float64) []byte {
+	msg := append([]byte{kind}, binary.BigEndian.AppendUint64(nil, uint64(about))[2:]...)
 	for _, f := range figures {
-		msg = binary.BigEndian.AppendUint16(msg, uint16(min(4*f+0.5, math.MaxUint16)))
+		msg = binary.BigEndian.AppendUint16(msg, uint16((math.Float32bits(float32(f))+1<<15)>>16))
 	}
 	return msg
 }
@@ -599,6 +719,12 @@
 	plain := blend(be.took, be.carried, firmness*b.meanWork, b.centres[be.zone].level) / b.warmth(be)
 	crowd := max(b.rush(be.zone), plain) * b.meanWork / limit
 	crowd *= min(1, b.seen/enough) // at the start nothing is known: rather send and learn
+	if v.offer == be && b.allows("allowed.peer_messages") {
+		pace = v.offered
+		crowd = pace * b.meanWork / limit
+	} else if v.offer == be {
+		crowd *= 1 - b.tells // it answered a probe at once, which not all do
+	}
 	strain := math.Hypot(crowd, pace*v.work/float64(v.wanted-b.now)/ownLimit)
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
@@ -694,10 +820,12 @@
 			return
 		}
 		// One long visit at a server with little of our traffic is no silence: it takes two.
-		if f.be.mute++; f.be.mute < muteLeast && f.be.outUntil == 0 {
+		if f.told {
+			b.out.Tell(b.desk(f.be), note('m', f.be.id))
+		}
+		if !b.missed(f.be) {
 			return
 		}
-		b.sitOut(f.be, "silent")
 		if again && v.out == 1 && b.allows("allowed.cancel") && b.capacity()-b.spent >= retryCost &&
 			b.onward(v, f.be, 0) {
 			b.out.Cancel(v.id, f.no)
@@ -721,6 +849,9 @@
 		f.be.idle = append(f.be.idle, now+b.span("allowed.conn_idle_us"))
 	}
 	b.learn(v, f, rc, float64(took))
+	if f.told {
+		b.out.Tell(b.desk(f.be), note('e', f.be.id, float64(rc), float64(took), v.work, v.work*f.held))
+	}
 	if over && !v.ended {
 		b.end(v)
 	}
@@ -750,7 +881,19 @@
 // Probed hears the result of a health check: whether a server that took no connection runs again.
 func (b *Balancer) Probed(now Micros, id Backend, rc Result) {
 	b.now = now
-	if be := b.known[id]; be != nil && be.probing {
+	be := b.known[id]
+	if be == nil {
+		return
+	}
+	if len(be.asking) > 0 {
+		b.tells += (float64(min(rc-Delivered, 1)) - b.tells) / enough
+		if rc == Delivered {
+			b.quoted(be, b.expect(be), float64(be.held))
+		} else {
+			b.quoted(be, math.Inf(1), 0)
+		}
+	}
+	if be.probing {
 		be.probing = false
 		if rc == Delivered {
 			be.down = false // runs; a visit tries it next
@@ -762,27 +905,49 @@
 
 // --- what is seen of servers
 
+// missed counts a fetch that waits too long, and tells whether the server sits out for it.
+func (b *Balancer) missed(be *backend) bool {
+	if be.mute++; be.mute < muteLeast && be.outUntil == 0 {
+		return false
+	}
+	b.sitOut(be, "silent")
+	return true
+}
+
 func (b *Balancer) learn(v *visit, f *fetch, rc Result, took float64) {
-	be, load := f.be, v.work*float64(f.held)
+	if p := v.on; rc == Delivered && f.be.outUntil == 0 { // a jammed server's answers tell nothing of the prefix
+		own := took
+		if p.seen > enough { // the mean tells prefixes apart; how fast the fleet is, the pace tells
+			own /= b.crowd
+		}
+		p.seen = min(p.seen+1, 16*enough)
+		p.mean += (own - p.mean) / p.seen
+	}
+	if rc == Delivered {
+		b.seen++
+	}
+	if rc == ConnectFailed {
+		f.be.idle = nil // it had to be dialled: no connection was left to reuse
+	}
+	if rc == Reset && f.reused {
+		f.be.bad++ // nothing more: the free retry tells
+		return
+	}
+	b.account(f.be, rc, f.sent, took, v.work, v.work*f.held)
+}
+
+// account books how a fetch of this or, at the server's desk, of another sidecar ended.
+func (b *Balancer) account(be *backend, rc Result, sent Micros, took, work, load float64) {
 	switch rc {
 	case Delivered:
 		be.answered, be.mute, be.fresh = b.now, 0, false
-		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+v.work
-		if be.outUntil == 0 {
-			b.centres[be.zone].add(took, load, v.work)
-		}
-		be.done += v.work
+		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+work
+		be.done += work
 		be.good++
-		b.seen++
-		p := v.on
-		if p.seen > enough { // the mean tells prefixes apart; how fast the fleet is, the pace tells
-			took /= b.crowd
-		}
-		if be.outUntil == 0 { // a jammed server's answers tell nothing of the prefix
-			p.seen = min(p.seen+1, 16*enough)
-			p.mean += (took - p.mean) / p.seen
+		if be.outUntil == 0 {
+			b.centres[be.zone].add(took, load, work)
 		}
-		if be.outUntil != 0 && f.sent >= be.outUntil {
+		if be.outUntil != 0 && sent >= be.outUntil {
 			be.outUntil, be.bad, be.down = 0, 0, false
 		} else if be.good > memory/2 {
 			be.outSpan = 0
@@ -794,26 +959,23 @@
 	case Full:
 		// Refusals come fast: count them as late answers, or the fullest server looks the fastest.
 		be.answered, be.mute = b.now, 0
-		be.took, be.work = be.took+float64(v.on.target), be.work+load
-		b.centres[be.zone].add(float64(v.on.target), load, 0)
+		be.took, be.work = be.took+b.meanTarget, be.work+load
+		b.centres[be.zone].add(b.meanTarget, load, 0)
 	case ConnectFailed:
-		be.idle = nil // it had to be dialled: no connection was left to reuse
 		b.sitOut(be, "no connection")
 		be.down = true
 	case Reset:
 		be.bad++
-		if !f.reused {
-			b.sitOut(be, "connection broke")
-		}
+		b.sitOut(be, "connection broke")
 	default:
-		if took > b.expect(be)*v.work { // no answer, and that took longer than answers do
+		if took > b.expect(be)*work { // no answer, and that took longer than answers do
 			be.took, be.work = be.took+took, be.work+load
 		}
 		return
 	}
 	if be.bad >= badLeast && be.bad > badShare*(be.good+be.bad) {
 		b.sitOut(be, "errors")
-	} else if be.outUntil != 0 && f.sent >= be.outUntil {
+	} else if be.outUntil != 0 && sent >= be.outUntil {
 		b.sitOut(be, "trial failed")
 	}
 }
@@ -835,7 +997,7 @@
 func (b *Balancer) expect(be *backend) float64 {
 	usual := b.centres[be.zone].pace * b.size / be.rating // until seen: twice the size, half the time
 	own := blend(be.took, be.work, firmness*b.meanWork, usual)
-	held := float64(be.held)
+	held := float64(be.held) + be.away
 	if be.fresh {
 		held = max(held, b.meanHeld())
 	}
@@ -868,7 +1030,7 @@
 		if !afar {
 			score *= b.distance(be)
 		}
-		tried := false
+		tried := slices.Contains(v.asked, be)
 		for _, f := range v.fetches {
 			tried = tried || f.be == be
 		}
