Where a desk was asked, visits go up to 0.4 of the target latency

Cause: the limit of 1.8 calm answers guards against what a sidecar sees late; a desk's count is of now.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,6 +45,7 @@
 	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
 	leastLimit  = 0.2   // but never less than this part of its target latency
 	mostLimit   = 0.5   // nor more than this
+	toldLimit   = 0.4   // part of the target latency up to which a visit goes where a desk was asked
 	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
 	calmRises   = 400.0 // and up
 	nearCalm    = 1.1   // multiple of the calm pace up to which the own data centre has room
@@ -720,8 +721,9 @@
 	crowd := max(b.rush(be.zone), plain) * b.meanWork / limit
 	crowd *= min(1, b.seen/enough) // at the start nothing is known: rather send and learn
 	if v.offer == be && b.allows("allowed.peer_messages") {
+		// The desk's count is of now and of all: the limit needs no calm answer to be measured against.
 		pace = v.offered
-		crowd = pace * b.meanWork / limit
+		crowd = pace * b.meanWork / (limit / b.limit() * toldLimit * b.meanTarget)
 	} else if v.offer == be {
 		crowd *= 1 - b.tells // it answered a probe at once, which not all do
 	}
