A heavy visit's answer and the mean visit's work are reckoned without the first visit's lead

Cause: a thin sidecar's mean work started at its first visit and hardly moved, so some bounced half of what came; and a heavy visit's whole work was charged at the crowd it met at first.

--- a/brain/books.go
+++ b/brain/books.go
@@ -142,6 +142,7 @@
 	empty      bool            // the bucket denied the last retry
 	firsts     float64         // first tries of the last ten seconds, fading
 	keys       map[Key]float64 // how often each was lately asked for, fading like firsts
+	came       float64         // visits that make the means
 	meanWork   float64         // of the visits that come
 	meanTarget float64
 	centres    []centre // by data centre
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -446,11 +446,9 @@
 			v.value = 0 // too late to be worth anything, but an answer still beats an error
 		}
 	}
-	if b.meanWork == 0 {
-		b.meanWork, b.meanTarget = v.work, float64(p.target)
-	}
-	b.meanWork += (v.work - b.meanWork) / (4 * enough)
-	b.meanTarget += (float64(p.target) - b.meanTarget) / (4 * enough)
+	b.came = min(b.came+1, 4*enough)
+	b.meanWork += (v.work - b.meanWork) / b.came
+	b.meanTarget += (float64(p.target) - b.meanTarget) / b.came
 	b.visits[id] = v
 	b.firsts++
 	if key != 0 {
@@ -727,7 +725,12 @@
 	} else if v.offer == be {
 		crowd *= 1 - b.tells // it answered a probe at once, which not all do
 	}
-	strain := math.Hypot(crowd, pace*v.work/float64(v.wanted-b.now)/ownLimit)
+	// A heavy visit outlasts those it meets: what it has beyond a mean visit's work goes at the usual pace.
+	own := pace * v.work
+	if more := v.work - b.meanWork; more > 0 {
+		own = pace*b.meanWork + min(pace, b.centres[be.zone].level)*more
+	}
+	strain := math.Hypot(crowd, own/float64(v.wanted-b.now)/ownLimit)
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
 
