--- a/brain/books.go
+++ b/brain/books.go
@@ -116,6 +116,7 @@
 	out   Ports
 	site  Site
 	now   Micros
+	begun Micros // when it started
 	seed  uint64
 	drawn uint64
 	hash  hash.Hash64
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -69,7 +69,7 @@
 			b, err = nil, missing
 		}
 	}()
-	b = &Balancer{out: out, site: site, now: now, seed: seed, hash: fnv.New64a(),
+	b = &Balancer{out: out, site: site, now: now, begun: now, seed: seed, hash: fnv.New64a(),
 		due: btree.NewG(16, due.before), known: map[Backend]*backend{}, visits: map[VisitID]*visit{}, keys: map[Key]float64{},
 		level: 1, calm: 1, crowd: 1, size: 1}
 	b.myZone = Zone(b.num("my_zone"))
@@ -717,7 +717,9 @@
 	pace := b.expect(be)
 	plain := blend(be.took, be.carried, firmness*b.meanWork, b.centres[be.zone].level) / b.warmth(be)
 	crowd := max(b.rush(be.zone), plain) * b.meanWork / limit
-	crowd *= min(1, b.seen/enough) // at the start nothing is known: rather send and learn
+	// At the start nothing is known: rather send and learn, but for no longer than answers may take. Guards
+	// against hundreds of sidecars that each wait for their own answers while the servers fill.
+	crowd *= min(1, max(b.seen/enough, float64(b.now-b.begun)/b.meanTarget))
 	if v.offer == be && b.allows("allowed.peer_messages") {
 		// The desk's count is of now and of all: the limit needs no calm answer to be measured against.
 		pace = v.offered
