A path prefix's mean starts firm, not at a first answer

Cause: without a hint a visit's work is its prefix's mean latency, and a thin sidecar's first answer set it (and so the crowding limit) at up to four times the truth: a tenth of the visits were bounced in calm seconds.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -78,7 +78,9 @@
 		p := &prefix{target: b.span(at + "target_latency_us"), timeout: b.span(at + "client_timeout_us"),
 			window: b.span(at + "memory_span_us"), value: b.num(at + "value"),
 			late: b.num(at + "late_value"), effect: b.word(at + "effect"), group: b.word(at + "group")}
-		p.mean = float64(p.target) / 4 // until visits are seen: a quarter of what is wanted
+		// Until visits are seen: a quarter of what is wanted, as if as many had shown it as make a pace firm.
+		// Guards against a thin sidecar's first answer that sets the measure of all that follows.
+		p.mean, p.seen = float64(p.target)/4, firmness
 		b.prefixes = append(b.prefixes, p)
 		b.topValue = max(b.topValue, p.value)
 	}
