Pick, beat and the warm key's server split into steps of their own; fewer look-ups

Decisions are meant to be the same but for the draw of chance. A tenant's excess no longer has a guess for times without a ledger.

--- a/brain/books.go
+++ b/brain/books.go
@@ -41,23 +41,25 @@
 	fresh     bool   // no outcome since it was new
 	listed    bool   // named by the list that is being read
 
-	held     int
-	away     float64  // visits that other sidecars told they have out there, fading
-	asking   []*visit // wait to hear of it
-	idle     []Micros // when each idle connection closes
-	answered Micros   // last sign of life
-	mute     int      // fetches found waiting too long since then
-	took     float64  // latency of lately delivered visits, fading
-	work     float64  // their work times the visits held, fading alike
-	carried  float64  // their work alone
-	done     float64  // their work alone, fading fast
-	credit   float64  // work that may still be sent while cold
-	good     float64  // delivered lately
-	bad      float64  // errors lately
-	outUntil Micros   // sits out; 0: in service
-	outSpan  Micros   // how long it sat out last
-	down     bool     // it sits out for want of a connection: probed before a visit is risked
-	probing  bool     // a probe of it is out
+	mark        uint64  // its id, hashed
+	pace, score float64 // answer time per unit of work that a visit would see, as just reckoned; with the way
+	held        int
+	away        float64  // visits that other sidecars told they have out there, fading
+	asking      []*visit // wait to hear of it
+	idle        []Micros // when each idle connection closes
+	answered    Micros   // last sign of life
+	mute        int      // fetches found waiting too long since then
+	took        float64  // latency of lately delivered visits, fading
+	work        float64  // their work times the visits held, fading alike
+	carried     float64  // their work alone
+	done        float64  // their work alone, fading fast
+	credit      float64  // work that may still be sent while cold
+	good        float64  // delivered lately
+	bad         float64  // errors lately
+	outUntil    Micros   // sits out; 0: in service
+	outSpan     Micros   // how long it sat out last
+	down        bool     // it sits out for want of a connection: probed before a visit is risked
+	probing     bool     // a probe of it is out
 }
 
 // fetch is one backend fetch. Its step's closure is handed the result.
@@ -157,7 +159,6 @@
 	carry      float64  // work lately carried by a warm server, per rating
 	scratch    []*backend
 	weights    []float64
-	paces      []float64
 }
 
 // centre is what was lately seen of a data centre's servers in service.
@@ -171,6 +172,10 @@
 	c.took, c.work, c.plain, c.seen = c.took+took, c.work+work, c.plain+plain, c.seen+1
 }
 
+func (c *centre) fade(keep float64) {
+	c.took, c.work, c.plain, c.seen = c.took*keep, c.work*keep, c.plain*keep, c.seen*keep
+}
+
 func (c *centre) reckon(prior, usual float64) {
 	c.pace, c.level = blend(c.took, c.work, prior, usual), blend(c.took, c.plain, prior, usual)
 }
@@ -213,8 +218,12 @@
 	binary.BigEndian.PutUint64(in[8:], c)
 	b.hash.Reset()
 	b.hash.Write(in[:])
-	x := b.hash.Sum64()
-	x ^= x >> 33 // FNV leaves the high bits of near counters alike
+	return scramble(b.hash.Sum64())
+}
+
+// scramble spreads a number's bits: FNV leaves the high bits of near counters alike.
+func scramble(x uint64) uint64 {
+	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	return x ^ x>>33
 }
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -8,6 +8,7 @@
 package brain
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
@@ -59,7 +60,6 @@
 	deskAsks    = 3     // servers compared by message before a visit goes out
 	probeAsks   = 2     // and by probe
 	keyParts    = 2.0   // servers a key is spread over, for each mean server's worth of the visits that it makes
-	overBand    = 1.5   // multiple of the median tenant's use of its share that counts as beyond it
 )
 
 // New starts a sidecar. A setting that the module can't do without and lacks is an error that names it.
@@ -124,65 +124,29 @@
 func (b *Balancer) beat() {
 	fade := 1 - 1/memory
 	b.firsts *= 1 - float64(firstWait)/float64(retrySpan)
-	var all centre
-	var carried, rated, sizes, inUse float64
+	var carried, rated, sizes float64
+	b.inUse = 0
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
 		be.good, be.bad, be.done = be.good*fade, be.bad*fade, be.done*(1-1/rushMemory)
 		be.away *= 1 - 1/calmFalls // a lost message must not count for ever
 		if be.inService() {
-			sizes, inUse = sizes+be.rating, inUse+1
+			sizes, b.inUse = sizes+be.rating, b.inUse+1
 			if be.coldSince == 0 {
 				carried, rated = carried+be.carried, rated+be.rating
 			}
 		}
 	}
-	b.inUse = inUse
-	if inUse > 0 {
-		b.size = sizes / inUse
-	}
-	// A data centre that was not lately heard of is believed calm: a full one must not speak for it.
-	// Guards against forgetting what a sidecar of few visits learns before it can add up to anything.
-	for i := range b.centres {
-		c := &b.centres[i]
-		keep := 1 - min(1, c.seen/enough)/memory
-		c.took, c.work, c.plain, c.seen = c.took*keep, c.work*keep, c.plain*keep, c.seen*keep
-		c.reckon(firmness*b.meanWork, b.calm)
-		all.took, all.work, all.plain = all.took+c.took, all.work+c.work, all.plain+c.plain
-	}
-	all.reckon(firmness*b.meanWork, 1)
-	b.level = all.level
-	// The calm pace hardly follows a crowd: a jam must not raise the limit that is to end it.
-	rate := 1 / calmRises
-	if b.level < b.calm {
-		rate = 1 / calmFalls
-	} else if b.level > calmBand*b.calm {
-		rate /= 10
-	}
-	b.calm += (b.level - b.calm) * rate
-	if b.crowd = 1; all.plain > 0 {
-		b.crowd = all.took / all.plain
-	}
-	b.carry = 0
-	if rated > 0 {
-		b.carry = carried / memory / rated
-	}
+	b.size, b.carry = sizes/max(b.inUse, 1), carried/memory/max(rated, 1e-9)
+	b.reckon()
 	for _, be := range b.row {
 		if be.down && !be.probing && be.usable() && be.outUntil <= b.now && b.allows("allowed.probes") {
 			// Guards against losing a visit's time to a dead server, when a whole data centre is dead.
 			be.probing = true
 			b.out.Probe(be.id)
 		}
-		if be.coldSince != 0 && b.now-be.coldSince >= b.span("obligations.cold_us") {
-			be.coldSince = 0
-		}
 		if be.coldSince != 0 {
-			// Guards against pushing a cold server over: every sidecar holds its own sends to the
-			// same share of what it sends to warm ones, so that together they stay under the
-			// budget however unevenly the traffic is spread; a burst spends a part of a window.
-			rate := b.carry * be.rating * b.warmth(be) * b.num("obligations.fall_multiple") * coldSafety
-			most := rate * b.num("obligations.fall_us") / float64(firstWait) / 4
-			be.credit = min(be.credit+rate, most)
+			b.earn(be)
 		}
 	}
 	for i := range b.realms {
@@ -201,6 +165,44 @@
 	}
 }
 
+// reckon takes stock of the data centres. One that was not lately heard of is believed calm: a full one must
+// not speak for it. What was seen is kept by answers as by time. Guards against forgetting what a sidecar
+// of few visits learns before it can add up to anything.
+func (b *Balancer) reckon() {
+	var all centre
+	for i := range b.centres {
+		c := &b.centres[i]
+		c.fade(1 - min(1, c.seen/enough)/memory)
+		c.reckon(firmness*b.meanWork, b.calm)
+		all.add(c.took, c.work, c.plain)
+	}
+	all.reckon(firmness*b.meanWork, 1)
+	b.level = all.level
+	// The calm pace hardly follows a crowd: a jam must not raise the limit that is to end it.
+	rate := 1 / calmRises
+	if b.level < b.calm {
+		rate = 1 / calmFalls
+	} else if b.level > calmBand*b.calm {
+		rate /= 10
+	}
+	b.calm += (b.level - b.calm) * rate
+	if b.crowd = 1; all.plain > 0 {
+		b.crowd = all.took / all.plain
+	}
+}
+
+// earn lets a cold server's credit grow. Guards against pushing it over: every sidecar holds its own sends to
+// the same share of what it sends to warm ones, so that together they stay under the budget however
+// unevenly the traffic is spread; a burst spends a part of a window.
+func (b *Balancer) earn(be *backend) {
+	if b.now-be.coldSince >= b.span("obligations.cold_us") {
+		be.coldSince = 0
+		return
+	}
+	rate := b.carry * be.rating * b.warmth(be) * b.num("obligations.fall_multiple") * coldSafety
+	be.credit = min(be.credit+rate, rate*b.num("obligations.fall_us")/float64(firstWait)/4)
+}
+
 // warmth is the part of its capacity that a server is sure to have by now.
 func (b *Balancer) warmth(be *backend) float64 {
 	if be.coldSince == 0 {
@@ -248,11 +250,9 @@
 	be := b.known[id]
 	returns := be != nil && be.standing == Gone && st == Ready
 	if be == nil {
-		be = &backend{id: id}
+		be = &backend{id: id, mark: b.mix(uint64(id), 0)}
 		b.known[id] = be
-		i, _ := slices.BinarySearchFunc(b.row, id, func(be *backend, id Backend) int {
-			return int(min(max(int64(be.id)-int64(id), -1), 1))
-		})
+		i, _ := slices.BinarySearchFunc(b.row, id, func(be *backend, id Backend) int { return cmp.Compare(be.id, id) })
 		b.row = slices.Insert(b.row, i, be)
 		returns = b.news == Changes // a new machine
 		be.fresh = returns
@@ -687,25 +687,14 @@
 	return msg
 }
 
-// beyond is the part of a tenant's visits that lies beyond its share. Where a ledger has told lately, it is
-// what all took in against the share; else it is judged by how much more of its share the tenant uses
-// here than the median tenant does, since one sidecar can't see the tenant's whole traffic.
+// beyond is the part of a tenant's visits that lies beyond its share, by what a ledger lately told. One
+// sidecar alone can't see the tenant's whole traffic and counts no more than its own.
 func (b *Balancer) beyond(of Realm) float64 {
-	use := max(b.realms[of].used, b.realms[of].total)
-	usual := b.realms[of].quota * memory * float64(firstWait) / 1e6
-	if (b.totalled == 0 || b.now-b.totalled > 4*tellBeats*firstWait) && len(b.peers) != 1 {
-		b.weights = b.weights[:0]
-		for _, r := range b.realms {
-			b.weights = append(b.weights, r.used/r.quota)
-		}
-		use = b.weights[of]
-		slices.Sort(b.weights)
-		usual = b.weights[(len(b.weights)-1)/2] * overBand
+	use := b.realms[of].used
+	if b.now-b.totalled <= 4*tellBeats*firstWait {
+		use = max(use, b.realms[of].total)
 	}
-	if use <= usual {
-		return 0
-	}
-	return 1 - usual/use
+	return max(0, 1-b.realms[of].quota*memory*float64(firstWait)/1e6/use)
 }
 
 // admit turns a visit away early when its answer can't be expected in time, or when the server is so crowded
@@ -1023,95 +1012,96 @@
 	return sum / max(n, 1)
 }
 
-// pick chooses a server: a random one among those without a visit of ours, else the one with the
-// fewest, where a visit counts by how slowly the server was seen to answer. A server that sits out is
-// used for a trial, or when there is no other. afar: the way to the other data centres counts nothing.
+// pick chooses a server: a random one among those without a visit of ours, else the one with the fewest,
+// where a visit counts by how slowly the server was seen to answer. afar: the way to the other data centres
+// counts nothing. Those that sit out or were tried are a last resort.
 func (b *Balancer) pick(v *visit, afar bool) *backend {
-	var best, lastResort *backend
-	least, last, ties := math.Inf(1), math.Inf(1), 0.0
-	b.scratch, b.paces = b.scratch[:0], b.paces[:0]
+	var lastResort *backend
+	least, last := math.Inf(1), math.Inf(1)
+	b.scratch = b.scratch[:0]
 	for _, be := range b.row {
 		if !b.may(v, be) {
 			continue
 		}
-		pace := b.expect(be)
-		score := pace
+		be.pace = b.expect(be)
+		be.score = be.pace
 		if !afar {
-			score *= b.distance(be)
-		}
-		tried := slices.Contains(v.asked, be)
-		for _, f := range v.fetches {
-			tried = tried || f.be == be
+			be.score *= b.distance(be)
 		}
-		// Guards against a storm of trials: a server whose time out is over is picked no more often than
-		// others, until a visit that went well brings it back.
-		trial := be.outUntil != 0 && be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
-			len(v.fetches) == 0 && !(be.down && b.allows("allowed.probes"))
-		if be.outUntil != 0 && !trial || tried {
-			if score < last && !be.down {
-				last, lastResort = score, be
-			}
-			continue
-		}
-		b.scratch, b.paces = append(b.scratch, be), append(b.paces, pace)
-		if score < least {
-			ties = 0
-		}
-		if score <= least {
-			if ties++; ties == 1 || b.chance() < 1/ties {
-				least, best = score, be
-			}
+		if b.fit(v, be) {
+			b.scratch = append(b.scratch, be)
+			least = min(least, be.score)
+		} else if be.score < last && !be.down {
+			last, lastResort = be.score, be
 		}
 	}
-	if best == nil {
+	if len(b.scratch) == 0 {
 		return lastResort
 	}
-	// A server that met the visit's key lately does less work for it: the one that all sidecars reckon from
-	// the key (rendezvous hashing, no messages) wins where servers tie.
 	if !afar && v.key != 0 && b.allows("family_info.warm_keys") {
-		var warm *backend
-		calm := b.centres[b.myZone].level < nearCalm*b.calm
-		band := func(be *backend) float64 {
-			if calm && be.zone != b.myZone {
-				return math.Sqrt(tieBand) // where there is room, a warm key is little reason to cross
-			}
-			return tieBand
-		}
-		// Guards against a popular key that pushes its server over: no one sidecar sees that server's
-		// crowd, so the key goes to as many servers as its share of the visits here makes up.
-		part := uint64(b.chance() * (1 + keyParts*(b.keys[v.key]-1)/b.firsts*float64(len(b.scratch))))
-		top := uint64(0)
-		for i, be := range b.scratch {
-			h := b.mix(uint64(v.key)+part<<32, uint64(be.id))
-			if h >= top && b.paces[i]*b.distance(be) <= band(be)*least {
-				top, warm = h, be
-			}
-		}
-		return warm
+		return b.warmest(v.key, least)
 	}
-	b.weights = b.weights[:0]
-	sum, near := 0.0, false
-	for i, be := range b.scratch {
-		near = near || !afar && be.held == 0 && be.zone == b.myZone && b.paces[i] <= tieBand*least
-	}
-	for i, be := range b.scratch {
-		w := 0.0
-		if pace := b.paces[i]; be.held == 0 && pace <= tieBand*least && (!near || be.zone == b.myZone) {
-			w = math.Pow(pace, -paceBias)
+	near := false
+	for _, be := range b.scratch {
+		near = near || !afar && be.held == 0 && be.zone == b.myZone && be.pace <= tieBand*least
+	}
+	be := b.draw(func(be *backend) float64 {
+		if be.held > 0 || be.pace > tieBand*least || near && be.zone != b.myZone {
+			return 0
 		}
-		sum += w
-		b.weights = append(b.weights, w)
+		return math.Pow(least/be.pace, paceBias)
+	})
+	if be == nil {
+		be = b.draw(func(be *backend) float64 { return float64(min(1, int(least/be.score))) })
 	}
-	if sum == 0 {
-		return best
+	return be
+}
+
+// fit tells whether a server is on the ordinary pick for a visit. Guards against a storm of trials: one whose
+// time out is over is picked no more often than others, until a visit that went well brings it back.
+func (b *Balancer) fit(v *visit, be *backend) bool {
+	if slices.Contains(v.asked, be) || slices.ContainsFunc(v.fetches, func(f *fetch) bool { return f.be == be }) {
+		return false
+	}
+	return be.outUntil == 0 || be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
+		len(v.fetches) == 0 && !(be.down && b.allows("allowed.probes"))
+}
+
+// draw takes one of the servers at hand by chance and weight.
+func (b *Balancer) draw(weigh func(*backend) float64) *backend {
+	sum := 0.0
+	b.weights = b.weights[:0]
+	for _, be := range b.scratch {
+		sum += weigh(be)
+		b.weights = append(b.weights, sum)
 	}
 	at := b.chance() * sum
-	for i, w := range b.weights {
-		if at -= w; at < 0 {
+	for i, upTo := range b.weights {
+		if at < upTo {
 			return b.scratch[i]
 		}
 	}
-	return best
+	return nil
+}
+
+// warmest is the server that lately met a key and does less work for it: among those that tie, the one that
+// all sidecars reckon from the key (rendezvous hashing, no messages). Guards against a popular key that
+// pushes its server over, whose crowd no one sidecar sees: the key has as many such servers as its share of
+// the visits here makes up.
+func (b *Balancer) warmest(key Key, least float64) (warm *backend) {
+	calm := b.centres[b.myZone].level < nearCalm*b.calm
+	part := uint64(b.chance() * (1 + keyParts*(b.keys[key]-1)/b.firsts*float64(len(b.scratch))))
+	mark, top := b.mix(uint64(key), part), uint64(0)
+	for _, be := range b.scratch {
+		band := tieBand
+		if calm && be.zone != b.myZone {
+			band = math.Sqrt(tieBand) // where there is room, a warm key is little reason to cross
+		}
+		if h := scramble(mark ^ be.mark); h >= top && be.pace*b.distance(be) <= band*least {
+			top, warm = h, be
+		}
+	}
+	return warm
 }
 
 // distance makes a crossing count as some visits held, by its price.
