--- a/brain/books.go
+++ b/brain/books.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash"
+	"math"
 
 	"github.com/google/btree"
 )
@@ -31,72 +32,59 @@
 
 // backend is a server as this sidecar knows it.
 type backend struct {
-	id        Backend
-	zone      Zone
-	cell      Cell
-	standing  Standing
-	rating    float64
-	started   Micros // 0: long ago
-	coldSince Micros // when its warming began; 0: warm
-	fresh     bool   // no outcome since it was new
-	listed    bool   // named by the list that is being read
-
-	mark        uint64  // its id, hashed
-	pace, score float64 // answer time per unit of work that a visit would see, as just reckoned; with the way
-	held        int
-	away        float64  // visits that other sidecars told they have out there, fading
-	asking      []*visit // wait to hear of it
-	idle        []Micros // when each idle connection closes
-	answered    Micros   // last sign of life
-	mute        int      // fetches found waiting too long since then
-	took        float64  // latency of lately delivered visits, fading
-	work        float64  // their work times the visits held, fading alike
-	carried     float64  // their work alone
-	done        float64  // their work alone, fading fast
-	credit      float64  // work that may still be sent while cold
-	good        float64  // delivered lately
-	bad         float64  // errors lately
-	outUntil    Micros   // sits out; 0: in service
-	outSpan     Micros   // how long it sat out last
-	down        bool     // it sits out for want of a connection: probed before a visit is risked
-	probing     bool     // a probe of it is out
+	id                 Backend
+	mark               uint64 // its id, hashed
+	zone               Zone
+	cell               Cell
+	standing           Standing
+	rating             float64
+	started, coldSince Micros  // when; 0: long ago, or warm
+	credit             float64 // work that may still be sent while cold
+	fresh, listed      bool    // no outcome since it was new; named by the list that is being read
+
+	held                int
+	away                float64  // visits that other sidecars told they have out there, fading
+	asking              []*visit // wait to hear of it
+	idle                []Micros // when each idle connection closes
+	answered            Micros   // last sign of life
+	mute                int      // fetches found waiting too long since then
+	took, work, carried float64  // of lately delivered visits: latency, work times visits held, work alone
+	done                float64  // their work alone, fading fast
+	good, bad           float64  // delivered and failed lately
+	outUntil, outSpan   Micros   // sits out, 0: in service; how long it sat out last
+	down, probing       bool     // sits out for want of a connection; a probe of it is out
+	pace, score         float64  // answer time per unit of work, as a pick just reckoned it; with the way
 }
 
 // fetch is one backend fetch. Its step's closure is handed the result.
 type fetch struct {
-	no     FetchNo
-	be     *backend
-	sent   Micros
-	held   float64 // visits it met there, with itself
-	reused bool
-	told   bool // its server's desk knows of it
-	done   bool
-	ran    bool // may have run: out, or ended without proof that it never ran
-	then   func(*fetch, Result)
+	no           FetchNo
+	be           *backend
+	sent         Micros
+	held         float64 // visits it met there, with itself
+	reused, told bool    // on a connection that was idle; its server's desk knows of it
+	done, ran    bool    // ended; may have run: out, or ended without proof that it never ran
+	then         func(*fetch, Result)
 }
 
 // visit is an accepted visit that is not yet over.
 type visit struct {
-	id      VisitID
-	on      *prefix
-	key     Key
-	work    float64 // expected, in core time or, without a hint, in its path prefix's mean latency
-	wanted  Micros  // after this an answer is worth nothing, or little
-	until   Micros  // the client quits
-	value   float64
-	beyond  bool // lies beyond its tenant's share
-	fetches []*fetch
-	out     int
-	charged int
-	freed   bool
-
-	asked   []*backend // servers it waits to hear of
-	missing int        // of these, not yet heard of
-	settled bool       // it waits no longer
-	offer   *backend   // the best of them
-	offered float64    // its answer time per unit of work
-	meets   float64    // visits held there
-	ended   bool
+	id            VisitID
+	on            *prefix
+	key           Key
+	work          float64 // expected, in core time or, without a hint, in its path prefix's mean latency
+	wanted, until Micros  // after this an answer is worth nothing, or little; the client quits
+	value         float64
+	beyond        bool // lies beyond its tenant's share
+	fetches       []*fetch
+	out, charged  int
+	freed, ended  bool
+
+	asked          []*backend // servers it waits to hear of
+	missing        int        // of these, not yet heard of
+	settled        bool       // it waits no longer
+	offer          *backend   // the best of them
+	offered, meets float64    // its answer time per unit of work; visits held there
 }
 
 // due is something to do at a time. All due times but the beat's are in one tree.
@@ -115,57 +103,48 @@
 
 // Balancer decides for one sidecar.
 type Balancer struct {
-	out   Ports
-	site  Site
-	now   Micros
-	begun Micros // when it started
-	seed  uint64
-	drawn uint64
-	hash  hash.Hash64
+	out         Ports
+	site        Site
+	now, begun  Micros
+	seed, drawn uint64
+	hash        hash.Hash64
+	due         *btree.BTreeG[due]
+	seq         uint64
+	armed       Micros // earliest wake-up asked for the tree; 0: none
+	beats       int
 
 	myZone   Zone
+	me       Peer
 	prefixes []*prefix
+	topValue float64
 	realms   []realm
 	peers    []heard // by number
-	me       Peer
-	totalled Micros // when a ledger last told the totals
-	beats    int
-	topValue float64
+	totalled Micros  // when a ledger last told the totals
 	known    map[Backend]*backend
 	row      []*backend // all known, by id
 	visits   map[VisitID]*visit
-	due      *btree.BTreeG[due]
-	seq      uint64
-	armed    Micros // earliest wake-up asked for the tree; 0: none
-
-	news       News
-	asked      Micros // last call of the list; 0: answered
-	askWait    Micros
-	spent      float64         // tokens missing from the bucket
-	empty      bool            // the bucket denied the last retry
-	firsts     float64         // first tries of the last ten seconds, fading
-	keys       map[Key]float64 // how often each was lately asked for, fading like firsts
-	came       float64         // visits that make the means
-	meanWork   float64         // of the visits that come
-	meanTarget float64
-	centres    []centre // by data centre
-	seen       float64  // answers seen
-	level      float64  // answer time per unit of work
-	crowd      float64  // the same, not mixed with a prior
-	calm       float64  // the same when the fleet is calm
-	size       float64  // mean rating of the servers in use
-	inUse      float64  // servers in service
-	tells      float64  // share of probes before sending that came back late or failed
-	carry      float64  // work lately carried by a warm server, per rating
-	scratch    []*backend
-	weights    []float64
+
+	news                       News
+	asked, askWait             Micros          // last call of the list, 0: answered; wait until the next
+	spent                      float64         // tokens missing from the bucket
+	empty                      bool            // the bucket denied the last retry
+	firsts                     float64         // first tries of the last ten seconds, fading
+	keys                       map[Key]float64 // how often each was lately asked for, fading like firsts
+	came, meanWork, meanTarget float64         // visits that make the means of those that come
+	centres                    []centre        // by data centre
+	seen                       float64         // answers seen
+	level, crowd, calm         float64         // answer time per unit of work; without a prior; when calm
+	size, inUse                float64         // mean rating of the servers in service; their number
+	tells                      float64         // share of probes before sending that came back late or failed
+	carry                      float64         // work lately carried by a warm server, per rating
+	scratch                    []*backend
+	weights                    []float64
 }
 
 // centre is what was lately seen of a data centre's servers in service.
 type centre struct {
-	took, work, plain float64 // their sums
-	seen              float64 // answers in them
-	pace, level       float64 // answer time per unit of work and visit held, and per unit of work
+	took, work, plain, seen float64 // their sums, and the answers in them
+	pace, level             float64 // answer time per unit of work and visit held, and per unit of work
 }
 
 func (c *centre) add(took, work, plain float64) {
@@ -176,18 +155,6 @@
 	c.took, c.work, c.plain, c.seen = c.took*keep, c.work*keep, c.plain*keep, c.seen*keep
 }
 
-func (c *centre) reckon(prior, usual float64) {
-	c.pace, c.level = blend(c.took, c.work, prior, usual), blend(c.took, c.plain, prior, usual)
-}
-
-// blend is an answer time per unit of work, mixed with so much work's worth of the usual one.
-func blend(took, work, prior, usual float64) float64 {
-	if work+prior <= 0 {
-		return usual
-	}
-	return (took + prior*usual) / (work + prior)
-}
-
 func (b *Balancer) num(name string) float64 {
 	f, ok := b.site[name].(float64)
 	if !ok {
@@ -241,3 +208,27 @@
 		b.out.Wake(max(b.armed-b.now, 1), dueToken)
 	}
 }
+
+// note writes a message: its kind, the server it is about, and figures in the upper half of a float32.
+func note(kind byte, about Backend, figures ...float64) []byte {
+	msg := append([]byte{kind}, binary.BigEndian.AppendUint64(nil, uint64(about))[2:]...)
+	for _, f := range figures {
+		msg = binary.BigEndian.AppendUint16(msg, uint16((math.Float32bits(float32(f))+1<<15)>>16))
+	}
+	return msg
+}
+
+// readNote is its reverse; nil figures: not of this form.
+func readNote(msg []byte) (kind byte, about Backend, figures []float64) {
+	if len(msg) < 7 || len(msg)%2 == 0 {
+		return 0, 0, nil
+	}
+	figures = make([]float64, len(msg[7:])/2)
+	for i := range figures {
+		bits := uint32(binary.BigEndian.Uint16(msg[7+2*i:])) << 16
+		if figures[i] = float64(math.Float32frombits(bits)); !(figures[i] >= 0) {
+			return 0, 0, nil
+		}
+	}
+	return msg[0], Backend(binary.BigEndian.Uint64(append([]byte{0, 0}, msg[1:7]...))), figures
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,15 +1,12 @@
 // Package brain makes every decision of a ledgespread sidecar.
 //
 // A caller makes one Balancer per sidecar with New and tells it what happens, always with the time:
-// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed, Heard. The module acts
-// only through the Ports it was given (ports.go, with the id types; books.go declares what a sidecar keeps in
-// mind). It knows no wire, clock or goroutine, and instances share nothing. docs/design.md tells what each
-// rule here is for.
+// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed, Heard. The module acts only
+// through the Ports it was given (ports.go, with the id types; books.go declares what a sidecar keeps in mind).
 package brain
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -46,7 +43,7 @@
 	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
 	leastLimit  = 0.2   // but never less than this part of its target latency
 	mostLimit   = 0.5   // nor more than this
-	toldLimit   = 0.4   // part of the target latency up to which a visit goes where a desk was asked
+	toldLimit   = 0.4   // part of it up to which a visit goes where a desk was asked
 	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
 	calmRises   = 400.0 // and up
 	nearCalm    = 1.1   // multiple of the calm pace up to which the own data centre has room
@@ -59,7 +56,7 @@
 	ledgers     = 3     // sidecars that keep one
 	deskAsks    = 3     // servers compared by message before a visit goes out
 	probeAsks   = 2     // and by probe
-	keyParts    = 2.0   // servers a key is spread over, for each mean server's worth of the visits that it makes
+	keyParts    = 2.0   // servers a key is spread over, for each mean server's worth of visits that it makes
 )
 
 // New starts a sidecar. A setting that the module can't do without and lacks is an error that names it.
@@ -70,8 +67,8 @@
 		}
 	}()
 	b = &Balancer{out: out, site: site, now: now, begun: now, seed: seed, hash: fnv.New64a(),
-		due: btree.NewG(16, due.before), known: map[Backend]*backend{}, visits: map[VisitID]*visit{}, keys: map[Key]float64{},
-		level: 1, calm: 1, crowd: 1, size: 1}
+		due: btree.NewG(16, due.before), known: map[Backend]*backend{}, visits: map[VisitID]*visit{},
+		keys: map[Key]float64{}, level: 1, calm: 1, crowd: 1, size: 1}
 	b.myZone = Zone(b.num("my_zone"))
 	for i := range int(b.num("path_prefixes")) {
 		at := "path_prefixes." + strconv.Itoa(i) + "."
@@ -93,8 +90,7 @@
 		b.realms = append(b.realms, realm{quota: max(b.num(at+"quota_per_s"), 1e-9)})
 	}
 	for _, needed := range []string{"allowed.max_backend_fetches", "allowed.conn_idle_us", "step_us",
-		"obligations.cold_from", "obligations.cold_us", "obligations.fall_multiple",
-		"obligations.fall_us"} {
+		"obligations.cold_from", "obligations.cold_us", "obligations.fall_multiple", "obligations.fall_us"} {
 		b.num(needed)
 	}
 	if b.word("discovery") == "on_request" {
@@ -122,8 +118,8 @@
 
 // beat is the periodic work: what was seen fades, cold servers earn credit.
 func (b *Balancer) beat() {
-	fade := 1 - 1/memory
-	b.firsts *= 1 - float64(firstWait)/float64(retrySpan)
+	fade, slow := 1-1/memory, 1-float64(firstWait)/float64(retrySpan)
+	b.firsts *= slow
 	var carried, rated, sizes float64
 	b.inUse = 0
 	for _, be := range b.row {
@@ -153,7 +149,7 @@
 		b.realms[i].used *= fade
 	}
 	for key := range b.keys {
-		if b.keys[key] *= 1 - float64(firstWait)/float64(retrySpan); b.keys[key] < 1/memory {
+		if b.keys[key] *= slow; b.keys[key] < 1/memory {
 			delete(b.keys, key)
 		}
 	}
@@ -165,19 +161,18 @@
 	}
 }
 
-// reckon takes stock of the data centres. One that was not lately heard of is believed calm: a full one must
-// not speak for it. What was seen is kept by answers as by time. Guards against forgetting what a sidecar
-// of few visits learns before it can add up to anything.
+// reckon takes stock of the data centres. One not lately heard of is believed calm: a full one must not
+// speak for it. What was seen is kept by answers as by time. Guards against forgetting what a sidecar of
+// few visits learns before it can add up to anything.
 func (b *Balancer) reckon() {
-	var all centre
+	prior, all := firmness*b.meanWork, centre{}
 	for i := range b.centres {
 		c := &b.centres[i]
 		c.fade(1 - min(1, c.seen/enough)/memory)
-		c.reckon(firmness*b.meanWork, b.calm)
+		c.pace, c.level = blend(c.took, c.work, prior, b.calm), blend(c.took, c.plain, prior, b.calm)
 		all.add(c.took, c.work, c.plain)
 	}
-	all.reckon(firmness*b.meanWork, 1)
-	b.level = all.level
+	b.level = blend(all.took, all.plain, prior, 1)
 	// The calm pace hardly follows a crowd: a jam must not raise the limit that is to end it.
 	rate := 1 / calmRises
 	if b.level < b.calm {
@@ -186,9 +181,15 @@
 		rate /= 10
 	}
 	b.calm += (b.level - b.calm) * rate
-	if b.crowd = 1; all.plain > 0 {
-		b.crowd = all.took / all.plain
+	b.crowd = blend(all.took, all.plain, 0, 1)
+}
+
+// blend is an answer time per unit of work, mixed with so much work's worth of the usual one.
+func blend(took, work, prior, usual float64) float64 {
+	if work+prior <= 0 {
+		return usual
 	}
+	return (took + prior*usual) / (work + prior)
 }
 
 // earn lets a cold server's credit grow. Guards against pushing it over: every sidecar holds its own sends to
@@ -237,10 +238,8 @@
 	if news != Saved {
 		b.asked, b.askWait = 0, 0
 	}
-	if news != Changes {
-		for _, be := range b.row {
-			be.listed = false
-		}
+	for _, be := range b.row {
+		be.listed = news == Changes
 	}
 }
 
@@ -250,20 +249,18 @@
 	be := b.known[id]
 	returns := be != nil && be.standing == Gone && st == Ready
 	if be == nil {
-		be = &backend{id: id, mark: b.mix(uint64(id), 0)}
+		returns = b.news == Changes // a new machine
+		be = &backend{id: id, mark: b.mix(uint64(id), 0), fresh: returns}
 		b.known[id] = be
-		i, _ := slices.BinarySearchFunc(b.row, id, func(be *backend, id Backend) int { return cmp.Compare(be.id, id) })
+		i, _ := slices.BinarySearchFunc(b.row, be, func(x, y *backend) int { return cmp.Compare(x.id, y.id) })
 		b.row = slices.Insert(b.row, i, be)
-		returns = b.news == Changes // a new machine
-		be.fresh = returns
 	}
 	for len(b.centres) <= int(max(zone, b.myZone)) {
 		b.centres = append(b.centres, centre{pace: b.calm, level: b.calm})
 	}
-	be.zone, be.cell, be.standing, be.listed = zone, cell, st, true
-	be.rating = 1
-	if r := rating; r > 0 && !math.IsInf(r, 0) {
-		be.rating = r
+	be.zone, be.cell, be.standing, be.listed, be.rating = zone, cell, st, true, 1
+	if rating > 0 && !math.IsInf(rating, 0) {
+		be.rating = rating
 	}
 	restarted := started > be.started
 	be.started = started
@@ -284,7 +281,7 @@
 func (b *Balancer) ListEnds(now Micros) {
 	b.inUse = 0
 	for _, be := range b.row {
-		if b.news != NoListCame && b.news != Changes && !be.listed {
+		if b.news != NoListCame && !be.listed {
 			be.standing = Gone
 		}
 		if be.inService() {
@@ -307,20 +304,15 @@
 // mayAt tells the same for a later time, with so many fetches still out.
 func (b *Balancer) mayAt(v *visit, be *backend, at Micros, out int) bool {
 	if v.ended || at >= v.until || !be.usable() ||
-		len(v.fetches) >= int(b.num("allowed.max_backend_fetches")) {
-		return false
-	}
-	if out > 0 && (v.on.effect == "mutating" || !b.allows("allowed.may_duplicate")) {
+		len(v.fetches) > 0 && len(v.fetches) >= int(b.num("allowed.max_backend_fetches")) ||
+		out > 0 && (v.on.effect == "mutating" || !b.allows("allowed.may_duplicate")) {
 		return false
 	}
 	if be.coldSince != 0 && be.credit < v.work {
 		return false // guards against pushing a cold server over
 	}
-	if v.on.effect == "read_like" {
-		return true
-	}
 	for _, f := range v.fetches {
-		if !f.ran {
+		if !f.ran || v.on.effect == "read_like" {
 			continue
 		}
 		if v.on.effect != "tagged" || at >= f.sent+v.on.window {
@@ -336,23 +328,17 @@
 // onward tells whether some server in service, but this one, may get the visit when the next wait is over.
 // A visit for which there is none is answered at once and its running fetch is left alone.
 func (b *Balancer) onward(v *visit, but *backend, out int) bool {
-	for _, be := range b.row {
-		if be != but && !be.down && b.mayAt(v, be, b.now+v.wait(), out) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(b.row, func(be *backend) bool {
+		return be != but && !be.down && b.mayAt(v, be, b.now+v.wait(), out)
+	})
 }
 
 // harmless tells whether a retry by the client does no harm, which is what a bounce says.
 func (b *Balancer) harmless(v *visit) bool {
-	for _, f := range v.fetches {
-		if f.ran && v.on.effect != "read_like" &&
-			(v.on.effect != "tagged" || v.on.group != "all" || b.now >= f.sent+v.on.window) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(v.fetches, func(f *fetch) bool {
+		return f.ran && v.on.effect != "read_like" &&
+			(v.on.effect != "tagged" || v.on.group != "all" || b.now >= f.sent+v.on.window)
+	})
 }
 
 // send is the only place that sends. It leaves the step's closure with the fetch.
@@ -365,8 +351,9 @@
 	}
 	guess := Micros(b.expect(be) * v.work)
 	be.held++
-	f := &fetch{no: FetchNo(len(v.fetches)), be: be, sent: b.now, held: float64(be.held) + be.away, ran: true, then: then}
-	if b.allows("allowed.peer_messages") && b.thin() && b.desk(be) != b.me {
+	f := &fetch{no: FetchNo(len(v.fetches)), be: be, sent: b.now, held: float64(be.held) + be.away,
+		ran: true, then: then}
+	if b.desks() && b.desk(be) != b.me {
 		f.told, f.held = true, max(f.held, v.meets+1)
 		b.out.Tell(b.desk(be), note('b', be.id))
 	}
@@ -399,27 +386,22 @@
 	}
 }
 
-// giveUp answers a visit that goes nowhere any more, at once, unless a fetch is still out.
+// giveUp answers a visit that goes nowhere any more, at once, unless a fetch is still out. A bounced client
+// had best come back soon enough to still meet its target.
 func (b *Balancer) giveUp(v *visit) {
 	if v.ended || v.out > 0 {
 		return
 	}
-	if b.harmless(v) {
-		b.out.Bounce(v.id, b.comeBack(v))
-	} else {
+	if !b.harmless(v) {
 		b.out.ErrorPage(v.id)
+	} else if b.allows("allowed.retry_after") {
+		b.out.Bounce(v.id, min(v.on.target/4, Micros(b.maybe("allowed.max_retry_after_us"))))
+	} else {
+		b.out.Bounce(v.id, 0)
 	}
 	b.end(v)
 }
 
-// comeBack is when a bounced client had best try again: soon enough to still meet its target.
-func (b *Balancer) comeBack(v *visit) Micros {
-	if !b.allows("allowed.retry_after") {
-		return 0
-	}
-	return min(v.on.target/4, Micros(b.maybe("allowed.max_retry_after_us")))
-}
-
 // --- the life of a visit
 
 // Inbound takes a visit in. effort 0: no hint. again: the client says it repeats itself.
@@ -458,9 +440,8 @@
 	}
 	if int(of) < len(b.realms) {
 		b.realms[of].used++
-		if b.chance() < b.beyond(of) {
+		if v.beyond = b.chance() < b.beyond(of); v.beyond {
 			v.value *= b.maybe("beyond_share_value")
-			v.beyond = true
 		}
 	}
 	// Guards against losing the visit: whatever happens to its fetches, this is its last answer.
@@ -486,22 +467,25 @@
 
 // --- asking before sending
 
-// thin tells whether sidecars outnumber servers. One sidecar's traffic is then less than a server's worth, and
-// what it holds and saw there says little of the server's crowd.
+// thin tells whether sidecars outnumber servers. One sidecar's traffic is then less than a server's worth,
+// and what it holds and saw there says little of the server's crowd.
 func (b *Balancer) thin() bool { return float64(len(b.peers)) > b.inUse }
 
+// desks tells whether servers have desks: a server's desk is the sidecar, reckoned alike by all, that is told
+// of every visit sent there.
+func (b *Balancer) desks() bool { return b.thin() && b.allows("allowed.peer_messages") }
+
+func (b *Balancer) desk(be *backend) Peer { return Peer(be.mark % uint64(len(b.peers))) }
+
 // ask has a few servers compared before a visit goes out. Guards against thin sidecars that send to a
-// server they know nothing of. Where messages are allowed, the server's desk is asked: the sidecar, the
-// same for all, that is told of every visit sent there. Else a probe is sent, and who answers first has room.
+// server they know nothing of. Where messages are allowed, the servers' desks are asked. Else probes are
+// sent, and the server that answers first has room.
 func (b *Balancer) ask(v *visit) {
-	first := b.pick(v, false)
-	most, wait := 0, v.on.target/4
-	if b.allows("allowed.peer_messages") {
-		most = deskAsks
-	} else if b.allows("allowed.probes") {
+	first, most, wait := b.pick(v, false), deskAsks, v.on.target/4
+	if !b.desks() {
 		most, wait = probeAsks, v.on.target/8
 	}
-	if first == nil || most == 0 || !b.thin() {
+	if first == nil || !b.desks() && !(b.thin() && b.allows("allowed.probes")) {
 		b.place(v, first)
 		return
 	}
@@ -513,7 +497,7 @@
 	v.missing = len(v.asked)
 	b.at(b.now+wait, func() { b.decide(v) })
 	for _, be := range v.asked {
-		if !b.allows("allowed.peer_messages") {
+		if !b.desks() {
 			b.out.Probe(be.id)
 		} else if d := b.desk(be); d != b.me {
 			b.out.Tell(d, note('a', be.id))
@@ -532,10 +516,10 @@
 			continue
 		}
 		v.missing--
-		if score := pace * b.distance(be); !math.IsInf(pace, 1) && (v.offer == nil || score < v.offered*b.distance(v.offer)) {
+		if !math.IsInf(pace, 1) && (v.offer == nil || pace*b.distance(be) < v.offered*b.distance(v.offer)) {
 			v.offer, v.offered, v.meets = be, pace, held
 		}
-		if v.missing == 0 || v.offer != nil && !b.allows("allowed.peer_messages") {
+		if v.missing == 0 || v.offer != nil && !b.desks() {
 			b.decide(v)
 		}
 	}
@@ -550,17 +534,14 @@
 	for _, be := range v.asked {
 		be.asking = slices.DeleteFunc(be.asking, func(w *visit) bool { return w == v })
 	}
-	be := v.offer
-	if be == nil || !b.may(v, be) {
+	if v.offer != nil && !b.may(v, v.offer) {
 		v.offer = nil
-		be = b.pick(v, false)
 	}
-	b.place(v, be)
-}
-
-// desk is the sidecar that keeps count of a server.
-func (b *Balancer) desk(be *backend) Peer {
-	return Peer(b.mix(uint64(be.id), 1) % uint64(len(b.peers)))
+	if v.offer == nil {
+		b.place(v, b.pick(v, false))
+	} else {
+		b.place(v, v.offer)
+	}
 }
 
 // quote is what a desk tells of its server: the answer time per unit of work that one more visit would see.
@@ -580,22 +561,19 @@
 // law. Guards against a burst that is seen in answers only when the servers are full: visits held rise at
 // once. Each data centre is judged alone, or one that is full keeps visits from one that has room.
 func (b *Balancer) rush(in Zone) float64 {
-	held, done, here, all := 0.0, 0.0, 0.0, 0.0
+	held, done, here := 0.0, 0.0, 0.0
 	for _, be := range b.row {
-		if be.inService() {
-			all++
-			if be.zone == in {
-				held, done, here = held+float64(be.held), done+be.done, here+1
-			}
+		if be.zone == in && be.inService() {
+			held, done, here = held+float64(be.held), done+be.done, here+1
 		}
 	}
-	prior := firmness * here / max(all, 1)
+	prior := firmness * here / max(b.inUse, 1)
 	return (held + prior) / (done/rushMemory/float64(firstWait) + prior/b.centres[in].level + 1e-9)
 }
 
-// tell sends what each tenant lately sent here, in quarters of a visit, to a sidecar that keeps a ledger and
-// answers with the totals. Guards against messages that grow with the square of the sidecars. The ledgers are
-// taken in turn, so that the loss of one leaves the others.
+// tell sends what each tenant lately sent here to a sidecar that keeps a ledger and answers with the totals.
+// Guards against messages that grow with the square of the sidecars. The ledgers are taken in turn, so
+// that the loss of one leaves the others.
 func (b *Balancer) tell() {
 	used := make([]float64, len(b.realms))
 	for i, r := range b.realms {
@@ -608,54 +586,40 @@
 	}
 	b.enter(b.me, used)
 	to := Peer(b.mix(0, uint64(b.beats/tellBeats%ledgers)) % uint64(len(b.peers)))
-	if to == b.me {
-		b.total()
+	if to != b.me {
+		b.out.Tell(to, note('u', 0, used...))
 		return
 	}
-	b.out.Tell(to, note('u', 0, used...))
+	b.totalled = b.now
+	for i, r := range b.realms {
+		b.realms[i].total = r.kept
+	}
 }
 
-// enter puts another sidecar's use in the ledger; nil takes it out.
+// enter puts a sidecar's use in the ledger; nil takes it out.
 func (b *Balancer) enter(from Peer, used []float64) {
-	for i := range b.realms {
-		if old := b.peers[from].used; old != nil {
-			b.realms[i].kept -= old[i]
-		}
-		if used != nil {
-			b.realms[i].kept += used[i]
-		}
+	for i, old := range b.peers[from].used {
+		b.realms[i].kept -= old
 	}
-	b.peers[from] = heard{b.now, used}
-}
-
-// total takes this sidecar's own ledger for the totals.
-func (b *Balancer) total() {
-	b.totalled = b.now
-	for i := range b.realms {
-		b.realms[i].total = b.realms[i].kept
+	for i, now := range used {
+		b.realms[i].kept += now
 	}
+	b.peers[from] = heard{b.now, used}
 }
 
 // Heard takes what another sidecar told. A message that is not of a known form is passed over.
 func (b *Balancer) Heard(now Micros, from Peer, msg []byte) {
 	b.now = now
-	if int(from) >= len(b.peers) || len(msg) < 7 {
+	kind, id, figures := readNote(msg)
+	if figures == nil || int(from) >= len(b.peers) {
 		return
 	}
-	kind, id := msg[0], Backend(binary.BigEndian.Uint64(append([]byte{0, 0}, msg[1:7]...)))
-	figures := make([]float64, len(msg[7:])/2)
-	for i := range figures {
-		figures[i] = float64(math.Float32frombits(uint32(binary.BigEndian.Uint16(msg[7+2*i:])) << 16))
-		if math.IsNaN(figures[i]) || figures[i] < 0 {
-			return
-		}
-	}
 	be := b.known[id]
 	switch {
 	case kind == 'u' && len(figures) == len(b.realms):
-		b.enter(from, figures)
+		b.enter(from, slices.Clone(figures))
 		for i, r := range b.realms {
-			figures[i] = r.kept
+			figures[i] = max(0, r.kept)
 		}
 		b.out.Tell(from, note('t', 0, figures...))
 	case kind == 't' && len(figures) == len(b.realms):
@@ -678,15 +642,6 @@
 	}
 }
 
-// note writes a message: its kind, the server it is about, and figures in the upper half of a float32.
-func note(kind byte, about Backend, figures ...float64) []byte {
-	msg := append([]byte{kind}, binary.BigEndian.AppendUint64(nil, uint64(about))[2:]...)
-	for _, f := range figures {
-		msg = binary.BigEndian.AppendUint16(msg, uint16((math.Float32bits(float32(f))+1<<15)>>16))
-	}
-	return msg
-}
-
 // beyond is the part of a tenant's visits that lies beyond its share, by what a ledger lately told. One
 // sidecar alone can't see the tenant's whole traffic and counts no more than its own.
 func (b *Balancer) beyond(of Realm) float64 {
@@ -701,29 +656,26 @@
 // that a mean visit takes a multiple of its calm answer; sooner, the less the visit is worth. Guards against
 // an overload that makes every answer late, and against tipping crowded servers.
 func (b *Balancer) admit(v *visit, be *backend) bool {
-	limit := b.limit() * (1 - (1-lowLimit)*(1-v.value)*(1-v.value))
+	part := 1 - (1-lowLimit)*(1-v.value)*(1-v.value)
 	if v.beyond {
-		limit *= beyondLimit
+		part *= beyondLimit
 	}
-	pace := b.expect(be)
-	plain := blend(be.took, be.carried, firmness*b.meanWork, b.centres[be.zone].level) / b.warmth(be)
-	crowd := max(b.rush(be.zone), plain) * b.meanWork / limit
+	pace, level := b.expect(be), b.centres[be.zone].level
+	plain := blend(be.took, be.carried, firmness*b.meanWork, level) / b.warmth(be)
+	crowd := max(b.rush(be.zone), plain) * b.meanWork / b.limit()
 	// At the start nothing is known: rather send and learn, but for no longer than answers may take. Guards
 	// against hundreds of sidecars that each wait for their own answers while the servers fill.
 	crowd *= min(1, max(b.seen/enough, float64(b.now-b.begun)/b.meanTarget))
-	if v.offer == be && b.allows("allowed.peer_messages") {
+	if v.offer == be && b.desks() {
 		// The desk's count is of now and of all: the limit needs no calm answer to be measured against.
 		pace = v.offered
-		crowd = pace * b.meanWork / (limit / b.limit() * toldLimit * b.meanTarget)
+		crowd = pace * b.meanWork / toldLimit / b.meanTarget
 	} else if v.offer == be {
 		crowd *= 1 - b.tells // it answered a probe at once, which not all do
 	}
 	// A heavy visit outlasts those it meets: what it has beyond a mean visit's work goes at the usual pace.
-	own := pace * v.work
-	if more := v.work - b.meanWork; more > 0 {
-		own = pace*b.meanWork + min(pace, b.centres[be.zone].level)*more
-	}
-	strain := math.Hypot(crowd, own/float64(v.wanted-b.now)/ownLimit)
+	own := pace*v.work + min(0, level-pace)*max(0, v.work-b.meanWork)
+	strain := math.Hypot(crowd/part, own/float64(v.wanted-b.now)/ownLimit)
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
 
@@ -817,20 +769,26 @@
 		if f.done || v.ended || f.be.answered > f.sent {
 			return
 		}
-		// One long visit at a server with little of our traffic is no silence: it takes two.
 		if f.told {
 			b.out.Tell(b.desk(f.be), note('m', f.be.id))
 		}
-		if !b.missed(f.be) {
-			return
-		}
-		if again && v.out == 1 && b.allows("allowed.cancel") && b.capacity()-b.spent >= retryCost &&
-			b.onward(v, f.be, 0) {
+		if b.missed(f.be) && again && v.out == 1 && b.allows("allowed.cancel") &&
+			b.capacity()-b.spent >= retryCost && b.onward(v, f.be, 0) {
 			b.out.Cancel(v.id, f.no)
 		}
 	})
 }
 
+// missed counts a fetch that waits too long, and tells whether the server sits out for it. One long visit at
+// a server with little of our traffic is no silence: it takes two.
+func (b *Balancer) missed(be *backend) bool {
+	if be.mute++; be.mute < muteLeast && be.outUntil == 0 {
+		return false
+	}
+	b.sitOut(be, "silent")
+	return true
+}
+
 // Outcome hears how a backend fetch ended. over: the visit has ended, by this or earlier.
 func (b *Balancer) Outcome(now Micros, id VisitID, no FetchNo, rc Result, took Micros, over bool) {
 	b.now = now
@@ -839,8 +797,7 @@
 		return
 	}
 	f := v.fetches[no]
-	f.done = true
-	f.ran = rc != Full && rc != ConnectFailed && rc != NeverSent
+	f.done, f.ran = true, rc != Full && rc != ConnectFailed && rc != NeverSent
 	v.out--
 	f.be.held--
 	if rc == Delivered || rc == Errored || rc == Full {
@@ -876,58 +833,45 @@
 	}
 }
 
-// Probed hears the result of a health check: whether a server that took no connection runs again.
+// Probed hears the result of a health check.
 func (b *Balancer) Probed(now Micros, id Backend, rc Result) {
 	b.now = now
 	be := b.known[id]
 	if be == nil {
 		return
 	}
-	if len(be.asking) > 0 {
-		b.tells += (float64(min(rc-Delivered, 1)) - b.tells) / enough
-		if rc == Delivered {
-			b.quoted(be, b.expect(be), float64(be.held))
-		} else {
-			b.quoted(be, math.Inf(1), 0)
-		}
+	if len(be.asking) > 0 && rc == Delivered {
+		b.tells -= b.tells / enough
+		b.quoted(be, b.expect(be), float64(be.held))
+	} else if len(be.asking) > 0 {
+		b.tells += (1 - b.tells) / enough
+		b.quoted(be, math.Inf(1), 0)
 	}
-	if be.probing {
-		be.probing = false
-		if rc == Delivered {
-			be.down = false // runs; a visit tries it next
-		} else {
-			b.sitOut(be, "still no connection")
-		}
+	if be.probing && rc == Delivered {
+		be.down = false // runs; a visit tries it next
+	} else if be.probing {
+		b.sitOut(be, "still no connection")
 	}
+	be.probing = false
 }
 
 // --- what is seen of servers
 
-// missed counts a fetch that waits too long, and tells whether the server sits out for it.
-func (b *Balancer) missed(be *backend) bool {
-	if be.mute++; be.mute < muteLeast && be.outUntil == 0 {
-		return false
-	}
-	b.sitOut(be, "silent")
-	return true
-}
-
 func (b *Balancer) learn(v *visit, f *fetch, rc Result, took float64) {
-	if p := v.on; rc == Delivered && f.be.outUntil == 0 { // a jammed server's answers tell nothing of the prefix
-		own := took
-		if p.seen > enough { // the mean tells prefixes apart; how fast the fleet is, the pace tells
-			own /= b.crowd
-		}
-		p.seen = min(p.seen+1, 16*enough)
-		p.mean += (own - p.mean) / p.seen
-	}
-	if rc == Delivered {
+	switch {
+	case rc == Delivered:
 		b.seen++
-	}
-	if rc == ConnectFailed {
+		if f.be.outUntil == 0 { // a jammed server's answers tell nothing of the prefix
+			own := took
+			if b.seen > enough { // the mean tells prefixes apart; how fast the fleet is, the pace tells
+				own /= b.crowd
+			}
+			v.on.seen = min(v.on.seen+1, 16*enough)
+			v.on.mean += (own - v.on.mean) / v.on.seen
+		}
+	case rc == ConnectFailed:
 		f.be.idle = nil // it had to be dialled: no connection was left to reuse
-	}
-	if rc == Reset && f.reused {
+	case rc == Reset && f.reused:
 		f.be.bad++ // nothing more: the free retry tells
 		return
 	}
@@ -936,9 +880,11 @@
 
 // account books how a fetch of this or, at the server's desk, of another sidecar ended.
 func (b *Balancer) account(be *backend, rc Result, sent Micros, took, work, load float64) {
+	if rc == Delivered || rc == Errored {
+		be.answered, be.mute, be.fresh = b.now, 0, false
+	}
 	switch rc {
 	case Delivered:
-		be.answered, be.mute, be.fresh = b.now, 0, false
 		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+work
 		be.done += work
 		be.good++
@@ -952,7 +898,6 @@
 		}
 		return
 	case Errored:
-		be.answered, be.mute, be.fresh = b.now, 0, false
 		be.bad++
 	case Full:
 		// Refusals come fast: count them as late answers, or the fullest server looks the fastest.
