--- a/brain/books.go
+++ b/brain/books.go
@@ -52,7 +52,6 @@
 	done                float64  // their work alone, fading fast
 	good, bad           float64  // delivered and failed lately
 	outUntil, outSpan   Micros   // sits out, 0: in service; how long it sat out last
-	down, probing       bool     // sits out for want of a connection; a probe of it is out
 	pace, score         float64  // answer time per unit of work, as a pick just reckoned it; with the way
 }
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -136,11 +136,6 @@
 	b.size, b.carry = sizes/max(b.inUse, 1), carried/memory/max(rated, 1e-9)
 	b.reckon()
 	for _, be := range b.row {
-		if be.down && !be.probing && be.usable() && be.outUntil <= b.now && b.allows("allowed.probes") {
-			// Guards against losing a visit's time to a dead server, when a whole data centre is dead.
-			be.probing = true
-			b.out.Probe(be.id)
-		}
 		if be.coldSince != 0 {
 			b.earn(be)
 		}
@@ -270,7 +265,7 @@
 			be.coldSince = now // it came back from we know not what: cold
 		}
 		be.took, be.work, be.carried, be.good, be.bad, be.idle = 0, 0, 0, 0, 0, nil
-		be.outUntil, be.down = 0, false
+		be.outUntil = 0
 		if now-be.coldSince >= b.span("obligations.cold_us") {
 			be.coldSince = 0
 		}
@@ -329,7 +324,7 @@
 // A visit for which there is none is answered at once and its running fetch is left alone.
 func (b *Balancer) onward(v *visit, but *backend, out int) bool {
 	return slices.ContainsFunc(b.row, func(be *backend) bool {
-		return be != but && !be.down && b.mayAt(v, be, b.now+v.wait(), out)
+		return be != but && b.mayAt(v, be, b.now+v.wait(), out)
 	})
 }
 
@@ -546,7 +541,7 @@
 
 // quote is what a desk tells of its server: the answer time per unit of work that one more visit would see.
 func (b *Balancer) quote(be *backend) float64 {
-	if !be.usable() || be.outUntil > b.now || be.outUntil != 0 && (be.down || float64(be.held)+be.away >= 1) {
+	if !be.usable() || be.outUntil > b.now || be.outUntil != 0 && float64(be.held)+be.away >= 1 {
 		return math.Inf(1)
 	}
 	return b.expect(be)
@@ -847,12 +842,6 @@
 		b.tells += (1 - b.tells) / enough
 		b.quoted(be, math.Inf(1), 0)
 	}
-	if be.probing && rc == Delivered {
-		be.down = false // runs; a visit tries it next
-	} else if be.probing {
-		b.sitOut(be, "still no connection")
-	}
-	be.probing = false
 }
 
 // --- what is seen of servers
@@ -892,7 +881,7 @@
 			b.centres[be.zone].add(took, load, work)
 		}
 		if be.outUntil != 0 && sent >= be.outUntil {
-			be.outUntil, be.bad, be.down = 0, 0, false
+			be.outUntil, be.bad = 0, 0
 		} else if be.good > memory/2 {
 			be.outSpan = 0
 		}
@@ -906,7 +895,6 @@
 		b.centres[be.zone].add(b.meanTarget, load, 0)
 	case ConnectFailed:
 		b.sitOut(be, "no connection")
-		be.down = true
 	case Reset:
 		be.bad++
 		b.sitOut(be, "connection broke")
@@ -976,7 +964,7 @@
 		if b.fit(v, be) {
 			b.scratch = append(b.scratch, be)
 			least = min(least, be.score)
-		} else if be.score < last && !be.down {
+		} else if be.score < last {
 			last, lastResort = be.score, be
 		}
 	}
@@ -1009,7 +997,7 @@
 		return false
 	}
 	return be.outUntil == 0 || be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
-		len(v.fetches) == 0 && !(be.down && b.allows("allowed.probes"))
+		len(v.fetches) == 0
 }
 
 // draw takes one of the servers at hand by chance and weight.
