--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,7 +43,7 @@
 	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
 	leastLimit  = 0.2   // but never less than this part of its target latency
 	mostLimit   = 0.5   // nor more than this
-	toldLimit   = 0.4   // part of it up to which a visit goes where a desk was asked
+	toldLimit   = 0.3   // part of it up to which a visit goes where a desk was asked
 	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
 	calmRises   = 400.0 // and up
 	nearCalm    = 1.1   // multiple of the calm pace up to which the own data centre has room
