--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,8 @@
 // Package brain makes every decision of a ledgespread sidecar.
 //
 // A caller makes one Balancer per sidecar with New and tells it what happens, always with the time:
-// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed, Heard. The module acts only
-// through the Ports it was given (ports.go, with the id types; books.go declares what a sidecar keeps in mind).
+// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed, Heard. The module acts
+// only through the Ports it was given (ports.go, with the id types; books.go declares its state).
 package brain
 
 import (
@@ -46,7 +46,6 @@
 	toldLimit   = 0.3   // part of it up to which a visit goes where a desk was asked
 	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
 	calmRises   = 400.0 // and up
-	nearCalm    = 1.1   // multiple of the calm pace up to which the own data centre has room
 	calmBand    = 1.5   // multiple of the calm pace from which on the fleet is crowded
 	lowLimit    = 0.6   // part of that limit for a visit worth nothing; half the value costs a quarter
 	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
@@ -120,20 +119,20 @@
 func (b *Balancer) beat() {
 	fade, slow := 1-1/memory, 1-float64(firstWait)/float64(retrySpan)
 	b.firsts *= slow
-	var carried, rated, sizes float64
+	var carried, rated, sizes, held float64
 	b.inUse = 0
 	for _, be := range b.row {
 		be.took, be.work, be.carried = be.took*fade, be.work*fade, be.carried*fade
 		be.good, be.bad, be.done = be.good*fade, be.bad*fade, be.done*(1-1/rushMemory)
 		be.away *= 1 - 1/calmFalls // a lost message must not count for ever
 		if be.inService() {
-			sizes, b.inUse = sizes+be.rating, b.inUse+1
+			sizes, held, b.inUse = sizes+be.rating, held+float64(be.held), b.inUse+1
 			if be.coldSince == 0 {
 				carried, rated = carried+be.carried, rated+be.rating
 			}
 		}
 	}
-	b.size, b.carry = sizes/max(b.inUse, 1), carried/memory/max(rated, 1e-9)
+	b.size, b.meanHeld, b.carry = sizes/max(b.inUse, 1), held/max(b.inUse, 1), carried/memory/max(rated, 1e-9)
 	b.reckon()
 	for _, be := range b.row {
 		if be.coldSince != 0 {
@@ -169,13 +168,7 @@
 	}
 	b.level = blend(all.took, all.plain, prior, 1)
 	// The calm pace hardly follows a crowd: a jam must not raise the limit that is to end it.
-	rate := 1 / calmRises
-	if b.level < b.calm {
-		rate = 1 / calmFalls
-	} else if b.level > calmBand*b.calm {
-		rate /= 10
-	}
-	b.calm += (b.level - b.calm) * rate
+	b.calm += max(0, min(b.level, calmBand*b.calm)-b.calm)/calmRises - max(0, b.calm-b.level)/calmFalls
 	b.crowd = blend(all.took, all.plain, 0, 1)
 }
 
@@ -260,15 +253,11 @@
 	restarted := started > be.started
 	be.started = started
 	if (restarted || returns) && st == Ready {
-		be.coldSince, be.credit, be.fresh = max(started, 1), 0, true
+		be.coldSince, be.credit, be.fresh, be.outUntil = max(started, 1), 0, true, 0
 		if started == 0 || started > now || returns && !restarted {
 			be.coldSince = now // it came back from we know not what: cold
 		}
 		be.took, be.work, be.carried, be.good, be.bad, be.idle = 0, 0, 0, 0, 0, nil
-		be.outUntil = 0
-		if now-be.coldSince >= b.span("obligations.cold_us") {
-			be.coldSince = 0
-		}
 	}
 }
 
@@ -285,11 +274,8 @@
 	}
 }
 
-// Drained and gone servers get nothing new at once; the grace is not used.
-func (be *backend) usable() bool { return be.standing == Ready }
-
-// A server in service is on the ordinary pick.
-func (be *backend) inService() bool { return be.usable() && be.outUntil == 0 }
+// A server in service is on the ordinary pick. Drained and gone ones get nothing new; the grace is not used.
+func (be *backend) inService() bool { return be.standing == Ready && be.outUntil == 0 }
 
 // --- the rules
 
@@ -298,7 +284,7 @@
 
 // mayAt tells the same for a later time, with so many fetches still out.
 func (b *Balancer) mayAt(v *visit, be *backend, at Micros, out int) bool {
-	if v.ended || at >= v.until || !be.usable() ||
+	if v.ended || at >= v.until || be.standing != Ready ||
 		len(v.fetches) > 0 && len(v.fetches) >= int(b.num("allowed.max_backend_fetches")) ||
 		out > 0 && (v.on.effect == "mutating" || !b.allows("allowed.may_duplicate")) {
 		return false
@@ -387,10 +373,10 @@
 	if v.ended || v.out > 0 {
 		return
 	}
-	if !b.harmless(v) {
+	if comeBack := Micros(b.maybe("allowed.max_retry_after_us")); !b.harmless(v) {
 		b.out.ErrorPage(v.id)
 	} else if b.allows("allowed.retry_after") {
-		b.out.Bounce(v.id, min(v.on.target/4, Micros(b.maybe("allowed.max_retry_after_us"))))
+		b.out.Bounce(v.id, min(v.on.target/4, comeBack))
 	} else {
 		b.out.Bounce(v.id, 0)
 	}
@@ -529,19 +515,17 @@
 	for _, be := range v.asked {
 		be.asking = slices.DeleteFunc(be.asking, func(w *visit) bool { return w == v })
 	}
-	if v.offer != nil && !b.may(v, v.offer) {
+	if v.offer == nil || !b.may(v, v.offer) {
 		v.offer = nil
-	}
-	if v.offer == nil {
 		b.place(v, b.pick(v, false))
-	} else {
-		b.place(v, v.offer)
+		return
 	}
+	b.place(v, v.offer)
 }
 
 // quote is what a desk tells of its server: the answer time per unit of work that one more visit would see.
 func (b *Balancer) quote(be *backend) float64 {
-	if !be.usable() || be.outUntil > b.now || be.outUntil != 0 && float64(be.held)+be.away >= 1 {
+	if be.standing != Ready || be.outUntil > b.now || be.outUntil != 0 && float64(be.held)+be.away >= 1 {
 		return math.Inf(1)
 	}
 	return b.expect(be)
@@ -677,11 +661,13 @@
 // after is the step that follows a backend fetch.
 func (b *Balancer) after(v *visit, charged bool) func(*fetch, Result) {
 	return func(f *fetch, rc Result) {
-		if charged {
-			b.settle(rc == Delivered)
-		}
-		if rc == Delivered && len(v.fetches) == 1 {
-			b.spent = max(0, b.spent-refill)
+		switch {
+		case charged && rc == Delivered:
+			b.giveBack(retryCost)
+		case charged:
+			b.giveBack(failedGives)
+		case rc == Delivered && len(v.fetches) == 1:
+			b.giveBack(refill)
 		}
 		if v.ended || v.out > 0 {
 			return
@@ -702,36 +688,25 @@
 // capacity of the bucket, in tokens.
 func (b *Balancer) capacity() float64 { return retryCost * max(fewRetries, retryShare*b.firsts) }
 
-// settle gives back what a retry reserved.
-func (b *Balancer) settle(delivered bool) {
-	back := failedGives
-	if delivered {
-		back = retryCost
-	}
-	b.spent = max(0, b.spent-back)
-}
+func (b *Balancer) giveBack(tokens float64) { b.spent = max(0, b.spent-tokens) }
 
 // wait is how long the visit's next retry waits.
 func (v *visit) wait() Micros { return firstWait << v.charged }
 
 // retry arms one, if the bucket and the time left allow.
 func (b *Balancer) retry(v *visit) {
-	wait := v.wait()
-	if b.now+wait >= v.wanted || !b.onward(v, nil, v.out) {
-		b.giveUp(v)
-		return
-	}
 	b.spent = min(b.spent, b.capacity())
-	if b.capacity()-b.spent < retryCost {
-		if !b.empty { // told once, or a denied retry looks like a visit that can't be repeated
-			b.empty = true
-			b.out.Print("retries denied: the bucket is empty")
-		}
+	goes, denied := b.now+v.wait() < v.wanted && b.onward(v, nil, v.out), b.capacity()-b.spent < retryCost
+	if goes && denied && !b.empty { // told once, or a denied retry looks like a visit that can't be repeated
+		b.out.Print("retries denied: the bucket is empty")
+	}
+	b.empty = denied && (goes || b.empty)
+	if !goes || denied {
 		b.giveUp(v)
 		return
 	}
-	b.empty = false
 	b.spent += retryCost
+	wait := v.wait()
 	v.charged++
 	b.at(b.now+wait, func() {
 		var be *backend
@@ -739,7 +714,7 @@
 			be = b.pick(v, false)
 		}
 		if be == nil {
-			b.settle(true) // never sent: nothing was spent
+			b.giveBack(retryCost) // never sent: nothing was spent
 			b.giveUp(v)
 			return
 		}
@@ -847,20 +822,21 @@
 // --- what is seen of servers
 
 func (b *Balancer) learn(v *visit, f *fetch, rc Result, took float64) {
-	switch {
-	case rc == Delivered:
+	if p := v.on; rc == Delivered {
 		b.seen++
 		if f.be.outUntil == 0 { // a jammed server's answers tell nothing of the prefix
+			p.seen = min(p.seen+1, 16*enough)
 			own := took
 			if b.seen > enough { // the mean tells prefixes apart; how fast the fleet is, the pace tells
 				own /= b.crowd
 			}
-			v.on.seen = min(v.on.seen+1, 16*enough)
-			v.on.mean += (own - v.on.mean) / v.on.seen
+			p.mean += (own - p.mean) / p.seen
 		}
-	case rc == ConnectFailed:
+	}
+	if rc == ConnectFailed {
 		f.be.idle = nil // it had to be dialled: no connection was left to reuse
-	case rc == Reset && f.reused:
+	}
+	if rc == Reset && f.reused {
 		f.be.bad++ // nothing more: the free retry tells
 		return
 	}
@@ -917,8 +893,7 @@
 	if be.outUntil > b.now {
 		return
 	}
-	longest := b.span("obligations.cold_us") / 2
-	be.outSpan = min(max(2*be.outSpan, 10*firstWait), longest)
+	be.outSpan = min(max(2*be.outSpan, 10*firstWait), b.span("obligations.cold_us")/2)
 	be.outUntil = b.now + Micros(float64(be.outSpan)*(0.75+b.chance()/2))
 	be.bad = 0
 	b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
@@ -930,21 +905,11 @@
 	own := blend(be.took, be.work, firmness*b.meanWork, usual)
 	held := float64(be.held) + be.away
 	if be.fresh {
-		held = max(held, b.meanHeld())
+		held = max(held, b.meanHeld)
 	}
 	return own * (held + 1) / b.warmth(be)
 }
 
-func (b *Balancer) meanHeld() float64 {
-	sum, n := 0.0, 0.0
-	for _, be := range b.row {
-		if be.usable() && !be.fresh {
-			sum, n = sum+float64(be.held), n+1
-		}
-	}
-	return sum / max(n, 1)
-}
-
 // pick chooses a server: a random one among those without a visit of ours, else the one with the fewest,
 // where a visit counts by how slowly the server was seen to answer. afar: the way to the other data centres
 // counts nothing. Those that sit out or were tried are a last resort.
@@ -993,7 +958,8 @@
 // fit tells whether a server is on the ordinary pick for a visit. Guards against a storm of trials: one whose
 // time out is over is picked no more often than others, until a visit that went well brings it back.
 func (b *Balancer) fit(v *visit, be *backend) bool {
-	if slices.Contains(v.asked, be) || slices.ContainsFunc(v.fetches, func(f *fetch) bool { return f.be == be }) {
+	tried := func(f *fetch) bool { return f.be == be }
+	if slices.Contains(v.asked, be) || slices.ContainsFunc(v.fetches, tried) {
 		return false
 	}
 	return be.outUntil == 0 || be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
@@ -1022,15 +988,10 @@
 // pushes its server over, whose crowd no one sidecar sees: the key has as many such servers as its share of
 // the visits here makes up.
 func (b *Balancer) warmest(key Key, least float64) (warm *backend) {
-	calm := b.centres[b.myZone].level < nearCalm*b.calm
 	part := uint64(b.chance() * (1 + keyParts*(b.keys[key]-1)/b.firsts*float64(len(b.scratch))))
 	mark, top := b.mix(uint64(key), part), uint64(0)
 	for _, be := range b.scratch {
-		band := tieBand
-		if calm && be.zone != b.myZone {
-			band = math.Sqrt(tieBand) // where there is room, a warm key is little reason to cross
-		}
-		if h := scramble(mark ^ be.mark); h >= top && be.pace*b.distance(be) <= band*least {
+		if h := scramble(mark ^ be.mark); h >= top && be.score <= tieBand*least {
 			top, warm = h, be
 		}
 	}
