--- a/brain/brain.go
+++ b/brain/brain.go
@@ -55,6 +55,7 @@
 	ledgers     = 3     // sidecars that keep one
 	deskAsks    = 3     // servers compared by message before a visit goes out
 	probeAsks   = 2     // and by probe
+	askRounds   = 3     // times that others are asked when those all sit out
 	keyParts    = 2.0   // servers a key is spread over, for each mean server's worth of visits that it makes
 )
 
@@ -462,22 +463,29 @@
 // server they know nothing of. Where messages are allowed, the servers' desks are asked. Else probes are
 // sent, and the server that answers first has room.
 func (b *Balancer) ask(v *visit) {
-	first, most, wait := b.pick(v, false), deskAsks, v.on.target/4
+	most, wait := deskAsks, v.on.target/4
 	if !b.desks() {
 		most, wait = probeAsks, v.on.target/8
 	}
-	if first == nil || !b.desks() && !(b.thin() && b.allows("allowed.probes")) {
-		b.place(v, first)
+	be, before := b.pick(v, false), len(v.asked)
+	if be == nil || !b.desks() && !(b.thin() && b.allows("allowed.probes")) {
+		b.place(v, be)
 		return
 	}
-	for be := first; be != nil && len(v.asked) < most && !slices.Contains(v.asked, be); {
+	for be != nil && len(v.asked) < before+most && !slices.Contains(v.asked, be) {
 		v.asked = append(v.asked, be)
 		be.asking = append(be.asking, v)
-		be = b.pick(v, len(v.asked) > 1)
+		be = b.pick(v, len(v.asked) > before+1)
 	}
-	v.missing = len(v.asked)
-	b.at(b.now+wait, func() { b.decide(v) })
-	for _, be := range v.asked {
+	v.round++
+	round, these := v.round, v.asked[before:]
+	v.missing = len(these)
+	b.at(b.now+wait, func() {
+		if v.round == round {
+			b.decide(v)
+		}
+	})
+	for _, be := range these {
 		if !b.desks() {
 			b.out.Probe(be.id)
 		} else if d := b.desk(be); d != b.me {
@@ -511,6 +519,11 @@
 	if v.settled || v.ended {
 		return
 	}
+	// Guards against going blind where many servers sit out: if all that were asked do, others are asked.
+	if v.offer == nil && v.missing <= 0 && v.round < askRounds {
+		b.ask(v)
+		return
+	}
 	v.settled = true
 	for _, be := range v.asked {
 		be.asking = slices.DeleteFunc(be.asking, func(w *visit) bool { return w == v })
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -166,7 +166,7 @@
 	less := strings.Replace(settings, `"cold_us":8000000,`, "", 1)
 	same(t, `
 reply 1 to batch 1
-  0a0003000000000000002c00000000000000000000000000
+  0a0003000000000000002100000000000000000000000000
   settings lack obligations.cold_us
 `, serve(t, frame(1, 1, []byte(less), rec(1, 3, 8, 1, 4, 0, 4, uint64(len(less))))))
 	got := serve(t, frame(1, 1, []byte(settings), attach(3),
