--- a/brain/books.go
+++ b/brain/books.go
@@ -80,10 +80,11 @@
 	freed, ended  bool
 
 	asked          []*backend // servers it waits to hear of
-	missing, round int        // of these, not yet heard of; how often it asked
-	settled        bool       // it waits no longer
-	offer          *backend   // the best of them
-	offered, meets float64    // its answer time per unit of work; visits held there
+	askedAt        Micros
+	missing, round int      // of these, not yet heard of; how often it asked
+	settled        bool     // it waits no longer
+	offer          *backend // the best of them
+	offered, meets float64  // its answer time per unit of work; visits held there
 }
 
 // due is something to do at a time. All due times but the beat's are in one tree.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -477,7 +477,7 @@
 		be.asking = append(be.asking, v)
 		be = b.pick(v, len(v.asked) > before+1)
 	}
-	v.round++
+	v.round, v.askedAt = v.round+1, b.now
 	round, these := v.round, v.asked[before:]
 	v.missing = len(these)
 	b.at(b.now+wait, func() {
@@ -505,6 +505,9 @@
 			continue
 		}
 		v.missing--
+		if v.offer == nil && v.missing > 0 { // the others have as long again: their answers may be lost
+			b.at(2*b.now-v.askedAt+1, func() { b.decide(v) })
+		}
 		if !math.IsInf(pace, 1) && (v.offer == nil || pace*b.distance(be) < v.offered*b.distance(v.offer)) {
 			v.offer, v.offered, v.meets = be, pace, held
 		}
