--- a/brain/books.go
+++ b/brain/books.go
@@ -20,15 +20,9 @@
 	seen, mean              float64 // answers seen; their mean latency, where visits carry no hint
 }
 
-// realm is a tenant: its share, what this sidecar lately took in for it, what all did as a ledger last
-// told, and what those that told this sidecar did.
-type realm struct{ quota, used, total, kept float64 }
-
-// heard is what another sidecar told last, where this one keeps a ledger.
-type heard struct {
-	at   Micros
-	used []float64
-}
+// realm is a tenant: its share, what this sidecar lately took in for it and has not yet told, what all did
+// as the ledger last told, and what this sidecar keeps in its own.
+type realm struct{ quota, used, fresh, total, kept float64 }
 
 // backend is a server as this sidecar knows it.
 type backend struct {
@@ -118,8 +112,9 @@
 	prefixes []*prefix
 	topValue float64
 	realms   []realm
-	peers    []heard // by number
-	totalled Micros  // when a ledger last told the totals
+	sidecars int
+	ledger   uint64 // which of them keeps the ledger: this many were given up
+	totalled Micros // when a ledger last told the totals
 	known    map[Backend]*backend
 	row      []*backend // all known, by id
 	visits   map[VisitID]*visit
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,34 +29,25 @@
 
 // Ratios of this module's own; what they are ratios of stands beside each.
 const (
-	memory      = 25.0  // beats after which what was seen of a server has faded to 1/e
-	rushMemory  = 10.0  // the same for the work delivered that a burst is held against
-	firmness    = 6.0   // mean visits' worth of the common pace that a server's own pace is mixed with
-	tieBand     = 2.0   // idle servers whose expected answer is within this multiple of the best tie
-	paceBias    = 4.0   // chance among them goes by this power of how quickly they answer
-	crossWeight = 10.0  // visits held that one point of a crossing's price counts as
-	badShare    = 0.25  // share of errors at which a server sits out
-	badLeast    = 2.0   // and the errors seen lately that this takes at least
-	coldSafety  = 0.7   // part of a cold server's budget that is used
-	patience    = 3.0   // multiple of the expected answer after which silence is looked into
-	muteLeast   = 2     // fetches that wait too long with no sign of life, until a server counts as silent
-	calmTimes   = 1.8   // multiple of a calm answer that a usual visit may take where this one is sent,
-	leastLimit  = 0.2   // but never less than this part of its target latency
-	mostLimit   = 0.5   // nor more than this
-	toldLimit   = 0.3   // part of it up to which a visit goes where a desk was asked
-	calmFalls   = 100.0 // beats in which the calm pace follows the fleet's down
-	calmRises   = 400.0 // and up
-	calmBand    = 1.5   // multiple of the calm pace from which on the fleet is crowded
-	lowLimit    = 0.6   // part of that limit for a visit worth nothing; half the value costs a quarter
-	ownLimit    = 0.9   // part of the time to its target latency that its own answer may take
-	enough      = 32    // answers that make a mean worth trusting; several means count in multiples of it
-	beyondLimit = 0.8   // part of the crowding limit for visits beyond their tenant's share
-	tellBeats   = 10    // beats between two messages to a ledger
-	ledgers     = 3     // sidecars that keep one
-	deskAsks    = 3     // servers compared by message before a visit goes out
-	probeAsks   = 2     // and by probe
-	askRounds   = 3     // times that others are asked when those all sit out
-	keyParts    = 2.0   // servers a key is spread over, for each mean server's worth of visits that it makes
+	memory, rushMemory    = 25.0, 10.0   // beats until what was seen of a server has faded to 1/e; for a rush
+	firmness              = 6.0          // mean visits' worth of the common pace that a server's is mixed with
+	tieBand, paceBias     = 2.0, 4.0     // idle servers within this multiple tie; chance by this power of pace
+	crossWeight           = 10.0         // visits held that one point of a crossing's price counts as
+	badShare, badLeast    = 0.25, 2.0    // share of errors at which a server sits out; the least it takes
+	coldSafety            = 0.7          // part of a cold server's budget that is used
+	patience, muteLeast   = 3.0, 2       // multiple of the expected answer that is silence; fetches it takes
+	calmTimes             = 1.8          // multiple of a calm answer that a usual visit may take
+	leastLimit, mostLimit = 0.2, 0.5     // but in these parts of its target latency;
+	toldLimit             = 0.3          // this part of it where a desk was asked;
+	lowLimit, beyondLimit = 0.6, 0.8     // part of that for a visit worth nothing; beyond its tenant's share
+	ownLimit              = 0.9          // part of the time to its target that its own answer may take
+	calmFalls, calmRises  = 100.0, 400.0 // beats in which the calm pace follows the fleet's down, and up
+	calmBand              = 1.5          // multiple of the calm pace up to which it rises
+	enough                = 32           // answers that make a mean worth trusting
+	tellBeats             = 10           // beats between two messages to the ledger
+	deskAsks, probeAsks   = 3, 2         // servers compared by message, or by probe, before a visit goes out
+	askRounds             = 3            // times that others are asked when those all sit out
+	keyParts              = 2.0          // servers of a key for each mean server's worth of its visits
 )
 
 // New starts a sidecar. A setting that the module can't do without and lacks is an error that names it.
@@ -81,10 +72,7 @@
 		b.prefixes = append(b.prefixes, p)
 		b.topValue = max(b.topValue, p.value)
 	}
-	b.peers, b.me = make([]heard, max(1, int(b.maybe("balancers")))), Peer(b.maybe("me"))
-	if int(b.me) >= len(b.peers) {
-		panic(fmt.Errorf("settings: me is %d of %d balancers", b.me, len(b.peers)))
-	}
+	b.sidecars, b.me = max(1, int(b.maybe("balancers"))), Peer(b.maybe("me"))
 	for i := range int(b.maybe("realms")) {
 		at := "realms." + strconv.Itoa(i) + "."
 		b.realms = append(b.realms, realm{quota: max(b.num(at+"quota_per_s"), 1e-9)})
@@ -141,7 +129,7 @@
 		}
 	}
 	for i := range b.realms {
-		b.realms[i].used *= fade
+		b.realms[i].used, b.realms[i].kept = b.realms[i].used*fade, b.realms[i].kept*fade
 	}
 	for key := range b.keys {
 		if b.keys[key] *= slow; b.keys[key] < 1/memory {
@@ -421,7 +409,7 @@
 		b.keys[key]++
 	}
 	if int(of) < len(b.realms) {
-		b.realms[of].used++
+		b.realms[of].used, b.realms[of].fresh = b.realms[of].used+1, b.realms[of].fresh+1
 		if v.beyond = b.chance() < b.beyond(of); v.beyond {
 			v.value *= b.maybe("beyond_share_value")
 		}
@@ -451,13 +439,13 @@
 
 // thin tells whether sidecars outnumber servers. One sidecar's traffic is then less than a server's worth,
 // and what it holds and saw there says little of the server's crowd.
-func (b *Balancer) thin() bool { return float64(len(b.peers)) > b.inUse }
+func (b *Balancer) thin() bool { return float64(b.sidecars) > b.inUse }
 
 // desks tells whether servers have desks: a server's desk is the sidecar, reckoned alike by all, that is told
 // of every visit sent there.
 func (b *Balancer) desks() bool { return b.thin() && b.allows("allowed.peer_messages") }
 
-func (b *Balancer) desk(be *backend) Peer { return Peer(be.mark % uint64(len(b.peers))) }
+func (b *Balancer) desk(be *backend) Peer { return Peer(be.mark % uint64(b.sidecars)) }
 
 // ask has a few servers compared before a visit goes out. Guards against thin sidecars that send to a
 // server they know nothing of. Where messages are allowed, the servers' desks are asked. Else probes are
@@ -486,12 +474,10 @@
 		}
 	})
 	for _, be := range these {
-		if !b.desks() {
-			b.out.Probe(be.id)
-		} else if d := b.desk(be); d != b.me {
-			b.out.Tell(d, note('a', be.id))
+		if b.desks() {
+			b.say(b.desk(be), note('a', be.id))
 		} else {
-			b.quoted(be, b.quote(be), float64(be.held)+be.away)
+			b.out.Probe(be.id)
 		}
 	}
 }
@@ -566,57 +552,44 @@
 	return (held + prior) / (done/rushMemory/float64(firstWait) + prior/b.centres[in].level + 1e-9)
 }
 
-// tell sends what each tenant lately sent here to a sidecar that keeps a ledger and answers with the totals.
-// Guards against messages that grow with the square of the sidecars. The ledgers are taken in turn, so
-// that the loss of one leaves the others.
+// tell sends what each tenant sent here since the last time to the sidecar that keeps the ledger, which answers
+// with the totals. Guards against messages that grow with the square of the sidecars. One that does not
+// answer is given up for the next.
 func (b *Balancer) tell() {
-	used := make([]float64, len(b.realms))
-	for i, r := range b.realms {
-		used[i] = r.used
-	}
-	for i, h := range b.peers { // who fell silent counts no longer
-		if h.used != nil && b.now-h.at > 4*tellBeats*firstWait {
-			b.enter(Peer(i), nil)
-		}
-	}
-	b.enter(b.me, used)
-	to := Peer(b.mix(0, uint64(b.beats/tellBeats%ledgers)) % uint64(len(b.peers)))
-	if to != b.me {
-		b.out.Tell(to, note('u', 0, used...))
-		return
+	fresh := make([]float64, len(b.realms))
+	for i := range b.realms {
+		fresh[i], b.realms[i].fresh = b.realms[i].fresh, 0
 	}
-	b.totalled = b.now
-	for i, r := range b.realms {
-		b.realms[i].total = r.kept
+	if b.now-max(b.totalled, b.begun) > 4*tellBeats*firstWait {
+		b.ledger++
 	}
+	b.say(Peer(b.mix(0, b.ledger)%uint64(b.sidecars)), note('u', 0, fresh...))
 }
 
-// enter puts a sidecar's use in the ledger; nil takes it out.
-func (b *Balancer) enter(from Peer, used []float64) {
-	for i, old := range b.peers[from].used {
-		b.realms[i].kept -= old
-	}
-	for i, now := range used {
-		b.realms[i].kept += now
+// say tells one sidecar, which may be this one.
+func (b *Balancer) say(to Peer, msg []byte) {
+	if to == b.me {
+		b.Heard(b.now, to, msg)
+		return
 	}
-	b.peers[from] = heard{b.now, used}
+	b.out.Tell(to, msg)
 }
 
 // Heard takes what another sidecar told. A message that is not of a known form is passed over.
 func (b *Balancer) Heard(now Micros, from Peer, msg []byte) {
 	b.now = now
 	kind, id, figures := readNote(msg)
-	if figures == nil || int(from) >= len(b.peers) {
+	if figures == nil || int(from) >= b.sidecars {
 		return
 	}
 	be := b.known[id]
 	switch {
 	case kind == 'u' && len(figures) == len(b.realms):
-		b.enter(from, slices.Clone(figures))
-		for i, r := range b.realms {
-			figures[i] = max(0, r.kept)
+		for i := range b.realms {
+			b.realms[i].kept += figures[i]
+			figures[i] = b.realms[i].kept
 		}
-		b.out.Tell(from, note('t', 0, figures...))
+		b.say(from, note('t', 0, figures...))
 	case kind == 't' && len(figures) == len(b.realms):
 		b.totalled = now
 		for i := range b.realms {
@@ -624,7 +597,7 @@
 		}
 	case be == nil:
 	case kind == 'a':
-		b.out.Tell(from, note('q', id, b.quote(be), float64(be.held)+be.away))
+		b.say(from, note('q', id, b.quote(be), float64(be.held)+be.away))
 	case kind == 'q' && len(figures) == 2:
 		b.quoted(be, figures[0], figures[1])
 	case kind == 'b':
@@ -746,19 +719,14 @@
 	if left <= 0 {
 		return
 	}
-	look := max(left/2, Micros(patience*float64(guess)))
-	if f.be.outUntil != 0 {
-		look = max(left/3, guess) // on trial
-	}
-	again := look+v.wait()+guess < left
-	b.at(b.now+min(look, left), func() {
+	b.at(b.now+min(max(left/2, Micros(patience*float64(guess))), left), func() {
 		if f.done || v.ended || f.be.answered > f.sent {
 			return
 		}
 		if f.told {
 			b.out.Tell(b.desk(f.be), note('m', f.be.id))
 		}
-		if b.missed(f.be) && again && v.out == 1 && b.allows("allowed.cancel") &&
+		if b.missed(f.be) && b.now+v.wait()+guess < v.wanted && v.out == 1 && b.allows("allowed.cancel") &&
 			b.capacity()-b.spent >= retryCost && b.onward(v, f.be, 0) {
 			b.out.Cancel(v.id, f.no)
 		}
@@ -822,14 +790,10 @@
 // Probed hears the result of a health check.
 func (b *Balancer) Probed(now Micros, id Backend, rc Result) {
 	b.now = now
-	be := b.known[id]
-	if be == nil {
-		return
-	}
-	if len(be.asking) > 0 && rc == Delivered {
+	if be := b.known[id]; be != nil && rc == Delivered {
 		b.tells -= b.tells / enough
 		b.quoted(be, b.expect(be), float64(be.held))
-	} else if len(be.asking) > 0 {
+	} else if be != nil {
 		b.tells += (1 - b.tells) / enough
 		b.quoted(be, math.Inf(1), 0)
 	}
@@ -930,27 +894,25 @@
 // where a visit counts by how slowly the server was seen to answer. afar: the way to the other data centres
 // counts nothing. Those that sit out or were tried are a last resort.
 func (b *Balancer) pick(v *visit, afar bool) *backend {
-	var lastResort *backend
-	least, last := math.Inf(1), math.Inf(1)
 	b.scratch = b.scratch[:0]
-	for _, be := range b.row {
-		if !b.may(v, be) {
-			continue
+	for _, ordinary := range []bool{true, false} {
+		for _, be := range b.row {
+			if b.may(v, be) && (!ordinary || b.fit(v, be)) {
+				b.scratch = append(b.scratch, be)
+			}
+		}
+		if len(b.scratch) > 0 {
+			break
 		}
+	}
+	least := math.Inf(1)
+	for _, be := range b.scratch {
 		be.pace = b.expect(be)
 		be.score = be.pace
 		if !afar {
 			be.score *= b.distance(be)
 		}
-		if b.fit(v, be) {
-			b.scratch = append(b.scratch, be)
-			least = min(least, be.score)
-		} else if be.score < last {
-			last, lastResort = be.score, be
-		}
-	}
-	if len(b.scratch) == 0 {
-		return lastResort
+		least = min(least, be.score)
 	}
 	if !afar && v.key != 0 && b.allows("family_info.warm_keys") {
 		return b.warmest(v.key, least)
