--- a/brain/brain.go
+++ b/brain/brain.go
@@ -887,7 +887,7 @@
 	if be.fresh {
 		held = max(held, b.meanHeld)
 	}
-	return own * (held + 1) / b.warmth(be)
+	return max(own*(held+1)/b.warmth(be), 1e-9) // never nothing: chance goes by its inverse
 }
 
 // pick chooses a server: a random one among those without a visit of ours, else the one with the fewest,
