--- a/brain/brain.go
+++ b/brain/brain.go
@@ -486,6 +486,9 @@
 func (b *Balancer) quoted(be *backend, pace, held float64) {
 	waiting := be.asking
 	be.asking = nil
+	if math.IsInf(pace, 1) { // guards against trying one dead server after another where a data centre is lost
+		b.sitOut(be, "")
+	}
 	for _, v := range waiting {
 		if v.settled {
 			continue
@@ -790,13 +793,19 @@
 // Probed hears the result of a health check.
 func (b *Balancer) Probed(now Micros, id Backend, rc Result) {
 	b.now = now
-	if be := b.known[id]; be != nil && rc == Delivered {
-		b.tells -= b.tells / enough
+	be := b.known[id]
+	if be == nil {
+		return
+	}
+	late := 1.0
+	switch rc {
+	case Delivered:
+		late = 0
 		b.quoted(be, b.expect(be), float64(be.held))
-	} else if be != nil {
-		b.tells += (1 - b.tells) / enough
+	case Errored, ConnectFailed, Reset:
 		b.quoted(be, math.Inf(1), 0)
 	}
+	b.tells += (late - b.tells) / enough
 }
 
 // --- what is seen of servers
@@ -876,7 +885,9 @@
 	be.outSpan = min(max(2*be.outSpan, 10*firstWait), b.span("obligations.cold_us")/2)
 	be.outUntil = b.now + Micros(float64(be.outSpan)*(0.75+b.chance()/2))
 	be.bad = 0
-	b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
+	if why != "" {
+		b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
+	}
 }
 
 // expect is the answer time per unit of work that one more visit would see at a server.
