--- a/brain/books.go
+++ b/brain/books.go
@@ -45,6 +45,7 @@
 	took, work, carried float64  // of lately delivered visits: latency, work times visits held, work alone
 	done                float64  // their work alone, fading fast
 	good, bad           float64  // delivered and failed lately
+	skipUntil           Micros   // its desk says that it sits out, or its probe failed: not picked till then
 	outUntil, outSpan   Micros   // sits out, 0: in service; how long it sat out last
 	pace, score         float64  // answer time per unit of work, as a pick just reckoned it; with the way
 }
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -487,7 +487,7 @@
 	waiting := be.asking
 	be.asking = nil
 	if math.IsInf(pace, 1) { // guards against trying one dead server after another where a data centre is lost
-		b.sitOut(be, "")
+		be.skipUntil = b.now + 10*firstWait
 	}
 	for _, v := range waiting {
 		if v.settled {
@@ -885,9 +885,7 @@
 	be.outSpan = min(max(2*be.outSpan, 10*firstWait), b.span("obligations.cold_us")/2)
 	be.outUntil = b.now + Micros(float64(be.outSpan)*(0.75+b.chance()/2))
 	be.bad = 0
-	if why != "" {
-		b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
-	}
+	b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
 }
 
 // expect is the answer time per unit of work that one more visit would see at a server.
@@ -948,7 +946,7 @@
 // time out is over is picked no more often than others, until a visit that went well brings it back.
 func (b *Balancer) fit(v *visit, be *backend) bool {
 	tried := func(f *fetch) bool { return f.be == be }
-	if slices.Contains(v.asked, be) || slices.ContainsFunc(v.fetches, tried) {
+	if be.skipUntil > b.now || slices.Contains(v.asked, be) || slices.ContainsFunc(v.fetches, tried) {
 		return false
 	}
 	return be.outUntil == 0 || be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
