--- a/brain/books.go
+++ b/brain/books.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"fmt"
 	"hash"
-	"math"
 
 	"github.com/google/btree"
 )
@@ -26,16 +25,14 @@
 
 // backend is a server as this sidecar knows it.
 type backend struct {
-	id                 Backend
-	mark               uint64 // its id, hashed
-	zone               Zone
-	cell               Cell
-	standing           Standing
-	rating             float64
-	started, coldSince Micros  // when; 0: long ago, or warm
-	credit             float64 // work that may still be sent while cold
-	fresh, listed      bool    // no outcome since it was new; named by the list that is being read
-
+	id                  Backend
+	mark                uint64 // its id, hashed
+	zone                Zone
+	cell                Cell
+	standing            Standing
+	started, coldSince  Micros  // when; 0: long ago, or warm
+	rating, credit      float64 // size as listed; work that may still be sent while cold
+	fresh, listed       bool    // no outcome since it was new; named by the list that is being read
 	held                int
 	away                float64  // visits that other sidecars told they have out there, fading
 	asking              []*visit // wait to hear of it
@@ -63,18 +60,17 @@
 
 // visit is an accepted visit that is not yet over.
 type visit struct {
-	id            VisitID
-	on            *prefix
-	key           Key
-	work          float64 // expected, in core time or, without a hint, in its path prefix's mean latency
-	wanted, until Micros  // after this an answer is worth nothing, or little; the client quits
-	value         float64
-	beyond        bool // lies beyond its tenant's share
-	fetches       []*fetch
-	out, charged  int
-	freed, ended  bool
-
-	asked          []*backend // servers it waits to hear of
+	id             VisitID
+	on             *prefix
+	key            Key
+	work           float64 // expected, in core time or, without a hint, in its path prefix's mean latency
+	wanted, until  Micros  // after this an answer is worth nothing, or little; the client quits
+	value          float64
+	beyond         bool // lies beyond its tenant's share
+	fetches        []*fetch
+	out, charged   int
+	freed, ended   bool
+	asked          []*backend // servers it asked of
 	askedAt        Micros
 	missing, round int      // of these, not yet heard of; how often it asked
 	settled        bool     // it waits no longer
@@ -98,43 +94,33 @@
 
 // Balancer decides for one sidecar.
 type Balancer struct {
-	out         Ports
-	site        Site
-	now, begun  Micros
-	seed, drawn uint64
-	hash        hash.Hash64
-	due         *btree.BTreeG[due]
-	seq         uint64
-	armed       Micros // earliest wake-up asked for the tree; 0: none
-	beats       int
-
-	myZone   Zone
-	me       Peer
-	prefixes []*prefix
-	topValue float64
-	realms   []realm
-	sidecars int
-	ledger   uint64 // which of them keeps the ledger: this many were given up
-	totalled Micros // when a ledger last told the totals
-	known    map[Backend]*backend
-	row      []*backend // all known, by id
-	visits   map[VisitID]*visit
-
+	out                        Ports
+	site                       Site
+	now, begun                 Micros
+	seed, drawn, seq           uint64
+	hash                       hash.Hash64
+	due                        *btree.BTreeG[due]
+	armed                      Micros // earliest wake-up asked for the tree; 0: none
+	beats, sidecars            int
+	myZone                     Zone
+	me                         Peer
+	prefixes                   []*prefix
+	realms                     []realm
+	ledger                     uint64 // how many sidecars were given up as keeper of the ledger
+	totalled                   Micros // when it last told the totals
+	known                      map[Backend]*backend
+	row, scratch               []*backend // all known, by id; those at hand
+	visits                     map[VisitID]*visit
 	news                       News
 	asked, askWait             Micros          // last call of the list, 0: answered; wait until the next
-	spent                      float64         // tokens missing from the bucket
-	empty                      bool            // the bucket denied the last retry
-	firsts                     float64         // first tries of the last ten seconds, fading
+	spent, firsts              float64         // tokens missing from the bucket; first tries lately
 	keys                       map[Key]float64 // how often each was lately asked for, fading like firsts
 	came, meanWork, meanTarget float64         // visits that make the means of those that come
+	topValue, seen             float64         // of the prefixes' values; answers seen
 	centres                    []centre        // by data centre
-	seen                       float64         // answers seen
 	level, crowd, calm         float64         // answer time per unit of work; without a prior; when calm
-	size, inUse, meanHeld      float64         // of the servers in service: mean rating, number, mean of our visits there
-	tells                      float64         // share of probes before sending that came back late or failed
+	size, inUse, meanHeld      float64         // of servers in service: rating, number, our visits there
 	carry                      float64         // work lately carried by a warm server, per rating
-	scratch                    []*backend
-	weights                    []float64
 }
 
 // centre is what was lately seen of a data centre's servers in service.
@@ -200,27 +186,3 @@
 		b.out.Wake(max(b.armed-b.now, 1), dueToken)
 	}
 }
-
-// note writes a message: its kind, the server it is about, and figures in the upper half of a float32.
-func note(kind byte, about Backend, figures ...float64) []byte {
-	msg := append([]byte{kind}, binary.BigEndian.AppendUint64(nil, uint64(about))[2:]...)
-	for _, f := range figures {
-		msg = binary.BigEndian.AppendUint16(msg, uint16((math.Float32bits(float32(f))+1<<15)>>16))
-	}
-	return msg
-}
-
-// readNote is its reverse; nil figures: not of this form.
-func readNote(msg []byte) (kind byte, about Backend, figures []float64) {
-	if len(msg) < 7 || len(msg)%2 == 0 {
-		return 0, 0, nil
-	}
-	figures = make([]float64, len(msg[7:])/2)
-	for i := range figures {
-		bits := uint32(binary.BigEndian.Uint16(msg[7+2*i:])) << 16
-		if figures[i] = float64(math.Float32frombits(bits)); !(figures[i] >= 0) {
-			return 0, 0, nil
-		}
-	}
-	return msg[0], Backend(binary.BigEndian.Uint64(append([]byte{0, 0}, msg[1:7]...))), figures
-}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -66,11 +66,10 @@
 		p := &prefix{target: b.span(at + "target_latency_us"), timeout: b.span(at + "client_timeout_us"),
 			window: b.span(at + "memory_span_us"), value: b.num(at + "value"),
 			late: b.num(at + "late_value"), effect: b.word(at + "effect"), group: b.word(at + "group")}
-		// Until visits are seen: a quarter of what is wanted, as if as many had shown it as make a pace firm.
 		// Guards against a thin sidecar's first answer that sets the measure of all that follows.
 		p.mean, p.seen = float64(p.target)/4, firmness
 		b.prefixes = append(b.prefixes, p)
-		b.topValue = max(b.topValue, p.value)
+		b.topValue, b.meanWork = max(b.topValue, p.value), p.mean
 	}
 	b.sidecars, b.me = max(1, int(b.maybe("balancers"))), Peer(b.maybe("me"))
 	for i := range int(b.maybe("realms")) {
@@ -144,9 +143,8 @@
 	}
 }
 
-// reckon takes stock of the data centres. One not lately heard of is believed calm: a full one must not
-// speak for it. What was seen is kept by answers as by time. Guards against forgetting what a sidecar of
-// few visits learns before it can add up to anything.
+// reckon takes stock of the data centres; one not lately heard of is believed calm. What was seen is kept by
+// answers as by time. Guards against forgetting what a thin sidecar learns before it adds up to anything.
 func (b *Balancer) reckon() {
 	prior, all := firmness*b.meanWork, centre{}
 	for i := range b.centres {
@@ -158,20 +156,14 @@
 	b.level = blend(all.took, all.plain, prior, 1)
 	// The calm pace hardly follows a crowd: a jam must not raise the limit that is to end it.
 	b.calm += max(0, min(b.level, calmBand*b.calm)-b.calm)/calmRises - max(0, b.calm-b.level)/calmFalls
-	b.crowd = blend(all.took, all.plain, 0, 1)
+	b.crowd = blend(all.took, all.plain, 1, 1)
 }
 
 // blend is an answer time per unit of work, mixed with so much work's worth of the usual one.
-func blend(took, work, prior, usual float64) float64 {
-	if work+prior <= 0 {
-		return usual
-	}
-	return (took + prior*usual) / (work + prior)
-}
+func blend(took, work, prior, usual float64) float64 { return (took + prior*usual) / (work + prior) }
 
-// earn lets a cold server's credit grow. Guards against pushing it over: every sidecar holds its own sends to
-// the same share of what it sends to warm ones, so that together they stay under the budget however
-// unevenly the traffic is spread; a burst spends a part of a window.
+// earn lets a cold server's credit grow. Guards against pushing it over: all send it the same share of what
+// they send to warm ones, and so keep the budget together; a burst spends part of a window.
 func (b *Balancer) earn(be *backend) {
 	if b.now-be.coldSince >= b.span("obligations.cold_us") {
 		be.coldSince = 0
@@ -190,8 +182,6 @@
 	return min(1, from+(1-from)*float64(b.now-be.coldSince)/b.num("obligations.cold_us"))
 }
 
-// --- the list
-
 func (b *Balancer) subscribe() {
 	b.asked = b.now
 	b.out.Subscribe()
@@ -201,8 +191,7 @@
 func (b *Balancer) ListBegins(now Micros, news News) {
 	b.now, b.news = now, news
 	if news == NoListCame {
-		// The list's service has little capacity and all sidecars call it: come back later each
-		// time, and not all at once.
+		// Guards against a herd at the list's service: come back later each time, and not all at once.
 		b.askWait = min(max(2*b.askWait, 4*firstWait), b.span("obligations.ask_every_us")/4)
 		b.asked = 0
 		b.at(now+Micros(float64(b.askWait)*(0.5+b.chance())), func() {
@@ -229,15 +218,15 @@
 		returns = b.news == Changes // a new machine
 		be = &backend{id: id, mark: b.mix(uint64(id), 0), fresh: returns}
 		b.known[id] = be
-		i, _ := slices.BinarySearchFunc(b.row, be, func(x, y *backend) int { return cmp.Compare(x.id, y.id) })
-		b.row = slices.Insert(b.row, i, be)
+		b.row = append(b.row, be)
+		slices.SortFunc(b.row, func(x, y *backend) int { return cmp.Compare(x.id, y.id) })
 	}
 	for len(b.centres) <= int(max(zone, b.myZone)) {
 		b.centres = append(b.centres, centre{pace: b.calm, level: b.calm})
 	}
-	be.zone, be.cell, be.standing, be.listed, be.rating = zone, cell, st, true, 1
-	if rating > 0 && !math.IsInf(rating, 0) {
-		be.rating = rating
+	be.zone, be.cell, be.standing, be.listed, be.rating = zone, cell, st, true, rating
+	if !(rating > 0) || math.IsInf(rating, 0) {
+		be.rating = 1
 	}
 	restarted := started > be.started
 	be.started = started
@@ -252,22 +241,17 @@
 
 // ListEnds closes the reading of a list.
 func (b *Balancer) ListEnds(now Micros) {
-	b.inUse = 0
+	b.now = now
 	for _, be := range b.row {
 		if b.news != NoListCame && !be.listed {
 			be.standing = Gone
 		}
-		if be.inService() {
-			b.inUse++
-		}
 	}
 }
 
 // A server in service is on the ordinary pick. Drained and gone ones get nothing new; the grace is not used.
 func (be *backend) inService() bool { return be.standing == Ready && be.outUntil == 0 }
 
-// --- the rules
-
 // may is the one gate of all sends: whether the rules let this visit go to this server now.
 func (b *Balancer) may(v *visit, be *backend) bool { return b.mayAt(v, be, b.now, v.out) }
 
@@ -295,8 +279,7 @@
 	return true
 }
 
-// onward tells whether some server in service, but this one, may get the visit when the next wait is over.
-// A visit for which there is none is answered at once and its running fetch is left alone.
+// onward tells whether some server, but this one, may get the visit when the next wait is over.
 func (b *Balancer) onward(v *visit, but *backend, out int) bool {
 	return slices.ContainsFunc(b.row, func(be *backend) bool {
 		return be != but && b.mayAt(v, be, b.now+v.wait(), out)
@@ -316,16 +299,14 @@
 	if !b.may(v, be) {
 		panic(fmt.Sprintf("visit %d must not go to %d", v.id, be.id))
 	}
-	for len(be.idle) > 0 && be.idle[0] <= b.now {
-		be.idle = be.idle[1:]
-	}
+	be.idle = slices.DeleteFunc(be.idle, func(closes Micros) bool { return closes <= b.now })
 	guess := Micros(b.expect(be) * v.work)
 	be.held++
 	f := &fetch{no: FetchNo(len(v.fetches)), be: be, sent: b.now, held: float64(be.held) + be.away,
 		ran: true, then: then}
 	if b.desks() && b.desk(be) != b.me {
 		f.told, f.held = true, max(f.held, v.meets+1)
-		b.out.Tell(b.desk(be), note('b', be.id))
+		b.out.Tell(b.desk(be), Began, be.id)
 	}
 	if n := len(be.idle); n > 0 {
 		f.reused, be.idle = true, be.idle[:n-1]
@@ -356,8 +337,7 @@
 	}
 }
 
-// giveUp answers a visit that goes nowhere any more, at once, unless a fetch is still out. A bounced client
-// had best come back soon enough to still meet its target.
+// giveUp answers a visit that goes nowhere any more, at once, unless a fetch is still out.
 func (b *Balancer) giveUp(v *visit) {
 	if v.ended || v.out > 0 {
 		return
@@ -372,8 +352,6 @@
 	b.end(v)
 }
 
-// --- the life of a visit
-
 // Inbound takes a visit in. effort 0: no hint. again: the client says it repeats itself.
 func (b *Balancer) Inbound(now Micros, id VisitID, on Prefix, of Realm, key Key, left, effort Micros,
 	again bool) {
@@ -392,8 +370,7 @@
 	} else if !again {
 		p.firstLeft = left
 	} else if slack := p.target / 10; left < p.firstLeft-slack || p.firstLeft > p.timeout-slack {
-		// A repeat with less time than a first try, or with all that its time-out over all tries leaves,
-		// tells when the visit began, and how much of its target latency is left.
+		// The time left tells when the visit began, and how much of its target latency is left.
 		if w := now + left - (p.timeout - p.target); w > now+Micros(v.work) {
 			v.wanted = min(v.wanted, w)
 		} else {
@@ -426,30 +403,28 @@
 
 // place sends a visit to a server, if it is let in.
 func (b *Balancer) place(v *visit, be *backend) {
-	if be == nil || !b.admit(v, be) {
-		if be = b.pick(v, true); be == nil || v.offer != nil || !b.admit(v, be) {
-			b.giveUp(v)
-			return
-		}
+	in := be != nil && b.admit(v, be)
+	if !in && v.offer == nil { // once more as if the way counted nothing
+		be = b.pick(v, true)
+		in = be != nil && b.admit(v, be)
+	}
+	if !in {
+		b.giveUp(v)
+		return
 	}
 	b.send(v, be, b.after(v, false))
 }
 
-// --- asking before sending
-
-// thin tells whether sidecars outnumber servers. One sidecar's traffic is then less than a server's worth,
-// and what it holds and saw there says little of the server's crowd.
+// thin tells whether sidecars outnumber servers: what one holds and saw there then says little of the crowd.
 func (b *Balancer) thin() bool { return float64(b.sidecars) > b.inUse }
 
-// desks tells whether servers have desks: a server's desk is the sidecar, reckoned alike by all, that is told
-// of every visit sent there.
+// desks tells whether servers have desks: sidecars, the same for all, that hear of every visit there.
 func (b *Balancer) desks() bool { return b.thin() && b.allows("allowed.peer_messages") }
 
 func (b *Balancer) desk(be *backend) Peer { return Peer(be.mark % uint64(b.sidecars)) }
 
-// ask has a few servers compared before a visit goes out. Guards against thin sidecars that send to a
-// server they know nothing of. Where messages are allowed, the servers' desks are asked. Else probes are
-// sent, and the server that answers first has room.
+// ask has a few servers compared before a visit goes out: by their desks, or by who answers a probe first.
+// Guards against thin sidecars that send to a server they know nothing of.
 func (b *Balancer) ask(v *visit) {
 	most, wait := deskAsks, v.on.target/4
 	if !b.desks() {
@@ -466,16 +441,12 @@
 		be = b.pick(v, len(v.asked) > before+1)
 	}
 	v.round, v.askedAt = v.round+1, b.now
-	round, these := v.round, v.asked[before:]
+	these := v.asked[before:]
 	v.missing = len(these)
-	b.at(b.now+wait, func() {
-		if v.round == round {
-			b.decide(v)
-		}
-	})
+	b.decideAt(v, b.now+wait)
 	for _, be := range these {
 		if b.desks() {
-			b.say(b.desk(be), note('a', be.id))
+			b.say(b.desk(be), Ask, be.id)
 		} else {
 			b.out.Probe(be.id)
 		}
@@ -495,7 +466,7 @@
 		}
 		v.missing--
 		if v.offer == nil && v.missing > 0 { // the others have as long again: their answers may be lost
-			b.at(2*b.now-v.askedAt+1, func() { b.decide(v) })
+			b.decideAt(v, 2*b.now-v.askedAt+1)
 		}
 		if !math.IsInf(pace, 1) && (v.offer == nil || pace*b.distance(be) < v.offered*b.distance(v.offer)) {
 			v.offer, v.offered, v.meets = be, pace, held
@@ -506,7 +477,16 @@
 	}
 }
 
-// decide ends the wait.
+// decideAt ends the wait at a time, unless others have been asked by then.
+func (b *Balancer) decideAt(v *visit, at Micros) {
+	round := v.round
+	b.at(at, func() {
+		if v.round == round {
+			b.decide(v)
+		}
+	})
+}
+
 func (b *Balancer) decide(v *visit) {
 	if v.settled || v.ended {
 		return
@@ -520,12 +500,11 @@
 	for _, be := range v.asked {
 		be.asking = slices.DeleteFunc(be.asking, func(w *visit) bool { return w == v })
 	}
-	if v.offer == nil || !b.may(v, v.offer) {
-		v.offer = nil
-		b.place(v, b.pick(v, false))
-		return
+	be := v.offer
+	if be == nil || !b.may(v, be) {
+		v.offer, be = nil, b.pick(v, false)
 	}
-	b.place(v, v.offer)
+	b.place(v, be)
 }
 
 // quote is what a desk tells of its server: the answer time per unit of work that one more visit would see.
@@ -541,9 +520,8 @@
 	return min(max(calmTimes*b.calm*b.meanWork, leastLimit*b.meanTarget), mostLimit*b.meanTarget)
 }
 
-// rush is the answer time per unit of work that the visits now out to a data centre point to, by Little's
-// law. Guards against a burst that is seen in answers only when the servers are full: visits held rise at
-// once. Each data centre is judged alone, or one that is full keeps visits from one that has room.
+// rush is the answer time per unit of work that the visits out to a data centre point to, by Little's law.
+// Guards against a burst that is seen in answers only when the servers are full: visits held rise at once.
 func (b *Balancer) rush(in Zone) float64 {
 	held, done, here := 0.0, 0.0, 0.0
 	for _, be := range b.row {
@@ -555,9 +533,8 @@
 	return (held + prior) / (done/rushMemory/float64(firstWait) + prior/b.centres[in].level + 1e-9)
 }
 
-// tell sends what each tenant sent here since the last time to the sidecar that keeps the ledger, which answers
-// with the totals. Guards against messages that grow with the square of the sidecars. One that does not
-// answer is given up for the next.
+// tell sends what each tenant sent here since the last time to the sidecar that keeps the ledger. It answers
+// with the totals, or is given up. Guards against messages that grow with the square of the sidecars.
 func (b *Balancer) tell() {
 	fresh := make([]float64, len(b.realms))
 	for i := range b.realms {
@@ -566,55 +543,51 @@
 	if b.now-max(b.totalled, b.begun) > 4*tellBeats*firstWait {
 		b.ledger++
 	}
-	b.say(Peer(b.mix(0, b.ledger)%uint64(b.sidecars)), note('u', 0, fresh...))
+	b.say(Peer(b.mix(0, b.ledger)%uint64(b.sidecars)), TenantsUse, 0, fresh...)
 }
 
 // say tells one sidecar, which may be this one.
-func (b *Balancer) say(to Peer, msg []byte) {
+func (b *Balancer) say(to Peer, kind Note, about Backend, figures ...float64) {
 	if to == b.me {
-		b.Heard(b.now, to, msg)
+		b.Heard(b.now, to, kind, about, figures...)
 		return
 	}
-	b.out.Tell(to, msg)
+	b.out.Tell(to, kind, about, figures...)
 }
 
 // Heard takes what another sidecar told. A message that is not of a known form is passed over.
-func (b *Balancer) Heard(now Micros, from Peer, msg []byte) {
+func (b *Balancer) Heard(now Micros, from Peer, kind Note, about Backend, figures ...float64) {
 	b.now = now
-	kind, id, figures := readNote(msg)
-	if figures == nil || int(from) >= b.sidecars {
-		return
-	}
-	be := b.known[id]
+	be := b.known[about]
 	switch {
-	case kind == 'u' && len(figures) == len(b.realms):
+	case int(from) >= b.sidecars: // nobody
+	case kind == TenantsUse && len(figures) == len(b.realms):
 		for i := range b.realms {
 			b.realms[i].kept += figures[i]
 			figures[i] = b.realms[i].kept
 		}
-		b.say(from, note('t', 0, figures...))
-	case kind == 't' && len(figures) == len(b.realms):
+		b.say(from, TenantsTotal, 0, figures...)
+	case kind == TenantsTotal && len(figures) == len(b.realms):
 		b.totalled = now
 		for i := range b.realms {
 			b.realms[i].total = figures[i]
 		}
-	case be == nil:
-	case kind == 'a':
-		b.say(from, note('q', id, b.quote(be), float64(be.held)+be.away))
-	case kind == 'q' && len(figures) == 2:
+	case be == nil: // not on this sidecar's list
+	case kind == Ask:
+		b.say(from, Quote, about, b.quote(be), float64(be.held)+be.away)
+	case kind == Quote && len(figures) == 2:
 		b.quoted(be, figures[0], figures[1])
-	case kind == 'b':
+	case kind == Began:
 		be.away++
-	case kind == 'm':
+	case kind == Waits:
 		b.missed(be)
-	case kind == 'e' && len(figures) == 4:
+	case kind == Ended && len(figures) == 4:
 		be.away = max(0, be.away-1)
 		b.account(be, Result(figures[0]), now-Micros(figures[1]), figures[1], figures[2], figures[3])
 	}
 }
 
-// beyond is the part of a tenant's visits that lies beyond its share, by what a ledger lately told. One
-// sidecar alone can't see the tenant's whole traffic and counts no more than its own.
+// beyond is the part of a tenant's visits that lies beyond its share, by what the ledger lately told.
 func (b *Balancer) beyond(of Realm) float64 {
 	use := b.realms[of].used
 	if b.now-b.totalled <= 4*tellBeats*firstWait {
@@ -623,9 +596,8 @@
 	return max(0, 1-b.realms[of].quota*memory*float64(firstWait)/1e6/use)
 }
 
-// admit turns a visit away early when its answer can't be expected in time, or when the server is so crowded
-// that a mean visit takes a multiple of its calm answer; sooner, the less the visit is worth. Guards against
-// an overload that makes every answer late, and against tipping crowded servers.
+// admit turns a visit away early when it can't be answered in time or the server is crowded; sooner, the less
+// it is worth. Guards against an overload that makes every answer late, and servers that tip.
 func (b *Balancer) admit(v *visit, be *backend) bool {
 	part := 1 - (1-lowLimit)*(1-v.value)*(1-v.value)
 	if v.beyond {
@@ -634,15 +606,13 @@
 	pace, level := b.expect(be), b.centres[be.zone].level
 	plain := blend(be.took, be.carried, firmness*b.meanWork, level) / b.warmth(be)
 	crowd := max(b.rush(be.zone), plain) * b.meanWork / b.limit()
-	// At the start nothing is known: rather send and learn, but for no longer than answers may take. Guards
-	// against hundreds of sidecars that each wait for their own answers while the servers fill.
+	// At the start nothing is known: rather send and learn, but for no longer than answers may take.
+	// Guards against hundreds of sidecars that wait for their own answers while the servers fill.
 	crowd *= min(1, max(b.seen/enough, float64(b.now-b.begun)/b.meanTarget))
 	if v.offer == be && b.desks() {
 		// The desk's count is of now and of all: the limit needs no calm answer to be measured against.
 		pace = v.offered
 		crowd = pace * b.meanWork / toldLimit / b.meanTarget
-	} else if v.offer == be {
-		crowd *= 1 - b.tells // it answered a probe at once, which not all do
 	}
 	// A heavy visit outlasts those it meets: what it has beyond a mean visit's work goes at the usual pace.
 	own := pace*v.work + min(0, level-pace)*max(0, v.work-b.meanWork)
@@ -688,12 +658,12 @@
 // retry arms one, if the bucket and the time left allow.
 func (b *Balancer) retry(v *visit) {
 	b.spent = min(b.spent, b.capacity())
-	goes, denied := b.now+v.wait() < v.wanted && b.onward(v, nil, v.out), b.capacity()-b.spent < retryCost
-	if goes && denied && !b.empty { // told once, or a denied retry looks like a visit that can't be repeated
-		b.out.Print("retries denied: the bucket is empty")
+	if b.now+v.wait() >= v.wanted || !b.onward(v, nil, v.out) {
+		b.giveUp(v)
+		return
 	}
-	b.empty = denied && (goes || b.empty)
-	if !goes || denied {
+	if b.capacity()-b.spent < retryCost {
+		b.out.Print("retry denied: the bucket is empty")
 		b.giveUp(v)
 		return
 	}
@@ -714,9 +684,8 @@
 	})
 }
 
-// watch looks into a fetch that has been out for long. Guards against servers that take visits and
-// answer none: one that has given no sign of life since the fetch went out sits out, and the fetch is
-// called off while there is time for another, where the rules allow one.
+// watch looks into a fetch that is out for long. Guards against servers that take visits and answer none: one
+// without a sign of life sits out, and the fetch is called off where time and rules allow another.
 func (b *Balancer) watch(v *visit, f *fetch, guess Micros) {
 	left := v.wanted - b.now
 	if left <= 0 {
@@ -727,7 +696,7 @@
 			return
 		}
 		if f.told {
-			b.out.Tell(b.desk(f.be), note('m', f.be.id))
+			b.out.Tell(b.desk(f.be), Waits, f.be.id)
 		}
 		if b.missed(f.be) && b.now+v.wait()+guess < v.wanted && v.out == 1 && b.allows("allowed.cancel") &&
 			b.capacity()-b.spent >= retryCost && b.onward(v, f.be, 0) {
@@ -736,8 +705,7 @@
 	})
 }
 
-// missed counts a fetch that waits too long, and tells whether the server sits out for it. One long visit at
-// a server with little of our traffic is no silence: it takes two.
+// missed counts a fetch that waits too long, and tells whether the server sits out. One is no silence.
 func (b *Balancer) missed(be *backend) bool {
 	if be.mute++; be.mute < muteLeast && be.outUntil == 0 {
 		return false
@@ -762,7 +730,7 @@
 	}
 	b.learn(v, f, rc, float64(took))
 	if f.told {
-		b.out.Tell(b.desk(f.be), note('e', f.be.id, float64(rc), float64(took), v.work, v.work*f.held))
+		b.out.Tell(b.desk(f.be), Ended, f.be.id, float64(rc), float64(took), v.work, v.work*f.held)
 	}
 	if over && !v.ended {
 		b.end(v)
@@ -793,23 +761,13 @@
 // Probed hears the result of a health check.
 func (b *Balancer) Probed(now Micros, id Backend, rc Result) {
 	b.now = now
-	be := b.known[id]
-	if be == nil {
-		return
-	}
-	late := 1.0
-	switch rc {
-	case Delivered:
-		late = 0
+	if be := b.known[id]; be != nil && rc == Delivered {
 		b.quoted(be, b.expect(be), float64(be.held))
-	case Errored, ConnectFailed, Reset:
+	} else if be != nil && rc != TimedOut {
 		b.quoted(be, math.Inf(1), 0)
 	}
-	b.tells += (late - b.tells) / enough
 }
 
-// --- what is seen of servers
-
 func (b *Balancer) learn(v *visit, f *fetch, rc Result, took float64) {
 	if p := v.on; rc == Delivered {
 		b.seen++
@@ -876,8 +834,8 @@
 	}
 }
 
-// sitOut keeps a server off the ordinary pick, longer each time. Then it gets one visit, and is back
-// in service when that came back well: a server that returns is not met by everyone's whole traffic.
+// sitOut keeps a server off the ordinary pick, longer each time, until one visit comes back well. Guards
+// against meeting one that returns with everyone's whole traffic.
 func (b *Balancer) sitOut(be *backend, why string) {
 	if be.outUntil > b.now {
 		return
@@ -899,9 +857,8 @@
 	return max(own*(held+1)/b.warmth(be), 1e-9) // never nothing: chance goes by its inverse
 }
 
-// pick chooses a server: a random one among those without a visit of ours, else the one with the fewest,
-// where a visit counts by how slowly the server was seen to answer. afar: the way to the other data centres
-// counts nothing. Those that sit out or were tried are a last resort.
+// pick chooses a server: a random one among those without a visit of ours, else the one with the fewest; a
+// visit counts by how slowly the server was seen to answer. afar: the way counts nothing.
 func (b *Balancer) pick(v *visit, afar bool) *backend {
 	b.scratch = b.scratch[:0]
 	for _, ordinary := range []bool{true, false} {
@@ -942,8 +899,8 @@
 	return be
 }
 
-// fit tells whether a server is on the ordinary pick for a visit. Guards against a storm of trials: one whose
-// time out is over is picked no more often than others, until a visit that went well brings it back.
+// fit tells whether a server is on the ordinary pick; the others are a last resort. Guards against a storm of
+// trials: one whose time out is over is picked no more often than others.
 func (b *Balancer) fit(v *visit, be *backend) bool {
 	tried := func(f *fetch) bool { return f.be == be }
 	if be.skipUntil > b.now || slices.Contains(v.asked, be) || slices.ContainsFunc(v.fetches, tried) {
@@ -954,26 +911,21 @@
 }
 
 // draw takes one of the servers at hand by chance and weight.
-func (b *Balancer) draw(weigh func(*backend) float64) *backend {
+func (b *Balancer) draw(weigh func(*backend) float64) (drawn *backend) {
 	sum := 0.0
-	b.weights = b.weights[:0]
 	for _, be := range b.scratch {
-		sum += weigh(be)
-		b.weights = append(b.weights, sum)
-	}
-	at := b.chance() * sum
-	for i, upTo := range b.weights {
-		if at < upTo {
-			return b.scratch[i]
+		if w := weigh(be); w > 0 {
+			if sum += w; w == sum || b.chance()*sum < w {
+				drawn = be
+			}
 		}
 	}
-	return nil
+	return drawn
 }
 
-// warmest is the server that lately met a key and does less work for it: among those that tie, the one that
-// all sidecars reckon from the key (rendezvous hashing, no messages). Guards against a popular key that
-// pushes its server over, whose crowd no one sidecar sees: the key has as many such servers as its share of
-// the visits here makes up.
+// warmest is the server that lately met a key: among those that tie, the one that all sidecars reckon alike
+// (rendezvous hashing). Guards against a popular key that pushes its server over: it has as many such servers
+// as its share of the visits here makes up.
 func (b *Balancer) warmest(key Key, least float64) (warm *backend) {
 	part := uint64(b.chance() * (1 + keyParts*(b.keys[key]-1)/b.firsts*float64(len(b.scratch))))
 	mark, top := b.mix(uint64(key), part), uint64(0)
@@ -990,6 +942,5 @@
 	if be.zone == b.myZone {
 		return 1
 	}
-	held := float64(be.held)
-	return (held + 1 + crossWeight*b.maybe("tariffs.cross_zone")) / (held + 1)
+	return 1 + crossWeight*b.maybe("tariffs.cross_zone")/float64(be.held+1)
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1,6 +1,9 @@
 package brain
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 func TestBucket(t *testing.T) {
 	d := begin(t, site("all"), "a b c d e f g h i j k l m n o p q r s t u v w x y z")
@@ -297,21 +300,115 @@
 	d.title("alone, a tenant is measured against the median one")
 	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
 	d.title("a ledger told the totals; what is malformed or from nobody is passed over")
-	d.b.Heard(d.now, 1, note('t', 0, 80, 65))
-	d.b.Heard(d.now, 2, note('t', 0, 10))
-	d.b.Heard(d.now, 3, note('t', 0, 9e9, 9e9))
-	d.b.Heard(d.now, 2, note('x', 0, 9e9, 9e9))
+	d.b.Heard(d.now, 1, TenantsTotal, 0, 80, 65)
+	d.b.Heard(d.now, 2, TenantsTotal, 0, 10)
+	d.b.Heard(d.now, 3, TenantsTotal, 0, 9e9, 9e9)
+	d.b.Heard(d.now, 2, 99, 0, 9e9, 9e9)
 	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
 	d.title("as a ledger it adds up what it is told, the last word of each, and answers with the totals")
-	d.b.Heard(d.now, 1, note('u', 0, 10, 50))
-	d.b.Heard(d.now, 2, note('u', 0, 10, 1))
-	d.b.Heard(d.now, 1, note('u', 0, 20, 2))
+	d.b.Heard(d.now, 1, TenantsUse, 0, 10, 50)
+	d.b.Heard(d.now, 2, TenantsUse, 0, 10, 1)
+	d.b.Heard(d.now, 1, TenantsUse, 0, 20, 2)
 	d.title("nothing heard for two seconds: alone again")
 	d.pass(2100 * ms)
 	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
 	d.matches(t)
 }
 
+func TestAskingDesks(t *testing.T) {
+	d := begin(t, site("cell", "balancers", 9.0, "me", 2.0, "allowed.peer_messages", true), "a b c d e f")
+	d.title("sidecars outnumber servers: three desks are asked, the visit waits")
+	d.visit(1, 0)
+	asked := append([]*backend{}, d.b.visits[1].asked...)
+	d.title("the quickest quoted gets it; its desk is told that it began, and how it ended")
+	for i, be := range asked {
+		d.pass(5 * ms)
+		d.b.Heard(d.now, 1, Quote, be.id, 0.9-float64(i)/3, 1)
+	}
+	d.pass(30 * ms)
+	d.ends(1, 0, Delivered)
+	d.title("one quote and lost messages: as long again as the first took, not the whole wait")
+	d.visit(2, 0)
+	d.pass(10 * ms)
+	d.b.Heard(d.now, 1, Quote, d.b.visits[2].asked[0].id, 1, 1)
+	d.pass(11 * ms)
+	d.ends(2, 0, Delivered)
+	d.title("all asked sit out: others are asked, not one gone blind to")
+	d.visit(3, 0)
+	for _, be := range append([]*backend{}, d.b.visits[3].asked...) {
+		d.b.Heard(d.now, 1, Quote, be.id, math.Inf(1), 0)
+	}
+	d.title("nobody answers: by what is known here, when a quarter of the target is over")
+	d.pass(151 * ms)
+	d.matches(t)
+}
+
+func TestBeingADesk(t *testing.T) {
+	d := begin(t, site("cell", "balancers", 9.0, "me", 2.0, "allowed.peer_messages", true), "a b c d")
+	d.title("a desk counts what others send: each makes the next answer slower")
+	d.b.Heard(d.now, 1, Ask, 'a')
+	d.b.Heard(d.now, 1, Began, 'a')
+	d.b.Heard(d.now, 3, Ask, 'a')
+	d.b.Heard(d.now, 1, Ended, 'a', float64(Delivered), 100e3, 150e3, 150e3)
+	d.b.Heard(d.now, 3, Ask, 'a')
+	d.title("fetches of two sidecars wait too long, though neither saw two: it sits out")
+	d.b.Heard(d.now, 1, Waits, 'a')
+	d.b.Heard(d.now, 4, Waits, 'a')
+	d.b.Heard(d.now, 3, Ask, 'a')
+	d.title("a server never heard of, a malformed note and one from nobody are passed over")
+	d.b.Heard(d.now, 3, Ask, 'z')
+	d.b.Heard(d.now, 3, Quote, 'a')
+	d.b.Heard(d.now, 99, Ask, 'b')
+	d.matches(t)
+}
+
+func TestAskingByProbe(t *testing.T) {
+	d := begin(t, site("cell", "balancers", 9.0, "allowed.probes", true), "a b c d")
+	d.title("no messages: two probes, the first to answer gets the visit")
+	d.visit(1, 0)
+	d.pass(2 * ms)
+	d.b.Probed(d.now, d.b.visits[1].asked[1].id, Delivered)
+	d.title("a probe that fails keeps its server off the pick for a while; one too late says nothing")
+	d.visit(2, 0)
+	for i, be := range append([]*backend{}, d.b.visits[2].asked...) {
+		d.b.Probed(d.now, be.id, []Result{Errored, TimedOut}[i])
+	}
+	d.pass(80 * ms)
+	d.matches(t)
+}
+
+func TestThinStart(t *testing.T) {
+	d := begin(t, site("cell", "balancers", 9.0), "a b c")
+	d.title("no answers yet, and the lenient start is over after a mean target latency: bounces begin")
+	for id := range VisitID(24) {
+		d.visit(id, 0)
+		d.pass(40 * ms)
+	}
+	d.title("a first answer of three times the usual hardly moves the measure of visits")
+	d.ends(0, 0, Delivered)
+	d.say("a visit counts as %.0f ms", d.b.prefixes[0].mean/1000)
+	d.matches(t)
+}
+
+func TestPopularKey(t *testing.T) {
+	d := begin(t, site("cell", "family_info.warm_keys", true), "a b c d e f g h")
+	send := func(title string, key func(i int) Key) {
+		d.title("%s", title)
+		d.count, d.quiet = map[Backend]int{}, true
+		for i := range 160 {
+			id := VisitID(d.now) + VisitID(i)
+			d.b.Inbound(d.now, id, 0, 0, key(i), 2000*ms, 0, false)
+			d.pass(20 * ms)
+			d.ends(id, 0, Delivered)
+		}
+		d.quiet = false
+		d.say("%v", d.count)
+	}
+	send("one key among many stays at one or two servers", func(i int) Key { return Key(1 + i%16*min(i%2, 1)*i) })
+	send("a key that is all the traffic goes to as many as it fills", func(int) Key { return 7 })
+	d.matches(t)
+}
+
 func TestListOutOfReach(t *testing.T) {
 	d := begin(t, site("all", "discovery", "on_request", "obligations.ask_every_us", 10e6), "a")
 	d.title("each failed call is followed by another after a longer wait, each time a little apart")
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -103,12 +103,15 @@
 func (d *day) Bounce(v VisitID, in Micros) {
 	d.say("visit %d bounced, come back in %d ms", v, in/ms)
 }
-func (d *day) ErrorPage(v VisitID)           { d.say("visit %d error page", v) }
-func (d *day) Cancel(v VisitID, no FetchNo)  { d.say("visit %d fetch %d called off", v, no) }
-func (d *day) Wake(in Micros, t Token)       { d.wakes = append(d.wakes, wake{d.now + in, t}) }
-func (d *day) Probe(be Backend)              { d.say("probe %c", be) }
-func (d *day) CloseIdle(be Backend)          { d.say("idle connections to %c closed", be) }
-func (d *day) Tell(to Peer, msg []byte)      { d.say("told sidecar %d: %x", to, msg) }
+func (d *day) ErrorPage(v VisitID)          { d.say("visit %d error page", v) }
+func (d *day) Cancel(v VisitID, no FetchNo) { d.say("visit %d fetch %d called off", v, no) }
+func (d *day) Wake(in Micros, t Token)      { d.wakes = append(d.wakes, wake{d.now + in, t}) }
+func (d *day) Probe(be Backend)             { d.say("probe %c", be) }
+func (d *day) CloseIdle(be Backend)         { d.say("idle connections to %c closed", be) }
+func (d *day) Tell(to Peer, kind Note, about Backend, figures ...float64) {
+	names := []string{"", "tenants' use", "tenants' total", "ask", "quote", "began", "waits", "ended"}
+	d.say("told sidecar %d: %s %c %.2f", to, names[kind], max(about, '-'), figures)
+}
 func (d *day) Subscribe()                    { d.say("list subscribed") }
 func (d *day) Print(line string)             { d.say("log: %s", line) }
 func (d *day) visit(id VisitID, on Prefix)   { d.visitOf(id, on, 0, 0) }
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -50,20 +50,33 @@
 	NoListCame             // a call failed or the subscription broke
 )
 
+// Note is a kind of message between sidecars.
+type Note uint8
+
+const (
+	TenantsUse   Note = iota + 1 // visits of each tenant since the last one, to the ledger
+	TenantsTotal                 // what all sidecars lately took in of each tenant, from it
+	Ask                          // how is a server?, to its desk
+	Quote                        // its answer time per unit of work (infinite: it sits out), visits held
+	Began                        // a visit went to it
+	Waits                        // one waits too long there
+	Ended                        // one ended: Result, time it took, work, work times visits held
+)
+
 // Site holds the settings of the place the sidecar runs in: plain names ("allowed.cancel",
 // "path_prefixes.0.value") to a float64, string or bool.
 type Site map[string]any
 
 // Ports is all that the module can do to the world. Calls must not call back into the module.
 type Ports interface {
-	Dispatch(v VisitID, be Backend, tryFor Micros) // one backend fetch; tryFor 0: until the client quits
-	Bounce(v VisitID, comeBackIn Micros)           // final: a retry is harmless
-	ErrorPage(v VisitID)                           // final: promises nothing
-	Cancel(v VisitID, no FetchNo)                  // stop waiting for one fetch
-	Wake(in Micros, t Token)                       // Balancer.Woken(t) is due after this
-	Probe(be Backend)                              // health check
-	CloseIdle(be Backend)                          // give back connections that carry nothing
-	Subscribe()                                    // ask the list to send its changes
-	Tell(to Peer, msg []byte)                      // a short message to another sidecar; may be lost
-	Print(line string)                             // one line for the operators
+	Dispatch(v VisitID, be Backend, tryFor Micros)              // one backend fetch; tryFor 0: until the client quits
+	Bounce(v VisitID, comeBackIn Micros)                        // final: a retry is harmless
+	ErrorPage(v VisitID)                                        // final: promises nothing
+	Cancel(v VisitID, no FetchNo)                               // stop waiting for one fetch
+	Wake(in Micros, t Token)                                    // Balancer.Woken(t) is due after this
+	Probe(be Backend)                                           // health check
+	CloseIdle(be Backend)                                       // give back connections that carry nothing
+	Subscribe()                                                 // ask the list to send its changes
+	Tell(to Peer, kind Note, about Backend, figures ...float64) // a short message to another sidecar; may be lost
+	Print(line string)                                          // one line for the operators
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -24,6 +24,7 @@
 	entrySize  = 25
 	headSize   = 20 // of a batch, with its length field
 	replyHead  = 12
+	noteHead   = 7 // of a message between sidecars: kind and server
 	maxFrame   = 1 << 30
 )
 
@@ -105,12 +106,32 @@
 func (o outlet) Unsubscribe() { o.out.rec(11, o.who) }
 func (o outlet) Snapshot()    { o.out.rec(12, o.who) }
 
-func (o outlet) Tell(to brain.Peer, msg []byte) {
+func (o outlet) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
 	p := o.out.rec(8, o.who)
 	be.PutUint32(p[3:], uint32(to))
 	be.PutUint32(p[7:], uint32(len(o.out.tail)))
-	be.PutUint32(p[11:], uint32(len(msg)))
-	o.out.tail = append(o.out.tail, msg...)
+	be.PutUint32(p[11:], uint32(noteHead+2*len(figures)))
+	o.out.tail = append(o.out.tail, byte(kind), 0, 0, 0, 0, 0, 0)
+	putServer(o.out.tail[len(o.out.tail)-6:], about)
+	for _, f := range figures {
+		o.out.tail = be.AppendUint16(o.out.tail, uint16((math.Float32bits(float32(f))+1<<15)>>16))
+	}
+}
+
+// heard hands over another sidecar's message: its kind, the server it is about, and figures, each the upper half
+// of a float32, since every byte has its price. One that is not of this form is passed over.
+func heard(now brain.Micros, b *brain.Balancer, from brain.Peer, msg []byte) {
+	if len(msg) < noteHead || len(msg)%2 != noteHead%2 {
+		return
+	}
+	figures := make([]float64, (len(msg)-noteHead)/2)
+	for i := range figures {
+		bits := uint32(be.Uint16(msg[noteHead+2*i:])) << 16
+		if figures[i] = float64(math.Float32frombits(bits)); !(figures[i] >= 0) {
+			return
+		}
+	}
+	b.Heard(now, from, brain.Note(msg[0]), server(msg[1:]), figures...)
 }
 
 // host holds the instances of one process. They share nothing but the reply they write to.
@@ -264,7 +285,7 @@
 		if err != nil {
 			return err
 		}
-		b.Heard(now, brain.Peer(be.Uint16(p[3:])), msg)
+		heard(now, b, brain.Peer(be.Uint16(p[3:])), msg)
 	}
 	return nil
 }
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"ledgespread/brain"
 )
 
 const settings = `{"my_zone":0,"discovery":"on_request","step_us":1000,"unknown":{"x":[null]},
@@ -60,7 +63,7 @@
 			fmt.Fprintf(&s, "  %x\n", body[i*actionSize:(i+1)*actionSize])
 		}
 		if tail := body[count*actionSize:]; len(tail) > 0 {
-			fmt.Fprintf(&s, "  %s\n", tail)
+			fmt.Fprintf(&s, "  %s\n", strings.ReplaceAll(strings.Trim(strconv.Quote(string(tail)), `"`), `\"`, `"`))
 		}
 		out = out[4+n:]
 	}
@@ -182,7 +185,7 @@
 	o.Probe(0x0a0000012bc0)
 	o.CloseIdle(0x0a0000012bc0)
 	o.Print("two")
-	o.Tell(2, []byte("hi 7"))
+	o.Tell(2, brain.Ask, 0x0a124a072bc3, 1.5)
 	o.Unsubscribe()
 	o.Snapshot()
 	same(t, `
@@ -192,10 +195,10 @@
   0600050a0000012bc0000000000000000000000000000000
   0700050a0000012bc0000000000000000000000000000000
   090005000000000000000300000000000000000000000000
-  080005000000020000000300000004000000000000000000
+  080005000000020000000300000009000000000000000000
   0b0005000000000000000000000000000000000000000000
   0c0005000000000000000000000000000000000000000000
-  twohi 7
+  two\x03\n\x12J\a+\xc3?\xc0
 `, show(append(append(append(be.AppendUint32(nil, uint32(replyHead-4+len(r.recs)+len(r.tail))),
 		0, 0, 0, byte(r.count), 0, 0, 0, 0), r.recs...), r.tail...)))
 }
