--- a/brain/brain.go
+++ b/brain/brain.go
@@ -879,7 +879,7 @@
 	part := uint64(b.chance() * (1 + keyParts*(b.keys[key]-1)/b.firsts*float64(len(b.scratch))))
 	mark, top := b.mix(uint64(key), part), uint64(0)
 	for _, be := range b.scratch {
-		if h := scramble(mark ^ be.mark); h >= top && be.score <= tieBand*least {
+		if h := scramble(mark ^ be.mark); h >= top && be.score*math.Sqrt(b.distance(be)) <= tieBand*least {
 			top, warm = h, be
 		}
 	}
