--- a/brain/brain.go
+++ b/brain/brain.go
@@ -441,7 +441,7 @@
 	waiting := be.asking
 	be.asking = nil
 	if math.IsInf(pace, 1) { // guards against trying one dead server after another where a data centre is lost
-		be.skipUntil = b.now + 20*firstWait
+		be.skipUntil = b.now + 10*firstWait
 	}
 	for _, v := range waiting {
 		if v.settled {
