--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,7 +37,7 @@
 	calmTimes, calmBand   = 1.8, 1.5     // calm answers that a usual one may take; up to which calm follows
 	leastLimit, mostLimit = 0.2, 0.5     // but in these parts of its target latency
 	toldLimit, ownLimit   = 0.3, 0.9     // where a desk was asked; part of the time left its answer may take
-	lowLimit, beyondLimit = 0.6, 0.8     // part of these for a visit worth nothing; beyond its tenant's share
+	lowLimit, beyondLimit = 0.5, 0.8     // part of these for a visit worth nothing; beyond its tenant's share
 	calmFalls, calmRises  = 100.0, 400.0 // beats in which the calm pace follows the fleet's down, and up
 	tellBeats             = 10           // beats between two messages to the ledger
 	deskAsks, probeAsks   = 3, 2         // servers compared by message, or by probe, before a visit goes out
