The sidecar serves on sockets, built round the module

Packages: relay owns the Balancer, inbound (fasthttp) and outbound meet in exchange; discovery, peers, counters. What simulator and sockets share stands once: internal/notes (bytes of a message), internal/site (flattened settings).

--- /dev/null
+++ b/cmd/ledgespread/commands.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"ledgespread/internal/counters"
+	"ledgespread/internal/outbound"
+	"ledgespread/internal/relay"
+	"ledgespread/internal/site"
+)
+
+// release is set by the linker for a release: -ldflags "-X main.release=1.2.3".
+var release = "dev"
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{Use: "ledgespread", Short: "A load balancer that runs beside every client process",
+		SilenceUsage: true, Args: cobra.NoArgs, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+	var file, level string
+	config := func(c *cobra.Command) {
+		c.Flags().StringVar(&file, "config", os.Getenv("RELAY_CONFIG"), "configuration file, JSON")
+	}
+	start := &cobra.Command{Use: "serve", Short: "Serve the application beside it until SIGTERM", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			at, err := zerolog.ParseLevel(level)
+			if err != nil {
+				return err
+			}
+			berth, err := site.Read(file)
+			if err != nil {
+				return err
+			}
+			return serve(berth, zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", berth.Name).Logger())
+		}}
+	start.Flags().StringVar(&level, "log", "info", "least level that is logged: debug, info, warn or error")
+	check := &cobra.Command{Use: "check", Short: "Tell whether a configuration file is whole", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			berth, err := site.Read(file)
+			if err != nil {
+				return err
+			}
+			var counts counters.Sheet
+			out := outbound.New(0, 0, 0, &counts, zerolog.Nop())
+			if _, err := relay.New(berth, out, nil, &counts, zerolog.Nop()); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), file+": whole")
+			return nil
+		}}
+	config(start)
+	config(check)
+	version := &cobra.Command{Use: "version", Short: "Print what was built", Args: cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) {
+			revision := "unknown revision"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				for _, s := range info.Settings {
+					if s.Key == "vcs.revision" {
+						revision = s.Value
+					}
+				}
+				fmt.Fprintf(c.OutOrStdout(), "ledgespread %s (%s, %s)\n", release, revision, info.GoVersion)
+			}
+		}}
+	cmd.AddCommand(start, check, version)
+	return cmd
+}
--- /dev/null
+++ b/internal/counters/counters.go
@@ -0,0 +1,83 @@
+// Package counters counts what a sidecar takes in, sends and answers.
+package counters
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+)
+
+// Count names one counter.
+type Count int
+
+const (
+	VisitsTaken Count = iota
+	VisitsDelivered
+	VisitsBounced
+	VisitsErrored
+	VisitsDropped
+	VisitsOverdue
+	VisitsOverHeld
+	BadInput
+	ClientConnections
+	AcceptFailures
+	FetchesSent
+	FetchesDelivered
+	FetchesErrored
+	FetchesFull
+	FetchesTimedOut
+	FetchesConnectFailed
+	FetchesReset
+	FetchesCancelled
+	FetchesNeverSent
+	ConnectionsOpened
+	ConnectionsReused
+	ConnectionsStale
+	ReuseMisjudged
+	ProbesSent
+	ListsTaken
+	ListsFailed
+	ListsMalformed
+	ListsOutdated
+	NotesSent
+	NotesHeard
+	NotesRefused
+	Faults
+	last
+)
+
+var names = [last]string{"visits_taken", "visits_delivered", "visits_bounced", "visits_errored",
+	"visits_dropped", "visits_overdue", "visits_over_held", "bad_input", "client_connections",
+	"accept_failures", "fetches_sent", "fetches_delivered", "fetches_errored", "fetches_full",
+	"fetches_timed_out", "fetches_connect_failed", "fetches_reset", "fetches_cancelled", "fetches_never_sent",
+	"connections_opened", "connections_reused", "connections_stale", "reuse_misjudged", "probes_sent",
+	"lists_taken", "lists_failed", "lists_malformed", "lists_outdated", "notes_sent", "notes_heard",
+	"notes_refused", "faults"}
+
+// Sheet holds the counters of one sidecar; any goroutine may add.
+type Sheet [last]atomic.Int64
+
+// Add counts one.
+func (s *Sheet) Add(c Count) { s[c].Add(1) }
+
+// WriteTo prints a line for each counter, name and value.
+func (s *Sheet) WriteTo(w io.Writer) (n int64, err error) {
+	for c := range s {
+		k, err := fmt.Fprintf(w, "ledgespread_%s %d\n", names[c], s[c].Load())
+		if n += int64(k); err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// MarshalZerologObject puts all that is not nought into one log line.
+func (s *Sheet) MarshalZerologObject(e *zerolog.Event) {
+	for c := range s {
+		if v := s[c].Load(); v != 0 {
+			e.Int64(names[c], v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,80 @@
+// Package exchange holds the one object in which the client's side and the servers' side meet: a visit's bytes on
+// their way out, and its one answer on the way back.
+package exchange
+
+import (
+	"strconv"
+	"sync/atomic"
+
+	"ledgespread/brain"
+)
+
+// Ending is how a visit was answered.
+type Ending uint8
+
+const (
+	Delivered Ending = iota + 1
+	Bounced          // a retry is harmless
+	Errored          // promises nothing
+	Overdue          // as Errored, since the client's time is up
+)
+
+// Exchange is one visit. What the decisions need was taken out of it; the rest stays the bytes that came.
+type Exchange struct {
+	ID           brain.VisitID
+	On           brain.Prefix
+	Of           brain.Realm
+	Key          brain.Key
+	Left, Effort brain.Micros
+	Again        bool
+
+	head, body []byte // what goes on, but for the time-out and the end of the head
+	done       chan struct{}
+	settled    atomic.Bool
+
+	// The answer: set once, before done is closed.
+	How         Ending
+	Kind, Bytes []byte // the server's content type and body
+	ComeBackIn  brain.Micros
+}
+
+// New makes the object for a visit whose head (up to its last field) and body are these; it keeps both.
+func New(head, body []byte) *Exchange {
+	return &Exchange{head: head, body: body, done: make(chan struct{})}
+}
+
+// Outgoing is the visit as a server gets it, told how long its answer is waited for.
+func (x *Exchange) Outgoing(wait brain.Micros) []byte {
+	out := make([]byte, 0, len(x.head)+len(x.body)+40)
+	out = append(out, x.head...)
+	out = append(out, "X-Timeout: "...)
+	out = strconv.AppendInt(out, int64(max(wait, 1)), 10)
+	out = append(out, "u\r\n\r\n"...)
+	return append(out, x.body...)
+}
+
+// Done is closed when the answer is there.
+func (x *Exchange) Done() <-chan struct{} { return x.done }
+
+// Deliver answers with a server's body.
+func (x *Exchange) Deliver(kind, body []byte) bool {
+	return x.settle(func() { x.How, x.Kind, x.Bytes = Delivered, kind, body })
+}
+
+// Bounce answers that a retry is harmless.
+func (x *Exchange) Bounce(comeBackIn brain.Micros) bool {
+	return x.settle(func() { x.How, x.ComeBackIn = Bounced, comeBackIn })
+}
+
+// Fail answers with an error page.
+func (x *Exchange) Fail(how Ending) bool { return x.settle(func() { x.How = how }) }
+
+// settle takes the first answer only. Guards against two answers to one visit.
+func (x *Exchange) settle(answer func()) bool {
+	if !x.settled.CompareAndSwap(false, true) {
+		return false
+	}
+	answer()
+	close(x.done)
+	return true
+}
--- /dev/null
+++ b/internal/inbound/inbound.go
@@ -0,0 +1,186 @@
+// Package inbound is the client's side: it serves the application, and hands each visit to the relay in an
+// exchange object.
+package inbound
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/site"
+)
+
+const (
+	mostBody   = 64 << 10
+	overdue    = 5 * time.Millisecond   // after the client timeout a visit is answered without the module
+	newcomers  = 500 * time.Millisecond // new connections may come for so long after a stop was asked for
+	idleClient = 5 * time.Minute
+	slowClient = 30 * time.Second
+)
+
+// Taker is where visits go.
+type Taker interface {
+	Take(*exchange.Exchange)
+	Left(*exchange.Exchange)
+}
+
+// Inbound serves the application.
+type Inbound struct {
+	server   *fasthttp.Server
+	listener *listener
+	visits   Taker
+	prefixes map[string]int
+	tagged   map[int]bool // path prefixes whose visits carry a mark
+	readLike map[int]bool
+	realms   map[string]int
+	longest  brain.Micros // client timeout
+	stopping atomic.Bool
+	counts   *counters.Sheet
+	log      zerolog.Logger
+}
+
+// Listen takes the address; Serve serves there. No more than most connections are held.
+func Listen(b *site.Berth, most int, visits Taker, counts *counters.Sheet, log zerolog.Logger) (*Inbound, error) {
+	ln, err := net.Listen("tcp", b.Listen)
+	if err != nil {
+		return nil, err
+	}
+	in := &Inbound{visits: visits, prefixes: b.Places("path_prefixes"), realms: b.Places("realms"),
+		tagged: map[int]bool{}, readLike: map[int]bool{}, counts: counts, log: log,
+		listener: &listener{ln.(*net.TCPListener), make(chan struct{}, most), counts, log}}
+	for _, i := range in.prefixes {
+		at := "path_prefixes." + strconv.Itoa(i)
+		in.tagged[i], in.readLike[i] = b.Site[at+".effect"] == "tagged", b.Site[at+".effect"] == "read_like"
+		in.longest = max(in.longest, b.Span(at+".client_timeout_us"))
+	}
+	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log,
+		MaxRequestBodySize: mostBody, IdleTimeout: idleClient, ReadTimeout: slowClient, WriteTimeout: slowClient,
+		Concurrency: 2 * most, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true,
+		NoDefaultContentType: true, DisablePreParseMultipartForm: true}
+	return in, nil
+}
+
+// Serve goes on until Stop.
+func (in *Inbound) Serve() error { return in.server.Serve(in.listener) }
+
+// Stop lets new connections come for a while, then closes those that carry nothing, and returns when all that was
+// taken has its answer.
+func (in *Inbound) Stop() {
+	in.stopping.Store(true)
+	time.Sleep(newcomers)
+	ctx, done := context.WithTimeout(context.Background(), time.Duration(in.longest)*time.Microsecond+2*overdue)
+	defer done()
+	if err := in.server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		in.log.Warn().Err(err).Msg("stop")
+	}
+}
+
+// guarded serves one request. Guards against the end of the sidecar by one connection's panic.
+func (in *Inbound) guarded(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if crash := recover(); crash != nil {
+			in.counts.Add(counters.Faults)
+			in.log.Error().Str("stack", string(debug.Stack())).Msgf("connection crashed: %v", crash)
+			plain(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
+			ctx.SetConnectionClose()
+		}
+	}()
+	if in.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
+	switch string(ctx.Path()) {
+	case "/-/ready": // what it says is true once it can be heard: listeners are up, and the list is known
+		plain(ctx, fasthttp.StatusOK, "ready")
+	case "/-/counters":
+		ctx.SetContentType("text/plain; charset=utf-8")
+		in.counts.WriteTo(ctx)
+	default:
+		in.visit(ctx)
+	}
+}
+
+func plain(ctx *fasthttp.RequestCtx, status int, text string) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(text + "\n")
+}
+
+// malformed answers what is no HTTP, or too much of it.
+func (in *Inbound) malformed(ctx *fasthttp.RequestCtx, err error) {
+	in.counts.Add(counters.BadInput)
+	status := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	var slow net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &slow) && slow.Timeout():
+		status = fasthttp.StatusRequestTimeout
+	}
+	plain(ctx, status, fasthttp.StatusMessage(status))
+}
+
+func (in *Inbound) visit(ctx *fasthttp.RequestCtx) {
+	x, status, fault := in.read(ctx)
+	if x == nil {
+		in.counts.Add(counters.BadInput)
+		plain(ctx, status, fault)
+		return
+	}
+	in.counts.Add(counters.VisitsTaken)
+	taken := time.NewTimer(time.Duration(x.Left)*time.Microsecond + overdue)
+	defer taken.Stop()
+	gone, stop := watch(ctx.Conn())
+	in.visits.Take(x)
+	select {
+	case <-x.Done():
+	case <-gone:
+		in.counts.Add(counters.VisitsDropped)
+		in.visits.Left(x)
+		ctx.SetConnectionClose()
+		stop()
+		return
+	case <-taken.C:
+		// Guards against a visit without an end, should the module's news never come.
+		if x.Fail(exchange.Overdue) {
+			in.counts.Add(counters.VisitsOverdue)
+			in.log.Error().Uint64("visit", uint64(x.ID)).Msg("no answer within the client timeout")
+			in.visits.Left(x)
+		}
+		<-x.Done()
+	}
+	stop()
+	answer(ctx, x)
+}
+
+func answer(ctx *fasthttp.RequestCtx, x *exchange.Exchange) {
+	switch x.How {
+	case exchange.Delivered:
+		ctx.Response.Header.SetContentTypeBytes(x.Kind)
+		ctx.Response.SetBodyRaw(x.Bytes)
+	case exchange.Bounced:
+		plain(ctx, fasthttp.StatusServiceUnavailable, "not now; a retry does no harm")
+		if x.ComeBackIn > 0 {
+			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter,
+				strconv.FormatFloat(math.Ceil(float64(x.ComeBackIn)/1000)/1000, 'f', -1, 64))
+		}
+	case exchange.Overdue:
+		plain(ctx, fasthttp.StatusGatewayTimeout, "no answer in time")
+	default:
+		plain(ctx, fasthttp.StatusBadGateway, "no answer from the servers")
+	}
+}
--- /dev/null
+++ b/internal/notes/notes.go
@@ -0,0 +1,41 @@
+// Package notes holds the bytes of a message between sidecars, the same in the simulator and on sockets: its
+// kind, the server it is about, and figures, each the upper half of a float32, since every byte has its price.
+package notes
+
+import (
+	"encoding/binary"
+	"math"
+
+	"ledgespread/brain"
+)
+
+const head = 7 // kind and server
+
+var be = binary.BigEndian
+
+// Append writes a message behind what is there.
+func Append(to []byte, kind brain.Note, about brain.Backend, figures ...float64) []byte {
+	to = append(to, byte(kind))
+	to = be.AppendUint32(to, uint32(about>>16))
+	to = be.AppendUint16(to, uint16(about))
+	for _, f := range figures {
+		to = be.AppendUint16(to, uint16((math.Float32bits(float32(f))+1<<15)>>16))
+	}
+	return to
+}
+
+// Read takes a message apart; ok is false where it is not of this form.
+func Read(msg []byte) (kind brain.Note, about brain.Backend, figures []float64, ok bool) {
+	if len(msg) < head || len(msg)%2 != head%2 {
+		return 0, 0, nil, false
+	}
+	figures = make([]float64, (len(msg)-head)/2)
+	for i := range figures {
+		bits := uint32(be.Uint16(msg[head+2*i:])) << 16
+		if figures[i] = float64(math.Float32frombits(bits)); !(figures[i] >= 0) {
+			return 0, 0, nil, false
+		}
+	}
+	about = brain.Backend(be.Uint32(msg[1:]))<<16 | brain.Backend(be.Uint16(msg[5:]))
+	return brain.Note(msg[0]), about, figures, true
+}
--- /dev/null
+++ b/internal/outbound/failure.go
@@ -0,0 +1,66 @@
+package outbound
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"ledgespread/brain"
+)
+
+// Reach is how far a backend fetch had come.
+type Reach uint8
+
+const (
+	Nowhere  Reach = iota // no connection, or none that took the last byte: it never ran
+	Sent                  // the last byte was written: it may have run
+	Answered              // a whole answer came, but no delivery
+)
+
+func (r Reach) String() string { return [...]string{"not sent", "sent", "answered"}[r] }
+
+// errCalledOff is why a fetch ended that nobody waits for any more.
+var errCalledOff = errors.New("called off")
+
+// Failure tells why a backend fetch brought no delivery, and how far it had come.
+type Failure struct {
+	Reach  Reach
+	Status int  // of a whole answer
+	Unseen bool // that answer says it never ran
+	Cause  error
+}
+
+func (f *Failure) Error() string {
+	if f.Reach == Answered {
+		return fmt.Sprintf("answered with %d", f.Status)
+	}
+	return fmt.Sprintf("%s: %v", f.Reach, f.Cause)
+}
+
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Result is what the module hears of a fetch that ended so. Guards against calling unrun what may have run: only
+// a fetch whose last byte was never written, or that the server itself calls unseen, counts as that.
+func Result(err error) brain.Result {
+	var f *Failure
+	off := errors.Is(err, errCalledOff)
+	switch {
+	case err == nil:
+		return brain.Delivered
+	case !errors.As(err, &f):
+		return brain.Reset
+	case f.Reach == Answered && f.Unseen:
+		return brain.Full
+	case f.Reach == Answered:
+		return brain.Errored
+	case f.Reach == Nowhere && off:
+		return brain.NeverSent
+	case f.Reach == Nowhere:
+		return brain.ConnectFailed
+	case off:
+		return brain.Cancelled
+	case errors.Is(f.Cause, os.ErrDeadlineExceeded):
+		return brain.TimedOut
+	}
+	return brain.Reset
+}
--- /dev/null
+++ b/internal/outbound/outbound.go
@@ -0,0 +1,191 @@
+// Package outbound is the servers' side: connections to them, backend fetches and probes. It sends each fetch once
+// and tells for each how far it came.
+package outbound
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+)
+
+const (
+	mostBody   = 64 << 10
+	readBuffer = 8 << 10
+	idleMargin = 20 // a connection is left this part of its idle time before the server may close it
+)
+
+// Outbound reaches the servers.
+type Outbound struct {
+	pool    pool
+	connect time.Duration
+	counts  *counters.Sheet
+	log     zerolog.Logger
+}
+
+// New makes the servers' side: connections stand idle for so long at most, come up within connect, and are
+// never more than most.
+func New(idle, connect brain.Micros, most int, counts *counters.Sheet, log zerolog.Logger) *Outbound {
+	return &Outbound{connect: span(connect), counts: counts, log: log,
+		pool: pool{idle: map[use][]*line{}, keep: span(idle - idle/idleMargin), most: most, counts: counts}}
+}
+
+func span(t brain.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
+
+// Ended hears how a fetch ended, once: nil is a delivery, with the answer's content type and body.
+type Ended func(kind, body []byte, reused bool, err error)
+
+// Flight is a fetch that is out.
+type Flight struct {
+	ctx   context.Context
+	off   context.CancelFunc
+	mu    sync.Mutex
+	line  *line
+	ended Ended
+}
+
+// Cancel stops waiting; the connection is closed.
+func (f *Flight) Cancel() {
+	f.off()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.line != nil {
+		f.line.SetDeadline(time.Unix(1, 0)) // wakes its goroutine, which closes it
+	}
+}
+
+// rides notes the connection, unless the fetch was called off meanwhile.
+func (f *Flight) rides(l *line) {
+	f.mu.Lock()
+	f.line = l
+	f.mu.Unlock()
+}
+
+// Fetch sends a visit to a server and waits for so long at most. It returns at once.
+func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, wait brain.Micros, ended Ended) *Flight {
+	f := &Flight{ended: ended}
+	f.ctx, f.off = context.WithCancel(context.Background())
+	until := time.Now().Add(span(wait))
+	o.counts.Add(counters.FetchesSent)
+	go o.run(f, use{be: be}, address, until, x.Outgoing(wait))
+	return f
+}
+
+// Probe asks a server for its health.
+func (o *Outbound) Probe(be brain.Backend, address string, ended Ended) {
+	f := &Flight{ended: ended}
+	f.ctx, f.off = context.WithCancel(context.Background())
+	o.counts.Add(counters.ProbesSent)
+	go o.run(f, use{be, true}, address, time.Now().Add(2*o.connect),
+		fmt.Appendf(nil, "GET /-/healthy HTTP/1.1\r\nHost: %s\r\n\r\n", address))
+}
+
+// CloseIdle gives back a server's connections that carry nothing.
+func (o *Outbound) CloseIdle(be brain.Backend) { o.pool.drop(use{be: be}) }
+
+// Sweep closes connections that have stood idle for as long as they may.
+func (o *Outbound) Sweep() { o.pool.sweep() }
+
+func (o *Outbound) run(f *Flight, u use, address string, until time.Time, ask []byte) {
+	var kind, body []byte
+	var reused bool
+	err := error(&Failure{Reach: Sent, Cause: fmt.Errorf("crashed")})
+	defer func() {
+		// Guards against a visit that hangs, and a sidecar that dies, by one fetch's panic.
+		if crash := recover(); crash != nil {
+			o.counts.Add(counters.Faults)
+			o.log.Error().Str("stack", string(debug.Stack())).Msgf("backend fetch crashed: %v", crash)
+		}
+		f.off()
+		f.ended(kind, body, reused, err)
+	}()
+	kind, body, reused, err = o.exchange(f, u, address, until, ask)
+}
+
+// exchange does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
+func (o *Outbound) exchange(f *Flight, u use, address string, until time.Time, ask []byte) (kind, body []byte,
+	reused bool, err error) {
+	for l := o.pool.take(u, address); l != nil; l = o.pool.take(u, address) {
+		kind, body, err = o.over(f, u, l, until, ask)
+		if failure, ok := err.(*Failure); !ok || failure.Reach != Nowhere || f.ctx.Err() != nil ||
+			!time.Now().Before(until) {
+			o.counts.Add(counters.ConnectionsReused)
+			return kind, body, true, err
+		}
+	}
+	l, err := o.dial(f, address, until)
+	if err != nil {
+		return nil, nil, false, err
+	}
+	kind, body, err = o.over(f, u, l, until, ask)
+	return kind, body, false, err
+}
+
+func (o *Outbound) dial(f *Flight, address string, until time.Time) (*line, error) {
+	if !o.pool.room() {
+		return nil, &Failure{Reach: Nowhere, Cause: fmt.Errorf("all %d connections are busy", o.pool.most)}
+	}
+	d := net.Dialer{Timeout: o.connect, Deadline: until, KeepAlive: -1}
+	c, err := d.DialContext(f.ctx, "tcp", address)
+	if err != nil {
+		o.pool.closed()
+		if f.ctx.Err() != nil {
+			err = errCalledOff
+		}
+		return nil, &Failure{Reach: Nowhere, Cause: err}
+	}
+	o.counts.Add(counters.ConnectionsOpened)
+	return &line{Conn: c, in: bufio.NewReaderSize(c, readBuffer), address: address}, nil
+}
+
+// over sends a fetch on a connection and reads the whole answer. The connection is kept or closed.
+func (o *Outbound) over(f *Flight, u use, l *line, until time.Time, ask []byte) (kind, body []byte, err error) {
+	keep := false
+	defer func() {
+		f.rides(nil)
+		if keep {
+			o.pool.put(u, l)
+			return
+		}
+		l.Close()
+		o.pool.closed()
+	}()
+	l.SetDeadline(until)
+	f.rides(l)
+	reach := Nowhere
+	fail := func(cause error) error {
+		if f.ctx.Err() != nil {
+			cause = errCalledOff
+		}
+		return &Failure{Reach: reach, Cause: cause}
+	}
+	if f.ctx.Err() != nil {
+		return nil, nil, fail(errCalledOff)
+	}
+	if n, err := l.Write(ask); n < len(ask) {
+		return nil, nil, fail(err)
+	}
+	reach = Sent
+	var answer fasthttp.Response
+	if err := answer.ReadLimitBody(l.in, mostBody); err != nil {
+		return nil, nil, fail(err)
+	}
+	keep = !answer.ConnectionClose() && l.in.Buffered() == 0 && f.ctx.Err() == nil
+	status := answer.StatusCode()
+	if status != fasthttp.StatusOK {
+		unseen := (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout) &&
+			string(answer.Header.Peek("X-Not-Processed")) == "1"
+		return nil, nil, &Failure{Reach: Answered, Status: status, Unseen: unseen}
+	}
+	return answer.Header.ContentType(), answer.Body(), nil
+}
--- /dev/null
+++ b/internal/outbound/pool.go
@@ -0,0 +1,144 @@
+package outbound
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+)
+
+// line is one connection to a server.
+type line struct {
+	net.Conn
+	in      *bufio.Reader
+	address string
+	idle    time.Time // since when
+}
+
+// alive tells whether the other side has neither closed a line nor sent anything unasked. It eats no byte.
+func (l *line) alive() bool {
+	sc, ok := l.Conn.(syscall.Conn)
+	if !ok || l.in.Buffered() > 0 {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, got := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = got == syscall.EAGAIN || got == syscall.EWOULDBLOCK
+		return true
+	})
+	return quiet && err == nil
+}
+
+// use tells what connections to a server are for. Probes keep their own, so that the module's books of idle
+// connections hold.
+type use struct {
+	be    brain.Backend
+	probe bool
+}
+
+// pool holds the connections that carry nothing, and counts all that are open.
+type pool struct {
+	mu     sync.Mutex
+	idle   map[use][]*line // the one used last stands last
+	keep   time.Duration   // how long one may stand idle
+	open   int
+	most   int
+	counts *counters.Sheet
+}
+
+// take finds an idle connection, the one used last first. Guards against writing to one that the server has
+// closed, or is about to close.
+func (p *pool) take(u use, address string) *line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		lines := p.idle[u]
+		if len(lines) == 0 {
+			return nil
+		}
+		l := lines[len(lines)-1]
+		p.idle[u] = lines[:len(lines)-1]
+		if l.address == address && time.Since(l.idle) < p.keep && l.alive() {
+			return l
+		}
+		p.counts.Add(counters.ConnectionsStale)
+		p.shut(l)
+	}
+}
+
+// room books a new connection. Guards against running out of descriptors: at the bound the longest idle goes.
+func (p *pool) room() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.most {
+		var oldest use
+		var since time.Time
+		for u, lines := range p.idle {
+			if len(lines) > 0 && (since.IsZero() || lines[0].idle.Before(since)) {
+				oldest, since = u, lines[0].idle
+			}
+		}
+		if since.IsZero() {
+			return false
+		}
+		p.shut(p.idle[oldest][0])
+		p.idle[oldest] = p.idle[oldest][1:]
+	}
+	p.open++
+	return true
+}
+
+func (p *pool) put(u use, l *line) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.SetDeadline(time.Time{})
+	l.idle = time.Now()
+	p.idle[u] = append(p.idle[u], l)
+}
+
+func (p *pool) closed() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// shut closes a connection; the lock is held.
+func (p *pool) shut(l *line) {
+	l.Close()
+	p.open--
+}
+
+func (p *pool) drop(u use) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle[u] {
+		p.shut(l)
+	}
+	delete(p.idle, u)
+}
+
+// sweep closes what has stood idle for as long as it may.
+func (p *pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for u, lines := range p.idle {
+		n := 0
+		for n < len(lines) && time.Since(lines[n].idle) >= p.keep {
+			p.shut(lines[n])
+			n++
+		}
+		if p.idle[u] = lines[n:]; n == len(lines) {
+			delete(p.idle, u)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/clock.go
@@ -0,0 +1,17 @@
+package relay
+
+import (
+	"time"
+
+	"ledgespread/brain"
+)
+
+// clock tells the time in whole microseconds: the wall's at its start, and from then on what has passed, so that
+// a server's start compares and nothing ever goes back.
+type clock struct{ start time.Time }
+
+func startClock() clock { return clock{time.Now()} }
+
+func (c clock) now() brain.Micros {
+	return brain.Micros(c.start.UnixMicro()) + brain.Micros(time.Since(c.start)/time.Microsecond)
+}
--- /dev/null
+++ b/internal/relay/ports.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/outbound"
+)
+
+// The methods below are the module's Ports. They only note what it asks for: nothing calls back into a call.
+
+func (r *Relay) later(do func()) { r.todo = append(r.todo, do) }
+
+// open finds a visit that still needs its answer.
+func (r *Relay) open(id brain.VisitID) *visit {
+	if v := r.visits[id]; v != nil && !v.ended {
+		return v
+	}
+	return nil
+}
+
+func (r *Relay) Dispatch(id brain.VisitID, be brain.Backend, tryFor brain.Micros) {
+	r.later(func() { r.fetch(id, be, tryFor) })
+}
+
+func (r *Relay) Bounce(id brain.VisitID, comeBackIn brain.Micros) {
+	r.later(func() {
+		if v := r.open(id); v != nil {
+			if v.x.Bounce(comeBackIn) {
+				r.counts.Add(counters.VisitsBounced)
+			}
+			r.end(v)
+		}
+	})
+}
+
+func (r *Relay) ErrorPage(id brain.VisitID) {
+	r.later(func() {
+		if v := r.open(id); v != nil {
+			how := exchange.Errored
+			if v.until-r.now <= v.x.Left/100 {
+				how = exchange.Overdue
+			}
+			if v.x.Fail(how) {
+				r.counts.Add(counters.VisitsErrored)
+			}
+			r.end(v)
+		}
+	})
+}
+
+func (r *Relay) Cancel(id brain.VisitID, no brain.FetchNo) {
+	r.later(func() {
+		if v := r.visits[id]; v != nil && int(no) < len(v.flights) && v.flights[no] != nil {
+			v.flights[no].Cancel()
+		}
+	})
+}
+
+func (r *Relay) Wake(in brain.Micros, t brain.Token) {
+	r.at(r.now+max(in, 1), func() {
+		defer func() {
+			// Guards against a beat that never comes again after a panic.
+			if crash := recover(); crash != nil {
+				r.Wake(in, t)
+				panic(crash)
+			}
+		}()
+		r.b.Woken(r.now, t)
+	})
+}
+
+func (r *Relay) Probe(be brain.Backend) {
+	r.later(func() {
+		address, known := r.address[be]
+		if !known {
+			r.fault("a probe of an unknown server")
+			return
+		}
+		r.outbound.Probe(be, address, func(_, _ []byte, _ bool, err error) {
+			r.post(func() { r.b.Probed(r.now, be, outbound.Result(err)) })
+		})
+	})
+}
+
+func (r *Relay) CloseIdle(be brain.Backend) { r.later(func() { r.outbound.CloseIdle(be) }) }
+
+func (r *Relay) Subscribe() { r.later(r.watcher.Watch) }
+
+func (r *Relay) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	if r.peers == nil {
+		return
+	}
+	r.later(func() { r.peers.Tell(to, kind, about, figures...) })
+}
+
+func (r *Relay) Print(line string) { r.log.Info().Msg(line) }
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,184 @@
+// Package relay owns the Balancer: it makes all its calls, one at a time, keeps its clock and wake-ups, and carries
+// out what it asks for. A protocol for the application attaches here, by Take and Left.
+package relay
+
+import (
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"github.com/google/btree"
+	"github.com/rs/zerolog"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/discovery"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/outbound"
+	"ledgespread/internal/peers"
+	"ledgespread/internal/site"
+)
+
+const sweepParts = 20 // idle connections are looked through so often in the time they may stand
+
+// due is something to do at a time.
+type due struct {
+	at  brain.Micros
+	seq uint64
+	do  func()
+}
+
+func (d due) before(e due) bool { return d.at < e.at || d.at == e.at && d.seq < e.seq }
+
+// visit is one that the module knows of.
+type visit struct {
+	x       *exchange.Exchange
+	until   brain.Micros
+	flights []*outbound.Flight // nil: never sent
+	out     int
+	ended   bool
+}
+
+// Relay is the module's world.
+type Relay struct {
+	b        *brain.Balancer
+	clock    clock
+	now      brain.Micros
+	mail     chan func()
+	todo     []func() // what the module asked for in the call that goes on
+	due      *btree.BTreeG[due]
+	seq      uint64
+	timer    *time.Timer
+	visits   map[brain.VisitID]*visit
+	held     int // visits not yet ended
+	mostHeld int
+	mostOut  int
+	ids      brain.VisitID
+	address  map[brain.Backend]string
+	idle     brain.Micros
+	pushed   bool
+	outbound *outbound.Outbound
+	peers    *peers.Peers // nil where messages are not allowed
+	watcher  *discovery.Watcher
+	counts   *counters.Sheet
+	log      zerolog.Logger
+}
+
+// New makes a relay with its Balancer, which then holds the saved list.
+func New(b *site.Berth, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
+	log zerolog.Logger) (*Relay, error) {
+	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), due: btree.NewG(16, due.before),
+		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, address: map[brain.Backend]string{},
+		mostHeld: int(b.Figure("allowed.most_held")), mostOut: int(b.Figure("allowed.max_backend_fetches")),
+		idle: b.Span("allowed.conn_idle_us"), pushed: b.Site["discovery"] == "pushed",
+		outbound: out, peers: others, counts: counts, log: log}
+	zones := b.Places("azs")
+	saved, err := discovery.Read(b.Known, zones)
+	if err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	r.watcher = discovery.New(b.Discovery, zones, saved.Version, b.Span("obligations.ask_every_us"), b.Seed,
+		func(l *discovery.List) { r.post(func() { r.list(l) }) }, counts, log)
+	r.now = r.clock.now()
+	if r.b, err = brain.New(r.now, b.Site, b.Seed, r); err != nil {
+		return nil, err
+	}
+	r.told(brain.Saved, saved)
+	return r, nil
+}
+
+// Run makes the calls, for ever.
+func (r *Relay) Run() {
+	r.sweep()
+	if r.pushed {
+		r.watcher.Keep()
+	}
+	r.turn(func() {})
+	for {
+		select {
+		case event := <-r.mail:
+			r.turn(event)
+		case <-r.timer.C:
+		}
+		r.turn(r.lapse)
+	}
+}
+
+// post hands an event to the one goroutine that calls the module.
+func (r *Relay) post(event func()) { r.mail <- event }
+
+// turn is one call of the module and what it asked for. Guards against the end of the sidecar, and of all visits
+// it holds, by one event's panic.
+func (r *Relay) turn(event func()) {
+	r.now = r.clock.now()
+	r.guarded(event)
+	for len(r.todo) > 0 {
+		next := r.todo
+		r.todo = nil
+		for _, do := range next {
+			r.guarded(do)
+		}
+	}
+	if d, ok := r.due.Min(); ok {
+		r.timer.Reset(time.Duration(max(d.at-r.clock.now(), 0)) * time.Microsecond)
+	}
+}
+
+func (r *Relay) guarded(do func()) {
+	defer func() {
+		if crash := recover(); crash != nil {
+			r.counts.Add(counters.Faults)
+			r.log.Error().Str("stack", string(debug.Stack())).Msgf("decision crashed: %v", crash)
+		}
+	}()
+	do()
+}
+
+// at puts something among the due times.
+func (r *Relay) at(t brain.Micros, do func()) {
+	r.seq++
+	r.due.ReplaceOrInsert(due{t, r.seq, do})
+}
+
+// lapse does what is due by now, but nothing that this puts there.
+func (r *Relay) lapse() {
+	last := r.seq
+	for d, ok := r.due.Min(); ok && d.at <= r.now && d.seq <= last; d, ok = r.due.Min() {
+		r.due.DeleteMin()
+		d.do()
+	}
+}
+
+func (r *Relay) sweep() {
+	r.outbound.Sweep()
+	r.at(r.clock.now()+max(r.idle/sweepParts, 1), r.sweep)
+}
+
+// list hears discovery; nil: a call failed.
+func (r *Relay) list(l *discovery.List) {
+	switch {
+	case l == nil && r.pushed: // the watcher comes back by itself
+	case l == nil:
+		r.b.ListBegins(r.now, brain.NoListCame)
+		r.b.ListEnds(r.now)
+	case l.Whole:
+		r.told(brain.Whole, l)
+	default:
+		r.told(brain.Changes, l)
+	}
+}
+
+func (r *Relay) told(news brain.News, l *discovery.List) {
+	r.b.ListBegins(r.now, news)
+	l.Lines(func(id brain.Backend, address string, zone brain.Zone, cell brain.Cell, st brain.Standing,
+		rating float64, started brain.Micros) {
+		r.address[id] = address
+		r.b.Listed(r.now, id, zone, cell, st, rating, started)
+	})
+	r.b.ListEnds(r.now)
+}
+
+// Heard takes another sidecar's message.
+func (r *Relay) Heard(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
+	r.post(func() { r.b.Heard(r.now, from, kind, about, figures...) })
+}
--- /dev/null
+++ b/internal/relay/visits.go
@@ -0,0 +1,103 @@
+package relay
+
+import (
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/outbound"
+)
+
+// Take takes a visit in; its answer comes by the exchange object.
+func (r *Relay) Take(x *exchange.Exchange) {
+	r.post(func() {
+		if r.mostHeld > 0 && r.held >= r.mostHeld {
+			r.counts.Add(counters.VisitsOverHeld)
+			x.Bounce(0)
+			return
+		}
+		r.ids++
+		x.ID = r.ids
+		r.visits[x.ID] = &visit{x: x, until: r.now + x.Left}
+		r.held++
+		r.b.Inbound(r.now, x.ID, x.On, x.Of, x.Key, x.Left, x.Effort, x.Again)
+	})
+}
+
+// Left hears that a visit's client has gone away, or was told by inbound itself that its time is up.
+func (r *Relay) Left(x *exchange.Exchange) {
+	r.post(func() {
+		if v := r.visits[x.ID]; v != nil && v.x == x && !v.ended {
+			r.end(v)
+			r.b.Dropped(r.now, x.ID)
+		}
+	})
+}
+
+// end books that a visit has its answer, or needs none.
+func (r *Relay) end(v *visit) {
+	if v.ended {
+		return
+	}
+	v.ended = true
+	r.held--
+	r.forget(v)
+}
+
+func (r *Relay) forget(v *visit) {
+	if v.ended && v.out == 0 {
+		delete(r.visits, v.x.ID)
+	}
+}
+
+// fetch sends a visit's next backend fetch. One too many, or for a visit that is over, is never sent.
+func (r *Relay) fetch(id brain.VisitID, be brain.Backend, wait brain.Micros) {
+	v := r.visits[id]
+	if v == nil {
+		r.fault("a backend fetch for a visit that is over")
+		return
+	}
+	no, sent, left := brain.FetchNo(len(v.flights)), r.now, v.until-r.clock.now()
+	if wait <= 0 || wait > left {
+		wait = left
+	}
+	v.out++
+	address, known := r.address[be]
+	if v.ended || left <= 0 || int(no) >= r.mostOut || !known {
+		v.flights = append(v.flights, nil)
+		r.todo = append(r.todo, func() { r.ended(v, no, brain.NeverSent, 0, nil, nil) })
+		return
+	}
+	v.flights = append(v.flights, r.outbound.Fetch(v.x, be, address, wait,
+		func(kind, body []byte, reused bool, err error) {
+			r.post(func() {
+				if err != nil {
+					r.log.Debug().Err(err).Uint64("visit", uint64(id)).Msg("backend fetch failed")
+				}
+				r.ended(v, no, outbound.Result(err), r.now-sent, kind, body)
+			})
+		}))
+}
+
+var resultCounts = [...]counters.Count{brain.Delivered: counters.FetchesDelivered,
+	brain.Errored: counters.FetchesErrored, brain.Full: counters.FetchesFull, brain.TimedOut: counters.FetchesTimedOut,
+	brain.ConnectFailed: counters.FetchesConnectFailed, brain.Reset: counters.FetchesReset,
+	brain.Cancelled: counters.FetchesCancelled, brain.NeverSent: counters.FetchesNeverSent}
+
+// ended tells the module how a fetch ended. The first delivery is the visit's answer.
+func (r *Relay) ended(v *visit, no brain.FetchNo, rc brain.Result, took brain.Micros, kind, body []byte) {
+	r.counts.Add(resultCounts[rc])
+	v.out--
+	if rc == brain.Delivered && !v.ended {
+		if v.x.Deliver(kind, body) {
+			r.counts.Add(counters.VisitsDelivered)
+		}
+		r.end(v)
+	}
+	r.b.Outcome(r.now, v.x.ID, no, rc, took, v.ended)
+	r.forget(v)
+}
+
+func (r *Relay) fault(what string) {
+	r.counts.Add(counters.Faults)
+	r.log.Error().Msg(what)
+}
--- /dev/null
+++ b/internal/site/berth.go
@@ -0,0 +1,125 @@
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"ledgespread/brain"
+)
+
+// Berth is the place a sidecar is put in: its addresses, its limits, and the settings of the deployment.
+type Berth struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores                   float64
+	MemoryMB, Sockets       int
+	PeerListen              string
+	Peers                   []netip.AddrPort // in the order of their numbers
+	Known                   []byte           // the list of servers as last held, in discovery's form
+	Site                    brain.Site
+}
+
+// Read takes a configuration file. Guards against a sidecar that starts half told: what is missing or malformed
+// is an error that names it.
+func Read(file string) (*Berth, error) {
+	if file == "" {
+		return nil, errors.New("no configuration file: RELAY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	b, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return b, nil
+}
+
+// Parse takes the bytes of a configuration.
+func Parse(text []byte) (*Berth, error) {
+	var tree map[string]json.RawMessage
+	if err := json.Unmarshal(text, &tree); err != nil {
+		return nil, err
+	}
+	b := &Berth{Known: tree["known"]}
+	var seed string
+	var peers []string
+	var limits map[string]float64
+	for _, field := range []struct {
+		name   string
+		needed bool
+		into   any
+	}{
+		{"name", true, &b.Name}, {"listen", true, &b.Listen}, {"discovery", true, &b.Discovery},
+		{"seed", true, &seed}, {"limits", true, &limits}, {"peer_listen", false, &b.PeerListen},
+		{"peers", false, &peers},
+	} {
+		if raw, there := tree[field.name]; !there && field.needed {
+			return nil, fmt.Errorf("%s is missing", field.name)
+		} else if there {
+			if err := json.Unmarshal(raw, field.into); err != nil {
+				return nil, fmt.Errorf("%s: %w", field.name, err)
+			}
+		}
+	}
+	var err error
+	if b.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	for _, limit := range []string{"cores", "memory_mb", "sockets"} {
+		if !(limits[limit] > 0) {
+			return nil, fmt.Errorf("limits.%s is missing", limit)
+		}
+	}
+	b.Cores, b.MemoryMB, b.Sockets = limits["cores"], int(limits["memory_mb"]), int(limits["sockets"])
+	for i, p := range peers {
+		at, err := netip.ParseAddrPort(p)
+		if err != nil {
+			return nil, fmt.Errorf("peers.%d: %w", i, err)
+		}
+		b.Peers = append(b.Peers, at)
+	}
+	for _, at := range []struct{ name, address string }{{"listen", b.Listen}, {"discovery", b.Discovery},
+		{"peer_listen", b.PeerListen}} {
+		if _, err := netip.ParseAddrPort(at.address); err != nil && (at.address != "" || at.name != "peer_listen") {
+			return nil, fmt.Errorf("%s: %w", at.name, err)
+		}
+	}
+	settings, there := tree["settings"]
+	if !there {
+		return nil, errors.New("settings is missing")
+	}
+	if b.Site, err = Flatten(settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if b.Known == nil {
+		return nil, errors.New("known is missing")
+	}
+	return b, nil
+}
+
+// Span is a figure of the settings in whole microseconds, 0 where they lack it.
+func (b *Berth) Span(name string) brain.Micros { return brain.Micros(b.Figure(name)) }
+
+// Figure is a number of the settings, 0 where they lack it.
+func (b *Berth) Figure(name string) float64 { f, _ := b.Site[name].(float64); return f }
+
+// Places numbers the names that a list of the settings gives its items: "realms.3.name" is 3.
+// Items that are bare words go by these.
+func (b *Berth) Places(list string) map[string]int {
+	places := map[string]int{}
+	for i := range int(b.Figure(list)) {
+		at := list + "." + strconv.Itoa(i)
+		if name, ok := b.Site[at].(string); ok {
+			places[name] = i
+		} else if name, ok := b.Site[at+".name"].(string); ok {
+			places[name] = i
+		}
+	}
+	return places
+}
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -8,14 +8,14 @@
 import (
 	"bufio"
 	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
-	"strconv"
 
 	"ledgespread/brain"
+	"ledgespread/internal/notes"
+	"ledgespread/internal/site"
 )
 
 const (
@@ -24,7 +24,6 @@
 	entrySize  = 25
 	headSize   = 20 // of a batch, with its length field
 	replyHead  = 12
-	noteHead   = 7 // of a message between sidecars: kind and server
 	maxFrame   = 1 << 30
 )
 
@@ -110,28 +109,9 @@
 	p := o.out.rec(8, o.who)
 	be.PutUint32(p[3:], uint32(to))
 	be.PutUint32(p[7:], uint32(len(o.out.tail)))
-	be.PutUint32(p[11:], uint32(noteHead+2*len(figures)))
-	o.out.tail = append(o.out.tail, byte(kind), 0, 0, 0, 0, 0, 0)
-	putServer(o.out.tail[len(o.out.tail)-6:], about)
-	for _, f := range figures {
-		o.out.tail = be.AppendUint16(o.out.tail, uint16((math.Float32bits(float32(f))+1<<15)>>16))
-	}
-}
-
-// heard hands over another sidecar's message: its kind, the server it is about, and figures, each the upper half
-// of a float32, since every byte has its price. One that is not of this form is passed over.
-func heard(now brain.Micros, b *brain.Balancer, from brain.Peer, msg []byte) {
-	if len(msg) < noteHead || len(msg)%2 != noteHead%2 {
-		return
-	}
-	figures := make([]float64, (len(msg)-noteHead)/2)
-	for i := range figures {
-		bits := uint32(be.Uint16(msg[noteHead+2*i:])) << 16
-		if figures[i] = float64(math.Float32frombits(bits)); !(figures[i] >= 0) {
-			return
-		}
-	}
-	b.Heard(now, from, brain.Note(msg[0]), server(msg[1:]), figures...)
+	from := len(o.out.tail)
+	o.out.tail = notes.Append(o.out.tail, kind, about, figures...)
+	be.PutUint32(p[11:], uint32(len(o.out.tail)-from))
 }
 
 // host holds the instances of one process. They share nothing but the reply they write to.
@@ -226,11 +206,11 @@
 		if err != nil {
 			return err
 		}
-		site, err := Flatten(text)
+		settings, err := site.Flatten(text)
 		if err != nil {
 			return fmt.Errorf("settings of instance %d: %w", who, err)
 		}
-		nb, err := brain.New(now, site, be.Uint64(p[3:]), outlet{who, &h.out})
+		nb, err := brain.New(now, settings, be.Uint64(p[3:]), outlet{who, &h.out})
 		if err != nil {
 			h.out.text(10, who, err.Error())
 			nb = nil
@@ -285,7 +265,9 @@
 		if err != nil {
 			return err
 		}
-		heard(now, b, brain.Peer(be.Uint16(p[3:])), msg)
+		if kind, about, figures, ok := notes.Read(msg); ok {
+			b.Heard(now, brain.Peer(be.Uint16(p[3:])), kind, about, figures...)
+		}
 	}
 	return nil
 }
@@ -332,41 +314,3 @@
 	b.ListEnds(now)
 	return nil
 }
-
-// ours renames the wire's words, where the project has its own.
-var ours = map[string]string{"idempotency_key": "tagged", "non_idempotent": "mutating"}
-
-// Flatten turns the settings into plain names and values: {"a":{"b":[1]}} becomes "a.b.0": 1.
-// How many items a list has stands under its own name.
-func Flatten(text []byte) (brain.Site, error) {
-	var tree map[string]any
-	if err := json.Unmarshal(text, &tree); err != nil {
-		return nil, err
-	}
-	site := brain.Site{}
-	var walk func(name string, v any)
-	walk = func(name string, v any) {
-		switch v := v.(type) {
-		case map[string]any:
-			for k, sub := range v {
-				walk(name+"."+k, sub)
-			}
-		case []any:
-			site[name] = float64(len(v))
-			for i, sub := range v {
-				walk(name+"."+strconv.Itoa(i), sub)
-			}
-		case string:
-			if word, ok := ours[v]; ok {
-				v = word
-			}
-			site[name] = v
-		default:
-			site[name] = v
-		}
-	}
-	for k, sub := range tree {
-		walk(k, sub)
-	}
-	return site, nil
-}
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"ledgespread/brain"
+	"ledgespread/internal/site"
 )
 
 const settings = `{"my_zone":0,"discovery":"on_request","step_us":1000,"unknown":{"x":[null]},
@@ -204,7 +205,7 @@
 }
 
 func TestFlatten(t *testing.T) {
-	site, err := Flatten([]byte(`{"a":{"b":[{"effect":"non_idempotent"},2]},"c":true}`))
+	site, err := site.Flatten([]byte(`{"a":{"b":[{"effect":"non_idempotent"},2]},"c":true}`))
 	got, _ := json.Marshal(site)
 	same(t, `{"a.b":2,"a.b.0.effect":"mutating","a.b.1":2,"c":true} <nil>`, fmt.Sprint(string(got), " ", err))
 }
