Visits are bounded by sockets; a full listener closes the client that was idle longest

Now a relay holds at most 0.9 of the servers' part of the sockets as visits and bounces the rest at once; a new connection without a place takes that of the client that has carried nothing for longest. A stop closes idle clients first, while new connections are still accepted.

--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -45,7 +45,7 @@
 			}
 			var counts counters.Sheet
 			out := outbound.New(0, 0, 0, &counts, zerolog.Nop())
-			if _, err := relay.New(berth, out, nil, &counts, zerolog.Nop()); err != nil {
+			if _, err := relay.New(berth, 0, out, nil, &counts, zerolog.Nop()); err != nil {
 				return err
 			}
 			fmt.Fprintln(c.OutOrStdout(), file+": whole")
--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -22,6 +22,7 @@
 // the runtime; what is left of the memory, for stacks, buffers and the kernel's share.
 const (
 	clientsPart, serversPart = 0.5, 0.375
+	heldPart                 = 0.9 // of the servers' part, as visits held at once
 	heapPart                 = 0.6
 	calmHeap                 = 400 // percent the heap may grow between collections, as long as memory lasts
 )
@@ -35,8 +36,9 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 
 	counts := &counters.Sheet{}
-	out := outbound.New(b.Span("allowed.conn_idle_us"), b.Span("allowed.connect_timeout_us"),
-		int(serversPart*float64(b.Sockets)), counts, log)
+	toClients, toServers := clientsPart*float64(b.Sockets), serversPart*float64(b.Sockets)
+	out := outbound.New(b.Span("allowed.conn_idle_us"), b.Span("allowed.connect_timeout_us"), int(toServers),
+		counts, log)
 	var others *peers.Peers
 	if allowed, _ := b.Site["allowed.peer_messages"].(bool); allowed && b.PeerListen != "" {
 		var err error
@@ -45,11 +47,11 @@
 		}
 		defer others.Close()
 	}
-	r, err := relay.New(b, out, others, counts, log)
+	r, err := relay.New(b, int(heldPart*toServers), out, others, counts, log)
 	if err != nil {
 		return err
 	}
-	in, err := inbound.Listen(b, int(clientsPart*float64(b.Sockets)), r, counts, log)
+	in, err := inbound.Listen(b, int(toClients), r, counts, log)
 	if err != nil {
 		return err
 	}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -22,6 +22,7 @@
 	VisitsOverHeld
 	BadInput
 	ClientConnections
+	ClientsEvicted
 	AcceptFailures
 	FetchesSent
 	FetchesDelivered
@@ -35,7 +36,6 @@
 	ConnectionsOpened
 	ConnectionsReused
 	ConnectionsStale
-	ReuseMisjudged
 	ProbesSent
 	ListsTaken
 	ListsFailed
@@ -50,9 +50,9 @@
 
 var names = [last]string{"visits_taken", "visits_delivered", "visits_bounced", "visits_errored",
 	"visits_dropped", "visits_overdue", "visits_over_held", "bad_input", "client_connections",
-	"accept_failures", "fetches_sent", "fetches_delivered", "fetches_errored", "fetches_full",
+	"clients_evicted", "accept_failures", "fetches_sent", "fetches_delivered", "fetches_errored", "fetches_full",
 	"fetches_timed_out", "fetches_connect_failed", "fetches_reset", "fetches_cancelled", "fetches_never_sent",
-	"connections_opened", "connections_reused", "connections_stale", "reuse_misjudged", "probes_sent",
+	"connections_opened", "connections_reused", "connections_stale", "probes_sent",
 	"lists_taken", "lists_failed", "lists_malformed", "lists_outdated", "notes_sent", "notes_heard",
 	"notes_refused", "faults"}
 
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -26,7 +26,6 @@
 	overdue    = 5 * time.Millisecond   // after the client timeout a visit is answered without the module
 	newcomers  = 500 * time.Millisecond // new connections may come for so long after a stop was asked for
 	idleClient = 5 * time.Minute
-	slowClient = 30 * time.Second
 )
 
 // Taker is where visits go.
@@ -58,15 +57,15 @@
 	}
 	in := &Inbound{visits: visits, prefixes: b.Places("path_prefixes"), realms: b.Places("realms"),
 		tagged: map[int]bool{}, readLike: map[int]bool{}, counts: counts, log: log,
-		listener: &listener{ln.(*net.TCPListener), make(chan struct{}, most), counts, log}}
+		listener: newListener(ln.(*net.TCPListener), most, counts, log)}
 	for _, i := range in.prefixes {
 		at := "path_prefixes." + strconv.Itoa(i)
 		in.tagged[i], in.readLike[i] = b.Site[at+".effect"] == "tagged", b.Site[at+".effect"] == "read_like"
 		in.longest = max(in.longest, b.Span(at+".client_timeout_us"))
 	}
 	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log,
-		MaxRequestBodySize: mostBody, IdleTimeout: idleClient, ReadTimeout: slowClient, WriteTimeout: slowClient,
-		Concurrency: 2 * most, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true,
+		MaxRequestBodySize: mostBody, IdleTimeout: idleClient, ReadTimeout: idleClient, WriteTimeout: idleClient,
+		ConnState: in.listener.carries, Concurrency: 2 * most, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true}
 	return in, nil
 }
@@ -74,11 +73,13 @@
 // Serve goes on until Stop.
 func (in *Inbound) Serve() error { return in.server.Serve(in.listener) }
 
-// Stop lets new connections come for a while, then closes those that carry nothing, and returns when all that was
+// Stop closes the connections that carry nothing, lets new ones come for a while, and returns when all that was
 // taken has its answer.
 func (in *Inbound) Stop() {
 	in.stopping.Store(true)
+	in.listener.evictIdle()
 	time.Sleep(newcomers)
+	in.listener.evictIdle()
 	ctx, done := context.WithTimeout(context.Background(), time.Duration(in.longest)*time.Microsecond+2*overdue)
 	defer done()
 	if err := in.server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
@@ -99,6 +100,9 @@
 	if in.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
+	if in.listener.isEvicted(ctx.Conn()) {
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/-/ready": // what it says is true once it can be heard: listeners are up, and the list is known
 		plain(ctx, fasthttp.StatusOK, "ready")
@@ -158,7 +162,8 @@
 		// Guards against a visit without an end, should the module's news never come.
 		if x.Fail(exchange.Overdue) {
 			in.counts.Add(counters.VisitsOverdue)
-			in.log.Error().Uint64("visit", uint64(x.ID)).Msg("no answer within the client timeout")
+			in.counts.Add(counters.Faults)
+			in.log.Error().Uint16("path_prefix", uint16(x.On)).Msg("no answer within the client timeout")
 			in.visits.Left(x)
 		}
 		<-x.Done()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,14 +64,18 @@
 	log      zerolog.Logger
 }
 
-// New makes a relay with its Balancer, which then holds the saved list.
-func New(b *site.Berth, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
+// New makes a relay with its Balancer, which then holds the saved list. It holds most visits at once, or fewer
+// where the settings say so.
+func New(b *site.Berth, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
 	log zerolog.Logger) (*Relay, error) {
 	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), due: btree.NewG(16, due.before),
 		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, address: map[brain.Backend]string{},
-		mostHeld: int(b.Figure("allowed.most_held")), mostOut: int(b.Figure("allowed.max_backend_fetches")),
+		mostHeld: most, mostOut: int(b.Figure("allowed.max_backend_fetches")),
 		idle: b.Span("allowed.conn_idle_us"), pushed: b.Site["discovery"] == "pushed",
 		outbound: out, peers: others, counts: counts, log: log}
+	if told := int(b.Figure("allowed.most_held")); told > 0 {
+		r.mostHeld = min(r.mostHeld, told)
+	}
 	zones := b.Places("azs")
 	saved, err := discovery.Read(b.Known, zones)
 	if err != nil {
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -10,7 +10,8 @@
 // Take takes a visit in; its answer comes by the exchange object.
 func (r *Relay) Take(x *exchange.Exchange) {
 	r.post(func() {
-		if r.mostHeld > 0 && r.held >= r.mostHeld {
+		// Guards against more visits than there are sockets for: nothing of this one has run.
+		if r.held >= r.mostHeld {
 			r.counts.Add(counters.VisitsOverHeld)
 			x.Bounce(0)
 			return
