A fetch whose time is up is reported as timed out, not as a broken connection

What was seen: the first test of how fetches end. fasthttp's reader turns an expired deadline into an error of its own, which outbound.Result took for a reset; the module would have had the server sit out as broken. At fault: the check for os.ErrDeadlineExceeded in Failure's cause alone. TestFetchEnds shows it, TestIdleConnections the pool.

--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -166,6 +167,8 @@
 	fail := func(cause error) error {
 		if f.ctx.Err() != nil {
 			cause = errCalledOff
+		} else if !time.Now().Before(until) {
+			cause = os.ErrDeadlineExceeded // the reader of answers words it in several ways
 		}
 		return &Failure{Reach: reach, Cause: cause}
 	}
--- /dev/null
+++ b/internal/servers_test.go
@@ -0,0 +1,221 @@
+// Package internal_test tries the sidecar's parts on loopback sockets and compares what happened with a trace.
+package internal_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/outbound"
+)
+
+// trace gathers lines from several goroutines.
+type trace struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (tr *trace) add(format string, args ...any) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.lines = append(tr.lines, fmt.Sprintf(format, args...))
+}
+
+// same compares the lines with those kept here, written one a line.
+func (tr *trace) same(t *testing.T, want string) {
+	t.Helper()
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if diff := cmp.Diff(strings.Split(strings.TrimSpace(want), "\n"), tr.lines); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+// fake is a server that answers its nth request by a script: raw bytes, and then "!" to close the connection;
+// "silence" for no answer.
+type fake struct {
+	net.Listener
+	mu   sync.Mutex
+	seen []string // requests as they came
+}
+
+func serveFake(t *testing.T, script func(n int, path string) string) *fake {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	s := &fake{Listener: ln}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go s.serve(c, script)
+		}
+	}()
+	return s
+}
+
+func (s *fake) serve(c net.Conn, script func(n int, path string) string) {
+	defer c.Close()
+	var raw strings.Builder
+	in := bufio.NewReader(io.TeeReader(c, &raw))
+	for {
+		raw.Reset()
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		s.mu.Lock()
+		s.seen = append(s.seen, raw.String())
+		n := len(s.seen)
+		s.mu.Unlock()
+		answer := script(n, req.URL.Path)
+		if answer == "silence" {
+			io.Copy(io.Discard, in)
+			return
+		}
+		io.WriteString(c, strings.TrimSuffix(answer, "!"))
+		if strings.HasSuffix(answer, "!") {
+			return
+		}
+	}
+}
+
+func (s *fake) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen)
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+var results = [...]string{brain.Delivered: "delivered", brain.Errored: "errored", brain.Full: "full",
+	brain.TimedOut: "timed out", brain.ConnectFailed: "connect failed", brain.Reset: "reset",
+	brain.Cancelled: "cancelled", brain.NeverSent: "never sent"}
+
+const second = brain.Micros(1_000_000)
+
+func reach(idle brain.Micros, most int, counts *counters.Sheet) *outbound.Outbound {
+	return outbound.New(idle, second, most, counts, zerolog.Nop())
+}
+
+// fetch does one backend fetch and tells how it ended. before is done while it is out.
+func fetch(o *outbound.Outbound, path, address string, wait brain.Micros, before func(*outbound.Flight)) string {
+	x := exchange.New([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n"), nil)
+	end := make(chan string, 2)
+	f := o.Fetch(x, 1, address, wait, func(_, body []byte, reused bool, err error) {
+		end <- fmt.Sprintf("%s reused=%v %q %v", results[outbound.Result(err)], reused, body, err)
+	})
+	before(f)
+	return <-end
+}
+
+func nothing(*outbound.Flight) {}
+
+func TestFetchEnds(t *testing.T) {
+	s := serveFake(t, func(_ int, path string) string {
+		return map[string]string{"/ok": ok, "/error": "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n",
+			"/busy":   "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n",
+			"/slow":   "HTTP/1.1 429 x\r\nContent-Length: 0\r\n\r\n",
+			"/unseen": "HTTP/1.1 503 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+			"/over":   "HTTP/1.1 504 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+			"/short":  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf!", "/closed": "!",
+			"/chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n!",
+			"/long":    "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000),
+			"/garbage": "what?\r\n\r\n!", "/silence": "silence"}[path]
+	})
+	var tr trace
+	for _, path := range []string{"/ok", "/error", "/busy", "/slow", "/unseen", "/over", "/short", "/closed",
+		"/chunks", "/long", "/garbage", "/silence"} {
+		counts := &counters.Sheet{}
+		end := fetch(reach(10*second, 9, counts), path, s.Addr().String(), second/10, nothing)
+		tr.add("%s: %s", path, strings.Split(end, ": cannot find")[0])
+	}
+	end := fetch(reach(10*second, 9, &counters.Sheet{}), "/silence", s.Addr().String(), 10*second,
+		func(f *outbound.Flight) {
+			for s.count() < 13 {
+				time.Sleep(time.Millisecond)
+			}
+			f.Cancel()
+		})
+	tr.add("called off while it waits: %s", end)
+	tr.add("the server saw %d", s.count())
+	s.Close()
+	refused := fetch(reach(10*second, 9, &counters.Sheet{}), "/ok", s.Addr().String(), second, nothing)
+	tr.add("nobody listens: %s", strings.Split(refused, ": dial")[0])
+	none := fetch(reach(10*second, 0, &counters.Sheet{}), "/ok", s.Addr().String(), second, nothing)
+	tr.add("no descriptor left: %s", none)
+	tr.same(t, `
+/ok: delivered reused=false "hi" <nil>
+/error: errored reused=false "" answered with 500
+/busy: errored reused=false "" answered with 503
+/slow: errored reused=false "" answered with 429
+/unseen: full reused=false "" answered with 503
+/over: full reused=false "" answered with 504
+/short: reset reused=false "" sent: unexpected EOF
+/closed: reset reused=false "" sent: EOF
+/chunks: reset reused=false "" sent: EOF
+/long: reset reused=false "" sent: fasthttp: body size exceeds the given limit
+/garbage: reset reused=false "" sent: error when reading response headers
+/silence: timed out reused=false "" sent: i/o timeout
+called off while it waits: cancelled reused=false "" sent: called off
+the server saw 13
+nobody listens: connect failed reused=false "" not sent
+no descriptor left: connect failed reused=false "" not sent: all 0 connections are busy
+`)
+}
+
+// A connection that the server closed meanwhile, or is about to close, is not written to; what was never written
+// may go out on a fresh one.
+func TestIdleConnections(t *testing.T) {
+	s := serveFake(t, func(n int, path string) string { return map[bool]string{true: ok + "!", false: ok}[path == "/last"] })
+	counts := &counters.Sheet{}
+	var tr trace
+	o := reach(second/5, 1, counts)
+	for _, step := range []string{"/one", "/two", "wait for its idle time", "/three", "close idle", "/last",
+		"wait until it is closed", "/five"} {
+		switch step {
+		case "wait for its idle time":
+			time.Sleep(210 * time.Millisecond)
+		case "close idle":
+			o.CloseIdle(1)
+		case "wait until it is closed":
+			time.Sleep(20 * time.Millisecond)
+		default:
+			tr.add("%s: %s", step, fetch(o, step, s.Addr().String(), second, nothing))
+			continue
+		}
+		tr.add("%s", step)
+	}
+	tr.add("opened %d, reused %d, stale %d; the server saw %d", counts[counters.ConnectionsOpened].Load(),
+		counts[counters.ConnectionsReused].Load(), counts[counters.ConnectionsStale].Load(), s.count())
+	tr.same(t, `
+/one: delivered reused=false "hi" <nil>
+/two: delivered reused=true "hi" <nil>
+wait for its idle time
+/three: delivered reused=false "hi" <nil>
+close idle
+/last: delivered reused=false "hi" <nil>
+wait until it is closed
+/five: delivered reused=false "hi" <nil>
+opened 4, reused 1, stale 2; the server saw 5
+`)
+}
