Answers of visits held at a stop close their connection; tests of the client's side

What was seen: TestPlacesAndStop showed that a visit taken before the stop was answered without Connection: close, since the flag was looked at before the visit waited. Now it is looked at when the answer is written. TestBadInput, TestBytesThatGoOn, TestConnections and TestVisitsRoundTheModule try the rest on loopback sockets.

--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -97,9 +97,6 @@
 			ctx.SetConnectionClose()
 		}
 	}()
-	if in.stopping.Load() {
-		ctx.SetConnectionClose()
-	}
 	if in.listener.isEvicted(ctx.Conn()) {
 		return
 	}
@@ -112,6 +109,9 @@
 	default:
 		in.visit(ctx)
 	}
+	if in.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
 }
 
 func plain(ctx *fasthttp.RequestCtx, status int, text string) {
--- /dev/null
+++ b/internal/visits_test.go
@@ -0,0 +1,356 @@
+package internal_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/inbound"
+	"ledgespread/internal/relay"
+	"ledgespread/internal/site"
+)
+
+// configuration has three path prefixes: read-like, tagged and mutating. More settings stand in more.
+func configuration(hosts, allowed string) string {
+	prefix := `{"name":"%s","effect":"%s","group":"all","target_latency_us":400000,"client_timeout_us":800000,
+		"memory_span_us":500000,"value":1,"late_value":0}`
+	return `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"a1",
+		"limits":{"cores":1,"memory_mb":64,"sockets":64},"known":{"seq":7,"whole":true,"hosts":[` + hosts + `]},
+		"settings":{"my_zone":0,"azs":["here","there"],"discovery":"pushed","step_us":1000,
+		"realms":[{"name":"acme","quota_per_s":99}],"path_prefixes":[` + fmt.Sprintf(prefix, "look", "read_like") +
+		`,` + fmt.Sprintf(prefix, "book", "idempotency_key") + `,` + fmt.Sprintf(prefix, "pay", "non_idempotent") +
+		`],"allowed":{"max_backend_fetches":5,"conn_idle_us":10000000,"connect_timeout_us":100000,"cancel":true,
+		"multiplex":1` + allowed + `},"obligations":{"cold_from":0.3,"cold_us":8000000,"fall_multiple":3,
+		"fall_us":1500000,"ask_every_us":10000000}}}`
+}
+
+func berth(t *testing.T, text string) *site.Berth {
+	t.Helper()
+	b, err := site.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// taker stands in for the relay.
+type taker struct {
+	tr   *trace
+	take func(*exchange.Exchange)
+}
+
+func (tk taker) Take(x *exchange.Exchange) { tk.take(x) }
+func (tk taker) Left(*exchange.Exchange)   { tk.tr.add("the relay hears that the client left") }
+
+func deliver(x *exchange.Exchange) { x.Deliver([]byte("text/plain"), []byte("done")) }
+
+func listen(t *testing.T, b *site.Berth, most int, visits inbound.Taker) (*inbound.Inbound, string, *counters.Sheet) {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Listen = free.Addr().String()
+	free.Close()
+	counts := &counters.Sheet{}
+	in, err := inbound.Listen(b, most, visits, counts, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go in.Serve()
+	return in, b.Listen, counts
+}
+
+// client is a connection of the application.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &client{c, bufio.NewReader(c)}
+}
+
+// answer tells the next answer, with what the test cares for.
+func (c *client) answer() string {
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return strings.Split(err.Error(), ": ")[0]
+	}
+	body, err := io.ReadAll(resp.Body)
+	line := fmt.Sprintf("%d %q", resp.StatusCode, strings.TrimSpace(string(body)))
+	for _, name := range []string{"Retry-After", "Allow"} {
+		if v := resp.Header.Get(name); v != "" {
+			line += fmt.Sprintf(" %s=%s", name, v)
+		}
+	}
+	if resp.Close {
+		line += " close"
+	}
+	if err != nil {
+		line += " " + err.Error()
+	}
+	return line
+}
+
+const fields = "Host: api\r\nX-Request-ID: 1\r\nX-Tenant-Id: acme\r\nX-Timeout: 100m\r\n"
+
+func (c *client) ask(raw string) string {
+	io.WriteString(c, raw)
+	return c.answer()
+}
+
+func TestBadInput(t *testing.T) {
+	var tr trace
+	_, at, counts := listen(t, berth(t, configuration("", "")), 9, taker{&tr, deliver})
+	without := func(name string) string {
+		var kept string
+		for line := range strings.Lines(fields) {
+			if !strings.HasPrefix(line, name) {
+				kept += line
+			}
+		}
+		return kept
+	}
+	for _, c := range []struct{ name, raw string }{
+		{"whole", "GET /look/x HTTP/1.1\r\n" + fields + "\r\n"},
+		{"ready", "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"},
+		{"unknown path prefix", "GET /other HTTP/1.1\r\n" + fields + "\r\n"},
+		{"no id", "GET /look HTTP/1.1\r\n" + without("X-Request-ID") + "\r\n"},
+		{"no time", "GET /look HTTP/1.1\r\n" + without("X-Timeout") + "\r\n"},
+		{"odd time", "GET /look HTTP/1.1\r\n" + without("X-Timeout") + "X-Timeout: 5s\r\n\r\n"},
+		{"no time at all", "GET /look HTTP/1.1\r\n" + without("X-Timeout") + "X-Timeout: 0m\r\n\r\n"},
+		{"unknown tenant", "GET /look HTTP/1.1\r\n" + without("X-Tenant") + "X-Tenant-Id: who\r\n\r\n"},
+		{"no mark", "POST /book HTTP/1.1\r\n" + fields + "Content-Length: 0\r\n\r\n"},
+		{"tagged by GET", "GET /book HTTP/1.1\r\n" + fields + "\r\n"},
+		{"read-like by POST", "POST /look HTTP/1.1\r\n" + fields + "Content-Length: 0\r\n\r\n"},
+		{"too long", "POST /pay HTTP/1.1\r\n" + fields + "Content-Length: 70000\r\n\r\n"},
+		{"no HTTP", "hello\r\n\r\n"},
+	} {
+		tr.add("%s: %s", c.name, dial(t, at).ask(c.raw))
+	}
+	tr.add("taken %d, bad %d", counts[counters.VisitsTaken].Load(), counts[counters.BadInput].Load())
+	tr.same(t, `
+whole: 200 "done"
+ready: 200 "ready"
+unknown path prefix: 404 "unknown path prefix"
+no id: 400 "X-Request-ID is missing"
+no time: 400 "X-Timeout is missing or malformed"
+odd time: 400 "X-Timeout is missing or malformed"
+no time at all: 400 "X-Timeout is missing or malformed"
+unknown tenant: 400 "unknown tenant"
+no mark: 400 "Idempotency-Key is missing"
+tagged by GET: 405 "the path prefix has another method" Allow=POST
+read-like by POST: 405 "the path prefix has another method" Allow=GET
+too long: 413 "Request Entity Too Large" close
+no HTTP: 400 "Bad Request" close
+taken 1, bad 11
+`)
+}
+
+// What the decisions don't need goes on as the bytes that came; the answers of one side are those of the other.
+func TestBytesThatGoOn(t *testing.T) {
+	var tr trace
+	_, at, _ := listen(t, berth(t, configuration("", "")), 9, taker{&tr, func(x *exchange.Exchange) {
+		for line := range strings.Lines(string(x.Outgoing(70_000))) {
+			tr.add("%s", strings.TrimRight(line, "\r\n"))
+		}
+		tr.add("prefix %d, tenant %d, left %d, work %d, again %v", x.On, x.Of, x.Left, x.Effort, x.Again)
+		x.Bounce(37_400)
+	}})
+	tr.add("answer: %s", dial(t, at).ask("POST /book/a%2Fb?q=%20x&Y HTTP/1.1\r\nhost: Api\r\nX-REQUEST-id: 9b1f\r\n"+
+		"X-Tenant-Id: acme\r\nx-timeout: 75000u\r\nConnection: keep-alive\r\nX-Retried: 1\r\nX-Cost: 1200\r\n"+
+		"Idempotency-Key:  5c0f \r\nX-Odd: A:b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na\nb\r\n1\r\nc\r\n0\r\n\r\n"))
+	tr.same(t, `
+POST /book/a%2Fb?q=%20x&Y HTTP/1.1
+host: Api
+X-REQUEST-id: 9b1f
+X-Tenant-Id: acme
+X-Retried: 1
+X-Cost: 1200
+Idempotency-Key:  5c0f 
+X-Odd: A:b
+Content-Length: 4
+X-Timeout: 70000u
+
+a
+bc
+prefix 1, tenant 0, left 75000, work 1200, again true
+answer: 503 "not now; a retry does no harm" Retry-After=0.038
+`)
+}
+
+// A client that leaves is noticed while its visit is out, and no byte of a visit sent ahead is eaten; a visit
+// without news ends at its client timeout; a panic stops at its connection.
+func TestConnections(t *testing.T) {
+	var tr trace
+	n := 0
+	held := make(chan *exchange.Exchange, 1)
+	_, at, counts := listen(t, berth(t, configuration("", "")), 9, taker{&tr, func(x *exchange.Exchange) {
+		if n++; n == 3 {
+			panic("in a connection")
+		} else if n > 3 {
+			held <- x
+			return
+		}
+		go func() {
+			time.Sleep(30 * time.Millisecond)
+			deliver(x)
+		}()
+	}})
+	visit := "GET /look HTTP/1.1\r\n" + fields + "\r\n"
+	c := dial(t, at)
+	tr.add("first of two sent at once: %s", c.ask(visit+visit))
+	tr.add("second: %s", c.answer())
+	tr.add("panic: %s", c.ask(visit))
+	tr.add("no news: %s", dial(t, at).ask(visit))
+	answered := <-held
+	c = dial(t, at)
+	io.WriteString(c, visit)
+	x := <-held
+	c.Close()
+	for counts[counters.VisitsDropped].Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(10 * time.Millisecond)
+	tr.add("second answers taken: %v %v", answered.Bounce(0), x.Fail(exchange.Errored) && x.Bounce(0))
+	tr.add("faults %d, overdue %d", counts[counters.Faults].Load(), counts[counters.VisitsOverdue].Load())
+	tr.same(t, `
+first of two sent at once: 200 "done"
+second: 200 "done"
+panic: 500 "this sidecar failed" close
+the relay hears that the client left
+no news: 504 "no answer in time"
+the relay hears that the client left
+second answers taken: false false
+faults 2, overdue 1
+`)
+}
+
+// Without a place left, the client that has been idle for longest makes room. At a stop idle clients go, new ones
+// are served for a while, and what is held gets its answer.
+func TestPlacesAndStop(t *testing.T) {
+	var tr trace
+	held := make(chan *exchange.Exchange, 1)
+	in, at, _ := listen(t, berth(t, configuration("", "")), 2, taker{&tr, func(x *exchange.Exchange) {
+		if x.Again {
+			held <- x
+			return
+		}
+		deliver(x)
+	}})
+	visit := "GET /look HTTP/1.1\r\n" + fields + "\r\n"
+	one := dial(t, at)
+	tr.add("one: %s", one.ask(visit))
+	two := dial(t, at)
+	tr.add("two: %s", two.ask(visit))
+	three := dial(t, at)
+	tr.add("three: %s", three.ask(visit))
+	tr.add("one, idle for longest: %s", one.answer())
+	io.WriteString(two, "GET /look HTTP/1.1\r\n"+fields+"X-Retried: 1\r\n\r\n")
+	x := <-held
+	done := make(chan bool)
+	go func() { in.Stop(); close(done) }()
+	tr.add("three, idle at the stop: %s", three.answer())
+	tr.add("new after the stop: %s", dial(t, at).ask(visit))
+	deliver(x)
+	tr.add("two, held at the stop: %s", two.answer())
+	<-done
+	_, err := net.Dial("tcp", at)
+	tr.add("after the end: %v", err != nil)
+	tr.same(t, `
+one: 200 "done"
+two: 200 "done"
+three: 200 "done"
+one, idle for longest: unexpected EOF
+three, idle at the stop: unexpected EOF
+new after the stop: 200 "done" close
+two, held at the stop: 200 "done" close
+after the end: true
+`)
+}
+
+// sidecar puts the parts together round the module, with these servers.
+func sidecar(t *testing.T, allowed string, most int, servers ...*fake) (string, *counters.Sheet) {
+	t.Helper()
+	var hosts []string
+	for i, s := range servers {
+		hosts = append(hosts, fmt.Sprintf(`{"host":"s%d","dial":"%s","site":"here","class":"m","block":0,
+			"health":"in_service","share":1,"born_ms":0}`, i, s.Addr()))
+	}
+	b := berth(t, configuration(strings.Join(hosts, ","), allowed))
+	counts := &counters.Sheet{}
+	r, err := relay.New(b, most, reach(10*second, 9, counts), nil, counts, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go r.Run()
+	_, at, _ := listen(t, b, 9, r)
+	return at, counts
+}
+
+// The module's answers reach the client: deliveries, free and charged retries, and the two that end a visit.
+func TestVisitsRoundTheModule(t *testing.T) {
+	var tr trace
+	post := func(path string) string {
+		return "POST " + path + " HTTP/1.1\r\n" + fields + "Idempotency-Key: k\r\nContent-Length: 1\r\n\r\nx"
+	}
+	s := serveFake(t, func(n int, path string) string {
+		switch {
+		case n == 2 || strings.HasSuffix(path, "/broken"):
+			return "!"
+		case strings.HasSuffix(path, "/unseen"):
+			return "HTTP/1.1 503 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+		case strings.HasSuffix(path, "/silent"):
+			return "silence"
+		}
+		return ok
+	})
+	at, counts := sidecar(t, "", 9, s)
+	c := dial(t, at)
+	for _, step := range []struct{ name, raw string }{
+		{"delivered", "GET /look HTTP/1.1\r\n" + fields + "\r\n"},
+		{"its reused connection broke: one free retry", "GET /look HTTP/1.1\r\n" + fields + "\r\n"},
+		{"mutating, broken on a reused and so on no other", post("/pay/broken")},
+		{"mutating, silent until its time is up", post("/pay/silent")},
+		{"mutating, turned away unseen", post("/pay/unseen")},
+	} {
+		before := s.count()
+		line := c.ask(step.raw)
+		tr.add("%s: %s after %d", step.name, line, s.count()-before)
+	}
+	tr.add("delivered %d, bounced %d, errored %d, faults %d", counts[counters.VisitsDelivered].Load(),
+		counts[counters.VisitsBounced].Load(), counts[counters.VisitsErrored].Load(), counts[counters.Faults].Load())
+	full, fullCounts := sidecar(t, "", 0, s)
+	tr.add("no socket for a visit: %s", dial(t, full).ask("GET /look HTTP/1.1\r\n"+fields+"\r\n"))
+	tr.add("over held %d", fullCounts[counters.VisitsOverHeld].Load())
+	tr.same(t, `
+delivered: 200 "hi" after 1
+its reused connection broke: one free retry: 200 "hi" after 2
+mutating, broken on a reused and so on no other: 502 "no answer from the servers" after 1
+mutating, silent until its time is up: 504 "no answer in time" after 1
+mutating, turned away unseen: 503 "not now; a retry does no harm" after 2
+delivered 2, bounced 1, errored 2, faults 0
+no socket for a visit: 503 "not now; a retry does no harm"
+over held 1
+`)
+}
+
+var _ brain.Ports = (*relay.Relay)(nil)
