--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -17,8 +17,10 @@
 	"ledgespread/internal/counters"
 )
 
-// grace is how long an answer is waited for beyond the time that the call may hold it.
-const grace = 2 * time.Second
+const (
+	grace = 2 * time.Second // an answer is waited for so long beyond the time that the call may hold it
+	pace  = grace / 20      // between two calls that bring nothing, so that the watch still goes on
+)
 
 // Watcher follows the list at one address.
 type Watcher struct {
@@ -72,6 +74,7 @@
 		}
 	}()
 	for hold := time.Duration(0); ; hold = w.hold {
+		began := time.Now()
 		list, err := w.call(hold)
 		w.mu.Lock()
 		current := round == w.round
@@ -97,6 +100,10 @@
 		if !current {
 			return
 		}
+		// Guards against a service that answers at once, and nothing, for ever.
+		if list.Empty() && hold > 0 {
+			time.Sleep(max(0, pace-time.Since(began)))
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/lists_test.go
@@ -0,0 +1,278 @@
+package internal_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/discovery"
+	"ledgespread/internal/notes"
+	"ledgespread/internal/peers"
+	"ledgespread/internal/relay"
+	"ledgespread/internal/site"
+)
+
+const host = `{"host":"s","dial":"127.0.0.1:9","site":"here","class":"m","block":3,"health":"in_service",` +
+	`"share":1.5,"born_ms":2}`
+
+func hosts(seq int, whole bool, lines ...string) string {
+	return fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[%s]}`, seq, whole, strings.Join(lines, ","))
+}
+
+// A list is told whole or not at all.
+func TestListsRead(t *testing.T) {
+	var tr trace
+	edit := func(old, new string) string { return strings.Replace(host, old, new, 1) }
+	for _, c := range []struct{ name, text string }{
+		{"whole", hosts(41, true, host, edit(`"s"`, `"other"`))},
+		{"draining", hosts(42, false, edit("in_service", "terminating"))},
+		{"gone", hosts(43, false, edit("in_service", "terminated"))},
+		{"no JSON", "{"},
+		{"no version", `{"whole":true,"hosts":[]}`},
+		{"odd version", hosts(-1, true, host)},
+		{"twice", hosts(44, false, edit("in_service", "terminating"), edit("in_service", "terminated"))},
+		{"unknown site", hosts(1, true, edit("here", "nowhere"))},
+		{"unknown health", hosts(1, true, edit("in_service", "poorly"))},
+		{"no address", hosts(1, true, edit("127.0.0.1:9", "somewhere"))},
+		{"no server", hosts(1, true, host, "7")},
+	} {
+		list, err := discovery.Read([]byte(c.text), map[string]int{"there": 0, "here": 1})
+		tr.add("%s: %v", c.name, err)
+		if list == nil {
+			continue
+		}
+		list.Lines(func(id brain.Backend, at string, zone brain.Zone, cell brain.Cell, st brain.Standing, rating float64,
+			started brain.Micros) {
+			tr.add("  %d whole=%v: %012x %s zone %d cell %d standing %d rating %g started %d", list.Version, list.Whole,
+				id, at, zone, cell, st, rating, started)
+		})
+	}
+	tr.same(t, `
+whole: <nil>
+  41 whole=true: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 2 rating 1.5 started 2000
+  41 whole=true: ad61c2562071 127.0.0.1:9 zone 1 cell 3 standing 2 rating 1.5 started 2000
+draining: <nil>
+  42 whole=false: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 1 rating 1.5 started 2000
+gone: <nil>
+  43 whole=false: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 0 rating 1.5 started 2000
+no JSON: unexpected end of JSON input
+no version: seq is missing or malformed
+odd version: seq is no whole number
+twice: <nil>
+  44 whole=false: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 1 rating 1.5 started 2000
+  44 whole=false: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 0 rating 1.5 started 2000
+unknown site: s has an unknown site or health
+unknown health: s has an unknown site or health
+no address: not an ip:port
+no server: hosts holds something that is no server
+`)
+}
+
+// A watch asks for what is new at once and then holds; it ends with a failure, which is told once. An answer older
+// than the list held changes nothing.
+func TestWatch(t *testing.T) {
+	var tr trace
+	answers := []string{hosts(42, true, host), hosts(42, false), hosts(43, false, host), hosts(40, true, host), "gone",
+		hosts(43, false), "{"}
+	asked, over := make(chan bool, 9), make(chan bool)
+	s := serveFake(t, func(n int, path string) string {
+		defer func() { asked <- true }()
+		if n > len(answers) {
+			<-over
+		} else if answers[n-1] != "gone" {
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answers[n-1]), answers[n-1])
+		}
+		return "!"
+	})
+	defer close(over)
+	counts, told := &counters.Sheet{}, make(chan bool, 9)
+	w := discovery.New(s.Addr().String(), map[string]int{"here": 0}, 41, 4*second, 7, func(l *discovery.List) {
+		if l == nil {
+			tr.add("told: failed")
+		} else {
+			tr.add("told: %d whole=%v empty=%v", l.Version, l.Whole, l.Empty())
+		}
+		told <- l == nil
+	}, counts, zerolog.Nop())
+	for range 2 {
+		w.Watch()
+		for !<-told {
+		}
+	}
+	s.mu.Lock()
+	for _, ask := range s.seen {
+		tr.add("%s", strings.Split(ask, " HTTP")[0])
+	}
+	s.mu.Unlock()
+	tr.add("taken %d, failed %d, malformed %d, outdated %d", counts[counters.ListsTaken].Load(),
+		counts[counters.ListsFailed].Load(), counts[counters.ListsMalformed].Load(), counts[counters.ListsOutdated].Load())
+	tr.same(t, `
+told: 42 whole=true empty=false
+told: 43 whole=false empty=false
+told: failed
+told: 43 whole=false empty=true
+told: failed
+GET /api/targets?from=41&hold_ms=0
+GET /api/targets?from=42&hold_ms=2000
+GET /api/targets?from=42&hold_ms=2000
+GET /api/targets?from=43&hold_ms=2000
+GET /api/targets?from=43&hold_ms=2000
+GET /api/targets?from=43&hold_ms=0
+GET /api/targets?from=43&hold_ms=2000
+taken 3, failed 2, malformed 1, outdated 1
+`)
+}
+
+// Where the list is pushed, the watcher comes back by itself, later each time.
+func TestWatchKept(t *testing.T) {
+	var tr trace
+	var mu sync.Mutex
+	var at []time.Time
+	s := serveFake(t, func(n int, path string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if at = append(at, time.Now()); n == 4 {
+			return "silence"
+		}
+		return "!"
+	})
+	w := discovery.New(s.Addr().String(), nil, 41, 4*second, 7, func(l *discovery.List) {}, &counters.Sheet{}, zerolog.Nop())
+	w.Keep()
+	for s.count() < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for i := range 3 {
+		least := (125 << i) * time.Millisecond
+		tr.add("call %d waits at least %v: %v", i+2, least, at[i+1].Sub(at[i]) >= least)
+	}
+	tr.same(t, `
+call 2 waits at least 125ms: true
+call 3 waits at least 250ms: true
+call 4 waits at least 500ms: true
+`)
+}
+
+// Messages are known by where they come from; strangers, garbage and long ones are passed over.
+func TestPeers(t *testing.T) {
+	var tr trace
+	port := func() netip.AddrPort {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return netip.MustParseAddrPort(c.LocalAddr().String())
+	}
+	at := []netip.AddrPort{port(), port()}
+	open := func(i int) (*peers.Peers, *counters.Sheet) {
+		counts := &counters.Sheet{}
+		p, err := peers.Open(at[i].String(), at, counts, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Close)
+		return p, counts
+	}
+	zero, counts := open(0)
+	one, sent := open(1)
+	heard := make(chan bool, 9)
+	go zero.Hear(func(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
+		tr.add("from %d: kind %d about %x: %v", from, kind, about, figures)
+		heard <- true
+	})
+	stranger, err := net.Dial("udp", at[0].String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	stranger.Write(notes.Append(nil, brain.Ask, 1))
+	for counts[counters.NotesRefused].Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	one.Tell(0, brain.Ended, 0xabcdef012345, 1, 2.5, 300)
+	one.Tell(2, brain.Ask, 1)
+	one.Tell(0, brain.TenantsUse, 0, make([]float64, 200)...)
+	one.Tell(0, brain.Note(9), 5)
+	<-heard
+	<-heard
+	tr.add("heard %d, refused %d; sent %d, refused %d", counts[counters.NotesHeard].Load(),
+		counts[counters.NotesRefused].Load(), sent[counters.NotesSent].Load(), sent[counters.NotesRefused].Load())
+	for _, msg := range []string{"", "short", "\x01\x00\x00\x00\x00\x00\x01\x00", "\x01\x00\x00\x00\x00\x00\x01\xff\xff"} {
+		_, _, _, fine := notes.Read([]byte(msg))
+		tr.add("%q is a message: %v", msg, fine)
+	}
+	tr.same(t, `
+from 1: kind 7 about abcdef012345: [1 2.5 300]
+from 1: kind 9 about 5: []
+heard 2, refused 1; sent 2, refused 2
+"" is a message: false
+"short" is a message: false
+"\x01\x00\x00\x00\x00\x00\x01\x00" is a message: false
+"\x01\x00\x00\x00\x00\x00\x01\xff\xff" is a message: false
+`)
+}
+
+// A configuration that lacks something is refused by a line that names it.
+func TestBerth(t *testing.T) {
+	var tr trace
+	good := configuration(host, "")
+	for _, c := range [][2]string{{"", ""}, {`"listen"`, `"listne"`}, {`"seed":"a1"`, `"seed":"zz"`},
+		{`"sockets":64`, `"sockets":0`}, {`"known":`, `"unknown":`}, {`"settings"`, `"setting"`},
+		{`127.0.0.1:0`, `nowhere`}, {`"discovery":"127`, `"discovery":"x`}, {`"in_service"`, `"sick"`},
+		{`"seq":7`, `"seq":"7"`}, {`"target_latency_us":400000,`, ``}, {`"my_zone":0,`, ``}, {`{"name":"n0"`, `["n0"`}} {
+		b, err := site.Parse([]byte(strings.Replace(good, c[0], c[1], 1)))
+		if err == nil {
+			_, err = relay.New(b, 9, reach(second, 9, &counters.Sheet{}), nil, &counters.Sheet{}, zerolog.Nop())
+		}
+		tr.add("%s: %v", c[1], err)
+	}
+	_, err := site.Read("")
+	tr.add("no file named: %v", err)
+	_, err = site.Read("testdata/missing.json")
+	tr.add("missing: %v", err)
+	tr.same(t, `
+: <nil>
+"listne": listen is missing
+"seed":"zz": seed: strconv.ParseUint: parsing "zz": invalid syntax
+"sockets":0: limits.sockets is missing
+"unknown":: known is missing
+"setting": settings is missing
+nowhere: listen: not an ip:port
+"discovery":"x: discovery: ParseAddr("x.0.0.1"): unexpected character (at "x.0.0.1")
+"sick": known: s has an unknown site or health
+"seq":"7": known: seq is missing or malformed
+: settings lack path_prefixes.0.target_latency_us
+: settings lack my_zone
+["n0": invalid character ':' after array element
+no file named: no configuration file: RELAY_CONFIG is not set
+missing: open testdata/missing.json: no such file or directory
+`)
+}
+
+// Counters are printed by name.
+func TestCounters(t *testing.T) {
+	var sheet counters.Sheet
+	sheet.Add(counters.VisitsTaken)
+	sheet.Add(counters.Faults)
+	var out strings.Builder
+	sheet.WriteTo(io.Writer(&out))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	var tr trace
+	tr.add("%s", lines[counters.VisitsTaken])
+	tr.add("%s", lines[len(lines)-1])
+	tr.same(t, `
+ledgespread_visits_taken 1
+ledgespread_faults 1
+`)
+}
