A backend fetch is not sent once its visit has ended; servers' fields are passed on

What was seen: read against the rule 'no send after the answer'. A fetch whose connection comes up only after its visit ended is held back by the module's Cancel; where the settings forbid that, nothing held it back, and it was sent. At fault: relay.end left flights alone. Now they are withdrawn: what is not written yet never is; what was written goes on. TestFetchEnds shows it with an address whose backlog is full.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"ledgespread/brain"
@@ -33,11 +34,25 @@
 	settled    atomic.Bool
 
 	// The answer: set once, before done is closed.
-	How         Ending
-	Kind, Bytes []byte // the server's content type and body
-	ComeBackIn  brain.Micros
+	How        Ending
+	Answer     *Answer // of a server
+	ComeBackIn brain.Micros
 }
 
+// Answer is what a server delivered: its fields and its body.
+type Answer struct {
+	Fields [][2]string
+	Body   []byte
+}
+
+// hop holds the fields that go no further than one connection, or are written anew.
+var hop = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "te": true,
+	"trailer": true, "transfer-encoding": true, "upgrade": true, "expect": true, "content-length": true,
+	"x-timeout": true, "x-server-load": true, "x-not-processed": true}
+
+// GoesOn tells whether a field passes from one side to the other; all others go on as they came.
+func GoesOn(name []byte) bool { return !hop[strings.ToLower(string(name))] }
+
 // New makes the object for a visit whose head (up to its last field) and body are these; it keeps both.
 func New(head, body []byte) *Exchange {
 	return &Exchange{head: head, body: body, done: make(chan struct{})}
@@ -56,9 +71,9 @@
 // Done is closed when the answer is there.
 func (x *Exchange) Done() <-chan struct{} { return x.done }
 
-// Deliver answers with a server's body.
-func (x *Exchange) Deliver(kind, body []byte) bool {
-	return x.settle(func() { x.How, x.Kind, x.Bytes = Delivered, kind, body })
+// Deliver answers with what a server delivered.
+func (x *Exchange) Deliver(a *Answer) bool {
+	return x.settle(func() { x.How, x.Answer = Delivered, a })
 }
 
 // Bounce answers that a retry is harmless.
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -175,8 +175,10 @@
 func answer(ctx *fasthttp.RequestCtx, x *exchange.Exchange) {
 	switch x.How {
 	case exchange.Delivered:
-		ctx.Response.Header.SetContentTypeBytes(x.Kind)
-		ctx.Response.SetBodyRaw(x.Bytes)
+		for _, field := range x.Answer.Fields {
+			ctx.Response.Header.Add(field[0], field[1])
+		}
+		ctx.Response.SetBodyRaw(x.Answer.Body)
 	case exchange.Bounced:
 		plain(ctx, fasthttp.StatusServiceUnavailable, "not now; a retry does no harm")
 		if x.ComeBackIn > 0 {
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"hash/fnv"
 	"strconv"
 	"strings"
 
@@ -41,6 +42,7 @@
 	}
 	x = exchange.New(head(ctx), bytes.Clone(ctx.PostBody()))
 	x.On, x.Of, x.Left, x.Again = brain.Prefix(on), brain.Realm(of), left, field("X-Retried") == "1"
+	x.Key = key(field("X-Attrs"))
 	if cost, err := strconv.ParseFloat(field("X-Cost"), 64); err == nil && cost >= 1 && cost < 1<<32 {
 		x.Effort = brain.Micros(cost)
 	}
@@ -49,24 +51,29 @@
 
 // span reads a number and a unit, "480m" or "75000u". More than an hour is no client timeout.
 func span(text string) (brain.Micros, bool) {
-	if len(text) < 2 {
+	number, milli := strings.CutSuffix(text, "m")
+	number, micro := strings.CutSuffix(number, "u")
+	n, err := strconv.ParseFloat(number, 64)
+	if err != nil || milli == micro || strings.Trim(number, "0123456789.") != "" {
 		return 0, false
 	}
-	n, err := strconv.ParseUint(text[:len(text)-1], 10, 32)
-	switch text[len(text)-1] {
-	case 'm':
+	if milli {
 		n *= 1000
-	case 'u':
-	default:
-		return 0, false
 	}
-	return brain.Micros(n), err == nil && n > 0 && n <= 3_600_000_000
+	return brain.Micros(n), n >= 1 && n <= 3_600_000_000
 }
 
-// own are the fields that hold for one connection or are written anew; all others go on as they came.
-var own = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "te": true,
-	"trailer": true, "transfer-encoding": true, "upgrade": true, "expect": true, "content-length": true,
-	"x-timeout": true}
+// key is what a visit is about, hashed: only sameness counts. 0: it does not say.
+func key(attributes string) brain.Key {
+	for attribute := range strings.SplitSeq(attributes, ",") {
+		if value, found := strings.CutPrefix(strings.TrimSpace(attribute), "target_key="); found && value != "0" {
+			h := fnv.New64a()
+			h.Write([]byte(value))
+			return brain.Key(max(h.Sum64(), 1))
+		}
+	}
+	return 0
+}
 
 // head is what goes on to a server, up to the last field: the bytes that came.
 func head(ctx *fasthttp.RequestCtx) []byte {
@@ -77,7 +84,7 @@
 	for line := range bytes.Lines(h.RawHeaders()) {
 		line = bytes.TrimRight(line, "\r\n")
 		name, _, isField := bytes.Cut(line, []byte(":"))
-		if isField && !own[strings.ToLower(string(name))] {
+		if isField && exchange.GoesOn(name) {
 			out = append(append(out, line...), "\r\n"...)
 		}
 	}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -10,6 +10,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -43,20 +44,26 @@
 
 func span(t brain.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
-// Ended hears how a fetch ended, once: nil is a delivery, with the answer's content type and body.
-type Ended func(kind, body []byte, reused bool, err error)
+// Ended hears how a fetch ended, once: with a delivery, or with the reason why there is none.
+type Ended func(a *exchange.Answer, reused bool, err error)
 
 // Flight is a fetch that is out.
 type Flight struct {
-	ctx   context.Context
-	off   context.CancelFunc
-	mu    sync.Mutex
-	line  *line
-	ended Ended
+	ctx    context.Context // over: it must not be sent any more
+	off    context.CancelFunc
+	called atomic.Bool // off: nobody waits for it
+	mu     sync.Mutex
+	line   *line
+	ended  Ended
 }
 
+// Withdraw keeps a fetch from being sent if it is not yet. Guards against a send after the visit's end by a
+// connection that comes up late. One that was sent goes on.
+func (f *Flight) Withdraw() { f.off() }
+
 // Cancel stops waiting; the connection is closed.
 func (f *Flight) Cancel() {
+	f.called.Store(true)
 	f.off()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -98,7 +105,7 @@
 func (o *Outbound) Sweep() { o.pool.sweep() }
 
 func (o *Outbound) run(f *Flight, u use, address string, until time.Time, ask []byte) {
-	var kind, body []byte
+	var a *exchange.Answer
 	var reused bool
 	err := error(&Failure{Reach: Sent, Cause: fmt.Errorf("crashed")})
 	defer func() {
@@ -108,28 +115,28 @@
 			o.log.Error().Str("stack", string(debug.Stack())).Msgf("backend fetch crashed: %v", crash)
 		}
 		f.off()
-		f.ended(kind, body, reused, err)
+		f.ended(a, reused, err)
 	}()
-	kind, body, reused, err = o.exchange(f, u, address, until, ask)
+	a, reused, err = o.attempt(f, u, address, until, ask)
 }
 
-// exchange does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
-func (o *Outbound) exchange(f *Flight, u use, address string, until time.Time, ask []byte) (kind, body []byte,
+// attempt does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
+func (o *Outbound) attempt(f *Flight, u use, address string, until time.Time, ask []byte) (a *exchange.Answer,
 	reused bool, err error) {
 	for l := o.pool.take(u, address); l != nil; l = o.pool.take(u, address) {
-		kind, body, err = o.over(f, u, l, until, ask)
+		a, err = o.over(f, u, l, until, ask)
 		if failure, ok := err.(*Failure); !ok || failure.Reach != Nowhere || f.ctx.Err() != nil ||
 			!time.Now().Before(until) {
 			o.counts.Add(counters.ConnectionsReused)
-			return kind, body, true, err
+			return a, true, err
 		}
 	}
 	l, err := o.dial(f, address, until)
 	if err != nil {
-		return nil, nil, false, err
+		return nil, false, err
 	}
-	kind, body, err = o.over(f, u, l, until, ask)
-	return kind, body, false, err
+	a, err = o.over(f, u, l, until, ask)
+	return a, false, err
 }
 
 func (o *Outbound) dial(f *Flight, address string, until time.Time) (*line, error) {
@@ -150,7 +157,7 @@
 }
 
 // over sends a fetch on a connection and reads the whole answer. The connection is kept or closed.
-func (o *Outbound) over(f *Flight, u use, l *line, until time.Time, ask []byte) (kind, body []byte, err error) {
+func (o *Outbound) over(f *Flight, u use, l *line, until time.Time, ask []byte) (a *exchange.Answer, err error) {
 	keep := false
 	defer func() {
 		f.rides(nil)
@@ -165,7 +172,7 @@
 	f.rides(l)
 	reach := Nowhere
 	fail := func(cause error) error {
-		if f.ctx.Err() != nil {
+		if f.called.Load() || reach == Nowhere && f.ctx.Err() != nil {
 			cause = errCalledOff
 		} else if !time.Now().Before(until) {
 			cause = os.ErrDeadlineExceeded // the reader of answers words it in several ways
@@ -173,22 +180,28 @@
 		return &Failure{Reach: reach, Cause: cause}
 	}
 	if f.ctx.Err() != nil {
-		return nil, nil, fail(errCalledOff)
+		return nil, fail(errCalledOff)
 	}
 	if n, err := l.Write(ask); n < len(ask) {
-		return nil, nil, fail(err)
+		return nil, fail(err)
 	}
 	reach = Sent
 	var answer fasthttp.Response
 	if err := answer.ReadLimitBody(l.in, mostBody); err != nil {
-		return nil, nil, fail(err)
+		return nil, fail(err)
 	}
-	keep = !answer.ConnectionClose() && l.in.Buffered() == 0 && f.ctx.Err() == nil
+	keep = !answer.ConnectionClose() && l.in.Buffered() == 0 && !f.called.Load()
 	status := answer.StatusCode()
 	if status != fasthttp.StatusOK {
 		unseen := (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout) &&
 			string(answer.Header.Peek("X-Not-Processed")) == "1"
-		return nil, nil, &Failure{Reach: Answered, Status: status, Unseen: unseen}
+		return nil, &Failure{Reach: Answered, Status: status, Unseen: unseen}
+	}
+	a = &exchange.Answer{Body: answer.Body()}
+	for name, value := range answer.Header.All() {
+		if exchange.GoesOn(name) {
+			a.Fields = append(a.Fields, [2]string{string(name), string(value)})
+		}
 	}
-	return answer.Header.ContentType(), answer.Body(), nil
+	return a, nil
 }
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -77,7 +77,7 @@
 			r.fault("a probe of an unknown server")
 			return
 		}
-		r.outbound.Probe(be, address, func(_, _ []byte, _ bool, err error) {
+		r.outbound.Probe(be, address, func(_ *exchange.Answer, _ bool, err error) {
 			r.post(func() { r.b.Probed(r.now, be, outbound.Result(err)) })
 		})
 	})
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -41,6 +41,11 @@
 	}
 	v.ended = true
 	r.held--
+	for _, f := range v.flights {
+		if f != nil {
+			f.Withdraw()
+		}
+	}
 	r.forget(v)
 }
 
@@ -65,16 +70,16 @@
 	address, known := r.address[be]
 	if v.ended || left <= 0 || int(no) >= r.mostOut || !known {
 		v.flights = append(v.flights, nil)
-		r.todo = append(r.todo, func() { r.ended(v, no, brain.NeverSent, 0, nil, nil) })
+		r.todo = append(r.todo, func() { r.ended(v, no, brain.NeverSent, 0, nil) })
 		return
 	}
 	v.flights = append(v.flights, r.outbound.Fetch(v.x, be, address, wait,
-		func(kind, body []byte, reused bool, err error) {
+		func(a *exchange.Answer, _ bool, err error) {
 			r.post(func() {
 				if err != nil {
 					r.log.Debug().Err(err).Uint64("visit", uint64(id)).Msg("backend fetch failed")
 				}
-				r.ended(v, no, outbound.Result(err), r.now-sent, kind, body)
+				r.ended(v, no, outbound.Result(err), r.now-sent, a)
 			})
 		}))
 }
@@ -85,11 +90,12 @@
 	brain.Cancelled: counters.FetchesCancelled, brain.NeverSent: counters.FetchesNeverSent}
 
 // ended tells the module how a fetch ended. The first delivery is the visit's answer.
-func (r *Relay) ended(v *visit, no brain.FetchNo, rc brain.Result, took brain.Micros, kind, body []byte) {
+func (r *Relay) ended(v *visit, no brain.FetchNo, rc brain.Result, took brain.Micros,
+	a *exchange.Answer) {
 	r.counts.Add(resultCounts[rc])
 	v.out--
 	if rc == brain.Delivered && !v.ended {
-		if v.x.Deliver(kind, body) {
+		if v.x.Deliver(a) {
 			r.counts.Add(counters.VisitsDelivered)
 		}
 		r.end(v)
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -105,6 +106,27 @@
 	return len(s.seen)
 }
 
+// deaf is an address at which no connection comes up: its backlog is full.
+func deaf(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
+	for range 3 {
+		if c, err := net.DialTimeout("tcp", ln.Addr().String(), 50*time.Millisecond); err == nil {
+			t.Cleanup(func() { c.Close() })
+		}
+	}
+	return ln.Addr().String()
+}
+
 const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 
 var results = [...]string{brain.Delivered: "delivered", brain.Errored: "errored", brain.Full: "full",
@@ -121,7 +143,11 @@
 func fetch(o *outbound.Outbound, path, address string, wait brain.Micros, before func(*outbound.Flight)) string {
 	x := exchange.New([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n"), nil)
 	end := make(chan string, 2)
-	f := o.Fetch(x, 1, address, wait, func(_, body []byte, reused bool, err error) {
+	f := o.Fetch(x, 1, address, wait, func(a *exchange.Answer, reused bool, err error) {
+		var body []byte
+		if a != nil {
+			body = a.Body
+		}
 		end <- fmt.Sprintf("%s reused=%v %q %v", results[outbound.Result(err)], reused, body, err)
 	})
 	before(f)
@@ -158,6 +184,14 @@
 		})
 	tr.add("called off while it waits: %s", end)
 	tr.add("the server saw %d", s.count())
+	full := deaf(t)
+	end = fetch(reach(10*second, 9, &counters.Sheet{}), "/ok", full, 5*second, func(f *outbound.Flight) {
+		time.Sleep(20 * time.Millisecond)
+		f.Withdraw()
+	})
+	tr.add("its visit ends while the connection comes up: %s", end)
+	end = fetch(outbound.New(10*second, second/20, 9, &counters.Sheet{}, zerolog.Nop()), "/ok", full, 5*second, nothing)
+	tr.add("no connection comes up: %s", strings.Split(end, ": dial")[0])
 	s.Close()
 	refused := fetch(reach(10*second, 9, &counters.Sheet{}), "/ok", s.Addr().String(), second, nothing)
 	tr.add("nobody listens: %s", strings.Split(refused, ": dial")[0])
@@ -178,6 +212,8 @@
 /silence: timed out reused=false "" sent: i/o timeout
 called off while it waits: cancelled reused=false "" sent: called off
 the server saw 13
+its visit ends while the connection comes up: never sent reused=false "" not sent: called off
+no connection comes up: connect failed reused=false "" not sent
 nobody listens: connect failed reused=false "" not sent
 no descriptor left: connect failed reused=false "" not sent: all 0 connections are busy
 `)
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -52,7 +52,7 @@
 func (tk taker) Take(x *exchange.Exchange) { tk.take(x) }
 func (tk taker) Left(*exchange.Exchange)   { tk.tr.add("the relay hears that the client left") }
 
-func deliver(x *exchange.Exchange) { x.Deliver([]byte("text/plain"), []byte("done")) }
+func deliver(x *exchange.Exchange) { x.Deliver(&exchange.Answer{Body: []byte("done")}) }
 
 func listen(t *testing.T, b *site.Berth, most int, visits inbound.Taker) (*inbound.Inbound, string, *counters.Sheet) {
 	t.Helper()
@@ -96,7 +96,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	line := fmt.Sprintf("%d %q", resp.StatusCode, strings.TrimSpace(string(body)))
-	for _, name := range []string{"Retry-After", "Allow"} {
+	for _, name := range []string{"Retry-After", "Allow", "X-Kept", "X-Server-Load"} {
 		if v := resp.Header.Get(name); v != "" {
 			line += fmt.Sprintf(" %s=%s", name, v)
 		}
@@ -172,12 +172,12 @@
 		for line := range strings.Lines(string(x.Outgoing(70_000))) {
 			tr.add("%s", strings.TrimRight(line, "\r\n"))
 		}
-		tr.add("prefix %d, tenant %d, left %d, work %d, again %v", x.On, x.Of, x.Left, x.Effort, x.Again)
+		tr.add("prefix %d, tenant %d, key %x, left %d, work %d, again %v", x.On, x.Of, x.Key, x.Left, x.Effort, x.Again)
 		x.Bounce(37_400)
 	}})
 	tr.add("answer: %s", dial(t, at).ask("POST /book/a%2Fb?q=%20x&Y HTTP/1.1\r\nhost: Api\r\nX-REQUEST-id: 9b1f\r\n"+
-		"X-Tenant-Id: acme\r\nx-timeout: 75000u\r\nConnection: keep-alive\r\nX-Retried: 1\r\nX-Cost: 1200\r\n"+
-		"Idempotency-Key:  5c0f \r\nX-Odd: A:b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na\nb\r\n1\r\nc\r\n0\r\n\r\n"))
+		"X-Tenant-Id: acme\r\nx-timeout: 75.5m\r\nConnection: keep-alive\r\nX-Retried: 1\r\nX-Cost: 1200\r\n"+
+		"Idempotency-Key:  5c0f \r\nX-Odd: A:b\r\nX-Attrs: depth=3,target_key=77\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na\nb\r\n1\r\nc\r\n0\r\n\r\n"))
 	tr.same(t, `
 POST /book/a%2Fb?q=%20x&Y HTTP/1.1
 host: Api
@@ -187,12 +187,13 @@
 X-Cost: 1200
 Idempotency-Key:  5c0f 
 X-Odd: A:b
+X-Attrs: depth=3,target_key=77
 Content-Length: 4
 X-Timeout: 70000u
 
 a
 bc
-prefix 1, tenant 0, left 75000, work 1200, again true
+prefix 1, tenant 0, key 7f20107b4b4a693, left 75500, work 1200, again true
 answer: 503 "not now; a retry does no harm" Retry-After=0.038
 `)
 }
@@ -321,7 +322,7 @@
 		case strings.HasSuffix(path, "/silent"):
 			return "silence"
 		}
-		return ok
+		return "HTTP/1.1 200 OK\r\nx-kept: a b\r\nX-Server-Load: {}\r\nContent-Length: 2\r\n\r\nhi"
 	})
 	at, counts := sidecar(t, "", 9, s)
 	c := dial(t, at)
@@ -342,8 +343,8 @@
 	tr.add("no socket for a visit: %s", dial(t, full).ask("GET /look HTTP/1.1\r\n"+fields+"\r\n"))
 	tr.add("over held %d", fullCounts[counters.VisitsOverHeld].Load())
 	tr.same(t, `
-delivered: 200 "hi" after 1
-its reused connection broke: one free retry: 200 "hi" after 2
+delivered: 200 "hi" X-Kept=a b after 1
+its reused connection broke: one free retry: 200 "hi" X-Kept=a b after 2
 mutating, broken on a reused and so on no other: 502 "no answer from the servers" after 1
 mutating, silent until its time is up: 504 "no answer in time" after 1
 mutating, turned away unseen: 503 "not now; a retry does no harm" after 2
