--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -12,7 +12,7 @@
 )
 
 // Line takes one line of a list.
-type Line func(id brain.Backend, address string, zone brain.Zone, cell brain.Cell, st brain.Standing,
+type Line func(id brain.Backend, host, address string, zone brain.Zone, cell brain.Cell, st brain.Standing,
 	rating float64, started brain.Micros)
 
 var standings = map[string]brain.Standing{"in_service": brain.Ready, "terminating": brain.Draining,
@@ -93,7 +93,7 @@
 		}
 		cell, share, born := whole(host, "block"), field[float64](host, "share"), field[float64](host, "born_ms")
 		list.lines = append(list.lines, func(tell Line) {
-			tell(id, address, brain.Zone(zone), brain.Cell(cell), standing, share, brain.Micros(born*1000))
+			tell(id, name, address, brain.Zone(zone), brain.Cell(cell), standing, share, brain.Micros(born*1000))
 		})
 	}
 	return list, nil
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -37,6 +37,7 @@
 	version uint64
 	round   int // of the watch that goes on
 	failed  uint
+	lost    bool
 }
 
 // New makes a watcher that holds the list of this version. tell hears each answer that matters, and nil for a
@@ -81,7 +82,7 @@
 		w.mu.Unlock()
 		if err != nil {
 			w.counts.Add(counters.ListsFailed)
-			w.log.Warn().Err(err).Msg("discovery failed")
+			w.reached(err)
 			if current {
 				w.tell(nil)
 			}
@@ -92,7 +93,7 @@
 			hold = 0
 			continue
 		}
-		w.failed = 0
+		w.reached(nil)
 		if !list.Empty() || hold == 0 {
 			w.counts.Add(counters.ListsTaken)
 			w.tell(list)
@@ -107,8 +108,24 @@
 	}
 }
 
+// reached logs when discovery is lost, and when it is back; not each call.
+func (w *Watcher) reached(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case err != nil && !w.lost:
+		w.log.Warn().Err(err).Msg("discovery out of reach")
+	case err == nil && w.lost:
+		w.log.Info().Msg("discovery back")
+		w.failed = 0
+	}
+	w.lost = err != nil
+}
+
 // pause grows with every failure. Guards against a herd at a service that comes back.
 func (w *Watcher) pause() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	var in [16]byte
 	binary.BigEndian.PutUint64(in[:], w.seed)
 	binary.BigEndian.PutUint64(in[8:], uint64(w.failed))
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -50,26 +50,26 @@
 		if list == nil {
 			continue
 		}
-		list.Lines(func(id brain.Backend, at string, zone brain.Zone, cell brain.Cell, st brain.Standing, rating float64,
-			started brain.Micros) {
-			tr.add("  %d whole=%v: %012x %s zone %d cell %d standing %d rating %g started %d", list.Version, list.Whole,
-				id, at, zone, cell, st, rating, started)
+		list.Lines(func(id brain.Backend, host, at string, zone brain.Zone, cell brain.Cell, st brain.Standing,
+			rating float64, started brain.Micros) {
+			tr.add("  %d whole=%v: %s %012x %s zone %d cell %d standing %d rating %g started %d", list.Version, list.Whole,
+				host, id, at, zone, cell, st, rating, started)
 		})
 	}
 	tr.same(t, `
 whole: <nil>
-  41 whole=true: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 2 rating 1.5 started 2000
-  41 whole=true: ad61c2562071 127.0.0.1:9 zone 1 cell 3 standing 2 rating 1.5 started 2000
+  41 whole=true: s ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 2 rating 1.5 started 2000
+  41 whole=true: other ad61c2562071 127.0.0.1:9 zone 1 cell 3 standing 2 rating 1.5 started 2000
 draining: <nil>
-  42 whole=false: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 1 rating 1.5 started 2000
+  42 whole=false: s ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 1 rating 1.5 started 2000
 gone: <nil>
-  43 whole=false: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 0 rating 1.5 started 2000
+  43 whole=false: s ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 0 rating 1.5 started 2000
 no JSON: unexpected end of JSON input
 no version: seq is missing or malformed
 odd version: seq is no whole number
 twice: <nil>
-  44 whole=false: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 1 rating 1.5 started 2000
-  44 whole=false: ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 0 rating 1.5 started 2000
+  44 whole=false: s ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 1 rating 1.5 started 2000
+  44 whole=false: s ee4c8602a441 127.0.0.1:9 zone 1 cell 3 standing 0 rating 1.5 started 2000
 unknown site: s has an unknown site or health
 unknown health: s has an unknown site or health
 no address: not an ip:port
@@ -95,6 +95,7 @@
 	})
 	defer close(over)
 	counts, told := &counters.Sheet{}, make(chan bool, 9)
+	var log strings.Builder
 	w := discovery.New(s.Addr().String(), map[string]int{"here": 0}, 41, 4*second, 7, func(l *discovery.List) {
 		if l == nil {
 			tr.add("told: failed")
@@ -102,7 +103,7 @@
 			tr.add("told: %d whole=%v empty=%v", l.Version, l.Whole, l.Empty())
 		}
 		told <- l == nil
-	}, counts, zerolog.Nop())
+	}, counts, zerolog.New(&log))
 	for range 2 {
 		w.Watch()
 		for !<-told {
@@ -113,6 +114,10 @@
 		tr.add("%s", strings.Split(ask, " HTTP")[0])
 	}
 	s.mu.Unlock()
+	for line := range strings.Lines(log.String()) {
+		_, message, _ := strings.Cut(strings.TrimSpace(line), `"message":`)
+		tr.add("%s", message)
+	}
 	tr.add("taken %d, failed %d, malformed %d, outdated %d", counts[counters.ListsTaken].Load(),
 		counts[counters.ListsFailed].Load(), counts[counters.ListsMalformed].Load(), counts[counters.ListsOutdated].Load())
 	tr.same(t, `
@@ -128,6 +133,9 @@
 GET /api/targets?from=43&hold_ms=2000
 GET /api/targets?from=43&hold_ms=0
 GET /api/targets?from=43&hold_ms=2000
+"discovery out of reach"}
+"discovery back"}
+"discovery out of reach"}
 taken 3, failed 2, malformed 1, outdated 1
 `)
 }
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"strconv"
+	"strings"
+
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
@@ -72,12 +75,12 @@
 
 func (r *Relay) Probe(be brain.Backend) {
 	r.later(func() {
-		address, known := r.address[be]
+		to, known := r.servers[be]
 		if !known {
 			r.fault("a probe of an unknown server")
 			return
 		}
-		r.outbound.Probe(be, address, func(_ *exchange.Answer, _ bool, err error) {
+		r.outbound.Probe(be, to.address, func(_ *exchange.Answer, _ bool, err error) {
 			r.post(func() { r.b.Probed(r.now, be, outbound.Result(err)) })
 		})
 	})
@@ -94,4 +97,14 @@
 	r.later(func() { r.peers.Tell(to, kind, about, figures...) })
 }
 
-func (r *Relay) Print(line string) { r.log.Info().Msg(line) }
+// Print logs a line. One that begins with a server's id tells its name beside.
+func (r *Relay) Print(line string) {
+	entry := r.log.Info()
+	first, rest, _ := strings.Cut(line, " ")
+	if id, err := strconv.ParseUint(first, 16, 48); err == nil {
+		if named, known := r.servers[brain.Backend(id)]; known {
+			entry, line = entry.Str("server", named.host), rest
+		}
+	}
+	entry.Msg(line)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,9 @@
 	ended   bool
 }
 
+// server is how a server is called, and where it is reached.
+type server struct{ host, address string }
+
 // Relay is the module's world.
 type Relay struct {
 	b        *brain.Balancer
@@ -54,7 +57,7 @@
 	mostHeld int
 	mostOut  int
 	ids      brain.VisitID
-	address  map[brain.Backend]string
+	servers  map[brain.Backend]server
 	idle     brain.Micros
 	pushed   bool
 	outbound *outbound.Outbound
@@ -69,7 +72,7 @@
 func New(b *site.Berth, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
 	log zerolog.Logger) (*Relay, error) {
 	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), due: btree.NewG(16, due.before),
-		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, address: map[brain.Backend]string{},
+		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, servers: map[brain.Backend]server{},
 		mostHeld: most, mostOut: int(b.Figure("allowed.max_backend_fetches")),
 		idle: b.Span("allowed.conn_idle_us"), pushed: b.Site["discovery"] == "pushed",
 		outbound: out, peers: others, counts: counts, log: log}
@@ -174,9 +177,9 @@
 
 func (r *Relay) told(news brain.News, l *discovery.List) {
 	r.b.ListBegins(r.now, news)
-	l.Lines(func(id brain.Backend, address string, zone brain.Zone, cell brain.Cell, st brain.Standing,
+	l.Lines(func(id brain.Backend, host, address string, zone brain.Zone, cell brain.Cell, st brain.Standing,
 		rating float64, started brain.Micros) {
-		r.address[id] = address
+		r.servers[id] = server{host, address}
 		r.b.Listed(r.now, id, zone, cell, st, rating, started)
 	})
 	r.b.ListEnds(r.now)
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -67,13 +67,13 @@
 		wait = left
 	}
 	v.out++
-	address, known := r.address[be]
+	to, known := r.servers[be]
 	if v.ended || left <= 0 || int(no) >= r.mostOut || !known {
 		v.flights = append(v.flights, nil)
 		r.todo = append(r.todo, func() { r.ended(v, no, brain.NeverSent, 0, nil) })
 		return
 	}
-	v.flights = append(v.flights, r.outbound.Fetch(v.x, be, address, wait,
+	v.flights = append(v.flights, r.outbound.Fetch(v.x, be, to.address, wait,
 		func(a *exchange.Answer, _ bool, err error) {
 			r.post(func() {
 				if err != nil {
