--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"runtime/debug"
 
 	"github.com/rs/zerolog"
@@ -14,8 +15,7 @@
 	"ledgespread/internal/site"
 )
 
-// release is set by the linker for a release: -ldflags "-X main.release=1.2.3".
-var release = "dev"
+const release = "0.1.0" // the changelog's newest
 
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "ledgespread", Short: "A load balancer that runs beside every client process",
@@ -62,8 +62,8 @@
 						revision = s.Value
 					}
 				}
-				fmt.Fprintf(c.OutOrStdout(), "ledgespread %s (%s, %s)\n", release, revision, info.GoVersion)
 			}
+			fmt.Fprintf(c.OutOrStdout(), "ledgespread %s (%s, %s)\n", release, revision, runtime.Version())
 		}}
 	cmd.AddCommand(start, check, version)
 	return cmd
