A visit whose call panics is errored at once; two watches can't tell lists out of order

A panic in a watch ended it for ever on a pushed site; it is a failed call now. Two watches that end together could have told the older list last; versions are compared and told under one lock. Spans of discovery are parts of ask_every_us. After a failure a kept watch asks at once instead of holding.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -17,22 +17,26 @@
 	"ledgespread/internal/counters"
 )
 
+// Parts of the time that the settings let a sidecar go without asking.
 const (
-	grace = 2 * time.Second // an answer is waited for so long beyond the time that the call may hold it
-	pace  = grace / 20      // between two calls that bring nothing, so that the watch still goes on
+	holdPart  = 0.5  // a call may be held for so long
+	gracePart = 0.3  // its answer is waited for so long beyond that
+	pacePart  = 0.01 // between two calls that bring nothing; the watch still goes on
+	usual     = 10 * time.Second
 )
 
 // Watcher follows the list at one address.
 type Watcher struct {
 	address string
 	zones   map[string]int
-	hold    time.Duration
+	every   time.Duration
 	seed    uint64
 	tell    func(*List)
 	client  *fasthttp.HostClient
 	counts  *counters.Sheet
 	log     zerolog.Logger
 
+	telling sync.Mutex // held while an answer is told
 	mu      sync.Mutex
 	version uint64
 	round   int // of the watch that goes on
@@ -44,14 +48,20 @@
 // call that failed; askEvery is how long the settings let a sidecar go without asking.
 func New(address string, zones map[string]int, version uint64, askEvery brain.Micros, seed uint64,
 	tell func(*List), counts *counters.Sheet, log zerolog.Logger) *Watcher {
-	hold := time.Duration(askEvery) * time.Microsecond / 2
-	return &Watcher{address: address, zones: zones, version: version, hold: min(max(hold, time.Second), time.Minute),
-		seed: seed, tell: tell, counts: counts, log: log,
-		client: &fasthttp.HostClient{Addr: address, MaxConns: 4, MaxIdemponentCallAttempts: 1,
-			NoDefaultUserAgentHeader: true, MaxResponseBodySize: 16 << 20,
-			Dial: func(at string) (net.Conn, error) { return fasthttp.DialTimeout(at, grace) }}}
+	every := time.Duration(askEvery) * time.Microsecond
+	if every <= 0 { // a list that is pushed: the settings need not say
+		every = usual
+	}
+	w := &Watcher{address: address, zones: zones, version: version, every: every, seed: seed, tell: tell,
+		counts: counts, log: log}
+	w.client = &fasthttp.HostClient{Addr: address, MaxConns: 4, MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader: true, MaxResponseBodySize: 16 << 20,
+		Dial: func(at string) (net.Conn, error) { return fasthttp.DialTimeout(at, w.part(gracePart)) }}
+	return w
 }
 
+func (w *Watcher) part(of float64) time.Duration { return time.Duration(of * float64(w.every)) }
+
 // Watch begins a watch in place of the one that goes on. The first call asks for what is new by now and is
 // always told of; those that follow only if they bring something.
 func (w *Watcher) Watch() {
@@ -66,46 +76,51 @@
 func (w *Watcher) Keep() { go w.follow(0, true) }
 
 func (w *Watcher) follow(round int, again bool) {
-	defer func() {
-		// Guards against the end of the sidecar by an answer that nobody thought of.
-		if crash := recover(); crash != nil {
-			w.counts.Add(counters.Faults)
-			w.log.Error().Str("stack", string(debug.Stack())).Msgf("watch crashed: %v", crash)
-			w.tell(nil)
-		}
-	}()
-	for hold := time.Duration(0); ; hold = w.hold {
+	hold := time.Duration(0)
+	for {
 		began := time.Now()
 		list, err := w.call(hold)
-		w.mu.Lock()
-		current := round == w.round
-		w.mu.Unlock()
-		if err != nil {
-			w.counts.Add(counters.ListsFailed)
-			w.reached(err)
-			if current {
-				w.tell(nil)
-			}
-			if !again {
-				return
-			}
+		w.reached(err)
+		switch current, brought := w.news(round, list, hold == 0); {
+		case err != nil && again:
 			time.Sleep(w.pause())
 			hold = 0
 			continue
-		}
-		w.reached(nil)
-		if !list.Empty() || hold == 0 {
-			w.counts.Add(counters.ListsTaken)
-			w.tell(list)
-		}
-		if !current {
+		case err != nil || !current:
 			return
+		case !brought && hold > 0:
+			// Guards against a service that answers at once, and nothing, for ever.
+			time.Sleep(max(0, w.part(pacePart)-time.Since(began)))
 		}
-		// Guards against a service that answers at once, and nothing, for ever.
-		if list.Empty() && hold > 0 {
-			time.Sleep(max(0, pace-time.Since(began)))
+		hold = w.part(holdPart)
+	}
+}
+
+// news tells of an answer, nil for a failed call, if it matters: always of an asked one. Two watches may end at the
+// same time; guards against the older of their lists being told last.
+func (w *Watcher) news(round int, list *List, asked bool) (current, brought bool) {
+	w.telling.Lock()
+	defer w.telling.Unlock()
+	w.mu.Lock()
+	current = round == w.round
+	if list != nil && list.Version < w.version {
+		w.counts.Add(counters.ListsOutdated)
+		list = &List{Version: w.version}
+	} else if list != nil {
+		w.version = list.Version
+	}
+	w.mu.Unlock()
+	switch brought = list != nil && !list.Empty(); {
+	case list == nil:
+		w.counts.Add(counters.ListsFailed)
+		if current {
+			w.tell(nil)
 		}
+	case brought || asked:
+		w.counts.Add(counters.ListsTaken)
+		w.tell(list)
 	}
+	return current, brought
 }
 
 // reached logs when discovery is lost, and when it is back; not each call.
@@ -131,13 +146,21 @@
 	binary.BigEndian.PutUint64(in[8:], uint64(w.failed))
 	h := fnv.New64a()
 	h.Write(in[:])
-	most := min(grace/8<<w.failed, w.hold)
+	most := min(w.part(pacePart)<<w.failed, w.part(holdPart))
 	w.failed = min(w.failed+1, 16)
 	return most/2 + time.Duration(h.Sum64()%uint64(most))
 }
 
-// call asks once. An answer older than the list held brings nothing.
-func (w *Watcher) call(hold time.Duration) (*List, error) {
+// call asks once.
+func (w *Watcher) call(hold time.Duration) (list *List, err error) {
+	defer func() {
+		// Guards against the end of the watch, and of the sidecar, by an answer that nobody thought of.
+		if crash := recover(); crash != nil {
+			w.counts.Add(counters.Faults)
+			w.log.Error().Str("stack", string(debug.Stack())).Msgf("watch crashed: %v", crash)
+			err = fmt.Errorf("crashed: %v", crash)
+		}
+	}()
 	w.mu.Lock()
 	from := w.version
 	w.mu.Unlock()
@@ -145,23 +168,16 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(fmt.Sprintf("http://%s/api/targets?from=%d&hold_ms=%d", w.address, from, hold.Milliseconds()))
-	if err := w.client.DoTimeout(req, resp, hold+grace); err != nil {
+	if err := w.client.DoTimeout(req, resp, hold+w.part(gracePart)); err != nil {
 		return nil, err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, fmt.Errorf("discovery answered %d", resp.StatusCode())
 	}
-	list, err := Read(resp.Body(), w.zones)
+	list, err = Read(resp.Body(), w.zones)
 	if err != nil {
 		w.counts.Add(counters.ListsMalformed)
 		return nil, fmt.Errorf("malformed list: %w", err)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if list.Version < w.version {
-		w.counts.Add(counters.ListsOutdated)
-		return &List{Version: w.version}, nil
-	}
-	w.version = list.Version
 	return list, nil
 }
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -40,14 +40,7 @@
 func (r *Relay) ErrorPage(id brain.VisitID) {
 	r.later(func() {
 		if v := r.open(id); v != nil {
-			how := exchange.Errored
-			if v.until-r.now <= v.x.Left/100 {
-				how = exchange.Overdue
-			}
-			if v.x.Fail(how) {
-				r.counts.Add(counters.VisitsErrored)
-			}
-			r.end(v)
+			r.fail(v)
 		}
 	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -141,6 +141,18 @@
 	do()
 }
 
+// orFail makes a call for a visit. Guards against a visit that is held, with nobody left to answer it, after a
+// panic in the call: it gets an error page at once.
+func (r *Relay) orFail(v *visit, call func()) {
+	defer func() {
+		if crash := recover(); crash != nil {
+			r.fail(v)
+			panic(crash)
+		}
+	}()
+	call()
+}
+
 // at puts something among the due times.
 func (r *Relay) at(t brain.Micros, do func()) {
 	r.seq++
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -18,9 +18,10 @@
 		}
 		r.ids++
 		x.ID = r.ids
-		r.visits[x.ID] = &visit{x: x, until: r.now + x.Left}
+		v := &visit{x: x, until: r.now + x.Left}
+		r.visits[x.ID] = v
 		r.held++
-		r.b.Inbound(r.now, x.ID, x.On, x.Of, x.Key, x.Left, x.Effort, x.Again)
+		r.orFail(v, func() { r.b.Inbound(r.now, x.ID, x.On, x.Of, x.Key, x.Left, x.Effort, x.Again) })
 	})
 }
 
@@ -49,6 +50,21 @@
 	r.forget(v)
 }
 
+// fail answers with an error page.
+func (r *Relay) fail(v *visit) {
+	if v.ended {
+		return
+	}
+	how := exchange.Errored
+	if v.until-r.now <= v.x.Left/100 {
+		how = exchange.Overdue
+	}
+	if v.x.Fail(how) {
+		r.counts.Add(counters.VisitsErrored)
+	}
+	r.end(v)
+}
+
 func (r *Relay) forget(v *visit) {
 	if v.ended && v.out == 0 {
 		delete(r.visits, v.x.ID)
@@ -100,7 +116,7 @@
 		}
 		r.end(v)
 	}
-	r.b.Outcome(r.now, v.x.ID, no, rc, took, v.ended)
+	r.orFail(v, func() { r.b.Outcome(r.now, v.x.ID, no, rc, took, v.ended) })
 	r.forget(v)
 }
 
