--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -24,7 +24,8 @@
 	config := func(c *cobra.Command) {
 		c.Flags().StringVar(&file, "config", os.Getenv("RELAY_CONFIG"), "configuration file, JSON")
 	}
-	start := &cobra.Command{Use: "serve", Short: "Serve the application beside it until SIGTERM", Args: cobra.NoArgs,
+	start := &cobra.Command{Use: "serve", Short: "Serve the application beside it until SIGTERM",
+		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			at, err := zerolog.ParseLevel(level)
 			if err != nil {
@@ -34,10 +35,12 @@
 			if err != nil {
 				return err
 			}
-			return serve(berth, zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", berth.Name).Logger())
+			log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", berth.Name).Logger()
+			return serve(berth, log)
 		}}
 	start.Flags().StringVar(&level, "log", "info", "least level that is logged: debug, info, warn or error")
-	check := &cobra.Command{Use: "check", Short: "Tell whether a configuration file is whole", Args: cobra.NoArgs,
+	check := &cobra.Command{Use: "check", Short: "Tell whether a configuration file is whole",
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			berth, err := site.Read(file)
 			if err != nil {
--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -18,8 +18,8 @@
 	"ledgespread/internal/site"
 )
 
-// The parts of the limits that each side may use. What is left of the sockets is for the listeners, discovery and
-// the runtime; what is left of the memory, for stacks, buffers and the kernel's share.
+// The parts of the limits that each side may use. What is left of the sockets is for the listeners,
+// discovery and the runtime; what is left of the memory, for stacks, buffers and the kernel's share.
 const (
 	clientsPart, serversPart = 0.45, 0.35
 	heldPart                 = 0.9 // of the servers' part, as visits held at once
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// news tells of an answer, nil for a failed call, if it matters: always of an asked one. Two watches may end at the
-// same time; guards against the older of their lists being told last.
+// news tells of an answer, nil for a failed call, if it matters: always of an asked one. Two watches may
+// end at the same time; guards against the older of their lists being told last.
 func (w *Watcher) news(round int, list *List, asked bool) (current, brought bool) {
 	w.telling.Lock()
 	defer w.telling.Unlock()
@@ -167,7 +167,8 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI(fmt.Sprintf("http://%s/api/targets?from=%d&hold_ms=%d", w.address, from, hold.Milliseconds()))
+	req.SetRequestURI(fmt.Sprintf("http://%s/api/targets?from=%d&hold_ms=%d", w.address, from,
+		hold.Milliseconds()))
 	if err := w.client.DoTimeout(req, resp, hold+w.part(gracePart)); err != nil {
 		return nil, err
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,5 +1,5 @@
-// Package exchange holds the one object in which the client's side and the servers' side meet: a visit's bytes on
-// their way out, and its one answer on the way back.
+// Package exchange holds the one object in which the client's side and the servers' side meet: a visit's
+// bytes on their way out, and its one answer on the way back.
 package exchange
 
 import (
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -23,6 +23,7 @@
 
 const (
 	mostBody   = 64 << 10
+	mostHead   = 16 << 10
 	overdue    = 5 * time.Millisecond   // after the client timeout a visit is answered without the module
 	newcomers  = 500 * time.Millisecond // new connections may come for so long after a stop was asked for
 	idleClient = 5 * time.Minute
@@ -50,7 +51,8 @@
 }
 
 // Listen takes the address; Serve serves there. No more than most connections are held.
-func Listen(b *site.Berth, most int, visits Taker, counts *counters.Sheet, log zerolog.Logger) (*Inbound, error) {
+func Listen(b *site.Berth, most int, visits Taker, counts *counters.Sheet,
+	log zerolog.Logger) (*Inbound, error) {
 	ln, err := net.Listen("tcp", b.Listen)
 	if err != nil {
 		return nil, err
@@ -64,8 +66,9 @@
 		in.longest = max(in.longest, b.Span(at+".client_timeout_us"))
 	}
 	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log,
-		MaxRequestBodySize: mostBody, IdleTimeout: idleClient, ReadTimeout: idleClient, WriteTimeout: idleClient,
-		ConnState: in.listener.carries, Concurrency: 2 * most, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true,
+		MaxRequestBodySize: mostBody, ReadBufferSize: mostHead, IdleTimeout: idleClient,
+		ReadTimeout: idleClient, WriteTimeout: idleClient, ConnState: in.listener.carries,
+		Concurrency: 2 * most, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true}
 	return in, nil
 }
@@ -73,8 +76,8 @@
 // Serve goes on until Stop.
 func (in *Inbound) Serve() error { return in.server.Serve(in.listener) }
 
-// Stop closes the connections that carry nothing, lets new ones come for a while, and returns when all that was
-// taken has its answer.
+// Stop closes the connections that carry nothing, lets new ones come for a while, and returns when all that
+// was taken has its answer.
 func (in *Inbound) Stop() {
 	in.stopping.Store(true)
 	in.listener.evictIdle()
@@ -87,7 +90,8 @@
 	}
 }
 
-// guarded serves one request. Guards against the end of the sidecar by one connection's panic.
+// guarded answers one message of the application. Guards against the end of the sidecar by one connection's
+// panic.
 func (in *Inbound) guarded(ctx *fasthttp.RequestCtx) {
 	defer func() {
 		if crash := recover(); crash != nil {
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -13,8 +13,8 @@
 	"ledgespread/internal/counters"
 )
 
-// listener accepts no more connections than it has places for. Where none is left, the client that has carried
-// nothing for the longest loses its own.
+// listener accepts no more connections than it has places for. Where none is left, the client that has
+// carried nothing for the longest loses its own.
 type listener struct {
 	*net.TCPListener
 	places chan struct{}
@@ -42,8 +42,9 @@
 		here: map[*client]time.Time{}}
 }
 
-// Accept waits for a place and a connection. Guards against the end of the server by a failed accept, and against
-// spinning on it: for want of descriptors, or over a connection that broke in the backlog, it waits a little.
+// Accept waits for a place and a connection. Guards against the end of the server by a failed accept, and
+// against spinning on it: for want of descriptors, or over a connection that broke in the backlog, it waits
+// a little.
 func (l *listener) Accept() (net.Conn, error) {
 	for wait := time.Millisecond; ; wait = min(2*wait, 100*time.Millisecond) {
 		tcp, err := l.AcceptTCP()
@@ -83,7 +84,8 @@
 	return c
 }
 
-// carries books whether a connection carries a visit. It is called between the visit's first byte and its taking.
+// carries books whether a connection carries a visit. It is called between the visit's first byte and its
+// taking.
 func (l *listener) carries(conn net.Conn, state fasthttp.ConnState) {
 	c, ok := conn.(*client)
 	if !ok || state != fasthttp.StateActive && state != fasthttp.StateIdle {
@@ -142,8 +144,8 @@
 	return ok && c.evicted
 }
 
-// watch tells when the other side closes its connection, and eats no byte of a next visit. stop ends the watch;
-// nothing reads the connection meanwhile.
+// watch tells when the other side closes its connection, and eats no byte of a next visit. stop ends the
+// watch; nothing reads the connection meanwhile.
 func watch(c net.Conn) (gone <-chan struct{}, stop func()) {
 	closed, over := make(chan struct{}), make(chan struct{})
 	sc, ok := c.(syscall.Conn)
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -12,8 +12,8 @@
 	"ledgespread/internal/exchange"
 )
 
-// read takes out of a request what the decisions need. A bad one gets a status and a plain word instead, without
-// troubling the module.
+// read takes out of what came what the decisions need. Bad input gets a status and a plain word instead,
+// without troubling the module.
 func (in *Inbound) read(ctx *fasthttp.RequestCtx) (x *exchange.Exchange, status int, fault string) {
 	field := func(name string) string { return string(ctx.Request.Header.Peek(name)) }
 	bad := func(status int, fault string) (*exchange.Exchange, int, string) { return nil, status, fault }
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -77,8 +77,8 @@
 `)
 }
 
-// A watch asks for what is new at once and then holds; it ends with a failure, which is told once. An answer older
-// than the list held changes nothing.
+// A watch asks for what is new at once and then holds; it ends with a failure, which is told once. An
+// answer older than the list held changes nothing.
 func TestWatch(t *testing.T) {
 	var tr trace
 	answers := []string{hosts(42, true, host), hosts(42, false), hosts(43, false, host), hosts(40, true, host), "gone",
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -1,5 +1,6 @@
-// Package notes holds the bytes of a message between sidecars, the same in the simulator and on sockets: its
-// kind, the server it is about, and figures, each the upper half of a float32, since every byte has its price.
+// Package notes holds the bytes of a message between sidecars, the same in the simulator and on sockets:
+// its kind, the server it is about, and figures, each the upper half of a float32, since every byte has its
+// price.
 package notes
 
 import (
--- a/internal/outbound/failure.go
+++ b/internal/outbound/failure.go
@@ -39,8 +39,8 @@
 
 func (f *Failure) Unwrap() error { return f.Cause }
 
-// Result is what the module hears of a fetch that ended so. Guards against calling unrun what may have run: only
-// a fetch whose last byte was never written, or that the server itself calls unseen, counts as that.
+// Result is what the module hears of a fetch that ended so. Guards against calling unrun what may have run:
+// only a fetch whose last byte was never written, or that the server itself calls unseen, counts as that.
 func Result(err error) brain.Result {
 	var f *Failure
 	off := errors.Is(err, errCalledOff)
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -1,5 +1,5 @@
-// Package outbound is the servers' side: connections to them, backend fetches and probes. It sends each fetch once
-// and tells for each how far it came.
+// Package outbound is the servers' side: connections to them, backend fetches and probes. It sends each
+// fetch once and tells for each how far it came.
 package outbound
 
 import (
@@ -23,8 +23,8 @@
 
 const (
 	mostBody   = 64 << 10
-	readBuffer = 8 << 10
-	idleMargin = 20 // a connection is left this part of its idle time before the server may close it
+	readBuffer = 16 << 10 // as long as an answer's head may be
+	idleMargin = 20       // a connection is left this part of its idle time before the server may close it
 )
 
 // Outbound reaches the servers.
@@ -80,7 +80,8 @@
 }
 
 // Fetch sends a visit to a server and waits for so long at most. It returns at once.
-func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, wait brain.Micros, ended Ended) *Flight {
+func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, wait brain.Micros,
+	ended Ended) *Flight {
 	f := &Flight{ended: ended}
 	f.ctx, f.off = context.WithCancel(context.Background())
 	until := time.Now().Add(span(wait))
@@ -117,11 +118,11 @@
 		f.off()
 		f.ended(a, reused, err)
 	}()
-	a, reused, err = o.attempt(f, u, address, until, ask)
+	a, reused, err = o.once(f, u, address, until, ask)
 }
 
-// attempt does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
-func (o *Outbound) attempt(f *Flight, u use, address string, until time.Time, ask []byte) (a *exchange.Answer,
+// once does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
+func (o *Outbound) once(f *Flight, u use, address string, until time.Time, ask []byte) (a *exchange.Answer,
 	reused bool, err error) {
 	for l := o.pool.take(u, address); l != nil; l = o.pool.take(u, address) {
 		a, err = o.over(f, u, l, until, ask)
@@ -157,7 +158,8 @@
 }
 
 // over sends a fetch on a connection and reads the whole answer. The connection is kept or closed.
-func (o *Outbound) over(f *Flight, u use, l *line, until time.Time, ask []byte) (a *exchange.Answer, err error) {
+func (o *Outbound) over(f *Flight, u use, l *line, until time.Time, ask []byte) (a *exchange.Answer,
+	err error) {
 	keep := false
 	defer func() {
 		f.rides(nil)
--- a/internal/relay/clock.go
+++ b/internal/relay/clock.go
@@ -6,8 +6,8 @@
 	"ledgespread/brain"
 )
 
-// clock tells the time in whole microseconds: the wall's at its start, and from then on what has passed, so that
-// a server's start compares and nothing ever goes back.
+// clock tells the time in whole microseconds: the wall's at its start, and from then on what has passed, so
+// that a server's start compares and nothing ever goes back.
 type clock struct{ start time.Time }
 
 func startClock() clock { return clock{time.Now()} }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay owns the Balancer: it makes all its calls, one at a time, keeps its clock and wake-ups, and carries
-// out what it asks for. A protocol for the application attaches here, by Take and Left.
+// Package relay owns the Balancer: it makes all its calls, one at a time, keeps its clock and wake-ups, and
+// carries out what it asks for. A protocol for the application attaches here, by Take and Left.
 package relay
 
 import (
@@ -67,8 +67,8 @@
 	log      zerolog.Logger
 }
 
-// New makes a relay with its Balancer, which then holds the saved list. It holds most visits at once, or fewer
-// where the settings say so.
+// New makes a relay with its Balancer, which then holds the saved list. It holds most visits at once, or
+// fewer where the settings say so.
 func New(b *site.Berth, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
 	log zerolog.Logger) (*Relay, error) {
 	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), due: btree.NewG(16, due.before),
@@ -114,8 +114,8 @@
 // post hands an event to the one goroutine that calls the module.
 func (r *Relay) post(event func()) { r.mail <- event }
 
-// turn is one call of the module and what it asked for. Guards against the end of the sidecar, and of all visits
-// it holds, by one event's panic.
+// turn is one call of the module and what it asked for. Guards against the end of the sidecar, and of all
+// visits it holds, by one event's panic.
 func (r *Relay) turn(event func()) {
 	r.now = r.clock.now()
 	r.guarded(event)
@@ -141,8 +141,8 @@
 	do()
 }
 
-// orFail makes a call for a visit. Guards against a visit that is held, with nobody left to answer it, after a
-// panic in the call: it gets an error page at once.
+// orFail makes a call for a visit. Guards against a visit that is held, with nobody left to answer it,
+// after a panic in the call: it gets an error page at once.
 func (r *Relay) orFail(v *visit, call func()) {
 	defer func() {
 		if crash := recover(); crash != nil {
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -93,7 +93,7 @@
 		func(a *exchange.Answer, _ bool, err error) {
 			r.post(func() {
 				if err != nil {
-					r.log.Debug().Err(err).Uint64("visit", uint64(id)).Msg("backend fetch failed")
+					r.log.Debug().Err(err).Uint64("visit", uint64(id)).Msg("backend fetch not delivered")
 				}
 				r.ended(v, no, outbound.Result(err), r.now-sent, a)
 			})
@@ -101,7 +101,8 @@
 }
 
 var resultCounts = [...]counters.Count{brain.Delivered: counters.FetchesDelivered,
-	brain.Errored: counters.FetchesErrored, brain.Full: counters.FetchesFull, brain.TimedOut: counters.FetchesTimedOut,
+	brain.Errored: counters.FetchesErrored, brain.Full: counters.FetchesFull,
+	brain.TimedOut:      counters.FetchesTimedOut,
 	brain.ConnectFailed: counters.FetchesConnectFailed, brain.Reset: counters.FetchesReset,
 	brain.Cancelled: counters.FetchesCancelled, brain.NeverSent: counters.FetchesNeverSent}
 
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -1,4 +1,5 @@
-// Package internal_test tries the sidecar's parts on loopback sockets and compares what happened with a trace.
+// Package internal_test tries the sidecar's parts on loopback sockets and compares what happened with a
+// trace.
 package internal_test
 
 import (
@@ -219,8 +220,8 @@
 `)
 }
 
-// A connection that the server closed meanwhile, or is about to close, is not written to; what was never written
-// may go out on a fresh one.
+// A connection that the server closed meanwhile, or is about to close, is not written to; what was never
+// written may go out on a fresh one.
 func TestIdleConnections(t *testing.T) {
 	s := serveFake(t, func(n int, path string) string { return map[bool]string{true: ok + "!", false: ok}[path == "/last"] })
 	counts := &counters.Sheet{}
--- a/internal/site/berth.go
+++ b/internal/site/berth.go
@@ -23,8 +23,8 @@
 	Site                    brain.Site
 }
 
-// Read takes a configuration file. Guards against a sidecar that starts half told: what is missing or malformed
-// is an error that names it.
+// Read takes a configuration file. Guards against a sidecar that starts half told: what is missing or
+// malformed is an error that names it.
 func Read(file string) (*Berth, error) {
 	if file == "" {
 		return nil, errors.New("no configuration file: RELAY_CONFIG is not set")
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -142,6 +142,8 @@
 		{"tagged by GET", "GET /book HTTP/1.1\r\n" + fields + "\r\n"},
 		{"read-like by POST", "POST /look HTTP/1.1\r\n" + fields + "Content-Length: 0\r\n\r\n"},
 		{"too long", "POST /pay HTTP/1.1\r\n" + fields + "Content-Length: 70000\r\n\r\n"},
+		{"long head", "GET /look HTTP/1.1\r\n" + fields + "A: " + strings.Repeat("a", 12000) + "\r\n\r\n"},
+		{"head too long", "GET /look HTTP/1.1\r\n" + fields + "A: " + strings.Repeat("a", 20000) + "\r\n\r\n"},
 		{"no HTTP", "hello\r\n\r\n"},
 	} {
 		tr.add("%s: %s", c.name, dial(t, at).ask(c.raw))
@@ -160,12 +162,15 @@
 tagged by GET: 405 "the path prefix has another method" Allow=POST
 read-like by POST: 405 "the path prefix has another method" Allow=GET
 too long: 413 "Request Entity Too Large" close
+long head: 200 "done"
+head too long: 431 "Request Header Fields Too Large" close
 no HTTP: 400 "Bad Request" close
-taken 1, bad 11
+taken 2, bad 12
 `)
 }
 
-// What the decisions don't need goes on as the bytes that came; the answers of one side are those of the other.
+// What the decisions don't need goes on as the bytes that came; the answers of one side are those of the
+// other.
 func TestBytesThatGoOn(t *testing.T) {
 	var tr trace
 	_, at, _ := listen(t, berth(t, configuration("", "")), 9, taker{&tr, func(x *exchange.Exchange) {
@@ -245,8 +250,8 @@
 `)
 }
 
-// Without a place left, the client that has been idle for longest makes room. At a stop idle clients go, new ones
-// are served for a while, and what is held gets its answer.
+// Without a place left, the client that has been idle for longest makes room. At a stop idle clients go,
+// new ones are served for a while, and what is held gets its answer.
 func TestPlacesAndStop(t *testing.T) {
 	var tr trace
 	held := make(chan *exchange.Exchange, 1)
