--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -4,13 +4,13 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"ledgespread/internal/counters"
+	"ledgespread/internal/peek"
 )
 
 // listener accepts no more connections than it has places for. Where none is left, the client that has
@@ -148,27 +148,9 @@
 // watch; nothing reads the connection meanwhile.
 func watch(c net.Conn) (gone <-chan struct{}, stop func()) {
 	closed, over := make(chan struct{}), make(chan struct{})
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return closed, func() {}
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return closed, func() {}
-	}
 	go func() {
 		defer close(over)
-		left := false
-		raw.Read(func(fd uintptr) bool {
-			var one [1]byte
-			n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			if err == syscall.EAGAIN || err == syscall.EINTR {
-				return false
-			}
-			left = n <= 0 // more than nothing is a visit sent ahead: its client is there
-			return true
-		})
-		if left {
+		if peek.Look(c, true) == peek.Closed { // bytes are a visit sent ahead: its client is there
 			close(closed)
 		}
 	}()
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -4,11 +4,11 @@
 	"bufio"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
+	"ledgespread/internal/peek"
 )
 
 // line is one connection to a server.
@@ -19,25 +19,8 @@
 	idle    time.Time // since when
 }
 
-// alive tells whether the other side has neither closed a line nor sent anything unasked. It eats no byte.
-func (l *line) alive() bool {
-	sc, ok := l.Conn.(syscall.Conn)
-	if !ok || l.in.Buffered() > 0 {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, got := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = got == syscall.EAGAIN || got == syscall.EWOULDBLOCK
-		return true
-	})
-	return quiet && err == nil
-}
+// alive tells whether the other side has neither closed a line nor sent anything unasked.
+func (l *line) alive() bool { return l.in.Buffered() == 0 && peek.Look(l.Conn, false) == peek.Quiet }
 
 // use tells what connections to a server are for. Probes keep their own, so that the module's books of idle
 // connections hold.
--- /dev/null
+++ b/internal/peek/peek.go
@@ -0,0 +1,44 @@
+// Package peek tells what has come on a connection without reading any of it.
+package peek
+
+import (
+	"net"
+	"syscall"
+)
+
+// State is what can be seen.
+type State uint8
+
+const (
+	Unknown State = iota // its deadline has passed, or it is no socket
+	Quiet                // nothing has come
+	Waiting              // bytes that nobody read yet
+	Closed               // the other side closed it, or it broke
+)
+
+// Look tells the state now or, with wait, once something happens; a read deadline ends the wait.
+func Look(c net.Conn, wait bool) (seen State) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return Unknown
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return Unknown
+	}
+	raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+			seen = Quiet
+			return !wait
+		case n > 0:
+			seen = Waiting
+		default:
+			seen = Closed
+		}
+		return true
+	})
+	return seen
+}
