An evicted or half-closed client never gets an empty 200

A handler that found the mark in between returned without a word, and fasthttp writes an empty 200 for that. At fault: evictOldest and evictIdle. Now the socket is closed under the same lock, and both ways in which a client is given up answer 502 and close.

--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -102,6 +102,7 @@
 		}
 	}()
 	if in.listener.isEvicted(ctx.Conn()) {
+		abandon(ctx)
 		return
 	}
 	switch string(ctx.Path()) {
@@ -125,6 +126,13 @@
 	ctx.SetBodyString(text + "\n")
 }
 
+// abandon ends a connection whose client is not there. Guards against an empty 200, which fasthttp writes where
+// nothing is said, at a client that closed but its own half.
+func abandon(ctx *fasthttp.RequestCtx) {
+	plain(ctx, fasthttp.StatusBadGateway, "the client left")
+	ctx.SetConnectionClose()
+}
+
 // malformed answers what is no HTTP, or too much of it.
 func (in *Inbound) malformed(ctx *fasthttp.RequestCtx, err error) {
 	in.counts.Add(counters.BadInput)
@@ -159,8 +167,8 @@
 	case <-gone:
 		in.counts.Add(counters.VisitsDropped)
 		in.visits.Left(x)
-		ctx.SetConnectionClose()
 		stop()
+		abandon(ctx)
 		return
 	case <-taken.C:
 		// Guards against a visit without an end, should the module's news never come.
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -37,6 +37,13 @@
 	return c.TCPConn.Close()
 }
 
+// evict closes a connection for good; the listener's lock is held, so that whoever finds it evicted also finds it
+// closed. Guards against an empty answer to a visit that came just then. Close is still to be called.
+func (c *client) evict() {
+	c.evicted = true
+	c.TCPConn.Close()
+}
+
 func newListener(ln *net.TCPListener, most int, counts *counters.Sheet, log zerolog.Logger) *listener {
 	return &listener{TCPListener: ln, places: make(chan struct{}, max(most, 1)), counts: counts, log: log,
 		here: map[*client]time.Time{}}
@@ -110,7 +117,7 @@
 		}
 	}
 	if oldest != nil {
-		oldest.evicted = true
+		oldest.evict()
 	}
 	l.mu.Unlock()
 	if oldest != nil {
@@ -125,7 +132,7 @@
 	l.mu.Lock()
 	for c, since := range l.here {
 		if !since.IsZero() {
-			c.evicted = true
+			c.evict()
 			idle = append(idle, c)
 		}
 	}
--- /dev/null
+++ b/internal/inbound/listener_test.go
@@ -0,0 +1,59 @@
+package inbound
+
+import (
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"ledgespread/internal/counters"
+)
+
+// Once a connection is told to be evicted, nothing written to it may reach its client: a handler that finds a visit
+// on it returns, and what the server then writes would be an answer that no server made.
+func TestEvictedIsClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l := newListener(ln.(*net.TCPListener), 30, &counters.Sheet{}, zerolog.Nop())
+	var reached atomic.Int64
+	for range 20 {
+		var here []net.Conn
+		for range 30 {
+			other, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer other.Close()
+			c, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			here = append(here, c)
+		}
+		var all sync.WaitGroup
+		for _, c := range here {
+			all.Go(func() {
+				for !l.isEvicted(c) {
+					runtime.Gosched()
+				}
+				if _, err := c.Write([]byte("answer")); err == nil {
+					reached.Add(1)
+				}
+			})
+		}
+		l.evictIdle()
+		all.Wait()
+	}
+	got := fmt.Sprintf("%d answers reached an evicted client", reached.Load())
+	if diff := cmp.Diff("0 answers reached an evicted client", got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -236,6 +236,11 @@
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(10 * time.Millisecond)
+	c = dial(t, at)
+	io.WriteString(c, visit)
+	<-held
+	c.Conn.(*net.TCPConn).CloseWrite()
+	tr.add("closed its own half: %s", c.answer())
 	tr.add("second answers taken: %v %v", answered.Bounce(0), x.Fail(exchange.Errored) && x.Bounce(0))
 	tr.add("faults %d, overdue %d", counts[counters.Faults].Load(), counts[counters.VisitsOverdue].Load())
 	tr.same(t, `
@@ -245,6 +250,8 @@
 the relay hears that the client left
 no news: 504 "no answer in time"
 the relay hears that the client left
+the relay hears that the client left
+closed its own half: 502 "the client left" close
 second answers taken: false false
 faults 2, overdue 1
 `)
