--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -96,8 +96,8 @@
 	}
 }
 
-// news tells of an answer, nil for a failed call, if it matters: always of an asked one. Two watches may
-// end at the same time; guards against the older of their lists being told last.
+// news tells of an answer, nil for a failed call, if it matters: always of one that was asked for. Two
+// watches may end at the same time; guards against the older of their lists being told last.
 func (w *Watcher) news(round int, list *List, asked bool) (current, brought bool) {
 	w.telling.Lock()
 	defer w.telling.Unlock()
@@ -113,7 +113,7 @@
 	switch brought = list != nil && !list.Empty(); {
 	case list == nil:
 		w.counts.Add(counters.ListsFailed)
-		if current {
+		if current || asked {
 			w.tell(nil)
 		}
 	case brought || asked:
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -26,6 +26,7 @@
 	mostHead   = 16 << 10
 	overdue    = 5 * time.Millisecond   // after the client timeout a visit is answered without the module
 	newcomers  = 500 * time.Millisecond // new connections may come for so long after a stop was asked for
+	lastAnswer = 100 * time.Millisecond // a stop waits for so long beyond the longest client timeout
 	idleClient = 5 * time.Minute
 )
 
@@ -83,7 +84,7 @@
 	in.listener.evictIdle()
 	time.Sleep(newcomers)
 	in.listener.evictIdle()
-	ctx, done := context.WithTimeout(context.Background(), time.Duration(in.longest)*time.Microsecond+2*overdue)
+	ctx, done := context.WithTimeout(context.Background(), time.Duration(in.longest)*time.Microsecond+lastAnswer)
 	defer done()
 	if err := in.server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		in.log.Warn().Err(err).Msg("stop")
@@ -126,8 +127,8 @@
 	ctx.SetBodyString(text + "\n")
 }
 
-// abandon ends a connection whose client is not there. Guards against an empty 200, which fasthttp writes where
-// nothing is said, at a client that closed but its own half.
+// abandon ends a connection whose client is not there. Guards against an empty 200, which fasthttp writes
+// where nothing is said, at a client that closed but its own half.
 func abandon(ctx *fasthttp.RequestCtx) {
 	plain(ctx, fasthttp.StatusBadGateway, "the client left")
 	ctx.SetConnectionClose()
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -37,8 +37,9 @@
 	return c.TCPConn.Close()
 }
 
-// evict closes a connection for good; the listener's lock is held, so that whoever finds it evicted also finds it
-// closed. Guards against an empty answer to a visit that came just then. Close is still to be called.
+// evict closes a connection for good; the listener's lock is held, so that whoever finds it evicted also
+// finds it closed. Guards against an empty answer to a visit that came just then. Close is still to be
+// called.
 func (c *client) evict() {
 	c.evicted = true
 	c.TCPConn.Close()
--- a/internal/inbound/listener_test.go
+++ b/internal/inbound/listener_test.go
@@ -14,8 +14,8 @@
 	"ledgespread/internal/counters"
 )
 
-// Once a connection is told to be evicted, nothing written to it may reach its client: a handler that finds a visit
-// on it returns, and what the server then writes would be an answer that no server made.
+// Once a connection is told to be evicted, nothing written to it may reach its client: a handler that finds
+// a visit on it returns, and what the server then writes would be an answer that no server made.
 func TestEvictedIsClosed(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
