A test of two watches that overlap: neither a lost answer nor an older list told last

It fails on the code before either fix, tried by undoing each: without the first it waits for ever, without the second the older list is told last.

--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -140,6 +140,52 @@
 `)
 }
 
+// A watch that another took the place of still answers for its first call, and its older list is not told last.
+func TestTwoWatches(t *testing.T) {
+	var tr trace
+	release := make(chan bool)
+	s := serveFake(t, func(n int, path string) string {
+		answer := map[int]string{1: hosts(42, true, host), 2: hosts(43, true, host), 5: hosts(44, true, host)}[n]
+		if n == 1 || n == 4 {
+			<-release
+		}
+		if n == 4 {
+			return "!"
+		} else if answer == "" {
+			return "silence"
+		}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+	})
+	told := make(chan bool, 9)
+	w := discovery.New(s.Addr().String(), map[string]int{"here": 0}, 41, 40*second, 7, func(l *discovery.List) {
+		if l == nil {
+			tr.add("told: failed")
+		} else {
+			tr.add("told: %d empty=%v", l.Version, l.Empty())
+		}
+		told <- true
+	}, &counters.Sheet{}, zerolog.Nop())
+	for _, calls := range []int{1, 4} {
+		w.Watch()
+		for s.count() < calls {
+			time.Sleep(time.Millisecond)
+		}
+		w.Watch()
+		<-told
+		for s.count() < calls+2 {
+			time.Sleep(time.Millisecond)
+		}
+		release <- true
+		<-told
+	}
+	tr.same(t, `
+told: 43 empty=false
+told: 43 empty=true
+told: 44 empty=false
+told: failed
+`)
+}
+
 // Where the list is pushed, the watcher comes back by itself, later each time.
 func TestWatchKept(t *testing.T) {
 	var tr trace
