Answers are counted where they are written; tests hold on a busy machine

What was seen: with twelve busy loops beside them, TestVisitsRoundTheModule failed once in some twenty runs: the relay counted a bounce after the client could already see it. Counted now by inbound, before the answer is written, so that taken = delivered + bounced + errored + dropped on one side.

--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -182,25 +182,29 @@
 		<-x.Done()
 	}
 	stop()
-	answer(ctx, x)
+	in.answer(ctx, x)
 }
 
-func answer(ctx *fasthttp.RequestCtx, x *exchange.Exchange) {
+func (in *Inbound) answer(ctx *fasthttp.RequestCtx, x *exchange.Exchange) {
 	switch x.How {
 	case exchange.Delivered:
+		in.counts.Add(counters.VisitsDelivered)
 		for _, field := range x.Answer.Fields {
 			ctx.Response.Header.Add(field[0], field[1])
 		}
 		ctx.Response.SetBodyRaw(x.Answer.Body)
 	case exchange.Bounced:
+		in.counts.Add(counters.VisitsBounced)
 		plain(ctx, fasthttp.StatusServiceUnavailable, "not now; a retry does no harm")
 		if x.ComeBackIn > 0 {
 			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter,
 				strconv.FormatFloat(math.Ceil(float64(x.ComeBackIn)/1000)/1000, 'f', -1, 64))
 		}
 	case exchange.Overdue:
+		in.counts.Add(counters.VisitsErrored)
 		plain(ctx, fasthttp.StatusGatewayTimeout, "no answer in time")
 	default:
+		in.counts.Add(counters.VisitsErrored)
 		plain(ctx, fasthttp.StatusBadGateway, "no answer from the servers")
 	}
 }
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -5,7 +5,6 @@
 	"strings"
 
 	"ledgespread/brain"
-	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/outbound"
 )
@@ -29,9 +28,7 @@
 func (r *Relay) Bounce(id brain.VisitID, comeBackIn brain.Micros) {
 	r.later(func() {
 		if v := r.open(id); v != nil {
-			if v.x.Bounce(comeBackIn) {
-				r.counts.Add(counters.VisitsBounced)
-			}
+			v.x.Bounce(comeBackIn)
 			r.end(v)
 		}
 	})
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -59,9 +59,7 @@
 	if v.until-r.now <= v.x.Left/100 {
 		how = exchange.Overdue
 	}
-	if v.x.Fail(how) {
-		r.counts.Add(counters.VisitsErrored)
-	}
+	v.x.Fail(how)
 	r.end(v)
 }
 
@@ -112,9 +110,7 @@
 	r.counts.Add(resultCounts[rc])
 	v.out--
 	if rc == brain.Delivered && !v.ended {
-		if v.x.Deliver(a) {
-			r.counts.Add(counters.VisitsDelivered)
-		}
+		v.x.Deliver(a)
 		r.end(v)
 	}
 	r.orFail(v, func() { r.b.Outcome(r.now, v.x.ID, no, rc, took, v.ended) })
