Read-through: one place for caught panics, message bounds and new flights

Behaviour as before, tests untouched. Five panic guards wrote the same two lines (now counters.Crashed); the bounds of a message stood on both sides (now in exchange); Fetch and Probe made a flight each. Relay set its timer twice for each event, now once; three checks that could not be false are gone, and a comment on Flight.rides says what it does.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
@@ -62,6 +63,12 @@
 // Add counts one.
 func (s *Sheet) Add(c Count) { s[c].Add(1) }
 
+// Crashed books a panic that was caught: as a fault, and with its stack in the log.
+func (s *Sheet) Crashed(log zerolog.Logger, what string, crash any) {
+	s.Add(Faults)
+	log.Error().Str("stack", string(debug.Stack())).Msgf("%s crashed: %v", what, crash)
+}
+
 // WriteTo prints a line for each counter, name and value.
 func (s *Sheet) WriteTo(w io.Writer) (n int64, err error) {
 	for c := range s {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"hash/fnv"
 	"net"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -156,8 +155,7 @@
 	defer func() {
 		// Guards against the end of the watch, and of the sidecar, by an answer that nobody thought of.
 		if crash := recover(); crash != nil {
-			w.counts.Add(counters.Faults)
-			w.log.Error().Str("stack", string(debug.Stack())).Msgf("watch crashed: %v", crash)
+			w.counts.Crashed(w.log, "watch", crash)
 			err = fmt.Errorf("crashed: %v", crash)
 		}
 	}()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -10,6 +10,12 @@
 	"ledgespread/brain"
 )
 
+// What a message may hold, on either side.
+const (
+	MostHead = 16 << 10
+	MostBody = 64 << 10
+)
+
 // Ending is how a visit was answered.
 type Ending uint8
 
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -7,7 +7,6 @@
 	"errors"
 	"math"
 	"net"
-	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -22,8 +21,6 @@
 )
 
 const (
-	mostBody   = 64 << 10
-	mostHead   = 16 << 10
 	overdue    = 5 * time.Millisecond   // after the client timeout a visit is answered without the module
 	newcomers  = 500 * time.Millisecond // new connections may come for so long after a stop was asked for
 	lastAnswer = 100 * time.Millisecond // a stop waits for so long beyond the longest client timeout
@@ -67,7 +64,7 @@
 		in.longest = max(in.longest, b.Span(at+".client_timeout_us"))
 	}
 	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log,
-		MaxRequestBodySize: mostBody, ReadBufferSize: mostHead, IdleTimeout: idleClient,
+		MaxRequestBodySize: exchange.MostBody, ReadBufferSize: exchange.MostHead, IdleTimeout: idleClient,
 		ReadTimeout: idleClient, WriteTimeout: idleClient, ConnState: in.listener.carries,
 		Concurrency: 2 * most, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true}
@@ -96,8 +93,7 @@
 func (in *Inbound) guarded(ctx *fasthttp.RequestCtx) {
 	defer func() {
 		if crash := recover(); crash != nil {
-			in.counts.Add(counters.Faults)
-			in.log.Error().Str("stack", string(debug.Stack())).Msgf("connection crashed: %v", crash)
+			in.counts.Crashed(in.log, "connection", crash)
 			plain(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
 			ctx.SetConnectionClose()
 		}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"os"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,11 +20,7 @@
 	"ledgespread/internal/exchange"
 )
 
-const (
-	mostBody   = 64 << 10
-	readBuffer = 16 << 10 // as long as an answer's head may be
-	idleMargin = 20       // a connection is left this part of its idle time before the server may close it
-)
+const idleMargin = 20 // a connection is left this part of its idle time before the server may close it
 
 // Outbound reaches the servers.
 type Outbound struct {
@@ -57,6 +52,12 @@
 	ended  Ended
 }
 
+func newFlight(ended Ended) *Flight {
+	f := &Flight{ended: ended}
+	f.ctx, f.off = context.WithCancel(context.Background())
+	return f
+}
+
 // Withdraw keeps a fetch from being sent if it is not yet. Guards against a send after the visit's end by a
 // connection that comes up late. One that was sent goes on.
 func (f *Flight) Withdraw() { f.off() }
@@ -72,7 +73,7 @@
 	}
 }
 
-// rides notes the connection, unless the fetch was called off meanwhile.
+// rides notes the connection, so that Cancel can reach it; nil: it is left.
 func (f *Flight) rides(l *line) {
 	f.mu.Lock()
 	f.line = l
@@ -82,8 +83,7 @@
 // Fetch sends a visit to a server and waits for so long at most. It returns at once.
 func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, wait brain.Micros,
 	ended Ended) *Flight {
-	f := &Flight{ended: ended}
-	f.ctx, f.off = context.WithCancel(context.Background())
+	f := newFlight(ended)
 	until := time.Now().Add(span(wait))
 	o.counts.Add(counters.FetchesSent)
 	go o.run(f, use{be: be}, address, until, x.Outgoing(wait))
@@ -92,10 +92,8 @@
 
 // Probe asks a server for its health.
 func (o *Outbound) Probe(be brain.Backend, address string, ended Ended) {
-	f := &Flight{ended: ended}
-	f.ctx, f.off = context.WithCancel(context.Background())
 	o.counts.Add(counters.ProbesSent)
-	go o.run(f, use{be, true}, address, time.Now().Add(2*o.connect),
+	go o.run(newFlight(ended), use{be, true}, address, time.Now().Add(2*o.connect),
 		fmt.Appendf(nil, "GET /-/healthy HTTP/1.1\r\nHost: %s\r\n\r\n", address))
 }
 
@@ -112,8 +110,7 @@
 	defer func() {
 		// Guards against a visit that hangs, and a sidecar that dies, by one fetch's panic.
 		if crash := recover(); crash != nil {
-			o.counts.Add(counters.Faults)
-			o.log.Error().Str("stack", string(debug.Stack())).Msgf("backend fetch crashed: %v", crash)
+			o.counts.Crashed(o.log, "backend fetch", crash)
 		}
 		f.off()
 		f.ended(a, reused, err)
@@ -154,7 +151,7 @@
 		return nil, &Failure{Reach: Nowhere, Cause: err}
 	}
 	o.counts.Add(counters.ConnectionsOpened)
-	return &line{Conn: c, in: bufio.NewReaderSize(c, readBuffer), address: address}, nil
+	return &line{Conn: c, in: bufio.NewReaderSize(c, exchange.MostHead), address: address}, nil
 }
 
 // over sends a fetch on a connection and reads the whole answer. The connection is kept or closed.
@@ -189,7 +186,7 @@
 	}
 	reach = Sent
 	var answer fasthttp.Response
-	if err := answer.ReadLimitBody(l.in, mostBody); err != nil {
+	if err := answer.ReadLimitBody(l.in, exchange.MostBody); err != nil {
 		return nil, fail(err)
 	}
 	keep = !answer.ConnectionClose() && l.in.Buffered() == 0 && !f.called.Load()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/netip"
-	"runtime/debug"
 
 	"github.com/rs/zerolog"
 
@@ -73,8 +72,7 @@
 	heard func(brain.Peer, brain.Note, brain.Backend, []float64)) {
 	defer func() {
 		if crash := recover(); crash != nil {
-			p.counts.Add(counters.Faults)
-			p.log.Error().Str("stack", string(debug.Stack())).Msgf("message crashed: %v", crash)
+			p.counts.Crashed(p.log, "message", crash)
 		}
 	}()
 	number, known := p.numbers[from]
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -36,7 +36,7 @@
 
 func (r *Relay) ErrorPage(id brain.VisitID) {
 	r.later(func() {
-		if v := r.open(id); v != nil {
+		if v := r.visits[id]; v != nil {
 			r.fail(v)
 		}
 	})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"runtime/debug"
 	"time"
 
 	"github.com/google/btree"
@@ -101,6 +100,7 @@
 		r.watcher.Keep()
 	}
 	r.turn(func() {})
+	r.arm()
 	for {
 		select {
 		case event := <-r.mail:
@@ -108,6 +108,7 @@
 		case <-r.timer.C:
 		}
 		r.turn(r.lapse)
+		r.arm()
 	}
 }
 
@@ -126,6 +127,10 @@
 			r.guarded(do)
 		}
 	}
+}
+
+// arm sets the timer for what is due first.
+func (r *Relay) arm() {
 	if d, ok := r.due.Min(); ok {
 		r.timer.Reset(time.Duration(max(d.at-r.clock.now(), 0)) * time.Microsecond)
 	}
@@ -134,8 +139,7 @@
 func (r *Relay) guarded(do func()) {
 	defer func() {
 		if crash := recover(); crash != nil {
-			r.counts.Add(counters.Faults)
-			r.log.Error().Str("stack", string(debug.Stack())).Msgf("decision crashed: %v", crash)
+			r.counts.Crashed(r.log, "decision", crash)
 		}
 	}()
 	do()
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -28,18 +28,15 @@
 // Left hears that a visit's client has gone away, or was told by inbound itself that its time is up.
 func (r *Relay) Left(x *exchange.Exchange) {
 	r.post(func() {
-		if v := r.visits[x.ID]; v != nil && v.x == x && !v.ended {
+		if v := r.open(x.ID); v != nil {
 			r.end(v)
 			r.b.Dropped(r.now, x.ID)
 		}
 	})
 }
 
-// end books that a visit has its answer, or needs none.
+// end books that an open visit has its answer, or needs none.
 func (r *Relay) end(v *visit) {
-	if v.ended {
-		return
-	}
 	v.ended = true
 	r.held--
 	for _, f := range v.flights {
@@ -84,7 +81,7 @@
 	to, known := r.servers[be]
 	if v.ended || left <= 0 || int(no) >= r.mostOut || !known {
 		v.flights = append(v.flights, nil)
-		r.todo = append(r.todo, func() { r.ended(v, no, brain.NeverSent, 0, nil) })
+		r.later(func() { r.ended(v, no, brain.NeverSent, 0, nil) })
 		return
 	}
 	v.flights = append(v.flights, r.outbound.Fetch(v.x, be, to.address, wait,
@@ -100,13 +97,12 @@
 
 var resultCounts = [...]counters.Count{brain.Delivered: counters.FetchesDelivered,
 	brain.Errored: counters.FetchesErrored, brain.Full: counters.FetchesFull,
-	brain.TimedOut:      counters.FetchesTimedOut,
-	brain.ConnectFailed: counters.FetchesConnectFailed, brain.Reset: counters.FetchesReset,
+	brain.TimedOut: counters.FetchesTimedOut, brain.ConnectFailed: counters.FetchesConnectFailed,
+	brain.Reset:     counters.FetchesReset,
 	brain.Cancelled: counters.FetchesCancelled, brain.NeverSent: counters.FetchesNeverSent}
 
 // ended tells the module how a fetch ended. The first delivery is the visit's answer.
-func (r *Relay) ended(v *visit, no brain.FetchNo, rc brain.Result, took brain.Micros,
-	a *exchange.Answer) {
+func (r *Relay) ended(v *visit, no brain.FetchNo, rc brain.Result, took brain.Micros, a *exchange.Answer) {
 	r.counts.Add(resultCounts[rc])
 	v.out--
 	if rc == brain.Delivered && !v.ended {
