TestReload: the program's output no longer goes round the log buffer's lock

Cause: bytes.Buffer was embedded, so copying the program's output into it used the promoted ReadFrom without the lock, and go test -race failed. The buffer is a field now; go test -race ./cmd/ledgespread passes.

--- a/cmd/ledgespread/serve_test.go
+++ b/cmd/ledgespread/serve_test.go
@@ -34,22 +34,22 @@
 	os.Exit(m.Run())
 }
 
-// logged gathers what the program logs.
+// logged gathers what the program logs. The buffer is not embedded: its ReadFrom would go round the lock.
 type logged struct {
-	mu sync.Mutex
-	bytes.Buffer
+	mu     sync.Mutex
+	buffer bytes.Buffer
 }
 
 func (l *logged) Write(p []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.Buffer.Write(p)
+	return l.buffer.Write(p)
 }
 
 func (l *logged) text() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.String()
+	return l.buffer.String()
 }
 
 // At SIGHUP the program reads its file again: it moves to another discovery, keeps what holds where the file is
