--- /dev/null
+++ b/lab/cars/cars.go
@@ -0,0 +1,344 @@
+// Package cars starts sidecars as real processes, tells them what the deployment page says a sidecar is told, and leaves
+// none behind: not at an interrupt, not at a crash of the lab, not at a start that fails half-way.
+package cars
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"ledgespread/lab/clients"
+	"ledgespread/lab/clock"
+)
+
+type Micros = clock.Micros
+
+// Program is what is started: a sidecar, or something that stands in for one.
+type Program struct {
+	Path string
+	Args []string
+	Name string // as reports call it
+}
+
+// Life is one run of a process in the account.
+type Life struct {
+	Start, Ready, End Micros // -1: not yet
+	Killed            bool   // by the plan, or by the lab at its end
+	Asked             Micros // when it was asked to end, -1: never
+	Exit              string
+}
+
+// Car is one sidecar.
+type Car struct {
+	Name, Address string
+	Zone          string
+	program       Program
+	tell          func(listen string) ([]byte, error) // its configuration
+	folder        string
+	clock         *clock.Clock
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	lives  []Life
+	still  [][2]Micros // it was stopped by the plan
+	last   tail
+	cpu    time.Duration // of lives that are over
+	memory int           // KiB, the most seen
+}
+
+// yard starts all processes from one thread that lives as long as the lab: the kernel kills a child when the thread that
+// started it ends, so that not even a crash of the lab leaves one behind.
+var yard = sync.OnceValue(func() chan func() {
+	jobs := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for do := range jobs {
+			do()
+		}
+	}()
+	return jobs
+})
+
+// Start starts a command that ends with the lab at the latest.
+func Start(cmd *exec.Cmd) (err error) {
+	if cmd.SysProcAttr == nil {
+		cmd.SysProcAttr = &syscall.SysProcAttr{}
+	}
+	// A group of its own: an interrupt at the terminal is the lab's to hear, which then ends what it started.
+	cmd.SysProcAttr.Setpgid, cmd.SysProcAttr.Pdeathsig = true, syscall.SIGKILL
+	done := make(chan struct{})
+	yard() <- func() { err = cmd.Start(); close(done) }
+	<-done
+	return err
+}
+
+// New prepares a sidecar; its address is one that is free now.
+func New(name, zone string, p Program, folder string, c *clock.Clock, tell func(listen string) ([]byte, error)) (*Car, error) {
+	car := &Car{Name: name, Zone: zone, program: p, tell: tell, folder: folder, clock: c}
+	var err error
+	car.Address, err = Free()
+	return car, err
+}
+
+// Free is a loopback address that nothing listens at, by now.
+func Free() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+const ports = 5 // tries with other addresses, where one was taken meanwhile
+
+// Start starts it and waits until it is ready. A first start moves on where its address is taken; later ones keep it.
+func (c *Car) Start(most time.Duration) error {
+	var err error
+	for range ports {
+		if err = c.start(most); err == nil || len(c.Lives()) > 1 || !strings.Contains(c.Log(), "address already in use") {
+			break
+		}
+		c.mu.Lock()
+		c.lives = nil
+		c.mu.Unlock()
+		if c.Address, err = Free(); err != nil {
+			break
+		}
+	}
+	return err
+}
+
+// Configure writes the configuration as it is now.
+func (c *Car) Configure() (file string, err error) {
+	text, err := c.tell(c.Address)
+	if err != nil {
+		return "", err
+	}
+	file = filepath.Join(c.folder, c.Name+".json")
+	return file, os.WriteFile(file, text, 0o600)
+}
+
+func (c *Car) start(most time.Duration) error {
+	file, err := c.Configure()
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(c.folder, c.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(c.program.Path, c.program.Args...)
+	cmd.Env = append(os.Environ(), "RELAY_NAME="+c.Name, "RELAY_LISTEN="+c.Address, "RELAY_CONFIG="+file)
+	cmd.Stdout, cmd.Stderr = log, io.MultiWriter(log, &c.last)
+	if err := Start(cmd); err != nil {
+		log.Close()
+		return err
+	}
+	ended := make(chan struct{})
+	c.mu.Lock()
+	c.cmd, c.ended = cmd, ended
+	c.lives = append(c.lives, Life{Start: c.clock.Now(), Ready: -1, End: -1, Asked: -1})
+	c.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		log.Close()
+		c.mu.Lock()
+		life := &c.lives[len(c.lives)-1]
+		life.End = c.clock.Now()
+		if life.Exit = "0"; err != nil {
+			life.Exit = err.Error()
+		}
+		c.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		if use, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+			c.memory = max(c.memory, int(use.Maxrss))
+		}
+		c.mu.Unlock()
+		close(ended)
+	}()
+	if err := clients.Ready(c.Address, most, ended); err != nil {
+		c.Kill()
+		return fmt.Errorf("%s: %w; it said: %s", c.Name, err, c.Log())
+	}
+	c.mu.Lock()
+	c.lives[len(c.lives)-1].Ready = c.clock.Now()
+	c.mu.Unlock()
+	return nil
+}
+
+// Signal sends one to the process.
+func (c *Car) Signal(s syscall.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd == nil || c.lives[len(c.lives)-1].End >= 0 {
+		return
+	}
+	if s == syscall.SIGKILL {
+		c.lives[len(c.lives)-1].Killed = true
+	}
+	if s == syscall.SIGTERM {
+		c.lives[len(c.lives)-1].Asked = c.clock.Now()
+	}
+	if s == syscall.SIGSTOP {
+		c.still = append(c.still, [2]Micros{c.clock.Now(), -1})
+	}
+	if s == syscall.SIGCONT && len(c.still) > 0 {
+		c.still[len(c.still)-1][1] = c.clock.Now()
+	}
+	c.cmd.Process.Signal(s)
+}
+
+// Kill ends it at once and waits for that.
+func (c *Car) Kill() {
+	c.Signal(syscall.SIGKILL)
+	c.wait()
+}
+
+func (c *Car) wait() {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// Stop asks it to end, kills it where it has not after this long, and tells how it ended.
+func (c *Car) Stop(most time.Duration) error {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	if ended == nil {
+		return nil
+	}
+	c.Signal(syscall.SIGCONT)
+	c.Signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(most):
+		c.Kill()
+		return errors.New(c.Name + " did not end by itself")
+	}
+	if exit := c.Lives()[len(c.Lives())-1].Exit; exit != "0" {
+		return fmt.Errorf("%s ended with %s", c.Name, exit)
+	}
+	return nil
+}
+
+// Lives is its account.
+func (c *Car) Lives() []Life {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Life(nil), c.lives...)
+}
+
+// Stills are the times it was stopped by the plan.
+func (c *Car) Stills() [][2]Micros {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([][2]Micros(nil), c.still...)
+}
+
+// Crashed tells of ends that nobody asked for.
+func (c *Car) Crashed() (out []string) {
+	for _, l := range c.Lives() {
+		if l.End >= 0 && !l.Killed && (l.Asked < 0 || l.Exit != "0") {
+			out = append(out, fmt.Sprintf("%s ended by itself at %d µs: %s", c.Name, l.End, l.Exit))
+		}
+	}
+	return out
+}
+
+// Log is the last that it said.
+func (c *Car) Log() string { return c.last.String() }
+
+// Pid is its process's number, 0 when none runs.
+func (c *Car) Pid() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd == nil || c.lives[len(c.lives)-1].End >= 0 {
+		return 0
+	}
+	return c.cmd.Process.Pid
+}
+
+// Used is the CPU time of all lives and the most memory in KiB, as the kernel has it.
+func (c *Car) Used() (cpu time.Duration, memory int) {
+	pid := c.Pid()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if pid != 0 {
+		now, kib := usage(pid)
+		c.memory = max(c.memory, kib)
+		return c.cpu + now, c.memory
+	}
+	return c.cpu, c.memory
+}
+
+// usage reads a running process's CPU time and peak memory.
+func usage(pid int) (cpu time.Duration, kib int) {
+	return threads(pid), status(pid, "VmHWM:")
+}
+
+// Memory is what a process holds now, in KiB.
+func Memory(pid int) int { return status(pid, "VmRSS:") }
+
+func status(pid int, name string) (kib int) {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, name); ok {
+			kib, _ = strconv.Atoi(strings.Fields(rest)[0])
+		}
+	}
+	return kib
+}
+
+// threads sums the time on a CPU of all threads, in nanoseconds where the kernel keeps them.
+func threads(pid int) (sum time.Duration) {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	for _, f := range files {
+		if text, err := os.ReadFile(f); err == nil {
+			if fields := strings.Fields(string(text)); len(fields) > 0 {
+				ns, _ := strconv.ParseInt(fields[0], 10, 64)
+				sum += time.Duration(ns)
+			}
+		}
+	}
+	return sum
+}
+
+// tail keeps the last of what is written.
+type tail struct {
+	mu sync.Mutex
+	b  []byte
+}
+
+const kept = 4 << 10
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.b = append(t.b, p...)
+	if len(t.b) > kept {
+		t.b = bytes.Clone(t.b[len(t.b)-kept:])
+	}
+	return len(p), nil
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(bytes.TrimSpace(t.b))
+}
--- /dev/null
+++ b/lab/report/report.go
@@ -0,0 +1,391 @@
+// Package report sums up a run: what service was given, what it cost, which rules broke. Figures come from the accounts of
+// the stand-ins. Its JSON form is documented in docs/lab.md.
+package report
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"slices"
+	"strings"
+
+	"encoding/json"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ledgespread/lab/box"
+	"ledgespread/lab/clients"
+	"ledgespread/lab/clock"
+	"ledgespread/lab/judge"
+)
+
+type Micros = clock.Micros
+
+// Report is a run in figures.
+type Report struct {
+	Scenario  string         `json:"scenario"`
+	Program   string         `json:"program"`
+	Seed      uint64         `json:"seed"`
+	Plan      string         `json:"plan"` // the plan's hash
+	Length    Micros         `json:"length_us"`
+	Visits    int            `json:"visits"` // that count: after the warm-up
+	Service   float64        `json:"service"`
+	Worst     float64        `json:"worst_second"`
+	ByPrefix  []Part         `json:"by_prefix"`
+	ByTenant  []Part         `json:"by_tenant"`
+	Within    float64        `json:"within_share"` // service of what was within its tenant's share
+	Ends      map[string]int `json:"ends"`         // visits by their last try's end
+	Tries     int            `json:"tries"`
+	Latency   Latency        `json:"latency"` // of visits delivered, from when they were due
+	Answers   Latency        `json:"answers"` // of all that had an answer of their sidecar
+	Fetches   map[string]int `json:"fetches"` // at the boxes, by fate
+	Wasted    float64        `json:"wasted"`  // core time spent beyond the fetch that was delivered, by all work asked for
+	Crossings int            `json:"crossings"`
+	Opened    int            `json:"connections_opened"`
+	Probed    int            `json:"probes"`
+	ProbeTime float64        `json:"probe_time"` // part of all core time spent
+	Busy      float64        `json:"busy"`       // part of the fleet's core time
+	Calls     int            `json:"list_calls"`
+	CPUVisit  float64        `json:"cpu_us_a_visit"` // of sidecars, by tries
+	MemoryKiB int            `json:"memory_kib"`     // the most of any
+	LateP99   Micros         `json:"lab_late_p99_us"`
+	LateMost  Micros         `json:"lab_late_most_us"`
+	RanLate   bool           `json:"ran_late"`
+	Verdict   *judge.Verdict `json:"verdict"`
+	Missed    []string       `json:"missed"` // expectations
+	Rude      *RudeLine      `json:"rude,omitempty"`
+	Seconds   []Second       `json:"seconds"`
+	Load      []LoadLine     `json:"load"`
+	Marks     []Mark         `json:"marks"`
+	Notes     []string       `json:"notes"`
+}
+
+// Part is the service of one path prefix or tenant.
+type Part struct {
+	Name    string  `json:"name"`
+	Visits  int     `json:"visits"`
+	Service float64 `json:"service"`
+}
+
+// Latency is a histogram in a few figures, microseconds.
+type Latency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_us"`
+	P90   int64 `json:"p90_us"`
+	P99   int64 `json:"p99_us"`
+	P999  int64 `json:"p999_us"`
+	Most  int64 `json:"most_us"`
+}
+
+// Second is one of the run, by when visits were due.
+type Second struct {
+	At        int     `json:"at_s"`
+	Visits    int     `json:"visits"`
+	Delivered int     `json:"delivered"`
+	Bounced   int     `json:"bounced"`
+	Other     int     `json:"other"`
+	Service   float64 `json:"service"`
+	P50       int64   `json:"p50_us"`
+	P99       int64   `json:"p99_us"`
+}
+
+// LoadLine is what boxes held at a time.
+type LoadLine struct {
+	At   Micros `json:"at_us"`
+	Held []int  `json:"held"` // by box, in order; -1: not there
+}
+
+// Mark is something that happened.
+type Mark struct {
+	At   Micros `json:"at_us"`
+	What string `json:"what"`
+}
+
+// RudeLine is the account of rude clients.
+type RudeLine struct {
+	Sent       int      `json:"sent"`
+	Unanswered int      `json:"unanswered"`
+	Served     int      `json:"served"`
+	Which      []string `json:"which,omitempty"`
+}
+
+// Histogram keeps latencies to three figures, up to ten minutes.
+func Histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) }
+
+// Sum is a histogram's figures.
+func Sum(h *hdrhistogram.Histogram) Latency {
+	return Latency{h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.ValueAtQuantile(99.9), h.Max()}
+}
+
+// tally adds up value given over value asked for.
+type tally struct {
+	visits      int
+	asked, give float64
+}
+
+func (t *tally) add(asked, given float64) {
+	t.visits, t.asked, t.give = t.visits+1, t.asked+asked, t.give+given
+}
+
+func (t *tally) service() float64 {
+	if t.asked == 0 {
+		return 1
+	}
+	return math.Round(t.give/t.asked*1e6) / 1e6
+}
+
+// beyondValue is what a visit beyond its tenant's share counts, as a part.
+const beyondValue = 0.1
+
+// From sums up accounts. What only the rig knows (its lateness, costs) is filled in by the caller.
+func From(a *judge.Accounts) *Report {
+	s := a.Scenario
+	r := &Report{Scenario: s.Name, Seed: a.Plan.Seed, Plan: fmt.Sprintf("%016x", a.Plan.Hash), Length: s.Length.M(), Tries: len(a.Tries),
+		Ends: map[string]int{}, Fetches: map[string]int{}, Missed: []string{}, Notes: []string{}, Marks: []Mark{}, Load: []LoadLine{}}
+	last, begun := make([]*clients.Try, len(a.Plan.Visits)), a.Begun
+	delivered := map[string]bool{}
+	for _, t := range a.Tries {
+		if l := last[t.Visit]; l == nil || t.No > l.No {
+			last[t.Visit] = t
+		}
+		if t.How == clients.Delivered {
+			delivered[t.ID] = true
+		}
+	}
+	var whole, within tally
+	prefixes, tenants := make([]tally, len(s.Prefixes)), make([]tally, len(s.Tenants))
+	seconds := make([]tally, (int(s.Length)+999_999)/1_000_000)
+	r.Seconds = make([]Second, len(seconds))
+	bySecond := make([]*hdrhistogram.Histogram, len(seconds))
+	all, answers := Histogram(), Histogram()
+	workAsked := 0.0
+	for i, v := range a.Plan.Visits {
+		t, sec := last[i], int(v.At/clock.Second)
+		workAsked += float64(v.Work)
+		p := s.Prefixes[v.Prefix]
+		value := p.Value * float64(v.Work)
+		if v.Beyond {
+			value *= beyondValue
+		}
+		given, how := 0.0, clients.Open
+		if t != nil {
+			how = t.How
+		}
+		line := &r.Seconds[sec]
+		line.At, line.Visits = sec, line.Visits+1
+		if how == clients.Delivered {
+			took := t.Ended - (begun + v.At)
+			if given = value; took > p.Target.M() {
+				given *= p.LateValue
+			}
+			if bySecond[sec] == nil {
+				bySecond[sec] = Histogram()
+			}
+			bySecond[sec].RecordValue(max(1, int64(took)))
+			line.Delivered++
+			if v.At >= s.Warmup.M() {
+				all.RecordValue(max(1, int64(took)))
+			}
+		} else if how == clients.Bounced {
+			line.Bounced++
+		} else {
+			line.Other++
+		}
+		if v.Leaves > 0 && how == clients.Left {
+			continue // its client did not wait: nobody can be blamed
+		}
+		seconds[sec].add(value, given)
+		if v.At < s.Warmup.M() {
+			continue
+		}
+		if t != nil && (how == clients.Delivered || how == clients.Bounced || how == clients.Errored) {
+			answers.RecordValue(max(1, int64(t.Ended-(begun+v.At))))
+		}
+		r.Visits++
+		r.Ends[string(how)]++
+		whole.add(value, given)
+		prefixes[v.Prefix].add(value, given)
+		if v.Tenant >= 0 && !v.Beyond {
+			tenants[v.Tenant].add(value, given)
+		}
+		if !v.Beyond {
+			within.add(value, given)
+		}
+	}
+	r.Service, r.Within, r.Worst = whole.service(), within.service(), 1
+	for i := range seconds {
+		r.Seconds[i].At, r.Seconds[i].Service = i, seconds[i].service()
+		if h := bySecond[i]; h != nil {
+			r.Seconds[i].P50, r.Seconds[i].P99 = h.ValueAtQuantile(50), h.ValueAtQuantile(99)
+		}
+		if clock.Micros(i)*clock.Second >= s.Warmup.M() && seconds[i].visits > 0 {
+			r.Worst = min(r.Worst, r.Seconds[i].Service)
+		}
+	}
+	for i, p := range s.Prefixes {
+		r.ByPrefix = append(r.ByPrefix, Part{p.Name, prefixes[i].visits, prefixes[i].service()})
+	}
+	for i, t := range s.Tenants {
+		r.ByTenant = append(r.ByTenant, Part{t.Name, tenants[i].visits, tenants[i].service()})
+	}
+	r.Latency, r.Answers = Sum(all), Sum(answers)
+	zones, cars := map[string]string{}, map[string]string{}
+	for _, b := range a.Boxes {
+		zones[b.Name] = b.Zone
+	}
+	for _, t := range a.Tries {
+		cars[t.ID] = a.Cars[t.Car].Zone
+	}
+	wasted := 0.0
+	for _, e := range a.Entries {
+		fate := string(e.Fate)
+		if e.Fate == box.Waiting {
+			fate = "still there at the end"
+		}
+		r.Fetches[fate]++
+		if cars[e.ID] != zones[e.Box] {
+			r.Crossings++
+		}
+		if !delivered[e.ID] || e.Fate != box.Delivered {
+			wasted += float64(e.Cost)
+		}
+	}
+	r.Wasted = math.Round(wasted/max(workAsked, 1)*1e6) / 1e6
+	r.Verdict = judge.Judge(a)
+	if a.Rude != nil && a.Rude.Sent > 0 {
+		r.Rude = &RudeLine{a.Rude.Sent, a.Rude.Unanswered, a.Rude.Served, a.Rude.Which}
+	}
+	r.expect(a)
+	return r
+}
+
+// expect compares with what the scenario expects.
+func (r *Report) expect(a *judge.Accounts) {
+	x := a.Scenario.Expect
+	miss := func(missed bool, what string, values ...any) {
+		if missed {
+			r.Missed = append(r.Missed, fmt.Sprintf(what, values...))
+		}
+	}
+	if len(x.BrokenRules) == 0 {
+		miss(len(r.Verdict.Certain()) > 0, "no rule is to break, %d breaks", len(r.Verdict.Certain()))
+	}
+	miss(len(r.Verdict.Unmatched) > 0, "accounts are to agree, they differ on %d visits", len(r.Verdict.Unmatched))
+	miss(r.Service < x.Service, "service_at_least %.3f, was %.3f", x.Service, r.Service)
+	miss(r.Worst < x.Worst, "worst_second_at_least %.3f, was %.3f", x.Worst, r.Worst)
+	miss(r.Within < x.WithinShares, "within_share_at_least %.3f, was %.3f", x.WithinShares, r.Within)
+	for _, t := range r.ByTenant {
+		miss(t.Service < x.WorstTenant, "worst_tenant_at_least %.3f, %s had %.3f", x.WorstTenant, t.Name, t.Service)
+	}
+	miss(x.P99 > 0 && r.Latency.P99 > int64(x.P99), "p99_at_most %d µs, was %d", x.P99, r.Latency.P99)
+	miss(x.Bounced != nil && r.Ends["bounced"] > *or0(x.Bounced), "bounced_at_most %d, were %d", *or0(x.Bounced), r.Ends["bounced"])
+	miss(x.Errored != nil && r.Ends["errored"] > *or0(x.Errored), "errored_at_most %d, were %d", *or0(x.Errored), r.Ends["errored"])
+	miss(x.Wasted > 0 && r.Wasted > x.Wasted, "wasted_at_most %.3f, was %.3f", x.Wasted, r.Wasted)
+	if r.Rude != nil {
+		miss(r.Rude.Unanswered > 0, "rude clients are to be answered or closed within 3 s, %d were not: %v", r.Rude.Unanswered, r.Rude.Which)
+	}
+}
+
+func or0(x *int) *int {
+	if x == nil {
+		return new(int)
+	}
+	return x
+}
+
+// Holds tells whether rules and expectations held.
+func (r *Report) Holds() bool { return len(r.Missed) == 0 }
+
+// Save writes the JSON form.
+func (r *Report) Save(file string) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(text, '\n'), 0o644)
+}
+
+// Load reads one back.
+func Load(file string) (*Report, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return r, nil
+}
+
+func counts(of map[string]int) string {
+	var names []string
+	for name := range of {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(x, y string) int { return of[y] - of[x] })
+	var out []string
+	for _, name := range names {
+		out = append(out, fmt.Sprintf("%s %d", name, of[name]))
+	}
+	return strings.Join(out, ", ")
+}
+
+func millis(us int64) string { return fmt.Sprintf("%.2f", float64(us)/1000) }
+
+// Print writes it for people.
+func (r *Report) Print(w io.Writer) {
+	p := func(format string, values ...any) { fmt.Fprintf(w, format+"\n", values...) }
+	p("%s, %s: seed %d, plan %s, %.1f s", r.Scenario, r.Program, r.Seed, r.Plan, float64(r.Length)/1e6)
+	p("  service      %.4f   worst second %.4f   within shares %.4f", r.Service, r.Worst, r.Within)
+	for _, part := range r.ByPrefix {
+		p("    prefix %-14s %7d visits   %.4f", part.Name, part.Visits, part.Service)
+	}
+	for _, part := range r.ByTenant {
+		p("    tenant %-14s %7d visits   %.4f", part.Name, part.Visits, part.Service)
+	}
+	p("  visits       %d: %s", r.Visits, counts(r.Ends))
+	l := r.Latency
+	p("  latency, ms  p50 %s   p90 %s   p99 %s   p99.9 %s   most %s   (delivered, from when they were due)", millis(l.P50), millis(l.P90),
+		millis(l.P99), millis(l.P999), millis(l.Most))
+	p("  fetches      %s", counts(r.Fetches))
+	p("  fleet        %.1f%% busy, %.2f%% of all work wasted, %d fetches crossed zones, %d connections, %d probes", 100*r.Busy, 100*r.Wasted,
+		r.Crossings, r.Opened, r.Probed)
+	p("  sidecars     %.1f µs of CPU a visit, %.1f MiB at most, %d calls of the list", r.CPUVisit, float64(r.MemoryKiB)/1024, r.Calls)
+	if r.Rude != nil {
+		p("  rude         %d sent, %d unanswered, %d served", r.Rude.Sent, r.Rude.Unanswered, r.Rude.Served)
+	}
+	late := ""
+	if r.RanLate {
+		late = "   THE LAB RAN LATE: the machine was too busy for these times to mean much"
+	}
+	p("  lab          late by %d µs at p99, %d at most%s", r.LateP99, r.LateMost, late)
+	for _, n := range r.Notes {
+		p("  note         %s", n)
+	}
+	if len(r.Verdict.Broken) == 0 {
+		p("  rules        all kept")
+	}
+	for i, b := range r.Verdict.Broken {
+		if i == 10 {
+			p("  …            and %d more", len(r.Verdict.Broken)-i)
+			break
+		}
+		word := "BROKEN"
+		if b.Doubtful {
+			word = "doubtful (the lab stood still then)"
+		}
+		p("  %s       %s", word, b)
+	}
+	for i, u := range r.Verdict.Unmatched {
+		if i == 5 {
+			p("  …            and %d more", len(r.Verdict.Unmatched)-i)
+			break
+		}
+		p("  UNMATCHED    %s", u)
+	}
+	for _, m := range r.Missed {
+		p("  MISSED       %s", m)
+	}
+}
--- /dev/null
+++ b/lab/scenario/scenario.go
@@ -0,0 +1,512 @@
+// Package scenario reads what the lab is to play: fleet, traffic, a timeline of faults, expectations.
+//
+// A file is TOML and is read strictly: an unknown name, a wrong type or an impossible value is an error with the
+// file, the line and the name. Guards against a scenario that proves nothing since a word in it was misspelt.
+package scenario
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"ledgespread/lab/clock"
+)
+
+// Span is a duration such as "150ms", in whole microseconds.
+type Span clock.Micros
+
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil || d < 0 || d%time.Microsecond != 0 {
+		return fmt.Errorf("%q is no duration in whole microseconds, such as \"150ms\"", text)
+	}
+	*s = Span(clock.Span(d))
+	return nil
+}
+
+func (s Span) M() clock.Micros { return clock.Micros(s) }
+
+// Rate is a number a second, such as "260/s"; "90/m" counts by the minute.
+type Rate float64
+
+func (r *Rate) UnmarshalText(text []byte) error {
+	number, unit, _ := strings.Cut(string(text), "/")
+	per := map[string]float64{"s": 1, "m": 60, "ms": 0.001}[unit]
+	x, err := strconv.ParseFloat(number, 64)
+	if err != nil || per == 0 || !(x >= 0) || x > 1e9 {
+		return fmt.Errorf("%q is no rate, such as \"260/s\"", text)
+	}
+	*r = Rate(x / per)
+	return nil
+}
+
+// Scenario is one file.
+type Scenario struct {
+	Name     string         `toml:"name"`
+	Told     string         `toml:"told"` // what it is about, in a sentence
+	Seed     uint64         `toml:"seed"`
+	Length   Span           `toml:"length"`
+	Warmup   Span           `toml:"warmup"` // its visits are sent and judged by the rules, not counted in service
+	Zones    []string       `toml:"zones"`
+	Cars     Cars           `toml:"sidecars"`
+	Boxes    []Box          `toml:"box"`
+	Prefixes []Prefix       `toml:"prefix"`
+	Tenants  []Tenant       `toml:"tenant"`
+	Traffic  Traffic        `toml:"traffic"`
+	Network  Network        `toml:"network"`
+	List     List           `toml:"list"`
+	Rules    Rules          `toml:"rules"`
+	Allowed  map[string]any `toml:"allowed"` // over the lab's usual ones, as the settings name them
+	Faults   []Fault        `toml:"fault"`
+	Expect   Expect         `toml:"expect"`
+	File     string         `toml:"-"`
+}
+
+// Cars are the sidecars, a process each.
+type Cars struct {
+	Count    int     `toml:"count"`
+	Cores    float64 `toml:"cores"`
+	MemoryMB int     `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+	Log      string  `toml:"log"`
+}
+
+// Box stands for Count boxes alike.
+type Box struct {
+	Count       int     `toml:"count"`
+	Zone        string  `toml:"zone"`
+	Model       string  `toml:"model"`
+	Cell        int     `toml:"cell"`
+	Cores       int     `toml:"cores"`
+	Speed       float64 `toml:"speed"`       // work done in a microsecond by a core
+	Queue       int     `toml:"queue"`       // visits that may wait; more are turned away
+	Connections int     `toml:"connections"` // held at once; more are turned away
+	Handshake   Span    `toml:"handshake"`   // a new connection's first visit waits so long
+	HandshakeOf Span    `toml:"handshake_work"`
+	ProbeWork   Span    `toml:"probe_work"`
+	ReportEvery Span    `toml:"report_every"` // how old a load report gets
+	WarmKeys    int     `toml:"warm_keys"`    // keys kept warm
+	WarmPart    float64 `toml:"warm_part"`    // of the work, for a warm key's visit
+	RunsOn      bool    `toml:"runs_on"`      // a visit called off goes on running
+	SlowQueue   float64 `toml:"slow_queue"`   // waiting visits a core, for slow_after: the box turns slow
+	SlowAfter   Span    `toml:"slow_after"`
+	SlowFactor  float64 `toml:"slow_factor"`
+	SlowIdle    Span    `toml:"slow_idle"` // mostly idle for so long ends it
+	SlowMost    Span    `toml:"slow_most"` // or so long a time
+}
+
+// Prefix is a path prefix.
+type Prefix struct {
+	Name      string  `toml:"name"`
+	Effect    string  `toml:"effect"` // read_like, tagged or mutating
+	Group     string  `toml:"group"`  // for tagged ones: all, zone or cell
+	Share     float64 `toml:"share"`
+	Work      Span    `toml:"work"` // mean
+	Spread    string  `toml:"work_spread"`
+	Shape     float64 `toml:"work_shape"` // of a heavy tail, over 1
+	Target    Span    `toml:"target_latency"`
+	Timeout   Span    `toml:"client_timeout"`
+	Memory    Span    `toml:"memory"` // for how long a tag is remembered
+	Value     float64 `toml:"value"`
+	LateValue float64 `toml:"late_value"`
+}
+
+// Tenant is one of those who send.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Quota Rate    `toml:"quota"`
+}
+
+// Traffic is what clients send, by schedule and not by answers.
+type Traffic struct {
+	Rate       Rate    `toml:"rate"`
+	Shape      string  `toml:"shape"` // poisson, even, bursts or swing
+	BurstEvery Span    `toml:"burst_every"`
+	BurstFor   Span    `toml:"burst_for"`
+	BurstTimes float64 `toml:"burst_times"`
+	SwingEvery Span    `toml:"swing_every"`
+	SwingBy    float64 `toml:"swing_by"`
+	Trace      string  `toml:"trace"` // a recorded one: lines "microseconds prefix tenant key work"
+	Keys       int     `toml:"keys"`
+	KeySkew    float64 `toml:"key_skew"`
+	Hints      bool    `toml:"hints"`   // X-Cost tells the work
+	Retries    int     `toml:"retries"` // that clients do by themselves
+	RetryWait  Span    `toml:"retry_wait"`
+	Honour     float64 `toml:"honour"`     // part of the clients that heed Retry-After
+	Impatient  float64 `toml:"impatient"`  // part of the visits whose client leaves early
+	Rude       Rate    `toml:"rude"`       // messages of rude clients
+	CarSkew    float64 `toml:"uneven"`     // 0: all sidecars get alike; else the weight of place k is 1/(1+k)^uneven
+	BodyBytes  int     `toml:"body_bytes"` // of an answer
+}
+
+// Network is the path between any two.
+type Network struct {
+	Same      Span `toml:"same"`  // one way, within a zone
+	Cross     Span `toml:"cross"` // between zones
+	Spread    Span `toml:"spread"`
+	Bandwidth int  `toml:"bytes_per_s"` // of one connection and direction, 0: no bound
+	Datagrams Loss `toml:"datagrams"`
+	Gated     bool `toml:"gated"` // have gates where nothing asks for them
+}
+
+// Loss is what happens to datagrams between sidecars.
+type Loss struct {
+	Lost    float64 `toml:"lost"`
+	Doubled float64 `toml:"doubled"`
+	Late    float64 `toml:"late"` // so late that others overtake it
+	By      Span    `toml:"by"`
+}
+
+// List is the service that knows the boxes.
+type List struct {
+	Notice  Span   `toml:"notice"` // a change is known so much later
+	Mode    string `toml:"mode"`   // on_request or pushed
+	Timeout Span   `toml:"timeout"`
+}
+
+// Rules holds the figures of the four rules.
+type Rules struct {
+	Drain        Span    `toml:"drain_grace"`
+	ColdFrom     float64 `toml:"cold_from"`
+	Cold         Span    `toml:"cold"`
+	FallMultiple float64 `toml:"fall_multiple"`
+	Fall         Span    `toml:"fall"`
+	AskEvery     Span    `toml:"ask_every"`
+	Slack        Span    `toml:"slack"`
+}
+
+// Fault is something that happens to boxes, sidecars, the list or the network.
+type Fault struct {
+	At     Span    `toml:"at"`
+	For    Span    `toml:"for"`
+	What   string  `toml:"what"`
+	Boxes  any     `toml:"boxes"`    // a name, a list of names, or a part of all such as 0.5
+	Cars   any     `toml:"sidecars"` // the same
+	From   string  `toml:"from"`     // zones, for the network
+	To     string  `toml:"to"`
+	Tenant string  `toml:"tenant"`
+	Times  float64 `toml:"times"`
+	By     Span    `toml:"by"`
+	Part   float64 `toml:"part"` // chance
+	Bytes  int     `toml:"bytes_per_s"`
+}
+
+// Expect is what must hold; what is left out is not asked for. The rules always are.
+type Expect struct {
+	Service      float64 `toml:"service_at_least"`
+	Worst        float64 `toml:"worst_second_at_least"`
+	WorstTenant  float64 `toml:"worst_tenant_at_least"`
+	P99          Span    `toml:"p99_at_most"`
+	Bounced      *int    `toml:"bounced_at_most"`
+	Errored      *int    `toml:"errored_at_most"`
+	Wasted       float64 `toml:"wasted_at_most"`
+	BrokenRules  []int   `toml:"broken_rules"` // of bad sidecars, for the lab's own proof
+	WithinShares float64 `toml:"within_share_at_least"`
+}
+
+// Whats are the faults and what each is aimed at.
+var Whats = map[string]string{
+	"kill": "boxes", "kill_cold": "boxes", "stall": "boxes", "mute": "boxes", "errors": "boxes", "slow": "boxes",
+	"share": "boxes", "spoil": "boxes", "drain": "boxes", "leave": "boxes", "replace": "boxes", "join": "boxes",
+	"sidecar_kill": "sidecars", "sidecar_restart": "sidecars", "sidecar_stall": "sidecars",
+	"list_down": "list", "list_late": "list", "list_move": "list",
+	"silence": "network", "cut": "network", "reset": "network", "delay": "network", "refuse": "network", "narrow": "network",
+	"flood": "tenant", "surge": "",
+}
+
+var lengthy = map[string]bool{"kill_cold": true, "stall": true, "mute": true, "errors": true, "slow": true, "share": true, "spoil": true,
+	"sidecar_kill": true, "sidecar_stall": true, "list_down": true, "list_late": true, "silence": true, "cut": true, "delay": true, "refuse": true, "narrow": true,
+	"flood": true, "surge": true, "drain": true}
+
+// Read reads a file.
+func Read(file string) (*Scenario, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, text)
+}
+
+// Parse reads the bytes of a file.
+func Parse(file string, text []byte) (*Scenario, error) {
+	s := &Scenario{File: file, Seed: 1}
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(s); err != nil {
+		var unknown *toml.StrictMissingError
+		var malformed *toml.DecodeError
+		switch {
+		case errors.As(err, &unknown):
+			first := unknown.Errors[0]
+			row, _ := first.Position()
+			return nil, fmt.Errorf("%s:%d: %s: no such name", file, row, strings.Join(first.Key(), "."))
+		case errors.As(err, &malformed):
+			row, _ := malformed.Position()
+			return nil, fmt.Errorf("%s:%d: %s: %s", file, row, strings.Join(malformed.Key(), "."),
+				strings.TrimPrefix(malformed.Error(), "toml: "))
+		}
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	s.usual()
+	if err := s.possible(); err != nil {
+		var odd *oddity
+		if errors.As(err, &odd) {
+			return nil, fmt.Errorf("%s:%d: %s: %s", file, lineOf(text, odd.table, odd.at, odd.name), odd.path(), odd.why)
+		}
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
+
+// oddity is a value that can't be.
+type oddity struct {
+	table string
+	at    int // of the tables of that name
+	name  string
+	why   string
+}
+
+func (o *oddity) path() string  { return strings.TrimPrefix(o.table+"."+o.name, ".") }
+func (o *oddity) Error() string { return o.path() + ": " + o.why }
+
+// lineOf finds where a name stands, or its table where it is missing.
+func lineOf(text []byte, table string, at int, name string) int {
+	heading := regexp.MustCompile(`^\s*\[\[?([a-z_.]+)\]`)
+	here, seen, in := 1, -1, table == ""
+	for i, line := range strings.Split(string(text), "\n") {
+		if m := heading.FindStringSubmatch(line); m != nil {
+			if in = m[1] == table; in {
+				if seen++; seen == at {
+					here = i + 1
+				}
+			}
+			in = in && seen == at
+		} else if key, _, ok := strings.Cut(line, "="); ok && in && strings.TrimSpace(key) == name {
+			return i + 1
+		}
+	}
+	return here
+}
+
+func either[T comparable](x *T, usual T) {
+	var zero T
+	if *x == zero {
+		*x = usual
+	}
+}
+
+// usual fills in what was left out.
+func (s *Scenario) usual() {
+	if len(s.Zones) == 0 {
+		s.Zones = []string{"a"}
+	}
+	either(&s.Cars.Count, 1)
+	either(&s.Cars.Cores, 1)
+	either(&s.Cars.MemoryMB, 192)
+	either(&s.Cars.Sockets, 1024)
+	either(&s.Cars.Log, "warn")
+	for i := range s.Boxes {
+		b := &s.Boxes[i]
+		either(&b.Count, 1)
+		either(&b.Zone, s.Zones[0])
+		either(&b.Model, "box")
+		either(&b.Cores, 1)
+		either(&b.Speed, 1)
+		either(&b.Queue, 400)
+		either(&b.Connections, 2000)
+		either(&b.ReportEvery, Span(500*clock.Milli))
+		either(&b.WarmPart, 1)
+		either(&b.SlowFactor, 1)
+	}
+	for i := range s.Prefixes {
+		p := &s.Prefixes[i]
+		either(&p.Effect, "read_like")
+		either(&p.Group, "all")
+		either(&p.Share, 1)
+		either(&p.Spread, "fixed")
+		either(&p.Shape, 2.2)
+		either(&p.Value, 1)
+		either(&p.Timeout, 5*p.Target)
+		either(&p.Memory, p.Timeout)
+	}
+	either(&s.Traffic.Shape, "poisson")
+	either(&s.Traffic.RetryWait, Span(50*clock.Milli))
+	either(&s.Traffic.BodyBytes, 64)
+	either(&s.List.Mode, "on_request")
+	either(&s.List.Timeout, Span(2*clock.Second))
+	either(&s.Rules.Drain, Span(500*clock.Milli))
+	either(&s.Rules.ColdFrom, 0.31)
+	either(&s.Rules.Cold, Span(8600*clock.Milli))
+	either(&s.Rules.FallMultiple, 3)
+	either(&s.Rules.Fall, Span(1500*clock.Milli))
+	either(&s.Rules.AskEvery, Span(10*clock.Second))
+	either(&s.Rules.Slack, Span(50*clock.Milli))
+}
+
+func (s *Scenario) possible() error {
+	var odd *oddity
+	check := func(ok bool, table string, at int, name, why string, values ...any) {
+		if !ok && odd == nil {
+			odd = &oddity{table, at, name, fmt.Sprintf(why, values...)}
+		}
+	}
+	check(s.Name != "", "", 0, "name", "is missing")
+	check(s.Length > 0, "", 0, "length", "must be over 0")
+	check(s.Warmup < s.Length, "", 0, "warmup", "must be shorter than the length")
+	check(s.Cars.Count > 0 && s.Cars.Count <= 6000, "sidecars", 0, "count", "must be from 1 to 6000")
+	check(len(s.Boxes) > 0, "", 0, "box", "is missing: a fleet has at least one [[box]]")
+	check(len(s.Prefixes) > 0, "", 0, "prefix", "is missing: at least one [[prefix]] is asked for")
+	for i, b := range s.Boxes {
+		check(b.Count > 0, "box", i, "count", "must be over 0")
+		check(slices.Contains(s.Zones, b.Zone), "box", i, "zone", "%q is not among the zones", b.Zone)
+		check(b.Cores > 0, "box", i, "cores", "must be over 0")
+		check(b.Speed > 0, "box", i, "speed", "must be over 0")
+		check(b.WarmPart > 0 && b.WarmPart <= 1, "box", i, "warm_part", "must be over 0 and at most 1")
+		check(b.SlowFactor >= 1, "box", i, "slow_factor", "must be at least 1")
+		check(b.SlowQueue == 0 || b.SlowAfter > 0, "box", i, "slow_after", "is missing, with slow_queue given")
+		check(b.SlowQueue == 0 || b.SlowIdle > 0 || b.SlowMost > 0, "box", i, "slow_queue",
+			"a box that turns slow needs slow_idle or slow_most, or never ends it")
+	}
+	names := map[string]bool{}
+	for i, p := range s.Prefixes {
+		check(regexp.MustCompile(`^[a-z][a-z0-9-]*$`).MatchString(p.Name), "prefix", i, "name", "%q is no path prefix", p.Name)
+		check(!names[p.Name], "prefix", i, "name", "%q stands twice", p.Name)
+		names[p.Name] = true
+		check(slices.Contains([]string{"read_like", "tagged", "mutating"}, p.Effect), "prefix", i, "effect",
+			"%q is none of read_like, tagged, mutating", p.Effect)
+		check(slices.Contains([]string{"all", "zone", "cell"}, p.Group), "prefix", i, "group", "%q is none of all, zone, cell", p.Group)
+		check(slices.Contains([]string{"fixed", "exp", "heavy"}, p.Spread), "prefix", i, "work_spread",
+			"%q is none of fixed, exp, heavy", p.Spread)
+		check(p.Shape > 1, "prefix", i, "work_shape", "must be over 1")
+		check(p.Work > 0, "prefix", i, "work", "must be over 0")
+		check(p.Target > 0, "prefix", i, "target_latency", "must be over 0")
+		check(p.Timeout >= p.Target, "prefix", i, "client_timeout", "must not be under the target latency")
+		check(p.LateValue >= 0 && p.LateValue <= 1, "prefix", i, "late_value", "must be from 0 to 1")
+	}
+	tenants := map[string]bool{"": true}
+	for i, t := range s.Tenants {
+		check(!tenants[t.Name], "tenant", i, "name", "is missing or stands twice")
+		check(t.Share > 0, "tenant", i, "share", "must be over 0")
+		tenants[t.Name] = true
+	}
+	t := s.Traffic
+	check(t.Rate > 0 || t.Trace != "", "traffic", 0, "rate", "must be over 0")
+	check(slices.Contains([]string{"poisson", "even", "bursts", "swing"}, t.Shape), "traffic", 0, "shape",
+		"%q is none of poisson, even, bursts, swing", t.Shape)
+	check(t.Shape != "bursts" || t.BurstEvery > t.BurstFor && t.BurstFor > 0 && t.BurstTimes >= 1, "traffic", 0, "shape",
+		"bursts needs burst_every over burst_for over 0, and burst_times of at least 1")
+	check(t.Shape != "swing" || t.SwingEvery > 0 && t.SwingBy > 0 && t.SwingBy <= 1, "traffic", 0, "shape",
+		"swing needs swing_every over 0 and swing_by over 0 and at most 1")
+	check(t.Honour >= 0 && t.Honour <= 1, "traffic", 0, "honour", "must be from 0 to 1")
+	check(t.Impatient >= 0 && t.Impatient <= 1, "traffic", 0, "impatient", "must be from 0 to 1")
+	check(s.List.Mode == "on_request" || s.List.Mode == "pushed", "list", 0, "mode", "%q is neither on_request nor pushed", s.List.Mode)
+	for i, f := range s.Faults {
+		aim, known := Whats[f.What]
+		check(known, "fault", i, "what", "%q is no fault", f.What)
+		check(f.At < s.Length, "fault", i, "at", "is past the end")
+		check(aim != "boxes" || f.Boxes != nil, "fault", i, "boxes", "is missing for %s", f.What)
+		check(aim != "sidecars" || f.Cars != nil, "fault", i, "sidecars", "is missing for %s", f.What)
+		check(f.Boxes == nil || s.aims(f.Boxes, s.BoxNames()) == nil, "fault", i, "boxes", "%v", s.aims(f.Boxes, s.BoxNames()))
+		check(f.Cars == nil || s.aims(f.Cars, s.CarNames()) == nil, "fault", i, "sidecars", "%v", s.aims(f.Cars, s.CarNames()))
+		check(aim != "tenant" || tenants[f.Tenant] && f.Tenant != "", "fault", i, "tenant", "%q is not among the tenants", f.Tenant)
+		check(!lengthy[f.What] || f.For > 0, "fault", i, "for", "is missing for %s", f.What)
+		check(!slices.Contains([]string{"slow", "share", "flood", "surge"}, f.What) || f.Times > 1, "fault", i, "times",
+			"must be over 1 for %s", f.What)
+		check(!slices.Contains([]string{"delay", "list_late"}, f.What) || f.By > 0, "fault", i, "by", "is missing for %s", f.What)
+		check(f.What != "narrow" || f.Bytes > 0, "fault", i, "bytes_per_s", "must be over 0 for narrow")
+		check(!slices.Contains([]string{"errors", "spoil"}, f.What) || f.Part > 0 && f.Part <= 1, "fault", i, "part",
+			"must be over 0 and at most 1 for %s", f.What)
+		for _, z := range []string{f.From, f.To} {
+			check(z == "" || slices.Contains(s.Zones, z), "fault", i, "from", "%q is not among the zones", z)
+		}
+	}
+	if odd != nil {
+		return odd
+	}
+	return nil
+}
+
+// BoxNames are the boxes', in order: b0, b1, …
+func (s *Scenario) BoxNames() (names []string) {
+	for _, b := range s.Boxes {
+		for range b.Count {
+			names = append(names, "b"+strconv.Itoa(len(names)))
+		}
+	}
+	return names
+}
+
+// CarNames are the sidecars': n0, n1, …
+func (s *Scenario) CarNames() (names []string) {
+	for i := range s.Cars.Count {
+		names = append(names, "n"+strconv.Itoa(i))
+	}
+	return names
+}
+
+func (s *Scenario) aims(at any, names []string) error {
+	switch at := at.(type) {
+	case string:
+		if !slices.Contains(names, at) {
+			return fmt.Errorf("there is no %q", at)
+		}
+	case float64:
+		if !(at > 0 && at <= 1) {
+			return errors.New("a part is over 0 and at most 1")
+		}
+	case int64:
+		if at != 1 {
+			return errors.New("a part is over 0 and at most 1")
+		}
+	case []any:
+		for _, one := range at {
+			name, ok := one.(string)
+			if !ok || !slices.Contains(names, name) {
+				return fmt.Errorf("there is no %v", one)
+			}
+		}
+	default:
+		return fmt.Errorf("%v is neither a name, names nor a part", at)
+	}
+	return nil
+}
+
+// Aimed are the names a fault is aimed at; a part takes the first of an order that chance gave.
+func Aimed(at any, names, shuffled []string) []string {
+	switch at := at.(type) {
+	case string:
+		return []string{at}
+	case float64:
+		return shuffled[:max(1, int(at*float64(len(shuffled))+0.5))]
+	case int64:
+		return names
+	case []any:
+		var out []string
+		for _, one := range at {
+			out = append(out, one.(string))
+		}
+		return out
+	}
+	return nil
+}
+
+// Ends tells whether a fault lasts a while and then ends.
+func (f Fault) Ends() bool { return f.For > 0 }
+
+// OnNetwork tells whether any fault, delay or bound asks for gates between sidecars and boxes.
+func (s *Scenario) OnNetwork() bool {
+	n := s.Network
+	if n.Gated || n.Same > 0 || n.Cross > 0 || n.Spread > 0 || n.Bandwidth > 0 {
+		return true
+	}
+	return slices.ContainsFunc(s.Faults, func(f Fault) bool { return Whats[f.What] == "network" })
+}
--- /dev/null
+++ b/lab/stage/faults.go
@@ -0,0 +1,278 @@
+package stage
+
+import (
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"ledgespread/lab/box"
+	"ledgespread/lab/cars"
+	"ledgespread/lab/clock"
+	"ledgespread/lab/judge"
+	"ledgespread/lab/path"
+	"ledgespread/lab/plan"
+	"ledgespread/lab/scenario"
+)
+
+// wait waits for a time of the plan, or for the run's end.
+func (g *Rig) wait(until Micros) {
+	for g.clock.Now() < g.begun+until {
+		g.mu.Lock()
+		over := g.over
+		g.mu.Unlock()
+		if over {
+			return
+		}
+		min(g.begun+until-g.clock.Now(), 20*clock.Milli).Sleep()
+	}
+}
+
+// happen carries a fault out, and its end.
+func (g *Rig) happen(e plan.Event) {
+	switch scenario.Whats[e.What] {
+	case "boxes":
+		for _, name := range e.Names {
+			g.mu.Lock()
+			b := g.byName[name]
+			g.mu.Unlock()
+			g.faults.Add(1)
+			go func() {
+				defer g.faults.Done()
+				g.toBox(e, b)
+			}()
+		}
+	case "sidecars":
+		for i, car := range g.cars {
+			if slices.Contains(e.Names, car.Name) {
+				g.faults.Add(1)
+				go func() {
+					defer g.faults.Done()
+					g.toCar(e, i, car)
+				}()
+			}
+		}
+	case "list":
+		g.toList(e)
+	case "network":
+		g.toNetwork(e)
+	default: // it stands in the plan's arrivals
+		g.mark("%s%s begins: %.3g times as many visits", e.What, prefixed(" of ", e.Tenant), e.Times)
+		g.wait(e.At.M() + e.For.M())
+		g.mark("%s%s ends", e.What, prefixed(" of ", e.Tenant))
+	}
+}
+
+func prefixed(with, what string) string {
+	if what == "" {
+		return ""
+	}
+	return with + what
+}
+
+func (g *Rig) toBox(e plan.Event, b *box.Box) {
+	end := e.At.M() + e.For.M()
+	notice := g.s.List.Notice.M()
+	during := func(do, undo func()) {
+		g.mark("%s: %s", b.Name, e.What)
+		do()
+		g.wait(end)
+		undo()
+		g.mark("%s: %s ends", b.Name, e.What)
+	}
+	starts := func() {
+		if err := b.Start(b.Address(), true); err != nil {
+			g.mu.Lock()
+			g.notes = append(g.notes, b.Name+" could not come back: "+err.Error())
+			g.mu.Unlock()
+			return
+		}
+		g.show(b, "in_service", g.clock.Now(), notice)
+	}
+	switch e.What {
+	case "kill", "leave":
+		g.mark("%s: %s", b.Name, e.What)
+		b.Kill()
+		g.show(b, "terminated", 0, notice)
+	case "kill_cold":
+		during(func() {
+			b.Kill()
+			g.show(b, "terminated", 0, notice)
+		}, starts)
+	case "join":
+		g.mark("%s: joins, cold", b.Name)
+		starts()
+	case "replace":
+		g.mark("%s: leaves, and another starts cold at its address", b.Name)
+		at := b.Address()
+		b.Kill()
+		g.show(b, "terminated", 0, notice)
+		next := g.newBox(b.Name+"r", b.Make)
+		if err := next.Start(at, true); err != nil {
+			g.mu.Lock()
+			g.notes = append(g.notes, next.Name+" could not start: "+err.Error())
+			g.mu.Unlock()
+			return
+		}
+		g.show(next, "in_service", g.clock.Now(), notice)
+	case "drain":
+		during(func() {
+			g.show(b, "terminating", 0, notice)
+			g.wait(e.At.M() + notice + g.s.Rules.Drain.M())
+			b.SetDraining(true)
+		}, func() {
+			b.Kill()
+			g.show(b, "terminated", 0, notice)
+		})
+	case "stall":
+		g.mark("%s: stands still", b.Name)
+		b.Trouble(func(now Micros, c *box.Core) { c.Stall(now, e.For.M()) })
+		g.wait(end)
+		g.mark("%s: goes on", b.Name)
+	case "mute":
+		during(func() { b.SetMute(true) }, func() { b.SetMute(false) })
+	case "errors":
+		during(func() { b.SetErrors(e.Part) }, func() { b.SetErrors(0) })
+	case "spoil":
+		during(func() { b.SetSpoil(e.Part) }, func() { b.SetSpoil(0) })
+	case "slow", "share":
+		set := func(times float64) func() {
+			return func() { b.Trouble(func(now Micros, c *box.Core) { c.Slow(now, times, e.What == "share") }) }
+		}
+		during(set(e.Times), set(1))
+	}
+}
+
+func (g *Rig) toCar(e plan.Event, i int, car *cars.Car) {
+	end := e.At.M() + e.For.M()
+	back := func() {
+		if err := car.Start(readyWithin); err != nil {
+			g.mu.Lock()
+			g.notes = append(g.notes, err.Error())
+			g.mu.Unlock()
+			return
+		}
+		g.clients.Shut(i, false)
+		g.mark("%s is back", car.Name)
+	}
+	switch e.What {
+	case "sidecar_kill":
+		g.mark("%s is killed", car.Name)
+		g.clients.Shut(i, true) // its copy of the application stops with it
+		car.Kill()
+		g.wait(end)
+		back()
+	case "sidecar_restart":
+		g.mark("%s is asked to end", car.Name)
+		car.Signal(syscall.SIGTERM)
+		time.Sleep(300 * time.Millisecond) // connections go on coming for so long
+		g.clients.Shut(i, true)
+		longest := Micros(0)
+		for _, p := range g.s.Prefixes {
+			longest = max(longest, p.Timeout.M())
+		}
+		if err := car.Stop((longest + 700*clock.Milli).Duration()); err != nil {
+			g.mu.Lock()
+			g.notes = append(g.notes, err.Error())
+			g.mu.Unlock()
+		}
+		back()
+	case "sidecar_stall":
+		g.mark("%s stands still", car.Name)
+		car.Signal(syscall.SIGSTOP)
+		g.wait(end)
+		car.Signal(syscall.SIGCONT)
+		g.mark("%s goes on", car.Name)
+	}
+}
+
+func (g *Rig) toList(e plan.Event) {
+	switch e.What {
+	case "list_down":
+		g.mark("the list is out of reach")
+		from := g.clock.Now()
+		g.list.SetDown(true)
+		g.wait(e.At.M() + e.For.M())
+		g.list.SetDown(false)
+		g.mu.Lock()
+		g.downs = append(g.downs, clock.Stretch{From: from, To: g.clock.Now()})
+		g.mu.Unlock()
+		g.mark("the list is back")
+	case "list_late":
+		g.mark("the list is late")
+		g.list.SetLate(e.By.M())
+		g.wait(e.At.M() + e.For.M())
+		g.list.SetLate(0)
+	case "list_move":
+		g.mark("the list moves")
+		for _, car := range g.cars {
+			if _, err := g.list.Move(car.Name); err == nil {
+				if _, err = car.Configure(); err == nil {
+					car.Signal(syscall.SIGHUP)
+				}
+			}
+		}
+	}
+}
+
+// toNetwork changes the ways that a fault is aimed at.
+func (g *Rig) toNetwork(e plan.Event) {
+	type one struct {
+		zone string
+		b    *box.Box
+		way  *path.Way
+	}
+	var hit []one
+	g.mu.Lock()
+	for _, zone := range g.s.Zones {
+		for _, b := range g.boxes {
+			if (e.From == "" || e.From == zone) && (e.To == "" || e.To == b.Zone) &&
+				(len(e.Names) == 0 || slices.ContainsFunc(e.Names, func(n string) bool { return strings.TrimRight(b.Name, "r") == n })) {
+				hit = append(hit, one{zone, b, g.way(zone, b)})
+			}
+		}
+	}
+	g.mu.Unlock()
+	each := func(do func(o one, w *path.Way)) {
+		for _, o := range hit {
+			o.way.Change(func(w *path.Way) { do(o, w) })
+		}
+	}
+	n, from := g.s.Network, g.clock.Now()
+	g.mark("network: %s%s%s %v", e.What, prefixed(" from ", e.From), prefixed(" to ", e.To), e.Names)
+	switch e.What {
+	case "silence":
+		each(func(_ one, w *path.Way) { w.Silence(true) })
+	case "cut":
+		each(func(_ one, w *path.Way) { w.CutOut(true) })
+	case "refuse":
+		each(func(_ one, w *path.Way) { w.Refuse(true) })
+	case "narrow":
+		each(func(_ one, w *path.Way) { w.Narrow(e.Bytes) })
+	case "delay":
+		each(func(o one, w *path.Way) {
+			w.Delay(map[bool]scenario.Span{true: n.Same, false: n.Cross}[o.zone == o.b.Zone].M() + e.By.M())
+		})
+	case "reset":
+		for _, o := range hit {
+			o.way.Reset()
+		}
+		return
+	}
+	g.wait(e.At.M() + e.For.M())
+	each(func(o one, w *path.Way) {
+		w.Silence(false)
+		w.CutOut(false)
+		w.Refuse(false)
+		w.Narrow(n.Bandwidth)
+		w.Delay(map[bool]scenario.Span{true: n.Same, false: n.Cross}[o.zone == o.b.Zone].M())
+	})
+	if e.What == "silence" {
+		g.mu.Lock()
+		for _, o := range hit {
+			g.blocked = append(g.blocked, judge.Block{From: o.zone, Box: o.b.Name, Stretch: clock.Stretch{From: from, To: g.clock.Now()}})
+		}
+		g.mu.Unlock()
+	}
+	g.mark("network: %s ends", e.What)
+}
--- /dev/null
+++ b/lab/stage/stage.go
@@ -0,0 +1,524 @@
+// Package stage plays a scenario: it puts boxes, network, list, sidecars and clients together, has the faults happen at
+// their times, and takes the accounts home.
+package stage
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"ledgespread/lab/box"
+	"ledgespread/lab/cars"
+	"ledgespread/lab/chance"
+	"ledgespread/lab/clients"
+	"ledgespread/lab/clock"
+	"ledgespread/lab/judge"
+	"ledgespread/lab/list"
+	"ledgespread/lab/path"
+	"ledgespread/lab/plan"
+	"ledgespread/lab/report"
+	"ledgespread/lab/scenario"
+)
+
+type Micros = clock.Micros
+
+// Options are what a run has beside its scenario.
+type Options struct {
+	Program cars.Program
+	Seed    uint64          // 0: the scenario's
+	Folder  string          // for configurations and logs; "" for one that is removed
+	Watch   func(Live)      // called now and then
+	Every   Micros          // between two such calls
+	Stop    <-chan struct{} // ends the run early
+}
+
+// Live is a look at a run.
+type Live struct {
+	At, Length                                  Micros
+	Sent, Delivered, Bounced, Errored, Lost, On int64
+	Boxes                                       []LiveBox
+	Marks                                       []report.Mark
+}
+
+// LiveBox is a look at a box.
+type LiveBox struct {
+	Name, Zone  string
+	Held        int
+	Alive, Slow bool
+}
+
+// ErrStopped says that the run was ended early.
+var ErrStopped = errors.New("stopped before its end")
+
+const (
+	readyWithin  = 15 * time.Second
+	settle       = 200 * clock.Milli // between the last sidecar's readiness and the first visit
+	tooLate      = clock.Milli       // the lab's lateness at p99 from which a run counts as late
+	startsAtOnce = 8
+)
+
+// Rig is a fleet on this machine.
+type Rig struct {
+	s      *scenario.Scenario
+	o      Options
+	plan   *plan.Plan
+	clock  *clock.Clock
+	alarms *clock.Alarms
+	groups *box.Groups
+	list   *list.List
+	folder string
+	begun  Micros
+
+	mu      sync.Mutex
+	boxes   []*box.Box
+	byName  map[string]*box.Box
+	gates   map[string]*path.Gate // by zone and box address
+	ways    map[string]*path.Way  // by zone and box
+	cars    []*cars.Car
+	between *path.Datagrams
+	clients *clients.Clients
+	downs   []clock.Stretch
+	blocked []judge.Block
+	marks   []report.Mark
+	notes   []string
+	faults  sync.WaitGroup
+	over    bool
+}
+
+// Play plays a scenario once. An error says that it could not be played; a broken rule is no error but stands in the report.
+func Play(s *scenario.Scenario, o Options) (r *report.Report, err error) {
+	if o.Seed == 0 {
+		o.Seed = s.Seed
+	}
+	rig, err := Raise(s, o)
+	if err != nil {
+		return nil, err
+	}
+	defer rig.Close()
+	return rig.run()
+}
+
+// Raise draws the plan, starts everything and has it ready; Close takes it down again.
+func Raise(s *scenario.Scenario, o Options) (rig *Rig, err error) {
+	p, err := plan.Draw(s, o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	c := clock.Start()
+	g := &Rig{s: s, o: o, plan: p, clock: c, alarms: c.Ring(), groups: box.NewGroups(), byName: map[string]*box.Box{},
+		gates: map[string]*path.Gate{}, ways: map[string]*path.Way{}, list: list.New(c, s.List.Timeout.M())}
+	defer func() {
+		if err != nil {
+			g.Close()
+		}
+	}()
+	if g.folder = o.Folder; g.folder == "" {
+		if g.folder, err = os.MkdirTemp("", "ledgelab-"); err != nil {
+			return nil, err
+		}
+	} else if err = os.MkdirAll(g.folder, 0o755); err != nil {
+		return nil, err
+	}
+	if err = g.raiseBoxes(); err != nil {
+		return nil, err
+	}
+	if err = g.raiseCars(); err != nil {
+		return nil, err
+	}
+	var at []string
+	for _, car := range g.cars {
+		at = append(at, car.Address)
+	}
+	g.clients = clients.New(s, p, at, c, g.alarms)
+	return g, nil
+}
+
+// joins tells whether a box is not there until a fault brings it.
+func (g *Rig) joins(name string) bool {
+	return slices.ContainsFunc(g.plan.Events, func(e plan.Event) bool { return e.What == "join" && slices.Contains(e.Names, name) })
+}
+
+func (g *Rig) raiseBoxes() error {
+	names, at := g.s.BoxNames(), 0
+	for _, m := range g.s.Boxes {
+		for range m.Count {
+			b := g.newBox(names[at], m)
+			at++
+			if g.joins(b.Name) {
+				continue
+			}
+			if err := b.Start("", false); err != nil {
+				return err
+			}
+			g.show(b, "in_service", 0, 0)
+		}
+	}
+	return nil
+}
+
+func (g *Rig) newBox(name string, m scenario.Box) *box.Box {
+	b := box.New(name, m, g.s, g.o.Seed, g.groups, g.clock, g.alarms)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.boxes = append(g.boxes, b)
+	g.byName[name] = b
+	return b
+}
+
+// show tells the list of a box.
+func (g *Rig) show(b *box.Box, health string, born, notice Micros) {
+	g.list.Set(list.Host{Name: b.Name, Zone: b.Zone, Model: b.Model, Cell: b.Cell, Health: health,
+		Share: b.Make.Speed * float64(b.Make.Cores), Born: born,
+		Dial: func(reader string) string { return g.dial(reader, b) }}, notice)
+}
+
+func (g *Rig) zoneOf(car string) string {
+	for i, name := range g.s.CarNames() {
+		if name == car {
+			return g.s.Zones[i%len(g.s.Zones)]
+		}
+	}
+	return g.s.Zones[0]
+}
+
+// dial is where a sidecar reaches a box: at a gate of its zone, or straight where the network is to do nothing.
+func (g *Rig) dial(reader string, b *box.Box) string {
+	at := b.Address()
+	if !g.s.OnNetwork() {
+		return at
+	}
+	zone := g.zoneOf(reader)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	key := zone + " " + at
+	gate := g.gates[key]
+	if gate == nil {
+		var err error
+		if gate, err = path.Open(at, g.way(zone, b)); err != nil {
+			g.notes = append(g.notes, "no gate: "+err.Error())
+			return at
+		}
+		g.gates[key] = gate
+	}
+	return gate.Address()
+}
+
+// way is the path from a zone to a box. Called with the lock held.
+func (g *Rig) way(zone string, b *box.Box) *path.Way {
+	key := zone + " " + b.Name
+	if g.ways[key] == nil {
+		n := g.s.Network
+		delay := n.Same
+		if zone != b.Zone {
+			delay = n.Cross
+		}
+		g.ways[key] = path.NewWay(delay.M(), n.Spread.M(), n.Bandwidth, g.o.Seed, key)
+	}
+	return g.ways[key]
+}
+
+func (g *Rig) raiseCars() error {
+	names := g.s.CarNames()
+	peers := make([][]string, len(names))
+	listen := make([]string, len(names))
+	if talks, _ := g.s.Allowed["peer_messages"].(bool); talks {
+		var at []netip.AddrPort
+		for i := range names {
+			free, err := cars.Free()
+			if err != nil {
+				return err
+			}
+			listen[i] = free
+			at = append(at, netip.MustParseAddrPort(free))
+		}
+		var err error
+		if loss := g.s.Network.Datagrams; loss != (scenario.Loss{}) {
+			if g.between, err = path.Between(at, loss, g.o.Seed); err != nil {
+				return err
+			}
+		}
+		for i := range names {
+			for j := range names {
+				if g.between == nil || i == j {
+					peers[i] = append(peers[i], listen[j])
+				} else {
+					peers[i] = append(peers[i], g.between.Address(i, j))
+				}
+			}
+		}
+	}
+	draw := chance.New(g.o.Seed, "sidecars")
+	for i, name := range names {
+		zone := g.zoneOf(name)
+		car, err := cars.New(name, zone, g.o.Program, g.folder, g.clock, func(at string) ([]byte, error) {
+			return g.configuration(i, at, listen[i], peers[i], draw.Bits())
+		})
+		if err != nil {
+			return err
+		}
+		g.cars = append(g.cars, car)
+	}
+	var all sync.WaitGroup
+	places := make(chan bool, startsAtOnce)
+	ends := make([]error, len(g.cars))
+	for i, car := range g.cars {
+		all.Add(1)
+		places <- true
+		go func() {
+			defer all.Done()
+			ends[i] = car.Start(readyWithin)
+			<-places
+		}()
+	}
+	all.Wait()
+	return errors.Join(ends...)
+}
+
+// configuration is a sidecar's file, in the form of the deployment page.
+func (g *Rig) configuration(i int, at, peerListen string, peers []string, seed uint64) ([]byte, error) {
+	s, name := g.s, g.s.CarNames()[i]
+	g.mu.Lock()
+	discovery, err := g.list.Address(name)
+	g.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	allowed := map[string]any{"cancel": true, "retry_after": true, "max_retry_after_us": 2_000_000, "max_backend_fetches": 5,
+		"may_duplicate": true, "multiplex": 1, "conn_idle_us": 10_000_000, "connect_timeout_us": 75_000, "probes": false,
+		"peer_messages": false}
+	for k, v := range s.Allowed {
+		allowed[k] = v
+	}
+	var prefixes, realms []map[string]any
+	for _, p := range s.Prefixes {
+		prefixes = append(prefixes, map[string]any{"name": p.Name, "effect": p.Effect, "group": p.Group, "value": p.Value,
+			"late_value": p.LateValue, "target_latency_us": p.Target, "client_timeout_us": p.Timeout, "memory_span_us": p.Memory, "stream": false})
+	}
+	for _, t := range s.Tenants {
+		realms = append(realms, map[string]any{"name": t.Name, "share": t.Share, "quota_per_s": float64(t.Quota)})
+	}
+	settings := map[string]any{"azs": s.Zones, "my_zone": slices.Index(s.Zones, g.zoneOf(name)), "balancers": s.Cars.Count, "me": i,
+		"discovery": s.List.Mode, "step_us": 1000, "path_prefixes": prefixes, "allowed": allowed, "beyond_share_value": 0.1,
+		"tariffs": map[string]any{"cross_zone": 0.0087},
+		"obligations": map[string]any{"ask_every_us": s.Rules.AskEvery, "cold_from": s.Rules.ColdFrom, "cold_us": s.Rules.Cold,
+			"fall_multiple": s.Rules.FallMultiple, "fall_us": s.Rules.Fall, "stop_sending_within_us": s.Rules.Drain, "answer_slack_us": s.Rules.Slack}}
+	if len(realms) > 0 {
+		settings["realms"] = realms
+	}
+	file := map[string]any{"name": name, "listen": at, "discovery": discovery, "seed": fmt.Sprintf("%016x", seed),
+		"limits":   map[string]any{"cores": s.Cars.Cores, "memory_mb": s.Cars.MemoryMB, "sockets": s.Cars.Sockets},
+		"settings": settings, "known": g.list.Whole(name)}
+	if peerListen != "" {
+		file["peer_listen"], file["peers"] = peerListen, peers
+	}
+	return json.MarshalIndent(file, "", " ")
+}
+
+// Addresses are where the sidecars listen.
+func (g *Rig) Addresses() (at []string) {
+	for _, car := range g.cars {
+		at = append(at, car.Address)
+	}
+	return at
+}
+
+// Cars are the sidecars' processes.
+func (g *Rig) Cars() []*cars.Car { return g.cars }
+
+func (g *Rig) mark(format string, values ...any) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.marks = append(g.marks, report.Mark{At: g.clock.Now() - g.begun, What: fmt.Sprintf(format, values...)})
+}
+
+func (g *Rig) run() (*report.Report, error) {
+	cpu := g.cpu()
+	g.begun = g.clock.Now() + settle
+	for _, e := range g.plan.Events {
+		g.faults.Add(1)
+		g.alarms.At(g.begun+e.At.M(), func() {
+			go func() {
+				defer g.faults.Done()
+				g.happen(e)
+			}()
+		})
+	}
+	var load []report.LoadLine
+	ended, watched := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(watched)
+		load = g.watch(ended)
+	}()
+	g.clients.Begin(g.begun)
+	finished := make(chan struct{})
+	go func() { g.clients.Wait(); close(finished) }()
+	var err error
+	select {
+	case <-finished:
+	case <-g.o.Stop:
+		err = ErrStopped
+	}
+	close(ended)
+	<-watched
+	if err != nil {
+		return nil, err
+	}
+	g.faults.Wait()
+	cpu = g.cpu() - cpu
+	a, r := g.accounts(), (*report.Report)(nil)
+	r = report.From(a)
+	g.fill(r, cpu, load)
+	return r, nil
+}
+
+func (g *Rig) cpu() (sum time.Duration) {
+	for _, car := range g.cars {
+		cpu, _ := car.Used()
+		sum += cpu
+	}
+	return sum
+}
+
+// fill adds what only the rig knows.
+func (g *Rig) fill(r *report.Report, cpu time.Duration, load []report.LoadLine) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.Program, r.Load, r.Marks = g.o.Program.Name, load, g.marks
+	var spent, probes, could Micros
+	for _, b := range g.boxes {
+		opened, _, probed, unread, _ := b.Tally()
+		all, probing := b.Spent()
+		spent, probes = spent+all, probes+probing
+		could += Micros(b.Make.Cores) * g.s.Length.M()
+		r.Opened, r.Probed = r.Opened+opened, r.Probed+probed
+		if unread > 0 {
+			r.Notes = append(r.Notes, fmt.Sprintf("%s was sent %d messages that it could not read", b.Name, unread))
+		}
+	}
+	r.Busy, r.ProbeTime = float64(spent)/float64(max(could, 1)), float64(probes)/float64(max(spent, 1))
+	for _, car := range g.cars {
+		_, kib := car.Used()
+		r.MemoryKiB = max(r.MemoryKiB, kib)
+	}
+	r.CPUVisit = float64(cpu.Microseconds()) / float64(max(r.Tries, 1))
+	r.Calls = g.list.Calls
+	late := g.alarms.Late()
+	r.LateP99, r.LateMost = late.Quantile(0.99), late.Most()
+	r.RanLate = r.LateP99 > tooLate
+	r.Notes = append(r.Notes, g.notes...)
+}
+
+// accounts gathers what the stand-ins wrote down.
+func (g *Rig) accounts() *judge.Accounts {
+	told, changes := g.list.Accounts()
+	a := &judge.Accounts{Scenario: g.s, Plan: g.plan, Begun: g.begun, Ended: g.clock.Now(), Tries: g.clients.Account(), Told: told,
+		Changes: changes, Downs: g.downs, Blocked: g.blocked, Still: g.alarms.Late().Still(), Rude: g.clients.Rude()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, b := range g.boxes {
+		_, _, _, _, felled := b.Tally()
+		line := judge.BoxAccount{Name: b.Name, Zone: b.Zone, Cell: b.Cell, Felled: felled, Delays: map[string]Micros{}}
+		if g.s.OnNetwork() {
+			for _, z := range g.s.Zones {
+				line.Delays[z] = g.s.Network.Cross.M()
+				if z == b.Zone {
+					line.Delays[z] = g.s.Network.Same.M()
+				}
+			}
+		}
+		for _, f := range g.s.Faults { // a delay that a fault added counts for the whole run: bounds only widen
+			if f.What == "delay" {
+				for z := range line.Delays {
+					line.Delays[z] += f.By.M()
+				}
+			}
+		}
+		a.Boxes = append(a.Boxes, line)
+		a.Entries = append(a.Entries, b.Account()...)
+	}
+	for _, car := range g.cars {
+		a.Cars = append(a.Cars, judge.CarAccount{Name: car.Name, Zone: car.Zone, Lives: car.Lives(), Stills: car.Stills(), Crashed: car.Crashed()})
+	}
+	return a
+}
+
+const lookEvery = 100 * clock.Milli
+
+// watch looks at the boxes now and then, and tells who watches.
+func (g *Rig) watch(ended chan struct{}) (load []report.LoadLine) {
+	told := Micros(0)
+	for {
+		select {
+		case <-ended:
+			return load
+		case <-time.After(lookEvery.Duration()):
+		}
+		at := g.clock.Now() - g.begun
+		if at < 0 {
+			continue
+		}
+		g.mu.Lock()
+		boxes, marks := slices.Clone(g.boxes), slices.Clone(g.marks)
+		g.mu.Unlock()
+		line, live := report.LoadLine{At: at}, Live{At: at, Length: g.s.Length.M(), Marks: marks}
+		for _, b := range boxes {
+			held, slow, alive := b.Now()
+			live.Boxes = append(live.Boxes, LiveBox{b.Name, b.Zone, held, alive, slow})
+			if !alive {
+				held = -1
+			}
+			line.Held = append(line.Held, held)
+		}
+		load = append(load, line)
+		if g.o.Watch != nil && at >= told+g.o.Every {
+			told = at
+			n := &g.clients.Count
+			live.Sent, live.Delivered, live.Bounced = n[clients.CountSent].Load(), n[clients.CountDelivered].Load(), n[clients.CountBounced].Load()
+			live.Errored, live.Lost, live.On = n[clients.CountErrored].Load(), n[clients.CountLost].Load(), n[clients.CountOpen].Load()
+			g.o.Watch(live)
+		}
+	}
+}
+
+// Close ends everything that was started, the processes first.
+func (g *Rig) Close() {
+	g.mu.Lock()
+	g.over = true
+	g.mu.Unlock()
+	var all sync.WaitGroup
+	for _, car := range g.cars {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			car.Signal(syscall.SIGCONT)
+			car.Kill()
+		}()
+	}
+	all.Wait()
+	if g.clients != nil {
+		g.clients.Close()
+	}
+	if g.between != nil {
+		g.between.Close()
+	}
+	g.mu.Lock()
+	for _, gate := range g.gates {
+		gate.Close()
+	}
+	boxes := g.boxes
+	g.mu.Unlock()
+	for _, b := range boxes {
+		b.Kill()
+	}
+	g.list.Close()
+	g.alarms.Close()
+	if g.o.Folder == "" && g.folder != "" {
+		os.RemoveAll(g.folder)
+	}
+}
--- /dev/null
+++ b/lab/wire/wire.go
@@ -0,0 +1,148 @@
+// Package wire reads and writes the HTTP/1.1 of the lab's stand-ins: as much of RFC 9112 as the protocol page
+// uses, and no more. It is not the sidecar's own reading, so that a fault there does not hide in its test.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"strconv"
+	"strings"
+)
+
+// Head is a message's first line and fields, names in lower case.
+type Head struct {
+	First  [3]string
+	Fields map[string]string
+	Bytes  int // its length
+}
+
+var (
+	ErrHead = errors.New("a head that can't be read")
+	ErrLong = errors.New("a message that is too long")
+)
+
+const mostHead, mostBody = 64 << 10, 64 << 20
+
+// ReadHead reads a head. io.EOF says that nothing had come of it, io.ErrUnexpectedEOF that part of it had.
+func ReadHead(in *bufio.Reader) (Head, error) {
+	h := Head{Fields: map[string]string{}}
+	for first := true; ; first = false {
+		line, err := in.ReadSlice('\n')
+		h.Bytes += len(line)
+		if err == bufio.ErrBufferFull || h.Bytes > mostHead {
+			return h, ErrLong
+		}
+		if err != nil {
+			if err == io.EOF && h.Bytes > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return h, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if first {
+			parts := strings.SplitN(string(line), " ", 3)
+			if len(parts) < 2 {
+				return h, ErrHead
+			}
+			copy(h.First[:], parts)
+			continue
+		}
+		if len(line) == 0 {
+			return h, nil
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+			return h, ErrHead
+		}
+		h.Fields[strings.ToLower(string(name))] = string(bytes.TrimSpace(value))
+	}
+}
+
+// Body reads what follows the head, by its length or in chunks.
+func (h Head) Body(in *bufio.Reader) ([]byte, error) {
+	if strings.EqualFold(h.Fields["transfer-encoding"], "chunked") {
+		return chunks(in)
+	}
+	length, there := h.Fields["content-length"]
+	if !there {
+		return nil, nil
+	}
+	n, err := strconv.ParseUint(length, 10, 31)
+	if err != nil {
+		return nil, ErrHead
+	}
+	if n > mostBody {
+		return nil, ErrLong
+	}
+	body := make([]byte, n)
+	_, err = io.ReadFull(in, body)
+	return body, whole(err)
+}
+
+func whole(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func chunks(in *bufio.Reader) (body []byte, err error) {
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return nil, whole(err)
+		}
+		size, _, _ := strings.Cut(strings.TrimSpace(line), ";")
+		n, err := strconv.ParseUint(size, 16, 31)
+		if err != nil {
+			return nil, ErrHead
+		}
+		if len(body)+int(n) > mostBody {
+			return nil, ErrLong
+		}
+		part := make([]byte, n+2)
+		if _, err := io.ReadFull(in, part); err != nil {
+			return nil, whole(err)
+		}
+		if n == 0 {
+			return body, nil
+		}
+		body = append(body, part[:n]...)
+	}
+}
+
+// Closes tells whether the connection ends with this message.
+func (h Head) Closes() bool { return strings.EqualFold(h.Fields["connection"], "close") }
+
+// Status is an answer's, 0 where it is none.
+func (h Head) Status() int {
+	n, err := strconv.Atoi(h.First[1])
+	if err != nil || !strings.HasPrefix(h.First[0], "HTTP/1.") {
+		return 0
+	}
+	return n
+}
+
+// Target is a request's path and query.
+func (h Head) Target() (path string, query url.Values, err error) {
+	u, err := url.ParseRequestURI(h.First[1])
+	if err != nil {
+		return "", nil, ErrHead
+	}
+	return u.Path, u.Query(), nil
+}
+
+// Answer is an answer's bytes; further fields come as "Name: value".
+func Answer(status int, body string, fields ...string) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n", status, len(body))
+	for _, f := range fields {
+		b.WriteString(f + "\r\n")
+	}
+	b.WriteString("\r\n" + body)
+	return b.Bytes()
+}
