A fresh sidecar's guess at a visit's work turns none away before answers bear it out

Change: without a hint the visit's own part counts as far as answers bear its guess out (32 of them), or as the lenient start is over, whichever is more. TestQuickStart fails without it.

--- a/brain/books.go
+++ b/brain/books.go
@@ -64,7 +64,7 @@
 	work           float64 // expected, in core time or, without a hint, in its path prefix's mean latency
 	wanted, until  Micros  // after this an answer is worth nothing, or little; the client quits
 	value          float64
-	beyond         bool // lies beyond its tenant's share
+	beyond, hinted bool // lies beyond its tenant's share; its client told the work
 	fetches        []*fetch
 	out, charged   int
 	freed, ended   bool
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -352,7 +352,7 @@
 	v := &visit{id: id, on: p, key: key, work: p.mean, wanted: now + min(p.target, left), until: now + left,
 		value: p.value / b.topValue}
 	if effort > 0 {
-		v.work = float64(effort)
+		v.work, v.hinted = float64(effort), true
 	}
 	if p.late > 0 {
 		v.wanted = v.until
@@ -574,7 +574,8 @@
 	plain := blend(be.took, be.carried, firmness*b.meanWork, level) / b.warmth(be)
 	limit := min(max(calmTimes*b.calm*b.meanWork, leastLimit*b.meanTarget), mostLimit*b.meanTarget)
 	crowd := max(b.rush(be.zone), plain) * b.meanWork / limit
-	crowd *= min(1, float64(b.now-b.begun)/b.meanTarget) // nothing is known yet: rather send and learn
+	lenient := min(1, float64(b.now-b.begun)/b.meanTarget) // nothing is known yet: rather send and learn
+	crowd *= lenient
 	if v.offer == be && b.desks() {
 		// The desk's count is of now and of all: the limit needs no calm answer to be measured against.
 		pace = v.offered
@@ -582,6 +583,9 @@
 	}
 	// A heavy visit outlasts those it meets: what it has beyond a mean visit's work goes at the usual pace.
 	own := pace*v.work + min(0, level-pace)*max(0, v.work-b.meanWork)
+	if !v.hinted { // guards against a guess at a visit's work that no answer bears out yet
+		own *= max(lenient, min(1, (v.on.seen-firmness)/enough))
+	}
 	strain := math.Hypot(crowd/part, own/float64(v.wanted-b.now)/ownLimit)
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -393,6 +393,24 @@
 	d.matches(t)
 }
 
+// A fresh sidecar's burst before quick servers: what it guesses of visits must not turn them away.
+func TestQuickStart(t *testing.T) {
+	d := begin(t, site("cell"), "a b")
+	d.title("ten visits at once, before any answer")
+	for id := range VisitID(10) {
+		d.visit(id, 0)
+	}
+	d.title("as answers come in 1 ms, more at once")
+	d.pass(1 * ms)
+	for id := range VisitID(10) {
+		d.ends(id, 0, Delivered)
+	}
+	for id := VisitID(10); id < 30; id++ {
+		d.visit(id, 0)
+	}
+	d.matches(t)
+}
+
 func TestPopularKey(t *testing.T) {
 	d := begin(t, site("cell", "family_info.warm_keys", true), "a b c d e f g h")
 	send := func(title string, key func(i int) Key) {
