--- a/cmd/ledgelab/commands.go
+++ b/cmd/ledgelab/commands.go
@@ -10,8 +10,6 @@
 	"github.com/spf13/cobra"
 
 	"ledgespread/lab/cars"
-	"ledgespread/lab/scenario"
-	"ledgespread/lab/stage"
 )
 
 // beside is the sidecar's binary: that of the same build, beside this one.
@@ -49,7 +47,8 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "ledgelab", Short: "A stand-in fleet on loopback: its faults, load and experiments",
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
-	cmd.AddCommand(runCommand())
+	cmd.AddCommand(demoCommand(), runCommand(), loadCommand(), compareCommand(), plotCommand(), proveCommand())
+	cmd.AddCommand(standIns()...)
 	return cmd
 }
 
@@ -65,38 +64,3 @@
 	c.Flags().StringVar(&o.json, "json", "", "file for the report in JSON")
 	c.Flags().Uint64Var(&o.seed, "seed", 0, "another seed than the scenario's")
 }
-
-func runCommand() *cobra.Command {
-	var o common
-	c := &cobra.Command{Use: "run SCENARIO", Short: "Play a scenario, print the report; exit 1 where a rule or an expectation does not hold",
-		Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			s, err := scenario.Read(args[0])
-			if err != nil {
-				return err
-			}
-			p, err := program(o.sidecar)
-			if err != nil {
-				return err
-			}
-			out := c.OutOrStdout()
-			show := newScreen(out)
-			r, err := stage.Play(s, stage.Options{Program: p, Seed: o.seed, Folder: o.folder, Watch: show.live, Every: show.every, Stop: interrupted()})
-			show.done()
-			if err != nil {
-				return err
-			}
-			r.Print(out)
-			if o.json != "" {
-				if err := r.Save(o.json); err != nil {
-					return err
-				}
-			}
-			if !r.Holds() {
-				return errBroke
-			}
-			return nil
-		}}
-	o.flags(c)
-	return c
-}
--- /dev/null
+++ b/cmd/ledgelab/experiments.go
@@ -0,0 +1,296 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ledgespread/lab/badcar"
+	"ledgespread/lab/bare"
+	"ledgespread/lab/compare"
+	"ledgespread/lab/load"
+	"ledgespread/lab/prove"
+	"ledgespread/lab/report"
+	"ledgespread/lab/scenario"
+	"ledgespread/lab/stage"
+)
+
+// demoFleet is what `ledgelab demo` plays.
+const demoFleet = `
+name = "demo"
+told = "six boxes in two zones, two sidecars; one box dies and returns cold"
+seed = 1
+length = "20s"
+warmup = "1s"
+zones = ["bangna", "lat-krabang"]
+[sidecars]
+count = 2
+[[box]]
+count = 3
+zone = "bangna"
+speed = 1.6
+[[box]]
+count = 3
+zone = "lat-krabang"
+[[prefix]]
+name = "lookup"
+share = 0.7
+work = "4ms"
+work_spread = "exp"
+target_latency = "150ms"
+client_timeout = "750ms"
+[[prefix]]
+name = "booking"
+effect = "tagged"
+group = "zone"
+share = 0.3
+work = "14ms"
+work_spread = "exp"
+target_latency = "600ms"
+client_timeout = "3s"
+value = 2
+[traffic]
+rate = "450/s"
+hints = true
+retries = 1
+[network]
+same = "200us"
+cross = "800us"
+[list]
+notice = "500ms"
+[[fault]]
+at = "7s"
+for = "4s"
+what = "kill_cold"
+boxes = "b1"
+`
+
+func demoCommand() *cobra.Command {
+	var o common
+	c := &cobra.Command{Use: "demo", Short: "A small fleet, two sidecars, traffic, one box killed; ends by itself in 20 s, or at Ctrl-C", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := scenario.Parse("(demo)", []byte(demoFleet))
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%s.\nThe sidecars are processes of their own; boxes, list and clients are stand-ins of this program.\n\n", s.Told)
+			return o.play(c, s)
+		}}
+	o.flags(c)
+	return c
+}
+
+func runCommand() *cobra.Command {
+	var o common
+	c := &cobra.Command{Use: "run SCENARIO", Short: "Play a scenario, print the report; exit 1 where a rule or an expectation does not hold",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := scenario.Read(args[0])
+			if err != nil {
+				return err
+			}
+			return o.play(c, s)
+		}}
+	o.flags(c)
+	return c
+}
+
+func (o *common) play(c *cobra.Command, s *scenario.Scenario) error {
+	p, err := program(o.sidecar)
+	if err != nil {
+		return err
+	}
+	out := c.OutOrStdout()
+	show := newScreen(out)
+	r, err := stage.Play(s, stage.Options{Program: p, Seed: o.seed, Folder: o.folder, Watch: show.live, Every: show.every, Stop: interrupted()})
+	show.done()
+	if err != nil {
+		return err
+	}
+	r.Print(out)
+	if o.json != "" {
+		if err := r.Save(o.json); err != nil {
+			return err
+		}
+	}
+	if !r.Holds() {
+		return errBroke
+	}
+	return nil
+}
+
+func loadCommand() *cobra.Command {
+	var to, prefix, rate, shape, tenant, file string
+	var span, timeout time.Duration
+	var seed uint64
+	var closed int
+	c := &cobra.Command{Use: "load --to ADDR", Short: "Open-loop load on one address: latency counts from when a visit was due", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if to == "" {
+				return fmt.Errorf("--to is missing")
+			}
+			if closed > 0 {
+				most, err := load.Most(to, prefix, closed, span)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%.0f visits/s over %d connections (closed-loop: no latencies)\n", most, closed)
+				return nil
+			}
+			tenants := ""
+			if tenant != "" {
+				tenants = fmt.Sprintf("[[tenant]]\nname = %q\nshare = 1\n", tenant)
+			}
+			s, err := scenario.Parse("(flags)", fmt.Appendf(nil, "name = \"load\"\nlength = %q\n[[box]]\n[[prefix]]\nname = %q\nwork = \"1ms\"\n"+
+				"target_latency = %q\nclient_timeout = %q\n%s[traffic]\nrate = %q\nshape = %q\n", span, prefix, timeout, timeout, tenants, rate, shape))
+			if err != nil {
+				return err
+			}
+			r, err := load.Open(to, s, seed, interrupted())
+			if err != nil {
+				return err
+			}
+			l := r.Latency
+			fmt.Fprintf(c.OutOrStdout(), "plan %s, %.0f delivered/s, ends %v\nlatency, ms  p50 %.3f   p90 %.3f   p99 %.3f   p99.9 %.3f   most %.3f\nthe lab was late by %d µs at p99, %d at most\n",
+				r.Plan, r.Rate, r.Ends, float64(l.P50)/1000, float64(l.P90)/1000, float64(l.P99)/1000, float64(l.P999)/1000, float64(l.Most)/1000, r.LateP99, r.LateMost)
+			return save(file, r)
+		}}
+	f := c.Flags()
+	f.StringVar(&to, "to", "", "address, host:port")
+	f.StringVar(&prefix, "prefix", "lookup", "path prefix, a read-like one")
+	f.StringVar(&rate, "rate", "200/s", "visits a second")
+	f.StringVar(&shape, "shape", "poisson", "poisson or even")
+	f.StringVar(&tenant, "tenant", "", "X-Tenant-Id")
+	f.StringVar(&file, "json", "", "file for the figures in JSON")
+	f.DurationVar(&span, "for", 10*time.Second, "how long")
+	f.DurationVar(&timeout, "timeout", 750*time.Millisecond, "client timeout")
+	f.Uint64Var(&seed, "seed", 1, "of the arrivals")
+	f.IntVar(&closed, "closed", 0, "send as much as so many connections carry instead")
+	return c
+}
+
+func save(file string, what any) error {
+	if file == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(what, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(text, '\n'), 0o644)
+}
+
+func compareCommand() *cobra.Command {
+	var o common
+	var rounds int
+	c := &cobra.Command{Use: "compare SCENARIO A B", Short: "Two binaries, or two files over the scenario, in alternating runs: medians and bootstrap bars",
+		Args: cobra.ExactArgs(3),
+		RunE: func(c *cobra.Command, args []string) error {
+			sides := [2]compare.Side{}
+			for i, what := range args[1:] {
+				file, from := args[0], o.sidecar
+				if strings.HasSuffix(what, ".toml") {
+					file = what
+				} else {
+					from = what
+				}
+				p, err := program(from)
+				if err != nil {
+					return err
+				}
+				s, err := scenario.Read(args[0])
+				if err == nil && file != args[0] {
+					s, err = scenario.ReadOver(args[0], file)
+				}
+				if err != nil {
+					return err
+				}
+				p.Name = what
+				sides[i] = compare.Side{Name: what, Program: p, Scenario: s}
+			}
+			r, err := compare.Play(sides, rounds, o.seed, interrupted(), func(text string) { fmt.Fprintln(c.ErrOrStderr(), text) })
+			if err != nil {
+				return err
+			}
+			r.Print(c.OutOrStdout())
+			return save(o.json, r)
+		}}
+	o.flags(c)
+	c.Flags().IntVar(&rounds, "rounds", 5, "runs of each")
+	return c
+}
+
+func plotCommand() *cobra.Command {
+	var to string
+	c := &cobra.Command{Use: "plot REPORT...", Short: "Draw reports as PNG: latency by time, service by second, load by box, events marked", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			for _, file := range args {
+				r, err := report.Load(file)
+				if err != nil {
+					return err
+				}
+				out := strings.TrimSuffix(file, ".json") + ".png"
+				if to != "" {
+					out = to
+				}
+				if err := r.Plot(out); err != nil {
+					return err
+				}
+				fmt.Fprintln(c.OutOrStdout(), out)
+			}
+			return nil
+		}}
+	c.Flags().StringVar(&to, "to", "", "file for the picture, where one report is given")
+	return c
+}
+
+func proveCommand() *cobra.Command {
+	p := &prove.Proof{}
+	var o common
+	c := &cobra.Command{Use: "prove NAME", Short: "Play a proof: what is claimed, the aim, what was measured, by whose account; exit 1 where a claim does not hold",
+		Long: "Play a proof: what is claimed, the aim, what was measured, by whose account, and whether it holds.\n\n  " + strings.Join(prove.Names(), "\n  "),
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			var err error
+			p.Name, p.Seed, p.Folder, p.Stop = args[0], max(o.seed, 1), o.folder, interrupted()
+			if p.Self, err = os.Executable(); err != nil {
+				return err
+			}
+			if p.Sidecar, err = program(o.sidecar); err != nil {
+				return err
+			}
+			p.Say = func(text string) { fmt.Fprintln(c.ErrOrStderr(), "…", text) }
+			if err := p.Play(); err != nil {
+				return err
+			}
+			p.Print(c.OutOrStdout())
+			if o.json != "" {
+				if err := p.Save(o.json); err != nil {
+					return err
+				}
+			}
+			if !p.Holds() {
+				return errBroke
+			}
+			return nil
+		}}
+	o.flags(c)
+	c.Flags().BoolVar(&p.Quick, "quick", false, "end within 50 s")
+	c.Flags().StringVar(&p.Break, "break", "", "switch a guard of the lab off, to see the proof fail")
+	return c
+}
+
+// standIns are this program as a sidecar: the bare forwarder, and the bad ones. The lab starts them as it starts a sidecar.
+func standIns() []*cobra.Command {
+	plain := &cobra.Command{Use: "bare", Short: "Be a forwarder that takes no decision", Hidden: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return bare.Serve(os.Getenv("RELAY_CONFIG")) }}
+	var way string
+	bad := &cobra.Command{Use: "badcar", Short: "Be a sidecar that breaks one rule", Hidden: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return badcar.Serve(os.Getenv("RELAY_CONFIG"), way) }}
+	bad.Flags().StringVar(&way, "break", "honest", "the way")
+	return []*cobra.Command{plain, bad}
+}
--- /dev/null
+++ b/lab/badcar/badcar.go
@@ -0,0 +1,254 @@
+// Package badcar is a small sidecar of the lab that breaks just one rule on purpose, so that the judge can be shown to
+// catch it and to accuse it of nothing else. Honest breaks none.
+package badcar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Ways are the breaks, with the rule each breaks.
+var Ways = map[string]int{"honest": 0, "loses": 1, "late": 1, "foreign": 1, "after": 1, "twice": 2, "group": 2, "bounce": 2, "drain": 3, "cold": 4}
+
+type server struct {
+	name, at, zone string
+	health         string
+	born           time.Time
+}
+
+type car struct {
+	way     string
+	list    string
+	cold    time.Duration
+	effects map[string]string
+	client  *http.Client
+	mu      sync.Mutex
+	servers []server
+	n       map[string]int
+}
+
+// Serve is a sidecar as the configuration tells, that breaks a rule in this way, until SIGTERM.
+func Serve(file, way string) error {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var told map[string]any
+	if err := json.Unmarshal(text, &told); err != nil {
+		return err
+	}
+	settings, _ := told["settings"].(map[string]any)
+	duties, _ := settings["obligations"].(map[string]any)
+	cold, _ := duties["cold_us"].(float64)
+	c := &car{way: way, cold: time.Duration(cold) * time.Microsecond, effects: map[string]string{}, n: map[string]int{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}}}
+	c.list, _ = told["discovery"].(string)
+	prefixes, _ := settings["path_prefixes"].([]any)
+	for _, p := range prefixes {
+		if p, ok := p.(map[string]any); ok {
+			name, _ := p["name"].(string)
+			c.effects[name], _ = p["effect"].(string)
+		}
+	}
+	if err := c.ask(); err != nil {
+		return err
+	}
+	go func() {
+		for range time.Tick(50 * time.Millisecond) {
+			c.ask()
+		}
+	}()
+	listen, _ := told["listen"].(string)
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	h := &http.Server{Handler: c}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stop
+		ctx, done := context.WithTimeout(context.Background(), 2*time.Second)
+		defer done()
+		h.Shutdown(ctx)
+	}()
+	if err := h.Serve(ln); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// ask takes the whole list anew.
+func (c *car) ask() error {
+	r, err := c.client.Get("http://" + c.list + "/api/targets")
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	var list map[string]any
+	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+		return err
+	}
+	hosts, _ := list["hosts"].([]any)
+	var now []server
+	for _, h := range hosts {
+		if h, ok := h.(map[string]any); ok {
+			s := server{}
+			s.name, _ = h["host"].(string)
+			s.at, _ = h["dial"].(string)
+			s.zone, _ = h["site"].(string)
+			s.health, _ = h["health"].(string)
+			born, _ := h["born_ms"].(float64)
+			s.born = time.UnixMilli(int64(born))
+			now = append(now, s)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers = now
+	return nil
+}
+
+// pick is a server that may get a visit; but names one that may not, in none of its zone where other is set.
+func (c *car) pick(but *server, other bool) *server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var may, draining, cold []server
+	for _, s := range c.servers {
+		if but != nil && (s.name == but.name || other && s.zone == but.zone) {
+			continue
+		}
+		switch {
+		case s.health != "in_service":
+			draining = append(draining, s)
+		case time.Since(s.born) < c.cold:
+			cold = append(cold, s)
+		default:
+			may = append(may, s)
+		}
+	}
+	if c.way == "drain" && len(draining) > 0 && rand.IntN(20) == 0 {
+		may = draining
+	}
+	if c.way == "cold" && len(cold) > 0 {
+		may = cold
+	}
+	if len(may) == 0 {
+		return nil
+	}
+	s := may[rand.IntN(len(may))]
+	return &s
+}
+
+// now tells whether it is time to break: each so many visits of a kind.
+func (c *car) now(way string, every int) bool {
+	if c.way != way {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n[way]++
+	return c.n[way]%every == 0
+}
+
+// fetch sends once. ran is false only where that is proven.
+func (c *car) fetch(r *http.Request, body []byte, to *server, left time.Duration) (status int, answer []byte, ran bool) {
+	ctx, done := context.WithTimeout(context.Background(), left)
+	defer done()
+	q, err := http.NewRequestWithContext(ctx, r.Method, "http://"+to.at+r.URL.RequestURI(), nil)
+	if err != nil {
+		return 0, nil, false
+	}
+	if r.Method != http.MethodGet { // a body that can't be had again: the transport must not send twice by itself
+		q.Body, q.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	}
+	for _, name := range []string{"X-Request-ID", "X-Timeout", "X-Tenant-Id", "Idempotency-Key"} {
+		if v := r.Header.Get(name); v != "" {
+			q.Header.Set(name, v)
+		}
+	}
+	a, err := c.client.Do(q)
+	if err != nil {
+		return 0, nil, !strings.Contains(err.Error(), "refused")
+	}
+	defer a.Body.Close()
+	answer, err = io.ReadAll(a.Body)
+	if err != nil {
+		return 0, nil, true
+	}
+	return a.StatusCode, answer, a.Header.Get("X-Not-Processed") != "1"
+}
+
+func (c *car) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/-/ready" {
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	prefix := strings.SplitN(strings.TrimPrefix(r.URL.Path, "/"), "/", 2)[0]
+	effect := c.effects[prefix]
+	us, err := strconv.Atoi(strings.TrimSuffix(r.Header.Get("X-Timeout"), "u"))
+	if !slices.Contains([]string{"read_like", "tagged", "mutating"}, effect) || err != nil || r.Header.Get("X-Request-ID") == "" {
+		w.WriteHeader(400)
+		return
+	}
+	left := time.Duration(us) * time.Microsecond * 8 / 10
+	to := c.pick(nil, false)
+	if to == nil {
+		w.WriteHeader(503)
+		return
+	}
+	switch {
+	case c.now("loses", 50):
+		time.Sleep(30 * time.Millisecond) // later than a closing that crosses a message
+		if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			conn.Close()
+		}
+		return
+	case c.now("late", 50):
+		time.Sleep(time.Duration(us)*time.Microsecond + 55*time.Millisecond)
+		w.WriteHeader(502)
+		return
+	case c.now("foreign", 50):
+		io.WriteString(w, "everything is well")
+		return
+	case effect == "read_like" && c.now("after", 50):
+		go func() {
+			time.Sleep(150 * time.Millisecond)
+			c.fetch(r, body, to, left)
+		}()
+		w.WriteHeader(502)
+		return
+	}
+	status, answer, ran := c.fetch(r, body, to, left)
+	if effect == "mutating" && ran && status != 200 && c.way == "twice" {
+		if again := c.pick(to, false); again != nil {
+			status, answer, ran = c.fetch(r, body, again, left/2)
+		}
+	}
+	if effect == "tagged" && ran && status != 200 && c.way == "group" {
+		if again := c.pick(to, true); again != nil {
+			status, answer, ran = c.fetch(r, body, again, left/2)
+		}
+	}
+	switch {
+	case status == 200:
+		w.Write(answer)
+	case !ran || effect == "mutating" && c.way == "bounce":
+		w.WriteHeader(503)
+	default:
+		w.WriteHeader(502)
+	}
+}
--- a/lab/box/core.go
+++ b/lab/box/core.go
@@ -297,20 +297,39 @@
 	if e.Fate != Waiting {
 		return
 	}
+	c.unbegin(e)
 	if e.Ran() && c.make.RunsOn {
-		e.finished = func(*Entry) { e.Fate = CalledOff }
+		finished := e.finished
+		e.finished = func(e *Entry) {
+			e.Fate = CalledOff
+			finished(e)
+		}
 		return
 	}
-	if e.Ran() {
-		c.Busy -= max(0, e.until-now)
-		e.Cost -= max(0, e.until-now)
-	}
+	c.saves(e)
 	c.leave(e)
 	e.Ended, e.Fate = now, CalledOff
 	e.finished(e)
 	c.fill()
 }
 
+// unbegin takes back that a core has begun a visit, where it stands still and has not got to it.
+func (c *Core) unbegin(e *Entry) {
+	if e.Began > c.now {
+		c.Busy -= e.Cost
+		e.Began, e.Cost = -1, 0
+	}
+}
+
+// saves books what a visit that ends early would still have cost; what its core stood still is no work.
+func (c *Core) saves(e *Entry) {
+	if e.Ran() {
+		left := min(e.Cost, max(0, e.until-max(c.now, c.still)))
+		c.Busy -= left
+		e.Cost -= left
+	}
+}
+
 // Spend takes core time for something that is no visit: a probe, a new connection.
 func (c *Core) Spend(now, work Micros, probe bool) {
 	if work <= 0 {
@@ -358,9 +377,8 @@
 	c.running = nil
 	c.waiting.Init()
 	for _, e := range ended {
-		if e.until > now {
-			c.Busy -= e.until - max(now, e.Began)
-		}
+		c.unbegin(e)
+		c.saves(e)
 		e.at, e.Ended, e.Fate = nil, now, Died
 		e.finished(e)
 	}
--- a/lab/cars/cars.go
+++ b/lab/cars/cars.go
@@ -237,6 +237,21 @@
 	return nil
 }
 
+// Counter asks it for one of its own counters, 0 where it has none such.
+func (c *Car) Counter(name string) int {
+	_, body, err := clients.Ask(c.Address, "/-/counters")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(body) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			n, _ := strconv.Atoi(strings.TrimSpace(value))
+			return n
+		}
+	}
+	return 0
+}
+
 // Lives is its account.
 func (c *Car) Lives() []Life {
 	c.mu.Lock()
--- /dev/null
+++ b/lab/cars/paper.go
@@ -0,0 +1,53 @@
+package cars
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"ledgespread/lab/scenario"
+)
+
+// Paper is what a sidecar is told, in the form of the deployment page.
+type Paper struct {
+	Scenario                                  *scenario.Scenario
+	Number                                    int
+	Name, Zone, Listen, Discovery, PeerListen string
+	Peers                                     []string
+	Seed                                      uint64
+	Known                                     json.RawMessage
+}
+
+// JSON is the configuration's file.
+func (p Paper) JSON() ([]byte, error) {
+	s := p.Scenario
+	allowed := map[string]any{"cancel": true, "retry_after": true, "max_retry_after_us": 2_000_000, "max_backend_fetches": 5,
+		"may_duplicate": true, "multiplex": 1, "conn_idle_us": 10_000_000, "connect_timeout_us": 75_000, "probes": false,
+		"peer_messages": false}
+	for k, v := range s.Allowed {
+		allowed[k] = v
+	}
+	var prefixes, realms []map[string]any
+	for _, x := range s.Prefixes {
+		prefixes = append(prefixes, map[string]any{"name": x.Name, "effect": x.Effect, "group": x.Group, "value": x.Value,
+			"late_value": x.LateValue, "target_latency_us": x.Target, "client_timeout_us": x.Timeout, "memory_span_us": x.Memory, "stream": false})
+	}
+	for _, t := range s.Tenants {
+		realms = append(realms, map[string]any{"name": t.Name, "share": t.Share, "quota_per_s": float64(t.Quota)})
+	}
+	settings := map[string]any{"azs": s.Zones, "my_zone": slices.Index(s.Zones, p.Zone), "balancers": s.Cars.Count, "me": p.Number,
+		"discovery": s.List.Mode, "step_us": 1000, "path_prefixes": prefixes, "allowed": allowed, "beyond_share_value": 0.1,
+		"tariffs": map[string]any{"cross_zone": 0.0087},
+		"obligations": map[string]any{"ask_every_us": s.Rules.AskEvery, "cold_from": s.Rules.ColdFrom, "cold_us": s.Rules.Cold,
+			"fall_multiple": s.Rules.FallMultiple, "fall_us": s.Rules.Fall, "stop_sending_within_us": s.Rules.Drain, "answer_slack_us": s.Rules.Slack}}
+	if len(realms) > 0 {
+		settings["realms"] = realms
+	}
+	file := map[string]any{"name": p.Name, "listen": p.Listen, "discovery": p.Discovery, "seed": fmt.Sprintf("%016x", p.Seed),
+		"limits":   map[string]any{"cores": s.Cars.Cores, "memory_mb": s.Cars.MemoryMB, "sockets": s.Cars.Sockets},
+		"settings": settings, "known": p.Known}
+	if p.PeerListen != "" {
+		file["peer_listen"], file["peers"] = p.PeerListen, p.Peers
+	}
+	return json.MarshalIndent(file, "", " ")
+}
--- a/lab/clients/clients.go
+++ b/lab/clients/clients.go
@@ -68,6 +68,7 @@
 
 	mu    sync.Mutex
 	tries []*Try
+	Skip  int             // one in so many is left out, so that a proof can be shown to fail; 0: none
 	Count [6]atomic.Int64 // a live look: sent, delivered, bounced, errored, lost, open
 	busy  sync.WaitGroup
 	rude  Rudeness
@@ -103,8 +104,10 @@
 		}
 		v := cs.plan.Visits[i]
 		cs.alarms.At(begun+v.At, func() {
-			cs.busy.Add(1)
-			go cs.visit(plan.VisitNo(i), v, begun+v.At)
+			if cs.Skip == 0 || i%cs.Skip != 0 {
+				cs.busy.Add(1)
+				go cs.visit(plan.VisitNo(i), v, begun+v.At)
+			}
 			next(i + 1)
 		})
 	}
@@ -203,6 +206,10 @@
 	}
 }
 
+// crossing is the most that may lie between a message's last byte and the end of a kept connection for the two to have
+// crossed. One that was closed later had its message read: what was on it is lost.
+const crossing = 10 * clock.Milli
+
 // grace is waited beyond the client timeout, so that the account tells a late answer from none.
 const grace = 60 * clock.Milli
 
@@ -249,7 +256,7 @@
 				end(Left, "")
 			case errors.Is(err, os.ErrDeadlineExceeded):
 				end(Lost, "no answer in time")
-			case kept && !again && head.Bytes == 0 && !errors.Is(err, io.ErrUnexpectedEOF):
+			case kept && !again && head.Bytes == 0 && cs.clock.Now() < t.Sent+crossing && !errors.Is(err, io.ErrUnexpectedEOF):
 				continue
 			default:
 				end(Lost, err.Error())
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -35,6 +35,7 @@
 	Blocked  []Block         // ways that let nothing through
 	Still    []clock.Stretch // the machine stood still for the lab
 	Rude     *clients.Rudeness
+	Blind    int // a rule that is not looked at, so that a proof can be shown to fail
 }
 
 // BoxAccount is what is known of a box beside its entries.
@@ -140,6 +141,7 @@
 	if a.Rude != nil && a.Rude.Served > 0 {
 		c.v.Broken = append(c.v.Broken, Broken{Rule: 1, Visit: "-", Why: fmt.Sprintf("%d rude messages were served", a.Rude.Served)})
 	}
+	c.v.Broken = slices.DeleteFunc(c.v.Broken, func(b Broken) bool { return b.Rule == a.Blind })
 	slices.SortStableFunc(c.v.Broken, func(x, y Broken) int {
 		return cmp.Or(cmp.Compare(x.At, y.At), cmp.Compare(x.Rule, y.Rule), cmp.Compare(x.Visit, y.Visit))
 	})
--- /dev/null
+++ b/lab/load/load.go
@@ -0,0 +1,106 @@
+// Package load puts load on one address: by schedule (open-loop, latency from when a visit was due), or as much as a number
+// of connections carries (closed-loop, for capacity only: its latencies are worth nothing).
+package load
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ledgespread/lab/clients"
+	"ledgespread/lab/clock"
+	"ledgespread/lab/plan"
+	"ledgespread/lab/report"
+	"ledgespread/lab/scenario"
+	"ledgespread/lab/wire"
+)
+
+// Steady is an open-loop load's end.
+type Steady struct {
+	Ends     map[string]int `json:"ends"`
+	Latency  report.Latency `json:"latency"` // of what was delivered, from when it was due
+	Rate     float64        `json:"delivered_a_second"`
+	LateP99  clock.Micros   `json:"lab_late_p99_us"`
+	LateMost clock.Micros   `json:"lab_late_most_us"`
+	Plan     string         `json:"plan"`
+}
+
+// Open sends a plan's visits to one address, each when it is due.
+func Open(address string, s *scenario.Scenario, seed uint64, stop <-chan struct{}) (*Steady, error) {
+	p, err := plan.Draw(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	c := clock.Start()
+	alarms := c.Ring()
+	defer alarms.Close()
+	cs := clients.New(s, p, []string{address}, c, alarms)
+	defer cs.Close()
+	begun := c.Now() + 50*clock.Milli
+	cs.Begin(begun)
+	done := make(chan struct{})
+	go func() { cs.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-stop:
+		return nil, errors.New("stopped before its end")
+	}
+	out := &Steady{Ends: map[string]int{}, Plan: fmt.Sprintf("%016x", p.Hash)}
+	h := report.Histogram()
+	for _, t := range cs.Account() {
+		out.Ends[string(t.How)]++
+		if v := p.Visits[t.Visit]; t.How == clients.Delivered && v.At >= s.Warmup.M() {
+			h.RecordValue(max(1, int64(t.Ended-begun-v.At)))
+		}
+	}
+	out.Latency = report.Sum(h)
+	out.Rate = float64(out.Latency.Count) / (float64(s.Length-s.Warmup) / 1e6)
+	out.LateP99, out.LateMost = alarms.Late().Quantile(0.99), alarms.Late().Most()
+	return out, nil
+}
+
+// Most sends as fast as so many connections carry for a while, and counts answers a second.
+func Most(address, prefix string, conns int, span time.Duration) (perSecond float64, err error) {
+	var count, failed atomic.Int64
+	var all sync.WaitGroup
+	run, end := time.Now().UnixNano(), time.Now().Add(span)
+	for k := range conns {
+		c, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return 0, err
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			defer c.Close()
+			in := bufio.NewReaderSize(c, 4<<10)
+			for i := 0; time.Now().Before(end); i++ {
+				c.SetDeadline(time.Now().Add(2 * time.Second))
+				fmt.Fprintf(c, "GET /%s/x?w=1&k=0 HTTP/1.1\r\nHost: %s\r\nX-Request-ID: m%x-%d-%d\r\nX-Timeout: 750m\r\n\r\n", prefix, address, run, k, i)
+				head, err := wire.ReadHead(in)
+				if err == nil {
+					_, err = head.Body(in)
+				}
+				if err != nil {
+					failed.Add(1)
+					return
+				}
+				if head.Status() == 200 {
+					count.Add(1)
+				} else {
+					failed.Add(1)
+				}
+			}
+		}()
+	}
+	begun := time.Now()
+	all.Wait()
+	if n := failed.Load(); n > count.Load()/20 {
+		return 0, fmt.Errorf("%d of %d were not delivered", n, n+count.Load())
+	}
+	return float64(count.Load()) / time.Since(begun).Seconds(), nil
+}
--- /dev/null
+++ b/lab/prove/lab.go
@@ -0,0 +1,354 @@
+package prove
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"ledgespread/lab/badcar"
+	"ledgespread/lab/box"
+	"ledgespread/lab/cars"
+	"ledgespread/lab/chance"
+	"ledgespread/lab/clock"
+	"ledgespread/lab/plan"
+	"ledgespread/lab/report"
+	"ledgespread/lab/scenario"
+	"ledgespread/lab/stage"
+)
+
+// troubled is a short day in which each rule can be broken: a box errs, one drains, one dies and comes back cold.
+const troubled = `
+name = "troubled"
+seed = 5
+length = "%dms"
+zones = ["a", "b"]
+[sidecars]
+count = 1
+[rules]
+cold = "5s"
+fall = "400ms"
+[list]
+notice = "100ms"
+[[box]]
+count = 3
+zone = "a"
+[[box]]
+count = 3
+zone = "b"
+speed = 0.8
+[[prefix]]
+name = "lookup"
+share = 0.4
+work = "4ms"
+target_latency = "100ms"
+client_timeout = "400ms"
+[[prefix]]
+name = "booking"
+effect = "tagged"
+group = "zone"
+share = 0.3
+work = "4ms"
+target_latency = "100ms"
+client_timeout = "400ms"
+memory = "400ms"
+[[prefix]]
+name = "payout"
+effect = "mutating"
+share = 0.3
+work = "4ms"
+target_latency = "100ms"
+client_timeout = "400ms"
+[traffic]
+rate = "300/s"
+[[fault]]
+at = "300ms"
+for = "%dms"
+what = "errors"
+part = 0.1
+boxes = ["b0", "b3"]
+[[fault]]
+at = "400ms"
+for = "%dms"
+what = "drain"
+boxes = "b1"
+[[fault]]
+at = "500ms"
+for = "900ms"
+what = "kill_cold"
+boxes = "b4"
+[expect]
+broken_rules = [1, 2, 3, 4]
+`
+
+func (p *Proof) parse(text string, values ...any) *scenario.Scenario {
+	s, err := scenario.Parse("(proof)", []byte(fmt.Sprintf(text, values...)))
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// self is this program as a sidecar of the lab.
+func (p *Proof) self(name string, args ...string) cars.Program {
+	return cars.Program{Path: p.Self, Args: args, Name: name}
+}
+
+func (p *Proof) say(format string, values ...any) {
+	if p.Say != nil {
+		p.Say(fmt.Sprintf(format, values...))
+	}
+}
+
+func playLab(p *Proof) error {
+	if err := p.badCars(); err != nil {
+		return err
+	}
+	p.queues()
+	if err := p.socketQueue(); err != nil {
+		return err
+	}
+	if err := p.arrivals(); err != nil {
+		return err
+	}
+	return p.lateness()
+}
+
+// badCars plays the troubled day with each bad sidecar, and with one that is not.
+func (p *Proof) badCars() error {
+	length := 4000
+	if !p.Quick {
+		length = 12_000
+	}
+	s := p.parse(troubled, length, length-600, length-1500)
+	var ways []string
+	for way := range badcar.Ways {
+		ways = append(ways, way)
+	}
+	slices.Sort(ways)
+	reports, errs := make([]*report.Report, len(ways)), make([]error, len(ways))
+	var all sync.WaitGroup
+	places := make(chan bool, 4)
+	for i, way := range ways {
+		all.Add(1)
+		places <- true
+		go func() {
+			defer all.Done()
+			p.say("the bad sidecar %q", way)
+			reports[i], errs[i] = stage.Play(s, stage.Options{Program: p.self(way, "badcar", "--break", way), Seed: p.Seed, Stop: p.Stop, Break: p.Break})
+			<-places
+		}()
+	}
+	all.Wait()
+	matched, visits := 0, 0
+	for i, way := range ways {
+		if errs[i] != nil {
+			return fmt.Errorf("%s: %w", way, errs[i])
+		}
+		rules := map[int]int{}
+		for _, b := range reports[i].Verdict.Certain() {
+			rules[b.Rule]++
+		}
+		aim, holds := "no rule broken", len(rules) == 0
+		if rule := badcar.Ways[way]; rule > 0 {
+			aim = fmt.Sprintf("only rule %d", rule)
+			holds = rules[rule] > 0 && len(rules) == 1
+		}
+		p.claim(holds, fmt.Sprintf("the sidecar %q is judged rightly", way), aim, "judge, by all accounts", "%s", told(rules))
+		matched, visits = matched+len(reports[i].Verdict.Unmatched), visits+reports[i].Tries
+	}
+	p.claim(matched == 0, "accounts of boxes and clients agree to the visit", "0 differ", "boxes against clients", "%d of %d differ", matched, visits)
+	return nil
+}
+
+func told(rules map[int]int) string {
+	var out []string
+	for rule := 1; rule <= 4; rule++ {
+		if rules[rule] > 0 {
+			out = append(out, fmt.Sprintf("rule %d ×%d", rule, rules[rule]))
+		}
+	}
+	if out == nil {
+		return "none"
+	}
+	return strings.Join(out, ", ")
+}
+
+// erlang is the mean wait in an M/M/c queue, in mean service times (Erlang's C formula).
+func erlang(servers int, load float64) float64 {
+	offered, term, sum := load*float64(servers), 1.0, 0.0
+	for k := range servers {
+		sum += term
+		term *= offered / float64(k+1)
+	}
+	waits := term / (1 - load) / (sum + term/(1-load))
+	return waits / (float64(servers) * (1 - load))
+}
+
+// queues lets boxes' machines run in their own time, and compares the mean wait with theory.
+func (p *Proof) queues() {
+	visits := 600_000
+	if !p.Quick {
+		visits = 4_000_000
+	}
+	for _, cores := range []int{1, 4} {
+		for _, load := range []float64{0.5, 0.7, 0.85} {
+			p.say("a queue with %d cores at %.0f%%", cores, 100*load)
+			got := p.meanWait(cores, load, visits)
+			want := erlang(cores, load)
+			off := got/want - 1
+			p.claim(math.Abs(off) <= 0.03, fmt.Sprintf("mean wait of M/M/%d at %.0f%% load", cores, 100*load), fmt.Sprintf("%.4f service times ± 3%%", want),
+				"a box's machine in its own time", "%.4f (%+.1f%%)", got, 100*off)
+		}
+	}
+}
+
+// meanWait plays arrivals in the machine's own time. To have bars well under the claim's, each is played with the draws of
+// its service mirrored as well (antithetic): what chance adds to one it takes from the other.
+func (p *Proof) meanWait(cores int, load float64, visits int) float64 {
+	const mean = 10_000.0
+	sum := 0.0
+	for _, mirrored := range []bool{false, true} {
+		draw, serve := chance.New(p.Seed, fmt.Sprint("arrivals ", cores, load)), chance.New(p.Seed, fmt.Sprint("services ", cores, load))
+		c := box.NewCore(scenario.Box{Cores: cores, Speed: 1, Queue: 1 << 30, WarmPart: 1, SlowFactor: 1}, scenario.Rules{}, 0, false, nil)
+		at, waited := 0.0, 0.0
+		for range visits {
+			at += draw.Exp(mean / load / float64(cores))
+			u := serve.Float()
+			if mirrored {
+				u = 1 - u
+			}
+			work := -mean * math.Log(1-min(u, 1-1e-12))
+			if p.Break == "slow-core" {
+				work *= 1.05
+			}
+			e := &box.Entry{Work: max(1, box.Micros(work))}
+			c.Offer(box.Micros(at), e, func(e *box.Entry) { waited += float64(e.Began - e.Came) })
+		}
+		c.Advance(math.MaxInt64 / 2)
+		sum += waited / float64(visits) / mean
+	}
+	return sum / 2
+}
+
+const lone = `
+name = "lone"
+length = "%ds"
+[sidecars]
+count = 1
+[[box]]
+queue = 100000
+[[prefix]]
+name = "lookup"
+work = "2ms"
+work_spread = "exp"
+target_latency = "2s"
+client_timeout = "20s"
+[traffic]
+rate = "350/s"
+`
+
+// socketQueue holds the account of a box on a socket against Lindley's recursion over its own arrivals.
+func (p *Proof) socketQueue() error {
+	s := p.parse(lone, map[bool]int{true: 5, false: 30}[p.Quick])
+	p.say("one box on a socket")
+	rig, err := stage.Raise(s, stage.Options{Program: p.self("honest", "badcar", "--break", "honest"), Seed: p.Seed, Stop: p.Stop})
+	if err != nil {
+		return err
+	}
+	defer rig.Close()
+	if _, err := rig.Run(); err != nil {
+		return err
+	}
+	wait, expected, free := 0.0, 0.0, 0.0
+	entries := rig.Entries()
+	for _, e := range entries {
+		wait += float64(e.Began - e.Came)
+		expected += max(0, free-float64(e.Came))
+		free = max(free, float64(e.Came)) + float64(e.Work)
+	}
+	n := float64(max(len(entries), 1))
+	off := wait/max(expected, 1) - 1
+	p.claim(math.Abs(off) <= 0.03 && len(entries) > 1000, "mean wait of a box on a socket at 70% load", "Lindley's recursion ± 3%", "the box's account, its own arrivals",
+		"%.0f µs, recursion %.0f µs, %d visits (%+.2f%%)", wait/n, expected/n, len(entries), 100*off)
+	return nil
+}
+
+// arrivals holds what was sent against the plan.
+func (p *Proof) arrivals() error {
+	s := p.parse(troubled, 3000, 2400, 1500)
+	one, err := plan.Draw(s, p.Seed)
+	if err != nil {
+		return err
+	}
+	two, _ := plan.Draw(s, p.Seed)
+	other, _ := plan.Draw(s, p.Seed+1)
+	p.claim(one.Hash == two.Hash && one.Hash != other.Hash, "one seed gives one plan, another seed another", "equal, and not", "the plan's hash",
+		"%016x %016x, other %016x", one.Hash, two.Hash, other.Hash)
+	p.say("the planned arrivals")
+	rig, err := stage.Raise(s, stage.Options{Program: p.self("honest", "badcar", "--break", "honest"), Seed: p.Seed, Stop: p.Stop, Break: p.Break})
+	if err != nil {
+		return err
+	}
+	defer rig.Close()
+	if _, err := rig.Run(); err != nil {
+		return err
+	}
+	sent, wrong := map[plan.VisitNo]bool{}, 0
+	begun := rig.Begun()
+	for _, t := range rig.Tries() {
+		if t.No == 0 && t.Due != begun+one.Visits[t.Visit].At {
+			wrong++
+		}
+		sent[t.Visit] = true
+	}
+	works := map[string]clock.Micros{}
+	for _, t := range rig.Tries() {
+		works[t.ID] = one.Visits[t.Visit].Work
+	}
+	for _, e := range rig.Entries() {
+		if works[e.ID] != e.Work {
+			wrong++
+		}
+	}
+	p.claim(wrong == 0 && len(sent) == len(one.Visits), "the planned arrivals are those sent", strconv.Itoa(len(one.Visits))+" visits, none otherwise",
+		"clients and boxes against the plan", "%d visits, %d otherwise", len(sent), wrong)
+	return nil
+}
+
+const busy = `
+name = "busy"
+length = "%ds"
+[sidecars]
+count = 4
+[[box]]
+count = 20
+cores = 4
+[[prefix]]
+name = "lookup"
+work = "2ms"
+target_latency = "100ms"
+client_timeout = "500ms"
+[traffic]
+rate = "5000/s"
+`
+
+// lateness measures the lab itself at full load.
+func (p *Proof) lateness() error {
+	s := p.parse(busy, map[bool]int{true: 4, false: 15}[p.Quick])
+	p.say("5,000 visits a second")
+	r, err := stage.Play(s, stage.Options{Program: p.self("bare", "bare"), Seed: p.Seed, Stop: p.Stop})
+	if err != nil {
+		return err
+	}
+	said := ""
+	if r.RanLate {
+		said = ", and the report says so"
+	}
+	p.claim(r.LateP99 <= clock.Milli || r.RanLate, "the lab's own lateness at 5,000 visits/s", "p99 under 1 ms, else the report says that it ran late", "the lab's alarms",
+		"p99 %d µs, most %d µs%s", r.LateP99, r.LateMost, said)
+	p.note("what it carried meanwhile", "clients", "%d of %d delivered, p50 %.2f ms", r.Ends["delivered"], r.Visits, float64(r.Latency.P50)/1000)
+	return nil
+}
--- /dev/null
+++ b/lab/report/plot.go
@@ -0,0 +1,129 @@
+package report
+
+import (
+	"fmt"
+	"image/color"
+	"math"
+	"os"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+)
+
+var (
+	colors = []color.RGBA{{31, 119, 180, 255}, {255, 127, 14, 255}, {44, 160, 44, 255}, {214, 39, 40, 255}, {148, 103, 189, 255},
+		{140, 86, 75, 255}, {227, 119, 194, 255}, {127, 127, 127, 255}, {188, 189, 34, 255}, {23, 190, 207, 255}}
+	grey = color.RGBA{150, 150, 150, 255}
+)
+
+const mostLegend = 12 // boxes that get a line in the legend
+
+// Plot draws the run as a PNG: latency by time, service and ends by second, load by box, with events marked.
+func (r *Report) Plot(file string) error {
+	latency, service, load := plot.New(), plot.New(), plot.New()
+	latency.Title.Text = fmt.Sprintf("%s, %s, seed %d", r.Scenario, r.Program, r.Seed)
+	latency.Y.Label.Text, service.Y.Label.Text, load.Y.Label.Text = "latency, ms", "service", "visits held"
+	load.X.Label.Text = "seconds"
+	var p50, p99, served plotter.XYs
+	for _, s := range r.Seconds {
+		x := float64(s.At) + 0.5
+		if s.P50 > 0 {
+			p50 = append(p50, plotter.XY{X: x, Y: float64(s.P50) / 1000})
+			p99 = append(p99, plotter.XY{X: x, Y: float64(s.P99) / 1000})
+		}
+		served = append(served, plotter.XY{X: x, Y: s.Service})
+	}
+	for _, x := range []struct {
+		on   *plot.Plot
+		name string
+		line plotter.XYs
+		hue  color.RGBA
+	}{{latency, "p50", p50, colors[0]}, {latency, "p99", p99, colors[3]}, {service, "service", served, colors[2]}} {
+		if err := add(x.on, x.name, x.line, x.hue); err != nil {
+			return err
+		}
+	}
+	if len(r.Load) > 0 {
+		last := r.Load[len(r.Load)-1]
+		for b := range last.Held {
+			var line plotter.XYs
+			for _, l := range r.Load {
+				held := math.NaN()
+				if b < len(l.Held) && l.Held[b] >= 0 {
+					held = float64(l.Held[b])
+				}
+				if !math.IsNaN(held) {
+					line = append(line, plotter.XY{X: float64(l.At) / 1e6, Y: held})
+				}
+			}
+			name := ""
+			if len(last.Held) <= mostLegend {
+				name = fmt.Sprintf("box %d", b)
+			}
+			if err := add(load, name, line, colors[b%len(colors)]); err != nil {
+				return err
+			}
+		}
+	}
+	service.Y.Min, service.Y.Max, latency.Y.Min, load.Y.Min = 0, 1.05, 0, 0
+	plots := []*plot.Plot{latency, service, load}
+	for _, p := range plots {
+		p.X.Min, p.X.Max = 0, float64(r.Length)/1e6
+		p.Add(plotter.NewGrid())
+		p.Legend.Top, p.Legend.Left = true, true
+		for _, m := range r.Marks {
+			at := float64(m.At) / 1e6
+			line, err := plotter.NewLine(plotter.XYs{{X: at, Y: p.Y.Min}, {X: at, Y: p.Y.Max}})
+			if err != nil {
+				return err
+			}
+			line.Color, line.Dashes = grey, []vg.Length{vg.Points(2), vg.Points(2)}
+			p.Add(line)
+		}
+	}
+	if len(r.Marks) > 0 { // events are named once, at the top
+		var at plotter.XYLabels
+		for i, m := range r.Marks {
+			at.XYs = append(at.XYs, plotter.XY{X: float64(m.At) / 1e6, Y: latency.Y.Max * (1 - 0.07*float64(i%6))})
+			at.Labels = append(at.Labels, m.What)
+		}
+		names, err := plotter.NewLabels(at)
+		if err != nil {
+			return err
+		}
+		latency.Add(names)
+	}
+	picture := vgimg.New(24*vg.Centimeter, 27*vg.Centimeter)
+	canvas := draw.New(picture)
+	tiles := draw.Tiles{Rows: len(plots), Cols: 1, PadY: vg.Millimeter * 4, PadTop: vg.Millimeter * 3, PadBottom: vg.Millimeter * 3,
+		PadLeft: vg.Millimeter * 3, PadRight: vg.Millimeter * 6}
+	for i, row := range plot.Align([][]*plot.Plot{{latency}, {service}, {load}}, tiles, canvas) {
+		plots[i].Draw(row[0])
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = vgimg.PngCanvas{Canvas: picture}.WriteTo(f)
+	return err
+}
+
+func add(on *plot.Plot, name string, points plotter.XYs, hue color.RGBA) error {
+	if len(points) == 0 {
+		return nil
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color = hue
+	on.Add(line)
+	if name != "" {
+		on.Legend.Add(name, line)
+	}
+	return nil
+}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -6,9 +6,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -51,6 +53,7 @@
 // Scenario is one file.
 type Scenario struct {
 	Name     string         `toml:"name"`
+	Base     string         `toml:"base"` // another file, beside this one: what this one leaves out stands there
 	Told     string         `toml:"told"` // what it is about, in a sentence
 	Seed     uint64         `toml:"seed"`
 	Length   Span           `toml:"length"`
@@ -236,25 +239,43 @@
 	return Parse(file, text)
 }
 
+// ReadOver reads a file as if it named another as its base.
+func ReadOver(base, file string) (*Scenario, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	under, err := filepath.Rel(filepath.Dir(file), base)
+	if err != nil {
+		return nil, err
+	}
+	return parse(file, text, under)
+}
+
 // Parse reads the bytes of a file.
-func Parse(file string, text []byte) (*Scenario, error) {
+func Parse(file string, text []byte) (*Scenario, error) { return parse(file, text, "") }
+
+func parse(file string, text []byte, base string) (*Scenario, error) {
 	s := &Scenario{File: file, Seed: 1}
-	d := toml.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		var unknown *toml.StrictMissingError
-		var malformed *toml.DecodeError
-		switch {
-		case errors.As(err, &unknown):
-			first := unknown.Errors[0]
-			row, _ := first.Position()
-			return nil, fmt.Errorf("%s:%d: %s: no such name", file, row, strings.Join(first.Key(), "."))
-		case errors.As(err, &malformed):
-			row, _ := malformed.Position()
-			return nil, fmt.Errorf("%s:%d: %s: %s", file, row, strings.Join(malformed.Key(), "."),
-				strings.TrimPrefix(malformed.Error(), "toml: "))
+	if err := s.over(file, text); err != nil {
+		return nil, err
+	}
+	if base = cmp.Or(base, s.Base); base != "" {
+		under, base := &Scenario{File: file, Seed: 1}, filepath.Join(filepath.Dir(file), base)
+		below, err := os.ReadFile(base)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: base: %w", file, lineOf(text, "", 0, "base"), err)
+		}
+		if err := under.over(base, below); err != nil {
+			return nil, err
+		}
+		if under.Base != "" {
+			return nil, fmt.Errorf("%s:%d: base: %s has a base itself", file, lineOf(text, "", 0, "base"), base)
+		}
+		under.Expect = Expect{} // what is expected is each file's own
+		if s = under; s.over(file, text) != nil {
+			return nil, fmt.Errorf("%s: does not fit its base", file)
 		}
-		return nil, fmt.Errorf("%s: %w", file, err)
 	}
 	s.usual()
 	if err := s.possible(); err != nil {
@@ -267,6 +288,27 @@
 	return s, nil
 }
 
+// over reads a text over what is there already.
+func (s *Scenario) over(file string, text []byte) error {
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	err := d.Decode(s)
+	var unknown *toml.StrictMissingError
+	var malformed *toml.DecodeError
+	switch {
+	case errors.As(err, &unknown):
+		first := unknown.Errors[0]
+		row, _ := first.Position()
+		return fmt.Errorf("%s:%d: %s: no such name", file, row, strings.Join(first.Key(), "."))
+	case errors.As(err, &malformed):
+		row, _ := malformed.Position()
+		return fmt.Errorf("%s:%d: %s: %s", file, row, strings.Join(malformed.Key(), "."), strings.TrimPrefix(malformed.Error(), "toml: "))
+	case err != nil:
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
+
 // oddity is a value that can't be.
 type oddity struct {
 	table string
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -3,12 +3,13 @@
 package stage
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -36,6 +37,7 @@
 	Watch   func(Live)      // called now and then
 	Every   Micros          // between two such calls
 	Stop    <-chan struct{} // ends the run early
+	Break   string          // a guard of the lab that is off, so that a proof can be shown to fail
 }
 
 // Live is a look at a run.
@@ -101,7 +103,7 @@
 		return nil, err
 	}
 	defer rig.Close()
-	return rig.run()
+	return rig.Run()
 }
 
 // Raise draws the plan, starts everything and has it ready; Close takes it down again.
@@ -136,6 +138,7 @@
 		at = append(at, car.Address)
 	}
 	g.clients = clients.New(s, p, at, c, g.alarms)
+	g.clients.Skip = map[bool]int{true: 200}[o.Break == "skip"]
 	return g, nil
 }
 
@@ -253,11 +256,11 @@
 			}
 		}
 	}
-	draw := chance.New(g.o.Seed, "sidecars")
 	for i, name := range names {
 		zone := g.zoneOf(name)
+		seeds := chance.New(g.o.Seed, name) // a start's is new; one car is configured by one goroutine at a time
 		car, err := cars.New(name, zone, g.o.Program, g.folder, g.clock, func(at string) ([]byte, error) {
-			return g.configuration(i, at, listen[i], peers[i], draw.Bits())
+			return g.configuration(i, at, listen[i], peers[i], seeds.Bits())
 		})
 		if err != nil {
 			return err
@@ -283,41 +286,12 @@
 // configuration is a sidecar's file, in the form of the deployment page.
 func (g *Rig) configuration(i int, at, peerListen string, peers []string, seed uint64) ([]byte, error) {
 	s, name := g.s, g.s.CarNames()[i]
-	g.mu.Lock()
-	discovery, err := g.list.Address(name)
-	g.mu.Unlock()
+	discovery, err := g.list.Address(name) // without the lock held: the list asks dial
 	if err != nil {
 		return nil, err
 	}
-	allowed := map[string]any{"cancel": true, "retry_after": true, "max_retry_after_us": 2_000_000, "max_backend_fetches": 5,
-		"may_duplicate": true, "multiplex": 1, "conn_idle_us": 10_000_000, "connect_timeout_us": 75_000, "probes": false,
-		"peer_messages": false}
-	for k, v := range s.Allowed {
-		allowed[k] = v
-	}
-	var prefixes, realms []map[string]any
-	for _, p := range s.Prefixes {
-		prefixes = append(prefixes, map[string]any{"name": p.Name, "effect": p.Effect, "group": p.Group, "value": p.Value,
-			"late_value": p.LateValue, "target_latency_us": p.Target, "client_timeout_us": p.Timeout, "memory_span_us": p.Memory, "stream": false})
-	}
-	for _, t := range s.Tenants {
-		realms = append(realms, map[string]any{"name": t.Name, "share": t.Share, "quota_per_s": float64(t.Quota)})
-	}
-	settings := map[string]any{"azs": s.Zones, "my_zone": slices.Index(s.Zones, g.zoneOf(name)), "balancers": s.Cars.Count, "me": i,
-		"discovery": s.List.Mode, "step_us": 1000, "path_prefixes": prefixes, "allowed": allowed, "beyond_share_value": 0.1,
-		"tariffs": map[string]any{"cross_zone": 0.0087},
-		"obligations": map[string]any{"ask_every_us": s.Rules.AskEvery, "cold_from": s.Rules.ColdFrom, "cold_us": s.Rules.Cold,
-			"fall_multiple": s.Rules.FallMultiple, "fall_us": s.Rules.Fall, "stop_sending_within_us": s.Rules.Drain, "answer_slack_us": s.Rules.Slack}}
-	if len(realms) > 0 {
-		settings["realms"] = realms
-	}
-	file := map[string]any{"name": name, "listen": at, "discovery": discovery, "seed": fmt.Sprintf("%016x", seed),
-		"limits":   map[string]any{"cores": s.Cars.Cores, "memory_mb": s.Cars.MemoryMB, "sockets": s.Cars.Sockets},
-		"settings": settings, "known": g.list.Whole(name)}
-	if peerListen != "" {
-		file["peer_listen"], file["peers"] = peerListen, peers
-	}
-	return json.MarshalIndent(file, "", " ")
+	return cars.Paper{Scenario: s, Number: i, Name: name, Zone: g.zoneOf(name), Listen: at, Discovery: discovery, Seed: seed,
+		PeerListen: peerListen, Peers: peers, Known: g.list.Whole(name)}.JSON()
 }
 
 // Addresses are where the sidecars listen.
@@ -337,7 +311,8 @@
 	g.marks = append(g.marks, report.Mark{At: g.clock.Now() - g.begun, What: fmt.Sprintf(format, values...)})
 }
 
-func (g *Rig) run() (*report.Report, error) {
+// Run plays what was raised, once.
+func (g *Rig) Run() (*report.Report, error) {
 	cpu := g.cpu()
 	g.begun = g.clock.Now() + settle
 	for _, e := range g.plan.Events {
@@ -372,6 +347,7 @@
 	g.faults.Wait()
 	cpu = g.cpu() - cpu
 	a, r := g.accounts(), (*report.Report)(nil)
+	g.broken(a)
 	r = report.From(a)
 	g.fill(r, cpu, load)
 	return r, nil
@@ -414,6 +390,16 @@
 	r.Notes = append(r.Notes, g.notes...)
 }
 
+// broken spoils the accounts in the way a proof is to fail.
+func (g *Rig) broken(a *judge.Accounts) {
+	if rule, ok := strings.CutPrefix(g.o.Break, "blind"); ok {
+		a.Blind, _ = strconv.Atoi(rule)
+	}
+	if g.o.Break == "deaf" {
+		a.Entries = slices.DeleteFunc(a.Entries, func(e *box.Entry) bool { return strings.HasSuffix(e.ID, "77-0") })
+	}
+}
+
 // accounts gathers what the stand-ins wrote down.
 func (g *Rig) accounts() *judge.Accounts {
 	told, changes := g.list.Accounts()
@@ -448,6 +434,16 @@
 	return a
 }
 
+// Begun is the plan's time 0 on the run's clock; Tries and Entries are the accounts of clients and boxes.
+func (g *Rig) Begun() Micros         { return g.begun }
+func (g *Rig) Tries() []*clients.Try { return g.clients.Account() }
+func (g *Rig) Entries() (es []*box.Entry) {
+	for _, b := range g.boxes {
+		es = append(es, b.Account()...)
+	}
+	return es
+}
+
 const lookEvery = 100 * clock.Milli
 
 // watch looks at the boxes now and then, and tells who watches.
