The lenient start begins with a sidecar's first visit, not with its process

Cause: the start's leniency ran from the process's start, so a sidecar that had waited 0.2 s for its first visit met its first burst with nothing learnt and no leniency: two held at a server of guessed work are 1.3 of what admit takes. Printed: age 208 ms, no answers, crowd 1018, own 112.5 of 150 ms.

Change: the start counts from the first visit. TestQuickStart fails without it (10 bounces in its trace).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -366,6 +366,9 @@
 			v.value = 0 // too late to be worth anything, but an answer still beats an error
 		}
 	}
+	if b.came == 0 {
+		b.begun = now // what waits for its first visit learns nothing: the lenient start is still to come
+	}
 	b.came = min(b.came+1, 4*enough)
 	b.meanWork += (v.work - b.meanWork) / b.came
 	b.meanTarget += (float64(p.target) - b.meanTarget) / b.came
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -396,7 +396,8 @@
 // A fresh sidecar's burst before quick servers: what it guesses of visits must not turn them away.
 func TestQuickStart(t *testing.T) {
 	d := begin(t, site("cell"), "a b")
-	d.title("ten visits at once, before any answer")
+	d.pass(5000 * ms)
+	d.title("ten visits at once, before any answer; the sidecar had none since it started")
 	for id := range VisitID(10) {
 		d.visit(id, 0)
 	}
--- /dev/null
+++ b/lab/scenario/scenario_test.go
@@ -0,0 +1,108 @@
+package scenario
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ledgespread/lab/trace"
+)
+
+const least = `name = "x"
+length = "1s"
+[[box]]
+[[prefix]]
+name = "look"
+work = "1ms"
+target_latency = "100ms"
+[traffic]
+rate = "10/s"
+`
+
+// What is odd in a file is told with file, line and name.
+func TestStrict(t *testing.T) {
+	var tr trace.Trace
+	for _, x := range []struct{ title, text string }{
+		{"nothing odd", least},
+		{"no TOML", least + "][\n"},
+		{"an unknown name", least + "speed = 4\n"},
+		{"an unknown table", least + "[trafic]\n"},
+		{"a wrong type", strings.Replace(least, `"10/s"`, "10", 1)},
+		{"no rate", strings.Replace(least, "10/s", "10/h", 1)},
+		{"no duration", strings.Replace(least, "100ms", "100", 1)},
+		{"a negative duration", strings.Replace(least, "100ms", "-1ms", 1)},
+		{"less than a microsecond", strings.Replace(least, "100ms", "10ns", 1)},
+		{"a missing name", strings.Replace(least, "name = \"x\"", "", 1)},
+		{"a missing box", strings.Replace(least, "[[box]]", "", 1)},
+		{"an impossible value, in the second of two", least + "[[box]]\n[[box]]\nspeed = -1\n"},
+		{"a zone that isn't", least + "[[box]]\nzone = \"mars\"\n"},
+		{"a slow state without end", strings.Replace(least, "[[box]]", "[[box]]\nslow_queue = 2\nslow_after = \"1s\"", 1)},
+		{"a client timeout under the target", strings.Replace(least, `target_latency = "100ms"`, "target_latency = \"100ms\"\nclient_timeout = \"50ms\"", 1)},
+		{"an unknown fault", least + "[[fault]]\nat = \"1ms\"\nwhat = \"sabotage\"\n"},
+		{"a fault past the end", least + "[[fault]]\nat = \"2s\"\nwhat = \"kill\"\nboxes = \"b0\"\n"},
+		{"a fault of no box", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\n"},
+		{"a fault of a box that isn't", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nboxes = [\"b0\", \"b7\"]\n"},
+		{"more than all of them", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nboxes = 1.5\n"},
+		{"a lasting fault without an end", least + "[[fault]]\nat = \"1ms\"\nwhat = \"mute\"\nboxes = \"b0\"\n"},
+		{"a base that isn't", "base = \"none.toml\"\n" + least},
+	} {
+		_, err := Parse("day.toml", []byte(x.text))
+		tr.Add("%s: %v", x.title, err)
+	}
+	tr.Same(t)
+}
+
+// A file over a base takes what it leaves out from there, but not what is expected.
+func TestBase(t *testing.T) {
+	folder := t.TempDir()
+	write := func(name, text string) string {
+		file := filepath.Join(folder, name)
+		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return file
+	}
+	write("base.toml", least+"[expect]\nservice_at_least = 0.9\n")
+	s, err := Read(write("over.toml", "name = \"over\"\nbase = \"base.toml\"\n[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nboxes = 1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var tr trace.Trace
+	tr.Add("%s %s, %d boxes, rate %g, faults %d, expects %g", s.Name, s.Prefixes[0].Name, len(s.Boxes), float64(s.Traffic.Rate), len(s.Faults), s.Expect.Service)
+	write("base.toml", least+"base = \"over.toml\"\n")
+	_, err = Read(filepath.Join(folder, "over.toml"))
+	tr.Add("%s", strings.ReplaceAll(err.Error(), folder+"/", ""))
+	tr.Same(t)
+}
+
+// The scenarios that come with the lab can be read.
+func TestScenarios(t *testing.T) {
+	files, _ := filepath.Glob("../scenarios/*.toml")
+	if len(files) < 6 {
+		t.Fatalf("%d scenarios", len(files))
+	}
+	for _, f := range files {
+		if _, err := Read(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(least))
+	files, _ := filepath.Glob("../scenarios/*.toml")
+	for _, file := range files {
+		text, _ := os.ReadFile(file)
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse("fuzz.toml", text)
+		if (s == nil) == (err == nil) {
+			t.Fatal("neither a scenario nor an error, or both")
+		}
+		if err != nil && !strings.HasPrefix(err.Error(), "fuzz.toml") {
+			t.Fatalf("an error without its file: %v", err)
+		}
+	})
+}
