--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -346,6 +346,7 @@
 	}
 	g.faults.Wait()
 	cpu = g.cpu() - cpu
+	g.stopCars()
 	a, r := g.accounts(), (*report.Report)(nil)
 	g.broken(a)
 	r = report.From(a)
@@ -353,6 +354,27 @@
 	return r, nil
 }
 
+// stopCars asks the sidecars to end, as a planned restart would; one that does not by itself is noted.
+func (g *Rig) stopCars() {
+	longest := Micros(0)
+	for _, p := range g.s.Prefixes {
+		longest = max(longest, p.Timeout.M())
+	}
+	var all sync.WaitGroup
+	for _, car := range g.cars {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if err := car.Stop((longest + 2*clock.Second).Duration()); err != nil {
+				g.mu.Lock()
+				g.notes = append(g.notes, err.Error())
+				g.mu.Unlock()
+			}
+		}()
+	}
+	all.Wait()
+}
+
 func (g *Rig) cpu() (sum time.Duration) {
 	for _, car := range g.cars {
 		cpu, _ := car.Used()
