--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -41,6 +41,8 @@
 	mayGo    = 2 * time.Second // an idle client's connection may be closed after this
 	slowest  = lastWord / 2    // a newcomer's first message is let come for so long, whoever else waits
 	lookAway = lastWord / 200  // how often those who wait for a place look again
+
+	deadlinePart = 8 // a read may end by this part earlier or later than its deadline
 )
 
 // client is an accepted connection. Closing it frees its place.
@@ -51,6 +53,8 @@
 	bytes int  // read since the last whole message
 	known bool // it has brought one
 
+	readBy, wantBy, writeBy time.Time // deadlines that are set, and the one to be when it is next read
+
 	// Under the listener's lock:
 	evicted bool
 	at      stage
@@ -63,20 +67,41 @@
 }
 
 func (c *client) Read(p []byte) (n int, err error) {
+	if !c.wantBy.IsZero() {
+		if slack := time.Until(c.wantBy) / deadlinePart; c.readBy.Before(c.wantBy.Add(-slack)) || c.readBy.After(c.wantBy.Add(slack)) {
+			c.readBy = c.wantBy
+			c.TCPConn.SetReadDeadline(c.readBy)
+		}
+		c.wantBy = time.Time{}
+	}
 	n, err = c.TCPConn.Read(p)
 	c.bytes += n
 	return n, err
 }
 
 // SetReadDeadline keeps the first message's end where it is. Guards against a client that holds its place by
-// saying nothing, or a byte at a time.
+// saying nothing, or a byte at a time. A later message's is set when the connection is next read, if it differs by
+// more than a part: most messages are whole by then, and a busy client's connection is told once for many.
 func (c *client) SetReadDeadline(t time.Time) error {
 	if last := c.came.Add(lastWord); !c.known && (t.IsZero() || t.After(last)) {
 		t = last
+	} else if c.known && time.Until(t) > 0 {
+		c.wantBy = t
+		return nil
 	}
+	c.wantBy, c.readBy = time.Time{}, t
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline leaves one that is set where it is, unless that comes more than half of a last word earlier.
+func (c *client) SetWriteDeadline(t time.Time) error {
+	if !t.IsZero() && c.writeBy.After(t.Add(-lastWord/2)) {
+		return nil
+	}
+	c.writeBy = t
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
 // evict closes a connection for good; the listener's lock is held, so that whoever finds it evicted also
 // finds it closed. Guards against an empty answer to a visit that came just then. Close is still to be
 // called.
--- a/internal/outbound/crew.go
+++ b/internal/outbound/crew.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-const restless = time.Second // a goroutine that has had nothing to do for so long ends
+const restless = time.Second // a goroutine that has had nothing to do for so long, or half of it, ends
 
 // crew runs jobs on goroutines that are used again. Guards against a stack that grows anew for every fetch, and
 // against goroutines that stay for ever after a burst.
@@ -16,16 +16,24 @@
 	}
 }
 
+// work does jobs until none has come for a while. The timer runs on over jobs and is asked only when it comes whether
+// there were any: setting it anew for each costs as much as a channel's hop.
 func (c crew) work(job func()) {
-	rest := time.NewTimer(restless)
+	rest := time.NewTimer(restless / 2)
 	defer rest.Stop()
-	for {
-		job()
-		rest.Reset(restless)
+	for busy := true; ; {
+		if job != nil {
+			job()
+			busy = true
+		}
 		select {
 		case job = <-c:
 		case <-rest.C:
-			return
+			if !busy {
+				return
+			}
+			busy, job = false, nil
+			rest.Reset(restless / 2)
 		}
 	}
 }
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -23,6 +23,8 @@
 const (
 	idleMargin = 20 // a connection is left this part of its idle time before the server may close it
 	answerPart = 16 // one answer may take this part of what all may take
+
+	deadlinePart = 4 // a connection's deadline may be late by this part of the time left
 )
 
 // Outbound reaches the servers.
@@ -174,14 +176,14 @@
 	keep := false
 	defer func() {
 		f.rides(nil)
-		if keep {
+		if keep && !f.called.Load() { // one that Cancel reached has a deadline that has passed
 			o.pool.put(u, l)
 			return
 		}
 		l.Close()
 		o.pool.closed()
 	}()
-	l.SetDeadline(until)
+	l.by(until)
 	f.rides(l)
 	reach := Nowhere
 	fail := func(cause error) error {
@@ -207,7 +209,7 @@
 		}
 		return nil, fail(err)
 	}
-	keep = !answer.closes && l.in.Buffered() == 0 && !f.called.Load()
+	keep = !answer.closes && l.in.Buffered() == 0
 	if answer.status != fasthttp.StatusOK {
 		unseen := answer.unseen && (answer.status == fasthttp.StatusServiceUnavailable ||
 			answer.status == fasthttp.StatusGatewayTimeout)
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -18,6 +18,16 @@
 	address string
 	idle    time.Time // since when
 	broke   error     // how reading from it ended; nil: what came, came whole
+	until   time.Time // the deadline that is set on it
+}
+
+// by sets a deadline, unless one is set that comes no earlier and not much later: a busy connection is told once for
+// many fetches. What it may be late by is no visit's loss: that is answered by the module's own clock.
+func (l *line) by(until time.Time) {
+	if left := time.Until(until); l.until.Before(until) || l.until.After(until.Add(left/deadlinePart)) {
+		l.until = until.Add(left / deadlinePart / 2)
+		l.SetDeadline(l.until)
+	}
 }
 
 func (l *line) Read(p []byte) (n int, err error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,6 +58,7 @@
 	due      *btree.BTreeG[due]
 	seq      uint64
 	timer    *time.Timer
+	armed    brain.Micros // the timer comes by then; 0: it is not set
 	visits   map[brain.VisitID]*visit
 	names    map[string]bool // of visits that are open, or were lately
 	held     int             // visits not yet ended
@@ -116,6 +117,7 @@
 		case event := <-r.mail:
 			r.turn(event)
 		case <-r.timer.C:
+			r.armed = 0
 		}
 		r.catchUp()
 		r.turn(r.lapse)
@@ -156,9 +158,11 @@
 	}
 }
 
-// arm sets the timer for what is due first.
+// arm sets the timer for what is due first. One that comes earlier stays as it is: it finds nothing due and is set
+// again, which costs less than to set it anew with every turn.
 func (r *Relay) arm() {
-	if d, ok := r.due.Min(); ok {
+	if d, ok := r.due.Min(); ok && (r.armed == 0 || d.at < r.armed) {
+		r.armed = max(d.at, 1)
 		r.timer.Reset(time.Duration(max(d.at-r.clock.now(), 0)) * time.Microsecond)
 	}
 }
