Names of visits are forgotten by generations, not by a due time each

Need: each visit's name cost a closure, an insertion and a removal in the tree of due times, which at 25,000 visits/s held 19,000 of them.

Change: two generations of the longest client timeout each; a name is taken exactly as long as before (TestNames, random sequences; it fails with generations of half the time). Names of visits that bring a longer time-out than any path prefix has keep a due time.

--- /dev/null
+++ b/internal/relay/names_test.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ledgespread/brain"
+)
+
+// Whatever comes and when, a name is taken exactly until its visit's time is up, and what is kept is bounded by what
+// came in two generations.
+func TestNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = 100
+		n, at, until, came := newNames(span), brain.Micros(rapid.IntRange(0, 1000).Draw(t, "start")), map[string]brain.Micros{}, map[string]brain.Micros{}
+		for range rapid.IntRange(20, 80).Draw(t, "steps") {
+			at += brain.Micros(rapid.OneOf(rapid.IntRange(0, 60), rapid.SampledFrom([]int{99, 100, 101, 250})).Draw(t, "later"))
+			name := strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "name"))
+			if got, want := n.taken(name, at), until[name] > at; got != want {
+				t.Fatalf("at %d: %s, taken until %d, is taken: %v", at, name, until[name], got)
+			}
+			left := brain.Micros(rapid.IntRange(60, 110).Draw(t, "left"))
+			if until[name] > at {
+				continue
+			}
+			if took := n.take(name, at, at+left); took != (left <= span) {
+				t.Fatalf("took one for %d: %v", left, took)
+			} else if !took {
+				continue
+			}
+			until[name], came[name] = at+left, at
+			for name := range n.now {
+				if at-came[name] > span {
+					t.Fatalf("%s is kept as new at %d, it came at %d", name, at, came[name])
+				}
+			}
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strconv"
 	"time"
 
 	"github.com/google/btree"
@@ -60,7 +61,8 @@
 	timer    *time.Timer
 	armed    brain.Micros // the timer comes by then; 0: it is not set
 	visits   map[brain.VisitID]*visit
-	names    map[string]bool // of visits that are open, or were lately
+	names    *names
+	rare     map[string]bool // names to be kept for longer than a generation of those
 	held     int             // visits not yet ended
 	mostHeld int
 	mostOut  int
@@ -80,7 +82,7 @@
 func New(b *site.Berth, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
 	log zerolog.Logger) (*Relay, error) {
 	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), due: btree.NewG(16, due.before),
-		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, names: map[string]bool{},
+		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, rare: map[string]bool{},
 		servers:  map[brain.Backend]server{},
 		mostHeld: most, mostOut: int(b.Figure("allowed.max_backend_fetches")),
 		idle: b.Span("allowed.conn_idle_us"), pushed: b.Site["discovery"] == "pushed",
@@ -88,6 +90,11 @@
 	if told := int(b.Figure("allowed.most_held")); told > 0 {
 		r.mostHeld = min(r.mostHeld, told)
 	}
+	longest := brain.Micros(0)
+	for _, i := range b.Places("path_prefixes") {
+		longest = max(longest, b.Span("path_prefixes."+strconv.Itoa(i)+".client_timeout_us"))
+	}
+	r.names = newNames(longest)
 	zones := b.Places("azs")
 	saved, err := discovery.Read(b.Known, zones)
 	if err != nil {
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -12,7 +12,7 @@
 	r.post(func() {
 		// Guards against a stranger who gets another client's answer, and a server that sees a second copy. A name
 		// is new with every visit, so it is still taken until its visit's time is up, also once that is answered.
-		if r.names[x.Name] {
+		if r.names.taken(x.Name, r.now) || r.rare[x.Name] {
 			r.counts.Add(counters.VisitsTwice)
 			x.Fail(exchange.Twice)
 			return
@@ -27,7 +27,10 @@
 		x.ID = r.ids
 		v := &visit{x: x, until: r.now + x.Left}
 		r.visits[x.ID] = v
-		r.names[x.Name] = true
+		if !r.names.take(x.Name, r.now, v.until) {
+			r.rare[x.Name] = true
+			r.at(v.until, func() { delete(r.rare, x.Name) })
+		}
 		r.held++
 		r.orFail(v, func() { r.b.Inbound(r.now, x.ID, x.On, x.Of, x.Key, x.Left, x.Effort, x.Again) })
 	})
@@ -71,7 +74,6 @@
 func (r *Relay) forget(v *visit) {
 	if v.ended && v.out == 0 && r.visits[v.x.ID] == v {
 		delete(r.visits, v.x.ID)
-		r.at(v.until, func() { delete(r.names, v.x.Name) })
 	}
 }
 
