--- a/internal/relay/names_test.go
+++ b/internal/relay/names_test.go
@@ -17,9 +17,11 @@
 		n, at, until, came := newNames(span), brain.Micros(rapid.IntRange(0, 1000).Draw(t, "start")), map[string]brain.Micros{}, map[string]brain.Micros{}
 		for range rapid.IntRange(20, 80).Draw(t, "steps") {
 			at += brain.Micros(rapid.OneOf(rapid.IntRange(0, 60), rapid.SampledFrom([]int{99, 100, 101, 250})).Draw(t, "later"))
-			name := strconv.Itoa(rapid.IntRange(0, 4).Draw(t, "name"))
-			if got, want := n.taken(name, at), until[name] > at; got != want {
-				t.Fatalf("at %d: %s, taken until %d, is taken: %v", at, name, until[name], got)
+			name := strconv.Itoa(rapid.IntRange(0, 30).Draw(t, "name"))
+			for name, end := range until {
+				if got, want := n.taken(name, at), end > at; got != want {
+					t.Fatalf("at %d: %s, taken until %d, is taken: %v", at, name, end, got)
+				}
 			}
 			left := brain.Micros(rapid.IntRange(60, 110).Draw(t, "left"))
 			if until[name] > at {
