--- a/cmd/ledgelab/experiments.go
+++ b/cmd/ledgelab/experiments.go
@@ -257,6 +257,7 @@
 func proveCommand() *cobra.Command {
 	p := &prove.Proof{}
 	var o common
+	var beside string
 	c := &cobra.Command{Use: "prove NAME", Short: "Play a proof: what is claimed, the aim, what was measured, by whose account; exit 1 where a claim does not hold",
 		Long: "Play a proof: what is claimed, the aim, what was measured, by whose account, and whether it holds.\n\n  " + strings.Join(prove.Names(), "\n  "),
 		Args: cobra.ExactArgs(1),
@@ -269,6 +270,11 @@
 			if p.Sidecar, err = program(o.sidecar); err != nil {
 				return err
 			}
+			if beside != "" {
+				if p.Beside, err = program(beside); err != nil {
+					return err
+				}
+			}
 			p.Say = func(text string) { fmt.Fprintln(c.ErrOrStderr(), "…", text) }
 			if err := p.Play(); err != nil {
 				return err
@@ -285,6 +291,7 @@
 			return nil
 		}}
 	o.flags(c)
+	c.Flags().StringVar(&beside, "beside", "", "an earlier build of the sidecar, for floor to measure in the same rounds")
 	c.Flags().BoolVar(&p.Quick, "quick", false, "end within 50 s")
 	c.Flags().StringVar(&p.Break, "break", "", "switch a guard of the lab off, to see the proof fail")
 	return c
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -47,6 +47,7 @@
 	readLike map[int]bool
 	realms   map[string]int
 	longest  brain.Micros // client timeout
+	ticks    ticks
 	stopping atomic.Bool
 	counts   *counters.Sheet
 	log      zerolog.Logger
@@ -65,7 +66,11 @@
 	for _, i := range in.prefixes {
 		at := "path_prefixes." + strconv.Itoa(i)
 		in.tagged[i], in.readLike[i] = b.Site[at+".effect"] == "tagged", b.Site[at+".effect"] == "read_like"
-		in.longest = max(in.longest, b.Span(at+".client_timeout_us"))
+		timeout := b.Span(at + ".client_timeout_us")
+		in.longest = max(in.longest, timeout)
+		if tick := time.Duration(timeout) * time.Microsecond / quickParts / 2; in.ticks.every == 0 || tick < in.ticks.every {
+			in.ticks.every = tick
+		}
 	}
 	// Buffers are given back between visits only where memory is short: that costs each visit a read.
 	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log,
@@ -173,16 +178,20 @@
 	}
 	in.counts.Add(counters.VisitsTaken)
 	left := time.Duration(x.Left) * time.Microsecond
-	taken := time.NewTimer(left / quickParts)
-	defer taken.Stop()
+	now := time.Now()
+	look, end := now.Add(left/quickParts), now.Add(left+overdue)
 	in.visits.Take(x)
-	select {
-	case <-x.Done(): // most are: looking after the client costs more than the visit
-		in.answer(ctx, x)
-		return
-	case <-taken.C:
-		taken.Reset(left - left/quickParts + overdue)
+	// Most are answered before the first tick: looking after the client costs more than the visit.
+	for left >= quickParts*in.ticks.every && time.Now().Before(look) {
+		select {
+		case <-x.Done():
+			in.answer(ctx, x)
+			return
+		case <-in.ticks.wait():
+		}
 	}
+	taken := time.NewTimer(time.Until(end))
+	defer taken.Stop()
 	gone, stop := watch(ctx.Conn())
 	select {
 	case <-x.Done():
--- /dev/null
+++ b/internal/inbound/ticks.go
@@ -0,0 +1,32 @@
+package inbound
+
+import (
+	"sync"
+	"time"
+)
+
+// ticks wakes all who wait, now and then, by one timer for all of them. Guards against a timer of its own for each visit,
+// which nearly always is stopped before it comes: most visits are answered sooner than a tick.
+type ticks struct {
+	every time.Duration
+	mu    sync.Mutex
+	next  chan struct{} // closed when the tick comes; nil: nobody waits for one
+}
+
+// wait is closed at the next tick, which comes within every.
+func (t *ticks) wait() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.next == nil {
+		t.next = make(chan struct{})
+		time.AfterFunc(t.every, t.come)
+	}
+	return t.next
+}
+
+func (t *ticks) come() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(t.next)
+	t.next = nil
+}
--- a/lab/prove/floor.go
+++ b/lab/prove/floor.go
@@ -79,7 +79,11 @@
 	}
 	s := p.parse(steady, 1000, 2000)
 	contenders := []*contender{{name: "sidecar"}, {name: "bare"}}
-	for i, program := range []cars.Program{p.Sidecar, p.self("bare", "bare")} {
+	programs := []cars.Program{p.Sidecar, p.self("bare", "bare")}
+	if p.Beside.Path != "" {
+		contenders, programs = append(contenders, &contender{name: "earlier"}), append(programs, p.Beside)
+	}
+	for i, program := range programs {
 		if p.Break == "decoy" && i == 0 { // the bare one in the sidecar's place: the proof must see that no visit is decided there
 			program = p.self("bare", "bare")
 		}
@@ -99,14 +103,14 @@
 		defer contenders[i].car.Kill()
 	}
 	time.Sleep(500 * time.Millisecond)
-	rest := [2]float64{}
+	rest := make([]float64, len(contenders))
 	for i, x := range contenders {
 		rest[i] = float64(cars.Memory(x.car.Pid())) / 1024
 	}
 	direct := []figures{}
 	for round := range rounds {
 		for k := range contenders {
-			i := (k + round) % 2 // who goes first changes
+			i := (k + round) % len(contenders) // who goes first changes
 			x := contenders[i]
 			p.say("round %d of %d: %s", round+1, rounds, x.name)
 			f, err := p.measure(x, span, p.Seed+uint64(round))
@@ -126,7 +130,12 @@
 	side, floor := contenders[0].all, contenders[1].all
 	line := func(what, unit string, get func(figures) float64) (a, b float64) {
 		a, b = median(side, get), median(floor, get)
-		p.note(what, "median of rounds, alternating", "sidecar %.1f, bare %.1f %s, ratio %.2f", a, b, unit, a/b)
+		beside := ""
+		if len(contenders) > 2 {
+			c := median(contenders[2].all, get)
+			beside = fmt.Sprintf("; earlier %.1f, ratio to it %.2f", c, a/c)
+		}
+		p.note(what, "median of rounds, alternating", "sidecar %.1f, bare %.1f %s, ratio %.2f%s", a, b, unit, a/b, beside)
 		return a, b
 	}
 	most, bareMost := line("visits/s on one core", "/s", func(f figures) float64 { return f.most })
@@ -145,7 +154,7 @@
 	line("p99.9 at 70% of what each carries", "µs", func(f figures) float64 { return f.high999 })
 	line("memory at rest", "MiB", func(f figures) float64 { return f.rest })
 	line("memory at load", "MiB", func(f figures) float64 { return f.busy })
-	failed, turned := 0, [2]int{}
+	failed, turned := 0, make([]int, len(contenders))
 	for i, x := range contenders {
 		for _, f := range x.all {
 			failed, turned[i] = failed+f.failed, turned[i]+f.turned
--- a/lab/prove/prove.go
+++ b/lab/prove/prove.go
@@ -32,6 +32,7 @@
 	Claims []Claim `json:"claims"`
 
 	Sidecar cars.Program    `json:"-"`
+	Beside  cars.Program    `json:"-"` // an earlier build that floor measures in the same rounds
 	Self    string          `json:"-"` // this program, which is also the bare forwarder and the bad sidecars
 	Folder  string          `json:"-"`
 	Say     func(string)    `json:"-"`
