--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -52,29 +52,28 @@
 
 // Flight is a fetch that is out.
 type Flight struct {
-	over   atomic.Bool // it must not be sent any more
+	ctx    context.Context // over: it must not be sent any more
+	off    context.CancelFunc
 	called atomic.Bool // off: nobody waits for it
 	mu     sync.Mutex
 	line   *line
-	halt   context.CancelFunc // ends the dial that goes on; nil: none does
 	ended  Ended
 }
 
+func newFlight(ended Ended) *Flight {
+	f := &Flight{ended: ended}
+	f.ctx, f.off = context.WithCancel(context.Background())
+	return f
+}
+
 // Withdraw keeps a fetch from being sent if it is not yet. Guards against a send after the visit's end by a
 // connection that comes up late. One that was sent goes on.
-func (f *Flight) Withdraw() {
-	f.over.Store(true)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.halt != nil {
-		f.halt()
-	}
-}
+func (f *Flight) Withdraw() { f.off() }
 
 // Cancel stops waiting; the connection is closed.
 func (f *Flight) Cancel() {
 	f.called.Store(true)
-	f.Withdraw()
+	f.off()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.line != nil {
@@ -82,13 +81,6 @@
 	}
 }
 
-// dials notes a dial that goes on, so that Withdraw can end it; nil: it is over.
-func (f *Flight) dials(halt context.CancelFunc) {
-	f.mu.Lock()
-	f.halt = halt
-	f.mu.Unlock()
-}
-
 // rides notes the connection, so that Cancel can reach it; nil: it is left.
 func (f *Flight) rides(l *line) {
 	f.mu.Lock()
@@ -99,7 +91,7 @@
 // Fetch sends a visit to a server and waits for so long at most. It returns at once.
 func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, wait brain.Micros,
 	ended Ended) *Flight {
-	f := &Flight{ended: ended}
+	f := newFlight(ended)
 	until := time.Now().Add(span(wait))
 	o.counts.Add(counters.FetchesSent)
 	o.crew.do(func() { o.run(f, use{be: be}, address, until, x.Outgoing(wait)) })
@@ -109,7 +101,7 @@
 // Probe asks a server for its health.
 func (o *Outbound) Probe(be brain.Backend, address string, ended Ended) {
 	o.counts.Add(counters.ProbesSent)
-	go o.run(&Flight{ended: ended}, use{be, true}, address, time.Now().Add(2*o.connect),
+	go o.run(newFlight(ended), use{be, true}, address, time.Now().Add(2*o.connect),
 		fmt.Appendf(nil, "GET /-/healthy HTTP/1.1\r\nHost: %s\r\n\r\n", address))
 }
 
@@ -134,6 +126,7 @@
 		if crash := recover(); crash != nil {
 			o.counts.Crashed(o.log, "backend fetch", crash)
 		}
+		f.off()
 		f.ended(a, reused, err)
 	}()
 	a, reused, err = o.once(f, u, address, until, ask)
@@ -144,7 +137,7 @@
 	reused bool, err error) {
 	for l := o.pool.take(u, address); l != nil; l = o.pool.take(u, address) {
 		a, err = o.over(f, u, l, until, ask)
-		if failure, ok := err.(*Failure); !ok || failure.Reach != Nowhere || f.over.Load() ||
+		if failure, ok := err.(*Failure); !ok || failure.Reach != Nowhere || f.ctx.Err() != nil ||
 			!time.Now().Before(until) {
 			o.counts.Add(counters.ConnectionsReused)
 			return a, true, err
@@ -162,18 +155,11 @@
 	if !o.pool.room() {
 		return nil, &Failure{Reach: Nowhere, Cause: fmt.Errorf("all %d connections are busy", o.pool.most)}
 	}
-	ctx, halt := context.WithCancel(context.Background())
-	defer halt()
-	f.dials(halt)
-	defer f.dials(nil)
-	if f.over.Load() { // Withdraw may have come before it was noted
-		halt()
-	}
 	d := net.Dialer{Timeout: o.connect, Deadline: until, KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := d.DialContext(f.ctx, "tcp", address)
 	if err != nil {
 		o.pool.closed()
-		if f.over.Load() {
+		if f.ctx.Err() != nil {
 			err = errCalledOff
 		}
 		return nil, &Failure{Reach: Nowhere, Cause: err}
@@ -201,14 +187,14 @@
 	f.rides(l)
 	reach := Nowhere
 	fail := func(cause error) error {
-		if f.called.Load() || reach == Nowhere && f.over.Load() {
+		if f.called.Load() || reach == Nowhere && f.ctx.Err() != nil {
 			cause = errCalledOff
 		} else if !time.Now().Before(until) {
 			cause = os.ErrDeadlineExceeded // the reader of answers words it in several ways
 		}
 		return &Failure{Reach: reach, Cause: cause}
 	}
-	if f.over.Load() {
+	if f.ctx.Err() != nil {
 		return nil, fail(errCalledOff)
 	}
 	if n, err := l.Write(ask); n < len(ask) {
