--- a/lab/compare/compare.go
+++ b/lab/compare/compare.go
@@ -89,7 +89,10 @@
 	return out, nil
 }
 
-const samples = 2000
+const (
+	samples = 2000
+	fewest  = 5 // pairs: bars drawn from fewer are narrower than what they stand for
+)
 
 // bars are a bootstrap of the pairs' differences.
 func (f *Figure) bars(seed uint64) {
@@ -100,7 +103,7 @@
 	}
 	f.Delta = Median(differ)
 	f.Low, f.High = Bootstrap(differ, Median, 0.95, chance.New(seed, f.Name))
-	f.Sure = f.Low > 0 || f.High < 0
+	f.Sure = len(differ) >= fewest && (f.Low > 0 || f.High < 0)
 }
 
 // Median of a sample; of an even one the mean of the two in the middle.
@@ -138,6 +141,8 @@
 		word := "no difference shown"
 		if f.Sure {
 			word = "differs"
+		} else if r.Rounds < fewest {
+			word = "too few rounds to tell"
 		}
 		fmt.Fprintf(w, "  %-18s %12.4f %12.4f %+12.4f   %+.4f to %+.4f  %s\n", f.Name, f.MidA, f.MidB, f.Delta, f.Low, f.High, word)
 	}
--- a/lab/compare/compare_test.go
+++ b/lab/compare/compare_test.go
@@ -28,6 +28,9 @@
 	var b bytes.Buffer
 	r.Print(&b)
 	tr.Add("%s", b.String())
+	few := Figure{Name: "of two pairs", A: []float64{1, 2}, B: []float64{3, 4}}
+	few.bars(1)
+	tr.Add("two pairs that differ by 2: bars %g to %g, sure %v", few.Low, few.High, few.Sure)
 	tr.Add("medians %g %g", Median([]float64{3, 1, 2}), Median([]float64{4, 1, 2, 3}))
 	tr.Same(t)
 }
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -246,11 +246,10 @@
 	if err != nil {
 		return nil, err
 	}
-	under, err := filepath.Rel(filepath.Dir(file), base)
-	if err != nil {
+	if base, err = filepath.Abs(base); err != nil {
 		return nil, err
 	}
-	return parse(file, text, under)
+	return parse(file, text, base)
 }
 
 // Parse reads the bytes of a file.
@@ -262,7 +261,10 @@
 		return nil, err
 	}
 	if base = cmp.Or(base, s.Base); base != "" {
-		under, base := &Scenario{File: file, Seed: 1}, filepath.Join(filepath.Dir(file), base)
+		under := &Scenario{File: file, Seed: 1}
+		if !filepath.IsAbs(base) {
+			base = filepath.Join(filepath.Dir(file), base)
+		}
 		below, err := os.ReadFile(base)
 		if err != nil {
 			return nil, fmt.Errorf("%s:%d: base: %w", file, lineOf(text, "", 0, "base"), err)
@@ -271,7 +273,7 @@
 			return nil, err
 		}
 		if under.Base != "" {
-			return nil, fmt.Errorf("%s:%d: base: %s has a base itself", file, lineOf(text, "", 0, "base"), base)
+			return nil, fmt.Errorf("%s:%d: base: %s has a base itself", file, lineOf(text, "", 0, "base"), filepath.Base(base))
 		}
 		under.Expect = Expect{} // what is expected is each file's own
 		if s = under; s.over(file, text) != nil {
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -71,6 +71,16 @@
 	}
 	var tr trace.Trace
 	tr.Add("%s %s, %d boxes, rate %g, faults %d, expects %g", s.Name, s.Prefixes[0].Name, len(s.Boxes), float64(s.Traffic.Rate), len(s.Faults), s.Expect.Service)
+	here, _ := os.Getwd()
+	base, err := filepath.Rel(here, filepath.Join(folder, "base.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err = ReadOver(base, write("part.toml", "[allowed]\nmax_backend_fetches = 1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr.Add("%s over %s: %v", "part.toml", s.Name, s.Allowed)
 	write("base.toml", "base = \"over.toml\"\n"+least)
 	_, err = Read(filepath.Join(folder, "over.toml"))
 	tr.Add("%s", strings.ReplaceAll(err.Error(), folder+"/", ""))
