lab: names that did nothing are gone from scenario files

Read-through: [sidecars] log, [list] timeout and a method were read and never used; a name that is taken and does nothing is what strict reading is to prevent. go test -race ./lab/... passes.

--- a/lab/list/list.go
+++ b/lab/list/list.go
@@ -49,8 +49,7 @@
 
 // List is the service. Each reader has an address of its own, and so is known.
 type List struct {
-	clock   *clock.Clock
-	timeout Micros
+	clock *clock.Clock
 
 	mu      sync.Mutex
 	seq     int
@@ -75,8 +74,8 @@
 }
 
 // New is a list without boxes.
-func New(c *clock.Clock, timeout Micros) *List {
-	return &List{clock: c, timeout: timeout, hosts: map[string]Host{}, news: make(chan struct{}), readers: map[string]*reader{}}
+func New(c *clock.Clock) *List {
+	return &List{clock: c, hosts: map[string]Host{}, news: make(chan struct{}), readers: map[string]*reader{}}
 }
 
 // Set brings a box in, or changes it; the list shows that when its notice is over.
--- a/lab/list/list_test.go
+++ b/lab/list/list_test.go
@@ -16,7 +16,7 @@
 func TestList(t *testing.T) {
 	var tr trace.Trace
 	c := clock.Start()
-	l := New(c, clock.Second)
+	l := New(c)
 	defer l.Close()
 	host := func(name, health string, born Micros) Host {
 		return Host{Name: name, Zone: "a", Model: "m", Health: health, Share: 1, Born: born, Dial: func(reader string) string { return reader + ":1" }}
--- a/lab/prove/floor.go
+++ b/lab/prove/floor.go
@@ -65,7 +65,7 @@
 	}
 	defer os.RemoveAll(folder)
 	c := clock.Start()
-	l := list.New(c, clock.Second)
+	l := list.New(c)
 	defer l.Close()
 	var echoes []string
 	for i := range 2 {
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -80,7 +80,6 @@
 	Cores    float64 `toml:"cores"`
 	MemoryMB int     `toml:"memory_mb"`
 	Sockets  int     `toml:"sockets"`
-	Log      string  `toml:"log"`
 }
 
 // Box stands for Count boxes alike.
@@ -172,9 +171,8 @@
 
 // List is the service that knows the boxes.
 type List struct {
-	Notice  Span   `toml:"notice"` // a change is known so much later
-	Mode    string `toml:"mode"`   // on_request or pushed
-	Timeout Span   `toml:"timeout"`
+	Notice Span   `toml:"notice"` // a change is known so much later
+	Mode   string `toml:"mode"`   // on_request or pushed
 }
 
 // Rules holds the figures of the four rules.
@@ -400,7 +398,6 @@
 	either(&s.Cars.Cores, 1)
 	either(&s.Cars.MemoryMB, 192)
 	either(&s.Cars.Sockets, 1024)
-	either(&s.Cars.Log, "warn")
 	for i := range s.Boxes {
 		b := &s.Boxes[i]
 		either(&b.Count, 1)
@@ -429,7 +426,6 @@
 	either(&s.Traffic.RetryWait, Span(50*clock.Milli))
 	either(&s.Traffic.BodyBytes, 64)
 	either(&s.List.Mode, "on_request")
-	either(&s.List.Timeout, Span(2*clock.Second))
 	either(&s.Rules.Drain, Span(500*clock.Milli))
 	either(&s.Rules.ColdFrom, 0.31)
 	either(&s.Rules.Cold, Span(8600*clock.Milli))
@@ -600,9 +596,6 @@
 	return nil
 }
 
-// Ends tells whether a fault lasts a while and then ends.
-func (f Fault) Ends() bool { return f.For > 0 }
-
 // OnNetwork tells whether any fault, delay or bound asks for gates between sidecars and boxes.
 func (s *Scenario) OnNetwork() bool {
 	n := s.Network
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -114,7 +114,7 @@
 	}
 	c := clock.Start()
 	g := &Rig{s: s, o: o, plan: p, clock: c, alarms: c.Ring(), groups: box.NewGroups(), byName: map[string]*box.Box{},
-		gates: map[string]*path.Gate{}, ways: map[string]*path.Way{}, list: list.New(c, s.List.Timeout.M())}
+		gates: map[string]*path.Gate{}, ways: map[string]*path.Way{}, list: list.New(c)}
 	defer func() {
 		if err != nil {
 			g.Close()
