Read-through: the lab saves JSON, notes, delays and timeouts in one place each

Found on reading the change again: three ways to save JSON, the lock round a note five times, the longest client timeout twice, the delay between two zones four times, and a sidecar's zone found by building all names for every line of a list told (quadratic in sidecars). Behaviour as before; go test -race ./lab/stage ./lab/scenario passes.

--- a/cmd/ledgelab/experiments.go
+++ b/cmd/ledgelab/experiments.go
@@ -118,10 +118,8 @@
 		return err
 	}
 	r.Print(out)
-	if o.json != "" {
-		if err := r.Save(o.json); err != nil {
-			return err
-		}
+	if err := save(o.json, r); err != nil {
+		return err
 	}
 	if !r.Holds() {
 		return errBroke
@@ -263,7 +261,7 @@
 		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			var err error
-			p.Name, p.Seed, p.Folder, p.Stop = args[0], max(o.seed, 1), o.folder, interrupted()
+			p.Name, p.Seed, p.Stop = args[0], max(o.seed, 1), interrupted()
 			if p.Self, err = os.Executable(); err != nil {
 				return err
 			}
@@ -280,10 +278,8 @@
 				return err
 			}
 			p.Print(c.OutOrStdout())
-			if o.json != "" {
-				if err := p.Save(o.json); err != nil {
-					return err
-				}
+			if err := save(o.json, p); err != nil {
+				return err
 			}
 			if !p.Holds() {
 				return errBroke
--- a/lab/prove/prove.go
+++ b/lab/prove/prove.go
@@ -2,10 +2,8 @@
 package prove
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"strings"
 	"unicode/utf8"
@@ -34,7 +32,6 @@
 	Sidecar cars.Program    `json:"-"`
 	Beside  cars.Program    `json:"-"` // an earlier build that floor measures in the same rounds
 	Self    string          `json:"-"` // this program, which is also the bare forwarder and the bad sidecars
-	Folder  string          `json:"-"`
 	Say     func(string)    `json:"-"`
 	Stop    <-chan struct{} `json:"-"`
 }
@@ -88,15 +85,6 @@
 	return len(p.Claims) > 0 && !slices.ContainsFunc(p.Claims, func(c Claim) bool { return !c.Holds })
 }
 
-// Save writes it as JSON.
-func (p *Proof) Save(file string) error {
-	text, err := json.MarshalIndent(p, "", " ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(file, append(text, '\n'), 0o644)
-}
-
 // Print writes the table.
 func (p *Proof) Print(w io.Writer) {
 	rows := [][]string{{"claim", "aim", "measured", "by", ""}}
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -297,15 +297,6 @@
 // Holds tells whether rules and expectations held.
 func (r *Report) Holds() bool { return len(r.Missed) == 0 }
 
-// Save writes the JSON form.
-func (r *Report) Save(file string) error {
-	text, err := json.MarshalIndent(r, "", " ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(file, append(text, '\n'), 0o644)
-}
-
 // Load reads one back.
 func Load(file string) (*Report, error) {
 	text, err := os.ReadFile(file)
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -532,6 +532,22 @@
 	}
 }
 
+// Longest is the longest client timeout.
+func (s *Scenario) Longest() (longest clock.Micros) {
+	for _, p := range s.Prefixes {
+		longest = max(longest, p.Timeout.M())
+	}
+	return longest
+}
+
+// Way is the delay one way between two zones, without what is spread.
+func (n Network) Way(from, to string) clock.Micros {
+	if from == to {
+		return n.Same.M()
+	}
+	return n.Cross.M()
+}
+
 // BoxNames are the boxes', in order: b0, b1, …
 func (s *Scenario) BoxNames() (names []string) {
 	for _, b := range s.Boxes {
--- a/lab/stage/faults.go
+++ b/lab/stage/faults.go
@@ -82,9 +82,7 @@
 	}
 	starts := func() {
 		if err := b.Start(b.Address(), true); err != nil {
-			g.mu.Lock()
-			g.notes = append(g.notes, b.Name+" could not come back: "+err.Error())
-			g.mu.Unlock()
+			g.note("%s could not come back: %v", b.Name, err)
 			return
 		}
 		g.show(b, "in_service", g.clock.Now(), notice)
@@ -109,9 +107,7 @@
 		g.show(b, "terminated", 0, notice)
 		next := g.newBox(b.Name+"r", b.Make)
 		if err := next.Start(at, true); err != nil {
-			g.mu.Lock()
-			g.notes = append(g.notes, next.Name+" could not start: "+err.Error())
-			g.mu.Unlock()
+			g.note("%s could not start: %v", next.Name, err)
 			return
 		}
 		g.show(next, "in_service", g.clock.Now(), notice)
@@ -147,9 +143,7 @@
 	end := e.At.M() + e.For.M()
 	back := func() {
 		if err := car.Start(readyWithin); err != nil {
-			g.mu.Lock()
-			g.notes = append(g.notes, err.Error())
-			g.mu.Unlock()
+			g.note("%v", err)
 			return
 		}
 		g.clients.Shut(i, false)
@@ -167,14 +161,8 @@
 		car.Signal(syscall.SIGTERM)
 		time.Sleep(300 * time.Millisecond) // connections go on coming for so long
 		g.clients.Shut(i, true)
-		longest := Micros(0)
-		for _, p := range g.s.Prefixes {
-			longest = max(longest, p.Timeout.M())
-		}
-		if err := car.Stop((longest + 700*clock.Milli).Duration()); err != nil {
-			g.mu.Lock()
-			g.notes = append(g.notes, err.Error())
-			g.mu.Unlock()
+		if err := car.Stop((g.s.Longest() + 700*clock.Milli).Duration()); err != nil {
+			g.note("%v", err)
 		}
 		back()
 	case "sidecar_stall":
@@ -251,7 +239,7 @@
 		each(func(_ one, w *path.Way) { w.Narrow(e.Bytes) })
 	case "delay":
 		each(func(o one, w *path.Way) {
-			w.Delay(map[bool]scenario.Span{true: n.Same, false: n.Cross}[o.zone == o.b.Zone].M() + e.By.M())
+			w.Delay(n.Way(o.zone, o.b.Zone) + e.By.M())
 		})
 	case "reset":
 		for _, o := range hit {
@@ -265,7 +253,7 @@
 		w.CutOut(false)
 		w.Refuse(false)
 		w.Narrow(n.Bandwidth)
-		w.Delay(map[bool]scenario.Span{true: n.Same, false: n.Cross}[o.zone == o.b.Zone].M())
+		w.Delay(n.Way(o.zone, o.b.Zone))
 	})
 	if e.What == "silence" {
 		g.mu.Lock()
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -76,6 +76,7 @@
 	list   *list.List
 	folder string
 	begun  Micros
+	zones  map[string]string // of sidecars
 
 	mu      sync.Mutex
 	boxes   []*box.Box
@@ -114,7 +115,10 @@
 	}
 	c := clock.Start()
 	g := &Rig{s: s, o: o, plan: p, clock: c, alarms: c.Ring(), groups: box.NewGroups(), byName: map[string]*box.Box{},
-		gates: map[string]*path.Gate{}, ways: map[string]*path.Way{}, list: list.New(c)}
+		gates: map[string]*path.Gate{}, ways: map[string]*path.Way{}, list: list.New(c), zones: map[string]string{}}
+	for i, name := range s.CarNames() {
+		g.zones[name] = s.Zones[i%len(s.Zones)]
+	}
 	defer func() {
 		if err != nil {
 			g.Close()
@@ -181,22 +185,13 @@
 		Dial: func(reader string) string { return g.dial(reader, b) }}, notice)
 }
 
-func (g *Rig) zoneOf(car string) string {
-	for i, name := range g.s.CarNames() {
-		if name == car {
-			return g.s.Zones[i%len(g.s.Zones)]
-		}
-	}
-	return g.s.Zones[0]
-}
-
 // dial is where a sidecar reaches a box: at a gate of its zone, or straight where the network is to do nothing.
 func (g *Rig) dial(reader string, b *box.Box) string {
 	at := b.Address()
 	if !g.s.OnNetwork() {
 		return at
 	}
-	zone := g.zoneOf(reader)
+	zone := g.zones[reader]
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	key := zone + " " + at
@@ -217,11 +212,7 @@
 	key := zone + " " + b.Name
 	if g.ways[key] == nil {
 		n := g.s.Network
-		delay := n.Same
-		if zone != b.Zone {
-			delay = n.Cross
-		}
-		g.ways[key] = path.NewWay(delay.M(), n.Spread.M(), n.Bandwidth, g.o.Seed, key)
+		g.ways[key] = path.NewWay(n.Way(zone, b.Zone), n.Spread.M(), n.Bandwidth, g.o.Seed, key)
 	}
 	return g.ways[key]
 }
@@ -257,10 +248,10 @@
 		}
 	}
 	for i, name := range names {
-		zone := g.zoneOf(name)
+		zone := g.zones[name]
 		seeds := chance.New(g.o.Seed, name) // a start's is new; one car is configured by one goroutine at a time
 		car, err := cars.New(name, zone, g.o.Program, g.folder, g.clock, func(at string) ([]byte, error) {
-			return g.configuration(i, at, listen[i], peers[i], seeds.Bits())
+			return g.configuration(i, name, at, listen[i], peers[i], seeds.Bits())
 		})
 		if err != nil {
 			return err
@@ -284,27 +275,22 @@
 }
 
 // configuration is a sidecar's file, in the form of the deployment page.
-func (g *Rig) configuration(i int, at, peerListen string, peers []string, seed uint64) ([]byte, error) {
-	s, name := g.s, g.s.CarNames()[i]
+func (g *Rig) configuration(i int, name, at, peerListen string, peers []string, seed uint64) ([]byte, error) {
 	discovery, err := g.list.Address(name) // without the lock held: the list asks dial
 	if err != nil {
 		return nil, err
 	}
-	return cars.Paper{Scenario: s, Number: i, Name: name, Zone: g.zoneOf(name), Listen: at, Discovery: discovery, Seed: seed,
+	return cars.Paper{Scenario: g.s, Number: i, Name: name, Zone: g.zones[name], Listen: at, Discovery: discovery, Seed: seed,
 		PeerListen: peerListen, Peers: peers, Known: g.list.Whole(name)}.JSON()
 }
 
-// Addresses are where the sidecars listen.
-func (g *Rig) Addresses() (at []string) {
-	for _, car := range g.cars {
-		at = append(at, car.Address)
-	}
-	return at
+// note keeps a line for the report.
+func (g *Rig) note(format string, values ...any) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.notes = append(g.notes, fmt.Sprintf(format, values...))
 }
 
-// Cars are the sidecars' processes.
-func (g *Rig) Cars() []*cars.Car { return g.cars }
-
 func (g *Rig) mark(format string, values ...any) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -347,28 +333,22 @@
 	g.faults.Wait()
 	cpu = g.cpu() - cpu
 	g.stopCars()
-	a, r := g.accounts(), (*report.Report)(nil)
+	a := g.accounts()
 	g.broken(a)
-	r = report.From(a)
+	r := report.From(a)
 	g.fill(r, cpu, load)
 	return r, nil
 }
 
 // stopCars asks the sidecars to end, as a planned restart would; one that does not by itself is noted.
 func (g *Rig) stopCars() {
-	longest := Micros(0)
-	for _, p := range g.s.Prefixes {
-		longest = max(longest, p.Timeout.M())
-	}
 	var all sync.WaitGroup
 	for _, car := range g.cars {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			if err := car.Stop((longest + 2*clock.Second).Duration()); err != nil {
-				g.mu.Lock()
-				g.notes = append(g.notes, err.Error())
-				g.mu.Unlock()
+			if err := car.Stop((g.s.Longest() + 2*clock.Second).Duration()); err != nil {
+				g.note("%v", err)
 			}
 		}()
 	}
@@ -434,10 +414,7 @@
 		line := judge.BoxAccount{Name: b.Name, Zone: b.Zone, Cell: b.Cell, Felled: felled, Delays: map[string]Micros{}}
 		if g.s.OnNetwork() {
 			for _, z := range g.s.Zones {
-				line.Delays[z] = g.s.Network.Cross.M()
-				if z == b.Zone {
-					line.Delays[z] = g.s.Network.Same.M()
-				}
+				line.Delays[z] = g.s.Network.Way(z, b.Zone)
 			}
 		}
 		for _, f := range g.s.Faults { // a delay that a fault added counts for the whole run: bounds only widen
