Read-through: client timeouts and a sidecar's file are read in one place each

Found on reading the change again: inbound and relay each walked the path prefixes for their client timeouts, and both stand-ins of the lab read the configuration by the same lines.

--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -66,12 +66,9 @@
 	for _, i := range in.prefixes {
 		at := "path_prefixes." + strconv.Itoa(i)
 		in.tagged[i], in.readLike[i] = b.Site[at+".effect"] == "tagged", b.Site[at+".effect"] == "read_like"
-		timeout := b.Span(at + ".client_timeout_us")
-		in.longest = max(in.longest, timeout)
-		if tick := time.Duration(timeout) * time.Microsecond / quickParts / 2; in.ticks.every == 0 || tick < in.ticks.every {
-			in.ticks.every = tick
-		}
 	}
+	shortest, longest := b.Timeouts()
+	in.longest, in.ticks.every = longest, time.Duration(shortest)*time.Microsecond/quickParts/2
 	// Buffers are given back between visits only where memory is short: that costs each visit a read.
 	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log,
 		MaxRequestBodySize: exchange.MostBody, ReadBufferSize: exchange.MostHead,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"runtime"
-	"strconv"
 	"time"
 
 	"github.com/google/btree"
@@ -90,10 +89,7 @@
 	if told := int(b.Figure("allowed.most_held")); told > 0 {
 		r.mostHeld = min(r.mostHeld, told)
 	}
-	longest := brain.Micros(0)
-	for _, i := range b.Places("path_prefixes") {
-		longest = max(longest, b.Span("path_prefixes."+strconv.Itoa(i)+".client_timeout_us"))
-	}
+	_, longest := b.Timeouts()
 	r.names = newNames(longest)
 	zones := b.Places("azs")
 	saved, err := discovery.Read(b.Known, zones)
--- a/internal/site/berth.go
+++ b/internal/site/berth.go
@@ -126,6 +126,17 @@
 	return places
 }
 
+// Timeouts are the shortest and the longest client timeout of all path prefixes.
+func (b *Berth) Timeouts() (shortest, longest brain.Micros) {
+	for i := range int(b.Figure("path_prefixes")) {
+		timeout := b.Span("path_prefixes." + strconv.Itoa(i) + ".client_timeout_us")
+		if longest = max(longest, timeout); i == 0 || timeout < shortest {
+			shortest = timeout
+		}
+	}
+	return shortest, longest
+}
+
 // Differ names what differs between two configurations and holds from a start to its end.
 func Differ(a, b *Berth) (names []string) {
 	for _, field := range []struct {
--- a/lab/badcar/badcar.go
+++ b/lab/badcar/badcar.go
@@ -18,6 +18,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"ledgespread/lab/cars"
 )
 
 // Ways are the breaks, with the rule each breaks.
@@ -42,14 +44,10 @@
 
 // Serve is a sidecar as the configuration tells, that breaks a rule in this way, until SIGTERM.
 func Serve(file, way string) error {
-	text, err := os.ReadFile(file)
+	told, err := cars.Told(file)
 	if err != nil {
 		return err
 	}
-	var told map[string]any
-	if err := json.Unmarshal(text, &told); err != nil {
-		return err
-	}
 	settings, _ := told["settings"].(map[string]any)
 	duties, _ := settings["obligations"].(map[string]any)
 	cold, _ := duties["cold_us"].(float64)
--- a/lab/bare/bare.go
+++ b/lab/bare/bare.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math"
 	"net"
@@ -17,18 +16,16 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"ledgespread/lab/cars"
 )
 
 // Serve forwards what comes at the configuration's address to its known servers, in turn, until SIGTERM.
 func Serve(file string) error {
-	text, err := os.ReadFile(file)
+	told, err := cars.Told(file)
 	if err != nil {
 		return err
 	}
-	var told map[string]any
-	if err := json.Unmarshal(text, &told); err != nil {
-		return err
-	}
 	limits, _ := told["limits"].(map[string]any)
 	cores, _ := limits["cores"].(float64)
 	listen, _ := told["listen"].(string)
--- a/lab/cars/paper.go
+++ b/lab/cars/paper.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"slices"
 
 	"ledgespread/lab/scenario"
@@ -18,6 +19,15 @@
 	Known                                     json.RawMessage
 }
 
+// Told reads such a file back, for what stands in for a sidecar.
+func Told(file string) (told map[string]any, err error) {
+	text, err := os.ReadFile(file)
+	if err == nil {
+		err = json.Unmarshal(text, &told)
+	}
+	return told, err
+}
+
 // JSON is the configuration's file.
 func (p Paper) JSON() ([]byte, error) {
 	s := p.Scenario
