Keys' servers and asking by probes go: no deployment that goes on has either

With them go the connections and counter for probes (probes_sent) and the hash of X-Attrs, which still goes on as it came.

--- a/brain/books.go
+++ b/brain/books.go
@@ -40,7 +40,7 @@
 	own                 float64  // work that this sidecar itself delivered through it, lately
 	voidAt              Micros   // when the credit of a ticket ends
 	good, bad           float64  // delivered and failed lately
-	skipUntil           Micros   // its desk says that it sits out, or its probe failed: not picked till then
+	skipUntil           Micros   // its desk says that it sits out: not picked till then
 	outUntil, outSpan   Micros   // sits out, 0: in service; how long it sat out last
 	pace, score         float64  // answer time per unit of work, as a pick just reckoned it; with the way
 }
@@ -61,7 +61,6 @@
 type visit struct {
 	id             VisitID
 	on             *prefix
-	key            Key
 	work           float64 // expected, in core time or, without a hint, in its path prefix's mean latency
 	wanted, until  Micros  // after this an answer is worth nothing, or little; the client quits
 	value          float64
@@ -109,17 +108,16 @@
 	row, scratch               []*backend // all known, by id; those at hand
 	visits                     map[VisitID]*visit
 	news                       News
-	deaf                       []deafness      // by sidecar
-	leastTarget, lag           Micros          // of the prefixes' targets; how long desks' answers take
-	asked, askWait, totalled   Micros          // last call of the list, 0: answered; next wait; last totals
-	keys                       map[Key]float64 // how often each was lately asked for, fading like firsts
-	spent, firsts              float64         // tokens missing from the bucket; first tries lately
-	came, meanWork, meanTarget float64         // visits that make the means of those that come
-	centres                    []centre        // by data centre
-	level, crowd, calm         float64         // answer time per unit of work; without a prior; when calm
-	size, inUse, meanHeld      float64         // of servers in service: rating, number, our visits there
-	carry, topValue            float64         // work lately carried per rating; of the prefixes' values
-	tally                      map[string]int  // why visits were turned away, and how asking went
+	deaf                       []deafness     // by sidecar
+	leastTarget, lag           Micros         // of the prefixes' targets; how long desks' answers take
+	asked, askWait, totalled   Micros         // last call of the list, 0: answered; next wait; last totals
+	spent, firsts              float64        // tokens missing from the bucket; first tries lately
+	came, meanWork, meanTarget float64        // visits that make the means of those that come
+	centres                    []centre       // by data centre
+	level, crowd, calm         float64        // answer time per unit of work; without a prior; when calm
+	size, inUse, meanHeld      float64        // of servers in service: rating, number, our visits there
+	carry, topValue            float64        // work lately carried per rating; of the prefixes' values
+	tally                      map[string]int // why visits were turned away, and how asking went
 }
 
 // deafness is until when a sidecar is passed over that answered nothing, and how long it was last.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,7 +1,7 @@
 // Package brain makes every decision of a ledgespread sidecar.
 //
 // A caller makes one Balancer per sidecar with New and tells it what happens, always with the time:
-// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Probed, Heard. The module acts
+// ListBegins, Listed, ListEnds, Inbound, Outcome, Flowing, Dropped, Woken, Heard. The module acts
 // only through the Ports it was given (ports.go, with the id types; books.go declares its state).
 package brain
 
@@ -42,9 +42,8 @@
 	lowLimit, beyondLimit = 0.5, 0.8     // part of these for a visit worth nothing; beyond its tenant's share
 	calmFalls, calmRises  = 100.0, 400.0 // beats in which the calm pace follows the fleet's down, and up
 	tellBeats             = 10           // beats between two messages to the ledger
-	deskAsks, probeAsks   = 3, 2         // servers compared by message, or by probe, before a visit goes out
+	deskAsks              = 3            // servers compared by message before a visit goes out
 	askRounds             = 3            // times that others are asked when those all sit out
-	keyParts              = 2.0          // servers of a key for each mean server's worth of its visits
 )
 
 // New starts a sidecar. A setting that the module can't do without and lacks is an error that names it.
@@ -56,7 +55,7 @@
 	}()
 	b = &Balancer{out: out, site: site, now: now, begun: now, seed: seed, hash: fnv.New64a(),
 		due: btree.NewG(16, due.before), known: map[Backend]*backend{}, visits: map[VisitID]*visit{},
-		keys: map[Key]float64{}, tally: map[string]int{}, level: 1, calm: 1, crowd: 1, size: 1}
+		tally: map[string]int{}, level: 1, calm: 1, crowd: 1, size: 1}
 	for i := range int(b.num("path_prefixes")) {
 		at := "path_prefixes." + strconv.Itoa(i) + "."
 		p := &prefix{target: b.span(at + "target_latency_us"), timeout: b.span(at + "client_timeout_us"),
@@ -130,11 +129,6 @@
 	for i := range b.realms {
 		b.realms[i].used, b.realms[i].kept = b.realms[i].used*fade, b.realms[i].kept*fade
 	}
-	for key := range b.keys {
-		if b.keys[key] *= slow; b.keys[key] < 1/memory {
-			delete(b.keys, key)
-		}
-	}
 	if b.beats++; b.beats%tellBeats == 0 && len(b.realms) > 0 && b.allows("allowed.peer_messages") {
 		b.tell()
 	}
@@ -375,14 +369,13 @@
 }
 
 // Inbound takes a visit in. effort 0: no hint. again: the client says it repeats itself.
-func (b *Balancer) Inbound(now Micros, id VisitID, on Prefix, of Realm, key Key, left, effort Micros,
-	again bool) {
+func (b *Balancer) Inbound(now Micros, id VisitID, on Prefix, of Realm, left, effort Micros, again bool) {
 	b.now = now
 	if int(on) >= len(b.prefixes) {
 		panic(fmt.Sprintf("path prefix %d is not among the settings", on))
 	}
 	p := b.prefixes[on]
-	v := &visit{id: id, on: p, key: key, work: p.mean, wanted: now + min(p.target, left), until: now + left,
+	v := &visit{id: id, on: p, work: p.mean, wanted: now + min(p.target, left), until: now + left,
 		value: p.value / b.topValue}
 	if effort > 0 {
 		v.work, v.hinted = float64(effort), true
@@ -407,9 +400,6 @@
 	b.meanTarget += (float64(p.target) - b.meanTarget) / b.came
 	b.visits[id] = v
 	b.firsts++
-	if key != 0 {
-		b.keys[key]++
-	}
 	if int(of) < len(b.realms) {
 		b.realms[of].used, b.realms[of].fresh = b.realms[of].used+1, b.realms[of].fresh+1
 		if v.beyond = b.chance() < b.beyond(of); v.beyond {
@@ -469,7 +459,7 @@
 	}
 }
 
-// ask has a few servers compared before a visit goes out: by their desks, or by who answers a probe first.
+// ask has a few servers compared by their desks before a visit goes out.
 // Guards against thin sidecars that send to a server they know nothing of.
 func (b *Balancer) ask(v *visit) {
 	desks, before := b.desks(), len(v.asked)
@@ -478,18 +468,14 @@
 		be = cmp.Or(b.coldest(v), be)
 	}
 	short := desks && v.offer == nil && v.wanted-b.now < 5*b.lag // asking would take too much of it
-	if be == nil && v.offer == nil || short || !desks && !(b.thin() && b.allows("allowed.probes")) {
+	if be == nil && v.offer == nil || short || !desks {
 		b.place(v, be)
 		return
 	}
-	most, wait := deskAsks, min(max(2*b.lag, b.leastTarget/8), b.leastTarget/2)
-	if !desks {
-		most, wait = probeAsks, v.on.target/8
-	}
-	for be != nil && len(v.asked) < before+most && !slices.Contains(v.asked, be) {
+	for be != nil && len(v.asked) < before+deskAsks && !slices.Contains(v.asked, be) {
 		v.asked, v.desks = append(v.asked, be), append(v.desks, b.desk(be))
 		be.asking = append(slices.DeleteFunc(be.asking, func(w *visit) bool { return w.settled || w.ended }), v)
-		be = b.pick(v, len(v.asked) > before+1, desks)
+		be = b.pick(v, len(v.asked) > before+1, true)
 	}
 	v.round, v.askedAt = v.round+1, b.now
 	b.tally["asked"]++
@@ -499,23 +485,19 @@
 		b.decide(v, v.round)
 		return
 	}
-	b.at(b.now+wait, func() {
+	b.at(b.now+min(max(2*b.lag, b.leastTarget/8), b.leastTarget/2), func() {
 		for i, be := range these {
-			if desks && slices.Contains(be.asking, v) {
+			if slices.Contains(be.asking, v) {
 				b.unheard(v.desks[before+i])
 			}
 		}
-		if desks && v.round == round {
+		if v.round == round {
 			v.missing = 0
 		}
 		b.decide(v, round)
 	})
 	for i, be := range these {
-		if desks {
-			b.say(v.desks[before+i], Ask, be.id)
-		} else {
-			b.out.Probe(be.id)
-		}
+		b.say(v.desks[before+i], Ask, be.id)
 	}
 }
 
@@ -537,7 +519,7 @@
 	}
 	for _, v := range waiting {
 		// Guards against waiting for less than messages take, and for long where desks died.
-		if lag := b.now - v.askedAt; b.desks() && lag > 0 && lag < b.leastTarget/2 {
+		if lag := b.now - v.askedAt; lag > 0 && lag < b.leastTarget/2 {
 			b.lag += (lag - b.lag) / enough
 		}
 		if v.settled {
@@ -547,7 +529,7 @@
 		if !math.IsInf(pace, 1) && (v.offer == nil || pace*b.distance(be) < v.offered*b.distance(v.offer)) {
 			v.offer, v.offered, v.meets = be, pace, held
 		}
-		if v.missing == 0 || v.offer != nil && !b.desks() {
+		if v.missing == 0 {
 			b.decide(v, v.round)
 		}
 	}
@@ -847,15 +829,6 @@
 	}
 }
 
-func (b *Balancer) Probed(now Micros, id Backend, rc Result) {
-	b.now = now
-	if be := b.known[id]; be != nil && rc == Delivered {
-		b.quoted(be, b.expect(be), float64(be.held))
-	} else if be != nil && rc != TimedOut {
-		b.quoted(be, math.Inf(1), 0)
-	}
-}
-
 // account books how a fetch of this or, at the server's desk, of another sidecar ended.
 func (b *Balancer) account(be *backend, rc Result, sent Micros, took, work, load float64) {
 	if rc == Delivered || rc == Errored || rc == Full {
@@ -944,9 +917,6 @@
 		}
 		least = min(least, be.score)
 	}
-	if !afar && v.key != 0 && b.allows("family_info.warm_keys") {
-		return b.warmest(v.key, least)
-	}
 	near := false
 	for _, be := range b.scratch {
 		near = near || !afar && be.held == 0 && be.zone == b.myZone && be.pace <= tieBand*least
@@ -989,20 +959,6 @@
 	return drawn
 }
 
-// warmest is the server that lately met a key: among those that tie, the one that all sidecars reckon alike
-// (rendezvous hashing). Guards against a popular key that pushes its server over: it has as many such servers
-// as its share of the visits here makes up.
-func (b *Balancer) warmest(key Key, least float64) (warm *backend) {
-	part := uint64(b.chance() * (1 + keyParts*(b.keys[key]-1)/b.firsts*float64(len(b.scratch))))
-	mark, top := b.mix(uint64(key), part), uint64(0)
-	for _, be := range b.scratch {
-		if h := scramble(mark ^ be.mark); h >= top && be.score*math.Sqrt(b.distance(be)) <= tieBand*least {
-			top, warm = h, be
-		}
-	}
-	return warm
-}
-
 // distance makes a crossing, and a handshake, count as some visits held, by their prices.
 func (b *Balancer) distance(be *backend) float64 {
 	price := 0.0
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -283,13 +283,13 @@
 	d := begin(t, site("all"), "a b")
 	d.visit(1, 0)
 	for id, left := range []Micros{1999 * ms, 1700 * ms, 1390 * ms} {
-		d.b.Inbound(d.now, VisitID(10+id), 0, 0, 0, left, 0, true)
+		d.b.Inbound(d.now, VisitID(10+id), 0, 0, left, 0, true)
 		v := d.b.visits[VisitID(10+id)]
 		d.say("a repeat with %d ms left: target in %d ms, value %.0f", left/ms, (v.wanted-d.now)/ms, v.value)
 	}
 	d.title("where first tries get less than the whole time-out, equal times tell nothing")
 	for _, left := range []Micros{1000 * ms, 990 * ms, 900 * ms} {
-		d.b.Inbound(d.now, VisitID(left), 0, 0, 0, left, 0, left < 1000*ms)
+		d.b.Inbound(d.now, VisitID(left), 0, 0, left, 0, left < 1000*ms)
 		v := d.b.visits[VisitID(left)]
 		d.say("%d ms left: target in %d ms, value %.0f", left/ms, (v.wanted-d.now)/ms, v.value)
 	}
@@ -381,21 +381,6 @@
 	d.matches(t)
 }
 
-func TestAskingByProbe(t *testing.T) {
-	d := begin(t, site("cell", "balancers", 9.0, "allowed.probes", true), "a b c d")
-	d.title("no messages: two probes, the first to answer gets the visit")
-	d.visit(1, 0)
-	d.pass(2 * ms)
-	d.b.Probed(d.now, d.b.visits[1].asked[1].id, Delivered)
-	d.title("a probe that fails keeps its server off the pick for a while; one too late says nothing")
-	d.visit(2, 0)
-	for i, be := range append([]*backend{}, d.b.visits[2].asked...) {
-		d.b.Probed(d.now, be.id, []Result{Errored, TimedOut}[i])
-	}
-	d.pass(80 * ms)
-	d.matches(t)
-}
-
 func TestThinStart(t *testing.T) {
 	d := begin(t, site("cell", "balancers", 9.0), "a b c")
 	d.title("no answers yet, and the lenient start is over after a mean target latency: bounces begin")
@@ -428,34 +413,6 @@
 	d.matches(t)
 }
 
-func TestPopularKey(t *testing.T) {
-	d := begin(t, site("cell", "family_info.warm_keys", true), "a b c d e f g h")
-	send := func(title string, key func(i int) Key) {
-		d.title("%s", title)
-		met := map[Key]map[Backend]int{}
-		d.quiet = true
-		for i := range 160 {
-			id := VisitID(d.now) + VisitID(i)
-			d.b.Inbound(d.now, id, 0, 0, key(i), 2000*ms, 0, false)
-			if met[key(i)] == nil {
-				met[key(i)] = map[Backend]int{}
-			}
-			met[key(i)][d.b.visits[id].fetches[0].be.id]++
-			d.pass(20 * ms)
-			d.ends(id, 0, Delivered)
-		}
-		d.quiet = false
-		servers := 0
-		for _, at := range met {
-			servers += len(at)
-		}
-		d.say("%d keys, each at %.1f servers", len(met), float64(servers)/float64(len(met)))
-	}
-	send("one of many keys stays at one server, or two", func(i int) Key { return Key(1 + i%40) })
-	send("a key that is all the traffic goes to as many as it fills", func(int) Key { return 70 })
-	d.matches(t)
-}
-
 func TestListOutOfReach(t *testing.T) {
 	d := begin(t, site("all", "discovery", "on_request", "obligations.ask_every_us", 10e6), "a")
 	d.title("each failed call is followed by another after a longer wait, each time a little apart")
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -112,7 +112,6 @@
 func (d *day) ErrorPage(v VisitID)          { d.say("visit %d error page", v) }
 func (d *day) Cancel(v VisitID, no FetchNo) { d.say("visit %d fetch %d called off", v, no) }
 func (d *day) Wake(in Micros, t Token)      { d.wakes = append(d.wakes, wake{d.now + in, t}) }
-func (d *day) Probe(be Backend)             { d.say("probe %c", be) }
 func (d *day) CloseIdle(be Backend)         { d.say("idle connections to %c closed", be) }
 func (d *day) Tell(to Peer, kind Note, about Backend, figures ...float64) {
 	names := []string{"", "tenants' use", "tenants' total", "ask", "quote", "began", "waits", "ended"}
@@ -124,7 +123,7 @@
 func (d *day) tokens()                       { d.say("tokens %.0f of %.0f", d.b.capacity()-d.b.spent, d.b.capacity()) }
 func (d *day) title(format string, a ...any) { fmt.Fprintf(&d.lines, "# "+format+"\n", a...) }
 func (d *day) visitOf(id VisitID, on Prefix, of Realm, effort Micros) {
-	d.b.Inbound(d.now, id, on, of, 0, 2000*ms, effort, false)
+	d.b.Inbound(d.now, id, on, of, 2000*ms, effort, false)
 }
 
 // ends tells how a visit's fetch ended, after the time it was out.
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -12,7 +12,6 @@
 	Realm   uint32 // place among the tenants
 	Zone    uint16 // place among the data centres
 	Cell    uint16 // small group of servers that share a memory of tags
-	Key     uint64 // what the visit is about; 0: nothing said
 	Token   uint32 // names a wake-up
 	Peer    uint16 // another sidecar
 )
@@ -74,7 +73,6 @@
 	ErrorPage(v VisitID)                                        // final: promises nothing
 	Cancel(v VisitID, no FetchNo)                               // stop waiting for one fetch
 	Wake(in Micros, t Token)                                    // Balancer.Woken(t) is due after this
-	Probe(be Backend)                                           // health check
 	CloseIdle(be Backend)                                       // give back connections that carry nothing
 	Subscribe()                                                 // ask the list to send its changes
 	Tell(to Peer, kind Note, about Backend, figures ...float64) // a short message to another sidecar; may be lost
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -39,7 +39,6 @@
 	ConnectionsOpened
 	ConnectionsReused
 	ConnectionsStale
-	ProbesSent
 	ListsTaken
 	ListsFailed
 	ListsMalformed
@@ -57,7 +56,7 @@
 	"visits_dropped", "visits_overdue", "visits_over_held", "visits_twice", "bad_input", "client_connections",
 	"clients_evicted", "accept_failures", "fetches_sent", "fetches_delivered", "fetches_errored", "fetches_spoilt", "fetches_full",
 	"fetches_timed_out", "fetches_connect_failed", "fetches_reset", "fetches_cancelled", "fetches_never_sent",
-	"connections_opened", "connections_reused", "connections_stale", "probes_sent",
+	"connections_opened", "connections_reused", "connections_stale",
 	"lists_taken", "lists_failed", "lists_malformed", "lists_outdated", "reloads",
 	"reloads_refused", "notes_sent", "notes_heard",
 	"notes_refused", "faults"}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -34,7 +34,6 @@
 	Name         string // the client's, new with every visit
 	On           brain.Prefix
 	Of           brain.Realm
-	Key          brain.Key
 	Left, Effort brain.Micros
 	Again        bool
 
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"strconv"
 	"strings"
 
@@ -24,13 +23,12 @@
 	fieldTag
 	fieldAgain
 	fieldCost
-	fieldAttributes
 	fieldHost
 	needed
 )
 
 var neededNames = [needed]string{"X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout",
-	"Idempotency-Key", "X-Retried", "X-Cost", "X-Attrs", "Host"}
+	"Idempotency-Key", "X-Retried", "X-Cost", "Host"}
 
 // message is what came, read strictly: the fields that decisions need, and what goes on to a server, up to the
 // last field: the bytes that came.
@@ -123,7 +121,7 @@
 	}
 	x = exchange.New(m.head, bytes.Clone(ctx.PostBody()))
 	x.Name, x.On, x.Of, x.Left = m.field[fieldID], brain.Prefix(on), brain.Realm(of), left
-	x.Again, x.Key = m.field[fieldAgain] == "1", key(m.field[fieldAttributes])
+	x.Again = m.field[fieldAgain] == "1"
 	if cost, err := strconv.ParseFloat(m.field[fieldCost], 64); err == nil && cost >= 1 && cost < 1<<32 {
 		x.Effort = brain.Micros(cost)
 	}
@@ -143,15 +141,3 @@
 	}
 	return brain.Micros(n), n >= 1 && n <= 3_600_000_000
 }
-
-// key is what a visit is about, hashed: only sameness counts. 0: it does not say.
-func key(attributes string) brain.Key {
-	for attribute := range strings.SplitSeq(attributes, ",") {
-		if value, found := strings.CutPrefix(strings.TrimSpace(attribute), "target_key="); found && value != "0" {
-			h := fnv.New64a()
-			h.Write([]byte(value))
-			return brain.Key(max(h.Sum64(), 1))
-		}
-	}
-	return 0
-}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -1,4 +1,4 @@
-// Package outbound is the servers' side: connections to them, backend fetches and probes. It sends each
+// Package outbound is the servers' side: connections to them and backend fetches. It sends each
 // fetch once and tells for each how far it came.
 package outbound
 
@@ -42,7 +42,7 @@
 // never more than most; answers take no more than room bytes together while they are read.
 func New(idle, connect brain.Micros, most, room int, counts *counters.Sheet, log zerolog.Logger) *Outbound {
 	return &Outbound{crew: make(crew), connect: span(connect), room: room, counts: counts, log: log,
-		pool: pool{idle: map[use][]*line{}, keep: span(idle - idle/idleMargin), most: most, counts: counts}}
+		pool: pool{idle: map[brain.Backend][]*line{}, keep: span(idle - idle/idleMargin), most: most, counts: counts}}
 }
 
 func span(t brain.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
@@ -94,30 +94,22 @@
 	f := newFlight(ended)
 	until := time.Now().Add(span(wait))
 	o.counts.Add(counters.FetchesSent)
-	o.crew.do(func() { o.run(f, use{be: be}, address, until, x.Outgoing(wait)) })
+	o.crew.do(func() { o.run(f, be, address, until, x.Outgoing(wait)) })
 	return f
 }
 
-// Probe asks a server for its health.
-func (o *Outbound) Probe(be brain.Backend, address string, ended Ended) {
-	o.counts.Add(counters.ProbesSent)
-	go o.run(newFlight(ended), use{be, true}, address, time.Now().Add(2*o.connect),
-		fmt.Appendf(nil, "GET /-/healthy HTTP/1.1\r\nHost: %s\r\n\r\n", address))
-}
-
 // CloseIdle gives back a server's connections that carry nothing.
-func (o *Outbound) CloseIdle(be brain.Backend) { o.pool.drop(use{be: be}) }
+func (o *Outbound) CloseIdle(be brain.Backend) { o.pool.drop(be) }
 
 // Forget gives back all connections to a server that carry nothing.
 func (o *Outbound) Forget(be brain.Backend) {
-	o.pool.drop(use{be: be})
-	o.pool.drop(use{be, true})
+	o.pool.drop(be)
 }
 
 // Sweep closes connections that have stood idle for as long as they may.
 func (o *Outbound) Sweep() { o.pool.sweep() }
 
-func (o *Outbound) run(f *Flight, u use, address string, until time.Time, ask []byte) {
+func (o *Outbound) run(f *Flight, be brain.Backend, address string, until time.Time, ask []byte) {
 	var a *exchange.Answer
 	var reused bool
 	err := error(&Failure{Reach: Sent, Cause: fmt.Errorf("crashed")})
@@ -129,14 +121,14 @@
 		f.off()
 		f.ended(a, reused, err)
 	}()
-	a, reused, err = o.once(f, u, address, until, ask)
+	a, reused, err = o.once(f, be, address, until, ask)
 }
 
 // once does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
-func (o *Outbound) once(f *Flight, u use, address string, until time.Time, ask []byte) (a *exchange.Answer,
+func (o *Outbound) once(f *Flight, be brain.Backend, address string, until time.Time, ask []byte) (a *exchange.Answer,
 	reused bool, err error) {
-	for l := o.pool.take(u, address); l != nil; l = o.pool.take(u, address) {
-		a, err = o.over(f, u, l, until, ask)
+	for l := o.pool.take(be, address); l != nil; l = o.pool.take(be, address) {
+		a, err = o.over(f, be, l, until, ask)
 		if failure, ok := err.(*Failure); !ok || failure.Reach != Nowhere || f.ctx.Err() != nil ||
 			!time.Now().Before(until) {
 			o.counts.Add(counters.ConnectionsReused)
@@ -147,7 +139,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	a, err = o.over(f, u, l, until, ask)
+	a, err = o.over(f, be, l, until, ask)
 	return a, false, err
 }
 
@@ -171,13 +163,13 @@
 }
 
 // over sends a fetch on a connection and reads the whole answer. The connection is kept or closed.
-func (o *Outbound) over(f *Flight, u use, l *line, until time.Time, ask []byte) (a *exchange.Answer,
+func (o *Outbound) over(f *Flight, be brain.Backend, l *line, until time.Time, ask []byte) (a *exchange.Answer,
 	err error) {
 	keep := false
 	defer func() {
 		f.rides(nil)
 		if keep && !f.called.Load() { // one that Cancel reached has a deadline that has passed
-			o.pool.put(u, l)
+			o.pool.put(be, l)
 			return
 		}
 		l.Close()
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -40,18 +40,11 @@
 // alive tells whether the other side has neither closed a line nor sent anything unasked.
 func (l *line) alive() bool { return l.in.Buffered() == 0 && peek.Look(l.Conn, false) == peek.Quiet }
 
-// use tells what connections to a server are for. Probes keep their own, so that the module's books of idle
-// connections hold.
-type use struct {
-	be    brain.Backend
-	probe bool
-}
-
 // pool holds the connections that carry nothing, and counts all that are open.
 type pool struct {
 	mu     sync.Mutex
-	idle   map[use][]*line // the one used last stands last
-	keep   time.Duration   // how long one may stand idle
+	idle   map[brain.Backend][]*line // the one used last stands last
+	keep   time.Duration             // how long one may stand idle
 	open   int
 	most   int
 	counts *counters.Sheet
@@ -59,16 +52,16 @@
 
 // take finds an idle connection, the one used last first. Guards against writing to one that the server has
 // closed, or is about to close.
-func (p *pool) take(u use, address string) *line {
+func (p *pool) take(be brain.Backend, address string) *line {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
-		lines := p.idle[u]
+		lines := p.idle[be]
 		if len(lines) == 0 {
 			return nil
 		}
 		l := lines[len(lines)-1]
-		p.idle[u] = lines[:len(lines)-1]
+		p.idle[be] = lines[:len(lines)-1]
 		if l.address == address && time.Since(l.idle) < p.keep && l.alive() {
 			return l
 		}
@@ -82,11 +75,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open >= p.most {
-		var oldest use
+		var oldest brain.Backend
 		var since time.Time
-		for u, lines := range p.idle {
+		for be, lines := range p.idle {
 			if len(lines) > 0 && (since.IsZero() || lines[0].idle.Before(since)) {
-				oldest, since = u, lines[0].idle
+				oldest, since = be, lines[0].idle
 			}
 		}
 		if since.IsZero() {
@@ -99,11 +92,11 @@
 	return true
 }
 
-func (p *pool) put(u use, l *line) {
+func (p *pool) put(be brain.Backend, l *line) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.idle = time.Now() // its deadline is set when it is used again
-	p.idle[u] = append(p.idle[u], l)
+	p.idle[be] = append(p.idle[be], l)
 }
 
 func (p *pool) closed() {
@@ -118,27 +111,27 @@
 	p.open--
 }
 
-func (p *pool) drop(u use) {
+func (p *pool) drop(be brain.Backend) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, l := range p.idle[u] {
+	for _, l := range p.idle[be] {
 		p.shut(l)
 	}
-	delete(p.idle, u)
+	delete(p.idle, be)
 }
 
 // sweep closes what has stood idle for as long as it may.
 func (p *pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for u, lines := range p.idle {
+	for be, lines := range p.idle {
 		n := 0
 		for n < len(lines) && time.Since(lines[n].idle) >= p.keep {
 			p.shut(lines[n])
 			n++
 		}
-		if p.idle[u] = lines[n:]; n == len(lines) {
-			delete(p.idle, u)
+		if p.idle[be] = lines[n:]; n == len(lines) {
+			delete(p.idle, be)
 		}
 	}
 }
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -5,8 +5,6 @@
 	"strings"
 
 	"ledgespread/brain"
-	"ledgespread/internal/exchange"
-	"ledgespread/internal/outbound"
 )
 
 // The methods below are the module's Ports. They only note what it asks for: nothing calls back into a call.
@@ -63,19 +61,6 @@
 	})
 }
 
-func (r *Relay) Probe(be brain.Backend) {
-	r.later(func() {
-		to, known := r.servers[be]
-		if !known {
-			r.fault("a probe of an unknown server")
-			return
-		}
-		r.outbound.Probe(be, to.address, func(_ *exchange.Answer, _ bool, err error) {
-			r.post(func() { r.b.Probed(r.now, be, outbound.Result(err)) })
-		})
-	})
-}
-
 func (r *Relay) CloseIdle(be brain.Backend) { r.later(func() { r.outbound.CloseIdle(be) }) }
 
 func (r *Relay) Subscribe() { r.later(r.watcher.Watch) }
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -32,7 +32,7 @@
 			r.at(v.until, func() { delete(r.rare, x.Name) })
 		}
 		r.held++
-		r.orFail(v, func() { r.b.Inbound(r.now, x.ID, x.On, x.Of, x.Key, x.Left, x.Effort, x.Again) })
+		r.orFail(v, func() { r.b.Inbound(r.now, x.ID, x.On, x.Of, x.Left, x.Effort, x.Again) })
 	})
 }
 
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -292,35 +292,3 @@
 opened 5, reused 2, stale 2; the server saw 7
 `)
 }
-
-// A probe rides connections of its own, so that the module's books of idle ones hold.
-func TestProbes(t *testing.T) {
-	var tr trace
-	s := serveFake(t, func(n int, path string) string {
-		return [...]string{ok, ok, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", ok, "silence"}[n-1]
-	})
-	o := outbound.New(10*second, second/20, 9, 4<<20, &counters.Sheet{}, zerolog.Nop())
-	probe := func(name string) {
-		end := make(chan string)
-		o.Probe(1, s.Addr().String(), func(_ *exchange.Answer, reused bool, err error) {
-			end <- fmt.Sprintf("%s reused=%v", results[outbound.Result(err)], reused)
-		})
-		tr.add("%s: %s", name, <-end)
-	}
-	probe("well")
-	tr.add("a fetch after it: %s", fetch(o, "/x", s.Addr().String(), second, nothing))
-	probe("not well")
-	tr.add("another fetch: %s", fetch(o, "/x", s.Addr().String(), second, nothing))
-	probe("silent")
-	s.mu.Lock()
-	tr.add("%s", strings.Split(s.seen[0], "\r\n")[0])
-	s.mu.Unlock()
-	tr.same(t, `
-well: delivered reused=false
-a fetch after it: delivered reused=false "hi" <nil>
-not well: errored reused=true
-another fetch: delivered reused=true "hi" <nil>
-silent: timed out reused=true
-GET /-/healthy HTTP/1.1
-`)
-}
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -236,7 +236,7 @@
 		for line := range strings.Lines(string(x.Outgoing(70_000))) {
 			tr.add("%s", strings.TrimRight(line, "\r\n"))
 		}
-		tr.add("prefix %d, tenant %d, key %x, left %d, work %d, again %v", x.On, x.Of, x.Key, x.Left, x.Effort, x.Again)
+		tr.add("prefix %d, tenant %d, left %d, work %d, again %v", x.On, x.Of, x.Left, x.Effort, x.Again)
 		x.Bounce(37_400)
 	}}, &counters.Sheet{})
 	tr.add("answer: %s", dial(t, at).ask("POST /book/a%2Fb?q=%20x&Y HTTP/1.1\r\nhost: Api\r\nX-REQUEST-id: 9b1f\r\n"+
@@ -257,7 +257,7 @@
 
 a
 bc
-prefix 1, tenant 0, key 7f20107b4b4a693, left 75500, work 1200, again true
+prefix 1, tenant 0, left 75500, work 1200, again true
 answer: 503 "not now; a retry does no harm" Retry-After=0.038
 `)
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -96,7 +96,6 @@
 	be.PutUint32(p[7:], uint32(t))
 }
 
-func (o outlet) Probe(s brain.Backend)     { putServer(o.out.rec(6, o.who)[3:], s) }
 func (o outlet) CloseIdle(s brain.Backend) { putServer(o.out.rec(7, o.who)[3:], s) }
 func (o outlet) Print(line string)         { o.out.text(9, o.who, line) }
 func (o outlet) Subscribe()                { o.out.rec(11, o.who)[3] = 1 }
@@ -241,8 +240,7 @@
 			effort = brain.Micros(be.Uint32(p[29:]))
 		}
 		b.Inbound(now, brain.VisitID(be.Uint64(p[3:])), brain.Prefix(be.Uint16(p[11:])),
-			brain.Realm(be.Uint32(p[13:])), brain.Key(be.Uint64(p[17:])),
-			brain.Micros(be.Uint32(p[25:])), effort, opts&2 != 0)
+			brain.Realm(be.Uint32(p[13:])), brain.Micros(be.Uint32(p[25:])), effort, opts&2 != 0)
 	case 4:
 		b.Flowing(now, brain.VisitID(be.Uint64(p[3:])), brain.FetchNo(p[11]))
 	case 5:
@@ -259,7 +257,6 @@
 		if err := sane(p[9], p[14]); err != nil {
 			return err
 		}
-		b.Probed(now, server(p[3:]), brain.Result(p[9]))
 	case 9:
 		msg, err := piece(p[5:], tail, 1)
 		if err != nil {
