A repeat with more time left than a first try tells its age too

Inbound took both for new visits with a whole target, as it knew ages only from less time than a first try's.

TestRepeats has the case of a long last try.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -384,8 +384,9 @@
 		v.wanted = v.until
 	} else if !again {
 		p.firstLeft = left
-	} else if slack := p.target / 10; left < p.firstLeft-slack || p.firstLeft > p.timeout-slack {
-		// The time left tells when the visit began, and how much of its target latency is left.
+	} else if slack := p.target / 10; max(left-p.firstLeft, p.firstLeft-left) > slack ||
+		p.firstLeft > p.timeout-slack {
+		// A last try has all that is left: that tells when the visit began, and how much of its target is left.
 		if w := now + left - (p.timeout - p.target); w > now+Micros(v.work) {
 			v.wanted = min(v.wanted, w)
 		} else {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -288,8 +288,8 @@
 		d.say("a repeat with %d ms left: target in %d ms, value %.0f", left/ms, (v.wanted-d.now)/ms, v.value)
 	}
 	d.title("where first tries get less than the whole time-out, equal times tell nothing")
-	for _, left := range []Micros{1000 * ms, 990 * ms, 900 * ms} {
-		d.b.Inbound(d.now, VisitID(left), 0, 0, left, 0, left < 1000*ms)
+	for _, left := range []Micros{1000 * ms, 990 * ms, 900 * ms, 1900 * ms} {
+		d.b.Inbound(d.now, VisitID(left), 0, 0, left, 0, left != 1000*ms)
 		v := d.b.visits[VisitID(left)]
 		d.say("%d ms left: target in %d ms, value %.0f", left/ms, (v.wanted-d.now)/ms, v.value)
 	}
