Visits end at their target latency where late answers are worth nothing

Checked: with the sends of visits past their target counted, servers are full of them. At fault: nothing in the module ended a fetch but silence (watch); visits ran on to the client timeout. Now a due time at the target calls off what is out, where fetches may be called off and late answers have no value, and answers at once. Silent servers are still found (that is looked at first). A bounce says when to come back: after the client's time, or while a tagged visit's tag is sure to be known.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -357,11 +357,25 @@
 	if v.ended || v.out > 0 {
 		return
 	}
+	b.answer(v, why)
+}
+
+// answer is a visit's last answer without a delivery. Too late to be worth anything, it is not worth coming back for.
+func (b *Balancer) answer(v *visit, why string) {
 	b.tally[why]++
-	if comeBack := Micros(b.maybe("allowed.max_retry_after_us")); !b.harmless(v) {
+	comeBack := v.on.target / 4
+	if b.now >= v.wanted {
+		comeBack = v.until - b.now
+	}
+	for _, f := range v.fetches { // guards against a client told to come back when its tag is forgotten
+		if f.ran && v.on.effect == "tagged" {
+			comeBack = min(comeBack, (f.sent+v.on.window-b.now)/2)
+		}
+	}
+	if !b.harmless(v) {
 		b.out.ErrorPage(v.id)
 	} else if b.allows("allowed.retry_after") {
-		b.out.Bounce(v.id, min(v.on.target/4, comeBack))
+		b.out.Bounce(v.id, min(comeBack, Micros(b.maybe("allowed.max_retry_after_us"))))
 	} else {
 		b.out.Bounce(v.id, 0)
 	}
@@ -414,6 +428,14 @@
 			b.end(v)
 		}
 	})
+	// Guards against work for an answer that is worth nothing any more, before answers that still are.
+	if b.allows("allowed.cancel") && p.late == 0 {
+		b.at(v.wanted+1, func() { // first, what is silent by then is looked into
+			if !v.ended {
+				b.answer(v, "ended_late")
+			}
+		})
+	}
 	b.ask(v)
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -296,6 +296,28 @@
 	d.matches(t)
 }
 
+func TestLapse(t *testing.T) {
+	d := begin(t, site("all", "allowed.retry_after", true, "allowed.max_retry_after_us", 2e6,
+		"path_prefixes.1.memory_span_us", 1e6), "a b c")
+	d.title("at its target latency a visit ends, its fetch is called off; it is not worth coming back for")
+	d.visit(1, 0)
+	d.title("a tagged visit may have run: its client is told to come back while its tag is known")
+	d.visit(2, 1)
+	d.title("a mutating one gets an error page; it was turned away unseen once, and sent again")
+	d.visit(3, 2)
+	d.pass(1 * ms)
+	d.ends(3, 0, Full)
+	d.pass(2100 * ms)
+	d.title("where nothing can be called off, or late answers have value, it runs on")
+	for _, s := range []Site{site("all", "allowed.cancel", false), site("all", "path_prefixes.0.late_value", 0.1)} {
+		e := begin(t, s, "a b c")
+		e.visit(1, 0)
+		e.pass(700 * ms)
+		d.say("still open: %v", !e.b.visits[1].ended)
+	}
+	d.matches(t)
+}
+
 func TestShares(t *testing.T) {
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
