Servers' reports of visits held are read from answers, and the least is picked

A pair of sidecar and server meets every 13 s there, so what expect knew was the fleet's mean.

TestReports fails without; TestGauge.

--- a/brain/books.go
+++ b/brain/books.go
@@ -42,6 +42,8 @@
 	good, bad           float64  // delivered and failed lately
 	skipUntil           Micros   // its desk says that it sits out: not picked till then
 	outUntil, outSpan   Micros   // sits out, 0: in service; how long it sat out last
+	told                float64  // visits it held by its last report
+	toldAt              Micros   // when that came
 	pace, score         float64  // answer time per unit of work, as a pick just reckoned it; with the way
 }
 
@@ -116,6 +118,8 @@
 	centres                    []centre       // by data centre
 	level, crowd, calm         float64        // answer time per unit of work; without a prior; when calm
 	size, inUse, meanHeld      float64        // of servers in service: rating, number, our visits there
+	told                       float64        // the mean of lately reported visits
+	tells                      int            // place of these in a report, from 1; 0: none tells
 	carry, topValue            float64        // work lately carried per rating; of the prefixes' values
 	tally                      map[string]int // why visits were turned away, and how asking went
 }
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,7 +30,8 @@
 const (
 	memory, rushMemory    = 25.0, 10.0   // beats until what was seen of a server has faded to 1/e; for a rush
 	firmness, enough      = 6.0, 32      // mean visits a server's pace is mixed with; answers worth trusting
-	tieBand, paceBias     = 2.0, 4.0     // idle servers within this multiple tie; chance by this power of pace
+	tieBand, paceBias     = 2.0, 4.0     // idle servers within this multiple tie; chance by this power of pace,
+	toldBias, toldLife    = 40.0, 20.0   // or by this where servers tell; mean answers in which that fades
 	crossWeight           = 10.0         // visits held that one point of a crossing's price counts as
 	badShare, badLeast    = 0.25, 2.0    // share of errors at which a server sits out; the least it takes
 	coldSafety            = 0.7          // part of a cold server's budget that is used
@@ -86,6 +87,11 @@
 			b.at(now+Micros(b.chance()*float64(b.herd())), b.subscribe)
 		}
 	}
+	for i := range int(b.maybe("telemetry.fields")) {
+		if b.word("telemetry.how") == "inline" && b.word("telemetry.fields."+strconv.Itoa(i)) == "concurrent" {
+			b.tells = i + 1
+		}
+	}
 	b.out.Wake(firstWait, beatToken)
 	return b, nil
 }
@@ -244,7 +250,7 @@
 		if started == 0 || started > now || returns && !restarted {
 			be.coldSince = now // it came back from we know not what: cold
 		}
-		be.took, be.work, be.carried, be.own, be.good, be.bad, be.idle = 0, 0, 0, 0, 0, 0, nil
+		be.took, be.work, be.carried, be.own, be.good, be.bad, be.idle, be.toldAt = 0, 0, 0, 0, 0, 0, nil, 0
 	}
 }
 
@@ -360,7 +366,7 @@
 	b.answer(v, why)
 }
 
-// answer is a visit's last answer without a delivery. Too late to be worth anything, it is not worth coming back for.
+// answer is a visit's last answer without a delivery. One that is too late is not worth coming back for.
 func (b *Balancer) answer(v *visit, why string) {
 	b.tally[why]++
 	comeBack := v.on.target / 4
@@ -791,8 +797,10 @@
 	return silent
 }
 
-// Outcome hears how a backend fetch ended. over: the visit has ended, by this or earlier.
-func (b *Balancer) Outcome(now Micros, id VisitID, no FetchNo, rc Result, took Micros, over bool) {
+// Outcome hears how a backend fetch ended. over: the visit has ended, by this or earlier. load: the server's
+// report that came with it, in the order of the settings' fields.
+func (b *Balancer) Outcome(now Micros, id VisitID, no FetchNo, rc Result, took Micros, over bool,
+	load ...float64) {
 	b.now = now
 	v := b.visits[id]
 	if v == nil || int(no) >= len(v.fetches) || v.fetches[no].done {
@@ -802,6 +810,10 @@
 	f.done, f.ran = true, rc != Full && rc != ConnectFailed && rc != NeverSent
 	v.out--
 	f.be.held--
+	if b.tells > 0 && len(load) >= b.tells && load[b.tells-1] >= 0 {
+		f.be.told, f.be.toldAt = load[b.tells-1], now
+		b.told += (f.be.told - b.told) / enough
+	}
 	if rc == Delivered {
 		f.be.own += v.work
 	}
@@ -914,7 +926,17 @@
 	if be.fresh {
 		held = max(held, b.meanHeld)
 	}
-	return max(own*(held+1)/b.warmth(be), 1e-9) // never nothing: chance goes by its inverse
+	return max(own*(held+1)*b.lately(be)/b.warmth(be), 1e-9) // never nothing: chance goes by its inverse
+}
+
+// lately is how a server's answer time differs from the usual by the visits that it last reported, fading.
+// Guards against blind picks of thin sidecars: a server that just told that it idles mostly still does.
+func (b *Balancer) lately(be *backend) float64 {
+	if be.toldAt == 0 {
+		return 1
+	}
+	fades := math.Exp(-float64(b.now-be.toldAt) / (toldLife * b.level * b.meanWork))
+	return 1 + (be.told-b.told)*fades/(1+b.told)
 }
 
 // pick chooses a server: a random one among those without a visit of ours, else the one with the fewest; a
@@ -944,6 +966,10 @@
 	for _, be := range b.scratch {
 		near = near || !afar && be.held == 0 && be.zone == b.myZone && be.pace <= tieBand*least
 	}
+	bias := paceBias
+	if b.tells > 0 {
+		bias = toldBias
+	}
 	be := b.draw(func(be *backend) float64 {
 		if asks && !(near && be.zone != b.myZone) {
 			return least / be.score // its desk's word decides: by size, or slow ones idle while others are crowded
@@ -951,7 +977,7 @@
 		if be.held > 0 || be.pace > tieBand*least || near && be.zone != b.myZone {
 			return 0
 		}
-		return math.Pow(least/be.pace, paceBias)
+		return math.Pow(least/be.pace, bias)
 	})
 	if be == nil {
 		be = b.draw(func(be *backend) float64 { return float64(min(1, int(least/be.score))) })
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -318,6 +318,44 @@
 	d.matches(t)
 }
 
+func TestReports(t *testing.T) {
+	for _, fields := range [][]any{{"telemetry.how", "inline", "telemetry.fields", 2.0, "telemetry.fields.0", "load_share",
+		"telemetry.fields.1", "concurrent"}, {"telemetry.how", "on_probe", "telemetry.fields", 1.0, "telemetry.fields.0", "concurrent"}} {
+		d := begin(t, site("all", append(fields, "balancers", 9.0)...), "a b c d e f g h")
+		d.quiet = true
+		told := map[Backend]float64{'a': 3, 'b': 2, 'c': 1, 'd': 0, 'e': 4, 'f': 2, 'g': 3, 'h': 2}
+		visit := func(from, to VisitID) (met string) {
+			for id := from; id < to; id++ {
+				d.visit(id, 0)
+				f := d.b.visits[id].fetches[0]
+				met += string(rune(f.be.id))
+				d.pass(10 * ms)
+				d.b.Outcome(d.now, id, 0, Delivered, 10*ms, true, 0.5, told[f.be.id])
+			}
+			return met
+		}
+		visit(1, 60)
+		met := visit(60, 80)
+		d.quiet = false
+		d.title("servers tell %v: twenty visits one after another", fields[1])
+		d.say("go to %s", met)
+		d.pass(60_000 * ms)
+		met = ""
+		for id := VisitID(100); id < 106; id++ {
+			d.quiet = true
+			d.visit(id, 0)
+			d.quiet = false
+			met += string(rune(d.b.visits[id].fetches[0].be.id))
+		}
+		d.say("what was told a minute ago says nothing: six at once go to %s", met)
+		if d.b.tells > 0 {
+			d.matches(t)
+		} else if strings.Trim(visit(200, 220), "d") == "" {
+			t.Error("a report that comes by probes only was read")
+		}
+	}
+}
+
 func TestShares(t *testing.T) {
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -248,7 +248,7 @@
 			return err
 		}
 		b.Outcome(now, brain.VisitID(be.Uint64(p[3:])), brain.FetchNo(p[11]), brain.Result(p[18]),
-			brain.Micros(be.Uint32(p[19:])), p[23] != 0)
+			brain.Micros(be.Uint32(p[19:])), p[23] != 0, gauge(p[24:])...)
 	case 6:
 		b.Dropped(now, brain.VisitID(be.Uint64(p[3:])))
 	case 7:
@@ -269,6 +269,14 @@
 	return nil
 }
 
+// gauge is a load report: so many values.
+func gauge(p []byte) (load []float64) {
+	for i := range int(p[0]) {
+		load = append(load, float64(math.Float32frombits(be.Uint32(p[1+4*i:]))))
+	}
+	return load
+}
+
 // sane refuses an outcome or the length of a load report that the wire does not know.
 func sane(rc, values byte) error {
 	if rc < 1 || rc > 8 {
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -207,3 +207,7 @@
 	got, _ := json.Marshal(site)
 	same(t, `{"a.b":2,"a.b.0.effect":"mutating","a.b.1":2,"c":true} <nil>`, fmt.Sprint(string(got), " ", err))
 }
+
+func TestGauge(t *testing.T) {
+	same(t, "[0.5 3] []", fmt.Sprint(gauge([]byte{2, 0x3f, 0, 0, 0, 0x40, 0x40, 0, 0, 9}), gauge([]byte{0, 1, 2, 3, 4})))
+}
