--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,6 +42,7 @@
 	toldLimit, ownLimit   = 0.3, 0.9     // where a desk was asked; part of the time left its answer may take
 	lowLimit, beyondLimit = 0.5, 0.8     // part of these for a visit worth nothing; beyond its tenant's share
 	calmFalls, calmRises  = 100.0, 400.0 // beats in which the calm pace follows the fleet's down, and up
+	copyAfter, copyCalm   = 1.2, 0.3     // calm answers until a second copy; part of the target they may take
 	tellBeats             = 10           // beats between two messages to the ledger
 	deskAsks              = 3            // servers compared by message before a visit goes out
 	askRounds             = 3            // times that others are asked when those all sit out
@@ -343,6 +344,26 @@
 	v.fetches = append(v.fetches, f)
 	b.out.Dispatch(v.id, be.id, 0)
 	b.watch(v, f, guess)
+	b.second(v, f, guess)
+}
+
+// second sends a copy elsewhere of a visit whose first fetch takes longer than usual, out of the same bucket,
+// while the fleet is calm. Guards against a queue or a pause that a thin sidecar can't know of.
+func (b *Balancer) second(v *visit, f *fetch, guess Micros) {
+	if f.no > 0 || !b.thin() || b.desks() || !b.allows("allowed.cancel") ||
+		b.level*b.meanWork > copyCalm*b.meanTarget {
+		return
+	}
+	b.at(b.now+Micros(copyAfter*b.calm*v.work), func() {
+		if v.ended || v.out != 1 || f.done || b.now+guess > v.wanted || b.capacity()-b.spent < retryCost {
+			return
+		}
+		if be := b.pick(v, false, false); be != nil && be != f.be {
+			b.spent += retryCost
+			b.tally["copied"]++
+			b.send(v, be, b.after(v, true))
+		}
+	})
 }
 
 // end closes a visit's account; its fetches that are still out are called off.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -356,6 +356,44 @@
 	}
 }
 
+func TestSecondCopy(t *testing.T) {
+	d := begin(t, site("all", "allowed.may_duplicate", true, "balancers", 9.0), "a b c d")
+	d.warm(120)
+	d.title("blind and calm: a visit that takes longer than usual goes out twice, the first answer counts, the other is called off")
+	d.visit(1, 0)
+	d.pass(100 * ms)
+	d.tokens()
+	d.ends(1, 1, Delivered)
+	d.ends(1, 0, Cancelled)
+	d.tokens()
+	d.title("a copy that loses keeps half of its price")
+	d.visit(2, 1)
+	d.pass(100 * ms)
+	d.ends(2, 0, Delivered)
+	d.ends(2, 1, Cancelled)
+	d.tokens()
+	d.title("none of a mutating visit")
+	d.visit(3, 2)
+	d.pass(100 * ms)
+	d.ends(3, 0, Delivered)
+	d.title("none where the bucket is empty")
+	d.b.spent = d.b.capacity()
+	d.visit(4, 0)
+	d.pass(100 * ms)
+	d.ends(4, 0, Delivered)
+	d.title("none where calm answers take more than three tenths of the target, and none where others can be asked")
+	for _, s := range []Site{site("all", "allowed.may_duplicate", true, "balancers", 9.0, "path_prefixes.0.target_latency_us",
+		100e3, "path_prefixes.1.target_latency_us", 100e3, "path_prefixes.2.target_latency_us", 100e3),
+		site("all", "allowed.may_duplicate", true, "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true)} {
+		e := begin(t, s, "a b c d")
+		e.warm(120)
+		e.visit(1, 0)
+		e.pass(90 * ms)
+		d.say("after 90 ms sent %d times", len(e.b.visits[1].fetches))
+	}
+	d.matches(t)
+}
+
 func TestShares(t *testing.T) {
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
