A new connection counts by its price while it stands, and in every pick

At fault: distance weighed the handshake alone, and pick drew idle servers by pace without the way. A connection is priced per open one, so it counts for its idle time at the traffic of all sidecars to one server.

TestConnections.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -998,7 +998,7 @@
 		if be.held > 0 || be.pace > tieBand*least || near && be.zone != b.myZone {
 			return 0
 		}
-		return math.Pow(least/be.pace, bias)
+		return math.Pow(least/be.score, bias)
 	})
 	if be == nil {
 		be = b.draw(func(be *backend) float64 { return float64(min(1, int(least/be.score))) })
@@ -1029,14 +1029,17 @@
 	return drawn
 }
 
-// distance makes a crossing, and a handshake, count as some visits held, by their prices.
+// distance makes a crossing, and a new connection, count as some visits held, by their prices.
 func (b *Balancer) distance(be *backend) float64 {
 	price := 0.0
 	if be.zone != b.myZone {
 		price = b.maybe("tariffs.cross_zone")
 	}
 	if len(be.idle) == 0 || be.idle[len(be.idle)-1] <= b.now {
-		price += b.maybe("tariffs.handshake")
+		// A new connection stands for its idle time at least, among those of all sidecars to that server.
+		visits := b.firsts / float64(retrySpan) * float64(b.sidecars) / max(b.inUse, 1)
+		stands := visits * b.num("allowed.conn_idle_us") / 100
+		price += b.maybe("tariffs.handshake") + b.maybe("tariffs.connection")*stands
 	}
 	return 1 + crossWeight*price/float64(be.held+1)
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -394,6 +394,22 @@
 	d.matches(t)
 }
 
+func TestConnections(t *testing.T) {
+	d := begin(t, site("all"), "a b c d e f g h")
+	d.title("forty visits one after another: with no price every server gets a connection, with one a few do")
+	for _, price := range []float64{0, 0.03} {
+		e := begin(t, site("all", "balancers", 9.0, "tariffs.connection", price), "a b c d e f g h")
+		e.quiet = true
+		for id := range VisitID(40) {
+			e.visit(id, 0)
+			e.pass(100 * ms)
+			e.ends(id, 0, Delivered)
+		}
+		d.say("price %.2f: %d servers met", price, len(e.count))
+	}
+	d.matches(t)
+}
+
 func TestShares(t *testing.T) {
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
