Messages that nobody answers at all are given up for a while, all at once

At fault: unheard learns each of 480 to 660 desks singly, at the price of a wait each. Six asks in a row unanswered, with no word from anybody, now count as messages down; any word ends it.

--- a/brain/books.go
+++ b/brain/books.go
@@ -111,6 +111,8 @@
 	visits                     map[VisitID]*visit
 	news                       News
 	deaf                       []deafness     // by sidecar
+	down                       deafness       // of all: no message comes through
+	unanswered                 int            // asks since anybody was heard
 	leastTarget, lag           Micros         // of the prefixes' targets; how long desks' answers take
 	asked, askWait, totalled   Micros         // last call of the list, 0: answered; next wait; last totals
 	spent, firsts              float64        // tokens missing from the bucket; first tries lately
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -486,7 +486,9 @@
 func (b *Balancer) thin() bool { return float64(b.sidecars) > b.inUse }
 
 // desks tells whether servers have desks: sidecars, the same for all, that hear of every visit there.
-func (b *Balancer) desks() bool { return b.thin() && b.allows("allowed.peer_messages") }
+func (b *Balancer) desks() bool {
+	return b.thin() && b.allows("allowed.peer_messages") && b.down.until <= b.now
+}
 
 // desk is the first in a server's own order of sidecars that is not known to be deaf.
 func (b *Balancer) desk(be *backend) (p Peer) {
@@ -507,6 +509,12 @@
 		b.deaf[p] = d
 		b.tally["deaf"]++
 	}
+	// Guards against waits for all desks in turn, where no message at all comes through.
+	if b.unanswered++; b.unanswered%(2*deskAsks) == 0 {
+		b.down.span = min(max(2*b.down.span, 20*firstWait), b.span("obligations.cold_us")/2)
+		b.down.until = b.now + Micros(float64(b.down.span)*(0.75+b.chance()/2))
+		b.tally["messages_down"]++
+	}
 }
 
 // ask has a few servers compared by their desks before a visit goes out.
@@ -655,7 +663,9 @@
 	if int(from) >= b.sidecars { // nobody
 		return
 	}
-	b.deaf[from] = deafness{}
+	if b.deaf[from] = (deafness{}); from != b.me {
+		b.unanswered, b.down = 0, deafness{}
+	}
 	switch {
 	case kind == TenantsUse && len(figures) == len(b.realms):
 		for i := range b.realms {
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -170,6 +170,7 @@
 		}
 		d.b.Dropped(d.now, id)
 		clear(d.b.deaf)
+		d.b.unanswered, d.b.down = 0, deafness{}
 		d.pass(20 * ms)
 	}
 	d.quiet = false
