By a desk's word the limit holds for a visit of mean value, not of the highest

Now the limit is 0.3 for the mean of what comes, so bulk visits meet about the same one at all sites.

TestValueLimit.

--- a/brain/books.go
+++ b/brain/books.go
@@ -117,6 +117,7 @@
 	asked, askWait, totalled   Micros         // last call of the list, 0: answered; next wait; last totals
 	spent, firsts              float64        // tokens missing from the bucket; first tries lately
 	came, meanWork, meanTarget float64        // visits that make the means of those that come
+	meanPart                   float64        // of a limit that holds for these, by value
 	centres                    []centre       // by data centre
 	level, crowd, calm         float64        // answer time per unit of work; without a prior; when calm
 	size, inUse, meanHeld      float64        // of servers in service: rating, number, our visits there
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -439,6 +439,7 @@
 	}
 	b.came = min(b.came+1, 4*enough)
 	b.meanWork += (v.work - b.meanWork) / b.came
+	b.meanPart += (partFor(p.value/b.topValue) - b.meanPart) / b.came
 	b.meanTarget += (float64(p.target) - b.meanTarget) / b.came
 	b.visits[id] = v
 	b.firsts++
@@ -709,9 +710,12 @@
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
 
+// partFor is the part of a limit that holds for a visit of so much value.
+func partFor(value float64) float64 { return 1 - (1-lowLimit)*(1-value)*(1-value) }
+
 // strain tells how near a server is to its limit with this visit, 1: at it.
 func (b *Balancer) strain(v *visit, be *backend) float64 {
-	part := 1 - (1-lowLimit)*(1-v.value)*(1-v.value)
+	part := partFor(v.value)
 	if v.beyond {
 		part *= beyondLimit
 	}
@@ -724,7 +728,7 @@
 	if v.offer == be && b.desks() {
 		// The desk's count is of now and of all: the limit needs no calm answer to be measured against.
 		pace = v.offered
-		crowd = pace * b.meanWork / toldLimit / b.meanTarget
+		crowd = pace * b.meanWork / toldLimit / b.meanTarget * b.meanPart
 	}
 	// A heavy visit outlasts those it meets: what it has beyond a mean visit's work goes at the usual pace.
 	own := pace*v.work + min(0, level-pace)*max(0, v.work-b.meanWork)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -436,6 +436,23 @@
 	d.matches(t)
 }
 
+func TestValueLimit(t *testing.T) {
+	d := begin(t, site("all", "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true, "path_prefixes.0.value", 12.0),
+		"a b c d")
+	d.title("by a desk's word: the dear one of three visits meets a higher limit, the cheap two hardly a lower one than all had")
+	for id := range VisitID(300) {
+		d.quiet = true
+		d.visit(id, Prefix(id%3))
+		d.quiet = false
+		if v := d.b.visits[id]; v != nil && id >= 297 {
+			v.offer, v.offered = d.b.row[0], 0.3*600e3/d.b.meanWork // what three tenths of the target stand for
+			v.wanted = d.now + 1e12                                 // its own time is no matter here
+			d.say("value %.2f: strain %.2f", v.value, d.b.strain(v, v.offer))
+		}
+	}
+	d.matches(t)
+}
+
 func TestShares(t *testing.T) {
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
