A reused connection that breaks tells its server's desk nothing of the server

At fault: Outcome books a broken reused connection lightly here but tells the desk Ended with Reset, which account takes for a lost server: two of them, from any two of 90 to 660 sidecars, and it sits out for all. Now both hear of a fetch that told nothing.

TestBrokenIdle; TestFreeRetry's server no longer sits out for two of them.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -866,13 +866,13 @@
 	if rc == ConnectFailed {
 		f.be.idle = nil // it had to be dialled: no connection was left to reuse
 	}
-	if rc == Reset && f.reused {
-		f.be.bad++ // nothing more: the free retry tells
-	} else {
-		b.account(f.be, rc, f.sent, float64(took), v.work, v.work*f.held)
+	news := rc
+	if rc == Reset && f.reused { // here and at its desk it tells of a connection, nothing of its server
+		news = NeverSent
 	}
+	b.account(f.be, news, f.sent, float64(took), v.work, v.work*f.held)
 	if f.told {
-		b.out.Tell(f.desk, Ended, f.be.id, float64(rc), float64(took), v.work, v.work*f.held)
+		b.out.Tell(f.desk, Ended, f.be.id, float64(news), float64(took), v.work, v.work*f.held)
 	}
 	if over && !v.ended {
 		b.end(v)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -453,6 +453,22 @@
 	d.matches(t)
 }
 
+func TestBrokenIdle(t *testing.T) {
+	d := begin(t, site("all", "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true, "allowed.conn_idle_us", 60e6), "a")
+	d.title("two reused connections break: the desk hears of no failed server, and none sits out")
+	for id := VisitID(0); id < 6; id += 3 {
+		for i := range VisitID(2) {
+			d.quiet = true
+			d.visit(id+i, 0)
+			d.pass(100 * ms)
+			d.quiet = i == 0
+			d.ends(id+i, 0, []Result{Delivered, Reset}[i])
+		}
+	}
+	d.say("in service: %v", d.b.known['a'].inService())
+	d.matches(t)
+}
+
 func TestShares(t *testing.T) {
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
