A desk counts a visit that waits as silence only if nobody was answered since

At fault: Waits said nothing of when the visit was sent, so a desk counted any two slow ones between two answers; its sender's own check (answered > sent) had no counterpart there. The message now carries how long it has waited.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -686,8 +686,10 @@
 		b.quoted(be, figures[0], figures[1])
 	case kind == Began:
 		be.away++
-	case kind == Waits:
-		b.missed(be, "silent")
+	case kind == Waits && len(figures) == 1:
+		if be.answered <= now-Micros(figures[0]) { // one that answered others since then is not silent
+			b.missed(be, "silent")
+		}
 	case kind == Ended && len(figures) == 4:
 		be.away = max(0, be.away-1)
 		b.account(be, Result(figures[0]), now-Micros(figures[1]), figures[1], figures[2], figures[3])
@@ -813,7 +815,7 @@
 			return
 		}
 		if f.told {
-			b.out.Tell(f.desk, Waits, f.be.id)
+			b.out.Tell(f.desk, Waits, f.be.id, float64(b.now-f.sent))
 		}
 		if b.missed(f.be, "silent") && b.now+v.wait()+guess < v.wanted && v.out == 1 &&
 			b.allows("allowed.cancel") && b.capacity()-b.spent >= retryCost && b.onward(v, f.be, 0) {
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -58,7 +58,7 @@
 	Ask                          // how is a server?, to its desk
 	Quote                        // its answer time per unit of work (infinite: it sits out), visits held
 	Began                        // a visit went to it
-	Waits                        // one waits too long there
+	Waits                        // one waits too long there: since when, as a span
 	Ended                        // one ended: Result, time it took, work, work times visits held
 )
 
