A reused connection that stayed silent teaches how long idle ones live

At fault: the settings' 60 s were believed while connections were dropped after 0.5 to 2.9 s, and a fetch cannot be called off there. Now such a time-out shortens what is believed; older connections are closed before a fetch, which then dials.

TestIdleLife.

--- a/brain/books.go
+++ b/brain/books.go
@@ -55,6 +55,7 @@
 	held         float64 // visits it met there, with itself
 	desk         Peer    // its server's, when it was sent: the same hears of its end, or a count would stay
 	reused, told bool    // on a connection that was idle; that desk knows of it
+	idled        Micros  // how long that one had stood idle
 	done, ran    bool    // ended; may have run: out, or ended without proof that it never ran
 	then         func(*fetch, Result)
 }
@@ -112,6 +113,7 @@
 	news                       News
 	deaf                       []deafness     // by sidecar
 	down                       deafness       // of all: no message comes through
+	life                       Micros         // how long idle connections lately lived
 	unanswered                 int            // asks since anybody was heard
 	leastTarget, lag           Micros         // of the prefixes' targets; how long desks' answers take
 	asked, askWait, totalled   Micros         // last call of the list, 0: answered; next wait; last totals
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -72,7 +72,7 @@
 		b.topValue, b.meanWork = max(b.topValue, p.value), p.mean
 	}
 	b.myZone, b.sidecars, b.me = Zone(b.num("my_zone")), max(1, int(b.maybe("balancers"))), Peer(b.maybe("me"))
-	b.deaf = make([]deafness, b.sidecars)
+	b.deaf, b.life = make([]deafness, b.sidecars), b.span("allowed.conn_idle_us")
 	for i := range int(b.maybe("realms")) {
 		at := "realms." + strconv.Itoa(i) + "."
 		b.realms = append(b.realms, realm{quota: max(b.num(at+"quota_per_s"), 1e-9)})
@@ -131,6 +131,7 @@
 			}
 		}
 	}
+	b.life = min(b.life+Micros(float64(b.life)/calmRises), b.span("allowed.conn_idle_us"))
 	b.size, b.meanHeld, b.carry = sizes/max(b.inUse, 1), held/max(b.inUse, 1), carried/memory/max(rated, 1e-9)
 	b.reckon()
 	for i := range b.realms {
@@ -329,8 +330,12 @@
 		f.held = max(f.held, v.meets+1)
 		b.out.Tell(f.desk, Began, be.id)
 	}
+	if n := len(be.idle); n > 0 && !b.stands(be) {
+		b.out.CloseIdle(be.id)
+		be.idle = nil
+	}
 	if n := len(be.idle); n > 0 {
-		f.reused, be.idle = true, be.idle[:n-1]
+		f.reused, f.idled, be.idle = true, b.now-be.idle[n-1]+b.span("allowed.conn_idle_us"), be.idle[:n-1]
 	} else {
 		for range int(b.maybe("allowed.multiplex")) - 1 {
 			be.idle = append(be.idle, b.now+b.span("allowed.conn_idle_us"))
@@ -865,6 +870,9 @@
 		v.on.seen = min(v.on.seen+1, 16*enough)
 		v.on.mean += (own - v.on.mean) / v.on.seen
 	}
+	if rc == TimedOut && f.reused { // guards against connections that were dropped unseen, and answer nothing
+		b.life = min(b.life, max(f.idled, firstWait))
+	}
 	if rc == ConnectFailed {
 		f.be.idle = nil // it had to be dialled: no connection was left to reuse
 	}
@@ -1045,13 +1053,19 @@
 	return drawn
 }
 
+// stands tells whether an idle connection is believed to: told or, lately, learnt how long they live.
+func (b *Balancer) stands(be *backend) bool {
+	n := len(be.idle)
+	return n > 0 && be.idle[n-1]-max(b.span("allowed.conn_idle_us")-b.life, 0) > b.now
+}
+
 // distance makes a crossing, and a new connection, count as some visits held, by their prices.
 func (b *Balancer) distance(be *backend) float64 {
 	price := 0.0
 	if be.zone != b.myZone {
 		price = b.maybe("tariffs.cross_zone")
 	}
-	if len(be.idle) == 0 || be.idle[len(be.idle)-1] <= b.now {
+	if !b.stands(be) {
 		// A new connection stands for its idle time at least, among those of all sidecars to that server.
 		visits := b.firsts / float64(retrySpan) * float64(b.sidecars) / max(b.inUse, 1)
 		stands := visits * b.num("allowed.conn_idle_us") / 100
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -469,6 +469,33 @@
 	d.matches(t)
 }
 
+func TestIdleLife(t *testing.T) {
+	d := begin(t, site("all", "allowed.cancel", false, "allowed.conn_idle_us", 60e6), "a")
+	deliver := func(id VisitID) {
+		d.visit(id, 0)
+		d.say("on a connection that stood: %v", d.b.visits[id].fetches[0].reused)
+		d.pass(10 * ms)
+		d.ends(id, 0, Delivered)
+	}
+	deliver(1)
+	d.pass(3000 * ms)
+	d.title("one that stood for 3 s answers nothing until the client leaves: such are not trusted any more, younger ones are")
+	d.visit(2, 0)
+	d.pass(1999 * ms)
+	d.b.Outcome(d.now, 2, 0, TimedOut, 1999*ms, true)
+	deliver(3)
+	d.pass(1000 * ms)
+	deliver(4)
+	d.pass(4000 * ms)
+	deliver(5)
+	d.title("a minute and a half on they are")
+	d.pass(90_000 * ms)
+	deliver(6)
+	d.pass(5000 * ms)
+	deliver(7)
+	d.matches(t)
+}
+
 func TestShares(t *testing.T) {
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
