The program reads load reports in answers, checks its settings, keeps a connection to one visit

Reports come in X-Server-Load with any answer, by the settings' names or the servers'; what can't be read is passed over and counted (reports_read, reports_unreadable) and does its answer no harm.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -355,7 +355,7 @@
 // second sends a copy elsewhere of a visit whose first fetch takes longer than usual, out of the same bucket,
 // while the fleet is calm. Guards against a queue or a pause that a thin sidecar can't know of.
 func (b *Balancer) second(v *visit, f *fetch, guess Micros) {
-	if f.no > 0 || !b.thin() || b.desks() || !b.allows("allowed.cancel") ||
+	if f.no > 0 || !b.thin() || b.desks() || !b.allows("allowed.cancel") || !b.allows("allowed.may_duplicate") ||
 		b.level*b.meanWork > copyCalm*b.meanTarget {
 		return
 	}
--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -25,7 +25,7 @@
 		return nil, err
 	}
 	var counts counters.Sheet
-	out := outbound.New(0, 0, 0, 0, &counts, zerolog.Nop())
+	out := outbound.New(0, 0, 0, 0, nil, &counts, zerolog.Nop())
 	_, err = relay.New(berth, 0, out, nil, &counts, zerolog.Nop())
 	return berth, err
 }
--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -43,7 +43,7 @@
 	counts := &counters.Sheet{}
 	toClients, toServers := clientsPart*float64(b.Sockets), serversPart*float64(b.Sockets)
 	out := outbound.New(b.Span("allowed.conn_idle_us"), b.Span("allowed.connect_timeout_us"), int(toServers),
-		b.MemoryMB<<20/answersPart, counts, log)
+		b.MemoryMB<<20/answersPart, b.Loads(), counts, log)
 	var others *peers.Peers
 	if allowed, _ := b.Site["allowed.peer_messages"].(bool); allowed && b.PeerListen != "" {
 		var err error
@@ -69,6 +69,9 @@
 	}
 	broken := make(chan error, 1)
 	go func() { broken <- in.Serve() }()
+	if b.Streams > 1 {
+		log.Info().Int("told", b.Streams).Msg("allowed.multiplex is kept to one: a connection carries one visit at a time")
+	}
 	log.Info().Str("listen", b.Listen).Str("discovery", b.Discovery).Msg("serving")
 
 	ended := make(chan error, 1)
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -39,6 +39,8 @@
 	ConnectionsOpened
 	ConnectionsReused
 	ConnectionsStale
+	ReportsRead
+	ReportsUnreadable
 	ListsTaken
 	ListsFailed
 	ListsMalformed
@@ -56,7 +58,7 @@
 	"visits_dropped", "visits_overdue", "visits_over_held", "visits_twice", "bad_input", "client_connections",
 	"clients_evicted", "accept_failures", "fetches_sent", "fetches_delivered", "fetches_errored", "fetches_spoilt", "fetches_full",
 	"fetches_timed_out", "fetches_connect_failed", "fetches_reset", "fetches_cancelled", "fetches_never_sent",
-	"connections_opened", "connections_reused", "connections_stale",
+	"connections_opened", "connections_reused", "connections_stale", "reports_read", "reports_unreadable",
 	"lists_taken", "lists_failed", "lists_malformed", "lists_outdated", "reloads",
 	"reloads_refused", "notes_sent", "notes_heard",
 	"notes_refused", "faults"}
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -24,6 +24,7 @@
 type reply struct {
 	status         int
 	closes, unseen bool // the connection ends with it; it says the visit never ran
+	load           []float64
 	exchange.Answer
 }
 
@@ -44,6 +45,8 @@
 				r.Fields = append(r.Fields, [2]string{string(name), string(value)})
 			case framing.Is(name, "Connection"):
 				r.closes = r.closes || bytes.Contains(bytes.ToLower(value), []byte("close"))
+			case len(o.loads) > 0 && framing.Is(name, "X-Server-Load"):
+				r.load = o.report(value)
 			case framing.Is(name, "X-Not-Processed"):
 				r.unseen = string(value) == "1"
 			}
--- /dev/null
+++ b/internal/outbound/report.go
@@ -0,0 +1,36 @@
+package outbound
+
+import (
+	"encoding/json"
+	"math"
+
+	"ledgespread/internal/counters"
+)
+
+// others are the names that servers may give to what the settings call otherwise.
+var others = map[string]string{"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms",
+	"tps": "qps", "err_ps": "eps"}
+
+// report reads a server's load report. Guards against an answer that is lost for a report that can't be read, and
+// against decisions by half of one: it is passed over, and counted.
+func (o *Outbound) report(text []byte) (load []float64) {
+	var told map[string]float64
+	if json.Unmarshal(text, &told) == nil {
+		for _, name := range o.loads {
+			n, there := told[name]
+			if !there {
+				n, there = told[others[name]]
+			}
+			if !there || !(n >= 0) || math.IsInf(n, 0) {
+				break
+			}
+			load = append(load, n)
+		}
+	}
+	if len(load) < len(o.loads) {
+		o.counts.Add(counters.ReportsUnreadable)
+		return nil
+	}
+	o.counts.Add(counters.ReportsRead)
+	return load
+}
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -92,16 +92,16 @@
 	to, known := r.servers[be]
 	if v.ended || left <= 0 || int(no) >= r.mostOut || !known {
 		v.flights = append(v.flights, nil)
-		r.later(func() { r.ended(v, no, brain.NeverSent, 0, nil) })
+		r.later(func() { r.ended(v, no, brain.NeverSent, 0, nil, nil) })
 		return
 	}
 	v.flights = append(v.flights, r.outbound.Fetch(v.x, be, to.address, wait,
-		func(a *exchange.Answer, _ bool, err error) {
+		func(a *exchange.Answer, _ bool, load []float64, err error) {
 			r.post(func() {
 				if err != nil {
 					r.log.Debug().Err(err).Uint64("visit", uint64(id)).Msg("backend fetch not delivered")
 				}
-				r.ended(v, no, outbound.Result(err), r.now-sent, a)
+				r.ended(v, no, outbound.Result(err), r.now-sent, a, load)
 			})
 		}))
 }
@@ -113,14 +113,15 @@
 	brain.Cancelled: counters.FetchesCancelled, brain.NeverSent: counters.FetchesNeverSent}
 
 // ended tells the module how a fetch ended. The first delivery is the visit's answer.
-func (r *Relay) ended(v *visit, no brain.FetchNo, rc brain.Result, took brain.Micros, a *exchange.Answer) {
+func (r *Relay) ended(v *visit, no brain.FetchNo, rc brain.Result, took brain.Micros, a *exchange.Answer,
+	load []float64) {
 	r.counts.Add(resultCounts[rc])
 	v.out--
 	if rc == brain.Delivered && !v.ended {
 		v.x.Deliver(a)
 		r.end(v)
 	}
-	r.orFail(v, func() { r.b.Outcome(r.now, v.x.ID, no, rc, took, v.ended) })
+	r.orFail(v, func() { r.b.Outcome(r.now, v.x.ID, no, rc, took, v.ended, load...) })
 	r.forget(v)
 }
 
--- a/internal/site/berth.go
+++ b/internal/site/berth.go
@@ -19,6 +19,7 @@
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
+	Streams                 int // visits that a connection may carry at once, as told; one does
 	PeerListen              string
 	Peers                   []netip.AddrPort // in the order of their numbers
 	Known                   []byte           // the list of servers as last held, in discovery's form
@@ -99,6 +100,14 @@
 	if b.Site, err = Flatten(settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if err := refused(b.Site); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	// Guards against books that count on places for visits that a connection here does not have: it carries one at a time.
+	b.Streams = int(max(b.Figure("allowed.multiplex"), 1))
+	if _, there := b.Site["allowed.multiplex"]; there {
+		b.Site["allowed.multiplex"] = 1.0
+	}
 	if b.Known == nil {
 		return nil, errors.New("known is missing")
 	}
@@ -145,7 +154,7 @@
 	}{{"name", a.Name == b.Name}, {"listen", a.Listen == b.Listen},
 		{"limits", a.Cores == b.Cores && a.MemoryMB == b.MemoryMB && a.Sockets == b.Sockets},
 		{"peer_listen", a.PeerListen == b.PeerListen}, {"peers", slices.Equal(a.Peers, b.Peers)},
-		{"settings", maps.Equal(a.Site, b.Site)}} {
+		{"settings", maps.Equal(a.Site, b.Site) && a.Streams == b.Streams}} {
 		if !field.same {
 			names = append(names, field.name)
 		}
