ledgespread migrate writes an old file's counterpart for the pool, and tells what it can't

What it writes passes check.

Found with it: a sidecar that started with a saved list held servers that were long warm for cold until its first beat (50 ms), and bounced what came before (Listed).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -252,6 +252,9 @@
 		if started == 0 || started > now || returns && !restarted {
 			be.coldSince = now // it came back from we know not what: cold
 		}
+		if now-be.coldSince >= b.span("obligations.cold_us") { // guards a fresh sidecar's first visits
+			be.coldSince = 0
+		}
 		be.took, be.work, be.carried, be.own, be.good, be.bad, be.idle, be.toldAt = 0, 0, 0, 0, 0, 0, nil, 0
 	}
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -497,6 +497,19 @@
 	d.matches(t)
 }
 
+// A sidecar that starts later than a server was warm may send to it at once, not from its first beat on.
+func TestLongWarm(t *testing.T) {
+	d := begin(t, site("all"), "a*")
+	d.title("started just now: cold")
+	d.visit(1, 0)
+	d.title("started longer ago than it takes to warm")
+	d.b.ListBegins(d.now, Whole)
+	d.b.Listed(d.now, 'b', 0, 0, Ready, 1, d.now-8000*ms)
+	d.b.ListEnds(d.now)
+	d.visit(2, 0)
+	d.matches(t)
+}
+
 func TestShares(t *testing.T) {
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -24,10 +24,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return berth, starts(berth)
+}
+
+// starts tells whether a sidecar could start so.
+func starts(berth *site.Berth) error {
 	var counts counters.Sheet
 	out := outbound.New(0, 0, 0, 0, nil, &counts, zerolog.Nop())
-	_, err = relay.New(berth, 0, out, nil, &counts, zerolog.Nop())
-	return berth, err
+	_, err := relay.New(berth, 0, out, nil, &counts, zerolog.Nop())
+	return err
 }
 
 func root() *cobra.Command {
@@ -77,6 +82,6 @@
 			}
 			fmt.Fprintf(c.OutOrStdout(), "ledgespread %s (%s, %s)\n", release, revision, runtime.Version())
 		}}
-	cmd.AddCommand(start, check, version)
+	cmd.AddCommand(start, check, migrate(), version)
 	return cmd
 }
