What a visit met adds to an answer is learnt, not taken for a whole one

At fault: expect and account took an answer for proportional to the visits held. Now a line fitted to the answers tells it, firm at one until they do.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,6 +37,7 @@
 	lowLimit, beyondLimit = 0.5, 0.8     // part of these for a visit worth nothing; beyond its tenant's share
 	calmFalls, calmRises  = 100.0, 400.0 // beats in which the calm pace follows the fleet's down, and up
 	copyAfter, copyCalm   = 1.2, 0.3     // calm answers until a second copy; part of the target they may take
+	leastAdds, fitSpan    = 0.25, 256.0  // the least that a visit met adds to an answer; answers that tell
 	deskAsks, askRounds   = 3, 3         // servers compared by message; times others are if those sit out
 )
 
@@ -49,7 +50,7 @@
 	}()
 	b = &Balancer{out: out, site: site, now: now, begun: now, seed: seed, hash: fnv.New64a(),
 		due: btree.NewG(16, due.before), known: map[Backend]*backend{}, visits: map[VisitID]*visit{},
-		tally: map[string]int{}, level: 1, calm: 1, crowd: 1, size: 1}
+		tally: map[string]int{}, level: 1, calm: 1, crowd: 1, size: 1, adds: 1}
 	for i := range int(b.num("path_prefixes")) {
 		at := "path_prefixes." + strconv.Itoa(i) + "."
 		p := &prefix{target: b.span(at + "target_latency_us"), timeout: b.span(at + "client_timeout_us"),
@@ -69,16 +70,12 @@
 		at := "realms." + strconv.Itoa(i) + "."
 		b.realms = append(b.realms, realm{quota: max(b.num(at+"quota_per_s"), 1e-9)})
 	}
-	for _, needed := range []string{"allowed.max_backend_fetches", "allowed.conn_idle_us", "step_us",
-		"obligations.cold_from", "obligations.cold_us", "obligations.fall_multiple", "obligations.fall_us"} {
+	for _, needed := range []string{"obligations.cold_from", "obligations.cold_us", "obligations.fall_multiple",
+		"obligations.fall_us", "allowed.max_backend_fetches", "step_us"} {
 		b.num(needed)
 	}
-	if b.word("discovery") == "on_request" {
-		if b.sidecars == 1 {
-			b.subscribe()
-		} else { // guards against a herd at the list's service, where many start at once: the saved list will do
-			b.at(now+Micros(b.chance()*float64(b.herd())), b.subscribe)
-		}
+	if b.word("discovery") == "on_request" { // no herd at the list's service: the saved list will do
+		b.at(now+Micros(b.chance()*float64(b.herd())), b.subscribe)
 	}
 	for i := range int(b.maybe("telemetry.fields")) {
 		if b.word("telemetry.how") == "inline" && b.word("telemetry.fields."+strconv.Itoa(i)) == "concurrent" {
@@ -112,9 +109,7 @@
 	for _, be := range b.row {
 		be.took, be.work, be.carried, be.own = be.took*fade, be.work*fade, be.carried*fade, be.own*fade
 		be.good, be.bad = be.good*fade, be.bad*fade
-		if be.coldSince != 0 {
-			b.earn(be)
-		}
+		b.earn(be)
 		be.away *= 1 - 1/calmFalls // a lost message must not count for ever
 		if be.inService() {
 			sizes, held, b.inUse = sizes+be.rating, held+float64(be.held), b.inUse+1
@@ -152,12 +147,12 @@
 	b.crowd = blend(all.took, all.plain, 1, 1)
 }
 
-// blend is an answer time per unit of work, mixed with so much work's worth of the usual one.
+// blend is an answer time per unit of work, mixed with a prior.
 func blend(took, work, prior, usual float64) float64 { return (took + prior*usual) / (work + prior) }
 
 // earn lets a cold server's credit grow. Guards against pushing it over: all send a share of warm traffic.
 func (b *Balancer) earn(be *backend) {
-	if b.now-be.coldSince >= b.span("obligations.cold_us") {
+	if be.coldSince == 0 || b.now-be.coldSince >= b.span("obligations.cold_us") {
 		be.coldSince = 0
 		return
 	}
@@ -309,7 +304,6 @@
 
 // send is the only place that sends. It leaves the step's closure with the fetch.
 func (b *Balancer) send(v *visit, be *backend, then func(*fetch, Result)) {
-	be.idle = slices.DeleteFunc(be.idle, func(closes Micros) bool { return closes <= b.now })
 	guess := Micros(b.expect(be) * v.work)
 	be.held++
 	f := &fetch{no: FetchNo(len(v.fetches)), be: be, sent: b.now, held: float64(be.held) + be.away,
@@ -388,10 +382,8 @@
 	if b.now >= v.wanted {
 		comeBack = v.until - b.now
 	}
-	for _, f := range v.fetches { // guards against a client told to come back when its tag is forgotten
-		if f.ran && v.on.effect == "tagged" {
-			comeBack = min(comeBack, (f.sent+v.on.window-b.now)/2)
-		}
+	if len(v.fetches) > 0 && v.on.effect == "tagged" { // guards against coming back when the tag is forgotten
+		comeBack = min(comeBack, max(v.fetches[0].sent+v.on.window-b.now, 0)/2)
 	}
 	if !b.allows("allowed.retry_after") {
 		comeBack = 0
@@ -512,8 +504,7 @@
 	if b.thin() {
 		be = cmp.Or(b.coldest(v), be)
 	}
-	short := desks && v.offer == nil && v.wanted-b.now < 5*b.lag // asking would take too much of it
-	if be == nil && v.offer == nil || short || !desks {
+	if !desks || v.offer == nil && (be == nil || v.wanted-b.now < 5*b.lag) { // asking would take too much of it
 		b.place(v, be)
 		return
 	}
@@ -585,8 +576,8 @@
 		return
 	}
 	// Guards against bounces beside idle servers: where all that were asked are no good, others are asked.
-	again := (v.offer == nil || v.hinted && b.strain(v, v.offer) > 1) && v.wanted-b.now > 3*b.lag
-	if again && v.missing <= 0 && v.round < askRounds {
+	if again := v.offer == nil || v.hinted && b.strain(v, v.offer) > 1; again && v.wanted-b.now > 3*b.lag &&
+		v.missing <= 0 && v.round < askRounds {
 		b.ask(v)
 		return
 	}
@@ -682,7 +673,6 @@
 	return strain <= 1 || b.chance() < 3-2*strain || be.held == 0 && b.chance() < 1/memory
 }
 
-// partFor is the part of a limit that holds for a visit of so much value.
 func partFor(value float64) float64 { return 1 - (1-lowLimit)*(1-value)*(1-value) }
 
 // strain tells how near a server is to its limit with this visit, 1: at it.
@@ -694,9 +684,8 @@
 	pace, level := b.expect(be), b.centres[be.zone].level
 	plain := blend(be.took, be.carried, firmness*b.meanWork, level) / b.warmth(be)
 	limit := min(max(calmTimes*b.calm*b.meanWork, leastLimit*b.meanTarget), mostLimit*b.meanTarget)
-	crowd := plain * b.meanWork / limit
 	lenient := min(1, float64(b.now-b.begun)/b.meanTarget) // nothing is known yet: rather send and learn
-	crowd *= lenient
+	crowd := lenient * plain * b.meanWork / limit
 	if v.offer == be && b.desks() {
 		// The desk's count is of now and of all: the limit needs no calm answer to be measured against.
 		pace = v.offered
@@ -760,10 +749,7 @@
 	wait := v.wait()
 	v.charged++
 	b.at(b.now+wait, func() {
-		var be *backend
-		if !v.ended {
-			be = b.pick(v, false, false)
-		}
+		be := b.pick(v, false, false)
 		if be == nil {
 			b.giveBack(retryCost) // never sent: nothing was spent
 			b.giveUp(v, "turned_no_server")
@@ -877,8 +863,11 @@
 	if rc == Delivered || rc == Errored || rc == Full {
 		be.answered, be.mute, be.fresh = b.now, 0, false
 	}
+	met := load/work - 1
+	load = work * (1 + b.adds*met)
 	switch rc {
 	case Delivered:
+		b.learn(took*be.rating/b.size, work, met)
 		be.took, be.work, be.carried = be.took+took, be.work+load, be.carried+work
 		be.good++
 		if be.outUntil == 0 {
@@ -913,6 +902,16 @@
 	}
 }
 
+// learn fits what each visit met adds to an answer: as much again at a server of one core, less at others.
+func (b *Balancer) learn(took, work, met float64) {
+	for i, x := range []float64{work, work * met, work * met * met, took, took * met} {
+		b.fitted[i] = b.fitted[i]*(1-1/fitSpan) + x
+	}
+	prior, f := enough*b.meanWork, b.fitted
+	w, x, xx, t, tx := f[0]+prior, f[1]+prior, f[2]+2*prior, f[3]+2*prior*b.calm, f[4]+3*prior*b.calm
+	b.adds = min(max((w*tx-x*t)/max(t*xx-x*tx, 1e-9), leastAdds), 1)
+}
+
 // sitOut keeps a server off the ordinary pick, longer each time. Guards against all returning to it at once.
 func (b *Balancer) sitOut(be *backend, why string) {
 	if be.outUntil > b.now {
@@ -932,7 +931,7 @@
 	if be.fresh {
 		held = max(held, b.meanHeld)
 	}
-	return max(own*(held+1)*b.lately(be)/b.warmth(be), 1e-9) // never nothing: chance goes by its inverse
+	return max(own*(1+b.adds*held)*b.lately(be)/b.warmth(be), 1e-9) // never nothing: chance goes by its inverse
 }
 
 // lately is how a server differs from the usual by its last report, fading. Guards against blind picks.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -511,6 +511,22 @@
 	d.matches(t)
 }
 
+// Servers of one core, and of four: what a visit met adds to an answer is learnt, and so what a server would take.
+func TestAdds(t *testing.T) {
+	d := begin(t, site("all"), "a b")
+	for _, cores := range []float64{1, 4} {
+		e := begin(t, site("all"), "a b")
+		for i := range 400 {
+			met := float64(i % 6)
+			e.b.account(e.b.row[i%2], Delivered, e.now, 50e3*max(1, (1+met)/cores), 50e3, 50e3*(1+met))
+		}
+		be := e.b.row[0]
+		be.held = 3
+		d.say("%.0f cores: a visit met adds %.2f; beside three a mean one takes %.0f ms", cores, e.b.adds, e.b.expect(be)*50)
+	}
+	d.matches(t)
+}
+
 func TestShares(t *testing.T) {
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
