No server in service no longer turns the module's figures into nothing; blind bounces ask less

Cause: beat() set the mean size of servers to 0 while none was in service, and learn() divides by it: adds became NaN, then every server's pace, and pick() found nobody for ever. Ruled out: a jam of the limits (the tally says turned_no_server, not turned_crowded). Change: the mean size stays as it was while no server is in service. TestThinStart no longer sends two visits into servers that all sit out: that came from the same nothing.

Also: where a sidecar is blind a bounce says a sixteenth of the target, elsewhere a quarter as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -119,7 +119,8 @@
 		}
 	}
 	b.life = min(b.life+Micros(float64(b.life)/calmRises), b.span("allowed.conn_idle_us"))
-	b.size, b.meanHeld, b.carry = sizes/max(b.inUse, 1), held/max(b.inUse, 1), carried/memory/max(rated, 1e-9)
+	b.size = cmp.Or(sizes/max(b.inUse, 1), b.size) // none in service: as it was
+	b.meanHeld, b.carry = held/max(b.inUse, 1), carried/memory/max(rated, 1e-9)
 	b.reckon()
 	for i := range b.realms {
 		b.realms[i].used, b.realms[i].kept = b.realms[i].used*fade, b.realms[i].kept*fade
@@ -379,8 +380,11 @@
 func (b *Balancer) answer(v *visit, why string) {
 	b.tally[why]++
 	comeBack := v.on.target / 4
-	if b.now >= v.wanted {
+	switch {
+	case b.now >= v.wanted:
 		comeBack = v.until - b.now
+	case b.blind(): // another sidecar or moment may well find a place, and a late try is worth nothing
+		comeBack /= 4
 	}
 	if len(v.fetches) > 0 && v.on.effect == "tagged" { // guards against coming back when the tag is forgotten
 		comeBack = min(comeBack, max(v.fetches[0].sent+v.on.window-b.now, 0)/2)
@@ -745,10 +749,7 @@
 		b.giveUp(v, "turned_denied")
 		return
 	}
-	b.spent += retryCost
-	wait := v.wait()
-	v.charged++
-	b.at(b.now+wait, func() {
+	b.at(b.now+v.wait(), func() {
 		be := b.pick(v, false, false)
 		if be == nil {
 			b.giveBack(retryCost) // never sent: nothing was spent
@@ -757,6 +758,7 @@
 		}
 		b.send(v, be, b.after(v, true))
 	})
+	b.spent, v.charged = b.spent+retryCost, v.charged+1
 }
 
 // watch looks into a fetch that is out for long. Guards against servers that take visits and answer none.
@@ -965,10 +967,9 @@
 		}
 		least = min(least, be.score)
 	}
-	near := false
-	for _, be := range b.scratch {
-		near = near || !afar && be.held == 0 && be.zone == b.myZone && be.pace <= tieBand*least
-	}
+	near := !afar && slices.ContainsFunc(b.scratch, func(be *backend) bool {
+		return be.held == 0 && be.zone == b.myZone && be.pace <= tieBand*least
+	})
 	bias := paceBias
 	if b.tells > 0 {
 		bias = toldBias
@@ -1024,9 +1025,8 @@
 	}
 	if !b.stands(be) {
 		// A new connection stands for its idle time at least, among those of all sidecars to that server.
-		visits := b.firsts / float64(retrySpan) * float64(b.sidecars) / max(b.inUse, 1)
-		stands := visits * b.num("allowed.conn_idle_us") / 100
-		price += b.maybe("tariffs.handshake") + b.maybe("tariffs.connection")*stands
+		sent := b.firsts / float64(retrySpan) * float64(b.sidecars) / max(b.inUse, 1)
+		price += b.maybe("tariffs.handshake") + b.maybe("tariffs.connection")*sent*b.num("allowed.conn_idle_us")/100
 	}
 	return 1 + crossWeight*price/float64(be.held+1)
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -651,6 +651,40 @@
 	d.matches(t)
 }
 
+// A sidecar that was held up takes all its servers for silent and slow. It finds out that they are neither.
+func TestHeldUp(t *testing.T) {
+	d := begin(t, site("all", "path_prefixes.0.target_latency_us", 150e3), "a b")
+	d.pass(500 * ms)
+	d.quiet = true
+	d.title("twenty visits at once, whose answers are read after 214 ms; then two every millisecond, answered in one")
+	id := VisitID(0)
+	visits := func(n int, took Micros) (delivered int) {
+		first := id
+		for ; id < first+VisitID(n); id++ {
+			d.b.Inbound(d.now, id, 0, 0, 750*ms, 0, false)
+		}
+		d.pass(took)
+		for v := first; v < id; v++ {
+			if _, sent := d.sent[fmt.Sprint(v, "/0")]; sent {
+				delivered++
+				d.ends(v, 0, Delivered)
+			}
+		}
+		return delivered
+	}
+	visits(20, 214*ms)
+	for range 3 {
+		delivered := 0
+		for range 500 {
+			delivered += visits(2, ms)
+		}
+		d.quiet = false
+		d.say("of a thousand visits %d delivered; what a visit met adds %.2f", delivered, d.b.adds)
+		d.quiet = true
+	}
+	d.matches(t)
+}
+
 func TestListOutOfReach(t *testing.T) {
 	d := begin(t, site("all", "discovery", "on_request", "obligations.ask_every_us", 10e6), "a")
 	d.title("each failed call is followed by another after a longer wait, each time a little apart")
