--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -260,12 +260,13 @@
 	return 2*l.idle > cap(l.places)
 }
 
-// evictIdle closes all connections that carry nothing.
+// evictIdle closes all connections that carry nothing. One whose client has sent what nobody read yet does carry something:
+// guards against losing visits at a stop on a machine that is late.
 func (l *listener) evictIdle() {
 	var out []*client
 	l.mu.Lock()
 	for c := range l.here {
-		if c.at != carrying {
+		if c.at != carrying && !peek.Sent(c.TCPConn) {
 			c.evict()
 			out = append(out, c)
 		}
--- a/internal/inbound/listener_test.go
+++ b/internal/inbound/listener_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"ledgespread/internal/counters"
+	"ledgespread/internal/peek"
 )
 
 // Once a connection is told to be evicted, nothing written to it may reach its client: a handler that finds
@@ -59,3 +60,35 @@
 		t.Errorf("-kept +now:\n%s", diff)
 	}
 }
+
+// A client that has sent its visit before the stop is not closed, though nothing was read of it; one that is silent is.
+func TestSentIsNotIdle(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l := newListener(ln.(*net.TCPListener), 30, &counters.Sheet{}, zerolog.Nop())
+	var got []string
+	for _, says := range []string{"GET /look HTTP/1.1\r\n", ""} {
+		other, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer other.Close()
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		other.Write([]byte(says))
+		for says != "" && peek.Look(c, true) != peek.Waiting {
+			runtime.Gosched()
+		}
+		l.evictIdle()
+		got = append(got, fmt.Sprintf("said %d bytes, evicted: %v", len(says), c.(*client).evicted))
+	}
+	want := []string{"said 20 bytes, evicted: false", "said 0 bytes, evicted: true"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -42,3 +42,15 @@
 	})
 	return seen
 }
+
+// Sent tells whether bytes have come that nobody read yet. Unlike Look it does not wait for a read that is under way.
+func Sent(c *net.TCPConn) (sent bool) {
+	if raw, err := c.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			var one [1]byte
+			n, _, _ := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			sent = n > 0
+		})
+	}
+	return sent
+}
--- a/lab/cars/cars.go
+++ b/lab/cars/cars.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -92,14 +93,30 @@
 	return car, err
 }
 
-// Free is a loopback address that nothing listens at, by now.
+// taken counts the addresses this process has looked at, so that it never gives one out twice.
+var taken atomic.Uint64
+
+// Free is a loopback address that nothing listens at, by now. It lies below the ports that the kernel gives out by itself.
+// Guards against a list service or a box that gets the address before its sidecar does, and answers in its place.
 func Free() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	low, high := uint64(10_000), uint64(32_768)
+	if text, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
+		if first, err := strconv.ParseUint(strings.Fields(string(text) + " -")[0], 10, 16); err == nil {
+			high = first
+		}
+	}
+	for range 1000 {
+		port := uint64(0) // none are left to choose from: the kernel's choice
+		if high > low+1000 {
+			port = low + (uint64(os.Getpid())*1009+taken.Add(1))%(high-low)
+		}
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			defer ln.Close()
+			return ln.Addr().String(), nil
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no address of 1,000 on loopback is free")
 }
 
 const ports = 5 // tries with other addresses, where one was taken meanwhile
