--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -124,9 +124,12 @@
 			time.Sleep(max(0, w.part(pacePart)-time.Since(began)))
 		}
 		asked = false
-		if rest := w.rest(took); rest > 0 {
-			time.Sleep(rest)
-			continue
+		// Only after a call that began no watch: guards against resting from one, whose changes count as told meanwhile.
+		if hold == 0 {
+			if rest := w.rest(took); rest > 0 {
+				time.Sleep(rest)
+				continue
+			}
 		}
 		hold = w.part(holdPart)
 	}
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -458,3 +458,60 @@
 slow, for eighty: rests: true
 `)
 }
+
+// A held call is followed by the next at once, though another round's call failed meanwhile: what changes counts as told.
+func TestHeldOn(t *testing.T) {
+	var tr trace
+	var mu sync.Mutex
+	var answered, next time.Time
+	s := serveFake(t, func(n int, path string) string {
+		answer := func(version int) string {
+			list := hosts(version, true)
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+		}
+		switch n {
+		case 1: // the round before: its call breaks while the next one is held
+			time.Sleep(300 * time.Millisecond)
+			return "!"
+		case 2:
+			return answer(42)
+		case 3:
+			time.Sleep(600 * time.Millisecond)
+			mu.Lock()
+			answered = time.Now()
+			mu.Unlock()
+			return answer(43)
+		}
+		mu.Lock()
+		if next.IsZero() {
+			next = time.Now()
+		}
+		mu.Unlock()
+		return "silence"
+	})
+	w := discovery.New(s.Addr().String(), nil, 41, 2*second, 80, 1<<20, 7, func(l *discovery.List) {}, &counters.Sheet{}, zerolog.Nop())
+	for i := range 2 {
+		w.Watch()
+		for end := time.Now().Add(5 * time.Second); s.count() < i+1 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for end := time.Now().Add(5 * time.Second); s.count() < 4 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	s.mu.Lock()
+	for _, ask := range s.seen {
+		tr.add("%s", strings.Split(ask, " HTTP")[0])
+	}
+	s.mu.Unlock()
+	mu.Lock()
+	tr.add("rests after the held one: %v", next.Sub(answered) > 600*time.Millisecond)
+	mu.Unlock()
+	tr.same(t, `
+GET /api/targets?from=41&hold_ms=0
+GET /api/targets?from=41&hold_ms=0
+GET /api/targets?from=42&hold_ms=1000
+GET /api/targets?from=43&hold_ms=1000
+rests after the held one: false
+`)
+}
