--- a/brain/brain.go
+++ b/brain/brain.go
@@ -768,13 +768,7 @@
 		return
 	}
 	b.at(b.now+min(max(left/2, Micros(patience*float64(guess))), left), func() {
-		if f.done || v.ended {
-			return
-		}
-		if f.reused { // guards against connections that were dropped unseen, and answer nothing
-			b.life = min(b.life, max(f.idled, firstWait))
-		}
-		if f.be.answered > f.sent {
+		if f.done || v.ended || f.be.answered > f.sent {
 			return
 		}
 		if f.told {
@@ -827,6 +821,9 @@
 		v.on.seen = min(v.on.seen+1, 16*enough)
 		v.on.mean += (own - v.on.mean) / v.on.seen
 	}
+	if rc == TimedOut && f.reused { // guards against connections that were dropped unseen, and answer nothing
+		b.life = min(b.life, max(f.idled, firstWait))
+	}
 	if rc == ConnectFailed {
 		f.be.idle = nil // it had to be dialled: no connection was left to reuse
 	}
