Garbled figures of a known sidecar no longer stay in the books

Change: only a quote may be infinite (notes.Read); of 'ended' the time, the work and the visits held must lie within the longest client timeout, in one condition (Heard). Ruled out: NaN and negative figures, refused by the codec before.

--- a/brain/books.go
+++ b/brain/books.go
@@ -110,7 +110,7 @@
 	asked, askWait, totalled           Micros         // last call of the list, 0: answered; next wait; totals
 	spent, firsts                      float64        // tokens missing from the bucket; first tries lately
 	came, meanWork, meanTarget         float64        // visits that make the means of those that come
-	meanPart, told                     float64        // of a limit, by their value; visits that servers reported
+	meanPart, told, longest            float64        // of a limit, by value; visits reported; client timeout
 	centres                            []centre       // by data centre
 	level, crowd, calm                 float64        // answer time per unit of work; without a prior; when calm
 	size, inUse, meanHeld              float64        // of servers in service: rating, number, our visits there
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,7 +62,7 @@
 		if i == 0 || p.target < b.leastTarget {
 			b.leastTarget, b.lag = p.target, p.target/8
 		}
-		b.topValue, b.meanWork = max(b.topValue, p.value), p.mean
+		b.topValue, b.meanWork, b.longest = max(b.topValue, p.value), p.mean, max(b.longest, float64(p.timeout))
 	}
 	b.myZone, b.sidecars, b.me = Zone(b.num("my_zone")), max(1, int(b.maybe("balancers"))), Peer(b.maybe("me"))
 	b.deaf, b.life = make([]deafness, b.sidecars), b.span("allowed.conn_idle_us")
@@ -656,7 +656,7 @@
 		if be.answered <= now-Micros(figures[0]) { // one that answered others since then is not silent
 			b.missed(be, "silent")
 		}
-	case kind == Ended && len(figures) == 4:
+	case kind == Ended && len(figures) == 4 && max(figures[1], figures[2], figures[3]/figures[2]) <= b.longest:
 		be.away = max(0, be.away-1)
 		b.account(be, Result(figures[0]), now-Micros(figures[1]), figures[1], figures[2], figures[3])
 	}
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 // fleet is many sidecars beside each other, as many as a large fleet has; none knows of the others.
@@ -275,3 +277,41 @@
 	}
 	all.matches(t)
 }
+
+// What garbled or outdated messages of known sidecars say must not stay in the books: afterwards visits are sent, and no server counts as slow.
+func TestGarbledNotes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		servers := "a b c d e f g h"
+		d := begin(t, site("cell", "balancers", 80.0, "me", 2.0, "allowed.peer_messages", true, "realms", 2.0,
+			"realms.0.quota_per_s", 10.0, "realms.1.quota_per_s", 10.0), servers)
+		d.quiet = true
+		d.pass(1000 * ms)
+		figure := rapid.Float64Range(0, math.MaxFloat32)
+		for range rapid.IntRange(1, 60).Draw(rt, "messages") {
+			kind := Note(rapid.IntRange(0, 9).Draw(rt, "kind"))
+			figures := make([]float64, rapid.IntRange(0, 5).Draw(rt, "figures"))
+			for i := range figures {
+				if figures[i] = figure.Draw(rt, "figure"); rapid.Bool().Draw(rt, "nothing") {
+					figures[i] = 0
+				}
+			}
+			d.b.Heard(d.now, Peer(rapid.IntRange(0, 90).Draw(rt, "from")), kind,
+				Backend(rapid.IntRange('a', 'j').Draw(rt, "server")), figures...)
+		}
+		d.pass(20000 * ms)
+		d.b.sidecars = 1 // nobody is asked: what the books say decides
+		for id := range VisitID(80) {
+			d.visit(id, 0)
+			d.pass(1 * ms)
+			if _, sent := d.sent[fmt.Sprint(id, "/0")]; !sent {
+				rt.Fatalf("visit %d was not sent; %v", id, d.b.tally)
+			}
+			d.ends(id, 0, Delivered)
+		}
+		for _, be := range d.b.row {
+			if pace := d.b.expect(be); !(pace < 100) {
+				rt.Fatalf("%c: pace %v", be.id, pace)
+			}
+		}
+	})
+}
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -262,7 +262,8 @@
 	<-heard
 	tr.add("heard %d, refused %d; sent %d, refused %d", counts[counters.NotesHeard].Load(),
 		counts[counters.NotesRefused].Load(), sent[counters.NotesSent].Load(), sent[counters.NotesRefused].Load())
-	for _, msg := range []string{"", "short", "\x01\x00\x00\x00\x00\x00\x01\x00", "\x01\x00\x00\x00\x00\x00\x01\xff\xff"} {
+	for _, msg := range []string{"", "short", "\x01\x00\x00\x00\x00\x00\x01\x00", "\x01\x00\x00\x00\x00\x00\x01\xff\xff",
+		"\x07\x00\x00\x00\x00\x00\x01\x7f\x80", "\x04\x00\x00\x00\x00\x00\x01\x7f\x80"} { // infinite: only a quote may be
 		_, _, _, fine := notes.Read([]byte(msg))
 		tr.add("%q is a message: %v", msg, fine)
 	}
@@ -274,6 +275,8 @@
 "short" is a message: false
 "\x01\x00\x00\x00\x00\x00\x01\x00" is a message: false
 "\x01\x00\x00\x00\x00\x00\x01\xff\xff" is a message: false
+"\a\x00\x00\x00\x00\x00\x01\x7f\x80" is a message: false
+"\x04\x00\x00\x00\x00\x00\x01\x7f\x80" is a message: true
 `)
 }
 
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -25,7 +25,8 @@
 	return to
 }
 
-// Read takes a message apart; ok is false where it is not of this form.
+// Read takes a message apart; ok is false where it is not of this form. Only a quote may be infinite. Guards against a figure
+// that, once added, stays in the books for ever.
 func Read(msg []byte) (kind brain.Note, about brain.Backend, figures []float64, ok bool) {
 	if len(msg) < head || len(msg)%2 != head%2 {
 		return 0, 0, nil, false
@@ -33,7 +34,8 @@
 	figures = make([]float64, (len(msg)-head)/2)
 	for i := range figures {
 		bits := uint32(be.Uint16(msg[head+2*i:])) << 16
-		if figures[i] = float64(math.Float32frombits(bits)); !(figures[i] >= 0) {
+		if figures[i] = float64(math.Float32frombits(bits)); !(figures[i] >= 0) ||
+			math.IsInf(figures[i], 1) && brain.Note(msg[0]) != brain.Quote {
 			return 0, 0, nil, false
 		}
 	}
