--- a/internal/inbound/listener_test.go
+++ b/internal/inbound/listener_test.go
@@ -15,6 +15,20 @@
 	"ledgespread/internal/peek"
 )
 
+// connected is a new connection, at both of its ends.
+func connected(t *testing.T, l *listener) (other, here net.Conn) {
+	t.Helper()
+	other, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { other.Close() })
+	if here, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return other, here
+}
+
 // Once a connection is told to be evicted, nothing written to it may reach its client: a handler that finds
 // a visit on it returns, and what the server then writes would be an answer that no server made.
 func TestEvictedIsClosed(t *testing.T) {
@@ -28,15 +42,7 @@
 	for range 20 {
 		var here []net.Conn
 		for range 30 {
-			other, err := net.Dial("tcp", ln.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer other.Close()
-			c, err := l.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
+			_, c := connected(t, l)
 			here = append(here, c)
 		}
 		var all sync.WaitGroup
@@ -71,15 +77,7 @@
 	l := newListener(ln.(*net.TCPListener), 30, &counters.Sheet{}, zerolog.Nop())
 	var got []string
 	for _, says := range []string{"GET /look HTTP/1.1\r\n", ""} {
-		other, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer other.Close()
-		c, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
+		other, c := connected(t, l)
 		other.Write([]byte(says))
 		for says != "" && peek.Look(c, true) != peek.Waiting {
 			runtime.Gosched()
