Read-through: a late lab's third failure fails the test; twins in tests and peek made one

The third failure fails it now. Reckoned once a beat: the bound below which figures need not fade, which was divided for every server. One piece each: the peek at a first byte (Look, Sent), the wait for a list service's requests and its answer in tests. Simpler loops in TestFullTellsOfItself and TestPlacesAndStop.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -104,11 +104,12 @@
 
 func (b *Balancer) beat() {
 	fade, slow := 1-1/memory, 1-float64(firstWait)/float64(retrySpan)
+	few, seldom := b.meanWork/memory/memory, 1/memory/memory // what is less need not fade
 	b.firsts *= slow
 	var carried, rated, sizes, held float64
 	b.inUse = 0
 	for _, be := range b.row {
-		if be.work > b.meanWork/memory/memory || be.bad > 1/memory/memory { // less need not fade
+		if be.work > few || be.bad > seldom {
 			be.took, be.work, be.carried, be.own = be.took*fade, be.work*fade, be.carried*fade, be.own*fade
 			be.good, be.bad = be.good*fade, be.bad*fade
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -690,17 +690,15 @@
 	d := begin(t, site("cell"), "a b c")
 	d.quiet = true
 	play := func(full bool) (expected float64) {
-		for first := VisitID(len(d.sent)); first < VisitID(len(d.sent))+60; first++ {
-			d.visit(first, 0)
+		for range 60 {
+			id := VisitID(len(d.sent))
+			d.visit(id, 0)
 			d.pass(10 * ms)
-			if d.b.visits[first].fetches[0].be.id == 'a' && full {
-				d.ends(first, 0, Full)
-				d.b.Dropped(d.now, first)
+			if d.b.visits[id].fetches[0].be.id == 'a' && full {
+				d.ends(id, 0, Full)
+				d.b.Dropped(d.now, id)
 			} else {
-				d.ends(first, 0, Delivered)
-			}
-			if first%60 == 59 {
-				break
+				d.ends(id, 0, Delivered)
 			}
 		}
 		d.pass(50 * ms)
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -425,17 +425,14 @@
 				return "silence"
 			}
 			time.Sleep(c.takes)
-			list := hosts(42, true)
-			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+			return listed(42)
 		})
 		told := make(chan bool, 9)
 		w := discovery.New(s.Addr().String(), nil, 41, 2*second, c.among, 1<<20, 7, func(l *discovery.List) { told <- l != nil },
 			&counters.Sheet{}, zerolog.Nop())
 		for w.Watch(); !<-told; w.Watch() {
 		}
-		for end := time.Now().Add(5 * time.Second); s.count() < 3 && time.Now().Before(end); {
-			time.Sleep(time.Millisecond)
-		}
+		s.asked(3)
 		mu.Lock()
 		wait := at[2].Sub(at[1])
 		mu.Unlock()
@@ -462,28 +459,37 @@
 `)
 }
 
+// listed is an answer of discovery with a whole list.
+func listed(version int) string {
+	list := hosts(version, true)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+}
+
+// asked waits, not for ever, until so many requests came.
+func (f *fake) asked(n int) {
+	for end := time.Now().Add(5 * time.Second); f.count() < n && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // A held call is followed by the next at once, though another round's call failed meanwhile: what changes counts as told.
 func TestHeldOn(t *testing.T) {
 	var tr trace
 	var mu sync.Mutex
 	var answered, next time.Time
 	s := serveFake(t, func(n int, path string) string {
-		answer := func(version int) string {
-			list := hosts(version, true)
-			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
-		}
 		switch n {
 		case 1: // the round before: its call breaks while the next one is held
 			time.Sleep(300 * time.Millisecond)
 			return "!"
 		case 2:
-			return answer(42)
+			return listed(42)
 		case 3:
 			time.Sleep(600 * time.Millisecond)
 			mu.Lock()
 			answered = time.Now()
 			mu.Unlock()
-			return answer(43)
+			return listed(43)
 		}
 		mu.Lock()
 		if next.IsZero() {
@@ -495,13 +501,9 @@
 	w := discovery.New(s.Addr().String(), nil, 41, 2*second, 80, 1<<20, 7, func(l *discovery.List) {}, &counters.Sheet{}, zerolog.Nop())
 	for i := range 2 {
 		w.Watch()
-		for end := time.Now().Add(5 * time.Second); s.count() < i+1 && time.Now().Before(end); {
-			time.Sleep(time.Millisecond)
-		}
-	}
-	for end := time.Now().Add(5 * time.Second); s.count() < 4 && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
+		s.asked(i + 1)
 	}
+	s.asked(4)
 	s.mu.Lock()
 	for _, ask := range s.seen {
 		tr.add("%s", strings.Split(ask, " HTTP")[0])
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -27,8 +27,7 @@
 		return Unknown
 	}
 	raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := first(fd)
 		switch {
 		case err == syscall.EAGAIN || err == syscall.EINTR:
 			seen = Quiet
@@ -43,12 +42,18 @@
 	return seen
 }
 
+// first looks for a first byte, and leaves it there.
+func first(fd uintptr) (n int, err error) {
+	var one [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 // Sent tells whether bytes have come that nobody read yet. Unlike Look it does not wait for a read that is under way.
 func Sent(c *net.TCPConn) (sent bool) {
 	if raw, err := c.SyscallConn(); err == nil {
 		raw.Control(func(fd uintptr) {
-			var one [1]byte
-			n, _, _ := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			n, _ := first(fd)
 			sent = n > 0
 		})
 	}
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -321,10 +321,7 @@
 // new ones are served for a while, and what is held gets its answer.
 func TestPlacesAndStop(t *testing.T) {
 	tr, late := placesAndStop(t)
-	for range 20 { // new ones are served for half a second; a test that was held up so long says nothing of it
-		if !late {
-			break
-		}
+	for try := 0; late && try < 20; try++ { // new ones are served for half a second; one held up so long tells nothing
 		tr, late = placesAndStop(t)
 	}
 	tr.same(t, `
--- a/lab/stage/stage_test.go
+++ b/lab/stage/stage_test.go
@@ -41,7 +41,7 @@
 }
 
 // The scenarios in their short forms. What is claimed here holds on any machine: the rules, and that the accounts agree;
-// what service is given in so short a time is told; half of the visits are delivered where the lab itself was in time.
+// what service is given in so short a time is told; half of the visits are delivered.
 func TestScenarios(t *testing.T) {
 	files, _ := filepath.Glob("../scenarios/*.toml")
 	for _, f := range files {
@@ -54,7 +54,7 @@
 			if s.Length.M() > 6*clock.Second {
 				s.Short(0.25)
 			}
-			// On a machine that stood still visits run out of time by nobody's fault; the others are done by a later try.
+			// On a machine that stood still visits run out of time by nobody's fault. What comes three times is no such chance.
 			for try := 1; ; try++ {
 				r, err := Play(s, Options{Program: sidecar()})
 				if err != nil {
@@ -65,13 +65,11 @@
 				t.Log(b.String())
 				broken := r.Verdict.Certain()
 				fine := len(broken) == 0 && len(r.Verdict.Unmatched) == 0 && r.Ends["delivered"] >= r.Visits/2
-				switch {
-				case fine:
+				if fine {
 					return
-				case !r.RanLate:
+				}
+				if !r.RanLate || try == 3 {
 					t.Fatalf("%v\n%v\n%d of %d delivered", broken, r.Verdict.Unmatched, r.Ends["delivered"], r.Visits)
-				case try == 3:
-					t.Skip("the machine was too busy three times")
 				}
 			}
 		})
