Long answers are passed on as they come, in every form that HTTP/1.1 allows

Ruled out: answers late by themselves (p50 17 ms).

Design: an answer of up to 64 KiB is read whole as before, so that retries and strictness lose nothing. Of unknown length: held back until it is whole, or 64 KiB, or an eighth of the time left has passed. A break is cut at the client as well.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -31,6 +31,7 @@
 	FetchesDelivered
 	FetchesErrored
 	FetchesSpoilt // of these
+	AnswersCut    // long ones, by their servers
 	FetchesFull
 	FetchesTimedOut
 	FetchesConnectFailed
@@ -58,7 +59,7 @@
 
 var names = [last]string{"visits_taken", "visits_delivered", "visits_bounced", "visits_errored",
 	"visits_dropped", "visits_overdue", "visits_over_held", "visits_twice", "bad_input", "client_connections",
-	"clients_evicted", "accept_failures", "fetches_sent", "fetches_written", "fetches_delivered", "fetches_errored", "fetches_spoilt", "fetches_full",
+	"clients_evicted", "accept_failures", "fetches_sent", "fetches_written", "fetches_delivered", "fetches_errored", "fetches_spoilt", "answers_cut", "fetches_full",
 	"fetches_timed_out", "fetches_connect_failed", "fetches_reset", "fetches_cancelled", "fetches_never_sent",
 	"connections_opened", "connections_reused", "connections_stale", "reports_read", "reports_unreadable",
 	"lists_taken", "lists_failed", "lists_malformed", "lists_outdated", "reloads",
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -3,6 +3,7 @@
 package exchange
 
 import (
+	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -11,7 +12,7 @@
 	"ledgespread/brain"
 )
 
-// What a message may hold: its head on either side, and the body of a visit. An answer's is bounded by the memory.
+// What is held of a message: its head on either side, and a body. Longer ones are passed on as they come.
 const (
 	MostHead = 16 << 10
 	MostBody = 64 << 10
@@ -47,10 +48,20 @@
 	ComeBackIn brain.Micros
 }
 
-// Answer is what a server delivered: its fields and its body.
+// Answer is what a server delivered: its fields and its body. Of a long one the rest comes as the server gives it; whoever
+// has the answer then closes it.
 type Answer struct {
 	Fields [][2]string
 	Body   []byte
+	Size   int64         // of the whole body; -1: nobody knows yet
+	Rest   io.ReadCloser // nil: Body is all
+}
+
+// Drop gives up an answer that goes nowhere.
+func (a *Answer) Drop() {
+	if a != nil && a.Rest != nil {
+		a.Rest.Close()
+	}
 }
 
 // hop holds the fields that go no further than one connection, or are written anew, by their lengths.
@@ -97,6 +108,14 @@
 	return x.settle(func() { x.How, x.ComeBackIn = Bounced, comeBackIn })
 }
 
+// Abandon ends a visit whose client went away. An answer that came just then is given up.
+func (x *Exchange) Abandon() {
+	if !x.Fail(Errored) {
+		<-x.done
+		x.Answer.Drop()
+	}
+}
+
 // Fail answers with an error page.
 func (x *Exchange) Fail(how Ending) bool { return x.settle(func() { x.How = how }) }
 
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -173,7 +173,11 @@
 	}
 	in.counts.Add(counters.VisitsTaken)
 	ended := in.accounts.Take(int(x.On))
-	defer ended(counters.Left) // unless it got its answer
+	defer func() { // unless it got its answer, or gets it now
+		if !ctx.Response.IsBodyStream() {
+			ended(counters.Left)
+		}
+	}()
 	left := time.Duration(x.Left) * time.Microsecond
 	now := time.Now()
 	look, end := now.Add(left/quickParts), now.Add(left+overdue)
@@ -195,6 +199,7 @@
 	case <-gone:
 		in.counts.Add(counters.VisitsDropped)
 		in.visits.Left(x)
+		x.Abandon()
 		stop()
 		abandon(ctx)
 		return
@@ -216,10 +221,14 @@
 	switch x.How {
 	case exchange.Delivered:
 		in.counts.Add(counters.VisitsDelivered)
-		ended(counters.Succeeded)
 		for _, field := range x.Answer.Fields {
 			ctx.Response.Header.Add(field[0], field[1])
 		}
+		if x.Answer.Rest != nil {
+			in.passOn(ctx, x.Answer, ended)
+			return
+		}
+		ended(counters.Succeeded)
 		ctx.Response.SetBodyRaw(x.Answer.Body)
 	case exchange.Bounced:
 		in.counts.Add(counters.VisitsBounced)
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -14,9 +15,7 @@
 var (
 	errNoise    = errors.New("no HTTP")
 	errLongHead = errors.New("a head without end")
-	errNoLength = errors.New("no length")
 	errSwitched = errors.New("another protocol")
-	errTooLong  = errors.New("too long an answer")
 	errNoRoom   = errors.New("no memory left for the answer")
 )
 
@@ -26,11 +25,12 @@
 	closes, unseen bool // the connection ends with it; it says the visit never ran
 	load           []float64
 	exchange.Answer
+	body io.Reader // what is still to come of a long one, for a stream; nil: all is here
 }
 
-// answer reads a whole answer; others ahead of it that only inform are passed over. Guards against delivering
+// answer reads a whole answer, or as much of a long one as tells that it is long; others ahead of it that only inform are passed over. Guards against delivering
 // what the server did not mean: what is not proven well-formed is spoilt, as soon as that shows.
-func (o *Outbound) answer(l *line) (*reply, error) {
+func (o *Outbound) answer(l *line, until time.Time) (*reply, error) {
 	for passed := 0; ; {
 		head, err := l.head(exchange.MostHead - passed)
 		if err != nil {
@@ -64,35 +64,47 @@
 			passed += len(head)
 			l.in.Discard(len(head))
 			continue
-		case !bare && body.Length < 0 && !body.Chunked: // it ends with the connection: cut short or whole
-			return nil, errNoLength
-		}
-		// Guards against the memory's end by long answers, one or many: what is said to come has its room first.
-		most := o.room / answerPart
-		size := int64(max(body.Length, 0))
-		if body.Chunked {
-			size = int64(most)
-		}
-		if size > int64(most) {
-			return nil, errTooLong
-		}
-		defer o.taken.Add(-size)
-		if o.taken.Add(size) > int64(o.room) {
-			return nil, errNoRoom
-		}
-		if body.Chunked {
-			var whole fasthttp.Response
-			err := whole.ReadLimitBody(l.in, most)
-			r.Body = whole.Body()
-			return r, err
 		}
 		l.in.Discard(len(head))
-		if !bare {
-			r.Body = make([]byte, size)
+		return r, o.begin(l, r, body, bare, until)
+	}
+}
+
+// begin reads an answer's body as far as it is read before it goes on. Only a delivery is ever long.
+func (o *Outbound) begin(l *line, r *reply, body framing.Body, bare bool, until time.Time) (err error) {
+	var from io.Reader
+	size, hold := exchange.MostBody, time.Now().Add(time.Until(until)/holdPart)
+	switch {
+	case bare || body.Length == 0:
+		return nil
+	case body.Chunked:
+		from, r.Size = &chunked{l: l}, -1
+	case body.Length < 0:
+		if !r.closes { // guards against one that forgot its length and stays: it is late, not a delivery without end
+			hold = until
 		}
+		from, r.Size, r.closes = untilClose{l}, -1, true
+	case body.Length > exchange.MostBody:
+		r.body, r.Size = &fixed{l, int64(body.Length)}, int64(body.Length)
+		return nil
+	default:
+		size = body.Length
+	}
+	// Guards against the memory's end by many answers: what may come has its room first.
+	defer o.taken.Add(-int64(size))
+	if o.taken.Add(int64(size)) > int64(o.room) {
+		return errNoRoom
+	}
+	if from == nil {
+		r.Body = make([]byte, size)
 		_, err = io.ReadFull(l.in, r.Body)
-		return r, err
+		return err
+	}
+	var whole bool
+	if r.Body, whole, err = l.begin(from, hold, until); err == nil && !whole {
+		r.body = from
 	}
+	return err
 }
 
 // head looks at the next head, which stays unread.
--- /dev/null
+++ b/internal/outbound/body.go
@@ -0,0 +1,150 @@
+package outbound
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"ledgespread/internal/exchange"
+)
+
+var (
+	errChunk = errors.New("a chunk can't be read")
+	errShort = io.ErrUnexpectedEOF
+)
+
+// A body is read piece by piece. A read that a deadline ends may be repeated: it has taken no byte that it did not return.
+// io.EOF says that the body came whole; an end of the connection before that is errShort.
+
+// fixed is a body of so many bytes.
+type fixed struct {
+	l    *line
+	left int64
+}
+
+func (b *fixed) Read(p []byte) (n int, err error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n, err = b.l.in.Read(p[:min(int64(len(p)), b.left)])
+	if b.left -= int64(n); err == io.EOF {
+		err = errShort
+	} else if b.left == 0 {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// untilClose is a body that the connection's end ends.
+type untilClose struct{ l *line }
+
+func (b untilClose) Read(p []byte) (int, error) { return b.l.in.Read(p) }
+
+// chunked is a body in chunks; extensions and trailers are passed over.
+type chunked struct {
+	l        *line
+	left     int64 // of the chunk that is being read
+	ends     bool  // that chunk's line end is still to come
+	last     bool  // the last chunk came: trailers follow
+	done     bool
+	trailing int // bytes of trailers
+}
+
+func (b *chunked) Read(p []byte) (n int, err error) {
+	for {
+		switch {
+		case b.done:
+			return 0, io.EOF
+		case len(p) == 0:
+			return 0, nil
+		case b.left > 0:
+			n, err = b.l.in.Read(p[:min(int64(len(p)), b.left)])
+			if b.left -= int64(n); err == io.EOF {
+				err = errShort
+			}
+			b.ends = b.left == 0
+			if n > 0 || err != nil {
+				return n, err
+			}
+		case b.ends:
+			end, err := b.peek(2)
+			if err != nil {
+				return 0, err
+			}
+			if string(end) != "\r\n" {
+				return 0, errChunk
+			}
+			b.l.in.Discard(2)
+			b.ends = false
+		default:
+			line, err := b.line()
+			if err != nil {
+				return 0, err
+			}
+			if b.last {
+				b.done = len(line) == 0
+				if b.trailing += len(line); b.trailing > exchange.MostHead || !b.done && bytes.IndexByte(line, ':') <= 0 {
+					return 0, errChunk
+				}
+			} else if b.left, err = chunkSize(line); err != nil {
+				return 0, err
+			} else {
+				b.last = b.left == 0
+			}
+			b.l.in.Discard(len(line) + 2)
+		}
+	}
+}
+
+// peek looks at the next n bytes.
+func (b *chunked) peek(n int) ([]byte, error) {
+	came, err := b.l.in.Peek(n)
+	if len(came) == n {
+		return came, nil
+	}
+	if err == io.EOF {
+		err = errShort
+	}
+	return came, err
+}
+
+// line looks at the next line, without its end.
+func (b *chunked) line() ([]byte, error) {
+	for n := max(b.l.in.Buffered(), 2); ; n = max(b.l.in.Buffered(), n) + 1 {
+		came, err := b.peek(min(n, exchange.MostHead))
+		if end := bytes.IndexByte(came, '\n'); end >= 0 {
+			if end == 0 || came[end-1] != '\r' || bytes.IndexByte(came[:end-1], '\r') >= 0 {
+				return nil, errChunk
+			}
+			return came[:end-1], nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if n >= exchange.MostHead {
+			return nil, errChunk
+		}
+	}
+}
+
+// chunkSize reads the line before a chunk: digits, and perhaps extensions.
+func chunkSize(line []byte) (int64, error) {
+	digits, extensions, _ := bytes.Cut(line, []byte(";"))
+	for _, c := range extensions {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return 0, errChunk
+		}
+	}
+	digits = bytes.TrimRight(digits, " \t")
+	for _, c := range digits { // strconv would take a sign, or an underline
+		if !('0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F') {
+			return 0, errChunk
+		}
+	}
+	n, err := strconv.ParseUint(string(digits), 16, 40)
+	if err != nil {
+		return 0, errChunk
+	}
+	return int64(n), nil
+}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -22,7 +22,7 @@
 
 const (
 	idleMargin = 20 // a connection is left this part of its idle time before the server may close it
-	answerPart = 16 // one answer may take this part of what all may take
+	holdPart   = 8  // an answer of unknown length is held back for this part of the time left, until it is long
 
 	deadlinePart = 4 // a connection's deadline may be late by this part of the time left
 )
@@ -170,8 +170,12 @@
 // over sends a fetch on a connection and reads the whole answer. The connection is kept or closed.
 func (o *Outbound) over(f *Flight, be brain.Backend, l *line, until time.Time, ask []byte) (a *exchange.Answer,
 	load []float64, err error) {
-	keep := false
+	keep, handed := false, false
 	defer func() {
+		if handed { // the line is the stream's
+			f.rides(nil)
+			return
+		}
 		f.rides(nil)
 		if keep && !f.called.Load() { // one that Cancel reached has a deadline that has passed
 			o.pool.put(be, l)
@@ -199,7 +203,7 @@
 	}
 	reach = Sent
 	o.counts.Add(counters.FetchesWritten)
-	answer, err := o.answer(l)
+	answer, err := o.answer(l, until)
 	if err != nil {
 		if l.broke == nil {
 			reach = Spoilt
@@ -208,10 +212,21 @@
 		return nil, nil, fail(err)
 	}
 	keep = !answer.closes && l.in.Buffered() == 0
+	if answer.body != nil {
+		keep = false // of one that is no delivery the rest is not read
+	}
 	if answer.status != fasthttp.StatusOK {
 		unseen := answer.unseen && (answer.status == fasthttp.StatusServiceUnavailable ||
 			answer.status == fasthttp.StatusGatewayTimeout)
 		return nil, answer.load, &Failure{Reach: Answered, Status: answer.status, Unseen: unseen}
 	}
+	if answer.body != nil {
+		f.rides(nil)
+		if f.called.Load() {
+			return nil, nil, fail(errCalledOff)
+		}
+		handed = true
+		answer.Rest = &stream{body: answer.body, l: l, be: be, o: o, keeps: !answer.closes}
+	}
 	return &answer.Answer, answer.load, nil
 }
--- /dev/null
+++ b/internal/outbound/stream.go
@@ -0,0 +1,80 @@
+package outbound
+
+import (
+	"io"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+)
+
+const stalled = 5 * time.Second // a server that brings nothing of a long answer for so long is given up
+
+// stream is the rest of a long answer: it goes on to the client as it comes, at the client's pace. Its reader closes it.
+type stream struct {
+	body  io.Reader
+	l     *line
+	be    brain.Backend
+	o     *Outbound
+	keeps bool // the connection may be used again
+	whole bool
+	cause error // why it is not whole; nil: its reader closed it
+	once  sync.Once
+}
+
+// Read reads a piece. What it is short of is an error, never io.EOF: guards against passing on as whole what is not.
+func (s *stream) Read(p []byte) (n int, err error) {
+	s.l.until = time.Now().Add(stalled)
+	s.l.SetReadDeadline(s.l.until)
+	if n, err = s.body.Read(p); err == io.EOF {
+		s.whole = true
+	} else if err != nil {
+		s.cause = err
+	}
+	return n, err
+}
+
+// Close gives the connection back, or closes it where the answer did not come whole.
+func (s *stream) Close() error {
+	s.once.Do(func() {
+		if s.cause != nil {
+			s.o.counts.Add(counters.AnswersCut)
+			s.o.log.Debug().Err(s.cause).Msg("an answer was cut short")
+		}
+		if s.whole && s.keeps && s.l.in.Buffered() == 0 {
+			s.o.pool.put(s.be, s.l)
+			return
+		}
+		s.l.Close()
+		s.o.pool.closed()
+	})
+	return nil
+}
+
+// begin reads a body of unknown length until it is whole, or long, or has kept its reader waiting for so long; then the rest
+// comes by a stream. By the last moment it is late. Guards against holding back what the client could have, and against giving up a retry for an answer
+// that is short.
+func (l *line) begin(body io.Reader, hold, last time.Time) (first []byte, whole bool, err error) {
+	first = make([]byte, 0, 4<<10)
+	l.SetReadDeadline(hold)
+	l.until = time.Time{} // whoever reads next sets its deadline anew
+	for len(first) < exchange.MostBody {
+		first = slices.Grow(first, 1)
+		n, err := body.Read(first[len(first):min(cap(first), exchange.MostBody)])
+		first = first[:len(first)+n]
+		switch {
+		case err == io.EOF:
+			return first, true, nil
+		case os.IsTimeout(err) && time.Now().Before(last):
+			l.broke = nil
+			return first, false, nil
+		case err != nil:
+			return first, false, err
+		}
+	}
+	return first, false, nil
+}
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -118,8 +118,12 @@
 	r.counts.Add(resultCounts[rc])
 	v.out--
 	if rc == brain.Delivered && !v.ended {
-		v.x.Deliver(a)
+		if !v.x.Deliver(a) {
+			a.Drop()
+		}
 		r.end(v)
+	} else {
+		a.Drop()
 	}
 	r.orFail(v, func() { r.b.Outcome(r.now, v.x.ID, no, rc, took, v.ended, load...) })
 	r.forget(v)
