Long bodies of visits: held within a budget, or sent on as they come; slow clients finish

Checked in the code: 413 beyond 64 KiB (MaxRequestBodySize), 408 after 2 s for a whole message (lastWord), 400 for whatever is read behind a message (came != whole), for absolute targets, and for bodies that were not all in memory. Ruled out: servers and decisions (no error, none silent).

Design: a client's time runs from its last byte, so reading first costs a visit nothing. Up to 64 KiB whole as before; up to a 32nd of the memory held out of one budget (an eighth for all); a longer one goes on to one server as it comes, with 32 KiB in memory. A server begins with the last byte, so until that is written the visit never ran: whatever ends it before is bounced, and there is no second fetch, since what was taken is gone. A client's bound is a rate (32 kB/s beyond 2.6 s, not counting when it was kept waiting), not a time for the message. Not taken: a file (it counts as memory); holding 32 MB (many at a time, in 32 MB); a client timeout that the module reckons from the head on.

Found by the tests: fasthttp's body reader takes the end of the connection for the end of a body that is short; such a visit would have gone to a server as whole. The held part of a body in chunks was once written without its chunk's frame.

--- a/brain/books.go
+++ b/brain/books.go
@@ -63,7 +63,7 @@
 	work                   float64 // expected, in core time or, without a hint, its prefix's mean latency
 	wanted, until, askedAt Micros  // when answers are worth nothing, or little; the client quits; it asked last
 	value                  float64
-	beyond, hinted         bool // lies beyond its tenant's share; its client told the work
+	beyond, hinted, once   bool // lies beyond its tenant's share; its client told the work; has one fetch
 	fetches                []*fetch
 	out, charged           int
 	freed, ended, settled  bool       // had its free retry; is over; waits for no more offers
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -291,7 +291,7 @@
 // mayAt tells the same for a later time, with so many fetches still out.
 func (b *Balancer) mayAt(v *visit, be *backend, at Micros, out int) bool {
 	if v.ended || at >= v.until || !be.open() ||
-		len(v.fetches) > 0 && len(v.fetches) >= int(b.num("allowed.max_backend_fetches")) ||
+		len(v.fetches) > 0 && (v.once || len(v.fetches) >= int(b.num("allowed.max_backend_fetches"))) ||
 		out > 0 && (v.on.effect == "mutating" || !b.allows("allowed.may_duplicate")) {
 		return false
 	}
@@ -421,17 +421,17 @@
 	b.end(v)
 }
 
-// Inbound takes a visit in. effort 0: no hint. again: the client says it repeats itself.
-func (b *Balancer) Inbound(now Micros, id VisitID, on Prefix, of Realm, left, effort Micros, again bool) {
+// Inbound takes a visit in. hint 0: no guess at its work. again: a repeat. once: sent as it comes, never twice.
+func (b *Balancer) Inbound(now Micros, id VisitID, on Prefix, of Realm, left, hint Micros, again, once bool) {
 	b.now = now
 	if int(on) >= len(b.prefixes) {
 		panic(fmt.Sprintf("path prefix %d is not among the settings", on))
 	}
 	p := b.prefixes[on]
 	v := &visit{id: id, on: p, work: p.mean, wanted: now + min(p.target, left), until: now + left,
-		value: p.value / b.topValue}
-	if effort > 0 {
-		v.work, v.hinted = float64(effort), true
+		value: p.value / b.topValue, once: once}
+	if hint > 0 {
+		v.work, v.hinted = float64(hint), true
 	}
 	if p.late > 0 {
 		v.wanted = v.until
@@ -463,7 +463,7 @@
 	}
 	// Guards against losing the visit, and against work in unseen queues for answers that are worth nothing.
 	last := v.until - b.span("step_us")
-	if b.blind() && b.allows("allowed.cancel") && p.late == 0 {
+	if b.blind() && b.allows("allowed.cancel") && p.late == 0 && !once {
 		last = min(last, v.wanted+1)
 	}
 	b.at(last, func() {
@@ -782,7 +782,7 @@
 // watch looks into a fetch that is out for long. Guards against servers that take visits and answer none.
 func (b *Balancer) watch(v *visit, f *fetch, guess Micros) {
 	left := v.wanted - b.now
-	if left <= 0 {
+	if left <= 0 || v.once {
 		return
 	}
 	b.at(b.now+min(max(left/2, Micros(patience*float64(guess))), left), func() {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -77,7 +77,7 @@
 			say(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
 		}
 	}()
-	if _, here := c.listener.Whole(ctx.Conn()); !here {
+	if !c.listener.Carry(ctx.Conn()) {
 		return
 	}
 	path, method := string(ctx.Path()), fasthttp.MethodPost
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,6 +38,8 @@
 	Left, Effort brain.Micros
 	Again        bool
 
+	Upload *Upload // a body too long to be held, on its way; nil: the body is here
+
 	head, body []byte // what goes on, but for the time-out and the end of the head
 	done       chan struct{}
 	settled    atomic.Bool
@@ -80,19 +82,30 @@
 	})
 }
 
-// New makes the object for a visit whose head (up to its last field) and body are these; it keeps both.
-func New(head, body []byte) *Exchange {
-	return &Exchange{head: head, body: body, done: make(chan struct{})}
+// New makes the object for a visit.
+func New() *Exchange { return &Exchange{done: make(chan struct{})} }
+
+// Holds gives it what goes on: a head (up to its last field) and a body, or of a long one its beginning. Both are kept.
+func (x *Exchange) Holds(head, body []byte) *Exchange {
+	x.head, x.body = head, body
+	return x
 }
 
-// Outgoing is the visit as a server gets it, told how long its answer is waited for.
-func (x *Exchange) Outgoing(wait brain.Micros) []byte {
-	out := make([]byte, 0, len(x.head)+len(x.body)+40)
+// Outgoing is the visit as a server gets it, told how long its answer is waited for: its bytes, and those of a body that
+// would be dear to copy, or goes on in pieces.
+func (x *Exchange) Outgoing(wait brain.Micros) (out, body []byte) {
+	if body = x.body; x.Upload == nil && len(body) <= MostBody {
+		body = nil
+	}
+	out = make([]byte, 0, len(x.head)+len(x.body)-len(body)+40)
 	out = append(out, x.head...)
 	out = append(out, "X-Timeout: "...)
 	out = strconv.AppendInt(out, int64(max(wait, 1)), 10)
 	out = append(out, "u\r\n\r\n"...)
-	return append(out, x.body...)
+	if body == nil {
+		out = append(out, x.body...)
+	}
+	return out, body
 }
 
 // Done is closed when the answer is there.
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -119,6 +119,24 @@
 	return int(n), err == nil && len(digits) == 3 && n >= 100 && n < 600
 }
 
+// Origin is a target without the address in front of it, which one may give and all must take.
+func Origin(target []byte) []byte {
+	const scheme = "http://"
+	if len(target) <= len(scheme) || !Is(target[:len(scheme)], scheme) {
+		return target
+	}
+	rest := target[len(scheme):]
+	for i, c := range rest {
+		if c == '/' && i > 0 {
+			return rest[i:]
+		}
+		if !(token[c] || c == ':' || c == '[' || c == ']') {
+			break
+		}
+	}
+	return target
+}
+
 // Target tells whether a visit's target is a path that all read alike: no other form, no control or foreign
 // bytes, no fragment and no step back, plain or escaped.
 func Target(target []byte) bool {
--- /dev/null
+++ b/internal/inbound/body.go
@@ -0,0 +1,215 @@
+package inbound
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"ledgespread/brain"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/places"
+)
+
+const (
+	mostBody    = 32 << 20 // bytes of a visit's body
+	bodiesPart  = 8        // of the memory, for bodies over exchange.MostBody while they are held
+	heldPart    = 4        // of that, for one of them; a longer one goes on as it comes
+	slowestBody = 32 << 10 // bytes a second that the module reckons with, for one that goes on as it comes
+)
+
+// A body's length tells how it is treated, here and nowhere else:
+//
+//	up to 64 KiB           read whole, before the visit begins
+//	up to a part of the    the same, out of one budget for all; without room it goes on as it comes
+//	memory (2 MB of 64)
+//	up to 32 MB            goes on to one server as it comes
+//	more                   413, at once where its length is told
+//
+// A client's time runs from its last byte, so reading first costs the visit nothing.
+
+// body reads what belongs to a visit, or says that it comes as it is sent on. here is false where there is no visit: an
+// answer was given, or its client is gone. free gives back what was taken of the budget.
+func (in *Inbound) body(ctx *fasthttp.RequestCtx, m *message, x *exchange.Exchange) (free func(), here bool) {
+	free = func() {}
+	if m.body.Length > mostBody {
+		in.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fasthttp.StatusMessage(fasthttp.StatusRequestEntityTooLarge))
+		return free, false
+	}
+	stream, sized := ctx.RequestBodyStream(), !m.body.Chunked
+	if stream == nil {
+		return free, in.short(ctx, m, x, nil)
+	}
+	from := &bounded{stream, mostBody, sized}
+	if sized {
+		from.left = m.body.Length
+	}
+	if sized && m.body.Length <= exchange.MostBody {
+		held := make([]byte, m.body.Length)
+		if _, err := io.ReadFull(from, held); err != nil && err != io.EOF {
+			return free, in.broken(ctx, err)
+		}
+		return free, in.short(ctx, m, x, held)
+	}
+	var taken int64
+	free = func() { in.room.Add(taken) }
+	take := func(n int64) bool {
+		if taken+n > in.mostHeld || in.room.Add(-n) < 0 {
+			if taken+n <= in.mostHeld {
+				in.room.Add(n)
+			}
+			return false
+		}
+		taken += n
+		return true
+	}
+	held := make([]byte, 0, exchange.MostBody)
+	if sized && take(int64(m.body.Length)) {
+		held = make([]byte, 0, m.body.Length)
+	}
+	for whole := false; !whole; {
+		if len(held) == cap(held) {
+			if sized || !take(int64(cap(held))) {
+				return free, in.longer(ctx, m, x, from, held)
+			}
+			held = slices.Grow(held, cap(held))
+		}
+		n, err := from.Read(held[len(held):cap(held)])
+		if held = held[:len(held)+n]; err != nil && err != io.EOF {
+			return free, in.broken(ctx, err)
+		}
+		whole = err == io.EOF
+	}
+	return free, in.short(ctx, m, x, held)
+}
+
+// short has a visit whose body is here, all of it, and books where the next one begins.
+func (in *Inbound) short(ctx *fasthttp.RequestCtx, m *message, x *exchange.Exchange, body []byte) (here bool) {
+	if !in.over(ctx, m, len(body)) {
+		return false
+	}
+	if len(body) > 0 || ctx.IsPost() {
+		m.head = append(strconv.AppendInt(append(m.head, "Content-Length: "...), int64(len(body)), 10), "\r\n"...)
+	}
+	x.Holds(m.head, body)
+	return true
+}
+
+// longer has a visit whose body goes on as it comes. Its time begins with its last byte: until then the module may take all
+// the time that the slowest client needs.
+func (in *Inbound) longer(ctx *fasthttp.RequestCtx, m *message, x *exchange.Exchange, from *bounded, held []byte) (here bool) {
+	if !in.listener.Carry(ctx.Conn()) {
+		abandon(ctx)
+		return false
+	}
+	sized, most := !m.body.Chunked, mostBody
+	if sized {
+		most = m.body.Length
+		m.head = append(strconv.AppendInt(append(m.head, "Content-Length: "...), int64(most), 10), "\r\n"...)
+	} else {
+		m.head = append(m.head, "Transfer-Encoding: chunked\r\n"...)
+	}
+	conn := ctx.Conn()
+	x.Upload = exchange.NewUpload(from, sized, x.Left, func(over bool) { places.Interrupt(conn, over) })
+	x.Holds(m.head, held)
+	x.Left += brain.Micros(most) * 1_000_000 / slowestBody
+	return true
+}
+
+// bounded is a body that has so many bytes, or no more than that. Guards against a body in chunks without end, and against
+// taking the end of the connection for the end of the body, as fasthttp's reader does.
+type bounded struct {
+	from  io.Reader
+	left  int
+	exact bool
+}
+
+var errTooLong = errors.New("too long a body")
+
+func (b *bounded) Read(p []byte) (n int, err error) {
+	n, err = b.from.Read(p)
+	b.left -= n
+	switch {
+	case b.left < 0:
+		return 0, errTooLong
+	case err == io.EOF && b.exact && b.left > 0:
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// bare takes a message that is to have no body.
+func (in *Inbound) bare(ctx *fasthttp.RequestCtx, m *message) bool {
+	if m.body.Length > 0 || m.body.Chunked {
+		in.refuse(ctx, fasthttp.StatusBadRequest, "no body belongs here")
+		return false
+	}
+	return in.over(ctx, m, 0)
+}
+
+// over books that a message is whole, and how much has been read of the next one. Guards against a body that is longer than
+// its length says: a client may send visits ahead, but what is no visit's beginning tells that the length is wrong.
+func (in *Inbound) over(ctx *fasthttp.RequestCtx, m *message, body int) (here bool) {
+	if !in.listener.Carry(ctx.Conn()) {
+		abandon(ctx)
+		return false
+	}
+	came, last := in.listener.Came(ctx.Conn())
+	ahead := came - m.size - body
+	if m.body.Chunked { // how much the chunks took nobody tells; what follows them was read as such
+		ahead = 0
+	}
+	if ahead < 0 || ahead > 0 && !begins(last[max(0, len(last)-ahead):]) {
+		in.refuse(ctx, fasthttp.StatusBadRequest, "the length does not fit")
+		return false
+	}
+	in.listener.Next(ctx.Conn(), ahead)
+	return true
+}
+
+// begins tells whether these bytes can be the beginning of a visit.
+func begins(text []byte) bool {
+	for _, first := range []string{"GET /", "POST /", "GET http://", "POST http://"} {
+		if n := min(len(first), len(text)); bytes.EqualFold(text[:n], []byte(first)[:n]) {
+			return true
+		}
+	}
+	return false
+}
+
+// broken answers a body that did not come whole.
+func (in *Inbound) broken(ctx *fasthttp.RequestCtx, err error) (here bool) {
+	var slow net.Error
+	switch {
+	case errors.As(err, &slow) && slow.Timeout() || errors.Is(err, os.ErrDeadlineExceeded):
+		in.refuse(ctx, fasthttp.StatusRequestTimeout, fasthttp.StatusMessage(fasthttp.StatusRequestTimeout))
+	case errors.Is(err, errTooLong):
+		in.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fasthttp.StatusMessage(fasthttp.StatusRequestEntityTooLarge))
+	default:
+		in.refuse(ctx, fasthttp.StatusBadRequest, fasthttp.StatusMessage(fasthttp.StatusBadRequest))
+	}
+	return false
+}
+
+// uploading waits until a body that goes on as it comes has all come, and tells whether an answer is still to be waited
+// for. An answer that is there first ends it: the rest is not read, and the connection goes with it.
+func (in *Inbound) uploading(ctx *fasthttp.RequestCtx, x *exchange.Exchange) (waits bool) {
+	select {
+	case <-x.Upload.Came():
+	case <-x.Done():
+	}
+	if !x.Upload.Stop() {
+		ctx.SetConnectionClose()
+		if !x.Fail(exchange.Errored) {
+			<-x.Done()
+		}
+		return false
+	}
+	in.listener.Next(ctx.Conn(), 0)
+	return true
+}
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -47,7 +47,9 @@
 	ticks    ticks
 	post     post
 	streams  atomic.Int64 // long answers that are being passed on
+	room     atomic.Int64 // bytes that long bodies may still take while they are held
 	accounts *counters.Accounts
+	mostHeld int64 // of the room, by one body
 	counts   *counters.Sheet
 	log      zerolog.Logger
 }
@@ -68,11 +70,13 @@
 		at := "path_prefixes." + strconv.Itoa(i)
 		in.tagged[i], in.readLike[i] = b.Site[at+".effect"] == "tagged", b.Site[at+".effect"] == "read_like"
 	}
+	in.room.Store(int64(b.MemoryMB << 20 / bodiesPart))
+	in.mostHeld = in.room.Load() / heldPart
 	in.accounts = counters.NewAccounts(names)
 	shortest, longest := b.Timeouts()
 	in.longest, in.ticks.every = longest, time.Duration(shortest)*time.Microsecond/quickParts/2
 	// Buffers are given back between visits only where memory is short: that costs each visit a read.
-	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log,
+	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log, StreamRequestBody: true, HeaderReceived: started,
 		MaxRequestBodySize: exchange.MostBody, ReadBufferSize: exchange.MostHead,
 		ReduceMemoryUsage: buffers*most > b.MemoryMB<<20/buffersPart,
 		IdleTimeout:       max(idleTimes*time.Duration(in.longest)*time.Microsecond, places.LastWord),
@@ -82,6 +86,15 @@
 	return in, nil
 }
 
+// started has a message's body waited for until the handler can look at its length. Guards against holding back the answer
+// to what is far too long.
+func started(h *fasthttp.RequestHeader) (how fasthttp.RequestConfig) {
+	if h.ContentLength() > mostBody {
+		how.MaxRequestBodySize = 1
+	}
+	return how
+}
+
 // Accounts tells how visits ended.
 func (in *Inbound) Accounts() *counters.Accounts { return in.accounts }
 
@@ -101,22 +114,23 @@
 			ctx.SetConnectionClose()
 		}
 	}()
-	came, here := in.listener.Whole(ctx.Conn())
-	if !here {
-		abandon(ctx)
-		return
-	}
-	m, err := strictly(ctx, came)
+	m, err := strictly(ctx)
 	switch {
 	case err != nil:
 		in.refuse(ctx, fasthttp.StatusBadRequest, err.Error())
-	case string(ctx.RequestURI()) == "/-/ready": // true once it can be heard: listeners are up, the list is known
+	case string(m.target) == "/-/ready": // true once it can be heard: listeners are up, the list is known
+		if !in.bare(ctx, m) {
+			return
+		}
 		if in.Ready() {
 			plain(ctx, fasthttp.StatusOK, "ready")
 		} else {
 			plain(ctx, fasthttp.StatusServiceUnavailable, "out of service")
 		}
-	case string(ctx.RequestURI()) == "/-/counters":
+	case string(m.target) == "/-/counters":
+		if !in.bare(ctx, m) {
+			return
+		}
 		ctx.SetContentType("text/plain; charset=utf-8")
 		in.counts.WriteTo(ctx)
 	default:
@@ -171,6 +185,11 @@
 		in.refuse(ctx, status, fault)
 		return
 	}
+	free, here := in.body(ctx, m, x)
+	defer free()
+	if !here {
+		return
+	}
 	in.counts.Add(counters.VisitsTaken)
 	ended := in.accounts.Take(int(x.On))
 	defer func() { // unless it got its answer, or gets it now
@@ -182,6 +201,18 @@
 	now := time.Now()
 	look, end := now.Add(left/quickParts), now.Add(left+overdue)
 	in.visits.Take(x)
+	if x.Upload != nil {
+		if !in.uploading(ctx, x) {
+			if fault := x.Upload.Fault(); fault != nil { // it was no visit after all
+				in.broken(ctx, fault)
+			} else {
+				in.answer(ctx, x, ended)
+			}
+			return
+		}
+		left = time.Duration(x.Upload.Patience) * time.Microsecond
+		look, end = time.Now(), time.Now().Add(left+overdue)
+	}
 	// Most are answered before the first tick: looking after the client costs more than the visit.
 	for left >= quickParts*in.ticks.every && time.Now().Before(look) {
 		select {
@@ -207,8 +238,10 @@
 		// Guards against a visit without an end, should the module's news never come.
 		if x.Fail(exchange.Overdue) {
 			in.counts.Add(counters.VisitsOverdue)
-			in.counts.Add(counters.Faults)
-			in.log.Error().Uint16("path_prefix", uint16(x.On)).Msg("no answer within the client timeout")
+			if x.Upload == nil { // the module knows only roughly when the time of one that came as it was sent on is up
+				in.counts.Add(counters.Faults)
+				in.log.Error().Uint16("path_prefix", uint16(x.On)).Msg("no answer within the client timeout")
+			}
 			in.visits.Left(x)
 		}
 		<-x.Done()
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -33,16 +33,19 @@
 // message is what came, read strictly: the fields that decisions need, and what goes on to a server, up to the
 // last field: the bytes that came.
 type message struct {
-	field [needed]string
-	head  []byte
-	body  framing.Body
+	field  [needed]string
+	target []byte
+	head   []byte
+	size   int // bytes of the head as it came
+	body   framing.Body
 }
 
 // strictly reads a message's head again, as it came. Guards against what fasthttp forgives and a server may
-// read otherwise, and against bytes behind the message: clients send one at a time, so its length is wrong.
-func strictly(ctx *fasthttp.RequestCtx, came int) (m *message, err error) {
+// read otherwise.
+func strictly(ctx *fasthttp.RequestCtx) (m *message, err error) {
 	h := &ctx.Request.Header
-	if !framing.Target(h.RequestURI()) {
+	target := framing.Origin(h.RequestURI())
+	if !framing.Target(target) {
 		return nil, errors.New("the target can't be read")
 	}
 	if string(h.Protocol()) != "HTTP/1.1" && string(h.Protocol()) != "HTTP/1.0" {
@@ -52,8 +55,9 @@
 	if len(raw) > 0 {
 		blank = 0 // it stands at their end
 	}
-	m = &message{head: make([]byte, 0, len(raw)+len(h.RequestURI())+64)}
-	m.head = append(append(append(m.head, h.Method()...), ' '), h.RequestURI()...)
+	m = &message{target: target, head: make([]byte, 0, len(raw)+len(target)+64)}
+	m.size = len(h.Method()) + len(h.RequestURI()) + len(" HTTP/1.1 \r\n") + len(raw) + blank
+	m.head = append(append(append(m.head, h.Method()...), ' '), target...)
 	m.head = append(m.head, " HTTP/1.1\r\n"...)
 	var seen [needed]bool
 	m.body, err = framing.Fields(append(raw, "\r\n"[:blank]...), func(name, value, line []byte) error {
@@ -71,28 +75,17 @@
 		}
 		return nil
 	})
-	body := ctx.PostBody()
-	switch whole := len(h.Method()) + len(h.RequestURI()) + len(" HTTP/1.1 \r\n") + len(raw) + blank + len(body); {
-	case err != nil:
-		return nil, err
-	case ctx.IsGet() && (len(body) > 0 || m.body.Chunked):
-		return nil, errors.New("GET has no body")
-	case !m.body.Chunked && came != whole:
-		return nil, errors.New("the length does not fit")
+	if err == nil && ctx.IsGet() && (m.body.Length > 0 || m.body.Chunked) {
+		err = errors.New("GET has no body")
 	}
-	if len(body) > 0 || ctx.IsPost() {
-		m.head = append(m.head, "Content-Length: "...)
-		m.head = strconv.AppendInt(m.head, int64(len(body)), 10)
-		m.head = append(m.head, "\r\n"...)
-	}
-	return m, nil
+	return m, err
 }
 
 // read takes out of what came what the decisions need. Bad input gets a status and a plain word instead,
 // without troubling the module.
 func (in *Inbound) read(ctx *fasthttp.RequestCtx, m *message) (x *exchange.Exchange, status int, fault string) {
 	bad := func(status int, fault string) (*exchange.Exchange, int, string) { return nil, status, fault }
-	path, _, _ := bytes.Cut(ctx.Request.Header.RequestURI()[1:], []byte("?"))
+	path, _, _ := bytes.Cut(m.target[1:], []byte("?"))
 	first, _, _ := bytes.Cut(path, []byte("/"))
 	on, known := in.prefixes[string(first)]
 	if !known {
@@ -119,7 +112,7 @@
 	if !known && len(in.realms) > 0 {
 		return bad(fasthttp.StatusBadRequest, "unknown tenant")
 	}
-	x = exchange.New(m.head, bytes.Clone(ctx.PostBody()))
+	x = exchange.New()
 	x.Name, x.On, x.Of, x.Left = m.field[fieldID], brain.Prefix(on), brain.Realm(of), left
 	x.Again = m.field[fieldAgain] == "1"
 	if cost, err := strconv.ParseFloat(m.field[fieldCost], 64); err == nil && cost >= 1 && cost < 1<<32 {
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -16,7 +16,7 @@
 const (
 	piece      = 32 << 10        // of a long body, in memory at once
 	unread     = 6 * time.Second // a client that takes nothing of a long answer for so long is let go
-	sendBuffer = 4 * piece      // what the kernel holds of one: a slow client's progress must show
+	sendBuffer = 4 * piece       // what the kernel holds of one: a slow client's progress must show
 )
 
 var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
--- a/internal/outbound/failure.go
+++ b/internal/outbound/failure.go
@@ -20,6 +20,9 @@
 
 func (r Reach) String() string { return [...]string{"not sent", "sent", "spoilt", "answered"}[r] }
 
+// errClient is why a fetch was not written whole: its client brought no more. It never ran, and says nothing of its server.
+var errClient = fmt.Errorf("its client brought no more: %w", errCalledOff)
+
 // errCalledOff is why a fetch ended that nobody waits for any more.
 var errCalledOff = errors.New("called off")
 
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -56,6 +56,7 @@
 // Flight is a fetch that is out.
 type Flight struct {
 	To     brain.Backend
+	wrote  time.Time       // its last byte, where that took long
 	ctx    context.Context // over: it must not be sent any more
 	off    context.CancelFunc
 	called atomic.Bool // off: nobody waits for it
@@ -70,6 +71,15 @@
 	return f
 }
 
+// Took is how long its answer took from its last byte on, where writing took long; else what the caller measured. It may be
+// asked once the fetch has ended.
+func (f *Flight) Took(whole brain.Micros) brain.Micros {
+	if f.wrote.IsZero() {
+		return whole
+	}
+	return min(whole, brain.Micros(time.Since(f.wrote)/time.Microsecond))
+}
+
 // Withdraw keeps a fetch from being sent if it is not yet. Guards against a send after the visit's end by a
 // connection that comes up late. One that was sent goes on.
 func (f *Flight) Withdraw() { f.off() }
@@ -98,7 +108,7 @@
 	f := newFlight(be, ended)
 	until := time.Now().Add(span(wait))
 	o.counts.Add(counters.FetchesSent)
-	o.crew.do(func() { o.run(f, be, address, until, x.Outgoing(wait)) })
+	o.crew.do(func() { o.run(f, be, address, until, x, wait) })
 	return f
 }
 
@@ -113,7 +123,7 @@
 // Sweep closes connections that have stood idle for as long as they may.
 func (o *Outbound) Sweep() { o.pool.sweep() }
 
-func (o *Outbound) run(f *Flight, be brain.Backend, address string, until time.Time, ask []byte) {
+func (o *Outbound) run(f *Flight, be brain.Backend, address string, until time.Time, x *exchange.Exchange, wait brain.Micros) {
 	var a *exchange.Answer
 	var reused bool
 	var load []float64
@@ -126,16 +136,27 @@
 		f.off()
 		f.ended(a, reused, load, err)
 	}()
-	a, reused, load, err = o.once(f, be, address, until, ask)
+	told := wait
+	if x.Upload != nil {
+		told = x.Upload.Patience
+	}
+	ask, body := x.Outgoing(told)
+	a, reused, load, err = o.once(f, be, address, until, outgoing{ask, body, x.Upload})
+}
+
+// outgoing is what a fetch writes: its bytes, those of a body that would be dear to copy, and what is still to come.
+type outgoing struct {
+	head, body []byte
+	upload     *exchange.Upload
 }
 
 // once does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
-func (o *Outbound) once(f *Flight, be brain.Backend, address string, until time.Time, ask []byte) (a *exchange.Answer,
+func (o *Outbound) once(f *Flight, be brain.Backend, address string, until time.Time, ask outgoing) (a *exchange.Answer,
 	reused bool, load []float64, err error) {
 	for l := o.pool.take(be, address); l != nil; l = o.pool.take(be, address) {
 		a, load, err = o.over(f, be, l, until, ask)
 		if failure, ok := err.(*Failure); !ok || failure.Reach != Nowhere || f.ctx.Err() != nil ||
-			!time.Now().Before(until) {
+			!time.Now().Before(until) || ask.upload != nil && ask.upload.Begun() {
 			o.counts.Add(counters.ConnectionsReused)
 			return a, true, load, err
 		}
@@ -168,7 +189,7 @@
 }
 
 // over sends a fetch on a connection and reads the whole answer. The connection is kept or closed.
-func (o *Outbound) over(f *Flight, be brain.Backend, l *line, until time.Time, ask []byte) (a *exchange.Answer,
+func (o *Outbound) over(f *Flight, be brain.Backend, l *line, until time.Time, ask outgoing) (a *exchange.Answer,
 	load []float64, err error) {
 	keep, handed := false, false
 	defer func() {
@@ -198,9 +219,23 @@
 	if f.ctx.Err() != nil {
 		return nil, nil, fail(errCalledOff)
 	}
-	if n, err := l.Write(ask); n < len(ask) {
+	if n, err := l.Write(ask.head); n < len(ask.head) {
 		return nil, nil, fail(err)
 	}
+	if len(ask.body) > 0 || ask.upload != nil {
+		if err := o.long(l, ask); err != nil {
+			if unheard := o.early(l); unheard != nil {
+				return nil, nil, unheard
+			}
+			return nil, nil, fail(err)
+		}
+		if ask.upload != nil { // the client's time runs from its last byte
+			until = time.Now().Add(span(ask.upload.Patience))
+		}
+		l.until = time.Time{}
+		l.by(until)
+		f.wrote = time.Now()
+	}
 	reach = Sent
 	o.counts.Add(counters.FetchesWritten)
 	answer, err := o.answer(l, until)
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -4,15 +4,23 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 )
 
-const stalled = 5 * time.Second // a server that brings nothing of a long answer for so long is given up
+const (
+	stalled = 5 * time.Second // a server that brings nothing of a long answer, or takes nothing of a long visit, is given up
+	piece   = 32 << 10        // of a long body, in memory at once
+)
+
+var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
 
 // stream is the rest of a long answer: it goes on to the client as it comes, at the client's pace. Its reader closes it.
 type stream struct {
@@ -78,3 +86,56 @@
 	}
 	return first, false, nil
 }
+
+// long writes a body that is long: what is here of it, then what its client still sends, as it comes. Each piece has a
+// deadline of its own, since only progress tells a slow server from one that is gone.
+func (o *Outbound) long(l *line, ask outgoing) error {
+	var framed []byte
+	put := func(b []byte) error {
+		if ask.upload != nil && !ask.upload.Sized {
+			framed = append(strconv.AppendInt(framed[:0], int64(len(b)), 16), "\r\n"...)
+			framed = append(append(framed, b...), "\r\n"...)
+			b = framed
+		}
+		l.SetWriteDeadline(time.Now().Add(stalled))
+		_, err := l.Write(b)
+		return err
+	}
+	if len(ask.body) > 0 {
+		if err := put(ask.body); err != nil {
+			return err
+		}
+	}
+	if ask.upload == nil {
+		return nil
+	}
+	buffer := pieces.Get().(*[piece]byte)
+	defer pieces.Put(buffer)
+	for {
+		n, err := ask.upload.Read(buffer[:])
+		if n > 0 {
+			if failed := put(buffer[:n]); failed != nil {
+				return failed
+			}
+		}
+		switch {
+		case err == io.EOF && ask.upload.Sized:
+			return nil
+		case err == io.EOF:
+			return put(nil) // the last chunk
+		case err != nil:
+			return errClient
+		}
+	}
+}
+
+// early looks for an answer that came before the visit was whole: a server that turned it away and closed. It never ran.
+func (o *Outbound) early(l *line) error {
+	until := time.Now().Add(stalled / 100)
+	l.SetReadDeadline(until)
+	answer, err := o.answer(l, until)
+	if err != nil || answer.status == fasthttp.StatusOK {
+		return nil
+	}
+	return &Failure{Reach: Answered, Status: answer.status, Unseen: true}
+}
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -40,14 +40,20 @@
 	idle                  // none, after one
 )
 
-// LastWord is how soon a whole message is to be there after its client came, or its first byte.
-const LastWord = 2 * time.Second
+// LastWord is how soon a message's head, and what is short of its body, is to be there after its client came, or its first
+// byte. A client may take two seconds for a head.
+const LastWord = 2600 * time.Millisecond
 
 const (
 	mayGo    = 2 * time.Second // an idle client's connection may be closed after this
 	slowest  = LastWord / 2    // a listener's patience, if nothing else is said
 	lookAway = LastWord / 200  // how often those who wait for a place look again
 
+	slowestRate = 32 << 10         // bytes a second: a longer body is to come no slower, where it is read as fast as it comes
+	short       = 8 << 10          // bytes of a message for which that is not looked at
+	lateBy      = LastWord / 20    // a long body's deadline is moved on by this at least
+	pause       = time.Millisecond // between two reads of a body: its client is not to blame for more
+
 	deadlinePart = 8 // a read may end by this part earlier or later than its deadline
 )
 
@@ -60,6 +66,8 @@
 	known bool // it has brought one
 
 	readBy, wantBy, writeBy time.Time // deadlines that are set, and the one to be when it is next read
+	lastBy, read            time.Time // a message's deadline, if it is short; when it was last read
+	last                    []byte    // what was read last
 
 	// Under the listener's lock:
 	evicted bool
@@ -80,22 +88,42 @@
 		}
 		c.wantBy = time.Time{}
 	}
+	if c.bytes > short {
+		c.moveOn()
+	}
 	n, err = c.TCPConn.Read(p)
-	c.bytes += n
+	c.bytes, c.last = c.bytes+n, p[:n]
+	if c.bytes > short {
+		c.read = time.Now()
+	}
 	return n, err
 }
 
+// moveOn gives a long body the time that it needs at the slowest rate, and what it was kept waiting. Guards against cutting
+// off clients that are merely slow, and against those that bring a byte at a time.
+func (c *client) moveOn() {
+	now := time.Now()
+	if kept := now.Sub(c.read); !c.read.IsZero() && kept > pause {
+		c.lastBy = c.lastBy.Add(kept)
+	}
+	if by := c.lastBy.Add(time.Duration(c.bytes) * time.Second / slowestRate); by.After(c.readBy.Add(lateBy)) {
+		c.readBy = by
+		c.TCPConn.SetReadDeadline(by)
+	}
+}
+
 // SetReadDeadline keeps the first message's end where it is. Guards against a client that holds its place by
 // saying nothing, or a byte at a time. A later message's is set when the connection is next read, if it differs by
 // more than a part: most messages are whole by then, and a busy client's connection is told once for many.
 func (c *client) SetReadDeadline(t time.Time) error {
+	c.read = time.Time{}
 	if last := c.came.Add(LastWord); !c.known && (t.IsZero() || t.After(last)) {
 		t = last
 	} else if c.known && time.Until(t) > 0 {
-		c.wantBy = t
+		c.wantBy, c.lastBy = t, t
 		return nil
 	}
-	c.wantBy, c.readBy = time.Time{}, t
+	c.wantBy, c.readBy, c.lastBy = time.Time{}, t, t
 	return c.TCPConn.SetReadDeadline(t)
 }
 
@@ -207,19 +235,45 @@
 	}
 }
 
-// Whole books that a whole message is there, and tells how many bytes came for it. here is false for a
-// connection that was closed just then; guards against taking in what its client, which found the connection
-// closed, sends again.
-func (l *Listener) Whole(conn net.Conn) (bytes int, here bool) {
+// Carry books that a visit is there. here is false for a connection that was closed just then; guards against taking in
+// what its client, which found the connection closed, sends again.
+func (l *Listener) Carry(conn net.Conn) (here bool) {
 	c, ok := conn.(*client)
 	if !ok {
-		return 0, true
+		return true
 	}
-	bytes, c.bytes, c.known = c.bytes, 0, true
+	c.known = true
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.puts(c, carrying)
-	return bytes, !c.evicted
+	return !c.evicted
+}
+
+// Interrupt ends a read of this connection that another goroutine waits in; over: nobody reads it any more.
+func Interrupt(conn net.Conn, over bool) {
+	c, ok := conn.(*client)
+	switch {
+	case !ok:
+	case !over:
+		c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	default:
+		c.SetReadDeadline(time.Time{})
+	}
+}
+
+// Came tells how many bytes came since the last message, and what was read last of them.
+func (l *Listener) Came(conn net.Conn) (bytes int, last []byte) {
+	if c, ok := conn.(*client); ok {
+		return c.bytes, c.last
+	}
+	return 0, nil
+}
+
+// Next books that a message is over, and that so many bytes of the next one have been read.
+func (l *Listener) Next(conn net.Conn, ahead int) {
+	if c, ok := conn.(*client); ok {
+		c.bytes, c.last, c.read = ahead, nil, time.Time{}
+	}
 }
 
 // evictOne closes a connection that carries nothing: the one that has been idle for longest, if it may go; else
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -32,7 +32,7 @@
 			r.at(v.until, func() { delete(r.rare, x.Name) })
 		}
 		r.held++
-		r.orFail(v, func() { r.b.Inbound(r.now, x.ID, x.On, x.Of, x.Left, x.Effort, x.Again) })
+		r.orFail(v, func() { r.b.Inbound(r.now, x.ID, x.On, x.Of, x.Left, x.Effort, x.Again, x.Upload != nil) })
 	})
 }
 
@@ -90,20 +90,23 @@
 	}
 	v.out++
 	to, known := r.servers[be]
-	if v.ended || left <= 0 || int(no) >= r.mostOut || !known {
+	once := v.x.Upload != nil && no > 0 // what has been taken of its body is gone
+	if v.ended || left <= 0 || int(no) >= r.mostOut || !known || once {
 		v.flights = append(v.flights, nil)
 		r.later(func() { r.ended(v, no, brain.NeverSent, 0, nil, nil) })
 		return
 	}
-	v.flights = append(v.flights, r.outbound.Fetch(v.x, be, to.address, wait,
+	var f *outbound.Flight
+	f = r.outbound.Fetch(v.x, be, to.address, wait,
 		func(a *exchange.Answer, _ bool, load []float64, err error) {
 			r.post(func() {
 				if err != nil {
 					r.log.Debug().Err(err).Uint64("visit", uint64(id)).Msg("backend fetch not delivered")
 				}
-				r.ended(v, no, outbound.Result(err), r.now-sent, a, load)
+				r.ended(v, no, outbound.Result(err), f.Took(r.now-sent), a, load)
 			})
-		}))
+		})
+	v.flights = append(v.flights, f)
 }
 
 var resultCounts = [...]counters.Count{brain.Delivered: counters.FetchesDelivered,
