A chunk is passed on as soon as it has come; long answers in pieces of 64 KiB

Traced with a log of slow reads and writes in a copy: a read from the server took 5,000 ms, our own deadline, and then returned 35 bytes that had been there all along. At fault: chunked.line looked at two bytes, and then asked for one more than was buffered before it looked for the line's end, so the last piece that had come waited for the next. Ruled out on the way: answers without a length held until the client timeout (now a second at most, nothing changed), the client's window (writes took 1.2 s at the most), the collector, the stop.

With it: chunks to the client are framed and written a piece at a time, past fasthttp's buffer of 4 KiB; a piece is 64 KiB.

Tests: TestChunkAtOnce (held back without the change), FuzzChunked (byte by byte as at once).

--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -62,7 +62,7 @@
 		return free, in.longer(ctx, m, x, from, nil)
 	}
 	var held [][]byte // pieces: what grew by copying would be twice in memory, and rubbish then
-	for size, came := atOnce, 0; ; size = min(2*size, piece) {
+	for size, came := atOnce, 0; ; size = min(2*size, piece/2) {
 		if sized {
 			size = min(size, max(m.body.Length-came, 1))
 		}
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,9 +15,10 @@
 )
 
 const (
-	piece      = 32 << 10        // of a long body, in memory at once
+	piece      = 64 << 10        // of a long body, in memory at once
+	frame      = 8               // bytes before it, for the size of a chunk
 	unread     = 6 * time.Second // a client that takes nothing of a long answer for so long is let go
-	sendBuffer = 4 * piece       // what the kernel holds of one: a slow client's progress must show
+	sendBuffer = 2 * piece       // what the kernel holds of one: a slow client's progress must show
 )
 
 var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
@@ -42,44 +44,55 @@
 	ctx.Response.SetBodyStream(&passing{answer: a, first: a.Body, to: ctx.Conn(), in: in, ended: ended}, int(a.Size))
 }
 
-// Read is how a body of unknown length is taken: in chunks. An answer that its server cut is cut here too, without a last
-// chunk.
-func (p *passing) Read(into []byte) (n int, err error) {
+// read reads the next piece, and gives the client its time to take it.
+func (p *passing) read(into []byte) (n int, err error) {
 	if len(p.first) > 0 {
 		n = copy(into, p.first)
 		p.first = p.first[n:]
-	} else if n, err = p.answer.Rest.Read(into); err == io.EOF {
-		p.whole = true
+	} else {
+		n, err = p.answer.Rest.Read(into)
 	}
 	p.to.SetWriteDeadline(time.Now().Add(unread))
 	return n, err
 }
 
-// WriteTo is how a body of known length is taken: past fasthttp's buffer, which would hold back what comes slowly. The head
-// has been written by then.
+// Read is there for fasthttp, which takes a body by WriteTo.
+func (p *passing) Read([]byte) (int, error) { return 0, errors.ErrUnsupported }
+
+// SupportsBodyWriteTo has it do so in either framing.
+func (p *passing) SupportsBodyWriteTo() bool { return true }
+
+// WriteTo writes a body past fasthttp's buffer, which is small and would hold back what comes slowly: a piece at a time, in
+// chunks where nobody knows its length. The head has been written by then; the last chunk is fasthttp's, and comes only where
+// no error is told: an answer that its server cut is cut here too.
 func (p *passing) WriteTo(io.Writer) (sent int64, err error) {
 	buffer := pieces.Get().(*[piece]byte)
 	defer pieces.Put(buffer)
-	for sent < p.answer.Size {
-		n, err := p.Read(buffer[:])
+	for {
+		n, err := p.read(buffer[frame : piece-len("\r\n")])
 		if n > 0 {
-			n, failed := p.to.Write(buffer[:n])
-			if sent += int64(n); failed != nil {
+			out := buffer[frame : frame+n]
+			if p.answer.Size < 0 {
+				var size [frame]byte
+				head := append(strconv.AppendInt(size[:0], int64(n), 16), "\r\n"...)
+				out = append(buffer[frame-len(head):frame+n], "\r\n"...)
+				copy(out, head)
+			}
+			if _, failed := p.to.Write(out); failed != nil {
 				return sent, failed
 			}
+			sent += int64(n)
 		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
+		switch {
+		case err == io.EOF && (p.answer.Size < 0 || sent == p.answer.Size):
+			p.whole = true
+			return sent, nil
+		case err == io.EOF:
+			return sent, io.ErrUnexpectedEOF
+		case err != nil:
 			return sent, err
 		}
 	}
-	p.whole = sent == p.answer.Size
-	if !p.whole {
-		return sent, errors.New("an answer that is not whole")
-	}
-	return sent, nil
 }
 
 // Close ends the visit's account: delivered, or failed where the client can tell that its answer is not whole.
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -81,8 +81,10 @@
 	case body.Chunked:
 		from, r.Size = &chunked{l: l}, -1
 	case body.Length < 0:
-		if !r.closes { // guards against one that forgot its length and stays: it is late, not a delivery without end
-			hold = until
+		if !r.closes { // guards against one that forgot its length and stays: most of these are late, no delivery without end
+			if hold = time.Now().Add(heldBack); hold.After(until) {
+				hold = until
+			}
 		}
 		from, r.Size, r.closes = untilClose{l}, -1, true
 	case body.Length > exchange.MostBody:
--- a/internal/outbound/body.go
+++ b/internal/outbound/body.go
@@ -109,22 +109,23 @@
 	return came, err
 }
 
-// line looks at the next line, without its end.
+// line looks at the next line, without its end. It waits for more only where what has come holds no whole line: guards
+// against holding back a chunk until something follows it.
 func (b *chunked) line() ([]byte, error) {
-	for n := max(b.l.in.Buffered(), 2); ; n = max(b.l.in.Buffered(), n) + 1 {
-		came, err := b.peek(min(n, exchange.MostHead))
+	for {
+		came, _ := b.l.in.Peek(b.l.in.Buffered())
 		if end := bytes.IndexByte(came, '\n'); end >= 0 {
 			if end == 0 || came[end-1] != '\r' || bytes.IndexByte(came[:end-1], '\r') >= 0 {
 				return nil, errChunk
 			}
 			return came[:end-1], nil
 		}
-		if err != nil {
-			return nil, err
-		}
-		if n >= exchange.MostHead {
+		if len(came) == b.l.in.Size() {
 			return nil, errChunk
 		}
+		if _, err := b.peek(len(came) + 1); err != nil {
+			return nil, err
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/outbound/body_test.go
@@ -0,0 +1,86 @@
+package outbound
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// readFrom has a body in chunks read from a reader.
+func readFrom(r io.Reader) *chunked {
+	return &chunked{l: &line{in: bufio.NewReaderSize(r, usualHead)}}
+}
+
+// What a chunk brings is there as soon as it has come, whatever follows it or not; a read that a deadline ends loses nothing.
+func TestChunkAtOnce(t *testing.T) {
+	server, here := net.Pipe()
+	defer server.Close()
+	b := readFrom(here)
+	var got []string
+	read := func(written string) {
+		wrote := make(chan bool)
+		go func() {
+			io.WriteString(server, written)
+			close(wrote)
+		}()
+		here.SetReadDeadline(time.Time{})
+		if written == "" {
+			here.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		}
+		p, came := make([]byte, 100), make(chan string, 1)
+		go func() {
+			n, err := b.Read(p)
+			came <- fmt.Sprintf("%q: %q, late %v, end %v", written, p[:n], os.IsTimeout(err), err == io.EOF)
+		}()
+		select {
+		case line := <-came:
+			got = append(got, line)
+		case <-time.After(10 * time.Second):
+			here.Close()
+			t.Fatalf("%q is held back", written)
+		}
+		<-wrote
+	}
+	read("5\r\nhello\r\n")
+	read("")
+	read("3\r\nyou\r\n")
+	read("")
+	read("1;x=y\r\n!")
+	read("\r\n0\r\nT: t\r\n\r\n")
+	if diff := cmp.Diff([]string{
+		`"5\r\nhello\r\n": "hello", late false, end false`,
+		`"": "", late true, end false`,
+		`"3\r\nyou\r\n": "you", late false, end false`,
+		`"": "", late true, end false`,
+		`"1;x=y\r\n!": "!", late false, end false`,
+		`"\r\n0\r\nT: t\r\n\r\n": "", late false, end true`}, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+// However a body in chunks comes, in one piece or byte by byte, it reads the same; whatever stands there does no harm, and
+// what is not whole is never taken for it.
+func FuzzChunked(f *testing.F) {
+	for _, seed := range []string{"5\r\nhello\r\n0\r\n\r\n", "0\r\n\r\n", "1;a=\"b\"\r\nx\r\n0\r\nT: t\r\n\r\n", "zz\r\n", "5\r\nhel", "5\nhello\r\n",
+		"ffffffffff\r\n", "-1\r\n", "0\r\nno colon\r\n\r\n", "2\r\nhiX\r\n0\r\n\r\n", "0 \r\n\r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		at, err := io.ReadAll(readFrom(bytes.NewReader(text)))
+		by, err2 := io.ReadAll(readFrom(iotest.OneByteReader(bytes.NewReader(text))))
+		if !bytes.Equal(at, by) || (err == nil) != (err2 == nil) {
+			t.Fatalf("at once %q %v, byte by byte %q %v", at, err, by, err2)
+		}
+		if err == nil && !bytes.ContainsRune(text, '0') {
+			t.Fatalf("%q is taken for whole", text)
+		}
+	})
+}
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	stalled = 5 * time.Second // a server that brings nothing of a long answer, or takes nothing of a long visit, is given up
-	piece   = 32 << 10        // of a long body, in memory at once
+	stalled  = 5 * time.Second // a server that brings nothing of a long answer, or takes nothing of a long visit, is given up
+	heldBack = stalled / 5     // nothing that a server gives is held back for longer, whatever it may turn out to be
+	piece    = 64 << 10        // of a long body, in memory at once
 )
 
 var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
