No turn and no call waits for the file of servers that are out

At fault, by reading: relay's Attend looked at the file in the module's turn, under the lock that a change holds while it writes and renames; a disk that is slow (a checkout and a build ran) stopped all decisions. That it was the disk is not proven.

Design: the file is looked at by a goroutine of its own, which hands the module what changed; a change is written in order by another, and a call waits for that 300 ms at the most. Not taken: keeping the file on the relay's timer, in the house's way: one timer an instance is worth less than a turn that never waits.

Test: TestSlowDisk.

--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -30,10 +30,10 @@
 // discovery and the runtime; what is left of the memory, for stacks, buffers and the kernel's share.
 const (
 	clientsPart, serversPart = 0.45, 0.35
-	heldPart                 = 0.9 // of the servers' part, as visits held at once
+	heldPart                 = 0.9  // of the servers' part, as visits held at once
 	heapPart                 = 0.65 // half of that while two processes of one sidecar live: they share the limits
-	answersPart              = 4   // of the memory, for answers while they are read
-	calmHeap                 = 400 // percent the heap may grow between collections, as long as memory lasts
+	answersPart              = 4    // of the memory, for answers while they are read
+	calmHeap                 = 400  // percent the heap may grow between collections, as long as memory lasts
 
 	attendEvery = 100 * time.Millisecond // figures are so old at the most, and what another process wrote is read so soon
 	firstList   = 2 * time.Second        // beside an old process the first list is waited for so long
@@ -153,24 +153,32 @@
 	debug.SetMemoryLimit(int64(heapPart / among * float64(b.MemoryMB) * (1 << 20)))
 }
 
+// follow looks what another process of this sidecar writes down, and whether the one that was here before lives still. It is
+// no part of the relay's turn: guards against visits that wait for a slow disk.
+func follow(b *site.Berth, book *handover.Book, before int, r *relay.Relay) {
+	for ; ; time.Sleep(attendEvery) {
+		if hosts, anew := book.Changed(); anew {
+			r.TakeOver(context.Background(), hosts)
+		}
+		if before != 0 && !handover.Lives(before) {
+			before = 0
+			heap(b, 1)
+		}
+	}
+}
+
 // attended has the second address served, and takes over which servers are out by hand. before is the process that serves
 // at this sidecar's place still, 0 if there is none. in is not there until clients may come.
 func attended(b *site.Berth, r *relay.Relay, in *atomic.Pointer[inbound.Inbound], counts *counters.Sheet,
 	log zerolog.Logger) (before int, err error) {
 	book, before := handover.Open(os.TempDir(), b.Name, b.Listen, log)
-	r.TakeOver(book.Out())
+	r.Inherit(book.Out())
 	book.Write()
-	beside := before
-	if beside != 0 {
+	r.Attend(brain.Micros(attendEvery.Microseconds()))
+	if before != 0 {
 		heap(b, 2)
 	}
-	r.Attend(brain.Micros(attendEvery.Microseconds()), func() ([]string, bool) {
-		if beside != 0 && !handover.Lives(beside) {
-			beside = 0
-			heap(b, 1)
-		}
-		return book.Changed()
-	})
+	go follow(b, book, before, r)
 	served := func(do func(*inbound.Inbound)) func() {
 		return func() {
 			if in := in.Load(); in != nil {
--- a/internal/handover/book.go
+++ b/internal/handover/book.go
@@ -20,6 +20,8 @@
 const (
 	form = "ledgespread out of hand 1" // of the file
 	most = 1 << 20                     // bytes that a file of ours has at the most
+
+	writeBy = 300 * time.Millisecond // a call's answer waits for the file so long, and no longer
 )
 
 // Book is that file, and what this process last knew of it.
@@ -27,7 +29,10 @@
 	path, sidecar string
 	log           zerolog.Logger
 
-	mu    sync.Mutex
+	changing sync.Mutex    // one change at a time
+	last     chan struct{} // closed when the one before is written
+
+	mu    sync.Mutex // held while the file is read or written: a disk may take long, so no visit ever waits for it
 	out   []string
 	stamp time.Time // of the file as it was read or written last
 	size  int64
@@ -37,7 +42,9 @@
 // Open finds the book of this sidecar, and reads what an earlier process wrote there. What is torn, foreign or unreadable
 // is told in the log and passed over. before is that process, if it lives; 0: it does not, or there was none.
 func Open(folder, sidecar, listen string, log zerolog.Logger) (b *Book, before int) {
-	b = &Book{path: filepath.Join(folder, fmt.Sprintf("ledgespread-%x", sidecar+" "+listen)), sidecar: sidecar, log: log}
+	none := make(chan struct{})
+	close(none)
+	b = &Book{last: none, path: filepath.Join(folder, fmt.Sprintf("ledgespread-%x", sidecar+" "+listen)), sidecar: sidecar, log: log}
 	if _, err := os.Stat(b.path); errors.Is(err, fs.ErrNotExist) {
 		return b, 0
 	}
@@ -103,16 +110,30 @@
 }
 
 // Change has the servers changed that are out, and writes them down before it returns. change is told of no error: what
-// can't be written holds in this process all the same.
+// can't be written holds in this process all the same. Guards against a late answer by a slow disk: it is not waited for
+// longer than a call allows, and written when it can be.
 func (b *Book) Change(change func() (out []string, err error)) error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	b.changing.Lock()
+	defer b.changing.Unlock()
 	out, err := change()
 	if err != nil {
 		return err
 	}
-	b.out = out
-	b.write()
+	before, written := b.last, make(chan struct{})
+	b.last = written
+	go func() {
+		<-before // in the order of the changes
+		b.mu.Lock()
+		b.out = out
+		b.write()
+		b.mu.Unlock()
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(writeBy):
+		b.log.Warn().Msg("which servers are out is written down late: the disk is slow")
+	}
 	return nil
 }
 
--- a/internal/handover/book_test.go
+++ b/internal/handover/book_test.go
@@ -87,3 +87,25 @@
 		}
 	})
 }
+
+// A disk that keeps whoever writes waiting keeps no call waiting, and what was to be written is written in the end, the last
+// change last.
+func TestSlowDisk(t *testing.T) {
+	b, _ := Open(t.TempDir(), "n0", "127.0.0.1:1", zerolog.Nop())
+	b.mu.Lock() // as a write does that takes long
+	for _, out := range [][]string{{"s1"}, {"s1", "s2"}} {
+		if err := b.Change(func() ([]string, error) { return out, nil }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.mu.Unlock()
+	<-b.last
+	text, err := os.ReadFile(b.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, _, err := parse(text, "n0")
+	if diff := cmp.Diff("[s1 s2] <nil>", fmt.Sprint(out, err)); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
--- a/internal/relay/hand.go
+++ b/internal/relay/hand.go
@@ -76,7 +76,12 @@
 }
 
 // TakeOver has just these servers out: what another process of this sidecar wrote down.
-func (r *Relay) TakeOver(hosts []string) {
+func (r *Relay) TakeOver(ctx context.Context, hosts []string) error {
+	return r.ahead(ctx, func() { r.Inherit(hosts) })
+}
+
+// Inherit does so before Run.
+func (r *Relay) Inherit(hosts []string) {
 	for host := range maps.Clone(r.out) {
 		if !slices.Contains(hosts, host) {
 			r.hand(host, false)
@@ -87,12 +92,8 @@
 	}
 }
 
-// Attend has the figures published every so often, and looks whether another process of this sidecar changed which servers
-// are out.
-func (r *Relay) Attend(every brain.Micros, changed func() (hosts []string, changed bool)) {
-	if hosts, anew := changed(); anew {
-		r.TakeOver(hosts)
-	}
+// Attend has the figures published every so often.
+func (r *Relay) Attend(every brain.Micros) {
 	r.publish()
-	r.at(r.clock.now()+every, func() { r.Attend(every, changed) })
+	r.at(r.clock.now()+every, func() { r.Attend(every) })
 }
