Read-through: one buffer and one way to write pieces; twins, dead steps and a clock go

No behaviour changes. Pieces of long bodies and their framing as chunks stood in inbound and in outbound, once in place and once by a copy into a buffer of its own; exchange.Piece serves both. The second address had its own plain answer and its own way to take an address; both are places' now. Each answer read the clock under the duty's lock only to know the duty. A held body of known length ended with a piece of nothing; waiting for an answer to an upload that is answered already, and leaving a line twice, are gone. Two tests shared a taker.

--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"time"
 
@@ -47,12 +46,12 @@
 
 // Listen takes the address.
 func Listen(address string, sockets int, of Sidecar, counts *counters.Sheet, log zerolog.Logger) (*Console, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := places.Listen(address, false)
 	if err != nil {
 		return nil, fmt.Errorf("console: %w", err)
 	}
 	most := min(max(sockets/placesPart, leastPlaces), mostPlaces)
-	c := &Console{of: of, counts: counts, log: log, listener: places.New(ln.(*net.TCPListener), most, &counters.Sheet{}, log)}
+	c := &Console{of: of, counts: counts, log: log, listener: places.New(ln, most, &counters.Sheet{}, log)}
 	c.listener.Patience = patience
 	c.server = &fasthttp.Server{Handler: c.guarded, ErrorHandler: c.malformed, Logger: &c.log, ReadBufferSize: mostHead,
 		MaxRequestBodySize: mostHead, ReadTimeout: wholeCall, WriteTimeout: wholeCall, ConnState: c.listener.State,
@@ -75,7 +74,7 @@
 	defer func() {
 		if crash := recover(); crash != nil {
 			c.counts.Crashed(c.log, "call", crash)
-			say(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
+			places.Plain(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
 		}
 	}()
 	if !c.listener.Carry(ctx.Conn()) {
@@ -87,7 +86,7 @@
 	case path == "/control/ready":
 		method, do = fasthttp.MethodGet, func() {
 			if !c.of.Ready() {
-				say(ctx, fasthttp.StatusServiceUnavailable, "not ready")
+				places.Plain(ctx, fasthttp.StatusServiceUnavailable, "not ready")
 			}
 		}
 	case path == "/control/counters":
@@ -107,7 +106,7 @@
 			limit, done := context.WithTimeout(context.Background(), answerBy)
 			defer done()
 			if err := c.of.Server(limit, id, out); err != nil {
-				say(ctx, fasthttp.StatusNotFound, err.Error())
+				places.Plain(ctx, fasthttp.StatusNotFound, err.Error())
 			}
 		}
 	}
@@ -118,21 +117,14 @@
 	}
 	ctx.SetContentType("text/plain; charset=utf-8")
 	if do(); len(ctx.Response.Body()) == 0 {
-		say(ctx, fasthttp.StatusOK, "yes")
+		places.Plain(ctx, fasthttp.StatusOK, "yes")
 	}
 	ctx.SetConnectionClose()
 }
 
-func say(ctx *fasthttp.RequestCtx, status int, text string) {
-	ctx.Response.ResetBody()
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("text/plain; charset=utf-8")
-	ctx.SetBodyString(text + "\n")
-}
-
 func (c *Console) refuse(ctx *fasthttp.RequestCtx, status int, why string) {
 	c.counts.Add(counters.CallsRefused)
-	say(ctx, status, why)
+	places.Plain(ctx, status, why)
 	ctx.SetConnectionClose()
 }
 
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -62,9 +62,9 @@
 		return free, in.longer(ctx, m, x, from, nil)
 	}
 	var held [][]byte // pieces: what grew by copying would be twice in memory, and rubbish then
-	for size, came := atOnce, 0; ; size = min(2*size, piece/2) {
+	for size, came := atOnce, 0; ; size = min(2*size, exchange.MostBody/2) {
 		if sized {
-			size = min(size, max(m.body.Length-came, 1))
+			size = min(size, m.body.Length-came)
 		}
 		if came+size > exchange.MostBody {
 			if taken += int64(size); in.room.Add(-int64(size)) < 0 || int64(came+size) > in.mostHeld {
@@ -73,9 +73,11 @@
 		}
 		next := make([]byte, size)
 		n, err := io.ReadFull(from, next)
-		held, came = append(held, next[:n]), came+n
+		if came += n; n > 0 {
+			held = append(held, next[:n])
+		}
 		switch {
-		case err == io.EOF || err == io.ErrUnexpectedEOF && from.ended:
+		case err == io.EOF || err == io.ErrUnexpectedEOF && from.ended || sized && came == m.body.Length:
 			return free, in.short(ctx, m, x, nil, held)
 		case err != nil:
 			return free, in.broken(ctx, err)
@@ -206,9 +208,6 @@
 	}
 	if !x.Upload.Stop() {
 		ctx.SetConnectionClose()
-		if !x.Fail(exchange.Errored) {
-			<-x.Done()
-		}
 		return false
 	}
 	in.listener.Next(ctx.Conn(), 0)
--- a/internal/inbound/duty.go
+++ b/internal/inbound/duty.go
@@ -50,11 +50,11 @@
 	return p.turns
 }
 
-// is tells the duty, and for how long it has been that.
-func (p *post) is() (now duty, lasts time.Duration, turn int) {
+// is tells for how long the duty has been what it is, and which turn this is.
+func (p *post) is() (lasts time.Duration, turn int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.now, time.Since(p.since), p.turns
+	return time.Since(p.since), p.turns
 }
 
 // OutOfService sends clients away: not ready, what comes is served, connections are closed one by one.
@@ -74,15 +74,16 @@
 
 // Ready tells whether clients may come.
 func (in *Inbound) Ready() bool {
-	now, _, _ := in.post.is()
-	return now == serving
+	in.post.mu.Lock()
+	defer in.post.mu.Unlock()
+	return in.post.now == serving
 }
 
 // part closes idle connections as long as this turn of duty goes on: first those that have been idle for a while, so
 // that few clients find theirs closed under a visit, then all. Guards against clients that hold a connection for ever.
 func (in *Inbound) part(turn int) {
 	for {
-		_, since, now := in.post.is()
+		since, now := in.post.is()
 		switch {
 		case now != turn:
 			return
@@ -107,7 +108,7 @@
 	in.listener.Close()
 	visits := newcomers + time.Duration(in.longest)*time.Microsecond + lastAnswer
 	for {
-		if _, since, _ := in.post.is(); in.listener.Here() == 0 || since > visits && in.streams.Load() == 0 || since > lastStream {
+		if since, _ := in.post.is(); in.listener.Here() == 0 || since > visits && in.streams.Load() == 0 || since > lastStream {
 			break
 		}
 		time.Sleep(look)
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -115,7 +115,7 @@
 	defer func() {
 		if crash := recover(); crash != nil {
 			in.counts.Crashed(in.log, "connection", crash)
-			plain(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
+			places.Plain(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
 			ctx.SetConnectionClose()
 		}
 	}()
@@ -128,9 +128,9 @@
 			return
 		}
 		if in.Ready() {
-			plain(ctx, fasthttp.StatusOK, "ready")
+			places.Plain(ctx, fasthttp.StatusOK, "ready")
 		} else {
-			plain(ctx, fasthttp.StatusServiceUnavailable, "out of service")
+			places.Plain(ctx, fasthttp.StatusServiceUnavailable, "out of service")
 		}
 	case string(m.target) == "/-/counters":
 		if !in.bare(ctx, m) {
@@ -150,21 +150,14 @@
 // connection, and against reading the rest of what was malformed as a message.
 func (in *Inbound) refuse(ctx *fasthttp.RequestCtx, status int, fault string) {
 	in.counts.Add(counters.BadInput)
-	plain(ctx, status, fault)
+	places.Plain(ctx, status, fault)
 	ctx.SetConnectionClose()
 }
 
-func plain(ctx *fasthttp.RequestCtx, status int, text string) {
-	ctx.Response.ResetBody()
-	ctx.SetStatusCode(status)
-	ctx.SetContentType("text/plain; charset=utf-8")
-	ctx.SetBodyString(text + "\n")
-}
-
 // abandon ends a connection whose client is not there. Guards against an empty 200, which fasthttp writes
 // where nothing is said, at a client that closed but its own half.
 func abandon(ctx *fasthttp.RequestCtx) {
-	plain(ctx, fasthttp.StatusBadGateway, "the client left")
+	places.Plain(ctx, fasthttp.StatusBadGateway, "the client left")
 	ctx.SetConnectionClose()
 }
 
@@ -271,7 +264,7 @@
 	case exchange.Bounced:
 		in.counts.Add(counters.VisitsBounced)
 		ended(counters.Declined)
-		plain(ctx, fasthttp.StatusServiceUnavailable, "not now; a retry does no harm")
+		places.Plain(ctx, fasthttp.StatusServiceUnavailable, "not now; a retry does no harm")
 		if x.ComeBackIn > 0 {
 			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter,
 				strconv.FormatFloat(math.Ceil(float64(x.ComeBackIn)/1000)/1000, 'f', -1, 64))
@@ -281,10 +274,10 @@
 	case exchange.Overdue:
 		in.counts.Add(counters.VisitsErrored)
 		ended(counters.Aborted)
-		plain(ctx, fasthttp.StatusGatewayTimeout, "no answer in time")
+		places.Plain(ctx, fasthttp.StatusGatewayTimeout, "no answer in time")
 	default:
 		in.counts.Add(counters.VisitsErrored)
 		ended(counters.Aborted)
-		plain(ctx, fasthttp.StatusBadGateway, "no answer from the servers")
+		places.Plain(ctx, fasthttp.StatusBadGateway, "no answer from the servers")
 	}
 }
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -15,14 +14,10 @@
 )
 
 const (
-	piece      = 64 << 10        // of a long body, in memory at once
-	frame      = 8               // bytes before it, for the size of a chunk
-	unread     = 6 * time.Second // a client that takes nothing of a long answer for so long is let go
-	sendBuffer = 2 * piece       // what the kernel holds of one: a slow client's progress must show
+	unread     = 6 * time.Second           // a client that takes nothing of a long answer for so long is let go
+	sendBuffer = 2 * len(exchange.Piece{}) // what the kernel holds of one: a slow client's progress must show
 )
 
-var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
-
 // passing is a long answer on its way to the client: pieces as they come, no more read than is written.
 type passing struct {
 	answer *exchange.Answer
@@ -66,19 +61,12 @@
 // chunks where nobody knows its length. The head has been written by then; the last chunk is fasthttp's, and comes only where
 // no error is told: an answer that its server cut is cut here too.
 func (p *passing) WriteTo(io.Writer) (sent int64, err error) {
-	buffer := pieces.Get().(*[piece]byte)
-	defer pieces.Put(buffer)
+	piece := exchange.NewPiece()
+	defer piece.Free()
 	for {
-		n, err := p.read(buffer[frame : piece-len("\r\n")])
+		n, err := p.read(piece.Room())
 		if n > 0 {
-			out := buffer[frame : frame+n]
-			if p.answer.Size < 0 {
-				var size [frame]byte
-				head := append(strconv.AppendInt(size[:0], int64(n), 16), "\r\n"...)
-				out = append(buffer[frame-len(head):frame+n], "\r\n"...)
-				copy(out, head)
-			}
-			if _, failed := p.to.Write(out); failed != nil {
+			if _, failed := p.to.Write(piece.Bytes(n, p.answer.Size < 0)); failed != nil {
 				return sent, failed
 			}
 			sent += int64(n)
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -29,8 +29,9 @@
 	body io.Reader // what is still to come of a long one, for a stream; nil: all is here
 }
 
-// answer reads a whole answer, or as much of a long one as tells that it is long; others ahead of it that only inform are passed over. Guards against delivering
-// what the server did not mean: what is not proven well-formed is spoilt, as soon as that shows.
+// answer reads a whole answer, or as much of a long one as tells that it is long; others ahead of it that only inform are
+// passed over. Guards against delivering what the server did not mean: what is not proven well-formed is spoilt, as soon as
+// that shows.
 func (o *Outbound) answer(l *line, until time.Time) (*reply, error) {
 	for passed := 0; ; {
 		head, err := l.head(exchange.MostHead - passed)
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -197,11 +197,10 @@
 	load []float64, err error) {
 	keep, handed := false, false
 	defer func() {
+		f.rides(nil)
 		if handed { // the line is the stream's
-			f.rides(nil)
 			return
 		}
-		f.rides(nil)
 		if keep && !f.called.Load() { // one that Cancel reached has a deadline that has passed
 			o.pool.put(be, l)
 			return
@@ -250,10 +249,7 @@
 		}
 		return nil, nil, fail(err)
 	}
-	keep = !answer.closes && l.in.Buffered() == 0
-	if answer.body != nil {
-		keep = false // of one that is no delivery the rest is not read
-	}
+	keep = !answer.closes && l.in.Buffered() == 0 && answer.body == nil // of one that is no delivery the rest is not read
 	if answer.status != fasthttp.StatusOK {
 		unseen := answer.unseen && (answer.status == fasthttp.StatusServiceUnavailable ||
 			answer.status == fasthttp.StatusGatewayTimeout)
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -4,7 +4,6 @@
 	"io"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -12,16 +11,14 @@
 
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
 )
 
 const (
 	stalled  = 5 * time.Second // a server that brings nothing of a long answer, or takes nothing of a long visit, is given up
 	heldBack = stalled / 5     // nothing that a server gives is held back for longer, whatever it may turn out to be
-	piece    = 64 << 10        // of a long body, in memory at once
 )
 
-var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
-
 // stream is the rest of a long answer: it goes on to the client as it comes, at the client's pace. Its reader closes it.
 type stream struct {
 	body  io.Reader
@@ -64,8 +61,8 @@
 }
 
 // begin reads a body of unknown length until it is whole, or long, or has kept its reader waiting for so long; then the rest
-// comes by a stream. By the last moment it is late. Guards against holding back what the client could have, and against giving up a retry for an answer
-// that is short.
+// comes by a stream. By the last moment it is late. Guards against holding back what the client could have, and against
+// giving up a retry for an answer that is short.
 func (l *line) begin(body io.Reader, most int, hold, last time.Time) (first []byte, whole bool, err error) {
 	first = make([]byte, 0, 4<<10)
 	l.SetReadDeadline(hold)
@@ -92,43 +89,42 @@
 // long writes a body that is long: what is here of it, then what its client still sends, as it comes. Each piece has a
 // deadline of its own, since only progress tells a slow server from one that is gone.
 func (o *Outbound) long(l *line, ask outgoing) error {
-	var framed []byte
 	put := func(b []byte) error {
-		if ask.upload != nil && !ask.upload.Sized {
-			framed = append(strconv.AppendInt(framed[:0], int64(len(b)), 16), "\r\n"...)
-			framed = append(append(framed, b...), "\r\n"...)
-			b = framed
-		}
 		l.SetWriteDeadline(time.Now().Add(stalled))
 		_, err := l.Write(b)
 		return err
 	}
-	for _, b := range ask.body {
+	var piece *exchange.Piece // where more is to come
+	chunks := ask.upload != nil && !ask.upload.Sized
+	if ask.upload != nil {
+		piece = exchange.NewPiece()
+		defer piece.Free()
+	}
+	for _, b := range ask.body { // each is shorter than a piece
+		if chunks {
+			b = piece.Bytes(copy(piece.Room(), b), true)
+		}
 		if err := put(b); err != nil {
 			return err
 		}
 	}
-	if ask.upload == nil {
-		return nil
-	}
-	buffer := pieces.Get().(*[piece]byte)
-	defer pieces.Put(buffer)
-	for {
-		n, err := ask.upload.Read(buffer[:])
+	for ask.upload != nil {
+		n, err := ask.upload.Read(piece.Room())
 		if n > 0 {
-			if failed := put(buffer[:n]); failed != nil {
+			if failed := put(piece.Bytes(n, chunks)); failed != nil {
 				return failed
 			}
 		}
 		switch {
-		case err == io.EOF && ask.upload.Sized:
-			return nil
+		case err == io.EOF && chunks:
+			return put(piece.Bytes(0, true)) // the last one
 		case err == io.EOF:
-			return put(nil) // the last chunk
+			return nil
 		case err != nil:
 			return errClient
 		}
 	}
+	return nil
 }
 
 // early looks for an answer that came before the visit was whole: a server that turned it away and closed. It never ran.
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -249,6 +249,14 @@
 	return !c.evicted
 }
 
+// Plain answers with a line of text.
+func Plain(ctx *fasthttp.RequestCtx, status int, text string) {
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(text + "\n")
+}
+
 // Interrupt ends a read of this connection that another goroutine waits in; over: nobody reads it any more.
 func Interrupt(conn net.Conn, over bool) {
 	c, ok := conn.(*client)
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -56,6 +56,17 @@
 
 func deliver(x *exchange.Exchange) { x.Deliver(&exchange.Answer{Body: []byte("done")}) }
 
+// holding delivers at once, but for a client's repeat, which it hands over.
+func holding(held chan *exchange.Exchange) func(*exchange.Exchange) {
+	return func(x *exchange.Exchange) {
+		if x.Again {
+			held <- x
+			return
+		}
+		deliver(x)
+	}
+}
+
 func listen(t *testing.T, b *site.Berth, most int, visits inbound.Taker,
 	counts *counters.Sheet) (*inbound.Inbound, string) {
 	t.Helper()
@@ -341,13 +352,7 @@
 func placesAndStop(t *testing.T) (tr *trace, late bool) {
 	tr = &trace{}
 	held := make(chan *exchange.Exchange, 1)
-	in, at := listen(t, berth(t, configuration("", "")), 2, taker{tr, func(x *exchange.Exchange) {
-		if x.Again {
-			held <- x
-			return
-		}
-		deliver(x)
-	}}, &counters.Sheet{})
+	in, at := listen(t, berth(t, configuration("", "")), 2, taker{tr, holding(held)}, &counters.Sheet{})
 	visit := "GET /look HTTP/1.1\r\n" + fields + "\r\n"
 	dial(t, at)
 	one := dial(t, at)
