Lab: a way of its own for every ordered pair, for datagrams and connections, cut one way

Cause: two sidecars could only be put under a fixed share of lost, doubled and late datagrams (path.Datagrams), the same for all pairs and for a whole run, and connections between sidecars had no gate. Seen by reading lab/path; nothing ruled out.

Change: path.Datagrams keeps a Link (loss, doubling, lateness, delay, cut) for each ordered pair, which can change while it runs, and its tally tells what became of each. path.Mesh adds a gate for connections at the same address; Cut(i, j) holds what i says to j, on datagrams and on connections that either opened, and lets the other direction flow. A sidecar that moves keeps the addresses by which the others reach it. The way not taken: addresses in messages translated by gates, which would have the lab read messages of the program that it judges; members will be known by name, with a book of addresses each.

--- a/lab/path/datagrams.go
+++ b/lab/path/datagrams.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"ledgespread/lab/chance"
@@ -10,27 +11,49 @@
 )
 
 // Datagrams lie between sidecars that tell each other short messages: a socket for each ordered pair, so that a
-// receiver knows the sender by its address. It loses, doubles and delays them past others.
+// receiver knows the sender by its address. Each ordered pair loses, doubles, delays and cuts by itself.
 type Datagrams struct {
-	Lost, Doubled, Late, Passed, TooLong int // read after Close
-	sockets                              [][]*net.UDPConn
-	done                                 chan [5]int
+	Tally   Tally // read after Close, or by Count
+	sockets [][]*net.UDPConn
+	done    chan bool
+	open    int
+
+	mu    sync.Mutex
+	at    []netip.AddrPort // the sidecars' own
+	links [][]Link
+}
+
+// Tally is what became of datagrams that came to a gate.
+type Tally struct{ Came, Lost, Doubled, Late, Cut, Passed, TooLong int }
+
+// Link is how datagrams pass from one sidecar to another.
+type Link struct {
+	scenario.Loss
+	Delay, Spread Micros
+	Cut           bool
 }
 
 const longest = 256 // bytes that the platform lets a datagram have
 
 // Between opens the sockets: the address of j as i is to know it is Address(i, j). to are the sidecars' own.
 func Between(to []netip.AddrPort, loss scenario.Loss, seed uint64) (*Datagrams, error) {
-	d := &Datagrams{done: make(chan [5]int, len(to)*len(to))}
+	return between(to, loss, seed, func(i, j int) (*net.UDPConn, error) {
+		return net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	})
+}
+
+func between(to []netip.AddrPort, loss scenario.Loss, seed uint64, open func(i, j int) (*net.UDPConn, error)) (*Datagrams, error) {
+	d := &Datagrams{done: make(chan bool, len(to)*len(to)), at: append([]netip.AddrPort(nil), to...)}
 	for range to {
 		d.sockets = append(d.sockets, make([]*net.UDPConn, len(to)))
+		d.links = append(d.links, make([]Link, len(to)))
 	}
 	for i := range to {
 		for j := range to {
-			if i == j {
+			if d.links[i][j].Loss = loss; i == j {
 				continue
 			}
-			c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			c, err := open(i, j)
 			if err != nil {
 				d.Close()
 				return nil, err
@@ -41,8 +64,8 @@
 	for i := range to {
 		for j := range to {
 			if i != j {
-				go d.carry(d.sockets[i][j], d.sockets[j][i], to[i], to[j], loss,
-					chance.New(seed, "datagrams "+to[i].String()+to[j].String()))
+				d.open++
+				go d.carry(i, j, chance.New(seed, "datagrams "+to[i].String()+to[j].String()))
 			}
 		}
 	}
@@ -52,55 +75,90 @@
 // Address is where i reaches j, and where j has what it hears of i from.
 func (d *Datagrams) Address(i, j int) string { return d.sockets[i][j].LocalAddr().String() }
 
-func (d *Datagrams) carry(in, out *net.UDPConn, from, to netip.AddrPort, loss scenario.Loss, draw *chance.Source) {
-	var n [5]int
-	defer func() { d.done <- n }()
+// Link changes how datagrams pass from i to j, from now on.
+func (d *Datagrams) Link(i, j int, change func(*Link)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(&d.links[i][j])
+}
+
+// Moved tells that a sidecar is at another address now; the others reach it where they did.
+func (d *Datagrams) Moved(j int, at netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.at[j] = at
+}
+
+// Count is the tally by now.
+func (d *Datagrams) Count() Tally {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Tally
+}
+
+func (d *Datagrams) carry(i, j int, draw *chance.Source) {
+	defer func() { d.done <- true }()
+	in, out := d.sockets[i][j], d.sockets[j][i]
 	b := make([]byte, 64<<10)
 	for {
 		size, by, err := in.ReadFromUDPAddrPort(b)
 		if err != nil {
 			return
 		}
-		if netip.AddrPortFrom(by.Addr().Unmap(), by.Port()) != from {
-			continue // a stranger's
-		}
-		if size > longest {
-			n[4]++
-		}
-		times := 1
-		if draw.Float() < loss.Lost {
-			n[0]++
+		now := [4]float64{draw.Float(), draw.Float(), draw.Float(), draw.Float()}
+		d.mu.Lock()
+		if netip.AddrPortFrom(by.Addr().Unmap(), by.Port()) != d.at[i] { // a stranger's
+			d.mu.Unlock()
 			continue
 		}
-		if draw.Float() < loss.Doubled {
-			n[1]++
+		link, to, times := d.links[i][j], d.at[j], 1
+		d.Tally.Came++
+		switch {
+		case link.Cut:
+			d.Tally.Cut++
+			times = 0
+		case now[0] < link.Lost:
+			d.Tally.Lost++
+			times = 0
+		case now[1] < link.Doubled:
+			d.Tally.Doubled++
 			times = 2
 		}
-		for range times {
-			if n[3]++; draw.Float() >= loss.Late {
+		if d.Tally.Passed += times; size > longest {
+			d.Tally.TooLong++
+		}
+		wait := link.Delay
+		if link.Spread > 0 {
+			wait += Micros(float64(link.Spread) * now[3])
+		}
+		if times > 0 && now[2] < link.Late {
+			d.Tally.Late++
+			wait += link.By.M()
+		}
+		d.mu.Unlock()
+		if wait == 0 {
+			for range times {
 				out.WriteToUDPAddrPort(b[:size], to)
-				continue
 			}
-			n[2]++
-			late := append([]byte(nil), b[:size]...)
-			time.AfterFunc(loss.By.M().Duration(), func() { out.WriteToUDPAddrPort(late, to) })
+			continue
+		}
+		late := append([]byte(nil), b[:size]...)
+		for range times {
+			time.AfterFunc(wait.Duration(), func() { out.WriteToUDPAddrPort(late, to) })
 		}
 	}
 }
 
-// Close ends it, and sums up what happened.
+// Close ends it; the tally stands then.
 func (d *Datagrams) Close() {
-	open := 0
 	for _, row := range d.sockets {
 		for _, c := range row {
 			if c != nil {
 				c.Close()
-				open++
 			}
 		}
 	}
-	for range open {
-		n := <-d.done
-		d.Lost, d.Doubled, d.Late, d.Passed, d.TooLong = d.Lost+n[0], d.Doubled+n[1], d.Late+n[2], d.Passed+n[3], d.TooLong+n[4]
+	for range d.open {
+		<-d.done
 	}
 }
--- a/lab/path/gate.go
+++ b/lab/path/gate.go
@@ -106,12 +106,24 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gate{way: way, target: target, listener: ln.(*net.TCPListener), pairs: map[*pair]bool{}, resume: make(chan struct{})}
+	return before(target, way, ln.(*net.TCPListener)), nil
+}
+
+// before has a listener be a gate before a target.
+func before(target string, way *Way, ln *net.TCPListener) *Gate {
+	g := &Gate{way: way, target: target, listener: ln, pairs: map[*pair]bool{}, resume: make(chan struct{})}
 	way.mu.Lock()
 	way.gates = append(way.gates, g)
 	way.mu.Unlock()
 	go g.accept()
-	return g, nil
+	return g
+}
+
+// Aim has new connections led to another target.
+func (g *Gate) Aim(target string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.target = target
 }
 
 func (g *Gate) Address() string { return g.listener.Addr().String() }
@@ -202,7 +214,10 @@
 		kill(near)
 		return
 	}
-	conn, err := net.DialTimeout("tcp", g.target, time.Second)
+	g.mu.Lock()
+	target := g.target
+	g.mu.Unlock()
+	conn, err := net.DialTimeout("tcp", target, time.Second)
 	if err != nil {
 		kill(near)
 		return
--- a/lab/path/gate_test.go
+++ b/lab/path/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -194,7 +195,60 @@
 	<-done
 	d.Close()
 	heard := from[d.Address(1, 0)]
-	if len(from) != 1 || heard != d.Passed || d.Passed != 500-d.Lost+d.Doubled || d.Lost < 100 || d.Doubled < 30 {
-		t.Errorf("heard %v, of 500: passed %d, lost %d, doubled %d", from, d.Passed, d.Lost, d.Doubled)
+	if n := d.Tally; len(from) != 1 || heard != n.Passed || n.Passed != 500-n.Lost+n.Doubled || n.Lost < 100 || n.Doubled < 30 {
+		t.Errorf("heard %v, of 500: %+v", from, n)
 	}
 }
+
+// Each ordered pair of a mesh is cut by itself, datagrams and connections alike: while what 0 says to 1 is lost, what 1
+// says to 0 comes, on connections that either opened; once mended, what a connection held comes after all.
+func TestMesh(t *testing.T) {
+	seen := trace.Trace{}
+	var at []netip.AddrPort
+	var sockets []*net.UDPConn
+	for range 2 {
+		address := netip.MustParseAddrPort(echo(t))
+		c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+		if err != nil {
+			t.Skip("the port is another's for datagrams")
+		}
+		defer c.Close()
+		at, sockets = append(at, address), append(sockets, c)
+	}
+	m, err := NewMesh(at, scenario.Loss{}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Close()
+	datagram := func(i, j int) string {
+		sockets[i].WriteToUDPAddrPort([]byte("note"), netip.MustParseAddrPort(m.Address(i, j)))
+		b := make([]byte, 9)
+		sockets[j].SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		n, by, err := sockets[j].ReadFromUDPAddrPort(b)
+		if err != nil {
+			return "silence"
+		}
+		return fmt.Sprintf("%s, from its own address: %v", b[:n], by.String() == m.Address(j, i))
+	}
+	var open [2]*peer
+	look := func(when string) {
+		seen.Add("%s: datagram 0 to 1 %s; 1 to 0 %s", when, datagram(0, 1), datagram(1, 0))
+		for i := range open {
+			seen.Add("%s: connection of %d: %s", when, i, open[i].ask(200*time.Millisecond))
+		}
+	}
+	for i := range open {
+		if open[i], err = dial(m.Address(i, 1-i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	look("whole")
+	m.Cut(0, 1, true)
+	look("0 to 1 cut")
+	m.Cut(0, 1, false)
+	for i := range open {
+		seen.Add("mended: connection of %d: %s", i, open[i].hear(5*time.Second))
+	}
+	look("mended")
+	seen.Same(t)
+}
