Membership, the part that decides: suspicion, cuts of one direction, standstills, names

Need: a sidecar knows the others by a fixed list and never learns that one is gone, new, paused or cut off.

Design: SWIM with Lifeguard's additions, as a pure module (decide/membership): messages and times in, messages and changes out. Ours are: a beat beside the incarnation, so that others can vouch for a member that can't hear that it is accused; cuts with their direction as a state of the way, not of the member; a clock that stands still when this member did; no word of another that kills by itself. The ways not taken: hashicorp/memberlist (its goroutines and clock can't be played by seed with 10,000 members, a one-sided cut is no state of it, and its messages are longer than 256 bytes), plain heartbeats.

--- /dev/null
+++ b/decide/membership/faults_test.go
@@ -0,0 +1,222 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"ledgespread/decide/membership"
+	"ledgespread/decide/membership/crowd"
+	"ledgespread/lab/trace"
+)
+
+const second = 1_000_000
+
+type Micros = membership.Micros
+
+func terms() membership.Terms {
+	return membership.Terms{Group: "g", Every: 250_000, Exchange: 30 * second, Forget: 600 * second, Linger: 3 * second, Senders: 1, Most: 20_000}
+}
+
+// scene is a crowd that has met, and what was said since.
+type scene struct {
+	*crowd.Crowd
+	deaths map[string]int // "n3" held for dead, by so many
+	ways   map[string]bool
+}
+
+func begin(seed uint64, many int, change ...func(*membership.Terms)) *scene {
+	t := terms()
+	for _, do := range change {
+		do(&t)
+	}
+	s := &scene{crowd.New(seed, many, t, true), map[string]int{}, map[string]bool{}}
+	s.Said = func(_ Micros, by *crowd.Member, c membership.Change) {
+		if c.To == membership.Dead {
+			s.deaths[string(c.Name)]++
+		}
+		if c.Way != 0 {
+			s.ways[fmt.Sprintf("n%d of %s: %s", by.Number, c.Name, c.Way)] = true
+		}
+	}
+	s.Run(5 * second)
+	return s
+}
+
+// agree tells whether all that run hold all that run for alive, with open ways, and nobody else.
+func (s *scene) agree() bool {
+	there := 0
+	for _, m := range s.Members {
+		if !m.Gone {
+			there++
+		}
+	}
+	for _, m := range s.Members {
+		fine := m.Gone || m.Holds()[membership.Alive] == there-1
+		if !m.Gone {
+			m.Each(func(x membership.Member) { fine = fine && x.Way == 0 })
+		}
+		if !fine {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *scene) all(name string, state membership.State) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(s.Members, func(m *crowd.Member) bool {
+			return !m.Gone && crowd.Name(m.Number) != membership.Name(name) && m.Sees(membership.Name(name)).State != state
+		})
+	}
+}
+
+func (s *scene) dead() string {
+	var out []string
+	for name, by := range s.deaths {
+		out = append(out, fmt.Sprintf("%s by %d", name, by))
+	}
+	slices.Sort(out)
+	if len(out) == 0 {
+		return "nobody is held for dead"
+	}
+	return "held for dead: " + strings.Join(out, ", ")
+}
+
+func sec(span Micros) string {
+	if span < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1f s", float64(span)/second)
+}
+
+// The faults that the module is there for, each by itself, in simulated time: what is said, and after how long.
+func TestFaults(t *testing.T) {
+	var tr trace.Trace
+	add := func(format string, values ...any) { tr.Add(format, values...) }
+
+	s := begin(1, 16)
+	s.Members[3].Kill()
+	add("killed: known to all after %s, %s", sec(s.Until(20*second, s.all("n3", membership.Dead))), s.dead())
+	back := s.Add("n3", 3, terms())
+	back.Join(s.Now, []membership.Address{s.At(0)})
+	add("restarted: known to all after %s", sec(s.Until(20*second, s.agree)))
+
+	s = begin(2, 16)
+	s.Members[3].Kill()
+	s.Run(500_000)
+	s.Add("n3", 3, terms()).Join(s.Now, []membership.Address{s.At(0)})
+	add("restarted within its suspicion: all agree after %s, %s", sec(s.Until(20*second, s.agree)), s.dead())
+
+	s = begin(3, 16)
+	s.Members[3].Kill()
+	s.Run(500_000)
+	s.Add("n3", 99, terms()).Join(s.Now, []membership.Address{s.At(0)})
+	add("restarted at another address: all agree after %s, %s", sec(s.Until(20*second, func() bool {
+		return s.agree() && s.Members[5].Sees("n3").Address == s.At(99)
+	})), s.dead())
+
+	s = begin(4, 16)
+	s.Members[3].Leave(s.Now)
+	s.Members[3].Kill()
+	add("left: known to all after %s, %s", sec(s.Until(20*second, s.all("n3", membership.Left))), s.dead())
+
+	s = begin(5, 16)
+	s.Members[3].Stop()
+	s.Run(second)
+	s.Members[3].Continue()
+	add("paused for 1 s: all agree after %s, %s", sec(s.Until(20*second, s.agree)), s.dead())
+	s.Members[3].Stop()
+	s.Run(10 * second)
+	add("paused for 10 s: %s", s.dead())
+	s.Members[3].Continue()
+	add("  back: all agree after %s, with holds %d", sec(s.Until(20*second, s.agree)), s.Members[0].Sees("n3").Holds)
+	s.deaths = map[string]int{}
+	for _, m := range s.Members {
+		m.Stop()
+	}
+	s.Run(10 * second)
+	for _, m := range s.Members {
+		m.Continue()
+	}
+	add("all paused for 10 s: all agree after %s, %s", sec(s.Until(20*second, s.agree)), s.dead())
+
+	s = begin(6, 16)
+	for round := range 12 {
+		s.Members[3].Stop()
+		s.Run(2 * second)
+		s.Members[3].Continue()
+		s.Run(3 * second)
+		if round == 1 {
+			add("paused 2 s in every 5: twice, %s", s.dead())
+			s.deaths = map[string]int{}
+		}
+	}
+	add("  ten times more: %s", s.dead())
+	s.Run(120 * second)
+	add("  two quiet minutes later: holds %d", s.Members[0].Sees("n3").Holds)
+
+	for _, x := range []struct {
+		what string
+		cut  func(from, to int) bool
+	}{
+		{"n2 to n3", func(from, to int) bool { return from == 2 && to == 3 }},
+		{"n2 to half", func(from, to int) bool { return from == 2 && to >= 8 }},
+		{"half to n2", func(from, to int) bool { return to == 2 && from >= 8 }},
+		{"everybody's word to n2", func(from, to int) bool { return to == 2 }},
+		{"a bridge: n0 alone reaches both halves", func(from, to int) bool { return from != 0 && to != 0 && (from < 8) != (to < 8) }},
+	} {
+		s = begin(7, 16)
+		s.Cut = x.cut
+		s.Run(60 * second)
+		add("cut for a minute, %s: %s; told by %d", x.what, s.dead(), len(s.ways))
+		for _, line := range []string{"n2 of n3: " + membership.Deaf.String(), "n3 of n2: " + membership.Mute.String(),
+			"n2 of n9: " + membership.Deaf.String(), "n9 of n2: " + membership.Mute.String(), "n2 of n9: " + membership.Mute.String(),
+			"n9 of n2: " + membership.Deaf.String(), "n2 of n9: " + (membership.Deaf | membership.Mute).String()} {
+			if s.ways[line] {
+				add("  %s", line)
+			}
+		}
+		s.Cut = nil
+		add("  mended: all agree after %s", sec(s.Until(20*second, s.agree)))
+	}
+
+	for _, parts := range []int{2, 3} {
+		s = begin(8, 18)
+		s.Cut = func(from, to int) bool { return from%parts != to%parts }
+		s.Run(20 * second)
+		add("split into %d: n0 holds %v, stands %s, senders %d", parts, s.Members[0].Holds(), s.Members[0].Parts(), s.Members[0].Senders())
+		s.Cut = nil
+		sent, bytes := s.Sent, s.Bytes
+		healed := s.Until(20*second, s.agree)
+		add("  healed: all agree after %s, by %d messages and %d bytes a member", sec(healed), (s.Sent-sent)/18, (s.Bytes-bytes)/18)
+		s.Run(second)
+		add("  n0 stands %s", s.Members[0].Parts())
+	}
+	s = begin(9, 16)
+	s.Cut = func(from, to int) bool { return (from == 2) != (to == 2) }
+	s.Run(20 * second)
+	add("alone: n2 holds %v, stands %s; %s", s.Members[2].Holds(), s.Members[2].Parts(), s.dead())
+	s.Cut = nil
+	add("  healed: all agree after %s", sec(s.Until(20*second, s.agree)))
+
+	s = begin(10, 16)
+	other := s.Add("n3", 99, terms())
+	other.Join(s.Now, []membership.Address{s.At(0)})
+	s.Run(10 * second)
+	add("two of one name: the later one hears %v, the earlier one %v; n5 has it at its place: %v", short(other.Names), short(s.Members[3].Names),
+		s.Members[5].Sees("n3").Address == s.At(3))
+	s.Members[3].Kill()
+	add("  the earlier one dies: the later one is known to all after %s", sec(s.Until(120*second, func() bool {
+		return s.Members[5].Sees("n3").Address == s.At(99) && s.agree()
+	})))
+	tr.Same(t)
+}
+
+func short(lines []string) string {
+	if len(lines) == 0 {
+		return "nothing"
+	}
+	return lines[0]
+}
