One strict reader of TOML files, for scenarios and for what a sidecar is fitted with

Cause: the lab's scenario files were read strictly (unknown names, bare numbers where a unit belongs, file and line of each error) by code that stood in lab/scenario; a sidecar's file of fittings needs the same, and no package of the sidecar imports the lab.

Change: package strict, beside both; lab/scenario calls it, with its errors as they were. Scenarios gain [members], faults of ways between sidecars (cut_word, part, lose, double, late, from `sidecars` to `others`) and sidecar_move.

--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -5,34 +5,26 @@
 package scenario
 
 import (
-	"bytes"
 	"cmp"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
-	"reflect"
 	"regexp"
 	"slices"
 	"strconv"
-	"strings"
-	"time"
-
-	"github.com/pelletier/go-toml/v2"
 
 	"ledgespread/lab/clock"
+	"ledgespread/strict"
 )
 
 // Span is a duration such as "150ms", in whole microseconds.
 type Span clock.Micros
 
 func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	if err != nil || d < 0 || d%time.Microsecond != 0 {
-		return fmt.Errorf("%q is no duration in whole microseconds, such as \"150ms\"", text)
-	}
-	*s = Span(clock.Span(d))
-	return nil
+	micros, err := strict.Span(text)
+	*s = Span(micros)
+	return err
 }
 
 func (s Span) M() clock.Micros { return clock.Micros(s) }
@@ -41,14 +33,9 @@
 type Rate float64
 
 func (r *Rate) UnmarshalText(text []byte) error {
-	number, unit, _ := strings.Cut(string(text), "/")
-	per := map[string]float64{"s": 1, "m": 60, "ms": 0.001}[unit]
-	x, err := strconv.ParseFloat(number, 64)
-	if err != nil || per == 0 || !(x >= 0) || x > 1e9 {
-		return fmt.Errorf("%q is no rate, such as \"260/s\"", text)
-	}
-	*r = Rate(x / per)
-	return nil
+	x, err := strict.Rate(text)
+	*r = Rate(x)
+	return err
 }
 
 // Scenario is one file.
@@ -68,6 +55,7 @@
 	Network  Network        `toml:"network"`
 	List     List           `toml:"list"`
 	Rules    Rules          `toml:"rules"`
+	Members  Members        `toml:"members"`
 	Allowed  map[string]any `toml:"allowed"` // over the lab's usual ones, as the settings name them
 	Faults   []Fault        `toml:"fault"`
 	Expect   Expect         `toml:"expect"`
@@ -82,6 +70,12 @@
 	Sockets  int     `toml:"sockets"`
 }
 
+// Members has the sidecars be members of one group.
+type Members struct {
+	Every  Span `toml:"probe_every"` // 0: they are not
+	Forget Span `toml:"forget"`
+}
+
 // Box stands for Count boxes alike.
 type Box struct {
 	Count       int     `toml:"count"`
@@ -193,6 +187,7 @@
 	What   string  `toml:"what"`
 	Boxes  any     `toml:"boxes"`    // a name, a list of names, or a part of all such as 0.5
 	Cars   any     `toml:"sidecars"` // the same
+	Others any     `toml:"others"`   // the same, for ways between sidecars: to whom; left out: all others
 	From   string  `toml:"from"`     // zones, for the network
 	To     string  `toml:"to"`
 	Tenant string  `toml:"tenant"`
@@ -222,11 +217,13 @@
 	"sidecar_kill": "sidecars", "sidecar_restart": "sidecars", "sidecar_stall": "sidecars",
 	"list_down": "list", "list_late": "list", "list_move": "list",
 	"silence": "network", "cut": "network", "reset": "network", "delay": "network", "refuse": "network", "narrow": "network",
+	"cut_word": "ways", "part": "ways", "lose": "ways", "double": "ways", "late": "ways", "sidecar_move": "sidecars",
 	"flood": "tenant", "surge": "",
 }
 
 var lengthy = map[string]bool{"kill_cold": true, "stall": true, "mute": true, "errors": true, "slow": true, "share": true, "spoil": true,
 	"sidecar_kill": true, "sidecar_stall": true, "list_down": true, "list_late": true, "silence": true, "cut": true, "delay": true, "refuse": true, "narrow": true,
+	"cut_word": true, "part": true, "lose": true, "double": true, "late": true,
 	"flood": true, "surge": true, "drain": true}
 
 // Read reads a file.
@@ -255,7 +252,7 @@
 
 func parse(file string, text []byte, base string) (*Scenario, error) {
 	s := &Scenario{File: file, Seed: 1}
-	if err := s.over(file, text); err != nil {
+	if err := strict.Decode(file, text, s); err != nil {
 		return nil, err
 	}
 	if base = cmp.Or(base, s.Base); base != "" {
@@ -265,123 +262,30 @@
 		}
 		below, err := os.ReadFile(base)
 		if err != nil {
-			return nil, fmt.Errorf("%s:%d: base: %w", file, lineOf(text, "", 0, "base"), err)
+			return nil, fmt.Errorf("%s:%d: base: %w", file, strict.Line(text, "", 0, "base"), err)
 		}
-		if err := under.over(base, below); err != nil {
+		if err := strict.Decode(base, below, under); err != nil {
 			return nil, err
 		}
 		if under.Base != "" {
-			return nil, fmt.Errorf("%s:%d: base: %s has a base itself", file, lineOf(text, "", 0, "base"), filepath.Base(base))
+			return nil, fmt.Errorf("%s:%d: base: %s has a base itself", file, strict.Line(text, "", 0, "base"), filepath.Base(base))
 		}
 		under.Expect = Expect{} // what is expected is each file's own
-		if s = under; s.over(file, text) != nil {
+		if s = under; strict.Decode(file, text, s) != nil {
 			return nil, fmt.Errorf("%s: does not fit its base", file)
 		}
 	}
 	s.usual()
 	if err := s.possible(); err != nil {
-		var odd *oddity
+		var odd *strict.Oddity
 		if errors.As(err, &odd) {
-			return nil, fmt.Errorf("%s:%d: %s: %s", file, lineOf(text, odd.table, odd.at, odd.name), odd.path(), odd.why)
+			return nil, odd.In(file, text)
 		}
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
 	return s, nil
 }
 
-// over reads a text over what is there already.
-func (s *Scenario) over(file string, text []byte) error {
-	d := toml.NewDecoder(bytes.NewReader(text))
-	d.DisallowUnknownFields()
-	err := d.Decode(s)
-	var unknown *toml.StrictMissingError
-	var malformed *toml.DecodeError
-	switch {
-	case errors.As(err, &unknown):
-		first := unknown.Errors[0]
-		row, _ := first.Position()
-		return fmt.Errorf("%s:%d: %s: no such name", file, row, strings.Join(first.Key(), "."))
-	case errors.As(err, &malformed):
-		row, _ := malformed.Position()
-		return fmt.Errorf("%s:%d: %s: %s", file, row, strings.Join(malformed.Key(), "."), strings.TrimPrefix(malformed.Error(), "toml: "))
-	case err != nil:
-		return fmt.Errorf("%s: %w", file, err)
-	}
-	var raw map[string]any
-	if err := toml.Unmarshal(text, &raw); err != nil {
-		return fmt.Errorf("%s: %w", file, err)
-	}
-	if odd := united(reflect.TypeOf(*s), raw, "", 0); odd != nil {
-		return fmt.Errorf("%s:%d: %s: %s", file, lineOf(text, odd.table, odd.at, odd.name), odd.path(), odd.why)
-	}
-	return nil
-}
-
-var withUnits = []reflect.Type{reflect.TypeOf(Span(0)), reflect.TypeOf(Rate(0))}
-
-// united checks that what has a unit is given with one. Guards against a bare 5 that would be read as 5 µs.
-func united(in reflect.Type, raw map[string]any, table string, at int) *oddity {
-	for i := range in.NumField() {
-		field := in.Field(i)
-		name := field.Tag.Get("toml")
-		value, there := raw[name]
-		under := strings.TrimPrefix(table+"."+name, ".")
-		if !there {
-			continue
-		}
-		if slices.Contains(withUnits, field.Type) {
-			if _, text := value.(string); !text {
-				return &oddity{table, at, name, fmt.Sprintf("%v is without a unit", value)}
-			}
-		}
-		if sub, ok := value.(map[string]any); ok && field.Type.Kind() == reflect.Struct {
-			if odd := united(field.Type, sub, under, 0); odd != nil {
-				return odd
-			}
-		}
-		if list, ok := value.([]any); ok && field.Type.Kind() == reflect.Slice && field.Type.Elem().Kind() == reflect.Struct {
-			for k, one := range list {
-				if sub, ok := one.(map[string]any); ok {
-					if odd := united(field.Type.Elem(), sub, under, k); odd != nil {
-						return odd
-					}
-				}
-			}
-		}
-	}
-	return nil
-}
-
-// oddity is a value that can't be.
-type oddity struct {
-	table string
-	at    int // of the tables of that name
-	name  string
-	why   string
-}
-
-func (o *oddity) path() string  { return strings.TrimPrefix(o.table+"."+o.name, ".") }
-func (o *oddity) Error() string { return o.path() + ": " + o.why }
-
-// lineOf finds where a name stands, or its table where it is missing.
-func lineOf(text []byte, table string, at int, name string) int {
-	heading := regexp.MustCompile(`^\s*\[\[?([a-z_.]+)\]`)
-	here, seen, in := 1, -1, table == ""
-	for i, line := range strings.Split(string(text), "\n") {
-		if m := heading.FindStringSubmatch(line); m != nil {
-			if in = m[1] == table; in {
-				if seen++; seen == at {
-					here = i + 1
-				}
-			}
-			in = in && seen == at
-		} else if key, _, ok := strings.Cut(line, "="); ok && in && strings.TrimSpace(key) == name {
-			return i + 1
-		}
-	}
-	return here
-}
-
 func either[T comparable](x *T, usual T) {
 	var zero T
 	if *x == zero {
@@ -436,10 +340,10 @@
 }
 
 func (s *Scenario) possible() error {
-	var odd *oddity
+	var odd *strict.Oddity
 	check := func(ok bool, table string, at int, name, why string, values ...any) {
 		if !ok && odd == nil {
-			odd = &oddity{table, at, name, fmt.Sprintf(why, values...)}
+			odd = &strict.Oddity{Table: table, At: at, Name: name, Why: fmt.Sprintf(why, values...)}
 		}
 	}
 	check(s.Name != "", "", 0, "name", "is missing")
@@ -497,16 +401,18 @@
 		check(known, "fault", i, "what", "%q is no fault", f.What)
 		check(f.At < s.Length, "fault", i, "at", "is past the end")
 		check(aim != "boxes" || f.Boxes != nil, "fault", i, "boxes", "is missing for %s", f.What)
-		check(aim != "sidecars" || f.Cars != nil, "fault", i, "sidecars", "is missing for %s", f.What)
+		check(aim != "sidecars" && aim != "ways" || f.Cars != nil, "fault", i, "sidecars", "is missing for %s", f.What)
+		check(f.Others == nil || s.aims(f.Others, s.CarNames()) == nil, "fault", i, "others", "%v", s.aims(f.Others, s.CarNames()))
+		check(f.Others == nil || aim == "ways", "fault", i, "others", "has no meaning for %s", f.What)
 		check(f.Boxes == nil || s.aims(f.Boxes, s.BoxNames()) == nil, "fault", i, "boxes", "%v", s.aims(f.Boxes, s.BoxNames()))
 		check(f.Cars == nil || s.aims(f.Cars, s.CarNames()) == nil, "fault", i, "sidecars", "%v", s.aims(f.Cars, s.CarNames()))
 		check(aim != "tenant" || tenants[f.Tenant] && f.Tenant != "", "fault", i, "tenant", "%q is not among the tenants", f.Tenant)
 		check(!lengthy[f.What] || f.For > 0, "fault", i, "for", "is missing for %s", f.What)
 		check(!slices.Contains([]string{"slow", "share", "flood", "surge"}, f.What) || f.Times > 1, "fault", i, "times",
 			"must be over 1 for %s", f.What)
-		check(!slices.Contains([]string{"delay", "list_late"}, f.What) || f.By > 0, "fault", i, "by", "is missing for %s", f.What)
+		check(!slices.Contains([]string{"delay", "list_late", "late"}, f.What) || f.By > 0, "fault", i, "by", "is missing for %s", f.What)
 		check(f.What != "narrow" || f.Bytes > 0, "fault", i, "bytes_per_s", "must be over 0 for narrow")
-		check(!slices.Contains([]string{"errors", "spoil"}, f.What) || f.Part > 0 && f.Part <= 1, "fault", i, "part",
+		check(!slices.Contains([]string{"errors", "spoil", "lose", "double", "late"}, f.What) || f.Part > 0 && f.Part <= 1, "fault", i, "part",
 			"must be over 0 and at most 1 for %s", f.What)
 		for _, z := range []string{f.From, f.To} {
 			check(z == "" || slices.Contains(s.Zones, z), "fault", i, "from", "%q is not among the zones", z)
@@ -612,6 +518,11 @@
 	return nil
 }
 
+// OnWays tells whether any fault is aimed at the ways between sidecars.
+func (s *Scenario) OnWays() bool {
+	return s.Members.Every > 0 || slices.ContainsFunc(s.Faults, func(f Fault) bool { return Whats[f.What] == "ways" })
+}
+
 // OnNetwork tells whether any fault, delay or bound asks for gates between sidecars and boxes.
 func (s *Scenario) OnNetwork() bool {
 	n := s.Network
