Sidecars are members of a group, where a file of fittings says so; `ledgespread members`

Need: the fixed list of peers never learns that one is gone, new, paused or cut off.

What is foreign, too long or over its address's rate is dropped before it is decoded and counted by kind. Others are known by name, each member with a book of addresses of its own where they are reached elsewhere ([membership.reach]). Sidecars tell things to living members only (peers.Follow), and the module hears how many may be sending (Balancer.Senders: a ticket's size and chance; never under the settings' number; unsaid, every decision is what it was). A new version beside the old one waits for the address, and the old one gives it over without a word of leaving, where the handover's book names another process. Ways not taken: the table over a second address of its own (a listener more), membership through the relay's goroutine (it would queue behind visits).

Found while it was built: whoever hears a member by itself and gets no answer from it counted that as no trouble of the way, so that with few members a cut of everybody's word to one was never told (TestMemberCut); mended in decide/membership.

Without the file nothing of it runs: TestMemberAddress. Tests: TestParse, TestMemberHandover, TestMemberAddress.

--- a/brain/books.go
+++ b/brain/books.go
@@ -90,6 +90,7 @@
 	beats, sidecars, tells, unanswered int // tells: place of visits held in a report, from 1
 	myZone                             Zone
 	me                                 Peer
+	senders                            int // sidecars that may be sending, as last heard; 0: as the settings say
 	prefixes                           []*prefix
 	realms                             []realm
 	known                              map[Backend]*backend
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -174,9 +174,10 @@
 	if be.voidAt <= b.now {
 		be.credit = 0
 	}
-	if b.chance()*float64(b.sidecars)*window < coldTickets*coldMean {
+	all := float64(max(b.sidecars, b.senders))
+	if b.chance()*all*window < coldTickets*coldMean {
 		b.tally["cold_tickets"]++
-		be.credit, be.voidAt = rate*window*float64(b.sidecars)/coldTickets, b.now+Micros(window/4)*firstWait
+		be.credit, be.voidAt = rate*window*all/coldTickets, b.now+Micros(window/4)*firstWait
 	}
 }
 
--- a/brain/lookup.go
+++ b/brain/lookup.go
@@ -59,3 +59,6 @@
 	x *= 0xff51afd7ed558ccd
 	return x ^ x>>33
 }
+
+// Senders tells how many sidecars may be sending, where the caller hears of it; fewer than the settings say are never counted.
+func (b *Balancer) Senders(many int) { b.senders = many }
--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -12,6 +12,7 @@
 
 	"ledgespread/internal/console"
 	"ledgespread/internal/counters"
+	"ledgespread/internal/fittings"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/relay"
 	"ledgespread/internal/site"
@@ -39,10 +40,11 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "ledgespread", Short: "A load balancer that runs beside every client process",
 		SilenceUsage: true, Args: cobra.NoArgs, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
-	var file, level string
+	var file, with, level string
 	var every time.Duration
 	config := func(c *cobra.Command) {
 		c.Flags().StringVar(&file, "config", os.Getenv("RELAY_CONFIG"), "configuration file, JSON")
+		c.Flags().StringVar(&with, "with", "", "file of what is ours beside the platform's, TOML; none: nothing of it runs")
 	}
 	start := &cobra.Command{Use: "serve", Short: "Serve the application beside it until SIGTERM",
 		Args: cobra.NoArgs,
@@ -55,8 +57,12 @@
 			if err != nil {
 				return err
 			}
+			fitted, err := fittings.Read(with)
+			if err != nil {
+				return err
+			}
 			log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", berth.Name).Logger()
-			return serve(file, berth, every, log)
+			return serve(file, with, berth, fitted, every, log)
 		}}
 	start.Flags().StringVar(&level, "log", "info", "least level that is logged: debug, info, warn or error")
 	start.Flags().DurationVar(&every, "tally", 0, "log all counters every so often, to be summed over a fleet; 0: only at the end")
@@ -74,6 +80,15 @@
 				}
 				staff.Close()
 			}
+			fitted, err := fittings.Read(with)
+			if err != nil {
+				return err
+			}
+			if fitted.Membership != nil {
+				if err := fitted.Membership.Free(); err != nil {
+					return err
+				}
+			}
 			fmt.Fprintln(c.OutOrStdout(), file+": whole")
 			return nil
 		}}
@@ -91,6 +106,6 @@
 			}
 			fmt.Fprintf(c.OutOrStdout(), "ledgespread %s (%s, %s)\n", release, revision, runtime.Version())
 		}}
-	cmd.AddCommand(start, check, migrate(), version)
+	cmd.AddCommand(start, check, membersCommand(), migrate(), version)
 	return cmd
 }
--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -18,6 +18,7 @@
 	"ledgespread/brain"
 	"ledgespread/internal/console"
 	"ledgespread/internal/counters"
+	"ledgespread/internal/fittings"
 	"ledgespread/internal/handover"
 	"ledgespread/internal/inbound"
 	"ledgespread/internal/outbound"
@@ -40,7 +41,7 @@
 )
 
 // serve puts the parts together and stays until it is told to stop. SIGHUP has it read its file again.
-func serve(file string, b *site.Berth, tally time.Duration, log zerolog.Logger) error {
+func serve(file, with string, b *site.Berth, fitted *fittings.Fittings, tally time.Duration, log zerolog.Logger) error {
 	again := make(chan os.Signal, 1) // several close together are one: the file is read after the last
 	signal.Notify(again, syscall.SIGHUP)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(b.Cores))))
@@ -66,12 +67,16 @@
 		return err
 	}
 	var in atomic.Pointer[inbound.Inbound]
-	before := 0
+	before, replaced := 0, func() bool { return false }
 	if b.Console != "" {
-		if before, err = attended(b, r, &in, counts, log); err != nil {
+		if before, replaced, err = attended(b, r, &in, counts, log); err != nil {
 			return err
 		}
 	}
+	group, err := joined(b, fitted, r, others, before != 0, log)
+	if err != nil {
+		return err
+	}
 	go r.Run()
 	if tally > 0 {
 		r.Tally(brain.Micros(tally.Microseconds()))
@@ -89,6 +94,9 @@
 	if err != nil {
 		return err
 	}
+	if group != nil {
+		clients.More = group
+	}
 	broken := make(chan error, 1)
 	go func() { broken <- clients.Serve() }()
 	if before != 0 {
@@ -109,10 +117,15 @@
 	for {
 		select {
 		case <-again:
-			reload(file, b, r, counts, log)
+			reload(file, with, b, fitted, r, counts, log)
 		case s := <-stop:
 			log.Info().Stringer("signal", s).Msg("stopping")
 			stop, broken = nil, nil
+			if group != nil && replaced() { // the new process of this sidecar takes the name over, and the address
+				group.Hand()
+			} else if group != nil {
+				group.Leave()
+			}
 			if b.Console != "" { // a new process may be here
 				heap(b, 2)
 			}
@@ -132,8 +145,12 @@
 // reload takes the file as it is now. Guards against a sidecar that is told half: what can't be read, or would
 // not do for a start, changes nothing. Of a whole one discovery's address is taken over; the saved list and the
 // seed are for a start only, and all else needs one.
-func reload(file string, b *site.Berth, r *relay.Relay, counts *counters.Sheet, log zerolog.Logger) {
+func reload(file, with string, b *site.Berth, fitted *fittings.Fittings, r *relay.Relay, counts *counters.Sheet, log zerolog.Logger) {
 	now, err := whole(file)
+	var fits *fittings.Fittings
+	if err == nil {
+		fits, err = fittings.Read(with)
+	}
 	if err != nil {
 		counts.Add(counters.ReloadsRefused)
 		log.Warn().Err(err).Msg("configuration refused; the old one stays in force")
@@ -141,7 +158,7 @@
 	}
 	counts.Add(counters.Reloads)
 	entry := log.Info().Str("discovery", now.Discovery)
-	if differ := site.Differ(b, now); len(differ) > 0 {
+	if differ := append(site.Differ(b, now), fittings.Differ(fitted, fits)...); len(differ) > 0 {
 		entry = entry.Strs("need_a_restart", differ)
 	}
 	r.Move(now.Discovery)
@@ -168,9 +185,9 @@
 }
 
 // attended has the second address served, and takes over which servers are out by hand. before is the process that serves
-// at this sidecar's place still, 0 if there is none. in is not there until clients may come.
+// at this sidecar's place still, 0 if there is none; replaced tells whether another has come to it since. in is not there until clients may come.
 func attended(b *site.Berth, r *relay.Relay, in *atomic.Pointer[inbound.Inbound], counts *counters.Sheet,
-	log zerolog.Logger) (before int, err error) {
+	log zerolog.Logger) (before int, replaced func() bool, err error) {
 	book, before := handover.Open(os.TempDir(), b.Name, b.Listen, log)
 	r.Inherit(book.Out())
 	book.Write()
@@ -204,11 +221,11 @@
 		InService:    served((*inbound.Inbound).InService),
 	}, counts, log)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	go func() {
 		err := staff.Serve()
 		log.Error().Err(err).Msg("the second address ended")
 	}()
-	return before, nil
+	return before, book.Replaced, nil
 }
--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -109,9 +109,12 @@
 	Refused(kind string, about Address) // a message was passed over
 }
 
+// Longest is how many bytes a datagram has at the most.
+const Longest = 256
+
 // What holds whatever is set; spans are in probes.
 const (
-	longest     = 256  // bytes of a datagram
+	longest     = Longest
 	repeat      = 0.3  // part of a probe's time after which it is sent once more
 	others      = 0.6  // and after which others are asked
 	helpers     = 3    // that are asked
--- a/decide/membership/probe.go
+++ b/decide/membership/probe.go
@@ -134,8 +134,12 @@
 			n.wariness = min(n.wariness+1, wary)
 		}
 		m := e.extra()
-		if e.doubt() != p.doubt || max(e.heard, m.vouched) > p.sent {
-			return // it was heard of meanwhile, or is under a suspicion that began later
+		if max(e.heard, m.vouched) > p.sent { // it lives, and may not hear this member
+			n.waysOf(e, false)
+			return
+		}
+		if e.doubt() != p.doubt {
+			return // it is under a suspicion that began later
 		}
 		m.misses++
 		if m.vouched != 0 && n.now-m.vouched < n.probesLong(vouchFor) || n.isDeaf() || e.way != 0 {
--- /dev/null
+++ b/internal/fittings/fittings.go
@@ -0,0 +1,188 @@
+// Package fittings reads what a sidecar is fitted with beside the platform's file: one TOML file, one table a subsystem. No
+// file, or no table: nothing of it runs. docs/membership.md has the names.
+package fittings
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+
+	"ledgespread/decide/membership"
+	"ledgespread/strict"
+)
+
+// Span is a duration such as "250ms".
+type Span membership.Micros
+
+func (s *Span) UnmarshalText(text []byte) error {
+	micros, err := strict.Span(text)
+	*s = Span(micros)
+	return err
+}
+
+// Rate is a number a second, such as "200/s".
+type Rate float64
+
+func (r *Rate) UnmarshalText(text []byte) error {
+	x, err := strict.Rate(text)
+	*r = Rate(x)
+	return err
+}
+
+// Fittings is one file.
+type Fittings struct {
+	Membership *Membership `toml:"membership"`
+}
+
+// Membership is its table.
+type Membership struct {
+	Listen    string            `toml:"listen"`    // for datagrams and connections
+	Advertise string            `toml:"advertise"` // where others reach it; left out: listen
+	Group     string            `toml:"group"`
+	Seeds     []string          `toml:"seeds"`
+	From      []string          `toml:"from"` // networks that may speak
+	Zone      string            `toml:"zone"`
+	Every     Span              `toml:"probe_every"`
+	Exchange  Span              `toml:"exchange_every"`
+	Forget    Span              `toml:"forget"`
+	Most      int               `toml:"members_at_most"`
+	PerSource Rate              `toml:"per_address"` // messages a second from one address
+	Reach     map[string]string `toml:"reach"`       // where this member reaches others by name, over what they say
+
+	Networks []netip.Prefix                             `toml:"-"`
+	Book     map[string]netip.AddrPort                  `toml:"-"`
+	At       struct{ Listen, Advertise netip.AddrPort } `toml:"-"`
+	SeedsAt  []netip.AddrPort                           `toml:"-"`
+}
+
+// What holds where the table leaves it out.
+const (
+	usualEvery     Span = 250_000
+	usualExchange       = 120 * usualEvery
+	usualForget    Span = 600_000_000
+	usualMost           = 10_000
+	usualPerSource Rate = 1000
+
+	leastEvery, mostEvery Span = 20_000, 60_000_000
+)
+
+// Read takes a file; "" gives no fittings.
+func Read(file string) (*Fittings, error) {
+	if file == "" {
+		return &Fittings{}, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(file, text)
+}
+
+// Parse takes the bytes of a file.
+func Parse(file string, text []byte) (*Fittings, error) {
+	f := &Fittings{}
+	if err := strict.Decode(file, text, f); err != nil {
+		return nil, err
+	}
+	if f.Membership != nil {
+		if err := f.Membership.possible(); err != nil {
+			var odd *strict.Oddity
+			errors.As(err, &odd)
+			return nil, odd.In(file, text)
+		}
+	}
+	return f, nil
+}
+
+func either[T comparable](x *T, usual T) {
+	var zero T
+	if *x == zero {
+		*x = usual
+	}
+}
+
+// possible fills in what was left out, and tells what can't be.
+func (m *Membership) possible() error {
+	var odd *strict.Oddity
+	table := "membership"
+	check := func(ok bool, name, why string, values ...any) {
+		if !ok && odd == nil {
+			odd = &strict.Oddity{Table: table, Name: name, Why: fmt.Sprintf(why, values...)}
+		}
+	}
+	address := func(name, text string, free bool) netip.AddrPort {
+		at, err := netip.ParseAddrPort(text)
+		check(err == nil && at.IsValid(), name, "%q is no address, such as \"10.0.3.7:7946\"", text)
+		check(err != nil || free || at.Port() != 0, name, "%q has no port", text)
+		return at
+	}
+	either(&m.Every, usualEvery)
+	either(&m.Exchange, usualExchange/usualEvery*m.Every)
+	either(&m.Forget, usualForget)
+	either(&m.Most, usualMost)
+	either(&m.PerSource, usualPerSource)
+	check(m.Listen != "", "listen", "is missing")
+	m.At.Listen = address("listen", m.Listen, false)
+	if m.At.Advertise = m.At.Listen; m.Advertise != "" {
+		m.At.Advertise = address("advertise", m.Advertise, false)
+	}
+	check(odd != nil || !m.At.Advertise.Addr().IsUnspecified(), "advertise", "is missing, with listen at all addresses")
+	check(m.Group != "", "group", "is missing")
+	check(len(m.From) > 0, "from", "is missing: the networks that may speak, such as \"10.0.0.0/8\"")
+	for _, text := range m.From {
+		network, err := netip.ParsePrefix(text)
+		check(err == nil, "from", "%q is no network, such as \"10.0.0.0/8\"", text)
+		m.Networks = append(m.Networks, network)
+	}
+	for _, text := range m.Seeds {
+		m.SeedsAt = append(m.SeedsAt, address("seeds", text, false))
+	}
+	check(m.Every >= leastEvery && m.Every <= mostEvery, "probe_every", "must be from 20ms to 1m")
+	check(m.Exchange >= m.Every, "exchange_every", "must not be under probe_every")
+	check(m.Forget >= 60*m.Every, "forget", "must be 60 times probe_every at least")
+	check(m.Most > 1 && m.Most <= 100_000, "members_at_most", "must be from 2 to 100000")
+	check(m.PerSource >= 1, "per_address", "must be 1/s at least")
+	check(len(m.Zone) <= 24, "zone", "is longer than 24 bytes")
+	table = "membership.reach"
+	m.Book = map[string]netip.AddrPort{}
+	for name, text := range m.Reach {
+		m.Book[name] = address(name, text, false)
+	}
+	if odd != nil {
+		return odd
+	}
+	return nil
+}
+
+// Free tells whether its address can be taken now.
+func (m *Membership) Free() error {
+	ln, err := net.Listen("tcp", m.Listen)
+	if err != nil {
+		return m.taken(err)
+	}
+	defer ln.Close()
+	c, err := net.ListenPacket("udp", m.Listen)
+	if err != nil {
+		return m.taken(err)
+	}
+	return c.Close()
+}
+
+func (m *Membership) taken(err error) error { return fmt.Errorf("membership.listen: %w", err) }
+
+// Differ names the tables that differ between two files; each needs a restart.
+func Differ(a, b *Fittings) (names []string) {
+	if fmt.Sprintf("%+v", deref(a.Membership)) != fmt.Sprintf("%+v", deref(b.Membership)) {
+		names = append(names, "membership")
+	}
+	return names
+}
+
+func deref(m *Membership) Membership {
+	if m == nil {
+		return Membership{}
+	}
+	return *m
+}
--- a/internal/handover/book.go
+++ b/internal/handover/book.go
@@ -58,6 +58,14 @@
 // Lives tells whether a process does.
 func Lives(pid int) bool { return !errors.Is(syscall.Kill(pid, 0), syscall.ESRCH) }
 
+// Replaced tells whether another process of this sidecar has written itself down since.
+func (b *Book) Replaced() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, pid, err := b.read()
+	return err == nil && pid != os.Getpid() && Lives(pid)
+}
+
 // Out is which servers staff took out, as this process last knew it.
 func (b *Book) Out() []string {
 	b.mu.Lock()
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"io"
 	"math"
 	"net"
 	"strconv"
@@ -49,7 +50,8 @@
 	streams  atomic.Int64 // long answers that are being passed on
 	room     atomic.Int64 // bytes that long bodies may still take while they are held
 	accounts *counters.Accounts
-	mostHeld int64 // of the room, by one body
+	mostHeld int64       // of the room, by one body
+	More     io.WriterTo // counters that stand behind this sidecar's own; nil: there are none
 	counts   *counters.Sheet
 	log      zerolog.Logger
 }
@@ -138,6 +140,9 @@
 		}
 		ctx.SetContentType("text/plain; charset=utf-8")
 		in.counts.WriteTo(ctx)
+		if in.More != nil {
+			in.More.WriteTo(ctx)
+		}
 	default:
 		in.visit(ctx, m)
 	}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,493 @@
+// Package members carries decide/membership out on sockets: one address for datagrams and connections, one timer, the log
+// and the counters. It decides nothing. Its messages never pass the relay's mail, so they go out however long that is.
+package members
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ledgespread/decide/membership"
+	"ledgespread/internal/fittings"
+)
+
+const (
+	tableMost     = 4 << 20 // bytes of a full exchange, one way
+	exchangesIn   = 8       // at once
+	exchangesOut  = 2
+	exchangeParts = 8    // of the time between two probes that a full exchange may take
+	datagramMost  = 2048 // read; what is longer than a message may be is refused
+	handoverLook  = 50 * time.Millisecond
+	sourcesMost   = 4096 // addresses that are counted within a second
+)
+
+// Self is what this sidecar says of itself, and what its node has to know.
+type Self struct {
+	Name, Zone, Version string
+	Number              uint16
+	Notes               netip.AddrPort // where it hears the module's messages; none: not valid
+	Senders             int
+	Linger              time.Duration // its longest client timeout
+	Seed                uint64
+}
+
+// Members is this sidecar's membership.
+type Members struct {
+	terms    *fittings.Membership
+	self     Self
+	log      zerolog.Logger
+	start    time.Time
+	conn     *net.UDPConn
+	listener *net.TCPListener
+	wake     chan struct{}
+	out, in  chan bool // places for exchanges
+	closed   chan struct{}
+	told     func([]membership.Member, int) // who there is, and how many may be sending
+
+	mu      sync.Mutex
+	node    *membership.Node
+	changed bool
+	counts  map[string]int64
+	noSeed  bool // that none answers is told
+
+	rates   map[netip.Addr]int // the reader's
+	second  int64
+	dropped [len(drops)]int64
+}
+
+// drops are the kinds that are dropped before anything is decoded; the reader counts them alone.
+var drops = [...]string{"strangers", "over_rate", "version", "group", "malformed", "too_long"}
+
+// Open takes the address and begins. told hears who is there, at each change. patient: the address is another process's of
+// this sidecar still; it is waited for.
+func Open(t *fittings.Membership, self Self, patient bool, told func([]membership.Member, int), log zerolog.Logger) (*Members, error) {
+	m := &Members{terms: t, self: self, log: log.With().Str("part", "membership").Logger(), start: time.Now(), wake: make(chan struct{}, 1),
+		out: make(chan bool, exchangesOut), in: make(chan bool, exchangesIn), closed: make(chan struct{}), told: told,
+		counts: map[string]int64{}, rates: map[netip.Addr]int{}}
+	if self.Zone != "" && t.Zone != "" {
+		m.self.Zone = t.Zone
+	}
+	about := m.about()
+	if !about.Fits() {
+		return nil, errors.New("membership: a name is at most 32 bytes long, a zone 24, a version 16")
+	}
+	if err := m.listen(); err != nil {
+		if !patient {
+			return nil, err
+		}
+		go func() {
+			for m.listen() != nil {
+				select {
+				case <-m.closed:
+					return
+				case <-time.After(handoverLook):
+				}
+			}
+			m.begin()
+		}()
+		return m, nil
+	}
+	m.begin()
+	return m, nil
+}
+
+func (m *Members) about() membership.About {
+	a := membership.About{Name: membership.Name(m.self.Name), Address: address(m.terms.At.Advertise), Zone: m.self.Zone, Version: m.self.Version,
+		Life: membership.Life(m.self.Seed ^ uint64(time.Now().UnixNano())), Number: m.self.Number}
+	if m.self.Notes.IsValid() {
+		a.Notes = address(m.self.Notes)
+	}
+	return a
+}
+
+func (m *Members) listen() error {
+	ln, err := net.Listen("tcp", m.terms.Listen)
+	if err != nil {
+		return fmt.Errorf("membership.listen: %w", err)
+	}
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(m.terms.At.Listen))
+	if err != nil {
+		ln.Close()
+		return fmt.Errorf("membership.listen: %w", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listener, m.conn = ln.(*net.TCPListener), c
+	return nil
+}
+
+func (m *Members) begin() {
+	t := m.terms
+	m.mu.Lock()
+	m.node = membership.New(m.now(), m.about(), membership.Terms{Group: t.Group, Every: membership.Micros(t.Every), Exchange: membership.Micros(t.Exchange),
+		Forget: membership.Micros(t.Forget), Linger: membership.Micros(m.self.Linger.Microseconds()), Senders: m.self.Senders, Most: t.Most}, m.self.Seed, m)
+	var seeds []membership.Address
+	for _, at := range t.SeedsAt {
+		if at != t.At.Advertise && at != t.At.Listen { // itself
+			seeds = append(seeds, address(at))
+		}
+	}
+	m.mu.Unlock()
+	go m.hear()
+	go m.accept()
+	go m.run(len(seeds) > 0)
+	m.turn(func(now membership.Micros) { m.node.Join(now, seeds) })
+	m.log.Info().Str("listen", t.Listen).Str("group", t.Group).Msg("a member")
+}
+
+func (m *Members) now() membership.Micros {
+	return membership.Micros(time.Since(m.start).Microseconds())
+}
+
+// turn makes one call of the node. Guards against the end of the sidecar by one message's panic.
+func (m *Members) turn(call func(now membership.Micros)) {
+	var all []membership.Member
+	senders := 0
+	func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		defer func() {
+			if crash := recover(); crash != nil {
+				m.counts["crashes"]++
+				m.log.Error().Msgf("membership crashed: %v", crash)
+			}
+		}()
+		before := m.node.Due()
+		call(m.now())
+		if m.node.Due() < before {
+			select {
+			case m.wake <- struct{}{}:
+			default:
+			}
+		}
+		if m.changed {
+			m.changed = false
+			senders = m.node.Senders()
+			m.node.Each(func(x membership.Member) { all = append(all, x) })
+		}
+	}()
+	if all != nil && m.told != nil {
+		m.told(all, senders)
+	}
+}
+
+// run has the node do what is due: the one timer.
+func (m *Members) run(seeded bool) {
+	timer := time.NewTimer(0)
+	look := m.start.Add(40 * time.Duration(m.terms.Every) * time.Microsecond)
+	for {
+		select {
+		case <-m.closed:
+			return
+		case <-m.wake:
+		case <-timer.C:
+			m.turn(func(now membership.Micros) { m.node.Tick(now) })
+		}
+		m.mu.Lock()
+		in := m.node.Due() - m.now()
+		if part, _ := m.node.Part(); seeded && !m.noSeed && part == membership.Alone && time.Now().After(look) {
+			m.noSeed = true
+			m.log.Warn().Strs("seeds", m.terms.Seeds).Msg("no seed answers; going on alone, and asking now and then")
+		}
+		m.mu.Unlock()
+		timer.Reset(max(time.Duration(in)*time.Microsecond, 0))
+	}
+}
+
+// hear takes datagrams. What is foreign is dropped before it is decoded, and before the lock.
+func (m *Members) hear() {
+	b := make([]byte, datagramMost)
+	for {
+		n, from, err := m.conn.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		at := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if kind := m.foreign(at.Addr(), b[:n]); kind >= 0 {
+			m.mu.Lock()
+			m.dropped[kind]++
+			m.mu.Unlock()
+			continue
+		}
+		msg := slices.Clone(b[:n])
+		m.turn(func(now membership.Micros) {
+			m.counts["heard"]++
+			m.node.Heard(now, address(at), msg)
+		})
+	}
+}
+
+// foreign tells which kind of drop a datagram is, -1: none. Its rate counts for an address only once it is in a network that
+// may speak. Guards against a flood that would take this member's time.
+func (m *Members) foreign(from netip.Addr, msg []byte) int {
+	if !m.may(from) {
+		return 0
+	}
+	if now := int64(time.Since(m.start) / time.Second); now != m.second {
+		m.second = now
+		clear(m.rates)
+	}
+	if m.rates[from]++; float64(m.rates[from]) > float64(m.terms.PerSource) || len(m.rates) > sourcesMost {
+		return 1
+	}
+	if len(msg) > membership.Longest {
+		return 5
+	}
+	return slices.Index(drops[:], m.node.Foreign(msg))
+}
+
+func (m *Members) may(from netip.Addr) bool {
+	return slices.ContainsFunc(m.terms.Networks, func(n netip.Prefix) bool { return n.Contains(from) })
+}
+
+// Send is the node's: one datagram.
+func (m *Members) Send(to membership.Name, at membership.Address, msg []byte) {
+	where, ok := m.where(to, at)
+	if !ok {
+		return
+	}
+	if _, err := m.conn.WriteToUDPAddrPort(msg, where); err == nil {
+		m.counts["sent"]++
+		m.counts["sent_bytes"] += int64(len(msg))
+	}
+}
+
+// where a member is reached: by this one's own book, or else where it says.
+func (m *Members) where(to membership.Name, at membership.Address) (netip.AddrPort, bool) {
+	if where, known := m.terms.Book[string(to)]; known {
+		return where, true
+	}
+	var where netip.AddrPort
+	err := where.UnmarshalBinary([]byte(at))
+	return where, err == nil && where.IsValid() && m.may(where.Addr())
+}
+
+func address(at netip.AddrPort) membership.Address {
+	b, _ := at.MarshalBinary()
+	return membership.Address(b)
+}
+
+// spell is the way back.
+func spell(at membership.Address) string {
+	var where netip.AddrPort
+	if where.UnmarshalBinary([]byte(at)) != nil {
+		return ""
+	}
+	return where.String()
+}
+
+// Exchange is the node's: the whole tables, both ways, over a connection.
+func (m *Members) Exchange(with membership.Name, at membership.Address) {
+	where, ok := m.where(with, at)
+	if !ok {
+		return
+	}
+	select {
+	case m.out <- true:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-m.out }()
+		limit := m.patience()
+		c, err := net.DialTimeout("tcp", where.String(), limit)
+		if err != nil {
+			m.count("exchanges_failed")
+			return
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(limit))
+		if err = write(c, m.table()); err == nil {
+			err = m.merge(c, at)
+		}
+		if err != nil {
+			m.count("exchanges_failed")
+			return
+		}
+		m.count("exchanges")
+	}()
+}
+
+func (m *Members) patience() time.Duration {
+	return max(exchangeParts*time.Duration(m.terms.Every)*time.Microsecond, time.Second)
+}
+
+func (m *Members) count(what string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts[what]++
+}
+
+func (m *Members) table() (b []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Table(tableMost)
+}
+
+func (m *Members) merge(c net.Conn, from membership.Address) error {
+	msg, err := read(c)
+	if err != nil {
+		return err
+	}
+	m.turn(func(now membership.Micros) {
+		if !m.node.Merge(now, from, msg) {
+			err = errors.New("no table")
+		}
+	})
+	return err
+}
+
+func write(c io.Writer, msg []byte) error {
+	_, err := c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(msg))), msg...))
+	return err
+}
+
+// read takes one message with its length before it; the memory for it is taken as it comes.
+func read(c io.Reader) ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(c, head[:]); err != nil {
+		return nil, err
+	}
+	size := int64(binary.BigEndian.Uint32(head[:]))
+	if size > tableMost {
+		return nil, errors.New("too long")
+	}
+	b, err := io.ReadAll(io.LimitReader(c, size))
+	if err == nil && int64(len(b)) < size {
+		err = io.ErrUnexpectedEOF
+	}
+	return b, err
+}
+
+// accept takes connections: another's table, or a look at this one's.
+func (m *Members) accept() {
+	for {
+		c, err := m.listener.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond) // too many open files: not at once again
+			continue
+		}
+		at := c.RemoteAddr().(*net.TCPAddr).AddrPort()
+		at = netip.AddrPortFrom(at.Addr().Unmap(), at.Port())
+		if !m.may(at.Addr()) {
+			m.count("strangers")
+			c.Close()
+			continue
+		}
+		select {
+		case m.in <- true:
+		default:
+			m.count("exchanges_refused")
+			c.Close()
+			continue
+		}
+		go func() {
+			defer func() { <-m.in }()
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(m.patience()))
+			m.serve(c, address(at))
+		}()
+	}
+}
+
+func (m *Members) serve(c net.Conn, from membership.Address) {
+	msg, err := read(c)
+	switch {
+	case err != nil:
+	case string(msg) == look:
+		write(c, m.spelt())
+	default:
+		mine := m.table()
+		ok := false
+		m.turn(func(now membership.Micros) { ok = m.node.Merge(now, from, msg) })
+		if ok {
+			write(c, mine)
+		}
+	}
+}
+
+// Changed is the node's: a change of one member, for the log.
+func (m *Members) Changed(c membership.Change) {
+	m.changed = true
+	to := c.To.String()
+	if c.Way != 0 {
+		to = "cut"
+	}
+	m.counts["became_"+to]++
+	e := m.log.Info()
+	if c.To == membership.Dead || c.Way != 0 {
+		e = m.log.Warn()
+	}
+	from := c.From.String()
+	if c.From == 0 {
+		from = ""
+	}
+	e.Str("member", string(c.Name)).Str("was", from).Str("is", c.To.String()).Str("why", c.Why).Str("by", string(c.By)).Msg(to)
+}
+
+// Stands is the node's: this member's own part changed.
+func (m *Members) Stands(p membership.Part) {
+	m.log.Info().Str("part_of_all", p.String()).Msg("stands in another part")
+	if p != membership.Alone {
+		m.noSeed = false
+	}
+}
+
+// Contested is the node's: another process has this member's name.
+func (m *Members) Contested(at membership.Address, away bool) {
+	m.counts["name_contested"]++
+	if away {
+		m.log.Error().Str("other", spell(at)).Msgf("the name %s is held by %s: this sidecar is no member, and asks again later", m.self.Name, spell(at))
+		return
+	}
+	m.log.Warn().Str("other", spell(at)).Msgf("%s claims the name %s too; it was told that it is held here", spell(at), m.self.Name)
+}
+
+// Stood is the node's: this member stood still.
+func (m *Members) Stood(span membership.Micros, asked bool) {
+	m.counts["stood_still"]++
+	if asked {
+		m.log.Warn().Int64("for_us", int64(span)).Msg("stood still; accuses nobody for it, and asks for news")
+	}
+}
+
+// Refused is the node's: a message was passed over.
+func (m *Members) Refused(kind string, _ membership.Address) { m.counts[kind]++ }
+
+// Leave says that this sidecar goes for good. Hand gives the address to a new process of the same sidecar, without a word.
+func (m *Members) Leave() { m.close(true) }
+func (m *Members) Hand()  { m.close(false) }
+
+func (m *Members) close(leave bool) {
+	m.mu.Lock()
+	select {
+	case <-m.closed:
+		m.mu.Unlock()
+		return
+	default:
+	}
+	close(m.closed)
+	node, conn, ln := m.node, m.conn, m.listener
+	if node != nil && leave {
+		node.Leave(m.now())
+	}
+	m.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+		ln.Close()
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -19,11 +20,17 @@
 
 // Peers sends to the other sidecars and hears them.
 type Peers struct {
-	conn    *net.UDPConn
-	at      []netip.AddrPort
+	conn   *net.UDPConn
+	fixed  []netip.AddrPort
+	book   atomic.Pointer[book]
+	counts *counters.Sheet
+	log    zerolog.Logger
+}
+
+// book is where the others are, and who is heard from where. Those of the fixed list that are not living are not told things.
+type book struct {
+	at      map[brain.Peer]netip.AddrPort
 	numbers map[netip.AddrPort]brain.Peer
-	counts  *counters.Sheet
-	log     zerolog.Logger
 }
 
 // Open listens. The sidecars stand in the order of their numbers; shared: another process of this one may
@@ -34,24 +41,43 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Peers{conn: conn.(*net.UDPConn), at: at, numbers: map[netip.AddrPort]brain.Peer{}, counts: counts, log: log}
+	p := &Peers{conn: conn.(*net.UDPConn), fixed: at, counts: counts, log: log}
+	all := map[brain.Peer]netip.AddrPort{}
 	for i, a := range at {
-		p.numbers[a] = brain.Peer(i)
+		all[brain.Peer(i)] = a
 	}
+	p.Follow(all)
 	return p, nil
 }
 
+// Follow has just these be told things from now on. Where the fixed list has one's address, that counts: it is where this
+// sidecar reaches it.
+func (p *Peers) Follow(living map[brain.Peer]netip.AddrPort) {
+	b := &book{map[brain.Peer]netip.AddrPort{}, map[netip.AddrPort]brain.Peer{}}
+	for i, a := range p.fixed { // heard, whoever lives: its word says that it does
+		b.numbers[a] = brain.Peer(i)
+	}
+	for i, a := range living {
+		if int(i) < len(p.fixed) {
+			a = p.fixed[i]
+		}
+		b.at[i], b.numbers[a] = a, i
+	}
+	p.book.Store(b)
+}
+
 // Steer has messages come here, no longer to the process that was at this address before.
 func (p *Peers) Steer() error { return places.Steer(p.conn) }
 
 // Tell sends one message; it may be lost.
 func (p *Peers) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
 	msg := notes.Append(nil, kind, about, figures...)
-	if int(to) >= len(p.at) || len(msg) > longest {
+	at, there := p.book.Load().at[to]
+	if !there || len(msg) > longest {
 		p.counts.Add(counters.NotesRefused)
 		return
 	}
-	if _, err := p.conn.WriteToUDPAddrPort(msg, p.at[to]); err == nil {
+	if _, err := p.conn.WriteToUDPAddrPort(msg, at); err == nil {
 		p.counts.Add(counters.NotesSent)
 	}
 }
@@ -78,7 +104,7 @@
 			p.counts.Crashed(p.log, "message", crash)
 		}
 	}()
-	number, known := p.numbers[from]
+	number, known := p.book.Load().numbers[from]
 	kind, about, figures, ok := notes.Read(msg)
 	if !known || !ok || len(msg) > longest {
 		p.counts.Add(counters.NotesRefused)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -277,3 +277,6 @@
 func (r *Relay) Heard(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
 	r.post(func() { r.b.Heard(r.now, from, kind, about, figures...) })
 }
+
+// Senders tells how many sidecars may be sending, where that is known.
+func (r *Relay) Senders(many int) { r.post(func() { r.b.Senders(many) }) }
