Lab: members under faults by real processes: cuts one way, pauses, splits, forgeries

Change: lab/stage gives each member a file of fittings and a gate for every ordered pair, keeps the truth about cuts, pauses and lives (judge.Muster) and what each process said and when (lines of its log, stamped as they come), waits for states told by the processes, and judges false deaths by the truth alone.

Also: a SIGCONT at the lab's end no longer lengthens an earlier stop in its account.

--- a/lab/cars/cars.go
+++ b/lab/cars/cars.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +46,9 @@
 type Car struct {
 	Name, Address string
 	Zone          string
+	Called        string   // the name that its process is told, in place of its own; "": that
+	More          []string // arguments behind the program's own
+	Marker        string   // lines of its log that hold this are kept, with the time at which they came; "": none
 	program       Program
 	tell          func(listen string) ([]byte, error) // its configuration
 	folder        string
@@ -55,6 +60,7 @@
 	lives  []Life
 	still  [][2]Micros // it was stopped by the plan
 	last   tail
+	lines  []Line
 	cpu    time.Duration // of lives that are over
 	memory int           // KiB, the most seen
 }
@@ -157,9 +163,9 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(c.program.Path, c.program.Args...)
-	cmd.Env = append(os.Environ(), "RELAY_NAME="+c.Name, "RELAY_LISTEN="+c.Address, "RELAY_CONFIG="+file)
-	cmd.Stdout, cmd.Stderr = log, io.MultiWriter(log, &c.last)
+	cmd := exec.Command(c.program.Path, append(slices.Clone(c.program.Args), c.More...)...)
+	cmd.Env = append(os.Environ(), "RELAY_NAME="+cmp.Or(c.Called, c.Name), "RELAY_LISTEN="+c.Address, "RELAY_CONFIG="+file)
+	cmd.Stdout, cmd.Stderr = log, io.MultiWriter(log, &c.last, &scribe{car: c})
 	if err := Start(cmd); err != nil {
 		log.Close()
 		return err
@@ -211,12 +217,51 @@
 	if s == syscall.SIGSTOP {
 		c.still = append(c.still, [2]Micros{c.clock.Now(), -1})
 	}
-	if s == syscall.SIGCONT && len(c.still) > 0 {
+	if s == syscall.SIGCONT && len(c.still) > 0 && c.still[len(c.still)-1][1] < 0 {
 		c.still[len(c.still)-1][1] = c.clock.Now()
 	}
 	c.cmd.Process.Signal(s)
 }
 
+// Line is one of its log.
+type Line struct {
+	At   Micros // when it came
+	Text string
+}
+
+// Lines are those that hold the marker, of all its lives.
+func (c *Car) Lines() []Line {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Line(nil), c.lines...)
+}
+
+// scribe takes a log down as it comes.
+type scribe struct {
+	car  *Car
+	part []byte
+}
+
+func (s *scribe) Write(p []byte) (int, error) {
+	if s.car.Marker == "" {
+		return len(p), nil
+	}
+	s.part = append(s.part, p...)
+	for {
+		line, rest, whole := bytes.Cut(s.part, []byte("\n"))
+		if !whole {
+			return len(p), nil
+		}
+		if bytes.Contains(line, []byte(s.car.Marker)) {
+			at := s.car.clock.Now()
+			s.car.mu.Lock()
+			s.car.lines = append(s.car.lines, Line{at, string(line)})
+			s.car.mu.Unlock()
+		}
+		s.part = bytes.Clone(rest)
+	}
+}
+
 // Kill ends it at once and waits for that.
 func (c *Car) Kill() {
 	c.Signal(syscall.SIGKILL)
--- a/lab/clients/clients.go
+++ b/lab/clients/clients.go
@@ -71,6 +71,7 @@
 	Skip  int             // one in so many is left out, so that a proof can be shown to fail; 0: none
 	Count [6]atomic.Int64 // a live look: sent, delivered, bounced, errored, lost, open
 	busy  sync.WaitGroup
+	cease atomic.Bool
 	rude  Rudeness
 }
 
@@ -98,7 +99,7 @@
 	cs.busy.Add(1)
 	var next func(i int)
 	next = func(i int) {
-		if i == len(cs.plan.Visits) {
+		if i == len(cs.plan.Visits) || cs.cease.Load() {
 			cs.busy.Done()
 			return
 		}
@@ -115,6 +116,9 @@
 	cs.rudely(begun)
 }
 
+// Cease has no more visits sent than were; those under way end as they do.
+func (cs *Clients) Cease() { cs.cease.Store(true) }
+
 // Wait returns when every visit has ended for its client.
 func (cs *Clients) Wait() { cs.busy.Wait() }
 
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -32,6 +32,7 @@
 	Told     []list.Told
 	Changes  []list.Changed
 	Downs    []clock.Stretch // the list was out of reach
+	Cuts     []Cut           // ways between sidecars
 	Blocked  []Block         // ways that let nothing through
 	Still    []clock.Stretch // the machine stood still for the lab
 	Rude     *clients.Rudeness
--- a/lab/plan/plan.go
+++ b/lab/plan/plan.go
@@ -36,7 +36,8 @@
 // Event is one fault with the names it is aimed at.
 type Event struct {
 	scenario.Fault
-	Names []string
+	Names  []string
+	Others []string // of ways: to whom
 }
 
 // Plan is all that will be done.
@@ -93,6 +94,9 @@
 			}
 			e.Names = scenario.Aimed(aim.at, aim.names, shuffled)
 		}
+		if e.Others = s.CarNames(); f.Others != nil {
+			e.Others = scenario.Aimed(f.Others, s.CarNames(), s.CarNames())
+		}
 		p.Events = append(p.Events, e)
 	}
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
--- a/lab/stage/faults.go
+++ b/lab/stage/faults.go
@@ -56,6 +56,8 @@
 		g.toList(e)
 	case "network":
 		g.toNetwork(e)
+	case "ways":
+		g.toWays(e)
 	default: // it stands in the plan's arrivals
 		g.mark("%s%s begins: %.3g times as many visits", e.What, prefixed(" of ", e.Tenant), e.Times)
 		g.wait(e.At.M() + e.For.M())
@@ -156,6 +158,12 @@
 		car.Kill()
 		g.wait(end)
 		back()
+	case "sidecar_move":
+		g.mark("%s is killed, and starts at another membership address", car.Name)
+		g.clients.Shut(i, true)
+		car.Kill()
+		g.move(i)
+		back()
 	case "sidecar_restart":
 		g.mark("%s is asked to end", car.Name)
 		car.Signal(syscall.SIGTERM)
--- /dev/null
+++ b/lab/stage/members.go
@@ -0,0 +1,320 @@
+package stage
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"ledgespread/lab/clock"
+	"ledgespread/lab/judge"
+	"ledgespread/lab/path"
+	"ledgespread/lab/plan"
+)
+
+// Sidecars that are members: a mesh of gates between their membership's addresses, the fittings' file of each, the cuts, and
+// what each says of the others.
+
+// rigs numbers those of this process, so that no two have an address in common.
+var rigs atomic.Int64
+
+// own is a loopback address of this process and rig alone. Guards against ports that another process takes meanwhile.
+func own(rig int64, i int) netip.AddrPort {
+	pid := os.Getpid()
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte(pid >> 7), byte(1 + i%250)}), uint16(7000+rig%100*10+int64(i/250)))
+}
+
+func (g *Rig) raiseMesh(many int) (err error) {
+	if g.s.Members.Every == 0 {
+		return nil
+	}
+	g.rig = rigs.Add(1)
+	for i := range many {
+		g.at = append(g.at, own(g.rig, i))
+	}
+	g.mesh, err = path.NewMesh(g.at, g.s.Network.Datagrams, g.o.Seed)
+	return err
+}
+
+func (g *Rig) fittings(name string) string { return filepath.Join(g.folder, name+".toml") }
+
+// fit writes what a sidecar is fitted with.
+func (g *Rig) fit(i int) error {
+	names := g.s.CarNames()
+	var b strings.Builder
+	g.mu.Lock()
+	listen := g.at[i]
+	g.mu.Unlock()
+	fmt.Fprintf(&b, "[membership]\nlisten = %q\ngroup = \"lab\"\nfrom = [\"127.0.0.0/8\"]\nzone = %q\nprobe_every = %q\n",
+		listen, g.zones[names[i]], g.s.Members.Every.M().Duration())
+	if g.s.Members.Forget > 0 {
+		fmt.Fprintf(&b, "forget = %q\n", g.s.Members.Forget.M().Duration())
+	}
+	var seeds []string
+	for k := range min(3, len(names)-1) {
+		seeds = append(seeds, fmt.Sprintf("%q", g.mesh.Address(i, (i+1+k)%len(names))))
+	}
+	fmt.Fprintf(&b, "seeds = [%s]\n[membership.reach]\n", strings.Join(seeds, ", "))
+	for j, name := range names {
+		if j != i {
+			fmt.Fprintf(&b, "%s = %q\n", name, g.mesh.Address(i, j))
+		}
+	}
+	return os.WriteFile(g.fittings(names[i]), []byte(b.String()), 0o600)
+}
+
+// move has a sidecar's membership listen elsewhere from its next start on.
+func (g *Rig) move(i int) {
+	g.mu.Lock()
+	g.at[i] = netip.AddrPortFrom(g.at[i].Addr(), g.at[i].Port()+5)
+	to := g.at[i]
+	g.mu.Unlock()
+	g.mesh.Moved(i, to)
+}
+
+// Cut begins or ends a cut of what one sidecar says to another; the account has it.
+func (g *Rig) Cut(i, j int, on bool) {
+	names := g.s.CarNames()
+	begun := g.clock.Now()
+	if g.mesh != nil {
+		g.mesh.Cut(i, j, on)
+	}
+	if g.between != nil {
+		g.between.Link(i, j, func(l *path.Link) { l.Cut = on })
+	}
+	if !on { // it counts until it surely is no more
+		begun = g.clock.Now()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cuts = append(g.cuts, judge.Cut{At: begun, From: names[i], To: names[j], On: on})
+}
+
+// toWays changes the ways between sidecars for a time.
+func (g *Rig) toWays(e plan.Event) {
+	names := g.s.CarNames()
+	each := func(do func(i, j int)) {
+		for i, from := range names {
+			for j, to := range names {
+				if i != j && slices.Contains(e.Names, from) && slices.Contains(e.Others, to) && (e.What != "part" || !slices.Contains(e.Names, to)) {
+					do(i, j)
+				}
+			}
+		}
+	}
+	change := func(on bool) {
+		each(func(i, j int) {
+			if e.What == "cut_word" || e.What == "part" {
+				g.Cut(i, j, on)
+				if e.What == "part" {
+					g.Cut(j, i, on)
+				}
+				return
+			}
+			link := func(l *path.Link) {
+				part := 0.0
+				if on {
+					part = e.Part
+				}
+				switch e.What {
+				case "lose":
+					l.Lost = part
+				case "double":
+					l.Doubled = part
+				case "late":
+					l.Late, l.By = part, e.By
+				}
+			}
+			g.Link(i, j, link)
+		})
+	}
+	g.mark("ways: %s %v to %v", e.What, e.Names, e.Others)
+	change(true)
+	g.wait(e.At.M() + e.For.M())
+	change(false)
+	g.mark("ways: %s ends", e.What)
+}
+
+// Link changes how datagrams pass between two sidecars.
+func (g *Rig) Link(i, j int, change func(*path.Link)) {
+	if g.mesh != nil {
+		g.mesh.Link(i, j, change)
+	}
+	if g.between != nil {
+		g.between.Link(i, j, change)
+	}
+}
+
+// Table is what a running sidecar holds, as it tells it itself.
+type Table struct {
+	States  map[string]string // of the others, by name
+	Ways    map[string]string
+	Part    string
+	Senders int
+	Counts  map[string]int64
+	Holds   map[string]int
+}
+
+// Table asks a sidecar for its table, at its own address: past the gates, which are between sidecars.
+func (g *Rig) Table(i int) (*Table, error) {
+	g.mu.Lock()
+	at := g.at[i]
+	g.mu.Unlock()
+	c, err := net.DialTimeout("tcp", at.String(), 2*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	const look = "ledgespread members 1"
+	if _, err := c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(look))), look...)); err != nil {
+		return nil, err
+	}
+	var head [4]byte
+	if _, err := io.ReadFull(c, head[:]); err != nil {
+		return nil, err
+	}
+	text, err := io.ReadAll(c)
+	if err != nil {
+		return nil, err
+	}
+	var tree map[string]any
+	if err := json.Unmarshal(text, &tree); err != nil {
+		return nil, err
+	}
+	t := &Table{States: map[string]string{}, Ways: map[string]string{}, Counts: map[string]int64{}, Holds: map[string]int{}}
+	t.Part, _ = tree["part"].(string)
+	senders, _ := tree["senders"].(float64)
+	t.Senders = int(senders)
+	counts, _ := tree["counts"].(map[string]any)
+	for name, x := range counts {
+		n, _ := x.(float64)
+		t.Counts[name] = int64(n)
+	}
+	lines, _ := tree["members"].([]any)
+	for _, x := range lines {
+		line, _ := x.(map[string]any)
+		name, _ := line["name"].(string)
+		if line["self"] == true {
+			continue
+		}
+		t.States[name], _ = line["state"].(string)
+		if way, cut := line["way"].(string); cut {
+			t.Ways[name] = way
+		}
+		holds, _ := line["holds"].(float64)
+		t.Holds[name] = int(holds)
+	}
+	return t, nil
+}
+
+// Await waits until all these sidecars' tables are so, for as long as is given at the most, and tells after how long.
+func (g *Rig) Await(of []int, most time.Duration, holds func(i int, t *Table) bool) (Micros, error) {
+	begun := g.clock.Now()
+	last := map[int]string{}
+	for open := slices.Clone(of); ; (5 * clock.Milli).Sleep() {
+		open = slices.DeleteFunc(open, func(i int) bool {
+			t, err := g.Table(i)
+			last[i] = fmt.Sprint(t, err)
+			return err == nil && holds(i, t)
+		})
+		if took := g.clock.Now() - begun; len(open) == 0 {
+			return took, nil
+		} else if took > clock.Span(most) {
+			return took, fmt.Errorf("after %v n%d holds %s", took.Duration(), open[0], last[open[0]])
+		}
+	}
+}
+
+// Agree tells whether a table holds just these alive, with open ways.
+func Agree(alive []int) func(i int, t *Table) bool {
+	return func(i int, t *Table) bool {
+		count := 0
+		for name, state := range t.States {
+			there := slices.ContainsFunc(alive, func(j int) bool { return name == fmt.Sprint("n", j) })
+			if there != (state == "alive") {
+				return false
+			}
+			if there {
+				count++
+			}
+		}
+		return count == len(alive)-1
+	}
+}
+
+// Holds tells whether a table has one in a state.
+func Holds(name, state string) func(int, *Table) bool {
+	return func(_ int, t *Table) bool { return t.States[name] == state }
+}
+
+// Signal sends one to a sidecar; the account has it.
+func (g *Rig) Signal(i int, s syscall.Signal) { g.cars[i].Signal(s) }
+
+// Kill ends a sidecar at once, with its copy of the application. Start has it come back, at another membership address where
+// it is to move.
+func (g *Rig) Kill(i int) {
+	g.clients.Shut(i, true)
+	g.cars[i].Kill()
+}
+
+func (g *Rig) Start(i int, move bool) error {
+	if move {
+		g.move(i)
+	}
+	err := g.cars[i].Start(readyWithin)
+	if err == nil {
+		g.clients.Shut(i, false)
+	}
+	return err
+}
+
+// Cease has no more visits sent: the run ends when those under way have.
+func (g *Rig) Cease() { g.clients.Cease() }
+
+// Now is the run's clock.
+func (g *Rig) Now() Micros { return g.clock.Now() }
+
+// MemberAt is where a sidecar's membership listens.
+func (g *Rig) MemberAt(i int) netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.at[i]
+}
+
+// Mesh is the gates between members.
+func (g *Rig) Mesh() *path.Mesh { return g.mesh }
+
+// Words are what all sidecars said of others, in the order of time; Muster is what was so.
+func (g *Rig) Words() (out []judge.Word) {
+	for _, c := range g.cars {
+		out = append(out, judge.Words(c.Name, c.Lines())...)
+	}
+	slices.SortStableFunc(out, func(a, b judge.Word) int { return int(a.At - b.At) })
+	return out
+}
+
+func (g *Rig) Muster() *judge.Muster {
+	m := &judge.Muster{Cuts: g.cuts}
+	for _, c := range g.cars {
+		m.Cars = append(m.Cars, judge.CarAccount{Name: c.Name, Zone: c.Zone, Lives: c.Lives(), Stills: c.Stills()})
+	}
+	return m
+}
+
+// Lines are a sidecar's, of its membership.
+func (g *Rig) Lines(i int) (out []string) {
+	for _, l := range g.cars[i].Lines() {
+		out = append(out, l.Text)
+	}
+	return out
+}
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -3,6 +3,7 @@
 package stage
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -85,6 +86,10 @@
 	ways    map[string]*path.Way  // by zone and box
 	cars    []*cars.Car
 	between *path.Datagrams
+	mesh    *path.Mesh // between members
+	at      []netip.AddrPort
+	rig     int64
+	cuts    []judge.Cut
 	clients *clients.Clients
 	downs   []clock.Stretch
 	blocked []judge.Block
@@ -232,7 +237,7 @@
 			at = append(at, netip.MustParseAddrPort(free))
 		}
 		var err error
-		if loss := g.s.Network.Datagrams; loss != (scenario.Loss{}) {
+		if loss := g.s.Network.Datagrams; loss != (scenario.Loss{}) || g.s.OnWays() {
 			if g.between, err = path.Between(at, loss, g.o.Seed); err != nil {
 				return err
 			}
@@ -247,6 +252,9 @@
 			}
 		}
 	}
+	if err := g.raiseMesh(len(names)); err != nil {
+		return err
+	}
 	for i, name := range names {
 		zone := g.zones[name]
 		seeds := chance.New(g.o.Seed, name) // a start's is new; one car is configured by one goroutine at a time
@@ -256,6 +264,9 @@
 		if err != nil {
 			return err
 		}
+		if g.mesh != nil {
+			car.More, car.Marker = []string{"--with", g.fittings(name)}, `"part":"membership"`
+		}
 		g.cars = append(g.cars, car)
 	}
 	var all sync.WaitGroup
@@ -280,7 +291,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return cars.Paper{Scenario: g.s, Number: i, Name: name, Zone: g.zones[name], Listen: at, Discovery: discovery, Seed: seed,
+	if g.mesh != nil {
+		if err := g.fit(i); err != nil {
+			return nil, err
+		}
+	}
+	called := name
+	if at := slices.IndexFunc(g.cars, func(c *cars.Car) bool { return c.Name == name }); at >= 0 {
+		called = cmp.Or(g.cars[at].Called, name)
+	}
+	return cars.Paper{Scenario: g.s, Number: i, Name: called, Zone: g.zones[name], Listen: at, Discovery: discovery, Seed: seed,
 		PeerListen: peerListen, Peers: peers, Known: g.list.Whole(name)}.JSON()
 }
 
@@ -406,7 +426,7 @@
 func (g *Rig) accounts() *judge.Accounts {
 	told, changes := g.list.Accounts()
 	a := &judge.Accounts{Scenario: g.s, Plan: g.plan, Begun: g.begun, Ended: g.clock.Now(), Tries: g.clients.Account(), Told: told,
-		Changes: changes, Downs: g.downs, Blocked: g.blocked, Still: g.alarms.Late().Still(), Rude: g.clients.Rude()}
+		Changes: changes, Downs: g.downs, Blocked: g.blocked, Cuts: g.cuts, Still: g.alarms.Late().Still(), Rude: g.clients.Rude()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, b := range g.boxes {
@@ -502,6 +522,9 @@
 	if g.between != nil {
 		g.between.Close()
 	}
+	if g.mesh != nil {
+		g.mesh.Close()
+	}
 	g.mu.Lock()
 	for _, gate := range g.gates {
 		gate.Close()
