--- /dev/null
+++ b/cmd/ledgelab/crowd.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	"ledgespread/decide/membership"
+	"ledgespread/decide/membership/crowd"
+	"ledgespread/lab/report"
+)
+
+// tight has the collector keep close to what is held: 10,000 members hold 10,000 lines each.
+const tight = 15
+
+func crowdCommand() *cobra.Command {
+	var picture, file string
+	var sizes []int
+	var losses []float64
+	var seed uint64
+	c := &cobra.Command{Use: "crowd", Short: "Simulate memberships of many sizes: a death, false deaths, traffic, memory; as a table, JSON and PNG", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			debug.SetGCPercent(tight)
+			terms := membership.Terms{Group: "lab", Every: 250_000, Exchange: 30_000_000, Forget: 600_000_000, Linger: 3_000_000, Senders: 1, Most: 20_000}
+			var all []crowd.Figures
+			fmt.Fprintf(c.OutOrStdout(), "%8s %6s %12s %12s %14s %10s %12s %12s %12s\n", "members", "lost", "first, s", "all, s", "false deaths", "minutes", "B/s", "messages/s", "memory, KiB")
+			for _, lost := range losses {
+				for _, many := range sizes {
+					calm := membership.Micros(20_000_000)
+					if many > 1000 {
+						calm = 4_000_000
+					}
+					f := crowd.Measure(many, lost, terms, seed, calm)
+					all = append(all, f)
+					fmt.Fprintf(c.OutOrStdout(), "%8d %5.0f%% %12.2f %12.2f %14d %10.1f %12.0f %12.1f %12.0f\n", many, 100*lost, float64(f.First)/1e6, float64(f.Known)/1e6,
+						f.False, f.Minutes, f.Bytes, f.Messages, f.Memory/1024)
+				}
+			}
+			if picture != "" {
+				if err := report.PlotCrowd(all, picture); err != nil {
+					return err
+				}
+			}
+			return save(file, all)
+		}}
+	f := c.Flags()
+	f.StringVar(&picture, "to", "", "file for the picture")
+	f.StringVar(&file, "json", "", "file for the figures in JSON")
+	f.IntSliceVar(&sizes, "members", []int{10, 100, 1000}, "sizes")
+	f.Float64SliceVar(&losses, "lost", []float64{0, 0.1, 0.2, 0.3, 0.4}, "shares of messages lost")
+	f.Uint64Var(&seed, "seed", 1, "of chance")
+	return c
+}
--- a/decide/membership/crowd/crowd.go
+++ b/decide/membership/crowd/crowd.go
@@ -229,7 +229,16 @@
 	if c.Tap != nil {
 		c.Tap(msg)
 	}
-	if !known || c.Cut != nil && c.Cut(m.Number, c.Members[to].Number) {
+	if !known {
+		return
+	}
+	target, from := c.Members[to], c.address(m.Number)
+	c.pass(m.Number, target.Number, func() { target.at(func() { target.Heard(c.Now, from, msg) }) })
+}
+
+// pass has something come from one place to another, as the network lets it.
+func (c *Crowd) pass(from, to int, come func()) {
+	if c.Cut != nil && c.Cut(from, to) {
 		return
 	}
 	lost, doubled, late := c.chance() < c.Weather.Lost, c.Weather.Doubled > 0 && c.chance() < c.Weather.Doubled, Micros(0)
@@ -248,9 +257,7 @@
 		if c.Weather.Late > 0 && c.chance() < c.Weather.Late {
 			wait += Micros(c.chance() * float64(c.Weather.LateBy))
 		}
-		target := c.Members[to]
-		from := c.address(m.Number)
-		c.Later(wait, func() { target.at(func() { target.Heard(c.Now, from, msg) }) })
+		c.Later(wait, come)
 	}
 }
 
--- a/internal/members/figures.go
+++ b/internal/members/figures.go
@@ -41,15 +41,21 @@
 		return map[bool]int{true: -1, false: 1}[x < y]
 	})
 	part, since := m.node.Part()
-	counts := maps.Clone(m.counts)
-	for i, kind := range drops {
-		counts[kind] += m.dropped[i]
-	}
+	counts := m.all()
 	text, _ := json.Marshal(map[string]any{"members": lines, "part": part.String(), "part_since_us": int64(now - since), "senders": m.node.Senders(),
 		"counts": counts})
 	return text
 }
 
+// all are the counters, what was dropped unread too. With the lock held.
+func (m *Members) all() map[string]int64 {
+	counts := maps.Clone(m.counts)
+	for i, kind := range drops {
+		counts[kind] += m.dropped[i].Load()
+	}
+	return counts
+}
+
 // WriteTo prints the counters behind the sidecar's own: members by state, changes, and what was dropped, by kind.
 func (m *Members) WriteTo(w io.Writer) (int64, error) {
 	m.mu.Lock()
@@ -57,10 +63,7 @@
 	if m.node == nil {
 		return 0, nil
 	}
-	counts := maps.Clone(m.counts)
-	for i, kind := range drops {
-		counts[kind] += m.dropped[i]
-	}
+	counts := m.all()
 	for _, state := range []string{"alive", "suspect", "cut", "dead", "left"} {
 		counts["now_"+state] = 0
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,8 +24,11 @@
 	tableMost     = 4 << 20 // bytes of a full exchange, one way
 	exchangesIn   = 8       // at once
 	exchangesOut  = 2
-	exchangeParts = 8    // of the time between two probes that a full exchange may take
+	exchangeParts = 8 // of the time between two probes that a full exchange may take
+	readBuffer    = 1 << 20
 	datagramMost  = 2048 // read; what is longer than a message may be is refused
+	inOneGo       = 64   // datagrams that are dropped before this member rests, and for how long
+	floodRest     = time.Millisecond
 	handoverLook  = 50 * time.Millisecond
 	sourcesMost   = 4096 // addresses that are counted within a second
 )
@@ -60,7 +64,7 @@
 
 	rates   map[netip.Addr]int // the reader's
 	second  int64
-	dropped [len(drops)]int64
+	dropped [len(drops)]atomic.Int64
 }
 
 // drops are the kinds that are dropped before anything is decoded; the reader counts them alone.
@@ -118,6 +122,7 @@
 		ln.Close()
 		return fmt.Errorf("membership.listen: %w", err)
 	}
+	c.SetReadBuffer(readBuffer) // as far as the kernel allows
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listener, m.conn = ln.(*net.TCPListener), c
@@ -205,6 +210,7 @@
 // hear takes datagrams. What is foreign is dropped before it is decoded, and before the lock.
 func (m *Members) hear() {
 	b := make([]byte, datagramMost)
+	dropped := 0
 	for {
 		n, from, err := m.conn.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
@@ -215,9 +221,10 @@
 		}
 		at := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		if kind := m.foreign(at.Addr(), b[:n]); kind >= 0 {
-			m.mu.Lock()
-			m.dropped[kind]++
-			m.mu.Unlock()
+			m.dropped[kind].Add(1)
+			if dropped++; dropped%inOneGo == 0 { // the rest waits in the kernel: one waking for many
+				time.Sleep(floodRest)
+			}
 			continue
 		}
 		msg := slices.Clone(b[:n])
--- a/lab/prove/prove.go
+++ b/lab/prove/prove.go
@@ -8,6 +8,7 @@
 	"strings"
 	"unicode/utf8"
 
+	"ledgespread/decide/membership"
 	"ledgespread/lab/cars"
 )
 
@@ -46,6 +47,8 @@
 var proofs = map[string]proof{
 	"lab": {playLab, []string{"blind1", "blind2", "blind3", "blind4", "deaf", "slow-core", "skip"},
 		"the rig itself: bad sidecars are caught, accounts agree, queues are those of theory, arrivals are those planned"},
+	"membership": {playMembership, membership.Guards,
+		"who is there: simulated by seed beside plain heartbeats, and real processes under faults, judged by the lab's truth"},
 	"floor": {playFloor, []string{"decoy"},
 		"the measure of speed: the sidecar beside a forwarder that takes no decision, alternating in one run"},
 }
--- a/lab/report/plot.go
+++ b/lab/report/plot.go
@@ -96,11 +96,20 @@
 		}
 		latency.Add(names)
 	}
-	picture := vgimg.New(24*vg.Centimeter, 27*vg.Centimeter)
+	return stack(plots, file)
+}
+
+// stack draws plots one below the other.
+func stack(plots []*plot.Plot, file string) error {
+	picture := vgimg.New(24*vg.Centimeter, 9*vg.Centimeter*vg.Length(len(plots)))
 	canvas := draw.New(picture)
 	tiles := draw.Tiles{Rows: len(plots), Cols: 1, PadY: vg.Millimeter * 4, PadTop: vg.Millimeter * 3, PadBottom: vg.Millimeter * 3,
 		PadLeft: vg.Millimeter * 3, PadRight: vg.Millimeter * 6}
-	for i, row := range plot.Align([][]*plot.Plot{{latency}, {service}, {load}}, tiles, canvas) {
+	var rows [][]*plot.Plot
+	for _, p := range plots {
+		rows = append(rows, []*plot.Plot{p})
+	}
+	for i, row := range plot.Align(rows, tiles, canvas) {
 		plots[i].Draw(row[0])
 	}
 	f, err := os.Create(file)
--- a/lab/stage/members.go
+++ b/lab/stage/members.go
@@ -19,6 +19,7 @@
 	"ledgespread/lab/judge"
 	"ledgespread/lab/path"
 	"ledgespread/lab/plan"
+	"ledgespread/lab/scenario"
 )
 
 // Sidecars that are members: a mesh of gates between their membership's addresses, the fittings' file of each, the cuts, and
@@ -154,6 +155,23 @@
 	}
 }
 
+// Weather sets how all datagrams between sidecars pass.
+func (g *Rig) Weather(lost, doubled, late float64, by Micros) {
+	for i := range g.cars {
+		for j := range g.cars {
+			if i != j {
+				g.Link(i, j, func(l *path.Link) { l.Lost, l.Doubled, l.Late, l.By = lost, doubled, late, scenario.Span(by) })
+			}
+		}
+	}
+}
+
+// CPU is the time that a sidecar's process used.
+func (g *Rig) CPU(i int) time.Duration {
+	cpu, _ := g.cars[i].Used()
+	return cpu
+}
+
 // Table is what a running sidecar holds, as it tells it itself.
 type Table struct {
 	States  map[string]string // of the others, by name
