Members: a flood of foreign datagrams is kept out by the kernel while it lasts

Change: after 32 readings in a row with drops a classic BPF program on the socket drops what is of another version or group, or too long, for a second; what it dropped is the kernel's own count (SO_MEMINFO) and one kind, `flood`. What comes of the right group meets the rate of its address as before.

--- a/decide/membership/wire.go
+++ b/decide/membership/wire.go
@@ -74,6 +74,9 @@
 	return ""
 }
 
+// Opening is how each message of this group begins, but for its second byte.
+func (n *Node) Opening() []byte { return be.AppendUint32([]byte{version, 0}, n.group) }
+
 func (n *Node) head(kind byte, flags byte) []byte {
 	b := make([]byte, 0, longest)
 	b = append(b, version, kind)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/net/ipv4"
 
 	"ledgespread/decide/membership"
 	"ledgespread/internal/fittings"
@@ -27,8 +28,10 @@
 	exchangeParts = 8 // of the time between two probes that a full exchange may take
 	readBuffer    = 1 << 20
 	datagramMost  = 2048 // read; what is longer than a message may be is refused
-	inOneGo       = 64   // datagrams that are dropped before this member rests, and for how long
+	inOneGo       = 64   // datagrams read at a time
+	floodOf       = 4    // of these dropped: a flood; it is left to gather for so long
 	floodRest     = time.Millisecond
+	floodsMost    = 32 // such readings, then the kernel keeps out what it can tell
 	handoverLook  = 50 * time.Millisecond
 	sourcesMost   = 4096 // addresses that are counted within a second
 )
@@ -68,7 +71,9 @@
 }
 
 // drops are the kinds that are dropped before anything is decoded; the reader counts them alone.
-var drops = [...]string{"strangers", "over_rate", "version", "group", "malformed", "too_long"}
+var drops = [...]string{"strangers", "over_rate", "version", "group", "malformed", "too_long", "flood"}
+
+const flooded = len(drops) - 1
 
 // Open takes the address and begins. told hears who is there, at each change. patient: the address is another process's of
 // this sidecar still; it is waited for.
@@ -207,31 +212,52 @@
 	}
 }
 
-// hear takes datagrams. What is foreign is dropped before it is decoded, and before the lock.
+// hear takes datagrams, as many at a time as wait. What is foreign is dropped before it is decoded, and before the lock. A
+// flood is left to gather for a moment between two readings, so that one waking serves for many.
 func (m *Members) hear() {
-	b := make([]byte, datagramMost)
-	dropped := 0
+	floods := 0
+	batch := make([]ipv4.Message, inOneGo)
+	for i := range batch {
+		batch[i].Buffers = [][]byte{make([]byte, datagramMost)}
+	}
+	conn, dam := ipv4.NewPacketConn(m.conn), dam{}
+	dam.socket, _ = m.conn.SyscallConn()
 	for {
-		n, from, err := m.conn.ReadFromUDPAddrPort(b)
+		if !dam.until.IsZero() && time.Now().After(dam.until) {
+			m.dropped[flooded].Add(int64(dam.open()))
+		}
+		many, err := conn.ReadBatch(batch, 0)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue
+		dropped := 0
+		for _, one := range batch[:max(many, 0)] {
+			from, known := one.Addr.(*net.UDPAddr)
+			if !known {
+				continue
+			}
+			at, msg := from.AddrPort(), one.Buffers[0][:one.N]
+			at = netip.AddrPortFrom(at.Addr().Unmap(), at.Port())
+			if kind := m.foreign(at.Addr(), msg); kind >= 0 {
+				m.dropped[kind].Add(1)
+				dropped++
+				continue
+			}
+			msg = slices.Clone(msg)
+			m.turn(func(now membership.Micros) {
+				m.counts["heard"]++
+				m.node.Heard(now, address(at), msg)
+			})
 		}
-		at := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		if kind := m.foreign(at.Addr(), b[:n]); kind >= 0 {
-			m.dropped[kind].Add(1)
-			if dropped++; dropped%inOneGo == 0 { // the rest waits in the kernel: one waking for many
-				time.Sleep(floodRest)
+		if dropped > floodOf && dam.until.IsZero() {
+			if floods++; floods >= floodsMost { // again and again: the kernel is asked to keep it out for a while
+				floods = 0
+				if err := dam.close(m.node.Opening()); err != nil {
+					m.log.Debug().Err(err).Msg("the kernel takes no filter")
+				}
 			}
-			continue
+			time.Sleep(floodRest)
 		}
-		msg := slices.Clone(b[:n])
-		m.turn(func(now membership.Micros) {
-			m.counts["heard"]++
-			m.node.Heard(now, address(at), msg)
-		})
 	}
 }
 
@@ -241,7 +267,7 @@
 	if !m.may(from) {
 		return 0
 	}
-	if now := int64(time.Since(m.start) / time.Second); now != m.second {
+	if now := int64(m.now()) / 1_000_000; now != m.second {
 		m.second = now
 		clear(m.rates)
 	}
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -501,11 +501,15 @@
 	}
 }
 
-// Close ends everything that was started, the processes first.
+// Close ends everything that was started, the processes first. A second call does nothing.
 func (g *Rig) Close() {
 	g.mu.Lock()
+	closed := g.over
 	g.over = true
 	g.mu.Unlock()
+	if closed {
+		return
+	}
 	var all sync.WaitGroup
 	for _, car := range g.cars {
 		all.Add(1)
