Proof of membership: each guard switched off is seen to fail; a split is no flapping

Cause: of seven ways to break the proof six failed; without the guard against own standstills all still held, since a member that stood still for long hears nobody and accuses nobody by another guard. What it guards is a probe that is under way when the process stops, and timers that come before the mail on waking: the simulation handed the mail over first. Now the timers come first, which is the worse order, and one claim stops a member 40 times with probes under way: 0 accusations, 18 without the guard.

--- a/decide/membership/crowd/crowd.go
+++ b/decide/membership/crowd/crowd.go
@@ -207,11 +207,12 @@
 // Kill ends its process.
 func (m *Member) Kill() { m.Gone = true }
 
-// Stop has it stand still; Continue has it go on, with the mail that waits.
+// Stop has it stand still; Continue has it go on: what is due comes first, then the mail that waits, which is the worse order.
 func (m *Member) Stop() { m.Still = true }
 
 func (m *Member) Continue() {
 	m.Still = false
+	m.Tick(m.crowd.Now)
 	mail := m.mail
 	m.mail = nil
 	for _, do := range mail {
--- a/decide/membership/table.go
+++ b/decide/membership/table.go
@@ -138,7 +138,7 @@
 		n.becomes(e, Alive, "it was heard since", e.about.Name)
 	default:
 		if m := e.more; from == Dead && m != nil {
-			if m.returned = n.now; m.died != 0 { // it was not dead: hold it for longer the next time
+			if m.returned = n.now; m.died != 0 && !m.stays { // it was not dead, nor beyond a split: hold it for longer the next time
 				m.holds, m.heldAt = min(m.holds+1, holdMost), n.now
 			}
 			m.stays, m.died, m.misses, m.leaving = false, 0, 0, false
