--- a/decide/membership/wire.go
+++ b/decide/membership/wire.go
@@ -229,8 +229,8 @@
 func (r *reader) address() Address          { return Address(r.text(addressMost)) }
 func (r *reader) word() (Incarnation, Beat) { return Incarnation(r.four()), Beat(r.four()) }
 
-// Heard takes a datagram. What is no message of this group is passed over.
-func (n *Node) Heard(now Micros, from Address, msg []byte) {
+// Heard takes a datagram, and tells whether it was a message. What is none of this group is passed over.
+func (n *Node) Heard(now Micros, from Address, msg []byte) (taken bool) {
 	n.begin(now)
 	switch why := n.Foreign(msg); {
 	case why != "":
@@ -240,9 +240,10 @@
 	case msg[1] == kindTable:
 		n.out.Refused("malformed", from)
 	default:
-		n.hear(from, msg)
+		taken = n.hear(from, msg)
 	}
 	n.due.Lapse(n.now)
+	return taken
 }
 
 // Merge takes another's table, which came over a connection.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -245,8 +245,9 @@
 			}
 			msg = slices.Clone(msg)
 			m.turn(func(now membership.Micros) {
-				m.counts["heard"]++
-				m.node.Heard(now, address(at), msg)
+				if m.node.Heard(now, address(at), msg) {
+					m.counts["heard"]++
+				}
 			})
 		}
 		if dropped > floodOf && dam.until.IsZero() {
--- a/lab/stage/members_test.go
+++ b/lab/stage/members_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"net"
 	"os"
 	"path/filepath"
@@ -279,6 +281,9 @@
 	}
 	one, other := from("127.200.0.1"), from("127.200.0.2")
 	head := []byte{1, 6, 0, 0, 0, 0, 0, 1, 'x'}
+	ours := fnv.New32a() // of the right group, but no message
+	ours.Write([]byte("lab"))
+	right := append(binary.BigEndian.AppendUint32([]byte{1, 6}, ours.Sum32()), 0)
 	go func() {
 		defer close(done)
 		for n := 0; ; n++ {
@@ -288,7 +293,7 @@
 			default:
 			}
 			for range 20 { // far over what one address may send
-				one.Write(head)
+				one.Write(right)
 			}
 			switch n % 4 {
 			case 0:
