Read-through of membership: one draw, one way to knock, dead fields go

Cause: read again as a whole. The simulation had a copy of the node's draw from seed and counter; asking an address without a name stood in three places; two fields were written and never read; the zone of a member was chosen in two places.

Change: Draw and Mix serve both, knock serves seeds, joins and contests; the dead fields and the second choice are gone.

--- a/decide/membership/crowd/crowd.go
+++ b/decide/membership/crowd/crowd.go
@@ -6,7 +6,6 @@
 	"container/heap"
 	"encoding/binary"
 	"fmt"
-	"hash/fnv"
 	"strings"
 
 	"ledgespread/decide/membership"
@@ -121,7 +120,7 @@
 			life += 1 << 16
 		}
 	}
-	m.Node = membership.New(c.Now, c.about(name, place, life), terms, c.mix(uint64(len(c.Members))), m)
+	m.Node = membership.New(c.Now, c.about(name, place, life), terms, membership.Mix(c.seed, uint64(len(c.Members))), m)
 	c.Members = append(c.Members, m)
 	c.places[c.address(place)] = len(c.Members) - 1
 	m.arm()
@@ -156,21 +155,7 @@
 
 func (c *Crowd) chance() float64 {
 	c.drawn++
-	return float64(c.mix(c.drawn)>>11) / (1 << 53)
-}
-
-func (c *Crowd) mix(of uint64) uint64 {
-	h := fnv.New64a()
-	var b [16]byte
-	binary.BigEndian.PutUint64(b[:], c.seed)
-	binary.BigEndian.PutUint64(b[8:], of)
-	h.Write(b[:])
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return membership.Draw(c.seed, c.drawn)
 }
 
 // at has a member do something when its process runs.
--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -209,20 +209,20 @@
 
 // more is what is kept of a member that is in some trouble, or was.
 type more struct {
-	doubt          *doubt
-	by             Name // whose word made the state
-	vouched        Micros
-	cleared        Micros // of a suspicion, by what was heard since
-	deaf, mute     int    // probes in a row that show it
-	misses         int    // that did not come back in time
-	watched        bool
-	helper         Name // that reached it last
-	holds          int
-	heldAt, told   Micros
-	leaving        bool // others say that it left
-	leavingBeat    Beat
-	died, returned Micros
-	stays          bool // it died when this member was in no greater part: it may still send
+	doubt        *doubt
+	by           Name // whose word made the state
+	vouched      Micros
+	cleared      Micros // of a suspicion, by what was heard since
+	deaf, mute   int    // probes in a row that show it
+	misses       int    // that did not come back in time
+	watched      bool
+	helper       Name // that reached it last
+	holds        int
+	heldAt, told Micros
+	leaving      bool // others say that it left
+	leavingBeat  Beat
+	died         Micros
+	stays        bool // it died when this member was in no greater part: it may still send
 }
 
 // doubt is a suspicion.
@@ -241,7 +241,7 @@
 	tries        int
 	heardMe      bool
 	asked, nacks int
-	watch, check bool
+	check        bool
 	doubt        *doubt // under which it was when it was asked
 }
 
@@ -310,9 +310,17 @@
 // chance draws a number from 0 up to 1 out of the seed and a counter.
 func (n *Node) chance() float64 {
 	n.drawn++
+	return Draw(n.seed, n.drawn)
+}
+
+// Draw is a number from 0 up to 1 that a seed and a counter give.
+func Draw(seed, count uint64) float64 { return float64(Mix(seed, count)>>11) / (1 << 53) }
+
+// Mix is the 64 bits under it.
+func Mix(seed, count uint64) uint64 {
 	var in [16]byte
-	binary.BigEndian.PutUint64(in[:], n.seed)
-	binary.BigEndian.PutUint64(in[8:], n.drawn)
+	binary.BigEndian.PutUint64(in[:], seed)
+	binary.BigEndian.PutUint64(in[8:], count)
 	h := fnv.New64a()
 	h.Write(in[:])
 	x := h.Sum64()
@@ -320,8 +328,7 @@
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
 	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
+	return x ^ x>>33
 }
 
 // below draws a whole number under most.
@@ -389,7 +396,11 @@
 		n.seedWait = 40 * n.terms.Every
 	}
 	n.seedAt = n.now + Micros(float64(n.seedWait)*(0.5+n.chance()))
-	at := n.seeds[n.below(len(n.seeds))]
+	n.knock(n.seeds[n.below(len(n.seeds))])
+}
+
+// knock asks whoever is at an address.
+func (n *Node) knock(at Address) {
 	n.rounds++
 	n.say("", at, kindPing, pingBody(n.rounds, "", ""), nil)
 }
@@ -399,8 +410,7 @@
 	n.begin(now)
 	n.seeds = append(n.seeds, seeds...)
 	for _, at := range n.seeds {
-		n.rounds++
-		n.say("", at, kindPing, pingBody(n.rounds, "", ""), nil)
+		n.knock(at)
 	}
 	n.seedAt = n.now + n.terms.Every
 }
@@ -520,8 +530,7 @@
 		}
 	}
 	if n.terms.Unguard == "no-linger" {
-		all = 1 + len(n.ring)
-		return all
+		return 1 + len(n.ring)
 	}
 	return max(all, n.terms.Senders)
 }
--- a/decide/membership/probe.go
+++ b/decide/membership/probe.go
@@ -8,7 +8,7 @@
 // probe asks one member whether it is there: by itself, then once more and, but for one that this member makes alone, through
 // others, and judges at the end.
 func (n *Node) probe(e *entry, watch, alone bool) {
-	p := &probe{e: e, sent: n.now, watch: watch, doubt: e.doubt()}
+	p := &probe{e: e, sent: n.now, doubt: e.doubt()}
 	no := n.ping(e, p)
 	slow := Micros(1 + n.wariness)
 	open := func() bool { return !p.done && e.state <= Suspect }
--- a/decide/membership/table.go
+++ b/decide/membership/table.go
@@ -138,7 +138,7 @@
 		n.becomes(e, Alive, "it was heard since", e.about.Name)
 	default:
 		if m := e.more; from == Dead && m != nil {
-			if m.returned = n.now; m.died != 0 && !m.stays { // it was not dead, nor beyond a split: hold it for longer the next time
+			if m.died != 0 && !m.stays { // it was not dead, nor beyond a split: hold it for longer the next time
 				m.holds, m.heldAt = min(m.holds+1, holdMost), n.now
 			}
 			m.stays, m.died, m.misses, m.leaving = false, 0, 0, false
@@ -395,8 +395,7 @@
 		n.tell(n.self)
 		return
 	}
-	n.rounds++
-	n.say("", c.at, kindPing, pingBody(n.rounds, "", ""), nil)
+	n.knock(c.at)
 	n.due.Put(n.now+n.terms.Every, func() { n.ask(c) })
 }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -81,9 +81,6 @@
 	m := &Members{terms: t, self: self, log: log.With().Str("part", "membership").Logger(), start: time.Now(), wake: make(chan struct{}, 1),
 		out: make(chan bool, exchangesOut), in: make(chan bool, exchangesIn), closed: make(chan struct{}), told: told,
 		counts: map[string]int64{}, rates: map[netip.Addr]int{}}
-	if self.Zone != "" && t.Zone != "" {
-		m.self.Zone = t.Zone
-	}
 	about := m.about()
 	if !about.Fits() {
 		return nil, errors.New("membership: a name is at most 32 bytes long, a zone 24, a version 16")
