A fetch not yet written to a server that leaves is called off; lists go ahead of the mail

A connection that came up afterwards was written to, whatever the grace. And an answer of discovery waited its turn behind the mail, 1,024 events deep at worst, while visits were decided by the older list (New's tell, post).

Change: recall serves both, in one pass over the visits; hear puts an answer of discovery where staff's calls go, ahead of the mail. What is called off before its first byte ends as never sent, so the module sends it on, tagged and mutating visits too.

Tests: TestLeavingWhileDialling, a real process, a stand-in discovery and a server whose backlog is full until the list was told: before, three visits (read-like, tagged, mutating) written to the draining server; now none, all three delivered elsewhere. TestListFirst: before, heard after 1,025 events of 1,024 that waited. The slow log of TestStoodStill takes lines of two goroutines (a race since debug lines come from discovery's too).

--- /dev/null
+++ b/cmd/ledgespread/leaving_test.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// line is a server in a list.
+func line(host, at, health string) string {
+	return fmt.Sprintf(`{"host":"%s","dial":"%s","site":"here","class":"m","block":0,"health":"%s","share":1,"born_ms":0}`, host, at, health)
+}
+
+// patientFile is a configuration with three prefixes (read-like, tagged, mutating) and times that no slow machine uses up.
+func patientFile(t *testing.T, discovery, how string, lines ...string) (file, at string) {
+	t.Helper()
+	at, file = free(t), filepath.Join(t.TempDir(), "n0.json")
+	text := fmt.Sprintf(startable, at, discovery, 1)
+	before, rest, _ := strings.Cut(text, `"path_prefixes":[`)
+	look, after, _ := strings.Cut(rest, "]")
+	look = strings.NewReplacer("400000", "15000000", "800000", "30000000").Replace(look)
+	book := strings.NewReplacer(`"look"`, `"book"`, "read_like", "idempotency_key").Replace(look)
+	pay := strings.NewReplacer(`"look"`, `"pay"`, "read_like", "non_idempotent").Replace(look)
+	text = before + `"path_prefixes":[` + look + "," + book + "," + pay + "]" + after
+	text = strings.NewReplacer(`"hosts":[]`, `"hosts":[`+strings.Join(lines, ",")+`]`, "on_request", how,
+		`"connect_timeout_us":100000`, `"connect_timeout_us":20000000`, `"ask_every_us":10000000`,
+		`"ask_every_us":300000000,"stop_sending_within_us":500000`).Replace(text)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file, at
+}
+
+// visit sends one visit and tells its answer.
+func visit(at, prefix, id string) string {
+	method, key := "GET", ""
+	if prefix != "look" {
+		method = "POST"
+	}
+	if prefix == "book" {
+		key = "Idempotency-Key: k" + id + "\r\n"
+	}
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "%s /%s HTTP/1.1\r\nHost: a\r\nX-Request-ID: %s\r\nX-Timeout: 25000m\r\n%sContent-Length: 0\r\n\r\n", method, prefix, id, key)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err.Error()
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return fmt.Sprint(resp.StatusCode, " ", string(body))
+}
+
+// box is a stand-in server that answers with its name, and counts.
+func box(t *testing.T, name string) (at string, seen *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	seen = &atomic.Int64{}
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		io.WriteString(w, name)
+	}))
+	return ln.Addr().String(), seen
+}
+
+// discovery is a stand-in whose list changes, and whose watches may fall silent.
+type discovery struct {
+	mu     sync.Mutex
+	cond   *sync.Cond
+	seq    int
+	list   string
+	deaf   bool           // calls get no answer
+	silent int            // held calls that get none, from now on
+	held   map[string]int // by sidecar's address: version of its call that is held
+	at     string
+}
+
+func discover(t *testing.T, lines ...string) *discovery {
+	t.Helper()
+	d := &discovery{held: map[string]int{}, seq: 7}
+	d.cond = sync.NewCond(&d.mu)
+	d.set(lines...)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	d.at = ln.Addr().String()
+	go http.Serve(ln, d)
+	return d
+}
+
+func (d *discovery) set(lines ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq++
+	d.list = strings.Join(lines, ",\n ")
+	d.cond.Broadcast()
+}
+
+func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var from, hold int
+	fmt.Sscan(r.URL.Query().Get("from"), &from)
+	fmt.Sscan(r.URL.Query().Get("hold_ms"), &hold)
+	d.mu.Lock()
+	over := time.AfterFunc(time.Duration(hold)*time.Millisecond, d.cond.Broadcast)
+	defer over.Stop()
+	if hold > 0 {
+		d.held[r.RemoteAddr] = from
+		if d.silent--; d.silent >= 0 {
+			d.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
+	}
+	for end := time.Now().Add(time.Duration(hold) * time.Millisecond); d.deaf || from >= d.seq && time.Now().Before(end); {
+		if d.deaf {
+			d.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
+		d.cond.Wait()
+	}
+	delete(d.held, r.RemoteAddr)
+	text := fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[`+"\n "+`%s]}`, d.seq, d.list)
+	d.mu.Unlock()
+	io.WriteString(w, text)
+}
+
+// waiting counts calls that are held with this version.
+func (d *discovery) waiting(version int) (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, from := range d.held {
+		if from == version {
+			n++
+		}
+	}
+	return n
+}
+
+// A connection that comes up after the list had its server leaving carries nothing: the visit never ran there, and goes on elsewhere,
+// whatever its effect.
+func TestLeavingWhileDialling(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) }) // one connection waits to be accepted; no other comes up
+	first, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	at, seen := box(t, "s1")
+	d := discover(t, line("s0", ln.Addr().String(), "in_service"))
+	file, listen := patientFile(t, d.at, "on_request", line("s0", ln.Addr().String(), "in_service"))
+	program, log := launch(t, file)
+	within(t, "it serves", func() bool { return strings.Contains(log.text(), `"serving"`) })
+	within(t, "it watches", func() bool { return d.waiting(8) > 0 })
+	answers := make(chan string, 3)
+	for i, prefix := range []string{"look", "book", "pay"} {
+		go func() { answers <- visit(listen, prefix, fmt.Sprint(i)) }()
+	}
+	within(t, "all are held", func() bool { return strings.Contains(figures(listen), "ledgespread_fetches_sent 3\n") })
+	d.set(line("s0", ln.Addr().String(), "terminating"), line("s1", at, "in_service"))
+	within(t, "it was told", func() bool { return d.waiting(9) > 0 })
+	wrote := make(chan string, 9)
+	go func() { // now they come up
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					wrote <- req.URL.Path
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\ns0")
+				}
+			}()
+		}
+	}()
+	var got []string
+	for range 3 {
+		got = append(got, <-answers)
+	}
+	program.Process.Signal(syscall.SIGTERM)
+	program.Wait()
+	got = append(got, fmt.Sprintf("written to s0: %d, to s1: %d", len(wrote), seen.Load()))
+	if diff := cmp.Diff([]string{"200 s1", "200 s1", "200 s1", "written to s0: 0, to s1: 3"}, got); diff != "" {
+		t.Errorf("-kept +now:\n%s\n%s", diff, log.text())
+	}
+}
+
+func figures(at string) string {
+	resp, err := http.Get("http://" + at + "/-/counters")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return string(text)
+}
--- a/internal/relay/hand.go
+++ b/internal/relay/hand.go
@@ -59,18 +59,20 @@
 	}
 	r.log.Info().Str("server", host).Bool("out", out).Msg("by hand")
 	r.b.ByHand(r.now, discovery.ID(host), out)
-	if out { // what has not been written yet must not go there any more
-		for _, v := range r.visits {
-			v.recall(discovery.ID(host))
-		}
+	if out {
+		r.recall(func(to brain.Backend) bool { return to == discovery.ID(host) })
 	}
 }
 
-// recall calls off a visit's fetches to a server that are not written yet; they never ran there.
-func (v *visit) recall(from brain.Backend) {
-	for _, f := range v.flights {
-		if f != nil && f.To == from {
-			f.Withdraw()
+// recall calls off the fetches to servers that are leaving, by staff's word or the list's, where nothing is written yet; they
+// never ran there. Guards against a connection that comes up late, and a goroutine that waits for its part of the core: what
+// they write would be new to a server that takes nothing new.
+func (r *Relay) recall(leaving func(brain.Backend) bool) {
+	for _, v := range r.visits {
+		for _, f := range v.flights {
+			if f != nil && leaving(f.To) {
+				f.Withdraw()
+			}
 		}
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,7 +46,7 @@
 	clock    clock
 	now      brain.Micros
 	mail     chan func()
-	calls    chan func() // of staff: they go first
+	calls    chan func() // of staff and of discovery: they go first
 	todo     []func()    // what the module asked for in the call that goes on
 	due      *due.Times[brain.Micros]
 	timer    *time.Timer
@@ -94,7 +94,7 @@
 	}
 	r.watcher = discovery.New(b.Discovery, zones, saved.Version, b.Span("obligations.ask_every_us"),
 		int(b.Figure("balancers")), b.MemoryMB<<20/listPart, b.Seed,
-		func(l *discovery.List) { r.post(func() { r.list(l) }) }, counts, log)
+		r.hear, counts, log)
 	r.now = r.clock.now()
 	if r.b, err = brain.New(r.now, b.Site, b.Seed, r); err != nil {
 		return nil, err
@@ -221,6 +221,10 @@
 // Listed is closed once discovery has told a list.
 func (r *Relay) Listed() <-chan struct{} { return r.listed }
 
+// hear takes an answer of discovery, ahead of the mail. Guards against visits sent to servers that it has leaving, while it waits
+// behind hundreds of events on a thin part of a core.
+func (r *Relay) hear(l *discovery.List) { r.calls <- func() { r.list(l) } }
+
 // list hears discovery; nil: a call failed.
 func (r *Relay) list(l *discovery.List) {
 	switch {
@@ -240,20 +244,21 @@
 }
 
 func (r *Relay) told(news brain.News, l *discovery.List) {
-	gone := map[brain.Backend]bool{}
+	gone, leaving := map[brain.Backend]bool{}, map[brain.Backend]bool{}
 	for id := range r.servers {
-		gone[id] = news != brain.Changes
+		gone[id], leaving[id] = news != brain.Changes, news != brain.Changes
 	}
 	r.b.ListBegins(r.now, news)
 	l.Lines(func(id brain.Backend, host, address string, zone brain.Zone, cell brain.Cell, st brain.Standing,
 		rating float64, started brain.Micros) {
 		r.servers[id], gone[id] = server{host, address}, st == brain.Gone
-		if st != brain.Ready {
+		if leaving[id] = st != brain.Ready; leaving[id] {
 			r.log.Debug().Str("server", host).Uint64("version", l.Version).Uint8("standing", uint8(st)).Msg("leaving")
 		}
 		r.b.Listed(r.now, id, zone, cell, st, rating, started)
 	})
 	r.b.ListEnds(r.now)
+	r.recall(func(id brain.Backend) bool { return leaving[id] })
 	// Guards against keeping every server there ever was, and connections to a machine that others now have.
 	for id, left := range gone {
 		if left {
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ledgespread/internal/counters"
+	"ledgespread/internal/discovery"
+	"ledgespread/internal/outbound"
+	"ledgespread/internal/site"
+)
+
+const small = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"a1","limits":{"cores":1,"memory_mb":64,
+	"sockets":64},"known":{"seq":7,"whole":true,"hosts":[]},"settings":{"my_zone":0,"azs":["here"],"discovery":"on_request",
+	"step_us":1000,"path_prefixes":[{"name":"look","effect":"read_like","group":"all","target_latency_us":400000,
+	"client_timeout_us":800000,"memory_span_us":500000,"value":1,"late_value":0}],"allowed":{"max_backend_fetches":5,
+	"conn_idle_us":10000000,"connect_timeout_us":100000,"multiplex":1},"obligations":{"cold_from":0.3,"cold_us":8000000,
+	"fall_multiple":3,"fall_us":1500000,"ask_every_us":10000000}}}`
+
+// A list doesn't wait its turn behind the mail, however deep that is.
+func TestListFirst(t *testing.T) {
+	b, err := site.Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := &counters.Sheet{}
+	r, err := New(b, 9, outbound.New(1, 1, 9, 1, nil, counts, zerolog.Nop()), nil, counts, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := discovery.Read([]byte(`{"seq":8,"whole":true,"hosts":[]}`), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := make(chan int, 1)
+	done, told := 0, false
+	var event func()
+	event = func() {
+		time.Sleep(time.Millisecond)
+		if done++; r.heard && !told {
+			told = true
+			before <- done
+		}
+		if !told {
+			go r.post(event)
+		}
+	}
+	for range cap(r.mail) {
+		r.post(event)
+	}
+	go r.hear(list)
+	go r.Run()
+	if n := <-before; n > cap(r.mail)/2 {
+		t.Errorf("the list was heard after %d events, of %d that waited", n, cap(r.mail))
+	}
+}
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -479,15 +480,26 @@
 }
 
 // slowLog stands in for what makes a sidecar stand still.
-type slowLog struct{ lines strings.Builder }
+type slowLog struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
 
 func (l *slowLog) Write(p []byte) (int, error) {
 	if strings.Contains(string(p), "crashed") {
 		time.Sleep(400 * time.Millisecond)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	return l.lines.Write(p)
 }
 
+func (l *slowLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.String()
+}
+
 // A sidecar that stood still hears the answers that came meanwhile before it calls their server silent.
 func TestStoodStill(t *testing.T) {
 	var tr trace
@@ -512,7 +524,7 @@
 	tr.add("%s, %s", <-answers, <-answers)
 	<-odd.Done()
 	time.Sleep(20 * time.Millisecond)
-	tr.add("called silent: %v", strings.Contains(log.lines.String(), "silent"))
+	tr.add("called silent: %v", strings.Contains(log.String(), "silent"))
 	tr.same(t, `
 200 "hi", 200 "hi"
 called silent: false
