A pushed list is asked for side by side while none answers, and waited for at a start

Where the list is pushed, what the agent has counts whether or not a watch is open, so each call that hangs without a watch costs its whole wait.

Ruled out: the reading and the turn (heard 1 ms after the answer came); an overbooked agent (its other calls took 1 to 3 ms).

Change: where the list is pushed, calls that are not held go out side by side, a quarter of the settings' grace apart, until one is answered; they wait longer the longer none was. No rest and no growing pause there. A new process waits for the first list, 2 s at the most, before it takes visits. Where it is asked for: a call that asks for news and gets no answer at all is silence too; after a move by SIGHUP the first call gets a second beside it, and what the old service was like (busy) is forgotten.

--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -37,7 +37,7 @@
 	calmHeap                 = 400  // percent the heap may grow between collections, as long as memory lasts
 
 	attendEvery = 100 * time.Millisecond // figures are so old at the most, and what another process wrote is read so soon
-	firstList   = 2 * time.Second        // beside an old process the first list is waited for so long
+	firstList   = 2 * time.Second        // beside an old process, or where it is pushed, the first list is waited for so long
 )
 
 // serve puts the parts together and stays until it is told to stop. SIGHUP has it read its file again.
@@ -81,7 +81,9 @@
 	if tally > 0 {
 		r.Tally(brain.Micros(tally.Microseconds()))
 	}
-	if before != 0 { // an old process serves meanwhile: no hurry, but the list that it was told counts here too
+	// An old process serves meanwhile: no hurry, but the list that it was told counts here too. So does what an agent has that
+	// pushes it: guards against visits sent by a saved list to servers that left since.
+	if before != 0 || r.Pushed() {
 		select {
 		case <-r.Listed():
 		case <-time.After(firstList):
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -33,7 +33,7 @@
 
 func (w *Watcher) service(address string) *service {
 	s := &service{address: address, lines: map[*line]bool{}}
-	s.client = &fasthttp.HostClient{Addr: address, MaxConns: 4, MaxIdemponentCallAttempts: 1,
+	s.client = &fasthttp.HostClient{Addr: address, MaxConns: 2 * steps, MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader: true, MaxResponseBodySize: w.most,
 		Dial: func(at string) (net.Conn, error) { return s.dial(at, w.late()) }}
 	return s
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -38,6 +38,13 @@
 	usual     = 10 * time.Second
 )
 
+// Where the list is pushed what discovery's agent has counts as told, a watch open or not.
+const (
+	stepPart  = 4                     // from one call to the next, of the grace that the settings give, while none is answered
+	stepLeast = 50 * time.Millisecond // but no sooner
+	steps     = 8                     // so many calls at the most wait side by side
+)
+
 // Watcher follows the list at one address at a time.
 type Watcher struct {
 	zones  map[string]int
@@ -52,13 +59,14 @@
 	telling sync.Mutex // held while an answer is told
 	mu      sync.Mutex
 	at      *service
-	again   bool // it comes back by itself after a failure
-	fresh   bool // nothing was heard from this address yet: its versions may count otherwise
+	again   bool          // it comes back by itself after a failure: the list is pushed
+	step    time.Duration // from one call to the next where it is, while none is answered
+	fresh   bool          // nothing was heard from this address yet: its versions may count otherwise
 	version uint64
-	round   int // of the watch that goes on
-	failed  uint
+	round   int    // of the watch that goes on
 	drawn   uint64 // times that chance was asked
 	lost    bool
+	lostAt  time.Time
 	busy    bool // a call failed: the whole list is asked for, after a rest, since what changes
 	// within a moment after a watch's answer counts as told
 }
@@ -88,15 +96,16 @@
 func (w *Watcher) Watch() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.begin()
+	w.begin(false)
 }
 
-// Keep watches without being asked, and comes back after a failure.
-func (w *Watcher) Keep() {
+// Keep watches without being asked, and comes back after a failure: the list is pushed, and what the agent has counts as told,
+// after this grace.
+func (w *Watcher) Keep(grace brain.Micros) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.again = true
-	w.begin()
+	w.again, w.step = true, max(time.Duration(grace)*time.Microsecond/stepPart, stepLeast)
+	w.begin(false)
 }
 
 // Move follows the list at another address from now on, and asks there for the whole of it. Guards against a
@@ -108,34 +117,34 @@
 		return
 	}
 	w.at.leave()
-	w.at, w.fresh, w.failed = w.service(address), true, 0
-	w.begin()
+	w.at, w.fresh, w.busy = w.service(address), true, false
+	w.begin(true) // what it tells counts before long: as after a silence
 }
 
-// begin starts the next round; the lock is held.
-func (w *Watcher) begin() {
+// begin starts the next round; the lock is held. pressing: its first call is not to fall silent.
+func (w *Watcher) begin(pressing bool) {
 	w.round++
-	go w.follow(w.at, w.round)
+	go w.follow(w.at, w.round, pressing)
 }
 
-func (w *Watcher) follow(at *service, round int) {
-	hold, asked, silent := time.Duration(0), true, false
+func (w *Watcher) follow(at *service, round int, pressing bool) {
+	hold, asked := time.Duration(0), true
 	for {
 		began := time.Now()
-		list, err := w.ask(at, hold, silent)
+		list, err := w.ask(at, hold, pressing)
 		took := time.Since(began)
 		current, brought := w.news(at, round, list, err, asked)
 		w.log.Debug().Err(err).Int("round", round).Bool("current", current).Bool("brought", brought).Dur("hold", hold).
 			Dur("took", took).Time("began", began).Msg("discovery called")
-		silent = errors.Is(err, errSilent)
+		pressing = errors.Is(err, errSilent)
 		switch {
 		case !current:
 			return
-		case silent: // no failure of the service: it is asked at once, for what was missed counts as told before long
+		case pressing: // no failure of the service: it is asked at once, for what was missed counts as told before long
 			hold, asked = 0, false
 			continue
 		case err != nil && w.again:
-			time.Sleep(w.pause())
+			time.Sleep(w.step)
 			hold, asked = 0, true
 			continue
 		case err != nil:
@@ -166,38 +175,70 @@
 	return most.Round(time.Millisecond)
 }
 
-// errSilent is why a held call ended whose wait was over, and that brought no answer.
+// errSilent is why a watch's call ended that brought no answer in time.
 var errSilent = errors.New("the watch fell silent")
 
-// ask makes one call. One that follows a silence gets a second beside it when its answer is late: guards against two silences in
-// a row, since what the first one hid counts as told all the same. The first that is answered counts.
-func (w *Watcher) ask(at *service, hold time.Duration, silent bool) (list *List, err error) {
-	if !silent {
-		return w.call(at, hold)
+// ask makes one call, or several side by side where it presses.
+func (w *Watcher) ask(at *service, hold time.Duration, pressing bool) (*List, error) {
+	switch {
+	case hold > 0:
+		return w.call(at, hold, hold+min(w.late(), lateMost))
+	case w.again:
+		every := max(w.step, w.patience()/steps)
+		return w.abreast(at, every, steps*every, steps)
+	case pressing:
+		return w.abreast(at, lateMost, w.late(), 2)
+	}
+	return w.call(at, 0, w.late())
+}
+
+// patience is how long the calls of a pushed list wait side by side: longer with the time for which none was answered. Guards against an
+// agent, or a sidecar, that is slow for a while, and is never heard because each call is given up.
+func (w *Watcher) patience() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.lost {
+		return lateMost
 	}
+	return min(max(time.Since(w.lostAt)/steps, lateMost), waitMost)
+}
+
+// abreast makes calls, one after another though none is answered yet; the first answer counts. Guards against a call that falls silent
+// where another watch did before, where discovery was moved, or while discovery's agent is: what it has counts as told all the same.
+func (w *Watcher) abreast(at *service, every, whole time.Duration, most int) (list *List, err error) {
 	type answer struct {
 		list *List
 		err  error
 	}
-	came, out := make(chan answer, 2), 0
-	begin := func() {
-		out++
-		go func() {
-			list, err := w.call(at, hold)
-			came <- answer{list, err}
-		}()
-	}
-	begin()
-	late := time.NewTimer(lateMost)
-	defer late.Stop()
-	for {
-		select {
-		case a := <-came:
-			if out--; a.err == nil || out == 0 {
-				return a.list, a.err
+	came := make(chan answer, most)
+	over, next := time.NewTimer(whole), time.NewTicker(every)
+	defer over.Stop()
+	defer next.Stop()
+	err = fmt.Errorf("no answer to %d calls", most)
+	for begun, ended := 0, 0; ; {
+		if begun++; begun <= most {
+			go func() {
+				list, err := w.call(at, 0, whole)
+				came <- answer{list, err}
+			}()
+		}
+		for waits := true; waits; {
+			select {
+			case a := <-came:
+				if a.err == nil {
+					return a.list, nil
+				}
+				if !errors.Is(a.err, errSilent) {
+					err = a.err
+				}
+				if ended++; ended == most {
+					return nil, err
+				}
+			case <-next.C:
+				waits = false
+			case <-over.C:
+				return nil, err
 			}
-		case <-late.C:
-			begin()
 		}
 	}
 }
@@ -262,21 +303,12 @@
 	switch {
 	case err != nil && !w.lost:
 		w.log.Warn().Err(err).Msg("discovery out of reach")
+		w.lostAt = time.Now()
 	case err == nil && w.lost:
 		w.log.Info().Msg("discovery back")
-		w.failed = 0
 	}
 	w.lost = err != nil
-	w.busy = w.busy || err != nil && w.among > 1
-}
-
-// pause grows with every failure. Guards against a herd at a service that comes back.
-func (w *Watcher) pause() time.Duration {
-	w.mu.Lock()
-	most := min(w.part(pacePart)<<w.failed, w.part(holdPart))
-	w.failed = min(w.failed+1, 16)
-	w.mu.Unlock()
-	return most/2 + w.scattered(most)
+	w.busy = w.busy || err != nil && w.among > 1 && !w.again // an agent that pushes is nobody else's
 }
 
 // scattered draws a span below this one.
@@ -294,7 +326,7 @@
 }
 
 // call asks once.
-func (w *Watcher) call(at *service, hold time.Duration) (list *List, err error) {
+func (w *Watcher) call(at *service, hold, wait time.Duration) (list *List, err error) {
 	defer func() {
 		// Guards against the end of the watch, and of the sidecar, by an answer that nobody thought of.
 		if crash := recover(); crash != nil {
@@ -313,12 +345,8 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + at.address + "/api/targets" + query)
-	wait := w.late()
-	if hold > 0 {
-		wait = hold + min(wait, lateMost)
-	}
 	if err := at.client.DoTimeout(req, resp, wait); err != nil {
-		if hold > 0 && errors.Is(err, fasthttp.ErrTimeout) {
+		if !fresh && errors.Is(err, fasthttp.ErrTimeout) {
 			err = errSilent
 		}
 		return nil, err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,7 @@
 	listed   chan struct{}          // closed when the first list came
 	heard    bool                   // it is
 	idle     brain.Micros
+	grace    brain.Micros // in which sends to a leaving server are no fault
 	pushed   bool
 	outbound *outbound.Outbound
 	peers    *peers.Peers // nil where messages are not allowed
@@ -80,7 +81,7 @@
 		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, rare: map[string]bool{},
 		servers: map[brain.Backend]server{}, out: map[string]bool{}, listed: make(chan struct{}),
 		mostHeld: most, mostOut: int(b.Figure("allowed.max_backend_fetches")),
-		idle: b.Span("allowed.conn_idle_us"), pushed: b.Site["discovery"] == "pushed",
+		idle: b.Span("allowed.conn_idle_us"), grace: b.Span("obligations.stop_sending_within_us"), pushed: b.Site["discovery"] == "pushed",
 		outbound: out, peers: others, counts: counts, log: log}
 	if told := int(b.Figure("allowed.most_held")); told > 0 {
 		r.mostHeld = min(r.mostHeld, told)
@@ -108,7 +109,7 @@
 func (r *Relay) Run() {
 	r.sweep()
 	if r.pushed {
-		r.watcher.Keep()
+		r.watcher.Keep(r.grace)
 	}
 	r.turn(func() {})
 	r.arm()
@@ -218,6 +219,9 @@
 	return now[0], now[1]
 }
 
+// Pushed tells whether what discovery's agent has counts as told from the first moment.
+func (r *Relay) Pushed() bool { return r.pushed }
+
 // Listed is closed once discovery has told a list.
 func (r *Relay) Listed() <-chan struct{} { return r.listed }
 
