A small sidecar takes a fleet's list: answers of a megabyte may come whatever the memory

Change: or by a megabyte, if that is more (listLeast). Read over for other caps below 1,024 on servers or sidecars: readers, peers, tables by number, saved lists, the file of what is out, messages (numbers of 16 bits), membership and the lab have none.

Test: TestSizes, 1,100 servers in the saved list and told, settings and addresses of 1,100 sidecars, 4 MB; before, 1,100 listed (the saved ones) and 2 failed calls.

--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -568,3 +568,53 @@
 silent 1, failed 0
 `)
 }
+
+// A list of 1,100 servers, indented, and settings of 1,100 sidecars are read, kept and used in a small memory; each of the other
+// sidecars is reached by its number.
+func TestSizes(t *testing.T) {
+	const many = 1100
+	var tr trace
+	var lines, at []string
+	for i := range many {
+		lines = append(lines, "\n        "+strings.ReplaceAll(strings.Replace(host, `"s"`, fmt.Sprintf(`"s-%08x"`, i), 1), ",", ",\n            "))
+		at = append(at, fmt.Sprintf(`"127.1.%d.%d:7946"`, i/250, i%250+1))
+	}
+	list := hosts(8, true, append([]string{strings.Replace(lines[0], "in_service", "terminated", 1)}, lines[1:]...)...)
+	s := serveFake(t, func(n int, path string) string {
+		if n > 1 {
+			return "silence"
+		}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+	})
+	text := strings.NewReplacer(`127.0.0.1:1"`, s.Addr().String()+`"`, `"memory_mb":64`, `"memory_mb":4`,
+		`"settings":{`, `"peer_listen":"127.0.0.1:0","peers":[`+strings.Join(at, ",")+`],"settings":{"balancers":1100,"me":1099,`).
+		Replace(configuration(strings.Join(lines, ","), `,"peer_messages":true`))
+	b := berth(t, text)
+	counts := &counters.Sheet{}
+	r, err := relay.New(b, 9, reach(second, 9, counts), nil, counts, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed, _ := r.Fleet()
+	tr.add("saved: %d listed, %d peers", listed, len(b.Peers))
+	r.Attend(5000)
+	go r.Run()
+	for end := time.Now().Add(20 * time.Second); listed != many-1 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		listed, _ = r.Fleet()
+	}
+	tr.add("told: %d listed, malformed %d, failed %d", listed, counts[counters.ListsMalformed].Load(), counts[counters.ListsFailed].Load())
+	others, err := peers.Open("127.0.0.1:0", false, b.Peers, counts, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer others.Close()
+	for i := range many {
+		others.Tell(brain.Peer(i), brain.Ask, 1)
+	}
+	tr.add("messages sent: %d", counts[counters.NotesSent].Load())
+	tr.same(t, `
+saved: 1100 listed, 1100 peers
+told: 1099 listed, malformed 0, failed 0
+messages sent: 1100
+`)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,9 +21,10 @@
 )
 
 const (
-	sweepParts = 20 // idle connections are looked through so often in the time they may stand
-	listPart   = 32 // an answer of discovery may take this part of the memory
-	rounds     = 4  // of giving way to those who read, after standing still
+	sweepParts = 20      // idle connections are looked through so often in the time they may stand
+	listPart   = 32      // an answer of discovery may take this part of the memory,
+	listLeast  = 1 << 20 // or so many bytes, if that is more: guards against a fleet's list that a small sidecar refuses
+	rounds     = 4       // of giving way to those who read, after standing still
 
 	lateLeast brain.Micros = 10_000 // what is due is late from then on
 )
@@ -94,7 +95,7 @@
 		return nil, fmt.Errorf("known: %w", err)
 	}
 	r.watcher = discovery.New(b.Discovery, zones, saved.Version, b.Span("obligations.ask_every_us"),
-		int(b.Figure("balancers")), b.MemoryMB<<20/listPart, b.Seed,
+		int(b.Figure("balancers")), max(b.MemoryMB<<20/listPart, listLeast), b.Seed,
 		r.hear, counts, log)
 	r.now = r.clock.now()
 	if r.b, err = brain.New(r.now, b.Site, b.Seed, r); err != nil {
