Membership: among hundreds one missed probe is no suspicion; heavy loss kills nobody

The guard for lossy networks asks for several misses in a row, but only once this member has learnt the loss, over 32 probes (verdict).

Change: needed() asks for one miss among few, one more for each tenfold from a hundred members on, and more where much is lost, as before. Below a hundred members nothing differs.

--- a/decide/membership/many_test.go
+++ b/decide/membership/many_test.go
@@ -266,3 +266,11 @@
 		s.Run(second)
 	})
 }
+
+// Three in ten messages lost among two hundred: nobody who lives is held for dead, and one that dies is.
+func TestHeavyLoss(t *testing.T) {
+	f := crowd.Measure(200, 0.3, terms(), 1, 12*second)
+	if f.False > 0 || f.Known < 0 {
+		t.Errorf("%d false deaths, the death known to all: %v", f.False, f.Known >= 0)
+	}
+}
--- a/decide/membership/probe.go
+++ b/decide/membership/probe.go
@@ -148,7 +148,7 @@
 				return
 			}
 		}
-		if n.missing > lossy && float64(m.misses) <= math.Ceil(math.Log10(float64(len(n.ring)+1))) { // where much is lost, one probe says little
+		if m.misses < n.needed() {
 			n.watch(e)
 			return
 		}
@@ -156,6 +156,16 @@
 	}
 }
 
+// needed is how many probes in a row have to miss until a member is suspected: one among few, one more for each tenfold, and more where much
+// is lost. Guards against suspicions, by members that lose a probe each now and then, that come faster than refutations spread.
+func (n *Node) needed() int {
+	tens := int(math.Ceil(math.Log10(float64(len(n.ring) + 1))))
+	if n.missing > lossy {
+		return tens + 1
+	}
+	return max(tens-1, 1)
+}
+
 // waysOf learns from a probe that others say was answered, or from one of a member that others vouched for: it lives, and the
 // way between is bad. Which of the two does not hear the other shows by what it heard, and by what came from it.
 func (n *Node) waysOf(e *entry, heardMe bool) {
