While a pushed list's agent is silent calls go out half a grace apart at the most

Change: patience grows to four times the grace, eight calls side by side, so never more than half a grace lies between two.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -200,7 +200,7 @@
 	if !w.lost {
 		return lateMost
 	}
-	return min(max(time.Since(w.lostAt)/steps, lateMost), waitMost)
+	return min(max(time.Since(w.lostAt)/steps, lateMost), 2*steps*w.step) // so they begin half a grace apart at the most
 }
 
 // abreast makes calls, one after another though none is answered yet; the first answer counts. Guards against a call that falls silent
