A test of a move to a discovery whose first call falls silent

Cause: no test showed what the first call after SIGHUP does when it gets no answer.

Measured: the test alone.

--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -618,3 +618,41 @@
 messages sent: 1100
 `)
 }
+
+// After a move what the new address tells counts before long: its first call gets a second beside it where it falls silent.
+func TestMovedSilent(t *testing.T) {
+	old := serveFake(t, func(n int, path string) string {
+		if n == 1 {
+			return listed(42, host)
+		}
+		return "silence"
+	})
+	next := serveFake(t, func(n int, path string) string {
+		if n == 2 {
+			return listed(3, host)
+		}
+		return "silence"
+	})
+	told := make(chan uint64, 9)
+	w := discovery.New(old.Addr().String(), map[string]int{"here": 0}, 41, 300*second, 1, 1<<20, 7,
+		func(l *discovery.List) {
+			if l != nil {
+				told <- l.Version
+			}
+		}, &counters.Sheet{}, zerolog.Nop())
+	w.Watch()
+	var tr trace
+	tr.add("told %d", <-told)
+	old.asked(2)
+	w.Move(next.Addr().String())
+	select {
+	case v := <-told:
+		tr.add("told %d", v)
+	case <-time.After(20 * time.Second):
+		tr.add("told nothing")
+	}
+	tr.same(t, `
+told 42
+told 3
+`)
+}
