Failover: the rule of a sidecar whose last plan is over, bounded by what was told

Change: a plan carries what it was reckoned from (Base); Alone gives one sidecar amounts of work a second, nearest first: its part of its home's flows and of the room that was left. Not used by any process yet.

Tests: by rapid, all sidecars of all zones alone together stay within each zone's room; a trace.

Measured: the tests alone.

--- a/decide/failover/failover.go
+++ b/decide/failover/failover.go
@@ -103,6 +103,14 @@
 	End    Micros
 	Of     map[Zone][]Share // by home zone, home first, the others by name; their parts make one
 	Why    map[Zone]string  // for each home zone that does not keep all
+	Base   map[Zone]Base    // what it was reckoned from: the bound for those who hear no other
+}
+
+// Base is what a plan was reckoned from, of one zone.
+type Base struct {
+	Offered float64 // by its clients
+	Room    float64 // for others' visits
+	Members int     // sidecars whose home it is
 }
 
 // Part is the part of a home zone's visits that a zone gets. A zone that the plan lacks keeps all.
@@ -126,6 +134,7 @@
 	Carries float64 // work a second that its servers can carry now
 	Strains bool    // answers come late, or it turns visits away: what it gets must not grow
 	Cut     []Zone  // home zones whose sidecars don't reach it
+	Members int     // sidecars whose home it is, that may be sending
 }
 
 // Reckon makes the plan that follows another: what each zone's visits are beyond what it carries goes to the nearest zones with headroom, as
@@ -133,7 +142,7 @@
 func (t Terms) Reckon(now Micros, states []State, before Plan) Plan {
 	states = slices.SortedFunc(slices.Values(states), func(a, b State) int { return strings.Compare(string(a.Zone), string(b.Zone)) })
 	wanted := t.flows(states, before)
-	next := Plan{Number: before.Number + 1, Made: now, End: now + t.Lasts, Of: map[Zone][]Share{}, Why: map[Zone]string{}}
+	next := Plan{Number: before.Number + 1, Made: now, End: now + t.Lasts, Of: map[Zone][]Share{}, Why: map[Zone]string{}, Base: map[Zone]Base{}}
 	span := float64(min(max(now-before.Made, 0), 4*t.Every)) / 1e6
 	if before.Number == 0 {
 		span = float64(t.Every) / 1e6
@@ -162,8 +171,9 @@
 		}
 		next.Of[home.Zone] = append([]Share{{home.Zone, max(rest, 0)}}, away...)
 	}
-	t.bound(states, before, next)
+	t.bound(states, next)
 	for _, home := range states {
+		next.Base[home.Zone] = Base{home.Offered, t.headroom(home), home.Members}
 		if shares := next.Of[home.Zone]; len(shares) > 1 {
 			next.Why[home.Zone] = why(home, shares)
 		}
@@ -172,7 +182,7 @@
 }
 
 // bound keeps all that is sent into a zone within its headroom, the newest first: what the last plan's pace or a smaller offer left may be more.
-func (t Terms) bound(states []State, before, next Plan) {
+func (t Terms) bound(states []State, next Plan) {
 	for _, to := range states {
 		room, into := t.headroom(to), 0.0
 		for _, home := range states {
--- a/decide/failover/failover_test.go
+++ b/decide/failover/failover_test.go
@@ -40,7 +40,7 @@
 		for range rapid.IntRange(1, 4).Draw(t, "changes") {
 			var states []State
 			for _, z := range []Zone{"a", "b", "c", "d", "e", "unknown"}[:rapid.IntRange(1, 6).Draw(t, "zones")] {
-				s := State{Zone: z, Offered: 100 * part.Draw(t, "offered"), Carries: 120 * part.Draw(t, "carries")}
+				s := State{Zone: z, Offered: 100 * part.Draw(t, "offered"), Carries: 120 * part.Draw(t, "carries"), Members: rapid.IntRange(1, 9).Draw(t, "members")}
 				for _, from := range []Zone{"a", "c"} {
 					if from != z && rapid.IntRange(0, 5).Draw(t, "cut") == 0 {
 						s.Cut = append(s.Cut, from)
@@ -63,6 +63,17 @@
 					if got, room := into(next, states, s.Zone), max(0, s.Carries*(1-tm.Reserve)-s.Offered); got > room+1e-6 {
 						t.Fatalf("step %d: %s gets %v, has room for %v", step, s.Zone, got, room)
 					}
+					alone := 0.0 // all sidecars of all other zones go by themselves
+					for _, from := range states {
+						for _, sp := range tm.Alone(next, from.Zone, 0) {
+							if sp.To == s.Zone {
+								alone += sp.Most * float64(from.Members)
+							}
+						}
+					}
+					if room := max(0, s.Carries*(1-tm.Reserve)-s.Offered); alone > room+1e-6 {
+						t.Fatalf("alone all send %v into %s, which has room for %v", alone, s.Zone, room)
+					}
 					for _, to := range states {
 						if next.Part(s.Zone, to.Zone) > 0 && slices.Contains(to.Cut, s.Zone) {
 							t.Fatalf("%s sends to %s, which it does not reach", s.Zone, to.Zone)
@@ -154,6 +165,33 @@
   2: a at 2.00 of what it can do: 0.04 to c, 0.96 stays
 `
 
+// A sidecar that hears no plan any more goes on within what the last one had its zone send, and its part of the room that was left.
+func TestAlone(t *testing.T) {
+	tm, plan := terms(), Plan{}
+	for range 4 {
+		plan = tm.Reckon(plan.Made+tm.Every, []State{{Zone: "a", Offered: 60, Members: 6}, {Zone: "b", Offered: 60, Carries: 100, Members: 6},
+			{Zone: "c", Offered: 70, Carries: 100, Members: 6}, {Zone: "d", Offered: 20, Carries: 100, Members: 2}}, plan)
+	}
+	var got []string
+	for _, home := range []Zone{"a", "d", "nowhere"} {
+		for _, members := range []int{0, 40} {
+			got = append(got, fmt.Sprintf("%s, %d: %v", home, members, tm.Alone(plan, home, members)))
+		}
+	}
+	if diff := cmp.Diff(strings.Split(strings.TrimSpace(alone), "\n"), got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+const alone = `
+a, 0: [{b 5} {c 3.3333333333333335} {d 4.666666666666667}]
+a, 40: [{b 5} {c 3.3333333333333335} {d 3.166666666666667}]
+d, 0: []
+d, 40: []
+nowhere, 0: []
+nowhere, 40: []
+`
+
 // What reports make of zones: an old one, one that is no number, one that tells a thousand times the truth, one that has every zone dead, and
 // a bad way between two zones.
 func TestReports(t *testing.T) {
