At a slow service watches are held for longer; a silence is followed by a held call

The holds of 3 to 4 s in place of 5, and two calls for each silence, kept the service at 86% and more: calls begun in the first 5 s 136, a third of them waiting over 2.5 s. Lines at fault: holdMost for every service, the second call half a second later whatever calls take (ask).

Ruled out: the reading and the mail (heard in the turn of the answer); a silence seen late (0.5 s after the hold).

Change: where a call that is not held takes a quarter of a second and more, the next is held for eight times that besides, 12 s at the most: what a silent watch misses counts so much later as its call may wait longer. A silence is followed by a held call, which news answer at once, and only if it is not by a bare one beside it, after twice what calls take.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -25,6 +25,9 @@
 	holdMost = silence - beyond // held for longer, a call that falls silent late is found no sooner before its clock
 	lateMost = beyond / 4       // an answer is late by so much: its watch is silent. The rest of that is for asking anew
 	waitMost = silence / 2      // a call that is not held is waited for so long
+	holdLong = 2 * silence      // nor for longer than that at a service that is slow
+	slowFrom = lateMost / 2     // one that takes so long for a call that it holds none,
+	slowHold = 8                // is asked less often: a call is held for so many times that besides
 	spread   = 4                // a hold is shorter by up to this part, drawn: all watches may fall silent in one moment
 )
 
@@ -60,6 +63,7 @@
 	mu      sync.Mutex
 	at      *service
 	again   bool          // it comes back by itself after a failure: the list is pushed
+	took    time.Duration // what a call took that was not held, lately
 	step    time.Duration // from one call to the next where it is, while none is answered
 	fresh   bool          // nothing was heard from this address yet: its versions may count otherwise
 	version uint64
@@ -131,7 +135,12 @@
 	hold, asked := time.Duration(0), true
 	for {
 		began := time.Now()
+		over := make(chan struct{})
+		if pressing && hold > 0 {
+			go w.check(at, round, over)
+		}
 		list, err := w.ask(at, hold, pressing)
+		close(over)
 		took := time.Since(began)
 		current, brought := w.news(at, round, list, err, asked)
 		w.log.Debug().Err(err).Int("round", round).Bool("current", current).Bool("brought", brought).Dur("hold", hold).
@@ -141,7 +150,10 @@
 		case !current:
 			return
 		case pressing: // no failure of the service: it is asked at once, for what was missed counts as told before long
-			hold, asked = 0, false
+			hold, asked = w.held(), false // with news it is answered at once
+			if w.again {
+				hold = 0
+			}
 			continue
 		case err != nil && w.again:
 			time.Sleep(w.step)
@@ -166,9 +178,15 @@
 }
 
 // held is how long the next call may wait at the service. Guards, by chance, against a herd of calls anew where all watches
-// have fallen silent in one moment, and began in one as well: with the last change.
+// have fallen silent in one moment, and began in one as well: with the last change. And against a service that is kept busy by calls that
+// bring nothing: what a silent watch misses counts so much later as its call may wait longer.
 func (w *Watcher) held() time.Duration {
 	most := min(w.part(holdPart), holdMost)
+	w.mu.Lock()
+	if w.took >= slowFrom {
+		most = min(most+slowHold*w.took, holdLong)
+	}
+	w.mu.Unlock()
 	if w.among > 1 {
 		most -= w.scattered(most / spread)
 	}
@@ -187,11 +205,32 @@
 		every := max(w.step, w.patience()/steps)
 		return w.abreast(at, every, steps*every, steps)
 	case pressing:
-		return w.abreast(at, lateMost, w.late(), 2)
+		return w.abreast(at, w.soon(), w.late(), 2)
 	}
 	return w.call(at, 0, w.late())
 }
 
+// check asks beside a held call that follows a silence, unless that is answered soon: guards against two silences in a row, since
+// what the first one hid counts as told all the same.
+func (w *Watcher) check(at *service, round int, over chan struct{}) {
+	soon := time.NewTimer(w.soon())
+	defer soon.Stop()
+	select {
+	case <-over:
+	case <-soon.C:
+		if list, err := w.call(at, 0, w.late()); err == nil {
+			w.news(at, round, list, nil, false)
+		}
+	}
+}
+
+// soon is when a call is answered that finds news. At a service that works through its calls in turn a second one only comes later.
+func (w *Watcher) soon() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(max(lateMost, 2*w.took), waitMost)
+}
+
 // patience is how long the calls of a pushed list wait side by side: longer with the time for which none was answered. Guards against an
 // agent, or a sidecar, that is slow for a while, and is never heard because each call is given up.
 func (w *Watcher) patience() time.Duration {
@@ -345,7 +384,14 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + at.address + "/api/targets" + query)
-	if err := at.client.DoTimeout(req, resp, wait); err != nil {
+	began := time.Now()
+	err = at.client.DoTimeout(req, resp, wait)
+	if err == nil && hold == 0 {
+		w.mu.Lock()
+		w.took = time.Since(began)
+		w.mu.Unlock()
+	}
+	if err != nil {
 		if !fresh && errors.Is(err, fasthttp.ErrTimeout) {
 			err = errSilent
 		}
