A discovery that takes calls and answers nothing is called lost, after a silence too

Cause, seen in reading and by a failing test: since a silent watch is no failure, a service whose connections hang was silence after silence: nothing was logged, nothing counted as failed, and the module was not told (check passed over its failure).

Change: the bare call beside the held one that follows a silence is a failure like any other, if it fails.

Test: TestListHangs; before, told nothing after the first list in 30 s.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -211,16 +211,18 @@
 }
 
 // check asks beside a held call that follows a silence, unless that is answered soon: guards against two silences in a row, since
-// what the first one hid counts as told all the same.
+// what the first one hid counts as told all the same; and against a service that answers nothing at all, and is never called lost.
 func (w *Watcher) check(at *service, round int, over chan struct{}) {
 	soon := time.NewTimer(w.soon())
 	defer soon.Stop()
 	select {
 	case <-over:
 	case <-soon.C:
-		if list, err := w.call(at, 0, w.late()); err == nil {
-			w.news(at, round, list, nil, false)
+		list, err := w.call(at, 0, w.late())
+		if errors.Is(err, errSilent) {
+			err = errors.New("it answers nothing")
 		}
+		w.news(at, round, list, err, false)
 	}
 }
 
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -547,7 +547,7 @@
 		case l := <-told:
 			tr.add("told: %v", l != nil)
 		case <-late:
-			tr.add("told nothing")
+			t.Fatal("told nothing")
 		}
 	}
 	s.asked(5)
@@ -656,3 +656,34 @@
 told 3
 `)
 }
+
+// A service that takes calls and answers nothing is called lost, once, and asked on.
+func TestListHangs(t *testing.T) {
+	var tr trace
+	s := serveFake(t, func(n int, path string) string {
+		if n == 1 {
+			return listed(42, host)
+		}
+		return "silence"
+	})
+	counts, told, late := &counters.Sheet{}, make(chan bool, 9), time.After(30*time.Second)
+	var log slowLog
+	w := discovery.New(s.Addr().String(), map[string]int{"here": 0}, 41, 2*second, 1, 1<<20, 7, func(l *discovery.List) { told <- l != nil },
+		counts, zerolog.New(&log).Level(zerolog.InfoLevel))
+	w.Watch()
+	for range 3 {
+		select {
+		case list := <-told:
+			tr.add("told a list: %v", list)
+		case <-late:
+			t.Fatal("told nothing")
+		}
+	}
+	tr.add("lost, in the log: %d", strings.Count(log.String(), "out of reach"))
+	tr.same(t, `
+told a list: true
+told a list: false
+told a list: false
+lost, in the log: 1
+`)
+}
