Read-through of failover's reckoning: the median is taken once, of what is sorted

Cause: read again as a whole. The median of a zone's offers was taken anew for each of them, and asked each time whether its figures were sorted, which all but one caller's are.

Change: it is taken once; the one caller sorts.

--- a/decide/failover/failover.go
+++ b/decide/failover/failover.go
@@ -3,7 +3,6 @@
 package failover
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -320,5 +319,5 @@
 			return false
 		}
 	}
-	return p.Number > 0 && cmp.Compare(p.Made, p.End) < 0
+	return p.Number > 0 && p.Made < p.End
 }
--- a/decide/failover/reports.go
+++ b/decide/failover/reports.go
@@ -85,8 +85,9 @@
 		}
 		if offers := figures(by[z], func(r Report) (float64, bool) { return r.Offered, true }); len(offers) >= aFew {
 			s.Offered = 0
+			usual := median(offers)
 			for _, o := range offers {
-				if usual := median(offers); o > farOff*usual {
+				if o > farOff*usual {
 					o = usual
 				}
 				s.Offered += o
@@ -112,6 +113,7 @@
 			}
 		}
 		if !known && len(others) > 0 { // none of its own tells anything: what most others see
+			slices.Sort(others)
 			s.Carries *= 1 - median(others)
 		}
 		crowded := figures(slices.Concat(slices.Collect(maps.Values(by))...), func(r Report) (float64, bool) {
@@ -139,8 +141,5 @@
 	if len(sorted) == 0 {
 		return 0
 	}
-	if !slices.IsSorted(sorted) {
-		sorted = slices.Sorted(slices.Values(sorted))
-	}
 	return sorted[(len(sorted)-1)/2]
 }
