Nothing begins for a client that has gone, and no answer is lost as its connection closes

Cause, each seen by a forced test that fails on the code before (internal/endings_test.go, each run there): - A client was looked after from a thirty-second part of its timeout on (inbound.visit, quickParts), and never behind bytes that it had sent ahead (places.Watch ended at the first one): a second fetch began for it. Word of its leaving waited for the relay's mail, so a first fetch began after a standstill as well (TestClientGone, TestClientGoneBeforeItsFirstFetch). - All closes were outright (client.Close, evict): with unread bytes the kernel resets, and what a slow reader had not taken of its answer was lost (TestCloseOverUnreadBytes: half a line was enough). - fasthttp writes an answer only with the next one where that visit is already in its buffer (TestAnswerAheadOfTheNext). - A stop closed the listener over a backlog, and 0.15 s before it closed connections whose clients then had nowhere to go; it waited for the longest client timeout, of which the platform waits 3 s (TestStopWithABacklog, TestStopCrossing, TestStopEndsWhatIsOut). - A connection to a server was used again at once, and a second answer some milliseconds after the first was delivered to the next visit (TestSecondAnswer). Ruled out by reading: a reset of an answer without length counts as a reset already (outbound.begin returns the error).

Change: the client is looked after within 25 ms whatever its timeout; what it sends ahead is taken in (16 KiB) so that its end is seen, behind more the kernel is asked; a fetch asks last, before its first byte, whether the visit still wants it and the client is there. A close shuts the sending half, reads and drops for 0.3 s and 256 KiB, then closes; the connection keeps its place meanwhile and goes first where others wait. A stop closes the listener once nobody waits there and no idle client was just closed, and answers what is out before the process may be killed. A connection to a server settles for 20 ms before it is used again, unless 32 do.

--- /dev/null
+++ b/internal/endings_test.go
@@ -0,0 +1,374 @@
+package internal_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/outbound"
+)
+
+// Each test here forces two things to cross, and states in which order.
+
+// patient is a configuration with client timeouts that no part of a test uses up.
+func patient(hosts string) string {
+	return strings.NewReplacer(`"target_latency_us":400000`, `"target_latency_us":20000000`, `"client_timeout_us":800000`,
+		`"client_timeout_us":40000000`).Replace(configuration(hosts, ""))
+}
+
+const longFields = "Host: api\r\nX-Request-ID: 1\r\nX-Tenant-Id: acme\r\nX-Timeout: 30000m\r\n"
+
+// until waits for a state, not for ever.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func here(s *fake) string {
+	return strings.NewReplacer("127.0.0.1:9", s.Addr().String(), `"born_ms":2`, `"born_ms":0`).Replace(host)
+}
+
+// A client goes while its first fetch is out; then that fetch breaks. No second one begins: whatever the client timeout is,
+// and whatever the client sent ahead before it went. One that only sent a visit ahead has not gone.
+func TestClientGone(t *testing.T) {
+	var tr trace
+	visit := "GET /look HTTP/1.1\r\n" + longFields + "\r\n"
+	for _, c := range []struct{ name, ahead string }{
+		{"at once", ""},
+		{"behind half a line", "GET /lo"},
+		{"behind a visit sent ahead", visit},
+		{"behind more than is taken in", "POST /pay HTTP/1.1\r\n" + longFields + "Content-Length: 60000\r\n\r\n" + strings.Repeat("x", 50_000)},
+	} {
+		release := make(chan bool)
+		s := serveFake(t, func(n int, path string) string {
+			if n == 1 {
+				<-release
+				return "!"
+			}
+			return ok
+		})
+		_, at, counts := started(t, berth(t, patient(here(s))), 9, zerolog.Nop())
+		gone := dial(t, at)
+		io.WriteString(gone, visit)
+		until(t, "the server has it", func() bool { return s.count() == 1 })
+		io.WriteString(gone, c.ahead)
+		gone.Close()
+		if c.ahead == "" {
+			time.Sleep(300 * time.Millisecond) // three times as long as the term gives
+		} else {
+			until(t, c.name+": noticed", func() bool { return counts[counters.VisitsDropped].Load() == 1 })
+		}
+		release <- true
+		until(t, "the fetch ended", func() bool { return s.over.Load() == 1 })
+		time.Sleep(200 * time.Millisecond) // as long as four waits between tries
+		tr.add("%s: %d fetches, dropped %d", c.name, s.count(), counts[counters.VisitsDropped].Load())
+	}
+
+	release := make(chan bool)
+	s := serveFake(t, func(n int, path string) string {
+		if n == 1 {
+			<-release
+			return "!"
+		}
+		return ok
+	})
+	_, at, counts := started(t, berth(t, patient(here(s))), 9, zerolog.Nop())
+	stays := dial(t, at)
+	io.WriteString(stays, visit+strings.Replace(visit, "ID: 1", "ID: 2", 1))
+	until(t, "the server has it", func() bool { return s.count() == 1 })
+	time.Sleep(100 * time.Millisecond) // it is looked after by now
+	release <- true
+	tr.add("one that sent ahead: %s, %s, dropped %d", stays.answer(), stays.answer(), counts[counters.VisitsDropped].Load())
+	tr.same(t, `
+at once: 1 fetches, dropped 1
+behind half a line: 1 fetches, dropped 1
+behind a visit sent ahead: 1 fetches, dropped 1
+behind more than is taken in: 1 fetches, dropped 1
+one that sent ahead: 200 "hi", 200 "hi", dropped 0
+`)
+}
+
+// The module stands still; a client comes, sends a visit and goes; then the module goes on. Nothing is sent for it. The same where a
+// connection to a server comes up only once the client has gone.
+func TestClientGoneBeforeItsFirstFetch(t *testing.T) {
+	var tr trace
+	s := serveFake(t, func(int, string) string { return ok })
+	var log slowLog
+	r, at, counts := started(t, berth(t, patient(here(s))), 9, zerolog.New(&log))
+	odd := exchange.New() // the module panics over it, and stands still while that is logged
+	odd.On, odd.Left = 99, second
+	r.Take(odd)
+	<-odd.Done()
+	c := dial(t, at)
+	io.WriteString(c, "GET /look HTTP/1.1\r\n"+longFields+"\r\n")
+	until(t, "it is taken", func() bool { return counts[counters.VisitsTaken].Load() == 1 })
+	c.Close()
+	until(t, "the module goes on", func() bool { return strings.Contains(log.String(), "crashed") })
+	until(t, "it is noticed", func() bool { return counts[counters.VisitsDropped].Load() == 1 })
+	time.Sleep(100 * time.Millisecond)
+	tr.add("while the module stood still: %d at the server", s.count())
+
+	o, left := reach(10*second, 9, counts), false
+	for _, reused := range []bool{false, true} {
+		x := exchange.New().Holds([]byte("GET /x HTTP/1.1\r\nHost: a\r\n"), nil, nil)
+		left = true
+		x.Gone = func() bool { return left }
+		end := make(chan string, 1)
+		o.Fetch(x, 1, s.Addr().String(), second, func(_ *exchange.Answer, _ bool, _ []float64, err error) {
+			end <- results[outbound.Result(err)]
+		})
+		tr.add("on a connection that has come up, reused %v: %s, %d at the server", reused, <-end, s.count())
+		if left = false; !reused {
+			tr.add("%s", fetch(o, "/here", s.Addr().String(), second, nothing))
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	tr.same(t, `
+while the module stood still: 0 at the server
+on a connection that has come up, reused false: never sent, 0 at the server
+delivered reused=false "hi" <nil>
+on a connection that has come up, reused true: never sent, 1 at the server
+`)
+}
+
+// slowReader is a client whose kernel takes little: what it does not read stays with the sidecar's.
+func slowReader(t *testing.T, at string) *client {
+	t.Helper()
+	d := net.Dialer{}
+	c, err := d.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	t.Cleanup(func() { c.Close() })
+	return dialled(c)
+}
+
+// An answer is written that closes its connection while bytes lie there that nobody read: of a message sent ahead, or of a body
+// that was refused. The client, which begins to read only then, finds it whole.
+func TestCloseOverUnreadBytes(t *testing.T) {
+	var tr trace
+	held := make(chan *exchange.Exchange, 1)
+	counts := &counters.Sheet{}
+	in, at := listen(t, berth(t, patient("")), 9, taker{&tr, holding(held)}, counts)
+	long := strings.Repeat("y", exchange.MostBody-1)
+	for _, c := range []struct{ name, ahead string }{
+		{"nothing", ""},
+		{"half a line", "GET /lo"},
+		{"a long message", "POST /pay HTTP/1.1\r\n" + longFields + "Content-Length: 60000\r\n\r\n" + strings.Repeat("x", 60_000)},
+	} {
+		slow := slowReader(t, at)
+		io.WriteString(slow, "GET /look HTTP/1.1\r\n"+longFields+"X-Retried: 1\r\n\r\n")
+		x := <-held
+		io.WriteString(slow, c.ahead)
+		time.Sleep(100 * time.Millisecond) // it has come, and some of it was taken in
+		in.OutOfService()
+		x.Deliver(&exchange.Answer{Body: []byte(long)})
+		time.Sleep(150 * time.Millisecond) // it is written, as far as the client's kernel takes it, and the connection closed
+		got := slow.answer()
+		tr.add("%s: whole %v", c.name, strings.Contains(got, long+`" close`) && strings.HasPrefix(got, "200"))
+		in.InService()
+	}
+	refused := slowReader(t, at)
+	io.WriteString(refused, "POST /pay HTTP/1.1\r\n"+longFields+"Content-Length: 40000000\r\n\r\n")
+	for piece := strings.Repeat("z", 16<<10); ; {
+		refused.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		if _, err := io.WriteString(refused, piece); err != nil {
+			tr.add("the refused body is taken no more: %v", strings.Contains(err.Error(), "i/o timeout"))
+			break
+		}
+	}
+	tr.add("its refusal: %s", refused.answer())
+	tr.same(t, `
+nothing: whole true
+half a line: whole true
+a long message: whole true
+the refused body is taken no more: true
+its refusal: 413 "Request Entity Too Large" close
+`)
+}
+
+// A visit is sent ahead of another's answer. That is written when it is there, not with the answer to the one behind it.
+func TestAnswerAheadOfTheNext(t *testing.T) {
+	var tr trace
+	held := make(chan *exchange.Exchange, 2)
+	_, at := listen(t, berth(t, patient("")), 9, taker{&tr, func(x *exchange.Exchange) { held <- x }}, &counters.Sheet{})
+	for _, body := range []string{"Content-Length: 1\r\n\r\nx", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"} {
+		c := dial(t, at)
+		visit := "POST /pay HTTP/1.1\r\n" + longFields + body
+		io.WriteString(c, visit+visit)
+		deliver(<-held)
+		second := <-held
+		tr.add("%q, the first while the second is held: %s", body[:5], c.answer())
+		deliver(second)
+		tr.add("the second: %s", c.answer())
+	}
+	tr.same(t, `
+"Conte", the first while the second is held: 200 "done"
+the second: 200 "done"
+"Trans", the first while the second is held: 200 "done"
+the second: 200 "done"
+`)
+}
+
+// All places are taken, clients wait in the backlog with their visits sent, and a stop begins. The visit that is held is
+// answered only after the time for newcomers; then each of those that waited has its answer too.
+func TestStopWithABacklog(t *testing.T) {
+	var tr trace
+	held := make(chan *exchange.Exchange, 1)
+	in, at := listen(t, berth(t, patient("")), 1, taker{&tr, holding(held)}, &counters.Sheet{})
+	first := dial(t, at)
+	io.WriteString(first, "GET /look HTTP/1.1\r\n"+longFields+"X-Retried: 1\r\n\r\n")
+	x := <-held
+	var waiting []*client
+	for i := range 4 {
+		waiting = append(waiting, dial(t, at))
+		io.WriteString(waiting[i], "GET /look HTTP/1.1\r\n"+longFields+"\r\n")
+	}
+	stopped := make(chan bool)
+	go func() { in.Stop(); close(stopped) }()
+	time.Sleep(time.Second)
+	deliver(x)
+	tr.add("held: %s", first.answer())
+	first.Close()
+	for _, c := range waiting {
+		tr.add("waited: %s", c.answer())
+		c.Close()
+	}
+	<-stopped
+	_, err := net.Dial("tcp", at)
+	tr.add("after the end: %v", err != nil)
+	tr.same(t, `
+held: 200 "done" close
+waited: 200 "done" close
+waited: 200 "done" close
+waited: 200 "done" close
+waited: 200 "done" close
+after the end: true
+`)
+}
+
+// A client comes late in a stop and is silent; the sidecar closes its connection, and just then its visit crosses. It comes again
+// on a new one, and is answered.
+func TestStopCrossing(t *testing.T) {
+	for try := 0; ; try++ {
+		var tr trace
+		in, at := listen(t, berth(t, patient("")), 9, taker{&tr, deliver}, &counters.Sheet{})
+		stopped := make(chan bool)
+		go func() { in.Stop(); close(stopped) }()
+		until(t, "it stops", func() bool { return !in.Ready() })
+		time.Sleep(350 * time.Millisecond)
+		c := dial(t, at)
+		end := c.answer()
+		closed := time.Now()
+		io.WriteString(c, "GET /look HTTP/1.1\r\n"+longFields+"\r\n")
+		again, err := net.Dial("tcp", at)
+		late := time.Since(closed) > 30*time.Millisecond
+		if err != nil {
+			tr.add("again: refused")
+		} else {
+			tr.add("closed: %s, again: %s", end, dialled(again).ask("GET /look HTTP/1.1\r\n"+longFields+"\r\n"))
+			again.Close()
+		}
+		<-stopped
+		if late && try < 20 { // a machine that was held up tells nothing
+			continue
+		}
+		tr.same(t, `
+closed: unexpected EOF, again: 200 "done" close
+`)
+		return
+	}
+}
+
+// A stop comes while a visit is out whose client would wait for long. The process may be killed before that: the visit gets its
+// answer while there is time, and nothing is sent for it any more.
+func TestStopEndsWhatIsOut(t *testing.T) {
+	var tr trace
+	release := make(chan bool)
+	s := serveFake(t, func(n int, path string) string {
+		<-release
+		return "!"
+	})
+	b := berth(t, patient(here(s)))
+	counts := &counters.Sheet{}
+	_, in, at := startedIn(t, b, 9, counts, zerolog.Nop())
+	c := dial(t, at)
+	io.WriteString(c, "GET /look HTTP/1.1\r\n"+longFields+"\r\n")
+	until(t, "the server has it", func() bool { return s.count() == 1 })
+	began, stopped := time.Now(), make(chan bool)
+	go func() { in.Stop(); close(stopped) }()
+	tr.add("answer: %s", c.answer())
+	tr.add("long before its client would go: %v", time.Since(began) < 15*time.Second)
+	c.Close()
+	<-stopped
+	release <- true
+	time.Sleep(200 * time.Millisecond)
+	tr.add("fetches %d, faults %d", s.count(), counts[counters.Faults].Load())
+	tr.same(t, `
+answer: 502 "no answer from the servers" close
+long before its client would go: true
+fetches 1, faults 0
+`)
+}
+
+// A server gives a second answer some milliseconds after its first. The visit that comes in between does not get it.
+func TestSecondAnswer(t *testing.T) {
+	var tr trace
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := dialled(c).in
+				for {
+					path := ""
+					for line := "x"; strings.TrimSpace(line) != ""; {
+						if line, err = in.ReadString('\n'); err != nil {
+							return
+						}
+						if first, rest, _ := strings.Cut(line, " "); first == "GET" {
+							path, _, _ = strings.Cut(rest, " ")
+						}
+					}
+					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
+					io.WriteString(c, answer)
+					if path == "/twice" {
+						time.Sleep(5 * time.Millisecond)
+						io.WriteString(c, answer)
+					}
+				}
+			}()
+		}
+	}()
+	o := reach(10*second, 9, &counters.Sheet{})
+	for range 5 {
+		tr.add("%s", fetch(o, "/twice", ln.Addr().String(), second, nothing))
+		next := fetch(o, "/next", ln.Addr().String(), second, nothing)
+		tr.add("its own: %v", strings.Contains(next, `"/next"`))
+		time.Sleep(40 * time.Millisecond)
+	}
+	for i, line := range tr.lines {
+		tr.lines[i] = strings.Replace(line, "reused=true", "reused=false", 1)
+	}
+	tr.same(t, strings.Repeat("delivered reused=false \"/twice\" <nil>\nits own: true\n", 5))
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -38,7 +38,8 @@
 	Left, Effort brain.Micros
 	Again        bool
 
-	Upload *Upload // a body too long to be held, on its way; nil: the body is here
+	Upload *Upload     // a body too long to be held, on its way; nil: the body is here
+	Gone   func() bool // tells whether the client has closed its connection, as far as that shows at once; nil: nobody can tell
 
 	head, body []byte   // what goes on, but for the time-out and the end of the head
 	long       [][]byte // a long body, or its beginning, in pieces; body is empty then
@@ -103,6 +104,13 @@
 	return append(out, x.body...), x.long
 }
 
+// Wanted tells whether an answer is still waited for. Guards against a fetch that begins for a client that has gone, or after the
+// visit's end, while word of it is on its way.
+func (x *Exchange) Wanted() bool { return !x.Over() && (x.Gone == nil || !x.Gone()) }
+
+// Over tells whether it has its answer, or needs none.
+func (x *Exchange) Over() bool { return x.settled.Load() }
+
 // Done is closed when the answer is there.
 func (x *Exchange) Done() <-chan struct{} { return x.done }
 
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -172,6 +173,10 @@
 		return false
 	}
 	in.listener.Next(ctx.Conn(), ahead)
+	// Guards against an answer that waits in a buffer until the visit that was sent ahead has its own: so it is written at once.
+	if ahead > 0 || m.body.Chunked {
+		ctx.SetWriteDeadline(time.Now().Add(places.LastWord))
+	}
 	return true
 }
 
--- a/internal/inbound/duty.go
+++ b/internal/inbound/duty.go
@@ -23,10 +23,12 @@
 const (
 	newcomers  = 500 * time.Millisecond // new connections may come for so long after clients were sent away
 	partingFor = newcomers / 2          // idle connections are left alone for so long: their clients may be about to write
-	partingAll = 3 * newcomers          // from then on those go too that were idle only for a moment
+	partingAll = 3 * newcomers          // from then on those go too that were idle only for a moment; at a stop, after newcomers
 	look       = newcomers / 20         // idle connections are looked through so often
 	moment     = 4 * look
-	lastAnswer = 100 * time.Millisecond // a stop waits for so long beyond the longest client timeout
+	crossing   = 2 * moment             // whoever finds its connection closed under a visit may come again for so long
+	lastAnswer = 100 * time.Millisecond // a stop waits for so long beyond the longest client timeout,
+	longest    = 3 * time.Second        // of which no more than this counts: the process may be killed then
 	lastStream = 20 * time.Second       // or for so long, where answers are still being passed on
 )
 
@@ -61,7 +63,7 @@
 func (in *Inbound) OutOfService() {
 	if turn := in.post.turn(outOfService); turn > 0 {
 		in.log.Info().Msg("out of service")
-		go in.part(turn)
+		go in.part(turn, partingAll)
 	}
 }
 
@@ -81,13 +83,13 @@
 
 // part closes idle connections as long as this turn of duty goes on: first those that have been idle for a while, so
 // that few clients find theirs closed under a visit, then all. Guards against clients that hold a connection for ever.
-func (in *Inbound) part(turn int) {
+func (in *Inbound) part(turn int, all time.Duration) {
 	for {
 		since, now := in.post.is()
 		switch {
 		case now != turn:
 			return
-		case since >= partingAll:
+		case since >= all:
 			in.listener.EvictIdle(moment)
 		case since >= partingFor:
 			in.listener.EvictIdle(partingFor)
@@ -103,14 +105,28 @@
 	if turn == 0 {
 		return
 	}
-	go in.part(turn)
-	time.Sleep(newcomers)
-	in.listener.Close()
-	visits := newcomers + time.Duration(in.longest)*time.Microsecond + lastAnswer
-	for {
-		if since, _ := in.post.is(); in.listener.Here() == 0 || since > visits && in.streams.Load() == 0 || since > lastStream {
+	go in.part(turn, newcomers)
+	// Guards against closing the door on a client whose connection was closed under its visit a moment ago: it comes again.
+	for quiet := time.Now(); ; time.Sleep(look) {
+		since, _ := in.post.is()
+		if !in.listener.Quiet() {
+			quiet = time.Now()
+		}
+		if since >= newcomers && time.Since(quiet) >= moment || since >= newcomers+crossing {
+			break
+		}
+	}
+	finished := in.listener.Finish()
+	visits := newcomers + min(time.Duration(in.longest)*time.Microsecond, longest) + lastAnswer
+	for ended := false; ; {
+		since, _ := in.post.is()
+		if finished() && in.listener.Here() == 0 || since > visits && in.streams.Load() == 0 || since > lastStream {
 			break
 		}
+		if !ended && since > visits-lastAnswer/2 { // what has no answer by now would be killed with the process
+			ended = true
+			close(in.expired)
+		}
 		time.Sleep(look)
 	}
 	ctx, done := context.WithTimeout(context.Background(), lastAnswer)
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -17,12 +17,15 @@
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/peek"
 	"ledgespread/internal/places"
 	"ledgespread/internal/site"
 )
 
 const (
-	quickParts  = 32                        // a visit not answered in this part of its time has its client looked after
+	gone        = 100 * time.Millisecond    // nothing begins for a client that has gone for so long
+	quickParts  = 32                        // a visit not answered in this part of its time has its client looked after,
+	lookBy      = gone / 4                  // or by then
 	overdue     = 5 * time.Millisecond      // after the client timeout a visit is answered without the module
 	buffers     = exchange.MostHead + 4<<10 // bytes of a connection's, and the part of the memory that all may take
 	buffersPart = 8
@@ -47,8 +50,9 @@
 	longest  brain.Micros // client timeout
 	ticks    ticks
 	post     post
-	streams  atomic.Int64 // long answers that are being passed on
-	room     atomic.Int64 // bytes that long bodies may still take while they are held
+	expired  chan struct{} // closed when a stop can wait no longer for answers
+	streams  atomic.Int64  // long answers that are being passed on
+	room     atomic.Int64  // bytes that long bodies may still take while they are held
 	accounts *counters.Accounts
 	mostHeld int64       // of the room, by one body
 	More     io.WriterTo // counters that stand behind this sidecar's own; nil: there are none
@@ -65,7 +69,7 @@
 	}
 	in := &Inbound{visits: visits, prefixes: b.Places("path_prefixes"), realms: b.Places("realms"),
 		tagged: map[int]bool{}, readLike: map[int]bool{}, counts: counts, log: log,
-		listener: places.New(ln, most, counts, log)}
+		expired: make(chan struct{}), listener: places.New(ln, most, counts, log)}
 	names := make([]string, len(in.prefixes))
 	for name, i := range in.prefixes {
 		names[i] = name
@@ -76,7 +80,7 @@
 	in.mostHeld = in.room.Load() / heldPart
 	in.accounts = counters.NewAccounts(names)
 	shortest, longest := b.Timeouts()
-	in.longest, in.ticks.every = longest, time.Duration(shortest)*time.Microsecond/quickParts/2
+	in.longest, in.ticks.every = longest, min(time.Duration(shortest)*time.Microsecond/quickParts, lookBy)/2
 	// Where memory is short heads may be half as long, and a buffer for writing is given back between visits: that costs
 	// each visit a read.
 	buffer, short := exchange.MostHead, buffers*most > b.MemoryMB<<20/buffersPart
@@ -202,7 +206,9 @@
 	}()
 	left := time.Duration(x.Left) * time.Microsecond
 	now := time.Now()
-	look, end := now.Add(left/quickParts), now.Add(left+overdue)
+	look, end := now.Add(min(left/quickParts, lookBy)), now.Add(left+overdue)
+	conn := ctx.Conn()
+	x.Gone = func() bool { return peek.Gone(conn) }
 	in.visits.Take(x)
 	if x.Upload != nil {
 		if !in.uploading(ctx, x) {
@@ -227,13 +233,18 @@
 	}
 	taken := time.NewTimer(time.Until(end))
 	defer taken.Stop()
-	gone, stop := places.Watch(ctx.Conn())
+	gone, stop := places.Watch(conn)
 	select {
 	case <-x.Done():
+	case <-in.expired: // it would be killed with the process
+		if x.Fail(exchange.Errored) {
+			in.visits.Left(x)
+		}
+		<-x.Done()
 	case <-gone:
 		in.counts.Add(counters.VisitsDropped)
+		x.Abandon() // at once: word of it waits for the module's turn
 		in.visits.Left(x)
-		x.Abandon()
 		stop()
 		abandon(ctx)
 		return
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -144,14 +144,16 @@
 		told = x.Upload.Patience
 	}
 	ask, body := x.Outgoing(told)
-	a, reused, load, err = o.once(f, be, address, until, outgoing{ask, body, x.Upload})
+	a, reused, load, err = o.once(f, be, address, until, outgoing{ask, body, x.Upload, x.Wanted})
 }
 
-// outgoing is what a fetch writes: its bytes, those of a long body, and what is still to come of it.
+// outgoing is what a fetch writes: its bytes, those of a long body, and what is still to come of it. wanted is asked last, before
+// the first byte.
 type outgoing struct {
 	head   []byte
 	body   [][]byte
 	upload *exchange.Upload
+	wanted func() bool
 }
 
 // once does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
@@ -219,6 +221,9 @@
 		}
 		return &Failure{Reach: reach, Cause: cause}
 	}
+	if !ask.wanted() {
+		f.off()
+	}
 	if f.ctx.Err() != nil {
 		return nil, nil, fail(errCalledOff)
 	}
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,18 +51,32 @@
 	counts *counters.Sheet
 }
 
-// take finds an idle connection, the one used last first. Guards against writing to one that the server has
-// closed, or is about to close.
+const (
+	settles     = 20 * time.Millisecond // what a server still says after its answer has come by then, and shows
+	settlesMost = 32                    // connections to a server that are spared for it
+)
+
+// take finds an idle connection, of those that have settled the one used last. Guards against writing to one that the server has
+// closed, or is about to close; and against a second answer some milliseconds after the first, which the next visit would get for
+// its own: it shows on a connection that had time to settle. Where many have not, the one that had most of it is taken, since
+// a busy server's connections would else be opened without end.
 func (p *pool) take(be brain.Backend, address string) *line {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
 		lines := p.idle[be]
-		if len(lines) == 0 {
+		i := len(lines) - 1
+		for i >= 0 && time.Since(lines[i].idle) < settles {
+			i--
+		}
+		if i < 0 && (len(lines) >= settlesMost || len(lines) > 0 && p.open >= p.most) {
+			i = 0
+		}
+		if i < 0 {
 			return nil
 		}
-		l := lines[len(lines)-1]
-		p.idle[be] = lines[:len(lines)-1]
+		l := lines[i]
+		p.idle[be] = slices.Delete(lines, i, i+1)
 		if l.address == address && time.Since(l.idle) < p.keep && l.alive() {
 			return l
 		}
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -4,6 +4,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what can be seen.
@@ -50,12 +52,38 @@
 }
 
 // Sent tells whether bytes have come that nobody read yet. Unlike Look it does not wait for a read that is under way.
-func Sent(c *net.TCPConn) (sent bool) {
-	if raw, err := c.SyscallConn(); err == nil {
-		raw.Control(func(fd uintptr) {
-			n, _ := first(fd)
-			sent = n > 0
-		})
-	}
+func Sent(c net.Conn) (sent bool) {
+	control(c, func(fd uintptr) {
+		n, _ := first(fd)
+		sent = n > 0
+	})
 	return sent
 }
+
+// Gone tells whether the other side has closed a connection, or broke it, as far as that shows without reading: not behind bytes
+// that nobody read yet. Like Sent it waits for nobody.
+func Gone(c net.Conn) (gone bool) {
+	control(c, func(fd uintptr) {
+		n, err := first(fd)
+		gone = n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return gone
+}
+
+// Shut tells the same behind bytes that nobody read yet, where the kernel tells.
+func Shut(c net.Conn) (shut bool) {
+	control(c, func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		shut = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return shut
+}
+
+func control(c net.Conn, do func(fd uintptr)) {
+	if socket, ok := c.(syscall.Conn); ok {
+		if raw, err := socket.SyscallConn(); err == nil {
+			raw.Control(do)
+		}
+	}
+}
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -5,7 +5,10 @@
 	"cmp"
 	"errors"
 	"net"
+	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,6 +28,8 @@
 
 	Patience time.Duration // a newcomer's first message is let come for so long, whoever else waits
 
+	finishing, finished atomic.Bool
+
 	mu   sync.Mutex
 	here map[*client]bool
 	idle int // of these
@@ -38,6 +43,7 @@
 	bringing              // part of its first message
 	carrying              // a visit
 	idle                  // none, after one
+	closing               // no more: its sending half is shut, see linger
 )
 
 // LastWord is how soon a message's head, and what is short of its body, is to be there after its client came, or its first
@@ -55,18 +61,29 @@
 	pause       = time.Millisecond // between two reads of a body: its client is not to blame for more
 
 	deadlinePart = 8 // a read may end by this part earlier or later than its deadline
+
+	lingers    = LastWord / 8 // a connection that this side shut is read for so long, and what comes is dropped,
+	lingerMost = 256 << 10    // up to so many bytes
+	lingered   = 2 * lookAway // from then on it goes first where others wait for a place
+	aheadMost  = 16 << 10     // bytes of next messages that are taken in while a visit is out
+	aheadPiece = 1 << 10
 )
 
-// client is an accepted connection. Closing it frees its place.
+// client is an accepted connection. It frees its place once it is closed, which takes a moment: see Close.
 type client struct {
 	*net.TCPConn
 	leave func()
+	parts func() // books that it lingers
+	close sync.Once
+	shut  atomic.Bool // this side said its last word: what is still read counts for nothing
 	came  time.Time
-	bytes int  // read since the last whole message
-	known bool // it has brought one
+	bytes int    // read since the last whole message
+	known bool   // it has brought one
+	ended bool   // the other side has closed it, or it broke
+	ahead []byte // what Watch read of next messages
 
 	readBy, wantBy, writeBy time.Time // deadlines that are set, and the one to be when it is next read
-	lastBy, read            time.Time // a message's deadline, if it is short; when it was last read
+	lastBy, readAt          time.Time // a message's deadline, if it is short; when it was last read
 	last                    []byte    // what was read last
 
 	// Under the listener's lock:
@@ -75,12 +92,62 @@
 	since   time.Time
 }
 
-func (c *client) Close() error {
-	c.leave()
-	return c.TCPConn.Close()
+// Close ends a connection whose other side has ended. Else it shuts the sending half, and lets the rest come for a while.
+func (c *client) Close() (err error) {
+	c.close.Do(func() {
+		if c.ended || !c.half() {
+			c.leave()
+			err = c.TCPConn.Close()
+			return
+		}
+		c.parts()
+		c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // whoever still reads has it end
+		go c.linger()
+	})
+	return err
+}
+
+// half shuts the sending half: what was written before still arrives, and then the end.
+func (c *client) half() bool {
+	c.shut.Store(true)
+	return c.CloseWrite() == nil
+}
+
+// linger reads what still comes, and drops it, until the other side closes too. Guards against a close over bytes that nobody
+// read, of a message sent ahead or the rest of a body: it resets the connection, and an answer that was already written is lost. One
+// that goes on sending is no longer read, but still has its time to find the answer.
+func (c *client) linger() {
+	defer c.TCPConn.Close()
+	defer c.leave()
+	end := time.Now().Add(lingers)
+	c.TCPConn.SetReadDeadline(end)
+	drop := make([]byte, aheadPiece)
+	for n := 0; n < lingerMost; {
+		came, err := c.TCPConn.Read(drop)
+		if err != nil {
+			return
+		}
+		n += came
+	}
+	time.Sleep(time.Until(end))
 }
 
 func (c *client) Read(p []byte) (n int, err error) {
+	if n, err = c.read(p); c.shut.Load() { // guards against taking in what came after the last word
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *client) read(p []byte) (n int, err error) {
+	if len(c.ahead) > 0 {
+		n = copy(p, c.ahead)
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+		c.bytes, c.last = c.bytes+n, p[:n]
+		return n, nil
+	}
 	if !c.wantBy.IsZero() {
 		if slack := time.Until(c.wantBy) / deadlinePart; c.readBy.Before(c.wantBy.Add(-slack)) || c.readBy.After(c.wantBy.Add(slack)) {
 			c.readBy = c.wantBy
@@ -94,16 +161,22 @@
 	n, err = c.TCPConn.Read(p)
 	c.bytes, c.last = c.bytes+n, p[:n]
 	if c.bytes > short {
-		c.read = time.Now()
+		c.readAt = time.Now()
 	}
+	c.ends(err)
 	return n, err
 }
 
+// ends notes that nothing more can come.
+func (c *client) ends(err error) {
+	c.ended = c.ended || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // moveOn gives a long body the time that it needs at the slowest rate, and what it was kept waiting. Guards against cutting
 // off clients that are merely slow, and against those that bring a byte at a time.
 func (c *client) moveOn() {
 	now := time.Now()
-	if kept := now.Sub(c.read); !c.read.IsZero() && kept > pause {
+	if kept := now.Sub(c.readAt); !c.readAt.IsZero() && kept > pause {
 		c.lastBy = c.lastBy.Add(kept)
 	}
 	if by := c.lastBy.Add(time.Duration(c.bytes) * time.Second / slowestRate); by.After(c.readBy.Add(lateBy)) {
@@ -116,7 +189,7 @@
 // saying nothing, or a byte at a time. A later message's is set when the connection is next read, if it differs by
 // more than a part: most messages are whole by then, and a busy client's connection is told once for many.
 func (c *client) SetReadDeadline(t time.Time) error {
-	c.read = time.Time{}
+	c.readAt = time.Time{}
 	if last := c.came.Add(LastWord); !c.known && (t.IsZero() || t.After(last)) {
 		t = last
 	} else if c.known && time.Until(t) > 0 {
@@ -136,12 +209,11 @@
 	return c.TCPConn.SetWriteDeadline(t)
 }
 
-// evict closes a connection for good; the listener's lock is held, so that whoever finds it evicted also
-// finds it closed. Guards against an empty answer to a visit that came just then. Close is still to be
-// called.
+// evict shuts a connection for good; the listener's lock is held, so that whoever finds it evicted also finds that nothing can
+// be written to it any more. Guards against an empty answer to a visit that came just then. Close is still to be called.
 func (c *client) evict() {
 	c.evicted = true
-	c.TCPConn.Close()
+	c.half()
 }
 
 // New makes a listener with so many places.
@@ -150,11 +222,24 @@
 		here: map[*client]bool{}}
 }
 
+// Finish has the listener close once nobody waits at it any more. Guards against resetting clients that came before the close,
+// and that a sidecar short of its part of the core did not get round to accept.
+func (l *Listener) Finish() (finished func() bool) {
+	l.finishing.Store(true)
+	l.SetDeadline(time.Unix(1, 0)) // ends an accept that waits
+	return l.finished.Load
+}
+
 // Accept waits for a place and a connection. Guards against the end of the server by a failed accept, and
 // against spinning on it: for want of descriptors, or over a connection that broke in the backlog, it waits
 // a little.
 func (l *Listener) Accept() (net.Conn, error) {
+	nobody := 0
 	for wait := time.Millisecond; ; wait = min(2*wait, 100*time.Millisecond) {
+		finishing := l.finishing.Load()
+		if finishing {
+			l.SetDeadline(time.Now().Add(lookAway))
+		}
 		tcp, err := l.AcceptTCP()
 		if err == nil {
 			l.counts.Add(counters.ClientConnections)
@@ -163,6 +248,16 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// One that was due before it began has not looked: it takes two in a row.
+			if nobody++; finishing && nobody > 2 {
+				l.Close()
+				l.finished.Store(true)
+				return nil, net.ErrClosed
+			}
+			wait = time.Millisecond / 2
+			continue
+		}
 		l.counts.Add(counters.AcceptFailures)
 		if wait == time.Millisecond {
 			l.log.Warn().Err(err).Msg("accept failed")
@@ -193,10 +288,16 @@
 	c.leave = sync.OnceFunc(func() {
 		l.mu.Lock()
 		delete(l.here, c)
-		l.puts(c, carrying) // no longer idle
+		l.puts(c, closing) // no longer idle
 		l.mu.Unlock()
 		<-l.places
 	})
+	c.parts = func() {
+		l.mu.Lock()
+		l.puts(c, closing)
+		c.since = time.Now()
+		l.mu.Unlock()
+	}
 	l.mu.Lock()
 	l.here[c] = true
 	l.mu.Unlock()
@@ -224,9 +325,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case !l.here[c]: // it has left: counted as idle it would be so for ever
+	case !l.here[c] || c.at == closing: // it has left: counted as idle it would be so for ever
 	case state == fasthttp.StateIdle:
-		l.puts(c, idle)
+		if l.puts(c, idle); c.bytes > 0 || len(c.ahead) > 0 {
+			l.puts(c, bringing) // part of its next message is here
+		}
 		c.since = time.Now()
 	case c.at == idle:
 		l.puts(c, carrying)
@@ -245,8 +348,10 @@
 	c.known = true
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.puts(c, carrying)
-	return !c.evicted
+	if c.at != closing {
+		l.puts(c, carrying)
+	}
+	return !c.evicted && !c.shut.Load()
 }
 
 // Plain answers with a line of text.
@@ -280,45 +385,65 @@
 // Next books that a message is over, and that so many bytes of the next one have been read.
 func (l *Listener) Next(conn net.Conn, ahead int) {
 	if c, ok := conn.(*client); ok {
-		c.bytes, c.last, c.read = ahead, nil, time.Time{}
+		c.bytes, c.last, c.readAt = ahead, nil, time.Time{}
 	}
 }
 
-// evictOne closes a connection that carries nothing: the one that has been idle for longest, if it may go; else
-// the newcomer that has said nothing for longest; else the one that brings its first message for longest, if that
-// is slow; else any that is idle. Guards against silent clients that lock out others, and clients that ask once and
-// stay, hundreds a second: waiting until they may go would let in only so many as there are places.
+// evictOne closes a connection that carries nothing: one that lingers, if it had its moment; the one that has been idle for
+// longest, if it may go; else the newcomer that has said nothing for longest; else the one that brings its first message for longest, if
+// that is slow; else any that is idle. Where one lingers, that moment is waited for first. Guards against silent clients that lock out
+// others, and clients that ask once and stay, hundreds a second: waiting until they may go would let in only so many as there are
+// places. One whose client has sent what nobody read yet stays: it carries something.
 func (l *Listener) evictOne() bool {
 	now := time.Now()
-	old, slow := now.Add(-mayGo), now.Add(-l.Patience)
+	old, slow, had := now.Add(-mayGo), now.Add(-l.Patience), now.Add(-lingered)
 	l.mu.Lock()
-	var out [4]*client
+	var out [5]*client
+	soon := false
 	for c := range l.here {
 		rank := -1
 		switch {
+		case c.at == closing:
+			if rank = 0; !c.since.Before(had) {
+				soon = true
+				continue
+			}
+		case c.evicted || c.at == carrying:
+			continue
 		case c.at == idle && c.since.Before(old):
-			rank = 0
-		case c.at == silent:
 			rank = 1
-		case c.at == bringing && c.since.Before(slow):
+		case c.at == silent:
 			rank = 2
-		case c.at == idle:
+		case c.at == bringing && c.since.Before(slow):
 			rank = 3
+		case c.at == idle:
+			rank = 4
 		}
-		if rank >= 0 && !c.evicted && (out[rank] == nil || c.since.Before(out[rank].since)) {
+		if rank < 0 || out[rank] != nil && !c.since.Before(out[rank].since) {
+			continue
+		}
+		if rank == 0 || rank == 3 || !peek.Sent(c.TCPConn) {
 			out[rank] = c
 		}
 	}
-	chosen := cmp.Or(out[0], out[1], out[2], out[3])
+	if soon {
+		out[2], out[3], out[4] = nil, nil, nil
+	}
+	chosen := cmp.Or(out[0], out[1], out[2], out[3], out[4])
 	if chosen != nil {
+		if chosen.at != closing {
+			l.counts.Add(counters.ClientsEvicted)
+		}
 		chosen.evict()
 	}
 	l.mu.Unlock()
-	if chosen != nil {
-		l.counts.Add(counters.ClientsEvicted)
-		chosen.Close()
+	if chosen == nil {
+		return false
 	}
-	return chosen != nil
+	chosen.close.Do(func() {}) // its place is wanted now: no lingering
+	chosen.leave()
+	chosen.TCPConn.Close()
+	return true
 }
 
 // Crowded tells whether idle connections take more than half of the places. Guards against clients that ask once and
@@ -357,19 +482,77 @@
 	return len(l.here)
 }
 
-// Watch tells when the other side closes its connection, and eats no byte of a next visit. stop ends the
-// watch; nothing reads the connection meanwhile.
-func Watch(c net.Conn) (gone <-chan struct{}, stop func()) {
-	closed, over := make(chan struct{}), make(chan struct{})
+// Quiet tells whether no connection is here that carries nothing and was not ended.
+func (l *Listener) Quiet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.here {
+		if (c.at == idle || c.at == silent) && !c.evicted {
+			return false
+		}
+	}
+	return true
+}
+
+// Watch tells when the other side closes its connection. Bytes that come are a visit sent ahead, whose client is there: they are
+// kept for whoever reads next, up to a bound, since the end is seen only behind them. stop ends the watch; nothing reads the
+// connection meanwhile.
+func Watch(conn net.Conn) (gone <-chan struct{}, stop func()) {
+	closed, over, enough := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(over)
-		if peek.Look(c, true) == peek.Closed { // bytes are a visit sent ahead: its client is there
-			close(closed)
+		for {
+			switch peek.Look(conn, true) {
+			case peek.Closed:
+				if c, ok := conn.(*client); ok {
+					c.ended = true
+				}
+				close(closed)
+				return
+			case peek.Waiting:
+				if c, ok := conn.(*client); ok && len(c.ahead) < aheadMost {
+					c.readAhead()
+					continue
+				}
+				if ended(conn, enough) {
+					close(closed)
+				}
+				return
+			default:
+				return
+			}
 		}
 	}()
 	return closed, func() {
-		c.SetReadDeadline(time.Unix(1, 0))
+		close(enough)
+		conn.SetReadDeadline(time.Unix(1, 0))
 		<-over
-		c.SetReadDeadline(time.Time{})
+		conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// readAhead takes in some of what has come.
+func (c *client) readAhead() {
+	n := len(c.ahead)
+	c.ahead = slices.Grow(c.ahead, aheadPiece)
+	came, err := c.TCPConn.Read(c.ahead[n : n+aheadPiece])
+	c.ahead = c.ahead[:n+came]
+	c.ends(err)
+}
+
+// ended looks now and then whether the other side has closed a connection on which more has come than is taken in; it ends with
+// enough.
+func ended(conn net.Conn, enough <-chan struct{}) bool {
+	every := time.NewTicker(lookAway)
+	defer every.Stop()
+	for {
+		select {
+		case <-enough:
+			return false
+		case <-every.C:
+			if peek.Shut(conn) {
+				return true
+			}
+		}
 	}
 }
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -10,6 +10,9 @@
 // Take takes a visit in; its answer comes by the exchange object.
 func (r *Relay) Take(x *exchange.Exchange) {
 	r.post(func() {
+		if x.Over() { // its client left while it waited for the module's turn
+			return
+		}
 		// Guards against a stranger who gets another client's answer, and a server that sees a second copy. A name
 		// is new with every visit, so it is still taken until its visit's time is up, also once that is answered.
 		if r.names.taken(x.Name, r.now) || r.rare[x.Name] {
@@ -92,7 +95,7 @@
 	v.out++
 	to, known := r.servers[be]
 	once := v.x.Upload != nil && no > 0 // what has been taken of its body is gone
-	if v.ended || left <= 0 || int(no) >= r.mostOut || !known || once {
+	if v.ended || left <= 0 || v.x.Over() || int(no) >= r.mostOut || !known || once {
 		v.flights = append(v.flights, nil)
 		r.later(func() { r.ended(v, no, brain.NeverSent, 0, nil, nil) })
 		return
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -98,9 +98,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	return &client{c, bufio.NewReader(c)}
+	return dialled(c)
 }
 
+func dialled(c net.Conn) *client { return &client{c, bufio.NewReader(c)} }
+
 // answer tells the next answer, with what the test cares for.
 func (c *client) answer() string {
 	c.SetReadDeadline(time.Now().Add(5 * time.Second))
@@ -393,13 +395,19 @@
 func started(t *testing.T, b *site.Berth, most int, log zerolog.Logger) (*relay.Relay, string, *counters.Sheet) {
 	t.Helper()
 	counts := &counters.Sheet{}
+	r, _, at := startedIn(t, b, most, counts, log)
+	return r, at, counts
+}
+
+func startedIn(t *testing.T, b *site.Berth, most int, counts *counters.Sheet, log zerolog.Logger) (*relay.Relay, *inbound.Inbound, string) {
+	t.Helper()
 	r, err := relay.New(b, most, reach(10*second, 9, counts), nil, counts, log)
 	if err != nil {
 		t.Fatal(err)
 	}
 	go r.Run()
-	_, at := listen(t, b, 9, r, counts)
-	return r, at, counts
+	in, at := listen(t, b, 9, r, counts)
+	return r, in, at
 }
 
 // The module's answers reach the client: deliveries, free and charged retries, and the two that end a visit.
