A connection to a server settles for 10 ms, and is waited for, not replaced

Change: of the idle ones that have settled the one used last is taken, else the one that needs least, after its rest. TestSecondAnswer still fails without the rest.

--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -51,38 +51,43 @@
 	counts *counters.Sheet
 }
 
-const (
-	settles     = 20 * time.Millisecond // what a server still says after its answer has come by then, and shows
-	settlesMost = 32                    // connections to a server that are spared for it
-)
+// settles is how long a server's last word may be late: some milliseconds, by the platform's page.
+const settles = 10 * time.Millisecond
 
-// take finds an idle connection, of those that have settled the one used last. Guards against writing to one that the server has
-// closed, or is about to close; and against a second answer some milliseconds after the first, which the next visit would get for
-// its own: it shows on a connection that had time to settle. Where many have not, the one that had most of it is taken, since
-// a busy server's connections would else be opened without end.
+// take finds an idle connection. Guards against writing to one that the server has closed, or is about to close; and against
+// a second answer some milliseconds after the first, which the next visit would get for its own: it shows on a connection that
+// had time to settle, which is waited for.
 func (p *pool) take(be brain.Backend, address string) *line {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	for {
-		lines := p.idle[be]
-		i := len(lines) - 1
-		for i >= 0 && time.Since(lines[i].idle) < settles {
-			i--
-		}
-		if i < 0 && (len(lines) >= settlesMost || len(lines) > 0 && p.open >= p.most) {
-			i = 0
-		}
-		if i < 0 {
+		l := p.next(be)
+		if l == nil {
 			return nil
 		}
-		l := lines[i]
-		p.idle[be] = slices.Delete(lines, i, i+1)
+		time.Sleep(settles - time.Since(l.idle))
 		if l.address == address && time.Since(l.idle) < p.keep && l.alive() {
 			return l
 		}
 		p.counts.Add(counters.ConnectionsStale)
-		p.shut(l)
+		l.Close()
+		p.closed()
+	}
+}
+
+// next takes out of the idle connections, of those that have settled, the one used last; if none has, the one that needs least.
+func (p *pool) next(be brain.Backend) (l *line) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lines := p.idle[be]
+	if len(lines) == 0 {
+		return nil
+	}
+	i := len(lines) - 1
+	for i > 0 && time.Since(lines[i].idle) < settles {
+		i--
 	}
+	l = lines[i]
+	p.idle[be] = slices.Delete(lines, i, i+1)
+	return l
 }
 
 // room books a new connection. Guards against running out of descriptors: at the bound the longest idle goes.
