After a call of the list that failed the next begins within 4.5 s, for any asking time

Cause: what discovery has counts as told 6 s after it could be reached, whatever went before. Seen by TestAskedAgain on the code before: from one call that fails to the next 11.3 s with 300 sidecars and an asking time of 10 s, 14.3 s where the call was given up after 3 s, 63 s with an asking time of 120 s (ListBegins: askWait grew to three quarters of the asking time, drawn up to half longer); a first call 15 s after the start (herd). Seen by TestAskedInTime: after a move whose first two calls fell silent nobody asked any more until the module did (follow returned); a busy service was left alone for 30 to 60 s with an asking time of 300 s (rest). Ruled out: pushed lists (asked on every quarter of the grace), silences (asked anew at once).

Change: the wait ends at the latest 4.5 s after the failed call began, three quarters of the page's clock; the start's herd and the rest at a busy service stay within it; calls that are not held wait for 3 s, no part of the asking time; a pause between two empty calls keeps a watch going.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,6 +21,7 @@
 	refill                        = 1.0        // tokens back for a first try delivered without a retry
 	fewRetries, retryShare        = 5.0, 0.2   // a full bucket: at least these retries; at most this of
 	retrySpan              Micros = 10_000_000 // the first tries of ten seconds
+	againBy                Micros = 4_500_000  // from a call of the list that failed to the next
 
 	memory, tellBeats     = 25.0, 10     // beats till sights fade to 1/e; between words to the ledger
 	firmness, enough      = 6.0, 32      // mean visits a server's pace is mixed with; answers worth trusting
@@ -197,7 +198,7 @@
 
 // herd is a span over which all sidecars' calls of the list are no herd.
 func (b *Balancer) herd() Micros {
-	return min(Micros(b.sidecars-1)*firstWait, b.span("obligations.ask_every_us")/4)
+	return min(Micros(b.sidecars-1)*firstWait, b.span("obligations.ask_every_us")/4, againBy*2/3)
 }
 
 // ListBegins opens the reading of a list; Listed tells its lines; ListEnds closes it.
@@ -205,10 +206,9 @@
 	b.now, b.news = now, news
 	if news == NoListCame {
 		// Guards against a herd at the list's service: come back later each time, and not all at once.
-		every := b.span("obligations.ask_every_us") / 4
-		b.askWait = min(max(2*b.askWait, 4*firstWait, b.herd()), max(every, min(3*b.herd(), 3*every)))
-		b.asked = 0
-		b.at(now+Micros(float64(b.askWait)*(0.5+b.chance())), func() {
+		every, left := b.span("obligations.ask_every_us")/4, againBy-(now-cmp.Or(b.asked, now))
+		b.asked, b.askWait = 0, min(max(2*b.askWait, 4*firstWait, b.herd()), max(every, min(3*b.herd(), 3*every)))
+		b.at(now+Micros(float64(min(b.askWait, left*2/3))*(0.5+b.chance())), func() {
 			if b.asked == 0 {
 				b.subscribe()
 			}
--- /dev/null
+++ b/brain/list_test.go
@@ -0,0 +1,47 @@
+package brain
+
+import "testing"
+
+// From a call of the list that failed to the next one there is time left for that one's answer, before what the list has counts as
+// told: six seconds, whatever the settings let a sidecar go without asking, and however many ask. So early, too, that of hundreds of calls
+// not all come in one second.
+func TestAskedAgain(t *testing.T) {
+	var all day
+	for _, every := range []Micros{2000 * ms, 10_000 * ms, 120_000 * ms} {
+		for _, many := range []float64{1, 300} {
+			for _, takes := range []Micros{0, min(3000*ms, every*3/10)} { // refused at once; given up
+				var latest, first Micros
+				inOne, seconds := 0, map[Micros]int{}
+				for seed := range uint64(100) {
+					d := beginAs(t, seed, site("all", "discovery", "on_request", "balancers", many, "me", 0.0, "obligations.ask_every_us",
+						float64(every)), "a b")
+					for call := range 12 {
+						from := d.now
+						for d.b.asked == 0 && d.now < from+60_000*ms {
+							d.pass(10 * ms)
+						}
+						switch asked := d.now; {
+						case call == 0:
+							first = max(first, asked-from)
+						default:
+							latest = max(latest, asked-from+takes)
+							if call == 6 {
+								seconds[(asked-1e9)/(1000*ms)]++
+							}
+						}
+						d.pass(takes)
+						d.b.ListBegins(d.now, NoListCame)
+						d.b.ListEnds(d.now)
+					}
+				}
+				for _, n := range seconds {
+					inOne = max(inOne, n)
+				}
+				all.say("asking time %d s, %.0f sidecars, a call fails after %d ms: the first comes within 3 s %v, the next begins within 4.5 s %v",
+					every/1000/ms, many, takes/ms, first <= 3000*ms, latest <= 4520*ms)
+				t.Logf("first %d ms, next %d ms, the seventh of 100: %d in one second", first/ms, latest/ms, inOne)
+			}
+		}
+	}
+	all.matches(t)
+}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -35,7 +35,7 @@
 	s := &service{address: address, lines: map[*line]bool{}}
 	s.client = &fasthttp.HostClient{Addr: address, MaxConns: 2 * steps, MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader: true, MaxResponseBodySize: w.most,
-		Dial: func(at string) (net.Conn, error) { return s.dial(at, w.late()) }}
+		Dial: func(at string) (net.Conn, error) { return s.dial(at, waitMost) }}
 	return s
 }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -22,23 +22,24 @@
 	silence = 6 * time.Second
 	beyond  = 2 * time.Second
 
-	holdMost = silence - beyond // held for longer, a call that falls silent late is found no sooner before its clock
-	lateMost = beyond / 4       // an answer is late by so much: its watch is silent. The rest of that is for asking anew
-	waitMost = silence / 2      // a call that is not held is waited for so long
-	holdLong = 2 * silence      // nor for longer than that at a service that is slow
-	slowFrom = lateMost / 2     // one that takes so long for a call that it holds none,
-	slowHold = 8                // is asked less often: a call is held for so many times that besides
-	spread   = 4                // a hold is shorter by up to this part, drawn: all watches may fall silent in one moment
+	holdMost = silence - beyond       // held for longer, a call that falls silent late is found no sooner before its clock
+	lateMost = beyond / 4             // an answer is late by so much: its watch is silent. The rest of that is for asking anew
+	waitMost = silence / 2            // a call that is not held is waited for so long
+	holdLong = 2 * silence            // nor for longer than that at a service that is slow
+	slowFrom = lateMost / 2           // one that takes so long for a call that it holds none,
+	slowHold = 8                      // is asked less often: a call is held for so many times that besides
+	spread   = 4                      // a hold is shorter by up to this part, drawn: all watches may fall silent in one moment
+	again    = silence * 3 / 4        // where a call failed the next begins so soon after it at the latest: the rest is for its answer
+	goesOn   = 200 * time.Millisecond // a watch goes on if the next call comes within that
 )
 
 // Parts of the time that the settings let a sidecar go without asking.
 const (
-	holdPart  = 0.5  // a call may be held for so long
-	gracePart = 0.3  // one that is not held is waited for so long
-	pacePart  = 0.01 // between two calls that bring nothing; the watch still goes on
-	busyPart  = 0.25 // a service that failed, and takes longer for one call of each sidecar, is busy
-	restPart  = 0.75 // from one call to the next at a busy service, at the longest
-	usual     = 10 * time.Second
+	holdPart = 0.5  // a call may be held for so long
+	pacePart = 0.01 // between two calls that bring nothing; the watch still goes on
+	busyPart = 0.25 // a service that failed, and takes longer for one call of each sidecar, is busy
+	restPart = 0.75 // from one call to the next at a busy service, at the longest
+	usual    = 10 * time.Second
 )
 
 // Where the list is pushed what discovery's agent has counts as told, a watch open or not.
@@ -90,9 +91,6 @@
 	return w
 }
 
-// late is how long an answer that is not held may take.
-func (w *Watcher) late() time.Duration { return min(w.part(gracePart), waitMost) }
-
 func (w *Watcher) part(of float64) time.Duration { return time.Duration(of * float64(w.every)) }
 
 // Watch begins a watch in place of the one that goes on. The first call asks for what is new by now and is
@@ -145,6 +143,7 @@
 		current, brought := w.news(at, round, list, err, asked)
 		w.log.Debug().Err(err).Int("round", round).Bool("current", current).Bool("brought", brought).Dur("hold", hold).
 			Dur("took", took).Time("began", began).Msg("discovery called")
+		pressed := pressing
 		pressing = errors.Is(err, errSilent)
 		switch {
 		case !current:
@@ -159,11 +158,15 @@
 			time.Sleep(w.step)
 			hold, asked = 0, true
 			continue
+		case err != nil && pressed && hold == 0 && took >= waitMost:
+			// It took the calls and answered none: asked on, since what it may have by now counts before the module asks again.
+			pressing, asked = true, false
+			continue
 		case err != nil:
 			return
 		case !brought && hold > 0:
 			// Guards against a service that answers at once, and nothing, for ever.
-			time.Sleep(max(0, w.part(pacePart)-time.Since(began)))
+			time.Sleep(max(0, min(w.part(pacePart), goesOn/2)-time.Since(began)))
 		}
 		asked = false
 		// Only after a call that began no watch: guards against resting from one, whose changes count as told meanwhile.
@@ -200,14 +203,14 @@
 func (w *Watcher) ask(at *service, hold time.Duration, pressing bool) (*List, error) {
 	switch {
 	case hold > 0:
-		return w.call(at, hold, hold+min(w.late(), lateMost))
+		return w.call(at, hold, hold+lateMost)
 	case w.again:
 		every := max(w.step, w.patience()/steps)
 		return w.abreast(at, every, steps*every, steps)
 	case pressing:
-		return w.abreast(at, w.soon(), w.late(), 2)
+		return w.abreast(at, w.soon(), waitMost, 2)
 	}
-	return w.call(at, 0, w.late())
+	return w.call(at, 0, waitMost)
 }
 
 // check asks beside a held call that follows a silence, unless that is answered soon: guards against two silences in a row, since
@@ -218,7 +221,7 @@
 	select {
 	case <-over:
 	case <-soon.C:
-		list, err := w.call(at, 0, w.late())
+		list, err := w.call(at, 0, waitMost)
 		if errors.Is(err, errSilent) {
 			err = errors.New("it answers nothing")
 		}
@@ -296,7 +299,7 @@
 	if !busy {
 		return 0
 	}
-	all = max(0, min(all, w.part(restPart)-took)) // counted from when it was called: the settings count so
+	all = max(0, min(all, w.part(restPart)-took, again-took)) // counted from when it was called: the settings count so
 	return all/2 + w.scattered(all/2)
 }
 
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -687,3 +687,61 @@
 lost, in the log: 1
 `)
 }
+
+// What discovery has counts before long, whatever the settings let a sidecar go without asking: where it was moved and both first calls
+// fell silent it is asked on; and one that was busy is not left alone for a part of a long asking time.
+func TestAskedInTime(t *testing.T) {
+	var tr trace
+	for _, c := range []struct {
+		name   string
+		every  brain.Micros
+		among  int
+		moved  bool
+		script func(n int) string
+		want   uint64
+	}{
+		{"moved, two calls silent", 300 * second, 1, true, func(n int) string {
+			return map[bool]string{true: "silence", false: listed(3, host)}[n <= 2]
+		}, 3},
+		{"busy, for many", 300 * second, 3000, false, func(n int) string {
+			if n == 1 {
+				return "!"
+			}
+			time.Sleep(40 * time.Millisecond)
+			return listed(40+n, host)
+		}, 43},
+	} {
+		s := serveFake(t, func(n int, _ string) string { return c.script(n) })
+		first := s
+		if c.moved {
+			first = serveFake(t, func(n int, _ string) string { return "silence" })
+		}
+		told := make(chan uint64, 99)
+		var w *discovery.Watcher
+		w = discovery.New(first.Addr().String(), map[string]int{"here": 0}, 41, c.every, c.among, 1<<20, 7, func(l *discovery.List) {
+			switch {
+			case l == nil && !c.moved:
+				go w.Watch()
+			case l != nil:
+				told <- l.Version
+			}
+		}, &counters.Sheet{}, zerolog.Nop())
+		if w.Watch(); c.moved {
+			first.asked(1)
+			w.Move(s.Addr().String())
+		}
+		late := time.After(20 * time.Second)
+		for version := uint64(0); version != c.want; {
+			select {
+			case version = <-told:
+			case <-late:
+				t.Fatalf("%s: told nothing after %d calls", c.name, s.count())
+			}
+		}
+		tr.add("%s: told %d", c.name, c.want)
+	}
+	tr.same(t, `
+moved, two calls silent: told 3
+busy, for many: told 43
+`)
+}
