--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -87,6 +87,9 @@
 		select {
 		case <-r.Listed():
 		case <-time.After(firstList):
+		case s := <-stop: // nobody was let in yet
+			log.Info().Stringer("signal", s).Msg("ended before it served")
+			return nil
 		}
 	}
 	if others != nil {
--- a/cmd/ledgespread/serve_test.go
+++ b/cmd/ledgespread/serve_test.go
@@ -28,6 +28,7 @@
 // TestMain is the program itself where a test starts it as such.
 func TestMain(m *testing.M) {
 	if os.Getenv("LEDGESPREAD_UNDER_TEST") != "" {
+		bound()
 		main()
 		os.Exit(0)
 	}
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -87,11 +88,12 @@
 	bad := func(status int, fault string) (*exchange.Exchange, int, string) { return nil, status, fault }
 	path, _, _ := bytes.Cut(m.target[1:], []byte("?"))
 	first, _, _ := bytes.Cut(path, []byte("/"))
-	on, known := in.prefixes[string(first)]
+	prefix := unescaped(string(first))
+	on, known := in.prefixes[prefix]
 	if !known {
 		return bad(fasthttp.StatusNotFound, "unknown path prefix")
 	}
-	if named := m.field[fieldPrefix]; named != "" && named != string(first) {
+	if named := m.field[fieldPrefix]; named != "" && named != string(first) && named != prefix {
 		return bad(fasthttp.StatusBadRequest, "X-Priority-Class names another path prefix")
 	}
 	if ctx.IsGet() != in.readLike[on] || !ctx.IsGet() && !ctx.IsPost() {
@@ -121,6 +123,15 @@
 	return x, 0, ""
 }
 
+// unescaped is the name that stands in a path, where it needs to be escaped there; guards against taking for a path prefix what a
+// server may read otherwise: one that is escaped without need stays as it is.
+func unescaped(segment string) string {
+	if name, err := url.PathUnescape(segment); err == nil && strings.EqualFold(url.PathEscape(name), segment) {
+		return name
+	}
+	return segment
+}
+
 // span reads a number and a unit, "480m" or "75000u". More than an hour is no client timeout.
 func span(text string) (brain.Micros, bool) {
 	number, milli := strings.CutSuffix(text, "m")
--- a/internal/places/places_test.go
+++ b/internal/places/places_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
@@ -90,3 +91,33 @@
 		t.Errorf("-kept +now:\n%s", diff)
 	}
 }
+
+// A newcomer finds no place. A client whose visit has come, though nothing was read of it, is not the one that goes; one that was ended and
+// lingers is, once it had its moment, and its place is free at once.
+func TestSentIsNotEvicted(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l := New(ln.(*net.TCPListener), 2, &counters.Sheet{}, zerolog.Nop())
+	var got []string
+	for range 2 {
+		other, c := connected(t, l)
+		other.Write([]byte("GET /look HTTP/1.1\r\n"))
+		for peek.Look(c, true) != peek.Waiting {
+			runtime.Gosched()
+		}
+		if got = append(got, fmt.Sprintf("evicted: %v", l.evictOne())); len(got) == 2 {
+			c.Close()
+		}
+	}
+	for end := time.Now().Add(20 * time.Second); !l.evictOne() && time.Now().Before(end); {
+		runtime.Gosched()
+	}
+	got = append(got, fmt.Sprintf("one that lingers went, %d here", l.Here()))
+	want := []string{"evicted: false", "evicted: false", "one that lingers went, 1 here"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -243,6 +243,43 @@
 `)
 }
 
+// A path prefix whose name has to be escaped in a path is known there by just that, and goes on as it came.
+func TestEscapedNames(t *testing.T) {
+	var tr trace
+	text := strings.Replace(configuration("", ""), `"name":"look"`, `"name":"look up/é"`, 1)
+	_, at := listen(t, berth(t, text), 9, taker{&tr, func(x *exchange.Exchange) {
+		first, _, _ := strings.Cut(string(outgoing(x)), "\r\n")
+		tr.add("%s, prefix %d", first, x.On)
+		deliver(x)
+	}}, &counters.Sheet{})
+	for _, path := range []string{"/look%20up%2F%C3%A9/x", "/look%20up%2f%c3%a9", "/look%20up/%C3%A9", "/l%6fok%20up%2F%C3%A9", "/b%6fok"} {
+		for _, named := range []string{"", "X-Priority-Class: look up/é\r\n", "X-Priority-Class: book\r\n"} {
+			tr.add("%s", dial(t, at).ask("GET "+path+" HTTP/1.1\r\n"+fields+named+"\r\n"))
+		}
+	}
+	tr.same(t, `
+GET /look%20up%2F%C3%A9/x HTTP/1.1, prefix 0
+200 "done"
+GET /look%20up%2F%C3%A9/x HTTP/1.1, prefix 0
+200 "done"
+400 "X-Priority-Class names another path prefix" close
+GET /look%20up%2f%c3%a9 HTTP/1.1, prefix 0
+200 "done"
+GET /look%20up%2f%c3%a9 HTTP/1.1, prefix 0
+200 "done"
+400 "X-Priority-Class names another path prefix" close
+404 "unknown path prefix" close
+404 "unknown path prefix" close
+404 "unknown path prefix" close
+404 "unknown path prefix" close
+404 "unknown path prefix" close
+404 "unknown path prefix" close
+404 "unknown path prefix" close
+404 "unknown path prefix" close
+404 "unknown path prefix" close
+`)
+}
+
 // What the decisions don't need goes on as the bytes that came; the answers of one side are those of the
 // other.
 func TestBytesThatGoOn(t *testing.T) {
