--- a/cmd/ledgespread/endings_test.go
+++ b/cmd/ledgespread/endings_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -31,8 +30,8 @@
 	away := free(t) // nobody is there yet
 	file, listen := patientFile(t, away, "on_request")
 	text, _ := os.ReadFile(file)
-	staff := free(t)
-	os.WriteFile(file, []byte(strings.Replace(string(text), `"name":"n0"`, `"name":"n0","console":"`+staff+`"`, 1)), 0o600)
+	console := free(t)
+	os.WriteFile(file, []byte(strings.Replace(string(text), `"name":"n0"`, `"name":"n0","console":"`+console+`"`, 1)), 0o600)
 	t.Setenv("TMPDIR", t.TempDir())
 	program, log := launch(t, file)
 	within(t, "it serves", func() bool { return strings.Contains(log.text(), `"serving"`) })
@@ -45,7 +44,7 @@
 		io.WriteString(c, "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
 	}
 	ready := func() string {
-		resp, err := http.Get("http://" + staff + "/control/ready")
+		resp, err := http.Get("http://" + console + "/control/ready")
 		if err != nil {
 			return err.Error()
 		}
@@ -72,7 +71,8 @@
 	}
 }
 
-// A second SIGTERM in a stop, and a SIGHUP between the two, change nothing: the visit that is out gets its answer. One that comes before
+// A second SIGTERM in a stop, and a SIGHUP between the two, change nothing: the visit that is out gets its answer, and so do
+// staff. One that comes before
 // the sidecar serves ends it: nobody was let in.
 func TestSignalsInAStop(t *testing.T) {
 	release := make(chan bool)
@@ -90,6 +90,9 @@
 	here := line("s0", ln.Addr().String(), "in_service")
 	d := discover(t, here)
 	file, listen := patientFile(t, d.at, "on_request", here)
+	console := free(t)
+	t.Setenv("RELAY_CONSOLE", console)
+	t.Setenv("TMPDIR", t.TempDir())
 	program, log := launch(t, file)
 	within(t, "it serves", func() bool { return strings.Contains(log.text(), `"serving"`) })
 	answer := make(chan string, 1)
@@ -100,9 +103,9 @@
 	program.Process.Signal(syscall.SIGHUP)
 	within(t, "it reads its file", func() bool { return strings.Contains(log.text(), "read again") })
 	program.Process.Signal(syscall.SIGTERM)
-	time.Sleep(100 * time.Millisecond)
+	got := []string{fmt.Sprintf("staff, meanwhile: counters %v, ready %v", staff("GET", console, "counters"), staff("GET", console, "ready"))}
 	close(release)
-	got := []string{"answer: " + <-answer, fmt.Sprintf("end: %v", program.Wait())}
+	got = append(got, "answer: "+<-answer, fmt.Sprintf("end: %v", program.Wait()))
 
 	d.mu.Lock()
 	d.deaf = true
@@ -112,7 +115,7 @@
 	within(t, "it waits for its first list", func() bool { return d.asked() > 2 })
 	program.Process.Signal(syscall.SIGTERM)
 	got = append(got, fmt.Sprintf("before it serves: %v, served %v", program.Wait(), strings.Contains(log.text(), `"serving"`)))
-	if diff := cmp.Diff([]string{"answer: 200 late", "end: <nil>", "before it serves: <nil>, served false"}, got); diff != "" {
+	if diff := cmp.Diff([]string{"staff, meanwhile: counters true, ready false", "answer: 200 late", "end: <nil>", "before it serves: <nil>, served false"}, got); diff != "" {
 		t.Errorf("-kept +now:\n%s\n%s", diff, log.text())
 	}
 }
--- a/internal/endings_test.go
+++ b/internal/endings_test.go
@@ -372,3 +372,57 @@
 	}
 	tr.same(t, strings.Repeat("delivered reused=false \"/twice\" <nil>\nits own: true\n", 5))
 }
+
+// An answer without a length ends with its connection; where that is reset it has not ended. Held back it is no delivery, and the visit
+// goes on elsewhere; already passed on it is cut, so that its client can tell.
+func TestResetIsNoEnd(t *testing.T) {
+	var tr trace
+	for _, size := range []int{10, 2 * exchange.MostBody} {
+		for _, reset := range []bool{false, true} {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { ln.Close() })
+			read := make(chan bool)
+			go func() {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				dialled(c).in.ReadString('\n')
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+strings.Repeat("x", size))
+				<-read
+				if reset {
+					c.(*net.TCPConn).SetLinger(0)
+				}
+				c.Close()
+			}()
+			x := exchange.New().Holds([]byte("GET /x HTTP/1.1\r\nHost: a\r\n"), nil, nil)
+			end := make(chan string, 1)
+			reach(10*second, 9, &counters.Sheet{}).Fetch(x, 1, ln.Addr().String(), 40*second,
+				func(a *exchange.Answer, _ bool, _ []float64, err error) {
+					if a == nil || a.Rest == nil {
+						end <- results[outbound.Result(err)]
+						return
+					}
+					n, _ := io.CopyN(io.Discard, a.Rest, int64(size-len(a.Body)))
+					read <- true // all that came is read: now it ends
+					_, broke := io.ReadAll(a.Rest)
+					a.Rest.Close()
+					end <- fmt.Sprintf("%s, passed on: %d bytes, cut %v", results[outbound.Result(err)], int(n)+len(a.Body), broke != nil)
+				})
+			if size < exchange.MostBody { // it is held back, and what came has been read by now
+				time.Sleep(100 * time.Millisecond)
+				read <- true
+			}
+			tr.add("%d bytes, reset %v: %s", size, reset, <-end)
+		}
+	}
+	tr.same(t, `
+10 bytes, reset false: delivered
+10 bytes, reset true: reset
+131072 bytes, reset false: delivered, passed on: 131072 bytes, cut false
+131072 bytes, reset true: delivered, passed on: 131072 bytes, cut true
+`)
+}
--- a/internal/inbound/duty.go
+++ b/internal/inbound/duty.go
@@ -27,8 +27,9 @@
 	look       = newcomers / 20         // idle connections are looked through so often
 	moment     = 4 * look
 	crossing   = 2 * moment             // whoever finds its connection closed under a visit may come again for so long
-	lastAnswer = 100 * time.Millisecond // a stop waits for so long beyond the longest client timeout,
-	longest    = 3 * time.Second        // of which no more than this counts: the process may be killed then
+	longest    = 3 * time.Second        // a stopping process may be killed after the longest client timeout, this at the most,
+	killed     = newcomers + crossing   // and so much more
+	lastAnswer = 100 * time.Millisecond // before that what has no answer yet gets one
 	lastStream = 20 * time.Second       // or for so long, where answers are still being passed on
 )
 
@@ -117,13 +118,13 @@
 		}
 	}
 	finished := in.listener.Finish()
-	visits := newcomers + min(time.Duration(in.longest)*time.Microsecond, longest) + lastAnswer
+	visits := min(time.Duration(in.longest)*time.Microsecond, longest) + killed
 	for ended := false; ; {
 		since, _ := in.post.is()
 		if finished() && in.listener.Here() == 0 || since > visits && in.streams.Load() == 0 || since > lastStream {
 			break
 		}
-		if !ended && since > visits-lastAnswer/2 { // what has no answer by now would be killed with the process
+		if !ended && since > visits-lastAnswer { // what has no answer by now would be killed with the process
 			ended = true
 			close(in.expired)
 		}
