A client is seen to have gone behind unread bytes before a first fetch as well

Cause: by reading: the last look before a fetch's first byte saw no end behind bytes that lay unread (peek.Gone); the watch does, from 25 ms on.

Change: where bytes lie there the kernel is asked (POLLRDHUP). TestClientGone and TestClientGoneBeforeItsFirstFetch pass as before.

--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -60,24 +60,19 @@
 	return sent
 }
 
-// Gone tells whether the other side has closed a connection, or broke it, as far as that shows without reading: not behind bytes
-// that nobody read yet. Like Sent it waits for nobody.
+// Gone tells whether the other side has closed a connection, or broke it. Like Sent it waits for nobody. Behind bytes that nobody
+// read yet only the kernel can tell, if it does.
 func Gone(c net.Conn) (gone bool) {
 	control(c, func(fd uintptr) {
 		n, err := first(fd)
-		gone = n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return gone
-}
-
-// Shut tells the same behind bytes that nobody read yet, where the kernel tells.
-func Shut(c net.Conn) (shut bool) {
-	control(c, func(fd uintptr) {
+		if gone = n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR; n <= 0 {
+			return
+		}
 		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(look, 0)
-		shut = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		n, err = unix.Poll(look, 0)
+		gone = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
-	return shut
+	return gone
 }
 
 func control(c net.Conn, do func(fd uintptr)) {
--- a/internal/places/places.go
+++ b/internal/places/places.go
@@ -550,7 +550,7 @@
 		case <-enough:
 			return false
 		case <-every.C:
-			if peek.Shut(conn) {
+			if peek.Gone(conn) {
 				return true
 			}
 		}
