TestAskedInTime's stand-in holds its calls in the end

Cause: it answered every held call at once, so twenty runs in one process took two cores and 2 GB. Change: silent once the test has what it waits for; its assertions are the same.

--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -707,6 +707,9 @@
 			if n == 1 {
 				return "!"
 			}
+			if n > 3 {
+				return "silence"
+			}
 			time.Sleep(40 * time.Millisecond)
 			return listed(40+n, host)
 		}, 43},
