--- a/lab/box/server.go
+++ b/lab/box/server.go
@@ -158,11 +158,17 @@
 	}
 }
 
-// SetDraining, SetMute, SetErrors and SetSpoil switch what a box answers.
-func (b *Box) SetDraining(on bool)    { b.mu.Lock(); b.draining = on; b.mu.Unlock() }
-func (b *Box) SetMute(on bool)        { b.mu.Lock(); b.mute = on; b.mu.Unlock() }
+// SetDraining has a box turn away what is new, unseen.
+func (b *Box) SetDraining(on bool) { b.mu.Lock(); b.draining = on; b.mu.Unlock() }
+
+// SetMute has a box take what comes and answer nothing.
+func (b *Box) SetMute(on bool) { b.mu.Lock(); b.mute = on; b.mu.Unlock() }
+
+// SetErrors has a box answer this part of all with an error.
 func (b *Box) SetErrors(part float64) { b.mu.Lock(); b.errors = part; b.mu.Unlock() }
-func (b *Box) SetSpoil(part float64)  { b.mu.Lock(); b.spoil = part; b.mu.Unlock() }
+
+// SetSpoil has a box spoil this part of its answers.
+func (b *Box) SetSpoil(part float64) { b.mu.Lock(); b.spoil = part; b.mu.Unlock() }
 
 // Account is what the box saw by now, in the order it came.
 func (b *Box) Account() (out []*Entry) {
