--- a/brain/books.go
+++ b/brain/books.go
@@ -16,8 +16,8 @@
 	value, late, seen, mean float64 // seen: answers; mean: their latency, where visits carry no hint
 }
 
-// realm is a tenant: its share; lately taken in here, not yet told, in all, and as told to this sidecar.
-type realm struct{ quota, used, fresh, total, kept float64 }
+// tenant is a tenant: its share; lately taken in here, not yet told, in all, and as told to this sidecar.
+type tenant struct{ quota, used, fresh, total, kept float64 }
 
 // backend is a server as this sidecar knows it.
 type backend struct {
@@ -38,7 +38,7 @@
 	took, work, carried       float64  // of lately delivered visits: latency, work times visits held, work alone
 	own, told                 float64  // of that by this sidecar; visits held by its last report
 	good, bad                 float64  // delivered and failed lately
-	skipUntil, voidAt, toldAt Micros   // its desk's word ends; its ticket does; it told last
+	skipUntil, voidAt, toldAt Micros   // its owner's word ends; its token does; it told last
 	outUntil, outSpan         Micros   // sits out, 0: in service; how long it sat out last
 	pace, score               float64  // answer time per unit of work, as a pick just reckoned it; with the way
 }
@@ -49,8 +49,8 @@
 	be           *backend
 	sent         Micros
 	held         float64 // visits it met there, with itself
-	desk         Peer    // its server's, when it was sent: the same hears of its end, or a count would stay
-	reused, told bool    // on a connection that was idle; that desk knows of it
+	owner        Peer    // its server's, when it was sent: the same hears of its end, or a count would stay
+	reused, told bool    // on a connection that was idle; that owner knows of it
 	idled        Micros  // how long that one had stood idle
 	done, ran    bool    // ended; may have run: out, or ended without proof that it never ran
 	then         func(*fetch, Result)
@@ -68,7 +68,7 @@
 	out, charged           int
 	freed, ended, settled  bool       // had its free retry; is over; waits for no more offers
 	asked                  []*backend // servers it asked of
-	desks                  []Peer     // and where
+	owners                 []Peer     // and where
 	missing, round         int        // of these, not yet heard of; how often it asked
 	offer                  *backend   // the best of them
 	offered, meets         float64    // its answer time per unit of work; visits held there
@@ -92,7 +92,7 @@
 	me                                 Peer
 	senders                            int // sidecars that may be sending, as last heard; 0: as the settings say
 	prefixes                           []*prefix
-	realms                             []realm
+	tenants                            []tenant
 	known                              map[Backend]*backend
 	byHand                             map[Backend]bool // staff took them out, listed or not
 	row, scratch                       []*backend       // all known, by id; those at hand
@@ -100,7 +100,7 @@
 	news                               News
 	deaf                               []deafness     // by sidecar
 	down                               deafness       // of all: no message comes through
-	leastTarget, lag, life             Micros         // of targets; answers of desks take; idle connections live
+	leastTarget, lag, life             Micros         // of targets; owners answer in; idle connections live
 	asked, askWait, totalled           Micros         // last call of the list, 0: answered; next wait; totals
 	spent, firsts                      float64        // tokens missing from the bucket; first tries lately
 	came, meanWork, meanTarget         float64        // visits that make the means of those that come
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,16 +30,16 @@
 	badShare, badLeast    = 0.25, 2.0    // share of errors at which a server sits out; the least it takes
 	crossWeight           = 10.0         // visits held that one point of a crossing's price counts as
 	coldSafety            = 0.7          // part of a cold server's budget that is used
-	coldTickets, coldMean = 32.0, 0.5    // tickets of a window's budget; part of them that all draw in the mean
+	coldTokens, coldMean  = 32.0, 0.5    // tokens of a window's budget; part of them that all draw in the mean
 	patience, muteLeast   = 3.0, 2       // multiple of the expected answer that is silence; fetches it takes
 	calmTimes, calmBand   = 1.8, 1.5     // calm answers that a usual one may take; up to which calm follows
 	leastLimit, mostLimit = 0.2, 0.5     // but in these parts of its target latency
-	toldLimit, ownLimit   = 0.3, 0.9     // where a desk was asked; part of the time left its answer may take
+	toldLimit, ownLimit   = 0.3, 0.9     // where an owner was asked; part of the time left its answer may take
 	lowLimit, beyondLimit = 0.5, 0.8     // part of these for a visit worth nothing; beyond its tenant's share
 	calmFalls, calmRises  = 100.0, 400.0 // beats in which the calm pace follows the fleet's down, and up
 	copyAfter, copyCalm   = 1.2, 0.3     // calm answers until a second copy; part of the target they may take
 	leastAdds, fitSpan    = 0.25, 256.0  // the least that a visit met adds to an answer; answers that tell
-	deskAsks, askRounds   = 3, 3         // servers compared by message; times others are if those sit out
+	ownerAsks, askRounds  = 3, 3         // servers compared by message; times others are if those sit out
 )
 
 // New starts a sidecar. A setting that the module can't do without and lacks is an error that names it.
@@ -71,7 +71,7 @@
 	b.deaf, b.life = make([]deafness, b.sidecars), b.span("allowed.conn_idle_us")
 	for i := range int(b.maybe("realms")) {
 		at := "realms." + strconv.Itoa(i) + "."
-		b.realms = append(b.realms, realm{quota: max(b.num(at+"quota_per_s"), 1e-9)})
+		b.tenants = append(b.tenants, tenant{quota: max(b.num(at+"quota_per_s"), 1e-9)})
 	}
 	for _, needed := range []string{"obligations.cold_from", "obligations.cold_us", "obligations.fall_multiple",
 		"obligations.fall_us", "allowed.max_backend_fetches", "step_us"} {
@@ -129,10 +129,10 @@
 	stands := b.num("allowed.conn_idle_us") / 100 * b.firsts / float64(retrySpan)
 	b.dialling = b.maybe("tariffs.handshake") +
 		b.maybe("tariffs.connection")*stands*float64(b.sidecars)/max(b.inUse, 1)
-	for i := range b.realms {
-		b.realms[i].used, b.realms[i].kept = b.realms[i].used*fade, b.realms[i].kept*fade
+	for i := range b.tenants {
+		b.tenants[i].used, b.tenants[i].kept = b.tenants[i].used*fade, b.tenants[i].kept*fade
 	}
-	if b.beats++; b.beats%tellBeats == 0 && len(b.realms) > 0 && b.allows("allowed.peer_messages") {
+	if b.beats++; b.beats%tellBeats == 0 && len(b.tenants) > 0 && b.allows("allowed.peer_messages") {
 		b.tell()
 	}
 	if b.asked != 0 && b.now-b.asked > b.span("obligations.ask_every_us")/2 {
@@ -171,14 +171,14 @@
 		be.credit = min(be.credit+rate*coldSafety, rate*coldSafety*window/4)
 		return
 	}
-	// Guards against parts so small that no visit fits into one: a ticket is many, drawn by chance as seldom.
+	// Guards against parts so small that no visit fits into one: a token is many, drawn by chance as seldom.
 	if be.voidAt <= b.now {
 		be.credit = 0
 	}
 	all := float64(max(b.sidecars, b.senders))
-	if b.chance()*all*window < coldTickets*coldMean {
-		b.tally["cold_tickets"]++
-		be.credit, be.voidAt = rate*window*all/coldTickets, b.now+Micros(window/4)*firstWait
+	if b.chance()*all*window < coldTokens*coldMean {
+		b.tally["cold_tokens"]++
+		be.credit, be.voidAt = rate*window*all/coldTokens, b.now+Micros(window/4)*firstWait
 	}
 }
 
@@ -329,11 +329,11 @@
 	be.held++
 	f := &fetch{no: FetchNo(len(v.fetches)), be: be, sent: b.now, held: float64(be.held) + be.away,
 		ran: true, then: then}
-	if b.desks() {
-		f.desk = b.desk(be)
-		if f.told = f.desk != b.me; f.told {
+	if b.owners() {
+		f.owner = b.owner(be)
+		if f.told = f.owner != b.me; f.told {
 			f.held = max(f.held, v.meets+1)
-			b.out.Tell(f.desk, Began, be.id)
+			b.out.Tell(f.owner, Began, be.id)
 		}
 	}
 	if len(be.idle) > 0 && !b.stands(be) {
@@ -420,7 +420,7 @@
 }
 
 // Inbound takes a visit in. hint 0: no guess at its work. again: a repeat. once: sent as it comes, not twice.
-func (b *Balancer) Inbound(now Micros, id VisitID, on Prefix, of Realm, left, hint Micros, again, once bool) {
+func (b *Balancer) Inbound(now Micros, id VisitID, on Prefix, t Tenant, left, hint Micros, again, once bool) {
 	b.now = now
 	if int(on) >= len(b.prefixes) {
 		panic(fmt.Sprintf("path prefix %d is not among the settings", on))
@@ -453,9 +453,9 @@
 	b.meanTarget += (float64(p.target) - b.meanTarget) / b.came
 	b.visits[id] = v
 	b.firsts++
-	if int(of) < len(b.realms) {
-		b.realms[of].used, b.realms[of].fresh = b.realms[of].used+1, b.realms[of].fresh+1
-		if v.beyond = b.chance() < b.beyond(of); v.beyond {
+	if int(t) < len(b.tenants) {
+		b.tenants[t].used, b.tenants[t].fresh = b.tenants[t].used+1, b.tenants[t].fresh+1
+		if v.beyond = b.chance() < b.beyond(t); v.beyond {
 			v.value *= b.maybe("beyond_share_value")
 		}
 	}
@@ -486,16 +486,16 @@
 // thin tells whether sidecars outnumber servers: what one holds and saw there then says little of the crowd.
 func (b *Balancer) thin() bool { return float64(b.sidecars) > max(b.inUse, 1) }
 
-// desks tells whether servers have desks: sidecars, the same for all, that hear of every visit there.
-func (b *Balancer) desks() bool {
+// owners tells whether servers have owners: sidecars, the same for all, that hear of every visit there.
+func (b *Balancer) owners() bool {
 	return b.thin() && b.allows("allowed.peer_messages") && b.down.until <= b.now
 }
 
 // blind tells whether a thin sidecar can ask nobody, and so sends into queues that it can't know of.
-func (b *Balancer) blind() bool { return b.thin() && !b.desks() }
+func (b *Balancer) blind() bool { return b.thin() && !b.owners() }
 
-// desk is the first in a server's own order of sidecars that is not known to be deaf.
-func (b *Balancer) desk(be *backend) (p Peer) {
+// owner is the first in a server's own order of sidecars that is not known to be deaf.
+func (b *Balancer) owner(be *backend) (p Peer) {
 	for mark, n := be.mark, 0; n < 2*b.sidecars; mark, n = scramble(mark+1), n+1 {
 		if p = Peer(mark % uint64(b.sidecars)); p == b.me || b.deaf[p].until <= b.now {
 			return p
@@ -504,7 +504,7 @@
 	return b.me
 }
 
-// unheard books that a sidecar answered nothing, until it does. Guards against waits for desks that died.
+// unheard books that a sidecar answered nothing, until it does. Guards against waits for owners that died.
 func (b *Balancer) unheard(p Peer) {
 	if d := b.deaf[p]; p != b.me && d.until <= b.now {
 		d.span = min(max(4*d.span, b.span("obligations.cold_us")/4), 4*b.span("obligations.cold_us"))
@@ -512,24 +512,24 @@
 		b.deaf[p] = d
 		b.tally["deaf"]++
 	}
-	// Guards against waits for all desks in turn, where no message at all comes through.
-	if b.unanswered++; b.unanswered%(2*deskAsks) == 0 {
+	// Guards against waits for all owners in turn, where no message at all comes through.
+	if b.unanswered++; b.unanswered%(2*ownerAsks) == 0 {
 		b.down.span = min(max(2*b.down.span, 20*firstWait), b.span("obligations.cold_us")/2)
 		b.down.until = b.now + Micros(float64(b.down.span)*(0.75+b.chance()/2))
 		b.tally["messages_down"]++
 	}
 }
 
-// ask has a few servers compared by their desks. Guards against sends to servers that nothing is known of.
+// ask has a few servers compared by their owners. Guards against sends to servers that nothing is known of.
 func (b *Balancer) ask(v *visit) {
-	desks, before := b.desks(), len(v.asked)
-	be := cmp.Or(b.coldest(v), b.pick(v, false, desks))
-	if !desks || v.offer == nil && (be == nil || v.wanted-b.now < 5*b.lag) { // asking would take too much of it
+	owners, before := b.owners(), len(v.asked)
+	be := cmp.Or(b.coldest(v), b.pick(v, false, owners))
+	if !owners || v.offer == nil && (be == nil || v.wanted-b.now < 5*b.lag) { // asking would take too much of it
 		b.place(v, be)
 		return
 	}
-	for be != nil && len(v.asked) < before+deskAsks && !slices.Contains(v.asked, be) {
-		v.asked, v.desks = append(v.asked, be), append(v.desks, b.desk(be))
+	for be != nil && len(v.asked) < before+ownerAsks && !slices.Contains(v.asked, be) {
+		v.asked, v.owners = append(v.asked, be), append(v.owners, b.owner(be))
 		be.asking = append(slices.DeleteFunc(be.asking, func(w *visit) bool { return w.settled || w.ended }), v)
 		be = b.pick(v, len(v.asked) > before+1, true)
 	}
@@ -544,7 +544,7 @@
 	b.at(b.now+min(max(2*b.lag, b.leastTarget/8), b.leastTarget/2), func() {
 		for i, be := range these {
 			if slices.Contains(be.asking, v) {
-				b.unheard(v.desks[before+i])
+				b.unheard(v.owners[before+i])
 			}
 		}
 		if v.round == round {
@@ -553,11 +553,11 @@
 		b.decide(v, round)
 	})
 	for i, be := range these {
-		b.say(v.desks[before+i], Ask, be.id)
+		b.say(v.owners[before+i], Ask, be.id)
 	}
 }
 
-// coldest is a cold server whose ticket or, called back, credit covers the visit. Guards against leaving it.
+// coldest is a cold server whose token or, called back, credit covers the visit. Guards against leaving it.
 func (b *Balancer) coldest(v *visit) (c *backend) {
 	for _, be := range b.row {
 		due := be.coldSince != 0 && (b.thin() || be.back != 0 && be.fresh) && b.may(v, be) && b.fit(v, be)
@@ -575,7 +575,7 @@
 		be.skipUntil = b.now + 10*firstWait
 	}
 	for _, v := range waiting {
-		// Guards against waiting for less than messages take, and for long where desks died.
+		// Guards against waiting for less than messages take, and for long where owners died.
 		if lag := b.now - v.askedAt; lag > 0 && lag < b.leastTarget/2 {
 			b.lag += (lag - b.lag) / enough
 		}
@@ -610,7 +610,7 @@
 	b.place(v, be)
 }
 
-// quote is what a desk tells of its server: the answer time per unit of work that one more visit would see.
+// quote is what an owner tells of its server: the answer time per unit of work that one more visit would see.
 func (b *Balancer) quote(be *backend) float64 {
 	if !be.open() || be.outUntil > b.now || be.outUntil != 0 && float64(be.held)+be.away >= 1 {
 		return math.Inf(1)
@@ -620,9 +620,9 @@
 
 // tell sends what tenants sent here to the ledger's keeper, which answers with the totals, or is given up.
 func (b *Balancer) tell() {
-	fresh := make([]float64, len(b.realms))
-	for i := range b.realms {
-		fresh[i], b.realms[i].fresh = b.realms[i].fresh, 0
+	fresh := make([]float64, len(b.tenants))
+	for i := range b.tenants {
+		fresh[i], b.tenants[i].fresh = b.tenants[i].fresh, 0
 	}
 	if b.ledgerSilent() {
 		b.ledger++
@@ -651,16 +651,16 @@
 		b.unanswered, b.down = 0, deafness{}
 	}
 	switch {
-	case kind == TenantsUse && len(figures) == len(b.realms):
-		for i := range b.realms {
-			b.realms[i].kept += figures[i]
-			figures[i] = b.realms[i].kept
+	case kind == TenantsUse && len(figures) == len(b.tenants):
+		for i := range b.tenants {
+			b.tenants[i].kept += figures[i]
+			figures[i] = b.tenants[i].kept
 		}
 		b.say(from, TenantsTotal, 0, figures...)
-	case kind == TenantsTotal && len(figures) == len(b.realms):
+	case kind == TenantsTotal && len(figures) == len(b.tenants):
 		b.totalled = now
-		for i := range b.realms {
-			b.realms[i].total = figures[i]
+		for i := range b.tenants {
+			b.tenants[i].total = figures[i]
 		}
 	case be == nil: // not on this sidecar's list
 	case kind == Ask:
@@ -680,12 +680,12 @@
 }
 
 // beyond is the part of a tenant's visits that lies beyond its share, by what the ledger lately told.
-func (b *Balancer) beyond(of Realm) float64 {
-	use := b.realms[of].used
+func (b *Balancer) beyond(of Tenant) float64 {
+	use := b.tenants[of].used
 	if !b.ledgerSilent() {
-		use = max(use, b.realms[of].total)
+		use = max(use, b.tenants[of].total)
 	}
-	return max(0, 1-b.realms[of].quota*memory*float64(firstWait)/1e6/use)
+	return max(0, 1-b.tenants[of].quota*memory*float64(firstWait)/1e6/use)
 }
 
 // admit turns a visit away early, sooner the less it is worth. Guards against answers that are all late.
@@ -707,8 +707,8 @@
 	limit := min(max(calmTimes*b.calm*b.meanWork, leastLimit*b.meanTarget), mostLimit*b.meanTarget)
 	lenient := min(1, float64(b.now-b.begun)/b.meanTarget) // nothing is known yet: rather send and learn
 	crowd := lenient * plain * b.meanWork / limit
-	if v.offer == be && b.desks() {
-		// The desk's count is of now and of all: the limit needs no calm answer to be measured against.
+	if v.offer == be && b.owners() {
+		// The owner's count is of now and of all: the limit needs no calm answer to be measured against.
 		pace = v.offered
 		crowd = pace * b.meanWork / toldLimit / b.meanTarget * b.meanPart
 	}
@@ -789,7 +789,7 @@
 			return
 		}
 		if f.told {
-			b.out.Tell(f.desk, Waits, f.be.id, float64(b.now-f.sent))
+			b.out.Tell(f.owner, Waits, f.be.id, float64(b.now-f.sent))
 		}
 		if b.missed(f.be, "silent") && b.now+v.wait()+guess < v.wanted && v.out == 1 &&
 			b.allows("allowed.cancel") && b.capacity()-b.spent >= retryCost && b.onward(v, f.be, 0) {
@@ -843,12 +843,12 @@
 		v.on.mean += (own - v.on.mean) / v.on.seen
 	}
 	news := rc
-	if rc == Reset && f.reused { // here and at its desk it tells of a connection, nothing of its server
+	if rc == Reset && f.reused { // here and at its owner it tells of a connection, nothing of its server
 		news = NeverSent
 	}
 	b.account(f.be, news, f.sent, float64(took), v.work, v.work*f.held)
 	if f.told {
-		b.out.Tell(f.desk, Ended, f.be.id, float64(news), float64(took), v.work, v.work*f.held)
+		b.out.Tell(f.owner, Ended, f.be.id, float64(news), float64(took), v.work, v.work*f.held)
 	}
 	if over && !v.ended {
 		b.end(v)
@@ -875,7 +875,7 @@
 	}
 }
 
-// account books how a fetch of this or, at the server's desk, of another sidecar ended.
+// account books how a fetch of this or, at the server's owner, of another sidecar ended.
 func (b *Balancer) account(be *backend, rc Result, sent Micros, took, work, load float64) {
 	if rc == Delivered || rc == Errored || rc == Full {
 		be.answered, be.mute, be.fresh = b.now, 0, false
@@ -987,7 +987,7 @@
 	})
 	be := b.draw(func(be *backend) float64 {
 		if asks && !(near && be.zone != b.myZone) {
-			return least / be.score // its desk's word decides: by size, or slow ones idle while others are crowded
+			return least / be.score // its owner's word decides: by size, or slow ones idle while others are crowded
 		}
 		if be.held > 0 || be.pace > tieBand*least || near && be.zone != b.myZone {
 			return 0
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -259,7 +259,7 @@
 	d.warm(150)
 	d.title("a burst of one tenant: what each visit would itself take rises with those held, and turns away what comes too late")
 	for id := range VisitID(40) {
-		d.visitOf(id, 0, 1+Realm(id%10/9), 0)
+		d.visitOf(id, 0, 1+Tenant(id%10/9), 0)
 	}
 	d.title("a jam does not teach the sidecar that answers are slow: prefix mean and limit stay")
 	mean, calm := d.b.prefixes[0].mean, d.b.calm
@@ -433,14 +433,14 @@
 	wait(41, 81)
 	d.title("one is heard of: all is asked again")
 	d.b.Heard(d.now, 3, TenantsUse, 0)
-	d.say("desks: %v", d.b.desks())
+	d.say("owners: %v", d.b.owners())
 	d.matches(t)
 }
 
 func TestValueLimit(t *testing.T) {
 	d := begin(t, site("all", "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true, "path_prefixes.0.value", 12.0),
 		"a b c d")
-	d.title("by a desk's word: the dear one of three visits meets a higher limit, the cheap two hardly a lower one than all had")
+	d.title("by an owner's word: the dear one of three visits meets a higher limit, the cheap two hardly a lower one than all had")
 	for id := range VisitID(300) {
 		d.quiet = true
 		d.visit(id, Prefix(id%3))
@@ -456,7 +456,7 @@
 
 func TestBrokenIdle(t *testing.T) {
 	d := begin(t, site("all", "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true, "allowed.conn_idle_us", 60e6), "a")
-	d.title("two reused connections break: the desk hears of no failed server, and none sits out")
+	d.title("two reused connections break: the owner hears of no failed server, and none sits out")
 	for id := VisitID(0); id < 6; id += 3 {
 		for i := range VisitID(2) {
 			d.quiet = true
@@ -531,7 +531,7 @@
 	s := site("all", "realms", 2.0, "realms.0.quota_per_s", 40.0, "realms.1.quota_per_s", 40.0,
 		"balancers", 3.0, "allowed.peer_messages", true)
 	d := begin(t, s, "a b")
-	d.b.realms[0].used, d.b.realms[1].used = 60, 20
+	d.b.tenants[0].used, d.b.tenants[1].used = 60, 20
 	d.title("alone, a tenant is measured against the median one")
 	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
 	d.title("a ledger told the totals; what is malformed or from nobody is passed over")
@@ -550,12 +550,12 @@
 	d.matches(t)
 }
 
-func TestAskingDesks(t *testing.T) {
+func TestAskingOwners(t *testing.T) {
 	d := begin(t, site("cell", "balancers", 9.0, "me", 2.0, "allowed.peer_messages", true), "a b c d e f")
-	d.title("sidecars outnumber servers: three desks are asked, the visit waits")
+	d.title("sidecars outnumber servers: three owners are asked, the visit waits")
 	d.visit(1, 0)
 	asked := append([]*backend{}, d.b.visits[1].asked...)
-	d.title("the quickest quoted gets it; its desk is told that it began, and how it ended")
+	d.title("the quickest quoted gets it; its owner is told that it began, and how it ended")
 	for i, be := range asked {
 		d.pass(5 * ms)
 		d.b.Heard(d.now, 1, Quote, be.id, 0.9-float64(i)/3, 1)
@@ -579,10 +579,10 @@
 	d.quiet = true
 	for id := VisitID(10); id < 200; id++ {
 		d.visit(id, 0)
-		asked, desks := append([]*backend{}, d.b.visits[id].asked...), append([]Peer{}, d.b.visits[id].desks...)
+		asked, owners := append([]*backend{}, d.b.visits[id].asked...), append([]Peer{}, d.b.visits[id].owners...)
 		d.pass(20 * ms)
 		for i, be := range asked {
-			d.b.Heard(d.now, desks[i], Quote, be.id, 0.1, 1)
+			d.b.Heard(d.now, owners[i], Quote, be.id, 0.1, 1)
 		}
 		d.ends(id, 0, Delivered)
 	}
@@ -593,9 +593,9 @@
 	d.matches(t)
 }
 
-func TestBeingADesk(t *testing.T) {
+func TestBeingAnOwner(t *testing.T) {
 	d := begin(t, site("cell", "balancers", 9.0, "me", 2.0, "allowed.peer_messages", true), "a b c d")
-	d.title("a desk counts what others send: each makes the next answer slower")
+	d.title("an owner counts what others send: each makes the next answer slower")
 	d.b.Heard(d.now, 1, Ask, 'a')
 	d.b.Heard(d.now, 1, Began, 'a')
 	d.b.Heard(d.now, 3, Ask, 'a')
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -64,9 +64,9 @@
 	}
 }
 
-// Eighty sidecars, each with a few visits a second: cold servers work during their warm-up, by tickets, and all together
+// Eighty sidecars, each with a few visits a second: cold servers work during their warm-up, by tokens, and all together
 // stay within the budget of every window. Where each saved up its own part no visit ever fitted.
-func TestColdTickets(t *testing.T) {
+func TestColdTokens(t *testing.T) {
 	var d day
 	s := site("all", "balancers", 80.0, "me", 0.0)
 	from, warm := s["obligations.cold_from"].(float64), s["obligations.cold_us"].(float64)
@@ -181,9 +181,9 @@
 	d.matches(t)
 }
 
-// Most sidecars die at once, and with them most desks. Each is learnt by one visit that waits, not by every visit; the
+// Most sidecars die at once, and with them most owners. Each is learnt by one visit that waits, not by every visit; the
 // next in the server's order takes its place, and one that says anything is asked again.
-func TestDeafDesks(t *testing.T) {
+func TestDeafOwners(t *testing.T) {
 	d := begin(t, site("all", "balancers", 20.0, "me", 2.0, "allowed.peer_messages", true), "a b c d e f g h")
 	d.quiet = true
 	dead := func(p Peer) bool { return p%4 != 2 } // fifteen of twenty
@@ -193,8 +193,8 @@
 			d.visit(id, 0)
 			if v := d.b.visits[id]; v != nil {
 				for i, be := range v.asked {
-					if len(be.asking) > 0 && !dead(v.desks[i]) {
-						d.b.Heard(d.now, v.desks[i], Quote, be.id, 0.1, 1)
+					if len(be.asking) > 0 && !dead(v.owners[i]) {
+						d.b.Heard(d.now, v.owners[i], Quote, be.id, 0.1, 1)
 					}
 				}
 				if len(v.fetches) == 0 {
@@ -216,11 +216,11 @@
 	t.Logf("%v", waited)
 	was := d.b.known['a'].mark % 20
 	d.b.deaf[was] = deafness{until: d.now + 1000*ms, span: 1000 * ms}
-	d.say("a's own desk is %d, while that is deaf another: %v", was, d.b.desk(d.b.known['a']) != Peer(was))
+	d.say("a's own owner is %d, while that is deaf another: %v", was, d.b.owner(d.b.known['a']) != Peer(was))
 	d.quiet = true
 	d.b.Heard(d.now, Peer(was), Ask, 'a')
 	d.quiet = false
-	d.say("once it asks anything itself it is a's desk again: %v", d.b.desk(d.b.known['a']) == Peer(was))
+	d.say("once it asks anything itself it is a's owner again: %v", d.b.owner(d.b.known['a']) == Peer(was))
 	d.matches(t)
 }
 
@@ -255,7 +255,7 @@
 }
 
 // The smallest fleets: one server among many sidecars is asked of once, and a visit that it can't take is turned away at
-// once, not after more waits; one sidecar alone is its own desk; none at all is said at once.
+// once, not after more waits; one sidecar alone is its own owner; none at all is said at once.
 func TestSmallestFleets(t *testing.T) {
 	var all day
 	for _, c := range []struct {
@@ -267,7 +267,7 @@
 		d.title("%.0f sidecars, servers: %s, quoted %.1f", c.sidecars, c.servers, c.pace)
 		d.visit(1, 0)
 		if v := d.b.visits[1]; v != nil && len(v.asked) > 0 && len(v.fetches) == 0 {
-			d.b.Heard(d.now, v.desks[0], Quote, v.asked[0].id, c.pace, 1)
+			d.b.Heard(d.now, v.owners[0], Quote, v.asked[0].id, c.pace, 1)
 		}
 		if v := d.b.visits[1]; v != nil && len(v.fetches) > 0 {
 			d.ends(1, 0, Delivered)
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -122,7 +122,7 @@
 func (d *day) visit(id VisitID, on Prefix)   { d.visitOf(id, on, 0, 0) }
 func (d *day) tokens()                       { d.say("tokens %.0f of %.0f", d.b.capacity()-d.b.spent, d.b.capacity()) }
 func (d *day) title(format string, a ...any) { fmt.Fprintf(&d.lines, "# "+format+"\n", a...) }
-func (d *day) visitOf(id VisitID, on Prefix, of Realm, effort Micros) {
+func (d *day) visitOf(id VisitID, on Prefix, of Tenant, effort Micros) {
 	d.b.Inbound(d.now, id, on, of, 2000*ms, effort, false, false)
 }
 
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -9,7 +9,7 @@
 	Backend uint64 // one server, the same at every sidecar
 	FetchNo uint8  // a visit's backend fetches, counted from 0
 	Prefix  uint16 // place among the path prefixes
-	Realm   uint32 // place among the tenants
+	Tenant  uint32 // place among the tenants
 	Zone    uint16 // place among the data centres
 	Cell    uint16 // small group of servers that share a memory of tags
 	Token   uint32 // names a wake-up
@@ -55,7 +55,7 @@
 const (
 	TenantsUse   Note = iota + 1 // visits of each tenant since the last one, to the ledger
 	TenantsTotal                 // what all sidecars lately took in of each tenant, from it
-	Ask                          // how is a server?, to its desk
+	Ask                          // how is a server?, to its owner
 	Quote                        // its answer time per unit of work (infinite: it sits out), visits held
 	Began                        // a visit went to it
 	Waits                        // one waits too long there: since when, as a span
--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -12,7 +12,7 @@
 
 	"ledgespread/internal/console"
 	"ledgespread/internal/counters"
-	"ledgespread/internal/fittings"
+	"ledgespread/internal/extensions"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/relay"
 	"ledgespread/internal/site"
@@ -21,19 +21,19 @@
 const release = "0.1.0" // the changelog's newest
 
 // whole reads a configuration file and tells whether a sidecar could start with it.
-func whole(file string) (*site.Berth, error) {
-	berth, err := site.Read(file)
+func whole(file string) (*site.Manifest, error) {
+	manifest, err := site.Read(file)
 	if err != nil {
 		return nil, err
 	}
-	return berth, starts(berth)
+	return manifest, starts(manifest)
 }
 
 // starts tells whether a sidecar could start so.
-func starts(berth *site.Berth) error {
+func starts(manifest *site.Manifest) error {
 	var counts counters.Sheet
 	out := outbound.New(0, 0, 0, 0, nil, &counts, zerolog.Nop())
-	_, err := relay.New(berth, 0, out, nil, &counts, zerolog.Nop())
+	_, err := relay.New(manifest, 0, out, nil, &counts, zerolog.Nop())
 	return err
 }
 
@@ -53,34 +53,34 @@
 			if err != nil {
 				return err
 			}
-			berth, err := site.Read(file)
+			manifest, err := site.Read(file)
 			if err != nil {
 				return err
 			}
-			fitted, err := fittings.Read(with)
+			fitted, err := extensions.Read(with)
 			if err != nil {
 				return err
 			}
-			log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", berth.Name).Logger()
-			return serve(file, with, berth, fitted, every, log)
+			log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", manifest.Name).Logger()
+			return serve(file, with, manifest, fitted, every, log)
 		}}
 	start.Flags().StringVar(&level, "log", "info", "least level that is logged: debug, info, warn or error")
 	start.Flags().DurationVar(&every, "tally", 0, "log all counters every so often, to be summed over a fleet; 0: only at the end")
 	check := &cobra.Command{Use: "check", Short: "Tell whether a configuration file is whole",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			berth, err := whole(file)
+			manifest, err := whole(file)
 			if err != nil {
 				return err
 			}
-			if berth.Console != "" { // would a start find it free?
-				staff, err := console.Listen(berth.Console, berth.Sockets, console.Sidecar{}, &counters.Sheet{}, zerolog.Nop())
+			if manifest.Console != "" { // would a start find it free?
+				staff, err := console.Listen(manifest.Console, manifest.Sockets, console.Sidecar{}, &counters.Sheet{}, zerolog.Nop())
 				if err != nil {
 					return err
 				}
 				staff.Close()
 			}
-			fitted, err := fittings.Read(with)
+			fitted, err := extensions.Read(with)
 			if err != nil {
 				return err
 			}
--- a/cmd/ledgespread/members.go
+++ b/cmd/ledgespread/members.go
@@ -14,7 +14,7 @@
 
 	"ledgespread/brain"
 	"ledgespread/decide/membership"
-	"ledgespread/internal/fittings"
+	"ledgespread/internal/extensions"
 	"ledgespread/internal/members"
 	"ledgespread/internal/peers"
 	"ledgespread/internal/relay"
@@ -23,7 +23,7 @@
 
 // joined has this sidecar be a member, where it is fitted so; nil: it is none. What it hears of the others goes to those who
 // tell them things.
-func joined(b *site.Berth, f *fittings.Fittings, r *relay.Relay, others *peers.Peers, patient bool, log zerolog.Logger) (*members.Members, error) {
+func joined(b *site.Manifest, f *extensions.Extensions, r *relay.Relay, others *peers.Peers, patient bool, log zerolog.Logger) (*members.Members, error) {
 	if f.Membership == nil {
 		return nil, nil
 	}
@@ -62,7 +62,7 @@
 	c := &cobra.Command{Use: "members", Short: "Print the table of members that a running sidecar holds", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if at == "" {
-				f, err := fittings.Read(file)
+				f, err := extensions.Read(file)
 				if err != nil {
 					return err
 				}
@@ -81,7 +81,7 @@
 			}
 			return table(c.OutOrStdout(), text)
 		}}
-	c.Flags().StringVar(&file, "with", "", "the sidecar's file of fittings")
+	c.Flags().StringVar(&file, "with", "", "the sidecar's file of extensions")
 	c.Flags().StringVar(&at, "at", "", "its membership's address, in place of the file's")
 	c.Flags().BoolVar(&raw, "json", false, "as JSON")
 	return c
--- a/cmd/ledgespread/members_test.go
+++ b/cmd/ledgespread/members_test.go
@@ -95,6 +95,6 @@
 	within(t, "it serves", func() bool { return strings.Contains(log.text(), "serving") })
 	if c, err := net.DialTimeout("tcp", at, time.Second); err == nil {
 		c.Close()
-		t.Error("without its file of fittings it listens as a member")
+		t.Error("without its file of extensions it listens as a member")
 	}
 }
--- a/cmd/ledgespread/migrate.go
+++ b/cmd/ledgespread/migrate.go
@@ -27,7 +27,7 @@
 			}
 			moved, err := site.Migrate(text, move)
 			if err == nil {
-				err = starts(moved.Berth)
+				err = starts(moved.Manifest)
 			}
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -18,7 +18,7 @@
 	"ledgespread/brain"
 	"ledgespread/internal/console"
 	"ledgespread/internal/counters"
-	"ledgespread/internal/fittings"
+	"ledgespread/internal/extensions"
 	"ledgespread/internal/handover"
 	"ledgespread/internal/inbound"
 	"ledgespread/internal/outbound"
@@ -41,7 +41,7 @@
 )
 
 // serve puts the parts together and stays until it is told to stop. SIGHUP has it read its file again.
-func serve(file, with string, b *site.Berth, fitted *fittings.Fittings, tally time.Duration, log zerolog.Logger) error {
+func serve(file, with string, b *site.Manifest, fitted *extensions.Extensions, tally time.Duration, log zerolog.Logger) error {
 	again := make(chan os.Signal, 1) // several close together are one: the file is read after the last
 	signal.Notify(again, syscall.SIGHUP)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(b.Cores))))
@@ -150,11 +150,11 @@
 // reload takes the file as it is now. Guards against a sidecar that is told half: what can't be read, or would
 // not do for a start, changes nothing. Of a whole one discovery's address is taken over; the saved list and the
 // seed are for a start only, and all else needs one.
-func reload(file, with string, b *site.Berth, fitted *fittings.Fittings, r *relay.Relay, counts *counters.Sheet, log zerolog.Logger) {
+func reload(file, with string, b *site.Manifest, fitted *extensions.Extensions, r *relay.Relay, counts *counters.Sheet, log zerolog.Logger) {
 	now, err := whole(file)
-	var fits *fittings.Fittings
+	var fits *extensions.Extensions
 	if err == nil {
-		fits, err = fittings.Read(with)
+		fits, err = extensions.Read(with)
 	}
 	if err != nil {
 		counts.Add(counters.ReloadsRefused)
@@ -163,7 +163,7 @@
 	}
 	counts.Add(counters.Reloads)
 	entry := log.Info().Str("discovery", now.Discovery)
-	if differ := append(site.Differ(b, now), fittings.Differ(fitted, fits)...); len(differ) > 0 {
+	if differ := append(site.Differ(b, now), extensions.Differ(fitted, fits)...); len(differ) > 0 {
 		entry = entry.Strs("need_a_restart", differ)
 	}
 	r.Move(now.Discovery)
@@ -171,13 +171,13 @@
 }
 
 // heap bounds what the collector lets stand, where so many processes share the memory.
-func heap(b *site.Berth, among float64) {
+func heap(b *site.Manifest, among float64) {
 	debug.SetMemoryLimit(int64(heapPart / among * float64(b.MemoryMB) * (1 << 20)))
 }
 
 // follow looks what another process of this sidecar writes down, and whether the one that was here before lives still. It is
 // no part of the relay's turn: guards against visits that wait for a slow disk.
-func follow(b *site.Berth, book *handover.Book, before int, r *relay.Relay) {
+func follow(b *site.Manifest, book *handover.State, before int, r *relay.Relay) {
 	for ; ; time.Sleep(attendEvery) {
 		if hosts, anew := book.Changed(); anew {
 			r.TakeOver(context.Background(), hosts)
@@ -191,7 +191,7 @@
 
 // attended has the second address served, and takes over which servers are out by hand. before is the process that serves
 // at this sidecar's place still, 0 if there is none; replaced tells whether another has come to it since. in is not there until clients may come.
-func attended(b *site.Berth, r *relay.Relay, in *atomic.Pointer[inbound.Inbound], counts *counters.Sheet,
+func attended(b *site.Manifest, r *relay.Relay, in *atomic.Pointer[inbound.Inbound], counts *counters.Sheet,
 	log zerolog.Logger) (before int, replaced func() bool, err error) {
 	book, before := handover.Open(os.TempDir(), b.Name, b.Listen, log)
 	r.Inherit(book.Out())
--- a/internal/places/places.go
+++ b/internal/connlimit/connlimit.go
@@ -1,5 +1,5 @@
-// Package places accepts connections, no more than there are places for, and knows what each is at.
-package places
+// Package connlimit accepts connections, no more than there are places for, and knows what each is at.
+package connlimit
 
 import (
 	"cmp"
@@ -35,15 +35,15 @@
 	idle int // of these
 }
 
-// stage is what a connection is at.
-type stage uint8
+// connState is what a connection is at.
+type connState uint8
 
 const (
-	silent   stage = iota // it has brought nothing yet
-	bringing              // part of its first message
-	carrying              // a visit
-	idle                  // none, after one
-	closing               // no more: its sending half is shut, see linger
+	connNew     connState = iota // it has brought nothing yet
+	connReading                  // part of its first message
+	connActive                   // a visit
+	connIdle                     // none, after one
+	connClosing                  // no more: its sending half is shut, see linger
 )
 
 // LastWord is how soon a message's head, and what is short of its body, is to be there after its client came, or its first
@@ -88,7 +88,7 @@
 
 	// Under the listener's lock:
 	evicted bool
-	at      stage
+	at      connState
 	since   time.Time
 }
 
@@ -243,7 +243,7 @@
 		tcp, err := l.AcceptTCP()
 		if err == nil {
 			l.counts.Add(counters.ClientConnections)
-			return l.seat(tcp), nil
+			return l.acquire(tcp), nil
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
@@ -266,8 +266,8 @@
 	}
 }
 
-// seat finds a place for a new connection, or waits for one.
-func (l *Listener) seat(tcp *net.TCPConn) *client {
+// acquire finds a place for a new connection, or waits for one.
+func (l *Listener) acquire(tcp *net.TCPConn) *client {
 	for taken := false; !taken; {
 		select {
 		case l.places <- struct{}{}:
@@ -288,13 +288,13 @@
 	c.leave = sync.OnceFunc(func() {
 		l.mu.Lock()
 		delete(l.here, c)
-		l.puts(c, closing) // no longer idle
+		l.setState(c, connClosing) // no longer idle
 		l.mu.Unlock()
 		<-l.places
 	})
 	c.parts = func() {
 		l.mu.Lock()
-		l.puts(c, closing)
+		l.setState(c, connClosing)
 		c.since = time.Now()
 		l.mu.Unlock()
 	}
@@ -304,12 +304,12 @@
 	return c
 }
 
-// puts books a connection's stage; the lock is held.
-func (l *Listener) puts(c *client, at stage) {
-	if c.at == idle {
+// setState books a connection's state; the lock is held.
+func (l *Listener) setState(c *client, at connState) {
+	if c.at == connIdle {
 		l.idle--
 	}
-	if at == idle {
+	if at == connIdle {
 		l.idle++
 	}
 	c.at = at
@@ -325,16 +325,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case !l.here[c] || c.at == closing: // it has left: counted as idle it would be so for ever
+	case !l.here[c] || c.at == connClosing: // it has left: counted as idle it would be so for ever
 	case state == fasthttp.StateIdle:
-		if l.puts(c, idle); c.bytes > 0 || len(c.ahead) > 0 {
-			l.puts(c, bringing) // part of its next message is here
+		if l.setState(c, connIdle); c.bytes > 0 || len(c.ahead) > 0 {
+			l.setState(c, connReading) // part of its next message is here
 		}
 		c.since = time.Now()
-	case c.at == idle:
-		l.puts(c, carrying)
-	case c.at == silent:
-		l.puts(c, bringing)
+	case c.at == connIdle:
+		l.setState(c, connActive)
+	case c.at == connNew:
+		l.setState(c, connReading)
 	}
 }
 
@@ -348,8 +348,8 @@
 	c.known = true
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.at != closing {
-		l.puts(c, carrying)
+	if c.at != connClosing {
+		l.setState(c, connActive)
 	}
 	return !c.evicted && !c.shut.Load()
 }
@@ -403,20 +403,20 @@
 	for c := range l.here {
 		rank := -1
 		switch {
-		case c.at == closing:
+		case c.at == connClosing:
 			if rank = 0; !c.since.Before(had) {
 				soon = true
 				continue
 			}
-		case c.evicted || c.at == carrying:
+		case c.evicted || c.at == connActive:
 			continue
-		case c.at == idle && c.since.Before(old):
+		case c.at == connIdle && c.since.Before(old):
 			rank = 1
-		case c.at == silent:
+		case c.at == connNew:
 			rank = 2
-		case c.at == bringing && c.since.Before(slow):
+		case c.at == connReading && c.since.Before(slow):
 			rank = 3
-		case c.at == idle:
+		case c.at == connIdle:
 			rank = 4
 		}
 		if rank < 0 || out[rank] != nil && !c.since.Before(out[rank].since) {
@@ -431,7 +431,7 @@
 	}
 	chosen := cmp.Or(out[0], out[1], out[2], out[3], out[4])
 	if chosen != nil {
-		if chosen.at != closing {
+		if chosen.at != connClosing {
 			l.counts.Add(counters.ClientsEvicted)
 		}
 		chosen.evict()
@@ -461,7 +461,7 @@
 	since := time.Now().Add(-least)
 	l.mu.Lock()
 	for c := range l.here {
-		if (c.at == idle || c.at == silent) && !c.since.After(since) && !peek.Sent(c.TCPConn) {
+		if (c.at == connIdle || c.at == connNew) && !c.since.After(since) && !peek.Sent(c.TCPConn) {
 			c.evict()
 			out = append(out, c)
 		}
@@ -487,7 +487,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.here {
-		if (c.at == idle || c.at == silent) && !c.evicted {
+		if (c.at == connIdle || c.at == connNew) && !c.evicted {
 			return false
 		}
 	}
--- a/internal/places/share.go
+++ b/internal/connlimit/share.go
@@ -1,4 +1,4 @@
-package places
+package connlimit
 
 import (
 	"context"
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
-	"ledgespread/internal/places"
 )
 
 const (
@@ -38,7 +38,7 @@
 // Console serves the second address.
 type Console struct {
 	server   *fasthttp.Server
-	listener *places.Listener
+	listener *connlimit.Listener
 	of       Sidecar
 	counts   *counters.Sheet
 	log      zerolog.Logger
@@ -46,12 +46,12 @@
 
 // Listen takes the address.
 func Listen(address string, sockets int, of Sidecar, counts *counters.Sheet, log zerolog.Logger) (*Console, error) {
-	ln, err := places.Listen(address, false)
+	ln, err := connlimit.Listen(address, false)
 	if err != nil {
 		return nil, fmt.Errorf("console: %w", err)
 	}
 	most := min(max(sockets/placesPart, leastPlaces), mostPlaces)
-	c := &Console{of: of, counts: counts, log: log, listener: places.New(ln, most, &counters.Sheet{}, log)}
+	c := &Console{of: of, counts: counts, log: log, listener: connlimit.New(ln, most, &counters.Sheet{}, log)}
 	c.listener.Patience = patience
 	c.server = &fasthttp.Server{Handler: c.guarded, ErrorHandler: c.malformed, Logger: &c.log, ReadBufferSize: mostHead,
 		MaxRequestBodySize: mostHead, ReadTimeout: wholeCall, WriteTimeout: wholeCall, ConnState: c.listener.State,
@@ -74,7 +74,7 @@
 	defer func() {
 		if crash := recover(); crash != nil {
 			c.counts.Crashed(c.log, "call", crash)
-			places.Plain(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
+			connlimit.Plain(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
 		}
 	}()
 	if !c.listener.Carry(ctx.Conn()) {
@@ -86,7 +86,7 @@
 	case path == "/control/ready":
 		method, do = fasthttp.MethodGet, func() {
 			if !c.of.Ready() {
-				places.Plain(ctx, fasthttp.StatusServiceUnavailable, "not ready")
+				connlimit.Plain(ctx, fasthttp.StatusServiceUnavailable, "not ready")
 			}
 		}
 	case path == "/control/counters":
@@ -106,7 +106,7 @@
 			limit, done := context.WithTimeout(context.Background(), answerBy)
 			defer done()
 			if err := c.of.Server(limit, id, out); err != nil {
-				places.Plain(ctx, fasthttp.StatusNotFound, err.Error())
+				connlimit.Plain(ctx, fasthttp.StatusNotFound, err.Error())
 			}
 		}
 	}
@@ -117,14 +117,14 @@
 	}
 	ctx.SetContentType("text/plain; charset=utf-8")
 	if do(); len(ctx.Response.Body()) == 0 {
-		places.Plain(ctx, fasthttp.StatusOK, "yes")
+		connlimit.Plain(ctx, fasthttp.StatusOK, "yes")
 	}
 	ctx.SetConnectionClose()
 }
 
 func (c *Console) refuse(ctx *fasthttp.RequestCtx, status int, why string) {
 	c.counts.Add(counters.CallsRefused)
-	places.Plain(ctx, status, why)
+	connlimit.Plain(ctx, status, why)
 	ctx.SetConnectionClose()
 }
 
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -15,16 +15,16 @@
 
 	mu    sync.Mutex
 	left  bool
-	lines map[*line]bool
+	lines map[*conn]bool
 }
 
-// line is a connection to discovery; its service forgets it when it closes.
-type line struct {
+// conn is a connection to discovery; its service forgets it when it closes.
+type conn struct {
 	net.Conn
 	of *service
 }
 
-func (l *line) Close() error {
+func (l *conn) Close() error {
 	l.of.mu.Lock()
 	delete(l.of.lines, l)
 	l.of.mu.Unlock()
@@ -32,7 +32,7 @@
 }
 
 func (w *Watcher) service(address string) *service {
-	s := &service{address: address, lines: map[*line]bool{}}
+	s := &service{address: address, lines: map[*conn]bool{}}
 	s.client = &fasthttp.HostClient{Addr: address, MaxConns: 2 * steps, MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader: true, MaxResponseBodySize: w.most,
 		Dial: func(at string) (net.Conn, error) { return s.dial(at, waitMost) }}
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &line{c, s}
+	l := &conn{c, s}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.left {
--- a/internal/endings_test.go
+++ b/internal/endings_test.go
@@ -58,7 +58,7 @@
 			}
 			return ok
 		})
-		_, at, counts := started(t, berth(t, patient(here(s))), 9, zerolog.Nop())
+		_, at, counts := started(t, manifest(t, patient(here(s))), 9, zerolog.Nop())
 		gone := dial(t, at)
 		io.WriteString(gone, visit)
 		until(t, "the server has it", func() bool { return s.count() == 1 })
@@ -83,7 +83,7 @@
 		}
 		return ok
 	})
-	_, at, counts := started(t, berth(t, patient(here(s))), 9, zerolog.Nop())
+	_, at, counts := started(t, manifest(t, patient(here(s))), 9, zerolog.Nop())
 	stays := dial(t, at)
 	io.WriteString(stays, visit+strings.Replace(visit, "ID: 1", "ID: 2", 1))
 	until(t, "the server has it", func() bool { return s.count() == 1 })
@@ -105,7 +105,7 @@
 	var tr trace
 	s := serveFake(t, func(int, string) string { return ok })
 	var log slowLog
-	r, at, counts := started(t, berth(t, patient(here(s))), 9, zerolog.New(&log))
+	r, at, counts := started(t, manifest(t, patient(here(s))), 9, zerolog.New(&log))
 	odd := exchange.New() // the module panics over it, and stands still while that is logged
 	odd.On, odd.Left = 99, second
 	r.Take(odd)
@@ -161,7 +161,7 @@
 	var tr trace
 	held := make(chan *exchange.Exchange, 1)
 	counts := &counters.Sheet{}
-	in, at := listen(t, berth(t, patient("")), 9, taker{&tr, holding(held)}, counts)
+	in, at := listen(t, manifest(t, patient("")), 9, taker{&tr, holding(held)}, counts)
 	long := strings.Repeat("y", exchange.MostBody-1)
 	for _, c := range []struct{ name, ahead string }{
 		{"nothing", ""},
@@ -203,7 +203,7 @@
 func TestAnswerAheadOfTheNext(t *testing.T) {
 	var tr trace
 	held := make(chan *exchange.Exchange, 2)
-	_, at := listen(t, berth(t, patient("")), 9, taker{&tr, func(x *exchange.Exchange) { held <- x }}, &counters.Sheet{})
+	_, at := listen(t, manifest(t, patient("")), 9, taker{&tr, func(x *exchange.Exchange) { held <- x }}, &counters.Sheet{})
 	for _, body := range []string{"Content-Length: 1\r\n\r\nx", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"} {
 		c := dial(t, at)
 		visit := "POST /pay HTTP/1.1\r\n" + longFields + body
@@ -227,7 +227,7 @@
 func TestStopWithABacklog(t *testing.T) {
 	var tr trace
 	held := make(chan *exchange.Exchange, 1)
-	in, at := listen(t, berth(t, patient("")), 1, taker{&tr, holding(held)}, &counters.Sheet{})
+	in, at := listen(t, manifest(t, patient("")), 1, taker{&tr, holding(held)}, &counters.Sheet{})
 	first := dial(t, at)
 	io.WriteString(first, "GET /look HTTP/1.1\r\n"+longFields+"X-Retried: 1\r\n\r\n")
 	x := <-held
@@ -264,7 +264,7 @@
 func TestStopCrossing(t *testing.T) {
 	for try := 0; ; try++ {
 		var tr trace
-		in, at := listen(t, berth(t, patient("")), 9, taker{&tr, deliver}, &counters.Sheet{})
+		in, at := listen(t, manifest(t, patient("")), 9, taker{&tr, deliver}, &counters.Sheet{})
 		stopped := make(chan bool)
 		go func() { in.Stop(); close(stopped) }()
 		until(t, "it stops", func() bool { return !in.Ready() })
@@ -301,7 +301,7 @@
 		<-release
 		return "!"
 	})
-	b := berth(t, patient(here(s)))
+	b := manifest(t, patient(here(s)))
 	counts := &counters.Sheet{}
 	_, in, at := startedIn(t, b, 9, counts, zerolog.Nop())
 	c := dial(t, at)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -34,7 +34,7 @@
 	ID           brain.VisitID
 	Name         string // the client's, new with every visit
 	On           brain.Prefix
-	Of           brain.Realm
+	Of           brain.Tenant
 	Left, Effort brain.Micros
 	Again        bool
 
--- a/internal/fittings/fittings.go
+++ b/internal/extensions/extensions.go
@@ -1,6 +1,6 @@
-// Package fittings reads what a sidecar is fitted with beside the platform's file: one TOML file, one table a subsystem. No
+// Package extensions reads what a sidecar is fitted with beside the platform's file: one TOML file, one table a subsystem. No
 // file, or no table: nothing of it runs. docs/membership.md has the names.
-package fittings
+package extensions
 
 import (
 	"errors"
@@ -31,8 +31,8 @@
 	return err
 }
 
-// Fittings is one file.
-type Fittings struct {
+// Extensions is one file.
+type Extensions struct {
 	Membership *Membership `toml:"membership"`
 }
 
@@ -68,10 +68,10 @@
 	leastEvery, mostEvery Span = 20_000, 60_000_000
 )
 
-// Read takes a file; "" gives no fittings.
-func Read(file string) (*Fittings, error) {
+// Read takes a file; "" gives no extensions.
+func Read(file string) (*Extensions, error) {
 	if file == "" {
-		return &Fittings{}, nil
+		return &Extensions{}, nil
 	}
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -81,8 +81,8 @@
 }
 
 // Parse takes the bytes of a file.
-func Parse(file string, text []byte) (*Fittings, error) {
-	f := &Fittings{}
+func Parse(file string, text []byte) (*Extensions, error) {
+	f := &Extensions{}
 	if err := strict.Decode(file, text, f); err != nil {
 		return nil, err
 	}
@@ -173,7 +173,7 @@
 func (m *Membership) taken(err error) error { return fmt.Errorf("membership.listen: %w", err) }
 
 // Differ names the tables that differ between two files; each needs a restart.
-func Differ(a, b *Fittings) (names []string) {
+func Differ(a, b *Extensions) (names []string) {
 	if fmt.Sprintf("%+v", deref(a.Membership)) != fmt.Sprintf("%+v", deref(b.Membership)) {
 		names = append(names, "membership")
 	}
--- a/internal/fittings/fittings_test.go
+++ b/internal/extensions/extensions_test.go
@@ -1,4 +1,4 @@
-package fittings
+package extensions
 
 import (
 	"strings"
--- a/internal/handover/book.go
+++ b/internal/handover/state.go
@@ -24,8 +24,8 @@
 	writeBy = 300 * time.Millisecond // a call's answer waits for the file so long, and no longer
 )
 
-// Book is that file, and what this process last knew of it.
-type Book struct {
+// State is that file, and what this process last knew of it.
+type State struct {
 	path, sidecar string
 	log           zerolog.Logger
 
@@ -41,10 +41,10 @@
 
 // Open finds the book of this sidecar, and reads what an earlier process wrote there. What is torn, foreign or unreadable
 // is told in the log and passed over. before is that process, if it lives; 0: it does not, or there was none.
-func Open(folder, sidecar, listen string, log zerolog.Logger) (b *Book, before int) {
+func Open(folder, sidecar, listen string, log zerolog.Logger) (b *State, before int) {
 	none := make(chan struct{})
 	close(none)
-	b = &Book{last: none, path: filepath.Join(folder, fmt.Sprintf("ledgespread-%x", sidecar+" "+listen)), sidecar: sidecar, log: log}
+	b = &State{last: none, path: filepath.Join(folder, fmt.Sprintf("ledgespread-%x", sidecar+" "+listen)), sidecar: sidecar, log: log}
 	if _, err := os.Stat(b.path); errors.Is(err, fs.ErrNotExist) {
 		return b, 0
 	}
@@ -59,7 +59,7 @@
 func Lives(pid int) bool { return !errors.Is(syscall.Kill(pid, 0), syscall.ESRCH) }
 
 // Replaced tells whether another process of this sidecar has written itself down since.
-func (b *Book) Replaced() bool {
+func (b *State) Replaced() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, pid, err := b.read()
@@ -67,14 +67,14 @@
 }
 
 // Out is which servers staff took out, as this process last knew it.
-func (b *Book) Out() []string {
+func (b *State) Out() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return slices.Clone(b.out)
 }
 
 // read takes the file; the lock is held, or nobody else knows of the book yet.
-func (b *Book) read() (out []string, pid int, err error) {
+func (b *State) read() (out []string, pid int, err error) {
 	defer func() {
 		if err != nil && !b.told {
 			b.told = true
@@ -120,7 +120,7 @@
 // Change has the servers changed that are out, and writes them down before it returns. change is told of no error: what
 // can't be written holds in this process all the same. Guards against a late answer by a slow disk: it is not waited for
 // longer than a call allows, and written when it can be.
-func (b *Book) Change(change func() (out []string, err error)) error {
+func (b *State) Change(change func() (out []string, err error)) error {
 	b.changing.Lock()
 	defer b.changing.Unlock()
 	out, err := change()
@@ -146,14 +146,14 @@
 }
 
 // Write says that this process is there, beside what is out.
-func (b *Book) Write() {
+func (b *State) Write() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.write()
 }
 
 // write replaces the file by rename. Guards against a torn one, whoever reads it meanwhile.
-func (b *Book) write() {
+func (b *State) write() {
 	slices.Sort(b.out)
 	text, err := json.Marshal(map[string]any{"form": form, "sidecar": b.sidecar, "process": os.Getpid(),
 		"out": slices.Concat([]string{}, b.out)})
@@ -175,7 +175,7 @@
 }
 
 // Changed reads the file again if another process wrote it, and tells which servers are out then.
-func (b *Book) Changed() (out []string, changed bool) {
+func (b *State) Changed() (out []string, changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	about, err := os.Stat(b.path)
--- a/internal/handover/book_test.go
+++ b/internal/handover/state_test.go
@@ -13,12 +13,12 @@
 )
 
 // What one process writes the next one reads; what is torn, foreign or no file is told once, passed over, and replaced.
-func TestBook(t *testing.T) {
+func TestState(t *testing.T) {
 	var got []string
 	say := func(format string, a ...any) { got = append(got, fmt.Sprintf(format, a...)) }
 	var log bytes.Buffer
 	folder := t.TempDir()
-	open := func() (*Book, int) { return Open(folder, "n0", "127.0.0.1:1", zerolog.New(&log)) }
+	open := func() (*State, int) { return Open(folder, "n0", "127.0.0.1:1", zerolog.New(&log)) }
 	told := func() int { defer log.Reset(); return bytes.Count(log.Bytes(), []byte("passed over")) }
 	one, before := open()
 	say("nothing there: %v, before %d, told %d", one.Out(), before, told())
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -12,8 +12,8 @@
 	"github.com/valyala/fasthttp"
 
 	"ledgespread/brain"
+	"ledgespread/internal/connlimit"
 	"ledgespread/internal/exchange"
-	"ledgespread/internal/places"
 )
 
 const (
@@ -117,7 +117,7 @@
 		m.head = append(m.head, "Transfer-Encoding: chunked\r\n"...)
 	}
 	conn := ctx.Conn()
-	x.Upload = exchange.NewUpload(from, sized, x.Left, func(over bool) { places.Interrupt(conn, over) })
+	x.Upload = exchange.NewUpload(from, sized, x.Left, func(over bool) { connlimit.Interrupt(conn, over) })
 	x.Holds(m.head, nil, held)
 	x.Left += brain.Micros(most) * 1_000_000 / slowestBody
 	return true
@@ -175,7 +175,7 @@
 	in.listener.Next(ctx.Conn(), ahead)
 	// Guards against an answer that waits in a buffer until the visit that was sent ahead has its own: so it is written at once.
 	if ahead > 0 || m.body.Chunked {
-		ctx.SetWriteDeadline(time.Now().Add(places.LastWord))
+		ctx.SetWriteDeadline(time.Now().Add(connlimit.LastWord))
 	}
 	return true
 }
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -15,10 +15,10 @@
 	"github.com/valyala/fasthttp"
 
 	"ledgespread/brain"
+	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/peek"
-	"ledgespread/internal/places"
 	"ledgespread/internal/site"
 )
 
@@ -40,36 +40,36 @@
 
 // Inbound serves the application.
 type Inbound struct {
-	server   *fasthttp.Server
-	listener *places.Listener
-	visits   Taker
-	prefixes map[string]int
-	tagged   map[int]bool // path prefixes whose visits carry a mark
-	readLike map[int]bool
-	realms   map[string]int
-	longest  brain.Micros // client timeout
-	ticks    ticks
-	post     post
-	expired  chan struct{} // closed when a stop can wait no longer for answers
-	streams  atomic.Int64  // long answers that are being passed on
-	room     atomic.Int64  // bytes that long bodies may still take while they are held
-	accounts *counters.Accounts
-	mostHeld int64       // of the room, by one body
-	More     io.WriterTo // counters that stand behind this sidecar's own; nil: there are none
-	counts   *counters.Sheet
-	log      zerolog.Logger
+	server    *fasthttp.Server
+	listener  *connlimit.Listener
+	visits    Taker
+	prefixes  map[string]int
+	tagged    map[int]bool // path prefixes whose visits carry a mark
+	readLike  map[int]bool
+	realms    map[string]int
+	longest   brain.Micros // client timeout
+	ticks     ticks
+	lifecycle lifecycle
+	expired   chan struct{} // closed when a stop can wait no longer for answers
+	streams   atomic.Int64  // long answers that are being passed on
+	room      atomic.Int64  // bytes that long bodies may still take while they are held
+	accounts  *counters.Accounts
+	mostHeld  int64       // of the room, by one body
+	More      io.WriterTo // counters that stand behind this sidecar's own; nil: there are none
+	counts    *counters.Sheet
+	log       zerolog.Logger
 }
 
 // Listen takes the address; Serve serves there. No more than most connections are held.
-func Listen(b *site.Berth, most int, visits Taker, counts *counters.Sheet,
+func Listen(b *site.Manifest, most int, visits Taker, counts *counters.Sheet,
 	log zerolog.Logger) (*Inbound, error) {
-	ln, err := places.Listen(b.Listen, b.Console != "")
+	ln, err := connlimit.Listen(b.Listen, b.Console != "")
 	if err != nil {
 		return nil, err
 	}
 	in := &Inbound{visits: visits, prefixes: b.Places("path_prefixes"), realms: b.Places("realms"),
 		tagged: map[int]bool{}, readLike: map[int]bool{}, counts: counts, log: log,
-		expired: make(chan struct{}), listener: places.New(ln, most, counts, log)}
+		expired: make(chan struct{}), listener: connlimit.New(ln, most, counts, log)}
 	names := make([]string, len(in.prefixes))
 	for name, i := range in.prefixes {
 		names[i] = name
@@ -90,8 +90,8 @@
 	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log, StreamRequestBody: true, HeaderReceived: started,
 		MaxRequestBodySize: exchange.MostBody, ReadBufferSize: buffer,
 		ReduceMemoryUsage: short,
-		IdleTimeout:       max(idleTimes*time.Duration(in.longest)*time.Microsecond, places.LastWord),
-		ReadTimeout:       places.LastWord, WriteTimeout: places.LastWord, ConnState: in.listener.State,
+		IdleTimeout:       max(idleTimes*time.Duration(in.longest)*time.Microsecond, connlimit.LastWord),
+		ReadTimeout:       connlimit.LastWord, WriteTimeout: connlimit.LastWord, ConnState: in.listener.State,
 		Concurrency: 2 * most, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true}
 	return in, nil
@@ -110,7 +110,7 @@
 func (in *Inbound) Accounts() *counters.Accounts { return in.accounts }
 
 // Steer has new clients come here, no longer to the process that served before at this address.
-func (in *Inbound) Steer() error { return places.Steer(in.listener) }
+func (in *Inbound) Steer() error { return connlimit.Steer(in.listener) }
 
 // Serve goes on until Stop.
 func (in *Inbound) Serve() error { return in.server.Serve(in.listener) }
@@ -121,7 +121,7 @@
 	defer func() {
 		if crash := recover(); crash != nil {
 			in.counts.Crashed(in.log, "connection", crash)
-			places.Plain(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
+			connlimit.Plain(ctx, fasthttp.StatusInternalServerError, "this sidecar failed")
 			ctx.SetConnectionClose()
 		}
 	}()
@@ -134,9 +134,9 @@
 			return
 		}
 		if in.Ready() {
-			places.Plain(ctx, fasthttp.StatusOK, "ready")
+			connlimit.Plain(ctx, fasthttp.StatusOK, "ready")
 		} else {
-			places.Plain(ctx, fasthttp.StatusServiceUnavailable, "out of service")
+			connlimit.Plain(ctx, fasthttp.StatusServiceUnavailable, "out of service")
 		}
 	case string(m.target) == "/-/counters":
 		if !in.bare(ctx, m) {
@@ -159,14 +159,14 @@
 // connection, and against reading the rest of what was malformed as a message.
 func (in *Inbound) refuse(ctx *fasthttp.RequestCtx, status int, fault string) {
 	in.counts.Add(counters.BadInput)
-	places.Plain(ctx, status, fault)
+	connlimit.Plain(ctx, status, fault)
 	ctx.SetConnectionClose()
 }
 
 // abandon ends a connection whose client is not there. Guards against an empty 200, which fasthttp writes
 // where nothing is said, at a client that closed but its own half.
 func abandon(ctx *fasthttp.RequestCtx) {
-	places.Plain(ctx, fasthttp.StatusBadGateway, "the client left")
+	connlimit.Plain(ctx, fasthttp.StatusBadGateway, "the client left")
 	ctx.SetConnectionClose()
 }
 
@@ -233,7 +233,7 @@
 	}
 	taken := time.NewTimer(time.Until(end))
 	defer taken.Stop()
-	gone, stop := places.Watch(conn)
+	gone, stop := connlimit.Watch(conn)
 	select {
 	case <-x.Done():
 	case <-in.expired: // it would be killed with the process
@@ -280,7 +280,7 @@
 	case exchange.Bounced:
 		in.counts.Add(counters.VisitsBounced)
 		ended(counters.Declined)
-		places.Plain(ctx, fasthttp.StatusServiceUnavailable, "not now; a retry does no harm")
+		connlimit.Plain(ctx, fasthttp.StatusServiceUnavailable, "not now; a retry does no harm")
 		if x.ComeBackIn > 0 {
 			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter,
 				strconv.FormatFloat(math.Ceil(float64(x.ComeBackIn)/1000)/1000, 'f', -1, 64))
@@ -290,10 +290,10 @@
 	case exchange.Overdue:
 		in.counts.Add(counters.VisitsErrored)
 		ended(counters.Aborted)
-		places.Plain(ctx, fasthttp.StatusGatewayTimeout, "no answer in time")
+		connlimit.Plain(ctx, fasthttp.StatusGatewayTimeout, "no answer in time")
 	default:
 		in.counts.Add(counters.VisitsErrored)
 		ended(counters.Aborted)
-		places.Plain(ctx, fasthttp.StatusBadGateway, "no answer from the servers")
+		connlimit.Plain(ctx, fasthttp.StatusBadGateway, "no answer from the servers")
 	}
 }
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -115,7 +115,7 @@
 		return bad(fasthttp.StatusBadRequest, "unknown tenant")
 	}
 	x = exchange.New()
-	x.Name, x.On, x.Of, x.Left = m.field[fieldID], brain.Prefix(on), brain.Realm(of), left
+	x.Name, x.On, x.Of, x.Left = m.field[fieldID], brain.Prefix(on), brain.Tenant(of), left
 	x.Again = m.field[fieldAgain] == "1"
 	if cost, err := strconv.ParseFloat(m.field[fieldCost], 64); err == nil && cost >= 1 && cost < 1<<32 {
 		x.Effort = brain.Micros(cost)
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -284,7 +284,7 @@
 }
 
 // A configuration that lacks something is refused by a line that names it.
-func TestBerth(t *testing.T) {
+func TestManifest(t *testing.T) {
 	var tr trace
 	good := configuration(host, "")
 	for _, c := range [][2]string{{"", ""}, {`"listen"`, `"listne"`}, {`"seed":"a1"`, `"seed":"zz"`},
@@ -589,7 +589,7 @@
 	text := strings.NewReplacer(`127.0.0.1:1"`, s.Addr().String()+`"`, `"memory_mb":64`, `"memory_mb":4`,
 		`"settings":{`, `"peer_listen":"127.0.0.1:0","peers":[`+strings.Join(at, ",")+`],"settings":{"balancers":1100,"me":1099,`).
 		Replace(configuration(strings.Join(lines, ","), `,"peer_messages":true`))
-	b := berth(t, text)
+	b := manifest(t, text)
 	counts := &counters.Sheet{}
 	r, err := relay.New(b, 9, reach(second, 9, counts), nil, counts, zerolog.Nop())
 	if err != nil {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -18,7 +18,7 @@
 	"golang.org/x/net/ipv4"
 
 	"ledgespread/decide/membership"
-	"ledgespread/internal/fittings"
+	"ledgespread/internal/extensions"
 )
 
 const (
@@ -48,7 +48,7 @@
 
 // Members is this sidecar's membership.
 type Members struct {
-	terms    *fittings.Membership
+	terms    *extensions.Membership
 	self     Self
 	log      zerolog.Logger
 	start    time.Time
@@ -77,7 +77,7 @@
 
 // Open takes the address and begins. told hears who is there, at each change. patient: the address is another process's of
 // this sidecar still; it is waited for.
-func Open(t *fittings.Membership, self Self, patient bool, told func([]membership.Member, int), log zerolog.Logger) (*Members, error) {
+func Open(t *extensions.Membership, self Self, patient bool, told func([]membership.Member, int), log zerolog.Logger) (*Members, error) {
 	m := &Members{terms: t, self: self, log: log.With().Str("part", "membership").Logger(), start: time.Now(), wake: make(chan struct{}, 1),
 		out: make(chan bool, exchangesOut), in: make(chan bool, exchangesIn), closed: make(chan struct{}), told: told,
 		counts: map[string]int64{}, rates: map[netip.Addr]int{}}
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -32,7 +32,7 @@
 // answer reads a whole answer, or as much of a long one as tells that it is long; others ahead of it that only inform are
 // passed over. Guards against delivering what the server did not mean: what is not proven well-formed is spoilt, as soon as
 // that shows.
-func (o *Outbound) answer(l *line, until time.Time) (*reply, error) {
+func (o *Outbound) answer(l *conn, until time.Time) (*reply, error) {
 	for passed := 0; ; {
 		head, err := l.head(exchange.MostHead - passed)
 		if err != nil {
@@ -73,7 +73,7 @@
 }
 
 // begin reads an answer's body as far as it is read before it goes on. Only a delivery is ever long.
-func (o *Outbound) begin(l *line, r *reply, body framing.Body, bare bool, until time.Time) (err error) {
+func (o *Outbound) begin(l *conn, r *reply, body framing.Body, bare bool, until time.Time) (err error) {
 	var from io.Reader
 	size, hold := exchange.MostBody, time.Now().Add(time.Until(until)/holdPart)
 	switch {
@@ -115,7 +115,7 @@
 }
 
 // head looks at the next head, which stays unread.
-func (l *line) head(most int) ([]byte, error) {
+func (l *conn) head(most int) ([]byte, error) {
 	const begins = "HTTP/1.1 "
 	for {
 		came, _ := l.in.Peek(l.in.Buffered())
--- a/internal/outbound/body.go
+++ b/internal/outbound/body.go
@@ -19,7 +19,7 @@
 
 // fixed is a body of so many bytes.
 type fixed struct {
-	l    *line
+	l    *conn
 	left int64
 }
 
@@ -37,13 +37,13 @@
 }
 
 // untilClose is a body that the connection's end ends.
-type untilClose struct{ l *line }
+type untilClose struct{ l *conn }
 
 func (b untilClose) Read(p []byte) (int, error) { return b.l.in.Read(p) }
 
 // chunked is a body in chunks; extensions and trailers are passed over.
 type chunked struct {
-	l        *line
+	l        *conn
 	left     int64 // of the chunk that is being read
 	ends     bool  // that chunk's line end is still to come
 	last     bool  // the last chunk came: trailers follow
--- a/internal/outbound/body_test.go
+++ b/internal/outbound/body_test.go
@@ -16,7 +16,7 @@
 
 // readFrom has a body in chunks read from a reader.
 func readFrom(r io.Reader) *chunked {
-	return &chunked{l: &line{in: bufio.NewReaderSize(r, usualHead)}}
+	return &chunked{l: &conn{in: bufio.NewReaderSize(r, usualHead)}}
 }
 
 // What a chunk brings is there as soon as it has come, whatever follows it or not; a read that a deadline ends loses nothing.
--- a/internal/outbound/failure.go
+++ b/internal/outbound/failure.go
@@ -8,17 +8,17 @@
 	"ledgespread/brain"
 )
 
-// Reach is how far a backend fetch had come.
-type Reach uint8
+// Progress is how far a backend fetch had come.
+type Progress uint8
 
 const (
-	Nowhere  Reach = iota // no connection, or none that took the last byte: it never ran
-	Sent                  // the last byte was written: it may have run
-	Spoilt                // an answer began that can't be read: it has run
-	Answered              // a whole answer came, but no delivery
+	Nowhere  Progress = iota // no connection, or none that took the last byte: it never ran
+	Sent                     // the last byte was written: it may have run
+	Spoilt                   // an answer began that can't be read: it has run
+	Answered                 // a whole answer came, but no delivery
 )
 
-func (r Reach) String() string { return [...]string{"not sent", "sent", "spoilt", "answered"}[r] }
+func (r Progress) String() string { return [...]string{"not sent", "sent", "spoilt", "answered"}[r] }
 
 // errClient is why a fetch was not written whole: its client brought no more. It never ran, and says nothing of its server.
 var errClient = fmt.Errorf("its client brought no more: %w", errCalledOff)
@@ -28,17 +28,17 @@
 
 // Failure tells why a backend fetch brought no delivery, and how far it had come.
 type Failure struct {
-	Reach  Reach
-	Status int  // of a whole answer
-	Unseen bool // that answer says it never ran
-	Cause  error
+	Progress Progress
+	Status   int  // of a whole answer
+	Unseen   bool // that answer says it never ran
+	Cause    error
 }
 
 func (f *Failure) Error() string {
-	if f.Reach == Answered {
+	if f.Progress == Answered {
 		return fmt.Sprintf("answered with %d", f.Status)
 	}
-	return fmt.Sprintf("%s: %v", f.Reach, f.Cause)
+	return fmt.Sprintf("%s: %v", f.Progress, f.Cause)
 }
 
 func (f *Failure) Unwrap() error { return f.Cause }
@@ -55,13 +55,13 @@
 		return brain.Delivered
 	case !errors.As(err, &f):
 		return brain.Reset
-	case f.Reach == Answered && f.Unseen:
+	case f.Progress == Answered && f.Unseen:
 		return brain.Full
-	case f.Reach == Answered || f.Reach == Spoilt:
+	case f.Progress == Answered || f.Progress == Spoilt:
 		return brain.Errored
-	case f.Reach == Nowhere && off:
+	case f.Progress == Nowhere && off:
 		return brain.NeverSent
-	case f.Reach == Nowhere:
+	case f.Progress == Nowhere:
 		return brain.ConnectFailed
 	case off:
 		return brain.Cancelled
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -33,7 +33,7 @@
 // Outbound reaches the servers.
 type Outbound struct {
 	pool    pool
-	crew    crew
+	workers workers
 	connect time.Duration
 	room    int          // bytes that answers may take together while they are read
 	taken   atomic.Int64 // of these
@@ -46,8 +46,8 @@
 // never more than most; answers take no more than room bytes together while they are read, and their load reports hold
 // loads.
 func New(idle, connect brain.Micros, most, room int, loads []string, counts *counters.Sheet, log zerolog.Logger) *Outbound {
-	return &Outbound{crew: make(crew), connect: span(connect), room: room, loads: loads, counts: counts, log: log,
-		pool: pool{idle: map[brain.Backend][]*line{}, keep: span(idle - idle/idleMargin), most: most, counts: counts}}
+	return &Outbound{workers: make(workers), connect: span(connect), room: room, loads: loads, counts: counts, log: log,
+		pool: pool{idle: map[brain.Backend][]*conn{}, keep: span(idle - idle/idleMargin), most: most, counts: counts}}
 }
 
 func span(t brain.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
@@ -56,39 +56,39 @@
 // report, if one came.
 type Ended func(a *exchange.Answer, reused bool, load []float64, err error)
 
-// Flight is a fetch that is out.
-type Flight struct {
+// Attempt is a fetch that is out.
+type Attempt struct {
 	To     brain.Backend
 	wrote  time.Time       // its last byte, where that took long
 	ctx    context.Context // over: it must not be sent any more
 	off    context.CancelFunc
 	called atomic.Bool // off: nobody waits for it
 	mu     sync.Mutex
-	line   *line
+	line   *conn
 	ended  Ended
 }
 
-func newFlight(to brain.Backend, ended Ended) *Flight {
-	f := &Flight{To: to, ended: ended}
+func newAttempt(to brain.Backend, ended Ended) *Attempt {
+	f := &Attempt{To: to, ended: ended}
 	f.ctx, f.off = context.WithCancel(context.Background())
 	return f
 }
 
 // Took is how long its answer took from its last byte on, where writing took long; else what the caller measured. It may be
 // asked once the fetch has ended.
-func (f *Flight) Took(whole brain.Micros) brain.Micros {
+func (f *Attempt) Took(whole brain.Micros) brain.Micros {
 	if f.wrote.IsZero() {
 		return whole
 	}
 	return min(whole, brain.Micros(time.Since(f.wrote)/time.Microsecond))
 }
 
-// Withdraw keeps a fetch from being sent if it is not yet. Guards against a send after the visit's end by a
+// CancelUnsent keeps a fetch from being sent if it is not yet. Guards against a send after the visit's end by a
 // connection that comes up late. One that was sent goes on.
-func (f *Flight) Withdraw() { f.off() }
+func (f *Attempt) CancelUnsent() { f.off() }
 
 // Cancel stops waiting; the connection is closed.
-func (f *Flight) Cancel() {
+func (f *Attempt) Cancel() {
 	f.called.Store(true)
 	f.off()
 	f.mu.Lock()
@@ -98,8 +98,8 @@
 	}
 }
 
-// rides notes the connection, so that Cancel can reach it; nil: it is left.
-func (f *Flight) rides(l *line) {
+// rides notes the connection, so that Cancel can progress it; nil: it is left.
+func (f *Attempt) rides(l *conn) {
 	f.mu.Lock()
 	f.line = l
 	f.mu.Unlock()
@@ -107,11 +107,11 @@
 
 // Fetch sends a visit to a server and waits for so long at most. It returns at once.
 func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, wait brain.Micros,
-	ended Ended) *Flight {
-	f := newFlight(be, ended)
+	ended Ended) *Attempt {
+	f := newAttempt(be, ended)
 	until := time.Now().Add(span(wait))
 	o.counts.Add(counters.FetchesSent)
-	o.crew.do(func() { o.run(f, be, address, until, x, wait) })
+	o.workers.do(func() { o.run(f, be, address, until, x, wait) })
 	return f
 }
 
@@ -126,11 +126,11 @@
 // Sweep closes connections that have stood idle for as long as they may.
 func (o *Outbound) Sweep() { o.pool.sweep() }
 
-func (o *Outbound) run(f *Flight, be brain.Backend, address string, until time.Time, x *exchange.Exchange, wait brain.Micros) {
+func (o *Outbound) run(f *Attempt, be brain.Backend, address string, until time.Time, x *exchange.Exchange, wait brain.Micros) {
 	var a *exchange.Answer
 	var reused bool
 	var load []float64
-	err := error(&Failure{Reach: Sent, Cause: fmt.Errorf("crashed")})
+	err := error(&Failure{Progress: Sent, Cause: fmt.Errorf("crashed")})
 	defer func() {
 		// Guards against a visit that hangs, and a sidecar that dies, by one fetch's panic.
 		if crash := recover(); crash != nil {
@@ -157,11 +157,11 @@
 }
 
 // once does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
-func (o *Outbound) once(f *Flight, be brain.Backend, address string, until time.Time, ask outgoing) (a *exchange.Answer,
+func (o *Outbound) once(f *Attempt, be brain.Backend, address string, until time.Time, ask outgoing) (a *exchange.Answer,
 	reused bool, load []float64, err error) {
 	for l := o.pool.take(be, address); l != nil; l = o.pool.take(be, address) {
 		a, load, err = o.over(f, be, l, until, ask)
-		if failure, ok := err.(*Failure); !ok || failure.Reach != Nowhere || f.ctx.Err() != nil ||
+		if failure, ok := err.(*Failure); !ok || failure.Progress != Nowhere || f.ctx.Err() != nil ||
 			!time.Now().Before(until) || ask.upload != nil && ask.upload.Begun() {
 			o.counts.Add(counters.ConnectionsReused)
 			return a, true, load, err
@@ -175,9 +175,9 @@
 	return a, false, load, err
 }
 
-func (o *Outbound) dial(f *Flight, address string, until time.Time) (*line, error) {
+func (o *Outbound) dial(f *Attempt, address string, until time.Time) (*conn, error) {
 	if !o.pool.room() {
-		return nil, &Failure{Reach: Nowhere, Cause: fmt.Errorf("all %d connections are busy", o.pool.most)}
+		return nil, &Failure{Progress: Nowhere, Cause: fmt.Errorf("all %d connections are busy", o.pool.most)}
 	}
 	d := net.Dialer{Timeout: o.connect, Deadline: until, KeepAlive: -1}
 	c, err := d.DialContext(f.ctx, "tcp", address)
@@ -186,16 +186,16 @@
 		if f.ctx.Err() != nil {
 			err = errCalledOff
 		}
-		return nil, &Failure{Reach: Nowhere, Cause: err}
+		return nil, &Failure{Progress: Nowhere, Cause: err}
 	}
 	o.counts.Add(counters.ConnectionsOpened)
-	l := &line{Conn: c, address: address}
+	l := &conn{Conn: c, address: address}
 	l.in = bufio.NewReaderSize(l, usualHead)
 	return l, nil
 }
 
 // over sends a fetch on a connection and reads the whole answer. The connection is kept or closed.
-func (o *Outbound) over(f *Flight, be brain.Backend, l *line, until time.Time, ask outgoing) (a *exchange.Answer,
+func (o *Outbound) over(f *Attempt, be brain.Backend, l *conn, until time.Time, ask outgoing) (a *exchange.Answer,
 	load []float64, err error) {
 	keep, handed := false, false
 	defer func() {
@@ -212,14 +212,14 @@
 	}()
 	l.by(until)
 	f.rides(l)
-	reach := Nowhere
+	progress := Nowhere
 	fail := func(cause error) error {
-		if f.called.Load() || reach == Nowhere && f.ctx.Err() != nil {
+		if f.called.Load() || progress == Nowhere && f.ctx.Err() != nil {
 			cause = errCalledOff
 		} else if !time.Now().Before(until) {
 			cause = os.ErrDeadlineExceeded // the reader of answers words it in several ways
 		}
-		return &Failure{Reach: reach, Cause: cause}
+		return &Failure{Progress: progress, Cause: cause}
 	}
 	if !ask.wanted() {
 		f.off()
@@ -244,12 +244,12 @@
 		l.by(until)
 		f.wrote = time.Now()
 	}
-	reach = Sent
+	progress = Sent
 	o.counts.Add(counters.FetchesWritten)
 	answer, err := o.answer(l, until)
 	if err != nil {
 		if l.broke == nil {
-			reach = Spoilt
+			progress = Spoilt
 			o.counts.Add(counters.FetchesSpoilt)
 		}
 		return nil, nil, fail(err)
@@ -258,7 +258,7 @@
 	if answer.status != fasthttp.StatusOK {
 		unseen := answer.unseen && (answer.status == fasthttp.StatusServiceUnavailable ||
 			answer.status == fasthttp.StatusGatewayTimeout)
-		return nil, answer.load, &Failure{Reach: Answered, Status: answer.status, Unseen: unseen}
+		return nil, answer.load, &Failure{Progress: Answered, Status: answer.status, Unseen: unseen}
 	}
 	if answer.body != nil {
 		f.rides(nil)
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -12,8 +12,8 @@
 	"ledgespread/internal/peek"
 )
 
-// line is one connection to a server.
-type line struct {
+// conn is one connection to a server.
+type conn struct {
 	net.Conn
 	in      *bufio.Reader
 	address string
@@ -24,14 +24,14 @@
 
 // by sets a deadline, unless one is set that comes no earlier and not much later: a busy connection is told once for
 // many fetches. What it may be late by is no visit's loss: that is answered by the module's own clock.
-func (l *line) by(until time.Time) {
+func (l *conn) by(until time.Time) {
 	if left := time.Until(until); l.until.Before(until) || l.until.After(until.Add(left/deadlinePart)) {
 		l.until = until.Add(left / deadlinePart / 2)
 		l.SetDeadline(l.until)
 	}
 }
 
-func (l *line) Read(p []byte) (n int, err error) {
+func (l *conn) Read(p []byte) (n int, err error) {
 	if n, err = l.Conn.Read(p); err != nil {
 		l.broke = err
 	}
@@ -39,12 +39,12 @@
 }
 
 // alive tells whether the other side has neither closed a line nor sent anything unasked.
-func (l *line) alive() bool { return l.in.Buffered() == 0 && peek.Look(l.Conn, false) == peek.Quiet }
+func (l *conn) alive() bool { return l.in.Buffered() == 0 && peek.Look(l.Conn, false) == peek.Quiet }
 
 // pool holds the connections that carry nothing, and counts all that are open.
 type pool struct {
 	mu     sync.Mutex
-	idle   map[brain.Backend][]*line // the one used last stands last
+	idle   map[brain.Backend][]*conn // the one used last stands last
 	keep   time.Duration             // how long one may stand idle
 	open   int
 	most   int
@@ -57,7 +57,7 @@
 // take finds an idle connection. Guards against writing to one that the server has closed, or is about to close; and against
 // a second answer some milliseconds after the first, which the next visit would get for its own: it shows on a connection that
 // had time to settle, which is waited for.
-func (p *pool) take(be brain.Backend, address string) *line {
+func (p *pool) take(be brain.Backend, address string) *conn {
 	for {
 		l := p.next(be)
 		if l == nil {
@@ -74,7 +74,7 @@
 }
 
 // next takes out of the idle connections, of those that have settled, the one used last; if none has, the one that needs least.
-func (p *pool) next(be brain.Backend) (l *line) {
+func (p *pool) next(be brain.Backend) (l *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lines := p.idle[be]
@@ -112,7 +112,7 @@
 	return true
 }
 
-func (p *pool) put(be brain.Backend, l *line) {
+func (p *pool) put(be brain.Backend, l *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.idle = time.Now() // its deadline is set when it is used again
@@ -126,7 +126,7 @@
 }
 
 // shut closes a connection; the lock is held.
-func (p *pool) shut(l *line) {
+func (p *pool) shut(l *conn) {
 	l.Close()
 	p.open--
 }
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -22,7 +22,7 @@
 // stream is the rest of a long answer: it goes on to the client as it comes, at the client's pace. Its reader closes it.
 type stream struct {
 	body  io.Reader
-	l     *line
+	l     *conn
 	be    brain.Backend
 	o     *Outbound
 	keeps bool // the connection may be used again
@@ -63,7 +63,7 @@
 // begin reads a body of unknown length until it is whole, or long, or has kept its reader waiting for so long; then the rest
 // comes by a stream. By the last moment it is late. Guards against holding back what the client could have, and against
 // giving up a retry for an answer that is short.
-func (l *line) begin(body io.Reader, most int, hold, last time.Time) (first []byte, whole bool, err error) {
+func (l *conn) begin(body io.Reader, most int, hold, last time.Time) (first []byte, whole bool, err error) {
 	first = make([]byte, 0, 4<<10)
 	l.SetReadDeadline(hold)
 	l.until = time.Time{} // whoever reads next sets its deadline anew
@@ -88,7 +88,7 @@
 
 // long writes a body that is long: what is here of it, then what its client still sends, as it comes. Each piece has a
 // deadline of its own, since only progress tells a slow server from one that is gone.
-func (o *Outbound) long(l *line, ask outgoing) error {
+func (o *Outbound) long(l *conn, ask outgoing) error {
 	put := func(b []byte) error {
 		l.SetWriteDeadline(time.Now().Add(stalled))
 		_, err := l.Write(b)
@@ -128,12 +128,12 @@
 }
 
 // early looks for an answer that came before the visit was whole: a server that turned it away and closed. It never ran.
-func (o *Outbound) early(l *line) error {
+func (o *Outbound) early(l *conn) error {
 	until := time.Now().Add(stalled / 100)
 	l.SetReadDeadline(until)
 	answer, err := o.answer(l, until)
 	if err != nil || answer.status == fasthttp.StatusOK {
 		return nil
 	}
-	return &Failure{Reach: Answered, Status: answer.status, Unseen: true}
+	return &Failure{Progress: Answered, Status: answer.status, Unseen: true}
 }
--- a/internal/outbound/crew.go
+++ b/internal/outbound/workers.go
@@ -4,11 +4,11 @@
 
 const restless = time.Second // a goroutine that has had nothing to do for so long, or half of it, ends
 
-// crew runs jobs on goroutines that are used again. Guards against a stack that grows anew for every fetch, and
+// workers runs jobs on goroutines that are used again. Guards against a stack that grows anew for every fetch, and
 // against goroutines that stay for ever after a burst.
-type crew chan func()
+type workers chan func()
 
-func (c crew) do(job func()) {
+func (c workers) do(job func()) {
 	select {
 	case c <- job:
 	default:
@@ -18,7 +18,7 @@
 
 // work does jobs until none has come for a while. The timer runs on over jobs and is asked only when it comes whether
 // there were any: setting it anew for each costs as much as a channel's hop.
-func (c crew) work(job func()) {
+func (c workers) work(job func()) {
 	rest := time.NewTimer(restless / 2)
 	defer rest.Stop()
 	for busy := true; ; {
--- a/internal/outbound/crew_test.go
+++ b/internal/outbound/workers_test.go
@@ -11,8 +11,8 @@
 )
 
 // Goroutines are used again, and those of a burst end.
-func TestCrew(t *testing.T) {
-	c, before := make(crew), runtime.NumGoroutine()
+func TestWorkers(t *testing.T) {
+	c, before := make(workers), runtime.NumGoroutine()
 	var burst sync.WaitGroup
 	release := make(chan bool)
 	for range 50 {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -11,9 +11,9 @@
 	"github.com/rs/zerolog"
 
 	"ledgespread/brain"
+	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/notes"
-	"ledgespread/internal/places"
 )
 
 const longest = 256 // bytes of a datagram
@@ -36,7 +36,7 @@
 // Open listens. The sidecars stand in the order of their numbers; shared: another process of this one may
 // be there too.
 func Open(listen string, shared bool, at []netip.AddrPort, counts *counters.Sheet, log zerolog.Logger) (*Peers, error) {
-	with := places.Share(shared)
+	with := connlimit.Share(shared)
 	conn, err := with.ListenPacket(context.Background(), "udp", listen)
 	if err != nil {
 		return nil, err
@@ -67,7 +67,7 @@
 }
 
 // Steer has messages come here, no longer to the process that was at this address before.
-func (p *Peers) Steer() error { return places.Steer(p.conn) }
+func (p *Peers) Steer() error { return connlimit.Steer(p.conn) }
 
 // Tell sends one message; it may be lost.
 func (p *Peers) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
--- a/internal/relay/hand.go
+++ b/internal/relay/hand.go
@@ -71,7 +71,7 @@
 	for _, v := range r.visits {
 		for _, f := range v.flights {
 			if f != nil && leaving(f.To) {
-				f.Withdraw()
+				f.CancelUnsent()
 			}
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,7 @@
 type visit struct {
 	x       *exchange.Exchange
 	until   brain.Micros
-	flights []*outbound.Flight // nil: never sent
+	flights []*outbound.Attempt // nil: never sent
 	out     int
 	ended   bool
 }
@@ -76,7 +76,7 @@
 
 // New makes a relay with its Balancer, which then holds the saved list. It holds most visits at once, or
 // fewer where the settings say so.
-func New(b *site.Berth, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
+func New(b *site.Manifest, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
 	log zerolog.Logger) (*Relay, error) {
 	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), calls: make(chan func()), due: due.New[brain.Micros](),
 		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, rare: map[string]bool{},
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -56,7 +56,7 @@
 	r.held--
 	for _, f := range v.flights {
 		if f != nil {
-			f.Withdraw()
+			f.CancelUnsent()
 		}
 	}
 	r.forget(v)
@@ -100,7 +100,7 @@
 		r.later(func() { r.ended(v, no, brain.NeverSent, 0, nil, nil) })
 		return
 	}
-	var f *outbound.Flight
+	var f *outbound.Attempt
 	f = r.outbound.Fetch(v.x, be, to.address, wait,
 		func(a *exchange.Answer, _ bool, load []float64, err error) {
 			r.post(func() {
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -144,7 +144,7 @@
 }
 
 // fetch does one backend fetch and tells how it ended. before is done while it is out.
-func fetch(o *outbound.Outbound, path, address string, wait brain.Micros, before func(*outbound.Flight)) string {
+func fetch(o *outbound.Outbound, path, address string, wait brain.Micros, before func(*outbound.Attempt)) string {
 	x := exchange.New().Holds([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n"), nil, nil)
 	end := make(chan string, 2)
 	f := o.Fetch(x, 1, address, wait, func(a *exchange.Answer, reused bool, _ []float64, err error) {
@@ -163,7 +163,7 @@
 	return <-end
 }
 
-func nothing(*outbound.Flight) {}
+func nothing(*outbound.Attempt) {}
 
 func TestFetchEnds(t *testing.T) {
 	s := serveFake(t, func(_ int, path string) string {
@@ -207,7 +207,7 @@
 		tr.add("%s: %s", path, strings.Replace(end, strings.Repeat("x", 70000), "x times 70000", 1))
 	}
 	end := fetch(reach(10*second, 9, &counters.Sheet{}), "/silence", s.Addr().String(), 10*second,
-		func(f *outbound.Flight) {
+		func(f *outbound.Attempt) {
 			for s.count() < 32 {
 				time.Sleep(time.Millisecond)
 			}
@@ -216,9 +216,9 @@
 	tr.add("called off while it waits: %s", end)
 	tr.add("the server saw %d", s.count())
 	full := deaf(t)
-	end = fetch(reach(10*second, 9, &counters.Sheet{}), "/ok", full, 5*second, func(f *outbound.Flight) {
+	end = fetch(reach(10*second, 9, &counters.Sheet{}), "/ok", full, 5*second, func(f *outbound.Attempt) {
 		time.Sleep(20 * time.Millisecond)
-		f.Withdraw()
+		f.CancelUnsent()
 	})
 	tr.add("its visit ends while the connection comes up: %s", end)
 	end = fetch(outbound.New(10*second, second/20, 9, 4<<20, nil, &counters.Sheet{}, zerolog.Nop()), "/ok", full, 5*second, nothing)
--- a/internal/shape_test.go
+++ b/internal/shape_test.go
@@ -82,11 +82,11 @@
 // Each setting that decisions go by is checked where it is read; a bad value is refused by one line that names it.
 func TestSettingsChecked(t *testing.T) {
 	var tr trace
-	berth, err := site.Parse([]byte(shape))
+	manifest, err := site.Parse([]byte(shape))
 	if err != nil {
 		t.Fatal(err)
 	}
-	tr.add("whole: loads %v, a connection may carry %d, and carries %v", berth.Loads(), berth.Streams, berth.Site["allowed.multiplex"])
+	tr.add("whole: loads %v, a connection may carry %d, and carries %v", manifest.Loads(), manifest.Streams, manifest.Site["allowed.multiplex"])
 	for _, c := range [][2]string{{`"how":"inline"`, `"how":"off"`}, {`"multiplex":100`, `"multiplex":0`}, {`"multiplex":100`, `"multiplex":"100"`},
 		{`"multiplex":100`, `"multiplex":1.5`}, {`"how":"inline"`, `"how":"answers"`}, {`"err_ps","concurrent"`, `"eps"`},
 		{`"err_ps","concurrent"`, `"tps","depth","mean_ms","err_ps","concurrent"`},
@@ -95,9 +95,9 @@
 		{`"quota_per_s":9`, `"quota_per_s":-9`}, {`"balancers":4`, `"balancers":0`}, {`"target_latency_us":400000`, `"target_latency_us":0`},
 		{`,"telemetry":{"how":"inline","fields":["err_ps","concurrent"]},"tariffs":{"connection":0.03,"handshake":0}`, ""}} {
 		text := strings.Replace(strings.ReplaceAll(shape, "\n", ""), c[0], c[1], 1)
-		berth, err := site.Parse([]byte(text))
+		manifest, err := site.Parse([]byte(text))
 		if err == nil {
-			tr.add("%s: loads %v", c[1], berth.Loads())
+			tr.add("%s: loads %v", c[1], manifest.Loads())
 		} else if line := err.Error(); regexp.MustCompile("\n").MatchString(line) {
 			t.Errorf("more than a line: %q", line)
 		} else {
--- a/internal/site/berth.go
+++ b/internal/site/manifest.go
@@ -13,8 +13,8 @@
 	"ledgespread/brain"
 )
 
-// Berth is the place a sidecar is put in: its addresses, its limits, and the settings of the deployment.
-type Berth struct {
+// Manifest is the place a sidecar is put in: its addresses, its limits, and the settings of the deployment.
+type Manifest struct {
 	Name, Listen, Discovery string
 	Seed                    uint64
 	Cores                   float64
@@ -29,7 +29,7 @@
 
 // Read takes a configuration file. Guards against a sidecar that starts half told: what is missing or
 // malformed is an error that names it.
-func Read(file string) (*Berth, error) {
+func Read(file string) (*Manifest, error) {
 	if file == "" {
 		return nil, errors.New("no configuration file: RELAY_CONFIG is not set")
 	}
@@ -51,12 +51,12 @@
 }
 
 // Parse takes the bytes of a configuration.
-func Parse(text []byte) (*Berth, error) {
+func Parse(text []byte) (*Manifest, error) {
 	var tree map[string]json.RawMessage
 	if err := json.Unmarshal(text, &tree); err != nil {
 		return nil, err
 	}
-	b := &Berth{Known: tree["known"]}
+	b := &Manifest{Known: tree["known"]}
 	var seed string
 	var peers []string
 	var limits map[string]float64
@@ -123,14 +123,14 @@
 }
 
 // Span is a figure of the settings in whole microseconds, 0 where they lack it.
-func (b *Berth) Span(name string) brain.Micros { return brain.Micros(b.Figure(name)) }
+func (b *Manifest) Span(name string) brain.Micros { return brain.Micros(b.Figure(name)) }
 
 // Figure is a number of the settings, 0 where they lack it.
-func (b *Berth) Figure(name string) float64 { f, _ := b.Site[name].(float64); return f }
+func (b *Manifest) Figure(name string) float64 { f, _ := b.Site[name].(float64); return f }
 
 // Places numbers the names that a list of the settings gives its items: "realms.3.name" is 3.
 // Items that are bare words go by these.
-func (b *Berth) Places(list string) map[string]int {
+func (b *Manifest) Places(list string) map[string]int {
 	places := map[string]int{}
 	for i := range int(b.Figure(list)) {
 		at := list + "." + strconv.Itoa(i)
@@ -144,7 +144,7 @@
 }
 
 // Timeouts are the shortest and the longest client timeout of all path prefixes.
-func (b *Berth) Timeouts() (shortest, longest brain.Micros) {
+func (b *Manifest) Timeouts() (shortest, longest brain.Micros) {
 	for i := range int(b.Figure("path_prefixes")) {
 		timeout := b.Span("path_prefixes." + strconv.Itoa(i) + ".client_timeout_us")
 		if longest = max(longest, timeout); i == 0 || timeout < shortest {
@@ -155,7 +155,7 @@
 }
 
 // Differ names what differs between two configurations and holds from a start to its end.
-func Differ(a, b *Berth) (names []string) {
+func Differ(a, b *Manifest) (names []string) {
 	for _, field := range []struct {
 		name string
 		same bool
--- a/internal/site/migrate.go
+++ b/internal/site/migrate.go
@@ -26,7 +26,7 @@
 // Moved is a file's counterpart, with what changed and what could not be carried over, a line each.
 type Moved struct {
 	Text          []byte
-	Berth         *Berth // as read from that
+	Manifest      *Manifest // as read from that
 	Changed, Left []string
 }
 
@@ -64,7 +64,7 @@
 		return nil, err
 	}
 	m.Text = append(m.Text, '\n')
-	if m.Berth, err = Parse(m.Text); err != nil {
+	if m.Manifest, err = Parse(m.Text); err != nil {
 		return nil, fmt.Errorf("the counterpart: %w", err)
 	}
 	return m, nil
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -108,7 +108,7 @@
 }
 
 // Loads names the values of a load report in answers, in their order; none where answers carry none.
-func (b *Berth) Loads() (names []string) {
+func (b *Manifest) Loads() (names []string) {
 	if b.Site["telemetry.how"] == "inline" {
 		for _, name := range items(b.Site, "telemetry.fields.*") {
 			names = append(names, b.Site[name].(string))
--- a/internal/streams_test.go
+++ b/internal/streams_test.go
@@ -28,7 +28,7 @@
 	server := &http.Server{Handler: h}
 	go server.Serve(ln)
 	t.Cleanup(func() { server.Close() })
-	b := berth(t, configuration(fmt.Sprintf(`{"host":"s0","dial":"%s","site":"here","class":"m","block":0,
+	b := manifest(t, configuration(fmt.Sprintf(`{"host":"s0","dial":"%s","site":"here","class":"m","block":0,
 		"health":"in_service","share":1,"born_ms":0}`, ln.Addr()), ""))
 	counts = &counters.Sheet{}
 	r, err := relay.New(b, 30, reach(10*second, 30, counts), nil, counts, zerolog.Nop())
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -37,7 +37,7 @@
 		"fall_us":1500000,"ask_every_us":10000000}}}`
 }
 
-func berth(t *testing.T, text string) *site.Berth {
+func manifest(t *testing.T, text string) *site.Manifest {
 	t.Helper()
 	b, err := site.Parse([]byte(text))
 	if err != nil {
@@ -68,7 +68,7 @@
 	}
 }
 
-func listen(t *testing.T, b *site.Berth, most int, visits inbound.Taker,
+func listen(t *testing.T, b *site.Manifest, most int, visits inbound.Taker,
 	counts *counters.Sheet) (*inbound.Inbound, string) {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
@@ -139,7 +139,7 @@
 func TestBadInput(t *testing.T) {
 	var tr trace
 	counts := &counters.Sheet{}
-	_, at := listen(t, berth(t, configuration("", "")), 9, taker{&tr, deliver}, counts)
+	_, at := listen(t, manifest(t, configuration("", "")), 9, taker{&tr, deliver}, counts)
 	without := func(name string) string {
 		var kept string
 		for line := range strings.Lines(fields) {
@@ -247,7 +247,7 @@
 func TestEscapedNames(t *testing.T) {
 	var tr trace
 	text := strings.Replace(configuration("", ""), `"name":"look"`, `"name":"look up/é"`, 1)
-	_, at := listen(t, berth(t, text), 9, taker{&tr, func(x *exchange.Exchange) {
+	_, at := listen(t, manifest(t, text), 9, taker{&tr, func(x *exchange.Exchange) {
 		first, _, _ := strings.Cut(string(outgoing(x)), "\r\n")
 		tr.add("%s, prefix %d", first, x.On)
 		deliver(x)
@@ -284,7 +284,7 @@
 // other.
 func TestBytesThatGoOn(t *testing.T) {
 	var tr trace
-	_, at := listen(t, berth(t, configuration("", "")), 9, taker{&tr, func(x *exchange.Exchange) {
+	_, at := listen(t, manifest(t, configuration("", "")), 9, taker{&tr, func(x *exchange.Exchange) {
 		for line := range strings.Lines(string(outgoing(x))) {
 			tr.add("%s", strings.TrimRight(line, "\r\n"))
 		}
@@ -321,7 +321,7 @@
 	n := 0
 	held := make(chan *exchange.Exchange, 1)
 	counts := &counters.Sheet{}
-	_, at := listen(t, berth(t, configuration("", "")), 9, taker{&tr, func(x *exchange.Exchange) {
+	_, at := listen(t, manifest(t, configuration("", "")), 9, taker{&tr, func(x *exchange.Exchange) {
 		if n++; n == 3 {
 			panic("in a connection")
 		} else if n > 3 {
@@ -392,7 +392,7 @@
 func placesAndStop(t *testing.T) (tr *trace, late bool) {
 	tr = &trace{}
 	held := make(chan *exchange.Exchange, 1)
-	in, at := listen(t, berth(t, configuration("", "")), 2, taker{tr, holding(held)}, &counters.Sheet{})
+	in, at := listen(t, manifest(t, configuration("", "")), 2, taker{tr, holding(held)}, &counters.Sheet{})
 	visit := "GET /look HTTP/1.1\r\n" + fields + "\r\n"
 	dial(t, at)
 	one := dial(t, at)
@@ -426,17 +426,17 @@
 		hosts = append(hosts, fmt.Sprintf(`{"host":"s%d","dial":"%s","site":"here","class":"m","block":0,
 			"health":"in_service","share":1,"born_ms":0}`, i, s.Addr()))
 	}
-	return started(t, berth(t, configuration(strings.Join(hosts, ","), allowed)), most, zerolog.Nop())
+	return started(t, manifest(t, configuration(strings.Join(hosts, ","), allowed)), most, zerolog.Nop())
 }
 
-func started(t *testing.T, b *site.Berth, most int, log zerolog.Logger) (*relay.Relay, string, *counters.Sheet) {
+func started(t *testing.T, b *site.Manifest, most int, log zerolog.Logger) (*relay.Relay, string, *counters.Sheet) {
 	t.Helper()
 	counts := &counters.Sheet{}
 	r, _, at := startedIn(t, b, most, counts, log)
 	return r, at, counts
 }
 
-func startedIn(t *testing.T, b *site.Berth, most int, counts *counters.Sheet, log zerolog.Logger) (*relay.Relay, *inbound.Inbound, string) {
+func startedIn(t *testing.T, b *site.Manifest, most int, counts *counters.Sheet, log zerolog.Logger) (*relay.Relay, *inbound.Inbound, string) {
 	t.Helper()
 	r, err := relay.New(b, most, reach(10*second, 9, counts), nil, counts, log)
 	if err != nil {
@@ -511,7 +511,7 @@
 // Where idle connections take more than half of the places, an answer closes its own.
 func TestCrowded(t *testing.T) {
 	var tr trace
-	_, at := listen(t, berth(t, configuration("", "")), 4, taker{&tr, deliver}, &counters.Sheet{})
+	_, at := listen(t, manifest(t, configuration("", "")), 4, taker{&tr, deliver}, &counters.Sheet{})
 	for i := range 4 {
 		tr.add("client %d: %s", i, dial(t, at).ask("GET /look HTTP/1.1\r\n"+fields+"\r\n"))
 		time.Sleep(10 * time.Millisecond) // until it is idle
@@ -554,7 +554,7 @@
 	})
 	var log slowLog
 	here := strings.NewReplacer("127.0.0.1:9", s.Addr().String(), `"born_ms":2`, `"born_ms":0`).Replace(host)
-	r, at, _ := started(t, berth(t, configuration(here, "")), 9, zerolog.New(&log))
+	r, at, _ := started(t, manifest(t, configuration(here, "")), 9, zerolog.New(&log))
 	answers := make(chan string)
 	for range 2 {
 		c := dial(t, at)
@@ -589,7 +589,7 @@
 		gone := hosts(8, false, strings.Replace(here, "in_service", "terminated", 1))
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(gone), gone)
 	})
-	b := berth(t, configuration(here, ""))
+	b := manifest(t, configuration(here, ""))
 	b.Discovery = list.Addr().String()
 	_, at, _ := started(t, b, 9, zerolog.Nop())
 	tr.add("delivered: %s, connections ended %d", dial(t, at).ask("GET /look HTTP/1.1\r\n"+fields+"\r\n"), s.over.Load())
--- a/lab/stage/members.go
+++ b/lab/stage/members.go
@@ -22,7 +22,7 @@
 	"ledgespread/lab/scenario"
 )
 
-// Sidecars that are members: a mesh of gates between their membership's addresses, the fittings' file of each, the cuts, and
+// Sidecars that are members: a mesh of gates between their membership's addresses, the extensions' file of each, the cuts, and
 // what each says of the others.
 
 // rigs numbers those of this process, so that no two have an address in common.
@@ -46,7 +46,7 @@
 	return err
 }
 
-func (g *Rig) fittings(name string) string { return filepath.Join(g.folder, name+".toml") }
+func (g *Rig) extensions(name string) string { return filepath.Join(g.folder, name+".toml") }
 
 // fit writes what a sidecar is fitted with.
 func (g *Rig) fit(i int) error {
@@ -70,7 +70,7 @@
 			fmt.Fprintf(&b, "%s = %q\n", name, g.mesh.Address(i, j))
 		}
 	}
-	return os.WriteFile(g.fittings(names[i]), []byte(b.String()), 0o600)
+	return os.WriteFile(g.extensions(names[i]), []byte(b.String()), 0o600)
 }
 
 // move has a sidecar's membership listen elsewhere from its next start on.
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -265,7 +265,7 @@
 			return err
 		}
 		if g.mesh != nil {
-			car.More, car.Marker = []string{"--with", g.fittings(name)}, `"part":"membership"`
+			car.More, car.Marker = []string{"--with", g.extensions(name)}, `"part":"membership"`
 		}
 		g.cars = append(g.cars, car)
 	}
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -240,7 +240,7 @@
 			effort = brain.Micros(be.Uint32(p[29:]))
 		}
 		b.Inbound(now, brain.VisitID(be.Uint64(p[3:])), brain.Prefix(be.Uint16(p[11:])),
-			brain.Realm(be.Uint32(p[13:])), brain.Micros(be.Uint32(p[25:])), effort, opts&2 != 0, false)
+			brain.Tenant(be.Uint32(p[13:])), brain.Micros(be.Uint32(p[25:])), effort, opts&2 != 0, false)
 	case 4:
 		b.Flowing(now, brain.VisitID(be.Uint64(p[3:])), brain.FetchNo(p[11]))
 	case 5:
--- a/strict/strict.go
+++ b/strict/strict.go
@@ -1,6 +1,6 @@
 // Package strict reads TOML files of which nothing may be misread: an unknown name, a wrong type, a bare number where a
 // unit belongs, a value that can't be is an error with the file, the line and the name. Guards against a file that does
-// nothing since a word in it was misspelt. The lab's scenarios and the sidecar's fittings are read by it.
+// nothing since a word in it was misspelt. The lab's scenarios and the sidecar's extensions are read by it.
 package strict
 
 import (
