--- a/internal/endings_test.go
+++ b/internal/endings_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/outbound"
@@ -199,7 +200,8 @@
 `)
 }
 
-// A visit is sent ahead of another's answer. That is written when it is there, not with the answer to the one behind it.
+// A visit is sent ahead of another's answer. That is written when it is there, not with the answer to the one behind it, however
+// late it is there.
 func TestAnswerAheadOfTheNext(t *testing.T) {
 	var tr trace
 	held := make(chan *exchange.Exchange, 2)
@@ -213,12 +215,19 @@
 		tr.add("%q, the first while the second is held: %s", body[:5], c.answer())
 		deliver(second)
 		tr.add("the second: %s", c.answer())
+		io.WriteString(c, visit)
+		late := <-held
+		time.Sleep(connlimit.LastWord + 100*time.Millisecond) // longer than a write may take
+		deliver(late)
+		tr.add("one that took long: %s", c.answer())
 	}
 	tr.same(t, `
 "Conte", the first while the second is held: 200 "done"
 the second: 200 "done"
+one that took long: 200 "done"
 "Trans", the first while the second is held: 200 "done"
 the second: 200 "done"
+one that took long: 200 "done"
 `)
 }
 
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"strconv"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -173,10 +172,7 @@
 		return false
 	}
 	in.listener.Next(ctx.Conn(), ahead)
-	// Guards against an answer that waits in a buffer until the visit that was sent ahead has its own: so it is written at once.
-	if ahead > 0 || m.body.Chunked {
-		ctx.SetWriteDeadline(time.Now().Add(connlimit.LastWord))
-	}
+	m.more = ahead > 0 || m.body.Chunked
 	return true
 }
 
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -150,6 +150,11 @@
 	default:
 		in.visit(ctx, m)
 	}
+	// Guards against an answer that waits in a buffer until the visit that was sent ahead has its own: with a deadline of the handler's it
+	// is written at once. Set only now, since it counts from here.
+	if m != nil && m.more {
+		ctx.SetWriteDeadline(time.Now().Add(connlimit.LastWord))
+	}
 	if !in.Ready() || in.listener.Crowded() {
 		ctx.SetConnectionClose()
 	}
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -37,7 +37,8 @@
 	field  [needed]string
 	target []byte
 	head   []byte
-	size   int // bytes of the head as it came
+	size   int  // bytes of the head as it came
+	more   bool // part of the next one may have been read with it
 	body   framing.Body
 }
 
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -721,10 +721,11 @@
 		}
 		told := make(chan uint64, 99)
 		var w *discovery.Watcher
+		var again sync.Once // the stand-in is closed in the end: asked on and on it would be refused without a pause
 		w = discovery.New(first.Addr().String(), map[string]int{"here": 0}, 41, c.every, c.among, 1<<20, 7, func(l *discovery.List) {
 			switch {
 			case l == nil && !c.moved:
-				go w.Watch()
+				again.Do(func() { go w.Watch() })
 			case l != nil:
 				told <- l.Version
 			}
