A tagged visit's further fetch goes out within its window, or never

The module looks at the window when it asks for the fetch (harmless, mayAt); the connection for it may come up later by its whole time-out (600 ms there), and what it writes then is a second effect. TestTaggedWindow forces it: the first fetch breaks after its last byte, the connection for the next comes up 0.6 s later, with a window of 0.5 s; on the code before the visit is written again.

Change: relay tells outbound when a tagged visit's further fetch has to be on its way, by the first of its fetches that may have run; what is not written by then never is, and the module hears NeverSent.

--- a/internal/endings_test.go
+++ b/internal/endings_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/outbound"
+	"ledgespread/internal/relay"
 )
 
 // Each test here forces two things to cross, and states in which order.
@@ -126,7 +128,7 @@
 		left = true
 		x.Gone = func() bool { return left }
 		end := make(chan string, 1)
-		o.Fetch(x, 1, s.Addr().String(), second, func(_ *exchange.Answer, _ bool, _ []float64, err error) {
+		o.Fetch(x, 1, s.Addr().String(), second, time.Time{}, func(_ *exchange.Answer, _ bool, _ []float64, err error) {
 			end <- results[outbound.Result(err)]
 		})
 		tr.add("on a connection that has come up, reused %v: %s, %d at the server", reused, <-end, s.count())
@@ -413,7 +415,7 @@
 			}()
 			x := exchange.New().Holds([]byte("GET /x HTTP/1.1\r\nHost: a\r\n"), nil, nil)
 			end := make(chan string, 1)
-			reach(10*second, 9, &counters.Sheet{}).Fetch(x, 1, ln.Addr().String(), 40*second,
+			reach(10*second, 9, &counters.Sheet{}).Fetch(x, 1, ln.Addr().String(), 40*second, time.Time{},
 				func(a *exchange.Answer, _ bool, _ []float64, err error) {
 					if a == nil || a.Rest == nil {
 						end <- results[outbound.Result(err)]
@@ -439,3 +441,66 @@
 131072 bytes, reset true: delivered, passed on: 131072 bytes, cut true
 `)
 }
+
+// A tagged visit's first fetch breaks after its last byte, and the connection for the next one comes up only when servers no longer
+// know its mark: nothing is written there. A read-like one goes out late.
+func TestTaggedWindow(t *testing.T) {
+	var tr trace
+	for _, c := range []struct{ name, path string }{{"tagged", "/book"}, {"read-like", "/look"}} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		b := manifest(t, patient(strings.NewReplacer("127.0.0.1:9", ln.Addr().String(), `"born_ms":2`, `"born_ms":0`).Replace(host)))
+		counts := &counters.Sheet{}
+		r, err := relay.New(b, 9, outbound.New(10*second, 20*second, 9, 4<<20, nil, counts, zerolog.Nop()), nil, counts, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go r.Run()
+		_, at := listen(t, b, 9, r, counts)
+		client := dial(t, at)
+		if c.path == "/look" {
+			io.WriteString(client, "GET /look HTTP/1.1\r\n"+longFields+"\r\n")
+		} else {
+			io.WriteString(client, "POST "+c.path+" HTTP/1.1\r\n"+longFields+"Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n")
+		}
+		first, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		dialled(first).in.ReadString('\n')
+		raw, _ := ln.(*net.TCPListener).SyscallConn()
+		raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
+		filler, err := net.Dial("tcp", ln.Addr().String()) // it takes the one place in the backlog: no other comes up
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { filler.Close() })
+		first.Close()
+		until(t, "the next is dialled", func() bool { return counts[counters.FetchesSent].Load() == 2 })
+		time.Sleep(600 * time.Millisecond) // longer than the window
+		wrote := make(chan string, 9)
+		go func() { // now it comes up
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer conn.Close()
+					if line, err := dialled(conn).in.ReadString('\n'); err == nil {
+						wrote <- strings.TrimSpace(line)
+						io.WriteString(conn, ok)
+					}
+				}()
+			}
+		}()
+		tr.add("%s: %s, %d written late", c.name, client.answer(), len(wrote))
+	}
+	tr.same(t, `
+tagged: 502 "no answer from the servers", 0 written late
+read-like: 200 "hi", 1 written late
+`)
+}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -59,6 +59,7 @@
 // Attempt is a fetch that is out.
 type Attempt struct {
 	To     brain.Backend
+	before time.Time       // no byte goes out later; zero: it may at any time
 	wrote  time.Time       // its last byte, where that took long
 	ctx    context.Context // over: it must not be sent any more
 	off    context.CancelFunc
@@ -105,10 +106,12 @@
 	f.mu.Unlock()
 }
 
-// Fetch sends a visit to a server and waits for so long at most. It returns at once.
-func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, wait brain.Micros,
+// Fetch sends a visit to a server and waits for so long at most. It returns at once. before is when its first byte is to have gone out, or
+// it never does; zero: at any time.
+func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, wait brain.Micros, before time.Time,
 	ended Ended) *Attempt {
 	f := newAttempt(be, ended)
+	f.before = before
 	until := time.Now().Add(span(wait))
 	o.counts.Add(counters.FetchesSent)
 	o.workers.do(func() { o.run(f, be, address, until, x, wait) })
@@ -221,7 +224,7 @@
 		}
 		return &Failure{Progress: progress, Cause: cause}
 	}
-	if !ask.wanted() {
+	if !ask.wanted() || !f.before.IsZero() && !time.Now().Before(f.before) {
 		f.off()
 	}
 	if f.ctx.Err() != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -33,11 +34,18 @@
 type visit struct {
 	x       *exchange.Exchange
 	until   brain.Micros
-	flights []*outbound.Attempt // nil: never sent
+	flights []*flight // nil: never sent
 	out     int
 	ended   bool
 }
 
+// flight is one of its backend fetches.
+type flight struct {
+	*outbound.Attempt
+	asked time.Time // when the module asked for it
+	unrun bool      // it ended, and surely never ran
+}
+
 // server is how a server is called, and where it is reached.
 type server struct{ host, address string }
 
@@ -64,6 +72,7 @@
 	fleet    atomic.Pointer[[2]int] // listed, and avoided of these
 	listed   chan struct{}          // closed when the first list came
 	heard    bool                   // it is
+	windows  []time.Duration        // by path prefix, of tagged ones: servers know a mark for so long
 	idle     brain.Micros
 	grace    brain.Micros // in which sends to a leaving server are no fault
 	pushed   bool
@@ -87,6 +96,13 @@
 	if told := int(b.Figure("allowed.most_held")); told > 0 {
 		r.mostHeld = min(r.mostHeld, told)
 	}
+	for i := range int(b.Figure("path_prefixes")) {
+		at, window := "path_prefixes."+strconv.Itoa(i), time.Duration(0)
+		if b.Site[at+".effect"] == "tagged" {
+			window = time.Duration(b.Span(at+".memory_span_us")) * time.Microsecond
+		}
+		r.windows = append(r.windows, window)
+	}
 	_, longest := b.Timeouts()
 	r.names = newNames(longest)
 	zones := b.Places("azs")
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
@@ -101,7 +103,7 @@
 		return
 	}
 	var f *outbound.Attempt
-	f = r.outbound.Fetch(v.x, be, to.address, wait,
+	f = r.outbound.Fetch(v.x, be, to.address, wait, r.before(v),
 		func(a *exchange.Answer, _ bool, load []float64, err error) {
 			r.post(func() {
 				if err != nil {
@@ -110,7 +112,24 @@
 				r.ended(v, no, outbound.Result(err), f.Took(r.now-sent), a, load)
 			})
 		})
-	v.flights = append(v.flights, f)
+	v.flights = append(v.flights, &flight{Attempt: f, asked: time.Now()})
+}
+
+// before is when a further fetch is to be on its way: a tagged visit's that may have run goes out within its window. The module
+// looks when it asks for the fetch; guards against a connection that comes up later than that.
+func (r *Relay) before(v *visit) (by time.Time) {
+	window := r.windows[v.x.On]
+	if window == 0 {
+		return by
+	}
+	for _, f := range v.flights {
+		if f != nil && !f.unrun {
+			if end := f.asked.Add(window); by.IsZero() || end.Before(by) {
+				by = end
+			}
+		}
+	}
+	return by
 }
 
 var resultCounts = [...]counters.Count{brain.Delivered: counters.FetchesDelivered,
@@ -124,6 +143,9 @@
 	load []float64) {
 	r.counts.Add(resultCounts[rc])
 	v.out--
+	if f := v.flights[no]; f != nil {
+		f.unrun = rc == brain.Full || rc == brain.ConnectFailed || rc == brain.NeverSent
+	}
 	if rc == brain.Delivered && !v.ended {
 		if !v.x.Deliver(a) {
 			a.Drop()
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -147,7 +147,7 @@
 func fetch(o *outbound.Outbound, path, address string, wait brain.Micros, before func(*outbound.Attempt)) string {
 	x := exchange.New().Holds([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n"), nil, nil)
 	end := make(chan string, 2)
-	f := o.Fetch(x, 1, address, wait, func(a *exchange.Answer, reused bool, _ []float64, err error) {
+	f := o.Fetch(x, 1, address, wait, time.Time{}, func(a *exchange.Answer, reused bool, _ []float64, err error) {
 		var body []byte
 		if a != nil {
 			body = a.Body
