--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -37,7 +37,8 @@
 	field  [needed]string
 	target []byte
 	head   []byte
-	size   int // bytes of the head as it came
+	size   int  // bytes of the head as it came
+	more   bool // part of the next one may have been read with it
 	body   framing.Body
 }
 
@@ -115,7 +116,7 @@
 		return bad(fasthttp.StatusBadRequest, "unknown tenant")
 	}
 	x = exchange.New()
-	x.Name, x.On, x.Of, x.Left = m.field[fieldID], brain.Prefix(on), brain.Realm(of), left
+	x.Name, x.On, x.Of, x.Left = m.field[fieldID], brain.Prefix(on), brain.Tenant(of), left
 	x.Again = m.field[fieldAgain] == "1"
 	if cost, err := strconv.ParseFloat(m.field[fieldCost], 64); err == nil && cost >= 1 && cost < 1<<32 {
 		x.Effort = brain.Micros(cost)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -33,11 +34,18 @@
 type visit struct {
 	x       *exchange.Exchange
 	until   brain.Micros
-	flights []*outbound.Flight // nil: never sent
+	flights []*flight // nil: never sent
 	out     int
 	ended   bool
 }
 
+// flight is one of its backend fetches.
+type flight struct {
+	*outbound.Attempt
+	asked time.Time // when the module asked for it
+	unrun bool      // it ended, and surely never ran
+}
+
 // server is how a server is called, and where it is reached.
 type server struct{ host, address string }
 
@@ -64,6 +72,7 @@
 	fleet    atomic.Pointer[[2]int] // listed, and avoided of these
 	listed   chan struct{}          // closed when the first list came
 	heard    bool                   // it is
+	windows  []time.Duration        // by path prefix, of tagged ones: servers know a mark for so long
 	idle     brain.Micros
 	grace    brain.Micros // in which sends to a leaving server are no fault
 	pushed   bool
@@ -76,7 +85,7 @@
 
 // New makes a relay with its Balancer, which then holds the saved list. It holds most visits at once, or
 // fewer where the settings say so.
-func New(b *site.Berth, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
+func New(b *site.Manifest, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
 	log zerolog.Logger) (*Relay, error) {
 	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), calls: make(chan func()), due: due.New[brain.Micros](),
 		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, rare: map[string]bool{},
@@ -87,6 +96,13 @@
 	if told := int(b.Figure("allowed.most_held")); told > 0 {
 		r.mostHeld = min(r.mostHeld, told)
 	}
+	for i := range int(b.Figure("path_prefixes")) {
+		at, window := "path_prefixes."+strconv.Itoa(i), time.Duration(0)
+		if b.Site[at+".effect"] == "tagged" {
+			window = time.Duration(b.Span(at+".memory_span_us")) * time.Microsecond
+		}
+		r.windows = append(r.windows, window)
+	}
 	_, longest := b.Timeouts()
 	r.names = newNames(longest)
 	zones := b.Places("azs")
