A connection to a server settles for 3 ms, no longer 10

Change: 3 ms. What a second answer later than that does to a visit that came meanwhile is not told apart; TestSecondAnswer plays 1 to 2.5 ms, and fails without the rest.

--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -52,7 +52,7 @@
 }
 
 // settles is how long a server's last word may be late: some milliseconds, by the platform's page.
-const settles = 10 * time.Millisecond
+const settles = 3 * time.Millisecond
 
 // take finds an idle connection. Guards against writing to one that the server has closed, or is about to close; and against
 // a second answer some milliseconds after the first, which the next visit would get for its own: it shows on a connection that
