TestClientGone's two stand-ins are one

Cause: read again; the same server stood twice in the test. Change: one function; the assertions are the same, and it passes with the race detector.

--- a/internal/endings_test.go
+++ b/internal/endings_test.go
@@ -38,6 +38,17 @@
 	}
 }
 
+// breaksFirst is a server that breaks the connection of its first request, on word of the test, and answers all others.
+func breaksFirst(t *testing.T, release <-chan bool) *fake {
+	return serveFake(t, func(n int, path string) string {
+		if n == 1 {
+			<-release
+			return "!"
+		}
+		return ok
+	})
+}
+
 func here(s *fake) string {
 	return strings.NewReplacer("127.0.0.1:9", s.Addr().String(), `"born_ms":2`, `"born_ms":0`).Replace(host)
 }
@@ -54,13 +65,7 @@
 		{"behind more than is taken in", "POST /pay HTTP/1.1\r\n" + longFields + "Content-Length: 60000\r\n\r\n" + strings.Repeat("x", 50_000)},
 	} {
 		release := make(chan bool)
-		s := serveFake(t, func(n int, path string) string {
-			if n == 1 {
-				<-release
-				return "!"
-			}
-			return ok
-		})
+		s := breaksFirst(t, release)
 		_, at, counts := started(t, manifest(t, patient(here(s))), 9, zerolog.Nop())
 		gone := dial(t, at)
 		io.WriteString(gone, visit)
@@ -79,13 +84,7 @@
 	}
 
 	release := make(chan bool)
-	s := serveFake(t, func(n int, path string) string {
-		if n == 1 {
-			<-release
-			return "!"
-		}
-		return ok
-	})
+	s := breaksFirst(t, release)
 	_, at, counts := started(t, manifest(t, patient(here(s))), 9, zerolog.Nop())
 	stays := dial(t, at)
 	io.WriteString(stays, visit+strings.Replace(visit, "ID: 1", "ID: 2", 1))
