TestList waits for the account of what was written

Cause: the stand-in books an answer once it is written; its reader may ask for the account before.

Change: the test waits until as many answers are booked as came; what it compares is the same.

--- a/lab/list/list_test.go
+++ b/lab/list/list_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	}
 	l.Set(host("b0", "in_service", 0), 0)
 	l.Set(host("b1", "in_service", 5), 0)
+	var answered atomic.Int64
 	born := regexp.MustCompile(`"born_ms":[1-9]\d+`)
 	ask := func(at, query string) string {
 		r, err := http.Get("http://" + at + "/api/targets" + query)
@@ -34,6 +36,9 @@
 		if err != nil {
 			return "broken"
 		}
+		if r.StatusCode == http.StatusOK {
+			answered.Add(1)
+		}
 		return fmt.Sprint(r.StatusCode, " ", born.ReplaceAllString(string(text), `"born_ms":then`))
 	}
 	n0, err := l.Address("n0")
@@ -63,6 +68,9 @@
 	}
 	tr.Add("moved: %s", ask(moved, "?from=9&hold_ms=10"))
 	told, changes := l.Accounts()
+	for end := time.Now().Add(10 * time.Second); len(told) < int(answered.Load()) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		told, changes = l.Accounts() // an answer is booked once it was written: its reader may be here first
+	}
 	for _, x := range told {
 		tr.Add("told %s version %d", x.Reader, x.Seq)
 	}
