Read-through: an evicted connection is shut, which is asked once; a comment's count

Cause: read again as a whole. Carry asked for two states of which one holds the other (evict shuts); a comment in Accept said two time-outs where three are waited for.

Change: one question; the comment says what the code does. Behaviour is the same; the limiter's tests and those of stops and closes pass with the race detector.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -249,7 +249,7 @@
 			return nil, err
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			// One that was due before it began has not looked: it takes two in a row.
+			// One that was due before it began has not looked, nor has the one that Finish ended: it takes three.
 			if nobody++; finishing && nobody > 2 {
 				l.Close()
 				l.finished.Store(true)
@@ -351,7 +351,7 @@
 	if c.at != connClosing {
 		l.setState(c, connActive)
 	}
-	return !c.evicted && !c.shut.Load()
+	return !c.shut.Load() // as one is that was evicted
 }
 
 // Plain answers with a line of text.
