The time that an attempt tells its server is what is left at its first byte

The X-Timeout was written into a fetch's bytes when the fetch was handed to its goroutine (outbound: run); a connection that came up 1 s later carried the old figure. Forced on sockets (a full backlog that opens after the attempt has knocked): first and further attempts told 1 s too much, with a short body and a long one. The same test with a module that stands still for 0.4 s told that much too much as well: a visit's time began with the module's turn (relay: Take), not when it was handed over.

Now the head is built just before the first byte, from what is left then, for each connection anew; where nothing is left nothing is written. A visit's time runs from when inbound hands it over; the module is given what is left at its turn.

Excluded by the same test: a break with no late connection, a connection that settles. TestToldTime fails on the code before in five of its lines, and passes with this. Tests of internal and brain pass.

--- a/internal/endings_test.go
+++ b/internal/endings_test.go
@@ -1,9 +1,11 @@
 package internal_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -503,3 +505,148 @@
 read-like: 200 "hi", 1 written late
 `)
 }
+
+// toldTime is what the stand-in of TestToldTime saw of one attempt.
+type toldTime struct {
+	at   time.Time // its first byte came
+	told time.Duration
+	net.Conn
+}
+
+// next accepts until a connection brings a visit; those that only fill the backlog bring none.
+func next(t *testing.T, ln net.Listener) toldTime {
+	t.Helper()
+	for {
+		ln.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Second))
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		in := bufio.NewReader(c)
+		if _, err := in.Peek(1); err != nil {
+			continue
+		}
+		at := time.Now()
+		visit, err := http.ReadRequest(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, visit.Body)
+		told, err := time.ParseDuration(visit.Header.Get("X-Timeout") + "s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return toldTime{at, told, c}
+	}
+}
+
+// An attempt tells its server no more time than its client has left when its first byte goes out, whatever held it up until then: a
+// connection that comes up late, or a module that stands still; the first attempt, and one after a break. Where nothing is left by
+// then, nothing is sent.
+func TestToldTime(t *testing.T) {
+	const clients = 5 * time.Second
+	var tr trace
+	play := func(name, visit string, stands, further bool, late int) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		var log slowLog
+		counts := &counters.Sheet{}
+		b := manifest(t, strings.NewReplacer(`"connect_timeout_us":100000`, `"connect_timeout_us":3000000`,
+			`"memory_span_us":500000`, `"memory_span_us":9000000`).Replace(patient(here(&fake{Listener: ln}))))
+		r, err := relay.New(b, 9, outbound.New(10*second, 3*second, 9, 4<<20, nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go r.Run()
+		_, at := listen(t, b, 9, r, counts)
+		if stands {
+			odd := exchange.New() // the module panics over it, and stands still while that is logged
+			odd.On, odd.Left = 99, second
+			r.Take(odd)
+			<-odd.Done()
+		}
+		knock := func(no int) func() { // where this attempt's connection is to come up late
+			if no != late {
+				return func() {}
+			}
+			opens := deafen(t, ln)
+			return func() {
+				time.Sleep(300 * time.Millisecond) // the attempt has knocked, and knocks again 1 s after that
+				opens()
+			}
+		}
+		opens := knock(1)
+		c := dial(t, at)
+		began := time.Now()
+		io.WriteString(c, strings.Replace(visit, "30000m", fmt.Sprintf("%dm", clients/time.Millisecond), 1))
+		for no := 1; ; no++ {
+			opens()
+			a := next(t, ln)
+			took := a.at.Sub(began) // what holds an attempt up here holds it up for 0.4 s at the least
+			tr.add("%s, attempt %d: held up %v, tells more than is left %v, tells something %v", name, no,
+				(no == late || stands) && took > 300*time.Millisecond, a.told > clients-took+250*time.Millisecond, a.told > clients/50)
+			if no == 2 || !further {
+				io.WriteString(a.Conn, ok)
+				break
+			}
+			opens = knock(2)
+			a.Close()
+		}
+		tr.add("%s: %s", name, c.answer())
+	}
+	get := "GET /look HTTP/1.1\r\n" + longFields + "\r\n"
+	long := "POST /book HTTP/1.1\r\n" + longFields + "Idempotency-Key: k\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat("x", 90_000)
+	play("a first connection late", get, false, false, 1)
+	play("a further one late", get, false, true, 2)
+	play("a further one late, a long body", long, false, true, 2)
+	play("nothing late, a break", get, false, true, 0)
+	play("the module stands still", get, true, true, 0)
+
+	// A connection that comes up when all is over carries nothing; nor does one that is still to settle by then.
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	opens := deafen(t, ln)
+	o := outbound.New(10*second, 3*second, 9, 4<<20, nil, &counters.Sheet{}, zerolog.Nop())
+	tr.add("nothing left: %s", strings.SplitN(fetch(o, "/late", ln.Addr().String(), second/2, nothing), ":", 2)[0])
+	opens()
+	for begun := time.Now(); time.Since(begun) < time.Second; {
+		ln.(*net.TCPListener).SetDeadline(time.Now().Add(200 * time.Millisecond))
+		if c, err := ln.Accept(); err == nil {
+			c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+			if n, _ := c.Read(make([]byte, 1)); n > 0 {
+				tr.add("and yet something was sent")
+			}
+			c.Close()
+		}
+	}
+	s := serveFake(t, func(int, string) string { return ok })
+	tr.add("on a fresh connection: %s", fetch(o, "/x", s.Addr().String(), second, nothing))
+	tr.add("on one that settles: %s, at the server %d", strings.SplitN(fetch(o, "/x", s.Addr().String(), 500, nothing), ":", 2)[0], s.count())
+	tr.same(t, `
+a first connection late, attempt 1: held up true, tells more than is left false, tells something true
+a first connection late: 200 "hi"
+a further one late, attempt 1: held up false, tells more than is left false, tells something true
+a further one late, attempt 2: held up true, tells more than is left false, tells something true
+a further one late: 200 "hi"
+a further one late, a long body, attempt 1: held up false, tells more than is left false, tells something true
+a further one late, a long body, attempt 2: held up true, tells more than is left false, tells something true
+a further one late, a long body: 200 "hi"
+nothing late, a break, attempt 1: held up false, tells more than is left false, tells something true
+nothing late, a break, attempt 2: held up false, tells more than is left false, tells something true
+nothing late, a break: 200 "hi"
+the module stands still, attempt 1: held up true, tells more than is left false, tells something true
+the module stands still, attempt 2: held up true, tells more than is left false, tells something true
+the module stands still: 200 "hi"
+nothing left: connect failed reused=false "" not sent
+on a fresh connection: delivered reused=false "hi" <nil>
+on one that settles: connect failed reused=true "" not sent, at the server 1
+`)
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -94,7 +94,7 @@
 	return x
 }
 
-// Outgoing is the visit as a server gets it, told how long its answer is waited for: its bytes, and those of a long body.
+// Outgoing is the visit as a server gets it, told how long its answer is still waited for: its bytes, and those of a long body.
 func (x *Exchange) Outgoing(wait brain.Micros) (out []byte, body [][]byte) {
 	out = make([]byte, 0, len(x.head)+len(x.body)+40)
 	out = append(out, x.head...)
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -114,7 +114,7 @@
 	f.before = before
 	until := time.Now().Add(span(wait))
 	o.counts.Add(counters.FetchesSent)
-	o.workers.do(func() { o.run(f, be, address, until, x, wait) })
+	o.workers.do(func() { o.run(f, be, address, until, x) })
 	return f
 }
 
@@ -129,7 +129,7 @@
 // Sweep closes connections that have stood idle for as long as they may.
 func (o *Outbound) Sweep() { o.pool.sweep() }
 
-func (o *Outbound) run(f *Attempt, be brain.Backend, address string, until time.Time, x *exchange.Exchange, wait brain.Micros) {
+func (o *Outbound) run(f *Attempt, be brain.Backend, address string, until time.Time, x *exchange.Exchange) {
 	var a *exchange.Answer
 	var reused bool
 	var load []float64
@@ -142,30 +142,16 @@
 		f.off()
 		f.ended(a, reused, load, err)
 	}()
-	told := wait
-	if x.Upload != nil {
-		told = x.Upload.Patience
-	}
-	ask, body := x.Outgoing(told)
-	a, reused, load, err = o.once(f, be, address, until, outgoing{ask, body, x.Upload, x.Wanted})
-}
-
-// outgoing is what a fetch writes: its bytes, those of a long body, and what is still to come of it. wanted is asked last, before
-// the first byte.
-type outgoing struct {
-	head   []byte
-	body   [][]byte
-	upload *exchange.Upload
-	wanted func() bool
+	a, reused, load, err = o.once(f, be, address, until, x)
 }
 
 // once does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
-func (o *Outbound) once(f *Attempt, be brain.Backend, address string, until time.Time, ask outgoing) (a *exchange.Answer,
+func (o *Outbound) once(f *Attempt, be brain.Backend, address string, until time.Time, x *exchange.Exchange) (a *exchange.Answer,
 	reused bool, load []float64, err error) {
 	for l := o.pool.take(be, address); l != nil; l = o.pool.take(be, address) {
-		a, load, err = o.over(f, be, l, until, ask)
+		a, load, err = o.over(f, be, l, until, x)
 		if failure, ok := err.(*Failure); !ok || failure.Progress != Nowhere || f.ctx.Err() != nil ||
-			!time.Now().Before(until) || ask.upload != nil && ask.upload.Begun() {
+			!time.Now().Before(until) || x.Upload != nil && x.Upload.Begun() {
 			o.counts.Add(counters.ConnectionsReused)
 			return a, true, load, err
 		}
@@ -174,7 +160,7 @@
 	if err != nil {
 		return nil, false, nil, err
 	}
-	a, load, err = o.over(f, be, l, until, ask)
+	a, load, err = o.over(f, be, l, until, x)
 	return a, false, load, err
 }
 
@@ -197,8 +183,10 @@
 	return l, nil
 }
 
-// over sends a fetch on a connection and reads the whole answer. The connection is kept or closed.
-func (o *Outbound) over(f *Attempt, be brain.Backend, l *conn, until time.Time, ask outgoing) (a *exchange.Answer,
+// over sends a fetch on a connection and reads the whole answer. The connection is kept or closed. What the server is told of the time
+// is what is left just before the first byte: guards against a server that works for a client that has gone, where the connection
+// came up late.
+func (o *Outbound) over(f *Attempt, be brain.Backend, l *conn, until time.Time, x *exchange.Exchange) (a *exchange.Answer,
 	load []float64, err error) {
 	keep, handed := false, false
 	defer func() {
@@ -224,24 +212,32 @@
 		}
 		return &Failure{Progress: progress, Cause: cause}
 	}
-	if !ask.wanted() || !f.before.IsZero() && !time.Now().Before(f.before) {
+	told := brain.Micros(time.Until(until) / time.Microsecond)
+	if told <= 0 {
+		return nil, nil, fail(os.ErrDeadlineExceeded)
+	}
+	if x.Upload != nil { // the client's time runs from its last byte
+		told = x.Upload.Patience
+	}
+	head, body := x.Outgoing(told)
+	if !x.Wanted() || !f.before.IsZero() && !time.Now().Before(f.before) {
 		f.off()
 	}
 	if f.ctx.Err() != nil {
 		return nil, nil, fail(errCalledOff)
 	}
-	if n, err := l.Write(ask.head); n < len(ask.head) {
+	if n, err := l.Write(head); n < len(head) {
 		return nil, nil, fail(err)
 	}
-	if len(ask.body) > 0 || ask.upload != nil {
-		if err := o.long(l, ask); err != nil {
+	if len(body) > 0 || x.Upload != nil {
+		if err := o.long(l, body, x.Upload); err != nil {
 			if unheard := o.early(l); unheard != nil {
 				return nil, nil, unheard
 			}
 			return nil, nil, fail(err)
 		}
-		if ask.upload != nil { // the client's time runs from its last byte
-			until = time.Now().Add(span(ask.upload.Patience))
+		if x.Upload != nil {
+			until = time.Now().Add(span(x.Upload.Patience))
 		}
 		l.until = time.Time{}
 		l.by(until)
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -88,19 +88,19 @@
 
 // long writes a body that is long: what is here of it, then what its client still sends, as it comes. Each piece has a
 // deadline of its own, since only progress tells a slow server from one that is gone.
-func (o *Outbound) long(l *conn, ask outgoing) error {
+func (o *Outbound) long(l *conn, body [][]byte, rest *exchange.Upload) error {
 	put := func(b []byte) error {
 		l.SetWriteDeadline(time.Now().Add(stalled))
 		_, err := l.Write(b)
 		return err
 	}
 	var piece *exchange.Piece // where more is to come
-	chunks := ask.upload != nil && !ask.upload.Sized
-	if ask.upload != nil {
+	chunks := rest != nil && !rest.Sized
+	if rest != nil {
 		piece = exchange.NewPiece()
 		defer piece.Free()
 	}
-	for _, b := range ask.body { // each is shorter than a piece
+	for _, b := range body { // each is shorter than a piece
 		if chunks {
 			b = piece.Bytes(copy(piece.Room(), b), true)
 		}
@@ -108,8 +108,8 @@
 			return err
 		}
 	}
-	for ask.upload != nil {
-		n, err := ask.upload.Read(piece.Room())
+	for rest != nil {
+		n, err := rest.Read(piece.Room())
 		if n > 0 {
 			if failed := put(piece.Bytes(n, chunks)); failed != nil {
 				return failed
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -9,8 +9,10 @@
 	"ledgespread/internal/outbound"
 )
 
-// Take takes a visit in; its answer comes by the exchange object.
+// Take takes a visit in; its answer comes by the exchange object. Its time runs from now on, and not from the module's turn: guards
+// against time that is counted twice, where the module stood still in between.
 func (r *Relay) Take(x *exchange.Exchange) {
+	came := r.clock.now()
 	r.post(func() {
 		if x.Over() { // its client left while it waited for the module's turn
 			return
@@ -30,7 +32,7 @@
 		}
 		r.ids++
 		x.ID = r.ids
-		v := &visit{x: x, until: r.now + x.Left}
+		v := &visit{x: x, until: came + x.Left}
 		r.visits[x.ID] = v
 		if !r.names.take(x.Name, r.now, v.until) {
 			name := x.Name // and not its visit, which may hold a long body
@@ -38,7 +40,8 @@
 			r.at(v.until, func() { delete(r.rare, name) })
 		}
 		r.held++
-		r.orFail(v, func() { r.b.Inbound(r.now, x.ID, x.On, x.Of, x.Left, x.Effort, x.Again, x.Upload != nil) })
+		left := max(v.until-r.now, 1)
+		r.orFail(v, func() { r.b.Inbound(r.now, x.ID, x.On, x.Of, left, x.Effort, x.Again, x.Upload != nil) })
 	})
 }
 
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -118,17 +118,29 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
+	t.Cleanup(deafen(t, ln))
+	return ln.Addr().String()
+}
+
+// deafen fills a listener's backlog: until somebody accepts there no connection comes up. What filled it ends by the function returned.
+func deafen(t *testing.T, ln net.Listener) (end func()) {
+	t.Helper()
 	raw, err := ln.(*net.TCPListener).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
 	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
+	var fill []net.Conn
 	for range 3 {
 		if c, err := net.DialTimeout("tcp", ln.Addr().String(), 50*time.Millisecond); err == nil {
-			t.Cleanup(func() { c.Close() })
+			fill = append(fill, c)
+		}
+	}
+	return func() {
+		for _, c := range fill {
+			c.Close()
 		}
 	}
-	return ln.Addr().String()
 }
 
 const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
