--- a/lab/badcar/badcar.go
+++ b/lab/badcar/badcar.go
@@ -239,7 +239,7 @@
 			conn.Close()
 		}
 		return
-	case c.now("late", seldom):
+	case c.now("late", often):
 		time.Sleep(time.Duration(us)*time.Microsecond + 55*time.Millisecond)
 		w.WriteHeader(502)
 		return
