The module takes new settings: Retune; what became stricter counts for what is out

The reading of settings is one function for New and Retune; each prefix carries what the settings allow its visits.

--- a/brain/books.go
+++ b/brain/books.go
@@ -8,12 +8,14 @@
 	"ledgespread/brain/due"
 )
 
-// prefix is a path prefix as the site has it, and what its visits were seen to take.
+// prefix is a path prefix as the settings have it, with what they allow its visits, and what these took.
 type prefix struct {
-	target, timeout, window Micros
-	firstLeft               Micros // how long clients wait for a first try
-	effect, group           string
-	value, late, seen, mean float64 // seen: answers; mean: their latency, where visits carry no hint
+	name, effect                   string
+	target, timeout, window        Micros
+	step, comeBack, firstLeft      Micros  // of the clock; at most, in a bounce; clients wait for a first try
+	inZone, inCell, cancel, copies bool    // its group's; a fetch may be called off; two may be out
+	most                           int     // fetches
+	value, late, seen, mean        float64 // seen: answers; mean: their latency, where visits carry no hint
 }
 
 // tenant is a tenant: its share; lately taken in here, not yet told, in all, and as told to this sidecar.
@@ -26,13 +28,13 @@
 	zone                      Zone
 	cell                      Cell
 	standing                  Standing
-	started, coldSince        Micros   // when; 0: long ago, or warm
+	started, coldSince, began Micros   // when; 0: long ago, or warm; cold since then, or was
 	rating, credit            float64  // size as listed; work that may still be sent while cold
 	fresh, listed             bool     // no outcome since it was new; named by the list that is being read
 	held, mute                int      // ours there; of these found waiting too long since the last sign of life
 	away                      float64  // visits that other sidecars told they have out there, fading
 	asking                    []*visit // wait to hear of it
-	idle                      []Micros // when each idle connection closes
+	idle                      []Micros // since when each connection is
 	byHand                    bool     // staff took it out
 	answered, left, back      Micros   // last sign of life; last listed, or missed there first; called back
 	took, work, carried       float64  // of lately delivered visits: latency, work times visits held, work alone
@@ -81,38 +83,35 @@
 
 // Balancer decides for one sidecar.
 type Balancer struct {
-	out                                Ports
-	site                               Site
-	now, begun, armed                  Micros // armed: earliest wake-up asked for the tree; 0: none
-	seed, drawn, ledger                uint64 // ledger: how many sidecars were given up as its keeper
-	hash                               hash.Hash64
-	due                                *due.Times[Micros]
-	beats, sidecars, tells, unanswered int // tells: place of visits held in a report, from 1
-	myZone                             Zone
-	me                                 Peer
-	senders                            int // sidecars that may be sending, as last heard; 0: as the settings say
-	prefixes                           []*prefix
-	tenants                            []tenant
-	known                              map[Backend]*backend
-	byHand                             map[Backend]bool // staff took them out, listed or not
-	row, scratch                       []*backend       // all known, by id; those at hand
-	visits                             map[VisitID]*visit
-	news                               News
-	deaf                               []deafness     // by sidecar
-	down                               deafness       // of all: no message comes through
-	leastTarget, lag, life             Micros         // of targets; owners answer in; idle connections live
-	asked, askWait, totalled           Micros         // last call of the list, 0: answered; next wait; totals
-	spent, firsts                      float64        // tokens missing from the bucket; first tries lately
-	came, meanWork, meanTarget         float64        // visits that make the means of those that come
-	meanPart, told, longest            float64        // of a limit, by value; visits reported; client timeout
-	centres                            []centre       // by data centre
-	level, crowd, calm                 float64        // answer time per unit of work; without a prior; when calm
-	size, inUse, meanHeld              float64        // of servers in service: rating, number, our visits there
-	carry, topValue                    float64        // work lately carried per rating; of the prefixes' values
-	crossing, dialling                 float64        // prices: another data centre, a new connection
-	adds, bias                         float64        // what a visit met adds to an answer, of one; see paceBias
-	fitted                             [5]float64     // sums that tell it
-	tally                              map[string]int // why visits were turned away, and how asking went
+	said
+	out                         Ports
+	now, begun, rampAt, armed   Micros // when the wanted ramp counts; earliest wake-up of the tree, 0: none
+	seed, drawn, ledger         uint64 // ledger: how many sidecars were given up as its keeper
+	hash                        hash.Hash64
+	due                         *due.Times[Micros]
+	beats, sidecars, unanswered int
+	myZone                      Zone
+	me                          Peer
+	senders                     int // sidecars that may be sending, as last heard; 0: as the settings say
+	known                       map[Backend]*backend
+	byHand                      map[Backend]bool // staff took them out, listed or not
+	row, scratch                []*backend       // all known, by id; those at hand
+	visits                      map[VisitID]*visit
+	news                        News
+	deaf                        []deafness     // by sidecar
+	down                        deafness       // of all: no message comes through
+	lag, life                   Micros         // owners answer in; idle connections live
+	asked, askWait, totalled    Micros         // last call of the list, 0: answered; next wait; totals
+	spent, firsts               float64        // tokens missing from the bucket; first tries lately
+	came, meanWork, meanTarget  float64        // visits that make the means of those that come
+	meanPart, told              float64        // of a limit, by value; visits reported
+	centres                     []centre       // by data centre
+	level, crowd, calm          float64        // answer time per unit of work; without a prior; when calm
+	size, inUse, meanHeld       float64        // of servers in service: rating, number, our visits there
+	carry, dialling             float64        // work lately carried per rating; price of a new connection
+	adds                        float64        // what a visit met adds to an answer, of one
+	fitted                      [5]float64     // sums that tell it
+	tally                       map[string]int // why visits were turned away, and how asking went
 }
 
 // deafness is until when a sidecar is passed over that answered nothing, and how long it was last.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -9,7 +9,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strconv"
 
 	"ledgespread/brain/due"
 )
@@ -43,52 +42,77 @@
 )
 
 // New starts a sidecar. A setting that the module can't do without and lacks is an error that names it.
-func New(now Micros, site Site, seed uint64, out Ports) (b *Balancer, err error) {
-	defer func() {
-		if missing, ok := recover().(error); ok {
-			b, err = nil, missing
-		}
-	}()
-	b = &Balancer{out: out, site: site, now: now, begun: now, seed: seed, hash: fnv.New64a(),
+func New(now Micros, site Site, seed uint64, out Ports) (*Balancer, error) {
+	said, err := read(site)
+	if err != nil {
+		return nil, err
+	}
+	b := &Balancer{said: said, out: out, now: now, begun: now, seed: seed, hash: fnv.New64a(),
 		due: due.New[Micros](), known: map[Backend]*backend{}, visits: map[VisitID]*visit{},
-		byHand: map[Backend]bool{}, tally: map[string]int{}, level: 1, calm: 1, crowd: 1, size: 1, adds: 1,
-		bias: paceBias}
-	for i := range int(b.num("path_prefixes")) {
-		at := "path_prefixes." + strconv.Itoa(i) + "."
-		p := &prefix{target: b.span(at + "target_latency_us"), timeout: b.span(at + "client_timeout_us"),
-			window: b.span(at + "memory_span_us"), value: b.num(at + "value"),
-			late: b.num(at + "late_value"), effect: b.word(at + "effect"), group: b.word(at + "group")}
-		// Guards against a thin sidecar's first answer that sets the measure of all that follows.
-		p.mean, p.seen = float64(p.target)/4, firmness
-		b.prefixes = append(b.prefixes, p)
-		if i == 0 || p.target < b.leastTarget {
-			b.leastTarget, b.lag = p.target, p.target/8
-		}
-		b.topValue, b.meanWork, b.longest = max(b.topValue, p.value), p.mean, max(b.longest, float64(p.timeout))
+		byHand: map[Backend]bool{}, tally: map[string]int{}, level: 1, calm: 1, crowd: 1, size: 1, adds: 1}
+	for _, p := range b.prefixes {
+		b.meanWork = p.mean
 	}
 	b.myZone, b.sidecars, b.me = Zone(b.num("my_zone")), max(1, int(b.maybe("balancers"))), Peer(b.maybe("me"))
-	b.crossing, b.dialling = b.maybe("tariffs.cross_zone"), b.maybe("tariffs.handshake")
+	b.lag, b.dialling = b.leastTarget/8, b.maybe("tariffs.handshake")
 	b.deaf, b.life = make([]deafness, b.sidecars), b.span("allowed.conn_idle_us")
-	for i := range int(b.maybe("realms")) {
-		at := "realms." + strconv.Itoa(i) + "."
-		b.tenants = append(b.tenants, tenant{quota: max(b.num(at+"quota_per_s"), 1e-9)})
-	}
-	for _, needed := range []string{"obligations.cold_from", "obligations.cold_us", "obligations.fall_multiple",
-		"obligations.fall_us", "allowed.max_backend_fetches", "step_us"} {
-		b.num(needed)
-	}
 	if b.word("discovery") == "on_request" { // no herd at the list's service: the saved list will do
 		b.at(now+Micros(b.chance()*float64(b.herd())), b.subscribe)
 	}
-	for i := range int(b.maybe("telemetry.fields")) {
-		if b.word("telemetry.how") == "inline" && b.word("telemetry.fields."+strconv.Itoa(i)) == "concurrent" {
-			b.tells, b.bias = i+1, toldBias
-		}
-	}
 	b.out.Wake(firstWait, beatToken)
 	return b, nil
 }
 
+// Retune takes over new settings; what they lack is an error, and changes nothing. A prefix is known by its
+// name, a tenant by its place. A visit ends under the settings it began with, or what became stricter since.
+func (b *Balancer) Retune(now Micros, site Site) error {
+	next, err := read(site)
+	if err != nil {
+		return err
+	}
+	for i := range min(len(b.tenants), len(next.tenants)) {
+		b.tenants[i].quota = next.tenants[i].quota
+		next.tenants[i] = b.tenants[i]
+	}
+	for _, old := range b.prefixes {
+		if p := next.named[old.name]; p != nil {
+			p.mean, p.seen, p.firstLeft = old.mean, old.seen, old.firstLeft
+		}
+	}
+	for _, v := range b.visits {
+		if p := next.named[v.on.name]; p != nil {
+			v.on.tighten(p)
+		}
+	}
+	// Guards against pushing a cold server over by what was saved up, or allowed, between two settings: the
+	// least of both counts until each window has ended that began before.
+	old, r := b.ramp, &next.ramp
+	r.from, r.multiple = min(old.from, r.from), min(old.multiple, r.multiple)
+	r.window, r.warm = min(old.window, r.window), max(old.warm, r.warm)
+	next.longest = max(b.longest, next.longest) // as long may others' visits take that are out
+	b.now, b.said, b.rampAt = now, next, now+Micros(max(old.window, next.wanted.window))
+	for _, be := range b.row {
+		if be.coldSince == 0 && be.began != 0 && float64(now-be.began) < b.ramp.warm {
+			be.coldSince = be.began
+		}
+		if b.ramp != old {
+			be.credit = 0
+		}
+	}
+	return nil
+}
+
+// tighten has what is out under a prefix end under its old terms, or what became stricter.
+func (p *prefix) tighten(now *prefix) {
+	p.window, p.most, p.step = min(p.window, now.window), min(p.most, now.most), max(p.step, now.step)
+	p.cancel, p.copies = p.cancel && now.cancel, p.copies && now.copies
+	p.inZone, p.inCell = p.inZone || now.inZone, p.inCell || now.inCell
+	p.comeBack = min(p.comeBack, now.comeBack)
+	if p.effect != now.effect && now.effect != "read_like" {
+		p.effect = "mutating" // also what was read-like and is tagged now: it came without a tag
+	}
+}
+
 func (b *Balancer) Woken(now Micros, t Token) {
 	b.now = now
 	if t == beatToken {
@@ -121,6 +145,9 @@
 			}
 		}
 	}
+	if b.now >= b.rampAt {
+		b.ramp = b.wanted
+	}
 	b.life = min(b.life+Micros(float64(b.life)/calmRises), b.span("allowed.conn_idle_us"))
 	b.size = cmp.Or(sizes/max(b.inUse, 1), b.size) // none in service: as it was
 	b.meanHeld, b.carry = held/max(b.inUse, 1), carried/memory/max(rated, 1e-9)
@@ -161,12 +188,12 @@
 
 // earn lets a cold server's credit grow. Guards against pushing it over: all send a share of warm traffic.
 func (b *Balancer) earn(be *backend) {
-	if be.coldSince == 0 || b.now-be.coldSince >= b.span("obligations.cold_us") {
+	if be.coldSince == 0 || float64(b.now-be.coldSince) >= b.ramp.warm {
 		be.coldSince = 0
 		return
 	}
-	rate := b.carry * be.rating * b.warmth(be) * b.num("obligations.fall_multiple")
-	window := b.num("obligations.fall_us") / float64(firstWait)
+	rate := b.carry * be.rating * b.warmth(be) * b.ramp.multiple
+	window := b.ramp.window / float64(firstWait)
 	if !b.thin() {
 		be.credit = min(be.credit+rate*coldSafety, rate*coldSafety*window/4)
 		return
@@ -187,8 +214,7 @@
 	if be.coldSince == 0 {
 		return 1
 	}
-	from := b.num("obligations.cold_from")
-	return min(1, from+(1-from)*float64(b.now-be.coldSince)/b.num("obligations.cold_us"))
+	return min(1, b.ramp.from+(1-b.ramp.from)*float64(b.now-be.coldSince)/b.ramp.warm)
 }
 
 func (b *Balancer) subscribe() {
@@ -242,8 +268,8 @@
 	if (restarted || returns) && st == Ready {
 		be.cool(max(started, be.back, 1))
 		if started == 0 || started > now || returns && !restarted {
-			be.coldSince = now // it came back from we know not what: cold
-		} else if now-be.coldSince >= b.span("obligations.cold_us") { // guards a fresh sidecar's first visits
+			be.coldSince, be.began = now, now // it came back from we know not what: cold
+		} else if float64(now-be.coldSince) >= b.ramp.warm { // guards a fresh sidecar's first visits
 			be.coldSince = 0
 		}
 	}
@@ -251,7 +277,7 @@
 
 // cool forgets what a server was: it is another process, cold since then.
 func (be *backend) cool(since Micros) {
-	be.coldSince, be.credit, be.fresh, be.outUntil = since, 0, true, 0
+	be.coldSince, be.began, be.credit, be.fresh, be.outUntil = since, since, 0, true, 0
 	be.took, be.work, be.carried, be.own, be.good, be.bad, be.idle, be.toldAt = 0, 0, 0, 0, 0, 0, nil, 0
 }
 
@@ -267,13 +293,11 @@
 
 func (b *Balancer) ListEnds(now Micros) {
 	b.now = now
-	for _, be := range b.row {
+	// Guards against books that grow with every server there ever was. One that may return cold is kept.
+	maps.DeleteFunc(b.known, func(_ Backend, be *backend) bool {
 		if b.news != NoListCame && !be.listed && be.standing != Gone {
 			be.standing, be.left = Gone, now
 		}
-	}
-	// Guards against books that grow with every server there ever was. One that may return cold is kept.
-	maps.DeleteFunc(b.known, func(_ Backend, be *backend) bool {
 		return be.standing == Gone && be.held == 0 && now-be.left > b.span("obligations.cold_us")
 	})
 	b.row = slices.SortedFunc(maps.Values(b.known), func(x, y *backend) int { return cmp.Compare(x.id, y.id) })
@@ -289,8 +313,8 @@
 // mayAt tells the same for a later time, with so many fetches still out.
 func (b *Balancer) mayAt(v *visit, be *backend, at Micros, out int) bool {
 	if v.ended || at >= v.until || !be.open() ||
-		len(v.fetches) > 0 && (v.once || len(v.fetches) >= int(b.num("allowed.max_backend_fetches"))) ||
-		out > 0 && (v.on.effect == "mutating" || !b.allows("allowed.may_duplicate")) {
+		len(v.fetches) > 0 && (v.once || len(v.fetches) >= v.on.most) ||
+		out > 0 && (v.on.effect == "mutating" || !v.on.copies) {
 		return false
 	}
 	if be.coldSince != 0 && be.credit < v.work {
@@ -315,8 +339,8 @@
 		if v.on.effect != "tagged" || at >= f.sent+v.on.window {
 			return false // guards against a second effect
 		}
-		if g := v.on.group; g != "all" && (be == nil || g == "zone" && f.be.zone != be.zone ||
-			g == "cell" && f.be.cell != be.cell) {
+		if p := v.on; be == nil && (p.inZone || p.inCell) || p.inZone && f.be.zone != be.zone ||
+			p.inCell && f.be.cell != be.cell {
 			return false // only its group knows the tag
 		}
 	}
@@ -341,10 +365,10 @@
 		b.out.CloseIdle(be.id)
 	}
 	if n := len(be.idle); n > 0 {
-		f.reused, f.idled, be.idle = true, b.now-be.idle[n-1]+b.span("allowed.conn_idle_us"), be.idle[:n-1]
+		f.reused, f.idled, be.idle = true, b.now-be.idle[n-1], be.idle[:n-1]
 	} else {
 		for range int(b.maybe("allowed.multiplex")) - 1 {
-			be.idle = append(be.idle, b.now+b.span("allowed.conn_idle_us"))
+			be.idle = append(be.idle, b.now)
 		}
 	}
 	if be.coldSince != 0 {
@@ -360,7 +384,7 @@
 
 // second copies a visit that takes long to another server, out of the bucket. Guards against unseen queues.
 func (b *Balancer) second(v *visit, f *fetch, guess Micros) {
-	if f.no > 0 || !b.blind() || !b.allows("allowed.cancel") || !b.allows("allowed.may_duplicate") ||
+	if f.no > 0 || !b.blind() || !v.on.cancel || !v.on.copies ||
 		b.level*b.meanWork > copyCalm*b.meanTarget {
 		return
 	}
@@ -380,7 +404,7 @@
 func (b *Balancer) end(v *visit) {
 	v.ended = true
 	for _, f := range v.fetches {
-		if !f.done && b.allows("allowed.cancel") {
+		if !f.done && v.on.cancel {
 			b.out.Cancel(v.id, f.no)
 		}
 	}
@@ -401,8 +425,6 @@
 	b.tally[why]++
 	comeBack := v.on.target / 4
 	switch {
-	case !b.allows("allowed.retry_after"):
-		comeBack = 0
 	case b.now >= v.wanted:
 		comeBack = v.until - b.now
 	case b.blind(): // another sidecar or moment may well find a place, and a late try is worth nothing
@@ -411,8 +433,8 @@
 	if len(v.fetches) > 0 && v.on.effect == "tagged" { // guards against coming back when the tag is forgotten
 		comeBack = min(comeBack, max(v.fetches[0].sent+v.on.window-b.now, 0)/2)
 	}
-	if v.harmless(b.now, nil) && b.now < v.until-b.span("step_us") { // too late for a client to hear it
-		b.out.Bounce(v.id, min(comeBack, Micros(b.maybe("allowed.max_retry_after_us"))))
+	if v.harmless(b.now, nil) && b.now < v.until-v.on.step { // too late for a client to hear it
+		b.out.Bounce(v.id, min(comeBack, v.on.comeBack))
 	} else {
 		b.out.ErrorPage(v.id)
 	}
@@ -460,8 +482,8 @@
 		}
 	}
 	// Guards against losing the visit, and against work in unseen queues for answers that are worth nothing.
-	last := v.until - b.span("step_us")
-	if b.blind() && b.allows("allowed.cancel") && p.late == 0 && !once {
+	last := v.until - p.step
+	if b.blind() && p.cancel && p.late == 0 && !once {
 		last = min(last, v.wanted+1)
 	}
 	b.at(last, func() {
@@ -506,10 +528,9 @@
 
 // unheard books that a sidecar answered nothing, until it does. Guards against waits for owners that died.
 func (b *Balancer) unheard(p Peer) {
-	if d := b.deaf[p]; p != b.me && d.until <= b.now {
+	if d := &b.deaf[p]; p != b.me && d.until <= b.now {
 		d.span = min(max(4*d.span, b.span("obligations.cold_us")/4), 4*b.span("obligations.cold_us"))
 		d.until = b.now + Micros(float64(d.span)*(0.75+b.chance()/2))
-		b.deaf[p] = d
 		b.tally["deaf"]++
 	}
 	// Guards against waits for all owners in turn, where no message at all comes through.
@@ -632,14 +653,6 @@
 
 func (b *Balancer) ledgerSilent() bool { return b.now-max(b.totalled, b.begun) > 4*tellBeats*firstWait }
 
-func (b *Balancer) say(to Peer, kind Note, about Backend, figures ...float64) {
-	if to == b.me {
-		b.Heard(b.now, to, kind, about, figures...)
-		return
-	}
-	b.out.Tell(to, kind, about, figures...)
-}
-
 // Heard takes what another sidecar told. A message that is not of a known form is passed over.
 func (b *Balancer) Heard(now Micros, from Peer, kind Note, about Backend, figures ...float64) {
 	b.now = now
@@ -792,7 +805,7 @@
 			b.out.Tell(f.owner, Waits, f.be.id, float64(b.now-f.sent))
 		}
 		if b.missed(f.be, "silent") && b.now+v.wait()+guess < v.wanted && v.out == 1 &&
-			b.allows("allowed.cancel") && b.capacity()-b.spent >= retryCost && b.onward(v, f.be, 0) {
+			v.on.cancel && b.capacity()-b.spent >= retryCost && b.onward(v, f.be, 0) {
 			b.out.Cancel(v.id, f.no)
 		}
 	})
@@ -828,7 +841,7 @@
 	}
 	switch {
 	case rc == Delivered || rc == Errored || rc == Full:
-		f.be.idle = append(f.be.idle, now+b.span("allowed.conn_idle_us"))
+		f.be.idle = append(f.be.idle, now)
 	case rc == TimedOut && f.reused: // guards against connections that were dropped unseen, and answer nothing
 		b.life = min(b.life, max(f.idled, firstWait))
 	case rc == ConnectFailed:
@@ -935,8 +948,7 @@
 		return
 	}
 	be.outSpan = min(max(2*be.outSpan, 10*firstWait), b.span("obligations.cold_us")/2)
-	be.outUntil = b.now + Micros(float64(be.outSpan)*(0.75+b.chance()/2))
-	be.bad = 0
+	be.outUntil, be.bad = b.now+Micros(float64(be.outSpan)*(0.75+b.chance()/2)), 0
 	b.out.Print(fmt.Sprintf("%x sits out for %d ms: %s", be.id, (be.outUntil-b.now)/1000, why))
 }
 
@@ -964,15 +976,12 @@
 // visit counts by how slowly the server was seen to answer. afar: the way counts nothing.
 func (b *Balancer) pick(v *visit, afar, asks bool) *backend {
 	b.scratch = b.scratch[:0]
-	for _, ordinary := range []bool{true, false} {
+	for resort := 0; resort < 2 && len(b.scratch) == 0; resort++ {
 		for _, be := range b.row {
-			if b.may(v, be) && (!ordinary || b.fit(v, be)) {
+			if b.may(v, be) && (resort > 0 || b.fit(v, be)) {
 				b.scratch = append(b.scratch, be)
 			}
 		}
-		if len(b.scratch) > 0 {
-			break
-		}
 	}
 	least := math.Inf(1)
 	for _, be := range b.scratch {
@@ -985,6 +994,10 @@
 	near := !afar && slices.ContainsFunc(b.scratch, func(be *backend) bool {
 		return be.held == 0 && be.zone == b.myZone && be.pace <= tieBand*least
 	})
+	bias := paceBias
+	if b.tells > 0 {
+		bias = toldBias
+	}
 	be := b.draw(func(be *backend) float64 {
 		if asks && !(near && be.zone != b.myZone) {
 			return least / be.score // its owner's word decides: by size, or slow ones idle while others are crowded
@@ -992,7 +1005,7 @@
 		if be.held > 0 || be.pace > tieBand*least || near && be.zone != b.myZone {
 			return 0
 		}
-		return math.Pow(least/be.score, b.bias)
+		return math.Pow(least/be.score, bias)
 	})
 	if be == nil {
 		be = b.draw(func(be *backend) float64 { return float64(min(1, int(least/be.score))) })
@@ -1010,22 +1023,10 @@
 		len(v.fetches) == 0
 }
 
-func (b *Balancer) draw(weigh func(*backend) float64) (drawn *backend) {
-	sum := 0.0
-	for _, be := range b.scratch {
-		if w := weigh(be); w > 0 {
-			if sum += w; w == sum || b.chance()*sum < w {
-				drawn = be
-			}
-		}
-	}
-	return drawn
-}
-
 // stands tells whether an idle connection is believed to: told or, lately, learnt how long they live.
 func (b *Balancer) stands(be *backend) bool {
 	n := len(be.idle)
-	return n > 0 && be.idle[n-1]-max(b.span("allowed.conn_idle_us")-b.life, 0) > b.now
+	return n > 0 && be.idle[n-1]+b.life > b.now
 }
 
 // distance makes a crossing, and a new connection, count as some visits held, by their prices.
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -235,7 +235,7 @@
 			d.title("a handshake's price is %.2f; a has a connection, the others' answers take %.1f of its time", price, quick)
 			id := VisitID(quick * 10)
 			d.quiet = true
-			d.b.known['a'].idle = []Micros{d.now + 9000*ms}
+			d.b.known['a'].idle = []Micros{d.now - 1000*ms}
 			d.visit(id, 0)
 			for _, be := range []Backend{'b', 'c', 'a'} {
 				pace := quick
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -78,3 +78,12 @@
 	Tell(to Peer, kind Note, about Backend, figures ...float64) // a short message to another sidecar; may be lost
 	Print(line string)                                          // one line for the operators
 }
+
+// say tells another sidecar something by the Ports, or hears it where that is this one.
+func (b *Balancer) say(to Peer, kind Note, about Backend, figures ...float64) {
+	if to == b.me {
+		b.Heard(b.now, to, kind, about, figures...)
+		return
+	}
+	b.out.Tell(to, kind, about, figures...)
+}
