--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -13,8 +13,7 @@
 	"ledgespread/internal/console"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/extensions"
-	"ledgespread/internal/outbound"
-	"ledgespread/internal/relay"
+	"ledgespread/internal/live"
 	"ledgespread/internal/site"
 )
 
@@ -26,15 +25,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return manifest, starts(manifest)
-}
-
-// starts tells whether a sidecar could start so.
-func starts(manifest *site.Manifest) error {
-	var counts counters.Sheet
-	out := outbound.New(0, 0, 0, 0, nil, &counts, zerolog.Nop())
-	_, err := relay.New(manifest, 0, out, nil, &counts, zerolog.Nop())
-	return err
+	if err := live.Starts(manifest); err != nil {
+		text, _ := os.ReadFile(file)
+		return nil, site.In(file, text, err)
+	}
+	return manifest, nil
 }
 
 func root() *cobra.Command {
--- a/cmd/ledgespread/migrate.go
+++ b/cmd/ledgespread/migrate.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"ledgespread/internal/live"
 	"ledgespread/internal/site"
 )
 
@@ -27,7 +28,7 @@
 			}
 			moved, err := site.Migrate(text, move)
 			if err == nil {
-				err = starts(moved.Manifest)
+				err = live.Starts(moved.Manifest)
 			}
 			if err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -4,10 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
@@ -21,6 +19,7 @@
 	"ledgespread/internal/extensions"
 	"ledgespread/internal/handover"
 	"ledgespread/internal/inbound"
+	"ledgespread/internal/live"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/peers"
 	"ledgespread/internal/relay"
@@ -44,7 +43,7 @@
 func serve(file, with string, b *site.Manifest, fitted *extensions.Extensions, tally time.Duration, log zerolog.Logger) error {
 	again := make(chan os.Signal, 1) // several close together are one: the file is read after the last
 	signal.Notify(again, syscall.SIGHUP)
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(b.Cores))))
+	live.Cores(b)
 	heap(b, 1)
 	debug.SetGCPercent(calmHeap)
 	stop := make(chan os.Signal, 1)
@@ -113,6 +112,7 @@
 		}
 	}
 	in.Store(clients)
+	running := live.New(b, r, clients, counts, log)
 	if b.Streams > 1 {
 		log.Info().Int("told", b.Streams).Msg("allowed.multiplex is kept to one: a connection carries one visit at a time")
 	}
@@ -122,7 +122,7 @@
 	for {
 		select {
 		case <-again:
-			reload(file, with, b, fitted, r, counts, log)
+			reload(file, with, running, fitted, counts, log)
 		case s := <-stop:
 			log.Info().Stringer("signal", s).Msg("stopping")
 			stop, broken = nil, nil
@@ -147,27 +147,25 @@
 	}
 }
 
-// reload takes the file as it is now. Guards against a sidecar that is told half: what can't be read, or would
-// not do for a start, changes nothing. Of a whole one discovery's address is taken over; the saved list and the
-// seed are for a start only, and all else needs one.
-func reload(file, with string, b *site.Manifest, fitted *extensions.Extensions, r *relay.Relay, counts *counters.Sheet, log zerolog.Logger) {
-	now, err := whole(file)
-	var fits *extensions.Extensions
+// reload takes the file as it is now, and looks at the file of extensions, all of which needs a restart. Guards against a sidecar that
+// is told half: where either can't be read, or would not do for a start, nothing changes.
+func reload(file, with string, running *live.Sidecar, fitted *extensions.Extensions, counts *counters.Sheet, log zerolog.Logger) {
+	fits, err := extensions.Read(with)
+	var text []byte
 	if err == nil {
-		fits, err = extensions.Read(with)
+		text, err = os.ReadFile(file)
 	}
 	if err != nil {
 		counts.Add(counters.ReloadsRefused)
 		log.Warn().Err(err).Msg("configuration refused; the old one stays in force")
 		return
 	}
-	counts.Add(counters.Reloads)
-	entry := log.Info().Str("discovery", now.Discovery)
-	if differ := append(site.Differ(b, now), extensions.Differ(fitted, fits)...); len(differ) > 0 {
-		entry = entry.Strs("need_a_restart", differ)
+	if _, err := running.Apply(file, text); err != nil {
+		return // it is told
+	}
+	if differ := extensions.Differ(fitted, fits); len(differ) > 0 {
+		log.Info().Str("from", with).Strs("need_a_restart", differ).Msg("extensions read again")
 	}
-	r.Move(now.Discovery)
-	entry.Msg("configuration read again")
 }
 
 // heap bounds what the collector lets stand, where so many processes share the memory.
--- a/internal/counters/accounts.go
+++ b/internal/counters/accounts.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 	"sync/atomic"
 )
 
@@ -18,28 +20,48 @@
 
 // Accounts count visits by path prefix and ending, for those who watch a sidecar. Each visit that was taken ends once.
 type Accounts struct {
-	prefixes []string
-	ended    [][endings]atomic.Int64
+	mu       sync.Mutex
+	prefixes []string // never fewer: one that is gone keeps its place and its figures
+	ended    []*[endings]atomic.Int64
 	taken    atomic.Int64
 	over     atomic.Int64
 }
 
 // NewAccounts makes accounts for path prefixes of these names, in the order of their places.
 func NewAccounts(prefixes []string) *Accounts {
-	return &Accounts{prefixes: prefixes, ended: make([][endings]atomic.Int64, len(prefixes))}
+	a := &Accounts{}
+	a.Open(prefixes)
+	return a
+}
+
+// Open adds the path prefixes that are new, and tells the place of each here.
+func (a *Accounts) Open(prefixes []string) (places []int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, name := range prefixes {
+		at := slices.Index(a.prefixes, name)
+		if at < 0 {
+			at = len(a.prefixes)
+			a.prefixes, a.ended = append(a.prefixes, name), append(a.ended, &[endings]atomic.Int64{})
+		}
+		places = append(places, at)
+	}
+	return places
 }
 
 // Take books a visit that was taken. What it returns is to be called once, at its end; a second call changes nothing.
 func (a *Accounts) Take(place int) (end func(ending int)) {
 	a.taken.Add(1)
-	open := true
+	a.mu.Lock()
+	open, figures := true, a.ended[place]
+	a.mu.Unlock()
 	return func(ending int) {
 		if !open {
 			return
 		}
 		open = false
 		if ending < endings {
-			a.ended[place][ending].Add(1)
+			figures[ending].Add(1)
 		}
 		a.over.Add(1)
 	}
@@ -56,9 +78,12 @@
 
 // WriteTo prints a line for each figure, "app.NAME.PREFIX=VALUE". All stand there from the start.
 func (a *Accounts) WriteTo(w io.Writer) (n int64, err error) {
+	a.mu.Lock()
+	prefixes, ended := slices.Clone(a.prefixes), slices.Clone(a.ended)
+	a.mu.Unlock()
 	for ending, name := range endingNames {
-		for place, prefix := range a.prefixes {
-			k, err := fmt.Fprintf(w, "app.%s.%s=%d\n", name, prefix, a.ended[place][ending].Load())
+		for place, prefix := range prefixes {
+			k, err := fmt.Fprintf(w, "app.%s.%s=%d\n", name, prefix, ended[place][ending].Load())
 			if n += int64(k); err != nil {
 				return n, err
 			}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -52,9 +53,10 @@
 // Watcher follows the list at one address at a time.
 type Watcher struct {
 	zones  map[string]int
-	every  time.Duration
-	among  int // sidecars that ask the same service
-	most   int // bytes of an answer
+	every  atomic.Int64 // nanoseconds
+	step   atomic.Int64 // where it comes back by itself: nanoseconds from one call to the next, while none is answered
+	among  int          // sidecars that ask the same service
+	most   int          // bytes of an answer
 	seed   uint64
 	tell   func(*List)
 	counts *counters.Sheet
@@ -65,7 +67,6 @@
 	at      *service
 	again   bool          // it comes back by itself after a failure: the list is pushed
 	took    time.Duration // what a call took that was not held, lately
-	step    time.Duration // from one call to the next where it is, while none is answered
 	fresh   bool          // nothing was heard from this address yet: its versions may count otherwise
 	version uint64
 	round   int    // of the watch that goes on
@@ -81,17 +82,24 @@
 // may have more than most bytes.
 func New(address string, zones map[string]int, version uint64, askEvery brain.Micros, among, most int, seed uint64,
 	tell func(*List), counts *counters.Sheet, log zerolog.Logger) *Watcher {
+	w := &Watcher{zones: zones, among: max(among, 1), most: most, version: version, seed: seed, tell: tell,
+		counts: counts, log: log}
+	w.at = w.service(address)
+	w.Retune(askEvery, 0)
+	return w
+}
+
+// Retune takes over new settings, for calls that begin: askEvery as for New, grace as for Keep.
+func (w *Watcher) Retune(askEvery, grace brain.Micros) {
 	every := time.Duration(askEvery) * time.Microsecond
 	if every <= 0 { // a list that is pushed: the settings need not say
 		every = usual
 	}
-	w := &Watcher{zones: zones, every: every, among: max(among, 1), most: most, version: version, seed: seed, tell: tell,
-		counts: counts, log: log}
-	w.at = w.service(address)
-	return w
+	w.every.Store(int64(every))
+	w.step.Store(int64(max(time.Duration(grace)*time.Microsecond/stepPart, stepLeast)))
 }
 
-func (w *Watcher) part(of float64) time.Duration { return time.Duration(of * float64(w.every)) }
+func (w *Watcher) part(of float64) time.Duration { return time.Duration(of * float64(w.every.Load())) }
 
 // Watch begins a watch in place of the one that goes on. The first call asks for what is new by now and is
 // always told of; those that follow only if they bring something.
@@ -104,9 +112,10 @@
 // Keep watches without being asked, and comes back after a failure: the list is pushed, and what the agent has counts as told,
 // after this grace.
 func (w *Watcher) Keep(grace brain.Micros) {
+	w.Retune(brain.Micros(time.Duration(w.every.Load())/time.Microsecond), grace)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.again, w.step = true, max(time.Duration(grace)*time.Microsecond/stepPart, stepLeast)
+	w.again = true
 	w.begin(false)
 }
 
@@ -155,7 +164,7 @@
 			}
 			continue
 		case err != nil && w.again:
-			time.Sleep(w.step)
+			time.Sleep(time.Duration(w.step.Load()))
 			hold, asked = 0, true
 			continue
 		case err != nil && pressed && hold == 0 && took >= waitMost:
@@ -205,7 +214,7 @@
 	case hold > 0:
 		return w.call(at, hold, hold+lateMost)
 	case w.again:
-		every := max(w.step, w.patience()/steps)
+		every := max(time.Duration(w.step.Load()), w.patience()/steps)
 		return w.abreast(at, every, steps*every, steps)
 	case pressing:
 		return w.abreast(at, w.soon(), waitMost, 2)
@@ -244,7 +253,7 @@
 	if !w.lost {
 		return lateMost
 	}
-	return min(max(time.Since(w.lostAt)/steps, lateMost), 2*steps*w.step) // so they begin half a grace apart at the most
+	return min(max(time.Since(w.lostAt)/steps, lateMost), 2*steps*time.Duration(w.step.Load())) // so they begin half a grace apart at the most
 }
 
 // abreast makes calls, one after another though none is answered yet; the first answer counts. Guards against a call that falls silent
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -8,13 +8,13 @@
 	"math"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
-	"ledgespread/brain"
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
@@ -43,11 +43,9 @@
 	server    *fasthttp.Server
 	listener  *connlimit.Listener
 	visits    Taker
-	prefixes  map[string]int
-	tagged    map[int]bool // path prefixes whose visits carry a mark
-	readLike  map[int]bool
-	realms    map[string]int
-	longest   brain.Micros // client timeout
+	taking    sync.RWMutex         // held while a visit is handed over; for writing, while settings change
+	said      atomic.Pointer[said] // what visits are read by
+	longest   atomic.Int64         // client timeout, in microseconds, that any visit had
 	ticks     ticks
 	lifecycle lifecycle
 	expired   chan struct{} // closed when a stop can wait no longer for answers
@@ -67,20 +65,11 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &Inbound{visits: visits, prefixes: b.Places("path_prefixes"), realms: b.Places("realms"),
-		tagged: map[int]bool{}, readLike: map[int]bool{}, counts: counts, log: log,
+	in := &Inbound{visits: visits, accounts: counters.NewAccounts(nil), counts: counts, log: log,
 		expired: make(chan struct{}), listener: connlimit.New(ln, most, counts, log)}
-	names := make([]string, len(in.prefixes))
-	for name, i := range in.prefixes {
-		names[i] = name
-		at := "path_prefixes." + strconv.Itoa(i)
-		in.tagged[i], in.readLike[i] = b.Site[at+".effect"] == "tagged", b.Site[at+".effect"] == "read_like"
-	}
+	in.reads(b)
 	in.room.Store(int64(b.MemoryMB << 20 / bodiesPart))
 	in.mostHeld = in.room.Load() / heldPart
-	in.accounts = counters.NewAccounts(names)
-	shortest, longest := b.Timeouts()
-	in.longest, in.ticks.every = longest, min(time.Duration(shortest)*time.Microsecond/quickParts, lookBy)/2
 	// Where memory is short heads may be half as long, and a buffer for writing is given back between visits: that costs
 	// each visit a read.
 	buffer, short := exchange.MostHead, buffers*most > b.MemoryMB<<20/buffersPart
@@ -90,7 +79,7 @@
 	in.server = &fasthttp.Server{Handler: in.guarded, ErrorHandler: in.malformed, Logger: &in.log, StreamRequestBody: true, HeaderReceived: started,
 		MaxRequestBodySize: exchange.MostBody, ReadBufferSize: buffer,
 		ReduceMemoryUsage: short,
-		IdleTimeout:       max(idleTimes*time.Duration(in.longest)*time.Microsecond, connlimit.LastWord),
+		IdleTimeout:       max(idleTimes*time.Duration(in.longest.Load())*time.Microsecond, connlimit.LastWord),
 		ReadTimeout:       connlimit.LastWord, WriteTimeout: connlimit.LastWord, ConnState: in.listener.State,
 		Concurrency: 2 * most, CloseOnShutdown: true, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, DisablePreParseMultipartForm: true}
@@ -202,19 +191,21 @@
 	if !here {
 		return
 	}
-	in.counts.Add(counters.VisitsTaken)
-	ended := in.accounts.Take(int(x.On))
-	defer func() { // unless it got its answer, or gets it now
-		if !ctx.Response.IsBodyStream() {
-			ended(counters.Left)
-		}
-	}()
 	left := time.Duration(x.Left) * time.Microsecond
 	now := time.Now()
 	look, end := now.Add(min(left/quickParts, lookBy)), now.Add(left+overdue)
 	conn := ctx.Conn()
 	x.Gone = func() bool { return peek.Gone(conn) }
-	in.visits.Take(x)
+	ended, status, fault := in.hand(ctx, m, x)
+	if ended == nil {
+		in.refuse(ctx, status, fault)
+		return
+	}
+	defer func() { // unless it got its answer, or gets it now
+		if !ctx.Response.IsBodyStream() {
+			ended(counters.Left)
+		}
+	}()
 	if x.Upload != nil {
 		if !in.uploading(ctx, x) {
 			if fault := x.Upload.Fault(); fault != nil { // it was no visit after all
@@ -228,7 +219,7 @@
 		look, end = time.Now(), time.Now().Add(left+overdue)
 	}
 	// Most are answered before the first tick: looking after the client costs more than the visit.
-	for left >= quickParts*in.ticks.every && time.Now().Before(look) {
+	for left >= quickParts*in.ticks.apart() && time.Now().Before(look) {
 		select {
 		case <-x.Done():
 			in.answer(ctx, x, ended)
--- a/internal/inbound/lifecycle.go
+++ b/internal/inbound/lifecycle.go
@@ -118,7 +118,7 @@
 		}
 	}
 	finished := in.listener.Finish()
-	visits := min(time.Duration(in.longest)*time.Microsecond, longest) + killed
+	visits := min(time.Duration(in.longest.Load())*time.Microsecond, longest) + killed
 	for ended := false; ; {
 		since, _ := in.lifecycle.is()
 		if finished() && in.listener.Here() == 0 || since > visits && in.streams.Load() == 0 || since > lastStream {
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"net/url"
@@ -39,6 +38,7 @@
 	head   []byte
 	size   int  // bytes of the head as it came
 	more   bool // part of the next one may have been read with it
+	by     *said
 	body   framing.Body
 }
 
@@ -87,36 +87,14 @@
 // without troubling the module.
 func (in *Inbound) read(ctx *fasthttp.RequestCtx, m *message) (x *exchange.Exchange, status int, fault string) {
 	bad := func(status int, fault string) (*exchange.Exchange, int, string) { return nil, status, fault }
-	path, _, _ := bytes.Cut(m.target[1:], []byte("?"))
-	first, _, _ := bytes.Cut(path, []byte("/"))
-	prefix := unescaped(string(first))
-	on, known := in.prefixes[prefix]
-	if !known {
-		return bad(fasthttp.StatusNotFound, "unknown path prefix")
-	}
-	if named := m.field[fieldPrefix]; named != "" && named != string(first) && named != prefix {
-		return bad(fasthttp.StatusBadRequest, "X-Priority-Class names another path prefix")
-	}
-	if ctx.IsGet() != in.readLike[on] || !ctx.IsGet() && !ctx.IsPost() {
-		ctx.Response.Header.Set(fasthttp.HeaderAllow, map[bool]string{true: "GET", false: "POST"}[in.readLike[on]])
-		return bad(fasthttp.StatusMethodNotAllowed, "the path prefix has another method")
-	}
-	if m.field[fieldID] == "" {
-		return bad(fasthttp.StatusBadRequest, "X-Request-ID is missing")
-	}
-	if in.tagged[on] && m.field[fieldTag] == "" {
-		return bad(fasthttp.StatusBadRequest, "Idempotency-Key is missing")
-	}
-	left, ok := span(m.field[fieldTimeout])
-	if !ok {
-		return bad(fasthttp.StatusBadRequest, "X-Timeout is missing or malformed")
-	}
-	of, known := in.realms[m.field[fieldTenant]]
-	if !known && len(in.realms) > 0 {
-		return bad(fasthttp.StatusBadRequest, "unknown tenant")
+	m.by = in.said.Load()
+	on, of, status, fault := m.by.place(ctx, m)
+	if status != 0 {
+		return bad(status, fault)
 	}
+	left, _ := span(m.field[fieldTimeout])
 	x = exchange.New()
-	x.Name, x.On, x.Of, x.Left = m.field[fieldID], brain.Prefix(on), brain.Tenant(of), left
+	x.Name, x.On, x.Of, x.Left = m.field[fieldID], on, of, left
 	x.Again = m.field[fieldAgain] == "1"
 	if cost, err := strconv.ParseFloat(m.field[fieldCost], 64); err == nil && cost >= 1 && cost < 1<<32 {
 		x.Effort = brain.Micros(cost)
--- a/internal/inbound/ticks.go
+++ b/internal/inbound/ticks.go
@@ -2,24 +2,27 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // ticks wakes all who wait, now and then, by one timer for all of them. Guards against a timer of its own for each visit,
 // which nearly always is stopped before it comes: most visits are answered sooner than a tick.
 type ticks struct {
-	every time.Duration
+	every atomic.Int64 // nanoseconds
 	mu    sync.Mutex
 	next  chan struct{} // closed when the tick comes; nil: nobody waits for one
 }
 
+func (t *ticks) apart() time.Duration { return time.Duration(t.every.Load()) }
+
 // wait is closed at the next tick, which comes within every.
 func (t *ticks) wait() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.next == nil {
 		t.next = make(chan struct{})
-		time.AfterFunc(t.every, t.come)
+		time.AfterFunc(t.apart(), t.come)
 	}
 	return t.next
 }
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -47,7 +47,7 @@
 				r.Fields = append(r.Fields, [2]string{string(name), string(value)})
 			case framing.Is(name, "Connection"):
 				r.closes = r.closes || bytes.Contains(bytes.ToLower(value), []byte("close"))
-			case len(o.loads) > 0 && framing.Is(name, "X-Server-Load"):
+			case len(*o.loads.Load()) > 0 && framing.Is(name, "X-Server-Load"):
 				r.load = o.report(value)
 			case framing.Is(name, "X-Not-Processed"):
 				r.unseen = string(value) == "1"
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -34,10 +34,10 @@
 type Outbound struct {
 	pool    pool
 	workers workers
-	connect time.Duration
-	room    int          // bytes that answers may take together while they are read
-	taken   atomic.Int64 // of these
-	loads   []string     // what an answer's load report holds; none: answers carry none
+	connect atomic.Int64             // nanoseconds
+	room    int                      // bytes that answers may take together while they are read
+	taken   atomic.Int64             // of these
+	loads   atomic.Pointer[[]string] // what an answer's load report holds; none: answers carry none
 	counts  *counters.Sheet
 	log     zerolog.Logger
 }
@@ -46,8 +46,18 @@
 // never more than most; answers take no more than room bytes together while they are read, and their load reports hold
 // loads.
 func New(idle, connect brain.Micros, most, room int, loads []string, counts *counters.Sheet, log zerolog.Logger) *Outbound {
-	return &Outbound{workers: make(workers), connect: span(connect), room: room, loads: loads, counts: counts, log: log,
-		pool: pool{idle: map[brain.Backend][]*conn{}, keep: span(idle - idle/idleMargin), most: most, counts: counts}}
+	o := &Outbound{workers: make(workers), room: room, counts: counts, log: log,
+		pool: pool{idle: map[brain.Backend][]*conn{}, most: most, counts: counts}}
+	o.Retune(idle, connect, loads)
+	return o
+}
+
+// Retune takes over new settings: idle for connections that stand so already as well, connect for those that begin, loads for answers
+// that come.
+func (o *Outbound) Retune(idle, connect brain.Micros, loads []string) {
+	o.pool.keep.Store(int64(span(idle - idle/idleMargin)))
+	o.connect.Store(int64(span(connect)))
+	o.loads.Store(&loads)
 }
 
 func span(t brain.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
@@ -182,7 +192,7 @@
 	if !o.pool.room() {
 		return nil, &Failure{Progress: Nowhere, Cause: fmt.Errorf("all %d connections are busy", o.pool.most)}
 	}
-	d := net.Dialer{Timeout: o.connect, Deadline: until, KeepAlive: -1}
+	d := net.Dialer{Timeout: time.Duration(o.connect.Load()), Deadline: until, KeepAlive: -1}
 	c, err := d.DialContext(f.ctx, "tcp", address)
 	if err != nil {
 		o.pool.closed()
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ledgespread/brain"
@@ -45,7 +46,7 @@
 type pool struct {
 	mu     sync.Mutex
 	idle   map[brain.Backend][]*conn // the one used last stands last
-	keep   time.Duration             // how long one may stand idle
+	keep   atomic.Int64              // nanoseconds for which one may stand idle
 	open   int
 	most   int
 	counts *counters.Sheet
@@ -64,7 +65,7 @@
 			return nil
 		}
 		time.Sleep(settles - time.Since(l.idle))
-		if l.address == address && time.Since(l.idle) < p.keep && l.alive() {
+		if l.address == address && int64(time.Since(l.idle)) < p.keep.Load() && l.alive() {
 			return l
 		}
 		p.counts.Add(counters.ConnectionsStale)
@@ -146,7 +147,7 @@
 	defer p.mu.Unlock()
 	for be, lines := range p.idle {
 		n := 0
-		for n < len(lines) && time.Since(lines[n].idle) >= p.keep {
+		for n < len(lines) && int64(time.Since(lines[n].idle)) >= p.keep.Load() {
 			p.shut(lines[n])
 			n++
 		}
--- a/internal/outbound/report.go
+++ b/internal/outbound/report.go
@@ -14,9 +14,10 @@
 // report reads a server's load report. Guards against an answer that is lost for a report that can't be read, and
 // against decisions by half of one: it is passed over, and counted.
 func (o *Outbound) report(text []byte) (load []float64) {
+	names := *o.loads.Load()
 	var told map[string]float64
 	if json.Unmarshal(text, &told) == nil {
-		for _, name := range o.loads {
+		for _, name := range names {
 			n, there := told[name]
 			if !there {
 				n, there = told[others[name]]
@@ -27,7 +28,7 @@
 			load = append(load, n)
 		}
 	}
-	if len(load) < len(o.loads) {
+	if len(load) < len(names) {
 		o.counts.Add(counters.ReportsUnreadable)
 		return nil
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"runtime"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -33,12 +32,21 @@
 // visit is one that the module knows of.
 type visit struct {
 	x       *exchange.Exchange
+	on      *terms
 	until   brain.Micros
 	flights []*flight // nil: never sent
 	out     int
 	ended   bool
 }
 
+// terms are what the settings allow the visits of a path prefix here, beside the module's own gate.
+type terms struct {
+	name    string
+	effect  any
+	window  time.Duration // of tagged ones: servers know a mark for so long
+	fetches int
+}
+
 // flight is one of its backend fetches.
 type flight struct {
 	*outbound.Attempt
@@ -65,14 +73,16 @@
 	rare     map[string]bool // names to be kept for longer than a generation of those
 	held     int             // visits not yet ended
 	mostHeld int
-	mostOut  int
+	mostEver int // as many as there are sockets for
 	ids      brain.VisitID
 	servers  map[brain.Backend]server
 	out      map[string]bool        // taken out by hand, listed or not
 	fleet    atomic.Pointer[[2]int] // listed, and avoided of these
 	listed   chan struct{}          // closed when the first list came
 	heard    bool                   // it is
-	windows  []time.Duration        // by path prefix, of tagged ones: servers know a mark for so long
+	prefixes []*terms               // by place
+	loads    []string               // what a load report holds,
+	loadsNow time.Time              // since then
 	idle     brain.Micros
 	grace    brain.Micros // in which sends to a leaving server are no fault
 	pushed   bool
@@ -90,32 +100,20 @@
 	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), calls: make(chan func()), due: due.New[brain.Micros](),
 		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, rare: map[string]bool{},
 		servers: map[brain.Backend]server{}, out: map[string]bool{}, listed: make(chan struct{}),
-		mostHeld: most, mostOut: int(b.Figure("allowed.max_backend_fetches")),
-		idle: b.Span("allowed.conn_idle_us"), grace: b.Span("obligations.stop_sending_within_us"), pushed: b.Site["discovery"] == "pushed",
+		mostEver: most, pushed: b.Site["discovery"] == "pushed", names: newNames(0),
 		outbound: out, peers: others, counts: counts, log: log}
-	if told := int(b.Figure("allowed.most_held")); told > 0 {
-		r.mostHeld = min(r.mostHeld, told)
-	}
-	for i := range int(b.Figure("path_prefixes")) {
-		at, window := "path_prefixes."+strconv.Itoa(i), time.Duration(0)
-		if b.Site[at+".effect"] == "tagged" {
-			window = time.Duration(b.Span(at+".memory_span_us")) * time.Microsecond
-		}
-		r.windows = append(r.windows, window)
-	}
-	_, longest := b.Timeouts()
-	r.names = newNames(longest)
+	r.read(b)
 	zones := b.Places("azs")
 	saved, err := discovery.Read(b.Known, zones)
 	if err != nil {
-		return nil, fmt.Errorf("known: %w", err)
+		return nil, &site.Odd{Name: "known", Err: fmt.Errorf("known: %w", err)}
 	}
 	r.watcher = discovery.New(b.Discovery, zones, saved.Version, b.Span("obligations.ask_every_us"),
 		int(b.Figure("balancers")), max(b.MemoryMB<<20/listPart, listLeast), b.Seed,
 		r.hear, counts, log)
 	r.now = r.clock.now()
 	if r.b, err = brain.New(r.now, b.Site, b.Seed, r); err != nil {
-		return nil, err
+		return nil, &site.Odd{Name: "settings", Err: err}
 	}
 	r.told(brain.Saved, saved)
 	r.publish()
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -31,6 +31,9 @@
 		r.ids++
 		x.ID = r.ids
 		v := &visit{x: x, until: r.now + x.Left}
+		if int(x.On) < len(r.prefixes) {
+			v.on = r.prefixes[x.On]
+		}
 		r.visits[x.ID] = v
 		if !r.names.take(x.Name, r.now, v.until) {
 			name := x.Name // and not its visit, which may hold a long body
@@ -97,7 +100,7 @@
 	v.out++
 	to, known := r.servers[be]
 	once := v.x.Upload != nil && no > 0 // what has been taken of its body is gone
-	if v.ended || left <= 0 || v.x.Over() || int(no) >= r.mostOut || !known || once {
+	if v.ended || left <= 0 || v.x.Over() || int(no) >= v.on.fetches || !known || once {
 		v.flights = append(v.flights, nil)
 		r.later(func() { r.ended(v, no, brain.NeverSent, 0, nil, nil) })
 		return
@@ -118,7 +121,7 @@
 // before is when a further fetch is to be on its way: a tagged visit's that may have run goes out within its window. The module
 // looks when it asks for the fetch; guards against a connection that comes up later than that.
 func (r *Relay) before(v *visit) (by time.Time) {
-	window := r.windows[v.x.On]
+	window := v.on.window
 	if window == 0 {
 		return by
 	}
@@ -144,6 +147,9 @@
 	r.counts.Add(resultCounts[rc])
 	v.out--
 	if f := v.flights[no]; f != nil {
+		if f.asked.Before(r.loadsNow) {
+			load = nil // it may hold other values than the module takes it for
+		}
 		f.unrun = rc == brain.Full || rc == brain.ConnectFailed || rc == brain.NeverSent
 	}
 	if rc == brain.Delivered && !v.ended {
--- a/internal/site/manifest.go
+++ b/internal/site/manifest.go
@@ -4,10 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net/netip"
 	"os"
-	"slices"
 	"strconv"
 
 	"ledgespread/brain"
@@ -37,9 +35,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return From(file, text)
+}
+
+// From takes a file's bytes. What is wrong with them is an error with the file, the line and the reason.
+func From(file string, text []byte) (*Manifest, error) {
 	b, err := Parse(text)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
+		return nil, In(file, text, err)
 	}
 	if told := os.Getenv("RELAY_CONSOLE"); b.Console == "" && told != "" {
 		if _, err := netip.ParseAddrPort(told); err != nil {
@@ -73,24 +76,24 @@
 			return nil, fmt.Errorf("%s is missing", field.name)
 		} else if there {
 			if err := json.Unmarshal(raw, field.into); err != nil {
-				return nil, fmt.Errorf("%s: %w", field.name, err)
+				return nil, odd(field.name, "%s: %w", field.name, err)
 			}
 		}
 	}
 	var err error
 	if b.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("seed: %w", err)
+		return nil, odd("seed", "seed: %w", err)
 	}
 	for _, limit := range []string{"cores", "memory_mb", "sockets"} {
 		if !(limits[limit] > 0) {
-			return nil, fmt.Errorf("limits.%s is missing", limit)
+			return nil, odd("limits."+limit, "limits.%s is missing", limit)
 		}
 	}
 	b.Cores, b.MemoryMB, b.Sockets = limits["cores"], int(limits["memory_mb"]), int(limits["sockets"])
 	for i, p := range peers {
 		at, err := netip.ParseAddrPort(p)
 		if err != nil {
-			return nil, fmt.Errorf("peers.%d: %w", i, err)
+			return nil, odd("peers."+strconv.Itoa(i), "peers.%d: %w", i, err)
 		}
 		b.Peers = append(b.Peers, at)
 	}
@@ -98,7 +101,7 @@
 		{"peer_listen", b.PeerListen}, {"console", b.Console}} {
 		needed := at.name == "listen" || at.name == "discovery"
 		if _, err := netip.ParseAddrPort(at.address); err != nil && (at.address != "" || needed) {
-			return nil, fmt.Errorf("%s: %w", at.name, err)
+			return nil, odd(at.name, "%s: %w", at.name, err)
 		}
 	}
 	settings, there := tree["settings"]
@@ -106,10 +109,10 @@
 		return nil, errors.New("settings is missing")
 	}
 	if b.Site, err = Flatten(settings); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, odd("settings", "settings: %w", err)
 	}
-	if err := refused(b.Site); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+	if name, err := refused(b.Site); err != nil {
+		return nil, odd("settings."+name, "settings: %w", err)
 	}
 	// Guards against books that count on places for visits that a connection here does not have: it carries one at a time.
 	b.Streams = int(max(b.Figure("allowed.multiplex"), 1))
@@ -153,19 +156,3 @@
 	}
 	return shortest, longest
 }
-
-// Differ names what differs between two configurations and holds from a start to its end.
-func Differ(a, b *Manifest) (names []string) {
-	for _, field := range []struct {
-		name string
-		same bool
-	}{{"name", a.Name == b.Name}, {"listen", a.Listen == b.Listen},
-		{"limits", a.Cores == b.Cores && a.MemoryMB == b.MemoryMB && a.Sockets == b.Sockets},
-		{"peer_listen", a.PeerListen == b.PeerListen}, {"peers", slices.Equal(a.Peers, b.Peers)}, {"console", a.Console == b.Console},
-		{"settings", maps.Equal(a.Site, b.Site) && a.Streams == b.Streams}} {
-		if !field.same {
-			names = append(names, field.name)
-		}
-	}
-	return names
-}
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -48,44 +48,44 @@
 
 const mostLoads = 4
 
-// refused tells which setting has a value that it can't have, in one line. Guards against a sidecar that starts and
+// refused tells which setting has a value that it can't have, and why in one line. Guards against a sidecar that starts and
 // decides by a figure that nobody meant.
-func refused(s brain.Site) error {
+func refused(s brain.Site) (name string, err error) {
 	for _, f := range figures {
 		for _, name := range items(s, f.name) {
 			n, ok := s[name].(float64)
 			switch {
 			case !ok || math.IsNaN(n) || math.IsInf(n, 0):
-				return fmt.Errorf("%s: %v is no number", name, s[name])
+				return name, fmt.Errorf("%s: %v is no number", name, s[name])
 			case n < f.from || f.whole && n != math.Trunc(n):
-				return fmt.Errorf("%s: %v is no %snumber from %v", name, n, map[bool]string{true: "whole "}[f.whole], f.from)
+				return name, fmt.Errorf("%s: %v is no %snumber from %v", name, n, map[bool]string{true: "whole "}[f.whole], f.from)
 			}
 		}
 	}
 	for _, name := range permissions {
 		if v, there := s[name]; there {
 			if _, ok := v.(bool); !ok {
-				return fmt.Errorf("%s: %v is neither true nor false", name, v)
+				return name, fmt.Errorf("%s: %v is neither true nor false", name, v)
 			}
 		}
 	}
 	for _, w := range words {
 		for _, name := range items(s, w.name) {
 			if word, _ := s[name].(string); !slices.Contains(w.may, word) {
-				return fmt.Errorf("%s: %v is none of %v", name, s[name], w.may)
+				return name, fmt.Errorf("%s: %v is none of %v", name, s[name], w.may)
 			}
 		}
 	}
 	if n, _ := s["telemetry.fields"].(float64); n > mostLoads {
-		return fmt.Errorf("telemetry.fields: %v are more than %d", n, mostLoads)
+		return "telemetry.fields", fmt.Errorf("telemetry.fields: %v are more than %d", n, mostLoads)
 	}
 	if zones, there := s["azs"].(float64); there && s["my_zone"] != nil && s["my_zone"].(float64) >= max(zones, 1) {
-		return fmt.Errorf("my_zone: %v is no place among %v azs", s["my_zone"], zones)
+		return "my_zone", fmt.Errorf("my_zone: %v is no place among %v azs", s["my_zone"], zones)
 	}
 	if all, there := s["balancers"].(float64); there && s["me"] != nil && s["me"].(float64) >= all {
-		return fmt.Errorf("me: %v is no number among %v balancers", s["me"], all)
+		return "me", fmt.Errorf("me: %v is no number among %v balancers", s["me"], all)
 	}
-	return nil
+	return "", nil
 }
 
 // items are the names that are there of a setting, or of one that each item of a list has.
