--- /dev/null
+++ b/brain/retune_test.go
@@ -0,0 +1,733 @@
+package brain
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"sort"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// retune gives the sidecar its settings anew, with some of them changed.
+func (d *day) retune(more ...any) {
+	d.retuneTo(d.b.site, more...)
+}
+
+func (d *day) retuneTo(s Site, more ...any) {
+	s = maps.Clone(s)
+	var words []string
+	for i := 0; i < len(more); i += 2 {
+		name := more[i].(string)
+		if s[name] = more[i+1]; more[i+1] == nil {
+			delete(s, name)
+		}
+		words = append(words, fmt.Sprintf("%s %v", name, more[i+1]))
+	}
+	d.say("settings: %s", strings.Join(words, ", "))
+	if err := d.b.Retune(d.now, s); err != nil {
+		d.say("refused: %v", err)
+	}
+}
+
+// Settings change while visits are out. What became stricter counts for them at once, what became looser only for visits that come.
+func TestRetune(t *testing.T) {
+	d := begin(t, site("all"), "a1 b1 C2")
+	d.title("a tagged visit's window is shortened while it is out: no retry, no bounce")
+	d.visit(1, 1)
+	d.pass(60 * ms)
+	d.retune("path_prefixes.1.memory_span_us", 50e3)
+	d.ends(1, 0, Errored)
+	d.pass(60 * ms)
+	d.title("made longer: one that is out still ends by the shorter one; the next one is sent again")
+	d.visit(2, 1)
+	d.pass(60 * ms)
+	d.retune("path_prefixes.1.memory_span_us", 900e3)
+	d.ends(2, 0, Errored)
+	d.visit(3, 1)
+	d.pass(300 * ms)
+	d.ends(3, 0, Errored)
+	d.pass(60 * ms)
+	d.ends(3, 1, Delivered)
+	d.title("a retry is armed; its window shrinks below its time: an error page when it is due")
+	d.visit(4, 1)
+	d.ends(4, 0, Errored)
+	d.retune("path_prefixes.1.memory_span_us", 40e3)
+	d.pass(60 * ms)
+	d.retune("path_prefixes.1.memory_span_us", 250e3)
+	d.title("tagged becomes mutating, and read-like becomes tagged, which has no tag: neither is sent again")
+	d.visit(5, 1)
+	d.visit(6, 0)
+	d.retune("path_prefixes.1.effect", "mutating", "path_prefixes.0.effect", "tagged")
+	d.ends(5, 0, Errored)
+	d.ends(6, 0, Errored)
+	d.title("back again: one that began as mutating stays so")
+	d.visit(7, 1)
+	d.retune("path_prefixes.1.effect", "tagged", "path_prefixes.0.effect", "read_like")
+	d.ends(7, 0, Errored)
+	d.title("the group becomes a cell: only there")
+	d.visit(8, 1)
+	d.retune("path_prefixes.1.group", "cell")
+	d.ends(8, 0, Errored)
+	d.pass(60 * ms)
+	d.ends(8, 1, Errored)
+	d.pass(110 * ms)
+	d.retune("path_prefixes.1.group", "all")
+	d.title("fewer fetches: the retry that is armed is none")
+	d.visit(9, 0)
+	d.ends(9, 0, Errored)
+	d.retune("allowed.max_backend_fetches", 1.0)
+	d.pass(60 * ms)
+	d.title("more: not for one that began with fewer")
+	d.visit(10, 0)
+	d.retune("allowed.max_backend_fetches", 5.0)
+	d.ends(10, 0, Errored)
+	d.title("word when to come back: the shorter one, or none, for one that is out")
+	d.retune("allowed.retry_after", true, "allowed.max_retry_after_us", 90e3)
+	d.visit(11, 0)
+	d.retune("allowed.max_retry_after_us", 20e3)
+	d.list(Whole, "")
+	d.ends(11, 0, Full)
+	d.visit(12, 0)
+	d.retune("allowed.retry_after", false)
+	d.visit(13, 0)
+	d.list(Whole, "a1 b1 C2")
+	d.matches(t)
+}
+
+// Path prefixes come, go and change places: a visit that is out keeps its own, and what is known of them goes by name. What the module
+// can't do without is missed, and nothing has changed then.
+func TestRetunePlaces(t *testing.T) {
+	s := site("all")
+	for i, name := range []string{"look", "book", "pay"} {
+		s[fmt.Sprintf("path_prefixes.%d.name", i)] = name
+	}
+	d := begin(t, s, "a b")
+	d.warm(30)
+	for _, be := range d.b.row {
+		be.coldSince = 0
+	}
+	means := func() {
+		var lines []string
+		for _, p := range d.b.prefixes {
+			lines = append(lines, fmt.Sprintf("%s %s %.0f ms", p.name, p.effect, p.mean/1000))
+		}
+		d.say("%s", strings.Join(lines, ", "))
+	}
+	means()
+	d.title("a mutating visit is out; its prefix changes places with a read-like one")
+	d.visit(1, 2)
+	swapped := maps.Clone(s)
+	for name, v := range s {
+		if rest, ok := strings.CutPrefix(name, "path_prefixes.2."); ok {
+			swapped["path_prefixes.0."+rest] = v
+		} else if rest, ok := strings.CutPrefix(name, "path_prefixes.0."); ok {
+			swapped["path_prefixes.2."+rest] = v
+		}
+	}
+	d.retuneTo(swapped)
+	means()
+	d.visit(2, 0)
+	d.visit(3, 2)
+	d.ends(1, 0, Errored)
+	d.ends(2, 0, Errored)
+	d.ends(3, 0, Errored)
+	d.pass(60 * ms)
+	d.ends(3, 1, Delivered)
+	d.title("two of them are gone: visits that are out end as they would have")
+	d.visit(4, 1)
+	d.visit(5, 2)
+	d.retuneTo(swapped, "path_prefixes", 1.0)
+	means()
+	d.ends(4, 0, Errored)
+	d.ends(5, 0, Errored)
+	d.pass(60 * ms)
+	d.ends(4, 1, Delivered)
+	d.ends(5, 1, Delivered)
+	d.title("one is back, and knows nothing")
+	d.retuneTo(swapped, "path_prefixes", 2.0)
+	means()
+	d.title("settings that lack something change nothing")
+	d.retune("path_prefixes.0.value", nil, "path_prefixes", 1.0)
+	d.retune("obligations.fall_us", nil, "path_prefixes", 1.0)
+	d.retune("discovery", "on_request", "path_prefixes", 1.0)
+	means()
+	d.matches(t)
+}
+
+// A cold server's budget: a smaller one counts at once, also for what was saved up; a larger one when the windows have ended that
+// began before it.
+func TestRetuneCold(t *testing.T) {
+	d := begin(t, site("all"), "a")
+	d.warm(60)
+	d.list(Changes, "b*")
+	cold := d.b.known['b']
+	earned := func(what string) {
+		before := cold.credit
+		d.pass(50 * ms)
+		d.say("%s: it had %.0f%% of a quarter window, and earns %.1f times its warmth and a warm server's work", what,
+			before/(d.b.carry*d.b.warmth(cold)*d.b.ramp.multiple*coldSafety*d.b.ramp.window/float64(firstWait)/4)*100,
+			(cold.credit-before)/d.b.carry/d.b.warmth(cold)/coldSafety)
+	}
+	d.quiet = true
+	d.pass(600 * ms)
+	d.quiet = false
+	cold.credit = 0
+	earned("at first, emptied")
+	earned("then")
+	d.retune("obligations.fall_multiple", 1.0)
+	earned("smaller")
+	d.retune("obligations.fall_multiple", 6.0)
+	cold.credit = 0
+	earned("larger")
+	d.pass(1400 * ms)
+	cold.credit = 0
+	earned("still within a window of before")
+	d.pass(50 * ms)
+	cold.credit = 0
+	earned("after it")
+	d.title("two changes: the later one's window counts, and the least in between")
+	d.retune("obligations.fall_multiple", 2.0)
+	d.pass(1000 * ms)
+	d.retune("obligations.fall_multiple", 5.0)
+	d.pass(600 * ms)
+	cold.credit = 0
+	earned("after the first one's window")
+	d.pass(1000 * ms)
+	cold.credit = 0
+	earned("after the second one's")
+	d.title("the warm-up is shorter: it is warm only when the windows are over; made longer it is cold again at once")
+	d.list(Changes, "c*")
+	c := d.b.known['c']
+	d.pass(500 * ms)
+	d.retune("obligations.cold_us", 400e3)
+	d.pass(1000 * ms)
+	d.say("cold %v", c.coldSince != 0)
+	d.pass(700 * ms)
+	d.say("cold %v", c.coldSince != 0)
+	d.retune("obligations.cold_us", 8e6)
+	d.say("cold %v, credit %.0f, a is cold %v", c.coldSince != 0, c.credit, d.b.known['a'].coldSince != 0)
+	d.matches(t)
+}
+
+// What a cold server is surely worth, and how long a window is, change: both ways the stricter counts until windows are over.
+func TestRetuneColdTerms(t *testing.T) {
+	d := begin(t, site("all"), "a")
+	steady := func(span Micros) { // its own traffic stays as it is
+		for range span / (50 * ms) {
+			d.b.known['a'].own = 1e7
+			d.pass(50 * ms)
+		}
+	}
+	d.list(Changes, "b*")
+	cold := d.b.known['b']
+	steady(100 * ms)
+	d.title("less is sure of it at its start; its share at the start goes up again")
+	d.retune("obligations.cold_from", 0.05)
+	d.say("sure of %.2f", d.b.warmth(cold))
+	d.retune("obligations.cold_from", 0.8)
+	d.say("sure of %.2f", d.b.warmth(cold))
+	steady(1550 * ms)
+	d.say("sure of %.2f", d.b.warmth(cold))
+	d.retune("obligations.cold_from", 0.3)
+	d.title("what is saved up is a quarter of a window: of the shorter one")
+	for _, window := range []float64{500e3, 3e6} {
+		d.retune("obligations.fall_us", window)
+		steady(1400 * ms)
+		d.say("it saved up %.1f beats of a warm server's work", cold.credit/d.b.carry/d.b.warmth(cold)/coldSafety)
+	}
+	steady(3000 * ms)
+	d.say("after all windows: %.1f", cold.credit/d.b.carry/d.b.warmth(cold)/coldSafety)
+	d.matches(t)
+}
+
+// Tenants' shares change; what they sent so far stays known, by their places.
+func TestRetuneShares(t *testing.T) {
+	d := begin(t, site("all", "realms", 2.0, "realms.0.quota_per_s", 10.0, "realms.1.quota_per_s", 10.0, "beyond_share_value", 0.1), "a b")
+	d.quiet = true
+	for id := range VisitID(200) {
+		d.visitOf(1000+id, 0, Tenant(id%4/3), 0)
+		d.pass(10 * ms)
+		d.ends(1000+id, 0, Delivered)
+	}
+	d.quiet = false
+	beyond := func() {
+		for of, tenant := range d.b.tenants {
+			d.say("tenant %d: %.0f lately, %.0f%% beyond its share", of, tenant.used, 100*d.b.beyond(Tenant(of)))
+		}
+	}
+	beyond()
+	d.retune("realms.0.quota_per_s", 40.0)
+	beyond()
+	d.retune("realms", 3.0, "realms.2.quota_per_s", 1.0, "realms.0.quota_per_s", 5.0)
+	beyond()
+	d.retune("realms", 1.0)
+	beyond()
+	d.matches(t)
+}
+
+// terms are what settings allow a visit, for the judge.
+type terms struct {
+	effect, group     string
+	window            Micros
+	fetches           int
+	copies, comesBack bool
+	back              Micros
+}
+
+// judged is a visit in the judge's account: the strictest of all terms since it began.
+type judged struct {
+	name  string
+	until Micros
+	terms
+	zones, cells bool
+	sent         []sent
+	over         bool
+}
+
+type sent struct {
+	at        Micros
+	be        Backend
+	ran, done bool
+}
+
+// judge stands round one Balancer whose settings change, and knows the four rules by its own books.
+type judge struct {
+	t      *rapid.T
+	b      *Balancer
+	now    Micros
+	wakes  []wake
+	site   Site
+	visits map[VisitID]*judged
+	open   map[Backend]bool
+	where  map[Backend][2]int // data centre, cell
+	born   map[Backend]Micros
+	cold   map[Backend][]struct {
+		at   Micros
+		work float64
+	}
+	ramps []struct {
+		at Micros
+		ramp
+	}
+	carry float64
+	trail []string
+}
+
+func (j *judge) said(format string, a ...any) {
+	j.trail = append(j.trail, fmt.Sprintf("%7.1f %s", float64(j.now-1e9)/1000, fmt.Sprintf(format, a...)))
+}
+
+func (j *judge) wrong(format string, a ...any) {
+	j.t.Fatalf("%s\n%s", fmt.Sprintf(format, a...), strings.Join(j.trail, "\n"))
+}
+
+func (j *judge) termsOf(place int) (string, terms) {
+	at := fmt.Sprintf("path_prefixes.%d.", place)
+	t := terms{effect: j.site[at+"effect"].(string), group: j.site[at+"group"].(string), window: Micros(j.site[at+"memory_span_us"].(float64)),
+		fetches: int(j.site["allowed.max_backend_fetches"].(float64))}
+	t.copies, _ = j.site["allowed.may_duplicate"].(bool)
+	if t.comesBack, _ = j.site["allowed.retry_after"].(bool); t.comesBack {
+		t.back = Micros(j.site["allowed.max_retry_after_us"].(float64))
+	}
+	return j.site[at+"name"].(string), t
+}
+
+// harmless tells whether running it again, at a server or anywhere, is proven to do nothing twice.
+func (v *judged) harmless(now Micros, j *judge, be Backend) bool {
+	for _, f := range v.sent {
+		if !f.ran || v.effect == "read_like" {
+			continue
+		}
+		if v.effect == "mutating" || now >= f.at+v.window {
+			return false
+		}
+		if be == 0 && (v.zones || v.cells) || be != 0 && (v.zones && j.where[f.be][0] != j.where[be][0] || v.cells && j.where[f.be][1] != j.where[be][1]) {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *judge) Dispatch(id VisitID, be Backend, _ Micros) {
+	v := j.visits[id]
+	out := 0
+	for _, f := range v.sent {
+		if !f.done {
+			out++
+		}
+	}
+	j.said("visit %d (%s, began as or became %s) to %c", id, v.name, v.effect, be)
+	switch {
+	case v.over || j.now >= v.until:
+		j.wrong("rule 1: visit %d is over", id)
+	case !j.open[be]:
+		j.wrong("rule 3: visit %d to %c, which takes nothing new", id, be)
+	case len(v.sent) > 0 && len(v.sent) >= v.fetches:
+		j.wrong("visit %d: %d fetches, of %d", id, len(v.sent)+1, v.fetches)
+	case out > 0 && (v.effect == "mutating" || !v.copies):
+		j.wrong("rule 2: visit %d twice at a time", id)
+	case !v.harmless(j.now, j, be):
+		j.wrong("rule 2: visit %d may run again at %c: %+v", id, be, v)
+	}
+	v.sent = append(v.sent, sent{at: j.now, be: be, ran: true})
+	j.budget(be, j.b.visits[id].work)
+}
+
+// budget holds sends to a cold server against the least that any settings allowed since the window began. A window that began before
+// the latest that was stricter counts from that one on.
+func (j *judge) budget(be Backend, work float64) {
+	if j.b.known[be].coldSince == 0 && j.born[be] == 0 {
+		return
+	}
+	j.cold[be] = append(j.cold[be], struct {
+		at   Micros
+		work float64
+	}{j.now, work})
+	if j.b.sidecars > 1 { // tokens, by chance: TestColdTokens
+		return
+	}
+	j.within(be)
+}
+
+func (j *judge) within(be Backend) {
+	for i, first := range j.cold[be] {
+		least, sum := ramp{math.Inf(1), math.Inf(1), math.Inf(1), 0}, 0.0
+		stricter := false
+		for k, r := range j.ramps {
+			if k+1 < len(j.ramps) && j.ramps[k+1].at <= first.at {
+				continue // over before the window began
+			}
+			if r.at > first.at && k > 0 {
+				p := j.ramps[k-1]
+				stricter = stricter || r.multiple < p.multiple || r.from < p.from || r.window < p.window || r.warm > p.warm
+			}
+			least = ramp{min(least.from, r.from), min(least.multiple, r.multiple), min(least.window, r.window), max(least.warm, r.warm)}
+		}
+		if stricter || j.now >= first.at+Micros(least.window) {
+			continue
+		}
+		for _, s := range j.cold[be][i:] {
+			sum += s.work
+		}
+		warmth := min(1, least.from+(1-least.from)*float64(j.now-j.born[be])/least.warm)
+		if allowed := j.carry * warmth * least.multiple * least.window / float64(firstWait); warmth < 1 && sum > allowed {
+			j.wrong("rule 4: %c got work of %.0f in a window, of %.0f allowed", be, sum, allowed)
+		}
+	}
+}
+
+func (j *judge) final(id VisitID, how string) *judged {
+	v := j.visits[id]
+	j.said("visit %d: %s", id, how)
+	if v.over || j.now >= v.until {
+		j.wrong("rule 1: visit %d has its answer, or its client has gone", id)
+	}
+	v.over = true
+	return v
+}
+
+func (j *judge) Bounce(id VisitID, back Micros) {
+	if v := j.final(id, "bounced"); !v.harmless(j.now, j, 0) {
+		j.wrong("rule 2: visit %d bounced, and a retry is not harmless: %+v", id, v)
+	} else if back > v.back {
+		j.wrong("visit %d is to come back in %d, and the settings allow %d", id, back, v.back)
+	}
+}
+func (j *judge) ErrorPage(id VisitID)                 { j.final(id, "error page") }
+func (j *judge) Cancel(VisitID, FetchNo)              {}
+func (j *judge) Wake(in Micros, t Token)              { j.wakes = append(j.wakes, wake{j.now + in, t}) }
+func (j *judge) CloseIdle(Backend)                    {}
+func (j *judge) Subscribe()                           {}
+func (j *judge) Tell(Peer, Note, Backend, ...float64) {}
+func (j *judge) Print(string)                         {}
+func (j *judge) pass(span Micros) {
+	for end := j.now + span; ; {
+		sort.SliceStable(j.wakes, func(a, b int) bool { return j.wakes[a].at < j.wakes[b].at })
+		if len(j.wakes) == 0 || j.wakes[0].at > end {
+			j.now = end
+			return
+		}
+		w := j.wakes[0]
+		j.wakes = j.wakes[1:]
+		j.now = max(j.now, w.at)
+		j.b.Woken(j.now, w.t)
+		j.carry = max(j.carry, j.b.carry)
+	}
+}
+
+func (j *judge) list(t *rapid.T, be Backend, how string) {
+	st, started := Ready, Micros(0)
+	switch how {
+	case "drains":
+		st = Draining
+	case "restarted":
+		started = j.now
+		j.born[be], j.cold[be] = j.now, nil
+	case "gone":
+		st = Gone
+	}
+	j.said("%c: %s", be, how)
+	j.open[be] = st == Ready
+	j.b.ListBegins(j.now, Changes)
+	j.b.Listed(j.now, be, Zone(j.where[be][0]), Cell(j.where[be][1]), st, 1, started)
+	j.b.ListEnds(j.now)
+}
+
+func (j *judge) end(id VisitID, no int, rc Result) {
+	v := j.visits[id]
+	f := &v.sent[no]
+	f.done, f.ran = true, rc != Full && rc != ConnectFailed && rc != NeverSent
+	j.said("visit %d fetch %d ends with %d", id, no, rc)
+	over := rc == Delivered && !v.over
+	v.over = v.over || over
+	j.b.Outcome(j.now, id, FetchNo(no), rc, j.now-f.at, over || v.over)
+}
+
+// changed is the site with some of what a file may say drawn anew.
+func (j *judge) changed(t *rapid.T) Site {
+	s := maps.Clone(j.site)
+	draw := func(name string, of ...any) { s[name] = rapid.SampledFrom(of).Draw(t, name) }
+	for range rapid.IntRange(1, 3).Draw(t, "changes") {
+		switch rapid.IntRange(0, 8).Draw(t, "of") {
+		case 0: // places and names
+			names := rapid.Permutation([]string{"p", "q", "r", "s"}).Draw(t, "names")
+			n := rapid.IntRange(1, 4).Draw(t, "prefixes")
+			before := map[string]string{}
+			for i := range int(j.site["path_prefixes"].(float64)) {
+				at := fmt.Sprintf("path_prefixes.%d.", i)
+				before[j.site[at+"name"].(string)] = at
+			}
+			s["path_prefixes"] = float64(n)
+			for i, name := range names[:n] {
+				from := before[name]
+				if from == "" {
+					from = "path_prefixes.0."
+				}
+				for _, f := range []string{"target_latency_us", "client_timeout_us", "memory_span_us", "value", "late_value", "effect", "group"} {
+					s[fmt.Sprintf("path_prefixes.%d.%s", i, f)] = j.site[from+f]
+				}
+				s[fmt.Sprintf("path_prefixes.%d.name", i)] = name
+			}
+		case 1, 2, 3:
+			at := fmt.Sprintf("path_prefixes.%d.", rapid.IntRange(0, int(s["path_prefixes"].(float64))-1).Draw(t, "place"))
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				draw(at+"effect", "read_like", "tagged", "mutating")
+			case 1:
+				draw(at+"memory_span_us", 20e3, 80e3, 250e3, 900e3)
+			case 2:
+				draw(at+"group", "all", "zone", "cell")
+			case 3:
+				draw(at+"target_latency_us", 100e3, 600e3, 2e6)
+				draw(at+"client_timeout_us", 300e3, 2e6)
+				draw(at+"value", 0.0, 1.0, 7.0)
+				draw(at+"late_value", 0.0, 0.5)
+			}
+		case 4:
+			draw("allowed.max_backend_fetches", 1.0, 2.0, 5.0)
+			draw("allowed.may_duplicate", true, false)
+			draw("allowed.cancel", true, false)
+		case 5:
+			draw("allowed.retry_after", true, false)
+			draw("allowed.max_retry_after_us", 0.0, 10e3, 500e3)
+		case 6:
+			draw("obligations.fall_multiple", 0.5, 1.0, 3.0, 9.0)
+			draw("obligations.fall_us", 500e3, 1.5e6, 3e6)
+		case 7:
+			draw("obligations.cold_from", 0.1, 0.3, 0.9)
+			draw("obligations.cold_us", 1e6, 8e6, 20e6)
+		case 8:
+			draw("allowed.conn_idle_us", 100e3, 10e6)
+			draw("step_us", 1000.0, 5000.0)
+			draw("realms", 0.0, 1.0, 2.0)
+			draw("realms.0.quota_per_s", 1.0, 99.0)
+			draw("realms.1.quota_per_s", 1.0, 99.0)
+		}
+	}
+	return s
+}
+
+func (j *judge) retune(t *rapid.T) {
+	s := j.changed(t)
+	if rapid.IntRange(0, 9).Draw(t, "lacks") == 0 { // changes nothing
+		delete(s, rapid.SampledFrom([]string{"obligations.fall_us", "path_prefixes.0.value", "step_us", "path_prefixes"}).Draw(t, "missing"))
+		if j.b.Retune(j.now, s) == nil {
+			j.wrong("settings that lack something were taken")
+		}
+		j.said("settings refused")
+		return
+	}
+	j.pass(1)
+	before := j.site
+	j.site = s
+	for _, name := range sorted(s) {
+		if before[name] != s[name] {
+			j.said("%s: %v becomes %v", name, before[name], s[name])
+		}
+	}
+	for i := range int(s["path_prefixes"].(float64)) {
+		name, now := j.termsOf(i)
+		for _, v := range j.visits {
+			if v.name != name {
+				continue
+			}
+			if v.effect != now.effect && now.effect != "read_like" {
+				v.effect = "mutating"
+			}
+			v.window, v.fetches, v.copies, v.back = min(v.window, now.window), min(v.fetches, now.fetches), v.copies && now.copies, min(v.back, now.back)
+			v.zones, v.cells = v.zones || now.group == "zone", v.cells || now.group == "cell"
+		}
+	}
+	j.ramped()
+	if err := j.b.Retune(j.now, s); err != nil {
+		j.wrong("refused: %v", err)
+	}
+}
+
+func (j *judge) ramped() {
+	f := func(name string) float64 { return j.site["obligations."+name].(float64) }
+	j.ramps = append(j.ramps, struct {
+		at Micros
+		ramp
+	}{j.now, ramp{f("cold_from"), f("fall_multiple"), f("fall_us"), f("cold_us")}})
+}
+
+func sorted(s Site) []string {
+	var names []string
+	for name := range s {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Whatever changes, and whenever, the four rules hold by a judge with books of its own: nothing becomes looser for what is out.
+func TestRetuneRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := site("all", "balancers", rapid.SampledFrom([]float64{1, 9}).Draw(t, "sidecars"), "me", 0.0, "allowed.may_duplicate", true,
+			"allowed.retry_after", true, "allowed.max_retry_after_us", 100e3, "realms", 1.0, "realms.0.quota_per_s", 9.0, "beyond_share_value", 0.1)
+		for i, name := range []string{"p", "q", "r"} {
+			s[fmt.Sprintf("path_prefixes.%d.name", i)] = name
+		}
+		j := &judge{t: t, now: 1e9, site: s, visits: map[VisitID]*judged{}, open: map[Backend]bool{}, where: map[Backend][2]int{},
+			born: map[Backend]Micros{}, cold: map[Backend][]struct {
+				at   Micros
+				work float64
+			}{}}
+		var err error
+		if j.b, err = New(j.now, s, rapid.Uint64().Draw(t, "seed"), j); err != nil {
+			t.Fatal(err)
+		}
+		j.ramped()
+		j.b.ListBegins(j.now, Saved)
+		for be := Backend('a'); be <= 'e'; be++ {
+			j.open[be], j.where[be] = true, [2]int{int(be) % 2, int(be) / 2 % 2}
+			j.b.Listed(j.now, be, Zone(j.where[be][0]), Cell(j.where[be][1]), Ready, 1, 0)
+		}
+		j.b.ListEnds(j.now)
+		ids := VisitID(0)
+		visit := func(place int, left Micros) {
+			ids++
+			name, terms := j.termsOf(place)
+			j.visits[ids] = &judged{name: name, until: j.now + left, terms: terms, zones: terms.group == "zone", cells: terms.group == "cell"}
+			j.said("visit %d of %s (%s) for %d ms", ids, name, terms.effect, left/ms)
+			j.b.Inbound(j.now, ids, Prefix(place), Tenant(rapid.IntRange(0, 1).Draw(t, "tenant")), left, 0, false, false)
+		}
+		// Traffic of its own, so that there is something that a cold server may get.
+		for range rapid.SampledFrom([]int{0, 60}).Draw(t, "warm") {
+			visit(0, 2000*ms)
+			j.pass(20 * ms)
+			if v := j.visits[ids]; !v.over && len(v.sent) > 0 {
+				j.end(ids, 0, Delivered)
+			}
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			var out [][2]int
+			for id := VisitID(1); id <= ids; id++ {
+				for no, f := range j.visits[id].sent {
+					if !f.done {
+						out = append(out, [2]int{int(id), no})
+					}
+				}
+			}
+			switch step := rapid.IntRange(0, 9).Draw(t, "step"); {
+			case step < 3:
+				visit(rapid.IntRange(0, int(j.site["path_prefixes"].(float64))-1).Draw(t, "on"),
+					rapid.SampledFrom([]Micros{50 * ms, 600 * ms, 2000 * ms}).Draw(t, "left"))
+			case step < 6 && len(out) > 0:
+				f := rapid.SampledFrom(out).Draw(t, "fetch")
+				j.end(VisitID(f[0]), f[1], Result(rapid.IntRange(int(Delivered), int(NeverSent)).Draw(t, "result")))
+			case step < 7:
+				j.retune(t)
+			case step < 8:
+				j.list(t, Backend(rapid.IntRange('a', 'e').Draw(t, "server")), rapid.SampledFrom([]string{"ready", "drains", "restarted", "gone"}).Draw(t, "is"))
+			default:
+				j.pass(rapid.SampledFrom([]Micros{1 * ms, 30 * ms, 60 * ms, 300 * ms, 1600 * ms}).Draw(t, "passes"))
+			}
+		}
+		j.pass(2100 * ms)
+		for id, v := range j.visits {
+			if !v.over {
+				j.wrong("rule 1: visit %d has no answer", id)
+			}
+		}
+	})
+}
+
+// A cold server's credit is spent as greedily as can be while its budget changes: the least that any settings allowed since a window
+// began is never passed in it.
+func TestRetuneBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := site("all")
+		for i, name := range []string{"p", "q", "r"} {
+			s[fmt.Sprintf("path_prefixes.%d.name", i)] = name
+		}
+		j := &judge{t: t, now: 1e9, site: s, open: map[Backend]bool{}, where: map[Backend][2]int{}, born: map[Backend]Micros{},
+			cold: map[Backend][]struct {
+				at   Micros
+				work float64
+			}{}}
+		var err error
+		if j.b, err = New(j.now, s, 7, j); err != nil {
+			t.Fatal(err)
+		}
+		j.ramped()
+		j.b.ListBegins(j.now, Saved)
+		j.b.Listed(j.now, 'a', 0, 0, Ready, 1, 0)
+		j.b.Listed(j.now, 'z', 0, 0, Ready, 1, 0)
+		j.b.ListEnds(j.now)
+		j.list(t, 'b', "restarted")
+		b := j.b.known['b']
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				was, name := j.site, rapid.SampledFrom([]string{"cold_from", "cold_us", "fall_multiple", "fall_us"}).Draw(t, "name")
+				j.site = maps.Clone(was)
+				j.site["obligations."+name] = was["obligations."+name].(float64) * rapid.SampledFrom([]float64{0.25, 0.5, 1, 2, 3.3}).Draw(t, "times")
+				j.site["obligations.cold_from"] = min(1, j.site["obligations.cold_from"].(float64))
+				j.said("%s becomes %v", name, j.site["obligations."+name])
+				j.pass(1)
+				j.ramped()
+				if err := j.b.Retune(j.now, j.site); err != nil {
+					j.wrong("%v", err)
+				}
+			case 1, 2, 3:
+				j.said("spent: %.0f", b.credit)
+				j.cold['b'] = append(j.cold['b'], struct {
+					at   Micros
+					work float64
+				}{j.now, b.credit})
+				b.credit = 0
+				j.within('b')
+			default:
+				for range rapid.IntRange(1, 20).Draw(t, "beats") {
+					j.b.known['a'].own, j.b.known['z'].own = 1e7, 1e7 // its own traffic stays as it is
+					j.pass(50 * ms)
+				}
+			}
+		}
+	})
+}
