--- a/brain/retune_test.go
+++ b/brain/retune_test.go
@@ -97,6 +97,38 @@
 	d.matches(t)
 }
 
+// What ends a visit that was out while settings changed, and what other sidecars tell of theirs.
+func TestRetuneEnds(t *testing.T) {
+	d := begin(t, site("all", "balancers", 3.0, "me", 0.0), "a b c d e f")
+	d.title("fetches may not be called off any more, and may again: not those of a visit that was out")
+	d.visit(14, 0)
+	d.retune("allowed.cancel", false)
+	d.retune("allowed.cancel", true)
+	d.b.Dropped(d.now, 14)
+	d.ends(14, 0, Delivered)
+	d.visit(15, 0)
+	d.b.Dropped(d.now, 15)
+	d.ends(15, 0, Cancelled)
+	d.title("a step of the clock is longer or shorter: a word that a client may not hear any more promises nothing")
+	for id, steps := range [][]any{{50e3, 50e3}, {50e3, 1000.0}, {1000.0, 50e3}, {1000.0, 1000.0}} {
+		d.retune("step_us", steps[0])
+		d.visit(VisitID(20+id), 0)
+		d.retune("step_us", steps[1])
+		d.pass(1980 * ms)
+		if id > 1 {
+			d.ends(VisitID(20+id), 0, Full)
+		}
+		d.pass(120 * ms)
+	}
+	d.title("clients wait for less: what a visit took that waited longer, elsewhere, is still believed")
+	d.b.Heard(d.now, 1, Began, 'a')
+	d.retune("path_prefixes.0.client_timeout_us", 500e3, "path_prefixes.1.client_timeout_us", 500e3, "path_prefixes.2.client_timeout_us", 500e3)
+	d.say("out there elsewhere: %.0f", d.b.known['a'].away)
+	d.b.Heard(d.now, 1, Ended, 'a', float64(Delivered), 1500e3, 100e3, 100e3)
+	d.say("out there elsewhere: %.0f", d.b.known['a'].away)
+	d.matches(t)
+}
+
 // Path prefixes come, go and change places: a visit that is out keeps its own, and what is known of them goes by name. What the module
 // can't do without is missed, and nothing has changed then.
 func TestRetunePlaces(t *testing.T) {
