--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -113,6 +113,12 @@
 	}
 	in.Store(clients)
 	running := live.New(b, r, clients, counts, log)
+	if group != nil {
+		running.Ahead = func(next *site.Manifest) {
+			_, longest := next.Timeouts()
+			group.Linger(time.Duration(longest) * time.Microsecond)
+		}
+	}
 	if b.Streams > 1 {
 		log.Info().Int("told", b.Streams).Msg("allowed.multiplex is kept to one: a connection carries one visit at a time")
 	}
--- a/decide/membership/many_test.go
+++ b/decide/membership/many_test.go
@@ -251,6 +251,31 @@
 	}
 }
 
+// Clients wait for longer, or for less, from now on: a member that left is counted for the longer time in either case.
+func TestLingers(t *testing.T) {
+	for _, longest := range []membership.Micros{1 * second, 9 * second} {
+		s := begin(13, 5)
+		s.Run(2 * second)
+		for _, m := range s.Members {
+			m.Lingers(longest)
+		}
+		s.Members[4].Leave(s.Now)
+		s.Members[4].Kill()
+		s.Run(2 * second)
+		soon := s.Members[0].Senders()
+		s.Run(4 * second)
+		later := s.Members[0].Senders()
+		s.Run(6 * second)
+		want := 4
+		if longest > 3*second {
+			want = 5
+		}
+		if after := s.Members[0].Senders(); soon != 5 || later != want || after != 4 {
+			t.Errorf("%d s: after 2 s %d, 6 s %d, 12 s %d", longest/second, soon, later, after)
+		}
+	}
+}
+
 func FuzzHeard(f *testing.F) {
 	s := begin(14, 4)
 	s.Tap = func(msg []byte) { f.Add(msg) }
--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -520,6 +520,9 @@
 // Part is where this member stands, and since when.
 func (n *Node) Part() (Part, Micros) { return n.part, n.partSince }
 
+// Lingers hears of another longest client timeout. A shorter one doesn't count: what a member that left has under way may be older.
+func (n *Node) Lingers(longest Micros) { n.terms.Linger = max(n.terms.Linger, longest) }
+
 // Senders is among how many a budget for all is to be shared: at once more where more are heard of, and fewer only when
 // those that are gone can't be sending any more.
 func (n *Node) Senders() int {
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -24,6 +24,8 @@
 	in     *inbound.Inbound
 	counts *counters.Sheet
 	log    zerolog.Logger
+
+	Ahead func(*site.Manifest) // hears of each configuration before it is taken over; set before the first one, nil: nobody does
 }
 
 // Outcome is what became of a configuration that was taken over: the names, by site.Table, of what differed from the one that
@@ -78,6 +80,9 @@
 		return nil, out, site.In(from, text, err)
 	}
 	taken, out.Change = s.now.Take(next)
+	if s.Ahead != nil {
+		s.Ahead(taken)
+	}
 	if err := s.in.Retune(taken, func() error { return s.relay.Retune(taken) }); err != nil {
 		return nil, out, site.In(from, text, err)
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -150,6 +150,15 @@
 	m.log.Info().Str("listen", t.Listen).Str("group", t.Group).Msg("a member")
 }
 
+// Linger hears that clients may wait for so long from now on; for less than before counts for nothing.
+func (m *Members) Linger(longest time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.self.Linger = max(m.self.Linger, longest); m.node != nil {
+		m.node.Lingers(membership.Micros(m.self.Linger.Microseconds()))
+	}
+}
+
 func (m *Members) now() membership.Micros {
 	return membership.Micros(time.Since(m.start).Microseconds())
 }
