--- a/internal/live_test.go
+++ b/internal/live_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,8 @@
 	"github.com/rs/zerolog"
 
 	"ledgespread/internal/counters"
+	"ledgespread/internal/discovery"
+	"ledgespread/internal/exchange"
 	"ledgespread/internal/inbound"
 	"ledgespread/internal/live"
 	"ledgespread/internal/outbound"
@@ -249,10 +252,10 @@
 	} {
 		s := run(t, patient(here(server)))
 		client := dial(t, s.at)
-		io.WriteString(client, "POST /book HTTP/1.1\r\n"+longFields+"Idempotency-Key: k\r\nContent-Length: 8\r\n\r\nhalf")
-		time.Sleep(50 * time.Millisecond) // its head is read
+		io.WriteString(client, "POST /book HTTP/1.1\r\n"+longFields+"Idempotency-Key: k\r\nContent-Length: 60000\r\n\r\n"+strings.Repeat("x", 30000))
+		time.Sleep(50 * time.Millisecond) // its head is read, and what fasthttp reads ahead of the handler
 		s.change(c.changes(s.text)...)
-		io.WriteString(client, "rest")
+		io.WriteString(client, strings.Repeat("x", 30000))
 		tr.add("%s: %s; %s", c.what, client.answer(), figures(s.in))
 	}
 	tr.same(t, `
@@ -264,6 +267,34 @@
 `)
 }
 
+// A visit comes in the very moment in which the module has taken new settings and inbound has not: it waits, and goes by the new ones.
+// Where the module refuses them, it goes by the old ones.
+func TestLiveNotBetween(t *testing.T) {
+	var tr trace
+	places := make(chan int, 9)
+	in, at := listen(t, manifest(t, configuration("", "")), 9, taker{&tr, func(x *exchange.Exchange) {
+		places <- int(x.On)
+		deliver(x)
+	}}, &counters.Sheet{})
+	swapped := manifest(t, strings.NewReplacer(`"name":"look"`, `"name":"else"`, `"name":"book"`, `"name":"look"`, `"effect":"idempotency_key"`, `"effect":"read_like"`).Replace(configuration("", "")))
+	for _, refuses := range []error{errors.New("lacking"), nil} {
+		answer := make(chan string, 1)
+		err := in.Retune(swapped, func() error {
+			go func() { answer <- dial(t, at).ask("GET /look HTTP/1.1\r\n" + fields + "\r\n") }()
+			time.Sleep(100 * time.Millisecond)
+			tr.add("taken meanwhile: %d", len(places))
+			return refuses
+		})
+		tr.add("%v: %s, as of place %d", err, <-answer, <-places)
+	}
+	tr.same(t, `
+taken meanwhile: 0
+lacking: 200 "done", as of place 0
+taken meanwhile: 0
+<nil>: 200 "done", as of place 1
+`)
+}
+
 // A cold server's budget becomes smaller while the server is cold: from that moment it gets no more than that; made larger again, not
 // before a window has passed.
 func TestLiveColdBudget(t *testing.T) {
@@ -309,6 +340,56 @@
 `)
 }
 
+// More visits are held than may be now: those are answered, and the next is turned away until they are fewer. The list is asked for
+// by the new times.
+func TestLiveBounds(t *testing.T) {
+	var tr trace
+	release := make(chan bool)
+	server := serveFake(t, func(n int, path string) string {
+		<-release
+		return ok
+	})
+	s := run(t, patient(here(server)))
+	var out []*client
+	for range 2 {
+		c := dial(t, s.at)
+		io.WriteString(c, strings.Replace("GET /look HTTP/1.1\r\n"+longFields+"\r\n", "X-Request-ID: 1\r", fmt.Sprintf("X-Request-ID: %d\r", asked.Add(1)), 1))
+		out = append(out, c)
+	}
+	until(t, "two are out", func() bool { return server.count() == 2 })
+	s.change(`"allowed":{`, `"allowed":{"most_held":1,`)
+	c := dial(t, s.at)
+	tr.add("a third: %s", c.ask("GET /look HTTP/1.1\r\n"+longFields+"\r\n"))
+	close(release)
+	for _, c := range out {
+		tr.add("held: %s", c.answer())
+	}
+	tr.add("then: %s", c.ask("GET /look HTTP/1.1\r\n"+longFields+"\r\n"))
+
+	list := serveFake(t, func(n int, path string) string {
+		time.Sleep(20 * time.Millisecond)
+		return "HTTP/1.1 200 OK\r\nContent-Length: 36\r\n\r\n" + `{"seq":42,"whole":false,"hosts":[]}` + " "
+	})
+	w := discovery.New(list.Addr().String(), nil, 41, 4*second, 1, 1<<20, 7, func(*discovery.List) {}, &counters.Sheet{}, zerolog.Nop())
+	holds := func(hold string) func() bool {
+		return func() bool {
+			list.mu.Lock()
+			defer list.mu.Unlock()
+			return len(list.seen) > 0 && strings.Contains(list.seen[len(list.seen)-1], "hold_ms="+hold+" ")
+		}
+	}
+	w.Watch()
+	until(t, "held for half of the asking time", holds("2000"))
+	w.Retune(1*second, 0)
+	until(t, "held for half of the new one", holds("500"))
+	tr.same(t, `
+a third: 503 "not now; a retry does no harm"
+held: 200 "hi"
+held: 200 "hi"
+then: 200 "hi"
+`)
+}
+
 // What outbound keeps: idle times count for connections that stand idle already, connecting for those that begin, reports by the names
 // of now.
 func TestLiveOutbound(t *testing.T) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +20,34 @@
 	"conn_idle_us":10000000,"connect_timeout_us":100000,"multiplex":1},"obligations":{"cold_from":0.3,"cold_us":8000000,
 	"fall_multiple":3,"fall_us":1500000,"ask_every_us":10000000}}}`
 
+// Reports of fetches that began under other names of what they hold are passed over; a change of anything else harms none.
+func TestFreshReports(t *testing.T) {
+	counts := &counters.Sheet{}
+	told := func(names string) *site.Manifest {
+		b, err := site.Parse([]byte(strings.Replace(small, `"allowed"`, `"telemetry":{"how":"inline","fields":[`+names+`]},"allowed"`, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	b := told(`"concurrent"`)
+	r, err := New(b, 9, outbound.New(1, 1, 9, 1, b.Loads(), counts, zerolog.Nop()), nil, counts, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go r.Run()
+	before := &flight{asked: time.Now()}
+	if r.Retune(told(`"concurrent"`)) != nil || r.fresh(before, []float64{3}) == nil {
+		t.Error("the same names: a report was passed over")
+	}
+	if r.Retune(told(`"tps","concurrent"`)) != nil || r.fresh(before, []float64{3}) != nil {
+		t.Error("other names: a report by the old ones was taken")
+	}
+	if r.fresh(&flight{asked: time.Now()}, []float64{9, 3}) == nil || r.fresh(nil, nil) != nil {
+		t.Error("a report by the new names was passed over")
+	}
+}
+
 // A list doesn't wait its turn behind the mail, however deep that is.
 func TestListFirst(t *testing.T) {
 	b, err := site.Parse([]byte(small))
--- a/internal/relay/tuning.go
+++ b/internal/relay/tuning.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// fresh passes over a load report that may hold other values than the module takes it for now: its fetch began under other settings.
+func (r *Relay) fresh(f *flight, load []float64) []float64 {
+	if f != nil && f.asked.Before(r.loadsNow) {
+		return nil
+	}
+	return load
+}
+
 // Retune takes over new settings in the module's turn, behind all visits that were handed over before, and waits for it. An error
 // changes nothing.
 func (r *Relay) Retune(b *site.Manifest) error {
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -146,10 +146,8 @@
 	load []float64) {
 	r.counts.Add(resultCounts[rc])
 	v.out--
+	load = r.fresh(v.flights[no], load)
 	if f := v.flights[no]; f != nil {
-		if f.asked.Before(r.loadsNow) {
-			load = nil // it may hold other values than the module takes it for
-		}
 		f.unrun = rc == brain.Full || rc == brain.ConnectFailed || rc == brain.NeverSent
 	}
 	if rc == brain.Delivered && !v.ended {
