--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"runtime"
 	"sync"
@@ -80,11 +81,13 @@
 		return nil, out, site.In(from, text, err)
 	}
 	taken, out.Change = s.now.Take(next)
-	if s.Ahead != nil {
-		s.Ahead(taken)
-	}
-	if err := s.in.Retune(taken, func() error { return s.relay.Retune(taken) }); err != nil {
-		return nil, out, site.In(from, text, err)
+	if !maps.Equal(taken.Site, s.now.Site) { // or nothing of it is the module's matter
+		if s.Ahead != nil {
+			s.Ahead(taken)
+		}
+		if err := s.in.Retune(taken, func() error { return s.relay.Retune(taken) }); err != nil {
+			return nil, out, site.In(from, text, err)
+		}
 	}
 	if taken.Cores != s.now.Cores {
 		Cores(taken)
