--- a/internal/discovery/crowd_test.go
+++ b/internal/discovery/crowd_test.go
@@ -174,10 +174,11 @@
 		return
 	}
 	for v := a.knows + 1; v <= c.seq; v++ {
-		late := time.Since(c.made[v])
-		if since := a.unbound.Sub(c.made[v]) - promised; since > 0 {
-			late -= since
+		counts := c.made[v]
+		if later := a.unbound.Add(-promised); later.After(counts) {
+			counts = later
 		}
+		late := time.Since(counts)
 		if late > c.oldest {
 			c.oldest, c.oldestOf, c.oldestAt = late, i, v
 		}
