--- a/decide/membership/crowd/crowd.go
+++ b/decide/membership/crowd/crowd.go
@@ -55,6 +55,9 @@
 	Names  []string // what it heard of other processes of its name
 	terms  membership.Terms
 	Stoods int
+	Sent   int // its own datagrams, their bytes, and those that came
+	Out    int
+	In     int
 }
 
 type event struct {
@@ -211,6 +214,8 @@
 	c := m.crowd
 	c.Sent++
 	c.Bytes += len(msg)
+	m.Sent++
+	m.Out += len(msg)
 	to, known := c.places[at]
 	if c.Tap != nil {
 		c.Tap(msg)
@@ -219,7 +224,10 @@
 		return
 	}
 	target, from := c.Members[to], c.address(m.Number)
-	c.pass(m.Number, target.Number, func() { target.at(func() { target.Heard(c.Now, from, msg) }) })
+	c.pass(m.Number, target.Number, func() {
+		target.In += len(msg)
+		target.at(func() { target.Heard(c.Now, from, msg) })
+	})
 }
 
 // pass has something come from one place to another, as the network lets it.
@@ -256,15 +264,13 @@
 		return
 	}
 	target := c.Members[to]
-	open := func() bool {
-		return !m.Gone && !m.Still && !target.Gone && !target.Still && (c.Cut == nil || !c.Cut(m.Number, target.Number) && !c.Cut(target.Number, m.Number))
-	}
 	c.Later(2*c.Weather.Delay, func() {
-		if !open() {
+		if !m.Opens(target) {
 			return
 		}
 		mine, theirs := m.Table(tableMost), target.Table(tableMost)
 		c.Exchange += len(mine) + len(theirs)
+		m.Out, m.In, target.Out, target.In = m.Out+len(mine), m.In+len(theirs), target.Out+len(theirs), target.In+len(mine)
 		m.at(func() { m.Merge(c.Now, c.address(target.Number), theirs) })
 		target.at(func() { target.Merge(c.Now, c.address(m.Number), mine) })
 	})
@@ -307,5 +313,22 @@
 	return is
 }
 
+// Do has a member do something when its process runs.
+func (m *Member) Do(do func()) { m.at(do) }
+
+// Opens tells whether a connection between two members comes about.
+func (m *Member) Opens(to *Member) bool {
+	c := m.crowd
+	return !m.Gone && !m.Still && !to.Gone && !to.Still && (c.Cut == nil || !c.Cut(m.Number, to.Number) && !c.Cut(to.Number, m.Number))
+}
+
+// Of is the process at an address; nil: none is known.
+func (c *Crowd) Of(at membership.Address) *Member {
+	if to, known := c.places[at]; known {
+		return c.Members[to]
+	}
+	return nil
+}
+
 // At is the address of a place.
 func (c *Crowd) At(place int) membership.Address { return c.address(place) }
--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -189,6 +189,8 @@
 	part                  Part
 	partSince             Micros
 	left                  bool
+	rides                 func(room int) []byte // nil: nothing does
+	rode                  func(from Name, at Address, word []byte)
 }
 
 // entry is a member as this one holds it. It is small: there are as many as members squared.
--- a/decide/membership/wire.go
+++ b/decide/membership/wire.go
@@ -23,12 +23,14 @@
 	recordSuspect = 2 // name, incarnation 4, beat 4, by whose word
 	recordDead    = 3
 	recordLeft    = 4
+	recordWord    = 5 // what rides along, of no meaning here: length 1, bytes
 
 	who = 1 // flag: the sender does not know the receiver
 
 	groupAt                         = 2
 	nameMost, zoneMost, versionMost = 32, 24, 16
 	addressMost                     = 18
+	wordMost                        = 128
 	tenth                           = 100_000 // microseconds
 )
 
@@ -108,6 +110,7 @@
 	for _, wrong := range n.amends {
 		b = putFitting(b, wrong)
 	}
+	b = n.putRider(b, longest)
 	n.out.Send(to, at, n.carry(b))
 }
 
@@ -119,6 +122,16 @@
 	return b
 }
 
+// putRider adds what rides along, as far as there is room.
+func (n *Node) putRider(b []byte, most int) []byte {
+	if room := min(most-len(b)-2, wordMost); n.rides != nil && room > 0 {
+		if word := n.rides(room); len(word) > 0 {
+			return putText(append(b, recordWord), string(word))
+		}
+	}
+	return b
+}
+
 // carry puts news behind a message, those never told first.
 func (n *Node) carry(b []byte) []byte {
 	for range len(n.fresh) + len(n.news) {
@@ -176,7 +189,7 @@
 
 // Table is a message of all members, for a connection; it ends before it gets larger than most bytes.
 func (n *Node) Table(most int) []byte {
-	b := putRecord(n.head(kindTable, 0), n.self)
+	b := n.putRider(putRecord(n.head(kindTable, 0), n.self), most)
 	for _, e := range n.others() {
 		more := putRecord(b, e)
 		if len(more) > most {
@@ -310,7 +323,13 @@
 		r.bad = true
 	}
 	var records []func()
+	var word []byte
 	for !r.bad && len(r.b) > 0 {
+		if r.b[0] == recordWord {
+			r.one()
+			word = []byte(r.text(wordMost))
+			continue
+		}
 		records = append(records, n.record(r, name, kind == kindTable))
 	}
 	if r.bad || name == "" || at == "" {
@@ -356,6 +375,10 @@
 		n.sayTo(e, len(n.amends) > 0)
 	}
 	n.mistaken, n.stranger = before, beforeStranger
+	if word != nil && n.rode != nil {
+		n.amends = n.amends[:0]
+		n.rode(name, at, word)
+	}
 	return true
 }
 
--- /dev/null
+++ b/decide/rollout/orders_test.go
@@ -0,0 +1,340 @@
+package rollout_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"ledgespread/decide/rollout"
+	"ledgespread/lab/trace"
+)
+
+// world is three members whose words, disks and clocks go on only as they are told: every order can be had.
+type world struct {
+	t      *testing.T
+	now    Micros
+	harm   rollout.Number // visits are not delivered under it
+	refuse rollout.Number // the third member can't read it
+	cars   [3]*car
+	waited Micros // while words may have been held back
+	wrong  string
+}
+
+type car struct {
+	*rollout.Node
+	w       *world
+	no      int
+	life    int
+	kept    rollout.Kept
+	todo    []func()
+	spelt   []string // of what is to be done
+	live    rollout.Version
+	force   rollout.Version
+	heard   map[rollout.Version]bool
+	figures rollout.Figures
+	counted Micros
+}
+
+var names = [3]rollout.Name{"n0", "n1", "n2"}
+
+func version(no rollout.Number, digest byte) rollout.Version {
+	return rollout.Version{Number: no, Digest: rollout.Digest{digest}}
+}
+
+var path = rollout.Path{First: 5, Watch: 1_500_000}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, now: second}
+	for i := range w.cars {
+		w.cars[i] = &car{w: w, no: i, counted: w.now, heard: map[rollout.Version]bool{}}
+		w.cars[i].begin()
+	}
+	w.wait(12 * second) // visits to compare with
+	return w
+}
+
+func (c *car) begin() {
+	c.life++
+	c.todo, c.spelt, c.Node = nil, nil, nil
+	c.live, c.force = c.kept.InForce, c.kept.InForce
+	c.figures = rollout.Figures{}
+	c.Node = rollout.New(c.w.now, names[c.no], rollout.Terms{Every: 250_000}, c.kept, 7, c)
+}
+
+func (c *car) later(what string, do func()) {
+	c.todo = append(c.todo, do)
+	c.spelt = append(c.spelt, what)
+}
+
+func (c *car) Fetch(from rollout.Name, _ rollout.Address, v rollout.Version) {
+	c.later(fmt.Sprint("fetch ", from, v.Number, v.Digest[0]), func() {
+		other := c.w.cars[from[1]-'0']
+		switch {
+		case !other.Serve(c.w.now, v):
+			c.Missed(c.w.now, v, from, false)
+		case v.Number == c.w.refuse && c.no == 2:
+			c.Fetched(c.w.now, v, path, from, "fleet.json:3: no such name")
+		default:
+			c.kept.Newest, c.kept.Path, c.kept.Tries = v, path, 0
+			c.Fetched(c.w.now, v, path, from, "")
+		}
+	})
+}
+
+func (c *car) Try(v rollout.Version, tries int, before rollout.Share) {
+	c.later(fmt.Sprint("try ", v.Number, v.Digest[0]), func() {
+		c.kept.Tries, c.kept.Before = tries, before
+		c.Tried(c.w.now, v, "")
+	})
+}
+
+func (c *car) Apply(v rollout.Version, trial bool) {
+	c.later(fmt.Sprint("apply ", v.Number, v.Digest[0], trial), func() {
+		c.count()
+		if c.live = v; !trial {
+			if v.Number < c.force.Number {
+				c.w.wrong = "the number in force fell"
+			}
+			c.force, c.kept.InForce = v, v
+		}
+		c.Applied(c.w.now, v, trial, "")
+	})
+}
+
+func (c *car) Tell(rollout.Name)        {}
+func (c *car) Spread(int)               {}
+func (c *car) Happened(e rollout.Event) {}
+func (c *car) Living(each func(rollout.Name)) {
+	for i, name := range names {
+		if i != c.no {
+			each(name)
+		}
+	}
+}
+
+func (c *car) count() {
+	many := uint64((c.w.now - c.counted) / 25_000)
+	c.counted += Micros(many) * 25_000
+	c.figures.Taken += many
+	c.figures.Ended += many
+	if c.live.Number != c.w.harm || c.w.harm == 0 {
+		c.figures.Delivered += many
+	}
+}
+
+func (c *car) Figures() rollout.Figures {
+	c.count()
+	return c.figures
+}
+
+// wait has time go on for all.
+func (w *world) wait(span Micros) {
+	for end := w.now + span; w.now < end; {
+		w.now += 125_000
+		for _, c := range w.cars {
+			c.Tick(w.now)
+		}
+	}
+}
+
+func (w *world) publish(at int, v rollout.Version) {
+	c := w.cars[at]
+	before := c.kept
+	c.kept.Newest, c.kept.Path, c.kept.Tries = v, path, 0
+	if c.Published(w.now, v, path) != nil {
+		c.kept = before
+		return
+	}
+	c.heard[v] = true
+}
+
+// act is one thing that can happen.
+type act struct {
+	name string
+	do   func(*world)
+}
+
+func (w *world) word(from, to int) {
+	if word := w.cars[from].Word(200); word != nil {
+		said := w.cars[from].Status()
+		w.cars[to].heard[said.Newest] = true
+		w.cars[to].Heard(w.now, names[from], rollout.Address(names[from]), word)
+	}
+}
+
+func acts(more ...act) (all []act) {
+	for i := range 3 {
+		for j := range 3 {
+			if i != j {
+				all = append(all, act{fmt.Sprint(i, ">", j), func(w *world) { w.word(i, j) }})
+			}
+		}
+		all = append(all, act{fmt.Sprint("do", i), func(w *world) { w.cars[i].work() }})
+	}
+	all = append(all, act{"wait", func(w *world) { w.wait(1_750_000); w.waited += 1_750_000 }})
+	return append(all, more...)
+}
+
+// work does what was to be done when it began.
+func (c *car) work() {
+	todo := c.todo
+	c.todo, c.spelt = nil, nil
+	life := c.life
+	for _, do := range todo {
+		if c.life == life {
+			do()
+		}
+	}
+}
+
+// print is all that tells one state from another.
+func (w *world) print() string {
+	var b strings.Builder
+	for _, c := range w.cars {
+		s := c.Status()
+		s.Since = 0
+		fmt.Fprintf(&b, "%+v %v %v %v|", s, c.spelt, c.kept, c.life)
+	}
+	return b.String()
+}
+
+// settle has all speak and do what is to be done until nothing changes.
+func (w *world) settle() {
+	for range 120 {
+		for i := range 3 {
+			for j := range 3 {
+				if i != j {
+					w.word(i, j)
+				}
+			}
+			w.cars[i].work()
+		}
+		w.wait(250_000)
+	}
+}
+
+// explore goes through every order of so many things, and tells in how many states they end.
+func explore(t *testing.T, begin func(*world), all []act, deep int, holds func(w *world) string) (states int) {
+	t.Helper()
+	play := func(order []int) *world {
+		w := newWorld(t)
+		begin(w)
+		for _, i := range order {
+			all[i].do(w)
+		}
+		return w
+	}
+	spell := func(order []int) string {
+		var out []string
+		for _, i := range order {
+			out = append(out, all[i].name)
+		}
+		return strings.Join(out, " ")
+	}
+	seen := map[string]bool{}
+	wave := [][]int{nil}
+	for range deep {
+		var next [][]int
+		for _, order := range wave {
+			for i := range all {
+				now := append(append([]int{}, order...), i)
+				w := play(now)
+				if print := w.print(); seen[print] {
+					continue
+				} else {
+					seen[print] = true
+				}
+				next = append(next, now)
+				if w.settle(); w.wrong == "" {
+					w.wrong = holds(w)
+				}
+				if w.wrong != "" {
+					t.Fatalf("%s: %s\n%s", spell(now), w.wrong, w.print())
+				}
+			}
+		}
+		wave = next
+	}
+	return len(seen)
+}
+
+// agreed tells that all have one version in force.
+func agreed(v rollout.Version) func(w *world) string {
+	return func(w *world) string {
+		for i, c := range w.cars {
+			if c.force != v {
+				return fmt.Sprintf("n%d has %d in force", i, c.force.Number)
+			}
+		}
+		return ""
+	}
+}
+
+// Whatever order three members' words, disks and clocks come in: what is good holds everywhere, what harms or can't be read at one,
+// and at one more for each time that nothing was heard of it, of two with one number neither is taken by one that heard of both, and no number falls.
+func TestOrders(t *testing.T) {
+	deep := 7
+	if testing.Short() {
+		deep = 4
+	}
+	var tr trace.Trace
+	one, two, other := version(1, 'a'), version(2, 'a'), version(1, 'b')
+	publish := func(w *world) { w.publish(0, one) }
+	tr.Add("one that is good: %d states", explore(t, publish, acts(), deep, agreed(one)))
+	tr.Add("a higher one meanwhile: %d states", explore(t, publish, acts(act{"publish2", func(w *world) { w.publish(1, two) }}), deep-1, func(w *world) string {
+		want := one
+		for _, c := range w.cars {
+			if c.heard[two] {
+				want = two
+			}
+		}
+		return agreed(want)(w)
+	}))
+	tr.Add("one restarts: %d states", explore(t, publish, acts(act{"restart1", func(w *world) { w.cars[1].begin() }}), deep-1, func(w *world) string {
+		// one that ended twice while it tried says so, and nobody else takes it
+		for _, c := range w.cars {
+			if c.life > 2 && c.Status().Stage == rollout.Stopped {
+				return ""
+			}
+		}
+		return agreed(one)(w)
+	}))
+	tr.Add("one that harms: %d states", explore(t, func(w *world) { w.harm = 1; publish(w) }, acts(), deep, func(w *world) string {
+		took := 0
+		for _, c := range w.cars {
+			if c.live == one {
+				took++
+			}
+			if c.force == one {
+				return "in force"
+			}
+		}
+		if took > 1+int(w.waited/1_500_000) { // one more for each time that those drawn were not heard of
+			return "too many took it"
+		}
+		return ""
+	}))
+	tr.Add("one that a member can't read: %d states", explore(t, func(w *world) { w.refuse = 1; publish(w) }, acts(), deep, func(w *world) string {
+		if w.cars[2].live.Number != 0 {
+			return "taken by the one that can't read it"
+		}
+		for i, c := range w.cars {
+			if c.Status().Stage != rollout.Stopped {
+				return fmt.Sprintf("n%d does not know that it was refused", i)
+			}
+		}
+		return ""
+	}))
+	tr.Add("two of one number: %d states", explore(t, func(w *world) { publish(w); w.publish(1, other) }, acts(), deep, func(w *world) string {
+		for i, c := range w.cars {
+			if s := c.Status(); !s.Contested {
+				return fmt.Sprintf("n%d was not told", i)
+			}
+		}
+		if a, b := w.cars[0].force, w.cars[1].force; a.Number != 0 && b.Number != 0 && a == b {
+			return "one of them won"
+		}
+		return ""
+	}))
+	tr.Same(t)
+}
--- /dev/null
+++ b/decide/rollout/rollout_test.go
@@ -0,0 +1,243 @@
+package rollout_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"ledgespread/decide/membership"
+	"ledgespread/decide/rollout"
+	"ledgespread/decide/rollout/fleet"
+	"ledgespread/lab/trace"
+)
+
+const second = 1_000_000
+
+type Micros = membership.Micros
+
+func terms() membership.Terms {
+	return membership.Terms{Group: "g", Every: 250_000, Exchange: 30 * second, Forget: 600 * second, Linger: 3 * second, Senders: 1, Most: 20_000}
+}
+
+// scene is a fleet that has met, and what was said of each number.
+type scene struct {
+	*fleet.Fleet
+	said map[string]int // "3 refused", by so many
+	why  map[string]bool
+}
+
+func begin(seed uint64, many int, rate float64) *scene {
+	s := &scene{fleet.New(seed, many, terms(), "", func(int) float64 { return rate }), map[string]int{}, map[string]bool{}}
+	s.Told = func(_ Micros, _ int, e rollout.Event) {
+		s.said[fmt.Sprint(e.Version.Number, " ", e.What)]++
+		if e.Why != "" {
+			s.why[e.Why] = true
+		}
+	}
+	s.Run(12 * second)
+	return s
+}
+
+func content(no rollout.Number, change ...func(*fleet.Content)) fleet.Content {
+	x := fleet.Content{Version: rollout.Version{Number: no}, Path: rollout.Path{First: 5, Watch: 1_500_000}, Size: 4000, Share: 0.995}
+	for _, do := range change {
+		do(&x)
+	}
+	return x
+}
+
+func (s *scene) publish(at int, x fleet.Content) rollout.Version {
+	v, err := s.Publish(at, x)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// spread publishes one and tells how that went.
+func (s *scene) spread(at int, x fleet.Content) string {
+	v := s.publish(at, x)
+	return s.came(v, s.Until(20*second, s.In(v)))
+}
+
+func (s *scene) came(v rollout.Version, took Micros) string {
+	words := []string{}
+	for _, what := range rollout.Events {
+		if many := s.said[fmt.Sprint(v.Number, " ", what)]; many > 0 {
+			words = append(words, fmt.Sprint(what, " ", many))
+		}
+	}
+	after := "never"
+	if took >= 0 {
+		after = fmt.Sprintf("after %.1f s", float64(took)/second)
+	}
+	return fmt.Sprintf("in force everywhere %s, at %d of %d; %s", after, s.Has(v), len(s.Cars), strings.Join(words, ", "))
+}
+
+// newest tells the numbers in force, and by how many.
+func (s *scene) newest() string {
+	many := map[rollout.Number]int{}
+	for _, c := range s.Cars {
+		many[c.Live.Number]++
+	}
+	out := []string{}
+	for no, n := range many {
+		out = append(out, fmt.Sprintf("%d at %d", no, n))
+	}
+	slices.Sort(out)
+	return strings.Join(out, ", ")
+}
+
+// What a configuration goes through, good, bad, and under faults: what is said of it, and after how long it holds.
+func TestRollout(t *testing.T) {
+	var tr trace.Trace
+	s := begin(1, 16, 40)
+	tr.Add("good: %s", s.spread(0, content(1)))
+	tr.Add("a harmful one: %s", s.spread(0, content(2, func(x *fleet.Content) { x.Share = 0.5 })))
+	tr.Add("  back by a higher number: %s", s.spread(0, content(3)))
+	tr.Add("one that a member can't read: %s", s.spread(4, content(4, func(x *fleet.Content) {
+		x.Refusal, x.Refuses = "fleet.json:12: balancers: no number", func(i int) bool { return i == 11 }
+	})))
+	tr.Add("  why: %v", s.why)
+	tr.Add("one that kills who takes it: %s", s.spread(0, content(5, func(x *fleet.Content) { x.Kills = true })))
+	tr.Add("  killed %d times; why: %v", s.Killed, s.why)
+	tr.Add("  numbers in force: %s", s.newest())
+	tr.Add("  back by a higher number: %s", s.spread(0, content(6)))
+	if _, err := s.Publish(3, content(6, func(x *fleet.Content) { x.Size++ })); err != nil {
+		tr.Add("number 6 once more, with another content: %v", err)
+	}
+	if _, err := s.Publish(3, content(5, func(x *fleet.Content) { x.Size++ })); err != nil {
+		tr.Add("a lower one: %v", err)
+	}
+	a, b := s.publish(0, content(7)), s.publish(9, content(7, func(x *fleet.Content) { x.Size++ }))
+	s.Run(10 * second)
+	tr.Add("two of one number at two members at once: %s", s.came(a, -1))
+	tr.Add("  in force the one at %d, the other at %d; %s", s.Has(a), s.Has(b), s.newest())
+	tr.Add("  a higher number: %s", s.spread(0, content(8)))
+
+	s = begin(2, 16, 40)
+	v := s.publish(0, content(1))
+	s.Run(100_000)
+	s.Cars[0].Member.Kill()
+	tr.Add("the member that was handed it dies after 0.1 s: %s", s.came(v, s.Until(20*second, s.In(v))))
+	s = begin(3, 16, 40)
+	v = s.publish(0, content(1))
+	s.Run(500_000)
+	for i := 1; i < 16; i += 5 {
+		s.Restart(i, second)
+	}
+	tr.Add("three restart in the middle: %s", s.came(v, s.Until(20*second, s.In(v))))
+
+	s = begin(4, 16, 40)
+	s.Cars[5].Member.Stop()
+	tr.Add("one stands still: %s", s.spread(0, content(1)))
+	s.Run(20 * second)
+	s.Cars[5].Member.Continue()
+	v = s.Cars[0].Force
+	tr.Add("  it goes on: %s", s.came(v, s.Until(20*second, s.In(v))))
+	tr.Add("  it lags for three more numbers: %s", func() string {
+		s.Cars[5].Member.Stop()
+		for no := range rollout.Number(3) {
+			v = s.publish(0, content(no+2))
+			s.Run(5 * second)
+		}
+		s.Cars[5].Member.Continue()
+		return s.came(v, s.Until(20*second, s.In(v)))
+	}())
+	s.Cut = func(from, to int) bool { return to == 2 }
+	v = s.publish(0, content(5))
+	s.Run(30 * second)
+	tr.Add("everybody's word to n2 is cut: %s", s.newest())
+	s.Cut = nil
+	tr.Add("  mended: %s", s.came(v, s.Until(20*second, s.In(v))))
+	s.Cut = func(from, to int) bool { return from%2 != to%2 }
+	v = s.publish(0, content(6))
+	s.Run(3600 * second)
+	tr.Add("halves for an hour: %s", s.newest())
+	s.Cut = nil
+	tr.Add("  healed: %s", s.came(v, s.Until(20*second, s.In(v))))
+	s.Cut = func(from, to int) bool { return from%2 != to%2 }
+	a, b = s.publish(0, content(7)), s.publish(1, content(7, func(x *fleet.Content) { x.Size++ }))
+	s.Run(30 * second)
+	tr.Add("halves with two contents of one number: in force the one at %d, the other at %d", s.Has(a), s.Has(b))
+	s.Cut = nil
+	s.Run(5 * second)
+	tr.Add("  healed, it is contested: %s", s.came(a, -1))
+	tr.Add("  a higher number: %s", s.spread(3, content(8)))
+
+	for _, rate := range []float64{0, 0.5, 4} {
+		s = begin(5, 16, rate)
+		tr.Add("%.1f visits/s a member: %s", rate, s.spread(0, content(1)))
+		tr.Add("  a harmful one: %s", s.spread(0, content(2, func(x *fleet.Content) { x.Share = 0.02 })))
+	}
+	s = begin(6, 16, 40)
+	s.Weather.Lost = 0.3
+	s.Run(second)
+	tr.Add("30%% lost: %s", s.spread(0, content(1)))
+	s = begin(7, 40, 40)
+	tr.Add("a longer path, 10 at first, 20 s: %s", func() string {
+		v := s.publish(0, content(1, func(x *fleet.Content) { x.Path = rollout.Path{First: 10, Watch: 20 * second} }))
+		s.Run(19 * second)
+		had := s.Has(v)
+		return fmt.Sprintf("at %d for 19 s; %s", had, s.came(v, s.Until(20*second, s.In(v))))
+	}())
+	tr.Same(t)
+}
+
+// A verdict asks how likely so few deliveries would be if all went as before: few visits make none, a total loss a quick one.
+func TestWorse(t *testing.T) {
+	var tr trace.Trace
+	for _, x := range []struct{ was, is rollout.Share }{
+		{rollout.Share{Ended: 200, Delivered: 199}, rollout.Share{Ended: 1, Delivered: 0}},
+		{rollout.Share{Ended: 200, Delivered: 199}, rollout.Share{Ended: 3, Delivered: 1}},
+		{rollout.Share{Ended: 200, Delivered: 199}, rollout.Share{Ended: 4, Delivered: 0}},
+		{rollout.Share{Ended: 20, Delivered: 20}, rollout.Share{Ended: 6, Delivered: 0}},
+		{rollout.Share{Ended: 20, Delivered: 20}, rollout.Share{Ended: 12, Delivered: 0}},
+		{rollout.Share{Ended: 2, Delivered: 2}, rollout.Share{Ended: 30, Delivered: 0}},
+		{rollout.Share{Ended: 3000, Delivered: 2985}, rollout.Share{Ended: 500, Delivered: 490}},
+		{rollout.Share{Ended: 3000, Delivered: 2985}, rollout.Share{Ended: 500, Delivered: 470}},
+		{rollout.Share{Ended: 3000, Delivered: 1800}, rollout.Share{Ended: 60, Delivered: 30}},
+		{rollout.Share{Ended: 3000, Delivered: 1800}, rollout.Share{Ended: 60, Delivered: 15}},
+		{rollout.Share{Ended: 1 << 40, Delivered: 1 << 40}, rollout.Share{Ended: 1 << 40, Delivered: 1<<40 - 1<<33}},
+		{rollout.Share{Ended: 1 << 40, Delivered: 1 << 40}, rollout.Share{Ended: 1 << 40, Delivered: 1<<40 - 1<<35}},
+		{rollout.Share{}, rollout.Share{Ended: 100}},
+		{rollout.Share{Ended: 100}, rollout.Share{Ended: 100}},
+	} {
+		word := "no verdict"
+		if rollout.Judged(x.was, x.is) {
+			word = "worse"
+		}
+		tr.Add("%d of %d delivered, then %d of %d: %s", x.was.Delivered, x.was.Ended, x.is.Delivered, x.is.Ended, word)
+	}
+	tr.Same(t)
+}
+
+// What comes in a word's place does no harm, and what a member says of itself can be read.
+func FuzzWord(f *testing.F) {
+	s := begin(1, 6, 40)
+	s.publish(0, content(1))
+	f.Add(s.Cars[0].Word(200))
+	s.Run(2 * second)
+	f.Add(s.Cars[3].Word(200))
+	s.publish(1, content(2))
+	s.publish(4, content(2, func(x *fleet.Content) { x.Size++ }))
+	s.Run(2 * second)
+	f.Add(s.Cars[3].Word(200))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, word []byte) {
+		s := begin(1, 3, 40)
+		s.publish(0, content(1))
+		force := s.Cars[1].Force
+		if s.Cars[1].Heard(s.Now, "n9", s.At(2), word) != rollout.Reads(word) {
+			t.Error("heard what it can't read, or can't hear what it can")
+		}
+		s.Run(second)
+		if mine := s.Cars[1].Word(rollout.WordMost); mine != nil && !rollout.Reads(mine) {
+			t.Errorf("says %x", mine)
+		}
+		if got := s.Cars[1].Force; got.Number < force.Number {
+			t.Errorf("fell from %d to %d", force.Number, got.Number)
+		}
+	})
+}
--- /dev/null
+++ b/decide/rollout/sequences_test.go
@@ -0,0 +1,128 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"ledgespread/decide/membership"
+	"ledgespread/decide/rollout"
+	"ledgespread/decide/rollout/fleet"
+)
+
+// Whatever happens in whatever order: the number in force falls nowhere, a contested one is not put in force by whoever was told,
+// what harms is in force nowhere as long as members have visits to tell by, and once all is whole a higher number is in force
+// everywhere within 6 s.
+func TestSequences(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const many = 6
+		s := begin(rapid.Uint64Range(1, 1<<40).Draw(t, "seed"), many, 40)
+		told := map[string]Micros{}
+		harmful, restarts := map[rollout.Version]bool{}, 0
+		s.Told = func(at Micros, i int, e rollout.Event) {
+			key := fmt.Sprint(i, " ", e.Version.Number, " ", s.Cars[i].Life())
+			if e.What == "contested" {
+				told[key] = at
+			}
+			if e.What == "in_force" && told[key] > 0 && at-told[key] > 2*fleet.Disk { // it was not being written just then
+				t.Fatalf("n%d put %d in force after it was told that two contents have that number", i, e.Version.Number)
+			}
+			if e.What == "in_force" && harmful[e.Version] && restarts == 0 {
+				t.Fatalf("n%d put %d in force, which harms", i, e.Version.Number)
+			}
+		}
+		cuts := map[[2]int]bool{}
+		s.Cut = func(from, to int) bool { return cuts[[2]int{from, to}] }
+		place := func(what string) int { return rapid.IntRange(0, many-1).Draw(t, what) }
+		top, down := rollout.Number(0), map[int]Micros{}
+		still := map[int]bool{}
+		for range rapid.IntRange(3, 20).Draw(t, "steps") {
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0, 1, 2:
+				no := top + rollout.Number(rapid.IntRange(0, 2).Draw(t, "above"))
+				i, kind := place("at"), rapid.IntRange(0, 4).Draw(t, "kind")
+				if still[i] || down[i] > s.Now || no == 0 {
+					continue
+				}
+				x := content(no, func(x *fleet.Content) {
+					x.Size += rapid.IntRange(0, 1).Draw(t, "size")
+					if kind == 0 {
+						x.Share = 0.3
+					}
+					if kind == 1 {
+						x.Refusal, x.Refuses = "fleet.json:1: no", func(place int) bool { return place == (i+1)%many }
+					}
+				})
+				if v, err := s.Publish(i, x); err == nil {
+					top = max(top, no)
+					harmful[v] = kind == 0
+				}
+			case 3:
+				if i := place("restarts"); !still[i] && down[i] <= s.Now {
+					restarts++
+					down[i] = s.Now + 500_001
+					s.Restart(i, 500_000)
+				}
+			case 4:
+				i := place("stands still")
+				if down[i] > s.Now {
+					continue
+				}
+				if still[i] = !still[i]; still[i] {
+					s.Cars[i].Member.Stop()
+				} else {
+					s.Cars[i].Member.Continue()
+				}
+			case 5:
+				i, j := place("from"), place("to")
+				cuts[[2]int{i, j}] = !cuts[[2]int{i, j}]
+			case 6:
+				s.Weather.Lost = 0.1 * float64(rapid.IntRange(0, 3).Draw(t, "lost"))
+			case 7:
+				k := place("halves")
+				for i := range many {
+					for j := range many {
+						cuts[[2]int{i, j}] = (i < k) != (j < k)
+					}
+				}
+			}
+			s.Run(Micros(rapid.IntRange(20, 4000).Draw(t, "ms")) * 1000)
+			for i, c := range s.Cars {
+				if c.Fell > 0 {
+					t.Fatalf("n%d: the number in force fell", i)
+				}
+			}
+		}
+		clear(cuts)
+		s.Weather.Lost = 0
+		s.Run(second)
+		for i := range many {
+			if still[i] {
+				s.Cars[i].Member.Continue()
+			}
+		}
+		agree := func() bool {
+			for _, c := range s.Cars {
+				if c.Member.Holds()[membership.Alive] != many-1 {
+					return false
+				}
+			}
+			return true
+		}
+		if s.Until(60*second, agree) < 0 {
+			t.Fatalf("they don't meet again")
+		}
+		s.Run(12 * second)
+		v, err := s.Publish(0, content(top+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Until(6*second, s.In(v)) < 0 {
+			for i, c := range s.Cars {
+				t.Logf("n%d: %+v", i, c.Status())
+			}
+			t.Fatalf("%d is not in force everywhere after 6 s: %s", v.Number, s.newest())
+		}
+	})
+}
