Configurations are carried by members: disk, connections, strict reading, publish and status

internal/rollouts carries decide/rollout out; members have a Rider, whose words ride on datagrams and whose contents go over their connections. A configuration is a JSON merge patch over each sidecar's own file. ledgespread config publish, status.

--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -84,6 +84,11 @@
 					return err
 				}
 			}
+			if fitted.Rollout != nil {
+				if err := fitted.Rollout.Usable(); err != nil {
+					return err
+				}
+			}
 			fmt.Fprintln(c.OutOrStdout(), file+": whole")
 			return nil
 		}}
@@ -101,6 +106,6 @@
 			}
 			fmt.Fprintf(c.OutOrStdout(), "ledgespread %s (%s, %s)\n", release, revision, runtime.Version())
 		}}
-	cmd.AddCommand(start, check, membersCommand(), migrate(), version)
+	cmd.AddCommand(start, check, membersCommand(), configCommand(), migrate(), version)
 	return cmd
 }
--- a/cmd/ledgespread/members.go
+++ b/cmd/ledgespread/members.go
@@ -18,12 +18,13 @@
 	"ledgespread/internal/members"
 	"ledgespread/internal/peers"
 	"ledgespread/internal/relay"
+	"ledgespread/internal/rollouts"
 	"ledgespread/internal/site"
 )
 
 // joined has this sidecar be a member, where it is fitted so; nil: it is none. What it hears of the others goes to those who
 // tell them things.
-func joined(b *site.Manifest, f *extensions.Extensions, r *relay.Relay, others *peers.Peers, patient bool, log zerolog.Logger) (*members.Members, error) {
+func joined(b *site.Manifest, f *extensions.Extensions, r *relay.Relay, others *peers.Peers, patient bool, roll *rollouts.Rollouts, log zerolog.Logger) (*members.Members, error) {
 	if f.Membership == nil {
 		return nil, nil
 	}
@@ -36,6 +37,9 @@
 			self.Zone, _ = b.Site[mine+".name"].(string)
 		}
 	}
+	if roll != nil {
+		self.Rider = roll
+	}
 	if others != nil {
 		self.Notes, _ = netip.ParseAddrPort(b.PeerListen)
 	}
--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -23,6 +23,7 @@
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/peers"
 	"ledgespread/internal/relay"
+	"ledgespread/internal/rollouts"
 	"ledgespread/internal/site"
 )
 
@@ -50,6 +51,16 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 
 	counts := &counters.Sheet{}
+	var running *live.Sidecar
+	runs := make(chan struct{}) // closed when it is there
+	b, roll, err := carried(file, b, fitted, counts, func(from string, whole []byte) error {
+		<-runs
+		_, err := running.Apply(from, whole)
+		return err
+	}, log)
+	if err != nil {
+		return err
+	}
 	toClients, toServers := clientsPart*float64(b.Sockets), serversPart*float64(b.Sockets)
 	out := outbound.New(b.Span("allowed.conn_idle_us"), b.Span("allowed.connect_timeout_us"), int(toServers),
 		b.MemoryMB<<20/answersPart, b.Loads(), counts, log)
@@ -72,7 +83,7 @@
 			return err
 		}
 	}
-	group, err := joined(b, fitted, r, others, before != 0, log)
+	group, err := joined(b, fitted, r, others, before != 0, roll, log)
 	if err != nil {
 		return err
 	}
@@ -101,6 +112,9 @@
 	if group != nil {
 		clients.More = group
 	}
+	if roll != nil {
+		clients.More = both{group, roll}
+	}
 	broken := make(chan error, 1)
 	go func() { broken <- clients.Serve() }()
 	if before != 0 {
@@ -112,7 +126,8 @@
 		}
 	}
 	in.Store(clients)
-	running := live.New(b, r, clients, counts, log)
+	running = live.New(b, r, clients, counts, log)
+	close(runs)
 	if b.Streams > 1 {
 		log.Info().Int("told", b.Streams).Msg("allowed.multiplex is kept to one: a connection carries one visit at a time")
 	}
@@ -122,7 +137,7 @@
 	for {
 		select {
 		case <-again:
-			reload(file, with, running, fitted, counts, log)
+			reload(file, with, running, fitted, roll, counts, log)
 		case s := <-stop:
 			log.Info().Stringer("signal", s).Msg("stopping")
 			stop, broken = nil, nil
@@ -149,18 +164,31 @@
 
 // reload takes the file as it is now, and looks at the file of extensions, all of which needs a restart. Guards against a sidecar that
 // is told half: where either can't be read, or would not do for a start, nothing changes.
-func reload(file, with string, running *live.Sidecar, fitted *extensions.Extensions, counts *counters.Sheet, log zerolog.Logger) {
+func reload(file, with string, running *live.Sidecar, fitted *extensions.Extensions, roll *rollouts.Rollouts,
+	counts *counters.Sheet, log zerolog.Logger) {
 	fits, err := extensions.Read(with)
 	var text []byte
 	if err == nil {
 		text, err = os.ReadFile(file)
 	}
+	if err == nil && roll != nil { // what is wrong with the file is told by its own lines, not by those of what lies over it
+		err = sound(file, text)
+	}
 	if err != nil {
 		counts.Add(counters.ReloadsRefused)
 		log.Warn().Err(err).Msg("configuration refused; the old one stays in force")
 		return
 	}
-	if _, err := running.Apply(file, text); err != nil {
+	apply := func(whole []byte) error {
+		_, err := running.Apply(file, whole)
+		return err
+	}
+	if roll != nil {
+		err = roll.Laid(text, apply)
+	} else {
+		err = apply(text)
+	}
+	if err != nil {
 		return // it is told
 	}
 	if differ := extensions.Differ(fitted, fits); len(differ) > 0 {
--- a/decide/rollout/rollout.go
+++ b/decide/rollout/rollout.go
@@ -277,22 +277,32 @@
 // taken; the number is then still free, or another content's.
 func (n *Node) Published(now Micros, v Version, p Path) error {
 	n.begin(now)
-	switch known := max(n.cur.Number, n.want.Number); {
+	if err := n.May(v); err != nil || v == n.cur.Version {
+		return err
+	}
+	n.hold(v, p, n.me)
+	n.cur.own = true
+	n.weigh()
+	n.first(func(name Name) { n.out.Tell(name) })
+	return nil
+}
+
+// May tells whether a version may be published here now.
+func (n *Node) May(v Version) error {
+	switch known := n.Next() - 1; {
 	case v.Number == 0:
 		return errNumber
-	case v == n.cur.Version && n.cur.held:
-		return nil // said twice
+	case v == n.cur.Version && n.cur.held: // said twice
 	case v == n.want.Version: // another control machine was faster
 	case v.Number <= known:
 		return &Behind{Number: v.Number, Known: known}
 	}
-	n.hold(v, p, n.me)
-	n.cur.own = true
-	n.weigh()
-	n.first(func(name Name) { n.out.Tell(name) })
 	return nil
 }
 
+// Next is the lowest number that is free, as far as is known here.
+func (n *Node) Next() Number { return max(n.cur.Number, n.want.Number) + 1 }
+
 // hold makes a version the newest that this member speaks of.
 func (n *Node) hold(v Version, p Path, by Name) {
 	n.cur = about{Version: v, path: p, held: true, at: n.now, reports: map[Rank]Verdict{}}
--- a/internal/extensions/extensions.go
+++ b/internal/extensions/extensions.go
@@ -34,6 +34,15 @@
 // Extensions is one file.
 type Extensions struct {
 	Membership *Membership `toml:"membership"`
+	Rollout    *Rollout    `toml:"rollout"`
+}
+
+// Rollout is its table: configurations that members carry. docs/rollout.md has the names.
+type Rollout struct {
+	Folder  string   `toml:"folder"`       // where this sidecar keeps them
+	Publish []string `toml:"publish_from"` // networks from which staff may publish here; left out: none, it is no control machine
+
+	Networks []netip.Prefix `toml:"-"`
 }
 
 // Membership is its table.
@@ -86,12 +95,17 @@
 	if err := strict.Decode(file, text, f); err != nil {
 		return nil, err
 	}
+	var err error
 	if f.Membership != nil {
-		if err := f.Membership.possible(); err != nil {
-			var odd *strict.Oddity
-			errors.As(err, &odd)
-			return nil, odd.In(file, text)
-		}
+		err = f.Membership.possible()
+	}
+	if f.Rollout != nil && err == nil {
+		err = f.Rollout.possible(f.Membership)
+	}
+	if err != nil {
+		var odd *strict.Oddity
+		errors.As(err, &odd)
+		return nil, odd.In(file, text)
 	}
 	return f, nil
 }
@@ -156,6 +170,35 @@
 	return nil
 }
 
+// possible tells what can't be.
+func (r *Rollout) possible(group *Membership) error {
+	odd := func(name, why string) error { return &strict.Oddity{Table: "rollout", Name: name, Why: why} }
+	if group == nil {
+		return odd("folder", "members carry it: there is no [membership]")
+	}
+	if r.Folder == "" {
+		return odd("folder", "is missing: where this sidecar keeps configurations")
+	}
+	for _, text := range r.Publish {
+		network, err := netip.ParsePrefix(text)
+		if err != nil {
+			return odd("publish_from", fmt.Sprintf("%q is no network, such as \"127.0.0.1/32\"", text))
+		}
+		r.Networks = append(r.Networks, network)
+	}
+	return nil
+}
+
+// Usable tells whether its folder can be written to.
+func (r *Rollout) Usable() error {
+	f, err := os.CreateTemp(r.Folder, ".rollout-*")
+	if err != nil {
+		return fmt.Errorf("rollout.folder: %w", err)
+	}
+	f.Close()
+	return os.Remove(f.Name())
+}
+
 // Free tells whether its address can be taken now.
 func (m *Membership) Free() error {
 	ln, err := net.Listen("tcp", m.Listen)
@@ -177,12 +220,15 @@
 	if fmt.Sprintf("%+v", deref(a.Membership)) != fmt.Sprintf("%+v", deref(b.Membership)) {
 		names = append(names, "membership")
 	}
+	if fmt.Sprintf("%+v", deref(a.Rollout)) != fmt.Sprintf("%+v", deref(b.Rollout)) {
+		names = append(names, "rollout")
+	}
 	return names
 }
 
-func deref(m *Membership) Membership {
-	if m == nil {
-		return Membership{}
+func deref[T any](table *T) (x T) {
+	if table != nil {
+		x = *table
 	}
-	return *m
+	return x
 }
--- a/internal/members/figures.go
+++ b/internal/members/figures.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net"
 	"slices"
 	"time"
 
@@ -87,14 +86,5 @@
 
 // Look asks a running member at its address for the table, in JSON.
 func Look(at string, most time.Duration) ([]byte, error) {
-	c, err := net.DialTimeout("tcp", at, most)
-	if err != nil {
-		return nil, err
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(most))
-	if err := write(c, []byte(look)); err != nil {
-		return nil, err
-	}
-	return read(c)
+	return ask(at, []byte(look), tableMost, most)
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -25,6 +25,7 @@
 	tableMost     = 4 << 20 // bytes of a full exchange, one way
 	exchangesIn   = 8       // at once
 	exchangesOut  = 2
+	asksOut       = 4 // questions at once
 	exchangeParts = 8 // of the time between two probes that a full exchange may take
 	readBuffer    = 1 << 20
 	datagramMost  = 2048 // read; what is longer than a message may be is refused
@@ -44,6 +45,18 @@
 	Senders             int
 	Linger              time.Duration // its longest client timeout
 	Seed                uint64
+	Rider               Rider // nil: nothing rides on its messages
+}
+
+// Rider is another module, whose words ride on membership's messages and whose contents go over its connections. It is called with the
+// lock held, but for Answer.
+type Rider interface {
+	Begin(now membership.Micros, m *Members)
+	Word(room int) []byte
+	Heard(now membership.Micros, from membership.Name, at membership.Address, word []byte)
+	Due() membership.Micros
+	Tick(now membership.Micros)
+	Answer(msg []byte, from netip.Addr) (reply []byte, mine bool)
 }
 
 // Members is this sidecar's membership.
@@ -56,6 +69,7 @@
 	listener *net.TCPListener
 	wake     chan struct{}
 	out, in  chan bool // places for exchanges
+	asks     chan bool // and for questions
 	closed   chan struct{}
 	told     func([]membership.Member, int) // who there is, and how many may be sending
 
@@ -79,7 +93,7 @@
 // this sidecar still; it is waited for.
 func Open(t *extensions.Membership, self Self, patient bool, told func([]membership.Member, int), log zerolog.Logger) (*Members, error) {
 	m := &Members{terms: t, self: self, log: log.With().Str("part", "membership").Logger(), start: time.Now(), wake: make(chan struct{}, 1),
-		out: make(chan bool, exchangesOut), in: make(chan bool, exchangesIn), closed: make(chan struct{}), told: told,
+		out: make(chan bool, exchangesOut), in: make(chan bool, exchangesIn), asks: make(chan bool, asksOut), closed: make(chan struct{}), told: told,
 		counts: map[string]int64{}, rates: map[netip.Addr]int{}}
 	about := m.about()
 	if !about.Fits() {
@@ -136,6 +150,10 @@
 	m.mu.Lock()
 	m.node = membership.New(m.now(), m.about(), membership.Terms{Group: t.Group, Every: membership.Micros(t.Every), Exchange: membership.Micros(t.Exchange),
 		Forget: membership.Micros(t.Forget), Linger: membership.Micros(m.self.Linger.Microseconds()), Senders: m.self.Senders, Most: t.Most}, m.self.Seed, m)
+	if rider := m.self.Rider; rider != nil {
+		rider.Begin(m.now(), m)
+		m.node.Piggyback(rider.Word, func(from membership.Name, at membership.Address, word []byte) { rider.Heard(m.now(), from, at, word) })
+	}
 	var seeds []membership.Address
 	for _, at := range t.SeedsAt {
 		if at != t.At.Advertise && at != t.At.Listen { // itself
@@ -167,9 +185,12 @@
 				m.log.Error().Msgf("membership crashed: %v", crash)
 			}
 		}()
-		before := m.node.Due()
+		if m.node == nil { // it waits for its address
+			return
+		}
+		before := m.due()
 		call(m.now())
-		if m.node.Due() < before {
+		if m.due() < before {
 			select {
 			case m.wake <- struct{}{}:
 			default:
@@ -196,10 +217,10 @@
 			return
 		case <-m.wake:
 		case <-timer.C:
-			m.turn(func(now membership.Micros) { m.node.Tick(now) })
+			m.turn(m.tick)
 		}
 		m.mu.Lock()
-		in := m.node.Due() - m.now()
+		in := m.due() - m.now()
 		if part, _ := m.node.Part(); seeded && !m.noSeed && part == membership.Alone && time.Now().After(look) {
 			m.noSeed = true
 			m.log.Warn().Strs("seeds", m.terms.Seeds).Msg("no seed answers; going on alone, and asking now and then")
@@ -209,6 +230,21 @@
 	}
 }
 
+// due is when tick is to be called.
+func (m *Members) due() membership.Micros {
+	if m.self.Rider == nil {
+		return m.node.Due()
+	}
+	return min(m.node.Due(), m.self.Rider.Due())
+}
+
+func (m *Members) tick(now membership.Micros) {
+	m.node.Tick(now)
+	if m.self.Rider != nil {
+		m.self.Rider.Tick(now)
+	}
+}
+
 // hear takes datagrams, as many at a time as wait. What is foreign is dropped before it is decoded, and before the lock. A
 // flood is left to gather for a moment between two readings, so that one waking serves for many.
 func (m *Members) hear() {
@@ -367,7 +403,7 @@
 }
 
 func (m *Members) merge(c net.Conn, from membership.Address) error {
-	msg, err := read(c)
+	msg, err := read(c, tableMost)
 	if err != nil {
 		return err
 	}
@@ -385,13 +421,13 @@
 }
 
 // read takes one message with its length before it; the memory for it is taken as it comes.
-func read(c io.Reader) ([]byte, error) {
+func read(c io.Reader, most int) ([]byte, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(c, head[:]); err != nil {
 		return nil, err
 	}
 	size := int64(binary.BigEndian.Uint32(head[:]))
-	if size > tableMost {
+	if size > int64(most) {
 		return nil, errors.New("too long")
 	}
 	b, err := io.ReadAll(io.LimitReader(c, size))
@@ -430,18 +466,24 @@
 			defer func() { <-m.in }()
 			defer c.Close()
 			c.SetDeadline(time.Now().Add(m.patience()))
-			m.serve(c, address(at))
+			m.serve(c, address(at), at.Addr())
 		}()
 	}
 }
 
-func (m *Members) serve(c net.Conn, from membership.Address) {
-	msg, err := read(c)
+func (m *Members) serve(c net.Conn, from membership.Address, addr netip.Addr) {
+	msg, err := read(c, tableMost)
 	switch {
 	case err != nil:
 	case string(msg) == look:
 		write(c, m.spelt())
 	default:
+		if m.self.Rider != nil {
+			if reply, its := m.self.Rider.Answer(msg, addr); its {
+				write(c, reply)
+				return
+			}
+		}
 		mine := m.table()
 		ok := false
 		m.turn(func(now membership.Micros) { ok = m.node.Merge(now, from, msg) })
