--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -74,6 +74,7 @@
 type Members struct {
 	Every  Span `toml:"probe_every"` // 0: they are not
 	Forget Span `toml:"forget"`
+	Carry  int  `toml:"control"` // they carry configurations, and so many of them are control machines; 0: they don't
 }
 
 // Box stands for Count boxes alike.
--- a/lab/stage/members.go
+++ b/lab/stage/members.go
@@ -70,6 +70,7 @@
 			fmt.Fprintf(&b, "%s = %q\n", name, g.mesh.Address(i, j))
 		}
 	}
+	g.fitCarried(&b, i)
 	return os.WriteFile(g.extensions(names[i]), []byte(b.String()), 0o600)
 }
 
--- /dev/null
+++ b/lab/stage/rollouts_test.go
@@ -0,0 +1,167 @@
+package stage
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"ledgespread/lab/cars"
+	"ledgespread/lab/scenario"
+)
+
+// carrying is six sidecars that carry configurations; the first two are control machines.
+func carrying(t *testing.T) *among {
+	t.Helper()
+	t.Parallel()
+	s, err := scenario.Parse("(test)", []byte(strings.Replace(together, `probe_every = "200ms"`, "probe_every = \"200ms\"\ncontrol = 2", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := Raise(s, Options{Program: cars.Program{Path: sidecar().Path, Args: []string{"serve"}, Name: "ledgespread"}, Seed: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &among{T: t, Rig: g, over: make(chan error, 1)}
+	t.Cleanup(g.Close)
+	go func() {
+		r, err := g.Run()
+		if err == nil {
+			a.verd = r.Verdict
+		}
+		a.over <- err
+	}()
+	a.await(but(), Agree(but()))
+	time.Sleep(3 * time.Second) // visits to compare with
+	return a
+}
+
+// good is a configuration that does nobody harm; no two are alike.
+func good(no int) string {
+	return fmt.Sprintf(`{"rollout": {"watch": "1s"}, "settings": {"beyond_share_value": %g}}`, 0.1+float64(no)/1000)
+}
+
+// harmful lets no connection come about: nothing is delivered.
+const harmful = `{"rollout": {"watch": "1s"}, "settings": {"allowed": {"conn_idle_us": 1, "connect_timeout_us": 1}}}`
+
+func (a *among) publish(at int, no uint64, text string) {
+	a.Helper()
+	if refused, err := a.Publish(at, no, text); refused != "" || err != nil {
+		a.Fatalf("number %d: %s %v", no, refused, err)
+	}
+}
+
+func (a *among) carried(of []int, holds func(int, *Carried) bool) {
+	a.Helper()
+	if _, err := a.AwaitCarried(of, patient, holds); err != nil {
+		a.Fatal(err)
+	}
+}
+
+// fell looks for a number in force that fell.
+func (a *among) fell() {
+	a.Helper()
+	last := map[int]uint64{}
+	for _, f := range a.Forces() {
+		if f.Number < last[f.Car] {
+			a.Errorf("n%d had %d in force after %d", f.Car, f.Number, last[f.Car])
+		}
+		last[f.Car] = f.Number
+	}
+}
+
+// A configuration is in force everywhere, also at one that was killed or stood still in the middle, and at one that nobody could reach.
+func TestCarried(t *testing.T) {
+	a := carrying(t)
+	a.publish(0, 1, good(1))
+	a.carried(but(), InForce(1))
+	a.publish(1, 2, good(2))
+	a.Kill(3)
+	a.Signal(4, syscall.SIGSTOP)
+	time.Sleep(time.Second) // the fault itself
+	a.Signal(4, syscall.SIGCONT)
+	if err := a.Start(3, false); err != nil {
+		t.Fatal(err)
+	}
+	a.carried(but(), InForce(2))
+	for j := range many {
+		if j != 5 {
+			a.Cut(j, 5, true)
+		}
+	}
+	a.await([]int{5}, func(_ int, t *Table) bool { return t.Part == "alone" })
+	a.publish(0, 3, good(3))
+	a.carried(but(5), InForce(3))
+	if c, err := a.Carried(5); err != nil || c.InForce != 2 {
+		t.Errorf("the one that can't be reached tells %+v, %v", c, err)
+	}
+	for j := range many {
+		if j != 5 {
+			a.Cut(j, 5, false)
+		}
+	}
+	a.carried(but(), InForce(3))
+	a.Kill(0) // a control machine, for good
+	a.publish(1, 0, good(4))
+	a.carried(but(0), InForce(4))
+	if err := a.Start(0, false); err != nil {
+		t.Fatal(err)
+	}
+	a.carried(but(), InForce(4))
+	a.await(but(), Agree(but()))
+	a.fell()
+	a.end()
+}
+
+// What harms is tried by a few, and in force nowhere; what can't be read is refused with its line; of two with one number neither is taken by
+// whoever heard of both; a higher number ends each.
+func TestCarriedHarm(t *testing.T) {
+	a := carrying(t)
+	a.publish(0, 1, good(1))
+	a.carried(but(), InForce(1))
+	time.Sleep(3 * time.Second) // visits to compare with
+	a.publish(0, 2, harmful)
+	a.carried(but(), func(_ int, c *Carried) bool { return c.Newest == 2 && c.Stage == "stopped" })
+	tried := 0
+	for i := range many {
+		c, err := a.Carried(i)
+		if err != nil || c.InForce != 1 {
+			t.Errorf("n%d: %+v %v", i, c, err)
+		} else if c.OnTrial {
+			tried++
+		}
+	}
+	if tried < 1 || tried > 2 {
+		t.Errorf("%d of %d tried what harms", tried, many)
+	}
+	a.publish(1, 3, good(3))
+	a.carried(but(), InForce(3))
+	refused, err := a.Publish(0, 4, "{\"settings\": {\n \"me\": 9}}")
+	if err != nil || !strings.HasPrefix(refused, "configuration 4:2: settings: me: 9") {
+		t.Errorf("%q %v", refused, err)
+	}
+	if refused, err = a.Publish(5, 4, good(4)); err != nil || !strings.HasPrefix(refused, "nobody may publish here") {
+		t.Errorf("%q %v", refused, err)
+	}
+	half := func(on bool) {
+		for i := range many {
+			for j := range many {
+				if i%2 != j%2 {
+					a.Cut(i, j, on)
+				}
+			}
+		}
+	}
+	half(true)
+	a.await(but(), func(_ int, t *Table) bool { return t.Part == "lesser" })
+	a.publish(0, 4, good(4))
+	a.publish(1, 4, good(5))
+	half(false)
+	a.carried(but(), func(_ int, c *Carried) bool { return c.Newest == 4 && c.Contested })
+	a.publish(0, 5, good(6))
+	a.carried(but(), InForce(5))
+	a.await(but(), Agree(but()))
+	a.fell()
+	a.end()
+}
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -266,6 +266,9 @@
 		}
 		if g.mesh != nil {
 			car.More, car.Marker = []string{"--with", g.extensions(name)}, `"part":"membership"`
+			if g.s.Members.Carry > 0 {
+				car.Marker = `"part":"` // and of what it carries
+			}
 		}
 		g.cars = append(g.cars, car)
 	}
