--- a/decide/membership/crowd/crowd.go
+++ b/decide/membership/crowd/crowd.go
@@ -55,9 +55,11 @@
 	Names  []string // what it heard of other processes of its name
 	terms  membership.Terms
 	Stoods int
-	Sent   int // its own datagrams, their bytes, and those that came
-	Out    int
+	Sent   int // its own datagrams,
+	Out    int // their bytes,
+	Came   int // and those that came
 	In     int
+	Tables int // bytes that it sent over connections, of full exchanges
 }
 
 type event struct {
@@ -226,6 +228,7 @@
 	target, from := c.Members[to], c.address(m.Number)
 	c.pass(m.Number, target.Number, func() {
 		target.In += len(msg)
+		target.Came++
 		target.at(func() { target.Heard(c.Now, from, msg) })
 	})
 }
@@ -270,7 +273,7 @@
 		}
 		mine, theirs := m.Table(tableMost), target.Table(tableMost)
 		c.Exchange += len(mine) + len(theirs)
-		m.Out, m.In, target.Out, target.In = m.Out+len(mine), m.In+len(theirs), target.Out+len(theirs), target.In+len(mine)
+		m.Tables, target.Tables = m.Tables+len(mine), target.Tables+len(theirs)
 		m.at(func() { m.Merge(c.Now, c.address(target.Number), theirs) })
 		target.at(func() { target.Merge(c.Now, c.address(m.Number), mine) })
 	})
--- a/decide/rollout/fleet/fleet.go
+++ b/decide/rollout/fleet/fleet.go
@@ -66,7 +66,7 @@
 	part                    float64
 	armed                   Micros
 	Wrong                   int // contents taken that were another number's
-	bytes                   int // before this life
+	bytes, before           int // sent, and come, before this life
 }
 
 // New has so many members that know each other.
@@ -104,7 +104,7 @@
 func (f *Fleet) Restart(i int, after Micros) {
 	c := f.Cars[i]
 	c.Member.Kill()
-	c.bytes += c.Member.Out
+	c.bytes, c.before = c.Out(), c.In()
 	f.Later(after, func() {
 		c.Member = f.Add(crowd.Name(i), i, f.terms)
 		c.Member.Join(f.Now, []membership.Address{f.At((i + 1) % len(f.Cars)), f.At((i + 7) % len(f.Cars))})
@@ -287,9 +287,12 @@
 // Life is which of its processes it is, from 1.
 func (c *Car) Life() int { return c.life }
 
-// Out is how many bytes a member sent, with the heads of packets.
+// Out is how many bytes a member sent in datagrams and contents, with the heads of packets; full exchanges of membership are not in it.
 func (c *Car) Out() int { return c.bytes + c.Member.Out + dgram*c.Member.Sent }
 
+// In is how many bytes came to it so.
+func (c *Car) In() int { return c.before + c.Member.In + dgram*c.Member.Came }
+
 // In is whether all members that run have this version in force.
 func (f *Fleet) In(v rollout.Version) func() bool {
 	return func() bool {
--- a/decide/rollout/rollout.go
+++ b/decide/rollout/rollout.go
@@ -126,7 +126,7 @@
 	servesIn   = 4.0
 	spare      = 4 // one of so many may stay silent; so many that are idle count as one that tried it
 	looks      = 8 // at the figures, in the time of a watch
-	reportsMax = 64
+	reportsMax = 1024
 	triesMost  = 2
 )
 
@@ -432,16 +432,16 @@
 		return
 	}
 	if n.idle() {
-		if n.among() < spare*few {
-			n.report(n.mine(), Idle)
+		if n.among() < spare*few && n.report(n.mine(), Idle) {
 			n.happened("idle", c.Version, n.me, "")
 			n.weigh()
 		}
 		return
 	}
 	if n.before(n.mine()) < few && (tally[Trial]+done < few || n.terms.Unguard == "no-draw") {
-		n.report(n.mine(), Trial) // in the books here, so that nobody is drawn in its place; it is said once it is kept
-		n.try(n.past())
+		if n.report(n.mine(), Trial) { // in the books here; it is tried once it is kept and said
+			n.try(n.past())
+		}
 	}
 }
 
--- a/internal/rollouts/content.go
+++ b/internal/rollouts/content.go
@@ -21,7 +21,7 @@
 	head       = "rollout" // the name under which a configuration says how it wants to be put in force
 	usualFirst = 5
 	usualWatch = 1500 * time.Millisecond
-	firstMost  = 1000
+	firstMost  = 100
 	watchLeast = 100 * time.Millisecond
 	watchMost  = time.Hour
 )
--- a/lab/prove/prove.go
+++ b/lab/prove/prove.go
@@ -9,6 +9,7 @@
 	"unicode/utf8"
 
 	"ledgespread/decide/membership"
+	"ledgespread/decide/rollout"
 	"ledgespread/lab/cars"
 )
 
@@ -49,6 +50,8 @@
 		"the rig itself: bad sidecars are caught, accounts agree, queues are those of theory, arrivals are those planned"},
 	"membership": {playMembership, membership.Guards,
 		"who is there: simulated by seed beside plain heartbeats, and real processes under faults, judged by the lab's truth"},
+	"rollout": {playRollout, rollout.Guards,
+		"configurations that members carry: up to 1,000 hollow ones by seed, and real processes under faults, with visits running"},
 	"floor": {playFloor, []string{"decoy"},
 		"the measure of speed: the sidecar beside a forwarder that takes no decision, alternating in one run"},
 }
--- /dev/null
+++ b/lab/prove/rollout.go
@@ -0,0 +1,721 @@
+package prove
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+
+	"ledgespread/decide/rollout"
+	"ledgespread/decide/rollout/fleet"
+	"ledgespread/lab/cars"
+	"ledgespread/lab/clock"
+	"ledgespread/lab/path"
+	"ledgespread/lab/stage"
+)
+
+// The proof of configurations that members carry has two halves, as membership's has: the part that decides, among up to 1,000 hollow members in
+// simulated time and by seed, and real processes under faults with visits running. A guard is switched off in the first half only: the
+// shipped program has no way to.
+
+const (
+	forceWithin  = 6 * clock.Second // the requirement: in force everywhere
+	controlBytes = 18_000           // and a second and sidecar
+	changeEvery  = 51               // seconds between two of 1,700 changes a day
+	copiesMost   = 3                // handed out by one in four probes
+	usualFirst   = 5
+	contentBytes = 4000
+	hollow       = "simulated, by seed"
+	rolloutLogs  = "the processes' logs and status, the lab's clock"
+)
+
+func playRollout(p *Proof) error {
+	if p.Break != "" {
+		p.hollow()
+		return nil
+	}
+	beside, done := *p, make(chan bool) // one core for these, while the processes wait for their time
+	go func() {
+		beside.hollow()
+		close(done)
+	}()
+	err := p.carry()
+	<-done
+	p.Claims = append(beside.Claims, p.Claims...)
+	return err
+}
+
+// hollowFleet is so many hollow members; one in ten has no visits, the others 20 a second.
+func (p *Proof) hollowFleet(seed uint64, many int, lost float64) *fleet.Fleet {
+	t := p.terms()
+	t.Unguard = ""
+	f := fleet.New(seed, many, t, p.Break, func(i int) float64 {
+		if i%10 == 3 {
+			return 0
+		}
+		return 20
+	})
+	f.Weather.Lost = lost
+	f.Run(5_000_000)
+	return f
+}
+
+func (p *Proof) content(no rollout.Number, change ...func(*fleet.Content)) fleet.Content {
+	x := fleet.Content{Version: rollout.Version{Number: no}, Path: rollout.Path{First: usualFirst, Watch: 1_500_000}, Size: contentBytes, Share: 0.995}
+	for _, do := range change {
+		do(&x)
+	}
+	return x
+}
+
+// handed publishes at one member; an error can't be.
+func handed(f *fleet.Fleet, at int, x fleet.Content) rollout.Version {
+	v, err := f.Publish(at, x)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// change is what one change of configuration costs.
+type change struct {
+	took          clock.Micros // from publishing to in force at the last; -1: never
+	mean, hottest float64      // bytes that a member sent beyond what it sends anyway: in all, and the one that sent most
+	second        float64      // the most that any sent, or that came to any, within a second, all that is membership's too
+	bare, calm    float64      // bytes a second and member before: without any configuration, and with one in force
+	copies        int          // the most that one handed out in four probes
+	tried, fell   int
+	table         int // bytes of a full exchange, one way
+}
+
+// spread publishes one, and then a second one, which it measures until it is in force everywhere, by seconds.
+func (p *Proof) spread(f *fleet.Fleet, x fleet.Content) (c change) {
+	many := len(f.Cars)
+	tell := f.Told
+	defer func() { f.Told = tell }()
+	f.Told = func(_ fleet.Micros, _ int, e rollout.Event) {
+		if e.What == "tries" && e.Version.Number == x.Number {
+			c.tried++
+		}
+	}
+	look := func() (out, in, served []int) {
+		for _, car := range f.Cars {
+			out, in, served = append(out, car.Out()), append(in, car.In()), append(served, car.Served)
+		}
+		return out, in, served
+	}
+	rate := func() (calm float64) {
+		out, _, _ := look()
+		f.Run(2_000_000)
+		now, _, _ := look()
+		for i := range now {
+			calm += float64(now[i]-out[i]) / 2 / float64(many)
+		}
+		return calm
+	}
+	c.bare = rate()
+	handed(f, 0, p.content(x.Number-1))
+	f.Run(8_000_000)
+	c.calm = rate()
+	begun, _, _ := look()
+	v := handed(f, 0, x)
+	c.took = -1
+	last, lastIn, lastServed := look()
+	spent := 0.0
+	for spent < 12 {
+		took := f.Until(1_000_000, f.In(v))
+		if took >= 0 {
+			c.took = clock.Micros(spent*1e6) + clock.Micros(took)
+			f.Run(1_000_000 - took)
+		}
+		spent++
+		now, in, served := look()
+		for i := range now {
+			c.second = max(c.second, float64(now[i]-last[i]), float64(in[i]-lastIn[i]))
+			c.copies = max(c.copies, served[i]-lastServed[i])
+		}
+		last, lastIn, lastServed = now, in, served
+		if c.took >= 0 {
+			break
+		}
+	}
+	for i := range last {
+		more := float64(last[i]-begun[i]) - spent*c.calm
+		c.mean += more / float64(many)
+		c.hottest = max(c.hottest, more)
+	}
+	for _, car := range f.Cars {
+		c.fell += car.Fell
+	}
+	c.table = len(f.Cars[0].Member.Table(4 << 20))
+	return c
+}
+
+func (p *Proof) hollow() {
+	sizes, seeds := []int{50, 1000}, 1
+	if !p.Quick {
+		sizes, seeds = []int{50, 100, 200, 500, 1000}, 5
+	}
+	fell := 0
+	for _, many := range sizes {
+		for _, lost := range []float64{0, 0.3} {
+			p.say("simulated: a change among %d, %.0f%% lost", many, 100*lost)
+			var took []clock.Micros
+			worst := change{}
+			for seed := range uint64(seeds) {
+				c := p.spread(p.hollowFleet(p.Seed*100+seed, many, lost), p.content(2))
+				took = append(took, c.took)
+				fell += c.fell
+				worst.mean, worst.hottest, worst.second = max(worst.mean, c.mean), max(worst.hottest, c.hottest), max(worst.second, c.second)
+				worst.table = max(worst.table, c.table)
+				worst.bare, worst.calm, worst.copies, worst.tried = max(worst.bare, c.bare), max(worst.calm, c.calm), max(worst.copies, c.copies), max(worst.tried, c.tried)
+			}
+			p.claim(within(took, clock.Micros(forceWithin)) == seeds, fmt.Sprintf("a change is in force at the last of %d, %.0f%% lost", many, 100*lost), "6 s", hollow,
+				"%s; tried by %d first", seconds(took), worst.tried)
+			if lost == 0 {
+				p.claim(worst.second <= controlBytes && worst.copies <= copiesMost, fmt.Sprintf("its hottest member of %d: bytes sent, or come, in its worst second, with membership's messages and packets' heads", many),
+					"18,000; 3 copies handed out", hollow, "%.0f; %d copies of %d bytes (a full exchange of membership's, beside that, has %d)", worst.second, worst.copies, contentBytes, worst.table)
+			} else {
+				p.note(fmt.Sprintf("its hottest member of %d at 30%% lost", many), hollow, "%.0f bytes in its worst second, of which membership's mean is %.0f anyway; %d copies", worst.second, worst.calm, worst.copies)
+			}
+			share := (worst.calm*changeEvery + worst.hottest) / changeEvery
+			p.claim(share <= controlBytes, fmt.Sprintf("bytes a second over the 51 s between two changes, the hottest of %d, %.0f%% lost", many, 100*lost), "18,000", hollow,
+				"%.0f (membership's messages %.0f, with the words on them %.0f; a change costs %.0f bytes in the mean, %.0f the hottest)", share, worst.bare, worst.calm, worst.mean, worst.hottest)
+		}
+	}
+	fell += p.harms()
+	fell += p.sources()
+	fell += p.lags()
+	p.claim(fell == 0, "no number in force fell, in all of this", "0 times", hollow, "%d", fell)
+}
+
+func falls(f *fleet.Fleet) (n int) {
+	for _, c := range f.Cars {
+		n += c.Fell
+	}
+	return n
+}
+
+// harms publishes what harms: it stops at the few.
+func (p *Proof) harms() (fell int) {
+	many := 100
+	p.say("simulated: what harms")
+	f := p.hollowFleet(p.Seed, many, 0)
+	counts := map[string]int{}
+	f.Told = func(_ fleet.Micros, _ int, e rollout.Event) { counts[fmt.Sprint(e.Version.Number, e.What)]++ }
+	handed(f, 0, p.content(1))
+	f.Run(20_000_000)
+	for _, x := range []struct {
+		no    rollout.Number
+		what  string
+		share float64
+	}{{2, "delivers nothing", 0.0001}, {4, "delivers half", 0.5}} {
+		v := handed(f, 0, p.content(x.no, func(c *fleet.Content) { c.Share = x.share }))
+		f.Run(10_000_000)
+		tried, force := counts[fmt.Sprint(x.no, "tries")], counts[fmt.Sprint(x.no, "in_force")]
+		had := f.Has(v)
+		back := handed(f, 0, p.content(x.no+1))
+		took := clock.Micros(f.Until(20_000_000, f.In(back)))
+		p.claim(tried <= usualFirst && force == 0 && had <= usualFirst && took >= 0 && took <= clock.Micros(forceWithin),
+			fmt.Sprintf("one that %s, 20 visits/s a member: tried by few, in force nowhere; a higher number ends it", x.what), "5 of 100; 0; 6 s", hollow,
+			"tried by %d, in force at %d; %s", tried, force, seconds([]clock.Micros{took}))
+		f.Run(15_000_000) // their visits are to be compared with again
+	}
+	handed(f, 0, p.content(6, func(c *fleet.Content) { c.Kills = true }))
+	f.Run(15_000_000)
+	killed, told := f.Killed, counts["6stopped"]
+	back := handed(f, 0, p.content(7))
+	took := clock.Micros(f.Until(20_000_000, f.In(back)))
+	p.claim(killed <= 2*usualFirst && killed > 0 && counts["6in_force"] == 0 && took >= 0 && took <= clock.Micros(forceWithin),
+		"one that kills whoever takes it: twice each of the few at the most; a higher number ends it", "10 deaths of 100; 6 s", hollow, "%d deaths, told by %d; %s",
+		killed, told, seconds([]clock.Micros{took}))
+	f.Run(10_000_000)
+	handed(f, 0, p.content(8, func(c *fleet.Content) {
+		c.Refusal, c.Refuses = "fleet.json:12: no such name", func(i int) bool { return i == 77 }
+	}))
+	f.Run(10_000_000)
+	p.claim(counts["8in_force"] == 0 && counts["8stopped"] >= many-usualFirst, "one that a member can't read: in force nowhere, all are told", "0; all", hollow,
+		"in force at %d, tried by %d, told by %d of %d", counts["8in_force"], counts["8tries"], counts["8stopped"], many)
+	return falls(f)
+}
+
+// sources publishes two contents of one number at once.
+func (p *Proof) sources() (fell int) {
+	p.say("simulated: two sources at once")
+	took, told, ends := 0, 0, []clock.Micros{}
+	const runs = 10
+	for seed := range uint64(runs) {
+		f := p.hollowFleet(p.Seed*100+seed, 50, 0)
+		handed(f, 0, p.content(1))
+		f.Run(15_000_000)
+		a, b := handed(f, 0, p.content(2)), handed(f, 30, p.content(2, func(c *fleet.Content) { c.Size++ }))
+		f.Run(10_000_000)
+		took += f.Has(a) + f.Has(b)
+		for _, c := range f.Cars {
+			if c.Status().Contested {
+				told++
+			}
+		}
+		v := handed(f, 0, p.content(3))
+		ends = append(ends, clock.Micros(f.Until(20_000_000, f.In(v))))
+		fell += falls(f)
+	}
+	p.claim(took == 0 && told == 50*runs && within(ends, clock.Micros(forceWithin)) == runs, "two contents of one number, at two control machines at once: neither is taken, all are told; a higher number ends it",
+		"0 take one; all; 6 s", hollow, "%d take one; %d of %d told; %s", took, told, 50*runs, seconds(ends))
+	return fell
+}
+
+// lags has members miss changes: those that restart, stand still, are cut off for an hour; and the control machine dies.
+func (p *Proof) lags() (fell int) {
+	p.say("simulated: those that lag")
+	const many = 50
+	var restarted, stood, lost []clock.Micros
+	runs := 4
+	for seed := range uint64(runs) {
+		f := p.hollowFleet(p.Seed*100+seed, many, 0)
+		v := handed(f, 0, p.content(1))
+		f.Run(500_000)
+		f.Cars[0].Member.Kill()
+		lost = append(lost, 500_000+clock.Micros(f.Until(20_000_000, f.In(v))))
+		f.Run(5_000_000)
+		f.Cars[7].Member.Stop()
+		f.Restart(8, 10_000_000)
+		handed(f, 1, p.content(2))
+		f.Run(5_000_000)
+		v = handed(f, 2, p.content(3))
+		f.Run(4_999_000)
+		f.Cars[7].Member.Continue()
+		stood = append(stood, clock.Micros(f.Until(20_000_000, func() bool { return f.Cars[7].Force == v })))
+		begun := f.Now
+		f.Until(20_000_000, func() bool { return f.Cars[8].Force == v })
+		restarted = append(restarted, clock.Micros(f.Now-begun)+stood[len(stood)-1])
+		fell += falls(f)
+	}
+	p.claim(within(lost, clock.Micros(forceWithin)) == runs, fmt.Sprintf("the control machine dies 0.5 s after it was handed a change, %d members", many), "6 s", hollow, "%s", seconds(lost))
+	p.claim(within(stood, clock.Micros(forceWithin)) == runs && within(restarted, clock.Micros(forceWithin)) == runs, "one that stood still for 10 s, and one that restarts, over two changes: has the newest", "6 s", hollow,
+		"stood still: %s; restarted: %s", seconds(stood), seconds(restarted))
+	hour := 3600
+	if p.Quick {
+		hour = 900
+	}
+	f := p.hollowFleet(p.Seed, 20, 0)
+	f.Cut = func(from, to int) bool { return from%2 != to%2 }
+	f.Run(30_000_000)
+	handed(f, 0, p.content(1))
+	f.Run(30_000_000)
+	v := handed(f, 0, p.content(2))
+	f.Run(fleet.Micros(hour) * 1_000_000)
+	apart := f.Has(v)
+	f.Cut = nil
+	healed := clock.Micros(f.Until(20_000_000, f.In(v)))
+	p.claim(apart == 10 && healed >= 0 && healed <= clock.Micros(forceWithin), fmt.Sprintf("halves of 20 apart for %d s, one of which has two changes: the others have the newest after it", hour), "10 of 20; 6 s", hollow,
+		"%d of 20; %s", apart, seconds([]clock.Micros{healed}))
+	return fell + falls(f)
+}
+
+const carried = `name = "carried"
+length = "3600s"
+zones = ["bangna", "lat-krabang", "chon-buri"]
+seed = %d
+[sidecars]
+count = %d
+[members]
+probe_every = %q
+control = 2
+[[box]]
+count = 2
+zone = "bangna"
+[[box]]
+count = 2
+zone = "lat-krabang"
+[[box]]
+count = 2
+zone = "chon-buri"
+[[prefix]]
+name = "look"
+share = 0.6
+work = "1ms"
+target_latency = "300ms"
+client_timeout = "2s"
+[[prefix]]
+name = "book"
+effect = "tagged"
+share = 0.2
+work = "1ms"
+target_latency = "300ms"
+client_timeout = "2s"
+[[prefix]]
+name = "pay"
+effect = "mutating"
+share = 0.2
+work = "1ms"
+target_latency = "300ms"
+client_timeout = "2s"
+[traffic]
+rate = "%d/s"
+`
+
+const (
+	carriedVisits = 12 // a second and sidecar
+	rest          = 6 * clock.Second // visits to compare with
+)
+
+// goodOne does nobody harm; no two are alike.
+func goodOne(no int) string {
+	return fmt.Sprintf("{\"settings\": {\"beyond_share_value\": %g}}", 0.1+float64(no)/10_000)
+}
+
+// harmfulOne lets no connection come about.
+const harmfulOne = "{\"settings\": {\"allowed\": {\"conn_idle_us\": 1, \"connect_timeout_us\": 1}}}"
+
+// train is real processes that carry configurations, with the next number.
+type train struct {
+	*muster
+	no uint64
+}
+
+func (t *train) publish(at int, text string) (begun clock.Micros, err error) {
+	t.no++
+	begun = t.Now()
+	refused, err := t.Publish(at, t.no, text)
+	if err == nil && refused != "" {
+		err = fmt.Errorf("number %d is refused: %s", t.no, refused)
+	}
+	return begun, err
+}
+
+// inForceAfter is how long after a time the last of these said that the newest number, or a higher one, is in force.
+func (t *train) inForceAfter(since clock.Micros, of []int) clock.Micros {
+	at := map[int]clock.Micros{}
+	for _, f := range t.Forces() {
+		if _, had := at[f.Car]; !had && f.Number >= t.no {
+			at[f.Car] = f.At
+		}
+	}
+	most := clock.Micros(0)
+	for _, i := range of {
+		when, there := at[i]
+		if !there {
+			return -1
+		}
+		most = max(most, when-since)
+	}
+	return most
+}
+
+// change publishes a good one and tells when it was in force at the last of these.
+func (t *train) change(at int, of []int, meanwhile func() error) (clock.Micros, error) {
+	begun, err := t.publish(at, goodOne(int(t.no)))
+	if err == nil && meanwhile != nil {
+		err = meanwhile()
+	}
+	if err != nil {
+		return -1, err
+	}
+	if _, err := t.AwaitCarried(of, 30*time.Second, stage.InForce(t.no)); err != nil {
+		return -1, err
+	}
+	return t.inForceAfter(begun, of), nil
+}
+
+// carry plays real processes.
+func (p *Proof) carry() error {
+	many, calm := 24, 10
+	if p.Quick {
+		many, calm = 12, 3
+	}
+	p.say("%d processes", many)
+	s := p.parse(carried, p.Seed, many, probeEvery.Duration(), many*carriedVisits)
+	g, err := stage.Raise(s, stage.Options{Program: cars.Program{Path: p.Sidecar.Path, Args: []string{"serve"}, Name: p.Sidecar.Name}, Seed: p.Seed, Stop: p.Stop})
+	if err != nil {
+		return err
+	}
+	t := &train{muster: &muster{Rig: g, many: many, over: make(chan error, 1)}}
+	defer t.Close()
+	go func() {
+		r, err := g.Run()
+		if err == nil {
+			t.verd = r.Verdict
+		}
+		t.over <- err
+	}()
+	if _, err := t.Await(t.all(), 60*time.Second, stage.Agree(t.all())); err != nil {
+		return err
+	}
+	rest.Sleep()
+	if err := p.carriedCalm(t, calm); err != nil {
+		return err
+	}
+	if err := p.carriedFaults(t); err != nil {
+		return err
+	}
+	if err := p.carriedHarm(t); err != nil {
+		return err
+	}
+	last, fell := map[int]uint64{}, 0
+	for _, f := range t.Forces() {
+		if f.Number < last[f.Car] {
+			fell++
+		}
+		last[f.Car] = f.Number
+	}
+	p.claim(fell == 0, "no number in force fell, among processes", "0 times", rolloutLogs, "%d", fell)
+	visits := len(t.Tries())
+	broken, lies, err := t.end()
+	if err != nil {
+		return err
+	}
+	p.claim(len(broken) == 0, "the visits meanwhile: none lost, no effect twice", "no rule broken", "judge, by all accounts", "%s, of %d tries", first(broken), visits)
+	p.claim(len(lies) == 0, "no false death in all of this", "0 words", processes, "%d", len(lies))
+	return nil
+}
+
+func (t *train) sums() (datagrams, copies, served int64, err error) {
+	for i := range t.many {
+		m, err := t.Table(i)
+		if err != nil {
+			return 0, 0, 0, err
+		}
+		c, err := t.Carried(i)
+		if err != nil {
+			return 0, 0, 0, err
+		}
+		datagrams += m.Counts["sent_bytes"]
+		copies, served = max(copies, c.Counts["served"]), served+c.Counts["served_bytes"]
+	}
+	return datagrams, copies, served, nil
+}
+
+func (p *Proof) carriedCalm(t *train, times int) error {
+	d0, _, s0, err := t.sums()
+	if err != nil {
+		return err
+	}
+	begun := t.Now()
+	(4 * clock.Second).Sleep()
+	d1, c1, _, err := t.sums()
+	if err != nil {
+		return err
+	}
+	calm := float64(d1-d0) / float64(t.many) / (float64(t.Now()-begun) / 1e6)
+	begun = t.Now()
+	var took []clock.Micros
+	for n := range times {
+		p.say("a change, %d of %d", n+1, times)
+		one, err := t.change(n%2, t.all(), nil)
+		if err != nil {
+			return err
+		}
+		took = append(took, one)
+	}
+	d2, c2, s2, err := t.sums()
+	if err != nil {
+		return err
+	}
+	span := float64(t.Now()-begun) / 1e6
+	each := float64(d2-d1+s2-s0)/float64(t.many) - span*calm
+	p.claim(within(took, forceWithin) == times, fmt.Sprintf("a change is in force at the last of %d processes", t.many), "6 s", rolloutLogs, "%s", seconds(took))
+	p.claim(calm+each/float64(times)/changeEvery < controlBytes, "bytes a second and process over the 51 s between two changes", "18,000", "the processes' counters",
+		"%.0f of membership's messages with the words in, and %.0f a change; %d copies at the most from one, in %d changes", calm, each/float64(times), c2-c1, times)
+	return nil
+}
+
+func (p *Proof) carriedFaults(t *train) error {
+	many := t.many
+	draw := func(i int) int { return 2 + (int(p.Seed)*5+i*3)%(many-2) } // no control machine
+	killed, still, cut := draw(0), draw(1), draw(2)
+	var ready, gone clock.Micros
+	p.say("one is killed, one stands still, in the middle")
+	_, err := t.change(0, t.all(), func() error {
+		(300 * clock.Milli).Sleep()
+		t.Signal(still, syscall.SIGSTOP)
+		t.Kill(killed)
+		(1500 * clock.Milli).Sleep()
+		t.Signal(still, syscall.SIGCONT)
+		gone = t.Now()
+		err := t.Start(killed, false)
+		ready = t.Now()
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	back, went := t.inForceAfter(ready, []int{killed}), t.inForceAfter(gone, []int{still})
+	others := t.inForceAfter(gone, t.all(killed, still))
+	p.claim(within([]clock.Micros{max(back, 0), max(went, 0), max(others, 0)}, forceWithin) == 3, "one is killed and one stopped for 1.5 s, 0.3 s after a change: in force at them, and at all others", "6 s after start and pause", rolloutLogs,
+		"killed: %.2f s, stopped: %.2f s, others %.2f s", secs(back), secs(went), secs(others))
+
+	(4 * clock.Second).Sleep()
+	p.say("cut off in one direction")
+	for j := range many {
+		if j != cut {
+			t.Cut(j, cut, true)
+		}
+	}
+	if _, err := t.change(1, t.all(cut), nil); err != nil {
+		return err
+	}
+	(2 * clock.Second).Sleep()
+	c, err := t.Carried(cut)
+	if err != nil {
+		return err
+	}
+	kept := c.InForce == t.no-1
+	mended := t.Now()
+	for j := range many {
+		if j != cut {
+			t.Cut(j, cut, false)
+		}
+	}
+	if _, err := t.AwaitCarried(t.all(), 30*time.Second, stage.InForce(t.no)); err != nil {
+		return err
+	}
+	reached := t.inForceAfter(mended, []int{cut})
+	p.claim(kept && reached >= 0 && reached <= forceWithin, "every word to one is cut during a change: it goes on with its last, and has the newest once mended", "its last; 6 s", rolloutLogs,
+		"its last: %v; %.2f s", kept, secs(reached))
+
+	p.say("30%% lost")
+	each := func(lost float64) {
+		for i := range many {
+			for j := range many {
+				if i != j {
+					t.Link(i, j, func(l *path.Link) { l.Lost = lost })
+				}
+			}
+		}
+	}
+	each(0.3)
+	(3 * clock.Second).Sleep()
+	lossy, err := t.change(0, t.all(), nil)
+	if err != nil {
+		return err
+	}
+	each(0)
+	p.claim(lossy >= 0 && lossy <= forceWithin, "a change with 30% of datagrams lost between all", "6 s", rolloutLogs, "%.2f s", secs(lossy))
+
+	p.say("halves, with a change in one")
+	half := func(on bool) {
+		for i := range many {
+			for j := range many {
+				if i%2 != j%2 {
+					t.Cut(i, j, on)
+				}
+			}
+		}
+	}
+	var ours []int
+	for i := 0; i < many; i += 2 {
+		ours = append(ours, i)
+	}
+	half(true)
+	(4 * clock.Second).Sleep() // most hold the other half for dead
+	if _, err := t.change(0, ours, nil); err != nil {
+		return err
+	}
+	mended = t.Now()
+	half(false)
+	if _, err := t.AwaitCarried(t.all(), 30*time.Second, stage.InForce(t.no)); err != nil {
+		return err
+	}
+	healed := t.inForceAfter(mended, t.all())
+	p.claim(healed >= 0 && healed <= forceWithin, "halves, one of which has a change: the other has it once healed", "6 s", rolloutLogs, "%.2f s", secs(healed))
+
+	p.say("a control machine is lost")
+	lost, err := t.change(0, t.all(0), func() error {
+		(100 * clock.Milli).Sleep()
+		t.Kill(0)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	other, err := t.change(1, t.all(0), nil)
+	if err != nil {
+		return err
+	}
+	ready = t.Now()
+	if err := t.Start(0, false); err != nil {
+		return err
+	}
+	if _, err := t.AwaitCarried(t.all(), 30*time.Second, stage.InForce(t.no)); err != nil {
+		return err
+	}
+	took := t.inForceAfter(ready, []int{0})
+	p.claim(within([]clock.Micros{lost, other, max(took, 0)}, forceWithin) == 3, "the control machine is killed 0.1 s after it was handed a change; the other has the next; the first is back", "6 s each", rolloutLogs,
+		"%.2f s, %.2f s; back after %.2f s", secs(lost), secs(other), secs(took))
+
+	p.say("two sources at once")
+	half(true)
+	(3 * clock.Second).Sleep()
+	if _, err := t.publish(0, goodOne(1000)); err != nil {
+		return err
+	}
+	if refused, err := t.Publish(1, t.no, goodOne(1001)); err != nil || refused != "" {
+		return fmt.Errorf("%s %v", refused, err)
+	}
+	(300 * clock.Milli).Sleep()
+	mended = t.Now()
+	half(false)
+	if _, err := t.AwaitCarried(t.all(), 30*time.Second, func(_ int, c *stage.Carried) bool { return c.Newest == t.no && c.Contested }); err != nil {
+		return err
+	}
+	told := t.Now() - mended
+	taken := 0
+	for i := range many {
+		c, err := t.Carried(i)
+		if err != nil {
+			return err
+		}
+		if c.InForce == t.no {
+			taken++
+		}
+	}
+	next, err := t.change(0, t.all(), nil)
+	if err != nil {
+		return err
+	}
+	p.claim(taken == 0 && told <= forceWithin && next >= 0 && next <= forceWithin, "two contents of one number, in halves that heal before either is judged: neither is in force, all are told; a higher number ends it", "0; 6 s; 6 s",
+		rolloutLogs, "in force at %d; told after %.2f s; %.2f s", taken, secs(told), secs(next))
+	return nil
+}
+
+func (p *Proof) carriedHarm(t *train) error {
+	p.say("a file that harms")
+	rest.Sleep() // of those that restarted too
+	refused, err := t.Publish(0, t.no+1, "{\n \"settings\": {\n  \"me\": 1,\n  \"step_us\": 0}}")
+	if err != nil {
+		return err
+	}
+	p.claim(strings.HasPrefix(refused, fmt.Sprintf("configuration %d:4: settings: step_us: ", t.no+1)), "a file that can't be: refused to staff with its line, in force nowhere", "line 4, step_us", "the control machine's answer", "%s", refused)
+	begun, err := t.publish(0, harmfulOne)
+	if err != nil {
+		return err
+	}
+	if _, err := t.AwaitCarried(t.all(), 30*time.Second, func(_ int, c *stage.Carried) bool { return c.Newest == t.no && c.Stage == "stopped" }); err != nil {
+		return err
+	}
+	stopped := t.Now() - begun
+	tried, force := 0, 0
+	for i := range t.many {
+		c, err := t.Carried(i)
+		if err != nil {
+			return err
+		}
+		if c.OnTrial {
+			tried++
+		}
+		if c.InForce == t.no {
+			force++
+		}
+	}
+	back, err := t.change(1, t.all(), nil)
+	if err != nil {
+		return err
+	}
+	few := min(usualFirst, t.many/3)
+	p.claim(tried > 0 && tried <= few && force == 0 && stopped <= forceWithin && back >= 0 && back <= forceWithin, fmt.Sprintf("a file with which no connection comes about, %d visits/s a process: tried by few, in force nowhere; a higher number ends it", carriedVisits),
+		fmt.Sprintf("%d of %d; 0; 6 s each", few, t.many), rolloutLogs, "tried by %d, in force at %d; known to all after %.2f s; ended after %.2f s", tried, force, secs(stopped), secs(back))
+	return nil
+}
+
+func secs(span clock.Micros) float64 { return float64(span) / 1e6 }
