--- a/decide/rollout/rollout.go
+++ b/decide/rollout/rollout.go
@@ -563,8 +563,8 @@
 // learn takes what a word says of a version that is not here yet.
 func (c *about) learn(w *word) {
 	c.stage = max(c.stage, w.stage)
-	for r, v := range w.reports {
-		c.report(r, v)
+	for _, r := range w.reports {
+		c.report(r.Rank, r.Verdict)
 	}
 }
 
@@ -622,8 +622,8 @@
 		return
 	}
 	fresh := false
-	for r, v := range w.reports {
-		fresh = n.report(r, v) || fresh
+	for _, r := range w.reports {
+		fresh = n.report(r.Rank, r.Verdict) || fresh
 	}
 	switch {
 	case w.stage == Stopped:
--- a/decide/rollout/word.go
+++ b/decide/rollout/word.go
@@ -40,7 +40,7 @@
 	stage           Stage
 	contested, held bool
 	force           Number
-	reports         map[Rank]Verdict
+	reports         []Report
 }
 
 // Word is what this member says now, in no more bytes than there is room for; nil: nothing.
@@ -82,7 +82,7 @@
 	if len(b) < wordHead || len(b) > WordMost {
 		return nil, false
 	}
-	w := &word{reports: map[Rank]Verdict{}}
+	w := &word{}
 	flags := b[0]
 	w.stage, w.contested, w.held = Stage(flags&stageBits), flags&contested != 0, flags&holds != 0
 	w.Number = Number(binary.BigEndian.Uint64(b[1:]))
@@ -109,7 +109,7 @@
 		if v < Trial || v > Refused {
 			return nil, false
 		}
-		w.reports[Rank(binary.BigEndian.Uint32(b))] = v
+		w.reports = append(w.reports, Report{Rank: Rank(binary.BigEndian.Uint32(b)), Verdict: v})
 	}
 	return w, true
 }
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -2,6 +2,8 @@
 package live
 
 import (
+	"fmt"
+	"maps"
 	"math"
 	"runtime"
 	"sync"
@@ -23,6 +25,8 @@
 	in     *inbound.Inbound
 	counts *counters.Sheet
 	log    zerolog.Logger
+
+	Ahead func(*site.Manifest) // hears of each configuration before it is taken over; set before the first one, nil: nobody does
 }
 
 // Outcome is what became of a configuration that was taken over: the names, by site.Table, of what differed from the one that
@@ -62,6 +66,13 @@
 }
 
 func (s *Sidecar) take(from string, text []byte) (taken *site.Manifest, out Outcome, err error) {
+	defer func() {
+		// Guards against the end of the sidecar by a configuration that nobody thought of.
+		if crash := recover(); crash != nil {
+			s.counts.Crashed(s.log, "configuration", crash)
+			err = fmt.Errorf("%s:1: it crashed over it: %v", from, crash)
+		}
+	}()
 	next, err := site.From(from, text)
 	if err != nil {
 		return nil, out, err
@@ -70,8 +81,13 @@
 		return nil, out, site.In(from, text, err)
 	}
 	taken, out.Change = s.now.Take(next)
-	if err := s.in.Retune(taken, func() error { return s.relay.Retune(taken) }); err != nil {
-		return nil, out, site.In(from, text, err)
+	if !maps.Equal(taken.Site, s.now.Site) { // or nothing of it is the module's matter
+		if s.Ahead != nil {
+			s.Ahead(taken)
+		}
+		if err := s.in.Retune(taken, func() error { return s.relay.Retune(taken) }); err != nil {
+			return nil, out, site.In(from, text, err)
+		}
 	}
 	if taken.Cores != s.now.Cores {
 		Cores(taken)
--- a/internal/rollouts/content.go
+++ b/internal/rollouts/content.go
@@ -42,6 +42,12 @@
 // Read reads a configuration strictly, and tells how it wants to be put in force, and the sidecar's file with it. What can't be read, would
 // not do for a start, or needs one, is an error with the name, the line and the reason.
 func (o *Overlay) Read(from string, text []byte) (path rollout.Path, whole []byte, err error) {
+	defer func() {
+		// Guards against the end of the sidecar by a configuration that nobody thought of.
+		if crash := recover(); crash != nil {
+			err = fmt.Errorf("%s:1: it crashed over it: %v", from, crash)
+		}
+	}()
 	if len(text) > Most {
 		return path, nil, fmt.Errorf("%s:1: it is longer than %d bytes", from, Most)
 	}
--- a/internal/rollouts/rollouts_test.go
+++ b/internal/rollouts/rollouts_test.go
@@ -59,6 +59,7 @@
 		"{\n\"settings\": {\n\"allowed\": {\n\"max_backend_fetchs\": 2}}}",
 		"{\n\"settings\": {\"step_us\": 2000,\n\"step_us\": 3000}}",
 		"{\n\"listen\": \"127.0.0.1:7\"}",
+		"{\n\"seed\": \"0002\"}",
 		"{\n\"settings\": {\n\"me\": 3}}",
 		"{\n\"settings\": {\n\"path_prefixes\": [\n{\"name\": \"look\", \"effect\": \"never\"}]}}",
 		"{\n\"settings\": {\n\"path_prefixes\": null}}",
--- a/internal/site/patch.go
+++ b/internal/site/patch.go
@@ -118,8 +118,11 @@
 		_, err := d.Token()
 		return err
 	}
-	if row(name) == nil {
+	switch r := Of(name); {
+	case r == nil:
 		return odd(name, "%s: nothing reads this name", name)
+	case r.When == StartOnly:
+		return odd(name, "%s is each sidecar's own: %s", name, r.Why)
 	}
 	return nil
 }
@@ -130,5 +133,5 @@
 		return nil
 	}
 	name := c.Restart[0]
-	return odd(name, "%s needs a restart: %s", name, row(name).Why)
+	return odd(name, "%s needs a restart: %s", name, Of(name).Why)
 }
--- a/lab/prove/rollout.go
+++ b/lab/prove/rollout.go
@@ -356,7 +356,7 @@
 `
 
 const (
-	carriedVisits = 12 // a second and sidecar
+	carriedVisits = 12               // a second and sidecar
 	rest          = 6 * clock.Second // visits to compare with
 )
 
