--- a/cmd/ledgespread/config.go
+++ b/cmd/ledgespread/config.go
@@ -83,6 +83,7 @@
 	statusWait  = 2 * time.Second
 	publishWait = 5 * time.Second
 	asksAtOnce  = 64
+	carriesNone = "it carries no configurations"
 )
 
 // configCommand is for staff: what configuration is in force where, and handing one over.
@@ -199,13 +200,17 @@
 			defer all.Done()
 			defer func() { <-places }()
 			text, err := members.Ask(m.Address, []byte(rollouts.Asks+"status"), statusWait)
+			if errors.Is(err, io.EOF) { // it hung up: nobody there answers such a question
+				m.Error = carriesNone
+				return
+			}
 			if err != nil {
 				m.Error = err.Error()
 				return
 			}
 			says := &rollouts.Status{}
 			if err := json.NewDecoder(bytes.NewReader(text)).Decode(says); err != nil {
-				m.Error = "it carries no configurations"
+				m.Error = carriesNone
 				return
 			}
 			m.Says = says
