Size: the requirement's file, what runs measure as JSON, both read strictly

The requirement file holds the operators' figures and, apart, our assumptions, each with its reason; measurements are slopes with their points and errors, events, agreements, claims. Fit and Predict work slopes out and carry their errors on. Impossible values are refused with file, line and name.

--- /dev/null
+++ b/lab/size/fit.go
@@ -0,0 +1,61 @@
+package size
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/mat"
+)
+
+// Fit finds the coefficients of a linear function through the points' means by least squares, and the standard error of
+// each from what is left over. It wants at least two points more than coefficients, and four sizes at the least.
+func Fit(points []Point, of []string) (coefficient, deviation map[string]float64, err error) {
+	rows, columns := len(points), len(of)+1
+	if rows < 4 || rows < columns+2 {
+		return nil, nil, fmt.Errorf("%d points are too few for %d coefficients", rows, columns)
+	}
+	x, y := mat.NewDense(rows, columns, nil), mat.NewVecDense(rows, nil)
+	scale := make([]float64, columns) // each column by its most, so that none drowns the others
+	for i, p := range points {
+		y.SetVec(i, p.Mean)
+		for j := range columns {
+			v := 1.0
+			if j > 0 {
+				if v, err = p.At.product(of[j-1]); err != nil {
+					return nil, nil, err
+				}
+			}
+			x.Set(i, j, v)
+			scale[j] = max(scale[j], math.Abs(v))
+		}
+	}
+	for j := range columns {
+		if scale[j] == 0 {
+			return nil, nil, fmt.Errorf("%s is 0 at every point", of[j-1])
+		}
+		for i := range rows {
+			x.Set(i, j, x.At(i, j)/scale[j])
+		}
+	}
+	var square, inverse mat.Dense
+	square.Mul(x.T(), x)
+	if err := inverse.Inverse(&square); err != nil {
+		return nil, nil, fmt.Errorf("the points don't tell %v apart: %w", of, err)
+	}
+	var right, beta, left mat.VecDense
+	right.MulVec(x.T(), y)
+	beta.MulVec(&inverse, &right)
+	left.MulVec(x, &beta)
+	left.SubVec(y, &left)
+	spread := mat.Dot(&left, &left) / float64(rows-columns)
+	coefficient, deviation = map[string]float64{}, map[string]float64{}
+	for j := range columns {
+		name := Const
+		if j > 0 {
+			name = of[j-1]
+		}
+		coefficient[name] = beta.AtVec(j) / scale[j]
+		deviation[name] = math.Sqrt(spread*inverse.At(j, j)) / scale[j]
+	}
+	return coefficient, deviation, nil
+}
--- /dev/null
+++ b/lab/size/requirement.go
@@ -0,0 +1,227 @@
+// Package size is the size that the design has to fit: the operators' figures and our assumptions (requirement.toml), and
+// what runs have measured as functions of that size (Report). Reading, arithmetic and files only; runs nothing.
+package size
+
+import (
+	_ "embed"
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+
+	"ledgespread/strict"
+)
+
+//go:embed requirement.toml
+var requirement []byte
+
+// Span is a duration such as "750us", in whole microseconds.
+type Span int64
+
+func (s *Span) UnmarshalText(text []byte) error {
+	micros, err := strict.Span(text)
+	*s = Span(micros)
+	return err
+}
+
+// Seconds is the span in seconds.
+func (s Span) Seconds() float64 { return float64(s) / 1e6 }
+
+// Rate is a number a second, such as "330000/s".
+type Rate float64
+
+func (r *Rate) UnmarshalText(text []byte) error {
+	x, err := strict.Rate(text)
+	*r = Rate(x)
+	return err
+}
+
+// Requirement is the operators' word, as figures.
+type Requirement struct {
+	Servers        int     `toml:"servers"`
+	Services       int     `toml:"services"`
+	Calls          Rate    `toml:"calls"` // of all sidecars together
+	Depth          int     `toml:"depth"`
+	AddedP99       Span    `toml:"added_p99"`
+	Regions        int     `toml:"regions"`
+	Zones          int     `toml:"zones"`
+	ChangesADay    float64 `toml:"changes_a_day"`
+	InForceWithin  Span    `toml:"in_force_within"`
+	ControlCore    float64 `toml:"control_core"`      // part of a core, a sidecar
+	ControlMemory  float64 `toml:"control_memory_mb"` // MB, a sidecar
+	ControlBytes   Rate    `toml:"control_bytes"`     // bytes/s, a sidecar
+	ControlMachine int     `toml:"control_machines"`
+	FailADay       float64 `toml:"machines_fail_a_day"`
+	RestartsADay   float64 `toml:"restarts_a_day"`
+	RackEvery      []int   `toml:"rack_every_days"` // least, most
+	ZoneEvery      int     `toml:"zone_every_days"`
+	RegionsApart   Span    `toml:"regions_apart"`
+}
+
+// Assumptions are ours; each has its reason in the file.
+type Assumptions struct {
+	ServicesCalled  int     `toml:"services_called"`
+	ServersInList   int     `toml:"servers_in_list"`
+	BusiestTimes    float64 `toml:"busiest_times"`
+	Tenants         int     `toml:"tenants"`
+	ServerLineBytes int     `toml:"server_line_bytes"`
+	ListChanges     float64 `toml:"list_changes_a_replacement"`
+	ConfigBytes     int     `toml:"configuration_bytes"`
+	BothDirections  bool    `toml:"both_directions"`
+	HeaderBytes     int     `toml:"header_bytes"`
+	Twice           float64 `toml:"twice"`
+}
+
+// File is a requirement file.
+type File struct {
+	Requirement Requirement `toml:"requirement"`
+	Assumptions Assumptions `toml:"assumptions"`
+	Reasons     []Reason    `toml:"-"` // of the assumptions, in the file's order
+}
+
+// Reason is why an assumption is as it is: the comment above it.
+type Reason struct{ Name, Value, Why string }
+
+// ReadFile reads a requirement file; "" is the one that is built in, lab/size/requirement.toml.
+func ReadFile(file string) (*File, error) {
+	if file == "" {
+		return Decode("lab/size/requirement.toml", requirement)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(file, text)
+}
+
+// Decode is ReadFile for a text. Nothing may be left out: a figure that is not told would count as none, and an assumption
+// without a reason is refused. Errors are file:line: name: reason.
+func Decode(file string, text []byte) (*File, error) {
+	f := &File{}
+	if err := strict.Decode(file, text, f); err != nil {
+		return nil, err
+	}
+	f.Reasons = reasons(text)
+	for _, check := range []func([]byte) *strict.Oddity{f.told, f.possible} {
+		if odd := check(text); odd != nil {
+			return nil, odd.In(file, text)
+		}
+	}
+	return f, nil
+}
+
+// figure is one name's value and what it may be.
+type figure struct {
+	table, name string
+	value       float64
+	least, most float64
+}
+
+func (f *File) figures() []figure {
+	r, a := f.Requirement, f.Assumptions
+	const req, ass = "requirement", "assumptions"
+	return []figure{
+		{req, "servers", float64(r.Servers), 1, 1e6},
+		{req, "services", float64(r.Services), 1, float64(r.Servers)},
+		{req, "calls", float64(r.Calls), 1, 1e9},
+		{req, "depth", float64(r.Depth), 1, float64(max(r.Services, 1))},
+		{req, "added_p99", float64(r.AddedP99), 1, 60e6},
+		{req, "regions", float64(r.Regions), 1, 1000},
+		{req, "zones", float64(r.Zones), float64(r.Regions), float64(r.Servers)},
+		{req, "changes_a_day", r.ChangesADay, 0, 86400},
+		{req, "in_force_within", float64(r.InForceWithin), 1000, 86400e6},
+		{req, "control_core", r.ControlCore, 1e-6, 64},
+		{req, "control_memory_mb", r.ControlMemory, 1, 1e6},
+		{req, "control_bytes", float64(r.ControlBytes), 1, 1e9},
+		{req, "control_machines", float64(r.ControlMachine), 1, 1e5},
+		{req, "machines_fail_a_day", r.FailADay, 0, float64(r.Servers)},
+		{req, "restarts_a_day", r.RestartsADay, 0, 86400},
+		{req, "zone_every_days", float64(r.ZoneEvery), 1, 36500},
+		{req, "regions_apart", float64(r.RegionsApart), 0, 30 * 86400e6},
+		{ass, "services_called", float64(a.ServicesCalled), 1, float64(r.Services)},
+		{ass, "servers_in_list", float64(a.ServersInList), 1, float64(r.Servers)},
+		{ass, "busiest_times", a.BusiestTimes, 1, float64(r.Servers)},
+		{ass, "tenants", float64(a.Tenants), 0, 1e6},
+		{ass, "server_line_bytes", float64(a.ServerLineBytes), 1, 65536},
+		{ass, "list_changes_a_replacement", a.ListChanges, 0, 100},
+		{ass, "configuration_bytes", float64(a.ConfigBytes), 1, 1 << 24},
+		{ass, "header_bytes", float64(a.HeaderBytes), 0, 1500},
+		{ass, "twice", a.Twice, 1, 100},
+	}
+}
+
+// told checks that nothing is left out and that each assumption has its reason.
+func (f *File) told(text []byte) *strict.Oddity {
+	names := map[string][]string{"requirement": {"rack_every_days"}, "assumptions": {"both_directions"}}
+	for _, x := range f.figures() {
+		names[x.table] = append(names[x.table], x.name)
+	}
+	for _, table := range []string{"requirement", "assumptions"} {
+		there := keys(text, table)
+		for _, name := range names[table] {
+			if !slices.Contains(there, name) {
+				return &strict.Oddity{Table: table, Name: name, Why: "is left out"}
+			}
+		}
+	}
+	for _, r := range f.Reasons {
+		if r.Why == "" {
+			return &strict.Oddity{Table: "assumptions", Name: r.Name, Why: "has no comment above it that says why"}
+		}
+	}
+	return nil
+}
+
+// possible checks that each figure can be.
+func (f *File) possible([]byte) *strict.Oddity {
+	for _, x := range f.figures() {
+		if !(x.value >= x.least && x.value <= x.most) {
+			return &strict.Oddity{Table: x.table, Name: x.name, Why: fmt.Sprintf("%v is not from %v to %v", x.value, x.least, x.most)}
+		}
+	}
+	if e := f.Requirement.RackEvery; len(e) != 2 || e[0] < 1 || e[1] < e[0] {
+		return &strict.Oddity{Table: "requirement", Name: "rack_every_days", Why: fmt.Sprintf("%v is not two numbers of days, the least first", e)}
+	}
+	return nil
+}
+
+var heading = regexp.MustCompile(`^\s*\[([a-z_]+)\]`)
+
+// keys are the names in a table, in order.
+func keys(text []byte, table string) (names []string) {
+	each(text, func(in, name, _, _ string) {
+		if in == table {
+			names = append(names, name)
+		}
+	})
+	return names
+}
+
+// reasons reads the comments above the assumptions.
+func reasons(text []byte) (all []Reason) {
+	each(text, func(in, name, value, above string) {
+		if in == "assumptions" {
+			all = append(all, Reason{name, value, above})
+		}
+	})
+	return all
+}
+
+func each(text []byte, do func(table, name, value, above string)) {
+	table, above := "", []string{}
+	for line := range strings.Lines(string(text)) {
+		line = strings.TrimSpace(line)
+		if m := heading.FindStringSubmatch(line); m != nil {
+			table, above = m[1], nil
+		} else if said, ok := strings.CutPrefix(line, "#"); ok {
+			above = append(above, strings.TrimSpace(said))
+		} else if name, value, ok := strings.Cut(line, "="); ok {
+			value, _, _ = strings.Cut(value, "#")
+			do(table, strings.TrimSpace(name), strings.Trim(strings.TrimSpace(value), `"`), strings.Join(above, " "))
+			above = nil
+		} else {
+			above = nil
+		}
+	}
+}
--- /dev/null
+++ b/lab/size/size_test.go
@@ -0,0 +1,187 @@
+package size
+
+import (
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// The file that is built in reads, and all of our assumptions have their reasons.
+func TestBuiltIn(t *testing.T) {
+	f, err := ReadFile("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Requirement.Servers != 1000 || f.Requirement.ControlBytes != 18000 || len(f.Reasons) != len(keys(requirement, "assumptions")) {
+		t.Errorf("read as %+v", f.Requirement)
+	}
+}
+
+// What may not be in a requirement file, each refused with file, line and name.
+func TestRefusedRequirement(t *testing.T) {
+	whole := string(requirement)
+	for _, c := range []struct{ old, new, want string }{
+		{"servers = 1000 ", "server = 1000 ", "f:6: requirement.server: no such name"},
+		{`calls = "330000/s"`, `calls = 330000`, "f:8: requirement.calls: "},
+		{`calls = "330000/s"`, `calls = "330000"`, "f:8: requirement.calls: "},
+		{"depth = 15 ", "", "f:5: requirement.depth: is left out"},
+		{"zones = 5 ", "zones = 1 ", "f:12: requirement.zones: 1 is not from 2 to 1000"},
+		{"services = 49 ", "services = 0 ", "f:7: requirement.services: 0 is not from 1 to 1000"},
+		{"control_core = 0.038", "control_core = -1.0", "f:15: requirement.control_core: -1 is not from 1e-06 to 64"},
+		{"control_core = 0.038", "control_core = nan", "f:15: requirement.control_core: NaN is not from 1e-06 to 64"},
+		{"[30, 60]", "[60, 30]", "f:21: requirement.rack_every_days: [60 30] is not two numbers of days, the least first"},
+		{"# Nobody told how many tenants send", "\n\n", "f:34: assumptions.tenants: has no comment above it that says why"},
+		{"twice = 2.0", "", "f:26: assumptions.twice: is left out"},
+	} {
+		text := strings.Replace(whole, c.old, c.new, 1)
+		if strings.HasPrefix(c.new, "\n") { // the whole comment goes
+			from := strings.Index(whole, c.old)
+			text = whole[:from] + whole[from+strings.Index(whole[from:], "\n"):]
+		}
+		if text == whole {
+			t.Fatalf("%q is not in the file", c.old)
+		}
+		if _, err := Decode("f", []byte(text)); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%q for %q: %v, wanted is %s", c.new, c.old, err, c.want)
+		}
+	}
+}
+
+const small = `{
+ "run": "ledgelab scale small.toml, seed 1", "commit": "abc", "date": "2026-12-02", "seed": 1,
+ "machine": "8 cores, 24 GB", "bound": "none", "stubs": ["visits on sockets"],
+ "slopes": [
+  {"name": "peers.bytes_out", "unit": "B/s", "what": "told to others", "account": "receivers'",
+   "of": ["sidecars"],
+   "coefficient": {"const": 100, "sidecars": 2},
+   "error": {"const": 3, "sidecars": 0.1},
+   "points": [{"at": {"sidecars": 50}, "mean": 200}, {"at": {"sidecars": 100}, "mean": 300}]}],
+ "events": [
+  {"name": "list.change_in_force", "what": "to the last", "at": {"sidecars": 100}, "unit": "s", "median": 1, "last": 2, "n": 3}],
+ "agree": [{"name": "peers.bytes_out", "hollow": 100, "real": 110, "within": 0.2, "holds": true}],
+ "claims": []
+}`
+
+// What may not be in a file of measurements, each refused with file, line and name.
+func TestRefusedReport(t *testing.T) {
+	if _, err := DecodeReport("f", []byte(small)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`"seed": 1,`, `"sed": 1,`, "f:2: sed: no such name"},
+		{`"seed": 1,`, `"seed": "x",`, "f:2: seed: is a string, wanted is a uint64"},
+		{`"run": "ledgelab scale small.toml, seed 1", `, ``, "f:1: run: must be told"},
+		{`"2026-12-02"`, `"yesterday"`, `f:2: date: "yesterday" is no day, such as "2026-12-02"`},
+		{`"of": ["sidecars"]`, `"of": ["cars"]`, "f:7: peers.bytes_out.coefficient: sidecars is not among what it goes by"},
+		{`"sidecars": 0.1}`, `"sidecars": -0.1}`, "f:8: peers.bytes_out.error: sidecars is below nothing"},
+		{`"sidecars": 0.1}`, `"servers": 0.1}`, "f:8: peers.bytes_out.error: servers has no coefficient"},
+		{`{"at": {"sidecars": 100}, "mean": 300}`, `{"at": {"sidecars": 50}, "mean": 300}`, "f:6: peers.bytes_out.of: it goes by sidecars, which no two points differ in"},
+		{`"at": {"sidecars": 50}`, `"at": {"cars": 50}`, "f:9: peers.bytes_out.at: cars is no variable"},
+		{`"n": 3`, `"n": 0`, "f:11: list.change_in_force.n: counts nothing"},
+		{`"last": 2`, `"last": 0.5`, "f:11: list.change_in_force.last: 0.5 is less than the median, 1"},
+		{`"real": 110`, `"real": 200`, "f:12: peers.bytes_out.holds: 100 and 200 differ by more than 0.2"},
+		{`"claims": []`, `"claims": [}`, "f:13: (text): "},
+	} {
+		text := strings.Replace(small, c.old, c.new, 1)
+		if text == small {
+			t.Fatalf("%q is not in the text", c.old)
+		}
+		if _, err := DecodeReport("f", []byte(text)); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%q for %q: %v, wanted is %s", c.new, c.old, err, c.want)
+		}
+	}
+}
+
+// What was written reads back the same; what could not be read is not written.
+func TestWrittenReadsBack(t *testing.T) {
+	r, err := DecodeReport("f", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "r.json")
+	if err := r.Write(file); err != nil {
+		t.Fatal(err)
+	}
+	again, err := ReadReport(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(r, again); diff != "" {
+		t.Error(diff)
+	}
+	r.Slopes[0].Error = nil
+	other := filepath.Join(t.TempDir(), "o.json")
+	if err := r.Write(other); err == nil {
+		t.Error("a slope without an error was written")
+	}
+	if _, err := os.Stat(other); err == nil {
+		t.Error("a file is there all the same")
+	}
+}
+
+// The error of a prediction is that of its coefficients, each times what it goes by, as independent ones add up.
+func TestErrorPropagates(t *testing.T) {
+	s := Slope{Name: "x", Coefficient: map[string]float64{Const: 10, "sidecars": 2, "sidecars*servers": 0.5},
+		Error: map[string]float64{Const: 3, "sidecars": 0.04, "sidecars*servers": 0}}
+	value, deviation, err := s.Predict(At{"sidecars": 100, "servers": 4})
+	if err != nil || value != 410 || math.Abs(deviation-5) > 1e-9 {
+		t.Errorf("%v ± %v, %v; wanted is 410 ± 5", value, deviation, err)
+	}
+	if _, _, err := s.Predict(At{"sidecars": 100}); err == nil {
+		t.Error("a variable that is left out counts as none")
+	}
+}
+
+// Points on a line are found again, whatever the line; fewer than four are refused.
+func TestFit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := rapid.Float64Range(0, 1e6).Draw(t, "const"), rapid.Float64Range(0, 100).Draw(t, "sidecars"), rapid.Float64Range(0, 10).Draw(t, "visits")
+		var points []Point
+		for _, n := range []float64{50, 100, 200, 500} {
+			for _, v := range []float64{10, 30, 100} {
+				points = append(points, Point{At: At{"sidecars": n, "visits_per_s": v}, Mean: a + b*n + c*v})
+			}
+		}
+		found, deviation, err := Fit(points, []string{"sidecars", "visits_per_s"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := Slope{Coefficient: found, Error: deviation}
+		at, _, _ := s.Predict(At{"sidecars": 1000, "visits_per_s": 330})
+		if want := a + b*1000 + c*330; math.Abs(at-want) > 1e-6*(1+want) {
+			t.Fatalf("%v for %v (%v)", at, want, found)
+		}
+	})
+	if _, _, err := Fit(make([]Point, 3), nil); err == nil {
+		t.Error("three points are taken for a line")
+	}
+	same := []Point{{At: At{"sidecars": 5}, Mean: 1}, {At: At{"sidecars": 5}, Mean: 2}, {At: At{"sidecars": 5}, Mean: 2}, {At: At{"sidecars": 5}, Mean: 2}}
+	if _, _, err := Fit(same, []string{"sidecars"}); err == nil {
+		t.Error("a line through one place")
+	}
+}
+
+// Fuzzed: a text is refused or reads back as it was read; none ends the program.
+func FuzzDecodeReport(f *testing.F) {
+	f.Add([]byte(small))
+	f.Add([]byte(`{"slopes":[{}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := DecodeReport("f", text)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeReport("f", again); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
