--- a/cmd/ledgelab/crowd.go
+++ b/cmd/ledgelab/crowd.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"runtime"
 	"runtime/debug"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -15,7 +17,7 @@
 const tight = 15
 
 func crowdCommand() *cobra.Command {
-	var picture, file string
+	var picture, file, slopes, commit, date string
 	var sizes []int
 	var losses []float64
 	var seed uint64
@@ -42,11 +44,24 @@
 					return err
 				}
 			}
+			if slopes != "" {
+				r, err := report.CrowdSlopes(all, terms.Exchange)
+				if err != nil {
+					return err
+				}
+				r.Run, r.Seed, r.Commit, r.Date, r.Machine = "ledgelab crowd, members "+fmt.Sprint(sizes)+", seed "+fmt.Sprint(seed), seed, commit, date, fmt.Sprintf("%d cores, which it doesn't depend on", runtime.NumCPU())
+				if err := r.Write(slopes); err != nil {
+					return err
+				}
+			}
 			return save(file, all)
 		}}
 	f := c.Flags()
 	f.StringVar(&picture, "to", "", "file for the picture")
 	f.StringVar(&file, "json", "", "file for the figures in JSON")
+	f.StringVar(&slopes, "slopes", "", "file for what ledgelab capacity reads: slopes over the members, without loss; four sizes at least")
+	f.StringVar(&commit, "commit", "", "the code that is measured, as --slopes is to tell")
+	f.StringVar(&date, "date", time.Now().UTC().Format(time.DateOnly), "the day, as --slopes is to tell")
 	f.IntSliceVar(&sizes, "members", []int{10, 100, 1000}, "sizes")
 	f.Float64SliceVar(&losses, "lost", []float64{0, 0.1, 0.2, 0.3, 0.4}, "shares of messages lost")
 	f.Uint64Var(&seed, "seed", 1, "of chance")
--- /dev/null
+++ b/lab/capacity/capacity.go
@@ -0,0 +1,151 @@
+// Package capacity works docs/CAPACITY.md out: from the requirement's file and what runs have measured it reckons for each
+// role what it costs at that size and at twice the size, against the budgets, where that breaks, and what breaks first.
+// Arithmetic only: the same files give the same page, byte for byte.
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"path/filepath"
+	"slices"
+
+	"ledgespread/lab/size"
+)
+
+// Run is a report of measurements with the number that the page names it by.
+type Run struct {
+	ID     string // "R1"
+	File   string // its base name
+	Report *size.Report
+}
+
+// Evidence is what was measured. Where several runs have one name, the last that was given counts.
+type Evidence struct{ Runs []Run }
+
+// ReadEvidence reads files of measurements, in that order.
+func ReadEvidence(files []string) (*Evidence, error) {
+	e := &Evidence{}
+	for i, file := range files {
+		r, err := size.ReadReport(file)
+		if err != nil {
+			return nil, err
+		}
+		e.Runs = append(e.Runs, Run{fmt.Sprintf("R%d", i+1), filepath.Base(file), r})
+	}
+	return e, nil
+}
+
+// Slope finds the slope of a name and the run that measured it.
+func (e *Evidence) Slope(name string) (size.Slope, string, bool) {
+	for _, run := range slices.Backward(e.Runs) {
+		if s, ok := run.Report.Slope(name); ok {
+			return s, run.ID, true
+		}
+	}
+	return size.Slope{}, "", false
+}
+
+// Event finds the event of a name at the largest number of sidecars in the last run that has it.
+func (e *Evidence) Event(name string) (found size.Event, run string, ok bool) {
+	for _, r := range slices.Backward(e.Runs) {
+		for _, ev := range r.Report.Events {
+			if ev.Name == name && (!ok || ev.At["sidecars"] > found.At["sidecars"]) {
+				found, run, ok = ev, r.ID, true
+			}
+		}
+		if ok {
+			return found, run, true
+		}
+	}
+	return found, "", false
+}
+
+// Estimate is a figure worked out from slopes: value, standard error, by which runs, and what is missing in it.
+type Estimate struct {
+	Value, Error float64
+	Known        bool     // at least one part was measured
+	Missing      []string // parts that were not
+	Runs         []string
+	Beyond       float64 // by how many times the asked size lies beyond what was measured; 1 or less: within
+}
+
+// Whole tells whether all parts were measured.
+func (x Estimate) Whole() bool { return x.Known && len(x.Missing) == 0 }
+
+// Plus is the sum; errors add up as independent ones do.
+func (x Estimate) Plus(y Estimate) Estimate {
+	z := Estimate{Value: x.Value + y.Value, Error: math.Hypot(x.Error, y.Error), Known: x.Known || y.Known, Beyond: max(x.Beyond, y.Beyond)}
+	z.Missing = append(append(z.Missing, x.Missing...), y.Missing...)
+	for _, run := range append(append([]string{}, x.Runs...), y.Runs...) {
+		if !slices.Contains(z.Runs, run) {
+			z.Runs = append(z.Runs, run)
+		}
+	}
+	slices.Sort(z.Runs)
+	return z
+}
+
+// Times is the estimate in another unit.
+func (x Estimate) Times(k float64) Estimate {
+	x.Value, x.Error = float64(x.Value*k), float64(x.Error*k)
+	return x
+}
+
+// Of is the slope of a name at a place. What the slope goes by and the place doesn't tell makes it unmeasured there. A line
+// that is drawn out until it falls below nothing says nothing: it counts as not measured there either.
+func (e *Evidence) Of(name string, at size.At) Estimate {
+	s, run, ok := e.Slope(name)
+	if !ok {
+		return Estimate{Missing: []string{name}}
+	}
+	value, deviation, err := s.Predict(at)
+	if err != nil || value < -2*deviation {
+		return Estimate{Missing: []string{name}}
+	}
+	x := Estimate{Value: max(value, 0), Error: deviation, Known: true, Runs: []string{run}, Beyond: 1}
+	for _, variable := range variables(s) {
+		if _, most, told := s.Range(variable); told && most > 0 {
+			x.Beyond = max(x.Beyond, at[variable]/most)
+		}
+	}
+	return x
+}
+
+// variables are the single ones in what a slope goes by.
+func variables(s size.Slope) (all []string) {
+	for _, v := range size.Variables {
+		for _, of := range s.Of {
+			if slices.Contains(split(of), v) && !slices.Contains(all, v) {
+				all = append(all, v)
+			}
+		}
+	}
+	return all
+}
+
+// Least and Most bound what is looked for when it is asked where something breaks.
+const (
+	least = 1e-3
+	most  = 1e4
+)
+
+// Breaks finds the factor at which a figure that is worked out for a factor reaches its budget. none: it stays under it up
+// to ten thousand times; always: it is over it already at a thousandth.
+func Breaks(of func(factor float64) float64, budget float64) (factor float64, none, always bool) {
+	if of(least) > budget {
+		return 0, false, true
+	}
+	if of(most) <= budget {
+		return 0, true, false
+	}
+	low, high := least, most
+	for range 200 {
+		middle := math.Sqrt(low * high)
+		if of(middle) > budget {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	return low, false, false
+}
--- /dev/null
+++ b/lab/capacity/clauses.go
@@ -0,0 +1,265 @@
+package capacity
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"ledgespread/lab/size"
+)
+
+// Standing is how a clause of the requirement stands.
+type Standing int
+
+const (
+	Nothing    Standing = iota // nothing carries it, at any size
+	Missed                     // by the run, by a factor
+	Broken                     // one of the four rules broke: a fault of what runs, which has no factor
+	Undecided                  // within two errors of its limit
+	Met                        // by the run
+	Unmeasured                 // no run says
+)
+
+func (s Standing) String() string {
+	return [...]string{"nothing carries it", "missed", "a rule broke", "within the error of its limit", "met", notMeasured}[s]
+}
+
+// Verdict is how one clause stands, and by which run.
+type Verdict struct {
+	Clause   Mechanism
+	Standing Standing
+	Factor   float64 // what is needed over what is allowed; over 1 it is missed
+	Error    float64
+	Required string
+	Measured string
+	Breaks   string
+	Why      string // where it was not measured, or only in part
+	Runs     []string
+}
+
+// spread is by how many standard errors a figure has to be off its limit until it says that the limit is met or missed.
+const spread = 2
+
+// stand judges a factor by its error.
+func stand(factor, deviation float64) Standing {
+	switch {
+	case factor-spread*deviation > 1:
+		return Missed
+	case factor+spread*deviation > 1:
+		return Undecided
+	}
+	return Met
+}
+
+// Verdicts are all clauses, in the operators' order.
+func (p *Page) Verdicts() (all []Verdict) {
+	r := p.File.Requirement
+	second := r.InForceWithin.Seconds()
+	for _, c := range p.Words.Clauses {
+		v := Verdict{Clause: c, Standing: Unmeasured}
+		switch c.Name {
+		case "servers":
+			p.largest(&v)
+		case "calls":
+			p.rate(&v)
+		case "depth":
+			p.event(&v, size.DepthCalls, p.File.Assumptions.DepthTimes, "calls at the last hop for one at the top (assumed)")
+		case "added_p99":
+			p.event(&v, size.AddedP99, float64(r.AddedP99), "µs")
+		case "changes":
+			p.event(&v, size.ConfigInForce, second, "s")
+		case "list":
+			p.event(&v, size.ListInForce, second, "s")
+		case "control_core", "control_memory", "control_bytes":
+			p.overRoles(&v)
+		case "control_machines":
+			v.Required, v.Why = fmt.Sprintf("%d machines", r.ControlMachine), "nobody told what a machine carries, and nothing of ours stands on one"
+		default:
+			p.family(&v)
+		}
+		if v.Standing == Unmeasured && c.Nothing {
+			v.Standing, v.Why = Nothing, ""
+		}
+		all = append(all, v)
+	}
+	return all
+}
+
+// event judges the last of an event against a limit.
+func (p *Page) event(v *Verdict, name string, limit float64, unit string) {
+	v.Required = fmt.Sprintf("%s %s", exact(limit), unit)
+	e, run, ok := p.Told.Event(name)
+	if !ok {
+		v.Why = "no run has `" + name + "`"
+		return
+	}
+	v.Runs, v.Measured = []string{run}, fmt.Sprintf("%s %s at the last of %s (%s)", figure(e.Last), e.Unit, exact(float64(e.N)), place(e.At))
+	if v.Factor = e.Last / limit; e.Unit == "s" && unit != "s" || e.Unit == "us" && unit != "µs" {
+		v.Why, v.Factor = "`"+name+"` is told in "+e.Unit, 0
+		return
+	}
+	v.Standing = stand(v.Factor, 0)
+	if full := float64(p.File.Requirement.Servers); e.At["sidecars"] < full && v.Standing == Met {
+		v.Why = fmt.Sprintf("run with %s sidecars, not with %s", exact(e.At["sidecars"]), exact(full))
+	}
+}
+
+// largest tells the most sidecars that any run had.
+func (p *Page) largest(v *Verdict) {
+	full := float64(p.File.Requirement.Servers)
+	v.Required = fmt.Sprintf("%s sidecars, one a server", exact(full))
+	most := 0.0
+	for _, run := range p.Told.Runs {
+		here := 0.0
+		for _, s := range run.Report.Slopes {
+			if _, m, told := s.Range("sidecars"); told {
+				here = max(here, m)
+			}
+			if s.Largest != nil {
+				here = max(here, s.Largest.At["sidecars"])
+			}
+		}
+		for _, e := range run.Report.Events {
+			here = max(here, e.At["sidecars"])
+		}
+		if here > most {
+			most = here
+		}
+		if here >= full {
+			v.Runs = append(v.Runs, run.ID)
+		}
+	}
+	v.Measured = fmt.Sprintf("the largest run had %s", exact(most))
+	v.Why = fmt.Sprintf("runs of that size play parts of it only, and we assume %d services called, so %d sidecar processes a server today", p.File.Assumptions.ServicesCalled, p.File.Assumptions.ServicesCalled)
+}
+
+// rate judges the busiest sidecar's visits against what one core carries.
+func (p *Page) rate(v *Verdict) {
+	need := p.mean() * p.File.Assumptions.BusiestTimes
+	v.Required = fmt.Sprintf("%s visits/s in the mean, %s at the busiest", figure(p.mean()), figure(need))
+	e, run, ok := p.Told.Event(size.MostVisits)
+	if !ok {
+		v.Why = "no run has `" + size.MostVisits + "`"
+		return
+	}
+	v.Runs, v.Measured = []string{run}, fmt.Sprintf("%s visits/s on one core, two servers (%s)", figure(e.Median), e.What)
+	v.Factor = need / e.Median
+	v.Standing = stand(v.Factor, 0)
+	v.Why = "one sidecar alone, not a fleet of that size"
+}
+
+// overRoles judges a budget by the role that misses it most.
+func (p *Page) overRoles(v *Verdict) {
+	var b budget
+	for _, one := range p.budgets() {
+		if one.name == v.Clause.Name {
+			b = one
+		}
+	}
+	v.Required = fmt.Sprintf("%s %s", exact(b.limit), b.unit)
+	var told, missing []string
+	met, any := true, false
+	worst := -1.0
+	for _, r := range p.sidecars() {
+		x := b.of(r, p.at(r, 1, 1))
+		title := named(p.Words.Roles, r.name).Title
+		if !x.Whole() {
+			met = false
+			for _, m := range x.Missing {
+				if !slices.Contains(missing, "`"+m+"`") {
+					missing = append(missing, "`"+m+"`")
+				}
+			}
+		}
+		if !x.Known {
+			continue
+		}
+		any = true
+		told = append(told, fmt.Sprintf("%s: %s", title, x))
+		if f := x.Value / b.limit; f > worst {
+			worst, v.Factor, v.Error, v.Breaks = f, f, x.Error/b.limit, title+": "+p.breaks(r, b)
+		}
+		for _, run := range x.Runs {
+			if !slices.Contains(v.Runs, run) {
+				v.Runs = append(v.Runs, run)
+			}
+		}
+	}
+	slices.Sort(v.Runs)
+	v.Measured = strings.Join(told, "; ")
+	if len(missing) > 0 {
+		v.Why = "no run has " + strings.Join(missing, ", ")
+	}
+	if !any {
+		return
+	}
+	if v.Standing = stand(v.Factor, v.Error); v.Standing != Missed && !met {
+		v.Standing = Unmeasured
+	}
+}
+
+// family gathers the events of a fault by the beginning of their names. What it breaks is judged where a rule is: an event
+// NAME.rules_broken, in the unit "1", which has to be none.
+func (p *Page) family(v *Verdict) {
+	v.Required = "the four rules kept throughout"
+	var told []string
+	for _, run := range p.Told.Runs {
+		for _, e := range run.Report.Events {
+			if !strings.HasPrefix(e.Name, v.Clause.Name+".") && e.Name != v.Clause.Name {
+				continue
+			}
+			told = append(told, fmt.Sprintf("`%s` %s %s", e.Name, figure(e.Last), e.Unit))
+			if !slices.Contains(v.Runs, run.ID) {
+				v.Runs = append(v.Runs, run.ID)
+			}
+			if !strings.HasSuffix(e.Name, ".rules_broken") {
+				continue
+			}
+			if v.Standing == Unmeasured {
+				v.Standing = Met
+			}
+			if e.Last > 0 {
+				v.Standing = Broken
+			}
+		}
+	}
+	if v.Measured = strings.Join(told, "; "); v.Standing != Unmeasured {
+		return
+	}
+	if v.Why = "no run plays it at this size"; len(told) > 0 {
+		v.Why = "the runs tell figures, and no judgement of the rules (`" + v.Clause.Name + ".rules_broken`)"
+	}
+}
+
+// place prints where something was measured, in the order of the variables.
+func place(at size.At) string {
+	var told []string
+	for _, name := range size.Variables {
+		if x, ok := at[name]; ok {
+			told = append(told, fmt.Sprintf("%s %s", name, exact(x)))
+		}
+	}
+	return strings.Join(told, ", ")
+}
+
+// Ranked is what breaks first, first: what nothing carries at any size, in the operators' order, then what is missed, by its
+// factor. What was not measured is not ranked.
+func Ranked(all []Verdict) (ranked []Verdict) {
+	for _, v := range all {
+		if v.Standing == Nothing || v.Standing == Missed {
+			ranked = append(ranked, v)
+		}
+	}
+	slices.SortStableFunc(ranked, func(a, b Verdict) int {
+		switch {
+		case a.Standing != b.Standing:
+			return int(a.Standing) - int(b.Standing)
+		case a.Factor > b.Factor:
+			return -1
+		case a.Factor < b.Factor:
+			return 1
+		}
+		return 0
+	})
+	return ranked
+}
--- /dev/null
+++ b/lab/capacity/roles.go
@@ -0,0 +1,225 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	"ledgespread/lab/size"
+)
+
+// Page is all that the tables are worked out from.
+type Page struct {
+	File  *size.File
+	Told  *Evidence
+	Words *Mechanisms
+}
+
+// role is one of the sidecar's roles: at which rate of visits, and under which prefix its messages of a kind are measured,
+// where that is not the kind's own.
+type role struct {
+	name   string
+	visits float64
+	under  map[string]string
+}
+
+// mean is the visits a second of a sidecar in the mean.
+func (p *Page) mean() float64 {
+	return float64(p.File.Requirement.Calls) / float64(p.File.Requirement.Servers)
+}
+
+// sidecars are the roles that a sidecar may have.
+func (p *Page) sidecars() []role {
+	return []role{
+		{"server", p.mean(), nil},
+		{"busiest", p.mean() * p.File.Assumptions.BusiestTimes, nil},
+		{"owner", p.mean(), map[string]string{"peers": size.Owner}},
+		{"ledger", p.mean(), map[string]string{"tenants": size.Ledger}},
+	}
+}
+
+// at is the place of a role in a fleet that is so many times the required one, with so many times the role's visits.
+func (p *Page) at(r role, fleet, visits float64) size.At {
+	return size.At{"visits_per_s": float64(r.visits * visits), "sidecars": float64(float64(p.File.Requirement.Servers) * fleet),
+		"servers": float64(float64(p.File.Assumptions.ServersInList) * fleet), "tenants": float64(float64(p.File.Assumptions.Tenants) * fleet),
+		"services": float64(p.File.Requirement.Services), "depth": float64(p.File.Requirement.Depth)}
+}
+
+// kind is what a role has of one kind of control in one direction, "bytes_in" for example.
+func (p *Page) kind(r role, kind, what string, at size.At) Estimate {
+	if under, ok := r.under[kind]; ok {
+		kind = under
+	}
+	return p.Told.Of(kind+"."+what, at)
+}
+
+// all is the sum over all kinds of control.
+func (p *Page) all(r role, what string, at size.At) (sum Estimate) {
+	for _, kind := range size.Kinds {
+		sum = sum.Plus(p.kind(r, kind, what, at))
+	}
+	return sum
+}
+
+// bytes counts toward the budget: both directions, or the greater one, as the assumption has it.
+func (p *Page) bytes(r role, at size.At) Estimate {
+	in, out := p.all(r, "bytes_in", at), p.all(r, "bytes_out", at)
+	if p.File.Assumptions.BothDirections {
+		return in.Plus(out)
+	}
+	if in.Value > out.Value {
+		return in
+	}
+	return out
+}
+
+// special is a slope that a role has of its own, where it is one that has its own.
+func special(r role, name string) string {
+	for _, under := range r.under {
+		return under + "." + map[string]string{size.ControlCPU: "cpu", size.Memory: "memory_mb"}[name]
+	}
+	return name
+}
+
+func (p *Page) cpu(r role, at size.At) Estimate    { return p.Told.Of(special(r, size.ControlCPU), at) }
+func (p *Page) memory(r role, at size.At) Estimate { return p.Told.Of(special(r, size.Memory), at) }
+
+// budget is a figure of a role against its limit.
+type budget struct {
+	name, unit string
+	limit      float64
+	of         func(r role, at size.At) Estimate
+}
+
+func (p *Page) budgets() []budget {
+	r := p.File.Requirement
+	return []budget{
+		{"control_core", "core", r.ControlCore, p.cpu},
+		{"control_memory", "MB", r.ControlMemory, p.memory},
+		{"control_bytes", "bytes/s", float64(r.ControlBytes), p.bytes},
+	}
+}
+
+// breaks tells at which fleet and at which rate a role's figure reaches its limit.
+func (p *Page) breaks(r role, b budget) string {
+	if !b.of(r, p.at(r, 1, 1)).Known {
+		return notMeasured
+	}
+	var told []string
+	for _, way := range []struct {
+		of   func(k float64) float64
+		unit string
+		at   float64
+	}{
+		{func(k float64) float64 { return b.of(r, p.at(r, k, 1)).Value }, "sidecars", float64(p.File.Requirement.Servers)},
+		{func(k float64) float64 { return b.of(r, p.at(r, 1, k)).Value }, "visits/s", r.visits},
+	} {
+		k, none, always := Breaks(way.of, b.limit)
+		switch {
+		case always:
+			told = append(told, "at any number of "+way.unit)
+		case none:
+			told = append(told, "not by "+way.unit)
+		default:
+			told = append(told, figure(k*way.at)+" "+way.unit)
+		}
+	}
+	return strings.Join(told, "; ")
+}
+
+// roleTable is what a sidecar in a role costs.
+func (p *Page) roleTable(r role) string {
+	now, twice := p.at(r, 1, 1), p.at(r, p.File.Assumptions.Twice, 1)
+	head := []string{"", "at the size", "at " + times(p.File.Assumptions.Twice) + " the size", "budget", "part of it", "breaks at", "carried by", "run"}
+	list := float64(p.File.Assumptions.ServerLineBytes) * now["servers"]
+	again := float64(p.File.Assumptions.ServerLineBytes) * twice["servers"]
+	bound := float64(p.File.Requirement.ControlBytes)
+	rows := [][]string{
+		{"state: the list, KB (one whole list takes so many seconds of the budget)", fmt.Sprintf("%s (%s s)", figure(list/1000), figure(list/bound)),
+			fmt.Sprintf("%s (%s s)", figure(again/1000), figure(again/bound)), "", "", "", "`internal/discovery`", "assumed bytes a line"},
+		p.row("state: table of members, KB", "membership.state_kb", now, twice, "`decide/membership`"),
+	}
+	for _, direction := range []string{"in", "out"} {
+		for _, what := range []string{"messages", "bytes"} {
+			for _, kind := range size.Kinds {
+				words := named(p.Words.Kinds, kind)
+				a, b := p.kind(r, kind, what+"_"+direction, now), p.kind(r, kind, what+"_"+direction, twice)
+				rows = append(rows, []string{fmt.Sprintf("%s/s %s: %s", what, direction, words.Title), a.String(), b.String(), "", "", "", words.Carried, strings.Join(a.Runs, ", ")})
+			}
+			a, b := p.all(r, what+"_"+direction, now), p.all(r, what+"_"+direction, twice)
+			rows = append(rows, []string{fmt.Sprintf("**%s/s %s, all**", what, direction), a.String(), b.String(), "", "", "", "", strings.Join(a.Runs, ", ")})
+		}
+	}
+	for _, b := range p.budgets() {
+		title := map[string]string{"control_core": "processor time for control, cores", "control_memory": "memory, MB", "control_bytes": "bytes/s for control, in and out"}[b.name]
+		if b.name == "control_bytes" && !p.File.Assumptions.BothDirections {
+			title = "bytes/s for control, the greater direction"
+		}
+		x, y := b.of(r, now), b.of(r, twice)
+		part := notMeasured
+		if x.Known {
+			part = times(x.Value / b.limit)
+		}
+		rows = append(rows, []string{"**" + title + "**", x.String(), y.String(), exact(b.limit), part, p.breaks(r, b), named(p.Words.Clauses, b.name).Carried, strings.Join(x.Runs, ", ")})
+	}
+	visit := p.Told.Of(size.VisitCPU, now).Times(r.visits / 1e6)
+	visitTwice := p.Told.Of(size.VisitCPU, twice).Times(r.visits / 1e6)
+	rows = append(rows, []string{fmt.Sprintf("beside it, no control: processor time for %s visits/s, cores", figure(r.visits)), visit.String(), visitTwice.String(), "not told", "", "", named(p.Words.Clauses, "calls").Carried, strings.Join(visit.Runs, ", ")})
+	rows = append(rows, p.row("beside it: descriptors", size.Descriptor, now, twice, "`internal/connlimit`, `internal/outbound`"))
+	return table(head, rows)
+}
+
+// row is one slope, without a budget.
+func (p *Page) row(title, slope string, now, twice size.At, carried string) []string {
+	x, y := p.Told.Of(slope, now), p.Told.Of(slope, twice)
+	return []string{title, x.String(), y.String(), "", "", "", carried, strings.Join(x.Runs, ", ")}
+}
+
+// keeperTable: nothing runs one.
+func (p *Page) keeperTable() string {
+	head := []string{"", "at the size", "at " + times(p.File.Assumptions.Twice) + " the size", "carried by", "run"}
+	var rows [][]string
+	for _, what := range []string{"messages in and out", "bytes in and out", "processor time", "memory"} {
+		rows = append(rows, []string{what, notMeasured, notMeasured, "`decide/keepers`, which nothing runs yet", ""})
+	}
+	return table(head, rows)
+}
+
+// serviceTable is what the sidecars ask of the list's service.
+func (p *Page) serviceTable() string {
+	r := role{name: "service", visits: p.mean()}
+	now, twice := p.at(r, 1, 1), p.at(r, p.File.Assumptions.Twice, 1)
+	head := []string{"", "at the size", "at " + times(p.File.Assumptions.Twice) + " the size", "breaks at", "carried by", "run"}
+	req := p.File.Requirement
+	changes := (req.FailADay + req.RestartsADay) * p.File.Assumptions.ListChanges
+	list := func(at size.At) float64 { return float64(p.File.Assumptions.ServerLineBytes) * at["servers"] }
+	rows := [][]string{
+		{"state: the list, KB", figure(list(now) / 1000), figure(list(twice) / 1000), "", "the platform's", "assumed bytes a line"},
+		{"changes of the list a day", exact(changes), exact(changes * p.File.Assumptions.Twice), "", "", "the requirement, and assumed changes a replacement"},
+		{"all come back at once and ask for the whole list, MB", figure(list(now) * now["sidecars"] / 1e6), figure(list(twice) * twice["sidecars"] / 1e6), "", "", "assumed bytes a line"},
+	}
+	for _, s := range [][2]string{{"calls a second in, calm", size.ServiceNow}, {"calls a second in, worst second", size.ServiceMax}, {"bytes a second out", size.ServiceOut}} {
+		x, y := p.Told.Of(s[1], now), p.Told.Of(s[1], twice)
+		rows = append(rows, []string{s[0], x.String(), y.String(), "not told what it carries", "`internal/discovery` asks", strings.Join(x.Runs, ", ")})
+	}
+	rows = append(rows, []string{"processor time, memory", notMeasured, notMeasured, notMeasured, "the platform's", ""})
+	return table(head, rows)
+}
+
+// controlTable is what stands on the control machines.
+func (p *Page) controlTable() string {
+	machines := float64(p.File.Requirement.ControlMachine)
+	r := role{name: "control", visits: p.mean()}
+	now, twice := p.at(r, 1, 1), p.at(r, p.File.Assumptions.Twice, 1)
+	head := []string{"", "at the size", "at " + times(p.File.Assumptions.Twice) + " the size", "breaks at", "carried by", "run"}
+	var rows [][]string
+	for _, s := range [][2]string{{"the list's service, if it stands on all of them: calls a second, calm", size.ServiceNow}, {"the same, worst second", size.ServiceMax}, {"the same, bytes a second out", size.ServiceOut}} {
+		x, y := p.Told.Of(s[1], now).Times(1/machines), p.Told.Of(s[1], twice).Times(1/machines)
+		rows = append(rows, []string{s[0], x.String(), y.String(), "not told what a machine carries", "the platform's", strings.Join(x.Runs, ", ")})
+	}
+	config := float64(p.File.Requirement.ChangesADay) * float64(p.File.Assumptions.ConfigBytes) * float64(p.File.Requirement.Servers) / 86400 / machines
+	rows = append(rows,
+		[]string{"changes of configuration, bytes a second out if each went to every sidecar once", figure(config), figure(config * p.File.Assumptions.Twice), "", "nothing (see the ranked list)", "assumed bytes a change"},
+		[]string{"keepers", notMeasured, notMeasured, notMeasured, "`decide/keepers`, which nothing runs yet", ""},
+		[]string{"processor time, memory", notMeasured, notMeasured, notMeasured, "", ""})
+	return table(head, rows)
+}
--- /dev/null
+++ b/lab/capacity/tables.go
@@ -0,0 +1,220 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	"ledgespread/lab/size"
+)
+
+// Tables are the page's, by name.
+func (p *Page) Tables() map[string]string {
+	verdicts := p.Verdicts()
+	all := map[string]string{
+		"requirement": p.requirementTable(verdicts),
+		"ranked":      p.rankedTable(verdicts),
+		"broken":      p.brokenTable(verdicts),
+		"unmeasured":  p.unmeasuredTable(verdicts),
+		"assumptions": p.assumptionsTable(),
+		"runs":        p.runsTable(),
+		"slopes":      p.slopesTable(),
+		"events":      p.eventsTable(),
+		"agree":       p.agreeTable(),
+		"role.keeper": p.stated("keeper") + p.keeperTable(), "role.service": p.stated("service") + p.serviceTable(), "role.control": p.stated("control") + p.controlTable(),
+	}
+	for _, r := range p.sidecars() {
+		all["role."+r.name] = p.stated(r.name) + p.roleTable(r)
+	}
+	return all
+}
+
+// Order is the order in which the tables are printed, and stand on the page.
+var Order = []string{"requirement", "role.server", "role.busiest", "role.owner", "role.ledger", "role.keeper", "role.service", "role.control",
+	"ranked", "broken", "unmeasured", "assumptions", "runs", "slopes", "events", "agree"}
+
+// stated is a role's state in words, above its table.
+func (p *Page) stated(name string) string {
+	return "State: " + named(p.Words.Roles, name).State + ".\n\n"
+}
+
+// factor prints by how much a clause is missed or met.
+func (v Verdict) factor() string {
+	switch {
+	case v.Standing == Nothing:
+		return "none"
+	case v.Factor == 0:
+		return ""
+	case v.Error > 0:
+		return figure(v.Factor) + " ± " + figureOfError(v.Error)
+	}
+	return figure(v.Factor)
+}
+
+func (p *Page) requirementTable(all []Verdict) string {
+	var rows [][]string
+	for _, v := range all {
+		standing := v.Standing.String()
+		if v.Why != "" {
+			standing += ": " + v.Why
+		}
+		rows = append(rows, []string{v.Clause.Words, v.Clause.Carried, v.Required, v.Measured, v.factor(), standing, strings.Join(v.Runs, ", ")})
+	}
+	return table([]string{"the operators' words", "carried by", "asked", "measured, or worked out", "asked over allowed", "stands", "run"}, rows)
+}
+
+func (p *Page) rankedTable(all []Verdict) string {
+	var rows [][]string
+	for i, v := range Ranked(all) {
+		breaks := v.Breaks
+		if v.Standing == Nothing {
+			breaks = "at any size"
+		}
+		rows = append(rows, []string{fmt.Sprint(i + 1), v.Clause.Words, v.factor(), v.Required, v.Measured, breaks, v.Clause.Would, strings.Join(v.Runs, ", ")})
+	}
+	if len(rows) == 0 {
+		return "Nothing that was measured is missed.\n"
+	}
+	return table([]string{"", "what breaks", "factor", "asked", "measured, or worked out", "breaks at", "what would carry it", "run"}, rows)
+}
+
+func (p *Page) brokenTable(all []Verdict) string {
+	var rows [][]string
+	for _, v := range all {
+		if v.Standing == Broken {
+			rows = append(rows, []string{v.Clause.Words, v.Measured, strings.Join(v.Runs, ", ")})
+		}
+	}
+	if len(rows) == 0 {
+		return "No run of those below tells of a broken rule.\n"
+	}
+	return table([]string{"what was played", "measured", "run"}, rows)
+}
+
+func (p *Page) unmeasuredTable(all []Verdict) string {
+	var rows [][]string
+	for _, v := range all {
+		if v.Standing == Unmeasured {
+			rows = append(rows, []string{v.Clause.Words, v.Why, v.Measured, strings.Join(v.Runs, ", ")})
+		}
+	}
+	if len(rows) == 0 {
+		return "Every line of the requirement was measured.\n"
+	}
+	return table([]string{"the operators' words", "why it has no verdict", "what was measured of it", "run"}, rows)
+}
+
+func (p *Page) assumptionsTable() string {
+	var rows [][]string
+	for _, r := range p.File.Reasons {
+		rows = append(rows, []string{"`" + r.Name + "`", r.Value, r.Why})
+	}
+	return table([]string{"name", "value", "why"}, rows)
+}
+
+func (p *Page) runsTable() string {
+	var rows [][]string
+	for _, run := range p.Told.Runs {
+		r := run.Report
+		holds, held := len(r.Claims), 0
+		for _, c := range r.Claims {
+			if c.Holds {
+				held++
+			}
+		}
+		claims := ""
+		if holds > 0 {
+			claims = fmt.Sprintf("%d of %d hold", held, holds)
+		}
+		rows = append(rows, []string{run.ID, "`docs/capacity/" + run.File + "`", r.Run, r.Date, r.Commit, r.Machine, r.Bound, strings.Join(r.Stubs, "; "), claims})
+	}
+	return table([]string{"", "file", "run", "day", "code", "machine", "met its bound", "what was stubbed", "claims"}, rows)
+}
+
+func (p *Page) slopesTable() string {
+	var rows [][]string
+	for _, run := range p.Told.Runs {
+		for _, s := range run.Report.Slopes {
+			var terms, ranges []string
+			for _, name := range append([]string{size.Const}, s.Of...) {
+				term := fmt.Sprintf("%s ± %s", figure(s.Coefficient[name]), figureOfError(s.Error[name]))
+				if name != size.Const {
+					term = "(" + term + ") × " + name
+				}
+				terms = append(terms, term)
+			}
+			for _, v := range size.Variables {
+				if low, high, told := s.Range(v); told {
+					ranges = append(ranges, fmt.Sprintf("%s %s to %s", v, exact(low), exact(high)))
+				}
+			}
+			predicted := ""
+			if l := s.Largest; l != nil {
+				predicted = fmt.Sprintf("%s: predicted %s ± %s, measured %s", place(l.At), figure(l.Predicted), figureOfError(l.Error), figure(l.Measured))
+			}
+			used := run.ID
+			if _, id, _ := p.Told.Slope(s.Name); id != run.ID {
+				used += ", not used: " + id + " has it"
+			}
+			account := s.Account
+			if s.Source != "" {
+				account += " (" + s.Source + ")"
+			}
+			rows = append(rows, []string{"`" + s.Name + "`", s.Unit, s.What, strings.Join(terms, " + "), strings.Join(ranges, ", "), predicted, account, used})
+		}
+	}
+	return table([]string{"name", "unit", "what", "slope", "measured from, to", "the largest size", "by whose account", "run"}, rows)
+}
+
+func (p *Page) eventsTable() string {
+	var rows [][]string
+	for _, run := range p.Told.Runs {
+		for _, e := range run.Report.Events {
+			account := e.Account
+			if e.Source != "" {
+				account = strings.TrimSpace(account + " (" + e.Source + ")")
+			}
+			rows = append(rows, []string{"`" + e.Name + "`", e.What, place(e.At), figure(e.Median) + " " + e.Unit, figure(e.Last) + " " + e.Unit, exact(float64(e.N)), account, run.ID})
+		}
+	}
+	return table([]string{"name", "what", "at", "median", "last or most", "counted", "by whose account", "run"}, rows)
+}
+
+func (p *Page) agreeTable() string {
+	var rows [][]string
+	for _, run := range p.Told.Runs {
+		for _, a := range run.Report.Agree {
+			rows = append(rows, []string{"`" + a.Name + "`: hollow and real", "within " + times(a.Within)[len("×"):] + " of the real", figure(a.Hollow) + " hollow, " + figure(a.Real) + " real", yes(a.Holds), run.ID})
+		}
+		for _, c := range run.Report.Claims {
+			rows = append(rows, []string{c.Claim, c.Aim, c.Measured + by(c.Account), yes(c.Holds), run.ID})
+		}
+	}
+	if len(rows) == 0 {
+		return "No run told what it claims of itself yet: " + notMeasured + ".\n"
+	}
+	return table([]string{"claim", "aim", "measured", "holds", "run"}, rows)
+}
+
+func yes(holds bool) string {
+	if holds {
+		return "yes"
+	}
+	return "**no**"
+}
+
+func by(account string) string {
+	if account == "" {
+		return ""
+	}
+	return " (" + account + ")"
+}
+
+// Print is all tables one after another, for a terminal.
+func (p *Page) Print() string {
+	var b strings.Builder
+	tables := p.Tables()
+	for _, name := range Order {
+		b.WriteString("## " + name + "\n\n" + tables[name] + "\n")
+	}
+	return b.String()
+}
--- a/lab/report/crowd.go
+++ b/lab/report/crowd.go
@@ -6,9 +6,57 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 
+	"ledgespread/decide/membership"
 	"ledgespread/decide/membership/crowd"
+	"ledgespread/lab/size"
 )
 
+// headers are of a datagram: 20 bytes of IP, 8 of UDP.
+const headers = 28
+
+// CrowdSlopes is what simulated crowds measured without loss, as slopes over the members: datagrams with their headers, and a
+// full exchange each `exchange` in the mean, begun by each member and so met once by each, both tables each time (without
+// TCP's headers; the simulation counts none of it). What all send all receive.
+func CrowdSlopes(all []crowd.Figures, exchange membership.Micros) (*size.Report, error) {
+	r := &size.Report{Bound: "none", Stubs: []string{"network and time are simulated", "full exchanges are reckoned: two tables each, both ways, in the mean time between two"}}
+	slopes := []struct {
+		name, unit, what string
+		of               func(crowd.Figures) float64
+	}{
+		{"membership.messages", "1/s", "datagrams of membership", func(f crowd.Figures) float64 { return f.Messages }},
+		{"membership.bytes", "B/s", "datagrams of membership with 28 of headers each, and full exchanges by reckoning", func(f crowd.Figures) float64 {
+			return f.Bytes + headers*f.Messages + 2*float64(f.Table)/(float64(exchange)/1e6)
+		}},
+		{"membership.state_kb", "KB", "memory that a member holds for its table", func(f crowd.Figures) float64 { return f.Memory / 1000 }},
+	}
+	for _, s := range slopes {
+		var points []size.Point
+		for _, f := range all {
+			if f.Lost == 0 {
+				points = append(points, size.Point{At: size.At{"sidecars": float64(f.Members)}, Mean: s.of(f)})
+			}
+		}
+		coefficient, deviation, err := size.Fit(points, []string{"sidecars"})
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", s.name, err)
+		}
+		names := []string{s.name + "_in", s.name + "_out"}
+		if s.unit == "KB" {
+			names = []string{s.name}
+		}
+		for _, name := range names {
+			r.Slopes = append(r.Slopes, size.Slope{Name: name, Unit: s.unit, What: s.what, Account: "simulated", Of: []string{"sidecars"}, Coefficient: coefficient, Error: deviation, Points: points})
+		}
+	}
+	for _, f := range all {
+		if f.Lost == 0 && f.Known >= 0 {
+			r.Events = append(r.Events, size.Event{Name: "membership.death_known", What: "from a death to the first and to the last member that knows of it", Account: "simulated",
+				At: size.At{"sidecars": float64(f.Members)}, Unit: "s", Median: float64(f.First) / 1e6, Last: float64(f.Known) / 1e6, N: f.Members - 1})
+		}
+	}
+	return r, nil
+}
+
 // PlotCrowd draws what simulated crowds measured, by their size, a line for each share of messages lost.
 func PlotCrowd(all []crowd.Figures, file string) error {
 	var plots []*plot.Plot
--- a/lab/size/names.go
+++ b/lab/size/names.go
@@ -32,4 +32,5 @@
 	ConfigInForce = "config.change_in_force" // s: from a change of configuration to the last sidecar that goes by it
 	DepthCalls    = "depth.calls_at_15"      // 1: calls that reach the last hop, for one at the top
 	AddedP99      = "visit.added_p99"        // us: what the sidecar adds to a call, for 99 in 100
+	MostVisits    = "visit.most_a_core"      // 1/s: visits that one sidecar carries on one core (Median)
 )
--- a/lab/size/report.go
+++ b/lab/size/report.go
@@ -116,8 +116,9 @@
 		if err != nil {
 			return 0, 0, fmt.Errorf("%s: %w", s.Name, err)
 		}
-		value += s.Coefficient[name] * x
-		deviation += s.Error[name] * x * s.Error[name] * x
+		off := float64(s.Error[name] * x)
+		value += float64(s.Coefficient[name] * x) // the conversions keep a machine from adding up in one step: figures are the same on each
+		deviation += float64(off * off)
 	}
 	return value, math.Sqrt(deviation), nil
 }
--- a/lab/size/requirement.go
+++ b/lab/size/requirement.go
@@ -70,6 +70,7 @@
 	ConfigBytes     int     `toml:"configuration_bytes"`
 	BothDirections  bool    `toml:"both_directions"`
 	HeaderBytes     int     `toml:"header_bytes"`
+	DepthTimes      float64 `toml:"depth_times"`
 	Twice           float64 `toml:"twice"`
 }
 
@@ -147,6 +148,7 @@
 		{ass, "list_changes_a_replacement", a.ListChanges, 0, 100},
 		{ass, "configuration_bytes", float64(a.ConfigBytes), 1, 1 << 24},
 		{ass, "header_bytes", float64(a.HeaderBytes), 0, 1500},
+		{ass, "depth_times", a.DepthTimes, 1, 1e6},
 		{ass, "twice", a.Twice, 1, 100},
 	}
 }
