--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -103,26 +103,15 @@
 		return Estimate{Missing: []string{name}}
 	}
 	x := Estimate{Value: max(value, 0), Error: deviation, Known: true, Runs: []string{run}, Beyond: 1}
-	for _, variable := range variables(s) {
-		if _, most, told := s.Range(variable); told && most > 0 {
-			x.Beyond = max(x.Beyond, at[variable]/most)
+	for variable, asked := range at {
+		// Also of what the slope doesn't go by: that it doesn't was seen in that range only.
+		if low, high, told := s.Range(variable); told && high > 0 && asked > 0 {
+			x.Beyond = max(x.Beyond, asked/high, low/asked)
 		}
 	}
 	return x
 }
 
-// variables are the single ones in what a slope goes by.
-func variables(s size.Slope) (all []string) {
-	for _, v := range size.Variables {
-		for _, of := range s.Of {
-			if slices.Contains(split(of), v) && !slices.Contains(all, v) {
-				all = append(all, v)
-			}
-		}
-	}
-	return all
-}
-
 // Least and Most bound what is looked for when it is asked where something breaks.
 const (
 	least = 1e-3
--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -21,7 +21,7 @@
 )
 
 func (s Standing) String() string {
-	return [...]string{"nothing carries it", "missed", "a rule broke", "within the error of its limit", "met", notMeasured}[s]
+	return [...]string{"nothing carries it", "missed", "a rule broke", "within the error of its limit", "met in that run", notMeasured}[s]
 }
 
 // Verdict is how one clause stands, and by which run.
@@ -93,7 +93,7 @@
 		v.Why = "no run has `" + name + "`"
 		return
 	}
-	v.Runs, v.Measured = []string{run}, fmt.Sprintf("%s %s at the last of %s (%s)", figure(e.Last), e.Unit, exact(float64(e.N)), place(e.At))
+	v.Runs, v.Measured = []string{run}, fmt.Sprintf("%s %s at the last of %s (%s)", figure(e.Last), shown(e.Unit), exact(float64(e.N)), place(e.At))
 	if v.Factor = e.Last / limit; e.Unit == "s" && unit != "s" || e.Unit == "us" && unit != "µs" {
 		v.Why, v.Factor = "`"+name+"` is told in "+e.Unit, 0
 		return
@@ -202,6 +202,10 @@
 // NAME.rules_broken, in the unit "1", which has to be none.
 func (p *Page) family(v *Verdict) {
 	v.Required = "the four rules kept throughout"
+	if v.Clause.Name == "zones" {
+		v.Why = "a lost zone and regions apart have lines of their own"
+		return
+	}
 	var told []string
 	for _, run := range p.Told.Runs {
 		for _, e := range run.Report.Events {
@@ -231,6 +235,14 @@
 	}
 }
 
+// shown is a unit as the page writes it.
+func shown(unit string) string {
+	if unit == "us" {
+		return "µs"
+	}
+	return unit
+}
+
 // place prints where something was measured, in the order of the variables.
 func place(at size.At) string {
 	var told []string
--- a/lab/capacity/figure.go
+++ b/lab/capacity/figure.go
@@ -6,8 +6,6 @@
 	"strings"
 )
 
-func split(product string) []string { return strings.Split(product, "*") }
-
 // figure prints a number to three figures, thousands apart; as it is rounded in decimal from its exact value, the same
 // number is the same text everywhere.
 func figure(x float64) string {
@@ -58,12 +56,14 @@
 	if !x.Whole() {
 		text = "at least " + text
 	}
-	if x.Beyond > 1.0001 {
+	if x.beyond() {
 		text += " †" + times(x.Beyond)
 	}
 	return text
 }
 
+func (x Estimate) beyond() bool { return x.Beyond > 1.0001 }
+
 // figureOfError prints an error to two figures.
 func figureOfError(x float64) string {
 	if x == 0 {
--- a/lab/capacity/roles.go
+++ b/lab/capacity/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 
 	"ledgespread/lab/size"
@@ -49,9 +50,27 @@
 	if under, ok := r.under[kind]; ok {
 		kind = under
 	}
+	if kind == size.Owner {
+		at = p.owned(kind+"."+what, at)
+	}
 	return p.Told.Of(kind+"."+what, at)
 }
 
+// owned is the place of an owner's slope. It was measured among so many servers that all sidecars call, and what an owner
+// has to do goes by its own servers' part of all visits: so many sidecars stand for it as bring that many servers as much.
+func (p *Page) owned(name string, at size.At) size.At {
+	s, _, ok := p.Told.Slope(name)
+	least, most, told := s.Range("servers")
+	if !ok || !told || least != most {
+		return at
+	}
+	at = maps.Clone(at)
+	fleet := at["sidecars"] / float64(p.File.Requirement.Servers) // servers grow with their sidecars
+	at["sidecars"] *= least / (float64(p.File.Requirement.Servers) * fleet) * p.File.Assumptions.ServersOwned
+	at["servers"] = least
+	return at
+}
+
 // all is the sum over all kinds of control.
 func (p *Page) all(r role, what string, at size.At) (sum Estimate) {
 	for _, kind := range size.Kinds {
@@ -106,51 +125,69 @@
 	}
 	var told []string
 	for _, way := range []struct {
-		of   func(k float64) float64
+		at   func(k float64) size.At
 		unit string
-		at   float64
+		full float64
 	}{
-		{func(k float64) float64 { return b.of(r, p.at(r, k, 1)).Value }, "sidecars", float64(p.File.Requirement.Servers)},
-		{func(k float64) float64 { return b.of(r, p.at(r, 1, k)).Value }, "visits/s", r.visits},
+		{func(k float64) size.At { return p.at(r, k, 1) }, "sidecars", float64(p.File.Requirement.Servers)},
+		{func(k float64) size.At { return p.at(r, 1, k) }, "visits/s", r.visits},
 	} {
-		k, none, always := Breaks(way.of, b.limit)
+		k, none, always := Breaks(func(k float64) float64 { return b.of(r, way.at(k)).Value }, b.limit)
 		switch {
 		case always:
 			told = append(told, "at any number of "+way.unit)
 		case none:
 			told = append(told, "not by "+way.unit)
+		case b.of(r, way.at(k)).beyond():
+			told = append(told, figure(k*way.full)+" "+way.unit+" †")
 		default:
-			told = append(told, figure(k*way.at)+" "+way.unit)
+			told = append(told, figure(k*way.full)+" "+way.unit)
 		}
 	}
 	return strings.Join(told, "; ")
 }
 
-// roleTable is what a sidecar in a role costs.
-func (p *Page) roleTable(r role) string {
-	now, twice := p.at(r, 1, 1), p.at(r, p.File.Assumptions.Twice, 1)
-	head := []string{"", "at the size", "at " + times(p.File.Assumptions.Twice) + " the size", "budget", "part of it", "breaks at", "carried by", "run"}
-	list := float64(p.File.Assumptions.ServerLineBytes) * now["servers"]
-	again := float64(p.File.Assumptions.ServerLineBytes) * twice["servers"]
-	bound := float64(p.File.Requirement.ControlBytes)
-	rows := [][]string{
-		{"state: the list, KB (one whole list takes so many seconds of the budget)", fmt.Sprintf("%s (%s s)", figure(list/1000), figure(list/bound)),
-			fmt.Sprintf("%s (%s s)", figure(again/1000), figure(again/bound)), "", "", "", "`internal/discovery`", "assumed bytes a line"},
-		p.row("state: table of members, KB", "membership.state_kb", now, twice, "`decide/membership`"),
+// by names the parts of the tree that carry something.
+func by(m Mechanism) string {
+	var told []string
+	for _, path := range m.Paths {
+		told = append(told, "`"+path+"`")
 	}
+	return strings.Join(told, ", ")
+}
+
+// larger is the heading of the column for a larger fleet.
+func (p *Page) larger() string {
+	return "at " + figureOfError(p.File.Assumptions.Twice) + " times the size"
+}
+
+// roleTables are what a sidecar in a role costs: messages and bytes by kind, then what stands against a budget.
+func (p *Page) roleTables(r role) string {
+	now, twice := p.at(r, 1, 1), p.at(r, p.File.Assumptions.Twice, 1)
+	var rows [][]string
 	for _, direction := range []string{"in", "out"} {
-		for _, what := range []string{"messages", "bytes"} {
-			for _, kind := range size.Kinds {
-				words := named(p.Words.Kinds, kind)
-				a, b := p.kind(r, kind, what+"_"+direction, now), p.kind(r, kind, what+"_"+direction, twice)
-				rows = append(rows, []string{fmt.Sprintf("%s/s %s: %s", what, direction, words.Title), a.String(), b.String(), "", "", "", words.Carried, strings.Join(a.Runs, ", ")})
-			}
-			a, b := p.all(r, what+"_"+direction, now), p.all(r, what+"_"+direction, twice)
-			rows = append(rows, []string{fmt.Sprintf("**%s/s %s, all**", what, direction), a.String(), b.String(), "", "", "", "", strings.Join(a.Runs, ", ")})
+		for _, kind := range size.Kinds {
+			m, b := p.kind(r, kind, "messages_"+direction, now), p.kind(r, kind, "bytes_"+direction, now)
+			words := named(p.Words.Kinds, kind)
+			rows = append(rows, []string{words.Title + ", " + direction, m.String(), b.String(), p.kind(r, kind, "messages_"+direction, twice).String(), p.kind(r, kind, "bytes_"+direction, twice).String(),
+				by(words), strings.Join(m.Plus(b).Runs, ", ")})
 		}
+		m, b := p.all(r, "messages_"+direction, now), p.all(r, "bytes_"+direction, now)
+		rows = append(rows, []string{"**all, " + direction + "**", m.String(), b.String(), p.all(r, "messages_"+direction, twice).String(), p.all(r, "bytes_"+direction, twice).String(), "", strings.Join(m.Plus(b).Runs, ", ")})
+	}
+	messages := table([]string{"what is told", "messages/s at the size", "bytes/s at the size", "messages/s " + p.larger(), "bytes/s " + p.larger(), "carried by", "run"}, rows)
+
+	list := func(at size.At) string {
+		bytes := float64(p.File.Assumptions.ServerLineBytes) * at["servers"]
+		return fmt.Sprintf("%s; %s s of the budget", figure(bytes/1000), figure(bytes/float64(p.File.Requirement.ControlBytes)))
+	}
+	rows = [][]string{
+		{"state: the list of those it calls, KB; one whole answer is so many", list(now), list(twice), "", "", "", "`internal/discovery`", "by assumed bytes a server"},
+		{"the same, if one list held all servers", list(p.whole(1)), list(p.whole(p.File.Assumptions.Twice)), "", "", "", "", "by assumed bytes a server"},
+		p.row("state: the table of members, KB", size.MemberState, now, twice, "`decide/membership`"),
 	}
 	for _, b := range p.budgets() {
-		title := map[string]string{"control_core": "processor time for control, cores", "control_memory": "memory, MB", "control_bytes": "bytes/s for control, in and out"}[b.name]
+		title := map[string]string{"control_core": "processor time for control, cores", "control_memory": "memory, MB, control and visits together", "control_bytes": "bytes/s for control, in and out"}[b.name]
 		if b.name == "control_bytes" && !p.File.Assumptions.BothDirections {
 			title = "bytes/s for control, the greater direction"
 		}
@@ -159,13 +196,17 @@
 		if x.Known {
 			part = times(x.Value / b.limit)
 		}
-		rows = append(rows, []string{"**" + title + "**", x.String(), y.String(), exact(b.limit), part, p.breaks(r, b), named(p.Words.Clauses, b.name).Carried, strings.Join(x.Runs, ", ")})
+		rows = append(rows, []string{"**" + title + "**", x.String(), y.String(), exact(b.limit), part, p.breaks(r, b), "the kinds above", strings.Join(x.Runs, ", ")})
 	}
-	visit := p.Told.Of(size.VisitCPU, now).Times(r.visits / 1e6)
-	visitTwice := p.Told.Of(size.VisitCPU, twice).Times(r.visits / 1e6)
-	rows = append(rows, []string{fmt.Sprintf("beside it, no control: processor time for %s visits/s, cores", figure(r.visits)), visit.String(), visitTwice.String(), "not told", "", "", named(p.Words.Clauses, "calls").Carried, strings.Join(visit.Runs, ", ")})
-	rows = append(rows, p.row("beside it: descriptors", size.Descriptor, now, twice, "`internal/connlimit`, `internal/outbound`"))
-	return table(head, rows)
+	visit, visitTwice := p.Told.Of(size.VisitCPU, now).Times(r.visits/1e6), p.Told.Of(size.VisitCPU, twice).Times(r.visits/1e6)
+	rows = append(rows, []string{fmt.Sprintf("beside it, no control: processor time for %s visits/s, cores", figure(r.visits)), visit.String(), visitTwice.String(), "not told", "", "", by(named(p.Words.Clauses, "calls")), strings.Join(visit.Runs, ", ")},
+		p.row("beside it: descriptors", size.Descriptor, now, twice, "`internal/connlimit`, `internal/outbound`"))
+	return messages + "\n" + table([]string{"what it costs", "at the size", p.larger(), "budget", "part of it", "breaks at", "carried by", "run"}, rows)
+}
+
+// whole is a place where a list holds all servers.
+func (p *Page) whole(fleet float64) size.At {
+	return size.At{"servers": float64(float64(p.File.Requirement.Servers) * fleet), "sidecars": float64(float64(p.File.Requirement.Servers) * fleet)}
 }
 
 // row is one slope, without a budget.
@@ -176,7 +217,7 @@
 
 // keeperTable: nothing runs one.
 func (p *Page) keeperTable() string {
-	head := []string{"", "at the size", "at " + times(p.File.Assumptions.Twice) + " the size", "carried by", "run"}
+	head := []string{"what it costs", "at the size", p.larger(), "carried by", "run"}
 	var rows [][]string
 	for _, what := range []string{"messages in and out", "bytes in and out", "processor time", "memory"} {
 		rows = append(rows, []string{what, notMeasured, notMeasured, "`decide/keepers`, which nothing runs yet", ""})
@@ -188,14 +229,17 @@
 func (p *Page) serviceTable() string {
 	r := role{name: "service", visits: p.mean()}
 	now, twice := p.at(r, 1, 1), p.at(r, p.File.Assumptions.Twice, 1)
-	head := []string{"", "at the size", "at " + times(p.File.Assumptions.Twice) + " the size", "breaks at", "carried by", "run"}
+	head := []string{"what it costs", "at the size", p.larger(), "breaks at", "carried by", "run"}
 	req := p.File.Requirement
 	changes := (req.FailADay + req.RestartsADay) * p.File.Assumptions.ListChanges
-	list := func(at size.At) float64 { return float64(p.File.Assumptions.ServerLineBytes) * at["servers"] }
+	line := float64(p.File.Assumptions.ServerLineBytes)
+	all, more := p.whole(1), p.whole(p.File.Assumptions.Twice)
+	assumed := "by assumed bytes a server"
 	rows := [][]string{
-		{"state: the list, KB", figure(list(now) / 1000), figure(list(twice) / 1000), "", "the platform's", "assumed bytes a line"},
+		{"state: the list of all servers, KB", figure(line * all["servers"] / 1000), figure(line * more["servers"] / 1000), "", "the platform's", assumed},
 		{"changes of the list a day", exact(changes), exact(changes * p.File.Assumptions.Twice), "", "", "the requirement, and assumed changes a replacement"},
-		{"all come back at once and ask for the whole list, MB", figure(list(now) * now["sidecars"] / 1e6), figure(list(twice) * twice["sidecars"] / 1e6), "", "", "assumed bytes a line"},
+		{"all come back at once and ask for what they call, MB", figure(line * now["servers"] * now["sidecars"] / 1e6), figure(line * twice["servers"] * twice["sidecars"] / 1e6), "", "", assumed},
+		{"the same, if one list held all servers, MB", figure(line * all["servers"] * all["sidecars"] / 1e6), figure(line * more["servers"] * more["sidecars"] / 1e6), "", "", assumed},
 	}
 	for _, s := range [][2]string{{"calls a second in, calm", size.ServiceNow}, {"calls a second in, worst second", size.ServiceMax}, {"bytes a second out", size.ServiceOut}} {
 		x, y := p.Told.Of(s[1], now), p.Told.Of(s[1], twice)
@@ -210,7 +254,7 @@
 	machines := float64(p.File.Requirement.ControlMachine)
 	r := role{name: "control", visits: p.mean()}
 	now, twice := p.at(r, 1, 1), p.at(r, p.File.Assumptions.Twice, 1)
-	head := []string{"", "at the size", "at " + times(p.File.Assumptions.Twice) + " the size", "breaks at", "carried by", "run"}
+	head := []string{"what it costs", "at the size", p.larger(), "breaks at", "carried by", "run"}
 	var rows [][]string
 	for _, s := range [][2]string{{"the list's service, if it stands on all of them: calls a second, calm", size.ServiceNow}, {"the same, worst second", size.ServiceMax}, {"the same, bytes a second out", size.ServiceOut}} {
 		x, y := p.Told.Of(s[1], now).Times(1/machines), p.Told.Of(s[1], twice).Times(1/machines)
--- a/lab/capacity/tables.go
+++ b/lab/capacity/tables.go
@@ -1,7 +1,9 @@
 package capacity
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 
 	"ledgespread/lab/size"
@@ -11,6 +13,7 @@
 func (p *Page) Tables() map[string]string {
 	verdicts := p.Verdicts()
 	all := map[string]string{
+		"mechanisms":  p.mechanismsTable(),
 		"requirement": p.requirementTable(verdicts),
 		"ranked":      p.rankedTable(verdicts),
 		"broken":      p.brokenTable(verdicts),
@@ -23,13 +26,13 @@
 		"role.keeper": p.stated("keeper") + p.keeperTable(), "role.service": p.stated("service") + p.serviceTable(), "role.control": p.stated("control") + p.controlTable(),
 	}
 	for _, r := range p.sidecars() {
-		all["role."+r.name] = p.stated(r.name) + p.roleTable(r)
+		all["role."+r.name] = p.stated(r.name) + p.roleTables(r)
 	}
 	return all
 }
 
 // Order is the order in which the tables are printed, and stand on the page.
-var Order = []string{"requirement", "role.server", "role.busiest", "role.owner", "role.ledger", "role.keeper", "role.service", "role.control",
+var Order = []string{"requirement", "mechanisms", "role.server", "role.busiest", "role.owner", "role.ledger", "role.keeper", "role.service", "role.control",
 	"ranked", "broken", "unmeasured", "assumptions", "runs", "slopes", "events", "agree"}
 
 // stated is a role's state in words, above its table.
@@ -62,6 +65,15 @@
 	return table([]string{"the operators' words", "carried by", "asked", "measured, or worked out", "asked over allowed", "stands", "run"}, rows)
 }
 
+// mechanismsTable is what carries each kind of control.
+func (p *Page) mechanismsTable() string {
+	var rows [][]string
+	for _, k := range p.Words.Kinds {
+		rows = append(rows, []string{k.Title, "`" + k.Name + ".*`", k.Carried})
+	}
+	return table([]string{"what is told", "slopes", "carried by"}, rows)
+}
+
 func (p *Page) rankedTable(all []Verdict) string {
 	var rows [][]string
 	for i, v := range Ranked(all) {
@@ -74,7 +86,7 @@
 	if len(rows) == 0 {
 		return "Nothing that was measured is missed.\n"
 	}
-	return table([]string{"", "what breaks", "factor", "asked", "measured, or worked out", "breaks at", "what would carry it", "run"}, rows)
+	return table([]string{"rank", "what breaks", "factor", "asked", "measured, or worked out", "breaks at", "what would carry it", "run"}, rows)
 }
 
 func (p *Page) brokenTable(all []Verdict) string {
@@ -127,7 +139,7 @@
 		}
 		rows = append(rows, []string{run.ID, "`docs/capacity/" + run.File + "`", r.Run, r.Date, r.Commit, r.Machine, r.Bound, strings.Join(r.Stubs, "; "), claims})
 	}
-	return table([]string{"", "file", "run", "day", "code", "machine", "met its bound", "what was stubbed", "claims"}, rows)
+	return table([]string{"run", "file", "what was run", "day", "code", "machine", "met its bound", "what was stubbed", "claims"}, rows)
 }
 
 func (p *Page) slopesTable() string {
@@ -151,29 +163,46 @@
 			if l := s.Largest; l != nil {
 				predicted = fmt.Sprintf("%s: predicted %s ± %s, measured %s", place(l.At), figure(l.Predicted), figureOfError(l.Error), figure(l.Measured))
 			}
+			widest := widest(s.Points)
+			most := fmt.Sprintf("%s: mean %s", place(widest.At), figure(widest.Mean))
+			for _, x := range []struct {
+				name  string
+				value float64
+			}{{"most loaded", widest.Most}, {"worst second", widest.WorstSecond}, {"real ones", widest.Real}} {
+				if x.value != 0 {
+					most += fmt.Sprintf(", %s %s", x.name, figure(x.value))
+				}
+			}
 			used := run.ID
 			if _, id, _ := p.Told.Slope(s.Name); id != run.ID {
 				used += ", not used: " + id + " has it"
 			}
-			account := s.Account
+			who := s.Account
 			if s.Source != "" {
-				account += " (" + s.Source + ")"
+				who += " (" + s.Source + ")"
 			}
-			rows = append(rows, []string{"`" + s.Name + "`", s.Unit, s.What, strings.Join(terms, " + "), strings.Join(ranges, ", "), predicted, account, used})
+			rows = append(rows, []string{"`" + s.Name + "`", shown(s.Unit), s.What, strings.Join(terms, " + "), strings.Join(ranges, ", "), most, predicted, who, used})
 		}
 	}
-	return table([]string{"name", "unit", "what", "slope", "measured from, to", "the largest size", "by whose account", "run"}, rows)
+	return table([]string{"name", "unit", "what", "slope", "measured from, to", "at the widest point", "predicted before the largest size was run", "by whose account", "run"}, rows)
+}
+
+// widest is the point with the most sidecars, and of these the most visits.
+func widest(points []size.Point) size.Point {
+	return slices.MaxFunc(points, func(a, b size.Point) int {
+		return cmp.Or(cmp.Compare(a.At["sidecars"], b.At["sidecars"]), cmp.Compare(a.At["visits_per_s"], b.At["visits_per_s"]))
+	})
 }
 
 func (p *Page) eventsTable() string {
 	var rows [][]string
 	for _, run := range p.Told.Runs {
 		for _, e := range run.Report.Events {
-			account := e.Account
+			who := e.Account
 			if e.Source != "" {
-				account = strings.TrimSpace(account + " (" + e.Source + ")")
+				who = strings.TrimSpace(who + " (" + e.Source + ")")
 			}
-			rows = append(rows, []string{"`" + e.Name + "`", e.What, place(e.At), figure(e.Median) + " " + e.Unit, figure(e.Last) + " " + e.Unit, exact(float64(e.N)), account, run.ID})
+			rows = append(rows, []string{"`" + e.Name + "`", e.What, place(e.At), figure(e.Median) + " " + shown(e.Unit), figure(e.Last) + " " + shown(e.Unit), exact(float64(e.N)), who, run.ID})
 		}
 	}
 	return table([]string{"name", "what", "at", "median", "last or most", "counted", "by whose account", "run"}, rows)
@@ -186,7 +215,7 @@
 			rows = append(rows, []string{"`" + a.Name + "`: hollow and real", "within " + times(a.Within)[len("×"):] + " of the real", figure(a.Hollow) + " hollow, " + figure(a.Real) + " real", yes(a.Holds), run.ID})
 		}
 		for _, c := range run.Report.Claims {
-			rows = append(rows, []string{c.Claim, c.Aim, c.Measured + by(c.Account), yes(c.Holds), run.ID})
+			rows = append(rows, []string{c.Claim, c.Aim, c.Measured + account(c.Account), yes(c.Holds), run.ID})
 		}
 	}
 	if len(rows) == 0 {
@@ -202,11 +231,11 @@
 	return "**no**"
 }
 
-func by(account string) string {
-	if account == "" {
+func account(by string) string {
+	if by == "" {
 		return ""
 	}
-	return " (" + account + ")"
+	return " (" + by + ")"
 }
 
 // Print is all tables one after another, for a terminal.
--- a/lab/size/names.go
+++ b/lab/size/names.go
@@ -7,7 +7,8 @@
 // KIND.messages_out (1/s).
 //
 // Of the one sidecar that owns a server's count (owner.) and of the one that keeps the tenants' totals (ledger.): all of its
-// messages of that kind, in place of what an ordinary sidecar has under peers. and tenants.
+// messages of that kind, in place of what an ordinary sidecar has under peers. and tenants. Theirs too are owner.cpu,
+// owner.memory_mb, ledger.cpu, ledger.memory_mb, in place of ControlCPU and Memory.
 //
 // Of the list's service: listservice.calls_calm, listservice.calls_worst_second (1/s), listservice.bytes (B/s, out).
 const (
@@ -15,11 +16,13 @@
 	VisitCPU   = "visit.cpu_us" // us: processor time a visit, all included
 	Memory     = "memory.mb"    // MB (millions of bytes) resident, control and visits together unless What says otherwise
 	Descriptor = "descriptors"  // 1: files and sockets open
-	Owner      = "owner"
-	Ledger     = "ledger"
-	ServiceNow = "listservice.calls_calm"
-	ServiceMax = "listservice.calls_worst_second"
-	ServiceOut = "listservice.bytes"
+	// MemberState is what a member holds of the others, KB (thousands of bytes).
+	MemberState = "membership.state_kb"
+	Owner       = "owner"
+	Ledger      = "ledger"
+	ServiceNow  = "listservice.calls_calm"
+	ServiceMax  = "listservice.calls_worst_second"
+	ServiceOut  = "listservice.bytes"
 )
 
 // Kinds are what a sidecar spends messages on besides visits: the list, who is there, what sidecars tell each other of
--- a/lab/size/requirement.go
+++ b/lab/size/requirement.go
@@ -63,13 +63,13 @@
 type Assumptions struct {
 	ServicesCalled  int     `toml:"services_called"`
 	ServersInList   int     `toml:"servers_in_list"`
+	ServersOwned    float64 `toml:"servers_owned"`
 	BusiestTimes    float64 `toml:"busiest_times"`
 	Tenants         int     `toml:"tenants"`
 	ServerLineBytes int     `toml:"server_line_bytes"`
 	ListChanges     float64 `toml:"list_changes_a_replacement"`
 	ConfigBytes     int     `toml:"configuration_bytes"`
 	BothDirections  bool    `toml:"both_directions"`
-	HeaderBytes     int     `toml:"header_bytes"`
 	DepthTimes      float64 `toml:"depth_times"`
 	Twice           float64 `toml:"twice"`
 }
@@ -142,12 +142,12 @@
 		{req, "regions_apart", float64(r.RegionsApart), 0, 30 * 86400e6},
 		{ass, "services_called", float64(a.ServicesCalled), 1, float64(r.Services)},
 		{ass, "servers_in_list", float64(a.ServersInList), 1, float64(r.Servers)},
+		{ass, "servers_owned", a.ServersOwned, 1, float64(r.Servers)},
 		{ass, "busiest_times", a.BusiestTimes, 1, float64(r.Servers)},
 		{ass, "tenants", float64(a.Tenants), 0, 1e6},
 		{ass, "server_line_bytes", float64(a.ServerLineBytes), 1, 65536},
 		{ass, "list_changes_a_replacement", a.ListChanges, 0, 100},
 		{ass, "configuration_bytes", float64(a.ConfigBytes), 1, 1 << 24},
-		{ass, "header_bytes", float64(a.HeaderBytes), 0, 1500},
 		{ass, "depth_times", a.DepthTimes, 1, 1e6},
 		{ass, "twice", a.Twice, 1, 100},
 	}
--- a/lab/size/size_test.go
+++ b/lab/size/size_test.go
@@ -36,7 +36,7 @@
 		{"control_core = 0.038", "control_core = -1.0", "f:15: requirement.control_core: -1 is not from 1e-06 to 64"},
 		{"control_core = 0.038", "control_core = nan", "f:15: requirement.control_core: NaN is not from 1e-06 to 64"},
 		{"[30, 60]", "[60, 30]", "f:21: requirement.rack_every_days: [60 30] is not two numbers of days, the least first"},
-		{"# Nobody told how many tenants send", "\n\n", "f:34: assumptions.tenants: has no comment above it that says why"},
+		{"# Nobody told how many tenants send", "\n\n", "f:36: assumptions.tenants: has no comment above it that says why"},
 		{"twice = 2.0", "", "f:26: assumptions.twice: is left out"},
 	} {
 		text := strings.Replace(whole, c.old, c.new, 1)
