--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -120,6 +120,17 @@
 			x.Beyond = max(x.Beyond, asked/high, low/asked)
 		}
 	}
+	for _, of := range s.Of {
+		low, high := math.Inf(1), 0.0
+		for _, p := range s.Points {
+			if here, err := p.At.Product(of); err == nil {
+				low, high = min(low, here), max(high, here)
+			}
+		}
+		if asked, err := at.Product(of); err == nil && high > 0 && asked > 0 {
+			x.Beyond = max(x.Beyond, asked/high, low/asked)
+		}
+	}
 	return x
 }
 
--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -193,6 +193,31 @@
 	}
 }
 
+// An owner's slope was measured among few servers that all sidecars call; at the size it is asked for as many visits a server,
+// and not for all visits of the fleet at one.
+func TestOwned(t *testing.T) {
+	r := &size.Report{Slopes: []size.Slope{{Name: "owner.bytes_in", Of: []string{"visits_per_s*sidecars"},
+		Coefficient: map[string]float64{size.Const: 0, "visits_per_s*sidecars": 3}, Error: map[string]float64{size.Const: 0, "visits_per_s*sidecars": 0.3},
+		Points: []size.Point{{At: size.At{"visits_per_s": 10, "sidecars": 100, "servers": 20}}, {At: size.At{"visits_per_s": 100, "sidecars": 100, "servers": 20}}}}}}
+	p := pageOf(t, r)
+	owner := p.sidecars()[2]
+	for _, fleet := range []float64{1, 2} {
+		// 3 bytes for each visit of the fleet among 20 servers are 60 for each visit of a server, which has 330; it owns five.
+		if x := p.kind(owner, "peers", "bytes_in", p.at(owner, fleet, 1)); math.Abs(x.Value-60*330*p.File.Assumptions.ServersOwned) > 1e-6 {
+			t.Errorf("fleet %v: %s", fleet, x)
+		}
+	}
+}
+
+// A product beyond what any point had is drawn out, though each of its variables was that great at some point.
+func TestBeyondByProduct(t *testing.T) {
+	r := &size.Report{Slopes: []size.Slope{{Name: "x", Of: []string{"sidecars*tenants"}, Coefficient: map[string]float64{size.Const: 1, "sidecars*tenants": 0},
+		Points: []size.Point{{At: size.At{"sidecars": 1000, "tenants": 10}}, {At: size.At{"sidecars": 100, "tenants": 50}}}}}}
+	if x := pageOf(t, r).Told.Of("x", size.At{"sidecars": 1000, "tenants": 50}); x.Beyond != 5 {
+		t.Errorf("%v", x.Beyond)
+	}
+}
+
 // What was told earlier gives way to what a run has measured, and of several runs the last counts.
 func TestLastCounts(t *testing.T) {
 	a, b := small(), small()
@@ -254,7 +279,7 @@
 	}
 	ranked := strings.Index(page, "| 2 |")
 	for _, c := range []struct{ name, page, want string }{
-		{"a figure", page[:ranked] + strings.Replace(page[ranked:], "2.92 ± 0.079", "2.52 ± 0.079", 1), "table ranked differs"},
+		{"a figure", page[:ranked] + strings.Replace(page[ranked:], "2.92 ± 0.079", "2.52 ± 0.079", 1), "table ranked differs, column 3: the page has \"2.52 ± 0.079\", worked out is \"2.92 ± 0.079\""},
 		{"a line too few", page[:ranked] + page[ranked+strings.Index(page[ranked:], "\n")+1:], "table ranked differs"},
 		{"a line too many", page[:ranked] + "| 2 | made up |\n" + page[ranked:], "table ranked differs"},
 	} {
--- a/lab/capacity/page.go
+++ b/lab/capacity/page.go
@@ -14,8 +14,19 @@
 	Page, Due string
 }
 
+// String tells of a row of a table the first cell that differs, with its column, else the whole line.
 func (d Difference) String() string {
-	return fmt.Sprintf("%d: table %s differs: the page has %q, worked out is %q", d.Line, d.Table, d.Page, d.Due)
+	at, have, due := "", strings.Split(d.Page, " |"), strings.Split(d.Due, " |")
+	for i := range min(len(have), len(due)) {
+		if len(have) > 2 && len(have) == len(due) && have[i] != due[i] {
+			at, have, due = fmt.Sprintf(", column %d", i+1), have[i:i+1], due[i:i+1]
+			break
+		}
+	}
+	if at == "" {
+		have, due = []string{d.Page}, []string{d.Due}
+	}
+	return fmt.Sprintf("%d: table %s differs%s: the page has %q, worked out is %q", d.Line, d.Table, at, strings.Trim(have[0], "| "), strings.Trim(due[0], "| "))
 }
 
 var (
--- a/lab/size/fit.go
+++ b/lab/size/fit.go
@@ -21,7 +21,7 @@
 		for j := range columns {
 			v := 1.0
 			if j > 0 {
-				if v, err = p.At.product(of[j-1]); err != nil {
+				if v, err = p.At.Product(of[j-1]); err != nil {
 					return nil, nil, err
 				}
 			}
--- a/lab/size/report.go
+++ b/lab/size/report.go
@@ -112,7 +112,7 @@
 // What a coefficient goes by and the place doesn't tell is an error: a left-out figure would count as none.
 func (s Slope) Predict(at At) (value, deviation float64, err error) {
 	for _, name := range slices.Sorted(maps.Keys(s.Coefficient)) {
-		x, err := at.product(name)
+		x, err := at.Product(name)
 		if err != nil {
 			return 0, 0, fmt.Errorf("%s: %w", s.Name, err)
 		}
@@ -123,8 +123,8 @@
 	return value, math.Sqrt(deviation), nil
 }
 
-// product is what a coefficient is multiplied by: 1 for Const, else a variable or a product of some.
-func (at At) product(of string) (float64, error) {
+// Product is what a coefficient is multiplied by: 1 for Const, else a variable or a product of some.
+func (at At) Product(of string) (float64, error) {
 	if of == Const {
 		return 1, nil
 	}
