--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -56,11 +56,12 @@
 	return size.Slope{}, "", false
 }
 
-// Event finds the event of a name at the largest number of sidecars in the last run that has it.
+// Event finds the event of a name at the largest number of sidecars in the last run that has it; of several there, by
+// different accounts or at different sizes otherwise, the worst counts.
 func (e *Evidence) Event(name string) (found size.Event, run string, ok bool) {
 	for _, r := range slices.Backward(e.Runs) {
 		for _, ev := range r.Report.Events {
-			if ev.Name == name && (!ok || ev.At["sidecars"] > found.At["sidecars"]) {
+			if ev.Name == name && (!ok || ev.At["sidecars"] > found.At["sidecars"] || ev.At["sidecars"] == found.At["sidecars"] && ev.Last > found.Last) {
 				found, run, ok = ev, r.ID, true
 			}
 		}
--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -209,6 +209,17 @@
 	}
 }
 
+// Of two events of one name and size, as two accounts tell them, the worse counts; a smaller size counts less.
+func TestWorstEvent(t *testing.T) {
+	event := func(sidecars, last float64) size.Event {
+		return size.Event{Name: "x", At: size.At{"sidecars": sidecars}, Last: last}
+	}
+	p := pageOf(t, &size.Report{Events: []size.Event{event(50, 9), event(1000, 2), event(1000, 3), event(1000, 1)}})
+	if e, run, ok := p.Told.Event("x"); !ok || run != "R1" || e.Last != 3 {
+		t.Errorf("%+v %s", e, run)
+	}
+}
+
 // A product beyond what any point had is drawn out, though each of its variables was that great at some point.
 func TestBeyondByProduct(t *testing.T) {
 	r := &size.Report{Slopes: []size.Slope{{Name: "x", Of: []string{"sidecars*tenants"}, Coefficient: map[string]float64{size.Const: 1, "sidecars*tenants": 0},
--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -199,7 +199,7 @@
 }
 
 // family gathers the events of a fault by the beginning of their names. What it breaks is judged where a rule is: an event
-// NAME.rules_broken, in the unit "1", which has to be none.
+// whose name ends with rules_broken, in the unit "1", which has to be none.
 func (p *Page) family(v *Verdict) {
 	v.Required = "the four rules kept throughout"
 	if v.Clause.Name == "zones" {
@@ -216,7 +216,7 @@
 			if !slices.Contains(v.Runs, run.ID) {
 				v.Runs = append(v.Runs, run.ID)
 			}
-			if !strings.HasSuffix(e.Name, ".rules_broken") {
+			if !strings.HasSuffix(e.Name, "rules_broken") {
 				continue
 			}
 			if v.Standing == Unmeasured {
--- a/lab/capacity/roles.go
+++ b/lab/capacity/roles.go
@@ -242,13 +242,25 @@
 		{"the same, if one list held all servers, MB", figure(line * all["servers"] * all["sidecars"] / 1e6), figure(line * more["servers"] * more["sidecars"] / 1e6), "", "", assumed},
 	}
 	for _, s := range [][2]string{{"calls a second in, calm", size.ServiceNow}, {"calls a second in, worst second", size.ServiceMax}, {"bytes a second out", size.ServiceOut}} {
-		x, y := p.Told.Of(s[1], now), p.Told.Of(s[1], twice)
-		rows = append(rows, []string{s[0], x.String(), y.String(), "not told what it carries", "`internal/discovery` asks", strings.Join(x.Runs, ", ")})
+		row := p.asked(s[0], s[1], now, twice, 1)
+		row[3], row[4] = "not told what it carries", "`internal/discovery` asks"
+		rows = append(rows, row)
 	}
 	rows = append(rows, []string{"processor time, memory", notMeasured, notMeasured, notMeasured, "the platform's", ""})
 	return table(head, rows)
 }
 
+// asked is what is asked of the list's service, over so many machines: by a slope, else as it was counted at one size.
+func (p *Page) asked(title, name string, now, twice size.At, machines float64) []string {
+	if x := p.Told.Of(name, now).Times(1 / machines); x.Known {
+		return []string{title, x.String(), p.Told.Of(name, twice).Times(1 / machines).String(), "", "", strings.Join(x.Runs, ", ")}
+	}
+	if e, run, ok := p.Told.Event(name); ok {
+		return []string{title, fmt.Sprintf("%s, counted at %s", figure(e.Last/machines), place(e.At)), notMeasured, "", "", run}
+	}
+	return []string{title, notMeasured, notMeasured, "", "", ""}
+}
+
 // controlTable is what stands on the control machines.
 func (p *Page) controlTable() string {
 	machines := float64(p.File.Requirement.ControlMachine)
@@ -257,8 +269,9 @@
 	head := []string{"what it costs", "at the size", p.larger(), "breaks at", "carried by", "run"}
 	var rows [][]string
 	for _, s := range [][2]string{{"the list's service, if it stands on all of them: calls a second, calm", size.ServiceNow}, {"the same, worst second", size.ServiceMax}, {"the same, bytes a second out", size.ServiceOut}} {
-		x, y := p.Told.Of(s[1], now).Times(1/machines), p.Told.Of(s[1], twice).Times(1/machines)
-		rows = append(rows, []string{s[0], x.String(), y.String(), "not told what a machine carries", "the platform's", strings.Join(x.Runs, ", ")})
+		row := p.asked(s[0], s[1], now, twice, machines)
+		row[3], row[4] = "not told what a machine carries", "the platform's"
+		rows = append(rows, row)
 	}
 	config := float64(p.File.Requirement.ChangesADay) * float64(p.File.Assumptions.ConfigBytes) * float64(p.File.Requirement.Servers) / 86400 / machines
 	rows = append(rows,
