--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -30,6 +30,7 @@
 	Standing Standing
 	Factor   float64 // what is needed over what is allowed; over 1 it is missed
 	Error    float64
+	Part     bool // only a part of what counts was measured: the factor is at least so much
 	Required string
 	Measured string
 	Breaks   string
@@ -177,7 +178,7 @@
 		any = true
 		told = append(told, fmt.Sprintf("%s: %s", title, x))
 		if f := x.Value / b.limit; f > worst {
-			worst, v.Factor, v.Error, v.Breaks = f, f, x.Error/b.limit, title+": "+p.breaks(r, b)
+			worst, v.Factor, v.Error, v.Part, v.Breaks = f, f, x.Error/b.limit, !x.Whole(), title+": "+p.breaks(r, b)
 		}
 		for _, run := range x.Runs {
 			if !slices.Contains(v.Runs, run) {
--- a/lab/capacity/tables.go
+++ b/lab/capacity/tables.go
@@ -42,15 +42,19 @@
 
 // factor prints by how much a clause is missed or met.
 func (v Verdict) factor() string {
+	part := ""
+	if v.Part {
+		part = "at least "
+	}
 	switch {
 	case v.Standing == Nothing:
 		return "none"
 	case v.Factor == 0:
 		return ""
 	case v.Error > 0:
-		return figure(v.Factor) + " ± " + figureOfError(v.Error)
+		return part + figure(v.Factor) + " ± " + figureOfError(v.Error)
 	}
-	return figure(v.Factor)
+	return part + figure(v.Factor)
 }
 
 func (p *Page) requirementTable(all []Verdict) string {
