--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -244,6 +244,7 @@
 			m.turn(func(now membership.Micros) {
 				if m.node.Heard(now, address(at), msg) {
 					m.counts["heard"]++
+					m.counts["heard_bytes"] += int64(len(msg))
 				}
 			})
 		}
@@ -339,7 +340,9 @@
 		}
 		defer c.Close()
 		c.SetDeadline(time.Now().Add(limit))
-		if err = write(c, m.table()); err == nil {
+		mine := m.table()
+		if err = write(c, mine); err == nil {
+			m.add("exchanged_bytes_out", len(mine))
 			err = m.merge(c, at)
 		}
 		if err != nil {
@@ -354,10 +357,12 @@
 	return max(exchangeParts*time.Duration(m.terms.Every)*time.Microsecond, time.Second)
 }
 
-func (m *Members) count(what string) {
+func (m *Members) count(what string) { m.add(what, 1) }
+
+func (m *Members) add(what string, many int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.counts[what]++
+	m.counts[what] += int64(many)
 }
 
 func (m *Members) table() (b []byte) {
@@ -371,6 +376,7 @@
 	if err != nil {
 		return err
 	}
+	m.add("exchanged_bytes_in", len(msg))
 	m.turn(func(now membership.Micros) {
 		if !m.node.Merge(now, from, msg) {
 			err = errors.New("no table")
@@ -444,9 +450,10 @@
 	default:
 		mine := m.table()
 		ok := false
+		m.add("exchanged_bytes_in", len(msg))
 		m.turn(func(now membership.Micros) { ok = m.node.Merge(now, from, msg) })
-		if ok {
-			write(c, mine)
+		if ok && write(c, mine) == nil {
+			m.add("exchanged_bytes_out", len(mine))
 		}
 	}
 }
--- /dev/null
+++ b/lab/hollow/core.go
@@ -0,0 +1,243 @@
+// Package hollow is a sidecar without visits on sockets: the program's own module, its messages, its watcher of the list and its
+// membership, hundreds in one process, each at a loopback address of its own.
+//
+// What is stubbed: visits are arrivals by seed, and backend fetches end by a model of the servers (Fleet) in place of sockets; of
+// the relay only what the module sees of it is there: one call at a time, what a call asks for carried out after it, wake-ups in
+// one ordered tree. Everything that is said to other sidecars and to the list's service is the program's own code.
+package hollow
+
+import (
+	"ledgespread/brain"
+	"ledgespread/brain/due"
+	"ledgespread/internal/discovery"
+	"ledgespread/internal/site"
+	"ledgespread/lab/chance"
+)
+
+// Stubs name what a hollow sidecar does not do, for reports.
+var Stubs = []string{
+	"visits of hollow sidecars: arrivals by seed, no clients, no sockets, no bytes of visits",
+	"backend fetches of hollow sidecars: a model of the servers (cores, a bounded queue, a trip), no sockets, no load reports",
+	"the relay of hollow sidecars: the lab's own loop (no limits of memory or sockets, no console, no handover)",
+}
+
+// Load is what is sent to a sidecar.
+type Load struct {
+	Rate  float64      // visits a second
+	Work  brain.Micros // mean, drawn exponentially; the client tells it
+	Share []float64    // of the path prefixes
+	Seed  uint64
+}
+
+// Tally is what became of a hollow sidecar's visits.
+type Tally struct{ Visits, Delivered, Bounced, Errored, Fetches int }
+
+// world is what a core can do to the outside.
+type world interface {
+	now() brain.Micros
+	at(t brain.Micros, do func()) // do is called in the core's turn
+	tell(to brain.Peer, kind brain.Note, about brain.Backend, figures []float64)
+	subscribe()
+}
+
+type visit struct {
+	until   brain.Micros
+	work    brain.Micros
+	fetches []bool // out
+	ended   bool
+	out     int
+}
+
+// Core is the module with what drives it: arrivals, the model of the servers, and a world that carries messages.
+type Core struct {
+	Tally Tally
+
+	b       *brain.Balancer
+	world   world
+	fleet   *Fleet
+	load    Load
+	draw    *chance.Source
+	timeout []brain.Micros
+	most    int
+	ids     brain.VisitID
+	time    brain.Micros
+	todo    []func()
+	visits  map[brain.VisitID]*visit
+	flowing int // grows with each change of the rate, so that older arrivals end
+	tenants int
+}
+
+func newCore(m *site.Manifest, f *Fleet, l Load, w world, saved *discovery.List) (c *Core, err error) {
+	c = &Core{world: w, fleet: f, load: l, draw: chance.New(l.Seed, "arrivals"), visits: map[brain.VisitID]*visit{},
+		most: int(m.Figure("allowed.max_backend_fetches")), tenants: int(m.Figure("realms"))}
+	for i := range int(m.Figure("path_prefixes")) {
+		c.timeout = append(c.timeout, m.Span("path_prefixes."+itoa(i)+".client_timeout_us"))
+	}
+	c.time = w.now()
+	if c.b, err = brain.New(c.time, m.Site, m.Seed, c); err != nil {
+		return nil, err
+	}
+	c.list(brain.Saved, saved)
+	c.settle()
+	return c, nil
+}
+
+// turn is one call of the module and what it asked for.
+func (c *Core) turn(do func()) {
+	c.time = c.world.now()
+	do()
+	c.settle()
+}
+
+func (c *Core) settle() {
+	for len(c.todo) > 0 {
+		next := c.todo
+		c.todo = nil
+		for _, do := range next {
+			do()
+		}
+	}
+}
+
+func (c *Core) list(news brain.News, l *discovery.List) {
+	c.b.ListBegins(c.time, news)
+	if l != nil {
+		l.Lines(func(id brain.Backend, _, _ string, zone brain.Zone, cell brain.Cell, st brain.Standing, rating float64, started brain.Micros) {
+			c.b.Listed(c.time, id, zone, cell, st, rating, started)
+		})
+	}
+	c.b.ListEnds(c.time)
+}
+
+// heardList is an answer of discovery, nil for a call that failed; in the core's turn.
+func (c *Core) heardList(l *discovery.List) {
+	switch {
+	case l == nil:
+		c.list(brain.NoListCame, nil)
+	case l.Whole:
+		c.list(brain.Whole, l)
+	default:
+		c.list(brain.Changes, l)
+	}
+}
+
+// flow has visits come at this rate from now on; in the core's turn.
+func (c *Core) flow(rate float64) {
+	c.load.Rate = rate
+	c.flowing++
+	c.next(c.flowing)
+}
+
+func (c *Core) next(flow int) {
+	if c.load.Rate <= 0 {
+		return
+	}
+	wait := brain.Micros(c.draw.Exp(1e6 / c.load.Rate))
+	c.world.at(c.time+max(wait, 1), func() {
+		if c.flowing != flow {
+			return
+		}
+		c.arrive()
+		c.next(flow)
+	})
+}
+
+func (c *Core) arrive() {
+	c.ids++
+	id, on := c.ids, c.draw.Pick(c.load.Share)
+	v := &visit{until: c.time + c.timeout[on], work: max(1, brain.Micros(c.draw.Exp(float64(c.load.Work))))}
+	c.visits[id] = v
+	c.Tally.Visits++
+	tenant := brain.Tenant(0)
+	if c.tenants > 0 {
+		tenant = brain.Tenant(c.draw.Below(c.tenants))
+	}
+	c.b.Inbound(c.time, id, brain.Prefix(on), tenant, c.timeout[on], v.work, false, false)
+}
+
+func (c *Core) forget(id brain.VisitID, v *visit) {
+	if v.ended && v.out == 0 {
+		delete(c.visits, id)
+	}
+}
+
+func (c *Core) end(id brain.VisitID, n *int) {
+	if v := c.visits[id]; v != nil && !v.ended {
+		v.ended = true
+		*n++
+		c.forget(id, v)
+	}
+}
+
+// outcome is the end of a fetch, in the core's turn.
+func (c *Core) outcome(id brain.VisitID, v *visit, no brain.FetchNo, rc brain.Result, sent brain.Micros) {
+	if !v.fetches[no] {
+		return
+	}
+	v.fetches[no] = false
+	v.out--
+	if rc == brain.Delivered && !v.ended {
+		v.ended = true
+		c.Tally.Delivered++
+	}
+	c.b.Outcome(c.time, id, no, rc, c.time-sent, v.ended)
+	c.forget(id, v)
+}
+
+// The methods below are the module's Ports: they note what it asks for, as the relay's do.
+
+func (c *Core) later(do func()) { c.todo = append(c.todo, do) }
+
+func (c *Core) Dispatch(id brain.VisitID, be brain.Backend, _ brain.Micros) {
+	c.later(func() {
+		v := c.visits[id]
+		if v == nil {
+			return
+		}
+		no, sent := brain.FetchNo(len(v.fetches)), c.time
+		v.fetches = append(v.fetches, true)
+		v.out++
+		if v.ended || c.time >= v.until || int(no) >= c.most {
+			c.later(func() { c.outcome(id, v, no, brain.NeverSent, sent) })
+			return
+		}
+		c.Tally.Fetches++
+		rc, at := c.fleet.offer(c.time, be, v.work)
+		if at > v.until {
+			rc, at = brain.TimedOut, v.until
+		}
+		c.world.at(at, func() { c.outcome(id, v, no, rc, sent) })
+	})
+}
+
+func (c *Core) Bounce(id brain.VisitID, _ brain.Micros) {
+	c.later(func() { c.end(id, &c.Tally.Bounced) })
+}
+
+func (c *Core) ErrorPage(id brain.VisitID) { c.later(func() { c.end(id, &c.Tally.Errored) }) }
+
+func (c *Core) Cancel(id brain.VisitID, no brain.FetchNo) {
+	c.later(func() {
+		if v := c.visits[id]; v != nil && int(no) < len(v.fetches) && v.fetches[no] {
+			c.outcome(id, v, no, brain.Cancelled, c.time)
+		}
+	})
+}
+
+func (c *Core) Wake(in brain.Micros, t brain.Token) {
+	c.world.at(c.time+max(in, 1), func() { c.b.Woken(c.time, t) })
+}
+
+func (c *Core) CloseIdle(brain.Backend) {}
+
+func (c *Core) Subscribe() { c.later(c.world.subscribe) }
+
+func (c *Core) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	c.later(func() { c.world.tell(to, kind, about, figures) })
+}
+
+func (c *Core) Print(string) {}
+
+var _ brain.Ports = (*Core)(nil)
+
+type times = due.Times[brain.Micros]
--- a/lab/path/datagrams.go
+++ b/lab/path/datagrams.go
@@ -21,6 +21,7 @@
 	mu    sync.Mutex
 	at    []netip.AddrPort // the sidecars' own
 	links [][]Link
+	seen  func(from, to int, msg []byte)
 }
 
 // Tally is what became of datagrams that came to a gate.
@@ -89,6 +90,13 @@
 	d.at[j] = at
 }
 
+// Watch has each datagram that is passed told, as it comes to its gate; seen must not block.
+func (d *Datagrams) Watch(seen func(from, to int, msg []byte)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seen = seen
+}
+
 // Count is the tally by now.
 func (d *Datagrams) Count() Tally {
 	d.mu.Lock()
@@ -124,6 +132,9 @@
 			d.Tally.Doubled++
 			times = 2
 		}
+		if d.seen != nil && times > 0 {
+			d.seen(i, j, b[:size])
+		}
 		if d.Tally.Passed += times; size > longest {
 			d.Tally.TooLong++
 		}
--- /dev/null
+++ b/lab/scale/claims.go
@@ -0,0 +1,346 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"ledgespread/brain"
+	"ledgespread/lab/hollow"
+	"ledgespread/lab/size"
+)
+
+// agree puts hollow figures of a size beside those of the real ones in it.
+func (g *rig) agree(f *fleet, a, b *look, span float64) {
+	real := f.run.Real
+	of := func(from, to int, x func(i int) float64) (sum float64) {
+		for i := from; i < to; i++ {
+			sum += x(i)
+		}
+		return sum
+	}
+	row := func(name string, hollow, real float64) {
+		if math.IsNaN(hollow) || math.IsNaN(real) || real == 0 && hollow == 0 {
+			return
+		}
+		g.report.Agree = append(g.report.Agree, size.Agree{Name: fmt.Sprintf("%s, %d sidecars, %d servers, %g visits/s", name, f.size.Sidecars, f.size.Servers, float64(f.size.Visits)),
+			Hollow: hollow, Real: real, Within: g.Within.Agree, Holds: math.Abs(hollow-real) <= g.Within.Agree*math.Abs(real)})
+	}
+	outs, ins := make([]hollow.Kinds, f.size.Sidecars), make([]hollow.Kinds, f.size.Sidecars)
+	for i := range outs {
+		outs[i], ins[i] = b.out[i].Less(a.out[i]), b.in[i].Less(a.in[i])
+	}
+	visits := func(i int) float64 {
+		if i < real {
+			return float64(b.cars[i].visits - a.cars[i].visits)
+		}
+		return float64(b.visits[i] - a.visits[i])
+	}
+	n := f.size.Sidecars
+	asking := func(i int) (sum float64) {
+		for _, kind := range []brain.Note{brain.Ask, brain.Began, brain.Waits, brain.Ended} {
+			sum += float64(outs[i].Bytes[kind])
+		}
+		return sum
+	}
+	if thin(f.size.at()) && of(0, real, visits) > 0 {
+		row("bytes that one tells owners, a visit", of(real, n, asking)/of(real, n, visits), of(0, real, asking)/of(0, real, visits))
+		asked := func(i int) float64 { return float64(ins[i].Messages[brain.Ask]) }
+		quoted := func(i int) float64 { return float64(outs[i].Messages[brain.Quote]) }
+		row("answers of an owner, an ask", of(real, n, quoted)/of(real, n, asked), of(0, real, quoted)/of(0, real, asked))
+	}
+	each := func(name string, x func(i int) float64) {
+		row(name, of(real, n, x)/float64(n-real)/span, of(0, real, x)/float64(real)/span)
+	}
+	if f.size.Tenants > 0 {
+		each("tenants' messages out, a second", func(i int) float64 { return float64(outs[i].Messages[brain.TenantsUse]) })
+	}
+	member := func(name string) func(i int) float64 {
+		return func(i int) float64 { return float64(b.members[i][name] - a.members[i][name]) }
+	}
+	each("membership's messages out, a second", member("sent"))
+	each("membership's bytes out, a second, without exchanges", member("sent_bytes"))
+	each("calls of the list, a second", func(i int) float64 { return float64(b.list[i].calls - a.list[i].calls) })
+}
+
+// rates plays sidecars of different rates side by side: what a visit and control cost.
+func (g *rig) rates() error {
+	x := g.Rates
+	z := Size{x.Sidecars, x.Servers, 0, g.Tenants}
+	g.say("on sockets, %d sidecars of the rates %v side by side", z.Sidecars, x.Visits)
+	f, err := raise(g.Run, g.o, z, 0, 0, true)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	rate := func(i int) float64 { return float64(x.Visits[i%len(x.Visits)]) }
+	idle, a, b, err := f.measure(rate)
+	if err != nil {
+		return err
+	}
+	_ = idle
+	span := b.at.Sub(a.at).Seconds()
+	core := func(k int) float64 { return (b.cars[k].cpu - a.cars[k].cpu).Seconds() / span }
+	for c, v := range x.Visits {
+		class := func(from, to int) (mean float64, n int) {
+			for k := from; k < to; k++ {
+				if (k-from)%len(x.Visits) == c {
+					mean, n = mean+core(k), n+1
+				}
+			}
+			return mean / float64(max(n, 1)), n
+		}
+		on, n := class(0, g.Real)
+		off, m := class(g.Real, g.Real+g.Silent)
+		if n == 0 || m == 0 {
+			continue
+		}
+		at := Size{z.Sidecars, z.Servers, v, z.Tenants}.at()
+		g.add("control.cpu_by_rate", at, size.Point{Mean: on - off, Real: on - off})
+		if v > 0 {
+			g.add(size.VisitCPU, at, size.Point{Mean: off / float64(v) * 1e6, Real: off / float64(v) * 1e6})
+		}
+	}
+	f.size.Visits = 0 // of different rates: the rows are a visit's, or a second's of what does not go by visits
+	g.agree(f, a, b, span)
+	return nil
+}
+
+// herd plays changes of the list, and the loss of its service with the return of all at once.
+func (g *rig) herd() error {
+	h := g.Herd
+	if h == nil {
+		return nil
+	}
+	z := Size{h.Sidecars, h.Servers, 0, g.Tenants}
+	g.say("the list: %v, its service takes %v an answer", z, h.Each.M().Duration())
+	f, err := raise(g.Run, g.o, z, h.Each.M().Duration(), h.Queue, false)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	if err := f.wait(2*time.Second + g.Warmup.M().Duration()); err != nil {
+		return err
+	}
+	at := z.at()
+	force := func(version int, since time.Time) (hollowTook, realTook []float64, missing int) {
+		for _, s := range f.hollow {
+			if t, ok := s.InForce(uint64(version)); ok {
+				hollowTook = append(hollowTook, t.Sub(since).Seconds())
+			} else {
+				missing++
+			}
+		}
+		for i := range g.Real {
+			if t, ok := f.readers[i].Told(version); ok {
+				realTook = append(realTook, t.Sub(since).Seconds())
+			} else {
+				missing++
+			}
+		}
+		slices.Sort(hollowTook)
+		slices.Sort(realTook)
+		return hollowTook, realTook, missing
+	}
+	var took, real []float64
+	lost := 0
+	for k := range h.Changes {
+		line := f.hosts[k%len(f.hosts)]
+		line.Health = []string{"terminating", "in_service"}[k/len(f.hosts)%2]
+		since := time.Now()
+		version := f.service.set(line)
+		if err := f.wait(h.Every.M().Duration()); err != nil {
+			return err
+		}
+		a, b, missing := force(version, since)
+		took, real, lost = append(took, a...), append(real, b...), lost+missing
+	}
+	event := func(name, what, account, unit string, all []float64) {
+		if len(all) == 0 {
+			return
+		}
+		slices.Sort(all)
+		g.report.Events = append(g.report.Events, size.Event{Name: name, What: what, Account: account, At: at, Unit: unit, Median: all[len(all)/2], Last: all[len(all)-1], N: len(all)})
+	}
+	event(size.ListInForce, fmt.Sprintf("from a change of the list to its being in force at a hollow sidecar, %d changes, the service takes %v an answer and queues %d; %d never heard it before the next",
+		h.Changes, h.Each.M().Duration(), h.Queue, lost), "the hollow sidecars', when the module had it", "s", took)
+	event(size.ListInForce, "the same, to the service's answer to a real sidecar", "the list's service's", "s", real)
+
+	before, refused0 := f.service.look()
+	g.say("the list's service is lost for %v", h.Down.M().Duration())
+	f.service.setDown(true)
+	if err := f.wait(h.Down.M().Duration()); err != nil {
+		return err
+	}
+	line := f.hosts[0]
+	line.Health = "in_service"
+	version := f.service.set(line)
+	back := time.Now()
+	f.service.setDown(false)
+	if err := f.wait(h.After.M().Duration()); err != nil {
+		return err
+	}
+	calls, refused := f.service.look()
+	first, worst := int(back.Sub(f.begun)/time.Second), 0
+	for s := first; s < seconds; s++ {
+		worst = max(worst, calls[s])
+	}
+	down := 0
+	for s := range first {
+		down = max(down, calls[s]-before[s])
+	}
+	g.report.Events = append(g.report.Events, size.Event{Name: size.ServiceMax, At: at, Unit: "1/s", Median: float64(worst), Last: float64(worst), N: 1, Account: "the list's service's",
+		What: fmt.Sprintf("calls in the worst second after the service was lost for %v and all come back; while it was lost %d in the worst second; %d refused in all",
+			h.Down.M().Duration(), down, refused-refused0)})
+	a, b, missing := force(version, back)
+	event("list.known_after_loss", fmt.Sprintf("from the service's return to the list in force, hollow sidecars; %d had it not after %v", missing, h.After.M().Duration()),
+		"the hollow sidecars', when the module had it", "s", a)
+	event("list.known_after_loss", "the same, to the service's answer to a real sidecar", "the list's service's", "s", b)
+	return nil
+}
+
+// deaths plays many members that die at once, and come back.
+func (g *rig) deaths() error {
+	d := g.Deaths
+	if d == nil {
+		return nil
+	}
+	z := Size{d.Sidecars, 20, 0, g.Tenants}
+	g.say("membership: %d of %d die at once", d.Dead, d.Sidecars)
+	f, err := raise(g.Run, g.o, z, 0, 0, true)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	at := z.at()
+	event := func(name, what string, took []time.Duration, failed error) {
+		if failed != nil {
+			what += "; not all: " + failed.Error()
+		}
+		if len(took) > 0 {
+			slices.Sort(took)
+			g.report.Events = append(g.report.Events, size.Event{Name: name, What: what, Account: "hollow members' tables", At: at, Unit: "s",
+				Median: took[len(took)/2].Seconds(), Last: took[len(took)-1].Seconds(), N: len(took)})
+		}
+	}
+	took, err := f.joined(func(int) int { return z.Sidecars - 1 }, joinWithin)
+	if err != nil {
+		return err
+	}
+	event("membership.joined", "from the last start to all held alive by all", took, nil)
+	dead := map[int]bool{}
+	for k := range d.Dead { // every so many, so that no zone is spared
+		dead[g.Real+k*(z.Sidecars-g.Real)/d.Dead] = true
+	}
+	for _, s := range f.hollow {
+		if dead[s.Number] {
+			s.Vanish()
+		}
+	}
+	living := z.Sidecars - 1 - len(dead)
+	took, err = f.joined(func(i int) int {
+		if dead[i] {
+			return -1
+		}
+		return living
+	}, d.Most.M().Duration())
+	if err == errStopped {
+		return err
+	}
+	event("membership.deaths_known", fmt.Sprintf("%d of %d members die in one moment: until all are held for dead, by each of the others", d.Dead, d.Sidecars), took, err)
+	for _, s := range f.hollow {
+		if dead[s.Number] {
+			table, err := f.group(s.Number)
+			if err == nil {
+				err = s.Join(table)
+			}
+			if err != nil {
+				return err
+			}
+		}
+	}
+	took, err = f.joined(func(int) int { return z.Sidecars - 1 }, d.Most.M().Duration())
+	if err == errStopped {
+		return err
+	}
+	event("membership.back", fmt.Sprintf("%d members return in one moment: until all hold all to be alive", d.Dead), took, err)
+	return nil
+}
+
+// claims judges what the run is to show.
+func (g *rig) claims() {
+	r := g.report
+	claim := func(holds bool, claim, aim, account, measured string, values ...any) {
+		r.Claims = append(r.Claims, size.Claim{Claim: claim, Aim: aim, Measured: fmt.Sprintf(measured, values...), Account: account, Holds: holds})
+	}
+	worst, off, bad := "", -1.0, 0
+	for _, a := range r.Agree {
+		if by := math.Abs(a.Hollow-a.Real) / math.Max(math.Abs(a.Real), 1e-9); by > off {
+			worst, off = a.Name, by
+		}
+		if !a.Holds {
+			bad++
+		}
+	}
+	claim(bad == 0 && len(r.Agree) > 0, fmt.Sprintf("a hollow sidecar and a real one in the same run agree (%d real processes at each size)", g.Real),
+		fmt.Sprintf("within %.0f%%", 100*g.Within.Agree), "receivers', the list's service's, members' counters", "%d of %d rows, the furthest by %.1f%%: %s", len(r.Agree)-bad, len(r.Agree), 100*off, worst)
+
+	claimed := map[string]bool{}
+	for _, x := range g.slopes() {
+		claimed[x.name] = x.claimed
+	}
+	worst, off, bad = "", -1, 0
+	count := 0
+	for _, s := range r.Slopes {
+		if !claimed[s.Name] || s.Largest == nil {
+			continue
+		}
+		count++
+		by := math.Abs(s.Largest.Predicted-s.Largest.Measured) / math.Max(math.Abs(s.Largest.Measured), 1e-9)
+		if by > off {
+			worst, off = s.Name, by
+		}
+		if by > g.Within.Predict {
+			bad++
+		}
+	}
+	claim(bad == 0 && count > 0, "slopes through the smaller sizes predict the largest, written down before it was run", fmt.Sprintf("within %.0f%%", 100*g.Within.Predict),
+		"receivers', the list's service's, members' counters", "%d of %d slopes, the furthest by %.1f%%: %s", count-bad, count, 100*off, worst)
+
+	worst, off = "", -1
+	for _, s := range g.sums {
+		by := math.Abs(float64(s.sent-s.booked-s.refused-s.dropped)) / math.Max(float64(s.sent), 1)
+		if by > off {
+			off, worst = by, fmt.Sprintf("%v: %d sent, %d in the account, %d refused, %d dropped by the kernel", s.size, s.sent, s.booked, s.refused, s.dropped)
+		}
+	}
+	claim(len(g.sums) > 0 && off <= g.Within.Account, "messages that were sent are those received, refused or dropped by the kernel", fmt.Sprintf("within %.1f%%", 100*g.Within.Account),
+		"senders' counters, receivers' account, /proc/net/udp", "the furthest by %.2f%%: %s", 100*max(off, 0), worst)
+	worst, off = "", -1
+	for _, s := range g.sums {
+		if by := math.Abs(float64(s.toReal-s.heardByReal)) / math.Max(float64(s.heardByReal), 1); by > off {
+			off, worst = by, fmt.Sprintf("%v: %d booked for real ones, %d by their own counters", s.size, s.toReal, s.heardByReal)
+		}
+	}
+	claim(len(g.sums) > 0 && off <= g.Within.Account, "what was booked for real sidecars is what they heard by their own counters", fmt.Sprintf("within %.1f%%", 100*g.Within.Account),
+		"the lab's account, the processes' counters", "the furthest by %.2f%%: %s", 100*max(off, 0), worst)
+
+	dropped := int64(0)
+	for _, s := range g.sums {
+		dropped += s.dropped
+	}
+	var met []string
+	if g.late > 1000 {
+		met = append(met, fmt.Sprintf("processor: the lab's alarms were %d µs late at p99", g.late))
+	}
+	if dropped > 0 {
+		met = append(met, fmt.Sprintf("socket buffers: the kernel dropped %d messages", dropped))
+	}
+	if len(met) > 0 {
+		r.Bound = strings.Join(met, "; ")
+	} else {
+		r.Bound = fmt.Sprintf("none (the lab's alarms were %d µs late at p99)", g.late)
+	}
+}
--- /dev/null
+++ b/lab/scale/look.go
@@ -0,0 +1,127 @@
+package scale
+
+import (
+	"bufio"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"ledgespread/internal/counters"
+	"ledgespread/lab/cars"
+	"ledgespread/lab/clients"
+	"ledgespread/lab/hollow"
+)
+
+// look is all accounts of a fleet at one moment.
+type look struct {
+	at       time.Time
+	in, out  []hollow.Kinds     // by number, as receivers had them
+	visits   []int              // by number, hollow ones
+	cars     []process          // real ones, then silent ones
+	members  []map[string]int64 // by number
+	list     []asked            // by number, silent ones behind
+	sent     int64              // messages between sidecars, by the senders' counters
+	heardAll int64              // by the receivers' counters
+	refused  int64
+	toReal   int64 // heard by real ones, by their own counters
+	drops    drops
+	calls    [seconds]int
+}
+
+// process is a real sidecar as the kernel has it.
+type process struct {
+	cpu    time.Duration
+	memory int // KiB, now
+	files  int
+	visits int64
+}
+
+type asked struct{ calls, in, out int64 }
+
+// drops are datagrams that the kernel dropped since the receiver's buffer was full.
+type drops struct{ notes, members int64 }
+
+func (f *fleet) look() (*look, error) {
+	l := &look{at: time.Now()}
+	l.in, l.out = f.account.Look()
+	l.members, l.visits = make([]map[string]int64, f.size.Sidecars), make([]int, f.size.Sidecars)
+	for k, car := range f.cars {
+		cpu, _ := car.Used()
+		files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", car.Pid()))
+		p := process{cpu: cpu, memory: cars.Memory(car.Pid()), files: len(files)}
+		_, body, err := clients.Ask(car.Address, "/-/counters")
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", car.Name, err)
+		}
+		counts := hollow.ReadCounts(body)
+		p.visits = counts["visits_taken"]
+		l.cars = append(l.cars, p)
+		if k < f.run.Real {
+			l.sent, l.heardAll, l.refused = l.sent+counts["notes_sent"], l.heardAll+counts["notes_heard"], l.refused+counts["notes_refused"]
+			l.toReal += counts["notes_heard"]
+			l.members[k] = map[string]int64{}
+			for name, n := range counts {
+				if short, ok := strings.CutPrefix(name, "members_"); ok {
+					l.members[k][short] = n
+				}
+			}
+		}
+	}
+	for _, s := range f.hollow {
+		l.sent += s.Counts[counters.NotesSent].Load()
+		l.heardAll += s.Counts[counters.NotesHeard].Load()
+		l.refused += s.Counts[counters.NotesRefused].Load()
+		l.visits[s.Number] = s.Look().Visits
+		l.members[s.Number] = map[string]int64{}
+		for name, n := range s.MemberCounts() {
+			l.members[s.Number][strings.TrimPrefix(name, "members_")] = n
+		}
+	}
+	for _, r := range f.readers {
+		l.list = append(l.list, asked{r.Calls.Load(), r.In.Load(), r.Out.Load()})
+	}
+	l.calls, _ = f.service.look()
+	var err error
+	l.drops, err = f.drops()
+	return l, err
+}
+
+// drops reads what the kernel dropped at this fleet's sockets.
+func (f *fleet) drops() (d drops, err error) {
+	file, err := os.Open("/proc/net/udp")
+	if err != nil {
+		return d, err
+	}
+	defer file.Close()
+	own := map[netip.AddrPort]*int64{}
+	for i := range f.size.Sidecars {
+		own[f.at(forNotes, i)], own[f.at(forMembers, i)] = &d.notes, &d.members
+	}
+	in := bufio.NewScanner(file)
+	for in.Scan() {
+		fields := strings.Fields(in.Text())
+		if len(fields) < 13 {
+			continue
+		}
+		if at, ok := hexAddress(fields[1]); ok && own[at] != nil {
+			n, _ := strconv.ParseInt(fields[len(fields)-1], 10, 64)
+			*own[at] += n
+		}
+	}
+	return d, in.Err()
+}
+
+// hexAddress reads an address as the kernel prints it: four bytes, the lowest first, and a port.
+func hexAddress(text string) (netip.AddrPort, bool) {
+	ip, port, ok := strings.Cut(text, ":")
+	raw, err := hex.DecodeString(ip)
+	if !ok || err != nil || len(raw) != 4 {
+		return netip.AddrPort{}, false
+	}
+	p, err := strconv.ParseUint(port, 16, 16)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{raw[3], raw[2], raw[1], raw[0]}), uint16(p)), err == nil
+}
--- /dev/null
+++ b/lab/scale/service.go
@@ -0,0 +1,273 @@
+package scale
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Service is the list's, as many ask it: whole lists, watches, and a stand-in for its trouble: it works through calls in turn, each
+// takes a time, and what it can't queue is refused. Each reader asks at an address of its own, and so is known.
+type Service struct {
+	each  time.Duration // work of one answer; 0: it answers at once
+	queue int           // answers that may wait for that work
+
+	mu      sync.Mutex
+	seq     int
+	order   []string
+	hosts   map[string]host
+	changes []host
+	whole   []byte // the rendered list, nil: it changed
+	news    chan struct{}
+	down    bool
+	busy    time.Time // until then it works
+	waiting int
+	begun   time.Time
+	calls   [seconds]int // by second
+	refused int
+
+	server    *fasthttp.Server
+	listeners []net.Listener
+	readers   map[string]*Reader // by address
+}
+
+const seconds = 512
+
+// Reader is one sidecar in the service's account.
+type Reader struct {
+	Number  int
+	Address string
+	In, Out atomic.Int64 // bytes of heads and bodies, as the service read and wrote them
+	Calls   atomic.Int64
+	Refused atomic.Int64
+
+	mu   sync.Mutex
+	told map[int]time.Time // versions that it was answered with, first time
+}
+
+// Told tells when the reader was first answered with this version or a later one.
+func (r *Reader) Told(version int) (at time.Time, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for v, t := range r.told {
+		if v >= version && (!ok || t.Before(at)) {
+			at, ok = t, true
+		}
+	}
+	return at, ok
+}
+
+type host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	Born   int64   `json:"born_ms"`
+	seq    int
+}
+
+type answer struct {
+	Seq   int    `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []host `json:"hosts"`
+}
+
+func newService(each time.Duration, queue int, begun time.Time) *Service {
+	s := &Service{each: each, queue: queue, hosts: map[string]host{}, news: make(chan struct{}), begun: begun, readers: map[string]*Reader{}}
+	s.server = &fasthttp.Server{Handler: s.answer, NoDefaultServerHeader: true, NoDefaultDate: true, ReadBufferSize: 4 << 10}
+	return s
+}
+
+// reader has one more ask, at this address.
+func (s *Service) reader(number int, at string) (*Reader, error) {
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		return nil, err
+	}
+	r := &Reader{Number: number, Address: at, told: map[int]time.Time{}}
+	s.mu.Lock()
+	s.readers[at] = r
+	s.listeners = append(s.listeners, ln)
+	s.mu.Unlock()
+	go s.server.Serve(counted{ln, r})
+	return r, nil
+}
+
+// counted listens for one reader, and counts what passes.
+type counted struct {
+	net.Listener
+	r *Reader
+}
+
+func (c counted) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, c.r}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	r *Reader
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.r.In.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.r.Out.Add(int64(n))
+	return n, err
+}
+
+// set brings servers in, or changes them, as one change of the list.
+func (s *Service) set(all ...host) (version int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seq++
+	for _, h := range all {
+		if _, there := s.hosts[h.Host]; !there {
+			s.order = append(s.order, h.Host)
+		}
+		h.seq = s.seq
+		s.hosts[h.Host] = h
+		s.changes = append(s.changes, h)
+	}
+	s.whole = nil
+	s.ring()
+	return s.seq
+}
+
+func (s *Service) ring() {
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// setDown has every call refused, and ends the watches.
+func (s *Service) setDown(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = on
+	s.ring()
+}
+
+// saved is the whole list, as a configuration's "known".
+func (s *Service) saved() json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rendered()
+}
+
+// rendered is the whole list; with the lock held.
+func (s *Service) rendered() []byte {
+	if s.whole == nil {
+		a := answer{Seq: s.seq, Whole: true, Hosts: []host{}}
+		for _, name := range s.order {
+			if h := s.hosts[name]; h.Health != "terminated" {
+				a.Hosts = append(a.Hosts, h)
+			}
+		}
+		s.whole, _ = json.Marshal(a)
+	}
+	return s.whole
+}
+
+func (s *Service) answer(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	r := s.readers[ctx.LocalAddr().String()]
+	if at := int(time.Since(s.begun) / time.Second); at >= 0 && at < seconds {
+		s.calls[at]++
+	}
+	if r == nil {
+		s.mu.Unlock()
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	r.Calls.Add(1)
+	from, err := strconv.Atoi(string(ctx.QueryArgs().Peek("from")))
+	watches := err == nil
+	hold, _ := strconv.Atoi(string(ctx.QueryArgs().Peek("hold_ms")))
+	if !s.down && watches && from >= s.seq && hold > 0 {
+		over := time.NewTimer(time.Duration(min(hold, 60_000)) * time.Millisecond)
+		for waits := true; waits && !s.down && from >= s.seq; {
+			news := s.news
+			s.mu.Unlock()
+			select {
+			case <-news:
+			case <-over.C:
+				waits = false
+			}
+			s.mu.Lock()
+		}
+		over.Stop()
+	}
+	if s.down || s.each > 0 && s.waiting >= s.queue {
+		s.refused++
+		s.mu.Unlock()
+		r.Refused.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if s.each > 0 {
+		now := time.Now()
+		if s.busy.Before(now) {
+			s.busy = now
+		}
+		s.busy = s.busy.Add(s.each)
+		until := s.busy
+		s.waiting++
+		s.mu.Unlock()
+		time.Sleep(time.Until(until))
+		s.mu.Lock()
+		s.waiting--
+	}
+	var body []byte
+	seq := s.seq
+	if !watches || from > s.seq {
+		body = s.rendered()
+	} else {
+		a := answer{Seq: s.seq, Hosts: []host{}}
+		for _, h := range s.changes {
+			if h.seq > from {
+				a.Hosts = append(a.Hosts, h)
+			}
+		}
+		body, _ = json.Marshal(a)
+	}
+	s.mu.Unlock()
+	ctx.SetBody(body)
+	r.mu.Lock()
+	if r.told[seq].IsZero() {
+		r.told[seq] = time.Now()
+	}
+	r.mu.Unlock()
+}
+
+// look is the account by now: calls by second since the begin, and how many were refused.
+func (s *Service) look() (calls [seconds]int, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls, s.refused
+}
+
+func (s *Service) close() {
+	s.setDown(true)
+	s.mu.Lock()
+	all := s.listeners
+	s.mu.Unlock()
+	for _, ln := range all {
+		ln.Close()
+	}
+}
