--- a/lab/hollow/sidecar.go
+++ b/lab/hollow/sidecar.go
@@ -210,8 +210,8 @@
 // Flow has visits come at this rate from now on.
 func (s *Sidecar) Flow(rate float64) { s.post(func() { s.flow(rate) }) }
 
-// Hush has it tell others nothing more.
-func (s *Sidecar) Hush() { s.silent.Store(true) }
+// Hush has it tell others nothing, until it is ended.
+func (s *Sidecar) Hush(on bool) { s.silent.Store(on) }
 
 // Look is the tally by now.
 func (s *Sidecar) Look() Tally {
--- a/lab/prove/prove.go
+++ b/lab/prove/prove.go
@@ -10,6 +10,7 @@
 
 	"ledgespread/decide/membership"
 	"ledgespread/lab/cars"
+	"ledgespread/lab/scale"
 )
 
 // Claim is one line of a proof.
@@ -49,6 +50,8 @@
 		"the rig itself: bad sidecars are caught, accounts agree, queues are those of theory, arrivals are those planned"},
 	"membership": {playMembership, membership.Guards,
 		"who is there: simulated by seed beside plain heartbeats, and real processes under faults, judged by the lab's truth"},
+	"scale": {playScale, scale.Breaks,
+		"the rig of sizes: hollow sidecars and real ones agree, slopes foretell the largest size, accounts add up"},
 	"floor": {playFloor, []string{"decoy"},
 		"the measure of speed: the sidecar beside a forwarder that takes no decision, alternating in one run"},
 }
--- /dev/null
+++ b/lab/prove/scale.go
@@ -0,0 +1,30 @@
+package prove
+
+import (
+	"ledgespread/lab/scale"
+	"ledgespread/lab/size"
+)
+
+// playScale plays the rig of sizes, in small or in full, and takes its claims over: hollow sidecars and real ones agree, slopes
+// foretell the largest size, accounts add up.
+func playScale(p *Proof) error {
+	r, err := scale.Usual(p.Quick)
+	if err != nil {
+		return err
+	}
+	r.Seed = p.Seed
+	done, err := scale.Play(r, scale.Options{Sidecar: p.Sidecar, Quick: p.Quick, Stop: p.Stop, Say: p.Say, Break: p.Break})
+	if err != nil {
+		return err
+	}
+	for _, c := range done.Claims {
+		p.claim(c.Holds, c.Claim, c.Aim, c.Account, "%s", c.Measured)
+	}
+	p.note("which limit of the machine was met", "the lab's alarms, /proc/net/udp", "%s", done.Bound)
+	for _, name := range []string{"peers.bytes_out", size.ControlCPU, "memory.idle_mb"} {
+		if s, there := done.Slope(name); there && s.Largest != nil {
+			p.note(s.Name+": "+s.What, s.Account, "%.4g %s, foretold %.4g", s.Largest.Measured, s.Unit, s.Largest.Predicted)
+		}
+	}
+	return nil
+}
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -252,6 +252,32 @@
 	return nil
 }
 
+// calm waits until the news of who joined fades from the messages: members then send what probes take, one and its answer each
+// period, and little more.
+func (f *fleet) calm() error {
+	const look, more = time.Second, 1.25
+	probes := 2 * look.Seconds() * 1e6 / float64(f.run.Members.Every)
+	before, begun := int64(0), time.Now()
+	for {
+		sent, many := int64(0), 0
+		for _, s := range f.hollow {
+			if counts := s.MemberCounts(); counts != nil {
+				sent, many = sent+counts["members_sent"], many+1
+			}
+		}
+		if many == 0 || before > 0 && float64(sent-before)/float64(many) <= more*probes {
+			return f.wait(settle)
+		}
+		if most := f.run.Settle.M().Duration(); time.Since(begun) > most {
+			return fmt.Errorf("after %v members still send %.0f messages a second, %.0f are calm", most, float64(sent-before)/float64(many), probes)
+		}
+		before = sent
+		if err := f.wait(look); err != nil {
+			return err
+		}
+	}
+}
+
 // load is what is sent to a sidecar of this number.
 func (r *Run) load(i int, rate float64) hollow.Load {
 	return hollow.Load{Rate: rate, Work: brain.Micros(r.Work), Share: []float64{0.8, 0.2}, Seed: hollow.Seed(r.Seed, "visits", i)}
@@ -312,9 +338,13 @@
 		}
 	}
 	slices.SortStableFunc(p.Visits, func(a, b plan.Visit) int { return int(a.At - b.At) })
+	if f.clients != nil {
+		f.clients.Close()
+	}
 	f.clients = clients.New(f.s, p, at, f.clock, f.alarms)
 	f.clients.Begin(f.clock.Now())
 	for _, s := range f.hollow {
+		s.Hush(false)
 		s.Flow(rate(s.Number))
 	}
 }
@@ -328,7 +358,7 @@
 	f.clients.Wait()
 	time.Sleep(settle)
 	for _, s := range f.hollow {
-		s.Hush()
+		s.Hush(true)
 	}
 	time.Sleep(settle)
 }
