--- a/lab/hollow/sidecar.go
+++ b/lab/hollow/sidecar.go
@@ -167,6 +167,19 @@
 	return alive
 }
 
+// Dead counts those of these that this one holds for dead, or knows no more.
+func (s *Sidecar) Dead(names map[string]bool) (dead int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	dead = len(names)
+	for _, m := range s.table {
+		if names[string(m.Name)] && m.State <= membership.Suspect {
+			dead--
+		}
+	}
+	return dead
+}
+
 // MemberCounts are its membership's counters, by name.
 func (s *Sidecar) MemberCounts() map[string]int64 {
 	if s.group == nil {
--- a/lab/scale/claims.go
+++ b/lab/scale/claims.go
@@ -121,6 +121,7 @@
 		return err
 	}
 	defer f.close()
+	defer func() { g.late = max(g.late, f.alarms.Late().Quantile(0.99)) }()
 	if err := f.wait(2*time.Second + g.Warmup.M().Duration()); err != nil {
 		return err
 	}
@@ -201,74 +202,6 @@
 	return nil
 }
 
-// deaths plays many members that die at once, and come back.
-func (g *rig) deaths() error {
-	d := g.Deaths
-	if d == nil {
-		return nil
-	}
-	z := Size{d.Sidecars, 20, 0, g.Tenants}
-	g.say("membership: %d of %d die at once", d.Dead, d.Sidecars)
-	f, err := raise(g.Run, g.o, z, 0, 0, true)
-	if err != nil {
-		return err
-	}
-	defer f.close()
-	at := z.at()
-	event := func(name, what string, took []time.Duration, failed error) {
-		if failed != nil {
-			what += "; not all: " + failed.Error()
-		}
-		if len(took) > 0 {
-			slices.Sort(took)
-			g.report.Events = append(g.report.Events, size.Event{Name: name, What: what, Account: "hollow members' tables", At: at, Unit: "s",
-				Median: took[len(took)/2].Seconds(), Last: took[len(took)-1].Seconds(), N: len(took)})
-		}
-	}
-	took, err := f.joined(func(int) int { return z.Sidecars - 1 }, joinWithin)
-	if err != nil {
-		return err
-	}
-	event("membership.joined", "from the last start to all held alive by all", took, nil)
-	dead := map[int]bool{}
-	for k := range d.Dead { // every so many, so that no zone is spared
-		dead[g.Real+k*(z.Sidecars-g.Real)/d.Dead] = true
-	}
-	for _, s := range f.hollow {
-		if dead[s.Number] {
-			s.Vanish()
-		}
-	}
-	living := z.Sidecars - 1 - len(dead)
-	took, err = f.joined(func(i int) int {
-		if dead[i] {
-			return -1
-		}
-		return living
-	}, d.Most.M().Duration())
-	if err == errStopped {
-		return err
-	}
-	event("membership.deaths_known", fmt.Sprintf("%d of %d members die in one moment: until all are held for dead, by each of the others", d.Dead, d.Sidecars), took, err)
-	for _, s := range f.hollow {
-		if dead[s.Number] {
-			table, err := f.group(s.Number)
-			if err == nil {
-				err = s.Join(table)
-			}
-			if err != nil {
-				return err
-			}
-		}
-	}
-	took, err = f.joined(func(int) int { return z.Sidecars - 1 }, d.Most.M().Duration())
-	if err == errStopped {
-		return err
-	}
-	event("membership.back", fmt.Sprintf("%d members return in one moment: until all hold all to be alive", d.Dead), took, err)
-	return nil
-}
-
 // off is a difference as a part of all. What is on its way while the accounts are read one after another, two a sidecar, is none.
 func (s sums) off(by, all int64) float64 {
 	return max(math.Abs(float64(by))-2*float64(s.size.Sidecars), 0) / math.Max(float64(all), 1)
--- /dev/null
+++ b/lab/scale/deaths.go
@@ -0,0 +1,155 @@
+package scale
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"ledgespread/decide/membership"
+	"ledgespread/decide/membership/crowd"
+	"ledgespread/lab/hollow"
+	"ledgespread/lab/size"
+)
+
+// deaths plays many members that die at once, and come back: on sockets, and in simulated time beside it, where no processor is
+// shared.
+func (g *rig) deaths() error {
+	d := g.Deaths
+	if d == nil {
+		return nil
+	}
+	g.crowdDeaths()
+	z := Size{d.Sidecars, 20, 0, g.Tenants}
+	g.say("membership: %d of %d die at once", d.Dead, d.Sidecars)
+	f, err := raise(g.Run, g.o, z, 0, 0, true)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	defer func() { g.late = max(g.late, f.alarms.Late().Quantile(0.99)) }()
+	const account = "hollow members' tables"
+	took, err := f.await(joinWithin, func(s *hollow.Sidecar) bool { return s.Holds() == z.Sidecars-1 })
+	if err != nil {
+		return err
+	}
+	g.took("membership.joined", "from the last start to all held alive by all", account, z, took, nil)
+	if err := f.calm(); err != nil {
+		return err
+	}
+	dead, names := map[int]bool{}, map[string]bool{}
+	for k := range d.Dead { // every so many, so that no zone is spared
+		i := g.Real + k*(z.Sidecars-g.Real)/d.Dead
+		dead[i], names[hollow.Name(i)] = true, true
+	}
+	before, err := f.look()
+	if err != nil {
+		return err
+	}
+	for _, s := range f.hollow {
+		if dead[s.Number] {
+			s.Vanish()
+		}
+	}
+	// Whoever dies is not asked; of the others each must hold all of these for dead, whatever it holds of others.
+	took, err = f.await(d.Most.M().Duration(), func(s *hollow.Sidecar) bool { return dead[s.Number] || s.Dead(names) == len(names) })
+	if err == errStopped {
+		return err
+	}
+	took = took[min(len(dead), len(took)):]
+	after, lookErr := f.look()
+	if lookErr != nil {
+		return lookErr
+	}
+	g.took("membership.deaths_known", fmt.Sprintf("%d of %d members die in one moment: until each of the others holds all of them for dead", d.Dead, d.Sidecars), account, z, took, err)
+	wrong, span := 0, after.at.Sub(before.at).Seconds()
+	bytes := spread(z.Sidecars, g.Real, func(i int) float64 {
+		if dead[i] {
+			return 0
+		}
+		x := func(name string) float64 { return float64(after.members[i][name] - before.members[i][name]) }
+		return (x("heard_bytes") + hollow.Header*x("heard") + x("exchanged_bytes_in")) / span
+	})
+	for i, counts := range after.members {
+		if !dead[i] {
+			wrong += int(counts["became_dead"] - before.members[i]["became_dead"])
+		}
+	}
+	wrong -= len(dead) * (z.Sidecars - len(dead))
+	g.event("membership.deaths_bytes", "what a member hears meanwhile, in the mean and the most of any", "members' own counters, heads added", z, "B/s", bytes.Mean, bytes.Most, z.Sidecars)
+	g.event("membership.deaths_words", "words of death beyond one a dead member and survivor, over all survivors: false ones, less those not yet said", account, z, "1",
+		float64(max(wrong, 0)), float64(max(wrong, 0)), 1)
+	for _, s := range f.hollow {
+		if dead[s.Number] {
+			table, err := f.group(s.Number)
+			if err == nil {
+				err = s.Join(table)
+			}
+			if err != nil {
+				return err
+			}
+		}
+	}
+	took, err = f.await(d.Most.M().Duration(), func(s *hollow.Sidecar) bool { return s.Holds() == z.Sidecars-1 })
+	if err == errStopped {
+		return err
+	}
+	g.took("membership.back", fmt.Sprintf("%d members return in one moment: until all hold all to be alive", d.Dead), account, z, took, err)
+	return nil
+}
+
+// crowdDeaths plays the same in simulated time.
+func (g *rig) crowdDeaths() {
+	d := g.Deaths
+	g.say("membership, simulated: %d of %d die at once", d.Dead, d.Sidecars)
+	c := crowd.New(g.Seed, d.Sidecars, membership.Terms{Group: group, Every: membership.Micros(g.Members.Every), Exchange: membership.Micros(g.Members.Exchange),
+		Forget: 600_000_000, Linger: 1_000_000, Senders: 1, Most: 10_000}, true)
+	c.Run(5_000_000)
+	dead, held := map[membership.Name]bool{}, make([]int, d.Sidecars)
+	for k := range d.Dead {
+		m := c.Members[k*d.Sidecars/d.Dead]
+		m.Kill()
+		dead[crowd.Name(m.Number)] = true
+	}
+	begun, wrong := c.Now, 0
+	var took []time.Duration
+	c.Said = func(at crowd.Micros, by *crowd.Member, ch membership.Change) {
+		switch {
+		case ch.To == membership.Dead && !dead[ch.Name]:
+			wrong++
+		case ch.To == membership.Dead:
+			if held[by.Number]++; held[by.Number] == d.Dead {
+				took = append(took, time.Duration(at-begun)*time.Microsecond)
+			}
+		case ch.From == membership.Dead:
+			held[by.Number]--
+		}
+	}
+	sent, bytes := c.Sent, c.Bytes
+	c.Until(crowd.Micros(d.Most), func() bool { return len(took) >= d.Sidecars-d.Dead })
+	var missing error
+	if n := d.Sidecars - d.Dead - len(took); n > 0 {
+		missing = fmt.Errorf("after %v %d members did not hold all of them for dead", d.Most.M().Duration(), n)
+	}
+	z := Size{d.Sidecars, 20, 0, g.Tenants}
+	const account = "simulated time"
+	g.took("membership.deaths_known", fmt.Sprintf("the same in simulated time: %d of %d", d.Dead, d.Sidecars), account, z, took, missing)
+	span, living := float64(c.Now-begun)/1e6, float64(d.Sidecars-d.Dead)
+	g.event("membership.deaths_bytes", "what a living member sends meanwhile, without exchanges, in simulated time", account, z, "B/s",
+		(float64(c.Bytes-bytes)+hollow.Header*float64(c.Sent-sent))/living/span, (float64(c.Bytes-bytes)+hollow.Header*float64(c.Sent-sent))/living/span, int(living))
+	g.event("membership.deaths_false", "words of death of a member that lives, in simulated time", account, z, "1", float64(wrong), float64(wrong), int(living))
+}
+
+// took books how long something took, by sidecar.
+func (g *rig) took(name, what, account string, z Size, took []time.Duration, failed error) {
+	if failed != nil {
+		what += "; NOT ALL: " + failed.Error()
+	}
+	if len(took) > 0 {
+		slices.Sort(took)
+		g.event(name, what, account, z, "s", took[len(took)/2].Seconds(), took[len(took)-1].Seconds(), len(took))
+	}
+}
+
+func (g *rig) event(name, what, account string, z Size, unit string, median, last float64, n int) {
+	g.report.Events = append(g.report.Events, size.Event{Name: name, What: what, Account: account, At: z.at(), Unit: unit, Median: median, Last: max(last, median), N: n})
+}
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -283,33 +283,27 @@
 	return hollow.Load{Rate: rate, Work: brain.Micros(r.Work), Share: []float64{0.8, 0.2}, Seed: hollow.Seed(r.Seed, "visits", i)}
 }
 
-// joined waits until all hold all to be alive, and tells how long that took.
-func (f *fleet) joined(want func(i int) int, most time.Duration) (took []time.Duration, err error) {
+// await waits until something holds of each hollow sidecar, and tells how long that took for each of those of which it came to.
+func (f *fleet) await(most time.Duration, holds func(s *hollow.Sidecar) bool) (took []time.Duration, err error) {
 	begun := time.Now()
-	open := slices.Clone(f.hollow)
-	for {
+	for open := slices.Clone(f.hollow); ; {
 		open = slices.DeleteFunc(open, func(s *hollow.Sidecar) bool {
-			n := want(s.Number)
-			if n < 0 {
-				return true
-			}
-			if s.Holds() == n {
-				took = append(took, time.Since(begun))
-				return true
+			if !holds(s) {
+				return false
 			}
-			return false
+			took = append(took, time.Since(begun))
+			return true
 		})
 		switch {
 		case len(open) == 0:
-			slices.Sort(took)
 			return took, nil
 		case time.Since(begun) > most:
-			return took, fmt.Errorf("after %v %d hollow sidecars of %d do not hold the others as they are, %s holds %d alive", most, len(open), len(f.hollow),
+			return took, fmt.Errorf("after %v %d hollow sidecars of %d do not hold the others as they are; %s holds %d alive", most, len(open), len(f.hollow),
 				hollow.Name(open[0].Number), open[0].Holds())
 		case stopped(f.o.Stop):
 			return took, errStopped
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
 }
 
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -189,7 +189,7 @@
 // measure waits until the fleet stands, sends visits, and looks before them, at the beginning and at the end of the span. It ends
 // with a last look at the sums, when all is still.
 func (f *fleet) measure(rate func(i int) float64) (idle, a, b *look, err error) {
-	if _, err = f.joined(func(int) int { return f.size.Sidecars - 1 }, joinWithin); err != nil {
+	if _, err = f.await(joinWithin, func(s *hollow.Sidecar) bool { return s.Holds() == f.size.Sidecars-1 }); err != nil {
 		return nil, nil, nil, err
 	}
 	if f.o.Break == "forget" {
