--- /dev/null
+++ b/lab/hollow/hollow_test.go
@@ -0,0 +1,160 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ledgespread/brain"
+	"ledgespread/internal/discovery"
+	"ledgespread/internal/site"
+)
+
+// told is a small deployment: so many sidecars and servers, one path prefix, one tenant.
+func told(t *testing.T, i, sidecars, servers int) (*site.Manifest, *discovery.List) {
+	t.Helper()
+	var hosts []map[string]any
+	for k := range servers {
+		hosts = append(hosts, map[string]any{"host": fmt.Sprint("b", k), "dial": "127.0.0.1:1", "site": "a", "block": 0, "health": "in_service", "share": 8.0, "born_ms": 0})
+	}
+	known, _ := json.Marshal(map[string]any{"seq": 1, "whole": true, "hosts": hosts})
+	text := fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"%x","limits":{"cores":1,"memory_mb":64,"sockets":64},"known":%s,
+		"settings":{"azs":["a"],"my_zone":0,"balancers":%d,"me":%d,"discovery":"on_request","step_us":1000,"realms":[{"name":"t","share":1,"quota_per_s":100000}],
+		"path_prefixes":[{"name":"look","effect":"read_like","group":"all","target_latency_us":300000,"client_timeout_us":2000000,"memory_span_us":2000000,"value":1,"late_value":0}],
+		"allowed":{"cancel":true,"may_duplicate":true,"peer_messages":true,"max_backend_fetches":5,"conn_idle_us":10000000,"connect_timeout_us":75000,"multiplex":1},
+		"obligations":{"cold_from":0.3,"cold_us":8000000,"fall_multiple":3,"fall_us":1500000,"ask_every_us":8000000}}}`, i, 17*i+1, known, sidecars, i)
+	m, err := site.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := discovery.Read(known, map[string]int{"a": 0})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m, list
+}
+
+func play(t *testing.T, sidecars, servers int, rate float64, span brain.Micros) *World {
+	t.Helper()
+	_, list := told(t, 0, sidecars, servers)
+	w, err := NewWorld(sidecars, 100, NewFleet(8, 100_000, 300), func(i int) (*site.Manifest, error) {
+		m, _ := told(t, i, sidecars, servers)
+		return m, nil
+	}, list, func(i int) Load {
+		return Load{Rate: rate, Work: 1000, Share: []float64{1}, Seed: Seed(7, "visits", i)}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Run(span)
+	return w
+}
+
+var named = map[brain.Note]string{brain.TenantsUse: "use", brain.TenantsTotal: "total", brain.Ask: "ask", brain.Quote: "quote", brain.Began: "began", brain.Ended: "ended"}
+
+// trace is what was heard in all, by kind, and what became of the visits.
+func trace(w *World) (out string) {
+	in, sent := w.Account.Look()
+	var all, by Kinds
+	for i := range in {
+		for kind := range kinds {
+			all.Messages[kind] += in[i].Messages[kind]
+			all.Bytes[kind] += in[i].Bytes[kind]
+			by.Messages[kind] += sent[i].Messages[kind]
+		}
+	}
+	for _, kind := range []brain.Note{brain.TenantsUse, brain.TenantsTotal, brain.Ask, brain.Quote, brain.Began, brain.Ended} {
+		out += fmt.Sprintf("%s %d (%d B each) ", named[kind], all.Messages[kind], all.Bytes[kind]/max(all.Messages[kind], 1))
+		if all.Messages[kind] != by.Messages[kind] {
+			out += "UNEVEN "
+		}
+	}
+	var sum Tally
+	for _, c := range w.Cores {
+		sum.Visits, sum.Delivered, sum.Bounced, sum.Errored, sum.Fetches = sum.Visits+c.Tally.Visits, sum.Delivered+c.Tally.Delivered,
+			sum.Bounced+c.Tally.Bounced, sum.Errored+c.Tally.Errored, sum.Fetches+c.Tally.Fetches
+	}
+	return out + fmt.Sprintf("| %d visits: %d delivered, %d bounced, %d errored, %d fetches", sum.Visits, sum.Delivered, sum.Bounced, sum.Errored, sum.Fetches)
+}
+
+// What sidecars tell each other in simulated time: each ask has its answer, each fetch its begin and its end, and one seed gives one
+// run. Where servers are as many as sidecars nobody asks,
+// but for the first 50 ms: until its first beat a sidecar counts no server in service.
+func TestWorld(t *testing.T) {
+	first := trace(play(t, 8, 3, 20, 2_000_000))
+	if diff := cmp.Diff("use 21 (37 B each) total 21 (37 B each) ask 848 (35 B each) quote 848 (39 B each) began 292 (35 B each) ended 292 (43 B each) "+
+		"| 322 visits: 322 delivered, 0 bounced, 0 errored, 322 fetches", first); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+	if diff := cmp.Diff(first, trace(play(t, 8, 3, 20, 2_000_000))); diff != "" {
+		t.Errorf("one seed, two runs:\n%s", diff)
+	}
+	if diff := cmp.Diff("use 21 (37 B each) total 21 (37 B each) ask 16 (35 B each) quote 16 (39 B each) began 4 (35 B each) ended 4 (43 B each) "+
+		"| 322 visits: 322 delivered, 0 bounced, 0 errored, 322 fetches", trace(play(t, 8, 8, 20, 2_000_000))); diff != "" {
+		t.Errorf("as many servers, -kept +now:\n%s", diff)
+	}
+}
+
+// A server of two cores: what comes waits for the core that is free first; what would wait for too long is turned away.
+func TestFleet(t *testing.T) {
+	f, got := NewFleet(2, 5_000, 200), ""
+	for _, x := range []struct{ at, work brain.Micros }{{0, 4_000}, {0, 3_000}, {1_000, 9_000}, {1_000, 1_000}, {1_000, 8_000}, {1_000, 1_000}, {9_000, 100}} {
+		rc, at := f.offer(x.at, 5, x.work)
+		got += fmt.Sprintf("%d+%d: %s at %d; ", x.at, x.work, map[brain.Result]string{brain.Delivered: "delivered", brain.Full: "full"}[rc], at)
+	}
+	if diff := cmp.Diff("0+4000: delivered at 4200; 0+3000: delivered at 3200; 1000+9000: delivered at 12200; 1000+1000: delivered at 5200; "+
+		"1000+8000: delivered at 13200; 1000+1000: full at 1200; 9000+100: delivered at 12300; ", got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+// The account books a message at both ends, apart by kind and second; one that forgets leaves out one in so many.
+func TestAccount(t *testing.T) {
+	a := NewAccount(3)
+	for s := range 4 {
+		for n := range 2 * s {
+			a.Heard(brain.Micros(s)*1_000_000+brain.Micros(n), 0, 1, brain.Ask, 0)
+		}
+	}
+	a.Heard(1_500_000, 2, 0, brain.TenantsUse, 4)
+	a.Heard(1_500_000, 9, 0, brain.Ask, 0)
+	in, out := a.Look()
+	peers, tenants := in[1].Split()
+	_, own := in[0].Split()
+	most, sent := a.Worst(0, 3_000_000)
+	got := fmt.Sprint(peers, tenants, own, out[0].Messages[brain.Ask], out[2].Bytes[brain.TenantsUse], " worst ", most, sent)
+	a.Forget = 5
+	for range 50 {
+		a.Heard(0, 0, 2, brain.Began, 0)
+	}
+	in, _ = a.Look()
+	got += fmt.Sprint(" of 50: ", in[2].Messages[brain.Began])
+	if diff := cmp.Diff("[12 420] [0 0] [1 43] 12 43 worst 140 140 of 50: 40", got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+func TestReadCounts(t *testing.T) {
+	want := map[string]int64{"notes_sent": 12, "members_sent_bytes": 345, "odd": -2}
+	if diff := cmp.Diff(want, ReadCounts("ledgespread_notes_sent 12\nledgespread_members_sent_bytes 345\nodd -2\nnothing\n")); diff != "" {
+		t.Errorf("-want +got:\n%s", diff)
+	}
+}
+
+// No two purposes, sidecars or runs have an address in common.
+func TestAt(t *testing.T) {
+	seen := map[string]bool{}
+	for run := range 3 {
+		for purpose := range 3 {
+			for i := range 2000 {
+				at := At(run, purpose, i, 4711).String()
+				if seen[at] {
+					t.Fatalf("%s is given out twice", at)
+				}
+				seen[at] = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/lab/scale/scale_test.go
@@ -0,0 +1,265 @@
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ledgespread/lab/hollow"
+	"ledgespread/lab/size"
+)
+
+const fine = `name = "fine"
+real = 20
+[[size]]
+sidecars = 30
+servers = 5
+visits = "5/s"
+[[size]]
+sidecars = 40
+servers = 5
+visits = "5/s"
+[[size]]
+sidecars = 50
+servers = 5
+visits = "9/s"
+[[size]]
+sidecars = 60
+servers = 5
+visits = "5/s"
+[[size]]
+sidecars = 70
+servers = 5
+visits = "5/s"
+`
+
+// A run file of which nothing may be misread: what is odd in it is told with its line and name.
+func TestRefused(t *testing.T) {
+	if _, err := Parse("run.toml", []byte(fine)); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ from, to, want string }{
+		{"real = 20", "reel = 20", "run.toml:2: reel: no such name"},
+		{"real = 20", "real = 19", "run.toml:2: real: must be 20 at least, or hollow ones stand beside too few"},
+		{`visits = "9/s"`, "visits = 9", "run.toml:14: size.visits: 9 is without a unit"},
+		{`visits = "9/s"`, `visits = "9"`, `run.toml:14: size.visits: "9" is no rate, such as "260/s"`},
+		{"sidecars = 40", "sidecars = 4", "run.toml:8: size.sidecars: must be from 20 to 10000"},
+		{"sidecars = 70\nservers = 5", "sidecars = 70", "run.toml:19: size.servers: must be from 1 to 10000"},
+		{"name = \"fine\"", "told = \"nameless\"", "run.toml:1: name: is missing"},
+		{"[[size]]\nsidecars = 70\nservers = 5\nvisits = \"5/s\"\n", "", "run.toml:1: size: 4 sizes: a line needs 4, and the largest that it predicts"},
+		{"real = 20\n", "real = 20\ntenants = 125\n", "run.toml:4: size.tenants: must be 124 at the most: their totals go in one message"},
+		{"real = 20\n", "real = 20\n[within]\nagree = 1.5\n", "run.toml:4: within.agree: must be over 0 and under 1"},
+		{"real = 20\n", "real = 20\n[deaths]\nsidecars = 100\ndead = 80\n", "run.toml:5: deaths.dead: must be from 1 to what is hollow, less one"},
+		{"real = 20\n", "real = 20\n[herd]\nsidecars = 100\nservers = 10\neach = \"2ms\"\n", "run.toml:3: herd.queue: must be 1 at least where an answer takes time"},
+		{"real = 20\n", "real = 20\n[rates]\nsidecars = 100\nservers = 10\nvisits = [\"3/s\"]\n", "run.toml:6: rates.visits: must be two rates at least"},
+	} {
+		_, err := Parse("run.toml", []byte(strings.Replace(fine, x.from, x.to, 1)))
+		if diff := cmp.Diff(x.want, fmt.Sprint(err)); diff != "" {
+			t.Errorf("%q for %q, -want +got:\n%s", x.to, x.from, diff)
+		}
+	}
+}
+
+// The run files that ship are taken.
+func TestUsual(t *testing.T) {
+	for _, quick := range []bool{false, true} {
+		if _, err := Usual(quick); err != nil {
+			t.Error(err)
+		}
+	}
+	if _, err := Read("../size/faults.toml"); err != nil {
+		t.Error(err)
+	}
+}
+
+// What goes over a bound of the machine is refused, with the bound, before anything starts.
+func TestBounds(t *testing.T) {
+	big := machine{cores: 8, memory: 24 << 30, files: 20_000}
+	for _, x := range []struct {
+		change func(*Run, *machine)
+		want   string
+	}{
+		{func(*Run, *machine) {}, ""},
+		{func(r *Run, _ *machine) { r.Silent = 280 }, "run.toml: 30 sidecars, 5 servers, 5 visits/s would run 301 processes, and 300 is the bound"},
+		{func(_ *Run, m *machine) { m.memory = 1900 << 20 }, "run.toml: 30 sidecars, 5 servers, 5 visits/s would take some 966 MB, and half of this machine's memory is 950 MB"},
+		{func(r *Run, _ *machine) { r.Sizes[4].Sidecars = 10_000 }, "run.toml: 10000 sidecars, 5 servers, 5 visits/s would take some 104658 MB, and half of this machine's memory is 12288 MB"},
+		{func(r *Run, _ *machine) { r.Sizes[4].Sidecars = 2600 }, "run.toml: 2600 sidecars, 5 servers, 5 visits/s would open some 22185 files, and the limit is 20000"},
+		{func(r *Run, _ *machine) { r.Sizes[4].Visits = 330 },
+			"run.toml: 70 sidecars, 5 servers, 330 visits/s would send some 184800 messages a second, and 8 cores carry some 112000: play it in simulated time ([[simulated]])"},
+	} {
+		r, err := Parse("run.toml", []byte(fine))
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := big
+		x.change(r, &m)
+		got := ""
+		if err := r.fits(m); err != nil {
+			got = err.Error()
+		}
+		if diff := cmp.Diff(x.want, got); diff != "" {
+			t.Errorf("-want +got:\n%s", diff)
+		}
+	}
+}
+
+// made is a rig with points on a line of its own: 3 messages a visit and 10 besides.
+func made(t *testing.T, wrong string) *rig {
+	t.Helper()
+	r, err := Parse("run.toml", []byte(fine))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &rig{Run: r, o: Options{Break: wrong, Say: func(string) {}}, points: map[string][]size.Point{}, report: &size.Report{}}
+	for _, z := range r.Sizes[:4] {
+		g.add("list.messages_out", z.at(), size.Point{Mean: 2})
+		g.add("sockets.peers.messages_out", z.at(), size.Point{Mean: 10 + 3*float64(z.Visits)})
+	}
+	return g
+}
+
+// Slopes through made points are those the points were made with; what the points don't tell apart is left out; the prediction is
+// there before the largest size is.
+func TestPredict(t *testing.T) {
+	for _, x := range []struct{ wrong, want string }{
+		{"", "sockets.peers.messages_out: 10 + 3 visits_per_s, 70 sidecars: 25; list.messages_out: 2 + 0 sidecars, 70 sidecars: 2; "},
+		{"wrong-slope", "sockets.peers.messages_out: 15 + 4.5 visits_per_s, 70 sidecars: 37.5; list.messages_out: 3 + 0 sidecars, 70 sidecars: 3; "},
+	} {
+		g := made(t, x.wrong)
+		if err := g.predict(g.Sizes[4]); err != nil {
+			t.Fatal(err)
+		}
+		got := ""
+		for _, s := range g.report.Slopes {
+			got += fmt.Sprintf("%s: %.3g", s.Name, s.Coefficient[size.Const])
+			for _, name := range s.Of {
+				got += fmt.Sprintf(" + %.3g %s", math.Abs(math.Round(1e6*s.Coefficient[name])/1e6), name)
+			}
+			got += fmt.Sprintf(", %g sidecars: %.4g; ", s.Largest.At["sidecars"], s.Largest.Predicted)
+			if s.Largest.Measured != 0 {
+				t.Errorf("%s was measured before it was run", s.Name)
+			}
+		}
+		if diff := cmp.Diff(x.want, got); diff != "" {
+			t.Errorf("%s, -want +got:\n%s", x.wrong, diff)
+		}
+	}
+}
+
+// What each claim makes of accounts: true ones, hollow ones that tell half, an account that forgets, a wrong slope.
+func TestClaims(t *testing.T) {
+	got := ""
+	for _, x := range []string{"", "half", "forget", "wrong-slope"} {
+		g := made(t, x)
+		if err := g.predict(g.Sizes[4]); err != nil {
+			t.Fatal(err)
+		}
+		g.add("list.messages_out", g.Sizes[4].at(), size.Point{Mean: 2.1})
+		g.fill()
+		hollow := 180.0
+		if x == "half" {
+			hollow /= 2
+		}
+		g.report.Agree = []size.Agree{{Name: "bytes a visit", Hollow: hollow, Real: 175, Within: 0.2, Holds: math.Abs(hollow-175) <= 0.2*175}}
+		booked := int64(100_000)
+		if x == "forget" {
+			booked -= booked / forgotten
+		}
+		g.sums = []sums{{size: g.Sizes[0], sent: 100_020, booked: booked, toReal: booked / 5, heardByReal: 20_003}}
+		g.claims()
+		got += fmt.Sprintf("%q:", x)
+		for _, c := range g.report.Claims {
+			got += fmt.Sprint(" ", c.Holds)
+		}
+		got += "; "
+	}
+	if diff := cmp.Diff(`"": true true true true; "half": false true true true; "forget": true true false false; "wrong-slope": true false true true; `, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+// The list's service: whole lists and changes, a watch that is held, and refusals beyond its queue while it works; each reader's bytes
+// are its own.
+func TestService(t *testing.T) {
+	s := newService(30*time.Millisecond, 2, time.Now())
+	defer s.close()
+	line := func(name, health string) host {
+		return host{Host: name, Dial: "127.0.0.1:1", Site: "a", Class: "box", Health: health, Share: 1}
+	}
+	s.set(line("b0", "in_service"), line("b1", "in_service"))
+	var readers []*Reader
+	for i := range 5 {
+		r, err := s.reader(i, hollow.At(59, forList, i, os.Getpid()).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		readers = append(readers, r)
+	}
+	ask := func(i int, query string) string {
+		resp, err := http.Get("http://" + readers[i].Address + "/api/targets" + query)
+		if err != nil {
+			return err.Error()
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		return fmt.Sprint(resp.StatusCode, " ", strings.Count(string(body), "host\""), " lines")
+	}
+	got := "whole: " + ask(0, "") + "; nothing new: " + ask(0, "?from=1&hold_ms=0")
+	held := make(chan string, 1)
+	go func() { held <- ask(1, "?from=1&hold_ms=4000") }()
+	time.Sleep(50 * time.Millisecond)
+	s.set(line("b1", "terminating"))
+	got += "; held until a change: " + <-held
+	ends := make(chan string, 5)
+	for i := range 5 {
+		go func() { ends <- ask(i, "") }()
+	}
+	served, refused := 0, 0
+	for range 5 {
+		if strings.HasPrefix(<-ends, "200") {
+			served++
+		} else {
+			refused++
+		}
+	}
+	got += fmt.Sprintf("; of five at once %d served, %d refused", served, refused)
+	s.setDown(true)
+	got += "; lost: " + ask(0, "")
+	if diff := cmp.Diff("whole: 200 2 lines; nothing new: 200 0 lines; held until a change: 200 1 lines; of five at once 2 served, 3 refused; lost: 503 0 lines", got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+	if _, ok := readers[2].Told(3); ok || readers[2].Calls.Load() != 1 || readers[2].In.Load() == 0 {
+		t.Errorf("reader 2 asked once: %d calls, %d bytes", readers[2].Calls.Load(), readers[2].In.Load())
+	}
+	if at, ok := readers[1].Told(2); !ok || time.Since(at) > 5*time.Second {
+		t.Errorf("reader 1 was told of version 2 at %v, %v", at, ok)
+	}
+}
+
+func TestHexAddress(t *testing.T) {
+	at, ok := hexAddress("0101407F:1F90")
+	if got := fmt.Sprint(at, ok); got != "127.64.1.1:8080 true" {
+		t.Error(got)
+	}
+	if _, ok := hexAddress("00000000000000000000000000000000:0016"); ok {
+		t.Error("an address of IPv6 was taken")
+	}
+}
+
+// A run that is stopped ends at once.
+func TestStopped(t *testing.T) {
+	stop := make(chan struct{})
+	close(stop)
+	f := &fleet{o: Options{Stop: stop}}
+	if err := f.wait(time.Hour); !errors.Is(err, errStopped) {
+		t.Error(err)
+	}
+}
