--- a/lab/scale/claims.go
+++ b/lab/scale/claims.go
@@ -251,6 +251,27 @@
 	claim(bad == 0 && count > 0, "slopes through the smaller sizes predict the largest, written down before it was run", fmt.Sprintf("within %.0f%%", 100*g.Within.Predict),
 		"receivers', the list's service's, members' counters", "%d of %d slopes, the furthest by %.1f%%: %s", count-bad, count, 100*off, worst)
 
+	if len(g.Sim) > 0 {
+		worst, off, bad, count = "", -1, 0, 0
+		for _, s := range r.Slopes {
+			for _, p := range s.Points {
+				if !strings.HasPrefix(s.Name, "peers.") || p.Real == 0 {
+					continue
+				}
+				count++
+				by := math.Abs(p.Mean-p.Real) / p.Real
+				if by > off {
+					worst, off = fmt.Sprintf("%s, %s", s.Name, spell(p.At)), by
+				}
+				if by > g.Within.Agree {
+					bad++
+				}
+			}
+		}
+		claim(bad == 0 && count > 0, "a size in simulated time and the same size on sockets agree", fmt.Sprintf("within %.0f%%", 100*g.Within.Agree),
+			"receivers'", "%d of %d figures, the furthest by %.1f%%: %s", count-bad, count, 100*off, worst)
+	}
+
 	worst, off = "", -1
 	for _, s := range g.sums {
 		by := s.off(s.sent-s.booked-s.dropped, s.sent)
