--- a/lab/scale/deaths.go
+++ b/lab/scale/deaths.go
@@ -153,3 +153,51 @@
 func (g *rig) event(name, what, account string, z Size, unit string, median, last float64, n int) {
 	g.report.Events = append(g.report.Events, size.Event{Name: name, What: what, Account: account, At: z.at(), Unit: unit, Median: median, Last: max(last, median), N: n})
 }
+
+// apart plays, in simulated time, two regions, of two zones and of three, that lose each other for longer than the dead are
+// remembered, and heal.
+func (g *rig) apart() {
+	a := g.Apart
+	if a == nil {
+		return
+	}
+	z := Size{a.Sidecars, 20, 0, g.Tenants}
+	const account = "simulated time"
+	g.say("membership, simulated: two regions of %d, of two zones and of three, apart for %v, the dead are forgotten after %v", a.Sidecars, a.For.M().Duration(), a.Forget.M().Duration())
+	c := crowd.New(g.Seed, a.Sidecars, membership.Terms{Group: group, Every: membership.Micros(g.Members.Every), Exchange: membership.Micros(g.Members.Exchange),
+		Forget: membership.Micros(a.Forget), Linger: 1_000_000, Senders: 1, Most: 10_000}, true)
+	c.Run(5_000_000)
+	c.Cut = func(from, to int) bool { return (from%5 < 2) != (to%5 < 2) }
+	most, share := 0.0, func() (sum float64) { // of a budget for all, that all take together
+		for _, m := range c.Members {
+			sum += 1 / float64(m.Senders())
+		}
+		return sum
+	}
+	at := 0.0
+	for span := crowd.Micros(0); span < crowd.Micros(a.For); span += 1_000_000 {
+		c.Run(1_000_000)
+		if x := share(); x > most {
+			most, at = x, float64(span+1_000_000)/1e6
+		}
+	}
+	g.event("regions.budget_taken", fmt.Sprintf("of a cold server's budget, by all together while regions are apart for %v and the dead forgotten after %v; at the most after %.0f s. The settings' number of sidecars, where it is true, bounds it to 1",
+		a.For.M().Duration(), a.Forget.M().Duration(), at), account, z, "1", share(), most, a.Sidecars)
+	c.Cut = nil
+	sent, bytes, exchanged, begun := c.Sent, c.Bytes, c.Exchange, c.Now
+	took := c.Until(crowd.Micros(a.Most), func() bool {
+		return !slices.ContainsFunc(c.Members, func(m *crowd.Member) bool { return m.Holds()[membership.Alive] != a.Sidecars-1 })
+	})
+	what := "from the end of the cut until all hold all to be alive"
+	if took < 0 {
+		least := a.Sidecars
+		for _, m := range c.Members {
+			least = min(least, m.Holds()[membership.Alive]+1)
+		}
+		what = fmt.Sprintf("%s; NOT ALL: after %v one holds %d of %d", what, a.Most.M().Duration(), least, a.Sidecars)
+		took = crowd.Micros(a.Most)
+	}
+	g.event("regions.healed", what, account, z, "s", float64(took)/1e6, float64(took)/1e6, a.Sidecars)
+	each := (float64(c.Bytes-bytes) + hollow.Header*float64(c.Sent-sent) + float64(c.Exchange-exchanged)) / float64(a.Sidecars) / max(float64(c.Now-begun)/1e6, 1e-3)
+	g.event("regions.heal_bytes", "what a member sends meanwhile, in the mean, exchanges too", account, z, "B/s", each, each, a.Sidecars)
+}
--- a/lab/scale/file.go
+++ b/lab/scale/file.go
@@ -39,6 +39,7 @@
 	Herd      *Herd         `toml:"herd"`
 	Deaths    *Deaths       `toml:"deaths"`
 	Within    Within        `toml:"within"`
+	Apart     *Apart        `toml:"apart"`
 
 	File string `toml:"-"`
 }
@@ -83,6 +84,14 @@
 	Most     scenario.Span `toml:"most"` // it is waited for so long
 }
 
+// Apart is two regions of the members that lose each other, in simulated time.
+type Apart struct {
+	Sidecars int           `toml:"sidecars"`
+	For      scenario.Span `toml:"for"`
+	Forget   scenario.Span `toml:"forget"` // the dead are remembered for so long
+	Most     scenario.Span `toml:"most"`   // the healing is waited for so long
+}
+
 // Within are the bands of what is claimed.
 type Within struct {
 	Agree   float64 `toml:"agree"`   // hollow and real differ by this part at the most
@@ -173,7 +182,7 @@
 	check(r.Silent >= 0, "", 0, "silent", "must not be negative")
 	check(r.Span >= scenario.Span(clock.Second), "", 0, "span", "must be 1s at least")
 	check(len(r.Sizes) > 0 || len(r.Sim) == 0 && r.Rates == nil, "", 0, "size", "is missing: simulated sizes and rates stand beside some on sockets")
-	check(len(r.Sizes) > 0 || r.Herd != nil || r.Deaths != nil, "", 0, "size", "is missing, and so are [herd] and [deaths]: nothing is to be played")
+	check(len(r.Sizes) > 0 || r.Herd != nil || r.Deaths != nil || r.Apart != nil, "", 0, "size", "is missing, and so are [herd], [deaths] and [apart]: nothing is to be played")
 	check(len(r.Sizes) == 0 || len(r.Sizes) > leastSizes, "", 0, "size", "%d sizes: a line needs %d, and the largest that it predicts", len(r.Sizes), leastSizes)
 	check(len(r.Sim) == 0 || len(r.Sim) > leastSizes, "", 0, "simulated", "%d sizes: a line needs %d, and the largest that it predicts", len(r.Sim), leastSizes)
 	size := func(table string, i int, s Size, least int) {
@@ -196,6 +205,11 @@
 		check(d.Sidecars >= r.Real && d.Sidecars <= mostSidecars, "deaths", 0, "sidecars", "must be from %d to %d", r.Real, mostSidecars)
 		check(d.Dead > 0 && d.Dead < d.Sidecars-r.Real, "deaths", 0, "dead", "must be from 1 to what is hollow, less one")
 	}
+	if a := r.Apart; a != nil {
+		check(a.Sidecars >= 2 && a.Sidecars <= mostSidecars, "apart", 0, "sidecars", "must be from 2 to %d", mostSidecars)
+		check(a.Forget >= 60*r.Members.Every, "apart", 0, "forget", "must be 60 times probe_every at least")
+		check(a.For > 0 && a.Most > 0, "apart", 0, "for", "for and most must be told")
+	}
 	if x := r.Rates; x != nil {
 		size("rates", 0, Size{Sidecars: x.Sidecars, Servers: x.Servers}, r.Real)
 		check(len(x.Visits) > 1 && len(x.Visits) <= r.Real, "rates", 0, "visits", "must be two rates at least")
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -103,6 +103,7 @@
 	if err := g.deaths(); err != nil {
 		return err
 	}
+	g.apart()
 	g.claims()
 	return nil
 }
