--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"ledgespread/lab/hollow"
 	"ledgespread/lab/size"
@@ -186,6 +188,32 @@
 	}
 }
 
+// What a run writes is taken by the strict reader that the page is worked out with.
+func TestReadBack(t *testing.T) {
+	g := made(t, "")
+	if err := g.predict(g.Sizes[4]); err != nil {
+		t.Fatal(err)
+	}
+	g.add("list.messages_out", g.Sizes[4].at(), size.Point{Mean: 2.1})
+	g.fill()
+	g.event("membership.back", "made", "nobody's", g.Sizes[4], "s", 1, 2, 3)
+	g.report.Agree = []size.Agree{{Name: "bytes a visit", Hollow: 180, Real: 175, Within: 0.2, Holds: true}}
+	g.sums = []sums{{size: g.Sizes[0], sent: 100, booked: 100}}
+	g.claims()
+	g.report.Run, g.report.Commit, g.report.Date, g.report.Machine = "made", "none", "2026-12-02", here().String()
+	text, err := json.Marshal(g.report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := size.DecodeReport("made.json", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(g.report, back, cmpopts.EquateEmpty()); diff != "" {
+		t.Errorf("-written +read:\n%s", diff)
+	}
+}
+
 // The list's service: whole lists and changes, a watch that is held, and refusals beyond its queue while it works; each reader's bytes
 // are its own.
 func TestService(t *testing.T) {
