--- a/lab/scale/file.go
+++ b/lab/scale/file.go
@@ -226,15 +226,15 @@
 	return nil
 }
 
-// most is the largest fleet that is on sockets at once, and its servers and rate.
+// all are the fleets that stand on sockets, each with its mean rate.
 func (r *Run) all() (all []Size) {
 	all = append(all, r.Sizes...)
 	if r.Rates != nil {
-		top := scenario.Rate(0)
+		mean := scenario.Rate(0)
 		for _, v := range r.Rates.Visits {
-			top = max(top, v)
+			mean += v / scenario.Rate(len(r.Rates.Visits))
 		}
-		all = append(all, Size{r.Rates.Sidecars, r.Rates.Servers, top, r.Tenants})
+		all = append(all, Size{r.Rates.Sidecars, r.Rates.Servers, mean, r.Tenants})
 	}
 	if r.Herd != nil {
 		all = append(all, Size{r.Herd.Sidecars, r.Herd.Servers, 0, r.Tenants})
