--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -15,7 +15,9 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"ledgespread/lab/clock"
 	"ledgespread/lab/hollow"
+	"ledgespread/lab/scenario"
 	"ledgespread/lab/size"
 )
 
@@ -194,6 +196,47 @@
 	}
 }
 
+// Sizes of as many sidecars as the largest come after the prediction: a slope is not drawn through what it is to foretell.
+func TestParted(t *testing.T) {
+	r := &Run{Sim: []Size{{Sidecars: 50, Servers: 5}, {Sidecars: 100, Servers: 5}, {Sidecars: 70, Servers: 5}, {Sidecars: 100, Servers: 9}}}
+	before, after := r.parted()
+	if diff := cmp.Diff("[50 sidecars, 5 servers, 0 visits/s 70 sidecars, 5 servers, 0 visits/s] [100 sidecars, 5 servers, 0 visits/s 100 sidecars, 9 servers, 0 visits/s]",
+		fmt.Sprint(before, after)); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+// Membership in simulated time, probing four times a second: a probe and its answer each, and little more. Members that die are known
+// to all, none that lives is held for dead; regions that were apart agree again.
+func TestCrowd(t *testing.T) {
+	g := made(t, "")
+	g.crowds = map[int]bool{}
+	g.Deaths = &Deaths{Sidecars: 40, Dead: 5, Most: scenario.Span(30 * clock.Second)}
+	g.Apart = &Apart{Sidecars: 20, For: scenario.Span(20 * clock.Second), Forget: scenario.Span(15 * clock.Second), Most: scenario.Span(20 * clock.Second)}
+	g.crowd(20)
+	g.crowd(20) // once
+	if p := g.points["membership.messages_out"]; len(p) != 1 || math.Abs(p[0].Mean-8) > 0.5 {
+		t.Errorf("%+v", p)
+	}
+	g.crowdDeaths()
+	g.apart()
+	got := ""
+	for _, e := range g.report.Events {
+		got += fmt.Sprint(e.Name, " ", e.N)
+		if e.Unit == "s" {
+			got += fmt.Sprint(" in time: ", e.Last < 8)
+		}
+		if e.Name == "membership.deaths_false" {
+			got += fmt.Sprint(" ", e.Last)
+		}
+		got += "; "
+	}
+	if diff := cmp.Diff("membership.deaths_known 35 in time: true; membership.deaths_bytes 35; membership.deaths_false 35 0; "+
+		"regions.budget_taken 20; regions.healed 20 in time: true; regions.heal_bytes 20; ", got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
 // What a run writes is taken by the strict reader that the page is worked out with.
 func TestReadBack(t *testing.T) {
 	g := made(t, "")
