--- a/lab/prove/prove.go
+++ b/lab/prove/prove.go
@@ -11,6 +11,7 @@
 	"ledgespread/decide/membership"
 	"ledgespread/decide/rollout"
 	"ledgespread/lab/cars"
+	"ledgespread/lab/scale"
 )
 
 // Claim is one line of a proof.
@@ -52,6 +53,8 @@
 		"who is there: simulated by seed beside plain heartbeats, and real processes under faults, judged by the lab's truth"},
 	"rollout": {playRollout, rollout.Guards,
 		"configurations that members carry: up to 1,000 hollow ones by seed, and real processes under faults, with visits running"},
+	"scale": {playScale, scale.Breaks,
+		"the rig of sizes: hollow sidecars and real ones agree, slopes foretell the largest size, accounts add up"},
 	"floor": {playFloor, []string{"decoy"},
 		"the measure of speed: the sidecar beside a forwarder that takes no decision, alternating in one run"},
 }
