--- /dev/null
+++ b/lab/callgraph/callgraph.go
@@ -0,0 +1,410 @@
+// Package callgraph draws by seed which services there are, how large each is, and which calls which how often. It is a
+// model of the requirement's size: what the requirement does not say is assumed, and stands in a file of its own.
+package callgraph
+
+import (
+	_ "embed"
+	"fmt"
+	"math"
+	"slices"
+
+	"ledgespread/lab/chance"
+	"ledgespread/strict"
+)
+
+// Rate is a number a second, as files say it.
+type Rate float64
+
+func (r *Rate) UnmarshalText(text []byte) error {
+	x, err := strict.Rate(text)
+	*r = Rate(x)
+	return err
+}
+
+// Size is what the operators name.
+type Size struct {
+	Servers   int  `toml:"servers"`
+	Services  int  `toml:"services"`
+	CallsPerS Rate `toml:"calls_per_s"`
+	Depth     int  `toml:"depth"`
+	Regions   int  `toml:"regions"`
+	Zones     int  `toml:"zones"`
+}
+
+// Assumed is what they don't.
+type Assumed struct {
+	CallsServices     float64 `toml:"calls_services"`
+	CallsServicesMost int     `toml:"calls_services_most"`
+	Onward            float64 `toml:"onward"`
+	OnwardSpread      float64 `toml:"onward_spread"`
+	Fronts            int     `toml:"fronts"`
+	SizesFollowRates  float64 `toml:"sizes_follow_rates"`
+	SizeSpread        float64 `toml:"size_spread"`
+	ServersLeast      int     `toml:"servers_least"`
+}
+
+// Assumptions are a whole file.
+type Assumptions struct {
+	Size    Size    `toml:"size"`
+	Assumed Assumed `toml:"assumed"`
+}
+
+//go:embed assumptions.toml
+var usual []byte
+
+// Usual are the assumptions that come with the program.
+func Usual() Assumptions {
+	a, err := Read("assumptions.toml", usual)
+	if err != nil {
+		panic(err) // the file is part of the program, and a test reads it
+	}
+	return a
+}
+
+// Read takes a file over the usual one: what it leaves out is as there. An error names file, line and name.
+func Read(file string, text []byte) (a Assumptions, err error) {
+	if err = strict.Decode("assumptions.toml", usual, &a); err != nil {
+		return a, err
+	}
+	if err = strict.Decode(file, text, &a); err != nil {
+		return a, err
+	}
+	if odd := a.odd(); odd != nil {
+		return a, odd.In(file, text)
+	}
+	return a, nil
+}
+
+func (a Assumptions) odd() *strict.Oddity {
+	s, m := a.Size, a.Assumed
+	for _, c := range []struct {
+		wrong            bool
+		table, name, why string
+	}{
+		{s.Services < 2 || s.Services > 10_000, "size", "services", "must lie between 2 and 10000"},
+		{s.Depth < 1 || s.Depth >= s.Services, "size", "depth", "must be at least 1, and less than the services"},
+		{s.Servers < s.Services*m.ServersLeast || s.Servers > 1_000_000, "size", "servers",
+			"must be at least servers_least for each service, and a million at most"},
+		{s.CallsPerS < 1 || s.CallsPerS > 1e9, "size", "calls_per_s", "must lie between 1/s and 1000000000/s"},
+		{s.Zones < 1 || s.Zones > 1000, "size", "zones", "must lie between 1 and 1000"},
+		{s.Regions < 1 || s.Regions > s.Zones, "size", "regions", "must be at least 1, and no more than the zones"},
+		{m.ServersLeast < 1, "assumed", "servers_least", "must be at least 1"},
+		{m.Fronts < 1 || m.Fronts > s.Services-s.Depth, "assumed", "fronts", "must be at least 1, and leave depth other services"},
+		{!(m.CallsServices >= 1) || m.CallsServices > 1000, "assumed", "calls_services", "must lie between 1 and 1000"},
+		{float64(m.CallsServicesMost) < m.CallsServices, "assumed", "calls_services_most", "must be at least calls_services"},
+		{!(m.Onward > 0) || m.Onward > 100, "assumed", "onward", "must be over 0, and 100 at most"},
+		{!(m.OnwardSpread >= 0) || m.OnwardSpread > 5, "assumed", "onward_spread", "must lie between 0 and 5"},
+		{!(m.SizesFollowRates >= 0) || m.SizesFollowRates > 2, "assumed", "sizes_follow_rates", "must lie between 0 and 2"},
+		{!(m.SizeSpread >= 0) || m.SizeSpread > 5, "assumed", "size_spread", "must lie between 0 and 5"},
+	} {
+		if c.wrong {
+			return &strict.Oddity{Table: c.table, Name: c.name, Why: c.why}
+		}
+	}
+	return nil
+}
+
+// Service is one of the services, named by its place. Layer is the most calls in a chain that ends at it, as drawn.
+type Service struct {
+	Layer  int
+	Zones  []int // servers in each zone
+	Calls  []Edge
+	Called []int // by which
+}
+
+// Servers are how many it has.
+func (s *Service) Servers() (n int) {
+	for _, k := range s.Zones {
+		n += k
+	}
+	return n
+}
+
+// Edge is one service calling another, in whole calls a second, all its servers together.
+type Edge struct {
+	To   int
+	PerS int
+}
+
+// Graph is a drawn call graph.
+type Graph struct {
+	Seed     uint64
+	Of       Assumptions
+	Services []*Service
+}
+
+// normal is one of a normal distribution.
+func normal(c *chance.Source) float64 {
+	return math.Sqrt(-2*math.Log(1-c.Float())) * math.Cos(2*math.Pi*c.Float())
+}
+
+// Draw draws one. Services stand in layers from 0, the fronts, to depth; the first of each layer calls the first of the next,
+// so that the deepest chain has just as many calls as asked for, and calls go to deeper layers only.
+func Draw(a Assumptions, seed uint64) *Graph {
+	g := &Graph{Seed: seed, Of: a}
+	c := chance.New(seed, "callgraph")
+	for i := range a.Size.Services {
+		layer := i - a.Assumed.Fronts + 1
+		if layer = max(layer, 0); layer > a.Size.Depth {
+			layer = 1 + c.Below(a.Size.Depth)
+		}
+		g.Services = append(g.Services, &Service{Layer: layer})
+	}
+	slices.SortStableFunc(g.Services, func(x, y *Service) int { return x.Layer - y.Layer })
+	weights := g.edges(c)
+	g.rates(c, weights)
+	g.sizes(c)
+	return g
+}
+
+// edges draws who calls whom; each edge has a weight among those of its caller.
+func (g *Graph) edges(c *chance.Source) (weights [][]float64) {
+	a := g.Of
+	weights = make([][]float64, len(g.Services))
+	add := func(from, to int) {
+		s := g.Services[from]
+		if slices.ContainsFunc(s.Calls, func(e Edge) bool { return e.To == to }) {
+			return
+		}
+		s.Calls = append(s.Calls, Edge{To: to})
+		weights[from] = append(weights[from], c.Exp(1)+0.05)
+		g.Services[to].Called = append(g.Services[to].Called, from)
+	}
+	first := func(layer int) int {
+		return slices.IndexFunc(g.Services, func(s *Service) bool { return s.Layer == layer })
+	}
+	deeper := func(layer int) int { // where the deeper ones begin
+		if at := slices.IndexFunc(g.Services, func(s *Service) bool { return s.Layer > layer }); at >= 0 {
+			return at
+		}
+		return len(g.Services)
+	}
+	for layer := range a.Size.Depth {
+		add(first(layer), first(layer+1))
+	}
+	for i, s := range g.Services { // each that is no front has a caller
+		if s.Layer > 0 && len(s.Called) == 0 {
+			add(c.Below(slices.IndexFunc(g.Services, func(t *Service) bool { return t.Layer >= s.Layer })), i)
+		}
+	}
+	for i, s := range g.Services {
+		from := deeper(s.Layer)
+		if from == len(g.Services) {
+			continue
+		}
+		many := min(1+int(c.Exp(a.Assumed.CallsServices-1)+0.5), a.Assumed.CallsServicesMost, len(g.Services)-from)
+		for tries := 0; len(s.Calls) < many && tries < 50*many; tries++ {
+			add(i, from+c.Below(len(g.Services)-from))
+		}
+	}
+	return weights
+}
+
+// rates has calls flow from the fronts, and brings all edges to whole numbers with just the asked sum.
+func (g *Graph) rates(c *chance.Source, weights [][]float64) {
+	into := make([]float64, len(g.Services))
+	var flow []float64
+	for i, s := range g.Services { // by layer: whoever calls it comes before it
+		if s.Layer == 0 {
+			into[i] = math.Exp(normal(c))
+		}
+		wide := g.Of.Assumed.OnwardSpread
+		onward, sum := g.Of.Assumed.Onward*math.Exp(wide*normal(c)-wide*wide/2), 0.0
+		for _, w := range weights[i] {
+			sum += w
+		}
+		for k, e := range s.Calls {
+			x := into[i] * onward * weights[i][k] / sum
+			into[e.To] += x
+			flow = append(flow, x)
+		}
+	}
+	whole := share(flow, int(float64(g.Of.Size.CallsPerS)+0.5), 1)
+	at := 0
+	for _, s := range g.Services {
+		for k := range s.Calls {
+			s.Calls[k].PerS = whole[at]
+			at++
+		}
+	}
+}
+
+// sizes gives each service its servers, and deals them to the zones in turn.
+func (g *Graph) sizes(c *chance.Source) {
+	var weights []float64
+	for i, s := range g.Services {
+		works := 1.0 // what a server does: calls that come, or of a front go
+		for _, from := range s.Called {
+			works += float64(g.PerS(from, i))
+		}
+		if s.Layer == 0 {
+			works += float64(g.Makes(i))
+		}
+		weights = append(weights, math.Pow(works, g.Of.Assumed.SizesFollowRates)*math.Exp(g.Of.Assumed.SizeSpread*normal(c)))
+	}
+	zone := 0
+	for i, n := range share(weights, g.Of.Size.Servers, g.Of.Assumed.ServersLeast) {
+		g.Services[i].Zones = make([]int, g.Of.Size.Zones)
+		for range n {
+			g.Services[i].Zones[zone%g.Of.Size.Zones]++
+			zone++
+		}
+	}
+}
+
+// share deals a whole number out by weight, so many at least to each: what is left over goes to the largest remainders.
+func share(weights []float64, all, least int) []int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	free, dealt := max(all-least*len(weights), 0), 0
+	got, order := make([]int, len(weights)), make([]int, len(weights))
+	rest := make([]float64, len(weights))
+	for i, w := range weights {
+		x := float64(free) * w / sum
+		got[i], rest[i], order[i] = least+int(x), x-math.Floor(x), i
+		dealt += int(x)
+	}
+	slices.SortStableFunc(order, func(i, k int) int {
+		switch {
+		case rest[i] > rest[k]:
+			return -1
+		case rest[i] < rest[k]:
+			return 1
+		}
+		return 0
+	})
+	for k := range free - dealt {
+		got[order[k%len(order)]]++
+	}
+	return got
+}
+
+// PerS is how often one calls another, a second.
+func (g *Graph) PerS(from, to int) int {
+	for _, e := range g.Services[from].Calls {
+		if e.To == to {
+			return e.PerS
+		}
+	}
+	return 0
+}
+
+// Makes is how many calls a second a service makes.
+func (g *Graph) Makes(i int) (sum int) {
+	for _, e := range g.Services[i].Calls {
+		sum += e.PerS
+	}
+	return sum
+}
+
+// Depth is the most calls in a chain.
+func (g *Graph) Depth() (most int) {
+	below := make([]int, len(g.Services))
+	for i := len(g.Services) - 1; i >= 0; i-- {
+		for _, e := range g.Services[i].Calls {
+			below[i] = max(below[i], 1+below[e.To])
+		}
+		most = max(most, below[i])
+	}
+	return most
+}
+
+// Spread is a figure over some: the mean, the middle one, and the largest, with the service that has it.
+type Spread struct {
+	Mean   float64 `json:"mean"`
+	Median float64 `json:"median"`
+	Most   float64 `json:"most"`
+	At     int     `json:"at"`
+}
+
+func spread(of []float64, at []int) (s Spread) {
+	for i, x := range of {
+		s.Mean += x / float64(len(of))
+		if x > s.Most {
+			s.Most, s.At = x, at[i]
+		}
+	}
+	sorted := slices.Sorted(slices.Values(of))
+	if len(sorted) > 0 {
+		s.Median = sorted[len(sorted)/2]
+	}
+	return s
+}
+
+// Statistics are what the rest of the lab takes from a graph.
+type Statistics struct {
+	Seed      uint64 `json:"seed"`
+	Services  int    `json:"services"`
+	Servers   int    `json:"servers"`
+	CallsPerS int    `json:"calls_per_s"`
+	Depth     int    `json:"depth"`
+	Edges     int    `json:"edges"`
+	Size      Spread `json:"servers_of_a_service"`
+	Fanout    Spread `json:"services_that_one_calls"`     // of those that call any
+	Visits    Spread `json:"visits_per_s_of_a_sidecar"`   // over all servers: those that call nobody carry none
+	Visited   Spread `json:"calls_per_s_of_a_server"`     // that are called at all
+	List      Spread `json:"servers_in_a_sidecars_list"`  // of those that call any: what it calls, and no more
+	Senders   Spread `json:"sidecars_that_call_a_server"` // over servers that are called
+	AtDepth   []int  `json:"calls_per_s_by_depth"`        // by the layer of the one called, from 1
+	ByZone    []int  `json:"servers_by_zone"`
+}
+
+// Statistics works them out.
+func (g *Graph) Statistics() Statistics {
+	s := Statistics{Seed: g.Seed, Services: len(g.Services), Depth: g.Depth(), AtDepth: make([]int, g.Of.Size.Depth),
+		ByZone: make([]int, g.Of.Size.Zones)}
+	var size, fanout, visits, visited, list, senders []float64
+	var sizeAt, fanoutAt, visitsAt, visitedAt, listAt, sendersAt []int
+	for i, x := range g.Services {
+		n := x.Servers()
+		s.Servers += n
+		s.CallsPerS += g.Makes(i)
+		s.Edges += len(x.Calls)
+		size, sizeAt = append(size, float64(n)), append(sizeAt, i)
+		for z, k := range x.Zones {
+			s.ByZone[z] += k
+		}
+		listed, gets, callers := 0, 0, 0
+		for _, e := range x.Calls {
+			listed += g.Services[e.To].Servers()
+			s.AtDepth[g.Services[e.To].Layer-1] += e.PerS
+		}
+		for _, from := range x.Called {
+			gets, callers = gets+g.PerS(from, i), callers+g.Services[from].Servers()
+		}
+		if len(x.Calls) > 0 {
+			fanout, fanoutAt = append(fanout, float64(len(x.Calls))), append(fanoutAt, i)
+		}
+		for range n {
+			visits, visitsAt = append(visits, float64(g.Makes(i))/float64(n)), append(visitsAt, i)
+			if listed > 0 {
+				list, listAt = append(list, float64(listed)), append(listAt, i)
+			}
+			if callers > 0 {
+				senders, sendersAt = append(senders, float64(callers)), append(sendersAt, i)
+				visited, visitedAt = append(visited, float64(gets)/float64(n)), append(visitedAt, i)
+			}
+		}
+	}
+	s.Size, s.Fanout, s.Visits = spread(size, sizeAt), spread(fanout, fanoutAt), spread(visits, visitsAt)
+	s.Visited, s.List, s.Senders = spread(visited, visitedAt), spread(list, listAt), spread(senders, sendersAt)
+	return s
+}
+
+// Lines are the statistics as a table.
+func (s Statistics) Lines() (lines []string) {
+	lines = append(lines, fmt.Sprintf("seed %d: %d services, %d servers (by zone %v), %d calls/s over %d edges, %d deep",
+		s.Seed, s.Services, s.Servers, s.ByZone, s.CallsPerS, s.Edges, s.Depth))
+	lines = append(lines, fmt.Sprintf("%-40s %10s %10s %10s", "", "mean", "median", "most"))
+	for _, row := range []struct {
+		what string
+		of   Spread
+	}{{"servers of a service", s.Size}, {"services that one calls", s.Fanout},
+		{"visits/s of a sidecar", s.Visits}, {"calls/s of a server", s.Visited},
+		{"servers in a sidecar's list", s.List}, {"sidecars that call a server", s.Senders}} {
+		lines = append(lines, fmt.Sprintf("%-40s %10.1f %10.1f %10.1f  (service %d)", row.what, row.of.Mean, row.of.Median, row.of.Most, row.of.At))
+	}
+	return append(lines, fmt.Sprintf("calls/s by depth: %v", s.AtDepth))
+}
--- /dev/null
+++ b/lab/callgraph/callgraph_test.go
@@ -0,0 +1,121 @@
+package callgraph
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
+
+func matches(t *testing.T, now string) {
+	t.Helper()
+	name := "testdata/" + t.Name() + ".trace"
+	if *update {
+		os.MkdirAll("testdata", 0o777)
+		os.WriteFile(name, []byte(now), 0o666)
+	}
+	kept, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(kept), now); diff != "" {
+		t.Errorf("it differs from %s (-kept +now):\n%s", name, diff)
+	}
+}
+
+// A small graph line by line, and the statistics of the requirement's: one seed gives one graph, on any machine.
+func TestDraw(t *testing.T) {
+	var b strings.Builder
+	a, err := Read("small", []byte("[size]\nservers = 30\nservices = 7\ndepth = 4\ncalls_per_s = \"900/s\"\n[assumed]\nfronts = 2\ncalls_services = 2\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := Draw(a, 1)
+	for i, s := range g.Services {
+		fmt.Fprintf(&b, "%d: layer %d, servers %v, calls", i, s.Layer, s.Zones)
+		for _, e := range s.Calls {
+			fmt.Fprintf(&b, " %d %d/s", e.To, e.PerS)
+		}
+		fmt.Fprintln(&b)
+	}
+	for seed := range uint64(3) {
+		fmt.Fprintln(&b, strings.Join(Draw(Usual(), seed+1).Statistics().Lines(), "\n"))
+	}
+	matches(t, b.String())
+}
+
+// Whatever is asked for: no service calls one that stands before it, the depth is reached and not passed, all sums are those
+// asked for, each service but the fronts has a caller, and zones differ by a server at most.
+func TestSums(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		a := Usual()
+		a.Size.Depth = rapid.IntRange(1, 20).Draw(rt, "depth")
+		a.Assumed.Fronts = rapid.IntRange(1, 6).Draw(rt, "fronts")
+		a.Size.Services = a.Size.Depth + a.Assumed.Fronts + rapid.IntRange(0, 60).Draw(rt, "more")
+		a.Assumed.ServersLeast = rapid.IntRange(1, 4).Draw(rt, "least")
+		a.Size.Servers = a.Size.Services*a.Assumed.ServersLeast + rapid.IntRange(0, 3000).Draw(rt, "servers")
+		a.Size.CallsPerS = Rate(rapid.IntRange(10_000, 1_000_000).Draw(rt, "calls"))
+		a.Size.Zones = rapid.IntRange(1, 7).Draw(rt, "zones")
+		a.Size.Regions = 1
+		a.Assumed.CallsServices = rapid.Float64Range(1, 10).Draw(rt, "calls_services")
+		a.Assumed.OnwardSpread = rapid.Float64Range(0, 2).Draw(rt, "spread")
+		if odd := a.odd(); odd != nil {
+			rt.Fatal(odd)
+		}
+		g := Draw(a, rapid.Uint64().Draw(rt, "seed"))
+		calls, servers, least, most := 0, 0, 1<<30, 0
+		byZone := make([]int, a.Size.Zones)
+		for i, s := range g.Services {
+			if n := s.Servers(); n < a.Assumed.ServersLeast {
+				rt.Fatalf("service %d has %d servers", i, n)
+			}
+			servers += s.Servers()
+			for z, k := range s.Zones {
+				byZone[z] += k
+			}
+			if s.Layer > 0 && len(s.Called) == 0 {
+				rt.Fatalf("nobody calls service %d", i)
+			}
+			for _, e := range s.Calls {
+				if calls += e.PerS; e.PerS < 1 {
+					rt.Fatalf("%d calls %d never", i, e.To)
+				}
+				if e.To <= i || g.Services[e.To].Layer <= s.Layer {
+					rt.Fatalf("%d calls %d, which is no deeper", i, e.To)
+				}
+			}
+		}
+		for _, k := range byZone {
+			least, most = min(least, k), max(most, k)
+		}
+		if calls != int(a.Size.CallsPerS) || servers != a.Size.Servers || g.Depth() != a.Size.Depth || most-least > 1 {
+			rt.Fatalf("%d calls, %d servers, %d deep, zones %v; asked for %+v", calls, servers, g.Depth(), byZone, a.Size)
+		}
+	})
+}
+
+// What can't be is refused with file, line and name; the file that comes with the program can be.
+func TestRead(t *testing.T) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "usual: %+v\n", Usual().Size)
+	for _, text := range []string{
+		"[size]\nservices = 49\nservrs = 3\n",
+		"[size]\ncalls_per_s = 330000\n",
+		"[size]\n# one less than there are\ndepth = 49\n",
+		"[assumed]\nfronts = 0\n",
+		"[assumed]\nonward = nan\n",
+		"[assumed]\ncalls_services = 20.0\n",
+		"[size]\nregions = 6\n",
+		"[size]\nservers = 100\n",
+	} {
+		_, err := Read("graph.toml", []byte(text))
+		fmt.Fprintf(&b, "%v\n", err)
+	}
+	matches(t, b.String())
+}
--- /dev/null
+++ b/lab/sim/settings.go
@@ -0,0 +1,40 @@
+package sim
+
+import (
+	"fmt"
+
+	"ledgespread/brain"
+)
+
+// Effects are those of the three path prefixes of Settings, by their place.
+var Effects = []string{"read_like", "tagged", "mutating"}
+
+// Terms are the figures of a service as its callers' settings have them. Tags are remembered per group: all or zone.
+type Terms struct {
+	Target, Timeout, Window Micros
+	Group                   string
+	Sidecars                int // that the settings name
+	Fetches                 int // at most, for a visit; 1: no retries
+	ColdFrom                float64
+	Cold                    Micros
+	FallMultiple            float64
+	Fall                    Micros
+	Messages                bool
+}
+
+// Settings are these as the module takes them.
+func (t Terms) Settings() brain.Site {
+	s := brain.Site{"my_zone": 0.0, "path_prefixes": 3.0, "discovery": "pushed", "step_us": 1000.0,
+		"balancers": float64(t.Sidecars), "allowed.max_backend_fetches": float64(t.Fetches),
+		"allowed.conn_idle_us": 10e6, "allowed.cancel": true, "allowed.multiplex": 1.0,
+		"allowed.peer_messages": t.Messages, "allowed.retry_after": true, "allowed.max_retry_after_us": 2e6,
+		"obligations.cold_from": t.ColdFrom, "obligations.cold_us": float64(t.Cold),
+		"obligations.fall_multiple": t.FallMultiple, "obligations.fall_us": float64(t.Fall)}
+	for i, effect := range Effects {
+		at := fmt.Sprintf("path_prefixes.%d.", i)
+		s[at+"target_latency_us"], s[at+"client_timeout_us"] = float64(t.Target), float64(t.Timeout)
+		s[at+"memory_span_us"], s[at+"value"], s[at+"late_value"] = float64(t.Window), 1.0, 0.0
+		s[at+"effect"], s[at+"group"] = effect, t.Group
+	}
+	return s
+}
--- /dev/null
+++ b/lab/sim/sidecar.go
@@ -0,0 +1,451 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+
+	"ledgespread/brain"
+)
+
+// Ending is a visit's final answer.
+type Ending uint8
+
+const (
+	Open      Ending = iota // not yet answered
+	Delivered               // a server's answer
+	Bounced                 // turned away: a retry is harmless
+	Failed                  // an error page, which promises nothing
+	Gone                    // its client went first
+)
+
+// Visit is a visit at one sidecar.
+type Visit struct {
+	ID      brain.VisitID
+	On      brain.Prefix
+	Effect  string
+	Work    Micros // at its server
+	Began   Micros
+	Until   Micros // its client quits
+	Ending  Ending
+	Fetches []*Fetch
+	Carries any // the caller's own
+	by      *Sidecar
+	ended   func(*Visit)
+}
+
+// Fetch is one backend fetch, as the server gets it: what it is told, and whom it answers.
+type Fetch struct {
+	*Visit
+	No      brain.FetchNo
+	Server  brain.Backend
+	Sent    Micros
+	Result  brain.Result // 0: out
+	Told    bool         // its sidecar had been told of the server's present start
+	CallOff func()       // the server's own, for a fetch that is called off; nil: it does not listen
+	fate    *Fate
+}
+
+// Fate is what became of a fetch at its server.
+type Fate struct {
+	Came, Ran bool
+}
+
+// Sidecar is one module with what stands in for the rest of its process.
+type Sidecar struct {
+	B       *brain.Balancer
+	Me      brain.Peer
+	Zone    brain.Zone
+	Down    bool
+	Starts  map[brain.Backend]Micros // of each server, by the list it was told last
+	Leaving map[brain.Backend]Micros // told so then
+	net     *Net
+	site    brain.Site
+	classes []class
+	visits  map[brain.VisitID]*Visit
+	life    int // of its processes
+	Firsts  int // fetches: first ones of visits, and others
+	Retries int
+	Said    int // messages to other sidecars
+	Heard   int
+	Hooks   Hooks
+}
+
+// Hooks hear of what a sidecar does, where a test or a measurement wants to.
+type Hooks struct {
+	Sent func(*Fetch)
+}
+
+// Net is what stands between sidecars and servers, and among sidecars.
+type Net struct {
+	*Clock
+	Way     Micros // one way, between any two
+	Servers map[brain.Backend]*Server
+	Cars    []*Sidecar // one pool: they tell each other
+	Apart   func(from, to *Sidecar) bool
+	Beyond  func(from *Sidecar, to *Server) bool // nothing comes through now
+	Grace   Micros                               // from being told that a server leaves to the last fetch it may get
+	Broken  [5]int                               // by rule
+	First   string                               // the first break, in words
+	next    brain.VisitID
+}
+
+// Server is one server as the net knows it. Take gets what arrives; Refuses: nobody listens there.
+type Server struct {
+	ID      brain.Backend
+	Zone    brain.Zone
+	Started Micros // 0: long ago
+	Refuses bool
+	Silent  bool
+	Take    func(*Fetch)
+	Out     map[*Fetch]struct{} // taken, not yet answered
+}
+
+// NewNet is a net without servers or sidecars.
+func NewNet(c *Clock, way Micros) *Net {
+	return &Net{Clock: c, Way: way, Servers: map[brain.Backend]*Server{}}
+}
+
+// Serve adds a server.
+func (n *Net) Serve(s *Server) *Server {
+	s.Out = map[*Fetch]struct{}{}
+	n.Servers[s.ID] = s
+	return s
+}
+
+// Join starts a sidecar: settings with what is its own.
+func (n *Net) Join(zone brain.Zone, seed uint64, site brain.Site) (*Sidecar, error) {
+	s := &Sidecar{Me: brain.Peer(len(n.Cars)), Zone: zone, net: n, site: brain.Site{}}
+	for k, v := range site {
+		s.site[k] = v
+	}
+	s.site["me"], s.site["my_zone"] = float64(s.Me), float64(zone)
+	for i := range int(site["path_prefixes"].(float64)) {
+		at := fmt.Sprintf("path_prefixes.%d.", i)
+		s.classes = append(s.classes, class{site[at+"effect"].(string), site[at+"group"].(string),
+			Micros(site[at+"memory_span_us"].(float64))})
+	}
+	n.Cars = append(n.Cars, s)
+	return s, s.Start(seed)
+}
+
+// Start begins a process: the first, or the next one after Stop.
+func (s *Sidecar) Start(seed uint64) (err error) {
+	s.life++
+	s.Down, s.visits = false, map[brain.VisitID]*Visit{}
+	s.Starts, s.Leaving = map[brain.Backend]Micros{}, map[brain.Backend]Micros{}
+	s.B, err = brain.New(s.net.Now, s.site, seed, ports{s, s.life})
+	return err
+}
+
+// Stop kills it: its visits have no answer any more, which is their client's loss and no rule's.
+func (s *Sidecar) Stop() {
+	s.Down = true
+	for _, v := range s.inOrder() {
+		if v.Ending == Open {
+			s.end(v, Gone)
+		}
+		for _, f := range v.Fetches {
+			if f.Result == 0 {
+				f.Result = brain.Cancelled
+				s.net.callOff(f)
+			}
+		}
+	}
+	s.visits = map[brain.VisitID]*Visit{}
+}
+
+func (s *Sidecar) inOrder() []*Visit {
+	all := make([]*Visit, 0, len(s.visits))
+	for _, v := range s.visits {
+		all = append(all, v)
+	}
+	slices.SortFunc(all, func(a, b *Visit) int { return int(a.ID) - int(b.ID) })
+	return all
+}
+
+// Line is a line of the list.
+type Line struct {
+	ID       brain.Backend
+	Zone     brain.Zone
+	Standing brain.Standing
+	Started  Micros
+}
+
+// List tells it a list.
+func (s *Sidecar) List(news brain.News, lines ...Line) {
+	if s.Down {
+		return
+	}
+	now := s.net.Now
+	s.B.ListBegins(now, news)
+	for _, l := range lines {
+		s.B.Listed(now, l.ID, l.Zone, brain.Cell(l.Zone), l.Standing, 1, l.Started)
+		if l.Standing == brain.Ready {
+			s.Starts[l.ID] = l.Started
+			delete(s.Leaving, l.ID)
+		} else if _, known := s.Leaving[l.ID]; !known {
+			s.Leaving[l.ID] = now
+		}
+	}
+	s.B.ListEnds(now)
+}
+
+// Visit takes a visit in; ended hears its final answer. hint 0: its client tells no work.
+func (s *Sidecar) Visit(on brain.Prefix, work, hint, left Micros, carries any, ended func(*Visit)) *Visit {
+	n := s.net
+	n.next++
+	v := &Visit{ID: n.next, On: on, Effect: s.classes[on].effect, Work: work, Began: n.Now, Until: n.Now + left,
+		Carries: carries, by: s, ended: ended}
+	if s.Down {
+		v.Ending = Gone
+		n.After(1, func() { ended(v) })
+		return v
+	}
+	s.visits[v.ID] = v
+	life := s.life
+	n.At(v.Until+1, func() {
+		if v.Ending == Open && life == s.life && !s.Down {
+			n.broke(1, "visit %d had no answer in time", v.ID)
+		}
+	})
+	s.B.Inbound(n.Now, v.ID, on, 0, left, hint, false, false)
+	return v
+}
+
+// Drop says that a visit's client has gone.
+func (s *Sidecar) Drop(v *Visit) {
+	if v.Ending != Open || s.Down {
+		return
+	}
+	v.Ending = Gone
+	s.B.Dropped(s.net.Now, v.ID)
+}
+
+func (s *Sidecar) end(v *Visit, e Ending) {
+	if v.Ending == Gone {
+		return
+	}
+	if v.Ending != Open {
+		s.net.broke(1, "visit %d was answered twice", v.ID)
+		return
+	}
+	v.Ending = e
+	if v.ended != nil {
+		s.net.After(0, func() { v.ended(v) })
+	}
+}
+
+func (n *Net) broke(rule int, format string, a ...any) {
+	n.Broken[rule]++
+	if n.First == "" {
+		n.First = fmt.Sprintf("rule %d at %.3f s: ", rule, float64(n.Now)/1e6) + fmt.Sprintf(format, a...)
+	}
+}
+
+// Breaks tells how many breaks of any rule there were.
+func (n *Net) Breaks() (all int) {
+	for _, k := range n.Broken {
+		all += k
+	}
+	return all
+}
+
+// harmless tells whether a visit may go on to a server, or, nil, whether its client may be told that it may be sent again, by
+// the fates that are known.
+func (v *Visit) harmless(now Micros, to *Server) bool {
+	if v.Effect == "read_like" {
+		return true
+	}
+	c := v.by.classes[v.On]
+	for _, f := range v.Fetches {
+		unrun := f.Result == brain.Full || f.Result == brain.ConnectFailed || f.Result == brain.NeverSent
+		if unrun {
+			continue
+		}
+		if v.Effect != "tagged" || now >= f.Sent+c.window || to == nil && c.group != "all" ||
+			to != nil && c.group == "zone" && v.by.net.Servers[f.Server].Zone != to.Zone {
+			return false
+		}
+	}
+	return true
+}
+
+// class is what the settings say of a path prefix's effect.
+type class struct {
+	effect, group string
+	window        Micros
+}
+
+// ports is one process of a sidecar; what a former one still asks for comes to nothing.
+type ports struct {
+	*Sidecar
+	mine int
+}
+
+func (p ports) live() bool { return p.mine == p.life && !p.Down }
+
+func (p ports) Dispatch(id brain.VisitID, be brain.Backend, _ Micros) {
+	s, n := p.Sidecar, p.net
+	v := s.visits[id]
+	to := n.Servers[be]
+	if v.Ending != Open {
+		n.broke(1, "visit %d was sent after its end", id)
+	}
+	if !v.harmless(n.Now, to) {
+		n.broke(2, "visit %d (%s) was sent again where it may have run", id, v.Effect)
+	}
+	if since, leaves := s.Leaving[be]; leaves && n.Now > since+n.Grace {
+		n.broke(3, "server %d got visit %d after it was told to leave", be, id)
+	}
+	f := &Fetch{Visit: v, No: brain.FetchNo(len(v.Fetches)), Server: be, Sent: n.Now, fate: &Fate{}}
+	f.Told = s.Starts[be] == to.Started
+	v.Fetches = append(v.Fetches, f)
+	if f.No == 0 {
+		s.Firsts++
+	} else {
+		s.Retries++
+	}
+	if s.Hooks.Sent != nil {
+		s.Hooks.Sent(f)
+	}
+	n.After(n.Way, func() { n.arrive(f, to) })
+}
+
+func (n *Net) arrive(f *Fetch, to *Server) {
+	switch {
+	case f.Result != 0: // called off on its way
+	case n.Beyond != nil && n.Beyond(f.by, to) || to.Silent:
+		// nothing comes back
+	case to.Refuses:
+		n.After(n.Way, func() { n.ends(f, brain.ConnectFailed) })
+	default:
+		f.fate.Came = true
+		to.Out[f] = struct{}{}
+		to.Take(f)
+	}
+}
+
+// Answer has a server answer a fetch that it took. An answer that nobody waits for is dropped.
+func (n *Net) Answer(f *Fetch, rc brain.Result) {
+	to := n.Servers[f.Server]
+	if _, out := to.Out[f]; !out {
+		return
+	}
+	delete(to.Out, f)
+	if n.Beyond != nil && n.Beyond(f.by, to) {
+		return
+	}
+	n.After(n.Way, func() { n.ends(f, rc) })
+}
+
+// Fell ends all that a server holds: its connections are reset or, silent, nobody hears of it.
+func (n *Net) Fell(to *Server, silent bool) {
+	var held []*Fetch
+	for f := range to.Out {
+		held = append(held, f)
+	}
+	slices.SortFunc(held, func(a, b *Fetch) int { return int(a.ID) - int(b.ID) })
+	clear(to.Out)
+	for _, f := range held {
+		if f.CallOff != nil {
+			f.CallOff()
+		}
+		if !silent {
+			n.After(n.Way, func() { n.ends(f, brain.Reset) })
+		}
+	}
+}
+
+func (n *Net) ends(f *Fetch, rc brain.Result) {
+	if f.Result != 0 {
+		return
+	}
+	f.Result = rc
+	s := f.by
+	if s.Down || s.visits[f.ID] != f.Visit {
+		return
+	}
+	if rc == brain.Delivered && f.Ending == Open {
+		s.end(f.Visit, Delivered)
+	}
+	s.outcome(f, rc)
+}
+
+func (s *Sidecar) outcome(f *Fetch, rc brain.Result) {
+	s.B.Outcome(s.net.Now, f.ID, f.No, rc, s.net.Now-f.Sent, f.Ending == Delivered)
+	s.forget(f.Visit)
+}
+
+// forget lets go of a visit that is over, with nothing out.
+func (s *Sidecar) forget(v *Visit) {
+	if v.Ending == Open || slices.ContainsFunc(v.Fetches, func(f *Fetch) bool { return f.Result == 0 }) {
+		return
+	}
+	delete(s.visits, v.ID)
+}
+
+func (n *Net) callOff(f *Fetch) {
+	n.After(n.Way, func() {
+		to := n.Servers[f.Server]
+		if _, out := to.Out[f]; out && (n.Beyond == nil || !n.Beyond(f.by, to)) && f.CallOff != nil {
+			delete(to.Out, f)
+			f.CallOff()
+		}
+	})
+}
+
+func (p ports) Cancel(id brain.VisitID, no brain.FetchNo) {
+	v := p.visits[id]
+	if v == nil || int(no) >= len(v.Fetches) || v.Fetches[no].Result != 0 {
+		return
+	}
+	f := v.Fetches[no]
+	p.net.After(0, func() {
+		if f.Result == 0 && p.live() {
+			f.Result = brain.Cancelled
+			p.net.callOff(f)
+			p.outcome(f, brain.Cancelled)
+		}
+	})
+}
+
+func (p ports) Bounce(id brain.VisitID, _ Micros) {
+	v := p.visits[id]
+	if !v.harmless(p.net.Now, nil) {
+		p.net.broke(2, "visit %d (%s) was bounced where it may have run", id, v.Effect)
+	}
+	p.end(v, Bounced)
+	p.net.After(0, func() { p.forget(v) })
+}
+
+func (p ports) ErrorPage(id brain.VisitID) {
+	v := p.visits[id]
+	p.end(v, Failed)
+	p.net.After(0, func() { p.forget(v) })
+}
+
+func (p ports) Wake(in Micros, t brain.Token) {
+	p.net.After(in, func() {
+		if p.live() {
+			p.B.Woken(p.net.Now, t)
+		}
+	})
+}
+
+func (p ports) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	other, mine := p.net.Cars[to], slices.Clone(figures)
+	p.Said++
+	if p.net.Apart != nil && p.net.Apart(p.Sidecar, other) {
+		return
+	}
+	p.net.After(p.net.Way, func() {
+		if !other.Down {
+			other.Heard++
+			other.B.Heard(p.net.Now, p.Me, kind, about, mine...)
+		}
+	})
+}
+
+func (p ports) CloseIdle(brain.Backend) {}
+func (p ports) Subscribe()              {}
+func (p ports) Print(string)            {}
