--- /dev/null
+++ b/lab/depth/depth.go
@@ -0,0 +1,370 @@
+// Package depth plays a chain of services whose last one fails, with the program's own modules at each hop, in simulated
+// time: how many calls reach the last hop for each one at the top, and where they are denied.
+package depth
+
+import (
+	_ "embed"
+	"fmt"
+	"math"
+
+	"ledgespread/brain"
+	"ledgespread/lab/chance"
+	"ledgespread/lab/sim"
+	"ledgespread/strict"
+)
+
+type Micros = sim.Micros
+
+// Span is a duration as files say it.
+type Span Micros
+
+func (s *Span) UnmarshalText(text []byte) error {
+	x, err := strict.Span(text)
+	*s = Span(x)
+	return err
+}
+
+// Rate is a number a second, as files say it.
+type Rate float64
+
+func (r *Rate) UnmarshalText(text []byte) error {
+	x, err := strict.Rate(text)
+	*r = Rate(x)
+	return err
+}
+
+// Terms are what a run is made of.
+type Terms struct {
+	Depth        int     `toml:"depth"`
+	Servers      int     `toml:"servers"`
+	Rate         Rate    `toml:"rate"`
+	Work         Span    `toml:"work"`
+	Way          Span    `toml:"way"`
+	Fails        float64 `toml:"fails"`
+	Warm         Span    `toml:"warm"`
+	Failing      Span    `toml:"failing"`
+	Recovers     Span    `toml:"after"`
+	Target       Span    `toml:"target"`
+	Timeout      Span    `toml:"timeout"`
+	Window       Span    `toml:"window"`
+	Fetches      int     `toml:"fetches"`
+	PassesBounce bool    `toml:"passes_bounce"`
+}
+
+//go:embed terms.toml
+var usual []byte
+
+// Usual are the terms that come with the program.
+func Usual() Terms {
+	t, err := Read("terms.toml", usual)
+	if err != nil {
+		panic(err) // the file is part of the program, and a test reads it
+	}
+	return t
+}
+
+// Read takes a file over the usual one. An error names file, line and name.
+func Read(file string, text []byte) (t Terms, err error) {
+	if err = strict.Decode("terms.toml", usual, &t); err != nil {
+		return t, err
+	}
+	if err = strict.Decode(file, text, &t); err != nil {
+		return t, err
+	}
+	for _, c := range []struct {
+		wrong     bool
+		name, why string
+	}{
+		{t.Depth < 1 || t.Depth > 100, "depth", "must lie between 1 and 100"},
+		{t.Servers < 1 || t.Servers*t.Depth > 20_000, "servers", "must be at least 1, and 20000 at most over all hops"},
+		{t.Rate <= 0 || t.Rate > 1e6, "rate", "must be over 0/s, and 1000000/s at most"},
+		{t.Work <= 0, "work", "must be over 0s"},
+		{t.Way <= 0, "way", "must be over 0s"},
+		{!(t.Fails >= 0) || t.Fails > 1, "fails", "must lie between 0 and 1"},
+		{t.Failing < 1e6, "failing", "must be a second at least"},
+		{t.Target <= 0 || t.Target > t.Timeout, "target", "must be over 0s, and no more than the timeout"},
+		{t.Fetches < 1 || t.Fetches > 255, "fetches", "must lie between 1 and 255"},
+	} {
+		if c.wrong {
+			return t, (&strict.Oddity{Name: c.name, Why: c.why}).In(file, text)
+		}
+	}
+	return t, nil
+}
+
+// Way is how the last service fails.
+type Way string
+
+const (
+	Errors     Way = "errors"      // it answers with an error: it may have run
+	TurnedAway Way = "turned away" // it refuses unseen
+	Timeouts   Way = "timeouts"    // it takes the call and never answers
+)
+
+// Ways are all of them.
+var Ways = []Way{Errors, TurnedAway, Timeouts}
+
+// Hop is what one hop did while the last service failed, from its callers' sidecars. Calls are for each one at the top.
+type Hop struct {
+	Hop       int     `json:"hop"`
+	Visits    float64 `json:"visits"`
+	Retries   float64 `json:"retries"`
+	Retried   float64 `json:"retries_for_each_visit"`
+	Denied    float64 `json:"denied_for_each_visit"` // by the bucket
+	Late      float64 `json:"late_for_each_visit"`   // no time left for a wait, or ended by its deadline
+	Turned    float64 `json:"turned_away_for_each_visit"`
+	Success   float64 `json:"success"`
+	LeftMean  float64 `json:"left_mean_ms"` // of the client's time, as the hop's visits were told
+	LeftLeast float64 `json:"left_least_ms"`
+	LeftMost  float64 `json:"left_most_ms"`
+}
+
+// Figures are a run's.
+type Figures struct {
+	Way         Way     `json:"way"`
+	Effect      string  `json:"effect"`
+	Retries     bool    `json:"retries"`
+	Fails       float64 `json:"fails"`
+	VisitsPerS  float64 `json:"visits_per_s"` // of a sidecar at the top
+	Sidecars    int     `json:"sidecars"`     // modules in all
+	Top         int     `json:"top"`          // calls at the top while it failed
+	Reach       float64 `json:"calls_at_last"`
+	Worst       float64 `json:"calls_at_last_worst_second"`
+	WorstFetch  float64 `json:"retries_worst_second"` // retries at all hops in one second, for each call at the top
+	Steady      float64 `json:"calls_at_last_steady"` // in the second half
+	Success     float64 `json:"success"`
+	Before      float64 `json:"success_before"`
+	Recovered   float64 `json:"success_after"`
+	Hops        []Hop   `json:"hops"`
+	Breaks      int     `json:"rules_broken"`
+	FirstBreak  string  `json:"first_break,omitempty"`
+	Arithmetic  Sums    `json:"arithmetic"`
+	BySecond    []int   `json:"calls_at_last_by_second"`
+	TopBySecond []int   `json:"top_by_second"`
+	OfThese     []int   `json:"of_these_delivered"`
+}
+
+// chain is a run.
+type chain struct {
+	sim.Clock
+	Terms
+	way      Way
+	on       brain.Prefix
+	nets     []*sim.Net // of each hop
+	draws    *chance.Source
+	from, to Micros // it fails
+	hops     []tally
+	top      [3]ended // before, while and after
+	steady   [2]int   // at the top, at the last
+	atLast   []int    // by second
+	atTop    []int
+	ofThese  []int
+	retries  []int
+}
+
+type ended struct{ began, delivered int }
+
+type tally struct {
+	visits, delivered int
+	left              float64
+	least, most       Micros
+	retries           int
+	was               map[string]int
+}
+
+// Play plays one. retries: off, each sidecar has one fetch for a visit.
+func Play(t Terms, way Way, effect int, retries bool, seed uint64) (Figures, error) {
+	c := &chain{Terms: t, way: way, on: brain.Prefix(effect), draws: chance.New(seed, "depth")}
+	c.Now = 1e6
+	begin := c.Now
+	c.from = begin + Micros(t.Warm)
+	c.to = c.from + Micros(t.Failing)
+	end := c.to + Micros(t.Recovers)
+	seconds := int((end-begin)/1e6) + 3
+	c.atLast, c.atTop, c.ofThese, c.retries = make([]int, seconds), make([]int, seconds), make([]int, seconds), make([]int, seconds)
+	fetches := t.Fetches
+	if !retries {
+		fetches = 1
+	}
+	settings := sim.Terms{Target: Micros(t.Target), Timeout: Micros(t.Timeout), Window: Micros(t.Window), Group: "all", Sidecars: t.Servers,
+		Fetches: fetches, ColdFrom: 0.3, Cold: 8e6, FallMultiple: 3, Fall: 1.5e6, Messages: true}.Settings()
+	for hop := range t.Depth {
+		n := sim.NewNet(&c.Clock, Micros(t.Way))
+		c.nets, c.hops = append(c.nets, n), append(c.hops, tally{least: math.MaxInt64})
+		var list []sim.Line
+		for i := range t.Servers {
+			s := n.Serve(&sim.Server{ID: brain.Backend(1 + i)})
+			s.Take = func(f *sim.Fetch) { c.take(hop, i, f) }
+			list = append(list, sim.Line{ID: s.ID, Standing: brain.Ready})
+		}
+		for range t.Servers {
+			car, err := n.Join(0, c.draws.Bits(), settings)
+			if err != nil {
+				return Figures{}, err
+			}
+			car.Hooks.Sent = func(f *sim.Fetch) {
+				if f.No > 0 && c.failing() {
+					c.hops[hop].retries++
+				}
+				if f.No > 0 {
+					c.retries[int((c.Now-begin)/1e6)]++
+				}
+			}
+			car.List(brain.Saved, list...)
+		}
+	}
+	c.At(c.from, func() { c.note(false) })
+	c.At(c.to, func() { c.note(true) })
+	c.arrive(begin, end)
+	c.Play(end + Micros(t.Timeout) + 10_000)
+	f := Figures{Way: way, Effect: sim.Effects[effect], Retries: retries, Fails: t.Fails, VisitsPerS: float64(t.Rate) / float64(t.Servers),
+		Sidecars: t.Servers * t.Depth, Arithmetic: Arithmetic(t.Depth, t.Fails, t.Fetches)}
+	c.figures(&f, begin)
+	return f, nil
+}
+
+func (c *chain) failing() bool { return c.Now >= c.from && c.Now < c.to }
+
+// phase is 0 before, 1 while and 2 after it fails; what began shortly before a change belongs to neither.
+func (c *chain) phase(at Micros) int {
+	switch {
+	case at < c.from:
+		return 0
+	case at < c.to:
+		return 1
+	}
+	return 2
+}
+
+// arrive has calls come at the top, one after the other.
+func (c *chain) arrive(begin, end Micros) {
+	next := c.Now + max(1, Micros(c.draws.Exp(1e6/float64(c.Rate))))
+	if next >= end {
+		return
+	}
+	c.At(next, func() {
+		second := int((c.Now - begin) / 1e6)
+		c.atTop[second]++
+		top, half := &c.top[c.phase(c.Now)], c.failing() && c.Now >= (c.from+c.to)/2
+		top.began++
+		if half {
+			c.steady[0]++
+		}
+		c.call(0, c.draws.Below(c.Servers), Micros(c.Timeout), func(e sim.Ending) {
+			if e == sim.Delivered {
+				top.delivered++
+				c.ofThese[second]++
+			}
+		})
+		c.arrive(begin, end)
+	})
+}
+
+// call makes a call at a hop, by the sidecar of this number.
+func (c *chain) call(hop, by int, left Micros, ended func(sim.Ending)) (drop func()) {
+	h, counts := &c.hops[hop], c.failing()
+	if counts {
+		h.visits++
+		h.left += float64(left)
+		h.least, h.most = min(h.least, left), max(h.most, left)
+	}
+	car := c.nets[hop].Cars[by]
+	v := car.Visit(c.on, Micros(c.Work), 0, left, nil, func(v *sim.Visit) {
+		if counts && v.Ending == sim.Delivered {
+			h.delivered++
+		}
+		ended(v.Ending)
+	})
+	return func() { car.Drop(v) }
+}
+
+// take is a server of a hop's service at work: it calls the next, or is the last.
+func (c *chain) take(hop, number int, f *sim.Fetch) {
+	n := c.nets[hop]
+	// It counts what it was told is left from when that came. Nothing else comes down: not what was tried above.
+	deadline := c.Now + f.Until - f.Sent
+	answer := func(rc brain.Result) { n.Answer(f, rc) }
+	if hop == c.Depth-1 {
+		c.atLast[int((c.Now-1e6)/1e6)]++
+		if c.failing() && c.Now >= (c.from+c.to)/2 {
+			c.steady[1]++
+		}
+		fails := c.failing() && c.draws.Float() < c.Fails
+		switch {
+		case fails && c.way == TurnedAway:
+			answer(brain.Full)
+		case fails && c.way == Timeouts:
+		case fails:
+			c.After(Micros(c.Work), func() { answer(brain.Errored) })
+		default:
+			c.After(Micros(c.Work), func() { answer(brain.Delivered) })
+		}
+		return
+	}
+	off, drop := false, func() {}
+	f.CallOff = func() { // a server whose caller has gone calls off its own call
+		off = true
+		drop()
+	}
+	c.After(Micros(c.Work), func() {
+		if off || c.Now >= deadline {
+			return
+		}
+		drop = c.call(hop+1, number, deadline-c.Now, func(e sim.Ending) {
+			switch {
+			case e == sim.Delivered:
+				answer(brain.Delivered)
+			case e == sim.Bounced && c.PassesBounce:
+				answer(brain.Full)
+			default:
+				answer(brain.Errored)
+			}
+		})
+	})
+}
+
+// note keeps the modules' own tallies at the begin and adds up what came since at the end.
+func (c *chain) note(end bool) {
+	for hop := range c.hops {
+		sum := map[string]int{}
+		for _, car := range c.nets[hop].Cars {
+			for why, n := range car.B.Tally() {
+				sum[why] += n
+			}
+		}
+		if end {
+			for why, n := range c.hops[hop].was {
+				sum[why] -= n
+			}
+		}
+		c.hops[hop].was = sum
+	}
+}
+
+func part(of, all int) float64 { return float64(of) / math.Max(float64(all), 1) }
+
+func (c *chain) figures(f *Figures, begin Micros) {
+	f.Top = c.top[1].began
+	f.Before, f.Success, f.Recovered = part(c.top[0].delivered, c.top[0].began), part(c.top[1].delivered, c.top[1].began), part(c.top[2].delivered, c.top[2].began)
+	f.Steady = part(c.steady[1], c.steady[0])
+	f.BySecond, f.TopBySecond, f.OfThese = c.atLast, c.atTop, c.ofThese
+	first, last, reached := int((c.from-begin)/1e6), int((c.to-begin)/1e6), 0
+	mean := part(f.Top, last-first)
+	for s := first; s < last; s++ {
+		reached += c.atLast[s]
+		f.Worst = max(f.Worst, float64(c.atLast[s])/mean)
+		f.WorstFetch = max(f.WorstFetch, float64(c.retries[s])/mean)
+	}
+	f.Reach = part(reached, f.Top)
+	for hop, h := range c.hops {
+		n := c.nets[hop]
+		f.Breaks += n.Breaks()
+		if f.FirstBreak == "" && n.First != "" {
+			f.FirstBreak = fmt.Sprintf("hop %d: %s", hop+1, n.First)
+		}
+		f.Hops = append(f.Hops, Hop{Hop: hop + 1, Visits: part(h.visits, f.Top), Retries: part(h.retries, f.Top), Retried: part(h.retries, h.visits),
+			Denied: part(h.was["turned_denied"], h.visits), Late: part(h.was["turned_late"]+h.was["ended_late"], h.visits),
+			Turned:  part(h.was["turned_crowded"]+h.was["turned_no_server"], h.visits),
+			Success: part(h.delivered, h.visits), LeftMean: h.left / 1000 / math.Max(float64(h.visits), 1), LeftLeast: float64(h.least) / 1000, LeftMost: float64(h.most) / 1000})
+	}
+}
--- /dev/null
+++ b/lab/faults/terms.go
@@ -0,0 +1,147 @@
+// Package faults plays faults of the requirement's size on the program's own module in simulated time, with up to a thousand
+// sidecars: a zone, a rack, an ordinary day, regions apart. The rules are judged throughout, rule 4 from the servers' accounts.
+package faults
+
+import (
+	_ "embed"
+
+	"ledgespread/lab/sim"
+	"ledgespread/strict"
+)
+
+type Micros = sim.Micros
+
+// Span is a duration as files say it.
+type Span Micros
+
+func (s *Span) UnmarshalText(text []byte) error {
+	x, err := strict.Span(text)
+	*s = Span(x)
+	return err
+}
+
+// Shape is who calls whom, and how much.
+type Shape struct {
+	Servers int     `toml:"servers"`
+	Work    Span    `toml:"work"`
+	Load    float64 `toml:"load"`
+}
+
+// Terms are a whole file.
+type Terms struct {
+	Sidecars []int `toml:"sidecars"`
+	Service  Shape `toml:"service"`
+	Pool     Shape `toml:"pool"`
+	Fleet    struct {
+		Zones       int     `toml:"zones"`
+		Regions     int     `toml:"regions"`
+		UnevenPart  float64 `toml:"uneven_part"`
+		UnevenTimes float64 `toml:"uneven_times"`
+		Queue       int     `toml:"queue"`
+		Way         Span    `toml:"way"`
+		Told        Span    `toml:"told"`
+		ReadLike    float64 `toml:"read_like"`
+		Tagged      float64 `toml:"tagged"`
+	} `toml:"fleet"`
+	Settings struct {
+		Target       Span    `toml:"target"`
+		Timeout      Span    `toml:"timeout"`
+		Window       Span    `toml:"window"`
+		Group        string  `toml:"group"`
+		Fetches      int     `toml:"fetches"`
+		ColdFrom     float64 `toml:"cold_from"`
+		Cold         Span    `toml:"cold"`
+		FallMultiple float64 `toml:"fall_multiple"`
+		Fall         Span    `toml:"fall"`
+	} `toml:"settings"`
+	Times struct {
+		Warm         Span    `toml:"warm"`
+		Notice       Span    `toml:"notice"`
+		Back         Span    `toml:"back"`
+		After        Span    `toml:"after"`
+		Rack         float64 `toml:"rack"`
+		Day          Span    `toml:"day"`
+		Failures     float64 `toml:"failures"`
+		Replacements float64 `toml:"replacements"`
+		Drain        Span    `toml:"drain"`
+		Forget       Span    `toml:"forget"`
+		Rejoin       Span    `toml:"rejoin"`
+	} `toml:"times"`
+}
+
+//go:embed terms.toml
+var usual []byte
+
+// Usual are the terms that come with the program.
+func Usual() Terms {
+	t, err := Read("terms.toml", usual)
+	if err != nil {
+		panic(err) // the file is part of the program, and a test reads it
+	}
+	return t
+}
+
+// Read takes a file over the usual one. An error names file, line and name.
+func Read(file string, text []byte) (t Terms, err error) {
+	if err = strict.Decode("terms.toml", usual, &t); err != nil {
+		return t, err
+	}
+	if err = strict.Decode(file, text, &t); err != nil {
+		return t, err
+	}
+	if odd := t.odd(); odd != nil {
+		return t, odd.In(file, text)
+	}
+	return t, nil
+}
+
+func (t Terms) odd() *strict.Oddity {
+	for _, n := range t.Sidecars {
+		if n < 5 || n > 5000 {
+			return &strict.Oddity{Name: "sidecars", Why: "each must lie between 5 and 5000"}
+		}
+	}
+	f, s, m := t.Fleet, t.Settings, t.Times
+	for _, c := range []struct {
+		wrong            bool
+		table, name, why string
+	}{
+		{len(t.Sidecars) == 0, "", "sidecars", "must name a number at least"},
+		{t.Service.Servers < 5 || t.Service.Servers > 5000, "service", "servers", "must lie between 5 and 5000"},
+		{t.Service.Work <= 0, "service", "work", "must be over 0s"},
+		{!(t.Service.Load > 0) || t.Service.Load >= 1, "service", "load", "must lie between 0 and 1"},
+		{t.Pool.Servers != 0, "pool", "servers", "must be 0: a pool has as many as sidecars"},
+		{t.Pool.Work <= 0, "pool", "work", "must be over 0s"},
+		{!(t.Pool.Load > 0) || t.Pool.Load >= 1, "pool", "load", "must lie between 0 and 1"},
+		{f.Zones < 2 || f.Zones > 100, "fleet", "zones", "must lie between 2 and 100"},
+		{f.Regions < 2 || f.Regions > f.Zones, "fleet", "regions", "must be at least 2, and no more than the zones"},
+		{!(f.UnevenPart >= 0) || f.UnevenPart > 1, "fleet", "uneven_part", "must lie between 0 and 1"},
+		{!(f.UnevenTimes >= 1) || f.UnevenTimes > 1000, "fleet", "uneven_times", "must lie between 1 and 1000"},
+		{f.Queue < 1, "fleet", "queue", "must be at least 1"},
+		{f.Way <= 0, "fleet", "way", "must be over 0s"},
+		{f.Told <= 0, "fleet", "told", "must be over 0s"},
+		{!(f.ReadLike >= 0) || f.ReadLike > 1, "fleet", "read_like", "must lie between 0 and 1"},
+		{!(f.Tagged >= 0) || f.ReadLike+f.Tagged > 1, "fleet", "tagged", "must lie between 0 and what read_like leaves"},
+		{s.Target <= 0 || s.Target > s.Timeout, "settings", "target", "must be over 0s, and no more than the timeout"},
+		{s.Group != "all" && s.Group != "zone" && s.Group != "cell", "settings", "group", "must be all, zone or cell"},
+		{s.Fetches < 1 || s.Fetches > 255, "settings", "fetches", "must lie between 1 and 255"},
+		{!(s.ColdFrom > 0) || s.ColdFrom > 1, "settings", "cold_from", "must be over 0, and 1 at most"},
+		{s.Cold <= 0, "settings", "cold", "must be over 0s"},
+		{!(s.FallMultiple > 0) || s.FallMultiple > 100, "settings", "fall_multiple", "must be over 0, and 100 at most"},
+		{s.Fall <= 0, "settings", "fall", "must be over 0s"},
+		{m.Warm < 1e6, "times", "warm", "must be a second at least"},
+		{m.Back <= m.Notice+Span(f.Told), "times", "back", "must be more than notice and told"},
+		{m.After < 2e6, "times", "after", "must be two seconds at least"},
+		{!(m.Rack > 0) || m.Rack > 0.5, "times", "rack", "must be over 0, and 0.5 at most"},
+		{m.Day < 10e6, "times", "day", "must be ten seconds at least"},
+		{!(m.Failures >= 0) || m.Failures > 1000, "times", "failures", "must lie between 0 and 1000"},
+		{!(m.Replacements >= 0) || m.Replacements > 1000, "times", "replacements", "must lie between 0 and 1000"},
+		{m.Drain <= Span(f.Told), "times", "drain", "must be more than told"},
+		{m.Forget < 1e6, "times", "forget", "must be a second at least"},
+	} {
+		if c.wrong {
+			return &strict.Oddity{Table: c.table, Name: c.name, Why: c.why}
+		}
+	}
+	return nil
+}
