--- a/cmd/ledgelab/commands.go
+++ b/cmd/ledgelab/commands.go
@@ -49,6 +49,7 @@
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
 	cmd.AddCommand(demoCommand(), runCommand(), loadCommand(), compareCommand(), crowdCommand(), plotCommand(), proveCommand(), capacityCommand())
 	cmd.AddCommand(standIns()...)
+	cmd.AddCommand(simulations()...)
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/ledgelab/simulations.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ledgespread/lab/callgraph"
+	"ledgespread/lab/depth"
+	"ledgespread/lab/faults"
+	"ledgespread/lab/size"
+)
+
+// Simulations are the commands that play the module, or draw, in simulated time: callgraph, depth, faults. They take no idle
+// machine and no sidecar's binary.
+func simulations() []*cobra.Command {
+	return []*cobra.Command{callgraphCommand(), depthCommand(), faultsCommand()}
+}
+
+// simulation are the flags of these commands.
+type simulation struct {
+	terms, json, figures, commit string
+	seed                         uint64
+	quick                        bool
+}
+
+func (o *simulation) flags(c *cobra.Command, quick bool) {
+	f := c.Flags()
+	f.StringVar(&o.terms, "terms", "", "file of what is assumed, over what is built in")
+	f.StringVar(&o.json, "json", "", "file for the report, as ledgelab capacity reads it")
+	f.Uint64Var(&o.seed, "seed", 1, "of chance")
+	f.StringVar(&o.figures, "figures", "", "file for all figures of all runs in JSON")
+	if quick {
+		f.BoolVar(&o.quick, "quick", false, "a few small runs, under a minute")
+		f.StringVar(&o.commit, "commit", "", "of the code, for the report (left out: as the build tells)")
+	}
+}
+
+// read takes the file of terms, or what is built in where none is named.
+func read[T any](file string, by func(string, []byte) (T, error)) (terms T, err error) {
+	text := []byte{}
+	if file != "" {
+		if text, err = os.ReadFile(file); err != nil {
+			return terms, err
+		}
+	}
+	return by(file, text)
+}
+
+// write completes a report and puts it down.
+func (o *simulation) write(r *size.Report, command string) error {
+	if o.json == "" {
+		return nil
+	}
+	r.Run, r.Commit, r.Date, r.Machine = fmt.Sprintf("ledgelab %s, seed %d", command, o.seed), o.commit, time.Now().UTC().Format(time.DateOnly), machine()
+	if o.quick {
+		r.Run = fmt.Sprintf("ledgelab %s --quick, seed %d", command, o.seed)
+	}
+	if info, ok := debug.ReadBuildInfo(); ok && r.Commit == "" {
+		for _, s := range info.Settings {
+			switch {
+			case s.Key == "vcs.revision":
+				r.Commit = s.Value[:min(len(s.Value), 12)]
+			case s.Key == "vcs.modified" && s.Value == "true":
+				r.Commit += ", changed"
+			}
+		}
+	}
+	if r.Commit == "" {
+		r.Commit = "not told by the build"
+	}
+	return r.Write(o.json)
+}
+
+// machine tells cores and memory as the kernel has them.
+func machine() string {
+	text, _ := os.ReadFile("/proc/meminfo")
+	kib := 0
+	fmt.Sscanf(string(text), "MemTotal: %d kB", &kib)
+	return fmt.Sprintf("%d cores, %.0f GB", runtime.NumCPU(), float64(kib)/1e6)
+}
+
+func callgraphCommand() *cobra.Command {
+	var o simulation
+	c := &cobra.Command{Use: "callgraph", Short: "Draw the requirement's call graph by seed, and print what it asks of a sidecar", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			a, err := read(o.terms, callgraph.Read)
+			if err != nil {
+				return err
+			}
+			g := callgraph.Draw(a, o.seed)
+			fmt.Fprintln(c.OutOrStdout(), strings.Join(g.Statistics().Lines(), "\n"))
+			if o.json != "" {
+				if err := save(o.json, g.Statistics()); err != nil {
+					return err
+				}
+			}
+			return save(o.figures, g)
+		}}
+	o.flags(c, false)
+	c.Flags().Lookup("json").Usage = "file for the statistics in JSON"
+	c.Flags().Lookup("figures").Usage = "file for the whole graph in JSON"
+	return c
+}
+
+func depthCommand() *cobra.Command {
+	var o simulation
+	c := &cobra.Command{Use: "depth", Short: "Retries by depth, in simulated time: calls that reach the last hop for each at the top while the last service fails", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			t, err := read(o.terms, depth.Read)
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			fmt.Fprintln(out, depth.Heading)
+			all, err := depth.Sweep(t, o.quick, o.seed, func(f depth.Figures) { fmt.Fprintln(out, f.Line()) })
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(out, strings.Join(depth.ByHop(all), "\n"))
+			return o.end(c, depth.Report(t, all, o.seed), "depth", all)
+		}}
+	o.flags(c, true)
+	return c
+}
+
+func faultsCommand() *cobra.Command {
+	var o simulation
+	c := &cobra.Command{Use: "faults", Short: "Faults of the requirement's size on the module, in simulated time: a zone, a rack, a day, regions apart", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			t, err := read(o.terms, faults.Read)
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			fmt.Fprintln(out, faults.Heading)
+			all, err := faults.Sweep(t, o.quick, o.seed, func(line string) { fmt.Fprintln(out, line) }, func(f faults.Figures) { fmt.Fprintln(out, f.Line()) })
+			if err != nil {
+				return err
+			}
+			return o.end(c, faults.Report(t, all, o.seed), "faults", all)
+		}}
+	o.flags(c, true)
+	return c
+}
+
+// end prints what is claimed, writes what is to be written, and tells whether all of it holds.
+func (o *simulation) end(c *cobra.Command, r *size.Report, command string, figures any) error {
+	failed := false
+	for _, claim := range r.Claims {
+		word := "holds"
+		if !claim.Holds {
+			word, failed = "DOES NOT HOLD", true
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%s: %s (aim: %s; measured: %s)\n", word, claim.Claim, claim.Aim, claim.Measured)
+	}
+	if err := o.write(r, command); err != nil {
+		return err
+	}
+	if o.figures != "" {
+		if err := save(o.figures, figures); err != nil {
+			return err
+		}
+	}
+	if failed {
+		return errBroke
+	}
+	return nil
+}
--- a/lab/depth/depth.go
+++ b/lab/depth/depth.go
@@ -121,27 +121,33 @@
 
 // Figures are a run's.
 type Figures struct {
-	Way         Way     `json:"way"`
-	Effect      string  `json:"effect"`
-	Retries     bool    `json:"retries"`
-	Fails       float64 `json:"fails"`
-	VisitsPerS  float64 `json:"visits_per_s"` // of a sidecar at the top
-	Sidecars    int     `json:"sidecars"`     // modules in all
-	Top         int     `json:"top"`          // calls at the top while it failed
-	Reach       float64 `json:"calls_at_last"`
-	Worst       float64 `json:"calls_at_last_worst_second"`
-	WorstFetch  float64 `json:"retries_worst_second"` // retries at all hops in one second, for each call at the top
-	Steady      float64 `json:"calls_at_last_steady"` // in the second half
-	Success     float64 `json:"success"`
-	Before      float64 `json:"success_before"`
-	Recovered   float64 `json:"success_after"`
-	Hops        []Hop   `json:"hops"`
-	Breaks      int     `json:"rules_broken"`
-	FirstBreak  string  `json:"first_break,omitempty"`
-	Arithmetic  Sums    `json:"arithmetic"`
-	BySecond    []int   `json:"calls_at_last_by_second"`
-	TopBySecond []int   `json:"top_by_second"`
-	OfThese     []int   `json:"of_these_delivered"`
+	About         string  `json:"about,omitempty"` // what a sweep varied
+	Depth         int     `json:"depth"`
+	TargetMS      float64 `json:"target_ms"`
+	Way           Way     `json:"way"`
+	Effect        string  `json:"effect"`
+	Retries       bool    `json:"retries"`
+	Fails         float64 `json:"fails"`
+	VisitsPerS    float64 `json:"visits_per_s"` // of a sidecar at the top
+	Sidecars      int     `json:"sidecars"`     // modules in all
+	Top           int     `json:"top"`          // calls at the top while it failed
+	Reach         float64 `json:"calls_at_last"`
+	Worst         float64 `json:"calls_at_last_worst_second"`
+	WorstFetch    float64 `json:"retries_worst_second"` // retries at all hops in one second, for each call at the top
+	Steady        float64 `json:"calls_at_last_steady"` // in the second half
+	Success       float64 `json:"success"`
+	SuccessSteady float64 `json:"success_steady"` // in the second half
+	WorstServed   float64 `json:"success_worst_second"`
+	WholeAgain    int     `json:"whole_again_s"` // seconds from the end of the failing to the first with 99 in 100 served; -1: not in the run
+	Before        float64 `json:"success_before"`
+	Recovered     float64 `json:"success_after"`
+	Hops          []Hop   `json:"hops"`
+	Breaks        int     `json:"rules_broken"`
+	FirstBreak    string  `json:"first_break,omitempty"`
+	Arithmetic    Sums    `json:"arithmetic"`
+	BySecond      []int   `json:"calls_at_last_by_second"`
+	TopBySecond   []int   `json:"top_by_second"`
+	OfThese       []int   `json:"of_these_delivered"`
 }
 
 // chain is a run.
@@ -347,15 +353,25 @@
 	f.Top = c.top[1].began
 	f.Before, f.Success, f.Recovered = part(c.top[0].delivered, c.top[0].began), part(c.top[1].delivered, c.top[1].began), part(c.top[2].delivered, c.top[2].began)
 	f.Steady = part(c.steady[1], c.steady[0])
+	f.WorstServed, f.WholeAgain = 1, -1
 	f.BySecond, f.TopBySecond, f.OfThese = c.atLast, c.atTop, c.ofThese
 	first, last, reached := int((c.from-begin)/1e6), int((c.to-begin)/1e6), 0
-	mean := part(f.Top, last-first)
+	mean, half := part(f.Top, last-first), [2]int{}
+	for s := last; s < last+int(c.Recovers/1e6); s++ {
+		if f.WholeAgain < 0 && part(c.ofThese[s], c.atTop[s]) >= 0.99 {
+			f.WholeAgain = s - last
+		}
+	}
 	for s := first; s < last; s++ {
 		reached += c.atLast[s]
+		f.WorstServed = min(f.WorstServed, part(c.ofThese[s], c.atTop[s]))
+		if s >= (first+last)/2 {
+			half[0], half[1] = half[0]+c.ofThese[s], half[1]+c.atTop[s]
+		}
 		f.Worst = max(f.Worst, float64(c.atLast[s])/mean)
 		f.WorstFetch = max(f.WorstFetch, float64(c.retries[s])/mean)
 	}
-	f.Reach = part(reached, f.Top)
+	f.Reach, f.SuccessSteady = part(reached, f.Top), part(half[0], half[1])
 	for hop, h := range c.hops {
 		n := c.nets[hop]
 		f.Breaks += n.Breaks()
--- /dev/null
+++ b/lab/depth/depth_test.go
@@ -0,0 +1,177 @@
+package depth
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"ledgespread/lab/sim"
+)
+
+var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
+
+func matches(t *testing.T, now string) {
+	t.Helper()
+	name := "testdata/" + t.Name() + ".trace"
+	if *update {
+		os.MkdirAll("testdata", 0o777)
+		os.WriteFile(name, []byte(now), 0o666)
+	}
+	kept, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(kept), now); diff != "" {
+		t.Errorf("it differs from %s (-kept +now):\n%s", name, diff)
+	}
+}
+
+// small is a chain that is played in a moment.
+func small() Terms {
+	t := Usual()
+	t.Depth, t.Servers, t.Rate, t.Warm, t.Failing, t.Recovers = 5, 4, 200, 11e6, 6e6, 3e6
+	return t
+}
+
+// Each way and effect, with retries and without: what reaches the last hop, and what the hops did.
+func TestChain(t *testing.T) {
+	var b strings.Builder
+	for _, w := range Ways {
+		for e := range sim.Effects {
+			for _, retries := range []bool{true, false} {
+				f, err := Play(small(), w, e, retries, 1)
+				if err != nil {
+					t.Fatal(err)
+				}
+				fmt.Fprintf(&b, "%s, %s, retries %v: %.2f calls at the last, %.2f in the worst second; served %.2f before, %.2f while, %.2f after; rules broken %d\n", w, f.Effect,
+					retries, f.Reach, f.Worst, f.Before, f.Success, f.Recovered, f.Breaks)
+				for _, h := range f.Hops {
+					if retries && f.Effect != "tagged" {
+						fmt.Fprintf(&b, "  hop %d: %.2f calls, of these retried %.2f, denied %.2f, late %.2f, turned away %.2f, served %.2f; left %.0f to %.0f ms\n", h.Hop, h.Visits, h.Retried,
+							h.Denied, h.Late, h.Turned, h.Success, h.LeftLeast, h.LeftMost)
+					}
+				}
+			}
+		}
+	}
+	matches(t, b.String())
+}
+
+// One seed gives one run, bit for bit, and another seed another.
+func TestSameSeed(t *testing.T) {
+	play := func(seed uint64) Figures {
+		f, err := Play(small(), Errors, 0, true, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	if diff := cmp.Diff(play(3), play(3)); diff != "" {
+		t.Errorf("one seed, two runs:\n%s", diff)
+	}
+	if cmp.Equal(play(3), play(4)) {
+		t.Error("two seeds, one run")
+	}
+}
+
+// What the buckets let through follows from their figures, whatever the depth: two calls at the last hop for one at the top,
+// and not a fifth more at each hop.
+func TestArithmetic(t *testing.T) {
+	var b strings.Builder
+	for _, depth := range []int{1, 2, 3, 15} {
+		for _, fails := range []float64{0.1, 0.5, 0.9} {
+			s := Arithmetic(depth, fails, 5)
+			fmt.Fprintf(&b, "%d deep, %.1f fail: a fifth more at each hop %.2f; buckets, steady %.3f, fresh %.3f for %.1f s\n", depth, fails, s.Share, s.Steady, s.Fresh, s.FreshS)
+		}
+	}
+	matches(t, b.String())
+	long := small()
+	long.Failing = 20e6
+	for _, depth := range []int{1, 3, 5} {
+		long.Depth = depth
+		f, err := Play(long, Errors, 0, true, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := f.Arithmetic.Steady; math.Abs(f.Steady-want) > agreeWithin*want {
+			t.Errorf("%d deep: %.2f calls at the last in the second half, by arithmetic %.2f", depth, f.Steady, want)
+		}
+	}
+}
+
+// Whatever fails, and by which part: no rule is broken at any hop, without retries nothing comes twice, what is mutating and
+// may have run neither, and time only gets less from hop to hop.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := small()
+		p.Depth, p.Servers = rapid.IntRange(1, 6).Draw(rt, "depth"), rapid.IntRange(2, 6).Draw(rt, "servers")
+		p.Rate, p.Warm, p.Failing, p.Recovers = Rate(rapid.IntRange(20, 300).Draw(rt, "rate")), 2e6, 3e6, 1e6
+		p.Fails = rapid.Float64Range(0, 1).Draw(rt, "fails")
+		p.PassesBounce = rapid.Bool().Draw(rt, "passes")
+		p.Target = Span(rapid.IntRange(50_000, 2_000_000).Draw(rt, "target"))
+		way := rapid.SampledFrom(Ways).Draw(rt, "way")
+		effect, retries := rapid.IntRange(0, 2).Draw(rt, "effect"), rapid.Bool().Draw(rt, "retries")
+		f, err := Play(p, way, effect, retries, rapid.Uint64().Draw(rt, "seed"))
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if f.Breaks != 0 {
+			rt.Fatal(f.FirstBreak)
+		}
+		single := !retries || effect == 2 && way == Errors && !p.PassesBounce
+		if onTheWay := 3 / float64(f.Top); single && f.Reach > 1+onTheWay {
+			rt.Fatalf("%.3f calls at the last hop for each one at the top", f.Reach)
+		}
+		for i := 1; i < len(f.Hops); i++ {
+			if h := f.Hops[i]; h.Visits > 0 && h.LeftMost >= f.Hops[i-1].LeftMost {
+				rt.Fatalf("hop %d was told %.1f ms, the one above %.1f", h.Hop, h.LeftMost, f.Hops[i-1].LeftMost)
+			}
+		}
+	})
+}
+
+// A report's claims fail where what they claim does not hold.
+func TestClaims(t *testing.T) {
+	all, err := Sweep(small(), true, 1, func(Figures) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	hold := func(what string, of []Figures, want ...bool) {
+		t.Helper()
+		var got []bool
+		for _, c := range Report(small(), of, 1).Claims {
+			got = append(got, c.Holds)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s: %s", what, diff)
+		}
+	}
+	hold("as measured", all, true, true, true)
+	changed := func(change func(*Figures)) []Figures {
+		other := append([]Figures{}, all...)
+		for i := range other {
+			change(&other[i])
+		}
+		return other
+	}
+	hold("a rule broken", changed(func(f *Figures) { f.Breaks = 1 }), false, true, true)
+	hold("a fifth more at each hop", changed(func(f *Figures) { f.Steady = f.Arithmetic.Share }), true, false, true)
+	hold("twice without retries", changed(func(f *Figures) { f.Reach = 2 }), true, true, false)
+}
+
+// What can't be is refused with file, line and name; the file that comes with the program can be.
+func TestRead(t *testing.T) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "usual: %+v\n", Usual())
+	for _, text := range []string{"depth = 15\nservrs = 3\n", "rate = 500\n", "# none\ndepth = 0\n", "fails = 1.5\n", "target = \"3s\"\n", "work = \"1.5us\"\n"} {
+		_, err := Read("chain.toml", []byte(text))
+		fmt.Fprintf(&b, "%v\n", err)
+	}
+	matches(t, b.String())
+}
--- /dev/null
+++ b/lab/depth/sweep.go
@@ -0,0 +1,194 @@
+package depth
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+
+	"ledgespread/lab/sim"
+	"ledgespread/lab/size"
+)
+
+// job is one run of a sweep.
+type job struct {
+	Terms
+	about   string
+	way     Way
+	effect  int
+	retries bool
+}
+
+// jobs are all of them: each way, effect, with retries and without; then by rate, depth, failing part and target.
+func jobs(t Terms, quick bool) (all []job) {
+	for _, w := range Ways {
+		for e := range sim.Effects {
+			for _, retries := range []bool{true, false} {
+				all = append(all, job{t, "", w, e, retries})
+			}
+		}
+	}
+	if quick {
+		return all
+	}
+	thin := t
+	thin.Servers = min(t.Servers, 5)
+	for _, a := range []struct {
+		about string
+		set   func(*Terms, float64)
+		to    []float64
+	}{
+		{"rate", func(t *Terms, x float64) { t.Rate = Rate(x * float64(t.Servers)) }, []float64{5, 25, 100, 330}},
+		{"depth", func(t *Terms, x float64) { t.Depth = int(x) }, []float64{1, 2, 3, 6, 10}},
+		{"fails", func(t *Terms, x float64) { t.Fails = x }, []float64{0.1, 0.3, 0.9, 1}},
+		{"passes", func(t *Terms, x float64) { t.PassesBounce = x > 0 }, []float64{1}},
+		{"pass330", func(t *Terms, x float64) { t.Rate, t.PassesBounce = Rate(330*float64(t.Servers)), x > 0 }, []float64{1}},
+		{"target", func(t *Terms, x float64) { t.Rate, t.Target = Rate(330*float64(t.Servers)), Span(x*1e6) }, []float64{0.3, 1.2, 2}},
+	} {
+		for _, w := range []Way{Errors, Timeouts} {
+			if strings.HasPrefix(a.about, "pass") && w == Timeouts {
+				w = TurnedAway
+			}
+			for _, x := range a.to {
+				for _, retries := range []bool{true, false} {
+					if !retries && a.about != "rate" && a.about != "passes" && a.about != "pass330" {
+						continue
+					}
+					j := job{t, a.about, w, 0, retries}
+					if a.about == "rate" || a.about == "target" || a.about == "pass330" {
+						j.Terms = thin
+					}
+					if a.about == "target" && w != Errors {
+						continue
+					}
+					a.set(&j.Terms, x)
+					all = append(all, j)
+				}
+			}
+		}
+	}
+	return all
+}
+
+// Sweep plays all runs, as many at a time as there are processors to use, and hands them out in their order.
+func Sweep(t Terms, quick bool, seed uint64, played func(Figures)) ([]Figures, error) {
+	if quick {
+		t.Servers, t.Rate, t.Warm, t.Failing, t.Recovers = min(t.Servers, 5), min(t.Rate, 100), 11e6, 6e6, 3e6
+	}
+	todo := jobs(t, quick)
+	all, done := make([]Figures, len(todo)), make([]chan struct{}, len(todo))
+	var g errgroup.Group
+	g.SetLimit(runtime.GOMAXPROCS(0))
+	for i := range todo {
+		done[i] = make(chan struct{})
+	}
+	go func() {
+		for i, j := range todo {
+			g.Go(func() (err error) {
+				defer close(done[i])
+				all[i], err = Play(j.Terms, j.way, j.effect, j.retries, seed)
+				all[i].About, all[i].Depth, all[i].TargetMS = j.about, j.Depth, float64(j.Target)/1000
+				return err
+			})
+		}
+	}()
+	for i := range todo {
+		<-done[i]
+		played(all[i])
+	}
+	return all, g.Wait()
+}
+
+// Heading names what Line has.
+const Heading = "of      way          effect     retries visits/s  deep fails target | calls at the last, worst s, 2nd half; by sum | retries worst s | served before, while (2nd half), after; whole again | broken"
+
+// Line is a run as a line.
+func (f Figures) Line() string {
+	again := "not in the run"
+	if f.WholeAgain >= 0 {
+		again = fmt.Sprintf("%d s", f.WholeAgain)
+	}
+	sum := f.Arithmetic.Steady
+	if !f.Retries || f.Effect != "read_like" {
+		sum = 1
+	}
+	return fmt.Sprintf("%-8s%-13s%-11s%-8v%8.0f%6d%6.1f%7.0f |%18.2f%10.2f%10.2f%8.2f |%16.2f |%13.3f%7.3f (%.3f)%7.3f; %s | %d %s", f.About, f.Way, f.Effect, f.Retries, f.VisitsPerS,
+		f.Depth, f.Fails, f.TargetMS, f.Reach, f.Worst, f.Steady, sum, f.WorstFetch, f.Before, f.Success, f.SuccessSteady, f.Recovered, again, f.Breaks, f.FirstBreak)
+}
+
+// ByHop tells of the read-like runs with retries what each hop did.
+func ByHop(all []Figures) (lines []string) {
+	for _, f := range all {
+		if f.About != "" || f.Effect != "read_like" || !f.Retries {
+			continue
+		}
+		lines = append(lines, fmt.Sprintf("%s, read_like, by hop: calls for each at the top; of its visits retried, denied by the bucket, late, turned away, served; time left in ms, least and mean", f.Way))
+		for _, h := range f.Hops {
+			lines = append(lines, fmt.Sprintf("%4d%7.2f |%7.3f%7.3f%7.3f%7.3f%7.3f |%8.1f%8.1f", h.Hop, h.Visits, h.Retried, h.Denied, h.Late, h.Turned, h.Success, h.LeftLeast, h.LeftMean))
+		}
+	}
+	return lines
+}
+
+// agreeWithin is by which part the runs may differ from the arithmetic where it holds.
+const agreeWithin = 0.15
+
+// Report is what a sweep measured. Its caller adds run, commit, date and machine.
+func Report(t Terms, all []Figures, seed uint64) *size.Report {
+	r := &size.Report{Seed: seed, Bound: "none: one thread for each run, in simulated time", Stubs: []string{
+		"sockets, machines and clock: simulated; the decisions of each hop's sidecars are the program's own (brain.Balancer)",
+		"a server: no queue, so that only retries add to an answer's time; it calls off its own call when its caller does, and tries nothing again by itself",
+		"what goes down: the time left (X-Timeout); what comes up: an answer, an error, or turned away"},
+		Slopes: []size.Slope{}, Events: []size.Event{}, Agree: []size.Agree{}, Claims: []size.Claim{}}
+	event := func(name, what, unit string, f Figures, median, last float64, n int) {
+		r.Events = append(r.Events, size.Event{Name: name, What: what, Account: "simulated", Unit: unit, Median: median, Last: max(last, median), N: max(n, 1),
+			At: size.At{"depth": float64(f.Depth), "failing": f.Fails, "visits_per_s": f.VisitsPerS, "sidecars": float64(f.Sidecars)}})
+	}
+	var totals []float64
+	asked, most, broken, off := Figures{}, 0.0, 0, 0.0
+	for _, f := range all {
+		broken += f.Breaks
+		if !f.Retries {
+			if off = max(off, f.Reach); f.About == "" && f.Effect == "read_like" {
+				event("depth.unserved_without_retries", string(f.Way)+", no retries: part of the calls at the top without an answer; last: in the worst second", "1", f, 1-f.Success, 1-f.WorstServed, f.Top)
+			}
+			continue
+		}
+		if f.Fails == t.Fails && f.Depth == t.Depth && f.TargetMS == float64(t.Target)/1000 && f.About != "pass330" {
+			totals, most = append(totals, f.Reach), max(most, f.Worst)
+		}
+		switch {
+		case f.About == "fails" && f.Fails == 1 && f.Way == Errors:
+			event("depth.calls_at_last_all_fail", "errors of all of the last hop's calls: calls there for one at the top; last: in the worst second", "1", f, f.Reach, f.Worst, f.Top)
+		case f.About == "pass330" && f.Way == Errors:
+			event("depth.unserved_bounces_passed_on", "errors, each server turning its caller's call away where its own was bounced: part of the calls at the top without an answer", "1", f, 1-f.Success, 1-f.WorstServed, f.Top)
+		case f.About == "" && f.Effect == "read_like":
+			if f.Way == Errors {
+				asked = f
+			}
+			event("depth.unserved", string(f.Way)+": part of the calls at the top without an answer; last: in the worst second", "1", f, 1-f.Success, 1-f.WorstServed, f.Top)
+		case f.About == "rate" && f.Way == Errors:
+			event("depth.unserved_by_rate", "errors, by visits a sidecar: part of the calls at the top without an answer; last: in the worst second", "1", f, 1-f.Success, 1-f.WorstServed, f.Top)
+		}
+	}
+	slices.Sort(totals)
+	if len(totals) == 0 {
+		return r
+	}
+	event(size.DepthCalls, fmt.Sprintf("median of %d runs (errors, refusals, silence; each effect; 5 to 330 visits/s a sidecar); last: in the worst second of any of them", len(totals)),
+		"1", asked, totals[len(totals)/2], most, len(totals))
+	event("depth.share_to_the_depth", "by arithmetic, a fifth more at each hop; not what the module does, see docs/lab.md", "1", asked, asked.Arithmetic.Share, 0, 1)
+	event("depth.steady_by_arithmetic", "by arithmetic, the buckets' steady state; the runs beside it", "1", asked, asked.Arithmetic.Steady, 0, 1)
+	differ := math.Abs(asked.Steady-asked.Arithmetic.Steady) / asked.Arithmetic.Steady
+	claim := func(what, aim, measured string, holds bool) {
+		r.Claims = append(r.Claims, size.Claim{Claim: what, Aim: aim, Measured: measured, Account: "the simulated servers'", Holds: holds})
+	}
+	claim("the four rules are kept at each hop", "no break", fmt.Sprintf("%d breaks in %d runs", broken, len(all)), broken == 0)
+	claim("errors of half of the last hop's calls: calls there go by the buckets' arithmetic", fmt.Sprintf("%.2f within %.0f%%", asked.Arithmetic.Steady, 100*agreeWithin),
+		fmt.Sprintf("%.2f", asked.Steady), differ <= agreeWithin)
+	claim("without retries no call comes twice", "at most 1, and one in a hundred that are on their way as it begins", fmt.Sprintf("%.3f at most", off), off <= 1.01)
+	return r
+}
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -30,7 +30,36 @@
 	Kind     Kind
 	Pool     bool
 	Sidecars int
-	Named    float64 // part of the sidecars that the settings name; less than 1: the fleet has grown since
+	Named    float64 // part of the sidecars that were there when they were started, and which their settings name; others name all; 0: all
+	Load     float64 // of a server, in place of the terms'; 0: theirs
+	Break    string  // a fault put in on purpose, which the judge has to catch; see Breaks
+}
+
+// Breaks are the faults put in on purpose: of each rule one, by what its modules are told. "late": clients that are more
+// patient than they are; "twice": that nothing is mutating; "drain": nothing of servers that leave; "budget": that no
+// server is cold for longer than a microsecond.
+var Breaks = map[string]int{"late": 1, "twice": 2, "drain": 3, "budget": 4}
+
+// mislead puts one in.
+func (f *fleet) mislead(t Terms) error {
+	switch f.run.Break {
+	case "":
+	case "late":
+		f.patient = Micros(t.Settings.Timeout) / 2
+	case "twice":
+		f.net.Mislead = func(s brain.Site) {
+			for i := range sim.Effects {
+				s[fmt.Sprintf("path_prefixes.%d.effect", i)] = "read_like"
+			}
+		}
+	case "drain":
+		f.net.Deaf = true
+	case "budget":
+		f.net.Mislead = func(s brain.Site) { s["obligations.cold_us"] = 1.0 }
+	default:
+		return fmt.Errorf("%q is no fault that can be put in", f.run.Break)
+	}
+	return nil
 }
 
 // Cold is what became of the servers that started while the run went on, by their own accounts.
@@ -44,6 +73,7 @@
 	Untold    int     `json:"falls_untold"`      // and with another
 	Used      float64 `json:"used"`              // of its budget over its cold time
 	UsedLeast float64 `json:"used_least"`        // by the server that got least
+	UsedMost  float64 `json:"used_most"`
 	OfWarm    float64 `json:"of_a_warm_ones_work"`
 }
 
@@ -53,7 +83,9 @@
 	Shape       string         `json:"shape"`
 	Sidecars    int            `json:"sidecars"`
 	Servers     int            `json:"servers"`
-	Named       int            `json:"sidecars_named"` // by the settings
+	Load        float64        `json:"load"`
+	HighLoad    float64        `json:"high_load"`      // from which it is a run of its own name
+	Named       int            `json:"sidecars_named"` // by the settings of so many; the others' name all
 	VisitsPerS  float64        `json:"visits_per_s"`   // of a sidecar, in the mean
 	Most        float64        `json:"visits_per_s_most"`
 	Seconds     float64        `json:"seconds"`
@@ -116,8 +148,9 @@
 	turned  map[string]int
 	all, ok int
 	inTime  int
-	says    []int // by second, all sidecars
-	heard   []int // by second, the most that any sidecar heard
+	says    []int  // by second, all sidecars
+	heard   []int  // by second, the most that any sidecar heard
+	patient Micros // so much longer the modules are told that clients wait
 	was     []int
 	nextID  brain.Backend
 }
@@ -132,9 +165,15 @@
 	if r.Named == 0 {
 		r.Named = 1
 	}
+	if r.Load != 0 {
+		f.shape.Load = r.Load
+	}
 	f.Now = 1e9
 	f.begin = f.Now
 	f.net = sim.NewNet(&f.Clock, Micros(t.Fleet.Way))
+	if err := f.mislead(t); err != nil {
+		return Figures{}, err
+	}
 	for range f.shape.Servers {
 		f.add(0)
 	}
@@ -144,6 +183,10 @@
 		FallMultiple: t.Settings.FallMultiple, Fall: Micros(t.Settings.Fall), Messages: true}.Settings()
 	sum, shares := 0.0, make([]float64, r.Sidecars)
 	for i := range r.Sidecars {
+		settings["balancers"] = float64(named)
+		if i >= named { // it was started since the fleet has grown, and its settings name all
+			settings["balancers"] = float64(r.Sidecars)
+		}
 		car, err := f.net.Join(brain.Zone(i%t.Fleet.Zones), f.draws.Bits(), settings)
 		if err != nil {
 			return Figures{}, err
@@ -284,7 +327,7 @@
 		work, second := max(1, Micros(f.draws.Exp(float64(f.shape.Work)))), f.second()
 		f.began[second]++
 		f.all++
-		car.Visit(on, work, work, Micros(f.Settings.Timeout), nil, func(v *sim.Visit) {
+		car.VisitTold(on, work, work, Micros(f.Settings.Timeout), Micros(f.Settings.Timeout)+f.patient, nil, func(v *sim.Visit) {
 			switch v.Ending {
 			case sim.Delivered:
 				f.ok++
@@ -476,7 +519,7 @@
 
 func (f *fleet) figures(rate, most float64, end Micros, named int) Figures {
 	n := float64(len(f.net.Cars))
-	g := Figures{Kind: f.run.Kind, Shape: "service", Sidecars: len(f.net.Cars), Servers: f.shape.Servers, Named: named, VisitsPerS: rate / n,
+	g := Figures{Kind: f.run.Kind, Shape: "service", Sidecars: len(f.net.Cars), Servers: f.shape.Servers, Load: f.shape.Load, HighLoad: f.LoadHigh, Named: named, VisitsPerS: rate / n,
 		Most: rate * most, Seconds: float64(end-f.begin) / 1e6, Visits: f.all, Delivered: part(f.ok, f.all), InTarget: part(f.inTime, f.all),
 		Lost: f.lost, Turned: map[string]int{}, WorstSecond: 1, Broken: f.net.Broken, First: f.net.First}
 	if f.run.Pool {
@@ -542,6 +585,7 @@
 				budget += allowed(t-p.at) * 10_000 / float64(s.Fall)
 			}
 			used, c.UsedLeast = used+got/budget, min(c.UsedLeast, got/budget)
+			c.UsedMost = max(c.UsedMost, got/budget)
 			ofWarm += got / (f.shape.Load * float64(p.to-p.at) / float64(f.shape.Work))
 		}
 	}
--- /dev/null
+++ b/lab/faults/faults_test.go
@@ -0,0 +1,209 @@
+package faults
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
+
+func matches(t *testing.T, now string) {
+	t.Helper()
+	name := "testdata/" + t.Name() + ".trace"
+	if *update {
+		os.MkdirAll("testdata", 0o777)
+		os.WriteFile(name, []byte(now), 0o666)
+	}
+	kept, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(kept), now); diff != "" {
+		t.Errorf("it differs from %s (-kept +now):\n%s", name, diff)
+	}
+}
+
+// small are terms of which each run takes a moment: longer work, so fewer visits.
+func small() Terms {
+	t := Usual()
+	t.Service.Work, t.Service.Servers, t.Times.Day = 20_000, 10, 15e6
+	return t
+}
+
+func played(t *testing.T, p Terms, r Run, seed uint64) Figures {
+	t.Helper()
+	f, err := Play(p, r, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// Each fault in each shape, and regions apart where the settings name half of the sidecars.
+func TestFaults(t *testing.T) {
+	var b strings.Builder
+	fmt.Fprintln(&b, Heading)
+	for _, k := range Kinds {
+		fmt.Fprintln(&b, strings.TrimSpace(played(t, small(), Run{Kind: k, Sidecars: 30}, 1).Line()))
+		fmt.Fprintln(&b, strings.TrimSpace(played(t, small(), Run{Kind: k, Sidecars: 30, Pool: true}, 1).Line()))
+	}
+	fmt.Fprintln(&b, strings.TrimSpace(played(t, small(), Run{Kind: Regions, Sidecars: 30, Named: 0.5}, 1).Line()))
+	fmt.Fprintln(&b, strings.TrimSpace(played(t, small(), Run{Kind: Zone, Sidecars: 30, Load: 0.9}, 1).Line()))
+	matches(t, b.String())
+}
+
+// One seed gives one run, bit for bit, and another seed another.
+func TestSameSeed(t *testing.T) {
+	run := Run{Kind: Zone, Sidecars: 20}
+	if diff := cmp.Diff(played(t, small(), run, 3), played(t, small(), run, 3)); diff != "" {
+		t.Errorf("one seed, two runs:\n%s", diff)
+	}
+	if cmp.Equal(played(t, small(), run, 3), played(t, small(), run, 4)) {
+		t.Error("two seeds, one run")
+	}
+}
+
+// A fault put in on purpose breaks its rule on each seed, and no other; without it none is broken. The budget is so small here
+// that a server that nobody takes for cold is pushed over.
+func TestBreaks(t *testing.T) {
+	for _, c := range []struct {
+		fault string
+		kind  Kind
+	}{{"late", Zone}, {"twice", Regions}, {"drain", Day}, {"budget", Zone}} {
+		p := small()
+		if p.Fleet.Told = 200_000; c.fault == "budget" {
+			p.Settings.FallMultiple = 0.5
+		}
+		for seed := range uint64(5) {
+			run := Run{Kind: c.kind, Sidecars: 20, Load: 0.8}
+			if f := played(t, p, run, seed+1); f.Broken != [5]int{} {
+				t.Errorf("%s, seed %d, nothing put in: %v %s", c.kind, seed+1, f.Broken, f.First)
+			}
+			run.Break = c.fault
+			f := played(t, p, run, seed+1)
+			for rule, k := range f.Broken {
+				if (rule == Breaks[c.fault]) != (k > 0) {
+					t.Errorf("%s put in, seed %d: rule %d broken %d times; %s", c.fault, seed+1, rule, k, f.First)
+				}
+			}
+		}
+	}
+}
+
+// Whatever the fault, size, load, group and mix of effects: no rule is broken.
+func TestRules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := small()
+		p.Service.Servers = rapid.IntRange(5, 14).Draw(rt, "servers")
+		p.Service.Work = Span(rapid.IntRange(20_000, 80_000).Draw(rt, "work"))
+		p.Fleet.ReadLike = rapid.Float64Range(0, 0.6).Draw(rt, "read-like")
+		p.Fleet.Tagged = rapid.Float64Range(0, 0.4).Draw(rt, "tagged")
+		p.Fleet.UnevenTimes = rapid.Float64Range(1, 30).Draw(rt, "uneven")
+		p.Settings.Group = rapid.SampledFrom([]string{"all", "zone", "cell"}).Draw(rt, "group")
+		p.Times.Warm, p.Times.After = 2e6, 4e6
+		run := Run{Kind: rapid.SampledFrom(Kinds).Draw(rt, "kind"), Sidecars: rapid.IntRange(5, 40).Draw(rt, "sidecars"),
+			Pool: rapid.Bool().Draw(rt, "pool"), Load: rapid.Float64Range(0.2, 0.95).Draw(rt, "load"), Named: rapid.SampledFrom([]float64{1, 0.5}).Draw(rt, "named")}
+		f, err := Play(p, run, rapid.Uint64().Draw(rt, "seed"))
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if f.Broken != [5]int{} {
+			rt.Fatalf("%v %s (told window %.2f of what is allowed)", f.Broken, f.First, f.Cold.WorstTold)
+		}
+	})
+}
+
+// The budget of a window, by hand: what comes while a server is cold, by visits of mean work, over N + 2 root N + 2; and only
+// windows of which over two thirds came from told sidecars count against them.
+func TestWindows(t *testing.T) {
+	f := &fleet{Terms: Usual()}
+	allowed := func(Micros) float64 { return 25 } // 25 + 2*5 + 2 = 37
+	burst := func(at Micros, many int, told int) (comes []arrival) {
+		for i := range many {
+			comes = append(comes, arrival{at, 1, i < told})
+		}
+		return comes
+	}
+	for _, c := range []struct {
+		what        string
+		comes       []arrival
+		worst, told float64
+	}{
+		{"as many as are allowed", burst(0, 37, 37), 1, 1},
+		{"one more", burst(0, 38, 38), 38.0 / 37, 38.0 / 37},
+		{"two thirds were told, which is not over two thirds", burst(0, 39, 26), 39.0 / 37, 0},
+		{"one more was told", burst(0, 39, 27), 39.0 / 37, 39.0 / 37},
+		{"half, and half when the window is over", append(burst(0, 30, 30), burst(1_500_000, 30, 30)...), 30.0 / 37, 30.0 / 37},
+		{"the second half a microsecond before", append(burst(0, 30, 30), burst(1_499_999, 30, 30)...), 60.0 / 37, 60.0 / 37},
+	} {
+		worst, told := f.windows(started{comes: c.comes}, allowed)
+		// Windows that begin later within a burst hold fewer, and more of their visits may be of one kind.
+		if diff := cmp.Diff(fmt.Sprintf("%.4f", c.worst), fmt.Sprintf("%.4f", worst)); diff != "" {
+			t.Errorf("%s: %s", c.what, diff)
+		}
+		if c.told > 0 && told < c.told-1e-9 || c.told == 0 && told > 1 {
+			t.Errorf("%s: of told ones %.4f, wanted %.4f", c.what, told, c.told)
+		}
+	}
+}
+
+// A sweep plays each run once, tells the prediction for the largest size before it is played, and its claims fail where what
+// they claim does not hold.
+func TestSweep(t *testing.T) {
+	p := small()
+	p.Sidecars = []int{20, 25, 30, 35, 40}
+	var order []string
+	all, err := Sweep(p, false, 1, func(line string) { order = append(order, line) }, func(f Figures) {
+		if f.Sidecars == 40 && len(order) == 0 {
+			t.Error("the largest size was played before its prediction")
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := Report(p, all, 1)
+	var b strings.Builder
+	for _, line := range order {
+		fmt.Fprintln(&b, line)
+	}
+	for _, s := range r.Slopes {
+		fmt.Fprintf(&b, "%s: %d points; for %.0f sidecars predicted %.4g, measured %.4g\n", s.Name, len(s.Points), s.Largest.At["sidecars"], s.Largest.Predicted, s.Largest.Measured)
+	}
+	for _, e := range r.Events {
+		fmt.Fprintf(&b, "%s at %.0f: %.4g, %.4g\n", e.Name, e.At["sidecars"], e.Median, e.Last)
+	}
+	matches(t, b.String())
+	if err := r.Write(t.TempDir() + "/report.json"); err == nil {
+		t.Error("a report that names no commit was written")
+	}
+	r.Run, r.Commit, r.Date, r.Machine = "a test", "none", "2026-12-02", "any"
+	if err := r.Write(t.TempDir() + "/report.json"); err != nil {
+		t.Error(err)
+	}
+	all[0].Broken[2], all[1].Cold.WorstTold = 1, 1.01
+	for _, c := range Report(p, all, 1).Claims {
+		if c.Holds {
+			t.Errorf("it holds: %s (%s)", c.Claim, c.Measured)
+		}
+	}
+}
+
+// What can't be is refused with file, line and name; the file that comes with the program can be.
+func TestRead(t *testing.T) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "usual: %v\n", Usual().Sidecars)
+	for _, text := range []string{
+		"sidecars = []\n", "sidecars = [50, 3]\n", "[service]\nload = 1.5\n", "[fleet]\nzone = 5\n", "[times]\n# short\nback = \"1s\"\n", "[pool]\nservers = 10\n",
+		"[settings]\ngroup = \"rack\"\n", "[fleet]\ntold = 1000\n", "load_high = 0.5\n",
+	} {
+		_, err := Read("faults.toml", []byte(text))
+		fmt.Fprintf(&b, "%v\n", err)
+	}
+	matches(t, b.String())
+}
--- /dev/null
+++ b/lab/faults/sweep.go
@@ -0,0 +1,211 @@
+package faults
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"ledgespread/lab/size"
+)
+
+// Sweep plays the whole list of runs: each kind at each size, in both shapes, and what is asked of them besides. Runs are told
+// in this order, whatever order they end in. Before the largest size is played, predicted hears what those before it say of it.
+func Sweep(t Terms, quick bool, seed uint64, predicted func(string), played func(Figures)) (all []Figures, err error) {
+	if quick {
+		t.Sidecars, t.Times.Day = []int{20, 60}, 15e6
+	}
+	largest := slices.Max(t.Sidecars)
+	var small, large []Run
+	for _, n := range slices.Sorted(slices.Values(t.Sidecars)) {
+		runs := &small
+		if n == largest {
+			runs = &large
+		}
+		for _, k := range Kinds {
+			*runs = append(*runs, Run{Kind: k, Sidecars: n})
+		}
+		*runs = append(*runs, Run{Kind: Regions, Sidecars: n, Named: 0.5}, Run{Kind: Zone, Sidecars: n, Load: t.LoadHigh})
+		for _, k := range Kinds {
+			if !quick {
+				*runs = append(*runs, Run{Kind: k, Sidecars: n, Pool: true})
+			}
+		}
+	}
+	if all, err = play(t, small, seed, played); err != nil {
+		return nil, err
+	}
+	for _, s := range slopes(all) {
+		if p, ok := predict(s, largest, t); ok {
+			predicted(fmt.Sprintf("prediction for %d sidecars, before they are played: %s %.4g %s", largest, s.Name, p, s.Unit))
+		}
+	}
+	last, err := play(t, large, seed, played)
+	return append(all, last...), err
+}
+
+// play has as many runs at a time as there are processors to use. Each is a thread of its own with its own clock and chance.
+func play(t Terms, runs []Run, seed uint64, played func(Figures)) ([]Figures, error) {
+	all, done := make([]Figures, len(runs)), make([]chan struct{}, len(runs))
+	var g errgroup.Group
+	g.SetLimit(runtime.GOMAXPROCS(0))
+	for i := range runs {
+		done[i] = make(chan struct{})
+	}
+	go func() {
+		for i, r := range runs {
+			g.Go(func() (err error) {
+				defer close(done[i])
+				all[i], err = Play(t, r, seed)
+				return err
+			})
+		}
+	}()
+	for i := range runs {
+		<-done[i]
+		played(all[i])
+	}
+	return all, g.Wait()
+}
+
+// slopes are what the page takes from the runs, by size.
+func slopes(all []Figures) (told []size.Slope) {
+	by := func(name, unit, what string, of string, from func(Figures) (size.Point, bool)) {
+		s := size.Slope{Name: name, Unit: unit, What: what, Account: "simulated", Of: []string{of}}
+		for _, f := range all {
+			if p, ok := from(f); ok {
+				p.At = size.At{"sidecars": float64(f.Sidecars), "visits_per_s": f.VisitsPerS, "servers": float64(f.Servers)}
+				s.Points = append(s.Points, p)
+			}
+		}
+		if len(s.Points) > 1 {
+			told = append(told, s)
+		}
+	}
+	is := func(f Figures, k Kind) bool {
+		return f.Kind == k && f.Shape == "service" && f.Named == f.Sidecars && f.Load < f.HighLoad
+	}
+	by("simulated.peers.messages_out", "1/s", "messages that a sidecar sends to others before a service of fewer servers than sidecars", "visits_per_s",
+		func(f Figures) (size.Point, bool) {
+			return size.Point{Mean: f.Says, WorstSecond: f.SaysMost}, is(f, Calm)
+		})
+	by("simulated.owner.messages_in", "1/s", "messages that the most loaded owner hears in its worst second", "sidecars",
+		func(f Figures) (size.Point, bool) { return size.Point{Mean: f.HeardMost}, is(f, Calm) })
+	by("zone.cold_used", "1", "part of its budget that a cold server of a zone gets over its warm-up; no line: the points tell", "sidecars",
+		func(f Figures) (size.Point, bool) {
+			return size.Point{Mean: f.Cold.Used, Most: f.Cold.UsedMost}, is(f, Zone)
+		})
+	by("zone.unserved", "1", "part of the visits without a server's answer while a zone is lost and comes back cold", "sidecars",
+		func(f Figures) (size.Point, bool) {
+			return size.Point{Mean: 1 - f.Delivered, WorstSecond: 1 - f.WorstSecond}, is(f, Zone)
+		})
+	for i := range told {
+		told[i].Coefficient, told[i].Error, _ = size.Fit(told[i].Points, told[i].Of)
+	}
+	return slices.DeleteFunc(told, func(s size.Slope) bool { return s.Coefficient == nil })
+}
+
+func predict(s size.Slope, sidecars int, t Terms) (float64, bool) {
+	rate := float64(t.Service.Servers) * t.Service.Load * 1e6 / float64(t.Service.Work)
+	value, _, err := s.Predict(size.At{"sidecars": float64(sidecars), "visits_per_s": rate / float64(sidecars)})
+	return value, err == nil
+}
+
+// Report is what a sweep measured. Its caller adds run, commit, date and machine.
+func Report(t Terms, all []Figures, seed uint64) *size.Report {
+	largest, broken, plays := 0, 0, 0
+	for _, f := range all {
+		largest = max(largest, f.Sidecars)
+	}
+	r := &size.Report{Seed: seed, Bound: "none: one thread for each run, in simulated time", Stubs: []string{
+		"sockets, machines and clock: simulated; the module's decisions are the program's own (brain.Balancer)",
+		"a server: one core, a queue of bounded length, linear warm-up; what is called off runs on",
+		"membership: the count of senders as docs/membership.md has it",
+		"configuration: changes need a restart today, so none of a day's 1,700 is played"},
+		Slopes: []size.Slope{}, Events: []size.Event{}, Agree: []size.Agree{}, Claims: []size.Claim{}}
+	before := slices.DeleteFunc(slices.Clone(all), func(f Figures) bool { return f.Sidecars == largest })
+	earlier := slopes(before)
+	for _, s := range slopes(all) {
+		if i := slices.IndexFunc(earlier, func(e size.Slope) bool { return e.Name == s.Name }); i >= 0 {
+			e, last := earlier[i], s.Points[len(s.Points)-1]
+			if p, ok := predict(e, largest, t); ok {
+				_, off, _ := e.Predict(last.At)
+				s.Largest = &size.Largest{At: last.At, Predicted: p, Measured: last.Mean, Error: off}
+			}
+		}
+		r.Slopes = append(r.Slopes, s)
+	}
+	worst := 0.0
+	for _, f := range all {
+		plays++
+		for _, k := range f.Broken {
+			broken += k
+		}
+		worst = max(worst, f.Cold.WorstTold)
+		if f.Sidecars != largest {
+			continue
+		}
+		name, said := f.Name(), f.said()
+		at := size.At{"sidecars": float64(f.Sidecars), "servers": float64(f.Servers), "visits_per_s": f.VisitsPerS}
+		if f.Factor != 0 {
+			at["factor"] = f.Factor
+		}
+		event := func(what, unit, words string, median, last float64, n int) {
+			r.Events = append(r.Events, size.Event{Name: name + "." + what, What: said + ": " + words, Account: "simulated", At: at,
+				Unit: unit, Median: median, Last: last, N: max(n, 1)})
+		}
+		all := 0
+		for _, k := range f.Broken {
+			all += k
+		}
+		event("rules_broken", "1", "breaks of the four rules", float64(all), float64(all), f.Visits)
+		event("unserved", "1", "part of the visits without a server's answer; last: in the worst second", 1-f.Delivered, max(1-f.WorstSecond, 1-f.Delivered), f.Visits)
+		event("messages_out", "1/s", "messages that a sidecar sends to others, before; last: in the worst second", f.Says, max(f.Says, f.SaysMost), f.Sidecars)
+		if f.Cold.Servers > 0 {
+			event("cold_window", "1", "a cold server's worst window, of N + 2 root N + 2; median: of told senders, last: of all", f.Cold.WorstTold, max(f.Cold.Worst, f.Cold.WorstTold), f.Cold.Servers)
+			event("cold_used", "1", "part of its budget that a cold server gets over its warm-up; median: the mean", f.Cold.Used, max(f.Cold.UsedMost, f.Cold.Used), f.Cold.Servers)
+		}
+	}
+	r.Claims = append(r.Claims, size.Claim{Claim: "the four rules are kept in all runs", Aim: "no break", Measured: fmt.Sprintf("%d breaks in %d runs", broken, plays),
+		Account: "the simulated servers'", Holds: broken == 0},
+		size.Claim{Claim: "no cold server's window is beyond its budget over all senders", Aim: "at most 1.00 of N + 2 root N + 2",
+			Measured: fmt.Sprintf("%.2f in the worst window of all runs", worst), Account: "the simulated servers'", Holds: worst <= 1})
+	return r
+}
+
+// Name is what a run's events are named by.
+func (f Figures) Name() string {
+	name := string(f.Kind)
+	if f.Named != f.Sidecars {
+		name += ".half_named"
+	}
+	if f.Load >= f.HighLoad {
+		name += ".high_load"
+	}
+	if f.Shape == "pool" {
+		name += ".pool"
+	}
+	return name
+}
+
+func (f Figures) said() string {
+	words := fmt.Sprintf("%d sidecars before a service of %d servers", f.Sidecars, f.Servers)
+	if f.Shape == "pool" {
+		words = fmt.Sprintf("one pool of %d servers with a sidecar each", f.Servers)
+	}
+	words += fmt.Sprintf(", load %.1f", f.Load)
+	if f.Named != f.Sidecars {
+		words += fmt.Sprintf(", half of which have settings that name %d", f.Named)
+	}
+	return words
+}
+
+// Heading names what Line has.
+const Heading = "run                     sidecars servers   served  worst s | cold  window  told  falls   budget used (least)  of warm | messages/s before, worst s, most heard | rules broken"
+
+// Line is a run as a line.
+func (f Figures) Line() string {
+	return fmt.Sprintf("%-24s%8d%8d%9.4f%9.3f |%5d%8.2f%6.2f%7d%13.3f (%.3f)%9.3f |%18.0f%9.0f%13.0f | %v %s", f.Name(), f.Sidecars, f.Servers, f.Delivered, f.WorstSecond,
+		f.Cold.Servers, f.Cold.Worst, f.Cold.WorstTold, f.Cold.Falls, f.Cold.Used, f.Cold.UsedLeast, f.Cold.OfWarm, f.Says, f.SaysMost, f.HeardMost, f.Broken[1:], f.First)
+}
--- a/lab/faults/terms.go
+++ b/lab/faults/terms.go
@@ -29,9 +29,10 @@
 
 // Terms are a whole file.
 type Terms struct {
-	Sidecars []int `toml:"sidecars"`
-	Service  Shape `toml:"service"`
-	Pool     Shape `toml:"pool"`
+	Sidecars []int   `toml:"sidecars"`
+	LoadHigh float64 `toml:"load_high"`
+	Service  Shape   `toml:"service"`
+	Pool     Shape   `toml:"pool"`
 	Fleet    struct {
 		Zones       int     `toml:"zones"`
 		Regions     int     `toml:"regions"`
@@ -107,6 +108,7 @@
 		table, name, why string
 	}{
 		{len(t.Sidecars) == 0, "", "sidecars", "must name a number at least"},
+		{!(t.LoadHigh > t.Service.Load) || t.LoadHigh > 1, "", "load_high", "must be more than the service's load, and 1 at most"},
 		{t.Service.Servers < 5 || t.Service.Servers > 5000, "service", "servers", "must lie between 5 and 5000"},
 		{t.Service.Work <= 0, "service", "work", "must be over 0s"},
 		{!(t.Service.Load > 0) || t.Service.Load >= 1, "service", "load", "must lie between 0 and 1"},
--- a/lab/sim/sidecar.go
+++ b/lab/sim/sidecar.go
@@ -84,6 +84,8 @@
 	Apart   func(from, to *Sidecar) bool
 	Beyond  func(from *Sidecar, to *Server) bool // nothing comes through now
 	Grace   Micros                               // from being told that a server leaves to the last fetch it may get
+	Mislead func(brain.Site)                     // a fault put in on purpose: the modules' settings say something else than holds
+	Deaf    bool                                 // another: the modules are not told that servers leave
 	Broken  [5]int                               // by rule
 	First   string                               // the first break, in words
 	next    brain.VisitID
@@ -119,11 +121,14 @@
 		s.site[k] = v
 	}
 	s.site["me"], s.site["my_zone"] = float64(s.Me), float64(zone)
-	for i := range int(site["path_prefixes"].(float64)) {
+	for i := range int(site["path_prefixes"].(float64)) { // the judge goes by what holds
 		at := fmt.Sprintf("path_prefixes.%d.", i)
 		s.classes = append(s.classes, class{site[at+"effect"].(string), site[at+"group"].(string),
 			Micros(site[at+"memory_span_us"].(float64))})
 	}
+	if n.Mislead != nil {
+		n.Mislead(s.site)
+	}
 	n.Cars = append(n.Cars, s)
 	return s, s.Start(seed)
 }
@@ -179,7 +184,9 @@
 	now := s.net.Now
 	s.B.ListBegins(now, news)
 	for _, l := range lines {
-		s.B.Listed(now, l.ID, l.Zone, brain.Cell(l.Zone), l.Standing, 1, l.Started)
+		if !s.net.Deaf || l.Standing == brain.Ready {
+			s.B.Listed(now, l.ID, l.Zone, brain.Cell(l.Zone), l.Standing, 1, l.Started)
+		}
 		if l.Standing == brain.Ready {
 			s.Starts[l.ID] = l.Started
 			delete(s.Leaving, l.ID)
@@ -192,6 +199,11 @@
 
 // Visit takes a visit in; ended hears its final answer. hint 0: its client tells no work.
 func (s *Sidecar) Visit(on brain.Prefix, work, hint, left Micros, carries any, ended func(*Visit)) *Visit {
+	return s.VisitTold(on, work, hint, left, left, carries, ended)
+}
+
+// VisitTold takes a visit in of which the module is told another time than its client has.
+func (s *Sidecar) VisitTold(on brain.Prefix, work, hint, left, told Micros, carries any, ended func(*Visit)) *Visit {
 	n := s.net
 	n.next++
 	v := &Visit{ID: n.next, On: on, Effect: s.classes[on].effect, Work: work, Began: n.Now, Until: n.Now + left,
@@ -208,7 +220,7 @@
 			n.broke(1, "visit %d had no answer in time", v.ID)
 		}
 	})
-	s.B.Inbound(n.Now, v.ID, on, 0, left, hint, false, false)
+	s.B.Inbound(n.Now, v.ID, on, 0, told, hint, false, false)
 	return v
 }
 
--- /dev/null
+++ b/lab/sim/sim_test.go
@@ -0,0 +1,211 @@
+package sim
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"ledgespread/brain"
+)
+
+var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
+
+func matches(t *testing.T, now string) {
+	t.Helper()
+	name := "testdata/" + t.Name() + ".trace"
+	if *update {
+		os.MkdirAll("testdata", 0o777)
+		os.WriteFile(name, []byte(now), 0o666)
+	}
+	kept, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(kept), now); diff != "" {
+		t.Errorf("it differs from %s (-kept +now):\n%s", name, diff)
+	}
+}
+
+// Whatever is asked for in whatever order, things are done by their time, and of one time in the order asked for; what is asked
+// for a time gone by is done now, and the clock never goes back.
+func TestClock(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var c Clock
+		type done struct {
+			at Micros
+			no int
+		}
+		var all []done
+		no := 0
+		var ask func(deep int)
+		ask = func(deep int) {
+			for range rapid.IntRange(1, 4).Draw(rt, "many") {
+				at, mine := Micros(rapid.IntRange(0, 40).Draw(rt, "at")), no
+				no++
+				due := max(at, c.Now)
+				c.At(at, func() {
+					if c.Now != due {
+						rt.Fatalf("due at %d, done at %d", due, c.Now)
+					}
+					all = append(all, done{c.Now, mine})
+					if deep > 0 {
+						ask(deep - 1)
+					}
+				})
+			}
+		}
+		ask(2)
+		c.Play(20)
+		c.Play(50)
+		for i := 1; i < len(all); i++ {
+			if a, b := all[i-1], all[i]; a.at > b.at || a.at == b.at && a.no > b.no {
+				rt.Fatalf("%v before %v", a, b)
+			}
+		}
+		if len(all) != no || c.Now != 50 {
+			rt.Fatalf("%d of %d done, the clock at %d", len(all), no, c.Now)
+		}
+	})
+}
+
+func terms() Terms {
+	return Terms{Target: 600_000, Timeout: 2_000_000, Window: 250_000, Group: "zone", Sidecars: 1, Fetches: 5, ColdFrom: 0.3, Cold: 8e6,
+		FallMultiple: 3, Fall: 1.5e6}
+}
+
+// net has servers 1 and 2 in zone 0 and server 3 in zone 1; each answers as act says, after a millisecond.
+func net(t *testing.T, act map[brain.Backend]brain.Result) (*Net, *Sidecar) {
+	t.Helper()
+	n := NewNet(&Clock{Now: 1e9}, 100)
+	var list []Line
+	for id := brain.Backend(1); id <= 3; id++ {
+		s := n.Serve(&Server{ID: id, Zone: brain.Zone(id / 3)})
+		s.Take = func(f *Fetch) {
+			if rc := act[id]; rc != 0 {
+				n.After(1000, func() { n.Answer(f, rc) })
+			}
+		}
+		list = append(list, Line{ID: id, Zone: s.Zone, Standing: brain.Ready})
+	}
+	car, err := n.Join(0, 7, terms().Settings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	car.List(brain.Saved, list...)
+	return n, car
+}
+
+// The judge of the rules: each break is seen and accused of its own rule, and what is allowed is not. Calls are made in the
+// module's name, since the module does none of it.
+func TestJudge(t *testing.T) {
+	var b strings.Builder
+	for _, c := range []struct {
+		what   string
+		on     brain.Prefix // read-like, tagged, mutating
+		answer brain.Result
+		then   func(n *Net, s *Sidecar, v *Visit)
+	}{
+		{"read-like, sent again after an error", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
+		{"mutating, sent again after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
+		{"mutating, sent again after a refusal", 2, brain.Full, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
+		{"mutating, bounced after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Bounce(v.ID, 0) }},
+		{"mutating, failed after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.ErrorPage(v.ID) }},
+		{"mutating, bounced after a refusal", 2, brain.Full, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Bounce(v.ID, 0) }},
+		{"mutating, a second while the first is out", 2, 0, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
+		{"tagged, within its zone", 1, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
+		{"tagged, to another zone", 1, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 3, 0) }},
+		{"tagged, after its window", 1, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
+			n.Now += 250_000
+			ports{s, s.life}.Dispatch(v.ID, 2, 0)
+		}},
+		{"sent after its end", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
+			ports{s, s.life}.ErrorPage(v.ID)
+			ports{s, s.life}.Dispatch(v.ID, 2, 0)
+		}},
+		{"answered twice", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
+			ports{s, s.life}.ErrorPage(v.ID)
+			ports{s, s.life}.Bounce(v.ID, 0)
+		}},
+		{"sent after its client has gone", 0, 0, func(n *Net, s *Sidecar, v *Visit) {
+			s.Drop(v)
+			ports{s, s.life}.Dispatch(v.ID, 2, 0)
+		}},
+		{"never answered", 0, 0, func(n *Net, s *Sidecar, v *Visit) {
+			s.Visit(0, 1000, 0, 2e6, nil, nil)
+			s.B, _ = brain.New(n.Now, s.site, 1, ports{s, -1}) // a module that knows nothing of it, and whose words don't count
+		}},
+		{"sent to a server that was told to leave", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
+			s.List(brain.Changes, Line{ID: 2, Standing: brain.Draining})
+			n.Now++
+			ports{s, s.life}.Dispatch(v.ID, 2, 0)
+		}},
+		{"sent in the moment in which that is told", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
+			s.List(brain.Changes, Line{ID: 2, Standing: brain.Gone})
+			ports{s, s.life}.Dispatch(v.ID, 2, 0)
+		}},
+	} {
+		act := map[brain.Backend]brain.Result{1: c.answer, 2: c.answer, 3: c.answer}
+		n, car := net(t, act)
+		v := &Visit{ID: 1, On: c.on, Effect: Effects[c.on], Began: n.Now, Until: n.Now + 2e6, by: car}
+		car.visits[1], n.next = v, 1
+		// As the first fetch, without the module's knowing: it hears of an outcome that it passes over.
+		ports{car, car.life}.Dispatch(1, 1, 0)
+		n.Play(n.Now + 2000)
+		c.then(n, car, v)
+		n.Play(n.Now + 3e6)
+		fmt.Fprintf(&b, "%-45s breaks by rule %v %s\n", c.what, n.Broken[1:], n.First)
+	}
+	matches(t, b.String())
+}
+
+// The module's own visits, by the way's times: answers, errors, refusals, servers that refuse connections, fall silent, fall
+// over, sidecars that are killed. None breaks a rule.
+func TestVisits(t *testing.T) {
+	var b strings.Builder
+	for _, c := range []struct {
+		what string
+		act  map[brain.Backend]brain.Result
+		do   func(n *Net, s *Sidecar)
+	}{
+		{"all answer", map[brain.Backend]brain.Result{1: brain.Delivered, 2: brain.Delivered, 3: brain.Delivered}, nil},
+		{"one errs", map[brain.Backend]brain.Result{1: brain.Errored, 2: brain.Delivered, 3: brain.Delivered}, nil},
+		{"all are full", map[brain.Backend]brain.Result{1: brain.Full, 2: brain.Full, 3: brain.Full}, nil},
+		{"nobody listens", nil, func(n *Net, _ *Sidecar) {
+			for _, s := range n.Servers {
+				s.Refuses = true
+			}
+		}},
+		{"nobody answers", nil, nil},
+		{"all fall over in the middle", nil, func(n *Net, _ *Sidecar) {
+			n.After(500, func() {
+				for id := brain.Backend(1); id <= 3; id++ {
+					n.Fell(n.Servers[id], false)
+					n.Servers[id].Refuses = true
+				}
+			})
+		}},
+		{"cut off", map[brain.Backend]brain.Result{1: brain.Delivered, 2: brain.Delivered, 3: brain.Delivered}, func(n *Net, _ *Sidecar) {
+			n.Beyond = func(*Sidecar, *Server) bool { return true }
+		}},
+		{"the sidecar is killed", nil, func(n *Net, s *Sidecar) { n.After(500, s.Stop) }},
+	} {
+		for on, effect := range Effects {
+			n, car := net(t, c.act)
+			if c.do != nil {
+				c.do(n, car)
+			}
+			begin, v := n.Now, (*Visit)(nil)
+			v = car.Visit(brain.Prefix(on), 1000, 0, 2e6, nil, func(*Visit) {
+				fmt.Fprintf(&b, "%-28s %-9s ending %d after %.1f ms, %d fetches", c.what, effect, v.Ending, float64(n.Now-begin)/1000, len(v.Fetches))
+			})
+			n.Play(begin + 3e6)
+			fmt.Fprintf(&b, "; breaks %v, visits left %d\n", n.Broken[1:], len(car.visits))
+		}
+	}
+	matches(t, b.String())
+}
