--- a/cmd/ledgelab/simulations.go
+++ b/cmd/ledgelab/simulations.go
@@ -123,7 +123,13 @@
 				return err
 			}
 			fmt.Fprintln(out, strings.Join(depth.ByHop(all), "\n"))
-			return o.end(c, depth.Report(t, all, o.seed), "depth", all)
+			fmt.Fprintln(out, depth.GraphHeading)
+			g := callgraph.Draw(callgraph.Usual(), o.seed)
+			graphs, err := depth.SweepGraph(t, g, o.quick, o.seed, func(f depth.GraphFigures) { fmt.Fprintln(out, f.Line()) })
+			if err != nil {
+				return err
+			}
+			return o.end(c, depth.Report(t, all, graphs, o.seed), "depth", map[string]any{"chains": all, "graphs": graphs})
 		}}
 	o.flags(c, true)
 	return c
--- a/lab/depth/depth_test.go
+++ b/lab/depth/depth_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"ledgespread/lab/callgraph"
 	"ledgespread/lab/sim"
 )
 
@@ -142,10 +143,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var graphs []GraphFigures
 	hold := func(what string, of []Figures, want ...bool) {
 		t.Helper()
 		var got []bool
-		for _, c := range Report(small(), of, 1).Claims {
+		for _, c := range Report(small(), of, graphs, 1).Claims {
 			got = append(got, c.Holds)
 		}
 		if diff := cmp.Diff(want, got); diff != "" {
@@ -153,6 +155,9 @@
 		}
 	}
 	hold("as measured", all, true, true, true)
+	graphs = []GraphFigures{{Breaks: 1}}
+	hold("a rule broken in a graph", all, false, true, true)
+	graphs = nil
 	changed := func(change func(*Figures)) []Figures {
 		other := append([]Figures{}, all...)
 		for i := range other {
@@ -165,6 +170,33 @@
 	hold("twice without retries", changed(func(f *Figures) { f.Reach = 2 }), true, true, false)
 }
 
+// A drawn graph: what a deepest service's failing does there and at the fronts. Without retries no service gets more calls than
+// before, but by chance; one seed gives one run.
+func TestGraph(t *testing.T) {
+	a := callgraph.Usual()
+	a.Size.Servers, a.Size.Services, a.Size.Depth, a.Assumed.Fronts = 60, 12, 6, 2
+	g, p := callgraph.Draw(a, 2), small()
+	var b strings.Builder
+	fmt.Fprintln(&b, GraphHeading)
+	for _, w := range Ways {
+		for _, retries := range []bool{true, false} {
+			f, err := PlayGraph(p, g, 300, w, retries, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintln(&b, strings.TrimSpace(f.Line()))
+			if !retries && f.ItsCalls > 1.1 {
+				t.Errorf("%s, no retries: %.2f times the calls", w, f.ItsCalls)
+			}
+			again, err := PlayGraph(p, g, 300, w, retries, 1)
+			if diff := cmp.Diff(f, again); err != nil || diff != "" {
+				t.Errorf("one seed, two runs: %v %s", err, diff)
+			}
+		}
+	}
+	matches(t, b.String())
+}
+
 // What can't be is refused with file, line and name; the file that comes with the program can be.
 func TestRead(t *testing.T) {
 	var b strings.Builder
--- /dev/null
+++ b/lab/depth/graph.go
@@ -0,0 +1,272 @@
+package depth
+
+import (
+	"fmt"
+	"math"
+
+	"ledgespread/brain"
+	"ledgespread/lab/callgraph"
+	"ledgespread/lab/chance"
+	"ledgespread/lab/sim"
+)
+
+// GraphFigures are those of a run on a drawn call graph, in which the service that most calls of the deepest layer go to fails
+// for a part of its calls. What is told for each call stands beside the same figure before it failed.
+type GraphFigures struct {
+	Way        Way     `json:"way"`
+	Retries    bool    `json:"retries"`
+	Fails      float64 `json:"fails"`
+	Services   int     `json:"services"`
+	Servers    int     `json:"servers"`
+	Modules    int     `json:"modules"` // one for each server and service that it calls
+	Rate       float64 `json:"calls_per_s"`
+	Divided    float64 `json:"rate_divided_by"`
+	Failing    int     `json:"failing_service"`
+	ItsCalls   float64 `json:"calls_there"` // a second, while it fails, over those before
+	ItsWorst   float64 `json:"calls_there_worst_second"`
+	Calls      float64 `json:"calls_in_all"` // the same of all services
+	CallsWorst float64 `json:"calls_in_all_worst_second"`
+	Before     float64 `json:"served_before"` // of the requests that come to the fronts
+	While      float64 `json:"served"`
+	Worst      float64 `json:"served_worst_second"`
+	After      float64 `json:"served_after"`
+	WholeAgain int     `json:"whole_again_s"` // -1: not in the run
+	Breaks     int     `json:"rules_broken"`
+	First      string  `json:"first_break,omitempty"`
+}
+
+// web is such a run.
+type web struct {
+	divided float64
+	sim.Clock
+	Terms
+	g        *callgraph.Graph
+	nets     []*sim.Net // by the service that is called
+	cars     []map[int]int
+	into     []float64 // calls a second that come to each service
+	way      Way
+	bad      int
+	draws    *chance.Source
+	from, to Micros
+	begin    Micros
+	there    []int // by second
+	all      []int
+	began    []int
+	served   []int
+}
+
+// PlayGraph plays a drawn graph at its rates divided by so much. A service makes its calls for one that it got at once and side
+// by side, and answers when all have; one that fails is a failure of its own.
+func PlayGraph(t Terms, g *callgraph.Graph, divided float64, way Way, retries bool, seed uint64) (GraphFigures, error) {
+	w := &web{Terms: t, divided: divided, g: g, way: way, draws: chance.New(seed, "depth graph"), into: make([]float64, len(g.Services))}
+	w.Now = 1e6
+	w.begin = w.Now
+	w.from = w.begin + Micros(t.Warm)
+	w.to = w.from + Micros(t.Failing)
+	end := w.to + Micros(t.Recovers)
+	seconds := int((end-w.begin)/1e6) + 4
+	w.there, w.all, w.began, w.served = make([]int, seconds), make([]int, seconds), make([]int, seconds), make([]int, seconds)
+	f := GraphFigures{Way: way, Retries: retries, Fails: t.Fails, Services: len(g.Services), Divided: divided}
+	for i, s := range g.Services {
+		f.Servers += s.Servers()
+		for _, e := range s.Calls {
+			w.into[e.To] += float64(e.PerS) / divided
+			f.Rate += float64(e.PerS) / divided
+		}
+		if s.Layer == 0 { // what comes from outside: as many as it makes for each service that it calls, in the mean
+			w.into[i] = float64(g.Makes(i)) / float64(len(s.Calls)) / divided
+		}
+		if s.Layer == g.Of.Size.Depth && (f.Failing == 0 || w.into[i] > w.into[f.Failing]) {
+			f.Failing = i
+		}
+	}
+	w.bad = f.Failing
+	for i, s := range g.Services {
+		if err := w.pool(i, s, retries); err != nil {
+			return f, err
+		}
+		f.Modules += len(w.nets[i].Cars)
+	}
+	for i, s := range g.Services {
+		if s.Layer == 0 {
+			w.arrive(i, end)
+		}
+	}
+	w.Play(end + Micros(t.Timeout) + 10_000)
+	w.figures(&f)
+	return f, nil
+}
+
+// pool is a service's servers, and the sidecars of all that call it.
+func (w *web) pool(i int, s *callgraph.Service, retries bool) error {
+	n := sim.NewNet(&w.Clock, Micros(w.Way))
+	w.nets, w.cars = append(w.nets, n), append(w.cars, map[int]int{})
+	var list []sim.Line
+	number := 0
+	for z, many := range s.Zones {
+		for range many {
+			mine := number
+			x := n.Serve(&sim.Server{ID: brain.Backend(1 + number), Zone: brain.Zone(z)})
+			x.Take = func(f *sim.Fetch) { w.take(i, mine, f) }
+			list = append(list, sim.Line{ID: x.ID, Zone: x.Zone, Standing: brain.Ready})
+			number++
+		}
+	}
+	sidecars, fetches := 0, w.Fetches
+	for _, from := range s.Called {
+		sidecars += w.g.Services[from].Servers()
+	}
+	if !retries {
+		fetches = 1
+	}
+	if sidecars == 0 {
+		return nil
+	}
+	settings := sim.Terms{Target: Micros(w.Target), Timeout: Micros(w.Timeout), Window: Micros(w.Window), Group: "all", Sidecars: sidecars,
+		Fetches: fetches, ColdFrom: 0.3, Cold: 8e6, FallMultiple: 3, Fall: 1.5e6, Messages: true}.Settings()
+	for _, from := range s.Called {
+		w.cars[i][from] = len(n.Cars)
+		for z, many := range w.g.Services[from].Zones {
+			for range many {
+				car, err := n.Join(brain.Zone(z), w.draws.Bits(), settings)
+				if err != nil {
+					return err
+				}
+				car.List(brain.Saved, list...)
+			}
+		}
+	}
+	return nil
+}
+
+func (w *web) second() int { return int((w.Now - w.begin) / 1e6) }
+
+// arrive has requests come to a front.
+func (w *web) arrive(front int, end Micros) {
+	next := w.Now + max(1, Micros(w.draws.Exp(1e6/w.into[front])))
+	if next >= end {
+		return
+	}
+	w.At(next, func() {
+		second := w.second()
+		w.began[second]++
+		w.onward(front, w.draws.Below(w.g.Services[front].Servers()), w.Now+Micros(w.Timeout), func(ok bool) {
+			if ok {
+				w.served[second]++
+			}
+		})
+		w.arrive(front, end)
+	})
+}
+
+// onward has a server make its calls for one that it got, and tells when all have ended whether all were served.
+func (w *web) onward(service, number int, deadline Micros, ended func(ok bool)) (drop func()) {
+	left, good := 1, true
+	var drops []func()
+	one := func(ok bool) {
+		if left, good = left-1, good && ok; left == 0 {
+			ended(good)
+		}
+	}
+	for _, e := range w.g.Services[service].Calls {
+		times := float64(e.PerS) / w.divided / w.into[service]
+		many := int(times)
+		if w.draws.Float() < times-float64(many) {
+			many++
+		}
+		for range many {
+			left++
+			n := w.nets[e.To]
+			car := n.Cars[w.cars[e.To][service]+number]
+			v := car.Visit(0, Micros(w.Work), 0, deadline-w.Now, nil, func(v *sim.Visit) { one(v.Ending == sim.Delivered) })
+			drops = append(drops, func() { car.Drop(v) })
+		}
+	}
+	one(true)
+	return func() {
+		for _, d := range drops {
+			d()
+		}
+	}
+}
+
+// take is a server at work: its own, then its calls.
+func (w *web) take(service, number int, f *sim.Fetch) {
+	n, second := w.nets[service], w.second()
+	w.all[second]++
+	deadline := w.Now + f.Until - f.Sent
+	fails := false
+	if service == w.bad {
+		w.there[second]++
+		fails = w.Now >= w.from && w.Now < w.to && w.draws.Float() < w.Fails
+	}
+	switch {
+	case fails && w.way == TurnedAway:
+		n.Answer(f, brain.Full)
+		return
+	case fails && w.way == Timeouts:
+		return
+	}
+	off, drop := false, func() {}
+	f.CallOff = func() {
+		off = true
+		drop()
+	}
+	w.After(Micros(w.Work), func() {
+		switch {
+		case off || w.Now >= deadline:
+		case fails:
+			n.Answer(f, brain.Errored)
+		default:
+			drop = w.onward(service, number, deadline, func(ok bool) {
+				if ok {
+					n.Answer(f, brain.Delivered)
+				} else {
+					n.Answer(f, brain.Errored)
+				}
+			})
+		}
+	})
+}
+
+func (w *web) figures(f *GraphFigures) {
+	first, last, end := int((w.from-w.begin)/1e6), int((w.to-w.begin)/1e6), int((w.to-w.begin+Micros(w.Recovers))/1e6)
+	sum := func(of []int, from, to int) (n int) {
+		for _, x := range of[from:to] {
+			n += x
+		}
+		return n
+	}
+	before := func(of []int) float64 { return math.Max(part(sum(of, 2, first), first-2), 1e-9) }
+	f.ItsCalls, f.Calls = part(sum(w.there, first, last), last-first)/before(w.there), part(sum(w.all, first, last), last-first)/before(w.all)
+	f.Before, f.While, f.After = part(sum(w.served, 2, first), sum(w.began, 2, first)), part(sum(w.served, first, last), sum(w.began, first, last)), part(sum(w.served, last, end), sum(w.began, last, end))
+	f.Worst, f.WholeAgain = 1, -1
+	for s := first; s < last; s++ {
+		f.ItsWorst, f.CallsWorst = max(f.ItsWorst, float64(w.there[s])/before(w.there)), max(f.CallsWorst, float64(w.all[s])/before(w.all))
+		f.Worst = min(f.Worst, part(w.served[s], w.began[s]))
+	}
+	for s := last; s < end && f.WholeAgain < 0; s++ {
+		if part(w.served[s], w.began[s]) >= 0.99*f.Before {
+			f.WholeAgain = s - last
+		}
+	}
+	for i, n := range w.nets {
+		f.Breaks += n.Breaks()
+		if f.First == "" && n.First != "" {
+			f.First = fmt.Sprintf("service %d: %s", i, n.First)
+		}
+	}
+}
+
+// GraphHeading names what Line of GraphFigures has.
+const GraphHeading = "graph: way          retries fails modules calls/s (divided by) | calls at the failing one, worst s | calls in all, worst s | served before, while (worst s), after; whole again | broken"
+
+// Line is a run as a line.
+func (f GraphFigures) Line() string {
+	again := "not in the run"
+	if f.WholeAgain >= 0 {
+		again = fmt.Sprintf("%d s", f.WholeAgain)
+	}
+	return fmt.Sprintf("graph: %-13s%-8v%5.1f%8d%8.0f (%.0f) | %12.2f%14.2f | %12.2f%8.2f | %13.3f%7.3f (%.3f)%7.3f; %s | %d %s", f.Way, f.Retries, f.Fails, f.Modules, f.Rate, f.Divided,
+		f.ItsCalls, f.ItsWorst, f.Calls, f.CallsWorst, f.Before, f.While, f.Worst, f.After, again, f.Breaks, f.First)
+}
--- a/lab/depth/sweep.go
+++ b/lab/depth/sweep.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"ledgespread/lab/callgraph"
 	"ledgespread/lab/sim"
 	"ledgespread/lab/size"
 )
@@ -102,6 +103,37 @@
 	return all, g.Wait()
 }
 
+// SweepGraph plays a drawn graph: each way, with retries and without, at its rates divided by a hundred and by twenty.
+func SweepGraph(t Terms, g *callgraph.Graph, quick bool, seed uint64, played func(GraphFigures)) (all []GraphFigures, err error) {
+	divided := []float64{100, 20}
+	if quick {
+		divided, t.Warm, t.Failing, t.Recovers = []float64{300}, 11e6, 5e6, 2e6
+	}
+	for _, by := range divided {
+		these := make([]GraphFigures, 2*len(Ways))
+		var runs errgroup.Group
+		runs.SetLimit(runtime.GOMAXPROCS(0))
+		for i := range these {
+			if quick && i > 1 { // errors only
+				these = these[:i]
+				break
+			}
+			runs.Go(func() (err error) {
+				these[i], err = PlayGraph(t, g, by, Ways[i/2], i%2 == 0, seed)
+				return err
+			})
+		}
+		if err := runs.Wait(); err != nil {
+			return nil, err
+		}
+		for _, f := range these {
+			played(f)
+		}
+		all = append(all, these...)
+	}
+	return all, nil
+}
+
 // Heading names what Line has.
 const Heading = "of      way          effect     retries visits/s  deep fails target | calls at the last, worst s, 2nd half; by sum | retries worst s | served before, while (2nd half), after; whole again | broken"
 
@@ -137,7 +169,7 @@
 const agreeWithin = 0.15
 
 // Report is what a sweep measured. Its caller adds run, commit, date and machine.
-func Report(t Terms, all []Figures, seed uint64) *size.Report {
+func Report(t Terms, all []Figures, graphs []GraphFigures, seed uint64) *size.Report {
 	r := &size.Report{Seed: seed, Bound: "none: one thread for each run, in simulated time", Stubs: []string{
 		"sockets, machines and clock: simulated; the decisions of each hop's sidecars are the program's own (brain.Balancer)",
 		"a server: no queue, so that only retries add to an answer's time; it calls off its own call when its caller does, and tries nothing again by itself",
@@ -174,6 +206,22 @@
 			event("depth.unserved_by_rate", "errors, by visits a sidecar: part of the calls at the top without an answer; last: in the worst second", "1", f, 1-f.Success, 1-f.WorstServed, f.Top)
 		}
 	}
+	inGraphs := 0
+	for _, f := range graphs {
+		inGraphs += f.Breaks
+		if f.Divided != graphs[len(graphs)-1].Divided || !f.Retries {
+			continue
+		}
+		words := fmt.Sprintf("drawn graph of %d servers, rates divided by %.0f, %s of half of a deepest service's calls: ", f.Servers, f.Divided, f.Way)
+		at := size.At{"depth": float64(t.Depth), "failing": f.Fails, "services": float64(f.Services), "sidecars": float64(f.Servers), "visits_per_s": f.Rate / float64(f.Servers)}
+		for _, e := range []size.Event{{Name: "depth.graph_calls_at_failing", What: words + "calls there over those before; last: in the worst second", Median: f.ItsCalls, Last: f.ItsWorst},
+			{Name: "depth.graph_calls", What: words + "all calls over those before; last: in the worst second", Median: f.Calls, Last: f.CallsWorst},
+			{Name: "depth.graph_unserved", What: words + "part of the requests at the fronts that fail; last: in the worst second", Median: 1 - f.While, Last: 1 - f.Worst}} {
+			e.Account, e.Unit, e.At, e.N = "simulated", "1", at, f.Modules
+			e.Last = max(e.Last, e.Median)
+			r.Events = append(r.Events, e)
+		}
+	}
 	slices.Sort(totals)
 	if len(totals) == 0 {
 		return r
@@ -186,7 +234,7 @@
 	claim := func(what, aim, measured string, holds bool) {
 		r.Claims = append(r.Claims, size.Claim{Claim: what, Aim: aim, Measured: measured, Account: "the simulated servers'", Holds: holds})
 	}
-	claim("the four rules are kept at each hop", "no break", fmt.Sprintf("%d breaks in %d runs", broken, len(all)), broken == 0)
+	claim("the four rules are kept at each hop", "no break", fmt.Sprintf("%d breaks in %d runs", broken+inGraphs, len(all)+len(graphs)), broken+inGraphs == 0)
 	claim("errors of half of the last hop's calls: calls there go by the buckets' arithmetic", fmt.Sprintf("%.2f within %.0f%%", asked.Arithmetic.Steady, 100*agreeWithin),
 		fmt.Sprintf("%.2f", asked.Steady), differ <= agreeWithin)
 	claim("without retries no call comes twice", "at most 1, and one in a hundred that are on their way as it begins", fmt.Sprintf("%.3f at most", off), off <= 1.01)
