--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -30,6 +30,7 @@
 	Standing Standing
 	Factor   float64 // what is needed over what is allowed; over 1 it is missed
 	Error    float64
+	Part     bool // only a part of what counts was measured: the factor is at least so much
 	Required string
 	Measured string
 	Breaks   string
@@ -177,7 +178,7 @@
 		any = true
 		told = append(told, fmt.Sprintf("%s: %s", title, x))
 		if f := x.Value / b.limit; f > worst {
-			worst, v.Factor, v.Error, v.Breaks = f, f, x.Error/b.limit, title+": "+p.breaks(r, b)
+			worst, v.Factor, v.Error, v.Part, v.Breaks = f, f, x.Error/b.limit, !x.Whole(), title+": "+p.breaks(r, b)
 		}
 		for _, run := range x.Runs {
 			if !slices.Contains(v.Runs, run) {
@@ -199,7 +200,7 @@
 }
 
 // family gathers the events of a fault by the beginning of their names. What it breaks is judged where a rule is: an event
-// NAME.rules_broken, in the unit "1", which has to be none.
+// whose name ends with rules_broken, in the unit "1", which has to be none.
 func (p *Page) family(v *Verdict) {
 	v.Required = "the four rules kept throughout"
 	if v.Clause.Name == "zones" {
@@ -216,7 +217,7 @@
 			if !slices.Contains(v.Runs, run.ID) {
 				v.Runs = append(v.Runs, run.ID)
 			}
-			if !strings.HasSuffix(e.Name, ".rules_broken") {
+			if !strings.HasSuffix(e.Name, "rules_broken") {
 				continue
 			}
 			if v.Standing == Unmeasured {
