--- /dev/null
+++ b/lab/faults/group.go
@@ -0,0 +1,141 @@
+package faults
+
+import (
+	"slices"
+
+	"ledgespread/decide/membership"
+	"ledgespread/decide/membership/crowd"
+)
+
+// Group is what the program's own membership does when a zone dies, or when two parts of the group are apart for longer than
+// its dead are remembered. Figures of traffic are of a member in the mean, 28 bytes of headers with each datagram.
+type Group struct {
+	Kind     Kind    `json:"kind"`
+	Members  int     `json:"members"`
+	Lost     int     `json:"lost"`          // of them: dead, or on the far side of the greater part
+	Known    float64 `json:"known_s"`       // until all members (of either part) hold all of these for dead; -1: not in the run
+	First    float64 `json:"known_first_s"` // until the first does
+	Calm     float64 `json:"bytes_per_s"`
+	Worst    float64 `json:"bytes_per_s_worst_second"`
+	Messages float64 `json:"messages_per_s_worst_second"`
+	// Over is for how many seconds it was beyond the budget of control bytes that the requirement has.
+	Over float64 `json:"over_budget_s"`
+	// Of regions: the least number of senders that any member counted before forget, and then each part; and from the end of the
+	// cut until a member of the greater part counts all again, in order, -1: not within 60 s.
+	Forget       float64   `json:"forget_s,omitempty"`
+	Before       int       `json:"senders_before_forget,omitempty"`
+	GreaterAfter int       `json:"senders_by_the_greater,omitempty"`
+	LesserAfter  int       `json:"senders_by_the_lesser,omitempty"`
+	Again        []float64 `json:"whole_again_s,omitempty"`
+}
+
+// controlBytes is the requirement's budget, in bytes a second.
+const controlBytes = 18_000
+
+// PlayGroup plays one, of Zone or Regions. Each member names itself alone in its settings, so that what is counted as senders
+// is what was heard of.
+func PlayGroup(kind Kind, members int, forget Micros, seed uint64) Group {
+	terms := membership.Terms{Group: "lab", Every: 250_000, Exchange: 30_000_000, Forget: membership.Micros(forget), Linger: 3_000_000, Senders: 1, Most: 20_000}
+	c := crowd.New(seed, members, terms, true)
+	g := Group{Kind: kind, Members: members, Known: -1, First: -1}
+	away := func(i int) bool { // zone 1 of five, or zones 1 and 3
+		return i%5 == 1 || kind == Regions && i%5 == 3
+	}
+	for i := range members {
+		if away(i) {
+			g.Lost++
+		}
+	}
+	calm, calmly := 4, 0.0
+	second := func() {
+		sent, bytes := c.Sent, c.Bytes+c.Exchange
+		c.Run(1_000_000)
+		living := float64(members)
+		if kind == Zone && calm == 0 {
+			living -= float64(g.Lost)
+		}
+		rate := (float64(c.Bytes+c.Exchange-bytes) + 28*float64(c.Sent-sent)) / living
+		if calm > 0 {
+			calmly += rate / 4
+		}
+		g.Worst, g.Messages = max(g.Worst, rate), max(g.Messages, float64(c.Sent-sent)/living)
+		if rate > controlBytes {
+			g.Over++
+		}
+	}
+	c.Run(20_000_000) // a fresh member exchanges tables several times
+	for calm > 0 {
+		second()
+		calm--
+	}
+	g.Calm = calmly
+	known := func(t int) {
+		all, any := true, false
+		for _, m := range c.Members {
+			if m.Gone {
+				continue
+			}
+			others := g.Lost
+			if away(m.Number) {
+				others = members - g.Lost
+			}
+			if m.Holds()[membership.Dead] < others {
+				all = false
+			} else {
+				any = true
+			}
+		}
+		if any && g.First < 0 {
+			g.First = float64(t + 1)
+		}
+		if all && g.Known < 0 {
+			g.Known = float64(t + 1)
+		}
+	}
+	if kind == Zone {
+		for _, m := range c.Members {
+			if away(m.Number) {
+				m.Kill()
+			}
+		}
+		for t := 0; t < 60 && g.Known < 0; t++ {
+			second()
+			known(t)
+		}
+		return g
+	}
+	g.Forget, g.Before, g.GreaterAfter, g.LesserAfter = float64(forget)/1e6, members, members, members
+	c.Cut = func(from, to int) bool { return away(from) != away(to) }
+	for t := range int(forget / 1e6) {
+		second()
+		if g.Known < 0 {
+			known(t)
+		}
+		for _, m := range c.Members {
+			g.Before = min(g.Before, m.Senders())
+		}
+	}
+	for range int(forget / 1e6) {
+		second()
+	}
+	for _, m := range c.Members {
+		if away(m.Number) {
+			g.LesserAfter = min(g.LesserAfter, m.Senders())
+		} else {
+			g.GreaterAfter = min(g.GreaterAfter, m.Senders())
+		}
+	}
+	c.Cut = nil
+	healed, whole := c.Now, map[int]bool{}
+	for len(whole) < members-g.Lost && c.Now < healed+60_000_000 {
+		c.Run(50_000)
+		for _, m := range c.Members {
+			if !away(m.Number) && !whole[m.Number] && m.Senders() == members {
+				whole[m.Number] = true
+				g.Again = append(g.Again, float64(c.Now-healed)/1e6)
+			}
+		}
+	}
+	g.Again = slices.Concat(g.Again, slices.Repeat([]float64{-1}, members-g.Lost-len(whole)))
+	return g
+}
--- a/lab/faults/terms.go
+++ b/lab/faults/terms.go
@@ -67,6 +67,7 @@
 		Drain        Span    `toml:"drain"`
 		Forget       Span    `toml:"forget"`
 		Rejoin       Span    `toml:"rejoin"`
+		GroupForget  Span    `toml:"group_forget"`
 	} `toml:"times"`
 }
 
@@ -140,6 +141,7 @@
 		{!(m.Replacements >= 0) || m.Replacements > 1000, "times", "replacements", "must lie between 0 and 1000"},
 		{m.Drain <= Span(f.Told), "times", "drain", "must be more than told"},
 		{m.Forget < 1e6, "times", "forget", "must be a second at least"},
+		{m.GroupForget < 1e6, "times", "group_forget", "must be a second at least"},
 	} {
 		if c.wrong {
 			return &strict.Oddity{Table: c.table, Name: c.name, Why: c.why}
