--- a/cmd/ledgelab/commands.go
+++ b/cmd/ledgelab/commands.go
@@ -50,6 +50,7 @@
 	cmd.AddCommand(demoCommand(), runCommand(), loadCommand(), compareCommand(), crowdCommand(), scaleCommand(), capacityCommand(), plotCommand(),
 		proveCommand())
 	cmd.AddCommand(standIns()...)
+	cmd.AddCommand(simulations()...)
 	return cmd
 }
 
