--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -163,7 +163,7 @@
 		case !current:
 			return
 		case pressing: // no failure of the service: it is asked at once, for what was missed counts as told before long
-			hold, asked = w.held(), false // with news it is answered at once
+			hold, asked = w.shorter(min(w.part(holdPart), holdMost)), false // with news it is answered at once; and no longer at a slow service
 			if w.again {
 				hold = 0
 			}
