--- a/lab/prove/lab.go
+++ b/lab/prove/lab.go
@@ -13,6 +13,7 @@
 	"ledgespread/lab/cars"
 	"ledgespread/lab/chance"
 	"ledgespread/lab/clock"
+	"ledgespread/lab/judge"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/report"
 	"ledgespread/lab/scenario"
@@ -156,6 +157,10 @@
 			aim = fmt.Sprintf("only rule %d", rule)
 			holds = rules[rule] > 0 && len(rules) == 1
 		}
+		if !holds && len(certain) > 0 {
+			at := max(0, slices.IndexFunc(certain, func(b judge.Broken) bool { return b.Rule != badcar.Ways[way] }))
+			p.say("the bad sidecar %q: %s", way, certain[at])
+		}
 		p.claim(holds, fmt.Sprintf("the sidecar %q is judged rightly", way), aim, "judge, by all accounts", "%s", told(rules, len(reports[i].Verdict.Broken)-len(certain)))
 		matched, visits = matched+len(reports[i].Verdict.Unmatched), visits+reports[i].Tries
 	}
