--- a/decide/rollout/fleet/fleet.go
+++ b/decide/rollout/fleet/fleet.go
@@ -89,6 +89,7 @@
 	c.counted, c.figures = c.fleet.Now, rollout.Figures{}
 	c.Force, c.Live = c.Kept.InForce, c.Kept.InForce
 	c.life++
+	c.armed = 0
 	c.Node = nil
 	node := rollout.New(c.fleet.Now, crowd.Name(c.place), rollout.Terms{Every: c.fleet.terms.Every, Unguard: c.fleet.unguard}, c.Kept,
 		membership.Mix(c.fleet.seed, uint64(c.place)), c)
@@ -135,8 +136,10 @@
 	}
 	c.armed = at
 	c.fleet.Later(at-c.fleet.Now, c.run(func() {
-		c.armed = 0
-		c.Node.Tick(c.fleet.Now)
+		if c.armed == at { // it is the one timer
+			c.armed = 0
+			c.Node.Tick(c.fleet.Now)
+		}
 	}))
 }
 
--- a/lab/prove/rollout.go
+++ b/lab/prove/rollout.go
@@ -186,6 +186,7 @@
 	fell += p.harms()
 	fell += p.sources()
 	fell += p.lags()
+	fell += p.day()
 	p.claim(fell == 0, "no number in force fell, in all of this", "0 times", hollow, "%d", fell)
 }
 
@@ -313,6 +314,44 @@
 	return fell + falls(f)
 }
 
+// day is many changes in a row, with members that restart and die meanwhile: none that is good may be stopped.
+func (p *Proof) day() (fell int) {
+	const many, apart = 30, 4_000_000
+	changes := 1700
+	if p.Quick {
+		changes = 150
+	}
+	p.say("simulated: %d changes in a row", changes)
+	f := p.hollowFleet(p.Seed, many, 0)
+	f.Run(10_000_000)
+	stopped := map[rollout.Number]bool{}
+	f.Told = func(_ fleet.Micros, _ int, e rollout.Event) {
+		if e.What == "stopped" {
+			stopped[e.Version.Number] = true
+		}
+	}
+	var took []clock.Micros
+	restarts := 0
+	for no := range changes {
+		v := handed(f, no%2, p.content(rollout.Number(no+1), func(c *fleet.Content) { c.Size += no }))
+		if no%9 == 4 { // each 36 s, where the requirement has one in 480
+			restarts++
+			f.Run(1_000_000)
+			f.Restart(2+(no*7)%(many-2), 1_500_000)
+		}
+		begun := f.Now
+		one := clock.Micros(f.Until(fleet.Micros(forceWithin), f.In(v)))
+		took = append(took, one)
+		if left := apart - (f.Now - begun); left > 0 {
+			f.Run(left)
+		}
+	}
+	late := len(took) - within(took, clock.Micros(forceWithin))
+	p.claim(len(stopped) == 0 && late == 0, fmt.Sprintf("%d good changes in a row among %d, one each 4 s, and %d restarts: all in force in 6 s, none stopped", changes, many, restarts), "0 late, 0 stopped", hollow,
+		"%d late, %d stopped; %s", late, len(stopped), seconds(took))
+	return falls(f)
+}
+
 const carried = `name = "carried"
 length = "3600s"
 zones = ["bangna", "lat-krabang", "chon-buri"]
