--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -52,7 +52,6 @@
 	late     clock.Micros
 	crowds   map[int]bool // sizes of membership that were simulated
 	restless []string     // sizes at which members still told each other who joined
-	most     float64      // cores that the lab and its processes used at the most
 }
 
 // sums are what must add up at one size.
