--- a/internal/live_test.go
+++ b/internal/live_test.go
@@ -1,6 +1,7 @@
 package internal_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -8,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +27,7 @@
 	"ledgespread/internal/live"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/relay"
+	"ledgespread/internal/site"
 )
 
 // running is a sidecar whose settings may change.
@@ -487,7 +491,8 @@
 	server := serveFake(t, func(int, string) string { return ok })
 	s := run(t, configuration(here(server), ""))
 	for _, c := range [][2]string{{`"settings":`, `"setting":`}, {`"cold_us":8000000`, `"cold_us":`}, {`"effect":"non_idempotent"`, `"effect":"nothing"`},
-		{`"name":"book"`, `"name":"look"`}, {`"cold_us":8000000`, `"cold_us":-1`}, {`"cold_us":8000000,`, ``}, {`"fall_us":1500000`, `"fall_us":"1.5 s"`}, {`"seed":"a1"`, `"seed":"z"`}, {`"cores":1`, `"cores":0`},
+		{`"name":"book"`, `"name":"look"`},
+		{`"azs":["here","there"]`, `"azs":123456789012`}, {`"cold_us":8000000`, `"cold_us":-1`}, {`"cold_us":8000000,`, ``}, {`"fall_us":1500000`, `"fall_us":"1.5 s"`}, {`"seed":"a1"`, `"seed":"z"`}, {`"cores":1`, `"cores":0`},
 		{`"dial":"`, `"dial":"x`}, {`"discovery":"127.0.0.1:1"`, `"discovery":"elsewhere"`}, {`"name":"n0"`, `"name":5`},
 		{`"max_backend_fetches":5`, `"max_backend_fetches":1.5`}, {`"obligations":{`, `"obligations":{}},"x":{"y":{`}} {
 		// One thing a line: a line of its own for each bracket and comma.
@@ -513,6 +518,7 @@
 "cold_us":, | invalid character ',' looking for beginning of value
 "effect":"nothing", | settings: path_prefixes.2.effect: nothing is none of [mutating read_like tagged]
 "name":"look", | settings: path_prefixes.1.name: look is no name of its own
+"azs":123456789012, | settings: azs: 1.23456789012e+11 is no list
 "cold_us":-1, | settings: obligations.cold_us: -1 is no number from 1
 "settings":{ | settings lack obligations.cold_us
 "fall_us":"1.5 s", | settings: obligations.fall_us: 1.5 s is no number
@@ -523,7 +529,7 @@
 "name":5, | name: json: cannot unmarshal number into Go value of type string
 "max_backend_fetches":1.5, | settings: allowed.max_backend_fetches: 1.5 is no whole number from 1
 "settings":{ | settings lack obligations.cold_from
-refused 14, taken 0: 200 "hi"
+refused 15, taken 0: 200 "hi"
 in force is what was: live [], restart []
 `)
 }
@@ -591,3 +597,31 @@
 	}
 	t.Logf("%d visits over 200 changes: %s", asked.Load(), figures(s.in))
 }
+
+// Whatever bytes come, they are taken or refused by one line that names the file and a line of it.
+func FuzzConfiguration(f *testing.F) {
+	f.Add([]byte(configuration(host, "")))
+	f.Add([]byte("{"))
+	f.Add([]byte(`{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"1","limits":{"cores":[1]}}`))
+	f.Add([]byte(strings.Replace(configuration(host, ""), `"cold_us":8000000`, "\n\n\"cold_us\":[{}]", 1)))
+	line := regexp.MustCompile(`^n0\.json:(\d+): .`)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		b, err := site.From("n0.json", text)
+		if err == nil {
+			if _, c := b.Take(b); len(c.Live)+len(c.Restart)+len(c.Unread) > 0 {
+				t.Errorf("it differs from itself: %+v", c)
+			}
+			if err = live.Starts(b); err == nil {
+				return
+			}
+			err = site.In("n0.json", text, err)
+		}
+		at := line.FindStringSubmatch(err.Error())
+		if at == nil {
+			t.Fatalf("%q names no line", err)
+		}
+		if n, _ := strconv.Atoi(at[1]); n < 1 || n > 1+bytes.Count(text, []byte("\n")) {
+			t.Errorf("%q: there are %d lines", err, 1+bytes.Count(text, []byte("\n")))
+		}
+	})
+}
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -51,6 +51,12 @@
 // refused tells which setting has a value that it can't have, and why in one line. Guards against a sidecar that starts and
 // decides by a figure that nobody meant.
 func refused(s brain.Site) (name string, err error) {
+	// Guards against a bare number where a list belongs, which would be counted through.
+	for _, name := range []string{"path_prefixes", "realms", "azs", "telemetry.fields"} {
+		if n := number(s, name); n != math.Trunc(n) || n < 0 || n > float64(len(s)) {
+			return name, fmt.Errorf("%s: %v is no list", name, n)
+		}
+	}
 	for _, f := range figures {
 		for _, name := range items(s, f.name) {
 			n, ok := s[name].(float64)
