--- a/internal/rollouts/rollouts_test.go
+++ b/internal/rollouts/rollouts_test.go
@@ -86,6 +86,28 @@
 	tr.Same(t)
 }
 
+// The example is whole. One that was kept and does not go with the sidecar's own file is passed over, which stands alone then.
+func TestKept(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/fleet.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := overlay(t).Read("deploy/fleet.json", text); err != nil {
+		t.Error(err)
+	}
+	folder := t.TempDir()
+	for content, laid := range map[string]bool{string(text): true, `{"nothing": 1}`: false} {
+		s := store{folder, "n1"}
+		if err := s.write(force, *newRecord(3, []byte(content))); err != nil {
+			t.Fatal(err)
+		}
+		r := Open(&extensions.Rollout{Folder: folder}, Terms{Name: "n1", Overlay: overlay(t)}, zerolog.Nop())
+		if whole := string(r.InForce([]byte(own))); laid != (whole != own) || laid != (r.start.InForce.Number == 3) {
+			t.Errorf("%s: starts by %s, in force %d", content, whole, r.start.InForce.Number)
+		}
+	}
+}
+
 // What is kept comes back; what is torn, changed, or another's does not, and is told.
 func TestStore(t *testing.T) {
 	var tr trace.Trace
