--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -94,7 +94,7 @@
 		v.Why = "no run has `" + name + "`"
 		return
 	}
-	v.Runs, v.Measured = []string{run}, fmt.Sprintf("%s %s at the last of %s (%s)", figure(e.Last), shown(e.Unit), exact(float64(e.N)), place(e.At))
+	v.Runs, v.Measured = []string{run}, fmt.Sprintf("%s at the last, or the most, of %s (%s)", quantity(e.Last, e.Unit), exact(float64(e.N)), place(e.At))
 	if v.Factor = e.Last / limit; e.Unit == "s" && unit != "s" || e.Unit == "us" && unit != "µs" {
 		v.Why, v.Factor = "`"+name+"` is told in "+e.Unit, 0
 		return
@@ -213,7 +213,7 @@
 			if !strings.HasPrefix(e.Name, v.Clause.Name+".") && e.Name != v.Clause.Name {
 				continue
 			}
-			told = append(told, fmt.Sprintf("`%s` %s %s", e.Name, figure(e.Last), e.Unit))
+			told = append(told, fmt.Sprintf("`%s` %s", e.Name, quantity(e.Last, e.Unit)))
 			if !slices.Contains(v.Runs, run.ID) {
 				v.Runs = append(v.Runs, run.ID)
 			}
@@ -244,6 +244,14 @@
 	return unit
 }
 
+// quantity is a figure with its unit; what is a mere number has none.
+func quantity(x float64, unit string) string {
+	if unit == "1" {
+		return figure(x)
+	}
+	return figure(x) + " " + shown(unit)
+}
+
 // place prints where something was measured, in the order of the variables.
 func place(at size.At) string {
 	var told []string
--- a/lab/capacity/figure.go
+++ b/lab/capacity/figure.go
@@ -35,7 +35,7 @@
 	return sign + whole
 }
 
-// exact prints a number that is no measurement whole.
+// exact prints a number that is no measurement: whole, or to six figures.
 func exact(x float64) string {
 	if x == math.Trunc(x) && math.Abs(x) < 1e15 {
 		text := strconv.FormatFloat(x, 'f', 0, 64)
@@ -44,7 +44,7 @@
 		}
 		return text
 	}
-	return strconv.FormatFloat(x, 'g', -1, 64)
+	return strconv.FormatFloat(x, 'g', 6, 64)
 }
 
 // String is value and error; † marks what lies beyond the sizes measured, "at least" a sum of which parts are missing.
--- a/lab/capacity/tables.go
+++ b/lab/capacity/tables.go
@@ -206,7 +206,7 @@
 			if e.Source != "" {
 				who = strings.TrimSpace(who + " (" + e.Source + ")")
 			}
-			rows = append(rows, []string{"`" + e.Name + "`", e.What, place(e.At), figure(e.Median) + " " + shown(e.Unit), figure(e.Last) + " " + shown(e.Unit), exact(float64(e.N)), who, run.ID})
+			rows = append(rows, []string{"`" + e.Name + "`", e.What, place(e.At), quantity(e.Median, e.Unit), quantity(e.Last, e.Unit), exact(float64(e.N)), who, run.ID})
 		}
 	}
 	return table([]string{"name", "what", "at", "median", "last or most", "counted", "by whose account", "run"}, rows)
