--- a/cmd/ledgelab/simulations.go
+++ b/cmd/ledgelab/simulations.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"runtime"
@@ -24,9 +25,9 @@
 
 // simulation are the flags of these commands.
 type simulation struct {
-	terms, json, figures, commit string
-	seed                         uint64
-	quick                        bool
+	terms, json, figures, commit, from string
+	seed                               uint64
+	quick                              bool
 }
 
 func (o *simulation) flags(c *cobra.Command, quick bool) {
@@ -37,10 +38,33 @@
 	f.StringVar(&o.figures, "figures", "", "file for all figures of all runs in JSON")
 	if quick {
 		f.BoolVar(&o.quick, "quick", false, "a few small runs, under a minute")
+		f.StringVar(&o.from, "from", "", "file of figures of an earlier run, to be told once more; nothing is played")
 		f.StringVar(&o.commit, "commit", "", "of the code, for the report (left out: as the build tells)")
 	}
 }
 
+// chains and plays are the files of figures.
+type chains struct {
+	Chains []depth.Figures      `json:"chains"`
+	Graphs []depth.GraphFigures `json:"graphs"`
+}
+
+type plays struct {
+	Module []faults.Figures `json:"module"`
+	Group  []faults.Group   `json:"group"`
+}
+
+func (o *simulation) earlier(into any) error {
+	text, err := os.ReadFile(o.from)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("%s: %w", o.from, err)
+	}
+	return nil
+}
+
 // read takes the file of terms, or what is built in where none is named.
 func read[T any](file string, by func(string, []byte) (T, error)) (terms T, err error) {
 	text := []byte{}
@@ -117,6 +141,13 @@
 				return err
 			}
 			out := c.OutOrStdout()
+			if o.from != "" {
+				var was chains
+				if err := o.earlier(&was); err != nil {
+					return err
+				}
+				return o.end(c, depth.Report(t, was.Chains, was.Graphs, o.seed), "depth", was)
+			}
 			fmt.Fprintln(out, depth.Heading)
 			all, err := depth.Sweep(t, o.quick, o.seed, func(f depth.Figures) { fmt.Fprintln(out, f.Line()) })
 			if err != nil {
@@ -129,7 +160,7 @@
 			if err != nil {
 				return err
 			}
-			return o.end(c, depth.Report(t, all, graphs, o.seed), "depth", map[string]any{"chains": all, "graphs": graphs})
+			return o.end(c, depth.Report(t, all, graphs, o.seed), "depth", chains{all, graphs})
 		}}
 	o.flags(c, true)
 	return c
@@ -144,6 +175,13 @@
 				return err
 			}
 			out := c.OutOrStdout()
+			if o.from != "" {
+				var was plays
+				if err := o.earlier(&was); err != nil {
+					return err
+				}
+				return o.end(c, faults.Report(t, was.Module, was.Group, o.seed), "faults", was)
+			}
 			fmt.Fprintln(out, faults.Heading)
 			all, err := faults.Sweep(t, o.quick, o.seed, func(line string) { fmt.Fprintln(out, line) }, func(f faults.Figures) { fmt.Fprintln(out, f.Line()) })
 			if err != nil {
@@ -154,7 +192,7 @@
 			if err != nil {
 				return err
 			}
-			return o.end(c, faults.Report(t, all, groups, o.seed), "faults", map[string]any{"module": all, "group": groups})
+			return o.end(c, faults.Report(t, all, groups, o.seed), "faults", plays{all, groups})
 		}}
 	o.flags(c, true)
 	return c
--- a/lab/faults/sweep.go
+++ b/lab/faults/sweep.go
@@ -112,16 +112,6 @@
 		func(f Figures) (size.Point, bool) {
 			return size.Point{Mean: f.Says, WorstSecond: f.SaysMost}, is(f, Calm)
 		})
-	by("simulated.owner.messages_in", "1/s", "messages that the most loaded owner hears in its worst second", "sidecars",
-		func(f Figures) (size.Point, bool) { return size.Point{Mean: f.HeardMost}, is(f, Calm) })
-	by("zone.cold_used", "1", "part of its budget that a cold server of a zone gets over its warm-up; no line: the points tell", "sidecars",
-		func(f Figures) (size.Point, bool) {
-			return size.Point{Mean: f.Cold.Used, Most: f.Cold.UsedMost}, is(f, Zone)
-		})
-	by("zone.unserved", "1", "part of the visits without a server's answer while a zone is lost and comes back cold", "sidecars",
-		func(f Figures) (size.Point, bool) {
-			return size.Point{Mean: 1 - f.Delivered, WorstSecond: 1 - f.WorstSecond}, is(f, Zone)
-		})
 	for i := range told {
 		told[i].Coefficient, told[i].Error, _ = size.Fit(told[i].Points, told[i].Of)
 	}
@@ -160,6 +150,7 @@
 	}
 	worst := 0.0
 	for _, f := range all {
+		bySize(r, f)
 		plays++
 		for _, k := range f.Broken {
 			broken += k
@@ -197,17 +188,35 @@
 	return r
 }
 
+// bySize adds what changes with the senders of one service, at each size: no line goes through it, so that it is no slope.
+func bySize(r *size.Report, f Figures) {
+	if f.Shape != "service" || f.Named != f.Sidecars || f.Load >= f.HighLoad || f.Kind != Calm && f.Kind != Zone {
+		return
+	}
+	e := size.Event{Account: "simulated", At: size.At{"sidecars": float64(f.Sidecars), "servers": float64(f.Servers), "visits_per_s": f.VisitsPerS}}
+	if f.Kind == Calm {
+		e.Name, e.Unit, e.N = "simulated.owner.messages_in", "1/s", f.Sidecars
+		e.What = "messages that the most loaded owner hears in its worst second, all calm; the median stands for the mean of all sidecars' own"
+		e.Median, e.Last = f.Says, max(f.HeardMost, f.Says)
+	} else {
+		e.Name, e.Unit, e.N = "simulated.cold_used_by_senders", "1", f.Cold.Servers
+		e.What = "part of its budget that a cold server of a lost zone gets over its warm-up, by senders; median: the mean"
+		e.Median, e.Last = f.Cold.Used, max(f.Cold.UsedMost, f.Cold.Used)
+	}
+	r.Events = append(r.Events, e)
+}
+
 // reportGroups adds what the group's own runs measured: traffic by size, and the rest at the largest.
 func reportGroups(r *size.Report, groups []Group) {
 	for _, k := range []Kind{Zone, Regions} {
-		s := size.Slope{Name: "simulated.membership.bytes_worst_second." + string(k), Unit: "B/s", Account: "simulated", Of: []string{"sidecars"},
-			What: "what a member sends and exchanges in the worst second, in the mean over members, as a part of the group is lost at once; no line: the points tell"}
 		for i, g := range groups {
 			if g.Kind != k {
 				continue
 			}
 			at := size.At{"sidecars": float64(g.Members)}
-			s.Points = append(s.Points, size.Point{At: at, Mean: g.Worst})
+			r.Events = append(r.Events, size.Event{Name: "simulated.membership.bytes." + string(k), Account: "simulated, the program's own membership", At: at, Unit: "B/s", N: g.Members,
+				What:   fmt.Sprintf("of a member, with headers, in the mean over members: calm; last: in the worst second after %d are lost at once", g.Lost),
+				Median: g.Calm, Last: max(g.Worst, g.Calm)})
 			if i < len(groups)-2 { // the largest is last
 				continue
 			}
@@ -221,17 +230,12 @@
 				return t
 			}
 			event("members_known", "s", fmt.Sprintf("until the first, and the last, of %d members holds all %d that are lost at once for dead", g.Members, g.Lost), until(g.First), until(g.Known), g.Members)
-			event("members_bytes", "B/s", "of a member, with headers: calm; last: in the worst second, in the mean over members", g.Calm, g.Worst, g.Members)
 			if k == Regions {
 				event("senders_counted", "1", fmt.Sprintf("part of the senders that the least of a part counts when the parts have been apart for twice forget (%.0f s): the greater; last: the lesser", g.Forget),
 					float64(g.GreaterAfter)/float64(g.Members), float64(g.LesserAfter)/float64(g.Members), g.Members)
 				event("senders_whole_again", "s", "from the end of the cut until a member of the greater part counts all again; 60: not in the run", until(g.Again[len(g.Again)/2]), until(g.Again[len(g.Again)-1]), len(g.Again))
 			}
 		}
-		var err error
-		if s.Coefficient, s.Error, err = size.Fit(s.Points, s.Of); err == nil {
-			r.Slopes = append(r.Slopes, s)
-		}
 	}
 }
 
