--- a/lab/prove/prove.go
+++ b/lab/prove/prove.go
@@ -11,6 +11,7 @@
 	"ledgespread/decide/membership"
 	"ledgespread/lab/cars"
 	"ledgespread/lab/scale"
+	"ledgespread/lab/size"
 )
 
 // Claim is one line of a proof.
@@ -31,6 +32,8 @@
 	Break  string  `json:"break,omitempty"`
 	Claims []Claim `json:"claims"`
 
+	Sizes *size.Report `json:"sizes,omitempty"` // what scale measured
+
 	Sidecar cars.Program    `json:"-"`
 	Beside  cars.Program    `json:"-"` // an earlier build that floor measures in the same rounds
 	Self    string          `json:"-"` // this program, which is also the bare forwarder and the bad sidecars
--- a/lab/scale/claims.go
+++ b/lab/scale/claims.go
@@ -84,6 +84,7 @@
 	}
 	_ = idle
 	span := b.at.Sub(a.at).Seconds()
+	g.sampled(f, a, b, span)
 	core := func(k int) float64 { return (b.cars[k].cpu - a.cars[k].cpu).Seconds() / span }
 	for c, v := range x.Visits {
 		class := func(from, to int) (mean float64, n int) {
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -49,6 +49,9 @@
 	report   *size.Report
 	points   map[string][]size.Point
 	sums     []sums // of every size on sockets
+	samples  []sample
+	told     []told
+	shares   *shares
 	late     clock.Micros
 	crowds   map[int]bool // sizes of membership that were simulated
 	restless []string     // sizes at which members still told each other who joined
@@ -133,6 +136,7 @@
 	if err := g.simulate(before); err != nil {
 		return err
 	}
+	g.control()
 	if err := g.predict(largest[0]); err != nil {
 		return err
 	}
@@ -144,11 +148,16 @@
 	if err := g.onSockets(largest); err != nil {
 		return err
 	}
+	if g.shares != nil { // by the shares that the smaller sizes gave
+		last := g.told[len(g.told)-1]
+		g.add(size.ControlCPU, last.at, spread(len(last.messages), len(last.messages), func(k int) float64 { return g.shares.base + g.shares.message*last.messages[k] }))
+	}
 	if err := g.simulate(after); err != nil {
 		return err
 	}
 	g.fill()
 	g.thick()
+	g.toldShares()
 	return nil
 }
 
@@ -307,8 +316,9 @@
 	core := func(k int) float64 { return (b.cars[k].cpu - a.cars[k].cpu).Seconds() / span }
 	on, off := spread(real, real, core), spread(silent, 0, func(k int) float64 { return core(real + k) })
 	if silent > 0 {
-		g.add(size.ControlCPU, at, size.Point{Mean: on.Mean - off.Mean, Most: on.Most - off.Mean, Real: on.Mean - off.Mean})
+		g.add("control.cpu_over_silent", at, size.Point{Mean: on.Mean - off.Mean, Most: on.Most - off.Mean, Real: on.Mean - off.Mean})
 	}
+	g.told = append(g.told, told{at, g.sampled(f, a, b, span)})
 	g.add("process.cpu", at, on)
 	const mb = 1024.0 / 1e6
 	g.add(size.Memory, at, spread(real, real, func(k int) float64 { return float64(b.cars[k].memory) * mb }))
@@ -544,7 +554,8 @@
 	}
 	add(about{size.ServiceNow, "1/s", "calls of the list's service, calm", "the list's service's", []string{"sidecars"}, true, nil},
 		about{size.ServiceOut, "B/s", "bytes that the list's service answers, calm", "the list's service's", []string{"sidecars"}, false, nil},
-		about{size.ControlCPU, "core", "processor time of real ones that are members and tell others, over those that are neither, at the same visits", rusage, []string{"visits_per_s", "sidecars"}, false, nil},
+		about{size.ControlCPU, "core", "processor time of real ones for all but visits: what they use without one, and their messages, by least squares over the processes", rusage, []string{"visits_per_s"}, false, nil},
+		about{"control.cpu_over_silent", "core", "processor time of real ones that are members and tell others, over those that are neither, at the same visits; these send second copies, which costs them more", rusage, []string{"visits_per_s", "sidecars"}, false, nil},
 		about{"control.cpu_by_rate", "core", "the same where sidecars of different rates stand side by side", rusage, []string{"visits_per_s"}, false, nil},
 		about{size.VisitCPU, "us", "processor time a visit of real ones that tell others nothing, side by side at different rates", rusage, []string{"visits_per_s"}, false, nil},
 		about{"process.cpu", "core", "processor time of real ones, all included", rusage, []string{"visits_per_s", "sidecars"}, false, nil},
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -237,6 +237,24 @@
 	}
 }
 
+// What made processes use is told apart again: without a visit, for a visit, for a message.
+func TestShares(t *testing.T) {
+	var samples []sample
+	for _, visits := range []float64{0, 5, 25, 100} {
+		for owned := range 4 {
+			m := 8*visits + 40*float64(owned)
+			samples = append(samples, sample{0.004 + 300e-6*visits + 6e-6*m, visits, m})
+		}
+	}
+	s, err := fitShares(samples)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := fmt.Sprintf("%.4f %.0f µs %.1f µs of %d", s.base, 1e6*s.visit, 1e6*s.message, s.n); got != "0.0040 300 µs 6.0 µs of 16" {
+		t.Error(got)
+	}
+}
+
 // What a run writes is taken by the strict reader that the page is worked out with.
 func TestReadBack(t *testing.T) {
 	g := made(t, "")
