--- a/lab/faults/sweep.go
+++ b/lab/faults/sweep.go
@@ -174,9 +174,13 @@
 		}
 		event("rules_broken", "1", "breaks of the four rules", float64(all), float64(all), f.Visits)
 		event("unserved", "1", "part of the visits without a server's answer; last: in the worst second", 1-f.Delivered, max(1-f.WorstSecond, 1-f.Delivered), f.Visits)
-		event("messages_out", "1/s", "messages that a sidecar sends to others, before; last: in the worst second", f.Says, max(f.Says, f.SaysMost), f.Sidecars)
+		if f.Kind == Calm || f.Kind == Zone {
+			event("messages_out", "1/s", "messages that a sidecar sends to others, before; last: in the worst second", f.Says, max(f.Says, f.SaysMost), f.Sidecars)
+		}
 		if f.Cold.Servers > 0 {
 			event("cold_window", "1", "a cold server's worst window, of N + 2 root N + 2; median: of told senders, last: of all", f.Cold.WorstTold, max(f.Cold.Worst, f.Cold.WorstTold), f.Cold.Servers)
+		}
+		if f.Kind == Zone {
 			event("cold_used", "1", "part of its budget that a cold server gets over its warm-up; median: the mean", f.Cold.Used, max(f.Cold.UsedMost, f.Cold.Used), f.Cold.Servers)
 		}
 	}
