--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -35,6 +35,17 @@
 	return e, nil
 }
 
+// EarlierFirst sorts files of measurements by name, earlier.json first: what older pages told gives way to what a run has.
+func EarlierFirst(files []string) []string {
+	files = slices.Sorted(slices.Values(files))
+	earlier := func(f string) bool { return filepath.Base(f) == "earlier.json" }
+	if i := slices.IndexFunc(files, earlier); i >= 0 {
+		first := files[i]
+		files = slices.Insert(slices.Delete(files, i, i+1), 0, first)
+	}
+	return files
+}
+
 // Slope finds the slope of a name and the run that measured it.
 func (e *Evidence) Slope(name string) (size.Slope, string, bool) {
 	for _, run := range slices.Backward(e.Runs) {
@@ -45,11 +56,12 @@
 	return size.Slope{}, "", false
 }
 
-// Event finds the event of a name at the largest number of sidecars in the last run that has it.
+// Event finds the event of a name at the largest number of sidecars in the last run that has it; of several there, by
+// different accounts or at different sizes otherwise, the worst counts.
 func (e *Evidence) Event(name string) (found size.Event, run string, ok bool) {
 	for _, r := range slices.Backward(e.Runs) {
 		for _, ev := range r.Report.Events {
-			if ev.Name == name && (!ok || ev.At["sidecars"] > found.At["sidecars"]) {
+			if ev.Name == name && (!ok || ev.At["sidecars"] > found.At["sidecars"] || ev.At["sidecars"] == found.At["sidecars"] && ev.Last > found.Last) {
 				found, run, ok = ev, r.ID, true
 			}
 		}
@@ -103,24 +115,24 @@
 		return Estimate{Missing: []string{name}}
 	}
 	x := Estimate{Value: max(value, 0), Error: deviation, Known: true, Runs: []string{run}, Beyond: 1}
-	for _, variable := range variables(s) {
-		if _, most, told := s.Range(variable); told && most > 0 {
-			x.Beyond = max(x.Beyond, at[variable]/most)
+	for variable, asked := range at {
+		// Also of what the slope doesn't go by: that it doesn't was seen in that range only.
+		if low, high, told := s.Range(variable); told && high > 0 && asked > 0 {
+			x.Beyond = max(x.Beyond, asked/high, low/asked)
 		}
 	}
-	return x
-}
-
-// variables are the single ones in what a slope goes by.
-func variables(s size.Slope) (all []string) {
-	for _, v := range size.Variables {
-		for _, of := range s.Of {
-			if slices.Contains(split(of), v) && !slices.Contains(all, v) {
-				all = append(all, v)
+	for _, of := range s.Of {
+		low, high := math.Inf(1), 0.0
+		for _, p := range s.Points {
+			if here, err := p.At.Product(of); err == nil {
+				low, high = min(low, here), max(high, here)
 			}
 		}
+		if asked, err := at.Product(of); err == nil && high > 0 && asked > 0 {
+			x.Beyond = max(x.Beyond, asked/high, low/asked)
+		}
 	}
-	return all
+	return x
 }
 
 // Least and Most bound what is looked for when it is asked where something breaks.
--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -21,7 +21,7 @@
 )
 
 func (s Standing) String() string {
-	return [...]string{"nothing carries it", "missed", "a rule broke", "within the error of its limit", "met", notMeasured}[s]
+	return [...]string{"nothing carries it", "missed", "a rule broke", "within the error of its limit", "met in that run", notMeasured}[s]
 }
 
 // Verdict is how one clause stands, and by which run.
@@ -30,6 +30,7 @@
 	Standing Standing
 	Factor   float64 // what is needed over what is allowed; over 1 it is missed
 	Error    float64
+	Part     bool // only a part of what counts was measured: the factor is at least so much
 	Required string
 	Measured string
 	Breaks   string
@@ -93,7 +94,7 @@
 		v.Why = "no run has `" + name + "`"
 		return
 	}
-	v.Runs, v.Measured = []string{run}, fmt.Sprintf("%s %s at the last of %s (%s)", figure(e.Last), e.Unit, exact(float64(e.N)), place(e.At))
+	v.Runs, v.Measured = []string{run}, fmt.Sprintf("%s at the last, or the most, of %s (%s)", quantity(e.Last, e.Unit), exact(float64(e.N)), place(e.At))
 	if v.Factor = e.Last / limit; e.Unit == "s" && unit != "s" || e.Unit == "us" && unit != "µs" {
 		v.Why, v.Factor = "`"+name+"` is told in "+e.Unit, 0
 		return
@@ -177,7 +178,7 @@
 		any = true
 		told = append(told, fmt.Sprintf("%s: %s", title, x))
 		if f := x.Value / b.limit; f > worst {
-			worst, v.Factor, v.Error, v.Breaks = f, f, x.Error/b.limit, title+": "+p.breaks(r, b)
+			worst, v.Factor, v.Error, v.Part, v.Breaks = f, f, x.Error/b.limit, !x.Whole(), title+": "+p.breaks(r, b)
 		}
 		for _, run := range x.Runs {
 			if !slices.Contains(v.Runs, run) {
@@ -199,20 +200,24 @@
 }
 
 // family gathers the events of a fault by the beginning of their names. What it breaks is judged where a rule is: an event
-// NAME.rules_broken, in the unit "1", which has to be none.
+// whose name ends with rules_broken, in the unit "1", which has to be none.
 func (p *Page) family(v *Verdict) {
 	v.Required = "the four rules kept throughout"
+	if v.Clause.Name == "zones" {
+		v.Why = "a lost zone and regions apart have lines of their own"
+		return
+	}
 	var told []string
 	for _, run := range p.Told.Runs {
 		for _, e := range run.Report.Events {
 			if !strings.HasPrefix(e.Name, v.Clause.Name+".") && e.Name != v.Clause.Name {
 				continue
 			}
-			told = append(told, fmt.Sprintf("`%s` %s %s", e.Name, figure(e.Last), e.Unit))
+			told = append(told, fmt.Sprintf("`%s` %s", e.Name, quantity(e.Last, e.Unit)))
 			if !slices.Contains(v.Runs, run.ID) {
 				v.Runs = append(v.Runs, run.ID)
 			}
-			if !strings.HasSuffix(e.Name, ".rules_broken") {
+			if !strings.HasSuffix(e.Name, "rules_broken") {
 				continue
 			}
 			if v.Standing == Unmeasured {
@@ -231,6 +236,22 @@
 	}
 }
 
+// shown is a unit as the page writes it.
+func shown(unit string) string {
+	if unit == "us" {
+		return "µs"
+	}
+	return unit
+}
+
+// quantity is a figure with its unit; what is a mere number has none.
+func quantity(x float64, unit string) string {
+	if unit == "1" {
+		return figure(x)
+	}
+	return figure(x) + " " + shown(unit)
+}
+
 // place prints where something was measured, in the order of the variables.
 func place(at size.At) string {
 	var told []string
--- a/lab/capacity/figure.go
+++ b/lab/capacity/figure.go
@@ -6,8 +6,6 @@
 	"strings"
 )
 
-func split(product string) []string { return strings.Split(product, "*") }
-
 // figure prints a number to three figures, thousands apart; as it is rounded in decimal from its exact value, the same
 // number is the same text everywhere.
 func figure(x float64) string {
@@ -37,7 +35,7 @@
 	return sign + whole
 }
 
-// exact prints a number that is no measurement whole.
+// exact prints a number that is no measurement: whole, or to six figures.
 func exact(x float64) string {
 	if x == math.Trunc(x) && math.Abs(x) < 1e15 {
 		text := strconv.FormatFloat(x, 'f', 0, 64)
@@ -46,7 +44,7 @@
 		}
 		return text
 	}
-	return strconv.FormatFloat(x, 'g', -1, 64)
+	return strconv.FormatFloat(x, 'g', 6, 64)
 }
 
 // String is value and error; † marks what lies beyond the sizes measured, "at least" a sum of which parts are missing.
@@ -58,12 +56,14 @@
 	if !x.Whole() {
 		text = "at least " + text
 	}
-	if x.Beyond > 1.0001 {
+	if x.beyond() {
 		text += " †" + times(x.Beyond)
 	}
 	return text
 }
 
+func (x Estimate) beyond() bool { return x.Beyond > 1.0001 }
+
 // figureOfError prints an error to two figures.
 func figureOfError(x float64) string {
 	if x == 0 {
