--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -101,7 +101,7 @@
 	}
 	v.Standing = stand(v.Factor, 0)
 	if full := float64(p.File.Requirement.Servers); e.At["sidecars"] < full && v.Standing == Met {
-		v.Why = fmt.Sprintf("run with %s sidecars, not with %s", exact(e.At["sidecars"]), exact(full))
+		v.Why = fmt.Sprintf("run with a fleet of %s, not with %s", exact(e.At["sidecars"]), exact(full))
 	}
 }
 
@@ -176,7 +176,7 @@
 			continue
 		}
 		any = true
-		told = append(told, fmt.Sprintf("%s: %s", title, x))
+		told = append(told, fmt.Sprintf("%s: %s (%s)", title, x, times(x.Value/b.limit)))
 		if f := x.Value / b.limit; f > worst {
 			worst, v.Factor, v.Error, v.Part, v.Breaks = f, f, x.Error/b.limit, !x.Whole(), title+": "+p.breaks(r, b)
 		}
@@ -208,11 +208,15 @@
 		return
 	}
 	var told []string
+	simulated := true
 	for _, run := range p.Told.Runs {
 		for _, e := range run.Report.Events {
 			if !strings.HasPrefix(e.Name, v.Clause.Name+".") && e.Name != v.Clause.Name {
 				continue
 			}
+			if !strings.HasPrefix(e.Account, "simulated") {
+				simulated = false
+			}
 			told = append(told, fmt.Sprintf("`%s` %s", e.Name, quantity(e.Last, e.Unit)))
 			if !slices.Contains(v.Runs, run.ID) {
 				v.Runs = append(v.Runs, run.ID)
@@ -229,6 +233,9 @@
 		}
 	}
 	if v.Measured = strings.Join(told, "; "); v.Standing != Unmeasured {
+		if simulated {
+			v.Why = "of the rules alone, in simulated time"
+		}
 		return
 	}
 	if v.Why = "no run plays it at this size"; len(told) > 0 {
--- a/lab/prove/prove.go
+++ b/lab/prove/prove.go
@@ -10,6 +10,8 @@
 
 	"ledgespread/decide/membership"
 	"ledgespread/lab/cars"
+	"ledgespread/lab/scale"
+	"ledgespread/lab/size"
 )
 
 // Claim is one line of a proof.
@@ -30,6 +32,8 @@
 	Break  string  `json:"break,omitempty"`
 	Claims []Claim `json:"claims"`
 
+	Sizes *size.Report `json:"sizes,omitempty"` // what scale measured
+
 	Sidecar cars.Program    `json:"-"`
 	Beside  cars.Program    `json:"-"` // an earlier build that floor measures in the same rounds
 	Self    string          `json:"-"` // this program, which is also the bare forwarder and the bad sidecars
@@ -49,6 +53,8 @@
 		"the rig itself: bad sidecars are caught, accounts agree, queues are those of theory, arrivals are those planned"},
 	"membership": {playMembership, membership.Guards,
 		"who is there: simulated by seed beside plain heartbeats, and real processes under faults, judged by the lab's truth"},
+	"scale": {playScale, scale.Breaks,
+		"the rig of sizes: hollow sidecars and real ones agree, slopes foretell the largest size, accounts add up"},
 	"floor": {playFloor, []string{"decoy"},
 		"the measure of speed: the sidecar beside a forwarder that takes no decision, alternating in one run"},
 }
