--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -154,7 +154,7 @@
 ledger control_memory: *not measured*; twice *not measured*; breaks at *not measured*
 ledger control_bytes: 52,600 ± 1,400 †×5; twice 103,000 ± 2,800 †×10; breaks at 308 sidecars †; at any number of visits/s
 rank 1: changes, nothing carries it, none
-rank 2: control_bytes, missed, 2.92 ± 0.079
+rank 2: control_bytes, missed, 2.92 ± 0.079 †×5
 rank 3: list, missed, 1.5
 servers: *not measured*
 calls: *not measured*
@@ -302,7 +302,7 @@
 	}
 	ranked := strings.Index(page, "| 2 |")
 	for _, c := range []struct{ name, page, want string }{
-		{"a figure", page[:ranked] + strings.Replace(page[ranked:], "2.92 ± 0.079", "2.52 ± 0.079", 1), "table ranked differs, column 3: the page has \"2.52 ± 0.079\", worked out is \"2.92 ± 0.079\""},
+		{"a figure", page[:ranked] + strings.Replace(page[ranked:], "2.92 ± 0.079", "2.52 ± 0.079", 1), "table ranked differs, column 3: the page has \"2.52 ± 0.079 †×5\", worked out is \"2.92 ± 0.079 †×5\""},
 		{"a line too few", page[:ranked] + page[ranked+strings.Index(page[ranked:], "\n")+1:], "table ranked differs"},
 		{"a line too many", page[:ranked] + "| 2 | made up |\n" + page[ranked:], "table ranked differs"},
 	} {
--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -30,7 +30,8 @@
 	Standing Standing
 	Factor   float64 // what is needed over what is allowed; over 1 it is missed
 	Error    float64
-	Part     bool // only a part of what counts was measured: the factor is at least so much
+	Beyond   float64 // by how many times the size lies beyond what was measured; 1 or less: within
+	Part     bool    // only a part of what counts was measured: the factor is at least so much
 	Required string
 	Measured string
 	Breaks   string
@@ -178,7 +179,7 @@
 		any = true
 		told = append(told, fmt.Sprintf("%s: %s (%s)", title, x, times(x.Value/b.limit)))
 		if f := x.Value / b.limit; f > worst {
-			worst, v.Factor, v.Error, v.Part, v.Breaks = f, f, x.Error/b.limit, !x.Whole(), title+": "+p.breaks(r, b)
+			worst, v.Factor, v.Error, v.Beyond, v.Part, v.Breaks = f, f, x.Error/b.limit, x.Beyond(), !x.Whole(), title+": "+p.breaks(r, b)
 		}
 		for _, run := range x.Runs {
 			if !slices.Contains(v.Runs, run) {
--- a/lab/capacity/figure.go
+++ b/lab/capacity/figure.go
@@ -62,7 +62,10 @@
 	return text
 }
 
-func (x Estimate) beyond() bool { return x.Beyond() > 1.0001 }
+// within is the factor up to which a size counts as measured: sizes are no round numbers.
+const within = 1.0001
+
+func (x Estimate) beyond() bool { return x.Beyond() > within }
 
 // figureOfError prints an error to two figures.
 func figureOfError(x float64) string {
--- a/lab/capacity/tables.go
+++ b/lab/capacity/tables.go
@@ -51,10 +51,15 @@
 		return "none"
 	case v.Factor == 0:
 		return ""
-	case v.Error > 0:
-		return part + figure(v.Factor) + " ± " + figureOfError(v.Error)
 	}
-	return part + figure(v.Factor)
+	text := part + figure(v.Factor)
+	if v.Error > 0 {
+		text += " ± " + figureOfError(v.Error)
+	}
+	if v.Beyond > within {
+		text += " †" + times(v.Beyond)
+	}
+	return text
 }
 
 func (p *Page) requirementTable(all []Verdict) string {
@@ -141,7 +146,7 @@
 		if holds > 0 {
 			claims = fmt.Sprintf("%d of %d hold", held, holds)
 		}
-		rows = append(rows, []string{run.ID, "`docs/capacity/" + run.File + "`", r.Run, r.Date, r.Commit, r.Machine, r.Bound, strings.Join(r.Stubs, "; "), claims})
+		rows = append(rows, []string{run.ID, "`" + run.File + "`", r.Run, r.Date, r.Commit, r.Machine, r.Bound, strings.Join(r.Stubs, "; "), claims})
 	}
 	return table([]string{"run", "file", "what was run", "day", "code", "machine", "met its bound", "what was stubbed", "claims"}, rows)
 }
