--- /dev/null
+++ b/lab/report/crowd_test.go
@@ -0,0 +1,36 @@
+package report
+
+import (
+	"math"
+	"testing"
+
+	"ledgespread/decide/membership/crowd"
+	"ledgespread/lab/size"
+)
+
+// Slopes of simulated crowds: headers are added to each message, both tables of each exchange, begun and met; runs with loss
+// don't count. Three sizes are too few for a line.
+func TestCrowdSlopes(t *testing.T) {
+	var all []crowd.Figures
+	for _, n := range []int{10, 100, 200, 1000} {
+		all = append(all, crowd.Figures{Members: n, Bytes: 300, Messages: 8, Table: 45 * n, Memory: float64(125 * n), First: 1_000_000, Known: 2_000_000})
+	}
+	all = append(all, crowd.Figures{Members: 1000, Lost: 0.2, Bytes: 1e6, Messages: 1e6, Known: 9_000_000})
+	r, err := CrowdSlopes(all, 30_000_000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]float64{"membership.bytes_in": 300 + 8*28 + 2*45000/30.0, "membership.bytes_out": 300 + 8*28 + 2*45000/30.0, "membership.messages_out": 8, size.MemberState: 125} {
+		s, ok := r.Slope(name)
+		got, _, err := s.Predict(size.At{"sidecars": 1000})
+		if !ok || err != nil || math.Abs(got-want) > 1e-6*want {
+			t.Errorf("%s: %v, %v; wanted is %v", name, got, err, want)
+		}
+	}
+	if len(r.Events) != 4 || r.Events[3].Last != 2 {
+		t.Errorf("%+v", r.Events)
+	}
+	if _, err := CrowdSlopes(all[:3], 30_000_000); err == nil {
+		t.Error("three sizes are taken for a line")
+	}
+}
