--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -154,7 +154,7 @@
 ledger control_memory: *not measured*; twice *not measured*; breaks at *not measured*
 ledger control_bytes: 52,600 ± 1,400 †×5; twice 103,000 ± 2,800 †×10; breaks at 308 sidecars †; at any number of visits/s
 rank 1: changes, nothing carries it, none
-rank 2: control_bytes, missed, 2.92 ± 0.079
+rank 2: control_bytes, missed, 2.92 ± 0.079 †×5
 rank 3: list, missed, 1.5
 servers: *not measured*
 calls: *not measured*
@@ -224,8 +224,8 @@
 func TestBeyondByProduct(t *testing.T) {
 	r := &size.Report{Slopes: []size.Slope{{Name: "x", Of: []string{"sidecars*tenants"}, Coefficient: map[string]float64{size.Const: 1, "sidecars*tenants": 0},
 		Points: []size.Point{{At: size.At{"sidecars": 1000, "tenants": 10}}, {At: size.At{"sidecars": 100, "tenants": 50}}}}}}
-	if x := pageOf(t, r).Told.Of("x", size.At{"sidecars": 1000, "tenants": 50}); x.Beyond != 5 {
-		t.Errorf("%v", x.Beyond)
+	if x := pageOf(t, r).Told.Of("x", size.At{"sidecars": 1000, "tenants": 50}); x.Beyond() != 5 {
+		t.Errorf("%v", x.Beyond())
 	}
 }
 
@@ -257,9 +257,9 @@
 
 // Errors of sums add up as independent ones do, and go through a factor.
 func TestErrorOfSums(t *testing.T) {
-	a, b := Estimate{Value: 10, Error: 3, Known: true, Runs: []string{"R2"}, Beyond: 1}, Estimate{Value: 20, Error: 4, Known: true, Runs: []string{"R1", "R2"}, Beyond: 2}
+	a, b := Estimate{Value: 10, Error: 3, Known: true, Runs: []string{"R2"}, Parts: []Part{{10, 1}}}, Estimate{Value: 20, Error: 4, Known: true, Runs: []string{"R1", "R2"}, Parts: []Part{{20, 2}}}
 	sum := a.Plus(b).Times(2)
-	if diff := cmp.Diff(Estimate{Value: 60, Error: 10, Known: true, Runs: []string{"R1", "R2"}, Beyond: 2}, sum); diff != "" {
+	if diff := cmp.Diff(Estimate{Value: 60, Error: 10, Known: true, Runs: []string{"R1", "R2"}, Parts: []Part{{20, 1}, {40, 2}}}, sum); diff != "" {
 		t.Error(diff)
 	}
 	if got := sum.Plus(Estimate{Missing: []string{"x"}}).String(); got != "at least 60 ± 10 †×2" {
@@ -267,6 +267,18 @@
 	}
 }
 
+// A sum is marked as drawn out by those parts only that weigh in it.
+func TestBeyondOfSums(t *testing.T) {
+	heavy := Estimate{Value: 1000, Known: true, Parts: []Part{{1000, 1}}}
+	light := Estimate{Value: 5, Known: true, Parts: []Part{{5, 6}}}
+	if sum := heavy.Plus(light); sum.beyond() {
+		t.Errorf("%s", sum)
+	}
+	if sum := light.Plus(light).Plus(heavy.Times(0.1)); sum.Beyond() != 6 {
+		t.Errorf("%s", sum)
+	}
+}
+
 // A figure that is changed on the page, a line too many and a line too few are each found, with the table and the line.
 func TestCheckFinds(t *testing.T) {
 	p := pageOf(t, small())
@@ -290,7 +302,7 @@
 	}
 	ranked := strings.Index(page, "| 2 |")
 	for _, c := range []struct{ name, page, want string }{
-		{"a figure", page[:ranked] + strings.Replace(page[ranked:], "2.92 ± 0.079", "2.52 ± 0.079", 1), "table ranked differs, column 3: the page has \"2.52 ± 0.079\", worked out is \"2.92 ± 0.079\""},
+		{"a figure", page[:ranked] + strings.Replace(page[ranked:], "2.92 ± 0.079", "2.52 ± 0.079", 1), "table ranked differs, column 3: the page has \"2.52 ± 0.079 †×5\", worked out is \"2.92 ± 0.079 †×5\""},
 		{"a line too few", page[:ranked] + page[ranked+strings.Index(page[ranked:], "\n")+1:], "table ranked differs"},
 		{"a line too many", page[:ranked] + "| 2 | made up |\n" + page[ranked:], "table ranked differs"},
 	} {
--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -30,7 +30,8 @@
 	Standing Standing
 	Factor   float64 // what is needed over what is allowed; over 1 it is missed
 	Error    float64
-	Part     bool // only a part of what counts was measured: the factor is at least so much
+	Beyond   float64 // by how many times the size lies beyond what was measured; 1 or less: within
+	Part     bool    // only a part of what counts was measured: the factor is at least so much
 	Required string
 	Measured string
 	Breaks   string
@@ -101,7 +102,7 @@
 	}
 	v.Standing = stand(v.Factor, 0)
 	if full := float64(p.File.Requirement.Servers); e.At["sidecars"] < full && v.Standing == Met {
-		v.Why = fmt.Sprintf("run with %s sidecars, not with %s", exact(e.At["sidecars"]), exact(full))
+		v.Why = fmt.Sprintf("run with a fleet of %s, not with %s", exact(e.At["sidecars"]), exact(full))
 	}
 }
 
@@ -176,9 +177,9 @@
 			continue
 		}
 		any = true
-		told = append(told, fmt.Sprintf("%s: %s", title, x))
+		told = append(told, fmt.Sprintf("%s: %s (%s)", title, x, times(x.Value/b.limit)))
 		if f := x.Value / b.limit; f > worst {
-			worst, v.Factor, v.Error, v.Part, v.Breaks = f, f, x.Error/b.limit, !x.Whole(), title+": "+p.breaks(r, b)
+			worst, v.Factor, v.Error, v.Beyond, v.Part, v.Breaks = f, f, x.Error/b.limit, x.Beyond(), !x.Whole(), title+": "+p.breaks(r, b)
 		}
 		for _, run := range x.Runs {
 			if !slices.Contains(v.Runs, run) {
@@ -208,11 +209,15 @@
 		return
 	}
 	var told []string
+	simulated := true
 	for _, run := range p.Told.Runs {
 		for _, e := range run.Report.Events {
 			if !strings.HasPrefix(e.Name, v.Clause.Name+".") && e.Name != v.Clause.Name {
 				continue
 			}
+			if !strings.HasPrefix(e.Account, "simulated") {
+				simulated = false
+			}
 			told = append(told, fmt.Sprintf("`%s` %s", e.Name, quantity(e.Last, e.Unit)))
 			if !slices.Contains(v.Runs, run.ID) {
 				v.Runs = append(v.Runs, run.ID)
@@ -229,6 +234,9 @@
 		}
 	}
 	if v.Measured = strings.Join(told, "; "); v.Standing != Unmeasured {
+		if simulated {
+			v.Why = "of the rules alone, in simulated time"
+		}
 		return
 	}
 	if v.Why = "no run plays it at this size"; len(told) > 0 {
