A box whose first address is taken meanwhile gets another

Change: a first address is given up for the next where it is taken; a box that comes back keeps to its own. TestBoxsAddressTaken forces both, and fails without the change.

--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -177,16 +177,27 @@
 // start begins a box's life at its own address, or finds it one: below the ports that the kernel gives out by itself. Guards against
 // another program that listens there while the box is dead, and answers in its place: a sidecar that goes on sending to a dead box would
 // be accused of what a stranger said.
-func start(b *box.Box, cold bool) error {
-	at, err := b.Address(), error(nil)
-	if at == "" {
-		if at, err = cars.Free(); err != nil {
+func start(b *box.Box, cold bool) (err error) {
+	if at := b.Address(); at != "" {
+		return b.Start(at, cold)
+	}
+	for range addresses {
+		var at string
+		if at, err = free(); err != nil {
+			return err
+		}
+		// Guards against another lab on this machine that takes the address before the box does.
+		if err = b.Start(at, cold); !errors.Is(err, syscall.EADDRINUSE) {
 			return err
 		}
 	}
-	return b.Start(at, cold)
+	return err
 }
 
+const addresses = 20 // tries with others, where one was taken meanwhile
+
+var free = cars.Free
+
 func (g *Rig) newBox(name string, m scenario.Box) *box.Box {
 	b := box.New(name, m, g.s, g.o.Seed, g.groups, g.clock, g.alarms)
 	g.mu.Lock()
--- a/lab/stage/stage_test.go
+++ b/lab/stage/stage_test.go
@@ -253,3 +253,42 @@
 		}
 	}
 }
+
+// A first address that another program takes in between is given up for the next; a box that comes back has none but its own.
+func TestBoxsAddressTaken(t *testing.T) {
+	s, err := scenario.Parse("taken", []byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := Raise(s, Options{Program: sidecar()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.Close()
+	stranger, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stranger.Close()
+	defer func() { free = cars.Free }()
+	asked := 0
+	free = func() (string, error) {
+		if asked++; asked < 3 {
+			return stranger.Addr().String(), nil
+		}
+		return cars.Free()
+	}
+	b := g.newBox("late", g.s.Boxes[0])
+	if err := start(b, false); err != nil || asked != 3 || b.Address() == stranger.Addr().String() {
+		t.Errorf("asked %d times, at %s: %v", asked, b.Address(), err)
+	}
+	b.Kill()
+	again, err := net.Listen("tcp", b.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if err := start(b, true); !errors.Is(err, syscall.EADDRINUSE) || asked != 3 {
+		t.Errorf("where a stranger listens: %v, asked %d times", err, asked)
+	}
+}
