--- a/lab/capacity/clauses.go
+++ b/lab/capacity/clauses.go
@@ -209,7 +209,7 @@
 		return
 	}
 	var told []string
-	simulated := true
+	simulated, visits := true, 0.0
 	for _, run := range p.Told.Runs {
 		for _, e := range run.Report.Events {
 			if !strings.HasPrefix(e.Name, v.Clause.Name+".") && e.Name != v.Clause.Name {
@@ -225,6 +225,7 @@
 			if !strings.HasSuffix(e.Name, "rules_broken") {
 				continue
 			}
+			visits = max(visits, e.At["visits_per_s"])
 			if v.Standing == Unmeasured {
 				v.Standing = Met
 			}
@@ -234,8 +235,9 @@
 		}
 	}
 	if v.Measured = strings.Join(told, "; "); v.Standing != Unmeasured {
+		v.Why = fmt.Sprintf("of the rules alone, at %s visits/s a sidecar at the most, not at %s", figure(visits), figure(p.mean()))
 		if simulated {
-			v.Why = "of the rules alone, in simulated time"
+			v.Why += ", in simulated time"
 		}
 		return
 	}
