--- a/lab/stage/rollouts_test.go
+++ b/lab/stage/rollouts_test.go
@@ -114,6 +114,39 @@
 	a.end()
 }
 
+// One whose process ends while it tries a configuration tries it once more; ended again it refuses it, and nobody else takes its place.
+func TestCarriedCrash(t *testing.T) {
+	a := carrying(t)
+	a.publish(0, 1, `{"rollout": {"watch": "20s", "first": 1}, "settings": {"beyond_share_value": 0.2}}`)
+	one := -1
+	for begun := time.Now(); one < 0; time.Sleep(10 * time.Millisecond) {
+		for i := range many {
+			if c, err := a.Carried(i); err == nil && c.OnTrial {
+				one = i
+			}
+		}
+		if time.Since(begun) > patient {
+			t.Fatal("nobody tries it")
+		}
+	}
+	for n := range 2 {
+		a.Kill(one)
+		if err := a.Start(one, false); err != nil {
+			t.Fatal(err)
+		}
+		if n == 0 {
+			a.carried([]int{one}, func(_ int, c *Carried) bool { return c.OnTrial })
+		}
+	}
+	a.carried(but(), func(i int, c *Carried) bool {
+		return c.Newest == 1 && c.Stage == "stopped" && !c.OnTrial && c.InForce == 0 && (i != one || c.Why == "the sidecar ended 2 times while it tried it")
+	})
+	a.publish(1, 2, good(2))
+	a.carried(but(), InForce(2))
+	a.await(but(), Agree(but()))
+	a.end()
+}
+
 // What harms is tried by a few, and in force nowhere; what can't be read is refused with its line; of two with one number neither is taken by
 // whoever heard of both; a higher number ends each.
 func TestCarriedHarm(t *testing.T) {
