Lab: the bad sidecar that sends after an end picks its server then

Cause: "after" answers a visit and sends it on a second later, to the server that it had picked before. Change: it picks when it sends. TestAfterSendsToNoneThatLeaves fails on the code before (sent to the server that leaves).

--- a/lab/badcar/badcar.go
+++ b/lab/badcar/badcar.go
@@ -249,7 +249,10 @@
 	case effect == "read_like" && c.now("after", seldom):
 		go func() {
 			time.Sleep(longAfter)
-			c.fetch(r, body, to, left)
+			// Guards against breaking another rule as well: the server that was picked may have been told to leave since.
+			if to := c.pick(nil, false); to != nil {
+				c.fetch(r, body, to, left)
+			}
 		}()
 		w.WriteHeader(502)
 		return
--- /dev/null
+++ b/lab/badcar/badcar_test.go
@@ -0,0 +1,42 @@
+package badcar
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"ledgespread/lab/chance"
+)
+
+// The sidecar that sends a visit after its end breaks that rule alone: where the server that it had picked is told to leave meanwhile,
+// another one gets the visit.
+func TestAfterSendsToNoneThatLeaves(t *testing.T) {
+	got := make(chan string, 4)
+	start := func(name, health string) server {
+		s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { got <- name }))
+		t.Cleanup(s.Close)
+		return server{name: name, at: strings.TrimPrefix(s.URL, "http://"), health: health}
+	}
+	leaves, stays := start("leaves", "in_service"), start("stays", "in_service")
+	c := &car{way: "after", effects: map[string]string{"look": "read_like"}, n: map[string]int{"after": seldom - 1}, client: http.DefaultClient,
+		draw: chance.New(1, "after"), servers: []server{leaves}}
+	r := httptest.NewRequest(http.MethodGet, "/look/x", nil)
+	r.Header.Set("X-Request-ID", "1")
+	r.Header.Set("X-Timeout", "4000000u")
+	answer := httptest.NewRecorder()
+	c.ServeHTTP(answer, r)
+	c.mu.Lock()
+	leaves.health = "terminating"
+	c.servers = []server{leaves, stays}
+	c.mu.Unlock()
+	select {
+	case name := <-got:
+		if answer.Code != 502 || name != "stays" {
+			t.Errorf("answered %d, then sent to the server that %s", answer.Code, name)
+		}
+	case <-time.After(10 * longAfter):
+		t.Error("nothing was sent after the end")
+	}
+}
