--- a/cmd/ledgelab/simulations.go
+++ b/cmd/ledgelab/simulations.go
@@ -17,10 +17,10 @@
 	"ledgespread/lab/size"
 )
 
-// Simulations are the commands that play the module, or draw, in simulated time: callgraph, depth, faults. They take no idle
+// Simulations are the commands that play the module, or draw, in simulated time: callgraph, depth, faults, bound. They take no idle
 // machine and no sidecar's binary.
 func simulations() []*cobra.Command {
-	return []*cobra.Command{callgraphCommand(), depthCommand(), faultsCommand()}
+	return []*cobra.Command{callgraphCommand(), depthCommand(), faultsCommand(), boundCommand()}
 }
 
 // simulation are the flags of these commands.
@@ -198,6 +198,38 @@
 	return c
 }
 
+func boundCommand() *cobra.Command {
+	var o simulation
+	breaks := ""
+	c := &cobra.Command{Use: "bound", Short: "A bound on what sidecars tell each other, in simulated time: what it costs, beside none, at 330 visits/s a sidecar", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			t, err := read(o.terms, faults.Read)
+			if err != nil {
+				return err
+			}
+			if breaks != "" && breaks != "unbounded" {
+				return fmt.Errorf("--break %q: there is \"unbounded\"", breaks)
+			}
+			out := c.OutOrStdout()
+			if o.from != "" {
+				var was []faults.Figures
+				if err := o.earlier(&was); err != nil {
+					return err
+				}
+				return o.end(c, faults.BoundReport(t, was, o.seed), "bound", was)
+			}
+			fmt.Fprintln(out, faults.BoundHeading)
+			all, err := faults.SweepBound(t, o.quick, o.seed, breaks, func(f faults.Figures) { fmt.Fprintln(out, f.BoundLine()) })
+			if err != nil {
+				return err
+			}
+			return o.end(c, faults.BoundReport(t, all, o.seed), "bound", all)
+		}}
+	o.flags(c, true)
+	c.Flags().StringVar(&breaks, "break", "", "a guard that is off, so that what is claimed fails: unbounded (sidecars say that they have a bound, and have a hundred times that)")
+	return c
+}
+
 // end prints what is claimed, writes what is to be written, and tells whether all of it holds.
 func (o *simulation) end(c *cobra.Command, r *size.Report, command string, figures any) error {
 	failed := false
--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -76,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if fitted.Messages != nil && others != nil {
+		r.Bound(b, float64(fitted.Messages.Bytes))
+	}
 	var in atomic.Pointer[inbound.Inbound]
 	before, replaced := 0, func() bool { return false }
 	if b.Console != "" {
--- /dev/null
+++ b/decide/summary/summary.go
@@ -0,0 +1,478 @@
+// Package summary keeps what sidecars tell each other within a bound of bytes a second, whatever the rate of visits. It stands between
+// the module and the wire. The module tells owners of servers of each visit, and asks them for each; here visits add up to summaries,
+// one of a server at a time, and the module is answered by what its owner last estimated. An owner is fed by summaries as by single
+// visits, and gives each who sends one a turn for the next, so that what it is told stays within its bound as well. What tenants send
+// goes up a tree of sidecars, each of which hears few (tenants.go). docs/messages.md has the bound, what it costs and what it can't do.
+//
+// Nothing here picks a server, retries or turns away. It does no I/O and knows no clock: events come in, each with its time.
+package summary
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"ledgespread/brain"
+)
+
+// Micros is a point in time or a span, in whole microseconds.
+type Micros = brain.Micros
+
+// The kinds of message that go over the wire in place of the module's, where a bound is set.
+const (
+	Summary  brain.Note = iota + 16 // what was seen of a server's fetches since the last one, to its owner
+	Estimate                        // its answer: see estimate; then in how many microseconds the next summary is due
+	Usage                           // visits of each tenant since the last one, to a parent in the tree
+	Totals                          // its answer: what all lately sent; how old that is; in how many microseconds the next usage is due
+)
+
+// Bytes of the messages on the wire: 28 of heads (IPv4, UDP), 7 of a message's own, then two a figure.
+const (
+	headBytes       = 28 + 7
+	figureBytes     = 2
+	summaryFigures  = 10
+	estimateFigures = 3
+	exchangeBytes   = 2*headBytes + figureBytes*(summaryFigures+estimateFigures)
+)
+
+// Parts of the bound: for a sidecar's own summaries and what it is answered, for those it is told as an owner and answers, and for
+// tenants, half of it up the tree and half from below. The rest is for those who come to an owner without a turn: at a start, and when a zone
+// is lost, they are as many as those with one.
+const (
+	summariesPart, ownedPart, tenantsPart = 0.34, 0.22, 0.12
+
+	burst = 3 // exchanges that may follow each other at once: so many servers does the module compare for a visit
+)
+
+const (
+	tieLeast, tieMost = 1.25, 3.0 // within such a multiple of the median, drawn anew each turn, an estimate counts as the median
+	lives             = 3         // turns for which it counts
+	ownBias           = 0.05      // of an answer's time that each own visit counts: those that tie go where there is none
+	fetchesMost       = 1 << 10   // in a summary: an owner feeds the module with one by one
+	idleFor           = 64        // client timeouts after which a server that nothing goes to is forgotten
+)
+
+// As the module has them.
+const (
+	beat     Micros = 50_000
+	usual           = 1.0   // answer time per unit of work until something is known
+	fades           = 25.0  // beats in which own answers fade to 1/e
+	firm            = 6.0   // mean visits that the calm pace weighs among them
+	enough          = 32.0  // visits that make the mean
+	calmFall        = 100.0 // beats in which the calm pace follows the lately seen one down,
+	calmRise        = 400.0 // and up; also in which the module's count of others' visits fades by itself
+)
+
+// Out is what an Aggregator can do to the world. None of these calls it back.
+type Out interface {
+	Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) // a message over the wire; it may be lost
+	// Hear has the module hear a message, when the call that goes on is over.
+	Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64)
+	Refused(from brain.Peer, why string) // a message that no sidecar can mean was passed over
+}
+
+// Limits are what an Aggregator goes by.
+type Limits struct {
+	Bytes    float64 // a second, both directions, heads counted; 0: no bound, and all that the module tells goes out as it is
+	Sidecars int     // that tell each other
+	Me       brain.Peer
+	Seed     uint64
+	Longest  Micros // client timeout
+}
+
+// Aggregator is one sidecar's.
+type Aggregator struct {
+	limits Limits
+	out    Out
+
+	says, gives pacer // turns: its own, and those it gives as an owner
+	known       map[brain.Backend]*server
+	row         []*server             // the same, in the order in which they came up
+	nextDue     Micros                // no server's turn comes before
+	firsts      map[brain.Peer]*pacer // by owner: when it is told of a server for the first time
+	median      float64               // of the estimates that count, as they were last
+	own         level
+	drawn       uint64 // times that chance was asked
+
+	owned   map[brain.Backend]*owned
+	replies []reply // the module is asked for
+	tenants tree
+}
+
+// server is what is to be told of a server, and what its owner told.
+type server struct {
+	id            brain.Backend
+	owner         brain.Peer // as the module last had it
+	seen          seen
+	out           int     // visits of this sidecar there
+	spent         float64 // visits out, times how long, since the last summary
+	spentAt       Micros
+	since, turnAt Micros // the last summary; the next one's turn
+	touched       Micros // the module told something of it
+	turn          Micros // the last one that an owner gave
+	missed        int    // summaries, since its owner answered one
+	estimate      estimate
+}
+
+// estimate is an owner's word: the answer time per unit of work that one more visit would see, infinite if the server sits out, and
+// visits held there; mine of them were this sidecar's.
+type estimate struct {
+	pace, held, mine float64
+	tie              float64 // the multiple of the median up to which it counts as that
+	until            Micros
+}
+
+// seen are sums over fetches that ended.
+type seen struct {
+	good, bad, broken, full float64 // delivered; answered with an error; no connection, or it broke; turned away unseen
+	silent                  float64 // found waiting for too long
+	took, work, load        float64 // of the delivered: latency, work, work times visits held
+}
+
+// owned is what an owner adds up of one server's summaries.
+type owned struct {
+	spent, away float64 // others' visits there times how long, fading; their number as the module has it
+	at          Micros
+	span        float64 // in which that fades: the usual one from one summary to the next of each who sends them
+}
+
+// reply is an answer of the module's to a summary, or to tenants' usage, that is to go out with a turn.
+type reply struct {
+	to    brain.Peer
+	kind  brain.Note // as the module will tell it
+	about brain.Backend
+}
+
+// New makes one.
+func New(l Limits, out Out) *Aggregator {
+	return &Aggregator{limits: l, out: out, median: usual, own: level{calm: usual}, known: map[brain.Backend]*server{},
+		owned: map[brain.Backend]*owned{}, firsts: map[brain.Peer]*pacer{}}
+}
+
+// Longest takes over another client timeout.
+func (a *Aggregator) Longest(longest Micros) { a.limits.Longest = max(a.limits.Longest, longest) }
+
+func (a *Aggregator) bounded() bool { return a.limits.Bytes > 0 }
+
+// span is how long an exchange of so many bytes takes up a part of the bound.
+func (a *Aggregator) span(bytes, part float64) Micros {
+	if !a.bounded() {
+		return 0
+	}
+	return Micros(math.Ceil(1e6 * bytes / part / a.limits.Bytes))
+}
+
+func (a *Aggregator) exchange() Micros { return a.span(exchangeBytes, summariesPart) }
+
+// round is one exchange for each server, at the least.
+func (a *Aggregator) round() Micros { return a.exchange() * Micros(len(a.row)) }
+
+func (a *Aggregator) server(id brain.Backend, owner brain.Peer, now Micros) *server {
+	s := a.known[id]
+	switch {
+	case s == nil:
+		// Guards against a fleet whose sidecars all start, or hear of a new server, and tell one owner in one moment; of several servers that
+		// one has each comes in a span of its own.
+		if a.firsts[owner] == nil {
+			a.firsts[owner] = &pacer{}
+		}
+		span := Micros(a.limits.Sidecars) * a.span(exchangeBytes, ownedPart)
+		s = &server{id: id, since: now, spentAt: now, turnAt: a.firsts[owner].take(now, span) + a.within(span)}
+		a.known[id], a.row, a.nextDue = s, append(a.row, s), 0
+	case s.owner != owner: // guards the next owner against all who left the one before in one moment
+		s.turnAt = now + a.within(max(s.turn, a.round()))
+	}
+	s.owner, s.touched = owner, now
+	return s
+}
+
+// Told takes what the module tells another sidecar.
+func (a *Aggregator) Told(now Micros, to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	if i := slices.Index(a.replies, reply{to, kind, about}); i >= 0 {
+		a.replies = slices.Delete(a.replies, i, i+1)
+		if kind == brain.TenantsTotal {
+			a.total(now, to, figures, 0)
+		} else {
+			a.answer(now, to, about, figures)
+		}
+		return
+	}
+	switch {
+	case kind == brain.TenantsUse && a.bounded():
+		a.use(now, to, figures)
+	case kind == brain.TenantsUse:
+		a.out.Send(to, kind, about, a.passed(now, figures)...)
+	case kind == brain.Quote || kind == brain.TenantsTotal || !a.bounded():
+		a.out.Send(to, kind, about, figures...)
+	case kind == brain.Ask:
+		a.asked(now, a.server(about, to, now))
+	case kind == brain.Began:
+		a.server(about, to, now).hold(now, 1)
+	case kind == brain.Waits:
+		a.server(about, to, now).seen.silent++
+	case kind == brain.Ended:
+		s, rc := a.server(about, to, now), brain.Result(figures[0])
+		s.hold(now, -1)
+		s.seen.add(rc, figures[1], figures[2], figures[3])
+		if rc == brain.Delivered {
+			a.own.add(now, figures[1], figures[2])
+		}
+	}
+}
+
+func (s *server) hold(now Micros, many int) {
+	s.spent += float64(s.out) * float64(now-s.spentAt)
+	s.out, s.spentAt = max(0, s.out+many), now
+}
+
+func (s *seen) add(rc brain.Result, took, work, load float64) {
+	switch rc {
+	case brain.Delivered:
+		s.good++
+		s.took, s.work, s.load = s.took+took, s.work+work, s.load+load
+	case brain.Errored:
+		s.bad++
+	case brain.Full:
+		s.full++
+	case brain.ConnectFailed, brain.Reset:
+		s.broken++
+	}
+}
+
+// asked answers the module's question of a server by what its owner told last, and sends a summary to the owner whose turn has come.
+func (a *Aggregator) asked(now Micros, s *server) {
+	if due := a.due(now); due != nil {
+		a.summarize(now, due)
+	}
+	if s.missed > giveUp { // no answer: the module finds another owner where one tells nothing
+		s.missed = 0
+		return
+	}
+	pace, held := a.word(now, s)
+	a.out.Hear(s.owner, brain.Quote, s.id, pace, held)
+}
+
+// due is the server whose turn came first, if a summary may be sent now.
+func (a *Aggregator) due(now Micros) (first *server) {
+	if a.nextDue > now || !a.says.free(now, (burst-1)*a.exchange()) {
+		return nil
+	}
+	a.row = slices.DeleteFunc(a.row, func(s *server) bool { // guards against books that grow with every server there ever was
+		gone := s.out == 0 && now-s.touched > idleFor*a.limits.Longest
+		if gone {
+			delete(a.known, s.id)
+		}
+		return gone
+	})
+	a.nextDue = math.MaxInt64
+	for _, s := range a.row {
+		if a.nextDue = min(a.nextDue, s.turnAt); s.turnAt <= now && s.touched >= s.since && (first == nil || s.turnAt < first.turnAt) {
+			first = s
+		}
+	}
+	return first
+}
+
+// summarize tells a server's owner what was seen of it.
+func (a *Aggregator) summarize(now Micros, s *server) {
+	a.says.take(now, a.exchange())
+	s.hold(now, 0)
+	v := s.seen
+	a.out.Send(s.owner, Summary, s.id, v.good, v.bad, v.broken, v.full, v.silent, v.took, v.work, v.load, s.spent, float64(now-s.since))
+	s.seen, s.spent, s.since = seen{}, 0, now
+	s.missed++
+	s.turnAt = now + max(a.round(), 1) // unless its owner gives it another
+}
+
+// word is what the module is told of a server. How crowded all are by now this sidecar's own answers tell, which are of this moment; how a
+// server differs from the others, its owner's estimate, which is a turn old: within a multiple of the median it does not. Guards against a
+// fleet that turns away, or goes to one server, all of it, by what was so some seconds ago. A visit of this sidecar's own counts at once.
+func (a *Aggregator) word(now Micros, s *server) (pace, held float64) {
+	pace = a.own.now(now)
+	e := s.estimate
+	if e.until <= now {
+		e = estimate{pace: a.median, tie: 1}
+	}
+	if e.pace > e.tie*a.median {
+		pace *= e.pace / a.median
+	}
+	more := max(0, float64(s.out)-e.mine)
+	return pace * (1 + e.held + more) / (1 + e.held) * (1 + ownBias*float64(s.out)), e.held + more
+}
+
+// level is what this sidecar's own visits lately saw.
+type level struct {
+	took, work, mean float64 // latency; work; work of a visit
+	calm             float64 // answer time per unit of work when nothing is crowded, slowly followed
+	at               Micros
+}
+
+// now is the answer time per unit of work by now.
+func (l *level) now(now Micros) float64 {
+	passed, slow := float64(now-l.at)/float64(beat), calmFall
+	keep := math.Exp(-passed / fades)
+	l.took, l.work, l.at = l.took*keep, l.work*keep, now
+	pace := (l.took + firm*l.mean*l.calm) / max(l.work+firm*l.mean, 1e-9)
+	if l.mean == 0 {
+		return l.calm
+	}
+	if pace > l.calm {
+		slow = calmRise
+	}
+	l.calm += (pace - l.calm) * (1 - math.Exp(-passed/slow))
+	return pace
+}
+
+func (l *level) add(now Micros, took, work float64) {
+	l.now(now)
+	if l.mean == 0 {
+		l.mean = work
+	}
+	l.mean += (work - l.mean) / enough
+	l.took, l.work = l.took+took, l.work+work
+}
+
+// Heard takes a message of another sidecar.
+func (a *Aggregator) Heard(now Micros, from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	a.replies = a.replies[:0] // what the module did not answer it won't: it has no such server
+	switch {
+	case kind == Summary && len(figures) == summaryFigures:
+		a.summed(now, from, about, figures)
+	case kind == Estimate && len(figures) == estimateFigures:
+		a.estimated(now, about, figures)
+	case kind == Usage:
+		a.usage(now, from, figures)
+	case kind == Totals:
+		a.totals(now, figures)
+	case kind < Summary:
+		a.out.Hear(from, kind, about, figures...)
+	default:
+		a.out.Refused(from, "of no known form")
+	}
+}
+
+// estimated takes an owner's word.
+func (a *Aggregator) estimated(now Micros, id brain.Backend, f []float64) {
+	s := a.known[id]
+	if s == nil {
+		return
+	}
+	pace, turn := f[0], max(Micros(f[2]), 1)
+	s.missed, s.turn, s.turnAt = 0, turn, now+turn
+	a.nextDue = min(a.nextDue, s.turnAt)
+	s.estimate = estimate{pace: pace, held: max(f[1], float64(s.out)), mine: float64(s.out), tie: tieLeast * math.Pow(tieMost/tieLeast, a.chance()),
+		until: now + lives*max(turn, a.round())}
+	if pace == 0 { // it sits out, till the next turn
+		s.estimate.pace, s.estimate.until = math.Inf(1), s.turnAt
+	}
+	var all []float64
+	for _, s := range a.row {
+		if s.estimate.until > now && !math.IsInf(s.estimate.pace, 1) {
+			all = append(all, s.estimate.pace)
+		}
+	}
+	if len(all) > 0 {
+		slices.Sort(all)
+		a.median = all[(len(all)-1)/2]
+	}
+}
+
+// summed takes, as an owner, what another sidecar saw, and has the module hear of it as of so many visits. Then the module is asked in that
+// sidecar's name.
+func (a *Aggregator) summed(now Micros, from brain.Peer, id brain.Backend, f []float64) {
+	v, spent, span := seen{f[0], f[1], f[2], f[3], f[4], f[5], f[6], f[7]}, f[8], f[9]
+	longest := float64(a.limits.Longest)
+	// Guards against figures that no fetches can have, and that would stay in the module's books.
+	if !(v.good+v.bad+v.broken+v.full+v.silent <= fetchesMost) || !(spent <= fetchesMost*span) ||
+		v.good > 0 && !(v.work > 0 && max(v.took, v.work)/v.good <= longest && v.load/v.work <= longest) {
+		a.out.Refused(from, "figures that no fetches can have")
+		return
+	}
+	ended := func(many float64, rc brain.Result, took, work, load float64) {
+		for range int(math.Round(many)) {
+			a.out.Hear(from, brain.Began, id)
+			a.out.Hear(from, brain.Ended, id, float64(rc), took, work, load)
+		}
+	}
+	broken := brain.Errored
+	if v.good+v.bad == 0 { // no sign of life
+		if broken = brain.ConnectFailed; v.silent > 0 {
+			a.out.Hear(from, brain.Waits, id, span)
+		}
+	}
+	ended(v.broken, broken, 0, 1, 1)
+	ended(v.bad, brain.Errored, 0, 1, 1)
+	if work, load := v.work/max(v.good, 1), v.load/max(v.good, 1); v.good > 0 {
+		ended(v.good, brain.Delivered, v.took/v.good, work, load)
+		ended(v.full, brain.Full, 0, work, load)
+	}
+	a.held(now, from, id, spent, span)
+	a.replies = append(a.replies, reply{from, brain.Quote, id})
+	a.out.Hear(from, brain.Ask, id)
+}
+
+// held brings the module's count of others' visits at a server to what summaries say: the visits held there, over the usual time from one
+// summary to the next of each who sends them.
+func (a *Aggregator) held(now Micros, from brain.Peer, id brain.Backend, spent, span float64) {
+	o := a.owned[id]
+	if o == nil {
+		o = &owned{at: now, span: span}
+		a.owned[id] = o
+	}
+	passed := float64(now - o.at)
+	o.span += (max(span, float64(beat)) - o.span) / 8
+	o.spent = o.spent*math.Exp(-passed/max(o.span, 1)) + spent*min(1, o.span/max(span, 1))
+	o.away *= math.Pow(1-1/calmRise, passed/float64(beat))
+	o.at = now
+	there := math.Round(o.spent / max(o.span, 1))
+	for ; o.away+0.5 < there; o.away++ {
+		a.out.Hear(from, brain.Began, id)
+	}
+	for ; o.away-0.5 > there; o.away-- {
+		a.out.Hear(from, brain.Ended, id, float64(brain.NeverSent), 0, 1, 1)
+	}
+	o.away = max(o.away, 0)
+}
+
+// answer sends what the module answers to a summary, with a turn for the next one.
+func (a *Aggregator) answer(now Micros, to brain.Peer, about brain.Backend, quote []float64) {
+	pace, each := quote[0], a.span(exchangeBytes, ownedPart)
+	if math.IsInf(pace, 1) {
+		pace = 0
+	}
+	if a.gives.next == 0 { // those come that were not given a turn yet, each once
+		a.gives.next = now + Micros(a.limits.Sidecars)*each
+	}
+	a.out.Send(to, Estimate, about, pace, quote[1], float64(a.gives.take(now, each)-now))
+}
+
+// within draws a span below this one.
+func (a *Aggregator) within(most Micros) Micros { return Micros(a.chance() * float64(most)) }
+
+// chance draws a number from 0 up to 1 out of the seed and a counter.
+func (a *Aggregator) chance() float64 {
+	a.drawn++
+	var in [16]byte
+	binary.BigEndian.PutUint64(in[:], a.limits.Seed)
+	binary.BigEndian.PutUint64(in[8:], a.drawn)
+	h := fnv.New64a()
+	h.Write(in[:])
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd // FNV leaves the high bits of near counters alike
+	return float64((x^x>>33)>>11) / (1 << 53)
+}
+
+// pacer deals out turns, a span apart: a virtual schedule (GCRA).
+type pacer struct{ next Micros }
+
+// free tells whether a turn could begin now, where so much may be ahead of the schedule.
+func (p *pacer) free(now, ahead Micros) bool { return p.next <= now+ahead }
+
+// take is the next turn, at now at the earliest; the one after it comes a span later.
+func (p *pacer) take(now, span Micros) (at Micros) {
+	at = max(p.next, now)
+	p.next = at + span
+	return at
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -53,6 +53,9 @@
 	NotesSent
 	NotesHeard
 	NotesRefused
+	SummariesSent
+	EstimatesSent
+	SummariesRefused
 	CallsRefused
 	Faults
 	last
@@ -65,7 +68,7 @@
 	"connections_opened", "connections_reused", "connections_stale", "reports_read", "reports_unreadable",
 	"lists_taken", "lists_failed", "lists_malformed", "lists_outdated", "lists_silent", "reloads",
 	"reloads_refused", "notes_sent", "notes_heard",
-	"notes_refused", "calls_refused", "faults"}
+	"notes_refused", "summaries_sent", "estimates_sent", "summaries_refused", "calls_refused", "faults"}
 
 // Sheet holds the counters of one sidecar; any goroutine may add.
 type Sheet [last]atomic.Int64
--- a/internal/extensions/extensions.go
+++ b/internal/extensions/extensions.go
@@ -35,6 +35,12 @@
 type Extensions struct {
 	Membership *Membership `toml:"membership"`
 	Rollout    *Rollout    `toml:"rollout"`
+	Messages   *Messages   `toml:"messages"`
+}
+
+// Messages is its table: what sidecars tell each other of servers and tenants, within a bound. docs/messages.md has the names.
+type Messages struct {
+	Bytes Rate `toml:"bytes"` // a second, in and out, heads counted; left out: none, but those of sidecars with a bound are understood
 }
 
 // Rollout is its table: configurations that members carry. docs/rollout.md has the names.
@@ -75,6 +81,7 @@
 	usualPerSource Rate = 1000
 
 	leastEvery, mostEvery Span = 20_000, 60_000_000
+	leastBytes, mostBytes Rate = 1000, 1_000_000
 )
 
 // Read takes a file; "" gives no extensions.
@@ -102,6 +109,9 @@
 	if f.Rollout != nil && err == nil {
 		err = f.Rollout.possible(f.Membership)
 	}
+	if f.Messages != nil && err == nil {
+		err = f.Messages.possible()
+	}
 	if err != nil {
 		var odd *strict.Oddity
 		errors.As(err, &odd)
@@ -189,6 +199,14 @@
 	return nil
 }
 
+// possible tells what can't be.
+func (m *Messages) possible() error {
+	if m.Bytes != 0 && m.Bytes < leastBytes || m.Bytes > mostBytes {
+		return &strict.Oddity{Table: "messages", Name: "bytes", Why: "must be from 1000/s to 1000000/s"}
+	}
+	return nil
+}
+
 // Usable tells whether its folder can be written to.
 func (r *Rollout) Usable() error {
 	f, err := os.CreateTemp(r.Folder, ".rollout-*")
@@ -223,6 +241,9 @@
 	if fmt.Sprintf("%+v", deref(a.Rollout)) != fmt.Sprintf("%+v", deref(b.Rollout)) {
 		names = append(names, "rollout")
 	}
+	if fmt.Sprintf("%+v", deref(a.Messages)) != fmt.Sprintf("%+v", deref(b.Messages)) {
+		names = append(names, "messages")
+	}
 	return names
 }
 
--- a/internal/extensions/extensions_test.go
+++ b/internal/extensions/extensions_test.go
@@ -15,7 +15,7 @@
 
 // The examples are whole.
 func TestExamples(t *testing.T) {
-	for _, file := range []string{"../../deploy/membership.toml", "../../deploy/rollout.toml"} {
+	for _, file := range []string{"../../deploy/membership.toml", "../../deploy/rollout.toml", "../../deploy/messages.toml"} {
 		if _, err := Read(file); err != nil {
 			t.Error(err)
 		}
@@ -47,6 +47,12 @@
 		good + "[rollout]\nfolder = \"/tmp\"\nsource = true\n":                     "f.toml:7: rollout.source: no such name",
 		good + "[rollout]\nfolder = 5\n":                                           "f.toml:6: rollout.folder: cannot decode TOML integer into struct field extensions.Rollout.Folder of type string",
 		good + "[rollout]\nfolder = \"/tmp\"\npublish_from = [\"us\"]\n":           `f.toml:7: rollout.publish_from: "us" is no network, such as "127.0.0.1/32"`,
+		good + "[messages]\nbytes = \"11000/s\"\n":                                 "",
+		good + "[messages]\n":                                                      "",
+		good + "[messages]\nbytes = \"999/s\"\n":                                   "f.toml:6: messages.bytes: must be from 1000/s to 1000000/s",
+		good + "[messages]\nbytes = \"2000000/s\"\n":                               "f.toml:6: messages.bytes: must be from 1000/s to 1000000/s",
+		good + "[messages]\nbytes = 11000\n":                                       "f.toml:6: messages.bytes: 11000 is without a unit",
+		good + "[messages]\nmost = \"11000/s\"\n":                                  "f.toml:6: messages.most: no such name",
 		"[rollout]\nfolder = \"/tmp\"\n":                                           "f.toml:2: rollout.folder: members carry it: there is no [membership]",
 	} {
 		f, err := Parse("f.toml", []byte(text))
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -10,7 +10,14 @@
 	"ledgespread/brain"
 )
 
-const head = 7 // kind and server
+const (
+	head   = 7  // kind and server
+	figure = 2  // bytes of one
+	wire   = 28 // heads of a datagram's packet, IPv4's and UDP's
+)
+
+// Size is the bytes that a message of so many figures takes on the wire, heads of its packet counted.
+func Size(figures int) int { return wire + head + figure*figures }
 
 var be = binary.BigEndian
 
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -66,10 +66,13 @@
 func (r *Relay) Subscribe() { r.later(r.watcher.Watch) }
 
 func (r *Relay) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
-	if r.peers == nil {
-		return
+	switch {
+	case r.peers == nil:
+	case r.words != nil:
+		r.later(func() { r.words.Told(r.now, to, kind, about, figures...) })
+	default:
+		r.later(func() { r.peers.Tell(to, kind, about, figures...) })
 	}
-	r.later(func() { r.peers.Tell(to, kind, about, figures...) })
 }
 
 // Print logs a line. One that begins with a server's id tells its name beside.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"ledgespread/brain"
 	"ledgespread/brain/due"
+	"ledgespread/decide/summary"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/discovery"
 	"ledgespread/internal/exchange"
@@ -87,7 +88,8 @@
 	grace    brain.Micros // in which sends to a leaving server are no fault
 	pushed   bool
 	outbound *outbound.Outbound
-	peers    *peers.Peers // nil where messages are not allowed
+	peers    *peers.Peers        // nil where messages are not allowed
+	words    *summary.Aggregator // between the module and the peers; nil: what the module tells goes out as it is
 	watcher  *discovery.Watcher
 	counts   *counters.Sheet
 	log      zerolog.Logger
@@ -302,7 +304,43 @@
 
 // Heard takes another sidecar's message.
 func (r *Relay) Heard(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
-	r.post(func() { r.b.Heard(r.now, from, kind, about, figures...) })
+	r.post(func() {
+		if r.words != nil {
+			r.words.Heard(r.now, from, kind, about, figures...)
+			return
+		}
+		r.b.Heard(r.now, from, kind, about, figures...)
+	})
+}
+
+// Bound keeps what this sidecar tells the others, and hears of them, within so many bytes a second; 0: it takes part with those that have a
+// bound, and has none itself. It is called before Run.
+func (r *Relay) Bound(b *site.Manifest, bytes float64) {
+	_, longest := b.Timeouts()
+	r.words = summary.New(summary.Limits{Bytes: bytes, Sidecars: int(b.Figure("balancers")), Me: brain.Peer(b.Figure("me")), Seed: b.Seed,
+		Longest: longest}, wire{r})
+}
+
+// wire is what summaries go out by, and estimates come in.
+type wire struct{ r *Relay }
+
+func (w wire) Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	switch kind {
+	case summary.Summary:
+		w.r.counts.Add(counters.SummariesSent)
+	case summary.Estimate:
+		w.r.counts.Add(counters.EstimatesSent)
+	}
+	w.r.peers.Tell(to, kind, about, figures...)
+}
+
+func (w wire) Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	w.r.later(func() { w.r.b.Heard(w.r.now, from, kind, about, figures...) })
+}
+
+func (w wire) Refused(from brain.Peer, why string) {
+	w.r.counts.Add(counters.SummariesRefused)
+	w.r.log.Debug().Uint16("from", uint16(from)).Str("why", why).Msg("summary refused")
 }
 
 // Senders tells how many sidecars may be sending, where that is known.
--- a/internal/relay/tuning.go
+++ b/internal/relay/tuning.go
@@ -30,6 +30,9 @@
 	}
 	_, longest := b.Timeouts()
 	r.names.span = max(r.names.span, longest) // names that are taken stay so for their visits' time
+	if r.words != nil {
+		r.words.Longest(longest)
+	}
 	if loads := b.Loads(); !slices.Equal(loads, r.loads) {
 		r.loads, r.loadsNow = loads, time.Now()
 	}
--- /dev/null
+++ b/lab/faults/bound.go
@@ -0,0 +1,101 @@
+package faults
+
+import (
+	"fmt"
+	"slices"
+
+	"ledgespread/lab/size"
+)
+
+// BoundKinds are what a bound on messages is played on.
+var BoundKinds = []Kind{Calm, Slow, Zone}
+
+// less is by how much the part that is delivered may be less with a bound than without one, where the servers that are left can carry all.
+const less = 0.01
+
+// SweepBound plays each kind at each load three times: sidecars that tell all, that have a bound, and that tell nothing. Where the guard is
+// off that a proof shows to fail, those with a bound have none.
+func SweepBound(t Terms, quick bool, seed uint64, breaks string, played func(Figures)) ([]Figures, error) {
+	if quick {
+		t.Bound.Sidecars, t.Bound.Servers, t.Bound.Loads = 24, 20, t.Bound.Loads[:1]
+	}
+	var runs []Run
+	for _, load := range t.Bound.Loads {
+		for _, k := range BoundKinds {
+			run := Run{Kind: k, Sidecars: t.Bound.Sidecars, Servers: t.Bound.Servers, Load: load, Break: breaks}
+			bounded, mute := run, run
+			bounded.Bound, mute.Mute = t.Bound.Bytes, true
+			runs = append(runs, run, bounded, mute)
+		}
+	}
+	return play(t, runs, seed, played)
+}
+
+// BoundHeading names what BoundLine has.
+const BoundHeading = "run   load   messages  visits/s | delivered  worst s | p50, ms  p99, ms | bytes/s a sidecar  hottest, worst s | rules broken"
+
+func (f Figures) tells() string {
+	switch {
+	case f.Mute:
+		return "none"
+	case f.Bound > 0:
+		return "bounded"
+	}
+	return "all"
+}
+
+// BoundLine is a run as a line.
+func (f Figures) BoundLine() string {
+	return fmt.Sprintf("%-6s%.2f   %-9s%9.0f |%10.4f%9.3f |%8.1f%9.1f |%18.0f%18.0f | %v %s", f.Kind, f.Load, f.tells(), f.VisitsPerS, f.Delivered, f.WorstSecond,
+		f.P50/1000, f.P99/1000, f.Bytes, f.BytesMost, f.Broken[1:], f.First)
+}
+
+// BoundReport is what such a sweep measured. Its caller adds run, commit, date and machine.
+func BoundReport(t Terms, all []Figures, seed uint64) *size.Report {
+	r := &size.Report{Seed: seed, Bound: "none: one thread for each run, in simulated time", Stubs: []string{
+		"sockets, machines and clock: simulated; the module's decisions and the summaries are the program's own (brain.Balancer, decide/summary)",
+		"a server: one core, a queue of bounded length, linear warm-up; what is called off runs on",
+		"one service alone, which all of its callers' visits go to; no tenants"},
+		Slopes: []size.Slope{}, Events: []size.Event{}, Agree: []size.Agree{}, Claims: []size.Claim{}}
+	over, broken, worse, hottest, most := 0, 0, 0, "", 0.0
+	said := ""
+	for _, f := range all {
+		for _, k := range f.Broken {
+			broken += k
+		}
+		at := size.At{"sidecars": float64(f.Sidecars), "servers": float64(f.Servers), "visits_per_s": f.VisitsPerS}
+		name, words := fmt.Sprintf("bound.%s.load_%02.0f.%s", f.Kind, 100*f.Load, f.tells()), fmt.Sprintf("%s, load %.2f, sidecars that tell each other %s", f.Kind, f.Load, f.tells())
+		for _, e := range []struct {
+			what, unit, words string
+			median, last      float64
+		}{{"unserved", "1", "part of the visits without a server's answer; last: in the worst second", 1 - f.Delivered, max(1-f.WorstSecond, 1-f.Delivered)},
+			{"latency", "ms", "of what was delivered: the middle one; last: 99 in 100", f.P50 / 1000, f.P99 / 1000},
+			{"bytes", "B/s", "messages in and out, heads counted, a sidecar; last: the hottest in its worst second", f.Bytes, max(f.BytesMost, f.Bytes)},
+		} {
+			r.Events = append(r.Events, size.Event{Name: name + "." + e.what, What: words + ": " + e.words, Account: "simulated", At: at, Unit: e.unit, Median: e.median, Last: e.last, N: max(f.Visits, 1)})
+		}
+		if f.tells() != "bounded" {
+			continue
+		}
+		if f.BytesMost > f.Bound {
+			over++
+		}
+		if f.BytesMost > most {
+			most, hottest = f.BytesMost, fmt.Sprintf("%s, load %.2f", f.Kind, f.Load)
+		}
+		first := all[slices.IndexFunc(all, func(g Figures) bool { return g.Kind == f.Kind && g.Load == f.Load && g.tells() == "all" })]
+		if carries := f.Kind != Zone || f.Load < 1-1/float64(t.Fleet.Zones); carries {
+			if f.Delivered < first.Delivered-less {
+				worse++
+			}
+			said += fmt.Sprintf("%s %.2f: %.4f, %.4f; ", f.Kind, f.Load, f.Delivered, first.Delivered)
+		}
+	}
+	claim := func(holds bool, claim, aim, measured string, values ...any) {
+		r.Claims = append(r.Claims, size.Claim{Claim: claim, Aim: aim, Measured: fmt.Sprintf(measured, values...), Account: "simulated", Holds: holds})
+	}
+	claim(over == 0 && most > 0, "messages of any sidecar, in and out, in any second from the start on stay within the bound", fmt.Sprintf("%.0f bytes", t.Bound.Bytes), "%.0f at most: %s", most, hottest)
+	claim(broken == 0, "no rule is broken", "0 breaks", "%d in %d runs", broken, len(all))
+	claim(worse == 0, "as much is delivered with the bound as without it, where the servers that are left can carry all", fmt.Sprintf("less by %.2f at the most", less), "with, without: %s%d off", said, worse)
+	return r
+}
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sort"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"ledgespread/brain"
 	"ledgespread/lab/chance"
 	"ledgespread/lab/sim"
@@ -19,6 +21,7 @@
 	Zone    Kind = "zone"    // all of one zone falls silent, its sidecars with it, and comes back cold
 	Rack    Kind = "rack"    // the same of a part of the servers, over all zones
 	Day     Kind = "day"     // failures and replacements of a day, squeezed
+	Slow    Kind = "slow"    // one server of eight takes five times as long from some time on
 	Regions Kind = "regions" // apart for longer than forget; a server of each is restarted shortly before they meet
 )
 
@@ -32,7 +35,10 @@
 	Sidecars int
 	Named    float64 // part of the sidecars that were there when they were started, and which their settings name; others name all; 0: all
 	Load     float64 // of a server, in place of the terms'; 0: theirs
+	Servers  int     // of the service, in place of the terms'; 0: theirs
 	Break    string  // a fault put in on purpose, which the judge has to catch; see Breaks
+	Bound    float64 // bytes a second and sidecar for what these tell each other; 0: none
+	Mute     bool    // they may tell each other nothing
 }
 
 // Breaks are the faults put in on purpose: of each rule one, by what its modules are told. "late": clients that are more
@@ -43,7 +49,7 @@
 // mislead puts one in.
 func (f *fleet) mislead(t Terms) error {
 	switch f.run.Break {
-	case "":
+	case "", "unbounded": // that one is no fault of the modules
 	case "late":
 		f.patient = Micros(t.Settings.Timeout) / 2
 	case "twice":
@@ -101,6 +107,12 @@
 	Says        float64        `json:"messages_out_per_s"` // of a sidecar, before
 	SaysMost    float64        `json:"messages_out_per_s_worst_second"`
 	HeardMost   float64        `json:"messages_in_per_s_worst_second_most_loaded"`
+	Bound       float64        `json:"bound_bytes_per_s,omitempty"`
+	Mute        bool           `json:"mute,omitempty"`
+	Bytes       float64        `json:"bytes_per_s"`                          // of a sidecar, in and out, over the whole run
+	BytesMost   float64        `json:"bytes_per_s_worst_second_most_loaded"` // of one sidecar, in and out
+	P50         float64        `json:"p50_us"`                               // of what was delivered, from a visit's beginning
+	P99         float64        `json:"p99_us"`
 	Cold        Cold           `json:"cold"`
 	Broken      [5]int         `json:"rules_broken"` // by rule; the fourth is the falls of which told ones make two thirds
 	First       string         `json:"first_break,omitempty"`
@@ -118,6 +130,7 @@
 	born  Micros    // of its present process, 0: long ago
 	gone  bool
 	work  float64
+	slow  float64 // times as long
 }
 
 type started struct {
@@ -152,6 +165,9 @@
 	heard   []int  // by second, the most that any sidecar heard
 	patient Micros // so much longer the modules are told that clients wait
 	was     []int
+	bytes   []int64 // by sidecar, till the last second
+	most    []int64 // by second, the most of any sidecar
+	took    *hdrhistogram.Histogram
 	nextID  brain.Backend
 }
 
@@ -168,6 +184,9 @@
 	if r.Load != 0 {
 		f.shape.Load = r.Load
 	}
+	if r.Servers != 0 {
+		f.shape.Servers = r.Servers
+	}
 	f.Now = 1e9
 	f.begin = f.Now
 	f.net = sim.NewNet(&f.Clock, Micros(t.Fleet.Way))
@@ -180,7 +199,10 @@
 	named := max(1, int(r.Named*float64(r.Sidecars)+0.5))
 	settings := sim.Terms{Target: Micros(t.Settings.Target), Timeout: Micros(t.Settings.Timeout), Window: Micros(t.Settings.Window),
 		Group: t.Settings.Group, Sidecars: named, Fetches: t.Settings.Fetches, ColdFrom: t.Settings.ColdFrom, Cold: Micros(t.Settings.Cold),
-		FallMultiple: t.Settings.FallMultiple, Fall: Micros(t.Settings.Fall), Messages: true}.Settings()
+		FallMultiple: t.Settings.FallMultiple, Fall: Micros(t.Settings.Fall), Messages: !r.Mute}.Settings()
+	if f.net.Bound = r.Bound; r.Break == "unbounded" {
+		f.net.Bound *= 100
+	}
 	sum, shares := 0.0, make([]float64, r.Sidecars)
 	for i := range r.Sidecars {
 		settings["balancers"] = float64(named)
@@ -209,7 +231,8 @@
 			}
 		}
 	}
-	f.was = make([]int, r.Sidecars)
+	f.was, f.bytes, f.most = make([]int, r.Sidecars), make([]int64, r.Sidecars), make([]int64, seconds)
+	f.took = hdrhistogram.New(1, t.Settings.Timeout.Micros()+1_000_000, 3)
 	f.count()
 	rate := float64(f.shape.Servers) * f.shape.Load * 1e6 / float64(f.shape.Work)
 	f.arrive(rate, end)
@@ -250,7 +273,7 @@
 	m.in++
 	m.work += float64(x.Work)
 	begin := max(f.Now, m.free)
-	m.free = begin + max(1, Micros(float64(x.Work)/m.warmth(begin)))
+	m.free = begin + max(1, Micros(float64(x.Work)*max(m.slow, 1)/m.warmth(begin)))
 	life := m.life
 	f.At(m.free, func() {
 		if life == m.life {
@@ -331,6 +354,7 @@
 			switch v.Ending {
 			case sim.Delivered:
 				f.ok++
+				f.took.RecordValue(int64(f.Now - v.Began))
 				f.done[second]++
 				if f.Now-v.Began <= Micros(f.Settings.Target) {
 					f.inTime++
@@ -356,6 +380,9 @@
 			car.Said = 0
 			f.heard[at] = max(f.heard[at], car.Heard-f.was[i])
 			f.was[i] = car.Heard
+			all := car.BytesIn + car.BytesOut
+			f.most[at] = max(f.most[at], all-f.bytes[i])
+			f.bytes[i] = all
 		}
 		if at+2 < len(f.says) {
 			f.count()
@@ -370,6 +397,12 @@
 	switch f.run.Kind {
 	case Zone, Rack:
 		f.lose(at)
+	case Slow:
+		f.At(at, func() {
+			for i := 0; i < len(f.every); i += 8 {
+				f.every[i].slow = 5
+			}
+		})
 	case Day:
 		return f.day(at)
 	case Regions:
@@ -540,6 +573,14 @@
 		}
 	}
 	g.Retries = part(again, f.all)
+	for s := 1; s < int((end-f.begin)/1e6); s++ {
+		g.BytesMost = max(g.BytesMost, float64(f.most[s]))
+	}
+	for _, all := range f.bytes {
+		g.Bytes += float64(all) / n / g.Seconds
+	}
+	g.Bound, g.Mute = f.run.Bound, f.run.Mute
+	g.P50, g.P99 = float64(f.took.ValueAtQuantile(50)), float64(f.took.ValueAtQuantile(99))
 	for _, car := range f.net.Cars {
 		for why, k := range car.B.Tally() {
 			g.Turned[why] += k
--- a/lab/faults/faults_test.go
+++ b/lab/faults/faults_test.go
@@ -108,7 +108,7 @@
 		p.Settings.Group = rapid.SampledFrom([]string{"all", "zone", "cell"}).Draw(rt, "group")
 		p.Times.Warm, p.Times.After = 1e6, 3e6
 		run := Run{Kind: rapid.SampledFrom(Kinds).Draw(rt, "kind"), Sidecars: rapid.IntRange(5, 25).Draw(rt, "sidecars"),
-			Pool: rapid.Bool().Draw(rt, "pool"), Load: rapid.Float64Range(0.2, 0.95).Draw(rt, "load"), Named: rapid.SampledFrom([]float64{1, 0.5}).Draw(rt, "named")}
+			Bound: rapid.SampledFrom([]float64{0, 2000, 11_000}).Draw(rt, "bound"), Pool: rapid.Bool().Draw(rt, "pool"), Load: rapid.Float64Range(0.2, 0.95).Draw(rt, "load"), Named: rapid.SampledFrom([]float64{1, 0.5}).Draw(rt, "named")}
 		f, err := Play(p, run, rapid.Uint64().Draw(rt, "seed"))
 		if err != nil {
 			rt.Fatal(err)
--- a/lab/faults/terms.go
+++ b/lab/faults/terms.go
@@ -4,6 +4,7 @@
 
 import (
 	_ "embed"
+	"slices"
 
 	"ledgespread/lab/sim"
 	"ledgespread/strict"
@@ -20,6 +21,9 @@
 	return err
 }
 
+// Micros is the span in microseconds.
+func (s Span) Micros() int64 { return int64(s) }
+
 // Shape is who calls whom, and how much.
 type Shape struct {
 	Servers int     `toml:"servers"`
@@ -69,6 +73,12 @@
 		Rejoin       Span    `toml:"rejoin"`
 		GroupForget  Span    `toml:"group_forget"`
 	} `toml:"times"`
+	Bound struct {
+		Bytes    float64   `toml:"bytes"`
+		Sidecars int       `toml:"sidecars"`
+		Servers  int       `toml:"servers"`
+		Loads    []float64 `toml:"loads"`
+	} `toml:"bound"`
 }
 
 //go:embed terms.toml
@@ -142,6 +152,10 @@
 		{m.Drain <= Span(f.Told), "times", "drain", "must be more than told"},
 		{m.Forget < 1e6, "times", "forget", "must be a second at least"},
 		{m.GroupForget < 1e6, "times", "group_forget", "must be a second at least"},
+		{!(t.Bound.Bytes >= 1000) || t.Bound.Bytes > 1e6, "bound", "bytes", "must lie between 1000 and 1000000"},
+		{t.Bound.Sidecars < 5 || t.Bound.Sidecars > 5000, "bound", "sidecars", "must lie between 5 and 5000"},
+		{t.Bound.Servers < 5 || t.Bound.Servers >= t.Bound.Sidecars, "bound", "servers", "must be 5 at least, and fewer than the sidecars"},
+		{len(t.Bound.Loads) == 0 || slices.Min(t.Bound.Loads) <= 0 || slices.Max(t.Bound.Loads) >= 1, "bound", "loads", "must name one at least, each between 0 and 1"},
 	} {
 		if c.wrong {
 			return &strict.Oddity{Table: c.table, Name: c.name, Why: c.why}
--- a/lab/hollow/account.go
+++ b/lab/hollow/account.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 
 	"ledgespread/brain"
+	"ledgespread/decide/summary"
+	"ledgespread/internal/notes"
 )
 
 func itoa(i int) string { return strconv.Itoa(i) }
@@ -13,13 +15,12 @@
 const Header = 28
 
 const (
-	noteHead = 7 // of a message between sidecars, then two bytes a figure
-	kinds    = int(brain.Ended) + 1
-	seconds  = 256 // that are kept apart
+	kinds   = int(summary.Totals) + 1
+	seconds = 256 // that are kept apart
 )
 
 // Size is the bytes of a message between sidecars on the wire.
-func Size(figures int) int64 { return Header + noteHead + 2*int64(figures) }
+func Size(figures int) int64 { return int64(notes.Size(figures)) }
 
 // Account is what receivers wrote down of messages between sidecars, and by whom they were sent.
 type Account struct {
@@ -66,7 +67,11 @@
 
 // tenant kinds are the ledger's; all others are what sidecars tell each other of servers.
 func isTenant(kind int) bool {
-	return brain.Note(kind) == brain.TenantsUse || brain.Note(kind) == brain.TenantsTotal
+	switch brain.Note(kind) {
+	case brain.TenantsUse, brain.TenantsTotal, summary.Usage, summary.Totals:
+		return true
+	}
+	return false
 }
 
 // Split sums messages and bytes: of servers, and of tenants.
@@ -108,10 +113,25 @@
 
 // Worst is the most that one sidecar took in, and sent, in one whole second of a span, in bytes.
 func (a *Account) Worst(from, to brain.Micros) (in, out int64) {
-	for s := int(from/1_000_000) + 1; s < min(int(to/1_000_000), seconds); s++ {
+	a.bySecond(int(from/1_000_000)+1, to, func(_ int, i, o int64) { in, out = max(in, i), max(out, o) })
+	return in, out
+}
+
+// Hottest is the most that one sidecar took in and sent together in one whole second of a span, in bytes, and which one.
+func (a *Account) Hottest(from, to brain.Micros) (most int64, sidecar int) {
+	a.bySecond(int((from+999_999)/1_000_000), to, func(k int, in, out int64) {
+		if in+out > most {
+			most, sidecar = in+out, k
+		}
+	})
+	return most, sidecar
+}
+
+// bySecond tells each sidecar's bytes in and out in each whole second from this one on.
+func (a *Account) bySecond(first int, to brain.Micros, each func(sidecar int, in, out int64)) {
+	for s := first; s < min(int(to/1_000_000), seconds); s++ {
 		for i := range a.many {
-			in, out = max(in, a.inBySec[s*a.many+i].Load()), max(out, a.outBySec[s*a.many+i].Load())
+			each(i, a.inBySec[s*a.many+i].Load(), a.outBySec[s*a.many+i].Load())
 		}
 	}
-	return in, out
 }
--- a/lab/hollow/core.go
+++ b/lab/hollow/core.go
@@ -9,6 +9,7 @@
 import (
 	"ledgespread/brain"
 	"ledgespread/brain/due"
+	"ledgespread/decide/summary"
 	"ledgespread/internal/discovery"
 	"ledgespread/internal/site"
 	"ledgespread/lab/chance"
@@ -28,10 +29,11 @@
 	Work  brain.Micros // mean, drawn exponentially; the client tells it
 	Share []float64    // of the path prefixes
 	Seed  uint64
+	Bound float64 // bytes a second that its messages may take, in and out; 0: none
 }
 
 // Tally is what became of a hollow sidecar's visits.
-type Tally struct{ Visits, Delivered, Bounced, Errored, Fetches int }
+type Tally struct{ Visits, Delivered, Bounced, Errored, Fetches, Refused int }
 
 // world is what a core can do to the outside.
 type world interface {
@@ -64,7 +66,8 @@
 	time    brain.Micros
 	todo    []func()
 	visits  map[brain.VisitID]*visit
-	flowing int // grows with each change of the rate, so that older arrivals end
+	words   *summary.Aggregator // nil: what the module tells goes out as it is
+	flowing int                 // grows with each change of the rate, so that older arrivals end
 	tenants int
 }
 
@@ -75,6 +78,11 @@
 		c.timeout = append(c.timeout, m.Span("path_prefixes."+itoa(i)+".client_timeout_us"))
 	}
 	c.time = w.now()
+	if l.Bound > 0 {
+		_, longest := m.Timeouts()
+		c.words = summary.New(summary.Limits{Bytes: l.Bound, Sidecars: int(m.Figure("balancers")), Me: brain.Peer(m.Figure("me")), Seed: m.Seed,
+			Longest: longest}, c)
+	}
 	if c.b, err = brain.New(c.time, m.Site, m.Seed, c); err != nil {
 		return nil, err
 	}
@@ -234,9 +242,35 @@
 func (c *Core) Subscribe() { c.later(c.world.subscribe) }
 
 func (c *Core) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
-	c.later(func() { c.world.tell(to, kind, about, figures) })
+	c.later(func() {
+		if c.words != nil {
+			c.words.Told(c.time, to, kind, about, figures...)
+			return
+		}
+		c.world.tell(to, kind, about, figures)
+	})
+}
+
+// heard is a message of another sidecar, in the core's turn.
+func (c *Core) heard(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
+	if c.words != nil {
+		c.words.Heard(c.time, from, kind, about, figures...)
+		return
+	}
+	c.b.Heard(c.time, from, kind, about, figures...)
+}
+
+// Send, Hear and Refused are what summaries go out by, and estimates come in.
+func (c *Core) Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	c.world.tell(to, kind, about, figures)
 }
 
+func (c *Core) Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	c.later(func() { c.b.Heard(c.time, from, kind, about, figures...) })
+}
+
+func (c *Core) Refused(brain.Peer, string) { c.Tally.Refused++ }
+
 func (c *Core) Print(string) {}
 
 var _ brain.Ports = (*Core)(nil)
--- a/lab/hollow/sidecar.go
+++ b/lab/hollow/sidecar.go
@@ -106,7 +106,7 @@
 	go s.run()
 	go s.peers.Hear(func(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
 		s.account.Heard(s.sinceBegun(), from, brain.Peer(s.Number), kind, len(figures))
-		s.post(func() { s.b.Heard(s.time, from, kind, about, figures...) })
+		s.post(func() { s.heard(from, kind, about, figures) })
 	})
 	return s, nil
 }
--- a/lab/hollow/world.go
+++ b/lab/hollow/world.go
@@ -72,7 +72,7 @@
 		}
 		s.w.Account.Heard(s.w.clock, brain.Peer(s.i), to, kind, len(figures))
 		c := s.w.Cores[to]
-		c.turn(func() { c.b.Heard(c.time, brain.Peer(s.i), kind, about, figures...) })
+		c.turn(func() { c.heard(brain.Peer(s.i), kind, about, figures) })
 	})
 }
 
--- a/lab/scale/claims.go
+++ b/lab/scale/claims.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ledgespread/brain"
+	"ledgespread/decide/summary"
 	"ledgespread/lab/hollow"
 	"ledgespread/lab/size"
 )
@@ -40,22 +41,26 @@
 	}
 	n := f.size.Sidecars
 	asking := func(i int) (sum float64) {
-		for _, kind := range []brain.Note{brain.Ask, brain.Began, brain.Waits, brain.Ended} {
+		for _, kind := range []brain.Note{brain.Ask, brain.Began, brain.Waits, brain.Ended, summary.Summary} {
 			sum += float64(outs[i].Bytes[kind])
 		}
 		return sum
 	}
 	if thin(f.size.at()) && of(0, real, visits) > 0 {
 		row("bytes that one tells owners, a visit", of(real, n, asking)/of(real, n, visits), of(0, real, asking)/of(0, real, visits))
-		asked := func(i int) float64 { return float64(ins[i].Messages[brain.Ask]) }
-		quoted := func(i int) float64 { return float64(outs[i].Messages[brain.Quote]) }
+		asked := func(i int) float64 { return float64(ins[i].Messages[brain.Ask] + ins[i].Messages[summary.Summary]) }
+		quoted := func(i int) float64 {
+			return float64(outs[i].Messages[brain.Quote] + outs[i].Messages[summary.Estimate])
+		}
 		row("answers of an owner, an ask", of(real, n, quoted)/of(real, n, asked), of(0, real, quoted)/of(0, real, asked))
 	}
 	each := func(name string, x func(i int) float64) {
 		row(name, of(real, n, x)/float64(n-real)/span, of(0, real, x)/float64(real)/span)
 	}
 	if f.size.Tenants > 0 {
-		each("tenants' messages out, a second", func(i int) float64 { return float64(outs[i].Messages[brain.TenantsUse]) })
+		each("tenants' messages out, a second", func(i int) float64 {
+			return float64(outs[i].Messages[brain.TenantsUse] + outs[i].Messages[summary.Usage])
+		})
 	}
 	member := func(name string) func(i int) float64 {
 		return func(i int) float64 { return float64(b.members[i][name] - a.members[i][name]) }
@@ -276,6 +281,11 @@
 			"receivers'", "%d of %d figures, the furthest by %.1f%%: %s", count-bad, count, 100*off, worst)
 	}
 
+	if g.Bound > 0 {
+		claim(float64(g.hottest.bytes) <= float64(g.Bound), "what any sidecar tells others and hears of them in any second stays within its bound, as owner and as ledger too",
+			fmt.Sprintf("%g bytes, in and out, heads counted", float64(g.Bound)), "receivers'", "%d at most: sidecar %d, %s", g.hottest.bytes, g.hottest.sidecar, g.hottest.size)
+	}
+
 	worst, off = "", -1
 	for _, s := range g.sums {
 		by := s.off(s.sent-s.booked-s.dropped, s.sent)
--- a/lab/scale/file.go
+++ b/lab/scale/file.go
@@ -33,6 +33,7 @@
 	Trip      scenario.Span `toml:"trip"`  // to a server and back, for hollow ones
 	Way       scenario.Span `toml:"way"`   // of a message, in simulated time
 	Members   Members       `toml:"members"`
+	Bound     scenario.Rate `toml:"bound"`     // bytes a second that what a sidecar tells others and hears of them may take; left out: none
 	Sizes     []Size        `toml:"size"`      // on sockets
 	Sim       []Size        `toml:"simulated"` // the module in simulated time
 	Rates     *Rates        `toml:"rates"`
@@ -41,7 +42,8 @@
 	Within    Within        `toml:"within"`
 	Apart     *Apart        `toml:"apart"`
 
-	File string `toml:"-"`
+	File    string `toml:"-"`
+	unbound bool   // a guard that is off
 }
 
 // Members is what membership is set to.
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -39,7 +39,9 @@
 	readyWithin  = 30 * time.Second
 	joinWithin   = 60 * time.Second
 	settle       = 500 * time.Millisecond
-	group        = "scale"
+
+	unboundEach, unboundTimes = 4, 20 // one of so many has a bound so many times as large, where that guard is off
+	group                     = "scale"
 )
 
 // fleet is one size on sockets: real sidecars with the lowest numbers, hollow ones behind them, silent ones outside the numbers.
@@ -167,8 +169,12 @@
 	for range min(3, i) {
 		seeds = append(seeds, fmt.Sprintf("%q", f.at(forMembers, draw.Below(i))))
 	}
-	return fmt.Appendf(nil, "[membership]\nlisten = %q\ngroup = %q\nfrom = [\"127.0.0.0/8\"]\nzone = %q\nprobe_every = %q\nexchange_every = %q\nseeds = [%s]\n",
+	text := fmt.Appendf(nil, "[membership]\nlisten = %q\ngroup = %q\nfrom = [\"127.0.0.0/8\"]\nzone = %q\nprobe_every = %q\nexchange_every = %q\nseeds = [%s]\n",
 		f.at(forMembers, i), group, f.run.zone(i), f.run.Members.Every.M().Duration(), f.run.Members.Exchange.M().Duration(), strings.Join(seeds, ", "))
+	if f.run.Bound > 0 {
+		text = fmt.Appendf(text, "[messages]\nbytes = \"%g/s\"\n", float64(f.run.Bound))
+	}
+	return text
 }
 
 // group is the same, read by the program's own reader.
@@ -279,7 +285,16 @@
 
 // load is what is sent to a sidecar of this number.
 func (r *Run) load(i int, rate float64) hollow.Load {
-	return hollow.Load{Rate: rate, Work: brain.Micros(r.Work), Share: []float64{0.8, 0.2}, Seed: hollow.Seed(r.Seed, "visits", i)}
+	return hollow.Load{Rate: rate, Work: brain.Micros(r.Work), Share: []float64{0.8, 0.2}, Seed: hollow.Seed(r.Seed, "visits", i),
+		Bound: r.bound(i)}
+}
+
+// bound is what a hollow sidecar's messages may take. Where that guard is off, the last one's may take anything.
+func (r *Run) bound(i int) float64 {
+	if r.unbound && i%unboundEach == unboundEach-1 {
+		return unboundTimes * float64(r.Bound)
+	}
+	return float64(r.Bound)
 }
 
 // await waits until something holds of each hollow sidecar, and tells how long that took for each of those of which it came to.
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -14,6 +14,7 @@
 	"ledgespread/brain"
 	"ledgespread/decide/membership"
 	"ledgespread/decide/membership/crowd"
+	"ledgespread/decide/summary"
 	"ledgespread/internal/discovery"
 	"ledgespread/internal/site"
 	"ledgespread/lab/cars"
@@ -35,7 +36,7 @@
 }
 
 // Breaks are the guards that can be off.
-var Breaks = []string{"half", "forget", "wrong-slope"}
+var Breaks = []string{"half", "forget", "wrong-slope", "unbounded"}
 
 const (
 	forgotten  = 50  // an account that forgets leaves out one in so many
@@ -52,11 +53,25 @@
 	samples  []sample
 	told     []told
 	shares   *shares
+	hottest  hottest
 	late     clock.Micros
 	crowds   map[int]bool // sizes of membership that were simulated
 	restless []string     // sizes at which members still told each other who joined
 }
 
+// hottest is the most that any sidecar's messages took in one second, in and out, and where.
+type hottest struct {
+	bytes   int64
+	sidecar int
+	size    string
+}
+
+func (h *hottest) take(a *hollow.Account, from, to brain.Micros, where string) {
+	if most, sidecar := a.Hottest(from, to); most > h.bytes {
+		*h = hottest{most, sidecar, where}
+	}
+}
+
 // sums are what must add up at one size.
 type sums struct {
 	size                           Size
@@ -89,6 +104,7 @@
 	if o.Say == nil {
 		g.o.Say = func(string) {}
 	}
+	r.unbound = o.Break == "unbounded"
 	if err := g.play(); err != nil {
 		return nil, err
 	}
@@ -248,7 +264,9 @@
 	n, span := z.Sidecars, b.at.Sub(a.at).Seconds()
 	late := f.alarms.Late()
 	g.late = max(g.late, late.Quantile(0.99))
-	wasIn, wasOut := f.account.Worst(brain.Micros(a.at.Sub(f.begun).Microseconds()), brain.Micros(b.at.Sub(f.begun).Microseconds()))
+	from, to := brain.Micros(a.at.Sub(f.begun).Microseconds()), brain.Micros(b.at.Sub(f.begun).Microseconds())
+	wasIn, wasOut := f.account.Worst(from, to)
+	g.hottest.take(f.account, from, to, "on sockets, "+z.String())
 	for name, p := range g.messages(z, span, a.in, a.out, b.in, b.out, f.run.Real) {
 		switch name {
 		case "peers.bytes_in":
@@ -387,9 +405,9 @@
 		}
 		return messages, bytes
 	}
-	owned := []brain.Note{brain.Ask, brain.Began, brain.Waits, brain.Ended}
+	owned := []brain.Note{brain.Ask, brain.Began, brain.Waits, brain.Ended, summary.Summary}
 	for way, of := range map[string]func(i int) hollow.Kinds{"in": ins, "out": outs} {
-		theirs, ordinary := owned, []brain.Note{brain.Quote}
+		theirs, ordinary := owned, []brain.Note{brain.Quote, summary.Estimate}
 		if way == "out" {
 			theirs, ordinary = ordinary, theirs
 		}
@@ -408,6 +426,7 @@
 		z      Size
 		points map[string]size.Point
 		worst  [2]int64
+		most   hottest
 		took   time.Duration
 		err    error
 	}
@@ -423,8 +442,8 @@
 		go func() {
 			defer all.Done()
 			begun := time.Now()
-			points, worst, err := g.simulated(z)
-			ends[i] = got{z, points, worst, time.Since(begun), err}
+			points, worst, most, err := g.simulated(z)
+			ends[i] = got{z, points, worst, most, time.Since(begun), err}
 			<-places
 		}()
 	}
@@ -434,6 +453,9 @@
 			return fmt.Errorf("simulated, %v: %w", e.z, e.err)
 		}
 		g.say("simulated: %v, in %.1f s", e.z, e.took.Seconds())
+		if e.most.bytes > g.hottest.bytes {
+			g.hottest = e.most
+		}
 		for _, name := range sorted(e.points) {
 			p := e.points[name]
 			switch name {
@@ -471,10 +493,10 @@
 }
 
 // simulated plays one.
-func (g *rig) simulated(z Size) (map[string]size.Point, [2]int64, error) {
+func (g *rig) simulated(z Size) (points map[string]size.Point, worst [2]int64, most hottest, err error) {
 	s, err := scenario.Parse("(size)", g.text(z, true))
 	if err != nil {
-		return nil, [2]int64{}, err
+		return nil, worst, most, err
 	}
 	service := newService(0, 0, time.Now())
 	var hosts []host
@@ -489,7 +511,7 @@
 	}
 	saved, err := discovery.Read(known, zones)
 	if err != nil {
-		return nil, [2]int64{}, err
+		return nil, worst, most, err
 	}
 	w, err := hollow.NewWorld(z.Sidecars, brain.Micros(g.Way), hollow.NewFleet(g.Cores, brain.Micros(g.Queue), brain.Micros(g.Trip)),
 		func(i int) (*site.Manifest, error) {
@@ -501,7 +523,7 @@
 			return site.Parse(text)
 		}, saved, func(i int) hollow.Load { return g.load(i, float64(z.Visits)) })
 	if err != nil {
-		return nil, [2]int64{}, err
+		return nil, worst, most, err
 	}
 	w.Run(brain.Micros(g.SimWarmup))
 	in0, out0 := w.Account.Look()
@@ -509,7 +531,8 @@
 	w.Run(brain.Micros(g.SimSpan))
 	in1, out1 := w.Account.Look()
 	in, out := w.Account.Worst(from, w.Now())
-	return g.messages(z, float64(g.SimSpan)/1e6, in0, out0, in1, out1, 0), [2]int64{in, out}, nil
+	most.take(w.Account, 0, w.Now(), "simulated, "+z.String()) // from the start on: the herd at a start is bounded too
+	return g.messages(z, float64(g.SimSpan)/1e6, in0, out0, in1, out1, 0), [2]int64{in, out}, most, nil
 }
 
 func sorted[T any](m map[string]T) (names []string) {
--- a/lab/sim/sidecar.go
+++ b/lab/sim/sidecar.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"ledgespread/brain"
+	"ledgespread/decide/summary"
+	"ledgespread/internal/notes"
 )
 
 // Ending is a visit's final answer.
@@ -52,22 +54,24 @@
 
 // Sidecar is one module with what stands in for the rest of its process.
 type Sidecar struct {
-	B       *brain.Balancer
-	Me      brain.Peer
-	Zone    brain.Zone
-	Down    bool
-	Starts  map[brain.Backend]Micros // of each server, by the list it was told last
-	Leaving map[brain.Backend]Micros // told so then
-	net     *Net
-	site    brain.Site
-	classes []class
-	visits  map[brain.VisitID]*Visit
-	life    int // of its processes
-	Firsts  int // fetches: first ones of visits, and others
-	Retries int
-	Said    int // messages to other sidecars
-	Heard   int
-	Hooks   Hooks
+	B                 *brain.Balancer
+	Me                brain.Peer
+	Zone              brain.Zone
+	Down              bool
+	Starts            map[brain.Backend]Micros // of each server, by the list it was told last
+	Leaving           map[brain.Backend]Micros // told so then
+	net               *Net
+	site              brain.Site
+	classes           []class
+	visits            map[brain.VisitID]*Visit
+	life              int // of its processes
+	Firsts            int // fetches: first ones of visits, and others
+	Retries           int
+	Said              int // messages to other sidecars, and bytes of those, heads counted
+	Heard             int
+	BytesOut, BytesIn int64
+	words             *summary.Aggregator // nil: what the module tells goes out as it is
+	Hooks             Hooks
 }
 
 // Hooks hear of what a sidecar does, where a test or a measurement wants to.
@@ -85,6 +89,8 @@
 	Beyond  func(from *Sidecar, to *Server) bool // nothing comes through now
 	Grace   Micros                               // from being told that a server leaves to the last fetch it may get
 	Mislead func(brain.Site)                     // a fault put in on purpose: the modules' settings say something else than holds
+	Bound   float64                              // bytes a second that a sidecar's messages may take, in and out; 0: none
+	Unmeant int                                  // messages that no sidecar can mean
 	Deaf    bool                                 // another: the modules are not told that servers leave
 	Broken  [5]int                               // by rule
 	First   string                               // the first break, in words
@@ -138,7 +144,12 @@
 	s.life++
 	s.Down, s.visits = false, map[brain.VisitID]*Visit{}
 	s.Starts, s.Leaving = map[brain.Backend]Micros{}, map[brain.Backend]Micros{}
-	s.B, err = brain.New(s.net.Now, s.site, seed, ports{s, s.life})
+	mine := ports{s, s.life}
+	if s.net.Bound > 0 {
+		s.words = summary.New(summary.Limits{Bytes: s.net.Bound, Sidecars: int(s.site["balancers"].(float64)), Me: s.Me, Seed: seed,
+			Longest: Micros(s.site["path_prefixes.0.client_timeout_us"].(float64))}, mine)
+	}
+	s.B, err = brain.New(s.net.Now, s.site, seed, mine)
 	return err
 }
 
@@ -445,15 +456,44 @@
 }
 
 func (p ports) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
-	other, mine := p.net.Cars[to], slices.Clone(figures)
+	if p.words != nil {
+		p.words.Told(p.net.Now, to, kind, about, figures...)
+		return
+	}
+	p.Send(to, kind, about, figures...)
+}
+
+// Send sends a message to another sidecar.
+func (p ports) Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	other, mine, size := p.net.Cars[to], slices.Clone(figures), int64(notes.Size(len(figures)))
 	p.Said++
+	p.BytesOut += size
 	if p.net.Apart != nil && p.net.Apart(p.Sidecar, other) {
 		return
 	}
 	p.net.After(p.net.Way, func() {
-		if !other.Down {
-			other.Heard++
-			other.B.Heard(p.net.Now, p.Me, kind, about, mine...)
+		if other.Down {
+			return
+		}
+		other.Heard++
+		other.BytesIn += size
+		if other.words != nil {
+			other.words.Heard(p.net.Now, p.Me, kind, about, mine...)
+			return
+		}
+		other.B.Heard(p.net.Now, p.Me, kind, about, mine...)
+	})
+}
+
+// Refused is a message that no sidecar can mean.
+func (p ports) Refused(from brain.Peer, why string) { p.net.Unmeant++ }
+
+// Hear has the module hear a message, when the call that goes on is over.
+func (p ports) Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+	mine := slices.Clone(figures)
+	p.net.After(0, func() {
+		if p.live() {
+			p.B.Heard(p.net.Now, from, kind, about, mine...)
 		}
 	})
 }
