Scale: sizes with a bound on messages, and what an owner and the ledger cost

Cause: the rig knew no bound; owner.cpu, ledger.cpu and their memory were in no run, so two clauses of docs/CAPACITY.md had no verdict. Processor time of owner and ledger: their messages at the receivers, by what one costs. TestBounded: the claim holds with the bound and fails with the break.

--- a/lab/scale/cpu.go
+++ b/lab/scale/cpu.go
@@ -51,11 +51,36 @@
 		return
 	}
 	g.shares = &s
-	g.points[size.ControlCPU] = nil
+	for _, name := range []string{size.ControlCPU, size.Owner + ".cpu", size.Ledger + ".cpu"} {
+		g.points[name] = nil
+	}
 	for _, x := range g.told {
-		p := spread(len(x.messages), len(x.messages), func(k int) float64 { return s.base + s.message*x.messages[k] })
-		g.add(size.ControlCPU, x.at, p)
+		g.share(x)
+	}
+}
+
+// share books what control costs at one size, by the shares: of real ones, and of the one with most messages, and of the ledger.
+func (g *rig) share(x told) {
+	core := func(messages float64) float64 { return g.shares.base + g.shares.message*messages }
+	g.add(size.ControlCPU, x.at, spread(len(x.messages), len(x.messages), func(k int) float64 { return core(x.messages[k]) }))
+	g.add(size.Owner+".cpu", x.at, size.Point{Mean: core(x.owner)})
+	g.add(size.Ledger+".cpu", x.at, size.Point{Mean: core(x.ledger)})
+}
+
+// busiest are the messages a second, in and out, of the sidecar that has most, and of the one that has most of tenants.
+func busiest(a, b *look, span float64) (owner, ledger float64) {
+	tenants := 0.0
+	for i := range b.in {
+		in, out, all := b.in[i].Less(a.in[i]), b.out[i].Less(a.out[i]), 0.0
+		for kind := range in.Messages {
+			all += float64(in.Messages[kind]+out.Messages[kind]) / span
+		}
+		_, of := in.Split()
+		if owner = max(owner, all); float64(of[0]) > tenants {
+			tenants, ledger = float64(of[0]), all
+		}
 	}
+	return owner, ledger
 }
 
 // toldShares puts the fit into the report.
@@ -77,8 +102,9 @@
 	}
 }
 
-// told is the messages of the real processes at one size.
+// told is the messages of the real processes at one size, and of those that have most.
 type told struct {
-	at       size.At
-	messages []float64
+	at            size.At
+	messages      []float64
+	owner, ledger float64
 }
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -166,7 +166,7 @@
 	}
 	if g.shares != nil { // by the shares that the smaller sizes gave
 		last := g.told[len(g.told)-1]
-		g.add(size.ControlCPU, last.at, spread(len(last.messages), len(last.messages), func(k int) float64 { return g.shares.base + g.shares.message*last.messages[k] }))
+		g.share(last)
 	}
 	if err := g.simulate(after); err != nil {
 		return err
@@ -336,10 +336,16 @@
 	if silent > 0 {
 		g.add("control.cpu_over_silent", at, size.Point{Mean: on.Mean - off.Mean, Most: on.Most - off.Mean, Real: on.Mean - off.Mean})
 	}
-	g.told = append(g.told, told{at, g.sampled(f, a, b, span)})
+	t := told{at: at, messages: g.sampled(f, a, b, span)}
+	t.owner, t.ledger = busiest(a, b, span)
+	g.told = append(g.told, t)
 	g.add("process.cpu", at, on)
 	const mb = 1024.0 / 1e6
-	g.add(size.Memory, at, spread(real, real, func(k int) float64 { return float64(b.cars[k].memory) * mb }))
+	memory := spread(real, real, func(k int) float64 { return float64(b.cars[k].memory) * mb })
+	g.add(size.Memory, at, memory)
+	for _, role := range []string{size.Owner, size.Ledger} {
+		g.add(role+".memory_mb", at, size.Point{Mean: memory.Most, Real: memory.Most})
+	}
 	if first { // nothing was sent to it yet
 		g.add("memory.idle_mb", at, spread(real, real, func(k int) float64 { return float64(idle.cars[k].memory) * mb }))
 	}
@@ -416,6 +422,11 @@
 		servers, sidecars := float64(z.Servers), float64(n)
 		all["owner.messages_"+way] = size.Point{Mean: m/servers + om/sidecars}
 		all["owner.bytes_"+way] = size.Point{Mean: b/servers + ob/sidecars}
+		if g.Bound > 0 { // what an owner has does not grow with its servers: the most loaded sidecar's stands for it
+			for _, unit := range []string{"messages_", "bytes_"} {
+				all["owner."+unit+way] = size.Point{Mean: all["peers."+unit+way].Most}
+			}
+		}
 	}
 	return all
 }
@@ -569,8 +580,7 @@
 			about{"sockets.peers." + way, unit, "the same on sockets, hollow ones beside real ones", receivers, []string{"visits_per_s"}, false, thin},
 			about{"tenants." + way, unit, "what sidecars tell of tenants, a sidecar", simulated, []string{"tenants"}, false, nil},
 			about{"ledger." + way, unit, "the one sidecar that keeps the tenants' totals", simulated, []string{"sidecars", "sidecars*tenants"}, true, nil},
-			about{"owner." + way, unit, fmt.Sprintf("one that owns one server's count, of %d in the list; with n servers its part of all is so much less or more", g.ownedOf()), simulated,
-				[]string{"visits_per_s", "visits_per_s*sidecars"}, true, func(at size.At) bool { return thin(at) && int(at["servers"]) == g.ownedOf() }},
+			g.owner(way, unit),
 			about{"membership." + way, unit, "who is there, a sidecar, datagrams and full exchanges, when all are acquainted", simulated, []string{"sidecars"}, strings.HasSuffix(way, "_out"), nil},
 			about{"sockets.membership." + way, unit, "the same on sockets, at sizes at which the news of who joined had faded", "members' own counters, heads added", []string{"sidecars"}, false, nil},
 			about{"list." + way, unit, "calls of the list's service when nothing changes, a sidecar: bytes of heads and bodies, no headers of TCP", "the list's service's", []string{"sidecars"}, way == "messages_out", nil})
@@ -578,6 +588,10 @@
 	add(about{size.ServiceNow, "1/s", "calls of the list's service, calm", "the list's service's", []string{"sidecars"}, true, nil},
 		about{size.ServiceOut, "B/s", "bytes that the list's service answers, calm", "the list's service's", []string{"sidecars"}, false, nil},
 		about{size.ControlCPU, "core", "processor time of real ones for all but visits: what they use without one, and their messages, by least squares over the processes", rusage, []string{"visits_per_s"}, false, nil},
+		about{size.Owner + ".cpu", "core", "the same of the sidecar with most messages between sidecars, by their number at the receivers and what one costs", rusage, []string{"visits_per_s"}, false, nil},
+		about{size.Ledger + ".cpu", "core", "the same of the sidecar with most messages of tenants", rusage, []string{"visits_per_s"}, false, nil},
+		about{size.Owner + ".memory_mb", "MB", "resident memory of the largest real one at work, owners of servers among them", rusage, []string{"visits_per_s", "sidecars", "servers"}, false, nil},
+		about{size.Ledger + ".memory_mb", "MB", "the same: no real one need be the ledger, which holds two figures a tenant more", rusage, []string{"visits_per_s", "sidecars", "servers"}, false, nil},
 		about{"control.cpu_over_silent", "core", "processor time of real ones that are members and tell others, over those that are neither, at the same visits; these send second copies, which costs them more", rusage, []string{"visits_per_s", "sidecars"}, false, nil},
 		about{"control.cpu_by_rate", "core", "the same where sidecars of different rates stand side by side", rusage, []string{"visits_per_s"}, false, nil},
 		about{size.VisitCPU, "us", "processor time a visit of real ones that tell others nothing, side by side at different rates", rusage, []string{"visits_per_s"}, false, nil},
@@ -589,6 +603,15 @@
 	return all
 }
 
+// owner is the slope of a sidecar that owns servers' counts.
+func (g *rig) owner(way, unit string) about {
+	if g.Bound > 0 {
+		return about{"owner." + way, unit, "the most loaded sidecar, an owner of several servers, within a bound", simulated, []string{"visits_per_s", "sidecars"}, false, thin}
+	}
+	return about{"owner." + way, unit, fmt.Sprintf("one that owns one server's count, of %d in the list; with n servers its part of all is so much less or more", g.ownedOf()), simulated,
+		[]string{"visits_per_s", "visits_per_s*sidecars"}, true, func(at size.At) bool { return thin(at) && int(at["servers"]) == g.ownedOf() }}
+}
+
 // ownedOf is the number of servers at which owners are compared: that of the most simulated sizes.
 func (g *rig) ownedOf() int {
 	counts, best := map[int]int{}, 0
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -358,3 +358,33 @@
 		t.Error(err)
 	}
 }
+
+// A fleet in simulated time whose messages have a bound keeps to it in every second from the start on, as the claim has it; where some have
+// twenty times that, the claim fails.
+func TestBounded(t *testing.T) {
+	if _, err := Read("../size/bounded.toml"); err != nil {
+		t.Error(err)
+	}
+	got := ""
+	for _, wrong := range []string{"", "unbounded"} {
+		g := made(t, wrong)
+		g.Bound, g.Tenants, g.SimWarmup, g.SimSpan, g.unbound = 3000, 5, scenario.Span(2*clock.Second), scenario.Span(2*clock.Second), wrong != ""
+		points, _, most, err := g.simulated(Size{Sidecars: 30, Servers: 27, Visits: 200, Tenants: 5})
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.hottest = most
+		if err := g.predict(g.Sizes[4]); err != nil {
+			t.Fatal(err)
+		}
+		g.claims()
+		for _, c := range g.report.Claims {
+			if strings.Contains(c.Claim, "bound") {
+				got += fmt.Sprintf("%q: summaries go: %v, within the bound: %v; ", wrong, points["peers.messages_out"].Mean > 1, c.Holds)
+			}
+		}
+	}
+	if want := `"": summaries go: true, within the bound: true; "unbounded": summaries go: true, within the bound: false; `; got != want {
+		t.Errorf("got %s, wanted %s", got, want)
+	}
+}
