--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -21,12 +21,13 @@
 	Zone    Kind = "zone"    // all of one zone falls silent, its sidecars with it, and comes back cold
 	Rack    Kind = "rack"    // the same of a part of the servers, over all zones
 	Day     Kind = "day"     // failures and replacements of a day, squeezed
+	Changes Kind = "changes" // such a day with its changes of configuration
 	Slow    Kind = "slow"    // one server of eight takes five times as long from some time on
 	Regions Kind = "regions" // apart for longer than forget; a server of each is restarted shortly before they meet
 )
 
 // Kinds are all of them.
-var Kinds = []Kind{Calm, Zone, Rack, Day, Regions}
+var Kinds = []Kind{Calm, Zone, Rack, Day, Changes, Regions}
 
 // Run is what is played.
 type Run struct {
@@ -95,7 +96,8 @@
 	VisitsPerS  float64        `json:"visits_per_s"`   // of a sidecar, in the mean
 	Most        float64        `json:"visits_per_s_most"`
 	Seconds     float64        `json:"seconds"`
-	Factor      float64        `json:"factor,omitempty"` // a day was made so much shorter
+	Factor      float64        `json:"factor,omitempty"`  // a day was made so much shorter
+	Changes     int            `json:"changes,omitempty"` // of configuration, each taken over by each sidecar that was up
 	Visits      int            `json:"visits"`
 	Delivered   float64        `json:"delivered"`
 	WorstSecond float64        `json:"delivered_worst_second"`
@@ -165,6 +167,7 @@
 	heard   []int  // by second, the most that any sidecar heard
 	patient Micros // so much longer the modules are told that clients wait
 	was     []int
+	changed int
 	bytes   []int64 // by sidecar, till the last second
 	most    []int64 // by second, the most of any sidecar
 	took    *hdrhistogram.Histogram
@@ -405,6 +408,10 @@
 		})
 	case Day:
 		return f.day(at)
+	case Changes:
+		end = f.day(at)
+		f.changes(at, end)
+		return end
 	case Regions:
 		return f.apart(at)
 	}
@@ -506,6 +513,43 @@
 	return end
 }
 
+// changes has configurations come one after the other, each to all sidecars within the time that the terms say, but never after a later one.
+// Each counts by itself, over the settings that the sidecar was started with. The judge goes on by those, so none is looser.
+func (f *fleet) changes(at, end Micros) {
+	s := f.Settings
+	each := func(name string, value any) brain.Site {
+		over := brain.Site{}
+		for i := range sim.Effects {
+			over[fmt.Sprintf("path_prefixes.%d.%s", i, name)] = value
+		}
+		return over
+	}
+	all := []brain.Site{nil,
+		{"allowed.max_backend_fetches": float64(max(1, s.Fetches/2))},
+		each("memory_span_us", float64(s.Window)*0.6),
+		{"obligations.cold_from": s.ColdFrom * 0.8, "obligations.fall_multiple": s.FallMultiple * 0.8},
+		each("target_latency_us", float64(s.Target)*0.8),
+		each("value", 0.5),
+		{"allowed.cancel": false, "allowed.conn_idle_us": 5e6, "allowed.max_retry_after_us": 1e6},
+	}
+	in := make([]int, len(f.net.Cars)) // the number that is in force
+	for i := 1; i <= f.Times.Changes; i++ {
+		over := all[i%len(all)]
+		f.At(at+Micros(float64(end-at)*float64(i-1)/float64(f.Times.Changes)), func() {
+			f.changed++
+			for k, car := range f.net.Cars {
+				f.After(Micros(f.draws.Float()*float64(f.Times.InForce)), func() {
+					if in[k] < i {
+						if in[k] = i; car.Lay(over) != nil {
+							panic("a configuration was refused") // it is the terms' own
+						}
+					}
+				})
+			}
+		})
+	}
+}
+
 // apart cuts the regions from each other for longer than the group's forget. Each side's count of senders is as
 // docs/membership.md has it: all, until the dead are forgotten; then its own, on the side that has the greater part. The list
 // names all, since neither side's discovery hears of the other's end.
@@ -558,7 +602,7 @@
 	if f.run.Pool {
 		g.Shape = "pool"
 	}
-	if f.run.Kind == Day {
+	if f.run.Kind == Day || f.run.Kind == Changes {
 		g.Factor = 86400e6 / float64(f.Times.Day)
 	}
 	again := 0
@@ -586,6 +630,7 @@
 			g.Turned[why] += k
 		}
 	}
+	g.Changes = f.changed
 	g.Cold = f.cold()
 	g.Broken[4] = g.Cold.Falls
 	if g.First == "" && g.Cold.Falls > 0 {
--- a/lab/faults/sweep.go
+++ b/lab/faults/sweep.go
@@ -134,7 +134,7 @@
 		"sockets, machines and clock: simulated; the module's decisions are the program's own (brain.Balancer)",
 		"a server: one core, a queue of bounded length, linear warm-up; what is called off runs on",
 		"membership beside the module: the count of senders falls to the greater part's own, the worst that docs/membership.md says; the group's own runs are the program's own (decide/membership)",
-		"configuration: changes need a restart today, so none of a day's 1,700 is played"},
+		"configuration: what a change says is the lab's, none looser than the settings at the start; that it comes is drawn, not played (docs/rollout.md plays that)"},
 		Slopes: []size.Slope{}, Events: []size.Event{}, Agree: []size.Agree{}, Claims: []size.Claim{}}
 	before := slices.DeleteFunc(slices.Clone(all), func(f Figures) bool { return f.Sidecars == largest })
 	earlier := slopes(before)
--- a/lab/faults/terms.go
+++ b/lab/faults/terms.go
@@ -68,6 +68,8 @@
 		Day          Span    `toml:"day"`
 		Failures     float64 `toml:"failures"`
 		Replacements float64 `toml:"replacements"`
+		Changes      int     `toml:"changes"`
+		InForce      Span    `toml:"in_force"`
 		Drain        Span    `toml:"drain"`
 		Forget       Span    `toml:"forget"`
 		Rejoin       Span    `toml:"rejoin"`
@@ -149,6 +151,8 @@
 		{m.Day < 10e6, "times", "day", "must be ten seconds at least"},
 		{!(m.Failures >= 0) || m.Failures > 1000, "times", "failures", "must lie between 0 and 1000"},
 		{!(m.Replacements >= 0) || m.Replacements > 1000, "times", "replacements", "must lie between 0 and 1000"},
+		{m.Changes < 0 || m.Changes > 100_000, "times", "changes", "must lie between 0 and 100000"},
+		{m.InForce <= 0, "times", "in_force", "must be over 0s"},
 		{m.Drain <= Span(f.Told), "times", "drain", "must be more than told"},
 		{m.Forget < 1e6, "times", "forget", "must be a second at least"},
 		{m.GroupForget < 1e6, "times", "group_forget", "must be a second at least"},
--- a/lab/sim/sidecar.go
+++ b/lab/sim/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"ledgespread/brain"
@@ -62,6 +63,7 @@
 	Leaving           map[brain.Backend]Micros // told so then
 	net               *Net
 	site              brain.Site
+	over              brain.Site // a configuration laid over that: the settings in force
 	classes           []class
 	visits            map[brain.VisitID]*Visit
 	life              int // of its processes
@@ -149,10 +151,25 @@
 		s.words = summary.New(summary.Limits{Bytes: s.net.Bound, Sidecars: int(s.site["balancers"].(float64)), Me: s.Me, Seed: seed,
 			Longest: Micros(s.site["path_prefixes.0.client_timeout_us"].(float64))}, mine)
 	}
-	s.B, err = brain.New(s.net.Now, s.site, seed, mine)
+	s.B, err = brain.New(s.net.Now, s.settings(), seed, mine)
 	return err
 }
 
+func (s *Sidecar) settings() brain.Site {
+	site := maps.Clone(s.site)
+	maps.Copy(site, s.over)
+	return site
+}
+
+// Lay has a configuration hold over the sidecar's own settings, in place of the one before, without a restart. The judge goes on by the
+// settings that the sidecar joined with, so what is laid over may be stricter than those and no looser.
+func (s *Sidecar) Lay(over brain.Site) error {
+	if s.over = over; s.Down {
+		return nil
+	}
+	return s.B.Retune(s.net.Now, s.settings())
+}
+
 // Stop kills it: its visits have no answer any more, which is their client's loss and no rule's.
 func (s *Sidecar) Stop() {
 	s.Down = true
