Discovery: at a slow service the next held call begins before the last one's wait is over

Cause: at a service where a call takes a quarter of a second and more, calls are held for up to 12 s. One that fell silent is found half a second after its wait, and what it missed counts 2 s after that wait: 1.5 s are left, while the service takes as long as 2 s until a call's turn comes. Followed in one sidecar's log: a call of 11.6 s begun 1.6 s before the service hung, found silent at 12.1 s, the next answered 2.0 s later, 0.5 s too late. Change: the next call begins beside it, twice what a call takes before the wait is over, and is answered in time; no call more but for that. TestCrowded has this service now (hangs for 6 s; 2 s for a call of each, as much for one that goes on).

--- a/internal/discovery/crowd_test.go
+++ b/internal/discovery/crowd_test.go
@@ -277,7 +277,7 @@
 		all, continued time.Duration
 		tipped         string
 	}{{5, slow, 0, "refuses"}, {32, slow, 0, "refuses"}, {300, slow, 0, "refuses"}, {32, half, half, "refuses"}, {300, half, half, "refuses"},
-		{32, half, 0, "hangs"}, {300, slow, 0, "hangs"}} {
+		{32, half, 0, "hangs"}, {300, slow, 0, "hangs"}, {32, half, half, "hangs"}, {300, half, half, "hangs"}} {
 		t.Run(fmt.Sprintf("%s, %d sidecars, %v for all, %v to go on", c.tipped, c.many, c.all, c.continued), func(t *testing.T) {
 			t.Parallel()
 			s, at := newCrowded(t, c.many, c.all, c.continued)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -158,9 +158,13 @@
 		if pressing && hold > 0 {
 			go w.check(at, round, over)
 		}
-		list, err := w.ask(at, hold, pressing, back)
+		list, err := w.ask(at, round, hold, pressing, back)
 		close(over)
 		took := time.Since(began)
+		if errors.Is(err, errGoesOn) {
+			hold, asked = w.held(), false
+			continue
+		}
 		// It took the calls and answered none: asked on, since what it may have by now counts before the module asks again.
 		on := err != nil && pressing && hold == 0 && took >= waitMost
 		back = err != nil && !w.again && !on && !errors.Is(err, errSilent) && w.comesBack(round)
@@ -228,10 +232,12 @@
 var errSilent = errors.New("the watch fell silent")
 
 // ask makes one call, or several side by side where it presses.
-func (w *Watcher) ask(at *service, hold time.Duration, pressing, back bool) (*List, error) {
+func (w *Watcher) ask(at *service, round int, hold time.Duration, pressing, back bool) (*List, error) {
 	switch {
 	case back: // it may wait its turn first
 		return w.call(at, hold, again)
+	case hold > holdMost:
+		return w.ahead(at, round, hold)
 	case hold > 0:
 		return w.call(at, hold, hold+lateMost)
 	case w.again:
@@ -243,6 +249,37 @@
 	return w.call(at, 0, waitMost)
 }
 
+// errGoesOn is why a held call is waited for no longer: the next one begins beside it.
+var errGoesOn = errors.New("the next call begins before it is over")
+
+// ahead makes a call that a slow service may hold for longer. The next one begins before its wait is over, by as much as calls take there: if
+// this one fell silent, what it missed counts soon after, and at a service that works through its calls in turn the next is answered
+// only when its turn comes. What it brings all the same is told.
+func (w *Watcher) ahead(at *service, round int, hold time.Duration) (*List, error) {
+	type answer struct {
+		list *List
+		err  error
+	}
+	came := make(chan answer, 1)
+	go func() {
+		list, err := w.call(at, hold, hold+lateMost)
+		came <- answer{list, err}
+	}()
+	next := time.NewTimer(hold - w.soon())
+	defer next.Stop()
+	select {
+	case a := <-came:
+		return a.list, a.err
+	case <-next.C:
+		go func() {
+			if a := <-came; a.err == nil || errors.Is(a.err, errSilent) { // how else it ended, the next one finds out as well
+				w.news(at, round, a.list, a.err, false)
+			}
+		}()
+		return nil, errGoesOn
+	}
+}
+
 // check asks beside a held call that follows a silence, unless that is answered soon: guards against two silences in a row, since
 // what the first one hid counts as told all the same; and against a service that answers nothing at all, and is never called lost.
 func (w *Watcher) check(at *service, round int, over chan struct{}) {
