Summary: fetches that began under an owner no longer lead summaries back to it

Cause: the end of a fetch is told to the owner that heard of its beginning. Where the module had found another owner since, each such word led summaries back, and each next question away again, with a new drawn turn each time: none went out. Change: the owner is the one that the module asks. TestAnotherOwner fails on the code before (summaries went to nobody).

--- a/decide/summary/summary.go
+++ b/decide/summary/summary.go
@@ -168,7 +168,9 @@
 // round is one exchange for each server, at the least.
 func (a *Aggregator) round() Micros { return a.exchange() * Micros(len(a.row)) }
 
-func (a *Aggregator) server(id brain.Backend, owner brain.Peer, now Micros) *server {
+// server is what is kept of one. The owner is the one that the module asks of it now: fetches that began before tell of their end where they
+// told of their beginning.
+func (a *Aggregator) server(id brain.Backend, owner brain.Peer, asks bool, now Micros) *server {
 	s := a.known[id]
 	switch {
 	case s == nil:
@@ -178,12 +180,12 @@
 			a.firsts[owner] = &pacer{}
 		}
 		span := Micros(a.limits.Sidecars) * a.span(exchangeBytes, ownedPart)
-		s = &server{id: id, since: now, spentAt: now, turnAt: a.firsts[owner].take(now, span) + a.within(span)}
+		s = &server{id: id, owner: owner, since: now, spentAt: now, turnAt: a.firsts[owner].take(now, span) + a.within(span)}
 		a.known[id], a.row, a.nextDue = s, append(a.row, s), 0
-	case s.owner != owner: // guards the next owner against all who left the one before in one moment
-		s.turnAt = now + a.within(max(s.turn, a.round()))
+	case asks && s.owner != owner: // guards the next owner against all who left the one before in one moment
+		s.owner, s.turnAt = owner, now+a.within(max(s.turn, a.round()))
 	}
-	s.owner, s.touched = owner, now
+	s.touched = now
 	return s
 }
 
@@ -206,13 +208,13 @@
 	case kind == brain.Quote || kind == brain.TenantsTotal || !a.bounded():
 		a.out.Send(to, kind, about, figures...)
 	case kind == brain.Ask:
-		a.asked(now, a.server(about, to, now))
+		a.asked(now, a.server(about, to, true, now))
 	case kind == brain.Began:
-		a.server(about, to, now).hold(now, 1)
+		a.server(about, to, false, now).hold(now, 1)
 	case kind == brain.Waits:
-		a.server(about, to, now).seen.silent++
+		a.server(about, to, false, now).seen.silent++
 	case kind == brain.Ended:
-		s, rc := a.server(about, to, now), brain.Result(figures[0])
+		s, rc := a.server(about, to, false, now), brain.Result(figures[0])
 		s.hold(now, -1)
 		s.seen.add(rc, figures[1], figures[2], figures[3])
 		if rc == brain.Delivered {
--- a/decide/summary/summary_test.go
+++ b/decide/summary/summary_test.go
@@ -153,6 +153,29 @@
 	matches(t, b.String())
 }
 
+// Where the module has found another owner, summaries go there, though fetches that began before tell the one before of their end.
+func TestAnotherOwner(t *testing.T) {
+	g, p := begin(11_000)
+	g.Told(0, 1, brain.Ask, a)
+	g.Told(0, 1, brain.Began, a)
+	now := Micros(1_000_000)
+	g.Told(now, 2, brain.Ask, a)
+	for ; now < 2_000_000; now += 10_000 {
+		g.Told(now, 1, brain.Waits, a) // as to the owner that it told of its beginning
+		g.Told(now, 2, brain.Ask, a)
+	}
+	g.Told(now, 1, brain.Ended, a, float64(brain.Delivered), 10, 10, 10)
+	to := map[brain.Peer]bool{}
+	for _, n := range p.take() {
+		if n.kind == Summary {
+			to[n.peer] = true
+		}
+	}
+	if len(to) != 1 || !to[2] {
+		t.Errorf("summaries went to %v", to)
+	}
+}
+
 // Figures that no fetches can have are refused, and the module hears nothing of them.
 func TestRefused(t *testing.T) {
 	good := []float64{2, 1, 0, 0, 0, 20_000, 10_000, 15_000, 400_000, 100_000}
