--- a/cmd/ledgelab/commands.go
+++ b/cmd/ledgelab/commands.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"ledgespread/lab/cars"
+	"ledgespread/lab/sidecars"
 )
 
 // beside is the sidecar's binary: that of the same build, beside this one.
@@ -22,12 +22,12 @@
 }
 
 // program is a sidecar's binary as the stage starts it.
-func program(path string) (cars.Program, error) {
+func program(path string) (sidecars.Program, error) {
 	if _, err := os.Stat(path); err != nil {
-		return cars.Program{}, fmt.Errorf("no sidecar to play with: %w (build it beside this program, or name it by --sidecar)", err)
+		return sidecars.Program{}, fmt.Errorf("no sidecar to play with: %w (build it beside this program, or name it by --sidecar)", err)
 	}
 	whole, err := filepath.Abs(path)
-	return cars.Program{Path: whole, Args: []string{"serve", "--log", "warn"}, Name: filepath.Base(path)}, err
+	return sidecars.Program{Path: whole, Args: []string{"serve", "--log", "warn"}, Name: filepath.Base(path)}, err
 }
 
 // interrupted is closed when an interrupt, SIGTERM or a hang-up comes: the run then ends by itself and takes all that it
--- a/cmd/ledgelab/experiments.go
+++ b/cmd/ledgelab/experiments.go
@@ -9,9 +9,9 @@
 
 	"github.com/spf13/cobra"
 
-	"ledgespread/lab/badcar"
 	"ledgespread/lab/bare"
 	"ledgespread/lab/compare"
+	"ledgespread/lab/faulty"
 	"ledgespread/lab/load"
 	"ledgespread/lab/prove"
 	"ledgespread/lab/report"
@@ -22,18 +22,18 @@
 // demoFleet is what `ledgelab demo` plays.
 const demoFleet = `
 name = "demo"
-told = "six boxes in two zones, two sidecars; one box dies and returns cold"
+told = "six backends in two zones, two sidecars; one backend dies and returns cold"
 seed = 1
 length = "20s"
 warmup = "1s"
 zones = ["bangna", "lat-krabang"]
 [sidecars]
 count = 2
-[[box]]
+[[backend]]
 count = 3
 zone = "bangna"
 speed = 1.6
-[[box]]
+[[backend]]
 count = 3
 zone = "lat-krabang"
 [[prefix]]
@@ -66,18 +66,18 @@
 at = "7s"
 for = "4s"
 what = "kill_cold"
-boxes = "b1"
+backends = "b1"
 `
 
 func demoCommand() *cobra.Command {
 	var o common
-	c := &cobra.Command{Use: "demo", Short: "A small fleet, two sidecars, traffic, one box killed; ends by itself in 20 s, or at Ctrl-C", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "demo", Short: "A small fleet, two sidecars, traffic, one backend killed; ends by itself in 20 s, or at Ctrl-C", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			s, err := scenario.Parse("(demo)", []byte(demoFleet))
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(c.OutOrStdout(), "%s.\nThe sidecars are processes of their own; boxes, list and clients are stand-ins of this program.\n\n", s.Told)
+			fmt.Fprintf(c.OutOrStdout(), "%s.\nThe sidecars are processes of their own; backends, list and clients are stand-ins of this program.\n\n", s.Told)
 			return o.play(c, s)
 		}}
 	o.flags(c)
@@ -149,7 +149,7 @@
 			if tenant != "" {
 				tenants = fmt.Sprintf("[[tenant]]\nname = %q\nshare = 1\n", tenant)
 			}
-			s, err := scenario.Parse("(flags)", fmt.Appendf(nil, "name = \"load\"\nlength = %q\n[[box]]\n[[prefix]]\nname = %q\nwork = \"1ms\"\n"+
+			s, err := scenario.Parse("(flags)", fmt.Appendf(nil, "name = \"load\"\nlength = %q\n[[backend]]\n[[prefix]]\nname = %q\nwork = \"1ms\"\n"+
 				"target_latency = %q\nclient_timeout = %q\n%s[traffic]\nrate = %q\nshape = %q\n", span, prefix, timeout, timeout, tenants, rate, shape))
 			if err != nil {
 				return err
@@ -230,7 +230,7 @@
 
 func plotCommand() *cobra.Command {
 	var to string
-	c := &cobra.Command{Use: "plot REPORT...", Short: "Draw reports as PNG: latency by time, service by second, load by box, events marked", Args: cobra.MinimumNArgs(1),
+	c := &cobra.Command{Use: "plot REPORT...", Short: "Draw reports as PNG: latency by time, service by second, load by backend, events marked", Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			for _, file := range args {
 				r, err := report.Load(file)
@@ -298,8 +298,8 @@
 	plain := &cobra.Command{Use: "bare", Short: "Be a forwarder that takes no decision", Hidden: true, Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return bare.Serve(os.Getenv("RELAY_CONFIG")) }}
 	var way string
-	bad := &cobra.Command{Use: "badcar", Short: "Be a sidecar that breaks one rule", Hidden: true, Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return badcar.Serve(os.Getenv("RELAY_CONFIG"), way) }}
+	bad := &cobra.Command{Use: "faulty", Short: "Be a sidecar that breaks one rule", Hidden: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return faulty.Serve(os.Getenv("RELAY_CONFIG"), way) }}
 	bad.Flags().StringVar(&way, "break", "honest", "the way")
 	return []*cobra.Command{plain, bad}
 }
--- a/cmd/ledgelab/screen.go
+++ b/cmd/ledgelab/screen.go
@@ -57,9 +57,9 @@
 	row("a second  %10.0f %10.0f %10.0f %10.0f", rate(l.Delivered, s.before.Delivered), rate(l.Bounced, s.before.Bounced),
 		rate(l.Errored, s.before.Errored), rate(l.Lost, s.before.Lost))
 	const most = 20
-	for i, x := range l.Boxes {
+	for i, x := range l.Backends {
 		if i == most {
-			row("  and %d boxes more", len(l.Boxes)-most)
+			row("  and %d backends more", len(l.Backends)-most)
 			break
 		}
 		state := ""
--- a/cmd/ledgespread/endings_test.go
+++ b/cmd/ledgespread/endings_test.go
@@ -25,7 +25,7 @@
 // server that it tells of; staff reach the second address all the while.
 func TestFullDescriptors(t *testing.T) {
 	t.Setenv("LEDGESPREAD_DESCRIPTORS", "64")
-	at, seen := box(t, "s1")
+	at, seen := standIn(t, "s1")
 	d := discover(t, line("s1", at, "in_service"))
 	away := free(t) // nobody is there yet
 	file, listen := patientFile(t, away, "on_request")
--- a/cmd/ledgespread/leaving_test.go
+++ b/cmd/ledgespread/leaving_test.go
@@ -66,8 +66,8 @@
 	return fmt.Sprint(resp.StatusCode, " ", string(body))
 }
 
-// box is a stand-in server that answers with its name, and counts.
-func box(t *testing.T, name string) (at string, seen *atomic.Int64) {
+// standIn is a stand-in server that answers with its name, and counts.
+func standIn(t *testing.T, name string) (at string, seen *atomic.Int64) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -180,7 +180,7 @@
 		t.Fatal(err)
 	}
 	defer first.Close()
-	at, seen := box(t, "s1")
+	at, seen := standIn(t, "s1")
 	d := discover(t, line("s0", ln.Addr().String(), "in_service"))
 	file, listen := patientFile(t, d.at, "on_request", line("s0", ln.Addr().String(), "in_service"))
 	program, log := launch(t, file)
@@ -239,8 +239,8 @@
 	for _, how := range []string{"on_request", "pushed"} {
 		t.Run(how, func(t *testing.T) {
 			t.Parallel()
-			one, seen := box(t, "s0")
-			two, _ := box(t, "s1")
+			one, seen := standIn(t, "s0")
+			two, _ := standIn(t, "s1")
 			here := []string{line("s0", one, "in_service"), line("s1", two, "in_service")}
 			left := []string{line("s0", one, "terminating"), line("s1", two, "in_service")}
 			d := discover(t, here...)
--- a/decide/rollout/fleet/fleet.go
+++ b/decide/rollout/fleet/fleet.go
@@ -40,7 +40,7 @@
 // Fleet is a run.
 type Fleet struct {
 	*crowd.Crowd
-	Cars     []*Car // by place; one that restarts has the same
+	Sidecars []*Sidecar // by place; one that restarts has the same
 	Contents map[rollout.Version]Content
 	Rate     func(i int) float64 // visits a second
 	Killed   int                 // by what they took
@@ -51,8 +51,8 @@
 	drawn    uint64
 }
 
-// Car is a member.
-type Car struct {
+// Sidecar is a member.
+type Sidecar struct {
 	*rollout.Node
 	Member                  *crowd.Member
 	Kept                    rollout.Kept    // its disk
@@ -73,8 +73,8 @@
 func New(seed uint64, many int, terms membership.Terms, unguard string, rate func(int) float64) *Fleet {
 	f := &Fleet{Crowd: crowd.New(seed, many, terms, true), Contents: map[rollout.Version]Content{}, Rate: rate, terms: terms, unguard: unguard, seed: seed}
 	for i, m := range f.Members {
-		c := &Car{Member: m, fleet: f, place: i}
-		f.Cars = append(f.Cars, c)
+		c := &Sidecar{Member: m, fleet: f, place: i}
+		f.Sidecars = append(f.Sidecars, c)
 		c.begin()
 	}
 	return f
@@ -85,7 +85,7 @@
 	return membership.Draw(f.seed+77, f.drawn)
 }
 
-func (c *Car) begin() {
+func (c *Sidecar) begin() {
 	c.counted, c.figures = c.fleet.Now, rollout.Figures{}
 	c.Force, c.Live = c.Kept.InForce, c.Kept.InForce
 	c.life++
@@ -103,18 +103,18 @@
 
 // Restart kills a member's process and starts it anew after a while.
 func (f *Fleet) Restart(i int, after Micros) {
-	c := f.Cars[i]
+	c := f.Sidecars[i]
 	c.Member.Kill()
 	c.bytes, c.before = c.Out(), c.In()
 	f.Later(after, func() {
 		c.Member = f.Add(crowd.Name(i), i, f.terms)
-		c.Member.Join(f.Now, []membership.Address{f.At((i + 1) % len(f.Cars)), f.At((i + 7) % len(f.Cars))})
+		c.Member.Join(f.Now, []membership.Address{f.At((i + 1) % len(f.Sidecars)), f.At((i + 7) % len(f.Sidecars))})
 		c.begin()
 	})
 }
 
 // run does something in this process, if it is still this life's.
-func (c *Car) run(do func()) func() {
+func (c *Sidecar) run(do func()) func() {
 	life := c.life
 	return func() {
 		c.Member.Do(func() {
@@ -126,7 +126,7 @@
 	}
 }
 
-func (c *Car) arm() {
+func (c *Sidecar) arm() {
 	if c.Node == nil || c.Member.Gone {
 		return
 	}
@@ -147,7 +147,7 @@
 func (f *Fleet) Publish(i int, x Content) (rollout.Version, error) {
 	x.Digest = rollout.Digest(sum(fmt.Sprint(x.Number, x.Size, x.Share, x.Refusal, x.Kills)))
 	f.Contents[x.Version] = x
-	c := f.Cars[i]
+	c := f.Sidecars[i]
 	c.keep(x.Version)
 	err := c.Node.Published(f.Now, x.Version, x.Path)
 	c.arm()
@@ -160,7 +160,7 @@
 	return d
 }
 
-func (c *Car) keep(v rollout.Version) {
+func (c *Sidecar) keep(v rollout.Version) {
 	c.Kept.Newest, c.Kept.Path, c.Kept.Tries = v, c.fleet.Contents[v].Path, 0
 }
 
@@ -175,7 +175,7 @@
 }
 
 // Fetch is the node's.
-func (c *Car) Fetch(from rollout.Name, at rollout.Address, v rollout.Version) {
+func (c *Sidecar) Fetch(from rollout.Name, at rollout.Address, v rollout.Version) {
 	f := c.fleet
 	c.Fetches++
 	to := f.Of(at)
@@ -194,7 +194,7 @@
 			missed(f.terms.Every, false)
 			return
 		}
-		other := f.Cars[to.Number]
+		other := f.Sidecars[to.Number]
 		there := other.Node != nil && other.Node.Serve(f.Now, v)
 		bytes := packets * heads
 		if there {
@@ -225,7 +225,7 @@
 }
 
 // Try is the node's.
-func (c *Car) Try(v rollout.Version, tries int, before rollout.Share) {
+func (c *Sidecar) Try(v rollout.Version, tries int, before rollout.Share) {
 	f := c.fleet
 	f.Later(Disk, c.run(func() {
 		if c.Kept.Newest == v {
@@ -236,7 +236,7 @@
 }
 
 // Apply is the node's.
-func (c *Car) Apply(v rollout.Version, trial bool) {
+func (c *Sidecar) Apply(v rollout.Version, trial bool) {
 	f := c.fleet
 	f.Later(Disk, c.run(func() {
 		if f.Contents[v].Kills {
@@ -255,17 +255,17 @@
 	}))
 }
 
-func (c *Car) Tell(to rollout.Name)                { c.Member.Tell(c.fleet.Now, to) }
-func (c *Car) Spread(many int)                     { c.Member.Spread(c.fleet.Now, many) }
-func (c *Car) Living(each func(name rollout.Name)) { c.Member.Living(each) }
-func (c *Car) Happened(e rollout.Event) {
+func (c *Sidecar) Tell(to rollout.Name)                { c.Member.Tell(c.fleet.Now, to) }
+func (c *Sidecar) Spread(many int)                     { c.Member.Spread(c.fleet.Now, many) }
+func (c *Sidecar) Living(each func(name rollout.Name)) { c.Member.Living(each) }
+func (c *Sidecar) Happened(e rollout.Event) {
 	if c.fleet.Told != nil {
 		c.fleet.Told(c.fleet.Now, c.place, e)
 	}
 }
 
 // count draws the visits since the last look.
-func (c *Car) count() {
+func (c *Sidecar) count() {
 	c.part += c.fleet.Rate(c.place) * float64(c.fleet.Now-c.counted) / 1e6
 	c.counted = c.fleet.Now
 	share := 0.995
@@ -282,24 +282,24 @@
 }
 
 // Figures is the node's.
-func (c *Car) Figures() rollout.Figures {
+func (c *Sidecar) Figures() rollout.Figures {
 	c.count()
 	return c.figures
 }
 
 // Life is which of its processes it is, from 1.
-func (c *Car) Life() int { return c.life }
+func (c *Sidecar) Life() int { return c.life }
 
 // Out is how many bytes a member sent in datagrams and contents, with the heads of packets; full exchanges of membership are not in it.
-func (c *Car) Out() int { return c.bytes + c.Member.Out + dgram*c.Member.Sent }
+func (c *Sidecar) Out() int { return c.bytes + c.Member.Out + dgram*c.Member.Sent }
 
 // In is how many bytes came to it so.
-func (c *Car) In() int { return c.before + c.Member.In + dgram*c.Member.Came }
+func (c *Sidecar) In() int { return c.before + c.Member.In + dgram*c.Member.Came }
 
 // In is whether all members that run have this version in force.
 func (f *Fleet) In(v rollout.Version) func() bool {
 	return func() bool {
-		for _, c := range f.Cars {
+		for _, c := range f.Sidecars {
 			if !c.Member.Gone && !c.Member.Still && c.Force != v {
 				return false
 			}
@@ -310,7 +310,7 @@
 
 // Has counts those that have it in force, or on trial.
 func (f *Fleet) Has(v rollout.Version) (many int) {
-	for _, c := range f.Cars {
+	for _, c := range f.Sidecars {
 		if c.Live == v {
 			many++
 		}
--- a/decide/rollout/orders_test.go
+++ b/decide/rollout/orders_test.go
@@ -11,16 +11,16 @@
 
 // world is three members whose words, disks and clocks go on only as they are told: every order can be had.
 type world struct {
-	t      *testing.T
-	now    Micros
-	harm   rollout.Number // visits are not delivered under it
-	refuse rollout.Number // the third member can't read it
-	cars   [3]*car
-	waited Micros // while words may have been held back
-	wrong  string
+	t        *testing.T
+	now      Micros
+	harm     rollout.Number // visits are not delivered under it
+	refuse   rollout.Number // the third member can't read it
+	sidecars [3]*sidecar
+	waited   Micros // while words may have been held back
+	wrong    string
 }
 
-type car struct {
+type sidecar struct {
 	*rollout.Node
 	w       *world
 	no      int
@@ -45,15 +45,15 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, now: second}
-	for i := range w.cars {
-		w.cars[i] = &car{w: w, no: i, counted: w.now, heard: map[rollout.Version]bool{}}
-		w.cars[i].begin()
+	for i := range w.sidecars {
+		w.sidecars[i] = &sidecar{w: w, no: i, counted: w.now, heard: map[rollout.Version]bool{}}
+		w.sidecars[i].begin()
 	}
 	w.wait(12 * second) // visits to compare with
 	return w
 }
 
-func (c *car) begin() {
+func (c *sidecar) begin() {
 	c.life++
 	c.todo, c.spelt, c.Node = nil, nil, nil
 	c.live, c.force = c.kept.InForce, c.kept.InForce
@@ -61,14 +61,14 @@
 	c.Node = rollout.New(c.w.now, names[c.no], rollout.Terms{Every: 250_000}, c.kept, 7, c)
 }
 
-func (c *car) later(what string, do func()) {
+func (c *sidecar) later(what string, do func()) {
 	c.todo = append(c.todo, do)
 	c.spelt = append(c.spelt, what)
 }
 
-func (c *car) Fetch(from rollout.Name, _ rollout.Address, v rollout.Version) {
+func (c *sidecar) Fetch(from rollout.Name, _ rollout.Address, v rollout.Version) {
 	c.later(fmt.Sprint("fetch ", from, v.Number, v.Digest[0]), func() {
-		other := c.w.cars[from[1]-'0']
+		other := c.w.sidecars[from[1]-'0']
 		switch {
 		case !other.Serve(c.w.now, v):
 			c.Missed(c.w.now, v, from, false)
@@ -81,14 +81,14 @@
 	})
 }
 
-func (c *car) Try(v rollout.Version, tries int, before rollout.Share) {
+func (c *sidecar) Try(v rollout.Version, tries int, before rollout.Share) {
 	c.later(fmt.Sprint("try ", v.Number, v.Digest[0]), func() {
 		c.kept.Tries, c.kept.Before = tries, before
 		c.Tried(c.w.now, v, "")
 	})
 }
 
-func (c *car) Apply(v rollout.Version, trial bool) {
+func (c *sidecar) Apply(v rollout.Version, trial bool) {
 	c.later(fmt.Sprint("apply ", v.Number, v.Digest[0], trial), func() {
 		c.count()
 		if c.live = v; !trial {
@@ -101,10 +101,10 @@
 	})
 }
 
-func (c *car) Tell(rollout.Name)        {}
-func (c *car) Spread(int)               {}
-func (c *car) Happened(e rollout.Event) {}
-func (c *car) Living(each func(rollout.Name)) {
+func (c *sidecar) Tell(rollout.Name)        {}
+func (c *sidecar) Spread(int)               {}
+func (c *sidecar) Happened(e rollout.Event) {}
+func (c *sidecar) Living(each func(rollout.Name)) {
 	for i, name := range names {
 		if i != c.no {
 			each(name)
@@ -112,7 +112,7 @@
 	}
 }
 
-func (c *car) count() {
+func (c *sidecar) count() {
 	many := uint64((c.w.now - c.counted) / 25_000)
 	c.counted += Micros(many) * 25_000
 	c.figures.Taken += many
@@ -122,7 +122,7 @@
 	}
 }
 
-func (c *car) Figures() rollout.Figures {
+func (c *sidecar) Figures() rollout.Figures {
 	c.count()
 	return c.figures
 }
@@ -131,14 +131,14 @@
 func (w *world) wait(span Micros) {
 	for end := w.now + span; w.now < end; {
 		w.now += 125_000
-		for _, c := range w.cars {
+		for _, c := range w.sidecars {
 			c.Tick(w.now)
 		}
 	}
 }
 
 func (w *world) publish(at int, v rollout.Version) {
-	c := w.cars[at]
+	c := w.sidecars[at]
 	before := c.kept
 	c.kept.Newest, c.kept.Path, c.kept.Tries = v, path, 0
 	if c.Published(w.now, v, path) != nil {
@@ -155,10 +155,10 @@
 }
 
 func (w *world) word(from, to int) {
-	if word := w.cars[from].Word(200); word != nil {
-		said := w.cars[from].Status()
-		w.cars[to].heard[said.Newest] = true
-		w.cars[to].Heard(w.now, names[from], rollout.Address(names[from]), word)
+	if word := w.sidecars[from].Word(200); word != nil {
+		said := w.sidecars[from].Status()
+		w.sidecars[to].heard[said.Newest] = true
+		w.sidecars[to].Heard(w.now, names[from], rollout.Address(names[from]), word)
 	}
 }
 
@@ -169,14 +169,14 @@
 				all = append(all, act{fmt.Sprint(i, ">", j), func(w *world) { w.word(i, j) }})
 			}
 		}
-		all = append(all, act{fmt.Sprint("do", i), func(w *world) { w.cars[i].work() }})
+		all = append(all, act{fmt.Sprint("do", i), func(w *world) { w.sidecars[i].work() }})
 	}
 	all = append(all, act{"wait", func(w *world) { w.wait(1_750_000); w.waited += 1_750_000 }})
 	return append(all, more...)
 }
 
 // work does what was to be done when it began.
-func (c *car) work() {
+func (c *sidecar) work() {
 	todo := c.todo
 	c.todo, c.spelt = nil, nil
 	life := c.life
@@ -190,7 +190,7 @@
 // print is all that tells one state from another.
 func (w *world) print() string {
 	var b strings.Builder
-	for _, c := range w.cars {
+	for _, c := range w.sidecars {
 		s := c.Status()
 		s.Since = 0
 		fmt.Fprintf(&b, "%+v %v %v %v|", s, c.spelt, c.kept, c.life)
@@ -207,7 +207,7 @@
 					w.word(i, j)
 				}
 			}
-			w.cars[i].work()
+			w.sidecars[i].work()
 		}
 		w.wait(250_000)
 	}
@@ -261,7 +261,7 @@
 // agreed tells that all have one version in force.
 func agreed(v rollout.Version) func(w *world) string {
 	return func(w *world) string {
-		for i, c := range w.cars {
+		for i, c := range w.sidecars {
 			if c.force != v {
 				return fmt.Sprintf("n%d has %d in force", i, c.force.Number)
 			}
@@ -283,16 +283,16 @@
 	tr.Add("one that is good: %d states", explore(t, publish, acts(), deep, agreed(one)))
 	tr.Add("a higher one meanwhile: %d states", explore(t, publish, acts(act{"publish2", func(w *world) { w.publish(1, two) }}), deep-1, func(w *world) string {
 		want := one
-		for _, c := range w.cars {
+		for _, c := range w.sidecars {
 			if c.heard[two] {
 				want = two
 			}
 		}
 		return agreed(want)(w)
 	}))
-	tr.Add("one restarts: %d states", explore(t, publish, acts(act{"restart1", func(w *world) { w.cars[1].begin() }}), deep-1, func(w *world) string {
+	tr.Add("one restarts: %d states", explore(t, publish, acts(act{"restart1", func(w *world) { w.sidecars[1].begin() }}), deep-1, func(w *world) string {
 		// one that ended twice while it tried says so, and nobody else takes it
-		for _, c := range w.cars {
+		for _, c := range w.sidecars {
 			if c.life > 2 && c.Status().Stage == rollout.Stopped {
 				return ""
 			}
@@ -301,7 +301,7 @@
 	}))
 	tr.Add("one that harms: %d states", explore(t, func(w *world) { w.harm = 1; publish(w) }, acts(), deep, func(w *world) string {
 		took := 0
-		for _, c := range w.cars {
+		for _, c := range w.sidecars {
 			if c.live == one {
 				took++
 			}
@@ -315,10 +315,10 @@
 		return ""
 	}))
 	tr.Add("one that a member can't read: %d states", explore(t, func(w *world) { w.refuse = 1; publish(w) }, acts(), deep, func(w *world) string {
-		if w.cars[2].live.Number != 0 {
+		if w.sidecars[2].live.Number != 0 {
 			return "taken by the one that can't read it"
 		}
-		for i, c := range w.cars {
+		for i, c := range w.sidecars {
 			if c.Status().Stage != rollout.Stopped {
 				return fmt.Sprintf("n%d does not know that it was refused", i)
 			}
@@ -326,12 +326,12 @@
 		return ""
 	}))
 	tr.Add("two of one number: %d states", explore(t, func(w *world) { publish(w); w.publish(1, other) }, acts(), deep, func(w *world) string {
-		for i, c := range w.cars {
+		for i, c := range w.sidecars {
 			if s := c.Status(); !s.Contested {
 				return fmt.Sprintf("n%d was not told", i)
 			}
 		}
-		if a, b := w.cars[0].force, w.cars[1].force; a.Number != 0 && b.Number != 0 && a == b {
+		if a, b := w.sidecars[0].force, w.sidecars[1].force; a.Number != 0 && b.Number != 0 && a == b {
 			return "one of them won"
 		}
 		return ""
--- a/decide/rollout/rollout_test.go
+++ b/decide/rollout/rollout_test.go
@@ -72,13 +72,13 @@
 	if took >= 0 {
 		after = fmt.Sprintf("after %.1f s", float64(took)/second)
 	}
-	return fmt.Sprintf("in force everywhere %s, at %d of %d; %s", after, s.Has(v), len(s.Cars), strings.Join(words, ", "))
+	return fmt.Sprintf("in force everywhere %s, at %d of %d; %s", after, s.Has(v), len(s.Sidecars), strings.Join(words, ", "))
 }
 
 // newest tells the numbers in force, and by how many.
 func (s *scene) newest() string {
 	many := map[rollout.Number]int{}
-	for _, c := range s.Cars {
+	for _, c := range s.Sidecars {
 		many[c.Live.Number]++
 	}
 	out := []string{}
@@ -119,7 +119,7 @@
 	s = begin(2, 16, 40)
 	v := s.publish(0, content(1))
 	s.Run(100_000)
-	s.Cars[0].Member.Kill()
+	s.Sidecars[0].Member.Kill()
 	tr.Add("the member that was handed it dies after 0.1 s: %s", s.came(v, s.Until(20*second, s.In(v))))
 	s = begin(3, 16, 40)
 	v = s.publish(0, content(1))
@@ -130,19 +130,19 @@
 	tr.Add("three restart in the middle: %s", s.came(v, s.Until(20*second, s.In(v))))
 
 	s = begin(4, 16, 40)
-	s.Cars[5].Member.Stop()
+	s.Sidecars[5].Member.Stop()
 	tr.Add("one stands still: %s", s.spread(0, content(1)))
 	s.Run(20 * second)
-	s.Cars[5].Member.Continue()
-	v = s.Cars[0].Force
+	s.Sidecars[5].Member.Continue()
+	v = s.Sidecars[0].Force
 	tr.Add("  it goes on: %s", s.came(v, s.Until(20*second, s.In(v))))
 	tr.Add("  it lags for three more numbers: %s", func() string {
-		s.Cars[5].Member.Stop()
+		s.Sidecars[5].Member.Stop()
 		for no := range rollout.Number(3) {
 			v = s.publish(0, content(no+2))
 			s.Run(5 * second)
 		}
-		s.Cars[5].Member.Continue()
+		s.Sidecars[5].Member.Continue()
 		return s.came(v, s.Until(20*second, s.In(v)))
 	}())
 	s.Cut = func(from, to int) bool { return to == 2 }
@@ -217,26 +217,26 @@
 func FuzzWord(f *testing.F) {
 	s := begin(1, 6, 40)
 	s.publish(0, content(1))
-	f.Add(s.Cars[0].Word(200))
+	f.Add(s.Sidecars[0].Word(200))
 	s.Run(2 * second)
-	f.Add(s.Cars[3].Word(200))
+	f.Add(s.Sidecars[3].Word(200))
 	s.publish(1, content(2))
 	s.publish(4, content(2, func(x *fleet.Content) { x.Size++ }))
 	s.Run(2 * second)
-	f.Add(s.Cars[3].Word(200))
+	f.Add(s.Sidecars[3].Word(200))
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, word []byte) {
 		s := begin(1, 3, 40)
 		s.publish(0, content(1))
-		force := s.Cars[1].Force
-		if s.Cars[1].Heard(s.Now, "n9", s.At(2), word) != rollout.Reads(word) {
+		force := s.Sidecars[1].Force
+		if s.Sidecars[1].Heard(s.Now, "n9", s.At(2), word) != rollout.Reads(word) {
 			t.Error("heard what it can't read, or can't hear what it can")
 		}
 		s.Run(second)
-		if mine := s.Cars[1].Word(rollout.WordMost); mine != nil && !rollout.Reads(mine) {
+		if mine := s.Sidecars[1].Word(rollout.WordMost); mine != nil && !rollout.Reads(mine) {
 			t.Errorf("says %x", mine)
 		}
-		if got := s.Cars[1].Force; got.Number < force.Number {
+		if got := s.Sidecars[1].Force; got.Number < force.Number {
 			t.Errorf("fell from %d to %d", force.Number, got.Number)
 		}
 	})
--- a/decide/rollout/sequences_test.go
+++ b/decide/rollout/sequences_test.go
@@ -21,7 +21,7 @@
 		told := map[string]Micros{}
 		harmful, restarts := map[rollout.Version]bool{}, 0
 		s.Told = func(at Micros, i int, e rollout.Event) {
-			key := fmt.Sprint(i, " ", e.Version.Number, " ", s.Cars[i].Life())
+			key := fmt.Sprint(i, " ", e.Version.Number, " ", s.Sidecars[i].Life())
 			if e.What == "contested" {
 				told[key] = at
 			}
@@ -70,9 +70,9 @@
 					continue
 				}
 				if still[i] = !still[i]; still[i] {
-					s.Cars[i].Member.Stop()
+					s.Sidecars[i].Member.Stop()
 				} else {
-					s.Cars[i].Member.Continue()
+					s.Sidecars[i].Member.Continue()
 				}
 			case 5:
 				i, j := place("from"), place("to")
@@ -88,7 +88,7 @@
 				}
 			}
 			s.Run(Micros(rapid.IntRange(20, 4000).Draw(t, "ms")) * 1000)
-			for i, c := range s.Cars {
+			for i, c := range s.Sidecars {
 				if c.Fell > 0 {
 					t.Fatalf("n%d: the number in force fell", i)
 				}
@@ -99,11 +99,11 @@
 		s.Run(second)
 		for i := range many {
 			if still[i] {
-				s.Cars[i].Member.Continue()
+				s.Sidecars[i].Member.Continue()
 			}
 		}
 		agree := func() bool {
-			for _, c := range s.Cars {
+			for _, c := range s.Sidecars {
 				if c.Member.Holds()[membership.Alive] != many-1 {
 					return false
 				}
@@ -119,7 +119,7 @@
 			t.Fatal(err)
 		}
 		if s.Until(6*second, s.In(v)) < 0 {
-			for i, c := range s.Cars {
+			for i, c := range s.Sidecars {
 				t.Logf("n%d: %+v", i, c.Status())
 			}
 			t.Fatalf("%d is not in force everywhere after 6 s: %s", v.Number, s.newest())
--- a/lab/box/core.go
+++ b/lab/backend/core.go
@@ -1,10 +1,10 @@
-// Package box is a stand-in for a server, written from the protocol page: core.go is the machine, without sockets or
+// Package backend is a stand-in for a server, written from the protocol page: core.go is the machine, without sockets or
 // a clock; server.go puts it on a socket.
 //
-// Work is time on a simulated core, not burnt CPU, so that one machine carries hundreds of boxes. A core is told what
+// Work is time on a simulated core, not burnt CPU, so that one machine carries hundreds of backends. A core is told what
 // comes with the time it came, and works out when it is done from these times alone: that a wake-up comes late makes
 // an answer late, never the queue.
-package box
+package backend
 
 import (
 	"container/list"
@@ -15,7 +15,7 @@
 
 type Micros = clock.Micros
 
-// Fate is how a backend fetch ended at its box.
+// Fate is how a backend fetch ended at its backend.
 type Fate string
 
 const (
@@ -27,12 +27,12 @@
 	Spoilt     Fate = "spoilt"
 	Mute       Fate = "mute" // taken and never answered
 	CalledOff  Fate = "called off"
-	Died       Fate = "died" // with its box
+	Died       Fate = "died" // with its backend
 )
 
-// Entry is one backend fetch in a box's account.
+// Entry is one backend fetch in a backend's account.
 type Entry struct {
-	Box      string
+	Backend  string
 	ID       string // the visit's, as its client gave it
 	Tag      string
 	Prefix   int
@@ -53,7 +53,7 @@
 // Ran tells whether a core began it.
 func (e *Entry) Ran() bool { return e.Began >= 0 }
 
-// Marks are the tags that a group of boxes remembers: all of them, those of a zone or of a cell.
+// Marks are the tags that a group of backends remembers: all of them, those of a zone or of a cell.
 type Marks struct {
 	window Micros
 	seen   map[string]Micros
@@ -75,9 +75,9 @@
 	return false
 }
 
-// Core is one box's machine. Its caller makes one call at a time, with times that never fall.
+// Core is one backend's machine. Its caller makes one call at a time, with times that never fall.
 type Core struct {
-	make    scenario.Box
+	make    scenario.Backend
 	rules   scenario.Rules
 	now     Micros
 	running []*Entry
@@ -105,8 +105,8 @@
 	id   string
 }
 
-// NewCore is a box that starts now, cold or warm. fell is told which visits pushed it over.
-func NewCore(m scenario.Box, r scenario.Rules, now Micros, cold bool, fell func(by []string)) *Core {
+// NewCore is a backend that starts now, cold or warm. fell is told which visits pushed it over.
+func NewCore(m scenario.Backend, r scenario.Rules, now Micros, cold bool, fell func(by []string)) *Core {
 	c := &Core{make: m, rules: r, now: now, waiting: list.New(), long: -1, quiet: now, cold: -1, fell: fell, factor: 1,
 		shared: 1, keys: list.New(), byKey: map[uint64]*list.Element{}}
 	if cold {
@@ -172,7 +172,7 @@
 	return first
 }
 
-// step moves the time, and with it whether the box is slow.
+// step moves the time, and with it whether the backend is slow.
 func (c *Core) step(to Micros) {
 	m := c.make
 	if m.SlowQueue > 0 {
@@ -189,7 +189,7 @@
 	c.now = max(c.now, to)
 }
 
-// watch notes, after a change, whether too many wait and whether the box is mostly idle.
+// watch notes, after a change, whether too many wait and whether the backend is mostly idle.
 func (c *Core) watch() {
 	if float64(c.waiting.Len()) <= c.make.SlowQueue*float64(c.make.Cores) {
 		c.long = -1
@@ -264,7 +264,7 @@
 	c.fill()
 }
 
-// press adds to what came while the box is cold; false where that fells it.
+// press adds to what came while the backend is cold; false where that fells it.
 func (c *Core) press(now, work Micros, id string) bool {
 	if c.cold < 0 {
 		return true
@@ -347,7 +347,7 @@
 	}
 }
 
-// Stall has the box stand still for a while: what runs is done so much later.
+// Stall has the backend stand still for a while: what runs is done so much later.
 func (c *Core) Stall(now, span Micros) {
 	c.Advance(now)
 	later := max(0, now+span-max(c.still, now))
--- a/lab/box/core_test.go
+++ b/lab/backend/core_test.go
@@ -1,4 +1,4 @@
-package box
+package backend
 
 import (
 	"testing"
@@ -26,8 +26,8 @@
 	return e
 }
 
-func plain(cores, queue int) scenario.Box {
-	return scenario.Box{Cores: cores, Speed: 1, Queue: queue, WarmPart: 1, SlowFactor: 1}
+func plain(cores, queue int) scenario.Backend {
+	return scenario.Backend{Cores: cores, Speed: 1, Queue: queue, WarmPart: 1, SlowFactor: 1}
 }
 
 func TestQueue(t *testing.T) {
--- a/lab/box/server.go
+++ b/lab/backend/server.go
@@ -1,4 +1,4 @@
-package box
+package backend
 
 import (
 	"bufio"
@@ -15,11 +15,11 @@
 	"ledgespread/lab/wire"
 )
 
-// Box is a stand-in on a socket, with its account.
-type Box struct {
+// Backend is a stand-in on a socket, with its account.
+type Backend struct {
 	Name, Zone, Model string
 	Cell              int
-	Make              scenario.Box
+	Make              scenario.Backend
 
 	clock    *clock.Clock
 	alarms   *clock.Alarms
@@ -54,7 +54,7 @@
 	probeBusy Micros
 }
 
-// Felled tells when a cold box was pushed over, and by which visits.
+// Felled tells when a cold backend was pushed over, and by which visits.
 type Felled struct {
 	At Micros
 	By []string
@@ -69,7 +69,7 @@
 // NewGroups knows no tags.
 func NewGroups() *Groups { return &Groups{marks: map[string]*Marks{}} }
 
-// GroupOf names the boxes that know a box's tags.
+// GroupOf names the backends that know a backend's tags.
 func GroupOf(p scenario.Prefix, zone string, cell int) string {
 	switch p.Group {
 	case "zone":
@@ -80,11 +80,11 @@
 	return p.Name
 }
 
-// New makes a box; Start puts it on its socket.
-func New(name string, m scenario.Box, s *scenario.Scenario, seed uint64, groups *Groups, c *clock.Clock, a *clock.Alarms) *Box {
-	b := &Box{Name: name, Zone: m.Zone, Model: m.Model, Cell: m.Cell, Make: m, clock: c, alarms: a, rules: s.Rules,
+// New makes a backend; Start puts it on its socket.
+func New(name string, m scenario.Backend, s *scenario.Scenario, seed uint64, groups *Groups, c *clock.Clock, a *clock.Alarms) *Backend {
+	b := &Backend{Name: name, Zone: m.Zone, Model: m.Model, Cell: m.Cell, Make: m, clock: c, alarms: a, rules: s.Rules,
 		prefixes: s.Prefixes, markLock: &groups.lock, body: strings.Repeat("x", s.Traffic.BodyBytes),
-		draw: chance.New(seed, "box "+name), conns: map[*conn]bool{}}
+		draw: chance.New(seed, "backend "+name), conns: map[*conn]bool{}}
 	for _, p := range s.Prefixes {
 		group := GroupOf(p, m.Zone, m.Cell)
 		if groups.marks[group] == nil && p.Effect == "tagged" {
@@ -96,7 +96,7 @@
 }
 
 // Start begins a life at an address of this machine, "" for any that is free; the address it got holds for all lives.
-func (b *Box) Start(at string, cold bool) error {
+func (b *Backend) Start(at string, cold bool) error {
 	if at == "" {
 		at = "127.0.0.1:0"
 	}
@@ -117,14 +117,14 @@
 }
 
 // Address is where it listens, or last did.
-func (b *Box) Address() string {
+func (b *Backend) Address() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.address
 }
 
 // Kill ends a life: connections are reset, new ones refused.
-func (b *Box) Kill() {
+func (b *Backend) Kill() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.listener == nil {
@@ -142,14 +142,14 @@
 }
 
 // Alive tells whether it listens.
-func (b *Box) Alive() bool {
+func (b *Backend) Alive() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.listener != nil
 }
 
-// Trouble makes a change to a box that runs: faults, and their end.
-func (b *Box) Trouble(change func(now Micros, c *Core)) {
+// Trouble makes a change to a backend that runs: faults, and their end.
+func (b *Backend) Trouble(change func(now Micros, c *Core)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.listener != nil {
@@ -158,20 +158,20 @@
 	}
 }
 
-// SetDraining has a box turn away what is new, unseen.
-func (b *Box) SetDraining(on bool) { b.mu.Lock(); b.draining = on; b.mu.Unlock() }
+// SetDraining has a backend turn away what is new, unseen.
+func (b *Backend) SetDraining(on bool) { b.mu.Lock(); b.draining = on; b.mu.Unlock() }
 
-// SetMute has a box take what comes and answer nothing.
-func (b *Box) SetMute(on bool) { b.mu.Lock(); b.mute = on; b.mu.Unlock() }
+// SetMute has a backend take what comes and answer nothing.
+func (b *Backend) SetMute(on bool) { b.mu.Lock(); b.mute = on; b.mu.Unlock() }
 
-// SetErrors has a box answer this part of all with an error.
-func (b *Box) SetErrors(part float64) { b.mu.Lock(); b.errors = part; b.mu.Unlock() }
+// SetErrors has a backend answer this part of all with an error.
+func (b *Backend) SetErrors(part float64) { b.mu.Lock(); b.errors = part; b.mu.Unlock() }
 
-// SetSpoil has a box spoil this part of its answers.
-func (b *Box) SetSpoil(part float64) { b.mu.Lock(); b.spoil = part; b.mu.Unlock() }
+// SetSpoil has a backend spoil this part of its answers.
+func (b *Backend) SetSpoil(part float64) { b.mu.Lock(); b.spoil = part; b.mu.Unlock() }
 
-// Account is what the box saw by now, in the order it came.
-func (b *Box) Account() (out []*Entry) {
+// Account is what the backend saw by now, in the order it came.
+func (b *Backend) Account() (out []*Entry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.listener != nil {
@@ -188,15 +188,15 @@
 	return out
 }
 
-// Tally is what the box counted beside its account: connections opened, the most at once, probes, messages that were none.
-func (b *Box) Tally() (opened, most, probed, unread int, felled []Felled) {
+// Tally is what the backend counted beside its account: connections opened, the most at once, probes, messages that were none.
+func (b *Backend) Tally() (opened, most, probed, unread int, felled []Felled) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.Opened, b.Most, b.Probed, b.Unread, append([]Felled(nil), b.Felled...)
 }
 
 // Spent is the core time of all lives, and how much of it went into probes.
-func (b *Box) Spent() (all, probes Micros) {
+func (b *Backend) Spent() (all, probes Micros) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all, probes = b.busy, b.probeBusy
@@ -207,7 +207,7 @@
 }
 
 // Now is a look at it: visits held, and whether it turned slow.
-func (b *Box) Now() (held int, slow, alive bool) {
+func (b *Backend) Now() (held int, slow, alive bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.listener == nil {
@@ -218,8 +218,8 @@
 	return b.core.Holds(), b.core.slow, true
 }
 
-// arm has the box woken when its next visit is done. Called with the lock held.
-func (b *Box) arm() {
+// arm has the backend woken when its next visit is done. Called with the lock held.
+func (b *Backend) arm() {
 	next := b.core.Next()
 	if next < 0 || b.alarmAt >= 0 && b.alarmAt <= next {
 		return
@@ -242,19 +242,19 @@
 
 // conn is one connection: a goroutine reads it, ends of visits write to it.
 type conn struct {
-	tcp   *net.TCPConn
-	fresh bool
-	open  *Entry // the visit on it
-	box   *Box
+	tcp     *net.TCPConn
+	fresh   bool
+	open    *Entry // the visit on it
+	backend *Backend
 }
 
-func (b *Box) accept(ln net.Listener) {
+func (b *Backend) accept(ln net.Listener) {
 	for {
 		tcp, err := ln.Accept()
 		if err != nil {
 			return
 		}
-		c := &conn{tcp: tcp.(*net.TCPConn), fresh: true, box: b}
+		c := &conn{tcp: tcp.(*net.TCPConn), fresh: true, backend: b}
 		b.mu.Lock()
 		if b.listener != ln {
 			b.mu.Unlock()
@@ -274,7 +274,7 @@
 
 // read takes messages until the other side goes, and calls off what it left behind.
 func (c *conn) read(over bool) {
-	b := c.box
+	b := c.backend
 	in := bufio.NewReaderSize(c.tcp, 8<<10)
 	defer func() {
 		c.tcp.Close()
@@ -311,7 +311,7 @@
 	}
 }
 
-func (b *Box) unread() {
+func (b *Backend) unread() {
 	b.mu.Lock()
 	b.Unread++
 	b.mu.Unlock()
@@ -321,7 +321,7 @@
 
 // message takes one; false ends the connection.
 func (c *conn) message(head wire.Head, first Micros, over bool) bool {
-	b := c.box
+	b := c.backend
 	path, query, err := head.Target()
 	if err != nil {
 		b.unread()
@@ -356,7 +356,7 @@
 	}
 	work, _ := strconv.ParseInt(query.Get("w"), 10, 64)
 	key, _ := strconv.ParseUint(query.Get("k"), 10, 64)
-	e := &Entry{Box: b.Name, ID: id, Tag: head.Fields["idempotency-key"], Prefix: prefix,
+	e := &Entry{Backend: b.Name, ID: id, Tag: head.Fields["idempotency-key"], Prefix: prefix,
 		Tenant: head.Fields["x-tenant-id"], Key: key, Work: max(1, Micros(work)), First: first}
 	b.account = append(b.account, e)
 	if b.draining || over {
@@ -374,9 +374,9 @@
 	return true
 }
 
-// finished is told the end of a visit, with the box's lock held.
+// finished is told the end of a visit, with the backend's lock held.
 func (c *conn) finished(e *Entry) {
-	b := c.box
+	b := c.backend
 	if c.open == e {
 		c.open = nil
 	}
@@ -414,7 +414,7 @@
 }
 
 // health answers a probe; a load report is as old as its period.
-func (b *Box) health(now Micros, path string) []byte {
+func (b *Backend) health(now Micros, path string) []byte {
 	if b.report == "" || now >= b.reportAt+b.Make.ReportEvery.M() {
 		b.core.Advance(now)
 		b.report, b.reportAt = fmt.Sprintf(`{"inflight":%d}`, b.core.Holds()), now
--- a/lab/bare/bare.go
+++ b/lab/bare/bare.go
@@ -17,12 +17,12 @@
 
 	"github.com/valyala/fasthttp"
 
-	"ledgespread/lab/cars"
+	"ledgespread/lab/sidecars"
 )
 
 // Serve forwards what comes at the configuration's address to its known servers, in turn, until SIGTERM.
 func Serve(file string) error {
-	told, err := cars.Told(file)
+	told, err := sidecars.Told(file)
 	if err != nil {
 		return err
 	}
@@ -69,7 +69,7 @@
 	return server.Serve(ln)
 }
 
-// Echo answers every visit at once with its id, as the lab's boxes do.
+// Echo answers every visit at once with its id, as the lab's backends do.
 func Echo() (address string, stop func(), err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/lab/clients/clients.go
+++ b/lab/clients/clients.go
@@ -46,7 +46,7 @@
 	Visit    plan.VisitNo
 	No       int // of the visit's tries
 	ID, Tag  string
-	Car      int
+	Sidecar  int
 	Due      Micros // when it was to be sent
 	Sent     Micros // its last byte was written
 	Until    Micros // so long it waits
@@ -89,7 +89,7 @@
 func New(s *scenario.Scenario, p *plan.Plan, addresses []string, c *clock.Clock, a *clock.Alarms) *Clients {
 	cs := &Clients{s: s, plan: p, clock: c, alarms: a, run: strconv.FormatInt(time.Now().UnixNano()&0xffffffff, 36)}
 	for _, at := range addresses {
-		cs.pools = append(cs.pools, &pool{address: at, most: max(4, s.Cars.Sockets/3)})
+		cs.pools = append(cs.pools, &pool{address: at, most: max(4, s.Sidecars.Sockets/3)})
 	}
 	return cs
 }
@@ -123,20 +123,20 @@
 func (cs *Clients) Wait() { cs.busy.Wait() }
 
 // Shut has what is due at a sidecar go to the next that is not shut: its copy of the application stopped with it.
-func (cs *Clients) Shut(car int, on bool) {
-	cs.pools[car].shut.Store(on)
+func (cs *Clients) Shut(sidecar int, on bool) {
+	cs.pools[sidecar].shut.Store(on)
 	if on {
-		cs.pools[car].closeIdle()
+		cs.pools[sidecar].closeIdle()
 	}
 }
 
-func (cs *Clients) open(car int) int {
+func (cs *Clients) open(sidecar int) int {
 	for k := range cs.pools {
-		if at := (car + k) % len(cs.pools); !cs.pools[at].shut.Load() {
+		if at := (sidecar + k) % len(cs.pools); !cs.pools[at].shut.Load() {
 			return at
 		}
 	}
-	return car
+	return sidecar
 }
 
 // Account is every try, in no order. To be read after Wait.
@@ -163,7 +163,7 @@
 		tag = fmt.Sprintf("%s-t%d", cs.run, no)
 	}
 	for k, at := 0, due; ; k++ {
-		t := &Try{Visit: no, No: k, ID: fmt.Sprintf("%s-%d-%d", cs.run, no, k), Tag: tag, Car: cs.open(v.Car), Due: at, Until: last, Sent: -1}
+		t := &Try{Visit: no, No: k, ID: fmt.Sprintf("%s-%d-%d", cs.run, no, k), Tag: tag, Sidecar: cs.open(v.Sidecar), Due: at, Until: last, Sent: -1}
 		cs.Count[CountOpen].Add(1)
 		cs.try(t, v, p)
 		cs.Count[CountOpen].Add(-1)
@@ -220,7 +220,7 @@
 // try sends once and waits for the answer. Where a kept connection turns out to be closed before a byte of an answer
 // came, the message crossed the closing and goes once more on a new one, as the protocol says.
 func (cs *Clients) try(t *Try, v plan.Visit, p scenario.Prefix) {
-	pool := cs.pools[t.Car]
+	pool := cs.pools[t.Sidecar]
 	end := func(how How, why string) { t.How, t.Why, t.Ended = how, why, cs.clock.Now() }
 	for again := false; ; again = true {
 		now := cs.clock.Now()
@@ -294,7 +294,7 @@
 	}
 }
 
-// message is a visit's bytes. What boxes need to know of it stands in the query, which goes on unchanged.
+// message is a visit's bytes. What backends need to know of it stands in the query, which goes on unchanged.
 func (cs *Clients) message(t *Try, v plan.Visit, p scenario.Prefix, host string, left Micros) []byte {
 	var b bytes.Buffer
 	method, body := "GET", ""
--- a/lab/clock/clock.go
+++ b/lab/clock/clock.go
@@ -1,6 +1,6 @@
 // Package clock is the one place where the lab reads a clock, and the one thread that wakes it.
 //
-// All accounts of a run (boxes, list, clients) are written in microseconds of the same Clock, so that what two
+// All accounts of a run (backends, list, clients) are written in microseconds of the same Clock, so that what two
 // stand-ins saw can be compared. Guards against proofs that compare two clocks.
 package clock
 
--- a/lab/compare/compare.go
+++ b/lab/compare/compare.go
@@ -7,17 +7,17 @@
 	"math"
 	"sort"
 
-	"ledgespread/lab/cars"
 	"ledgespread/lab/chance"
 	"ledgespread/lab/report"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 	"ledgespread/lab/stage"
 )
 
 // Side is one of two.
 type Side struct {
 	Name     string
-	Program  cars.Program
+	Program  sidecars.Program
 	Scenario *scenario.Scenario
 }
 
--- a/lab/depth/depth.go
+++ b/lab/depth/depth.go
@@ -204,11 +204,11 @@
 			list = append(list, sim.Line{ID: s.ID, Standing: brain.Ready})
 		}
 		for range t.Servers {
-			car, err := n.Join(0, c.draws.Bits(), settings)
+			sidecar, err := n.Join(0, c.draws.Bits(), settings)
 			if err != nil {
 				return Figures{}, err
 			}
-			car.Hooks.Sent = func(f *sim.Fetch) {
+			sidecar.Hooks.Sent = func(f *sim.Fetch) {
 				if f.No > 0 && c.failing() {
 					c.hops[hop].retries++
 				}
@@ -216,7 +216,7 @@
 					c.retries[int((c.Now-begin)/1e6)]++
 				}
 			}
-			car.List(brain.Saved, list...)
+			sidecar.List(brain.Saved, list...)
 		}
 	}
 	c.At(c.from, func() { c.note(false) })
@@ -274,14 +274,14 @@
 		h.left += float64(left)
 		h.least, h.most = min(h.least, left), max(h.most, left)
 	}
-	car := c.nets[hop].Cars[by]
-	v := car.Visit(c.on, Micros(c.Work), 0, left, nil, func(v *sim.Visit) {
+	sidecar := c.nets[hop].Sidecars[by]
+	v := sidecar.Visit(c.on, Micros(c.Work), 0, left, nil, func(v *sim.Visit) {
 		if counts && v.Ending == sim.Delivered {
 			h.delivered++
 		}
 		ended(v.Ending)
 	})
-	return func() { car.Drop(v) }
+	return func() { sidecar.Drop(v) }
 }
 
 // take is a server of a hop's service at work: it calls the next, or is the last.
@@ -333,8 +333,8 @@
 func (c *chain) note(end bool) {
 	for hop := range c.hops {
 		sum := map[string]int{}
-		for _, car := range c.nets[hop].Cars {
-			for why, n := range car.B.Tally() {
+		for _, sidecar := range c.nets[hop].Sidecars {
+			for why, n := range sidecar.B.Tally() {
 				sum[why] += n
 			}
 		}
--- a/lab/depth/graph.go
+++ b/lab/depth/graph.go
@@ -42,7 +42,7 @@
 	Terms
 	g        *callgraph.Graph
 	nets     []*sim.Net // by the service that is called
-	cars     []map[int]int
+	sidecars []map[int]int
 	into     []float64 // calls a second that come to each service
 	way      Way
 	bad      int
@@ -85,7 +85,7 @@
 		if err := w.pool(i, s, retries); err != nil {
 			return f, err
 		}
-		f.Modules += len(w.nets[i].Cars)
+		f.Modules += len(w.nets[i].Sidecars)
 	}
 	for i, s := range g.Services {
 		if s.Layer == 0 {
@@ -100,7 +100,7 @@
 // pool is a service's servers, and the sidecars of all that call it.
 func (w *web) pool(i int, s *callgraph.Service, retries bool) error {
 	n := sim.NewNet(&w.Clock, Micros(w.Way))
-	w.nets, w.cars = append(w.nets, n), append(w.cars, map[int]int{})
+	w.nets, w.sidecars = append(w.nets, n), append(w.sidecars, map[int]int{})
 	var list []sim.Line
 	number := 0
 	for z, many := range s.Zones {
@@ -125,14 +125,14 @@
 	settings := sim.Terms{Target: Micros(w.Target), Timeout: Micros(w.Timeout), Window: Micros(w.Window), Group: "all", Sidecars: sidecars,
 		Fetches: fetches, ColdFrom: 0.3, Cold: 8e6, FallMultiple: 3, Fall: 1.5e6, Messages: true}.Settings()
 	for _, from := range s.Called {
-		w.cars[i][from] = len(n.Cars)
+		w.sidecars[i][from] = len(n.Sidecars)
 		for z, many := range w.g.Services[from].Zones {
 			for range many {
-				car, err := n.Join(brain.Zone(z), w.draws.Bits(), settings)
+				sidecar, err := n.Join(brain.Zone(z), w.draws.Bits(), settings)
 				if err != nil {
 					return err
 				}
-				car.List(brain.Saved, list...)
+				sidecar.List(brain.Saved, list...)
 			}
 		}
 	}
@@ -177,9 +177,9 @@
 		for range many {
 			left++
 			n := w.nets[e.To]
-			car := n.Cars[w.cars[e.To][service]+number]
-			v := car.Visit(0, Micros(w.Work), 0, deadline-w.Now, nil, func(v *sim.Visit) { one(v.Ending == sim.Delivered) })
-			drops = append(drops, func() { car.Drop(v) })
+			sidecar := n.Sidecars[w.sidecars[e.To][service]+number]
+			v := sidecar.Visit(0, Micros(w.Work), 0, deadline-w.Now, nil, func(v *sim.Visit) { one(v.Ending == sim.Delivered) })
+			drops = append(drops, func() { sidecar.Drop(v) })
 		}
 	}
 	one(true)
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -212,11 +212,11 @@
 		if i >= named { // it was started since the fleet has grown, and its settings name all
 			settings["balancers"] = float64(r.Sidecars)
 		}
-		car, err := f.net.Join(brain.Zone(i%t.Fleet.Zones), f.draws.Bits(), settings)
+		sidecar, err := f.net.Join(brain.Zone(i%t.Fleet.Zones), f.draws.Bits(), settings)
 		if err != nil {
 			return Figures{}, err
 		}
-		car.List(brain.Saved, f.list()...)
+		sidecar.List(brain.Saved, f.list()...)
 		shares[i] = 1
 		if f.draws.Float() < t.Fleet.UnevenPart {
 			shares[i] = t.Fleet.UnevenTimes
@@ -227,8 +227,8 @@
 	end := f.plan()
 	seconds := int((end-f.begin)/1e6) + 4
 	f.began, f.done, f.again, f.says, f.heard = make([]int, seconds), make([]int, seconds), make([]int, seconds), make([]int, seconds), make([]int, seconds)
-	for _, car := range f.net.Cars {
-		car.Hooks.Sent = func(x *sim.Fetch) {
+	for _, sidecar := range f.net.Sidecars {
+		sidecar.Hooks.Sent = func(x *sim.Fetch) {
 			if x.No > 0 {
 				f.again[f.second()]++
 			}
@@ -326,9 +326,9 @@
 
 // tell has each sidecar hear of changed lines, by chance within the time that the terms say. among nil: all.
 func (f *fleet) tell(among func(*sim.Sidecar) bool, lines ...sim.Line) {
-	for _, car := range f.net.Cars {
-		if among == nil || among(car) {
-			f.After(Micros(f.draws.Float()*float64(f.Fleet.Told)), func() { car.List(brain.Changes, lines...) })
+	for _, sidecar := range f.net.Sidecars {
+		if among == nil || among(sidecar) {
+			f.After(Micros(f.draws.Float()*float64(f.Fleet.Told)), func() { sidecar.List(brain.Changes, lines...) })
 		}
 	}
 }
@@ -340,9 +340,9 @@
 		return
 	}
 	f.At(next, func() {
-		car := f.net.Cars[f.draw()]
-		for car.Down {
-			car = f.net.Cars[f.draw()]
+		sidecar := f.net.Sidecars[f.draw()]
+		for sidecar.Down {
+			sidecar = f.net.Sidecars[f.draw()]
 		}
 		on := brain.Prefix(2)
 		if x := f.draws.Float(); x < f.Fleet.ReadLike {
@@ -353,7 +353,7 @@
 		work, second := max(1, Micros(f.draws.Exp(float64(f.shape.Work)))), f.second()
 		f.began[second]++
 		f.all++
-		car.VisitTold(on, work, work, Micros(f.Settings.Timeout), Micros(f.Settings.Timeout)+f.patient, nil, func(v *sim.Visit) {
+		sidecar.VisitTold(on, work, work, Micros(f.Settings.Timeout), Micros(f.Settings.Timeout)+f.patient, nil, func(v *sim.Visit) {
 			switch v.Ending {
 			case sim.Delivered:
 				f.ok++
@@ -378,12 +378,12 @@
 func (f *fleet) count() {
 	f.At(f.Now+1e6, func() {
 		at := f.second() - 1
-		for i, car := range f.net.Cars {
-			f.says[at] += car.Said
-			car.Said = 0
-			f.heard[at] = max(f.heard[at], car.Heard-f.was[i])
-			f.was[i] = car.Heard
-			all := car.BytesIn + car.BytesOut
+		for i, sidecar := range f.net.Sidecars {
+			f.says[at] += sidecar.Said
+			sidecar.Said = 0
+			f.heard[at] = max(f.heard[at], sidecar.Heard-f.was[i])
+			f.was[i] = sidecar.Heard
+			all := sidecar.BytesIn + sidecar.BytesOut
 			f.most[at] = max(f.most[at], all-f.bytes[i])
 			f.bytes[i] = all
 		}
@@ -421,28 +421,28 @@
 // lose has a zone or a rack fall silent with its sidecars, and come back cold.
 func (f *fleet) lose(at Micros) {
 	var lost []*machine
-	var cars []*sim.Sidecar
+	var sidecars []*sim.Sidecar
 	if f.run.Kind == Zone {
 		for _, s := range f.every {
 			if s.Zone == 1 {
 				lost = append(lost, s)
 			}
 		}
-		for _, car := range f.net.Cars {
-			if car.Zone == 1 {
-				cars = append(cars, car)
+		for _, sidecar := range f.net.Sidecars {
+			if sidecar.Zone == 1 {
+				sidecars = append(sidecars, sidecar)
 			}
 		}
 	} else {
 		lost = append(lost, f.every[:max(1, int(f.Times.Rack*float64(len(f.every))+0.5))]...)
-		cars = append(cars, f.net.Cars[:max(1, int(f.Times.Rack*float64(len(f.net.Cars))+0.5))]...)
+		sidecars = append(sidecars, f.net.Sidecars[:max(1, int(f.Times.Rack*float64(len(f.net.Sidecars))+0.5))]...)
 	}
 	f.At(at, func() {
 		for _, s := range lost {
 			s.falls(true)
 		}
-		for _, car := range cars {
-			car.Stop()
+		for _, sidecar := range sidecars {
+			sidecar.Stop()
 		}
 	})
 	f.At(at+Micros(f.Times.Notice), func() {
@@ -460,11 +460,11 @@
 			s.gone = false
 			lines = append(lines, s.line(brain.Ready))
 		}
-		f.tell(func(car *sim.Sidecar) bool { return !slices.Contains(cars, car) }, lines...)
-		for _, car := range cars {
+		f.tell(func(sidecar *sim.Sidecar) bool { return !slices.Contains(sidecars, sidecar) }, lines...)
+		for _, sidecar := range sidecars {
 			f.After(Micros(f.draws.Float()*float64(f.Fleet.Told)), func() { // a new process waits for its first list
-				if car.Start(f.draws.Bits()) == nil {
-					car.List(brain.Saved, f.list()...)
+				if sidecar.Start(f.draws.Bits()) == nil {
+					sidecar.List(brain.Saved, f.list()...)
 				}
 			})
 		}
@@ -532,15 +532,15 @@
 		each("value", 0.5),
 		{"allowed.cancel": false, "allowed.conn_idle_us": 5e6, "allowed.max_retry_after_us": 1e6},
 	}
-	in := make([]int, len(f.net.Cars)) // the number that is in force
+	in := make([]int, len(f.net.Sidecars)) // the number that is in force
 	for i := 1; i <= f.Times.Changes; i++ {
 		over := all[i%len(all)]
 		f.At(at+Micros(float64(end-at)*float64(i-1)/float64(f.Times.Changes)), func() {
 			f.changed++
-			for k, car := range f.net.Cars {
+			for k, sidecar := range f.net.Sidecars {
 				f.After(Micros(f.draws.Float()*float64(f.Times.InForce)), func() {
 					if in[k] < i {
-						if in[k] = i; car.Lay(over) != nil {
+						if in[k] = i; sidecar.Lay(over) != nil {
 							panic("a configuration was refused") // it is the terms' own
 						}
 					}
@@ -559,17 +559,17 @@
 	f.net.Beyond = func(from *sim.Sidecar, to *sim.Server) bool { return still && region(from.Zone) != region(to.Zone) }
 	f.net.Apart = func(from, to *sim.Sidecar) bool { return still && region(from.Zone) != region(to.Zone) }
 	sides := make([]int, f.Fleet.Regions)
-	for _, car := range f.net.Cars {
-		sides[region(car.Zone)]++
-		car.B.Senders(len(f.net.Cars))
+	for _, sidecar := range f.net.Sidecars {
+		sides[region(sidecar.Zone)]++
+		sidecar.B.Senders(len(f.net.Sidecars))
 	}
 	forgotten := at + Micros(f.Times.Forget)
 	heals := forgotten + Micros(f.Times.Forget)/2
 	f.At(at, func() { still = true })
 	f.At(forgotten, func() {
-		for _, car := range f.net.Cars {
-			if own := sides[region(car.Zone)]; 2*own > len(f.net.Cars) {
-				car.B.Senders(own)
+		for _, sidecar := range f.net.Sidecars {
+			if own := sides[region(sidecar.Zone)]; 2*own > len(f.net.Sidecars) {
+				sidecar.B.Senders(own)
 			}
 		}
 	})
@@ -579,14 +579,14 @@
 			m.falls(false)
 			m.starts()
 			line := m.line(brain.Ready)
-			f.tell(func(car *sim.Sidecar) bool { return region(car.Zone) == r }, line)
-			f.At(heals, func() { f.tell(func(car *sim.Sidecar) bool { return region(car.Zone) != r }, line) })
+			f.tell(func(sidecar *sim.Sidecar) bool { return region(sidecar.Zone) == r }, line)
+			f.At(heals, func() { f.tell(func(sidecar *sim.Sidecar) bool { return region(sidecar.Zone) != r }, line) })
 		}
 	})
 	f.At(heals, func() { still = false })
 	f.At(heals+Micros(f.Times.Rejoin), func() {
-		for _, car := range f.net.Cars {
-			car.B.Senders(len(f.net.Cars))
+		for _, sidecar := range f.net.Sidecars {
+			sidecar.B.Senders(len(f.net.Sidecars))
 		}
 	})
 	return heals + Micros(f.Times.After)
@@ -595,8 +595,8 @@
 func part(of, all int) float64 { return float64(of) / math.Max(float64(all), 1) }
 
 func (f *fleet) figures(rate, most float64, end Micros, named int) Figures {
-	n := float64(len(f.net.Cars))
-	g := Figures{Kind: f.run.Kind, Shape: "service", Sidecars: len(f.net.Cars), Servers: f.shape.Servers, Load: f.shape.Load, HighLoad: f.LoadHigh, Named: named, VisitsPerS: rate / n,
+	n := float64(len(f.net.Sidecars))
+	g := Figures{Kind: f.run.Kind, Shape: "service", Sidecars: len(f.net.Sidecars), Servers: f.shape.Servers, Load: f.shape.Load, HighLoad: f.LoadHigh, Named: named, VisitsPerS: rate / n,
 		Most: rate * most, Seconds: float64(end-f.begin) / 1e6, Visits: f.all, Delivered: part(f.ok, f.all), InTarget: part(f.inTime, f.all),
 		Lost: f.lost, Turned: map[string]int{}, WorstSecond: 1, Broken: f.net.Broken, First: f.net.First}
 	if f.run.Pool {
@@ -625,8 +625,8 @@
 	}
 	g.Bound, g.Mute = f.run.Bound, f.run.Mute
 	g.P50, g.P99 = float64(f.took.ValueAtQuantile(50)), float64(f.took.ValueAtQuantile(99))
-	for _, car := range f.net.Cars {
-		for why, k := range car.B.Tally() {
+	for _, sidecar := range f.net.Sidecars {
+		for why, k := range sidecar.B.Tally() {
 			g.Turned[why] += k
 		}
 	}
--- a/lab/badcar/badcar.go
+++ b/lab/faulty/faulty.go
@@ -1,7 +1,7 @@
-// Package badcar is a small sidecar of the lab that breaks just one rule on purpose, so that the judge can be shown to
+// Package faulty is a small sidecar of the lab that breaks just one rule on purpose, so that the judge can be shown to
 // catch it and to accuse it of nothing else. Honest breaks none. A break is a matter of a counter or of the seed, never of luck: on
 // every seed it comes, and often enough; where it overruns a time it does so by more than a busy machine accounts for.
-package badcar
+package faulty
 
 import (
 	"bytes"
@@ -20,8 +20,8 @@
 	"syscall"
 	"time"
 
-	"ledgespread/lab/cars"
 	"ledgespread/lab/chance"
+	"ledgespread/lab/sidecars"
 )
 
 // Each so many visits of a kind there is a break.
@@ -41,7 +41,7 @@
 	born           time.Time
 }
 
-type car struct {
+type sidecar struct {
 	way     string
 	list    string
 	cold    time.Duration
@@ -55,14 +55,14 @@
 
 // Serve is a sidecar as the configuration tells, that breaks a rule in this way, until SIGTERM.
 func Serve(file, way string) error {
-	told, err := cars.Told(file)
+	told, err := sidecars.Told(file)
 	if err != nil {
 		return err
 	}
 	settings, _ := told["settings"].(map[string]any)
 	duties, _ := settings["obligations"].(map[string]any)
 	cold, _ := duties["cold_us"].(float64)
-	c := &car{way: way, cold: time.Duration(cold) * time.Microsecond, effects: map[string]string{}, n: map[string]int{},
+	c := &sidecar{way: way, cold: time.Duration(cold) * time.Microsecond, effects: map[string]string{}, n: map[string]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}}}
 	c.list, _ = told["discovery"].(string)
 	seed, _ := told["seed"].(string)
@@ -107,7 +107,7 @@
 }
 
 // ask takes the whole list anew.
-func (c *car) ask() error {
+func (c *sidecar) ask() error {
 	r, err := c.client.Get("http://" + c.list + "/api/targets")
 	if err != nil {
 		return err
@@ -138,7 +138,7 @@
 }
 
 // pick is a server that may get a visit; but names one that may not, in none of its zone where other is set.
-func (c *car) pick(but *server, other bool) *server {
+func (c *sidecar) pick(but *server, other bool) *server {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var may, draining, cold []server
@@ -169,14 +169,14 @@
 }
 
 // now tells whether it is time to break: each so many visits of a kind.
-func (c *car) now(way string, every int) bool {
+func (c *sidecar) now(way string, every int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.count(way, every)
 }
 
 // count does so with the lock held.
-func (c *car) count(way string, every int) bool {
+func (c *sidecar) count(way string, every int) bool {
 	if c.way != way {
 		return false
 	}
@@ -185,7 +185,7 @@
 }
 
 // fetch sends once. ran is false only where that is proven.
-func (c *car) fetch(r *http.Request, body []byte, to *server, left time.Duration) (status int, answer []byte, ran bool) {
+func (c *sidecar) fetch(r *http.Request, body []byte, to *server, left time.Duration) (status int, answer []byte, ran bool) {
 	ctx, done := context.WithTimeout(context.Background(), left)
 	defer done()
 	q, err := http.NewRequestWithContext(ctx, r.Method, "http://"+to.at+r.URL.RequestURI(), nil)
@@ -212,7 +212,7 @@
 	return a.StatusCode, answer, a.Header.Get("X-Not-Processed") != "1"
 }
 
-func (c *car) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (c *sidecar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/-/ready" {
 		return
 	}
--- a/lab/badcar/badcar_test.go
+++ b/lab/faulty/faulty_test.go
@@ -1,4 +1,4 @@
-package badcar
+package faulty
 
 import (
 	"net/http"
@@ -20,7 +20,7 @@
 		return server{name: name, at: strings.TrimPrefix(s.URL, "http://"), health: health}
 	}
 	leaves, stays := start("leaves", "in_service"), start("stays", "in_service")
-	c := &car{way: "after", effects: map[string]string{"look": "read_like"}, n: map[string]int{"after": seldom - 1}, client: http.DefaultClient,
+	c := &sidecar{way: "after", effects: map[string]string{"look": "read_like"}, n: map[string]int{"after": seldom - 1}, client: http.DefaultClient,
 		draw: chance.New(1, "after"), servers: []server{leaves}}
 	r := httptest.NewRequest(http.MethodGet, "/look/x", nil)
 	r.Header.Set("X-Request-ID", "1")
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -8,13 +8,13 @@
 	"fmt"
 	"slices"
 
-	"ledgespread/lab/box"
-	"ledgespread/lab/cars"
+	"ledgespread/lab/backend"
 	"ledgespread/lab/clients"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/list"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 )
 
 type Micros = clock.Micros
@@ -26,9 +26,9 @@
 	Begun    Micros // the plan's time 0
 	Ended    Micros
 	Tries    []*clients.Try
-	Entries  []*box.Entry
-	Boxes    []BoxAccount
-	Cars     []CarAccount
+	Entries  []*backend.Entry
+	Backends []BackendAccount
+	Sidecars []SidecarAccount
 	Told     []list.Told
 	Changes  []list.Changed
 	Downs    []clock.Stretch // the list was out of reach
@@ -39,33 +39,33 @@
 	Blind    int // a rule that is not looked at, so that a proof can be shown to fail
 }
 
-// BoxAccount is what is known of a box beside its entries.
-type BoxAccount struct {
+// BackendAccount is what is known of a backend beside its entries.
+type BackendAccount struct {
 	Name, Zone string
 	Cell       int
-	Felled     []box.Felled
+	Felled     []backend.Felled
 	Delays     map[string]Micros // the least time one way, from a zone
 }
 
-// CarAccount is what is known of a sidecar.
-type CarAccount struct {
+// SidecarAccount is what is known of a sidecar.
+type SidecarAccount struct {
 	Name, Zone string
-	Lives      []cars.Life
+	Lives      []sidecars.Life
 	Stills     [][2]Micros
 	Crashed    []string
 }
 
-// Block is a time in which nothing came through from a zone to a box.
+// Block is a time in which nothing came through from a zone to a backend.
 type Block struct {
-	From, Box string
-	Stretch   clock.Stretch
+	From, Backend string
+	Stretch       clock.Stretch
 }
 
 // Broken is one break of a rule.
 type Broken struct {
 	Rule     int    `json:"rule"`
 	Visit    string `json:"visit"`
-	Box      string `json:"box,omitempty"`
+	Backend  string `json:"backend,omitempty"`
 	At       Micros `json:"at_us"` // from the plan's time 0
 	Why      string `json:"why"`
 	Doubtful bool   `json:"doubtful,omitempty"` // the lab itself stood still at that time
@@ -73,8 +73,8 @@
 
 func (b Broken) String() string {
 	at := ""
-	if b.Box != "" {
-		at = " at " + b.Box
+	if b.Backend != "" {
+		at = " at " + b.Backend
 	}
 	return fmt.Sprintf("rule %d, visit %s%s, %d µs: %s", b.Rule, b.Visit, at, b.At, b.Why)
 }
@@ -82,7 +82,7 @@
 // Verdict is what the accounts say.
 type Verdict struct {
 	Broken    []Broken `json:"broken"`
-	Unmatched []string `json:"unmatched"` // visits on which clients and boxes disagree
+	Unmatched []string `json:"unmatched"` // visits on which clients and backends disagree
 }
 
 // Certain are the breaks that nothing excuses.
@@ -97,28 +97,28 @@
 
 type court struct {
 	*Accounts
-	v       Verdict
-	byID    map[string][]*box.Entry
-	tries   map[string]*clients.Try
-	boxes   map[string]*BoxAccount
-	drained map[string][]drain // by sidecar and box
+	v        Verdict
+	byID     map[string][]*backend.Entry
+	tries    map[string]*clients.Try
+	backends map[string]*BackendAccount
+	drained  map[string][]drain // by sidecar and backend
 }
 
-// drain is a time in which a sidecar knew that a box wants nothing new.
+// drain is a time in which a sidecar knew that a backend wants nothing new.
 type drain struct{ from, to Micros }
 
 // Judge reads the accounts.
 func Judge(a *Accounts) *Verdict {
-	c := &court{Accounts: a, byID: map[string][]*box.Entry{}, tries: map[string]*clients.Try{}, boxes: map[string]*BoxAccount{},
+	c := &court{Accounts: a, byID: map[string][]*backend.Entry{}, tries: map[string]*clients.Try{}, backends: map[string]*BackendAccount{},
 		drained: map[string][]drain{}, v: Verdict{Broken: []Broken{}, Unmatched: []string{}}}
-	for i := range a.Boxes {
-		c.boxes[a.Boxes[i].Name] = &a.Boxes[i]
+	for i := range a.Backends {
+		c.backends[a.Backends[i].Name] = &a.Backends[i]
 	}
 	for _, e := range a.Entries {
 		c.byID[e.ID] = append(c.byID[e.ID], e)
 	}
 	for _, of := range c.byID {
-		slices.SortStableFunc(of, func(x, y *box.Entry) int { return cmp.Compare(x.First, y.First) })
+		slices.SortStableFunc(of, func(x, y *backend.Entry) int { return cmp.Compare(x.First, y.First) })
 	}
 	c.drains()
 	for _, t := range a.Tries {
@@ -130,12 +130,12 @@
 	}
 	for _, e := range a.Entries {
 		if c.tries[e.ID] == nil {
-			c.v.Unmatched = append(c.v.Unmatched, fmt.Sprintf("%s at %s: no client sent it", e.ID, e.Box))
+			c.v.Unmatched = append(c.v.Unmatched, fmt.Sprintf("%s at %s: no client sent it", e.ID, e.Backend))
 		}
 	}
 	c.coldNotFelled()
-	for _, car := range a.Cars {
-		for _, why := range car.Crashed {
+	for _, sidecar := range a.Sidecars {
+		for _, why := range sidecar.Crashed {
 			c.v.Broken = append(c.v.Broken, Broken{Rule: 1, Visit: "-", At: a.Ended - a.Begun, Why: why})
 		}
 	}
@@ -171,11 +171,11 @@
 
 // sent bounds when a fetch was sent: no later than its first byte came, no earlier than that less the way's least time,
 // or than when the way last let something through.
-func (c *court) sent(e *box.Entry, car int) (earliest, latest Micros) {
-	zone := c.Cars[car].Zone
-	earliest, latest = e.First-c.boxes[e.Box].Delays[zone]-c.spread(), e.First
+func (c *court) sent(e *backend.Entry, sidecar int) (earliest, latest Micros) {
+	zone := c.Sidecars[sidecar].Zone
+	earliest, latest = e.First-c.backends[e.Backend].Delays[zone]-c.spread(), e.First
 	for _, b := range c.Blocked {
-		if b.Box == e.Box && b.From == zone && e.First >= b.Stretch.From && e.First <= b.Stretch.To+clock.Second {
+		if b.Backend == e.Backend && b.From == zone && e.First >= b.Stretch.From && e.First <= b.Stretch.To+clock.Second {
 			earliest = min(earliest, b.Stretch.From)
 		}
 	}
@@ -186,20 +186,20 @@
 
 // excused tells whether the sidecar's own life, or the plan, accounts for an answer that did not come.
 func (c *court) excused(t *clients.Try) bool {
-	car := c.Cars[t.Car]
+	sidecar := c.Sidecars[t.Sidecar]
 	from, to := t.Due, t.Ended
-	for _, s := range car.Stills {
+	for _, s := range sidecar.Stills {
 		if s[0] <= to && (s[1] < 0 || s[1]+clock.Second/5 >= from) {
 			return true
 		}
 	}
-	for _, l := range car.Lives {
+	for _, l := range sidecar.Lives {
 		// A killed process is booked a little after its connections broke.
 		if l.Killed && l.End >= from && l.End <= to+clock.Second/2 || l.Asked >= 0 && l.End >= 0 && l.End <= to && t.Sent >= l.End {
 			return true
 		}
 	}
-	return !slices.ContainsFunc(car.Lives, func(l cars.Life) bool { return l.Ready >= 0 && l.Ready <= from && (l.End < 0 || l.End >= from) })
+	return !slices.ContainsFunc(sidecar.Lives, func(l sidecars.Life) bool { return l.Ready >= 0 && l.Ready <= from && (l.End < 0 || l.End >= from) })
 }
 
 // oneAnswer: rule 1.
@@ -229,14 +229,14 @@
 		return
 	}
 	for _, e := range c.byID[t.ID] {
-		if earliest, _ := c.sent(e, t.Car); earliest > t.Ended+slack {
-			c.breaks(1, t.ID, e.Box, e.First, t.Ended, "sent on %d µs after its final answer (%s)", e.First-t.Ended, t.How)
+		if earliest, _ := c.sent(e, t.Sidecar); earliest > t.Ended+slack {
+			c.breaks(1, t.ID, e.Backend, e.First, t.Ended, "sent on %d µs after its final answer (%s)", e.First-t.Ended, t.How)
 		}
 	}
 }
 
-// mayHaveRun: what a box was given whole and did not itself turn away.
-func mayHaveRun(e *box.Entry) bool { return e.Fate != box.TurnedAway }
+// mayHaveRun: what a backend was given whole and did not itself turn away.
+func mayHaveRun(e *backend.Entry) bool { return e.Fate != backend.TurnedAway }
 
 // noEffectTwice: rule 2.
 func (c *court) noEffectTwice(t *clients.Try) {
@@ -246,11 +246,11 @@
 	}
 	of, slack := c.byID[t.ID], c.Scenario.Rules.Slack.M()
 	ran := 0
-	var first *box.Entry // that may have run
+	var first *backend.Entry // that may have run
 	for i, e := range of {
 		if p.Effect == "mutating" && e.Ran() {
 			if ran++; ran == 2 {
-				c.breaks(2, t.ID, e.Box, e.Began, -1, "a mutating visit ran a second time")
+				c.breaks(2, t.ID, e.Backend, e.Began, -1, "a mutating visit ran a second time")
 			}
 		}
 		for _, before := range of[:i] {
@@ -259,18 +259,18 @@
 				continue // proven unrun by then
 			}
 			if p.Effect == "mutating" {
-				c.breaks(2, t.ID, e.Box, e.First, -1, "a mutating visit was sent again, and the fetch at %s may have run", before.Box)
+				c.breaks(2, t.ID, e.Backend, e.First, -1, "a mutating visit was sent again, and the fetch at %s may have run", before.Backend)
 				break
 			}
 			if c.group(p, e) != c.group(p, before) && mayHaveRun(before) {
-				c.breaks(2, t.ID, e.Box, e.First, -1, "a tagged visit that may have run at %s left its group", before.Box)
+				c.breaks(2, t.ID, e.Backend, e.First, -1, "a tagged visit that may have run at %s left its group", before.Backend)
 				break
 			}
 		}
 		if first != nil && p.Effect == "tagged" {
-			if earliest, _ := c.sent(e, t.Car); earliest >= first.First+p.Memory.M()+slack {
-				c.breaks(2, t.ID, e.Box, e.First, first.First+p.Memory.M(), "a tagged visit was sent again %d µs after it may have run at %s, beyond its window",
-					e.First-first.First, first.Box)
+			if earliest, _ := c.sent(e, t.Sidecar); earliest >= first.First+p.Memory.M()+slack {
+				c.breaks(2, t.ID, e.Backend, e.First, first.First+p.Memory.M(), "a tagged visit was sent again %d µs after it may have run at %s, beyond its window",
+					e.First-first.First, first.Backend)
 			}
 		}
 		if first == nil && mayHaveRun(e) {
@@ -286,31 +286,31 @@
 		}
 		harmless := p.Effect == "tagged" && p.Group == "all" && t.Ended < e.First+p.Memory.M()+slack
 		if !harmless {
-			c.breaks(2, t.ID, e.Box, t.Ended, -1, "bounced, which says that a retry is harmless, but it may have run")
+			c.breaks(2, t.ID, e.Backend, t.Ended, -1, "bounced, which says that a retry is harmless, but it may have run")
 			return
 		}
 	}
 }
 
-func (c *court) group(p scenario.Prefix, e *box.Entry) string {
-	b := c.boxes[e.Box]
-	return box.GroupOf(p, b.Zone, b.Cell)
+func (c *court) group(p scenario.Prefix, e *backend.Entry) string {
+	b := c.backends[e.Backend]
+	return backend.GroupOf(p, b.Zone, b.Cell)
 }
 
-// drains works out when each sidecar knew, or counts as told, that a box wants nothing new.
+// drains works out when each sidecar knew, or counts as told, that a backend wants nothing new.
 func (c *court) drains() {
 	told := map[string][]list.Told{}
 	for _, t := range c.Told {
 		told[t.Reader] = append(told[t.Reader], t)
 	}
 	ask := c.Scenario.Rules.AskEvery.M()
-	for _, car := range c.Cars {
+	for _, sidecar := range c.Sidecars {
 		for i, ch := range c.Changes {
 			if ch.Health == "in_service" {
 				continue
 			}
 			from := Micros(-1)
-			for _, t := range told[car.Name] {
+			for _, t := range told[sidecar.Name] {
 				if t.Seq >= ch.Seq && (from < 0 || t.At < from) {
 					from = t.At
 				}
@@ -329,7 +329,7 @@
 					break
 				}
 			}
-			key := car.Name + " " + ch.Host
+			key := sidecar.Name + " " + ch.Host
 			c.drained[key] = append(c.drained[key], drain{from, to})
 		}
 	}
@@ -339,10 +339,10 @@
 func (c *court) drainsKept(t *clients.Try) {
 	r := c.Scenario.Rules
 	for _, e := range c.byID[t.ID] {
-		earliest, latest := c.sent(e, t.Car)
-		for _, d := range c.drained[c.Cars[t.Car].Name+" "+e.Box] {
+		earliest, latest := c.sent(e, t.Sidecar)
+		for _, d := range c.drained[c.Sidecars[t.Sidecar].Name+" "+e.Backend] {
 			if limit := d.from + r.Drain.M() + r.Slack.M(); earliest > limit && latest < d.to {
-				c.breaks(3, t.ID, e.Box, e.First, limit, "sent %d µs after the sidecar was told that the box takes nothing new", e.First-d.from)
+				c.breaks(3, t.ID, e.Backend, e.First, limit, "sent %d µs after the sidecar was told that the backend takes nothing new", e.First-d.from)
 				break
 			}
 		}
@@ -351,7 +351,7 @@
 
 // coldNotFelled: rule 4.
 func (c *court) coldNotFelled() {
-	for _, b := range c.Boxes {
+	for _, b := range c.Backends {
 		for _, f := range b.Felled {
 			born, seq := Micros(-1), 0
 			for _, ch := range c.Changes {
@@ -366,13 +366,13 @@
 				if t == nil || born < 0 {
 					continue
 				}
-				name := c.Cars[t.Car].Name
+				name := c.Sidecars[t.Sidecar].Name
 				if slices.ContainsFunc(c.Told, func(told list.Told) bool { return told.Reader == name && told.Seq >= seq && told.At <= f.At }) {
 					informed++
 				}
 			}
 			if 3*informed >= 2*len(f.By) {
-				c.breaks(4, last, b.Name, f.At, -1, "a cold box was pushed over: %d of the %d visits in its window came from sidecars that knew of its start",
+				c.breaks(4, last, b.Name, f.At, -1, "a cold backend was pushed over: %d of the %d visits in its window came from sidecars that knew of its start",
 					informed, len(f.By))
 			}
 		}
@@ -384,7 +384,7 @@
 	if t.How != clients.Delivered {
 		return
 	}
-	if !slices.ContainsFunc(c.byID[t.ID], func(e *box.Entry) bool { return e.Fate == box.Delivered || e.Fate == box.Repeat }) {
-		c.v.Unmatched = append(c.v.Unmatched, t.ID+": delivered, by the client's account, but by no box's")
+	if !slices.ContainsFunc(c.byID[t.ID], func(e *backend.Entry) bool { return e.Fate == backend.Delivered || e.Fate == backend.Repeat }) {
+		c.v.Unmatched = append(c.v.Unmatched, t.ID+": delivered, by the client's account, but by no backend's")
 	}
 }
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -3,13 +3,13 @@
 import (
 	"testing"
 
-	"ledgespread/lab/box"
-	"ledgespread/lab/cars"
+	"ledgespread/lab/backend"
 	"ledgespread/lab/clients"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/list"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 	"ledgespread/lab/trace"
 )
 
@@ -19,10 +19,10 @@
 name = "day"
 length = "10s"
 zones = ["a", "b"]
-[[box]]
+[[backend]]
 count = 2
 zone = "a"
-[[box]]
+[[backend]]
 zone = "b"
 [[prefix]]
 name = "look"
@@ -65,18 +65,18 @@
 		timeout := []Micros{400 * ms, 1000 * ms, 1000 * ms, 1000 * ms}[visit]
 		return &clients.Try{Visit: plan.VisitNo(visit), ID: "v", How: how, Due: 1000 * ms, Sent: 1000 * ms, Until: 1000*ms + timeout, Ended: ended}
 	}
-	at := func(where string, first Micros, fate box.Fate, ended Micros) *box.Entry {
-		e := &box.Entry{Box: where, ID: "v", First: first, Came: first, Began: first, Ended: ended, Fate: fate}
-		if fate == box.TurnedAway || fate == box.Mute {
+	at := func(where string, first Micros, fate backend.Fate, ended Micros) *backend.Entry {
+		e := &backend.Entry{Backend: where, ID: "v", First: first, Came: first, Began: first, Ended: ended, Fate: fate}
+		if fate == backend.TurnedAway || fate == backend.Mute {
 			e.Began = -1
 		}
 		return e
 	}
-	story := func(title string, t *clients.Try, es []*box.Entry, more ...func(*Accounts)) {
+	story := func(title string, t *clients.Try, es []*backend.Entry, more ...func(*Accounts)) {
 		a := &Accounts{Scenario: s, Plan: &plan.Plan{Visits: []plan.Visit{{Prefix: 0}, {Prefix: 1}, {Prefix: 2}, {Prefix: 3}}}, Ended: 10 * clock.Second,
 			Tries: []*clients.Try{t}, Entries: es,
-			Boxes: []BoxAccount{{Name: "b0", Zone: "a"}, {Name: "b1", Zone: "a"}, {Name: "b2", Zone: "b"}},
-			Cars:  []CarAccount{{Name: "n0", Zone: "a", Lives: []cars.Life{{Start: 0, Ready: 1, End: -1, Asked: -1}}}}}
+			Backends: []BackendAccount{{Name: "b0", Zone: "a"}, {Name: "b1", Zone: "a"}, {Name: "b2", Zone: "b"}},
+			Sidecars: []SidecarAccount{{Name: "n0", Zone: "a", Lives: []sidecars.Life{{Start: 0, Ready: 1, End: -1, Asked: -1}}}}}
 		for _, change := range more {
 			change(a)
 		}
@@ -93,10 +93,10 @@
 			tr.Add("    unmatched: %s", u)
 		}
 	}
-	type es = []*box.Entry
+	type es = []*backend.Entry
 	tr.Add("rule 1, one final answer")
-	story("delivered in time", try(0, clients.Delivered, 1050*ms), es{at("b0", 1001*ms, box.Delivered, 1049*ms)})
-	story("delivered by no box", try(0, clients.Delivered, 1050*ms), nil)
+	story("delivered in time", try(0, clients.Delivered, 1050*ms), es{at("b0", 1001*ms, backend.Delivered, 1049*ms)})
+	story("delivered by no backend", try(0, clients.Delivered, 1050*ms), nil)
 	story("within the slack of its client timeout", try(0, clients.Errored, 1449*ms), nil)
 	story("past it", try(0, clients.Errored, 1451*ms), nil)
 	story("past it, and the machine stood still for the lab", try(0, clients.Errored, 1451*ms), nil,
@@ -104,38 +104,38 @@
 	story("lost", try(0, clients.Lost, 1100*ms), nil)
 	story("lost, with the sidecar killed meanwhile", try(0, clients.Lost, 1100*ms), nil,
 		func(a *Accounts) {
-			a.Cars[0].Lives[0].End, a.Cars[0].Lives[0].Killed = 1101*ms, true
+			a.Sidecars[0].Lives[0].End, a.Sidecars[0].Lives[0].Killed = 1101*ms, true
 		})
 	story("lost, with the sidecar standing still by plan", try(0, clients.Lost, 1500*ms), nil,
-		func(a *Accounts) { a.Cars[0].Stills = [][2]Micros{{900 * ms, 1600 * ms}} })
+		func(a *Accounts) { a.Sidecars[0].Stills = [][2]Micros{{900 * ms, 1600 * ms}} })
 	story("lost, when the sidecar had been asked to end but had not", try(0, clients.Lost, 1100*ms), nil,
 		func(a *Accounts) {
-			a.Cars[0].Lives[0].Asked, a.Cars[0].Lives[0].End = 1050*ms, 1200*ms
+			a.Sidecars[0].Lives[0].Asked, a.Sidecars[0].Lives[0].End = 1050*ms, 1200*ms
 		})
-	story("sent on after its answer", try(0, clients.Errored, 1050*ms), es{at("b0", 1101*ms, box.Delivered, 1110*ms)})
-	story("sent on after its answer, but a way was silent and may have held it", try(0, clients.Errored, 1050*ms), es{at("b0", 1201*ms, box.Delivered, 1210*ms)},
+	story("sent on after its answer", try(0, clients.Errored, 1050*ms), es{at("b0", 1101*ms, backend.Delivered, 1110*ms)})
+	story("sent on after its answer, but a way was silent and may have held it", try(0, clients.Errored, 1050*ms), es{at("b0", 1201*ms, backend.Delivered, 1210*ms)},
 		func(a *Accounts) { a.Blocked = []Block{{"a", "b0", clock.Stretch{From: 1020 * ms, To: 1200 * ms}}} })
 	story("answered with something else", try(0, clients.Foreign, 1050*ms), nil)
 	tr.Add("rule 2, no effect twice")
-	story("read-like runs twice", try(0, clients.Delivered, 1050*ms), es{at("b0", 1001*ms, box.Errored, 1010*ms), at("b1", 1011*ms, box.Delivered, 1049*ms)})
+	story("read-like runs twice", try(0, clients.Delivered, 1050*ms), es{at("b0", 1001*ms, backend.Errored, 1010*ms), at("b1", 1011*ms, backend.Delivered, 1049*ms)})
 	story("mutating, again after it was turned away", try(2, clients.Delivered, 1050*ms),
-		es{at("b0", 1001*ms, box.TurnedAway, 1002*ms), at("b1", 1011*ms, box.Delivered, 1049*ms)})
+		es{at("b0", 1001*ms, backend.TurnedAway, 1002*ms), at("b1", 1011*ms, backend.Delivered, 1049*ms)})
 	story("mutating, again before it was turned away", try(2, clients.Delivered, 1050*ms),
-		es{at("b0", 1001*ms, box.TurnedAway, 1020*ms), at("b1", 1011*ms, box.Delivered, 1049*ms)})
+		es{at("b0", 1001*ms, backend.TurnedAway, 1020*ms), at("b1", 1011*ms, backend.Delivered, 1049*ms)})
 	story("mutating, again after an error", try(2, clients.Delivered, 1050*ms),
-		es{at("b0", 1001*ms, box.Errored, 1002*ms), at("b1", 1011*ms, box.Delivered, 1049*ms)})
-	story("mutating, bounced after a box fell silent", try(2, clients.Bounced, 1500*ms), es{at("b0", 1001*ms, box.Mute, 1001*ms)})
-	story("mutating, bounced after it was turned away", try(2, clients.Bounced, 1500*ms), es{at("b0", 1001*ms, box.TurnedAway, 1002*ms)})
-	story("mutating, an error page after an error", try(2, clients.Errored, 1500*ms), es{at("b0", 1001*ms, box.Errored, 1002*ms)})
+		es{at("b0", 1001*ms, backend.Errored, 1002*ms), at("b1", 1011*ms, backend.Delivered, 1049*ms)})
+	story("mutating, bounced after a backend fell silent", try(2, clients.Bounced, 1500*ms), es{at("b0", 1001*ms, backend.Mute, 1001*ms)})
+	story("mutating, bounced after it was turned away", try(2, clients.Bounced, 1500*ms), es{at("b0", 1001*ms, backend.TurnedAway, 1002*ms)})
+	story("mutating, an error page after an error", try(2, clients.Errored, 1500*ms), es{at("b0", 1001*ms, backend.Errored, 1002*ms)})
 	story("tagged, again within its zone and window", try(1, clients.Delivered, 1300*ms),
-		es{at("b0", 1001*ms, box.CalledOff, 1100*ms), at("b1", 1101*ms, box.Delivered, 1299*ms)})
+		es{at("b0", 1001*ms, backend.CalledOff, 1100*ms), at("b1", 1101*ms, backend.Delivered, 1299*ms)})
 	story("tagged, again in the other zone", try(1, clients.Delivered, 1300*ms),
-		es{at("b0", 1001*ms, box.CalledOff, 1100*ms), at("b2", 1101*ms, box.Delivered, 1299*ms)})
+		es{at("b0", 1001*ms, backend.CalledOff, 1100*ms), at("b2", 1101*ms, backend.Delivered, 1299*ms)})
 	story("tagged, again beyond its window", try(1, clients.Delivered, 1500*ms),
-		es{at("b0", 1001*ms, box.CalledOff, 1100*ms), at("b1", 1351*ms, box.Delivered, 1499*ms)})
-	story("tagged, bounced when it may have run, known in a zone only", try(1, clients.Bounced, 1200*ms), es{at("b0", 1001*ms, box.Errored, 1100*ms)})
-	story("tagged, the same, known to all", try(3, clients.Bounced, 1200*ms), es{at("b0", 1001*ms, box.Errored, 1100*ms)})
-	story("tagged, the same, but its window is over", try(3, clients.Bounced, 1400*ms), es{at("b0", 1001*ms, box.Errored, 1100*ms)})
+		es{at("b0", 1001*ms, backend.CalledOff, 1100*ms), at("b1", 1351*ms, backend.Delivered, 1499*ms)})
+	story("tagged, bounced when it may have run, known in a zone only", try(1, clients.Bounced, 1200*ms), es{at("b0", 1001*ms, backend.Errored, 1100*ms)})
+	story("tagged, the same, known to all", try(3, clients.Bounced, 1200*ms), es{at("b0", 1001*ms, backend.Errored, 1100*ms)})
+	story("tagged, the same, but its window is over", try(3, clients.Bounced, 1400*ms), es{at("b0", 1001*ms, backend.Errored, 1100*ms)})
 	tr.Add("rule 3, drains kept")
 	drains := func(told Micros) func(*Accounts) {
 		return func(a *Accounts) {
@@ -145,7 +145,7 @@
 			}
 		}
 	}
-	sent := func(first Micros) es { return es{at("b0", first, box.Delivered, first+ms)} }
+	sent := func(first Micros) es { return es{at("b0", first, backend.Delivered, first+ms)} }
 	story("within the grace", try(0, clients.Delivered, 1050*ms), sent(1001*ms), drains(500*ms))
 	story("after it", try(0, clients.Delivered, 1050*ms), sent(1001*ms), drains(440*ms))
 	story("never told, since the list was out of reach", try(0, clients.Delivered, 1050*ms), sent(1001*ms), drains(0),
@@ -161,12 +161,12 @@
 	story("long after it, and the machine stood still only then", try(1, clients.Delivered, 1600*ms), sent(1501*ms), drains(10*ms), still(700*ms, 720*ms))
 	story("long after it, and the machine stood still for as long", try(1, clients.Delivered, 1600*ms), sent(1501*ms), drains(10*ms), still(600*ms, 1100*ms))
 	story("after it, and the machine had stood still long before", try(0, clients.Delivered, 1050*ms), sent(1001*ms), drains(10*ms), still(10*ms, 50*ms))
-	tr.Add("rule 4, no cold box pushed over")
+	tr.Add("rule 4, no cold backend pushed over")
 	fell := func(told Micros) func(*Accounts) {
 		return func(a *Accounts) {
 			a.Changes = []list.Changed{{Seq: 4, Host: "b0", Health: "in_service", At: 100 * ms, Shown: 100 * ms}}
 			a.Told = []list.Told{{Reader: "n0", Seq: 4, At: told}}
-			a.Boxes[0].Felled = []box.Felled{{At: 1010 * ms, By: []string{"v", "v", "v", "w"}}}
+			a.Backends[0].Felled = []backend.Felled{{At: 1010 * ms, By: []string{"v", "v", "v", "w"}}}
 		}
 	}
 	story("by a sidecar that knew", try(0, clients.Delivered, 1050*ms), sent(1001*ms), fell(500*ms))
--- a/lab/judge/members.go
+++ b/lab/judge/members.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"slices"
 
-	"ledgespread/lab/cars"
+	"ledgespread/lab/sidecars"
 )
 
 // Cut is a change of what comes through from one sidecar to another.
@@ -23,7 +23,7 @@
 }
 
 // Words reads them from a sidecar's log.
-func Words(by string, lines []cars.Line) (out []Word) {
+func Words(by string, lines []sidecars.Line) (out []Word) {
 	for _, l := range lines {
 		var tree map[string]any
 		if json.Unmarshal([]byte(l.Text), &tree) != nil {
@@ -39,27 +39,27 @@
 
 // Muster is the truth about who ran, who stood still and who could tell whom something, by the lab's own account.
 type Muster struct {
-	Cars []CarAccount
-	Cuts []Cut
+	Sidecars []SidecarAccount
+	Cuts     []Cut
 }
 
-func (m *Muster) car(name string) *CarAccount {
-	if at := slices.IndexFunc(m.Cars, func(c CarAccount) bool { return c.Name == name }); at >= 0 {
-		return &m.Cars[at]
+func (m *Muster) sidecar(name string) *SidecarAccount {
+	if at := slices.IndexFunc(m.Sidecars, func(c SidecarAccount) bool { return c.Name == name }); at >= 0 {
+		return &m.Sidecars[at]
 	}
-	return &CarAccount{}
+	return &SidecarAccount{}
 }
 
 // Ran tells whether a process of this name was ready and running all the time.
 func (m *Muster) Ran(name string, from, to Micros) bool {
-	return slices.ContainsFunc(m.car(name).Lives, func(l cars.Life) bool {
+	return slices.ContainsFunc(m.sidecar(name).Lives, func(l sidecars.Life) bool {
 		return l.Ready >= 0 && l.Ready <= from && (l.End < 0 || l.End >= to) && (l.Asked < 0 || l.Asked >= to)
 	})
 }
 
 // Stood is the longest that it stood still, of stretches that reach into this time.
 func (m *Muster) Stood(name string, from, to Micros) (longest Micros) {
-	for _, s := range m.car(name).Stills {
+	for _, s := range m.sidecar(name).Stills {
 		if end := s[1]; s[0] <= to && (end < 0 || end >= from) {
 			if end < 0 || end > to {
 				end = to
@@ -99,7 +99,7 @@
 	if w.Is != "dead" || !fine(w.Name) {
 		return false
 	}
-	return slices.ContainsFunc(m.Cars, func(c CarAccount) bool {
+	return slices.ContainsFunc(m.Sidecars, func(c SidecarAccount) bool {
 		if c.Name == w.Name {
 			return both(w.By, w.Name)
 		}
--- a/lab/list/list.go
+++ b/lab/list/list.go
@@ -15,7 +15,7 @@
 
 type Micros = clock.Micros
 
-// Host is one box in the list.
+// Host is one backend in the list.
 type Host struct {
 	Name, Zone, Model string
 	Cell              int
@@ -73,12 +73,12 @@
 	at     string
 }
 
-// New is a list without boxes.
+// New is a list without backends.
 func New(c *clock.Clock) *List {
 	return &List{clock: c, hosts: map[string]Host{}, news: make(chan struct{}), readers: map[string]*reader{}}
 }
 
-// Set brings a box in, or changes it; the list shows that when its notice is over.
+// Set brings a backend in, or changes it; the list shows that when its notice is over.
 func (l *List) Set(h Host, notice Micros) {
 	happened := l.clock.Now()
 	l.mu.Lock()
--- a/lab/path/gate.go
+++ b/lab/network/gate.go
@@ -1,6 +1,6 @@
-// Package path is the network between any two processes of a run: gates on loopback that delay, narrow, reset, silence
+// Package network is the network between any two processes of a run: gates on loopback that delay, narrow, reset, silence
 // or cut what passes. It knows nothing of what it carries.
-package path
+package network
 
 import (
 	"errors"
--- a/lab/path/gate_test.go
+++ b/lab/network/gate_test.go
@@ -1,4 +1,4 @@
-package path
+package network
 
 import (
 	"bufio"
--- a/lab/plan/plan.go
+++ b/lab/plan/plan.go
@@ -25,7 +25,7 @@
 type Visit struct {
 	At             clock.Micros // due
 	Prefix, Tenant int          // their places; the tenant is -1 where there are none
-	Car            int
+	Sidecar        int
 	Key            uint64
 	Work           clock.Micros
 	Leaves         clock.Micros // after so long its client leaves, 0: it stays
@@ -83,7 +83,7 @@
 		for _, aim := range []struct {
 			at    any
 			names []string
-		}{{f.Boxes, s.BoxNames()}, {f.Cars, s.CarNames()}} {
+		}{{f.Backends, s.BackendNames()}, {f.Sidecars, s.SidecarNames()}} {
 			if aim.at == nil {
 				continue
 			}
@@ -94,8 +94,8 @@
 			}
 			e.Names = scenario.Aimed(aim.at, aim.names, shuffled)
 		}
-		if e.Others = s.CarNames(); f.Others != nil {
-			e.Others = scenario.Aimed(f.Others, s.CarNames(), s.CarNames())
+		if e.Others = s.SidecarNames(); f.Others != nil {
+			e.Others = scenario.Aimed(f.Others, s.SidecarNames(), s.SidecarNames())
 		}
 		p.Events = append(p.Events, e)
 	}
@@ -184,7 +184,7 @@
 	for i, x := range s.Prefixes {
 		shares[i] = x.Share
 	}
-	v := Visit{At: at, Tenant: tenant, Prefix: draw.Pick(shares), Car: car(s, draw), Beyond: beyond}
+	v := Visit{At: at, Tenant: tenant, Prefix: draw.Pick(shares), Sidecar: sidecar(s, draw), Beyond: beyond}
 	x, mean := s.Prefixes[v.Prefix], 0.0
 	switch mean = float64(x.Work); x.Spread {
 	case "exp":
@@ -203,10 +203,10 @@
 	p.Visits = append(p.Visits, v)
 }
 
-func car(s *scenario.Scenario, draw *chance.Source) int {
-	weights := make([]float64, s.Cars.Count)
+func sidecar(s *scenario.Scenario, draw *chance.Source) int {
+	weights := make([]float64, s.Sidecars.Count)
 	for i := range weights {
-		weights[i] = 1 / math.Pow(float64(1+i), s.Traffic.CarSkew)
+		weights[i] = 1 / math.Pow(float64(1+i), s.Traffic.SidecarSkew)
 	}
 	return draw.Pick(weights)
 }
@@ -248,7 +248,7 @@
 			return fmt.Errorf("%s:%d: an unknown path prefix or tenant, no work, or out of order", name, line)
 		}
 		if last = at; at < s.Length.M() {
-			p.Visits = append(p.Visits, Visit{At: at, Prefix: of, Tenant: by, Key: key, Work: work, Car: car(s, draw),
+			p.Visits = append(p.Visits, Visit{At: at, Prefix: of, Tenant: by, Key: key, Work: work, Sidecar: sidecar(s, draw),
 				Heeds: draw.Float() < s.Traffic.Honour})
 		}
 	}
@@ -268,7 +268,7 @@
 	bit := map[bool]uint64{true: 1}
 	put(p.Seed, uint64(len(p.Visits)))
 	for _, v := range p.Visits {
-		put(uint64(v.At), uint64(v.Prefix), uint64(v.Tenant), uint64(v.Car), v.Key, uint64(v.Work), uint64(v.Leaves),
+		put(uint64(v.At), uint64(v.Prefix), uint64(v.Tenant), uint64(v.Sidecar), v.Key, uint64(v.Work), uint64(v.Leaves),
 			bit[v.Heeds]|bit[v.Beyond]<<1)
 	}
 	for _, e := range p.Events {
--- a/lab/plan/plan_test.go
+++ b/lab/plan/plan_test.go
@@ -15,7 +15,7 @@
 length = "60s"
 [sidecars]
 count = 2
-[[box]]
+[[backend]]
 count = 6
 [[prefix]]
 name = "look"
@@ -84,7 +84,7 @@
 	tr.Add("mean work %.0f (asked for 2000), of tenants %d and %d (3 to 1), key 1 %d, key 25 %d", works/float64(len(p.Visits)),
 		between(p, 0, 60*clock.Second, 0), between(p, 0, 60*clock.Second, 1), keys[1], keys[25])
 	faults := "[[fault]]\nat = \"20s\"\nfor = \"20s\"\nwhat = \"flood\"\ntenant = \"two\"\ntimes = 6\n" +
-		"[[fault]]\nat = \"50s\"\nfor = \"5s\"\nwhat = \"surge\"\ntimes = 3\n[[fault]]\nat = \"1s\"\nwhat = \"kill\"\nboxes = 0.5\n"
+		"[[fault]]\nat = \"50s\"\nfor = \"5s\"\nwhat = \"surge\"\ntimes = 3\n[[fault]]\nat = \"1s\"\nwhat = \"kill\"\nbackends = 0.5\n"
 	_, f := draw(t, two+faults, 7)
 	beyond := 0
 	for _, v := range f.Visits {
--- a/lab/prove/floor.go
+++ b/lab/prove/floor.go
@@ -8,17 +8,17 @@
 	"time"
 
 	"ledgespread/lab/bare"
-	"ledgespread/lab/cars"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/list"
 	"ledgespread/lab/load"
+	"ledgespread/lab/sidecars"
 )
 
 const steady = `
 name = "floor"
 length = "%dms"
 warmup = "300ms"
-[[box]]
+[[backend]]
 [[prefix]]
 name = "lookup"
 work = "1us"
@@ -40,9 +40,9 @@
 
 // contender is a program that stands between the lab's clients and two servers that answer at once.
 type contender struct {
-	name string
-	car  *cars.Car
-	all  []figures
+	name    string
+	sidecar *sidecars.Sidecar
+	all     []figures
 }
 
 func median(of []figures, get func(figures) float64) float64 {
@@ -79,7 +79,7 @@
 	}
 	s := p.parse(steady, 1000, 2000)
 	contenders := []*contender{{name: "sidecar"}, {name: "bare"}}
-	programs := []cars.Program{p.Sidecar, p.self("bare", "bare")}
+	programs := []sidecars.Program{p.Sidecar, p.self("bare", "bare")}
 	if p.Beside.Path != "" {
 		contenders, programs = append(contenders, &contender{name: "earlier"}), append(programs, p.Beside)
 	}
@@ -88,24 +88,24 @@
 			program = p.self("bare", "bare")
 		}
 		name := contenders[i].name
-		if contenders[i].car, err = cars.New(name, "a", program, folder, c, func(at string) ([]byte, error) {
+		if contenders[i].sidecar, err = sidecars.New(name, "a", program, folder, c, func(at string) ([]byte, error) {
 			discovery, err := l.Address(name)
 			if err != nil {
 				return nil, err
 			}
-			return cars.Paper{Scenario: s, Name: name, Zone: s.Zones[0], Listen: at, Discovery: discovery, Seed: p.Seed, Known: l.Whole(name)}.JSON()
+			return sidecars.Paper{Scenario: s, Name: name, Zone: s.Zones[0], Listen: at, Discovery: discovery, Seed: p.Seed, Known: l.Whole(name)}.JSON()
 		}); err != nil {
 			return err
 		}
-		if err := contenders[i].car.Start(10 * time.Second); err != nil {
+		if err := contenders[i].sidecar.Start(10 * time.Second); err != nil {
 			return err
 		}
-		defer contenders[i].car.Kill()
+		defer contenders[i].sidecar.Kill()
 	}
 	time.Sleep(500 * time.Millisecond)
 	rest := make([]float64, len(contenders))
 	for i, x := range contenders {
-		rest[i] = float64(cars.Memory(x.car.Pid())) / 1024
+		rest[i] = float64(sidecars.Memory(x.sidecar.Pid())) / 1024
 	}
 	direct := []figures{}
 	for round := range rounds {
@@ -163,26 +163,26 @@
 	p.note("not delivered at 70%", "clients, all rounds", "sidecar %d, bare %d", turned[0], turned[1])
 	p.claim(failed == 0, "all at 2,000/s is delivered", "0 otherwise", "clients", "%d otherwise", failed)
 	// What the sidecar is to reach is the matter of the issue on its cost; here it must be measured at all, and be one.
-	p.claim(most > 0 && cpu > 0 && middle > 0 && decides(contenders[0].car), "the sidecar was measured, and decided", "its own counters agree", "its /-/counters",
+	p.claim(most > 0 && cpu > 0 && middle > 0 && decides(contenders[0].sidecar), "the sidecar was measured, and decided", "its own counters agree", "its /-/counters",
 		"%.0f/s, %.0f%% of the bare one's", most, 100*most/bareMost)
 	return nil
 }
 
 func (p *Proof) measure(x *contender, span time.Duration, seed uint64) (f figures, err error) {
-	used := func() time.Duration { cpu, _ := x.car.Used(); return cpu }
+	used := func() time.Duration { cpu, _ := x.sidecar.Used(); return cpu }
 	before := used()
-	if f.most, err = load.Most(x.car.Address, "lookup", 64, span); err != nil {
+	if f.most, err = load.Most(x.sidecar.Address, "lookup", 64, span); err != nil {
 		return f, fmt.Errorf("%s at the most: %w", x.name, err)
 	}
 	f.cpuMost = float64((used() - before).Microseconds()) / (f.most * span.Seconds())
-	f.busy = float64(cars.Memory(x.car.Pid())) / 1024
+	f.busy = float64(sidecars.Memory(x.sidecar.Pid())) / 1024
 	for _, at := range []struct {
 		rate int
 		high bool
 	}{{2000, false}, {int(0.7 * f.most), true}} {
 		s := p.parse(steady, 300+span.Milliseconds(), at.rate)
 		before = used()
-		d, err := load.Open(x.car.Address, s, seed, p.Stop)
+		d, err := load.Open(x.sidecar.Address, s, seed, p.Stop)
 		if err != nil {
 			return f, err
 		}
@@ -206,8 +206,8 @@
 }
 
 // decides asks the sidecar's counters whether visits went through its module.
-func decides(car *cars.Car) bool {
-	counted := car.Counter("ledgespread_visits_delivered")
-	car.Signal(syscall.SIGTERM)
+func decides(sidecar *sidecars.Sidecar) bool {
+	counted := sidecar.Counter("ledgespread_visits_delivered")
+	sidecar.Signal(syscall.SIGTERM)
 	return counted > 0
 }
--- a/lab/prove/lab.go
+++ b/lab/prove/lab.go
@@ -8,19 +8,19 @@
 	"strings"
 	"sync"
 
-	"ledgespread/lab/badcar"
-	"ledgespread/lab/box"
-	"ledgespread/lab/cars"
+	"ledgespread/lab/backend"
 	"ledgespread/lab/chance"
 	"ledgespread/lab/clock"
+	"ledgespread/lab/faulty"
 	"ledgespread/lab/judge"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/report"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 	"ledgespread/lab/stage"
 )
 
-// troubled is a short day in which each rule can be broken: a box errs, one drains, one dies and comes back cold.
+// troubled is a short day in which each rule can be broken: a backend errs, one drains, one dies and comes back cold.
 const troubled = `
 name = "troubled"
 seed = 5
@@ -33,10 +33,10 @@
 fall = "400ms"
 [list]
 notice = "100ms"
-[[box]]
+[[backend]]
 count = 3
 zone = "a"
-[[box]]
+[[backend]]
 count = 3
 zone = "b"
 speed = 0.8
@@ -69,17 +69,17 @@
 for = "%dms"
 what = "errors"
 part = 0.1
-boxes = ["b0", "b3"]
+backends = ["b0", "b3"]
 [[fault]]
 at = "400ms"
 for = "%dms"
 what = "drain"
-boxes = "b1"
+backends = "b1"
 [[fault]]
 at = "500ms"
 for = "900ms"
 what = "kill_cold"
-boxes = "b4"
+backends = "b4"
 [expect]
 broken_rules = [1, 2, 3, 4]
 `
@@ -93,8 +93,8 @@
 }
 
 // self is this program as a sidecar of the lab.
-func (p *Proof) self(name string, args ...string) cars.Program {
-	return cars.Program{Path: p.Self, Args: args, Name: name}
+func (p *Proof) self(name string, args ...string) sidecars.Program {
+	return sidecars.Program{Path: p.Self, Args: args, Name: name}
 }
 
 func (p *Proof) say(format string, values ...any) {
@@ -104,7 +104,7 @@
 }
 
 func playLab(p *Proof) error {
-	if err := p.badCars(); err != nil {
+	if err := p.faultySidecars(); err != nil {
 		return err
 	}
 	p.queues()
@@ -117,15 +117,15 @@
 	return p.lateness()
 }
 
-// badCars plays the troubled day with each bad sidecar, and with one that is not.
-func (p *Proof) badCars() error {
+// faultySidecars plays the troubled day with each bad sidecar, and with one that is not.
+func (p *Proof) faultySidecars() error {
 	length := 4000
 	if !p.Quick {
 		length = 12_000
 	}
 	s := p.parse(troubled, length, length-600, length-1500)
 	var ways []string
-	for way := range badcar.Ways {
+	for way := range faulty.Ways {
 		ways = append(ways, way)
 	}
 	slices.Sort(ways)
@@ -138,7 +138,7 @@
 		go func() {
 			defer all.Done()
 			p.say("the bad sidecar %q", way)
-			reports[i], errs[i] = stage.Play(s, stage.Options{Program: p.self(way, "badcar", "--break", way), Seed: p.Seed, Stop: p.Stop, Break: p.Break})
+			reports[i], errs[i] = stage.Play(s, stage.Options{Program: p.self(way, "faulty", "--break", way), Seed: p.Seed, Stop: p.Stop, Break: p.Break})
 			<-places
 		}()
 	}
@@ -153,18 +153,18 @@
 			rules[b.Rule]++
 		}
 		aim, holds := "no rule broken", len(rules) == 0
-		if rule := badcar.Ways[way]; rule > 0 {
+		if rule := faulty.Ways[way]; rule > 0 {
 			aim = fmt.Sprintf("only rule %d", rule)
 			holds = rules[rule] > 0 && len(rules) == 1
 		}
 		if !holds && len(certain) > 0 {
-			at := max(0, slices.IndexFunc(certain, func(b judge.Broken) bool { return b.Rule != badcar.Ways[way] }))
+			at := max(0, slices.IndexFunc(certain, func(b judge.Broken) bool { return b.Rule != faulty.Ways[way] }))
 			p.say("the bad sidecar %q: %s", way, certain[at])
 		}
 		p.claim(holds, fmt.Sprintf("the sidecar %q is judged rightly", way), aim, "judge, by all accounts", "%s", told(rules, len(reports[i].Verdict.Broken)-len(certain)))
 		matched, visits = matched+len(reports[i].Verdict.Unmatched), visits+reports[i].Tries
 	}
-	p.claim(matched == 0, "accounts of boxes and clients agree to the visit", "0 differ", "boxes against clients", "%d of %d differ", matched, visits)
+	p.claim(matched == 0, "accounts of backends and clients agree to the visit", "0 differ", "backends against clients", "%d of %d differ", matched, visits)
 	return nil
 }
 
@@ -196,7 +196,7 @@
 	return waits / (float64(servers) * (1 - load))
 }
 
-// queues lets boxes' machines run in their own time, and compares the mean wait with theory.
+// queues lets backends' machines run in their own time, and compares the mean wait with theory.
 func (p *Proof) queues() {
 	visits := 600_000
 	if !p.Quick {
@@ -209,7 +209,7 @@
 			want := erlang(cores, load)
 			off := got/want - 1
 			p.claim(math.Abs(off) <= 0.03, fmt.Sprintf("mean wait of M/M/%d at %.0f%% load", cores, 100*load), fmt.Sprintf("%.4f service times ± 3%%", want),
-				"a box's machine in its own time", "%.4f (%+.1f%%)", got, 100*off)
+				"a backend's machine in its own time", "%.4f (%+.1f%%)", got, 100*off)
 		}
 	}
 }
@@ -221,7 +221,7 @@
 	sum := 0.0
 	for _, mirrored := range []bool{false, true} {
 		draw, serve := chance.New(p.Seed, fmt.Sprint("arrivals ", cores, load)), chance.New(p.Seed, fmt.Sprint("services ", cores, load))
-		c := box.NewCore(scenario.Box{Cores: cores, Speed: 1, Queue: 1 << 30, WarmPart: 1, SlowFactor: 1}, scenario.Rules{}, 0, false, nil)
+		c := backend.NewCore(scenario.Backend{Cores: cores, Speed: 1, Queue: 1 << 30, WarmPart: 1, SlowFactor: 1}, scenario.Rules{}, 0, false, nil)
 		at, waited := 0.0, 0.0
 		for range visits {
 			at += draw.Exp(mean / load / float64(cores))
@@ -233,8 +233,8 @@
 			if p.Break == "slow-core" {
 				work *= 1.05
 			}
-			e := &box.Entry{Work: max(1, box.Micros(work))}
-			c.Offer(box.Micros(at), e, func(e *box.Entry) { waited += float64(e.Began - e.Came) })
+			e := &backend.Entry{Work: max(1, backend.Micros(work))}
+			c.Offer(backend.Micros(at), e, func(e *backend.Entry) { waited += float64(e.Began - e.Came) })
 		}
 		c.Advance(math.MaxInt64 / 2)
 		sum += waited / float64(visits) / mean
@@ -247,7 +247,7 @@
 length = "%ds"
 [sidecars]
 count = 1
-[[box]]
+[[backend]]
 queue = 100000
 [[prefix]]
 name = "lookup"
@@ -259,11 +259,11 @@
 rate = "350/s"
 `
 
-// socketQueue holds the account of a box on a socket against Lindley's recursion over its own arrivals.
+// socketQueue holds the account of a backend on a socket against Lindley's recursion over its own arrivals.
 func (p *Proof) socketQueue() error {
 	s := p.parse(lone, map[bool]int{true: 5, false: 30}[p.Quick])
-	p.say("one box on a socket")
-	rig, err := stage.Raise(s, stage.Options{Program: p.self("honest", "badcar", "--break", "honest"), Seed: p.Seed, Stop: p.Stop})
+	p.say("one backend on a socket")
+	rig, err := stage.Raise(s, stage.Options{Program: p.self("honest", "faulty", "--break", "honest"), Seed: p.Seed, Stop: p.Stop})
 	if err != nil {
 		return err
 	}
@@ -280,7 +280,7 @@
 	}
 	n := float64(max(len(entries), 1))
 	off := wait/max(expected, 1) - 1
-	p.claim(math.Abs(off) <= 0.03 && len(entries) > 1000, "mean wait of a box on a socket at 70% load", "Lindley's recursion ± 3%", "the box's account, its own arrivals",
+	p.claim(math.Abs(off) <= 0.03 && len(entries) > 1000, "mean wait of a backend on a socket at 70% load", "Lindley's recursion ± 3%", "the backend's account, its own arrivals",
 		"%.0f µs, recursion %.0f µs, %d visits (%+.2f%%)", wait/n, expected/n, len(entries), 100*off)
 	return nil
 }
@@ -297,7 +297,7 @@
 	p.claim(one.Hash == two.Hash && one.Hash != other.Hash, "one seed gives one plan, another seed another", "equal, and not", "the plan's hash",
 		"%016x %016x, other %016x", one.Hash, two.Hash, other.Hash)
 	p.say("the planned arrivals")
-	rig, err := stage.Raise(s, stage.Options{Program: p.self("honest", "badcar", "--break", "honest"), Seed: p.Seed, Stop: p.Stop, Break: p.Break})
+	rig, err := stage.Raise(s, stage.Options{Program: p.self("honest", "faulty", "--break", "honest"), Seed: p.Seed, Stop: p.Stop, Break: p.Break})
 	if err != nil {
 		return err
 	}
@@ -323,7 +323,7 @@
 		}
 	}
 	p.claim(wrong == 0 && len(sent) == len(one.Visits), "the planned arrivals are those sent", strconv.Itoa(len(one.Visits))+" visits, none otherwise",
-		"clients and boxes against the plan", "%d visits, %d otherwise", len(sent), wrong)
+		"clients and backends against the plan", "%d visits, %d otherwise", len(sent), wrong)
 	return nil
 }
 
@@ -332,7 +332,7 @@
 length = "%ds"
 [sidecars]
 count = 4
-[[box]]
+[[backend]]
 count = 20
 cores = 4
 [[prefix]]
--- a/lab/prove/membership.go
+++ b/lab/prove/membership.go
@@ -11,11 +11,11 @@
 
 	"ledgespread/decide/membership"
 	"ledgespread/decide/membership/crowd"
-	"ledgespread/lab/cars"
 	"ledgespread/lab/chance"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/judge"
-	"ledgespread/lab/path"
+	"ledgespread/lab/network"
+	"ledgespread/lab/sidecars"
 	"ledgespread/lab/stage"
 )
 
@@ -342,13 +342,13 @@
 
 // atWork is what sidecars of the proofs with real processes have before them: servers in three zones, a path prefix of each effect, and so
 // many visits a second.
-const atWork = `[[box]]
+const atWork = `[[backend]]
 count = 2
 zone = "bangna"
-[[box]]
+[[backend]]
 count = 2
 zone = "lat-krabang"
-[[box]]
+[[backend]]
 count = 2
 zone = "chon-buri"
 [[prefix]]
@@ -385,7 +385,7 @@
 
 func (p *Proof) muster(seed uint64, many int) (*muster, error) {
 	s := p.parse(mustered, seed, many, probeEvery.Duration(), many*visitsEach)
-	g, err := stage.Raise(s, stage.Options{Program: cars.Program{Path: p.Sidecar.Path, Args: []string{"serve"}, Name: p.Sidecar.Name}, Seed: seed, Stop: p.Stop})
+	g, err := stage.Raise(s, stage.Options{Program: sidecars.Program{Path: p.Sidecar.Path, Args: []string{"serve"}, Name: p.Sidecar.Name}, Seed: seed, Stop: p.Stop})
 	if err != nil {
 		return nil, err
 	}
@@ -500,7 +500,7 @@
 			}
 		}
 	}
-	all(func(i, j int) { m.Link(i, j, func(l *path.Link) { l.Lost = 0.1 }) })
+	all(func(i, j int) { m.Link(i, j, func(l *network.Link) { l.Lost = 0.1 }) })
 	mark, begun := m.Now(), m.Now()
 	for m.Now()-begun < disturbed {
 		from, to, still := draw.Below(many), draw.Below(many), draw.Below(many)
@@ -520,7 +520,7 @@
 		cut(false)
 	}
 	played := float64(many) * float64(m.Now()-begun) / 60e6
-	all(func(i, j int) { m.Link(i, j, func(l *path.Link) { l.Lost = 0 }) })
+	all(func(i, j int) { m.Link(i, j, func(l *network.Link) { l.Lost = 0 }) })
 	deaths := 0
 	truth := m.Muster()
 	for _, w := range m.Words() {
--- a/lab/prove/prove.go
+++ b/lab/prove/prove.go
@@ -10,8 +10,8 @@
 
 	"ledgespread/decide/membership"
 	"ledgespread/decide/rollout"
-	"ledgespread/lab/cars"
 	"ledgespread/lab/scale"
+	"ledgespread/lab/sidecars"
 	"ledgespread/lab/size"
 )
 
@@ -35,11 +35,11 @@
 
 	Sizes *size.Report `json:"sizes,omitempty"` // what scale measured
 
-	Sidecar cars.Program    `json:"-"`
-	Beside  cars.Program    `json:"-"` // an earlier build that floor measures in the same rounds
-	Self    string          `json:"-"` // this program, which is also the bare forwarder and the bad sidecars
-	Say     func(string)    `json:"-"`
-	Stop    <-chan struct{} `json:"-"`
+	Sidecar sidecars.Program `json:"-"`
+	Beside  sidecars.Program `json:"-"` // an earlier build that floor measures in the same rounds
+	Self    string           `json:"-"` // this program, which is also the bare forwarder and the bad sidecars
+	Say     func(string)     `json:"-"`
+	Stop    <-chan struct{}  `json:"-"`
 }
 
 // proof is one that can be played, with its ways to fail.
--- a/lab/prove/rollout.go
+++ b/lab/prove/rollout.go
@@ -8,9 +8,9 @@
 
 	"ledgespread/decide/rollout"
 	"ledgespread/decide/rollout/fleet"
-	"ledgespread/lab/cars"
 	"ledgespread/lab/clock"
-	"ledgespread/lab/path"
+	"ledgespread/lab/network"
+	"ledgespread/lab/sidecars"
 	"ledgespread/lab/stage"
 )
 
@@ -90,7 +90,7 @@
 
 // spread publishes one, and then a second one, which it measures until it is in force everywhere, by seconds.
 func (p *Proof) spread(f *fleet.Fleet, x fleet.Content) (c change) {
-	many := len(f.Cars)
+	many := len(f.Sidecars)
 	tell := f.Told
 	defer func() { f.Told = tell }()
 	f.Told = func(_ fleet.Micros, _ int, e rollout.Event) {
@@ -99,8 +99,8 @@
 		}
 	}
 	look := func() (out, in, served []int) {
-		for _, car := range f.Cars {
-			out, in, served = append(out, car.Out()), append(in, car.In()), append(served, car.Served)
+		for _, sidecar := range f.Sidecars {
+			out, in, served = append(out, sidecar.Out()), append(in, sidecar.In()), append(served, sidecar.Served)
 		}
 		return out, in, served
 	}
@@ -144,10 +144,10 @@
 		c.mean += more / float64(many)
 		c.hottest = max(c.hottest, more)
 	}
-	for _, car := range f.Cars {
-		c.fell += car.Fell
+	for _, sidecar := range f.Sidecars {
+		c.fell += sidecar.Fell
 	}
-	c.table = len(f.Cars[0].Member.Table(4 << 20))
+	c.table = len(f.Sidecars[0].Member.Table(4 << 20))
 	return c
 }
 
@@ -191,7 +191,7 @@
 }
 
 func falls(f *fleet.Fleet) (n int) {
-	for _, c := range f.Cars {
+	for _, c := range f.Sidecars {
 		n += c.Fell
 	}
 	return n
@@ -252,7 +252,7 @@
 		a, b := handed(f, 0, p.content(2)), handed(f, 30, p.content(2, func(c *fleet.Content) { c.Size++ }))
 		f.Run(10_000_000)
 		took += f.Has(a) + f.Has(b)
-		for _, c := range f.Cars {
+		for _, c := range f.Sidecars {
 			if c.Status().Contested {
 				told++
 			}
@@ -276,19 +276,19 @@
 		f := p.hollowFleet(p.Seed*100+seed, many, 0)
 		v := handed(f, 0, p.content(1))
 		f.Run(500_000)
-		f.Cars[0].Member.Kill()
+		f.Sidecars[0].Member.Kill()
 		lost = append(lost, 500_000+clock.Micros(f.Until(20_000_000, f.In(v))))
 		f.Run(5_000_000)
-		f.Cars[7].Member.Stop()
+		f.Sidecars[7].Member.Stop()
 		f.Restart(8, 10_000_000)
 		handed(f, 1, p.content(2))
 		f.Run(5_000_000)
 		v = handed(f, 2, p.content(3))
 		f.Run(4_999_000)
-		f.Cars[7].Member.Continue()
-		stood = append(stood, clock.Micros(f.Until(20_000_000, func() bool { return f.Cars[7].Force == v })))
+		f.Sidecars[7].Member.Continue()
+		stood = append(stood, clock.Micros(f.Until(20_000_000, func() bool { return f.Sidecars[7].Force == v })))
 		begun := f.Now
-		f.Until(20_000_000, func() bool { return f.Cars[8].Force == v })
+		f.Until(20_000_000, func() bool { return f.Sidecars[8].Force == v })
 		restarted = append(restarted, clock.Micros(f.Now-begun)+stood[len(stood)-1])
 		fell += falls(f)
 	}
@@ -396,8 +396,8 @@
 func (t *train) inForceAfter(since clock.Micros, of []int) clock.Micros {
 	at := map[int]clock.Micros{}
 	for _, f := range t.Forces() {
-		if _, had := at[f.Car]; !had && f.Number >= t.no {
-			at[f.Car] = f.At
+		if _, had := at[f.Sidecar]; !had && f.Number >= t.no {
+			at[f.Sidecar] = f.At
 		}
 	}
 	most := clock.Micros(0)
@@ -434,7 +434,7 @@
 	}
 	p.say("%d processes", many)
 	s := p.parse(carried, p.Seed, many, probeEvery.Duration(), many*carriedVisits)
-	g, err := stage.Raise(s, stage.Options{Program: cars.Program{Path: p.Sidecar.Path, Args: []string{"serve"}, Name: p.Sidecar.Name}, Seed: p.Seed, Stop: p.Stop})
+	g, err := stage.Raise(s, stage.Options{Program: sidecars.Program{Path: p.Sidecar.Path, Args: []string{"serve"}, Name: p.Sidecar.Name}, Seed: p.Seed, Stop: p.Stop})
 	if err != nil {
 		return err
 	}
@@ -462,10 +462,10 @@
 	}
 	last, fell := map[int]uint64{}, 0
 	for _, f := range t.Forces() {
-		if f.Number < last[f.Car] {
+		if f.Number < last[f.Sidecar] {
 			fell++
 		}
-		last[f.Car] = f.Number
+		last[f.Sidecar] = f.Number
 	}
 	p.claim(fell == 0, "no number in force fell, among processes", "0 times", rolloutLogs, "%d", fell)
 	visits := len(t.Tries())
@@ -586,7 +586,7 @@
 		for i := range many {
 			for j := range many {
 				if i != j {
-					t.Link(i, j, func(l *path.Link) { l.Lost = lost })
+					t.Link(i, j, func(l *network.Link) { l.Lost = lost })
 				}
 			}
 		}
--- a/lab/report/plot.go
+++ b/lab/report/plot.go
@@ -19,9 +19,9 @@
 	grey = color.RGBA{150, 150, 150, 255}
 )
 
-const mostLegend = 12 // boxes that get a line in the legend
+const mostLegend = 12 // backends that get a line in the legend
 
-// Plot draws the run as a PNG: latency by time, service and ends by second, load by box, with events marked.
+// Plot draws the run as a PNG: latency by time, service and ends by second, load by backend, with events marked.
 func (r *Report) Plot(file string) error {
 	latency, service, load := plot.New(), plot.New(), plot.New()
 	latency.Title.Text = fmt.Sprintf("%s, %s, seed %d", r.Scenario, r.Program, r.Seed)
@@ -61,7 +61,7 @@
 			}
 			name := ""
 			if len(last.Held) <= mostLegend {
-				name = fmt.Sprintf("box %d", b)
+				name = fmt.Sprintf("backend %d", b)
 			}
 			if err := add(load, name, line, colors[b%len(colors)]); err != nil {
 				return err
--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -14,7 +14,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"ledgespread/lab/box"
+	"ledgespread/lab/backend"
 	"ledgespread/lab/clients"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/judge"
@@ -39,7 +39,7 @@
 	Tries     int            `json:"tries"`
 	Latency   Latency        `json:"latency"` // of visits delivered, from when they were due
 	Answers   Latency        `json:"answers"` // of all that had an answer of their sidecar
-	Fetches   map[string]int `json:"fetches"` // at the boxes, by fate
+	Fetches   map[string]int `json:"fetches"` // at the backends, by fate
 	Wasted    float64        `json:"wasted"`  // core time spent beyond the fetch that was delivered, by all work asked for
 	Crossings int            `json:"crossings"`
 	Opened    int            `json:"connections_opened"`
@@ -90,10 +90,10 @@
 	P99       int64   `json:"p99_us"`
 }
 
-// LoadLine is what boxes held at a time.
+// LoadLine is what backends held at a time.
 type LoadLine struct {
 	At   Micros `json:"at_us"`
-	Held []int  `json:"held"` // by box, in order; -1: not there
+	Held []int  `json:"held"` // by backend, in order; -1: not there
 }
 
 // Mark is something that happened.
@@ -230,24 +230,24 @@
 		r.ByTenant = append(r.ByTenant, Part{t.Name, tenants[i].visits, tenants[i].service()})
 	}
 	r.Latency, r.Answers = Sum(all), Sum(answers)
-	zones, cars := map[string]string{}, map[string]string{}
-	for _, b := range a.Boxes {
+	zones, sidecars := map[string]string{}, map[string]string{}
+	for _, b := range a.Backends {
 		zones[b.Name] = b.Zone
 	}
 	for _, t := range a.Tries {
-		cars[t.ID] = a.Cars[t.Car].Zone
+		sidecars[t.ID] = a.Sidecars[t.Sidecar].Zone
 	}
 	wasted := 0.0
 	for _, e := range a.Entries {
 		fate := string(e.Fate)
-		if e.Fate == box.Waiting {
+		if e.Fate == backend.Waiting {
 			fate = "still there at the end"
 		}
 		r.Fetches[fate]++
-		if cars[e.ID] != zones[e.Box] {
+		if sidecars[e.ID] != zones[e.Backend] {
 			r.Crossings++
 		}
-		if !delivered[e.ID] || e.Fate != box.Delivered {
+		if !delivered[e.ID] || e.Fate != backend.Delivered {
 			wasted += float64(e.Cost)
 		}
 	}
--- a/lab/scale/claims.go
+++ b/lab/scale/claims.go
@@ -35,7 +35,7 @@
 	}
 	visits := func(i int) float64 {
 		if i < real {
-			return float64(b.cars[i].visits - a.cars[i].visits)
+			return float64(b.sidecars[i].visits - a.sidecars[i].visits)
 		}
 		return float64(b.visits[i] - a.visits[i])
 	}
@@ -90,7 +90,7 @@
 	_ = idle
 	span := b.at.Sub(a.at).Seconds()
 	g.sampled(f, a, b, span)
-	core := func(k int) float64 { return (b.cars[k].cpu - a.cars[k].cpu).Seconds() / span }
+	core := func(k int) float64 { return (b.sidecars[k].cpu - a.sidecars[k].cpu).Seconds() / span }
 	for c, v := range x.Visits {
 		class := func(from, to int) (mean float64, n int) {
 			for k := from; k < to; k++ {
--- a/lab/scale/cpu.go
+++ b/lab/scale/cpu.go
@@ -38,7 +38,7 @@
 			m += float64(in.Messages[kind]+out.Messages[kind]) / span
 		}
 		messages = append(messages, m)
-		g.samples = append(g.samples, sample{(b.cars[k].cpu - a.cars[k].cpu).Seconds() / span, float64(b.cars[k].visits-a.cars[k].visits) / span, m})
+		g.samples = append(g.samples, sample{(b.sidecars[k].cpu - a.sidecars[k].cpu).Seconds() / span, float64(b.sidecars[k].visits-a.sidecars[k].visits) / span, m})
 	}
 	return messages
 }
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -16,15 +16,15 @@
 	"ledgespread/internal/extensions"
 	"ledgespread/internal/notes"
 	"ledgespread/internal/site"
-	"ledgespread/lab/box"
-	"ledgespread/lab/cars"
+	"ledgespread/lab/backend"
 	"ledgespread/lab/chance"
 	"ledgespread/lab/clients"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/hollow"
-	"ledgespread/lab/path"
+	"ledgespread/lab/network"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 )
 
 // Purposes of a sidecar's own loopback addresses.
@@ -46,25 +46,25 @@
 
 // fleet is one size on sockets: real sidecars with the lowest numbers, hollow ones behind them, silent ones outside the numbers.
 type fleet struct {
-	run     *Run
-	o       Options
-	size    Size
-	no      int // of this process's fleets: addresses go by it
-	s       *scenario.Scenario
-	quiet   *scenario.Scenario // as the silent ones are told
-	begun   time.Time
-	clock   *clock.Clock
-	alarms  *clock.Alarms
-	service *Service
-	readers []*Reader // by number; silent ones behind
-	boxes   []*box.Box
-	cars    []*cars.Car // real ones, then silent ones
-	hollow  []*hollow.Sidecar
-	account *hollow.Account
-	between *path.Datagrams
-	folder  string
-	clients *clients.Clients
-	hosts   []host
+	run      *Run
+	o        Options
+	size     Size
+	no       int // of this process's fleets: addresses go by it
+	s        *scenario.Scenario
+	quiet    *scenario.Scenario // as the silent ones are told
+	begun    time.Time
+	clock    *clock.Clock
+	alarms   *clock.Alarms
+	service  *Service
+	readers  []*Reader // by number; silent ones behind
+	backends []*backend.Backend
+	sidecars []*sidecars.Sidecar // real ones, then silent ones
+	hollow   []*hollow.Sidecar
+	account  *hollow.Account
+	between  *network.Datagrams
+	folder   string
+	clients  *clients.Clients
+	hosts    []host
 
 	restless bool // members still tell each other who joined
 }
@@ -80,7 +80,7 @@
 	for i, x := range r.Zones {
 		zones[i] = fmt.Sprintf("%q", x)
 	}
-	fmt.Fprintf(&b, "name = \"size\"\nlength = \"3600s\"\nzones = [%s]\n[sidecars]\ncount = %d\ncores = 1\nmemory_mb = 256\nsockets = 1024\n[[box]]\n",
+	fmt.Fprintf(&b, "name = \"size\"\nlength = \"3600s\"\nzones = [%s]\n[sidecars]\ncount = %d\ncores = 1\nmemory_mb = 256\nsockets = 1024\n[[backend]]\n",
 		strings.Join(zones, ", "), z.Sidecars)
 	fmt.Fprintf(&b, "[[prefix]]\nname = \"look\"\nshare = 0.8\nwork = %[1]q\nwork_spread = \"exp\"\ntarget_latency = \"300ms\"\nclient_timeout = \"2s\"\n"+
 		"[[prefix]]\nname = \"book\"\neffect = \"tagged\"\nshare = 0.2\nwork = %[1]q\nwork_spread = \"exp\"\ntarget_latency = \"300ms\"\nclient_timeout = \"2s\"\n",
@@ -120,15 +120,15 @@
 	if err != nil {
 		return nil, err
 	}
-	groups := box.NewGroups()
+	groups := backend.NewGroups()
 	for i := range z.Servers {
-		b := box.New(fmt.Sprint("b", i), scenario.Box{Count: 1, Zone: r.zone(i), Model: "box", Cores: r.Cores, Speed: 1, Queue: 400, Connections: 4000,
+		b := backend.New(fmt.Sprint("b", i), scenario.Backend{Count: 1, Zone: r.zone(i), Model: "backend", Cores: r.Cores, Speed: 1, Queue: 400, Connections: 4000,
 			ReportEvery: scenario.Span(clock.Second), WarmPart: 1, SlowFactor: 1}, f.s, r.Seed, groups, f.clock, f.alarms)
 		if err = b.Start("", false); err != nil {
 			return nil, err
 		}
-		f.boxes = append(f.boxes, b)
-		f.hosts = append(f.hosts, host{Host: b.Name, Dial: b.Address(), Site: b.Zone, Class: "box", Health: "in_service", Share: float64(r.Cores)})
+		f.backends = append(f.backends, b)
+		f.hosts = append(f.hosts, host{Host: b.Name, Dial: b.Address(), Site: b.Zone, Class: "backend", Health: "in_service", Share: float64(r.Cores)})
 	}
 	f.service.set(f.hosts...)
 	for i := range z.Sidecars + r.Silent {
@@ -138,7 +138,7 @@
 		}
 		f.readers = append(f.readers, reader)
 	}
-	if err = f.raiseCars(member); err != nil {
+	if err = f.raiseSidecars(member); err != nil {
 		return nil, err
 	}
 	return f, f.raiseHollow(member)
@@ -146,7 +146,7 @@
 
 // paper is what a sidecar is told, real or hollow.
 func (f *fleet) paper(i int, name, listen string) ([]byte, error) {
-	p := cars.Paper{Scenario: f.s, Number: i, Name: name, Zone: f.run.zone(i), Listen: listen, Discovery: f.readers[i].Address,
+	p := sidecars.Paper{Scenario: f.s, Number: i, Name: name, Zone: f.run.zone(i), Listen: listen, Discovery: f.readers[i].Address,
 		Seed: hollow.Seed(f.run.Seed, "sidecar", i), Known: f.service.saved()}
 	if i >= f.size.Sidecars { // silent
 		p.Scenario, p.Number = f.quiet, i%f.size.Sidecars
@@ -186,13 +186,13 @@
 	return fitted.Membership, nil
 }
 
-func (f *fleet) raiseCars(member bool) (err error) {
+func (f *fleet) raiseSidecars(member bool) (err error) {
 	r := f.run
 	var own []netip.AddrPort
 	for i := range r.Real {
 		own = append(own, f.at(forNotes, i))
 	}
-	if f.between, err = path.Between(own, scenario.Loss{}, r.Seed); err != nil {
+	if f.between, err = network.Between(own, scenario.Loss{}, r.Seed); err != nil {
 		return err
 	}
 	f.between.Watch(func(from, to int, msg []byte) {
@@ -205,7 +205,7 @@
 		if k >= r.Real {
 			i, name = f.size.Sidecars+k-r.Real, fmt.Sprint("s", k-r.Real)
 		}
-		car, err := cars.New(name, r.zone(i), f.o.Sidecar, f.folder, f.clock, func(at string) ([]byte, error) { return f.paper(i, name, at) })
+		sidecar, err := sidecars.New(name, r.zone(i), f.o.Sidecar, f.folder, f.clock, func(at string) ([]byte, error) { return f.paper(i, name, at) })
 		if err != nil {
 			return err
 		}
@@ -214,18 +214,18 @@
 			if err := os.WriteFile(file, f.fit(i), 0o600); err != nil {
 				return err
 			}
-			car.More = []string{"--with", file}
+			sidecar.More = []string{"--with", file}
 		}
-		f.cars = append(f.cars, car)
+		f.sidecars = append(f.sidecars, sidecar)
 	}
 	var all sync.WaitGroup
-	places, ends := make(chan bool, startsAtOnce), make([]error, len(f.cars))
-	for k, car := range f.cars {
+	places, ends := make(chan bool, startsAtOnce), make([]error, len(f.sidecars))
+	for k, sidecar := range f.sidecars {
 		all.Add(1)
 		places <- true
 		go func() {
 			defer all.Done()
-			ends[k] = car.Start(readyWithin)
+			ends[k] = sidecar.Start(readyWithin)
 			<-places
 		}()
 	}
@@ -325,19 +325,19 @@
 func (f *fleet) visits(span time.Duration, rate func(i int) float64) {
 	p := &plan.Plan{Seed: f.run.Seed}
 	var at []string
-	for k, car := range f.cars {
-		at = append(at, car.Address)
+	for k, sidecar := range f.sidecars {
+		at = append(at, sidecar.Address)
 		number := k
 		if k >= f.run.Real {
 			number = k - f.run.Real
 		}
 		each := rate(number)
-		draw := chance.New(f.run.Seed, "visits "+car.Name)
+		draw := chance.New(f.run.Seed, "visits "+sidecar.Name)
 		for t := 0.0; each > 0; {
 			if t += draw.Exp(1e6 / each); t >= float64(span.Microseconds()) {
 				break
 			}
-			v := plan.Visit{At: clock.Micros(t), Car: k, Prefix: draw.Pick([]float64{0.8, 0.2}), Tenant: -1,
+			v := plan.Visit{At: clock.Micros(t), Sidecar: k, Prefix: draw.Pick([]float64{0.8, 0.2}), Tenant: -1,
 				Work: max(1, clock.Micros(draw.Exp(float64(f.run.Work))))}
 			if f.size.Tenants > 0 {
 				v.Tenant = draw.Below(f.size.Tenants)
@@ -374,12 +374,12 @@
 // close ends everything that was started, the processes first.
 func (f *fleet) close() {
 	var all sync.WaitGroup
-	for _, car := range f.cars {
+	for _, sidecar := range f.sidecars {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			car.Signal(syscall.SIGCONT)
-			car.Kill()
+			sidecar.Signal(syscall.SIGCONT)
+			sidecar.Kill()
 		}()
 	}
 	all.Wait()
@@ -392,7 +392,7 @@
 	if f.between != nil {
 		f.between.Close()
 	}
-	for _, b := range f.boxes {
+	for _, b := range f.backends {
 		b.Kill()
 	}
 	f.service.close()
--- a/lab/scale/look.go
+++ b/lab/scale/look.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"ledgespread/internal/counters"
-	"ledgespread/lab/cars"
 	"ledgespread/lab/clients"
 	"ledgespread/lab/hollow"
+	"ledgespread/lab/sidecars"
 )
 
 // look is all accounts of a fleet at one moment.
@@ -21,7 +21,7 @@
 	at       time.Time
 	in, out  []hollow.Kinds     // by number, as receivers had them
 	visits   []int              // by number, hollow ones
-	cars     []process          // real ones, then silent ones
+	sidecars []process          // real ones, then silent ones
 	members  []map[string]int64 // by number
 	list     []asked            // by number, silent ones behind
 	sent     int64              // messages between sidecars, by the senders' counters
@@ -55,17 +55,17 @@
 	l := &look{at: time.Now()}
 	l.in, l.out = f.account.Look()
 	l.members, l.visits = make([]map[string]int64, f.size.Sidecars), make([]int, f.size.Sidecars)
-	for k, car := range f.cars {
-		cpu, _ := car.Used()
-		files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", car.Pid()))
-		p := process{cpu: cpu, memory: cars.Memory(car.Pid()), files: len(files)}
-		_, body, err := clients.Ask(car.Address, "/-/counters")
+	for k, sidecar := range f.sidecars {
+		cpu, _ := sidecar.Used()
+		files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", sidecar.Pid()))
+		p := process{cpu: cpu, memory: sidecars.Memory(sidecar.Pid()), files: len(files)}
+		_, body, err := clients.Ask(sidecar.Address, "/-/counters")
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", car.Name, err)
+			return nil, fmt.Errorf("%s: %w", sidecar.Name, err)
 		}
 		counts := hollow.ReadCounts(body)
 		p.visits = counts["visits_taken"]
-		l.cars = append(l.cars, p)
+		l.sidecars = append(l.sidecars, p)
 		if k < f.run.Real {
 			l.sent, l.heardAll, l.refused = l.sent+counts["notes_sent"], l.heardAll+counts["notes_heard"], l.refused+counts["notes_refused"]
 			l.toReal += counts["notes_heard"]
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -17,16 +17,16 @@
 	"ledgespread/decide/summary"
 	"ledgespread/internal/discovery"
 	"ledgespread/internal/site"
-	"ledgespread/lab/cars"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/hollow"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 	"ledgespread/lab/size"
 )
 
 // Options are what a run has beside its file.
 type Options struct {
-	Sidecar cars.Program
+	Sidecar sidecars.Program
 	Quick   bool
 	Folder  string // for configurations and logs; "" for one that is removed
 	Stop    <-chan struct{}
@@ -331,7 +331,7 @@
 // processes books processor time, memory and files of the real ones, beside the silent ones.
 func (g *rig) processes(f *fleet, idle, a, b *look, span float64, first bool) {
 	at, real, silent := f.size.at(), f.run.Real, f.run.Silent
-	core := func(k int) float64 { return (b.cars[k].cpu - a.cars[k].cpu).Seconds() / span }
+	core := func(k int) float64 { return (b.sidecars[k].cpu - a.sidecars[k].cpu).Seconds() / span }
 	on, off := spread(real, real, core), spread(silent, 0, func(k int) float64 { return core(real + k) })
 	if silent > 0 {
 		g.add("control.cpu_over_silent", at, size.Point{Mean: on.Mean - off.Mean, Most: on.Most - off.Mean, Real: on.Mean - off.Mean})
@@ -341,16 +341,16 @@
 	g.told = append(g.told, t)
 	g.add("process.cpu", at, on)
 	const mb = 1024.0 / 1e6
-	memory := spread(real, real, func(k int) float64 { return float64(b.cars[k].memory) * mb })
+	memory := spread(real, real, func(k int) float64 { return float64(b.sidecars[k].memory) * mb })
 	g.add(size.Memory, at, memory)
 	for _, role := range []string{size.Owner, size.Ledger} {
 		g.add(role+".memory_mb", at, size.Point{Mean: memory.Most, Real: memory.Most})
 	}
 	if first { // nothing was sent to it yet
-		g.add("memory.idle_mb", at, spread(real, real, func(k int) float64 { return float64(idle.cars[k].memory) * mb }))
+		g.add("memory.idle_mb", at, spread(real, real, func(k int) float64 { return float64(idle.sidecars[k].memory) * mb }))
 	}
-	g.add(size.Descriptor, at, spread(real, real, func(k int) float64 { return float64(b.cars[k].files) }))
-	own := float64(cars.Memory(os.Getpid())) * mb
+	g.add(size.Descriptor, at, spread(real, real, func(k int) float64 { return float64(b.sidecars[k].files) }))
+	own := float64(sidecars.Memory(os.Getpid())) * mb
 	g.add("hollow.memory_mb", at, size.Point{Mean: own / float64(max(len(f.hollow), 1))})
 }
 
@@ -512,7 +512,7 @@
 	service := newService(0, 0, time.Now())
 	var hosts []host
 	for i := range z.Servers {
-		hosts = append(hosts, host{Host: fmt.Sprint("b", i), Dial: "127.0.0.1:1", Site: g.zone(i), Class: "box", Health: "in_service", Share: float64(g.Cores)})
+		hosts = append(hosts, host{Host: fmt.Sprint("b", i), Dial: "127.0.0.1:1", Site: g.zone(i), Class: "backend", Health: "in_service", Share: float64(g.Cores)})
 	}
 	service.set(hosts...)
 	known := service.saved()
@@ -526,7 +526,7 @@
 	}
 	w, err := hollow.NewWorld(z.Sidecars, brain.Micros(g.Way), hollow.NewFleet(g.Cores, brain.Micros(g.Queue), brain.Micros(g.Trip)),
 		func(i int) (*site.Manifest, error) {
-			text, err := cars.Paper{Scenario: s, Number: i, Name: hollow.Name(i), Zone: g.zone(i), Listen: "127.0.0.1:1", Discovery: "127.0.0.1:1",
+			text, err := sidecars.Paper{Scenario: s, Number: i, Name: hollow.Name(i), Zone: g.zone(i), Listen: "127.0.0.1:1", Discovery: "127.0.0.1:1",
 				Seed: hollow.Seed(g.Seed, "sidecar", i), Known: known}.JSON()
 			if err != nil {
 				return nil, err
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -287,7 +287,7 @@
 	s := newService(30*time.Millisecond, 2, time.Now())
 	defer s.close()
 	line := func(name, health string) host {
-		return host{Host: name, Dial: "127.0.0.1:1", Site: "a", Class: "box", Health: health, Share: 1}
+		return host{Host: name, Dial: "127.0.0.1:1", Site: "a", Class: "backend", Health: health, Share: 1}
 	}
 	s.set(line("b0", "in_service"), line("b1", "in_service"))
 	var readers []*Reader
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -47,8 +47,8 @@
 	Length   Span           `toml:"length"`
 	Warmup   Span           `toml:"warmup"` // its visits are sent and judged by the rules, not counted in service
 	Zones    []string       `toml:"zones"`
-	Cars     Cars           `toml:"sidecars"`
-	Boxes    []Box          `toml:"box"`
+	Sidecars Sidecars       `toml:"sidecars"`
+	Backends []Backend      `toml:"backend"`
 	Prefixes []Prefix       `toml:"prefix"`
 	Tenants  []Tenant       `toml:"tenant"`
 	Traffic  Traffic        `toml:"traffic"`
@@ -62,8 +62,8 @@
 	File     string         `toml:"-"`
 }
 
-// Cars are the sidecars, a process each.
-type Cars struct {
+// Sidecars are the sidecars, a process each.
+type Sidecars struct {
 	Count    int     `toml:"count"`
 	Cores    float64 `toml:"cores"`
 	MemoryMB int     `toml:"memory_mb"`
@@ -77,8 +77,8 @@
 	Carry  int  `toml:"control"` // they carry configurations, and so many of them are control machines; 0: they don't
 }
 
-// Box stands for Count boxes alike.
-type Box struct {
+// Backend stands for Count backends alike.
+type Backend struct {
 	Count       int     `toml:"count"`
 	Zone        string  `toml:"zone"`
 	Model       string  `toml:"model"`
@@ -94,7 +94,7 @@
 	WarmKeys    int     `toml:"warm_keys"`    // keys kept warm
 	WarmPart    float64 `toml:"warm_part"`    // of the work, for a warm key's visit
 	RunsOn      bool    `toml:"runs_on"`      // a visit called off goes on running
-	SlowQueue   float64 `toml:"slow_queue"`   // waiting visits a core, for slow_after: the box turns slow
+	SlowQueue   float64 `toml:"slow_queue"`   // waiting visits a core, for slow_after: the backend turns slow
 	SlowAfter   Span    `toml:"slow_after"`
 	SlowFactor  float64 `toml:"slow_factor"`
 	SlowIdle    Span    `toml:"slow_idle"` // mostly idle for so long ends it
@@ -126,24 +126,24 @@
 
 // Traffic is what clients send, by schedule and not by answers.
 type Traffic struct {
-	Rate       Rate    `toml:"rate"`
-	Shape      string  `toml:"shape"` // poisson, even, bursts or swing
-	BurstEvery Span    `toml:"burst_every"`
-	BurstFor   Span    `toml:"burst_for"`
-	BurstTimes float64 `toml:"burst_times"`
-	SwingEvery Span    `toml:"swing_every"`
-	SwingBy    float64 `toml:"swing_by"`
-	Trace      string  `toml:"trace"` // a recorded one: lines "microseconds prefix tenant key work"
-	Keys       int     `toml:"keys"`
-	KeySkew    float64 `toml:"key_skew"`
-	Hints      bool    `toml:"hints"`   // X-Cost tells the work
-	Retries    int     `toml:"retries"` // that clients do by themselves
-	RetryWait  Span    `toml:"retry_wait"`
-	Honour     float64 `toml:"honour"`     // part of the clients that heed Retry-After
-	Impatient  float64 `toml:"impatient"`  // part of the visits whose client leaves early
-	Rude       Rate    `toml:"rude"`       // messages of rude clients
-	CarSkew    float64 `toml:"uneven"`     // 0: all sidecars get alike; else the weight of place k is 1/(1+k)^uneven
-	BodyBytes  int     `toml:"body_bytes"` // of an answer
+	Rate        Rate    `toml:"rate"`
+	Shape       string  `toml:"shape"` // poisson, even, bursts or swing
+	BurstEvery  Span    `toml:"burst_every"`
+	BurstFor    Span    `toml:"burst_for"`
+	BurstTimes  float64 `toml:"burst_times"`
+	SwingEvery  Span    `toml:"swing_every"`
+	SwingBy     float64 `toml:"swing_by"`
+	Trace       string  `toml:"trace"` // a recorded one: lines "microseconds prefix tenant key work"
+	Keys        int     `toml:"keys"`
+	KeySkew     float64 `toml:"key_skew"`
+	Hints       bool    `toml:"hints"`   // X-Cost tells the work
+	Retries     int     `toml:"retries"` // that clients do by themselves
+	RetryWait   Span    `toml:"retry_wait"`
+	Honour      float64 `toml:"honour"`     // part of the clients that heed Retry-After
+	Impatient   float64 `toml:"impatient"`  // part of the visits whose client leaves early
+	Rude        Rate    `toml:"rude"`       // messages of rude clients
+	SidecarSkew float64 `toml:"uneven"`     // 0: all sidecars get alike; else the weight of place k is 1/(1+k)^uneven
+	BodyBytes   int     `toml:"body_bytes"` // of an answer
 }
 
 // Network is the path between any two.
@@ -164,7 +164,7 @@
 	By      Span    `toml:"by"`
 }
 
-// List is the service that knows the boxes.
+// List is the service that knows the backends.
 type List struct {
 	Notice Span   `toml:"notice"` // a change is known so much later
 	Mode   string `toml:"mode"`   // on_request or pushed
@@ -181,21 +181,21 @@
 	Slack        Span    `toml:"slack"`
 }
 
-// Fault is something that happens to boxes, sidecars, the list or the network.
+// Fault is something that happens to backends, sidecars, the list or the network.
 type Fault struct {
-	At     Span    `toml:"at"`
-	For    Span    `toml:"for"`
-	What   string  `toml:"what"`
-	Boxes  any     `toml:"boxes"`    // a name, a list of names, or a part of all such as 0.5
-	Cars   any     `toml:"sidecars"` // the same
-	Others any     `toml:"others"`   // the same, for ways between sidecars: to whom; left out: all others
-	From   string  `toml:"from"`     // zones, for the network
-	To     string  `toml:"to"`
-	Tenant string  `toml:"tenant"`
-	Times  float64 `toml:"times"`
-	By     Span    `toml:"by"`
-	Part   float64 `toml:"part"` // chance
-	Bytes  int     `toml:"bytes_per_s"`
+	At       Span    `toml:"at"`
+	For      Span    `toml:"for"`
+	What     string  `toml:"what"`
+	Backends any     `toml:"backends"` // a name, a list of names, or a part of all such as 0.5
+	Sidecars any     `toml:"sidecars"` // the same
+	Others   any     `toml:"others"`   // the same, for ways between sidecars: to whom; left out: all others
+	From     string  `toml:"from"`     // zones, for the network
+	To       string  `toml:"to"`
+	Tenant   string  `toml:"tenant"`
+	Times    float64 `toml:"times"`
+	By       Span    `toml:"by"`
+	Part     float64 `toml:"part"` // chance
+	Bytes    int     `toml:"bytes_per_s"`
 }
 
 // Expect is what must hold; what is left out is not asked for. The rules always are.
@@ -213,8 +213,8 @@
 
 // Whats are the faults and what each is aimed at.
 var Whats = map[string]string{
-	"kill": "boxes", "kill_cold": "boxes", "stall": "boxes", "mute": "boxes", "errors": "boxes", "slow": "boxes",
-	"share": "boxes", "spoil": "boxes", "drain": "boxes", "leave": "boxes", "replace": "boxes", "join": "boxes",
+	"kill": "backends", "kill_cold": "backends", "stall": "backends", "mute": "backends", "errors": "backends", "slow": "backends",
+	"share": "backends", "spoil": "backends", "drain": "backends", "leave": "backends", "replace": "backends", "join": "backends",
 	"sidecar_kill": "sidecars", "sidecar_restart": "sidecars", "sidecar_stall": "sidecars",
 	"list_down": "list", "list_late": "list", "list_move": "list",
 	"silence": "network", "cut": "network", "reset": "network", "delay": "network", "refuse": "network", "narrow": "network",
@@ -251,6 +251,11 @@
 // Parse reads the bytes of a file.
 func Parse(file string, text []byte) (*Scenario, error) { return parse(file, text, "") }
 
+// Renamed are names that a scenario had once.
+func (*Scenario) Renamed() map[string]string {
+	return map[string]string{"box": "backend", "boxes": "backends"}
+}
+
 func parse(file string, text []byte, base string) (*Scenario, error) {
 	s := &Scenario{File: file, Seed: 1}
 	if err := strict.Decode(file, text, s); err != nil {
@@ -299,15 +304,15 @@
 	if len(s.Zones) == 0 {
 		s.Zones = []string{"a"}
 	}
-	either(&s.Cars.Count, 1)
-	either(&s.Cars.Cores, 1)
-	either(&s.Cars.MemoryMB, 192)
-	either(&s.Cars.Sockets, 1024)
-	for i := range s.Boxes {
-		b := &s.Boxes[i]
+	either(&s.Sidecars.Count, 1)
+	either(&s.Sidecars.Cores, 1)
+	either(&s.Sidecars.MemoryMB, 192)
+	either(&s.Sidecars.Sockets, 1024)
+	for i := range s.Backends {
+		b := &s.Backends[i]
 		either(&b.Count, 1)
 		either(&b.Zone, s.Zones[0])
-		either(&b.Model, "box")
+		either(&b.Model, "backend")
 		either(&b.Cores, 1)
 		either(&b.Speed, 1)
 		either(&b.Queue, 400)
@@ -350,19 +355,19 @@
 	check(s.Name != "", "", 0, "name", "is missing")
 	check(s.Length > 0, "", 0, "length", "must be over 0")
 	check(s.Warmup < s.Length, "", 0, "warmup", "must be shorter than the length")
-	check(s.Cars.Count > 0 && s.Cars.Count <= 6000, "sidecars", 0, "count", "must be from 1 to 6000")
-	check(len(s.Boxes) > 0, "", 0, "box", "is missing: a fleet has at least one [[box]]")
+	check(s.Sidecars.Count > 0 && s.Sidecars.Count <= 6000, "sidecars", 0, "count", "must be from 1 to 6000")
+	check(len(s.Backends) > 0, "", 0, "backend", "is missing: a fleet has at least one [[backend]]")
 	check(len(s.Prefixes) > 0, "", 0, "prefix", "is missing: at least one [[prefix]] is asked for")
-	for i, b := range s.Boxes {
-		check(b.Count > 0, "box", i, "count", "must be over 0")
-		check(slices.Contains(s.Zones, b.Zone), "box", i, "zone", "%q is not among the zones", b.Zone)
-		check(b.Cores > 0, "box", i, "cores", "must be over 0")
-		check(b.Speed > 0, "box", i, "speed", "must be over 0")
-		check(b.WarmPart > 0 && b.WarmPart <= 1, "box", i, "warm_part", "must be over 0 and at most 1")
-		check(b.SlowFactor >= 1, "box", i, "slow_factor", "must be at least 1")
-		check(b.SlowQueue == 0 || b.SlowAfter > 0, "box", i, "slow_after", "is missing, with slow_queue given")
-		check(b.SlowQueue == 0 || b.SlowIdle > 0 || b.SlowMost > 0, "box", i, "slow_queue",
-			"a box that turns slow needs slow_idle or slow_most, or never ends it")
+	for i, b := range s.Backends {
+		check(b.Count > 0, "backend", i, "count", "must be over 0")
+		check(slices.Contains(s.Zones, b.Zone), "backend", i, "zone", "%q is not among the zones", b.Zone)
+		check(b.Cores > 0, "backend", i, "cores", "must be over 0")
+		check(b.Speed > 0, "backend", i, "speed", "must be over 0")
+		check(b.WarmPart > 0 && b.WarmPart <= 1, "backend", i, "warm_part", "must be over 0 and at most 1")
+		check(b.SlowFactor >= 1, "backend", i, "slow_factor", "must be at least 1")
+		check(b.SlowQueue == 0 || b.SlowAfter > 0, "backend", i, "slow_after", "is missing, with slow_queue given")
+		check(b.SlowQueue == 0 || b.SlowIdle > 0 || b.SlowMost > 0, "backend", i, "slow_queue",
+			"a backend that turns slow needs slow_idle or slow_most, or never ends it")
 	}
 	names := map[string]bool{}
 	for i, p := range s.Prefixes {
@@ -401,12 +406,12 @@
 		aim, known := Whats[f.What]
 		check(known, "fault", i, "what", "%q is no fault", f.What)
 		check(f.At < s.Length, "fault", i, "at", "is past the end")
-		check(aim != "boxes" || f.Boxes != nil, "fault", i, "boxes", "is missing for %s", f.What)
-		check(aim != "sidecars" && aim != "ways" || f.Cars != nil, "fault", i, "sidecars", "is missing for %s", f.What)
-		check(f.Others == nil || s.aims(f.Others, s.CarNames()) == nil, "fault", i, "others", "%v", s.aims(f.Others, s.CarNames()))
+		check(aim != "backends" || f.Backends != nil, "fault", i, "backends", "is missing for %s", f.What)
+		check(aim != "sidecars" && aim != "ways" || f.Sidecars != nil, "fault", i, "sidecars", "is missing for %s", f.What)
+		check(f.Others == nil || s.aims(f.Others, s.SidecarNames()) == nil, "fault", i, "others", "%v", s.aims(f.Others, s.SidecarNames()))
 		check(f.Others == nil || aim == "ways", "fault", i, "others", "has no meaning for %s", f.What)
-		check(f.Boxes == nil || s.aims(f.Boxes, s.BoxNames()) == nil, "fault", i, "boxes", "%v", s.aims(f.Boxes, s.BoxNames()))
-		check(f.Cars == nil || s.aims(f.Cars, s.CarNames()) == nil, "fault", i, "sidecars", "%v", s.aims(f.Cars, s.CarNames()))
+		check(f.Backends == nil || s.aims(f.Backends, s.BackendNames()) == nil, "fault", i, "backends", "%v", s.aims(f.Backends, s.BackendNames()))
+		check(f.Sidecars == nil || s.aims(f.Sidecars, s.SidecarNames()) == nil, "fault", i, "sidecars", "%v", s.aims(f.Sidecars, s.SidecarNames()))
 		check(aim != "tenant" || tenants[f.Tenant] && f.Tenant != "", "fault", i, "tenant", "%q is not among the tenants", f.Tenant)
 		check(!lengthy[f.What] || f.For > 0, "fault", i, "for", "is missing for %s", f.What)
 		check(!slices.Contains([]string{"slow", "share", "flood", "surge"}, f.What) || f.Times > 1, "fault", i, "times",
@@ -425,7 +430,7 @@
 	return nil
 }
 
-// Short has all that is planned happen in this part of the time. What boxes, rules and visits take stays.
+// Short has all that is planned happen in this part of the time. What backends, rules and visits take stays.
 func (s *Scenario) Short(part float64) {
 	cut := func(x *Span) { *x = Span(float64(*x) * part) }
 	cut(&s.Length)
@@ -455,9 +460,9 @@
 	return n.Cross.M()
 }
 
-// BoxNames are the boxes', in order: b0, b1, …
-func (s *Scenario) BoxNames() (names []string) {
-	for _, b := range s.Boxes {
+// BackendNames are the backends', in order: b0, b1, …
+func (s *Scenario) BackendNames() (names []string) {
+	for _, b := range s.Backends {
 		for range b.Count {
 			names = append(names, "b"+strconv.Itoa(len(names)))
 		}
@@ -465,9 +470,9 @@
 	return names
 }
 
-// CarNames are the sidecars': n0, n1, …
-func (s *Scenario) CarNames() (names []string) {
-	for i := range s.Cars.Count {
+// SidecarNames are the sidecars': n0, n1, …
+func (s *Scenario) SidecarNames() (names []string) {
+	for i := range s.Sidecars.Count {
 		names = append(names, "n"+strconv.Itoa(i))
 	}
 	return names
@@ -524,7 +529,7 @@
 	return s.Members.Every > 0 || slices.ContainsFunc(s.Faults, func(f Fault) bool { return Whats[f.What] == "ways" })
 }
 
-// OnNetwork tells whether any fault, delay or bound asks for gates between sidecars and boxes.
+// OnNetwork tells whether any fault, delay or bound asks for gates between sidecars and backends.
 func (s *Scenario) OnNetwork() bool {
 	n := s.Network
 	if n.Gated || n.Same > 0 || n.Cross > 0 || n.Spread > 0 || n.Bandwidth > 0 {
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -11,7 +11,7 @@
 
 const least = `name = "x"
 length = "1s"
-[[box]]
+[[backend]]
 [[prefix]]
 name = "look"
 work = "1ms"
@@ -28,6 +28,8 @@
 		{"no TOML", least + "][\n"},
 		{"an unknown name", least + "speed = 4\n"},
 		{"an unknown table", least + "[trafic]\n"},
+		{"a table's old name", strings.Replace(least, "[[backend]]", "[[box]]", 1)},
+		{"an old name in a fault", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nboxes = \"b0\"\n"},
 		{"a wrong type", strings.Replace(least, `"10/s"`, "10", 1)},
 		{"a duration without a unit", strings.Replace(least, `"100ms"`, "100", 1)},
 		{"no rate", strings.Replace(least, "10/s", "10/h", 1)},
@@ -35,17 +37,17 @@
 		{"a negative duration", strings.Replace(least, "100ms", "-1ms", 1)},
 		{"less than a microsecond", strings.Replace(least, "100ms", "10ns", 1)},
 		{"a missing name", strings.Replace(least, "name = \"x\"", "", 1)},
-		{"a missing box", strings.Replace(least, "[[box]]", "", 1)},
-		{"an impossible value, in the second of two", least + "[[box]]\n[[box]]\nspeed = -1\n"},
-		{"a zone that isn't", least + "[[box]]\nzone = \"mars\"\n"},
-		{"a slow state without end", strings.Replace(least, "[[box]]", "[[box]]\nslow_queue = 2\nslow_after = \"1s\"", 1)},
+		{"a missing backend", strings.Replace(least, "[[backend]]", "", 1)},
+		{"an impossible value, in the second of two", least + "[[backend]]\n[[backend]]\nspeed = -1\n"},
+		{"a zone that isn't", least + "[[backend]]\nzone = \"mars\"\n"},
+		{"a slow state without end", strings.Replace(least, "[[backend]]", "[[backend]]\nslow_queue = 2\nslow_after = \"1s\"", 1)},
 		{"a client timeout under the target", strings.Replace(least, `target_latency = "100ms"`, "target_latency = \"100ms\"\nclient_timeout = \"50ms\"", 1)},
 		{"an unknown fault", least + "[[fault]]\nat = \"1ms\"\nwhat = \"sabotage\"\n"},
-		{"a fault past the end", least + "[[fault]]\nat = \"2s\"\nwhat = \"kill\"\nboxes = \"b0\"\n"},
-		{"a fault of no box", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\n"},
-		{"a fault of a box that isn't", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nboxes = [\"b0\", \"b7\"]\n"},
-		{"more than all of them", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nboxes = 1.5\n"},
-		{"a lasting fault without an end", least + "[[fault]]\nat = \"1ms\"\nwhat = \"mute\"\nboxes = \"b0\"\n"},
+		{"a fault past the end", least + "[[fault]]\nat = \"2s\"\nwhat = \"kill\"\nbackends = \"b0\"\n"},
+		{"a fault of no backend", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\n"},
+		{"a fault of a backend that isn't", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nbackends = [\"b0\", \"b7\"]\n"},
+		{"more than all of them", least + "[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nbackends = 1.5\n"},
+		{"a lasting fault without an end", least + "[[fault]]\nat = \"1ms\"\nwhat = \"mute\"\nbackends = \"b0\"\n"},
 		{"a base that isn't", "base = \"none.toml\"\n" + least},
 	} {
 		_, err := Parse("day.toml", []byte(x.text))
@@ -65,12 +67,12 @@
 		return file
 	}
 	write("base.toml", least+"[expect]\nservice_at_least = 0.9\n")
-	s, err := Read(write("over.toml", "name = \"over\"\nbase = \"base.toml\"\n[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nboxes = 1\n"))
+	s, err := Read(write("over.toml", "name = \"over\"\nbase = \"base.toml\"\n[[fault]]\nat = \"1ms\"\nwhat = \"kill\"\nbackends = 1\n"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	var tr trace.Trace
-	tr.Add("%s %s, %d boxes, rate %g, faults %d, expects %g", s.Name, s.Prefixes[0].Name, len(s.Boxes), float64(s.Traffic.Rate), len(s.Faults), s.Expect.Service)
+	tr.Add("%s %s, %d backends, rate %g, faults %d, expects %g", s.Name, s.Prefixes[0].Name, len(s.Backends), float64(s.Traffic.Rate), len(s.Faults), s.Expect.Service)
 	here, _ := os.Getwd()
 	base, err := filepath.Rel(here, filepath.Join(folder, "base.toml"))
 	if err != nil {
--- a/lab/cars/paper.go
+++ b/lab/sidecars/paper.go
@@ -1,4 +1,4 @@
-package cars
+package sidecars
 
 import (
 	"encoding/json"
@@ -45,7 +45,7 @@
 	for _, t := range s.Tenants {
 		realms = append(realms, map[string]any{"name": t.Name, "share": t.Share, "quota_per_s": float64(t.Quota)})
 	}
-	settings := map[string]any{"azs": s.Zones, "my_zone": slices.Index(s.Zones, p.Zone), "balancers": s.Cars.Count, "me": p.Number,
+	settings := map[string]any{"azs": s.Zones, "my_zone": slices.Index(s.Zones, p.Zone), "balancers": s.Sidecars.Count, "me": p.Number,
 		"discovery": s.List.Mode, "step_us": 1000, "path_prefixes": prefixes, "allowed": allowed, "beyond_share_value": 0.1,
 		"tariffs": map[string]any{"cross_zone": 0.0087},
 		"obligations": map[string]any{"ask_every_us": s.Rules.AskEvery, "cold_from": s.Rules.ColdFrom, "cold_us": s.Rules.Cold,
@@ -54,7 +54,7 @@
 		settings["realms"] = realms
 	}
 	file := map[string]any{"name": p.Name, "listen": p.Listen, "discovery": p.Discovery, "seed": fmt.Sprintf("%016x", p.Seed),
-		"limits":   map[string]any{"cores": s.Cars.Cores, "memory_mb": s.Cars.MemoryMB, "sockets": s.Cars.Sockets},
+		"limits":   map[string]any{"cores": s.Sidecars.Cores, "memory_mb": s.Sidecars.MemoryMB, "sockets": s.Sidecars.Sockets},
 		"settings": settings, "known": p.Known}
 	if p.PeerListen != "" {
 		file["peer_listen"], file["peers"] = p.PeerListen, p.Peers
--- a/lab/cars/cars.go
+++ b/lab/sidecars/sidecars.go
@@ -1,6 +1,6 @@
-// Package cars starts sidecars as real processes, tells them what the deployment page says a sidecar is told, and leaves
+// Package sidecars starts sidecars as real processes, tells them what the deployment page says a sidecar is told, and leaves
 // none behind: not at an interrupt, not at a crash of the lab, not at a start that fails half-way.
-package cars
+package sidecars
 
 import (
 	"bytes"
@@ -42,8 +42,8 @@
 	Exit              string
 }
 
-// Car is one sidecar.
-type Car struct {
+// Sidecar is one sidecar.
+type Sidecar struct {
 	Name, Address string
 	Zone          string
 	Called        string   // the name that its process is told, in place of its own; "": that
@@ -92,18 +92,18 @@
 }
 
 // New prepares a sidecar; its address is one that is free now.
-func New(name, zone string, p Program, folder string, c *clock.Clock, tell func(listen string) ([]byte, error)) (*Car, error) {
-	car := &Car{Name: name, Zone: zone, program: p, tell: tell, folder: folder, clock: c}
+func New(name, zone string, p Program, folder string, c *clock.Clock, tell func(listen string) ([]byte, error)) (*Sidecar, error) {
+	sidecar := &Sidecar{Name: name, Zone: zone, program: p, tell: tell, folder: folder, clock: c}
 	var err error
-	car.Address, err = Free()
-	return car, err
+	sidecar.Address, err = Free()
+	return sidecar, err
 }
 
 // taken counts the addresses this process has looked at, so that it never gives one out twice.
 var taken atomic.Uint64
 
 // Free is a loopback address that nothing listens at, by now. It lies below the ports that the kernel gives out by itself.
-// Guards against a list service or a box that gets the address before its sidecar does, and answers in its place.
+// Guards against a list service or a backend that gets the address before its sidecar does, and answers in its place.
 func Free() (string, error) {
 	low, high := uint64(10_000), uint64(32_768)
 	if text, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
@@ -128,7 +128,7 @@
 const ports = 5 // tries with other addresses, where one was taken meanwhile
 
 // Start starts it and waits until it is ready. A first start moves on where its address is taken; later ones keep it.
-func (c *Car) Start(most time.Duration) error {
+func (c *Sidecar) Start(most time.Duration) error {
 	var err error
 	for range ports {
 		if err = c.start(most); err == nil || len(c.Lives()) > 1 || !strings.Contains(c.Log(), "address already in use") {
@@ -145,7 +145,7 @@
 }
 
 // Configure writes the configuration as it is now.
-func (c *Car) Configure() (file string, err error) {
+func (c *Sidecar) Configure() (file string, err error) {
 	text, err := c.tell(c.Address)
 	if err != nil {
 		return "", err
@@ -154,7 +154,7 @@
 	return file, os.WriteFile(file, text, 0o600)
 }
 
-func (c *Car) start(most time.Duration) error {
+func (c *Sidecar) start(most time.Duration) error {
 	file, err := c.Configure()
 	if err != nil {
 		return err
@@ -165,7 +165,7 @@
 	}
 	cmd := exec.Command(c.program.Path, append(slices.Clone(c.program.Args), c.More...)...)
 	cmd.Env = append(os.Environ(), "RELAY_NAME="+cmp.Or(c.Called, c.Name), "RELAY_LISTEN="+c.Address, "RELAY_CONFIG="+file)
-	cmd.Stdout, cmd.Stderr = log, io.MultiWriter(log, &c.last, &scribe{car: c})
+	cmd.Stdout, cmd.Stderr = log, io.MultiWriter(log, &c.last, &scribe{sidecar: c})
 	if err := Start(cmd); err != nil {
 		log.Close()
 		return err
@@ -202,7 +202,7 @@
 }
 
 // Signal sends one to the process.
-func (c *Car) Signal(s syscall.Signal) {
+func (c *Sidecar) Signal(s syscall.Signal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cmd == nil || c.lives[len(c.lives)-1].End >= 0 {
@@ -230,7 +230,7 @@
 }
 
 // Lines are those that hold the marker, of all its lives.
-func (c *Car) Lines() []Line {
+func (c *Sidecar) Lines() []Line {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([]Line(nil), c.lines...)
@@ -238,12 +238,12 @@
 
 // scribe takes a log down as it comes.
 type scribe struct {
-	car  *Car
-	part []byte
+	sidecar *Sidecar
+	part    []byte
 }
 
 func (s *scribe) Write(p []byte) (int, error) {
-	if s.car.Marker == "" {
+	if s.sidecar.Marker == "" {
 		return len(p), nil
 	}
 	s.part = append(s.part, p...)
@@ -252,23 +252,23 @@
 		if !whole {
 			return len(p), nil
 		}
-		if bytes.Contains(line, []byte(s.car.Marker)) {
-			at := s.car.clock.Now()
-			s.car.mu.Lock()
-			s.car.lines = append(s.car.lines, Line{at, string(line)})
-			s.car.mu.Unlock()
+		if bytes.Contains(line, []byte(s.sidecar.Marker)) {
+			at := s.sidecar.clock.Now()
+			s.sidecar.mu.Lock()
+			s.sidecar.lines = append(s.sidecar.lines, Line{at, string(line)})
+			s.sidecar.mu.Unlock()
 		}
 		s.part = bytes.Clone(rest)
 	}
 }
 
 // Kill ends it at once and waits for that.
-func (c *Car) Kill() {
+func (c *Sidecar) Kill() {
 	c.Signal(syscall.SIGKILL)
 	c.wait()
 }
 
-func (c *Car) wait() {
+func (c *Sidecar) wait() {
 	c.mu.Lock()
 	ended := c.ended
 	c.mu.Unlock()
@@ -278,7 +278,7 @@
 }
 
 // Stop asks it to end, kills it where it has not after this long, and tells how it ended.
-func (c *Car) Stop(most time.Duration) error {
+func (c *Sidecar) Stop(most time.Duration) error {
 	c.mu.Lock()
 	ended := c.ended
 	c.mu.Unlock()
@@ -300,7 +300,7 @@
 }
 
 // Counter asks it for one of its own counters, 0 where it has none such.
-func (c *Car) Counter(name string) int {
+func (c *Sidecar) Counter(name string) int {
 	_, body, err := clients.Ask(c.Address, "/-/counters")
 	if err != nil {
 		return 0
@@ -315,21 +315,21 @@
 }
 
 // Lives is its account.
-func (c *Car) Lives() []Life {
+func (c *Sidecar) Lives() []Life {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([]Life(nil), c.lives...)
 }
 
 // Stills are the times it was stopped by the plan.
-func (c *Car) Stills() [][2]Micros {
+func (c *Sidecar) Stills() [][2]Micros {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return append([][2]Micros(nil), c.still...)
 }
 
 // Crashed tells of ends that nobody asked for.
-func (c *Car) Crashed() (out []string) {
+func (c *Sidecar) Crashed() (out []string) {
 	for _, l := range c.Lives() {
 		if l.End >= 0 && !l.Killed && (l.Asked < 0 || l.Exit != "0") {
 			out = append(out, fmt.Sprintf("%s ended by itself at %d µs: %s", c.Name, l.End, l.Exit))
@@ -339,10 +339,10 @@
 }
 
 // Log is the last that it said.
-func (c *Car) Log() string { return c.last.String() }
+func (c *Sidecar) Log() string { return c.last.String() }
 
 // Pid is its process's number, 0 when none runs.
-func (c *Car) Pid() int {
+func (c *Sidecar) Pid() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cmd == nil || c.lives[len(c.lives)-1].End >= 0 {
@@ -352,7 +352,7 @@
 }
 
 // Used is the CPU time of all lives and the most memory in KiB, as the kernel has it.
-func (c *Car) Used() (cpu time.Duration, memory int) {
+func (c *Sidecar) Used() (cpu time.Duration, memory int) {
 	pid := c.Pid()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/lab/cars/cars_test.go
+++ b/lab/sidecars/sidecars_test.go
@@ -1,4 +1,4 @@
-package cars
+package sidecars
 
 import (
 	"net"
--- a/lab/sim/sidecar.go
+++ b/lab/sim/sidecar.go
@@ -84,19 +84,19 @@
 // Net is what stands between sidecars and servers, and among sidecars.
 type Net struct {
 	*Clock
-	Way     Micros // one way, between any two
-	Servers map[brain.Backend]*Server
-	Cars    []*Sidecar // one pool: they tell each other
-	Apart   func(from, to *Sidecar) bool
-	Beyond  func(from *Sidecar, to *Server) bool // nothing comes through now
-	Grace   Micros                               // from being told that a server leaves to the last fetch it may get
-	Mislead func(brain.Site)                     // a fault put in on purpose: the modules' settings say something else than holds
-	Bound   float64                              // bytes a second that a sidecar's messages may take, in and out; 0: none
-	Unmeant int                                  // messages that no sidecar can mean
-	Deaf    bool                                 // another: the modules are not told that servers leave
-	Broken  [5]int                               // by rule
-	First   string                               // the first break, in words
-	next    brain.VisitID
+	Way      Micros // one way, between any two
+	Servers  map[brain.Backend]*Server
+	Sidecars []*Sidecar // one pool: they tell each other
+	Apart    func(from, to *Sidecar) bool
+	Beyond   func(from *Sidecar, to *Server) bool // nothing comes through now
+	Grace    Micros                               // from being told that a server leaves to the last fetch it may get
+	Mislead  func(brain.Site)                     // a fault put in on purpose: the modules' settings say something else than holds
+	Bound    float64                              // bytes a second that a sidecar's messages may take, in and out; 0: none
+	Unmeant  int                                  // messages that no sidecar can mean
+	Deaf     bool                                 // another: the modules are not told that servers leave
+	Broken   [5]int                               // by rule
+	First    string                               // the first break, in words
+	next     brain.VisitID
 }
 
 // Server is one server as the net knows it. Take gets what arrives; Refuses: nobody listens there.
@@ -124,7 +124,7 @@
 
 // Join starts a sidecar: settings with what is its own.
 func (n *Net) Join(zone brain.Zone, seed uint64, site brain.Site) (*Sidecar, error) {
-	s := &Sidecar{Me: brain.Peer(len(n.Cars)), Zone: zone, net: n, site: brain.Site{}}
+	s := &Sidecar{Me: brain.Peer(len(n.Sidecars)), Zone: zone, net: n, site: brain.Site{}}
 	for k, v := range site {
 		s.site[k] = v
 	}
@@ -137,7 +137,7 @@
 	if n.Mislead != nil {
 		n.Mislead(s.site)
 	}
-	n.Cars = append(n.Cars, s)
+	n.Sidecars = append(n.Sidecars, s)
 	return s, s.Start(seed)
 }
 
@@ -482,7 +482,7 @@
 
 // Send sends a message to another sidecar.
 func (p ports) Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
-	other, mine, size := p.net.Cars[to], slices.Clone(figures), int64(notes.Size(len(figures)))
+	other, mine, size := p.net.Sidecars[to], slices.Clone(figures), int64(notes.Size(len(figures)))
 	p.Said++
 	p.BytesOut += size
 	if p.net.Apart != nil && p.net.Apart(p.Sidecar, other) {
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -92,12 +92,12 @@
 		}
 		list = append(list, Line{ID: id, Zone: s.Zone, Standing: brain.Ready})
 	}
-	car, err := n.Join(0, 7, terms().Settings())
+	sidecar, err := n.Join(0, 7, terms().Settings())
 	if err != nil {
 		t.Fatal(err)
 	}
-	car.List(brain.Saved, list...)
-	return n, car
+	sidecar.List(brain.Saved, list...)
+	return n, sidecar
 }
 
 // The judge of the rules: each break is seen and accused of its own rule, and what is allowed is not. Calls are made in the
@@ -150,13 +150,13 @@
 		}},
 	} {
 		act := map[brain.Backend]brain.Result{1: c.answer, 2: c.answer, 3: c.answer}
-		n, car := net(t, act)
-		v := &Visit{ID: 1, On: c.on, Effect: Effects[c.on], Began: n.Now, Until: n.Now + 2e6, by: car}
-		car.visits[1], n.next = v, 1
+		n, sidecar := net(t, act)
+		v := &Visit{ID: 1, On: c.on, Effect: Effects[c.on], Began: n.Now, Until: n.Now + 2e6, by: sidecar}
+		sidecar.visits[1], n.next = v, 1
 		// As the first fetch, without the module's knowing: it hears of an outcome that it passes over.
-		ports{car, car.life}.Dispatch(1, 1, 0)
+		ports{sidecar, sidecar.life}.Dispatch(1, 1, 0)
 		n.Play(n.Now + 2000)
-		c.then(n, car, v)
+		c.then(n, sidecar, v)
 		n.Play(n.Now + 3e6)
 		fmt.Fprintf(&b, "%-45s breaks by rule %v %s\n", c.what, n.Broken[1:], n.First)
 	}
@@ -195,16 +195,16 @@
 		{"the sidecar is killed", nil, func(n *Net, s *Sidecar) { n.After(500, s.Stop) }},
 	} {
 		for on, effect := range Effects {
-			n, car := net(t, c.act)
+			n, sidecar := net(t, c.act)
 			if c.do != nil {
-				c.do(n, car)
+				c.do(n, sidecar)
 			}
 			begin, v := n.Now, (*Visit)(nil)
-			v = car.Visit(brain.Prefix(on), 1000, 0, 2e6, nil, func(*Visit) {
+			v = sidecar.Visit(brain.Prefix(on), 1000, 0, 2e6, nil, func(*Visit) {
 				fmt.Fprintf(&b, "%-28s %-9s ending %d after %.1f ms, %d fetches", c.what, effect, v.Ending, float64(n.Now-begin)/1000, len(v.Fetches))
 			})
 			n.Play(begin + 3e6)
-			fmt.Fprintf(&b, "; breaks %v, visits left %d\n", n.Broken[1:], len(car.visits))
+			fmt.Fprintf(&b, "; breaks %v, visits left %d\n", n.Broken[1:], len(sidecar.visits))
 		}
 	}
 	matches(t, b.String())
--- a/lab/stage/faults.go
+++ b/lab/stage/faults.go
@@ -6,13 +6,13 @@
 	"syscall"
 	"time"
 
-	"ledgespread/lab/box"
-	"ledgespread/lab/cars"
+	"ledgespread/lab/backend"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/judge"
-	"ledgespread/lab/path"
+	"ledgespread/lab/network"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 )
 
 // wait waits for a time of the plan, or for the run's end.
@@ -31,7 +31,7 @@
 // happen carries a fault out, and its end.
 func (g *Rig) happen(e plan.Event) {
 	switch scenario.Whats[e.What] {
-	case "boxes":
+	case "backends":
 		for _, name := range e.Names {
 			g.mu.Lock()
 			b := g.byName[name]
@@ -39,16 +39,16 @@
 			g.faults.Add(1)
 			go func() {
 				defer g.faults.Done()
-				g.toBox(e, b)
+				g.toBackend(e, b)
 			}()
 		}
 	case "sidecars":
-		for i, car := range g.cars {
-			if slices.Contains(e.Names, car.Name) {
+		for i, sidecar := range g.sidecars {
+			if slices.Contains(e.Names, sidecar.Name) {
 				g.faults.Add(1)
 				go func() {
 					defer g.faults.Done()
-					g.toCar(e, i, car)
+					g.toSidecar(e, i, sidecar)
 				}()
 			}
 		}
@@ -72,7 +72,7 @@
 	return with + what
 }
 
-func (g *Rig) toBox(e plan.Event, b *box.Box) {
+func (g *Rig) toBackend(e plan.Event, b *backend.Backend) {
 	end := e.At.M() + e.For.M()
 	notice := g.s.List.Notice.M()
 	during := func(do, undo func()) {
@@ -107,7 +107,7 @@
 		at := b.Address()
 		b.Kill()
 		g.show(b, "terminated", 0, notice)
-		next := g.newBox(b.Name+"r", b.Make)
+		next := g.newBackend(b.Name+"r", b.Make)
 		if err := next.Start(at, true); err != nil {
 			g.note("%s could not start: %v", next.Name, err)
 			return
@@ -124,7 +124,7 @@
 		})
 	case "stall":
 		g.mark("%s: stands still", b.Name)
-		b.Trouble(func(now Micros, c *box.Core) { c.Stall(now, e.For.M()) })
+		b.Trouble(func(now Micros, c *backend.Core) { c.Stall(now, e.For.M()) })
 		g.wait(end)
 		g.mark("%s: goes on", b.Name)
 	case "mute":
@@ -135,50 +135,50 @@
 		during(func() { b.SetSpoil(e.Part) }, func() { b.SetSpoil(0) })
 	case "slow", "share":
 		set := func(times float64) func() {
-			return func() { b.Trouble(func(now Micros, c *box.Core) { c.Slow(now, times, e.What == "share") }) }
+			return func() { b.Trouble(func(now Micros, c *backend.Core) { c.Slow(now, times, e.What == "share") }) }
 		}
 		during(set(e.Times), set(1))
 	}
 }
 
-func (g *Rig) toCar(e plan.Event, i int, car *cars.Car) {
+func (g *Rig) toSidecar(e plan.Event, i int, sidecar *sidecars.Sidecar) {
 	end := e.At.M() + e.For.M()
 	back := func() {
-		if err := car.Start(readyWithin); err != nil {
+		if err := sidecar.Start(readyWithin); err != nil {
 			g.note("%v", err)
 			return
 		}
 		g.clients.Shut(i, false)
-		g.mark("%s is back", car.Name)
+		g.mark("%s is back", sidecar.Name)
 	}
 	switch e.What {
 	case "sidecar_kill":
-		g.mark("%s is killed", car.Name)
+		g.mark("%s is killed", sidecar.Name)
 		g.clients.Shut(i, true) // its copy of the application stops with it
-		car.Kill()
+		sidecar.Kill()
 		g.wait(end)
 		back()
 	case "sidecar_move":
-		g.mark("%s is killed, and starts at another membership address", car.Name)
+		g.mark("%s is killed, and starts at another membership address", sidecar.Name)
 		g.clients.Shut(i, true)
-		car.Kill()
+		sidecar.Kill()
 		g.move(i)
 		back()
 	case "sidecar_restart":
-		g.mark("%s is asked to end", car.Name)
-		car.Signal(syscall.SIGTERM)
+		g.mark("%s is asked to end", sidecar.Name)
+		sidecar.Signal(syscall.SIGTERM)
 		time.Sleep(300 * time.Millisecond) // connections go on coming for so long
 		g.clients.Shut(i, true)
-		if err := car.Stop((g.s.Longest() + 700*clock.Milli).Duration()); err != nil {
+		if err := sidecar.Stop((g.s.Longest() + 700*clock.Milli).Duration()); err != nil {
 			g.note("%v", err)
 		}
 		back()
 	case "sidecar_stall":
-		g.mark("%s stands still", car.Name)
-		car.Signal(syscall.SIGSTOP)
+		g.mark("%s stands still", sidecar.Name)
+		sidecar.Signal(syscall.SIGSTOP)
 		g.wait(end)
-		car.Signal(syscall.SIGCONT)
-		g.mark("%s goes on", car.Name)
+		sidecar.Signal(syscall.SIGCONT)
+		g.mark("%s goes on", sidecar.Name)
 	}
 }
 
@@ -201,10 +201,10 @@
 		g.list.SetLate(0)
 	case "list_move":
 		g.mark("the list moves")
-		for _, car := range g.cars {
-			if _, err := g.list.Move(car.Name); err == nil {
-				if _, err = car.Configure(); err == nil {
-					car.Signal(syscall.SIGHUP)
+		for _, sidecar := range g.sidecars {
+			if _, err := g.list.Move(sidecar.Name); err == nil {
+				if _, err = sidecar.Configure(); err == nil {
+					sidecar.Signal(syscall.SIGHUP)
 				}
 			}
 		}
@@ -215,13 +215,13 @@
 func (g *Rig) toNetwork(e plan.Event) {
 	type one struct {
 		zone string
-		b    *box.Box
-		way  *path.Way
+		b    *backend.Backend
+		way  *network.Way
 	}
 	var hit []one
 	g.mu.Lock()
 	for _, zone := range g.s.Zones {
-		for _, b := range g.boxes {
+		for _, b := range g.backends {
 			if (e.From == "" || e.From == zone) && (e.To == "" || e.To == b.Zone) &&
 				(len(e.Names) == 0 || slices.ContainsFunc(e.Names, func(n string) bool { return strings.TrimRight(b.Name, "r") == n })) {
 				hit = append(hit, one{zone, b, g.way(zone, b)})
@@ -229,24 +229,24 @@
 		}
 	}
 	g.mu.Unlock()
-	each := func(do func(o one, w *path.Way)) {
+	each := func(do func(o one, w *network.Way)) {
 		for _, o := range hit {
-			o.way.Change(func(w *path.Way) { do(o, w) })
+			o.way.Change(func(w *network.Way) { do(o, w) })
 		}
 	}
 	n, from := g.s.Network, g.clock.Now()
 	g.mark("network: %s%s%s %v", e.What, prefixed(" from ", e.From), prefixed(" to ", e.To), e.Names)
 	switch e.What {
 	case "silence":
-		each(func(_ one, w *path.Way) { w.Silence(true) })
+		each(func(_ one, w *network.Way) { w.Silence(true) })
 	case "cut":
-		each(func(_ one, w *path.Way) { w.CutOut(true) })
+		each(func(_ one, w *network.Way) { w.CutOut(true) })
 	case "refuse":
-		each(func(_ one, w *path.Way) { w.Refuse(true) })
+		each(func(_ one, w *network.Way) { w.Refuse(true) })
 	case "narrow":
-		each(func(_ one, w *path.Way) { w.Narrow(e.Bytes) })
+		each(func(_ one, w *network.Way) { w.Narrow(e.Bytes) })
 	case "delay":
-		each(func(o one, w *path.Way) {
+		each(func(o one, w *network.Way) {
 			w.Delay(n.Way(o.zone, o.b.Zone) + e.By.M())
 		})
 	case "reset":
@@ -256,7 +256,7 @@
 		return
 	}
 	g.wait(e.At.M() + e.For.M())
-	each(func(o one, w *path.Way) {
+	each(func(o one, w *network.Way) {
 		w.Silence(false)
 		w.CutOut(false)
 		w.Refuse(false)
@@ -266,7 +266,7 @@
 	if e.What == "silence" {
 		g.mu.Lock()
 		for _, o := range hit {
-			g.blocked = append(g.blocked, judge.Block{From: o.zone, Box: o.b.Name, Stretch: clock.Stretch{From: from, To: g.clock.Now()}})
+			g.blocked = append(g.blocked, judge.Block{From: o.zone, Backend: o.b.Name, Stretch: clock.Stretch{From: from, To: g.clock.Now()}})
 		}
 		g.mu.Unlock()
 	}
--- a/lab/stage/members.go
+++ b/lab/stage/members.go
@@ -17,7 +17,7 @@
 
 	"ledgespread/lab/clock"
 	"ledgespread/lab/judge"
-	"ledgespread/lab/path"
+	"ledgespread/lab/network"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/scenario"
 )
@@ -42,7 +42,7 @@
 	for i := range many {
 		g.at = append(g.at, own(g.rig, i))
 	}
-	g.mesh, err = path.NewMesh(g.at, g.s.Network.Datagrams, g.o.Seed)
+	g.mesh, err = network.NewMesh(g.at, g.s.Network.Datagrams, g.o.Seed)
 	return err
 }
 
@@ -50,7 +50,7 @@
 
 // fit writes what a sidecar is fitted with.
 func (g *Rig) fit(i int) error {
-	names := g.s.CarNames()
+	names := g.s.SidecarNames()
 	var b strings.Builder
 	g.mu.Lock()
 	listen := g.at[i]
@@ -85,13 +85,13 @@
 
 // Cut begins or ends a cut of what one sidecar says to another; the account has it.
 func (g *Rig) Cut(i, j int, on bool) {
-	names := g.s.CarNames()
+	names := g.s.SidecarNames()
 	begun := g.clock.Now()
 	if g.mesh != nil {
 		g.mesh.Cut(i, j, on)
 	}
 	if g.between != nil {
-		g.between.Link(i, j, func(l *path.Link) { l.Cut = on })
+		g.between.Link(i, j, func(l *network.Link) { l.Cut = on })
 	}
 	if !on { // it counts until it surely is no more
 		begun = g.clock.Now()
@@ -103,7 +103,7 @@
 
 // toWays changes the ways between sidecars for a time.
 func (g *Rig) toWays(e plan.Event) {
-	names := g.s.CarNames()
+	names := g.s.SidecarNames()
 	each := func(do func(i, j int)) {
 		for i, from := range names {
 			for j, to := range names {
@@ -122,7 +122,7 @@
 				}
 				return
 			}
-			link := func(l *path.Link) {
+			link := func(l *network.Link) {
 				part := 0.0
 				if on {
 					part = e.Part
@@ -147,7 +147,7 @@
 }
 
 // Link changes how datagrams pass between two sidecars.
-func (g *Rig) Link(i, j int, change func(*path.Link)) {
+func (g *Rig) Link(i, j int, change func(*network.Link)) {
 	if g.mesh != nil {
 		g.mesh.Link(i, j, change)
 	}
@@ -158,10 +158,10 @@
 
 // Weather sets how all datagrams between sidecars pass.
 func (g *Rig) Weather(lost, doubled, late float64, by Micros) {
-	for i := range g.cars {
-		for j := range g.cars {
+	for i := range g.sidecars {
+		for j := range g.sidecars {
 			if i != j {
-				g.Link(i, j, func(l *path.Link) { l.Lost, l.Doubled, l.Late, l.By = lost, doubled, late, scenario.Span(by) })
+				g.Link(i, j, func(l *network.Link) { l.Lost, l.Doubled, l.Late, l.By = lost, doubled, late, scenario.Span(by) })
 			}
 		}
 	}
@@ -169,7 +169,7 @@
 
 // CPU is the time that a sidecar's process used.
 func (g *Rig) CPU(i int) time.Duration {
-	cpu, _ := g.cars[i].Used()
+	cpu, _ := g.sidecars[i].Used()
 	return cpu
 }
 
@@ -277,20 +277,20 @@
 }
 
 // Signal sends one to a sidecar; the account has it.
-func (g *Rig) Signal(i int, s syscall.Signal) { g.cars[i].Signal(s) }
+func (g *Rig) Signal(i int, s syscall.Signal) { g.sidecars[i].Signal(s) }
 
 // Kill ends a sidecar at once, with its copy of the application. Start has it come back, at another membership address where
 // it is to move.
 func (g *Rig) Kill(i int) {
 	g.clients.Shut(i, true)
-	g.cars[i].Kill()
+	g.sidecars[i].Kill()
 }
 
 func (g *Rig) Start(i int, move bool) error {
 	if move {
 		g.move(i)
 	}
-	err := g.cars[i].Start(readyWithin)
+	err := g.sidecars[i].Start(readyWithin)
 	if err == nil {
 		g.clients.Shut(i, false)
 	}
@@ -311,11 +311,11 @@
 }
 
 // Mesh is the gates between members.
-func (g *Rig) Mesh() *path.Mesh { return g.mesh }
+func (g *Rig) Mesh() *network.Mesh { return g.mesh }
 
 // Words are what all sidecars said of others, in the order of time; Muster is what was so.
 func (g *Rig) Words() (out []judge.Word) {
-	for _, c := range g.cars {
+	for _, c := range g.sidecars {
 		out = append(out, judge.Words(c.Name, c.Lines())...)
 	}
 	slices.SortStableFunc(out, func(a, b judge.Word) int { return int(a.At - b.At) })
@@ -324,15 +324,15 @@
 
 func (g *Rig) Muster() *judge.Muster {
 	m := &judge.Muster{Cuts: g.cuts}
-	for _, c := range g.cars {
-		m.Cars = append(m.Cars, judge.CarAccount{Name: c.Name, Zone: c.Zone, Lives: c.Lives(), Stills: c.Stills()})
+	for _, c := range g.sidecars {
+		m.Sidecars = append(m.Sidecars, judge.SidecarAccount{Name: c.Name, Zone: c.Zone, Lives: c.Lives(), Stills: c.Stills()})
 	}
 	return m
 }
 
 // Lines are a sidecar's, of its membership.
 func (g *Rig) Lines(i int) (out []string) {
-	for _, l := range g.cars[i].Lines() {
+	for _, l := range g.sidecars[i].Lines() {
 		out = append(out, l.Text)
 	}
 	return out
--- a/lab/stage/members_test.go
+++ b/lab/stage/members_test.go
@@ -14,14 +14,14 @@
 	"testing"
 	"time"
 
-	"ledgespread/lab/cars"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/judge"
-	"ledgespread/lab/path"
+	"ledgespread/lab/network"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 )
 
-// Six sidecars that are members, before four boxes. Probes come seldom, so that a machine that is slow for a while is no fault.
+// Six sidecars that are members, before four backends. Probes come seldom, so that a machine that is slow for a while is no fault.
 const together = `name = "together"
 length = "240s"
 zones = ["a", "b"]
@@ -29,10 +29,10 @@
 count = 6
 [members]
 probe_every = "200ms"
-[[box]]
+[[backend]]
 count = 2
 zone = "a"
-[[box]]
+[[backend]]
 count = 2
 zone = "b"
 [[prefix]]
@@ -81,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := cars.Program{Path: sidecar().Path, Args: []string{"serve"}, Name: "ledgespread"}
+	p := sidecars.Program{Path: sidecar().Path, Args: []string{"serve"}, Name: "ledgespread"}
 	g, err := Raise(s, Options{Program: p, Seed: 7})
 	if err != nil {
 		t.Fatal(err)
@@ -255,13 +255,13 @@
 	cut(false)
 	a.await(but(), Agree(but()))
 	a.await(but(), func(_ int, t *Table) bool { return t.Part == "greater" })
-	each(func(i, j int) { a.Link(i, j, func(l *path.Link) { l.Lost, l.Doubled = 0.15, 0.15 }) })
+	each(func(i, j int) { a.Link(i, j, func(l *network.Link) { l.Lost, l.Doubled = 0.15, 0.15 }) })
 	a.Kill(2)
 	a.await(but(2), Holds("n2", "dead"))
 	if err := a.Start(2, false); err != nil {
 		t.Fatal(err)
 	}
-	each(func(i, j int) { a.Link(i, j, func(l *path.Link) { l.Lost, l.Doubled = 0, 0 }) })
+	each(func(i, j int) { a.Link(i, j, func(l *network.Link) { l.Lost, l.Doubled = 0, 0 }) })
 	a.await(but(), Agree(but()))
 	a.end("n0", "n1", "n2", "n3", "n4", "n5")
 }
@@ -342,13 +342,13 @@
 	// n5 starts again as n1, with seeds and no book of its own: it is reached where it says.
 	name := "n1"
 	text := fmt.Sprintf("[membership]\nlisten = %q\ngroup = \"lab\"\nfrom = [\"127.0.0.0/8\"]\nprobe_every = \"200ms\"\nseeds = [%q]\n", a.MemberAt(5), a.MemberAt(0))
-	car := a.cars[5]
+	sidecar := a.sidecars[5]
 	file := filepath.Join(t.TempDir(), "namesake.toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	car.More = []string{"--with", file}
-	car.Called = name
+	sidecar.More = []string{"--with", file}
+	sidecar.Called = name
 	if err := a.Start(5, false); err != nil {
 		t.Fatal(err)
 	}
--- a/lab/stage/rollouts.go
+++ b/lab/stage/rollouts.go
@@ -134,14 +134,14 @@
 
 // Force is that a sidecar said that a number is in force there, by its log.
 type Force struct {
-	At     Micros
-	Car    int
-	Number uint64
+	At      Micros
+	Sidecar int
+	Number  uint64
 }
 
 // Forces are all such, in the order of each sidecar's own log.
 func (g *Rig) Forces() (out []Force) {
-	for i, c := range g.cars {
+	for i, c := range g.sidecars {
 		for _, l := range c.Lines() {
 			var line struct {
 				Message, Part string
--- a/lab/stage/rollouts_test.go
+++ b/lab/stage/rollouts_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"ledgespread/lab/cars"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 )
 
 // carrying is six sidecars that carry configurations; the first two are control machines.
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g, err := Raise(s, Options{Program: cars.Program{Path: sidecar().Path, Args: []string{"serve"}, Name: "ledgespread"}, Seed: 7})
+	g, err := Raise(s, Options{Program: sidecars.Program{Path: sidecar().Path, Args: []string{"serve"}, Name: "ledgespread"}, Seed: 7})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,10 +64,10 @@
 	a.Helper()
 	last := map[int]uint64{}
 	for _, f := range a.Forces() {
-		if f.Number < last[f.Car] {
-			a.Errorf("n%d had %d in force after %d", f.Car, f.Number, last[f.Car])
+		if f.Number < last[f.Sidecar] {
+			a.Errorf("n%d had %d in force after %d", f.Sidecar, f.Number, last[f.Sidecar])
 		}
-		last[f.Car] = f.Number
+		last[f.Sidecar] = f.Number
 	}
 }
 
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -1,4 +1,4 @@
-// Package stage plays a scenario: it puts boxes, network, list, sidecars and clients together, has the faults happen at
+// Package stage plays a scenario: it puts backends, network, list, sidecars and clients together, has the faults happen at
 // their times, and takes the accounts home.
 package stage
 
@@ -15,24 +15,24 @@
 	"syscall"
 	"time"
 
-	"ledgespread/lab/box"
-	"ledgespread/lab/cars"
+	"ledgespread/lab/backend"
 	"ledgespread/lab/chance"
 	"ledgespread/lab/clients"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/judge"
 	"ledgespread/lab/list"
-	"ledgespread/lab/path"
+	"ledgespread/lab/network"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/report"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 )
 
 type Micros = clock.Micros
 
 // Options are what a run has beside its scenario.
 type Options struct {
-	Program cars.Program
+	Program sidecars.Program
 	Seed    uint64          // 0: the scenario's
 	Folder  string          // for configurations and logs; "" for one that is removed
 	Watch   func(Live)      // called now and then
@@ -45,12 +45,12 @@
 type Live struct {
 	At, Length                                  Micros
 	Sent, Delivered, Bounced, Errored, Lost, On int64
-	Boxes                                       []LiveBox
+	Backends                                    []LiveBackend
 	Marks                                       []report.Mark
 }
 
-// LiveBox is a look at a box.
-type LiveBox struct {
+// LiveBackend is a look at a backend.
+type LiveBackend struct {
 	Name, Zone  string
 	Held        int
 	Alive, Slow bool
@@ -73,30 +73,30 @@
 	plan   *plan.Plan
 	clock  *clock.Clock
 	alarms *clock.Alarms
-	groups *box.Groups
+	groups *backend.Groups
 	list   *list.List
 	folder string
 	begun  Micros
 	zones  map[string]string // of sidecars
 
-	mu      sync.Mutex
-	boxes   []*box.Box
-	byName  map[string]*box.Box
-	gates   map[string]*path.Gate // by zone and box address
-	ways    map[string]*path.Way  // by zone and box
-	cars    []*cars.Car
-	between *path.Datagrams
-	mesh    *path.Mesh // between members
-	at      []netip.AddrPort
-	rig     int64
-	cuts    []judge.Cut
-	clients *clients.Clients
-	downs   []clock.Stretch
-	blocked []judge.Block
-	marks   []report.Mark
-	notes   []string
-	faults  sync.WaitGroup
-	over    bool
+	mu       sync.Mutex
+	backends []*backend.Backend
+	byName   map[string]*backend.Backend
+	gates    map[string]*network.Gate // by zone and backend address
+	ways     map[string]*network.Way  // by zone and backend
+	sidecars []*sidecars.Sidecar
+	between  *network.Datagrams
+	mesh     *network.Mesh // between members
+	at       []netip.AddrPort
+	rig      int64
+	cuts     []judge.Cut
+	clients  *clients.Clients
+	downs    []clock.Stretch
+	blocked  []judge.Block
+	marks    []report.Mark
+	notes    []string
+	faults   sync.WaitGroup
+	over     bool
 }
 
 // Play plays a scenario once. An error says that it could not be played; a broken rule is no error but stands in the report.
@@ -119,9 +119,9 @@
 		return nil, err
 	}
 	c := clock.Start()
-	g := &Rig{s: s, o: o, plan: p, clock: c, alarms: c.Ring(), groups: box.NewGroups(), byName: map[string]*box.Box{},
-		gates: map[string]*path.Gate{}, ways: map[string]*path.Way{}, list: list.New(c), zones: map[string]string{}}
-	for i, name := range s.CarNames() {
+	g := &Rig{s: s, o: o, plan: p, clock: c, alarms: c.Ring(), groups: backend.NewGroups(), byName: map[string]*backend.Backend{},
+		gates: map[string]*network.Gate{}, ways: map[string]*network.Way{}, list: list.New(c), zones: map[string]string{}}
+	for i, name := range s.SidecarNames() {
 		g.zones[name] = s.Zones[i%len(s.Zones)]
 	}
 	defer func() {
@@ -136,31 +136,31 @@
 	} else if err = os.MkdirAll(g.folder, 0o755); err != nil {
 		return nil, err
 	}
-	if err = g.raiseBoxes(); err != nil {
+	if err = g.raiseBackends(); err != nil {
 		return nil, err
 	}
-	if err = g.raiseCars(); err != nil {
+	if err = g.raiseSidecars(); err != nil {
 		return nil, err
 	}
 	var at []string
-	for _, car := range g.cars {
-		at = append(at, car.Address)
+	for _, sidecar := range g.sidecars {
+		at = append(at, sidecar.Address)
 	}
 	g.clients = clients.New(s, p, at, c, g.alarms)
 	g.clients.Skip = map[bool]int{true: 200}[o.Break == "skip"]
 	return g, nil
 }
 
-// joins tells whether a box is not there until a fault brings it.
+// joins tells whether a backend is not there until a fault brings it.
 func (g *Rig) joins(name string) bool {
 	return slices.ContainsFunc(g.plan.Events, func(e plan.Event) bool { return e.What == "join" && slices.Contains(e.Names, name) })
 }
 
-func (g *Rig) raiseBoxes() error {
-	names, at := g.s.BoxNames(), 0
-	for _, m := range g.s.Boxes {
+func (g *Rig) raiseBackends() error {
+	names, at := g.s.BackendNames(), 0
+	for _, m := range g.s.Backends {
 		for range m.Count {
-			b := g.newBox(names[at], m)
+			b := g.newBackend(names[at], m)
 			at++
 			if g.joins(b.Name) {
 				continue
@@ -174,10 +174,10 @@
 	return nil
 }
 
-// start begins a box's life at its own address, or finds it one: below the ports that the kernel gives out by itself. Guards against
-// another program that listens there while the box is dead, and answers in its place: a sidecar that goes on sending to a dead box would
+// start begins a backend's life at its own address, or finds it one: below the ports that the kernel gives out by itself. Guards against
+// another program that listens there while the backend is dead, and answers in its place: a sidecar that goes on sending to a dead backend would
 // be accused of what a stranger said.
-func start(b *box.Box, cold bool) (err error) {
+func start(b *backend.Backend, cold bool) (err error) {
 	if at := b.Address(); at != "" {
 		return b.Start(at, cold)
 	}
@@ -186,7 +186,7 @@
 		if at, err = free(); err != nil {
 			return err
 		}
-		// Guards against another lab on this machine that takes the address before the box does.
+		// Guards against another lab on this machine that takes the address before the backend does.
 		if err = b.Start(at, cold); !errors.Is(err, syscall.EADDRINUSE) {
 			return err
 		}
@@ -196,26 +196,26 @@
 
 const addresses = 20 // tries with others, where one was taken meanwhile
 
-var free = cars.Free
+var free = sidecars.Free
 
-func (g *Rig) newBox(name string, m scenario.Box) *box.Box {
-	b := box.New(name, m, g.s, g.o.Seed, g.groups, g.clock, g.alarms)
+func (g *Rig) newBackend(name string, m scenario.Backend) *backend.Backend {
+	b := backend.New(name, m, g.s, g.o.Seed, g.groups, g.clock, g.alarms)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.boxes = append(g.boxes, b)
+	g.backends = append(g.backends, b)
 	g.byName[name] = b
 	return b
 }
 
-// show tells the list of a box.
-func (g *Rig) show(b *box.Box, health string, born, notice Micros) {
+// show tells the list of a backend.
+func (g *Rig) show(b *backend.Backend, health string, born, notice Micros) {
 	g.list.Set(list.Host{Name: b.Name, Zone: b.Zone, Model: b.Model, Cell: b.Cell, Health: health,
 		Share: b.Make.Speed * float64(b.Make.Cores), Born: born,
 		Dial: func(reader string) string { return g.dial(reader, b) }}, notice)
 }
 
-// dial is where a sidecar reaches a box: at a gate of its zone, or straight where the network is to do nothing.
-func (g *Rig) dial(reader string, b *box.Box) string {
+// dial is where a sidecar reaches a backend: at a gate of its zone, or straight where the network is to do nothing.
+func (g *Rig) dial(reader string, b *backend.Backend) string {
 	at := b.Address()
 	if !g.s.OnNetwork() {
 		return at
@@ -227,7 +227,7 @@
 	gate := g.gates[key]
 	if gate == nil {
 		var err error
-		if gate, err = path.Open(at, g.way(zone, b)); err != nil {
+		if gate, err = network.Open(at, g.way(zone, b)); err != nil {
 			g.notes = append(g.notes, "no gate: "+err.Error())
 			return at
 		}
@@ -236,24 +236,24 @@
 	return gate.Address()
 }
 
-// way is the path from a zone to a box. Called with the lock held.
-func (g *Rig) way(zone string, b *box.Box) *path.Way {
+// way is the path from a zone to a backend. Called with the lock held.
+func (g *Rig) way(zone string, b *backend.Backend) *network.Way {
 	key := zone + " " + b.Name
 	if g.ways[key] == nil {
 		n := g.s.Network
-		g.ways[key] = path.NewWay(n.Way(zone, b.Zone), n.Spread.M(), n.Bandwidth, g.o.Seed, key)
+		g.ways[key] = network.NewWay(n.Way(zone, b.Zone), n.Spread.M(), n.Bandwidth, g.o.Seed, key)
 	}
 	return g.ways[key]
 }
 
-func (g *Rig) raiseCars() error {
-	names := g.s.CarNames()
+func (g *Rig) raiseSidecars() error {
+	names := g.s.SidecarNames()
 	peers := make([][]string, len(names))
 	listen := make([]string, len(names))
 	if talks, _ := g.s.Allowed["peer_messages"].(bool); talks {
 		var at []netip.AddrPort
 		for i := range names {
-			free, err := cars.Free()
+			free, err := sidecars.Free()
 			if err != nil {
 				return err
 			}
@@ -262,7 +262,7 @@
 		}
 		var err error
 		if loss := g.s.Network.Datagrams; loss != (scenario.Loss{}) || g.s.OnWays() {
-			if g.between, err = path.Between(at, loss, g.o.Seed); err != nil {
+			if g.between, err = network.Between(at, loss, g.o.Seed); err != nil {
 				return err
 			}
 		}
@@ -281,30 +281,30 @@
 	}
 	for i, name := range names {
 		zone := g.zones[name]
-		seeds := chance.New(g.o.Seed, name) // a start's is new; one car is configured by one goroutine at a time
-		car, err := cars.New(name, zone, g.o.Program, g.folder, g.clock, func(at string) ([]byte, error) {
+		seeds := chance.New(g.o.Seed, name) // a start's is new; one sidecar is configured by one goroutine at a time
+		sidecar, err := sidecars.New(name, zone, g.o.Program, g.folder, g.clock, func(at string) ([]byte, error) {
 			return g.configuration(i, name, at, listen[i], peers[i], seeds.Bits())
 		})
 		if err != nil {
 			return err
 		}
 		if g.mesh != nil {
-			car.More, car.Marker = []string{"--with", g.extensions(name)}, `"part":"membership"`
+			sidecar.More, sidecar.Marker = []string{"--with", g.extensions(name)}, `"part":"membership"`
 			if g.s.Members.Carry > 0 {
-				car.Marker = `"part":"` // and of what it carries
+				sidecar.Marker = `"part":"` // and of what it carries
 			}
 		}
-		g.cars = append(g.cars, car)
+		g.sidecars = append(g.sidecars, sidecar)
 	}
 	var all sync.WaitGroup
 	places := make(chan bool, startsAtOnce)
-	ends := make([]error, len(g.cars))
-	for i, car := range g.cars {
+	ends := make([]error, len(g.sidecars))
+	for i, sidecar := range g.sidecars {
 		all.Add(1)
 		places <- true
 		go func() {
 			defer all.Done()
-			ends[i] = car.Start(readyWithin)
+			ends[i] = sidecar.Start(readyWithin)
 			<-places
 		}()
 	}
@@ -324,10 +324,10 @@
 		}
 	}
 	called := name
-	if at := slices.IndexFunc(g.cars, func(c *cars.Car) bool { return c.Name == name }); at >= 0 {
-		called = cmp.Or(g.cars[at].Called, name)
+	if at := slices.IndexFunc(g.sidecars, func(c *sidecars.Sidecar) bool { return c.Name == name }); at >= 0 {
+		called = cmp.Or(g.sidecars[at].Called, name)
 	}
-	return cars.Paper{Scenario: g.s, Number: i, Name: called, Zone: g.zones[name], Listen: at, Discovery: discovery, Seed: seed,
+	return sidecars.Paper{Scenario: g.s, Number: i, Name: called, Zone: g.zones[name], Listen: at, Discovery: discovery, Seed: seed,
 		PeerListen: peerListen, Peers: peers, Known: g.list.Whole(name)}.JSON()
 }
 
@@ -379,7 +379,7 @@
 	}
 	g.faults.Wait()
 	cpu = g.cpu() - cpu
-	g.stopCars()
+	g.stopSidecars()
 	a := g.accounts()
 	g.broken(a)
 	r := report.From(a)
@@ -387,14 +387,14 @@
 	return r, nil
 }
 
-// stopCars asks the sidecars to end, as a planned restart would; one that does not by itself is noted.
-func (g *Rig) stopCars() {
+// stopSidecars asks the sidecars to end, as a planned restart would; one that does not by itself is noted.
+func (g *Rig) stopSidecars() {
 	var all sync.WaitGroup
-	for _, car := range g.cars {
+	for _, sidecar := range g.sidecars {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			if err := car.Stop((g.s.Longest() + 2*clock.Second).Duration()); err != nil {
+			if err := sidecar.Stop((g.s.Longest() + 2*clock.Second).Duration()); err != nil {
 				g.note("%v", err)
 			}
 		}()
@@ -403,8 +403,8 @@
 }
 
 func (g *Rig) cpu() (sum time.Duration) {
-	for _, car := range g.cars {
-		cpu, _ := car.Used()
+	for _, sidecar := range g.sidecars {
+		cpu, _ := sidecar.Used()
 		sum += cpu
 	}
 	return sum
@@ -416,7 +416,7 @@
 	defer g.mu.Unlock()
 	r.Program, r.Load, r.Marks = g.o.Program.Name, load, g.marks
 	var spent, probes, could Micros
-	for _, b := range g.boxes {
+	for _, b := range g.backends {
 		opened, _, probed, unread, _ := b.Tally()
 		all, probing := b.Spent()
 		spent, probes = spent+all, probes+probing
@@ -427,8 +427,8 @@
 		}
 	}
 	r.Busy, r.ProbeTime = float64(spent)/float64(max(could, 1)), float64(probes)/float64(max(spent, 1))
-	for _, car := range g.cars {
-		_, kib := car.Used()
+	for _, sidecar := range g.sidecars {
+		_, kib := sidecar.Used()
 		r.MemoryKiB = max(r.MemoryKiB, kib)
 	}
 	r.CPUVisit = float64(cpu.Microseconds()) / float64(max(r.Tries, 1))
@@ -445,7 +445,7 @@
 		a.Blind, _ = strconv.Atoi(rule)
 	}
 	if g.o.Break == "deaf" {
-		a.Entries = slices.DeleteFunc(a.Entries, func(e *box.Entry) bool { return strings.HasSuffix(e.ID, "77-0") })
+		a.Entries = slices.DeleteFunc(a.Entries, func(e *backend.Entry) bool { return strings.HasSuffix(e.ID, "77-0") })
 	}
 }
 
@@ -456,9 +456,9 @@
 		Changes: changes, Downs: g.downs, Blocked: g.blocked, Cuts: g.cuts, Still: g.alarms.Late().Still(), Rude: g.clients.Rude()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, b := range g.boxes {
+	for _, b := range g.backends {
 		_, _, _, _, felled := b.Tally()
-		line := judge.BoxAccount{Name: b.Name, Zone: b.Zone, Cell: b.Cell, Felled: felled, Delays: map[string]Micros{}}
+		line := judge.BackendAccount{Name: b.Name, Zone: b.Zone, Cell: b.Cell, Felled: felled, Delays: map[string]Micros{}}
 		if g.s.OnNetwork() {
 			for _, z := range g.s.Zones {
 				line.Delays[z] = g.s.Network.Way(z, b.Zone)
@@ -471,20 +471,20 @@
 				}
 			}
 		}
-		a.Boxes = append(a.Boxes, line)
+		a.Backends = append(a.Backends, line)
 		a.Entries = append(a.Entries, b.Account()...)
 	}
-	for _, car := range g.cars {
-		a.Cars = append(a.Cars, judge.CarAccount{Name: car.Name, Zone: car.Zone, Lives: car.Lives(), Stills: car.Stills(), Crashed: car.Crashed()})
+	for _, sidecar := range g.sidecars {
+		a.Sidecars = append(a.Sidecars, judge.SidecarAccount{Name: sidecar.Name, Zone: sidecar.Zone, Lives: sidecar.Lives(), Stills: sidecar.Stills(), Crashed: sidecar.Crashed()})
 	}
 	return a
 }
 
-// Begun is the plan's time 0 on the run's clock; Tries and Entries are the accounts of clients and boxes.
+// Begun is the plan's time 0 on the run's clock; Tries and Entries are the accounts of clients and backends.
 func (g *Rig) Begun() Micros         { return g.begun }
 func (g *Rig) Tries() []*clients.Try { return g.clients.Account() }
-func (g *Rig) Entries() (es []*box.Entry) {
-	for _, b := range g.boxes {
+func (g *Rig) Entries() (es []*backend.Entry) {
+	for _, b := range g.backends {
 		es = append(es, b.Account()...)
 	}
 	return es
@@ -492,7 +492,7 @@
 
 const lookEvery = 100 * clock.Milli
 
-// watch looks at the boxes now and then, and tells who watches.
+// watch looks at the backends now and then, and tells who watches.
 func (g *Rig) watch(ended chan struct{}) (load []report.LoadLine) {
 	told := Micros(0)
 	for {
@@ -506,12 +506,12 @@
 			continue
 		}
 		g.mu.Lock()
-		boxes, marks := slices.Clone(g.boxes), slices.Clone(g.marks)
+		backends, marks := slices.Clone(g.backends), slices.Clone(g.marks)
 		g.mu.Unlock()
 		line, live := report.LoadLine{At: at}, Live{At: at, Length: g.s.Length.M(), Marks: marks}
-		for _, b := range boxes {
+		for _, b := range backends {
 			held, slow, alive := b.Now()
-			live.Boxes = append(live.Boxes, LiveBox{b.Name, b.Zone, held, alive, slow})
+			live.Backends = append(live.Backends, LiveBackend{b.Name, b.Zone, held, alive, slow})
 			if !alive {
 				held = -1
 			}
@@ -538,12 +538,12 @@
 		return
 	}
 	var all sync.WaitGroup
-	for _, car := range g.cars {
+	for _, sidecar := range g.sidecars {
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			car.Signal(syscall.SIGCONT)
-			car.Kill()
+			sidecar.Signal(syscall.SIGCONT)
+			sidecar.Kill()
 		}()
 	}
 	all.Wait()
@@ -560,9 +560,9 @@
 	for _, gate := range g.gates {
 		gate.Close()
 	}
-	boxes := g.boxes
+	backends := g.backends
 	g.mu.Unlock()
-	for _, b := range boxes {
+	for _, b := range backends {
 		b.Kill()
 	}
 	g.list.Close()
--- a/lab/stage/stage_test.go
+++ b/lab/stage/stage_test.go
@@ -14,9 +14,9 @@
 	"testing"
 	"time"
 
-	"ledgespread/lab/cars"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/scenario"
+	"ledgespread/lab/sidecars"
 )
 
 var bin string // where the programs under test were built
@@ -37,8 +37,8 @@
 	os.Exit(code)
 }
 
-func sidecar() cars.Program {
-	return cars.Program{Path: filepath.Join(bin, "ledgespread"), Args: []string{"serve", "--log", "warn"}, Name: "ledgespread"}
+func sidecar() sidecars.Program {
+	return sidecars.Program{Path: filepath.Join(bin, "ledgespread"), Args: []string{"serve", "--log", "warn"}, Name: "ledgespread"}
 }
 
 // The scenarios in their short forms. What is claimed here holds on any machine: the rules, and that the accounts agree;
@@ -81,7 +81,7 @@
 length = "30s"
 [sidecars]
 count = 3
-[[box]]
+[[backend]]
 [[prefix]]
 name = "look"
 work = "1ms"
@@ -150,7 +150,7 @@
 		t.Fatal(err)
 	}
 	folder := t.TempDir()
-	_, err = Play(s, Options{Folder: folder, Program: cars.Program{Path: "/bin/sh", Args: []string{"-c", `case $RELAY_NAME in n1) echo no luck >&2; exit 1;; esac; exec "$0" serve`,
+	_, err = Play(s, Options{Folder: folder, Program: sidecars.Program{Path: "/bin/sh", Args: []string{"-c", `case $RELAY_NAME in n1) echo no luck >&2; exit 1;; esac; exec "$0" serve`,
 		sidecar().Path}, Name: "unlucky"}})
 	if err == nil || !strings.Contains(err.Error(), "n1") || !strings.Contains(err.Error(), "no luck") {
 		t.Errorf("not told: %v", err)
@@ -167,7 +167,7 @@
 		t.Fatal(err)
 	}
 	s.Length = scenario.Span(3 * clock.Second)
-	r, err := Play(s, Options{Program: cars.Program{Path: filepath.Join(bin, "ledgelab"), Args: []string{"badcar", "--break", "dies"}, Name: "dies"}})
+	r, err := Play(s, Options{Program: sidecars.Program{Path: filepath.Join(bin, "ledgelab"), Args: []string{"faulty", "--break", "dies"}, Name: "dies"}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -182,13 +182,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	car, err := cars.New("n0", "a", sidecar(), t.TempDir(), clock.Start(), func(at string) ([]byte, error) {
-		return cars.Paper{Scenario: s, Name: "n0", Zone: "a", Listen: at, Discovery: "127.0.0.1:1", Known: []byte(`{"seq":1,"whole":true,"hosts":[]}`)}.JSON()
+	sidecar, err := sidecars.New("n0", "a", sidecar(), t.TempDir(), clock.Start(), func(at string) ([]byte, error) {
+		return sidecars.Paper{Scenario: s, Name: "n0", Zone: "a", Listen: at, Discovery: "127.0.0.1:1", Known: []byte(`{"seq":1,"whole":true,"hosts":[]}`)}.JSON()
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	taken := car.Address
+	taken := sidecar.Address
 	ln, err := net.Listen("tcp", taken)
 	if err != nil {
 		t.Fatal(err)
@@ -203,11 +203,11 @@
 			c.Close()
 		}
 	}()
-	if err := car.Start(10 * time.Second); err != nil {
+	if err := sidecar.Start(10 * time.Second); err != nil {
 		t.Fatal(err)
 	}
-	defer car.Kill()
-	if car.Address == taken {
+	defer sidecar.Kill()
+	if sidecar.Address == taken {
 		t.Error("it stayed at the taken address")
 	}
 }
@@ -225,7 +225,7 @@
 	}
 }
 
-// A dead box's address is none that the kernel gives to whoever asks for any: nobody else answers there in its place.
+// A dead backend's address is none that the kernel gives to whoever asks for any: nobody else answers there in its place.
 func TestDeadBoxsAddress(t *testing.T) {
 	s, err := scenario.Parse("dead", []byte(small))
 	if err != nil {
@@ -242,7 +242,7 @@
 	}
 	var first, last uint16
 	fmt.Sscan(string(text), &first, &last)
-	for _, b := range g.boxes {
+	for _, b := range g.backends {
 		at := netip.MustParseAddrPort(b.Address())
 		if at.Port() >= first && at.Port() <= last {
 			t.Errorf("%s is at %s: the kernel gives out %d to %d", b.Name, at, first, last)
@@ -254,7 +254,7 @@
 	}
 }
 
-// A first address that another program takes in between is given up for the next; a box that comes back has none but its own.
+// A first address that another program takes in between is given up for the next; a backend that comes back has none but its own.
 func TestBoxsAddressTaken(t *testing.T) {
 	s, err := scenario.Parse("taken", []byte(small))
 	if err != nil {
@@ -270,15 +270,15 @@
 		t.Fatal(err)
 	}
 	defer stranger.Close()
-	defer func() { free = cars.Free }()
+	defer func() { free = sidecars.Free }()
 	asked := 0
 	free = func() (string, error) {
 		if asked++; asked < 3 {
 			return stranger.Addr().String(), nil
 		}
-		return cars.Free()
+		return sidecars.Free()
 	}
-	b := g.newBox("late", g.s.Boxes[0])
+	b := g.newBackend("late", g.s.Backends[0])
 	if err := start(b, false); err != nil || asked != 3 || b.Address() == stranger.Addr().String() {
 		t.Errorf("asked %d times, at %s: %v", asked, b.Address(), err)
 	}
--- a/strict/strict.go
+++ b/strict/strict.go
@@ -37,6 +37,9 @@
 	return x / per, nil
 }
 
+// Renamed is a file some names of which have changed: by the old one, the new one.
+type Renamed interface{ Renamed() map[string]string }
+
 // Decode reads a text over what is there already. What has a unit is a type that reads its own text.
 func Decode(file string, text []byte, into any) error {
 	d := toml.NewDecoder(bytes.NewReader(text))
@@ -48,7 +51,11 @@
 	case errors.As(err, &unknown):
 		first := unknown.Errors[0]
 		row, _ := first.Position()
-		return fmt.Errorf("%s:%d: %s: no such name", file, row, strings.Join(first.Key(), "."))
+		why := "no such name"
+		if r, ok := into.(Renamed); ok && len(first.Key()) > 0 && r.Renamed()[first.Key()[len(first.Key())-1]] != "" {
+			why = "is called " + r.Renamed()[first.Key()[len(first.Key())-1]] + " now"
+		}
+		return fmt.Errorf("%s:%d: %s: %s", file, row, strings.Join(first.Key(), "."), why)
 	case errors.As(err, &malformed):
 		row, _ := malformed.Position()
 		return fmt.Errorf("%s:%d: %s: %s", file, row, strings.Join(malformed.Key(), "."), strings.TrimPrefix(malformed.Error(), "toml: "))
