--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -576,7 +576,7 @@
 	wide := []string{"visits_per_s", "sidecars", "servers"}
 	for _, way := range []string{"bytes_out", "bytes_in", "messages_out", "messages_in"} {
 		unit := map[bool]string{true: "B/s", false: "1/s"}[strings.HasPrefix(way, "bytes")]
-		add(about{"peers." + way, unit, "what sidecars tell each other of servers, a sidecar, where it has fewer servers than there are sidecars", simulated, wide, true, thin},
+		add(g.peers(way, unit, wide),
 			about{"sockets.peers." + way, unit, "the same on sockets, hollow ones beside real ones", receivers, []string{"visits_per_s"}, false, thin},
 			about{"tenants." + way, unit, "what sidecars tell of tenants, a sidecar", simulated, []string{"tenants"}, false, nil},
 			about{"ledger." + way, unit, "the one sidecar that keeps the tenants' totals", simulated, []string{"sidecars", "sidecars*tenants"}, true, nil},
@@ -603,10 +603,24 @@
 	return all
 }
 
+// fullFrom is a rate of visits from which on the bound decides how much is told, and no longer the visits: several questions of the module for each exchange that it allows.
+const fullFrom = 100
+
+func full(at size.At) bool { return thin(at) && at["visits_per_s"] >= fullFrom }
+
+// peers is the slope of what a sidecar tells others of servers.
+func (g *rig) peers(way, unit string, wide []string) about {
+	if g.Bound > 0 {
+		return about{"peers." + way, unit, fmt.Sprintf("what sidecars tell each other of servers, a sidecar, where its bound decides and no longer its visits: the mean of the sizes from %d visits/s on", fullFrom),
+			simulated, nil, false, full}
+	}
+	return about{"peers." + way, unit, "what sidecars tell each other of servers, a sidecar, where it has fewer servers than there are sidecars", simulated, wide, true, thin}
+}
+
 // owner is the slope of a sidecar that owns servers' counts.
 func (g *rig) owner(way, unit string) about {
 	if g.Bound > 0 {
-		return about{"owner." + way, unit, "the most loaded sidecar, an owner of several servers, within a bound", simulated, []string{"visits_per_s", "sidecars"}, false, thin}
+		return about{"owner." + way, unit, "the most loaded sidecar, an owner of several servers, where its bound decides and no longer its visits", simulated, nil, false, full}
 	}
 	return about{"owner." + way, unit, fmt.Sprintf("one that owns one server's count, of %d in the list; with n servers its part of all is so much less or more", g.ownedOf()), simulated,
 		[]string{"visits_per_s", "visits_per_s*sidecars"}, true, func(at size.At) bool { return thin(at) && int(at["servers"]) == g.ownedOf() }}
