--- a/lab/hollow/core.go
+++ b/lab/hollow/core.go
@@ -260,15 +260,17 @@
 	c.b.Heard(c.time, from, kind, about, figures...)
 }
 
-// Send, Hear and Refused are what summaries go out by, and estimates come in.
+// Send is what summaries go out by.
 func (c *Core) Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
 	c.world.tell(to, kind, about, figures)
 }
 
+// Hear has the module hear what came in by estimates and summaries.
 func (c *Core) Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
 	c.later(func() { c.b.Heard(c.time, from, kind, about, figures...) })
 }
 
+// Refused counts a message that no sidecar can mean.
 func (c *Core) Refused(brain.Peer, string) { c.Tally.Refused++ }
 
 func (c *Core) Print(string) {}
