--- a/decide/summary/summary.go
+++ b/decide/summary/summary.go
@@ -55,13 +55,13 @@
 
 // As the module has them.
 const (
-	beat     Micros = 50_000
-	usual           = 1.0   // answer time per unit of work until something is known
-	fades           = 25.0  // beats in which own answers fade to 1/e
-	firm            = 6.0   // mean visits that the calm pace weighs among them
-	enough          = 32.0  // visits that make the mean
-	calmFall        = 100.0 // beats in which the calm pace follows the lately seen one down,
-	calmRise        = 400.0 // and up; also in which the module's count of others' visits fades by itself
+	beat     = Micros(50_000)
+	usual    = 1.0   // answer time per unit of work until something is known
+	fades    = 25.0  // beats in which own answers fade to 1/e
+	firm     = 6.0   // mean visits that the calm pace weighs among them
+	enough   = 32.0  // visits that make the mean
+	calmFall = 100.0 // beats in which the calm pace follows the lately seen one down,
+	calmRise = 400.0 // and up; also in which the module's count of others' visits fades by itself
 )
 
 // Out is what an Aggregator can do to the world. None of these calls it back.
