--- a/decide/summary/summary_test.go
+++ b/decide/summary/summary_test.go
@@ -1,38 +1,18 @@
 package summary
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"slices"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"ledgespread/brain"
+	"ledgespread/lab/trace"
 )
 
-var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
-
-func matches(t *testing.T, now string) {
-	t.Helper()
-	name := "testdata/" + t.Name() + ".trace"
-	if *update {
-		os.MkdirAll("testdata", 0o777)
-		os.WriteFile(name, []byte(now), 0o666)
-	}
-	kept, err := os.ReadFile(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(kept), now); diff != "" {
-		t.Errorf("it differs from %s (-kept +now):\n%s", name, diff)
-	}
-}
-
 var names = map[brain.Note]string{brain.TenantsUse: "tenants' use", brain.TenantsTotal: "tenants' total", brain.Ask: "ask", brain.Quote: "quote",
 	brain.Began: "began", brain.Waits: "waits", brain.Ended: "ended", Summary: "summary", Estimate: "estimate", Usage: "usage", Totals: "totals"}
 
@@ -129,7 +109,7 @@
 	now += 60_000
 	g.Told(now, 1, brain.Ask, z)
 	say("z's turn has come, and its word counts no more")
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
 
 // An owner's side: the module hears of a summary as of its visits, and its answer goes out with a turn.
@@ -150,7 +130,7 @@
 	g.Heard(70, 2, brain.Ask, a)
 	answer(70, 2, 1.5, 4)
 	say(70, "one without a bound asks, after a summary that the module did not answer")
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
 
 // Where the module has found another owner, summaries go there, though fetches that began before tell the one before of their end.
@@ -325,7 +305,7 @@
 	g.Told(6, 1, brain.TenantsUse, 0, 1, 1)
 	g.Heard(7, 2, Usage, 0, 3, 4)
 	g.Told(8, 1, brain.TenantsUse, 0, 1, 1)
-	matches(t, lines(0, p.take()))
+	trace.Same(t, lines(0, p.take()))
 }
 
 // Nothing that comes over the wire ends the sidecar, and nothing of it is kept that is not finite.
--- a/lab/callgraph/callgraph_test.go
+++ b/lab/callgraph/callgraph_test.go
@@ -1,33 +1,14 @@
 package callgraph
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
-)
-
-var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
 
-func matches(t *testing.T, now string) {
-	t.Helper()
-	name := "testdata/" + t.Name() + ".trace"
-	if *update {
-		os.MkdirAll("testdata", 0o777)
-		os.WriteFile(name, []byte(now), 0o666)
-	}
-	kept, err := os.ReadFile(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(kept), now); diff != "" {
-		t.Errorf("it differs from %s (-kept +now):\n%s", name, diff)
-	}
-}
+	"ledgespread/lab/trace"
+)
 
 // A small graph line by line, and the statistics of the requirement's: one seed gives one graph, on any machine.
 func TestDraw(t *testing.T) {
@@ -47,7 +28,7 @@
 	for seed := range uint64(3) {
 		fmt.Fprintln(&b, strings.Join(Draw(Usual(), seed+1).Statistics().Lines(), "\n"))
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
 
 // Whatever is asked for: no service calls one that stands before it, the depth is reached and not passed, all sums are those
@@ -117,5 +98,5 @@
 		_, err := Read("graph.toml", []byte(text))
 		fmt.Fprintf(&b, "%v\n", err)
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
--- a/lab/depth/depth_test.go
+++ b/lab/depth/depth_test.go
@@ -1,10 +1,8 @@
 package depth
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"strings"
 	"testing"
 
@@ -13,26 +11,9 @@
 
 	"ledgespread/lab/callgraph"
 	"ledgespread/lab/sim"
+	"ledgespread/lab/trace"
 )
 
-var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
-
-func matches(t *testing.T, now string) {
-	t.Helper()
-	name := "testdata/" + t.Name() + ".trace"
-	if *update {
-		os.MkdirAll("testdata", 0o777)
-		os.WriteFile(name, []byte(now), 0o666)
-	}
-	kept, err := os.ReadFile(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(kept), now); diff != "" {
-		t.Errorf("it differs from %s (-kept +now):\n%s", name, diff)
-	}
-}
-
 // small is a chain that is played in a moment.
 func small() Terms {
 	t := Usual()
@@ -61,7 +42,7 @@
 			}
 		}
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
 
 // One seed gives one run, bit for bit, and another seed another.
@@ -91,7 +72,7 @@
 			fmt.Fprintf(&b, "%d deep, %.1f fail: a fifth more at each hop %.2f; buckets, steady %.3f, fresh %.3f for %.1f s\n", depth, fails, s.Share, s.Steady, s.Fresh, s.FreshS)
 		}
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 	long := small()
 	long.Failing = 20e6
 	for _, depth := range []int{1, 3, 5} {
@@ -197,7 +178,7 @@
 			}
 		}
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
 
 // What can't be is refused with file, line and name; the file that comes with the program can be.
@@ -208,5 +189,5 @@
 		_, err := Read("chain.toml", []byte(text))
 		fmt.Fprintf(&b, "%v\n", err)
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -612,14 +612,12 @@
 		again += f.again[s]
 		g.SaysMost = max(g.SaysMost, float64(f.says[s])/n)
 		g.HeardMost = max(g.HeardMost, float64(f.heard[s]))
+		g.BytesMost = max(g.BytesMost, float64(f.most[s]))
 		if s < int(f.Times.Warm)/1e6 {
 			g.Says += float64(f.says[s]) / n / float64(int(f.Times.Warm)/1e6-1)
 		}
 	}
 	g.Retries = part(again, f.all)
-	for s := 1; s < int((end-f.begin)/1e6); s++ {
-		g.BytesMost = max(g.BytesMost, float64(f.most[s]))
-	}
 	for _, all := range f.bytes {
 		g.Bytes += float64(all) / n / g.Seconds
 	}
--- a/lab/faults/faults_test.go
+++ b/lab/faults/faults_test.go
@@ -1,33 +1,15 @@
 package faults
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
-)
-
-var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
 
-func matches(t *testing.T, now string) {
-	t.Helper()
-	name := "testdata/" + t.Name() + ".trace"
-	if *update {
-		os.MkdirAll("testdata", 0o777)
-		os.WriteFile(name, []byte(now), 0o666)
-	}
-	kept, err := os.ReadFile(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(kept), now); diff != "" {
-		t.Errorf("it differs from %s (-kept +now):\n%s", name, diff)
-	}
-}
+	"ledgespread/lab/trace"
+)
 
 // small are terms of which each run takes a moment: longer work, so fewer visits.
 func small() Terms {
@@ -55,7 +37,7 @@
 	}
 	fmt.Fprintln(&b, strings.TrimSpace(played(t, small(), Run{Kind: Regions, Sidecars: 30, Named: 0.5}, 1).Line()))
 	fmt.Fprintln(&b, strings.TrimSpace(played(t, small(), Run{Kind: Zone, Sidecars: 30, Load: 0.9}, 1).Line()))
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
 
 // One seed gives one run, bit for bit, and another seed another.
@@ -187,7 +169,7 @@
 	for _, e := range r.Events {
 		fmt.Fprintf(&b, "%s at %.0f: %.4g, %.4g\n", e.Name, e.At["sidecars"], e.Median, e.Last)
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 	if err := r.Write(t.TempDir() + "/report.json"); err == nil {
 		t.Error("a report that names no commit was written")
 	}
@@ -222,7 +204,7 @@
 			}
 		}
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
 
 // What can't be is refused with file, line and name; the file that comes with the program can be.
@@ -236,5 +218,5 @@
 		_, err := Read("faults.toml", []byte(text))
 		fmt.Fprintf(&b, "%v\n", err)
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -289,7 +289,7 @@
 		Bound: r.bound(i)}
 }
 
-// bound is what a hollow sidecar's messages may take. Where that guard is off, the last one's may take anything.
+// bound is what a hollow sidecar's messages may take. Where that guard is off, one of so many may take so many times as much.
 func (r *Run) bound(i int) float64 {
 	if r.unbound && i%unboundEach == unboundEach-1 {
 		return unboundTimes * float64(r.Bound)
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -1,36 +1,16 @@
 package sim
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"ledgespread/brain"
+	"ledgespread/lab/trace"
 )
 
-var update = flag.Bool("update", false, "write the traces anew; read them before you keep them")
-
-func matches(t *testing.T, now string) {
-	t.Helper()
-	name := "testdata/" + t.Name() + ".trace"
-	if *update {
-		os.MkdirAll("testdata", 0o777)
-		os.WriteFile(name, []byte(now), 0o666)
-	}
-	kept, err := os.ReadFile(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(string(kept), now); diff != "" {
-		t.Errorf("it differs from %s (-kept +now):\n%s", name, diff)
-	}
-}
-
 // Whatever is asked for in whatever order, things are done by their time, and of one time in the order asked for; what is asked
 // for a time gone by is done now, and the clock never goes back.
 func TestClock(t *testing.T) {
@@ -160,7 +140,7 @@
 		n.Play(n.Now + 3e6)
 		fmt.Fprintf(&b, "%-45s breaks by rule %v %s\n", c.what, n.Broken[1:], n.First)
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
 
 // The module's own visits, by the way's times: answers, errors, refusals, servers that refuse connections, fall silent, fall
@@ -207,5 +187,5 @@
 			fmt.Fprintf(&b, "; breaks %v, visits left %d\n", n.Broken[1:], len(sidecar.visits))
 		}
 	}
-	matches(t, b.String())
+	trace.Same(t, b.String())
 }
--- a/lab/trace/trace.go
+++ b/lab/trace/trace.go
@@ -22,11 +22,17 @@
 
 // Same compares with testdata/NAME.trace of the test's package.
 func (t *Trace) Same(tb testing.TB) {
+	tb.Helper()
+	Same(tb, t.b.String())
+}
+
+// Same compares a text with testdata/NAME.trace of the test's package.
+func Same(tb testing.TB, now string) {
 	tb.Helper()
 	file := filepath.Join("testdata", strings.ReplaceAll(tb.Name(), "/", "-")+".trace")
 	if *update {
 		os.MkdirAll("testdata", 0o755)
-		if err := os.WriteFile(file, []byte(t.b.String()), 0o644); err != nil {
+		if err := os.WriteFile(file, []byte(now), 0o644); err != nil {
 			tb.Fatal(err)
 		}
 		return
@@ -35,7 +41,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	if diff := cmp.Diff(string(kept), t.b.String()); diff != "" {
+	if diff := cmp.Diff(string(kept), now); diff != "" {
 		tb.Errorf("-kept +now:\n%s", diff)
 	}
 }
