--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -242,9 +242,9 @@
 		return w.call(at, hold, hold+lateMost)
 	case w.again:
 		every := max(time.Duration(w.step.Load()), w.patience()/steps)
-		return w.abreast(at, every, steps*every, steps)
+		return w.abreast(at, round, every, steps*every, steps)
 	case pressing:
-		return w.abreast(at, w.soon(), waitMost, 2)
+		return w.abreast(at, round, w.soon(), waitMost, 2)
 	}
 	return w.call(at, 0, waitMost)
 }
@@ -316,7 +316,7 @@
 
 // abreast makes calls, one after another though none is answered yet; the first answer counts. Guards against a call that falls silent
 // where another watch did before, where discovery was moved, or while discovery's agent is: what it has counts as told all the same.
-func (w *Watcher) abreast(at *service, every, whole time.Duration, most int) (list *List, err error) {
+func (w *Watcher) abreast(at *service, round int, every, whole time.Duration, most int) (list *List, err error) {
 	type answer struct {
 		list *List
 		err  error
@@ -325,11 +325,17 @@
 	over, next := time.NewTimer(whole), time.NewTicker(every)
 	defer over.Stop()
 	defer next.Stop()
+	var returned atomic.Bool
+	defer returned.Store(true)
 	err = fmt.Errorf("no answer to %d calls", most)
 	for begun, ended := 0, 0; ; {
 		if begun++; begun <= most {
 			go func() {
+				began := time.Now()
 				list, err := w.call(at, 0, whole)
+				if list != nil && returned.Load() {
+					w.log.Info().Uint64("version", list.Version).Int("round", round).Time("began", began).Msg("list not told: nobody waits for it")
+				}
 				came <- answer{list, err}
 			}()
 		}
@@ -404,6 +410,7 @@
 	}
 	w.reached(err)
 	if list != nil && list.Version < w.version && !w.fresh {
+		w.log.Info().Uint64("version", list.Version).Uint64("held", w.version).Int("round", round).Msg("list not told: older than the one held")
 		w.counts.Add(counters.ListsOutdated)
 		list = &List{Version: w.version}
 	} else if list != nil {
@@ -417,6 +424,9 @@
 			w.tell(nil)
 		}
 	case brought || asked:
+		if brought {
+			w.log.Info().Uint64("version", list.Version).Bool("whole", list.Whole).Int("round", round).Msg("list told")
+		}
 		w.counts.Add(counters.ListsTaken)
 		w.tell(list)
 	}
@@ -484,6 +494,7 @@
 		w.mu.Unlock()
 	}
 	if err != nil {
+		w.log.Info().Err(err).Bool("whole", fresh).Dur("hold", hold).Time("began", began).Msg("call of discovery failed")
 		if !fresh && errors.Is(err, fasthttp.ErrTimeout) {
 			err = errSilent
 		}
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -134,6 +134,10 @@
 GET /api/targets?from=43&hold_ms=2000
 GET /api/targets?from=43&hold_ms=0
 GET /api/targets?from=43&hold_ms=2000
+"list told"}
+"list told"}
+"list not told: older than the one held"}
+"call of discovery failed"}
 "discovery out of reach"}
 "discovery back"}
 "discovery out of reach"}
