--- /dev/null
+++ b/internal/outbound/faults_test.go
@@ -0,0 +1,141 @@
+package outbound_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/outbound"
+)
+
+var resultNames = map[brain.Result]string{brain.Delivered: "delivered", brain.Errored: "error", brain.Full: "full",
+	brain.TimedOut: "timed out", brain.ConnectFailed: "connect failed", brain.Reset: "reset", brain.Cancelled: "cancelled",
+	brain.NeverSent: "never sent"}
+
+// attempt makes one attempt and tells how it ended, and what came of the answer.
+func attempt(o *outbound.Outbound, address string, wait time.Duration) string {
+	x := exchange.New().Holds([]byte("GET /look HTTP/1.1\r\nHost: a\r\n"), nil, nil)
+	ended := make(chan string, 1)
+	o.Fetch(x, 1, address, brain.Micros(wait/time.Microsecond), time.Time{}, func(answer *exchange.Answer, _ bool, _ []float64, err error) {
+		text := resultNames[outbound.Result(err)]
+		if answer != nil && answer.Rest != nil {
+			rest, cut := io.ReadAll(answer.Rest)
+			answer.Rest.Close()
+			text = fmt.Sprintf("%s, passed on %q until: %v", text, append(answer.Body, rest...), cut)
+		}
+		ended <- text
+	})
+	return <-ended
+}
+
+func newOutbound(connect time.Duration) *outbound.Outbound {
+	return outbound.New(1_000_000, brain.Micros(connect/time.Microsecond), 9, 4<<20, nil, &counters.Sheet{}, zerolog.Nop())
+}
+
+func serve(t *testing.T) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "done") }))
+	return ln.Addr().String()
+}
+
+// A connect that fails for want of something on the sidecar's own machine says nothing of the server. Such a failure was taken for the
+// server's: it sat out, and each failure used up one of the request's attempts. It is tried again on the spot, for as long as a connection
+// may take to come up, and what never went out is no failure of the server's. What the server's side refuses still counts at once.
+func TestConnectFailsOnThisMachine(t *testing.T) {
+	const connect = 300 * time.Millisecond
+	address := serve(t)
+	var got []string
+	for _, c := range []struct {
+		errno syscall.Errno
+		times int
+	}{{syscall.ENETUNREACH, 3}, {syscall.EADDRNOTAVAIL, 3}, {syscall.ENOBUFS, 3}, {syscall.ENFILE, 3}, {syscall.EMFILE, 3},
+		{syscall.EAGAIN, 3}, {syscall.ENOMEM, 3}, {syscall.ENOBUFS, 1 << 30}, {syscall.ECONNREFUSED, 1}, {syscall.EHOSTUNREACH, 1}} {
+		o, failed := newOutbound(connect), 0
+		o.Dial = func(ctx context.Context, dialer net.Dialer, address string) (net.Conn, error) {
+			if failed++; failed <= c.times {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", c.errno)}
+			}
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+		began := time.Now()
+		ended := attempt(o, address, 20*time.Second)
+		always := c.times > 3
+		got = append(got, fmt.Sprintf("%v, always %v: %s, after the time to connect %v", c.errno, always, ended, time.Since(began) >= connect))
+	}
+	want := strings.Split(`network is unreachable, always false: delivered, after the time to connect false
+cannot assign requested address, always false: delivered, after the time to connect false
+no buffer space available, always false: delivered, after the time to connect false
+too many open files in system, always false: delivered, after the time to connect false
+too many open files, always false: delivered, after the time to connect false
+resource temporarily unavailable, always false: delivered, after the time to connect false
+cannot allocate memory, always false: delivered, after the time to connect false
+no buffer space available, always true: never sent, after the time to connect true
+connection refused, always false: connect failed, after the time to connect false
+no route to host, always false: connect failed, after the time to connect false`, "\n")
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+// brokenConn fails its reads once the text has been read.
+type brokenConn struct {
+	net.Conn
+	text  *strings.Reader
+	cause error
+}
+
+func (c *brokenConn) Read(p []byte) (int, error) {
+	if c.text.Len() > 0 {
+		return c.text.Read(p)
+	}
+	return 0, c.cause
+}
+
+// The kernel reports a peer that no longer acknowledges as ETIMEDOUT, an error that calls itself a timeout. The reader of answers took it
+// for the end of the time in which it holds an answer of unknown length back, and passed the broken answer on: the client got half of it,
+// though nothing had been passed on yet and a safe request could have been tried again. Only a deadline that the program set is one.
+func TestBrokenConnectionIsNoDeadline(t *testing.T) {
+	var got []string
+	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET} {
+		for _, text := range []string{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "HTTP/1.1 200 OK\r\n\r\nhalf",
+			"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nConte", ""} {
+			o := newOutbound(time.Second)
+			o.Dial = func(context.Context, net.Dialer, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				t.Cleanup(func() { near.Close(); far.Close() })
+				go io.Copy(io.Discard, bufio.NewReader(far))
+				cause := &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", errno)}
+				return &brokenConn{Conn: near, text: strings.NewReader(text), cause: cause}, nil
+			}
+			got = append(got, fmt.Sprintf("%v after %d bytes: %s", errno, len(text), attempt(o, "127.0.0.1:9", 20*time.Second)))
+		}
+	}
+	var want []string
+	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET} {
+		for _, length := range []int{56, 23, 42, 22, 0} {
+			want = append(want, fmt.Sprintf("%v after %d bytes: reset", errno, length))
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -30,8 +30,16 @@
 	deadlinePart = 4 // a connection's deadline may be late by this part of the time left
 )
 
+// Dial makes a connection to a server.
+type Dial func(ctx context.Context, dialer net.Dialer, address string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, dialer net.Dialer, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Outbound reaches the servers.
 type Outbound struct {
+	Dial    Dial // how connections are made; set before the first attempt
 	pool    pool
 	workers workers
 	connect atomic.Int64             // nanoseconds
@@ -46,7 +54,7 @@
 // never more than most; answers take no more than room bytes together while they are read, and their load reports hold
 // loads.
 func New(idle, connect brain.Micros, most, room int, loads []string, counts *counters.Sheet, log zerolog.Logger) *Outbound {
-	o := &Outbound{workers: make(workers), room: room, counts: counts, log: log,
+	o := &Outbound{Dial: dialTCP, workers: make(workers), room: room, counts: counts, log: log,
 		pool: pool{idle: map[brain.Backend][]*conn{}, most: most, counts: counts}}
 	o.Retune(idle, connect, loads)
 	return o
@@ -179,7 +187,7 @@
 		return nil, &Failure{Progress: Nowhere, Cause: fmt.Errorf("all %d connections are busy", o.pool.most)}
 	}
 	d := net.Dialer{Timeout: time.Duration(o.connect.Load()), Deadline: until, KeepAlive: -1}
-	c, err := d.DialContext(f.ctx, "tcp", address)
+	c, err := o.Dial(f.ctx, d, address)
 	if err != nil {
 		o.pool.closed()
 		if f.ctx.Err() != nil {
