--- a/brain/books.go
+++ b/brain/books.go
@@ -98,6 +98,7 @@
 	row, scratch                []*backend       // all known, by id; those at hand
 	visits                      map[VisitID]*visit
 	news                        News
+	heardList                   bool           // the list's service has told one; what it tells from now on is new
 	deaf                        []deafness     // by sidecar
 	down                        deafness       // of all: no message comes through
 	lag, life                   Micros         // owners answer in; idle connections live
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -263,11 +263,15 @@
 	if !(rating > 0) || math.IsInf(rating, 0) {
 		be.rating = 1
 	}
-	restarted := started > be.started
-	be.started = started
+	// A wall clock may have been stepped since the start before, so any other start is a restart.
+	restarted := started != 0 && started != be.started
+	if st == Ready { // a start that is told while it drains is still to be heard of
+		be.started = started
+	}
 	if (restarted || returns) && st == Ready {
 		be.cool(max(started, be.back, 1))
-		if started == 0 || started > now || returns && !restarted {
+		// What has changed since the last list started after it, whatever a stepped wall clock makes of that.
+		if b.heardList || started == 0 || started > now || returns && !restarted {
 			be.coldSince, be.began = now, now // it came back from we know not what: cold
 		} else if float64(now-be.coldSince) >= b.ramp.warm { // guards a fresh sidecar's first visits
 			be.coldSince = 0
@@ -293,6 +297,7 @@
 
 func (b *Balancer) ListEnds(now Micros) {
 	b.now = now
+	b.heardList = b.heardList || b.news == Whole || b.news == Changes
 	// Guards against books that grow with every server there ever was. One that may return cold is kept.
 	maps.DeleteFunc(b.known, func(_ Backend, be *backend) bool {
 		if b.news != NoListCame && !be.listed && be.standing != Gone {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -41,6 +41,7 @@
 	ConnectionsOpened
 	ConnectionsReused
 	ConnectionsStale
+	ConnectsFailedHere // for want of something on this machine; each was tried again
 	ReportsRead
 	ReportsUnreadable
 	ListsTaken
@@ -66,7 +67,7 @@
 	"visits_dropped", "visits_overdue", "visits_over_held", "visits_twice", "bad_input", "client_connections",
 	"clients_evicted", "accept_failures", "fetches_sent", "fetches_written", "fetches_delivered", "fetches_errored", "fetches_spoilt", "answers_cut", "fetches_full",
 	"fetches_timed_out", "fetches_connect_failed", "fetches_reset", "fetches_cancelled", "fetches_never_sent",
-	"connections_opened", "connections_reused", "connections_stale", "reports_read", "reports_unreadable",
+	"connections_opened", "connections_reused", "connections_stale", "connects_failed_here", "reports_read", "reports_unreadable",
 	"lists_taken", "lists_failed", "lists_malformed", "lists_outdated", "lists_silent", "lists_late", "reloads",
 	"reloads_refused", "notes_sent", "notes_heard",
 	"notes_refused", "summaries_sent", "estimates_sent", "summaries_refused", "calls_refused", "faults"}
--- a/internal/endings_test.go
+++ b/internal/endings_test.go
@@ -129,7 +129,7 @@
 		left = true
 		x.Gone = func() bool { return left }
 		end := make(chan string, 1)
-		o.Fetch(x, 1, s.Addr().String(), second, time.Time{}, func(_ *exchange.Answer, _ bool, _ []float64, err error) {
+		o.Fetch(x, 1, s.Addr().String(), after(second), time.Time{}, func(_ *exchange.Answer, _ bool, _ []float64, err error) {
 			end <- results[outbound.Result(err)]
 		})
 		tr.add("on a connection that has come up, reused %v: %s, %d at the server", reused, <-end, s.count())
@@ -416,7 +416,7 @@
 			}()
 			x := exchange.New().Holds([]byte("GET /x HTTP/1.1\r\nHost: a\r\n"), nil, nil)
 			end := make(chan string, 1)
-			reach(10*second, 9, &counters.Sheet{}).Fetch(x, 1, ln.Addr().String(), 40*second, time.Time{},
+			reach(10*second, 9, &counters.Sheet{}).Fetch(x, 1, ln.Addr().String(), after(40*second), time.Time{},
 				func(a *exchange.Answer, _ bool, _ []float64, err error) {
 					if a == nil || a.Rest == nil {
 						end <- results[outbound.Result(err)]
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
-	"os"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -188,9 +186,8 @@
 
 // broken answers a body that did not come whole.
 func (in *Inbound) broken(ctx *fasthttp.RequestCtx, err error) (here bool) {
-	var slow net.Error
 	switch {
-	case errors.As(err, &slow) && slow.Timeout() || errors.Is(err, os.ErrDeadlineExceeded):
+	case late(err):
 		in.refuse(ctx, fasthttp.StatusRequestTimeout, fasthttp.StatusMessage(fasthttp.StatusRequestTimeout))
 	case errors.Is(err, errTooLong):
 		in.refuse(ctx, fasthttp.StatusRequestEntityTooLarge, fasthttp.StatusMessage(fasthttp.StatusRequestEntityTooLarge))
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -6,7 +6,7 @@
 	"errors"
 	"io"
 	"math"
-	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -168,18 +168,22 @@
 func (in *Inbound) malformed(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
 	var small *fasthttp.ErrSmallBuffer
-	var slow net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &small):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &slow) && slow.Timeout():
+	case late(err):
 		status = fasthttp.StatusRequestTimeout
 	}
 	in.refuse(ctx, status, fasthttp.StatusMessage(status))
 }
 
+// late tells whether reading ended by a deadline that was set here, and not by a broken connection, whose ETIMEDOUT calls itself a timeout.
+func late(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout)
+}
+
 func (in *Inbound) visit(ctx *fasthttp.RequestCtx, m *message) {
 	x, status, fault := in.read(ctx, m)
 	if x == nil {
--- a/internal/outbound/faults_test.go
+++ b/internal/outbound/faults_test.go
@@ -30,7 +30,7 @@
 func attempt(o *outbound.Outbound, address string, wait time.Duration) string {
 	x := exchange.New().Holds([]byte("GET /look HTTP/1.1\r\nHost: a\r\n"), nil, nil)
 	ended := make(chan string, 1)
-	o.Fetch(x, 1, address, brain.Micros(wait/time.Microsecond), time.Time{}, func(answer *exchange.Answer, _ bool, _ []float64, err error) {
+	o.Fetch(x, 1, address, time.Now().Add(wait), time.Time{}, func(answer *exchange.Answer, _ bool, _ []float64, err error) {
 		text := resultNames[outbound.Result(err)]
 		if answer != nil && answer.Rest != nil {
 			rest, cut := io.ReadAll(answer.Rest)
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -28,6 +28,9 @@
 	holdPart    = 8  // an answer of unknown length is held back for this part of the time left, until it is long
 
 	deadlinePart = 4 // a connection's deadline may be late by this part of the time left
+
+	leastRedial = 2 * time.Millisecond  // from a connect that failed on this machine to the next,
+	mostRedial  = 32 * time.Millisecond // doubling up to this
 )
 
 // Dial makes a connection to a server.
@@ -124,13 +127,11 @@
 	f.mu.Unlock()
 }
 
-// Fetch sends a visit to a server and waits for so long at most. It returns at once. before is when its first byte is to have gone out, or
+// Fetch sends a visit to a server and waits until then at most. It returns at once. before is when its first byte is to have gone out, or
 // it never does; zero: at any time.
-func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, wait brain.Micros, before time.Time,
-	ended Ended) *Attempt {
+func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, until, before time.Time, ended Ended) *Attempt {
 	f := newAttempt(be, ended)
 	f.before = before
-	until := time.Now().Add(span(wait))
 	o.counts.Add(counters.FetchesSent)
 	o.workers.do(func() { o.run(f, be, address, until, x) })
 	return f
@@ -186,8 +187,7 @@
 	if !o.pool.room() {
 		return nil, &Failure{Progress: Nowhere, Cause: fmt.Errorf("all %d connections are busy", o.pool.most)}
 	}
-	d := net.Dialer{Timeout: time.Duration(o.connect.Load()), Deadline: until, KeepAlive: -1}
-	c, err := o.Dial(f.ctx, d, address)
+	tcp, err := o.connected(f, address, until)
 	if err != nil {
 		o.pool.closed()
 		if f.ctx.Err() != nil {
@@ -196,11 +196,35 @@
 		return nil, &Failure{Progress: Nowhere, Cause: err}
 	}
 	o.counts.Add(counters.ConnectionsOpened)
-	l := &conn{Conn: c, address: address}
+	l := &conn{Conn: tcp, address: address}
 	l.in = bufio.NewReaderSize(l, usualHead)
 	return l, nil
 }
 
+// connected makes a connection. A failure of this machine says nothing of the server, so it is tried again until a connection would be late.
+func (o *Outbound) connected(f *Attempt, address string, until time.Time) (net.Conn, error) {
+	if by := time.Now().Add(time.Duration(o.connect.Load())); by.Before(until) {
+		until = by
+	}
+	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
+	for wait := leastRedial; ; wait = min(2*wait, mostRedial) {
+		tcp, err := o.Dial(f.ctx, dialer, address)
+		if err == nil || !failedHere(err) {
+			return tcp, err
+		}
+		o.counts.Add(counters.ConnectsFailedHere)
+		left := time.Until(until)
+		if left <= 0 {
+			return nil, fmt.Errorf("%w: %w", errHere, err)
+		}
+		select {
+		case <-time.After(min(wait, left)):
+		case <-f.ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 // over sends a fetch on a connection and reads the whole answer. The connection is kept or closed. What the server is told of the time
 // is what is left just before the first byte: guards against a server that works for a client that has gone, where the connection
 // came up late.
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"errors"
 	"io"
 	"os"
 	"slices"
@@ -76,7 +77,7 @@
 		switch {
 		case err == io.EOF:
 			return first, true, nil
-		case os.IsTimeout(err) && time.Now().Before(last):
+		case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(last): // a broken connection's ETIMEDOUT is no deadline of ours
 			l.broke = nil
 			return first, false, nil
 		case err != nil:
--- a/internal/relay/clock.go
+++ b/internal/relay/clock.go
@@ -12,6 +12,11 @@
 
 func startClock() clock { return clock{time.Now()} }
 
+// time is a moment of this clock as the runtime's timers take it.
+func (c clock) time(at brain.Micros) time.Time {
+	return c.start.Add(time.Duration(at-brain.Micros(c.start.UnixMicro())) * time.Microsecond)
+}
+
 func (c clock) now() brain.Micros {
 	return brain.Micros(c.start.UnixMicro()) + brain.Micros(time.Since(c.start)/time.Microsecond)
 }
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -96,10 +96,12 @@
 		r.fault("a backend fetch for a visit that is over")
 		return
 	}
-	no, sent, left := brain.FetchNo(len(v.flights)), r.now, v.until-r.clock.now()
+	now := r.clock.now()
+	no, sent, left := brain.FetchNo(len(v.flights)), r.now, v.until-now
 	if wait <= 0 || wait > left {
 		wait = left
 	}
+	until := r.clock.time(now + wait) // a moment: a span would begin anew after each standstill on its way out
 	v.out++
 	to, known := r.servers[be]
 	once := v.x.Upload != nil && no > 0 // what has been taken of its body is gone
@@ -109,7 +111,7 @@
 		return
 	}
 	var f *outbound.Attempt
-	f = r.outbound.Fetch(v.x, be, to.address, wait, r.before(v),
+	f = r.outbound.Fetch(v.x, be, to.address, until, r.before(v),
 		func(a *exchange.Answer, _ bool, load []float64, err error) {
 			r.post(func() {
 				if err != nil {
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -155,11 +155,14 @@
 	return outbound.New(idle, second, most, 4<<20, nil, counts, zerolog.Nop())
 }
 
+// after is the moment so long from now.
+func after(span brain.Micros) time.Time { return time.Now().Add(time.Duration(span) * time.Microsecond) }
+
 // fetch does one backend fetch and tells how it ended. before is done while it is out.
 func fetch(o *outbound.Outbound, path, address string, wait brain.Micros, before func(*outbound.Attempt)) string {
 	x := exchange.New().Holds([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n"), nil, nil)
 	end := make(chan string, 2)
-	f := o.Fetch(x, 1, address, wait, time.Time{}, func(a *exchange.Answer, reused bool, _ []float64, err error) {
+	f := o.Fetch(x, 1, address, after(wait), time.Time{}, func(a *exchange.Answer, reused bool, _ []float64, err error) {
 		var body []byte
 		if a != nil {
 			body = a.Body
