--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -22,6 +22,7 @@
 // loses its own; see evictOne.
 type Listener struct {
 	*net.TCPListener
+	accept func() (*net.TCPConn, error) // how connections are accepted
 	places chan struct{}
 	counts *counters.Sheet
 	log    zerolog.Logger
@@ -218,7 +219,7 @@
 
 // New makes a listener with so many places.
 func New(ln *net.TCPListener, most int, counts *counters.Sheet, log zerolog.Logger) *Listener {
-	return &Listener{TCPListener: ln, places: make(chan struct{}, max(most, 1)), counts: counts, log: log, Patience: slowest,
+	return &Listener{TCPListener: ln, accept: ln.AcceptTCP, places: make(chan struct{}, max(most, 1)), counts: counts, log: log, Patience: slowest,
 		here: map[*client]bool{}}
 }
 
@@ -240,7 +241,7 @@
 		if finishing {
 			l.SetDeadline(time.Now().Add(lookAway))
 		}
-		tcp, err := l.AcceptTCP()
+		tcp, err := l.accept()
 		if err == nil {
 			l.counts.Add(counters.ClientConnections)
 			return l.acquire(tcp), nil
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -3,6 +3,7 @@
 package handover
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -24,9 +25,23 @@
 	writeBy = 300 * time.Millisecond // a call's answer waits for the file so long, and no longer
 )
 
+// disk is what the file is written by.
+type disk interface {
+	// WriteFile has a file hold this text.
+	WriteFile(path string, text []byte) error
+	Rename(from, to string) error
+}
+
+// folder is a disk as the operating system has it.
+type folder struct{}
+
+func (folder) WriteFile(path string, text []byte) error { return os.WriteFile(path, text, 0o600) }
+func (folder) Rename(from, to string) error             { return os.Rename(from, to) }
+
 // State is that file, and what this process last knew of it.
 type State struct {
 	path, sidecar string
+	disk          disk
 	log           zerolog.Logger
 
 	changing sync.Mutex    // one change at a time
@@ -41,10 +56,10 @@
 
 // Open finds the book of this sidecar, and reads what an earlier process wrote there. What is torn, foreign or unreadable
 // is told in the log and passed over. before is that process, if it lives; 0: it does not, or there was none.
-func Open(folder, sidecar, listen string, log zerolog.Logger) (b *State, before int) {
+func Open(inFolder, sidecar, listen string, log zerolog.Logger) (b *State, before int) {
 	none := make(chan struct{})
 	close(none)
-	b = &State{last: none, path: filepath.Join(folder, fmt.Sprintf("ledgespread-%x", sidecar+" "+listen)), sidecar: sidecar, log: log}
+	b = &State{last: none, disk: folder{}, path: filepath.Join(inFolder, fmt.Sprintf("ledgespread-%x", sidecar+" "+listen)), sidecar: sidecar, log: log}
 	if _, err := os.Stat(b.path); errors.Is(err, fs.ErrNotExist) {
 		return b, 0
 	}
@@ -120,7 +135,7 @@
 // Change has the servers changed that are out, and writes them down before it returns. change is told of no error: what
 // can't be written holds in this process all the same. Guards against a late answer by a slow disk: it is not waited for
 // longer than a call allows, and written when it can be.
-func (b *State) Change(change func() (out []string, err error)) error {
+func (b *State) Change(ctx context.Context, change func() (out []string, err error)) error {
 	b.changing.Lock()
 	defer b.changing.Unlock()
 	out, err := change()
@@ -159,10 +174,10 @@
 		"out": slices.Concat([]string{}, b.out)})
 	whole := fmt.Sprintf("%s.%d", b.path, os.Getpid())
 	if err == nil {
-		err = os.WriteFile(whole, text, 0o600)
+		err = b.disk.WriteFile(whole, text)
 	}
 	if err == nil {
-		err = os.Rename(whole, b.path)
+		err = b.disk.Rename(whole, b.path)
 	}
 	if err != nil {
 		b.log.Warn().Err(err).Msg("which servers are out could not be written down")
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -23,13 +23,13 @@
 	one, before := open()
 	say("nothing there: %v, before %d, told %d", one.Out(), before, told())
 	one.Write()
-	say("%v", one.Change(func() ([]string, error) { return []string{"s2", "s1"}, nil }))
-	say("%v", one.Change(func() ([]string, error) { return nil, errors.New("no server s9") }))
+	say("%v", one.Change(t.Context(), func() ([]string, error) { return []string{"s2", "s1"}, nil }))
+	say("%v", one.Change(t.Context(), func() ([]string, error) { return nil, errors.New("no server s9") }))
 	two, _ := open()
 	say("the next one: %v", two.Out())
 	_, changed := one.Changed()
 	say("the first has no news: %v", changed)
-	two.Change(func() ([]string, error) { return []string{"s1"}, nil })
+	two.Change(t.Context(), func() ([]string, error) { return []string{"s1"}, nil })
 	out, changed := one.Changed()
 	say("news for the first: %v %v", out, changed)
 	other, _ := Open(folder, "n1", "127.0.0.1:1", zerolog.Nop())
@@ -59,7 +59,7 @@
 	b, before := open()
 	say("a folder: %v, before %d, told %d", b.Out(), before, told())
 	b.Write()
-	say("what can't be written holds here: %v", b.Change(func() ([]string, error) { return []string{"s3"}, nil }))
+	say("what can't be written holds here: %v", b.Change(t.Context(), func() ([]string, error) { return []string{"s3"}, nil }))
 	say("%v", b.Out())
 	want := []string{"nothing there: [], before 0, told 0", "<nil>", "no server s9", "the next one: [s1 s2]",
 		"the first has no news: false", "news for the first: [s1] true", "another sidecar: []",
@@ -94,7 +94,7 @@
 	b, _ := Open(t.TempDir(), "n0", "127.0.0.1:1", zerolog.Nop())
 	b.mu.Lock() // as a write does that takes long
 	for _, out := range [][]string{{"s1"}, {"s1", "s2"}} {
-		if err := b.Change(func() ([]string, error) { return out, nil }); err != nil {
+		if err := b.Change(t.Context(), func() ([]string, error) { return out, nil }); err != nil {
 			t.Fatal(err)
 		}
 	}
