--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -255,7 +255,7 @@
 				counts[counters.FetchesWritten].Load(), listed, avoided)
 		},
 		Server: func(ctx context.Context, id string, out bool) error {
-			return book.Change(ctx, func() ([]string, error) { return r.ByHand(ctx, id, out) })
+			return book.Change(ctx, func() ([]string, error) { return r.ByHand(context.Background(), id, out) })
 		},
 		OutOfService: served((*inbound.Inbound).OutOfService),
 		InService:    served((*inbound.Inbound).InService),
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -61,6 +61,9 @@
 	lateBy      = LastWord / 20    // a long body's deadline is moved on by this at least
 	pause       = time.Millisecond // between two reads of a body: its client is not to blame for more
 
+	leastAcceptWait = time.Millisecond    // from a failed accept to the next, doubling
+	mostAcceptWait  = 8 * leastAcceptWait // up to this
+
 	deadlinePart = 8 // a read may end by this part earlier or later than its deadline
 
 	lingers    = LastWord / 8 // a connection that this side shut is read for so long, and what comes is dropped,
@@ -231,12 +234,11 @@
 	return l.finished.Load
 }
 
-// Accept waits for a place and a connection. Guards against the end of the server by a failed accept, and
-// against spinning on it: for want of descriptors, or over a connection that broke in the backlog, it waits
-// a little.
+// Accept waits for a place and a connection. A failed accept, for want of descriptors or over a connection that broke in the backlog, must
+// not end the server: it is tried again after a little wait. Clients with short deadlines may wait meanwhile, so that wait stays short.
 func (l *Listener) Accept() (net.Conn, error) {
 	nobody := 0
-	for wait := time.Millisecond; ; wait = min(2*wait, 100*time.Millisecond) {
+	for wait := leastAcceptWait; ; wait = min(2*wait, mostAcceptWait) {
 		finishing := l.finishing.Load()
 		if finishing {
 			l.SetDeadline(time.Now().Add(lookAway))
@@ -256,11 +258,11 @@
 				l.finished.Store(true)
 				return nil, net.ErrClosed
 			}
-			wait = time.Millisecond / 2
+			wait = leastAcceptWait / 2
 			continue
 		}
 		l.counts.Add(counters.AcceptFailures)
-		if wait == time.Millisecond {
+		if wait == leastAcceptWait {
 			l.log.Warn().Err(err).Msg("accept failed")
 		}
 		time.Sleep(wait)
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,11 +24,17 @@
 	most = 1 << 20                     // bytes that a file of ours has at the most
 
 	writeBy = 300 * time.Millisecond // a call's answer waits for the file so long, and no longer
+
+	leastRewrite = 20 * time.Millisecond // from a failed write to the next, doubling
+	mostRewrite  = time.Second           // up to this
 )
 
+// errLate is why a change got no answer in time. It is made, and written, all the same.
+var errLate = fmt.Errorf("not done in time: %w", context.DeadlineExceeded)
+
 // disk is what the file is written by.
 type disk interface {
-	// WriteFile has a file hold this text.
+	// WriteFile has a file hold this text, and Rename gives it another name, also after a crash of the machine.
 	WriteFile(path string, text []byte) error
 	Rename(from, to string) error
 }
@@ -35,8 +42,33 @@
 // folder is a disk as the operating system has it.
 type folder struct{}
 
-func (folder) WriteFile(path string, text []byte) error { return os.WriteFile(path, text, 0o600) }
-func (folder) Rename(from, to string) error             { return os.Rename(from, to) }
+// WriteFile returns once the bytes are on the disk: after a crash a renamed file could be empty else.
+func (folder) WriteFile(path string, text []byte) (err error) {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err = file.Write(text); err == nil {
+		err = file.Sync()
+	}
+	return errors.Join(err, file.Close())
+}
+
+// Rename returns once the new name is on the disk.
+func (folder) Rename(from, to string) error {
+	if err := os.Rename(from, to); err != nil {
+		return err
+	}
+	within, err := os.Open(filepath.Dir(to))
+	if err != nil {
+		return err
+	}
+	defer within.Close()
+	if err := within.Sync(); !errors.Is(err, syscall.EINVAL) { // some file systems have no sync for folders
+		return err
+	}
+	return nil
+}
 
 // State is that file, and what this process last knew of it.
 type State struct {
@@ -45,13 +77,17 @@
 	log           zerolog.Logger
 
 	changing sync.Mutex    // one change at a time
+	changes  atomic.Uint64 // so far
 	last     chan struct{} // closed when the one before is written
+	closed   atomic.Bool   // what the disk did not take yet is given up
 
 	mu    sync.Mutex // held while the file is read or written: a disk may take long, so no visit ever waits for it
 	out   []string
 	stamp time.Time // of the file as it was read or written last
 	size  int64
 	told  bool // that it can't be read
+
+	failing bool // the last write failed
 }
 
 // Open finds the book of this sidecar, and reads what an earlier process wrote there. What is torn, foreign or unreadable
@@ -132,43 +168,78 @@
 	return out, pid, nil
 }
 
-// Change has the servers changed that are out, and writes them down before it returns. change is told of no error: what
-// can't be written holds in this process all the same. Guards against a late answer by a slow disk: it is not waited for
-// longer than a call allows, and written when it can be.
-func (b *State) Change(ctx context.Context, change func() (out []string, err error)) error {
+// Change has the servers changed that are out, and writes them down before it returns, if the disk does not take too long. A change that
+// can't be written holds in this process all the same, and is written as soon as it can be. One that is not made within the call's time
+// gets an error, but is still made and written: staff's call holds from its time on, whatever it was answered.
+func (b *State) Change(call context.Context, change func() (out []string, err error)) error {
+	done := make(chan error, 1)
+	go func() { done <- b.make(change) }()
+	select {
+	case err := <-done:
+		return err
+	case <-call.Done():
+		return errLate
+	}
+}
+
+func (b *State) make(change func() (out []string, err error)) error {
 	b.changing.Lock()
 	defer b.changing.Unlock()
 	out, err := change()
 	if err != nil {
 		return err
 	}
+	number := b.changes.Add(1)
 	before, written := b.last, make(chan struct{})
 	b.last = written
 	go func() {
+		defer close(written)
 		<-before // in the order of the changes
 		b.mu.Lock()
 		b.out = out
-		b.write()
 		b.mu.Unlock()
-		close(written)
+		b.persist(number)
 	}()
 	select {
 	case <-written:
 	case <-time.After(writeBy):
-		b.log.Warn().Msg("which servers are out is written down late: the disk is slow")
+		b.log.Warn().Msg("which servers are out is written down late: the disk is slow or fails")
 	}
 	return nil
 }
 
-// Write says that this process is there, beside what is out.
+// Write says that this process is there, beside what is out. Where the disk fails it is tried again in the background.
 func (b *State) Write() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.write()
+	err := b.write()
+	b.mu.Unlock()
+	if err != nil {
+		go b.persist(b.changes.Load())
+	}
 }
 
-// write replaces the file by rename. Guards against a torn one, whoever reads it meanwhile.
-func (b *State) write() {
+// Close gives up what the disk has not taken.
+func (b *State) Close() { b.closed.Store(true) }
+
+// persist writes until the disk takes it, or a later change is to be written: what staff was told is owed, though a disk may be full for a while.
+func (b *State) persist(change uint64) {
+	for wait := leastRewrite; ; wait = min(2*wait, mostRewrite) {
+		b.mu.Lock()
+		if b.closed.Load() {
+			b.mu.Unlock()
+			return
+		}
+		err := b.write()
+		b.mu.Unlock()
+		if err == nil || b.changes.Load() != change {
+			return
+		}
+		time.Sleep(wait)
+	}
+}
+
+// write replaces the file by rename, so that whoever reads it meanwhile finds no half of it; the lock is held.
+func (b *State) write() error {
 	slices.Sort(b.out)
 	text, err := json.Marshal(map[string]any{"form": form, "sidecar": b.sidecar, "process": os.Getpid(),
 		"out": slices.Concat([]string{}, b.out)})
@@ -179,14 +250,22 @@
 	if err == nil {
 		err = b.disk.Rename(whole, b.path)
 	}
-	if err != nil {
-		b.log.Warn().Err(err).Msg("which servers are out could not be written down")
+	switch {
+	case err != nil:
+		if !b.failing {
+			b.log.Warn().Err(err).Msg("which servers are out could not be written down; tried again")
+		}
+		b.failing = true
 		os.Remove(whole)
-		return
+		return err
+	case b.failing:
+		b.failing = false
+		b.log.Info().Msg("which servers are out is written down at last")
 	}
 	if about, err := os.Stat(b.path); err == nil {
 		b.stamp, b.size = about.ModTime(), about.Size()
 	}
+	return nil
 }
 
 // Changed reads the file again if another process wrote it, and tells which servers are out then.
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -57,6 +57,7 @@
 	os.Remove(one.path)
 	os.Mkdir(one.path, 0o700)
 	b, before := open()
+	t.Cleanup(b.Close)
 	say("a folder: %v, before %d, told %d", b.Out(), before, told())
 	b.Write()
 	say("what can't be written holds here: %v", b.Change(t.Context(), func() ([]string, error) { return []string{"s3"}, nil }))
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -156,7 +156,9 @@
 }
 
 // after is the moment so long from now.
-func after(span brain.Micros) time.Time { return time.Now().Add(time.Duration(span) * time.Microsecond) }
+func after(span brain.Micros) time.Time {
+	return time.Now().Add(time.Duration(span) * time.Microsecond)
+}
 
 // fetch does one backend fetch and tells how it ended. before is done while it is out.
 func fetch(o *outbound.Outbound, path, address string, wait brain.Micros, before func(*outbound.Attempt)) string {
