--- a/cmd/ledgelab/commands.go
+++ b/cmd/ledgelab/commands.go
@@ -48,7 +48,7 @@
 	cmd := &cobra.Command{Use: "ledgelab", Short: "A stand-in fleet on loopback: its faults, load and experiments",
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
 	cmd.AddCommand(demoCommand(), runCommand(), loadCommand(), compareCommand(), crowdCommand(), rolloutCommand(), scaleCommand(), capacityCommand(), plotCommand(),
-		proveCommand())
+		proveCommand(), soakCommand())
 	cmd.AddCommand(standIns()...)
 	cmd.AddCommand(simulations()...)
 	return cmd
--- /dev/null
+++ b/cmd/ledgelab/soak.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ledgespread/lab/faulty"
+	"ledgespread/lab/sidecars"
+	"ledgespread/lab/soak"
+)
+
+func soakCommand() *cobra.Command {
+	var o common
+	var seeds, only, planted string
+	var length time.Duration
+	var atOnce int
+	c := &cobra.Command{Use: "soak", Short: "Play days whose fleet, settings and faults are drawn by seed; exit 1 where a rule is broken", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			from, to, err := readSeeds(seeds)
+			if err != nil {
+				return err
+			}
+			p, err := soaked(o.sidecar, planted)
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			outcomes, err := soak.Play(soak.Options{Program: p, From: from, To: to, Length: int(length.Milliseconds()), Only: only, AtOnce: atOnce,
+				Folder: o.folder, Stop: interrupted(), Say: func(line string) { fmt.Fprintln(out, line) }})
+			if err != nil {
+				return err
+			}
+			return sum(c, outcomes)
+		}}
+	o.flags(c)
+	c.Flags().StringVar(&seeds, "seeds", "1..10", "the seeds of the days, FROM..TO")
+	c.Flags().StringVar(&only, "only", "", "the one kind of fault beside drains, a move of the list and the end of a sidecar")
+	c.Flags().DurationVar(&length, "for", 16*time.Second, "how long a day lasts")
+	c.Flags().IntVar(&atOnce, "at-once", 2, "days that are played side by side")
+	c.Flags().StringVar(&planted, "break", "", "play a sidecar of the lab that breaks a rule in this way")
+	return c
+}
+
+// sum prints how the days ended.
+func sum(c *cobra.Command, outcomes []*soak.Outcome) error {
+	kept, broken, unplayed := 0, 0, 0
+	for _, outcome := range outcomes {
+		switch {
+		case outcome.Err != nil:
+			unplayed++
+		case outcome.Kept():
+			kept++
+		default:
+			broken++
+		}
+	}
+	fmt.Fprintf(c.OutOrStdout(), "%d days: %d kept, %d broken, %d could not be played\n", len(outcomes), kept, broken, unplayed)
+	switch {
+	case unplayed > 0:
+		return fmt.Errorf("%d days could not be played", unplayed)
+	case broken > 0:
+		return errBroke
+	}
+	return nil
+}
+
+// readSeeds reads FROM..TO, or one number.
+func readSeeds(text string) (from, to uint64, err error) {
+	first, last, both := strings.Cut(text, "..")
+	if !both {
+		last = first
+	}
+	if from, err = strconv.ParseUint(first, 10, 64); err == nil {
+		to, err = strconv.ParseUint(last, 10, 64)
+	}
+	if err != nil || from == 0 || to < from {
+		return 0, 0, fmt.Errorf("--seeds: %q is not FROM..TO", text)
+	}
+	return from, to, nil
+}
+
+// soaked is the sidecar that is played: the real one, or one that breaks a rule.
+func soaked(path, planted string) (sidecars.Program, error) {
+	if planted == "" {
+		return program(path)
+	}
+	if _, known := faulty.Ways[planted]; !known {
+		return sidecars.Program{}, fmt.Errorf("--break: %q is no way to break a rule; there are %s", planted, strings.Join(faulty.Names(), ", "))
+	}
+	self, err := os.Executable()
+	return sidecars.Program{Path: self, Args: []string{"faulty", "--break", planted}, Name: planted}, err
+}
--- a/lab/backend/core.go
+++ b/lab/backend/core.go
@@ -8,6 +8,7 @@
 
 import (
 	"container/list"
+	"math"
 
 	"ledgespread/lab/clock"
 	"ledgespread/lab/scenario"
@@ -41,6 +42,7 @@
 	Work     Micros
 	First    Micros // its first byte came
 	Came     Micros // its last
+	Patience Micros // what it was told of the time that is left; -1: nothing
 	Began    Micros // on a core; -1: it never ran
 	Ended    Micros
 	Fate     Fate
@@ -77,26 +79,27 @@
 
 // Core is one backend's machine. Its caller makes one call at a time, with times that never fall.
 type Core struct {
-	make    scenario.Backend
-	rules   scenario.Rules
-	now     Micros
-	running []*Entry
-	waiting *list.List
-	slow    bool
-	long    Micros // since when too many wait, -1: they don't
-	quiet   Micros // since when it is mostly idle, -1: it isn't
-	turned  Micros // when it turned slow
-	cold    Micros // since when it is cold, -1: it is warm
-	pressed []load // what came in the last window, while cold
-	fell    func(by []string)
-	factor  float64 // by faults: times slower
-	shared  float64
-	still   Micros // it stands still until then
-	keys    *list.List
-	byKey   map[uint64]*list.Element
-	Busy    Micros // core time spent
-	Probes  Micros // of it, on probes
-	Slowed  int    // times it turned slow
+	MeanWork float64 // of a visit, for what a cold one bears
+	make     scenario.Backend
+	rules    scenario.Rules
+	now      Micros
+	running  []*Entry
+	waiting  *list.List
+	slow     bool
+	long     Micros // since when too many wait, -1: they don't
+	quiet    Micros // since when it is mostly idle, -1: it isn't
+	turned   Micros // when it turned slow
+	cold     Micros // since when it is cold, -1: it is warm
+	pressed  []load // what came in the last window, while cold
+	fell     func(by []string)
+	factor   float64 // by faults: times slower
+	shared   float64
+	still    Micros // it stands still until then
+	keys     *list.List
+	byKey    map[uint64]*list.Element
+	Busy     Micros // core time spent
+	Probes   Micros // of it, on probes
+	Slowed   int    // times it turned slow
 }
 
 type load struct {
@@ -279,7 +282,7 @@
 		sum += float64(l.work)
 	}
 	can := float64(c.make.Cores) * c.make.Speed * c.warmth(now) * float64(c.rules.Fall)
-	if sum <= c.rules.FallMultiple*can {
+	if sum <= c.bears(c.rules.FallMultiple*can) {
 		return true
 	}
 	var by []string
@@ -291,6 +294,18 @@
 	return false
 }
 
+// bears is what a cold backend takes in a window, of what it may be given; by the terms the chance of arrivals is added.
+func (c *Core) bears(allowed float64) float64 {
+	if !c.rules.Roots || c.MeanWork <= 0 {
+		return allowed
+	}
+	visits := allowed / c.MeanWork
+	if visits < 30 {
+		return (visits + 3*math.Sqrt(visits) + 3) * c.MeanWork
+	}
+	return (visits + 2*math.Sqrt(visits) + 2) * c.MeanWork
+}
+
 // CallOff takes a visit back: one that waits goes, one that runs goes unless such run on.
 func (c *Core) CallOff(now Micros, e *Entry) {
 	c.Advance(now)
--- a/lab/backend/server.go
+++ b/lab/backend/server.go
@@ -29,6 +29,7 @@
 	markLock *sync.Mutex
 	body     string
 	draw     *chance.Source
+	meanWork float64
 
 	mu        sync.Mutex
 	core      *Core
@@ -83,7 +84,7 @@
 // New makes a backend; Start puts it on its socket.
 func New(name string, m scenario.Backend, s *scenario.Scenario, seed uint64, groups *Groups, c *clock.Clock, a *clock.Alarms) *Backend {
 	b := &Backend{Name: name, Zone: m.Zone, Model: m.Model, Cell: m.Cell, Make: m, clock: c, alarms: a, rules: s.Rules,
-		prefixes: s.Prefixes, markLock: &groups.lock, body: strings.Repeat("x", s.Traffic.BodyBytes),
+		prefixes: s.Prefixes, meanWork: s.MeanWork(), markLock: &groups.lock, body: strings.Repeat("x", s.Traffic.BodyBytes),
 		draw: chance.New(seed, "backend "+name), conns: map[*conn]bool{}}
 	for _, p := range s.Prefixes {
 		group := GroupOf(p, m.Zone, m.Cell)
@@ -111,6 +112,7 @@
 		b.Felled = append(b.Felled, Felled{b.clock.Now(), by})
 		go b.Kill()
 	})
+	b.core.MeanWork = b.meanWork
 	b.listener, b.address, b.BornAt, b.draining, b.alarmAt = ln, ln.Addr().String(), now, false, -1
 	go b.accept(ln)
 	return nil
@@ -311,6 +313,18 @@
 	}
 }
 
+// patience reads how long a sidecar says that it waits: a number and a unit.
+func patience(text string) Micros {
+	number, unit := strings.TrimRight(text, "mu"), Micros(1)
+	if strings.HasSuffix(text, "m") {
+		unit = clock.Milli
+	}
+	if value, err := strconv.ParseFloat(number, 64); err == nil {
+		return Micros(value * float64(unit))
+	}
+	return -1
+}
+
 func (b *Backend) unread() {
 	b.mu.Lock()
 	b.Unread++
@@ -357,7 +371,7 @@
 	work, _ := strconv.ParseInt(query.Get("w"), 10, 64)
 	key, _ := strconv.ParseUint(query.Get("k"), 10, 64)
 	e := &Entry{Backend: b.Name, ID: id, Tag: head.Fields["idempotency-key"], Prefix: prefix,
-		Tenant: head.Fields["x-tenant-id"], Key: key, Work: max(1, Micros(work)), First: first}
+		Tenant: head.Fields["x-tenant-id"], Key: key, Work: max(1, Micros(work)), First: first, Patience: patience(head.Fields["x-timeout"])}
 	b.account = append(b.account, e)
 	if b.draining || over {
 		e.Came, e.Began, e.Ended, e.Fate = now, -1, now, TurnedAway
--- a/lab/clients/clients.go
+++ b/lab/clients/clients.go
@@ -130,9 +130,12 @@
 	}
 }
 
+// Fade has a sidecar get no new connections: what is due there goes out on those that are open, or to the next one.
+func (cs *Clients) Fade(sidecar int, on bool) { cs.pools[sidecar].fades.Store(on) }
+
 func (cs *Clients) open(sidecar int) int {
 	for k := range cs.pools {
-		if at := (sidecar + k) % len(cs.pools); !cs.pools[at].shut.Load() {
+		if at := (sidecar + k) % len(cs.pools); cs.pools[at].takes() {
 			return at
 		}
 	}
@@ -368,6 +371,7 @@
 	address string
 	most    int
 	shut    atomic.Bool
+	fades   atomic.Bool // only connections that are open are used
 	mu      sync.Mutex
 	idle    []*line
 	open    int
@@ -378,6 +382,13 @@
 	in  *bufio.Reader
 }
 
+// takes tells whether something may be sent there.
+func (p *pool) takes() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.shut.Load() && (!p.fades.Load() || len(p.idle) > 0)
+}
+
 var errNoPlace = errors.New("the clients of this sidecar hold all the connections they may")
 
 func (p *pool) take(fresh bool, most time.Duration) (c *line, kept bool, err error) {
--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -35,6 +36,9 @@
 // Ways are the breaks, with the rule each breaks.
 var Ways = map[string]int{"honest": 0, "loses": 1, "late": 1, "foreign": 1, "after": 1, "dies": 1, "twice": 2, "group": 2, "bounce": 2, "drain": 3, "cold": 4}
 
+// Names are the ways, in order.
+func Names() []string { return slices.Sorted(maps.Keys(Ways)) }
+
 type server struct {
 	name, at, zone string
 	health         string
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -126,6 +126,7 @@
 		c.oneAnswer(t)
 		c.noEffectTwice(t)
 		c.drainsKept(t)
+		c.deadlinesKept(t)
 		c.match(t)
 	}
 	for _, e := range a.Entries {
@@ -194,8 +195,8 @@
 		}
 	}
 	for _, l := range sidecar.Lives {
-		// A killed process is booked a little after its connections broke.
-		if l.Killed && l.End >= from && l.End <= to+clock.Second/2 || l.Asked >= 0 && l.End >= 0 && l.End <= to && t.Sent >= l.End {
+		// A killed process is booked a little after its connections broke. One that was asked to end owes what it took also up to the kill.
+		if l.Killed && l.Asked < 0 && l.End >= from && l.End <= to+clock.Second/2 || l.Asked >= 0 && l.End >= 0 && l.End <= to && t.Sent >= l.End {
 			return true
 		}
 	}
@@ -222,6 +223,13 @@
 		if t.Ended > t.Until+slack && !c.excused(t) {
 			c.breaks(1, t.ID, "", t.Ended, t.Until, "%s %d µs past the client timeout", t.How, t.Ended-t.Until)
 		}
+	case clients.Left:
+		for _, e := range c.byID[t.ID] {
+			if earliest, _ := c.sent(e, t.Sidecar); earliest > t.Ended+afterLeft {
+				c.breaks(1, t.ID, e.Backend, e.First, t.Ended+afterLeft, "begun %d µs after its client left", e.First-t.Ended)
+			}
+		}
+		return
 	default:
 		return
 	}
@@ -235,6 +243,25 @@
 	}
 }
 
+// The operators' terms.
+const (
+	afterLeft     = 100 * clock.Milli // from when a client left nothing begins for it
+	deadlineSlack = 150 * clock.Milli // a server may be told so much more than what is left
+)
+
+// deadlinesKept: a server is told no more time than the client has left.
+func (c *court) deadlinesKept(t *clients.Try) {
+	for _, e := range c.byID[t.ID] {
+		if e.Patience <= 0 {
+			continue
+		}
+		earliest, _ := c.sent(e, t.Sidecar)
+		if until := earliest + e.Patience; until > t.Until+deadlineSlack {
+			c.breaks(5, t.ID, e.Backend, e.First, e.First-(until-t.Until-deadlineSlack), "told its server to work for %d µs longer than its client waits", until-t.Until)
+		}
+	}
+}
+
 // mayHaveRun: what a backend was given whole and did not itself turn away.
 func mayHaveRun(e *backend.Entry) bool { return e.Fate != backend.TurnedAway }
 
--- a/lab/list/list.go
+++ b/lab/list/list.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"ledgespread/lab/chance"
 	"ledgespread/lab/clock"
 )
 
@@ -47,6 +48,32 @@
 	Shown  Micros // the list showed it
 }
 
+// Call is one call in the account.
+type Call struct {
+	Reader, Address string
+	Began, Ended    Micros // -1: not yet
+	Seq             int    // of the list that it was told; 0: none
+	How             string
+}
+
+// How a call ended.
+const (
+	CallAnswered = "answered"
+	CallRefused  = "refused"
+	CallDropped  = "dropped" // the reader ended it first
+)
+
+// Trouble is what ails the service.
+type Trouble struct {
+	Work   Micros  // a call takes so long, and they are worked through one after another; what would wait for too long is refused
+	Refuse float64 // part of the calls that are refused at once
+	Silent float64 // part of the calls that get no answer
+	Late   Micros  // an answer is written up to so long after it is due, each by its own chance
+}
+
+// longestQueue is how long a call waits for its turn at the most.
+const longestQueue = 2 * clock.Second
+
 // List is the service. Each reader has an address of its own, and so is known.
 type List struct {
 	clock *clock.Clock
@@ -59,7 +86,11 @@
 	news    chan struct{}
 	down    bool
 	late    Micros
+	trouble Trouble
+	free    Micros // its queue is worked off
+	draw    *chance.Source
 	told    []Told
+	calls   []*Call
 	log     []Changed
 	readers map[string]*reader
 	Calls   int
@@ -75,7 +106,7 @@
 
 // New is a list without backends.
 func New(c *clock.Clock) *List {
-	return &List{clock: c, hosts: map[string]Host{}, news: make(chan struct{}), readers: map[string]*reader{}}
+	return &List{clock: c, draw: chance.New(1, "list"), hosts: map[string]Host{}, news: make(chan struct{}), readers: map[string]*reader{}}
 }
 
 // Set brings a backend in, or changes it; the list shows that when its notice is over.
@@ -113,6 +144,13 @@
 	l.news = make(chan struct{})
 }
 
+// SetTrouble has the service ail from now on; chance is by seed.
+func (l *List) SetTrouble(t Trouble, seed uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.trouble, l.draw = t, chance.New(seed, "list")
+}
+
 // SetLate adds to the notice of what happens from now on.
 func (l *List) SetLate(by Micros) { l.mu.Lock(); l.late = by; l.mu.Unlock() }
 
@@ -203,6 +241,31 @@
 	until := time.After(time.Duration(min(hold, 60_000)) * time.Millisecond)
 	l.mu.Lock()
 	l.Calls++
+	call := &Call{Reader: r.name, Address: r.at, Began: l.clock.Now(), Ended: -1}
+	l.calls = append(l.calls, call)
+	over := func(how string) { call.Ended, call.How = l.clock.Now(), how }
+	ails, late := l.turn()
+	switch ails {
+	case refuses:
+		l.Failed++
+		over(CallRefused)
+		l.mu.Unlock()
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case silent:
+		l.mu.Unlock()
+		<-q.Context().Done()
+		l.mu.Lock()
+		over(CallDropped)
+		l.mu.Unlock()
+		return
+	}
+	if free := l.free; free > call.Began {
+		l.mu.Unlock()
+		l.sleepUntil(free)
+		l.mu.Lock()
+	}
 	for waited := false; !l.down && watches && from >= l.seq && hold > 0 && !waited; {
 		news := l.news
 		l.mu.Unlock()
@@ -215,8 +278,15 @@
 		}
 		l.mu.Lock()
 	}
+	if late > 0 && !l.down { // others are answered meanwhile
+		until := l.clock.Now() + late
+		l.mu.Unlock()
+		l.sleepUntil(until)
+		l.mu.Lock()
+	}
 	if l.down {
 		l.Failed++
+		over(CallRefused)
 		l.mu.Unlock()
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -225,11 +295,60 @@
 	body, seq := l.render(r.name, !watches || from > l.seq, from), l.seq
 	l.mu.Unlock()
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if _, err := w.Write(body); err == nil && http.NewResponseController(w).Flush() == nil {
-		l.mu.Lock()
-		l.told = append(l.told, Told{r.name, seq, l.clock.Now()})
-		l.mu.Unlock()
+	_, err = w.Write(body)
+	if err == nil {
+		err = http.NewResponseController(w).Flush()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		over(CallDropped)
+		return
+	}
+	over(CallAnswered)
+	call.Seq = seq
+	l.told = append(l.told, Told{r.name, seq, l.clock.Now()})
+}
+
+// ailment is what becomes of one call.
+type ailment uint8
+
+const (
+	none ailment = iota
+	refuses
+	silent
+)
+
+// turn draws what becomes of a call that begins now, and by how much its answer is late. The lock is held.
+func (l *List) turn() (ails ailment, late Micros) {
+	t, now := l.trouble, l.clock.Now()
+	chance := l.draw.Float()
+	if t.Late > 0 {
+		late = Micros(l.draw.Float() * float64(t.Late))
+	}
+	switch {
+	case chance < t.Refuse:
+		return refuses, 0
+	case chance < t.Refuse+t.Silent:
+		return silent, 0
+	case t.Work > 0 && max(l.free, now)+t.Work > now+longestQueue:
+		return refuses, 0
+	case t.Work > 0:
+		l.free = max(l.free, now) + t.Work
+	}
+	return none, late
+}
+
+func (l *List) sleepUntil(at Micros) { (at - l.clock.Now()).Sleep() }
+
+// AllCalls is the account of all calls.
+func (l *List) AllCalls() (out []Call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.calls {
+		out = append(out, *c)
 	}
+	return out
 }
 
 // Accounts are what was told to whom, and what changed.
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -179,6 +179,7 @@
 	Fall         Span    `toml:"fall"`
 	AskEvery     Span    `toml:"ask_every"`
 	Slack        Span    `toml:"slack"`
+	Roots        bool    `toml:"fall_roots"` // a cold backend bears N + 2√N + 2 visits of mean work in a window, under 30 N + 3√N + 3
 }
 
 // Fault is something that happens to backends, sidecars, the list or the network.
@@ -216,14 +217,16 @@
 	"kill": "backends", "kill_cold": "backends", "stall": "backends", "mute": "backends", "errors": "backends", "slow": "backends",
 	"share": "backends", "spoil": "backends", "drain": "backends", "leave": "backends", "replace": "backends", "join": "backends",
 	"sidecar_kill": "sidecars", "sidecar_restart": "sidecars", "sidecar_stall": "sidecars",
-	"list_down": "list", "list_late": "list", "list_move": "list",
+	"list_down": "list", "list_late": "list", "list_move": "list", "list_moves": "list", "list_slow": "list", "list_refuse": "list",
+	"list_silent": "list", "list_answers_late": "list", "sidecar_end": "sidecars", "crowd": "clients",
 	"silence": "network", "cut": "network", "reset": "network", "delay": "network", "refuse": "network", "narrow": "network",
 	"cut_word": "ways", "part": "ways", "lose": "ways", "double": "ways", "late": "ways", "sidecar_move": "sidecars",
 	"flood": "tenant", "surge": "",
 }
 
 var lengthy = map[string]bool{"kill_cold": true, "stall": true, "mute": true, "errors": true, "slow": true, "share": true, "spoil": true,
-	"sidecar_kill": true, "sidecar_stall": true, "list_down": true, "list_late": true, "silence": true, "cut": true, "delay": true, "refuse": true, "narrow": true,
+	"sidecar_kill": true, "sidecar_stall": true, "list_down": true, "list_late": true, "list_slow": true, "list_refuse": true, "list_silent": true,
+	"list_answers_late": true, "crowd": true, "silence": true, "cut": true, "delay": true, "refuse": true, "narrow": true,
 	"cut_word": true, "part": true, "lose": true, "double": true, "late": true,
 	"flood": true, "surge": true, "drain": true}
 
@@ -414,11 +417,11 @@
 		check(f.Sidecars == nil || s.aims(f.Sidecars, s.SidecarNames()) == nil, "fault", i, "sidecars", "%v", s.aims(f.Sidecars, s.SidecarNames()))
 		check(aim != "tenant" || tenants[f.Tenant] && f.Tenant != "", "fault", i, "tenant", "%q is not among the tenants", f.Tenant)
 		check(!lengthy[f.What] || f.For > 0, "fault", i, "for", "is missing for %s", f.What)
-		check(!slices.Contains([]string{"slow", "share", "flood", "surge"}, f.What) || f.Times > 1, "fault", i, "times",
+		check(!slices.Contains([]string{"slow", "share", "flood", "surge", "list_moves", "crowd"}, f.What) || f.Times > 1, "fault", i, "times",
 			"must be over 1 for %s", f.What)
-		check(!slices.Contains([]string{"delay", "list_late", "late"}, f.What) || f.By > 0, "fault", i, "by", "is missing for %s", f.What)
+		check(!slices.Contains([]string{"delay", "list_late", "late", "list_slow", "list_answers_late"}, f.What) || f.By > 0, "fault", i, "by", "is missing for %s", f.What)
 		check(f.What != "narrow" || f.Bytes > 0, "fault", i, "bytes_per_s", "must be over 0 for narrow")
-		check(!slices.Contains([]string{"errors", "spoil", "lose", "double", "late"}, f.What) || f.Part > 0 && f.Part <= 1, "fault", i, "part",
+		check(!slices.Contains([]string{"errors", "spoil", "lose", "double", "late", "list_refuse", "list_silent"}, f.What) || f.Part > 0 && f.Part <= 1, "fault", i, "part",
 			"must be over 0 and at most 1 for %s", f.What)
 		for _, z := range []string{f.From, f.To} {
 			check(z == "" || slices.Contains(s.Zones, z), "fault", i, "from", "%q is not among the zones", z)
@@ -444,6 +447,15 @@
 	}
 }
 
+// MeanWork is what a visit takes in the mean.
+func (s *Scenario) MeanWork() float64 {
+	work, share := 0.0, 0.0
+	for _, p := range s.Prefixes {
+		work, share = work+p.Share*float64(p.Work), share+p.Share
+	}
+	return work / max(share, 1e-9)
+}
+
 // Longest is the longest client timeout.
 func (s *Scenario) Longest() (longest clock.Micros) {
 	for _, p := range s.Prefixes {
--- a/lab/sidecars/sidecars.go
+++ b/lab/sidecars/sidecars.go
@@ -223,6 +223,28 @@
 	c.cmd.Process.Signal(s)
 }
 
+// SignalAgain sends one that changes nothing in the account: the first SIGTERM is when it was asked to end.
+func (c *Sidecar) SignalAgain(s syscall.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd != nil && c.lives[len(c.lives)-1].End < 0 {
+		c.cmd.Process.Signal(s)
+	}
+}
+
+// EndsWithin tells whether its process ends by itself in this time.
+func (c *Sidecar) EndsWithin(most time.Duration) bool {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
+
 // Line is one of its log.
 type Line struct {
 	At   Micros // when it came
--- a/lab/stage/faults.go
+++ b/lab/stage/faults.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"net"
 	"slices"
 	"strings"
 	"syscall"
@@ -9,6 +10,7 @@
 	"ledgespread/lab/backend"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/judge"
+	"ledgespread/lab/list"
 	"ledgespread/lab/network"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/scenario"
@@ -58,6 +60,8 @@
 		g.toNetwork(e)
 	case "ways":
 		g.toWays(e)
+	case "clients":
+		g.crowd(e)
 	default: // it stands in the plan's arrivals
 		g.mark("%s%s begins: %.3g times as many visits", e.What, prefixed(" of ", e.Tenant), e.Times)
 		g.wait(e.At.M() + e.For.M())
@@ -173,6 +177,9 @@
 			g.note("%v", err)
 		}
 		back()
+	case "sidecar_end":
+		g.endInSeries(i, sidecar)
+		back()
 	case "sidecar_stall":
 		g.mark("%s stands still", sidecar.Name)
 		sidecar.Signal(syscall.SIGSTOP)
@@ -200,15 +207,91 @@
 		g.wait(e.At.M() + e.For.M())
 		g.list.SetLate(0)
 	case "list_move":
-		g.mark("the list moves")
+		g.moveList()
+	case "list_moves":
+		for range int(e.Times) {
+			g.moveList()
+			betweenMoves.Sleep()
+		}
+	case "list_slow":
+		g.ails(e, list.Trouble{Work: e.By.M()})
+	case "list_refuse":
+		g.ails(e, list.Trouble{Refuse: e.Part})
+	case "list_silent":
+		g.ails(e, list.Trouble{Silent: e.Part})
+	case "list_answers_late":
+		g.ails(e, list.Trouble{Late: e.By.M()})
+	}
+}
+
+const betweenMoves = 300 * clock.Milli
+
+// moveList has all sidecars ask at another address.
+func (g *Rig) moveList() {
+	g.mark("the list moves")
+	for _, sidecar := range g.sidecars {
+		if _, err := g.list.Move(sidecar.Name); err != nil {
+			continue
+		}
+		if _, err := sidecar.Configure(); err == nil {
+			sidecar.Signal(syscall.SIGHUP)
+		}
+	}
+}
+
+// ails has the list's service ail for a while.
+func (g *Rig) ails(e plan.Event, t list.Trouble) {
+	g.mark("%s begins", e.What)
+	g.list.SetTrouble(t, g.o.Seed)
+	g.wait(e.At.M() + e.For.M())
+	g.list.SetTrouble(list.Trouble{}, g.o.Seed)
+	g.mark("%s ends", e.What)
+}
+
+// endInSeries asks a sidecar to end by signals in series, and kills it as early as the pages allow. Until then clients use connections that
+// are open.
+func (g *Rig) endInSeries(i int, sidecar *sidecars.Sidecar) {
+	const newConnections, killedAfter, longest = 300 * clock.Milli, 700 * clock.Milli, 3 * clock.Second
+	g.mark("%s is asked to end, in series", sidecar.Name)
+	sidecar.Signal(syscall.SIGHUP)
+	asked := g.clock.Now()
+	sidecar.Signal(syscall.SIGTERM)
+	for _, again := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		(newConnections / 4).Sleep()
+		sidecar.SignalAgain(again)
+	}
+	(asked + newConnections - g.clock.Now()).Sleep()
+	g.clients.Fade(i, true)
+	left := asked + min(g.s.Longest(), longest) + killedAfter - g.clock.Now()
+	if !sidecar.EndsWithin(left.Duration()) {
+		g.mark("%s is killed", sidecar.Name)
+		sidecar.Kill()
+	}
+	g.clients.Shut(i, true)
+	g.clients.Fade(i, false)
+}
+
+// crowd has clients that rest, and clients that bring their request slowly, hold connections to each sidecar.
+func (g *Rig) crowd(e plan.Event) {
+	g.mark("a crowd of %.0f connections to each sidecar", e.Times)
+	var held []net.Conn
+	for i := range int(e.Times) {
 		for _, sidecar := range g.sidecars {
-			if _, err := g.list.Move(sidecar.Name); err == nil {
-				if _, err = sidecar.Configure(); err == nil {
-					sidecar.Signal(syscall.SIGHUP)
-				}
+			c, err := net.DialTimeout("tcp", sidecar.Address, time.Second)
+			if err != nil {
+				continue
+			}
+			held = append(held, c)
+			if i%2 == 0 {
+				c.Write([]byte("GET /"))
 			}
 		}
 	}
+	g.wait(e.At.M() + e.For.M())
+	for _, c := range held {
+		c.Close()
+	}
+	g.mark("the crowd is gone")
 }
 
 // toNetwork changes the ways that a fault is aimed at.
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -480,6 +480,10 @@
 	return a
 }
 
+// Accounts are what the stand-ins wrote down; to be read after Run. Calls are the list's account of its calls.
+func (g *Rig) Accounts() *judge.Accounts { return g.accounts() }
+func (g *Rig) Calls() []list.Call        { return g.list.AllCalls() }
+
 // Begun is the plan's time 0 on the run's clock; Tries and Entries are the accounts of clients and backends.
 func (g *Rig) Begun() Micros         { return g.begun }
 func (g *Rig) Tries() []*clients.Try { return g.clients.Account() }
