--- /dev/null
+++ b/internal/moves_test.go
@@ -0,0 +1,106 @@
+package internal_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/discovery"
+)
+
+// What the old address writes in the moment of a move counts as told, so a drain in it is heard until the new address has told its list. A
+// server that the old one calls ready is the new one's to tell. Before, the move closed the connections over what had come on them.
+func TestOldAddressTellsOfDrains(t *testing.T) {
+	var tr trace
+	other := strings.Replace(host, `"s"`, `"other"`, 1)
+	draining := strings.Replace(host, "in_service", "terminating", 1)
+	moved, answered := make(chan bool), make(chan bool)
+	old := serveFake(t, func(n int, path string) string {
+		switch n {
+		case 1:
+			return listed(42, host)
+		case 2:
+			<-moved
+			return listed(43, draining, other)
+		}
+		return "silence"
+	})
+	next := serveFake(t, func(n int, path string) string {
+		if n > 1 {
+			return "silence"
+		}
+		<-answered
+		return listed(3, other)
+	})
+	told := make(chan *discovery.List, 9)
+	w := discovery.New(old.Addr().String(), map[string]int{"here": 0}, 41, 300*second, 1, 1<<20, 7, func(l *discovery.List) { told <- l },
+		&counters.Sheet{}, zerolog.Nop())
+	w.Watch()
+	say := func() {
+		select {
+		case l := <-told:
+			line := fmt.Sprintf("version %d, whole %v:", l.Version, l.Whole)
+			for _, e := range l.Entries {
+				line += fmt.Sprintf(" %s drains %v", e.Host, e.Standing == brain.Draining)
+			}
+			tr.add("%s", line)
+		case <-time.After(20 * time.Second):
+			tr.add("told nothing")
+		}
+	}
+	say()
+	old.asked(2)
+	w.Move(next.Addr().String())
+	close(moved)
+	say()
+	close(answered)
+	say()
+	tr.same(t, `
+version 42, whole true: s drains false
+version 43, whole false: s drains true
+version 3, whole true: other drains false
+`)
+}
+
+// A call that was given up is told of when its answer comes all the same, and an older answer than that changes nothing.
+func TestLateAnswerIsTold(t *testing.T) {
+	var tr trace
+	first := make(chan bool)
+	s := serveFake(t, func(n int, path string) string {
+		switch n {
+		case 1: // given up after 3 s
+			<-first
+			return listed(43, host)
+		case 2:
+			return listed(42, host)
+		case 3: // a watch
+			close(first)
+			return "silence"
+		}
+		return "silence"
+	})
+	told, counts := make(chan *discovery.List, 9), &counters.Sheet{}
+	w := discovery.New(s.Addr().String(), map[string]int{"here": 0}, 41, 300*second, 1, 1<<20, 7, func(l *discovery.List) { told <- l }, counts, zerolog.Nop())
+	w.Watch()
+	for len(tr.lines) < 2 {
+		select {
+		case l := <-told:
+			if l != nil {
+				tr.add("told %d", l.Version)
+			}
+		case <-time.After(20 * time.Second):
+			tr.add("told nothing")
+		}
+	}
+	tr.add("late: %d", counts[counters.ListsLate].Load())
+	tr.same(t, `
+told 42
+told 43
+late: 1
+`)
+}
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -340,7 +340,9 @@
 func (c *court) drains() {
 	told := map[string][]list.Told{}
 	for _, t := range c.Told {
-		told[t.Reader] = append(told[t.Reader], t)
+		if !c.toTheDead(t) {
+			told[t.Reader] = append(told[t.Reader], t)
+		}
 	}
 	ask := c.Scenario.Rules.AskEvery.M()
 	for _, sidecar := range c.Sidecars {
@@ -374,6 +376,18 @@
 	}
 }
 
+// toTheDead tells whether a list was written to a process that had ended since it asked.
+func (c *court) toTheDead(t list.Told) bool {
+	for _, sidecar := range c.Sidecars {
+		if sidecar.Name == t.Reader && slices.ContainsFunc(sidecar.Lives, func(l sidecars.Life) bool {
+			return l.End >= 0 && t.Asked <= l.End && t.At > l.End
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
 // drainsKept: rule 3.
 func (c *court) drainsKept(t *clients.Try) {
 	r := c.Scenario.Rules
--- a/lab/list/list.go
+++ b/lab/list/list.go
@@ -37,6 +37,7 @@
 	Reader string
 	Seq    int
 	At     Micros
+	Asked  Micros // its call began; as At, where it was told at its start
 }
 
 // Changed is a change of the list, as it came into force: what Told's versions are compared with.
@@ -203,7 +204,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if starts {
-		l.told = append(l.told, Told{name, l.seq, l.clock.Now()})
+		now := l.clock.Now()
+		l.told = append(l.told, Told{name, l.seq, now, now})
 	}
 	return l.render(name, true, 0)
 }
@@ -310,7 +312,7 @@
 	}
 	over(CallAnswered)
 	call.Seq = seq
-	l.told = append(l.told, Told{r.name, seq, l.clock.Now()})
+	l.told = append(l.told, Told{r.name, seq, l.clock.Now(), call.Began})
 }
 
 // ailment is what becomes of one call.
--- a/lab/sidecars/sidecars.go
+++ b/lab/sidecars/sidecars.go
@@ -46,9 +46,10 @@
 type Sidecar struct {
 	Name, Address string
 	Zone          string
-	Called        string   // the name that its process is told, in place of its own; "": that
-	More          []string // arguments behind the program's own
-	Marker        string   // lines of its log that hold this are kept, with the time at which they came; "": none
+	Called        string     // the name that its process is told, in place of its own; "": that
+	More          []string   // arguments behind the program's own
+	Marker        string     // lines of its log that hold this are kept, with the time at which they came; "": none
+	Ending        sync.Mutex // held by whoever ends its process and starts the next
 	program       Program
 	tell          func(listen string) ([]byte, error) // its configuration
 	folder        string
--- a/lab/stage/faults.go
+++ b/lab/stage/faults.go
@@ -155,6 +155,10 @@
 		g.clients.Shut(i, false)
 		g.mark("%s is back", sidecar.Name)
 	}
+	if e.What != "sidecar_stall" { // one end of a process, and its return, after another
+		sidecar.Ending.Lock()
+		defer sidecar.Ending.Unlock()
+	}
 	switch e.What {
 	case "sidecar_kill":
 		g.mark("%s is killed", sidecar.Name)
