--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -42,10 +42,16 @@
 	brought bool  // the list named servers, and was told
 }
 
-// start begins a call that is waited for so long. Then it is given up: the service may drop it, and what it writes all the same is told.
+// start begins a call for what is new.
 func (w *Watcher) start(at *service, hold, patience time.Duration) *call {
+	return w.call(at, false, hold, patience)
+}
+
+// call begins one that is waited for so long. Then it is given up: the service may drop it, and what it writes all the same is told. The
+// whole list is asked for where an address has told none yet, or where it is wanted.
+func (w *Watcher) call(at *service, whole bool, hold, patience time.Duration) *call {
 	w.mu.Lock()
-	c := &call{service: at, hold: hold, whole: at.silent, from: at.version, began: time.Now(), ended: make(chan result, 2)}
+	c := &call{service: at, hold: hold, whole: whole || at.silent, from: at.version, began: time.Now(), ended: make(chan result, 2)}
 	w.mu.Unlock()
 	go w.finish(c, time.AfterFunc(patience, func() { w.giveUp(c) }))
 	return c
--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -9,13 +9,14 @@
 )
 
 // deliver tells what an answer brings, whichever round made the call and whether or not it was given up. brought is false for one that
-// names no server, that is older than what was told, or that an address gave which was left for good. Answers are told one at a time, so
-// that the older of two is never told last.
+// names no server, that is older than what was told, or that an address gave which is forgotten. Answers are told one at a time, so that
+// the older of two is never told last.
 func (w *Watcher) deliver(c *call, list *List) (brought bool) {
 	w.telling.Lock()
 	defer w.telling.Unlock()
 	w.mu.Lock()
 	list, refused := w.accept(c.service, list)
+	left := c.service != w.at
 	w.mu.Unlock()
 	if list.Empty() {
 		return false
@@ -32,36 +33,39 @@
 	}
 	w.counts.Add(counters.ListsTaken)
 	w.tell(list)
+	if left {
+		w.recheck()
+	}
 	return true
 }
 
-// accept books an answer, and is what of it is to be told, or why nothing is. The lock is held.
+// accept books an answer, and is what of it is to be told, or why nothing is. What an address that was left wrote by then still counts, but it
+// can't call a server back any more. The lock is held.
 func (w *Watcher) accept(from *service, list *List) (accepted *List, refused string) {
 	switch {
 	case from == w.at:
 		w.reached(nil)
-	case !slices.Contains(w.retired, from):
-		return list, "its address was left"
-	default: // until the new address has told a list, what the old one told counts; it can't call a server back any more
+	case slices.Contains(w.retired, from):
 		list = list.leaving()
+	default:
+		return list, "its address was left"
 	}
 	if list.Version < from.version && !from.silent {
 		w.counts.Add(counters.ListsOutdated)
 		return list, "older than the one held"
 	}
 	from.version, from.silent = list.Version, false
-	if from == w.at {
-		w.forgetRetired()
-	}
 	return list, ""
 }
 
-// forgetRetired closes the addresses that were left: the one in force has told its list. The lock is held.
-func (w *Watcher) forgetRetired() {
-	for _, left := range w.retired {
-		left.close()
+// recheck asks the address in force for the whole list once more, where it told one before an address that was left had its last word: the
+// answer to a call that begins now holds over that word.
+func (w *Watcher) recheck() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.at.silent {
+		w.begin(moved)
 	}
-	w.retired = nil
 }
 
 // conclude books how a round's call ended for whoever waited for it, and tells what deliver does not: that it failed, or, where an answer
--- a/internal/discovery/fallback.go
+++ b/internal/discovery/fallback.go
@@ -47,9 +47,9 @@
 }
 
 // sideBySide makes up to most calls, one after another though none is answered yet, and waits for the first answer until patience is over.
-// The others stay out, each for its own patience, and tell what they bring.
+// The others stay out, each for its own patience, and tell what they bring. whole: the whole list is asked for.
 // So a call that falls silent is no loss where another watch did before, where discovery was moved, or while discovery's agent is.
-func (w *Watcher) sideBySide(at *service, every, patience time.Duration, most int) result {
+func (w *Watcher) sideBySide(at *service, whole bool, every, patience time.Duration, most int) result {
 	results := make(chan result, most)
 	over, next := time.NewTimer(patience), time.NewTicker(every)
 	defer over.Stop()
@@ -58,7 +58,7 @@
 	begun := 0
 	begin := func() {
 		begun++
-		c := w.start(at, 0, patience)
+		c := w.call(at, whole, 0, patience)
 		go func() { results <- <-c.ended }()
 	}
 	begin()
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -28,7 +28,7 @@
 	telling sync.Mutex // held while an answer is told
 	mu      sync.Mutex
 	at      *service
-	retired []*service    // addresses that were left, until the one in force has told a list
+	retired []*service    // addresses that were left: their calls end, and what they write until then is heard
 	pushed  bool          // the watch goes on by itself after a failure
 	took    time.Duration // what a call took that was not held, lately
 	round   int           // of the watch that goes on
@@ -84,16 +84,15 @@
 	w.begin(starting)
 }
 
-// Move follows the list at another address from now on, and asks there for the whole of it. Calls at the old address end; what that has
-// written by then still counts, as long as the new one has told nothing.
+// Move follows the list at another address from now on, and asks there for the whole of it. Calls at the old address end; what that
+// writes until it notices still counts.
 func (w *Watcher) Move(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if address == w.at.address {
 		return
 	}
-	w.at.retire()
-	w.retired = append(w.retired, w.at)
+	w.retire(w.at)
 	w.at = newService(address, w.maxAnswer)
 	w.at.silent = true
 	w.failed, w.heardAt = 0, time.Now()
@@ -101,6 +100,19 @@
 	w.begin(moved)
 }
 
+// maxRetired is how many addresses that were left are still heard.
+const maxRetired = 4
+
+// retire leaves an address; the lock is held.
+func (w *Watcher) retire(left *service) {
+	left.retire()
+	w.retired = append(w.retired, left)
+	if len(w.retired) > maxRetired {
+		w.retired[0].close()
+		w.retired = w.retired[1:]
+	}
+}
+
 // begin starts the next round; the lock is held.
 func (w *Watcher) begin(from state) {
 	w.round++
@@ -207,9 +219,9 @@
 		return <-w.start(at, now.hold, now.hold+lateMost).ended
 	case w.pushed:
 		every := max(time.Duration(w.step.Load()), w.patience()/maxSideBySide)
-		return w.sideBySide(at, every, maxSideBySide*every, maxSideBySide)
+		return w.sideBySide(at, now.state == moved, every, maxSideBySide*every, maxSideBySide)
 	case now.state == moved || now.state == unanswered:
-		return w.sideBySide(at, w.soon(), waitMost, 2)
+		return w.sideBySide(at, true, w.soon(), waitMost, 2)
 	}
 	return <-w.start(at, 0, waitMost).ended
 }
