--- a/cmd/ledgelab/soak.go
+++ b/cmd/ledgelab/soak.go
@@ -89,7 +89,7 @@
 	if planted == "" {
 		return program(path)
 	}
-	if _, known := faulty.Ways[planted]; !known {
+	if _, known := faulty.Rule(planted); !known {
 		return sidecars.Program{}, fmt.Errorf("--break: %q is no way to break a rule; there are %s", planted, strings.Join(faulty.Names(), ", "))
 	}
 	self, err := os.Executable()
--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -36,8 +36,28 @@
 // Ways are the breaks, with the rule each breaks.
 var Ways = map[string]int{"honest": 0, "loses": 1, "late": 1, "foreign": 1, "after": 1, "dies": 1, "twice": 2, "group": 2, "bounce": 2, "drain": 3, "cold": 4}
 
-// Names are the ways, in order.
-func Names() []string { return slices.Sorted(maps.Keys(Ways)) }
+// SoakWays are breaks that only show on days with faults of the list or clients that leave, with the rule each breaks.
+var SoakWays = map[string]int{"late-list": 3, "after-left": 1, "long-deadline": 5, "wall-warm": 4}
+
+// Names are all ways, in order.
+func Names() []string {
+	return slices.Sorted(slices.Values(slices.Concat(slices.Collect(maps.Keys(Ways)), slices.Collect(maps.Keys(SoakWays)))))
+}
+
+// Rule is the rule that a way breaks; known is false for what is no way.
+func Rule(way string) (rule int, known bool) {
+	if rule, known = Ways[way]; known {
+		return rule, true
+	}
+	rule, known = SoakWays[way]
+	return rule, known
+}
+
+const (
+	lateList     = 300 * time.Millisecond // an answer of the list that takes longer is dropped by late-list
+	leftAfter    = 200 * time.Millisecond // after-left begins so long after its client has gone
+	longDeadline = 300 * time.Millisecond // long-deadline tells so much too long a time
+)
 
 type server struct {
 	name, at, zone string
@@ -112,6 +132,7 @@
 
 // ask takes the whole list anew.
 func (c *sidecar) ask() error {
+	began := time.Now()
 	r, err := c.client.Get("http://" + c.list + "/api/targets")
 	if err != nil {
 		return err
@@ -137,7 +158,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers = now
+	if c.way != "late-list" || c.servers == nil || time.Since(began) < lateList {
+		c.servers = now
+	}
 	return nil
 }
 
@@ -153,7 +176,7 @@
 		switch {
 		case s.health != "in_service":
 			draining = append(draining, s)
-		case time.Since(s.born) < c.cold:
+		case time.Since(s.born) < c.cold && c.way != "wall-warm":
 			cold = append(cold, s)
 		default:
 			may = append(may, s)
@@ -165,6 +188,9 @@
 	if c.way == "cold" && len(cold) > 0 {
 		may = cold
 	}
+	if young := slices.DeleteFunc(slices.Clone(may), func(s server) bool { return time.Since(s.born) >= c.cold }); c.way == "wall-warm" && len(young) > 0 {
+		may = young // a server that has just started, and seems warm, has the least to do
+	}
 	if len(may) == 0 {
 		return nil
 	}
@@ -204,6 +230,11 @@
 			q.Header.Set(name, v)
 		}
 	}
+	if c.now("long-deadline", often) {
+		q.Header.Set("X-Timeout", fmt.Sprintf("%du", (left*2+longDeadline).Microseconds()))
+	} else {
+		q.Header.Set("X-Timeout", fmt.Sprintf("%du", left.Microseconds()))
+	}
 	a, err := c.client.Do(q)
 	if err != nil {
 		return 0, nil, !strings.Contains(err.Error(), "refused")
@@ -216,6 +247,19 @@
 	return a.StatusCode, answer, a.Header.Get("X-Not-Processed") != "1"
 }
 
+// afterLeft begins an attempt for a client that has gone.
+func (c *sidecar) afterLeft(gone, over <-chan struct{}, r *http.Request, body []byte, left time.Duration) {
+	<-gone
+	select {
+	case <-over: // by the answer
+		return
+	case <-time.After(leftAfter):
+	}
+	if to := c.pick(nil, false); to != nil {
+		c.fetch(r, body, to, left)
+	}
+}
+
 func (c *sidecar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/-/ready" {
 		return
@@ -262,6 +306,11 @@
 		return
 	}
 	until := time.Now().Add(left)
+	if c.way == "after-left" && effect == "read_like" {
+		over := make(chan struct{})
+		defer close(over)
+		go c.afterLeft(r.Context().Done(), over, r.Clone(context.Background()), body, left)
+	}
 	status, answer, ran := c.fetch(r, body, to, left)
 	// What a rule forbids after a loss is done after each loss, and after some visits that went well: no run is short of those.
 	forbidden := func(kind, way string) bool {
