--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -54,8 +54,13 @@
 }
 
 const (
-	lateList     = 300 * time.Millisecond // an answer of the list that takes longer is dropped by late-list
-	leftAfter    = 200 * time.Millisecond // after-left begins so long after its client has gone
+	listEvery  = 50 * time.Millisecond // the list is asked for so often
+	listWithin = 10 * time.Second      // and has to be there by then
+
+	lateList       = 300 * time.Millisecond // an answer of the list that takes longer is dropped by late-list
+	leftAfter      = 200 * time.Millisecond // after-left begins so long after its client has gone
+	newConnections = 400 * time.Millisecond // they may come for so long after SIGTERM
+
 	longDeadline = 300 * time.Millisecond // long-deadline tells so much too long a time
 )
 
@@ -102,11 +107,15 @@
 			c.effects[name], _ = p["effect"].(string)
 		}
 	}
-	if err := c.ask(); err != nil {
-		return err
+	for begun := time.Now(); ; time.Sleep(listEvery) { // the list may be out of reach at the start
+		if err := c.ask(); err == nil {
+			break
+		} else if time.Since(begun) > listWithin {
+			return err
+		}
 	}
 	go func() {
-		for range time.Tick(50 * time.Millisecond) {
+		for range time.Tick(listEvery) {
 			c.ask()
 		}
 	}()
@@ -118,8 +127,17 @@
 	h := &http.Server{Handler: c}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	go func() {
+		for range again {
+			c.moved(file)
+		}
+	}()
 	go func() {
 		<-stop
+		h.SetKeepAlivesEnabled(false)
+		time.Sleep(newConnections)
 		ctx, done := context.WithTimeout(context.Background(), 2*time.Second)
 		defer done()
 		h.Shutdown(ctx)
@@ -130,19 +148,33 @@
 	return nil
 }
 
+// moved has the list asked for where the configuration says now.
+func (c *sidecar) moved(file string) {
+	told, err := sidecars.Told(file)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list, _ = told["discovery"].(string)
+}
+
 // ask takes the whole list anew.
 func (c *sidecar) ask() error {
 	began := time.Now()
-	r, err := c.client.Get("http://" + c.list + "/api/targets")
+	c.mu.Lock()
+	list := c.list
+	c.mu.Unlock()
+	r, err := c.client.Get("http://" + list + "/api/targets")
 	if err != nil {
 		return err
 	}
 	defer r.Body.Close()
-	var list map[string]any
-	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+	var answer map[string]any
+	if err := json.NewDecoder(r.Body).Decode(&answer); err != nil {
 		return err
 	}
-	hosts, _ := list["hosts"].([]any)
+	hosts, _ := answer["hosts"].([]any)
 	var now []server
 	for _, h := range hosts {
 		if h, ok := h.(map[string]any); ok {
--- /dev/null
+++ b/lab/soak/draw_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// The same seed draws the same day, another seed another one, and each day has servers that drain, a move of the list and the end of a
+// sidecar by signals; so has a day with one kind of fault.
+func TestDraw(t *testing.T) {
+	seen := map[string]bool{}
+	for seed := uint64(1); seed <= 200; seed++ {
+		only := ""
+		if seed%2 == 0 {
+			only = Kinds()[int(seed)%len(Kinds())]
+		}
+		one, err := Draw(seed, 12_000, only)
+		if err != nil {
+			t.Fatalf("seed %d, only %q: %v", seed, only, err)
+		}
+		two, _ := Draw(seed, 12_000, only)
+		if diff := cmp.Diff(one, two); diff != "" {
+			t.Fatalf("seed %d, drawn twice:\n%s", seed, diff)
+		}
+		has := map[string]int{}
+		for _, f := range one.Faults {
+			has[f.What]++
+		}
+		if has["drain"] == 0 || has["list_move"] == 0 || has["sidecar_end"] == 0 || only != "" && has[only] < leastFaults {
+			t.Errorf("seed %d, only %q: %v", seed, only, has)
+		}
+		seen[fmt.Sprint(one.Faults, one.Prefixes, one.Rules, one.Sidecars)] = true
+	}
+	if len(seen) != 200 {
+		t.Errorf("200 seeds drew %d days", len(seen))
+	}
+}
+
+// What can't be played is refused with the reason, and an unknown kind with the list of kinds.
+func TestRefused(t *testing.T) {
+	var got []string
+	for _, o := range []Options{{From: 0, To: 3, Length: 12_000}, {From: 4, To: 3, Length: 12_000}, {From: 1, To: 3, Length: 3000},
+		{From: 1, To: 3, Length: 12_000, Only: "earthquake"}} {
+		_, err := Play(o)
+		text, kinds, _ := strings.Cut(fmt.Sprint(err), "; there are ")
+		got = append(got, fmt.Sprintf("%s (names all kinds: %v)", text, kinds == strings.Join(Kinds(), ", ")))
+	}
+	want := []string{"seeds are FROM..TO, from 1 on (names all kinds: false)", "seeds are FROM..TO, from 1 on (names all kinds: false)",
+		"a day takes 4500 ms at least (names all kinds: false)", `"earthquake" is no kind of fault (names all kinds: true)`}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
