--- a/cmd/ledgespread/moved_test.go
+++ b/cmd/ledgespread/moved_test.go
@@ -131,3 +131,34 @@
 		})
 	}
 }
+
+// A SIGHUP that came while the configuration was still being read ended the process, "signal: hangup", since signals were heard only after
+// that. It is heard from the first moment, and has the file read again.
+func TestHangupWhileConfigurationIsRead(t *testing.T) {
+	file, _ := patientFile(t, discover(t).at, "on_request")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.Remove(file)
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	program, log := launch(t, file)
+	first, err := os.OpenFile(file, os.O_WRONLY, 0) // opens once the program has, which then waits for the text
+	if err != nil {
+		t.Fatal(err)
+	}
+	program.Process.Signal(syscall.SIGHUP)
+	time.Sleep(50 * time.Millisecond) // for the signal to come
+	first.Write(text)
+	first.Close()
+	within(t, "it serves", func() bool { return strings.Contains(log.text(), `"serving"`) })
+	again, err := os.OpenFile(file, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.Write(text)
+	again.Close()
+	within(t, "it read the file again", func() bool { return strings.Contains(log.text(), "configuration read again") })
+}
