--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -40,15 +40,26 @@
 	firstList   = 2 * time.Second        // beside an old process, or where it is pushed, the first list is waited for so long
 )
 
+// signals are those that the program hears.
+type signals struct {
+	reload chan os.Signal // several close together are one: the file is read after the last
+	stop   chan os.Signal
+}
+
+// hearSignals has signals heard from now on, also while the configuration is read: one that came before would end the process.
+func hearSignals() signals {
+	heard := signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(heard.reload, syscall.SIGHUP)
+	signal.Notify(heard.stop, syscall.SIGTERM, syscall.SIGINT)
+	return heard
+}
+
 // serve puts the parts together and stays until it is told to stop. SIGHUP has it read its file again.
-func serve(file, with string, b *site.Manifest, fitted *extensions.Extensions, tally time.Duration, log zerolog.Logger) error {
-	again := make(chan os.Signal, 1) // several close together are one: the file is read after the last
-	signal.Notify(again, syscall.SIGHUP)
+func serve(file, with string, b *site.Manifest, fitted *extensions.Extensions, tally time.Duration, heard signals, log zerolog.Logger) error {
+	again, stop := heard.reload, heard.stop
 	live.Cores(b)
 	heap(b, 1)
 	debug.SetGCPercent(calmHeap)
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 
 	counts := &counters.Sheet{}
 	var running *live.Sidecar
--- a/lab/list/list.go
+++ b/lab/list/list.go
@@ -255,8 +255,7 @@
 		l.Failed++
 		over(CallRefused)
 		l.mu.Unlock()
-		w.Header().Set("Connection", "close")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w)
 		return
 	case silent:
 		l.mu.Unlock()
@@ -293,8 +292,7 @@
 		l.Failed++
 		over(CallRefused)
 		l.mu.Unlock()
-		w.Header().Set("Connection", "close")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuse(w)
 		return
 	}
 	body, seq := l.render(r.name, !watches || from > l.seq, from), l.seq
@@ -315,6 +313,11 @@
 	l.told = append(l.told, Told{r.name, seq, l.clock.Now(), call.Began})
 }
 
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // ailment is what becomes of one call.
 type ailment uint8
 
