--- a/internal/connlimit/share.go
+++ b/internal/connlimit/share.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"ledgespread/internal/machine"
 )
 
 // Share has two processes of one sidecar listen at the same address. Where that is not to be had, the address is taken
@@ -22,7 +24,7 @@
 // Listen takes a TCP address.
 func Listen(address string, shared bool) (*net.TCPListener, error) {
 	with := Share(shared)
-	ln, err := with.Listen(context.Background(), "tcp", address)
+	ln, err := machine.Retry(machine.StartWithin, func() (net.Listener, error) { return with.Listen(context.Background(), "tcp", address) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"ledgespread/internal/machine"
 	"ledgespread/internal/peek"
 )
 
@@ -67,7 +68,7 @@
 	if c := s.takeIdle(); c != nil {
 		return c, nil
 	}
-	tcp, err := fasthttp.DialTimeout(s.address, waitMost)
+	tcp, err := machine.Retry(waitMost, func() (net.Conn, error) { return fasthttp.DialTimeout(s.address, waitMost) })
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errOutOfReach, err)
 	}
--- a/internal/outbound/failure.go
+++ b/internal/outbound/failure.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"slices"
-	"syscall"
 
 	"ledgespread/brain"
 )
@@ -31,16 +29,6 @@
 // errHere is why no connection came up though the server was never asked: this machine lacked something.
 var errHere = errors.New("no connection from this machine")
 
-// failuresHere are the errors by which a connect fails for want of an address, a route, memory or a descriptor on this machine.
-var failuresHere = []syscall.Errno{syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM,
-	syscall.ENFILE, syscall.EMFILE, syscall.EAGAIN, syscall.EINTR}
-
-// failedHere tells whether a connect failed on this machine.
-func failedHere(err error) bool {
-	var errno syscall.Errno
-	return errors.As(err, &errno) && slices.Contains(failuresHere, errno)
-}
-
 // Failure tells why a backend fetch brought no delivery, and how far it had come.
 type Failure struct {
 	Progress Progress
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -18,6 +18,7 @@
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/machine"
 )
 
 const (
@@ -28,9 +29,6 @@
 	holdPart    = 8  // an answer of unknown length is held back for this part of the time left, until it is long
 
 	deadlinePart = 4 // a connection's deadline may be late by this part of the time left
-
-	leastRedial = 2 * time.Millisecond  // from a connect that failed on this machine to the next,
-	mostRedial  = 32 * time.Millisecond // doubling up to this
 )
 
 // Dial makes a connection to a server.
@@ -207,9 +205,9 @@
 		until = by
 	}
 	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
-	for wait := leastRedial; ; wait = min(2*wait, mostRedial) {
+	for wait := machine.LeastWait; ; wait = min(2*wait, machine.MostWait) {
 		tcp, err := o.Dial(f.ctx, dialer, address)
-		if err == nil || !failedHere(err) {
+		if err == nil || !machine.Lacks(err) {
 			return tcp, err
 		}
 		o.counts.Add(counters.ConnectsFailedHere)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,6 +13,7 @@
 	"ledgespread/brain"
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
+	"ledgespread/internal/machine"
 	"ledgespread/internal/notes"
 )
 
@@ -37,7 +38,9 @@
 // be there too.
 func Open(listen string, shared bool, at []netip.AddrPort, counts *counters.Sheet, log zerolog.Logger) (*Peers, error) {
 	with := connlimit.Share(shared)
-	conn, err := with.ListenPacket(context.Background(), "udp", listen)
+	conn, err := machine.Retry(machine.StartWithin, func() (net.PacketConn, error) {
+		return with.ListenPacket(context.Background(), "udp", listen)
+	})
 	if err != nil {
 		return nil, err
 	}
