--- a/lab/soak/draw.go
+++ b/lab/soak/draw.go
@@ -151,15 +151,15 @@
 		fmt.Fprintf(&text, "target_latency = \"%dms\"\nclient_timeout = \"%dms\"\nmemory = \"%dms\"\n", timeout/2, timeout, d.between(200, 1500))
 	}
 	// A third of what the servers can do: what breaks a rule is to be the faults, and not a fleet that is overrun.
-	fmt.Fprintf(&text, "[traffic]\nrate = \"%d/s\"\nretries = %d\nimpatient = %.2f\nrude = \"%d/s\"\n", d.between(10, 30)*d.backends, d.between(0, 2),
+	fmt.Fprintf(&text, "[traffic]\nrate = \"%d/s\"\nretries = %d\nimpatient = %.2f\nrude = \"%d/s\"\n", d.between(15, 40)*d.backends, d.between(0, 2),
 		float64(d.between(0, 20))/100, d.between(0, 3))
 	fmt.Fprintf(&text, "[list]\nnotice = \"%dms\"\nmode = \"%s\"\n", d.between(0, 300), []string{"on_request", "on_request", "pushed"}[d.Below(3)])
-	fmt.Fprintf(&text, "[rules]\ndrain_grace = \"%dms\"\nask_every = \"%dms\"\ncold = \"%dms\"\nfall_roots = true\n", d.between(300, 1000),
-		d.between(6000, 20000), d.between(3000, 9000))
+	fmt.Fprintf(&text, "[rules]\ndrain_grace = \"%dms\"\nask_every = \"%dms\"\ncold = \"%dms\"\ncold_from = %.2f\nfall_multiple = %.1f\nfall_roots = true\n", d.between(300, 1000),
+		d.between(6000, 20000), d.between(3000, 9000), float64(d.between(5, 30))/100, float64(d.between(10, 30))/10)
 	return text.String()
 }
 
-// trouble draws the faults: always an episode of the list and the end of a sidecar, then some of these kinds.
+// trouble draws the faults: always an episode of the list, a server that comes back cold and the end of a sidecar, then some of these kinds.
 func (d *drawer) trouble(kinds []fault) string {
 	var text strings.Builder
 	add := func(kind string, at int, lines string) {
@@ -167,6 +167,7 @@
 	}
 	last := max(d.length-calmEnd, faultsFrom+1)
 	d.episode(d.between(faultsFrom, max(last-episodeLasts, faultsFrom+1)), add)
+	add("kill_cold", d.between(faultsFrom, last), d.backend()+d.lasts(500, 1500))
 	add("sidecar_end", d.between(faultsFrom, last), d.sidecar())
 	for range d.between(leastFaults, mostFaults) {
 		f := kinds[d.Below(len(kinds))]
