--- a/cmd/ledgespread/leaving_test.go
+++ b/cmd/ledgespread/leaving_test.go
@@ -68,18 +68,24 @@
 
 // standIn is a stand-in server that answers with its name, and counts.
 func standIn(t *testing.T, name string) (at string, seen *atomic.Int64) {
+	t.Helper()
+	seen = &atomic.Int64{}
+	return serveHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		io.WriteString(w, name)
+	})), seen
+}
+
+// serveHTTP serves at an address of its own until the test is over.
+func serveHTTP(t *testing.T, handler http.Handler) (at string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	seen = &atomic.Int64{}
-	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		seen.Add(1)
-		io.WriteString(w, name)
-	}))
-	return ln.Addr().String(), seen
+	go http.Serve(ln, handler)
+	return ln.Addr().String()
 }
 
 // discovery is a stand-in whose list changes, whose watches fall silent, and that may answer nothing at all.
@@ -100,13 +106,7 @@
 	d := &discovery{held: map[string]int{}, seq: 7}
 	d.cond = sync.NewCond(&d.mu)
 	d.set(lines...)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	d.at = ln.Addr().String()
-	go http.Serve(ln, d)
+	d.at = serveHTTP(t, d)
 	return d
 }
 
--- a/cmd/ledgespread/moved_test.go
+++ b/cmd/ledgespread/moved_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -37,13 +36,7 @@
 func newScriptedDiscovery(t *testing.T, list func(draining bool) string, script ...scriptedAnswer) *scriptedDiscovery {
 	t.Helper()
 	d := &scriptedDiscovery{script: script, list: list, drained: make(chan struct{})}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	d.at = ln.Addr().String()
-	go http.Serve(ln, d)
+	d.at = serveHTTP(t, d)
 	return d
 }
 
--- a/cmd/ledgespread/serve.go
+++ b/cmd/ledgespread/serve.go
@@ -226,7 +226,7 @@
 func follow(b *site.Manifest, book *handover.State, before int, r *relay.Relay) {
 	for ; ; time.Sleep(attendEvery) {
 		if hosts, anew := book.Changed(); anew {
-			r.TakeOver(context.Background(), hosts)
+			r.TakeOver(hosts)
 		}
 		if before != 0 && !handover.Lives(before) {
 			before = 0
@@ -266,7 +266,7 @@
 				counts[counters.FetchesWritten].Load(), listed, avoided)
 		},
 		Server: func(ctx context.Context, id string, out bool) error {
-			return book.Change(ctx, func() ([]string, error) { return r.ByHand(context.Background(), id, out) })
+			return book.Change(ctx, func() ([]string, error) { return r.ByHand(id, out) })
 		},
 		OutOfService: served((*inbound.Inbound).OutOfService),
 		InService:    served((*inbound.Inbound).InService),
--- a/internal/connlimit/share.go
+++ b/internal/connlimit/share.go
@@ -24,7 +24,7 @@
 // Listen takes a TCP address.
 func Listen(address string, shared bool) (*net.TCPListener, error) {
 	with := Share(shared)
-	ln, err := machine.Retry(machine.StartWithin, func() (net.Listener, error) { return with.Listen(context.Background(), "tcp", address) })
+	ln, err := machine.Listen(func() (net.Listener, error) { return with.Listen(context.Background(), "tcp", address) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -51,7 +51,7 @@
 // whole list is asked for where an address has told none yet, or where it is wanted.
 func (w *Watcher) call(at *service, whole bool, hold, patience time.Duration) *call {
 	w.mu.Lock()
-	c := &call{service: at, hold: hold, whole: whole || at.silent, from: at.version, began: time.Now(), ended: make(chan result, 2)}
+	c := &call{service: at, hold: hold, whole: whole || at.silent, from: at.version, began: time.Now(), ended: make(chan result, 1)}
 	w.mu.Unlock()
 	go w.finish(c, time.AfterFunc(patience, func() { w.giveUp(c) }))
 	return c
@@ -67,11 +67,11 @@
 		c.connection.endSending()
 	}
 	c.mu.Unlock()
+	err := errSilent
 	if c.whole {
-		c.ended <- result{err: errNoAnswer}
-		return
+		err = errNoAnswer
 	}
-	c.ended <- result{err: errSilent}
+	c.ended <- result{err: err}
 }
 
 // ride notes the connection that carries the call; false: it was given up before it had one, and nobody is to be asked any more.
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -68,7 +69,9 @@
 	if c := s.takeIdle(); c != nil {
 		return c, nil
 	}
-	tcp, err := machine.Retry(waitMost, func() (net.Conn, error) { return fasthttp.DialTimeout(s.address, waitMost) })
+	tcp, err := machine.Retry(context.Background(), time.Now().Add(waitMost), func() (net.Conn, error) {
+		return fasthttp.DialTimeout(s.address, waitMost)
+	})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errOutOfReach, err)
 	}
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"ledgespread/internal/durable"
 )
 
 const (
@@ -43,15 +45,12 @@
 type folder struct{}
 
 // WriteFile returns once the bytes are on the disk: after a crash a renamed file could be empty else.
-func (folder) WriteFile(path string, text []byte) (err error) {
+func (folder) WriteFile(path string, text []byte) error {
 	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return err
 	}
-	if _, err = file.Write(text); err == nil {
-		err = file.Sync()
-	}
-	return errors.Join(err, file.Close())
+	return durable.Write(file, text)
 }
 
 // Rename returns once the new name is on the disk.
@@ -59,12 +58,7 @@
 	if err := os.Rename(from, to); err != nil {
 		return err
 	}
-	within, err := os.Open(filepath.Dir(to))
-	if err != nil {
-		return err
-	}
-	defer within.Close()
-	if err := within.Sync(); !errors.Is(err, syscall.EINVAL) { // some file systems have no sync for folders
+	if err := durable.SyncFolder(filepath.Dir(to)); !errors.Is(err, syscall.EINVAL) { // some file systems have no sync for folders
 		return err
 	}
 	return nil
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -2,6 +2,7 @@
 package machine
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"syscall"
@@ -10,12 +11,17 @@
 
 // Waits between two tries.
 const (
-	LeastWait = 2 * time.Millisecond // doubling
-	MostWait  = 32 * time.Millisecond
+	leastWait = 2 * time.Millisecond // doubling
+	mostWait  = 32 * time.Millisecond
 )
 
-// StartWithin is for how long an address is tried for at the start: a start that fails is a crash.
-const StartWithin = 5 * time.Second
+// startWithin is for how long an address is tried for at the start: a start that fails is a crash.
+const startWithin = 5 * time.Second
+
+// Listen takes an address by this call, as Retry does, for as long as a start may wait.
+func Listen[T any](listen func() (T, error)) (T, error) {
+	return Retry(context.Background(), time.Now().Add(startWithin), listen)
+}
 
 // lacking are the errors by which a system call fails for want of an address, a route, memory or a descriptor here.
 var lacking = []syscall.Errno{syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM,
@@ -27,15 +33,18 @@
 	return errors.As(err, &errno) && slices.Contains(lacking, errno)
 }
 
-// Retry tries until it succeeds, fails for another reason than a lack on this machine, or the time is over.
-func Retry[T any](within time.Duration, try func() (T, error)) (value T, err error) {
-	until := time.Now().Add(within)
-	for wait := LeastWait; ; wait = min(2*wait, MostWait) {
+// Retry tries until it succeeds, fails for another reason than a lack on this machine, its time is over, or nobody waits for it any more.
+func Retry[T any](ctx context.Context, until time.Time, try func() (T, error)) (value T, err error) {
+	for wait := leastWait; ; wait = min(2*wait, mostWait) {
 		value, err = try()
 		left := time.Until(until)
 		if err == nil || !Lacks(err) || left <= 0 {
 			return value, err
 		}
-		time.Sleep(min(wait, left))
+		select {
+		case <-time.After(min(wait, left)):
+		case <-ctx.Done():
+			return value, err
+		}
 	}
 }
--- a/internal/machine/machine_test.go
+++ b/internal/machine/machine_test.go
@@ -22,7 +22,7 @@
 	}{{syscall.ENOBUFS, 5, 20 * time.Second}, {syscall.EADDRNOTAVAIL, 5, 20 * time.Second}, {syscall.EMFILE, 5, 20 * time.Second},
 		{syscall.ENFILE, 1 << 30, 100 * time.Millisecond}, {syscall.EADDRINUSE, 1, 20 * time.Second}, {syscall.ECONNREFUSED, 1, 20 * time.Second}} {
 		tries := 0
-		_, err := Retry(c.within, func() (int, error) {
+		_, err := Retry(t.Context(), time.Now().Add(c.within), func() (int, error) {
 			if tries++; tries <= c.failures {
 				return 0, &net.OpError{Op: "listen", Net: "tcp", Err: os.NewSyscallError("bind", c.errno)}
 			}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -205,22 +205,17 @@
 		until = by
 	}
 	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
-	for wait := machine.LeastWait; ; wait = min(2*wait, machine.MostWait) {
+	tcp, err := machine.Retry(f.ctx, until, func() (net.Conn, error) {
 		tcp, err := o.Dial(f.ctx, dialer, address)
-		if err == nil || !machine.Lacks(err) {
-			return tcp, err
-		}
-		o.counts.Add(counters.ConnectsFailedHere)
-		left := time.Until(until)
-		if left <= 0 {
-			return nil, fmt.Errorf("%w: %w", errHere, err)
-		}
-		select {
-		case <-time.After(min(wait, left)):
-		case <-f.ctx.Done():
-			return nil, err
+		if machine.Lacks(err) {
+			o.counts.Add(counters.ConnectsFailedHere)
 		}
+		return tcp, err
+	})
+	if machine.Lacks(err) {
+		err = fmt.Errorf("%w: %w", errHere, err)
 	}
+	return tcp, err
 }
 
 // over sends a fetch on a connection and reads the whole answer. The connection is kept or closed. What the server is told of the time
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -38,7 +38,7 @@
 // be there too.
 func Open(listen string, shared bool, at []netip.AddrPort, counts *counters.Sheet, log zerolog.Logger) (*Peers, error) {
 	with := connlimit.Share(shared)
-	conn, err := machine.Retry(machine.StartWithin, func() (net.PacketConn, error) {
+	conn, err := machine.Listen(func() (net.PacketConn, error) {
 		return with.ListenPacket(context.Background(), "udp", listen)
 	})
 	if err != nil {
--- a/internal/relay/hand.go
+++ b/internal/relay/hand.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -13,28 +11,16 @@
 
 // What staff ask for. It goes ahead of the mail: see Run.
 
-// errLate is why a call got no word: the module did not come to it in time. It may still do so.
-var errLate = errors.New("not done in time")
-
 // ahead has something done in the module's turn before all mail, and waits for that.
-func (r *Relay) ahead(ctx context.Context, do func()) error {
+func (r *Relay) ahead(do func()) {
 	done := make(chan struct{})
-	select {
-	case r.calls <- func() { defer close(done); do() }:
-	case <-ctx.Done():
-		return errLate
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return errLate
-	}
+	r.calls <- func() { defer close(done); do() }
+	<-done
 }
 
 // ByHand takes a server out, or puts it back, and tells all that are out then. An id that nobody has is an error.
-func (r *Relay) ByHand(ctx context.Context, host string, out bool) (all []string, err error) {
-	if late := r.ahead(ctx, func() {
+func (r *Relay) ByHand(host string, out bool) (all []string, err error) {
+	r.ahead(func() {
 		id := discovery.ID(host)
 		if named, listed := r.servers[id]; !r.out[host] && (!listed || named.host != host) {
 			err = fmt.Errorf("no server %s", host)
@@ -43,9 +29,7 @@
 		r.hand(host, out)
 		r.publish()
 		all = slices.Collect(maps.Keys(r.out))
-	}); late != nil { // what the turn would still tell is not read any more
-		return nil, late
-	}
+	})
 	return all, err
 }
 
@@ -78,9 +62,7 @@
 }
 
 // TakeOver has just these servers out: what another process of this sidecar wrote down.
-func (r *Relay) TakeOver(ctx context.Context, hosts []string) error {
-	return r.ahead(ctx, func() { r.Inherit(hosts) })
-}
+func (r *Relay) TakeOver(hosts []string) { r.ahead(func() { r.Inherit(hosts) }) }
 
 // Inherit does so before Run.
 func (r *Relay) Inherit(hosts []string) {
--- a/internal/rollouts/store.go
+++ b/internal/rollouts/store.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 
 	"ledgespread/decide/rollout"
+	"ledgespread/internal/durable"
 )
 
 // The files of a sidecar, each a line of JSON and then the content: the newest that it holds, and the one in force.
@@ -75,32 +76,16 @@
 	}
 	defer func() {
 		if err != nil {
-			f.Close()
 			os.Remove(f.Name())
 		}
 	}()
-	if _, err = f.Write(append(append(line, '\n'), r.Content...)); err != nil {
-		return err
-	}
-	if err = f.Sync(); err != nil {
-		return err
-	}
-	if err = f.Close(); err != nil {
+	if err = durable.Write(f, append(append(line, '\n'), r.Content...)); err != nil {
 		return err
 	}
 	if err = os.Rename(f.Name(), s.path(kind)); err != nil {
 		return err
 	}
-	return s.sync()
-}
-
-func (s store) sync() error {
-	folder, err := os.Open(s.folder)
-	if err != nil {
-		return err
-	}
-	defer folder.Close()
-	return folder.Sync()
+	return durable.SyncFolder(s.folder)
 }
 
 // read takes a file; nil: there is none. One that is torn, or another sidecar's, is an error.
--- a/lab/sidecars/sidecars.go
+++ b/lab/sidecars/sidecars.go
@@ -310,9 +310,7 @@
 	}
 	c.Signal(syscall.SIGCONT)
 	c.Signal(syscall.SIGTERM)
-	select {
-	case <-ended:
-	case <-time.After(most):
+	if !c.EndsWithin(most) {
 		c.Kill()
 		return errors.New(c.Name + " did not end by itself")
 	}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -36,8 +36,7 @@
 	Broken   []judge.Broken
 	Doubtful int
 	Explain  []string // the timelines of what was broken
-	Notes    []string
-	Err      error // it could not be played
+	Err      error    // it could not be played
 }
 
 // Kept tells whether all rules were.
@@ -130,7 +129,7 @@
 		outcome.Err = err
 		return outcome
 	}
-	outcome.Requests, outcome.Notes = report.Tries, report.Notes
+	outcome.Requests = report.Tries
 	outcome.Broken = report.Verdict.Certain()
 	outcome.Doubtful = len(report.Verdict.Broken) - len(outcome.Broken)
 	if len(outcome.Broken) > 0 {
@@ -142,7 +141,6 @@
 const (
 	mostExplained = 3 // breaks of one day whose timeline is told
 	callsBefore   = 8 * clock.Second
-	marksBefore   = 3 * clock.Second
 )
 
 // explain tells the timelines of the first breaks: the request, its attempts, the list's changes of that server and the sidecar's calls.
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -380,7 +380,7 @@
 	g.faults.Wait()
 	cpu = g.cpu() - cpu
 	g.stopSidecars()
-	a := g.accounts()
+	a := g.Accounts()
 	g.broken(a)
 	r := report.From(a)
 	g.fill(r, cpu, load)
@@ -449,8 +449,8 @@
 	}
 }
 
-// accounts gathers what the stand-ins wrote down.
-func (g *Rig) accounts() *judge.Accounts {
+// Accounts gathers what the stand-ins wrote down.
+func (g *Rig) Accounts() *judge.Accounts {
 	told, changes := g.list.Accounts()
 	a := &judge.Accounts{Scenario: g.s, Plan: g.plan, Begun: g.begun, Ended: g.clock.Now(), Tries: g.clients.Account(), Told: told,
 		Changes: changes, Downs: g.downs, Blocked: g.blocked, Cuts: g.cuts, Still: g.alarms.Late().Still(), Rude: g.clients.Rude()}
@@ -480,9 +480,8 @@
 	return a
 }
 
-// Accounts are what the stand-ins wrote down; to be read after Run. Calls are the list's account of its calls.
-func (g *Rig) Accounts() *judge.Accounts { return g.accounts() }
-func (g *Rig) Calls() []list.Call        { return g.list.AllCalls() }
+// Calls are the list's account of its calls.
+func (g *Rig) Calls() []list.Call { return g.list.AllCalls() }
 
 // Begun is the plan's time 0 on the run's clock; Tries and Entries are the accounts of clients and backends.
 func (g *Rig) Begun() Micros         { return g.begun }
