--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -76,6 +76,7 @@
 // client is an accepted connection. It frees its place once it is closed, which takes a moment: see Close.
 type client struct {
 	*net.TCPConn
+	input *receiver
 	leave func()
 	parts func() // books that it lingers
 	close sync.Once
@@ -162,7 +163,7 @@
 	if c.bytes > short {
 		c.moveOn()
 	}
-	n, err = c.TCPConn.Read(p)
+	n, err = c.input.Read(p)
 	c.bytes, c.last = c.bytes+n, p[:n]
 	if c.bytes > short {
 		c.readAt = time.Now()
@@ -287,7 +288,7 @@
 		}
 	}
 	now := time.Now()
-	c := &client{TCPConn: tcp, came: now, since: now}
+	c := &client{TCPConn: tcp, input: newReceiver(tcp), came: now, since: now}
 	c.leave = sync.OnceFunc(func() {
 		l.mu.Lock()
 		delete(l.here, c)
@@ -333,6 +334,7 @@
 		if l.setState(c, connIdle); c.bytes > 0 || len(c.ahead) > 0 {
 			l.setState(c, connReading) // part of its next message is here
 		}
+		c.input.handled(c.at == connReading)
 		c.since = time.Now()
 	case c.at == connIdle:
 		l.setState(c, connActive)
@@ -425,7 +427,7 @@
 		if rank < 0 || out[rank] != nil && !c.since.Before(out[rank].since) {
 			continue
 		}
-		if rank == 0 || rank == 3 || !peek.Sent(c.TCPConn) {
+		if rank == 0 || rank == 3 || c.input.ifSilent(func() {}) {
 			out[rank] = c
 		}
 	}
@@ -433,11 +435,17 @@
 		out[2], out[3], out[4] = nil, nil, nil
 	}
 	chosen := cmp.Or(out[0], out[1], out[2], out[3], out[4])
-	if chosen != nil {
-		if chosen.at != connClosing {
-			l.counts.Add(counters.ClientsEvicted)
-		}
+	switch {
+	case chosen == nil:
+	case chosen == out[0]:
+		chosen.evict()
+	case chosen == out[3]:
+		l.counts.Add(counters.ClientsEvicted)
 		chosen.evict()
+	case chosen.input.ifSilent(chosen.evict):
+		l.counts.Add(counters.ClientsEvicted)
+	default: // its message came just now
+		chosen = nil
 	}
 	l.mu.Unlock()
 	if chosen == nil {
@@ -464,8 +472,7 @@
 	since := time.Now().Add(-least)
 	l.mu.Lock()
 	for c := range l.here {
-		if (c.at == connIdle || c.at == connNew) && !c.since.After(since) && !peek.Sent(c.TCPConn) {
-			c.evict()
+		if (c.at == connIdle || c.at == connNew) && !c.since.After(since) && c.input.ifSilent(c.evict) {
 			out = append(out, c)
 		}
 	}
