--- a/internal/relay/clock.go
+++ b/internal/relay/clock.go
@@ -8,9 +8,14 @@
 
 // clock tells the time in whole microseconds: the wall's at its start, and from then on what has passed, so
 // that a server's start compares and nothing ever goes back.
-type clock struct{ start time.Time }
+type clock struct {
+	start time.Time
+	wall  func() brain.Micros // what the machine's wall clock says, which may be stepped
+}
 
-func startClock() clock { return clock{time.Now()} }
+func startClock() clock {
+	return clock{time.Now(), func() brain.Micros { return brain.Micros(time.Now().UnixMicro()) }}
+}
 
 // time is a moment of this clock as the runtime's timers take it.
 func (c clock) time(at brain.Micros) time.Time {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,6 +77,7 @@
 	mostEver int // as many as there are sockets for
 	ids      brain.VisitID
 	servers  map[brain.Backend]server
+	starts   map[brain.Backend]brain.Micros
 	out      map[string]bool        // taken out by hand, listed or not
 	fleet    atomic.Pointer[[2]int] // listed, and avoided of these
 	listed   chan struct{}          // closed when the first list came
@@ -101,7 +102,7 @@
 	log zerolog.Logger) (*Relay, error) {
 	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), calls: make(chan func()), due: due.New[brain.Micros](),
 		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, rare: map[string]bool{},
-		servers: map[brain.Backend]server{}, out: map[string]bool{}, listed: make(chan struct{}),
+		servers: map[brain.Backend]server{}, starts: map[brain.Backend]brain.Micros{}, out: map[string]bool{}, listed: make(chan struct{}),
 		mostEver: most, pushed: b.Site["discovery"] == "pushed", names: newNames(0),
 		outbound: out, peers: others, counts: counts, log: log}
 	r.read(b)
@@ -275,7 +276,8 @@
 		if leaving[entry.ID] = entry.Standing != brain.Ready; leaving[entry.ID] {
 			r.log.Debug().Str("server", entry.Host).Uint64("version", l.Version).Uint8("standing", uint8(entry.Standing)).Msg("leaving")
 		}
-		r.b.Listed(r.now, entry.ID, entry.Zone, entry.Cell, entry.Standing, entry.Rating, entry.Started)
+		started := r.started(entry)
+		r.b.Listed(r.now, entry.ID, entry.Zone, entry.Cell, entry.Standing, entry.Rating, started)
 	}
 	r.b.ListEnds(r.now)
 	r.recall(func(id brain.Backend) bool { return leaving[id] })
@@ -283,6 +285,7 @@
 	for id, left := range gone {
 		if left {
 			delete(r.servers, id)
+			delete(r.starts, id)
 			r.outbound.Forget(id)
 		}
 	}
--- /dev/null
+++ b/internal/relay/starts_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"ledgespread/brain"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/discovery"
+	"ledgespread/internal/outbound"
+	"ledgespread/internal/site"
+)
+
+const (
+	millisecond brain.Micros = 1000
+	oneSecond                = 1000 * millisecond
+)
+
+// The wall clock is stepped while a sidecar runs. A server that starts after that tells its start by the stepped clock, and the sidecar
+// counts in the time of its own start: after a step back of two seconds a server that had started half a second ago was counted as
+//
+//	server started ago=2500
+//
+// and got the traffic of one that was two seconds warmer. What it may be sent is a matter of the time that has passed.
+func TestStartAfterWallClockStep(t *testing.T) {
+	b, err := site.Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got, want []string
+	for _, step := range []brain.Micros{0, -2 * oneSecond, -3600 * oneSecond, 2 * oneSecond} {
+		var log strings.Builder
+		counts := &counters.Sheet{}
+		r, err := New(b, 9, outbound.New(1, 1, 9, 1, nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log))
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := discovery.Entry{ID: 1, Host: "before", Started: r.clock.now() - 500*millisecond}
+		started := r.started(before)
+		r.clock.wall = func() brain.Micros { return r.clock.now() + step }
+		r.now = r.clock.now()
+		after := discovery.Entry{ID: 2, Host: "after", Started: r.now + step - 500*millisecond}
+		// A machine that stands still between two readings of the clock makes a start seem later, never earlier.
+		ago := r.now - r.started(after)
+		r.started(after)
+		got = append(got, fmt.Sprintf("step of %d s: as told before it %v, ago no more than 0.5 s %v, told as new %d times", step/oneSecond,
+			r.started(before) == started, ago <= 500*millisecond, strings.Count(log.String(), `"server":"after"`)))
+		want = append(want, fmt.Sprintf("step of %d s: as told before it true, ago no more than 0.5 s true, told as new 1 times", step/oneSecond))
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
