--- a/internal/relay/clock.go
+++ b/internal/relay/clock.go
@@ -25,3 +25,9 @@
 func (c clock) now() brain.Micros {
 	return brain.Micros(c.start.UnixMicro()) + brain.Micros(time.Since(c.start)/time.Microsecond)
 }
+
+// setBack is by how much the machine's wall clock was set back since this one started, and not forward again.
+func (c clock) setBack() brain.Micros {
+	wall := c.wall() // read first: what passes until the other is read makes the step seem larger, and the start later
+	return max(c.now()-wall, 0)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,7 +77,7 @@
 	mostEver int // as many as there are sockets for
 	ids      brain.VisitID
 	servers  map[brain.Backend]server
-	starts   map[brain.Backend]brain.Micros
+	starts   map[brain.Backend]start
 	out      map[string]bool        // taken out by hand, listed or not
 	fleet    atomic.Pointer[[2]int] // listed, and avoided of these
 	listed   chan struct{}          // closed when the first list came
@@ -102,7 +102,7 @@
 	log zerolog.Logger) (*Relay, error) {
 	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), calls: make(chan func()), due: due.New[brain.Micros](),
 		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, rare: map[string]bool{},
-		servers: map[brain.Backend]server{}, starts: map[brain.Backend]brain.Micros{}, out: map[string]bool{}, listed: make(chan struct{}),
+		servers: map[brain.Backend]server{}, starts: map[brain.Backend]start{}, out: map[string]bool{}, listed: make(chan struct{}),
 		mostEver: most, pushed: b.Site["discovery"] == "pushed", names: newNames(0),
 		outbound: out, peers: others, counts: counts, log: log}
 	r.read(b)
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -7,14 +7,23 @@
 	"ledgespread/internal/discovery"
 )
 
-// started is when a server started, in time of this process's clock; 0: long ago.
+// start is a server's last start.
+type start struct {
+	told    brain.Micros // by the list, in the wall clock's time
+	counted brain.Micros // in this process's
+}
+
+// started is when a server started, in the time of this process; 0: long ago.
 func (r *Relay) started(entry discovery.Entry) brain.Micros {
-	if before, known := r.starts[entry.ID]; known && before == entry.Started {
-		return before
+	if before, known := r.starts[entry.ID]; known && before.told == entry.Started {
+		return before.counted
 	}
-	r.starts[entry.ID] = entry.Started
-	if entry.Started != 0 {
-		r.log.Debug().Str("server", entry.Host).Dur("ago", time.Duration(r.now-entry.Started)*time.Microsecond).Msg("server started")
+	latest := start{told: entry.Started, counted: entry.Started}
+	if latest.told != 0 {
+		// A server that starts after the wall clock was set back seems older by the step, and would be sent too much while it warms up.
+		latest.counted += r.clock.setBack()
+		r.log.Debug().Str("server", entry.Host).Dur("ago", time.Duration(r.now-latest.counted)*time.Microsecond).Msg("server started")
 	}
-	return entry.Started
+	r.starts[entry.ID] = latest
+	return latest.counted
 }
