--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -15,6 +15,7 @@
 	"ledgespread/internal/counters"
 	"ledgespread/internal/extensions"
 	"ledgespread/internal/live"
+	"ledgespread/internal/sidecar"
 	"ledgespread/internal/site"
 )
 
@@ -71,7 +72,7 @@
 	start := &cobra.Command{Use: "serve", Short: "Serve the application beside it until SIGTERM",
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			heard := hearSignals()
+			signals := sidecar.HearSignals()
 			at, err := zerolog.ParseLevel(level)
 			if err != nil {
 				return err
@@ -85,7 +86,8 @@
 				return err
 			}
 			log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", manifest.Name).Logger()
-			return serve(file, with, manifest, fitted, every, heard, log)
+			return sidecar.Run(sidecar.Options{File: file, ExtensionsFile: with, Manifest: manifest, Extensions: fitted, Version: release,
+				Tally: every, Signals: signals, Log: log})
 		}}
 	start.Flags().StringVar(&level, "log", "info", "least level that is logged: debug, info, warn or error")
 	start.Flags().DurationVar(&every, "tally", 0, "log all counters every so often, to be summed over a fleet; 0: only at the end")
--- a/cmd/ledgespread/config.go
+++ b/cmd/ledgespread/config.go
@@ -13,72 +13,13 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"ledgespread/decide/membership"
-	"ledgespread/decide/rollout"
-	"ledgespread/internal/counters"
 	"ledgespread/internal/extensions"
-	"ledgespread/internal/live"
 	"ledgespread/internal/members"
 	"ledgespread/internal/rollouts"
-	"ledgespread/internal/site"
 )
 
-// carried has configurations carried, where the sidecar is fitted so, and gives the manifest with the one in force; nil: it is not.
-func carried(file string, b *site.Manifest, f *extensions.Extensions, counts *counters.Sheet, take func(string, []byte) error,
-	log zerolog.Logger) (*site.Manifest, *rollouts.Rollouts, error) {
-	if f.Rollout == nil {
-		return b, nil, nil
-	}
-	if err := f.Rollout.Usable(); err != nil {
-		return nil, nil, err
-	}
-	own, err := os.ReadFile(file)
-	if err != nil {
-		return nil, nil, err
-	}
-	roll := rollouts.Open(f.Rollout, rollouts.Terms{Name: b.Name, Group: f.Membership.Group, Seed: b.Seed, Every: membership.Micros(f.Membership.Every),
-		Overlay: rollouts.NewOverlay(b, own), Take: take, Figures: func() rollout.Figures { return visits(counts) }}, log)
-	b, err = site.From(file, roll.InForce(own))
-	return b, roll, err
-}
-
-// visits are this sidecar's, since its start. One whose client left has ended too, and was not delivered.
-func visits(counts *counters.Sheet) rollout.Figures {
-	delivered := counts[counters.VisitsDelivered].Load() // first: never more than ended
-	ended := delivered
-	for _, c := range []counters.Count{counters.VisitsBounced, counters.VisitsErrored, counters.VisitsDropped} {
-		ended += counts[c].Load()
-	}
-	return rollout.Figures{Taken: uint64(max(counts[counters.VisitsTaken].Load(), ended)), Ended: uint64(ended), Delivered: uint64(delivered)}
-}
-
-// sound tells whether a sidecar could start by these bytes of its own file.
-func sound(file string, text []byte) error {
-	b, err := site.From(file, text)
-	if err == nil {
-		if err = live.Starts(b); err != nil {
-			err = site.In(file, text, err)
-		}
-	}
-	return err
-}
-
-// both writes one behind the other.
-type both [2]io.WriterTo
-
-func (b both) WriteTo(w io.Writer) (sum int64, err error) {
-	for _, x := range b {
-		n, err := x.WriteTo(w)
-		if sum += n; err != nil {
-			return sum, err
-		}
-	}
-	return sum, nil
-}
-
 const (
 	statusWait  = 2 * time.Second
 	publishWait = 5 * time.Second
--- a/cmd/ledgespread/members.go
+++ b/cmd/ledgespread/members.go
@@ -5,60 +5,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/netip"
-	"strconv"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
-	"ledgespread/brain"
-	"ledgespread/decide/membership"
 	"ledgespread/internal/extensions"
 	"ledgespread/internal/members"
-	"ledgespread/internal/peers"
-	"ledgespread/internal/relay"
-	"ledgespread/internal/rollouts"
-	"ledgespread/internal/site"
 )
 
-// joined has this sidecar be a member, where it is fitted so; nil: it is none. What it hears of the others goes to those who
-// tell them things.
-func joined(b *site.Manifest, f *extensions.Extensions, r *relay.Relay, others *peers.Peers, patient bool, roll *rollouts.Rollouts, log zerolog.Logger) (*members.Members, error) {
-	if f.Membership == nil {
-		return nil, nil
-	}
-	_, longest := b.Timeouts()
-	self := members.Self{Name: b.Name, Zone: f.Membership.Zone, Version: release, Number: uint16(b.Figure("me")), Senders: max(1, int(b.Figure("balancers"))),
-		Linger: time.Duration(longest) * time.Microsecond, Seed: b.Seed}
-	if self.Zone == "" {
-		mine := "azs." + strconv.Itoa(int(b.Figure("my_zone")))
-		if self.Zone, _ = b.Site[mine].(string); self.Zone == "" {
-			self.Zone, _ = b.Site[mine+".name"].(string)
-		}
-	}
-	if roll != nil {
-		self.Rider = roll
-	}
-	if others != nil {
-		self.Notes, _ = netip.ParseAddrPort(b.PeerListen)
-	}
-	return members.Open(f.Membership, self, patient, func(all []membership.Member, senders int) {
-		r.Senders(senders)
-		if others == nil {
-			return
-		}
-		living := map[brain.Peer]netip.AddrPort{}
-		for _, x := range all {
-			var at netip.AddrPort
-			if x.State <= membership.Suspect && !x.Self && at.UnmarshalBinary([]byte(x.Notes)) == nil {
-				living[brain.Peer(x.Number)] = at
-			}
-		}
-		others.Follow(living)
-	}, log)
-}
-
 // membersCommand prints what a running sidecar holds of the others.
 func membersCommand() *cobra.Command {
 	var file, at string
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -22,7 +22,7 @@
 // loses its own; see evictOne.
 type Listener struct {
 	*net.TCPListener
-	accept func() (*net.TCPConn, error) // how connections are accepted
+	accept Accept
 	places chan struct{}
 	counts *counters.Sheet
 	log    zerolog.Logger
@@ -36,6 +36,12 @@
 	idle int // of these
 }
 
+// Accept waits for a connection.
+type Accept func() (*net.TCPConn, error)
+
+// WrapAccept has connections accepted in another way. It is called before the first Accept.
+func (l *Listener) WrapAccept(wrap func(Accept) Accept) { l.accept = wrap(l.accept) }
+
 // connState is what a connection is at.
 type connState uint8
 
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -19,10 +19,14 @@
 	maxIdle        = 10 * time.Second  // an older idle connection is not used again
 )
 
+// Dial makes a connection to discovery within this time.
+type Dial func(address string, within time.Duration) (net.Conn, error)
+
 // service is discovery at one address, with the connections to it that are open.
 type service struct {
 	address   string
 	maxAnswer int // bytes
+	dial      Dial
 
 	// Under the watcher's lock:
 	version uint64 // of the newest list that was told
@@ -60,8 +64,8 @@
 	return response.ReadLimitBody(c.reader, maxAnswer)
 }
 
-func newService(address string, maxAnswer int) *service {
-	return &service{address: address, maxAnswer: maxAnswer, open: map[*connection]bool{}}
+func newService(address string, maxAnswer int, dial Dial) *service {
+	return &service{address: address, maxAnswer: maxAnswer, dial: dial, open: map[*connection]bool{}}
 }
 
 // acquire finds an idle connection, or opens one. Where there are too many, the one whose call is out for longest is closed.
@@ -70,7 +74,7 @@
 		return c, nil
 	}
 	tcp, err := machine.Retry(context.Background(), time.Now().Add(waitMost), func() (net.Conn, error) {
-		return fasthttp.DialTimeout(s.address, waitMost)
+		return s.dial(s.address, waitMost)
 	})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errOutOfReach, err)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
 
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
@@ -21,6 +22,7 @@
 	among     int          // sidecars that ask the same service
 	maxAnswer int          // bytes
 	seed      uint64
+	dial      Dial
 	tell      func(*List)
 	counts    *counters.Sheet
 	log       zerolog.Logger
@@ -45,14 +47,17 @@
 // may have more than maxAnswer bytes.
 func New(address string, zones map[string]int, version uint64, askEvery brain.Micros, among, maxAnswer int, seed uint64,
 	tell func(*List), counts *counters.Sheet, log zerolog.Logger) *Watcher {
-	w := &Watcher{zones: zones, among: max(among, 1), maxAnswer: maxAnswer, seed: seed, tell: tell,
+	w := &Watcher{zones: zones, among: max(among, 1), maxAnswer: maxAnswer, seed: seed, dial: fasthttp.DialTimeout, tell: tell,
 		counts: counts, log: log, heardAt: time.Now()}
-	w.at = newService(address, maxAnswer)
+	w.at = newService(address, maxAnswer, w.dial)
 	w.at.version = version
 	w.Retune(askEvery, 0)
 	return w
 }
 
+// DialBy has connections to discovery made in another way. It is called before the first call.
+func (w *Watcher) DialBy(dial Dial) { w.dial, w.at.dial = dial, dial }
+
 // Retune takes over new settings, for calls that begin: askEvery as for New, grace as for Keep.
 func (w *Watcher) Retune(askEvery, grace brain.Micros) {
 	every := time.Duration(askEvery) * time.Microsecond
@@ -93,7 +98,7 @@
 		return
 	}
 	w.retire(w.at)
-	w.at = newService(address, w.maxAnswer)
+	w.at = newService(address, w.maxAnswer, w.dial)
 	w.at.silent = true
 	w.failed, w.heardAt = 0, time.Now()
 	w.log.Info().Str("discovery", address).Msg("discovery moved")
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -101,6 +101,12 @@
 // Steer has new clients come here, no longer to the process that served before at this address.
 func (in *Inbound) Steer() error { return connlimit.Steer(in.listener) }
 
+// AcceptWrapper gives another way to accept connections, by the one that there is.
+type AcceptWrapper = func(connlimit.Accept) connlimit.Accept
+
+// WrapAccept has connections accepted in another way. It is called before Serve.
+func (in *Inbound) WrapAccept(wrap AcceptWrapper) { in.listener.WrapAccept(wrap) }
+
 // Serve goes on until Stop.
 func (in *Inbound) Serve() error { return in.server.Serve(in.listener) }
 
--- a/internal/relay/clock.go
+++ b/internal/relay/clock.go
@@ -31,3 +31,6 @@
 	wall := c.wall() // read first: what passes until the other is read makes the step seem larger, and the start later
 	return max(c.now()-wall, 0)
 }
+
+// ReadWallBy has the wall clock read by this. It is called before Run.
+func (r *Relay) ReadWallBy(wall func() brain.Micros) { r.clock.wall = wall }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -291,6 +291,9 @@
 	}
 }
 
+// DialDiscoveryBy has connections to discovery made in another way. It is called before Run.
+func (r *Relay) DialDiscoveryBy(dial discovery.Dial) { r.watcher.DialBy(dial) }
+
 // Move has the list asked for at another address from now on.
 func (r *Relay) Move(discovery string) { r.watcher.Move(discovery) }
 
--- /dev/null
+++ b/internal/sidecar/console.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"ledgespread/brain"
+	"ledgespread/internal/console"
+	"ledgespread/internal/counters"
+	"ledgespread/internal/handover"
+	"ledgespread/internal/inbound"
+)
+
+// figuresEvery is how old published figures are at the most; what another process wrote is read so soon.
+const figuresEvery = 100 * time.Millisecond
+
+// openConsole serves the second address, where there is one, and takes over which servers staff took out. Clients may come later.
+func (p *process) openConsole() error {
+	if p.Manifest.Console == "" {
+		return nil
+	}
+	state, before := handover.Open(os.TempDir(), p.Manifest.Name, p.Manifest.Listen, p.Log)
+	p.before = before
+	p.relay.Inherit(state.Out())
+	state.Write()
+	p.relay.Attend(brain.Micros(figuresEvery.Microseconds()))
+	if before != 0 {
+		p.boundHeap(2)
+	}
+	go p.follow(state, before)
+	staff, err := console.Listen(p.Manifest.Console, p.Manifest.Sockets, p.forStaff(state), p.counts, p.Log)
+	if err != nil {
+		return err
+	}
+	go func() {
+		err := staff.Serve()
+		p.Log.Error().Err(err).Msg("the second address ended")
+	}()
+	p.replaced = state.Replaced
+	return nil
+}
+
+// forStaff is what the second address offers.
+func (p *process) forStaff(state *handover.State) console.Sidecar {
+	whileServing := func(do func(*inbound.Inbound)) func() {
+		return func() {
+			if in := p.inbound.Load(); in != nil {
+				do(in)
+			}
+		}
+	}
+	return console.Sidecar{
+		Ready: func() bool {
+			in := p.inbound.Load()
+			return in != nil && in.Ready()
+		},
+		Figures: func(w io.Writer) {
+			whileServing(func(in *inbound.Inbound) { in.Accounts().WriteTo(w) })()
+			listed, avoided := p.relay.Fleet()
+			fmt.Fprintf(w, "app.forwards=%d\napp.discovered=%d\napp.ejected=%d\n", p.counts[counters.FetchesWritten].Load(), listed, avoided)
+		},
+		Server: func(ctx context.Context, id string, out bool) error {
+			return state.Change(ctx, func() ([]string, error) { return p.relay.ByHand(id, out) })
+		},
+		OutOfService: whileServing((*inbound.Inbound).OutOfService),
+		InService:    whileServing((*inbound.Inbound).InService),
+	}
+}
+
+// follow looks what another process of this sidecar writes down, and whether the one that was here before lives still. It has a goroutine of
+// its own, since requests must not wait for a slow disk.
+func (p *process) follow(state *handover.State, before int) {
+	for ; ; time.Sleep(figuresEvery) {
+		if hosts, anew := state.Changed(); anew {
+			p.relay.TakeOver(hosts)
+		}
+		if before != 0 && !handover.Lives(before) {
+			before = 0
+			p.boundHeap(1)
+		}
+	}
+}
