--- a/cmd/ledgelab/experiments.go
+++ b/cmd/ledgelab/experiments.go
@@ -7,10 +7,12 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"ledgespread/lab/bare"
 	"ledgespread/lab/compare"
+	"ledgespread/lab/failing"
 	"ledgespread/lab/faulty"
 	"ledgespread/lab/load"
 	"ledgespread/lab/prove"
@@ -301,5 +303,23 @@
 	bad := &cobra.Command{Use: "faulty", Short: "Be a sidecar that breaks one rule", Hidden: true, Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error { return faulty.Serve(os.Getenv("RELAY_CONFIG"), way) }}
 	bad.Flags().StringVar(&way, "break", "honest", "the way")
-	return []*cobra.Command{plain, bad}
+	return []*cobra.Command{plain, bad, failingCommand()}
+}
+
+// failingCommand is the sidecar on a machine that fails.
+func failingCommand() *cobra.Command {
+	var wall, level string
+	var seed uint64
+	c := &cobra.Command{Use: "failing", Short: "Be a sidecar on a machine whose calls fail", Hidden: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			at, err := zerolog.ParseLevel(level)
+			if err != nil {
+				return err
+			}
+			return failing.Serve(os.Getenv("RELAY_CONFIG"), wall, seed, at)
+		}}
+	c.Flags().StringVar(&wall, "wall", "", "file with the step of the wall clock in microseconds")
+	c.Flags().StringVar(&level, "log", "warn", "least level that is logged")
+	c.Flags().Uint64Var(&seed, "seed", 1, "of what fails")
+	return c
 }
--- a/cmd/ledgelab/soak.go
+++ b/cmd/ledgelab/soak.go
@@ -12,6 +12,7 @@
 	"ledgespread/lab/faulty"
 	"ledgespread/lab/sidecars"
 	"ledgespread/lab/soak"
+	"ledgespread/lab/stage"
 )
 
 func soakCommand() *cobra.Command {
@@ -29,8 +30,14 @@
 			if err != nil {
 				return err
 			}
+			var onMachine stage.OnMachine
+			if planted == "" {
+				if onMachine, err = failingProgram(); err != nil {
+					return err
+				}
+			}
 			out := c.OutOrStdout()
-			outcomes, err := soak.Play(soak.Options{Program: p, From: from, To: to, Length: int(length.Milliseconds()), Only: only, AtOnce: atOnce,
+			outcomes, err := soak.Play(soak.Options{Program: p, OnMachine: onMachine, From: from, To: to, Length: int(length.Milliseconds()), Only: only, AtOnce: atOnce,
 				Folder: o.folder, Stop: interrupted(), Say: func(line string) { fmt.Fprintln(out, line) }})
 			if err != nil {
 				return err
@@ -95,3 +102,15 @@
 	self, err := os.Executable()
 	return sidecars.Program{Path: self, Args: []string{"faulty", "--break", planted}, Name: planted}, err
 }
+
+// failingProgram is this program as a sidecar on a machine that fails.
+func failingProgram() (stage.OnMachine, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	return func(wall string, seed uint64) sidecars.Program {
+		return sidecars.Program{Path: self, Args: []string{"failing", "--wall", wall, "--seed", strconv.FormatUint(seed, 10), "--log", "warn"},
+			Name: "failing"}
+	}, nil
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -96,11 +96,23 @@
 	log      zerolog.Logger
 }
 
+// Machine is how a relay reaches the machine that it runs on. What is nil is as the operating system has it.
+type Machine struct {
+	DialDiscovery discovery.Dial
+	Wall          func() brain.Micros // the wall clock
+}
+
 // New makes a relay with its Balancer, which then holds the saved list. It holds most visits at once, or
 // fewer where the settings say so.
 func New(b *site.Manifest, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
 	log zerolog.Logger) (*Relay, error) {
-	r := &Relay{clock: startClock(), mail: make(chan func(), 1024), calls: make(chan func()), due: due.New[brain.Micros](),
+	return NewOn(Machine{}, b, most, out, others, counts, log)
+}
+
+// NewOn makes one that reaches its machine so.
+func NewOn(machine Machine, b *site.Manifest, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
+	log zerolog.Logger) (*Relay, error) {
+	r := &Relay{clock: startClock(machine.Wall), mail: make(chan func(), 1024), calls: make(chan func()), due: due.New[brain.Micros](),
 		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, rare: map[string]bool{},
 		servers: map[brain.Backend]server{}, starts: map[brain.Backend]start{}, out: map[string]bool{}, listed: make(chan struct{}),
 		mostEver: most, pushed: b.Site["discovery"] == "pushed", names: newNames(0),
@@ -114,6 +126,9 @@
 	r.watcher = discovery.New(b.Discovery, zones, saved.Version, b.Span("obligations.ask_every_us"),
 		int(b.Figure("balancers")), max(b.MemoryMB<<20/listPart, listLeast), b.Seed,
 		r.hear, counts, log)
+	if machine.DialDiscovery != nil {
+		r.watcher.DialBy(machine.DialDiscovery)
+	}
 	r.now = r.clock.now()
 	if r.b, err = brain.New(r.now, b.Site, b.Seed, r); err != nil {
 		return nil, &site.Odd{Name: "settings", Err: err}
@@ -291,9 +306,6 @@
 	}
 }
 
-// DialDiscoveryBy has connections to discovery made in another way. It is called before Run.
-func (r *Relay) DialDiscoveryBy(dial discovery.Dial) { r.watcher.DialBy(dial) }
-
 // Move has the list asked for at another address from now on.
 func (r *Relay) Move(discovery string) { r.watcher.Move(discovery) }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -138,15 +138,10 @@
 	if p.Machine.Dial != nil {
 		servers.Dial = p.Machine.Dial
 	}
-	if p.relay, err = relay.New(b, int(heldPart*p.toServers), servers, p.peers, p.counts, p.Log); err != nil {
+	machine := relay.Machine{DialDiscovery: p.Machine.DialDiscovery, Wall: p.Machine.Wall}
+	if p.relay, err = relay.NewOn(machine, b, int(heldPart*p.toServers), servers, p.peers, p.counts, p.Log); err != nil {
 		return err
 	}
-	if p.Machine.DialDiscovery != nil {
-		p.relay.DialDiscoveryBy(p.Machine.DialDiscovery)
-	}
-	if p.Machine.Wall != nil {
-		p.relay.ReadWallBy(p.Machine.Wall)
-	}
 	if p.Extensions.Messages != nil && p.peers != nil {
 		p.relay.Bound(b, float64(p.Extensions.Messages.Bytes))
 	}
--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -84,6 +84,10 @@
 
 // Serve is a sidecar as the configuration tells, that breaks a rule in this way, until SIGTERM.
 func Serve(file, way string) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	again := make(chan os.Signal, 1) // heard from the first step on: one that came before would end the process
+	signal.Notify(again, syscall.SIGHUP)
 	told, err := sidecars.Told(file)
 	if err != nil {
 		return err
@@ -125,16 +129,14 @@
 		return err
 	}
 	h := &http.Server{Handler: c}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP)
 	go func() {
 		for range again {
 			c.moved(file)
 		}
 	}()
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		<-stop
 		h.SetKeepAlivesEnabled(false)
 		time.Sleep(newConnections)
@@ -145,6 +147,7 @@
 	if err := h.Serve(ln); err != http.ErrServerClosed {
 		return err
 	}
+	<-ended // Serve returns when Shutdown begins, with requests out
 	return nil
 }
 
--- a/lab/list/list.go
+++ b/lab/list/list.go
@@ -23,6 +23,7 @@
 	Health            string // in_service, terminating, terminated
 	Share             float64
 	Born              Micros // 0: long ago
+	Step              Micros // of the wall clock, by which that is told
 	Dial              func(reader string) string
 }
 
@@ -216,7 +217,7 @@
 	line := func(h Host) {
 		born := int64(0)
 		if h.Born > 0 {
-			born = l.clock.Wall(h.Born)
+			born = l.clock.Wall(h.Born + h.Step)
 		}
 		l.Lines++
 		hosts = append(hosts, map[string]any{"host": h.Name, "dial": h.Dial(name), "site": h.Zone, "class": h.Model,
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -56,6 +56,7 @@
 	List     List           `toml:"list"`
 	Rules    Rules          `toml:"rules"`
 	Members  Members        `toml:"members"`
+	Machine  Machine        `toml:"machine"`
 	Allowed  map[string]any `toml:"allowed"` // over the lab's usual ones, as the settings name them
 	Faults   []Fault        `toml:"fault"`
 	Expect   Expect         `toml:"expect"`
@@ -70,6 +71,11 @@
 	Sockets  int     `toml:"sockets"`
 }
 
+// Machine is what sidecars run on.
+type Machine struct {
+	Fails bool `toml:"calls_fail"` // accepts, connects, reads and writes fail now and then, as Linux documents
+}
+
 // Members has the sidecars be members of one group.
 type Members struct {
 	Every  Span `toml:"probe_every"` // 0: they are not
@@ -220,6 +226,7 @@
 	"list_down": "list", "list_late": "list", "list_move": "list", "list_moves": "list", "list_slow": "list", "list_refuse": "list",
 	"list_silent": "list", "list_answers_late": "list", "sidecar_end": "sidecars", "crowd": "clients",
 	"silence": "network", "cut": "network", "reset": "network", "delay": "network", "refuse": "network", "narrow": "network",
+	"wall_back": "machine", "wall_forward": "machine",
 	"cut_word": "ways", "part": "ways", "lose": "ways", "double": "ways", "late": "ways", "sidecar_move": "sidecars",
 	"flood": "tenant", "surge": "",
 }
@@ -419,7 +426,7 @@
 		check(!lengthy[f.What] || f.For > 0, "fault", i, "for", "is missing for %s", f.What)
 		check(!slices.Contains([]string{"slow", "share", "flood", "surge", "list_moves", "crowd"}, f.What) || f.Times > 1, "fault", i, "times",
 			"must be over 1 for %s", f.What)
-		check(!slices.Contains([]string{"delay", "list_late", "late", "list_slow", "list_answers_late"}, f.What) || f.By > 0, "fault", i, "by", "is missing for %s", f.What)
+		check(!slices.Contains([]string{"delay", "list_late", "late", "list_slow", "list_answers_late", "wall_back", "wall_forward"}, f.What) || f.By > 0, "fault", i, "by", "is missing for %s", f.What)
 		check(f.What != "narrow" || f.Bytes > 0, "fault", i, "bytes_per_s", "must be over 0 for narrow")
 		check(!slices.Contains([]string{"errors", "spoil", "lose", "double", "late", "list_refuse", "list_silent"}, f.What) || f.Part > 0 && f.Part <= 1, "fault", i, "part",
 			"must be over 0 and at most 1 for %s", f.What)
--- a/lab/soak/draw.go
+++ b/lab/soak/draw.go
@@ -33,6 +33,7 @@
 	backends, sidecars int
 	zones              []string
 	length             int
+	machineFails       bool
 }
 
 // between draws a whole number from least to most.
@@ -92,6 +93,24 @@
 	{"narrow", func(d *drawer) string { return d.backend() + d.lasts(300, 3000) + "bytes_per_s = 4000\n" }},
 	{"surge", func(d *drawer) string { return d.lasts(300, 2000) + d.times(2, 4) }},
 	{"crowd", func(d *drawer) string { return d.lasts(500, 3000) + d.times(10, 60) }},
+	{wallBack, func(d *drawer) string { return d.step() }},
+	{wallForward, func(d *drawer) string { return d.step() }},
+}
+
+// Steps of the wall clock are played where sidecars run on a machine that fails.
+const (
+	wallBack    = "wall_back"
+	wallForward = "wall_forward"
+)
+
+func isStep(f fault) bool { return f.kind == wallBack || f.kind == wallForward }
+
+// step is by how much the wall clock is stepped: seconds, or an hour.
+func (d *drawer) step() string {
+	if d.Below(3) == 0 {
+		return "by = \"3600000ms\"\n"
+	}
+	return d.by(500, 9000)
 }
 
 // Kinds are the names of all kinds of faults.
@@ -113,6 +132,10 @@
 		kinds = faults[at : at+1]
 	}
 	d := &drawer{Source: chance.New(seed, "soak"), length: length}
+	d.machineFails = d.Below(2) == 0 || only == wallBack || only == wallForward
+	if !d.machineFails {
+		kinds = slices.DeleteFunc(slices.Clone(kinds), isStep)
+	}
 	text := d.fleet(seed) + d.settings() + d.trouble(kinds)
 	return scenario.Parse(fmt.Sprintf("(soak, seed %d)", seed), []byte(text))
 }
@@ -126,7 +149,7 @@
 	d.zones = []string{"a", "b"}[:d.between(1, 2)]
 	var text strings.Builder
 	fmt.Fprintf(&text, "name = \"soak\"\nseed = %d\nlength = \"%dms\"\nzones = [\"%s\"]\n", seed, d.length, strings.Join(d.zones, "\", \""))
-	fmt.Fprintf(&text, "[sidecars]\ncount = %d\n", d.sidecars)
+	fmt.Fprintf(&text, "[sidecars]\ncount = %d\n[machine]\ncalls_fail = %v\n", d.sidecars, d.machineFails)
 	for i := range d.backends {
 		fmt.Fprintf(&text, "[[backend]]\nzone = \"%s\"\nspeed = %.1f\n", d.zones[i%len(d.zones)], float64(d.between(8, 20))/10)
 	}
@@ -159,7 +182,7 @@
 	return text.String()
 }
 
-// trouble draws the faults: always an episode of the list, a server that comes back cold and the end of a sidecar, then some of these kinds.
+// trouble draws the faults: always an episode of the list, servers that come back cold and the end of a sidecar, then some of these kinds.
 func (d *drawer) trouble(kinds []fault) string {
 	var text strings.Builder
 	add := func(kind string, at int, lines string) {
@@ -167,7 +190,7 @@
 	}
 	last := max(d.length-calmEnd, faultsFrom+1)
 	d.episode(d.between(faultsFrom, max(last-episodeLasts, faultsFrom+1)), add)
-	add("kill_cold", d.between(faultsFrom, last), d.backend()+d.lasts(500, 1500))
+	d.coldReturn(d.between(faultsFrom, last), add)
 	add("sidecar_end", d.between(faultsFrom, last), d.sidecar())
 	for range d.between(leastFaults, mostFaults) {
 		f := kinds[d.Below(len(kinds))]
@@ -202,3 +225,22 @@
 		add("drain", from+d.between(500, 4500), d.backend()+d.lasts(3500, 5000))
 	}
 }
+
+const (
+	mostCold   = 2
+	outOfSight = 900 // how long servers are gone that come back cold
+	coldSurge  = 3000
+)
+
+// coldReturn has servers come back cold under a surge. Where the machine fails its wall clock is stepped before they start, so that their
+// starts are told by it.
+func (d *drawer) coldReturn(from int, add func(kind string, at int, lines string)) {
+	first := d.Below(d.backends)
+	for i := range d.between(1, mostCold) {
+		add("kill_cold", from, fmt.Sprintf("backends = \"b%d\"\nfor = \"%dms\"\n", (first+i)%d.backends, outOfSight))
+	}
+	if d.machineFails {
+		add([]string{wallBack, wallForward}[d.Below(2)], from+outOfSight/2, d.step())
+	}
+	add("surge", from+outOfSight, fmt.Sprintf("for = \"%dms\"\ntimes = %.1f\n", coldSurge, float64(d.between(15, 25))/10))
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -18,14 +18,15 @@
 
 // Options are what is played.
 type Options struct {
-	Program  sidecars.Program
-	From, To uint64 // seeds
-	Length   int    // milliseconds of a day
-	Only     string // kind of fault; "": any
-	AtOnce   int    // days side by side
-	Folder   string // for logs of the sidecars; "": none are kept
-	Stop     <-chan struct{}
-	Say      func(line string)
+	Program   sidecars.Program
+	OnMachine stage.OnMachine // the same on a machine that fails
+	From, To  uint64          // seeds
+	Length    int             // milliseconds of a day
+	Only      string          // kind of fault; "": any
+	AtOnce    int             // days side by side
+	Folder    string          // for logs of the sidecars; "": none are kept
+	Stop      <-chan struct{}
+	Say       func(line string)
 }
 
 // Outcome is one day.
@@ -111,6 +112,9 @@
 		outcome.Err = err
 		return outcome
 	}
+	if s.Machine.Fails {
+		outcome.Faults = append(outcome.Faults, "machine")
+	}
 	for _, f := range s.Faults {
 		outcome.Faults = append(outcome.Faults, f.What)
 	}
@@ -118,7 +122,7 @@
 	if folder != "" {
 		folder = fmt.Sprintf("%s/seed-%d", folder, seed)
 	}
-	rig, err := stage.Raise(s, stage.Options{Program: o.Program, Seed: seed, Folder: folder, Stop: o.Stop})
+	rig, err := stage.Raise(s, stage.Options{Program: o.Program, OnMachine: o.OnMachine, Seed: seed, Folder: folder, Stop: o.Stop})
 	if err != nil {
 		outcome.Err = err
 		return outcome
--- a/lab/stage/faults.go
+++ b/lab/stage/faults.go
@@ -60,6 +60,8 @@
 		g.toNetwork(e)
 	case "ways":
 		g.toWays(e)
+	case "machine":
+		g.toMachine(e)
 	case "clients":
 		g.crowd(e)
 	default: // it stands in the plan's arrivals
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -32,13 +32,14 @@
 
 // Options are what a run has beside its scenario.
 type Options struct {
-	Program sidecars.Program
-	Seed    uint64          // 0: the scenario's
-	Folder  string          // for configurations and logs; "" for one that is removed
-	Watch   func(Live)      // called now and then
-	Every   Micros          // between two such calls
-	Stop    <-chan struct{} // ends the run early
-	Break   string          // a guard of the lab that is off, so that a proof can be shown to fail
+	Program   sidecars.Program
+	OnMachine OnMachine       // nil: the program itself runs there too
+	Seed      uint64          // 0: the scenario's
+	Folder    string          // for configurations and logs; "" for one that is removed
+	Watch     func(Live)      // called now and then
+	Every     Micros          // between two such calls
+	Stop      <-chan struct{} // ends the run early
+	Break     string          // a guard of the lab that is off, so that a proof can be shown to fail
 }
 
 // Live is a look at a run.
@@ -96,6 +97,7 @@
 	marks    []report.Mark
 	notes    []string
 	faults   sync.WaitGroup
+	wallStep Micros
 	over     bool
 }
 
@@ -209,7 +211,7 @@
 
 // show tells the list of a backend.
 func (g *Rig) show(b *backend.Backend, health string, born, notice Micros) {
-	g.list.Set(list.Host{Name: b.Name, Zone: b.Zone, Model: b.Model, Cell: b.Cell, Health: health,
+	g.list.Set(list.Host{Name: b.Name, Zone: b.Zone, Model: b.Model, Cell: b.Cell, Health: health, Step: g.stepNow(),
 		Share: b.Make.Speed * float64(b.Make.Cores), Born: born,
 		Dial: func(reader string) string { return g.dial(reader, b) }}, notice)
 }
@@ -279,10 +281,14 @@
 	if err := g.raiseMesh(len(names)); err != nil {
 		return err
 	}
+	program, err := g.program()
+	if err != nil {
+		return err
+	}
 	for i, name := range names {
 		zone := g.zones[name]
 		seeds := chance.New(g.o.Seed, name) // a start's is new; one sidecar is configured by one goroutine at a time
-		sidecar, err := sidecars.New(name, zone, g.o.Program, g.folder, g.clock, func(at string) ([]byte, error) {
+		sidecar, err := sidecars.New(name, zone, program, g.folder, g.clock, func(at string) ([]byte, error) {
 			return g.configuration(i, name, at, listen[i], peers[i], seeds.Bits())
 		})
 		if err != nil {
