--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -111,6 +111,11 @@
 			c.effects[name], _ = p["effect"].(string)
 		}
 	}
+	go func() {
+		for range again {
+			c.moved(file)
+		}
+	}()
 	for begun := time.Now(); ; time.Sleep(listEvery) { // the list may be out of reach at the start
 		if err := c.ask(); err == nil {
 			break
@@ -129,11 +134,6 @@
 		return err
 	}
 	h := &http.Server{Handler: c}
-	go func() {
-		for range again {
-			c.moved(file)
-		}
-	}()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
