--- a/internal/connlimit/share.go
+++ b/internal/connlimit/share.go
@@ -32,7 +32,7 @@
 }
 
 // Steer sends whatever newly comes at a shared address to the socket that was opened second: this one, where an older
-// process has the first. Guards against connections that wait at a socket whose process is about to close it: they would be
+// process has the first. Connections that wait at a socket whose process is about to close it would be
 // reset. When the older one is gone there is no second, and the kernel takes the one that is left.
 func Steer(socket syscall.Conn) error {
 	raw, err := socket.SyscallConn()
