--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -323,8 +323,8 @@
 }
 
 func (w *still) Dispatch(VisitID, Backend, Micros)    {}
-func (w *still) Bounce(VisitID, Micros)               {}
-func (w *still) ErrorPage(VisitID)                    {}
+func (w *still) Bounce(VisitID, Micros, Reason)               {}
+func (w *still) ErrorPage(VisitID, Reason)                    {}
 func (w *still) Cancel(VisitID, FetchNo)              {}
 func (w *still) Wake(in Micros, t Token)              { w.wakes = append(w.wakes, wake{w.now + in, t}) }
 func (w *still) CloseIdle(Backend)                    {}
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -106,10 +106,10 @@
 	d.count[be]++
 	d.sent[fmt.Sprint(v, "/", len(d.b.visits[v].fetches)-1)] = d.now
 }
-func (d *day) Bounce(v VisitID, in Micros) {
+func (d *day) Bounce(v VisitID, in Micros, _ Reason) {
 	d.say("visit %d bounced, come back in %d ms", v, in/ms)
 }
-func (d *day) ErrorPage(v VisitID)          { d.say("visit %d error page", v) }
+func (d *day) ErrorPage(v VisitID, _ Reason)          { d.say("visit %d error page", v) }
 func (d *day) Cancel(v VisitID, no FetchNo) { d.say("visit %d fetch %d called off", v, no) }
 func (d *day) Wake(in Micros, t Token)      { d.wakes = append(d.wakes, wake{d.now + in, t}) }
 func (d *day) CloseIdle(be Backend)         { d.say("idle connections to %c closed", be) }
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -66,11 +66,23 @@
 // "path_prefixes.0.value") to a float64, string or bool.
 type Site map[string]any
 
+// Reason is why a request got an answer that is no server's, as the log and the tally call it.
+type Reason string
+
+// The reasons.
+const (
+	TurnedNoServer Reason = "turned_no_server" // no server may have it
+	TurnedCrowded  Reason = "turned_crowded"   // admission control refused it
+	TurnedLate     Reason = "turned_late"      // no time is left for another attempt
+	TurnedDenied   Reason = "turned_denied"    // the retry bucket is empty
+	EndedLate      Reason = "ended_late"       // its time is up
+)
+
 // Ports is all that the module can do to the world. Calls must not call back into the module.
 type Ports interface {
 	Dispatch(v VisitID, be Backend, tryFor Micros)              // one backend fetch; tryFor 0: until the client quits
-	Bounce(v VisitID, comeBackIn Micros)                        // final: a retry is harmless
-	ErrorPage(v VisitID)                                        // final: promises nothing
+	Bounce(v VisitID, comeBackIn Micros, why Reason)            // final: a retry is harmless
+	ErrorPage(v VisitID, why Reason)                            // final: promises nothing
 	Cancel(v VisitID, no FetchNo)                               // stop waiting for one fetch
 	Wake(in Micros, t Token)                                    // Balancer.Woken(t) is due after this
 	CloseIdle(be Backend)                                       // give back connections that carry nothing
--- a/brain/retries.go
+++ b/brain/retries.go
@@ -38,21 +38,21 @@
 	b.spent = min(b.spent, b.capacity())
 	switch {
 	case b.now+v.wait() >= v.wanted:
-		b.giveUp(v, "turned_late")
+		b.giveUp(v, TurnedLate)
 		return
 	case !b.onward(v, nil, v.out):
-		b.giveUp(v, "turned_no_server")
+		b.giveUp(v, TurnedNoServer)
 		return
 	case b.capacity()-b.spent < retryCost:
 		b.out.Print("retry denied: the bucket is empty")
-		b.giveUp(v, "turned_denied")
+		b.giveUp(v, TurnedDenied)
 		return
 	}
 	b.at(b.now+v.wait(), func() {
 		be := b.pick(v, false, false)
 		if be == nil {
 			b.giveBack(retryCost) // never sent: nothing was spent
-			b.giveUp(v, "turned_no_server")
+			b.giveUp(v, TurnedNoServer)
 			return
 		}
 		b.send(v, be, b.after(v, true))
--- a/brain/retune_test.go
+++ b/brain/retune_test.go
@@ -461,14 +461,14 @@
 	return v
 }
 
-func (j *judge) Bounce(id VisitID, back Micros) {
+func (j *judge) Bounce(id VisitID, back Micros, _ Reason) {
 	if v := j.final(id, "bounced"); !v.harmless(j.now, j, 0) {
 		j.wrong("rule 2: visit %d bounced, and a retry is not harmless: %+v", id, v)
 	} else if back > v.back {
 		j.wrong("visit %d is to come back in %d, and the settings allow %d", id, back, v.back)
 	}
 }
-func (j *judge) ErrorPage(id VisitID)                 { j.final(id, "error page") }
+func (j *judge) ErrorPage(id VisitID, _ Reason)                 { j.final(id, "error page") }
 func (j *judge) Cancel(VisitID, FetchNo)              {}
 func (j *judge) Wake(in Micros, t Token)              { j.wakes = append(j.wakes, wake{j.now + in, t}) }
 func (j *judge) CloseIdle(Backend)                    {}
--- a/brain/visits.go
+++ b/brain/visits.go
@@ -20,15 +20,15 @@
 }
 
 // giveUp answers a visit that goes nowhere any more, at once, unless a fetch is still out.
-func (b *Balancer) giveUp(v *visit, why string) {
+func (b *Balancer) giveUp(v *visit, why Reason) {
 	if !v.ended && v.out == 0 {
 		b.answer(v, why)
 	}
 }
 
 // answer is a visit's last answer without a delivery. One that is too late is not worth coming back for.
-func (b *Balancer) answer(v *visit, why string) {
-	b.tally[why]++
+func (b *Balancer) answer(v *visit, why Reason) {
+	b.tally[string(why)]++
 	comeBack := v.on.target / 4
 	switch {
 	case b.now >= v.wanted:
@@ -40,9 +40,9 @@
 		comeBack = min(comeBack, max(v.fetches[0].sent+v.on.window-b.now, 0)/2)
 	}
 	if v.harmless(b.now, nil) && b.now < v.until-v.on.step { // too late for a client to hear it
-		b.out.Bounce(v.id, min(comeBack, v.on.comeBack))
+		b.out.Bounce(v.id, min(comeBack, v.on.comeBack), why)
 	} else {
-		b.out.ErrorPage(v.id)
+		b.out.ErrorPage(v.id, why)
 	}
 	b.end(v)
 }
@@ -94,7 +94,7 @@
 	}
 	b.at(last, func() {
 		if !v.ended {
-			b.answer(v, "ended_late")
+			b.answer(v, EndedLate)
 		}
 	})
 	b.ask(v)
@@ -103,11 +103,11 @@
 func (b *Balancer) place(v *visit, be *backend) {
 	switch {
 	case be == nil:
-		b.giveUp(v, "turned_no_server")
+		b.giveUp(v, TurnedNoServer)
 	case b.admit(v, be):
 		b.send(v, be, b.after(v, false))
 	default:
-		b.giveUp(v, "turned_crowded")
+		b.giveUp(v, TurnedCrowded)
 	}
 }
 
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -159,6 +159,7 @@
 // connection, and against reading the rest of what was malformed as a message.
 func (in *Inbound) refuse(ctx *fasthttp.RequestCtx, status int, fault string) {
 	in.counts.Add(counters.BadInput)
+	in.log.Debug().Stringer("client", ctx.RemoteAddr()).Int("status", status).Str("reason", fault).Msg("message refused")
 	connlimit.Plain(ctx, status, fault)
 	ctx.SetConnectionClose()
 }
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -56,7 +56,7 @@
 // loads.
 func New(idle, connect brain.Micros, most, room int, loads []string, counts *counters.Sheet, log zerolog.Logger) *Outbound {
 	o := &Outbound{Dial: dialTCP, workers: make(workers), room: room, counts: counts, log: log,
-		pool: pool{idle: map[brain.Backend][]*conn{}, most: most, counts: counts}}
+		pool: pool{idle: map[brain.Backend][]*conn{}, most: most, counts: counts, log: log}}
 	o.Retune(idle, connect, loads)
 	return o
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/peek"
@@ -50,6 +52,23 @@
 	open   int
 	most   int
 	counts *counters.Sheet
+	log    zerolog.Logger
+}
+
+// Why a connection that carries nothing is closed, as the log has it.
+const (
+	reasonMoved     = "the server has another address"
+	reasonIdle      = "idle for as long as it may"
+	reasonStale     = "the server closed it, or sent something unasked"
+	reasonRoom      = "another server needs its place"
+	reasonForgotten = "its server left, or broke another one"
+)
+
+// logClosed tells at debug that a connection was closed, and why.
+func (p *pool) logClosed(l *conn, reason string) {
+	if entry := p.log.Debug(); entry.Enabled() {
+		entry.Str("server", l.address).Dur("idle", time.Since(l.idle)).Str("reason", reason).Msg("server connection closed")
+	}
 }
 
 // settles is how long a server's last word may be late: some milliseconds, by the platform's page.
@@ -65,10 +84,19 @@
 			return nil
 		}
 		time.Sleep(settles - time.Since(l.idle))
-		if l.address == address && int64(time.Since(l.idle)) < p.keep.Load() && l.alive() {
+		reason := ""
+		switch {
+		case l.address != address:
+			reason = reasonMoved
+		case int64(time.Since(l.idle)) >= p.keep.Load():
+			reason = reasonIdle
+		case !l.alive():
+			reason = reasonStale
+		default:
 			return l
 		}
 		p.counts.Add(counters.ConnectionsStale)
+		p.logClosed(l, reason)
 		l.Close()
 		p.closed()
 	}
@@ -106,7 +134,7 @@
 		if since.IsZero() {
 			return false
 		}
-		p.shut(p.idle[oldest][0])
+		p.shut(p.idle[oldest][0], reasonRoom)
 		p.idle[oldest] = p.idle[oldest][1:]
 	}
 	p.open++
@@ -127,7 +155,8 @@
 }
 
 // shut closes a connection; the lock is held.
-func (p *pool) shut(l *conn) {
+func (p *pool) shut(l *conn, reason string) {
+	p.logClosed(l, reason)
 	l.Close()
 	p.open--
 }
@@ -136,7 +165,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range p.idle[be] {
-		p.shut(l)
+		p.shut(l, reasonForgotten)
 	}
 	delete(p.idle, be)
 }
@@ -148,7 +177,7 @@
 	for be, lines := range p.idle {
 		n := 0
 		for n < len(lines) && int64(time.Since(lines[n].idle)) >= p.keep.Load() {
-			p.shut(lines[n])
+			p.shut(lines[n], reasonIdle)
 			n++
 		}
 		if p.idle[be] = lines[n:]; n == len(lines) {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -23,19 +23,20 @@
 	r.later(func() { r.fetch(id, be, tryFor) })
 }
 
-func (r *Relay) Bounce(id brain.VisitID, comeBackIn brain.Micros) {
+func (r *Relay) Bounce(id brain.VisitID, comeBackIn brain.Micros, why brain.Reason) {
 	r.later(func() {
 		if v := r.open(id); v != nil {
+			r.logAnswer(v, "request rejected", why)
 			v.x.Bounce(comeBackIn)
 			r.end(v)
 		}
 	})
 }
 
-func (r *Relay) ErrorPage(id brain.VisitID) {
+func (r *Relay) ErrorPage(id brain.VisitID, why brain.Reason) {
 	r.later(func() {
 		if v := r.visits[id]; v != nil {
-			r.fail(v)
+			r.fail(v, why)
 		}
 	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -222,7 +222,7 @@
 func (r *Relay) orFail(v *visit, call func()) {
 	defer func() {
 		if crash := recover(); crash != nil {
-			r.fail(v)
+			r.fail(v, reasonPanic)
 			panic(crash)
 		}
 	}()
--- a/internal/relay/visits.go
+++ b/internal/relay/visits.go
@@ -21,12 +21,14 @@
 		// is new with every visit, so it is still taken until its visit's time is up, also once that is answered.
 		if r.names.taken(x.Name, r.now) || r.rare[x.Name] {
 			r.counts.Add(counters.VisitsTwice)
+			r.logRefused(x.Name, reasonTwice)
 			x.Fail(exchange.Twice)
 			return
 		}
 		// Guards against more visits than there are sockets for: nothing of this one has run.
 		if r.held >= r.mostHeld {
 			r.counts.Add(counters.VisitsOverHeld)
+			r.logRefused(x.Name, reasonHeld)
 			x.Bounce(0)
 			return
 		}
@@ -52,6 +54,7 @@
 func (r *Relay) Left(x *exchange.Exchange) {
 	r.post(func() {
 		if v := r.open(x.ID); v != nil {
+			r.logAnswer(v, "request given up", reasonLeft)
 			r.end(v)
 			r.b.Dropped(r.now, x.ID)
 		}
@@ -71,10 +74,11 @@
 }
 
 // fail answers with an error page.
-func (r *Relay) fail(v *visit) {
+func (r *Relay) fail(v *visit, why brain.Reason) {
 	if v.ended {
 		return
 	}
+	r.logAnswer(v, "request failed", why)
 	how := exchange.Errored
 	if v.until-r.now <= v.x.Left/100 {
 		how = exchange.Overdue
@@ -106,18 +110,19 @@
 	to, known := r.servers[be]
 	once := v.x.Upload != nil && no > 0 // what has been taken of its body is gone
 	if v.ended || left <= 0 || v.x.Over() || int(no) >= v.on.fetches || !known || once {
+		r.logUnsent(v, no, to.host)
 		v.flights = append(v.flights, nil)
 		r.later(func() { r.ended(v, no, brain.NeverSent, 0, nil, nil) })
 		return
 	}
+	r.logAttempt(v, no, to.host, wait)
 	var f *outbound.Attempt
 	f = r.outbound.Fetch(v.x, be, to.address, until, r.before(v),
 		func(a *exchange.Answer, _ bool, load []float64, err error) {
 			r.post(func() {
-				if err != nil {
-					r.log.Debug().Err(err).Uint64("visit", uint64(id)).Msg("backend fetch not delivered")
-				}
-				r.ended(v, no, outbound.Result(err), f.Took(r.now-sent), a, load)
+				result, took := outbound.Result(err), f.Took(r.now-sent)
+				r.logAttemptEnded(v, no, result, took, err)
+				r.ended(v, no, result, took, a, load)
 			})
 		})
 	v.flights = append(v.flights, &flight{Attempt: f, asked: time.Now()})
--- a/lab/hollow/core.go
+++ b/lab/hollow/core.go
@@ -219,11 +219,11 @@
 	})
 }
 
-func (c *Core) Bounce(id brain.VisitID, _ brain.Micros) {
+func (c *Core) Bounce(id brain.VisitID, _ brain.Micros, _ brain.Reason) {
 	c.later(func() { c.end(id, &c.Tally.Bounced) })
 }
 
-func (c *Core) ErrorPage(id brain.VisitID) { c.later(func() { c.end(id, &c.Tally.Errored) }) }
+func (c *Core) ErrorPage(id brain.VisitID, _ brain.Reason) { c.later(func() { c.end(id, &c.Tally.Errored) }) }
 
 func (c *Core) Cancel(id brain.VisitID, no brain.FetchNo) {
 	c.later(func() {
--- a/lab/sim/sidecar.go
+++ b/lab/sim/sidecar.go
@@ -449,7 +449,7 @@
 	})
 }
 
-func (p ports) Bounce(id brain.VisitID, _ Micros) {
+func (p ports) Bounce(id brain.VisitID, _ Micros, _ brain.Reason) {
 	v := p.visits[id]
 	if !v.harmless(p.net.Now, nil) {
 		p.net.broke(2, "visit %d (%s) was bounced where it may have run", id, v.Effect)
@@ -458,7 +458,7 @@
 	p.net.After(0, func() { p.forget(v) })
 }
 
-func (p ports) ErrorPage(id brain.VisitID) {
+func (p ports) ErrorPage(id brain.VisitID, _ brain.Reason) {
 	v := p.visits[id]
 	p.end(v, Failed)
 	p.net.After(0, func() { p.forget(v) })
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -93,9 +93,9 @@
 		{"read-like, sent again after an error", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
 		{"mutating, sent again after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
 		{"mutating, sent again after a refusal", 2, brain.Full, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
-		{"mutating, bounced after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Bounce(v.ID, 0) }},
-		{"mutating, failed after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.ErrorPage(v.ID) }},
-		{"mutating, bounced after a refusal", 2, brain.Full, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Bounce(v.ID, 0) }},
+		{"mutating, bounced after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Bounce(v.ID, 0, "") }},
+		{"mutating, failed after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.ErrorPage(v.ID, "") }},
+		{"mutating, bounced after a refusal", 2, brain.Full, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Bounce(v.ID, 0, "") }},
 		{"mutating, a second while the first is out", 2, 0, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
 		{"tagged, within its zone", 1, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
 		{"tagged, to another zone", 1, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 3, 0) }},
@@ -104,12 +104,12 @@
 			ports{s, s.life}.Dispatch(v.ID, 2, 0)
 		}},
 		{"sent after its end", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
-			ports{s, s.life}.ErrorPage(v.ID)
+			ports{s, s.life}.ErrorPage(v.ID, "")
 			ports{s, s.life}.Dispatch(v.ID, 2, 0)
 		}},
 		{"answered twice", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
-			ports{s, s.life}.ErrorPage(v.ID)
-			ports{s, s.life}.Bounce(v.ID, 0)
+			ports{s, s.life}.ErrorPage(v.ID, "")
+			ports{s, s.life}.Bounce(v.ID, 0, "")
 		}},
 		{"sent after its client has gone", 0, 0, func(n *Net, s *Sidecar, v *Visit) {
 			s.Drop(v)
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -76,13 +76,13 @@
 	be.PutUint32(p[17:], span(tryFor))
 }
 
-func (o outlet) Bounce(v brain.VisitID, comeBackIn brain.Micros) {
+func (o outlet) Bounce(v brain.VisitID, comeBackIn brain.Micros, _ brain.Reason) {
 	p := o.out.rec(2, o.who)
 	be.PutUint64(p[3:], uint64(v))
 	be.PutUint32(p[11:], span(comeBackIn))
 }
 
-func (o outlet) ErrorPage(v brain.VisitID) { be.PutUint64(o.out.rec(3, o.who)[3:], uint64(v)) }
+func (o outlet) ErrorPage(v brain.VisitID, _ brain.Reason) { be.PutUint64(o.out.rec(3, o.who)[3:], uint64(v)) }
 
 func (o outlet) Cancel(v brain.VisitID, no brain.FetchNo) {
 	p := o.out.rec(4, o.who)
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -180,7 +180,7 @@
 func TestEveryAction(t *testing.T) {
 	var r reply
 	o := outlet{5, &r}
-	o.Bounce(1, 250000)
+	o.Bounce(1, 250000, "")
 	o.Cancel(1, 2)
 	o.CloseIdle(0x0a0000012bc0)
 	o.Print("two")
