--- a/brain/books.go
+++ b/brain/books.go
@@ -1,6 +1,6 @@
 package brain
 
-// What a sidecar keeps in mind: types and the due times. No decisions.
+// books.go: what a sidecar keeps in mind, and the timers. No decisions.
 
 import (
 	"hash"
@@ -8,135 +8,230 @@
 	"ledgespread/brain/due"
 )
 
-// prefix is a path prefix as the settings have it, with what they allow its visits, and what these took.
-type prefix struct {
-	name, effect                   string
-	target, timeout, window        Micros
-	step, comeBack, firstLeft      Micros  // of the clock; at most, in a bounce; clients wait for a first try
-	inZone, inCell, cancel, copies bool    // its group's; a fetch may be called off; two may be out
-	most                           int     // fetches
-	value, late, seen, mean        float64 // seen: answers; mean: their latency, where visits carry no hint
+// class is a class of requests (the settings call it a path prefix): what the settings allow its requests, and how long these took.
+type class struct {
+	name   string
+	effect string // safe, keyed or unsafe; see settings.go
+
+	target    Micros // answers are worth most until then
+	timeout   Micros // clients wait for so long
+	keyWindow Micros // servers know a key for so long
+	clockStep Micros // two sidecars' clocks may differ by this
+	value     float64
+	lateValue float64 // of an answer after the target
+
+	inZone         bool // only a server's zone knows the key
+	inCell         bool // only its cell does
+	cancel         bool // an attempt may be called off
+	mayDuplicate   bool // two attempts may be out
+	mostAttempts   int
+	mostRetryAfter Micros // that a rejection may name
+
+	firstTimeLeft Micros  // what clients give their first try
+	answers       float64 // that the mean is of
+	meanLatency   float64 // of requests whose client doesn't tell their work
+}
+
+// tenant is who shares the service with others. All but the quota fade.
+type tenant struct {
+	quota     float64 // requests a second
+	used      float64 // taken in here
+	fresh     float64 // of these, not told to the ledger's keeper yet
+	total     float64 // taken in by all sidecars, as the keeper told
+	ledgerUse float64 // the same, as told to this sidecar, where it is the keeper
 }
 
-// tenant is a tenant: its share; lately taken in here, not yet told, in all, and as told to this sidecar.
-type tenant struct{ quota, used, fresh, total, kept float64 }
-
-// backend is a server as this sidecar knows it.
-type backend struct {
-	id                        Backend
-	mark                      uint64 // its id, hashed
-	zone                      Zone
-	cell                      Cell
-	standing                  Standing
-	started, coldSince, began Micros   // when; 0: long ago, or warm; cold since then, or was
-	rating, credit            float64  // size as listed; work that may still be sent while cold
-	fresh, listed             bool     // no outcome since it was new; named by the list that is being read
-	held, mute                int      // ours there; of these found waiting too long since the last sign of life
-	away                      float64  // visits that other sidecars told they have out there, fading
-	asking                    []*visit // wait to hear of it
-	idle                      []Micros // since when each connection is
-	byHand                    bool     // staff took it out
-	answered, left, back      Micros   // last sign of life; last listed, or missed there first; called back
-	took, work, carried       float64  // of lately delivered visits: latency, work times visits held, work alone
-	own, told                 float64  // of that by this sidecar; visits held by its last report
-	good, bad                 float64  // delivered and failed lately
-	skipUntil, voidAt, toldAt Micros   // its owner's word ends; its token does; it told last
-	outUntil, outSpan         Micros   // sits out, 0: in service; how long it sat out last
-	pace, score               float64  // answer time per unit of work, as a pick just reckoned it; with the way
+// server is a server as this sidecar knows it.
+type server struct {
+	id       ServerID
+	hash     uint64 // of its id
+	zone     Zone
+	cell     Cell
+	standing Standing
+	weight   float64 // its size, as listed
+	listed   bool    // named by the list that is being read
+	takenOut bool    // by staff
+
+	started      Micros // as listed; 0: long ago
+	coldSince    Micros // 0: warm
+	warmupBegan  Micros
+	credit       float64 // work that may still be sent while it is cold
+	tokenEnds    Micros  // of the credit, where it is drawn by chance
+	lastListed   Micros  // or when it was first missed in a list
+	putBackAt    Micros  // by staff
+	lastSign     Micros  // of life
+	ejectedUntil Micros  // 0: in service
+	ejectedFor   Micros  // the last time
+	skipUntil    Micros  // its owner said that it is ejected
+
+	untested     bool       // no outcome since it was new
+	held         int        // requests of this sidecar there
+	heldByOthers float64    // as they told, fading
+	unanswered   int        // attempts found waiting too long since the last sign of life
+	waiting      []*request // for its owner's quote
+	idleSince    []Micros   // each idle connection
+
+	// Of requests that lately succeeded, fading:
+	latency   float64
+	heldWork  float64 // work times requests held
+	work      float64
+	ownWork   float64 // of this sidecar's requests
+	successes float64
+	failures  float64
+
+	reported   float64 // requests held, by its last report
+	reportedAt Micros
+
+	pace  float64 // latency per unit of work, as a pick just worked it out
+	score float64 // the same, with the cost of the way
 }
 
-// fetch is one backend fetch. Its step's closure is handed the result.
-type fetch struct {
-	no           FetchNo
-	be           *backend
-	sent         Micros
-	held         float64 // visits it met there, with itself
-	owner        Peer    // its server's, when it was sent: the same hears of its end, or a count would stay
-	reused, told bool    // on a connection that was idle; that owner knows of it
-	idled        Micros  // how long that one had stood idle
-	done, ran    bool    // ended; may have run: out, or ended without proof that it never ran
-	then         func(*fetch, Result)
+// attempt is one attempt of a request at a server.
+type attempt struct {
+	no         AttemptNo
+	server     *server
+	sent       Micros
+	met        float64 // requests held there, with itself
+	owner      Peer    // of the server, when it was sent: the same hears of its end, or a count would stay
+	ownerKnows bool    // the owner was told
+	reused     bool    // on a connection that was idle
+	idleFor    Micros  // that connection
+	done       bool
+	mayHaveRun bool // it is out, or ended without proof that it never ran
+	onEnd      func(*attempt, Result)
 }
 
-// visit is an accepted visit that is not yet over.
-type visit struct {
-	id                     VisitID
-	on                     *prefix
-	work                   float64 // expected, in core time or, without a hint, its prefix's mean latency
-	wanted, until, askedAt Micros  // when answers are worth nothing, or little; the client quits; it asked last
-	value                  float64
-	beyond, hinted, once   bool // lies beyond its tenant's share; its client told the work; has one fetch
-	fetches                []*fetch
-	out, charged           int
-	freed, ended, settled  bool       // had its free retry; is over; waits for no more offers
-	asked                  []*backend // servers it asked of
-	owners                 []Peer     // and where
-	missing, round         int        // of these, not yet heard of; how often it asked
-	offer                  *backend   // the best of them
-	offered, meets         float64    // its answer time per unit of work; visits held there
+// request is one that was taken in and is not yet over.
+type request struct {
+	id          RequestID
+	class       *class
+	work        float64 // expected, in core time or, if the client doesn't tell it, the class's mean latency
+	workKnown   bool
+	value       float64
+	overShare   bool   // beyond its tenant's share
+	streamed    bool   // sent as it comes: one attempt at the most
+	usefulUntil Micros // later answers are worth little or nothing
+	deadline    Micros // its client leaves
+	ended       bool
+
+	attempts       []*attempt
+	outstanding    int // of these
+	chargedRetries int
+	freeRetryUsed  bool
+
+	// Its comparison by the servers' owners:
+	round    int
+	askedAt  Micros
+	asked    []*server
+	owners   []Peer // of those
+	awaited  int    // quotes
+	settled  bool   // it waits for none any more
+	best     *server
+	bestPace float64
+	bestHeld float64
 }
 
 const (
-	beatToken Token = iota // the one periodic timer
-	dueToken               // something in the tree is due
+	beatToken  Token = iota // the periodic beat
+	timerToken              // a timer is due
 )
 
 // Balancer decides for one sidecar.
 type Balancer struct {
-	said
-	out                         Ports
-	now, begun, rampAt, armed   Micros // when the wanted ramp counts; earliest wake-up of the tree, 0: none
-	seed, drawn, ledger         uint64 // ledger: how many sidecars were given up as its keeper
-	hash                        hash.Hash64
-	due                         *due.Times[Micros]
-	beats, sidecars, unanswered int
-	myZone                      Zone
-	me                          Peer
-	senders                     int // sidecars that may be sending, as last heard; 0: as the settings say
-	known                       map[Backend]*backend
-	byHand                      map[Backend]bool // staff took them out, listed or not
-	row, scratch                []*backend       // all known, by id; those at hand
-	visits                      map[VisitID]*visit
-	news                        News
-	heardList                   bool           // the list's service has told one; what it tells from now on is new
-	deaf                        []deafness     // by sidecar
-	down                        deafness       // of all: no message comes through
-	lag, life                   Micros         // owners answer in; idle connections live
-	asked, askWait, totalled    Micros         // last call of the list, 0: answered; next wait; totals
-	spent, firsts               float64        // tokens missing from the bucket; first tries lately
-	came, meanWork, meanTarget  float64        // visits that make the means of those that come
-	meanPart, told              float64        // of a limit, by value; visits reported
-	centres                     []centre       // by data centre
-	level, crowd, calm          float64        // answer time per unit of work; without a prior; when calm
-	size, inUse, meanHeld       float64        // of servers in service: rating, number, our visits there
-	carry, dialling             float64        // work lately carried per rating; price of a new connection
-	adds                        float64        // what a visit met adds to an answer, of one
-	fitted                      [5]float64     // sums that tell it
-	tally                       map[string]int // why visits were turned away, and how asking went
+	settings
+	ports    Ports
+	now      Micros
+	begun    Micros
+	rampFrom Micros // the wanted slow start counts from then on
+	tally    map[string]int
+
+	seed  uint64
+	draws uint64 // of chance, so far
+	hash  hash.Hash64
+
+	timers *due.Times[Micros]
+	wakeAt Micros // for the first of them; 0: no wake-up is asked for
+	beats  int
+
+	myZone   Zone
+	me       Peer
+	sidecars int
+	senders  int // sidecars that may be sending, as last heard; 0: as the settings say
+
+	servers    map[ServerID]*server
+	listed     []*server // the same, by id
+	candidates []*server // of the pick that goes on
+	takenOut   map[ServerID]bool
+	requests   map[RequestID]*request
+
+	news         News
+	heardList    bool   // what the list tells from now on is new
+	listAskedAt  Micros // 0: the call was answered
+	listWait     Micros // until the next call, after failed ones
+	peerBackoffs []backoff
+	unanswered   int // asks, since a sidecar was last heard
+	allBackoff   backoff
+	quoteLag     Micros // how long owners take to answer
+	ledgerKeeper uint64 // how many sidecars were given up as the keeper
+	totalsAt     Micros // the keeper last told
+
+	spentTokens  float64 // missing from the retry bucket
+	firstTries   float64 // lately
+	requestsSeen float64 // that the means are of, up to a bound
+	meanWork     float64
+	meanTarget   float64
+	meanPart     float64 // of an admission limit, by value
+	meanReported float64 // requests held
+
+	zones         []zoneStats
+	pace          float64 // latency per unit of work, over all zones
+	rawPace       float64 // the same, without a prior
+	calmPace      float64 // the same, when the fleet is not crowded
+	meanWeight    float64 // of servers in service
+	inUse         float64 // how many these are
+	meanHeld      float64 // requests of this sidecar at one of them
+	workPerWeight float64 // lately sent in a beat
+	dialPrice     float64 // of a new connection
+	idleLife      Micros  // for which idle connections live
+	addedByMet    float64 // what a request that is met adds to a latency, of one
+	fitSums       fitSums
 }
 
-// deafness is until when a sidecar is passed over that answered nothing, and how long it was last.
-type deafness struct{ until, span Micros }
+// backoff is until when a sidecar that answered nothing is passed over, and for how long it was the last time.
+type backoff struct {
+	until Micros
+	span  Micros
+}
 
-// centre is what was lately seen of a data centre's servers in service.
-type centre struct {
-	took, work, plain, seen float64 // their sums, and the answers in them
-	pace, level             float64 // answer time per unit of work and visit held, and per unit of work
+// zoneStats is what was lately seen of a zone's servers in service.
+type zoneStats struct {
+	latency  float64
+	heldWork float64 // work times requests held
+	work     float64
+	answers  float64
+	heldPace float64 // latency per unit of work and request held
+	pace     float64 // latency per unit of work
 }
 
-func (c *centre) add(took, work, plain float64) {
-	c.took, c.work, c.plain, c.seen = c.took+took, c.work+work, c.plain+plain, c.seen+1
+// add counts an answer.
+func (z *zoneStats) add(latency, heldWork, work float64) {
+	z.latency += latency
+	z.heldWork += heldWork
+	z.work += work
+	z.answers++
 }
 
-// at puts something among the due times.
-func (b *Balancer) at(t Micros, do func()) {
-	b.due.Put(max(t, b.now+1), do)
+// after has something done at a later time.
+func (b *Balancer) after(at Micros, do func()) {
+	b.timers.Put(max(at, b.now+1), do)
 	b.arm()
 }
 
+// arm asks for a wake-up at the first timer.
 func (b *Balancer) arm() {
-	if at, ok := b.due.First(); ok && (b.armed == 0 || at < b.armed) {
-		b.armed = at
-		b.out.Wake(max(at-b.now, 1), dueToken)
+	first, any := b.timers.First()
+	if any && (b.wakeAt == 0 || first < b.wakeAt) {
+		b.wakeAt = first
+		b.ports.Wake(max(first-b.now, 1), timerToken)
 	}
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -14,26 +14,26 @@
 	d.warm(30)
 	d.title("full at start; retries that fail keep half their cost, until the bucket denies")
 	d.tokens()
-	for id := VisitID(1); id <= 11; id++ {
+	for id := RequestID(1); id <= 11; id++ {
 		d.visit(id, 0)
-		d.ends(id, 0, Errored)
+		d.ends(id, 0, AnsweredError)
 		d.pass(60 * ms)
-		if d.b.visits[id] != nil {
-			d.ends(id, 1, Errored)
+		if d.b.requests[id] != nil {
+			d.ends(id, 1, AnsweredError)
 			d.b.Dropped(d.now, id)
 		}
 		d.tokens()
 	}
 	d.title("a retry that is delivered gets all back, a first try delivered one token")
-	d.b.spent = d.b.capacity() - 10
+	d.b.spentTokens = d.b.bucketSize() - 10
 	d.visit(20, 0)
-	d.ends(20, 0, Full)
+	d.ends(20, 0, Overloaded)
 	d.tokens()
 	d.pass(60 * ms)
-	d.ends(20, 1, Delivered)
+	d.ends(20, 1, Succeeded)
 	d.tokens()
 	d.visit(21, 0)
-	d.ends(21, 0, Delivered)
+	d.ends(21, 0, Succeeded)
 	d.tokens()
 	d.title("capacity follows the first tries of ten seconds: a fifth of them, in retries")
 	d.warm(200)
@@ -45,7 +45,7 @@
 	d := begin(t, site("all"), "a b c d e f")
 	d.title("waits of 50, 100, 200 ms; the next would outrun the time left, so the visit is bounced")
 	d.visit(1, 2)
-	for no := range FetchNo(4) {
+	for no := range AttemptNo(4) {
 		d.ends(1, no, ConnectFailed)
 		d.pass(50 * ms << no)
 	}
@@ -55,23 +55,23 @@
 func TestFreeRetry(t *testing.T) {
 	d := begin(t, site("cell"), "a")
 	for on, kind := range []string{"read-like", "tagged", "mutating"} {
-		id := VisitID(10 * on)
+		id := RequestID(10 * on)
 		d.title("%s: the reused connection breaks", kind)
-		d.visit(id, Prefix(on))
-		d.ends(id, 0, Delivered)
-		d.visit(id+1, Prefix(on))
+		d.visit(id, ClassID(on))
+		d.ends(id, 0, Succeeded)
+		d.visit(id+1, ClassID(on))
 		d.ends(id+1, 0, Reset)
-		if d.b.visits[id+1] != nil {
+		if d.b.requests[id+1] != nil {
 			d.title("the fresh one breaks too: that is charged")
 			d.ends(id+1, 1, Reset)
 		}
 		d.tokens()
 		d.pass(100 * ms)
-		if d.b.visits[id+1] != nil {
-			d.ends(id+1, 2, Delivered)
+		if d.b.requests[id+1] != nil {
+			d.ends(id+1, 2, Succeeded)
 		}
 		d.pass(3000 * ms)
-		d.b.known['a'].outUntil, d.b.known['a'].bad = 0, 0
+		d.b.servers['a'].ejectedUntil, d.b.servers['a'].failures = 0, 0
 	}
 	d.matches(t)
 }
@@ -80,29 +80,29 @@
 	d := begin(t, site("all", "tariffs.cross_zone", 0.02), "a b C")
 	d.warm(12)
 	d.title("idle ones here first, then the idle one over there, then the fewest")
-	for id := range VisitID(6) {
+	for id := range RequestID(6) {
 		d.visit(id, 0)
 	}
 	d.title("a new machine counts as holding what the others hold on average until its first outcome")
 	d.list(Changes, "d")
-	d.b.known['d'].coldSince = 0
+	d.b.servers['d'].coldSince = 0
 	d.visit(7, 0)
 	d.matches(t)
 }
 
 func TestColdServer(t *testing.T) {
 	d := begin(t, site("all"), "a b c")
-	busy := func(from VisitID, beats int) {
+	busy := func(from RequestID, beats int) {
 		d.quiet = true
-		d.count = map[Backend]int{}
+		d.count = map[ServerID]int{}
 		for i := range beats {
-			for j := range VisitID(10) {
-				d.visit(from+VisitID(i)*10+j, 0)
+			for j := range RequestID(10) {
+				d.visit(from+RequestID(i)*10+j, 0)
 			}
 			d.pass(50 * ms)
-			for j := range VisitID(10) {
-				if id := from + VisitID(i)*10 + j; d.b.visits[id] != nil {
-					d.ends(id, 0, Delivered)
+			for j := range RequestID(10) {
+				if id := from + RequestID(i)*10 + j; d.b.requests[id] != nil {
+					d.ends(id, 0, Succeeded)
 				}
 			}
 		}
@@ -113,7 +113,7 @@
 	busy(1000, 60)
 	d.title("c restarts: nothing at first, then a share that its warming allows")
 	d.list(Changes, "c*")
-	for i := range VisitID(6) {
+	for i := range RequestID(6) {
 		busy(10000*(i+1), 30)
 	}
 	d.title("a sidecar that restarts knows only its list and nothing carried: nothing to a cold server")
@@ -133,16 +133,16 @@
 	d.title("the client leaves: what is out is called off, nothing more is sent")
 	d.visit(2, 0)
 	d.b.Dropped(d.now, 2)
-	d.ends(2, 0, Errored)
+	d.ends(2, 0, AnsweredError)
 	d.b.Dropped(d.now, 2)
 	d.title("no server is left: a prompt bounce")
 	d.list(Whole, "")
 	d.visit(3, 1)
 	d.title("odd news is passed over")
-	d.b.Outcome(d.now, 99, 0, Delivered, 5, true)
-	d.b.Outcome(d.now, 3, 7, Delivered, 5, true)
+	d.b.Outcome(d.now, 99, 0, Succeeded, 5, true)
+	d.b.Outcome(d.now, 3, 7, Succeeded, 5, true)
 	d.pass(3000 * ms)
-	d.say("visits kept: %d", len(d.b.visits))
+	d.say("visits kept: %d", len(d.b.requests))
 	d.matches(t)
 }
 
@@ -150,37 +150,37 @@
 	d := begin(t, site("cell"), "a1 b1 c2 d2")
 	d.title("mutating, an error that may have run: no other fetch, no bounce")
 	d.visit(1, 2)
-	d.ends(1, 0, Errored)
+	d.ends(1, 0, AnsweredError)
 	d.title("mutating, proven unrun: retried")
 	d.visit(2, 2)
 	d.ends(2, 0, ConnectFailed)
 	d.pass(60 * ms)
-	d.ends(2, 1, Delivered)
+	d.ends(2, 1, Succeeded)
 	d.title("tagged, may have run: only to the same cell, and no bounce when that is spent")
 	d.visit(3, 1)
-	d.ends(3, 0, Errored)
+	d.ends(3, 0, AnsweredError)
 	d.pass(60 * ms)
-	d.ends(3, 1, Errored)
+	d.ends(3, 1, AnsweredError)
 	d.pass(110 * ms)
-	d.ends(3, 2, Errored)
+	d.ends(3, 2, AnsweredError)
 	d.title("tagged, its cell drains before the retry: an error page")
 	d.visit(4, 1)
-	d.ends(4, 0, Errored)
+	d.ends(4, 0, AnsweredError)
 	d.list(Changes, "a1~ b1~ c2~ d2~")
 	d.pass(60 * ms)
 	d.list(Changes, "a1 b1 c2 d2")
-	d.b.row[0].coldSince, d.b.row[1].coldSince = 0, 0
+	d.b.listed[0].coldSince, d.b.listed[1].coldSince = 0, 0
 	d.title("tagged, 240 ms after the first send: once more; at 300 ms its window of 250 is over: an error page")
 	d.visit(5, 1)
 	d.pass(240 * ms)
 	d.ends(5, 0, Reset)
 	d.pass(60 * ms)
-	d.ends(5, 1, Errored)
+	d.ends(5, 1, AnsweredError)
 	d.title("tagged, proven unrun each time: bounced")
 	d.visit(6, 1)
-	for no := range FetchNo(4) {
-		if d.b.visits[6] != nil {
-			d.ends(6, no, Full)
+	for no := range AttemptNo(4) {
+		if d.b.requests[6] != nil {
+			d.ends(6, no, Overloaded)
 		}
 		d.pass(210 * ms)
 	}
@@ -191,10 +191,10 @@
 	d := begin(t, site("all"), "a b")
 	d.title("a drains: nothing new to it, retries neither")
 	d.list(Changes, "a~")
-	for id := range VisitID(4) {
+	for id := range RequestID(4) {
 		d.visit(id, 0)
 	}
-	d.ends(0, 0, Full)
+	d.ends(0, 0, Overloaded)
 	d.pass(60 * ms)
 	d.title("b is missing from a whole list: gone")
 	d.list(Whole, "a~")
@@ -211,20 +211,20 @@
 	d.pass(310 * ms)
 	d.visit(2, 0)
 	d.list(Changes, "b")
-	d.b.known['b'].coldSince = 0
+	d.b.servers['b'].coldSince = 0
 	d.pass(310 * ms)
 	d.ends(2, 0, Cancelled)
 	d.pass(60 * ms)
-	d.ends(2, 1, Delivered)
+	d.ends(2, 1, Succeeded)
 	d.visit(3, 0)
 	d.title("after its time out it gets one visit, and its answer brings it back")
 	d.pass(500 * ms)
-	for id := VisitID(4); id < 10; id += 2 {
+	for id := RequestID(4); id < 10; id += 2 {
 		d.visit(id, 0)
 		d.visit(id+1, 0)
 		d.pass(30 * ms)
-		d.ends(id, 0, Delivered)
-		d.ends(id+1, 0, Delivered)
+		d.ends(id, 0, Succeeded)
+		d.ends(id+1, 0, Succeeded)
 	}
 	d.matches(t)
 }
@@ -233,17 +233,17 @@
 	d := begin(t, site("all"), "a b c")
 	d.warm(30)
 	d.title("a fails quickly, b is dead, c is left")
-	for id := range VisitID(12) {
+	for id := range RequestID(12) {
 		d.visit(id, 0)
 		d.pass(5 * ms)
-		for no := FetchNo(0); d.b.visits[id] != nil && no < 4; no++ {
-			switch d.b.visits[id].fetches[no].be.id {
+		for no := AttemptNo(0); d.b.requests[id] != nil && no < 4; no++ {
+			switch d.b.requests[id].attempts[no].server.id {
 			case 'a':
-				d.ends(id, no, Errored)
+				d.ends(id, no, AnsweredError)
 			case 'b':
 				d.ends(id, no, ConnectFailed)
 			case 'c':
-				d.ends(id, no, Delivered)
+				d.ends(id, no, Succeeded)
 			}
 			d.pass(50 * ms << no)
 		}
@@ -258,24 +258,24 @@
 	d := begin(t, s, "a b")
 	d.warm(150)
 	d.title("a burst of one tenant: what each visit would itself take rises with those held, and turns away what comes too late")
-	for id := range VisitID(40) {
-		d.visitOf(id, 0, 1+Tenant(id%10/9), 0)
+	for id := range RequestID(40) {
+		d.visitOf(id, 0, 1+TenantID(id%10/9), 0)
 	}
 	d.title("a jam does not teach the sidecar that answers are slow: prefix mean and limit stay")
-	mean, calm := d.b.prefixes[0].mean, d.b.calm
+	mean, calm := d.b.classes[0].meanLatency, d.b.calmPace
 	d.quiet = true
 	for range 30 {
 		d.pass(100 * ms)
-		for id := range VisitID(30) {
-			if d.b.visits[id] != nil {
-				d.ends(id, 0, Delivered)
+		for id := range RequestID(30) {
+			if d.b.requests[id] != nil {
+				d.ends(id, 0, Succeeded)
 				d.visitOf(id, 0, 0, 0)
 				break
 			}
 		}
 	}
 	d.quiet = false
-	d.say("mean x %.1f, calm pace x %.1f", d.b.prefixes[0].mean/mean, d.b.calm/calm)
+	d.say("mean x %.1f, calm pace x %.1f", d.b.classes[0].meanLatency/mean, d.b.calmPace/calm)
 	d.matches(t)
 }
 
@@ -283,15 +283,15 @@
 	d := begin(t, site("all"), "a b")
 	d.visit(1, 0)
 	for id, left := range []Micros{1999 * ms, 1700 * ms, 1390 * ms} {
-		d.b.Inbound(d.now, VisitID(10+id), 0, 0, left, 0, true, false)
-		v := d.b.visits[VisitID(10+id)]
-		d.say("a repeat with %d ms left: target in %d ms, value %.0f", left/ms, (v.wanted-d.now)/ms, v.value)
+		d.b.Inbound(d.now, RequestID(10+id), 0, 0, left, 0, true, false)
+		request := d.b.requests[RequestID(10+id)]
+		d.say("a repeat with %d ms left: target in %d ms, value %.0f", left/ms, (request.usefulUntil-d.now)/ms, request.value)
 	}
 	d.title("where first tries get less than the whole time-out, equal times tell nothing")
 	for _, left := range []Micros{1000 * ms, 990 * ms, 900 * ms, 1900 * ms} {
-		d.b.Inbound(d.now, VisitID(left), 0, 0, left, 0, left != 1000*ms, false)
-		v := d.b.visits[VisitID(left)]
-		d.say("%d ms left: target in %d ms, value %.0f", left/ms, (v.wanted-d.now)/ms, v.value)
+		d.b.Inbound(d.now, RequestID(left), 0, 0, left, 0, left != 1000*ms, false)
+		request := d.b.requests[RequestID(left)]
+		d.say("%d ms left: target in %d ms, value %.0f", left/ms, (request.usefulUntil-d.now)/ms, request.value)
 	}
 	d.matches(t)
 }
@@ -306,15 +306,15 @@
 	d.title("a mutating one gets an error page; it was turned away unseen once, and sent again")
 	d.visit(3, 2)
 	d.pass(1 * ms)
-	d.ends(3, 0, Full)
+	d.ends(3, 0, Overloaded)
 	d.pass(2100 * ms)
 	d.title("where nothing can be called off, late answers have value, or servers' queues are seen, it runs on")
-	for _, s := range []Site{site("all", "allowed.cancel", false, "balancers", 9.0), site("all", "path_prefixes.0.late_value", 0.1,
+	for _, s := range []Settings{site("all", "allowed.cancel", false, "balancers", 9.0), site("all", "path_prefixes.0.late_value", 0.1,
 		"balancers", 9.0), site("all"), site("all", "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true)} {
 		e := begin(t, s, "a b c")
 		e.visit(1, 0)
 		e.pass(700 * ms)
-		d.say("still open: %v", !e.b.visits[1].ended)
+		d.say("still open: %v", !e.b.requests[1].ended)
 	}
 	d.matches(t)
 }
@@ -324,14 +324,14 @@
 		"telemetry.fields.1", "concurrent"}, {"telemetry.how", "on_probe", "telemetry.fields", 1.0, "telemetry.fields.0", "concurrent"}} {
 		d := begin(t, site("all", append(fields, "balancers", 9.0)...), "a b c d e f g h")
 		d.quiet = true
-		told := map[Backend]float64{'a': 3, 'b': 2, 'c': 1, 'd': 0, 'e': 4, 'f': 2, 'g': 3, 'h': 2}
-		visit := func(from, to VisitID) (met string) {
+		told := map[ServerID]float64{'a': 3, 'b': 2, 'c': 1, 'd': 0, 'e': 4, 'f': 2, 'g': 3, 'h': 2}
+		visit := func(from, to RequestID) (met string) {
 			for id := from; id < to; id++ {
 				d.visit(id, 0)
-				f := d.b.visits[id].fetches[0]
-				met += string(rune(f.be.id))
+				attempt := d.b.requests[id].attempts[0]
+				met += string(rune(attempt.server.id))
 				d.pass(10 * ms)
-				d.b.Outcome(d.now, id, 0, Delivered, 10*ms, true, 0.5, told[f.be.id])
+				d.b.Outcome(d.now, id, 0, Succeeded, 10*ms, true, 0.5, told[attempt.server.id])
 			}
 			return met
 		}
@@ -342,14 +342,14 @@
 		d.say("go to %s", met)
 		d.pass(60_000 * ms)
 		met = ""
-		for id := VisitID(100); id < 106; id++ {
+		for id := RequestID(100); id < 106; id++ {
 			d.quiet = true
 			d.visit(id, 0)
 			d.quiet = false
-			met += string(rune(d.b.visits[id].fetches[0].be.id))
+			met += string(rune(d.b.requests[id].attempts[0].server.id))
 		}
 		d.say("what was told a minute ago says nothing: six at once go to %s", met)
-		if d.b.tells > 0 {
+		if d.b.reportPlace > 0 {
 			d.matches(t)
 		} else if strings.Trim(visit(200, 220), "d") == "" {
 			t.Error("a report that comes by probes only was read")
@@ -364,26 +364,26 @@
 	d.visit(1, 0)
 	d.pass(100 * ms)
 	d.tokens()
-	d.ends(1, 1, Delivered)
+	d.ends(1, 1, Succeeded)
 	d.ends(1, 0, Cancelled)
 	d.tokens()
 	d.title("a copy that loses keeps half of its price")
 	d.visit(2, 1)
 	d.pass(100 * ms)
-	d.ends(2, 0, Delivered)
+	d.ends(2, 0, Succeeded)
 	d.ends(2, 1, Cancelled)
 	d.tokens()
 	d.title("none of a mutating visit")
 	d.visit(3, 2)
 	d.pass(100 * ms)
-	d.ends(3, 0, Delivered)
+	d.ends(3, 0, Succeeded)
 	d.title("none where the bucket is empty")
-	d.b.spent = d.b.capacity()
+	d.b.spentTokens = d.b.bucketSize()
 	d.visit(4, 0)
 	d.pass(100 * ms)
-	d.ends(4, 0, Delivered)
+	d.ends(4, 0, Succeeded)
 	d.title("none where calm answers take more than three tenths of the target, and none where others can be asked")
-	for i, s := range []Site{site("all", "allowed.may_duplicate", true, "balancers", 9.0, "path_prefixes.0.target_latency_us",
+	for i, s := range []Settings{site("all", "allowed.may_duplicate", true, "balancers", 9.0, "path_prefixes.0.target_latency_us",
 		100e3, "path_prefixes.1.target_latency_us", 100e3, "path_prefixes.2.target_latency_us", 100e3),
 		site("all", "allowed.may_duplicate", true, "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true)} {
 		e := begin(t, s, "a b c d")
@@ -392,7 +392,7 @@
 		} // else messages that nobody answers would count as down
 		e.visit(1, 0)
 		e.pass(Micros(90+300*i) * ms)
-		d.say("after %d ms sent %d times", 90+300*i, len(e.b.visits[1].fetches))
+		d.say("after %d ms sent %d times", 90+300*i, len(e.b.requests[1].attempts))
 	}
 	d.matches(t)
 }
@@ -403,10 +403,10 @@
 	for _, price := range []float64{0, 1} {
 		e := begin(t, site("all", "balancers", 9.0, "tariffs.connection", price), "a b c d e f g h")
 		e.quiet = true
-		for id := range VisitID(40) {
+		for id := range RequestID(40) {
 			e.visit(id, 0)
 			e.pass(100 * ms)
-			e.ends(id, 0, Delivered)
+			e.ends(id, 0, Succeeded)
 		}
 		d.say("price %.0f: %d servers met", price, len(e.count))
 	}
@@ -415,14 +415,14 @@
 
 func TestMessagesDown(t *testing.T) {
 	d := begin(t, site("cell", "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true), "a b c d")
-	wait := func(from, to VisitID) {
+	wait := func(from, to RequestID) {
 		d.quiet = true
 		asked := d.b.tally["asked"]
 		for id := from; id < to; id++ {
 			d.visit(id, 0)
 			d.pass(200 * ms)
-			if v := d.b.visits[id]; v != nil && len(v.fetches) > 0 {
-				d.ends(id, 0, Delivered)
+			if request := d.b.requests[id]; request != nil && len(request.attempts) > 0 {
+				d.ends(id, 0, Succeeded)
 			}
 		}
 		d.quiet = false
@@ -433,7 +433,7 @@
 	wait(41, 81)
 	d.title("one is heard of: all is asked again")
 	d.b.Heard(d.now, 3, TenantsUse, 0)
-	d.say("owners: %v", d.b.owners())
+	d.say("owners: %v", d.b.hasOwners())
 	d.matches(t)
 }
 
@@ -441,14 +441,14 @@
 	d := begin(t, site("all", "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true, "path_prefixes.0.value", 12.0),
 		"a b c d")
 	d.title("by an owner's word: the dear one of three visits meets a higher limit, the cheap two hardly a lower one than all had")
-	for id := range VisitID(300) {
+	for id := range RequestID(300) {
 		d.quiet = true
-		d.visit(id, Prefix(id%3))
+		d.visit(id, ClassID(id%3))
 		d.quiet = false
-		if v := d.b.visits[id]; v != nil && id >= 297 {
-			v.offer, v.offered = d.b.row[0], 0.3*600e3/d.b.meanWork // what three tenths of the target stand for
-			v.wanted = d.now + 1e12                                 // its own time is no matter here
-			d.say("value %.2f: strain %.2f", v.value, d.b.strain(v, v.offer))
+		if request := d.b.requests[id]; request != nil && id >= 297 {
+			request.best, request.bestPace = d.b.listed[0], 0.3*600e3/d.b.meanWork // what three tenths of the target stand for
+			request.usefulUntil = d.now + 1e12                                     // its own time is no matter here
+			d.say("value %.2f: strain %.2f", request.value, d.b.strain(request, request.best))
 		}
 	}
 	d.matches(t)
@@ -457,26 +457,26 @@
 func TestBrokenIdle(t *testing.T) {
 	d := begin(t, site("all", "balancers", 9.0, "me", 1.0, "allowed.peer_messages", true, "allowed.conn_idle_us", 60e6), "a")
 	d.title("two reused connections break: the owner hears of no failed server, and none sits out")
-	for id := VisitID(0); id < 6; id += 3 {
-		for i := range VisitID(2) {
+	for id := RequestID(0); id < 6; id += 3 {
+		for i := range RequestID(2) {
 			d.quiet = true
 			d.visit(id+i, 0)
 			d.pass(100 * ms)
 			d.quiet = i == 0
-			d.ends(id+i, 0, []Result{Delivered, Reset}[i])
+			d.ends(id+i, 0, []Result{Succeeded, Reset}[i])
 		}
 	}
-	d.say("in service: %v", d.b.known['a'].inService())
+	d.say("in service: %v", d.b.servers['a'].inService())
 	d.matches(t)
 }
 
 func TestIdleLife(t *testing.T) {
 	d := begin(t, site("all", "allowed.cancel", false, "allowed.conn_idle_us", 60e6), "a")
-	deliver := func(id VisitID) {
+	deliver := func(id RequestID) {
 		d.visit(id, 0)
-		d.say("on a connection that stood: %v", d.b.visits[id].fetches[0].reused)
+		d.say("on a connection that stood: %v", d.b.requests[id].attempts[0].reused)
 		d.pass(10 * ms)
-		d.ends(id, 0, Delivered)
+		d.ends(id, 0, Succeeded)
 	}
 	deliver(1)
 	d.pass(3000 * ms)
@@ -511,18 +511,18 @@
 	d.matches(t)
 }
 
-// Servers of one core, and of four: what a visit met adds to an answer is learnt, and so what a server would take.
+// Servers of one core, and of four: what a request met adds to an answer is learnt, and so what a server would take.
 func TestAdds(t *testing.T) {
 	d := begin(t, site("all"), "a b")
 	for _, cores := range []float64{1, 4} {
 		e := begin(t, site("all"), "a b")
 		for i := range 400 {
 			met := float64(i % 6)
-			e.b.account(e.b.row[i%2], Delivered, e.now, 50e3*max(1, (1+met)/cores), 50e3, 50e3*(1+met))
+			e.b.recordOutcome(e.b.listed[i%2], Succeeded, e.now, 50e3*max(1, (1+met)/cores), 50e3, 50e3*(1+met))
 		}
-		be := e.b.row[0]
-		be.held = 3
-		d.say("%.0f cores: a visit met adds %.2f; beside three a mean one takes %.0f ms", cores, e.b.adds, e.b.expect(be)*50)
+		server := e.b.listed[0]
+		server.held = 3
+		d.say("%.0f cores: a visit met adds %.2f; beside three a mean one takes %.0f ms", cores, e.b.addedByMet, e.b.expectedPace(server)*50)
 	}
 	d.matches(t)
 }
@@ -533,20 +533,20 @@
 	d := begin(t, s, "a b")
 	d.b.tenants[0].used, d.b.tenants[1].used = 60, 20
 	d.title("alone, a tenant is measured against the median one")
-	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
+	d.say("beyond its share: %.2f, %.2f", d.b.overShare(0), d.b.overShare(1))
 	d.title("a ledger told the totals; what is malformed or from nobody is passed over")
 	d.b.Heard(d.now, 1, TenantsTotal, 0, 80, 65)
 	d.b.Heard(d.now, 2, TenantsTotal, 0, 10)
 	d.b.Heard(d.now, 3, TenantsTotal, 0, 9e9, 9e9)
 	d.b.Heard(d.now, 2, 99, 0, 9e9, 9e9)
-	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
+	d.say("beyond its share: %.2f, %.2f", d.b.overShare(0), d.b.overShare(1))
 	d.title("as a ledger it adds up what it is told, the last word of each, and answers with the totals")
 	d.b.Heard(d.now, 1, TenantsUse, 0, 10, 50)
 	d.b.Heard(d.now, 2, TenantsUse, 0, 10, 1)
 	d.b.Heard(d.now, 1, TenantsUse, 0, 20, 2)
 	d.title("nothing heard for two seconds: alone again")
 	d.pass(2100 * ms)
-	d.say("beyond its share: %.2f, %.2f", d.b.beyond(0), d.b.beyond(1))
+	d.say("beyond its share: %.2f, %.2f", d.b.overShare(0), d.b.overShare(1))
 	d.matches(t)
 }
 
@@ -554,42 +554,42 @@
 	d := begin(t, site("cell", "balancers", 9.0, "me", 2.0, "allowed.peer_messages", true), "a b c d e f")
 	d.title("sidecars outnumber servers: three owners are asked, the visit waits")
 	d.visit(1, 0)
-	asked := append([]*backend{}, d.b.visits[1].asked...)
+	asked := append([]*server{}, d.b.requests[1].asked...)
 	d.title("the quickest quoted gets it; its owner is told that it began, and how it ended")
-	for i, be := range asked {
+	for i, server := range asked {
 		d.pass(5 * ms)
-		d.b.Heard(d.now, 1, Quote, be.id, 0.9-float64(i)/3, 1)
+		d.b.Heard(d.now, 1, Quote, server.id, 0.9-float64(i)/3, 1)
 	}
 	d.pass(30 * ms)
-	d.ends(1, 0, Delivered)
+	d.ends(1, 0, Succeeded)
 	d.title("one quote, the other messages lost: it goes there when the wait is over")
 	d.visit(2, 0)
 	d.pass(10 * ms)
-	d.b.Heard(d.now, 1, Quote, d.b.visits[2].asked[0].id, 1, 1)
+	d.b.Heard(d.now, 1, Quote, d.b.requests[2].asked[0].id, 1, 1)
 	d.pass(291 * ms)
-	d.ends(2, 0, Delivered)
+	d.ends(2, 0, Succeeded)
 	d.title("all asked sit out: others are asked, not one gone blind to")
 	d.visit(3, 0)
-	for _, be := range append([]*backend{}, d.b.visits[3].asked...) {
-		d.b.Heard(d.now, 1, Quote, be.id, math.Inf(1), 0)
+	for _, server := range append([]*server{}, d.b.requests[3].asked...) {
+		d.b.Heard(d.now, 1, Quote, server.id, math.Inf(1), 0)
 	}
 	d.title("nobody answers: by what is known here, when the wait is over")
 	d.pass(301 * ms)
 	d.title("answers come in 20 ms for a while: it is no longer waited than twice as long")
 	d.quiet = true
-	for id := VisitID(10); id < 200; id++ {
+	for id := RequestID(10); id < 200; id++ {
 		d.visit(id, 0)
-		asked, owners := append([]*backend{}, d.b.visits[id].asked...), append([]Peer{}, d.b.visits[id].owners...)
+		asked, owners := append([]*server{}, d.b.requests[id].asked...), append([]Peer{}, d.b.requests[id].owners...)
 		d.pass(20 * ms)
-		for i, be := range asked {
-			d.b.Heard(d.now, owners[i], Quote, be.id, 0.1, 1)
+		for i, server := range asked {
+			d.b.Heard(d.now, owners[i], Quote, server.id, 0.1, 1)
 		}
-		d.ends(id, 0, Delivered)
+		d.ends(id, 0, Succeeded)
 	}
 	d.visit(200, 0)
 	d.pass(80 * ms)
 	d.quiet = false
-	d.say("asked others by 80 ms: %v", len(d.b.visits[200].asked) > 3)
+	d.say("asked others by 80 ms: %v", len(d.b.requests[200].asked) > 3)
 	d.matches(t)
 }
 
@@ -599,15 +599,15 @@
 	d.b.Heard(d.now, 1, Ask, 'a')
 	d.b.Heard(d.now, 1, Began, 'a')
 	d.b.Heard(d.now, 3, Ask, 'a')
-	d.b.Heard(d.now, 1, Ended, 'a', float64(Delivered), 100e3, 150e3, 150e3)
+	d.b.Heard(d.now, 1, Ended, 'a', float64(Succeeded), 100e3, 150e3, 150e3)
 	d.b.Heard(d.now, 3, Ask, 'a')
 	d.title("fetches of two sidecars wait too long, though neither saw two: it sits out")
 	d.b.Heard(d.now, 1, Began, 'a')
 	d.pass(300 * ms)
-	d.b.Heard(d.now, 3, Ended, 'a', float64(Delivered), 100e3, 150e3, 150e3)
+	d.b.Heard(d.now, 3, Ended, 'a', float64(Succeeded), 100e3, 150e3, 150e3)
 	d.b.Heard(d.now, 1, Waits, 'a', 250e3)
 	d.b.Heard(d.now, 4, Waits, 'a', 250e3)
-	d.say("it answered others meanwhile: in service: %v", d.b.known['a'].inService())
+	d.say("it answered others meanwhile: in service: %v", d.b.servers['a'].inService())
 	d.pass(300 * ms)
 	d.b.Heard(d.now, 1, Waits, 'a', 250e3)
 	d.b.Heard(d.now, 4, Waits, 'a', 250e3)
@@ -622,30 +622,30 @@
 func TestThinStart(t *testing.T) {
 	d := begin(t, site("cell", "balancers", 9.0), "a b c")
 	d.title("no answers yet, and the lenient start is over after a mean target latency: bounces begin")
-	for id := range VisitID(24) {
+	for id := range RequestID(24) {
 		d.visit(id, 0)
 		d.pass(40 * ms)
 	}
 	d.title("a first answer of three times the usual hardly moves the measure of visits")
-	d.ends(0, 0, Delivered)
-	d.say("a visit counts as %.0f ms", d.b.prefixes[0].mean/1000)
+	d.ends(0, 0, Succeeded)
+	d.say("a visit counts as %.0f ms", d.b.classes[0].meanLatency/1000)
 	d.matches(t)
 }
 
-// A fresh sidecar's burst before quick servers: what it guesses of visits must not turn them away.
+// A fresh sidecar's burst before quick servers: what it guesses of requests must not turn them away.
 func TestQuickStart(t *testing.T) {
 	d := begin(t, site("cell"), "a b")
 	d.pass(5000 * ms)
 	d.title("ten visits at once, before any answer; the sidecar had none since it started")
-	for id := range VisitID(10) {
+	for id := range RequestID(10) {
 		d.visit(id, 0)
 	}
 	d.title("as answers come in 1 ms, more at once")
 	d.pass(1 * ms)
-	for id := range VisitID(10) {
-		d.ends(id, 0, Delivered)
+	for id := range RequestID(10) {
+		d.ends(id, 0, Succeeded)
 	}
-	for id := VisitID(10); id < 30; id++ {
+	for id := RequestID(10); id < 30; id++ {
 		d.visit(id, 0)
 	}
 	d.matches(t)
@@ -657,17 +657,17 @@
 	d.pass(500 * ms)
 	d.quiet = true
 	d.title("twenty visits at once, whose answers are read after 214 ms; then two every millisecond, answered in one")
-	id := VisitID(0)
+	id := RequestID(0)
 	visits := func(n int, took Micros) (delivered int) {
 		first := id
-		for ; id < first+VisitID(n); id++ {
+		for ; id < first+RequestID(n); id++ {
 			d.b.Inbound(d.now, id, 0, 0, 750*ms, 0, false, false)
 		}
 		d.pass(took)
-		for v := first; v < id; v++ {
-			if _, sent := d.sent[fmt.Sprint(v, "/0")]; sent {
+		for request := first; request < id; request++ {
+			if _, sent := d.sent[fmt.Sprint(request, "/0")]; sent {
 				delivered++
-				d.ends(v, 0, Delivered)
+				d.ends(request, 0, Succeeded)
 			}
 		}
 		return delivered
@@ -679,30 +679,30 @@
 			delivered += visits(2, ms)
 		}
 		d.quiet = false
-		d.say("of a thousand visits %d delivered; what a visit met adds %.2f", delivered, d.b.adds)
+		d.say("of a thousand visits %d delivered; what a visit met adds %.2f", delivered, d.b.addedByMet)
 		d.quiet = true
 	}
 	d.matches(t)
 }
 
-// A server that refuses as full says nothing of those beside it, in its data centre or not.
+// A server that refuses as full says nothing of those beside it, in its zone or not.
 func TestFullTellsOfItself(t *testing.T) {
 	d := begin(t, site("cell"), "a b c")
 	d.quiet = true
 	play := func(full bool) (expected float64) {
 		for range 60 {
-			id := VisitID(len(d.sent))
+			id := RequestID(len(d.sent))
 			d.visit(id, 0)
 			d.pass(10 * ms)
-			if d.b.visits[id].fetches[0].be.id == 'a' && full {
-				d.ends(id, 0, Full)
+			if d.b.requests[id].attempts[0].server.id == 'a' && full {
+				d.ends(id, 0, Overloaded)
 				d.b.Dropped(d.now, id)
 			} else {
-				d.ends(id, 0, Delivered)
+				d.ends(id, 0, Succeeded)
 			}
 		}
 		d.pass(50 * ms)
-		return d.b.level * d.b.meanWork / 1000
+		return d.b.pace * d.b.meanWork / 1000
 	}
 	usual := play(false)
 	d.quiet = false
@@ -766,23 +766,23 @@
 }
 
 // Servers that the list ended long ago are forgotten, however many there were; one that may still return cold, or
-// holds a visit, is not.
+// holds a request, is not.
 func TestForgotten(t *testing.T) {
 	d := begin(t, site("all"), "a b")
 	d.quiet = true
 	for i := range 5000 {
 		d.now += 20 * ms
 		d.b.ListBegins(d.now, Changes)
-		d.b.Listed(d.now, Backend(1000+i), 0, 0, Ready, 1, d.now)
+		d.b.Listed(d.now, ServerID(1000+i), 0, 0, Ready, 1, d.now)
 		if i > 0 {
-			d.b.Listed(d.now, Backend(999+i), 0, 0, Gone, 1, d.now-20*ms)
+			d.b.Listed(d.now, ServerID(999+i), 0, 0, Gone, 1, d.now-20*ms)
 		}
 		d.b.ListEnds(d.now)
 	}
-	got := fmt.Sprintf("known %d, in the row %d; ", len(d.b.known), len(d.b.row))
+	got := fmt.Sprintf("known %d, in the row %d; ", len(d.b.servers), len(d.b.listed))
 	d.now += 9000 * ms
 	d.list(Whole, "a b")
-	got += fmt.Sprintf("after the warm-up time %d, %d", len(d.b.known), len(d.b.row))
+	got += fmt.Sprintf("after the warm-up time %d, %d", len(d.b.servers), len(d.b.listed))
 	if diff := cmp.Diff("known 404, in the row 404; after the warm-up time 3, 3", got); diff != "" {
 		t.Errorf("-kept +now:\n%s", diff)
 	}
@@ -793,17 +793,17 @@
 	d := begin(t, site("all"), "a")
 	d.warm(30)
 	for i, rc := range []Result{Reset, ConnectFailed} {
-		id := VisitID(100 + 10*i)
+		id := RequestID(100 + 10*i)
 		d.title("one between answers, as %v", rc)
-		be := d.b.known['a']
-		be.outUntil, be.mute, be.bad = 0, 0, 0
-		be.idle = nil // a fresh connection: no free retry
+		server := d.b.servers['a']
+		server.ejectedUntil, server.unanswered, server.failures = 0, 0, 0
+		server.idleSince = nil // a fresh connection: no free retry
 		d.visit(id, 0)
 		d.ends(id, 0, rc)
 		d.pass(60 * ms)
-		d.ends(id, 1, Delivered)
+		d.ends(id, 1, Succeeded)
 		d.title("two in a row")
-		be.idle = nil
+		server.idleSince = nil
 		d.visit(id+1, 0)
 		d.visit(id+2, 0)
 		d.ends(id+1, 0, rc)
@@ -813,7 +813,7 @@
 	d.matches(t)
 }
 
-// A fetch that is lost while others are answered makes its server no crowded one; one without any answer since does.
+// An attempt that is lost while others are answered makes its server no crowded one; one without any answer since does.
 func TestLostIsNoCrowd(t *testing.T) {
 	got := ""
 	for _, answered := range []bool{true, false} {
@@ -823,11 +823,11 @@
 		d.pass(20 * ms)
 		if answered {
 			d.visit(101, 0)
-			d.ends(101, 0, Delivered)
+			d.ends(101, 0, Succeeded)
 		}
-		before := d.b.known['a'].took
+		before := d.b.servers['a'].latency
 		d.b.Outcome(d.now, 100, 0, Cancelled, 500*ms, false)
-		got += fmt.Sprintf("answered %v: crowded %v; ", answered, d.b.known['a'].took > before)
+		got += fmt.Sprintf("answered %v: crowded %v; ", answered, d.b.servers['a'].latency > before)
 	}
 	if diff := cmp.Diff("answered true: crowded false; answered false: crowded true; ", got); diff != "" {
 		t.Errorf("-kept +now:\n%s", diff)
@@ -851,12 +851,12 @@
 	d.pass(60 * ms)
 	for _, news := range []string{"a b", "a- b", "a* b", "a b"} {
 		d.list(Whole, news)
-		for id := range VisitID(6) {
+		for id := range RequestID(6) {
 			d.quiet = id > 0
 			d.visit(100+id, 0)
 			d.pass(20 * ms)
-			if d.b.visits[100+id] != nil {
-				d.ends(100+id, 0, Delivered)
+			if d.b.requests[100+id] != nil {
+				d.ends(100+id, 0, Succeeded)
 			}
 		}
 		d.quiet = false
@@ -864,7 +864,7 @@
 	d.title("back: cold, within its budget, and in use")
 	before := d.count['a']
 	d.b.ByHand(d.now, 'a', false)
-	d.say("cold since now: %v", d.b.known['a'].coldSince == d.now)
+	d.say("cold since now: %v", d.b.servers['a'].coldSince == d.now)
 	first, all := 0, 0
 	for i := range 120 {
 		d.warm(1)
--- a/brain/choice.go
+++ b/brain/choice.go
@@ -7,110 +7,142 @@
 	"slices"
 )
 
-// reckon takes stock of data centres. Sights fade by answers as by time, or thin sidecars would never learn.
-func (b *Balancer) reckon() {
-	prior, all := firmness*b.meanWork, centre{}
-	for i := range b.centres {
-		c := &b.centres[i]
-		keep := 1 - min(1, c.seen/enough)/memory
-		c.took, c.work, c.plain, c.seen = c.took*keep, c.work*keep, c.plain*keep, c.seen*keep
-		c.pace, c.level = blend(c.took, c.work, prior, b.calm), blend(c.took, c.plain, prior, b.calm)
-		all.add(c.took, c.work, c.plain)
-	}
-	b.level = blend(all.took, all.plain, prior, 1)
-	// The calm pace hardly follows a crowd: a jam must not raise the limit that is to end it.
-	b.calm += max(0, min(b.level, calmBand*b.calm)-b.calm)/calmRises - max(0, b.calm-b.level)/calmFalls
-	b.crowd = blend(all.took, all.plain, 1, 1)
-}
-
-// blend is an answer time per unit of work, mixed with a prior.
-func blend(took, work, prior, usual float64) float64 { return (took + prior*usual) / (work + prior) }
-
-// expect is the answer time per unit of work that one more visit would see at a server.
-func (b *Balancer) expect(be *backend) float64 {
-	usual := b.centres[be.zone].pace * b.size / be.rating // until seen: twice the size, half the time
-	own := blend(be.took, be.work, firmness*b.meanWork, usual)
-	held := float64(be.held) + be.away
-	if be.fresh {
-		held = max(held, b.meanHeld)
+// pick chooses a server: a random one among those without a request of ours, else the one with the fewest; a request counts by how slowly the
+// server was seen to answer. anywhere: the way counts nothing. compared: their owners are asked about those that are picked.
+func (b *Balancer) pick(request *request, anywhere, compared bool) *server {
+	b.findCandidates(request)
+	least := b.scoreCandidates(anywhere)
+	near := !anywhere && slices.ContainsFunc(b.candidates, func(server *server) bool {
+		return server.held == 0 && server.zone == b.myZone && server.pace <= tieBand*least
+	})
+	far := func(server *server) bool { return near && server.zone != b.myZone }
+	bias := paceBias
+	if b.reportPlace > 0 {
+		bias = reportedBias
 	}
-	return max(own*(1+b.adds*held)*b.lately(be)/b.warmth(be), 1e-9) // never nothing: chance goes by its inverse
-}
-
-// lately is how a server differs from the usual by its last report, fading. Guards against blind picks.
-func (b *Balancer) lately(be *backend) float64 {
-	if be.toldAt == 0 {
-		return 1
+	picked := b.draw(func(server *server) float64 {
+		if compared && !far(server) {
+			return least / server.score // its owner decides: by size, or slow ones idle while others are crowded
+		}
+		if server.held > 0 || server.pace > tieBand*least || far(server) {
+			return 0
+		}
+		return math.Pow(least/server.score, bias)
+	})
+	if picked == nil {
+		picked = b.draw(func(server *server) float64 { return float64(min(1, int(least/server.score))) })
 	}
-	fades := math.Exp(-float64(b.now-be.toldAt) / (toldLife * b.level * b.meanWork))
-	return 1 + (be.told-b.told)*fades/(1+b.told)
+	return picked
 }
 
-// pick chooses a server: a random one among those without a visit of ours, else the one with the fewest; a
-// visit counts by how slowly the server was seen to answer. afar: the way counts nothing.
-func (b *Balancer) pick(v *visit, afar, asks bool) *backend {
-	b.scratch = b.scratch[:0]
-	for resort := 0; resort < 2 && len(b.scratch) == 0; resort++ {
-		for _, be := range b.row {
-			if b.may(v, be) && (resort > 0 || b.fit(v, be)) {
-				b.scratch = append(b.scratch, be)
+// findCandidates finds the servers that may have the request: those on the ordinary pick or, as a last resort, any.
+func (b *Balancer) findCandidates(request *request) {
+	b.candidates = b.candidates[:0]
+	for _, lastResort := range []bool{false, true} {
+		for _, server := range b.listed {
+			if b.allowed(request, server) && (lastResort || b.eligible(request, server)) {
+				b.candidates = append(b.candidates, server)
 			}
 		}
-	}
-	least := math.Inf(1)
-	for _, be := range b.scratch {
-		be.pace = b.expect(be)
-		if be.score = be.pace; !afar {
-			be.score *= b.distance(be)
+		if len(b.candidates) > 0 {
+			return
 		}
-		least = min(least, be.score)
 	}
-	near := !afar && slices.ContainsFunc(b.scratch, func(be *backend) bool {
-		return be.held == 0 && be.zone == b.myZone && be.pace <= tieBand*least
-	})
-	bias := paceBias
-	if b.tells > 0 {
-		bias = toldBias
-	}
-	be := b.draw(func(be *backend) float64 {
-		if asks && !(near && be.zone != b.myZone) {
-			return least / be.score // its owner's word decides: by size, or slow ones idle while others are crowded
-		}
-		if be.held > 0 || be.pace > tieBand*least || near && be.zone != b.myZone {
-			return 0
+}
+
+// scoreCandidates works out the candidates' scores, and gives the least.
+func (b *Balancer) scoreCandidates(anywhere bool) (least float64) {
+	least = math.Inf(1)
+	for _, server := range b.candidates {
+		server.pace = b.expectedPace(server)
+		server.score = server.pace
+		if !anywhere {
+			server.score *= b.costFactor(server)
 		}
-		return math.Pow(least/be.score, bias)
-	})
-	if be == nil {
-		be = b.draw(func(be *backend) float64 { return float64(min(1, int(least/be.score))) })
+		least = min(least, server.score)
 	}
-	return be
+	return least
 }
 
-// fit tells whether a server is on the ordinary pick; others are a last resort. Guards against many trials.
-func (b *Balancer) fit(v *visit, be *backend) bool {
-	tried := func(f *fetch) bool { return f.be == be }
-	if be.skipUntil > b.now || slices.Contains(v.asked, be) || slices.ContainsFunc(v.fetches, tried) {
+// eligible tells whether a server is on the ordinary pick. One that was ejected is tried by a request at a time.
+func (b *Balancer) eligible(request *request, server *server) bool {
+	if server.skipUntil > b.now || slices.Contains(request.asked, server) || request.tried(server) {
 		return false
 	}
-	return be.outUntil == 0 || be.outUntil <= b.now && be.held == 0 && v.on.effect != "mutating" &&
-		len(v.fetches) == 0
+	if server.ejectedUntil == 0 {
+		return true
+	}
+	return server.ejectedUntil <= b.now && server.held == 0 && request.class.effect != unsafe && len(request.attempts) == 0
+}
+
+// tried tells whether a request had an attempt at a server.
+func (r *request) tried(server *server) bool {
+	return slices.ContainsFunc(r.attempts, func(attempt *attempt) bool { return attempt.server == server })
+}
+
+// expectedPace is the latency per unit of work that one more request would see at a server.
+func (b *Balancer) expectedPace(server *server) float64 {
+	usual := b.zones[server.zone].heldPace * b.meanWeight / server.weight // until seen: twice the size, half the time
+	own := blend(server.latency, server.heldWork, priorRequests*b.meanWork, usual)
+	held := float64(server.held) + server.heldByOthers
+	if server.untested {
+		held = max(held, b.meanHeld)
+	}
+	pace := own * (1 + b.addedByMet*held) * b.reportedFactor(server) / b.warmth(server)
+	return max(pace, leastPace)
 }
 
-// stands tells whether an idle connection is believed to: told or, lately, learnt how long they live.
-func (b *Balancer) stands(be *backend) bool {
-	n := len(be.idle)
-	return n > 0 && be.idle[n-1]+b.life > b.now
+// reportedFactor is by how much a server differs from the usual by its last report, fading.
+func (b *Balancer) reportedFactor(server *server) float64 {
+	if server.reportedAt == 0 {
+		return 1
+	}
+	fades := math.Exp(-float64(b.now-server.reportedAt) / (reportedLife * b.pace * b.meanWork))
+	return 1 + (server.reported-b.meanReported)*fades/(1+b.meanReported)
 }
 
-// distance makes a crossing, and a new connection, count as some visits held, by their prices.
-func (b *Balancer) distance(be *backend) float64 {
+// costFactor makes another zone, and a new connection, count as some requests held, by their prices.
+func (b *Balancer) costFactor(server *server) float64 {
 	price := 0.0
-	if be.zone != b.myZone {
-		price = b.crossing
+	if server.zone != b.myZone {
+		price = b.crossingPrice
+	}
+	if !b.hasIdleConnection(server) {
+		price += b.dialPrice
 	}
-	if !b.stands(be) {
-		price += b.dialling
+	return 1 + crossWeight*price/float64(server.held+1)
+}
+
+// hasIdleConnection tells whether an idle connection is believed to live, by the settings or by what was lately learnt.
+func (b *Balancer) hasIdleConnection(server *server) bool {
+	last := len(server.idleSince) - 1
+	return last >= 0 && server.idleSince[last]+b.idleLife > b.now
+}
+
+// updatePaces takes stock of the zones. What was seen fades by answers as by time: a sidecar with few requests would never learn.
+func (b *Balancer) updatePaces() {
+	prior := priorRequests * b.meanWork
+	all := zoneStats{}
+	for i := range b.zones {
+		zone := &b.zones[i]
+		keep := 1 - min(1, zone.answers/enoughAnswers)/fadeBeats
+		zone.latency *= keep
+		zone.heldWork *= keep
+		zone.work *= keep
+		zone.answers *= keep
+		zone.heldPace = blend(zone.latency, zone.heldWork, prior, b.calmPace)
+		zone.pace = blend(zone.latency, zone.work, prior, b.calmPace)
+		all.add(zone.latency, zone.heldWork, zone.work)
 	}
-	return 1 + crossWeight*price/float64(be.held+1)
+	b.pace = blend(all.latency, all.work, prior, 1)
+	// The calm pace hardly follows a crowd: a jam must not raise the limit that is to end it.
+	rise := max(0, min(b.pace, calmBand*b.calmPace)-b.calmPace) / calmRises
+	fall := max(0, b.calmPace-b.pace) / calmFalls
+	b.calmPace += rise - fall
+	b.rawPace = blend(all.latency, all.work, 1, 1)
+}
+
+// blend is a latency per unit of work, mixed with a prior.
+func blend(latency, work, prior, usual float64) float64 {
+	return (latency + prior*usual) / (work + prior)
 }
--- a/brain/clock_test.go
+++ b/brain/clock_test.go
@@ -19,10 +19,10 @@
 	}{{"no step", 0}, {"back by an hour", -hour}, {"back by two seconds", -2000 * ms}, {"forward by an hour", hour},
 		{"forward by two seconds", 2000 * ms}} {
 		d := begin(t, site("all"), "a b")
-		listed := func(id Backend, started Micros) { d.listed(Changes, id, started) }
+		listed := func(id ServerID, started Micros) { d.listed(Changes, id, started) }
 		listed('c', d.now) // before the step
 		d.pass(20_000 * ms)
-		got = append(got, fmt.Sprintf("%s: warm after its warm-up: %v", c.name, d.b.warmth(d.b.known['c']) == 1))
+		got = append(got, fmt.Sprintf("%s: warm after its warm-up: %v", c.name, d.b.warmth(d.b.servers['c']) == 1))
 		listed('c', d.now+c.step-500*ms)
 		listed('d', d.now+c.step-500*ms)
 		got = append(got, c.name+": "+d.cold('c')+", "+d.cold('d'))
@@ -41,17 +41,17 @@
 const hour = 3600 * 1000 * ms
 
 // listed tells one server that is ready.
-func (d *day) listed(news News, id Backend, started Micros) {
+func (d *day) listed(news News, id ServerID, started Micros) {
 	d.b.ListBegins(d.now, news)
 	d.b.Listed(d.now, id, 0, 0, Ready, 1, started)
 	d.b.ListEnds(d.now)
 }
 
 // cold tells for how long a server has been cold by the module's count.
-func (d *day) cold(id Backend) string {
-	be := d.b.known[id]
-	if be.coldSince == 0 {
+func (d *day) cold(id ServerID) string {
+	server := d.b.servers[id]
+	if server.coldSince == 0 {
 		return fmt.Sprintf("%c warm", id)
 	}
-	return fmt.Sprintf("%c cold for %d ms", id, (d.now-be.coldSince)/ms)
+	return fmt.Sprintf("%c cold for %d ms", id, (d.now-server.coldSince)/ms)
 }
--- a/brain/cold_test.go
+++ b/brain/cold_test.go
@@ -10,12 +10,12 @@
 // coldDay is a fleet before twenty warm servers, to which six cold ones come while it works.
 type coldDay struct {
 	modules   int
-	mean      float64 // work of a visit, one core's microseconds
+	mean      float64 // work of a request, one core's microseconds
 	load      float64 // of the warm servers
 	uneven    bool    // a tenth of the sidecars have eight times the traffic
 	restarts  bool    // while servers are cold half of the sidecars are restarted
 	seed      uint64
-	perServer float64 // what the settings allow a cold server at its start, in visits of mean work and a window
+	perServer float64 // what the settings allow a cold server at its start, in requests of mean work and a window
 }
 
 // play tells the worst excess of any server's window over what is allowed it then, beyond which the operators put no more
@@ -39,16 +39,16 @@
 		work float64
 	}
 	var start Micros
-	sends, warmWork, coldWork := map[Backend][]send{}, 0.0, 0.0
-	note := func(now Micros, be Backend, work float64) {
-		if be >= 'u' {
-			sends[be] = append(sends[be], send{now, work})
+	sends, warmWork, coldWork := map[ServerID][]send{}, 0.0, 0.0
+	note := func(now Micros, server ServerID, work float64) {
+		if server >= 'u' {
+			sends[server] = append(sends[server], send{now, work})
 			coldWork += work / 6
 		} else if start != 0 {
 			warmWork += work / 20
 		}
 	}
-	speed := func(Backend) float64 { return 1 }
+	speed := func(ServerID) float64 { return 1 }
 	perSecond, step := 20*c.load*1e6/c.mean, 20*ms
 	if c.modules > 50 {
 		step = 100 * ms
@@ -81,27 +81,27 @@
 }
 
 // restarted is a sidecar's next process: it knows its saved list, cold servers and when they started among them.
-func restarted(t *testing.T, old *day, s Site, seed uint64, start Micros) *day {
-	d := &day{now: old.now, sent: map[string]Micros{}, count: map[Backend]int{}, quiet: true}
+func restarted(t *testing.T, old *day, s Settings, seed uint64, start Micros) *day {
+	d := &day{now: old.now, sent: map[string]Micros{}, count: map[ServerID]int{}, quiet: true}
 	b, err := New(d.now, s, seed, d)
 	if err != nil {
 		t.Fatal(err)
 	}
 	d.b = b
 	b.ListBegins(d.now, Saved)
-	for be := Backend('a'); be <= 'z'; be++ {
+	for server := ServerID('a'); server <= 'z'; server++ {
 		since := Micros(0)
-		if be >= 'u' {
+		if server >= 'u' {
 			since = start
 		}
-		b.Listed(d.now, be, 0, 0, Ready, 1, since)
+		b.Listed(d.now, server, 0, 0, Ready, 1, since)
 	}
 	b.ListEnds(d.now)
 	return d
 }
 
 // What all sidecars send a cold server together stays within what the settings allow it, but for what the operators put down to
-// chance: beyond N visits of mean work twice the root of N, and two. With three sidecars as with hundreds, some of which have
+// chance: beyond N requests of mean work twice the root of N, and two. With three sidecars as with hundreds, some of which have
 // several times the traffic, and half of which are restarted while it warms up. And the ramp is used.
 func TestColdBudget(t *testing.T) {
 	var d day
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -11,11 +11,11 @@
 // fleet is many sidecars beside each other, as many as a large fleet has; none knows of the others.
 type fleet struct {
 	days  []*day
-	rates []float64 // visits a second
+	rates []float64 // requests a second
 	drawn uint64
 }
 
-func newFleet(t *testing.T, n int, seed uint64, s Site, servers string) *fleet {
+func newFleet(t *testing.T, n int, seed uint64, s Settings, servers string) *fleet {
 	f := &fleet{drawn: seed << 32}
 	for i := range n {
 		d := beginAs(t, seed*1000+uint64(i), s, servers)
@@ -31,10 +31,10 @@
 	return float64(scramble(f.drawn*0x9e3779b97f4a7c15)>>11) / (1 << 53)
 }
 
-// play sends visits through all sidecars for so long; each server answers in the time that its work takes on one core
-// of its speed. sent hears of each fetch.
-func (f *fleet) play(span, step Micros, perSecond, meanWork float64, speed func(Backend) float64,
-	sent func(now Micros, be Backend, work float64)) {
+// play sends requests through all sidecars for so long; each server answers in the time that its work takes on one core
+// of its speed. sent hears of each attempt.
+func (f *fleet) play(span, step Micros, perSecond, meanWork float64, speed func(ServerID) float64,
+	sent func(now Micros, server ServerID, work float64)) {
 	sum := 0.0
 	for _, r := range f.rates {
 		sum += r
@@ -45,17 +45,17 @@
 				if f.draw() >= perSecond*f.rates[i]/sum*float64(step)/2e6 {
 					continue
 				}
-				id, work := VisitID(d.now*4)+VisitID(f.drawn%4), -math.Log(1-f.draw())*meanWork
+				id, work := RequestID(d.now*4)+RequestID(f.drawn%4), -math.Log(1-f.draw())*meanWork
 				d.visitOf(id, 0, 0, Micros(max(work, 100)))
-				v := d.b.visits[id]
-				if v == nil || len(v.fetches) == 0 {
+				request := d.b.requests[id]
+				if request == nil || len(request.attempts) == 0 {
 					continue
 				}
-				be := v.fetches[0].be.id
-				sent(d.now, be, work)
-				d.b.at(d.now+Micros(work/speed(be)), func() {
-					if v := d.b.visits[id]; v != nil {
-						d.b.Outcome(d.b.now, id, 0, Delivered, Micros(work/speed(be)), true)
+				server := request.attempts[0].server.id
+				sent(d.now, server, work)
+				d.b.after(d.now+Micros(work/speed(server)), func() {
+					if request := d.b.requests[id]; request != nil {
+						d.b.Outcome(d.b.now, id, 0, Succeeded, Micros(work/speed(server)), true)
 					}
 				})
 			}
@@ -64,8 +64,8 @@
 	}
 }
 
-// Eighty sidecars, each with a few visits a second: cold servers work during their warm-up, by tokens, and all together
-// stay within the budget of every window. Where each saved up its own part no visit ever fitted.
+// Eighty sidecars, each with a few requests a second: cold servers work during their warm-up, by tokens, and all together
+// stay within the budget of every window. Where each saved up its own part no request ever fitted.
 func TestColdTokens(t *testing.T) {
 	var d day
 	s := site("all", "balancers", 80.0, "me", 0.0)
@@ -78,15 +78,15 @@
 			at   Micros
 			work float64
 		}
-		sends, warmWork := map[Backend][]send{}, 0.0
-		note := func(now Micros, be Backend, work float64) {
-			if be >= 'u' {
-				sends[be] = append(sends[be], send{now, work})
+		sends, warmWork := map[ServerID][]send{}, 0.0
+		note := func(now Micros, server ServerID, work float64) {
+			if server >= 'u' {
+				sends[server] = append(sends[server], send{now, work})
 			} else if now >= start {
 				warmWork += work / 20
 			}
 		}
-		speed := func(Backend) float64 { return 1 }
+		speed := func(ServerID) float64 { return 1 }
 		f.play(3000*ms, 20*ms, 500, 28e3, speed, note)
 		for _, d := range f.days {
 			d.list(Changes, "u* v* w* x* y* z*")
@@ -114,30 +114,30 @@
 }
 
 // One that is asked of a few is not turned away while others idle: where the best offer is crowded, or slow for what it
-// brings, others are asked. Where they were not, up to a third of a fleet's visits was bounced beside idle servers.
+// brings, others are asked. Where they were not, up to a third of a fleet's requests was bounced beside idle servers.
 func TestCrowdedOffer(t *testing.T) {
 	d := begin(t, site("all", "balancers", 20.0, "me", 2.0, "allowed.peer_messages", true), "a b c d e f g h i j k l m n")
-	answer := func(id VisitID, pace float64) {
-		for _, be := range append([]*backend{}, d.b.visits[id].asked...) {
-			if len(be.asking) > 0 {
-				d.b.Heard(d.now, 1, Quote, be.id, pace, 9)
+	answer := func(id RequestID, pace float64) {
+		for _, server := range append([]*server{}, d.b.requests[id].asked...) {
+			if len(server.waiting) > 0 {
+				d.b.Heard(d.now, 1, Quote, server.id, pace, 9)
 			}
 		}
 	}
 	d.quiet = true
 	d.title("all that are asked first are crowded: others are asked, and one that is not gets it")
 	d.visitOf(1, 0, 0, 100*ms)
-	first := len(d.b.visits[1].asked)
+	first := len(d.b.requests[1].asked)
 	answer(1, 50)
-	more := len(d.b.visits[1].asked) - first
+	more := len(d.b.requests[1].asked) - first
 	answer(1, 0.1)
 	d.quiet = false
 	d.say("asked %d, then %d more", first, more)
-	d.say("sent to one of the second: %v", len(d.b.visits[1].fetches) == 1)
+	d.say("sent to one of the second: %v", len(d.b.requests[1].attempts) == 1)
 	d.title("all are crowded: turned away when as many rounds are over as there may be")
 	d.visitOf(2, 0, 0, 100*ms)
 	rounds := 0
-	for d.b.visits[2] != nil && rounds < 9 {
+	for d.b.requests[2] != nil && rounds < 9 {
 		rounds++
 		answer(2, 50)
 	}
@@ -146,33 +146,33 @@
 	d.visit(3, 0)
 	answer(3, 50)
 	d.title("one whose target is short beside what answers take is sent unasked")
-	d.b.lag = d.b.prefixes[0].target / 4
+	d.b.quoteLag = d.b.classes[0].target / 4
 	d.visit(4, 0)
-	d.say("asked %d", len(d.b.visits[4].asked))
+	d.say("asked %d", len(d.b.requests[4].asked))
 	d.matches(t)
 }
 
 // Servers are asked of by their size: slow ones are a part of the fleet that must not idle while quick ones are full.
 func TestAskedBySize(t *testing.T) {
 	d := begin(t, site("all", "balancers", 20.0, "me", 2.0, "allowed.peer_messages", true), "a b c d e f g h i j k l")
-	for _, be := range d.b.row {
-		be.rating = 2
-		if be.id >= 'g' {
-			be.rating = 1
+	for _, server := range d.b.listed {
+		server.weight = 2
+		if server.id >= 'g' {
+			server.weight = 1
 		}
 	}
 	d.quiet = true
 	slow, all := 0.0, 0.0
-	for id := range VisitID(600) {
+	for id := range RequestID(600) {
 		d.visit(id, 0)
-		for _, be := range d.b.visits[id].asked {
-			if all++; be.rating == 1 {
+		for _, server := range d.b.requests[id].asked {
+			if all++; server.weight == 1 {
 				slow++
 			}
 		}
 		d.b.Dropped(d.now, id)
-		clear(d.b.deaf)
-		d.b.unanswered, d.b.down = 0, deafness{}
+		clear(d.b.peerBackoffs)
+		d.b.unanswered, d.b.allBackoff = 0, backoff{}
 		d.pass(20 * ms)
 	}
 	d.quiet = false
@@ -181,29 +181,29 @@
 	d.matches(t)
 }
 
-// Most sidecars die at once, and with them most owners. Each is learnt by one visit that waits, not by every visit; the
+// Most sidecars die at once, and with them most owners. Each is learnt by one request that waits, not by every request; the
 // next in the server's order takes its place, and one that says anything is asked again.
 func TestDeafOwners(t *testing.T) {
 	d := begin(t, site("all", "balancers", 20.0, "me", 2.0, "allowed.peer_messages", true), "a b c d e f g h")
 	d.quiet = true
 	dead := func(p Peer) bool { return p%4 != 2 } // fifteen of twenty
 	waited := map[string]int{}
-	play := func(when string, first VisitID, n int) {
-		for id := first; id < first+VisitID(n); id++ {
+	play := func(when string, first RequestID, n int) {
+		for id := first; id < first+RequestID(n); id++ {
 			d.visit(id, 0)
-			if v := d.b.visits[id]; v != nil {
-				for i, be := range v.asked {
-					if len(be.asking) > 0 && !dead(v.owners[i]) {
-						d.b.Heard(d.now, v.owners[i], Quote, be.id, 0.1, 1)
+			if request := d.b.requests[id]; request != nil {
+				for i, server := range request.asked {
+					if len(server.waiting) > 0 && !dead(request.owners[i]) {
+						d.b.Heard(d.now, request.owners[i], Quote, server.id, 0.1, 1)
 					}
 				}
-				if len(v.fetches) == 0 {
+				if len(request.attempts) == 0 {
 					waited[when]++
 				}
 			}
 			d.pass(150 * ms)
-			if d.b.visits[id] != nil {
-				d.ends(id, 0, Delivered)
+			if d.b.requests[id] != nil {
+				d.ends(id, 0, Succeeded)
 			}
 			d.pass(50 * ms)
 		}
@@ -214,13 +214,13 @@
 	d.say("of the first ten visits more than two wait: %v; of the next eighty no more than a third: %v", waited["at first"] > 2,
 		waited["then"] <= 27)
 	t.Logf("%v", waited)
-	was := d.b.known['a'].mark % 20
-	d.b.deaf[was] = deafness{until: d.now + 1000*ms, span: 1000 * ms}
-	d.say("a's own owner is %d, while that is deaf another: %v", was, d.b.owner(d.b.known['a']) != Peer(was))
+	was := d.b.servers['a'].hash % 20
+	d.b.peerBackoffs[was] = backoff{until: d.now + 1000*ms, span: 1000 * ms}
+	d.say("a's own owner is %d, while that is deaf another: %v", was, d.b.owner(d.b.servers['a']) != Peer(was))
 	d.quiet = true
 	d.b.Heard(d.now, Peer(was), Ask, 'a')
 	d.quiet = false
-	d.say("once it asks anything itself it is a's owner again: %v", d.b.owner(d.b.known['a']) == Peer(was))
+	d.say("once it asks anything itself it is a's owner again: %v", d.b.owner(d.b.servers['a']) == Peer(was))
 	d.matches(t)
 }
 
@@ -233,28 +233,28 @@
 			"a b c")
 		for _, quick := range []float64{0.8, 0.4} {
 			d.title("a handshake's price is %.2f; a has a connection, the others' answers take %.1f of its time", price, quick)
-			id := VisitID(quick * 10)
+			id := RequestID(quick * 10)
 			d.quiet = true
-			d.b.known['a'].idle = []Micros{d.now - 1000*ms}
+			d.b.servers['a'].idleSince = []Micros{d.now - 1000*ms}
 			d.visit(id, 0)
-			for _, be := range []Backend{'b', 'c', 'a'} {
+			for _, server := range []ServerID{'b', 'c', 'a'} {
 				pace := quick
-				if be == 'a' {
+				if server == 'a' {
 					pace = 1
 				}
-				d.b.Heard(d.now, 1, Quote, be, pace, 1)
+				d.b.Heard(d.now, 1, Quote, server, pace, 1)
 			}
-			v := d.b.visits[id]
+			request := d.b.requests[id]
 			d.quiet = false
-			d.say("sent to a: %v", v.fetches[0].be.id == 'a')
-			d.ends(id, 0, Delivered)
+			d.say("sent to a: %v", request.attempts[0].server.id == 'a')
+			d.ends(id, 0, Succeeded)
 		}
 		all.lines.WriteString(d.lines.String())
 	}
 	all.matches(t)
 }
 
-// The smallest fleets: one server among many sidecars is asked of once, and a visit that it can't take is turned away at
+// The smallest fleets: one server among many sidecars is asked of once, and a request that it can't take is turned away at
 // once, not after more waits; one sidecar alone is its own owner; none at all is said at once.
 func TestSmallestFleets(t *testing.T) {
 	var all day
@@ -266,19 +266,19 @@
 		d := begin(t, site("all", "balancers", c.sidecars, "me", 0.0, "allowed.peer_messages", true), c.servers)
 		d.title("%.0f sidecars, servers: %s, quoted %.1f", c.sidecars, c.servers, c.pace)
 		d.visit(1, 0)
-		if v := d.b.visits[1]; v != nil && len(v.asked) > 0 && len(v.fetches) == 0 {
-			d.b.Heard(d.now, v.owners[0], Quote, v.asked[0].id, c.pace, 1)
+		if request := d.b.requests[1]; request != nil && len(request.asked) > 0 && len(request.attempts) == 0 {
+			d.b.Heard(d.now, request.owners[0], Quote, request.asked[0].id, c.pace, 1)
 		}
-		if v := d.b.visits[1]; v != nil && len(v.fetches) > 0 {
-			d.ends(1, 0, Delivered)
+		if request := d.b.requests[1]; request != nil && len(request.attempts) > 0 {
+			d.ends(1, 0, Succeeded)
 		}
-		d.say("over: %v", d.b.visits[1] == nil)
+		d.say("over: %v", d.b.requests[1] == nil)
 		all.lines.WriteString(d.lines.String())
 	}
 	all.matches(t)
 }
 
-// What garbled or outdated messages of known sidecars say must not stay in the books: afterwards visits are sent, and no server counts as slow.
+// What garbled or outdated messages of known sidecars say must not stay in the books: afterwards requests are sent, and no server counts as slow.
 func TestGarbledNotes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		servers := "a b c d e f g h"
@@ -288,7 +288,7 @@
 		d.pass(1000 * ms)
 		figure := rapid.Float64Range(0, math.MaxFloat32)
 		for range rapid.IntRange(1, 60).Draw(rt, "messages") {
-			kind := Note(rapid.IntRange(0, 9).Draw(rt, "kind"))
+			kind := MessageKind(rapid.IntRange(0, 9).Draw(rt, "kind"))
 			figures := make([]float64, rapid.IntRange(0, 5).Draw(rt, "figures"))
 			for i := range figures {
 				if figures[i] = figure.Draw(rt, "figure"); rapid.Bool().Draw(rt, "nothing") {
@@ -296,21 +296,21 @@
 				}
 			}
 			d.b.Heard(d.now, Peer(rapid.IntRange(0, 90).Draw(rt, "from")), kind,
-				Backend(rapid.IntRange('a', 'j').Draw(rt, "server")), figures...)
+				ServerID(rapid.IntRange('a', 'j').Draw(rt, "server")), figures...)
 		}
 		d.pass(20000 * ms)
 		d.b.sidecars = 1 // nobody is asked: what the books say decides
-		for id := range VisitID(80) {
+		for id := range RequestID(80) {
 			d.visit(id, 0)
 			d.pass(1 * ms)
 			if _, sent := d.sent[fmt.Sprint(id, "/0")]; !sent {
 				rt.Fatalf("visit %d was not sent; %v", id, d.b.tally)
 			}
-			d.ends(id, 0, Delivered)
+			d.ends(id, 0, Succeeded)
 		}
-		for _, be := range d.b.row {
-			if pace := d.b.expect(be); !(pace < 100) {
-				rt.Fatalf("%c: pace %v", be.id, pace)
+		for _, server := range d.b.listed {
+			if pace := d.b.expectedPace(server); !(pace < 100) {
+				rt.Fatalf("%c: pace %v", server.id, pace)
 			}
 		}
 	})
@@ -322,15 +322,15 @@
 	now   Micros
 }
 
-func (w *still) Dispatch(VisitID, Backend, Micros)    {}
-func (w *still) Bounce(VisitID, Micros, Reason)               {}
-func (w *still) ErrorPage(VisitID, Reason)                    {}
-func (w *still) Cancel(VisitID, FetchNo)              {}
-func (w *still) Wake(in Micros, t Token)              { w.wakes = append(w.wakes, wake{w.now + in, t}) }
-func (w *still) CloseIdle(Backend)                    {}
-func (w *still) Tell(Peer, Note, Backend, ...float64) {}
-func (w *still) Subscribe()                           {}
-func (w *still) Print(string)                         {}
+func (w *still) Dispatch(RequestID, ServerID, Micros)         {}
+func (w *still) Reject(RequestID, Micros, Reason)             {}
+func (w *still) Fail(RequestID, Reason)                       {}
+func (w *still) Cancel(RequestID, AttemptNo)                  {}
+func (w *still) Wake(in Micros, t Token)                      { w.wakes = append(w.wakes, wake{w.now + in, t}) }
+func (w *still) CloseIdle(ServerID)                           {}
+func (w *still) Tell(Peer, MessageKind, ServerID, ...float64) {}
+func (w *still) Subscribe()                                   {}
+func (w *still) Print(string)                                 {}
 func (w *still) pass(b *Balancer, span Micros) {
 	for end := w.now + span; ; {
 		next := -1
@@ -350,7 +350,7 @@
 	}
 }
 
-// A visit's decisions and its part of the beats at a sidecar of three visits a second before 204 servers.
+// A request's decisions and its part of the beats at a sidecar of three requests a second before 204 servers.
 func BenchmarkThin(bench *testing.B) {
 	w := &still{now: 1e9}
 	b, err := New(w.now, site("cell", "balancers", 511.0), 7, w)
@@ -359,13 +359,13 @@
 	}
 	b.ListBegins(w.now, Saved)
 	for i := range 204 {
-		b.Listed(w.now, Backend(1000+i*7919), Zone(i%2), 0, Ready, 1, 0)
+		b.Listed(w.now, ServerID(1000+i*7919), Zone(i%2), 0, Ready, 1, 0)
 	}
 	b.ListEnds(w.now)
-	for id := VisitID(0); bench.Loop(); id++ {
+	for id := RequestID(0); bench.Loop(); id++ {
 		b.Inbound(w.now, id, 0, 0, 2000*ms, 90e3, false, false)
 		w.pass(b, 100*ms)
-		b.Outcome(w.now, id, 0, Delivered, 100*ms, true)
+		b.Outcome(w.now, id, 0, Succeeded, 100*ms, true)
 		w.pass(b, 220*ms)
 	}
 }
--- a/brain/gate.go
+++ b/brain/gate.go
@@ -1,47 +1,63 @@
 package brain
 
-// gate.go: whether the rules let a visit go to a server.
+// gate.go: whether the rules let a request go to a server.
 
 import (
 	"slices"
 )
 
-// may is the one gate of all sends: whether the rules let this visit go to this server now.
-func (b *Balancer) may(v *visit, be *backend) bool { return b.mayAt(v, be, b.now, v.out) }
+// allowed is the one gate of all sends: whether the rules let this request go to this server now.
+func (b *Balancer) allowed(request *request, server *server) bool {
+	return b.allowedAt(request, server, b.now, request.outstanding)
+}
 
-// mayAt tells the same for a later time, with so many fetches still out.
-func (b *Balancer) mayAt(v *visit, be *backend, at Micros, out int) bool {
-	if v.ended || at >= v.until || !be.open() ||
-		len(v.fetches) > 0 && (v.once || len(v.fetches) >= v.on.most) ||
-		out > 0 && (v.on.effect == "mutating" || !v.on.copies) {
+// allowedAt tells the same for a later time, with so many attempts still out.
+func (b *Balancer) allowedAt(request *request, server *server, at Micros, outstanding int) bool {
+	class, made := request.class, len(request.attempts)
+	switch {
+	case request.ended || at >= request.deadline || !server.open():
+		return false
+	case made > 0 && (request.streamed || made >= class.mostAttempts):
+		return false
+	case outstanding > 0 && (class.effect == unsafe || !class.mayDuplicate):
+		return false
+	case server.coldSince != 0 && server.credit < request.work:
 		return false
 	}
-	if be.coldSince != 0 && be.credit < v.work {
-		return false // guards against pushing a cold server over
-	}
-	return v.harmless(at, be)
+	return request.mayRunAgain(at, server)
 }
 
-// onward tells whether some server, but this one, may get the visit when the next wait is over.
-func (b *Balancer) onward(v *visit, but *backend, out int) bool {
-	return slices.ContainsFunc(b.row, func(be *backend) bool {
-		return be != but && b.mayAt(v, be, b.now+v.wait(), out)
+// hasOther tells whether some server but this one may get the request when the next backoff is over.
+func (b *Balancer) hasOther(request *request, but *server, outstanding int) bool {
+	return slices.ContainsFunc(b.listed, func(server *server) bool {
+		return server != but && b.allowedAt(request, server, b.now+request.backoff(), outstanding)
 	})
 }
 
-// harmless tells whether a visit may run again at a server or, nil, anywhere, which is what a bounce says.
-func (v *visit) harmless(at Micros, be *backend) bool {
-	for _, f := range v.fetches {
-		if !f.ran || v.on.effect == "read_like" {
-			continue
-		}
-		if v.on.effect != "tagged" || at >= f.sent+v.on.window {
-			return false // guards against a second effect
-		}
-		if p := v.on; be == nil && (p.inZone || p.inCell) || p.inZone && f.be.zone != be.zone ||
-			p.inCell && f.be.cell != be.cell {
-			return false // only its group knows the tag
+// mayRunAgain tells whether a request may run again at a server or, nil, anywhere, which is what a rejection says. An unsafe one may only if no
+// attempt may have run, a keyed one also where its key is still known.
+func (r *request) mayRunAgain(at Micros, where *server) bool {
+	if r.class.effect == safe {
+		return true
+	}
+	for _, attempt := range r.attempts {
+		if attempt.mayHaveRun && !(r.class.effect == keyed && r.keyKnown(attempt, at, where)) {
+			return false
 		}
 	}
 	return true
 }
+
+// keyKnown tells whether the key of an attempt that may have run is known at another server or, nil, anywhere.
+func (r *request) keyKnown(attempt *attempt, at Micros, where *server) bool {
+	class := r.class
+	switch {
+	case at >= attempt.sent+class.keyWindow:
+		return false
+	case where == nil:
+		return !class.inZone && !class.inCell
+	}
+	sameZone := attempt.server.zone == where.zone
+	sameCell := attempt.server.cell == where.cell
+	return (sameZone || !class.inZone) && (sameCell || !class.inCell)
+}
--- a/brain/helper_test.go
+++ b/brain/helper_test.go
@@ -23,7 +23,7 @@
 	lines strings.Builder
 	wakes []wake
 	sent  map[string]Micros
-	count map[Backend]int
+	count map[ServerID]int
 	quiet bool
 }
 
@@ -32,9 +32,9 @@
 	t  Token
 }
 
-// site has three path prefixes: 0 read-like, 1 tagged (group by the argument), 2 mutating.
-func site(group string, more ...any) Site {
-	s := Site{"my_zone": 0.0, "path_prefixes": 3.0, "discovery": "pushed", "step_us": 1000.0,
+// site has three classes: 0 safe, 1 keyed (group by the argument), 2 unsafe.
+func site(group string, more ...any) Settings {
+	s := Settings{"my_zone": 0.0, "path_prefixes": 3.0, "discovery": "pushed", "step_us": 1000.0,
 		"allowed.max_backend_fetches": 5.0, "allowed.conn_idle_us": 10e6, "allowed.cancel": true,
 		"allowed.multiplex": 1.0, "obligations.cold_from": 0.3, "obligations.cold_us": 8e6,
 		"obligations.fall_multiple": 3.0, "obligations.fall_us": 1.5e6}
@@ -50,16 +50,16 @@
 	return s
 }
 
-// begin starts a sidecar with servers a, b, c ... as named: "a b" lie here, "A B" in the other data centre.
-func begin(t *testing.T, s Site, servers string) *day {
+// begin starts a sidecar with servers a, b, c ... as named: "a b" lie here, "A B" in the other zone.
+func begin(t *testing.T, s Settings, servers string) *day {
 	t.Helper()
 	return beginAs(t, 7, s, servers)
 }
 
 // beginAs starts one whose chance comes from this seed.
-func beginAs(t *testing.T, seed uint64, s Site, servers string) *day {
+func beginAs(t *testing.T, seed uint64, s Settings, servers string) *day {
 	t.Helper()
-	d := &day{now: 1e9, sent: map[string]Micros{}, count: map[Backend]int{}}
+	d := &day{now: 1e9, sent: map[string]Micros{}, count: map[ServerID]int{}}
 	b, err := New(d.now, s, seed, d)
 	if err != nil {
 		t.Fatal(err)
@@ -90,7 +90,7 @@
 		if word[0] < 'a' {
 			zone = 1
 		}
-		d.b.Listed(d.now, Backend(word[0]), zone, cell, st, 1, started)
+		d.b.Listed(d.now, ServerID(word[0]), zone, cell, st, 1, started)
 	}
 	d.b.ListEnds(d.now)
 }
@@ -101,38 +101,42 @@
 	}
 }
 
-func (d *day) Dispatch(v VisitID, be Backend, tryFor Micros) {
-	d.say("visit %d to %c", v, be)
-	d.count[be]++
-	d.sent[fmt.Sprint(v, "/", len(d.b.visits[v].fetches)-1)] = d.now
+func (d *day) Dispatch(request RequestID, server ServerID, tryFor Micros) {
+	d.say("visit %d to %c", request, server)
+	d.count[server]++
+	d.sent[fmt.Sprint(request, "/", len(d.b.requests[request].attempts)-1)] = d.now
 }
-func (d *day) Bounce(v VisitID, in Micros, _ Reason) {
-	d.say("visit %d bounced, come back in %d ms", v, in/ms)
+func (d *day) Reject(request RequestID, in Micros, _ Reason) {
+	d.say("visit %d bounced, come back in %d ms", request, in/ms)
 }
-func (d *day) ErrorPage(v VisitID, _ Reason)          { d.say("visit %d error page", v) }
-func (d *day) Cancel(v VisitID, no FetchNo) { d.say("visit %d fetch %d called off", v, no) }
-func (d *day) Wake(in Micros, t Token)      { d.wakes = append(d.wakes, wake{d.now + in, t}) }
-func (d *day) CloseIdle(be Backend)         { d.say("idle connections to %c closed", be) }
-func (d *day) Tell(to Peer, kind Note, about Backend, figures ...float64) {
+func (d *day) Fail(request RequestID, _ Reason) { d.say("visit %d error page", request) }
+func (d *day) Cancel(request RequestID, no AttemptNo) {
+	d.say("visit %d fetch %d called off", request, no)
+}
+func (d *day) Wake(in Micros, t Token)   { d.wakes = append(d.wakes, wake{d.now + in, t}) }
+func (d *day) CloseIdle(server ServerID) { d.say("idle connections to %c closed", server) }
+func (d *day) Tell(to Peer, kind MessageKind, about ServerID, figures ...float64) {
 	names := []string{"", "tenants' use", "tenants' total", "ask", "quote", "began", "waits", "ended"}
 	d.say("told sidecar %d: %s %c %.2f", to, names[kind], max(about, '-'), figures)
 }
-func (d *day) Subscribe()                    { d.say("list subscribed") }
-func (d *day) Print(line string)             { d.say("log: %s", line) }
-func (d *day) visit(id VisitID, on Prefix)   { d.visitOf(id, on, 0, 0) }
-func (d *day) tokens()                       { d.say("tokens %.0f of %.0f", d.b.capacity()-d.b.spent, d.b.capacity()) }
+func (d *day) Subscribe()                     { d.say("list subscribed") }
+func (d *day) Print(line string)              { d.say("log: %s", line) }
+func (d *day) visit(id RequestID, on ClassID) { d.visitOf(id, on, 0, 0) }
+func (d *day) tokens() {
+	d.say("tokens %.0f of %.0f", d.b.bucketSize()-d.b.spentTokens, d.b.bucketSize())
+}
 func (d *day) title(format string, a ...any) { fmt.Fprintf(&d.lines, "# "+format+"\n", a...) }
-func (d *day) visitOf(id VisitID, on Prefix, of Tenant, effort Micros) {
+func (d *day) visitOf(id RequestID, on ClassID, of TenantID, effort Micros) {
 	d.b.Inbound(d.now, id, on, of, 2000*ms, effort, false, false)
 }
 
-// ends tells how a visit's fetch ended, after the time it was out.
-func (d *day) ends(id VisitID, no FetchNo, rc Result) {
+// ends tells how a request's attempt ended, after the time it was out.
+func (d *day) ends(id RequestID, no AttemptNo, rc Result) {
 	names := []string{"", "delivered", "errored", "full", "timed out", "not connected", "reset", "cancelled",
 		"not sent"}
 	d.say("visit %d fetch %d ends: %s", id, no, names[rc])
 	took := d.now - d.sent[fmt.Sprint(id, "/", no)]
-	d.b.Outcome(d.now, id, no, rc, took, rc == Delivered)
+	d.b.Outcome(d.now, id, no, rc, took, rc == Succeeded)
 }
 
 // pass lets time go by and fires what falls due.
@@ -151,15 +155,15 @@
 	d.now = end
 }
 
-// warm delivers n read-like visits in 40 ms each, so that paces and prefix means are known.
+// warm delivers n safe requests in 40 ms each, so that paces and prefix means are known.
 func (d *day) warm(n int) {
 	d.quiet = true
 	for i := range n {
-		id := VisitID(1e6 + i + int(d.now))
-		d.visit(id, Prefix(i%3))
+		id := RequestID(1e6 + i + int(d.now))
+		d.visit(id, ClassID(i%3))
 		d.pass(40 * ms)
-		if d.b.visits[id] != nil {
-			d.ends(id, 0, Delivered)
+		if d.b.requests[id] != nil {
+			d.ends(id, 0, Succeeded)
 		}
 	}
 	d.quiet = false
--- a/brain/list_test.go
+++ b/brain/list_test.go
@@ -17,7 +17,7 @@
 						float64(every)), "a b")
 					for call := range 12 {
 						from := d.now
-						for d.b.asked == 0 && d.now < from+60_000*ms {
+						for d.b.listAskedAt == 0 && d.now < from+60_000*ms {
 							d.pass(10 * ms)
 						}
 						switch asked := d.now; {
--- a/brain/owners.go
+++ b/brain/owners.go
@@ -8,125 +8,157 @@
 	"slices"
 )
 
-// thin tells whether sidecars outnumber servers: what one holds and saw there then says little of the crowd.
-func (b *Balancer) thin() bool { return float64(b.sidecars) > max(b.inUse, 1) }
+// sparse tells whether sidecars outnumber servers: what one holds and saw there then says little of how crowded they are.
+func (b *Balancer) sparse() bool { return float64(b.sidecars) > max(b.inUse, 1) }
 
-// owners tells whether servers have owners: sidecars, the same for all, that hear of every visit there.
-func (b *Balancer) owners() bool {
-	return b.thin() && b.allows("allowed.peer_messages") && b.down.until <= b.now
+// hasOwners tells whether servers have owners: sidecars, the same for all, that hear of every request there.
+func (b *Balancer) hasOwners() bool {
+	return b.sparse() && b.allows("allowed.peer_messages") && b.allBackoff.until <= b.now
 }
 
-// blind tells whether a thin sidecar can ask nobody, and so sends into queues that it can't know of.
-func (b *Balancer) blind() bool { return b.thin() && !b.owners() }
+// blind tells whether a sidecar of a sparse fleet can ask nobody, and so sends into queues that it can't know of.
+func (b *Balancer) blind() bool { return b.sparse() && !b.hasOwners() }
 
-// owner is the first in a server's own order of sidecars that is not known to be deaf.
-func (b *Balancer) owner(be *backend) (p Peer) {
-	for mark, n := be.mark, 0; n < 2*b.sidecars; mark, n = scramble(mark+1), n+1 {
-		if p = Peer(mark % uint64(b.sidecars)); p == b.me || b.deaf[p].until <= b.now {
-			return p
+// owner is the first in a server's own order of sidecars that answers, as far as is known.
+func (b *Balancer) owner(server *server) Peer {
+	hash := server.hash
+	for range 2 * b.sidecars {
+		peer := Peer(hash % uint64(b.sidecars))
+		if peer == b.me || b.peerBackoffs[peer].until <= b.now {
+			return peer
 		}
+		hash = scramble(hash + 1)
 	}
 	return b.me
 }
 
-// unheard books that a sidecar answered nothing, until it does. Guards against waits for owners that died.
-func (b *Balancer) unheard(p Peer) {
-	if d := &b.deaf[p]; p != b.me && d.until <= b.now {
-		d.span = min(max(4*d.span, b.span("obligations.cold_us")/4), 4*b.span("obligations.cold_us"))
-		d.until = b.now + Micros(float64(d.span)*(0.75+b.chance()/2))
+// peerSilent records that a sidecar answered nothing: it is passed over for a while. Where several in a row did, no message comes through at
+// all, and waits for other owners would only cost time.
+func (b *Balancer) peerSilent(peer Peer) {
+	cold := b.span("obligations.cold_us")
+	if silent := &b.peerBackoffs[peer]; peer != b.me && silent.until <= b.now {
+		silent.span = min(max(4*silent.span, cold/4), 4*cold)
+		silent.until = b.now + b.jitter(silent.span)
 		b.tally["deaf"]++
 	}
-	// Guards against waits for all owners in turn, where no message at all comes through.
-	if b.unanswered++; b.unanswered%(2*ownerAsks) == 0 {
-		b.down.span = min(max(2*b.down.span, 20*firstWait), b.span("obligations.cold_us")/2)
-		b.down.until = b.now + Micros(float64(b.down.span)*(0.75+b.chance()/2))
+	b.unanswered++
+	if b.unanswered%(2*asksAtOnce) == 0 {
+		b.allBackoff.span = min(max(2*b.allBackoff.span, 20*firstBackoff), cold/2)
+		b.allBackoff.until = b.now + b.jitter(b.allBackoff.span)
 		b.tally["messages_down"]++
 	}
 }
 
-// ask has a few servers compared by their owners. Guards against sends to servers that nothing is known of.
-func (b *Balancer) ask(v *visit) {
-	owners, before := b.owners(), len(v.asked)
-	be := cmp.Or(b.coldest(v), b.pick(v, false, owners))
-	if !owners || v.offer == nil && (be == nil || v.wanted-b.now < 5*b.lag) { // asking would take too much of it
-		b.place(v, be)
+// compareByOwners has a few servers compared by their owners, and sends the request to the best of them. Where there are no owners, or asking
+// would take too much of its time, it goes to the server that is picked.
+func (b *Balancer) compareByOwners(request *request) {
+	owners := b.hasOwners()
+	first := cmp.Or(b.coldest(request), b.pick(request, false, owners))
+	hurries := first == nil || request.usefulUntil-b.now < 5*b.quoteLag
+	if !owners || request.best == nil && hurries {
+		b.sendOrGiveUp(request, first)
 		return
 	}
-	for be != nil && len(v.asked) < before+ownerAsks && !slices.Contains(v.asked, be) {
-		v.asked, v.owners = append(v.asked, be), append(v.owners, b.owner(be))
-		be.asking = append(slices.DeleteFunc(be.asking, func(w *visit) bool { return w.settled || w.ended }), v)
-		be = b.pick(v, len(v.asked) > before+1, true)
-	}
-	v.round, v.askedAt = v.round+1, b.now
+	before := len(request.asked)
+	b.chooseToAsk(request, first)
+	request.round++
+	request.askedAt = b.now
 	b.tally["asked"]++
-	these, round := v.asked[before:], v.round
-	if v.missing = len(these); v.missing == 0 { // nobody is left to be asked
-		v.round = askRounds
-		b.decide(v, v.round)
+	asked := request.asked[before:]
+	request.awaited = len(asked)
+	if request.awaited == 0 { // nobody is left to be asked
+		request.round = askRounds
+		b.decide(request, request.round)
 		return
 	}
-	b.at(b.now+min(max(2*b.lag, b.leastTarget/8), b.leastTarget/2), func() {
-		for i, be := range these {
-			if slices.Contains(be.asking, v) {
-				b.unheard(v.owners[before+i])
-			}
-		}
-		if v.round == round {
-			v.missing = 0
+	round := request.round
+	wait := min(max(2*b.quoteLag, b.leastTarget/8), b.leastTarget/2)
+	b.after(b.now+wait, func() { b.quotesOverdue(request, round, before, asked) })
+	for i, server := range asked {
+		b.say(request.owners[before+i], Ask, server.id)
+	}
+}
+
+// chooseToAsk adds to the servers that a request asks of, beginning with one.
+func (b *Balancer) chooseToAsk(request *request, next *server) {
+	before := len(request.asked)
+	for next != nil && len(request.asked) < before+asksAtOnce && !slices.Contains(request.asked, next) {
+		request.asked = append(request.asked, next)
+		request.owners = append(request.owners, b.owner(next))
+		next.waiting = append(slices.DeleteFunc(next.waiting, waitsNoMore), request)
+		next = b.pick(request, len(request.asked) > before+1, true)
+	}
+}
+
+// waitsNoMore tells whether a request has no use for another quote.
+func waitsNoMore(request *request) bool { return request.settled || request.ended }
+
+// quotesOverdue goes on without the quotes that have not come.
+func (b *Balancer) quotesOverdue(request *request, round, before int, asked []*server) {
+	for i, server := range asked {
+		if slices.Contains(server.waiting, request) {
+			b.peerSilent(request.owners[before+i])
 		}
-		b.decide(v, round)
-	})
-	for i, be := range these {
-		b.say(v.owners[before+i], Ask, be.id)
 	}
+	if request.round == round {
+		request.awaited = 0
+	}
+	b.decide(request, round)
 }
 
-func (b *Balancer) quoted(be *backend, pace, held float64) {
-	waiting := be.asking
-	be.asking = nil
-	if math.IsInf(pace, 1) { // guards against trying one dead server after another where a data centre is lost
-		be.skipUntil = b.now + 10*firstWait
+// quoted hears a server's pace from its owner, and how many requests are held there; an infinite pace: it is ejected.
+func (b *Balancer) quoted(server *server, pace, held float64) {
+	waiting := server.waiting
+	server.waiting = nil
+	if math.IsInf(pace, 1) { // where a zone is lost, one dead server after another would be tried
+		server.skipUntil = b.now + 10*firstBackoff
 	}
-	for _, v := range waiting {
-		// Guards against waiting for less than messages take, and for long where owners died.
-		if lag := b.now - v.askedAt; lag > 0 && lag < b.leastTarget/2 {
-			b.lag += (lag - b.lag) / enough
+	for _, request := range waiting {
+		// The wait is no shorter than messages take, and not long where owners died.
+		if lag := b.now - request.askedAt; lag > 0 && lag < b.leastTarget/2 {
+			b.quoteLag += (lag - b.quoteLag) / enoughAnswers
 		}
-		if v.settled {
+		if request.settled {
 			continue
 		}
-		v.missing--
-		if !math.IsInf(pace, 1) && (v.offer == nil || pace*b.distance(be) < v.offered*b.distance(v.offer)) {
-			v.offer, v.offered, v.meets = be, pace, held
+		request.awaited--
+		better := request.best == nil || pace*b.costFactor(server) < request.bestPace*b.costFactor(request.best)
+		if !math.IsInf(pace, 1) && better {
+			request.best = server
+			request.bestPace = pace
+			request.bestHeld = held
 		}
-		if v.missing == 0 {
-			b.decide(v, v.round)
+		if request.awaited == 0 {
+			b.decide(request, request.round)
 		}
 	}
 }
 
-func (b *Balancer) decide(v *visit, round int) {
-	if v.settled || v.ended || v.round != round {
+// decide sends a request to the best server that it heard of. Where none was any good others are asked, if there is time: they may be idle.
+func (b *Balancer) decide(request *request, round int) {
+	if request.settled || request.ended || request.round != round {
 		return
 	}
-	// Guards against bounces beside idle servers: where all that were asked are no good, others are asked.
-	if again := v.offer == nil || v.hinted && b.strain(v, v.offer) > 1; again && v.wanted-b.now > 3*b.lag &&
-		v.missing <= 0 && v.round < askRounds {
-		b.ask(v)
+	noGood := request.best == nil || request.workKnown && b.strain(request, request.best) > 1
+	if noGood && request.usefulUntil-b.now > 3*b.quoteLag && request.awaited <= 0 && request.round < askRounds {
+		b.compareByOwners(request)
 		return
 	}
-	be := v.offer
-	if v.settled = true; be == nil || !b.may(v, be) {
+	request.settled = true
+	chosen := request.best
+	if chosen == nil || !b.allowed(request, chosen) {
 		b.tally["asked_in_vain"]++
-		v.offer, be = nil, b.pick(v, false, false)
+		request.best = nil
+		chosen = b.pick(request, false, false)
 	}
-	b.place(v, be)
+	b.sendOrGiveUp(request, chosen)
 }
 
-// quote is what an owner tells of its server: the answer time per unit of work that one more visit would see.
-func (b *Balancer) quote(be *backend) float64 {
-	if !be.open() || be.outUntil > b.now || be.outUntil != 0 && float64(be.held)+be.away >= 1 {
+// quote is what an owner tells of its server: the latency per unit of work that one more request would see.
+func (b *Balancer) quote(server *server) float64 {
+	held := float64(server.held) + server.heldByOthers
+	if !server.open() || server.ejectedUntil > b.now || server.ejectedUntil != 0 && held >= 1 {
 		return math.Inf(1)
 	}
-	return b.expect(be)
+	return b.expectedPace(server)
 }
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -5,24 +5,24 @@
 
 // The kinds of id. None tells anything but sameness.
 type (
-	VisitID uint64 // one accepted visit
-	Backend uint64 // one server, the same at every sidecar
-	FetchNo uint8  // a visit's backend fetches, counted from 0
-	Prefix  uint16 // place among the path prefixes
-	Tenant  uint32 // place among the tenants
-	Zone    uint16 // place among the data centres
-	Cell    uint16 // small group of servers that share a memory of tags
-	Token   uint32 // names a wake-up
-	Peer    uint16 // another sidecar
+	RequestID uint64 // one request that was taken in
+	ServerID  uint64 // one server, the same at every sidecar
+	AttemptNo uint8  // a request's attempts, counted from 0
+	ClassID   uint16 // place among the classes (the settings' path prefixes)
+	TenantID  uint32 // place among the tenants
+	Zone      uint16 // place among the zones
+	Cell      uint16 // small group of servers that share a memory of keys
+	Token     uint32 // names a wake-up
+	Peer      uint16 // another sidecar
 )
 
-// Result tells how a backend fetch ended.
+// Result tells how an attempt ended.
 type Result uint8
 
 const (
-	Delivered     Result = iota + 1
-	Errored              // answered with an error; may have run
-	Full                 // turned away unseen
+	Succeeded     Result = iota + 1
+	AnsweredError        // answered with an error; may have run
+	Overloaded           // rejected unseen
 	TimedOut             // no answer in time; may have run
 	ConnectFailed        // no connection; never ran
 	Reset                // connection broke unanswered; may have run
@@ -49,22 +49,22 @@
 	NoListCame             // a call failed or the subscription broke
 )
 
-// Note is a kind of message between sidecars.
-type Note uint8
+// MessageKind is a kind of message between sidecars.
+type MessageKind uint8
 
 const (
-	TenantsUse   Note = iota + 1 // visits of each tenant since the last one, to the ledger
-	TenantsTotal                 // what all sidecars lately took in of each tenant, from it
-	Ask                          // how is a server?, to its owner
-	Quote                        // its answer time per unit of work (infinite: it sits out), visits held
-	Began                        // a visit went to it
-	Waits                        // one waits too long there: since when, as a span
-	Ended                        // one ended: Result, time it took, work, work times visits held
+	TenantsUse   MessageKind = iota + 1 // requests of each tenant since the last one, to the ledger's keeper
+	TenantsTotal                        // what all sidecars lately took in of each tenant, from it
+	Ask                                 // how is a server?, to its owner
+	Quote                               // its latency per unit of work (infinite: it is ejected), requests held
+	Began                               // an attempt went to it
+	Waits                               // one waits too long there: since when, as a span
+	Ended                               // one ended: Result, latency, work, work times requests held
 )
 
-// Site holds the settings of the place the sidecar runs in: plain names ("allowed.cancel",
+// Settings holds the settings of the place the sidecar runs in: plain names ("allowed.cancel",
 // "path_prefixes.0.value") to a float64, string or bool.
-type Site map[string]any
+type Settings map[string]any
 
 // Reason is why a request got an answer that is no server's, as the log and the tally call it.
 type Reason string
@@ -80,22 +80,31 @@
 
 // Ports is all that the module can do to the world. Calls must not call back into the module.
 type Ports interface {
-	Dispatch(v VisitID, be Backend, tryFor Micros)              // one backend fetch; tryFor 0: until the client quits
-	Bounce(v VisitID, comeBackIn Micros, why Reason)            // final: a retry is harmless
-	ErrorPage(v VisitID, why Reason)                            // final: promises nothing
-	Cancel(v VisitID, no FetchNo)                               // stop waiting for one fetch
-	Wake(in Micros, t Token)                                    // Balancer.Woken(t) is due after this
-	CloseIdle(be Backend)                                       // give back connections that carry nothing
-	Subscribe()                                                 // ask the list to send its changes
-	Tell(to Peer, kind Note, about Backend, figures ...float64) // a short message to another sidecar; may be lost
-	Print(line string)                                          // one line for the operators
+	// Dispatch sends an attempt. tryFor 0: until the client leaves.
+	Dispatch(request RequestID, server ServerID, tryFor Micros)
+	// Reject is a final answer: the request may be sent again, without harm.
+	Reject(request RequestID, retryAfter Micros, why Reason)
+	// Fail is a final answer that promises nothing.
+	Fail(request RequestID, why Reason)
+	// Cancel stops waiting for one attempt.
+	Cancel(request RequestID, no AttemptNo)
+	// Wake has Balancer.Woken called after this span.
+	Wake(in Micros, token Token)
+	// CloseIdle gives back a server's connections that carry nothing.
+	CloseIdle(server ServerID)
+	// Subscribe asks the list to send its changes.
+	Subscribe()
+	// Tell sends a short message to another sidecar; it may be lost.
+	Tell(to Peer, kind MessageKind, about ServerID, figures ...float64)
+	// Print logs one line for the operators.
+	Print(line string)
 }
 
 // say tells another sidecar something by the Ports, or hears it where that is this one.
-func (b *Balancer) say(to Peer, kind Note, about Backend, figures ...float64) {
+func (b *Balancer) say(to Peer, kind MessageKind, about ServerID, figures ...float64) {
 	if to == b.me {
 		b.Heard(b.now, to, kind, about, figures...)
 		return
 	}
-	b.out.Tell(to, kind, about, figures...)
+	b.ports.Tell(to, kind, about, figures...)
 }
--- a/brain/retries.go
+++ b/brain/retries.go
@@ -1,61 +1,88 @@
 package brain
 
-// retries.go: retries, their token bucket and backoff, and the free retry.
-
-func (b *Balancer) after(v *visit, charged bool) func(*fetch, Result) {
-	return func(f *fetch, rc Result) {
-		switch {
-		case charged && rc == Delivered:
-			b.giveBack(retryCost)
-		case charged:
-			b.giveBack(failedGives)
-		case rc == Delivered && len(v.fetches) == 1:
-			b.giveBack(refill)
-		}
-		if v.ended || v.out > 0 {
+// retries.go: what follows an attempt's end. Retries take tokens from one bucket and back off; a connection that was reused and broke
+// unanswered has one free retry.
+
+// onEnd is what becomes of a request when an attempt of it has ended. charged: the attempt was a retry that took tokens.
+func (b *Balancer) onEnd(request *request, charged bool) func(*attempt, Result) {
+	return func(attempt *attempt, result Result) {
+		b.refundFor(request, charged, result)
+		if request.ended || request.outstanding > 0 {
 			return
 		}
-		if f.reused && rc == Reset {
-			f.be.idle = nil
-			b.out.CloseIdle(f.be.id)
-			if !v.freed && b.may(v, f.be) {
-				v.freed = true
-				b.send(v, f.be, b.after(v, false))
-				return
-			}
+		if attempt.reused && result == Reset && b.retryFree(request, attempt.server) {
+			return
 		}
-		b.retry(v)
+		b.retryOrGiveUp(request)
 	}
 }
 
-func (b *Balancer) capacity() float64 { return retryCost * max(fewRetries, retryShare*b.firsts) }
-
-func (b *Balancer) giveBack(tokens float64) { b.spent = max(0, b.spent-tokens) }
+// refundFor gives tokens back for an attempt that ended.
+func (b *Balancer) refundFor(request *request, charged bool, result Result) {
+	switch {
+	case charged && result == Succeeded:
+		b.refund(retryCost)
+	case charged:
+		b.refund(failedRefund)
+	case result == Succeeded && len(request.attempts) == 1:
+		b.refund(firstTryRefund)
+	}
+}
 
-func (v *visit) wait() Micros { return firstWait << v.charged }
+// retryFree sends again to a server on a fresh connection, after a reused one broke unanswered. Its other idle connections may be broken as
+// well, and are closed first.
+func (b *Balancer) retryFree(request *request, server *server) bool {
+	server.idleSince = nil
+	b.ports.CloseIdle(server.id)
+	if request.freeRetryUsed || !b.allowed(request, server) {
+		return false
+	}
+	request.freeRetryUsed = true
+	b.send(request, server, b.onEnd(request, false))
+	return true
+}
 
-func (b *Balancer) retry(v *visit) {
-	b.spent = min(b.spent, b.capacity())
+// retryOrGiveUp retries after a backoff, if there is time, a server and the tokens.
+func (b *Balancer) retryOrGiveUp(request *request) {
+	b.spentTokens = min(b.spentTokens, b.bucketSize())
 	switch {
-	case b.now+v.wait() >= v.wanted:
-		b.giveUp(v, TurnedLate)
+	case b.now+request.backoff() >= request.usefulUntil:
+		b.giveUp(request, TurnedLate)
 		return
-	case !b.onward(v, nil, v.out):
-		b.giveUp(v, TurnedNoServer)
+	case !b.hasOther(request, nil, request.outstanding):
+		b.giveUp(request, TurnedNoServer)
 		return
-	case b.capacity()-b.spent < retryCost:
-		b.out.Print("retry denied: the bucket is empty")
-		b.giveUp(v, TurnedDenied)
+	case !b.hasTokens():
+		b.ports.Print("retry denied: the bucket is empty")
+		b.giveUp(request, TurnedDenied)
 		return
 	}
-	b.at(b.now+v.wait(), func() {
-		be := b.pick(v, false, false)
-		if be == nil {
-			b.giveBack(retryCost) // never sent: nothing was spent
-			b.giveUp(v, TurnedNoServer)
-			return
-		}
-		b.send(v, be, b.after(v, true))
-	})
-	b.spent, v.charged = b.spent+retryCost, v.charged+1
+	b.after(b.now+request.backoff(), func() { b.retry(request) })
+	b.spentTokens += retryCost
+	request.chargedRetries++
+}
+
+// retry sends a retry whose tokens are taken.
+func (b *Balancer) retry(request *request) {
+	server := b.pick(request, false, false)
+	if server == nil {
+		b.refund(retryCost) // it is never sent
+		b.giveUp(request, TurnedNoServer)
+		return
+	}
+	b.send(request, server, b.onEnd(request, true))
 }
+
+// backoff is how long a request waits before its next retry.
+func (r *request) backoff() Micros { return firstBackoff << r.chargedRetries }
+
+// bucketSize is how many tokens a full bucket holds.
+func (b *Balancer) bucketSize() float64 {
+	return retryCost * max(leastRetries, retryShare*b.firstTries)
+}
+
+// hasTokens tells whether the bucket pays a retry.
+func (b *Balancer) hasTokens() bool { return b.bucketSize()-b.spentTokens >= retryCost }
+
+// refund gives tokens back.
+func (b *Balancer) refund(tokens float64) { b.spentTokens = max(0, b.spentTokens-tokens) }
--- a/brain/retune_test.go
+++ b/brain/retune_test.go
@@ -13,10 +13,10 @@
 
 // retune gives the sidecar its settings anew, with some of them changed.
 func (d *day) retune(more ...any) {
-	d.retuneTo(d.b.site, more...)
+	d.retuneTo(d.b.all, more...)
 }
 
-func (d *day) retuneTo(s Site, more ...any) {
+func (d *day) retuneTo(s Settings, more ...any) {
 	s = maps.Clone(s)
 	var words []string
 	for i := 0; i < len(more); i += 2 {
@@ -32,28 +32,28 @@
 	}
 }
 
-// Settings change while visits are out. What became stricter counts for them at once, what became looser only for visits that come.
+// Settings change while requests are out. What became stricter counts for them at once, what became looser only for requests that come.
 func TestRetune(t *testing.T) {
 	d := begin(t, site("all"), "a1 b1 C2")
 	d.title("a tagged visit's window is shortened while it is out: no retry, no bounce")
 	d.visit(1, 1)
 	d.pass(60 * ms)
 	d.retune("path_prefixes.1.memory_span_us", 50e3)
-	d.ends(1, 0, Errored)
+	d.ends(1, 0, AnsweredError)
 	d.pass(60 * ms)
 	d.title("made longer: one that is out still ends by the shorter one; the next one is sent again")
 	d.visit(2, 1)
 	d.pass(60 * ms)
 	d.retune("path_prefixes.1.memory_span_us", 900e3)
-	d.ends(2, 0, Errored)
+	d.ends(2, 0, AnsweredError)
 	d.visit(3, 1)
 	d.pass(300 * ms)
-	d.ends(3, 0, Errored)
+	d.ends(3, 0, AnsweredError)
 	d.pass(60 * ms)
-	d.ends(3, 1, Delivered)
+	d.ends(3, 1, Succeeded)
 	d.title("a retry is armed; its window shrinks below its time: an error page when it is due")
 	d.visit(4, 1)
-	d.ends(4, 0, Errored)
+	d.ends(4, 0, AnsweredError)
 	d.retune("path_prefixes.1.memory_span_us", 40e3)
 	d.pass(60 * ms)
 	d.retune("path_prefixes.1.memory_span_us", 250e3)
@@ -61,35 +61,35 @@
 	d.visit(5, 1)
 	d.visit(6, 0)
 	d.retune("path_prefixes.1.effect", "mutating", "path_prefixes.0.effect", "tagged")
-	d.ends(5, 0, Errored)
-	d.ends(6, 0, Errored)
+	d.ends(5, 0, AnsweredError)
+	d.ends(6, 0, AnsweredError)
 	d.title("back again: one that began as mutating stays so")
 	d.visit(7, 1)
 	d.retune("path_prefixes.1.effect", "tagged", "path_prefixes.0.effect", "read_like")
-	d.ends(7, 0, Errored)
+	d.ends(7, 0, AnsweredError)
 	d.title("the group becomes a cell: only there")
 	d.visit(8, 1)
 	d.retune("path_prefixes.1.group", "cell")
-	d.ends(8, 0, Errored)
+	d.ends(8, 0, AnsweredError)
 	d.pass(60 * ms)
-	d.ends(8, 1, Errored)
+	d.ends(8, 1, AnsweredError)
 	d.pass(110 * ms)
 	d.retune("path_prefixes.1.group", "all")
 	d.title("fewer fetches: the retry that is armed is none")
 	d.visit(9, 0)
-	d.ends(9, 0, Errored)
+	d.ends(9, 0, AnsweredError)
 	d.retune("allowed.max_backend_fetches", 1.0)
 	d.pass(60 * ms)
 	d.title("more: not for one that began with fewer")
 	d.visit(10, 0)
 	d.retune("allowed.max_backend_fetches", 5.0)
-	d.ends(10, 0, Errored)
+	d.ends(10, 0, AnsweredError)
 	d.title("word when to come back: the shorter one, or none, for one that is out")
 	d.retune("allowed.retry_after", true, "allowed.max_retry_after_us", 90e3)
 	d.visit(11, 0)
 	d.retune("allowed.max_retry_after_us", 20e3)
 	d.list(Whole, "")
-	d.ends(11, 0, Full)
+	d.ends(11, 0, Overloaded)
 	d.visit(12, 0)
 	d.retune("allowed.retry_after", false)
 	d.visit(13, 0)
@@ -97,7 +97,7 @@
 	d.matches(t)
 }
 
-// What ends a visit that was out while settings changed, and what other sidecars tell of theirs.
+// What ends a request that was out while settings changed, and what other sidecars tell of theirs.
 func TestRetuneEnds(t *testing.T) {
 	d := begin(t, site("all", "balancers", 3.0, "me", 0.0), "a b c d e f")
 	d.title("fetches may not be called off any more, and may again: not those of a visit that was out")
@@ -105,31 +105,31 @@
 	d.retune("allowed.cancel", false)
 	d.retune("allowed.cancel", true)
 	d.b.Dropped(d.now, 14)
-	d.ends(14, 0, Delivered)
+	d.ends(14, 0, Succeeded)
 	d.visit(15, 0)
 	d.b.Dropped(d.now, 15)
 	d.ends(15, 0, Cancelled)
 	d.title("a step of the clock is longer or shorter: a word that a client may not hear any more promises nothing")
 	for id, steps := range [][]any{{50e3, 50e3}, {50e3, 1000.0}, {1000.0, 50e3}, {1000.0, 1000.0}} {
 		d.retune("step_us", steps[0])
-		d.visit(VisitID(20+id), 0)
+		d.visit(RequestID(20+id), 0)
 		d.retune("step_us", steps[1])
 		d.pass(1980 * ms)
 		if id > 1 {
-			d.ends(VisitID(20+id), 0, Full)
+			d.ends(RequestID(20+id), 0, Overloaded)
 		}
 		d.pass(120 * ms)
 	}
 	d.title("clients wait for less: what a visit took that waited longer, elsewhere, is still believed")
 	d.b.Heard(d.now, 1, Began, 'a')
 	d.retune("path_prefixes.0.client_timeout_us", 500e3, "path_prefixes.1.client_timeout_us", 500e3, "path_prefixes.2.client_timeout_us", 500e3)
-	d.say("out there elsewhere: %.0f", d.b.known['a'].away)
-	d.b.Heard(d.now, 1, Ended, 'a', float64(Delivered), 1500e3, 100e3, 100e3)
-	d.say("out there elsewhere: %.0f", d.b.known['a'].away)
+	d.say("out there elsewhere: %.0f", d.b.servers['a'].heldByOthers)
+	d.b.Heard(d.now, 1, Ended, 'a', float64(Succeeded), 1500e3, 100e3, 100e3)
+	d.say("out there elsewhere: %.0f", d.b.servers['a'].heldByOthers)
 	d.matches(t)
 }
 
-// Path prefixes come, go and change places: a visit that is out keeps its own, and what is known of them goes by name. What the module
+// Path prefixes come, go and change places: a request that is out keeps its own, and what is known of them goes by name. What the module
 // can't do without is missed, and nothing has changed then.
 func TestRetunePlaces(t *testing.T) {
 	s := site("all")
@@ -138,13 +138,13 @@
 	}
 	d := begin(t, s, "a b")
 	d.warm(30)
-	for _, be := range d.b.row {
-		be.coldSince = 0
+	for _, server := range d.b.listed {
+		server.coldSince = 0
 	}
 	means := func() {
 		var lines []string
-		for _, p := range d.b.prefixes {
-			lines = append(lines, fmt.Sprintf("%s %s %.0f ms", p.name, p.effect, p.mean/1000))
+		for _, class := range d.b.classes {
+			lines = append(lines, fmt.Sprintf("%s %s %.0f ms", class.name, class.effect, class.meanLatency/1000))
 		}
 		d.say("%s", strings.Join(lines, ", "))
 	}
@@ -163,21 +163,21 @@
 	means()
 	d.visit(2, 0)
 	d.visit(3, 2)
-	d.ends(1, 0, Errored)
-	d.ends(2, 0, Errored)
-	d.ends(3, 0, Errored)
+	d.ends(1, 0, AnsweredError)
+	d.ends(2, 0, AnsweredError)
+	d.ends(3, 0, AnsweredError)
 	d.pass(60 * ms)
-	d.ends(3, 1, Delivered)
+	d.ends(3, 1, Succeeded)
 	d.title("two of them are gone: visits that are out end as they would have")
 	d.visit(4, 1)
 	d.visit(5, 2)
 	d.retuneTo(swapped, "path_prefixes", 1.0)
 	means()
-	d.ends(4, 0, Errored)
-	d.ends(5, 0, Errored)
+	d.ends(4, 0, AnsweredError)
+	d.ends(5, 0, AnsweredError)
 	d.pass(60 * ms)
-	d.ends(4, 1, Delivered)
-	d.ends(5, 1, Delivered)
+	d.ends(4, 1, Succeeded)
+	d.ends(5, 1, Succeeded)
 	d.title("one is back, and knows nothing")
 	d.retuneTo(swapped, "path_prefixes", 2.0)
 	means()
@@ -195,13 +195,13 @@
 	d := begin(t, site("all"), "a")
 	d.warm(60)
 	d.list(Changes, "b*")
-	cold := d.b.known['b']
+	cold := d.b.servers['b']
 	earned := func(what string) {
 		before := cold.credit
 		d.pass(50 * ms)
 		d.say("%s: it had %.0f%% of a quarter window, and earns %.1f times its warmth and a warm server's work", what,
-			before/(d.b.carry*d.b.warmth(cold)*d.b.ramp.multiple*coldSafety*d.b.ramp.window/float64(firstWait)/4)*100,
-			(cold.credit-before)/d.b.carry/d.b.warmth(cold)/coldSafety)
+			before/(d.b.workPerWeight*d.b.warmth(cold)*d.b.ramp.multiple*coldSafety*d.b.ramp.window/float64(firstBackoff)/4)*100,
+			(cold.credit-before)/d.b.workPerWeight/d.b.warmth(cold)/coldSafety)
 	}
 	d.quiet = true
 	d.pass(600 * ms)
@@ -232,7 +232,7 @@
 	earned("after the second one's")
 	d.title("the warm-up is shorter: it is warm only when the windows are over; made longer it is cold again at once")
 	d.list(Changes, "c*")
-	c := d.b.known['c']
+	c := d.b.servers['c']
 	d.pass(500 * ms)
 	d.retune("obligations.cold_us", 400e3)
 	d.pass(1000 * ms)
@@ -240,7 +240,7 @@
 	d.pass(700 * ms)
 	d.say("cold %v", c.coldSince != 0)
 	d.retune("obligations.cold_us", 8e6)
-	d.say("cold %v, credit %.0f, a is cold %v", c.coldSince != 0, c.credit, d.b.known['a'].coldSince != 0)
+	d.say("cold %v, credit %.0f, a is cold %v", c.coldSince != 0, c.credit, d.b.servers['a'].coldSince != 0)
 	d.matches(t)
 }
 
@@ -249,12 +249,12 @@
 	d := begin(t, site("all"), "a")
 	steady := func(span Micros) { // its own traffic stays as it is
 		for range span / (50 * ms) {
-			d.b.known['a'].own = 1e7
+			d.b.servers['a'].ownWork = 1e7
 			d.pass(50 * ms)
 		}
 	}
 	d.list(Changes, "b*")
-	cold := d.b.known['b']
+	cold := d.b.servers['b']
 	steady(100 * ms)
 	d.title("less is sure of it at its start; its share at the start goes up again")
 	d.retune("obligations.cold_from", 0.05)
@@ -268,10 +268,10 @@
 	for _, window := range []float64{500e3, 3e6} {
 		d.retune("obligations.fall_us", window)
 		steady(1400 * ms)
-		d.say("it saved up %.1f beats of a warm server's work", cold.credit/d.b.carry/d.b.warmth(cold)/coldSafety)
+		d.say("it saved up %.1f beats of a warm server's work", cold.credit/d.b.workPerWeight/d.b.warmth(cold)/coldSafety)
 	}
 	steady(3000 * ms)
-	d.say("after all windows: %.1f", cold.credit/d.b.carry/d.b.warmth(cold)/coldSafety)
+	d.say("after all windows: %.1f", cold.credit/d.b.workPerWeight/d.b.warmth(cold)/coldSafety)
 	d.matches(t)
 }
 
@@ -279,15 +279,15 @@
 func TestRetuneShares(t *testing.T) {
 	d := begin(t, site("all", "realms", 2.0, "realms.0.quota_per_s", 10.0, "realms.1.quota_per_s", 10.0, "beyond_share_value", 0.1), "a b")
 	d.quiet = true
-	for id := range VisitID(200) {
-		d.visitOf(1000+id, 0, Tenant(id%4/3), 0)
+	for id := range RequestID(200) {
+		d.visitOf(1000+id, 0, TenantID(id%4/3), 0)
 		d.pass(10 * ms)
-		d.ends(1000+id, 0, Delivered)
+		d.ends(1000+id, 0, Succeeded)
 	}
 	d.quiet = false
 	beyond := func() {
 		for of, tenant := range d.b.tenants {
-			d.say("tenant %d: %.0f lately, %.0f%% beyond its share", of, tenant.used, 100*d.b.beyond(Tenant(of)))
+			d.say("tenant %d: %.0f lately, %.0f%% beyond its share", of, tenant.used, 100*d.b.overShare(TenantID(of)))
 		}
 	}
 	beyond()
@@ -300,7 +300,7 @@
 	d.matches(t)
 }
 
-// terms are what settings allow a visit, for the judge.
+// terms are what settings allow a request, for the judge.
 type terms struct {
 	effect, group     string
 	window            Micros
@@ -309,7 +309,7 @@
 	back              Micros
 }
 
-// judged is a visit in the judge's account: the strictest of all terms since it began.
+// judged is a request in the judge's account: the strictest of all terms since it began.
 type judged struct {
 	name  string
 	until Micros
@@ -321,7 +321,7 @@
 
 type sent struct {
 	at        Micros
-	be        Backend
+	be        ServerID
 	ran, done bool
 }
 
@@ -331,18 +331,18 @@
 	b      *Balancer
 	now    Micros
 	wakes  []wake
-	site   Site
-	visits map[VisitID]*judged
-	open   map[Backend]bool
-	where  map[Backend][2]int // data centre, cell
-	born   map[Backend]Micros
-	cold   map[Backend][]struct {
+	site   Settings
+	visits map[RequestID]*judged
+	open   map[ServerID]bool
+	where  map[ServerID][2]int // zone, cell
+	born   map[ServerID]Micros
+	cold   map[ServerID][]struct {
 		at   Micros
 		work float64
 	}
 	ramps []struct {
 		at Micros
-		ramp
+		slowStart
 	}
 	carry float64
 	trail []string
@@ -368,7 +368,7 @@
 }
 
 // harmless tells whether running it again, at a server or anywhere, is proven to do nothing twice.
-func (v *judged) harmless(now Micros, j *judge, be Backend) bool {
+func (v *judged) harmless(now Micros, j *judge, server ServerID) bool {
 	for _, f := range v.sent {
 		if !f.ran || v.effect == "read_like" {
 			continue
@@ -376,14 +376,14 @@
 		if v.effect == "mutating" || now >= f.at+v.window {
 			return false
 		}
-		if be == 0 && (v.zones || v.cells) || be != 0 && (v.zones && j.where[f.be][0] != j.where[be][0] || v.cells && j.where[f.be][1] != j.where[be][1]) {
+		if server == 0 && (v.zones || v.cells) || server != 0 && (v.zones && j.where[f.be][0] != j.where[server][0] || v.cells && j.where[f.be][1] != j.where[server][1]) {
 			return false
 		}
 	}
 	return true
 }
 
-func (j *judge) Dispatch(id VisitID, be Backend, _ Micros) {
+func (j *judge) Dispatch(id RequestID, server ServerID, _ Micros) {
 	v := j.visits[id]
 	out := 0
 	for _, f := range v.sent {
@@ -391,42 +391,42 @@
 			out++
 		}
 	}
-	j.said("visit %d (%s, began as or became %s) to %c", id, v.name, v.effect, be)
+	j.said("visit %d (%s, began as or became %s) to %c", id, v.name, v.effect, server)
 	switch {
 	case v.over || j.now >= v.until:
 		j.wrong("rule 1: visit %d is over", id)
-	case !j.open[be]:
-		j.wrong("rule 3: visit %d to %c, which takes nothing new", id, be)
+	case !j.open[server]:
+		j.wrong("rule 3: visit %d to %c, which takes nothing new", id, server)
 	case len(v.sent) > 0 && len(v.sent) >= v.fetches:
 		j.wrong("visit %d: %d fetches, of %d", id, len(v.sent)+1, v.fetches)
 	case out > 0 && (v.effect == "mutating" || !v.copies):
 		j.wrong("rule 2: visit %d twice at a time", id)
-	case !v.harmless(j.now, j, be):
-		j.wrong("rule 2: visit %d may run again at %c: %+v", id, be, v)
+	case !v.harmless(j.now, j, server):
+		j.wrong("rule 2: visit %d may run again at %c: %+v", id, server, v)
 	}
-	v.sent = append(v.sent, sent{at: j.now, be: be, ran: true})
-	j.budget(be, j.b.visits[id].work)
+	v.sent = append(v.sent, sent{at: j.now, be: server, ran: true})
+	j.budget(server, j.b.requests[id].work)
 }
 
 // budget holds sends to a cold server against the least that any settings allowed since the window began. A window that began before
 // the latest that was stricter counts from that one on.
-func (j *judge) budget(be Backend, work float64) {
-	if j.b.known[be].coldSince == 0 && j.born[be] == 0 {
+func (j *judge) budget(server ServerID, work float64) {
+	if j.b.servers[server].coldSince == 0 && j.born[server] == 0 {
 		return
 	}
-	j.cold[be] = append(j.cold[be], struct {
+	j.cold[server] = append(j.cold[server], struct {
 		at   Micros
 		work float64
 	}{j.now, work})
 	if j.b.sidecars > 1 { // tokens, by chance: TestColdTokens
 		return
 	}
-	j.within(be)
+	j.within(server)
 }
 
-func (j *judge) within(be Backend) {
-	for i, first := range j.cold[be] {
-		least, sum := ramp{math.Inf(1), math.Inf(1), math.Inf(1), 0}, 0.0
+func (j *judge) within(server ServerID) {
+	for i, first := range j.cold[server] {
+		least, sum := slowStart{math.Inf(1), math.Inf(1), math.Inf(1), 0}, 0.0
 		stricter := false
 		for k, r := range j.ramps {
 			if k+1 < len(j.ramps) && j.ramps[k+1].at <= first.at {
@@ -436,22 +436,22 @@
 				p := j.ramps[k-1]
 				stricter = stricter || r.multiple < p.multiple || r.from < p.from || r.window < p.window || r.warm > p.warm
 			}
-			least = ramp{min(least.from, r.from), min(least.multiple, r.multiple), min(least.window, r.window), max(least.warm, r.warm)}
+			least = slowStart{min(least.from, r.from), min(least.multiple, r.multiple), min(least.window, r.window), max(least.warm, r.warm)}
 		}
 		if stricter || j.now >= first.at+Micros(least.window) {
 			continue
 		}
-		for _, s := range j.cold[be][i:] {
+		for _, s := range j.cold[server][i:] {
 			sum += s.work
 		}
-		warmth := min(1, least.from+(1-least.from)*float64(j.now-j.born[be])/least.warm)
-		if allowed := j.carry * warmth * least.multiple * least.window / float64(firstWait); warmth < 1 && sum > allowed {
-			j.wrong("rule 4: %c got work of %.0f in a window, of %.0f allowed", be, sum, allowed)
+		warmth := min(1, least.from+(1-least.from)*float64(j.now-j.born[server])/least.warm)
+		if allowed := j.carry * warmth * least.multiple * least.window / float64(firstBackoff); warmth < 1 && sum > allowed {
+			j.wrong("rule 4: %c got work of %.0f in a window, of %.0f allowed", server, sum, allowed)
 		}
 	}
 }
 
-func (j *judge) final(id VisitID, how string) *judged {
+func (j *judge) final(id RequestID, how string) *judged {
 	v := j.visits[id]
 	j.said("visit %d: %s", id, how)
 	if v.over || j.now >= v.until {
@@ -461,20 +461,20 @@
 	return v
 }
 
-func (j *judge) Bounce(id VisitID, back Micros, _ Reason) {
+func (j *judge) Reject(id RequestID, back Micros, _ Reason) {
 	if v := j.final(id, "bounced"); !v.harmless(j.now, j, 0) {
 		j.wrong("rule 2: visit %d bounced, and a retry is not harmless: %+v", id, v)
 	} else if back > v.back {
 		j.wrong("visit %d is to come back in %d, and the settings allow %d", id, back, v.back)
 	}
 }
-func (j *judge) ErrorPage(id VisitID, _ Reason)                 { j.final(id, "error page") }
-func (j *judge) Cancel(VisitID, FetchNo)              {}
-func (j *judge) Wake(in Micros, t Token)              { j.wakes = append(j.wakes, wake{j.now + in, t}) }
-func (j *judge) CloseIdle(Backend)                    {}
-func (j *judge) Subscribe()                           {}
-func (j *judge) Tell(Peer, Note, Backend, ...float64) {}
-func (j *judge) Print(string)                         {}
+func (j *judge) Fail(id RequestID, _ Reason)                  { j.final(id, "error page") }
+func (j *judge) Cancel(RequestID, AttemptNo)                  {}
+func (j *judge) Wake(in Micros, t Token)                      { j.wakes = append(j.wakes, wake{j.now + in, t}) }
+func (j *judge) CloseIdle(ServerID)                           {}
+func (j *judge) Subscribe()                                   {}
+func (j *judge) Tell(Peer, MessageKind, ServerID, ...float64) {}
+func (j *judge) Print(string)                                 {}
 func (j *judge) pass(span Micros) {
 	for end := j.now + span; ; {
 		sort.SliceStable(j.wakes, func(a, b int) bool { return j.wakes[a].at < j.wakes[b].at })
@@ -486,40 +486,40 @@
 		j.wakes = j.wakes[1:]
 		j.now = max(j.now, w.at)
 		j.b.Woken(j.now, w.t)
-		j.carry = max(j.carry, j.b.carry)
+		j.carry = max(j.carry, j.b.workPerWeight)
 	}
 }
 
-func (j *judge) list(t *rapid.T, be Backend, how string) {
+func (j *judge) list(t *rapid.T, server ServerID, how string) {
 	st, started := Ready, Micros(0)
 	switch how {
 	case "drains":
 		st = Draining
 	case "restarted":
 		started = j.now
-		j.born[be], j.cold[be] = j.now, nil
+		j.born[server], j.cold[server] = j.now, nil
 	case "gone":
 		st = Gone
 	}
-	j.said("%c: %s", be, how)
-	j.open[be] = st == Ready
+	j.said("%c: %s", server, how)
+	j.open[server] = st == Ready
 	j.b.ListBegins(j.now, Changes)
-	j.b.Listed(j.now, be, Zone(j.where[be][0]), Cell(j.where[be][1]), st, 1, started)
+	j.b.Listed(j.now, server, Zone(j.where[server][0]), Cell(j.where[server][1]), st, 1, started)
 	j.b.ListEnds(j.now)
 }
 
-func (j *judge) end(id VisitID, no int, rc Result) {
+func (j *judge) end(id RequestID, no int, rc Result) {
 	v := j.visits[id]
 	f := &v.sent[no]
-	f.done, f.ran = true, rc != Full && rc != ConnectFailed && rc != NeverSent
+	f.done, f.ran = true, rc != Overloaded && rc != ConnectFailed && rc != NeverSent
 	j.said("visit %d fetch %d ends with %d", id, no, rc)
-	over := rc == Delivered && !v.over
+	over := rc == Succeeded && !v.over
 	v.over = v.over || over
-	j.b.Outcome(j.now, id, FetchNo(no), rc, j.now-f.at, over || v.over)
+	j.b.Outcome(j.now, id, AttemptNo(no), rc, j.now-f.at, over || v.over)
 }
 
 // changed is the site with some of what a file may say drawn anew.
-func (j *judge) changed(t *rapid.T) Site {
+func (j *judge) changed(t *rapid.T) Settings {
 	s := maps.Clone(j.site)
 	draw := func(name string, of ...any) { s[name] = rapid.SampledFrom(of).Draw(t, name) }
 	for range rapid.IntRange(1, 3).Draw(t, "changes") {
@@ -623,11 +623,11 @@
 	f := func(name string) float64 { return j.site["obligations."+name].(float64) }
 	j.ramps = append(j.ramps, struct {
 		at Micros
-		ramp
-	}{j.now, ramp{f("cold_from"), f("fall_multiple"), f("fall_us"), f("cold_us")}})
+		slowStart
+	}{j.now, slowStart{f("cold_from"), f("fall_multiple"), f("fall_us"), f("cold_us")}})
 }
 
-func sorted(s Site) []string {
+func sorted(s Settings) []string {
 	var names []string
 	for name := range s {
 		names = append(names, name)
@@ -644,8 +644,8 @@
 		for i, name := range []string{"p", "q", "r"} {
 			s[fmt.Sprintf("path_prefixes.%d.name", i)] = name
 		}
-		j := &judge{t: t, now: 1e9, site: s, visits: map[VisitID]*judged{}, open: map[Backend]bool{}, where: map[Backend][2]int{},
-			born: map[Backend]Micros{}, cold: map[Backend][]struct {
+		j := &judge{t: t, now: 1e9, site: s, visits: map[RequestID]*judged{}, open: map[ServerID]bool{}, where: map[ServerID][2]int{},
+			born: map[ServerID]Micros{}, cold: map[ServerID][]struct {
 				at   Micros
 				work float64
 			}{}}
@@ -655,30 +655,30 @@
 		}
 		j.ramped()
 		j.b.ListBegins(j.now, Saved)
-		for be := Backend('a'); be <= 'e'; be++ {
-			j.open[be], j.where[be] = true, [2]int{int(be) % 2, int(be) / 2 % 2}
-			j.b.Listed(j.now, be, Zone(j.where[be][0]), Cell(j.where[be][1]), Ready, 1, 0)
+		for server := ServerID('a'); server <= 'e'; server++ {
+			j.open[server], j.where[server] = true, [2]int{int(server) % 2, int(server) / 2 % 2}
+			j.b.Listed(j.now, server, Zone(j.where[server][0]), Cell(j.where[server][1]), Ready, 1, 0)
 		}
 		j.b.ListEnds(j.now)
-		ids := VisitID(0)
+		ids := RequestID(0)
 		visit := func(place int, left Micros) {
 			ids++
 			name, terms := j.termsOf(place)
 			j.visits[ids] = &judged{name: name, until: j.now + left, terms: terms, zones: terms.group == "zone", cells: terms.group == "cell"}
 			j.said("visit %d of %s (%s) for %d ms", ids, name, terms.effect, left/ms)
-			j.b.Inbound(j.now, ids, Prefix(place), Tenant(rapid.IntRange(0, 1).Draw(t, "tenant")), left, 0, false, false)
+			j.b.Inbound(j.now, ids, ClassID(place), TenantID(rapid.IntRange(0, 1).Draw(t, "tenant")), left, 0, false, false)
 		}
 		// Traffic of its own, so that there is something that a cold server may get.
 		for range rapid.SampledFrom([]int{0, 60}).Draw(t, "warm") {
 			visit(0, 2000*ms)
 			j.pass(20 * ms)
 			if v := j.visits[ids]; !v.over && len(v.sent) > 0 {
-				j.end(ids, 0, Delivered)
+				j.end(ids, 0, Succeeded)
 			}
 		}
 		for range rapid.IntRange(5, 60).Draw(t, "steps") {
 			var out [][2]int
-			for id := VisitID(1); id <= ids; id++ {
+			for id := RequestID(1); id <= ids; id++ {
 				for no, f := range j.visits[id].sent {
 					if !f.done {
 						out = append(out, [2]int{int(id), no})
@@ -691,11 +691,11 @@
 					rapid.SampledFrom([]Micros{50 * ms, 600 * ms, 2000 * ms}).Draw(t, "left"))
 			case step < 6 && len(out) > 0:
 				f := rapid.SampledFrom(out).Draw(t, "fetch")
-				j.end(VisitID(f[0]), f[1], Result(rapid.IntRange(int(Delivered), int(NeverSent)).Draw(t, "result")))
+				j.end(RequestID(f[0]), f[1], Result(rapid.IntRange(int(Succeeded), int(NeverSent)).Draw(t, "result")))
 			case step < 7:
 				j.retune(t)
 			case step < 8:
-				j.list(t, Backend(rapid.IntRange('a', 'e').Draw(t, "server")), rapid.SampledFrom([]string{"ready", "drains", "restarted", "gone"}).Draw(t, "is"))
+				j.list(t, ServerID(rapid.IntRange('a', 'e').Draw(t, "server")), rapid.SampledFrom([]string{"ready", "drains", "restarted", "gone"}).Draw(t, "is"))
 			default:
 				j.pass(rapid.SampledFrom([]Micros{1 * ms, 30 * ms, 60 * ms, 300 * ms, 1600 * ms}).Draw(t, "passes"))
 			}
@@ -717,8 +717,8 @@
 		for i, name := range []string{"p", "q", "r"} {
 			s[fmt.Sprintf("path_prefixes.%d.name", i)] = name
 		}
-		j := &judge{t: t, now: 1e9, site: s, open: map[Backend]bool{}, where: map[Backend][2]int{}, born: map[Backend]Micros{},
-			cold: map[Backend][]struct {
+		j := &judge{t: t, now: 1e9, site: s, open: map[ServerID]bool{}, where: map[ServerID][2]int{}, born: map[ServerID]Micros{},
+			cold: map[ServerID][]struct {
 				at   Micros
 				work float64
 			}{}}
@@ -732,7 +732,7 @@
 		j.b.Listed(j.now, 'z', 0, 0, Ready, 1, 0)
 		j.b.ListEnds(j.now)
 		j.list(t, 'b', "restarted")
-		b := j.b.known['b']
+		b := j.b.servers['b']
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0:
@@ -756,7 +756,7 @@
 				j.within('b')
 			default:
 				for range rapid.IntRange(1, 20).Draw(t, "beats") {
-					j.b.known['a'].own, j.b.known['z'].own = 1e7, 1e7 // its own traffic stays as it is
+					j.b.servers['a'].ownWork, j.b.servers['z'].ownWork = 1e7, 1e7 // its own traffic stays as it is
 					j.pass(50 * ms)
 				}
 			}
--- a/brain/servers.go
+++ b/brain/servers.go
@@ -1,6 +1,6 @@
 package brain
 
-// servers.go: the servers that the list tells of, their starts and standing.
+// servers.go: the servers that the list tells of, and their starts.
 
 import (
 	"cmp"
@@ -9,64 +9,91 @@
 	"slices"
 )
 
+// subscribe asks the list to send its changes.
 func (b *Balancer) subscribe() {
-	b.asked = b.now
-	b.out.Subscribe()
+	b.listAskedAt = b.now
+	b.ports.Subscribe()
 }
 
-// herd is a span over which all sidecars' calls of the list are no herd.
-func (b *Balancer) herd() Micros {
-	return min(Micros(b.sidecars-1)*firstWait, b.span("obligations.ask_every_us")/4, againBy*2/3)
+// fleetSpan is a span over which the calls of all sidecars don't crowd the list's service.
+func (b *Balancer) fleetSpan() Micros {
+	return min(Micros(b.sidecars-1)*firstBackoff, b.span("obligations.ask_every_us")/4, listAgainBy*2/3)
 }
 
 // ListBegins opens the reading of a list; Listed tells its lines; ListEnds closes it.
 func (b *Balancer) ListBegins(now Micros, news News) {
-	b.now, b.news = now, news
+	b.now = now
+	b.news = news
 	if news == NoListCame {
-		// Guards against a herd at the list's service: come back later each time, and not all at once.
-		every, left := b.span("obligations.ask_every_us")/4, againBy-(now-cmp.Or(b.asked, now))
-		b.asked, b.askWait = 0, min(max(2*b.askWait, 4*firstWait, b.herd()), max(every, min(3*b.herd(), 3*every)))
-		b.at(now+Micros(float64(min(b.askWait, left*2/3))*(0.5+b.chance())), func() {
-			if b.asked == 0 && b.askWait > 0 {
-				b.subscribe()
-			}
-		})
+		b.askListLater()
 		return
 	}
-	b.asked, b.askWait = 0, 0
-	for _, be := range b.row {
-		be.listed = news == Changes
+	b.listAskedAt = 0
+	b.listWait = 0
+	for _, server := range b.listed {
+		server.listed = news == Changes
 	}
 }
 
-func (b *Balancer) Listed(now Micros, id Backend, zone Zone, cell Cell, st Standing, rating float64,
-	started Micros) {
-	be := b.known[id]
-	returns := be != nil && be.standing == Gone && st == Ready
-	if be == nil {
+// askListLater calls the list again after a failed call: later each time, and not at once with all other sidecars.
+func (b *Balancer) askListLater() {
+	every := b.span("obligations.ask_every_us") / 4
+	left := listAgainBy - (b.now - cmp.Or(b.listAskedAt, b.now))
+	least := max(2*b.listWait, 4*firstBackoff, b.fleetSpan())
+	most := max(every, min(3*b.fleetSpan(), 3*every))
+	b.listAskedAt = 0
+	b.listWait = min(least, most)
+	wait := Micros(float64(min(b.listWait, left*2/3)) * (0.5 + b.chance()))
+	b.after(b.now+wait, func() {
+		if b.listAskedAt == 0 && b.listWait > 0 {
+			b.subscribe()
+		}
+	})
+}
+
+// Listed tells a line of the list that is being read.
+func (b *Balancer) Listed(now Micros, id ServerID, zone Zone, cell Cell, standing Standing, weight float64, started Micros) {
+	b.now = now
+	known := b.servers[id]
+	returns := known != nil && known.standing == Gone && standing == Ready
+	if known == nil {
 		returns = b.news == Changes // a new machine
-		be = &backend{id: id, mark: b.mix(uint64(id), 0), fresh: returns, byHand: b.byHand[id]}
-		b.known[id] = be
+		known = &server{id: id, hash: b.hashOf(uint64(id), 0), untested: returns, takenOut: b.takenOut[id]}
+		b.servers[id] = known
 	}
-	for len(b.centres) <= int(max(zone, b.myZone)) {
-		b.centres = append(b.centres, centre{pace: b.calm, level: b.calm})
+	for len(b.zones) <= int(max(zone, b.myZone)) {
+		b.zones = append(b.zones, zoneStats{heldPace: b.calmPace, pace: b.calmPace})
 	}
-	be.zone, be.cell, be.standing, be.listed, be.rating, be.left = zone, cell, st, true, rating, now
-	if !(rating > 0) || math.IsInf(rating, 0) {
-		be.rating = 1
+	known.zone = zone
+	known.cell = cell
+	known.standing = standing
+	known.listed = true
+	known.lastListed = now
+	known.weight = weight
+	if !(weight > 0) || math.IsInf(weight, 0) {
+		known.weight = 1
 	}
+	if standing == Ready { // a start that is told while it drains is still to be heard of
+		b.hearStart(known, started, returns)
+	}
+}
+
+// hearStart takes when a server started. returns: it comes back, or is new on a list of changes.
+func (b *Balancer) hearStart(server *server, started Micros, returns bool) {
 	// A wall clock may have been stepped since the start before, so any other start is a restart.
-	restarted := started != 0 && started != be.started
-	if st == Ready { // a start that is told while it drains is still to be heard of
-		be.started = started
+	restarted := started != 0 && started != server.started
+	server.started = started
+	if !restarted && !returns {
+		return
 	}
-	if (restarted || returns) && st == Ready {
-		be.cool(max(started, be.back, 1))
-		if started == 0 || started > now || b.doubted(started) || returns && !restarted {
-			be.coldSince, be.began = now, now // it came back from we know not what: cold
-		} else if float64(now-be.coldSince) >= b.ramp.warm { // guards a fresh sidecar's first visits
-			be.coldSince = 0
-		}
+	server.cool(max(started, server.putBackAt, 1))
+	unknown := started == 0 || started > b.now || b.doubted(started) || !restarted
+	switch {
+	case unknown:
+		server.coldSince = b.now
+		server.warmupBegan = b.now
+	case float64(b.now-server.coldSince) >= b.ramp.warm: // a fresh sidecar's first requests need warm servers
+		server.coldSince = 0
 	}
 }
 
@@ -77,35 +104,51 @@
 }
 
 // cool forgets what a server was: it is another process, cold since then.
-func (be *backend) cool(since Micros) {
-	be.coldSince, be.began, be.credit, be.fresh, be.outUntil = since, since, 0, true, 0
-	be.took, be.work, be.carried, be.own, be.good, be.bad, be.idle, be.toldAt = 0, 0, 0, 0, 0, 0, nil, 0
+func (s *server) cool(since Micros) {
+	s.coldSince = since
+	s.warmupBegan = since
+	s.credit = 0
+	s.untested = true
+	s.ejectedUntil = 0
+	s.latency = 0
+	s.heldWork = 0
+	s.work = 0
+	s.ownWork = 0
+	s.successes = 0
+	s.failures = 0
+	s.idleSince = nil
+	s.reportedAt = 0
 }
 
-// ByHand hears that staff take a server out, or call it back. It is restarted meanwhile: it comes back cold.
-func (b *Balancer) ByHand(now Micros, id Backend, out bool) {
-	b.now, b.byHand[id] = now, out
-	if be := b.known[id]; be != nil {
-		be.cool(now)
-		be.byHand, be.back = out, now
-		b.out.CloseIdle(id)
+// ByHand hears that staff take a server out, or put it back. It is restarted meanwhile: it comes back cold.
+func (b *Balancer) ByHand(now Micros, id ServerID, out bool) {
+	b.now = now
+	b.takenOut[id] = out
+	if server := b.servers[id]; server != nil {
+		server.cool(now)
+		server.takenOut = out
+		server.putBackAt = now
+		b.ports.CloseIdle(id)
 	}
 }
 
+// ListEnds closes the reading of a list. Servers that left are forgotten once they could not return cold any more.
 func (b *Balancer) ListEnds(now Micros) {
 	b.now = now
 	b.heardList = b.heardList || b.news == Whole || b.news == Changes
-	// Guards against books that grow with every server there ever was. One that may return cold is kept.
-	maps.DeleteFunc(b.known, func(_ Backend, be *backend) bool {
-		if b.news != NoListCame && !be.listed && be.standing != Gone {
-			be.standing, be.left = Gone, now
+	keep := b.span("obligations.cold_us")
+	maps.DeleteFunc(b.servers, func(_ ServerID, server *server) bool {
+		if b.news != NoListCame && !server.listed && server.standing != Gone {
+			server.standing = Gone
+			server.lastListed = now
 		}
-		return be.standing == Gone && be.held == 0 && now-be.left > b.span("obligations.cold_us")
+		return server.standing == Gone && server.held == 0 && now-server.lastListed > keep
 	})
-	b.row = slices.SortedFunc(maps.Values(b.known), func(x, y *backend) int { return cmp.Compare(x.id, y.id) })
+	b.listed = slices.SortedFunc(maps.Values(b.servers), func(x, y *server) int { return cmp.Compare(x.id, y.id) })
 }
 
-// A server is open unless drained, gone or taken out (no grace is used); in service: on the ordinary pick.
-func (be *backend) open() bool { return be.standing == Ready && !be.byHand }
+// open tells whether a server may get requests: it is neither drained, gone nor taken out. No grace is used.
+func (s *server) open() bool { return s.standing == Ready && !s.takenOut }
 
-func (be *backend) inService() bool { return be.open() && be.outUntil == 0 }
+// inService tells whether it is on the ordinary pick.
+func (s *server) inService() bool { return s.open() && s.ejectedUntil == 0 }
--- a/brain/tenants.go
+++ b/brain/tenants.go
@@ -2,64 +2,89 @@
 
 // tenants.go: tenants' shares, and what other sidecars tell.
 
-// tell sends what tenants sent here to the ledger's keeper, which answers with the totals, or is given up.
-func (b *Balancer) tell() {
+// tellTenantUse sends what tenants sent here to the ledger's keeper, which answers with the totals. One that does not is given up for the next.
+func (b *Balancer) tellTenantUse() {
 	fresh := make([]float64, len(b.tenants))
 	for i := range b.tenants {
-		fresh[i], b.tenants[i].fresh = b.tenants[i].fresh, 0
+		fresh[i] = b.tenants[i].fresh
+		b.tenants[i].fresh = 0
 	}
 	if b.ledgerSilent() {
-		b.ledger++
+		b.ledgerKeeper++
 	}
-	b.say(Peer(b.mix(0, b.ledger)%uint64(b.sidecars)), TenantsUse, 0, fresh...)
+	keeper := Peer(b.hashOf(0, b.ledgerKeeper) % uint64(b.sidecars))
+	b.say(keeper, TenantsUse, 0, fresh...)
 }
 
-func (b *Balancer) ledgerSilent() bool { return b.now-max(b.totalled, b.begun) > 4*tellBeats*firstWait }
+// ledgerSilent tells whether the ledger's keeper has told nothing for long.
+func (b *Balancer) ledgerSilent() bool {
+	return b.now-max(b.totalsAt, b.begun) > 4*tenantBeats*firstBackoff
+}
 
 // Heard takes what another sidecar told. A message that is not of a known form is passed over.
-func (b *Balancer) Heard(now Micros, from Peer, kind Note, about Backend, figures ...float64) {
+func (b *Balancer) Heard(now Micros, from Peer, kind MessageKind, about ServerID, figures ...float64) {
 	b.now = now
-	be := b.known[about]
 	if int(from) >= b.sidecars { // nobody
 		return
 	}
-	if b.deaf[from] = (deafness{}); from != b.me {
-		b.unanswered, b.down = 0, deafness{}
+	b.peerBackoffs[from] = backoff{}
+	if from != b.me {
+		b.unanswered = 0
+		b.allBackoff = backoff{}
 	}
 	switch {
 	case kind == TenantsUse && len(figures) == len(b.tenants):
-		for i := range b.tenants {
-			b.tenants[i].kept += figures[i]
-			figures[i] = b.tenants[i].kept
-		}
-		b.say(from, TenantsTotal, 0, figures...)
+		b.addTenantUse(from, figures)
 	case kind == TenantsTotal && len(figures) == len(b.tenants):
-		b.totalled = now
+		b.totalsAt = now
 		for i := range b.tenants {
 			b.tenants[i].total = figures[i]
 		}
-	case be == nil: // not on this sidecar's list
+	default:
+		if server := b.servers[about]; server != nil { // else it is not on this sidecar's list
+			b.heardOf(server, from, kind, figures)
+		}
+	}
+}
+
+// addTenantUse adds what a sidecar took in to the ledger, and answers with the totals.
+func (b *Balancer) addTenantUse(from Peer, figures []float64) {
+	for i := range b.tenants {
+		b.tenants[i].ledgerUse += figures[i]
+		figures[i] = b.tenants[i].ledgerUse
+	}
+	b.say(from, TenantsTotal, 0, figures...)
+}
+
+// heardOf takes what another sidecar told of a server.
+func (b *Balancer) heardOf(server *server, from Peer, kind MessageKind, figures []float64) {
+	switch {
 	case kind == Ask:
-		b.say(from, Quote, about, b.quote(be), float64(be.held)+be.away)
+		b.say(from, Quote, server.id, b.quote(server), float64(server.held)+server.heldByOthers)
 	case kind == Quote && len(figures) == 2:
-		b.quoted(be, figures[0], figures[1])
+		b.quoted(server, figures[0], figures[1])
 	case kind == Began:
-		be.away++
+		server.heldByOthers++
 	case kind == Waits && len(figures) == 1:
-		if be.answered <= now-Micros(figures[0]) { // one that answered others since then is not silent
-			b.missed(be, "silent")
+		if server.lastSign <= b.now-Micros(figures[0]) { // one that answered others since then is not silent
+			b.countUnanswered(server, "silent")
+		}
+	case kind == Ended && len(figures) == 4:
+		result, latency, work, load := Result(figures[0]), figures[1], figures[2], figures[3]
+		if max(latency, work, load/work) <= b.longestTimeout {
+			server.heldByOthers = max(0, server.heldByOthers-1)
+			b.recordOutcome(server, result, b.now-Micros(latency), latency, work, load)
 		}
-	case kind == Ended && len(figures) == 4 && max(figures[1], figures[2], figures[3]/figures[2]) <= b.longest:
-		be.away = max(0, be.away-1)
-		b.account(be, Result(figures[0]), now-Micros(figures[1]), figures[1], figures[2], figures[3])
 	}
 }
 
-// beyond is the part of a tenant's visits that lies beyond its share, by what the ledger lately told.
-func (b *Balancer) beyond(of Tenant) float64 {
-	use := b.tenants[of].used
+// overShare is the part of a tenant's requests that lies beyond its share, by what the ledger lately told.
+func (b *Balancer) overShare(of TenantID) float64 {
+	tenant := &b.tenants[of]
+	used := tenant.used
 	if !b.ledgerSilent() {
-		use = max(use, b.tenants[of].total)
+		used = max(used, tenant.total)
 	}
-	return max(0, 1-b.tenants[of].quota*memory*float64(firstWait)/1e6/use)
+	share := tenant.quota * fadeBeats * float64(firstBackoff) / second
+	return max(0, 1-share/used)
 }
--- a/cmd/ledgespread/config_test.go
+++ b/cmd/ledgespread/config_test.go
@@ -43,7 +43,7 @@
 	return out.String()
 }
 
-// fleetFile writes a configuration whose path prefixes are look and one more.
+// fleetFile writes a configuration whose classes are look and one more.
 func fleetFile(t *testing.T, more string) string {
 	t.Helper()
 	prefix := func(name string) string {
@@ -57,7 +57,7 @@
 	return file
 }
 
-// A configuration that staff publish holds at once, over SIGHUP, and from the first visit after a restart; what can't be is refused with
+// A configuration that staff publish holds at once, over SIGHUP, and from the first request after a restart; what can't be is refused with
 // its line; status tells both.
 func TestConfig(t *testing.T) {
 	t.Setenv("TMPDIR", t.TempDir())
--- a/cmd/ledgespread/endings_test.go
+++ b/cmd/ledgespread/endings_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// A second SIGTERM in a stop, and a SIGHUP between the two, change nothing: the visit that is out gets its answer, and so do
+// A second SIGTERM in a stop, and a SIGHUP between the two, change nothing: the request that is out gets its answer, and so do
 // staff. One that comes before
 // the sidecar serves ends it: nobody was let in.
 func TestSignalsInAStop(t *testing.T) {
--- a/cmd/ledgespread/leaving_test.go
+++ b/cmd/ledgespread/leaving_test.go
@@ -23,7 +23,7 @@
 	return fmt.Sprintf(`{"host":"%s","dial":"%s","site":"here","class":"m","block":0,"health":"%s","share":1,"born_ms":0}`, host, at, health)
 }
 
-// patientFile is a configuration with three prefixes (read-like, tagged, mutating) and times that no slow machine uses up.
+// patientFile is a configuration with three prefixes (safe, keyed, unsafe) and times that no slow machine uses up.
 func patientFile(t *testing.T, discovery, how string, lines ...string) (file, at string) {
 	t.Helper()
 	at, file = free(t), filepath.Join(t.TempDir(), "n0.json")
@@ -43,7 +43,7 @@
 	return file, at
 }
 
-// visit sends one visit and tells its answer.
+// request sends one request and tells its answer.
 func visit(at, prefix, id string) string {
 	method, key := "GET", ""
 	if prefix != "look" {
@@ -162,7 +162,7 @@
 	return n
 }
 
-// A connection that comes up after the list had its server leaving carries nothing: the visit never ran there, and goes on elsewhere,
+// A connection that comes up after the list had its server leaving carries nothing: the request never ran there, and goes on elsewhere,
 // whatever its effect.
 func TestLeavingWhileDialling(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -252,7 +252,7 @@
 				listens = append(listens, at)
 			}
 			id := 0
-			all := func(times int) (s0 int64) { // visits at each, and how many of them reached s0
+			all := func(times int) (s0 int64) { // requests at each, and how many of them reached s0
 				before := seen.Load()
 				for range times {
 					for _, at := range listens {
--- a/cmd/ledgespread/live_test.go
+++ b/cmd/ledgespread/live_test.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// A storm of SIGHUPs while files are written whole, half and bad, each with another window and order of path prefixes, and clients ask:
-// every visit is answered, each once, the last file is in force, and the sidecar ends only at SIGTERM.
+// A storm of SIGHUPs while files are written whole, half and bad, each with another window and order of classes, and clients ask:
+// every request is answered, each once, the last file is in force, and the sidecar ends only at SIGTERM.
 func TestReloadStorm(t *testing.T) {
 	var served atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -187,7 +187,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if resp.Body.Close(); resp.StatusCode != http.StatusBadRequest { // it lacks what a visit has, but its path prefix is known
+	if resp.Body.Close(); resp.StatusCode != http.StatusBadRequest { // it lacks what a request has, but its class is known
 		t.Errorf("the last file's path prefix: %d", resp.StatusCode)
 	}
 	program.Process.Signal(syscall.SIGTERM)
--- a/cmd/ledgespread/migrate_test.go
+++ b/cmd/ledgespread/migrate_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// A sidecar started with what migrate wrote serves a visit from a stand-in server, and reads its load report.
+// A sidecar started with what migrate wrote serves a request from a stand-in server, and reads its load report.
 func TestMigratedServes(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/cmd/ledgespread/version_test.go
+++ b/cmd/ledgespread/version_test.go
@@ -51,7 +51,7 @@
 }
 
 // A new version comes under load: the same addresses, its own second one, a shared folder. The old process goes at SIGTERM
-// once the new one says yes. Each visit gets its answer, next to none finds its connection closed, and the server that was
+// once the new one says yes. Each request gets its answer, next to none finds its connection closed, and the server that was
 // taken out at the old process stays out at the new one until it is called back there.
 func TestNewVersion(t *testing.T) {
 	var lines []string
@@ -144,7 +144,7 @@
 			}
 		})
 	}
-	loaded := func() { // some more visits
+	loaded := func() { // some more requests
 		n := answered.Load()
 		within(t, "visits are answered", func() bool { return answered.Load() > n+200 })
 	}
--- a/decide/summary/summary.go
+++ b/decide/summary/summary.go
@@ -21,10 +21,10 @@
 
 // The kinds of message that go over the wire in place of the module's, where a bound is set.
 const (
-	Summary  brain.Note = iota + 16 // what was seen of a server's fetches since the last one, to its owner
-	Estimate                        // its answer: see estimate; then in how many microseconds the next summary is due
-	Usage                           // visits of each tenant since the last one, to a parent in the tree
-	Totals                          // its answer: what all lately sent; how old that is; in how many microseconds the next usage is due
+	Summary  brain.MessageKind = iota + 16 // what was seen of a server's fetches since the last one, to its owner
+	Estimate                               // its answer: see estimate; then in how many microseconds the next summary is due
+	Usage                                  // visits of each tenant since the last one, to a parent in the tree
+	Totals                                 // its answer: what all lately sent; how old that is; in how many microseconds the next usage is due
 )
 
 // Bytes of the messages on the wire: 28 of heads (IPv4, UDP), 7 of a message's own, then two a figure.
@@ -66,9 +66,9 @@
 
 // Out is what an Aggregator can do to the world. None of these calls it back.
 type Out interface {
-	Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) // a message over the wire; it may be lost
+	Send(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) // a message over the wire; it may be lost
 	// Hear has the module hear a message, when the call that goes on is over.
-	Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64)
+	Hear(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64)
 	Refused(from brain.Peer, why string) // a message that no sidecar can mean was passed over
 }
 
@@ -87,7 +87,7 @@
 	out    Out
 
 	says, gives pacer // turns: its own, and those it gives as an owner
-	known       map[brain.Backend]*server
+	known       map[brain.ServerID]*server
 	row         []*server             // the same, in the order in which they came up
 	nextDue     Micros                // no server's turn comes before
 	firsts      map[brain.Peer]*pacer // by owner: when it is told of a server for the first time
@@ -95,14 +95,14 @@
 	own         level
 	drawn       uint64 // times that chance was asked
 
-	owned   map[brain.Backend]*owned
+	owned   map[brain.ServerID]*owned
 	replies []reply // the module is asked for
 	tenants tree
 }
 
 // server is what is to be told of a server, and what its owner told.
 type server struct {
-	id            brain.Backend
+	id            brain.ServerID
 	owner         brain.Peer // as the module last had it
 	seen          seen
 	out           int     // visits of this sidecar there
@@ -140,14 +140,14 @@
 // reply is an answer of the module's to a summary, or to tenants' usage, that is to go out with a turn.
 type reply struct {
 	to    brain.Peer
-	kind  brain.Note // as the module will tell it
-	about brain.Backend
+	kind  brain.MessageKind // as the module will tell it
+	about brain.ServerID
 }
 
 // New makes one.
 func New(l Limits, out Out) *Aggregator {
-	return &Aggregator{limits: l, out: out, median: usual, own: level{calm: usual}, known: map[brain.Backend]*server{},
-		owned: map[brain.Backend]*owned{}, firsts: map[brain.Peer]*pacer{}}
+	return &Aggregator{limits: l, out: out, median: usual, own: level{calm: usual}, known: map[brain.ServerID]*server{},
+		owned: map[brain.ServerID]*owned{}, firsts: map[brain.Peer]*pacer{}}
 }
 
 // Longest takes over another client timeout.
@@ -170,7 +170,7 @@
 
 // server is what is kept of one. The owner is the one that the module asks of it now: fetches that began before tell of their end where they
 // told of their beginning.
-func (a *Aggregator) server(id brain.Backend, owner brain.Peer, asks bool, now Micros) *server {
+func (a *Aggregator) server(id brain.ServerID, owner brain.Peer, asks bool, now Micros) *server {
 	s := a.known[id]
 	switch {
 	case s == nil:
@@ -190,7 +190,7 @@
 }
 
 // Told takes what the module tells another sidecar.
-func (a *Aggregator) Told(now Micros, to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (a *Aggregator) Told(now Micros, to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	if i := slices.Index(a.replies, reply{to, kind, about}); i >= 0 {
 		a.replies = slices.Delete(a.replies, i, i+1)
 		if kind == brain.TenantsTotal {
@@ -217,7 +217,7 @@
 		s, rc := a.server(about, to, false, now), brain.Result(figures[0])
 		s.hold(now, -1)
 		s.seen.add(rc, figures[1], figures[2], figures[3])
-		if rc == brain.Delivered {
+		if rc == brain.Succeeded {
 			a.own.add(now, figures[1], figures[2])
 		}
 	}
@@ -230,12 +230,12 @@
 
 func (s *seen) add(rc brain.Result, took, work, load float64) {
 	switch rc {
-	case brain.Delivered:
+	case brain.Succeeded:
 		s.good++
 		s.took, s.work, s.load = s.took+took, s.work+work, s.load+load
-	case brain.Errored:
+	case brain.AnsweredError:
 		s.bad++
-	case brain.Full:
+	case brain.Overloaded:
 		s.full++
 	case brain.ConnectFailed, brain.Reset:
 		s.broken++
@@ -336,7 +336,7 @@
 }
 
 // Heard takes a message of another sidecar.
-func (a *Aggregator) Heard(now Micros, from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (a *Aggregator) Heard(now Micros, from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	a.replies = a.replies[:0] // what the module did not answer it won't: it has no such server
 	switch {
 	case kind == Summary && len(figures) == summaryFigures:
@@ -355,7 +355,7 @@
 }
 
 // estimated takes an owner's word.
-func (a *Aggregator) estimated(now Micros, id brain.Backend, f []float64) {
+func (a *Aggregator) estimated(now Micros, id brain.ServerID, f []float64) {
 	s := a.known[id]
 	if s == nil {
 		return
@@ -382,7 +382,7 @@
 
 // summed takes, as an owner, what another sidecar saw, and has the module hear of it as of so many visits. Then the module is asked in that
 // sidecar's name.
-func (a *Aggregator) summed(now Micros, from brain.Peer, id brain.Backend, f []float64) {
+func (a *Aggregator) summed(now Micros, from brain.Peer, id brain.ServerID, f []float64) {
 	v, spent, span := seen{f[0], f[1], f[2], f[3], f[4], f[5], f[6], f[7]}, f[8], f[9]
 	longest := float64(a.limits.Longest)
 	// Guards against figures that no fetches can have, and that would stay in the module's books.
@@ -397,17 +397,17 @@
 			a.out.Hear(from, brain.Ended, id, float64(rc), took, work, load)
 		}
 	}
-	broken := brain.Errored
+	broken := brain.AnsweredError
 	if v.good+v.bad == 0 { // no sign of life
 		if broken = brain.ConnectFailed; v.silent > 0 {
 			a.out.Hear(from, brain.Waits, id, span)
 		}
 	}
 	ended(v.broken, broken, 0, 1, 1)
-	ended(v.bad, brain.Errored, 0, 1, 1)
+	ended(v.bad, brain.AnsweredError, 0, 1, 1)
 	if work, load := v.work/max(v.good, 1), v.load/max(v.good, 1); v.good > 0 {
-		ended(v.good, brain.Delivered, v.took/v.good, work, load)
-		ended(v.full, brain.Full, 0, work, load)
+		ended(v.good, brain.Succeeded, v.took/v.good, work, load)
+		ended(v.full, brain.Overloaded, 0, work, load)
 	}
 	a.held(now, from, id, spent, span)
 	a.replies = append(a.replies, reply{from, brain.Quote, id})
@@ -416,7 +416,7 @@
 
 // held brings the module's count of others' visits at a server to what summaries say: the visits held there, over the usual time from one
 // summary to the next of each who sends them.
-func (a *Aggregator) held(now Micros, from brain.Peer, id brain.Backend, spent, span float64) {
+func (a *Aggregator) held(now Micros, from brain.Peer, id brain.ServerID, spent, span float64) {
 	o := a.owned[id]
 	if o == nil {
 		o = &owned{at: now, span: span}
@@ -438,7 +438,7 @@
 }
 
 // answer sends what the module answers to a summary, with a turn for the next one.
-func (a *Aggregator) answer(now Micros, to brain.Peer, about brain.Backend, quote []float64) {
+func (a *Aggregator) answer(now Micros, to brain.Peer, about brain.ServerID, quote []float64) {
 	pace, each := quote[0], a.span(exchangeBytes, ownedPart)
 	if math.IsInf(pace, 1) {
 		pace = 0
--- a/decide/summary/summary_test.go
+++ b/decide/summary/summary_test.go
@@ -13,15 +13,15 @@
 	"ledgespread/lab/trace"
 )
 
-var names = map[brain.Note]string{brain.TenantsUse: "tenants' use", brain.TenantsTotal: "tenants' total", brain.Ask: "ask", brain.Quote: "quote",
+var names = map[brain.MessageKind]string{brain.TenantsUse: "tenants' use", brain.TenantsTotal: "tenants' total", brain.Ask: "ask", brain.Quote: "quote",
 	brain.Began: "began", brain.Waits: "waits", brain.Ended: "ended", Summary: "summary", Estimate: "estimate", Usage: "usage", Totals: "totals"}
 
 // note is one message, over the wire or to the module.
 type note struct {
 	wire    bool
 	peer    brain.Peer
-	kind    brain.Note
-	about   brain.Backend
+	kind    brain.MessageKind
+	about   brain.ServerID
 	figures []float64
 }
 
@@ -33,10 +33,10 @@
 	refused int
 }
 
-func (p *paper) Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (p *paper) Send(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	p.all = append(p.all, note{true, to, kind, about, slices.Clone(figures)})
 }
-func (p *paper) Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (p *paper) Hear(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	p.all = append(p.all, note{false, from, kind, about, slices.Clone(figures)})
 }
 func (p *paper) Refused(brain.Peer, string) { p.refused++ }
@@ -63,7 +63,7 @@
 }
 
 const (
-	a, z    = brain.Backend('a'), brain.Backend('z')
+	a, z    = brain.ServerID('a'), brain.ServerID('z')
 	longest = Micros(1_000_000)
 )
 
@@ -81,15 +81,15 @@
 	say := func(title string) {
 		fmt.Fprintf(&b, "        %s\n%s", title, lines(now, p.take()))
 	}
-	visit := func(be brain.Backend, rc brain.Result) {
-		g.Told(now, 1, brain.Ask, be)
-		g.Told(now, 1, brain.Began, be)
+	visit := func(server brain.ServerID, rc brain.Result) {
+		g.Told(now, 1, brain.Ask, server)
+		g.Told(now, 1, brain.Began, server)
 		now += 10_000
-		g.Told(now, 1, brain.Ended, be, float64(rc), 10_000, 5000, 5000)
+		g.Told(now, 1, brain.Ended, server, float64(rc), 10_000, 5000, 5000)
 	}
-	visit(a, brain.Delivered)
-	visit(a, brain.Errored)
-	visit(z, brain.Delivered)
+	visit(a, brain.Succeeded)
+	visit(a, brain.AnsweredError)
+	visit(z, brain.Succeeded)
 	say("before the first turn: each question is answered by what this sidecar saw itself")
 	now = 200_000
 	g.Told(now, 1, brain.Ask, a)
@@ -144,7 +144,7 @@
 		g.Told(now, 1, brain.Waits, a) // as to the owner that it told of its beginning
 		g.Told(now, 2, brain.Ask, a)
 	}
-	g.Told(now, 1, brain.Ended, a, float64(brain.Delivered), 10, 10, 10)
+	g.Told(now, 1, brain.Ended, a, float64(brain.Succeeded), 10, 10, 10)
 	to := map[brain.Peer]bool{}
 	for _, n := range p.take() {
 		if n.kind == Summary {
@@ -187,7 +187,7 @@
 		var at []Micros
 		sums, told := [2]float64{}, [2]float64{}
 		now, questions, answers := Micros(0), 0, 0
-		out := map[brain.Backend]int{}
+		out := map[brain.ServerID]int{}
 		look := func() {
 			for _, n := range p.take() {
 				switch {
@@ -202,23 +202,23 @@
 		}
 		for range rapid.IntRange(1, 300).Draw(rt, "events") {
 			now += Micros(rapid.IntRange(0, 50_000).Draw(rt, "passed"))
-			be := brain.Backend(1 + rapid.IntRange(0, 5).Draw(rt, "server"))
+			server := brain.ServerID(1 + rapid.IntRange(0, 5).Draw(rt, "server"))
 			switch rapid.IntRange(0, 3).Draw(rt, "what") {
 			case 0, 1:
 				questions++
-				g.Told(now, 1, brain.Ask, be)
+				g.Told(now, 1, brain.Ask, server)
 			case 2:
-				if out[be] == 0 {
-					out[be]++
-					g.Told(now, 1, brain.Began, be)
+				if out[server] == 0 {
+					out[server]++
+					g.Told(now, 1, brain.Began, server)
 				} else {
-					out[be]--
-					rc := rapid.SampledFrom([]brain.Result{brain.Delivered, brain.Errored}).Draw(rt, "result")
-					told[map[brain.Result]int{brain.Delivered: 0, brain.Errored: 1}[rc]]++
-					g.Told(now, 1, brain.Ended, be, float64(rc), 1000, 1000, 1000)
+					out[server]--
+					rc := rapid.SampledFrom([]brain.Result{brain.Succeeded, brain.AnsweredError}).Draw(rt, "result")
+					told[map[brain.Result]int{brain.Succeeded: 0, brain.AnsweredError: 1}[rc]]++
+					g.Told(now, 1, brain.Ended, server, float64(rc), 1000, 1000, 1000)
 				}
 			case 3:
-				g.Heard(now, 1, Estimate, be, rapid.Float64Range(0, 9).Draw(rt, "pace"), 1, float64(rapid.IntRange(0, 400_000).Draw(rt, "turn")))
+				g.Heard(now, 1, Estimate, server, rapid.Float64Range(0, 9).Draw(rt, "pace"), 1, float64(rapid.IntRange(0, 400_000).Draw(rt, "turn")))
 			}
 			look()
 		}
@@ -259,8 +259,8 @@
 	bytes, each := make([]int, seconds), make([]int, many)
 	for now := Micros(0); now < seconds*1_000_000; now += 10_000 {
 		for i := 1; i < many; i++ {
-			for be := a; be < a+3; be++ { // all three are the first one's
-				all[i].Told(now, 0, brain.Ask, be)
+			for server := a; server < a+3; server++ { // all three are the first one's
+				all[i].Told(now, 0, brain.Ask, server)
 			}
 			for _, n := range papers[i].take() {
 				if n.kind != Summary {
@@ -325,7 +325,7 @@
 		g.Told(1, 1, brain.Ask, a)
 		g.Told(1, 1, brain.TenantsUse, 0, 1, 1)
 		for now := Micros(2); now < 5; now++ {
-			g.Heard(now, 1, brain.Note(kind), a, figures...)
+			g.Heard(now, 1, brain.MessageKind(kind), a, figures...)
 			g.Told(now, 1, brain.Quote, a, 1, 1)
 			g.Told(now, 1, brain.TenantsTotal, 0, 1, 1)
 			g.Told(now, 1, brain.Ask, a)
--- a/internal/bodies_test.go
+++ b/internal/bodies_test.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// What becomes of a visit whose body is long, by how its one backend fetch ends: the table of docs/layout.md. No ending sends
+// What becomes of a request whose body is long, by how its one attempt ends: the table of docs/layout.md. No ending sends
 // it twice, and what is bounced never ran.
 func TestLongBodies(t *testing.T) {
 	var tr trace
@@ -236,7 +236,7 @@
 `)
 }
 
-// A body that went on as it came leaves nothing behind when its visit is over, though its time would have been long.
+// A body that went on as it came leaves nothing behind when its request is over, though its time would have been long.
 func TestLongBodyKeepsNothing(t *testing.T) {
 	var got atomic.Int64
 	in, at, _ := behind(t, echo(&got))
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -31,7 +31,7 @@
 }
 
 // Once a connection is told to be evicted, nothing written to it may reach its client: a handler that finds
-// a visit on it returns, and what the server then writes would be an answer that no server made.
+// a request on it returns, and what the server then writes would be an answer that no server made.
 func TestEvictedIsClosed(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -68,7 +68,7 @@
 	}
 }
 
-// A client that has sent its visit before the stop is not closed, though nothing was read of it; one that is silent is.
+// A client that has sent its request before the stop is not closed, though nothing was read of it; one that is silent is.
 func TestSentIsNotIdle(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -92,7 +92,7 @@
 	}
 }
 
-// A newcomer finds no place. A client whose visit has come, though nothing was read of it, is not the one that goes; one that was ended and
+// A newcomer finds no place. A client whose request has come, though nothing was read of it, is not the one that goes; one that was ended and
 // lingers is, once it had its moment, and its place is free at once.
 func TestSentIsNotEvicted(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/counters/accounts.go
+++ b/internal/counters/accounts.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 )
 
-// How a visit ended, as the figures call it.
+// How a request ended, as the figures call it.
 const (
 	Succeeded = iota
 	Declined
@@ -18,7 +18,7 @@
 
 var endingNames = [endings]string{"succeeded", "declined", "aborted"}
 
-// Accounts count visits by path prefix and ending, for those who watch a sidecar. Each visit that was taken ends once.
+// Accounts count requests by class and ending, for those who watch a sidecar. Each request that was taken ends once.
 type Accounts struct {
 	mu       sync.Mutex
 	prefixes []string // never fewer: one that is gone keeps its place and its figures
@@ -27,14 +27,14 @@
 	over     atomic.Int64
 }
 
-// NewAccounts makes accounts for path prefixes of these names, in the order of their places.
+// NewAccounts makes accounts for classes of these names, in the order of their places.
 func NewAccounts(prefixes []string) *Accounts {
 	a := &Accounts{}
 	a.Open(prefixes)
 	return a
 }
 
-// Open adds the path prefixes that are new, and tells the place of each here.
+// Open adds the classes that are new, and tells the place of each here.
 func (a *Accounts) Open(prefixes []string) (places []int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -49,7 +49,7 @@
 	return places
 }
 
-// Take books a visit that was taken. What it returns is to be called once, at its end; a second call changes nothing.
+// Take books a request that was taken. What it returns is to be called once, at its end; a second call changes nothing.
 func (a *Accounts) Take(place int) (end func(ending int)) {
 	a.taken.Add(1)
 	a.mu.Lock()
@@ -67,10 +67,10 @@
 	}
 }
 
-// Left is the ending of a visit whose client went away: it counts for none.
+// Left is the ending of a request whose client went away: it counts for none.
 const Left = endings
 
-// Outstanding is how many visits were taken and have not ended.
+// Outstanding is how many requests were taken and have not ended.
 func (a *Accounts) Outstanding() int64 {
 	over := a.over.Load() // first, or one that ends meanwhile makes it negative
 	return a.taken.Load() - over
--- a/internal/counters/accounts_test.go
+++ b/internal/counters/accounts_test.go
@@ -19,7 +19,7 @@
 	}
 }
 
-// However visits end, and however often an ending is told: taken = succeeded + declined + aborted + left + outstanding.
+// However requests end, and however often an ending is told: taken = succeeded + declined + aborted + left + outstanding.
 func TestAccountsBalance(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := NewAccounts([]string{"look", "book"})
--- a/internal/discovery/crowd_test.go
+++ b/internal/discovery/crowd_test.go
@@ -243,7 +243,7 @@
 	}
 }
 
-// sidecars starts so many, their module and all but their sockets for visits.
+// sidecars starts so many, their module and all but their sockets for requests.
 func sidecars(t *testing.T, at []string) {
 	t.Helper()
 	for i, discovery := range at {
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -13,7 +13,7 @@
 
 // Entry is one server of a list.
 type Entry struct {
-	ID       brain.Backend
+	ID       brain.ServerID
 	Host     string
 	Address  string
 	Zone     brain.Zone
@@ -48,10 +48,10 @@
 	"terminated": brain.Gone}
 
 // ID is a server's id, the same at every sidecar: its name, hashed to the 48 bits that a message has for it.
-func ID(host string) brain.Backend {
+func ID(host string) brain.ServerID {
 	hash := fnv.New64a()
 	hash.Write([]byte(host))
-	return brain.Backend((hash.Sum64() ^ hash.Sum64()>>48) & (1<<48 - 1))
+	return brain.ServerID((hash.Sum64() ^ hash.Sum64()>>48) & (1<<48 - 1))
 }
 
 // Read decodes an answer. One malformed entry makes the whole answer an error, since half a list would take servers out of use.
@@ -66,7 +66,7 @@
 		return nil, err
 	}
 	list = &List{Version: wholeNumber(answer, "seq"), Whole: field[bool](answer, "whole")}
-	names := map[brain.Backend]string{}
+	names := map[brain.ServerID]string{}
 	for _, host := range field[[]any](answer, "hosts") {
 		fields, ok := host.(map[string]any)
 		if !ok {
--- a/internal/endings_test.go
+++ b/internal/endings_test.go
@@ -55,8 +55,8 @@
 	return strings.NewReplacer("127.0.0.1:9", s.Addr().String(), `"born_ms":2`, `"born_ms":0`).Replace(host)
 }
 
-// A client goes while its first fetch is out; then that fetch breaks. No second one begins: whatever the client timeout is,
-// and whatever the client sent ahead before it went. One that only sent a visit ahead has not gone.
+// A client goes while its first attempt is out; then that attempt breaks. No second one begins: whatever the client timeout is,
+// and whatever the client sent ahead before it went. One that only sent a request ahead has not gone.
 func TestClientGone(t *testing.T) {
 	var tr trace
 	visit := "GET /look HTTP/1.1\r\n" + longFields + "\r\n"
@@ -103,7 +103,7 @@
 `)
 }
 
-// The module stands still; a client comes, sends a visit and goes; then the module goes on. Nothing is sent for it. The same where a
+// The module stands still; a client comes, sends a request and goes; then the module goes on. Nothing is sent for it. The same where a
 // connection to a server comes up only once the client has gone.
 func TestClientGoneBeforeItsFirstFetch(t *testing.T) {
 	var tr trace
@@ -111,7 +111,7 @@
 	var log slowLog
 	r, at, counts := started(t, manifest(t, patient(here(s))), 9, zerolog.New(&log))
 	odd := exchange.New() // the module panics over it, and stands still while that is logged
-	odd.On, odd.Left = 99, second
+	odd.Class, odd.Left = 99, second
 	r.Take(odd)
 	<-odd.Done()
 	c := dial(t, at)
@@ -129,7 +129,7 @@
 		left = true
 		x.Gone = func() bool { return left }
 		end := make(chan string, 1)
-		o.Fetch(x, 1, s.Addr().String(), after(second), time.Time{}, func(_ *exchange.Answer, _ bool, _ []float64, err error) {
+		o.Send(x, 1, s.Addr().String(), after(second), time.Time{}, func(_ *exchange.Answer, _ bool, _ []float64, err error) {
 			end <- results[outbound.Result(err)]
 		})
 		tr.add("on a connection that has come up, reused %v: %s, %d at the server", reused, <-end, s.count())
@@ -203,7 +203,7 @@
 `)
 }
 
-// A visit is sent ahead of another's answer. That is written when it is there, not with the answer to the one behind it, however
+// A request is sent ahead of another's answer. That is written when it is there, not with the answer to the one behind it, however
 // late it is there.
 func TestAnswerAheadOfTheNext(t *testing.T) {
 	var tr trace
@@ -234,7 +234,7 @@
 `)
 }
 
-// All places are taken, clients wait in the backlog with their visits sent, and a stop begins. The visit that is held is
+// All places are taken, clients wait in the backlog with their requests sent, and a stop begins. The request that is held is
 // answered only after the time for newcomers; then each of those that waited has its answer too.
 func TestStopWithABacklog(t *testing.T) {
 	var tr trace
@@ -271,7 +271,7 @@
 `)
 }
 
-// A client comes late in a stop and is silent; the sidecar closes its connection, and just then its visit crosses. It comes again
+// A client comes late in a stop and is silent; the sidecar closes its connection, and just then its request crosses. It comes again
 // on a new one, and is answered.
 func TestStopCrossing(t *testing.T) {
 	for try := 0; ; try++ {
@@ -304,7 +304,7 @@
 	}
 }
 
-// A stop comes while a visit is out whose client would wait for long. The process may be killed before that: the visit gets its
+// A stop comes while a request is out whose client would wait for long. The process may be killed before that: the request gets its
 // answer while there is time, and nothing is sent for it any more.
 func TestStopEndsWhatIsOut(t *testing.T) {
 	var tr trace
@@ -335,7 +335,7 @@
 `)
 }
 
-// A server gives a second answer some milliseconds after its first. The visit that comes in between does not get it. A round in which
+// A server gives a second answer some milliseconds after its first. The request that comes in between does not get it. A round in which
 // the stand-in itself was held up tells nothing, and is played again.
 func TestSecondAnswer(t *testing.T) {
 	var tr trace
@@ -389,7 +389,7 @@
 	tr.same(t, strings.Repeat("true, the next its own: true\n", 5))
 }
 
-// An answer without a length ends with its connection; where that is reset it has not ended. Held back it is no delivery, and the visit
+// An answer without a length ends with its connection; where that is reset it has not ended. Held back it is no delivery, and the request
 // goes on elsewhere; already passed on it is cut, so that its client can tell.
 func TestResetIsNoEnd(t *testing.T) {
 	var tr trace
@@ -416,7 +416,7 @@
 			}()
 			x := exchange.New().Holds([]byte("GET /x HTTP/1.1\r\nHost: a\r\n"), nil, nil)
 			end := make(chan string, 1)
-			reach(10*second, 9, &counters.Sheet{}).Fetch(x, 1, ln.Addr().String(), after(40*second), time.Time{},
+			reach(10*second, 9, &counters.Sheet{}).Send(x, 1, ln.Addr().String(), after(40*second), time.Time{},
 				func(a *exchange.Answer, _ bool, _ []float64, err error) {
 					if a == nil || a.Rest == nil {
 						end <- results[outbound.Result(err)]
@@ -443,8 +443,8 @@
 `)
 }
 
-// A tagged visit's first fetch breaks after its last byte, and the connection for the next one comes up only when servers no longer
-// know its mark: nothing is written there. A read-like one goes out late.
+// A keyed request's first attempt breaks after its last byte, and the connection for the next one comes up only when servers no longer
+// know its mark: nothing is written there. A safe one goes out late.
 func TestTaggedWindow(t *testing.T) {
 	var tr trace
 	for _, c := range []struct{ name, path string }{{"tagged", "/book"}, {"read-like", "/look"}} {
@@ -513,7 +513,7 @@
 	net.Conn
 }
 
-// next accepts until a connection brings a visit; those that only fill the backlog bring none.
+// next accepts until a connection brings a request; those that only fill the backlog bring none.
 func next(t *testing.T, ln net.Listener) toldTime {
 	t.Helper()
 	for {
@@ -576,7 +576,7 @@
 		_, at := listen(t, b, 9, r, counts)
 		if stands {
 			odd := exchange.New() // the module panics over it, and stands still while that is logged
-			odd.On, odd.Left = 99, second
+			odd.Class, odd.Left = 99, second
 			r.Take(odd)
 			<-odd.Done()
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -1,4 +1,4 @@
-// Package exchange holds the one object in which the client's side and the servers' side meet: a visit's
+// Package exchange holds the one object in which the client's side and the servers' side meet: a request's
 // bytes on their way out, and its one answer on the way back.
 package exchange
 
@@ -18,25 +18,25 @@
 	MostBody = 64 << 10
 )
 
-// Ending is how a visit was answered.
+// Ending is how a request was answered.
 type Ending uint8
 
 const (
-	Delivered Ending = iota + 1
-	Bounced          // a retry is harmless
-	Errored          // promises nothing
-	Overdue          // as Errored, since the client's time is up
-	Twice            // as Errored, since a visit of that name is open
+	Succeeded   Ending = iota + 1
+	Rejected           // a retry is harmless
+	Failed             // promises nothing
+	Overdue            // as Errored, since the client's time is up
+	DuplicateID        // as Errored, since a request of that name is open
 )
 
-// Exchange is one visit. What the decisions need was taken out of it; the rest stays the bytes that came.
+// Exchange is one request. What the decisions need was taken out of it; the rest stays the bytes that came.
 type Exchange struct {
-	ID           brain.VisitID
-	Name         string // the client's, new with every visit
-	On           brain.Prefix
-	Of           brain.Tenant
-	Left, Effort brain.Micros
-	Again        bool
+	ID         brain.RequestID
+	RequestID  string // the client's, new with every request
+	Class      brain.ClassID
+	Tenant     brain.TenantID
+	Left, Work brain.Micros
+	Repeated   bool
 
 	Upload *Upload     // a body too long to be held, on its way; nil: the body is here
 	Gone   func() bool // tells whether the client has closed its connection, as far as that shows at once; nil: nobody can tell
@@ -47,9 +47,9 @@
 	settled    atomic.Bool
 
 	// The answer: set once, before done is closed.
-	How        Ending
+	Ending     Ending
 	Answer     *Answer // of a server
-	ComeBackIn brain.Micros
+	RetryAfter brain.Micros
 }
 
 // Answer is what a server delivered: its fields and its body. Of a long one the rest comes as the server gives it; whoever
@@ -84,7 +84,7 @@
 	})
 }
 
-// New makes the object for a visit.
+// New makes the object for a request.
 func New() *Exchange { return &Exchange{done: make(chan struct{})} }
 
 // Holds gives it what goes on: a head (up to its last field), and a body or, of a long one, what is here of it in pieces. All
@@ -94,7 +94,7 @@
 	return x
 }
 
-// Outgoing is the visit as a server gets it, told how long its answer is still waited for: its bytes, and those of a long body.
+// Outgoing is the request as a server gets it, told how long its answer is still waited for: its bytes, and those of a long body.
 func (x *Exchange) Outgoing(wait brain.Micros) (out []byte, body [][]byte) {
 	out = make([]byte, 0, len(x.head)+len(x.body)+40)
 	out = append(out, x.head...)
@@ -104,8 +104,8 @@
 	return append(out, x.body...), x.long
 }
 
-// Wanted tells whether an answer is still waited for. Guards against a fetch that begins for a client that has gone, or after the
-// visit's end, while word of it is on its way.
+// Wanted tells whether an answer is still waited for. Guards against an attempt that begins for a client that has gone, or after the
+// request's end, while word of it is on its way.
 func (x *Exchange) Wanted() bool { return !x.Over() && (x.Gone == nil || !x.Gone()) }
 
 // Over tells whether it has its answer, or needs none.
@@ -116,26 +116,26 @@
 
 // Deliver answers with what a server delivered.
 func (x *Exchange) Deliver(a *Answer) bool {
-	return x.settle(func() { x.How, x.Answer = Delivered, a })
+	return x.settle(func() { x.Ending, x.Answer = Succeeded, a })
 }
 
-// Bounce answers that a retry is harmless.
-func (x *Exchange) Bounce(comeBackIn brain.Micros) bool {
-	return x.settle(func() { x.How, x.ComeBackIn = Bounced, comeBackIn })
+// Reject answers that a retry is harmless.
+func (x *Exchange) Reject(comeBackIn brain.Micros) bool {
+	return x.settle(func() { x.Ending, x.RetryAfter = Rejected, comeBackIn })
 }
 
-// Abandon ends a visit whose client went away. An answer that came just then is given up.
+// Abandon ends a request whose client went away. An answer that came just then is given up.
 func (x *Exchange) Abandon() {
-	if !x.Fail(Errored) {
+	if !x.Fail(Failed) {
 		<-x.done
 		x.Answer.Drop()
 	}
 }
 
 // Fail answers with an error page.
-func (x *Exchange) Fail(how Ending) bool { return x.settle(func() { x.How = how }) }
+func (x *Exchange) Fail(how Ending) bool { return x.settle(func() { x.Ending = how }) }
 
-// settle takes the first answer only. Guards against two answers to one visit.
+// settle takes the first answer only. Guards against two answers to one request.
 func (x *Exchange) settle(answer func()) bool {
 	if !x.settled.CompareAndSwap(false, true) {
 		return false
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -9,9 +9,9 @@
 	"ledgespread/brain"
 )
 
-// Upload is the rest of a body that is too long to be held. One backend fetch takes it, piece by piece, as the client sends
-// it; what has been taken is gone, so there is no second fetch. A server begins with the last byte: until that is written
-// the visit never ran.
+// Upload is the rest of a body that is too long to be held. One attempt takes it, piece by piece, as the client sends
+// it; what has been taken is gone, so there is no second attempt. A server begins with the last byte: until that is written
+// the request never ran.
 type Upload struct {
 	Sized    bool         // the head tells its length; else it goes on in chunks
 	Patience brain.Micros // the client's time-out, from its last byte on
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -137,7 +137,7 @@
 	return target
 }
 
-// Target tells whether a visit's target is a path that all read alike: no other form, no control or foreign
+// Target tells whether a request's target is a path that all read alike: no other form, no control or foreign
 // bytes, no fragment and no step back, plain or escaped.
 func Target(target []byte) bool {
 	if len(target) == 0 || target[0] != '/' {
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -75,7 +75,7 @@
 	last     chan struct{} // closed when the one before is written
 	closed   atomic.Bool   // what the disk did not take yet is given up
 
-	mu    sync.Mutex // held while the file is read or written: a disk may take long, so no visit ever waits for it
+	mu    sync.Mutex // held while the file is read or written: a disk may take long, so no request ever waits for it
 	out   []string
 	stamp time.Time // of the file as it was read or written last
 	size  int64
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	mostBody    = 32 << 20 // bytes of a visit's body
+	mostBody    = 32 << 20 // bytes of a request's body
 	bodiesPart  = 12       // of the memory, for bodies over exchange.MostBody while they are held
 	heldPart    = 4        // of that, for one of them; a longer one goes on as it comes
 	atOnce      = 8 << 10  // bytes of a body that has its memory before it comes; the rest has it as it comes
@@ -23,15 +23,15 @@
 
 // A body's length tells how it is treated, here and nowhere else:
 //
-//	up to 64 KiB           read whole, before the visit begins
+//	up to 64 KiB           read whole, before the request begins
 //	up to a part of the    the same, out of one budget for all; without room it goes on as it comes
 //	memory (1.3 MB of 64)
 //	up to 32 MB            goes on to one server as it comes
 //	more                   413, at once where its length is told
 //
-// A client's time runs from its last byte, so reading first costs the visit nothing.
+// A client's time runs from its last byte, so reading first costs the request nothing.
 
-// body reads what belongs to a visit, or says that it comes as it is sent on. here is false where there is no visit: an
+// body reads what belongs to a request, or says that it comes as it is sent on. here is false where there is no request: an
 // answer was given, or its client is gone. free gives back what was taken of the budget.
 func (in *Inbound) body(ctx *fasthttp.RequestCtx, m *message, x *exchange.Exchange) (free func(), here bool) {
 	free = func() {}
@@ -83,7 +83,7 @@
 	}
 }
 
-// short has a visit whose body is here, all of it, and books where the next one begins.
+// short has a request whose body is here, all of it, and books where the next one begins.
 func (in *Inbound) short(ctx *fasthttp.RequestCtx, m *message, x *exchange.Exchange, body []byte, pieces [][]byte) (here bool) {
 	size := len(body)
 	for _, p := range pieces {
@@ -99,7 +99,7 @@
 	return true
 }
 
-// longer has a visit whose body goes on as it comes. Its time begins with its last byte: until then the module may take all
+// longer has a request whose body goes on as it comes. Its time begins with its last byte: until then the module may take all
 // the time that the slowest client needs.
 func (in *Inbound) longer(ctx *fasthttp.RequestCtx, m *message, x *exchange.Exchange, from *bounded, held [][]byte) (here bool) {
 	if !in.listener.Carry(ctx.Conn()) {
@@ -154,7 +154,7 @@
 }
 
 // over books that a message is whole, and how much has been read of the next one. Guards against a body that is longer than
-// its length says: a client may send visits ahead, but what is no visit's beginning tells that the length is wrong.
+// its length says: a client may send requests ahead, but what is no request's beginning tells that the length is wrong.
 func (in *Inbound) over(ctx *fasthttp.RequestCtx, m *message, body int) (here bool) {
 	if !in.listener.Carry(ctx.Conn()) {
 		abandon(ctx)
@@ -174,7 +174,7 @@
 	return true
 }
 
-// begins tells whether these bytes can be the beginning of a visit.
+// begins tells whether these bytes can be the beginning of a request.
 func begins(text []byte) bool {
 	for _, first := range []string{"GET /", "POST /", "GET http://", "POST http://"} {
 		if n := min(len(first), len(text)); bytes.EqualFold(text[:n], []byte(first)[:n]) {
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -1,4 +1,4 @@
-// Package inbound is the client's side: it serves the application, and hands each visit to the relay in an
+// Package inbound is the client's side: it serves the application, and hands each request to the relay in an
 // exchange object.
 package inbound
 
@@ -24,15 +24,15 @@
 
 const (
 	gone        = 100 * time.Millisecond    // nothing begins for a client that has gone for so long
-	quickParts  = 32                        // a visit not answered in this part of its time has its client looked after,
+	quickParts  = 32                        // a request not answered in this part of its time has its client looked after,
 	lookBy      = gone / 4                  // or by then
-	overdue     = 5 * time.Millisecond      // after the client timeout a visit is answered without the module
+	overdue     = 5 * time.Millisecond      // after the client timeout a request is answered without the module
 	buffers     = exchange.MostHead + 4<<10 // bytes of a connection's, and the part of the memory that all may take
 	buffersPart = 8
 	idleTimes   = 10 // the longest client timeout's multiple for which a connection may stand idle
 )
 
-// Taker is where visits go.
+// Taker is where requests go.
 type Taker interface {
 	Take(*exchange.Exchange)
 	Left(*exchange.Exchange)
@@ -42,10 +42,10 @@
 type Inbound struct {
 	server    *fasthttp.Server
 	listener  *connlimit.Listener
-	visits    Taker
-	taking    sync.RWMutex         // held while a visit is handed over; for writing, while settings change
-	said      atomic.Pointer[said] // what visits are read by
-	longest   atomic.Int64         // client timeout, in microseconds, that any visit had
+	requests  Taker
+	taking    sync.RWMutex         // held while a request is handed over; for writing, while settings change
+	said      atomic.Pointer[said] // what requests are read by
+	longest   atomic.Int64         // client timeout, in microseconds, that any request had
 	ticks     ticks
 	lifecycle lifecycle
 	expired   chan struct{} // closed when a stop can wait no longer for answers
@@ -65,13 +65,13 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &Inbound{visits: visits, accounts: counters.NewAccounts(nil), counts: counts, log: log,
+	in := &Inbound{requests: visits, accounts: counters.NewAccounts(nil), counts: counts, log: log,
 		expired: make(chan struct{}), listener: connlimit.New(ln, most, counts, log)}
 	in.reads(b)
 	in.room.Store(int64(b.MemoryMB << 20 / bodiesPart))
 	in.mostHeld = in.room.Load() / heldPart
-	// Where memory is short heads may be half as long, and a buffer for writing is given back between visits: that costs
-	// each visit a read.
+	// Where memory is short heads may be half as long, and a buffer for writing is given back between requests: that costs
+	// each request a read.
 	buffer, short := exchange.MostHead, buffers*most > b.MemoryMB<<20/buffersPart
 	if short {
 		buffer /= 2
@@ -95,7 +95,7 @@
 	return how
 }
 
-// Accounts tells how visits ended.
+// Accounts tells how requests ended.
 func (in *Inbound) Accounts() *counters.Accounts { return in.accounts }
 
 // Steer has new clients come here, no longer to the process that served before at this address.
@@ -143,9 +143,9 @@
 			in.More.WriteTo(ctx)
 		}
 	default:
-		in.visit(ctx, m)
+		in.request(ctx, m)
 	}
-	// Guards against an answer that waits in a buffer until the visit that was sent ahead has its own: with a deadline of the handler's it
+	// Guards against an answer that waits in a buffer until the request that was sent ahead has its own: with a deadline of the handler's it
 	// is written at once. Set only now, since it counts from here.
 	if m != nil && m.more {
 		ctx.SetWriteDeadline(time.Now().Add(connlimit.LastWord))
@@ -155,7 +155,7 @@
 	}
 }
 
-// refuse answers what is no visit, and closes. Guards against a client that sends more of it on the same
+// refuse answers what is no request, and closes. Guards against a client that sends more of it on the same
 // connection, and against reading the rest of what was malformed as a message.
 func (in *Inbound) refuse(ctx *fasthttp.RequestCtx, status int, fault string) {
 	in.counts.Add(counters.BadInput)
@@ -191,7 +191,7 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout)
 }
 
-func (in *Inbound) visit(ctx *fasthttp.RequestCtx, m *message) {
+func (in *Inbound) request(ctx *fasthttp.RequestCtx, m *message) {
 	x, status, fault := in.read(ctx, m)
 	if x == nil {
 		in.refuse(ctx, status, fault)
@@ -207,7 +207,7 @@
 	look, end := now.Add(min(left/quickParts, lookBy)), now.Add(left+overdue)
 	conn := ctx.Conn()
 	x.Gone = func() bool { return peek.Gone(conn) }
-	ended, status, fault := in.hand(ctx, m, x)
+	ended, status, fault := in.take(ctx, m, x)
 	if ended == nil {
 		in.refuse(ctx, status, fault)
 		return
@@ -219,7 +219,7 @@
 	}()
 	if x.Upload != nil {
 		if !in.uploading(ctx, x) {
-			if fault := x.Upload.Fault(); fault != nil { // it was no visit after all
+			if fault := x.Upload.Fault(); fault != nil { // it was no request after all
 				in.broken(ctx, fault)
 			} else {
 				in.answer(ctx, x, ended)
@@ -229,7 +229,7 @@
 		left = time.Duration(x.Upload.Patience) * time.Microsecond
 		look, end = time.Now(), time.Now().Add(left+overdue)
 	}
-	// Most are answered before the first tick: looking after the client costs more than the visit.
+	// Most are answered before the first tick: looking after the client costs more than the request.
 	for left >= quickParts*in.ticks.apart() && time.Now().Before(look) {
 		select {
 		case <-x.Done():
@@ -244,26 +244,26 @@
 	select {
 	case <-x.Done():
 	case <-in.expired: // it would be killed with the process
-		if x.Fail(exchange.Errored) {
-			in.visits.Left(x)
+		if x.Fail(exchange.Failed) {
+			in.requests.Left(x)
 		}
 		<-x.Done()
 	case <-gone:
 		in.counts.Add(counters.VisitsDropped)
 		x.Abandon() // at once: word of it waits for the module's turn
-		in.visits.Left(x)
+		in.requests.Left(x)
 		stop()
 		abandon(ctx)
 		return
 	case <-taken.C:
-		// Guards against a visit without an end, should the module's news never come.
+		// Guards against a request without an end, should the module's news never come.
 		if x.Fail(exchange.Overdue) {
 			in.counts.Add(counters.VisitsOverdue)
 			if x.Upload == nil { // the module knows only roughly when the time of one that came as it was sent on is up
 				in.counts.Add(counters.Faults)
-				in.log.Error().Uint16("path_prefix", uint16(x.On)).Msg("no answer within the client timeout")
+				in.log.Error().Uint16("path_prefix", uint16(x.Class)).Msg("no answer within the client timeout")
 			}
-			in.visits.Left(x)
+			in.requests.Left(x)
 		}
 		<-x.Done()
 	}
@@ -272,8 +272,8 @@
 }
 
 func (in *Inbound) answer(ctx *fasthttp.RequestCtx, x *exchange.Exchange, ended func(int)) {
-	switch x.How {
-	case exchange.Delivered:
+	switch x.Ending {
+	case exchange.Succeeded:
 		in.counts.Add(counters.VisitsDelivered)
 		for _, field := range x.Answer.Fields {
 			ctx.Response.Header.Add(field[0], field[1])
@@ -284,15 +284,15 @@
 		}
 		ended(counters.Succeeded)
 		ctx.Response.SetBodyRaw(x.Answer.Body)
-	case exchange.Bounced:
+	case exchange.Rejected:
 		in.counts.Add(counters.VisitsBounced)
 		ended(counters.Declined)
 		connlimit.Plain(ctx, fasthttp.StatusServiceUnavailable, "not now; a retry does no harm")
-		if x.ComeBackIn > 0 {
+		if x.RetryAfter > 0 {
 			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter,
-				strconv.FormatFloat(math.Ceil(float64(x.ComeBackIn)/1000)/1000, 'f', -1, 64))
+				strconv.FormatFloat(math.Ceil(float64(x.RetryAfter)/1000)/1000, 'f', -1, 64))
 		}
-	case exchange.Twice:
+	case exchange.DuplicateID:
 		in.refuse(ctx, fasthttp.StatusConflict, "this X-Request-ID is not new")
 	case exchange.Overdue:
 		in.counts.Add(counters.VisitsErrored)
--- a/internal/inbound/lifecycle.go
+++ b/internal/inbound/lifecycle.go
@@ -26,7 +26,7 @@
 	drainAllAfter = 3 * acceptFor          // from then on those go too that were idle only for a moment; at a stop, after acceptFor
 	look          = acceptFor / 20         // idle connections are looked through so often
 	moment        = 4 * look
-	crossing      = 2 * moment             // whoever finds its connection closed under a visit may come again for so long
+	crossing      = 2 * moment             // whoever finds its connection closed under a request may come again for so long
 	longest       = 3 * time.Second        // a stopping process may be killed after the longest client timeout, this at the most,
 	killed        = acceptFor + crossing   // and so much more
 	lastAnswer    = 100 * time.Millisecond // before that what has no answer yet gets one
@@ -83,7 +83,7 @@
 }
 
 // drain closes idle connections as long as this turn of phase goes on: first those that have been idle for a while, so
-// that few clients find theirs closed under a visit, then all. Guards against clients that hold a connection for ever.
+// that few clients find theirs closed under a request, then all. Guards against clients that hold a connection for ever.
 func (in *Inbound) drain(turn int, all time.Duration) {
 	for {
 		since, now := in.lifecycle.is()
@@ -107,7 +107,7 @@
 		return
 	}
 	go in.drain(turn, acceptFor)
-	// Guards against closing the door on a client whose connection was closed under its visit a moment ago: it comes again.
+	// Guards against closing the door on a client whose connection was closed under its request a moment ago: it comes again.
 	for quiet := time.Now(); ; time.Sleep(look) {
 		since, _ := in.lifecycle.is()
 		if !in.listener.Quiet() {
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -94,15 +94,15 @@
 	}
 	left, _ := span(m.field[fieldTimeout])
 	x = exchange.New()
-	x.Name, x.On, x.Of, x.Left = m.field[fieldID], on, of, left
-	x.Again = m.field[fieldAgain] == "1"
+	x.RequestID, x.Class, x.Tenant, x.Left = m.field[fieldID], on, of, left
+	x.Repeated = m.field[fieldAgain] == "1"
 	if cost, err := strconv.ParseFloat(m.field[fieldCost], 64); err == nil && cost >= 1 && cost < 1<<32 {
-		x.Effort = brain.Micros(cost)
+		x.Work = brain.Micros(cost)
 	}
 	return x, 0, ""
 }
 
-// unescaped is the name that stands in a path, where it needs to be escaped there; guards against taking for a path prefix what a
+// unescaped is the name that stands in a path, where it needs to be escaped there; guards against taking for a class what a
 // server may read otherwise: one that is escaped without need stays as it is.
 func unescaped(segment string) string {
 	if name, err := url.PathUnescape(segment); err == nil && strings.EqualFold(url.PathEscape(name), segment) {
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// Close ends the visit's account: delivered, or failed where the client can tell that its answer is not whole.
+// Close ends the request's account: delivered, or failed where the client can tell that its answer is not whole.
 func (p *passing) Close() error {
 	p.once.Do(func() {
 		p.in.streams.Add(-1)
