--- a/internal/inbound/tuning.go
+++ b/internal/inbound/tuning.go
@@ -13,16 +13,16 @@
 	"ledgespread/internal/site"
 )
 
-// said is what the settings say of visits that come. It doesn't change: new settings make a new one.
+// said is what the settings say of requests that come. It doesn't change: new settings make a new one.
 type said struct {
 	prefixes map[string]int
-	accounts []int        // where each one's visits are booked, by place
-	tagged   map[int]bool // path prefixes whose visits carry a mark
+	accounts []int        // where each one's requests are booked, by place
+	tagged   map[int]bool // classes whose requests carry a mark
 	readLike map[int]bool
 	realms   map[string]int
 }
 
-// reads has visits read by these settings from now on. Word of the longest client timeout stays: visits that are out may have it.
+// reads has requests read by these settings from now on. Word of the longest client timeout stays: requests that are out may have it.
 func (in *Inbound) reads(b *site.Manifest) {
 	s := &said{prefixes: b.Places("path_prefixes"), realms: b.Places("realms"), tagged: map[int]bool{}, readLike: map[int]bool{}}
 	var names []string
@@ -39,7 +39,7 @@
 	in.said.Store(s)
 }
 
-// Retune takes over new settings. module tells the module, and whether it took them; no visit is handed over meanwhile, so each is
+// Retune takes over new settings. module tells the module, and whether it took them; no request is handed over meanwhile, so each is
 // read and decided by the same ones. An error is the module's, and changes nothing.
 func (in *Inbound) Retune(b *site.Manifest, module func() error) error {
 	in.taking.Lock()
@@ -51,26 +51,28 @@
 	return nil
 }
 
-// hand gives a visit to the module, read by the settings that the module has. Those may have changed while its body came: then it is
+// take gives a request to the module, read by the settings that the module has. Those may have changed while its body came: then it is
 // looked at again, and ended is nil if it is none any more.
-func (in *Inbound) hand(ctx *fasthttp.RequestCtx, m *message, x *exchange.Exchange) (ended func(int), status int, fault string) {
+func (in *Inbound) take(ctx *fasthttp.RequestCtx, m *message, x *exchange.Exchange) (ended func(int), status int, fault string) {
 	in.taking.RLock()
 	defer in.taking.RUnlock()
 	if now := in.said.Load(); now != m.by {
-		if x.On, x.Of, status, fault = now.place(ctx, m); status != 0 {
+		if x.Class, x.Tenant, status, fault = now.place(ctx, m); status != 0 {
 			return nil, status, fault
 		}
 		m.by = now
 	}
 	in.counts.Add(counters.VisitsTaken)
-	ended = in.accounts.Take(m.by.accounts[x.On])
-	in.visits.Take(x)
+	ended = in.accounts.Take(m.by.accounts[x.Class])
+	in.requests.Take(x)
 	return ended, 0, ""
 }
 
 // place tells where a message belongs, or with which status it is refused and why.
-func (s *said) place(ctx *fasthttp.RequestCtx, m *message) (on brain.Prefix, of brain.Tenant, status int, fault string) {
-	bad := func(status int, fault string) (brain.Prefix, brain.Tenant, int, string) { return 0, 0, status, fault }
+func (s *said) place(ctx *fasthttp.RequestCtx, m *message) (on brain.ClassID, of brain.TenantID, status int, fault string) {
+	bad := func(status int, fault string) (brain.ClassID, brain.TenantID, int, string) {
+		return 0, 0, status, fault
+	}
 	path, _, _ := bytes.Cut(m.target[1:], []byte("?"))
 	first, _, _ := bytes.Cut(path, []byte("/"))
 	prefix := unescaped(string(first))
@@ -98,5 +100,5 @@
 	if !known && len(s.realms) > 0 {
 		return bad(fasthttp.StatusBadRequest, "unknown tenant")
 	}
-	return brain.Prefix(at), brain.Tenant(tenant), 0, ""
+	return brain.ClassID(at), brain.TenantID(tenant), 0, ""
 }
--- a/internal/lists_test.go
+++ b/internal/lists_test.go
@@ -248,7 +248,7 @@
 	zero, counts := open(0)
 	one, sent := open(1)
 	heard := make(chan bool, 9)
-	go zero.Hear(func(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
+	go zero.Hear(func(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures []float64) {
 		tr.add("from %d: kind %d about %x: %v", from, kind, about, figures)
 		heard <- true
 	})
@@ -264,7 +264,7 @@
 	one.Tell(0, brain.Ended, 0xabcdef012345, 1, 2.5, 300)
 	one.Tell(2, brain.Ask, 1)
 	one.Tell(0, brain.TenantsUse, 0, make([]float64, 200)...)
-	one.Tell(0, brain.Note(9), 5)
+	one.Tell(0, brain.MessageKind(9), 5)
 	<-heard
 	<-heard
 	tr.add("heard %d, refused %d; sent %d, refused %d", counts[counters.NotesHeard].Load(),
--- a/internal/live_test.go
+++ b/internal/live_test.go
@@ -70,7 +70,7 @@
 	return out
 }
 
-// prefixed replaces one setting of one path prefix.
+// prefixed replaces one setting of one class.
 func prefixed(text, name, setting, value string) (oldnew []string) {
 	var tree map[string]any
 	if json.Unmarshal([]byte(text), &tree) != nil {
@@ -87,7 +87,7 @@
 
 const bookAhead = "POST /book HTTP/1.1\r\n" + longFields + "Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n"
 
-// A visit's first fetch breaks after its last byte, and the connection for the next one is not up yet when the settings become stricter:
+// A request's first attempt breaks after its last byte, and the connection for the next one is not up yet when the settings become stricter:
 // nothing goes out on it. Unchanged, or made looser, it goes out.
 func TestLiveWhileDialling(t *testing.T) {
 	var tr trace
@@ -160,8 +160,8 @@
 `)
 }
 
-// Settings change while a visit is out; then its fetch breaks. What became stricter counts for it, what became looser doesn't, and the
-// next visit goes by the new ones.
+// Settings change while a request is out; then its attempt breaks. What became stricter counts for it, what became looser doesn't, and the
+// next request goes by the new ones.
 func TestLiveWhileOut(t *testing.T) {
 	var tr trace
 	for _, c := range []struct {
@@ -176,7 +176,7 @@
 	} {
 		release, seen := make(chan bool), sync.Map{}
 		server := serveFake(t, func(n int, path string) string {
-			if _, again := seen.LoadOrStore(path, true); !again { // each visit's first fetch breaks
+			if _, again := seen.LoadOrStore(path, true); !again { // each request's first attempt breaks
 				<-release
 				return "!"
 			}
@@ -210,7 +210,7 @@
 `)
 }
 
-// Client timeouts change in either direction while a visit is out: it has the time that its client told.
+// Client timeouts change in either direction while a request is out: it has the time that its client told.
 func TestLiveTimeouts(t *testing.T) {
 	var tr trace
 	for _, c := range []struct{ what, told, timeout string }{{"shorter", "5000m", "50000"}, {"longer", "300m", "90000000"}} {
@@ -233,7 +233,7 @@
 `)
 }
 
-// A visit's body is on its way when path prefixes change: it is taken in by the settings of the moment in which it is whole, by name,
+// A request's body is on its way when classes change: it is taken in by the settings of the moment in which it is whole, by name,
 // and only so.
 func TestLiveWhileBodyComes(t *testing.T) {
 	var tr trace
@@ -271,13 +271,13 @@
 `)
 }
 
-// A visit comes in the very moment in which the module has taken new settings and inbound has not: it waits, and goes by the new ones.
+// A request comes in the very moment in which the module has taken new settings and inbound has not: it waits, and goes by the new ones.
 // Where the module refuses them, it goes by the old ones.
 func TestLiveNotBetween(t *testing.T) {
 	var tr trace
 	places := make(chan int, 9)
 	in, at := listen(t, manifest(t, configuration("", "")), 9, taker{&tr, func(x *exchange.Exchange) {
-		places <- int(x.On)
+		places <- int(x.Class)
 		deliver(x)
 	}}, &counters.Sheet{})
 	swapped := manifest(t, strings.NewReplacer(`"name":"look"`, `"name":"else"`, `"name":"book"`, `"name":"look"`, `"effect":"idempotency_key"`, `"effect":"read_like"`).Replace(configuration("", "")))
@@ -344,7 +344,7 @@
 `)
 }
 
-// More visits are held than may be now: those are answered, and the next is turned away until they are fewer. The list is asked for
+// More requests are held than may be now: those are answered, and the next is turned away until they are fewer. The list is asked for
 // by the new times.
 func TestLiveBounds(t *testing.T) {
 	var tr trace
@@ -534,8 +534,8 @@
 `)
 }
 
-// Two hundred changes, each of which puts the path prefixes in another order, while clients ask: each visit is answered, as a visit of
-// its own path prefix, and each server sees it once.
+// Two hundred changes, each of which puts the classes in another order, while clients ask: each request is answered, as a request of
+// its own class, and each server sees it once.
 func TestLiveStorm(t *testing.T) {
 	var served atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/messages_test.go
+++ b/internal/messages_test.go
@@ -24,13 +24,13 @@
 type neighbours struct {
 	at    []netip.AddrPort
 	mu    sync.Mutex
-	kinds map[brain.Note]int
+	kinds map[brain.MessageKind]int
 	bytes int // in and out, heads counted
 	good  float64
 }
 
 func neighbour(t *testing.T, many int) *neighbours {
-	n := &neighbours{kinds: map[brain.Note]int{}}
+	n := &neighbours{kinds: map[brain.MessageKind]int{}}
 	for range many {
 		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		if err != nil {
@@ -88,8 +88,8 @@
 	return kinds, n.bytes, n.good
 }
 
-// Real sockets, a sidecar among eight before four servers. Without a bound it asks of each visit and tells of each; with one it sends summaries,
-// as few as the bound lets it, every visit is served all the same, and the summaries tell of them.
+// Real sockets, a sidecar among eight before four servers. Without a bound it asks of each request and tells of each; with one it sends summaries,
+// as few as the bound lets it, every request is served all the same, and the summaries tell of them.
 func TestMessagesBound(t *testing.T) {
 	const visits, bound = 300, 6000.0
 	for _, bounded := range []bool{false, true} {
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -22,7 +22,7 @@
 var be = binary.BigEndian
 
 // Append writes a message behind what is there.
-func Append(to []byte, kind brain.Note, about brain.Backend, figures ...float64) []byte {
+func Append(to []byte, kind brain.MessageKind, about brain.ServerID, figures ...float64) []byte {
 	to = append(to, byte(kind))
 	to = be.AppendUint32(to, uint32(about>>16))
 	to = be.AppendUint16(to, uint16(about))
@@ -34,7 +34,7 @@
 
 // Read takes a message apart; ok is false where it is not of this form. Only a quote may be infinite. Guards against a figure
 // that, once added, stays in the books for ever.
-func Read(msg []byte) (kind brain.Note, about brain.Backend, figures []float64, ok bool) {
+func Read(msg []byte) (kind brain.MessageKind, about brain.ServerID, figures []float64, ok bool) {
 	if len(msg) < head || len(msg)%2 != head%2 {
 		return 0, 0, nil, false
 	}
@@ -42,10 +42,10 @@
 	for i := range figures {
 		bits := uint32(be.Uint16(msg[head+2*i:])) << 16
 		if figures[i] = float64(math.Float32frombits(bits)); !(figures[i] >= 0) ||
-			math.IsInf(figures[i], 1) && brain.Note(msg[0]) != brain.Quote {
+			math.IsInf(figures[i], 1) && brain.MessageKind(msg[0]) != brain.Quote {
 			return 0, 0, nil, false
 		}
 	}
-	about = brain.Backend(be.Uint32(msg[1:]))<<16 | brain.Backend(be.Uint16(msg[5:]))
-	return brain.Note(msg[0]), about, figures, true
+	about = brain.ServerID(be.Uint32(msg[1:]))<<16 | brain.ServerID(be.Uint16(msg[5:]))
+	return brain.MessageKind(msg[0]), about, figures, true
 }
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -23,7 +23,7 @@
 // reply is a whole answer: what decisions need of it, and what goes on.
 type reply struct {
 	status         int
-	closes, unseen bool // the connection ends with it; it says the visit never ran
+	closes, unseen bool // the connection ends with it; it says the request never ran
 	load           []float64
 	exchange.Answer
 	body io.Reader // what is still to come of a long one, for a stream; nil: all is here
--- a/internal/outbound/failure.go
+++ b/internal/outbound/failure.go
@@ -8,7 +8,7 @@
 	"ledgespread/brain"
 )
 
-// Progress is how far a backend fetch had come.
+// Progress is how far an attempt had come.
 type Progress uint8
 
 const (
@@ -20,16 +20,16 @@
 
 func (r Progress) String() string { return [...]string{"not sent", "sent", "spoilt", "answered"}[r] }
 
-// errClient is why a fetch was not written whole: its client brought no more. It never ran, and says nothing of its server.
+// errClient is why an attempt was not written whole: its client brought no more. It never ran, and says nothing of its server.
 var errClient = fmt.Errorf("its client brought no more: %w", errCalledOff)
 
-// errCalledOff is why a fetch ended that nobody waits for any more.
+// errCalledOff is why an attempt ended that nobody waits for any more.
 var errCalledOff = errors.New("called off")
 
 // errHere is why no connection came up though the server was never asked: this machine lacked something.
 var errHere = errors.New("no connection from this machine")
 
-// Failure tells why a backend fetch brought no delivery, and how far it had come.
+// Failure tells why an attempt brought no delivery, and how far it had come.
 type Failure struct {
 	Progress Progress
 	Status   int  // of a whole answer
@@ -46,8 +46,8 @@
 
 func (f *Failure) Unwrap() error { return f.Cause }
 
-// Result is what the module hears of a fetch that ended so. Guards against calling unrun what may have run:
-// only a fetch whose last byte was never written, or that the server itself calls unseen, counts as that. A spoilt
+// Result is what the module hears of an attempt that ended so. Guards against calling unrun what may have run:
+// only an attempt whose last byte was never written, or that the server itself calls unseen, counts as that. A spoilt
 // answer is an error and no reset; guards against a server that sits out, its idle connections closed, and a free
 // retry, for an answer that any server may spoil.
 func Result(err error) brain.Result {
@@ -55,13 +55,13 @@
 	off := errors.Is(err, errCalledOff)
 	switch {
 	case err == nil:
-		return brain.Delivered
+		return brain.Succeeded
 	case !errors.As(err, &f):
 		return brain.Reset
 	case f.Progress == Answered && f.Unseen:
-		return brain.Full
+		return brain.Overloaded
 	case f.Progress == Answered || f.Progress == Spoilt:
-		return brain.Errored
+		return brain.AnsweredError
 	case f.Progress == Nowhere && (off || errors.Is(err, errHere)):
 		return brain.NeverSent
 	case f.Progress == Nowhere:
--- a/internal/outbound/faults_test.go
+++ b/internal/outbound/faults_test.go
@@ -22,7 +22,7 @@
 	"ledgespread/internal/outbound"
 )
 
-var resultNames = map[brain.Result]string{brain.Delivered: "delivered", brain.Errored: "error", brain.Full: "full",
+var resultNames = map[brain.Result]string{brain.Succeeded: "delivered", brain.AnsweredError: "error", brain.Overloaded: "full",
 	brain.TimedOut: "timed out", brain.ConnectFailed: "connect failed", brain.Reset: "reset", brain.Cancelled: "cancelled",
 	brain.NeverSent: "never sent"}
 
@@ -30,7 +30,7 @@
 func attempt(o *outbound.Outbound, address string, wait time.Duration) string {
 	x := exchange.New().Holds([]byte("GET /look HTTP/1.1\r\nHost: a\r\n"), nil, nil)
 	ended := make(chan string, 1)
-	o.Fetch(x, 1, address, time.Now().Add(wait), time.Time{}, func(answer *exchange.Answer, _ bool, _ []float64, err error) {
+	o.Send(x, 1, address, time.Now().Add(wait), time.Time{}, func(answer *exchange.Answer, _ bool, _ []float64, err error) {
 		text := resultNames[outbound.Result(err)]
 		if answer != nil && answer.Rest != nil {
 			rest, cut := io.ReadAll(answer.Rest)
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -1,5 +1,5 @@
-// Package outbound is the servers' side: connections to them and backend fetches. It sends each
-// fetch once and tells for each how far it came.
+// Package outbound is the servers' side: connections to them and attempts. It sends each
+// attempt once and tells for each how far it came.
 package outbound
 
 import (
@@ -56,7 +56,7 @@
 // loads.
 func New(idle, connect brain.Micros, most, room int, loads []string, counts *counters.Sheet, log zerolog.Logger) *Outbound {
 	o := &Outbound{Dial: dialTCP, workers: make(workers), room: room, counts: counts, log: log,
-		pool: pool{idle: map[brain.Backend][]*conn{}, most: most, counts: counts, log: log}}
+		pool: pool{idle: map[brain.ServerID][]*conn{}, most: most, counts: counts, log: log}}
 	o.Retune(idle, connect, loads)
 	return o
 }
@@ -71,13 +71,13 @@
 
 func span(t brain.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 
-// Ended hears how a fetch ended, once: with a delivery, or with the reason why there is none; and the server's load
+// Ended hears how an attempt ended, once: with a delivery, or with the reason why there is none; and the server's load
 // report, if one came.
 type Ended func(a *exchange.Answer, reused bool, load []float64, err error)
 
-// Attempt is a fetch that is out.
+// Attempt is an attempt that is out.
 type Attempt struct {
-	To     brain.Backend
+	To     brain.ServerID
 	before time.Time       // no byte goes out later; zero: it may at any time
 	wrote  time.Time       // its last byte, where that took long
 	ctx    context.Context // over: it must not be sent any more
@@ -88,107 +88,107 @@
 	ended  Ended
 }
 
-func newAttempt(to brain.Backend, ended Ended) *Attempt {
-	f := &Attempt{To: to, ended: ended}
-	f.ctx, f.off = context.WithCancel(context.Background())
-	return f
+func newAttempt(to brain.ServerID, ended Ended) *Attempt {
+	attempt := &Attempt{To: to, ended: ended}
+	attempt.ctx, attempt.off = context.WithCancel(context.Background())
+	return attempt
 }
 
 // Took is how long its answer took from its last byte on, where writing took long; else what the caller measured. It may be
-// asked once the fetch has ended.
-func (f *Attempt) Took(whole brain.Micros) brain.Micros {
-	if f.wrote.IsZero() {
+// asked once the attempt has ended.
+func (attempt *Attempt) Took(whole brain.Micros) brain.Micros {
+	if attempt.wrote.IsZero() {
 		return whole
 	}
-	return min(whole, brain.Micros(time.Since(f.wrote)/time.Microsecond))
+	return min(whole, brain.Micros(time.Since(attempt.wrote)/time.Microsecond))
 }
 
-// CancelUnsent keeps a fetch from being sent if it is not yet. Guards against a send after the visit's end by a
+// CancelUnsent keeps an attempt from being sent if it is not yet. Guards against a send after the request's end by a
 // connection that comes up late. One that was sent goes on.
-func (f *Attempt) CancelUnsent() { f.off() }
+func (attempt *Attempt) CancelUnsent() { attempt.off() }
 
 // Cancel stops waiting; the connection is closed.
-func (f *Attempt) Cancel() {
-	f.called.Store(true)
-	f.off()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.line != nil {
-		f.line.SetDeadline(time.Unix(1, 0)) // wakes its goroutine, which closes it
+func (attempt *Attempt) Cancel() {
+	attempt.called.Store(true)
+	attempt.off()
+	attempt.mu.Lock()
+	defer attempt.mu.Unlock()
+	if attempt.line != nil {
+		attempt.line.SetDeadline(time.Unix(1, 0)) // wakes its goroutine, which closes it
 	}
 }
 
 // rides notes the connection, so that Cancel can progress it; nil: it is left.
-func (f *Attempt) rides(l *conn) {
-	f.mu.Lock()
-	f.line = l
-	f.mu.Unlock()
+func (attempt *Attempt) rides(l *conn) {
+	attempt.mu.Lock()
+	attempt.line = l
+	attempt.mu.Unlock()
 }
 
-// Fetch sends a visit to a server and waits until then at most. It returns at once. before is when its first byte is to have gone out, or
+// Send sends a request to a server and waits until then at most. It returns at once. before is when its first byte is to have gone out, or
 // it never does; zero: at any time.
-func (o *Outbound) Fetch(x *exchange.Exchange, be brain.Backend, address string, until, before time.Time, ended Ended) *Attempt {
-	f := newAttempt(be, ended)
-	f.before = before
+func (o *Outbound) Send(x *exchange.Exchange, server brain.ServerID, address string, until, before time.Time, ended Ended) *Attempt {
+	attempt := newAttempt(server, ended)
+	attempt.before = before
 	o.counts.Add(counters.FetchesSent)
-	o.workers.do(func() { o.run(f, be, address, until, x) })
-	return f
+	o.workers.do(func() { o.run(attempt, server, address, until, x) })
+	return attempt
 }
 
 // CloseIdle gives back a server's connections that carry nothing.
-func (o *Outbound) CloseIdle(be brain.Backend) { o.pool.drop(be) }
+func (o *Outbound) CloseIdle(server brain.ServerID) { o.pool.drop(server) }
 
 // Forget gives back all connections to a server that carry nothing.
-func (o *Outbound) Forget(be brain.Backend) {
-	o.pool.drop(be)
+func (o *Outbound) Forget(server brain.ServerID) {
+	o.pool.drop(server)
 }
 
 // Sweep closes connections that have stood idle for as long as they may.
 func (o *Outbound) Sweep() { o.pool.sweep() }
 
-func (o *Outbound) run(f *Attempt, be brain.Backend, address string, until time.Time, x *exchange.Exchange) {
+func (o *Outbound) run(attempt *Attempt, server brain.ServerID, address string, until time.Time, x *exchange.Exchange) {
 	var a *exchange.Answer
 	var reused bool
 	var load []float64
 	err := error(&Failure{Progress: Sent, Cause: fmt.Errorf("crashed")})
 	defer func() {
-		// Guards against a visit that hangs, and a sidecar that dies, by one fetch's panic.
+		// Guards against a request that hangs, and a sidecar that dies, by one attempt's panic.
 		if crash := recover(); crash != nil {
 			o.counts.Crashed(o.log, "backend fetch", crash)
 		}
-		f.off()
-		f.ended(a, reused, load, err)
+		attempt.off()
+		attempt.ended(a, reused, load, err)
 	}()
-	a, reused, load, err = o.once(f, be, address, until, x)
+	a, reused, load, err = o.once(attempt, server, address, until, x)
 }
 
-// once does one fetch. On a reused connection that took less than all of it, it dials: nothing was sent.
-func (o *Outbound) once(f *Attempt, be brain.Backend, address string, until time.Time, x *exchange.Exchange) (a *exchange.Answer,
+// once does one attempt. On a reused connection that took less than all of it, it dials: nothing was sent.
+func (o *Outbound) once(attempt *Attempt, server brain.ServerID, address string, until time.Time, x *exchange.Exchange) (a *exchange.Answer,
 	reused bool, load []float64, err error) {
-	for l := o.pool.take(be, address); l != nil; l = o.pool.take(be, address) {
-		a, load, err = o.over(f, be, l, until, x)
-		if failure, ok := err.(*Failure); !ok || failure.Progress != Nowhere || f.ctx.Err() != nil ||
+	for l := o.pool.take(server, address); l != nil; l = o.pool.take(server, address) {
+		a, load, err = o.over(attempt, server, l, until, x)
+		if failure, ok := err.(*Failure); !ok || failure.Progress != Nowhere || attempt.ctx.Err() != nil ||
 			!time.Now().Before(until) || x.Upload != nil && x.Upload.Begun() {
 			o.counts.Add(counters.ConnectionsReused)
 			return a, true, load, err
 		}
 	}
-	l, err := o.dial(f, address, until)
+	l, err := o.dial(attempt, address, until)
 	if err != nil {
 		return nil, false, nil, err
 	}
-	a, load, err = o.over(f, be, l, until, x)
+	a, load, err = o.over(attempt, server, l, until, x)
 	return a, false, load, err
 }
 
-func (o *Outbound) dial(f *Attempt, address string, until time.Time) (*conn, error) {
+func (o *Outbound) dial(attempt *Attempt, address string, until time.Time) (*conn, error) {
 	if !o.pool.room() {
 		return nil, &Failure{Progress: Nowhere, Cause: fmt.Errorf("all %d connections are busy", o.pool.most)}
 	}
-	tcp, err := o.connected(f, address, until)
+	tcp, err := o.connected(attempt, address, until)
 	if err != nil {
 		o.pool.closed()
-		if f.ctx.Err() != nil {
+		if attempt.ctx.Err() != nil {
 			err = errCalledOff
 		}
 		return nil, &Failure{Progress: Nowhere, Cause: err}
@@ -200,13 +200,13 @@
 }
 
 // connected makes a connection. A failure of this machine says nothing of the server, so it is tried again until a connection would be late.
-func (o *Outbound) connected(f *Attempt, address string, until time.Time) (net.Conn, error) {
+func (o *Outbound) connected(attempt *Attempt, address string, until time.Time) (net.Conn, error) {
 	if by := time.Now().Add(time.Duration(o.connect.Load())); by.Before(until) {
 		until = by
 	}
 	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
-	tcp, err := machine.Retry(f.ctx, until, func() (net.Conn, error) {
-		tcp, err := o.Dial(f.ctx, dialer, address)
+	tcp, err := machine.Retry(attempt.ctx, until, func() (net.Conn, error) {
+		tcp, err := o.Dial(attempt.ctx, dialer, address)
 		if machine.Lacks(err) {
 			o.counts.Add(counters.ConnectsFailedHere)
 		}
@@ -218,29 +218,29 @@
 	return tcp, err
 }
 
-// over sends a fetch on a connection and reads the whole answer. The connection is kept or closed. What the server is told of the time
+// over sends an attempt on a connection and reads the whole answer. The connection is kept or closed. What the server is told of the time
 // is what is left just before the first byte: guards against a server that works for a client that has gone, where the connection
 // came up late.
-func (o *Outbound) over(f *Attempt, be brain.Backend, l *conn, until time.Time, x *exchange.Exchange) (a *exchange.Answer,
+func (o *Outbound) over(attempt *Attempt, server brain.ServerID, l *conn, until time.Time, x *exchange.Exchange) (a *exchange.Answer,
 	load []float64, err error) {
 	keep, handed := false, false
 	defer func() {
-		f.rides(nil)
+		attempt.rides(nil)
 		if handed { // the line is the stream's
 			return
 		}
-		if keep && !f.called.Load() { // one that Cancel reached has a deadline that has passed
-			o.pool.put(be, l)
+		if keep && !attempt.called.Load() { // one that Cancel reached has a deadline that has passed
+			o.pool.put(server, l)
 			return
 		}
 		l.Close()
 		o.pool.closed()
 	}()
 	l.by(until)
-	f.rides(l)
+	attempt.rides(l)
 	progress := Nowhere
 	fail := func(cause error) error {
-		if f.called.Load() || progress == Nowhere && f.ctx.Err() != nil {
+		if attempt.called.Load() || progress == Nowhere && attempt.ctx.Err() != nil {
 			cause = errCalledOff
 		} else if !time.Now().Before(until) {
 			cause = os.ErrDeadlineExceeded // the reader of answers words it in several ways
@@ -255,10 +255,10 @@
 		told = x.Upload.Patience
 	}
 	head, body := x.Outgoing(told)
-	if !x.Wanted() || !f.before.IsZero() && !time.Now().Before(f.before) {
-		f.off()
+	if !x.Wanted() || !attempt.before.IsZero() && !time.Now().Before(attempt.before) {
+		attempt.off()
 	}
-	if f.ctx.Err() != nil {
+	if attempt.ctx.Err() != nil {
 		return nil, nil, fail(errCalledOff)
 	}
 	if n, err := l.Write(head); n < len(head) {
@@ -276,7 +276,7 @@
 		}
 		l.until = time.Time{}
 		l.by(until)
-		f.wrote = time.Now()
+		attempt.wrote = time.Now()
 	}
 	progress = Sent
 	o.counts.Add(counters.FetchesWritten)
@@ -295,12 +295,12 @@
 		return nil, answer.load, &Failure{Progress: Answered, Status: answer.status, Unseen: unseen}
 	}
 	if answer.body != nil {
-		f.rides(nil)
-		if f.called.Load() {
+		attempt.rides(nil)
+		if attempt.called.Load() {
 			return nil, nil, fail(errCalledOff)
 		}
 		handed = true
-		answer.Rest = &stream{body: answer.body, l: l, be: be, o: o, keeps: !answer.closes}
+		answer.Rest = &stream{body: answer.body, l: l, be: server, o: o, keeps: !answer.closes}
 	}
 	return &answer.Answer, answer.load, nil
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -26,7 +26,7 @@
 }
 
 // by sets a deadline, unless one is set that comes no earlier and not much later: a busy connection is told once for
-// many fetches. What it may be late by is no visit's loss: that is answered by the module's own clock.
+// many attempts. What it may be late by is no request's loss: that is answered by the module's own clock.
 func (l *conn) by(until time.Time) {
 	if left := time.Until(until); l.until.Before(until) || l.until.After(until.Add(left/deadlinePart)) {
 		l.until = until.Add(left / deadlinePart / 2)
@@ -47,8 +47,8 @@
 // pool holds the connections that carry nothing, and counts all that are open.
 type pool struct {
 	mu     sync.Mutex
-	idle   map[brain.Backend][]*conn // the one used last stands last
-	keep   atomic.Int64              // nanoseconds for which one may stand idle
+	idle   map[brain.ServerID][]*conn // the one used last stands last
+	keep   atomic.Int64               // nanoseconds for which one may stand idle
 	open   int
 	most   int
 	counts *counters.Sheet
@@ -75,11 +75,11 @@
 const settles = 3 * time.Millisecond
 
 // take finds an idle connection. Guards against writing to one that the server has closed, or is about to close; and against
-// a second answer some milliseconds after the first, which the next visit would get for its own: it shows on a connection that
+// a second answer some milliseconds after the first, which the next request would get for its own: it shows on a connection that
 // had time to settle, which is waited for.
-func (p *pool) take(be brain.Backend, address string) *conn {
+func (p *pool) take(server brain.ServerID, address string) *conn {
 	for {
-		l := p.next(be)
+		l := p.next(server)
 		if l == nil {
 			return nil
 		}
@@ -103,10 +103,10 @@
 }
 
 // next takes out of the idle connections, of those that have settled, the one used last; if none has, the one that needs least.
-func (p *pool) next(be brain.Backend) (l *conn) {
+func (p *pool) next(server brain.ServerID) (l *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lines := p.idle[be]
+	lines := p.idle[server]
 	if len(lines) == 0 {
 		return nil
 	}
@@ -115,7 +115,7 @@
 		i--
 	}
 	l = lines[i]
-	p.idle[be] = slices.Delete(lines, i, i+1)
+	p.idle[server] = slices.Delete(lines, i, i+1)
 	return l
 }
 
@@ -124,11 +124,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open >= p.most {
-		var oldest brain.Backend
+		var oldest brain.ServerID
 		var since time.Time
-		for be, lines := range p.idle {
+		for server, lines := range p.idle {
 			if len(lines) > 0 && (since.IsZero() || lines[0].idle.Before(since)) {
-				oldest, since = be, lines[0].idle
+				oldest, since = server, lines[0].idle
 			}
 		}
 		if since.IsZero() {
@@ -141,11 +141,11 @@
 	return true
 }
 
-func (p *pool) put(be brain.Backend, l *conn) {
+func (p *pool) put(server brain.ServerID, l *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.idle = time.Now() // its deadline is set when it is used again
-	p.idle[be] = append(p.idle[be], l)
+	p.idle[server] = append(p.idle[server], l)
 }
 
 func (p *pool) closed() {
@@ -161,27 +161,27 @@
 	p.open--
 }
 
-func (p *pool) drop(be brain.Backend) {
+func (p *pool) drop(server brain.ServerID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, l := range p.idle[be] {
+	for _, l := range p.idle[server] {
 		p.shut(l, reasonForgotten)
 	}
-	delete(p.idle, be)
+	delete(p.idle, server)
 }
 
 // sweep closes what has stood idle for as long as it may.
 func (p *pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for be, lines := range p.idle {
+	for server, lines := range p.idle {
 		n := 0
 		for n < len(lines) && int64(time.Since(lines[n].idle)) >= p.keep.Load() {
 			p.shut(lines[n], reasonIdle)
 			n++
 		}
-		if p.idle[be] = lines[n:]; n == len(lines) {
-			delete(p.idle, be)
+		if p.idle[server] = lines[n:]; n == len(lines) {
+			delete(p.idle, server)
 		}
 	}
 }
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	stalled  = 5 * time.Second // a server that brings nothing of a long answer, or takes nothing of a long visit, is given up
+	stalled  = 5 * time.Second // a server that brings nothing of a long answer, or takes nothing of a long request, is given up
 	heldBack = stalled / 5     // nothing that a server gives is held back for longer, whatever it may turn out to be
 )
 
@@ -24,7 +24,7 @@
 type stream struct {
 	body  io.Reader
 	l     *conn
-	be    brain.Backend
+	be    brain.ServerID
 	o     *Outbound
 	keeps bool // the connection may be used again
 	whole bool
@@ -128,7 +128,7 @@
 	return nil
 }
 
-// early looks for an answer that came before the visit was whole: a server that turned it away and closed. It never ran.
+// early looks for an answer that came before the request was whole: a server that turned it away and closed. It never ran.
 func (o *Outbound) early(l *conn) error {
 	until := time.Now().Add(stalled / 100)
 	l.SetReadDeadline(until)
--- a/internal/outbound/workers.go
+++ b/internal/outbound/workers.go
@@ -4,7 +4,7 @@
 
 const restless = time.Second // a goroutine that has had nothing to do for so long, or half of it, ends
 
-// workers runs jobs on goroutines that are used again. Guards against a stack that grows anew for every fetch, and
+// workers runs jobs on goroutines that are used again. Guards against a stack that grows anew for every attempt, and
 // against goroutines that stay for ever after a burst.
 type workers chan func()
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -73,7 +73,7 @@
 func (p *Peers) Steer() error { return connlimit.Steer(p.conn) }
 
 // Tell sends one message; it may be lost.
-func (p *Peers) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (p *Peers) Tell(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	msg := notes.Append(nil, kind, about, figures...)
 	at, there := p.book.Load().at[to]
 	if !there || len(msg) > longest {
@@ -86,7 +86,7 @@
 }
 
 // Hear hands over what the others send, until the socket is closed.
-func (p *Peers) Hear(heard func(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64)) {
+func (p *Peers) Hear(heard func(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures []float64)) {
 	var in [longest + 1]byte
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(in[:])
@@ -101,7 +101,7 @@
 
 // one takes a datagram. Guards against strangers and garbage: both are passed over and counted.
 func (p *Peers) one(msg []byte, from netip.AddrPort,
-	heard func(brain.Peer, brain.Note, brain.Backend, []float64)) {
+	heard func(brain.Peer, brain.MessageKind, brain.ServerID, []float64)) {
 	defer func() {
 		if crash := recover(); crash != nil {
 			p.counts.Crashed(p.log, "message", crash)
--- a/internal/relay/names.go
+++ b/internal/relay/names.go
@@ -2,10 +2,10 @@
 
 import "ledgespread/brain"
 
-// names are those of visits that are open, or were lately: each is taken until its visit's time is up. They are
+// names are those of requests that are open, or were lately: each is taken until its request's time is up. They are
 // forgotten by two generations, not one by one: a due time for each cost more than all else that is done with it.
 type names struct {
-	span        brain.Micros // a generation's, which no visit here outlasts
+	span        brain.Micros // a generation's, which no request here outlasts
 	turned      brain.Micros // when the younger one began
 	now, before map[string]brain.Micros
 }
@@ -14,7 +14,7 @@
 	return &names{span: max(span, 1), now: map[string]brain.Micros{}, before: map[string]brain.Micros{}}
 }
 
-// taken tells whether a visit of this name may still be open.
+// taken tells whether a request of this name may still be open.
 func (n *names) taken(name string, at brain.Micros) bool {
 	return n.now[name] > at || n.before[name] > at
 }
--- a/internal/relay/names_test.go
+++ b/internal/relay/names_test.go
@@ -9,7 +9,7 @@
 	"ledgespread/brain"
 )
 
-// Whatever comes and when, a name is taken exactly until its visit's time is up, and what is kept is bounded by what
+// Whatever comes and when, a name is taken exactly until its request's time is up, and what is kept is bounded by what
 // came in two generations.
 func TestNames(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -9,42 +9,42 @@
 
 // The methods below are the module's Ports. They only note what it asks for: nothing calls back into a call.
 
-func (r *Relay) later(do func()) { r.todo = append(r.todo, do) }
+func (r *Relay) later(do func()) { r.actions = append(r.actions, do) }
 
-// open finds a visit that still needs its answer.
-func (r *Relay) open(id brain.VisitID) *visit {
-	if v := r.visits[id]; v != nil && !v.ended {
-		return v
+// open finds a request that still needs its answer.
+func (r *Relay) open(id brain.RequestID) *request {
+	if request := r.requests[id]; request != nil && !request.ended {
+		return request
 	}
 	return nil
 }
 
-func (r *Relay) Dispatch(id brain.VisitID, be brain.Backend, tryFor brain.Micros) {
-	r.later(func() { r.fetch(id, be, tryFor) })
+func (r *Relay) Dispatch(id brain.RequestID, server brain.ServerID, tryFor brain.Micros) {
+	r.later(func() { r.send(id, server, tryFor) })
 }
 
-func (r *Relay) Bounce(id brain.VisitID, comeBackIn brain.Micros, why brain.Reason) {
+func (r *Relay) Reject(id brain.RequestID, comeBackIn brain.Micros, why brain.Reason) {
 	r.later(func() {
-		if v := r.open(id); v != nil {
-			r.logAnswer(v, "request rejected", why)
-			v.x.Bounce(comeBackIn)
-			r.end(v)
+		if request := r.open(id); request != nil {
+			r.logAnswer(request, "request rejected", why)
+			request.exchange.Reject(comeBackIn)
+			r.end(request)
 		}
 	})
 }
 
-func (r *Relay) ErrorPage(id brain.VisitID, why brain.Reason) {
+func (r *Relay) Fail(id brain.RequestID, why brain.Reason) {
 	r.later(func() {
-		if v := r.visits[id]; v != nil {
-			r.fail(v, why)
+		if request := r.requests[id]; request != nil {
+			r.fail(request, why)
 		}
 	})
 }
 
-func (r *Relay) Cancel(id brain.VisitID, no brain.FetchNo) {
+func (r *Relay) Cancel(id brain.RequestID, no brain.AttemptNo) {
 	r.later(func() {
-		if v := r.visits[id]; v != nil && int(no) < len(v.flights) && v.flights[no] != nil {
-			v.flights[no].Cancel()
+		if request := r.requests[id]; request != nil && int(no) < len(request.attempts) && request.attempts[no] != nil {
+			request.attempts[no].Cancel()
 		}
 	})
 }
@@ -58,19 +58,19 @@
 				panic(crash)
 			}
 		}()
-		r.b.Woken(r.now, t)
+		r.balancer.Woken(r.now, t)
 	})
 }
 
-func (r *Relay) CloseIdle(be brain.Backend) { r.later(func() { r.outbound.CloseIdle(be) }) }
+func (r *Relay) CloseIdle(server brain.ServerID) { r.later(func() { r.outbound.CloseIdle(server) }) }
 
 func (r *Relay) Subscribe() { r.later(r.watcher.Watch) }
 
-func (r *Relay) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (r *Relay) Tell(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	switch {
 	case r.peers == nil:
-	case r.words != nil:
-		r.later(func() { r.words.Told(r.now, to, kind, about, figures...) })
+	case r.summaries != nil:
+		r.later(func() { r.summaries.Told(r.now, to, kind, about, figures...) })
 	default:
 		r.later(func() { r.peers.Tell(to, kind, about, figures...) })
 	}
@@ -81,7 +81,7 @@
 	entry := r.log.Info()
 	first, rest, _ := strings.Cut(line, " ")
 	if id, err := strconv.ParseUint(first, 16, 48); err == nil {
-		if named, known := r.servers[brain.Backend(id)]; known {
+		if named, known := r.servers[brain.ServerID(id)]; known {
 			entry, line = entry.Str("server", named.host), rest
 		}
 	}
--- a/internal/relay/reasons.go
+++ b/internal/relay/reasons.go
@@ -12,7 +12,7 @@
 // nothing is worked out for it.
 
 // resultNames are how attempts end, as the log calls it.
-var resultNames = [...]string{brain.Delivered: "succeeded", brain.Errored: "error answer", brain.Full: "server full", brain.TimedOut: "timed out",
+var resultNames = [...]string{brain.Succeeded: "succeeded", brain.AnsweredError: "error answer", brain.Overloaded: "server full", brain.TimedOut: "timed out",
 	brain.ConnectFailed: "connect failed", brain.Reset: "connection broke", brain.Cancelled: "cancelled", brain.NeverSent: "never sent"}
 
 // Reasons of the relay's own for an answer that is no server's.
@@ -25,38 +25,38 @@
 )
 
 // logged begins a line about a request; nil where debug is off.
-func (r *Relay) logged(v *visit) *zerolog.Event {
+func (r *Relay) logged(request *request) *zerolog.Event {
 	entry := r.log.Debug()
 	if !entry.Enabled() {
 		return nil
 	}
-	return entry.Str("request_id", v.x.Name).Int("attempts", len(v.flights)).Dur("left", span(v.until-r.clock.now()))
+	return entry.Str("request_id", request.exchange.RequestID).Int("attempts", len(request.attempts)).Dur("left", span(request.deadline-r.clock.now()))
 }
 
 // logAttempt tells that an attempt goes out.
-func (r *Relay) logAttempt(v *visit, no brain.FetchNo, server string, wait brain.Micros) {
-	if entry := r.logged(v); entry != nil {
+func (r *Relay) logAttempt(request *request, no brain.AttemptNo, server string, wait brain.Micros) {
+	if entry := r.logged(request); entry != nil {
 		entry.Uint8("attempt", uint8(no)).Str("server", server).Dur("wait", span(wait)).Msg("attempt")
 	}
 }
 
 // logUnsent tells that the module asked for an attempt that does not go out.
-func (r *Relay) logUnsent(v *visit, no brain.FetchNo, server string) {
-	if entry := r.logged(v); entry != nil {
+func (r *Relay) logUnsent(request *request, no brain.AttemptNo, server string) {
+	if entry := r.logged(request); entry != nil {
 		entry.Uint8("attempt", uint8(no)).Str("server", server).Str("reason", string(reasonNoAttempt)).Msg("attempt not sent")
 	}
 }
 
 // logAttemptEnded tells how an attempt ended; err is why, where that is known.
-func (r *Relay) logAttemptEnded(v *visit, no brain.FetchNo, rc brain.Result, took brain.Micros, err error) {
-	if entry := r.logged(v); entry != nil {
+func (r *Relay) logAttemptEnded(request *request, no brain.AttemptNo, rc brain.Result, took brain.Micros, err error) {
+	if entry := r.logged(request); entry != nil {
 		entry.Uint8("attempt", uint8(no)).Str("result", resultNames[rc]).Dur("took", span(took)).Err(err).Msg("attempt ended")
 	}
 }
 
 // logAnswer tells that a request got an answer that is no server's, or needs none any more.
-func (r *Relay) logAnswer(v *visit, how string, why brain.Reason) {
-	if entry := r.logged(v); entry != nil {
+func (r *Relay) logAnswer(request *request, how string, why brain.Reason) {
+	if entry := r.logged(request); entry != nil {
 		entry.Str("reason", string(why)).Msg(how)
 	}
 }
--- a/internal/relay/reasons_test.go
+++ b/internal/relay/reasons_test.go
@@ -13,11 +13,11 @@
 // Where debug is off, the lines about a request cost no memory.
 func TestReasonsCostNothingWhenOff(t *testing.T) {
 	r := &Relay{clock: startClock(nil), log: zerolog.New(io.Discard).Level(zerolog.InfoLevel)}
-	v := &visit{x: exchange.New()}
+	request := &request{exchange: exchange.New()}
 	allocations := testing.AllocsPerRun(100, func() {
-		r.logAttempt(v, 0, "s", 1)
-		r.logAttemptEnded(v, 0, brain.Delivered, 1, nil)
-		r.logAnswer(v, "request rejected", brain.TurnedLate)
+		r.logAttempt(request, 0, "s", 1)
+		r.logAttemptEnded(request, 0, brain.Succeeded, 1, nil)
+		r.logAnswer(request, "request rejected", brain.TurnedLate)
 		r.logRefused("id", reasonTwice)
 	})
 	if allocations != 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,29 +30,29 @@
 	lateLeast brain.Micros = 10_000 // what is due is late from then on
 )
 
-// visit is one that the module knows of.
-type visit struct {
-	x       *exchange.Exchange
-	on      *terms
-	until   brain.Micros
-	flights []*flight // nil: never sent
-	out     int
-	ended   bool
+// request is one that the module knows of.
+type request struct {
+	exchange    *exchange.Exchange
+	class       *class
+	deadline    brain.Micros
+	attempts    []*attempt // nil: never sent
+	outstanding int
+	ended       bool
 }
 
-// terms are what the settings allow the visits of a path prefix here, beside the module's own gate.
-type terms struct {
-	name    string
-	effect  any
-	window  time.Duration // of tagged ones: servers know a mark for so long
-	fetches int
+// class is what the settings allow the requests of a class here, beside the module's own gate.
+type class struct {
+	name         string
+	effect       any
+	keyWindow    time.Duration // of keyed ones: servers know a mark for so long
+	mostAttempts int
 }
 
-// flight is one of its backend fetches.
-type flight struct {
+// attempt is one attempt of a request.
+type attempt struct {
 	*outbound.Attempt
-	asked time.Time // when the module asked for it
-	unrun bool      // it ended, and surely never ran
+	asked    time.Time // when the module asked for it
+	neverRan bool      // it ended, and surely never ran
 }
 
 // server is how a server is called, and where it is reached.
@@ -60,40 +60,40 @@
 
 // Relay is the module's world.
 type Relay struct {
-	b        *brain.Balancer
-	clock    clock
-	now      brain.Micros
-	mail     chan func()
-	calls    chan func() // of staff and of discovery: they go first
-	todo     []func()    // what the module asked for in the call that goes on
-	due      *due.Times[brain.Micros]
-	timer    *time.Timer
-	armed    brain.Micros // the timer comes by then; 0: it is not set
-	visits   map[brain.VisitID]*visit
-	names    *names
-	rare     map[string]bool // names to be kept for longer than a generation of those
-	held     int             // visits not yet ended
-	mostHeld int
-	mostEver int // as many as there are sockets for
-	ids      brain.VisitID
-	servers  map[brain.Backend]server
-	starts   map[brain.Backend]start
-	out      map[string]bool        // taken out by hand, listed or not
-	fleet    atomic.Pointer[[2]int] // listed, and avoided of these
-	listed   chan struct{}          // closed when the first list came
-	heard    bool                   // it is
-	prefixes []*terms               // by place
-	loads    []string               // what a load report holds,
-	loadsNow time.Time              // since then
-	idle     brain.Micros
-	grace    brain.Micros // in which sends to a leaving server are no fault
-	pushed   bool
-	outbound *outbound.Outbound
-	peers    *peers.Peers        // nil where messages are not allowed
-	words    *summary.Aggregator // between the module and the peers; nil: what the module tells goes out as it is
-	watcher  *discovery.Watcher
-	counts   *counters.Sheet
-	log      zerolog.Logger
+	balancer  *brain.Balancer
+	clock     clock
+	now       brain.Micros
+	events    chan func()
+	calls     chan func() // of staff and of discovery: they go first
+	actions   []func()    // what the module asked for in the call that goes on
+	timers    *due.Times[brain.Micros]
+	timer     *time.Timer
+	wakeAt    brain.Micros // the timer comes by then; 0: it is not set
+	requests  map[brain.RequestID]*request
+	names     *names
+	longNames map[string]bool // names to be kept for longer than a generation of those
+	held      int             // requests not yet ended
+	mostHeld  int
+	mostEver  int // as many as there are sockets for
+	ids       brain.RequestID
+	servers   map[brain.ServerID]server
+	starts    map[brain.ServerID]start
+	takenOut  map[string]bool        // taken out by hand, listed or not
+	fleet     atomic.Pointer[[2]int] // listed, and avoided of these
+	listed    chan struct{}          // closed when the first list came
+	heard     bool                   // it is
+	classes   []*class               // by place
+	loads     []string               // what a load report holds,
+	loadsNow  time.Time              // since then
+	idle      brain.Micros
+	grace     brain.Micros // in which sends to a leaving server are no fault
+	pushed    bool
+	outbound  *outbound.Outbound
+	peers     *peers.Peers        // nil where messages are not allowed
+	summaries *summary.Aggregator // between the module and the peers; nil: what the module tells goes out as it is
+	watcher   *discovery.Watcher
+	counts    *counters.Sheet
+	log       zerolog.Logger
 }
 
 // Machine is how a relay reaches the machine that it runs on. What is nil is as the operating system has it.
@@ -102,7 +102,7 @@
 	Wall          func() brain.Micros // the wall clock
 }
 
-// New makes a relay with its Balancer, which then holds the saved list. It holds most visits at once, or
+// New makes a relay with its Balancer, which then holds the saved list. It holds most requests at once, or
 // fewer where the settings say so.
 func New(b *site.Manifest, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
 	log zerolog.Logger) (*Relay, error) {
@@ -112,9 +112,9 @@
 // NewOn makes one that reaches its machine so.
 func NewOn(machine Machine, b *site.Manifest, most int, out *outbound.Outbound, others *peers.Peers, counts *counters.Sheet,
 	log zerolog.Logger) (*Relay, error) {
-	r := &Relay{clock: startClock(machine.Wall), mail: make(chan func(), 1024), calls: make(chan func()), due: due.New[brain.Micros](),
-		timer: time.NewTimer(time.Hour), visits: map[brain.VisitID]*visit{}, rare: map[string]bool{},
-		servers: map[brain.Backend]server{}, starts: map[brain.Backend]start{}, out: map[string]bool{}, listed: make(chan struct{}),
+	r := &Relay{clock: startClock(machine.Wall), events: make(chan func(), 1024), calls: make(chan func()), timers: due.New[brain.Micros](),
+		timer: time.NewTimer(time.Hour), requests: map[brain.RequestID]*request{}, longNames: map[string]bool{},
+		servers: map[brain.ServerID]server{}, starts: map[brain.ServerID]start{}, takenOut: map[string]bool{}, listed: make(chan struct{}),
 		mostEver: most, pushed: b.Site["discovery"] == "pushed", names: newNames(0),
 		outbound: out, peers: others, counts: counts, log: log}
 	r.read(b)
@@ -130,7 +130,7 @@
 		r.watcher.DialBy(machine.DialDiscovery)
 	}
 	r.now = r.clock.now()
-	if r.b, err = brain.New(r.now, b.Site, b.Seed, r); err != nil {
+	if r.balancer, err = brain.New(r.now, b.Site, b.Seed, r); err != nil {
 		return nil, &site.Odd{Name: "settings", Err: err}
 	}
 	r.told(brain.Saved, saved)
@@ -154,10 +154,10 @@
 			select {
 			case call := <-r.calls:
 				r.turn(call)
-			case event := <-r.mail:
+			case event := <-r.events:
 				r.turn(event)
 			case <-r.timer.C:
-				r.armed = 0
+				r.wakeAt = 0
 			}
 		}
 		r.catchUp()
@@ -167,32 +167,32 @@
 }
 
 // catchUp hears first what came while the sidecar itself did not run, where what is due is late. Guards against
-// calling servers silent whose answers wait here, and turning visits away for it: a sidecar that has used up its
+// calling servers silent whose answers wait here, and turning requests away for it: a sidecar that has used up its
 // part of the core stands still for hundreds of milliseconds.
 func (r *Relay) catchUp() {
-	at, ok := r.due.First()
+	at, ok := r.timers.First()
 	if !ok || r.clock.now()-at < lateLeast {
 		return
 	}
 	for range rounds { // readers first, then what they hand over
 		runtime.Gosched()
-		for n := len(r.mail); n > 0; n-- {
-			r.turn(<-r.mail)
+		for n := len(r.events); n > 0; n-- {
+			r.turn(<-r.events)
 		}
 	}
 }
 
 // post hands an event to the one goroutine that calls the module.
-func (r *Relay) post(event func()) { r.mail <- event }
+func (r *Relay) post(event func()) { r.events <- event }
 
 // turn is one call of the module and what it asked for. Guards against the end of the sidecar, and of all
-// visits it holds, by one event's panic.
+// requests it holds, by one event's panic.
 func (r *Relay) turn(event func()) {
 	r.now = r.clock.now()
 	r.guarded(event)
-	for len(r.todo) > 0 {
-		next := r.todo
-		r.todo = nil
+	for len(r.actions) > 0 {
+		next := r.actions
+		r.actions = nil
 		for _, do := range next {
 			r.guarded(do)
 		}
@@ -202,8 +202,8 @@
 // arm sets the timer for what is due first. One that comes earlier stays as it is: it finds nothing due and is set
 // again, which costs less than to set it anew with every turn.
 func (r *Relay) arm() {
-	if at, ok := r.due.First(); ok && (r.armed == 0 || at < r.armed) {
-		r.armed = max(at, 1)
+	if at, ok := r.timers.First(); ok && (r.wakeAt == 0 || at < r.wakeAt) {
+		r.wakeAt = max(at, 1)
 		r.timer.Reset(time.Duration(max(at-r.clock.now(), 0)) * time.Microsecond)
 	}
 }
@@ -217,12 +217,12 @@
 	do()
 }
 
-// orFail makes a call for a visit. Guards against a visit that is held, with nobody left to answer it,
+// orFail makes a call for a request. Guards against a request that is held, with nobody left to answer it,
 // after a panic in the call: it gets an error page at once.
-func (r *Relay) orFail(v *visit, call func()) {
+func (r *Relay) orFail(request *request, call func()) {
 	defer func() {
 		if crash := recover(); crash != nil {
-			r.fail(v, reasonPanic)
+			r.fail(request, reasonPanic)
 			panic(crash)
 		}
 	}()
@@ -230,10 +230,10 @@
 }
 
 // at puts something among the due times.
-func (r *Relay) at(t brain.Micros, do func()) { r.due.Put(t, do) }
+func (r *Relay) at(t brain.Micros, do func()) { r.timers.Put(t, do) }
 
 // lapse does what is due by now, but nothing that this puts there.
-func (r *Relay) lapse() { r.due.Lapse(r.now) }
+func (r *Relay) lapse() { r.timers.Lapse(r.now) }
 
 func (r *Relay) sweep() {
 	r.outbound.Sweep()
@@ -242,7 +242,7 @@
 
 // publish tells how many servers there are to those who may not wait for the module.
 func (r *Relay) publish() {
-	listed, avoided := r.b.Fleet()
+	listed, avoided := r.balancer.Fleet()
 	r.fleet.Store(&[2]int{listed, avoided})
 }
 
@@ -258,7 +258,7 @@
 // Listed is closed once discovery has told a list.
 func (r *Relay) Listed() <-chan struct{} { return r.listed }
 
-// hear takes an answer of discovery, ahead of the mail. Guards against visits sent to servers that it has leaving, while it waits
+// hear takes an answer of discovery, ahead of the mail. Guards against requests sent to servers that it has leaving, while it waits
 // behind hundreds of events on a thin part of a core.
 func (r *Relay) hear(l *discovery.List) { r.calls <- func() { r.list(l) } }
 
@@ -267,8 +267,8 @@
 	switch {
 	case l == nil && r.pushed: // the watcher comes back by itself
 	case l == nil:
-		r.b.ListBegins(r.now, brain.NoListCame)
-		r.b.ListEnds(r.now)
+		r.balancer.ListBegins(r.now, brain.NoListCame)
+		r.balancer.ListEnds(r.now)
 	case l.Whole:
 		r.told(brain.Whole, l)
 	default:
@@ -281,21 +281,21 @@
 }
 
 func (r *Relay) told(news brain.News, l *discovery.List) {
-	gone, leaving := map[brain.Backend]bool{}, map[brain.Backend]bool{}
+	gone, leaving := map[brain.ServerID]bool{}, map[brain.ServerID]bool{}
 	for id := range r.servers {
 		gone[id], leaving[id] = news != brain.Changes, news != brain.Changes
 	}
-	r.b.ListBegins(r.now, news)
+	r.balancer.ListBegins(r.now, news)
 	for _, entry := range l.Entries {
 		r.servers[entry.ID], gone[entry.ID] = server{entry.Host, entry.Address}, entry.Standing == brain.Gone
 		if leaving[entry.ID] = entry.Standing != brain.Ready; leaving[entry.ID] {
 			r.log.Debug().Str("server", entry.Host).Uint64("version", l.Version).Uint8("standing", uint8(entry.Standing)).Msg("leaving")
 		}
 		started := r.started(entry)
-		r.b.Listed(r.now, entry.ID, entry.Zone, entry.Cell, entry.Standing, entry.Rating, started)
+		r.balancer.Listed(r.now, entry.ID, entry.Zone, entry.Cell, entry.Standing, entry.Rating, started)
 	}
-	r.b.ListEnds(r.now)
-	r.recall(func(id brain.Backend) bool { return leaving[id] })
+	r.balancer.ListEnds(r.now)
+	r.recall(func(id brain.ServerID) bool { return leaving[id] })
 	// Guards against keeping every server there ever was, and connections to a machine that others now have.
 	for id, left := range gone {
 		if left {
@@ -315,18 +315,18 @@
 }
 
 func (r *Relay) tally(every brain.Micros) {
-	r.log.Info().Object("counters", r.counts).Interface("decisions", r.b.Tally()).Msg("tally")
+	r.log.Info().Object("counters", r.counts).Interface("decisions", r.balancer.Tally()).Msg("tally")
 	r.at(r.clock.now()+every, func() { r.tally(every) })
 }
 
 // Heard takes another sidecar's message.
-func (r *Relay) Heard(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
+func (r *Relay) Heard(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures []float64) {
 	r.post(func() {
-		if r.words != nil {
-			r.words.Heard(r.now, from, kind, about, figures...)
+		if r.summaries != nil {
+			r.summaries.Heard(r.now, from, kind, about, figures...)
 			return
 		}
-		r.b.Heard(r.now, from, kind, about, figures...)
+		r.balancer.Heard(r.now, from, kind, about, figures...)
 	})
 }
 
@@ -334,14 +334,14 @@
 // bound, and has none itself. It is called before Run.
 func (r *Relay) Bound(b *site.Manifest, bytes float64) {
 	_, longest := b.Timeouts()
-	r.words = summary.New(summary.Limits{Bytes: bytes, Sidecars: int(b.Figure("balancers")), Me: brain.Peer(b.Figure("me")), Seed: b.Seed,
+	r.summaries = summary.New(summary.Limits{Bytes: bytes, Sidecars: int(b.Figure("balancers")), Me: brain.Peer(b.Figure("me")), Seed: b.Seed,
 		Longest: longest}, wire{r})
 }
 
 // wire is what summaries go out by, and estimates come in.
 type wire struct{ r *Relay }
 
-func (w wire) Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (w wire) Send(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	switch kind {
 	case summary.Summary:
 		w.r.counts.Add(counters.SummariesSent)
@@ -351,8 +351,8 @@
 	w.r.peers.Tell(to, kind, about, figures...)
 }
 
-func (w wire) Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
-	w.r.later(func() { w.r.b.Heard(w.r.now, from, kind, about, figures...) })
+func (w wire) Hear(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
+	w.r.later(func() { w.r.balancer.Heard(w.r.now, from, kind, about, figures...) })
 }
 
 func (w wire) Refused(from brain.Peer, why string) {
@@ -361,4 +361,4 @@
 }
 
 // Senders tells how many sidecars may be sending, where that is known.
-func (r *Relay) Senders(many int) { r.post(func() { r.b.Senders(many) }) }
+func (r *Relay) Senders(many int) { r.post(func() { r.balancer.Senders(many) }) }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,7 +20,7 @@
 	"conn_idle_us":10000000,"connect_timeout_us":100000,"multiplex":1},"obligations":{"cold_from":0.3,"cold_us":8000000,
 	"fall_multiple":3,"fall_us":1500000,"ask_every_us":10000000}}}`
 
-// Reports of fetches that began under other names of what they hold are passed over; a change of anything else harms none.
+// Reports of attempts that began under other names of what they hold are passed over; a change of anything else harms none.
 func TestFreshReports(t *testing.T) {
 	counts := &counters.Sheet{}
 	told := func(names string) *site.Manifest {
@@ -36,14 +36,14 @@
 		t.Fatal(err)
 	}
 	go r.Run()
-	before := &flight{asked: time.Now()}
+	before := &attempt{asked: time.Now()}
 	if r.Retune(told(`"concurrent"`)) != nil || r.fresh(before, []float64{3}) == nil {
 		t.Error("the same names: a report was passed over")
 	}
 	if r.Retune(told(`"tps","concurrent"`)) != nil || r.fresh(before, []float64{3}) != nil {
 		t.Error("other names: a report by the old ones was taken")
 	}
-	if r.fresh(&flight{asked: time.Now()}, []float64{9, 3}) == nil || r.fresh(nil, nil) != nil {
+	if r.fresh(&attempt{asked: time.Now()}, []float64{9, 3}) == nil || r.fresh(nil, nil) != nil {
 		t.Error("a report by the new names was passed over")
 	}
 }
@@ -76,12 +76,12 @@
 			go r.post(event)
 		}
 	}
-	for range cap(r.mail) {
+	for range cap(r.events) {
 		r.post(event)
 	}
 	go r.hear(list)
 	go r.Run()
-	if n := <-before; n > cap(r.mail)/2 {
-		t.Errorf("the list was heard after %d events, of %d that waited", n, cap(r.mail))
+	if n := <-before; n > cap(r.events)/2 {
+		t.Errorf("the list was heard after %d events, of %d that waited", n, cap(r.events))
 	}
 }
--- a/internal/relay/hand.go
+++ b/internal/relay/takeout.go
@@ -11,8 +11,8 @@
 
 // What staff ask for. It goes ahead of the mail: see Run.
 
-// ahead has something done in the module's turn before all mail, and waits for that.
-func (r *Relay) ahead(do func()) {
+// urgently has something done in the module's turn before all mail, and waits for that.
+func (r *Relay) urgently(do func()) {
 	done := make(chan struct{})
 	r.calls <- func() { defer close(done); do() }
 	<-done
@@ -20,59 +20,59 @@
 
 // ByHand takes a server out, or puts it back, and tells all that are out then. An id that nobody has is an error.
 func (r *Relay) ByHand(host string, out bool) (all []string, err error) {
-	r.ahead(func() {
+	r.urgently(func() {
 		id := discovery.ID(host)
-		if named, listed := r.servers[id]; !r.out[host] && (!listed || named.host != host) {
+		if named, listed := r.servers[id]; !r.takenOut[host] && (!listed || named.host != host) {
 			err = fmt.Errorf("no server %s", host)
 			return
 		}
-		r.hand(host, out)
+		r.takeOut(host, out)
 		r.publish()
-		all = slices.Collect(maps.Keys(r.out))
+		all = slices.Collect(maps.Keys(r.takenOut))
 	})
 	return all, err
 }
 
-// hand books one server as out, or back, where that is new; the module's turn.
-func (r *Relay) hand(host string, out bool) {
-	if r.out[host] == out {
+// takeOut books one server as out, or back, where that is new; the module's turn.
+func (r *Relay) takeOut(host string, out bool) {
+	if r.takenOut[host] == out {
 		return
 	}
-	if delete(r.out, host); out {
-		r.out[host] = true
+	if delete(r.takenOut, host); out {
+		r.takenOut[host] = true
 	}
 	r.log.Info().Str("server", host).Bool("out", out).Msg("by hand")
-	r.b.ByHand(r.now, discovery.ID(host), out)
+	r.balancer.ByHand(r.now, discovery.ID(host), out)
 	if out {
-		r.recall(func(to brain.Backend) bool { return to == discovery.ID(host) })
+		r.recall(func(to brain.ServerID) bool { return to == discovery.ID(host) })
 	}
 }
 
-// recall calls off the fetches to servers that are leaving, by staff's word or the list's, where nothing is written yet; they
+// recall calls off the attempts to servers that are leaving, by staff's word or the list's, where nothing is written yet; they
 // never ran there. Guards against a connection that comes up late, and a goroutine that waits for its part of the core: what
 // they write would be new to a server that takes nothing new.
-func (r *Relay) recall(leaving func(brain.Backend) bool) {
-	for _, v := range r.visits {
-		for _, f := range v.flights {
-			if f != nil && leaving(f.To) {
-				f.CancelUnsent()
+func (r *Relay) recall(leaving func(brain.ServerID) bool) {
+	for _, request := range r.requests {
+		for _, attempt := range request.attempts {
+			if attempt != nil && leaving(attempt.To) {
+				attempt.CancelUnsent()
 			}
 		}
 	}
 }
 
 // TakeOver has just these servers out: what another process of this sidecar wrote down.
-func (r *Relay) TakeOver(hosts []string) { r.ahead(func() { r.Inherit(hosts) }) }
+func (r *Relay) TakeOver(hosts []string) { r.urgently(func() { r.Inherit(hosts) }) }
 
 // Inherit does so before Run.
 func (r *Relay) Inherit(hosts []string) {
-	for host := range maps.Clone(r.out) {
+	for host := range maps.Clone(r.takenOut) {
 		if !slices.Contains(hosts, host) {
-			r.hand(host, false)
+			r.takeOut(host, false)
 		}
 	}
 	for _, host := range hosts {
-		r.hand(host, true)
+		r.takeOut(host, true)
 	}
 }
 
--- a/internal/rollouts/rollouts_test.go
+++ b/internal/rollouts/rollouts_test.go
@@ -163,12 +163,12 @@
 	refuse bool
 	visits rollout.Figures
 	begun  time.Time
-	harm   string // visits are not delivered under what has this in it
+	harm   string // requests are not delivered under what has this in it
 }
 
 const every = 50_000
 
-func (o *one) figures() rollout.Figures { // 400 visits a second
+func (o *one) figures() rollout.Figures { // 400 requests a second
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	many := uint64(time.Since(o.begun) / (2500 * time.Microsecond))
@@ -274,7 +274,7 @@
 			}
 		}
 	}
-	time.Sleep(500 * time.Millisecond) // visits to compare with
+	time.Sleep(500 * time.Millisecond) // requests to compare with
 	const head = `{"rollout": {"watch": "300ms"}, "settings": {"allowed": {"max_backend_fetches": `
 	if reply := all[5].publish(t, 1, head+`2}}}`); !strings.HasPrefix(reply, "refused nobody may publish here") {
 		t.Error(reply)
@@ -329,7 +329,7 @@
 	all[3].mu.Lock()
 	all[3].refuse = true
 	all[3].mu.Unlock()
-	time.Sleep(500 * time.Millisecond) // visits of the one that restarted
+	time.Sleep(500 * time.Millisecond) // requests of the one that restarted
 	all[0].publish(t, 4, head+`3}}}`)
 	await(t, "one that is refused", all, func(s rollout.Status) bool {
 		return s.Newest.Number == 4 && (s.Stage == rollout.Stopped || s.InForce.Number == 4)
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -145,7 +145,7 @@
 
 const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 
-var results = [...]string{brain.Delivered: "delivered", brain.Errored: "errored", brain.Full: "full",
+var results = [...]string{brain.Succeeded: "delivered", brain.AnsweredError: "errored", brain.Overloaded: "full",
 	brain.TimedOut: "timed out", brain.ConnectFailed: "connect failed", brain.Reset: "reset",
 	brain.Cancelled: "cancelled", brain.NeverSent: "never sent"}
 
@@ -160,11 +160,11 @@
 	return time.Now().Add(time.Duration(span) * time.Microsecond)
 }
 
-// fetch does one backend fetch and tells how it ended. before is done while it is out.
+// attempt does one attempt and tells how it ended. before is done while it is out.
 func fetch(o *outbound.Outbound, path, address string, wait brain.Micros, before func(*outbound.Attempt)) string {
 	x := exchange.New().Holds([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n"), nil, nil)
 	end := make(chan string, 2)
-	f := o.Fetch(x, 1, address, after(wait), time.Time{}, func(a *exchange.Answer, reused bool, _ []float64, err error) {
+	f := o.Send(x, 1, address, after(wait), time.Time{}, func(a *exchange.Answer, reused bool, _ []float64, err error) {
 		var body []byte
 		if a != nil {
 			body = a.Body
--- a/internal/shape_test.go
+++ b/internal/shape_test.go
@@ -40,7 +40,7 @@
 		o := outbound.New(10*second, second, 9, 4<<20, loads, &counts, zerolog.Nop())
 		for _, path := range []string{"/ours", "/theirs", "/full", "/part", "/word", "/less", "/vast", "/text", "/none"} {
 			end := make(chan string, 1)
-			o.Fetch(exchange.New().Holds([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n"), nil, nil), 1, s.Addr().String(), after(second), time.Time{},
+			o.Send(exchange.New().Holds([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n"), nil, nil), 1, s.Addr().String(), after(second), time.Time{},
 				func(_ *exchange.Answer, _ bool, load []float64, err error) {
 					end <- fmt.Sprintf("%s %v", results[outbound.Result(err)], load)
 				})
--- a/internal/site/change.go
+++ b/internal/site/change.go
@@ -133,7 +133,7 @@
 	}
 	taken.Seed, taken.Known = b.Seed, b.Known
 	kept := sameBeginning(b, next)
-	for _, names := range []brain.Site{b.Site, next.Site} {
+	for _, names := range []brain.Settings{b.Site, next.Site} {
 		for name := range names {
 			was, is := b.Site[name], next.Site[name]
 			if was == is {
--- a/internal/site/flatten.go
+++ b/internal/site/flatten.go
@@ -13,12 +13,12 @@
 
 // Flatten turns the settings into plain names and values: {"a":{"b":[1]}} becomes "a.b.0": 1.
 // How many items a list has stands under its own name.
-func Flatten(text []byte) (brain.Site, error) {
+func Flatten(text []byte) (brain.Settings, error) {
 	var tree map[string]any
 	if err := json.Unmarshal(text, &tree); err != nil {
 		return nil, err
 	}
-	site := brain.Site{}
+	site := brain.Settings{}
 	var walk func(name string, v any)
 	walk = func(name string, v any) {
 		switch v := v.(type) {
--- a/internal/site/manifest.go
+++ b/internal/site/manifest.go
@@ -17,12 +17,12 @@
 	Seed                    uint64
 	Cores                   float64
 	MemoryMB, Sockets       int
-	Streams                 int // visits that a connection may carry at once, as told; one does
+	Streams                 int // requests that a connection may carry at once, as told; one does
 	PeerListen              string
 	Console                 string           // the second address, for staff; empty: there is none
 	Peers                   []netip.AddrPort // in the order of their numbers
 	Known                   []byte           // the list of servers as last held, in discovery's form
-	Site                    brain.Site
+	Site                    brain.Settings
 }
 
 // Read takes a configuration file. Guards against a sidecar that starts half told: what is missing or
@@ -114,7 +114,7 @@
 	if name, err := refused(b.Site); err != nil {
 		return nil, odd("settings."+name, "settings: %w", err)
 	}
-	// Guards against books that count on places for visits that a connection here does not have: it carries one at a time.
+	// Guards against books that count on places for requests that a connection here does not have: it carries one at a time.
 	b.Streams = int(max(b.Figure("allowed.multiplex"), 1))
 	if _, there := b.Site["allowed.multiplex"]; there {
 		b.Site["allowed.multiplex"] = 1.0
@@ -146,7 +146,7 @@
 	return places
 }
 
-// Timeouts are the shortest and the longest client timeout of all path prefixes.
+// Timeouts are the shortest and the longest client timeout of all classes.
 func (b *Manifest) Timeouts() (shortest, longest brain.Micros) {
 	for i := range int(b.Figure("path_prefixes")) {
 		timeout := b.Span("path_prefixes." + strconv.Itoa(i) + ".client_timeout_us")
--- a/internal/site/migrate.go
+++ b/internal/site/migrate.go
@@ -16,7 +16,7 @@
 type Move struct {
 	Listen   string   // where clients on other machines reach the sidecar
 	Loads    []string // what the servers' reports hold, in order
-	Streams  int      // visits that a connection to a server may carry at once
+	Streams  int      // requests that a connection to a server may carry at once
 	Sidecars int      // in the pool
 	Number   int      // of this one among them, from 0
 	Location string   // the one location that all stands in
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -50,7 +50,7 @@
 
 // refused tells which setting has a value that it can't have, and why in one line. Guards against a sidecar that starts and
 // decides by a figure that nobody meant.
-func refused(s brain.Site) (name string, err error) {
+func refused(s brain.Settings) (name string, err error) {
 	// Guards against a bare number where a list belongs, which would be counted through.
 	for _, name := range []string{"path_prefixes", "realms", "azs", "telemetry.fields"} {
 		if n := number(s, name); n != math.Trunc(n) || n < 0 || n > float64(len(s)) {
@@ -82,7 +82,7 @@
 			}
 		}
 	}
-	// Guards against two path prefixes of one name, or of none: visits find theirs by it.
+	// Guards against two classes of one name, or of none: requests find theirs by it.
 	seen := map[string]bool{}
 	for i := range int(number(s, "path_prefixes")) {
 		name := "path_prefixes." + strconv.Itoa(i) + ".name"
@@ -104,10 +104,10 @@
 	return "", nil
 }
 
-func number(s brain.Site, name string) float64 { n, _ := s[name].(float64); return n }
+func number(s brain.Settings, name string) float64 { n, _ := s[name].(float64); return n }
 
 // items are the names that are there of a setting, or of one that each item of a list has.
-func items(s brain.Site, name string) (there []string) {
+func items(s brain.Settings, name string) (there []string) {
 	list, last, each := strings.Cut(name, ".*")
 	if !each {
 		if _, is := s[name]; is {
--- a/internal/streams_test.go
+++ b/internal/streams_test.go
@@ -53,7 +53,7 @@
 	return strings.Join(some, " ")
 }
 
-// settled waits until no visit is outstanding.
+// settled waits until no request is outstanding.
 func settled(in *inbound.Inbound) {
 	for in.Accounts().Outstanding() > 0 {
 		time.Sleep(time.Millisecond)
@@ -61,7 +61,7 @@
 }
 
 // A long answer goes on as it comes, in whichever form, also past the client timeout; one that its server cuts is cut at
-// the client too, and its visit has failed and is sent to nobody else.
+// the client too, and its request has failed and is sent to nobody else.
 func TestLongAnswers(t *testing.T) {
 	const long = 1 << 20
 	var tr trace
@@ -132,7 +132,7 @@
 }
 
 // Long answers whose clients leave at whatever point leave nothing behind: no goroutine, no connection to the server that is
-// still read, no visit outstanding.
+// still read, no request outstanding.
 func TestLongAnswersGivenUp(t *testing.T) {
 	var tr trace
 	in, at, counts := behind(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/visits_test.go
+++ b/internal/visits_test.go
@@ -23,7 +23,7 @@
 	"ledgespread/internal/site"
 )
 
-// configuration has three path prefixes: read-like, tagged and mutating. More settings stand in more.
+// configuration has three classes: safe, keyed and unsafe. More settings stand in more.
 func configuration(hosts, allowed string) string {
 	prefix := `{"name":"%s","effect":"%s","group":"all","target_latency_us":400000,"client_timeout_us":800000,
 		"memory_span_us":500000,"value":1,"late_value":0}`
@@ -60,7 +60,7 @@
 // holding delivers at once, but for a client's repeat, which it hands over.
 func holding(held chan *exchange.Exchange) func(*exchange.Exchange) {
 	return func(x *exchange.Exchange) {
-		if x.Again {
+		if x.Repeated {
 			held <- x
 			return
 		}
@@ -130,7 +130,7 @@
 
 var asked atomic.Int64
 
-// ask sends a visit, under a name of its own.
+// ask sends a request, under a name of its own.
 func (c *client) ask(raw string) string {
 	io.WriteString(c, strings.Replace(raw, "X-Request-ID: 1\r", fmt.Sprintf("X-Request-ID: %d\r", asked.Add(1)), 1))
 	return c.answer()
@@ -243,13 +243,13 @@
 `)
 }
 
-// A path prefix whose name has to be escaped in a path is known there by just that, and goes on as it came.
+// A class whose name has to be escaped in a path is known there by just that, and goes on as it came.
 func TestEscapedNames(t *testing.T) {
 	var tr trace
 	text := strings.Replace(configuration("", ""), `"name":"look"`, `"name":"look up/é"`, 1)
 	_, at := listen(t, manifest(t, text), 9, taker{&tr, func(x *exchange.Exchange) {
 		first, _, _ := strings.Cut(string(outgoing(x)), "\r\n")
-		tr.add("%s, prefix %d", first, x.On)
+		tr.add("%s, prefix %d", first, x.Class)
 		deliver(x)
 	}}, &counters.Sheet{})
 	for _, path := range []string{"/look%20up%2F%C3%A9/x", "/look%20up%2f%c3%a9", "/look%20up/%C3%A9", "/l%6fok%20up%2F%C3%A9", "/b%6fok"} {
@@ -288,8 +288,8 @@
 		for line := range strings.Lines(string(outgoing(x))) {
 			tr.add("%s", strings.TrimRight(line, "\r\n"))
 		}
-		tr.add("prefix %d, tenant %d, left %d, work %d, again %v", x.On, x.Of, x.Left, x.Effort, x.Again)
-		x.Bounce(37_400)
+		tr.add("prefix %d, tenant %d, left %d, work %d, again %v", x.Class, x.Tenant, x.Left, x.Work, x.Repeated)
+		x.Reject(37_400)
 	}}, &counters.Sheet{})
 	tr.add("answer: %s", dial(t, at).ask("POST /book/a%2Fb?q=%20x&Y HTTP/1.1\r\nhost: Api\r\nX-REQUEST-id: 9b1f\r\n"+
 		"X-Tenant-Id: acme\r\nx-timeout: 75.5m\r\nConnection: keep-alive\r\nX-Retried: 1\r\nX-Cost: 1200\r\n"+
@@ -314,7 +314,7 @@
 `)
 }
 
-// A client that leaves is noticed while its visit is out, and no byte of a visit sent ahead is eaten; a visit
+// A client that leaves is noticed while its request is out, and no byte of a request sent ahead is eaten; a request
 // without news ends at its client timeout; a panic stops at its connection.
 func TestConnections(t *testing.T) {
 	var tr trace
@@ -353,7 +353,7 @@
 	<-held
 	c.Conn.(*net.TCPConn).CloseWrite()
 	tr.add("closed its own half: %s", c.answer())
-	tr.add("second answers taken: %v %v", answered.Bounce(0), x.Fail(exchange.Errored) && x.Bounce(0))
+	tr.add("second answers taken: %v %v", answered.Reject(0), x.Fail(exchange.Failed) && x.Reject(0))
 	tr.add("faults %d, overdue %d", counts[counters.Faults].Load(), counts[counters.VisitsOverdue].Load())
 	tr.same(t, `
 first of two: 200 "done"
@@ -447,7 +447,7 @@
 	return r, in, at
 }
 
-// The module's answers reach the client: deliveries, free and charged retries, and the two that end a visit.
+// The module's answers reach the client: deliveries, free and charged retries, and the two that end a request.
 func TestVisitsRoundTheModule(t *testing.T) {
 	var tr trace
 	post := func(path string) string {
@@ -487,10 +487,10 @@
 	tr.add("no socket for a visit: %s", dial(t, full).ask("GET /look HTTP/1.1\r\n"+fields+"\r\n"))
 	tr.add("over held %d", fullCounts[counters.VisitsOverHeld].Load())
 	odd := exchange.New()
-	odd.On, odd.Left = 99, second
+	odd.Class, odd.Left = 99, second
 	r.Take(odd)
 	<-odd.Done()
-	tr.add("the module panics over a visit: errored at once %v", odd.How == exchange.Errored)
+	tr.add("the module panics over a visit: errored at once %v", odd.Ending == exchange.Failed)
 	after := c.ask("GET /look HTTP/1.1\r\n" + fields + "\r\n") // delivered, or bounced by a slow machine
 	tr.add("after that the module answers: %v, faults %d", strings.HasPrefix(after, "200") ||
 		strings.HasPrefix(after, "503"), counts[counters.Faults].Load())
@@ -564,7 +564,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	odd := exchange.New() // the module panics over it, which is logged
-	odd.On, odd.Left = 99, second
+	odd.Class, odd.Left = 99, second
 	r.Take(odd)
 	tr.add("%s, %s", <-answers, <-answers)
 	<-odd.Done()
@@ -602,7 +602,7 @@
 `)
 }
 
-// A visit of the same name as another whose time is not up is a stranger's: it gets no answer of a server, and no
+// A request of the same name as another whose time is not up is a stranger's: it gets no answer of a server, and no
 // server sees it.
 func TestSameName(t *testing.T) {
 	var tr trace
@@ -635,7 +635,7 @@
 
 var _ brain.Ports = (*relay.Relay)(nil)
 
-// outgoing is all that a server gets of a visit.
+// outgoing is all that a server gets of a request.
 func outgoing(x *exchange.Exchange) []byte {
 	head, body := x.Outgoing(70_000)
 	return append(head, bytes.Join(body, nil)...)
--- a/lab/depth/depth.go
+++ b/lab/depth/depth.go
@@ -155,7 +155,7 @@
 	sim.Clock
 	Terms
 	way      Way
-	on       brain.Prefix
+	on       brain.ClassID
 	nets     []*sim.Net // of each hop
 	draws    *chance.Source
 	from, to Micros // it fails
@@ -180,7 +180,7 @@
 
 // Play plays one. retries: off, each sidecar has one fetch for a visit.
 func Play(t Terms, way Way, effect int, retries bool, seed uint64) (Figures, error) {
-	c := &chain{Terms: t, way: way, on: brain.Prefix(effect), draws: chance.New(seed, "depth")}
+	c := &chain{Terms: t, way: way, on: brain.ClassID(effect), draws: chance.New(seed, "depth")}
 	c.Now = 1e6
 	begin := c.Now
 	c.from = begin + Micros(t.Warm)
@@ -199,7 +199,7 @@
 		c.nets, c.hops = append(c.nets, n), append(c.hops, tally{least: math.MaxInt64})
 		var list []sim.Line
 		for i := range t.Servers {
-			s := n.Serve(&sim.Server{ID: brain.Backend(1 + i)})
+			s := n.Serve(&sim.Server{ID: brain.ServerID(1 + i)})
 			s.Take = func(f *sim.Fetch) { c.take(hop, i, f) }
 			list = append(list, sim.Line{ID: s.ID, Standing: brain.Ready})
 		}
@@ -298,12 +298,12 @@
 		fails := c.failing() && c.draws.Float() < c.Fails
 		switch {
 		case fails && c.way == TurnedAway:
-			answer(brain.Full)
+			answer(brain.Overloaded)
 		case fails && c.way == Timeouts:
 		case fails:
-			c.After(Micros(c.Work), func() { answer(brain.Errored) })
+			c.After(Micros(c.Work), func() { answer(brain.AnsweredError) })
 		default:
-			c.After(Micros(c.Work), func() { answer(brain.Delivered) })
+			c.After(Micros(c.Work), func() { answer(brain.Succeeded) })
 		}
 		return
 	}
@@ -319,11 +319,11 @@
 		drop = c.call(hop+1, number, deadline-c.Now, func(e sim.Ending) {
 			switch {
 			case e == sim.Delivered:
-				answer(brain.Delivered)
+				answer(brain.Succeeded)
 			case e == sim.Bounced && c.PassesBounce:
-				answer(brain.Full)
+				answer(brain.Overloaded)
 			default:
-				answer(brain.Errored)
+				answer(brain.AnsweredError)
 			}
 		})
 	})
--- a/lab/depth/graph.go
+++ b/lab/depth/graph.go
@@ -106,7 +106,7 @@
 	for z, many := range s.Zones {
 		for range many {
 			mine := number
-			x := n.Serve(&sim.Server{ID: brain.Backend(1 + number), Zone: brain.Zone(z)})
+			x := n.Serve(&sim.Server{ID: brain.ServerID(1 + number), Zone: brain.Zone(z)})
 			x.Take = func(f *sim.Fetch) { w.take(i, mine, f) }
 			list = append(list, sim.Line{ID: x.ID, Zone: x.Zone, Standing: brain.Ready})
 			number++
@@ -202,7 +202,7 @@
 	}
 	switch {
 	case fails && w.way == TurnedAway:
-		n.Answer(f, brain.Full)
+		n.Answer(f, brain.Overloaded)
 		return
 	case fails && w.way == Timeouts:
 		return
@@ -216,13 +216,13 @@
 		switch {
 		case off || w.Now >= deadline:
 		case fails:
-			n.Answer(f, brain.Errored)
+			n.Answer(f, brain.AnsweredError)
 		default:
 			drop = w.onward(service, number, deadline, func(ok bool) {
 				if ok {
-					n.Answer(f, brain.Delivered)
+					n.Answer(f, brain.Succeeded)
 				} else {
-					n.Answer(f, brain.Errored)
+					n.Answer(f, brain.AnsweredError)
 				}
 			})
 		}
--- a/lab/faults/faults.go
+++ b/lab/faults/faults.go
@@ -54,7 +54,7 @@
 	case "late":
 		f.patient = Micros(t.Settings.Timeout) / 2
 	case "twice":
-		f.net.Mislead = func(s brain.Site) {
+		f.net.Mislead = func(s brain.Settings) {
 			for i := range sim.Effects {
 				s[fmt.Sprintf("path_prefixes.%d.effect", i)] = "read_like"
 			}
@@ -62,7 +62,7 @@
 	case "drain":
 		f.net.Deaf = true
 	case "budget":
-		f.net.Mislead = func(s brain.Site) { s["obligations.cold_us"] = 1.0 }
+		f.net.Mislead = func(s brain.Settings) { s["obligations.cold_us"] = 1.0 }
 	default:
 		return fmt.Errorf("%q is no fault that can be put in", f.run.Break)
 	}
@@ -171,7 +171,7 @@
 	bytes   []int64 // by sidecar, till the last second
 	most    []int64 // by second, the most of any sidecar
 	took    *hdrhistogram.Histogram
-	nextID  brain.Backend
+	nextID  brain.ServerID
 }
 
 // Play plays one run.
@@ -270,7 +270,7 @@
 		m.comes = append(m.comes, arrival{f.Now, float64(x.Work) / float64(f.shape.Work), x.Told})
 	}
 	if m.in >= f.Fleet.Queue {
-		f.net.Answer(x, brain.Full)
+		f.net.Answer(x, brain.Overloaded)
 		return
 	}
 	m.in++
@@ -281,7 +281,7 @@
 	f.At(m.free, func() {
 		if life == m.life {
 			m.in--
-			f.net.Answer(x, brain.Delivered)
+			f.net.Answer(x, brain.Succeeded)
 		}
 	})
 }
@@ -344,7 +344,7 @@
 		for sidecar.Down {
 			sidecar = f.net.Sidecars[f.draw()]
 		}
-		on := brain.Prefix(2)
+		on := brain.ClassID(2)
 		if x := f.draws.Float(); x < f.Fleet.ReadLike {
 			on = 0
 		} else if x < f.Fleet.ReadLike+f.Fleet.Tagged {
@@ -517,14 +517,14 @@
 // Each counts by itself, over the settings that the sidecar was started with. The judge goes on by those, so none is looser.
 func (f *fleet) changes(at, end Micros) {
 	s := f.Settings
-	each := func(name string, value any) brain.Site {
-		over := brain.Site{}
+	each := func(name string, value any) brain.Settings {
+		over := brain.Settings{}
 		for i := range sim.Effects {
 			over[fmt.Sprintf("path_prefixes.%d.%s", i, name)] = value
 		}
 		return over
 	}
-	all := []brain.Site{nil,
+	all := []brain.Settings{nil,
 		{"allowed.max_backend_fetches": float64(max(1, s.Fetches/2))},
 		each("memory_span_us", float64(s.Window)*0.6),
 		{"obligations.cold_from": s.ColdFrom * 0.8, "obligations.fall_multiple": s.FallMultiple * 0.8},
--- a/lab/hollow/account.go
+++ b/lab/hollow/account.go
@@ -44,7 +44,7 @@
 
 // Heard books one message: at its receiver or, where that is a real sidecar, at the gate before it or, of hollow ones, as it is
 // sent: what a real one's own counter heard must then agree.
-func (a *Account) Heard(at brain.Micros, from, to brain.Peer, kind brain.Note, figures int) {
+func (a *Account) Heard(at brain.Micros, from, to brain.Peer, kind brain.MessageKind, figures int) {
 	if a.Forget > 0 && a.seen.Add(1)%a.Forget == 0 {
 		return
 	}
@@ -67,7 +67,7 @@
 
 // tenant kinds are the ledger's; all others are what sidecars tell each other of servers.
 func isTenant(kind int) bool {
-	switch brain.Note(kind) {
+	switch brain.MessageKind(kind) {
 	case brain.TenantsUse, brain.TenantsTotal, summary.Usage, summary.Totals:
 		return true
 	}
--- a/lab/hollow/core.go
+++ b/lab/hollow/core.go
@@ -39,7 +39,7 @@
 type world interface {
 	now() brain.Micros
 	at(t brain.Micros, do func()) // do is called in the core's turn
-	tell(to brain.Peer, kind brain.Note, about brain.Backend, figures []float64)
+	tell(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures []float64)
 	subscribe()
 }
 
@@ -62,17 +62,17 @@
 	draw    *chance.Source
 	timeout []brain.Micros
 	most    int
-	ids     brain.VisitID
+	ids     brain.RequestID
 	time    brain.Micros
 	todo    []func()
-	visits  map[brain.VisitID]*visit
+	visits  map[brain.RequestID]*visit
 	words   *summary.Aggregator // nil: what the module tells goes out as it is
 	flowing int                 // grows with each change of the rate, so that older arrivals end
 	tenants int
 }
 
 func newCore(m *site.Manifest, f *Fleet, l Load, w world, saved *discovery.List) (c *Core, err error) {
-	c = &Core{world: w, fleet: f, load: l, draw: chance.New(l.Seed, "arrivals"), visits: map[brain.VisitID]*visit{},
+	c = &Core{world: w, fleet: f, load: l, draw: chance.New(l.Seed, "arrivals"), visits: map[brain.RequestID]*visit{},
 		most: int(m.Figure("allowed.max_backend_fetches")), tenants: int(m.Figure("realms"))}
 	for i := range int(m.Figure("path_prefixes")) {
 		c.timeout = append(c.timeout, m.Span("path_prefixes."+itoa(i)+".client_timeout_us"))
@@ -157,20 +157,20 @@
 	v := &visit{until: c.time + c.timeout[on], work: max(1, brain.Micros(c.draw.Exp(float64(c.load.Work))))}
 	c.visits[id] = v
 	c.Tally.Visits++
-	tenant := brain.Tenant(0)
+	tenant := brain.TenantID(0)
 	if c.tenants > 0 {
-		tenant = brain.Tenant(c.draw.Below(c.tenants))
+		tenant = brain.TenantID(c.draw.Below(c.tenants))
 	}
-	c.b.Inbound(c.time, id, brain.Prefix(on), tenant, c.timeout[on], v.work, false, false)
+	c.b.Inbound(c.time, id, brain.ClassID(on), tenant, c.timeout[on], v.work, false, false)
 }
 
-func (c *Core) forget(id brain.VisitID, v *visit) {
+func (c *Core) forget(id brain.RequestID, v *visit) {
 	if v.ended && v.out == 0 {
 		delete(c.visits, id)
 	}
 }
 
-func (c *Core) end(id brain.VisitID, n *int) {
+func (c *Core) end(id brain.RequestID, n *int) {
 	if v := c.visits[id]; v != nil && !v.ended {
 		v.ended = true
 		*n++
@@ -179,13 +179,13 @@
 }
 
 // outcome is the end of a fetch, in the core's turn.
-func (c *Core) outcome(id brain.VisitID, v *visit, no brain.FetchNo, rc brain.Result, sent brain.Micros) {
+func (c *Core) outcome(id brain.RequestID, v *visit, no brain.AttemptNo, rc brain.Result, sent brain.Micros) {
 	if !v.fetches[no] {
 		return
 	}
 	v.fetches[no] = false
 	v.out--
-	if rc == brain.Delivered && !v.ended {
+	if rc == brain.Succeeded && !v.ended {
 		v.ended = true
 		c.Tally.Delivered++
 	}
@@ -197,13 +197,13 @@
 
 func (c *Core) later(do func()) { c.todo = append(c.todo, do) }
 
-func (c *Core) Dispatch(id brain.VisitID, be brain.Backend, _ brain.Micros) {
+func (c *Core) Dispatch(id brain.RequestID, server brain.ServerID, _ brain.Micros) {
 	c.later(func() {
 		v := c.visits[id]
 		if v == nil {
 			return
 		}
-		no, sent := brain.FetchNo(len(v.fetches)), c.time
+		no, sent := brain.AttemptNo(len(v.fetches)), c.time
 		v.fetches = append(v.fetches, true)
 		v.out++
 		if v.ended || c.time >= v.until || int(no) >= c.most {
@@ -211,7 +211,7 @@
 			return
 		}
 		c.Tally.Fetches++
-		rc, at := c.fleet.offer(c.time, be, v.work)
+		rc, at := c.fleet.offer(c.time, server, v.work)
 		if at > v.until {
 			rc, at = brain.TimedOut, v.until
 		}
@@ -219,13 +219,15 @@
 	})
 }
 
-func (c *Core) Bounce(id brain.VisitID, _ brain.Micros, _ brain.Reason) {
+func (c *Core) Reject(id brain.RequestID, _ brain.Micros, _ brain.Reason) {
 	c.later(func() { c.end(id, &c.Tally.Bounced) })
 }
 
-func (c *Core) ErrorPage(id brain.VisitID, _ brain.Reason) { c.later(func() { c.end(id, &c.Tally.Errored) }) }
+func (c *Core) Fail(id brain.RequestID, _ brain.Reason) {
+	c.later(func() { c.end(id, &c.Tally.Errored) })
+}
 
-func (c *Core) Cancel(id brain.VisitID, no brain.FetchNo) {
+func (c *Core) Cancel(id brain.RequestID, no brain.AttemptNo) {
 	c.later(func() {
 		if v := c.visits[id]; v != nil && int(no) < len(v.fetches) && v.fetches[no] {
 			c.outcome(id, v, no, brain.Cancelled, c.time)
@@ -237,11 +239,11 @@
 	c.world.at(c.time+max(in, 1), func() { c.b.Woken(c.time, t) })
 }
 
-func (c *Core) CloseIdle(brain.Backend) {}
+func (c *Core) CloseIdle(brain.ServerID) {}
 
 func (c *Core) Subscribe() { c.later(c.world.subscribe) }
 
-func (c *Core) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (c *Core) Tell(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	c.later(func() {
 		if c.words != nil {
 			c.words.Told(c.time, to, kind, about, figures...)
@@ -252,7 +254,7 @@
 }
 
 // heard is a message of another sidecar, in the core's turn.
-func (c *Core) heard(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
+func (c *Core) heard(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures []float64) {
 	if c.words != nil {
 		c.words.Heard(c.time, from, kind, about, figures...)
 		return
@@ -261,12 +263,12 @@
 }
 
 // Send is what summaries go out by.
-func (c *Core) Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (c *Core) Send(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	c.world.tell(to, kind, about, figures)
 }
 
 // Hear has the module hear what came in by estimates and summaries.
-func (c *Core) Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (c *Core) Hear(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	c.later(func() { c.b.Heard(c.time, from, kind, about, figures...) })
 }
 
--- a/lab/hollow/fleet.go
+++ b/lab/hollow/fleet.go
@@ -16,7 +16,7 @@
 	queue brain.Micros // work that may wait before a core; more is turned away
 
 	mu      sync.Mutex
-	servers map[brain.Backend]*server
+	servers map[brain.ServerID]*server
 }
 
 type server struct {
@@ -26,11 +26,11 @@
 
 // NewFleet is servers of so many cores each; a fetch that would wait for longer than queue is turned away.
 func NewFleet(cores int, queue, trip brain.Micros) *Fleet {
-	return &Fleet{Trip: trip, cores: cores, queue: queue, servers: map[brain.Backend]*server{}}
+	return &Fleet{Trip: trip, cores: cores, queue: queue, servers: map[brain.ServerID]*server{}}
 }
 
 // offer has a server take a fetch, and tells how and when that ends at the sidecar.
-func (f *Fleet) offer(now brain.Micros, to brain.Backend, work brain.Micros) (brain.Result, brain.Micros) {
+func (f *Fleet) offer(now brain.Micros, to brain.ServerID, work brain.Micros) (brain.Result, brain.Micros) {
 	f.mu.Lock()
 	s := f.servers[to]
 	if s == nil {
@@ -48,10 +48,10 @@
 	}
 	begin := max(now+f.Trip/2, s.free[next])
 	if begin-now > f.queue+f.Trip {
-		return brain.Full, now + f.Trip
+		return brain.Overloaded, now + f.Trip
 	}
 	s.free[next] = begin + work
-	return brain.Delivered, begin + work + f.Trip/2
+	return brain.Succeeded, begin + work + f.Trip/2
 }
 
 // Seed is a number's own out of the run's.
@@ -63,4 +63,4 @@
 }
 
 // ID is a server's, by its name.
-func ID(host string) brain.Backend { return discovery.ID(host) }
+func ID(host string) brain.ServerID { return discovery.ID(host) }
--- a/lab/hollow/hollow_test.go
+++ b/lab/hollow/hollow_test.go
@@ -52,7 +52,7 @@
 	return w
 }
 
-var named = map[brain.Note]string{brain.TenantsUse: "use", brain.TenantsTotal: "total", brain.Ask: "ask", brain.Quote: "quote", brain.Began: "began", brain.Ended: "ended"}
+var named = map[brain.MessageKind]string{brain.TenantsUse: "use", brain.TenantsTotal: "total", brain.Ask: "ask", brain.Quote: "quote", brain.Began: "began", brain.Ended: "ended"}
 
 // trace is what was heard in all, by kind, and what became of the visits.
 func trace(w *World) (out string) {
@@ -65,7 +65,7 @@
 			by.Messages[kind] += sent[i].Messages[kind]
 		}
 	}
-	for _, kind := range []brain.Note{brain.TenantsUse, brain.TenantsTotal, brain.Ask, brain.Quote, brain.Began, brain.Ended} {
+	for _, kind := range []brain.MessageKind{brain.TenantsUse, brain.TenantsTotal, brain.Ask, brain.Quote, brain.Began, brain.Ended} {
 		out += fmt.Sprintf("%s %d (%d B each) ", named[kind], all.Messages[kind], all.Bytes[kind]/max(all.Messages[kind], 1))
 		if all.Messages[kind] != by.Messages[kind] {
 			out += "UNEVEN "
@@ -102,7 +102,7 @@
 	f, got := NewFleet(2, 5_000, 200), ""
 	for _, x := range []struct{ at, work brain.Micros }{{0, 4_000}, {0, 3_000}, {1_000, 9_000}, {1_000, 1_000}, {1_000, 8_000}, {1_000, 1_000}, {9_000, 100}} {
 		rc, at := f.offer(x.at, 5, x.work)
-		got += fmt.Sprintf("%d+%d: %s at %d; ", x.at, x.work, map[brain.Result]string{brain.Delivered: "delivered", brain.Full: "full"}[rc], at)
+		got += fmt.Sprintf("%d+%d: %s at %d; ", x.at, x.work, map[brain.Result]string{brain.Succeeded: "delivered", brain.Overloaded: "full"}[rc], at)
 	}
 	if diff := cmp.Diff("0+4000: delivered at 4200; 0+3000: delivered at 3200; 1000+9000: delivered at 12200; 1000+1000: delivered at 5200; "+
 		"1000+8000: delivered at 13200; 1000+1000: full at 1200; 9000+100: delivered at 12300; ", got); diff != "" {
--- a/lab/hollow/sidecar.go
+++ b/lab/hollow/sidecar.go
@@ -104,7 +104,7 @@
 		}
 	}
 	go s.run()
-	go s.peers.Hear(func(from brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
+	go s.peers.Hear(func(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures []float64) {
 		s.account.Heard(s.sinceBegun(), from, brain.Peer(s.Number), kind, len(figures))
 		s.post(func() { s.heard(from, kind, about, figures) })
 	})
@@ -268,7 +268,7 @@
 
 func (s *Sidecar) at(t brain.Micros, do func()) { s.due.Put(t, do) }
 
-func (s *Sidecar) tell(to brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
+func (s *Sidecar) tell(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures []float64) {
 	if s.told++; s.half && s.told%2 == 0 || s.silent.Load() {
 		return
 	}
--- a/lab/hollow/world.go
+++ b/lab/hollow/world.go
@@ -63,7 +63,7 @@
 	s.w.times.Put(max(t, s.now()), func() { s.w.Cores[s.i].turn(do) })
 }
 
-func (s *simulated) tell(to brain.Peer, kind brain.Note, about brain.Backend, figures []float64) {
+func (s *simulated) tell(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures []float64) {
 	msg := notes.Append(nil, kind, about, figures...)
 	s.w.times.Put(s.now()+s.w.way, func() {
 		kind, about, figures, ok := notes.Read(msg)
--- a/lab/scale/claims.go
+++ b/lab/scale/claims.go
@@ -41,7 +41,7 @@
 	}
 	n := f.size.Sidecars
 	asking := func(i int) (sum float64) {
-		for _, kind := range []brain.Note{brain.Ask, brain.Began, brain.Waits, brain.Ended, summary.Summary} {
+		for _, kind := range []brain.MessageKind{brain.Ask, brain.Began, brain.Waits, brain.Ended, summary.Summary} {
 			sum += float64(outs[i].Bytes[kind])
 		}
 		return sum
--- a/lab/scale/scale.go
+++ b/lab/scale/scale.go
@@ -402,7 +402,7 @@
 		}
 	}
 	// One that owns a server's count: its part of all that owners hear and answer, and what an ordinary one has besides.
-	sum := func(of func(i int) hollow.Kinds, kinds ...brain.Note) (messages, bytes float64) {
+	sum := func(of func(i int) hollow.Kinds, kinds ...brain.MessageKind) (messages, bytes float64) {
 		for i := range n {
 			k := of(i)
 			for _, kind := range kinds {
@@ -411,9 +411,9 @@
 		}
 		return messages, bytes
 	}
-	owned := []brain.Note{brain.Ask, brain.Began, brain.Waits, brain.Ended, summary.Summary}
+	owned := []brain.MessageKind{brain.Ask, brain.Began, brain.Waits, brain.Ended, summary.Summary}
 	for way, of := range map[string]func(i int) hollow.Kinds{"in": ins, "out": outs} {
-		theirs, ordinary := owned, []brain.Note{brain.Quote, summary.Estimate}
+		theirs, ordinary := owned, []brain.MessageKind{brain.Quote, summary.Estimate}
 		if way == "out" {
 			theirs, ordinary = ordinary, theirs
 		}
--- a/lab/sim/settings.go
+++ b/lab/sim/settings.go
@@ -23,8 +23,8 @@
 }
 
 // Settings are these as the module takes them.
-func (t Terms) Settings() brain.Site {
-	s := brain.Site{"my_zone": 0.0, "path_prefixes": 3.0, "discovery": "pushed", "step_us": 1000.0,
+func (t Terms) Settings() brain.Settings {
+	s := brain.Settings{"my_zone": 0.0, "path_prefixes": 3.0, "discovery": "pushed", "step_us": 1000.0,
 		"balancers": float64(t.Sidecars), "allowed.max_backend_fetches": float64(t.Fetches),
 		"allowed.conn_idle_us": 10e6, "allowed.cancel": true, "allowed.multiplex": 1.0,
 		"allowed.peer_messages": t.Messages, "allowed.retry_after": true, "allowed.max_retry_after_us": 2e6,
--- a/lab/sim/sidecar.go
+++ b/lab/sim/sidecar.go
@@ -23,8 +23,8 @@
 
 // Visit is a visit at one sidecar.
 type Visit struct {
-	ID      brain.VisitID
-	On      brain.Prefix
+	ID      brain.RequestID
+	On      brain.ClassID
 	Effect  string
 	Work    Micros // at its server
 	Began   Micros
@@ -39,8 +39,8 @@
 // Fetch is one backend fetch, as the server gets it: what it is told, and whom it answers.
 type Fetch struct {
 	*Visit
-	No      brain.FetchNo
-	Server  brain.Backend
+	No      brain.AttemptNo
+	Server  brain.ServerID
 	Sent    Micros
 	Result  brain.Result // 0: out
 	Told    bool         // its sidecar had been told of the server's present start
@@ -59,13 +59,13 @@
 	Me                brain.Peer
 	Zone              brain.Zone
 	Down              bool
-	Starts            map[brain.Backend]Micros // of each server, by the list it was told last
-	Leaving           map[brain.Backend]Micros // told so then
+	Starts            map[brain.ServerID]Micros // of each server, by the list it was told last
+	Leaving           map[brain.ServerID]Micros // told so then
 	net               *Net
-	site              brain.Site
-	over              brain.Site // a configuration laid over that: the settings in force
+	site              brain.Settings
+	over              brain.Settings // a configuration laid over that: the settings in force
 	classes           []class
-	visits            map[brain.VisitID]*Visit
+	visits            map[brain.RequestID]*Visit
 	life              int // of its processes
 	Firsts            int // fetches: first ones of visits, and others
 	Retries           int
@@ -85,23 +85,23 @@
 type Net struct {
 	*Clock
 	Way      Micros // one way, between any two
-	Servers  map[brain.Backend]*Server
+	Servers  map[brain.ServerID]*Server
 	Sidecars []*Sidecar // one pool: they tell each other
 	Apart    func(from, to *Sidecar) bool
 	Beyond   func(from *Sidecar, to *Server) bool // nothing comes through now
 	Grace    Micros                               // from being told that a server leaves to the last fetch it may get
-	Mislead  func(brain.Site)                     // a fault put in on purpose: the modules' settings say something else than holds
+	Mislead  func(brain.Settings)                 // a fault put in on purpose: the modules' settings say something else than holds
 	Bound    float64                              // bytes a second that a sidecar's messages may take, in and out; 0: none
 	Unmeant  int                                  // messages that no sidecar can mean
 	Deaf     bool                                 // another: the modules are not told that servers leave
 	Broken   [5]int                               // by rule
 	First    string                               // the first break, in words
-	next     brain.VisitID
+	next     brain.RequestID
 }
 
 // Server is one server as the net knows it. Take gets what arrives; Refuses: nobody listens there.
 type Server struct {
-	ID      brain.Backend
+	ID      brain.ServerID
 	Zone    brain.Zone
 	Started Micros // 0: long ago
 	Refuses bool
@@ -112,7 +112,7 @@
 
 // NewNet is a net without servers or sidecars.
 func NewNet(c *Clock, way Micros) *Net {
-	return &Net{Clock: c, Way: way, Servers: map[brain.Backend]*Server{}}
+	return &Net{Clock: c, Way: way, Servers: map[brain.ServerID]*Server{}}
 }
 
 // Serve adds a server.
@@ -123,8 +123,8 @@
 }
 
 // Join starts a sidecar: settings with what is its own.
-func (n *Net) Join(zone brain.Zone, seed uint64, site brain.Site) (*Sidecar, error) {
-	s := &Sidecar{Me: brain.Peer(len(n.Sidecars)), Zone: zone, net: n, site: brain.Site{}}
+func (n *Net) Join(zone brain.Zone, seed uint64, site brain.Settings) (*Sidecar, error) {
+	s := &Sidecar{Me: brain.Peer(len(n.Sidecars)), Zone: zone, net: n, site: brain.Settings{}}
 	for k, v := range site {
 		s.site[k] = v
 	}
@@ -144,8 +144,8 @@
 // Start begins a process: the first, or the next one after Stop.
 func (s *Sidecar) Start(seed uint64) (err error) {
 	s.life++
-	s.Down, s.visits = false, map[brain.VisitID]*Visit{}
-	s.Starts, s.Leaving = map[brain.Backend]Micros{}, map[brain.Backend]Micros{}
+	s.Down, s.visits = false, map[brain.RequestID]*Visit{}
+	s.Starts, s.Leaving = map[brain.ServerID]Micros{}, map[brain.ServerID]Micros{}
 	mine := ports{s, s.life}
 	if s.net.Bound > 0 {
 		s.words = summary.New(summary.Limits{Bytes: s.net.Bound, Sidecars: int(s.site["balancers"].(float64)), Me: s.Me, Seed: seed,
@@ -155,7 +155,7 @@
 	return err
 }
 
-func (s *Sidecar) settings() brain.Site {
+func (s *Sidecar) settings() brain.Settings {
 	site := maps.Clone(s.site)
 	maps.Copy(site, s.over)
 	return site
@@ -163,7 +163,7 @@
 
 // Lay has a configuration hold over the sidecar's own settings, in place of the one before, without a restart. The judge goes on by the
 // settings that the sidecar joined with, so what is laid over may be stricter than those and no looser.
-func (s *Sidecar) Lay(over brain.Site) error {
+func (s *Sidecar) Lay(over brain.Settings) error {
 	if s.over = over; s.Down {
 		return nil
 	}
@@ -184,7 +184,7 @@
 			}
 		}
 	}
-	s.visits = map[brain.VisitID]*Visit{}
+	s.visits = map[brain.RequestID]*Visit{}
 }
 
 func (s *Sidecar) inOrder() []*Visit {
@@ -198,7 +198,7 @@
 
 // Line is a line of the list.
 type Line struct {
-	ID       brain.Backend
+	ID       brain.ServerID
 	Zone     brain.Zone
 	Standing brain.Standing
 	Started  Micros
@@ -226,12 +226,12 @@
 }
 
 // Visit takes a visit in; ended hears its final answer. hint 0: its client tells no work.
-func (s *Sidecar) Visit(on brain.Prefix, work, hint, left Micros, carries any, ended func(*Visit)) *Visit {
+func (s *Sidecar) Visit(on brain.ClassID, work, hint, left Micros, carries any, ended func(*Visit)) *Visit {
 	return s.VisitTold(on, work, hint, left, left, carries, ended)
 }
 
 // VisitTold takes a visit in of which the module is told another time than its client has.
-func (s *Sidecar) VisitTold(on brain.Prefix, work, hint, left, told Micros, carries any, ended func(*Visit)) *Visit {
+func (s *Sidecar) VisitTold(on brain.ClassID, work, hint, left, told Micros, carries any, ended func(*Visit)) *Visit {
 	n := s.net
 	n.next++
 	v := &Visit{ID: n.next, On: on, Effect: s.classes[on].effect, Work: work, Began: n.Now, Until: n.Now + left,
@@ -298,7 +298,7 @@
 	}
 	c := v.by.classes[v.On]
 	for _, f := range v.Fetches {
-		unrun := f.Result == brain.Full || f.Result == brain.ConnectFailed || f.Result == brain.NeverSent
+		unrun := f.Result == brain.Overloaded || f.Result == brain.ConnectFailed || f.Result == brain.NeverSent
 		if unrun {
 			continue
 		}
@@ -324,21 +324,21 @@
 
 func (p ports) live() bool { return p.mine == p.life && !p.Down }
 
-func (p ports) Dispatch(id brain.VisitID, be brain.Backend, _ Micros) {
+func (p ports) Dispatch(id brain.RequestID, server brain.ServerID, _ Micros) {
 	s, n := p.Sidecar, p.net
 	v := s.visits[id]
-	to := n.Servers[be]
+	to := n.Servers[server]
 	if v.Ending != Open {
 		n.broke(1, "visit %d was sent after its end", id)
 	}
 	if !v.harmless(n.Now, to) {
 		n.broke(2, "visit %d (%s) was sent again where it may have run", id, v.Effect)
 	}
-	if since, leaves := s.Leaving[be]; leaves && n.Now > since+n.Grace {
-		n.broke(3, "server %d got visit %d after it was told to leave", be, id)
+	if since, leaves := s.Leaving[server]; leaves && n.Now > since+n.Grace {
+		n.broke(3, "server %d got visit %d after it was told to leave", server, id)
 	}
-	f := &Fetch{Visit: v, No: brain.FetchNo(len(v.Fetches)), Server: be, Sent: n.Now, fate: &Fate{}}
-	f.Told = s.Starts[be] == to.Started
+	f := &Fetch{Visit: v, No: brain.AttemptNo(len(v.Fetches)), Server: server, Sent: n.Now, fate: &Fate{}}
+	f.Told = s.Starts[server] == to.Started
 	v.Fetches = append(v.Fetches, f)
 	if f.No == 0 {
 		s.Firsts++
@@ -405,7 +405,7 @@
 	if s.Down || s.visits[f.ID] != f.Visit {
 		return
 	}
-	if rc == brain.Delivered && f.Ending == Open {
+	if rc == brain.Succeeded && f.Ending == Open {
 		s.end(f.Visit, Delivered)
 	}
 	s.outcome(f, rc)
@@ -434,7 +434,7 @@
 	})
 }
 
-func (p ports) Cancel(id brain.VisitID, no brain.FetchNo) {
+func (p ports) Cancel(id brain.RequestID, no brain.AttemptNo) {
 	v := p.visits[id]
 	if v == nil || int(no) >= len(v.Fetches) || v.Fetches[no].Result != 0 {
 		return
@@ -449,7 +449,7 @@
 	})
 }
 
-func (p ports) Bounce(id brain.VisitID, _ Micros, _ brain.Reason) {
+func (p ports) Reject(id brain.RequestID, _ Micros, _ brain.Reason) {
 	v := p.visits[id]
 	if !v.harmless(p.net.Now, nil) {
 		p.net.broke(2, "visit %d (%s) was bounced where it may have run", id, v.Effect)
@@ -458,7 +458,7 @@
 	p.net.After(0, func() { p.forget(v) })
 }
 
-func (p ports) ErrorPage(id brain.VisitID, _ brain.Reason) {
+func (p ports) Fail(id brain.RequestID, _ brain.Reason) {
 	v := p.visits[id]
 	p.end(v, Failed)
 	p.net.After(0, func() { p.forget(v) })
@@ -472,7 +472,7 @@
 	})
 }
 
-func (p ports) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (p ports) Tell(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	if p.words != nil {
 		p.words.Told(p.net.Now, to, kind, about, figures...)
 		return
@@ -481,7 +481,7 @@
 }
 
 // Send sends a message to another sidecar.
-func (p ports) Send(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (p ports) Send(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	other, mine, size := p.net.Sidecars[to], slices.Clone(figures), int64(notes.Size(len(figures)))
 	p.Said++
 	p.BytesOut += size
@@ -506,7 +506,7 @@
 func (p ports) Refused(from brain.Peer, why string) { p.net.Unmeant++ }
 
 // Hear has the module hear a message, when the call that goes on is over.
-func (p ports) Hear(from brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (p ports) Hear(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	mine := slices.Clone(figures)
 	p.net.After(0, func() {
 		if p.live() {
@@ -515,6 +515,6 @@
 	})
 }
 
-func (p ports) CloseIdle(brain.Backend) {}
-func (p ports) Subscribe()              {}
-func (p ports) Print(string)            {}
+func (p ports) CloseIdle(brain.ServerID) {}
+func (p ports) Subscribe()               {}
+func (p ports) Print(string)             {}
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -59,11 +59,11 @@
 }
 
 // net has servers 1 and 2 in zone 0 and server 3 in zone 1; each answers as act says, after a millisecond.
-func net(t *testing.T, act map[brain.Backend]brain.Result) (*Net, *Sidecar) {
+func net(t *testing.T, act map[brain.ServerID]brain.Result) (*Net, *Sidecar) {
 	t.Helper()
 	n := NewNet(&Clock{Now: 1e9}, 100)
 	var list []Line
-	for id := brain.Backend(1); id <= 3; id++ {
+	for id := brain.ServerID(1); id <= 3; id++ {
 		s := n.Serve(&Server{ID: id, Zone: brain.Zone(id / 3)})
 		s.Take = func(f *Fetch) {
 			if rc := act[id]; rc != 0 {
@@ -86,30 +86,30 @@
 	var b strings.Builder
 	for _, c := range []struct {
 		what   string
-		on     brain.Prefix // read-like, tagged, mutating
+		on     brain.ClassID // read-like, tagged, mutating
 		answer brain.Result
 		then   func(n *Net, s *Sidecar, v *Visit)
 	}{
-		{"read-like, sent again after an error", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
-		{"mutating, sent again after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
-		{"mutating, sent again after a refusal", 2, brain.Full, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
-		{"mutating, bounced after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Bounce(v.ID, 0, "") }},
-		{"mutating, failed after an error", 2, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.ErrorPage(v.ID, "") }},
-		{"mutating, bounced after a refusal", 2, brain.Full, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Bounce(v.ID, 0, "") }},
+		{"read-like, sent again after an error", 0, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
+		{"mutating, sent again after an error", 2, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
+		{"mutating, sent again after a refusal", 2, brain.Overloaded, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
+		{"mutating, bounced after an error", 2, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Reject(v.ID, 0, "") }},
+		{"mutating, failed after an error", 2, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Fail(v.ID, "") }},
+		{"mutating, bounced after a refusal", 2, brain.Overloaded, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Reject(v.ID, 0, "") }},
 		{"mutating, a second while the first is out", 2, 0, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
-		{"tagged, within its zone", 1, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
-		{"tagged, to another zone", 1, brain.Errored, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 3, 0) }},
-		{"tagged, after its window", 1, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
+		{"tagged, within its zone", 1, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 2, 0) }},
+		{"tagged, to another zone", 1, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) { ports{s, s.life}.Dispatch(v.ID, 3, 0) }},
+		{"tagged, after its window", 1, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) {
 			n.Now += 250_000
 			ports{s, s.life}.Dispatch(v.ID, 2, 0)
 		}},
-		{"sent after its end", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
-			ports{s, s.life}.ErrorPage(v.ID, "")
+		{"sent after its end", 0, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) {
+			ports{s, s.life}.Fail(v.ID, "")
 			ports{s, s.life}.Dispatch(v.ID, 2, 0)
 		}},
-		{"answered twice", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
-			ports{s, s.life}.ErrorPage(v.ID, "")
-			ports{s, s.life}.Bounce(v.ID, 0, "")
+		{"answered twice", 0, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) {
+			ports{s, s.life}.Fail(v.ID, "")
+			ports{s, s.life}.Reject(v.ID, 0, "")
 		}},
 		{"sent after its client has gone", 0, 0, func(n *Net, s *Sidecar, v *Visit) {
 			s.Drop(v)
@@ -119,17 +119,17 @@
 			s.Visit(0, 1000, 0, 2e6, nil, nil)
 			s.B, _ = brain.New(n.Now, s.site, 1, ports{s, -1}) // a module that knows nothing of it, and whose words don't count
 		}},
-		{"sent to a server that was told to leave", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
+		{"sent to a server that was told to leave", 0, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) {
 			s.List(brain.Changes, Line{ID: 2, Standing: brain.Draining})
 			n.Now++
 			ports{s, s.life}.Dispatch(v.ID, 2, 0)
 		}},
-		{"sent in the moment in which that is told", 0, brain.Errored, func(n *Net, s *Sidecar, v *Visit) {
+		{"sent in the moment in which that is told", 0, brain.AnsweredError, func(n *Net, s *Sidecar, v *Visit) {
 			s.List(brain.Changes, Line{ID: 2, Standing: brain.Gone})
 			ports{s, s.life}.Dispatch(v.ID, 2, 0)
 		}},
 	} {
-		act := map[brain.Backend]brain.Result{1: c.answer, 2: c.answer, 3: c.answer}
+		act := map[brain.ServerID]brain.Result{1: c.answer, 2: c.answer, 3: c.answer}
 		n, sidecar := net(t, act)
 		v := &Visit{ID: 1, On: c.on, Effect: Effects[c.on], Began: n.Now, Until: n.Now + 2e6, by: sidecar}
 		sidecar.visits[1], n.next = v, 1
@@ -149,12 +149,12 @@
 	var b strings.Builder
 	for _, c := range []struct {
 		what string
-		act  map[brain.Backend]brain.Result
+		act  map[brain.ServerID]brain.Result
 		do   func(n *Net, s *Sidecar)
 	}{
-		{"all answer", map[brain.Backend]brain.Result{1: brain.Delivered, 2: brain.Delivered, 3: brain.Delivered}, nil},
-		{"one errs", map[brain.Backend]brain.Result{1: brain.Errored, 2: brain.Delivered, 3: brain.Delivered}, nil},
-		{"all are full", map[brain.Backend]brain.Result{1: brain.Full, 2: brain.Full, 3: brain.Full}, nil},
+		{"all answer", map[brain.ServerID]brain.Result{1: brain.Succeeded, 2: brain.Succeeded, 3: brain.Succeeded}, nil},
+		{"one errs", map[brain.ServerID]brain.Result{1: brain.AnsweredError, 2: brain.Succeeded, 3: brain.Succeeded}, nil},
+		{"all are full", map[brain.ServerID]brain.Result{1: brain.Overloaded, 2: brain.Overloaded, 3: brain.Overloaded}, nil},
 		{"nobody listens", nil, func(n *Net, _ *Sidecar) {
 			for _, s := range n.Servers {
 				s.Refuses = true
@@ -163,13 +163,13 @@
 		{"nobody answers", nil, nil},
 		{"all fall over in the middle", nil, func(n *Net, _ *Sidecar) {
 			n.After(500, func() {
-				for id := brain.Backend(1); id <= 3; id++ {
+				for id := brain.ServerID(1); id <= 3; id++ {
 					n.Fell(n.Servers[id], false)
 					n.Servers[id].Refuses = true
 				}
 			})
 		}},
-		{"cut off", map[brain.Backend]brain.Result{1: brain.Delivered, 2: brain.Delivered, 3: brain.Delivered}, func(n *Net, _ *Sidecar) {
+		{"cut off", map[brain.ServerID]brain.Result{1: brain.Succeeded, 2: brain.Succeeded, 3: brain.Succeeded}, func(n *Net, _ *Sidecar) {
 			n.Beyond = func(*Sidecar, *Server) bool { return true }
 		}},
 		{"the sidecar is killed", nil, func(n *Net, s *Sidecar) { n.After(500, s.Stop) }},
@@ -180,7 +180,7 @@
 				c.do(n, sidecar)
 			}
 			begin, v := n.Now, (*Visit)(nil)
-			v = sidecar.Visit(brain.Prefix(on), 1000, 0, 2e6, nil, func(*Visit) {
+			v = sidecar.Visit(brain.ClassID(on), 1000, 0, 2e6, nil, func(*Visit) {
 				fmt.Fprintf(&b, "%-28s %-9s ending %d after %.1f ms, %d fetches", c.what, effect, v.Ending, float64(n.Now-begin)/1000, len(v.Fetches))
 			})
 			n.Play(begin + 3e6)
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -60,31 +60,33 @@
 
 func span(t brain.Micros) uint32 { return uint32(min(max(t, 0), math.MaxUint32)) }
 
-func putServer(p []byte, s brain.Backend) {
+func putServer(p []byte, s brain.ServerID) {
 	be.PutUint32(p, uint32(s>>16))
 	be.PutUint16(p[4:], uint16(s))
 }
 
-func server(p []byte) brain.Backend {
-	return brain.Backend(be.Uint32(p))<<16 | brain.Backend(be.Uint16(p[4:]))
+func server(p []byte) brain.ServerID {
+	return brain.ServerID(be.Uint32(p))<<16 | brain.ServerID(be.Uint16(p[4:]))
 }
 
-func (o outlet) Dispatch(v brain.VisitID, s brain.Backend, tryFor brain.Micros) {
+func (o outlet) Dispatch(v brain.RequestID, s brain.ServerID, tryFor brain.Micros) {
 	p := o.out.rec(1, o.who)
 	be.PutUint64(p[3:], uint64(v))
 	putServer(p[11:], s)
 	be.PutUint32(p[17:], span(tryFor))
 }
 
-func (o outlet) Bounce(v brain.VisitID, comeBackIn brain.Micros, _ brain.Reason) {
+func (o outlet) Reject(v brain.RequestID, comeBackIn brain.Micros, _ brain.Reason) {
 	p := o.out.rec(2, o.who)
 	be.PutUint64(p[3:], uint64(v))
 	be.PutUint32(p[11:], span(comeBackIn))
 }
 
-func (o outlet) ErrorPage(v brain.VisitID, _ brain.Reason) { be.PutUint64(o.out.rec(3, o.who)[3:], uint64(v)) }
+func (o outlet) Fail(v brain.RequestID, _ brain.Reason) {
+	be.PutUint64(o.out.rec(3, o.who)[3:], uint64(v))
+}
 
-func (o outlet) Cancel(v brain.VisitID, no brain.FetchNo) {
+func (o outlet) Cancel(v brain.RequestID, no brain.AttemptNo) {
 	p := o.out.rec(4, o.who)
 	be.PutUint64(p[3:], uint64(v))
 	p[11] = byte(no)
@@ -96,15 +98,15 @@
 	be.PutUint32(p[7:], uint32(t))
 }
 
-func (o outlet) CloseIdle(s brain.Backend) { putServer(o.out.rec(7, o.who)[3:], s) }
-func (o outlet) Print(line string)         { o.out.text(9, o.who, line) }
-func (o outlet) Subscribe()                { o.out.rec(11, o.who)[3] = 1 }
+func (o outlet) CloseIdle(s brain.ServerID) { putServer(o.out.rec(7, o.who)[3:], s) }
+func (o outlet) Print(line string)          { o.out.text(9, o.who, line) }
+func (o outlet) Subscribe()                 { o.out.rec(11, o.who)[3] = 1 }
 
 // Unsubscribe and Snapshot are on the wire; the module has no use for them so far.
 func (o outlet) Unsubscribe() { o.out.rec(11, o.who) }
 func (o outlet) Snapshot()    { o.out.rec(12, o.who) }
 
-func (o outlet) Tell(to brain.Peer, kind brain.Note, about brain.Backend, figures ...float64) {
+func (o outlet) Tell(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
 	p := o.out.rec(8, o.who)
 	be.PutUint32(p[3:], uint32(to))
 	be.PutUint32(p[7:], uint32(len(o.out.tail)))
@@ -239,18 +241,18 @@
 		if opts&1 != 0 {
 			effort = brain.Micros(be.Uint32(p[29:]))
 		}
-		b.Inbound(now, brain.VisitID(be.Uint64(p[3:])), brain.Prefix(be.Uint16(p[11:])),
-			brain.Tenant(be.Uint32(p[13:])), brain.Micros(be.Uint32(p[25:])), effort, opts&2 != 0, false)
+		b.Inbound(now, brain.RequestID(be.Uint64(p[3:])), brain.ClassID(be.Uint16(p[11:])),
+			brain.TenantID(be.Uint32(p[13:])), brain.Micros(be.Uint32(p[25:])), effort, opts&2 != 0, false)
 	case 4:
-		b.Flowing(now, brain.VisitID(be.Uint64(p[3:])), brain.FetchNo(p[11]))
+		b.Flowing(now, brain.RequestID(be.Uint64(p[3:])), brain.AttemptNo(p[11]))
 	case 5:
 		if err := sane(p[18], p[24]); err != nil {
 			return err
 		}
-		b.Outcome(now, brain.VisitID(be.Uint64(p[3:])), brain.FetchNo(p[11]), brain.Result(p[18]),
+		b.Outcome(now, brain.RequestID(be.Uint64(p[3:])), brain.AttemptNo(p[11]), brain.Result(p[18]),
 			brain.Micros(be.Uint32(p[19:])), p[23] != 0, gauge(p[24:])...)
 	case 6:
-		b.Dropped(now, brain.VisitID(be.Uint64(p[3:])))
+		b.Dropped(now, brain.RequestID(be.Uint64(p[3:])))
 	case 7:
 		b.Woken(now, brain.Token(be.Uint32(p[3:])))
 	case 8:
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -111,7 +111,7 @@
 		// a list number is used again within the batch: each update takes the list before it
 		frame(6, 2, first, attach(3), rec(11, -1, 4, 0, 4, off, 4, 1), rec(2, 3, 1, 2, 8, 1, 4, 0),
 			rec(11, -1, 4, 0, 4, off+entrySize, 4, 2), rec(2, 3, 1, 1, 8, 2, 4, 0)),
-		// a is gone, so the visit goes to b
+		// a is gone, so the request goes to b
 		frame(7, 3, entry(a, 1, 0), rec(11, -1, 4, 15, 4, 0, 4, 1), rec(2, 3, 1, 0, 8, 2, 4, 15),
 			rec(3, 3, 8, 0x4decc5d3a91c4, 2, 0, 4, 0, 8, 0, 4, 400000, 4, 0, 2, 0)),
 		// an error that may have run, its window over: an error page at once; stale news says nothing
@@ -180,7 +180,7 @@
 func TestEveryAction(t *testing.T) {
 	var r reply
 	o := outlet{5, &r}
-	o.Bounce(1, 250000, "")
+	o.Reject(1, 250000, "")
 	o.Cancel(1, 2)
 	o.CloseIdle(0x0a0000012bc0)
 	o.Print("two")
