--- a/cmd/ledgespread/live_test.go
+++ b/cmd/ledgespread/live_test.go
@@ -58,7 +58,7 @@
 	if diff := cmp.Diff([]string{
 		"new.json: whole; while a sidecar runs by old.json:",
 		"live: discovery: the new address is asked for the whole list",
-		"live: settings.path_prefixes.*.memory_span_us: for a visit that is out the shorter one counts",
+		"live: settings.path_prefixes.*.memory_span_us: for a request that is out the shorter one counts",
 		"needs a restart: name: others, and the file of servers that are out, know the sidecar by it",
 		"read by nothing here: settings.weather",
 		"old.json: whole; while a sidecar runs by old.json:",
--- a/internal/site/change.go
+++ b/internal/site/change.go
@@ -48,27 +48,27 @@
 	{"settings.discovery", Restart, "how the list is followed is decided at the start"},
 	{"settings.balancers", Restart, "a server's owner goes by how many there are, the same for all"},
 	{"settings.me", Restart, "others know it by this number"},
-	{"settings.step_us", Live, "for a visit that is out the longer one counts"},
-	{"settings.beyond_share_value", Live, "for visits that come"},
+	{"settings.step_us", Live, "for a request that is out the longer one counts"},
+	{"settings.beyond_share_value", Live, "for requests that come"},
 	{"settings.realms", Live, "added, or removed, at the end"},
 	{"settings.realms.*.name", Restart, "another order, or one removed before others: sidecars tell each other of tenants by place"},
-	{"settings.realms.*.quota_per_s", Live, "for visits that come"},
-	{"settings.path_prefixes", Live, "added, removed, in another order: known by their names; a visit that is out keeps its own"},
-	{"settings.path_prefixes.*.target_latency_us", Live, "for visits that come"},
-	{"settings.path_prefixes.*.client_timeout_us", Live, "for visits that come"},
-	{"settings.path_prefixes.*.value", Live, "for visits that come"},
-	{"settings.path_prefixes.*.late_value", Live, "for visits that come"},
-	{"settings.path_prefixes.*.memory_span_us", Live, "for a visit that is out the shorter one counts"},
-	{"settings.path_prefixes.*.effect", Live, "for a visit that is out the stricter one counts"},
-	{"settings.path_prefixes.*.group", Live, "for a visit that is out both count"},
-	{"settings.allowed.max_backend_fetches", Live, "for a visit that is out the smaller one counts"},
-	{"settings.allowed.may_duplicate", Live, "for a visit that is out only while both allow it"},
-	{"settings.allowed.cancel", Live, "for a visit that is out only while both allow it"},
-	{"settings.allowed.retry_after", Live, "for a visit that is out only while both allow it"},
-	{"settings.allowed.max_retry_after_us", Live, "for a visit that is out the smaller one counts"},
+	{"settings.realms.*.quota_per_s", Live, "for requests that come"},
+	{"settings.path_prefixes", Live, "added, removed, in another order: known by their names; a request that is out keeps its own"},
+	{"settings.path_prefixes.*.target_latency_us", Live, "for requests that come"},
+	{"settings.path_prefixes.*.client_timeout_us", Live, "for requests that come"},
+	{"settings.path_prefixes.*.value", Live, "for requests that come"},
+	{"settings.path_prefixes.*.late_value", Live, "for requests that come"},
+	{"settings.path_prefixes.*.memory_span_us", Live, "for a request that is out the shorter one counts"},
+	{"settings.path_prefixes.*.effect", Live, "for a request that is out the stricter one counts"},
+	{"settings.path_prefixes.*.group", Live, "for a request that is out both count"},
+	{"settings.allowed.max_backend_fetches", Live, "for a request that is out the smaller one counts"},
+	{"settings.allowed.may_duplicate", Live, "for a request that is out only while both allow it"},
+	{"settings.allowed.cancel", Live, "for a request that is out only while both allow it"},
+	{"settings.allowed.retry_after", Live, "for a request that is out only while both allow it"},
+	{"settings.allowed.max_retry_after_us", Live, "for a request that is out the smaller one counts"},
 	{"settings.allowed.conn_idle_us", Live, "at once, for connections that stand idle as well"},
 	{"settings.allowed.connect_timeout_us", Live, "for connections that begin"},
-	{"settings.allowed.most_held", Live, "for visits that come"},
+	{"settings.allowed.most_held", Live, "for requests that come"},
 	{"settings.allowed.peer_messages", Restart, "the address for messages is taken at the start"},
 	{"settings.allowed.multiplex", Restart, "kept to one in any case"},
 	{"settings.obligations.cold_from", Live, "a smaller budget at once, a larger one for windows that begin later"},
@@ -80,7 +80,7 @@
 	{"settings.tariffs.connection", Live, "at once"},
 	{"settings.tariffs.cross_zone", Live, "at once"},
 	{"settings.tariffs.handshake", Live, "at once"},
-	{"settings.telemetry", Live, "a report of a fetch that began before is passed over"},
+	{"settings.telemetry", Live, "a report of an attempt that began before is passed over"},
 }
 
 // Change tells by the table's names in what two configurations differ.
@@ -132,6 +132,12 @@
 		}
 	}
 	taken.Seed, taken.Known = b.Seed, b.Known
+	b.takeSettings(taken, next, differs)
+	return taken, sorted(differs)
+}
+
+// takeSettings marks the settings that differ, and has those that need a restart stay as they were.
+func (b *Manifest) takeSettings(taken, next *Manifest, differs map[string]bool) {
 	kept := sameBeginning(b, next)
 	for _, names := range []brain.Settings{b.Site, next.Site} {
 		for name := range names {
@@ -145,33 +151,40 @@
 			} else if strings.HasPrefix(name, "realms.") && (was == nil || is == nil) {
 				full = "settings.realms"
 			}
-			r := Of(full)
-			if r == nil {
+			rule := Of(full)
+			if rule == nil {
 				differs[full] = true
 				continue
 			}
-			if differs[r.Name] = true; r.When == Restart {
-				if delete(taken.Site, name); was != nil {
-					taken.Site[name] = was
-				}
+			differs[rule.Name] = true
+			if rule.When != Restart {
+				continue
+			}
+			delete(taken.Site, name)
+			if was != nil {
+				taken.Site[name] = was
 			}
 		}
 	}
+}
+
+// sorted tells what becomes of the names that differ.
+func sorted(differs map[string]bool) (c Change) {
 	for _, name := range slices.Sorted(maps.Keys(differs)) {
-		switch r := Of(name); {
-		case r == nil:
+		switch rule := Of(name); {
+		case rule == nil:
 			c.Unread = append(c.Unread, name)
-		case r.When == Restart:
+		case rule.When == Restart:
 			c.Restart = append(c.Restart, name)
 		default:
 			c.Live = append(c.Live, name)
 		}
 	}
-	return taken, c
+	return c
 }
 
-// sameBeginning tells whether the shorter one's tenants are the first of the longer one's. Guards against two sidecars that book
-// each other's tenants wrongly for as long as one of them has the older file: what they tell goes by place.
+// sameBeginning tells whether the shorter one's tenants are the first of the longer one's. What sidecars tell goes by place, and
+// for as long as one of them has the older file they would count each other's tenants wrongly.
 func sameBeginning(a, b *Manifest) bool {
 	for i := range int(min(a.Figure("realms"), b.Figure("realms"))) {
 		at := "realms." + strconv.Itoa(i)
--- a/internal/site/manifest.go
+++ b/internal/site/manifest.go
@@ -25,8 +25,8 @@
 	Site                    brain.Settings
 }
 
-// Read takes a configuration file. Guards against a sidecar that starts half told: what is missing or
-// malformed is an error that names it.
+// Read takes a configuration file. What is missing or malformed is an error that names it: a
+// sidecar must not start half told.
 func Read(file string) (*Manifest, error) {
 	if file == "" {
 		return nil, errors.New("no configuration file: RELAY_CONFIG is not set")
@@ -60,6 +60,23 @@
 		return nil, err
 	}
 	b := &Manifest{Known: tree["known"]}
+	if err := b.readFields(tree); err != nil {
+		return nil, err
+	}
+	if err := b.checkAddresses(); err != nil {
+		return nil, err
+	}
+	if err := b.readSettings(tree); err != nil {
+		return nil, err
+	}
+	if b.Known == nil {
+		return nil, errors.New("known is missing")
+	}
+	return b, nil
+}
+
+// readFields reads what stands beside the settings.
+func (b *Manifest) readFields(tree map[string]json.RawMessage) (err error) {
 	var seed string
 	var peers []string
 	var limits map[string]float64
@@ -72,57 +89,66 @@
 		{"seed", true, &seed}, {"limits", true, &limits}, {"peer_listen", false, &b.PeerListen}, {"console", false, &b.Console},
 		{"peers", false, &peers},
 	} {
-		if raw, there := tree[field.name]; !there && field.needed {
-			return nil, fmt.Errorf("%s is missing", field.name)
-		} else if there {
+		raw, there := tree[field.name]
+		switch {
+		case !there && field.needed:
+			return fmt.Errorf("%s is missing", field.name)
+		case there:
 			if err := json.Unmarshal(raw, field.into); err != nil {
-				return nil, odd(field.name, "%s: %w", field.name, err)
+				return odd(field.name, "%s: %w", field.name, err)
 			}
 		}
 	}
-	var err error
 	if b.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
-		return nil, odd("seed", "seed: %w", err)
+		return odd("seed", "seed: %w", err)
 	}
 	for _, limit := range []string{"cores", "memory_mb", "sockets"} {
 		if !(limits[limit] > 0) {
-			return nil, odd("limits."+limit, "limits.%s is missing", limit)
+			return odd("limits."+limit, "limits.%s is missing", limit)
 		}
 	}
 	b.Cores, b.MemoryMB, b.Sockets = limits["cores"], int(limits["memory_mb"]), int(limits["sockets"])
-	for i, p := range peers {
-		at, err := netip.ParseAddrPort(p)
+	for i, peer := range peers {
+		at, err := netip.ParseAddrPort(peer)
 		if err != nil {
-			return nil, odd("peers."+strconv.Itoa(i), "peers.%d: %w", i, err)
+			return odd("peers."+strconv.Itoa(i), "peers.%d: %w", i, err)
 		}
 		b.Peers = append(b.Peers, at)
 	}
-	for _, at := range []struct{ name, address string }{{"listen", b.Listen}, {"discovery", b.Discovery},
-		{"peer_listen", b.PeerListen}, {"console", b.Console}} {
-		needed := at.name == "listen" || at.name == "discovery"
-		if _, err := netip.ParseAddrPort(at.address); err != nil && (at.address != "" || needed) {
-			return nil, odd(at.name, "%s: %w", at.name, err)
+	return nil
+}
+
+// checkAddresses tells which address can't be read.
+func (b *Manifest) checkAddresses() error {
+	for _, at := range []struct {
+		name, address string
+		needed        bool
+	}{{"listen", b.Listen, true}, {"discovery", b.Discovery, true}, {"peer_listen", b.PeerListen, false}, {"console", b.Console, false}} {
+		if _, err := netip.ParseAddrPort(at.address); err != nil && (at.address != "" || at.needed) {
+			return odd(at.name, "%s: %w", at.name, err)
 		}
 	}
+	return nil
+}
+
+// readSettings reads the settings, and refuses those that can't be.
+func (b *Manifest) readSettings(tree map[string]json.RawMessage) (err error) {
 	settings, there := tree["settings"]
 	if !there {
-		return nil, errors.New("settings is missing")
+		return errors.New("settings is missing")
 	}
 	if b.Site, err = Flatten(settings); err != nil {
-		return nil, odd("settings", "settings: %w", err)
+		return odd("settings", "settings: %w", err)
 	}
 	if name, err := refused(b.Site); err != nil {
-		return nil, odd("settings."+name, "settings: %w", err)
+		return odd("settings."+name, "settings: %w", err)
 	}
-	// Guards against books that count on places for requests that a connection here does not have: it carries one at a time.
+	// The module would count on places for requests that a connection here does not have: it carries one at a time.
 	b.Streams = int(max(b.Figure("allowed.multiplex"), 1))
 	if _, there := b.Site["allowed.multiplex"]; there {
 		b.Site["allowed.multiplex"] = 1.0
 	}
-	if b.Known == nil {
-		return nil, errors.New("known is missing")
-	}
-	return b, nil
+	return nil
 }
 
 // Span is a figure of the settings in whole microseconds, 0 where they lack it.
--- a/internal/site/migrate.go
+++ b/internal/site/migrate.go
@@ -43,7 +43,7 @@
 		return nil, errors.New("settings: telemetry.how: inline is the new shape already")
 	}
 	from := json.NewDecoder(bytes.NewReader(old))
-	from.UseNumber() // guards against figures that change by being read and written
+	from.UseNumber() // figures must not change by being read and written
 	file, m := tree{}, &Moved{}
 	if err := from.Decode(&file); err != nil {
 		return nil, err
@@ -113,7 +113,7 @@
 		delete(tariffs, "probe")
 	}
 	if info, ok := settings["family_info"].(tree); ok && info["warm_keys"] == true {
-		m.leave("settings.family_info.warm_keys: visits of a key no longer go to servers that met it")
+		m.leave("settings.family_info.warm_keys: requests of a key no longer go to servers that met it")
 		delete(info, "warm_keys")
 	}
 	if fields := to.Loads; len(fields) > 0 {
@@ -127,7 +127,7 @@
 	case to.Streams > 0:
 		m.set(allowed, "settings.allowed.", "multiplex", to.Streams)
 	default:
-		m.leave("settings.allowed.multiplex: the old file can't tell how many visits a connection carries; it stays %s",
+		m.leave("settings.allowed.multiplex: the old file can't tell how many requests a connection carries; it stays %s",
 			text(allowed["multiplex"]))
 	}
 }
--- a/internal/site/patch.go
+++ b/internal/site/patch.go
@@ -49,8 +49,8 @@
 }
 
 // Strict reads a patch, whose only names besides those of a file are others (of the outermost object). A name that nothing reads, one that is
-// there twice, or what is no object is an error with the file, the line and the reason. Guards against a word that is misspelt, and so
-// does nothing anywhere.
+// there twice, or what is no object is an error with the file, the line and the reason. A name that is
+// misspelt would do nothing anywhere.
 func Strict(file string, text []byte, others ...string) error {
 	if !json.Valid(text) {
 		var any json.RawMessage
--- a/internal/site/settings.go
+++ b/internal/site/settings.go
@@ -48,10 +48,10 @@
 
 const mostLoads = 4
 
-// refused tells which setting has a value that it can't have, and why in one line. Guards against a sidecar that starts and
-// decides by a figure that nobody meant.
+// refused tells which setting has a value that it can't have, and why in one line. A sidecar must not
+// decide by a figure that nobody meant.
 func refused(s brain.Settings) (name string, err error) {
-	// Guards against a bare number where a list belongs, which would be counted through.
+	// A bare number where a list belongs would be counted through.
 	for _, name := range []string{"path_prefixes", "realms", "azs", "telemetry.fields"} {
 		if n := number(s, name); n != math.Trunc(n) || n < 0 || n > float64(len(s)) {
 			return name, fmt.Errorf("%s: %v is no list", name, n)
@@ -82,7 +82,7 @@
 			}
 		}
 	}
-	// Guards against two classes of one name, or of none: requests find theirs by it.
+	// No two classes have one name, and none is without: requests find theirs by it.
 	seen := map[string]bool{}
 	for i := range int(number(s, "path_prefixes")) {
 		name := "path_prefixes." + strconv.Itoa(i) + ".name"
