--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -60,86 +60,120 @@
 	return nil
 }
 
+// files are the flags of what reads a configuration.
+type files struct {
+	configuration string
+	extensions    string
+}
+
+func (f *files) flags(c *cobra.Command) {
+	c.Flags().StringVar(&f.configuration, "config", os.Getenv("RELAY_CONFIG"), "configuration file, JSON")
+	c.Flags().StringVar(&f.extensions, "with", "", "file of what is ours beside the platform's, TOML; none: nothing of it runs")
+}
+
 func root() *cobra.Command {
-	cmd := &cobra.Command{Use: "ledgespread", Short: "A load balancer that runs beside every client process",
+	c := &cobra.Command{Use: "ledgespread", Short: "A load balancer that runs beside every client process",
 		SilenceUsage: true, Args: cobra.NoArgs, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
-	var file, with, level, against string
-	var every time.Duration
-	config := func(c *cobra.Command) {
-		c.Flags().StringVar(&file, "config", os.Getenv("RELAY_CONFIG"), "configuration file, JSON")
-		c.Flags().StringVar(&with, "with", "", "file of what is ours beside the platform's, TOML; none: nothing of it runs")
+	c.AddCommand(serveCommand(), checkCommand(), membersCommand(), configCommand(), migrate(), versionCommand())
+	return c
+}
+
+func serveCommand() *cobra.Command {
+	var read files
+	var level string
+	var tally time.Duration
+	c := &cobra.Command{Use: "serve", Short: "Serve the application beside it until SIGTERM", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serve(read, level, tally) }}
+	read.flags(c)
+	c.Flags().StringVar(&level, "log", "info", "least level that is logged: debug, info, warn or error")
+	c.Flags().DurationVar(&tally, "tally", 0, "log all counters every so often, to be summed over a fleet; 0: only at the end")
+	return c
+}
+
+// serve reads the files and runs a sidecar by them.
+func serve(read files, level string, tally time.Duration) error {
+	signals := sidecar.HearSignals()
+	at, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return err
 	}
-	start := &cobra.Command{Use: "serve", Short: "Serve the application beside it until SIGTERM",
-		Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			signals := sidecar.HearSignals()
-			at, err := zerolog.ParseLevel(level)
-			if err != nil {
-				return err
-			}
-			manifest, err := site.Read(file)
-			if err != nil {
-				return err
-			}
-			fitted, err := extensions.Read(with)
-			if err != nil {
-				return err
-			}
-			log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", manifest.Name).Logger()
-			return sidecar.Run(sidecar.Options{File: file, ExtensionsFile: with, Manifest: manifest, Extensions: fitted, Version: release,
-				Tally: every, Signals: signals, Log: log})
-		}}
-	start.Flags().StringVar(&level, "log", "info", "least level that is logged: debug, info, warn or error")
-	start.Flags().DurationVar(&every, "tally", 0, "log all counters every so often, to be summed over a fleet; 0: only at the end")
-	check := &cobra.Command{Use: "check", Short: "Tell whether a configuration file is whole",
-		Args: cobra.NoArgs,
+	manifest, err := site.Read(read.configuration)
+	if err != nil {
+		return err
+	}
+	fitted, err := extensions.Read(read.extensions)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", manifest.Name).Logger()
+	return sidecar.Run(sidecar.Options{File: read.configuration, ExtensionsFile: read.extensions, Manifest: manifest, Extensions: fitted,
+		Version: release, Tally: tally, Signals: signals, Log: log})
+}
+
+func checkCommand() *cobra.Command {
+	var read files
+	var against string
+	c := &cobra.Command{Use: "check", Short: "Tell whether a configuration file is whole", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			manifest, err := whole(file)
+			manifest, err := whole(read.configuration)
 			if err != nil {
 				return err
 			}
 			if against != "" { // a sidecar runs, and holds its addresses
-				return compare(c.OutOrStdout(), file, against, manifest)
+				return compare(c.OutOrStdout(), read.configuration, against, manifest)
 			}
-			if manifest.Console != "" { // would a start find it free?
-				staff, err := console.Listen(manifest.Console, manifest.Sockets, console.Sidecar{}, &counters.Sheet{}, zerolog.Nop())
-				if err != nil {
-					return err
-				}
-				staff.Close()
-			}
-			fitted, err := extensions.Read(with)
-			if err != nil {
+			if err := canStart(manifest, read.extensions); err != nil {
 				return err
 			}
-			if fitted.Membership != nil {
-				if err := fitted.Membership.Free(); err != nil {
-					return err
-				}
-			}
-			if fitted.Rollout != nil {
-				if err := fitted.Rollout.Usable(); err != nil {
-					return err
-				}
-			}
-			fmt.Fprintln(c.OutOrStdout(), file+": whole")
+			fmt.Fprintln(c.OutOrStdout(), read.configuration+": whole")
 			return nil
 		}}
-	config(start)
-	config(check)
-	check.Flags().StringVar(&against, "against", "", "the file that a sidecar runs by: tell what of the other would be live, and what needs a restart")
-	version := &cobra.Command{Use: "version", Short: "Print what was built", Args: cobra.NoArgs,
+	read.flags(c)
+	c.Flags().StringVar(&against, "against", "", "the file that a sidecar runs by: tell what of the other would be live, and what needs a restart")
+	return c
+}
+
+// canStart tells whether a start would find its addresses and folders free.
+func canStart(manifest *site.Manifest, extensionsFile string) error {
+	if manifest.Console != "" {
+		staff, err := console.Listen(manifest.Console, manifest.Sockets, console.Sidecar{}, &counters.Sheet{}, zerolog.Nop())
+		if err != nil {
+			return err
+		}
+		staff.Close()
+	}
+	fitted, err := extensions.Read(extensionsFile)
+	if err != nil {
+		return err
+	}
+	if fitted.Membership != nil {
+		if err := fitted.Membership.Free(); err != nil {
+			return err
+		}
+	}
+	if fitted.Rollout != nil {
+		return fitted.Rollout.Usable()
+	}
+	return nil
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Print what was built", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) {
-			revision := "unknown revision"
-			if info, ok := debug.ReadBuildInfo(); ok {
-				for _, s := range info.Settings {
-					if s.Key == "vcs.revision" {
-						revision = s.Value
-					}
-				}
-			}
-			fmt.Fprintf(c.OutOrStdout(), "ledgespread %s (%s, %s)\n", release, revision, runtime.Version())
+			fmt.Fprintf(c.OutOrStdout(), "ledgespread %s (%s, %s)\n", release, revision(), runtime.Version())
 		}}
-	cmd.AddCommand(start, check, membersCommand(), configCommand(), migrate(), version)
-	return cmd
+}
+
+// revision is the commit that was built, where that is known.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown revision"
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return "unknown revision"
 }
--- a/cmd/ledgespread/config.go
+++ b/cmd/ledgespread/config.go
@@ -27,31 +27,45 @@
 	carriesNone = "it carries no configurations"
 )
 
+// member is which sidecar is asked, by flags.
+type member struct {
+	extensionsFile string
+	at             string
+}
+
+func (m *member) flags(c *cobra.Command) {
+	c.Flags().StringVar(&m.extensionsFile, "with", "", "the file of extensions of the sidecar that is asked")
+	c.Flags().StringVar(&m.at, "at", "", "its membership's address, in place of the file's")
+}
+
+// address is its membership's.
+func (m *member) address() (string, error) {
+	if m.at != "" {
+		return m.at, nil
+	}
+	f, err := extensions.Read(m.extensionsFile)
+	if err != nil {
+		return "", err
+	}
+	if f.Membership == nil {
+		return "", errors.New("no sidecar to ask: give --at, or --with a file that has a [membership]")
+	}
+	return f.Membership.Listen, nil
+}
+
 // configCommand is for staff: what configuration is in force where, and handing one over.
 func configCommand() *cobra.Command {
 	c := &cobra.Command{Use: "config", Short: "Configurations that members carry: publish one, or see which is in force where", Args: cobra.NoArgs}
-	var file, at string
-	member := func(c *cobra.Command) {
-		c.Flags().StringVar(&file, "with", "", "the file of extensions of the sidecar that is asked")
-		c.Flags().StringVar(&at, "at", "", "its membership's address, in place of the file's")
-	}
-	where := func() (string, error) {
-		if at != "" {
-			return at, nil
-		}
-		f, err := extensions.Read(file)
-		if err != nil {
-			return "", err
-		}
-		if f.Membership == nil {
-			return "", errors.New("no sidecar to ask: give --at, or --with a file that has a [membership]")
-		}
-		return f.Membership.Listen, nil
-	}
+	c.AddCommand(statusCommand(), publishCommand())
+	return c
+}
+
+func statusCommand() *cobra.Command {
+	var asked member
 	var raw bool
-	status := &cobra.Command{Use: "status", Short: "Print which configuration is in force where, who lags, and who refused one and why", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "status", Short: "Print which configuration is in force where, who lags, and who refused one and why", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			at, err := where()
+			at, err := asked.address()
 			if err != nil {
 				return err
 			}
@@ -65,38 +79,52 @@
 			f.print(c.OutOrStdout())
 			return nil
 		}}
-	member(status)
-	status.Flags().BoolVar(&raw, "json", false, "as JSON")
+	asked.flags(c)
+	c.Flags().BoolVar(&raw, "json", false, "as JSON")
+	return c
+}
+
+func publishCommand() *cobra.Command {
+	var asked member
 	var number uint64
-	publish := &cobra.Command{Use: "publish FILE", Short: "Hand a configuration over to a control machine's member", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "publish FILE", Short: "Hand a configuration over to a control machine's member", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			at, err := where()
+			at, err := asked.address()
 			if err != nil {
 				return err
 			}
-			text, err := os.ReadFile(args[0])
+			reply, err := publish(at, args[0], number)
 			if err != nil {
 				return err
 			}
-			if len(text) > rollouts.Most {
-				return fmt.Errorf("%s:1: it is longer than %d bytes", args[0], rollouts.Most)
-			}
-			reply, err := members.Ask(at, append([]byte(rollouts.Asks+"publish "+strconv.FormatUint(number, 10)+"\n"), text...), publishWait)
-			if err != nil {
-				return fmt.Errorf("%s: %w", at, err)
-			}
-			if why, refused := strings.CutPrefix(string(reply), "refused "); refused || len(reply) == 0 {
-				return fmt.Errorf("%s refuses it: %s", at, why)
-			}
-			fmt.Fprintln(c.OutOrStdout(), string(reply))
+			fmt.Fprintln(c.OutOrStdout(), reply)
 			return nil
 		}}
-	member(publish)
-	publish.Flags().Uint64Var(&number, "number", 0, "its number; 0: the next that the member knows to be free")
-	c.AddCommand(status, publish)
+	asked.flags(c)
+	c.Flags().Uint64Var(&number, "number", 0, "its number; 0: the next that the member knows to be free")
 	return c
 }
 
+// publish hands a file over to the member at an address, and tells what that says.
+func publish(at, file string, number uint64) (string, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	if len(text) > rollouts.Most {
+		return "", fmt.Errorf("%s:1: it is longer than %d bytes", file, rollouts.Most)
+	}
+	ask := rollouts.Asks + "publish " + strconv.FormatUint(number, 10) + "\n"
+	reply, err := members.Ask(at, append([]byte(ask), text...), publishWait)
+	if err != nil {
+		return "", fmt.Errorf("%s: %w", at, err)
+	}
+	if why, refused := strings.CutPrefix(string(reply), "refused "); refused || len(reply) == 0 {
+		return "", fmt.Errorf("%s refuses it: %s", at, why)
+	}
+	return string(reply), nil
+}
+
 // fleet is what all members say, as one of them knows them.
 type fleet struct {
 	Asked   string     `json:"asked"`
--- a/cmd/ledgespread/migrate.go
+++ b/cmd/ledgespread/migrate.go
@@ -69,8 +69,8 @@
 	fmt.Fprintln(w, into+": written")
 }
 
-// place writes a file whole or not at all, and none that nobody meant. Guards against a file cut short by a full disk
-// or a crash, and against the loss of the one to go back to.
+// place writes a file whole or not at all, and none that nobody meant. A full disk or a crash cuts no file short,
+// and the one to go back to is not lost.
 func place(text []byte, old, into string, over bool) error {
 	if into == "" {
 		return errors.New("no file to write: tell --to, or --dry-run")
--- a/decide/failover/alone.go
+++ b/decide/failover/alone.go
@@ -14,7 +14,7 @@
 // Alone is what one sidecar may send to other zones once the last plan that it heard is over and no other comes, nearest first: its part of the
 // work that the plan had its home send there, and its part of the room that the plan left. These are amounts, no parts of what it is
 // offered: if all that may be sending do the same, or some go by that plan still, nothing gets beyond the room that was there. members is how many
-// sidecars it holds for possible senders now; the plan's own count bounds it from below. Guards against the rush of all into the zones that
+// sidecars it holds for possible senders now; the plan's own count bounds it from below. This prevents the rush of all into the zones that
 // stand when those who plan are lost with the zone.
 func (t Terms) Alone(p Plan, home Zone, members int) (out []Spill) {
 	base, there := p.Base[home]
--- a/decide/failover/failover.go
+++ b/decide/failover/failover.go
@@ -158,7 +158,7 @@
 			}
 			switch gone := slices.Contains(to.Cut, home.Zone) || to.Carries <= 0; {
 			case gone: // at once: nothing is carried there
-			case part > was && to.Strains: // guards against a zone felled by what it is sent before it tells so
+			case part > was && to.Strains: // prevents a zone felled by what it is sent before it tells so
 				part = was
 			default:
 				part = min(max(part, was-t.Back*span), was+t.Out*span)
@@ -301,7 +301,7 @@
 	return fmt.Sprintf("%s %s: %s, %.2f stays", home.Zone, load, strings.Join(parts, ", "), shares[0].Part)
 }
 
-// Follows tells whether a plan is to be followed in place of another, now: guards against one that a leader of yesterday made, and one that is over.
+// Follows tells whether a plan is to be followed in place of another, now, which prevents one that a leader of yesterday made, and one that is over.
 func (p Plan) Follows(old Plan, now Micros) bool { return p.Number > old.Number && now < p.End }
 
 // Valid tells whether a plan that came from elsewhere can be one: each home zone's parts make one, and none is less than nothing.
--- a/decide/failover/reports.go
+++ b/decide/failover/reports.go
@@ -43,7 +43,7 @@
 
 func NewBook(t Terms) *Book { return &Book{terms: t, reports: map[Reporter]heard{}} }
 
-// Heard takes a report. Guards against figures that are none.
+// Heard takes a report. This prevents figures that are none.
 func (b *Book) Heard(now Micros, r Report) bool {
 	fine := func(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
 	ok := fine(r.Offered) && r.From != ""
--- a/decide/keepers/keepers.go
+++ b/decide/keepers/keepers.go
@@ -65,7 +65,7 @@
 var errForgot = errors.New("what was kept can't be read")
 
 // New starts a keeper from what it kept. Where that is missing or can't be read it has lost its memory, unless all begin for the first time
-// (founding): it gives no word until it knows again what it may have promised. Guards against a keeper that votes twice, or for one that lacks
+// (founding): it gives no word until it knows again what it may have promised. This prevents a keeper that votes twice, or for one that lacks
 // what it helped to decide.
 func New(me ID, among []ID, kept []byte, founding bool, out Ports) (*Keeper, error) {
 	k := &Keeper{me: me, among: slices.Sorted(slices.Values(among)), out: out, heard: map[ID]uint64{}}
@@ -306,7 +306,7 @@
 	return append(binary.BigEndian.AppendUint32(nil, crc32.ChecksumIEEE(body)), body...)
 }
 
-// remembered reads that. Guards against a file that was torn in the middle of a write, or is another's.
+// remembered reads that. This prevents a file that was torn in the middle of a write, or is another's.
 func remembered(state []byte) (*memory, error) {
 	if len(state) < 4 || crc32.ChecksumIEEE(state[4:]) != binary.BigEndian.Uint32(state) {
 		return nil, errForgot
--- a/decide/membership/membership.go
+++ b/decide/membership/membership.go
@@ -8,107 +8,12 @@
 package membership
 
 import (
-	"encoding/binary"
 	"hash/fnv"
 	"math"
-	"slices"
 
 	"ledgespread/brain/due"
 )
 
-// Micros is a point in time or a span, in whole microseconds of a monotonic clock.
-type Micros int64
-
-// The kinds of id. None tells anything but sameness, or order within one name.
-type (
-	Name        string // of a member, for as long as it is configured so
-	Address     string // bytes, as the network has them
-	Life        uint32 // one process of a member
-	Incarnation uint32 // a member's word about itself; a higher one counts over a lower one
-	Beat        uint32 // what a member counts up while it runs, within its incarnation
-	round       uint32 // one probe
-)
-
-// State is what is held of a member.
-type State uint8
-
-const (
-	Alive State = iota + 1
-	Suspect
-	Dead
-	Left
-)
-
-func (s State) String() string { return [...]string{"unknown", "alive", "suspect", "dead", "left"}[s] }
-
-// Way is what is known of the way to a member that lives: which of the two does not hear the other.
-type Way uint8
-
-const (
-	Deaf Way = 1 << iota // it doesn't hear this member
-	Mute                 // this member doesn't hear it
-)
-
-func (w Way) String() string {
-	return [...]string{"open", "it doesn't hear this member", "this member doesn't hear it", "neither hears the other"}[w&3]
-}
-
-// Part is where a member stands among those that it knew.
-type Part uint8
-
-const (
-	Greater Part = iota + 1
-	Lesser
-	Alone
-)
-
-func (p Part) String() string { return [...]string{"", "greater", "lesser", "alone"}[p] }
-
-// About is what a member tells of itself.
-type About struct {
-	Name          Name
-	Address       Address // where it hears membership's messages
-	Notes         Address // where it hears the module's; empty: nowhere
-	Zone, Version string
-	Life          Life
-	Number        uint16 // among the deployment's sidecars
-}
-
-// Terms are what is set.
-type Terms struct {
-	Group    string // others are passed over
-	Every    Micros // between two probes
-	Exchange Micros // between two full exchanges, in the mean
-	Forget   Micros // the dead are kept for so long
-	Linger   Micros // what a member that left may still have under way: its longest client timeout
-	Senders  int    // never fewer are counted as senders
-	Most     int    // members that are kept
-	Unguard  string // a guard that is off, for a proof that has to fail: see Guards
-}
-
-// Guards are what Terms.Unguard may name. The program never does.
-var Guards = []string{"no-helpers", "no-standstill", "no-refutation", "no-holding", "cut-is-death", "old-incarnation", "no-linger"}
-
-// Change is one that is told.
-type Change struct {
-	Name     Name
-	From, To State // From 0: it was not known
-	Way      Way   // now
-	Why      string
-	By       Name // whose word it was
-}
-
-// Ports is all that a Node can do to the world. Calls must not call back into the node.
-type Ports interface {
-	Send(to Name, at Address, message []byte) // one datagram, which may be lost; to is empty where only the address is known
-	Exchange(with Name, at Address)           // a full exchange over a connection: Table goes there, theirs comes to Merge
-	Changed(Change)
-	Stands(Part)                        // this member's own part changed
-	Contested(at Address, away bool)    // another process has this member's name; away: this one gives way to it
-	Stood(span Micros, asked bool)      // this member stood still
-	Refused(kind string, about Address) // a message was passed over
-}
-
 // Longest is how many bytes a datagram has at the most.
 const Longest = 256
 
@@ -274,7 +179,7 @@
 	n.due.Lapse(n.now)
 }
 
-// begin takes the time. Guards against accusing others of what this member missed while it did not run itself: the clock
+// begin takes the time. This prevents accusing others of what this member missed while it did not run itself: the clock
 // by which others are judged stands still meanwhile, and what is due has another chance after the mail that waits.
 func (n *Node) begin(now Micros) {
 	n.real = max(n.real, now)
@@ -306,36 +211,6 @@
 // probesLong is the time that so many probes take.
 func (n *Node) probesLong(many float64) Micros { return Micros(many * float64(n.terms.Every)) }
 
-// scatter is about a span, by chance.
-func (n *Node) scatter(span Micros) Micros { return Micros(float64(span) * (0.9 + 0.2*n.chance())) }
-
-// chance draws a number from 0 up to 1 out of the seed and a counter.
-func (n *Node) chance() float64 {
-	n.drawn++
-	return Draw(n.seed, n.drawn)
-}
-
-// Draw is a number from 0 up to 1 that a seed and a counter give.
-func Draw(seed, count uint64) float64 { return float64(Mix(seed, count)>>11) / (1 << 53) }
-
-// Mix is the 64 bits under it.
-func Mix(seed, count uint64) uint64 {
-	var in [16]byte
-	binary.BigEndian.PutUint64(in[:], seed)
-	binary.BigEndian.PutUint64(in[8:], count)
-	h := fnv.New64a()
-	h.Write(in[:])
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
-// below draws a whole number under most.
-func (n *Node) below(most int) int { return int(n.chance() * float64(most)) }
-
 // doublings is the logarithm of the members that live, this one too.
 func (n *Node) doublings() float64 { return math.Log2(float64(len(n.ring) + 1)) }
 
@@ -472,7 +347,7 @@
 	n.out.Exchange(with[0].about.Name, with[0].about.Address)
 }
 
-// isDeaf tells whether this member hears nobody. Guards against one that is cut off, or whose network failed, and then
+// isDeaf tells whether this member hears nobody. This prevents one that is cut off, or whose network failed, and then
 // accuses all the others.
 func (n *Node) isDeaf() bool { return n.now-n.heardAny > n.probesLong(deafAfter) }
 
@@ -497,7 +372,7 @@
 	}
 }
 
-// forget lets go of the dead and those that left, in time. Guards against a table that grows for ever; one that died out
+// forget lets go of the dead and those that left, in time. This prevents a table that grows for ever; one that died out
 // of sight of the greater part stays, since it may be on the far side of a split, and send.
 func (n *Node) forget() {
 	kept := n.lost[:0]
@@ -518,52 +393,3 @@
 		}
 	}
 }
-
-// Part is where this member stands, and since when.
-func (n *Node) Part() (Part, Micros) { return n.part, n.partSince }
-
-// Lingers hears of another longest client timeout. A shorter one doesn't count: what a member that left has under way may be older.
-func (n *Node) Lingers(longest Micros) { n.terms.Linger = max(n.terms.Linger, longest) }
-
-// Senders is among how many a budget for all is to be shared: at once more where more are heard of, and fewer only when
-// those that are gone can't be sending any more.
-func (n *Node) Senders() int {
-	all := 1 + len(n.ring)
-	for _, e := range n.lost {
-		if e.state == Dead || n.real-e.since < n.terms.Linger {
-			all++
-		}
-	}
-	if n.terms.Unguard == "no-linger" {
-		return 1 + len(n.ring)
-	}
-	return max(all, n.terms.Senders)
-}
-
-// Member is a line of the table.
-type Member struct {
-	About
-	State       State
-	Way         Way
-	Since, Trip Micros // by the clock; 0: not known
-	By          Name   // whose word made the state
-	Incarnation Incarnation
-	Self        bool
-	Holds       int
-}
-
-// others are all that are held, those that live first.
-func (n *Node) others() []*entry { return slices.Concat(n.ring, n.lost) }
-
-// Each hands out the table, this member first, then those that live.
-func (n *Node) Each(line func(Member)) {
-	line(Member{About: *n.self.about, State: n.self.state, Since: n.begun, By: n.self.about.Name, Incarnation: n.self.inc, Self: true})
-	for _, e := range n.others() {
-		m := Member{About: *e.about, State: e.state, Way: e.way, Since: e.since, Trip: Micros(e.trip), Incarnation: e.inc}
-		m.Life = e.life
-		if e.more != nil {
-			m.By, m.Holds = e.more.by, e.more.holds
-		}
-		line(m)
-	}
-}
--- a/decide/membership/probe.go
+++ b/decide/membership/probe.go
@@ -157,7 +157,7 @@
 }
 
 // needed is how many probes in a row have to miss until a member is suspected: one among few, one more for each tenfold, and more where much
-// is lost. Guards against suspicions, by members that lose a probe each now and then, that come faster than refutations spread.
+// is lost. This prevents suspicions, by members that lose a probe each now and then, that come faster than refutations spread.
 func (n *Node) needed() int {
 	tens := int(math.Ceil(math.Log10(float64(len(n.ring) + 1))))
 	if n.missing > lossy {
--- a/decide/membership/table.go
+++ b/decide/membership/table.go
@@ -85,8 +85,8 @@
 }
 
 // heardOf takes what a member's own word, direct or passed on, says of its life: that it was there at this beat of this
-// incarnation. It tells whether that counts; a word about one held for dead does only with a higher incarnation. Guards
-// against old words that revive the dead.
+// incarnation. It tells whether that counts; a word about one held for dead does only with a higher incarnation. Old
+// words must not revive the dead.
 func (n *Node) heardOf(e *entry, life Life, inc Incarnation, beat Beat, directly bool) bool {
 	if n.terms.Unguard == "old-incarnation" && e.state > Suspect {
 		e.inc = inc
@@ -122,13 +122,6 @@
 	return true
 }
 
-func (e *entry) doubt() *doubt {
-	if e.more == nil {
-		return nil
-	}
-	return e.more.doubt
-}
-
 // lives has a member be alive, whatever it was.
 func (n *Node) lives(e *entry) {
 	switch from := e.state; from {
@@ -154,90 +147,6 @@
 	}
 }
 
-// accuse books a word that a member is silent: this member's own, or another's.
-func (n *Node) accuse(e *entry, by Name, why string) {
-	m := e.extra()
-	d := m.doubt
-	if e.state != Suspect {
-		d = &doubt{beat: e.beat, since: n.now}
-		m.doubt = d
-		n.becomes(e, Suspect, why, by)
-		m.doubt, m.heldAt = d, n.now
-		n.remind(e, d)
-		if by != n.self.about.Name {
-			n.lookMyself(e, d)
-		}
-	}
-	if slices.Contains(d.accusers, by) || len(d.accusers) > confirmers {
-		return
-	}
-	d.accusers = append(d.accusers, by)
-	if by == n.self.about.Name {
-		n.tell(e)
-	}
-	need := max(min(confirmers, len(n.ring)-1), 1)
-	least := n.least(e)
-	most := Micros(mostSpan * float64(least))
-	part := min(math.Log(float64(len(d.accusers)))/math.Log(float64(need+1)), 1)
-	d.until = d.since + most - Micros(part*float64(most-least))
-	n.due.Put(max(d.until, n.now+1), func() { n.expire(e, d) })
-}
-
-// remind has a suspicion told again while it lasts. Guards against a death by one member's word that missed how others, who
-// know better, ended the suspicion.
-func (n *Node) remind(e *entry, d *doubt) {
-	n.due.Put(n.now+n.probesLong(remindAfter), func() {
-		if e.doubt() == d {
-			n.spread(e, remindOften)
-			n.remind(e, d)
-		}
-	})
-}
-
-// lookMyself has this member ask one that others suspect, scattered over a part of the suspicion's time: whoever reaches it
-// vouches for it, whoever does not says so too.
-func (n *Node) lookMyself(e *entry, d *doubt) {
-	if n.chance()*float64(len(n.ring)) > checkers {
-		return
-	}
-	span := n.probesLong(leastSpan / 2)
-	n.due.Put(n.now+Micros(n.chance()*float64(span)), func() {
-		if e.doubt() == d {
-			n.probe(e, true, true)
-		}
-	})
-}
-
-// expire ends a suspicion that nothing has ended.
-func (n *Node) expire(e *entry, d *doubt) {
-	if e.doubt() != d || e.state != Suspect || n.now < d.until {
-		return
-	}
-	if n.isDeaf() && n.terms.Unguard != "cut-is-death" { // nothing can be heard: nobody is judged by that
-		d.until = n.now + n.least(e)
-		n.due.Put(d.until, func() { n.expire(e, d) })
-		return
-	}
-	n.die(e, "it was silent for all of its suspicion's time")
-}
-
-func (n *Node) die(e *entry, why string) {
-	by := n.self.about.Name
-	if d := e.doubt(); d != nil && len(d.accusers) > 0 {
-		by = d.accusers[0]
-	}
-	m := e.extra()
-	m.died = n.now
-	n.becomes(e, Dead, why, by)
-	if n.part != Greater {
-		for _, x := range n.lost {
-			if x.state == Dead {
-				x.extra().stays = true
-			}
-		}
-	}
-}
-
 // Below is what records say. Each is about a member by another's word, or by its own.
 
 func (n *Node) toldAlive(a About, inc Incarnation, beat Beat, table bool) {
@@ -268,42 +177,6 @@
 	}
 }
 
-// toldSuspect hears another's accusation, of suspicion or of death. Guards against words from the past, and against one
-// that accuses everybody: this member looks for itself, the accused is told, and nobody is dead by a word alone.
-func (n *Node) toldSuspect(name Name, inc Incarnation, beat Beat, by Name, dead bool) {
-	if name == n.self.about.Name {
-		n.refute(inc, by)
-		return
-	}
-	e := n.members[name]
-	if e == nil {
-		if dead && inc > 0 {
-			if e = n.meet(About{Name: name}, inc, beat); e != nil {
-				n.becomes(e, Dead, "others hold it for dead", by)
-			}
-		}
-		return
-	}
-	cleared := inc == e.inc && beat < e.beat && e.more != nil && e.more.cleared != 0 && n.now-e.more.cleared < n.probesLong(vouchFor)
-	if (inc < e.inc || cleared) && e.state == Alive { // whoever accuses it so has missed what was heard of it since
-		n.amends = append(n.amends, e)
-		if !e.queued {
-			n.tell(e)
-		}
-		return
-	}
-	if inc < e.inc || inc-e.inc > jumpMost || e.state > Suspect {
-		return
-	}
-	if inc > e.inc {
-		e.inc, e.beat, e.life = inc, beat, 0 // whose that is, it will say itself
-	}
-	n.accuse(e, by, "another's word")
-	if dead {
-		n.sayTo(e, false)
-	}
-}
-
 // sayTo tells a member directly how it is held, a bounded number between two probes; the others hear it by and by.
 func (n *Node) sayTo(e *entry, wanted bool) {
 	if m := e.extra(); n.tells > 0 && (wanted || n.now-m.told > n.terms.Every) {
--- a/decide/rollout/trial.go
+++ b/decide/rollout/trial.go
@@ -32,7 +32,7 @@
 	countMost   = 5000 // visits that are reckoned with; more are scaled down
 )
 
-// sample keeps what came since the last. While one is on trial that is none of what was before: guards against a bad one that makes the
+// sample keeps what came since the last. While one is on trial that is none of what was before, which prevents a bad one that makes the
 // next bad one look no worse.
 func (n *Node) sample() {
 	now, last := n.out.Figures(), n.last
--- a/decide/summary/summary.go
+++ b/decide/summary/summary.go
@@ -8,8 +8,6 @@
 package summary
 
 import (
-	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"slices"
 
@@ -174,7 +172,7 @@
 	s := a.known[id]
 	switch {
 	case s == nil:
-		// Guards against a fleet whose sidecars all start, or hear of a new server, and tell one owner in one moment; of several servers that
+		// This prevents a fleet whose sidecars all start, or hear of a new server, and tell one owner in one moment; of several servers that
 		// one has each comes in a span of its own.
 		if a.firsts[owner] == nil {
 			a.firsts[owner] = &pacer{}
@@ -260,7 +258,7 @@
 	if a.nextDue > now || !a.says.free(now, (burst-1)*a.exchange()) {
 		return nil
 	}
-	a.row = slices.DeleteFunc(a.row, func(s *server) bool { // guards against books that grow with every server there ever was
+	a.row = slices.DeleteFunc(a.row, func(s *server) bool { // prevents books that grow with every server there ever was
 		gone := s.out == 0 && now-s.touched > idleFor*a.limits.Longest
 		if gone {
 			delete(a.known, s.id)
@@ -288,7 +286,7 @@
 }
 
 // word is what the module is told of a server. How crowded all are by now this sidecar's own answers tell, which are of this moment; how a
-// server differs from the others, its owner's estimate, which is a turn old: within a multiple of the median it does not. Guards against a
+// server differs from the others, its owner's estimate, which is a turn old: within a multiple of the median it does not. This prevents a
 // fleet that turns away, or goes to one server, all of it, by what was so some seconds ago. A visit of this sidecar's own counts at once.
 func (a *Aggregator) word(now Micros, s *server) (pace, held float64) {
 	pace = a.own.now(now)
@@ -302,179 +300,3 @@
 	more := max(0, float64(s.out)-e.mine)
 	return pace * (1 + e.held + more) / (1 + e.held) * (1 + ownBias*float64(s.out)), e.held + more
 }
-
-// level is what this sidecar's own visits lately saw.
-type level struct {
-	took, work, mean float64 // latency; work; work of a visit
-	calm             float64 // answer time per unit of work when nothing is crowded, slowly followed
-	at               Micros
-}
-
-// now is the answer time per unit of work by now.
-func (l *level) now(now Micros) float64 {
-	passed, slow := float64(now-l.at)/float64(beat), calmFall
-	keep := math.Exp(-passed / fades)
-	l.took, l.work, l.at = l.took*keep, l.work*keep, now
-	pace := (l.took + firm*l.mean*l.calm) / max(l.work+firm*l.mean, 1e-9)
-	if l.mean == 0 {
-		return l.calm
-	}
-	if pace > l.calm {
-		slow = calmRise
-	}
-	l.calm += (pace - l.calm) * (1 - math.Exp(-passed/slow))
-	return pace
-}
-
-func (l *level) add(now Micros, took, work float64) {
-	l.now(now)
-	if l.mean == 0 {
-		l.mean = work
-	}
-	l.mean += (work - l.mean) / enough
-	l.took, l.work = l.took+took, l.work+work
-}
-
-// Heard takes a message of another sidecar.
-func (a *Aggregator) Heard(now Micros, from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
-	a.replies = a.replies[:0] // what the module did not answer it won't: it has no such server
-	switch {
-	case kind == Summary && len(figures) == summaryFigures:
-		a.summed(now, from, about, figures)
-	case kind == Estimate && len(figures) == estimateFigures:
-		a.estimated(now, about, figures)
-	case kind == Usage:
-		a.usage(now, from, figures)
-	case kind == Totals:
-		a.totals(now, figures)
-	case kind < Summary:
-		a.out.Hear(from, kind, about, figures...)
-	default:
-		a.out.Refused(from, "of no known form")
-	}
-}
-
-// estimated takes an owner's word.
-func (a *Aggregator) estimated(now Micros, id brain.ServerID, f []float64) {
-	s := a.known[id]
-	if s == nil {
-		return
-	}
-	pace, turn := f[0], max(Micros(f[2]), 1)
-	s.missed, s.turn, s.turnAt = 0, turn, now+turn
-	a.nextDue = min(a.nextDue, s.turnAt)
-	s.estimate = estimate{pace: pace, held: max(f[1], float64(s.out)), mine: float64(s.out), tie: tieLeast * math.Pow(tieMost/tieLeast, a.chance()),
-		until: now + lives*max(turn, a.round())}
-	if pace == 0 { // it sits out, till the next turn
-		s.estimate.pace, s.estimate.until = math.Inf(1), s.turnAt
-	}
-	var all []float64
-	for _, s := range a.row {
-		if s.estimate.until > now && !math.IsInf(s.estimate.pace, 1) {
-			all = append(all, s.estimate.pace)
-		}
-	}
-	if len(all) > 0 {
-		slices.Sort(all)
-		a.median = all[(len(all)-1)/2]
-	}
-}
-
-// summed takes, as an owner, what another sidecar saw, and has the module hear of it as of so many visits. Then the module is asked in that
-// sidecar's name.
-func (a *Aggregator) summed(now Micros, from brain.Peer, id brain.ServerID, f []float64) {
-	v, spent, span := seen{f[0], f[1], f[2], f[3], f[4], f[5], f[6], f[7]}, f[8], f[9]
-	longest := float64(a.limits.Longest)
-	// Guards against figures that no fetches can have, and that would stay in the module's books.
-	if !(v.good+v.bad+v.broken+v.full+v.silent <= fetchesMost) || !(spent <= fetchesMost*span) ||
-		v.good > 0 && !(v.work > 0 && max(v.took, v.work)/v.good <= longest && v.load/v.work <= longest) {
-		a.out.Refused(from, "figures that no fetches can have")
-		return
-	}
-	ended := func(many float64, rc brain.Result, took, work, load float64) {
-		for range int(math.Round(many)) {
-			a.out.Hear(from, brain.Began, id)
-			a.out.Hear(from, brain.Ended, id, float64(rc), took, work, load)
-		}
-	}
-	broken := brain.AnsweredError
-	if v.good+v.bad == 0 { // no sign of life
-		if broken = brain.ConnectFailed; v.silent > 0 {
-			a.out.Hear(from, brain.Waits, id, span)
-		}
-	}
-	ended(v.broken, broken, 0, 1, 1)
-	ended(v.bad, brain.AnsweredError, 0, 1, 1)
-	if work, load := v.work/max(v.good, 1), v.load/max(v.good, 1); v.good > 0 {
-		ended(v.good, brain.Succeeded, v.took/v.good, work, load)
-		ended(v.full, brain.Overloaded, 0, work, load)
-	}
-	a.held(now, from, id, spent, span)
-	a.replies = append(a.replies, reply{from, brain.Quote, id})
-	a.out.Hear(from, brain.Ask, id)
-}
-
-// held brings the module's count of others' visits at a server to what summaries say: the visits held there, over the usual time from one
-// summary to the next of each who sends them.
-func (a *Aggregator) held(now Micros, from brain.Peer, id brain.ServerID, spent, span float64) {
-	o := a.owned[id]
-	if o == nil {
-		o = &owned{at: now, span: span}
-		a.owned[id] = o
-	}
-	passed := float64(now - o.at)
-	o.span += (max(span, float64(beat)) - o.span) / 8
-	o.spent = o.spent*math.Exp(-passed/max(o.span, 1)) + spent*min(1, o.span/max(span, 1))
-	o.away *= math.Pow(1-1/calmRise, passed/float64(beat))
-	o.at = now
-	there := math.Round(o.spent / max(o.span, 1))
-	for ; o.away+0.5 < there; o.away++ {
-		a.out.Hear(from, brain.Began, id)
-	}
-	for ; o.away-0.5 > there; o.away-- {
-		a.out.Hear(from, brain.Ended, id, float64(brain.NeverSent), 0, 1, 1)
-	}
-	o.away = max(o.away, 0)
-}
-
-// answer sends what the module answers to a summary, with a turn for the next one.
-func (a *Aggregator) answer(now Micros, to brain.Peer, about brain.ServerID, quote []float64) {
-	pace, each := quote[0], a.span(exchangeBytes, ownedPart)
-	if math.IsInf(pace, 1) {
-		pace = 0
-	}
-	if a.gives.next == 0 { // those come that were not given a turn yet, each once
-		a.gives.next = now + Micros(a.limits.Sidecars)*each
-	}
-	a.out.Send(to, Estimate, about, pace, quote[1], float64(a.gives.take(now, each)-now))
-}
-
-// within draws a span below this one.
-func (a *Aggregator) within(most Micros) Micros { return Micros(a.chance() * float64(most)) }
-
-// chance draws a number from 0 up to 1 out of the seed and a counter.
-func (a *Aggregator) chance() float64 {
-	a.drawn++
-	var in [16]byte
-	binary.BigEndian.PutUint64(in[:], a.limits.Seed)
-	binary.BigEndian.PutUint64(in[8:], a.drawn)
-	h := fnv.New64a()
-	h.Write(in[:])
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd // FNV leaves the high bits of near counters alike
-	return float64((x^x>>33)>>11) / (1 << 53)
-}
-
-// pacer deals out turns, a span apart: a virtual schedule (GCRA).
-type pacer struct{ next Micros }
-
-// free tells whether a turn could begin now, where so much may be ahead of the schedule.
-func (p *pacer) free(now, ahead Micros) bool { return p.next <= now+ahead }
-
-// take is the next turn, at now at the earliest; the one after it comes a span later.
-func (p *pacer) take(now, span Micros) (at Micros) {
-	at = max(p.next, now)
-	p.next = at + span
-	return at
-}
--- a/decide/summary/tenants.go
+++ b/decide/summary/tenants.go
@@ -37,7 +37,7 @@
 	t.usedAt = now
 	t.add(figures)
 	if t.turnAt <= now {
-		if t.missed >= giveUp { // guards against a subtree that is cut off by one dead sidecar
+		if t.missed >= giveUp { // prevents a subtree that is cut off by one dead sidecar
 			t.missed, t.skipped = 0, t.skipped+1
 		}
 		t.missed++
@@ -101,7 +101,7 @@
 		a.total(now, from, t.totals, now-t.saidAt)
 		return
 	}
-	// Guards against totals that jump with each usage that comes: what came is fed as it would have come visit by visit.
+	// This prevents totals that jump with each usage that comes: what came is fed as it would have come visit by visit.
 	part := 1 - math.Exp(-float64(now-t.fedAt)/float64(max(children*a.tenantsSpan(len(f)), 1)))
 	fed := make([]float64, len(f))
 	for i := range fed {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -69,7 +69,7 @@
 // Serve goes on until the program ends.
 func (c *Console) Serve() error { return c.server.Serve(c.listener) }
 
-// guarded answers one call. Guards against the end of the sidecar by one call's panic.
+// guarded answers one call. One call's panic does not end the sidecar.
 func (c *Console) guarded(ctx *fasthttp.RequestCtx) {
 	defer func() {
 		if crash := recover(); crash != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -104,7 +104,7 @@
 	return append(out, x.body...), x.long
 }
 
-// Wanted tells whether an answer is still waited for. Guards against an attempt that begins for a client that has gone, or after the
+// Wanted tells whether an answer is still waited for. No attempt begins for a client that has gone, or after the
 // request's end, while word of it is on its way.
 func (x *Exchange) Wanted() bool { return !x.Over() && (x.Gone == nil || !x.Gone()) }
 
@@ -135,7 +135,7 @@
 // Fail answers with an error page.
 func (x *Exchange) Fail(how Ending) bool { return x.settle(func() { x.Ending = how }) }
 
-// settle takes the first answer only. Guards against two answers to one request.
+// settle takes the first answer only. A request has one answer.
 func (x *Exchange) settle(answer func()) bool {
 	if !x.settled.CompareAndSwap(false, true) {
 		return false
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -41,8 +41,8 @@
 }()
 
 // Fields reads the fields of a head, down to its blank line, and hands each to take: its name, its value
-// without the blanks around it, and the whole line without its end. Guards against lines without a colon,
-// folded ones, blanks before the colon, bare line ends and control bytes, and against two ways of telling where
+// without the blanks around it, and the whole line without its end. Refused are lines without a colon,
+// folded ones, blanks before the colon, bare line ends and control bytes, and two ways of telling where
 // the body ends.
 func Fields(block []byte, take func(name, value, line []byte) error) (body Body, err error) {
 	body.Length = -1
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -120,8 +120,8 @@
 	return true
 }
 
-// bounded is a body that has so many bytes, or no more than that. Guards against a body in chunks without end, and against
-// taking the end of the connection for the end of the body, as fasthttp's reader does.
+// bounded is a body that has so many bytes, or no more than that. A body in chunks has an end so, and the
+// end of the connection is not taken for the end of the body, as fasthttp's reader does.
 type bounded struct {
 	from  io.Reader
 	left  int
@@ -153,8 +153,8 @@
 	return in.over(ctx, m, 0)
 }
 
-// over books that a message is whole, and how much has been read of the next one. Guards against a body that is longer than
-// its length says: a client may send requests ahead, but what is no request's beginning tells that the length is wrong.
+// over books that a message is whole, and how much has been read of the next one. A body may be longer than its length
+// says: a client may send requests ahead, but what is no request's beginning tells that the length is wrong.
 func (in *Inbound) over(ctx *fasthttp.RequestCtx, m *message, body int) (here bool) {
 	if !in.listener.Carry(ctx.Conn()) {
 		abandon(ctx)
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -86,8 +86,8 @@
 	return in, nil
 }
 
-// started has a message's body waited for until the handler can look at its length. Guards against holding back the answer
-// to what is far too long.
+// started has a message's body waited for until the handler can look at its length. The answer to what is far too long is not
+// held back.
 func started(h *fasthttp.RequestHeader) (how fasthttp.RequestConfig) {
 	if h.ContentLength() > mostBody {
 		how.MaxRequestBodySize = 1
@@ -110,8 +110,8 @@
 // Serve goes on until Stop.
 func (in *Inbound) Serve() error { return in.server.Serve(in.listener) }
 
-// guarded answers one message of the application. Guards against the end of the sidecar by one connection's
-// panic.
+// guarded answers one message of the application. One connection's panic does not end the
+// sidecar.
 func (in *Inbound) guarded(ctx *fasthttp.RequestCtx) {
 	defer func() {
 		if crash := recover(); crash != nil {
@@ -145,8 +145,8 @@
 	default:
 		in.request(ctx, m)
 	}
-	// Guards against an answer that waits in a buffer until the request that was sent ahead has its own: with a deadline of the handler's it
-	// is written at once. Set only now, since it counts from here.
+	// An answer would wait in a buffer until the request that was sent ahead has its own: with a deadline of the handler's it is written at
+	// once. It is set only now, since it counts from here.
 	if m != nil && m.more {
 		ctx.SetWriteDeadline(time.Now().Add(connlimit.LastWord))
 	}
@@ -155,8 +155,8 @@
 	}
 }
 
-// refuse answers what is no request, and closes. Guards against a client that sends more of it on the same
-// connection, and against reading the rest of what was malformed as a message.
+// refuse answers what is no request, and closes. The client can't send more of it on the same
+// connection, and the rest of what was malformed is not read as a message.
 func (in *Inbound) refuse(ctx *fasthttp.RequestCtx, status int, fault string) {
 	in.counts.Add(counters.BadInput)
 	in.log.Debug().Stringer("client", ctx.RemoteAddr()).Int("status", status).Str("reason", fault).Msg("message refused")
@@ -164,8 +164,8 @@
 	ctx.SetConnectionClose()
 }
 
-// abandon ends a connection whose client is not there. Guards against an empty 200, which fasthttp writes
-// where nothing is said, at a client that closed but its own half.
+// abandon ends a connection whose client is not there. Where nothing is said fasthttp writes an
+// empty 200, which a client that closed but its own half would take for an answer.
 func abandon(ctx *fasthttp.RequestCtx) {
 	connlimit.Plain(ctx, fasthttp.StatusBadGateway, "the client left")
 	ctx.SetConnectionClose()
@@ -256,7 +256,7 @@
 		abandon(ctx)
 		return
 	case <-taken.C:
-		// Guards against a request without an end, should the module's news never come.
+		// The request has an end here, should the module's never come.
 		if x.Fail(exchange.Overdue) {
 			in.counts.Add(counters.VisitsOverdue)
 			if x.Upload == nil { // the module knows only roughly when the time of one that came as it was sent on is up
--- a/internal/inbound/lifecycle.go
+++ b/internal/inbound/lifecycle.go
@@ -83,7 +83,7 @@
 }
 
 // drain closes idle connections as long as this turn of phase goes on: first those that have been idle for a while, so
-// that few clients find theirs closed under a request, then all. Guards against clients that hold a connection for ever.
+// that few clients find theirs closed under a request, then all. No client may hold a connection for ever.
 func (in *Inbound) drain(turn int, all time.Duration) {
 	for {
 		since, now := in.lifecycle.is()
@@ -107,7 +107,7 @@
 		return
 	}
 	go in.drain(turn, acceptFor)
-	// Guards against closing the door on a client whose connection was closed under its request a moment ago: it comes again.
+	// A client whose connection was closed under its request a moment ago comes again: it is still let in.
 	for quiet := time.Now(); ; time.Sleep(look) {
 		since, _ := in.lifecycle.is()
 		if !in.listener.Quiet() {
--- a/internal/inbound/read.go
+++ b/internal/inbound/read.go
@@ -42,8 +42,8 @@
 	body   framing.Body
 }
 
-// strictly reads a message's head again, as it came. Guards against what fasthttp forgives and a server may
-// read otherwise.
+// strictly reads a message's head again, as it came. What fasthttp forgives a server may read
+// otherwise.
 func strictly(ctx *fasthttp.RequestCtx) (m *message, err error) {
 	h := &ctx.Request.Header
 	target := framing.Origin(h.RequestURI())
@@ -102,8 +102,8 @@
 	return x, 0, ""
 }
 
-// unescaped is the name that stands in a path, where it needs to be escaped there; guards against taking for a class what a
-// server may read otherwise: one that is escaped without need stays as it is.
+// unescaped is the name that stands in a path, where it needs to be escaped there. One that is escaped without need stays as it
+// is, since a server may read it otherwise.
 func unescaped(segment string) string {
 	if name, err := url.PathUnescape(segment); err == nil && strings.EqualFold(url.PathEscape(name), segment) {
 		return name
--- a/internal/inbound/ticks.go
+++ b/internal/inbound/ticks.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// ticks wakes all who wait, now and then, by one timer for all of them. Guards against a timer of its own for each request,
-// which nearly always is stopped before it comes: most requests are answered sooner than a tick.
+// ticks wakes all who wait, now and then, by one timer for all of them. A timer for each request
+// would nearly always be stopped before it fires: most requests are answered sooner than a tick.
 type ticks struct {
 	every atomic.Int64 // nanoseconds
 	mu    sync.Mutex
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -67,7 +67,7 @@
 
 func (s *Sidecar) take(from string, text []byte) (taken *site.Manifest, out Outcome, err error) {
 	defer func() {
-		// Guards against the end of the sidecar by a configuration that nobody thought of.
+		// A configuration that nobody thought of must not end the sidecar.
 		if crash := recover(); crash != nil {
 			s.counts.Crashed(s.log, "configuration", crash)
 			err = fmt.Errorf("%s:1: it crashed over it: %v", from, crash)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -3,10 +3,8 @@
 package members
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"slices"
@@ -181,7 +179,7 @@
 	return membership.Micros(time.Since(m.start).Microseconds())
 }
 
-// turn makes one call of the node. Guards against the end of the sidecar by one message's panic.
+// turn makes one call of the node. One message's panic does not end the sidecar.
 func (m *Members) turn(call func(now membership.Micros)) {
 	var all []membership.Member
 	senders := 0
@@ -306,7 +304,7 @@
 }
 
 // foreign tells which kind of drop a datagram is, -1: none. Its rate counts for an address only once it is in a network that
-// may speak. Guards against a flood that would take this member's time.
+// may speak. A flood must not take this member's time.
 func (m *Members) foreign(from netip.Addr, msg []byte) int {
 	if !m.may(from) {
 		return 0
@@ -364,44 +362,6 @@
 	return where.String()
 }
 
-// Exchange is the node's: the whole tables, both ways, over a connection.
-func (m *Members) Exchange(with membership.Name, at membership.Address) {
-	where, ok := m.where(with, at)
-	if !ok {
-		return
-	}
-	select {
-	case m.out <- true:
-	default:
-		return
-	}
-	go func() {
-		defer func() { <-m.out }()
-		limit := m.patience()
-		c, err := net.DialTimeout("tcp", where.String(), limit)
-		if err != nil {
-			m.count("exchanges_failed")
-			return
-		}
-		defer c.Close()
-		c.SetDeadline(time.Now().Add(limit))
-		mine := m.table()
-		if err = write(c, mine); err == nil {
-			m.add("exchanged_bytes_out", len(mine))
-			err = m.merge(c, at)
-		}
-		if err != nil {
-			m.count("exchanges_failed")
-			return
-		}
-		m.count("exchanges")
-	}()
-}
-
-func (m *Members) patience() time.Duration {
-	return max(exchangeParts*time.Duration(m.terms.Every)*time.Microsecond, time.Second)
-}
-
 func (m *Members) count(what string) { m.add(what, 1) }
 
 func (m *Members) add(what string, many int) {
@@ -410,153 +370,6 @@
 	m.counts[what] += int64(many)
 }
 
-func (m *Members) table() (b []byte) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.node.Table(tableMost)
-}
-
-func (m *Members) merge(c net.Conn, from membership.Address) error {
-	msg, err := read(c, tableMost)
-	if err != nil {
-		return err
-	}
-	m.add("exchanged_bytes_in", len(msg))
-	m.turn(func(now membership.Micros) {
-		if !m.node.Merge(now, from, msg) {
-			err = errors.New("no table")
-		}
-	})
-	return err
-}
-
-func write(c io.Writer, msg []byte) error {
-	_, err := c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(msg))), msg...))
-	return err
-}
-
-// read takes one message with its length before it; the memory for it is taken as it comes.
-func read(c io.Reader, most int) ([]byte, error) {
-	var head [4]byte
-	if _, err := io.ReadFull(c, head[:]); err != nil {
-		return nil, err
-	}
-	size := int64(binary.BigEndian.Uint32(head[:]))
-	if size > int64(most) {
-		return nil, errors.New("too long")
-	}
-	b, err := io.ReadAll(io.LimitReader(c, size))
-	if err == nil && int64(len(b)) < size {
-		err = io.ErrUnexpectedEOF
-	}
-	return b, err
-}
-
-// accept takes connections: another's table, or a look at this one's.
-func (m *Members) accept() {
-	for {
-		c, err := m.listener.AcceptTCP()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			time.Sleep(time.Millisecond) // too many open files: not at once again
-			continue
-		}
-		at := c.RemoteAddr().(*net.TCPAddr).AddrPort()
-		at = netip.AddrPortFrom(at.Addr().Unmap(), at.Port())
-		if !m.may(at.Addr()) {
-			m.count("strangers")
-			c.Close()
-			continue
-		}
-		select {
-		case m.in <- true:
-		default:
-			m.count("exchanges_refused")
-			c.Close()
-			continue
-		}
-		go func() {
-			defer func() { <-m.in }()
-			defer c.Close()
-			c.SetDeadline(time.Now().Add(m.patience()))
-			m.serve(c, address(at), at.Addr())
-		}()
-	}
-}
-
-func (m *Members) serve(c net.Conn, from membership.Address, addr netip.Addr) {
-	msg, err := read(c, tableMost)
-	switch {
-	case err != nil:
-	case string(msg) == look:
-		write(c, m.spelt())
-	default:
-		if m.self.Rider != nil {
-			if reply, its := m.self.Rider.Answer(msg, addr); its {
-				write(c, reply)
-				return
-			}
-		}
-		mine := m.table()
-		ok := false
-		m.add("exchanged_bytes_in", len(msg))
-		m.turn(func(now membership.Micros) { ok = m.node.Merge(now, from, msg) })
-		if ok && write(c, mine) == nil {
-			m.add("exchanged_bytes_out", len(mine))
-		}
-	}
-}
-
-// Changed is the node's: a change of one member, for the log.
-func (m *Members) Changed(c membership.Change) {
-	m.changed = true
-	to := c.To.String()
-	if c.Way != 0 {
-		to = "cut"
-	}
-	m.counts["became_"+to]++
-	e := m.log.Info()
-	if c.To == membership.Dead || c.Way != 0 {
-		e = m.log.Warn()
-	}
-	from := c.From.String()
-	if c.From == 0 {
-		from = ""
-	}
-	e.Str("member", string(c.Name)).Str("was", from).Str("is", c.To.String()).Str("why", c.Why).Str("by", string(c.By)).Msg(to)
-}
-
-// Stands is the node's: this member's own part changed.
-func (m *Members) Stands(p membership.Part) {
-	m.log.Info().Str("part_of_all", p.String()).Msg("stands in another part")
-	if p != membership.Alone {
-		m.noSeed = false
-	}
-}
-
-// Contested is the node's: another process has this member's name.
-func (m *Members) Contested(at membership.Address, away bool) {
-	m.counts["name_contested"]++
-	if away {
-		m.log.Error().Str("other", spell(at)).Msgf("the name %s is held by %s: this sidecar is no member, and asks again later", m.self.Name, spell(at))
-		return
-	}
-	m.log.Warn().Str("other", spell(at)).Msgf("%s claims the name %s too; it was told that it is held here", spell(at), m.self.Name)
-}
-
-// Stood is the node's: this member stood still.
-func (m *Members) Stood(span membership.Micros, asked bool) {
-	m.counts["stood_still"]++
-	if asked {
-		m.log.Warn().Int64("for_us", int64(span)).Msg("stood still; accuses nobody for it, and asks for news")
-	}
-}
-
-// Refused is the node's: a message was passed over.
-func (m *Members) Refused(kind string, _ membership.Address) { m.counts[kind]++ }
-
 // Leave says that this sidecar goes for good. Hand gives the address to a new process of the same sidecar, without a word.
 func (m *Members) Leave() { m.close(true) }
 func (m *Members) Hand()  { m.close(false) }
--- a/internal/notes/notes.go
+++ b/internal/notes/notes.go
@@ -32,8 +32,8 @@
 	return to
 }
 
-// Read takes a message apart; ok is false where it is not of this form. Only a quote may be infinite. Guards against a figure
-// that, once added, stays in the books for ever.
+// Read takes a message apart; ok is false where it is not of this form. Only a quote may be infinite. Any other infinite
+// figure would, once added, stay in the sums for ever.
 func Read(msg []byte) (kind brain.MessageKind, about brain.ServerID, figures []float64, ok bool) {
 	if len(msg) < head || len(msg)%2 != head%2 {
 		return 0, 0, nil, false
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -30,8 +30,8 @@
 }
 
 // answer reads a whole answer, or as much of a long one as tells that it is long; others ahead of it that only inform are
-// passed over. Guards against delivering what the server did not mean: what is not proven well-formed is spoilt, as soon as
-// that shows.
+// passed over. What is not proven well-formed is spoilt, as soon as that shows: the server may not have meant
+// it.
 func (o *Outbound) answer(l *conn, until time.Time) (*reply, error) {
 	for passed := 0; ; {
 		head, err := l.head(exchange.MostHead - passed)
@@ -82,7 +82,7 @@
 	case body.Chunked:
 		from, r.Size = &chunked{l: l}, -1
 	case body.Length < 0:
-		if !r.closes { // guards against one that forgot its length and stays: most of these are late, no delivery without end
+		if !r.closes { // the server forgot its length and stays: most of these are late, no success without an end
 			if hold = time.Now().Add(heldBack); hold.After(until) {
 				hold = until
 			}
@@ -97,7 +97,7 @@
 	if from != nil && o.taken.Load() > int64(o.room/crowdedPart) {
 		size /= 4 // where many are held, each is held for less
 	}
-	// Guards against the memory's end by many answers: what may come has its room first.
+	// What may come has its room first, so many answers do not use up the memory.
 	defer o.taken.Add(-int64(size))
 	if o.taken.Add(int64(size)) > int64(o.room) {
 		return errNoRoom
--- a/internal/outbound/body.go
+++ b/internal/outbound/body.go
@@ -109,8 +109,8 @@
 	return came, err
 }
 
-// line looks at the next line, without its end. It waits for more only where what has come holds no whole line: guards
-// against holding back a chunk until something follows it.
+// line looks at the next line, without its end. It waits for more only where what has come holds no whole line: a chunk
+// must not be held back until something follows it.
 func (b *chunked) line() ([]byte, error) {
 	for {
 		came, _ := b.l.in.Peek(b.l.in.Buffered())
--- a/internal/outbound/failure.go
+++ b/internal/outbound/failure.go
@@ -46,10 +46,10 @@
 
 func (f *Failure) Unwrap() error { return f.Cause }
 
-// Result is what the module hears of an attempt that ended so. Guards against calling unrun what may have run:
-// only an attempt whose last byte was never written, or that the server itself calls unseen, counts as that. A spoilt
-// answer is an error and no reset; guards against a server that sits out, its idle connections closed, and a free
-// retry, for an answer that any server may spoil.
+// Result is what the module hears of an attempt that ended so. Only an attempt whose last byte was never
+// written, or that the server itself calls unseen, counts as one that never ran. A spoilt
+// answer is an error and no reset: a reset would eject the server, close its idle connections and draw a free
+// retry, and any server may spoil an answer.
 func Result(err error) brain.Result {
 	var f *Failure
 	off := errors.Is(err, errCalledOff)
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -103,8 +103,8 @@
 	return min(whole, brain.Micros(time.Since(attempt.wrote)/time.Microsecond))
 }
 
-// CancelUnsent keeps an attempt from being sent if it is not yet. Guards against a send after the request's end by a
-// connection that comes up late. One that was sent goes on.
+// CancelUnsent keeps an attempt from being sent if it is not yet. A connection that comes up late must not send
+// after the request's end. One that was sent goes on.
 func (attempt *Attempt) CancelUnsent() { attempt.off() }
 
 // Cancel stops waiting; the connection is closed.
@@ -152,7 +152,7 @@
 	var load []float64
 	err := error(&Failure{Progress: Sent, Cause: fmt.Errorf("crashed")})
 	defer func() {
-		// Guards against a request that hangs, and a sidecar that dies, by one attempt's panic.
+		// One attempt's panic must neither leave its request hanging nor end the sidecar.
 		if crash := recover(); crash != nil {
 			o.counts.Crashed(o.log, "backend fetch", crash)
 		}
@@ -219,8 +219,8 @@
 }
 
 // over sends an attempt on a connection and reads the whole answer. The connection is kept or closed. What the server is told of the time
-// is what is left just before the first byte: guards against a server that works for a client that has gone, where the connection
-// came up late.
+// is what is left just before the first byte: where the connection came up late, the server would else work for a client
+// that has gone.
 func (o *Outbound) over(attempt *Attempt, server brain.ServerID, l *conn, until time.Time, x *exchange.Exchange) (a *exchange.Answer,
 	load []float64, err error) {
 	keep, handed := false, false
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -74,9 +74,8 @@
 // settles is how long a server's last word may be late: some milliseconds, by the platform's page.
 const settles = 3 * time.Millisecond
 
-// take finds an idle connection. Guards against writing to one that the server has closed, or is about to close; and against
-// a second answer some milliseconds after the first, which the next request would get for its own: it shows on a connection that
-// had time to settle, which is waited for.
+// take finds an idle connection. It gives none that the server has closed, or is about to close. A second answer some milliseconds
+// after the first, which the next request would get for its own, shows on a connection that had time to settle: that is waited for.
 func (p *pool) take(server brain.ServerID, address string) *conn {
 	for {
 		l := p.next(server)
@@ -119,7 +118,7 @@
 	return l
 }
 
-// room books a new connection. Guards against running out of descriptors: at the bound the longest idle goes.
+// room books a new connection. At the bound the one that is idle for longest goes, so descriptors do not run out.
 func (p *pool) room() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/outbound/report.go
+++ b/internal/outbound/report.go
@@ -11,8 +11,8 @@
 var others = map[string]string{"concurrent": "inflight", "depth": "queue", "load_share": "util", "mean_ms": "latency_ms",
 	"tps": "qps", "err_ps": "eps"}
 
-// report reads a server's load report. Guards against an answer that is lost for a report that can't be read, and
-// against decisions by half of one: it is passed over, and counted.
+// report reads a server's load report. One that can't be read is passed over whole and counted:
+// the answer is not lost for it, and no decision goes by half of one.
 func (o *Outbound) report(text []byte) (load []float64) {
 	names := *o.loads.Load()
 	var told map[string]float64
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -32,7 +32,7 @@
 	once  sync.Once
 }
 
-// Read reads a piece. What it is short of is an error, never io.EOF: guards against passing on as whole what is not.
+// Read reads a piece. What it is short of is an error, never io.EOF: what is not whole must not be passed on as whole.
 func (s *stream) Read(p []byte) (n int, err error) {
 	s.l.until = time.Now().Add(stalled)
 	s.l.SetReadDeadline(s.l.until)
@@ -62,8 +62,8 @@
 }
 
 // begin reads a body of unknown length until it is whole, or long, or has kept its reader waiting for so long; then the rest
-// comes by a stream. By the last moment it is late. Guards against holding back what the client could have, and against
-// giving up a retry for an answer that is short.
+// comes by a stream. By the last moment it is late. What the client could have is not held back, and no
+// retry is given up for an answer that is short.
 func (l *conn) begin(body io.Reader, most int, hold, last time.Time) (first []byte, whole bool, err error) {
 	first = make([]byte, 0, 4<<10)
 	l.SetReadDeadline(hold)
--- a/internal/outbound/workers.go
+++ b/internal/outbound/workers.go
@@ -4,8 +4,8 @@
 
 const restless = time.Second // a goroutine that has had nothing to do for so long, or half of it, ends
 
-// workers runs jobs on goroutines that are used again. Guards against a stack that grows anew for every attempt, and
-// against goroutines that stay for ever after a burst.
+// workers runs jobs on goroutines that are used again. Their stacks need not grow anew for every attempt, and
+// after a burst they end.
 type workers chan func()
 
 func (c workers) do(job func()) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// one takes a datagram. Guards against strangers and garbage: both are passed over and counted.
+// one takes a datagram. What comes from strangers, and garbage, is passed over and counted.
 func (p *Peers) one(msg []byte, from netip.AddrPort,
 	heard func(brain.Peer, brain.MessageKind, brain.ServerID, []float64)) {
 	defer func() {
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -52,7 +52,7 @@
 func (r *Relay) Wake(in brain.Micros, t brain.Token) {
 	r.at(r.now+max(in, 1), func() {
 		defer func() {
-			// Guards against a beat that never comes again after a panic.
+			// After a panic the beat would never come again.
 			if crash := recover(); crash != nil {
 				r.Wake(in, t)
 				panic(crash)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,7 +24,7 @@
 const (
 	sweepParts = 20      // idle connections are looked through so often in the time they may stand
 	listPart   = 32      // an answer of discovery may take this part of the memory,
-	listLeast  = 1 << 20 // or so many bytes, if that is more: guards against a fleet's list that a small sidecar refuses
+	listLeast  = 1 << 20 // or so many bytes, if that is more: a small sidecar must not refuse a large fleet's list
 	rounds     = 4       // of giving way to those who read, after standing still
 
 	lateLeast brain.Micros = 10_000 // what is due is late from then on
@@ -166,8 +166,8 @@
 	}
 }
 
-// catchUp hears first what came while the sidecar itself did not run, where what is due is late. Guards against
-// calling servers silent whose answers wait here, and turning requests away for it: a sidecar that has used up its
+// catchUp hears first what came while the sidecar itself did not run, where what is due is late. Else
+// servers would be called silent whose answers wait here, and requests rejected for it: a sidecar that has used up its
 // part of the core stands still for hundreds of milliseconds.
 func (r *Relay) catchUp() {
 	at, ok := r.timers.First()
@@ -185,8 +185,8 @@
 // post hands an event to the one goroutine that calls the module.
 func (r *Relay) post(event func()) { r.events <- event }
 
-// turn is one call of the module and what it asked for. Guards against the end of the sidecar, and of all
-// requests it holds, by one event's panic.
+// turn is one call of the module and what it asked for. One event's panic ends neither the sidecar nor
+// the requests that it holds.
 func (r *Relay) turn(event func()) {
 	r.now = r.clock.now()
 	r.guarded(event)
@@ -217,8 +217,8 @@
 	do()
 }
 
-// orFail makes a call for a request. Guards against a request that is held, with nobody left to answer it,
-// after a panic in the call: it gets an error page at once.
+// orFail makes a call for a request. After a panic in the call nobody is left to answer it, so it fails
+// at once.
 func (r *Relay) orFail(request *request, call func()) {
 	defer func() {
 		if crash := recover(); crash != nil {
@@ -258,8 +258,8 @@
 // Listed is closed once discovery has told a list.
 func (r *Relay) Listed() <-chan struct{} { return r.listed }
 
-// hear takes an answer of discovery, ahead of the mail. Guards against requests sent to servers that it has leaving, while it waits
-// behind hundreds of events on a thin part of a core.
+// hear takes an answer of discovery, ahead of the mail. On a thin part of a core it would wait behind hundreds of events, while
+// requests go to servers that it has leaving.
 func (r *Relay) hear(l *discovery.List) { r.calls <- func() { r.list(l) } }
 
 // list hears discovery; nil: a call failed.
@@ -296,7 +296,7 @@
 	}
 	r.balancer.ListEnds(r.now)
 	r.recall(func(id brain.ServerID) bool { return leaving[id] })
-	// Guards against keeping every server there ever was, and connections to a machine that others now have.
+	// Not every server there ever was is kept, nor connections to a machine that others now have.
 	for id, left := range gone {
 		if left {
 			delete(r.servers, id)
--- a/internal/relay/requests.go
+++ b/internal/relay/requests.go
@@ -9,23 +9,23 @@
 	"ledgespread/internal/outbound"
 )
 
-// Take takes a request in; its answer comes by the exchange object. Its time runs from now on, and not from the module's turn: guards
-// against time that is counted twice, where the module stood still in between.
+// Take takes a request in; its answer comes by the exchange object. Its time runs from now on, and not from the module's turn:
+// where the module stood still in between it would be counted twice.
 func (r *Relay) Take(x *exchange.Exchange) {
 	came := r.clock.now()
 	r.post(func() {
 		if x.Over() { // its client left while it waited for the module's turn
 			return
 		}
-		// Guards against a stranger who gets another client's answer, and a server that sees a second copy. A name
-		// is new with every request, so it is still taken until its request's time is up, also once that is answered.
+		// A stranger would get another client's answer, or a server see a second copy. An id is new with every request, so it is still taken
+		// until its request's time is up, also once that is answered.
 		if r.names.taken(x.RequestID, r.now) || r.longNames[x.RequestID] {
 			r.counts.Add(counters.VisitsTwice)
 			r.logRefused(x.RequestID, reasonTwice)
 			x.Fail(exchange.DuplicateID)
 			return
 		}
-		// Guards against more requests than there are sockets for: nothing of this one has run.
+		// There are sockets for so many only. Nothing of this one has run.
 		if r.held >= r.mostHeld {
 			r.counts.Add(counters.VisitsOverHeld)
 			r.logRefused(x.RequestID, reasonHeld)
@@ -129,7 +129,7 @@
 }
 
 // before is when a further attempt is to be on its way: a keyed request's that may have run goes out within its window. The module
-// looks when it asks for the attempt; guards against a connection that comes up later than that.
+// looks when it asks for the attempt, and the connection may come up later than that.
 func (r *Relay) before(request *request) (by time.Time) {
 	window := request.class.keyWindow
 	if window == 0 {
--- a/internal/relay/takeout.go
+++ b/internal/relay/takeout.go
@@ -49,8 +49,8 @@
 }
 
 // recall calls off the attempts to servers that are leaving, by staff's word or the list's, where nothing is written yet; they
-// never ran there. Guards against a connection that comes up late, and a goroutine that waits for its part of the core: what
-// they write would be new to a server that takes nothing new.
+// never ran there. What a connection that comes up late writes, or a goroutine that waited for its part of the core,
+// would be new to a server that takes nothing new.
 func (r *Relay) recall(leaving func(brain.ServerID) bool) {
 	for _, request := range r.requests {
 		for _, attempt := range request.attempts {
--- a/internal/relay/tuning.go
+++ b/internal/relay/tuning.go
@@ -67,7 +67,7 @@
 }
 
 // tighten has what became stricter count for requests that are out, and calls off what is not yet written of their further attempts:
-// the module decides again. Guards against one that was asked for by the old terms, and goes out when its connection is up.
+// the module decides again. One that was asked for by the old terms must not go out when its connection is up.
 func (r *Relay) tighten() {
 	stricter := map[*class]bool{}
 	for _, request := range r.requests {
--- a/internal/rollouts/content.go
+++ b/internal/rollouts/content.go
@@ -43,7 +43,7 @@
 // not do for a start, or needs one, is an error with the name, the line and the reason.
 func (o *Overlay) Read(from string, text []byte) (path rollout.Path, whole []byte, err error) {
 	defer func() {
-		// Guards against the end of the sidecar by a configuration that nobody thought of.
+		// A configuration that nobody thought of must not end the sidecar.
 		if crash := recover(); crash != nil {
 			err = fmt.Errorf("%s:1: it crashed over it: %v", from, crash)
 		}
--- a/internal/rollouts/store.go
+++ b/internal/rollouts/store.go
@@ -62,8 +62,8 @@
 	return filepath.Join(s.folder, fmt.Sprintf("ledgespread-%x.%s", s.sidecar, kind))
 }
 
-// write replaces a file whole: it is there, with its name, once this returns without an error. Guards against half a file after a crash, and
-// against a number that was said to hold and is forgotten.
+// write replaces a file whole: it is there, with its name, once this returns without an error. After a crash there is no half a file, and
+// no number that was said to hold is forgotten.
 func (s store) write(kind string, r record) (err error) {
 	r.Form, r.Sidecar, r.Digest = form, s.sidecar, Spell(r.is.Digest)
 	line, err := json.Marshal(r)
--- /dev/null
+++ b/internal/sizes_test.go
@@ -0,0 +1,83 @@
+package internal_test
+
+import (
+	"bytes"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const (
+	mostFileLines     = 400
+	mostFunctionLines = 60
+)
+
+// longFunctions are those that may be longer, each with its reason.
+var longFunctions = map[string]string{
+	"decide/membership/receive.go hear":   "one case for each kind of message, in the order of the page that describes them",
+	"simwire/simwire.go event":            "one case for each kind of record, in the order of the wire's page",
+	"internal/inbound/inbound.go request": "to be split: it waits for four ends at once, and each shares what the others settle",
+	"internal/outbound/outbound.go over":  "to be split: from the first byte to the last, what has been written decides what a failure means",
+	"decide/failover/reports.go States":   "to be split with the matter that it belongs to, which is only begun",
+}
+
+// Files of the sidecar and its decisions stay within a reader's grasp. A function that is longer has a reason above; a reason for one that is
+// not longer any more has to go.
+func TestFileSizes(t *testing.T) {
+	var got, want []string
+	for function := range longFunctions {
+		want = append(want, "function "+function)
+	}
+	for _, folder := range []string{"brain", "decide", "internal", "cmd", "simwire", "strict"} {
+		err := filepath.WalkDir(filepath.Join("..", folder), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			got = append(got, tooLong(t, strings.TrimPrefix(path, "../"), text)...)
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	slices.Sort(got)
+	slices.Sort(want)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("-with a reason +too long:\n%s", diff)
+	}
+}
+
+// tooLong names the file, and its functions, that are.
+func tooLong(t *testing.T, path string, text []byte) (long []string) {
+	if lines := bytes.Count(text, []byte("\n")); lines > mostFileLines {
+		long = append(long, fmt.Sprintf("file %s: %d lines", path, lines))
+	}
+	places := token.NewFileSet()
+	file, err := parser.ParseFile(places, path, text, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, declaration := range file.Decls {
+		function, is := declaration.(*ast.FuncDecl)
+		if !is || function.Body == nil {
+			continue
+		}
+		if lines := places.Position(function.End()).Line - places.Position(function.Pos()).Line + 1; lines > mostFunctionLines {
+			long = append(long, "function "+path+" "+function.Name.Name)
+		}
+	}
+	return long
+}
--- a/lab/clients/clients.go
+++ b/lab/clients/clients.go
@@ -1,5 +1,5 @@
 // Package clients sends a plan's visits to sidecars, open-loop: a visit is sent when it is due, whatever became of those
-// before it, and its latency counts from then. Guards against a load that waits politely for a slow sidecar and so
+// before it, and its latency counts from then. This prevents a load that waits politely for a slow sidecar and so
 // never sees how slow it is (coordinated omission).
 package clients
 
--- a/lab/clock/clock.go
+++ b/lab/clock/clock.go
@@ -1,7 +1,7 @@
 // Package clock is the one place where the lab reads a clock, and the one thread that wakes it.
 //
 // All accounts of a run (backends, list, clients) are written in microseconds of the same Clock, so that what two
-// stand-ins saw can be compared. Guards against proofs that compare two clocks.
+// stand-ins saw can be compared. This prevents proofs that compare two clocks.
 package clock
 
 import (
@@ -36,6 +36,16 @@
 // Wall is the Unix time, in milliseconds, of a time of this clock: what a list tells as born_ms.
 func (c *Clock) Wall(at Micros) int64 { return c.begun.Add(at.Duration()).UnixMilli() }
 
+// Stopped tells whether a run is to end early.
+func Stopped(stop <-chan struct{}) bool {
+	select {
+	case <-stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // nap bounds one sleep of the waking thread, and so how late an alarm that is set meanwhile may be.
 const nap = 200 * time.Microsecond
 
--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -333,7 +333,7 @@
 	case effect == "read_like" && c.now("after", seldom):
 		go func() {
 			time.Sleep(longAfter)
-			// Guards against breaking another rule as well: the server that was picked may have been told to leave since.
+			// This prevents breaking another rule as well: the server that was picked may have been told to leave since.
 			if to := c.pick(nil, false); to != nil {
 				c.fetch(r, body, to, left, client)
 			}
--- a/lab/hollow/sidecar.go
+++ b/lab/hollow/sidecar.go
@@ -324,7 +324,7 @@
 	}
 }
 
-// At is an address of this process alone, for a sidecar's number and a purpose of its own. Guards against ports that another run takes.
+// At is an address of this process alone, for a sidecar's number and a purpose of its own. This prevents ports that another run takes.
 func At(run, purpose, i int, pid int) netip.AddrPort {
 	const perPort = 250
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte(pid >> 7), byte(1 + i%perPort)}),
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -161,7 +161,7 @@
 const settling = clock.Second / 2
 
 // stoodStill tells whether the machine's standing still for the lab accounts for an overrun: by what it stood in all, and half a
-// second more. Guards against an excuse for all that comes after, such as sends to a server that drained seconds ago.
+// second more. This prevents an excuse for all that comes after, such as sends to a server that drained seconds ago.
 func (c *court) stoodStill(limit, when Micros) bool {
 	stood := Micros(0)
 	for _, s := range c.Still {
--- a/lab/list/list.go
+++ b/lab/list/list.go
@@ -73,6 +73,9 @@
 	Late   Micros  // an answer is written up to so long after it is due, each by its own chance
 }
 
+// longestHold is how long a call is held at the most, in milliseconds.
+const longestHold = 60_000
+
 // longestQueue is how long a call waits for its turn at the most.
 const longestQueue = 2 * clock.Second
 
@@ -244,7 +247,6 @@
 	from, err := strconv.Atoi(q.URL.Query().Get("from"))
 	watches := err == nil
 	hold, _ := strconv.Atoi(q.URL.Query().Get("hold_ms"))
-	until := time.After(time.Duration(min(hold, 60_000)) * time.Millisecond)
 	l.mu.Lock()
 	l.Calls++
 	call := &Call{Reader: r.name, Address: r.at, Began: l.clock.Now(), Ended: -1}
@@ -271,17 +273,8 @@
 		l.sleepUntil(free)
 		l.mu.Lock()
 	}
-	for waited := false; !l.down && watches && from >= l.seq && hold > 0 && !waited; {
-		news := l.news
-		l.mu.Unlock()
-		select {
-		case <-news:
-		case <-until:
-			waited = true
-		case <-q.Context().Done():
-			waited = true
-		}
-		l.mu.Lock()
+	if watches && hold > 0 {
+		l.holdCall(q, from, time.Duration(min(hold, longestHold))*time.Millisecond)
 	}
 	if late > 0 && !l.down { // others are answered meanwhile
 		until := l.clock.Now() + late
@@ -314,6 +307,28 @@
 	l.told = append(l.told, Told{r.name, seq, l.clock.Now(), call.Began})
 }
 
+// holdCall waits until there is something newer than a version, or the hold is over, or the reader ends the call. The lock is held, and given up
+// meanwhile.
+func (l *List) holdCall(q *http.Request, from int, hold time.Duration) {
+	over := time.After(hold)
+	for !l.down && from >= l.seq {
+		news := l.news
+		l.mu.Unlock()
+		ended := false
+		select {
+		case <-news:
+		case <-over:
+			ended = true
+		case <-q.Context().Done():
+			ended = true
+		}
+		l.mu.Lock()
+		if ended {
+			return
+		}
+	}
+}
+
 func refuse(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -314,7 +314,7 @@
 		case time.Since(begun) > most:
 			return took, fmt.Errorf("after %v %d hollow sidecars of %d do not hold the others as they are; %s holds %d alive", most, len(open), len(f.hollow),
 				hollow.Name(open[0].Number), open[0].Holds())
-		case stopped(f.o.Stop):
+		case clock.Stopped(f.o.Stop):
 			return took, errStopped
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -404,15 +404,6 @@
 
 var errStopped = errors.New("stopped before its end")
 
-func stopped(stop <-chan struct{}) bool {
-	select {
-	case <-stop:
-		return true
-	default:
-		return false
-	}
-}
-
 // wait sleeps, unless the run is stopped.
 func (f *fleet) wait(span time.Duration) error {
 	select {
--- /dev/null
+++ b/lab/scale/slopes.go
@@ -0,0 +1,236 @@
+package scale
+
+// slopes.go: slopes through what was measured, and the prediction of the largest size.
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"ledgespread/lab/size"
+)
+
+// about tells of each figure what it is.
+type about struct {
+	name, unit, what, account string
+	of                        []string
+	claimed                   bool // its prediction is
+	at                        func(size.At) bool
+}
+
+func thin(at size.At) bool { return at["servers"] < at["sidecars"] }
+
+// slopes are all that a run fits, in the order of the report.
+func (g *rig) slopes() (all []about) {
+	add := func(x ...about) { all = append(all, x...) }
+	wide := []string{"visits_per_s", "sidecars", "servers"}
+	for _, way := range []string{"bytes_out", "bytes_in", "messages_out", "messages_in"} {
+		unit := map[bool]string{true: "B/s", false: "1/s"}[strings.HasPrefix(way, "bytes")]
+		add(g.peers(way, unit, wide),
+			about{"sockets.peers." + way, unit, "the same on sockets, hollow ones beside real ones", receivers, []string{"visits_per_s"}, false, thin},
+			about{"tenants." + way, unit, "what sidecars tell of tenants, a sidecar", simulated, []string{"tenants"}, false, nil},
+			about{"ledger." + way, unit, "the one sidecar that keeps the tenants' totals", simulated, []string{"sidecars", "sidecars*tenants"}, true, nil},
+			g.owner(way, unit),
+			about{"membership." + way, unit, "who is there, a sidecar, datagrams and full exchanges, when all are acquainted", simulated, []string{"sidecars"}, strings.HasSuffix(way, "_out"), nil},
+			about{"sockets.membership." + way, unit, "the same on sockets, at sizes at which the news of who joined had faded", "members' own counters, heads added", []string{"sidecars"}, false, nil},
+			about{"list." + way, unit, "calls of the list's service when nothing changes, a sidecar: bytes of heads and bodies, no headers of TCP", "the list's service's", []string{"sidecars"}, way == "messages_out", nil})
+	}
+	add(about{size.ServiceNow, "1/s", "calls of the list's service, calm", "the list's service's", []string{"sidecars"}, true, nil},
+		about{size.ServiceOut, "B/s", "bytes that the list's service answers, calm", "the list's service's", []string{"sidecars"}, false, nil},
+		about{size.ControlCPU, "core", "processor time of real ones for all but visits: what they use without one, and their messages, by least squares over the processes", rusage, []string{"visits_per_s"}, false, nil},
+		about{size.Owner + ".cpu", "core", "the same of the sidecar with most messages between sidecars, by their number at the receivers and what one costs", rusage, []string{"visits_per_s"}, false, nil},
+		about{size.Ledger + ".cpu", "core", "the same of the sidecar with most messages of tenants", rusage, []string{"visits_per_s"}, false, nil},
+		about{size.Owner + ".memory_mb", "MB", "resident memory of the largest real one at work, owners of servers among them", rusage, []string{"visits_per_s", "sidecars", "servers"}, false, nil},
+		about{size.Ledger + ".memory_mb", "MB", "the same: no real one need be the ledger, which holds two figures a tenant more", rusage, []string{"visits_per_s", "sidecars", "servers"}, false, nil},
+		about{"control.cpu_over_silent", "core", "processor time of real ones that are members and tell others, over those that are neither, at the same visits; these send second copies, which costs them more", rusage, []string{"visits_per_s", "sidecars"}, false, nil},
+		about{"control.cpu_by_rate", "core", "the same where sidecars of different rates stand side by side", rusage, []string{"visits_per_s"}, false, nil},
+		about{size.VisitCPU, "us", "processor time a visit of real ones that tell others nothing, side by side at different rates", rusage, []string{"visits_per_s"}, false, nil},
+		about{"process.cpu", "core", "processor time of real ones, all included", rusage, []string{"visits_per_s", "sidecars"}, false, nil},
+		about{size.Memory, "MB", "resident memory of real ones at work", rusage, []string{"visits_per_s", "sidecars", "servers"}, false, nil},
+		about{"memory.idle_mb", "MB", "resident memory of real ones before the first visit", rusage, []string{"sidecars", "servers"}, false, nil},
+		about{size.Descriptor, "1", "files and sockets open of real ones at work", rusage, []string{"visits_per_s", "servers"}, false, nil},
+		about{"hollow.memory_mb", "MB", "memory of the lab's process for each hollow sidecar", rusage, []string{"sidecars"}, false, nil})
+	return all
+}
+
+// fullFrom is a rate of visits from which on the bound decides how much is told, and no longer the visits: several questions of the module for each exchange that it allows.
+const fullFrom = 100
+
+func full(at size.At) bool { return thin(at) && at["visits_per_s"] >= fullFrom }
+
+// peers is the slope of what a sidecar tells others of servers.
+func (g *rig) peers(way, unit string, wide []string) about {
+	if g.Bound > 0 {
+		return about{"peers." + way, unit, fmt.Sprintf("what sidecars tell each other of servers, a sidecar, where its bound decides and no longer its visits: the mean of the sizes from %d visits/s on", fullFrom),
+			simulated, nil, false, full}
+	}
+	return about{"peers." + way, unit, "what sidecars tell each other of servers, a sidecar, where it has fewer servers than there are sidecars", simulated, wide, true, thin}
+}
+
+// owner is the slope of a sidecar that owns servers' counts.
+func (g *rig) owner(way, unit string) about {
+	if g.Bound > 0 {
+		return about{"owner." + way, unit, "the most loaded sidecar, an owner of several servers, where its bound decides and no longer its visits", simulated, nil, false, full}
+	}
+	return about{"owner." + way, unit, fmt.Sprintf("one that owns one server's count, of %d in the list; with n servers its part of all is so much less or more", g.ownedOf()), simulated,
+		[]string{"visits_per_s", "visits_per_s*sidecars"}, true, func(at size.At) bool { return thin(at) && int(at["servers"]) == g.ownedOf() }}
+}
+
+// ownedOf is the number of servers at which owners are compared: that of the most simulated sizes.
+func (g *rig) ownedOf() int {
+	counts, best := map[int]int{}, 0
+	for _, z := range g.Sim {
+		if counts[z.Servers]++; counts[z.Servers] > counts[best] {
+			best = z.Servers
+		}
+	}
+	return best
+}
+
+// predict fits what there is, and writes down what the largest size will be.
+func (g *rig) predict(onSockets Size) error {
+	for _, x := range g.slopes() {
+		points := g.points[x.name]
+		if x.at != nil {
+			points = slices.DeleteFunc(slices.Clone(points), func(p size.Point) bool { return !x.at(p.At) })
+		}
+		if len(points) == 0 {
+			continue
+		}
+		s := size.Slope{Name: x.name, Unit: x.unit, What: x.what, Account: x.account, Points: points}
+		// Fewer variables where the points don't tell them apart; a slope that goes by none is a mean.
+		for of := varied(points, x.of); ; of = of[:len(of)-1] {
+			var err error
+			if s.Coefficient, s.Error, err = fit(points, of); err == nil {
+				s.Of = of
+				break
+			}
+			if len(of) == 0 {
+				break
+			}
+		}
+		if s.Of == nil {
+			s.Of = []string{}
+		}
+		if s.Coefficient == nil {
+			continue
+		}
+		largest := onSockets.at()
+		if n := len(g.Sim); n > 0 && x.account == simulated {
+			largest = g.Sim[n-1].at()
+		}
+		if len(points[0].At) == 1 { // membership goes by nothing else
+			largest = size.At{"sidecars": largest["sidecars"]}
+		}
+		if x.at == nil || x.at(largest) {
+			if g.o.Break == "wrong-slope" {
+				for name := range s.Coefficient {
+					s.Coefficient[name] *= wrongTimes
+				}
+			}
+			value, deviation, err := s.Predict(largest)
+			if err != nil {
+				return err
+			}
+			s.Largest = &size.Largest{At: largest, Predicted: value, Error: deviation}
+		}
+		g.report.Slopes = append(g.report.Slopes, s)
+	}
+	return nil
+}
+
+// fit draws the line; through points that go by nothing, their mean.
+func fit(points []size.Point, of []string) (coefficient, deviation map[string]float64, err error) {
+	if len(of) > 0 {
+		return size.Fit(points, of)
+	}
+	sum, square, n := 0.0, 0.0, float64(len(points))
+	for _, p := range points {
+		sum += p.Mean
+	}
+	for _, p := range points {
+		square += (p.Mean - sum/n) * (p.Mean - sum/n)
+	}
+	return map[string]float64{size.Const: sum / n}, map[string]float64{size.Const: math.Sqrt(square / max(n-1, 1) / n)}, nil
+}
+
+// varied are the variables that differ among the points.
+func varied(points []size.Point, of []string) (out []string) {
+	for _, name := range of {
+		values := map[string]bool{}
+		for _, p := range points {
+			x := 1.0
+			for part := range strings.SplitSeq(name, "*") {
+				x *= p.At[part]
+			}
+			values[fmt.Sprint(x)] = true
+		}
+		if len(values) > 1 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// fill puts what the largest sizes measured beside what was predicted, and real figures beside simulated ones.
+func (g *rig) fill() {
+	for i := range g.report.Slopes {
+		s := &g.report.Slopes[i]
+		if s.Largest != nil {
+			found, fitted := false, len(s.Points)
+			for _, p := range g.points[s.Name] {
+				if slices.ContainsFunc(s.Points[:fitted], func(q size.Point) bool { return same(p.At, q.At) }) || g.passed(s.Name, p.At) {
+					continue
+				}
+				if s.Points = append(s.Points, p); same(p.At, s.Largest.At) && !found {
+					s.Largest.Measured, found = p.Mean, true
+				}
+			}
+			if !found { // it could not be measured there
+				s.Largest = nil
+			}
+		}
+		if s.Account == simulated {
+			for k, p := range s.Points {
+				for _, beside := range g.points["sockets."+s.Name] {
+					if same(p.At, beside.At) {
+						s.Points[k].Real = beside.Mean
+					}
+				}
+			}
+		}
+	}
+}
+
+// thick books what sidecars tell each other where servers are as many as they: another figure than that of the slopes, which changes
+// in kind there.
+func (g *rig) thick() {
+	for _, name := range []string{"peers.bytes_out", "peers.messages_out"} {
+		for _, p := range g.points[name] {
+			if !thin(p.At) {
+				g.report.Events = append(g.report.Events, size.Event{Name: name + ".as_many_servers", Account: simulated, At: p.At, Unit: map[bool]string{true: "B/s", false: "1/s"}[name == "peers.bytes_out"],
+					What: "what a sidecar tells others of servers, where servers are as many as sidecars", Median: p.Mean, Last: max(p.Most, p.Mean), N: int(p.At["sidecars"])})
+			}
+		}
+	}
+}
+
+// passed tells whether a slope is not of this place.
+func (g *rig) passed(name string, at size.At) bool {
+	for _, x := range g.slopes() {
+		if x.name == name {
+			return x.at != nil && !x.at(at)
+		}
+	}
+	return false
+}
+
+func same(a, b size.At) bool {
+	for name, x := range a {
+		if b[name] != x {
+			return false
+		}
+	}
+	return len(a) == len(b)
+}
--- a/lab/sidecars/sidecars.go
+++ b/lab/sidecars/sidecars.go
@@ -104,7 +104,7 @@
 var taken atomic.Uint64
 
 // Free is a loopback address that nothing listens at, by now. It lies below the ports that the kernel gives out by itself.
-// Guards against a list service or a backend that gets the address before its sidecar does, and answers in its place.
+// This prevents a list service or a backend that gets the address before its sidecar does, and answers in its place.
 func Free() (string, error) {
 	low, high := uint64(10_000), uint64(32_768)
 	if text, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
--- a/lab/size/report.go
+++ b/lab/size/report.go
@@ -164,7 +164,7 @@
 }
 
 // ReadReport reads a file of measurements strictly: an unknown name, a wrong type or an impossible value is an error with
-// the file, the line and the name. Guards against a figure that stands on the page since it was misspelt in the file.
+// the file, the line and the name. This prevents a figure that stands on the page since it was misspelt in the file.
 func ReadReport(file string) (*Report, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -74,7 +74,7 @@
 	var mu sync.Mutex
 	for seed := o.From; seed <= o.To; seed++ {
 		places <- struct{}{}
-		if stopped(o.Stop) {
+		if clock.Stopped(o.Stop) {
 			err = stage.ErrStopped
 			break
 		}
@@ -95,15 +95,6 @@
 	return outcomes, err
 }
 
-func stopped(stop <-chan struct{}) bool {
-	select {
-	case <-stop:
-		return true
-	default:
-		return false
-	}
-}
-
 // day plays one.
 func (o *Options) day(seed uint64) *Outcome {
 	outcome := &Outcome{Seed: seed}
--- a/lab/stage/members.go
+++ b/lab/stage/members.go
@@ -28,7 +28,7 @@
 // rigs numbers those of this process, so that no two have an address in common.
 var rigs atomic.Int64
 
-// own is a loopback address of this process and rig alone. Guards against ports that another process takes meanwhile.
+// own is a loopback address of this process and rig alone. This prevents ports that another process takes meanwhile.
 func own(rig int64, i int) netip.AddrPort {
 	pid := os.Getpid()
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + pid%128), byte(pid >> 7), byte(1 + i%250)}), uint16(7000+rig%100*10+int64(i/250)))
