--- a/internal/connlimit/evict_test.go
+++ b/internal/connlimit/evict_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +77,32 @@
 		t.Errorf("-kept +now:\n%s", diff)
 	}
 }
+
+// A first message that comes slowly loses its place where others wait for one, after 1.3 s. In the instant in which its last byte is read it
+// is a request, and its client found the connection closed without an answer:
+//
+//	slow, others wait: ""
+//
+// It is told that it was too slow, and may come again.
+func TestSlowFirstMessageIsAnswered(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l := New(ln.(*net.TCPListener), 1, &counters.Sheet{}, zerolog.Nop())
+	l.Patience = 0
+	other, here := connected(t, l)
+	other.Write([]byte("GET /look HTTP/1.1\r\n"))
+	if _, err := here.Read(make([]byte, 100)); err != nil {
+		t.Fatal(err)
+	}
+	l.State(here, fasthttp.StateActive)
+	evicted := l.evictOne()
+	answer, _ := io.ReadAll(other)
+	status, rest, _ := strings.Cut(string(answer), "\r\n")
+	got := fmt.Sprintf("evicted %v: %q, closes: %v", evicted, status, strings.Contains(rest, "Connection: close\r\n"))
+	if diff := cmp.Diff(`evicted true: "HTTP/1.1 408 Request Timeout", closes: true`, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
