--- a/internal/connlimit/evict.go
+++ b/internal/connlimit/evict.go
@@ -105,6 +105,7 @@
 		c.evict()
 		return true
 	case slowFirstMessage:
+		c.tellTooSlow()
 		c.evict()
 	default:
 		if !c.input.ifSilent(c.evict) {
@@ -116,6 +117,15 @@
 	return true
 }
 
+// tooSlow is the answer to a first message that is slow while others wait.
+const tooSlow = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// tellTooSlow answers before the connection is shut: the message's last byte may just have been read, and a request that was read has its
+// answer. Nothing was written on this connection yet, so the write waits for nobody.
+func (c *client) tellTooSlow() {
+	c.TCPConn.Write([]byte(tooSlow))
+}
+
 // EvictIdle closes all connections that have carried nothing for so long. One whose client has sent what nobody read yet does carry something:
 // on a machine that is late, its request would be lost at a stop.
 func (l *Listener) EvictIdle(least time.Duration) {
