--- a/lab/failing/connection.go
+++ b/lab/failing/connection.go
@@ -1,6 +1,7 @@
 package failing
 
 import (
+	"context"
 	"net"
 	"os"
 	"sync"
@@ -20,6 +21,9 @@
 
 // breaker draws what becomes of reads and writes.
 type breaker struct {
+	errors []syscall.Errno // by which connections break
+	part   float64         // of the reads and writes that break theirs
+
 	mu   sync.Mutex
 	draw *chance.Source
 }
@@ -28,10 +32,10 @@
 func (b *breaker) errno() syscall.Errno {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.draw.Float() >= breakPart {
+	if b.draw.Float() >= b.part {
 		return 0
 	}
-	return breakErrors[b.draw.Below(len(breakErrors))]
+	return b.errors[b.draw.Below(len(b.errors))]
 }
 
 // short is how many bytes a read takes of so many.
@@ -44,6 +48,19 @@
 	return 1 + b.draw.Below(min(of, shortMost))
 }
 
+// Dialer makes connections whose reads are short now and then, and that break by this error in a part of their reads and writes.
+func Dialer(seed uint64, errno syscall.Errno, part float64) func(ctx context.Context, network, address string) (net.Conn, error) {
+	breaks := &breaker{errors: []syscall.Errno{errno}, part: part, draw: chance.New(seed, "break")}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		var dialer net.Dialer
+		opened, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &connection{TCPConn: opened.(*net.TCPConn), breaks: breaks}, nil
+	}
+}
+
 // connection is one to a server whose reads are short now and then, and that breaks.
 type connection struct {
 	*net.TCPConn
--- a/lab/failing/failing.go
+++ b/lab/failing/failing.go
@@ -59,7 +59,7 @@
 func New(seed uint64, wall string) sidecar.Machine {
 	accepts := newEpisodes(seed, "accept", acceptErrors)
 	connects := newEpisodes(seed, "connect", connectErrors)
-	breaks := &breaker{draw: chance.New(seed, "break")}
+	breaks := &breaker{errors: breakErrors, part: breakPart, draw: chance.New(seed, "break")}
 	dial := func(call func() (net.Conn, error)) (net.Conn, error) {
 		if errno, fails := connects.fails(); fails {
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
--- /dev/null
+++ b/lab/failing/failing_test.go
@@ -0,0 +1,75 @@
+package failing
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"ledgespread/brain"
+	"ledgespread/lab/chance"
+)
+
+// Calls fail in episodes, by errors that Linux documents, and not outside of them.
+func TestEpisodes(t *testing.T) {
+	e := &episodes{errors: acceptErrors, draw: chance.New(1, "accept")}
+	now := time.Now()
+	e.next(now)
+	calm, lasts := e.from.Sub(now), e.to.Sub(e.from)
+	got := fmt.Sprintf("calm for %v, failing for %v", calm >= leastCalm && calm <= mostCalm, lasts >= leastEpisode && lasts <= mostEpisode)
+	_, before := e.fails()
+	e.from, e.to = now.Add(-time.Second), now.Add(time.Hour)
+	errno, within := e.fails()
+	got += fmt.Sprintf(", before it %v, within it %v, by an error %v", before, within, errno != 0)
+	if diff := cmp.Diff("calm for true, failing for true, before it false, within it true, by an error true", got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+// A connection that breaks does so for both sides, by the error that was asked for, after a part of what was written.
+func TestConnectionBreaks(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	opened, err := Dialer(1, syscall.ETIMEDOUT, 1)(t.Context(), "tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	n, err := opened.Write([]byte("request"))
+	other.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, end := other.Read(make([]byte, 100))
+	for end == nil {
+		_, end = other.Read(make([]byte, 100))
+	}
+	got := fmt.Sprintf("%d bytes written, ETIMEDOUT %v, the other side finds it broken %v", n, errors.Is(err, syscall.ETIMEDOUT), !os.IsTimeout(end))
+	if diff := cmp.Diff("3 bytes written, ETIMEDOUT true, the other side finds it broken true", got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
+
+// The step of the wall clock is what the file says; without one there is none.
+func TestStep(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "wall")
+	var got []brain.Micros
+	got = append(got, stepOf(file))
+	if err := os.WriteFile(file, []byte("-2000000\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	got = append(got, stepOf(file))
+	if diff := cmp.Diff([]brain.Micros{0, -2_000_000}, got); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"ledgespread/lab/chance"
+	"ledgespread/lab/failing"
 	"ledgespread/lab/sidecars"
 )
 
@@ -36,8 +37,11 @@
 // Ways are the breaks, with the rule each breaks.
 var Ways = map[string]int{"honest": 0, "loses": 1, "late": 1, "foreign": 1, "after": 1, "dies": 1, "twice": 2, "group": 2, "bounce": 2, "drain": 3, "cold": 4}
 
+// timeoutSlow takes a connection that broke by ETIMEDOUT for a server that is slow to end its answer, and passes on what has come.
+const timeoutSlow = "timeout-slow"
+
 // SoakWays are breaks that only show on days with faults of the list or clients that leave, with the rule each breaks.
-var SoakWays = map[string]int{"late-list": 3, "after-left": 1, "long-deadline": 5, "wall-warm": 4}
+var SoakWays = map[string]int{"late-list": 3, "after-left": 1, "long-deadline": 5, "wall-warm": 4, timeoutSlow: 1}
 
 // Names are all ways, in order.
 func Names() []string {
@@ -62,6 +66,8 @@
 	newConnections = 400 * time.Millisecond // they may come for so long after SIGTERM
 
 	longDeadline = 300 * time.Millisecond // long-deadline tells so much too long a time
+
+	timeoutPart = 0.05 // of the reads and writes of timeout-slow break by ETIMEDOUT
 )
 
 type server struct {
@@ -75,7 +81,8 @@
 	list    string
 	cold    time.Duration
 	effects map[string]string
-	client  *http.Client
+	client  *http.Client // to servers
+	lists   *http.Client // to discovery
 	mu      sync.Mutex
 	servers []server
 	n       map[string]int
@@ -97,6 +104,7 @@
 	cold, _ := duties["cold_us"].(float64)
 	c := &sidecar{way: way, cold: time.Duration(cold) * time.Microsecond, effects: map[string]string{}, n: map[string]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}}}
+	c.lists = c.client
 	c.list, _ = told["discovery"].(string)
 	seed, _ := told["seed"].(string)
 	bits, err := strconv.ParseUint(seed, 16, 64)
@@ -104,6 +112,10 @@
 		return fmt.Errorf("seed: %w", err)
 	}
 	c.draw = chance.New(bits, way)
+	if way == timeoutSlow {
+		c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second,
+			DialContext: failing.Dialer(bits, syscall.ETIMEDOUT, timeoutPart)}}
+	}
 	prefixes, _ := settings["path_prefixes"].([]any)
 	for _, p := range prefixes {
 		if p, ok := p.(map[string]any); ok {
@@ -168,7 +180,7 @@
 	c.mu.Lock()
 	list := c.list
 	c.mu.Unlock()
-	r, err := c.client.Get("http://" + list + "/api/targets")
+	r, err := c.lists.Get("http://" + list + "/api/targets")
 	if err != nil {
 		return err
 	}
@@ -276,6 +288,9 @@
 	}
 	defer a.Body.Close()
 	answer, err = io.ReadAll(a.Body)
+	if c.way == timeoutSlow && os.IsTimeout(err) && ctx.Err() == nil {
+		return a.StatusCode, answer, true
+	}
 	if err != nil {
 		return 0, nil, true
 	}
