--- a/cmd/ledgespread/commands.go
+++ b/cmd/ledgespread/commands.go
@@ -92,22 +92,17 @@
 
 // serve reads the files and runs a sidecar by them.
 func serve(read files, level string, tally time.Duration) error {
-	signals := sidecar.HearSignals()
 	at, err := zerolog.ParseLevel(level)
 	if err != nil {
 		return err
 	}
-	manifest, err := site.Read(read.configuration)
+	options, err := sidecar.Read(read.configuration, read.extensions, at)
 	if err != nil {
 		return err
 	}
-	fitted, err := extensions.Read(read.extensions)
-	if err != nil {
-		return err
-	}
-	log := zerolog.New(os.Stderr).Level(at).With().Timestamp().Str("sidecar", manifest.Name).Logger()
-	return sidecar.Run(sidecar.Options{File: read.configuration, ExtensionsFile: read.extensions, Manifest: manifest, Extensions: fitted,
-		Version: release, Tally: tally, Signals: signals, Log: log})
+	options.Version = release
+	options.Tally = tally
+	return sidecar.Run(options)
 }
 
 func checkCommand() *cobra.Command {
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -73,13 +73,10 @@
 			err = fmt.Errorf("%s:1: it crashed over it: %v", from, crash)
 		}
 	}()
-	next, err := site.From(from, text)
+	next, err := Read(from, text)
 	if err != nil {
 		return nil, out, err
 	}
-	if err := Starts(next); err != nil {
-		return nil, out, site.In(from, text, err)
-	}
 	taken, out.Change = s.now.Take(next)
 	if !maps.Equal(taken.Site, s.now.Site) { // or nothing of it is the module's matter
 		if s.Ahead != nil {
@@ -99,6 +96,18 @@
 // Cores has the process use as many as it may.
 func Cores(b *site.Manifest) { runtime.GOMAXPROCS(max(1, int(math.Ceil(b.Cores)))) }
 
+// Read takes a file's bytes by which a sidecar could start. What is wrong with them is an error with the file, the line and the reason.
+func Read(file string, text []byte) (*site.Manifest, error) {
+	b, err := site.From(file, text)
+	if err != nil {
+		return nil, err
+	}
+	if err := Starts(b); err != nil {
+		return nil, site.In(file, text, err)
+	}
+	return b, nil
+}
+
 // Starts tells whether a sidecar could start so.
 func Starts(b *site.Manifest) error {
 	var counts counters.Sheet
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"ledgespread/brain"
+	"ledgespread/decide/membership"
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/machine"
@@ -53,6 +54,18 @@
 	return p, nil
 }
 
+// Living are the members that others tell things, by where they hear them: those that are not known to be dead.
+func Living(all []membership.Member) map[brain.Peer]netip.AddrPort {
+	living := map[brain.Peer]netip.AddrPort{}
+	for _, member := range all {
+		var address netip.AddrPort
+		if member.State <= membership.Suspect && !member.Self && address.UnmarshalBinary([]byte(member.Notes)) == nil {
+			living[brain.Peer(member.Number)] = address
+		}
+	}
+	return living
+}
+
 // Follow has just these be told things from now on. Where the fixed list has one's address, that counts: it is where this
 // sidecar reaches it.
 func (p *Peers) Follow(living map[brain.Peer]netip.AddrPort) {
--- a/internal/relay/clock.go
+++ b/internal/relay/clock.go
@@ -25,7 +25,7 @@
 
 // time is a moment of this clock as the runtime's timers take it.
 func (c clock) time(at brain.Micros) time.Time {
-	return c.start.Add(time.Duration(at-c.base) * time.Microsecond)
+	return c.start.Add(span(at - c.base))
 }
 
 func (c clock) now() brain.Micros {
--- a/internal/relay/starts.go
+++ b/internal/relay/starts.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"time"
-
 	"ledgespread/brain"
 	"ledgespread/internal/discovery"
 )
@@ -22,7 +20,7 @@
 	if latest.told != 0 {
 		// A server that starts after the wall clock was set back seems older by the step, and would be sent too much while it warms up.
 		latest.counted += r.clock.setBack()
-		r.log.Debug().Str("server", entry.Host).Dur("ago", time.Duration(r.now-latest.counted)*time.Microsecond).Msg("server started")
+		r.log.Debug().Str("server", entry.Host).Dur("ago", span(r.now-latest.counted)).Msg("server started")
 	}
 	r.starts[entry.ID] = latest
 	return latest.counted
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -58,7 +58,7 @@
 		text, err = os.ReadFile(p.File)
 	}
 	if err == nil && p.rollouts != nil { // what is wrong with the file is told by its own lines, not by those of what lies over it
-		err = startsBy(p.File, text)
+		_, err = live.Read(p.File, text)
 	}
 	if err != nil {
 		p.counts.Add(counters.ReloadsRefused)
@@ -85,18 +85,6 @@
 	return apply(text)
 }
 
-// startsBy tells whether a sidecar could start by these bytes of its own file.
-func startsBy(file string, text []byte) error {
-	b, err := site.From(file, text)
-	if err != nil {
-		return err
-	}
-	if err := live.Starts(b); err != nil {
-		return site.In(file, text, err)
-	}
-	return nil
-}
-
 // both writes one behind the other.
 type both [2]io.WriterTo
 
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -5,9 +5,9 @@
 	"strconv"
 	"time"
 
-	"ledgespread/brain"
 	"ledgespread/decide/membership"
 	"ledgespread/internal/members"
+	"ledgespread/internal/peers"
 )
 
 // joinMembers has this sidecar be a member, where its extensions say so. What it hears of the others goes to those who tell them things.
@@ -46,17 +46,9 @@
 // membersChanged hears of all members, and of how many may be sending.
 func (p *process) membersChanged(all []membership.Member, senders int) {
 	p.relay.Senders(senders)
-	if p.peers == nil {
-		return
-	}
-	living := map[brain.Peer]netip.AddrPort{}
-	for _, member := range all {
-		var address netip.AddrPort
-		if member.State <= membership.Suspect && !member.Self && address.UnmarshalBinary([]byte(member.Notes)) == nil {
-			living[brain.Peer(member.Number)] = address
-		}
+	if p.peers != nil {
+		p.peers.Follow(peers.Living(all))
 	}
-	p.peers.Follow(living)
 }
 
 // leaveMembers tells the others that this process ends. A new process of this sidecar takes the name over, and the address.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -74,21 +74,32 @@
 	return heard
 }
 
+// Read reads what a process is started with, and logs to standard error from this level on. Signals are heard from its first step.
+func Read(file, extensionsFile string, level zerolog.Level) (o Options, err error) {
+	o = Options{File: file, ExtensionsFile: extensionsFile, Signals: HearSignals()}
+	if o.Manifest, err = site.Read(file); err != nil {
+		return o, err
+	}
+	if o.Extensions, err = extensions.Read(extensionsFile); err != nil {
+		return o, err
+	}
+	o.Log = zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("sidecar", o.Manifest.Name).Logger()
+	return o, nil
+}
+
 // process is a sidecar that runs.
 type process struct {
 	Options
-	counts    *counters.Sheet
-	rollouts  *rollouts.Rollouts // nil: configurations are not carried
-	peers     *peers.Peers       // nil: messages are not allowed
-	relay     *relay.Relay
-	members   *members.Members // nil: it is no member
-	inbound   atomic.Pointer[inbound.Inbound]
-	live      *live.Sidecar
-	isLive    chan struct{} // closed when live is there
-	before    int           // the process that serves at this sidecar's place still; 0: there is none
-	replaced  func() bool   // whether another process has come to this place since
-	toClients float64       // sockets
-	toServers float64
+	counts   *counters.Sheet
+	rollouts *rollouts.Rollouts // nil: configurations are not carried
+	peers    *peers.Peers       // nil: messages are not allowed
+	relay    *relay.Relay
+	members  *members.Members // nil: it is no member
+	inbound  atomic.Pointer[inbound.Inbound]
+	live     *live.Sidecar
+	isLive   chan struct{} // closed when live is there
+	before   int           // the process that serves at this sidecar's place still; 0: there is none
+	replaced func() bool   // whether another process has come to this place since
 }
 
 // Run puts the parts together and stays until the process is told to stop.
@@ -132,14 +143,14 @@
 // openRelay makes the module and what it reaches the servers by.
 func (p *process) openRelay() (err error) {
 	b := p.Manifest
-	p.toClients, p.toServers = clientsPart*float64(b.Sockets), serversPart*float64(b.Sockets)
-	servers := outbound.New(b.Span("allowed.conn_idle_us"), b.Span("allowed.connect_timeout_us"), int(p.toServers), b.MemoryMB<<20/answersPart,
+	sockets := serversPart * float64(b.Sockets)
+	servers := outbound.New(b.Span("allowed.conn_idle_us"), b.Span("allowed.connect_timeout_us"), int(sockets), b.MemoryMB<<20/answersPart,
 		b.Loads(), p.counts, p.Log)
 	if p.Machine.Dial != nil {
 		servers.Dial = p.Machine.Dial
 	}
 	machine := relay.Machine{DialDiscovery: p.Machine.DialDiscovery, Wall: p.Machine.Wall}
-	if p.relay, err = relay.NewOn(machine, b, int(heldPart*p.toServers), servers, p.peers, p.counts, p.Log); err != nil {
+	if p.relay, err = relay.NewOn(machine, b, int(heldPart*sockets), servers, p.peers, p.counts, p.Log); err != nil {
 		return err
 	}
 	if p.Extensions.Messages != nil && p.peers != nil {
@@ -171,7 +182,7 @@
 	if p.peers != nil {
 		go p.peers.Hear(p.relay.Heard)
 	}
-	clients, err := inbound.Listen(b, int(p.toClients), p.relay, p.counts, p.Log)
+	clients, err := inbound.Listen(b, int(clientsPart*float64(b.Sockets)), p.relay, p.counts, p.Log)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/failing/connection.go
+++ b/lab/failing/connection.go
@@ -28,6 +28,18 @@
 	draw *chance.Source
 }
 
+func newBreaker(seed uint64, part float64, errors ...syscall.Errno) *breaker {
+	return &breaker{errors: errors, part: part, draw: chance.New(seed, "break")}
+}
+
+// over is a connection that was just opened, as one that breaks; err is why there is none.
+func (b *breaker) over(opened net.Conn, err error) (net.Conn, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &connection{TCPConn: opened.(*net.TCPConn), breaks: b}, nil
+}
+
 // errno is what a call breaks its connection by; 0: it does not.
 func (b *breaker) errno() syscall.Errno {
 	b.mu.Lock()
@@ -50,14 +62,10 @@
 
 // Dialer makes connections whose reads are short now and then, and that break by this error in a part of their reads and writes.
 func Dialer(seed uint64, errno syscall.Errno, part float64) func(ctx context.Context, network, address string) (net.Conn, error) {
-	breaks := &breaker{errors: []syscall.Errno{errno}, part: part, draw: chance.New(seed, "break")}
+	breaks := newBreaker(seed, part, errno)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		var dialer net.Dialer
-		opened, err := dialer.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &connection{TCPConn: opened.(*net.TCPConn), breaks: breaks}, nil
+		return breaks.over(dialer.DialContext(ctx, network, address))
 	}
 }
 
--- a/lab/failing/failing.go
+++ b/lab/failing/failing.go
@@ -16,9 +16,7 @@
 
 	"ledgespread/brain"
 	"ledgespread/internal/connlimit"
-	"ledgespread/internal/extensions"
 	"ledgespread/internal/sidecar"
-	"ledgespread/internal/site"
 	"ledgespread/lab/chance"
 )
 
@@ -41,25 +39,20 @@
 // Serve is a sidecar as the configuration tells, on such a machine, until SIGTERM. wall is a file that has by how many microseconds the wall
 // clock is stepped.
 func Serve(file, wall string, seed uint64, level zerolog.Level) error {
-	signals := sidecar.HearSignals()
-	manifest, err := site.Read(file)
+	options, err := sidecar.Read(file, "", level)
 	if err != nil {
 		return err
 	}
-	none, err := extensions.Read("")
-	if err != nil {
-		return err
-	}
-	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("sidecar", manifest.Name).Logger()
-	return sidecar.Run(sidecar.Options{File: file, Manifest: manifest, Extensions: none, Version: "failing", Signals: signals, Log: log,
-		Machine: New(seed, wall)})
+	options.Version = "failing"
+	options.Machine = New(seed, wall)
+	return sidecar.Run(options)
 }
 
 // New is such a machine.
 func New(seed uint64, wall string) sidecar.Machine {
 	accepts := newEpisodes(seed, "accept", acceptErrors)
 	connects := newEpisodes(seed, "connect", connectErrors)
-	breaks := &breaker{errors: breakErrors, part: breakPart, draw: chance.New(seed, "break")}
+	breaks := newBreaker(seed, breakPart, breakErrors...)
 	dial := func(call func() (net.Conn, error)) (net.Conn, error) {
 		if errno, fails := connects.fails(); fails {
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
@@ -68,11 +61,7 @@
 	}
 	return sidecar.Machine{
 		Dial: func(ctx context.Context, dialer net.Dialer, address string) (net.Conn, error) {
-			opened, err := dial(func() (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
-			if err != nil {
-				return nil, err
-			}
-			return &connection{TCPConn: opened.(*net.TCPConn), breaks: breaks}, nil
+			return breaks.over(dial(func() (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) }))
 		},
 		DialDiscovery: func(address string, within time.Duration) (net.Conn, error) {
 			return dial(func() (net.Conn, error) { return net.DialTimeout("tcp", address, within) })
--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -102,9 +102,9 @@
 	settings, _ := told["settings"].(map[string]any)
 	duties, _ := settings["obligations"].(map[string]any)
 	cold, _ := duties["cold_us"].(float64)
+	toServers := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}
 	c := &sidecar{way: way, cold: time.Duration(cold) * time.Microsecond, effects: map[string]string{}, n: map[string]int{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}}}
-	c.lists = c.client
+		client: &http.Client{Transport: toServers}, lists: &http.Client{}}
 	c.list, _ = told["discovery"].(string)
 	seed, _ := told["seed"].(string)
 	bits, err := strconv.ParseUint(seed, 16, 64)
@@ -113,8 +113,7 @@
 	}
 	c.draw = chance.New(bits, way)
 	if way == timeoutSlow {
-		c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second,
-			DialContext: failing.Dialer(bits, syscall.ETIMEDOUT, timeoutPart)}}
+		toServers.DialContext = failing.Dialer(bits, syscall.ETIMEDOUT, timeoutPart)
 	}
 	prefixes, _ := settings["path_prefixes"].([]any)
 	for _, p := range prefixes {
--- a/lab/hollow/sidecar.go
+++ b/lab/hollow/sidecar.go
@@ -134,14 +134,7 @@
 	all, senders := s.table, s.senders
 	s.follows = false
 	s.mu.Unlock()
-	living := map[brain.Peer]netip.AddrPort{}
-	for _, x := range all {
-		var at netip.AddrPort
-		if x.State <= membership.Suspect && !x.Self && at.UnmarshalBinary([]byte(x.Notes)) == nil {
-			living[brain.Peer(x.Number)] = at
-		}
-	}
-	s.peers.Follow(living)
+	s.peers.Follow(peers.Living(all))
 	s.post(func() { s.b.Senders(senders) })
 }
 
