Log: an answer of discovery that names no server has its line

In the report the version that emptied the fleet has no line at all: deliver returns before the log where a list names nobody. Such a whole list is now logged at info, changes of nobody (a call held to its end) at debug. Nothing else changes.

--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -18,11 +18,16 @@
 	list, refused := w.accept(c.service, list)
 	left := c.service != w.at
 	w.mu.Unlock()
+	entry := w.log.Info()
+	if list.Empty() && !list.Whole {
+		entry = w.log.Debug() // a call that was held to its end brings no changes
+	}
+	entry = entry.Uint64("version", list.Version).Bool("whole", list.Whole).Int("servers", len(list.Entries)).
+		Str("discovery", c.service.address).Time("began", c.began).Bool("given_up", c.isGivenUp())
 	if list.Empty() {
+		entry.Msg("list not told: it names no server")
 		return false
 	}
-	entry := w.log.Info().Uint64("version", list.Version).Bool("whole", list.Whole).Int("servers", len(list.Entries)).
-		Str("discovery", c.service.address).Time("began", c.began).Bool("given_up", c.isGivenUp())
 	if refused != "" {
 		entry.Msg("list not told: " + refused)
 		return false
