Test: a whole fleet leaves in one version

Fails where the list is asked for and where it is pushed: 6 of 6 requests are sent to servers that are gone, and the log says "list not told: it names no server".

--- a/cmd/ledgespread/leaving_test.go
+++ b/cmd/ledgespread/leaving_test.go
@@ -95,6 +95,7 @@
 	at    string
 	seq   int
 	list  string
+	part  bool           // the list is one of changes
 	lost  bool           // the calls that are held now get no answer any more; new ones do
 	deaf  bool           // nor do new ones
 	held  map[string]int // by connection: version of the call that is held there, and will be answered
@@ -111,7 +112,10 @@
 }
 
 // set has another list; calls that were lost before stay so.
-func (d *discovery) set(lines ...string) {
+func (d *discovery) set(lines ...string) { d.change(false, lines...) }
+
+// change has another list, or changes of the one before.
+func (d *discovery) change(part bool, lines ...string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for d.lost && len(d.held) > 0 {
@@ -119,6 +123,7 @@
 	}
 	d.lost = false
 	d.seq++
+	d.part = part
 	d.list = strings.Join(lines, ",\n ")
 	d.cond.Broadcast()
 }
@@ -141,7 +146,7 @@
 	silent := d.deaf || d.lost && hold > 0
 	delete(d.held, r.RemoteAddr)
 	d.cond.Broadcast()
-	text := fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[`+"\n "+`%s]}`, d.seq, d.list)
+	text := fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[`+"\n "+`%s]}`, d.seq, !d.part, d.list)
 	d.mu.Unlock()
 	if silent {
 		<-r.Context().Done()
