Discovery: a whole list that names nobody says that all servers are gone

Cause: deliver took any list without entries for an answer that says nothing, also a whole one. accept had booked the version by then, so no later call brought it again. Why it works: only an answer of changes can say nothing. A service that answers the same whole list at once for ever is asked no more often than one that answers nothing: the wait between calls goes by whether an answer is newer than what the call asked for. A fleet of which no server is ready any more has a line of its own, and so has its return.

--- a/cmd/ledgespread/emptied_test.go
+++ b/cmd/ledgespread/emptied_test.go
@@ -60,6 +60,12 @@
 			}
 			got = append(got, fmt.Sprintf("sent to servers that are gone: %d", sentToGone()-before))
 			want = append(want, "sent to servers that are gone: 0")
+			list.set(all...)
+			within(t, "it watches again", func() bool { return list.waiting(10) > 0 })
+			for _, told := range []string{"no server is ready", "servers are ready"} {
+				got = append(got, fmt.Sprintf("%s: %d times", told, strings.Count(log.text(), told)))
+				want = append(want, fmt.Sprintf("%s: %d times", told, map[bool]int{false: 1}[c.stays]))
+			}
 			if diff := cmp.Diff(want, got); diff != "" {
 				t.Errorf("-kept +now:\n%s\n%s", diff, log.text())
 			}
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -39,7 +39,8 @@
 type result struct {
 	list    *List
 	err     error // why there is no list
-	brought bool  // the list named servers, and was told
+	brought bool  // the list says something, and was told
+	news    bool  // the same, and it is newer than the call asked for
 }
 
 // start begins a call for what is new.
@@ -103,6 +104,7 @@
 	}()
 	if r.list, r.err = w.request(c); r.err == nil {
 		r.brought = w.deliver(c, r.list)
+		r.news = r.brought && (c.whole || r.list.Version != c.from)
 		return
 	}
 	w.log.Info().Err(r.err).Str("discovery", c.service.address).Bool("whole", c.whole).Dur("hold", c.hold).Time("began", c.began).
@@ -141,6 +143,7 @@
 		w.counts.Add(counters.ListsMalformed)
 		return nil, fmt.Errorf("malformed list: %w", err)
 	}
+	list.Source = c.service.address
 	w.timed(c)
 	return list, nil
 }
--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -9,7 +9,7 @@
 )
 
 // deliver tells what an answer brings, whichever round made the call and whether or not it was given up. brought is false for one that
-// names no server, that is older than what was told, or that an address gave which is forgotten. Answers are told one at a time, so that
+// says nothing, that is older than what was told, or that an address gave which is forgotten. Answers are told one at a time, so that
 // the older of two is never told last.
 func (w *Watcher) deliver(c *call, list *List) (brought bool) {
 	w.telling.Lock()
@@ -18,16 +18,11 @@
 	list, refused := w.accept(c.service, list)
 	left := c.service != w.at
 	w.mu.Unlock()
-	entry := w.log.Info()
-	if list.Empty() && !list.Whole {
-		entry = w.log.Debug() // a call that was held to its end brings no changes
-	}
-	entry = entry.Uint64("version", list.Version).Bool("whole", list.Whole).Int("servers", len(list.Entries)).
-		Str("discovery", c.service.address).Time("began", c.began).Bool("given_up", c.isGivenUp())
-	if list.Empty() {
-		entry.Msg("list not told: it names no server")
+	if list.Empty() && refused == "" {
 		return false
 	}
+	entry := w.log.Info().Uint64("version", list.Version).Bool("whole", list.Whole).Int("servers", len(list.Entries)).
+		Str("discovery", c.service.address).Time("began", c.began).Bool("given_up", c.isGivenUp())
 	if refused != "" {
 		entry.Msg("list not told: " + refused)
 		return false
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -27,15 +27,16 @@
 type List struct {
 	Version uint64
 	Whole   bool
+	Source  string // the address that gave it; empty: it was saved
 	Entries []Entry
 }
 
-// Empty tells whether the list names no server.
-func (l *List) Empty() bool { return len(l.Entries) == 0 }
+// Empty tells whether the list says nothing: it has changes, and there are none. A whole list that names no server says that all are gone.
+func (l *List) Empty() bool { return !l.Whole && len(l.Entries) == 0 }
 
 // leaving keeps the entries of servers that take no new requests, as changes.
 func (l *List) leaving() *List {
-	changes := &List{Version: l.Version}
+	changes := &List{Version: l.Version, Source: l.Source}
 	for _, entry := range l.Entries {
 		if entry.Standing != brain.Ready {
 			changes.Entries = append(changes.Entries, entry)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -176,7 +176,7 @@
 	if !current {
 		return step{}
 	}
-	if r.err == nil && !r.brought && now.hold > 0 { // a service may answer at once, and nothing, for ever
+	if r.err == nil && !r.news && now.hold > 0 { // a service may answer at once, and nothing new, for ever
 		time.Sleep(min(w.part(pacePart), goesOn/2) - time.Since(began))
 	}
 	return w.rest(round, next)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,7 +56,10 @@
 }
 
 // server is how a server is called, and where it is reached.
-type server struct{ host, address string }
+type server struct {
+	host, address string
+	ready         bool
+}
 
 // Relay is the module's world.
 type Relay struct {
@@ -82,6 +85,7 @@
 	fleet     atomic.Pointer[[2]int] // listed, and avoided of these
 	listed    chan struct{}          // closed when the first list came
 	heard     bool                   // it is
+	emptied   bool                   // no server is ready
 	classes   []*class               // by place
 	loads     []string               // what a load report holds,
 	loadsNow  time.Time              // since then
@@ -287,7 +291,8 @@
 	}
 	r.balancer.ListBegins(r.now, news)
 	for _, entry := range l.Entries {
-		r.servers[entry.ID], gone[entry.ID] = server{entry.Host, entry.Address}, entry.Standing == brain.Gone
+		r.servers[entry.ID] = server{entry.Host, entry.Address, entry.Standing == brain.Ready}
+		gone[entry.ID] = entry.Standing == brain.Gone
 		if leaving[entry.ID] = entry.Standing != brain.Ready; leaving[entry.ID] {
 			r.log.Debug().Str("server", entry.Host).Uint64("version", l.Version).Uint8("standing", uint8(entry.Standing)).Msg("leaving")
 		}
@@ -304,6 +309,25 @@
 			r.outbound.Forget(id)
 		}
 	}
+	r.logEmptied(news, l)
+}
+
+// logEmptied tells when no server is ready any more, and when one is again.
+func (r *Relay) logEmptied(news brain.News, l *discovery.List) {
+	ready := 0
+	for _, server := range r.servers {
+		if server.ready {
+			ready++
+		}
+	}
+	if before := r.emptied; before != (ready == 0) && news != brain.Saved {
+		entry, message := r.log.Info(), "servers are ready"
+		if ready == 0 {
+			entry, message = r.log.Warn(), "no server is ready"
+		}
+		entry.Uint64("version", l.Version).Str("discovery", l.Source).Int("servers", ready).Msg(message)
+	}
+	r.emptied = ready == 0
 }
 
 // Move has the list asked for at another address from now on.
