Test: the stand-in of TestOldAddressSpeaksLast holds its watches

Its stand-in looks for a query in the path, which never has one, so it answered watches at once too, and the list told twice in a row came before the old address's word by chance.

--- a/internal/moves_test.go
+++ b/internal/moves_test.go
@@ -122,8 +122,9 @@
 		}
 		return "silence"
 	})
-	next := serveFake(t, func(n int, path string) string {
-		if !strings.Contains(path, "?") {
+	var next *fake
+	next = serveFake(t, func(n int, path string) string {
+		if !strings.Contains(next.requestLine(n), "?") {
 			return listed(3, host)
 		}
 		return "silence"
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -76,6 +76,14 @@
 	return s
 }
 
+// requestLine is the first line of the nth request.
+func (s *fake) requestLine(n int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	line, _, _ := strings.Cut(s.seen[n-1], "\r\n")
+	return line
+}
+
 func (s *fake) serve(c net.Conn, script func(n int, path string) string) {
 	defer s.over.Add(1)
 	defer c.Close()
