Discovery: an entry that can't be used is skipped, and holds up no other

What callers saw: a server that was drained beside an entry of an unknown zone or health, without an address, or of another form, got requests for as long as that entry stood. "hosts": null, as some services write an empty list, had the same effect. Cause: Read refused an answer whole for one entry, so no answer was taken until that entry was gone. Why it works: an answer is read entry by entry. An unusable one of a listed server takes it out of use, as nothing says that it is in service; of any other it is passed over. What becomes of an answer is a typed outcome, decided in one place.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -48,8 +48,9 @@
 	ListsFailed
 	ListsMalformed
 	ListsOutdated
-	ListsSilent // watches that fell silent
-	ListsLate   // lists that were told though nobody waited for the call any more
+	ListsSilent        // watches that fell silent
+	ListEntriesSkipped // by which no server can be used
+	ListsLate          // lists that were told though nobody waited for the call any more
 	Reloads
 	ReloadsRefused
 	NotesSent
@@ -68,7 +69,7 @@
 	"clients_evicted", "accept_failures", "fetches_sent", "fetches_written", "fetches_delivered", "fetches_errored", "fetches_spoilt", "answers_cut", "fetches_full",
 	"fetches_timed_out", "fetches_connect_failed", "fetches_reset", "fetches_cancelled", "fetches_never_sent",
 	"connections_opened", "connections_reused", "connections_stale", "connects_failed_here", "reports_read", "reports_unreadable",
-	"lists_taken", "lists_failed", "lists_malformed", "lists_outdated", "lists_silent", "lists_late", "reloads",
+	"lists_taken", "lists_failed", "lists_malformed", "lists_outdated", "lists_silent", "list_entries_skipped", "lists_late", "reloads",
 	"reloads_refused", "notes_sent", "notes_heard",
 	"notes_refused", "summaries_sent", "estimates_sent", "summaries_refused", "calls_refused", "faults"}
 
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -27,6 +27,7 @@
 	hold    time.Duration // at the service, until there is something new
 	whole   bool          // the whole list is asked for, and not what came after from
 	from    uint64
+	number  uint64 // by the watcher's count, when it began
 	began   time.Time
 	ended   chan result // holds its result, for one who waits
 
@@ -52,7 +53,8 @@
 // whole list is asked for where an address has told none yet, or where it is wanted.
 func (w *Watcher) call(at *service, whole bool, hold, patience time.Duration) *call {
 	w.mu.Lock()
-	c := &call{service: at, hold: hold, whole: whole || at.silent, from: at.version, began: time.Now(), ended: make(chan result, 1)}
+	c := &call{service: at, hold: hold, whole: whole || at.silent, from: at.version, number: w.tick(), began: time.Now(),
+		ended: make(chan result, 1)}
 	w.mu.Unlock()
 	go w.finish(c, time.AfterFunc(patience, func() { w.giveUp(c) }))
 	return c
--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -5,57 +5,109 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"ledgespread/internal/counters"
 )
 
-// deliver tells what an answer brings, whichever round made the call and whether or not it was given up. brought is false for one that
-// says nothing, that is older than what was told, or that an address gave which is forgotten. Answers are told one at a time, so that
-// the older of two is never told last.
-func (w *Watcher) deliver(c *call, list *List) (brought bool) {
+// outcome is what becomes of an answer of discovery, as the log tells it.
+type outcome string
+
+const (
+	toldInFull     outcome = "list told"
+	toldDepartures outcome = "list told for the servers that leave: its address was left"
+	saysNothing    outcome = "list not told: it says nothing"
+	outdated       outcome = "list not told: older than the one held"
+	forgotten      outcome = "list not told: its address was left"
+)
+
+// told tells whether the decisions hear of an answer with this outcome.
+func (o outcome) told() bool { return o != saysNothing && o != outdated && o != forgotten }
+
+// needsRecheck tells whether the whole list is asked for after an answer with this outcome.
+func (o outcome) needsRecheck() bool { return o == toldDepartures }
+
+// deliver tells what an answer brings, whichever round made the call and whether or not it was given up. brought is false for one of which
+// nothing is told. Answers are told one at a time, so that the older of two is never told last.
+func (w *Watcher) deliver(c *call, answer *List) (brought bool) {
 	w.telling.Lock()
 	defer w.telling.Unlock()
 	w.mu.Lock()
-	list, refused := w.accept(c.service, list)
-	left := c.service != w.at
+	list, outcome := w.accept(c, answer)
 	w.mu.Unlock()
-	if list.Empty() && refused == "" {
-		return false
-	}
-	entry := w.log.Info().Uint64("version", list.Version).Bool("whole", list.Whole).Int("servers", len(list.Entries)).
-		Str("discovery", c.service.address).Time("began", c.began).Bool("given_up", c.isGivenUp())
-	if refused != "" {
-		entry.Msg("list not told: " + refused)
+	w.record(c, answer, outcome)
+	if !outcome.told() {
 		return false
 	}
-	entry.Msg("list told")
-	if c.isGivenUp() {
-		w.counts.Add(counters.ListsLate)
-	}
-	w.counts.Add(counters.ListsTaken)
+	w.held.apply(list)
 	w.tell(list)
-	if left {
+	if outcome.needsRecheck() {
 		w.recheck()
 	}
 	return true
 }
 
-// accept books an answer, and is what of it is to be told, or why nothing is. What an address that was left wrote by then still counts, but it
-// can't call a server back any more. The lock is held.
-func (w *Watcher) accept(from *service, list *List) (accepted *List, refused string) {
-	switch {
-	case from == w.at:
+// accept decides what becomes of an answer, and is what of it is to be told. The lock is held.
+func (w *Watcher) accept(c *call, answer *List) (*List, outcome) {
+	from := c.service
+	left := from != w.at
+	if left && !slices.Contains(w.retired, from) {
+		return nil, forgotten
+	}
+	if !left {
 		w.reached(nil)
-	case slices.Contains(w.retired, from):
-		list = list.leaving()
-	default:
-		return list, "its address was left"
 	}
+	list := w.held.resolve(answer)
 	if list.Version < from.version && !from.silent {
+		return nil, outdated
+	}
+	from.take(list.Version, w.tick())
+	if left { // it still counts for servers that leave, but can't call one back any more
+		list = w.held.departures(list)
+	}
+	switch {
+	case list.Empty():
+		return nil, saysNothing
+	case left:
+		return list, toldDepartures
+	}
+	return list, toldInFull
+}
+
+// record counts and logs what became of an answer. A call that was held to its end brings no changes, and is no news.
+func (w *Watcher) record(c *call, answer *List, outcome outcome) {
+	level := zerolog.InfoLevel
+	if outcome == saysNothing {
+		level = zerolog.DebugLevel
+	}
+	w.log.WithLevel(level).Uint64("version", answer.Version).Bool("whole", answer.Whole).Int("servers", len(answer.Entries)).
+		Str("discovery", c.service.address).Time("began", c.began).Bool("given_up", c.isGivenUp()).Msg(string(outcome))
+	if outcome == outdated {
 		w.counts.Add(counters.ListsOutdated)
-		return list, "older than the one held"
 	}
-	from.version, from.silent = list.Version, false
-	return list, ""
+	if outcome.told() {
+		w.counts.Add(counters.ListsTaken)
+	}
+	if outcome.told() && c.isGivenUp() {
+		w.counts.Add(counters.ListsLate)
+	}
+	if len(answer.Unusable) > 0 {
+		w.recordUnusable(answer)
+	}
+}
+
+// mostNamed is how many unusable entries of an answer the log names.
+const mostNamed = 8
+
+// recordUnusable counts and logs the entries of an answer by which no server can be used.
+func (w *Watcher) recordUnusable(answer *List) {
+	var why []error
+	for _, unusable := range answer.Unusable {
+		w.counts.Add(counters.ListEntriesSkipped)
+		why = append(why, unusable.Err)
+	}
+	w.log.Warn().Uint64("version", answer.Version).Str("discovery", answer.Source).Int("entries", len(why)).Errs("why", why[:min(len(why), mostNamed)]).
+		Msg("entries of the list skipped: their servers are not used")
 }
 
 // recheck asks the address in force for the whole list once more, where it told one before an address that was left had its last word: the
--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -29,8 +29,10 @@
 	dial      Dial
 
 	// Under the watcher's lock:
-	version uint64 // of the newest list that was told
-	silent  bool   // nothing was told from this address yet: its versions may count otherwise
+	version   uint64 // of the newest list that was told
+	silent    bool   // nothing was told from this address yet: its versions may count otherwise
+	toldAt    uint64 // by the watcher's count, when that was told
+	doubtedAt uint64 // likewise, when a lower version came to a call that began after that; 0: none did
 
 	mu      sync.Mutex
 	retired bool // no new connections
@@ -68,6 +70,14 @@
 	return &service{address: address, maxAnswer: maxAnswer, dial: dial, open: map[*connection]bool{}}
 }
 
+// take books the version of an answer that holds, and when that was told; the watcher's lock is held.
+func (s *service) take(version, at uint64) {
+	s.version = version
+	s.silent = false
+	s.toldAt = at
+	s.doubtedAt = 0
+}
+
 // acquire finds an idle connection, or opens one. Where there are too many, the one whose call is out for longest is closed.
 func (s *service) acquire() (*connection, error) {
 	if c := s.takeIdle(); c != nil {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -29,6 +29,8 @@
 
 	telling sync.Mutex // held while an answer is told
 	mu      sync.Mutex
+	held    fleet  // what was told adds up to; under both locks, or telling alone to read
+	count   uint64 // of calls that began and answers that were told: which came first
 	at      *service
 	retired []*service    // addresses that were left: their calls end, and what they write until then is heard
 	pushed  bool          // the watch goes on by itself after a failure
@@ -48,13 +50,27 @@
 func New(address string, zones map[string]int, version uint64, askEvery brain.Micros, among, maxAnswer int, seed uint64,
 	tell func(*List), counts *counters.Sheet, log zerolog.Logger) *Watcher {
 	w := &Watcher{zones: zones, among: max(among, 1), maxAnswer: maxAnswer, seed: seed, dial: fasthttp.DialTimeout, tell: tell,
-		counts: counts, log: log, heardAt: time.Now()}
+		counts: counts, log: log, heardAt: time.Now(), held: fleet{}}
 	w.at = newService(address, maxAnswer, w.dial)
 	w.at.version = version
 	w.Retune(askEvery, 0)
 	return w
 }
 
+// Hold has the watcher know the servers of the saved list, which the decisions hold. It is called before the first call.
+func (w *Watcher) Hold(saved *List) {
+	w.held.apply(saved)
+	if len(saved.Unusable) > 0 {
+		w.recordUnusable(saved)
+	}
+}
+
+// tick counts a call that begins, or an answer that is told; the lock is held.
+func (w *Watcher) tick() uint64 {
+	w.count++
+	return w.count
+}
+
 // DialBy has connections to discovery made in another way. It is called before the first call.
 func (w *Watcher) DialBy(dial Dial) { w.dial, w.at.dial = dial, dial }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -130,6 +130,7 @@
 	r.watcher = discovery.New(b.Discovery, zones, saved.Version, b.Span("obligations.ask_every_us"),
 		int(b.Figure("balancers")), max(b.MemoryMB<<20/listPart, listLeast), b.Seed,
 		r.hear, counts, log)
+	r.watcher.Hold(saved)
 	if machine.DialDiscovery != nil {
 		r.watcher.DialBy(machine.DialDiscovery)
 	}
--- a/lab/hollow/sidecar.go
+++ b/lab/hollow/sidecar.go
@@ -93,6 +93,7 @@
 	s.version = saved.Version
 	s.watcher = discovery.New(m.Discovery, zones, saved.Version, m.Span("obligations.ask_every_us"), int(m.Figure("balancers")), listMost, m.Seed,
 		s.hearList, &s.Counts, zerolog.Nop())
+	s.watcher.Hold(saved)
 	if s.Core, err = newCore(m, k.Fleet, k.Load, s, saved); err != nil {
 		s.peers.Close()
 		return nil, err
