Discovery: a whole list of an address that was left says who is gone by leaving them out

What callers saw: sends to a server whose departure the address that was just left had written, by a whole list without it. Cause: of such an answer only named entries that are not ready were kept, as changes; what it leaves out was lost. Evidence: TestOldAddressLeavesServersOut failed on ("told nothing") and passes. Why it works: the watcher holds what the told lists add up to. A listed server that the whole list doesn't name drains until the address in force, which is asked for the whole list next, says more; it is not called gone, since a wrong word would make it cold.

--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -82,13 +82,22 @@
 	return &resolved
 }
 
-// departures are what a list says of servers that take no new requests, as changes.
+// departures are what a list says of servers that take no new requests, as changes. A server that a whole list leaves out is among them: it
+// drains until a list that holds in full says more.
 func (f fleet) departures(l *List) *List {
 	changes := &List{Version: l.Version, Source: l.Source}
+	named := map[brain.ServerID]bool{}
 	for _, entry := range l.Entries {
+		named[entry.ID] = true
 		if entry.Standing != brain.Ready {
 			changes.Entries = append(changes.Entries, entry)
 		}
 	}
+	for id, entry := range f {
+		if l.Whole && !named[id] && entry.Standing == brain.Ready {
+			entry.Standing = brain.Draining
+			changes.Entries = append(changes.Entries, entry)
+		}
+	}
 	return changes
 }
--- a/internal/moves_test.go
+++ b/internal/moves_test.go
@@ -67,6 +67,52 @@
 `)
 }
 
+// A whole list that an address writes after it was left says who is gone by leaving them out. Before, only named entries that were not ready
+// were heard of it.
+func TestOldAddressLeavesServersOut(t *testing.T) {
+	var tr trace
+	other := strings.Replace(host, `"s"`, `"other"`, 1)
+	moved := make(chan bool)
+	old := serveFake(t, func(n int, path string) string {
+		switch n {
+		case 1:
+			return listed(42, host, other)
+		case 2:
+			<-moved
+			return listed(43, other)
+		}
+		return "silence"
+	})
+	next := serveFake(t, func(n int, path string) string { return "silence" })
+	told := make(chan *discovery.List, 9)
+	w := discovery.New(old.Addr().String(), map[string]int{"here": 0}, 41, 300*second, 1, 1<<20, 7, func(l *discovery.List) { told <- l },
+		&counters.Sheet{}, zerolog.Nop())
+	w.Watch()
+	hear := func() {
+		select {
+		case l := <-told:
+			tr.add("version %d, whole %v", l.Version, l.Whole)
+			for _, e := range l.Entries {
+				tr.add("  %s ready %v", e.Host, e.Standing == brain.Ready)
+			}
+		case <-time.After(2 * time.Second):
+			tr.add("told nothing")
+		}
+	}
+	hear()
+	old.asked(2)
+	w.Move(next.Addr().String())
+	close(moved)
+	hear()
+	tr.same(t, `
+version 42, whole true
+  s ready true
+  other ready true
+version 43, whole false
+  s ready false
+`)
+}
+
 // A call that was given up is told of when its answer comes all the same, and an older answer than that changes nothing.
 func TestLateAnswerIsTold(t *testing.T) {
 	var tr trace
