Discovery: a service that counts its versions anew is heard

Cause: accept dropped every list whose version is lower than the one before at the same address, also where the call began after that one was told. Why it works: only an answer that crossed a newer one is older for certain; a count of calls begun and answers told tells which came first. Any other lower list is heard for who leaves, which is harmless whatever it is, and the whole list is asked for; that one holds if its version is lower too.

--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -16,6 +16,8 @@
 const (
 	toldInFull     outcome = "list told"
 	toldDepartures outcome = "list told for the servers that leave: its address was left"
+	toldInDoubt    outcome = "list told for the servers that leave: its version is lower than the one before; the whole list is asked for"
+	toldCountsAnew outcome = "list told: versions count anew"
 	saysNothing    outcome = "list not told: it says nothing"
 	outdated       outcome = "list not told: older than the one held"
 	forgotten      outcome = "list not told: its address was left"
@@ -25,7 +27,7 @@
 func (o outcome) told() bool { return o != saysNothing && o != outdated && o != forgotten }
 
 // needsRecheck tells whether the whole list is asked for after an answer with this outcome.
-func (o outcome) needsRecheck() bool { return o == toldDepartures }
+func (o outcome) needsRecheck() bool { return o == toldDepartures || o == toldInDoubt }
 
 // deliver tells what an answer brings, whichever round made the call and whether or not it was given up. brought is false for one of which
 // nothing is told. Answers are told one at a time, so that the older of two is never told last.
@@ -59,7 +61,7 @@
 	}
 	list := w.held.resolve(answer)
 	if list.Version < from.version && !from.silent {
-		return nil, outdated
+		return w.acceptLower(c, list)
 	}
 	from.take(list.Version, w.tick())
 	if left { // it still counts for servers that leave, but can't call one back any more
@@ -74,6 +76,32 @@
 	return list, toldInFull
 }
 
+// acceptLower decides about an answer whose version is lower than one that its address told before. Where that was told while the call was out,
+// the answer is older. Else the service may have lost its count, or one of several that is behind has answered: servers that leave are heard,
+// and a second such whole list in a row holds in full. The lock is held.
+func (w *Watcher) acceptLower(c *call, list *List) (*List, outcome) {
+	from := c.service
+	if c.number < from.toldAt {
+		return nil, outdated
+	}
+	if from == w.at && list.Whole && from.doubtedAt != 0 && c.number > from.doubtedAt {
+		from.take(list.Version, w.tick())
+		return list, toldCountsAnew
+	}
+	first := from.doubtedAt == 0
+	if first {
+		from.doubtedAt = w.tick()
+	}
+	list = w.held.departures(list)
+	switch {
+	case from != w.at:
+		return list, toldDepartures
+	case first || !list.Empty():
+		return list, toldInDoubt
+	}
+	return nil, saysNothing
+}
+
 // record counts and logs what became of an answer. A call that was held to its end brings no changes, and is no news.
 func (w *Watcher) record(c *call, answer *List, outcome outcome) {
 	level := zerolog.InfoLevel
--- a/internal/moves_test.go
+++ b/internal/moves_test.go
@@ -113,6 +113,65 @@
 `)
 }
 
+// A service that starts anew counts from the beginning. Its lists were refused until its count had caught up, so a server that they left out
+// got requests all the while, and the service was called ten times a second. Now the first says who leaves, and the second one in a row, to a
+// call that began after the first came, holds.
+func TestVersionsCountAnew(t *testing.T) {
+	var tr trace
+	other := strings.Replace(host, `"s"`, `"other"`, 1)
+	var s *fake
+	s = serveFake(t, func(n int, path string) string {
+		switch n {
+		case 1:
+			return listed(40, host)
+		case 2:
+			return listed(3, other)
+		}
+		if !strings.Contains(s.requestLine(n), "?") {
+			return listed(3, other)
+		}
+		return "silence"
+	})
+	told, counts := make(chan *discovery.List, 99), &counters.Sheet{}
+	w := discovery.New(s.Addr().String(), map[string]int{"here": 0}, 39, 300*second, 1, 1<<20, 7, func(l *discovery.List) { told <- l }, counts, zerolog.Nop())
+	w.Watch()
+	for range 3 {
+		select {
+		case l := <-told:
+			if l == nil {
+				tr.add("a call failed")
+				continue
+			}
+			tr.add("version %d, whole %v", l.Version, l.Whole)
+			for _, e := range l.Entries {
+				tr.add("  %s ready %v", e.Host, e.Standing == brain.Ready)
+			}
+		case <-time.After(20 * time.Second):
+			tr.add("told nothing")
+		}
+	}
+	s.asked(4)
+	s.mu.Lock()
+	for _, ask := range s.seen[:4] {
+		tr.add("%s", strings.Split(ask, " HTTP")[0])
+	}
+	s.mu.Unlock()
+	tr.add("taken %d, outdated %d", counts[counters.ListsTaken].Load(), counts[counters.ListsOutdated].Load())
+	tr.same(t, `
+version 40, whole true
+  s ready true
+version 3, whole false
+  s ready false
+version 3, whole true
+  other ready true
+GET /api/targets?from=39&hold_ms=0
+GET /api/targets?from=40&hold_ms=4000
+GET /api/targets
+GET /api/targets?from=3&hold_ms=4000
+taken 3, outdated 0
+`)
+}
+
 // A call that was given up is told of when its answer comes all the same, and an older answer than that changes nothing.
 func TestLateAnswerIsTold(t *testing.T) {
 	var tr trace
