Slow start: a fleet that returns cold in one version is used while it warms up

What callers saw: after all servers had come back in one version, every request was rejected until the warm-up was over (8 s by the test's settings). Cause: a cold server's credit is earned by what a warm one carries. With no warm server takeStock divided nothing by next to nothing and forgot that figure. Why it works: the figure stays as it was while nobody can tell it. All sidecars' figures are of one moment, so their sum is bounded by a server's capacity as before. A process that starts into a cold fleet has no figure and waits for the warm-up: open.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -230,7 +230,9 @@
 	}
 	b.meanWeight = cmp.Or(weights/max(b.inUse, 1), b.meanWeight) // none in service: as it was
 	b.meanHeld = held / max(b.inUse, 1)
-	b.workPerWeight = sentWork / fadeBeats / max(warmWeight, leastPace)
+	if warmWeight > 0 { // else nobody tells it: as it was
+		b.workPerWeight = sentWork / fadeBeats / warmWeight
+	}
 }
 
 // fadeServer has what was seen of a server fade, unless that is next to nothing.
--- a/brain/cold_test.go
+++ b/brain/cold_test.go
@@ -132,3 +132,70 @@
 	}
 	d.matches(t)
 }
+
+// A whole fleet leaves in one version and returns in one, all of it cold. No server is warm, so nothing tells what a warm one carries but what
+// this fleet carried before; where that was forgotten nothing was sent to anybody until the warm-up was over. The cold budgets hold as ever.
+func TestWholeFleetReturnsCold(t *testing.T) {
+	var d day
+	s := func(modules int) Settings { return site("all", "balancers", float64(modules), "me", 0.0) }
+	const servers = "a* b* c* d* e* f* g* h* i* j*"
+	const mean = 28e3
+	for _, modules := range []int{3, 30} {
+		for _, silentFirst := range []bool{false, true} {
+			settings := s(modules)
+			from, warm := settings["obligations.cold_from"].(float64), settings["obligations.cold_us"].(float64)
+			window, multiple := settings["obligations.fall_us"].(float64), settings["obligations.fall_multiple"].(float64)
+			f := newFleet(t, modules, 5, settings, "a b c d e f g h i j")
+			before, after := 0.0, 0.0
+			var start Micros
+			type send struct {
+				at   Micros
+				work float64
+			}
+			sends := map[ServerID][]send{}
+			note := func(now Micros, server ServerID, work float64) {
+				if start == 0 {
+					before += work
+					return
+				}
+				after += work
+				sends[server] = append(sends[server], send{now, work})
+			}
+			speed := func(ServerID) float64 { return 1 }
+			perSecond := 10 * 0.6 * 1e6 / mean
+			f.play(3000*ms, 20*ms, perSecond, mean, speed, note)
+			tell := func(news News, servers string) {
+				for _, d := range f.days {
+					d.list(news, servers)
+				}
+			}
+			tell(Whole, "")
+			away := 2000 * ms
+			if silentFirst {
+				away = 12000 * ms
+			}
+			f.play(away, 20*ms, perSecond, mean, speed, note)
+			tell(Whole, servers)
+			start = f.days[0].now
+			f.play(7000*ms, 20*ms, perSecond, mean, speed, note)
+			excess := 0.0
+			for _, to := range sends {
+				for i, first := range to {
+					sum := 0.0
+					for _, s := range to[i:] {
+						if float64(s.at-first.at) < window {
+							sum += s.work / mean
+						}
+					}
+					n := multiple * min(1, from+(1-from)*float64(first.at-start)/warm) * window / mean
+					excess = max(excess, (sum-n)/(2*math.Sqrt(n)+2))
+				}
+			}
+			part := after / 7 / (before / 3)
+			d.say("%d sidecars, away for %d s: within chance %v, a fifth of the work of before is done while all are cold %v", modules, away/1000/ms,
+				excess <= 1, part >= 0.2)
+			t.Logf("%d sidecars, away for %d s: excess %.2f of chance, %.2f of the work of before", modules, away/1000/ms, excess, part)
+		}
+	}
+	d.matches(t)
+}
