Retries: requests that wait are answered at once when no server is left for them

What callers saw: with no server left a request that waited for its retry got its answer after the backoff (50 ms, then twice as long each time), one that waited for owners' quotes an eighth of its target later. Cause: only a timer looked again whether there is a server. The tokens of the retry come back in that instant. TestNoEffectTwice: the error page of a keyed request whose zone has left comes 50 ms sooner; what is answered is the same.

--- a/brain/books.go
+++ b/brain/books.go
@@ -118,6 +118,7 @@
 	outstanding    int // of these
 	chargedRetries int
 	freeRetryUsed  bool
+	retryWaits     bool // for its backoff; its tokens are taken
 
 	// Its comparison by the servers' owners:
 	round    int
--- a/brain/retries.go
+++ b/brain/retries.go
@@ -3,6 +3,11 @@
 // retries.go: what follows an attempt's end. Retries take tokens from one bucket and back off; a connection that was reused and broke
 // unanswered has one free retry.
 
+import (
+	"maps"
+	"slices"
+)
+
 // onEnd is what becomes of a request when an attempt of it has ended. charged: the attempt was a retry that took tokens.
 func (b *Balancer) onEnd(request *request, charged bool) func(*attempt, Result) {
 	return func(attempt *attempt, result Result) {
@@ -60,10 +65,15 @@
 	b.after(b.now+request.backoff(), func() { b.retry(request) })
 	b.spentTokens += retryCost
 	request.chargedRetries++
+	request.retryWaits = true
 }
 
 // retry sends a retry whose tokens are taken.
 func (b *Balancer) retry(request *request) {
+	if !request.retryWaits {
+		return
+	}
+	request.retryWaits = false
 	server := b.pick(request, false, false)
 	if server == nil {
 		b.refund(retryCost) // it is never sent
@@ -73,6 +83,26 @@
 	b.send(request, server, b.onEnd(request, true))
 }
 
+// giveUpWaiting answers requests that have nothing out and wait for a server, where none is left that may ever have them.
+func (b *Balancer) giveUpWaiting() {
+	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
+		request := b.requests[id]
+		if request.ended || request.outstanding > 0 || b.hasPlace(request) {
+			continue
+		}
+		if request.retryWaits {
+			request.retryWaits = false
+			b.refund(retryCost) // it is never sent
+		}
+		b.giveUp(request, TurnedNoServer)
+	}
+}
+
+// hasPlace tells whether a server is listed that may have a request, now or once it has room.
+func (b *Balancer) hasPlace(request *request) bool {
+	return slices.ContainsFunc(b.listed, func(server *server) bool { return server.open() && request.mayRunAgain(b.now, server) })
+}
+
 // backoff is how long a request waits before its next retry.
 func (r *request) backoff() Micros { return firstBackoff << r.chargedRetries }
 
--- a/brain/servers.go
+++ b/brain/servers.go
@@ -145,6 +145,7 @@
 		return server.standing == Gone && server.held == 0 && now-server.lastListed > keep
 	})
 	b.listed = slices.SortedFunc(maps.Values(b.servers), func(x, y *server) int { return cmp.Compare(x.id, y.id) })
+	b.giveUpWaiting()
 }
 
 // open tells whether a server may get requests: it is neither drained, gone nor taken out. No grace is used.
