Retries: one that was never sent gives all its tokens back

Cause: refundFor kept half of a retry's tokens also where the attempt was called off before a byte was written, as when its server leaves. The source keeps them for failures only, and a retry that found nowhere to go already got them back.

--- a/brain/retries.go
+++ b/brain/retries.go
@@ -22,10 +22,10 @@
 	}
 }
 
-// refundFor gives tokens back for an attempt that ended.
+// refundFor gives tokens back for an attempt that ended. One that was never sent has cost nothing.
 func (b *Balancer) refundFor(request *request, charged bool, result Result) {
 	switch {
-	case charged && result == Succeeded:
+	case charged && (result == Succeeded || result == NeverSent):
 		b.refund(retryCost)
 	case charged:
 		b.refund(failedRefund)
