--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -42,6 +42,7 @@
 	heardAt time.Time // the last answer came, or the service was out of reach
 	failed  int       // calls, since then
 	back    int       // the round that comes back by itself after a failed call
+	closed  bool
 }
 
 // New makes a watcher that holds the list of this version. tell hears each list that brings something, and nil for a
@@ -134,8 +135,23 @@
 	}
 }
 
+// Close ends the watch and all calls; nothing is told any more once they have ended.
+func (w *Watcher) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	w.round++
+	w.at.close()
+	for _, left := range w.retired {
+		left.close()
+	}
+}
+
 // begin starts the next round; the lock is held.
 func (w *Watcher) begin(from state) {
+	if w.closed {
+		return
+	}
 	w.round++
 	go w.follow(w.at, w.round, from)
 }
