Discovery: the wait after a call that hung counts from its beginning

Cause: a call that comes back after a failure is waited for 4.5 s; when it hung, up to 2.25 s of waiting came on top before the next one. TestHungAddressComesBack failed for the first of its 60 ends of the trouble and passes for all. Why it works: the wait spreads the calls of many sidecars, and a call that hung for longer has been spread by that. One that is refused at once waits as before.

--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -92,7 +92,7 @@
 	return min(max(time.Since(w.lostAt)/maxSideBySide, lateMost), 2*maxSideBySide*time.Duration(w.step.Load()))
 }
 
-// wait is how long to stay away after a failed call: drawn from a span over which all sidecars' calls are no herd, and then from half of what
+// wait is how long after a failed call began the next one may: drawn from a span over which all sidecars' calls are no herd, and then from half of what
 // is left till the last answer is too old. So it is shorter each time at a service that turns calls away, and longer each time at one that is
 // out of reach, since what that has counts from when it is back. A fleet's calls don't come back together, and none of its members is
 // turned away by a busy service for ever.
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -211,7 +211,7 @@
 	if r.err == nil && !r.news && now.hold > 0 { // a service may answer at once, and nothing new, for ever
 		time.Sleep(min(w.part(pacePart), goesOn/2) - time.Since(began))
 	}
-	return w.rest(round, next)
+	return w.rest(round, next, took)
 }
 
 // next is the step that follows a call which ended so.
@@ -231,13 +231,13 @@
 	return step{returning, w.shorter(min(w.part(holdPart), holdBack))}
 }
 
-// rest waits after a failure for as long as is due before the next step.
-func (w *Watcher) rest(round int, next step) step {
+// rest waits after a call that failed and took so long, for as long as is due before the next step.
+func (w *Watcher) rest(round int, next step, took time.Duration) step {
 	switch next.state {
 	case starting: // again: the list is pushed
 		time.Sleep(time.Duration(w.step.Load()))
 	case returning:
-		time.Sleep(w.wait())
+		time.Sleep(w.wait() - took)
 		if !w.comesBack(round) {
 			return step{}
 		}
