Test: decisions keep to the list, over drawn sequences

Lists of none, one, some and all servers, whole and by changes; requests of every effect, streamed ones, outcomes of every kind, attempts called off unsent, time that passes. Nothing may go to a server that the lists have as not ready, each request has one answer by its deadline, and with no server left it has it at once and the bucket is not charged. The next floor up (relay and outbound) is not in it.

--- /dev/null
+++ b/brain/model_test.go
@@ -0,0 +1,221 @@
+package brain
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// caller stands in for the relay in drawn days, and holds what is decided against what was told.
+type caller struct {
+	b        *Balancer
+	now      Micros
+	wakes    []wake
+	ready    map[ServerID]bool // by the lists that were told
+	out      []sentAttempt     // not ended yet
+	open     map[RequestID]Micros
+	attempts map[RequestID]int
+	queue    []func() // to do once the call that goes on is over
+	faults   []string
+	requests RequestID
+}
+
+// sentAttempt is an attempt that is out.
+type sentAttempt struct {
+	request RequestID
+	no      AttemptNo
+	server  ServerID
+	since   Micros
+}
+
+func (c *caller) fault(format string, values ...any) {
+	c.faults = append(c.faults, fmt.Sprintf("%.1f ms: ", float64(c.now)/1000)+fmt.Sprintf(format, values...))
+}
+
+func (c *caller) Dispatch(request RequestID, server ServerID, _ Micros) {
+	if !c.ready[server] {
+		c.fault("request %d is sent to server %d, which is not ready", request, server)
+	}
+	if deadline, open := c.open[request]; !open || c.now >= deadline {
+		c.fault("request %d is sent after its end", request)
+	}
+	c.out = append(c.out, sentAttempt{request, AttemptNo(c.attempts[request]), server, c.now})
+	c.attempts[request]++
+}
+
+// answer is a request's last.
+func (c *caller) answer(request RequestID) {
+	if _, open := c.open[request]; !open {
+		c.fault("request %d is answered again", request)
+	}
+	delete(c.open, request)
+}
+
+func (c *caller) Reject(request RequestID, _ Micros, _ Reason) { c.answer(request) }
+func (c *caller) Fail(request RequestID, _ Reason)             { c.answer(request) }
+
+func (c *caller) Cancel(request RequestID, no AttemptNo) {
+	c.queue = append(c.queue, func() {
+		at := slices.IndexFunc(c.out, func(a sentAttempt) bool { return a.request == request && a.no == no })
+		if at >= 0 {
+			c.end(at, Cancelled)
+		}
+	})
+}
+
+func (c *caller) Wake(in Micros, t Token)                      { c.wakes = append(c.wakes, wake{c.now + in, t}) }
+func (c *caller) CloseIdle(ServerID)                           {}
+func (c *caller) Subscribe()                                   {}
+func (c *caller) Print(string)                                 {}
+func (c *caller) Tell(Peer, MessageKind, ServerID, ...float64) {}
+
+// settle does what was put off, and looks whether everybody has what is due.
+func (c *caller) settle() {
+	for len(c.queue) > 0 {
+		next := c.queue
+		c.queue = nil
+		for _, do := range next {
+			do()
+		}
+	}
+	anyReady := false
+	for _, ready := range c.ready {
+		anyReady = anyReady || ready
+	}
+	for request, deadline := range c.open {
+		out := slices.ContainsFunc(c.out, func(a sentAttempt) bool { return a.request == request })
+		if !anyReady && !out {
+			c.fault("request %d waits, and no server is left", request)
+		}
+		if c.now > deadline {
+			c.fault("request %d has no answer by its deadline", request)
+		}
+	}
+}
+
+// end tells how an attempt that is out ended.
+func (c *caller) end(at int, result Result) {
+	a := c.out[at]
+	c.out = slices.Delete(c.out, at, at+1)
+	if result == Succeeded {
+		delete(c.open, a.request)
+	}
+	_, open := c.open[a.request]
+	c.b.Outcome(c.now, a.request, a.no, result, c.now-a.since, !open)
+}
+
+// list tells a list. Of the attempts to servers that leave some are called off before they are written.
+func (c *caller) list(t *rapid.T, news News, standing Standing, servers []ServerID, started Micros) {
+	before := c.b.spentTokens
+	if news == Whole && standing == Ready {
+		clear(c.ready)
+	}
+	c.b.ListBegins(c.now, news)
+	listed := map[ServerID]bool{}
+	for _, server := range servers {
+		listed[server] = true
+		c.ready[server] = standing == Ready
+	}
+	if news == Whole && standing != Ready { // the others, as they are
+		for server, ready := range c.ready {
+			if !listed[server] && ready {
+				c.b.Listed(c.now, server, Zone(server%2), Cell(server%3), Ready, 1, 0)
+			}
+		}
+	} else {
+		for _, server := range servers {
+			c.b.Listed(c.now, server, Zone(server%2), Cell(server%3), standing, 1, started)
+		}
+	}
+	c.b.ListEnds(c.now)
+	for at := len(c.out) - 1; at >= 0; at-- {
+		if !c.ready[c.out[at].server] && rapid.Bool().Draw(t, "unsent") {
+			a := c.out[at]
+			c.queue = append(c.queue, func() {
+				if at := slices.Index(c.out, a); at >= 0 {
+					c.end(at, NeverSent)
+				}
+			})
+		}
+	}
+	c.settle()
+	if !slices.Contains(readiness(c.ready), true) && c.b.spentTokens > before {
+		c.fault("the bucket is charged while no server is left: %.0f tokens missing, %.0f before", c.b.spentTokens, before)
+	}
+}
+
+func readiness(ready map[ServerID]bool) (all []bool) {
+	for _, is := range ready {
+		all = append(all, is)
+	}
+	return all
+}
+
+// pass lets time go by.
+func (c *caller) pass(span Micros) {
+	for end := c.now + span; ; {
+		first := -1
+		for i, w := range c.wakes {
+			if w.at <= end && (first < 0 || w.at < c.wakes[first].at) {
+				first = i
+			}
+		}
+		if first < 0 {
+			c.now = end
+			break
+		}
+		due := c.wakes[first]
+		c.wakes = slices.Delete(c.wakes, first, first+1)
+		c.now = max(c.now, due.at)
+		c.b.Woken(c.now, due.t)
+		c.settle()
+	}
+	c.settle()
+}
+
+// Whatever is told in whatever order: nothing goes to a server that the lists have as not ready, each request has one answer by its deadline, and
+// with no server left it has it at once and the retry bucket is not charged.
+func TestDecisionsKeepToTheList(t *testing.T) {
+	everyone := []ServerID{1, 2, 3, 4, 5, 6}
+	amounts := [][]ServerID{{}, {1}, {4}, {2, 3, 5}, everyone}
+	results := []Result{Succeeded, Succeeded, Succeeded, AnsweredError, Overloaded, TimedOut, ConnectFailed, Reset}
+	rapid.Check(t, func(t *rapid.T) {
+		c := &caller{now: 1e9, ready: map[ServerID]bool{}, open: map[RequestID]Micros{}, attempts: map[RequestID]int{}}
+		settings := site(rapid.SampledFrom([]string{"all", "zone", "cell"}).Draw(t, "group"), "balancers",
+			float64(rapid.SampledFrom([]int{1, 3, 40}).Draw(t, "sidecars")), "me", 0.0, "allowed.may_duplicate", rapid.Bool().Draw(t, "copies"),
+			"allowed.peer_messages", rapid.Bool().Draw(t, "messages"))
+		var err error
+		if c.b, err = New(c.now, settings, 7, c); err != nil {
+			t.Fatal(err)
+		}
+		c.list(t, Saved, Ready, amounts[rapid.IntRange(0, 4).Draw(t, "saved")], 0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1, 2:
+				c.requests++
+				c.open[c.requests] = c.now + 2000*ms
+				c.b.Inbound(c.now, c.requests, ClassID(rapid.IntRange(0, 2).Draw(t, "class")), 0, 2000*ms, 0, false, rapid.IntRange(0, 9).Draw(t, "streamed") == 0)
+			case 3, 4, 5:
+				if len(c.out) > 0 {
+					c.end(rapid.IntRange(0, len(c.out)-1).Draw(t, "attempt"), rapid.SampledFrom(results).Draw(t, "result"))
+				}
+			case 6:
+				c.list(t, Changes, Ready, rapid.SampledFrom(amounts).Draw(t, "return"), rapid.SampledFrom([]Micros{0, c.now}).Draw(t, "started"))
+			case 7:
+				news := rapid.SampledFrom([]News{Changes, Whole}).Draw(t, "news")
+				c.list(t, news, rapid.SampledFrom([]Standing{Draining, Gone}).Draw(t, "standing"), rapid.SampledFrom(amounts).Draw(t, "leave"), 0)
+			case 8:
+				c.list(t, Whole, Ready, rapid.SampledFrom(amounts).Draw(t, "whole"), rapid.SampledFrom([]Micros{0, c.now}).Draw(t, "started"))
+			case 9:
+				c.pass(rapid.SampledFrom([]Micros{1 * ms, 60 * ms, 400 * ms, 9000 * ms}).Draw(t, "span"))
+			}
+			c.settle()
+		}
+		c.pass(2100 * ms)
+		if len(c.faults) > 0 {
+			t.Fatalf("%d faults, the first: %s", len(c.faults), c.faults[0])
+		}
+	})
+}
