Decisions: a process that starts without classes serves those that come later

Cause: with no class the mean work is nought, and the fleet's pace nought by nought: no number, which no later answer mends (blend). Evidence: TestFirstClassesComeLater: all six requests rejected before, all six sent now.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -82,14 +82,11 @@
 	b := &Balancer{settings: read, ports: ports, now: now, begun: now, seed: seed, hash: fnv.New64a(), timers: due.New[Micros](),
 		servers: map[ServerID]*server{}, requests: map[RequestID]*request{}, takenOut: map[ServerID]bool{}, tally: map[string]int{},
 		pace: 1, rawPace: 1, calmPace: 1, meanWeight: 1, addedByMet: 1}
-	for _, class := range b.classes {
-		b.meanWork = class.meanLatency
-	}
+	b.expectFirst()
 	b.myZone = Zone(b.number("my_zone"))
 	b.sidecars = max(1, int(b.optional("balancers")))
 	b.me = Peer(b.optional("me"))
 	b.peerBackoffs = make([]backoff, b.sidecars)
-	b.quoteLag = b.leastTarget / 8
 	b.dialPrice = b.optional("tariffs.handshake")
 	b.idleLife = b.span("allowed.conn_idle_us")
 	if b.text("discovery") == "on_request" { // not all sidecars at once: the saved list will do
@@ -99,6 +96,15 @@
 	return b, nil
 }
 
+// expectFirst has what is known of requests before the first one come from the classes, once there are any.
+func (b *Balancer) expectFirst() {
+	if b.meanWork > 0 || len(b.classes) == 0 {
+		return
+	}
+	b.meanWork = b.classes[len(b.classes)-1].meanLatency
+	b.quoteLag = b.leastTarget / 8
+}
+
 // Retune takes over new settings; what they lack is an error, and changes nothing. A class is known by its name, a tenant by its place. A
 // request ends under the settings it began with, or what became stricter since.
 func (b *Balancer) Retune(now Micros, all Settings) error {
@@ -113,6 +119,7 @@
 	next.longestTimeout = max(b.longestTimeout, next.longestTimeout) // others' requests that are out may take as long
 	b.now = now
 	b.settings = next
+	b.expectFirst()
 	b.rampFrom = now + Micros(max(before.window, next.wantedRamp.window))
 	for _, server := range b.listed {
 		if server.coldSince == 0 && server.warmupBegan != 0 && float64(now-server.warmupBegan) < b.ramp.warm {
--- a/brain/choice.go
+++ b/brain/choice.go
@@ -142,7 +142,10 @@
 	b.rawPace = blend(all.latency, all.work, 1, 1)
 }
 
-// blend is a latency per unit of work, mixed with a prior.
+// blend is a latency per unit of work, mixed with a prior; the usual one where there is neither.
 func blend(latency, work, prior, usual float64) float64 {
+	if !(work+prior > 0) {
+		return usual
+	}
 	return (latency + prior*usual) / (work + prior)
 }
--- a/brain/retune_test.go
+++ b/brain/retune_test.go
@@ -763,3 +763,31 @@
 		}
 	})
 }
+
+// A process that starts with no classes, and is given some later, sends their requests. The pace of a fleet without any was nought by nought, which
+// no later answer could mend, and everything was rejected for good.
+func TestFirstClassesComeLater(t *testing.T) {
+	d := begin(t, site("all", "path_prefixes", 0.0), "a b c")
+	d.pass(3000 * ms)
+	if err := d.b.Retune(d.now, site("all")); err != nil {
+		t.Fatal(err)
+	}
+	d.pass(3000 * ms)
+	for id := range RequestID(6) {
+		d.visit(id+1, ClassID(id%3))
+		d.pass(20 * ms)
+		if request := d.b.requests[id+1]; request != nil && len(request.attempts) > 0 {
+			d.ends(id+1, 0, Succeeded)
+		}
+	}
+	d.title("the last class goes, and comes back")
+	if err := d.b.Retune(d.now, site("all", "path_prefixes", 0.0)); err != nil {
+		t.Fatal(err)
+	}
+	d.pass(3000 * ms)
+	if err := d.b.Retune(d.now, site("all")); err != nil {
+		t.Fatal(err)
+	}
+	d.visit(9, 0)
+	d.matches(t)
+}
