Log: a line that comes again and again stands once a second, with its count

In the report's outage "retry denied: the bucket is empty" came hundreds of times a second and hid the rest. The first is logged at once, those that follow within a second as one with times. Lines about a server stay as they are. TestRepeatsAreLoggedOnceASecond.

--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -76,14 +76,13 @@
 	}
 }
 
-// Print logs a line. One that begins with a server's id tells its name beside.
+// Print logs a line. One that begins with a server's id tells its name beside; another that comes again and again is logged once a second.
 func (r *Relay) Print(line string) {
-	entry := r.log.Info()
 	first, rest, _ := strings.Cut(line, " ")
-	if id, err := strconv.ParseUint(first, 16, 48); err == nil {
-		if named, known := r.servers[brain.ServerID(id)]; known {
-			entry, line = entry.Str("server", named.host), rest
-		}
+	id, err := strconv.ParseUint(first, 16, 48)
+	if named, known := r.servers[brain.ServerID(id)]; err == nil && known {
+		r.log.Info().Str("server", named.host).Msg(rest)
+		return
 	}
-	entry.Msg(line)
+	r.logRepeated(line)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,6 +86,7 @@
 	listed    chan struct{}          // closed when the first list came
 	heard     bool                   // it is
 	emptied   bool                   // no server is ready
+	repeated  map[string]*repeats    // lines that were logged less than a second ago
 	classes   []*class               // by place
 	loads     []string               // what a load report holds,
 	loadsNow  time.Time              // since then
@@ -118,7 +119,7 @@
 	log zerolog.Logger) (*Relay, error) {
 	r := &Relay{clock: startClock(machine.Wall), events: make(chan func(), 1024), calls: make(chan func()), timers: due.New[brain.Micros](),
 		timer: time.NewTimer(time.Hour), requests: map[brain.RequestID]*request{}, longNames: map[string]bool{},
-		servers: map[brain.ServerID]server{}, starts: map[brain.ServerID]start{}, takenOut: map[string]bool{}, listed: make(chan struct{}),
+		servers: map[brain.ServerID]server{}, starts: map[brain.ServerID]start{}, repeated: map[string]*repeats{}, takenOut: map[string]bool{}, listed: make(chan struct{}),
 		mostEver: most, pushed: b.Site["discovery"] == "pushed", names: newNames(0),
 		outbound: out, peers: others, counts: counts, log: log}
 	r.read(b)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
 	"ledgespread/internal/counters"
@@ -85,3 +86,36 @@
 		t.Errorf("the list was heard after %d events, of %d that waited", n, cap(r.events))
 	}
 }
+
+// In the report's outage "retry denied" stood in the log a hundred times a second. Such a line is logged at once, and its repeats once a second with
+// how many they were.
+func TestRepeatsAreLoggedOnceASecond(t *testing.T) {
+	b, err := site.Parse([]byte(small))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log strings.Builder
+	counts := &counters.Sheet{}
+	r, err := New(b, 9, outbound.New(1, 1, 9, 1, nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		r.Print("retry denied")
+		r.Print("another line")
+	}
+	for range 3 {
+		r.now += repeatedEvery
+		r.lapse()
+	}
+	r.Print("retry denied")
+	want := `{"level":"info","message":"retry denied"}
+{"level":"info","message":"another line"}
+{"level":"info","times":4,"message":"retry denied"}
+{"level":"info","times":4,"message":"another line"}
+{"level":"info","message":"retry denied"}
+`
+	if diff := cmp.Diff(want, log.String()); diff != "" {
+		t.Errorf("-kept +now:\n%s", diff)
+	}
+}
