--- a/cmd/ledgelab/soak.go
+++ b/cmd/ledgelab/soak.go
@@ -20,6 +20,7 @@
 	var seeds, only, planted string
 	var length time.Duration
 	var atOnce int
+	var cover bool
 	c := &cobra.Command{Use: "soak", Short: "Play days whose fleet, settings and faults are drawn by seed; exit 1 where a rule is broken", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			from, to, err := readSeeds(seeds)
@@ -37,7 +38,7 @@
 				}
 			}
 			out := c.OutOrStdout()
-			outcomes, err := soak.Play(soak.Options{Program: p, OnMachine: onMachine, From: from, To: to, Length: int(length.Milliseconds()), Only: only, AtOnce: atOnce,
+			outcomes, err := soak.Play(soak.Options{Program: p, OnMachine: onMachine, From: from, To: to, Length: int(length.Milliseconds()), Only: only, AtOnce: atOnce, Cover: cover,
 				Folder: o.folder, Stop: interrupted(), Say: func(line string) { fmt.Fprintln(out, line) }})
 			if err != nil {
 				return err
@@ -49,6 +50,7 @@
 	c.Flags().StringVar(&only, "only", "", "the one kind of fault beside drains, a move of the list and the end of a sidecar")
 	c.Flags().DurationVar(&length, "for", 16*time.Second, "how long a day lasts")
 	c.Flags().IntVar(&atOnce, "at-once", 2, "days that are played side by side")
+	c.Flags().BoolVar(&cover, "cover", false, "pass over days without a pair of faults, amounts and modes of the list that no earlier one had")
 	c.Flags().StringVar(&planted, "break", "", "play a sidecar of the lab that breaks a rule in this way")
 	return c
 }
@@ -56,7 +58,11 @@
 // sum prints how the days ended.
 func sum(c *cobra.Command, outcomes []*soak.Outcome) error {
 	kept, broken, unplayed := 0, 0, 0
+	covered := soak.Coverage{}
 	for _, outcome := range outcomes {
+		if outcome.Err == nil {
+			covered.Add(outcome.Seed, outcome.Pairs)
+		}
 		switch {
 		case outcome.Err != nil:
 			unplayed++
@@ -66,6 +72,9 @@
 			broken++
 		}
 	}
+	for _, line := range covered.Table() {
+		fmt.Fprintln(c.OutOrStdout(), line)
+	}
 	fmt.Fprintf(c.OutOrStdout(), "%d days: %d kept, %d broken, %d could not be played\n", len(outcomes), kept, broken, unplayed)
 	switch {
 	case unplayed > 0:
--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -41,7 +41,16 @@
 const timeoutSlow = "timeout-slow"
 
 // SoakWays are breaks that only show on days with faults of the list or clients that leave, with the rule each breaks.
-var SoakWays = map[string]int{"late-list": 3, "after-left": 1, "long-deadline": 5, "wall-warm": 4, timeoutSlow: 1}
+var SoakWays = map[string]int{"late-list": 3, "after-left": 1, "long-deadline": 5, "wall-warm": 4, timeoutSlow: 1, dropsEmpty: 3, keepsLeftOut: 3,
+	freezesAtOdd: 3, lastResort: 3}
+
+// Ways with a list at its extremes.
+const (
+	dropsEmpty   = "drops-empty"    // a list that names nobody is dropped
+	keepsLeftOut = "keeps-left-out" // servers that a whole list leaves out are used as before
+	freezesAtOdd = "freezes-at-odd" // a list with an entry that can't be used is dropped
+	lastResort   = "last-resort"    // where no server may be used, any that there ever was is
+)
 
 // Names are all ways, in order.
 func Names() []string {
@@ -85,6 +94,7 @@
 	lists   *http.Client // to discovery
 	mu      sync.Mutex
 	servers []server
+	seen    map[string]server // all that there ever were
 	n       map[string]int
 	draw    *chance.Source
 }
@@ -103,7 +113,7 @@
 	duties, _ := settings["obligations"].(map[string]any)
 	cold, _ := duties["cold_us"].(float64)
 	toServers := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}
-	c := &sidecar{way: way, cold: time.Duration(cold) * time.Microsecond, effects: map[string]string{}, n: map[string]int{},
+	c := &sidecar{way: way, cold: time.Duration(cold) * time.Microsecond, effects: map[string]string{}, seen: map[string]server{}, n: map[string]int{},
 		client: &http.Client{Transport: toServers}, lists: &http.Client{}}
 	c.list, _ = told["discovery"].(string)
 	seed, _ := told["seed"].(string)
@@ -204,12 +214,27 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.way != "late-list" || c.servers == nil || time.Since(began) < lateList {
-		c.servers = now
-	}
+	c.take(now, time.Since(began))
 	return nil
 }
 
+// take goes by a list that came after so long, or what its way has it make of it. The lock is held.
+func (c *sidecar) take(now []server, took time.Duration) {
+	named := func(s server) bool { return slices.ContainsFunc(now, func(n server) bool { return n.name == s.name }) }
+	odd := func(s server) bool { return s.zone == "nowhere" }
+	switch first := c.servers == nil; {
+	case first:
+	case c.way == "late-list" && took >= lateList, c.way == dropsEmpty && len(now) == 0, c.way == freezesAtOdd && slices.ContainsFunc(now, odd):
+		return
+	case c.way == keepsLeftOut:
+		now = slices.Concat(now, slices.DeleteFunc(c.servers, named))
+	}
+	c.servers = now
+	for _, s := range now {
+		c.seen[s.name] = s
+	}
+}
+
 // pick is a server that may get a visit; but names one that may not, in none of its zone where other is set.
 func (c *sidecar) pick(but *server, other bool) *server {
 	c.mu.Lock()
@@ -237,6 +262,9 @@
 	if young := slices.DeleteFunc(slices.Clone(may), func(s server) bool { return time.Since(s.born) >= c.cold }); c.way == "wall-warm" && len(young) > 0 {
 		may = young // a server that has just started, and seems warm, has the least to do
 	}
+	if len(may) == 0 && c.way == lastResort {
+		may = slices.Collect(maps.Values(c.seen))
+	}
 	if len(may) == 0 {
 		return nil
 	}
--- a/lab/list/list.go
+++ b/lab/list/list.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -73,6 +72,12 @@
 	Late   Micros  // an answer is written up to so long after it is due, each by its own chance
 }
 
+// Forms are how answers are written.
+type Forms struct {
+	Whole    float64 // part of the answers to watches that are the whole list
+	Together Micros  // changes that are shown within the same span of this length are one version; 0: each is its own
+}
+
 // longestHold is how long a call is held at the most, in milliseconds.
 const longestHold = 60_000
 
@@ -92,7 +97,11 @@
 	down    bool
 	late    Micros
 	trouble Trouble
-	free    Micros // its queue is worked off
+	forms   Forms
+	pending map[Micros][]Host // changes that are shown together, by when
+	shift   int               // versions are told lower by so much, since the service started anew
+	odd     bool              // an entry that nobody can use stands in every answer
+	free    Micros            // its queue is worked off
 	draw    *chance.Source
 	told    []Told
 	calls   []*Call
@@ -107,37 +116,102 @@
 	name   string
 	server *http.Server
 	at     string
+
+	mu   sync.Mutex
+	open map[net.Conn]bool
+}
+
+// note keeps the connections that are open.
+func (r *reader) note(c net.Conn, state http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open[c] = true; state == http.StateClosed {
+		delete(r.open, c)
+	}
+}
+
+// drop breaks the connections that are open.
+func (r *reader) drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		c.Close()
+	}
 }
 
 // New is a list without backends.
 func New(c *clock.Clock) *List {
-	return &List{clock: c, draw: chance.New(1, "list"), hosts: map[string]Host{}, news: make(chan struct{}), readers: map[string]*reader{}}
+	return &List{clock: c, draw: chance.New(1, "list"), hosts: map[string]Host{}, news: make(chan struct{}), readers: map[string]*reader{}, pending: map[Micros][]Host{}}
 }
 
 // Set brings a backend in, or changes it; the list shows that when its notice is over.
 func (l *List) Set(h Host, notice Micros) {
 	happened := l.clock.Now()
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	notice += l.late
-	l.mu.Unlock()
-	show := func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
+	if l.forms.Together <= 0 {
+		if notice <= 0 {
+			l.show(happened, h)
+			return
+		}
+		time.AfterFunc(notice.Duration(), func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.show(happened, h)
+		})
+		return
+	}
+	due := (happened + notice + l.forms.Together) / l.forms.Together * l.forms.Together
+	l.pending[due] = append(l.pending[due], h)
+	if len(l.pending[due]) == 1 {
+		time.AfterFunc((due - happened).Duration(), func() {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.show(happened, l.pending[due]...)
+			delete(l.pending, due)
+		})
+	}
+}
+
+// show makes a new version of these backends; the lock is held.
+func (l *List) show(happened Micros, hosts ...Host) {
+	l.seq++
+	for _, h := range hosts {
 		if _, there := l.hosts[h.Name]; !there {
 			l.order = append(l.order, h.Name)
 		}
-		l.seq++
 		l.hosts[h.Name] = h
 		l.changes = append(l.changes, change{l.seq, h, happened})
 		l.log = append(l.log, Changed{l.seq, h.Name, h.Health, happened, l.clock.Now()})
-		close(l.news)
-		l.news = make(chan struct{})
 	}
-	if notice <= 0 {
-		show()
-		return
+	close(l.news)
+	l.news = make(chan struct{})
+}
+
+// SetForms has answers be written so from now on.
+func (l *List) SetForms(f Forms) { l.mu.Lock(); l.forms = f; l.mu.Unlock() }
+
+// SetOdd has an entry that nobody can use stand in every answer, or no longer.
+func (l *List) SetOdd(on bool) { l.mu.Lock(); l.odd = on; l.mu.Unlock() }
+
+// Anew has the service start anew: its connections break, and it counts its versions from the beginning.
+func (l *List) Anew() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shift = l.seq - 1
+	for _, r := range l.readers {
+		r.drop()
 	}
-	time.AfterFunc(notice.Duration(), show)
+	close(l.news)
+	l.news = make(chan struct{})
+}
+
+// Born is when a backend that the list has says that it started; 0: long ago.
+func (l *List) Born(name string) Micros {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hosts[name].Born
 }
 
 // SetDown has every call fail, and ends the watches.
@@ -186,8 +260,8 @@
 	if err != nil {
 		return "", err
 	}
-	r := &reader{name: name, at: ln.Addr().String()}
-	r.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { l.answer(r, w, q) })}
+	r := &reader{name: name, at: ln.Addr().String(), open: map[net.Conn]bool{}}
+	r.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { l.answer(r, w, q) }), ConnState: r.note}
 	go r.server.Serve(ln)
 	l.readers[name] = r
 	return r.at, nil
@@ -239,132 +313,13 @@
 			}
 		}
 	}
-	text, _ := json.Marshal(map[string]any{"seq": l.seq, "whole": whole, "hosts": hosts})
-	return text
-}
-
-func (l *List) answer(r *reader, w http.ResponseWriter, q *http.Request) {
-	from, err := strconv.Atoi(q.URL.Query().Get("from"))
-	watches := err == nil
-	hold, _ := strconv.Atoi(q.URL.Query().Get("hold_ms"))
-	l.mu.Lock()
-	l.Calls++
-	call := &Call{Reader: r.name, Address: r.at, Began: l.clock.Now(), Ended: -1}
-	l.calls = append(l.calls, call)
-	over := func(how string) { call.Ended, call.How = l.clock.Now(), how }
-	ails, late := l.turn()
-	switch ails {
-	case refuses:
-		l.Failed++
-		over(CallRefused)
-		l.mu.Unlock()
-		refuse(w)
-		return
-	case silent:
-		l.mu.Unlock()
-		<-q.Context().Done()
-		l.mu.Lock()
-		over(CallDropped)
-		l.mu.Unlock()
-		return
-	}
-	if free := l.free; free > call.Began {
-		l.mu.Unlock()
-		l.sleepUntil(free)
-		l.mu.Lock()
-	}
-	if watches && hold > 0 {
-		l.holdCall(q, from, time.Duration(min(hold, longestHold))*time.Millisecond)
-	}
-	if late > 0 && !l.down { // others are answered meanwhile
-		until := l.clock.Now() + late
-		l.mu.Unlock()
-		l.sleepUntil(until)
-		l.mu.Lock()
-	}
-	if l.down {
-		l.Failed++
-		over(CallRefused)
-		l.mu.Unlock()
-		refuse(w)
-		return
-	}
-	body, seq := l.render(r.name, !watches || from > l.seq, from), l.seq
-	l.mu.Unlock()
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, err = w.Write(body)
-	if err == nil {
-		err = http.NewResponseController(w).Flush()
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if err != nil {
-		over(CallDropped)
-		return
-	}
-	over(CallAnswered)
-	call.Seq = seq
-	l.told = append(l.told, Told{r.name, seq, l.clock.Now(), call.Began})
-}
-
-// holdCall waits until there is something newer than a version, or the hold is over, or the reader ends the call. The lock is held, and given up
-// meanwhile.
-func (l *List) holdCall(q *http.Request, from int, hold time.Duration) {
-	over := time.After(hold)
-	for !l.down && from >= l.seq {
-		news := l.news
-		l.mu.Unlock()
-		ended := false
-		select {
-		case <-news:
-		case <-over:
-			ended = true
-		case <-q.Context().Done():
-			ended = true
-		}
-		l.mu.Lock()
-		if ended {
-			return
-		}
-	}
-}
-
-func refuse(w http.ResponseWriter) {
-	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
-// ailment is what becomes of one call.
-type ailment uint8
-
-const (
-	none ailment = iota
-	refuses
-	silent
-)
-
-// turn draws what becomes of a call that begins now, and by how much its answer is late. The lock is held.
-func (l *List) turn() (ails ailment, late Micros) {
-	t, now := l.trouble, l.clock.Now()
-	chance := l.draw.Float()
-	if t.Late > 0 {
-		late = Micros(l.draw.Float() * float64(t.Late))
-	}
-	switch {
-	case chance < t.Refuse:
-		return refuses, 0
-	case chance < t.Refuse+t.Silent:
-		return silent, 0
-	case t.Work > 0 && max(l.free, now)+t.Work > now+longestQueue:
-		return refuses, 0
-	case t.Work > 0:
-		l.free = max(l.free, now) + t.Work
+	if l.odd {
+		hosts = append(hosts, map[string]any{"host": "odd", "dial": "", "site": "nowhere", "class": "", "block": 0, "health": "unknown", "share": 1, "born_ms": 0})
 	}
-	return none, late
+	text, _ := json.Marshal(map[string]any{"seq": l.seq - l.shift, "whole": whole, "hosts": hosts})
+	return text
 }
 
-func (l *List) sleepUntil(at Micros) { (at - l.clock.Now()).Sleep() }
-
 // AllCalls is the account of all calls.
 func (l *List) AllCalls() (out []Call) {
 	l.mu.Lock()
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -174,6 +174,9 @@
 type List struct {
 	Notice Span   `toml:"notice"` // a change is known so much later
 	Mode   string `toml:"mode"`   // on_request or pushed
+
+	Whole    float64 `toml:"whole"`    // part of the answers to watches that are the whole list
+	Together Span    `toml:"together"` // changes within the same span of this length are one version
 }
 
 // Rules holds the figures of the four rules.
@@ -222,6 +225,7 @@
 var Whats = map[string]string{
 	"kill": "backends", "kill_cold": "backends", "stall": "backends", "mute": "backends", "errors": "backends", "slow": "backends",
 	"share": "backends", "spoil": "backends", "drain": "backends", "leave": "backends", "replace": "backends", "join": "backends",
+	"unlist": "backends", "list_anew": "list", "list_odd": "list",
 	"sidecar_kill": "sidecars", "sidecar_restart": "sidecars", "sidecar_stall": "sidecars",
 	"list_down": "list", "list_late": "list", "list_move": "list", "list_moves": "list", "list_slow": "list", "list_refuse": "list",
 	"list_silent": "list", "list_answers_late": "list", "sidecar_end": "sidecars", "crowd": "clients",
@@ -235,7 +239,7 @@
 	"sidecar_kill": true, "sidecar_stall": true, "list_down": true, "list_late": true, "list_slow": true, "list_refuse": true, "list_silent": true,
 	"list_answers_late": true, "crowd": true, "silence": true, "cut": true, "delay": true, "refuse": true, "narrow": true,
 	"cut_word": true, "part": true, "lose": true, "double": true, "late": true,
-	"flood": true, "surge": true, "drain": true}
+	"flood": true, "surge": true, "drain": true, "unlist": true, "list_odd": true}
 
 // Read reads a file.
 func Read(file string) (*Scenario, error) {
@@ -412,6 +416,7 @@
 	check(t.Honour >= 0 && t.Honour <= 1, "traffic", 0, "honour", "must be from 0 to 1")
 	check(t.Impatient >= 0 && t.Impatient <= 1, "traffic", 0, "impatient", "must be from 0 to 1")
 	check(s.List.Mode == "on_request" || s.List.Mode == "pushed", "list", 0, "mode", "%q is neither on_request nor pushed", s.List.Mode)
+	check(s.List.Whole >= 0 && s.List.Whole <= 1, "list", 0, "whole", "must be from 0 to 1")
 	for i, f := range s.Faults {
 		aim, known := Whats[f.What]
 		check(known, "fault", i, "what", "%q is no fault", f.What)
--- a/lab/soak/draw.go
+++ b/lab/soak/draw.go
@@ -34,16 +34,30 @@
 	zones              []string
 	length             int
 	machineFails       bool
+	extreme            bool // amounts are often at their ends: none, one, all
 }
 
 // between draws a whole number from least to most.
 func (d *drawer) between(least, most int) int { return least + d.Below(most-least+1) }
 
+// backend is one of them or, on extreme days, often half or all.
 func (d *drawer) backend() string {
+	if d.extreme {
+		return d.amount()
+	}
 	return fmt.Sprintf("backends = \"b%d\"\n", d.Below(d.backends))
 }
 
+// amount is one backend, half of them or all.
+func (d *drawer) amount() string {
+	return []string{fmt.Sprintf("backends = \"b%d\"\n", d.Below(d.backends)), "backends = 0.5\n", "backends = 1\n", "backends = 1\n"}[d.Below(4)]
+}
+
+// sidecar is one of them or, on extreme days, now and then all.
 func (d *drawer) sidecar() string {
+	if d.extreme && d.Below(3) == 0 {
+		return "sidecars = 1\n"
+	}
 	return fmt.Sprintf("sidecars = \"n%d\"\n", d.Below(d.sidecars))
 }
 
@@ -67,6 +81,7 @@
 var faults = []fault{
 	{"drain", func(d *drawer) string { return d.backend() + d.lasts(2000, 5000) }},
 	{"kill_cold", func(d *drawer) string { return d.backend() + d.lasts(500, 3000) }},
+	{"unlist", func(d *drawer) string { return d.backend() + d.lasts(1000, 4000) }},
 	{"replace", func(d *drawer) string { return d.backend() }},
 	{"stall", func(d *drawer) string { return d.backend() + d.lasts(300, 2000) }},
 	{"mute", func(d *drawer) string { return d.backend() + d.lasts(300, 2000) }},
@@ -81,6 +96,8 @@
 	{"list_late", func(d *drawer) string { return d.lasts(500, 4000) + d.by(100, 1500) }},
 	{"list_move", func(d *drawer) string { return "" }},
 	{"list_moves", func(d *drawer) string { return d.times(2, 6) }},
+	{"list_anew", func(d *drawer) string { return "" }},
+	{"list_odd", func(d *drawer) string { return d.lasts(1000, 5000) }},
 	{"list_slow", func(d *drawer) string { return d.lasts(1000, 6000) + d.by(20, 600) }},
 	{"list_refuse", func(d *drawer) string { return d.lasts(500, 4000) + d.part(10, 90) }},
 	{"list_silent", func(d *drawer) string { return d.lasts(500, 3000) + d.part(10, 60) }},
@@ -132,6 +149,7 @@
 		kinds = faults[at : at+1]
 	}
 	d := &drawer{Source: chance.New(seed, "soak"), length: length}
+	d.extreme = d.Below(2) == 0
 	d.machineFails = d.Below(2) == 0 || only == wallBack || only == wallForward
 	if !d.machineFails {
 		kinds = slices.DeleteFunc(slices.Clone(kinds), isStep)
@@ -146,6 +164,9 @@
 	if d.Below(8) == 0 {
 		d.sidecars = crowdSidecars
 	}
+	if d.extreme && d.Below(3) == 0 {
+		d.backends = d.between(1, 2)
+	}
 	d.zones = []string{"a", "b"}[:d.between(1, 2)]
 	var text strings.Builder
 	fmt.Fprintf(&text, "name = \"soak\"\nseed = %d\nlength = \"%dms\"\nzones = [\"%s\"]\n", seed, d.length, strings.Join(d.zones, "\", \""))
@@ -174,9 +195,16 @@
 		fmt.Fprintf(&text, "target_latency = \"%dms\"\nclient_timeout = \"%dms\"\nmemory = \"%dms\"\n", timeout/2, timeout, d.between(200, 1500))
 	}
 	// A third of what the servers can do: what breaks a rule is to be the faults, and not a fleet that is overrun.
-	fmt.Fprintf(&text, "[traffic]\nrate = \"%d/s\"\nretries = %d\nimpatient = %.2f\nrude = \"%d/s\"\n", d.between(15, 40)*d.backends, d.between(0, 2),
+	rate := d.between(15, 40) * d.backends
+	if d.extreme && d.Below(6) == 0 {
+		rate = 2 // next to none, but for surges
+	}
+	fmt.Fprintf(&text, "[traffic]\nrate = \"%d/s\"\nretries = %d\nimpatient = %.2f\nrude = \"%d/s\"\n", rate, d.between(0, 2),
 		float64(d.between(0, 20))/100, d.between(0, 3))
 	fmt.Fprintf(&text, "[list]\nnotice = \"%dms\"\nmode = \"%s\"\n", d.between(0, 300), []string{"on_request", "on_request", "pushed"}[d.Below(3)])
+	if d.extreme {
+		fmt.Fprintf(&text, "whole = %.1f\ntogether = \"%dms\"\n", []float64{0, 0.5, 1}[d.Below(3)], d.between(1, 200))
+	}
 	fmt.Fprintf(&text, "[rules]\ndrain_grace = \"%dms\"\nask_every = \"%dms\"\ncold = \"%dms\"\ncold_from = %.2f\nfall_multiple = %.1f\nfall_roots = true\n", d.between(300, 1000),
 		d.between(6000, 20000), d.between(3000, 9000), float64(d.between(5, 30))/100, float64(d.between(10, 30))/10)
 	return text.String()
@@ -191,6 +219,9 @@
 	last := max(d.length-calmEnd, faultsFrom+1)
 	d.episode(d.between(faultsFrom, max(last-episodeLasts, faultsFrom+1)), add)
 	d.coldReturn(d.between(faultsFrom, last), add)
+	if d.extreme {
+		d.exodus(d.between(faultsFrom, last), add)
+	}
 	add("sidecar_end", d.between(faultsFrom, last), d.sidecar())
 	for range d.between(leastFaults, mostFaults) {
 		f := kinds[d.Below(len(kinds))]
@@ -208,7 +239,9 @@
 // several calls out then, and any of them may be the one that tells of the drain.
 func (d *drawer) episode(from int, add func(kind string, at int, lines string)) {
 	lasts := fmt.Sprintf("for = \"%dms\"\n", episodeLasts)
-	switch d.Below(4) {
+	switch d.Below(5) {
+	case 4:
+		add("list_odd", from, lasts)
 	case 0:
 		add("list_slow", from, lasts+d.by(20, 400))
 	case 1:
@@ -221,11 +254,17 @@
 		add("list_move", moved, "")
 		moved += d.between(200, 1500)
 	}
-	for range d.between(1, min(mostDrains, d.backends-2)) {
+	for range d.between(1, max(min(mostDrains, d.backends-2), 1)) {
 		add("drain", from+d.between(500, 4500), d.backend()+d.lasts(3500, 5000))
 	}
 }
 
+// exodus has the whole fleet, or all but some, leave in one version without having drained, and return in one.
+func (d *drawer) exodus(at int, add func(kind string, at int, lines string)) {
+	kind := []string{"unlist", "unlist", "kill_cold"}[d.Below(3)]
+	add(kind, at, []string{"backends = 1\n", "backends = 1\n", "backends = 0.5\n"}[d.Below(3)]+d.lasts(1000, 4000))
+}
+
 const (
 	mostCold   = 2
 	outOfSight = 900 // how long servers are gone that come back cold
--- a/lab/soak/draw_test.go
+++ b/lab/soak/draw_test.go
@@ -54,3 +54,30 @@
 		t.Errorf("-kept +now:\n%s", diff)
 	}
 }
+
+// The pairs of days that are drawn are among those that there can be, and 400 days have them all but some.
+func TestPairs(t *testing.T) {
+	possible := map[Pair]bool{}
+	for _, pair := range AllPairs() {
+		possible[pair] = true
+	}
+	covered := Coverage{}
+	for seed := uint64(1); seed <= 400; seed++ {
+		day, err := Draw(seed, 12_000, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		pairs := PairsOf(day)
+		for pair := range pairs {
+			if !possible[pair] {
+				t.Errorf("seed %d has %v, which is no pair", seed, pair)
+			}
+		}
+		covered.Add(seed, pairs)
+	}
+	if missing := len(possible) - len(covered); missing > len(possible)/20 {
+		t.Errorf("%d of %d pairs are in none of 400 days", missing, len(possible))
+	}
+	table := covered.Table()
+	t.Log(table[len(table)-2:])
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -24,6 +24,7 @@
 	Length    int             // milliseconds of a day
 	Only      string          // kind of fault; "": any
 	AtOnce    int             // days side by side
+	Cover     bool            // days that bring no pair that was not played yet are passed over
 	Folder    string          // for logs of the sidecars; "": none are kept
 	Stop      <-chan struct{}
 	Say       func(line string)
@@ -34,6 +35,7 @@
 	Seed     uint64
 	Requests int
 	Faults   []string
+	Pairs    map[Pair]bool
 	Broken   []judge.Broken
 	Doubtful int
 	Explain  []string // the timelines of what was broken
@@ -70,9 +72,13 @@
 		return nil, err
 	}
 	places := make(chan struct{}, max(o.AtOnce, 1))
+	covered := Coverage{}
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	for seed := o.From; seed <= o.To; seed++ {
+		if o.Cover && !o.brings(covered, seed) {
+			continue
+		}
 		places <- struct{}{}
 		if clock.Stopped(o.Stop) {
 			err = stage.ErrStopped
@@ -95,6 +101,12 @@
 	return outcomes, err
 }
 
+// brings tells whether a seed's day has a pair that no earlier one had.
+func (o *Options) brings(covered Coverage, seed uint64) bool {
+	s, err := Draw(seed, o.Length, o.Only)
+	return err != nil || covered.Add(seed, PairsOf(s))
+}
+
 // day plays one.
 func (o *Options) day(seed uint64) *Outcome {
 	outcome := &Outcome{Seed: seed}
@@ -106,6 +118,7 @@
 	if s.Machine.Fails {
 		outcome.Faults = append(outcome.Faults, "machine")
 	}
+	outcome.Pairs = PairsOf(s)
 	for _, f := range s.Faults {
 		outcome.Faults = append(outcome.Faults, f.What)
 	}
--- a/lab/stage/faults.go
+++ b/lab/stage/faults.go
@@ -105,6 +105,8 @@
 			b.Kill()
 			g.show(b, "terminated", 0, notice)
 		}, starts)
+	case "unlist": // it answers all the while
+		during(func() { g.show(b, "terminated", 0, notice) }, func() { g.show(b, "in_service", g.list.Born(b.Name), notice) })
 	case "join":
 		g.mark("%s: joins, cold", b.Name)
 		starts()
@@ -219,6 +221,14 @@
 			g.moveList()
 			betweenMoves.Sleep()
 		}
+	case "list_anew":
+		g.mark("the list's service starts anew, and counts from the beginning")
+		g.list.Anew()
+	case "list_odd":
+		g.mark("an entry that nobody can use stands in the list")
+		g.list.SetOdd(true)
+		g.wait(e.At.M() + e.For.M())
+		g.list.SetOdd(false)
 	case "list_slow":
 		g.ails(e, list.Trouble{Work: e.By.M()})
 	case "list_refuse":
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -139,6 +139,7 @@
 	if err = g.raiseBackends(); err != nil {
 		return nil, err
 	}
+	g.list.SetForms(list.Forms{Whole: s.List.Whole, Together: s.List.Together.M()})
 	if err = g.raiseSidecars(); err != nil {
 		return nil, err
 	}
