--- /dev/null
+++ b/lab/clients/rude.go
@@ -0,0 +1,94 @@
+package clients
+
+// rude.go: clients that send what is no request, or only a part of one.
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"ledgespread/lab/wire"
+)
+
+// Rudeness is the account of the rude clients.
+type Rudeness struct {
+	Sent, Closed, Errors int // of all: ended by a close, answered with an error
+	Unanswered           int // neither within 3 s
+	Served               int // answered with a 200
+	Which                []string
+	mu                   sync.Mutex
+}
+
+// rudeWays are messages that are no visit, each owed an error or a close.
+var rudeWays = []struct{ name, bytes string }{
+	{"noise", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n"},
+	{"no id", "GET /%s/x?w=1 HTTP/1.1\r\nHost: a\r\nX-Timeout: 100m\r\n\r\n"},
+	{"no timeout", "GET /%s/x?w=1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: rude-%d\r\n\r\n"},
+	{"a timeout that is no number", "GET /%s/x?w=1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: rude-%d\r\nX-Timeout: soon\r\n\r\n"},
+	{"an unknown prefix", "GET /no%s/x?w=1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: rude-%d\r\nX-Timeout: 100m\r\n\r\n"},
+	{"length and coding", "POST /%s/x?w=1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: rude-%d\r\nX-Timeout: 100m\r\nIdempotency-Key: r%[2]d\r\n" +
+		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /%[1]s/y HTTP/1.1\r\n\r\n"},
+	{"a negative length", "POST /%s/x?w=1 HTTP/1.1\r\nHost: a\r\nX-Request-ID: rude-%d\r\nX-Timeout: 100m\r\nContent-Length: -5\r\n\r\nhello"},
+	{"a head without end", "GET /%s/x?w=1 HTTP/1.1\r\nX-Long: " + strings.Repeat("l", 70<<10)},
+	{"half a message", "GET /%s/x?w=1 HTTP/1.1\r\nHost: a\r\nX-Requ"},
+	{"silence", ""},
+}
+
+// rudely sends what is no visit, at the plan's times.
+func (cs *Clients) rudely(begun Micros) {
+	for i, at := range cs.plan.Rude {
+		cs.busy.Add(1)
+		cs.alarms.At(begun+at, func() {
+			go func() {
+				defer cs.busy.Done()
+				cs.rudeOne(i)
+			}()
+		})
+	}
+}
+
+func (cs *Clients) rudeOne(i int) {
+	way := rudeWays[i%len(rudeWays)]
+	text := way.bytes
+	switch strings.Count(text, "%") {
+	case 0:
+	case 1:
+		text = fmt.Sprintf(text, cs.s.Prefixes[0].Name)
+	default:
+		text = fmt.Sprintf(text, cs.s.Prefixes[0].Name, i)
+	}
+	p := cs.pools[i%len(cs.pools)]
+	c, err := net.DialTimeout("tcp", p.address, time.Second)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(3*time.Second + grace.Duration()))
+	io.WriteString(c, text)
+	head, err := wire.ReadHead(bufio.NewReader(c))
+	r := &cs.rude
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Sent++
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		r.Unanswered++
+		r.Which = append(r.Which, way.name)
+	case err != nil:
+		r.Closed++
+	case head.Status() >= 400:
+		r.Errors++
+	default:
+		r.Served++
+		r.Which = append(r.Which, way.name+" was served")
+	}
+}
+
+// Rude is the account of the rude clients. To be read after Wait.
+func (cs *Clients) Rude() *Rudeness { return &cs.rude }
--- /dev/null
+++ b/lab/clients/try.go
@@ -0,0 +1,173 @@
+package clients
+
+// try.go: one request to a sidecar, and what becomes of it.
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"ledgespread/lab/clock"
+	"ledgespread/lab/plan"
+	"ledgespread/lab/scenario"
+	"ledgespread/lab/wire"
+)
+
+// crossing is the most that may lie between a message's last byte and the end of a kept connection for the two to have
+// crossed. One that was closed later had its message read: what was on it is lost.
+const crossing = 10 * clock.Milli
+
+// grace is waited beyond the client timeout, so that the account tells a late answer from none.
+const grace = 60 * clock.Milli
+
+// try sends once and waits for the answer. Where a kept connection turns out to be closed before a byte of an answer
+// came, the message crossed the closing and goes once more on a new one, as the protocol says.
+func (cs *Clients) try(t *Try, v plan.Visit, p scenario.Prefix) {
+	pool := cs.pools[t.Sidecar]
+	end := func(how How, why string) { t.How, t.Why, t.Ended = how, why, cs.clock.Now() }
+	for again := false; ; again = true {
+		now := cs.clock.Now()
+		until := t.Until
+		if v.Leaves > 0 {
+			until = min(until, t.Due+v.Leaves)
+		}
+		if now >= until {
+			end(Never, "its time was up before it could be sent")
+			return
+		}
+		c, kept, err := pool.take(again, (until - now).Duration())
+		if err != nil {
+			end(Unreachable, err.Error())
+			return
+		}
+		cs.Count[CountSent].Add(1)
+		now = cs.clock.Now()
+		c.tcp.SetDeadline(time.Now().Add((until + grace - now).Duration()))
+		if v.Leaves > 0 {
+			c.tcp.SetDeadline(time.Now().Add((until - now).Duration()))
+		}
+		_, err = c.tcp.Write(cs.message(t, v, p, pool.address, t.Until-now))
+		t.Sent = cs.clock.Now()
+		var head wire.Head
+		var body []byte
+		if err == nil {
+			if head, err = wire.ReadHead(c.in); err == nil {
+				body, err = head.Body(c.in)
+			}
+		}
+		if err != nil {
+			c.tcp.Close()
+			pool.gone()
+			switch {
+			case errors.Is(err, os.ErrDeadlineExceeded) && v.Leaves > 0:
+				end(Left, "")
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				end(Lost, "no answer in time")
+			case kept && !again && head.Bytes == 0 && cs.clock.Now() < t.Sent+crossing && !errors.Is(err, io.ErrUnexpectedEOF):
+				continue
+			default:
+				end(Lost, err.Error())
+			}
+			return
+		}
+		t.Ended = cs.clock.Now()
+		t.Status = head.Status()
+		if seconds, err := strconv.ParseFloat(head.Fields["retry-after"], 64); err == nil {
+			t.ComeBack = Micros(seconds * float64(clock.Second))
+		}
+		switch {
+		case t.Status == 200 && bytes.HasPrefix(body, []byte(t.ID+" ")):
+			t.How = Delivered
+		case t.Status == 200:
+			t.How, t.Why = Foreign, fmt.Sprintf("%.60q", body)
+		case t.Status == 429 || t.Status == 503:
+			t.How = Bounced
+		case t.Status >= 400 && t.Status < 500:
+			t.How, t.Why = Refused, fmt.Sprintf("%d %.60q", t.Status, body)
+		default:
+			t.How = Errored
+		}
+		if head.Closes() || t.Status >= 400 && t.Status < 500 {
+			c.tcp.Close()
+			pool.gone()
+		} else {
+			pool.keep(c)
+		}
+		return
+	}
+}
+
+// message is a visit's bytes. What backends need to know of it stands in the query, which goes on unchanged.
+func (cs *Clients) message(t *Try, v plan.Visit, p scenario.Prefix, host string, left Micros) []byte {
+	var b bytes.Buffer
+	method, body := "GET", ""
+	if p.Effect != "read_like" {
+		method, body = "POST", "bay=7&until=18:30"
+	}
+	fmt.Fprintf(&b, "%s /%s/x?w=%d&k=%d HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout: %du\r\n",
+		method, p.Name, v.Work, v.Key, host, t.ID, p.Name, max(1, left))
+	if t.Tag != "" {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", t.Tag)
+	}
+	if v.Tenant >= 0 {
+		fmt.Fprintf(&b, "X-Tenant-Id: %s\r\n", cs.s.Tenants[v.Tenant].Name)
+	}
+	if v.Key != 0 {
+		fmt.Fprintf(&b, "X-Attrs: target_key=%d\r\n", v.Key)
+	}
+	if cs.s.Traffic.Hints {
+		fmt.Fprintf(&b, "X-Cost: %d\r\n", v.Work)
+	}
+	if t.No > 0 {
+		b.WriteString("X-Retried: 1\r\n")
+	}
+	if body != "" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	b.WriteString("\r\n" + body)
+	return b.Bytes()
+}
+
+// Ready asks a sidecar until it answers, for so long at most.
+func Ready(address string, most time.Duration, stop <-chan struct{}) error {
+	var last error
+	for end := time.Now().Add(most); time.Now().Before(end); {
+		status, _, err := Ask(address, "/-/ready")
+		if err == nil && status == 200 {
+			return nil
+		}
+		if last = err; err == nil {
+			last = fmt.Errorf("it answers %d", status)
+		}
+		select {
+		case <-stop:
+			return errors.New("it ended")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("not ready within %v: %w", most, last)
+}
+
+// Ask sends a plain GET on a connection of its own.
+func Ask(address, path string) (status int, body string, err error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return 0, "", err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * time.Second))
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", path, address)
+	in := bufio.NewReader(c)
+	head, err := wire.ReadHead(in)
+	if err != nil {
+		return 0, "", err
+	}
+	text, err := head.Body(in)
+	return head.Status(), string(text), err
+}
--- /dev/null
+++ b/lab/prove/membership_cost.go
@@ -0,0 +1,224 @@
+package prove
+
+// membership_cost.go: what membership costs, and schedules of faults that are drawn.
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"ledgespread/lab/chance"
+	"ledgespread/lab/clock"
+	"ledgespread/lab/stage"
+)
+
+// cost measures what membership sends when all is calm, beside the visits that come.
+func (p *Proof) cost(m *muster) error {
+	sum := func() (bytes, messages int64, err error) {
+		for i := range m.many {
+			t, err := m.Table(i)
+			if err != nil {
+				return 0, 0, err
+			}
+			bytes, messages = bytes+t.Counts["sent_bytes"], messages+t.Counts["sent"]
+		}
+		return bytes, messages, nil
+	}
+	(4 * clock.Second).Sleep() // that all joined is told by then
+	b0, n0, err := sum()
+	if err != nil {
+		return err
+	}
+	begun := m.Now()
+	(5 * clock.Second).Sleep()
+	b1, n1, err := sum()
+	if err != nil {
+		return err
+	}
+	each := float64(m.Now()-begun) / 1e6 * float64(m.many)
+	p.claim(float64(b1-b0)/each/visitsEach < bytesAVisit, "traffic when calm, at 5 visits/s a sidecar", "under 256 bytes a visit", "the processes' counters",
+		"%.0f bytes a visit, %.0f bytes/s and %.1f messages/s a member", float64(b1-b0)/each/visitsEach, float64(b1-b0)/each, float64(n1-n0)/each)
+	return nil
+}
+
+// flood sends one member 50,000 datagrams a second that are no messages, from two addresses, and kills another meanwhile.
+func (p *Proof) flood(m *muster) error {
+	p.say("a flood of what is no message")
+	const aSecond, target = 50_000, 0
+	at := net.UDPAddrFromAddrPort(m.MemberAt(target))
+	used := func() (cpu time.Duration, counts int64, err error) {
+		cpu = m.CPU(target)
+		t, err := m.Table(target)
+		if err != nil {
+			return 0, 0, err
+		}
+		for _, kind := range []string{"over_rate", "malformed", "group", "version", "strangers", "too_long", "flood"} {
+			counts += t.Counts[kind]
+		}
+		return cpu, counts, nil
+	}
+	span := 3 * clock.Second
+	c0, _, err := used()
+	if err != nil {
+		return err
+	}
+	begun := m.Now()
+	span.Sleep()
+	c1, k1, err := used()
+	if err != nil {
+		return err
+	}
+	calm := float64(c1-c0) / float64((m.Now() - begun).Duration())
+	stop, sent := make(chan bool), [2]int{}
+	var all sync.WaitGroup
+	for k := range 2 {
+		c, err := net.DialUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 250, 0, byte(k+1))}, at)
+		if err != nil {
+			return err
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			defer c.Close()
+			for begun, n := time.Now(), 0; ; {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				for due := int(time.Since(begun).Seconds() * aSecond / 2); n < due; n++ {
+					c.Write([]byte{1, 6, 1, 2, 3, 4, 0, 1, 'x', 0, 0, 0, byte(n)})
+					sent[k]++
+				}
+				time.Sleep(500 * time.Microsecond)
+			}
+		}()
+	}
+	begun = m.Now()
+	victim := m.many - 1
+	name := fmt.Sprint("n", victim)
+	m.Kill(victim)
+	_, err = m.Await(m.all(victim), 30*time.Second, stage.Holds(name, "dead"))
+	known, others := m.knownAfter(name, begun, []int{target}), m.knownAfter(name, begun, m.all(victim, target))
+	if left := span - (m.Now() - begun); left > 0 {
+		left.Sleep()
+	}
+	c2, k2, lookErr := used()
+	flooded := float64(c2-c1) / float64((m.Now() - begun).Duration())
+	rate := float64(sent[0]+sent[1]) / (float64(m.Now()-begun) / 1e6)
+	close(stop)
+	all.Wait()
+	if err != nil {
+		return err
+	}
+	if lookErr != nil {
+		return lookErr
+	}
+	p.claim(flooded-calm < 0.1 && known <= max(knownWithin, others+borneStill/4), "a flood of datagrams that are no messages", "under 0.1 core more; a death known there in 3 s or 0.25 s after the others",
+		"CPU time by the kernel; the processes' logs", "%.0f sent/s, %d dropped: %.3f core more (%.3f, %.3f calm); known there after %.2f s, to the others after %.2f s", rate, k2-k1,
+		flooded-calm, flooded, calm, float64(known)/1e6, float64(others)/1e6)
+	return m.Start(victim, false)
+}
+
+// schedules plays random faults by seed, which may overlap.
+func (p *Proof) schedules(many int) error {
+	const members = 12
+	var agreed []clock.Micros
+	rules, lies, visits := 0, 0, 0
+	worst := ""
+	for n := range many {
+		seed := p.Seed*100 + uint64(n)
+		p.say("schedule %d of %d, seed %d", n+1, many, seed)
+		m, err := p.muster(seed, members)
+		if err != nil {
+			return err
+		}
+		err = m.schedule(chance.New(seed, "schedule"), 7*clock.Second)
+		if err != nil {
+			m.Close()
+			return err
+		}
+		took, err := m.Await(m.all(), 30*time.Second, stage.Agree(m.all()))
+		if err != nil {
+			worst = fmt.Sprintf("; seed %d: %v", seed, err)
+			took = -1
+		}
+		agreed = append(agreed, took)
+		visits += len(m.Tries())
+		broken, false_, err := m.end()
+		if err != nil {
+			return err
+		}
+		if len(broken) > 0 {
+			worst = fmt.Sprintf("; seed %d: %v", seed, broken[0])
+		}
+		if len(false_) > 0 {
+			worst = fmt.Sprintf("; seed %d: %+v", seed, false_[0])
+		}
+		rules, lies = rules+len(broken), lies+len(false_)
+	}
+	p.claim(within(agreed, agreeWithin) == many && rules == 0 && lies == 0, fmt.Sprintf("%d random schedules of faults among %d processes", many, members),
+		"all agree 5 s after the last; no visit lost; no false death", "tables; judge; logs against the truth", "agreed %s; %d broken of %d tries; %d false deaths%s",
+		seconds(agreed), rules, visits, lies, worst)
+	return nil
+}
+
+// schedule does things to members for a time, and then undoes what is still done.
+func (m *muster) schedule(draw *chance.Source, span clock.Micros) error {
+	begun := m.Now()
+	still, cut := map[int]bool{}, map[[2]int]bool{}
+	var err error
+	for err == nil && m.Now()-begun < span {
+		i, j := draw.Below(m.many), draw.Below(m.many)
+		switch what := draw.Below(7); {
+		case what == 0 && !still[i]:
+			m.Kill(i)
+			(clock.Micros(draw.Below(2500)) * clock.Milli).Sleep()
+			err = m.Start(i, draw.Float() < 0.3)
+		case what == 1:
+			if still[i] {
+				m.Signal(i, syscall.SIGCONT)
+			} else {
+				m.Signal(i, syscall.SIGSTOP)
+			}
+			still[i] = !still[i]
+		case what == 2 && i != j:
+			cut[[2]int{i, j}] = !cut[[2]int{i, j}]
+			m.Cut(i, j, cut[[2]int{i, j}])
+		case what == 3:
+			for k := range m.many {
+				if k != i {
+					cut[[2]int{i, k}] = k%2 == 0
+					m.Cut(i, k, k%2 == 0)
+				}
+			}
+		case what == 4:
+			for a := range m.many {
+				for b := range m.many {
+					if on := (a < i) != (b < i); a != b {
+						cut[[2]int{a, b}] = on
+						m.Cut(a, b, on)
+					}
+				}
+			}
+		default:
+			lost, late := 0.4*draw.Float(), 0.2*draw.Float()
+			m.Weather(lost, lost/2, late, 2*clock.Second)
+		}
+		(clock.Micros(200+draw.Below(800)) * clock.Milli).Sleep()
+	}
+	for i, on := range still {
+		if on {
+			m.Signal(i, syscall.SIGCONT)
+		}
+	}
+	for way, on := range cut {
+		if on {
+			m.Cut(way[0], way[1], false)
+		}
+	}
+	m.Weather(0, 0, 0, 0)
+	return err
+}
--- /dev/null
+++ b/lab/scenario/check.go
@@ -0,0 +1,117 @@
+package scenario
+
+// check.go: what a scenario may say.
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+
+	"ledgespread/strict"
+)
+
+// Whats are the faults and what each is aimed at.
+var Whats = map[string]string{
+	"kill": "backends", "kill_cold": "backends", "stall": "backends", "mute": "backends", "errors": "backends", "slow": "backends",
+	"share": "backends", "spoil": "backends", "drain": "backends", "leave": "backends", "replace": "backends", "join": "backends",
+	"unlist": "backends", "list_anew": "list", "list_odd": "list",
+	"sidecar_kill": "sidecars", "sidecar_restart": "sidecars", "sidecar_stall": "sidecars",
+	"list_down": "list", "list_late": "list", "list_move": "list", "list_moves": "list", "list_slow": "list", "list_refuse": "list",
+	"list_silent": "list", "list_answers_late": "list", "sidecar_end": "sidecars", "crowd": "clients",
+	"silence": "network", "cut": "network", "reset": "network", "delay": "network", "refuse": "network", "narrow": "network",
+	"wall_back": "machine", "wall_forward": "machine",
+	"cut_word": "ways", "part": "ways", "lose": "ways", "double": "ways", "late": "ways", "sidecar_move": "sidecars",
+	"flood": "tenant", "surge": "",
+}
+
+var lengthy = map[string]bool{"kill_cold": true, "stall": true, "mute": true, "errors": true, "slow": true, "share": true, "spoil": true,
+	"sidecar_kill": true, "sidecar_stall": true, "list_down": true, "list_late": true, "list_slow": true, "list_refuse": true, "list_silent": true,
+	"list_answers_late": true, "crowd": true, "silence": true, "cut": true, "delay": true, "refuse": true, "narrow": true,
+	"cut_word": true, "part": true, "lose": true, "double": true, "late": true,
+	"flood": true, "surge": true, "drain": true, "unlist": true, "list_odd": true}
+
+func (s *Scenario) possible() error {
+	var odd *strict.Oddity
+	check := func(ok bool, table string, at int, name, why string, values ...any) {
+		if !ok && odd == nil {
+			odd = &strict.Oddity{Table: table, At: at, Name: name, Why: fmt.Sprintf(why, values...)}
+		}
+	}
+	check(s.Name != "", "", 0, "name", "is missing")
+	check(s.Length > 0, "", 0, "length", "must be over 0")
+	check(s.Warmup < s.Length, "", 0, "warmup", "must be shorter than the length")
+	check(s.Sidecars.Count > 0 && s.Sidecars.Count <= 6000, "sidecars", 0, "count", "must be from 1 to 6000")
+	check(len(s.Backends) > 0, "", 0, "backend", "is missing: a fleet has at least one [[backend]]")
+	check(len(s.Prefixes) > 0, "", 0, "prefix", "is missing: at least one [[prefix]] is asked for")
+	for i, b := range s.Backends {
+		check(b.Count > 0, "backend", i, "count", "must be over 0")
+		check(slices.Contains(s.Zones, b.Zone), "backend", i, "zone", "%q is not among the zones", b.Zone)
+		check(b.Cores > 0, "backend", i, "cores", "must be over 0")
+		check(b.Speed > 0, "backend", i, "speed", "must be over 0")
+		check(b.WarmPart > 0 && b.WarmPart <= 1, "backend", i, "warm_part", "must be over 0 and at most 1")
+		check(b.SlowFactor >= 1, "backend", i, "slow_factor", "must be at least 1")
+		check(b.SlowQueue == 0 || b.SlowAfter > 0, "backend", i, "slow_after", "is missing, with slow_queue given")
+		check(b.SlowQueue == 0 || b.SlowIdle > 0 || b.SlowMost > 0, "backend", i, "slow_queue",
+			"a backend that turns slow needs slow_idle or slow_most, or never ends it")
+	}
+	names := map[string]bool{}
+	for i, p := range s.Prefixes {
+		check(regexp.MustCompile(`^[a-z][a-z0-9-]*$`).MatchString(p.Name), "prefix", i, "name", "%q is no path prefix", p.Name)
+		check(!names[p.Name], "prefix", i, "name", "%q stands twice", p.Name)
+		names[p.Name] = true
+		check(slices.Contains([]string{"read_like", "tagged", "mutating"}, p.Effect), "prefix", i, "effect",
+			"%q is none of read_like, tagged, mutating", p.Effect)
+		check(slices.Contains([]string{"all", "zone", "cell"}, p.Group), "prefix", i, "group", "%q is none of all, zone, cell", p.Group)
+		check(slices.Contains([]string{"fixed", "exp", "heavy"}, p.Spread), "prefix", i, "work_spread",
+			"%q is none of fixed, exp, heavy", p.Spread)
+		check(p.Shape > 1, "prefix", i, "work_shape", "must be over 1")
+		check(p.Work > 0, "prefix", i, "work", "must be over 0")
+		check(p.Target > 0, "prefix", i, "target_latency", "must be over 0")
+		check(p.Timeout >= p.Target, "prefix", i, "client_timeout", "must not be under the target latency")
+		check(p.LateValue >= 0 && p.LateValue <= 1, "prefix", i, "late_value", "must be from 0 to 1")
+	}
+	tenants := map[string]bool{"": true}
+	for i, t := range s.Tenants {
+		check(!tenants[t.Name], "tenant", i, "name", "is missing or stands twice")
+		check(t.Share > 0, "tenant", i, "share", "must be over 0")
+		tenants[t.Name] = true
+	}
+	t := s.Traffic
+	check(t.Rate > 0 || t.Trace != "", "traffic", 0, "rate", "must be over 0")
+	check(slices.Contains([]string{"poisson", "even", "bursts", "swing"}, t.Shape), "traffic", 0, "shape",
+		"%q is none of poisson, even, bursts, swing", t.Shape)
+	check(t.Shape != "bursts" || t.BurstEvery > t.BurstFor && t.BurstFor > 0 && t.BurstTimes >= 1, "traffic", 0, "shape",
+		"bursts needs burst_every over burst_for over 0, and burst_times of at least 1")
+	check(t.Shape != "swing" || t.SwingEvery > 0 && t.SwingBy > 0 && t.SwingBy <= 1, "traffic", 0, "shape",
+		"swing needs swing_every over 0 and swing_by over 0 and at most 1")
+	check(t.Honour >= 0 && t.Honour <= 1, "traffic", 0, "honour", "must be from 0 to 1")
+	check(t.Impatient >= 0 && t.Impatient <= 1, "traffic", 0, "impatient", "must be from 0 to 1")
+	check(s.List.Mode == "on_request" || s.List.Mode == "pushed", "list", 0, "mode", "%q is neither on_request nor pushed", s.List.Mode)
+	check(s.List.Whole >= 0 && s.List.Whole <= 1, "list", 0, "whole", "must be from 0 to 1")
+	for i, f := range s.Faults {
+		aim, known := Whats[f.What]
+		check(known, "fault", i, "what", "%q is no fault", f.What)
+		check(f.At < s.Length, "fault", i, "at", "is past the end")
+		check(aim != "backends" || f.Backends != nil, "fault", i, "backends", "is missing for %s", f.What)
+		check(aim != "sidecars" && aim != "ways" || f.Sidecars != nil, "fault", i, "sidecars", "is missing for %s", f.What)
+		check(f.Others == nil || s.aims(f.Others, s.SidecarNames()) == nil, "fault", i, "others", "%v", s.aims(f.Others, s.SidecarNames()))
+		check(f.Others == nil || aim == "ways", "fault", i, "others", "has no meaning for %s", f.What)
+		check(f.Backends == nil || s.aims(f.Backends, s.BackendNames()) == nil, "fault", i, "backends", "%v", s.aims(f.Backends, s.BackendNames()))
+		check(f.Sidecars == nil || s.aims(f.Sidecars, s.SidecarNames()) == nil, "fault", i, "sidecars", "%v", s.aims(f.Sidecars, s.SidecarNames()))
+		check(aim != "tenant" || tenants[f.Tenant] && f.Tenant != "", "fault", i, "tenant", "%q is not among the tenants", f.Tenant)
+		check(!lengthy[f.What] || f.For > 0, "fault", i, "for", "is missing for %s", f.What)
+		check(!slices.Contains([]string{"slow", "share", "flood", "surge", "list_moves", "crowd"}, f.What) || f.Times > 1, "fault", i, "times",
+			"must be over 1 for %s", f.What)
+		check(!slices.Contains([]string{"delay", "list_late", "late", "list_slow", "list_answers_late", "wall_back", "wall_forward"}, f.What) || f.By > 0, "fault", i, "by", "is missing for %s", f.What)
+		check(f.What != "narrow" || f.Bytes > 0, "fault", i, "bytes_per_s", "must be over 0 for narrow")
+		check(!slices.Contains([]string{"errors", "spoil", "lose", "double", "late", "list_refuse", "list_silent"}, f.What) || f.Part > 0 && f.Part <= 1, "fault", i, "part",
+			"must be over 0 and at most 1 for %s", f.What)
+		for _, z := range []string{f.From, f.To} {
+			check(z == "" || slices.Contains(s.Zones, z), "fault", i, "from", "%q is not among the zones", z)
+		}
+	}
+	if odd != nil {
+		return odd
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/scenario/names.go
@@ -0,0 +1,74 @@
+package scenario
+
+// names.go: what a fault is aimed at, by name or by part.
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+)
+
+// BackendNames are the backends', in order: b0, b1, …
+func (s *Scenario) BackendNames() (names []string) {
+	for _, b := range s.Backends {
+		for range b.Count {
+			names = append(names, "b"+strconv.Itoa(len(names)))
+		}
+	}
+	return names
+}
+
+// SidecarNames are the sidecars': n0, n1, …
+func (s *Scenario) SidecarNames() (names []string) {
+	for i := range s.Sidecars.Count {
+		names = append(names, "n"+strconv.Itoa(i))
+	}
+	return names
+}
+
+func (s *Scenario) aims(at any, names []string) error {
+	switch at := at.(type) {
+	case string:
+		if !slices.Contains(names, at) {
+			return fmt.Errorf("there is no %q", at)
+		}
+	case float64:
+		if !(at > 0 && at <= 1) {
+			return errors.New("a part is over 0 and at most 1")
+		}
+	case int64:
+		if at != 1 {
+			return errors.New("a part is over 0 and at most 1")
+		}
+	case []any:
+		for _, one := range at {
+			name, ok := one.(string)
+			if !ok || !slices.Contains(names, name) {
+				return fmt.Errorf("there is no %v", one)
+			}
+		}
+	default:
+		return fmt.Errorf("%v is neither a name, names nor a part", at)
+	}
+	return nil
+}
+
+// Aimed are the names a fault is aimed at; a part takes the first of an order that chance gave.
+func Aimed(at any, names, shuffled []string) []string {
+	switch at := at.(type) {
+	case string:
+		return []string{at}
+	case float64:
+		return shuffled[:max(1, int(at*float64(len(shuffled))+0.5))]
+	case int64:
+		return names
+	case []any:
+		var out []string
+		for _, one := range at {
+			out = append(out, one.(string))
+		}
+		return out
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/sim/ports.go
@@ -0,0 +1,138 @@
+package sim
+
+// ports.go: what the module asks for, in simulated time.
+
+import (
+	"slices"
+
+	"ledgespread/brain"
+	"ledgespread/internal/notes"
+)
+
+// class is what the settings say of a path prefix's effect.
+type class struct {
+	effect, group string
+	window        Micros
+}
+
+// ports is one process of a sidecar; what a former one still asks for comes to nothing.
+type ports struct {
+	*Sidecar
+	mine int
+}
+
+func (p ports) live() bool { return p.mine == p.life && !p.Down }
+
+func (p ports) Dispatch(id brain.RequestID, server brain.ServerID, _ Micros) {
+	s, n := p.Sidecar, p.net
+	v := s.visits[id]
+	to := n.Servers[server]
+	if v.Ending != Open {
+		n.broke(1, "visit %d was sent after its end", id)
+	}
+	if !v.harmless(n.Now, to) {
+		n.broke(2, "visit %d (%s) was sent again where it may have run", id, v.Effect)
+	}
+	if since, leaves := s.Leaving[server]; leaves && n.Now > since+n.Grace {
+		n.broke(3, "server %d got visit %d after it was told to leave", server, id)
+	}
+	f := &Fetch{Visit: v, No: brain.AttemptNo(len(v.Fetches)), Server: server, Sent: n.Now, fate: &Fate{}}
+	f.Told = s.Starts[server] == to.Started
+	v.Fetches = append(v.Fetches, f)
+	if f.No == 0 {
+		s.Firsts++
+	} else {
+		s.Retries++
+	}
+	if s.Hooks.Sent != nil {
+		s.Hooks.Sent(f)
+	}
+	n.After(n.Way, func() { n.arrive(f, to) })
+}
+
+func (p ports) Cancel(id brain.RequestID, no brain.AttemptNo) {
+	v := p.visits[id]
+	if v == nil || int(no) >= len(v.Fetches) || v.Fetches[no].Result != 0 {
+		return
+	}
+	f := v.Fetches[no]
+	p.net.After(0, func() {
+		if f.Result == 0 && p.live() {
+			f.Result = brain.Cancelled
+			p.net.callOff(f)
+			p.outcome(f, brain.Cancelled)
+		}
+	})
+}
+
+func (p ports) Reject(id brain.RequestID, _ Micros, _ brain.Reason) {
+	v := p.visits[id]
+	if !v.harmless(p.net.Now, nil) {
+		p.net.broke(2, "visit %d (%s) was bounced where it may have run", id, v.Effect)
+	}
+	p.end(v, Bounced)
+	p.net.After(0, func() { p.forget(v) })
+}
+
+func (p ports) Fail(id brain.RequestID, _ brain.Reason) {
+	v := p.visits[id]
+	p.end(v, Failed)
+	p.net.After(0, func() { p.forget(v) })
+}
+
+func (p ports) Wake(in Micros, t brain.Token) {
+	p.net.After(in, func() {
+		if p.live() {
+			p.B.Woken(p.net.Now, t)
+		}
+	})
+}
+
+func (p ports) Tell(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
+	if p.words != nil {
+		p.words.Told(p.net.Now, to, kind, about, figures...)
+		return
+	}
+	p.Send(to, kind, about, figures...)
+}
+
+// Send sends a message to another sidecar.
+func (p ports) Send(to brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
+	other, mine, size := p.net.Sidecars[to], slices.Clone(figures), int64(notes.Size(len(figures)))
+	p.Said++
+	p.BytesOut += size
+	if p.net.Apart != nil && p.net.Apart(p.Sidecar, other) {
+		return
+	}
+	p.net.After(p.net.Way, func() {
+		if other.Down {
+			return
+		}
+		other.Heard++
+		other.BytesIn += size
+		if other.words != nil {
+			other.words.Heard(p.net.Now, p.Me, kind, about, mine...)
+			return
+		}
+		other.B.Heard(p.net.Now, p.Me, kind, about, mine...)
+	})
+}
+
+// Refused is a message that no sidecar can mean.
+func (p ports) Refused(from brain.Peer, why string) { p.net.Unmeant++ }
+
+// Hear has the module hear a message, when the call that goes on is over.
+func (p ports) Hear(from brain.Peer, kind brain.MessageKind, about brain.ServerID, figures ...float64) {
+	mine := slices.Clone(figures)
+	p.net.After(0, func() {
+		if p.live() {
+			p.B.Heard(p.net.Now, from, kind, about, mine...)
+		}
+	})
+}
+
+func (p ports) CloseIdle(brain.ServerID) {}
+
+func (p ports) Subscribe() {}
+
+func (p ports) Print(string) {}
