Discovery: addresses that were left are heard while a call is out there

What callers saw: nothing in the report; a read-like request was sent four times to a server 0.77 s after its drain had been written to the sidecar. Cause: of the addresses that were left the four last ones were heard; the calls of a fifth were closed, and an answer was on its way on one of them. The call began at 1.352 and was answered at 3.041, the fifth move after it at 2.86. TestManyMovesInARow failed on ("the drain is not heard") and passes. Why it works: what counts is whether a call is out. An address without one is forgotten, and its idle connections are closed at once; 32 calls at most are kept over all of them, of which the oldest go first, so that a process runs out of no descriptors.

--- a/internal/discovery/service.go
+++ b/internal/discovery/service.go
@@ -150,11 +150,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retired = true
+	for _, c := range s.idle {
+		delete(s.open, c)
+		c.Close()
+	}
+	s.idle = nil
 	for c := range s.open {
 		c.endSending()
 	}
 }
 
+// calls is how many calls are out, that have a connection.
+func (s *service) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open) - len(s.idle)
+}
+
 // close ends all connections; later calls get none.
 func (s *service) close() {
 	s.mu.Lock()
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,14 +123,19 @@
 	w.begin(moved)
 }
 
-// maxRetired is how many addresses that were left are still heard.
-const maxRetired = 4
+// maxRetiredCalls is how many calls at addresses that were left are still heard; each holds a connection.
+const maxRetiredCalls = 32
 
 // retire leaves an address; the lock is held.
 func (w *Watcher) retire(left *service) {
 	left.retire()
-	w.retired = append(w.retired, left)
-	if len(w.retired) > maxRetired {
+	w.retired = slices.DeleteFunc(append(w.retired, left), func(s *service) bool { return s.calls() == 0 })
+	calls := 0
+	for _, s := range w.retired {
+		calls += s.calls()
+	}
+	for len(w.retired) > 1 && calls > maxRetiredCalls {
+		calls -= w.retired[0].calls()
 		w.retired[0].close()
 		w.retired = w.retired[1:]
 	}
--- a/internal/moves_test.go
+++ b/internal/moves_test.go
@@ -67,6 +67,43 @@
 `)
 }
 
+// New configurations in quick succession: an address that was left six moves ago still answers a call, and its word that a server drains is heard.
+// The soak found a sidecar that had closed that connection at the fifth move, 0.2 s before the answer was written to it.
+func TestManyMovesInARow(t *testing.T) {
+	draining := strings.Replace(host, "in_service", "terminating", 1)
+	release := make(chan bool)
+	old := serveFake(t, func(n int, path string) string {
+		switch n {
+		case 1:
+			return listed(42, host)
+		case 2:
+			<-release
+			return listed(43, draining)
+		}
+		return "silence"
+	})
+	told := make(chan *discovery.List, 9)
+	w := discovery.New(old.Addr().String(), map[string]int{"here": 0}, 41, 300*second, 1, 1<<20, 7, func(l *discovery.List) { told <- l },
+		&counters.Sheet{}, zerolog.Nop())
+	w.Watch()
+	<-told
+	old.asked(2)
+	for range 6 {
+		next := serveFake(t, func(int, string) string { return "silence" })
+		w.Move(next.Addr().String())
+		next.asked(1)
+	}
+	close(release)
+	select {
+	case l := <-told:
+		if l == nil || len(l.Entries) != 1 || l.Entries[0].Standing != brain.Draining {
+			t.Errorf("told %+v", l)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the drain is not heard")
+	}
+}
+
 // A whole list that an address writes after it was left says who is gone by leaving them out. Before, only named entries that were not ready
 // were heard of it.
 func TestOldAddressLeavesServersOut(t *testing.T) {
