Names: request, attempt and succeeded in summaries, rollouts and what staff read of them

Visits, fetches and delivered were left over in comments, in the figures of a rollout (Succeeded) and in some log lines: reasons of a trial, multiplex, faults. Wire forms, counters and settings keep their names.

--- a/cmd/ledgespread/migrate.go
+++ b/cmd/ledgespread/migrate.go
@@ -47,7 +47,7 @@
 	f.BoolVar(&over, "overwrite", false, "the file to write may be there already")
 	f.StringVar(&move.Listen, "listen", "", "address at which clients on other machines reach the sidecar")
 	f.StringSliceVar(&move.Loads, "loads", nil, "what servers' reports hold, in order: concurrent, depth, load_share, mean_ms, tps or err_ps")
-	f.IntVar(&move.Streams, "streams", 0, "visits that a connection to a server may carry at once")
+	f.IntVar(&move.Streams, "streams", 0, "requests that a connection to a server may carry at once")
 	f.IntVar(&move.Sidecars, "sidecars", 0, "sidecars in the pool")
 	f.IntVar(&move.Number, "number", 0, "this one's number among them, from 0")
 	f.StringVar(&move.Location, "location", "", "the one location that all stands in")
--- a/decide/failover/failover.go
+++ b/decide/failover/failover.go
@@ -27,10 +27,10 @@
 	Places  []Place
 	Far     float64             // cost of a way between regions; within one it is 1
 	Ways    map[[2]Zone]float64 // cost of a way where it differs
-	Reserve float64             // part of what a zone carries that is kept free of others' visits
-	Enter   float64             // part of what its home zone carries from which visits are sent on
+	Reserve float64             // part of what a zone carries that is kept free of others' requests
+	Enter   float64             // part of what its home zone carries from which requests are sent on
 	Leave   float64             // and down to which, once that has begun; lower
-	Out     float64             // part of a zone's visits that may newly leave it in a second
+	Out     float64             // part of a zone's requests that may newly leave it in a second
 	Back    float64             // and come back
 	Every   Micros              // from one plan to the next
 	Lasts   Micros              // a plan's time
@@ -89,7 +89,7 @@
 	return t.Far
 }
 
-// Share is the part of a home zone's visits that one zone gets.
+// Share is the part of a home zone's requests that one zone gets.
 type Share struct {
 	To   Zone
 	Part float64
@@ -108,11 +108,11 @@
 // Base is what a plan was reckoned from, of one zone.
 type Base struct {
 	Offered float64 // by its clients
-	Room    float64 // for others' visits
+	Room    float64 // for others' requests
 	Members int     // sidecars whose home it is
 }
 
-// Part is the part of a home zone's visits that a zone gets. A zone that the plan lacks keeps all.
+// Part is the part of a home zone's requests that a zone gets. A zone that the plan lacks keeps all.
 func (p Plan) Part(home, to Zone) float64 {
 	shares, there := p.Of[home]
 	if !there && home == to {
@@ -131,12 +131,12 @@
 	Zone    Zone
 	Offered float64 // work a second that its own clients bring
 	Carries float64 // work a second that its servers can carry now
-	Strains bool    // answers come late, or it turns visits away: what it gets must not grow
+	Strains bool    // answers come late, or it turns requests away: what it gets must not grow
 	Cut     []Zone  // home zones whose sidecars don't reach it
 	Members int     // sidecars whose home it is, that may be sending
 }
 
-// Reckon makes the plan that follows another: what each zone's visits are beyond what it carries goes to the nearest zones with headroom, as
+// Reckon makes the plan that follows another: what each zone's requests are beyond what it carries goes to the nearest zones with headroom, as
 // far as that goes and no faster than is set. What nobody can carry stays at home, to be turned away there: nobody crosses for it.
 func (t Terms) Reckon(now Micros, states []State, before Plan) Plan {
 	states = slices.SortedFunc(slices.Values(states), func(a, b State) int { return strings.Compare(string(a.Zone), string(b.Zone)) })
--- a/decide/failover/reports.go
+++ b/decide/failover/reports.go
@@ -8,7 +8,7 @@
 
 // Sight is what one sidecar sees of a zone, in work a second.
 type Sight struct {
-	Delivered float64 // of its visits, by that zone
+	Delivered float64 // of its requests, by that zone
 	Crowded   float64 // turned away by it, or late
 	Gone      float64 // part of its servers that it found gone
 }
--- a/decide/rollout/fleet/fleet.go
+++ b/decide/rollout/fleet/fleet.go
@@ -1,5 +1,5 @@
 // Package fleet plays many members that carry configurations in simulated time, on membership's crowd: one seed gives one
-// run. It is a test's and a proof's tool, and no part of a sidecar. Stubbed are visits (drawn by chance, at a rate for each
+// run. It is a test's and a proof's tool, and no part of a sidecar. Stubbed are requests (drawn by chance, at a rate for each
 // member), the disk and the taking over of a configuration (both take Disk), and connections (two ways there and back, a
 // lost packet costs Resend); what members decide and say is the program's own code.
 package fleet
@@ -31,7 +31,7 @@
 	rollout.Version
 	Path    rollout.Path
 	Size    int
-	Share   float64              // of visits delivered under it
+	Share   float64              // of requests succeeded under it
 	Refusal string               // it can't be read, or taken,
 	Refuses func(place int) bool // by these; nil: by all
 	Kills   bool                 // whoever takes it
@@ -42,7 +42,7 @@
 	*crowd.Crowd
 	Sidecars []*Sidecar // by place; one that restarts has the same
 	Contents map[rollout.Version]Content
-	Rate     func(i int) float64 // visits a second
+	Rate     func(i int) float64 // requests a second
 	Killed   int                 // by what they took
 	Told     func(at Micros, i int, e rollout.Event)
 	terms    membership.Terms
@@ -264,7 +264,7 @@
 	}
 }
 
-// count draws the visits since the last look.
+// count draws the requests since the last look.
 func (c *Sidecar) count() {
 	c.part += c.fleet.Rate(c.place) * float64(c.fleet.Now-c.counted) / 1e6
 	c.counted = c.fleet.Now
@@ -276,7 +276,7 @@
 		c.figures.Taken++
 		c.figures.Ended++
 		if c.fleet.chance() < share {
-			c.figures.Delivered++
+			c.figures.Succeeded++
 		}
 	}
 }
--- a/decide/rollout/orders_test.go
+++ b/decide/rollout/orders_test.go
@@ -13,7 +13,7 @@
 type world struct {
 	t        *testing.T
 	now      Micros
-	harm     rollout.Number // visits are not delivered under it
+	harm     rollout.Number // visits are not succeeded under it
 	refuse   rollout.Number // the third member can't read it
 	sidecars [3]*sidecar
 	waited   Micros // while words may have been held back
@@ -118,7 +118,7 @@
 	c.figures.Taken += many
 	c.figures.Ended += many
 	if c.live.Number != c.w.harm || c.w.harm == 0 {
-		c.figures.Delivered += many
+		c.figures.Succeeded += many
 	}
 }
 
--- a/decide/rollout/rollout_test.go
+++ b/decide/rollout/rollout_test.go
@@ -189,18 +189,18 @@
 func TestWorse(t *testing.T) {
 	var tr trace.Trace
 	for _, x := range []struct{ was, is rollout.Share }{
-		{rollout.Share{Ended: 200, Delivered: 199}, rollout.Share{Ended: 1, Delivered: 0}},
-		{rollout.Share{Ended: 200, Delivered: 199}, rollout.Share{Ended: 3, Delivered: 1}},
-		{rollout.Share{Ended: 200, Delivered: 199}, rollout.Share{Ended: 4, Delivered: 0}},
-		{rollout.Share{Ended: 20, Delivered: 20}, rollout.Share{Ended: 6, Delivered: 0}},
-		{rollout.Share{Ended: 20, Delivered: 20}, rollout.Share{Ended: 12, Delivered: 0}},
-		{rollout.Share{Ended: 2, Delivered: 2}, rollout.Share{Ended: 30, Delivered: 0}},
-		{rollout.Share{Ended: 3000, Delivered: 2985}, rollout.Share{Ended: 500, Delivered: 490}},
-		{rollout.Share{Ended: 3000, Delivered: 2985}, rollout.Share{Ended: 500, Delivered: 470}},
-		{rollout.Share{Ended: 3000, Delivered: 1800}, rollout.Share{Ended: 60, Delivered: 30}},
-		{rollout.Share{Ended: 3000, Delivered: 1800}, rollout.Share{Ended: 60, Delivered: 15}},
-		{rollout.Share{Ended: 1 << 40, Delivered: 1 << 40}, rollout.Share{Ended: 1 << 40, Delivered: 1<<40 - 1<<33}},
-		{rollout.Share{Ended: 1 << 40, Delivered: 1 << 40}, rollout.Share{Ended: 1 << 40, Delivered: 1<<40 - 1<<35}},
+		{rollout.Share{Ended: 200, Succeeded: 199}, rollout.Share{Ended: 1, Succeeded: 0}},
+		{rollout.Share{Ended: 200, Succeeded: 199}, rollout.Share{Ended: 3, Succeeded: 1}},
+		{rollout.Share{Ended: 200, Succeeded: 199}, rollout.Share{Ended: 4, Succeeded: 0}},
+		{rollout.Share{Ended: 20, Succeeded: 20}, rollout.Share{Ended: 6, Succeeded: 0}},
+		{rollout.Share{Ended: 20, Succeeded: 20}, rollout.Share{Ended: 12, Succeeded: 0}},
+		{rollout.Share{Ended: 2, Succeeded: 2}, rollout.Share{Ended: 30, Succeeded: 0}},
+		{rollout.Share{Ended: 3000, Succeeded: 2985}, rollout.Share{Ended: 500, Succeeded: 490}},
+		{rollout.Share{Ended: 3000, Succeeded: 2985}, rollout.Share{Ended: 500, Succeeded: 470}},
+		{rollout.Share{Ended: 3000, Succeeded: 1800}, rollout.Share{Ended: 60, Succeeded: 30}},
+		{rollout.Share{Ended: 3000, Succeeded: 1800}, rollout.Share{Ended: 60, Succeeded: 15}},
+		{rollout.Share{Ended: 1 << 40, Succeeded: 1 << 40}, rollout.Share{Ended: 1 << 40, Succeeded: 1<<40 - 1<<33}},
+		{rollout.Share{Ended: 1 << 40, Succeeded: 1 << 40}, rollout.Share{Ended: 1 << 40, Succeeded: 1<<40 - 1<<35}},
 		{rollout.Share{}, rollout.Share{Ended: 100}},
 		{rollout.Share{Ended: 100}, rollout.Share{Ended: 100}},
 	} {
@@ -208,7 +208,7 @@
 		if rollout.Judged(x.was, x.is) {
 			word = "worse"
 		}
-		tr.Add("%d of %d delivered, then %d of %d: %s", x.was.Delivered, x.was.Ended, x.is.Delivered, x.is.Ended, word)
+		tr.Add("%d of %d succeeded, then %d of %d: %s", x.was.Succeeded, x.was.Ended, x.is.Succeeded, x.is.Ended, word)
 	}
 	tr.Same(t)
 }
--- a/decide/rollout/trial.go
+++ b/decide/rollout/trial.go
@@ -2,23 +2,23 @@
 
 import "math"
 
-// Figures are a member's own, which it has anyway: visits since its start.
-type Figures struct{ Taken, Ended, Delivered uint64 }
+// Figures are a member's own, which it has anyway: requests since its start.
+type Figures struct{ Taken, Ended, Succeeded uint64 }
 
-// Share is of visits within a time: how many ended, and how many of them were delivered.
-type Share struct{ Ended, Delivered uint64 }
+// Share is of requests within a time: how many ended, and how many of them were succeeded.
+type Share struct{ Ended, Succeeded uint64 }
 
 // sample is what came of one probe's time.
 type sample struct {
 	Share
-	open uint64 // visits under way, at its end
+	open uint64 // requests under way, at its end
 }
 
 // trial is a watch that goes on.
 type trial struct {
 	version Version
 	before  Share
-	open    uint64 // visits under way, the most seen before
+	open    uint64 // requests under way, the most seen before
 	from    Figures
 	begun   Micros
 }
@@ -26,10 +26,10 @@
 // What holds whatever is set.
 const (
 	before      = 40   // probes that are compared with
-	worseChance = 1e-5 // visits that went as before would look so bad by chance so seldom
+	worseChance = 1e-5 // requests that went as before would look so bad by chance so seldom
 	worseBy     = 0.02 // and the share fell by so much at least
-	longer      = 2    // a watch goes on for so many times as long, where visits are too few
-	countMost   = 5000 // visits that are reckoned with; more are scaled down
+	longer      = 2    // a watch goes on for so many times as long, where requests are too few
+	countMost   = 5000 // requests that are reckoned with; more are scaled down
 )
 
 // sample keeps what came since the last. While one is on trial that is none of what was before, which prevents a bad one that makes the
@@ -39,7 +39,7 @@
 	if n.last = now; n.live != n.force || n.applying.Number != 0 {
 		return
 	}
-	n.samples = append(n.samples, sample{Share{now.Ended - last.Ended, now.Delivered - last.Delivered}, now.Taken - now.Ended})
+	n.samples = append(n.samples, sample{Share{now.Ended - last.Ended, now.Succeeded - last.Succeeded}, now.Taken - now.Ended})
 	n.samples = n.samples[max(len(n.samples)-before, 0):]
 }
 
@@ -47,15 +47,15 @@
 func (n *Node) past() (all Share) {
 	for _, s := range n.samples {
 		all.Ended += s.Ended
-		all.Delivered += s.Delivered
+		all.Succeeded += s.Succeeded
 	}
 	return all
 }
 
-// idle tells whether this member had no visits lately, so that it can't tell what a configuration does to them.
+// idle tells whether this member had no requests lately, so that it can't tell what a configuration does to them.
 func (n *Node) idle() bool { return n.past().Ended == 0 }
 
-// watch begins to look what became of the visits.
+// watch begins to look what became of the requests.
 func (n *Node) watch(past Share) {
 	t := &trial{version: n.cur.Version, before: past, from: n.out.Figures(), begun: n.now}
 	for _, s := range n.samples {
@@ -79,8 +79,8 @@
 			return
 		}
 		now := n.out.Figures()
-		after := Share{now.Ended - t.from.Ended, now.Delivered - t.from.Delivered}
-		if open := now.Taken - now.Ended; open > t.open { // visits that hang, beyond all that were under way before
+		after := Share{now.Ended - t.from.Ended, now.Succeeded - t.from.Succeeded}
+		if open := now.Taken - now.Ended; open > t.open { // requests that hang, beyond all that were under way before
 			after.Ended += open - t.open
 		}
 		switch {
@@ -104,10 +104,10 @@
 }
 
 // worse tells whether a share fell by more than chance gives. It asks how likely as few deliveries are, given those before,
-// where nothing is known of the rate but these (a uniform prior: the beta-binomial distribution). So few visits, before or
+// where nothing is known of the rate but these (a uniform prior: the beta-binomial distribution). So few requests, before or
 // after, make no verdict by themselves, and many small ones do.
 func worse(was, is Share) bool {
-	if is.Ended == 0 || was.Ended == 0 || float64(was.Delivered)/float64(was.Ended)-float64(is.Delivered)/float64(is.Ended) < worseBy {
+	if is.Ended == 0 || was.Ended == 0 || float64(was.Succeeded)/float64(was.Ended)-float64(is.Succeeded)/float64(is.Ended) < worseBy {
 		return false
 	}
 	good, bad := scaled(was)
@@ -120,13 +120,13 @@
 	return chance < worseChance
 }
 
-// tells whether so many visits are enough to tell by: had none of them been delivered, it would have been seen.
+// tells whether so many requests are enough to tell by: had none of them been succeeded, it would have been seen.
 func tells(was, is Share) bool { return worse(was, Share{Ended: is.Ended}) }
 
-// scaled are those delivered and those not, of no more than are reckoned with.
+// scaled are those succeeded and those not, of no more than are reckoned with.
 func scaled(s Share) (good, bad float64) {
 	part := min(1, countMost/float64(s.Ended))
-	good = math.Floor(part * float64(s.Delivered))
+	good = math.Floor(part * float64(s.Succeeded))
 	return good, math.Floor(part*float64(s.Ended)) - good
 }
 
--- a/decide/rollout/types.go
+++ b/decide/rollout/types.go
@@ -33,9 +33,9 @@
 const (
 	Trial   Verdict = iota + 1 // it is about to take it, or has
 	Fine                       // no worse than before
-	Unsure                     // no worse that could be seen: it had too few visits to tell by
-	Idle                       // it had no visits, and does not try it
-	Worse                      // a smaller share of visits was delivered than before
+	Unsure                     // no worse that could be seen: it had too few requests to tell by
+	Idle                       // it had no requests, and does not try it
+	Worse                      // a smaller share of requests was succeeded than before
 	Refused                    // it can't be taken
 )
 
--- a/decide/summary/heard.go
+++ b/decide/summary/heard.go
@@ -54,15 +54,15 @@
 	}
 }
 
-// summed takes, as an owner, what another sidecar saw, and has the module hear of it as of so many visits. Then the module is asked in that
+// summed takes, as an owner, what another sidecar saw, and has the module hear of it as of so many requests. Then the module is asked in that
 // sidecar's name.
 func (a *Aggregator) summed(now Micros, from brain.Peer, id brain.ServerID, f []float64) {
 	v, spent, span := seen{f[0], f[1], f[2], f[3], f[4], f[5], f[6], f[7]}, f[8], f[9]
 	longest := float64(a.limits.Longest)
-	// This prevents figures that no fetches can have, and that would stay in the module's books.
+	// This prevents figures that no attempts can have, and that would stay in the module's books.
 	if !(v.good+v.bad+v.broken+v.full+v.silent <= fetchesMost) || !(spent <= fetchesMost*span) ||
 		v.good > 0 && !(v.work > 0 && max(v.took, v.work)/v.good <= longest && v.load/v.work <= longest) {
-		a.out.Refused(from, "figures that no fetches can have")
+		a.out.Refused(from, "figures that no attempts can have")
 		return
 	}
 	ended := func(many float64, rc brain.Result, took, work, load float64) {
@@ -88,7 +88,7 @@
 	a.out.Hear(from, brain.Ask, id)
 }
 
-// held brings the module's count of others' visits at a server to what summaries say: the visits held there, over the usual time from one
+// held brings the module's count of others' requests at a server to what summaries say: the requests held there, over the usual time from one
 // summary to the next of each who sends them.
 func (a *Aggregator) held(now Micros, from brain.Peer, id brain.ServerID, spent, span float64) {
 	o := a.owned[id]
--- a/decide/summary/pacer.go
+++ b/decide/summary/pacer.go
@@ -8,9 +8,9 @@
 	"math"
 )
 
-// level is what this sidecar's own visits lately saw.
+// level is what this sidecar's own requests lately saw.
 type level struct {
-	took, work, mean float64 // latency; work; work of a visit
+	took, work, mean float64 // latency; work; work of a request
 	calm             float64 // answer time per unit of work when nothing is crowded, slowly followed
 	at               Micros
 }
--- a/decide/summary/summary.go
+++ b/decide/summary/summary.go
@@ -1,7 +1,7 @@
-// Package summary keeps what sidecars tell each other within a bound of bytes a second, whatever the rate of visits. It stands between
-// the module and the wire. The module tells owners of servers of each visit, and asks them for each; here visits add up to summaries,
+// Package summary keeps what sidecars tell each other within a bound of bytes a second, whatever the rate of requests. It stands between
+// the module and the wire. The module tells owners of servers of each request, and asks them for each; here requests add up to summaries,
 // one of a server at a time, and the module is answered by what its owner last estimated. An owner is fed by summaries as by single
-// visits, and gives each who sends one a turn for the next, so that what it is told stays within its bound as well. What tenants send
+// requests, and gives each who sends one a turn for the next, so that what it is told stays within its bound as well. What tenants send
 // goes up a tree of sidecars, each of which hears few (tenants.go). docs/messages.md has the bound, what it costs and what it can't do.
 //
 // Nothing here picks a server, retries or turns away. It does no I/O and knows no clock: events come in, each with its time.
@@ -19,9 +19,9 @@
 
 // The kinds of message that go over the wire in place of the module's, where a bound is set.
 const (
-	Summary  brain.MessageKind = iota + 16 // what was seen of a server's fetches since the last one, to its owner
+	Summary  brain.MessageKind = iota + 16 // what was seen of a server's attempts since the last one, to its owner
 	Estimate                               // its answer: see estimate; then in how many microseconds the next summary is due
-	Usage                                  // visits of each tenant since the last one, to a parent in the tree
+	Usage                                  // requests of each tenant since the last one, to a parent in the tree
 	Totals                                 // its answer: what all lately sent; how old that is; in how many microseconds the next usage is due
 )
 
@@ -40,13 +40,13 @@
 const (
 	summariesPart, ownedPart, tenantsPart = 0.34, 0.22, 0.12
 
-	burst = 3 // exchanges that may follow each other at once: so many servers does the module compare for a visit
+	burst = 3 // exchanges that may follow each other at once: so many servers does the module compare for a request
 )
 
 const (
 	tieLeast, tieMost = 1.25, 3.0 // within such a multiple of the median, drawn anew each turn, an estimate counts as the median
 	lives             = 3         // turns for which it counts
-	ownBias           = 0.05      // of an answer's time that each own visit counts: those that tie go where there is none
+	ownBias           = 0.05      // of an answer's time that each own request counts: those that tie go where there is none
 	fetchesMost       = 1 << 10   // in a summary: an owner feeds the module with one by one
 	idleFor           = 64        // client timeouts after which a server that nothing goes to is forgotten
 )
@@ -56,10 +56,10 @@
 	beat     = Micros(50_000)
 	usual    = 1.0   // answer time per unit of work until something is known
 	fades    = 25.0  // beats in which own answers fade to 1/e
-	firm     = 6.0   // mean visits that the calm pace weighs among them
-	enough   = 32.0  // visits that make the mean
+	firm     = 6.0   // mean requests that the calm pace weighs among them
+	enough   = 32.0  // requests that make the mean
 	calmFall = 100.0 // beats in which the calm pace follows the lately seen one down,
-	calmRise = 400.0 // and up; also in which the module's count of others' visits fades by itself
+	calmRise = 400.0 // and up; also in which the module's count of others' requests fades by itself
 )
 
 // Out is what an Aggregator can do to the world. None of these calls it back.
@@ -103,8 +103,8 @@
 	id            brain.ServerID
 	owner         brain.Peer // as the module last had it
 	seen          seen
-	out           int     // visits of this sidecar there
-	spent         float64 // visits out, times how long, since the last summary
+	out           int     // requests of this sidecar there
+	spent         float64 // requests out, times how long, since the last summary
 	spentAt       Micros
 	since, turnAt Micros // the last summary; the next one's turn
 	touched       Micros // the module told something of it
@@ -113,24 +113,24 @@
 	estimate      estimate
 }
 
-// estimate is an owner's word: the answer time per unit of work that one more visit would see, infinite if the server sits out, and
-// visits held there; mine of them were this sidecar's.
+// estimate is an owner's word: the answer time per unit of work that one more request would see, infinite if the server sits out, and
+// requests held there; mine of them were this sidecar's.
 type estimate struct {
 	pace, held, mine float64
 	tie              float64 // the multiple of the median up to which it counts as that
 	until            Micros
 }
 
-// seen are sums over fetches that ended.
+// seen are sums over attempts that ended.
 type seen struct {
-	good, bad, broken, full float64 // delivered; answered with an error; no connection, or it broke; turned away unseen
+	good, bad, broken, full float64 // succeeded; answered with an error; no connection, or it broke; turned away unseen
 	silent                  float64 // found waiting for too long
-	took, work, load        float64 // of the delivered: latency, work, work times visits held
+	took, work, load        float64 // of those that succeeded: latency, work, work times requests held
 }
 
 // owned is what an owner adds up of one server's summaries.
 type owned struct {
-	spent, away float64 // others' visits there times how long, fading; their number as the module has it
+	spent, away float64 // others' requests there times how long, fading; their number as the module has it
 	at          Micros
 	span        float64 // in which that fades: the usual one from one summary to the next of each who sends them
 }
@@ -166,7 +166,7 @@
 // round is one exchange for each server, at the least.
 func (a *Aggregator) round() Micros { return a.exchange() * Micros(len(a.row)) }
 
-// server is what is kept of one. The owner is the one that the module asks of it now: fetches that began before tell of their end where they
+// server is what is kept of one. The owner is the one that the module asks of it now: attempts that began before tell of their end where they
 // told of their beginning.
 func (a *Aggregator) server(id brain.ServerID, owner brain.Peer, asks bool, now Micros) *server {
 	s := a.known[id]
@@ -287,7 +287,7 @@
 
 // word is what the module is told of a server. How crowded all are by now this sidecar's own answers tell, which are of this moment; how a
 // server differs from the others, its owner's estimate, which is a turn old: within a multiple of the median it does not. This prevents a
-// fleet that turns away, or goes to one server, all of it, by what was so some seconds ago. A visit of this sidecar's own counts at once.
+// fleet that turns away, or goes to one server, all of it, by what was so some seconds ago. A request of this sidecar's own counts at once.
 func (a *Aggregator) word(now Micros, s *server) (pace, held float64) {
 	pace = a.own.now(now)
 	e := s.estimate
--- a/decide/summary/summary_test.go
+++ b/decide/summary/summary_test.go
@@ -133,7 +133,7 @@
 	trace.Same(t, b.String())
 }
 
-// Where the module has found another owner, summaries go there, though fetches that began before tell the one before of their end.
+// Where the module has found another owner, summaries go there, though attempts that began before tell the one before of their end.
 func TestAnotherOwner(t *testing.T) {
 	g, p := begin(11_000)
 	g.Told(0, 1, brain.Ask, a)
@@ -156,7 +156,7 @@
 	}
 }
 
-// Figures that no fetches can have are refused, and the module hears nothing of them.
+// Figures that no attempts can have are refused, and the module hears nothing of them.
 func TestRefused(t *testing.T) {
 	good := []float64{2, 1, 0, 0, 0, 20_000, 10_000, 15_000, 400_000, 100_000}
 	for _, c := range []struct {
--- a/decide/summary/tenants.go
+++ b/decide/summary/tenants.go
@@ -12,7 +12,7 @@
 	silent   = 40 * beat
 )
 
-// tree is what a sidecar passes up of tenants' visits, and what it was told of all.
+// tree is what a sidecar passes up of tenants' requests, and what it was told of all.
 type tree struct {
 	fresh   []float64 // from here and from below, not yet passed up
 	totals  []float64 // as last told; nil: never
@@ -101,7 +101,7 @@
 		a.total(now, from, t.totals, now-t.saidAt)
 		return
 	}
-	// This prevents totals that jump with each usage that comes: what came is fed as it would have come visit by visit.
+	// This prevents totals that jump with each usage that comes: what came is fed as it would have come request by request.
 	part := 1 - math.Exp(-float64(now-t.fedAt)/float64(max(children*a.tenantsSpan(len(f)), 1)))
 	fed := make([]float64, len(f))
 	for i := range fed {
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -25,7 +25,7 @@
 	came      chan struct{} // closed when the last byte has come
 }
 
-var errStopped = errors.New("the visit is over")
+var errStopped = errors.New("the request is over")
 
 // NewUpload makes one that reads from a client's connection.
 func NewUpload(from io.Reader, sized bool, patience brain.Micros, interrupt func(over bool)) *Upload {
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -59,13 +59,13 @@
 }
 
 // Listen takes the address; Serve serves there. No more than most connections are held.
-func Listen(b *site.Manifest, most int, visits Taker, counts *counters.Sheet,
+func Listen(b *site.Manifest, most int, requests Taker, counts *counters.Sheet,
 	log zerolog.Logger) (*Inbound, error) {
 	ln, err := connlimit.Listen(b.Listen, b.Console != "")
 	if err != nil {
 		return nil, err
 	}
-	in := &Inbound{requests: visits, accounts: counters.NewAccounts(nil), counts: counts, log: log,
+	in := &Inbound{requests: requests, accounts: counters.NewAccounts(nil), counts: counts, log: log,
 		expired: make(chan struct{}), listener: connlimit.New(ln, most, counts, log)}
 	in.reads(b)
 	in.room.Store(int64(b.MemoryMB << 20 / bodiesPart))
--- a/internal/inbound/lifecycle.go
+++ b/internal/inbound/lifecycle.go
@@ -118,13 +118,13 @@
 		}
 	}
 	finished := in.listener.Finish()
-	visits := min(time.Duration(in.longest.Load())*time.Microsecond, longest) + killed
+	longestRequest := min(time.Duration(in.longest.Load())*time.Microsecond, longest) + killed
 	for ended := false; ; {
 		since, _ := in.lifecycle.is()
-		if finished() && in.listener.Here() == 0 || since > visits && in.streams.Load() == 0 || since > lastStream {
+		if finished() && in.listener.Here() == 0 || since > longestRequest && in.streams.Load() == 0 || since > lastStream {
 			break
 		}
-		if !ended && since > visits-lastAnswer { // what has no answer by now would be killed with the process
+		if !ended && since > longestRequest-lastAnswer { // what has no answer by now would be killed with the process
 			ended = true
 			close(in.expired)
 		}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -154,7 +154,7 @@
 	defer func() {
 		// One attempt's panic must neither leave its request hanging nor end the sidecar.
 		if crash := recover(); crash != nil {
-			o.counts.Crashed(o.log, "backend fetch", crash)
+			o.counts.Crashed(o.log, "attempt", crash)
 		}
 		attempt.off()
 		attempt.ended(a, reused, load, err)
--- a/internal/relay/requests.go
+++ b/internal/relay/requests.go
@@ -97,7 +97,7 @@
 func (r *Relay) send(id brain.RequestID, server brain.ServerID, wait brain.Micros) {
 	request := r.requests[id]
 	if request == nil {
-		r.fault("a backend fetch for a visit that is over")
+		r.fault("an attempt for a request that is over")
 		return
 	}
 	now := r.clock.now()
--- a/internal/rollouts/rollouts.go
+++ b/internal/rollouts/rollouts.go
@@ -77,7 +77,7 @@
 	r.start = rollout.Kept{InForce: r.in.version(), Newest: r.held.version()}
 	if h := r.held; h != nil {
 		r.start.Path, _ = pathOf(h.Content)
-		r.start.Tries, r.start.Before = h.Tries, rollout.Share{Ended: h.Before[0], Delivered: h.Before[1]}
+		r.start.Tries, r.start.Before = h.Tries, rollout.Share{Ended: h.Before[0], Succeeded: h.Before[1]}
 	}
 	if r.start.InForce.Number >= r.start.Newest.Number {
 		r.held, r.start.Newest, r.start.Tries = r.in, r.start.InForce, 0
@@ -299,7 +299,7 @@
 		r.serial.Lock()
 		defer r.serial.Unlock()
 		tried := *x
-		tried.Tries, tried.Before = tries, [2]uint64{before.Ended, before.Delivered}
+		tried.Tries, tried.Before = tries, [2]uint64{before.Ended, before.Succeeded}
 		why := ""
 		if err := r.store.write(newest, tried); err != nil {
 			why = err.Error()
@@ -385,10 +385,10 @@
 	"tries":      "drawn to try a configuration first",
 	"on_trial":   "a configuration holds on trial",
 	"in_force":   "a configuration is in force",
-	"no_worse":   "the visits went no worse under it",
-	"unsure":     "too few visits to tell whether they went worse under it",
-	"idle":       "drawn to try a configuration first, but without visits",
-	"worse":      "visits went worse under it",
+	"no_worse":   "the requests went no worse under it",
+	"unsure":     "too few requests to tell whether they went worse under it",
+	"idle":       "drawn to try a configuration first, but without requests",
+	"worse":      "requests went worse under it",
 	"refused":    "a configuration is refused here",
 	"contested":  "two configurations have one number; neither is taken",
 	"everywhere": "a configuration is to hold everywhere",
--- a/internal/rollouts/rollouts_test.go
+++ b/internal/rollouts/rollouts_test.go
@@ -163,7 +163,7 @@
 	refuse bool
 	visits rollout.Figures
 	begun  time.Time
-	harm   string // requests are not delivered under what has this in it
+	harm   string // requests are not succeeded under what has this in it
 }
 
 const every = 50_000
@@ -175,7 +175,7 @@
 	fresh := many - o.visits.Taken
 	o.visits.Taken, o.visits.Ended = many, many
 	if o.harm == "" || len(o.took) == 0 || !strings.Contains(o.took[len(o.took)-1], o.harm) {
-		o.visits.Delivered += fresh
+		o.visits.Succeeded += fresh
 	}
 	return o.visits
 }
--- a/internal/rollouts/store.go
+++ b/internal/rollouts/store.go
@@ -28,7 +28,7 @@
 	Number  uint64    `json:"number"`
 	Digest  string    `json:"digest"`
 	Tries   int       `json:"tries,omitempty"`
-	Before  [2]uint64 `json:"before,omitzero"` // requests that ended before it was tried, and those delivered
+	Before  [2]uint64 `json:"before,omitzero"` // requests that ended before it was tried, and those succeeded
 	Content []byte    `json:"-"`
 
 	is rollout.Version
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -40,13 +40,13 @@
 
 // figures count this sidecar's requests since its start. One whose client left has ended too, and did not succeed.
 func (p *process) figures() rollout.Figures {
-	delivered := p.counts[counters.VisitsDelivered].Load() // first: never more than ended
-	ended := delivered
+	succeeded := p.counts[counters.VisitsDelivered].Load() // first: never more than ended
+	ended := succeeded
 	for _, c := range []counters.Count{counters.VisitsBounced, counters.VisitsErrored, counters.VisitsDropped} {
 		ended += p.counts[c].Load()
 	}
 	taken := max(p.counts[counters.VisitsTaken].Load(), ended)
-	return rollout.Figures{Taken: uint64(taken), Ended: uint64(ended), Delivered: uint64(delivered)}
+	return rollout.Figures{Taken: uint64(taken), Ended: uint64(ended), Succeeded: uint64(succeeded)}
 }
 
 // reload takes the file as it is now, and looks at the file of extensions, all of which needs a restart. Where either can't be read, or would
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -208,7 +208,7 @@
 	}
 	close(p.isLive)
 	if b.Streams > 1 {
-		p.Log.Info().Int("told", b.Streams).Msg("allowed.multiplex is kept to one: a connection carries one visit at a time")
+		p.Log.Info().Int("told", b.Streams).Msg("allowed.multiplex is kept to one: a connection carries one request at a time")
 	}
 	p.Log.Info().Str("listen", b.Listen).Str("discovery", b.Discovery).Msg("serving")
 	return broken, nil
