--- a/lab/sidecars/sidecars.go
+++ b/lab/sidecars/sidecars.go
@@ -164,7 +164,9 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(c.program.Path, append(slices.Clone(c.program.Args), c.More...)...)
+	// As deployed: a hang-up that comes before the program hears it is ignored.
+	args := slices.Concat([]string{"-c", `trap '' HUP; exec "$0" "$@"`, c.program.Path}, c.program.Args, c.More)
+	cmd := exec.Command("/bin/sh", args...)
 	cmd.Env = append(os.Environ(), "RELAY_NAME="+cmp.Or(c.Called, c.Name), "RELAY_LISTEN="+c.Address, "RELAY_CONFIG="+file)
 	cmd.Stdout, cmd.Stderr = log, io.MultiWriter(log, &c.last, &scribe{sidecar: c})
 	if err := Start(cmd); err != nil {
@@ -202,50 +204,6 @@
 	return nil
 }
 
-// Signal sends one to the process.
-func (c *Sidecar) Signal(s syscall.Signal) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cmd == nil || c.lives[len(c.lives)-1].End >= 0 {
-		return
-	}
-	if s == syscall.SIGKILL {
-		c.lives[len(c.lives)-1].Killed = true
-	}
-	if s == syscall.SIGTERM {
-		c.lives[len(c.lives)-1].Asked = c.clock.Now()
-	}
-	if s == syscall.SIGSTOP {
-		c.still = append(c.still, [2]Micros{c.clock.Now(), -1})
-	}
-	if s == syscall.SIGCONT && len(c.still) > 0 && c.still[len(c.still)-1][1] < 0 {
-		c.still[len(c.still)-1][1] = c.clock.Now()
-	}
-	c.cmd.Process.Signal(s)
-}
-
-// SignalAgain sends one that changes nothing in the account: the first SIGTERM is when it was asked to end.
-func (c *Sidecar) SignalAgain(s syscall.Signal) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cmd != nil && c.lives[len(c.lives)-1].End < 0 {
-		c.cmd.Process.Signal(s)
-	}
-}
-
-// EndsWithin tells whether its process ends by itself in this time.
-func (c *Sidecar) EndsWithin(most time.Duration) bool {
-	c.mu.Lock()
-	ended := c.ended
-	c.mu.Unlock()
-	select {
-	case <-ended:
-		return true
-	case <-time.After(most):
-		return false
-	}
-}
-
 // Line is one of its log.
 type Line struct {
 	At   Micros // when it came
@@ -285,41 +243,6 @@
 	}
 }
 
-// Kill ends it at once and waits for that.
-func (c *Sidecar) Kill() {
-	c.Signal(syscall.SIGKILL)
-	c.wait()
-}
-
-func (c *Sidecar) wait() {
-	c.mu.Lock()
-	ended := c.ended
-	c.mu.Unlock()
-	if ended != nil {
-		<-ended
-	}
-}
-
-// Stop asks it to end, kills it where it has not after this long, and tells how it ended.
-func (c *Sidecar) Stop(most time.Duration) error {
-	c.mu.Lock()
-	ended := c.ended
-	c.mu.Unlock()
-	if ended == nil {
-		return nil
-	}
-	c.Signal(syscall.SIGCONT)
-	c.Signal(syscall.SIGTERM)
-	if !c.EndsWithin(most) {
-		c.Kill()
-		return errors.New(c.Name + " did not end by itself")
-	}
-	if exit := c.Lives()[len(c.Lives())-1].Exit; exit != "0" {
-		return fmt.Errorf("%s ended with %s", c.Name, exit)
-	}
-	return nil
-}
-
 // Counter asks it for one of its own counters, 0 where it has none such.
 func (c *Sidecar) Counter(name string) int {
 	_, body, err := clients.Ask(c.Address, "/-/counters")
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -163,7 +163,7 @@
 	}
 	for _, b := range broken[:min(len(broken), mostExplained)] {
 		lines = append(lines, "  "+b.String())
-		name := ""
+		name, _, _ := strings.Cut(b.Why, " ") // of a sidecar that ended by itself
 		for _, t := range accounts.Tries {
 			if t.ID != b.Visit {
 				continue
