--- a/internal/sizes_test.go
+++ b/internal/sizes_test.go
@@ -30,14 +30,24 @@
 	"decide/failover/reports.go States":   "to be split with the matter that it belongs to, which is only begun",
 }
 
-// Files of the sidecar and its decisions stay within a reader's grasp. A function that is longer has a reason above; a reason for one that is
+// longLabFunctions are those of the lab that are to be split; none may join them.
+var longLabFunctions = []string{"clients/try.go try", "depth/sweep.go Report", "faults/faults.go Play", "faults/group.go PlayGroup", "faults/sweep.go Report",
+	"faulty/faulty.go Serve", "faulty/faulty.go ServeHTTP", "prove/floor.go playFloor", "prove/membership_cost.go flood",
+	"prove/membership_processes.go together", "prove/rollout_processes.go carriedFaults", "prove/rollout_simulated.go spread", "report/plot.go Plot",
+	"report/report.go From", "scale/accounts.go book", "scale/claims.go claims", "scale/claims.go herd", "scale/deaths.go deaths", "scale/service.go answer",
+	"scenario/check.go possible", "stage/faults.go toBackend", "stage/raise.go raiseSidecars"}
+
+// Files of the sidecar, its decisions and the lab stay within a reader's grasp. A function that is longer has a reason above; a reason for one that is
 // not longer any more has to go.
 func TestFileSizes(t *testing.T) {
 	var got, want []string
 	for function := range longFunctions {
 		want = append(want, "function "+function)
 	}
-	for _, folder := range []string{"brain", "decide", "internal", "cmd", "simwire", "strict"} {
+	for _, function := range longLabFunctions {
+		want = append(want, "function lab/"+function)
+	}
+	for _, folder := range []string{"brain", "decide", "internal", "cmd", "simwire", "strict", "lab"} {
 		err := filepath.WalkDir(filepath.Join("..", folder), func(path string, entry fs.DirEntry, err error) error {
 			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- /dev/null
+++ b/lab/backend/conn.go
@@ -0,0 +1,216 @@
+package backend
+
+// conn.go: one connection to a backend, and the messages on it.
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+
+	"ledgespread/lab/clock"
+	"ledgespread/lab/wire"
+)
+
+// conn is one connection: a goroutine reads it, ends of visits write to it.
+type conn struct {
+	tcp     *net.TCPConn
+	fresh   bool
+	open    *Entry // the visit on it
+	backend *Backend
+}
+
+func (b *Backend) accept(ln net.Listener) {
+	for {
+		tcp, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		c := &conn{tcp: tcp.(*net.TCPConn), fresh: true, backend: b}
+		b.mu.Lock()
+		if b.listener != ln {
+			b.mu.Unlock()
+			tcp.Close()
+			return
+		}
+		b.Opened++
+		b.conns[c] = true
+		b.Most = max(b.Most, len(b.conns))
+		over := len(b.conns) > b.Make.Connections
+		b.core.Spend(b.clock.Now(), b.Make.HandshakeOf.M(), false)
+		b.arm()
+		b.mu.Unlock()
+		go c.read(over)
+	}
+}
+
+// read takes messages until the other side goes, and calls off what it left behind.
+func (c *conn) read(over bool) {
+	b := c.backend
+	in := bufio.NewReaderSize(c.tcp, 8<<10)
+	defer func() {
+		c.tcp.Close()
+		b.mu.Lock()
+		delete(b.conns, c)
+		if c.open != nil && b.listener != nil {
+			b.core.CallOff(b.clock.Now(), c.open)
+			b.arm()
+		}
+		b.mu.Unlock()
+	}()
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		first := b.clock.Now()
+		head, err := wire.ReadHead(in)
+		if err != nil {
+			b.unread()
+			return
+		}
+		if _, err := head.Body(in); err != nil {
+			b.unread()
+			return
+		}
+		if c.fresh {
+			if c.fresh = false; b.Make.Handshake > 0 {
+				clock.Micros(b.Make.Handshake).Sleep()
+			}
+		}
+		if !c.message(head, first, over) {
+			return
+		}
+	}
+}
+
+// patience reads how long a sidecar says that it waits: a number and a unit.
+func patience(text string) Micros {
+	number, unit := strings.TrimRight(text, "mu"), Micros(1)
+	if strings.HasSuffix(text, "m") {
+		unit = clock.Milli
+	}
+	if value, err := strconv.ParseFloat(number, 64); err == nil {
+		return Micros(value * float64(unit))
+	}
+	return -1
+}
+
+func (b *Backend) unread() {
+	b.mu.Lock()
+	b.Unread++
+	b.mu.Unlock()
+}
+
+func (c *conn) write(bytes []byte) { c.tcp.Write(bytes) }
+
+// message takes one; false ends the connection.
+func (c *conn) message(head wire.Head, first Micros, over bool) bool {
+	b := c.backend
+	path, query, err := head.Target()
+	if err != nil {
+		b.unread()
+		c.write(wire.Answer(400, "", "Connection: close"))
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	if b.listener == nil || c.open != nil { // one visit at a time on a connection
+		return false
+	}
+	if path == "/-/healthy" || path == "/-/load" {
+		b.Probed++
+		b.core.Spend(now, b.Make.ProbeWork.M(), true)
+		b.arm()
+		if !b.mute {
+			c.write(b.health(now, path))
+		}
+		return true
+	}
+	prefix := -1
+	for i, p := range b.prefixes {
+		if strings.HasPrefix(path, "/"+p.Name+"/") || path == "/"+p.Name {
+			prefix = i
+		}
+	}
+	id := head.Fields["x-request-id"]
+	if id == "" || prefix < 0 {
+		c.write(wire.Answer(404, ""))
+		return true
+	}
+	work, _ := strconv.ParseInt(query.Get("w"), 10, 64)
+	key, _ := strconv.ParseUint(query.Get("k"), 10, 64)
+	e := &Entry{Backend: b.Name, ID: id, Tag: head.Fields["idempotency-key"], Prefix: prefix,
+		Tenant: head.Fields["x-tenant-id"], Key: key, Work: max(1, Micros(work)), First: first, Patience: patience(head.Fields["x-timeout"])}
+	b.account = append(b.account, e)
+	if b.draining || over {
+		e.Came, e.Began, e.Ended, e.Fate = now, -1, now, TurnedAway
+		c.write(wire.Answer(503, "", "X-Not-Processed: 1"))
+		return true
+	}
+	if b.mute {
+		e.Came, e.Began, e.Ended, e.Fate = now, -1, now, Mute
+		return true
+	}
+	c.open = e
+	b.core.Offer(now, e, c.finished)
+	b.arm()
+	return true
+}
+
+// finished is told the end of a visit, with the backend's lock held.
+func (c *conn) finished(e *Entry) {
+	b := c.backend
+	if c.open == e {
+		c.open = nil
+	}
+	switch e.Fate {
+	case Died, CalledOff:
+		return
+	case TurnedAway:
+		c.write(wire.Answer(503, "", "X-Not-Processed: 1"))
+		return
+	}
+	b.markLock.Lock()
+	if b.marks[e.Prefix].known(e.Tag, e.Began) {
+		e.Fate = Repeat
+	}
+	b.markLock.Unlock()
+	switch chance := b.draw.Float(); {
+	case chance < b.errors:
+		e.Fate = Errored
+		c.write(wire.Answer(500, ""))
+	case chance < b.errors+b.spoil:
+		e.Fate = Spoilt
+		c.write(spoilt[b.draw.Below(len(spoilt))])
+	default:
+		c.write(wire.Answer(200, e.ID+" "+b.Name+" "+b.body))
+	}
+}
+
+// spoilt are answers that can't be believed; the connection stays open behind them.
+var spoilt = [][]byte{
+	[]byte("\x00\x17noise\xff\xfe\r\n\r\n"),
+	[]byte("HTTP/1.1 200 OK\r\nContent-Length: twelve\r\n\r\nhello, world"),
+	[]byte("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 12\r\n\r\nhello, world"),
+	[]byte("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on"),
+	append([]byte("HTTP/1.1 200 OK\r\nX-Endless: "), bytes.Repeat([]byte("e"), 40<<10)...),
+}
+
+// health answers a probe; a load report is as old as its period.
+func (b *Backend) health(now Micros, path string) []byte {
+	if b.report == "" || now >= b.reportAt+b.Make.ReportEvery.M() {
+		b.core.Advance(now)
+		b.report, b.reportAt = fmt.Sprintf(`{"inflight":%d}`, b.core.Holds()), now
+	}
+	status := 200
+	if b.draining {
+		status = 503
+	}
+	if path == "/-/load" {
+		return wire.Answer(status, b.report, "X-Server-Load: "+b.report)
+	}
+	return wire.Answer(status, "", "X-Server-Load: "+b.report)
+}
--- /dev/null
+++ b/lab/callgraph/statistics.go
@@ -0,0 +1,137 @@
+package callgraph
+
+// statistics.go: what a drawn graph looks like, for a reader and for checks.
+
+import (
+	_ "embed"
+	"fmt"
+	"slices"
+)
+
+// PerS is how often one calls another, a second.
+func (g *Graph) PerS(from, to int) int {
+	for _, e := range g.Services[from].Calls {
+		if e.To == to {
+			return e.PerS
+		}
+	}
+	return 0
+}
+
+// Makes is how many calls a second a service makes.
+func (g *Graph) Makes(i int) (sum int) {
+	for _, e := range g.Services[i].Calls {
+		sum += e.PerS
+	}
+	return sum
+}
+
+// Depth is the most calls in a chain.
+func (g *Graph) Depth() (most int) {
+	below := make([]int, len(g.Services))
+	for i := len(g.Services) - 1; i >= 0; i-- {
+		for _, e := range g.Services[i].Calls {
+			below[i] = max(below[i], 1+below[e.To])
+		}
+		most = max(most, below[i])
+	}
+	return most
+}
+
+// Spread is a figure over some: the mean, the middle one, and the largest, with the service that has it.
+type Spread struct {
+	Mean   float64 `json:"mean"`
+	Median float64 `json:"median"`
+	Most   float64 `json:"most"`
+	At     int     `json:"at"`
+}
+
+func spread(of []float64, at []int) (s Spread) {
+	for i, x := range of {
+		s.Mean += x / float64(len(of))
+		if x > s.Most {
+			s.Most, s.At = x, at[i]
+		}
+	}
+	sorted := slices.Sorted(slices.Values(of))
+	if len(sorted) > 0 {
+		s.Median = sorted[len(sorted)/2]
+	}
+	return s
+}
+
+// Statistics are what the rest of the lab takes from a graph.
+type Statistics struct {
+	Seed      uint64 `json:"seed"`
+	Services  int    `json:"services"`
+	Servers   int    `json:"servers"`
+	CallsPerS int    `json:"calls_per_s"`
+	Depth     int    `json:"depth"`
+	Edges     int    `json:"edges"`
+	Size      Spread `json:"servers_of_a_service"`
+	Fanout    Spread `json:"services_that_one_calls"`     // of those that call any
+	Visits    Spread `json:"visits_per_s_of_a_sidecar"`   // over all servers: those that call nobody carry none
+	Visited   Spread `json:"calls_per_s_of_a_server"`     // that are called at all
+	List      Spread `json:"servers_in_a_sidecars_list"`  // of those that call any: what it calls, and no more
+	Senders   Spread `json:"sidecars_that_call_a_server"` // over servers that are called
+	AtDepth   []int  `json:"calls_per_s_by_depth"`        // by the layer of the one called, from 1
+	ByZone    []int  `json:"servers_by_zone"`
+}
+
+// Statistics works them out.
+func (g *Graph) Statistics() Statistics {
+	s := Statistics{Seed: g.Seed, Services: len(g.Services), Depth: g.Depth(), AtDepth: make([]int, g.Of.Size.Depth),
+		ByZone: make([]int, g.Of.Size.Zones)}
+	var size, fanout, visits, visited, list, senders []float64
+	var sizeAt, fanoutAt, visitsAt, visitedAt, listAt, sendersAt []int
+	for i, x := range g.Services {
+		n := x.Servers()
+		s.Servers += n
+		s.CallsPerS += g.Makes(i)
+		s.Edges += len(x.Calls)
+		size, sizeAt = append(size, float64(n)), append(sizeAt, i)
+		for z, k := range x.Zones {
+			s.ByZone[z] += k
+		}
+		listed, gets, callers := 0, 0, 0
+		for _, e := range x.Calls {
+			listed += g.Services[e.To].Servers()
+			s.AtDepth[g.Services[e.To].Layer-1] += e.PerS
+		}
+		for _, from := range x.Called {
+			gets, callers = gets+g.PerS(from, i), callers+g.Services[from].Servers()
+		}
+		if len(x.Calls) > 0 {
+			fanout, fanoutAt = append(fanout, float64(len(x.Calls))), append(fanoutAt, i)
+		}
+		for range n {
+			visits, visitsAt = append(visits, float64(g.Makes(i))/float64(n)), append(visitsAt, i)
+			if listed > 0 {
+				list, listAt = append(list, float64(listed)), append(listAt, i)
+			}
+			if callers > 0 {
+				senders, sendersAt = append(senders, float64(callers)), append(sendersAt, i)
+				visited, visitedAt = append(visited, float64(gets)/float64(n)), append(visitedAt, i)
+			}
+		}
+	}
+	s.Size, s.Fanout, s.Visits = spread(size, sizeAt), spread(fanout, fanoutAt), spread(visits, visitsAt)
+	s.Visited, s.List, s.Senders = spread(visited, visitedAt), spread(list, listAt), spread(senders, sendersAt)
+	return s
+}
+
+// Lines are the statistics as a table.
+func (s Statistics) Lines() (lines []string) {
+	lines = append(lines, fmt.Sprintf("seed %d: %d services, %d servers (by zone %v), %d calls/s over %d edges, %d deep",
+		s.Seed, s.Services, s.Servers, s.ByZone, s.CallsPerS, s.Edges, s.Depth))
+	lines = append(lines, fmt.Sprintf("%-40s %10s %10s %10s", "", "mean", "median", "most"))
+	for _, row := range []struct {
+		what string
+		of   Spread
+	}{{"servers of a service", s.Size}, {"services that one calls", s.Fanout},
+		{"visits/s of a sidecar", s.Visits}, {"calls/s of a server", s.Visited},
+		{"servers in a sidecar's list", s.List}, {"sidecars that call a server", s.Senders}} {
+		lines = append(lines, fmt.Sprintf("%-40s %10.1f %10.1f %10.1f  (service %d)", row.what, row.of.Mean, row.of.Median, row.of.Most, row.of.At))
+	}
+	return append(lines, fmt.Sprintf("calls/s by depth: %v", s.AtDepth))
+}
--- a/lab/faulty/faulty.go
+++ b/lab/faulty/faulty.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -172,122 +171,6 @@
 	return nil
 }
 
-// moved has the list asked for where the configuration says now.
-func (c *sidecar) moved(file string) {
-	told, err := sidecars.Told(file)
-	if err != nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.list, _ = told["discovery"].(string)
-}
-
-// ask takes the whole list anew.
-func (c *sidecar) ask() error {
-	began := time.Now()
-	c.mu.Lock()
-	list := c.list
-	c.mu.Unlock()
-	r, err := c.lists.Get("http://" + list + "/api/targets")
-	if err != nil {
-		return err
-	}
-	defer r.Body.Close()
-	var answer map[string]any
-	if err := json.NewDecoder(r.Body).Decode(&answer); err != nil {
-		return err
-	}
-	hosts, _ := answer["hosts"].([]any)
-	var now []server
-	for _, h := range hosts {
-		if h, ok := h.(map[string]any); ok {
-			s := server{}
-			s.name, _ = h["host"].(string)
-			s.at, _ = h["dial"].(string)
-			s.zone, _ = h["site"].(string)
-			s.health, _ = h["health"].(string)
-			born, _ := h["born_ms"].(float64)
-			s.born = time.UnixMilli(int64(born))
-			now = append(now, s)
-		}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.take(now, time.Since(began))
-	return nil
-}
-
-// take goes by a list that came after so long, or what its way has it make of it. The lock is held.
-func (c *sidecar) take(now []server, took time.Duration) {
-	named := func(s server) bool { return slices.ContainsFunc(now, func(n server) bool { return n.name == s.name }) }
-	odd := func(s server) bool { return s.zone == "nowhere" }
-	switch first := c.servers == nil; {
-	case first:
-	case c.way == "late-list" && took >= lateList, c.way == dropsEmpty && len(now) == 0, c.way == freezesAtOdd && slices.ContainsFunc(now, odd):
-		return
-	case c.way == keepsLeftOut:
-		now = slices.Concat(now, slices.DeleteFunc(c.servers, named))
-	}
-	c.servers = now
-	for _, s := range now {
-		c.seen[s.name] = s
-	}
-}
-
-// pick is a server that may get a visit; but names one that may not, in none of its zone where other is set.
-func (c *sidecar) pick(but *server, other bool) *server {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var may, draining, cold []server
-	for _, s := range c.servers {
-		if but != nil && (s.name == but.name || other && s.zone == but.zone) {
-			continue
-		}
-		switch {
-		case s.health != "in_service":
-			draining = append(draining, s)
-		case time.Since(s.born) < c.cold && c.way != "wall-warm":
-			cold = append(cold, s)
-		default:
-			may = append(may, s)
-		}
-	}
-	if len(draining) > 0 && c.count("drain", often) {
-		may = draining
-	}
-	if c.way == "cold" && len(cold) > 0 {
-		may = cold
-	}
-	if young := slices.DeleteFunc(slices.Clone(may), func(s server) bool { return time.Since(s.born) >= c.cold }); c.way == "wall-warm" && len(young) > 0 {
-		may = young // a server that has just started, and seems warm, has the least to do
-	}
-	if len(may) == 0 && c.way == lastResort {
-		may = slices.Collect(maps.Values(c.seen))
-	}
-	if len(may) == 0 {
-		return nil
-	}
-	s := may[c.draw.Below(len(may))]
-	return &s
-}
-
-// now tells whether it is time to break: each so many visits of a kind.
-func (c *sidecar) now(way string, every int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.count(way, every)
-}
-
-// count does so with the lock held.
-func (c *sidecar) count(way string, every int) bool {
-	if c.way != way {
-		return false
-	}
-	c.n[way]++
-	return c.n[way]%every == 0
-}
-
 // fetch sends once, and waits for so long; the server is told what is left to the client. ran is false only where that is proven.
 func (c *sidecar) fetch(r *http.Request, body []byte, to *server, left time.Duration, client time.Time) (status int, answer []byte, ran bool) {
 	ctx, done := context.WithTimeout(context.Background(), left)
--- a/lab/list/serve.go
+++ b/lab/list/serve.go
@@ -14,65 +14,85 @@
 	watches := err == nil
 	hold, _ := strconv.Atoi(q.URL.Query().Get("hold_ms"))
 	l.mu.Lock()
-	l.Calls++
-	call := &Call{Reader: r.name, Address: r.at, Began: l.clock.Now(), Ended: -1}
-	l.calls = append(l.calls, call)
-	over := func(how string) { call.Ended, call.How = l.clock.Now(), how }
+	defer l.mu.Unlock()
+	call := l.book(r)
 	ails, late := l.turn()
 	switch ails {
 	case refuses:
-		l.Failed++
-		over(CallRefused)
-		l.mu.Unlock()
-		refuse(w)
+		l.refuse(call, w)
 		return
 	case silent:
-		l.mu.Unlock()
-		<-q.Context().Done()
-		l.mu.Lock()
-		over(CallDropped)
-		l.mu.Unlock()
+		l.unlocked(func() { <-q.Context().Done() })
+		call.over(l, CallDropped)
 		return
 	}
 	if free := l.free; free > call.Began {
-		l.mu.Unlock()
-		l.sleepUntil(free)
-		l.mu.Lock()
+		l.unlocked(func() { l.sleepUntil(free) })
 	}
 	if watches && hold > 0 {
 		l.holdCall(q, from, time.Duration(min(hold, longestHold))*time.Millisecond)
 	}
 	if late > 0 && !l.down { // others are answered meanwhile
 		until := l.clock.Now() + late
-		l.mu.Unlock()
-		l.sleepUntil(until)
-		l.mu.Lock()
+		l.unlocked(func() { l.sleepUntil(until) })
 	}
 	if l.down {
-		l.Failed++
-		over(CallRefused)
-		l.mu.Unlock()
-		refuse(w)
+		l.refuse(call, w)
 		return
 	}
+	l.write(call, w, watches, from)
+}
+
+// book begins the account of a call; the lock is held.
+func (l *List) book(r *reader) *Call {
+	l.Calls++
+	call := &Call{Reader: r.name, Address: r.at, Began: l.clock.Now(), Ended: -1}
+	l.calls = append(l.calls, call)
+	return call
+}
+
+// over ends the account of a call; the lock is held.
+func (c *Call) over(l *List, how string) {
+	c.Ended = l.clock.Now()
+	c.How = how
+}
+
+// unlocked does something without the lock, which is held before and after.
+func (l *List) unlocked(do func()) {
+	l.mu.Unlock()
+	defer l.mu.Lock()
+	do()
+}
+
+// refuse turns a call away; the lock is held.
+func (l *List) refuse(call *Call, w http.ResponseWriter) {
+	l.Failed++
+	call.over(l, CallRefused)
+	l.unlocked(func() {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+}
+
+// write answers a call, and books that its reader was told; the lock is held.
+func (l *List) write(call *Call, w http.ResponseWriter, watches bool, from int) {
 	from += l.shift
 	whole := !watches || from > l.seq || from < l.shift+1 || l.forms.Whole > 0 && l.draw.Float() < l.forms.Whole
-	body, seq := l.render(r.name, whole, from), l.seq
-	l.mu.Unlock()
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, err = w.Write(body)
-	if err == nil {
-		err = http.NewResponseController(w).Flush()
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	body, seq := l.render(call.Reader, whole, from), l.seq
+	var err error
+	l.unlocked(func() {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		if _, err = w.Write(body); err == nil {
+			err = http.NewResponseController(w).Flush()
+		}
+	})
 	if err != nil {
-		over(CallDropped)
+		call.over(l, CallDropped)
 		return
 	}
-	over(CallAnswered)
+	call.over(l, CallAnswered)
 	call.Seq = seq
-	l.told = append(l.told, Told{r.name, seq, l.clock.Now(), call.Began})
+	l.told = append(l.told, Told{call.Reader, seq, l.clock.Now(), call.Began})
 }
 
 // holdCall waits until there is something newer than a version, or the hold is over, or the reader ends the call. The lock is held, and given up
@@ -97,11 +117,6 @@
 	}
 }
 
-func refuse(w http.ResponseWriter) {
-	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // ailment is what becomes of one call.
 type ailment uint8
 
