--- a/internal/discovery/model_test.go
+++ b/internal/discovery/model_test.go
@@ -126,16 +126,13 @@
 	wait      = "wait"
 )
 
-const mostServers = 6
-
 // fleets are the amounts: none, one, some and all of them.
 var fleets = [][]int{{}, {0}, {3}, {1, 2, 4}, {0, 1, 2, 3, 4, 5}}
 
 var (
-	changesOfFleet = []string{drain, leave, comeBack, startNew, elsewhere}
-	forms          = []string{byChanges, whole, leavingOut, oddStranger, oddListed, noHosts}
-	fates          = []string{answered, answered, answered, late, stale, refused, reset, cut, garbage, silent, unreadable, unlistened}
-	spans          = []time.Duration{time.Millisecond, 40 * time.Millisecond, 250 * time.Millisecond, time.Second, 3200 * time.Millisecond, 20 * time.Second}
+	forms = []string{byChanges, whole, leavingOut, oddStranger, oddListed, noHosts}
+	fates = []string{answered, answered, answered, late, stale, refused, reset, cut, garbage, silent, unreadable, unlistened}
+	spans = []time.Duration{time.Millisecond, 40 * time.Millisecond, 250 * time.Millisecond, time.Second, 3200 * time.Millisecond, 20 * time.Second}
 )
 
 func drawStep(t *rapid.T) step {
@@ -161,7 +158,6 @@
 	watcher *discovery.Watcher
 	model   model
 	told    map[string]bool // what the told lists add up to
-	listed  map[string]bool // of the list that is in force
 	moves   int
 	starts  int64
 	failure string
