A long body on its way to a server ends at a stop's end and when its client leaves

What callers saw: a request with a long body at a server that accepts nothing had no answer when its sidecar was stopped; the process ended with it. A client that left was noticed up to 5 s later.

Cause: waitForUpload knew two ends, the last byte and the answer. The end of a stop and a client's leaving were seen only by the wait after it. On the servers' side a call-off could be lost, since each piece set the connection's deadline anew.

A request whose body was not read to its end is rejected: its last byte was never sent, so it has not run.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -108,6 +108,9 @@
 	return append(out, x.body...), x.bodyPieces
 }
 
+// HasLongBody reports whether the body is too long to be sent with the head.
+func (x *Exchange) HasLongBody() bool { return x.Upload != nil || len(x.bodyPieces) > 0 }
+
 // AnswerWanted reports whether somebody still waits for an answer. It becomes false as soon as the client has
 // gone or the request is settled, so that no attempt begins while that event is still queued.
 func (x *Exchange) AnswerWanted() bool {
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -4,32 +4,45 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ledgespread/brain"
 )
 
+// UploadSource is where the rest of a long body comes from.
+type UploadSource struct {
+	Body io.Reader
+
+	// MessageSize is the size of the whole message, head and body, in bytes; 0 if the head doesn't give it.
+	MessageSize int
+
+	// Interrupt ends a read of Body that is blocked. With finished set nobody reads any more.
+	Interrupt func(finished bool)
+}
+
 // Upload is the rest of a request body that is too long to buffer. One attempt reads it as the client sends
 // it; what has been read is not kept, so there is no second attempt. A server starts on a request with its
 // last byte: until that is written the request has not run.
 type Upload struct {
-	Sized         bool         // the head gives its length; otherwise it is sent in chunks
-	ClientTimeout brain.Micros // the client timeout, counted from the last byte
+	Sized         bool          // the head gives its length; otherwise it is sent in chunks
+	ClientTimeout time.Duration // counted from the last byte
 
-	from      io.Reader
-	interrupt func(over bool) // ends a read that is blocked
-	mu        sync.Mutex
+	source    UploadSource
+	mu        sync.Mutex // held while the body is read
 	stopped   bool
 	started   bool
 	clientErr error         // error of reading from the client
 	received  chan struct{} // closed when the last byte has been read
+	abandoned atomic.Bool   // Stop was called before the last byte was read
 }
 
 var errStopped = errors.New("the request is over")
 
-// NewUpload returns an Upload that reads from a client's connection.
-func NewUpload(from io.Reader, sized bool, patience brain.Micros, interrupt func(over bool)) *Upload {
-	return &Upload{Sized: sized, ClientTimeout: patience, from: from, interrupt: interrupt, received: make(chan struct{})}
+// NewUpload returns an Upload of a request whose client stops waiting clientTimeout after its last byte.
+func NewUpload(source UploadSource, clientTimeout brain.Micros) *Upload {
+	return &Upload{Sized: source.MessageSize > 0, ClientTimeout: time.Duration(clientTimeout) * time.Microsecond, source: source,
+		received: make(chan struct{})}
 }
 
 // Read reads the next data. It returns io.EOF with the last byte or after it.
@@ -40,11 +53,14 @@
 		return 0, errStopped
 	}
 	u.started = true
-	if n, err = u.from.Read(p); err != nil {
+	n, err = u.source.Body.Read(p)
+	switch {
+	case err == io.EOF:
+		u.stopped = true
+		close(u.received)
+	case err != nil:
 		u.stopped = true
-		if err == io.EOF {
-			close(u.received)
-		} else {
+		if !u.abandoned.Load() { // otherwise Stop caused the error
 			u.clientErr = err
 		}
 	}
@@ -64,25 +80,32 @@
 // Received returns a channel that is closed once the last byte has been read.
 func (u *Upload) Received() <-chan struct{} { return u.received }
 
-// Stop prevents further reads, and reports whether the body was read completely. Once it returns, nothing
-// reads from the client's connection.
-func (u *Upload) Stop() (complete bool) {
+// FullyRead reports whether the last byte has been read.
+func (u *Upload) FullyRead() bool {
 	select {
 	case <-u.received:
 		return true
 	default:
+		return false
 	}
-	for !u.mu.TryLock() { // a read that has just begun may have replaced the deadline set by interrupt
-		u.interrupt(false)
+}
+
+// Abandoned reports whether Stop has ended the upload before its last byte was read.
+func (u *Upload) Abandoned() bool { return u.abandoned.Load() && !u.FullyRead() }
+
+// Stop prevents further reads, and reports whether the body was read completely. If not, its last byte was never
+// sent to a server, so the request has not run. Once Stop returns, nothing reads from the client's connection.
+func (u *Upload) Stop() (complete bool) {
+	if u.FullyRead() {
+		return true
+	}
+	u.abandoned.Store(true)
+	for !u.mu.TryLock() { // a read that has just begun may have replaced the deadline set by Interrupt
+		u.source.Interrupt(false)
 		time.Sleep(time.Millisecond)
 	}
 	u.stopped = true
 	u.mu.Unlock()
-	u.interrupt(true)
-	select {
-	case <-u.received:
-		return true
-	default:
-		return false
-	}
+	u.source.Interrupt(true)
+	return u.FullyRead()
 }
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -109,15 +109,17 @@
 		abandon(ctx)
 		return false
 	}
-	sized, maxSize := !msg.body.Chunked, maxBody
+	sized, maxSize, messageSize := !msg.body.Chunked, maxBody, 0
 	if sized {
 		maxSize = msg.body.Length
+		messageSize = msg.headSize + msg.body.Length
 		msg.head = append(strconv.AppendInt(append(msg.head, "Content-Length: "...), int64(maxSize), 10), "\r\n"...)
 	} else {
 		msg.head = append(msg.head, "Transfer-Encoding: chunked\r\n"...)
 	}
 	conn := ctx.Conn()
-	request.Upload = exchange.NewUpload(source, sized, request.TimeLeft, func(finished bool) { connlimit.InterruptRead(conn, finished) })
+	request.Upload = exchange.NewUpload(exchange.UploadSource{Body: source, MessageSize: messageSize,
+		Interrupt: func(finished bool) { connlimit.InterruptRead(conn, finished) }}, request.TimeLeft)
 	request.SetContent(msg.head, nil, held)
 	request.TimeLeft += brain.Micros(maxSize) * 1_000_000 / minUploadRate
 	return true
@@ -200,19 +202,3 @@
 	}
 	return false
 }
-
-// waitForUpload waits until a streamed body has been read to its end or the request has its answer. complete
-// is false if the answer came first: the rest of the body is then not read, and the connection is closed
-// after the answer.
-func (in *Inbound) waitForUpload(ctx *fasthttp.RequestCtx, request *exchange.Exchange) (complete bool) {
-	select {
-	case <-request.Upload.Received():
-	case <-request.Done():
-	}
-	if !request.Upload.Stop() {
-		ctx.SetConnectionClose()
-		return false
-	}
-	in.listener.EndMessage(ctx.Conn(), 0)
-	return true
-}
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -199,8 +199,7 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout)
 }
 
-// forward hands a request to the relay, waits for its end, and writes the answer. The request ends with an
-// answer, a disconnect of its client, its timeout, or the end of a stop.
+// forward hands a request to the relay, waits for its end, and writes the answer.
 func (in *Inbound) forward(ctx *fasthttp.RequestCtx, msg *message) {
 	request, status, reason := in.newExchange(ctx, msg)
 	if request == nil {
@@ -212,10 +211,8 @@
 	if !open {
 		return
 	}
-	remaining := time.Duration(request.TimeLeft) * time.Microsecond
-	now := time.Now()
-	watchFrom, answerBy := now.Add(min(remaining/watchDelayDivisor, maxWatchDelay)), now.Add(remaining+overdueGrace)
 	conn := ctx.Conn()
+	waiting := &wait{in: in, conn: conn, request: request, began: time.Now(), timeout: time.Duration(request.TimeLeft) * time.Microsecond}
 	request.ClientGone = func() bool { return peek.PeerClosed(conn) }
 	endRequest, status, reason := in.dispatch(ctx, msg, request)
 	if endRequest == nil {
@@ -227,59 +224,19 @@
 			endRequest(counters.ClientDisconnected)
 		}
 	}()
-	if request.Upload != nil {
-		if !in.waitForUpload(ctx, request) {
-			if err := request.Upload.ClientErr(); err != nil { // the client sent a malformed body, or not all of it
-				in.refuseBrokenBody(ctx, err)
-			} else {
-				in.writeAnswer(ctx, request, endRequest)
-			}
-			return
-		}
-		remaining = time.Duration(request.Upload.ClientTimeout) * time.Microsecond
-		watchFrom, answerBy = time.Now(), time.Now().Add(remaining+overdueGrace)
-	}
-	// Most requests are answered before the first tick. Watching their clients would cost more than the
-	// requests.
-	for remaining >= watchDelayDivisor*in.ticker.interval() && time.Now().Before(watchFrom) {
-		select {
-		case <-request.Done():
-			in.writeAnswer(ctx, request, endRequest)
-			return
-		case <-in.ticker.next():
-		}
-	}
-	timeout := time.NewTimer(time.Until(answerBy))
-	defer timeout.Stop()
-	clientClosed, stopWatch := connlimit.WatchForClose(conn)
-	select {
-	case <-request.Done():
-	case <-in.stopExpired: // without an answer now, the request would end with the process
-		if request.Fail(exchange.Failed) {
-			in.requests.RequestEnded(request)
-		}
-		<-request.Done()
-	case <-clientClosed:
-		in.counts.Add(counters.RequestsAbandoned)
-		request.Abandon() // takes effect at once; the relay handles RequestEnded only later
-		in.requests.RequestEnded(request)
-		stopWatch()
+	switch waiting.forEnd() {
+	case clientGone:
 		abandon(ctx)
-		return
-	case <-timeout.C:
-		// The relay should have ended the request by now. This ends it in any case.
-		if request.Fail(exchange.Overdue) {
-			in.counts.Add(counters.RequestsTimedOut)
-			if request.Upload == nil { // of a streamed body the relay knows only roughly when the timeout passes
-				in.counts.Add(counters.Faults)
-				in.log.Error().Uint16("path_prefix", uint16(request.Class)).Msg("no answer within the client timeout")
-			}
-			in.requests.RequestEnded(request)
+	case bodyUnread:
+		ctx.SetConnectionClose()
+		if err := request.Upload.ClientErr(); err != nil { // the client sent a malformed body, or not all of it
+			in.refuseBrokenBody(ctx, err)
+			return
 		}
-		<-request.Done()
+		in.writeAnswer(ctx, request, endRequest)
+	case answered:
+		in.writeAnswer(ctx, request, endRequest)
 	}
-	stopWatch()
-	in.writeAnswer(ctx, request, endRequest)
 }
 
 // writeAnswer writes the answer of an ended exchange and counts how the request ended.
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -252,14 +252,14 @@
 		}
 		return &Failure{Progress: progress, Cause: cause}
 	}
-	timeLeft := brain.Micros(time.Until(until) / time.Microsecond)
+	timeLeft := time.Until(until)
 	if timeLeft <= 0 {
 		return nil, nil, fail(os.ErrDeadlineExceeded)
 	}
 	if request.Upload != nil { // the client's timeout begins with the last byte of its body
 		timeLeft = request.Upload.ClientTimeout
 	}
-	head, body := request.Outgoing(timeLeft)
+	head, buffered := request.Outgoing(brain.Micros(timeLeft / time.Microsecond))
 	if !request.AnswerWanted() || !attempt.sendBefore.IsZero() && !time.Now().Before(attempt.sendBefore) {
 		attempt.cancelSend()
 	}
@@ -269,15 +269,16 @@
 	if n, err := connection.Write(head); n < len(head) {
 		return nil, nil, fail(err)
 	}
-	if len(body) > 0 || request.Upload != nil {
-		if err := o.writeBody(connection, body, request.Upload); err != nil {
+	if request.HasLongBody() {
+		body := &transfer{attempt: attempt, connection: connection, upload: request.Upload}
+		if err := body.run(buffered); err != nil {
 			if rejection := o.readEarlyAnswer(connection); rejection != nil {
 				return nil, nil, rejection
 			}
 			return nil, nil, fail(err)
 		}
 		if request.Upload != nil {
-			until = time.Now().Add(toDuration(request.Upload.ClientTimeout))
+			until = time.Now().Add(request.Upload.ClientTimeout)
 		}
 		connection.deadline = time.Time{}
 		connection.ensureDeadline(until)
@@ -285,6 +286,9 @@
 	}
 	progress = Sent
 	o.counts.Add(counters.AttemptsWritten)
+	if attempt.cancelled.Load() { // the deadline that Cancel set may just have been replaced
+		return nil, nil, fail(errCancelled)
+	}
 	answer, err := o.readAnswer(connection, until)
 	if err != nil {
 		if connection.readErr == nil {
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -8,11 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
-	"ledgespread/internal/exchange"
 )
 
 const (
@@ -88,56 +85,3 @@
 	}
 	return first, false, nil
 }
-
-// writeBody writes a long request body: first the buffered part, then the rest as the client sends it. Each
-// piece has its own deadline, since only progress distinguishes a slow server from a dead one.
-func (o *Outbound) writeBody(connection *conn, body [][]byte, upload *exchange.Upload) error {
-	write := func(data []byte) error {
-		connection.SetWriteDeadline(time.Now().Add(stallTimeout))
-		_, err := connection.Write(data)
-		return err
-	}
-	var piece *exchange.Piece // buffer for what is read from the client
-	chunks := upload != nil && !upload.Sized
-	if upload != nil {
-		piece = exchange.NewPiece()
-		defer piece.Free()
-	}
-	for _, data := range body { // each fits into a Piece
-		if chunks {
-			data = piece.Bytes(copy(piece.Buffer(), data), true)
-		}
-		if err := write(data); err != nil {
-			return err
-		}
-	}
-	for upload != nil {
-		n, err := upload.Read(piece.Buffer())
-		if n > 0 {
-			if failed := write(piece.Bytes(n, chunks)); failed != nil {
-				return failed
-			}
-		}
-		switch {
-		case err == io.EOF && chunks:
-			return write(piece.Bytes(0, true)) // the chunk that ends the body
-		case err == io.EOF:
-			return nil
-		case err != nil:
-			return errClientStopped
-		}
-	}
-	return nil
-}
-
-// readEarlyAnswer looks for an answer that came before the request was written completely: a server may
-// reject a request and close the connection without reading all of it. The request has not run then.
-func (o *Outbound) readEarlyAnswer(connection *conn) error {
-	until := time.Now().Add(stallTimeout / 100)
-	connection.SetReadDeadline(until)
-	answer, err := o.readAnswer(connection, until)
-	if err != nil || answer.status == fasthttp.StatusOK {
-		return nil
-	}
-	return &Failure{Progress: Answered, Status: answer.status, NotProcessed: true}
-}
