A long body's client timeout counts from the arrival of its last byte, not from its read

Cause: the time of a streamed body began when its last byte was read. While the server accepts nothing nothing is read, and the end of the body waits in the sidecar's socket. Evidence: for the whole hang 770,837 and 819,859 bytes of two broken requests lay unread there, 3.7 MB unsent in the sidecar's sockets to the servers and none at the clients. At 300 kB/s no write stalls and requests are broken too, so a shorter limit for a write is no mend.

Change: Upload.Observe asks the kernel for what lies unread (SIOCINQ) and knows when the last byte has arrived; without a length the time counts from the last byte that came while no read waits. The relay and the module are told the deadline (BodyArrived, HandleBodyArrived). A server must have been sent the whole body by half of the client's time, else the attempt ends as never run and the client gets 503. The kernel holds 32 KiB unsent of a long body at most, since more would hide that the server accepts nothing.

Why this works: the deadline is never later than the last look that found bytes missing plus the client timeout.

--- a/brain/requests.go
+++ b/brain/requests.go
@@ -26,12 +26,33 @@
 	b.requests[id] = accepted
 	b.recentFirstAttempts++
 	b.chargeTenant(accepted, tenant)
-	b.schedule(b.answerDeadline(accepted), func() {
-		if !accepted.ended {
-			b.answerWithoutSuccess(accepted, RequestExpired)
+	b.scheduleExpiry(accepted)
+	b.askOwners(accepted)
+}
+
+// scheduleExpiry schedules the answer that a request gets at the latest.
+func (b *Balancer) scheduleExpiry(request *request) {
+	b.schedule(b.answerDeadline(request), func() {
+		if !request.ended {
+			b.answerWithoutSuccess(request, RequestExpired)
 		}
 	})
-	b.askOwners(accepted)
+}
+
+// HandleBodyArrived handles that the last byte of a streamed request has arrived. Its client's timeout began
+// with that byte: timeLeft is the time until the client stops waiting.
+func (b *Balancer) HandleBodyArrived(now Micros, id RequestID, timeLeft Micros) {
+	b.now = now
+	request := b.requests[id]
+	if request == nil || request.ended || now+timeLeft >= request.deadline {
+		return
+	}
+	request.deadline = now + timeLeft
+	request.usefulUntil = now + min(request.class.target, timeLeft)
+	if request.class.lateValue > 0 {
+		request.usefulUntil = request.deadline
+	}
+	b.scheduleExpiry(request)
 }
 
 // setUsefulUntil computes until when an answer is worth something. A repeated request arrives with all that
@@ -43,6 +64,9 @@
 		request.usefulUntil = request.deadline
 		return
 	}
+	if request.streamed { // its client's time has not begun, so timeLeft doesn't tell when the client began
+		return
+	}
 	if !repeated {
 		class.firstArrivalTimeLeft = timeLeft
 		return
--- a/internal/connlimit/receiver.go
+++ b/internal/connlimit/receiver.go
@@ -24,6 +24,7 @@
 
 	mu       sync.Mutex
 	received bool // part of a message has been received, and its handling has not ended
+	total    int  // bytes read from the socket since the accept
 }
 
 // newReceiver returns a receiver for a connection.
@@ -69,12 +70,35 @@
 			r.err = io.EOF
 		default:
 			r.n = n
+			r.total += n
 			r.received = true
 		}
 		return true
 	}
 }
 
+// countRead counts bytes that were read from the socket without the receiver.
+func (r *receiver) countRead(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.total += n
+}
+
+// readSoFar returns how many bytes have been read since the accept.
+func (r *receiver) readSoFar() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total
+}
+
+// arrived returns how many bytes have been received since the accept, read or not. Nothing is read in the
+// meantime.
+func (r *receiver) arrived() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total + peek.Unread(r.conn)
+}
+
 // messageHandled records that a message's handling has ended, and whether part of the next one has been
 // received.
 func (r *receiver) messageHandled(next bool) {
--- a/internal/connlimit/state.go
+++ b/internal/connlimit/state.go
@@ -86,6 +86,18 @@
 	return 0, nil
 }
 
+// MessageArrival returns a function that returns how many bytes of the current message, and of what follows it,
+// have arrived on this machine, read or not. The caller must not read the connection meanwhile. The function that
+// it returns may be called at any time until the next message.
+func MessageArrival(conn net.Conn) func() int {
+	c, ok := conn.(*clientConn)
+	if !ok {
+		return func() int { return 0 }
+	}
+	messageStart := c.input.readSoFar() - len(c.pipelined) - c.messageBytes
+	return func() int { return c.input.arrived() - messageStart }
+}
+
 // EndMessage records that a message has been read to its end, and how many bytes of the next one have been
 // read with it.
 func (l *Listener) EndMessage(conn net.Conn, ahead int) {
--- a/internal/connlimit/watch.go
+++ b/internal/connlimit/watch.go
@@ -57,6 +57,7 @@
 	c.pipelined = slices.Grow(c.pipelined, pipelinedReadSize)
 	read, err := c.TCPConn.Read(c.pipelined[n : n+pipelinedReadSize])
 	c.pipelined = c.pipelined[:n+read]
+	c.input.countRead(read)
 	c.noteReadError(err)
 }
 
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -10,6 +10,13 @@
 	"ledgespread/brain"
 )
 
+// transferDivisor is the part of the client timeout within which a server must have been sent a whole long body. A
+// request that is refused after more than half of its time leaves its client too little for a retry.
+const transferDivisor = 2
+
+// TransferTime returns how much of the time left for an answer may be spent on sending a long body to a server.
+func TransferTime(timeLeft time.Duration) time.Duration { return timeLeft / transferDivisor }
+
 // UploadSource is where the rest of a long body comes from.
 type UploadSource struct {
 	Body io.Reader
@@ -17,6 +24,10 @@
 	// MessageSize is the size of the whole message, head and body, in bytes; 0 if the head doesn't give it.
 	MessageSize int
 
+	// Arrived returns how many bytes of the message have arrived on this machine, read or not. It may be called
+	// at any time.
+	Arrived func() int
+
 	// Interrupt ends a read of Body that is blocked. With finished set nobody reads any more.
 	Interrupt func(finished bool)
 }
@@ -24,9 +35,14 @@
 // Upload is the rest of a request body that is too long to buffer. One attempt reads it as the client sends
 // it; what has been read is not kept, so there is no second attempt. A server starts on a request with its
 // last byte: until that is written the request has not run.
+//
+// The client timeout counts from the arrival of the last byte on this machine, which may be long before it is
+// read: while a server accepts nothing, nothing is read, and the body waits in the socket. Observe looks for it.
+// Where that doesn't show, since the head gives no length or the rest may wait in the client's own socket, the
+// timeout counts from the last byte that is known to have been followed by another one or awaited by a read.
 type Upload struct {
 	Sized         bool          // the head gives its length; otherwise it is sent in chunks
-	ClientTimeout time.Duration // counted from the last byte
+	ClientTimeout time.Duration // counted from the arrival of the last byte
 
 	source    UploadSource
 	mu        sync.Mutex // held while the body is read
@@ -34,15 +50,22 @@
 	started   bool
 	clientErr error         // error of reading from the client
 	received  chan struct{} // closed when the last byte has been read
+	reading   atomic.Bool   // a read of the body is in progress
 	abandoned atomic.Bool   // Stop was called before the last byte was read
+
+	arrivalMu      sync.Mutex
+	complete       bool      // the last byte has arrived
+	bytesSeen      int       // bytes that had arrived at the last call of Observe
+	lastIncomplete time.Time // the last byte arrived after this time
 }
 
 var errStopped = errors.New("the request is over")
 
 // NewUpload returns an Upload of a request whose client stops waiting clientTimeout after its last byte.
 func NewUpload(source UploadSource, clientTimeout brain.Micros) *Upload {
+	began := time.Now() // before the call of Arrived: the last byte may come in between
 	return &Upload{Sized: source.MessageSize > 0, ClientTimeout: time.Duration(clientTimeout) * time.Microsecond, source: source,
-		received: make(chan struct{})}
+		received: make(chan struct{}), bytesSeen: source.Arrived(), lastIncomplete: began}
 }
 
 // Read reads the next data. It returns io.EOF with the last byte or after it.
@@ -53,7 +76,9 @@
 		return 0, errStopped
 	}
 	u.started = true
+	u.reading.Store(true)
 	n, err = u.source.Body.Read(p)
+	u.reading.Store(false)
 	switch {
 	case err == io.EOF:
 		u.stopped = true
@@ -67,6 +92,42 @@
 	return n, err
 }
 
+// Observe checks whether the last byte has arrived, at the time now, which must be taken before the call.
+func (u *Upload) Observe(now time.Time) {
+	u.arrivalMu.Lock()
+	defer u.arrivalMu.Unlock()
+	if u.complete {
+		return
+	}
+	if u.FullyRead() {
+		u.complete = true
+		return
+	}
+	bytes := u.source.Arrived()
+	switch {
+	case u.Sized && bytes >= u.source.MessageSize:
+		u.complete = true
+	case bytes > u.bytesSeen || u.reading.Load():
+		u.bytesSeen = bytes
+		u.lastIncomplete = now
+	}
+}
+
+// Deadline returns when the client stops waiting, by what Observe has seen. Until the last byte has arrived it
+// moves on with each further byte.
+func (u *Upload) Deadline() time.Time {
+	u.arrivalMu.Lock()
+	defer u.arrivalMu.Unlock()
+	return u.lastIncomplete.Add(u.ClientTimeout)
+}
+
+// Arrived reports whether Observe has found that the last byte has arrived.
+func (u *Upload) Arrived() bool {
+	u.arrivalMu.Lock()
+	defer u.arrivalMu.Unlock()
+	return u.complete
+}
+
 // Started reports whether any of the body has been read.
 func (u *Upload) Started() bool {
 	u.mu.Lock()
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -102,8 +102,8 @@
 }
 
 // streamBody gives the exchange a body that is sent on while it is received; held is what has been read of
-// it. The client's timeout begins with the last byte, so the time left is extended by what the slowest client
-// needs to send the body.
+// it. The client's timeout begins with the arrival of the last byte, so until that is seen the time left is
+// extended by what the slowest client needs to send the body.
 func (in *Inbound) streamBody(ctx *fasthttp.RequestCtx, msg *message, request *exchange.Exchange, source *boundedBody, held [][]byte) (open bool) {
 	if !in.listener.BeginRequest(ctx.Conn()) {
 		abandon(ctx)
@@ -118,7 +118,7 @@
 		msg.head = append(msg.head, "Transfer-Encoding: chunked\r\n"...)
 	}
 	conn := ctx.Conn()
-	request.Upload = exchange.NewUpload(exchange.UploadSource{Body: source, MessageSize: messageSize,
+	request.Upload = exchange.NewUpload(exchange.UploadSource{Body: source, MessageSize: messageSize, Arrived: connlimit.MessageArrival(conn),
 		Interrupt: func(finished bool) { connlimit.InterruptRead(conn, finished) }}, request.TimeLeft)
 	request.SetContent(msg.head, nil, held)
 	request.TimeLeft += brain.Micros(maxSize) * 1_000_000 / minUploadRate
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -36,6 +36,8 @@
 type RequestHandler interface {
 	// HandleRequest starts the handling of a request.
 	HandleRequest(*exchange.Exchange)
+	// BodyArrived reports that the last byte of a request with an Upload has arrived, and when its client stops waiting.
+	BodyArrived(request *exchange.Exchange, deadline time.Time)
 	// RequestEnded reports that a request has ended without the relay's answer: its client disconnected, or an error
 	// was returned on a timeout or a stop.
 	RequestEnded(*exchange.Exchange)
--- a/internal/inbound/wait.go
+++ b/internal/inbound/wait.go
@@ -17,6 +17,8 @@
 	request *exchange.Exchange
 	began   time.Time     // when the client's timeout began
 	timeout time.Duration // the client timeout
+
+	bodyArrived bool // the last byte of a streamed body has arrived, and the relay knows
 }
 
 // waitEnd is how a wait ended.
@@ -35,7 +37,6 @@
 		if end := w.forBody(); end != bodyRead {
 			return end
 		}
-		w.began, w.timeout = time.Now(), w.request.Upload.ClientTimeout
 	}
 	return w.forAnswer()
 }
@@ -51,25 +52,39 @@
 		case <-w.in.stopExpired:
 		case <-w.in.ticker.next():
 		}
+		w.observeBody()
 		switch {
 		case upload.FullyRead():
 			return w.stopReading(bodyRead)
 		case w.request.ClientGone():
 			w.abandon()
 			return w.stopReading(clientGone)
-		case w.stopHasExpired() && !upload.Stop():
+		case w.mustEnd() && !upload.Stop():
 			return w.refuseUnread()
 		}
 	}
 }
 
-// stopHasExpired reports whether a stop no longer waits for answers.
-func (w *wait) stopHasExpired() bool {
+// observeBody tells the relay, once, that the last byte of the body has arrived and the client's timeout has begun.
+func (w *wait) observeBody() {
+	upload := w.request.Upload
+	upload.Observe(time.Now())
+	if w.bodyArrived || !upload.Arrived() {
+		return
+	}
+	w.bodyArrived = true
+	deadline := upload.Deadline()
+	w.began, w.timeout = deadline.Add(-upload.ClientTimeout), upload.ClientTimeout
+	w.in.requests.BodyArrived(w.request, deadline)
+}
+
+// mustEnd reports whether the request must be answered now, although its body has not been read to its end.
+func (w *wait) mustEnd() bool {
 	select {
 	case <-w.in.stopExpired:
 		return true
-	default:
-		return false
+	default: // at the next tick it would be too late
+		return time.Until(w.request.Upload.Deadline()) <= w.in.ticker.interval()
 	}
 }
 
--- a/internal/outbound/failure.go
+++ b/internal/outbound/failure.go
@@ -27,6 +27,9 @@
 // errCancelled means that the attempt was cancelled.
 var errCancelled = errors.New("called off")
 
+// errNoTimeForBody means that the time for sending a long body was up before the attempt began.
+var errNoTimeForBody = fmt.Errorf("no time left to send the request body: %w", errCancelled)
+
 // errLocalResource means that the connection failed for want of a resource of this machine, without the
 // server's part.
 var errLocalResource = errors.New("connection failed for want of a local resource")
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -171,7 +172,7 @@
 	for connection := o.pool.takeIdle(server, address); connection != nil; connection = o.pool.takeIdle(server, address) {
 		answer, load, err = o.roundTrip(attempt, server, connection, until, request)
 		if failure, ok := err.(*Failure); !ok || failure.Progress != NotSent || attempt.ctx.Err() != nil ||
-			!time.Now().Before(until) || request.Upload != nil && request.Upload.Started() {
+			errors.Is(err, os.ErrDeadlineExceeded) || request.Upload != nil && request.Upload.Started() {
 			o.counts.Add(counters.ConnectionsReused)
 			return answer, true, load, err
 		}
@@ -252,14 +253,14 @@
 		}
 		return &Failure{Progress: progress, Cause: cause}
 	}
-	timeLeft := time.Until(until)
-	if timeLeft <= 0 {
+	body, told := newTransfer(attempt, connection, request, until)
+	switch {
+	case told <= 0:
 		return nil, nil, fail(os.ErrDeadlineExceeded)
+	case body != nil && body.expired():
+		return nil, nil, fail(errNoTimeForBody)
 	}
-	if request.Upload != nil { // the client's timeout begins with the last byte of its body
-		timeLeft = request.Upload.ClientTimeout
-	}
-	head, buffered := request.Outgoing(brain.Micros(timeLeft / time.Microsecond))
+	head, buffered := request.Outgoing(brain.Micros(told / time.Microsecond))
 	if !request.AnswerWanted() || !attempt.sendBefore.IsZero() && !time.Now().Before(attempt.sendBefore) {
 		attempt.cancelSend()
 	}
@@ -269,17 +270,14 @@
 	if n, err := connection.Write(head); n < len(head) {
 		return nil, nil, fail(err)
 	}
-	if request.HasLongBody() {
-		body := &transfer{attempt: attempt, connection: connection, upload: request.Upload}
+	if body != nil {
 		if err := body.run(buffered); err != nil {
-			if rejection := o.readEarlyAnswer(connection); rejection != nil {
+			if rejection := o.readEarlyAnswer(connection, told); rejection != nil {
 				return nil, nil, rejection
 			}
 			return nil, nil, fail(err)
 		}
-		if request.Upload != nil {
-			until = time.Now().Add(request.Upload.ClientTimeout)
-		}
+		until = body.answerBy(until)
 		connection.deadline = time.Time{}
 		connection.ensureDeadline(until)
 		attempt.writtenAt = time.Now()
--- a/internal/outbound/transfer.go
+++ b/internal/outbound/transfer.go
@@ -4,44 +4,83 @@
 	"errors"
 	"io"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"ledgespread/internal/exchange"
 )
 
 const (
-	transferCheckInterval = 25 * time.Millisecond // between two checks whether a body that the server does not accept is still wanted
-	earlyAnswerWait       = stallTimeout / 100    // for an answer that came before the body was written completely
+	transferCheckInterval = 25 * time.Millisecond // between two checks whether a body that the server does not accept may still be sent
+	maxUnsentBytes        = 32 << 10              // of a long body that the kernel holds for the server; more would hide that it accepts nothing
+	maxEarlyAnswerWait    = stallTimeout / 100    // for an answer that came before the body was written completely,
+	earlyAnswerDivisor    = 8                     // or this part of the time that is left, if that is shorter
 )
 
 // transfer sends a long body to a server: the buffered part, then the rest as the client sends it. It ends early
-// when nobody waits for it any more, or after stallTimeout without progress.
+// when its time is up: the part of the client timeout that exchange.TransferTime grants, or stallTimeout without
+// progress.
 type transfer struct {
 	attempt    *Attempt
 	connection *conn
 	upload     *exchange.Upload // nil: the whole body is buffered
 }
 
-// check returns why the body must not be sent any further; nil: it may be.
-func (t *transfer) check(lastProgress time.Time) error {
+// newTransfer returns the transfer of a request's body, and the time that the server is told. A request whose body is
+// short has no transfer.
+func newTransfer(attempt *Attempt, connection *conn, request *exchange.Exchange, until time.Time) (t *transfer, told time.Duration) {
+	timeLeft := time.Until(until)
+	if !request.HasLongBody() {
+		return nil, timeLeft
+	}
+	if request.Upload != nil { // the client timeout begins with the last byte of its body
+		timeLeft = request.Upload.ClientTimeout
+	}
+	return &transfer{attempt: attempt, connection: connection, upload: request.Upload}, timeLeft
+}
+
+// expired reports whether the time for sending the body is up.
+func (t *transfer) expired() bool {
+	if t.upload == nil {
+		return false
+	}
+	now := time.Now()
+	t.upload.Observe(now)
+	timeToAnswer := t.upload.ClientTimeout - exchange.TransferTime(t.upload.ClientTimeout)
+	return !now.Before(t.upload.Deadline().Add(-timeToAnswer))
+}
+
+// answerBy returns when the client stops waiting, once the body has been written; until is that time for a
+// buffered body.
+func (t *transfer) answerBy(until time.Time) time.Time {
+	if t.upload == nil {
+		return until
+	}
+	t.upload.Observe(time.Now())
+	return t.upload.Deadline()
+}
+
+// checkTime returns why the body must not be sent any further; nil: it may be.
+func (t *transfer) checkTime(lastProgress time.Time) error {
 	switch {
 	case t.attempt.cancelled.Load():
 		return errCancelled
 	case t.upload != nil && t.upload.Abandoned():
 		return errClientStopped
-	case time.Since(lastProgress) >= stallTimeout:
+	case t.expired() || time.Since(lastProgress) >= stallTimeout:
 		return os.ErrDeadlineExceeded
 	}
 	return nil
 }
 
-// write writes data, however long the server takes to accept it, unless the transfer ends early.
+// write writes data, however long the server takes to accept it, unless the time is up.
 func (t *transfer) write(data []byte) error {
 	lastProgress := time.Now()
 	for {
-		if err := t.check(lastProgress); err != nil {
+		if err := t.checkTime(lastProgress); err != nil {
 			return err
 		}
 		t.connection.SetWriteDeadline(time.Now().Add(transferCheckInterval))
@@ -57,6 +96,7 @@
 
 // run writes the body. If it returns an error, the body's last byte has not been written.
 func (t *transfer) run(buffered [][]byte) error {
+	t.connection.limitUnsent()
 	if t.upload == nil {
 		return t.writePieces(buffered)
 	}
@@ -105,10 +145,24 @@
 	}
 }
 
+// limitUnsent limits how much of what is written the kernel holds unsent. Where that can't be set, writes only
+// tell later that the server accepts nothing.
+func (c *conn) limitUnsent() {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := socket.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
+		})
+	}
+}
+
 // readEarlyAnswer looks for an answer that came before the request was written completely: a server may
 // reject a request and close the connection without reading all of it. The request has not run then.
-func (o *Outbound) readEarlyAnswer(connection *conn) error {
-	until := time.Now().Add(earlyAnswerWait)
+func (o *Outbound) readEarlyAnswer(connection *conn, timeLeft time.Duration) error {
+	until := time.Now().Add(min(maxEarlyAnswerWait, timeLeft/earlyAnswerDivisor))
 	connection.SetReadDeadline(until)
 	answer, err := o.readAnswer(connection, until)
 	if err != nil || answer.status == fasthttp.StatusOK {
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -78,6 +78,17 @@
 	return gone
 }
 
+// Unread returns how many received bytes lie unread in the socket, or 0 if that can't be asked. Like HasData it
+// does not block.
+func Unread(c net.Conn) (unread int) {
+	control(c, func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			unread = n
+		}
+	})
+	return unread
+}
+
 // control calls do with the file descriptor of the connection, if it is a socket.
 func control(c net.Conn, do func(fd uintptr)) {
 	if socket, ok := c.(syscall.Conn); ok {
--- a/internal/relay/requests.go
+++ b/internal/relay/requests.go
@@ -53,6 +53,19 @@
 	})
 }
 
+// BodyArrived reports that the last byte of a streamed request has arrived, and when its client stops waiting.
+func (r *Relay) BodyArrived(submitted *exchange.Exchange, deadline time.Time) {
+	at := r.clock.now() + brain.Micros(time.Until(deadline)/time.Microsecond)
+	r.post(func() {
+		request := r.openRequest(submitted.ID)
+		if request == nil {
+			return
+		}
+		request.deadline = min(request.deadline, at)
+		r.balancer.HandleBodyArrived(r.now, submitted.ID, max(at-r.now, 1))
+	})
+}
+
 // RequestEnded reports that a request's client has gone away, or that inbound has answered it at its timeout.
 func (r *Relay) RequestEnded(abandoned *exchange.Exchange) {
 	r.post(func() {
@@ -83,13 +96,21 @@
 	}
 	r.logAnswer(request, "request failed", reason)
 	ending := exchange.Failed
-	if request.deadline-r.now <= request.exchange.TimeLeft/100 {
+	if request.deadline-r.now <= clientTimeout(request.exchange)/100 {
 		ending = exchange.Overdue
 	}
 	request.exchange.Fail(ending)
 	r.endRequest(request)
 }
 
+// clientTimeout returns how long a request's client waits for the answer after its last byte.
+func clientTimeout(request *exchange.Exchange) brain.Micros {
+	if request.Upload != nil {
+		return brain.Micros(request.Upload.ClientTimeout / time.Microsecond)
+	}
+	return request.TimeLeft
+}
+
 // forgetIfDone drops a request that has its answer and no attempt under way.
 func (r *Relay) forgetIfDone(request *request) {
 	if request.ended && request.outstanding == 0 && r.requests[request.exchange.ID] == request {
--- a/internal/requests_test.go
+++ b/internal/requests_test.go
@@ -55,7 +55,8 @@
 	take func(*exchange.Exchange)
 }
 
-func (tk fakeRelay) HandleRequest(x *exchange.Exchange) { tk.take(x) }
+func (tk fakeRelay) HandleRequest(x *exchange.Exchange)        { tk.take(x) }
+func (tk fakeRelay) BodyArrived(*exchange.Exchange, time.Time) {}
 func (tk fakeRelay) RequestEnded(*exchange.Exchange) {
 	tk.tr.add("the relay is notified that the client left")
 }
--- a/internal/uploads_test.go
+++ b/internal/uploads_test.go
@@ -22,6 +22,9 @@
 	"ledgespread/internal/relay"
 )
 
+// lostAfter is how long after its client timeout a request without an answer is lost, by the rules.
+const lostAfter = 500 * time.Millisecond
+
 // slowServer is a server that reads requests at a limited rate, and answers those that it has read whole.
 type slowServer struct {
 	net.Listener
@@ -115,6 +118,16 @@
 	return in, address, counts
 }
 
+// startInboundForUploads starts an inbound listener with so little memory that a body of 100 kB isn't held. Requests go
+// to the channel, and nothing answers them.
+func startInboundForUploads(t *testing.T, tr *trace) (*inbound.Inbound, string, chan *exchange.Exchange) {
+	t.Helper()
+	taken := make(chan *exchange.Exchange, 1)
+	littleMemory := strings.Replace(withLongTimeouts(""), `"memory_mb":64`, `"memory_mb":4`, 1)
+	in, address := startInbound(t, parseConfiguration(t, littleMemory), 9, fakeRelay{tr, func(x *exchange.Exchange) { taken <- x }}, &counters.Set{})
+	return in, address, taken
+}
+
 // longBody describes a request with a long body.
 type longBody struct {
 	path    string
@@ -144,6 +157,17 @@
 	return lastByte
 }
 
+// awaitStatus returns the status of the next answer, and 0 if there is none within a time that only a hang takes.
+func (c *client) awaitStatus() int {
+	c.SetReadDeadline(time.Now().Add(30 * time.Second))
+	response, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
 // waitAcknowledged waits until the other side's machine has acknowledged all that was written.
 func (c *client) waitAcknowledged() bool {
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
@@ -159,6 +183,58 @@
 	return true
 }
 
+// The end of a long body lies in the sidecar's socket and no attempt reads it. The client's timeout didn't begin there:
+// no answer came. It is refused within the timeout, as it has not run.
+func TestUnreadLongBodyIsAnsweredInTime(t *testing.T) {
+	const timeout = time.Second
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("in chunks %v", chunked), func(t *testing.T) {
+			_, address, _ := startInboundForUploads(t, &trace{})
+			c := dial(t, address)
+			lastByte := c.sendLongBody(longBody{"/pay", timeout, 100_000, chunked})
+			status := c.awaitStatus()
+			if took := time.Since(<-lastByte); status != 503 || took > timeout+lostAfter {
+				t.Errorf("answered %d, %v after its last byte", status, took)
+			}
+		})
+	}
+}
+
+// A server accepts a request with a long body and then reads nothing, or very slowly. The rest of the body waits in
+// the sidecar's socket, and the client got no answer for 5 s, long after its timeout, which counted only from the
+// read of the last byte. It is refused within its timeout: its last byte was never sent, so a retry is harmless.
+func TestLongBodyAtHangingServerIsAnsweredInTime(t *testing.T) {
+	const timeout = 2 * time.Second
+	for _, test := range []struct {
+		bytesPerSecond int
+		path           string
+		size           int
+	}{{0, "/pay", 1_500_000}, {0, "/book", 4_700_000}, {300_000, "/pay", 1_500_000}, {300_000, "/book", 2_400_000}} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes a second, %s, %d bytes, in chunks %v", test.bytesPerSecond, test.path, test.size, chunked), func(t *testing.T) {
+				t.Parallel()
+				server := startSlowServer(t, test.bytesPerSecond)
+				_, address, _ := startSidecarForSlowServer(t, server)
+				c := dial(t, address)
+				lastByte := c.sendLongBody(longBody{test.path, timeout, test.size, chunked})
+				status := c.awaitStatus()
+				answeredAt := time.Now()
+				select {
+				case at := <-lastByte:
+					if took := answeredAt.Sub(at); took > timeout+lostAfter {
+						t.Errorf("answered %d, %v after its last byte", status, took)
+					}
+				default: // answered before its last byte was acknowledged
+				}
+				servedInTime := status == 200 && test.bytesPerSecond > 0
+				if executed := server.executed.Load(); !servedInTime && (status != 503 || executed > 0) {
+					t.Errorf("answered %d, executed %d times", status, executed)
+				}
+			})
+		}
+	}
+}
+
 // A stop ends while a long body waits for a server that reads nothing. The end of the stop wasn't noticed there, and
 // the request was lost with the process.
 func TestLongBodyAtHangingServerIsAnsweredAtStop(t *testing.T) {
@@ -183,10 +259,7 @@
 // noticed: the request was kept until its attempt ended.
 func TestClientLeavesDuringLongBody(t *testing.T) {
 	var tr trace
-	taken := make(chan *exchange.Exchange, 1)
-	counts := &counters.Set{}
-	littleMemory := strings.Replace(withLongTimeouts(""), `"memory_mb":64`, `"memory_mb":4`, 1) // a body of this size isn't held
-	in, address := startInbound(t, parseConfiguration(t, littleMemory), 9, fakeRelay{&tr, func(x *exchange.Exchange) { taken <- x }}, counts)
+	in, address, taken := startInboundForUploads(t, &tr)
 	c := dial(t, address)
 	lastByte := c.sendLongBody(longBody{"/pay", 30 * time.Second, 100_000, true})
 	x := <-taken
@@ -194,9 +267,9 @@
 	c.Close()
 	waitUntil(t, "the request has ended", func() bool { return in.Accounts().Outstanding() == 0 })
 	_, err := x.Upload.Read(make([]byte, 1))
-	tr.add("settled %v, left %d, a further read: %v", x.Settled(), counts[counters.RequestsAbandoned].Load(), err)
+	tr.add("settled %v, a further read: %v", x.Settled(), err)
 	tr.compare(t, `
 the relay is notified that the client left
-settled true, left 1, a further read: the request is over
+settled true, a further read: the request is over
 `)
 }
