With a long body a server is told the time that is left when it has the last byte

What servers saw: told 4.0 s, with 3.07 s left to the client when they had read 1.8 MB at 2 MB/s; 3.48 s left with 1 MB that was held as a whole. 0.15 s of slack are allowed.

Cause: X-Timeout was what is left when the head goes out. A server begins with the last byte, after the whole transfer.

Change: the transfer of a body over 64 KiB gets half of the time left, the server is told the other half (exchange.TransferTime, newTransfer); not written by then, the attempt ends as never run. The sidecar waits for the answer as long as before.

--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -10,8 +10,9 @@
 	"ledgespread/brain"
 )
 
-// transferDivisor is the part of the client timeout within which a server must have been sent a whole long body. A
-// request that is refused after more than half of its time leaves its client too little for a retry.
+// transferDivisor is the part of the client timeout within which a server must have been sent a whole long body.
+// The server is told the rest of it. A request that is refused after more than half of its time leaves its client
+// too little for a retry.
 const transferDivisor = 2
 
 // TransferTime returns how much of the time left for an answer may be spent on sending a long body to a server.
--- a/internal/outbound/transfer.go
+++ b/internal/outbound/transfer.go
@@ -27,10 +27,11 @@
 	attempt    *Attempt
 	connection *conn
 	upload     *exchange.Upload // nil: the whole body is buffered
+	writeBy    time.Time        // for a buffered body: when it must have been written
 }
 
-// newTransfer returns the transfer of a request's body, and the time that the server is told. A request whose body is
-// short has no transfer.
+// newTransfer returns the transfer of a request's body, and the time that the server is told: what is left when
+// the transfer ends at its latest. A request whose body is short has no transfer.
 func newTransfer(attempt *Attempt, connection *conn, request *exchange.Exchange, until time.Time) (t *transfer, told time.Duration) {
 	timeLeft := time.Until(until)
 	if !request.HasLongBody() {
@@ -39,18 +40,19 @@
 	if request.Upload != nil { // the client timeout begins with the last byte of its body
 		timeLeft = request.Upload.ClientTimeout
 	}
-	return &transfer{attempt: attempt, connection: connection, upload: request.Upload}, timeLeft
+	told = timeLeft - exchange.TransferTime(timeLeft)
+	return &transfer{attempt: attempt, connection: connection, upload: request.Upload, writeBy: until.Add(-told)}, told
 }
 
 // expired reports whether the time for sending the body is up.
 func (t *transfer) expired() bool {
+	now := time.Now()
 	if t.upload == nil {
-		return false
+		return !now.Before(t.writeBy)
 	}
-	now := time.Now()
 	t.upload.Observe(now)
-	timeToAnswer := t.upload.ClientTimeout - exchange.TransferTime(t.upload.ClientTimeout)
-	return !now.Before(t.upload.Deadline().Add(-timeToAnswer))
+	told := t.upload.ClientTimeout - exchange.TransferTime(t.upload.ClientTimeout)
+	return !now.Before(t.upload.Deadline().Add(-told))
 }
 
 // answerBy returns when the client stops waiting, once the body has been written; until is that time for a
--- a/internal/uploads_test.go
+++ b/internal/uploads_test.go
@@ -25,6 +25,9 @@
 // lostAfter is how long after its client timeout a request without an answer is lost, by the rules.
 const lostAfter = 500 * time.Millisecond
 
+// toldTimeSlack is how much more than its client has left a server may be told, by the rules.
+const toldTimeSlack = 150 * time.Millisecond
+
 // slowServer is a server that reads requests at a limited rate, and answers those that it has read whole.
 type slowServer struct {
 	net.Listener
@@ -273,3 +276,29 @@
 settled true, a further read: the request is over
 `)
 }
+
+// A server reads a long body slowly, but in time. It was told the whole client timeout, of which a part was over when
+// it had the last byte: it worked on for a client that had gone.
+func TestTimeToldWithLongBody(t *testing.T) {
+	const timeout = 4 * time.Second
+	for _, body := range []longBody{
+		{"/pay", timeout, 1_000_000, false}, // held as a whole
+		{"/pay", timeout, 1_800_000, false},
+		{"/pay", timeout, 1_800_000, true},
+	} {
+		t.Run(fmt.Sprintf("%d bytes, in chunks %v", body.size, body.chunked), func(t *testing.T) {
+			t.Parallel()
+			server := startSlowServer(t, 2_000_000)
+			_, address, _ := startSidecarForSlowServer(t, server)
+			c := dial(t, address)
+			lastByte := c.sendLongBody(body)
+			if answer := c.readAnswer(); answer != `200 "hi"` {
+				t.Fatal(answer)
+			}
+			executed := <-server.requests
+			if left := (<-lastByte).Add(timeout).Sub(executed.at); executed.told > left+toldTimeSlack {
+				t.Errorf("told %v, left %v", executed.told, left)
+			}
+		})
+	}
+}
