Only a body over 64 KiB has its server told half of the time

Shorter ones fit into the sockets on the way, so their last byte is written at once.

Change: Exchange.HasLongBody goes by the size, BodyFollowsHead by how it is held.

Evidence: TestTimeToldWithLongBody has a body of 60,000 bytes, which must be told more than half.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -108,8 +108,17 @@
 	return append(out, x.body...), x.bodyPieces
 }
 
-// HasLongBody reports whether the body is too long to be sent with the head.
-func (x *Exchange) HasLongBody() bool { return x.Upload != nil || len(x.bodyPieces) > 0 }
+// BodyFollowsHead reports whether the body, or a part of it, is sent after the head and not with it.
+func (x *Exchange) BodyFollowsHead() bool { return x.Upload != nil || len(x.bodyPieces) > 0 }
+
+// HasLongBody reports whether the body is longer than MaxBufferedBody, or may be.
+func (x *Exchange) HasLongBody() bool {
+	size := len(x.body)
+	for _, piece := range x.bodyPieces {
+		size += len(piece)
+	}
+	return x.Upload != nil || size > MaxBufferedBody
+}
 
 // AnswerWanted reports whether somebody still waits for an answer. It becomes false as soon as the client has
 // gone or the request is settled, so that no attempt begins while that event is still queued.
--- a/internal/outbound/transfer.go
+++ b/internal/outbound/transfer.go
@@ -20,28 +20,34 @@
 	earlyAnswerDivisor    = 8                     // or this part of the time that is left, if that is shorter
 )
 
-// transfer sends a long body to a server: the buffered part, then the rest as the client sends it. It ends early
-// when its time is up: the part of the client timeout that exchange.TransferTime grants, or stallTimeout without
-// progress.
+// transfer sends a body to a server, after the head: the buffered part, then the rest as the client sends it. It
+// ends early when its time is up: for a long body the part of the time left that exchange.TransferTime grants, or
+// stallTimeout without progress.
 type transfer struct {
 	attempt    *Attempt
 	connection *conn
 	upload     *exchange.Upload // nil: the whole body is buffered
+	long       bool             // longer than exchange.MaxBufferedBody
 	writeBy    time.Time        // for a buffered body: when it must have been written
 }
 
-// newTransfer returns the transfer of a request's body, and the time that the server is told: what is left when
-// the transfer ends at its latest. A request whose body is short has no transfer.
+// newTransfer returns the transfer of a request's body, and the time that the server is told: with a long body, what
+// is left when the transfer ends at its latest. A request whose body is sent with the head has no transfer.
 func newTransfer(attempt *Attempt, connection *conn, request *exchange.Exchange, until time.Time) (t *transfer, told time.Duration) {
 	timeLeft := time.Until(until)
-	if !request.HasLongBody() {
+	if !request.BodyFollowsHead() {
 		return nil, timeLeft
 	}
-	if request.Upload != nil { // the client timeout begins with the last byte of its body
-		timeLeft = request.Upload.ClientTimeout
+	t = &transfer{attempt: attempt, connection: connection, upload: request.Upload, long: request.HasLongBody(), writeBy: until}
+	if !t.long {
+		return t, timeLeft
+	}
+	if t.upload != nil { // the client timeout begins with the last byte of its body
+		timeLeft = t.upload.ClientTimeout
 	}
 	told = timeLeft - exchange.TransferTime(timeLeft)
-	return &transfer{attempt: attempt, connection: connection, upload: request.Upload, writeBy: until.Add(-told)}, told
+	t.writeBy = until.Add(-told)
+	return t, told
 }
 
 // expired reports whether the time for sending the body is up.
@@ -98,7 +104,9 @@
 
 // run writes the body. If it returns an error, the body's last byte has not been written.
 func (t *transfer) run(buffered [][]byte) error {
-	t.connection.limitUnsent()
+	if t.long {
+		t.connection.limitUnsent()
+	}
 	if t.upload == nil {
 		return t.writePieces(buffered)
 	}
--- a/internal/uploads_test.go
+++ b/internal/uploads_test.go
@@ -282,6 +282,7 @@
 func TestTimeToldWithLongBody(t *testing.T) {
 	const timeout = 4 * time.Second
 	for _, body := range []longBody{
+		{"/pay", timeout, 60_000, false},    // short: told all that is left
 		{"/pay", timeout, 1_000_000, false}, // held as a whole
 		{"/pay", timeout, 1_800_000, false},
 		{"/pay", timeout, 1_800_000, true},
@@ -299,6 +300,9 @@
 			if left := (<-lastByte).Add(timeout).Sub(executed.at); executed.told > left+toldTimeSlack {
 				t.Errorf("told %v, left %v", executed.told, left)
 			}
+			if short := body.size <= exchange.MaxBufferedBody; short != (executed.told > timeout/2) {
+				t.Errorf("told %v of %v", executed.told, timeout)
+			}
 		})
 	}
 }
