--- a/brain/model_test.go
+++ b/brain/model_test.go
@@ -18,7 +18,8 @@
 	inFlight   []sentAttempt     // attempts in flight
 	deadlines  map[RequestID]Micros
 	attempts   map[RequestID]int
-	queue      []func() // calls to make after the current call into the Balancer returns
+	uploads    []RequestID // streamed requests whose last byte has not arrived
+	queue      []func()    // calls to make after the current call into the Balancer returns
 	violations []string
 	requests   RequestID
 }
@@ -96,6 +97,39 @@
 	}
 }
 
+// The time for which clients wait after a request's last byte, and for which the slowest client may send a body.
+const (
+	modelClientTimeout = 2000 * ms
+	modelUploadTime    = 60_000 * ms
+)
+
+// send passes a request. The deadline of a streamed one is known only once its last byte has arrived.
+func (c *caller) send(class ClassID, streamed bool) {
+	c.requests++
+	timeLeft := modelClientTimeout
+	if streamed {
+		timeLeft += modelUploadTime
+		c.uploads = append(c.uploads, c.requests)
+	}
+	c.deadlines[c.requests] = c.now + timeLeft
+	c.balancer.HandleRequest(c.now, c.requests, class, 0, timeLeft, 0, false, streamed)
+}
+
+// bodiesArrive reports the last bytes of those streamed requests for which arrives returns true.
+func (c *caller) bodiesArrive(arrives func() bool) {
+	c.uploads = slices.DeleteFunc(c.uploads, func(request RequestID) bool {
+		if !arrives() {
+			return false
+		}
+		if deadline, open := c.deadlines[request]; open {
+			c.deadlines[request] = min(deadline, c.now+modelClientTimeout)
+		}
+		c.balancer.HandleBodyArrived(c.now, request, modelClientTimeout)
+		return true
+	})
+	c.settle()
+}
+
 // end reports the end of an attempt in flight.
 func (c *caller) end(at int, result Result) {
 	attempt := c.inFlight[at]
@@ -196,10 +230,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0, 1, 2:
-				caller.requests++
-				caller.deadlines[caller.requests] = caller.now + 2000*ms
-				caller.balancer.HandleRequest(caller.now, caller.requests, ClassID(rapid.IntRange(0, 2).Draw(t, "class")), 0, 2000*ms, 0, false,
-					rapid.IntRange(0, 9).Draw(t, "streamed") == 0)
+				caller.send(ClassID(rapid.IntRange(0, 2).Draw(t, "class")), rapid.IntRange(0, 9).Draw(t, "streamed") == 0)
 			case 3, 4, 5:
 				if len(caller.inFlight) > 0 {
 					caller.end(rapid.IntRange(0, len(caller.inFlight)-1).Draw(t, "attempt"), rapid.SampledFrom(results).Draw(t, "result"))
@@ -215,10 +246,12 @@
 				caller.sendList(t, FullList, Ready, rapid.SampledFrom(serverSets).Draw(t, "whole"),
 					rapid.SampledFrom([]Micros{0, caller.now}).Draw(t, "started"))
 			case 9:
+				caller.bodiesArrive(func() bool { return rapid.Bool().Draw(t, "arrives") })
 				caller.advance(rapid.SampledFrom([]Micros{1 * ms, 60 * ms, 400 * ms, 9000 * ms}).Draw(t, "span"))
 			}
 			caller.settle()
 		}
+		caller.bodiesArrive(func() bool { return true })
 		caller.advance(2100 * ms)
 		if len(caller.violations) > 0 {
 			t.Fatalf("%d violations; the first one: %s", len(caller.violations), caller.violations[0])
