--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -73,6 +73,10 @@
 		return nil, err
 	}
 	reply.Closes = strings.EqualFold(head.Get("Connection"), "close")
+	if head.Get("Transfer-Encoding") != "" { // of such an answer only the end matters here
+		_, err = readChunks(c.reader)
+		return reply, err
+	}
 	size, err := strconv.Atoi(head.Get("Content-Length"))
 	if err != nil {
 		return nil, fmt.Errorf("an answer without a length: %w", err)
@@ -104,3 +108,10 @@
 	}
 	return -1
 }
+
+// Drain reads for so long, or until the connection ends.
+func (c *Client) Drain(wait time.Duration) error {
+	c.SetReadDeadline(time.Now().Add(wait))
+	_, err := io.Copy(io.Discard, c.reader)
+	return err
+}
