Review case 6: the repeat of a long tagged request ends after the window

The window is compared before the first byte of a repeat; its last byte may come up to half of the client's time later. It takes the place of the late second answer, which review/1 shows already.

--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -17,6 +17,7 @@
 // for that request.
 type Server struct {
 	Name, Zone, Address string
+	BodyRate            func() int // returns how many bytes of the next body it takes in a second, 0: as many as come; may be nil
 
 	c      *Case
 	handle func(*Link, *Arrival)
@@ -24,8 +25,8 @@
 
 // Arrival is a request that has come whole.
 type Arrival struct {
-	Method, Target, ID, Tenant string
-	BodyBytes                  int
+	Method, Target, ID, Tenant, Key string
+	BodyBytes                       int
 }
 
 // Link is a connection that the sidecar made to a server.
@@ -86,10 +87,11 @@
 	if err != nil {
 		return nil, err
 	}
-	arrival := &Arrival{Method: parts[0], Target: parts[1], ID: head.Get("X-Request-Id"), Tenant: head.Get("X-Tenant-Id")}
+	arrival := &Arrival{Method: parts[0], Target: parts[1], ID: head.Get("X-Request-Id"), Tenant: head.Get("X-Tenant-Id"),
+		Key: head.Get("Idempotency-Key")}
 	if length := head.Get("Content-Length"); length != "" {
 		if arrival.BodyBytes, err = strconv.Atoi(length); err == nil {
-			_, err = io.CopyN(io.Discard, l.reader, int64(arrival.BodyBytes))
+			err = l.takeBody(arrival.BodyBytes)
 		}
 	} else if head.Get("Transfer-Encoding") != "" {
 		arrival.BodyBytes, err = readChunks(l.reader)
@@ -97,6 +99,34 @@
 	return arrival, err
 }
 
+// takeBody reads a body at the server's pace. The machine takes no more than a little ahead of the server.
+func (l *Link) takeBody(size int) error {
+	const step = 16 << 10
+	began, rate := time.Now(), 0
+	if l.Server.BodyRate != nil {
+		rate = l.Server.BodyRate()
+	}
+	if rate > 0 {
+		l.Conn.(*net.TCPConn).SetReadBuffer(8 * step)
+	}
+	for taken := 0; taken < size; {
+		n, err := io.CopyN(io.Discard, l.reader, int64(min(step, size-taken)))
+		if err != nil {
+			return err
+		}
+		if taken += int(n); rate > 0 {
+			time.Sleep(time.Until(began.Add(time.Duration(taken) * time.Second / time.Duration(rate))))
+		}
+	}
+	return nil
+}
+
+// Reset breaks the connection.
+func (l *Link) Reset() {
+	l.Conn.(*net.TCPConn).SetLinger(0)
+	l.Close()
+}
+
 // readChunks reads a body in chunks to its end.
 func readChunks(reader *bufio.Reader) (size int, err error) {
 	text := textproto.NewReader(reader)
--- a/review/rig2/sidecar.go
+++ b/review/rig2/sidecar.go
@@ -1,6 +1,7 @@
 package rig2
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -26,6 +27,7 @@
 type Class struct {
 	Name, Effect    string // Effect in the words of the simulator's wire
 	Target, Timeout int
+	Window          int // for which servers remember a key; 0: 3 s
 }
 
 // Sidecar is a process of the project's own program.
@@ -152,7 +154,7 @@
 	var classes, tenants []map[string]any
 	for _, class := range site.Classes {
 		classes = append(classes, map[string]any{"name": class.Name, "effect": class.Effect, "group": "all", "value": 1.0, "late_value": 0.0,
-			"target_latency_us": class.Target, "client_timeout_us": class.Timeout, "memory_span_us": 3_000_000, "stream": false})
+			"target_latency_us": class.Target, "client_timeout_us": class.Timeout, "memory_span_us": cmp.Or(class.Window, 3_000_000), "stream": false})
 	}
 	for _, name := range site.Tenants {
 		tenants = append(tenants, map[string]any{"name": name, "quota_per_s": 1000.0, "share": 1 / float64(len(site.Tenants))})
