--- a/review/rig2/case.go
+++ b/review/rig2/case.go
@@ -1,4 +1,4 @@
-// Package rig2 has what the cases in review/6 to review/10 share: the real sidecar as a process of its own, stand-ins
+// Package rig2 has what the cases in review/6 to review/9 share: the real sidecar as a process of its own, stand-ins
 // for discovery, servers and clients on loopback addresses, and the record of what was sent, answered and run.
 package rig2
 
