--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,73 +1,100 @@
-// The case of requests that clients send at once, behind a request whose body comes in chunks.
+// The script of a case: staff take servers out while a new version is started beside the old one.
 package main
 
 import (
 	"fmt"
-	"io"
-	"strings"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"syscall"
 	"time"
 
-	"ledgespread/review/rig2"
+	"ledgespread/review/rig3"
 )
 
 const (
-	rounds  = 20
-	timeout = 750 * time.Millisecond
-	slack   = 500 * time.Millisecond // a later answer only earns nothing
+	timeout = 2 * time.Second
+	work    = 30 * time.Millisecond
+	grace   = 550 * time.Millisecond // of the rule on drains, with its slack on sockets
+	between = 10 * time.Millisecond  // the two calls
+	clients = 8
 )
 
 func main() {
-	c := rig2.Begin("requests at once, one of them with a body in chunks")
-	handle := func(link *rig2.Link, request *rig2.Arrival) {
-		time.Sleep(5 * time.Millisecond)
-		link.Write(rig2.Answer(rig2.BodyFor(request.ID, request.Tenant)))
+	c := rig3.Begin()
+	var servers []*rig3.Server
+	for i := range 8 {
+		servers = append(servers, c.StartServer("s-"+strconv.Itoa(i+1), "a", func(v *rig3.Visit) {
+			time.Sleep(work)
+			v.OK()
+		}))
 	}
-	list := []*rig2.Server{c.NewServer("s-1", "bangna", 0, handle), c.NewServer("s-2", "bangna", 0, handle)}
-	sidecar := c.Start(rig2.Site{MemoryMB: 192, Sockets: 1024, Zones: []string{"bangna"}, Servers: list, Tenants: []string{"mekong-charge"},
-		Classes: []rig2.Class{{Name: "lookup", Effect: "read_like", Target: 150_000, Timeout: 750_000},
-			{Name: "booking", Effect: "idempotency_key", Target: 600_000, Timeout: 3_000_000}}})
-	for round := range rounds {
-		play(c, sidecar, round)
+	d := c.StartDiscovery(servers...)
+	conf := rig3.Config{Name: "n0", Listen: c.FreePort(), Discovery: d.Addr, Console: c.FreePort(), Known: d.List(),
+		Settings: rig3.Settings(rig3.Class("lookup", "read_like", "all", timeout, 0))}
+	folder := filepath.Join(c.Tmp, "n0")
+	old := c.StartSidecar("old", conf, folder)
+	old.AwaitConsoleReady()
+	var asked atomic.Int64
+	for range clients {
+		go ask(c, conf.Listen, &asked)
 	}
-	c.End()
-}
+	time.Sleep(1500 * time.Millisecond)
 
-// play sends five requests on one connection: at once, or one after the other without the disruption.
-func play(c *rig2.Case, sidecar *rig2.Sidecar, round int) {
-	client, err := rig2.Connect(sidecar.Listen)
-	if err != nil {
-		c.Impossible("%v", err)
+	second := old
+	if c.Trouble {
+		conf.Console = c.FreePort()
+		second = c.StartSidecar("new", conf, folder)
+		second.AwaitConsoleReady()
+		time.Sleep(250 * time.Millisecond)
 	}
-	defer client.Close()
-	var requests []string
-	for k := range 5 {
-		id := fmt.Sprintf("r%d-%d", round, k)
-		if k == 1 {
-			requests = append(requests, rig2.Head("POST", "/booking/x", id, "mekong-charge", timeout, "Idempotency-Key: k"+id+"\r\nTransfer-Encoding: chunked\r\n")+
-				"3\r\nbay\r\n2\r\n17\r\n0\r\n\r\n")
-			continue
+	out := map[string]time.Time{}
+	for i, process := range []*rig3.Sidecar{old, second, old, second} {
+		name := servers[i].Name
+		if status := process.Call("/control/servers/" + name + "/offline"); status != 200 {
+			c.Impossible("staff's call was answered with %d", status)
 		}
-		requests = append(requests, rig2.Head("GET", "/lookup/x", id, "mekong-charge", timeout, ""))
+		out[name] = time.Now()
+		time.Sleep(between)
 	}
-	if c.Trouble {
-		io.WriteString(client, strings.Join(requests, ""))
-		c.Log("round %d: five requests are written at once", round)
+	if c.Trouble { // the new process said yes: the old one is told to end
+		time.Sleep(300 * time.Millisecond)
+		old.Signal(syscall.SIGTERM)
 	}
-	until := time.Now().Add(timeout + slack)
-	for k, request := range requests {
-		if !c.Trouble {
-			io.WriteString(client, request)
-			until = time.Now().Add(timeout + slack)
+	time.Sleep(5 * time.Second)
+
+	after := map[string]int{}
+	for _, s := range servers {
+		yes, isOut := out[s.Name]
+		for _, v := range s.Visits() {
+			if isOut && v.At.After(yes.Add(grace)) {
+				after[s.Name]++
+			}
+		}
+	}
+	c.Logf("requests in all: %d; at servers that are out, after the grace: %v", asked.Load(), after)
+	for name, count := range after {
+		c.Broken("%s was taken out with a yes, nobody called it back, and it was sent %d requests more than %v later", name, count, grace)
+	}
+	c.End()
+}
+
+// ask sends one request after the other.
+func ask(c *rig3.Case, address string, asked *atomic.Int64) {
+	var conn *rig3.Client
+	for {
+		if conn == nil {
+			var err error
+			if conn, err = c.Connect(address); err != nil {
+				time.Sleep(20 * time.Millisecond)
+				continue
+			}
 		}
-		reply, err := client.Next(time.Until(until))
-		id := fmt.Sprintf("r%d-%d", round, k)
-		switch {
-		case err != nil:
-			c.Break("%s has no answer: %v", id, err)
-		case reply.Status == 200 && reply.Body != rig2.BodyFor(id, "mekong-charge"):
-			c.Break("%s got 200 with: %s", id, reply.Body)
-		default:
-			c.Log("%s is answered %d %s", id, reply.Status, strings.TrimSpace(reply.Body))
+		id := "r" + strconv.FormatInt(asked.Add(1), 10)
+		fmt.Fprint(conn, rig3.Request("GET", "/lookup/"+id, id, timeout))
+		if _, _, closes, err := conn.Receive(3 * time.Second); closes || err != nil {
+			conn.Close()
+			conn = nil
 		}
 	}
 }
--- a/review/rig3/case.go
+++ b/review/rig3/case.go
@@ -1,5 +1,5 @@
-// Package rig3 has what the scripts of the review's third set share: the record, the sidecar as a process of its
-// own, and small stand-ins for clients, servers and discovery.
+// Package rig3 has what the script of case 10 needs: the record, two processes of one sidecar with a second address each,
+// and small stand-ins for clients, servers and discovery.
 package rig3
 
 import (
