A repeat of a keyed request is sent whole within its key's window, or not at all

Cause: the end of the window was compared with the clock before an attempt's first byte only (roundTrip, sendBefore). A server begins a request with its last byte, and a long body goes on for up to half of the client's time; short ones may wait in the kernel. A window that a new configuration shortened did not reach a repeat that was being sent, and an earlier attempt was not limited by the key of a later one (a hedge). The window was counted from after the hand-over of the attempt, not from before it.

Change: Attempt.LimitLastByte sets one limit for the last byte, checked before the first byte and each write. A timer ends the attempt when the limit passes in a connect, a write, or while the kernel holds unacknowledged bytes, which a reset discards. The last byte of a body that follows its head is held back until the kernel has sent the others. The relay renews the limits (limitLastBytes) when an attempt is sent, proves not to have run, or settings get stricter.

--- a/internal/outbound/failure.go
+++ b/internal/outbound/failure.go
@@ -30,6 +30,10 @@
 // errNoTimeForBody means that the time for sending a long body was up before the attempt began.
 var errNoTimeForBody = fmt.Errorf("no time left to send the request body: %w", errCancelled)
 
+// errKeyExpired means that servers may have forgotten the idempotency key before they had the whole request. If it
+// was not written completely, it says nothing about the server: the rest of the key's window was too short.
+var errKeyExpired = fmt.Errorf("the window of the idempotency key ended before the last byte: %w", errCancelled)
+
 // errLocalResource means that the connection failed for want of a resource of this machine, without the
 // server's part.
 var errLocalResource = errors.New("connection failed for want of a local resource")
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,66 +71,11 @@
 
 func toDuration(micros brain.Micros) time.Duration { return time.Duration(micros) * time.Microsecond }
 
-// EndFunc is called once, when an attempt has ended: with the answer or with the reason why there is none,
-// and with the server's load report if one came.
-type EndFunc func(answer *exchange.Answer, reused bool, load []float64, err error)
-
-// Attempt is an attempt that was handed to Send.
-type Attempt struct {
-	To         brain.ServerID
-	sendBefore time.Time       // latest time for the first byte; zero: no limit
-	writtenAt  time.Time       // when a long body was written completely; zero for a short one
-	ctx        context.Context // when it is done, the attempt must not be sent any more
-	cancelSend context.CancelFunc
-	cancelled  atomic.Bool // by Cancel: nobody waits for the result
-	mu         sync.Mutex
-	connection *conn
-	onEnd      EndFunc
-}
-
-func newAttempt(to brain.ServerID, onEnd EndFunc) *Attempt {
-	attempt := &Attempt{To: to, onEnd: onEnd}
-	attempt.ctx, attempt.cancelSend = context.WithCancel(context.Background())
-	return attempt
-}
-
-// Latency returns the latency of an attempt that has ended. For a long body it counts from the last byte that
-// was written; otherwise it is measured, the caller's own measurement.
-func (attempt *Attempt) Latency(measured brain.Micros) brain.Micros {
-	if attempt.writtenAt.IsZero() {
-		return measured
-	}
-	return min(measured, brain.Micros(time.Since(attempt.writtenAt)/time.Microsecond))
-}
-
-// CancelUnsent stops an attempt of which nothing has been sent yet; others go on. A connection that comes up
-// late must not send a request that is over.
-func (attempt *Attempt) CancelUnsent() { attempt.cancelSend() }
-
-// Cancel stops the attempt, and closes its connection.
-func (attempt *Attempt) Cancel() {
-	attempt.cancelled.Store(true)
-	attempt.cancelSend()
-	attempt.mu.Lock()
-	defer attempt.mu.Unlock()
-	if attempt.connection != nil {
-		attempt.connection.SetDeadline(time.Unix(1, 0)) // wakes the attempt's goroutine, which closes the connection
-	}
-}
-
-// setConnection sets the connection that Cancel interrupts; nil: none.
-func (attempt *Attempt) setConnection(connection *conn) {
-	attempt.mu.Lock()
-	attempt.connection = connection
-	attempt.mu.Unlock()
-}
-
 // Send sends a request to a server and returns at once; onEnd is called with the result, at the latest soon
-// after until. If the first byte can't be written by sendBefore, the attempt is not sent; zero: no such
-// limit.
-func (o *Outbound) Send(request *exchange.Exchange, server brain.ServerID, address string, until, sendBefore time.Time, onEnd EndFunc) *Attempt {
+// after until. lastByteBy is as for Attempt.LimitLastByte.
+func (o *Outbound) Send(request *exchange.Exchange, server brain.ServerID, address string, until, lastByteBy time.Time, onEnd EndFunc) *Attempt {
 	attempt := newAttempt(server, onEnd)
-	attempt.sendBefore = sendBefore
+	attempt.LimitLastByte(lastByteBy)
 	o.counts.Add(counters.AttemptsStarted)
 	o.workers.do(func() { o.run(attempt, server, address, until, request) })
 	return attempt
@@ -159,7 +103,7 @@
 		if crash := recover(); crash != nil {
 			o.counts.RecordPanic(o.log, "attempt", crash)
 		}
-		attempt.cancelSend()
+		attempt.finish()
 		attempt.onEnd(answer, reused, load, err)
 	}()
 	answer, reused, load, err = o.attemptOnce(attempt, server, address, until, request)
@@ -235,10 +179,13 @@
 		if streamed { // the stream returns or closes the connection
 			return
 		}
-		if reusable && !attempt.cancelled.Load() { // after Cancel the connection's deadline has passed, so it can't be reused
+		if reusable && !attempt.interrupted() { // otherwise the connection's deadline has passed, so it can't be reused
 			o.pool.putIdle(server, connection)
 			return
 		}
+		if attempt.keyExpired.Load() {
+			connection.discardUnsent()
+		}
 		connection.Close()
 		o.pool.release()
 	}()
@@ -246,7 +193,9 @@
 	attempt.setConnection(connection)
 	progress := NotSent
 	fail := func(cause error) error {
-		if attempt.cancelled.Load() || progress == NotSent && attempt.ctx.Err() != nil {
+		if attempt.keyExpired.Load() {
+			cause = errKeyExpired
+		} else if attempt.cancelled.Load() || progress == NotSent && attempt.ctx.Err() != nil {
 			cause = errCancelled
 		} else if !time.Now().Before(until) {
 			cause = os.ErrDeadlineExceeded // replaces the several errors that the reader returns for a deadline
@@ -261,7 +210,7 @@
 		return nil, nil, fail(errNoTimeForBody)
 	}
 	head, buffered := request.Outgoing(brain.Micros(told / time.Microsecond))
-	if !request.AnswerWanted() || !attempt.sendBefore.IsZero() && !time.Now().Before(attempt.sendBefore) {
+	if !request.AnswerWanted() || attempt.lastByteIsLate() {
 		attempt.cancelSend()
 	}
 	if attempt.ctx.Err() != nil {
@@ -272,7 +221,7 @@
 	}
 	if body != nil {
 		if err := body.run(buffered); err != nil {
-			if rejection := o.readEarlyAnswer(connection, told); rejection != nil {
+			if rejection := o.readEarlyAnswer(attempt, connection, told); rejection != nil {
 				return nil, nil, rejection
 			}
 			return nil, nil, fail(err)
@@ -283,8 +232,9 @@
 		attempt.writtenAt = time.Now()
 	}
 	progress = Sent
+	attempt.setWritten()
 	o.counts.Add(counters.AttemptsWritten)
-	if attempt.cancelled.Load() { // the deadline that Cancel set may just have been replaced
+	if attempt.interrupted() { // the deadline that interrupted it may just have been replaced
 		return nil, nil, fail(errCancelled)
 	}
 	answer, err := o.readAnswer(connection, until)
@@ -303,7 +253,7 @@
 	}
 	if answer.body != nil {
 		attempt.setConnection(nil)
-		if attempt.cancelled.Load() {
+		if attempt.interrupted() {
 			return nil, nil, fail(errCancelled)
 		}
 		streamed = true
--- a/internal/outbound/transfer.go
+++ b/internal/outbound/transfer.go
@@ -4,17 +4,17 @@
 	"errors"
 	"io"
 	"os"
-	"syscall"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"ledgespread/internal/exchange"
 )
 
 const (
 	transferCheckInterval = 25 * time.Millisecond // between two checks whether a body that the server does not accept may still be sent
+	unsentCheckInterval   = time.Millisecond      // between two checks whether the kernel has sent what was written
 	maxUnsentBytes        = 32 << 10              // of a long body that the kernel holds for the server; more would hide that it accepts nothing
 	maxEarlyAnswerWait    = stallTimeout / 100    // for an answer that came before the body was written completely,
 	earlyAnswerDivisor    = 8                     // or this part of the time that is left, if that is shorter
@@ -74,6 +74,8 @@
 // checkTime returns why the body must not be sent any further; nil: it may be.
 func (t *transfer) checkTime(lastProgress time.Time) error {
 	switch {
+	case t.attempt.lastByteIsLate():
+		return errKeyExpired
 	case t.attempt.cancelled.Load():
 		return errCancelled
 	case t.upload != nil && t.upload.Abandoned():
@@ -108,7 +110,7 @@
 		t.connection.limitUnsent()
 	}
 	if t.upload == nil {
-		return t.writePieces(buffered)
+		return t.writeWhole(buffered)
 	}
 	piece := exchange.NewPiece() // buffer for what is read from the client
 	defer piece.Free()
@@ -125,6 +127,38 @@
 	return t.writeRest(piece, chunks)
 }
 
+// writeWhole writes a body that is buffered completely. If there is a limit for its last byte, that one is held back
+// until the kernel has sent all others: it would wait behind them, and the limit may pass meanwhile.
+func (t *transfer) writeWhole(pieces [][]byte) error {
+	last := len(pieces) - 1
+	end := len(pieces[last]) - 1
+	if err := t.writePieces(append(slices.Clone(pieces[:last]), pieces[last][:end])); err != nil {
+		return err
+	}
+	if t.attempt.hasLimit() {
+		if err := t.awaitSent(); err != nil {
+			return err
+		}
+	}
+	return t.write(pieces[last][end:])
+}
+
+// awaitSent waits until the kernel has sent what was written.
+func (t *transfer) awaitSent() error {
+	lastProgress, unsent := time.Now(), t.connection.queued(unsentBytes)
+	for unsent > 0 {
+		if err := t.checkTime(lastProgress); err != nil {
+			return err
+		}
+		time.Sleep(unsentCheckInterval)
+		before := unsent
+		if unsent = t.connection.queued(unsentBytes); unsent < before {
+			lastProgress = time.Now()
+		}
+	}
+	return nil
+}
+
 // writePieces writes a body, or its beginning, as it is.
 func (t *transfer) writePieces(pieces [][]byte) error {
 	for _, data := range pieces {
@@ -155,23 +189,12 @@
 	}
 }
 
-// limitUnsent limits how much of what is written the kernel holds unsent. Where that can't be set, writes only
-// tell later that the server accepts nothing.
-func (c *conn) limitUnsent() {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	if raw, err := socket.SyscallConn(); err == nil {
-		raw.Control(func(fd uintptr) {
-			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
-		})
-	}
-}
-
 // readEarlyAnswer looks for an answer that came before the request was written completely: a server may
 // reject a request and close the connection without reading all of it. The request has not run then.
-func (o *Outbound) readEarlyAnswer(connection *conn, timeLeft time.Duration) error {
+func (o *Outbound) readEarlyAnswer(attempt *Attempt, connection *conn, timeLeft time.Duration) error {
+	if attempt.interrupted() { // whoever interrupted it doesn't wait for an answer
+		return nil
+	}
 	until := time.Now().Add(min(maxEarlyAnswerWait, timeLeft/earlyAnswerDivisor))
 	connection.SetReadDeadline(until)
 	answer, err := o.readAnswer(connection, until)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -120,3 +121,34 @@
 		t.Errorf("mismatch (-want +got):\n%s", diff)
 	}
 }
+
+// The last byte of an attempt is limited by the keys of the request's other attempts that may have run, later ones
+// included: only the earlier ones counted, and only for the first byte.
+func TestLastByteLimits(t *testing.T) {
+	began := time.Now()
+	ranNever, mayHaveRun, later := &attempt{requestedAt: began, neverRan: true}, &attempt{requestedAt: began.Add(time.Second)}, &attempt{requestedAt: began.Add(3 * time.Second)}
+	attempts := []*attempt{ranNever, mayHaveRun, nil, later}
+	for _, test := range []struct {
+		keyWindow time.Duration
+		attempts  []*attempt
+		want      string // for each attempt and the next one, in seconds
+	}{
+		{10 * time.Second, attempts, "11 13 11 11 11"},
+		{10 * time.Second, attempts[:2], "11 none 11"},
+		{10 * time.Second, attempts[:1], "none none"},
+		{0, attempts, "none none none none none"},
+	} {
+		keyed := &request{class: &class{keyWindow: test.keyWindow}, attempts: test.attempts}
+		var got []string
+		for number := range len(test.attempts) + 1 {
+			limit := "none"
+			if by := keyed.lastByteBy(number); !by.IsZero() {
+				limit = fmt.Sprint(by.Sub(began).Seconds())
+			}
+			got = append(got, limit)
+		}
+		if diff := cmp.Diff(test.want, strings.Join(got, " ")); diff != "" {
+			t.Errorf("window %v (-want +got):\n%s", test.keyWindow, diff)
+		}
+	}
+}
--- a/internal/relay/requests.go
+++ b/internal/relay/requests.go
@@ -142,8 +142,9 @@
 		return
 	}
 	r.logAttempt(request, number, target.host, wait)
+	requestedAt := time.Now() // before the attempt can run
 	var sentAttempt *outbound.Attempt
-	sentAttempt = r.outbound.Send(request.exchange, server, target.address, until, r.sendBefore(request),
+	sentAttempt = r.outbound.Send(request.exchange, server, target.address, until, request.lastByteBy(int(number)),
 		func(answer *exchange.Answer, _ bool, load []float64, err error) {
 			r.post(func() {
 				result, took := outbound.ResultOf(err), sentAttempt.Latency(r.now-sent)
@@ -151,25 +152,36 @@
 				r.attemptEnded(request, number, result, took, answer, load)
 			})
 		})
-	request.attempts = append(request.attempts, &attempt{Attempt: sentAttempt, requestedAt: time.Now()})
+	request.attempts = append(request.attempts, &attempt{Attempt: sentAttempt, requestedAt: requestedAt})
+	request.limitLastBytes()
 }
 
-// sendBefore returns when the first byte of a further attempt has to be sent; zero: at any time. An attempt
-// of a keyed request that may have run is only repeated while servers remember the key. The Balancer checks
-// this when it asks for the attempt, but the connection may be established later than that.
-func (r *Relay) sendBefore(request *request) (sendBy time.Time) {
+// limitLastBytes limits the attempts of a request that have not ended; see request.lastByteBy.
+func (request *request) limitLastBytes() {
+	for number, attempt := range request.attempts {
+		if attempt != nil {
+			attempt.LimitLastByte(request.lastByteBy(number))
+		}
+	}
+}
+
+// lastByteBy returns the latest time for the last byte of an attempt; zero: any time. A keyed request may run again
+// only while servers remember its key from any other attempt that may have run. The Balancer checks this when it
+// asks for the attempt, but a connection may be established later than that, and a long body takes its time.
+func (request *request) lastByteBy(number int) (latest time.Time) {
 	window := request.class.keyWindow
 	if window == 0 {
-		return sendBy
+		return latest
 	}
-	for _, attempt := range request.attempts {
-		if attempt != nil && !attempt.neverRan {
-			if windowEnd := attempt.requestedAt.Add(window); sendBy.IsZero() || windowEnd.Before(sendBy) {
-				sendBy = windowEnd
-			}
+	for other, attempt := range request.attempts {
+		if other == number || attempt == nil || attempt.neverRan {
+			continue
+		}
+		if windowEnd := attempt.requestedAt.Add(window); latest.IsZero() || windowEnd.Before(latest) {
+			latest = windowEnd
 		}
 	}
-	return sendBy
+	return latest
 }
 
 var resultCounts = [...]counters.Count{brain.Succeeded: counters.AttemptsSucceeded,
@@ -187,6 +199,7 @@
 	load = r.usableReport(request.attempts[number], load)
 	if attempt := request.attempts[number]; attempt != nil {
 		attempt.neverRan = result == brain.Overloaded || result == brain.ConnectFailed || result == brain.NeverSent
+		request.limitLastBytes()
 	}
 	if result == brain.Succeeded && !request.ended {
 		if !request.exchange.Deliver(answer) {
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -82,6 +82,9 @@
 				attempt.CancelUnsent()
 			}
 		}
+		if stricter[request.class] {
+			request.limitLastBytes()
+		}
 	}
 }
 
