An attempt that is given up is not sent to its end by the kernel

What callers saw: nothing reported. A server that did not read for a while executed a request of 60 kB after the attempt had been cancelled or had timed out, and its client had been answered: an attempt for a client that has gone, or for a keyed request a second execution after the window of its key.

Cause: the connection of a failed attempt was closed, and after a close the kernel goes on sending what it holds.

Change: conn.abandon resets the connection where the server's machine has not acknowledged all that was written; where it has, the close is a plain one, as before.

Evidence: TestGivenUpAttemptIsNotCompletedLater failed before for both endings ("sent: called off" and "sent: i/o timeout": executed), passes now; with the other tests of long bodies three passes in a row with the race detector.

--- a/internal/key_window_test.go
+++ b/internal/key_window_test.go
@@ -148,3 +148,36 @@
 	}
 	<-server.broken
 }
+
+// A request that was given up was completed and executed later, since the kernel went on sending it after the close:
+// its client had long been told that it failed, and another server may have executed it.
+func TestGivenUpAttemptIsNotCompletedLater(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		timeout time.Duration
+		giveUp  func(*outbound.Attempt)
+	}{
+		{"cancelled", 30 * time.Second, func(sent *outbound.Attempt) { time.Sleep(keyWindow / 5); sent.Cancel() }},
+		{"timed out", keyWindow / 5, func(*outbound.Attempt) {}},
+	} {
+		server := startRepeatServer(t, keyWindow)
+		c, err := net.Dial("tcp", server.Addr().String()) // the server's first connection, which it reads at once
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		x := exchange.New().SetContent([]byte("POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n"), make([]byte, 60_000), nil)
+		ended := make(chan error, 1)
+		sent := newOutbound(10*second, 9, &counters.Set{}).Send(x, 1, server.Addr().String(), time.Now().Add(test.timeout), time.Time{},
+			func(_ *exchange.Answer, _ bool, _ []float64, err error) { ended <- err })
+		test.giveUp(sent)
+		err = <-ended
+		select {
+		case <-server.executed:
+			t.Errorf("%s (%v): executed", test.name, err)
+		case <-server.broken:
+		case <-time.After(20 * time.Second):
+			t.Errorf("%s (%v): not sent", test.name, err)
+		}
+	}
+}
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -183,10 +183,7 @@
 			o.pool.putIdle(server, connection)
 			return
 		}
-		if attempt.keyExpired.Load() {
-			connection.discardUnsent()
-		}
-		connection.Close()
+		connection.abandon()
 		o.pool.release()
 	}()
 	connection.ensureDeadline(until)
--- a/internal/outbound/sendqueue.go
+++ b/internal/outbound/sendqueue.go
@@ -24,11 +24,14 @@
 	return bytes
 }
 
-// discardUnsent has the next Close reset the connection, so that the kernel sends nothing any more of what was written.
-func (c *conn) discardUnsent() {
-	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+// abandon closes the connection after an attempt. What the kernel still holds of the request is discarded by a reset:
+// after a plain close the kernel would go on sending, and the server execute a request that was given up.
+func (c *conn) abandon() {
+	socket, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if ok && c.queued(unacknowledgedBytes) > 0 {
 		socket.SetLinger(0)
 	}
+	c.Close()
 }
 
 // limitUnsent limits how much of what is written the kernel holds unsent. Where that can't be set, writes only
