Staff's calls at both processes of an upgrade change one file, not two lists

Cause: a call wrote the whole list of its process over what the other process had written since it last read the file (every 100 ms), and the other one then took that list over. On related paths: a repeated write after a failure wrote the list as it was before; a list that was read before a change of this process was taken over after it; two writes of one size within a tick of the file system's clock were not noticed; the file named its last writer, so an old process that changed it took itself for the newest one and left the members at its stop.

Change: read, modify and replace as one step under flock, with the changes that are not written yet as a set of their own. Update takes a server and what becomes of it. Each change has the machine time of its call; a late write doesn't undo a later call. Contents are compared. The process's end waits 0.1 s for what is unwritten. Beside a process of an earlier version, which writes whole lists, changes that it has not read are written again. The tests of the package are adapted to the calls; none asks less than before.

--- a/cmd/ledgespread/version_test.go
+++ b/cmd/ledgespread/version_test.go
@@ -50,6 +50,50 @@
 	}
 }
 
+// upgrade is what the processes of one sidecar have in common while a new version is started beside the old one.
+type upgrade struct {
+	folder, listen, discovery string
+	servers                   string // their entries in the list
+}
+
+// newUpgrade starts a discovery service with a list of these servers, and sets $TMPDIR for the processes.
+func newUpgrade(t *testing.T, entries []string) *upgrade {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	u := &upgrade{folder: t.TempDir(), listen: freeAddress(t), discovery: ln.Addr().String(), servers: strings.Join(entries, ",")}
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("hold_ms") > "0" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"seq":7,"whole":true,"hosts":[%s]}`, u.servers)
+	}))
+	t.Setenv("TMPDIR", u.folder)
+	return u
+}
+
+// start starts a process with a console address of its own, and waits until it is ready.
+func (u *upgrade) start(t *testing.T, name string) (stop func() error, consoleAddress string, log *logBuffer) {
+	t.Helper()
+	consoleAddress = freeAddress(t)
+	file := filepath.Join(u.folder, name)
+	text := strings.Replace(fmt.Sprintf(minimalConfig, u.listen, u.discovery, 1), `"hosts":[]`, `"hosts":[`+u.servers+`]`, 1)
+	text = strings.Replace(text, `"seed"`, `"console":"`+consoleAddress+`","seed"`, 1)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	program, log := startProgram(t, file)
+	eventually(t, name+" is ready", func() bool { return callConsole("GET", consoleAddress, "ready") })
+	return func() error {
+		program.Process.Signal(syscall.SIGTERM)
+		return program.Wait()
+	}, consoleAddress, log
+}
+
 // A new version starts under load beside the old one, with the same addresses, its own console address and a shared folder.
 // The old process is stopped by SIGTERM once the new one is ready. Each request must get its own answer, at most 2 in 100
 // may find their connection closed, and a server that was taken out of service at the old process must stay out at the
@@ -70,39 +114,11 @@
 		lines = append(lines, fmt.Sprintf(`{"host":"s%d","dial":"%s","site":"here","class":"m","block":0,
 			"health":"in_service","share":1,"born_ms":0}`, i, ln.Addr()))
 	}
-	discoveryListener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { discoveryListener.Close() })
-	serverList := fmt.Sprintf(`{"seq":7,"whole":true,"hosts":[%s]}`, strings.Join(lines, ","))
-	go http.Serve(discoveryListener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("hold_ms") > "0" {
-			<-r.Context().Done()
-			return
-		}
-		io.WriteString(w, serverList)
-	}))
-	folder, listen := t.TempDir(), freeAddress(t)
-	t.Setenv("TMPDIR", folder)
-	startSidecar := func(name string) (stop func() error, consoleAddress string, log *logBuffer) {
-		consoleAddress = freeAddress(t)
-		file := filepath.Join(folder, name)
-		text := strings.Replace(fmt.Sprintf(minimalConfig, listen, discoveryListener.Addr(), 1), `"hosts":[]`, `"hosts":[`+strings.Join(lines, ",")+`]`, 1)
-		text = strings.Replace(text, `"seed"`, `"console":"`+consoleAddress+`","seed"`, 1)
-		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		program, log := startProgram(t, file)
-		eventually(t, name+" is ready", func() bool { return callConsole("GET", consoleAddress, "ready") })
-		return func() error {
-			program.Process.Signal(syscall.SIGTERM)
-			return program.Wait()
-		}, consoleAddress, log
-	}
+	upgrade := newUpgrade(t, lines)
+	listen := upgrade.listen
 	var got []string
 	record := func(format string, args ...any) { got = append(got, fmt.Sprintf(format, args...)) }
-	stopOld, oldConsole, log := startSidecar("old")
+	stopOld, oldConsole, log := upgrade.start(t, "old")
 	record("an unknown server: %v, s0 taken out: %v", callConsole("POST", oldConsole, "servers/s9/offline"), callConsole("POST", oldConsole, "servers/s0/offline"))
 
 	var ids, answered, unanswered, mismatched atomic.Int64
@@ -150,7 +166,7 @@
 		eventually(t, "requests are answered", func() bool { return answered.Load() > before+200 })
 	}
 	waitForAnswers()
-	stopNew, newConsole, _ := startSidecar("new")
+	stopNew, newConsole, _ := upgrade.start(t, "new")
 	waitForAnswers()
 	record("the old process ends: %v", stopOld())
 	waitForAnswers()
--- /dev/null
+++ b/internal/handover/content.go
@@ -0,0 +1,137 @@
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	form = "ledgespread out of hand 1" // identifies the file format
+
+	lateWrite     = writeTimeout // a change that is written later than this after its call may have been followed by another one
+	forgetChanges = time.Hour    // servers that were put back this long ago have no time of change in the file any more
+)
+
+var errMissingField = errors.New("a field is missing")
+
+// content is what the state file holds. It is not modified once it is shared.
+type content struct {
+	process int                    // ID of the process that was started last
+	out     map[string]bool        // the servers out of service
+	changed map[string]machineTime // when a server was last taken out or put back; nil: the file is by a version that doesn't write it
+}
+
+// machineTime is a reading of the machine's monotonic clock, which all processes share, in microseconds.
+type machineTime int64
+
+// now returns the current machine time.
+func now() machineTime {
+	var reading unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &reading); err != nil {
+		return 0
+	}
+	return machineTime(reading.Nano() / int64(time.Microsecond))
+}
+
+// since returns the time that has passed.
+func (t machineTime) since(earlier machineTime) time.Duration {
+	return time.Duration(t-earlier) * time.Microsecond
+}
+
+// change is a server that was taken out or put back by a call to this process.
+type change struct {
+	out     bool
+	at      machineTime   // of the call
+	written chan struct{} // closed when it is in the file, or a later change of the server replaces it
+}
+
+// storedContent is the content as it is stored.
+type storedContent struct {
+	Form    string                 `json:"form"`
+	Sidecar string                 `json:"sidecar"`
+	Process *int                   `json:"process"`
+	Out     *[]string              `json:"out"`
+	Changed map[string]machineTime `json:"changed"`
+}
+
+// parse decodes the content of a state file. It must have the known format and belong to this sidecar.
+func parse(text []byte, sidecar string) (c content, err error) {
+	var stored storedContent
+	if err := json.Unmarshal(text, &stored); err != nil {
+		return c, err
+	}
+	if stored.Form != form || stored.Sidecar != sidecar {
+		return c, fmt.Errorf("unexpected format %q, or written by another sidecar: %q", stored.Form, stored.Sidecar)
+	}
+	if stored.Process == nil || stored.Out == nil {
+		return c, errMissingField
+	}
+	c = content{process: *stored.Process, out: map[string]bool{}, changed: stored.Changed}
+	for _, server := range *stored.Out {
+		c.out[server] = true
+	}
+	return c, nil
+}
+
+// encode is the reverse of parse.
+func (c content) encode(sidecar string) ([]byte, error) {
+	servers := c.servers()
+	return json.Marshal(storedContent{Form: form, Sidecar: sidecar, Process: &c.process, Out: &servers, Changed: c.changed})
+}
+
+// servers returns the servers out of service, in order.
+func (c content) servers() []string {
+	servers := slices.AppendSeq([]string{}, maps.Keys(c.out)) // not nil: it is stored as an empty list
+	slices.Sort(servers)
+	return servers
+}
+
+// with returns the content after changes that are written now. A change that is written late doesn't replace a later
+// one of the same server.
+func (c content) with(changes map[string]*change, at machineTime) content {
+	next := content{process: c.process, out: map[string]bool{}, changed: map[string]machineTime{}}
+	maps.Copy(next.out, c.out)
+	for server, changed := range c.changed {
+		if age := at.since(changed); c.out[server] || 0 <= age && age < forgetChanges {
+			next.changed[server] = changed
+		}
+	}
+	for server, change := range changes {
+		if c.hasLater(server, change, at) {
+			continue
+		}
+		next.changed[server] = change.at
+		if delete(next.out, server); change.out {
+			next.out[server] = true
+		}
+	}
+	return next
+}
+
+// hasLater reports whether a later change of the server than this one, which is late, is in the content. A time in the
+// future is of an earlier run of the machine.
+func (c content) hasLater(server string, change *change, at machineTime) bool {
+	changed := c.changed[server]
+	return at.since(change.at) > lateWrite && changed > change.at && changed <= at
+}
+
+// differences returns how many servers are out in one of two contents only.
+func (c content) differences(other content) (count int) {
+	for server := range c.out {
+		if !other.out[server] {
+			count++
+		}
+	}
+	for server := range other.out {
+		if !c.out[server] {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/handover/faults_test.go
+++ b/internal/handover/faults_test.go
@@ -48,8 +48,8 @@
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		text, err := os.ReadFile(s.path)
 		if err == nil {
-			out, _, err := parse(text, s.sidecar)
-			if got = fmt.Sprint(out, err); got == want {
+			content, err := parse(text, s.sidecar)
+			if got = fmt.Sprint(content.servers(), err); got == want {
 				return got
 			}
 		}
@@ -65,10 +65,10 @@
 	for _, errno := range []syscall.Errno{syscall.ENOSPC, syscall.EIO, syscall.EDQUOT} {
 		for _, truncate := range []bool{false, true} {
 			s, _ := Open(t.TempDir(), "n0", "127.0.0.1:1", zerolog.Nop())
-			s.Save()
+			s.Announce()
 			s.disk = &faultyDisk{errors: []error{errno, errno, errno, errno}, truncate: truncate}
-			for _, out := range [][]string{{"s1"}, {"s1", "s2"}} {
-				if err := s.Update(t.Context(), func() ([]string, error) { return out, nil }); err != nil {
+			for _, server := range []string{"s1", "s2"} {
+				if err := s.Update(t.Context(), server, true, succeed); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -85,15 +85,15 @@
 // written for the next process as well. Such a change was once made in this process only.
 func TestLateChangeIsWritten(t *testing.T) {
 	state, _ := Open(t.TempDir(), "n0", "127.0.0.1:1", zerolog.Nop())
-	state.Save()
+	state.Announce()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	proceed := make(chan struct{})
 	answered := make(chan error, 1)
 	go func() {
-		answered <- state.Update(ctx, func() ([]string, error) {
+		answered <- state.Update(ctx, "s1", true, func() error {
 			<-proceed
-			return []string{"s1"}, nil
+			return nil
 		})
 	}()
 	var got []string
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"testing"
@@ -12,6 +13,9 @@
 	"github.com/rs/zerolog"
 )
 
+// succeed is the change in a process that has all servers.
+func succeed() error { return nil }
+
 // The next process reads what one process wrote. A truncated, foreign or malformed file, or a directory in
 // its place, is logged once and ignored; a file is replaced by the next write.
 func TestState(t *testing.T) {
@@ -23,16 +27,18 @@
 	warnings := func() int { defer log.Reset(); return bytes.Count(log.Bytes(), []byte("passed over")) }
 	first, before := open()
 	add("no file: %v, before %d, warnings %d", first.OutOfService(), before, warnings())
-	first.Save()
-	add("%v", first.Update(t.Context(), func() ([]string, error) { return []string{"s2", "s1"}, nil }))
-	add("%v", first.Update(t.Context(), func() ([]string, error) { return nil, errors.New("no server s9") }))
+	first.Announce()
+	add("%v, %v", first.Update(t.Context(), "s2", true, succeed), first.Update(t.Context(), "s1", true, succeed))
+	add("%v", first.Update(t.Context(), "s9", true, func() error { return errors.New("no server s9") }))
 	second, _ := open()
 	add("the next process: %v", second.OutOfService())
-	_, changed := first.Reload()
-	add("the first finds a change: %v", changed)
-	second.Update(t.Context(), func() ([]string, error) { return []string{"s1"}, nil })
-	out, changed := first.Reload()
-	add("the first finds the change of the second: %v %v", out, changed)
+	delivered := "nothing"
+	first.Deliver = func(out []string) { delivered = fmt.Sprint(out) }
+	first.Refresh()
+	add("delivered to the first: %v", delivered)
+	second.Update(t.Context(), "s2", false, succeed)
+	first.Refresh()
+	add("delivered to the first after a change by the second: %v", delivered)
 	other, _ := Open(folder, "n1", "127.0.0.1:1", zerolog.Nop())
 	add("another sidecar: %v", other.OutOfService())
 
@@ -52,19 +58,19 @@
 		`{"form":"other","sidecar":"n0","process":1,"out":["s1"]}`} {
 		os.WriteFile(first.path, []byte(text), 0o600)
 		s, before := open()
-		s.Reload()
+		s.Refresh()
 		add("%.20q: %v, before %d, warnings %d", text, s.OutOfService(), before, warnings())
 	}
 	os.Remove(first.path)
 	os.Mkdir(first.path, 0o700)
 	s, before := open()
-	t.Cleanup(s.Close)
+	t.Cleanup(func() { s.Close(0) })
 	add("a directory: %v, before %d, warnings %d", s.OutOfService(), before, warnings())
-	s.Save()
-	add("a change that can't be written is in force: %v", s.Update(t.Context(), func() ([]string, error) { return []string{"s3"}, nil }))
+	s.Announce()
+	add("a change that can't be written is in force: %v", s.Update(t.Context(), "s3", true, succeed))
 	add("%v", s.OutOfService())
-	want := []string{"no file: [], before 0, warnings 0", "<nil>", "no server s9", "the next process: [s1 s2]",
-		"the first finds a change: false", "the first finds the change of the second: [s1] true", "another sidecar: []",
+	want := []string{"no file: [], before 0, warnings 0", "<nil>, <nil>", "no server s9", "the next process: [s1 s2]",
+		"delivered to the first: nothing", "delivered to the first after a change by the second: [s1]", "another sidecar: []",
 		"[s1], before is another process that runs: true", "[s1], before is another process that runs: false",
 		"[s1], before is another process that runs: false",
 		`"": [], before 0, warnings 1`, "\"{\\\"form\\\":\\\"ledgespread\": [], before 0, warnings 1", `"{}": [], before 0, warnings 1`,
@@ -82,31 +88,49 @@
 	f.Add([]byte(`{"form":null,"sidecar":"n0"`))
 	f.Add([]byte{0xff})
 	f.Fuzz(func(t *testing.T, text []byte) {
-		out, pid, err := parse(text, "n0")
-		outAgain, pidAgain, errAgain := parse(text, "n0")
-		if fmt.Sprint(out, pid, err != nil) != fmt.Sprint(outAgain, pidAgain, errAgain != nil) {
+		first, err := parse(text, "n0")
+		again, errAgain := parse(text, "n0")
+		if fmt.Sprint(first, err != nil) != fmt.Sprint(again, errAgain != nil) {
 			t.Error("the same content parsed twice gave two results")
 		}
+		if err != nil {
+			return
+		}
+		stored, err := first.encode("n0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if read, err := parse(stored, "n0"); err != nil || !maps.Equal(read.out, first.out) || !maps.Equal(read.changed, first.changed) || read.process != first.process {
+			t.Errorf("%v was stored, %v was read: %v", first, read, err)
+		}
 	})
 }
 
+// slowDisk blocks writes until it is released.
+type slowDisk struct {
+	osDisk
+	released chan struct{}
+}
+
+func (d slowDisk) WriteFile(path string, text []byte) error {
+	<-d.released
+	return d.osDisk.WriteFile(path, text)
+}
+
 // A slow disk does not block Update, and all changes are written in the end, in their order.
 func TestSlowDisk(t *testing.T) {
 	s, _ := Open(t.TempDir(), "n0", "127.0.0.1:1", zerolog.Nop())
-	s.mu.Lock() // like a slow write
-	for _, out := range [][]string{{"s1"}, {"s1", "s2"}} {
-		if err := s.Update(t.Context(), func() ([]string, error) { return out, nil }); err != nil {
-			t.Fatal(err)
+	disk := slowDisk{released: make(chan struct{})}
+	s.disk = disk
+	for _, server := range []string{"s1", "s2"} {
+		for _, out := range []bool{true, false, true} {
+			if err := s.Update(t.Context(), server, out, succeed); err != nil {
+				t.Fatal(err)
+			}
 		}
 	}
-	s.mu.Unlock()
-	<-s.lastWritten
-	text, err := os.ReadFile(s.path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	out, _, err := parse(text, "n0")
-	if diff := cmp.Diff("[s1 s2] <nil>", fmt.Sprint(out, err)); diff != "" {
+	close(disk.released)
+	if diff := cmp.Diff("[s1 s2] <nil>", awaitContent(s, "[s1 s2] <nil>")); diff != "" {
 		t.Errorf("-want +got:\n%s", diff)
 	}
 }
--- a/internal/relay/operators.go
+++ b/internal/relay/operators.go
@@ -18,9 +18,8 @@
 	<-done
 }
 
-// SetOutOfService takes a server out of service or puts it back, and returns all servers that are then out. It returns
-// an error if no server has this name.
-func (r *Relay) SetOutOfService(host string, out bool) (takenOut []string, err error) {
+// SetOutOfService takes a server out of service or puts it back. It returns an error if no server has this name.
+func (r *Relay) SetOutOfService(host string, out bool) (err error) {
 	r.callUrgently(func() {
 		id := discovery.ServerID(host)
 		if known, listed := r.servers[id]; !r.takenOut[host] && (!listed || known.host != host) {
@@ -29,9 +28,8 @@
 		}
 		r.takeOut(host, out)
 		r.publishFleet()
-		takenOut = slices.Collect(maps.Keys(r.takenOut))
 	})
-	return takenOut, err
+	return err
 }
 
 // takeOut records that one server is out of service or back, if that is a change. It runs on the relay's
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -18,6 +18,9 @@
 // this sidecar is read.
 const publishInterval = 100 * time.Millisecond
 
+// finalWriteTimeout is how long the end of the process waits until changes of the servers out of service are written.
+const finalWriteTimeout = 100 * time.Millisecond
+
 // openConsole starts the operators' console, if one is configured, and restores which servers operators took
 // out of service. The console works before clients are served.
 func (p *process) openConsole() error {
@@ -27,7 +30,8 @@
 	state, predecessor := handover.Open(os.TempDir(), p.Manifest.Name, p.Manifest.Listen, p.Log)
 	p.predecessor = predecessor
 	p.relay.RestoreTakenOut(state.OutOfService())
-	state.Save()
+	state.Deliver = p.relay.SetTakenOut
+	state.Announce()
 	p.relay.PublishFleetEvery(brain.Micros(publishInterval.Microseconds()))
 	if predecessor != 0 {
 		p.limitHeap(2)
@@ -42,6 +46,7 @@
 		p.Log.Error().Err(err).Msg("console stopped serving")
 	}()
 	p.replaced = state.Replaced
+	p.closeState = func() { state.Close(finalWriteTimeout) }
 	return nil
 }
 
@@ -65,7 +70,7 @@
 			fmt.Fprintf(w, "app.forwards=%d\napp.discovered=%d\napp.ejected=%d\n", p.counts[counters.AttemptsWritten].Load(), listed, avoided)
 		},
 		Server: func(ctx context.Context, id string, out bool) error {
-			return state.Update(ctx, func() ([]string, error) { return p.relay.SetOutOfService(id, out) })
+			return state.Update(ctx, id, out, func() error { return p.relay.SetOutOfService(id, out) })
 		},
 		OutOfService: whileServing((*inbound.Inbound).OutOfService),
 		InService:    whileServing((*inbound.Inbound).InService),
@@ -77,9 +82,7 @@
 // delay requests.
 func (p *process) followOtherProcess(state *handover.State, predecessor int) {
 	for ; ; time.Sleep(publishInterval) {
-		if hosts, changed := state.Reload(); changed {
-			p.relay.SetTakenOut(hosts)
-		}
+		state.Refresh()
 		if predecessor != 0 && !handover.ProcessExists(predecessor) {
 			predecessor = 0
 			p.limitHeap(1)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -103,11 +103,12 @@
 	reloaderReady chan struct{} // closed when reloader is set
 	predecessor   int           // process ID of an old process that still serves for this sidecar; 0: none
 	replaced      func() bool   // reports whether a newer process of this sidecar has started
+	closeState    func()        // writes the servers out of service before the process ends
 }
 
 // Run starts the parts and returns when the process was asked to stop, or can't go on.
 func Run(o Options) error {
-	proc := &process{Options: o, counts: &counters.Set{}, reloaderReady: make(chan struct{}), replaced: func() bool { return false }}
+	proc := &process{Options: o, counts: &counters.Set{}, reloaderReady: make(chan struct{}), replaced: func() bool { return false }, closeState: func() {}}
 	reload.SetCores(proc.Manifest)
 	proc.limitHeap(1)
 	debug.SetGCPercent(gcPercent)
@@ -255,6 +256,7 @@
 		case err := <-broken:
 			ended <- err
 		case err := <-ended:
+			p.closeState()
 			p.Log.Info().Object("counters", p.counts).Msg("ended")
 			return err
 		}
