Servers taken out during an upgrade reach the other process before the disk syncs

What callers saw: nothing reported.

Cause: the file was renamed into place only after its bytes were synced, so no other process could read a change before.

Change: the file is replaced without a sync, which the other process reads from the kernel's cache; a synced copy follows. Writes are numbered: at a start the copy counts where a crash of the machine has left the file damaged, gone or older. A file by an earlier version counts always.

Evidence: TestSlowSyncDoesNotKeepChangeFromOtherProcess failed before (the other process had [] at the yes, expected [s1]), passes now. TestSyncedCopyAfterCrash covers what a crash may leave.

--- a/internal/handover/content.go
+++ b/internal/handover/content.go
@@ -22,6 +22,7 @@
 
 // content is what the state file holds. It is not modified once it is shared.
 type content struct {
+	number  int                    // grows with each write
 	process int                    // ID of the process that was started last
 	out     map[string]bool        // the servers out of service
 	changed map[string]machineTime // when a server was last taken out or put back; nil: the file is by a version that doesn't write it
@@ -48,13 +49,14 @@
 type change struct {
 	out     bool
 	at      machineTime   // of the call
-	written chan struct{} // closed when it is in the file, or a later change of the server replaces it
+	written chan struct{} // closed when it is in the file and in its synced copy, or a later change of the server replaces it
 }
 
 // storedContent is the content as it is stored.
 type storedContent struct {
 	Form    string                 `json:"form"`
 	Sidecar string                 `json:"sidecar"`
+	Number  int                    `json:"number"`
 	Process *int                   `json:"process"`
 	Out     *[]string              `json:"out"`
 	Changed map[string]machineTime `json:"changed"`
@@ -72,7 +74,7 @@
 	if stored.Process == nil || stored.Out == nil {
 		return c, errMissingField
 	}
-	c = content{process: *stored.Process, out: map[string]bool{}, changed: stored.Changed}
+	c = content{number: stored.Number, process: *stored.Process, out: map[string]bool{}, changed: stored.Changed}
 	for _, server := range *stored.Out {
 		c.out[server] = true
 	}
@@ -82,9 +84,13 @@
 // encode is the reverse of parse.
 func (c content) encode(sidecar string) ([]byte, error) {
 	servers := c.servers()
-	return json.Marshal(storedContent{Form: form, Sidecar: sidecar, Process: &c.process, Out: &servers, Changed: c.changed})
+	return json.Marshal(storedContent{Form: form, Sidecar: sidecar, Number: c.number, Process: &c.process, Out: &servers, Changed: c.changed})
 }
 
+// follows reports whether the content was written after another one of the same file. Otherwise a crash of the machine
+// has brought back an older file. An earlier version writes no number, and can't be told from a later one.
+func (c content) follows(before content) bool { return c.changed == nil || c.number >= before.number }
+
 // servers returns the servers out of service, in order.
 func (c content) servers() []string {
 	servers := slices.AppendSeq([]string{}, maps.Keys(c.out)) // not nil: it is stored as an empty list
@@ -95,7 +101,7 @@
 // with returns the content after changes that are written now. A change that is written late doesn't replace a later
 // one of the same server.
 func (c content) with(changes map[string]*change, at machineTime) content {
-	next := content{process: c.process, out: map[string]bool{}, changed: map[string]machineTime{}}
+	next := content{number: c.number, process: c.process, out: map[string]bool{}, changed: map[string]machineTime{}}
 	maps.Copy(next.out, c.out)
 	for server, changed := range c.changed {
 		if age := at.since(changed); c.out[server] || 0 <= age && age < forgetChanges {
--- a/internal/handover/disk.go
+++ b/internal/handover/disk.go
@@ -22,10 +22,10 @@
 
 // disk abstracts the file operations that tests replace.
 type disk interface {
-	// WriteFile writes a file that survives a crash of the machine once it returns without an error.
-	WriteFile(path string, text []byte) error
-	// Rename renames a file; it survives a crash of the machine once it returns without an error.
-	Rename(from, to string) error
+	// WriteFile writes a file. If synced is set, it survives a crash of the machine once it returns without an error.
+	WriteFile(path string, text []byte, synced bool) error
+	// Rename renames a file. If synced is set, that survives a crash of the machine once it returns without an error.
+	Rename(from, to string, synced bool) error
 	// Lock gets an exclusive lock, which the kernel releases if the process ends. A file is created for it.
 	Lock(path string) (unlock func(), err error)
 }
@@ -33,8 +33,11 @@
 // osDisk implements disk with the operating system's files.
 type osDisk struct{}
 
-// WriteFile syncs the file before it returns. Otherwise a renamed file could be empty after a crash.
-func (osDisk) WriteFile(path string, text []byte) error {
+// WriteFile syncs the file before it returns, if it shall. Otherwise a renamed file can be empty after a crash.
+func (osDisk) WriteFile(path string, text []byte, synced bool) error {
+	if !synced {
+		return os.WriteFile(path, text, 0o600)
+	}
 	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return err
@@ -42,9 +45,9 @@
 	return durable.WriteAndClose(file, text)
 }
 
-// Rename syncs the directory before it returns.
-func (osDisk) Rename(from, to string) error {
-	if err := os.Rename(from, to); err != nil {
+// Rename syncs the directory before it returns, if it shall.
+func (osDisk) Rename(from, to string, synced bool) error {
+	if err := os.Rename(from, to); err != nil || !synced {
 		return err
 	}
 	if err := durable.SyncDir(filepath.Dir(to)); !errors.Is(err, syscall.EINVAL) { // some file systems cannot sync directories
--- a/internal/handover/faults_test.go
+++ b/internal/handover/faults_test.go
@@ -31,22 +31,33 @@
 	return err
 }
 
-func (d *faultyDisk) WriteFile(path string, text []byte) error {
+func (d *faultyDisk) WriteFile(path string, text []byte, synced bool) error {
 	err := d.nextError()
 	if err != nil && d.truncate {
-		d.osDisk.WriteFile(path, text[:len(text)/2])
+		d.osDisk.WriteFile(path, text[:len(text)/2], synced)
 	}
 	if err != nil {
 		return &os.PathError{Op: "write", Path: path, Err: err}
 	}
-	return d.osDisk.WriteFile(path, text)
+	return d.osDisk.WriteFile(path, text, synced)
+}
+
+// openAlone opens the state file of a sidecar with one process.
+func openAlone(t *testing.T) *State {
+	t.Helper()
+	s, _ := Open(t.TempDir(), "n0", "127.0.0.1:1", zerolog.Nop())
+	t.Cleanup(func() { s.Close(20 * time.Second) }) // nothing is written into the folder while it is removed
+	return s
 }
 
 // awaitContent waits until the next process would read the wanted content or the time is over, and returns
 // what it would read then.
-func awaitContent(s *State, want string) (got string) {
+func awaitContent(s *State, want string) (got string) { return awaitContentOf(s, s.path, want) }
+
+// awaitContentOf does the same for one of the two files.
+func awaitContentOf(s *State, path, want string) (got string) {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		text, err := os.ReadFile(s.path)
+		text, err := os.ReadFile(path)
 		if err == nil {
 			content, err := parse(text, s.sidecar)
 			if got = fmt.Sprint(content.servers(), err); got == want {
@@ -64,7 +75,7 @@
 	var got, want []string
 	for _, errno := range []syscall.Errno{syscall.ENOSPC, syscall.EIO, syscall.EDQUOT} {
 		for _, truncate := range []bool{false, true} {
-			s, _ := Open(t.TempDir(), "n0", "127.0.0.1:1", zerolog.Nop())
+			s := openAlone(t)
 			s.Announce()
 			s.disk = &faultyDisk{errors: []error{errno, errno, errno, errno}, truncate: truncate}
 			for _, server := range []string{"s1", "s2"} {
@@ -72,8 +83,9 @@
 					t.Fatal(err)
 				}
 			}
-			got = append(got, fmt.Sprintf("%v, truncated %v: %s", errno, truncate, awaitContent(s, "[s1 s2] <nil>")))
-			want = append(want, fmt.Sprintf("%v, truncated %v: [s1 s2] <nil>", errno, truncate))
+			got = append(got, fmt.Sprintf("%v, truncated %v: %s, synced %s", errno, truncate, awaitContent(s, "[s1 s2] <nil>"),
+				awaitContentOf(s, s.syncedPath(), "[s1 s2] <nil>")))
+			want = append(want, fmt.Sprintf("%v, truncated %v: [s1 s2] <nil>, synced [s1 s2] <nil>", errno, truncate))
 		}
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -84,7 +96,7 @@
 // A change whose context ends first is answered with an error but may still be made later, and must then be
 // written for the next process as well. Such a change was once made in this process only.
 func TestLateChangeIsWritten(t *testing.T) {
-	state, _ := Open(t.TempDir(), "n0", "127.0.0.1:1", zerolog.Nop())
+	state := openAlone(t)
 	state.Announce()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -2,6 +2,9 @@
 // It is stored in a small file in $TMPDIR. During an upgrade under load the old and the new process run side
 // by side, and both read and change the file. A change is made to what the file holds at that moment, under a
 // lock, so that neither process undoes what it has not read.
+//
+// A change is in the file, and so known to the other process, before the disk has it: a sync may take seconds. A
+// second file is a copy that survives a crash of the machine.
 package handover
 
 import (
@@ -45,18 +48,20 @@
 
 	changing sync.Mutex // held while the servers out of service in this process are changed; not while the file is read or written
 
-	mu           sync.Mutex         // for the fields below; not held while the file is read or written
-	known        content            // of the file, as last read or written
-	pending      map[string]*change // by server: made here, and not in the file yet
-	recent       map[string]*change // by server: written a moment ago; see keepUnread
-	inForce      []string           // the servers out of service in this process, in order
-	revision     int                // grows with each change of known and pending
-	announcing   bool               // the file has to get this process's ID
-	announced    chan struct{}      // closed when it has
-	writing      bool               // a goroutine writes the file
-	closed       bool               // what is pending is given up
-	warnedUnread bool               // the log already has the warning that the file cannot be read
-	failing      bool               // the last write failed
+	mu                    sync.Mutex         // for the fields below; not held while the file is read or written
+	known                 content            // of the file, as last read or written
+	pending               map[string]*change // by server: made here, and not in the file yet
+	recent                map[string]*change // by server: written a moment ago; see keepUnread
+	unsynced              []*change          // in the file, and not in its synced copy yet
+	inForce               []string           // the servers out of service in this process, in order
+	revision              int                // grows with each change of known and pending
+	announcing            bool               // the file has to get this process's ID
+	announced             chan struct{}      // closed when it has
+	writing               bool               // a goroutine writes the file
+	syncing               bool               // a goroutine writes its synced copy
+	closed                bool               // what is pending is given up
+	warnedUnread          bool               // the log already has the warning that the file cannot be read
+	writeFault, syncFault fault              // of the last write of each file
 }
 
 // Open opens the state file of a sidecar and reads what an earlier process wrote. A truncated, foreign or
@@ -65,7 +70,9 @@
 func Open(inFolder, sidecar, listen string, log zerolog.Logger) (s *State, before int) {
 	s = &State{Deliver: func([]string) {}, path: filepath.Join(inFolder, fmt.Sprintf("ledgespread-%x", sidecar+" "+listen)), sidecar: sidecar,
 		disk: osDisk{}, log: log, pending: map[string]*change{}, recent: map[string]*change{}}
-	s.known, _ = s.read()
+	s.writeFault = fault{"which servers are out could not be written down; tried again", "which servers are out is written down at last", false}
+	s.syncFault = fault{"which servers are out could not be synced to the disk; tried again", "which servers are out is synced to the disk at last", false}
+	s.known = s.readLatest()
 	s.inForce = s.known.servers()
 	before = s.known.process
 	if before == os.Getpid() || before <= 0 || !ProcessExists(before) {
@@ -92,7 +99,7 @@
 
 // read reads the file. If it fails the content is empty.
 func (s *State) read() (content, error) {
-	c, err := s.readFile()
+	c, err := s.readFile(s.path)
 	unreadable := err != nil && !errors.Is(err, fs.ErrNotExist)
 	s.mu.Lock()
 	warn := unreadable && !s.warnedUnread
@@ -104,15 +111,28 @@
 	return c, err
 }
 
-func (s *State) readFile() (c content, err error) {
-	info, err := os.Stat(s.path)
+// readLatest reads the file, or its synced copy if a crash of the machine has left an older file or none.
+func (s *State) readLatest() content {
+	shared, err := s.read()
+	synced, syncedErr := s.readFile(s.syncedPath())
+	if syncedErr == nil && (err != nil || !shared.follows(synced)) {
+		return synced
+	}
+	return shared
+}
+
+// syncedPath returns the path of the copy that survives a crash of the machine.
+func (s *State) syncedPath() string { return s.path + ".synced" }
+
+func (s *State) readFile(path string) (c content, err error) {
+	info, err := os.Stat(path)
 	if err != nil {
 		return c, err
 	}
 	if info.Size() > maxFileBytes || !info.Mode().IsRegular() {
 		return c, errNotAStateFile
 	}
-	text, err := os.ReadFile(s.path)
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return c, err
 	}
@@ -179,7 +199,7 @@
 	for range maxRefreshTries {
 		revision := s.currentRevision()
 		read, err := s.read()
-		if err != nil || s.takeOver(read, revision) {
+		if err != nil || s.takeOver(read, revision) { // the next write replaces a damaged file
 			return
 		}
 	}
@@ -201,8 +221,7 @@
 		s.mu.Unlock()
 		return false
 	}
-	s.keepUnread(read)
-	s.known = read
+	s.adopt(read)
 	out := s.view().servers()
 	changed := !slices.Equal(out, s.inForce)
 	s.inForce = out
@@ -213,6 +232,16 @@
 	return true
 }
 
+// adopt makes known what was read, unless a crash of the machine has brought back an older file. The caller holds mu.
+func (s *State) adopt(read content) {
+	if !read.follows(s.known) {
+		return
+	}
+	s.keepUnread(read)
+	read.number = max(read.number, s.known.number)
+	s.known = read
+}
+
 // Announce writes the ID of this process into the file, and waits for it unless the disk is too slow.
 func (s *State) Announce() {
 	s.mu.Lock()
@@ -228,7 +257,7 @@
 
 // Close waits for changes that are not written yet, for at most the given time, and gives up the rest.
 func (s *State) Close(wait time.Duration) {
-	for end := time.Now().Add(wait); time.Now().Before(end) && len(s.unwritten()) > 0; {
+	for end := time.Now().Add(wait); time.Now().Before(end) && s.busy(); {
 		time.Sleep(lockRetryInterval)
 	}
 	if unwritten := s.unwritten(); len(unwritten) > 0 {
@@ -239,6 +268,13 @@
 	s.mu.Unlock()
 }
 
+// busy reports whether a file is being written.
+func (s *State) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writing || s.syncing
+}
+
 // unwritten returns the servers with changes that are not written yet.
 func (s *State) unwritten() []string {
 	s.mu.Lock()
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
@@ -31,6 +32,7 @@
 	add("%v, %v", first.Update(t.Context(), "s2", true, succeed), first.Update(t.Context(), "s1", true, succeed))
 	add("%v", first.Update(t.Context(), "s9", true, func() error { return errors.New("no server s9") }))
 	second, _ := open()
+	t.Cleanup(func() { first.Close(20 * time.Second); second.Close(20 * time.Second) })
 	add("the next process: %v", second.OutOfService())
 	delivered := "nothing"
 	first.Deliver = func(out []string) { delivered = fmt.Sprint(out) }
@@ -46,6 +48,7 @@
 	if err := dead.Run(); err != nil {
 		t.Fatal(err)
 	}
+	os.Remove(first.syncedPath()) // as if no process had written a change
 	for _, process := range []int{os.Getppid(), os.Getpid(), dead.Process.Pid} {
 		os.WriteFile(first.path, fmt.Appendf(nil, `{"form":%q,"sidecar":"n0","process":%d,"out":["s1"]}`, form, process), 0o600)
 		s, before := open()
@@ -112,14 +115,14 @@
 	released chan struct{}
 }
 
-func (d slowDisk) WriteFile(path string, text []byte) error {
+func (d slowDisk) WriteFile(path string, text []byte, synced bool) error {
 	<-d.released
-	return d.osDisk.WriteFile(path, text)
+	return d.osDisk.WriteFile(path, text, synced)
 }
 
 // A slow disk does not block Update, and all changes are written in the end, in their order.
 func TestSlowDisk(t *testing.T) {
-	s, _ := Open(t.TempDir(), "n0", "127.0.0.1:1", zerolog.Nop())
+	s := openAlone(t)
 	disk := slowDisk{released: make(chan struct{})}
 	s.disk = disk
 	for _, server := range []string{"s1", "s2"} {
--- a/internal/handover/two_processes_test.go
+++ b/internal/handover/two_processes_test.go
@@ -22,7 +22,7 @@
 	first.Announce()
 	second, _ = Open(folder, "n0", "127.0.0.1:1", zerolog.Nop())
 	second.Announce()
-	t.Cleanup(func() { first.Close(0); second.Close(0) })
+	t.Cleanup(func() { first.Close(20 * time.Second); second.Close(20 * time.Second) })
 	return first, second
 }
 
@@ -172,7 +172,7 @@
 // the only process then, and left the members at its stop.
 func TestChangeKeepsLatestProcess(t *testing.T) {
 	first, _ := openTwo(t)
-	text := fmt.Appendf(nil, `{"form":%q,"sidecar":"n0","process":%d,"out":[],"changed":{}}`, form, os.Getppid())
+	text := fmt.Appendf(nil, `{"form":%q,"sidecar":"n0","number":99,"process":%d,"out":[],"changed":{}}`, form, os.Getppid())
 	if err := os.WriteFile(first.path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -211,3 +211,50 @@
 	first.Close(20 * time.Second)
 	expect(t, "[s1]", refreshed(second))
 }
+
+// slowSyncDisk takes long to sync.
+type slowSyncDisk struct{ osDisk }
+
+func (d slowSyncDisk) WriteFile(path string, text []byte, synced bool) error {
+	if synced {
+		time.Sleep(3 * unreadFor)
+	}
+	return d.osDisk.WriteFile(path, text, synced)
+}
+
+// The other process has a change soon, however long the disk takes to sync it: it learned of it only after that, and
+// went on sending to a server that was out.
+func TestSlowSyncDoesNotKeepChangeFromOtherProcess(t *testing.T) {
+	first, second := openTwo(t)
+	first.disk = slowSyncDisk{}
+	set(t, first, "s1", true)
+	expect(t, "[s1] [s1]", refreshed(first, second))
+}
+
+// After a crash of the machine the file may be empty, gone or older than its synced copy, which then counts. A file of
+// an earlier version, which writes no copy, counts always.
+func TestSyncedCopyAfterCrash(t *testing.T) {
+	var got []string
+	for _, left := range []string{``, `gone`, `"number":1,"out":[],"changed":{}`, `"number":99,"out":["s9"],"changed":{}`, `"out":["s9"]`} {
+		folder := t.TempDir()
+		first, _ := Open(folder, "n0", "127.0.0.1:1", zerolog.Nop())
+		set(t, first, "s1", true)
+		set(t, first, "s2", true)
+		first.Close(20 * time.Second)
+		switch left {
+		case "gone":
+			os.Remove(first.path)
+		case "":
+			os.WriteFile(first.path, nil, 0o600)
+		default:
+			os.WriteFile(first.path, fmt.Appendf(nil, `{"form":%q,"sidecar":"n0","process":1,%s}`, form, left), 0o600)
+		}
+		next, _ := Open(folder, "n0", "127.0.0.1:1", zerolog.Nop())
+		t.Cleanup(func() { next.Close(20 * time.Second) })
+		next.Refresh()
+		set(t, next, "s3", true)
+		later, _ := Open(folder, "n0", "127.0.0.1:1", zerolog.Nop())
+		got = append(got, fmt.Sprint(later.OutOfService()))
+	}
+	expect(t, "[s1 s2 s3] [s1 s2 s3] [s1 s2 s3] [s3 s9] [s3 s9]", strings.Join(got, " "))
+}
--- a/internal/handover/write.go
+++ b/internal/handover/write.go
@@ -49,40 +49,39 @@
 func (s *State) writePending() error {
 	unlock, err := s.disk.Lock(s.path + ".lock")
 	if err != nil {
-		s.logWrite(err)
+		s.logFault(&s.writeFault, err)
 		return err
 	}
 	defer unlock()
 	read, readErr := s.read()
 	s.mu.Lock()
-	if readErr != nil {
-		read = s.known // the file is gone or damaged
-	} else {
-		s.keepUnread(read)
+	if readErr == nil { // otherwise the file is gone or damaged
+		s.adopt(read)
 	}
-	changes, announcing := maps.Clone(s.pending), s.announcing
+	latest, changes, announcing := s.known, maps.Clone(s.pending), s.announcing
 	s.mu.Unlock()
-	next := read.with(changes, now())
+	next := latest.with(changes, now())
+	next.number++
 	if announcing || readErr != nil {
 		next.process = os.Getpid()
 	}
-	err = s.replaceFile(next)
-	s.logWrite(err)
+	err = s.replaceFile(s.path, next, false)
+	s.logFault(&s.writeFault, err)
 	if err == nil {
 		s.noteWritten(next, changes, announcing)
 	}
 	return err
 }
 
-// replaceFile replaces the file by a rename, so that a concurrent reader never finds it incomplete.
-func (s *State) replaceFile(next content) error {
+// replaceFile replaces a file by a rename, so that a concurrent reader never finds it incomplete.
+func (s *State) replaceFile(path string, next content, synced bool) error {
 	text, err := next.encode(s.sidecar)
 	if err != nil {
 		return err
 	}
-	temporary := fmt.Sprintf("%s.%d", s.path, os.Getpid())
-	if err = s.disk.WriteFile(temporary, text); err == nil {
-		err = s.disk.Rename(temporary, s.path)
+	temporary := fmt.Sprintf("%s.%d", path, os.Getpid())
+	if err = s.disk.WriteFile(temporary, text, synced); err == nil {
+		err = s.disk.Rename(temporary, path, synced)
 	}
 	if err != nil {
 		os.Remove(temporary)
@@ -100,9 +99,13 @@
 		if s.pending[server] == change { // otherwise a later one has replaced it
 			delete(s.pending, server)
 			s.recent[server] = change
-			close(change.written)
+			s.unsynced = append(s.unsynced, change)
 		}
 	}
+	if len(s.unsynced) > 0 && !s.syncing {
+		s.syncing = true
+		go s.keepSyncing()
+	}
 	if announced && s.announcing {
 		s.announcing = false
 		close(s.announced)
@@ -125,16 +128,75 @@
 	}
 }
 
-// logWrite logs when writes begin to fail, and when they succeed again.
-func (s *State) logWrite(err error) {
+// keepSyncing writes the synced copy until it has all that is in the file.
+func (s *State) keepSyncing() {
+	for wait := initialRewriteDelay; ; {
+		s.mu.Lock()
+		changes := s.unsynced
+		if s.closed || len(changes) == 0 {
+			s.syncing = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		err := s.copySynced()
+		s.logFault(&s.syncFault, err)
+		if err != nil {
+			time.Sleep(wait)
+			wait = min(2*wait, maxRewriteDelay)
+			continue
+		}
+		s.noteSynced(len(changes))
+		wait = initialRewriteDelay
+	}
+}
+
+// copySynced copies the file to its synced copy. Its lock keeps a process with an older content from writing last.
+func (s *State) copySynced() error {
+	unlock, err := s.disk.Lock(s.syncedPath() + ".lock")
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	latest, err := s.read()
+	if err != nil { // the file is gone or damaged
+		latest = s.lastKnown()
+	}
+	return s.replaceFile(s.syncedPath(), latest, true)
+}
+
+func (s *State) lastKnown() content {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
+}
+
+// noteSynced records that the synced copy has the first changes that it lacked.
+func (s *State) noteSynced(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, change := range s.unsynced[:count] {
+		close(change.written)
+	}
+	s.unsynced = s.unsynced[count:]
+}
+
+// fault tells whether the last write of a file failed, and what is logged when that changes.
+type fault struct {
+	began, ended string
+	present      bool
+}
+
+// logFault logs when writes begin to fail, and when they succeed again.
+func (s *State) logFault(fault *fault, err error) {
 	s.mu.Lock()
-	failed := s.failing
-	s.failing = err != nil
+	before := fault.present
+	fault.present = err != nil
 	s.mu.Unlock()
 	switch {
-	case err != nil && !failed:
-		s.log.Warn().Err(err).Msg("which servers are out could not be written down; tried again")
-	case err == nil && failed:
-		s.log.Info().Msg("which servers are out is written down at last")
+	case err != nil && !before:
+		s.log.Warn().Err(err).Msg(fault.began)
+	case err == nil && before:
+		s.log.Info().Msg(fault.ended)
 	}
 }
