A change of a taken-out server that is written late gives way to a later call

Two processes whose writes failed for a while could bring back the older of two calls about one server: a repeated write gave way to a later change only 0.3 s after its own call.

Cause: what tells that a change may have been overtaken is not its age alone. A change whose first write failed, or had to wait for another write, is repeated within 20 ms.

Change: such a change is marked as delayed, and then gives way to a later one of the same server by the machine time of the calls.

--- a/internal/handover/content.go
+++ b/internal/handover/content.go
@@ -45,10 +45,11 @@
 	return time.Duration(t-earlier) * time.Microsecond
 }
 
-// change is a server that was taken out or put back by a call to this process.
+// change is a server that was taken out or put back by a call to this process. It is not modified once it is pending.
 type change struct {
 	out     bool
 	at      machineTime   // of the call
+	delayed bool          // its write did not begin at once or has failed, so that the other process may have written a later change
 	written chan struct{} // closed when it is in the file and in its synced copy, or a later change of the server replaces it
 }
 
@@ -123,8 +124,8 @@
 // hasLater reports whether a later change of the server than this one, which is late, is in the content. A time in the
 // future is of an earlier run of the machine.
 func (c content) hasLater(server string, change *change, at machineTime) bool {
-	changed := c.changed[server]
-	return at.since(change.at) > lateWrite && changed > change.at && changed <= at
+	changed, late := c.changed[server], change.delayed || at.since(change.at) > lateWrite
+	return late && changed > change.at && changed <= at
 }
 
 // differences returns how many servers are out in one of two contents only.
--- /dev/null
+++ b/internal/handover/main_test.go
@@ -0,0 +1,10 @@
+package handover
+
+import (
+	"os"
+	"testing"
+
+	"ledgespread/internal/testseed"
+)
+
+func TestMain(m *testing.M) { os.Exit(testseed.Run(m)) }
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -184,6 +184,7 @@
 	if replaced := s.pending[server]; replaced != nil {
 		close(replaced.written)
 	}
+	change.delayed = s.writing
 	s.pending[server] = change
 	s.inForce = s.view().servers()
 	s.revision++
--- a/internal/handover/write.go
+++ b/internal/handover/write.go
@@ -46,10 +46,15 @@
 }
 
 // writePending makes the pending changes to what the file holds at this moment.
-func (s *State) writePending() error {
+func (s *State) writePending() (err error) {
+	defer func() {
+		s.logFault(&s.writeFault, err)
+		if err != nil {
+			s.noteFailed()
+		}
+	}()
 	unlock, err := s.disk.Lock(s.path + ".lock")
 	if err != nil {
-		s.logFault(&s.writeFault, err)
 		return err
 	}
 	defer unlock()
@@ -65,14 +70,23 @@
 	if announcing || readErr != nil {
 		next.process = os.Getpid()
 	}
-	err = s.replaceFile(s.path, next, false)
-	s.logFault(&s.writeFault, err)
-	if err == nil {
+	if err = s.replaceFile(s.path, next, false); err == nil {
 		s.noteWritten(next, changes, announcing)
 	}
 	return err
 }
 
+// noteFailed records that a write of what is pending has failed.
+func (s *State) noteFailed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for server, pending := range s.pending {
+		delayed := *pending
+		delayed.delayed = true
+		s.pending[server] = &delayed
+	}
+}
+
 // replaceFile replaces a file by a rename, so that a concurrent reader never finds it incomplete.
 func (s *State) replaceFile(path string, next content, synced bool) error {
 	text, err := next.encode(s.sidecar)
