outbound: the round trip of an attempt is a type, with sending and receiving apart

Change: no change of behaviour. roundtrip.go has the type with send, receive, fail and release; the exception in TestFileSizes is gone.

--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/valyala/fasthttp"
 
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
@@ -114,7 +113,7 @@
 func (o *Outbound) attemptOnce(attempt *Attempt, server brain.ServerID, address string, until time.Time, request *exchange.Exchange) (answer *exchange.Answer,
 	reused bool, load []float64, err error) {
 	for connection := o.pool.takeIdle(server, address); connection != nil; connection = o.pool.takeIdle(server, address) {
-		answer, load, err = o.roundTrip(attempt, server, connection, until, request)
+		answer, load, err = o.roundTrip(attempt, connection, until, request)
 		if failure, ok := err.(*Failure); !ok || failure.Progress != NotSent || attempt.ctx.Err() != nil ||
 			errors.Is(err, os.ErrDeadlineExceeded) || request.Upload != nil && request.Upload.Started() {
 			o.counts.Add(counters.ConnectionsReused)
@@ -125,7 +124,7 @@
 	if err != nil {
 		return nil, false, nil, err
 	}
-	answer, load, err = o.roundTrip(attempt, server, connection, until, request)
+	answer, load, err = o.roundTrip(attempt, connection, until, request)
 	return answer, false, load, err
 }
 
@@ -167,94 +166,3 @@
 	}
 	return tcp, err
 }
-
-// roundTrip sends an attempt on a connection, reads the answer, and then returns the connection to the pool
-// or closes it. The time left that the server gets is taken just before the first byte: if the connection
-// came up late, the server would otherwise work for a client that has gone.
-func (o *Outbound) roundTrip(attempt *Attempt, server brain.ServerID, connection *conn, until time.Time, request *exchange.Exchange) (delivered *exchange.Answer,
-	load []float64, err error) {
-	reusable, streamed := false, false
-	defer func() {
-		attempt.setConnection(nil)
-		if streamed { // the stream returns or closes the connection
-			return
-		}
-		if reusable && !attempt.interrupted() { // otherwise the connection's deadline has passed, so it can't be reused
-			o.pool.putIdle(server, connection)
-			return
-		}
-		connection.abandon()
-		o.pool.release()
-	}()
-	connection.ensureDeadline(until)
-	attempt.setConnection(connection)
-	progress := NotSent
-	fail := func(cause error) error {
-		if attempt.keyExpired.Load() {
-			cause = errKeyExpired
-		} else if attempt.cancelled.Load() || progress == NotSent && attempt.ctx.Err() != nil {
-			cause = errCancelled
-		} else if !time.Now().Before(until) {
-			cause = os.ErrDeadlineExceeded // replaces the several errors that the reader returns for a deadline
-		}
-		return &Failure{Progress: progress, Cause: cause}
-	}
-	body, told := newTransfer(attempt, connection, request, until)
-	switch {
-	case told <= 0:
-		return nil, nil, fail(os.ErrDeadlineExceeded)
-	case body != nil && body.expired():
-		return nil, nil, fail(errNoTimeForBody)
-	}
-	head, buffered := request.Outgoing(brain.Micros(told / time.Microsecond))
-	if !request.AnswerWanted() || attempt.lastByteIsLate() {
-		attempt.cancelSend()
-	}
-	if attempt.ctx.Err() != nil {
-		return nil, nil, fail(errCancelled)
-	}
-	if n, err := connection.Write(head); n < len(head) {
-		return nil, nil, fail(err)
-	}
-	if body != nil {
-		if err := body.run(buffered); err != nil {
-			if rejection := o.readEarlyAnswer(attempt, connection, told); rejection != nil {
-				return nil, nil, rejection
-			}
-			return nil, nil, fail(err)
-		}
-		until = body.answerBy(until)
-		connection.deadline = time.Time{}
-		connection.ensureDeadline(until)
-		attempt.writtenAt = time.Now()
-	}
-	progress = Sent
-	attempt.setWritten()
-	o.counts.Add(counters.AttemptsWritten)
-	if attempt.interrupted() { // the deadline that interrupted it may just have been replaced
-		return nil, nil, fail(errCancelled)
-	}
-	answer, err := o.readAnswer(connection, until)
-	if err != nil {
-		if connection.readErr == nil {
-			progress = Malformed
-			o.counts.Add(counters.AttemptsMalformedAnswer)
-		}
-		return nil, nil, fail(err)
-	}
-	reusable = !answer.closes && connection.reader.Buffered() == 0 && answer.body == nil // the body of an unsuccessful answer is not read as a stream
-	if answer.status != fasthttp.StatusOK {
-		notProcessed := answer.notProcessed && (answer.status == fasthttp.StatusServiceUnavailable ||
-			answer.status == fasthttp.StatusGatewayTimeout)
-		return nil, answer.load, &Failure{Progress: Answered, Status: answer.status, NotProcessed: notProcessed}
-	}
-	if answer.body != nil {
-		attempt.setConnection(nil)
-		if attempt.interrupted() {
-			return nil, nil, fail(errCancelled)
-		}
-		streamed = true
-		answer.Rest = &stream{body: answer.body, conn: connection, server: server, outbound: o, reusable: !answer.closes}
-	}
-	return &answer.Answer, answer.load, nil
-}
--- a/internal/sizes_test.go
+++ b/internal/sizes_test.go
@@ -25,7 +25,6 @@
 var longFunctions = map[string]string{
 	"decide/membership/receive.go handleMessage": "one case for each kind of message, in the order of the page that describes them",
 	"simwire/simwire.go event":                   "one case for each kind of record, in the order of the wire's page",
-	"internal/outbound/outbound.go roundTrip":    "to be split: from the first byte to the last, what has been written decides what a failure means",
 	"decide/failover/reports.go States":          "to be split with the matter that it belongs to, which is only begun",
 }
 
