--- a/lab/backend/conn.go
+++ b/lab/backend/conn.go
@@ -50,7 +50,8 @@
 // that the backend had more connections than it allows.
 func (c *conn) read(over bool) {
 	backend := c.backend
-	reader := bufio.NewReaderSize(c.tcp, 8<<10)
+	c.limitReceiveBuffer()
+	reader := bufio.NewReaderSize(limitedReader{c.tcp, backend}, 8<<10)
 	defer func() {
 		c.tcp.Close()
 		backend.mu.Lock()
@@ -158,6 +159,7 @@
 		return true
 	}
 	c.current = entry
+	c.scheduleReset(entry)
 	backend.core.Enqueue(now, entry, c.finished)
 	backend.scheduleWake()
 	return true
@@ -182,6 +184,8 @@
 	}
 	backend.keysLock.Unlock()
 	switch chance := backend.random.Float(); {
+	case entry.unanswered:
+		entry.Outcome = Unanswered
 	case chance < backend.errors:
 		entry.Outcome = Errored
 		c.write(wire.Answer(500, ""))
--- a/lab/backend/server.go
+++ b/lab/backend/server.go
@@ -36,6 +36,9 @@
 	mute           bool
 	errors         float64
 	malformed      float64
+	readRate       int     // bytes per second of a request that are read; 0: unlimited
+	resets         float64 // fraction of the requests under which the connection is reset,
+	resetAfter     Micros  // this long after their last byte
 	alarmAt        Micros
 	report         string
 	reportAt       Micros
--- a/lab/clients/try.go
+++ b/lab/clients/try.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"ledgespread/lab/clock"
@@ -111,6 +112,7 @@
 	method, body := "GET", ""
 	if prefix.Effect != "read_like" {
 		method, body = "POST", "bay=7&until=18:30"
+		body += strings.Repeat("+", max(prefix.RequestBytes-len(body), 0))
 	}
 	fmt.Fprintf(&request, "%s /%s/x?w=%d&k=%d HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout: %du\r\n",
 		method, prefix.Name, visit.Work, visit.Key, host, try.ID, prefix.Name, max(1, timeout))
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -134,6 +134,11 @@
 		attempts{attemptAt("b0", 1001*ms, backend.Canceled, 1100*ms), attemptAt("b2", 1101*ms, backend.Delivered, 1299*ms)})
 	check("tagged, again beyond its window", request(1, clients.Delivered, 1500*ms),
 		attempts{attemptAt("b0", 1001*ms, backend.Canceled, 1100*ms), attemptAt("b1", 1351*ms, backend.Delivered, 1499*ms)})
+	for _, lastByte := range []Micros{1551 * ms, 1552 * ms} { // the window, 50 ms of slack and 200 ms for a pause
+		repeat := attemptAt("b1", 1101*ms, backend.Delivered, 1599*ms)
+		repeat.Arrived, repeat.Started = lastByte, lastByte
+		check("tagged, again within its window, whole after it", request(1, clients.Delivered, 1600*ms), attempts{attemptAt("b0", 1001*ms, backend.Canceled, 1100*ms), repeat})
+	}
 	check("tagged, bounced when it may have run, known in a zone only", request(1, clients.RetryLater, 1200*ms), attempts{attemptAt("b0", 1001*ms, backend.Errored, 1100*ms)})
 	check("tagged, the same, known to all", request(3, clients.RetryLater, 1200*ms), attempts{attemptAt("b0", 1001*ms, backend.Errored, 1100*ms)})
 	check("tagged, the same, but its window is over", request(3, clients.RetryLater, 1400*ms), attempts{attemptAt("b0", 1001*ms, backend.Errored, 1100*ms)})
--- a/lab/judge/rules.go
+++ b/lab/judge/rules.go
@@ -121,6 +121,12 @@
 					attempt.First-first.First, first.Backend)
 			}
 		}
+		if first != nil && prefix.Effect == "tagged" && mayHaveRun(attempt) {
+			if limit := first.First + prefix.Memory.M() + c.lastByteSlack(); attempt.Arrived > limit {
+				c.addViolation(2, request.ID, attempt.Backend, attempt.Arrived, limit, "a tagged visit was completed %d µs after it may have run at %s, beyond its window",
+					attempt.Arrived-first.First, first.Backend)
+			}
+		}
 		if first == nil && mayHaveRun(attempt) {
 			first = attempt
 		}
@@ -140,6 +146,18 @@
 	}
 }
 
+// lastByteSlack returns how long after the end of a window the last byte of a repeat may arrive: the rules' slack, the
+// pause that a sidecar has to tolerate, and the time that a backend takes to read what its machine holds.
+func (c *checker) lastByteSlack() Micros {
+	slowest := 0
+	for _, fault := range c.Scenario.Faults {
+		if fault.What == "slow_reads" && (slowest == 0 || fault.Bytes < slowest) {
+			slowest = fault.Bytes
+		}
+	}
+	return c.Scenario.Rules.Slack.M() + maxToleratedPause + backend.ReadDelay(slowest)
+}
+
 // group returns the group of servers that recognises a repetition of an attempt.
 func (c *checker) group(prefix scenario.Prefix, attempt *backend.Entry) string {
 	server := c.backendsByName[attempt.Backend]
--- a/lab/runner/faults.go
+++ b/lab/runner/faults.go
@@ -143,6 +143,10 @@
 		during(func() { target.SetMute(true) }, func() { target.SetMute(false) })
 	case "errors":
 		during(func() { target.SetErrors(event.Part) }, func() { target.SetErrors(0) })
+	case "slow_reads":
+		during(func() { target.SetReadRate(event.Bytes) }, func() { target.SetReadRate(0) })
+	case "reset_under":
+		during(func() { target.SetResets(event.Part, event.By.M()) }, func() { target.SetResets(0, 0) })
 	case "spoil":
 		during(func() { target.SetMalformed(event.Part) }, func() { target.SetMalformed(0) })
 	case "slow", "share":
--- a/lab/scenario/check.go
+++ b/lab/scenario/check.go
@@ -16,7 +16,7 @@
 var FaultTargets = map[string]string{
 	"kill": "backends", "kill_cold": "backends", "stall": "backends", "mute": "backends", "errors": "backends", "slow": "backends",
 	"share": "backends", "spoil": "backends", "drain": "backends", "leave": "backends", "replace": "backends", "join": "backends",
-	"unlist": "backends", "list_anew": "list", "list_odd": "list",
+	"unlist": "backends", "slow_reads": "backends", "reset_under": "backends", "list_anew": "list", "list_odd": "list",
 	"sidecar_kill": "sidecars", "sidecar_restart": "sidecars", "sidecar_stall": "sidecars",
 	"list_down": "list", "list_late": "list", "list_move": "list", "list_moves": "list", "list_slow": "list", "list_refuse": "list",
 	"list_silent": "list", "list_answers_late": "list", "sidecar_end": "sidecars", "crowd": "clients",
@@ -31,7 +31,10 @@
 	"sidecar_kill": true, "sidecar_stall": true, "list_down": true, "list_late": true, "list_slow": true, "list_refuse": true, "list_silent": true,
 	"list_answers_late": true, "crowd": true, "silence": true, "cut": true, "delay": true, "refuse": true, "narrow": true,
 	"cut_word": true, "part": true, "lose": true, "double": true, "late": true,
-	"flood": true, "surge": true, "drain": true, "unlist": true, "list_odd": true}
+	"slow_reads": true, "reset_under": true, "flood": true, "surge": true, "drain": true, "unlist": true, "list_odd": true}
+
+// maxRequestBytes is the longest body that a sidecar passes on.
+const maxRequestBytes = 32 << 20
 
 // validate returns the first invalid value of the scenario as a *strict.FieldError, or nil if all are valid.
 func (s *Scenario) validate() error {
@@ -72,6 +75,7 @@
 		check(prefix.Work > 0, "prefix", i, "work", "must be over 0")
 		check(prefix.Target > 0, "prefix", i, "target_latency", "must be over 0")
 		check(prefix.Timeout >= prefix.Target, "prefix", i, "client_timeout", "must not be under the target latency")
+		check(prefix.RequestBytes >= 0 && prefix.RequestBytes <= maxRequestBytes, "prefix", i, "request_bytes", "must be from 0 to %d", maxRequestBytes)
 		check(prefix.LateValue >= 0 && prefix.LateValue <= 1, "prefix", i, "late_value", "must be from 0 to 1")
 	}
 	tenants := map[string]bool{"": true}
@@ -106,9 +110,9 @@
 		check(!needsDuration[fault.What] || fault.For > 0, "fault", i, "for", "is missing for %s", fault.What)
 		check(!slices.Contains([]string{"slow", "share", "flood", "surge", "list_moves", "crowd"}, fault.What) || fault.Times > 1, "fault", i, "times",
 			"must be over 1 for %s", fault.What)
-		check(!slices.Contains([]string{"delay", "list_late", "late", "list_slow", "list_answers_late", "wall_back", "wall_forward"}, fault.What) || fault.By > 0, "fault", i, "by", "is missing for %s", fault.What)
-		check(fault.What != "narrow" || fault.Bytes > 0, "fault", i, "bytes_per_s", "must be over 0 for narrow")
-		check(!slices.Contains([]string{"errors", "spoil", "lose", "double", "late", "list_refuse", "list_silent"}, fault.What) || fault.Part > 0 && fault.Part <= 1, "fault", i, "part",
+		check(!slices.Contains([]string{"delay", "list_late", "late", "list_slow", "list_answers_late", "wall_back", "wall_forward", "reset_under"}, fault.What) || fault.By > 0, "fault", i, "by", "is missing for %s", fault.What)
+		check(fault.What != "narrow" && fault.What != "slow_reads" || fault.Bytes > 0, "fault", i, "bytes_per_s", "must be over 0 for %s", fault.What)
+		check(!slices.Contains([]string{"errors", "spoil", "lose", "double", "late", "list_refuse", "list_silent", "reset_under"}, fault.What) || fault.Part > 0 && fault.Part <= 1, "fault", i, "part",
 			"must be over 0 and at most 1 for %s", fault.What)
 		for _, zone := range []string{fault.From, fault.To} {
 			check(zone == "" || slices.Contains(s.Zones, zone), "fault", i, "from", "%q is not among the zones", zone)
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -118,6 +118,8 @@
 	Memory    Span    `toml:"memory"` // how long an idempotency key is remembered
 	Value     float64 `toml:"value"`
 	LateValue float64 `toml:"late_value"`
+
+	RequestBytes int `toml:"request_bytes"` // size of a request's body, except for read_like; 0: a few bytes
 }
 
 // Tenant is one of the customers that the requests belong to.
--- a/lab/soak/cover.go
+++ b/lab/soak/cover.go
@@ -86,12 +86,20 @@
 			}
 		}
 		for _, other := range kinds[i:] {
-			pairs = append(pairs, Pair{kind, other})
+			if canMeet(kind, other) {
+				pairs = append(pairs, Pair{kind, other})
+			}
 		}
 	}
 	return pairs
 }
 
+// canMeet reports whether a day can have two kinds of faults: days with long requests have no faults of the network.
+func canMeet(kind, other string) bool {
+	onNetwork := func(name string) bool { return scenario.FaultTargets[name] == "network" }
+	return !(isBodyFault(kind) && onNetwork(other) || isBodyFault(other) && onNetwork(kind))
+}
+
 // Coverage records for each covered pair the first seed whose day had it.
 type Coverage map[Pair]uint64
 
--- a/lab/soak/draw.go
+++ b/lab/soak/draw.go
@@ -35,6 +35,7 @@
 	zones              []string
 	length             int
 	machineFails       bool
+	longRequests       bool // see bodies.go
 	extreme            bool // draws extreme amounts, such as all servers or only one, more often
 }
 
@@ -142,29 +143,41 @@
 
 // Kinds returns the names of all kinds of faults.
 func Kinds() (kinds []string) {
-	for _, kind := range faultKinds {
+	for _, kind := range slices.Concat(faultKinds, bodyFaultKinds) {
 		kinds = append(kinds, kind.name)
 	}
 	return kinds
 }
 
+// kindsOf returns the kinds of faults of a day: all that any day may have, or only one kind.
+func kindsOf(only string) ([]faultKind, error) {
+	if only == "" {
+		return faultKinds, nil
+	}
+	all := slices.Concat(faultKinds, bodyFaultKinds)
+	at := slices.IndexFunc(all, func(kind faultKind) bool { return kind.name == only })
+	if at < 0 {
+		return nil, fmt.Errorf("%q is no kind of fault; there are %s", only, strings.Join(Kinds(), ", "))
+	}
+	return all[at : at+1], nil
+}
+
 // Draw draws the scenario of the day of a seed, with a length in milliseconds. only limits the faults to one
 // kind beside a disturbed list, cold restarts and the end of a sidecar, which every day has; "": any kind.
 func Draw(seed uint64, length int, only string) (*scenario.Scenario, error) {
-	kinds := faultKinds
-	if only != "" {
-		at := slices.IndexFunc(faultKinds, func(kind faultKind) bool { return kind.name == only })
-		if at < 0 {
-			return nil, fmt.Errorf("%q is no kind of fault; there are %s", only, strings.Join(Kinds(), ", "))
-		}
-		kinds = faultKinds[at : at+1]
+	kinds, err := kindsOf(only)
+	if err != nil {
+		return nil, err
 	}
-	d := &scenarioDrawer{Source: rng.New(seed, "soak"), length: length}
+	d := &scenarioDrawer{Source: rng.New(seed, "soak"), length: length, longRequests: hasLongRequests(seed, only)}
 	d.extreme = d.Below(2) == 0
 	d.machineFails = d.Below(2) == 0 || only == wallBack || only == wallForward
 	if !d.machineFails {
 		kinds = slices.DeleteFunc(slices.Clone(kinds), isClockStep)
 	}
+	if d.longRequests && only == "" {
+		kinds = withoutNetworkFaults(slices.Concat(kinds, bodyFaultKinds))
+	}
 	text := d.fleetText(seed) + d.settingsText() + d.faultsText(kinds)
 	return scenario.Parse(fmt.Sprintf("(soak, seed %d)", seed), []byte(text))
 }
@@ -185,6 +198,9 @@
 	for i := range d.backends {
 		fmt.Fprintf(&text, "[[backend]]\nzone = \"%s\"\nspeed = %.1f\n", d.zones[i%len(d.zones)], float64(d.between(8, 20))/10)
 	}
+	if d.longRequests {
+		return text.String()
+	}
 	fmt.Fprintf(&text, "[network]\nsame = \"%dus\"\ncross = \"%dus\"\nspread = \"%dus\"\ngated = true\n", d.between(0, 300), d.between(300, 2000), d.between(0, 100))
 	return text.String()
 }
@@ -192,6 +208,23 @@
 // settingsText draws the classes of requests, the traffic, the delivery of the server list and the settings of
 // the rules.
 func (d *scenarioDrawer) settingsText() string {
+	var text strings.Builder
+	if d.longRequests {
+		text.WriteString(d.longRequestsText())
+	} else {
+		text.WriteString(d.shortRequestsText())
+	}
+	fmt.Fprintf(&text, "[list]\nnotice = \"%dms\"\nmode = \"%s\"\n", d.between(0, 300), []string{"on_request", "on_request", "pushed"}[d.Below(3)])
+	if d.extreme {
+		fmt.Fprintf(&text, "whole = %.1f\ntogether = \"%dms\"\n", []float64{0, 0.5, 1}[d.Below(3)], d.between(1, 200))
+	}
+	fmt.Fprintf(&text, "[rules]\ndrain_grace = \"%dms\"\nask_every = \"%dms\"\ncold = \"%dms\"\ncold_from = %.2f\nfall_multiple = %.1f\nfall_roots = true\n", d.between(300, 1000),
+		d.between(6000, 20000), d.between(3000, 9000), float64(d.between(5, 30))/100, float64(d.between(10, 30))/10)
+	return text.String()
+}
+
+// shortRequestsText draws the classes of requests and the traffic of a day without long requests.
+func (d *scenarioDrawer) shortRequestsText() string {
 	var text strings.Builder
 	effects := []string{"read_like", "tagged", "mutating"}
 	for i, effect := range effects[:d.between(1, 3)] {
@@ -213,12 +246,6 @@
 	}
 	fmt.Fprintf(&text, "[traffic]\nrate = \"%d/s\"\nretries = %d\nimpatient = %.2f\nrude = \"%d/s\"\n", rate, d.between(0, 2),
 		float64(d.between(0, 20))/100, d.between(0, 3))
-	fmt.Fprintf(&text, "[list]\nnotice = \"%dms\"\nmode = \"%s\"\n", d.between(0, 300), []string{"on_request", "on_request", "pushed"}[d.Below(3)])
-	if d.extreme {
-		fmt.Fprintf(&text, "whole = %.1f\ntogether = \"%dms\"\n", []float64{0, 0.5, 1}[d.Below(3)], d.between(1, 200))
-	}
-	fmt.Fprintf(&text, "[rules]\ndrain_grace = \"%dms\"\nask_every = \"%dms\"\ncold = \"%dms\"\ncold_from = %.2f\nfall_multiple = %.1f\nfall_roots = true\n", d.between(300, 1000),
-		d.between(6000, 20000), d.between(3000, 9000), float64(d.between(5, 30))/100, float64(d.between(10, 30))/10)
 	return text.String()
 }
 
@@ -236,6 +263,9 @@
 		d.massRemoval(d.between(firstFaultAt, lastFaultAt), add)
 	}
 	add("sidecar_end", d.between(firstFaultAt, lastFaultAt), d.sidecarTarget())
+	if d.longRequests {
+		d.longRequestFaults(firstFaultAt, lastFaultAt, add)
+	}
 	for range d.between(minFaults, maxFaults) {
 		kind := kinds[d.Below(len(kinds))]
 		add(kind.name, d.between(firstFaultAt, lastFaultAt), kind.draw(d))
