lab: backends without long requests read from their connections directly

Cause: the reader that limits a backend's rate took the backend's lock at each read, also in scenarios that have no long requests.

Change: it stands before the connection only where a scenario has them.

--- a/lab/backend/bodies.go
+++ b/lab/backend/bodies.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"ledgespread/lab/clock"
+	"ledgespread/lab/scenario"
 )
 
 // receiveBuffer is how much of a long request the backend's machine takes unread, in bytes. The kernel may double it.
@@ -59,13 +61,15 @@
 	})
 }
 
-// limitReceiveBuffer keeps the backend's machine from taking a long request that the backend doesn't read.
-func (c *conn) limitReceiveBuffer() {
-	for _, prefix := range c.backend.prefixes {
-		if prefix.RequestBytes > 0 {
-			c.tcp.SetReadBuffer(receiveBuffer)
-		}
+// requestSource returns what requests are read from. Where there are long ones, the backend's machine takes little of a
+// request that the backend doesn't read, and reads keep to the backend's rate.
+func (c *conn) requestSource() io.Reader {
+	hasLongRequests := slices.ContainsFunc(c.backend.prefixes, func(prefix scenario.Prefix) bool { return prefix.RequestBytes > 0 })
+	if !hasLongRequests {
+		return c.tcp
 	}
+	c.tcp.SetReadBuffer(receiveBuffer)
+	return limitedReader{c.tcp, c.backend}
 }
 
 // ReadDelay returns how long a machine's unread bytes take at most at the slowest rate at which a backend reads.
--- a/lab/backend/conn.go
+++ b/lab/backend/conn.go
@@ -50,8 +50,7 @@
 // that the backend had more connections than it allows.
 func (c *conn) read(over bool) {
 	backend := c.backend
-	c.limitReceiveBuffer()
-	reader := bufio.NewReaderSize(limitedReader{c.tcp, backend}, 8<<10)
+	reader := bufio.NewReaderSize(c.requestSource(), 8<<10)
 	defer func() {
 		c.tcp.Close()
 		backend.mu.Lock()
