A test's slow server counts and answers only the requests of its test

Its port had belonged to another test's service before, which that test's watchers still called. Each request of theirs filled the server's channel, which holds 9 and which this test doesn't read: the handler of the real request waited there and never answered it, so the sidecar's 504 was right.

Change: the server answers requests without the id of its tests with 404 and counts none of them. What the tests ask for is unchanged.

--- a/internal/uploads_test.go
+++ b/internal/uploads_test.go
@@ -91,6 +91,10 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
+		if !strings.HasPrefix(request.Header.Get("X-Request-ID"), "long") { // a watcher of another test still calls this port
+			io.WriteString(c, "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		micros, _ := strconv.Atoi(strings.TrimSuffix(request.Header.Get("X-Timeout"), "u"))
 		s.executed.Add(1)
 		s.requests <- executedRequest{at: time.Now(), told: time.Duration(micros) * time.Microsecond}
