The kernel's queues of a connection are asked in one place, peek

Cause: outbound had a second copy of peek's way to a connection's descriptor, and of its ioctl for the bytes of a queue.

--- a/internal/outbound/attempt.go
+++ b/internal/outbound/attempt.go
@@ -8,6 +8,7 @@
 
 	"ledgespread/brain"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/peek"
 )
 
 // EndFunc is called once, when an attempt has ended: with the answer or with the reason why there is none,
@@ -91,7 +92,7 @@
 
 // received reports whether the server's machine has acknowledged the whole request. The caller holds the lock.
 func (attempt *Attempt) received() bool {
-	return attempt.written && (attempt.connection == nil || attempt.connection.queued(unacknowledgedBytes) == 0)
+	return attempt.written && (attempt.connection == nil || peek.Unacknowledged(attempt.connection.Conn) == 0)
 }
 
 // lastByteIsLate reports whether the limit of LimitLastByte has passed, and if so ends the attempt.
--- a/internal/outbound/transfer.go
+++ b/internal/outbound/transfer.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/peek"
 )
 
 const (
@@ -145,14 +146,14 @@
 
 // awaitSent waits until the kernel has sent what was written.
 func (t *transfer) awaitSent() error {
-	lastProgress, unsent := time.Now(), t.connection.queued(unsentBytes)
+	lastProgress, unsent := time.Now(), peek.Unsent(t.connection.Conn)
 	for unsent > 0 {
 		if err := t.checkTime(lastProgress); err != nil {
 			return err
 		}
 		time.Sleep(unsentCheckInterval)
 		before := unsent
-		if unsent = t.connection.queued(unsentBytes); unsent < before {
+		if unsent = peek.Unsent(t.connection.Conn); unsent < before {
 			lastProgress = time.Now()
 		}
 	}
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -1,4 +1,5 @@
-// Package peek inspects a connection for received data, or its end, without consuming any data.
+// Package peek inspects a connection for received data, or its end, without consuming any data, and tells what the
+// kernel holds of what was written to it.
 package peek
 
 import (
@@ -55,7 +56,7 @@
 // HasData reports whether data from the peer can be read. Unlike Inspect it does not block while another read is in
 // progress.
 func HasData(c net.Conn) (sent bool) {
-	control(c, func(fd uintptr) {
+	Control(c, func(fd uintptr) {
 		n, _ := peekByte(fd)
 		sent = n > 0
 	})
@@ -66,7 +67,7 @@
 // unread data is in the buffer, the end of the stream cannot be peeked at, and the result relies on the
 // kernel's report of a hangup.
 func PeerClosed(c net.Conn) (gone bool) {
-	control(c, func(fd uintptr) {
+	Control(c, func(fd uintptr) {
 		n, err := peekByte(fd)
 		if gone = n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR; n <= 0 {
 			return
@@ -80,17 +81,27 @@
 
 // Unread returns how many received bytes lie unread in the socket, or 0 if that can't be asked. Like HasData it
 // does not block.
-func Unread(c net.Conn) (unread int) {
-	control(c, func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
-			unread = n
+func Unread(c net.Conn) (bytes int) { return queued(c, unix.SIOCINQ) }
+
+// Unacknowledged returns how many bytes were written that the peer's machine has not acknowledged, or 0 if that can't be
+// asked.
+func Unacknowledged(c net.Conn) (bytes int) { return queued(c, unix.SIOCOUTQ) }
+
+// Unsent returns how many bytes were written that the kernel has not sent yet, or 0 if that can't be asked.
+func Unsent(c net.Conn) (bytes int) { return queued(c, unix.SIOCOUTQNSD) }
+
+// queued returns how many bytes a queue of the socket holds, by an ioctl request.
+func queued(c net.Conn, request uint) (bytes int) {
+	Control(c, func(fd uintptr) {
+		if held, err := unix.IoctlGetInt(int(fd), request); err == nil {
+			bytes = held
 		}
 	})
-	return unread
+	return bytes
 }
 
-// control calls do with the file descriptor of the connection, if it is a socket.
-func control(c net.Conn, do func(fd uintptr)) {
+// Control calls do with the file descriptor of the connection, if it is a socket.
+func Control(c net.Conn, do func(fd uintptr)) {
 	if socket, ok := c.(syscall.Conn); ok {
 		if raw, err := socket.SyscallConn(); err == nil {
 			raw.Control(do)
