handover: one loop keeps both files up to date

Cause: the file and its synced copy each had a loop of their own that writes, logs, waits and tries again, with a flag and a record of the last fault for each.

Change: no change of behaviour. A writer has what is due, how it is written and what is logged; one loop runs either.

--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -48,20 +48,18 @@
 
 	changing sync.Mutex // held while the servers out of service in this process are changed; not while the file is read or written
 
-	mu                    sync.Mutex         // for the fields below; not held while the file is read or written
-	known                 content            // of the file, as last read or written
-	pending               map[string]*change // by server: made here, and not in the file yet
-	recent                map[string]*change // by server: written a moment ago; see keepUnread
-	unsynced              []*change          // in the file, and not in its synced copy yet
-	inForce               []string           // the servers out of service in this process, in order
-	revision              int                // grows with each change of known and pending
-	announcing            bool               // the file has to get this process's ID
-	announced             chan struct{}      // closed when it has
-	writing               bool               // a goroutine writes the file
-	syncing               bool               // a goroutine writes its synced copy
-	closed                bool               // what is pending is given up
-	warnedUnread          bool               // the log already has the warning that the file cannot be read
-	writeFault, syncFault fault              // of the last write of each file
+	mu                     sync.Mutex         // for the fields below; not held while the file is read or written
+	known                  content            // of the file, as last read or written
+	pending                map[string]*change // by server: made here, and not in the file yet
+	recent                 map[string]*change // by server: written a moment ago; see keepUnread
+	unsynced               []*change          // in the file, and not in its synced copy yet
+	inForce                []string           // the servers out of service in this process, in order
+	revision               int                // grows with each change of known and pending
+	announcing             bool               // the file has to get this process's ID
+	announced              chan struct{}      // closed when it has
+	closed                 bool               // what is pending is given up
+	warnedUnread           bool               // the log already has the warning that the file cannot be read
+	fileWriter, copyWriter writer             // of the file, and of its synced copy
 }
 
 // Open opens the state file of a sidecar and reads what an earlier process wrote. A truncated, foreign or
@@ -70,8 +68,10 @@
 func Open(inFolder, sidecar, listen string, log zerolog.Logger) (s *State, before int) {
 	s = &State{Deliver: func([]string) {}, path: filepath.Join(inFolder, fmt.Sprintf("ledgespread-%x", sidecar+" "+listen)), sidecar: sidecar,
 		disk: osDisk{}, log: log, pending: map[string]*change{}, recent: map[string]*change{}}
-	s.writeFault = fault{"which servers are out could not be written down; tried again", "which servers are out is written down at last", false}
-	s.syncFault = fault{"which servers are out could not be synced to the disk; tried again", "which servers are out is synced to the disk at last", false}
+	s.fileWriter = writer{write: s.writePending, isDue: func() bool { return len(s.pending) > 0 || s.announcing },
+		failed: "which servers are out could not be written down; tried again", recovered: "which servers are out is written down at last"}
+	s.copyWriter = writer{write: s.copySynced, isDue: func() bool { return len(s.unsynced) > 0 },
+		failed: "which servers are out could not be synced to the disk; tried again", recovered: "which servers are out is synced to the disk at last"}
 	s.known = s.readLatest()
 	s.inForce = s.known.servers()
 	before = s.known.process
@@ -184,11 +184,11 @@
 	if replaced := s.pending[server]; replaced != nil {
 		close(replaced.written)
 	}
-	change.delayed = s.writing
+	change.delayed = s.fileWriter.running
 	s.pending[server] = change
 	s.inForce = s.view().servers()
 	s.revision++
-	s.startWriting()
+	s.start(&s.fileWriter)
 	return nil
 }
 
@@ -248,7 +248,7 @@
 	s.mu.Lock()
 	s.announcing, s.announced = true, make(chan struct{})
 	announced := s.announced
-	s.startWriting()
+	s.start(&s.fileWriter)
 	s.mu.Unlock()
 	select {
 	case <-announced:
@@ -273,7 +273,7 @@
 func (s *State) busy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.writing || s.syncing
+	return s.fileWriter.running || s.copyWriter.running
 }
 
 // unwritten returns the servers with changes that are not written yet.
--- a/internal/handover/write.go
+++ b/internal/handover/write.go
@@ -15,27 +15,30 @@
 	unreadFor = 300 * time.Millisecond
 )
 
-// startWriting starts a goroutine that writes what is pending, unless there is one. The caller holds mu.
-func (s *State) startWriting() {
-	if !s.writing && !s.closed {
-		s.writing = true
-		go s.keepWriting()
+// writer keeps one of the two files up to date. Its fields belong to State.mu.
+type writer struct {
+	isDue     func() bool  // reports whether the file lacks something; called with State.mu held
+	write     func() error // writes what is due
+	running   bool         // a goroutine writes
+	failing   bool         // the last write failed
+	failed    string       // logged when writes begin to fail
+	recovered string       // logged when they succeed again
+}
+
+// start starts a goroutine that writes what is due, unless there is one. The caller holds mu.
+func (s *State) start(w *writer) {
+	if !w.running && !s.closed {
+		w.running = true
+		go s.run(w)
 	}
 }
 
-// keepWriting writes the file until nothing is pending. A disk may be full for a while, and a change that an operator
-// was told of must not be lost.
-func (s *State) keepWriting() {
-	wait := initialRewriteDelay
-	for {
-		err := s.writePending()
-		s.mu.Lock()
-		if s.closed || len(s.pending) == 0 && !s.announcing {
-			s.writing = false
-			s.mu.Unlock()
-			return
-		}
-		s.mu.Unlock()
+// run writes until nothing is due. A disk may be full for a while, and a change that an operator was told of must not
+// be lost.
+func (s *State) run(w *writer) {
+	for wait := initialRewriteDelay; s.goOn(w); {
+		err := w.write()
+		s.logWrite(w, err)
 		if err == nil {
 			wait = initialRewriteDelay
 			continue
@@ -45,10 +48,31 @@
 	}
 }
 
+// goOn reports whether a writer has something to write. If not, its goroutine ends.
+func (s *State) goOn(w *writer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.running = !s.closed && w.isDue()
+	return w.running
+}
+
+// logWrite logs when writes begin to fail, and when they succeed again.
+func (s *State) logWrite(w *writer, err error) {
+	s.mu.Lock()
+	failing := w.failing
+	w.failing = err != nil
+	s.mu.Unlock()
+	switch {
+	case err != nil && !failing:
+		s.log.Warn().Err(err).Msg(w.failed)
+	case err == nil && failing:
+		s.log.Info().Msg(w.recovered)
+	}
+}
+
 // writePending makes the pending changes to what the file holds at this moment.
 func (s *State) writePending() (err error) {
 	defer func() {
-		s.logFault(&s.writeFault, err)
 		if err != nil {
 			s.noteFailed()
 		}
@@ -116,9 +140,8 @@
 			s.unsynced = append(s.unsynced, change)
 		}
 	}
-	if len(s.unsynced) > 0 && !s.syncing {
-		s.syncing = true
-		go s.keepSyncing()
+	if len(s.unsynced) > 0 {
+		s.start(&s.copyWriter)
 	}
 	if announced && s.announcing {
 		s.announcing = false
@@ -137,31 +160,8 @@
 			delete(s.recent, server)
 		} else if undone && read.out[server] != written.out && s.pending[server] == nil {
 			s.pending[server] = &change{out: written.out, at: written.at, written: make(chan struct{})}
-			s.startWriting()
-		}
-	}
-}
-
-// keepSyncing writes the synced copy until it has all that is in the file.
-func (s *State) keepSyncing() {
-	for wait := initialRewriteDelay; ; {
-		s.mu.Lock()
-		changes := s.unsynced
-		if s.closed || len(changes) == 0 {
-			s.syncing = false
-			s.mu.Unlock()
-			return
-		}
-		s.mu.Unlock()
-		err := s.copySynced()
-		s.logFault(&s.syncFault, err)
-		if err != nil {
-			time.Sleep(wait)
-			wait = min(2*wait, maxRewriteDelay)
-			continue
+			s.start(&s.fileWriter)
 		}
-		s.noteSynced(len(changes))
-		wait = initialRewriteDelay
 	}
 }
 
@@ -172,17 +172,17 @@
 		return err
 	}
 	defer unlock()
-	latest, err := s.read()
-	if err != nil { // the file is gone or damaged
-		latest = s.lastKnown()
-	}
-	return s.replaceFile(s.syncedPath(), latest, true)
-}
-
-func (s *State) lastKnown() content {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.known
+	latest, count := s.known, len(s.unsynced)
+	s.mu.Unlock()
+	if read, err := s.read(); err == nil { // otherwise the file is gone or damaged
+		latest = read
+	}
+	if err := s.replaceFile(s.syncedPath(), latest, true); err != nil {
+		return err
+	}
+	s.noteSynced(count)
+	return nil
 }
 
 // noteSynced records that the synced copy has the first changes that it lacked.
@@ -194,23 +194,3 @@
 	}
 	s.unsynced = s.unsynced[count:]
 }
-
-// fault tells whether the last write of a file failed, and what is logged when that changes.
-type fault struct {
-	began, ended string
-	present      bool
-}
-
-// logFault logs when writes begin to fail, and when they succeed again.
-func (s *State) logFault(fault *fault, err error) {
-	s.mu.Lock()
-	before := fault.present
-	fault.present = err != nil
-	s.mu.Unlock()
-	switch {
-	case err != nil && !before:
-		s.log.Warn().Err(err).Msg(fault.began)
-	case err == nil && before:
-		s.log.Info().Msg(fault.ended)
-	}
-}
