relay: attempts of classes without a window are not limited one by one

Cause: after each attempt's begin and end, all attempts of its request were given a limit again, under a lock each, also where the class has no window and the limit is always none.

Change: no change of behaviour. limitLastBytes returns at once there. A class never loses its window while a request is out.

--- a/internal/relay/requests.go
+++ b/internal/relay/requests.go
@@ -158,6 +158,9 @@
 
 // limitLastBytes limits the attempts of a request that have not ended; see request.lastByteBy.
 func (request *request) limitLastBytes() {
+	if request.class.keyWindow == 0 {
+		return
+	}
 	for number, attempt := range request.attempts {
 		if attempt != nil {
 			attempt.LimitLastByte(request.lastByteBy(number))
