--- a/lab/soak/bodies.go
+++ b/lab/soak/bodies.go
@@ -83,8 +83,7 @@
 	effects := []string{"tagged", "mutating", "read_like"}
 	for i, effect := range effects[:d.between(1, 3)] {
 		timeout := d.between(1500, 3000)
-		fmt.Fprintf(&text, "[[prefix]]\nname = \"p%d\"\neffect = \"%s\"\ngroup = \"%s\"\nwork = \"%dms\"\nwork_spread = \"exp\"\n", i, effect,
-			[]string{"all", "zone"}[d.Below(2)], d.between(2, 8))
+		text.WriteString(d.prefixText(i, effect))
 		fmt.Fprintf(&text, "target_latency = \"%dms\"\nclient_timeout = \"%dms\"\nmemory = \"%dms\"\nrequest_bytes = %d\n", timeout*3/4, timeout,
 			d.between(300, 800), d.requestBytes())
 	}
--- a/lab/soak/draw.go
+++ b/lab/soak/draw.go
@@ -223,6 +223,12 @@
 	return text.String()
 }
 
+// prefixText draws a class of requests, up to its times.
+func (d *scenarioDrawer) prefixText(number int, effect string) string {
+	return fmt.Sprintf("[[prefix]]\nname = \"p%d\"\neffect = \"%s\"\ngroup = \"%s\"\nwork = \"%dms\"\nwork_spread = \"exp\"\n", number, effect,
+		[]string{"all", "zone"}[d.Below(2)], d.between(2, 8))
+}
+
 // shortRequestsText draws the classes of requests and the traffic of a day without long requests.
 func (d *scenarioDrawer) shortRequestsText() string {
 	var text strings.Builder
@@ -235,8 +241,7 @@
 		if d.Below(3) == 0 {
 			timeout = d.between(1000, 3000)
 		}
-		fmt.Fprintf(&text, "[[prefix]]\nname = \"p%d\"\neffect = \"%s\"\ngroup = \"%s\"\nwork = \"%dms\"\nwork_spread = \"exp\"\n", i, effect,
-			[]string{"all", "zone"}[d.Below(2)], d.between(2, 8))
+		text.WriteString(d.prefixText(i, effect))
 		fmt.Fprintf(&text, "target_latency = \"%dms\"\nclient_timeout = \"%dms\"\nmemory = \"%dms\"\n", timeout/2, timeout, d.between(200, 1500))
 	}
 	// About a third of what the servers can serve: a broken rule shall come from the faults, not from overload.
