--- /dev/null
+++ b/cmd/ledgespread/memory_test.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Limits of the program in these tests, and how many clients use it at once: a third of the descriptors.
+const (
+	testMemoryMB    = 48
+	testDescriptors = 1024
+	testClients     = testDescriptors / 3
+)
+
+const (
+	slowBytesPerSecond = 64 << 10 // the slowest pace at which a client reads and writes
+	slowStep           = 250 * time.Millisecond
+	bytesOfSlowStep    = slowBytesPerSecond / int(time.Second/slowStep)
+	memoryPollInterval = 20 * time.Millisecond
+)
+
+// buildProgram builds the program as it is deployed, without the race detector, which needs memory of its own.
+func buildProgram(t *testing.T) (path string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "ledgespread")
+	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return path
+}
+
+// anonymousMemory returns the memory of a process without pages of files, in bytes.
+func anonymousMemory(t *testing.T, pid int) (bytes int) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if kilobytes, found := strings.CutPrefix(line, "RssAnon:"); found {
+			fmt.Sscan(kilobytes, &bytes)
+		}
+	}
+	return bytes << 10
+}
+
+// watchMemory watches the memory of a process until peak is called, which returns the most that it used.
+func watchMemory(t *testing.T, pid int) (peak func() int) {
+	stop, result := make(chan bool), make(chan int)
+	go func() {
+		most := 0
+		for {
+			most = max(most, anonymousMemory(t, pid))
+			select {
+			case <-stop:
+				result <- most
+				return
+			case <-time.After(memoryPollInterval):
+			}
+		}
+	}()
+	return func() int {
+		close(stop)
+		return <-result
+	}
+}
+
+// startWithMemoryLimit starts the built program with testMemoryMB and testDescriptors, before servers that handler
+// serves.
+func startWithMemoryLimit(t *testing.T, handler http.Handler) (pid int, listen string) {
+	t.Helper()
+	var entries []string
+	for i := range 8 {
+		entries = append(entries, serverEntry(fmt.Sprintf("s%d", i), serveHTTP(t, handler), "in_service"))
+	}
+	file, listen := writeLenientConfig(t, startDiscovery(t, entries...).address, "on_request", entries...)
+	text, _ := os.ReadFile(file)
+	os.WriteFile(file, []byte(strings.NewReplacer(`"memory_mb":64`, fmt.Sprintf(`"memory_mb":%d`, testMemoryMB),
+		`"sockets":64`, fmt.Sprintf(`"sockets":%d`, testDescriptors)).Replace(string(text))), 0o600)
+	program := exec.Command(buildProgram(t), "serve")
+	program.Env = append(os.Environ(), "RELAY_CONFIG="+file, "TMPDIR="+t.TempDir())
+	log := &logBuffer{}
+	program.Stderr = log
+	if err := program.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { program.Process.Kill() })
+	eventually(t, "it serves", func() bool { return strings.Contains(log.text(), `"serving"`) })
+	return program.Process.Pid, listen
+}
+
+// slowClient is a client that sends one request and reads its answer slowly.
+type slowClient struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+// sendHead connects and sends the head of a request; fields are further ones, each with its line end.
+func (c *slowClient) sendHead(address, method, target, id, fields string) (err error) {
+	if c.Conn, err = net.Dial("tcp", address); err != nil {
+		return err
+	}
+	c.in = bufio.NewReaderSize(c, bytesOfSlowStep)
+	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: a\r\nX-Request-ID: %s\r\nX-Timeout: 25000m\r\n%s\r\n", method, target, id, fields)
+	return err
+}
+
+// readSlowly reads the answer at the slowest pace for a time, and returns its status.
+func (c *slowClient) readSlowly(span time.Duration) (status int, err error) {
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	answer, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, err
+	}
+	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(slowStep) {
+		if _, err := io.CopyN(io.Discard, answer.Body, int64(bytesOfSlowStep)); err != nil {
+			return answer.StatusCode, err
+		}
+	}
+	return answer.StatusCode, nil
+}
+
+// runClients runs testClients clients, which come a little after each other, and returns how many had the status 200
+// and no error.
+func runClients(run func(number int) (status int, err error)) (served int) {
+	const betweenClients = 3 * time.Millisecond
+	var all sync.WaitGroup
+	var count atomic.Int64
+	for number := range testClients {
+		all.Go(func() {
+			if status, err := run(number); status == http.StatusOK && err == nil {
+				count.Add(1)
+			}
+		})
+		time.Sleep(betweenClients)
+	}
+	all.Wait()
+	return int(count.Load())
+}
+
+// Long answers to many slow clients exceeded the memory limit, for which the platform kills the process: their
+// beginnings and the pieces that they are passed on in were not accounted for.
+func TestLongAnswersStayWithinMemoryLimit(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		length string
+	}{{"in chunks", ""}, {"with a length", fmt.Sprint(32 << 20)}} {
+		t.Run(test.name, func(t *testing.T) {
+			pid, listen := startWithMemoryLimit(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if test.length != "" {
+					w.Header().Set("Content-Length", test.length)
+				}
+				for part := make([]byte, 64<<10); ; {
+					if _, err := w.Write(part); err != nil {
+						return
+					}
+				}
+			}))
+			peak := watchMemory(t, pid)
+			served := runClients(func(number int) (int, error) {
+				client := &slowClient{}
+				if err := client.sendHead(listen, "GET", "/look", fmt.Sprint(number), ""); err != nil {
+					return 0, err
+				}
+				defer client.Close()
+				return client.readSlowly(2 * time.Second)
+			})
+			if bytes := peak(); bytes > testMemoryMB<<20 || served < testClients {
+				t.Errorf("%d bytes of %d; %d of %d clients are served", bytes, testMemoryMB<<20, served, testClients)
+			} else {
+				t.Logf("%d bytes of %d", bytes, testMemoryMB<<20)
+			}
+		})
+	}
+}
+
+// Hundreds of clients that stopped half way through a large request made the process exceed its memory limit: the first
+// 64 KiB of each body were held whatever was left, and so was the buffer of the rest.
+func TestUnfinishedBodiesStayWithinMemoryLimit(t *testing.T) {
+	for _, size := range []int{768 << 10, 1 << 20} {
+		pid, listen := startWithMemoryLimit(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+		}))
+		peak := watchMemory(t, pid)
+		runClients(func(number int) (int, error) {
+			client := &slowClient{}
+			if err := client.sendHead(listen, "POST", "/pay", fmt.Sprint(number), fmt.Sprintf("Content-Length: %d\r\n", size)); err != nil {
+				return 0, err
+			}
+			defer client.Close()
+			_, err := client.Write(make([]byte, size/2))
+			time.Sleep(2 * time.Second)
+			return 0, err
+		})
+		if bytes := peak(); bytes > testMemoryMB<<20 {
+			t.Errorf("%d bytes of %d with bodies of %d", bytes, testMemoryMB<<20, size)
+		} else {
+			t.Logf("%d bytes of %d with bodies of %d", bytes, testMemoryMB<<20, size)
+		}
+	}
+}
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -31,6 +31,9 @@
 	// FirstMessageGrace is how long a connection's first message may take before the connection can be evicted.
 	FirstMessageGrace time.Duration
 
+	// Charge, if it is set, is called with 1 when a connection takes its slot, and with -1 when it frees it.
+	Charge func(connections int)
+
 	draining, drained atomic.Bool // of the backlog, see CloseWhenBacklogEmpty
 
 	mu    sync.Mutex
@@ -109,6 +112,7 @@
 // admit waits for a slot and adds a new connection to the listener's connections.
 func (l *Listener) admit(tcp *net.TCPConn) *clientConn {
 	l.acquireSlot()
+	l.charge(1)
 	now := time.Now()
 	conn := &clientConn{TCPConn: tcp, input: newReceiver(tcp), acceptedAt: now, since: now}
 	conn.releaseSlot = sync.OnceFunc(func() {
@@ -116,6 +120,7 @@
 		delete(l.conns, conn)
 		l.setState(conn, connClosing) // takes it out of the count of idle connections
 		l.mu.Unlock()
+		l.charge(-1)
 		<-l.slots
 	})
 	conn.markLingering = func() {
@@ -130,6 +135,13 @@
 	return conn
 }
 
+// charge tells Charge, if it is set, that connections took their slots or freed them.
+func (l *Listener) charge(connections int) {
+	if l.Charge != nil {
+		l.Charge(connections)
+	}
+}
+
 // acquireSlot takes a free slot. If there is none, it evicts a connection or waits until one is closed.
 func (l *Listener) acquireSlot() {
 	for {
--- a/internal/discovery/overload_test.go
+++ b/internal/discovery/overload_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"ledgespread/internal/counters"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/relay"
 	"ledgespread/internal/site"
@@ -261,7 +262,7 @@
 			t.Fatal(err)
 		}
 		counts := &counters.Set{}
-		r, err := relay.New(manifest, 9, outbound.New(1e6, 1e6, 9, 4<<20, nil, counts, zerolog.Nop()), nil, counts, zerolog.Nop())
+		r, err := relay.New(manifest, 9, outbound.New(1e6, 1e6, 9, memory.New(4<<20), nil, counts, zerolog.Nop()), nil, counts, zerolog.Nop())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"ledgespread/brain"
+	"ledgespread/internal/memory"
 )
 
 // Limits of what is buffered of a message: its head, in either direction, and its body. A longer body is
@@ -45,6 +46,7 @@
 
 	head, body []byte   // what is sent to the server, except for X-Timeout and the end of the head
 	bodyPieces [][]byte // buffered pieces of a body that is too long for body, which is empty then
+	freePieces func()   // gives back the memory of bodyPieces; nil: there is none
 	done       chan struct{}
 	settled    atomic.Bool
 
@@ -57,15 +59,26 @@
 // Answer is a successful answer of a server: its header fields and its body. The rest of a long body is read
 // from the server as it arrives; whoever holds the answer then has to close Rest.
 type Answer struct {
-	Fields [][2]string
-	Body   []byte
-	Size   int64         // length of the whole body; -1: unknown
-	Rest   io.ReadCloser // nil: Body is complete
+	Fields   [][2]string
+	Body     []byte
+	Size     int64              // length of the whole body; -1: unknown
+	Rest     io.ReadCloser      // nil: Body is complete
+	Reserved memory.Reservation // the memory of Body
 }
 
-// Drop discards an answer that is not passed on.
+// FreeBody gives back the memory of Body, which has been passed on.
+func (a *Answer) FreeBody() {
+	a.Body = nil
+	a.Reserved.Free()
+}
+
+// Drop discards an answer that is not passed on, or no further.
 func (a *Answer) Drop() {
-	if a != nil && a.Rest != nil {
+	if a == nil {
+		return
+	}
+	a.FreeBody()
+	if a.Rest != nil {
 		a.Rest.Close()
 	}
 }
@@ -97,6 +110,18 @@
 	return x
 }
 
+// OnPiecesFreed sets the function that gives back the memory of the buffered pieces. It may be called more than once,
+// and by several goroutines.
+func (x *Exchange) OnPiecesFreed(free func()) { x.freePieces = free }
+
+// FreePieces drops the buffered pieces of a streamed body, which have been sent and can't be sent again.
+func (x *Exchange) FreePieces() {
+	x.bodyPieces = nil
+	if x.freePieces != nil {
+		x.freePieces()
+	}
+}
+
 // Outgoing returns the request as it is sent to a server, with the time for which its answer is awaited, and
 // the pieces of a long body.
 func (x *Exchange) Outgoing(wait brain.Micros) (out []byte, body [][]byte) {
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -5,18 +5,20 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync"
 
 	"github.com/valyala/fasthttp"
 
 	"ledgespread/brain"
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/memory"
 )
 
 // How a body is handled depends on its length:
 //
-//	up to 64 KiB                read whole before the request begins
-//	up to a part of the memory  the same, if the budget for held bodies allows it; else streamed
+//	up to 64 KiB                read whole before the request begins, if the account of memory allows it; else streamed
+//	up to a part of the memory  the same, if there is memory to spare
 //	(1.3 MB of 64 MB)
 //	up to 32 MB                 streamed to one server while it is received
 //	more                        answered 413, at once if the head gives the length
@@ -24,11 +26,10 @@
 // A client's timeout runs from the last byte of its request, so reading the body first costs the request no
 // time.
 const (
-	maxBody             = 32 << 20 // bytes of a request's body
-	bodyMemoryDivisor   = 12       // part of the memory for held bodies longer than exchange.MaxBufferedBody
-	heldBodyDivisor     = 4        // part of that budget for one body; a longer one is streamed
-	maxPreallocatedBody = 8 << 10  // a longer body gets its memory in pieces, as it is received
-	minUploadRate       = 32 << 10 // bytes per second that are assumed for a streamed body
+	maxBody         = 32 << 20 // bytes of a request's body
+	heldBodyDivisor = 48       // part of the memory for one body; a longer one is streamed
+	firstBodyPiece  = 8 << 10  // a longer body is held in pieces, each twice as long as the one before
+	minUploadRate   = 32 << 10 // bytes per second that are assumed for a streamed body
 )
 
 // readBody reads a request's body, or prepares to stream it. open is false if the request must not be
@@ -48,27 +49,26 @@
 	if sized {
 		source.remaining = msg.body.Length
 	}
-	if sized && msg.body.Length <= maxPreallocatedBody {
+	reserved := memory.NewReservation(in.account, memory.RequestBodies)
+	release = sync.OnceFunc(reserved.Free)
+	request.OnPiecesFreed(release)
+	if sized && msg.body.Length <= firstBodyPiece && in.reserveBody(&reserved, 0, msg.body.Length) {
 		held := make([]byte, msg.body.Length)
 		if _, err := io.ReadFull(source, held); err != nil && err != io.EOF {
 			return release, in.refuseBrokenBody(ctx, err)
 		}
 		return release, in.holdBody(ctx, msg, request, held, nil)
 	}
-	var reserved int64
-	release = func() { in.bodyBudget.Add(reserved) }
-	if sized && int64(msg.body.Length) > max(in.maxHeldBody, exchange.MaxBufferedBody) {
+	if sized && msg.body.Length > in.maxHeldBody {
 		return release, in.streamBody(ctx, msg, request, source, nil)
 	}
 	var held [][]byte // in pieces: a growing slice is copied, which needs twice the memory and leaves garbage
-	for size, received := maxPreallocatedBody, 0; ; size = min(2*size, exchange.MaxBufferedBody/2) {
+	for size, received := firstBodyPiece, 0; ; size = min(2*size, exchange.MaxBufferedBody/2) {
 		if sized {
 			size = min(size, msg.body.Length-received)
 		}
-		if received+size > exchange.MaxBufferedBody {
-			if reserved += int64(size); in.bodyBudget.Add(-int64(size)) < 0 || int64(received+size) > in.maxHeldBody {
-				return release, in.streamBody(ctx, msg, request, source, held)
-			}
+		if !in.reserveBody(&reserved, received, size) {
+			return release, in.streamBody(ctx, msg, request, source, held)
 		}
 		piece := make([]byte, size)
 		n, err := io.ReadFull(source, piece)
@@ -84,6 +84,16 @@
 	}
 }
 
+// reserveBody reserves the memory for the next bytes of a body of which some have been received. Only a body of up to
+// exchange.MaxBufferedBody may take more than the memory that there is to spare.
+func (in *Inbound) reserveBody(reserved *memory.Reservation, received, size int) bool {
+	switch {
+	case received+size <= exchange.MaxBufferedBody:
+		return reserved.Grow(int64(max(received+size-memory.FreeBytes, 0) - max(received-memory.FreeBytes, 0)))
+	}
+	return received+size <= in.maxHeldBody && reserved.GrowSpare(int64(size))
+}
+
 // holdBody gives the exchange a body that has been read whole, as one slice or in pieces, and records where
 // the next message begins.
 func (in *Inbound) holdBody(ctx *fasthttp.RequestCtx, msg *message, request *exchange.Exchange, body []byte, pieces [][]byte) (open bool) {
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -18,18 +18,24 @@
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/peek"
 	"ledgespread/internal/site"
 )
 
 const (
-	maxUnnoticedClose   = 100 * time.Millisecond        // no attempt begins for a client that disconnected longer ago
-	watchDelayDivisor   = 32                            // a client is watched for a close after this part of its timeout,
-	maxWatchDelay       = maxUnnoticedClose / 4         // or after this time if that is earlier
-	overdueGrace        = 5 * time.Millisecond          // a request is answered without the relay this long after its timeout
-	connBufferBytes     = exchange.MaxHeadBytes + 4<<10 // read and write buffers of one connection
-	bufferMemoryDivisor = 8                             // part of the memory that the buffers of all connections may take
-	idleTimeoutMultiple = 10                            // times the longest client timeout: how long a connection may be idle
+	maxUnnoticedClose = 100 * time.Millisecond        // no attempt begins for a client that disconnected longer ago
+	watchDelayDivisor = 32                            // a client is watched for a close after this part of its timeout,
+	maxWatchDelay     = maxUnnoticedClose / 4         // or after this time if that is earlier
+	overdueGrace      = 5 * time.Millisecond          // a request is answered without the relay this long after its timeout
+	connBufferBytes   = exchange.MaxHeadBytes + 4<<10 // read and write buffers of one connection
+
+	// connectionBytesBesideBuffer is the memory of a connection beside its read buffer: the write buffer, the parsed
+	// request, the smallest piece of a body, and the stacks.
+	connectionBytesBesideBuffer = 24 << 10
+
+	bufferMemoryDivisor = 8  // part of the memory that the buffers of all connections may take
+	idleTimeoutMultiple = 10 // times the longest client timeout: how long a connection may be idle
 )
 
 // RequestHandler handles the requests of clients; the relay implements it.
@@ -55,9 +61,9 @@
 	lifecycle      lifecycle
 	stopExpired    chan struct{} // closed when a stop no longer waits for answers
 	activeStreams  atomic.Int64  // long answers that are being sent
-	bodyBudget     atomic.Int64  // bytes left for holding bodies longer than exchange.MaxBufferedBody
+	account        *memory.Account
 	accounts       *counters.RequestCounters
-	maxHeldBody    int64       // maximum bytes of bodyBudget for one body
+	maxHeldBody    int         // bytes of the longest body that is held, if there is memory to spare
 	ExtraCounters  io.WriterTo // further counters, printed after this sidecar's own; may be nil
 	counts         *counters.Set
 	log            zerolog.Logger
@@ -65,23 +71,23 @@
 
 // Listen opens the client address of the manifest. The Inbound that it returns holds at most maxConnections
 // connections; the caller must call Serve.
-func Listen(manifest *site.Manifest, maxConnections int, requests RequestHandler, counts *counters.Set,
+func Listen(manifest *site.Manifest, maxConnections int, requests RequestHandler, account *memory.Account, counts *counters.Set,
 	log zerolog.Logger) (*Inbound, error) {
 	ln, err := connlimit.Listen(manifest.Listen, manifest.Console != "")
 	if err != nil {
 		return nil, err
 	}
-	in := &Inbound{requests: requests, accounts: counters.NewRequestCounters(nil), counts: counts, log: log,
+	in := &Inbound{requests: requests, accounts: counters.NewRequestCounters(nil), account: account, counts: counts, log: log,
 		stopExpired: make(chan struct{}), listener: connlimit.New(ln, maxConnections, counts, log)}
 	in.loadRules(manifest)
-	in.bodyBudget.Store(int64(manifest.MemoryMB << 20 / bodyMemoryDivisor))
-	in.maxHeldBody = in.bodyBudget.Load() / heldBodyDivisor
+	in.maxHeldBody = max(manifest.MemoryMB<<20/heldBodyDivisor, exchange.MaxBufferedBody)
 	// With little memory the maximum head is halved, and fasthttp gives up a connection's buffers between
 	// requests, which costs one more read per request.
 	readBuffer, lowMemory := exchange.MaxHeadBytes, connBufferBytes*maxConnections > manifest.MemoryMB<<20/bufferMemoryDivisor
 	if lowMemory {
 		readBuffer /= 2
 	}
+	in.listener.Charge = chargeConnections(account, readBuffer)
 	in.server = &fasthttp.Server{Handler: in.handle, ErrorHandler: in.handleProtocolError, Logger: &in.log, StreamRequestBody: true,
 		HeaderReceived:     headReceived,
 		MaxRequestBodySize: exchange.MaxBufferedBody, ReadBufferSize: readBuffer,
@@ -93,6 +99,12 @@
 	return in, nil
 }
 
+// chargeConnections returns the function that charges the memory of client connections to the account.
+func chargeConnections(account *memory.Account, readBuffer int) func(connections int) {
+	connectionBytes := int64(readBuffer + connectionBytesBesideBuffer)
+	return func(connections int) { account.Add(memory.ClientConnections, int64(connections)*connectionBytes) }
+}
+
 // headReceived is the server's HeaderReceived hook. fasthttp reads the beginning of a body before it calls
 // the handler. The limit of one byte keeps that read from delaying the 413 for a body that is too long.
 func headReceived(h *fasthttp.RequestHeader) (config fasthttp.RequestConfig) {
@@ -146,6 +158,7 @@
 		}
 		ctx.SetContentType("text/plain; charset=utf-8")
 		in.counts.WriteTo(ctx)
+		in.account.WriteTo(ctx)
 		if in.ExtraCounters != nil {
 			in.ExtraCounters.WriteTo(ctx)
 		}
@@ -254,7 +267,7 @@
 			return
 		}
 		endRequest(counters.Succeeded)
-		ctx.Response.SetBodyRaw(request.Answer.Body)
+		in.writeWhole(ctx, request.Answer)
 	case exchange.Rejected:
 		in.counts.Add(counters.RequestsRejected)
 		endRequest(counters.Declined)
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -11,11 +11,12 @@
 
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/memory"
 )
 
 const (
-	streamWriteTimeout = 6 * time.Second           // a client that takes nothing of a long answer for this long is disconnected
-	streamSendBuffer   = 2 * len(exchange.Piece{}) // of the kernel; a larger one would hide a slow client's progress
+	streamWriteTimeout = 6 * time.Second       // a client that takes nothing of a long answer for this long is disconnected
+	streamSendBuffer   = 2 * exchange.MaxPiece // of the kernel; a larger one would hide a slow client's progress
 )
 
 // answerStream is the body of a long answer. It is read from the server in pieces, each of which is written
@@ -58,17 +59,31 @@
 // SupportsBodyWriteTo makes fasthttp call WriteTo for bodies of known length and for chunked ones.
 func (s *answerStream) SupportsBodyWriteTo() bool { return true }
 
+// writePiece writes the first n bytes of a piece to the client.
+func (s *answerStream) writePiece(piece *exchange.Piece, n int) error {
+	began := time.Now()
+	if _, err := s.conn.Write(piece.Bytes(n, s.answer.Size < 0)); err != nil {
+		return err
+	}
+	if s.received != nil && len(s.received) == 0 {
+		s.received = nil
+		s.answer.FreeBody()
+	}
+	piece.Adapt(n, time.Since(began))
+	return nil
+}
+
 // WriteTo writes the body directly to the connection, in chunks if its length is unknown. fasthttp's buffer
 // is small and would delay a body that is received slowly. fasthttp has written the head before; it writes
 // the last chunk only if WriteTo returns no error, so an answer that the server truncated is truncated for
 // the client too.
 func (s *answerStream) WriteTo(io.Writer) (sent int64, err error) {
-	piece := exchange.NewPiece()
+	piece := exchange.NewPiece(s.in.account)
 	defer piece.Free()
 	for {
 		n, err := s.readPiece(piece.Buffer())
 		if n > 0 {
-			if _, writeErr := s.conn.Write(piece.Bytes(n, s.answer.Size < 0)); writeErr != nil {
+			if writeErr := s.writePiece(piece, n); writeErr != nil {
 				return sent, writeErr
 			}
 			sent += int64(n)
@@ -99,3 +114,34 @@
 	})
 	return nil
 }
+
+// writeWhole makes the server write an answer whose body is held whole.
+func (in *Inbound) writeWhole(ctx *fasthttp.RequestCtx, answer *exchange.Answer) {
+	if len(answer.Body) <= memory.FreeBytes {
+		ctx.Response.SetBodyRaw(answer.Body)
+		answer.Reserved.Free()
+		return
+	}
+	ctx.Response.SetBodyStream(wholeAnswer{answer}, len(answer.Body))
+}
+
+// wholeAnswer is the body of an answer that is held whole. Its memory is given back once it has been written.
+type wholeAnswer struct{ answer *exchange.Answer }
+
+// Read only satisfies io.Reader: fasthttp calls WriteTo instead.
+func (w wholeAnswer) Read([]byte) (int, error) { return 0, errors.ErrUnsupported }
+
+// SupportsBodyWriteTo makes fasthttp call WriteTo.
+func (w wholeAnswer) SupportsBodyWriteTo() bool { return true }
+
+// WriteTo writes the body behind the head that fasthttp has buffered.
+func (w wholeAnswer) WriteTo(to io.Writer) (int64, error) {
+	n, err := to.Write(w.answer.Body)
+	return int64(n), err
+}
+
+// Close gives back the memory of the body.
+func (w wholeAnswer) Close() error {
+	w.answer.FreeBody()
+	return nil
+}
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -11,13 +11,13 @@
 
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/framing"
+	"ledgespread/internal/memory"
 )
 
 var (
 	errNotHTTP          = errors.New("no HTTP")
 	errHeadTooLong      = errors.New("a head without end")
 	errSwitchedProtocol = errors.New("another protocol")
-	errNoMemory         = errors.New("too many bytes of other answers are being read")
 )
 
 // response is a server's response: what the relay decides by, and what is passed on to the client.
@@ -40,7 +40,7 @@
 		}
 		first, fields, _ := bytes.Cut(head, []byte("\r\n"))
 		status, ok := framing.ParseStatusLine(first)
-		answer := &response{status: status}
+		answer := &response{status: status, Answer: exchange.Answer{Reserved: memory.NewReservation(o.account, memory.AnswerBodies)}}
 		body, err := framing.ParseFields(fields, func(name, value, _ []byte) error {
 			switch {
 			case exchange.IsForwarded(name):
@@ -68,7 +68,11 @@
 			continue
 		}
 		connection.reader.Discard(len(head))
-		return answer, o.readBody(connection, answer, body, noBody, until)
+		if err := o.readBody(connection, answer, body, noBody, until); err != nil {
+			answer.FreeBody()
+			return nil, err
+		}
+		return answer, nil
 	}
 }
 
@@ -76,7 +80,7 @@
 // the body of a response that is passed on to the client is ever read as a stream.
 func (o *Outbound) readBody(connection *conn, answer *response, body framing.Body, noBody bool, until time.Time) (err error) {
 	var source io.Reader
-	size, holdUntil := exchange.MaxBufferedBody, time.Now().Add(time.Until(until)/holdDivisor)
+	holdUntil := time.Now().Add(time.Until(until) / holdDivisor)
 	switch {
 	case noBody || body.Length == 0:
 		return nil
@@ -89,32 +93,32 @@
 			}
 		}
 		source, answer.Size, answer.closes = untilCloseBody{connection}, -1, true
-	case body.Length > exchange.MaxBufferedBody:
+	default:
+		if held, err := o.readWhole(connection, answer, body.Length); held {
+			return err
+		}
 		answer.body, answer.Size = &fixedBody{connection, int64(body.Length)}, int64(body.Length)
 		return nil
-	default:
-		size = body.Length
-	}
-	if source != nil && o.bodyMemoryUsed.Load() > int64(o.bodyMemory/highUseDivisor) {
-		size /= 4 // under memory pressure, hold less of each body
-	}
-	// Reserve the memory before the bytes arrive, so that many answers at once can't exhaust it.
-	defer o.bodyMemoryUsed.Add(-int64(size))
-	if o.bodyMemoryUsed.Add(int64(size)) > int64(o.bodyMemory) {
-		return errNoMemory
-	}
-	if source == nil {
-		answer.Body = make([]byte, size)
-		_, err = io.ReadFull(connection.reader, answer.Body)
-		return err
 	}
 	var complete bool
-	if answer.Body, complete, err = connection.readStart(source, size, holdUntil, until); err == nil && !complete {
+	if answer.Body, complete, err = connection.readStart(source, &answer.Reserved, holdUntil, until); err == nil && !complete {
 		answer.body = source
 	}
 	return err
 }
 
+// readWhole reads a body of known length. held is false if it is too long, or there is no memory to hold it: it is
+// passed on as it arrives.
+func (o *Outbound) readWhole(connection *conn, answer *response, length int) (held bool, err error) {
+	beyondFree := int64(max(length-memory.FreeBytes, 0))
+	if length > exchange.MaxBufferedBody || !answer.Reserved.Grow(beyondFree) {
+		return false, nil
+	}
+	answer.Body = make([]byte, length)
+	_, err = io.ReadFull(connection.reader, answer.Body)
+	return true, err
+}
+
 // peekHead returns the next response head without consuming it.
 func (c *conn) peekHead(limit int) ([]byte, error) {
 	const prefix = "HTTP/1.1 "
--- a/internal/outbound/faults_test.go
+++ b/internal/outbound/faults_test.go
@@ -19,6 +19,7 @@
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 )
 
@@ -43,7 +44,7 @@
 }
 
 func newOutbound(connectTimeout time.Duration) *outbound.Outbound {
-	return outbound.New(1_000_000, brain.Micros(connectTimeout/time.Microsecond), 9, 4<<20, nil, &counters.Set{}, zerolog.Nop())
+	return outbound.New(1_000_000, brain.Micros(connectTimeout/time.Microsecond), 9, memory.New(4<<20), nil, &counters.Set{}, zerolog.Nop())
 }
 
 func serve(t *testing.T) (address string) {
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -18,13 +18,15 @@
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/machine"
+	"ledgespread/internal/memory"
 )
 
 const (
-	readBufferSize = 4 << 10 // bytes of a connection's read buffer, until a longer head arrives
+	// readBufferSize is the size of a connection's read buffer, until a longer head arrives. A body is read directly
+	// into a larger piece, and not copied.
+	readBufferSize = exchange.MinPiece - 64
 
 	idleMarginDivisor = 20 // close idle connections 1/20 of their idle time before the server may
-	highUseDivisor    = 4  // hold less of each answer once 1/4 of the memory for answers is in use
 	holdDivisor       = 8  // hold an answer of unknown length back for 1/8 of the time left, unless it gets too long
 
 	deadlineSlackDivisor = 4 // a connection's deadline may be late by 1/4 of the time left
@@ -42,20 +44,19 @@
 	Dial           Dial // opens connections; set before the first attempt
 	pool           pool
 	workers        workers
-	connectTimeout atomic.Int64             // timeout in nanoseconds
-	bodyMemory     int                      // limit of the memory for answers that are being read, in bytes
-	bodyMemoryUsed atomic.Int64             // bytes of it in use
+	connectTimeout atomic.Int64 // timeout in nanoseconds
+	account        *memory.Account
 	loadFields     atomic.Pointer[[]string] // fields of the servers' load reports; empty: there are no reports
 	counts         *counters.Set
 	log            zerolog.Logger
 }
 
 // New returns an Outbound that opens at most maxConnections connections and closes those that were
-// idle for idleTimeout. New connections time out after connectTimeout. Answers use at most bodyMemory bytes
-// while they are read. Load reports have the fields loadFields, in this order.
-func New(idleTimeout, connectTimeout brain.Micros, maxConnections, bodyMemory int, loadFields []string, counts *counters.Set, log zerolog.Logger) *Outbound {
-	o := &Outbound{Dial: dialTCP, workers: make(workers), bodyMemory: bodyMemory, counts: counts, log: log,
-		pool: pool{idle: map[brain.ServerID][]*conn{}, maxOpen: maxConnections, counts: counts, log: log}}
+// idle for idleTimeout. New connections time out after connectTimeout. The memory of connections and of bodies is
+// charged to the account. Load reports have the fields loadFields, in this order.
+func New(idleTimeout, connectTimeout brain.Micros, maxConnections int, account *memory.Account, loadFields []string, counts *counters.Set, log zerolog.Logger) *Outbound {
+	o := &Outbound{Dial: dialTCP, workers: make(workers), account: account, counts: counts, log: log,
+		pool: pool{idle: map[brain.ServerID][]*conn{}, maxOpen: maxConnections, account: account, counts: counts, log: log}}
 	o.Retune(idleTimeout, connectTimeout, loadFields)
 	return o
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -12,6 +12,7 @@
 
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/peek"
 )
 
@@ -48,6 +49,9 @@
 	return c.reader.Buffered() == 0 && peek.Inspect(c.Conn, false) == peek.Empty
 }
 
+// connectionBytes is the memory of a connection: its buffer, the smallest piece of a body, and the stack of an attempt.
+const connectionBytes = 12 << 10
+
 // pool holds the idle connections and counts all open ones.
 type pool struct {
 	mu          sync.Mutex
@@ -55,6 +59,7 @@
 	idleTimeout atomic.Int64               // idle timeout in nanoseconds
 	openCount   int
 	maxOpen     int
+	account     *memory.Account
 	counts      *counters.Set
 	log         zerolog.Logger
 }
@@ -146,6 +151,7 @@
 		p.idle[oldest] = p.idle[oldest][1:]
 	}
 	p.openCount++
+	p.account.Add(memory.ServerConnections, connectionBytes)
 	return true
 }
 
@@ -160,15 +166,21 @@
 // release records that a connection was closed, or could not be opened.
 func (p *pool) release() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.countClosed()
+}
+
+// countClosed records that a connection was closed; the caller holds the lock.
+func (p *pool) countClosed() {
 	p.openCount--
-	p.mu.Unlock()
+	p.account.Release(memory.ServerConnections, connectionBytes)
 }
 
 // closeLocked closes an idle connection; the caller holds the lock.
 func (p *pool) closeLocked(connection *conn, reason string) {
 	p.logClosed(connection, reason)
 	connection.Close()
-	p.openCount--
+	p.countClosed()
 }
 
 // closeIdle closes a server's idle connections.
--- a/internal/outbound/roundtrip.go
+++ b/internal/outbound/roundtrip.go
@@ -67,7 +67,7 @@
 // came up late, the server would otherwise work for a client that has gone.
 func (trip *roundTrip) send() error {
 	attempt, connection := trip.attempt, trip.connection
-	body, told := newTransfer(attempt, connection, trip.request, trip.until)
+	body, told := newTransfer(attempt, connection, trip.account, trip.request, trip.until)
 	switch {
 	case told <= 0:
 		return trip.fail(os.ErrDeadlineExceeded)
@@ -118,6 +118,7 @@
 	}
 	trip.reusable = !answer.closes && connection.reader.Buffered() == 0 && answer.body == nil // the body of an unsuccessful answer is not read as a stream
 	if answer.status != fasthttp.StatusOK {
+		answer.FreeBody()
 		notProcessed := answer.notProcessed && (answer.status == fasthttp.StatusServiceUnavailable ||
 			answer.status == fasthttp.StatusGatewayTimeout)
 		return nil, answer.load, &Failure{Progress: Answered, Status: answer.status, NotProcessed: notProcessed}
@@ -125,6 +126,7 @@
 	if answer.body != nil {
 		attempt.setConnection(nil)
 		if attempt.interrupted() {
+			answer.FreeBody()
 			return nil, nil, trip.fail(errCancelled)
 		}
 		trip.streamed = true
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -4,17 +4,19 @@
 	"errors"
 	"io"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
+	"ledgespread/internal/exchange"
+	"ledgespread/internal/memory"
 )
 
 const (
 	stallTimeout = 5 * time.Second  // limit for a server to send the next data of a long answer, or to accept the next data of a long request
 	maxHold      = stallTimeout / 5 // limit for holding back data of a server, whether or not its answer proves to be a long one
+	startGrowth  = 4                // the held beginning of an answer grows by this factor: most bodies are short, and each copy is garbage to collect
 )
 
 // stream is the rest of a long answer. It is read at the client's pace and closed by its reader.
@@ -59,19 +61,23 @@
 	return nil
 }
 
-// readStart reads a body of unknown length until it is complete, has limit bytes, or the time holdUntil is
+// readStart reads a body of unknown length until it is complete, is too long to be held, or the time holdUntil is
 // reached; the rest is then read by a stream. After failAfter it fails. The hold keeps an answer that the
 // client could already have from being delayed for long, while a short answer is read completely and can
-// still be retried if it breaks off.
-func (c *conn) readStart(body io.Reader, limit int, holdUntil, failAfter time.Time) (first []byte, complete bool, err error) {
-	first = make([]byte, 0, 4<<10)
+// still be retried if it breaks off. Without memory for it, less of the answer is held.
+func (c *conn) readStart(body io.Reader, reserved *memory.Reservation, holdUntil, failAfter time.Time) (first []byte, complete bool, err error) {
+	first = make([]byte, 0, memory.FreeBytes)
 	c.SetReadDeadline(holdUntil)
 	c.deadline = time.Time{} // the next reader sets its own deadline
-	for len(first) < limit {
-		if len(first) == cap(first) { // grow by 4, 16, 64 KiB: most bodies are short, and each copy is garbage to collect
-			first = slices.Grow(first, min(4*cap(first), limit)-len(first))
+	for {
+		if len(first) == cap(first) {
+			larger := min(startGrowth*cap(first), exchange.MaxBufferedBody)
+			if larger == cap(first) || !reserved.Grow(int64(larger-cap(first))) {
+				return first, false, nil
+			}
+			first = append(make([]byte, 0, larger), first...)
 		}
-		n, err := body.Read(first[len(first):min(cap(first), limit)])
+		n, err := body.Read(first[len(first):cap(first)])
 		first = first[:len(first)+n]
 		switch {
 		case err == io.EOF:
@@ -83,5 +89,4 @@
 			return first, false, err
 		}
 	}
-	return first, false, nil
 }
--- a/internal/outbound/transfer.go
+++ b/internal/outbound/transfer.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/peek"
 )
 
@@ -27,19 +28,21 @@
 type transfer struct {
 	attempt    *Attempt
 	connection *conn
-	upload     *exchange.Upload // nil: the whole body is buffered
+	account    *memory.Account
+	request    *exchange.Exchange
+	upload     *exchange.Upload // of the request; nil: the whole body is buffered
 	long       bool             // longer than exchange.MaxBufferedBody
 	writeBy    time.Time        // for a buffered body: when it must have been written
 }
 
 // newTransfer returns the transfer of a request's body, and the time that the server is told: with a long body, what
 // is left when the transfer ends at its latest. A request whose body is sent with the head has no transfer.
-func newTransfer(attempt *Attempt, connection *conn, request *exchange.Exchange, until time.Time) (t *transfer, told time.Duration) {
+func newTransfer(attempt *Attempt, connection *conn, account *memory.Account, request *exchange.Exchange, until time.Time) (t *transfer, told time.Duration) {
 	timeLeft := time.Until(until)
 	if !request.BodyFollowsHead() {
 		return nil, timeLeft
 	}
-	t = &transfer{attempt: attempt, connection: connection, upload: request.Upload, long: request.HasLongBody(), writeBy: until}
+	t = &transfer{attempt: attempt, connection: connection, account: account, request: request, upload: request.Upload, long: request.HasLongBody(), writeBy: until}
 	if !t.long {
 		return t, timeLeft
 	}
@@ -113,18 +116,14 @@
 	if t.upload == nil {
 		return t.writeWhole(buffered)
 	}
-	piece := exchange.NewPiece() // buffer for what is read from the client
+	piece := exchange.NewPiece(t.account) // buffer for what is read from the client
 	defer piece.Free()
 	chunks := !t.upload.Sized
-	if chunks {
-		for _, data := range buffered { // each fits into a Piece
-			if err := t.write(piece.Bytes(copy(piece.Buffer(), data), true)); err != nil {
-				return err
-			}
-		}
-	} else if err := t.writePieces(buffered); err != nil {
+	if err := t.writeBuffered(piece, buffered, chunks); err != nil {
 		return err
 	}
+	clear(buffered)
+	t.request.FreePieces()
 	return t.writeRest(piece, chunks)
 }
 
@@ -170,14 +169,33 @@
 	return nil
 }
 
+// writeBuffered writes the buffered beginning of a body.
+func (t *transfer) writeBuffered(piece *exchange.Piece, buffered [][]byte, chunks bool) error {
+	if !chunks {
+		return t.writePieces(buffered)
+	}
+	for _, data := range buffered {
+		for len(data) > 0 {
+			n := copy(piece.Buffer(), data)
+			if err := t.write(piece.Bytes(n, true)); err != nil {
+				return err
+			}
+			data = data[n:]
+		}
+	}
+	return nil
+}
+
 // writeRest writes the rest of the body as it is read from the client.
 func (t *transfer) writeRest(piece *exchange.Piece, chunks bool) error {
 	for {
 		n, err := t.upload.Read(piece.Buffer())
 		if n > 0 {
+			began := time.Now()
 			if failed := t.write(piece.Bytes(n, chunks)); failed != nil {
 				return failed
 			}
+			piece.Adapt(n, time.Since(began))
 		}
 		switch {
 		case err == io.EOF && chunks:
@@ -199,7 +217,11 @@
 	until := time.Now().Add(min(maxEarlyAnswerWait, timeLeft/earlyAnswerDivisor))
 	connection.SetReadDeadline(until)
 	answer, err := o.readAnswer(connection, until)
-	if err != nil || answer.status == fasthttp.StatusOK {
+	if err != nil {
+		return nil
+	}
+	answer.FreeBody()
+	if answer.status == fasthttp.StatusOK {
 		return nil
 	}
 	return &Failure{Progress: Answered, Status: answer.status, NotProcessed: true}
--- a/internal/races_test.go
+++ b/internal/races_test.go
@@ -16,6 +16,7 @@
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/relay"
 )
@@ -464,7 +465,7 @@
 		t.Cleanup(func() { ln.Close() })
 		manifest := parseConfiguration(t, withLongTimeouts(strings.NewReplacer("127.0.0.1:9", ln.Addr().String(), `"born_ms":2`, `"born_ms":0`).Replace(serverEntry)))
 		counts := &counters.Set{}
-		r, err := relay.New(manifest, 9, outbound.New(10*second, 20*second, 9, 4<<20, nil, counts, zerolog.Nop()), nil, counts, zerolog.Nop())
+		r, err := relay.New(manifest, 9, outbound.New(10*second, 20*second, 9, memory.New(4<<20), nil, counts, zerolog.Nop()), nil, counts, zerolog.Nop())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -577,7 +578,7 @@
 		counts := &counters.Set{}
 		manifest := parseConfiguration(t, strings.NewReplacer(`"connect_timeout_us":100000`, `"connect_timeout_us":3000000`,
 			`"memory_span_us":500000`, `"memory_span_us":9000000`).Replace(withLongTimeouts(entryFor(&fakeServer{Listener: ln}))))
-		r, err := relay.New(manifest, 9, outbound.New(10*second, 3*second, 9, 4<<20, nil, counts, zerolog.Nop()), nil, counts, zerolog.New(log))
+		r, err := relay.New(manifest, 9, outbound.New(10*second, 3*second, 9, memory.New(4<<20), nil, counts, zerolog.Nop()), nil, counts, zerolog.New(log))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -640,7 +641,7 @@
 	}
 	defer ln.Close()
 	openBacklog := fillBacklog(t, ln)
-	o := outbound.New(10*second, 3*second, 9, 4<<20, nil, &counters.Set{}, zerolog.Nop())
+	o := outbound.New(10*second, 3*second, 9, memory.New(4<<20), nil, &counters.Set{}, zerolog.Nop())
 	tr.add("no time left: %s", strings.SplitN(sendAttempt(o, "/late", ln.Addr().String(), second/2, noAction), ":", 2)[0])
 	openBacklog()
 	for begun := time.Now(); time.Since(begun) < time.Second; {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 
 	"ledgespread/internal/counters"
 	"ledgespread/internal/discovery"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/site"
 )
@@ -34,7 +35,7 @@
 		return manifest
 	}
 	manifest := withFields(`"concurrent"`)
-	r, err := New(manifest, 9, outbound.New(1, 1, 9, 1, manifest.LoadFields(), counts, zerolog.Nop()), nil, counts, zerolog.Nop())
+	r, err := New(manifest, 9, outbound.New(1, 1, 9, memory.New(1), manifest.LoadFields(), counts, zerolog.Nop()), nil, counts, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +59,7 @@
 		t.Fatal(err)
 	}
 	counts := &counters.Set{}
-	relay, err := New(manifest, 9, outbound.New(1, 1, 9, 1, nil, counts, zerolog.Nop()), nil, counts, zerolog.Nop())
+	relay, err := New(manifest, 9, outbound.New(1, 1, 9, memory.New(1), nil, counts, zerolog.Nop()), nil, counts, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,7 +99,7 @@
 	}
 	var log strings.Builder
 	counts := &counters.Set{}
-	r, err := New(manifest, 9, outbound.New(1, 1, 9, 1, nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log))
+	r, err := New(manifest, 9, outbound.New(1, 1, 9, memory.New(1), nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/server_starts_test.go
+++ b/internal/relay/server_starts_test.go
@@ -11,6 +11,7 @@
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/discovery"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/site"
 )
@@ -37,7 +38,7 @@
 	for _, step := range []brain.Micros{0, -2 * oneSecond, -3600 * oneSecond, 2 * oneSecond} {
 		var log strings.Builder
 		counts := &counters.Set{}
-		relay, err := New(manifest, 9, outbound.New(1, 1, 9, 1, nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log))
+		relay, err := New(manifest, 9, outbound.New(1, 1, 9, memory.New(1), nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -13,6 +13,7 @@
 
 	"ledgespread/internal/counters"
 	"ledgespread/internal/inbound"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/relay"
 	"ledgespread/internal/site"
@@ -115,7 +116,7 @@
 // CheckStart returns an error if a sidecar could not start with this configuration.
 func CheckStart(manifest *site.Manifest) error {
 	var counts counters.Set
-	servers := outbound.New(0, 0, 0, 0, nil, &counts, zerolog.Nop())
+	servers := outbound.New(0, 0, 0, memory.New(0), nil, &counts, zerolog.Nop())
 	_, err := relay.New(manifest, 0, servers, nil, &counts, zerolog.Nop())
 	return err
 }
--- a/internal/reload_test.go
+++ b/internal/reload_test.go
@@ -24,6 +24,7 @@
 	"ledgespread/internal/discovery"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/inbound"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/relay"
 	"ledgespread/internal/reload"
@@ -44,7 +45,7 @@
 func startLiveSidecar(t *testing.T, configuration string) *liveSidecar {
 	t.Helper()
 	manifest, live := parseConfiguration(t, configuration), &liveSidecar{t: t, counts: &counters.Set{}}
-	out := outbound.New(manifest.Micros("allowed.conn_idle_us"), manifest.Micros("allowed.connect_timeout_us"), 99, 4<<20, manifest.LoadFields(), live.counts, zerolog.Nop())
+	out := outbound.New(manifest.Micros("allowed.conn_idle_us"), manifest.Micros("allowed.connect_timeout_us"), 99, memory.New(4<<20), manifest.LoadFields(), live.counts, zerolog.Nop())
 	r, err := relay.New(manifest, 99, out, nil, live.counts, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/requests_test.go
+++ b/internal/requests_test.go
@@ -19,6 +19,7 @@
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/inbound"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/relay"
 	"ledgespread/internal/site"
 )
@@ -85,7 +86,7 @@
 	}
 	manifest.Listen = free.Addr().String()
 	free.Close()
-	in, err := inbound.Listen(manifest, maxConns, requestTaker, counts, zerolog.Nop())
+	in, err := inbound.Listen(manifest, maxConns, requestTaker, memory.New(4<<20), counts, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/servers_test.go
+++ b/internal/servers_test.go
@@ -21,6 +21,7 @@
 	"ledgespread/brain"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 )
 
@@ -164,7 +165,7 @@
 
 // newOutbound returns an outbound with a connect timeout of one second.
 func newOutbound(idleTimeout brain.Micros, maxConns int, counts *counters.Set) *outbound.Outbound {
-	return outbound.New(idleTimeout, second, maxConns, 4<<20, nil, counts, zerolog.Nop())
+	return outbound.New(idleTimeout, second, maxConns, memory.New(4<<20), nil, counts, zerolog.Nop())
 }
 
 // deadlineAfter returns the time that is span from now.
@@ -250,7 +251,7 @@
 		f.CancelUnsent()
 	})
 	tr.add("its request ends while the connection is being established: %s", end)
-	end = sendAttempt(outbound.New(10*second, second/20, 9, 4<<20, nil, &counters.Set{}, zerolog.Nop()), "/ok", full, 5*second, noAction)
+	end = sendAttempt(outbound.New(10*second, second/20, 9, memory.New(4<<20), nil, &counters.Set{}, zerolog.Nop()), "/ok", full, 5*second, noAction)
 	tr.add("the connection cannot be established: %s", strings.Split(end, ": dial")[0])
 	server.Close()
 	refused := sendAttempt(newOutbound(10*second, 9, &counters.Set{}), "/ok", server.Addr().String(), second, noAction)
--- a/internal/settings_test.go
+++ b/internal/settings_test.go
@@ -11,6 +11,7 @@
 
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/site"
 )
@@ -38,7 +39,7 @@
 			}
 			return "HTTP/1.1 200 OK\r\n" + line + "Content-Length: 2\r\n\r\nhi"
 		})
-		o := outbound.New(10*second, second, 9, 4<<20, loads, &counts, zerolog.Nop())
+		o := outbound.New(10*second, second, 9, memory.New(4<<20), loads, &counts, zerolog.Nop())
 		for _, path := range []string{"/ours", "/theirs", "/full", "/part", "/word", "/less", "/vast", "/text", "/none"} {
 			end := make(chan string, 1)
 			o.Send(exchange.New().SetContent([]byte("GET "+path+" HTTP/1.1\r\nHost: a\r\n"), nil, nil), 1, server.Addr().String(), deadlineAfter(second), time.Time{},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"ledgespread/internal/extensions"
 	"ledgespread/internal/inbound"
 	"ledgespread/internal/members"
+	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/peers"
 	"ledgespread/internal/relay"
@@ -28,12 +29,11 @@
 // Shares of the configured limits. The remaining sockets are for listeners, discovery and the runtime; the
 // remaining memory is for stacks, buffers and the kernel.
 const (
-	clientSocketsShare  = 0.45 // of the sockets, for clients
-	serverSocketsShare  = 0.35 // of the sockets, for servers
-	openRequestsShare   = 0.9  // of the servers' sockets: how many requests may be open at once
-	heapShare           = 0.65 // of the memory; half of that while an old and a new process of the sidecar share the limits
-	answerMemoryDivisor = 4    // 1/4 of the memory, for answers that are being read
-	gcPercent           = 400  // GOGC percentage, while the memory limit allows it
+	clientSocketsShare = 0.45 // of the sockets, for clients
+	serverSocketsShare = 0.35 // of the sockets, for servers
+	openRequestsShare  = 0.9  // of the servers' sockets: how many requests may be open at once
+	heapShare          = 0.65 // of the memory; half of that while an old and a new process of the sidecar share the limits
+	gcPercent          = 400  // GOGC percentage, while the memory limit allows it
 )
 
 // firstListTimeout is how long to wait for the first list, if an agent pushes it or an old process still
@@ -94,6 +94,7 @@
 type process struct {
 	Options
 	counts        *counters.Set
+	account       *memory.Account
 	rollouts      *rollouts.Rollouts // nil: members don't distribute configurations
 	peers         *peers.Peers       // nil: messages are not allowed
 	relay         *relay.Relay
@@ -108,7 +109,7 @@
 
 // Run starts the parts and returns when the process was asked to stop, or can't go on.
 func Run(o Options) error {
-	proc := &process{Options: o, counts: &counters.Set{}, reloaderReady: make(chan struct{}), replaced: func() bool { return false }, closeState: func() {}}
+	proc := &process{Options: o, counts: &counters.Set{}, account: memory.New(0), reloaderReady: make(chan struct{}), replaced: func() bool { return false }, closeState: func() {}}
 	reload.SetCores(proc.Manifest)
 	proc.limitHeap(1)
 	debug.SetGCPercent(gcPercent)
@@ -148,7 +149,7 @@
 func (p *process) openRelay() (err error) {
 	manifest := p.Manifest
 	sockets := serverSocketsShare * float64(manifest.Sockets)
-	servers := outbound.New(manifest.Micros("allowed.conn_idle_us"), manifest.Micros("allowed.connect_timeout_us"), int(sockets), manifest.MemoryMB<<20/answerMemoryDivisor,
+	servers := outbound.New(manifest.Micros("allowed.conn_idle_us"), manifest.Micros("allowed.connect_timeout_us"), int(sockets), p.account,
 		manifest.LoadFields(), p.counts, p.Log)
 	if p.Machine.Dial != nil {
 		servers.Dial = p.Machine.Dial
@@ -187,7 +188,7 @@
 	if p.peers != nil {
 		go p.peers.Receive(p.relay.ReceiveMessage)
 	}
-	clients, err := inbound.Listen(manifest, int(clientSocketsShare*float64(manifest.Sockets)), p.relay, p.counts, p.Log)
+	clients, err := inbound.Listen(manifest, int(clientSocketsShare*float64(manifest.Sockets)), p.relay, p.account, p.counts, p.Log)
 	if err != nil {
 		return nil, err
 	}
@@ -263,7 +264,10 @@
 	}
 }
 
-// limitHeap sets the garbage collector's memory limit, if this many processes share the configured memory.
+// limitHeap sets the garbage collector's memory limit and the limit of the account, if this many processes share the
+// configured memory.
 func (p *process) limitHeap(processes float64) {
-	debug.SetMemoryLimit(int64(heapShare / processes * float64(p.Manifest.MemoryMB) * (1 << 20)))
+	heapBytes := int64(heapShare / processes * float64(p.Manifest.MemoryMB) * (1 << 20))
+	debug.SetMemoryLimit(heapBytes)
+	p.account.SetLimit(memory.Available(heapBytes))
 }
