A client that stops in the middle of a large request is cut off after 2.6 s

What callers saw: clients that stopped half way through a large request had neither an error nor a close, for as long as the bytes sent take at 32 kB a second; each held its connection, one to a server and an open request.

Cause: the deadline grew with the bytes received and knew no silence (extendDeadline). Now a read of a long body also ends 2.6 s after it began; what the client is kept waiting for does not count.

--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -18,7 +18,7 @@
 const (
 	minBodyRate      = 32 << 10            // bytes per second that a long body must reach while it is being read
 	shortMessage     = 8 << 10             // bytes of a message to which minBodyRate does not apply
-	minDeadlineStep  = MessageTimeout / 20 // a long body's deadline is extended by this at least
+	minDeadlineStep  = MessageTimeout / 20 // a long body's deadline is moved by this at least
 	maxClientReadGap = time.Millisecond    // a longer gap between two reads of a body is not the client's fault
 
 	deadlineSlackDivisor = 8 // a read may time out early or late by this part of the time left
@@ -116,7 +116,7 @@
 	}
 	c.applyReadDeadline()
 	if c.messageBytes > shortMessage {
-		c.extendDeadline()
+		c.moveDeadline()
 	}
 	n, err = c.input.Read(p)
 	c.messageBytes += n
@@ -160,15 +160,19 @@
 	c.peerClosed = c.peerClosed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// extendDeadline extends the read deadline of a long body by the time that its bytes take at minBodyRate, and
-// by the time during which this side did not read. Slow clients can complete their bodies; clients that send
-// a byte at a time are still cut off.
-func (c *clientConn) extendDeadline() {
+// moveDeadline moves the read deadline of a long body, before a read. The client has the time that the bytes so far take at
+// minBodyRate, besides that during which this side did not read; slow clients can complete their bodies, and clients that
+// send a byte at a time are cut off. Whatever it has sent so far, a client that stops is cut off after MessageTimeout.
+func (c *clientConn) moveDeadline() {
 	now := time.Now()
 	if gap := now.Sub(c.lastReadAt); !c.lastReadAt.IsZero() && gap > maxClientReadGap {
 		c.messageDeadline = c.messageDeadline.Add(gap)
 	}
-	if end := c.messageDeadline.Add(time.Duration(c.messageBytes) * time.Second / minBodyRate); end.After(c.readDeadline.Add(minDeadlineStep)) {
+	end := c.messageDeadline.Add(time.Duration(c.messageBytes) * time.Second / minBodyRate)
+	if silentEnd := now.Add(MessageTimeout); silentEnd.Before(end) {
+		end = silentEnd
+	}
+	if end.Sub(c.readDeadline).Abs() > minDeadlineStep {
 		c.readDeadline = end
 		c.TCPConn.SetReadDeadline(end)
 	}
