Open requests of clients with a third of the descriptors fit in, and others beside them

What callers saw: while 341 clients (a third of 1,024 descriptors) wrote bodies of 1 MiB at 64 kB a second, 262 of 352 short requests and 19 of the long ones were rejected, at a peak of 26 of 48 MB.

Cause: visits_over_held counts as many as were rejected. A long request holds a connection to a server from its first bytes, and at most 0.9 x 0.35 of the descriptors could be open requests, fewer than a third. Now 0.9 x 0.4.

--- a/cmd/ledgespread/memory_test.go
+++ b/cmd/ledgespread/memory_test.go
@@ -209,3 +209,38 @@
 		}
 	}
 }
+
+// While clients that hold a third of the descriptors wrote long requests slowly, all others were rejected, short ones too:
+// there were fewer connections to servers than that.
+func TestShortRequestsBesideSlowBodies(t *testing.T) {
+	const size = 8 << 20
+	_, listen := startWithMemoryLimit(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, "done")
+	}))
+	done := make(chan bool)
+	go runClients(func(number int) (int, error) {
+		client := &slowClient{}
+		if err := client.sendHead(listen, "POST", "/pay", fmt.Sprint(number), fmt.Sprintf("Content-Length: %d\r\n", size)); err != nil {
+			return 0, err
+		}
+		defer client.Close()
+		for {
+			client.Write(make([]byte, bytesOfSlowStep))
+			select {
+			case <-done:
+				return 0, nil
+			case <-time.After(slowStep):
+			}
+		}
+	})
+	eventually(t, "all bodies are at servers", func() bool {
+		return strings.Contains(readCounters(listen), fmt.Sprintf("fetches_sent %d\n", testClients))
+	})
+	for number := range 20 {
+		if answer := sendRequest(listen, "look", fmt.Sprintf("short%d", number)); answer != "200 done" {
+			t.Errorf("short request: %s", answer)
+		}
+	}
+	close(done)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -30,7 +30,7 @@
 // remaining memory is for stacks, buffers and the kernel.
 const (
 	clientSocketsShare = 0.45 // of the sockets, for clients
-	serverSocketsShare = 0.35 // of the sockets, for servers
+	serverSocketsShare = 0.4  // of the sockets, for servers: requests of clients that hold a third of the sockets fit in, and others beside them
 	openRequestsShare  = 0.9  // of the servers' sockets: how many requests may be open at once
 	heapShare          = 0.65 // of the memory; half of that while an old and a new process of the sidecar share the limits
 	gcPercent          = 400  // GOGC percentage, while the memory limit allows it
