The parsed fields of long heads are dropped once they have been used

Cause: the HTTP server keeps each parsed field apart, up to 200 kB for a head of 8 KiB, for as long as the request is handled and then for the next one; an answer's fields were kept so twice. Now fields beyond 64 are dropped when the message has its copy of the head, and an answer's when its head has been written; an answer keeps its fields as lines. The read buffer that a long head made grow shrinks after it. Long heads are charged to the account.

TestHeadsOfManyFieldsStayWithinMemoryLimit failed before at 68.3 and 100.0 MB, passes at 27.7 and 26.9. TestHeadsOfManyFields, of what must not change by it, passes before and after.

--- a/cmd/ledgespread/memory_test.go
+++ b/cmd/ledgespread/memory_test.go
@@ -123,7 +123,11 @@
 		return 0, err
 	}
 	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(slowStep) {
-		if _, err := io.CopyN(io.Discard, answer.Body, int64(bytesOfSlowStep)); err != nil {
+		switch _, err := io.CopyN(io.Discard, answer.Body, int64(bytesOfSlowStep)); err {
+		case nil:
+		case io.EOF: // the answer is whole
+			return answer.StatusCode, nil
+		default:
 			return answer.StatusCode, err
 		}
 	}
@@ -244,3 +248,47 @@
 	}
 	close(done)
 }
+
+// Requests and answers with heads of very many short fields made the process exceed its memory limit: each field of a
+// waiting request or a streamed answer was kept apart, which takes twenty times its length.
+func TestHeadsOfManyFieldsStayWithinMemoryLimit(t *testing.T) {
+	const fieldCount, answerFieldCount = 1900, 1500
+	var fields strings.Builder
+	for i := range fieldCount {
+		fmt.Fprintf(&fields, "%c:\r\n", 'a'+i%26)
+	}
+	for _, path := range []string{"/look/request", "/look/answer"} {
+		pid, listen := startWithMemoryLimit(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "request") {
+				time.Sleep(1500 * time.Millisecond)
+				return
+			}
+			for i := range answerFieldCount {
+				w.Header().Set(fmt.Sprintf("x%x", i), "1")
+			}
+			w.WriteHeader(http.StatusOK)
+			for part := make([]byte, 64<<10); ; {
+				if _, err := w.Write(part); err != nil {
+					return
+				}
+			}
+		}))
+		peak := watchMemory(t, pid)
+		served := runClients(func(number int) (int, error) {
+			client, more := &slowClient{}, ""
+			if strings.HasSuffix(path, "request") {
+				more = fields.String()
+			}
+			if err := client.sendHead(listen, "GET", path, fmt.Sprint(number), more); err != nil {
+				return 0, err
+			}
+			defer client.Close()
+			return client.readSlowly(time.Second)
+		})
+		if bytes := peak(); bytes > testMemoryMB<<20 || served == 0 {
+			t.Errorf("%s: %d bytes of %d, %d clients are served", path, bytes, testMemoryMB<<20, served)
+		} else {
+			t.Logf("%s: %d bytes of %d, %d clients are served", path, bytes, testMemoryMB<<20, served)
+		}
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -3,6 +3,7 @@
 package exchange
 
 import (
+	"bytes"
 	"io"
 	"slices"
 	"strconv"
@@ -56,16 +57,27 @@
 	RetryAfter brain.Micros
 }
 
-// Answer is a successful answer of a server: its header fields and its body. The rest of a long body is read
+// Answer is a successful answer of a server: its head and its body. The rest of a long body is read
 // from the server as it arrives; whoever holds the answer then has to close Rest.
 type Answer struct {
-	Fields   [][2]string
+	Head     []byte // the fields that are passed on, each a line with its end
 	Body     []byte
 	Size     int64              // length of the whole body; -1: unknown
 	Rest     io.ReadCloser      // nil: Body is complete
 	Reserved memory.Reservation // the memory of Body
 }
 
+// FieldCount returns the number of fields of the head.
+func (a *Answer) FieldCount() int { return bytes.Count(a.Head, []byte("\n")) }
+
+// EachField calls take with each field of the head.
+func (a *Answer) EachField(take func(name, value []byte)) {
+	for line := range bytes.Lines(a.Head) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		take(name, bytes.Trim(value, " \t\r\n"))
+	}
+}
+
 // FreeBody gives back the memory of Body, which has been passed on.
 func (a *Answer) FreeBody() {
 	a.Body = nil
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -223,6 +223,7 @@
 		in.refuse(ctx, status, reason)
 		return
 	}
+	defer in.chargeHead(msg)()
 	release, open := in.readBody(ctx, msg, request)
 	defer release()
 	if !open {
@@ -261,9 +262,7 @@
 	switch request.Ending {
 	case exchange.Succeeded:
 		in.counts.Add(counters.RequestsDelivered)
-		for _, field := range request.Answer.Fields {
-			ctx.Response.Header.Add(field[0], field[1])
-		}
+		request.Answer.EachField(ctx.Response.Header.AddBytesKV)
 		if request.Answer.Rest != nil {
 			in.streamAnswer(ctx, request.Answer, endRequest)
 			return
--- a/internal/inbound/message.go
+++ b/internal/inbound/message.go
@@ -12,6 +12,7 @@
 	"ledgespread/brain"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/framing"
+	"ledgespread/internal/memory"
 )
 
 // The header fields that the sidecar interprets. None may occur twice in a message.
@@ -27,6 +28,11 @@
 	fieldCount
 )
 
+const (
+	maxKeptFields  = 64      // the HTTP server's copies of more parsed fields are dropped once they have been used
+	usualHeadBytes = 1 << 10 // a head up to this size belongs to the connection's own memory
+)
+
 var fieldNames = [fieldCount]string{"X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout",
 	"Idempotency-Key", "X-Retried", "X-Cost", "Host"}
 
@@ -62,7 +68,9 @@
 	msg.head = append(append(append(msg.head, header.Method()...), ' '), target...)
 	msg.head = append(msg.head, " HTTP/1.1\r\n"...)
 	var seen [fieldCount]bool
+	fieldsSeen := 0
 	msg.body, err = framing.ParseFields(append(raw, "\r\n"[:blankLine]...), func(name, value, line []byte) error {
+		fieldsSeen++
 		for i, known := range fieldNames {
 			if !framing.NameEquals(name, known) {
 				continue
@@ -80,9 +88,32 @@
 	if err == nil && ctx.IsGet() && (msg.body.Length > 0 || msg.body.Chunked) {
 		err = errors.New("GET has no body")
 	}
+	if fieldsSeen > maxKeptFields {
+		dropFields(header)
+	}
 	return msg, err
 }
 
+// dropFields frees the memory of a request's parsed fields, of which fasthttp keeps each apart: a head of very many short
+// ones takes twenty times its length. The message has what is needed of them.
+func dropFields(header *fasthttp.RequestHeader) {
+	method, protocol, uri := header.Method(), header.Protocol(), header.RequestURI()
+	*header = fasthttp.RequestHeader{}
+	header.SetMethodBytes(method)
+	header.SetProtocolBytes(protocol)
+	header.SetRequestURIBytes(uri)
+}
+
+// chargeHead charges the memory of a long head, and returns the function that gives it back.
+func (in *Inbound) chargeHead(msg *message) (release func()) {
+	size := int64(cap(msg.head))
+	if size <= usualHeadBytes {
+		return func() {}
+	}
+	in.account.Add(memory.Heads, size)
+	return func() { in.account.Release(memory.Heads, size) }
+}
+
 // newExchange creates the exchange for a request. For an invalid request it returns an HTTP status and a
 // reason instead, and the relay never receives it.
 func (in *Inbound) newExchange(ctx *fasthttp.RequestCtx, msg *message) (request *exchange.Exchange, status int, reason string) {
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -23,6 +23,7 @@
 // to the client before the next one is read.
 type answerStream struct {
 	answer     *exchange.Answer
+	header     *fasthttp.ResponseHeader
 	received   []byte // the beginning of the body, read before the stream began
 	conn       net.Conn
 	in         *Inbound
@@ -38,7 +39,7 @@
 		c.SetWriteBuffer(streamSendBuffer)
 	}
 	ctx.Response.ImmediateHeaderFlush = true
-	ctx.Response.SetBodyStream(&answerStream{answer: a, received: a.Body, conn: ctx.Conn(), in: in, endRequest: endRequest}, int(a.Size))
+	ctx.Response.SetBodyStream(&answerStream{answer: a, header: &ctx.Response.Header, received: a.Body, conn: ctx.Conn(), in: in, endRequest: endRequest}, int(a.Size))
 }
 
 // readPiece reads the next piece of the body and sets the deadline for writing it.
@@ -78,6 +79,7 @@
 // the last chunk only if WriteTo returns no error, so an answer that the server truncated is truncated for
 // the client too.
 func (s *answerStream) WriteTo(io.Writer) (sent int64, err error) {
+	freeHead(s.answer, s.header)
 	piece := exchange.NewPiece(s.in.account)
 	defer piece.Free()
 	for {
@@ -115,18 +117,30 @@
 	return nil
 }
 
+// freeHead frees the memory of an answer's head, which has been written. fasthttp keeps each field apart, which takes
+// many times the length of a head with very many short ones.
+func freeHead(answer *exchange.Answer, header *fasthttp.ResponseHeader) {
+	if answer.FieldCount() > maxKeptFields {
+		*header = fasthttp.ResponseHeader{}
+	}
+	answer.Head = nil
+}
+
 // writeWhole makes the server write an answer whose body is held whole.
 func (in *Inbound) writeWhole(ctx *fasthttp.RequestCtx, answer *exchange.Answer) {
-	if len(answer.Body) <= memory.FreeBytes {
+	if len(answer.Body) <= memory.FreeBytes && answer.FieldCount() <= maxKeptFields {
 		ctx.Response.SetBodyRaw(answer.Body)
 		answer.Reserved.Free()
 		return
 	}
-	ctx.Response.SetBodyStream(wholeAnswer{answer}, len(answer.Body))
+	ctx.Response.SetBodyStream(wholeAnswer{answer, &ctx.Response.Header}, len(answer.Body))
 }
 
 // wholeAnswer is the body of an answer that is held whole. Its memory is given back once it has been written.
-type wholeAnswer struct{ answer *exchange.Answer }
+type wholeAnswer struct {
+	answer *exchange.Answer
+	header *fasthttp.ResponseHeader
+}
 
 // Read only satisfies io.Reader: fasthttp calls WriteTo instead.
 func (w wholeAnswer) Read([]byte) (int, error) { return 0, errors.ErrUnsupported }
@@ -136,6 +150,7 @@
 
 // WriteTo writes the body behind the head that fasthttp has buffered.
 func (w wholeAnswer) WriteTo(to io.Writer) (int64, error) {
+	freeHead(w.answer, w.header)
 	n, err := to.Write(w.answer.Body)
 	return int64(n), err
 }
--- a/internal/outbound/answer.go
+++ b/internal/outbound/answer.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -41,10 +40,10 @@
 		first, fields, _ := bytes.Cut(head, []byte("\r\n"))
 		status, ok := framing.ParseStatusLine(first)
 		answer := &response{status: status, Answer: exchange.Answer{Reserved: memory.NewReservation(o.account, memory.AnswerBodies)}}
-		body, err := framing.ParseFields(fields, func(name, value, _ []byte) error {
+		body, err := framing.ParseFields(fields, func(name, value, line []byte) error {
 			switch {
 			case exchange.IsForwarded(name):
-				answer.Fields = append(answer.Fields, [2]string{string(name), string(value)})
+				answer.Head = append(append(answer.Head, line...), "\r\n"...)
 			case framing.NameEquals(name, "Connection"):
 				answer.closes = answer.closes || bytes.Contains(bytes.ToLower(value), []byte("close"))
 			case len(*o.loadFields.Load()) > 0 && framing.NameEquals(name, "X-Server-Load"):
@@ -68,6 +67,7 @@
 			continue
 		}
 		connection.reader.Discard(len(head))
+		connection.shrinkReader()
 		if err := o.readBody(connection, answer, body, noBody, until); err != nil {
 			answer.FreeBody()
 			return nil, err
@@ -133,8 +133,8 @@
 		if len(buffered) >= limit {
 			return nil, errHeadTooLong
 		}
-		if len(buffered) == c.reader.Size() { // the buffered bytes are read again from the larger reader
-			c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c), exchange.MaxHeadBytes)
+		if len(buffered) == c.reader.Size() {
+			c.replaceReader(exchange.MaxHeadBytes)
 		}
 		if _, err := c.reader.Peek(len(buffered) + 1); err != nil {
 			return nil, err
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net"
 	"slices"
 	"sync"
@@ -20,6 +21,7 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
+	unread    []byte // what a former reader had buffered; it is read again first
 	address   string
 	idleSince time.Time // since when it has been idle
 	readErr   error     // error of the last read; nil: none failed
@@ -38,15 +40,37 @@
 
 // Read reads from the connection and records an error.
 func (c *conn) Read(p []byte) (n int, err error) {
+	if len(c.unread) > 0 {
+		n = copy(p, c.unread)
+		c.unread = c.unread[n:]
+		return n, nil
+	}
 	if n, err = c.Conn.Read(p); err != nil {
 		c.readErr = err
 	}
 	return n, err
 }
 
+// buffered returns how many bytes have been received and not been consumed.
+func (c *conn) buffered() int { return c.reader.Buffered() + len(c.unread) }
+
+// replaceReader takes a reader with a buffer of another size.
+func (c *conn) replaceReader(size int) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.unread = append(bytes.Clone(buffered), c.unread...)
+	c.reader = bufio.NewReaderSize(c, size)
+}
+
+// shrinkReader takes a reader of the usual size again once a long head has been consumed.
+func (c *conn) shrinkReader() {
+	if c.reader.Size() > readBufferSize {
+		c.replaceReader(readBufferSize)
+	}
+}
+
 // isQuiet reports whether the server has neither closed the connection nor sent unexpected data.
 func (c *conn) isQuiet() bool {
-	return c.reader.Buffered() == 0 && peek.Inspect(c.Conn, false) == peek.Empty
+	return c.buffered() == 0 && peek.Inspect(c.Conn, false) == peek.Empty
 }
 
 // connectionBytes is the memory of a connection: its buffer, the smallest piece of a body, and the stack of an attempt.
--- a/internal/outbound/roundtrip.go
+++ b/internal/outbound/roundtrip.go
@@ -116,7 +116,7 @@
 		}
 		return nil, nil, trip.fail(err)
 	}
-	trip.reusable = !answer.closes && connection.reader.Buffered() == 0 && answer.body == nil // the body of an unsuccessful answer is not read as a stream
+	trip.reusable = !answer.closes && connection.buffered() == 0 && answer.body == nil // the body of an unsuccessful answer is not read as a stream
 	if answer.status != fasthttp.StatusOK {
 		answer.FreeBody()
 		notProcessed := answer.notProcessed && (answer.status == fasthttp.StatusServiceUnavailable ||
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -51,7 +51,7 @@
 			s.outbound.counts.Add(counters.AnswersTruncated)
 			s.outbound.log.Debug().Err(s.readErr).Msg("answer truncated")
 		}
-		if s.complete && s.reusable && s.conn.reader.Buffered() == 0 {
+		if s.complete && s.reusable && s.conn.buffered() == 0 {
 			s.outbound.pool.putIdle(s.server, s.conn)
 			return
 		}
