A connection whose data never ends pauses after each millisecond, for the others

What callers saw: beside one client that sent GET /-/ready, /-/counters or a body of tiny chunks at full speed on one connection, the requests of all others took 43 to 54 ms (p50) and 84 to 106 ms (p99).

Cause: what is slow is what is answered or passed on without a wait; other floods, as busy, leave p99 under 14 ms. The scheduler asks the network for what has come when no goroutine can run, or each 10 ms, and a request takes four or five such steps. A connection's turn was bounded by those 10 ms only.

Now a goroutine that has found data for 1 ms without a wait sleeps for 1 ms (internal/turn): where messages are read and handled, and where bodies are passed on.

--- /dev/null
+++ b/cmd/ledgespread/flood_test.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// flood sends a beginning, and then a text again and again, on one connection at full speed. It drops what comes back,
+// until stop is called.
+func flood(t *testing.T, address, beginning, text string) (stop func()) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go io.Copy(io.Discard, conn)
+	go func() {
+		io.WriteString(conn, beginning)
+		for many := []byte(strings.Repeat(text, 100)); err == nil; {
+			_, err = conn.Write(many)
+		}
+	}()
+	return func() { conn.Close() }
+}
+
+// medianLatency asks for one thing again and again on a connection, and returns the median of the times that it takes.
+func medianLatency(t *testing.T, address, path string) time.Duration {
+	t.Helper()
+	const requests = 21
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	var took []time.Duration
+	for number := range requests {
+		began := time.Now()
+		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a\r\nX-Request-ID: %d-%d\r\nX-Timeout: 25000m\r\n\r\n", path, began.UnixNano(), number)
+		answer, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, answer.Body)
+		took = append(took, time.Since(began))
+	}
+	slices.Sort(took)
+	return took[requests/2]
+}
+
+// While one client sent messages at full speed that the process answers by itself, or a body in tiny chunks, the requests
+// of all others took tens of milliseconds: the connection's goroutine never waited, and the scheduler looked at the
+// network each 10 ms only.
+func TestFloodOnOneConnectionLeavesOthersFast(t *testing.T) {
+	const (
+		tries    = 3 // of which one has to be fast: other processes may slow them down
+		fastFrom = 10 * time.Millisecond
+	)
+	_, listen := startWithMemoryLimit(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) }))
+	const body = "POST /pay HTTP/1.1\r\nHost: a\r\nX-Request-ID: flood%d\r\nX-Timeout: 25000m\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, texts := range map[string][2]string{
+		"ready":    {"", "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"},
+		"counters": {"", "GET /-/counters HTTP/1.1\r\nHost: a\r\n\r\n"},
+		"chunks":   {body, "1\r\nx\r\n"},
+	} {
+		fastest := time.Hour
+		for try := range tries {
+			beginning := strings.Replace(texts[0], "%d", fmt.Sprint(try), 1)
+			stop := flood(t, listen, beginning, texts[1])
+			time.Sleep(50 * time.Millisecond)
+			fastest = min(fastest, medianLatency(t, listen, "/look"))
+			stop()
+		}
+		if fastest > fastFrom {
+			t.Errorf("%s: a request of others takes %v", name, fastest)
+		} else {
+			t.Logf("%s: a request of others takes %v", name, fastest)
+		}
+	}
+}
--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -210,6 +210,21 @@
 	return c.TCPConn.SetWriteDeadline(t)
 }
 
+// ContinueTurn lets others run if the connection's client has had its messages handled for long without a wait for it.
+// The goroutine that reads the connection must call it.
+func ContinueTurn(conn net.Conn) {
+	if c, ok := conn.(*clientConn); ok {
+		c.input.turn.Continue()
+	}
+}
+
+// BeginTurn is to be called in place of ContinueTurn after a wait.
+func BeginTurn(conn net.Conn) {
+	if c, ok := conn.(*clientConn); ok {
+		c.input.turn.Waited()
+	}
+}
+
 // InterruptRead aborts a read of the connection that another goroutine is blocked in. With finished set,
 // nobody reads the connection any more: InterruptRead then only clears the deadline that aborted the read.
 func InterruptRead(conn net.Conn, finished bool) {
--- a/internal/connlimit/receiver.go
+++ b/internal/connlimit/receiver.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"ledgespread/internal/peek"
+	"ledgespread/internal/turn"
 )
 
 // receiver reads a connection's socket and records that part of a message was received. One lock covers both,
@@ -22,6 +23,8 @@
 	buffer []byte
 	n      int
 	err    error
+	waited bool      // nothing had come when it began
+	turn   turn.Turn // of the goroutine that reads
 
 	mu       sync.Mutex
 	received bool // part of a message has been received, and its handling has not ended
@@ -53,9 +56,13 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	r.buffer, r.n, r.err = p, 0, nil
+	r.turn.Continue()
+	r.buffer, r.n, r.err, r.waited = p, 0, nil, false
 	err = r.socket.Read(r.try)
 	r.buffer = nil
+	if r.waited {
+		r.turn.Waited()
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -72,6 +79,7 @@
 		case err == syscall.EINTR:
 			continue
 		case err == syscall.EAGAIN:
+			r.waited = true
 			return false
 		case err != nil:
 			r.err = &net.OpError{Op: "read", Net: "tcp", Source: r.conn.LocalAddr(), Addr: r.conn.RemoteAddr(),
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -141,6 +141,7 @@
 			ctx.SetConnectionClose()
 		}
 	}()
+	connlimit.ContinueTurn(ctx.Conn())
 	msg, err := parseMessage(ctx)
 	switch {
 	case err != nil:
@@ -242,7 +243,9 @@
 			endRequest(counters.ClientDisconnected)
 		}
 	}()
-	switch waiting.forEnd() {
+	end := waiting.forEnd()
+	connlimit.BeginTurn(conn)
+	switch end {
 	case clientGone:
 		abandon(ctx)
 	case bodyUnread:
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -12,6 +12,7 @@
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/memory"
+	"ledgespread/internal/turn"
 )
 
 const (
@@ -29,6 +30,7 @@
 	in         *Inbound
 	endRequest func(int)
 	complete   bool // the whole body has been written
+	turn       turn.Turn
 	closeOnce  sync.Once
 }
 
@@ -70,7 +72,9 @@
 		s.received = nil
 		s.answer.FreeBody()
 	}
-	piece.Adapt(n, time.Since(began))
+	took := time.Since(began)
+	piece.Adapt(n, took)
+	s.turn.ContinueAfter(took)
 	return nil
 }
 
--- a/internal/outbound/transfer.go
+++ b/internal/outbound/transfer.go
@@ -12,6 +12,7 @@
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/memory"
 	"ledgespread/internal/peek"
+	"ledgespread/internal/turn"
 )
 
 const (
@@ -188,6 +189,7 @@
 
 // writeRest writes the rest of the body as it is read from the client.
 func (t *transfer) writeRest(piece *exchange.Piece, chunks bool) error {
+	var writing turn.Turn
 	for {
 		n, err := t.upload.Read(piece.Buffer())
 		if n > 0 {
@@ -195,7 +197,9 @@
 			if failed := t.write(piece.Bytes(n, chunks)); failed != nil {
 				return failed
 			}
-			piece.Adapt(n, time.Since(began))
+			took := time.Since(began)
+			piece.Adapt(n, took)
+			writing.ContinueAfter(took)
 		}
 		switch {
 		case err == io.EOF && chunks:
