A keyed request is repeated in the group of its attempt, not of its server's name by then

What callers saw: a keyed request ran twice after a list had given the name of its server to one in another zone or cell.

Cause: keyKnown compared the zone and cell that the name has at the time of the repeat; lists change these in place. An attempt now keeps those that its server had when it was sent.

--- a/brain/attempts.go
+++ b/brain/attempts.go
@@ -6,7 +6,7 @@
 func (b *Balancer) send(request *request, server *server, onEnd func(*attempt, Result)) {
 	expected := Micros(b.expectedPace(server) * request.work)
 	server.inFlight++
-	newAttempt := &attempt{index: AttemptIndex(len(request.attempts)), server: server, sentAt: b.now,
+	newAttempt := &attempt{index: AttemptIndex(len(request.attempts)), server: server, zone: server.zone, cell: server.cell, sentAt: b.now,
 		inFlightWith: float64(server.inFlight) + server.inFlightElsewhere, mayHaveRun: true, onEnd: onEnd}
 	b.notifyOwner(request, newAttempt)
 	b.useConnection(newAttempt)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -201,6 +201,36 @@
 	driver.compareTrace(t)
 }
 
+// A keyed request that may have run was repeated where its key was not known: the list had given the name of its server to
+// one in another group, and the group that the name had by then was compared, not that of the attempt.
+func TestKeyedRepeatStaysInGroupOfItsAttempt(t *testing.T) {
+	for _, result := range []Result{Reset, AnsweredError, TimedOut} {
+		for _, test := range []struct {
+			moved map[ServerID]string // by the server that has the first attempt
+			want  int
+		}{
+			{map[ServerID]string{'a': "a2 b2", 'b': "a1 b1"}, 0}, // its name is in the other server's group now
+			{map[ServerID]string{'a': "a2 b1", 'b': "a2 b1"}, 1}, // the two have changed places
+		} {
+			driver := newDriver(t, testSettings("cell"), "a1 b2")
+			driver.sendRequest(1, 1)
+			first := ServerID('a')
+			if driver.sentTo['b'] > 0 {
+				first = 'b'
+			}
+			driver.sendList(ListChanges, test.moved[first])
+			driver.endAttempt(1, 0, result)
+			driver.advance(60 * ms)
+			if other := 'a' + 'b' - first; driver.sentTo[other] != test.want {
+				t.Errorf("result %d, list %q: %d repeats at the other server, want %d", result, test.moved[first], driver.sentTo[other], test.want)
+			}
+			if driver.sentTo[first] > 1 {
+				t.Errorf("result %d, list %q: repeated at the same name, in another group", result, test.moved[first])
+			}
+		}
+	}
+}
+
 // TestDrainingAndRemovedServers checks that draining servers get no new requests and no retries, and that
 // a server that a full list does not name is gone.
 func TestDrainingAndRemovedServers(t *testing.T) {
--- a/brain/eligibility.go
+++ b/brain/eligibility.go
@@ -61,7 +61,7 @@
 	case target == nil:
 		return !class.keyInZone && !class.keyInCell
 	}
-	sameZone := attempt.server.zone == target.zone
-	sameCell := attempt.server.cell == target.cell
+	sameZone := attempt.zone == target.zone
+	sameCell := attempt.cell == target.cell
 	return (sameZone || !class.keyInZone) && (sameCell || !class.keyInCell)
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -92,6 +92,8 @@
 type attempt struct {
 	index         AttemptIndex
 	server        *server
+	zone          Zone // of the server when it was sent; a list may give the server's name to another one
+	cell          Cell // the same
 	sentAt        Micros
 	inFlightWith  float64 // requests in flight at the server when it was sent, including this one
 	owner         Peer    // the server's owner at that time; it also gets the end, so its in-flight count stays right
