--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -20,6 +20,7 @@
 	minBodyRate      = 32 << 10            // bytes per second that a long body must reach while it is being read
 	shortMessage     = 8 << 10             // bytes of a message to which minBodyRate does not apply
 	minDeadlineStep  = MessageTimeout / 20 // a long body's deadline is moved by this at least
+	maxSilence       = 2 * time.Second     // of a client in a long body
 	maxClientReadGap = time.Millisecond    // a longer gap between two reads of a body is not the client's fault
 
 	deadlineSlackDivisor = 8 // a read may time out early or late by this part of the time left
@@ -166,14 +167,14 @@
 
 // moveDeadline moves the read deadline of a long body, before a read. The client has the time that the bytes so far take at
 // minBodyRate, besides that during which this side did not read; slow clients can complete their bodies, and clients that
-// send a byte at a time are cut off. Whatever it has sent so far, a client that stops is cut off after MessageTimeout.
+// send a byte at a time are cut off. Whatever it has sent so far, a client that stops is cut off after maxSilence.
 func (c *clientConn) moveDeadline() {
 	now := time.Now()
 	if gap := now.Sub(c.lastReadAt); !c.lastReadAt.IsZero() && gap > maxClientReadGap {
 		c.messageDeadline = c.messageDeadline.Add(gap)
 	}
 	end := c.messageDeadline.Add(time.Duration(c.messageBytes) * time.Second / minBodyRate)
-	if silentEnd := now.Add(MessageTimeout); silentEnd.Before(end) {
+	if silentEnd := now.Add(maxSilence); silentEnd.Before(end) {
 		end = silentEnd
 	}
 	if end.Sub(c.readDeadline).Abs() > minDeadlineStep {
