A long answer is cut off after 15 s without data, not 5 s; a gone client is noticed

While a read waited, a client that left wasn't noticed.

Now 15 s, and a read is interrupted each second to ask whether its client is still there; it consumes nothing.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -63,10 +63,17 @@
 	Head     []byte // the fields that are passed on, each a line with its end
 	Body     []byte
 	Size     int64              // length of the whole body; -1: unknown
-	Rest     io.ReadCloser      // nil: Body is complete
+	Rest     Rest               // nil: Body is complete
 	Reserved memory.Reservation // the memory of Body
 }
 
+// Rest is the rest of a long answer.
+type Rest interface {
+	io.ReadCloser
+	// StopIf sets a function that is asked now and then while a read waits. If it returns true, the read ends.
+	StopIf(unwanted func() bool)
+}
+
 // FieldCount returns the number of fields of the head.
 func (a *Answer) FieldCount() int { return bytes.Count(a.Head, []byte("\n")) }
 
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -12,6 +12,7 @@
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/memory"
+	"ledgespread/internal/peek"
 	"ledgespread/internal/turn"
 )
 
@@ -40,8 +41,10 @@
 	if c, ok := ctx.Conn().(interface{ SetWriteBuffer(int) error }); ok {
 		c.SetWriteBuffer(streamSendBuffer)
 	}
+	conn := ctx.Conn()
+	a.Rest.StopIf(func() bool { return peek.PeerClosed(conn) })
 	ctx.Response.ImmediateHeaderFlush = true
-	ctx.Response.SetBodyStream(&answerStream{answer: a, header: &ctx.Response.Header, received: a.Body, conn: ctx.Conn(), in: in, endRequest: endRequest}, int(a.Size))
+	ctx.Response.SetBodyStream(&answerStream{answer: a, header: &ctx.Response.Header, received: a.Body, conn: conn, in: in, endRequest: endRequest}, int(a.Size))
 }
 
 // readPiece reads the next piece of the body and sets the deadline for writing it.
--- a/internal/outbound/stream.go
+++ b/internal/outbound/stream.go
@@ -14,9 +14,15 @@
 )
 
 const (
-	stallTimeout = 5 * time.Second  // limit for a server to send the next data of a long answer, or to accept the next data of a long request
+	stallTimeout = 5 * time.Second  // limit for a server to accept the next data of a long request
 	maxHold      = stallTimeout / 5 // limit for holding back data of a server, whether or not its answer proves to be a long one
-	startGrowth  = 4                // the held beginning of an answer grows by this factor: most bodies are short, and each copy is garbage to collect
+
+	// answerStallTimeout is the limit for a server to send the next data of a long answer. It covers a way that is cut for
+	// 6 s, after which TCP may wait for as long again until it sends anew.
+	answerStallTimeout = 15 * time.Second
+	wantedInterval     = time.Second // between two questions whether an answer that stalls is still wanted
+
+	startGrowth = 4 // the held beginning of an answer grows by this factor: most bodies are short, and each copy is garbage to collect
 )
 
 // stream is the rest of a long answer. It is read at the client's pace and closed by its reader.
@@ -28,20 +34,37 @@
 	reusable bool // the connection may be reused
 	complete bool
 	readErr  error // why it is incomplete; nil: the reader closed it early
+	unwanted func() bool
 	once     sync.Once
 }
 
+// errUnwanted means that nobody waits for the answer any more.
+var errUnwanted = errors.New("the answer is not wanted any more")
+
+// StopIf sets the function that tells whether the answer is unwanted.
+func (s *stream) StopIf(unwanted func() bool) { s.unwanted = unwanted }
+
 // Read reads the next data. It returns io.EOF only at the end of a complete answer: the client must not take
 // a truncated answer for a complete one.
 func (s *stream) Read(p []byte) (n int, err error) {
-	s.conn.deadline = time.Now().Add(stallTimeout)
-	s.conn.SetReadDeadline(s.conn.deadline)
-	if n, err = s.body.Read(p); err == io.EOF {
-		s.complete = true
-	} else if err != nil {
-		s.readErr = err
+	for until := time.Now().Add(answerStallTimeout); ; {
+		s.conn.deadline = time.Now().Add(wantedInterval)
+		s.conn.SetReadDeadline(s.conn.deadline)
+		n, err = s.body.Read(p)
+		switch {
+		case err == io.EOF:
+			s.complete = true
+			return n, err
+		case err == nil:
+			return n, nil
+		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(until):
+			s.readErr = err
+			return n, err
+		case s.unwanted != nil && s.unwanted():
+			return 0, errUnwanted
+		}
+		s.conn.readErr = nil
 	}
-	return n, err
 }
 
 // Close returns the connection to the pool, or closes it if the answer is incomplete.
