What a body waits for at either end begins a new turn of its connection

What callers saw: since turns are bounded, a body of 30 MB that goes on as it comes took 1.0 s in place of under 0.05 s.

Cause: the reads of a body counted the time of the writes between them as running, and each ended in a pause.

Now messages are counted where they are handled, and a body where it is passed on, reads and writes together.

--- a/internal/connlimit/receiver.go
+++ b/internal/connlimit/receiver.go
@@ -56,7 +56,6 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	r.turn.Continue()
 	r.buffer, r.n, r.err, r.waited = p, 0, nil, false
 	err = r.socket.Read(r.try)
 	r.buffer = nil
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -75,9 +75,7 @@
 		s.received = nil
 		s.answer.FreeBody()
 	}
-	took := time.Since(began)
-	piece.Adapt(n, took)
-	s.turn.ContinueAfter(took)
+	piece.Adapt(n, time.Since(began))
 	return nil
 }
 
@@ -90,6 +88,7 @@
 	piece := exchange.NewPiece(s.in.account)
 	defer piece.Free()
 	for {
+		began := time.Now()
 		n, err := s.readPiece(piece.Buffer())
 		if n > 0 {
 			if writeErr := s.writePiece(piece, n); writeErr != nil {
@@ -97,6 +96,7 @@
 			}
 			sent += int64(n)
 		}
+		s.turn.ContinueAfter(time.Since(began))
 		switch {
 		case err == io.EOF && (s.answer.Size < 0 || sent == s.answer.Size):
 			s.complete = true
--- a/internal/outbound/transfer.go
+++ b/internal/outbound/transfer.go
@@ -189,17 +189,17 @@
 
 // writeRest writes the rest of the body as it is read from the client.
 func (t *transfer) writeRest(piece *exchange.Piece, chunks bool) error {
-	var writing turn.Turn
+	var passing turn.Turn
 	for {
+		reading := time.Now()
 		n, err := t.upload.Read(piece.Buffer())
 		if n > 0 {
 			began := time.Now()
 			if failed := t.write(piece.Bytes(n, chunks)); failed != nil {
 				return failed
 			}
-			took := time.Since(began)
-			piece.Adapt(n, took)
-			writing.ContinueAfter(took)
+			piece.Adapt(n, time.Since(began))
+			passing.ContinueAfter(time.Since(reading))
 		}
 		switch {
 		case err == io.EOF && chunks:
