A client whose body waits in its own socket gets its answer in time

What callers saw: where a server read a long body slowly, the final answer came up to 12.7 s after the client had written its last byte, with a client timeout of 3 s (bodies of 4 MiB at 256 KiB a second, 12 of 12).

Cause: while bytes arrived, the client was taken to be still writing; at a slow server each byte that is read makes room for one that was written long before.

Now the time counts from the latest moment at which the client was surely still writing: a read waited for it, bytes came while the receive buffer had room, or more than 4 MiB, what its own socket holds, were missing or have come since.

--- a/internal/connlimit/receiver.go
+++ b/internal/connlimit/receiver.go
@@ -11,6 +11,13 @@
 	"ledgespread/internal/turn"
 )
 
+// A socket whose unread bytes fill this part of its buffer may keep its peer from sending: the kernel counts more for
+// each byte than the byte.
+const (
+	filledDivisor  = 4
+	minFilledBytes = 16 << 10
+)
+
 // receiver reads a connection's socket and records that part of a message was received. One lock covers both,
 // so that a connection can only be closed as silent before any byte of a message is read from it.
 type receiver struct {
@@ -30,6 +37,7 @@
 	received bool // part of a message has been received, and its handling has not ended
 	total    int  // bytes read from the socket since the accept
 	unread   int  // bytes that lay unread in the socket at the last look
+	filled   bool // they filled a good part of its buffer
 }
 
 // newReceiver returns a receiver for a connection.
@@ -120,8 +128,19 @@
 	return r.total + r.unread
 }
 
-// lookAtUnread asks how many bytes lie unread in the socket. The lock is held.
-func (r *receiver) lookAtUnread(fd uintptr) { r.unread = peek.UnreadAt(fd) }
+// lookAtUnread asks how many bytes lie unread in the socket, and whether these fill a good part of its buffer. The lock
+// is held.
+func (r *receiver) lookAtUnread(fd uintptr) {
+	r.unread = peek.UnreadAt(fd)
+	r.filled = r.unread >= minFilledBytes && r.unread >= peek.ReceiveBufferAt(fd)/filledDivisor
+}
+
+// backlogged reports whether the unread bytes filled a good part of the socket's buffer at the last look.
+func (r *receiver) backlogged() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.filled
+}
 
 // messageHandled records that a message's handling has ended, and whether part of the next one has been
 // received.
--- a/internal/connlimit/state.go
+++ b/internal/connlimit/state.go
@@ -98,6 +98,16 @@
 	return func() int { return c.input.arrived() - messageStart }
 }
 
+// Backlogged returns a function that reports whether so many bytes lay unread, at the last call of the function that
+// MessageArrival returned, that the client may have written more.
+func Backlogged(conn net.Conn) func() bool {
+	c, ok := conn.(*clientConn)
+	if !ok {
+		return func() bool { return false }
+	}
+	return c.input.backlogged
+}
+
 // EndMessage records that a message has been read to its end, and how many bytes of the next one have been
 // read with it.
 func (l *Listener) EndMessage(conn net.Conn, ahead int) {
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -18,6 +18,10 @@
 // TransferTime returns how much of the time left for an answer may be spent on sending a long body to a server.
 func TransferTime(timeLeft time.Duration) time.Duration { return timeLeft / transferDivisor }
 
+// assumptionGrace is how much later a body has to be sent, and answered, whose last byte is only assumed to have been
+// written. An answer is lost half a second after its time; most clients wrote that byte later than is assumed.
+const assumptionGrace = 400 * time.Millisecond
+
 // UploadSource is where the rest of a long body comes from.
 type UploadSource struct {
 	Body io.Reader
@@ -29,6 +33,10 @@
 	// at any time.
 	Arrived func() int
 
+	// Backlogged reports whether so many of these lay unread, at the last call of Arrived, that the client may have
+	// written more, which waits in its own socket. nil: never.
+	Backlogged func() bool
+
 	// Interrupt ends a read of Body that is blocked. With finished set nobody reads any more.
 	Interrupt func(finished bool)
 }
@@ -40,7 +48,7 @@
 // The client timeout counts from the arrival of the last byte on this machine, which may be long before it is
 // read: while a server accepts nothing, nothing is read, and the body waits in the socket. Observe looks for it.
 // Where that doesn't show, since the head gives no length or the rest may wait in the client's own socket, the
-// timeout counts from the last byte that is known to have been followed by another one or awaited by a read.
+// timeout counts from the latest time at which the client is known not to have written all of it.
 type Upload struct {
 	Sized         bool          // the head gives its length; otherwise it is sent in chunks
 	ClientTimeout time.Duration // counted from the arrival of the last byte
@@ -57,7 +65,9 @@
 	arrivalMu      sync.Mutex
 	complete       bool      // the last byte has arrived
 	bytesSeen      int       // bytes that had arrived at the last call of Observe
-	lastIncomplete time.Time // the last byte arrived after this time
+	lastIncomplete time.Time // the client wrote the last byte after this time
+	assumed        bool      // since then it may have written the last byte; nothing shows that it has
+	arrivals       arrivalHistory
 }
 
 var errStopped = errors.New("the request is over")
@@ -105,13 +115,31 @@
 		return
 	}
 	bytes := u.source.Arrived()
-	switch {
-	case u.Sized && bytes >= u.source.MessageSize:
+	if u.Sized && bytes >= u.source.MessageSize {
 		u.complete = true
-	case bytes > u.bytesSeen || u.reading.Load():
-		u.bytesSeen = bytes
-		u.lastIncomplete = now
+		return
+	}
+	u.arrivals.add(now, bytes)
+	backlogged := u.source.Backlogged != nil && u.source.Backlogged()
+	switch {
+	case u.clientIsBehind(bytes, backlogged):
+		u.lastIncomplete, u.assumed = now, false
+	case backlogged:
+		u.assumed = true
+		if since := u.arrivals.incompleteAt(bytes); since.After(u.lastIncomplete) {
+			u.lastIncomplete = since
+		}
+	}
+	u.bytesSeen = bytes
+}
+
+// clientIsBehind reports whether the client can't have written the last byte yet, when so many have arrived: it does
+// not fill the socket, or more is missing than its own can hold.
+func (u *Upload) clientIsBehind(arrived int, backlogged bool) bool {
+	if u.Sized && u.source.MessageSize-arrived > maxClientBacklog {
+		return true
 	}
+	return !backlogged && (arrived > u.bytesSeen || u.reading.Load())
 }
 
 // Deadline returns when the client stops waiting, by what Observe has seen. Until the last byte has arrived it
@@ -119,7 +147,11 @@
 func (u *Upload) Deadline() time.Time {
 	u.arrivalMu.Lock()
 	defer u.arrivalMu.Unlock()
-	return u.lastIncomplete.Add(u.ClientTimeout)
+	deadline := u.lastIncomplete.Add(u.ClientTimeout)
+	if u.assumed {
+		deadline = deadline.Add(assumptionGrace)
+	}
+	return deadline
 }
 
 // Arrived reports whether Observe has found that the last byte has arrived.
--- a/internal/exchange/upload_test.go
+++ b/internal/exchange/upload_test.go
@@ -111,3 +111,30 @@
 		t.Errorf("client error %v, abandoned %v", upload.ClientErr(), upload.Abandoned())
 	}
 }
+
+// While a client fills its sockets, further bytes don't show that it was still writing; more of them than its own socket
+// can hold do. The client timeout moved on with each byte, long after the client had written the last one.
+func TestUploadDeadlineOfBackloggedClient(t *testing.T) {
+	const timeout = 2 * time.Second
+	source := &fakeSource{}
+	backlogged := true
+	begin := time.Now()
+	upload := NewUpload(UploadSource{Body: source, Arrived: func() int { return source.arrived }, Backlogged: func() bool { return backlogged },
+		Interrupt: func(bool) {}}, brain.Micros(timeout/time.Microsecond))
+	upload.Observe(begin)
+	for second, poll := range []struct {
+		arrived    int
+		backlogged bool
+		seconds    int // counted from the beginning, at which the client was surely still writing
+	}{{1 << 20, true, 0}, {2 << 20, true, 0}, {4 << 20, true, 0}, {5 << 20, true, 0}, {6 << 20, true, 1}, {7 << 20, true, 2}, {8 << 20, false, 7}, {8 << 20, false, 7}} {
+		source.arrived, backlogged = poll.arrived, poll.backlogged
+		upload.Observe(begin.Add(time.Duration(second+1) * time.Second))
+		want := time.Duration(poll.seconds)*time.Second + timeout
+		if poll.backlogged {
+			want += assumptionGrace
+		}
+		if got := upload.Deadline().Sub(begin).Round(time.Millisecond); got != want {
+			t.Errorf("after %d s: the deadline is at %v, want %v", second+1, got, want)
+		}
+	}
+}
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -128,7 +128,7 @@
 		msg.head = append(msg.head, "Transfer-Encoding: chunked\r\n"...)
 	}
 	conn := ctx.Conn()
-	request.Upload = exchange.NewUpload(exchange.UploadSource{Body: source, MessageSize: messageSize, Arrived: connlimit.MessageArrival(conn),
+	request.Upload = exchange.NewUpload(exchange.UploadSource{Body: source, MessageSize: messageSize, Arrived: connlimit.MessageArrival(conn), Backlogged: connlimit.Backlogged(conn),
 		Interrupt: func(finished bool) { connlimit.InterruptRead(conn, finished) }}, request.TimeLeft)
 	request.SetContent(msg.head, nil, held)
 	request.TimeLeft += brain.Micros(maxSize) * 1_000_000 / minUploadRate
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -82,6 +82,15 @@
 // It does not block.
 func UnreadAt(fd uintptr) (bytes int) { return queuedAt(fd, unix.SIOCINQ) }
 
+// ReceiveBufferAt returns the size of the receive buffer of the socket with this descriptor, or 0 if that can't be asked.
+func ReceiveBufferAt(fd uintptr) (bytes int) {
+	size, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+	if err != nil {
+		return 0
+	}
+	return size
+}
+
 // Unacknowledged returns how many bytes were written that the peer's machine has not acknowledged, or 0 if that can't be
 // asked.
 func Unacknowledged(c any) (bytes int) { return queued(c, unix.SIOCOUTQ) }
--- a/internal/uploads_test.go
+++ b/internal/uploads_test.go
@@ -310,3 +310,42 @@
 		})
 	}
 }
+
+// A server reads a long body slowly, and its end waits in the client's own socket, which can't be seen. The client timeout
+// moved on with each byte that arrived: the final answer came up to ten seconds after the client had written its last byte.
+func TestAnswerInTimeWhileBodyWaitsAtClient(t *testing.T) {
+	const (
+		size    = 4 << 20
+		timeout = 2 * time.Second
+	)
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("in chunks %v", chunked), func(t *testing.T) {
+			t.Parallel()
+			server := startSlowServer(t, size/16)
+			_, address, _ := startSidecarForSlowServer(t, server)
+			c := dial(t, address)
+			written := make(chan time.Time, 1)
+			go func() {
+				length, end := fmt.Sprintf("Content-Length: %d\r\n\r\n", size), ""
+				if chunked {
+					length, end = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size), "\r\n0\r\n\r\n"
+				}
+				fmt.Fprintf(c, "POST /pay HTTP/1.1\r\nHost: api\r\nX-Request-ID: longwait%d\r\nX-Tenant-Id: acme\r\nX-Timeout: %dm\r\n%s%s%s",
+					lastRequestID.Add(1), timeout.Milliseconds(), length, make([]byte, size), end)
+				written <- time.Now()
+			}()
+			status := c.awaitStatus()
+			answeredAt := time.Now()
+			select {
+			case at := <-written:
+				if took := answeredAt.Sub(at); took > timeout+lostAfter {
+					t.Errorf("answered %d %v after the last byte was written", status, took)
+				}
+			default: // it was refused before that
+			}
+			if status != http.StatusServiceUnavailable {
+				t.Errorf("answered %d", status)
+			}
+		})
+	}
+}
