The processes of an upgrade share the request IDs in use

What callers saw: a request whose client left one process of an upgrade while it was executed, and sent the same ID to the other, was executed twice: 8 of 20 (the others were not read by the old process).

Cause: each process knows only its own IDs. The protocol page has a new ID with every request, also with a client's retry; a client that doesn't keep to it was refused by one process and not by two.

Now both reserve an ID in one table, a file mapped into memory, before they send anything; with a console only.

--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -84,6 +84,9 @@
 // ProcessExists reports whether a process with this ID exists.
 func ProcessExists(pid int) bool { return !errors.Is(syscall.Kill(pid, 0), syscall.ESRCH) }
 
+// Path returns the path of the state's file, which is the same for all processes of the sidecar.
+func (s *State) Path() string { return s.path }
+
 // Replaced reports whether a later process of this sidecar has announced itself and still runs.
 func (s *State) Replaced() bool {
 	latest, err := s.read()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/peers"
+	"ledgespread/internal/sharedids"
 	"ledgespread/internal/site"
 )
 
@@ -77,6 +78,7 @@
 	requests         map[brain.RequestID]*request
 	requestIDs       *requestIDs
 	longLivedIDs     map[string]bool // IDs reserved for longer than a generation of requestIDs lasts
+	sharedIDs        *sharedids.Set  // IDs in use at all processes of this sidecar; nil: there is only this one
 	openCount        int             // open requests
 	maxOpen          int
 	maxOpenBySockets int // limit of open requests by the number of sockets
@@ -146,6 +148,9 @@
 	return relay, nil
 }
 
+// ShareIDs sets the set of request IDs that are in use at any process of this sidecar. It must be called before Run.
+func (r *Relay) ShareIDs(ids *sharedids.Set) { r.sharedIDs = ids }
+
 // Run handles events, calls and timers; it never returns.
 func (r *Relay) Run() {
 	r.sweepIdle()
--- a/internal/relay/requests.go
+++ b/internal/relay/requests.go
@@ -21,9 +21,7 @@
 		// request. Every request has a new ID, so an ID stays reserved until its request's deadline, even
 		// once that is answered.
 		if r.requestIDs.inUse(submitted.RequestID, r.now) || r.longLivedIDs[submitted.RequestID] {
-			r.counts.Add(counters.RequestsDuplicate)
-			r.logRefused(submitted.RequestID, reasonDuplicateID)
-			submitted.Fail(exchange.DuplicateID)
+			r.refuseDuplicate(submitted)
 			return
 		}
 		// There are sockets for this many requests only. The rejected one has not run.
@@ -33,6 +31,10 @@
 			submitted.Reject(0)
 			return
 		}
+		if r.inUseElsewhere(submitted, arrivedAt) {
+			r.refuseDuplicate(submitted)
+			return
+		}
 		r.lastID++
 		submitted.ID = r.lastID
 		request := &request{exchange: submitted, deadline: arrivedAt + submitted.TimeLeft}
@@ -53,6 +55,23 @@
 	})
 }
 
+// refuseDuplicate answers a request whose ID is in use.
+func (r *Relay) refuseDuplicate(submitted *exchange.Exchange) {
+	r.counts.Add(counters.RequestsDuplicate)
+	r.logRefused(submitted.RequestID, reasonDuplicateID)
+	submitted.Fail(exchange.DuplicateID)
+}
+
+// inUseElsewhere reports whether another process of this sidecar has a request with the same ID, and otherwise reserves
+// the ID for this one.
+func (r *Relay) inUseElsewhere(submitted *exchange.Exchange, arrivedAt brain.Micros) bool {
+	if r.sharedIDs == nil {
+		return false
+	}
+	left := arrivedAt + submitted.TimeLeft - r.now
+	return !r.sharedIDs.Reserve(submitted.RequestID, time.Duration(left)*time.Microsecond)
+}
+
 // BodyArrived reports that the last byte of a streamed request has arrived, and when its client stops waiting.
 func (r *Relay) BodyArrived(submitted *exchange.Exchange, deadline time.Time) {
 	at := r.clock.now() + brain.Micros(time.Until(deadline)/time.Microsecond)
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -12,6 +12,7 @@
 	"ledgespread/internal/counters"
 	"ledgespread/internal/handover"
 	"ledgespread/internal/inbound"
+	"ledgespread/internal/sharedids"
 )
 
 // publishInterval is how often the server counts are published and the file shared with other processes of
@@ -29,6 +30,7 @@
 	}
 	state, predecessor := handover.Open(os.TempDir(), p.Manifest.Name, p.Manifest.Listen, p.Log)
 	p.predecessor = predecessor
+	p.shareIDs(state.Path() + ".ids")
 	p.relay.RestoreTakenOut(state.OutOfService())
 	state.Deliver = p.relay.SetTakenOut
 	state.Announce()
@@ -50,6 +52,17 @@
 	return nil
 }
 
+// shareIDs shares the request IDs in use with other processes of this sidecar. Without them a request may be executed by
+// one process while it is out at another, but all others are served.
+func (p *process) shareIDs(path string) {
+	ids, err := sharedids.Open(path)
+	if err != nil {
+		p.Log.Warn().Err(err).Msg("request IDs aren't shared with other processes of this sidecar")
+		return
+	}
+	p.relay.ShareIDs(ids)
+}
+
 // consoleCalls returns the functions behind the operators' calls.
 func (p *process) consoleCalls(state *handover.State) console.Sidecar {
 	whileServing := func(do func(*inbound.Inbound)) func() {
