A socket whose buffer size can't be asked does not count as filled

Where SO_RCVBUF can't be asked (a platform that stands in for the sockets may not have it) 16 KiB unread would have counted as a filled buffer, and a body as written before it is known to be. Without the size the client timeout counts as it did.

The unread bytes are asked first, so that most looks need one call. No test: the sizes can be asked on all machines that we have.

--- a/internal/connlimit/receiver.go
+++ b/internal/connlimit/receiver.go
@@ -132,7 +132,11 @@
 // is held.
 func (r *receiver) lookAtUnread(fd uintptr) {
 	r.unread = peek.UnreadAt(fd)
-	r.filled = r.unread >= minFilledBytes && r.unread >= peek.ReceiveBufferAt(fd)/filledDivisor
+	r.filled = false
+	if r.unread >= minFilledBytes {
+		size := peek.ReceiveBufferAt(fd)
+		r.filled = size > 0 && r.unread >= size/filledDivisor
+	}
 }
 
 // backlogged reports whether the unread bytes filled a good part of the socket's buffer at the last look.
