Tests of the program listen at loopback addresses that nothing else takes

What was seen: TestDrainBesideUnusableEntry failed with "never: it watches" in a run of all packages beside trials with many connections. Traced: 3 of 72 runs beside such a trial failed so, and the program's log has "bind: address already in use". freeAddress let the port go before the program listened, and connections and other tests took it.

What the tests ask for is unchanged.

--- a/cmd/ledgespread/version_test.go
+++ b/cmd/ledgespread/version_test.go
@@ -18,10 +18,16 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// freeAddress returns a loopback address with a port that is not in use at the moment.
+// addressesTaken counts the calls of freeAddress.
+var addressesTaken atomic.Int64
+
+// freeAddress returns an address for a program under test. Each call has a loopback address of its own, by the process and
+// the call: a port of 127.0.0.1 could be given to another listener or connection before the program listens there.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	const processes, calls = 1 << 14, 1 << 8
+	number := os.Getpid()%processes*calls + int(addressesTaken.Add(1))%calls
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+number>>16, number>>8&0xff, number&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
