Connections whose data never ends pause at the same time, not in turn

What callers saw: beside four connections that sent bodies in tiny chunks, GET /-/ready or /-/counters at full speed, the requests of others took 75 to 137 ms (median). One client was enough that connected anew: what its closed connections had still to be read went on for some 15 s.

Cause: each connection pauses for 1 ms after 1 ms, and one runs in the pauses of the others. There is always a goroutine that can run, and the scheduler looks at the network each 10 ms only. Evidence: with the chunks first the test failed 3 of 3 times; the process used 101% of a processor after its clients had left, and its goroutines showed three bodies being passed on. Beside 4, 8 and 16 busy loops the test passed, so it was not the load.

Now one schedule gives out the turns of all goroutines that never wait, with a pause between two of them.

TestFloodOnOneConnectionLeavesOthersFast played its floods in a random order; now always the chunks first, the order that failed.

--- a/cmd/ledgespread/flood_test.go
+++ b/cmd/ledgespread/flood_test.go
@@ -55,33 +55,50 @@
 	return took[requests/2]
 }
 
-// While one client sent messages at full speed that the process answers by itself, or a body in tiny chunks, the requests
-// of all others took tens of milliseconds: the connection's goroutine never waited, and the scheduler looked at the
-// network each 10 ms only.
-func TestFloodOnOneConnectionLeavesOthersFast(t *testing.T) {
+// floodKind is a kind of messages that the process handles without a wait.
+type floodKind struct{ name, beginning, text string }
+
+// The kinds of floods. Where a flood has a beginning, %s in it stands for an ID of its own.
+var floodKinds = []floodKind{
+	{"chunks", "POST /pay HTTP/1.1\r\nHost: a\r\nX-Request-ID: flood-%s\r\nX-Timeout: 25000m\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	{"ready", "", "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"},
+	{"counters", "", "GET /-/counters HTTP/1.1\r\nHost: a\r\n\r\n"},
+}
+
+// testFloods has each kind of flood sent on several connections at once, and asks that the requests of others stay fast.
+func testFloods(t *testing.T, connections int) {
 	const (
 		tries    = 3 // of which one has to be fast: other processes may slow them down
 		fastFrom = 10 * time.Millisecond
 	)
 	_, listen := startWithMemoryLimit(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) }))
-	const body = "POST /pay HTTP/1.1\r\nHost: a\r\nX-Request-ID: flood%d\r\nX-Timeout: 25000m\r\nTransfer-Encoding: chunked\r\n\r\n"
-	for name, texts := range map[string][2]string{
-		"ready":    {"", "GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"},
-		"counters": {"", "GET /-/counters HTTP/1.1\r\nHost: a\r\n\r\n"},
-		"chunks":   {body, "1\r\nx\r\n"},
-	} {
+	for _, kind := range floodKinds {
 		fastest := time.Hour
 		for try := range tries {
-			beginning := strings.Replace(texts[0], "%d", fmt.Sprint(try), 1)
-			stop := flood(t, listen, beginning, texts[1])
+			var stops []func()
+			for connection := range connections {
+				beginning := strings.Replace(kind.beginning, "%s", fmt.Sprintf("%d-%d", try, connection), 1)
+				stops = append(stops, flood(t, listen, beginning, kind.text))
+			}
 			time.Sleep(50 * time.Millisecond)
 			fastest = min(fastest, medianLatency(t, listen, "/look"))
-			stop()
+			for _, stop := range stops {
+				stop()
+			}
 		}
 		if fastest > fastFrom {
-			t.Errorf("%s: a request of others takes %v", name, fastest)
+			t.Errorf("%s: a request of others takes %v", kind.name, fastest)
 		} else {
-			t.Logf("%s: a request of others takes %v", name, fastest)
+			t.Logf("%s: a request of others takes %v", kind.name, fastest)
 		}
 	}
 }
+
+// While one client sent messages at full speed that the process answers by itself, or a body in tiny chunks, the requests
+// of all others took tens of milliseconds: the connection's goroutine never waited, and the scheduler looked at the
+// network each 10 ms only.
+func TestFloodOnOneConnectionLeavesOthersFast(t *testing.T) { testFloods(t, 1) }
+
+// The same came back as soon as there were two: each paused, but not at the same time. One client was enough, whose
+// earlier connections were closed with megabytes of tiny chunks that were still to be read.
+func TestFloodsOnSeveralConnectionsLeaveOthersFast(t *testing.T) { testFloods(t, 4) }
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -1,9 +1,13 @@
-// Package turn bounds how long a goroutine that always finds data runs before others. On one processor the Go scheduler
-// looks at the network only when no goroutine can run, or each 10 ms: a goroutine that never waits makes each step of
+// Package turn bounds how long goroutines that always find data run before others. On one processor the Go scheduler
+// looks at the network only when no goroutine can run, or each 10 ms: goroutines that never wait make each step of
 // all other requests take that long.
 package turn
 
-import "time"
+import (
+	"runtime"
+	"sync"
+	"time"
+)
 
 const (
 	maxLength  = time.Millisecond
@@ -24,7 +28,7 @@
 		t.began = now
 	}
 	if now.Sub(t.began) >= maxLength {
-		time.Sleep(pause)
+		time.Sleep(next.reserve(now, runtime.GOMAXPROCS(0)).Sub(now))
 		t.began = time.Now()
 	}
 }
@@ -37,3 +41,26 @@
 	}
 	t.Continue()
 }
+
+// schedule gives the turns of all goroutines that never wait a time each: if they only paused, some would always run in
+// the pauses of the others.
+type schedule struct {
+	mu   sync.Mutex
+	free time.Time // the earliest time of the next turn that is given out
+}
+
+// next is the schedule of the process's processors, which all goroutines share.
+var next schedule
+
+// reserve returns when the next turn of a goroutine begins whose turn is over now. On each processor there is a pause
+// between two turns.
+func (s *schedule) reserve(now time.Time, processors int) (begins time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	begins = now.Add(pause)
+	if begins.Before(s.free) {
+		begins = s.free
+	}
+	s.free = begins.Add((maxLength + pause) / time.Duration(processors))
+	return begins
+}
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -25,3 +25,25 @@
 		t.Errorf("the turn goes on after a wait, for %v", length)
 	}
 }
+
+// Turns that end together begin again one after another, with a pause between two of them on each processor.
+func TestTurnsOfSeveralGoroutinesDoNotFollowAtOnce(t *testing.T) {
+	for _, processors := range []int{1, 2} {
+		var turns schedule
+		now := time.Now()
+		last := turns.reserve(now, processors)
+		if last.Sub(now) != pause {
+			t.Errorf("%d processors: a pause of %v before the first turn", processors, last.Sub(now))
+		}
+		for range 3 {
+			begins := turns.reserve(now, processors)
+			if apart := begins.Sub(last); apart != (maxLength+pause)/time.Duration(processors) {
+				t.Errorf("%d processors: two turns begin %v apart", processors, apart)
+			}
+			last = begins
+		}
+		if later := last.Add(time.Second); turns.reserve(later, processors) != later.Add(pause) {
+			t.Errorf("%d processors: a turn waits for others that are over", processors)
+		}
+	}
+}
