A keyed request isn't repeated at a server that broke off, if only a group knows its key

Cause: the free retry of a request whose reused connection broke goes to the same server on a new connection, and a charged retry may go there too. Who listens at that address by then isn't known; most repeats came within 25 ms, so that no list could tell.

Where only a zone or a cell knows the key, a server at which an attempt ended without an answer now counts as one that doesn't know it. The free retry goes to another server of the group, still without tokens. Safe requests, and those whose key all servers know, go as before.

--- a/brain/eligibility.go
+++ b/brain/eligibility.go
@@ -52,16 +52,22 @@
 }
 
 // keyKnown reports whether the key of an attempt that may have run is known at a server or, if target is nil,
-// at every server.
+// at every server. Where only some servers know it, that doesn't include the address of an attempt that ended
+// without an answer: its process may be gone, and one of another group may listen there before a list tells.
 func (r *request) keyKnown(attempt *attempt, at Micros, target *server) bool {
 	class := r.class
 	switch {
 	case at >= attempt.sentAt+class.keyWindow:
 		return false
-	case target == nil:
-		return !class.keyInZone && !class.keyInCell
+	case target == nil || class.keyKnownEverywhere():
+		return class.keyKnownEverywhere()
+	case attempt.done && !attempt.answered && target == attempt.server:
+		return false
 	}
 	sameZone := attempt.zone == target.zone
 	sameCell := attempt.cell == target.cell
 	return (sameZone || !class.keyInZone) && (sameCell || !class.keyInCell)
 }
+
+// keyKnownEverywhere reports whether all servers know the keys of this class, and not only those of a zone or a cell.
+func (c *class) keyKnownEverywhere() bool { return !c.keyInZone && !c.keyInCell }
--- a/brain/requests.go
+++ b/brain/requests.go
@@ -192,6 +192,7 @@
 	}
 	attempt := request.attempts[index]
 	attempt.done = true
+	attempt.answered = result == Succeeded || result == AnsweredError || result == Overloaded
 	attempt.mayHaveRun = result != Overloaded && result != ConnectFailed && result != NeverSent
 	attempt.server.inFlight--
 	request.outstanding--
@@ -226,7 +227,7 @@
 // recordConnection updates the server's idle connections after an attempt.
 func (b *Balancer) recordConnection(attempt *attempt, result Result) {
 	switch {
-	case result == Succeeded || result == AnsweredError || result == Overloaded:
+	case attempt.answered:
 		attempt.server.idleSince = append(attempt.server.idleSince, b.now)
 	case result == TimedOut && attempt.reused: // some connections are dropped without notice and never answer
 		b.idleLifetime = min(b.idleLifetime, max(attempt.idleFor, firstBackoff))
--- a/brain/retries.go
+++ b/brain/retries.go
@@ -35,19 +35,35 @@
 	}
 }
 
-// retryWithoutCharge sends a request again to the same server on a new connection, after a reused one broke
-// without an answer. The other idle connections may be broken as well and are closed first.
+// retryWithoutCharge sends a request again on a new connection, after a reused one broke without an answer. The
+// other idle connections may be broken as well and are closed first.
 func (b *Balancer) retryWithoutCharge(request *request, server *server) bool {
 	server.idleSince = nil
 	b.ports.CloseIdle(server.id)
-	if request.freeRetryUsed || !b.allowed(request, server) {
+	if request.freeRetryUsed {
+		return false
+	}
+	target := b.freeRetryTarget(request, server)
+	if target == nil {
 		return false
 	}
 	request.freeRetryUsed = true
-	b.send(request, server, b.endHandler(request, false))
+	b.send(request, target, b.endHandler(request, false))
 	return true
 }
 
+// freeRetryTarget returns where the free retry of a request goes after its connection to a server broke: to the same
+// server or, with a key that only some servers know, to another one of these. nil: nowhere.
+func (b *Balancer) freeRetryTarget(request *request, server *server) *server {
+	switch {
+	case b.allowed(request, server):
+		return server
+	case request.class.effect == keyed && !request.class.keyKnownEverywhere():
+		return b.pick(request, false, false)
+	}
+	return nil
+}
+
 // retryOrGiveUp schedules a retry, if there are enough time, a server and enough tokens.
 func (b *Balancer) retryOrGiveUp(request *request) {
 	b.spentTokens = min(b.spentTokens, b.bucketSize())
--- a/brain/state.go
+++ b/brain/state.go
@@ -101,6 +101,7 @@
 	reused        bool   // sent on a connection that had been idle
 	idleFor       Micros // how long that connection had been idle
 	done          bool
+	answered      bool // the server has answered, with a success or not
 	mayHaveRun    bool // in flight, or ended without proof that the server never processed it
 	onEnd         func(*attempt, Result)
 }
