Unsent attempts are called off when a list moves their server to another place

What callers saw: a request was executed at the address that its server had had, by whoever listened there by then, where a list had told another address while the connection was being established.

Cause: the address of an attempt is looked up when it is sent, and its connection takes up to the connect timeout. A list called off the unsent attempts of leaving servers only, not those of servers that it gave another address or group.

Now it calls off both. They never ran, so their tokens return and the decisions choose anew.

--- a/internal/relay/lists.go
+++ b/internal/relay/lists.go
@@ -32,13 +32,16 @@
 }
 
 func (r *Relay) applyList(kind brain.ListKind, list *discovery.List) {
-	gone, leaving := map[brain.ServerID]bool{}, map[brain.ServerID]bool{}
+	gone, leaving, moved := map[brain.ServerID]bool{}, map[brain.ServerID]bool{}, map[brain.ServerID]bool{}
 	for id := range r.servers {
 		gone[id], leaving[id] = kind != brain.ListChanges, kind != brain.ListChanges
 	}
 	r.balancer.BeginList(r.now, kind)
 	for _, entry := range list.Entries {
-		r.servers[entry.ID] = server{entry.Host, entry.Address, entry.Standing == brain.Ready}
+		next := server{entry.Host, place{entry.Address, entry.Zone, entry.Cell}, entry.Standing == brain.Ready}
+		before, known := r.servers[entry.ID]
+		moved[entry.ID] = moved[entry.ID] || known && before.place != next.place
+		r.servers[entry.ID] = next
 		gone[entry.ID] = entry.Standing == brain.Gone
 		if leaving[entry.ID] = entry.Standing != brain.Ready; leaving[entry.ID] {
 			r.log.Debug().Str("server", entry.Host).Uint64("version", list.Version).Uint8("standing", uint8(entry.Standing)).Msg("leaving")
@@ -47,7 +50,7 @@
 		r.balancer.ListServer(r.now, entry.ID, entry.Zone, entry.Cell, entry.Standing, entry.Weight, started)
 	}
 	r.balancer.EndList(r.now)
-	r.cancelUnsent(func(id brain.ServerID) bool { return leaving[id] })
+	r.cancelUnsent(func(id brain.ServerID) bool { return leaving[id] || moved[id] })
 	// Forget departed servers, so that the maps stay bounded, and their connections, since the address may
 	// now belong to another machine.
 	for id, left := range gone {
--- a/internal/relay/operators.go
+++ b/internal/relay/operators.go
@@ -48,13 +48,13 @@
 	}
 }
 
-// cancelUnsent cancels attempts to leaving servers of which nothing has been written yet, so that they never
-// run there. A server that leaves accepts no new requests, but an attempt may still wait for its connection,
-// or its goroutine for CPU time.
-func (r *Relay) cancelUnsent(leaving func(brain.ServerID) bool) {
+// cancelUnsent cancels attempts of which nothing has been written yet, to servers that are no longer to get them, so
+// that they never run there: such a server leaves, or another one may be at its address. An attempt may still wait for
+// its connection, or its goroutine for CPU time.
+func (r *Relay) cancelUnsent(from func(brain.ServerID) bool) {
 	for _, request := range r.requests {
 		for _, attempt := range request.attempts {
-			if attempt != nil && leaving(attempt.To) {
+			if attempt != nil && from(attempt.To) {
 				attempt.CancelUnsent()
 			}
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,10 +58,18 @@
 	neverRan    bool      // it ended, and is known not to have run
 }
 
-// server is the name and address of a listed server.
+// server is a listed server.
 type server struct {
-	host, address string
-	ready         bool
+	host  string
+	place place
+	ready bool
+}
+
+// place is where a list has a server: its address, and the groups that it belongs to.
+type place struct {
+	address string
+	zone    brain.Zone
+	cell    brain.Cell
 }
 
 // Relay connects a Balancer to clients, servers, discovery and other sidecars.
--- a/internal/relay/requests.go
+++ b/internal/relay/requests.go
@@ -163,7 +163,7 @@
 	r.logAttempt(request, number, target.host, wait)
 	requestedAt := time.Now() // before the attempt can run
 	var sentAttempt *outbound.Attempt
-	sentAttempt = r.outbound.Send(request.exchange, server, target.address, until, request.lastByteBy(int(number)),
+	sentAttempt = r.outbound.Send(request.exchange, server, target.place.address, until, request.lastByteBy(int(number)),
 		func(answer *exchange.Answer, _ bool, load []float64, err error) {
 			r.post(func() {
 				result, took := outbound.ResultOf(err), sentAttempt.Latency(r.now-sent)
