The old process of an upgrade is known by its start, not only by its process ID

What staff saw: nothing, until a sidecar crashed and its process ID was given to another process. The next sidecar took that one for an old sidecar that still serves: up to 2 s of waiting for the first list, and half of its memory for as long as that process ran.

Cause: the file in $TMPDIR names the process that was started last by its ID, and only that was compared.

--- a/internal/handover/content.go
+++ b/internal/handover/content.go
@@ -23,7 +23,7 @@
 // content is what the state file holds. It is not modified once it is shared.
 type content struct {
 	number  int                    // grows with each write
-	process int                    // ID of the process that was started last
+	process Process                // the process that was started last
 	out     map[string]bool        // the servers out of service
 	changed map[string]machineTime // when a server was last taken out or put back; nil: the file is by a version that doesn't write it
 }
@@ -59,6 +59,7 @@
 	Sidecar string                 `json:"sidecar"`
 	Number  int                    `json:"number"`
 	Process *int                   `json:"process"`
+	Started uint64                 `json:"process_started,omitempty"`
 	Out     *[]string              `json:"out"`
 	Changed map[string]machineTime `json:"changed"`
 }
@@ -75,7 +76,7 @@
 	if stored.Process == nil || stored.Out == nil {
 		return c, errMissingField
 	}
-	c = content{number: stored.Number, process: *stored.Process, out: map[string]bool{}, changed: stored.Changed}
+	c = content{number: stored.Number, process: Process{*stored.Process, stored.Started}, out: map[string]bool{}, changed: stored.Changed}
 	for _, server := range *stored.Out {
 		c.out[server] = true
 	}
@@ -85,7 +86,7 @@
 // encode is the reverse of parse.
 func (c content) encode(sidecar string) ([]byte, error) {
 	servers := c.servers()
-	return json.Marshal(storedContent{Form: form, Sidecar: sidecar, Number: c.number, Process: &c.process, Out: &servers, Changed: c.changed})
+	return json.Marshal(storedContent{Form: form, Sidecar: sidecar, Number: c.number, Process: &c.process.id, Started: c.process.started, Out: &servers, Changed: c.changed})
 }
 
 // follows reports whether the content was written after another one of the same file. Otherwise a crash of the machine
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -17,7 +17,6 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -55,7 +54,7 @@
 	unsynced               []*change          // in the file, and not in its synced copy yet
 	inForce                []string           // the servers out of service in this process, in order
 	revision               int                // grows with each change of known and pending
-	announcing             bool               // the file has to get this process's ID
+	announcing             bool               // the file has to name this process
 	announced              chan struct{}      // closed when it has
 	closed                 bool               // what is pending is given up
 	warnedUnread           bool               // the log already has the warning that the file cannot be read
@@ -63,9 +62,9 @@
 }
 
 // Open opens the state file of a sidecar and reads what an earlier process wrote. A truncated, foreign or
-// unreadable file is logged and ignored. before is the process that was started last, or 0 if there is none,
-// it no longer runs, or it is this process.
-func Open(inFolder, sidecar, listen string, log zerolog.Logger) (s *State, before int) {
+// unreadable file is logged and ignored. before is the process that was started last, or none if it no longer runs or
+// is this process.
+func Open(inFolder, sidecar, listen string, log zerolog.Logger) (s *State, before Process) {
 	s = &State{Deliver: func([]string) {}, path: filepath.Join(inFolder, fmt.Sprintf("ledgespread-%x", sidecar+" "+listen)), sidecar: sidecar,
 		disk: osDisk{}, log: log, pending: map[string]*change{}, recent: map[string]*change{}}
 	s.fileWriter = writer{write: s.writePending, isDue: func() bool { return len(s.pending) > 0 || s.announcing },
@@ -74,23 +73,19 @@
 		failed: "which servers are out could not be synced to the disk; tried again", recovered: "which servers are out is synced to the disk at last"}
 	s.known = s.readLatest()
 	s.inForce = s.known.servers()
-	before = s.known.process
-	if before == os.Getpid() || before <= 0 || !ProcessExists(before) {
-		before = 0
+	if latest := s.known.process; !latest.isCurrent() && latest.Exists() {
+		before = latest
 	}
 	return s, before
 }
 
-// ProcessExists reports whether a process with this ID exists.
-func ProcessExists(pid int) bool { return !errors.Is(syscall.Kill(pid, 0), syscall.ESRCH) }
-
 // Path returns the path of the state's file, which is the same for all processes of the sidecar.
 func (s *State) Path() string { return s.path }
 
 // Replaced reports whether a later process of this sidecar has announced itself and still runs.
 func (s *State) Replaced() bool {
 	latest, err := s.read()
-	return err == nil && latest.process != os.Getpid() && ProcessExists(latest.process)
+	return err == nil && !latest.process.isCurrent() && latest.process.Exists()
 }
 
 // OutOfService returns the servers out of service in this process, in order.
@@ -246,7 +241,7 @@
 	s.known = read
 }
 
-// Announce writes the ID of this process into the file, and waits for it unless the disk is too slow.
+// Announce writes into the file that this process was started last, and waits for it unless the disk is too slow.
 func (s *State) Announce() {
 	s.mu.Lock()
 	s.announcing, s.announced = true, make(chan struct{})
--- a/internal/handover/state_test.go
+++ b/internal/handover/state_test.go
@@ -24,7 +24,10 @@
 	add := func(format string, args ...any) { got = append(got, fmt.Sprintf(format, args...)) }
 	var log bytes.Buffer
 	folder := t.TempDir()
-	open := func() (*State, int) { return Open(folder, "n0", "127.0.0.1:1", zerolog.New(&log)) }
+	open := func() (*State, int) {
+		state, before := Open(folder, "n0", "127.0.0.1:1", zerolog.New(&log))
+		return state, before.id
+	}
 	warnings := func() int { defer log.Reset(); return bytes.Count(log.Bytes(), []byte("passed over")) }
 	first, before := open()
 	add("no file: %v, before %d, warnings %d", first.OutOfService(), before, warnings())
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -35,10 +35,10 @@
 	state.Deliver = p.relay.SetTakenOut
 	state.Announce()
 	p.relay.PublishFleetEvery(brain.Micros(publishInterval.Microseconds()))
-	if predecessor != 0 {
+	if p.hasPredecessor() {
 		p.limitHeap(2)
 	}
-	go p.followOtherProcess(state, predecessor)
+	go p.followOtherProcess(state)
 	operators, err := console.Listen(p.Manifest.Console, p.Manifest.Sockets, p.consoleCalls(state), p.counts, p.Log)
 	if err != nil {
 		return err
@@ -93,11 +93,11 @@
 // followOtherProcess reads which servers another process of this sidecar has taken out of service, and
 // notices when the previous process has ended. It has a goroutine of its own, so that a slow disk doesn't
 // delay requests.
-func (p *process) followOtherProcess(state *handover.State, predecessor int) {
-	for ; ; time.Sleep(publishInterval) {
+func (p *process) followOtherProcess(state *handover.State) {
+	for limited := p.hasPredecessor(); ; time.Sleep(publishInterval) {
 		state.Refresh()
-		if predecessor != 0 && !handover.ProcessExists(predecessor) {
-			predecessor = 0
+		if limited && !p.predecessor.Exists() {
+			limited = false
 			p.limitHeap(1)
 		}
 	}
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -30,7 +30,7 @@
 	if p.peers != nil {
 		self.MessageAddress, _ = netip.ParseAddrPort(manifest.PeerListen)
 	}
-	p.members, err = members.Open(settings, self, p.predecessor != 0, p.membersChanged, p.Log)
+	p.members, err = members.Open(settings, self, p.hasPredecessor(), p.membersChanged, p.Log)
 	return err
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"ledgespread/internal/counters"
 	"ledgespread/internal/discovery"
 	"ledgespread/internal/extensions"
+	"ledgespread/internal/handover"
 	"ledgespread/internal/inbound"
 	"ledgespread/internal/members"
 	"ledgespread/internal/memory"
@@ -101,12 +102,15 @@
 	members       *members.Members // nil: membership is off
 	inbound       atomic.Pointer[inbound.Inbound]
 	reloader      *reload.Reloader
-	reloaderReady chan struct{} // closed when reloader is set
-	predecessor   int           // process ID of an old process that still serves for this sidecar; 0: none
-	replaced      func() bool   // reports whether a newer process of this sidecar has started
-	closeState    func()        // writes the servers out of service before the process ends
+	reloaderReady chan struct{}    // closed when reloader is set
+	predecessor   handover.Process // an old process that still serves for this sidecar; zero: none
+	replaced      func() bool      // reports whether a newer process of this sidecar has started
+	closeState    func()           // writes the servers out of service before the process ends
 }
 
+// hasPredecessor reports whether an old process served for this sidecar when this one was started.
+func (p *process) hasPredecessor() bool { return p.predecessor != handover.Process{} }
+
 // Run starts the parts and returns when the process was asked to stop, or can't go on.
 func Run(o Options) error {
 	proc := &process{Options: o, counts: &counters.Set{}, account: memory.New(0), reloaderReady: make(chan struct{}), replaced: func() bool { return false }, closeState: func() {}}
@@ -169,7 +173,7 @@
 // pushes the list, the saved one would send requests to servers that have left since. goOn is false if the
 // process was asked to stop meanwhile.
 func (p *process) waitForFirstList() (goOn bool) {
-	if p.predecessor == 0 && !p.relay.Pushed() {
+	if !p.hasPredecessor() && !p.relay.Pushed() {
 		return true
 	}
 	select {
@@ -223,7 +227,7 @@
 // steerClients directs new connections at a shared address to this process, if an old process listens
 // there too.
 func (p *process) steerClients(clients *inbound.Inbound) {
-	if p.predecessor == 0 {
+	if !p.hasPredecessor() {
 		return
 	}
 	if err := clients.Steer(); err != nil {
