A head that is not whole is not parsed, nor one with many fields before its body begins

What callers saw: hundreds of clients that stopped in a head of very many short fields, behind it, or in a second one behind a request, made the process exceed its memory limit: 54 to 62 MB of 48 (341 clients, 1,900 fields).

Cause: the HTTP server parses the first piece of a head and keeps its fields until the rest has come, and those of a whole head until the body has begun. A heap profile at 57 MB had 45 MB of them.

It passes on no byte of the next message with those of one, of an unfinished head first one byte only, and of a head with more than 64 fields all but the last byte until its body begins.

--- a/cmd/ledgespread/memory_test.go
+++ b/cmd/ledgespread/memory_test.go
@@ -292,3 +292,39 @@
 		}
 	}
 }
+
+// Clients that stopped in a head of very many short fields, or behind it, made the process exceed its memory limit: the
+// HTTP server parses what it has of a head, and keeps the fields until it has the rest and the beginning of the body.
+func TestUnfinishedHeadsStayWithinMemoryLimit(t *testing.T) {
+	const request = "%s HTTP/1.1\r\nHost: a\r\nX-Request-ID: %d%s\r\nX-Timeout: 25000m\r\n%s"
+	fields := strings.Repeat("a:\r\n", 1900)
+	for name, message := range map[string]func(number int) string{
+		"half a head": func(number int) string { return fmt.Sprintf(request, "GET /look", number, "", fields) },
+		"a head without its body": func(number int) string {
+			return fmt.Sprintf(request, "POST /pay", number, "", fields+"Content-Length: 100000\r\n\r\n")
+		},
+		"half a head behind a request": func(number int) string {
+			return fmt.Sprintf(request, "POST /pay", number, "first", "Content-Length: 3\r\n\r\nabc") + fmt.Sprintf(request, "GET /look", number, "", fields)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pid, listen := startWithMemoryLimit(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) }))
+			peak := watchMemory(t, pid)
+			runClients(func(number int) (int, error) {
+				client, err := net.Dial("tcp", listen)
+				if err != nil {
+					return 0, err
+				}
+				defer client.Close()
+				io.WriteString(client, message(number))
+				time.Sleep(2 * time.Second)
+				return 0, nil
+			})
+			if bytes := peak(); bytes > testMemoryMB<<20 {
+				t.Errorf("%d bytes of %d", bytes, testMemoryMB<<20)
+			} else {
+				t.Logf("%d bytes of %d", bytes, testMemoryMB<<20)
+			}
+		})
+	}
+}
--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -43,10 +44,11 @@
 	closeOnce     sync.Once
 	writeClosed   atomic.Bool // this side has shut down its sending half; bytes read from then on are ignored
 	acceptedAt    time.Time
-	messageBytes  int    // bytes read since the end of the last message
-	hadRequest    bool   // a request has been received on this connection
-	peerClosed    bool   // the peer has closed the connection, or it broke
-	pipelined     []byte // bytes of the next messages that WatchForClose has read
+	messageBytes  int  // bytes read since the end of the last message
+	hadRequest    bool // a request has been received on this connection
+	peerClosed    bool // the peer has closed the connection, or it broke
+	boundaries    boundaries
+	pipelined     []byte // bytes that have been read from the socket, but not passed on; most are of the next messages
 
 	// The deadlines in force, and a read deadline that the next read sets (zero: none).
 	readDeadline, nextReadDeadline, writeDeadline time.Time
@@ -116,16 +118,18 @@
 }
 
 func (c *clientConn) read(p []byte) (n int, err error) {
-	if len(c.pipelined) > 0 {
-		return c.takePipelined(p), nil
+	if n = c.takePipelined(p); n > 0 {
+		return n, nil
 	}
 	c.applyReadDeadline()
 	if c.messageBytes > shortMessage {
 		c.moveDeadline()
 	}
-	n, err = c.input.Read(p)
-	c.messageBytes += n
-	c.lastRead = p[:n]
+	held := copy(p, c.pipelined) // a byte that waits for those behind it
+	n, err = c.input.Read(p[held:])
+	if n > 0 {
+		n = c.passOn(p[:held+n], len(p))
+	}
 	if c.messageBytes > shortMessage {
 		c.lastReadAt = time.Now()
 	}
@@ -133,9 +137,24 @@
 	return n, err
 }
 
-// takePipelined returns bytes of the next messages that WatchForClose has read.
+// passOn returns how many of the received bytes are to be passed on to a reader with this room, and keeps the rest.
+func (c *clientConn) passOn(received []byte, room int) (n int) {
+	n = c.boundaries.next(received, room)
+	c.pipelined = nil
+	if n < len(received) {
+		c.pipelined = bytes.Clone(received[n:])
+	}
+	c.messageBytes += n
+	c.lastRead = received[:n]
+	return n
+}
+
+// takePipelined passes on bytes that have been read from the socket before.
 func (c *clientConn) takePipelined(p []byte) (n int) {
-	n = copy(p, c.pipelined)
+	if len(c.pipelined) == 0 {
+		return 0
+	}
+	n = copy(p, c.pipelined[:c.boundaries.next(c.pipelined, len(p))])
 	c.pipelined = c.pipelined[n:]
 	if len(c.pipelined) == 0 {
 		c.pipelined = nil
--- a/internal/connlimit/state.go
+++ b/internal/connlimit/state.go
@@ -109,9 +109,18 @@
 }
 
 // EndMessage records that a message has been read to its end, and how many bytes of the next one have been
-// read with it.
+// passed on with it.
 func (l *Listener) EndMessage(conn net.Conn, ahead int) {
 	if c, ok := conn.(*clientConn); ok {
+		c.boundaries.endMessage(ahead, c.lastRead)
 		c.messageBytes, c.lastRead, c.lastReadAt = ahead, nil, time.Time{}
 	}
 }
+
+// Following returns the bytes of the next messages that have been received with this one, and are not passed on yet.
+func (l *Listener) Following(conn net.Conn) []byte {
+	if c, ok := conn.(*clientConn); ok {
+		return c.pipelined
+	}
+	return nil
+}
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -177,16 +177,19 @@
 		return false
 	}
 	received, lastRead := in.listener.Received(ctx.Conn())
-	ahead := received - msg.headSize - bodySize
+	ahead, following := received-msg.headSize-bodySize, in.listener.Following(ctx.Conn())
 	if msg.body.Chunked { // the size of the chunks' framing is unknown; what follows is read as the next message
-		ahead = 0
+		ahead, following = 0, nil
 	}
-	if ahead < 0 || ahead > 0 && !beginsRequest(lastRead[max(0, len(lastRead)-ahead):]) {
+	if ahead > 0 {
+		following = lastRead[max(0, len(lastRead)-ahead):]
+	}
+	if ahead < 0 || len(following) > 0 && !beginsRequest(following) {
 		in.refuse(ctx, fasthttp.StatusBadRequest, "the length does not fit")
 		return false
 	}
 	in.listener.EndMessage(ctx.Conn(), ahead)
-	msg.pipelined = ahead > 0 || msg.body.Chunked
+	msg.pipelined = len(following) > 0 || msg.body.Chunked
 	return true
 }
 
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -3,6 +3,7 @@
 package inbound
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"math"
@@ -108,9 +109,10 @@
 }
 
 // headReceived is the server's HeaderReceived hook. fasthttp reads the beginning of a body before it calls
-// the handler. The limit of one byte keeps that read from delaying the 413 for a body that is too long.
+// the handler. The limit of one byte keeps that read from delaying the 413 for a body that is too long, and the handler
+// that drops the fields of a head with many.
 func headReceived(h *fasthttp.RequestHeader) (config fasthttp.RequestConfig) {
-	if h.ContentLength() > maxBody {
+	if h.ContentLength() > maxBody || bytes.Count(h.RawHeaders(), []byte("\n")) > connlimit.ManyFields {
 		config.MaxRequestBodySize = 1
 	}
 	return config
--- a/internal/inbound/message.go
+++ b/internal/inbound/message.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"ledgespread/brain"
+	"ledgespread/internal/connlimit"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/framing"
 	"ledgespread/internal/memory"
@@ -28,10 +29,8 @@
 	fieldCount
 )
 
-const (
-	maxKeptFields  = 64      // the HTTP server's copies of more parsed fields are dropped once they have been used
-	usualHeadBytes = 1 << 10 // a head up to this size belongs to the connection's own memory
-)
+// usualHeadBytes is the size up to which a head belongs to the connection's own memory.
+const usualHeadBytes = 1 << 10
 
 var fieldNames = [fieldCount]string{"X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout",
 	"Idempotency-Key", "X-Retried", "X-Cost", "Host"}
@@ -88,7 +87,7 @@
 	if err == nil && ctx.IsGet() && (msg.body.Length > 0 || msg.body.Chunked) {
 		err = errors.New("GET has no body")
 	}
-	if fieldsSeen > maxKeptFields {
+	if fieldsSeen > connlimit.ManyFields {
 		dropFields(header)
 	}
 	return msg, err
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/memory"
@@ -127,7 +128,7 @@
 // freeHead frees the memory of an answer's head, which has been written. fasthttp keeps each field apart, which takes
 // many times the length of a head with very many short ones.
 func freeHead(answer *exchange.Answer, header *fasthttp.ResponseHeader) {
-	if answer.FieldCount() > maxKeptFields {
+	if answer.FieldCount() > connlimit.ManyFields {
 		*header = fasthttp.ResponseHeader{}
 	}
 	answer.Head = nil
@@ -135,7 +136,7 @@
 
 // writeWhole makes the server write an answer whose body is held whole.
 func (in *Inbound) writeWhole(ctx *fasthttp.RequestCtx, answer *exchange.Answer) {
-	if len(answer.Body) <= memory.FreeBytes && answer.FieldCount() <= maxKeptFields {
+	if len(answer.Body) <= memory.FreeBytes && answer.FieldCount() <= connlimit.ManyFields {
 		ctx.Response.SetBodyRaw(answer.Body)
 		answer.Reserved.Free()
 		return
