inbound, peek: one writer of answers' bodies; cmd's tests build the program once

The history of arrivals is cleared where the client is known to be behind, so that a long body no longer leaves 128 entries. reserveBody's switch with one case is an if. Two comments said what is not so.

cmd/ledgespread's tests built the program for each of 14 starts; they build it once, start it by startProgram's code and read memory by lab/sidecars.

--- a/cmd/ledgespread/memory_test.go
+++ b/cmd/ledgespread/memory_test.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"ledgespread/lab/sidecars"
 )
 
 // Limits of the program in these tests, and how many clients use it at once: a third of the descriptors.
@@ -30,37 +32,28 @@
 	memoryPollInterval = 20 * time.Millisecond
 )
 
-// buildProgram builds the program as it is deployed, without the race detector, which needs memory of its own.
-func buildProgram(t *testing.T) (path string) {
-	t.Helper()
-	path = filepath.Join(t.TempDir(), "ledgespread")
-	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
-	return path
-}
+// builtProgramFolder holds what buildProgram has built, until the tests end.
+var builtProgramFolder string
 
-// anonymousMemory returns the memory of a process without pages of files, in bytes.
-func anonymousMemory(t *testing.T, pid int) (bytes int) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
+// buildProgram builds the program once as it is deployed, without the race detector, which needs memory of its own.
+var buildProgram = sync.OnceValues(func() (path string, err error) {
+	if builtProgramFolder, err = os.MkdirTemp("", "ledgespread"); err != nil {
+		return "", err
 	}
-	for line := range strings.Lines(string(text)) {
-		if kilobytes, found := strings.CutPrefix(line, "RssAnon:"); found {
-			fmt.Sscan(kilobytes, &bytes)
-		}
+	path = filepath.Join(builtProgramFolder, "ledgespread")
+	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w\n%s", err, out)
 	}
-	return bytes << 10
-}
+	return path, nil
+})
 
 // watchMemory watches the memory of a process until peak is called, which returns the most that it used.
-func watchMemory(t *testing.T, pid int) (peak func() int) {
+func watchMemory(pid int) (peak func() int) {
 	stop, result := make(chan bool), make(chan int)
 	go func() {
 		most := 0
 		for {
-			most = max(most, anonymousMemory(t, pid))
+			most = max(most, sidecars.AnonymousMemory(pid)<<10)
 			select {
 			case <-stop:
 				result <- most
@@ -87,14 +80,12 @@
 	text, _ := os.ReadFile(file)
 	os.WriteFile(file, []byte(strings.NewReplacer(`"memory_mb":64`, fmt.Sprintf(`"memory_mb":%d`, testMemoryMB),
 		`"sockets":64`, fmt.Sprintf(`"sockets":%d`, testDescriptors)).Replace(string(text))), 0o600)
-	program := exec.Command(buildProgram(t), "serve")
-	program.Env = append(os.Environ(), "RELAY_CONFIG="+file, "TMPDIR="+t.TempDir())
-	log := &logBuffer{}
-	program.Stderr = log
-	if err := program.Start(); err != nil {
+	binary, err := buildProgram()
+	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { program.Process.Kill() })
+	t.Setenv("TMPDIR", t.TempDir())
+	program, log := startBinary(t, binary, file)
 	eventually(t, "it serves", func() bool { return strings.Contains(log.text(), `"serving"`) })
 	return program.Process.Pid, listen
 }
@@ -170,7 +161,7 @@
 					}
 				}
 			}))
-			peak := watchMemory(t, pid)
+			peak := watchMemory(pid)
 			served := runClients(func(number int) (int, error) {
 				client := &slowClient{}
 				if err := client.sendHead(listen, "GET", "/look", fmt.Sprint(number), ""); err != nil {
@@ -195,7 +186,7 @@
 		pid, listen := startWithMemoryLimit(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			io.Copy(io.Discard, r.Body)
 		}))
-		peak := watchMemory(t, pid)
+		peak := watchMemory(pid)
 		runClients(func(number int) (int, error) {
 			client := &slowClient{}
 			if err := client.sendHead(listen, "POST", "/pay", fmt.Sprint(number), fmt.Sprintf("Content-Length: %d\r\n", size)); err != nil {
@@ -273,7 +264,7 @@
 				}
 			}
 		}))
-		peak := watchMemory(t, pid)
+		peak := watchMemory(pid)
 		served := runClients(func(number int) (int, error) {
 			client, more := &slowClient{}, ""
 			if strings.HasSuffix(path, "request") {
@@ -309,7 +300,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			pid, listen := startWithMemoryLimit(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) }))
-			peak := watchMemory(t, pid)
+			peak := watchMemory(pid)
 			runClients(func(number int) (int, error) {
 				client, err := net.Dial("tcp", listen)
 				if err != nil {
--- a/cmd/ledgespread/serve_test.go
+++ b/cmd/ledgespread/serve_test.go
@@ -33,7 +33,9 @@
 		main()
 		os.Exit(0)
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	os.RemoveAll(builtProgramFolder)
+	os.Exit(code)
 }
 
 // logBuffer collects the program's log. It doesn't embed the buffer, because bytes.Buffer.ReadFrom would bypass the lock.
@@ -56,9 +58,15 @@
 
 // startProgram starts the program with a configuration file and further flags, and kills it at the end of the test.
 func startProgram(t *testing.T, file string, flags ...string) (*exec.Cmd, *logBuffer) {
+	t.Helper()
+	return startBinary(t, os.Args[0], file, flags...)
+}
+
+// startBinary does the same with a binary of the program or of its tests.
+func startBinary(t *testing.T, binary, file string, flags ...string) (*exec.Cmd, *logBuffer) {
 	t.Helper()
 	log := &logBuffer{}
-	program := exec.Command(os.Args[0], append([]string{"serve"}, flags...)...)
+	program := exec.Command(binary, append([]string{"serve"}, flags...)...)
 	program.Env = append(os.Environ(), "LEDGESPREAD_UNDER_TEST=1", "RELAY_CONFIG="+file)
 	program.Stderr = log
 	if err := program.Start(); err != nil {
--- a/internal/connlimit/receiver.go
+++ b/internal/connlimit/receiver.go
@@ -25,6 +25,7 @@
 	socket syscall.RawConn
 	try    func(fd uintptr) (done bool) // the method value readOnce, bound once
 	look   func(fd uintptr)             // the method value lookAtUnread, bound once
+	peek   func(fd uintptr)             // the method value lookForData, bound once
 
 	// Buffer and results of the read in progress. There is only one at a time.
 	buffer []byte
@@ -38,12 +39,13 @@
 	total    int  // bytes read from the socket since the accept
 	unread   int  // bytes that lay unread in the socket at the last look
 	filled   bool // they filled a good part of its buffer
+	hasData  bool // data lay unread in the socket at the last call of lookForData
 }
 
 // newReceiver returns a receiver for a connection.
 func newReceiver(conn *net.TCPConn) *receiver {
 	r := &receiver{conn: conn}
-	r.try, r.look = r.readOnce, r.lookAtUnread
+	r.try, r.look, r.peek = r.readOnce, r.lookAtUnread, r.lookForData
 	r.socket, r.err = conn.SyscallConn() // an error is returned by the first read
 	return r
 }
@@ -139,6 +141,9 @@
 	}
 }
 
+// lookForData looks whether data lies unread in the socket. The lock is held.
+func (r *receiver) lookForData(fd uintptr) { r.hasData = peek.HasDataAt(fd) }
+
 // backlogged reports whether the unread bytes filled a good part of the socket's buffer at the last look.
 func (r *receiver) backlogged() bool {
 	r.mu.Lock()
@@ -159,7 +164,11 @@
 func (r *receiver) ifSilent(action func()) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.received || peek.HasData(r) {
+	r.hasData = false
+	if r.socket != nil {
+		r.socket.Control(r.peek)
+	}
+	if r.received || r.hasData {
 		return false
 	}
 	action()
--- a/internal/exchange/arrivals.go
+++ b/internal/exchange/arrivals.go
@@ -20,6 +20,9 @@
 	latest  time.Time
 }
 
+// clear forgets what has arrived: all of it is known not to have been the whole message.
+func (h *arrivalHistory) clear() { h.entries, h.latest = h.entries[:0], time.Time{} }
+
 // add records how many bytes have arrived.
 func (h *arrivalHistory) add(at time.Time, bytes int) {
 	if last := len(h.entries) - 1; last < 0 || bytes-h.entries[last].bytes >= arrivalStep {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -74,15 +74,14 @@
 	StopIf(unwanted func() bool)
 }
 
-// FieldCount returns the number of fields of the head.
-func (a *Answer) FieldCount() int { return bytes.Count(a.Head, []byte("\n")) }
-
-// EachField calls take with each field of the head.
-func (a *Answer) EachField(take func(name, value []byte)) {
+// EachField calls take with each field of the head, and returns their number.
+func (a *Answer) EachField(take func(name, value []byte)) (count int) {
 	for line := range bytes.Lines(a.Head) {
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		take(name, bytes.Trim(value, " \t\r\n"))
+		count++
 	}
+	return count
 }
 
 // FreeBody gives back the memory of Body, which has been passed on.
--- a/internal/exchange/upload.go
+++ b/internal/exchange/upload.go
@@ -51,7 +51,7 @@
 // timeout counts from the latest time at which the client is known not to have written all of it.
 type Upload struct {
 	Sized         bool          // the head gives its length; otherwise it is sent in chunks
-	ClientTimeout time.Duration // counted from the arrival of the last byte
+	ClientTimeout time.Duration // counted from the time at which the client wrote the last byte
 
 	source    UploadSource
 	mu        sync.Mutex // held while the body is read
@@ -124,6 +124,7 @@
 	switch {
 	case u.clientIsBehind(bytes, backlogged):
 		u.lastIncomplete, u.assumed = now, false
+		u.arrivals.clear()
 	case backlogged:
 		u.assumed = true
 		if since := u.arrivals.incompleteAt(bytes); since.After(u.lastIncomplete) {
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -87,8 +87,7 @@
 // reserveBody reserves the memory for the next bytes of a body of which some have been received. Only a body of up to
 // exchange.MaxBufferedBody may take more than the memory that there is to spare.
 func (in *Inbound) reserveBody(reserved *memory.Reservation, received, size int) bool {
-	switch {
-	case received+size <= exchange.MaxBufferedBody:
+	if received+size <= exchange.MaxBufferedBody {
 		return reserved.Grow(int64(max(received+size-memory.FreeBytes, 0) - max(received-memory.FreeBytes, 0)))
 	}
 	return received+size <= in.maxHeldBody && reserved.GrowSpare(int64(size))
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -267,13 +267,14 @@
 	switch request.Ending {
 	case exchange.Succeeded:
 		in.counts.Add(counters.RequestsDelivered)
-		request.Answer.EachField(ctx.Response.Header.AddBytesKV)
+		writing := bodyWriter{answer: request.Answer, header: &ctx.Response.Header}
+		writing.fieldCount = request.Answer.EachField(ctx.Response.Header.AddBytesKV)
 		if request.Answer.Rest != nil {
-			in.streamAnswer(ctx, request.Answer, endRequest)
+			in.streamAnswer(ctx, writing, endRequest)
 			return
 		}
 		endRequest(counters.Succeeded)
-		in.writeWhole(ctx, request.Answer)
+		writing.writeWhole(ctx)
 	case exchange.Rejected:
 		in.counts.Add(counters.RequestsRejected)
 		endRequest(counters.Declined)
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -25,8 +25,7 @@
 // answerStream is the body of a long answer. It is read from the server in pieces, each of which is written
 // to the client before the next one is read.
 type answerStream struct {
-	answer     *exchange.Answer
-	header     *fasthttp.ResponseHeader
+	bodyWriter
 	received   []byte // the beginning of the body, read before the stream began
 	conn       net.Conn
 	in         *Inbound
@@ -37,15 +36,15 @@
 }
 
 // streamAnswer makes the server write a long answer as a stream.
-func (in *Inbound) streamAnswer(ctx *fasthttp.RequestCtx, a *exchange.Answer, endRequest func(int)) {
+func (in *Inbound) streamAnswer(ctx *fasthttp.RequestCtx, writing bodyWriter, endRequest func(int)) {
 	in.activeStreams.Add(1)
 	if c, ok := ctx.Conn().(interface{ SetWriteBuffer(int) error }); ok {
 		c.SetWriteBuffer(streamSendBuffer)
 	}
-	conn := ctx.Conn()
+	conn, a := ctx.Conn(), writing.answer
 	a.Rest.StopIf(func() bool { return peek.PeerClosed(conn) })
 	ctx.Response.ImmediateHeaderFlush = true
-	ctx.Response.SetBodyStream(&answerStream{answer: a, header: &ctx.Response.Header, received: a.Body, conn: conn, in: in, endRequest: endRequest}, int(a.Size))
+	ctx.Response.SetBodyStream(&answerStream{bodyWriter: writing, received: a.Body, conn: conn, in: in, endRequest: endRequest}, int(a.Size))
 }
 
 // readPiece reads the next piece of the body and sets the deadline for writing it.
@@ -60,12 +59,6 @@
 	return n, err
 }
 
-// Read only satisfies io.Reader: fasthttp calls WriteTo instead.
-func (s *answerStream) Read([]byte) (int, error) { return 0, errors.ErrUnsupported }
-
-// SupportsBodyWriteTo makes fasthttp call WriteTo for bodies of known length and for chunked ones.
-func (s *answerStream) SupportsBodyWriteTo() bool { return true }
-
 // writePiece writes the first n bytes of a piece to the client.
 func (s *answerStream) writePiece(piece *exchange.Piece, n int) error {
 	began := time.Now()
@@ -85,7 +78,7 @@
 // the last chunk only if WriteTo returns no error, so an answer that the server truncated is truncated for
 // the client too.
 func (s *answerStream) WriteTo(io.Writer) (sent int64, err error) {
-	freeHead(s.answer, s.header)
+	s.freeHead()
 	piece := exchange.NewPiece(s.in.account)
 	defer piece.Free()
 	for {
@@ -125,46 +118,52 @@
 	return nil
 }
 
-// freeHead frees the memory of an answer's head, which has been written. fasthttp keeps each field apart, which takes
-// many times the length of a head with very many short ones.
-func freeHead(answer *exchange.Answer, header *fasthttp.ResponseHeader) {
-	if answer.FieldCount() > connlimit.ManyFields {
-		*header = fasthttp.ResponseHeader{}
+// bodyWriter writes the body of an answer to its client, behind the head that fasthttp has written or buffered.
+type bodyWriter struct {
+	answer     *exchange.Answer
+	header     *fasthttp.ResponseHeader // fasthttp's copy of the answer's head
+	fieldCount int                      // of the head
+}
+
+// Read only satisfies io.Reader: fasthttp calls WriteTo instead.
+func (w *bodyWriter) Read([]byte) (int, error) { return 0, errors.ErrUnsupported }
+
+// SupportsBodyWriteTo makes fasthttp call WriteTo, for bodies of known length and for chunked ones.
+func (w *bodyWriter) SupportsBodyWriteTo() bool { return true }
+
+// hasManyFields reports whether fasthttp's copy of the head takes much memory: it keeps each field apart.
+func (w *bodyWriter) hasManyFields() bool { return w.fieldCount > connlimit.ManyFields }
+
+// freeHead frees the memory of the answer's head, which has been written.
+func (w *bodyWriter) freeHead() {
+	if w.hasManyFields() {
+		*w.header = fasthttp.ResponseHeader{}
 	}
-	answer.Head = nil
+	w.answer.Head = nil
 }
 
 // writeWhole makes the server write an answer whose body is held whole.
-func (in *Inbound) writeWhole(ctx *fasthttp.RequestCtx, answer *exchange.Answer) {
-	if len(answer.Body) <= memory.FreeBytes && answer.FieldCount() <= connlimit.ManyFields {
-		ctx.Response.SetBodyRaw(answer.Body)
-		answer.Reserved.Free()
+func (w bodyWriter) writeWhole(ctx *fasthttp.RequestCtx) {
+	if len(w.answer.Body) <= memory.FreeBytes && !w.hasManyFields() {
+		ctx.Response.SetBodyRaw(w.answer.Body)
+		w.answer.Reserved.Free()
 		return
 	}
-	ctx.Response.SetBodyStream(wholeAnswer{answer, &ctx.Response.Header}, len(answer.Body))
+	ctx.Response.SetBodyStream(&wholeAnswer{w}, len(w.answer.Body))
 }
 
 // wholeAnswer is the body of an answer that is held whole. Its memory is given back once it has been written.
-type wholeAnswer struct {
-	answer *exchange.Answer
-	header *fasthttp.ResponseHeader
-}
-
-// Read only satisfies io.Reader: fasthttp calls WriteTo instead.
-func (w wholeAnswer) Read([]byte) (int, error) { return 0, errors.ErrUnsupported }
-
-// SupportsBodyWriteTo makes fasthttp call WriteTo.
-func (w wholeAnswer) SupportsBodyWriteTo() bool { return true }
+type wholeAnswer struct{ bodyWriter }
 
 // WriteTo writes the body behind the head that fasthttp has buffered.
-func (w wholeAnswer) WriteTo(to io.Writer) (int64, error) {
-	freeHead(w.answer, w.header)
+func (w *wholeAnswer) WriteTo(to io.Writer) (int64, error) {
+	w.freeHead()
 	n, err := to.Write(w.answer.Body)
 	return int64(n), err
 }
 
 // Close gives back the memory of the body.
-func (w wholeAnswer) Close() error {
+func (w *wholeAnswer) Close() error {
 	w.answer.FreeBody()
 	return nil
 }
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -15,7 +15,7 @@
 const (
 	ClientConnections Kind = iota // buffers and stacks
 	ServerConnections             // buffers and stacks
-	Heads                         // of requests and answers, as far as they are longer than usual
+	Heads                         // of requests, as far as they are longer than usual
 	RequestBodies                 // held for a retry
 	AnswerBodies                  // held before they are passed on
 	Pieces                        // buffers of bodies that are passed on as they arrive
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -1,8 +1,9 @@
 // Package peek inspects a connection for received data, or its end, without consuming any data, and tells what the
-// kernel holds of what was written to it. The functions take any value; one that is no syscall.Conn is not a socket.
+// kernel holds of what was written to it. A connection that is no syscall.Conn is not a socket.
 package peek
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -20,7 +21,7 @@
 
 // Inspect returns the state of a connection. With wait it blocks until the state is no longer Empty; a read
 // deadline ends the wait. It also blocks while another read of the connection is in progress.
-func Inspect(c any, wait bool) (state State) {
+func Inspect(c net.Conn, wait bool) (state State) {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
 		return Unknown
@@ -52,20 +53,17 @@
 	return n, err
 }
 
-// HasData reports whether data from the peer can be read. Unlike Inspect it does not block while another read is in
-// progress.
-func HasData(c any) (sent bool) {
-	Control(c, func(fd uintptr) {
-		n, _ := peekByte(fd)
-		sent = n > 0
-	})
-	return sent
+// HasDataAt reports whether data can be read from the socket with this descriptor. Unlike Inspect it does not block while
+// another read is in progress.
+func HasDataAt(fd uintptr) bool {
+	n, _ := peekByte(fd)
+	return n > 0
 }
 
-// PeerClosed reports whether the peer has closed the connection, or it broke. Like HasData it does not block. While
+// PeerClosed reports whether the peer has closed the connection, or it broke. Like HasDataAt it does not block. While
 // unread data is in the buffer, the end of the stream cannot be peeked at, and the result relies on the
 // kernel's report of a hangup.
-func PeerClosed(c any) (gone bool) {
+func PeerClosed(c net.Conn) (gone bool) {
 	Control(c, func(fd uintptr) {
 		n, err := peekByte(fd)
 		if gone = n <= 0 && err != syscall.EAGAIN && err != syscall.EINTR; n <= 0 {
@@ -93,13 +91,13 @@
 
 // Unacknowledged returns how many bytes were written that the peer's machine has not acknowledged, or 0 if that can't be
 // asked.
-func Unacknowledged(c any) (bytes int) { return queued(c, unix.SIOCOUTQ) }
+func Unacknowledged(c net.Conn) (bytes int) { return queued(c, unix.SIOCOUTQ) }
 
 // Unsent returns how many bytes were written that the kernel has not sent yet, or 0 if that can't be asked.
-func Unsent(c any) (bytes int) { return queued(c, unix.SIOCOUTQNSD) }
+func Unsent(c net.Conn) (bytes int) { return queued(c, unix.SIOCOUTQNSD) }
 
 // queued returns how many bytes a queue of the socket holds, by an ioctl request.
-func queued(c any, request uint) (bytes int) {
+func queued(c net.Conn, request uint) (bytes int) {
 	Control(c, func(fd uintptr) { bytes = queuedAt(fd, request) })
 	return bytes
 }
@@ -114,7 +112,7 @@
 }
 
 // Control calls do with the file descriptor of the connection, if it is a socket.
-func Control(c any, do func(fd uintptr)) {
+func Control(c net.Conn, do func(fd uintptr)) {
 	if socket, ok := c.(syscall.Conn); ok {
 		if raw, err := socket.SyscallConn(); err == nil {
 			raw.Control(do)
--- a/lab/sidecars/sidecars.go
+++ b/lab/sidecars/sidecars.go
@@ -320,6 +320,9 @@
 // Memory returns the resident memory of a process in KiB.
 func Memory(pid int) int { return statusKiB(pid, "VmRSS:") }
 
+// AnonymousMemory returns the memory of a process without pages of files in KiB.
+func AnonymousMemory(pid int) int { return statusKiB(pid, "RssAnon:") }
+
 // statusKiB reads a size in KiB from /proc/PID/status.
 func statusKiB(pid int, name string) (kib int) {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
