What a body is, is known where its head comes in pieces: the next request is not refused

What callers saw: of requests sent at once, the one behind a body in chunks was refused with 400, and the rest got no answer. Since that held where a head came whole; where it came in pieces, the beginning of the next head was still passed on with the body, and the account of what had been received was wrong.

Cause: the length and the coding were looked for in whole heads only.

--- a/internal/connlimit/boundaries.go
+++ b/internal/connlimit/boundaries.go
@@ -1,10 +1,6 @@
 package connlimit
 
-import (
-	"bytes"
-
-	"ledgespread/internal/framing"
-)
+import "bytes"
 
 // ManyFields is the number of header fields beyond which the parsed fields of a head take many times its length: the HTTP
 // server keeps each apart.
@@ -17,7 +13,7 @@
 	head        part = iota
 	sizedBody        // the head gives its length
 	chunkedBody      // it ends at a blank line, but not at each one
-	unknownBody      // the head was passed on in pieces, so that nothing is known of the body
+	unknownBody      // the head can't be parsed: the message will be refused
 )
 
 // boundaries finds the ends of messages in the bytes of a connection. It decides how many of them may be passed on to the
@@ -33,13 +29,13 @@
 // Otherwise clients that stop in a head, or behind it, would each hold twenty times its length.
 type boundaries struct {
 	part        part
-	begun       bool    // part of the head is passed on, not only blank lines before it
-	announced   bool    // the head was not whole when its first byte was passed on
-	lineEnded   bool    // a line of the head is passed on
-	mayHaveBody bool    // its method is not GET
-	awaited     bool    // the last byte of the head is held back until the body begins
-	bodyLeft    int     // bytes of a sizedBody that are not passed on
-	tail        [2]byte // what was passed on last of a head or a chunkedBody
+	begun       bool        // part of the head is passed on, not only blank lines before it
+	announced   bool        // the head was not whole when its first byte was passed on
+	mayHaveBody bool        // its method is not GET
+	awaited     bool        // the last byte of the head is held back until the body begins
+	scanner     headScanner // of what is passed on of the head
+	bodyLeft    int         // bytes of a sizedBody that are not passed on
+	tail        [2]byte     // what was passed on last of a chunkedBody
 }
 
 // next returns how many of the received bytes may be passed on to a reader with room for this many, and counts them as
@@ -95,70 +91,49 @@
 		}
 		*b = boundaries{begun: true, mayHaveBody: received[start] != 'G'} // a GET has no body
 	}
-	size := blankLineEnd(b.tail, received[start:])
-	switch {
-	case size < 0:
-		n = len(received)
-	case !b.mayHaveBody:
-		*b = boundaries{}
-		return start + size
-	case b.findBody(received[start:start+size], start+size < len(received)):
+	scanner := b.scanner
+	size := scanner.scan(received[start:])
+	if size >= 0 && !b.mustAwaitBody(&scanner, start+size < len(received)) {
+		b.beginBody(&scanner)
 		return start + size
-	default:
+	}
+	if n = len(received); size >= 0 {
 		n = start + size - 1 // the last byte is held back
-		if b.announced {
-			b.awaited = true
-		}
 	}
 	if !b.announced {
-		b.announced = room > 1 // the server reads a first byte apart if memory is short, and then parses nothing
 		n = start + 1
+	} else if size >= 0 {
+		b.awaited, b.bodyLeft = true, scanner.length
 	}
-	b.noteTail(received[start:n])
-	b.lineEnded = b.lineEnded || bytes.IndexByte(received[start:n], '\n') >= 0
+	b.announced = b.announced || room > 1 // the server reads a first byte apart if memory is short, and then parses nothing
+	b.scanner.scan(received[start:n])
 	return n
 }
 
-// findBody looks in a whole head, or what is left to pass on of it, for what its body is. It reports false if the body has
-// to begin before the last byte of the head is passed on.
-func (b *boundaries) findBody(fields []byte, bodyBegun bool) (passOn bool) {
-	if b.lineEnded {
-		b.part = unknownBody
-		return true
-	}
-	count, expects := 0, false
-	_, fields, _ = bytes.Cut(fields, []byte("\n"))
-	body, err := framing.ParseFields(fields, func(name, _, _ []byte) error {
-		count++
-		expects = expects || framing.NameEquals(name, "Expect")
-		return nil
-	})
-	switch {
-	case err != nil:
-		b.part = unknownBody
-	case body.Chunked:
-		b.part, b.tail = chunkedBody, [2]byte{}
-	case body.Length <= 0:
-		*b = boundaries{}
-	case count > ManyFields && !bodyBegun && !expects:
-		b.bodyLeft = body.Length
-		return false
-	default:
-		b.part, b.bodyLeft = sizedBody, body.Length
-	}
-	return true
+// mustAwaitBody reports whether the body has to begin before the last byte of a whole head is passed on.
+func (b *boundaries) mustAwaitBody(scanner *headScanner, bodyBegun bool) bool {
+	hasLength := b.mayHaveBody && !scanner.chunked && !scanner.unclear && scanner.length > 0
+	return hasLength && scanner.fields() > ManyFields && !bodyBegun && !scanner.expects
 }
 
-// endMessage records that a message has been handled, with ahead bytes of the next one passed on; last is what was passed on
-// last.
-func (b *boundaries) endMessage(ahead int, last []byte) {
+// beginBody records what follows a whole head.
+func (b *boundaries) beginBody(scanner *headScanner) {
+	mayHaveBody := b.mayHaveBody
 	*b = boundaries{}
-	if ahead > 0 {
-		b.begun, b.announced, b.lineEnded, b.mayHaveBody = true, true, true, true
-		b.noteTail(last)
+	switch {
+	case !mayHaveBody:
+	case scanner.unclear:
+		b.part = unknownBody
+	case scanner.chunked:
+		b.part = chunkedBody
+	case scanner.length > 0:
+		b.part, b.bodyLeft = sizedBody, scanner.length
 	}
 }
 
+// endMessage records that a message has been handled.
+func (b *boundaries) endMessage() { *b = boundaries{} }
+
 func (b *boundaries) noteTail(passedOn []byte) {
 	for _, c := range passedOn[max(0, len(passedOn)-len(b.tail)):] {
 		b.tail = [2]byte{b.tail[1], c}
@@ -171,20 +146,11 @@
 	switch {
 	case before[1] == '\n' && bytes.HasPrefix(received, []byte("\r\n")):
 		return 2
-	case (before[1] == '\n' || before == [2]byte{'\n', '\r'}) && bytes.HasPrefix(received, []byte("\n")):
+	case before == [2]byte{'\n', '\r'} && bytes.HasPrefix(received, []byte("\n")):
 		return 1
 	}
-	for at := 0; ; {
-		newline := bytes.IndexByte(received[at:], '\n')
-		if newline < 0 {
-			return -1
-		}
-		at += newline + 1
-		switch rest := received[at:]; {
-		case bytes.HasPrefix(rest, []byte("\r\n")):
-			return at + 2
-		case bytes.HasPrefix(rest, []byte("\n")):
-			return at + 1
-		}
+	if at := bytes.Index(received, []byte("\n\r\n")); at >= 0 {
+		return at + len("\n\r\n")
 	}
+	return -1
 }
--- a/internal/connlimit/state.go
+++ b/internal/connlimit/state.go
@@ -112,7 +112,7 @@
 // passed on with it.
 func (l *Listener) EndMessage(conn net.Conn, ahead int) {
 	if c, ok := conn.(*clientConn); ok {
-		c.boundaries.endMessage(ahead, c.lastRead)
+		c.boundaries.endMessage()
 		c.messageBytes, c.lastRead, c.lastReadAt = ahead, nil, time.Time{}
 	}
 }
