Turns whose times have come together begin one by one, also where the processor was late

What callers saw: where the machine was busy, the requests of others beside 16 flooding connections took 16 to 61 ms again.

Cause: the times of turns are given out ahead. When the process was not scheduled for some milliseconds, the times of several turns had come, and they ran without a pause between them.

A turn now begins only if the one before it began, and ended, long enough ago; otherwise it gets a new time.

TestLateTurnsDoNotBeginTogether is new.

--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -28,8 +28,7 @@
 		t.began = now
 	}
 	if now.Sub(t.began) >= maxLength {
-		time.Sleep(next.reserve(now, runtime.GOMAXPROCS(0)).Sub(now))
-		t.began = time.Now()
+		t.began = next.wait(now, runtime.GOMAXPROCS(0))
 	}
 }
 
@@ -45,13 +44,31 @@
 // schedule gives the turns of all goroutines that never wait a time each: if they only paused, some would always run in
 // the pauses of the others.
 type schedule struct {
-	mu   sync.Mutex
-	free time.Time // the earliest time of the next turn that is given out
+	mu    sync.Mutex
+	free  time.Time // the earliest time of the next turn that is given out
+	began time.Time // when the latest turn began
+	ended time.Time // when the latest turn ended that did not end with a wait
 }
 
 // next is the schedule of the process's processors, which all goroutines share.
 var next schedule
 
+// spacing returns how far apart turns begin.
+func spacing(processors int) time.Duration { return (maxLength + pause) / time.Duration(processors) }
+
+// wait ends a goroutine's turn, and returns when its next one has begun.
+func (s *schedule) wait(now time.Time, processors int) (began time.Time) {
+	s.mu.Lock()
+	s.ended = now
+	s.mu.Unlock()
+	for {
+		time.Sleep(s.reserve(now, processors).Sub(now))
+		if now = time.Now(); s.begin(now, processors) {
+			return now
+		}
+	}
+}
+
 // reserve returns when the next turn of a goroutine begins whose turn is over now. On each processor there is a pause
 // between two turns.
 func (s *schedule) reserve(now time.Time, processors int) (begins time.Time) {
@@ -61,6 +78,20 @@
 	if begins.Before(s.free) {
 		begins = s.free
 	}
-	s.free = begins.Add((maxLength + pause) / time.Duration(processors))
+	s.free = begins.Add(spacing(processors))
 	return begins
 }
+
+// begin begins a turn whose time has come. It reports false if another turn has only just begun or ended: where the
+// process was not scheduled, the times of several turns come together.
+func (s *schedule) begin(now time.Time, processors int) bool {
+	const tolerance = 4 // a part of a span by which timers may be late
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	apart := spacing(processors)
+	if now.Sub(s.began) < apart-apart/tolerance || processors == 1 && now.Sub(s.ended) < pause-pause/tolerance {
+		return false
+	}
+	s.began = now
+	return true
+}
--- a/internal/turn/turn_test.go
+++ b/internal/turn/turn_test.go
@@ -47,3 +47,20 @@
 		}
 	}
 }
+
+// Where the process was not scheduled, the times of several turns come together: one begins, the others get new times.
+func TestLateTurnsDoNotBeginTogether(t *testing.T) {
+	var turns schedule
+	now := time.Now()
+	for range 3 {
+		turns.reserve(now, 1)
+	}
+	late := now.Add(time.Second)
+	if !turns.begin(late, 1) || turns.begin(late, 1) {
+		t.Error("of two late turns not exactly one began")
+	}
+	turns.ended = late.Add(maxLength)
+	if turns.begin(turns.ended, 1) || !turns.begin(turns.ended.Add(pause), 1) {
+		t.Error("a turn began without a pause, or not after it")
+	}
+}
