discovery: after a silence another call has time for its answer, however slow the service

Cause: at a service whose calls took 0.25 s or more, calls were held for up to 12 s and overlapped: the next one began beside the first. When all open connections fell silent together after that, the first one's timeout only wrote 'asked anew' (overlappingPoll's goroutine), and the next call began 4 to 7 s later. And the latency that chose the hold was measured by calls without a hold only, of which a quiet watch has none: one slow call at the start made all holds of the process long.

Evidence: TestDrainAfterOpenCallsFallSilent; in each failure the stand-in received no call between the line and the end of the second hold.

Change: one rule, stated in schedule.go, from which holds, timeouts and delays are derived: the next call starts at most a call interval (3.75 to 4.5 s, by latency) after the start of one that is not answered. No overlapping and no long holds; a hold leaves time for its answer by the latency, which late answers of held calls and bare calls measure, and which decays. After a timeout a bare call is made, and a second one beside it if it isn't answered; in a longer silence one per interval (before, two). A full hold is used while nothing changes; the jitter is for calls that all sidecars make at once. lists_silent counts each call that timed out.

Why it works: whichever moment all connections fall silent at, a call starts within 4.5 s of the last answer, and 1.5 s are left for it.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -92,11 +92,12 @@
 		c.connection.endSending()
 	}
 	c.mu.Unlock()
-	err := errCallTimeout
 	if c.whole {
-		err = errWholeListTimeout
+		c.done <- result{err: errWholeListTimeout}
+		return
 	}
-	c.done <- result{err: err}
+	w.counts.Add(counters.ListCallsTimedOut)
+	c.done <- result{err: errCallTimeout}
 }
 
 // attach records the connection that carries the call. It returns false if the call was abandoned before it
@@ -186,15 +187,3 @@
 	}
 	return fmt.Sprintf("?from=%d&hold_ms=%d", c.from, c.hold.Milliseconds())
 }
-
-// recordLatency records how long the service took to answer a call without a hold. A call that exceeded its
-// timeout is left out, since its duration is not typical.
-func (w *Watcher) recordLatency(c *call) {
-	latency := time.Since(c.began)
-	if c.hold > 0 || latency > callTimeout {
-		return
-	}
-	w.mu.Lock()
-	w.latency = latency
-	w.mu.Unlock()
-}
--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -175,7 +175,6 @@
 			w.retryingRound = 0
 		}
 		w.mu.Unlock()
-		w.counts.Add(counters.ListCallsTimedOut)
 		return isCurrent
 	}
 	if outcome.err != nil {
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -6,35 +6,41 @@
 	"time"
 )
 
-// Deadlines of the discovery protocol. Each sidecar must know a change by then, even if its long poll was
-// never answered: deliveryTimeout after the call became unresponsive, or holdGrace after the end of the
-// call's hold, whichever is later.
-const (
-	deliveryTimeout = 6 * time.Second
-	holdGrace       = 2 * time.Second
-)
+// deliveryTimeout is the protocol's deadline: a change counts as known to each sidecar that long after discovery has
+// it and can be reached, whatever became of the sidecar's calls.
+const deliveryTimeout = 6 * time.Second
 
+// All holds, timeouts and delays keep to one rule, from which changes arrive by that deadline. All connections that
+// are open at some moment may fall silent at that moment. So at any moment, however calls end, a call that
+//
+//   - starts later than the last answer, and
+//   - uses a connection that was opened for it,
+//
+// must have time to be answered before the last answer is deliveryTimeout old. A call that directly follows an answer
+// may use the same connection, since the answer shows that nothing was missed until then. Therefore the next call
+// starts at most a call interval after the start of one that is not answered, whatever that one waits for, and what is
+// left of deliveryTimeout after the interval is for its answer.
 const (
-	// maxHold limits the hold of a call. With a longer hold, a call that becomes unresponsive late would not
-	// be detected before the deadline.
-	maxHold = deliveryTimeout - holdGrace
-	// answerTimeout is how long after its hold a call may be answered before it counts as timed out. The rest
-	// of holdGrace is left for the next call.
-	answerTimeout = holdGrace / 4
+	// maxCallInterval is the longest time from the start of an unanswered call to the start of the next.
+	maxCallInterval = deliveryTimeout * 3 / 4
+	// minCallInterval limits the call rate at a service so slow that its answers come after the deadline anyway.
+	minCallInterval = deliveryTimeout * 5 / 8
+	// answerTimeout is how late a quick service may answer before the sidecar makes another call.
+	answerTimeout = deliveryTimeout / 12
+	// maxAnswerTimeout limits the same for a slow service.
+	maxAnswerTimeout = deliveryTimeout / 4
+	// schedulingReserve is left for delays of the sidecar itself.
+	schedulingReserve = answerTimeout / 2
+	// maxHold limits the hold of a call.
+	maxHold = maxCallInterval - answerTimeout
 	// callTimeout is the timeout of a call without a hold.
 	callTimeout = deliveryTimeout / 2
-	// maxSlowHold limits the hold of a call at a slow service.
-	maxSlowHold = 2 * deliveryTimeout
-	// slowLatency is the latency of calls without a hold from which a service counts as slow.
-	slowLatency = answerTimeout / 2
-	// slowHoldFactor is by how many times that latency a call to a slow service is held for longer.
-	slowHoldFactor = 8
-	// holdJitterDivisor gives the jitter: up to 1/holdJitterDivisor of a hold is taken off at random, since
-	// the watches of all sidecars may time out at the same moment.
+	// holdJitterDivisor gives the jitter: up to 1/holdJitterDivisor of a hold is taken off at random.
 	holdJitterDivisor = 4
-	// retryDeadline is the age of the last answer by which the next call after a failure starts. The rest of
-	// deliveryTimeout is left for its answer.
-	retryDeadline = deliveryTimeout * 3 / 4
+	// latencyDecayDivisor gives how fast the latency follows quicker answers. It follows slower ones at once.
+	latencyDecayDivisor = 4
+	// retryDeadline is the age of the last answer by which the next call after a failure starts.
+	retryDeadline = maxCallInterval
 	// maxRetryHold limits the hold of a retry, whose timeout is retryDeadline.
 	maxRetryHold = retryDeadline - callTimeout
 	// continuationGap is the time after an answer within which the service regards the next call as part of
@@ -71,37 +77,64 @@
 	return time.Duration(fraction * float64(w.pollInterval.Load()))
 }
 
-// nextHold returns the hold for the next call of a watch. It has a jitter because the watches of all sidecars
-// may have started together, with the last change, and may time out together; without it they would all call
-// again at once. A slow service is called less often, since calls without a change keep it busy. The
-// protocol's deadline for changes missed by an unanswered call moves with the end of the longer hold.
-func (w *Watcher) nextHold() time.Duration {
-	limit := min(w.pollIntervalFraction(maxHoldFraction), maxHold)
-	if latency := w.lastLatency(); latency >= slowLatency {
-		limit = min(limit+slowHoldFactor*latency, maxSlowHold)
-	}
-	return w.jitteredHold(limit)
+// callInterval returns the longest time from the start of an unanswered call to the start of the next. It leaves time
+// for the next call, and for one that is made beside that one if it is not answered either.
+func (w *Watcher) callInterval() time.Duration {
+	return min(max(deliveryTimeout-schedulingReserve-answerTimeout-w.currentLatency(), minCallInterval), maxCallInterval)
+}
+
+// answerDelayLimit returns how long after its hold a call may be answered before it counts as unanswered.
+func (w *Watcher) answerDelayLimit() time.Duration {
+	return min(max(w.currentLatency(), answerTimeout), maxAnswerTimeout)
+}
+
+// longestHold returns the longest hold with which an unanswered call is noticed within the call interval.
+func (w *Watcher) longestHold() time.Duration {
+	return min(w.callInterval()-w.answerDelayLimit(), w.pollIntervalFraction(maxHoldFraction)).Round(time.Millisecond)
 }
 
-// jitteredHold shortens a hold at random if there are several sidecars.
-func (w *Watcher) jitteredHold(limit time.Duration) time.Duration {
+// jitteredHold returns a hold that is shortened at random if there are several sidecars. It is for calls that all
+// sidecars may make at the same moment, after a change or after their connections fell silent: without the jitter,
+// their holds would all end at the same moment, too.
+func (w *Watcher) jitteredHold() time.Duration {
+	hold := w.longestHold()
 	if w.sidecars > 1 {
-		limit -= w.randomDuration(limit / holdJitterDivisor)
+		hold -= w.randomDuration(hold / holdJitterDivisor)
 	}
-	return limit.Round(time.Millisecond)
+	return hold.Round(time.Millisecond)
 }
 
-// lastLatency returns the duration of the last answered call without a hold.
-func (w *Watcher) lastLatency() time.Duration {
+// checkDelay returns how long a call that follows an unanswered one may wait for its answer before another is made
+// beside it. It allows for a service that handles calls in order, as far as the deadline leaves time for the other call.
+func (w *Watcher) checkDelay() time.Duration {
+	latency := w.currentLatency()
+	timeLeft := deliveryTimeout - schedulingReserve - w.callInterval() - latency
+	return max(min(2*latency, timeLeft), answerTimeout)
+}
+
+// currentLatency returns how long the service currently takes for a call, apart from its hold.
+func (w *Watcher) currentLatency() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.latency
 }
 
+// recordLatency records how long the service took to answer a call: the time beyond its hold. A held call that was
+// answered sooner waited for a change and says nothing.
+func (w *Watcher) recordLatency(c *call) {
+	latency := min(time.Since(c.began)-c.hold, callTimeout)
+	if latency < 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.latency = max(latency, w.latency-(w.latency-latency)/latencyDecayDivisor)
+}
+
 // promptAnswerTimeout returns the time within which a call that finds a change is answered. It allows for two
 // calls, since a service that handles calls in order answers a second one only after the first.
 func (w *Watcher) promptAnswerTimeout() time.Duration {
-	return min(max(answerTimeout, 2*w.lastLatency()), callTimeout)
+	return min(max(answerTimeout, 2*w.currentLatency()), callTimeout)
 }
 
 // parallelTimeout returns the timeout for the parallel calls of a pushed list. It grows with the time for
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -38,7 +38,7 @@
 	current          *endpoint
 	retired          []*endpoint   // former addresses with calls in flight, whose answers are still read
 	pushed           bool          // the list is pushed: the watch continues after a failure
-	latency          time.Duration // of the last answered call without a hold
+	latency          time.Duration // of answers, beyond the holds of their calls
 	round            int           // the current one
 	draws            uint64        // random durations drawn so far
 	unreachable      bool
@@ -185,18 +185,16 @@
 	longPoll                  // wait for the next change
 	pollAfterTimeout          // after a call of the watch timed out: get the changes that it missed
 	retryAfterFailure         // without being asked to
-	checkBesideHeld           // beside a held call that follows a timeout: whether discovery answers at all
 )
 
 // purposeNames are the names of the purposes in the log, in the same order.
-var purposeNames = [...]string{"none", "start of a watch", "new address", "new address, again", "watch", "anew after a timeout", "retry after a failure",
-	"check beside a held call"}
+var purposeNames = [...]string{"none", "start of a watch", "new address", "new address, again", "watch", "anew after a timeout", "retry after a failure"}
 
 func (p purpose) String() string { return purposeNames[p] }
 
 // followsSilence reports whether a call is made because another one got no answer.
 func (p purpose) followsSilence() bool {
-	return p == addressUnanswered || p == pollAfterTimeout || p == checkBesideHeld
+	return p == addressUnanswered || p == pollAfterTimeout
 }
 
 // plannedCall is the next call of a round.
@@ -220,16 +218,8 @@
 // advance makes one call, waits as long as is due after it, and returns the next one.
 func (w *Watcher) advance(at *endpoint, round int, now plannedCall) plannedCall {
 	began := time.Now()
-	over := make(chan struct{})
-	if now.purpose == pollAfterTimeout && now.hold > 0 {
-		go w.checkDuringHold(at, round, over)
-	}
-	result := w.makeCall(at, round, now)
-	close(over)
+	result := w.makeCall(at, now)
 	took := time.Since(began)
-	if errors.Is(result.err, errNextCallStarted) {
-		return plannedCall{longPoll, w.nextHold()}
-	}
 	next := w.nextCall(now, result, took)
 	if next.purpose == retryAfterFailure && !w.startRetrying(round) {
 		next.purpose = roundOver
@@ -249,20 +239,22 @@
 // nextCall returns the call that follows one with the given result.
 func (w *Watcher) nextCall(now plannedCall, r result, took time.Duration) plannedCall {
 	switch {
+	case r.err == nil && now.purpose == longPoll && !r.newer:
+		return plannedCall{longPoll, w.longestHold()}
 	case r.err == nil:
-		return plannedCall{longPoll, w.nextHold()}
-	case errors.Is(r.err, errCallTimeout) && w.pushed:
-		return plannedCall{pollAfterTimeout, 0}
+		return plannedCall{longPoll, w.jitteredHold()}
+	case errors.Is(r.err, errCallTimeout) && now.purpose == retryAfterFailure:
+		return plannedCall{purpose: retryAfterFailure} // without a hold, to be answered as soon as the service answers
 	case errors.Is(r.err, errCallTimeout):
-		// Not a failure of the service. It answers at once if a change was missed, so a slow one needs no
-		// longer hold.
-		return plannedCall{pollAfterTimeout, w.jitteredHold(min(w.pollIntervalFraction(maxHoldFraction), maxHold))}
+		return plannedCall{purpose: pollAfterTimeout} // not a failure of the service
 	case w.pushed:
 		return plannedCall{purpose: watchStart}
+	case errors.Is(r.err, errUnanswered) && now.purpose == pollAfterTimeout && w.sidecars == 1:
+		return now
 	case (now.purpose == addressChanged || now.purpose == addressUnanswered) && took >= callTimeout:
 		return plannedCall{purpose: addressUnanswered} // the changes known there are due before Watch is called again
 	}
-	return plannedCall{retryAfterFailure, w.jitteredHold(min(w.pollIntervalFraction(maxHoldFraction), maxRetryHold))}
+	return plannedCall{retryAfterFailure, min(w.jitteredHold(), maxRetryHold)}
 }
 
 // waitBefore waits for the delay due before the next call. took is the duration of the call before.
@@ -280,19 +272,19 @@
 }
 
 // makeCall makes a planned call, or several in parallel, and returns the result.
-func (w *Watcher) makeCall(at *endpoint, round int, now plannedCall) result {
+func (w *Watcher) makeCall(at *endpoint, now plannedCall) result {
 	switch {
 	case now.purpose == retryAfterFailure: // allows for time in the service's queue
 		return <-w.startPoll(at, now, retryDeadline).done
-	case now.hold > maxHold:
-		return w.overlappingPoll(at, round, now)
 	case now.hold > 0:
-		return <-w.startPoll(at, now, now.hold+answerTimeout).done
+		return <-w.startPoll(at, now, now.hold+w.answerDelayLimit()).done
 	case w.pushed:
 		interval := max(time.Duration(w.pushRetryInterval.Load()), w.parallelTimeout()/maxParallelCalls)
 		return w.parallelCalls(at, now, now.purpose == addressChanged, interval, maxParallelCalls*interval, maxParallelCalls)
 	case now.purpose == addressChanged || now.purpose == addressUnanswered:
 		return w.parallelCalls(at, now, true, w.promptAnswerTimeout(), callTimeout, 2)
+	case now.purpose == pollAfterTimeout:
+		return w.parallelCalls(at, now, false, w.checkDelay(), callTimeout, 2)
 	}
 	return <-w.startPoll(at, now, callTimeout).done
 }
