discovery: a call that follows no answer directly gets a new connection

What callers saw: nothing yet by itself; it shortens what the call after a silence is worth.

Cause: the pool kept all idle connections for 10 s, and any call took the one used last. Two calls beside each other leave two; the second is taken by the next call beside another, also after a silence that it shared.

Evidence: TestCallAfterSilenceUsesNewConnection, a listener that notes the connection of each call: the call after the second silence came on the connection of a call before it; failed before, passes now.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -145,7 +145,7 @@
 
 // request sends the HTTP request of a call and reads the answer.
 func (w *Watcher) request(c *call) (list *List, err error) {
-	connection, err := c.endpoint.acquire()
+	connection, err := c.endpoint.acquire(c.purpose == longPoll)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/discovery/connections_test.go
@@ -0,0 +1,74 @@
+package discovery_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"ledgespread/internal/counters"
+	"ledgespread/internal/discovery"
+)
+
+// Two calls beside each other left two idle connections. When all connections fell silent, the call after the silence
+// went out on one of those, which was as silent, and got no answer. Only a call that directly follows an answer may use
+// a connection again, and only that of the answer.
+func TestCallAfterSilenceUsesNewConnection(t *testing.T) {
+	const checkAfter = 500 * time.Millisecond // until another call is made beside one that follows a silence
+	var got []string
+	calls := make(chan string, 99)
+	var mu sync.Mutex
+	connections := map[string]int{}
+	silence := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		n, reused := connections[r.RemoteAddr]
+		if !reused {
+			n = len(connections)
+		}
+		connections[r.RemoteAddr] = n
+		calls <- fmt.Sprintf("hold %v on connection %d", r.URL.Query().Get("hold_ms") != "0", n)
+		number := len(calls)
+		mu.Unlock()
+		switch number {
+		case 3: // after the first silence: answered so late that another call is made beside it
+			time.Sleep(checkAfter * 5 / 4)
+		case 2, 5, 6:
+			<-silence
+		}
+		io.WriteString(w, `{"seq":8,"whole":false,"hosts":[]}`)
+	})}
+	go server.Serve(listener)
+	defer server.Close()
+	defer close(silence)
+	watcher := discovery.New(listener.Addr().String(), nil, 8, 1e6, 1, 1<<20, 7, func(*discovery.List) {}, &counters.Set{}, zerolog.Nop())
+	defer watcher.Close()
+	watcher.Watch()
+	for end := time.Now().Add(20 * time.Second); len(calls) < 7 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	for range min(len(calls), 7) {
+		got = append(got, <-calls)
+	}
+	if diff := cmp.Diff([]string{
+		"hold false on connection 0",
+		"hold true on connection 0", // silent
+		"hold false on connection 1",
+		"hold false on connection 2",
+		"hold true on connection 2",  // silent
+		"hold false on connection 3", // silent, too
+		"hold false on connection 4",
+	}, got); diff != "" {
+		t.Errorf("-want +got:\n%s", diff)
+	}
+}
--- a/internal/discovery/endpoint.go
+++ b/internal/discovery/endpoint.go
@@ -16,7 +16,7 @@
 
 const (
 	maxConnections = 2 * maxParallelCalls // to one address, including those of abandoned calls
-	maxIdle        = 10 * time.Second     // an idle connection older than that is not reused
+	maxIdle        = time.Second          // an idle connection older than that is not reused
 )
 
 // Dial connects to discovery within a timeout.
@@ -37,7 +37,7 @@
 	mu      sync.Mutex
 	retired bool // opens no new connections
 	open    map[*connection]bool
-	idle    []*connection // the idle ones among open; the one used last is at the end
+	idle    *connection // the one among open that carried the last answer, if nothing has used it since
 }
 
 // connection is an HTTP connection to discovery that carries one call at a time.
@@ -81,10 +81,11 @@
 	e.lowerVersionAt = 0
 }
 
-// acquire returns an idle connection, or opens one. If that makes too many, it closes the connection whose
-// call started first.
-func (e *endpoint) acquire() (*connection, error) {
-	if c := e.takeIdle(); c != nil {
+// acquire returns a connection for a call. A call that directly follows an answer may reuse the connection of that
+// answer; any other one gets a new connection, since those that are open may have fallen silent. If that makes too
+// many, acquire closes the connection whose call started first.
+func (e *endpoint) acquire(mayReuse bool) (*connection, error) {
+	if c := e.takeIdle(mayReuse); c != nil {
 		return c, nil
 	}
 	tcp, err := machine.Retry(context.Background(), time.Now().Add(callTimeout), func() (net.Conn, error) {
@@ -109,31 +110,49 @@
 	return opened, nil
 }
 
-// takeIdle returns the idle connection used last that the service has not closed in the meantime, or nil. It
-// closes those that it finds unusable.
-func (e *endpoint) takeIdle() *connection {
+// takeIdle ends the idle time of the idle connection. It returns the connection if it may be reused and is usable,
+// and closes it otherwise.
+func (e *endpoint) takeIdle(mayReuse bool) *connection {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for len(e.idle) > 0 {
-		c := e.idle[len(e.idle)-1]
-		e.idle = e.idle[:len(e.idle)-1]
-		if time.Since(c.since) < maxIdle && c.reader.Buffered() == 0 && peek.Inspect(c.Conn, false) == peek.Empty {
-			c.since = time.Now()
-			return c
-		}
-		delete(e.open, c)
-		c.Close()
+	c := e.idle
+	if c == nil {
+		return nil
+	}
+	if mayReuse && c.isUsable() {
+		e.idle = nil
+		c.since = time.Now()
+		return c
 	}
+	e.closeIdle()
 	return nil
 }
 
-// release returns a connection to the pool if its answer was read completely, and closes it otherwise.
+// isUsable reports whether an idle connection may carry another call: it was used just now, and the service has
+// neither closed it nor written anything unasked. The caller holds the endpoint's lock.
+func (c *connection) isUsable() bool {
+	return time.Since(c.since) < maxIdle && c.reader.Buffered() == 0 && peek.Inspect(c.Conn, false) == peek.Empty
+}
+
+// closeIdle closes the idle connection, if there is one. The caller holds the lock.
+func (e *endpoint) closeIdle() {
+	if e.idle == nil {
+		return
+	}
+	delete(e.open, e.idle)
+	e.idle.Close()
+	e.idle = nil
+}
+
+// release ends the use of a connection by a call. The connection becomes the idle one if the answer was read
+// completely. The one that was idle before is closed: its last answer is older.
 func (e *endpoint) release(c *connection, reusable bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.closeIdle()
 	if reusable && e.open[c] && !e.retired {
 		c.since = time.Now()
-		e.idle = append(e.idle, c)
+		e.idle = c
 		return
 	}
 	delete(e.open, c)
@@ -156,11 +175,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.retired = true
-	for _, c := range e.idle {
-		delete(e.open, c)
-		c.Close()
-	}
-	e.idle = nil
+	e.closeIdle()
 	for c := range e.open {
 		c.endSending()
 	}
@@ -170,7 +185,10 @@
 func (e *endpoint) activeCalls() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.open) - len(e.idle)
+	if e.idle != nil {
+		return len(e.open) - 1
+	}
+	return len(e.open)
 }
 
 // close closes all connections. Later calls fail.
