discovery: a slow agent of a pushed list is watched in place of being called all the time

What callers saw: nothing; the agent of a pushed list that took over a second for a call was called eight times a second for good.

Cause: found with the model of discovery while a silence was added to it. Calls beside each other were given up after a second, and their late answers made the service count as reached, so that the wait never grew: it was measured from the retries' own success. And a held call's answer was waited for as long as a call takes, to the millisecond.

--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -85,7 +85,7 @@
 
 // answerDelayLimit returns how long after its hold a call may be answered before it counts as unanswered.
 func (w *Watcher) answerDelayLimit() time.Duration {
-	return min(max(w.currentLatency(), answerTimeout), maxAnswerTimeout)
+	return min(max(w.currentLatency()+schedulingReserve, answerTimeout), maxAnswerTimeout)
 }
 
 // longestHold returns the longest hold with which an unanswered call is noticed within the call interval.
@@ -137,17 +137,17 @@
 	return min(max(answerTimeout, 2*w.currentLatency()), callTimeout)
 }
 
-// parallelTimeout returns the timeout for the parallel calls of a pushed list. It grows with the time for
-// which discovery has been unreachable, so that an agent or a sidecar that is slow for a while gets an answer
+// parallelTimeout returns the timeout for the parallel calls of a pushed list. It grows with the latency of answers,
+// late ones among them, and with the time for which discovery has been unreachable, so that an agent or a sidecar that is slow for a while gets an answer
 // through in the end. The limit keeps the starts of two calls at most half a grace period apart.
 func (w *Watcher) parallelTimeout() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.unreachable {
-		return answerTimeout
+	timeout := max(answerTimeout, 2*w.latency)
+	if w.unreachable {
+		timeout = max(timeout, time.Since(w.unreachableSince)/maxParallelCalls)
 	}
-	return min(max(time.Since(w.unreachableSince)/maxParallelCalls, answerTimeout),
-		2*maxParallelCalls*time.Duration(w.pushRetryInterval.Load()))
+	return min(timeout, 2*maxParallelCalls*time.Duration(w.pushRetryInterval.Load()))
 }
 
 // retryDelay returns the delay from the start of a failed call to the start of the next. It is random within
