discovery: a connection request without an answer doesn't count as contact, and takes 2 s

What callers saw: by the model only: a change received over 6 s late after two connection requests in a row that got no answer.

Cause: a connect to discovery was waited for 3 s, and each failure to connect set the time of the last contact, as if the service were down; the next call was then not urgent. A lost SYN shows nothing about the service.

Evidence: TestLostConnectionRequests, virtual time, a service that takes 0.3 s: calls at 1, 4 and 7 s, the change made at 1 s not received at 7 s; passes now.

Change: a connect takes 2 s at most, so that a third one still has 2 s; only a refused connection counts as contact.

--- a/internal/discovery/connections_test.go
+++ b/internal/discovery/connections_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -72,3 +74,44 @@
 		t.Errorf("-want +got:\n%s", diff)
 	}
 }
+
+// A connection request that is lost shows nothing about the service. Two in a row used to cost 3 s each, and each
+// counted as contact with a service that is down, so that the next call was not urgent: the sidecar received a change
+// over 6 s late.
+func TestLostConnectionRequests(t *testing.T) {
+	for _, sidecars := range []int{3, 300} {
+		for seed := range uint64(20) {
+			synctest.Test(t, func(t *testing.T) {
+				service := newSimulatedService()
+				service.onWritten = func(receivedCall, *listAnswer) {}
+				service.onProcessed = func(receivedCall) {}
+				var received atomic.Int64 // the version
+				watcher := discovery.New("a0", map[string]int{"here": 0}, 0, 10e6, sidecars, 1<<20, seed, func(l *discovery.List) {
+					if l != nil {
+						received.Store(int64(l.Version))
+					}
+				}, &counters.Set{}, zerolog.Nop())
+				watcher.SetDial(service.dial)
+				watcher.Watch()
+				time.Sleep(time.Second)
+				want := 0
+				service.withLock(func() {
+					service.lostDials, service.latency = 2, 300*time.Millisecond
+					service.set(serverState{Host: "s0", Dial: "127.0.0.1:1000", Site: "here", Health: "in_service", Share: 1})
+				})
+				time.Sleep(time.Millisecond) // the first change is received, and the next call's connection request is lost
+				service.withLock(func() {
+					service.set(serverState{Host: "s0", Dial: "127.0.0.1:1000", Site: "here", Health: "terminating", Share: 1})
+					want = service.version
+				})
+				time.Sleep(deliveryTimeout)
+				if got := int(received.Load()); got != want {
+					t.Errorf("%d sidecars, seed %d: received version %d, want %d", sidecars, seed, got, want)
+				}
+				watcher.Close()
+				service.close()
+				time.Sleep(2 * time.Hour)
+			})
+		}
+	}
+}
--- a/internal/discovery/endpoint.go
+++ b/internal/discovery/endpoint.go
@@ -88,8 +88,8 @@
 	if c := e.takeIdle(mayReuse); c != nil {
 		return c, nil
 	}
-	tcp, err := machine.Retry(context.Background(), time.Now().Add(callTimeout), func() (net.Conn, error) {
-		return e.dial(e.address, callTimeout)
+	tcp, err := machine.Retry(context.Background(), time.Now().Add(connectTimeout), func() (net.Conn, error) {
+		return e.dial(e.address, connectTimeout)
 	})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnreachable, err)
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -35,6 +35,8 @@
 	maxHold = maxCallInterval - answerTimeout
 	// callTimeout is the timeout of a call without a hold.
 	callTimeout = deliveryTimeout / 2
+	// connectTimeout leaves time for two further connections within deliveryTimeout.
+	connectTimeout = deliveryTimeout / 3
 	// holdJitterDivisor gives the jitter: up to 1/holdJitterDivisor of a hold is taken off at random.
 	holdJitterDivisor = 4
 	// latencyDecayDivisor gives how fast the latency follows quicker answers. It follows slower ones at once.
@@ -153,8 +155,8 @@
 // retryDelay returns the delay from the start of a failed call to the start of the next. It is random within
 // a span that is wide enough to spread the calls of all sidecars, but at most half of the time left until the
 // last answer reaches retryDeadline. With a service that rejects calls this time shrinks, so the delays get
-// shorter. With an unreachable service they get longer, since a connection failure resets lastContact: what
-// such a service knows counts only from its return on. Together this keeps the sidecars from retrying in
+// shorter. With one that refuses connections they get longer, since that resets lastContact: what a service that
+// is down knows counts only from its return on. Together this keeps the sidecars from retrying in
 // step, and a busy service from rejecting the same sidecar every time.
 func (w *Watcher) retryDelay() time.Duration {
 	w.mu.Lock()
--- a/internal/discovery/simulated_service_test.go
+++ b/internal/discovery/simulated_service_test.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // memoryConn is one end of an in-memory connection. Its two directions can be closed independently.
@@ -99,6 +101,7 @@
 	fault         string
 	delay         time.Duration
 	closed        bool
+	lostDials     int // of connections that never come up
 	writes        int
 	connections   []memoryConn
 	latestHoldEnd time.Time                                   // over all calls
@@ -124,8 +127,18 @@
 }
 
 // dial connects a sidecar to one of the addresses.
-func (s *simulatedService) dial(address string, _ time.Duration) (conn net.Conn, err error) {
+func (s *simulatedService) dial(address string, timeout time.Duration) (conn net.Conn, err error) {
 	began := time.Now()
+	lost := false
+	s.withLock(func() {
+		if lost = s.lostDials > 0; lost {
+			s.lostDials--
+		}
+	})
+	if lost {
+		time.Sleep(timeout)
+		return nil, fasthttp.ErrDialTimeout
+	}
 	s.withLock(func() {
 		if s.fault == unreachable || s.closed {
 			err = errors.New("connection refused")
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -43,7 +43,7 @@
 	draws            uint64        // random durations drawn so far
 	unreachable      bool
 	unreachableSince time.Time
-	lastContact      time.Time // the last answer, or the last failure to connect
+	lastContact      time.Time // the last answer, or the last connection that was refused
 	failures         int       // failed calls since the last answer
 	retryingRound    int       // the round that retries after a failed call, without being asked to
 	closed           bool
