soak: connections of discovery fall silent, and a change is due 6 s after it is shown

An earlier bound stays where it is earlier. runner/faults.go is split; the list's faults have a file of their own.

TestTally leaves out the number of calls to discovery, as it did that of failed ones: it varies.

--- a/cmd/ledgespread/tally_test.go
+++ b/cmd/ledgespread/tally_test.go
@@ -26,7 +26,7 @@
 	}
 	program.Process.Signal(syscall.SIGTERM)
 	program.Wait()
-	varies := regexp.MustCompile(`"time":"[^"]*",|"lists_failed":\d+,?`)
+	varies := regexp.MustCompile(`"time":"[^"]*",|"lists_(failed|asked)":\d+,?`)
 	var tallies []string
 	for line := range strings.Lines(log.text()) {
 		if strings.Contains(line, `"tally"`) {
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -29,17 +29,21 @@
 
 // Accounts are the records of a run on which the judge decides.
 type Accounts struct {
-	Scenario          *scenario.Scenario
-	Plan              *plan.Plan
-	Begun             Micros // when the plan's time 0 was
-	Ended             Micros
-	Requests          []*clients.Try
-	Attempts          []*backend.Entry
-	Backends          []BackendAccount
-	Sidecars          []SidecarAccount
-	ListDeliveries    []list.Delivery
-	ListChanges       []list.Change
-	DiscoveryOutages  []clock.Interval // when discovery was unreachable
+	Scenario         *scenario.Scenario
+	Plan             *plan.Plan
+	Begun            Micros // when the plan's time 0 was
+	Ended            Micros
+	Requests         []*clients.Try
+	Attempts         []*backend.Entry
+	Backends         []BackendAccount
+	Sidecars         []SidecarAccount
+	ListDeliveries   []list.Delivery
+	ListChanges      []list.Change
+	DiscoveryOutages []clock.Interval // when discovery was unreachable
+
+	// When discovery was unreachable, rejected calls or didn't answer them, or began its versions anew.
+	DiscoveryDisturbances []clock.Interval
+
 	MessageCuts       []Cut            // changes of the connectivity between sidecars
 	Blocks            []Block          // times in which the network between a zone and a server let nothing through
 	LabStalls         []clock.Interval // when the lab itself was stalled
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -156,6 +156,12 @@
 	check("after it", request(0, clients.Delivered, 1050*ms), oneAttempt(1001*ms), draining(440*ms))
 	check("never told, since the list was out of reach", request(0, clients.Delivered, 1050*ms), oneAttempt(1001*ms), draining(0),
 		func(a *Accounts) { a.DiscoveryOutages = []clock.Interval{{From: 0, To: 9000 * ms}} })
+	publishedLongAgo := func(a *Accounts) {
+		a.ListChanges = []list.Change{{Seq: 4, Host: "b0", Health: "terminating", At: -5600 * ms, Published: -5600 * ms}}
+	}
+	check("never told, 6 s and the grace after it was published", request(0, clients.Delivered, 1050*ms), oneAttempt(1001*ms), publishedLongAgo)
+	check("the same, and discovery was disturbed until later", request(0, clients.Delivered, 1050*ms), oneAttempt(1001*ms), publishedLongAgo,
+		func(a *Accounts) { a.DiscoveryDisturbances = []clock.Interval{{From: -500 * ms, To: 0}} })
 	check("told long ago, but it is back", request(0, clients.Delivered, 1050*ms), oneAttempt(1001*ms), draining(200*ms),
 		func(a *Accounts) {
 			a.ListChanges = append(a.ListChanges, list.Change{Seq: 5, Host: "b0", Health: "in_service", At: 900 * ms})
--- a/lab/judge/rules.go
+++ b/lab/judge/rules.go
@@ -165,7 +165,7 @@
 }
 
 // collectDrains collects for each sidecar when it knew that a server accepts no new requests. A sidecar that
-// could reach discovery has to know of a change one polling interval after it was published.
+// could reach discovery has to know of a change by the protocol's deadline, and one polling interval after it was published.
 func (c *checker) collectDrains() {
 	deliveries := map[string][]list.Delivery{}
 	for _, delivery := range c.ListDeliveries {
@@ -188,11 +188,12 @@
 			reachable := !slices.ContainsFunc(c.DiscoveryOutages, func(outage clock.Interval) bool {
 				return outage.From <= change.Published+pollInterval && outage.To >= change.Published
 			})
-			if mustKnowBy := change.Published + pollInterval; reachable && (from < 0 || from > mustKnowBy) {
-				from = mustKnowBy
+			mustKnowBy := c.deliveryDeadline(change.Published)
+			if reachable {
+				mustKnowBy = min(mustKnowBy, change.Published+pollInterval)
 			}
-			if from < 0 {
-				continue
+			if from < 0 || from > mustKnowBy {
+				from = mustKnowBy
 			}
 			to := c.Ended
 			for _, later := range c.ListChanges[i+1:] {
@@ -207,6 +208,27 @@
 	}
 }
 
+// deliveryTimeout is by when a sidecar has to know a change, whatever became of its calls: after it was published or,
+// if discovery was disturbed meanwhile, after that.
+const deliveryTimeout = 6 * clock.Second
+
+// deliveryDeadline returns when every sidecar has to know a change.
+func (c *checker) deliveryDeadline(published Micros) Micros {
+	from := published
+	for moved := true; moved; {
+		moved = false
+		for _, disturbance := range c.DiscoveryDisturbances {
+			if disturbance.From <= from+deliveryTimeout && disturbance.To > from {
+				from, moved = disturbance.To, true
+			}
+		}
+	}
+	if from > c.Ended {
+		return c.Ended
+	}
+	return from + deliveryTimeout
+}
+
 // sentToEndedProcess reports whether a server list was sent to a process that had ended since its call.
 func (c *checker) sentToEndedProcess(delivery list.Delivery) bool {
 	for _, sidecar := range c.Sidecars {
--- a/lab/list/list.go
+++ b/lab/list/list.go
@@ -103,6 +103,7 @@
 	pending       map[Micros][]Host // changes to be published together, by time of publication
 	versionOffset int               // subtracted from versions in answers since the simulated restart
 	unusableEntry bool              // every answer contains an unusable entry
+	closed        chan struct{}     // closed with the service
 	queueFreeAt   Micros            // when the queue of calls will be empty
 	random        *rng.Source
 	deliveries    []Delivery
@@ -120,17 +121,10 @@
 	server *http.Server
 	at     string
 
-	mu   sync.Mutex
-	open map[net.Conn]bool
-}
-
-// trackConnection tracks the open connections; it is the server's ConnState hook.
-func (r *reader) trackConnection(conn net.Conn, state http.ConnState) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.open[conn] = true; state == http.StateClosed {
-		delete(r.open, conn)
-	}
+	mu          sync.Mutex
+	open        map[net.Conn]*connection
+	silentUntil time.Time // connections that are opened before are silent from the start
+	armed       bool      // all connections fall silent soon after the next held call
 }
 
 // closeConnections closes the open connections.
@@ -144,7 +138,7 @@
 
 // New returns a list without backends.
 func New(runClock *clock.Clock) *List {
-	return &List{clock: runClock, random: rng.New(1, "list"), hosts: map[string]Host{}, changed: make(chan struct{}), readers: map[string]*reader{}, pending: map[Micros][]Host{}}
+	return &List{clock: runClock, random: rng.New(1, "list"), hosts: map[string]Host{}, changed: make(chan struct{}), closed: make(chan struct{}), readers: map[string]*reader{}, pending: map[Micros][]Host{}}
 }
 
 // Set adds or changes a backend; the list publishes that after the notice.
@@ -264,8 +258,9 @@
 	if err != nil {
 		return "", err
 	}
-	opened := &reader{name: name, at: listener.Addr().String(), open: map[net.Conn]bool{}}
-	opened.server = &http.Server{Handler: http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) { l.serve(opened, response, request) }), ConnState: opened.trackConnection}
+	opened := &reader{name: name, at: listener.Addr().String(), open: map[net.Conn]*connection{}}
+	opened.server = &http.Server{Handler: http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) { l.serve(opened, response, request) }),
+		ConnContext: opened.addConnection, ConnState: opened.removeConnection}
 	go opened.server.Serve(listener)
 	l.readers[name] = opened
 	return opened.at, nil
@@ -275,6 +270,11 @@
 func (l *List) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
 	for _, open := range l.readers {
 		open.server.Close()
 	}
--- a/lab/list/serve.go
+++ b/lab/list/serve.go
@@ -15,6 +15,12 @@
 	defer l.mu.Unlock()
 	call := l.startRecord(caller)
 	fault, late := l.drawFault()
+	if watches && hold > 0 {
+		l.heldCallBegins(caller)
+	}
+	if caller.isSilent(request) { // not even a refusal is written
+		fault = noFault
+	}
 	switch fault {
 	case refusedFault:
 		l.refuse(call, response)
@@ -34,6 +40,10 @@
 		until := l.clock.Now() + late
 		l.unlocked(func() { l.sleepUntil(until) })
 	}
+	if caller.isSilent(request) {
+		l.awaitEnd(call)
+		return
+	}
 	if l.down {
 		l.refuse(call, response)
 		return
--- a/lab/runner/faults.go
+++ b/lab/runner/faults.go
@@ -10,7 +10,6 @@
 	"ledgespread/lab/backend"
 	"ledgespread/lab/clock"
 	"ledgespread/lab/judge"
-	"ledgespread/lab/list"
 	"ledgespread/lab/network"
 	"ledgespread/lab/plan"
 	"ledgespread/lab/scenario"
@@ -206,74 +205,6 @@
 	}
 }
 
-// faultList runs a fault on the discovery list.
-func (rig *Rig) faultList(event plan.Event) {
-	switch event.What {
-	case "list_down":
-		rig.mark("the discovery list is unreachable")
-		from := rig.clock.Now()
-		rig.list.SetDown(true)
-		rig.waitUntil(event.At.M() + event.For.M())
-		rig.list.SetDown(false)
-		rig.mu.Lock()
-		rig.outages = append(rig.outages, clock.Interval{From: from, To: rig.clock.Now()})
-		rig.mu.Unlock()
-		rig.mark("the discovery list is reachable again")
-	case "list_late":
-		rig.mark("changes of the discovery list are late")
-		rig.list.SetLate(event.By.M())
-		rig.waitUntil(event.At.M() + event.For.M())
-		rig.list.SetLate(0)
-	case "list_move":
-		rig.moveList()
-	case "list_moves":
-		for range int(event.Times) {
-			rig.moveList()
-			moveInterval.Sleep()
-		}
-	case "list_anew":
-		rig.mark("the discovery service restarts, and counts versions from 1 again")
-		rig.list.Restart()
-	case "list_odd":
-		rig.mark("the discovery list contains an unusable entry")
-		rig.list.SetUnusableEntry(true)
-		rig.waitUntil(event.At.M() + event.For.M())
-		rig.list.SetUnusableEntry(false)
-	case "list_slow":
-		rig.degradeList(event, list.Trouble{Work: event.By.M()})
-	case "list_refuse":
-		rig.degradeList(event, list.Trouble{Refuse: event.Part})
-	case "list_silent":
-		rig.degradeList(event, list.Trouble{Silent: event.Part})
-	case "list_answers_late":
-		rig.degradeList(event, list.Trouble{Late: event.By.M()})
-	}
-}
-
-const moveInterval = 300 * clock.Milli
-
-// moveList gives each sidecar a new discovery address and makes it reload its configuration.
-func (rig *Rig) moveList() {
-	rig.mark("the discovery list moves to another address")
-	for _, sidecar := range rig.sidecars {
-		if _, err := rig.list.Move(sidecar.Name); err != nil {
-			continue
-		}
-		if _, err := sidecar.Configure(); err == nil {
-			sidecar.Signal(syscall.SIGHUP)
-		}
-	}
-}
-
-// degradeList applies trouble to the discovery service for the event's duration.
-func (rig *Rig) degradeList(event plan.Event, trouble list.Trouble) {
-	rig.mark("%s begins", event.What)
-	rig.list.SetTrouble(trouble, rig.options.Seed)
-	rig.waitUntil(event.At.M() + event.For.M())
-	rig.list.SetTrouble(list.Trouble{}, rig.options.Seed)
-	rig.mark("%s ends", event.What)
-}
-
 // stopWithSignalSeries stops a sidecar with a series of SIGHUP and SIGTERM, and kills it as soon as the
 // protocol allows. Until then clients use only connections that are already open.
 func (rig *Rig) stopWithSignalSeries(i int, sidecar *sidecars.Sidecar) {
--- a/lab/scenario/check.go
+++ b/lab/scenario/check.go
@@ -19,7 +19,7 @@
 	"unlist": "backends", "slow_reads": "backends", "reset_under": "backends", "list_anew": "list", "list_odd": "list",
 	"sidecar_kill": "sidecars", "sidecar_restart": "sidecars", "sidecar_stall": "sidecars",
 	"list_down": "list", "list_late": "list", "list_move": "list", "list_moves": "list", "list_slow": "list", "list_refuse": "list",
-	"list_silent": "list", "list_answers_late": "list", "sidecar_end": "sidecars", "crowd": "clients",
+	"list_silent": "list", "list_answers_late": "list", "list_connections_silent": "list", "list_silent_after_call": "list", "sidecar_end": "sidecars", "crowd": "clients",
 	"silence": "network", "cut": "network", "reset": "network", "delay": "network", "refuse": "network", "narrow": "network",
 	"wall_back": "machine", "wall_forward": "machine",
 	"cut_word": "ways", "part": "ways", "lose": "ways", "double": "ways", "late": "ways", "sidecar_move": "sidecars",
@@ -112,7 +112,7 @@
 			"must be over 1 for %s", fault.What)
 		check(!slices.Contains([]string{"delay", "list_late", "late", "list_slow", "list_answers_late", "wall_back", "wall_forward", "reset_under"}, fault.What) || fault.By > 0, "fault", i, "by", "is missing for %s", fault.What)
 		check(fault.What != "narrow" && fault.What != "slow_reads" || fault.Bytes > 0, "fault", i, "bytes_per_s", "must be over 0 for %s", fault.What)
-		check(!slices.Contains([]string{"errors", "spoil", "lose", "double", "late", "list_refuse", "list_silent", "reset_under"}, fault.What) || fault.Part > 0 && fault.Part <= 1, "fault", i, "part",
+		check(!slices.Contains([]string{"errors", "spoil", "lose", "double", "late", "list_refuse", "list_silent", "list_connections_silent", "reset_under"}, fault.What) || fault.Part > 0 && fault.Part <= 1, "fault", i, "part",
 			"must be over 0 and at most 1 for %s", fault.What)
 		for _, zone := range []string{fault.From, fault.To} {
 			check(zone == "" || slices.Contains(s.Zones, zone), "fault", i, "from", "%q is not among the zones", zone)
--- a/lab/soak/draw.go
+++ b/lab/soak/draw.go
@@ -36,6 +36,7 @@
 	length             int
 	machineFails       bool
 	longRequests       bool // see bodies.go
+	silentConnections  bool // see silence.go
 	extreme            bool // draws extreme amounts, such as all servers or only one, more often
 }
 
@@ -143,7 +144,7 @@
 
 // Kinds returns the names of all kinds of faults.
 func Kinds() (kinds []string) {
-	for _, kind := range slices.Concat(faultKinds, bodyFaultKinds) {
+	for _, kind := range slices.Concat(faultKinds, bodyFaultKinds, silenceFaultKinds) {
 		kinds = append(kinds, kind.name)
 	}
 	return kinds
@@ -154,7 +155,7 @@
 	if only == "" {
 		return faultKinds, nil
 	}
-	all := slices.Concat(faultKinds, bodyFaultKinds)
+	all := slices.Concat(faultKinds, bodyFaultKinds, silenceFaultKinds)
 	at := slices.IndexFunc(all, func(kind faultKind) bool { return kind.name == only })
 	if at < 0 {
 		return nil, fmt.Errorf("%q is no kind of fault; there are %s", only, strings.Join(Kinds(), ", "))
@@ -169,7 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &scenarioDrawer{Source: rng.New(seed, "soak"), length: length, longRequests: hasLongRequests(seed, only)}
+	d := &scenarioDrawer{Source: rng.New(seed, "soak"), length: length, longRequests: hasLongRequests(seed, only), silentConnections: hasSilence(seed, only)}
 	d.extreme = d.Below(2) == 0
 	d.machineFails = d.Below(2) == 0 || only == wallBack || only == wallForward
 	if !d.machineFails {
@@ -262,7 +263,12 @@
 		fmt.Fprintf(&text, "[[fault]]\nwhat = \"%s\"\nat = \"%dms\"\n%s", kind, at, lines)
 	}
 	lastFaultAt := max(d.length-faultFreeEnd, firstFaultAt+1)
-	d.discoveryDisturbance(d.between(firstFaultAt, max(lastFaultAt-disturbanceMillis, firstFaultAt+1)), add)
+	if d.silentConnections {
+		d.silences(add)
+		kinds = withoutListFaults(kinds)
+	} else {
+		d.discoveryDisturbance(d.between(firstFaultAt, max(lastFaultAt-disturbanceMillis, firstFaultAt+1)), add)
+	}
 	d.coldRestarts(d.between(firstFaultAt, lastFaultAt), add)
 	if d.extreme {
 		d.massRemoval(d.between(firstFaultAt, lastFaultAt), add)
