--- a/cmd/ledgespread/silent_discovery_test.go
+++ b/cmd/ledgespread/silent_discovery_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -27,11 +28,12 @@
 // silentDiscovery is a discovery service that takes time for each call and whose connections can fall silent at one
 // moment. Its list is changed once: server s0 begins to drain.
 type silentDiscovery struct {
-	address  string
-	entries  func(s0 string) string // the list, with the given health of s0
-	latency  func() time.Duration   // draws how long a call takes; called under mu
-	lateEnds bool                   // an answer at the end of a hold takes as long, too
-	stop     chan struct{}
+	address      string
+	otherAddress string                 // of the same service, for a move
+	entries      func(s0 string) string // the list, with the given health of s0
+	latency      func() time.Duration   // draws how long a call takes; called under mu
+	lateEnds     bool                   // an answer at the end of a hold takes as long, too
+	stop         chan struct{}
 
 	mu          sync.Mutex
 	connections map[net.Conn]*discoveryConnection
@@ -50,7 +52,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.address = listener.Addr().String()
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.address, d.otherAddress = listener.Addr().String(), other.Addr().String()
 	server := &http.Server{Handler: d, ConnContext: d.open, ConnState: func(conn net.Conn, state http.ConnState) {
 		if state == http.StateClosed {
 			d.mu.Lock()
@@ -63,6 +69,7 @@
 		server.Close()
 	})
 	go server.Serve(listener)
+	go server.Serve(other)
 	return d
 }
 
@@ -153,9 +160,10 @@
 	always     bool                                                     // one seed is played in every run
 	latency    func(random *rand.Rand, age time.Duration) time.Duration // of a call, by the service's age
 	lateEnds   bool
-	afterCall  bool                                  // it begins just after a held call did
-	newSilent  func(random *rand.Rand) time.Duration // for which connections that are opened are silent, too
-	signalMove bool                                  // discovery is moved meanwhile
+	afterCall  bool                                       // it begins just after a held call did
+	newSilent  func(random *rand.Rand) time.Duration      // for which connections that are opened are silent, too
+	then       func(random *rand.Rand, play *silencePlay) // what is done to the sidecar within a second after it
+	signalMove bool                                       // discovery is moved meanwhile
 }
 
 func between(random *rand.Rand, minimum, maximum time.Duration) time.Duration {
@@ -182,6 +190,8 @@
 		}
 		return 5 * time.Millisecond
 	}},
+	{name: "and a move by SIGHUP", latency: slowCalls, afterCall: true, then: moveDiscovery},
+	{name: "and a pause of the process", latency: slowCalls, afterCall: true, then: pauseProcess},
 	{name: "of a quick service", afterCall: true, latency: func(*rand.Rand, time.Duration) time.Duration { return 5 * time.Millisecond }},
 }
 
@@ -232,7 +242,7 @@
 	service.lateEnds = kind.lateEnds
 	file, listen := writeLenientConfig(t, service.address, "on_request", entries("in_service"))
 	setSidecars(t, file, 3)
-	_, log := startProgram(t, file)
+	program, log := startProgram(t, file)
 	eventually(t, "it serves", func() bool { return strings.Contains(log.text(), `"serving"`) })
 	stopTraffic := startTraffic(listen, fmt.Sprint(seed))
 	defer stopTraffic()
@@ -249,6 +259,17 @@
 	}
 	service.silence(newSilent)
 	reachable := time.Now().Add(newSilent)
+	if kind.then != nil {
+		play := &silencePlay{t: t, file: file, service: service, program: program.Process}
+		after := between(random, time.Millisecond, time.Second)
+		seedOfThen := rand.New(rand.NewPCG(seed, 84))
+		var over sync.WaitGroup
+		over.Go(func() {
+			time.Sleep(after)
+			kind.then(seedOfThen, play)
+		})
+		defer over.Wait()
+	}
 	time.Sleep(between(random, 20*time.Millisecond, 1500*time.Millisecond))
 	changed := time.Now()
 	close(service.drains)
@@ -267,6 +288,36 @@
 	}
 }
 
+// silencePlay is what a silence is played on.
+type silencePlay struct {
+	t       *testing.T
+	file    string
+	service *silentDiscovery
+	program *os.Process
+}
+
+// moveDiscovery moves discovery to its other address by a new configuration.
+func moveDiscovery(_ *rand.Rand, play *silencePlay) {
+	text, err := os.ReadFile(play.file)
+	if err != nil {
+		play.t.Error(err)
+		return
+	}
+	moved := strings.Replace(string(text), play.service.address, play.service.otherAddress, 1)
+	if err := os.WriteFile(play.file, []byte(moved), 0o600); err != nil {
+		play.t.Error(err)
+		return
+	}
+	play.program.Signal(syscall.SIGHUP)
+}
+
+// pauseProcess stops the sidecar for 1 to 3 s.
+func pauseProcess(random *rand.Rand, play *silencePlay) {
+	play.program.Signal(syscall.SIGSTOP)
+	time.Sleep(between(random, time.Second, 3*time.Second))
+	play.program.Signal(syscall.SIGCONT)
+}
+
 // awaitHeldCall waits for a held call that arrives after the given time.
 func awaitHeldCall(service *silentDiscovery, after time.Time) {
 	for arrived := range service.heldCalls {
