discovery: a new address whose connection requests get no answer is asked again at once

Evidence: TestLostConnectionRequestsAtNewAddress, a lone sidecar, failed before.

Change: what counts is that nothing answered (the call, or its connection request), not how long it took.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -21,6 +21,19 @@
 // errWholeListTimeout ends the wait for a call that asked for the whole list and got no answer in time.
 var errWholeListTimeout = errors.New("no answer in time")
 
+// gotNoAnswer reports whether a call failed because it, or its connection request, got no answer in time. It may have
+// been lost on its way to a service that can be reached.
+func gotNoAnswer(err error) bool {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, errUnanswered) || errors.Is(err, errWholeListTimeout) || errors.Is(err, fasthttp.ErrDialTimeout):
+		return true
+	case errors.As(err, &timeout):
+		return timeout.Timeout()
+	}
+	return false
+}
+
 // call is one request for the list. By the protocol, discovery may regard the list as received as soon as it
 // has written the answer. The call's own goroutine therefore passes every answer on, even if nobody waits for
 // the call any more; see deliver.
--- a/internal/discovery/connections_test.go
+++ b/internal/discovery/connections_test.go
@@ -115,3 +115,40 @@
 		}
 	}
 }
+
+// If the connection requests to a new address get no answer, the sidecar goes on asking there: what was known there
+// counts as received soon after the move.
+func TestLostConnectionRequestsAtNewAddress(t *testing.T) {
+	const receivedWithin = 4 * time.Second // of the move
+	for _, sidecars := range []int{1, 3, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			service := newSimulatedService()
+			service.onWritten = func(receivedCall, *listAnswer) {}
+			service.onProcessed = func(receivedCall) {}
+			var received atomic.Int64 // the version
+			watcher := discovery.New("a0", map[string]int{"here": 0}, 0, 10e6, sidecars, 1<<20, 7, func(l *discovery.List) {
+				if l != nil {
+					received.Store(int64(l.Version))
+				}
+			}, &counters.Set{}, zerolog.Nop())
+			watcher.SetDial(service.dial)
+			watcher.Watch()
+			time.Sleep(time.Second)
+			want := 0
+			service.withLock(func() {
+				service.lostDials = 2
+				service.silence()
+				service.set(serverState{Host: "s0", Dial: "127.0.0.1:1000", Site: "here", Health: "terminating", Share: 1})
+				want = service.version
+			})
+			watcher.SetAddress("a1")
+			time.Sleep(receivedWithin)
+			if got := int(received.Load()); got != want {
+				t.Errorf("%d sidecars: received version %d, want %d", sidecars, got, want)
+			}
+			watcher.Close()
+			service.close()
+			time.Sleep(2 * time.Hour)
+		})
+	}
+}
--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/valyala/fasthttp"
 
 	"ledgespread/internal/counters"
 )
@@ -211,15 +210,7 @@
 	if err == nil {
 		w.failures, w.retryingRound = 0, 0
 	}
-	if err == nil || isRefused(err) {
+	if err == nil || errors.Is(err, errUnreachable) && !gotNoAnswer(err) {
 		w.lastContact = time.Now()
 	}
 }
-
-// isRefused reports whether a call failed because its connection was refused. One that got no answer may have been
-// lost on its way to a service that can be reached.
-func isRefused(err error) bool {
-	var timeout interface{ Timeout() bool }
-	gotNoAnswer := errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &timeout) && timeout.Timeout()
-	return errors.Is(err, errUnreachable) && !gotNoAnswer
-}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -220,7 +220,7 @@
 	began := time.Now()
 	result := w.makeCall(at, now)
 	took := time.Since(began)
-	next := w.nextCall(now, result, took)
+	next := w.nextCall(now, result)
 	if next.purpose == retryAfterFailure && !w.startRetrying(round) {
 		next.purpose = roundOver
 	}
@@ -237,7 +237,7 @@
 }
 
 // nextCall returns the call that follows one with the given result.
-func (w *Watcher) nextCall(now plannedCall, r result, took time.Duration) plannedCall {
+func (w *Watcher) nextCall(now plannedCall, r result) plannedCall {
 	switch {
 	case r.err == nil && now.purpose == longPoll && !r.newer:
 		return plannedCall{longPoll, w.longestHold()}
@@ -251,7 +251,7 @@
 		return plannedCall{purpose: watchStart}
 	case errors.Is(r.err, errUnanswered) && now.purpose == pollAfterTimeout && w.sidecars == 1:
 		return now
-	case (now.purpose == addressChanged || now.purpose == addressUnanswered) && took >= callTimeout:
+	case (now.purpose == addressChanged || now.purpose == addressUnanswered) && gotNoAnswer(r.err):
 		return plannedCall{purpose: addressUnanswered} // the changes known there are due before Watch is called again
 	}
 	return plannedCall{retryAfterFailure, min(w.jitteredHold(), maxRetryHold)}
