--- a/cmd/ledgespread/silent_discovery_test.go
+++ b/cmd/ledgespread/silent_discovery_test.go
@@ -156,14 +156,13 @@
 
 // silenceKind is a kind of silence of discovery.
 type silenceKind struct {
-	name       string
-	always     bool                                                     // one seed is played in every run
-	latency    func(random *rand.Rand, age time.Duration) time.Duration // of a call, by the service's age
-	lateEnds   bool
-	afterCall  bool                                       // it begins just after a held call did
-	newSilent  func(random *rand.Rand) time.Duration      // for which connections that are opened are silent, too
-	then       func(random *rand.Rand, play *silencePlay) // what is done to the sidecar within a second after it
-	signalMove bool                                       // discovery is moved meanwhile
+	name      string
+	always    bool                                                     // one seed is played in every run
+	latency   func(random *rand.Rand, age time.Duration) time.Duration // of a call, by the service's age
+	lateEnds  bool
+	afterCall bool                                       // it begins just after a held call did
+	newSilent func(random *rand.Rand) time.Duration      // for which connections that are opened are silent, too
+	then      func(random *rand.Rand, play *silencePlay) // what is done to the sidecar within a second after it
 }
 
 func between(random *rand.Rand, minimum, maximum time.Duration) time.Duration {
--- a/internal/discovery/connections_test.go
+++ b/internal/discovery/connections_test.go
@@ -75,6 +75,21 @@
 	}
 }
 
+// startWatcher starts a watcher of a simulated service, in virtual time. received is the version received last.
+func startWatcher(sidecars int, seed uint64) (service *simulatedService, watcher *discovery.Watcher, received *atomic.Int64) {
+	service, received = newSimulatedService(), &atomic.Int64{}
+	service.onWritten = func(receivedCall, *listAnswer) {}
+	service.onProcessed = func(receivedCall) {}
+	watcher = discovery.New("a0", map[string]int{"here": 0}, 0, 10e6, sidecars, 1<<20, seed, func(l *discovery.List) {
+		if l != nil {
+			received.Store(int64(l.Version))
+		}
+	}, &counters.Set{}, zerolog.Nop())
+	watcher.SetDial(service.dial)
+	watcher.Watch()
+	return service, watcher, received
+}
+
 // A connection request that is lost shows nothing about the service. Two in a row used to cost 3 s each, and each
 // counted as contact with a service that is down, so that the next call was not urgent: the sidecar received a change
 // over 6 s late.
@@ -82,17 +97,7 @@
 	for _, sidecars := range []int{3, 300} {
 		for seed := range uint64(20) {
 			synctest.Test(t, func(t *testing.T) {
-				service := newSimulatedService()
-				service.onWritten = func(receivedCall, *listAnswer) {}
-				service.onProcessed = func(receivedCall) {}
-				var received atomic.Int64 // the version
-				watcher := discovery.New("a0", map[string]int{"here": 0}, 0, 10e6, sidecars, 1<<20, seed, func(l *discovery.List) {
-					if l != nil {
-						received.Store(int64(l.Version))
-					}
-				}, &counters.Set{}, zerolog.Nop())
-				watcher.SetDial(service.dial)
-				watcher.Watch()
+				service, watcher, received := startWatcher(sidecars, seed)
 				time.Sleep(time.Second)
 				want := 0
 				service.withLock(func() {
@@ -122,17 +127,7 @@
 	const receivedWithin = 4 * time.Second // of the move
 	for _, sidecars := range []int{1, 3, 300} {
 		synctest.Test(t, func(t *testing.T) {
-			service := newSimulatedService()
-			service.onWritten = func(receivedCall, *listAnswer) {}
-			service.onProcessed = func(receivedCall) {}
-			var received atomic.Int64 // the version
-			watcher := discovery.New("a0", map[string]int{"here": 0}, 0, 10e6, sidecars, 1<<20, 7, func(l *discovery.List) {
-				if l != nil {
-					received.Store(int64(l.Version))
-				}
-			}, &counters.Set{}, zerolog.Nop())
-			watcher.SetDial(service.dial)
-			watcher.Watch()
+			service, watcher, received := startWatcher(sidecars, 7)
 			time.Sleep(time.Second)
 			want := 0
 			service.withLock(func() {
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -31,8 +31,6 @@
 	maxAnswerTimeout = deliveryTimeout / 4
 	// schedulingReserve is left for delays of the sidecar itself.
 	schedulingReserve = answerTimeout / 2
-	// maxHold limits the hold of a call.
-	maxHold = maxCallInterval - answerTimeout
 	// callTimeout is the timeout of a call without a hold.
 	callTimeout = deliveryTimeout / 2
 	// connectTimeout leaves time for two further connections within deliveryTimeout.
