--- a/cmd/ledgespread/silent_discovery_test.go
+++ b/cmd/ledgespread/silent_discovery_test.go
@@ -44,9 +44,9 @@
 	began       time.Time
 }
 
-func startSilentDiscovery(t *testing.T, entries func(s0 string) string, latency func() time.Duration) *silentDiscovery {
+func startSilentDiscovery(t *testing.T, entries func(s0 string) string, lateEnds bool, latency func() time.Duration) *silentDiscovery {
 	t.Helper()
-	d := &silentDiscovery{entries: entries, latency: latency, stop: make(chan struct{}), connections: map[net.Conn]*discoveryConnection{},
+	d := &silentDiscovery{entries: entries, lateEnds: lateEnds, latency: latency, stop: make(chan struct{}), connections: map[net.Conn]*discoveryConnection{},
 		drains: make(chan struct{}), heldCalls: make(chan time.Time, 999), began: time.Now()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -128,6 +128,13 @@
 	io.WriteString(w, fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[%s]}`, version, from < 8, hosts))
 }
 
+// account returns the calls and the silence, a line each.
+func (d *silentDiscovery) account() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return strings.Join(d.calls, "\n")
+}
+
 // hold waits for a change after the version from, for as long as a call is held.
 func (d *silentDiscovery) hold(from int, hold, latency time.Duration) {
 	if hold <= 0 {
@@ -237,8 +244,8 @@
 		return serverEntry("s0", draining, s0) + "," + serverEntry("s1", ready, "in_service")
 	}
 	began := time.Now()
-	service := startSilentDiscovery(t, entries, func() time.Duration { return kind.latency(random, time.Since(began)) })
-	service.lateEnds = kind.lateEnds
+	latencies := rand.New(rand.NewPCG(seed, 85))
+	service := startSilentDiscovery(t, entries, kind.lateEnds, func() time.Duration { return kind.latency(latencies, time.Since(began)) })
 	file, listen := writeLenientConfig(t, service.address, "on_request", entries("in_service"))
 	setSidecars(t, file, 3)
 	program, log := startProgram(t, file)
@@ -283,7 +290,7 @@
 	at := func(moment time.Time) float64 { return moment.Sub(began).Seconds() }
 	t.Logf("silent until %.3f s, drain at %.3f s, due at %.3f s, last request sent there at %.3f s", at(reachable), at(changed), at(due), at(lastSent))
 	if lastSent.After(due) {
-		t.Errorf("a request reached the draining server %.3f s after the deadline\n%s\n%s", lastSent.Sub(due).Seconds(), strings.Join(service.calls, "\n"), log.text())
+		t.Errorf("a request reached the draining server %.3f s after the deadline\n%s\n%s", lastSent.Sub(due).Seconds(), service.account(), log.text())
 	}
 }
 
