connlimit: a drain and the reader of a connection share an atomic flag, not a data race

A drain that closes a silent connection asks whether the peer has closed it, while the goroutine that reads the connection records just that. Between the shutdown of the sending half and the close, the client's next request may be read.

The report had only the creating stacks. No caller saw it: the flag only decides whether the closed connection lingers.

--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -44,9 +44,9 @@
 	closeOnce     sync.Once
 	writeClosed   atomic.Bool // this side has shut down its sending half; bytes read from then on are ignored
 	acceptedAt    time.Time
-	messageBytes  int  // bytes read since the end of the last message
-	hadRequest    bool // a request has been received on this connection
-	peerClosed    bool // the peer has closed the connection, or it broke
+	messageBytes  int         // bytes read since the end of the last message
+	hadRequest    bool        // a request has been received on this connection
+	peerClosed    atomic.Bool // the peer has closed the connection, or it broke; a drain asks for it as well
 	boundaries    boundaries
 	pipelined     []byte // bytes that have been read from the socket, but not passed on; most are of the next messages
 
@@ -66,7 +66,7 @@
 // discards received bytes in the background for a while, see linger.
 func (c *clientConn) Close() (err error) {
 	c.closeOnce.Do(func() {
-		if c.peerClosed || !c.shutdownWrite() {
+		if c.peerClosed.Load() || !c.shutdownWrite() {
 			c.releaseSlot()
 			err = c.TCPConn.Close()
 			return
@@ -181,7 +181,9 @@
 // noteReadError records that the peer has closed or broken the connection, which any read error but a timeout
 // means.
 func (c *clientConn) noteReadError(err error) {
-	c.peerClosed = c.peerClosed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.peerClosed.Store(true)
+	}
 }
 
 // moveDeadline moves the read deadline of a long body, before a read. The client has the time that the bytes so far take at
--- a/internal/connlimit/evict_test.go
+++ b/internal/connlimit/evict_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -102,3 +103,41 @@
 		t.Errorf("-want +got:\n%s", diff)
 	}
 }
+
+// clientThatSendsWhenClosed is a log writer. At its first line it sends a request from a client, and waits until the
+// sidecar has read it.
+type clientThatSendsWhenClosed struct {
+	peer net.Conn
+	once sync.Once
+}
+
+func (c *clientThatSendsWhenClosed) Write(line []byte) (n int, err error) {
+	c.once.Do(func() {
+		c.peer.Write([]byte("GET /look HTTP/1.1\r\n\r\n"))
+		time.Sleep(50 * time.Millisecond) // an event to wait for would order the two goroutines for the race detector
+	})
+	return len(line), nil
+}
+
+// A drain closes an idle connection whose client sends a request meanwhile. The drain and the goroutine that reads the
+// connection both use what is known of the peer; the race detector must not find them in a race.
+func TestCloseWhileClientSends(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	sender := &clientThatSendsWhenClosed{}
+	listener := New(ln.(*net.TCPListener), 30, &counters.Set{}, zerolog.New(sender))
+	peer, accepted := connect(t, listener)
+	sender.peer = peer
+	readEnd := make(chan error)
+	go func() {
+		_, err := accepted.Read(make([]byte, 100))
+		readEnd <- err
+	}()
+	listener.EvictIdle(0)
+	if diff := cmp.Diff(net.ErrClosed.Error(), fmt.Sprint(<-readEnd)); diff != "" {
+		t.Errorf("end of the read: -want +got:\n%s", diff)
+	}
+}
--- a/internal/connlimit/watch.go
+++ b/internal/connlimit/watch.go
@@ -25,7 +25,7 @@
 			switch peek.Inspect(conn, true) {
 			case peek.Closed:
 				if c, ok := conn.(*clientConn); ok {
-					c.peerClosed = true
+					c.peerClosed.Store(true)
 				}
 				close(closeSeen)
 				return
