A request that times out while the process is held up is overdue, and no fault

Operators saw `faults` rise on a busy machine.

Now inbound reports the timeout, and the relay tells the two apart: the timers that are due by then run first, and only a request that is open after them is a fault (`request not ended at its client timeout`). The module hears of a timeout where it is one, and not of a client that left. `visits_overdue` counts both, as before.

--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -47,8 +47,10 @@
 	// BodyArrived reports that the last byte of a request with an Upload has arrived, and when its client stops waiting.
 	BodyArrived(request *exchange.Exchange, deadline time.Time)
 	// RequestEnded reports that a request has ended without the relay's answer: its client disconnected, or an error
-	// was returned on a timeout or a stop.
+	// was returned at a stop.
 	RequestEnded(*exchange.Exchange)
+	// RequestTimedOut reports that a request got an error at its client timeout, because it had no answer from the relay.
+	RequestTimedOut(*exchange.Exchange)
 }
 
 // Inbound is the HTTP server for the local client process.
--- a/internal/inbound/wait.go
+++ b/internal/inbound/wait.go
@@ -151,15 +151,11 @@
 	w.in.requests.RequestEnded(w.request)
 }
 
-// expire ends a request at its timeout. The relay should have ended it by now; this ends it in any case.
+// expire ends a request at its timeout. The relay has ended it by now, unless it is late or failed.
 func (w *wait) expire() {
 	if !w.request.Fail(exchange.Overdue) {
 		return
 	}
 	w.in.counts.Add(counters.RequestsTimedOut)
-	if w.request.Upload == nil { // of a streamed body the relay may have heard too late when the timeout passes
-		w.in.counts.Add(counters.Faults)
-		w.in.log.Error().Uint16("path_prefix", uint16(w.request.Class)).Msg("no answer within the client timeout")
-	}
-	w.in.requests.RequestEnded(w.request)
+	w.in.requests.RequestTimedOut(w.request)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,6 @@
 // Package relay drives the Balancer of the brain package. It makes all calls to the Balancer from one
 // goroutine, provides its clock and timers, and carries out the actions that it asks for. The client side
-// submits requests by HandleRequest, and calls RequestEnded for those that end before the relay has answered them.
+// submits requests by HandleRequest, and reports those that end without the relay's answer by RequestEnded or RequestTimedOut.
 package relay
 
 import (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 
 	"ledgespread/internal/counters"
 	"ledgespread/internal/discovery"
+	"ledgespread/internal/exchange"
 	"ledgespread/internal/memory"
 	"ledgespread/internal/outbound"
 	"ledgespread/internal/site"
@@ -153,3 +154,29 @@
 		}
 	}
 }
+
+// A request that is open although its deadline and all timers up to it have passed is a fault, and it is ended.
+func TestForgottenRequestIsFault(t *testing.T) {
+	manifest, err := site.Parse([]byte(smallConfiguration))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log strings.Builder
+	counts := &counters.Set{}
+	r, err := New(manifest, 9, outbound.New(1, 1, 9, memory.New(1), nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log).Level(zerolog.ErrorLevel))
+	if err != nil {
+		t.Fatal(err)
+	}
+	forgotten := exchange.New()
+	forgotten.ID = 7
+	r.requests[7] = &request{exchange: forgotten, class: &class{}, deadline: r.now}
+	r.openCount = 1
+	r.RequestTimedOut(forgotten)
+	r.runTurn(<-r.events)
+	r.runTurn(r.runDue)
+	got := fmt.Sprintf("faults %d, open %d, requests %d\n%s", counts[counters.Faults].Load(), r.openCount, len(r.requests), log.String())
+	want := "faults 1, open 0, requests 0\n" + `{"level":"error","message":"request not ended at its client timeout"}` + "\n"
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("mismatch (-want +got):\n%s", diff)
+	}
+}
--- a/internal/relay/requests.go
+++ b/internal/relay/requests.go
@@ -85,17 +85,45 @@
 	})
 }
 
-// RequestEnded reports that a request's client has gone away, or that inbound has answered it at its timeout.
+// RequestEnded reports that a request's client has gone away, or that inbound has answered it at a stop.
 func (r *Relay) RequestEnded(abandoned *exchange.Exchange) {
+	r.post(func() { r.endAbandoned(abandoned) })
+}
+
+// endAbandoned ends a request that needs no answer any more, if it is open.
+func (r *Relay) endAbandoned(abandoned *exchange.Exchange) {
+	if request := r.openRequest(abandoned.ID); request != nil {
+		r.logAnswer(request, "request given up", reasonClientLeft)
+		r.endRequest(request)
+		r.balancer.HandleDisconnect(r.now, abandoned.ID)
+	}
+}
+
+// RequestTimedOut reports that inbound has answered a request at its client timeout. That is no fault if this goroutine
+// was only late: then the Balancer's own timer for the request, which is due by now, ends it.
+func (r *Relay) RequestTimedOut(expired *exchange.Exchange) {
 	r.post(func() {
-		if request := r.openRequest(abandoned.ID); request != nil {
-			r.logAnswer(request, "request given up", reasonClientLeft)
-			r.endRequest(request)
-			r.balancer.HandleDisconnect(r.now, abandoned.ID)
+		request := r.openRequest(expired.ID)
+		switch {
+		case request == nil:
+		case request.deadline > r.now, expired.Upload != nil: // the request, or the end of its body, was reported late
+			r.endAbandoned(expired)
+		default:
+			r.schedule(r.now, func() { // after that timer
+				r.enqueue(func() { r.endForgotten(expired) })
+			})
 		}
 	})
 }
 
+// endForgotten ends a request that the Balancer has not ended by its deadline.
+func (r *Relay) endForgotten(expired *exchange.Exchange) {
+	if r.openRequest(expired.ID) != nil {
+		r.logFault("request not ended at its client timeout")
+		r.endAbandoned(expired)
+	}
+}
+
 // endRequest marks an open request as answered, or as needing no answer.
 func (r *Relay) endRequest(request *request) {
 	request.ended = true
