--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -61,17 +61,13 @@
 	newer     bool  // delivered, with a newer version than the call asked from
 }
 
-// startPoll starts a call for the changes since the last accepted version.
-func (w *Watcher) startPoll(at *endpoint, planned plannedCall, timeout time.Duration) *call {
-	return w.startCall(at, planned, false, timeout)
-}
-
 // startCall starts a call in its own goroutine. After timeout the call is abandoned: its result is a timeout
-// error and the service may drop it, but an answer that still arrives is delivered. The call asks for the
-// whole list if whole is set or no answer from this endpoint has been accepted yet.
-func (w *Watcher) startCall(at *endpoint, planned plannedCall, whole bool, timeout time.Duration) *call {
+// error and the service may drop it, but an answer that still arrives is delivered. The call asks for the changes
+// since the last accepted version; it asks for the whole list if its purpose says so, or if no answer from this
+// endpoint has been accepted yet.
+func (w *Watcher) startCall(at *endpoint, planned plannedCall, timeout time.Duration) *call {
 	w.mu.Lock()
-	c := &call{endpoint: at, purpose: planned.purpose, hold: planned.hold, whole: whole || at.unconfirmed, from: at.version,
+	c := &call{endpoint: at, purpose: planned.purpose, hold: planned.hold, whole: planned.purpose.wantsWholeList() || at.unconfirmed, from: at.version,
 		sequence: w.nextSequence(), began: time.Now(), done: make(chan result, 1)}
 	lastContact := w.lastContact
 	w.mu.Unlock()
@@ -96,15 +92,13 @@
 func (w *Watcher) abandon(c *call) {
 	c.mu.Lock()
 	reused := c.reused
-	c.mu.Unlock()
-	w.log.Info().Str("discovery", c.endpoint.address).Stringer("purpose", c.purpose).Uint64("call", c.sequence).Bool("whole", c.whole).
-		Dur("hold", c.hold).Time("began", c.began).Bool("connection_reused", reused).Msg("call to discovery timed out; a late answer is still accepted")
-	c.mu.Lock()
 	c.abandoned = true
 	if c.connection != nil {
 		c.connection.endSending()
 	}
 	c.mu.Unlock()
+	w.log.Info().Str("discovery", c.endpoint.address).Stringer("purpose", c.purpose).Uint64("call", c.sequence).Bool("whole", c.whole).
+		Dur("hold", c.hold).Time("began", c.began).Bool("connection_reused", reused).Msg("call to discovery timed out; a late answer is still accepted")
 	if c.whole {
 		c.done <- result{err: errWholeListTimeout}
 		return
--- a/internal/discovery/fallback.go
+++ b/internal/discovery/fallback.go
@@ -10,10 +10,9 @@
 
 // parallelCalls starts up to maxCalls calls, one per interval, without waiting for the earlier ones to be
 // answered. It returns the first answer, or an error once the timeout is over or all calls have failed. The
-// other calls stay in flight for the timeout of their own and deliver what they return. whole requests the
-// whole list. Parallel calls tolerate a lost answer where no further delay is acceptable: after an earlier
+// other calls stay in flight for the timeout of their own and deliver what they return. Parallel calls tolerate a lost answer where no further delay is acceptable: after an earlier
 // call timed out, after discovery moved, and while the agent of a pushed list is unreachable.
-func (w *Watcher) parallelCalls(at *endpoint, planned plannedCall, whole bool, interval, timeout time.Duration, maxCalls int) result {
+func (w *Watcher) parallelCalls(at *endpoint, planned plannedCall, interval, timeout time.Duration, maxCalls int) result {
 	results := make(chan result, maxCalls)
 	over, next := time.NewTimer(timeout), time.NewTicker(interval)
 	defer over.Stop()
@@ -22,7 +21,7 @@
 	started := 0
 	start := func() {
 		started++
-		c := w.startCall(at, planned, whole, timeout)
+		c := w.startCall(at, planned, timeout)
 		go func() { results <- <-c.done }()
 	}
 	start()
@@ -35,7 +34,7 @@
 			if !errors.Is(r.err, errCallTimeout) {
 				failed = r
 				if planned.purpose == pollAfterTimeout && !w.pushed {
-					return failed // the service can be reached; retries are spread over all sidecars
+					return failed // what follows is a retry, and retries are spread over all sidecars
 				}
 			}
 			ended++
--- a/internal/discovery/overload_test.go
+++ b/internal/discovery/overload_test.go
@@ -22,7 +22,6 @@
 
 const (
 	deliveryTimeout = 6 * time.Second        // protocol deadline for a change to reach a sidecar while the service is reachable
-	holdGrace       = 2 * time.Second        // for a change missed by an unanswered call: deadline after the end of its hold
 	maxQueueDelay   = 2 * time.Second        // the service rejects a call that would wait longer in its queue
 	continuationGap = 200 * time.Millisecond // a call within that time after an answer continues its watch
 )
@@ -56,15 +55,6 @@
 	knownVersion int       // that it was sent last
 	answered     time.Time // when its last call was answered
 	heldAt       int       // version at which a call of it was held last
-	deadline     time.Time // by the protocol, the earliest deadline for changes missed by its unanswered calls
-}
-
-// missCall records a call that is never answered: the deadline for the changes that it misses is holdGrace
-// after the end of its hold, if that is later than the usual one.
-func (c *clientState) missCall(began time.Time, hold time.Duration) {
-	if until := began.Add(hold + holdGrace); until.After(c.deadline) {
-		c.deadline = until
-	}
 }
 
 func newSlowService(t *testing.T, sidecars int, startCost, continueCost time.Duration) (s *slowService, addresses []string) {
@@ -137,7 +127,6 @@
 	handledAt = handledAt.Add(cost)
 	hold := time.Duration(holdMillis) * time.Millisecond
 	if s.fault == "hangs" {
-		client.missCall(began, hold)
 		s.mu.Unlock()
 		<-r.Context().Done()
 		return
@@ -172,18 +161,12 @@
 		s.mu.Unlock()
 		panic(http.ErrAbortHandler) // resets the connection
 	case "hangs":
-		client.missCall(began, hold)
 		s.mu.Unlock()
 		<-r.Context().Done()
 		return
 	}
 	for version := client.knownVersion + 1; version <= s.latestVersion; version++ {
-		countsFrom := s.madeAt[version]
-		if later := client.deadline.Add(-deliveryTimeout); later.After(countsFrom) {
-			countsFrom = later
-		}
-		delay := time.Since(countsFrom)
-		if delay > s.maxDelay {
+		if delay := time.Since(s.madeAt[version]); delay > s.maxDelay {
 			s.maxDelay, s.maxDelayClient, s.maxDelayVersion = delay, i, version
 		}
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -197,6 +197,11 @@
 	return p == addressUnanswered || p == pollAfterTimeout
 }
 
+// wantsWholeList reports whether a call asks for the whole list in place of the changes.
+func (p purpose) wantsWholeList() bool {
+	return p == addressChanged || p == addressUnanswered
+}
+
 // plannedCall is the next call of a round.
 type plannedCall struct {
 	purpose purpose
@@ -251,7 +256,7 @@
 		return plannedCall{purpose: watchStart}
 	case errors.Is(r.err, errUnanswered) && now.purpose == pollAfterTimeout && w.sidecars == 1:
 		return now
-	case (now.purpose == addressChanged || now.purpose == addressUnanswered) && gotNoAnswer(r.err):
+	case now.purpose.wantsWholeList() && gotNoAnswer(r.err):
 		return plannedCall{purpose: addressUnanswered} // the changes known there are due before Watch is called again
 	}
 	return plannedCall{retryAfterFailure, min(w.jitteredHold(), maxRetryHold)}
@@ -275,18 +280,18 @@
 func (w *Watcher) makeCall(at *endpoint, now plannedCall) result {
 	switch {
 	case now.purpose == retryAfterFailure: // allows for time in the service's queue
-		return <-w.startPoll(at, now, retryDeadline).done
+		return <-w.startCall(at, now, retryDeadline).done
 	case now.hold > 0:
-		return <-w.startPoll(at, now, now.hold+w.answerDelayLimit()).done
+		return <-w.startCall(at, now, now.hold+w.answerDelayLimit()).done
 	case w.pushed:
 		interval := max(time.Duration(w.pushRetryInterval.Load()), w.parallelTimeout()/maxParallelCalls)
-		return w.parallelCalls(at, now, now.purpose == addressChanged, interval, maxParallelCalls*interval, maxParallelCalls)
-	case now.purpose == addressChanged || now.purpose == addressUnanswered:
-		return w.parallelCalls(at, now, true, w.promptAnswerTimeout(), callTimeout, 2)
+		return w.parallelCalls(at, now, interval, maxParallelCalls*interval, maxParallelCalls)
+	case now.purpose.wantsWholeList():
+		return w.parallelCalls(at, now, w.promptAnswerTimeout(), callTimeout, 2)
 	case now.purpose == pollAfterTimeout:
-		return w.parallelCalls(at, now, false, w.checkDelay(), callTimeout, 2)
+		return w.parallelCalls(at, now, w.checkDelay(), callTimeout, 2)
 	}
-	return <-w.startPoll(at, now, callTimeout).done
+	return <-w.startCall(at, now, callTimeout).done
 }
 
 // startRetrying marks a round as retrying after a failed call. It returns false if the round has been
