--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -53,6 +53,11 @@
 	reused     bool // the connection had carried a call before
 }
 
+// MarshalZerologObject adds the fields that every log line about a call has.
+func (c *call) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("discovery", c.endpoint.address).Stringer("purpose", c.purpose).Uint64("call", c.sequence).Dur("hold", c.hold)
+}
+
 // result is the outcome of a call.
 type result struct {
 	list      *List
@@ -84,8 +89,7 @@
 	if c.purpose.followsSilence() {
 		level = zerolog.InfoLevel
 	}
-	w.log.WithLevel(level).Str("discovery", c.endpoint.address).Stringer("purpose", c.purpose).Uint64("call", c.sequence).Bool("whole", c.whole).
-		Dur("hold", c.hold).Dur("since_contact", c.began.Sub(lastContact)).Msg("call to discovery begins")
+	w.log.WithLevel(level).EmbedObject(c).Bool("whole", c.whole).Dur("since_contact", c.began.Sub(lastContact)).Msg("call to discovery begins")
 }
 
 // abandon ends the wait for a call that timed out.
@@ -97,8 +101,8 @@
 		c.connection.endSending()
 	}
 	c.mu.Unlock()
-	w.log.Info().Str("discovery", c.endpoint.address).Stringer("purpose", c.purpose).Uint64("call", c.sequence).Bool("whole", c.whole).
-		Dur("hold", c.hold).Time("began", c.began).Bool("connection_reused", reused).Msg("call to discovery timed out; a late answer is still accepted")
+	w.log.Info().EmbedObject(c).Bool("whole", c.whole).Time("began", c.began).Bool("connection_reused", reused).
+		Msg("call to discovery timed out; a late answer is still accepted")
 	if c.whole {
 		c.done <- result{err: errWholeListTimeout}
 		return
@@ -145,9 +149,8 @@
 		outcome.newer = outcome.delivered && (c.whole || outcome.list.Version != c.from)
 		return
 	}
-	w.log.Info().Err(outcome.err).Str("discovery", c.endpoint.address).Stringer("purpose", c.purpose).Uint64("call", c.sequence).Bool("whole", c.whole).
-		Dur("hold", c.hold).Time("began", c.began).
-		Bool("given_up", c.isAbandoned()).Msg("call of discovery failed")
+	w.log.Info().Err(outcome.err).EmbedObject(c).Bool("whole", c.whole).Time("began", c.began).Bool("given_up", c.isAbandoned()).
+		Msg("call of discovery failed")
 }
 
 // request sends the HTTP request of a call and reads the answer.
--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -116,8 +116,7 @@
 		level = zerolog.DebugLevel
 	}
 	w.log.WithLevel(level).Uint64("version", answer.Version).Bool("whole", answer.Whole).Int("servers", len(answer.Entries)).
-		Str("discovery", c.endpoint.address).Stringer("purpose", c.purpose).Uint64("call", c.sequence).Dur("hold", c.hold).Time("began", c.began).
-		Bool("connection_reused", c.reused).Bool("given_up", c.isAbandoned()).Msg(string(outcome))
+		EmbedObject(c).Time("began", c.began).Bool("connection_reused", c.reused).Bool("given_up", c.isAbandoned()).Msg(string(outcome))
 	if outcome == ignoredOutdated {
 		w.counts.Add(counters.ListsOutdated)
 	}
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -138,8 +138,8 @@
 }
 
 // parallelTimeout returns the timeout for the parallel calls of a pushed list. It grows with the latency of answers,
-// late ones among them, and with the time for which discovery has been unreachable, so that an agent or a sidecar that is slow for a while gets an answer
-// through in the end. The limit keeps the starts of two calls at most half a grace period apart.
+// late ones among them, and with the time for which discovery has been unreachable, so that an agent or a sidecar
+// that is slow for a while gets an answer through in the end. The limit keeps the starts of two calls at most half a grace period apart.
 func (w *Watcher) parallelTimeout() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,6 +24,21 @@
 	"conn_idle_us":10000000,"connect_timeout_us":100000,"multiplex":1},"obligations":{"cold_from":0.3,"cold_us":8000000,
 	"fall_multiple":3,"fall_us":1500000,"ask_every_us":10000000}}}`
 
+// newSmallRelay returns a relay with smallConfiguration, which does not run yet, and its counters.
+func newSmallRelay(t *testing.T, log zerolog.Logger) (*Relay, *counters.Set) {
+	t.Helper()
+	manifest, err := site.Parse([]byte(smallConfiguration))
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := &counters.Set{}
+	r, err := New(manifest, 9, outbound.New(1, 1, 9, memory.New(1), nil, counts, zerolog.Nop()), nil, counts, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, counts
+}
+
 // A load report is ignored if its attempt began while other report fields were configured; other changes of
 // settings invalidate no report.
 func TestReportsAfterFieldChange(t *testing.T) {
@@ -55,15 +70,7 @@
 
 // A list is applied before queued events, however many there are.
 func TestListBeforeQueuedEvents(t *testing.T) {
-	manifest, err := site.Parse([]byte(smallConfiguration))
-	if err != nil {
-		t.Fatal(err)
-	}
-	counts := &counters.Set{}
-	relay, err := New(manifest, 9, outbound.New(1, 1, 9, memory.New(1), nil, counts, zerolog.Nop()), nil, counts, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
+	relay, _ := newSmallRelay(t, zerolog.Nop())
 	list, err := discovery.Read([]byte(`{"seq":8,"whole":true,"hosts":[]}`), nil)
 	if err != nil {
 		t.Fatal(err)
@@ -94,16 +101,8 @@
 // During an outage the line "retry denied" was logged hundreds of times a second. Such a line is logged at
 // once, and its repeats once a second with their number.
 func TestRepeatsAreLoggedOnceASecond(t *testing.T) {
-	manifest, err := site.Parse([]byte(smallConfiguration))
-	if err != nil {
-		t.Fatal(err)
-	}
 	var log strings.Builder
-	counts := &counters.Set{}
-	r, err := New(manifest, 9, outbound.New(1, 1, 9, memory.New(1), nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log))
-	if err != nil {
-		t.Fatal(err)
-	}
+	r, _ := newSmallRelay(t, zerolog.New(&log))
 	for range 5 {
 		r.Print("retry denied")
 		r.Print("another line")
@@ -157,16 +156,8 @@
 
 // A request that is open although its deadline and all timers up to it have passed is a fault, and it is ended.
 func TestForgottenRequestIsFault(t *testing.T) {
-	manifest, err := site.Parse([]byte(smallConfiguration))
-	if err != nil {
-		t.Fatal(err)
-	}
 	var log strings.Builder
-	counts := &counters.Set{}
-	r, err := New(manifest, 9, outbound.New(1, 1, 9, memory.New(1), nil, counts, zerolog.Nop()), nil, counts, zerolog.New(&log).Level(zerolog.ErrorLevel))
-	if err != nil {
-		t.Fatal(err)
-	}
+	r, counts := newSmallRelay(t, zerolog.New(&log).Level(zerolog.ErrorLevel))
 	forgotten := exchange.New()
 	forgotten.ID = 7
 	r.requests[7] = &request{exchange: forgotten, class: &class{}, deadline: r.now}
--- a/internal/requests_test.go
+++ b/internal/requests_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -545,24 +544,13 @@
 
 // slowLog keeps what is logged and blocks for 400 ms at a line that reports a crash. The decision goroutine writes
 // that line, so the write pauses it as a suspended process would be.
-type slowLog struct {
-	mu    sync.Mutex
-	lines strings.Builder
-}
+type slowLog struct{ lockedBuffer }
 
 func (l *slowLog) Write(p []byte) (int, error) {
 	if strings.Contains(string(p), "crashed") {
 		time.Sleep(400 * time.Millisecond)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.lines.Write(p)
-}
-
-func (l *slowLog) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.lines.String()
+	return l.lockedBuffer.Write(p)
 }
 
 // A sidecar that was paused handles the answers that arrived in the meantime before it reports their server as
