Review: heads with Expect and many fields exceed the memory limit (case 11)

Change: case 11, its stand-in and claim. The cases are put in the order of their gravity: 12 a configuration that was turned down, 13 commands at once, 14 out-of-service, 15 a slow agent of a pushed list.

--- a/review/11/main.go
+++ b/review/11/main.go
@@ -1,82 +1,67 @@
-// Command 11: a configuration is tried, turned down and stopped; then all sidecars are killed and started again. What
-// was turned down must not be in force afterwards, and clients have to be served as before.
+// Command 11: clients send a head of many short fields with "Expect: 100-continue", get their 100, and send no body. The
+// sidecar must stay within its memory: the platform, played here, kills it over the limit.
 package main
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"ledgespread/review/rig4"
 )
 
 const (
-	members = 6
-	timeout = 750 * time.Millisecond
-
-	// With it no connection to a server comes about.
-	harmful = `{"rollout": {"first": 2, "watch": "1.5s"}, "settings": {"allowed": {"connect_timeout_us": 1, "conn_idle_us": 1}}}`
+	memoryMB    = 48
+	descriptors = 1024
+	badClients  = descriptors / 3 // at once, one connection each
+	manyFields  = 1900            // of four bytes each: a head of some 8 KB
+	runFor      = 15 * time.Second
+	timeout     = 750 * time.Millisecond
 )
 
-// app is the application beside a sidecar.
-type app struct {
-	sidecar          *rig4.Sidecar
-	running          atomic.Bool
-	delivered, other atomic.Int64
-}
-
-// run sends some 20 requests a second while the application runs.
-func (a *app) run() {
+// beBad sends half a request again and again, and stays each time until the sidecar ends the connection.
+func beBad(address, name string, fields int, continued, ended *atomic.Int64) {
 	for i := 0; ; i++ {
-		time.Sleep(40 * time.Millisecond)
-		if !a.running.Load() {
-			continue
-		}
-		client, err := rig4.Dial(a.sidecar.Listen)
+		conn, err := net.Dial("tcp", address)
 		if err != nil {
+			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		id := fmt.Sprintf("%s-%d", a.sidecar.Name, i)
-		answer, err := client.Do(rig4.Get("/lookup/x", id, timeout), 2*time.Second)
-		if err == nil && answer.Status == http.StatusOK && answer.Body == "made for "+id {
-			a.delivered.Add(1)
-		} else {
-			a.other.Add(1)
+		fmt.Fprintf(conn, "POST /booking/x HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: %s-%d\r\nIdempotency-Key: %s-%d\r\nX-Timeout: 3000m\r\n"+
+			"Expect: 100-continue\r\nContent-Length: 100\r\n%s\r\n", name, i, name, i, strings.Repeat("a:\r\n", fields))
+		buffer := make([]byte, 4<<10)
+		for err == nil {
+			var n int
+			if n, err = conn.Read(buffer); strings.Contains(string(buffer[:n]), " 100 ") {
+				continued.Add(1)
+			}
 		}
-		client.Conn.Close()
-	}
-}
-
-// counts records what the clients got since the last call, and returns the sums.
-func counts(c *rig4.Case, when string, apps []*app) (delivered, other int64) {
-	for _, a := range apps {
-		d, o := a.delivered.Swap(0), a.other.Swap(0)
-		c.Log("%s: clients of %s: %d delivered, %d not", when, a.sidecar.Name, d, o)
-		delivered, other = delivered+d, other+o
+		ended.Add(1)
+		conn.Close()
 	}
-	return delivered, other
 }
 
-// begin waits until all sidecars are ready, and lets the applications run a second later.
-func begin(apps []*app) {
-	for _, a := range apps {
-		a.sidecar.WaitReady()
-	}
-	time.Sleep(time.Second)
-	for _, a := range apps {
-		a.running.Store(true)
+// memory returns the resident memory of a process without pages of files, in kB.
+func memory(process int) (anonymous int) {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(line, "RssAnon:"); found {
+			anonymous, _ = strconv.Atoi(strings.Fields(value)[0])
+		}
 	}
+	return anonymous
 }
 
 func main() {
 	c := rig4.Open("review/11")
 	handle := func(r *rig4.Request) []byte {
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(8 * time.Millisecond)
 		return rig4.OK("made for " + r.ID)
 	}
 	var hosts []rig4.Host
@@ -84,84 +69,59 @@
 		hosts = append(hosts, c.NewServer(fmt.Sprintf("s-%d", i), handle).Host("a"))
 	}
 	d := c.NewDiscovery(hosts)
-	var addresses []string
-	for range members {
-		addresses = append(addresses, c.FreeAddress())
-	}
-	var apps []*app
-	for i := range members {
-		name := fmt.Sprintf("n%d", i)
-		configuration := rig4.Deployment(name, c.FreeAddress(), d.Address, d.List())
-		rig4.Section(configuration, "settings")["balancers"] = members
-		rig4.Section(configuration, "settings")["me"] = i
-		s := c.NewSidecar(configuration)
-		folder := filepath.Join(c.Folder, name+"-kept")
-		os.Mkdir(folder, 0o700)
-		extensions := filepath.Join(c.Folder, name+".toml")
-		text := fmt.Sprintf("[membership]\nlisten = %q\ngroup = \"review\"\nseeds = [%q, %q]\nfrom = [\"127.0.0.0/8\"]\nprobe_every = \"250ms\"\n"+
-			"[rollout]\nfolder = %q\npublish_from = [\"127.0.0.0/8\"]\n", addresses[i], addresses[(i+1)%members], addresses[(i+2)%members], folder)
-		if err := os.WriteFile(extensions, []byte(text), 0o600); err != nil {
-			c.Cannot("%v", err)
-		}
-		s.Arguments = " --with " + extensions
-		apps = append(apps, &app{sidecar: s})
-	}
-	for _, a := range apps {
-		a.sidecar.Start()
-		go a.run()
-	}
-	begin(apps)
-	time.Sleep(12 * time.Second)
-	if _, other := counts(c, "before", apps); other > 0 {
-		c.Cannot("clients weren't served before")
-	}
-
-	file := filepath.Join(c.Folder, "harmful.json")
-	if err := os.WriteFile(file, []byte(harmful), 0o600); err != nil {
-		c.Cannot("%v", err)
-	}
-	reply, err := exec.Command("bin/ledgespread", "config", "publish", file, "--at", addresses[0]).CombinedOutput()
-	if c.Log("published: %s", reply); err != nil {
-		c.Cannot("%v", err)
-	}
-	inForce := func() (nowhere bool) {
-		text, err := exec.Command("bin/ledgespread", "config", "status", "--at", addresses[0]).CombinedOutput()
-		if c.Log("config status:\n%s", text); err != nil {
-			c.Cannot("%v", err)
-		}
-		return strings.Contains(string(text), "in force at 0 of")
-	}
-	time.Sleep(8 * time.Second)
-	counts(c, "tried", apps)
-	if !inForce() {
-		c.Cannot("the configuration was not turned down")
+	configuration := rig4.Deployment("n0", c.FreeAddress(), d.Address, d.List())
+	rig4.Section(configuration, "limits")["memory_mb"] = memoryMB
+	rig4.Section(configuration, "limits")["sockets"] = descriptors
+	s := c.NewSidecar(configuration)
+	s.Start()
+	s.WaitReady()
+	if memory(s.Process()) == 0 {
+		c.Cannot("the memory of a process can't be read here")
+	}
+	var delivered, other, continued, ended atomic.Int64
+	for number := range 10 { // usual clients
+		go func() {
+			for i := 0; ; i++ {
+				time.Sleep(20 * time.Millisecond)
+				client, err := rig4.Dial(s.Listen)
+				if err != nil {
+					continue
+				}
+				id := fmt.Sprintf("usual%d-%d", number, i)
+				answer, err := client.Do(rig4.Get("/lookup/x", id, timeout), 2*time.Second)
+				if err == nil && answer.Status == http.StatusOK {
+					delivered.Add(1)
+				} else if other.Add(1); err != nil {
+					c.Log("%s has no answer: %v", id, err)
+				}
+				client.Conn.Close()
+			}
+		}()
 	}
-
+	time.Sleep(2 * time.Second)
+	c.Log("%d kB before the bad clients", memory(s.Process()))
+	fields := 8
 	if c.Trouble {
-		for _, a := range apps {
-			a.running.Store(false)
-		}
-		for _, a := range apps {
-			a.sidecar.Kill()
-		}
-		time.Sleep(2 * time.Second)
-		counts(c, "killed", apps)
-		for _, a := range apps {
-			a.sidecar.Start()
-		}
-		begin(apps)
+		fields = manyFields
 	}
-	time.Sleep(8 * time.Second)
-	delivered, other := counts(c, "afterwards", apps)
-	if !inForce() {
-		c.Break("the configuration that was turned down is in force; clients: %d delivered, %d not", delivered, other)
+	for number := range badClients {
+		go beBad(s.Listen, fmt.Sprintf("bad%d", number), fields, &continued, &ended)
 	}
-	for _, a := range apps {
-		for line := range strings.Lines(a.sidecar.LogTail(1 << 20)) {
-			if strings.Contains(line, `"part":"rollout"`) {
-				c.Log("log of %s: %s", a.sidecar.Name, strings.TrimSpace(line))
-			}
+	peak := 0
+	for end := time.Now().Add(runFor); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		now := memory(s.Process())
+		if now > peak+1024 {
+			c.Log("%d kB", now)
+		}
+		peak = max(peak, now)
+		if now > memoryMB<<10 {
+			c.Break("the process holds %d kB of memory without pages of files; its limit is %d", now, memoryMB<<10)
+			s.Signal(syscall.SIGKILL) // the platform
+			<-s.Ended()
+			time.Sleep(200 * time.Millisecond)
+			break
 		}
 	}
+	c.Log("peak %d kB; usual clients: %d delivered, %d not; bad clients: %d got their 100, %d were ended", peak, delivered.Load(), other.Load(), continued.Load(), ended.Load())
 	c.End()
 }
--- a/review/12/main.go
+++ b/review/12/main.go
@@ -1,53 +1,82 @@
-// Command 12: during an upgrade staff take the sidecar out of service, by a call at the second address of each of its
-// two processes, the new one of which does not serve yet. Both say yes. From then on the sidecar must not be ready.
+// Command 12: a configuration is tried, turned down and stopped; then all sidecars are killed and started again. What
+// was turned down must not be in force afterwards, and clients have to be served as before.
 package main
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"ledgespread/review/rig4"
 )
 
 const (
-	sidecars   = 120                     // as bkk-finder-later has them: 102 to 131
-	due        = 4 * time.Second         // after the call the answer must not be yes any more
-	watch      = 8 * time.Second         // for so long after the call
-	termBy     = 6 * time.Second         // SIGTERM reaches the old process at the latest
-	killAfter  = 3700 * time.Millisecond // SIGKILL after SIGTERM
-	maxUpgrade = 6
-	timeout    = 750 * time.Millisecond
+	members = 6
+	timeout = 750 * time.Millisecond
+
+	// With it no connection to a server comes about.
+	harmful = `{"rollout": {"first": 2, "watch": "1.5s"}, "settings": {"allowed": {"connect_timeout_us": 1, "conn_idle_us": 1}}}`
 )
 
-// call makes a call at a second address, and returns whether the answer was yes.
-func call(c *rig4.Case, method, console, path string) (yes, answered bool) {
-	request, err := http.NewRequest(method, "http://"+console+path, nil)
-	if err != nil {
-		c.Cannot("%v", err)
+// app is the application beside a sidecar.
+type app struct {
+	sidecar          *rig4.Sidecar
+	running          atomic.Bool
+	delivered, other atomic.Int64
+}
+
+// run sends some 20 requests a second while the application runs.
+func (a *app) run() {
+	for i := 0; ; i++ {
+		time.Sleep(40 * time.Millisecond)
+		if !a.running.Load() {
+			continue
+		}
+		client, err := rig4.Dial(a.sidecar.Listen)
+		if err != nil {
+			continue
+		}
+		id := fmt.Sprintf("%s-%d", a.sidecar.Name, i)
+		answer, err := client.Do(rig4.Get("/lookup/x", id, timeout), 2*time.Second)
+		if err == nil && answer.Status == http.StatusOK && answer.Body == "made for "+id {
+			a.delivered.Add(1)
+		} else {
+			a.other.Add(1)
+		}
+		client.Conn.Close()
 	}
-	request.Close = true
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return false, false
+}
+
+// counts records what the clients got since the last call, and returns the sums.
+func counts(c *rig4.Case, when string, apps []*app) (delivered, other int64) {
+	for _, a := range apps {
+		d, o := a.delivered.Swap(0), a.other.Swap(0)
+		c.Log("%s: clients of %s: %d delivered, %d not", when, a.sidecar.Name, d, o)
+		delivered, other = delivered+d, other+o
+	}
+	return delivered, other
+}
+
+// begin waits until all sidecars are ready, and lets the applications run a second later.
+func begin(apps []*app) {
+	for _, a := range apps {
+		a.sidecar.WaitReady()
 	}
-	text, _ := io.ReadAll(answer.Body)
-	answer.Body.Close()
-	if method == http.MethodPost {
-		c.Log("%s %s at %s: %d %q", method, path, console, answer.StatusCode, text)
+	time.Sleep(time.Second)
+	for _, a := range apps {
+		a.running.Store(true)
 	}
-	return answer.StatusCode/100 == 2, true
 }
 
 func main() {
 	c := rig4.Open("review/12")
 	handle := func(r *rig4.Request) []byte {
-		time.Sleep(8 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 		return rig4.OK("made for " + r.ID)
 	}
 	var hosts []rig4.Host
@@ -55,94 +84,84 @@
 		hosts = append(hosts, c.NewServer(fmt.Sprintf("s-%d", i), handle).Host("a"))
 	}
 	d := c.NewDiscovery(hosts)
-	configuration := rig4.Deployment("n0", c.FreeAddress(), d.Address, d.List())
-	rig4.Section(configuration, "settings")["balancers"] = sidecars
-	console := c.FreeAddress()
-	configuration["console"] = console
-	s := c.NewSidecar(configuration)
-	s.SharedTemp = filepath.Join(c.Folder, "tmp")
-	if err := os.Mkdir(s.SharedTemp, 0o700); err != nil {
-		c.Cannot("%v", err)
+	var addresses []string
+	for range members {
+		addresses = append(addresses, c.FreeAddress())
 	}
-	s.Start()
-	s.WaitReady()
-	var delivered atomic.Int64
-	go func() { // the application: a connection for each request
-		for i := 0; ; i++ {
-			time.Sleep(10 * time.Millisecond)
-			client, err := rig4.Dial(s.Listen)
-			if err != nil {
-				continue
-			}
-			answer, err := client.Do(rig4.Get("/lookup/x", fmt.Sprintf("id-%d", i), timeout), 2*time.Second)
-			if err == nil && answer.Status == http.StatusOK {
-				delivered.Add(1)
-			}
-			client.Conn.Close()
+	var apps []*app
+	for i := range members {
+		name := fmt.Sprintf("n%d", i)
+		configuration := rig4.Deployment(name, c.FreeAddress(), d.Address, d.List())
+		rig4.Section(configuration, "settings")["balancers"] = members
+		rig4.Section(configuration, "settings")["me"] = i
+		s := c.NewSidecar(configuration)
+		folder := filepath.Join(c.Folder, name+"-kept")
+		os.Mkdir(folder, 0o700)
+		extensions := filepath.Join(c.Folder, name+".toml")
+		text := fmt.Sprintf("[membership]\nlisten = %q\ngroup = \"review\"\nseeds = [%q, %q]\nfrom = [\"127.0.0.0/8\"]\nprobe_every = \"250ms\"\n"+
+			"[rollout]\nfolder = %q\npublish_from = [\"127.0.0.0/8\"]\n", addresses[i], addresses[(i+1)%members], addresses[(i+2)%members], folder)
+		if err := os.WriteFile(extensions, []byte(text), 0o600); err != nil {
+			c.Cannot("%v", err)
 		}
-	}()
+		s.Arguments = " --with " + extensions
+		apps = append(apps, &app{sidecar: s})
+	}
+	for _, a := range apps {
+		a.sidecar.Start()
+		go a.run()
+	}
+	begin(apps)
+	time.Sleep(12 * time.Second)
+	if _, other := counts(c, "before", apps); other > 0 {
+		c.Cannot("clients weren't served before")
+	}
 
-	for upgrade := 1; ; upgrade++ {
-		if upgrade > maxUpgrade {
-			c.Cannot("the new process was ready at once each time")
-		}
-		time.Sleep(time.Second)
-		old, oldConsole := *s, console
-		console = c.FreeAddress()
-		configuration["console"] = console
-		s.Write(configuration)
-		started := time.Now()
-		s.Start()
-		ready, answers := false, false
-		for !answers && time.Since(started) < termBy {
-			time.Sleep(5 * time.Millisecond)
-			ready, answers = call(c, http.MethodGet, console, "/control/ready")
-		}
-		c.Log("upgrade %d: the new process answers at its second address, ready: %v", upgrade, ready)
-		early := !ready && answers
-		var calledAt time.Time
-		takeOut := func() {
-			yesOld, _ := call(c, http.MethodPost, oldConsole, "/control/out-of-service")
-			yesNew, _ := call(c, http.MethodPost, console, "/control/out-of-service")
-			calledAt = time.Now()
-			if !yesOld || !yesNew {
-				c.Log("a call was answered with no, which is allowed")
-				c.End()
-			}
-		}
-		if c.Trouble && early {
-			takeOut()
-		}
-		for !ready && time.Since(started) < termBy {
-			time.Sleep(20 * time.Millisecond)
-			ready, _ = call(c, http.MethodGet, console, "/control/ready")
+	file := filepath.Join(c.Folder, "harmful.json")
+	if err := os.WriteFile(file, []byte(harmful), 0o600); err != nil {
+		c.Cannot("%v", err)
+	}
+	reply, err := exec.Command("bin/ledgespread", "config", "publish", file, "--at", addresses[0]).CombinedOutput()
+	if c.Log("published: %s", reply); err != nil {
+		c.Cannot("%v", err)
+	}
+	inForce := func() (nowhere bool) {
+		text, err := exec.Command("bin/ledgespread", "config", "status", "--at", addresses[0]).CombinedOutput()
+		if c.Log("config status:\n%s", text); err != nil {
+			c.Cannot("%v", err)
 		}
-		c.Log("upgrade %d: the new process says ready: %v, %v after its start", upgrade, ready, time.Since(started))
-		if !c.Trouble {
-			takeOut()
+		return strings.Contains(string(text), "in force at 0 of")
+	}
+	time.Sleep(8 * time.Second)
+	counts(c, "tried", apps)
+	if !inForce() {
+		c.Cannot("the configuration was not turned down")
+	}
+
+	if c.Trouble {
+		for _, a := range apps {
+			a.running.Store(false)
 		}
-		old.Signal(syscall.SIGTERM)
-		select {
-		case <-old.Ended():
-		case <-time.After(killAfter):
-			old.Kill()
+		for _, a := range apps {
+			a.sidecar.Kill()
 		}
-		if calledAt.IsZero() { // without the disruption there was nothing to see
-			continue
+		time.Sleep(2 * time.Second)
+		counts(c, "killed", apps)
+		for _, a := range apps {
+			a.sidecar.Start()
 		}
-		time.Sleep(time.Until(calledAt.Add(due)))
-		for before := delivered.Load(); time.Since(calledAt) < watch; time.Sleep(100 * time.Millisecond) {
-			answer, err := http.Get("http://" + s.Listen + "/-/ready")
-			if err != nil {
-				c.Log("GET /-/ready: %v", err)
-				continue
-			}
-			answer.Body.Close()
-			c.Log("GET /-/ready: %d, %d requests were delivered in the last time", answer.StatusCode, delivered.Load()-before)
-			if before = delivered.Load(); answer.StatusCode == http.StatusOK {
-				c.Break("the sidecar says that it is ready, %v after the call that took it out of service was answered with yes", time.Since(calledAt))
+		begin(apps)
+	}
+	time.Sleep(8 * time.Second)
+	delivered, other := counts(c, "afterwards", apps)
+	if !inForce() {
+		c.Break("the configuration that was turned down is in force; clients: %d delivered, %d not", delivered, other)
+	}
+	for _, a := range apps {
+		for line := range strings.Lines(a.sidecar.LogTail(1 << 20)) {
+			if strings.Contains(line, `"part":"rollout"`) {
+				c.Log("log of %s: %s", a.sidecar.Name, strings.TrimSpace(line))
 			}
 		}
-		c.End()
 	}
+	c.End()
 }
--- a/review/14/main.go
+++ b/review/14/main.go
@@ -1,96 +1,148 @@
-// Command 14: a sidecar is started while a server drains, and the agent that pushes the list is slow. The server must
-// get nothing new once the sidecar counts as told: from the first moment, and by the laxest of the rules 6 s later.
+// Command 14: during an upgrade staff take the sidecar out of service, by a call at the second address of each of its
+// two processes, the new one of which does not serve yet. Both say yes. From then on the sidecar must not be ready.
 package main
 
 import (
 	"fmt"
-	"math/rand"
+	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"ledgespread/review/rig4"
 )
 
 const (
-	servers = 4
-	clients = 6
-	starts  = 3
-	serves  = 16 * time.Second        // each process
-	slow    = 2500 * time.Millisecond // the agent's answers, with the disruption
-	grace   = 500 * time.Millisecond  // stop_sending_within_us
-	slack   = 50 * time.Millisecond   // of each time limit on sockets
-	told    = 6 * time.Second         // at the latest, whatever became of calls
-	timeout = 750 * time.Millisecond
+	sidecars   = 120                     // as bkk-finder-later has them: 102 to 131
+	due        = 4 * time.Second         // after the call the answer must not be yes any more
+	watch      = 8 * time.Second         // for so long after the call
+	termBy     = 6 * time.Second         // SIGTERM reaches the old process at the latest
+	killAfter  = 3700 * time.Millisecond // SIGKILL after SIGTERM
+	maxUpgrade = 6
+	timeout    = 750 * time.Millisecond
 )
 
+// call makes a call at a second address, and returns whether the answer was yes.
+func call(c *rig4.Case, method, console, path string) (yes, answered bool) {
+	request, err := http.NewRequest(method, "http://"+console+path, nil)
+	if err != nil {
+		c.Cannot("%v", err)
+	}
+	request.Close = true
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false, false
+	}
+	text, _ := io.ReadAll(answer.Body)
+	answer.Body.Close()
+	if method == http.MethodPost {
+		c.Log("%s %s at %s: %d %q", method, path, console, answer.StatusCode, text)
+	}
+	return answer.StatusCode/100 == 2, true
+}
+
 func main() {
 	c := rig4.Open("review/14")
-	var startedAt, late, delivered, other atomic.Int64
 	handle := func(r *rig4.Request) []byte {
-		if r.Server.Name == "s-1" {
-			age := r.At.Sub(time.UnixMicro(startedAt.Load()))
-			c.Log("s-1, which drains, gets %s, %v after the start of the sidecar's process", r.ID, age)
-			if age > grace+slack {
-				late.Add(1)
-			}
-			if age > told+grace+slack {
-				c.Break("s-1 gets a request %v after the start of a sidecar whose agent knew that it drains", age)
-			}
-		}
 		time.Sleep(8 * time.Millisecond)
 		return rig4.OK("made for " + r.ID)
 	}
-	var known, now []rig4.Host
-	for i := range servers {
-		host := c.NewServer(fmt.Sprintf("s-%d", i), handle).Host("a")
-		known = append(known, host)
-		if host.Host == "s-1" {
-			host.Health = "terminating"
-		}
-		now = append(now, host)
-	}
-	d := c.NewDiscovery(known)
-	saved := d.List()
-	d.Set(now)
-	if c.Trouble {
-		d.SetDelay(slow)
+	var hosts []rig4.Host
+	for i := range 4 {
+		hosts = append(hosts, c.NewServer(fmt.Sprintf("s-%d", i), handle).Host("a"))
 	}
-	configuration := rig4.Deployment("n0", c.FreeAddress(), d.Address, saved)
-	rig4.Section(configuration, "settings")["discovery"] = "pushed"
+	d := c.NewDiscovery(hosts)
+	configuration := rig4.Deployment("n0", c.FreeAddress(), d.Address, d.List())
+	rig4.Section(configuration, "settings")["balancers"] = sidecars
+	console := c.FreeAddress()
+	configuration["console"] = console
 	s := c.NewSidecar(configuration)
-	var running atomic.Bool
-	for number := range clients {
-		go func() {
-			for i := 0; ; i++ {
-				time.Sleep(time.Duration(rand.Intn(30)) * time.Millisecond)
-				if !running.Load() {
-					continue
-				}
-				client, err := rig4.Dial(s.Listen)
-				if err != nil {
-					continue
-				}
-				answer, err := client.Do(rig4.Get("/lookup/x", fmt.Sprintf("c%d-%d", number, i), timeout), 2*time.Second)
-				if err == nil && answer.Status == http.StatusOK {
-					delivered.Add(1)
-				} else {
-					other.Add(1)
-				}
-				client.Conn.Close()
-			}
-		}()
+	s.SharedTemp = filepath.Join(c.Folder, "tmp")
+	if err := os.Mkdir(s.SharedTemp, 0o700); err != nil {
+		c.Cannot("%v", err)
 	}
-	for range starts {
-		startedAt.Store(time.Now().UnixMicro())
+	s.Start()
+	s.WaitReady()
+	var delivered atomic.Int64
+	go func() { // the application: a connection for each request
+		for i := 0; ; i++ {
+			time.Sleep(10 * time.Millisecond)
+			client, err := rig4.Dial(s.Listen)
+			if err != nil {
+				continue
+			}
+			answer, err := client.Do(rig4.Get("/lookup/x", fmt.Sprintf("id-%d", i), timeout), 2*time.Second)
+			if err == nil && answer.Status == http.StatusOK {
+				delivered.Add(1)
+			}
+			client.Conn.Close()
+		}
+	}()
+
+	for upgrade := 1; ; upgrade++ {
+		if upgrade > maxUpgrade {
+			c.Cannot("the new process was ready at once each time")
+		}
+		time.Sleep(time.Second)
+		old, oldConsole := *s, console
+		console = c.FreeAddress()
+		configuration["console"] = console
+		s.Write(configuration)
+		started := time.Now()
 		s.Start()
-		s.WaitReady()
-		running.Store(true)
-		time.Sleep(serves)
-		running.Store(false)
-		time.Sleep(100 * time.Millisecond)
-		s.Kill()
+		ready, answers := false, false
+		for !answers && time.Since(started) < termBy {
+			time.Sleep(5 * time.Millisecond)
+			ready, answers = call(c, http.MethodGet, console, "/control/ready")
+		}
+		c.Log("upgrade %d: the new process answers at its second address, ready: %v", upgrade, ready)
+		early := !ready && answers
+		var calledAt time.Time
+		takeOut := func() {
+			yesOld, _ := call(c, http.MethodPost, oldConsole, "/control/out-of-service")
+			yesNew, _ := call(c, http.MethodPost, console, "/control/out-of-service")
+			calledAt = time.Now()
+			if !yesOld || !yesNew {
+				c.Log("a call was answered with no, which is allowed")
+				c.End()
+			}
+		}
+		if c.Trouble && early {
+			takeOut()
+		}
+		for !ready && time.Since(started) < termBy {
+			time.Sleep(20 * time.Millisecond)
+			ready, _ = call(c, http.MethodGet, console, "/control/ready")
+		}
+		c.Log("upgrade %d: the new process says ready: %v, %v after its start", upgrade, ready, time.Since(started))
+		if !c.Trouble {
+			takeOut()
+		}
+		old.Signal(syscall.SIGTERM)
+		select {
+		case <-old.Ended():
+		case <-time.After(killAfter):
+			old.Kill()
+		}
+		if calledAt.IsZero() { // without the disruption there was nothing to see
+			continue
+		}
+		time.Sleep(time.Until(calledAt.Add(due)))
+		for before := delivered.Load(); time.Since(calledAt) < watch; time.Sleep(100 * time.Millisecond) {
+			answer, err := http.Get("http://" + s.Listen + "/-/ready")
+			if err != nil {
+				c.Log("GET /-/ready: %v", err)
+				continue
+			}
+			answer.Body.Close()
+			c.Log("GET /-/ready: %d, %d requests were delivered in the last time", answer.StatusCode, delivered.Load()-before)
+			if before = delivered.Load(); answer.StatusCode == http.StatusOK {
+				c.Break("the sidecar says that it is ready, %v after the call that took it out of service was answered with yes", time.Since(calledAt))
+			}
+		}
+		c.End()
 	}
-	c.Log("clients: %d delivered, %d not; requests to the server that drains later than its grace after a start: %d", delivered.Load(), other.Load(), late.Load())
-	c.End()
 }
