Discovery: a repeated version leaves later calls in time

Cause: several calls are out at once, and each that brought the version held moved acceptedAt, the time by which older calls are told from newer ones. A call that began after the version was held, and before its repetition came, was taken for older than it.

--- a/internal/discovery/endpoint.go
+++ b/internal/discovery/endpoint.go
@@ -31,7 +31,7 @@
 	// Protected by the watcher's lock:
 	version        uint64 // of the list accepted last
 	unconfirmed    bool   // no list from this address was accepted yet, so its versions may not be comparable
-	acceptedAt     uint64 // the watcher's sequence number when version was accepted
+	acceptedAt     uint64 // the watcher's sequence number when version was first accepted
 	lowerVersionAt uint64 // likewise, when a later call was first answered with a lower version; 0: none was
 
 	mu      sync.Mutex
@@ -72,12 +72,14 @@
 	return &endpoint{address: address, maxAnswer: maxAnswer, dial: dial, open: map[*connection]bool{}}
 }
 
-// acceptVersion records the version of an accepted list, and the sequence number of its acceptance. The
-// caller holds the watcher's lock.
+// acceptVersion records the version of an accepted list, and the sequence number of its first acceptance. An answer that
+// repeats the version doesn't make calls outdated that began after it was held. The caller holds the watcher's lock.
 func (e *endpoint) acceptVersion(version, sequence uint64) {
+	if version != e.version || e.unconfirmed {
+		e.acceptedAt = sequence
+	}
 	e.version = version
 	e.unconfirmed = false
-	e.acceptedAt = sequence
 	e.lowerVersionAt = 0
 }
 
