The time of a request that was sent ahead counts from its last byte

Cause: a client's time counted from when its request was handled, which for a request behind others is the answer to the one before it.

Now a connection notes when the bytes were read that wait for the end of the message before them.

--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -48,7 +48,9 @@
 	hadRequest    bool        // a request has been received on this connection
 	peerClosed    atomic.Bool // the peer has closed the connection, or it broke; a drain asks for it as well
 	boundaries    boundaries
-	pipelined     []byte // bytes that have been read from the socket, but not passed on; most are of the next messages
+	pipelined     []byte   // bytes that have been read from the socket, but not passed on; most are of the next messages
+	arrivals      arrivals // of these bytes
+	sentAhead     bool     // part of the current message had been read when the one before it was answered
 
 	// The deadlines in force, and a read deadline that the next read sets (zero: none).
 	readDeadline, nextReadDeadline, writeDeadline time.Time
@@ -129,6 +131,7 @@
 	n, err = c.input.Read(p[held:])
 	if n > 0 {
 		n = c.passOn(p[:held+n], len(p))
+		c.noteArrival()
 	}
 	if c.messageBytes > shortMessage {
 		c.lastReadAt = time.Now()
--- a/internal/connlimit/state.go
+++ b/internal/connlimit/state.go
@@ -52,6 +52,7 @@
 		} else {
 			l.setState(client, connIdle)
 		}
+		client.sentAhead = len(client.pipelined) > 0
 		client.input.messageHandled(next)
 		client.since = time.Now()
 	case client.state == connIdle:
--- a/internal/connlimit/watch.go
+++ b/internal/connlimit/watch.go
@@ -58,6 +58,7 @@
 	read, err := c.TCPConn.Read(c.pipelined[n : n+pipelinedReadSize])
 	c.pipelined = c.pipelined[:n+read]
 	c.input.countRead(read)
+	c.noteArrival()
 	c.noteReadError(err)
 }
 
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"ledgespread/brain"
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
@@ -236,6 +237,10 @@
 	}
 	conn := ctx.Conn()
 	waiting := &wait{in: in, conn: conn, request: request, began: time.Now(), timeout: time.Duration(request.TimeLeft) * time.Microsecond}
+	if request.Upload == nil { // the client has waited since the last byte came, if only for the answers to those before
+		waiting.began = connlimit.ArrivedAt(conn)
+		request.TimeLeft -= brain.Micros(time.Since(waiting.began) / time.Microsecond)
+	}
 	request.ClientGone = func() bool { return peek.PeerClosed(conn) }
 	endRequest, status, reason := in.dispatch(ctx, msg, request)
 	if endRequest == nil {
