Requests that were read are answered before their connection is closed

Cause: each answer closed its connection, whatever had been read behind it.

Now the connection is closed once no whole request is left that was read. While the sidecar isn't ready it reads no more ahead. At the end of a stop, requests that have not begun get 503.

--- a/internal/connlimit/arrivals_test.go
+++ b/internal/connlimit/arrivals_test.go
@@ -30,3 +30,25 @@
 		t.Errorf("the last byte had been read at %v, want %v", got, want)
 	}
 }
+
+func TestHoldsNext(t *testing.T) {
+	for _, c := range []struct {
+		received string
+		want     bool
+	}{
+		{"", false},
+		{"\r\n\r\n", false},
+		{"GET / HTTP/1.1\r\nHost: a\r\n", false},
+		{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", true},
+		{"\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\nGET", true},
+		{"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n4", false},
+		{"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n42", true},
+		{"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", true}, // it is refused
+		{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n4\r\n", false},
+		{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n4\r\n0\r\n\r\n", true},
+	} {
+		if got := new(Listener).HoldsNext(&clientConn{pipelined: []byte(c.received)}); got != c.want {
+			t.Errorf("%q: %v, want %v", c.received, got, c.want)
+		}
+	}
+}
--- a/internal/connlimit/state.go
+++ b/internal/connlimit/state.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"bytes"
 	"net"
 	"time"
 
@@ -118,6 +119,30 @@
 	}
 }
 
+// HoldsNext reports whether the whole next message has been received, and is not passed on yet. Where a message in chunks
+// ends is not known here: it is taken for whole once it has a blank line.
+func (l *Listener) HoldsNext(conn net.Conn) bool {
+	c, ok := conn.(*clientConn)
+	if !ok {
+		return false
+	}
+	var b boundaries
+	for received := bytes.TrimLeft(c.pipelined, "\r\n"); len(received) > 0; {
+		n := b.next(received, len(received)+1)
+		if n == 0 {
+			return false
+		}
+		received = received[n:]
+		switch {
+		case b.part == head && !b.begun, b.part == unknownBody:
+			return true
+		case b.part == chunkedBody:
+			return bytes.Contains(received, []byte("\n\r\n"))
+		}
+	}
+	return false
+}
+
 // Following returns the bytes of the next messages that have been received with this one, and are not passed on yet.
 func (l *Listener) Following(conn net.Conn) []byte {
 	if c, ok := conn.(*clientConn); ok {
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -179,7 +179,7 @@
 	if msg != nil && msg.pipelined {
 		ctx.SetWriteDeadline(time.Now().Add(connlimit.MessageTimeout))
 	}
-	if !in.Ready() || in.listener.TooManyIdle() {
+	if (!in.Ready() || in.listener.TooManyIdle()) && !in.listener.HoldsNext(ctx.Conn()) { // what has been read is answered
 		ctx.SetConnectionClose()
 	}
 }
--- a/internal/inbound/wait.go
+++ b/internal/inbound/wait.go
@@ -125,7 +125,7 @@
 	}
 	timeout := time.NewTimer(time.Until(w.began.Add(w.timeout + overdueGrace)))
 	defer timeout.Stop()
-	clientClosed, stopWatch := connlimit.WatchForClose(w.conn)
+	clientClosed, stopWatch := connlimit.WatchForClose(w.conn, w.in.Ready()) // what is read gets its answer on this connection, so a drain reads no more
 	defer stopWatch()
 	select {
 	case <-w.request.Done():
--- a/internal/pipelined_test.go
+++ b/internal/pipelined_test.go
@@ -65,3 +65,43 @@
 		t.Errorf("%d requests began and %d were rejected, of %d", begun, rejected, requests)
 	}
 }
+
+// Requests that were read behind another one get their answers when the sidecar stops, in order, and the last answer closes
+// the connection. At the end of the stop, those that have not begun are told so.
+func TestPipelinedRequestsAreAnsweredAtStop(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer bool // the first request
+		want   string
+	}{
+		{"first is answered", true, `200 "done", 200 "done", 200 "done" close, unexpected EOF`},
+		{"first is never answered", false, `502 "no answer from the servers", 503 "not now; a retry does no harm", 503 "not now; a retry does no harm" close, unexpected EOF`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var tr trace
+			held := make(chan *exchange.Exchange, 1)
+			in, address := startInbound(t, parseConfiguration(t, configuration("", "")), 9, fakeRelay{&tr, holdRepeats(held)}, &counters.Set{})
+			c := dial(t, address)
+			io.WriteString(c, strings.Replace(pipelinedRequests(3, "3000m"), "Host: api\r\n", "Host: api\r\nX-Retried: 1\r\n", 1))
+			first := <-held
+			time.Sleep(300 * time.Millisecond) // the others are read
+			stopped := make(chan bool)
+			go func() { in.Stop(); close(stopped) }()
+			for in.Ready() {
+				time.Sleep(time.Millisecond)
+			}
+			if test.answer {
+				deliverDone(first)
+			}
+			var answers []string
+			for range 4 {
+				answers = append(answers, c.readAnswer())
+			}
+			if got := strings.Join(answers, ", "); got != test.want {
+				t.Errorf("got  %s\nwant %s", got, test.want)
+			}
+			<-stopped
+		})
+	}
+}
