Discovery: a slow agent of a pushed list is heard

Cause: with 16 calls out, the one that began first was closed for a newer one, each 2 s after its start.

Now 32 may be out, of all ages up to 30 s: the latest 16, the first, and those between whose starts are farthest apart for their age. They are no longer half-closed after a second.

--- a/internal/discovery/endpoint.go
+++ b/internal/discovery/endpoint.go
@@ -4,7 +4,10 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
+	"math"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +18,9 @@
 )
 
 const (
-	maxConnections = 2 * maxParallelCalls // to one address, including those of abandoned calls
-	maxIdle        = time.Second          // an idle connection older than that is not reused
+	maxConnections  = 4 * maxParallelCalls // to one address, including those of abandoned calls
+	keptConnections = maxConnections / 2   // the latest ones, which are not closed for newer ones
+	maxIdle         = time.Second          // an idle connection older than that is not reused
 )
 
 // Dial connects to discovery within a timeout.
@@ -85,7 +89,7 @@
 
 // acquire returns a connection for a call. A call that directly follows an answer may reuse the connection of that
 // answer; any other one gets a new connection, since those that are open may have fallen silent. If that makes too
-// many, acquire closes the connection whose call started first.
+// many, acquire closes one that is least likely to be missed.
 func (e *endpoint) acquire(mayReuse bool) (*connection, error) {
 	if c := e.takeIdle(mayReuse); c != nil {
 		return c, nil
@@ -104,9 +108,9 @@
 		return nil, net.ErrClosed
 	}
 	if len(e.open) >= maxConnections {
-		oldest := e.oldest()
-		delete(e.open, oldest)
-		oldest.Close()
+		dispensable := e.dispensable()
+		delete(e.open, dispensable)
+		dispensable.Close()
 	}
 	e.open[opened] = true
 	return opened, nil
@@ -161,14 +165,24 @@
 	c.Close()
 }
 
-// oldest returns the open connection with the earliest start of its last call. The caller holds the lock.
-func (e *endpoint) oldest() (oldest *connection) {
-	for c := range e.open {
-		if oldest == nil || c.since.Before(oldest.since) {
-			oldest = c
+// dispensable returns the connection to be closed for a newer one. The latest ones are kept, since a change is heard first
+// from them. So is the one whose call started first, for as long as any answer may take: the first answer is the first that
+// is heard. Of those between, it is the one whose neighbours started closest to each other for their age, which leaves calls
+// of all ages. The caller holds the lock.
+func (e *endpoint) dispensable() (chosen *connection) {
+	now := time.Now()
+	connections := slices.SortedFunc(maps.Keys(e.open), func(a, b *connection) int { return a.since.Compare(b.since) })
+	if now.Sub(connections[0].since) > maxAnswerTime {
+		return connections[0]
+	}
+	closest := math.Inf(1)
+	for i := 1; i < len(connections)-keptConnections; i++ {
+		gap := float64(connections[i+1].since.Sub(connections[i-1].since)) / float64(now.Sub(connections[i].since)+1)
+		if gap < closest {
+			closest, chosen = gap, connections[i]
 		}
 	}
-	return oldest
+	return chosen
 }
 
 // retire ends the calls at an address that is no longer used. Answers that the service writes until it
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -285,11 +285,11 @@
 		return <-w.startCall(at, now, now.hold+w.answerDelayLimit()).done
 	case w.pushed:
 		interval := max(time.Duration(w.pushRetryInterval.Load()), w.parallelTimeout()/maxParallelCalls)
-		return w.parallelCalls(at, now, interval, maxParallelCalls*interval, maxParallelCalls)
+		return w.parallelCalls(at, now, interval, maxParallelCalls*interval, maxAnswerTime, maxParallelCalls)
 	case now.purpose.wantsWholeList():
-		return w.parallelCalls(at, now, w.promptAnswerTimeout(), callTimeout, 2)
+		return w.parallelCalls(at, now, w.promptAnswerTimeout(), callTimeout, callTimeout, 2)
 	case now.purpose == pollAfterTimeout:
-		return w.parallelCalls(at, now, w.checkDelay(), callTimeout, 2)
+		return w.parallelCalls(at, now, w.checkDelay(), callTimeout, callTimeout, 2)
 	}
 	return <-w.startCall(at, now, callTimeout).done
 }
