Heads with Expect, and what follows the last chunk, no longer hold parsed fields

Cause: the HTTP server parses such a head before it lets the client send the body, and the fields were dropped only when that had begun. The same holds for other expectations and HTTP/1.0, where the server waits without saying so, and for what follows the last chunk.

Now such a head is parsed and its fields are dropped by the server's hook for Expect, what follows the last chunk is passed on as a whole and dropped once read, and chunks are followed as they come.

--- a/internal/connlimit/state.go
+++ b/internal/connlimit/state.go
@@ -119,8 +119,7 @@
 	}
 }
 
-// HoldsNext reports whether the whole next message has been received, and is not passed on yet. Where a message in chunks
-// ends is not known here: it is taken for whole once it has a blank line.
+// HoldsNext reports whether the whole next message has been received, and is not passed on yet.
 func (l *Listener) HoldsNext(conn net.Conn) bool {
 	c, ok := conn.(*clientConn)
 	if !ok {
@@ -132,12 +131,8 @@
 		if n == 0 {
 			return false
 		}
-		received = received[n:]
-		switch {
-		case b.part == head && !b.begun, b.part == unknownBody:
+		if received = received[n:]; b.part == head && !b.begun || b.part == unknownBody {
 			return true
-		case b.part == chunkedBody:
-			return bytes.Contains(received, []byte("\n\r\n"))
 		}
 	}
 	return false
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -95,7 +95,7 @@
 	}
 	in.listener.Charge = chargeConnections(account, readBuffer)
 	in.server = &fasthttp.Server{Handler: in.handle, ErrorHandler: in.handleProtocolError, Logger: &in.log, StreamRequestBody: true,
-		HeaderReceived:     headReceived,
+		HeaderReceived: headReceived, ExpectHandler: in.expectBody,
 		MaxRequestBodySize: exchange.MaxBufferedBody, ReadBufferSize: readBuffer,
 		ReduceMemoryUsage: lowMemory,
 		IdleTimeout:       max(idleTimeoutMultiple*time.Duration(in.longestTimeout.Load())*time.Microsecond, connlimit.MessageTimeout),
@@ -147,7 +147,7 @@
 		}
 	}()
 	connlimit.ContinueTurn(ctx.Conn())
-	msg, err := parseMessage(ctx)
+	msg, err := takeMessage(ctx)
 	switch {
 	case err != nil:
 		in.refuse(ctx, fasthttp.StatusBadRequest, err.Error())
@@ -236,7 +236,7 @@
 		return
 	}
 	conn := ctx.Conn()
-	waiting := &wait{in: in, conn: conn, request: request, began: time.Now(), timeout: time.Duration(request.TimeLeft) * time.Microsecond}
+	waiting := &wait{in: in, conn: conn, header: &ctx.Request.Header, request: request, began: time.Now(), timeout: time.Duration(request.TimeLeft) * time.Microsecond}
 	if request.Upload == nil { // the client has waited since the last byte came, if only for the answers to those before
 		waiting.began = connlimit.ArrivedAt(conn)
 		request.TimeLeft -= brain.Micros(time.Since(waiting.began) / time.Microsecond)
--- a/internal/inbound/wait.go
+++ b/internal/inbound/wait.go
@@ -4,6 +4,8 @@
 	"net"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
@@ -14,6 +16,7 @@
 type wait struct {
 	in      *Inbound
 	conn    net.Conn
+	header  *fasthttp.RequestHeader
 	request *exchange.Exchange
 	began   time.Time     // when the client's timeout began
 	timeout time.Duration // the client timeout
@@ -93,6 +96,7 @@
 func (w *wait) stopReading(end waitEnd) waitEnd {
 	if w.request.Upload.Stop() {
 		w.in.listener.EndMessage(w.conn, 0)
+		dropTrailers(w.header)
 		return end
 	}
 	if end == answered {
