Rollout: what was stopped stays so when all members end and start again

Cause: that a rollout was stopped, or that its number is contested, was in memory alone; and a process that had just started was taken for idle at its first probe, enough of which let a configuration go everywhere untried.

A trial that a process announced and did not store before it ended is begun anew; that was hidden by the second (TestOrders).

TestAllRestart: five of nine rows failed before.

--- a/decide/rollout/rollout.go
+++ b/decide/rollout/rollout.go
@@ -98,7 +98,8 @@
 	} else {
 		n.newest = rolloutState{Version: n.inForce, hasContent: true, since: now, reports: map[Rank]Verdict{}}
 	}
-	if saved.Trials > 0 && n.newest.Version == saved.Newest && n.newest.Version != n.inForce {
+	n.restoreOutcome(saved.Outcome)
+	if saved.Trials > 0 && n.newest.Version == saved.Newest && n.newest.Version != n.inForce && n.newest.stage != Stopped {
 		n.resumeTrial(saved)
 	}
 	n.onProbe()
@@ -337,7 +338,7 @@
 			silent++
 		}
 	})
-	_, reported := newest.reports[n.ownRank()]
+	own, reported := newest.reports[n.ownRank()]
 	if !reported {
 		silent++
 	}
@@ -352,16 +353,24 @@
 		n.applyIfEverywhere()
 		return
 	}
-	if !newest.hasContent || reported || !n.isNewer(newest.Number, n.inForce.Number) {
+	lostTrial := own == Trial && n.trials == 0 // announced by the process before this one, which ended before it was saved
+	if !newest.hasContent || reported && !lostTrial || !n.isNewer(newest.Number, n.inForce.Number) {
+		return
+	}
+	if len(n.samples) < minSamples { // this process has only just started: it has no results to compare with, and is not idle
 		return
 	}
 	if n.isIdle() {
-		if n.membersBelow() < spareDivisor*quota && n.recordReport(n.ownRank(), Idle) {
+		if (lostTrial || n.membersBelow() < spareDivisor*quota) && n.recordReport(n.ownRank(), Idle) {
 			n.emit("idle", newest.Version, n.name, "")
 			n.evaluate()
 		}
 		return
 	}
+	if lostTrial {
+		n.startTrial(n.pastResults())
+		return
+	}
 	if n.canariesBelow(n.ownRank()) < quota && (tally[Trial]+done < quota || n.config.DisabledSafeguard == "no-draw") {
 		if n.recordReport(n.ownRank(), Trial) { // startTrial saves and announces the trial before it applies anything
 			n.startTrial(n.pastResults())
