A new version begins with the list that the old one was told

Cause: that list was in the old process's memory; the new one knew the list of its configuration alone.

Now a process with a console writes its list after each change, and one that is started beside it begins with that, if it is of the same address of discovery and its version is no lower than the saved one's.

--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -46,6 +46,7 @@
 	}
 	w.servers.apply(list)
 	w.onList(list)
+	w.reportServers()
 	if outcome.needsRecheck() {
 		w.recheck()
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -31,6 +31,10 @@
 	counts            *counters.Set
 	log               zerolog.Logger
 
+	// OnServers, if set, is called after each list that is delivered, with all servers that are listed by then. It is set
+	// before the first call to discovery, and must not block.
+	OnServers func(*List)
+
 	delivery         sync.Mutex // held while onList runs; locked before mu
 	mu               sync.Mutex
 	servers          serverSet // after all lists delivered; written under both locks, read under delivery
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -21,18 +21,29 @@
 // finalWriteTimeout is how long the end of the process waits until changes of the servers out of service are written.
 const finalWriteTimeout = 100 * time.Millisecond
 
+// openState opens the file that the processes of this sidecar share, if a console is configured.
+func (p *process) openState() error {
+	if p.Manifest.Console != "" {
+		p.state, p.predecessor = handover.Open(os.TempDir(), p.Manifest.Name, p.Manifest.Listen, p.Log)
+		if !p.hasPredecessor() {
+			p.state.DropList()
+		}
+	}
+	return nil
+}
+
 // openConsole starts the operators' console, if one is configured, and restores which servers operators took
 // out of service. The console works before clients are served.
 func (p *process) openConsole() error {
-	if p.Manifest.Console == "" {
+	state := p.state
+	if state == nil {
 		return nil
 	}
-	state, predecessor := handover.Open(os.TempDir(), p.Manifest.Name, p.Manifest.Listen, p.Log)
-	p.predecessor = predecessor
 	p.shareIDs(state.Path() + ".ids")
 	p.relay.RestoreTakenOut(state.OutOfService())
 	state.Deliver = p.relay.SetTakenOut
 	state.Announce()
+	p.handOverList(state)
 	p.relay.PublishFleetEvery(brain.Micros(publishInterval.Microseconds()))
 	if p.hasPredecessor() {
 		p.limitHeap(2)
