What follows the last chunk may come a byte at a time

It is held back until it is whole, and each read that held bytes back returned none: after a hundred of these the HTTP server gave up and answered 400. A read now goes on until something can be passed on.

--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -127,9 +127,11 @@
 	if c.messageBytes > shortMessage {
 		c.moveDeadline()
 	}
-	held := copy(p, c.pipelined) // a byte that waits for those behind it
-	n, err = c.input.Read(p[held:])
-	if n > 0 {
+	for n == 0 && err == nil {
+		held := copy(p, c.pipelined) // what waits for the bytes behind it
+		if n, err = c.input.Read(p[held:]); n == 0 {
+			break
+		}
 		n = c.passOn(p[:held+n], len(p))
 		c.noteArrival()
 	}
--- a/internal/expect_test.go
+++ b/internal/expect_test.go
@@ -80,6 +80,15 @@
 			t.Errorf("%d: %.200s", i, got)
 		}
 	}
+	trickles := dial(t, address)
+	io.WriteString(trickles, "POST /pay/6 HTTP/1.1\r\n"+strings.Replace(longTimeoutFields, "ID: 1", "ID: trickles", 1)+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n")
+	for _, b := range []byte(strings.Repeat("a: b\r\n", 50) + "\r\n") {
+		trickles.Write([]byte{b})
+		time.Sleep(time.Millisecond)
+	}
+	if got := trickles.readAnswer(); !strings.HasPrefix(got, "200") {
+		t.Errorf("what follows the last chunk, a byte at a time: %s", got)
+	}
 	refused := dial(t, address)
 	fmt.Fprintf(refused, "POST /pay HTTP/1.1\r\n%sExpect: 100-continue\r\nContent-Length: 3\r\n%sa :\r\n\r\n", longTimeoutFields, many)
 	if got := refused.readAnswer(); !strings.HasPrefix(got, "400") || !strings.HasSuffix(got, "close") {
