A request that did not wait behind others is told its whole time

Its time left could be a microsecond less, by the clock read twice, and the record of TestForwardedBytes depend on it. The list for the next process is written ten times a second at the most.

--- a/internal/connlimit/arrivals.go
+++ b/internal/connlimit/arrivals.go
@@ -45,15 +45,15 @@
 	return (*a)[0].at
 }
 
-// ArrivedAt returns when the last byte of the message came that has been passed on last. A message that was sent behind
-// another one may have waited for that one's answer since then.
-func ArrivedAt(conn net.Conn) time.Time {
+// ArrivedAt returns when the last byte of the message came that has been passed on last, which may be now. A message that was
+// sent behind another one may have waited for that one's answer since then.
+func ArrivedAt(conn net.Conn, now time.Time) time.Time {
 	if c, ok := conn.(*clientConn); ok && c.sentAhead {
 		if at := c.arrivals.of(c.input.readSoFar() - len(c.pipelined)); !at.IsZero() {
 			return at
 		}
 	}
-	return time.Now()
+	return now
 }
 
 // noteArrival records when the bytes were read that are kept for later, if there are any.
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -238,8 +238,9 @@
 	conn := ctx.Conn()
 	waiting := &wait{in: in, conn: conn, header: &ctx.Request.Header, request: request, began: time.Now(), timeout: time.Duration(request.TimeLeft) * time.Microsecond}
 	if request.Upload == nil { // the client has waited since the last byte came, if only for the answers to those before
-		waiting.began = connlimit.ArrivedAt(conn)
-		request.TimeLeft -= brain.Micros(time.Since(waiting.began) / time.Microsecond)
+		now := waiting.began
+		waiting.began = connlimit.ArrivedAt(conn, now)
+		request.TimeLeft -= brain.Micros(now.Sub(waiting.began) / time.Microsecond)
 	}
 	request.ClientGone = func() bool { return peek.PeerClosed(conn) }
 	endRequest, status, reason := in.dispatch(ctx, msg, request)
--- a/internal/sidecar/handedlist.go
+++ b/internal/sidecar/handedlist.go
@@ -9,7 +9,7 @@
 )
 
 // minListWriteInterval is the shortest time between two writes of the list that is handed over.
-const minListWriteInterval = 20 * time.Millisecond
+const minListWriteInterval = 100 * time.Millisecond
 
 // startManifest returns the manifest to start the relay with: with the list that an old process, which still serves, has handed
 // over, if that is no older than the saved one. While discovery is out of reach nobody else could say which servers have left.
