The relay is told of a body whose last byte is read while it is looked for

The client's time of a long body that goes on as it comes began with the request, and its deadline did not reach the decisions, if the last byte was read between the look for it and the question whether it was.

Now the question comes first.

--- a/internal/inbound/wait.go
+++ b/internal/inbound/wait.go
@@ -55,9 +55,10 @@
 		case <-w.in.stopExpired:
 		case <-w.in.uploadTicker.next():
 		}
+		fullyRead := upload.FullyRead() // asked first: the last byte may be read in between, and the relay has to be told of it
 		w.observeBody()
 		switch {
-		case upload.FullyRead():
+		case fullyRead:
 			return w.stopReading(bodyRead)
 		case w.request.ClientGone():
 			w.abandon()
