--- a/internal/discovery/write_test.go
+++ b/internal/discovery/write_test.go
@@ -69,6 +69,7 @@
 			service.withLock(func() { service.set(change) })
 			time.Sleep(time.Second)
 		}
+		synctest.Wait()
 		want := []string{"a0: s0", "a0: s0 s1", "a0: s0 (drains) s1", "a0: s1"}
 		if diff := cmp.Diff(want, slices.DeleteFunc(got, func(line string) bool { return strings.HasSuffix(line, ":") })); diff != "" {
 			t.Errorf("-want +got:\n%s", diff)
