--- a/cmd/ledgespread/version_test.go
+++ b/cmd/ledgespread/version_test.go
@@ -59,8 +59,7 @@
 // upgrade is what the processes of one sidecar have in common while a new version is started beside the old one.
 type upgrade struct {
 	folder, listen, discovery string
-	servers                   string      // their entries in the list
-	silent                    atomic.Bool // discovery does not answer
+	servers                   string // their entries in the list
 }
 
 // newUpgrade starts a discovery service with a list of these servers, and sets $TMPDIR for the processes.
@@ -73,7 +72,7 @@
 	t.Cleanup(func() { ln.Close() })
 	u := &upgrade{folder: t.TempDir(), listen: freeAddress(t), discovery: ln.Addr().String(), servers: strings.Join(entries, ",")}
 	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("hold_ms") > "0" || u.silent.Load() {
+		if r.URL.Query().Get("hold_ms") > "0" {
 			<-r.Context().Done()
 			return
 		}
@@ -85,14 +84,6 @@
 
 // start starts a process with a console address of its own, and waits until it is ready.
 func (u *upgrade) start(t *testing.T, name string) (stop func() error, consoleAddress string, log *logBuffer) {
-	t.Helper()
-	stop, consoleAddress, log = u.launch(t, name)
-	eventually(t, name+" is ready", func() bool { return callConsole("GET", consoleAddress, "ready") })
-	return stop, consoleAddress, log
-}
-
-// launch starts a process with a console address of its own.
-func (u *upgrade) launch(t *testing.T, name string) (stop func() error, consoleAddress string, log *logBuffer) {
 	t.Helper()
 	consoleAddress = freeAddress(t)
 	file := filepath.Join(u.folder, name)
@@ -102,6 +93,7 @@
 		t.Fatal(err)
 	}
 	program, log := startProgram(t, file)
+	eventually(t, name+" is ready", func() bool { return callConsole("GET", consoleAddress, "ready") })
 	return func() error {
 		program.Process.Signal(syscall.SIGTERM)
 		return program.Wait()
--- a/decide/rollout/apply.go
+++ b/decide/rollout/apply.go
@@ -93,31 +93,4 @@
 	n.newest.stage = Stopped
 	n.emit("stopped", n.newest.Version, from, "")
 	n.announce()
-	n.saveOutcome()
-}
-
-// saveOutcome saves that the rollout of the newest configuration was stopped, or that its number is contested. If all members
-// ended and forgot it, they would begin the rollout anew.
-func (n *Node) saveOutcome() {
-	n.ports.SaveOutcome(Outcome{Version: n.newest.Version, Contested: n.newest.contested, OtherDigest: n.newest.otherDigest})
-}
-
-// restoreOutcome continues from a saved outcome of the newest configuration, or of a higher number.
-func (n *Node) restoreOutcome(saved Outcome) {
-	newest := &n.newest
-	switch {
-	case saved.Number <= n.inForce.Number || saved.Number < newest.Number:
-		return
-	case saved.Number > newest.Number: // its content is not here, or was refused
-		n.newest = rolloutState{Version: saved.Version, since: n.now, reports: map[Rank]Verdict{}}
-	case saved.Digest != newest.Digest: // another content has the same number
-		saved.Contested, saved.OtherDigest = true, saved.Digest
-	}
-	newest.stage, newest.contested, newest.otherDigest = Stopped, saved.Contested, saved.OtherDigest
-	kind := "stopped"
-	if newest.contested {
-		kind = "contested"
-	}
-	n.emit(kind, newest.Version, n.name, "")
-	n.announce()
 }
--- a/decide/rollout/exchange.go
+++ b/decide/rollout/exchange.go
@@ -19,13 +19,11 @@
 		n.running, n.wanted = nil, wantedConfig{}
 		n.emit("contested", received.Version, from, "")
 		n.announce()
-		n.saveOutcome()
 	case received.Number == n.wanted.Number && received.Digest != n.wanted.Digest && n.config.DisabledSafeguard != "no-contest":
 		n.newest = rolloutState{Version: n.wanted.Version, contested: true, otherDigest: received.Digest, since: n.now, reports: map[Rank]Verdict{}, stage: Stopped}
 		n.running, n.wanted = nil, wantedConfig{}
 		n.emit("contested", n.newest.Version, from, "")
 		n.announce()
-		n.saveOutcome()
 	case received.Number >= n.wanted.Number:
 		if received.Number > n.wanted.Number {
 			n.wanted = wantedConfig{Version: received.Version, learned: rolloutState{reports: map[Rank]Verdict{}}}
@@ -53,7 +51,6 @@
 		n.running = nil
 		n.emit("contested", newest.Version, from, "")
 		n.announce()
-		n.saveOutcome()
 	}
 	if newest.contested {
 		return
--- a/decide/rollout/orders_test.go
+++ b/decide/rollout/orders_test.go
@@ -91,8 +91,6 @@
 	})
 }
 
-func (s *sidecar) SaveOutcome(outcome rollout.Outcome) { s.saved.Outcome = outcome }
-
 func (s *sidecar) Apply(v rollout.Version, trial bool) {
 	s.addPending(fmt.Sprint("apply ", v.Number, v.Digest[0], trial), func() {
 		s.updateCounts()
--- a/decide/rollout/rollout.go
+++ b/decide/rollout/rollout.go
@@ -1,6 +1,6 @@
 package rollout
 
-// rollout.go: the Node, its timers and the choice of canaries.
+// rollout.go: the Node, its timers, the choice of canaries and the evaluation of their reports.
 
 import (
 	"encoding/binary"
@@ -98,8 +98,7 @@
 	} else {
 		n.newest = rolloutState{Version: n.inForce, hasContent: true, since: now, reports: map[Rank]Verdict{}}
 	}
-	n.restoreOutcome(saved.Outcome)
-	if saved.Trials > 0 && n.newest.Version == saved.Newest && n.newest.Version != n.inForce && n.newest.stage != Stopped {
+	if saved.Trials > 0 && n.newest.Version == saved.Newest && n.newest.Version != n.inForce {
 		n.resumeTrial(saved)
 	}
 	n.onProbe()
@@ -314,6 +313,62 @@
 	return count
 }
 
+// evaluate decides the next action for the newest configuration from all reports received so far.
+func (n *Node) evaluate() {
+	newest := &n.newest
+	tally := map[Verdict]int{}
+	for _, v := range newest.reports {
+		tally[v]++
+	}
+	if tally[Worse]+tally[Refused] > 0 {
+		n.stop("")
+	}
+	if newest.Number == 0 || newest.contested || newest.stage != Spreading {
+		n.applyIfEverywhere()
+		return
+	}
+	if n.isAlone() && !newest.publishedHere { // the other members may have found it worse
+		return
+	}
+	quota, required := n.canaries()
+	silent := 0
+	n.ports.EachLive(func(name Name) {
+		if _, reported := newest.reports[rankOf(newest.Number, name)]; !reported {
+			silent++
+		}
+	})
+	_, reported := newest.reports[n.ownRank()]
+	if !reported {
+		silent++
+	}
+	// If fewer members than needed report, their results are enough once all others have had time to report.
+	done := tally[NotWorse] + tally[Unsure]
+	timedOut := n.now-newest.since > n.probeIntervals(3*canaryTimeout)+newest.policy.Watch && done < quota
+	finished := tally[Trial] == 0 && done+tally[Idle] > 0
+	if done+tally[Idle]/spareDivisor >= required || finished && (silent == 0 || timedOut) || n.config.DisabledSafeguard == "no-watch" {
+		newest.stage = Everywhere
+		n.emit("everywhere", newest.Version, "", "")
+		n.announce()
+		n.applyIfEverywhere()
+		return
+	}
+	if !newest.hasContent || reported || !n.isNewer(newest.Number, n.inForce.Number) {
+		return
+	}
+	if n.isIdle() {
+		if n.membersBelow() < spareDivisor*quota && n.recordReport(n.ownRank(), Idle) {
+			n.emit("idle", newest.Version, n.name, "")
+			n.evaluate()
+		}
+		return
+	}
+	if n.canariesBelow(n.ownRank()) < quota && (tally[Trial]+done < quota || n.config.DisabledSafeguard == "no-draw") {
+		if n.recordReport(n.ownRank(), Trial) { // startTrial saves and announces the trial before it applies anything
+			n.startTrial(n.pastResults())
+		}
+	}
+}
+
 // recordReport records a member's verdict on the newest configuration and announces it if it is new. The highest
 // verdict of a member is kept.
 func (n *Node) recordReport(rank Rank, verdict Verdict) (changed bool) {
--- a/decide/rollout/sequences_test.go
+++ b/decide/rollout/sequences_test.go
@@ -20,7 +20,7 @@
 		const members = 6
 		group := newTestFleet(rapid.Uint64Range(1, 1<<40).Draw(t, "seed"), members, 40)
 		contestedAt := map[string]Micros{}
-		harmful := map[rollout.Version]bool{}
+		harmful, restarts := map[rollout.Version]bool{}, 0
 		group.OnEvent = func(at Micros, i int, event rollout.Event) {
 			key := fmt.Sprint(i, " ", event.Version.Number, " ", group.Sidecars[i].ProcessNumber())
 			if event.Kind == "contested" {
@@ -30,7 +30,7 @@
 			if event.Kind == "in_force" && contestedAt[key] > 0 && at-contestedAt[key] > 2*fleet.Disk {
 				t.Fatalf("n%d put %d in force after it knew that two contents have that number", i, event.Version.Number)
 			}
-			if event.Kind == "in_force" && harmful[event.Version] {
+			if event.Kind == "in_force" && harmful[event.Version] && restarts == 0 {
 				t.Fatalf("n%d put %d in force, which is harmful", i, event.Version.Number)
 			}
 		}
@@ -62,6 +62,7 @@
 				}
 			case 3:
 				if i := drawMember("restarts"); !paused[i] && downUntil[i] <= group.Now {
+					restarts++
 					downUntil[i] = group.Now + 500_001
 					group.Restart(i, 500_000)
 				}
--- a/decide/rollout/trial.go
+++ b/decide/rollout/trial.go
@@ -28,7 +28,6 @@
 // Limits of the comparison.
 const (
 	baselineIntervals    = 40   // probe intervals before the trial that it is compared with
-	minSamples           = 12   // of these, before a process that has started may judge
 	maxChanceProbability = 1e-5 // a drop counts only if its probability by chance is below this
 	minDrop              = 0.02 // and if the share of succeeded requests fell by at least this much
 	maxExtension         = 2    // maximum length of a trial with too few requests, as a multiple of the set length
--- a/decide/rollout/types.go
+++ b/decide/rollout/types.go
@@ -71,14 +71,6 @@
 	Policy          CanaryPolicy // canary policy of Newest
 	Trials          int          // number of trials of Newest that were started, if it is not in force
 	Baseline        Results      // request results before the first of these trials
-	Outcome         Outcome      // of the highest number whose rollout was stopped; it may be higher than Newest's
-}
-
-// Outcome says that a configuration's rollout was stopped: members that don't have it in force never will.
-type Outcome struct {
-	Version
-	Contested   bool
-	OtherDigest Digest // if Contested: the digest of the other content
 }
 
 // Event is reported to operators.
@@ -100,8 +92,6 @@
 	Fetch(from Name, at Address, v Version)
 	// SaveTrial saves to disk that a trial of v starts. The result comes with Node.TrialSaved.
 	SaveTrial(v Version, trials int, baseline Results)
-	// SaveOutcome saves to disk that a rollout was stopped.
-	SaveOutcome(Outcome)
 	// Apply applies v and, unless it is a trial, saves that v is in force. The result comes with Node.ApplyDone.
 	Apply(v Version, trial bool)
 	// SendTo sends a membership message, which carries the one of Node.EncodeMessage, to a member now.
--- a/internal/connlimit/boundaries.go
+++ b/internal/connlimit/boundaries.go
@@ -1,5 +1,7 @@
 package connlimit
 
+import "bytes"
+
 // ManyFields is the number of header fields beyond which the parsed fields of a head take many times its length: the HTTP
 // server keeps each apart.
 const ManyFields = 64
@@ -10,8 +12,8 @@
 const (
 	head        part = iota
 	sizedBody        // the head gives its length
-	chunkedBody      // its chunks give its length
-	unknownBody      // the message can't be parsed, and will be refused
+	chunkedBody      // it ends at a blank line, but not at each one
+	unknownBody      // the head can't be parsed: the message will be refused
 )
 
 // boundaries finds the ends of messages in the bytes of a connection. It decides how many of them may be passed on to the
@@ -22,9 +24,7 @@
 //     server parses the first piece of a head, and keeps its fields until the head is whole; of the pieces after that it
 //     parses none.
 //   - Of a head with many fields, before a body with a length, all but the last byte until the body begins. The server
-//     waits for the beginning of a body before it calls the handler, which drops the fields. Where it lets the client send
-//     the body, it calls another handler before.
-//   - Of what follows the last chunk nothing until all of it has come.
+//     waits for the beginning of a body before it calls the handler, which drops the fields.
 //
 // Otherwise clients that stop in a head, or behind it, would each hold twenty times its length.
 type boundaries struct {
@@ -35,7 +35,7 @@
 	awaited     bool        // the last byte of the head is held back until the body begins
 	scanner     headScanner // of what is passed on of the head
 	bodyLeft    int         // bytes of a sizedBody that are not passed on
-	chunks      chunkScanner
+	tail        [2]byte     // what was passed on last of a chunkedBody
 }
 
 // next returns how many of the received bytes may be passed on to a reader with room for this many, and counts them as
@@ -46,7 +46,11 @@
 	case sizedBody:
 		return b.nextOfBody(received)
 	case chunkedBody:
-		return b.nextOfChunks(received, room)
+		if n = blankLineEnd(b.tail, received); n < 0 {
+			n = len(received)
+		}
+		b.noteTail(received[:n])
+		return n
 	case unknownBody:
 		return len(received)
 	}
@@ -64,17 +68,6 @@
 	return n
 }
 
-func (b *boundaries) nextOfChunks(received []byte, room int) (n int) {
-	n, ended, ok := b.chunks.scan(received)
-	switch {
-	case ended:
-		*b = boundaries{}
-	case !ok, n == 0 && len(received) == room: // the server refuses them
-		b.part, n = unknownBody, len(received)
-	}
-	return n
-}
-
 // nextAfterAwaited passes on the last byte of the head with the first ones of the body.
 func (b *boundaries) nextAfterAwaited(received []byte, room int) (n int) {
 	if len(received) < 2 && room > 1 {
@@ -140,3 +133,24 @@
 
 // endMessage records that a message has been handled.
 func (b *boundaries) endMessage() { *b = boundaries{} }
+
+func (b *boundaries) noteTail(passedOn []byte) {
+	for _, c := range passedOn[max(0, len(passedOn)-len(b.tail)):] {
+		b.tail = [2]byte{b.tail[1], c}
+	}
+}
+
+// blankLineEnd returns the end of the first blank line in received, which may have begun in the bytes before; -1: there is
+// none.
+func blankLineEnd(before [2]byte, received []byte) int {
+	switch {
+	case before[1] == '\n' && bytes.HasPrefix(received, []byte("\r\n")):
+		return 2
+	case before == [2]byte{'\n', '\r'} && bytes.HasPrefix(received, []byte("\n")):
+		return 1
+	}
+	if at := bytes.Index(received, []byte("\n\r\n")); at >= 0 {
+		return at + len("\n\r\n")
+	}
+	return -1
+}
--- a/internal/connlimit/boundaries_test.go
+++ b/internal/connlimit/boundaries_test.go
@@ -55,12 +55,6 @@
 		{"many fields, the body is awaited by the server", []string{strings.Replace(many, "a:", "Expect: 100-continue", 1)},
 			[]string{strings.Replace(many, "a:", "Expect: 100-continue", 1), "held: "}},
 		{"chunks", []string{chunked + chunks[:5], chunks[5:]}, []string{chunked, chunks[:5], chunks[5:], "held: "}},
-		{"chunks and the next message", []string{chunked + chunks + get}, []string{chunked, chunks, get, "held: "}},
-		{"half of what follows the last chunk", []string{chunked + "0\r\nA: b", "\r\nB:", " c\r\n\r\n" + get}, []string{chunked, "0\r\n", "A: b\r\nB: c\r\n\r\n", get, "held: "}},
-		{"half of a size", []string{chunked + "000", "2;x=y", "\r\n4", "2\r", "\n0\r\n\r\n"}, []string{chunked, "000", "2;x=y", "\r\n4", "2\r", "\n0\r\n\r\n", "held: "}},
-		{"blank lines in a chunk", []string{chunked + "9\r\n\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n" + get}, []string{chunked, "9\r\n\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n", get, "held: "}},
-		{"chunks that can't be read", []string{chunked + "x\r\n" + get}, []string{chunked, "x\r\n" + get, "held: "}},
-		{"a size that is too long", []string{chunked + "fffffffffff1\r\n" + get}, []string{chunked, "fffffffffff1\r\n" + get, "held: "}},
 		{"a length that can't be read", []string{"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n" + get}, []string{"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", get, "held: "}},
 	} {
 		if diff := cmp.Diff(test.want, passOnAll(&boundaries{}, 1<<14, test.pieces...)); diff != "" {
@@ -81,7 +75,7 @@
 	passed = append(passed, passOnAll(b, 1<<14, chunked[:30], chunked[30:]+"0\r\n\r", "\n")...)
 	b.endMessage()
 	passed = append(passed, passOnAll(b, 1<<14, get[:6])...)
-	want := []string{chunked, "0\r\n\r\n", "held: ", "P", chunked[1:30], chunked[30:], "0\r\n", "\r\n", "held: ", "G", get[1:6], "held: "}
+	want := []string{chunked, "0\r\n\r\n", "held: ", "P", chunked[1:30], chunked[30:], "0\r\n\r", "\n", "held: ", "G", get[1:6], "held: "}
 	if diff := cmp.Diff(want, passed); diff != "" {
 		t.Errorf("-want +got\n%s", diff)
 	}
--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -48,9 +48,7 @@
 	hadRequest    bool        // a request has been received on this connection
 	peerClosed    atomic.Bool // the peer has closed the connection, or it broke; a drain asks for it as well
 	boundaries    boundaries
-	pipelined     []byte   // bytes that have been read from the socket, but not passed on; most are of the next messages
-	arrivals      arrivals // of these bytes
-	sentAhead     bool     // part of the current message had been read when the one before it was answered
+	pipelined     []byte // bytes that have been read from the socket, but not passed on; most are of the next messages
 
 	// The deadlines in force, and a read deadline that the next read sets (zero: none).
 	readDeadline, nextReadDeadline, writeDeadline time.Time
@@ -127,13 +125,10 @@
 	if c.messageBytes > shortMessage {
 		c.moveDeadline()
 	}
-	for n == 0 && err == nil {
-		held := copy(p, c.pipelined) // what waits for the bytes behind it
-		if n, err = c.input.Read(p[held:]); n == 0 {
-			break
-		}
+	held := copy(p, c.pipelined) // a byte that waits for those behind it
+	n, err = c.input.Read(p[held:])
+	if n > 0 {
 		n = c.passOn(p[:held+n], len(p))
-		c.noteArrival()
 	}
 	if c.messageBytes > shortMessage {
 		c.lastReadAt = time.Now()
--- a/internal/connlimit/headscanner.go
+++ b/internal/connlimit/headscanner.go
@@ -7,23 +7,19 @@
 	"ledgespread/internal/framing"
 )
 
-const (
-	maxKeptLine = 256 // bytes that are kept of a line that has not been received whole
-	keptEnd     = 16  // of these, the last ones of the line; what matters of a field is at its beginning
-)
+// maxKeptLine is how much is kept of a line that has not been received whole. What matters is at its beginning.
+const maxKeptLine = 256
 
 // headScanner finds the end of a request's head, and what its body is, in bytes that come in pieces. It is lenient: a head
 // that it misunderstands is refused by those who parse it.
 type headScanner struct {
-	lines    int    // whole lines so far, the request line among them
-	partial  []byte // of the current line: what has been received, up to maxKeptLine
-	cut      bool   // partial lacks a part of the line
-	length   int    // Content-Length; 0: there is none
-	chunked  bool
-	expects  bool // the server lets its client send the body, and the fields are dropped then
-	expected bool // an Expect field has been read
-	http11   bool // by the request line; before HTTP/1.1 a client can't wait for an answer
-	unclear  bool // the length can't be read
+	lines   int    // whole lines so far, the request line among them
+	partial []byte // of the current line: what has been received, up to maxKeptLine
+	cut     bool   // partial lacks a part of the line
+	length  int    // Content-Length; 0: there is none
+	chunked bool
+	expects bool // its client waits for an answer before it sends the body
+	unclear bool // the length can't be read
 }
 
 // scan reads the next bytes, and returns where the head ends in them; -1: it goes on.
@@ -44,24 +40,17 @@
 		}
 		if s.lines++; s.lines > 1 {
 			s.readField(line)
-		} else {
-			s.http11 = bytes.HasSuffix(line, []byte(" HTTP/1.1"))
 		}
 		s.partial, s.cut = nil, false
 	}
 	return -1
 }
 
-// keep adds bytes to the current line. Of a line that is too long it keeps the beginning and the last bytes.
+// keep adds bytes to the current line.
 func (s *headScanner) keep(received []byte) {
 	room := maxKeptLine - len(s.partial)
-	kept := append(s.partial[:len(s.partial):len(s.partial)], received[:min(len(received), room)]...) // a copy: scanners are copied
-	if len(received) > room {
-		last := append(bytes.Clone(kept[maxKeptLine-keptEnd:]), received[room:]...)
-		kept = append(kept[:maxKeptLine-keptEnd:maxKeptLine-keptEnd], last[len(last)-keptEnd:]...)
-		s.cut = true
-	}
-	s.partial = kept
+	s.cut = s.cut || len(received) > room
+	s.partial = append(s.partial[:len(s.partial):len(s.partial)], received[:min(len(received), room)]...) // a copy: scanners are copied
 }
 
 func (s *headScanner) readField(line []byte) {
@@ -73,8 +62,8 @@
 		s.length, s.unclear = int(length), s.unclear || err != nil || s.cut
 	case framing.NameEquals(name, "Transfer-Encoding"):
 		s.chunked = true
-	case framing.NameEquals(name, "Expect") && !s.expected: // the server heeds the first one
-		s.expected, s.expects = true, s.http11 && !s.cut && bytes.EqualFold(value, []byte("100-continue"))
+	case framing.NameEquals(name, "Expect"):
+		s.expects = true
 	}
 }
 
--- a/internal/connlimit/state.go
+++ b/internal/connlimit/state.go
@@ -1,7 +1,6 @@
 package connlimit
 
 import (
-	"bytes"
 	"net"
 	"time"
 
@@ -53,7 +52,6 @@
 		} else {
 			l.setState(client, connIdle)
 		}
-		client.sentAhead = len(client.pipelined) > 0
 		client.input.messageHandled(next)
 		client.since = time.Now()
 	case client.state == connIdle:
@@ -119,25 +117,6 @@
 	}
 }
 
-// HoldsNext reports whether the whole next message has been received, and is not passed on yet.
-func (l *Listener) HoldsNext(conn net.Conn) bool {
-	c, ok := conn.(*clientConn)
-	if !ok {
-		return false
-	}
-	var b boundaries
-	for received := bytes.TrimLeft(c.pipelined, "\r\n"); len(received) > 0; {
-		n := b.next(received, len(received)+1)
-		if n == 0 {
-			return false
-		}
-		if received = received[n:]; b.part == head && !b.begun || b.part == unknownBody {
-			return true
-		}
-	}
-	return false
-}
-
 // Following returns the bytes of the next messages that have been received with this one, and are not passed on yet.
 func (l *Listener) Following(conn net.Conn) []byte {
 	if c, ok := conn.(*clientConn); ok {
--- a/internal/connlimit/watch.go
+++ b/internal/connlimit/watch.go
@@ -15,9 +15,9 @@
 
 // WatchForClose closes the channel closed when the peer closes the connection. Received bytes are a pipelined
 // request, whose client is still connected. WatchForClose buffers them for the next reader, up to
-// maxPipelinedBytes, because a close shows only behind them; without readAhead it leaves them unread, which takes longer
-// to show a close. stop ends the watch; until it has returned, the caller must not read the connection.
-func WatchForClose(conn net.Conn, readAhead bool) (closed <-chan struct{}, stop func()) {
+// maxPipelinedBytes, because a close shows only behind them. stop ends the watch; until it has returned, the
+// caller must not read the connection.
+func WatchForClose(conn net.Conn) (closed <-chan struct{}, stop func()) {
 	closeSeen, ended, stopped := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -30,7 +30,7 @@
 				close(closeSeen)
 				return
 			case peek.Readable:
-				if c, ok := conn.(*clientConn); ok && readAhead && len(c.pipelined) < maxPipelinedBytes {
+				if c, ok := conn.(*clientConn); ok && len(c.pipelined) < maxPipelinedBytes {
 					c.readPipelined()
 					continue
 				}
@@ -58,7 +58,6 @@
 	read, err := c.TCPConn.Read(c.pipelined[n : n+pipelinedReadSize])
 	c.pipelined = c.pipelined[:n+read]
 	c.input.countRead(read)
-	c.noteArrival()
 	c.noteReadError(err)
 }
 
--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -46,7 +46,6 @@
 	}
 	w.servers.apply(list)
 	w.onList(list)
-	w.reportServers()
 	if outcome.needsRecheck() {
 		w.recheck()
 	}
--- a/internal/discovery/endpoint.go
+++ b/internal/discovery/endpoint.go
@@ -4,10 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
-	"maps"
-	"math"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,9 +15,8 @@
 )
 
 const (
-	maxConnections  = 4 * maxParallelCalls // to one address, including those of abandoned calls
-	keptConnections = maxConnections / 2   // the latest ones, which are not closed for newer ones
-	maxIdle         = time.Second          // an idle connection older than that is not reused
+	maxConnections = 2 * maxParallelCalls // to one address, including those of abandoned calls
+	maxIdle        = time.Second          // an idle connection older than that is not reused
 )
 
 // Dial connects to discovery within a timeout.
@@ -35,7 +31,7 @@
 	// Protected by the watcher's lock:
 	version        uint64 // of the list accepted last
 	unconfirmed    bool   // no list from this address was accepted yet, so its versions may not be comparable
-	acceptedAt     uint64 // the watcher's sequence number when version was first accepted
+	acceptedAt     uint64 // the watcher's sequence number when version was accepted
 	lowerVersionAt uint64 // likewise, when a later call was first answered with a lower version; 0: none was
 
 	mu      sync.Mutex
@@ -76,20 +72,18 @@
 	return &endpoint{address: address, maxAnswer: maxAnswer, dial: dial, open: map[*connection]bool{}}
 }
 
-// acceptVersion records the version of an accepted list, and the sequence number of its first acceptance. An answer that
-// repeats the version doesn't make calls outdated that began after it was held. The caller holds the watcher's lock.
+// acceptVersion records the version of an accepted list, and the sequence number of its acceptance. The
+// caller holds the watcher's lock.
 func (e *endpoint) acceptVersion(version, sequence uint64) {
-	if version != e.version || e.unconfirmed {
-		e.acceptedAt = sequence
-	}
 	e.version = version
 	e.unconfirmed = false
+	e.acceptedAt = sequence
 	e.lowerVersionAt = 0
 }
 
 // acquire returns a connection for a call. A call that directly follows an answer may reuse the connection of that
 // answer; any other one gets a new connection, since those that are open may have fallen silent. If that makes too
-// many, acquire closes one that is least likely to be missed.
+// many, acquire closes the connection whose call started first.
 func (e *endpoint) acquire(mayReuse bool) (*connection, error) {
 	if c := e.takeIdle(mayReuse); c != nil {
 		return c, nil
@@ -108,9 +102,9 @@
 		return nil, net.ErrClosed
 	}
 	if len(e.open) >= maxConnections {
-		dispensable := e.dispensable()
-		delete(e.open, dispensable)
-		dispensable.Close()
+		oldest := e.oldest()
+		delete(e.open, oldest)
+		oldest.Close()
 	}
 	e.open[opened] = true
 	return opened, nil
@@ -165,24 +159,14 @@
 	c.Close()
 }
 
-// dispensable returns the connection to be closed for a newer one. The latest ones are kept, since a change is heard first
-// from them. So is the one whose call started first, for as long as any answer may take: the first answer is the first that
-// is heard. Of those between, it is the one whose neighbours started closest to each other for their age, which leaves calls
-// of all ages. The caller holds the lock.
-func (e *endpoint) dispensable() (chosen *connection) {
-	now := time.Now()
-	connections := slices.SortedFunc(maps.Keys(e.open), func(a, b *connection) int { return a.since.Compare(b.since) })
-	if now.Sub(connections[0].since) > maxAnswerTime {
-		return connections[0]
-	}
-	closest := math.Inf(1)
-	for i := 1; i < len(connections)-keptConnections; i++ {
-		gap := float64(connections[i+1].since.Sub(connections[i-1].since)) / float64(now.Sub(connections[i].since)+1)
-		if gap < closest {
-			closest, chosen = gap, connections[i]
+// oldest returns the open connection with the earliest start of its last call. The caller holds the lock.
+func (e *endpoint) oldest() (oldest *connection) {
+	for c := range e.open {
+		if oldest == nil || c.since.Before(oldest.since) {
+			oldest = c
 		}
 	}
-	return chosen
+	return oldest
 }
 
 // retire ends the calls at an address that is no longer used. Answers that the service writes until it
--- a/internal/discovery/fallback.go
+++ b/internal/discovery/fallback.go
@@ -10,10 +10,10 @@
 
 // parallelCalls starts up to maxCalls calls, one per interval, without waiting for the earlier ones to be
 // answered. It returns the first answer, or an error once the timeout is over or all calls have failed. The
-// other calls stay in flight for eachTimeout and deliver what they return. Parallel calls tolerate
+// other calls stay in flight for the timeout of their own and deliver what they return. Parallel calls tolerate
 // a lost answer where no further delay is acceptable: after an earlier call timed out, after discovery moved, and
 // while the agent of a pushed list is unreachable.
-func (w *Watcher) parallelCalls(at *endpoint, planned plannedCall, interval, timeout, eachTimeout time.Duration, maxCalls int) result {
+func (w *Watcher) parallelCalls(at *endpoint, planned plannedCall, interval, timeout time.Duration, maxCalls int) result {
 	results := make(chan result, maxCalls)
 	over, next := time.NewTimer(timeout), time.NewTicker(interval)
 	defer over.Stop()
@@ -22,7 +22,7 @@
 	started := 0
 	start := func() {
 		started++
-		c := w.startCall(at, planned, eachTimeout)
+		c := w.startCall(at, planned, timeout)
 		go func() { results <- <-c.done }()
 	}
 	start()
--- a/internal/discovery/model_test.go
+++ b/internal/discovery/model_test.go
@@ -28,7 +28,7 @@
 
 type addressModel struct {
 	version        int
-	writtenAt      time.Time // when an answer with this version was first written
+	writtenAt      time.Time // when the answer with this version was written
 	lowerVersionAt time.Time // when a later call was first answered with a lower version; zero: none was
 }
 
@@ -48,11 +48,7 @@
 
 // accept applies an answer: in full if it is from the current address, else for departing servers only.
 func (m *model) accept(call receivedCall, list *listAnswer) {
-	writtenAt := time.Now()
-	if at := m.addresses[call.address]; at != nil && at.version == list.Seq { // repeated: later calls are no older for it
-		writtenAt = at.writtenAt
-	}
-	m.addresses[call.address] = &addressModel{version: list.Seq, writtenAt: writtenAt}
+	m.addresses[call.address] = &addressModel{version: list.Seq, writtenAt: time.Now()}
 	if call.address != m.current { // the protocol does not cover this: a former address may not return a server to service
 		m.depart(list)
 		return
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -71,7 +71,6 @@
 	pushRetryDivisor     = 4 // fraction of the configured grace period from one call to the next
 	minPushRetryInterval = 50 * time.Millisecond
 	maxParallelCalls     = 8
-	maxAnswerTime        = 30 * time.Second // an agent may take as long for an answer; a call without one is given up then
 )
 
 func (w *Watcher) pollIntervalFraction(fraction float64) time.Duration {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -31,10 +31,6 @@
 	counts            *counters.Set
 	log               zerolog.Logger
 
-	// OnServers, if set, is called after each list that is delivered, with all servers that are listed by then. It is set
-	// before the first call to discovery, and must not block.
-	OnServers func(*List)
-
 	delivery         sync.Mutex // held while onList runs; locked before mu
 	mu               sync.Mutex
 	servers          serverSet // after all lists delivered; written under both locks, read under delivery
@@ -289,11 +285,11 @@
 		return <-w.startCall(at, now, now.hold+w.answerDelayLimit()).done
 	case w.pushed:
 		interval := max(time.Duration(w.pushRetryInterval.Load()), w.parallelTimeout()/maxParallelCalls)
-		return w.parallelCalls(at, now, interval, maxParallelCalls*interval, maxAnswerTime, maxParallelCalls)
+		return w.parallelCalls(at, now, interval, maxParallelCalls*interval, maxParallelCalls)
 	case now.purpose.wantsWholeList():
-		return w.parallelCalls(at, now, w.promptAnswerTimeout(), callTimeout, callTimeout, 2)
+		return w.parallelCalls(at, now, w.promptAnswerTimeout(), callTimeout, 2)
 	case now.purpose == pollAfterTimeout:
-		return w.parallelCalls(at, now, w.checkDelay(), callTimeout, callTimeout, 2)
+		return w.parallelCalls(at, now, w.checkDelay(), callTimeout, 2)
 	}
 	return <-w.startCall(at, now, callTimeout).done
 }
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -103,7 +103,6 @@
 	if !in.endMessage(ctx, msg, size) {
 		return false
 	}
-	dropTrailers(&ctx.Request.Header)
 	if size > 0 || ctx.IsPost() {
 		msg.head = append(strconv.AppendInt(append(msg.head, "Content-Length: "...), int64(size), 10), "\r\n"...)
 	}
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -16,7 +16,6 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
-	"ledgespread/brain"
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
@@ -95,7 +94,7 @@
 	}
 	in.listener.Charge = chargeConnections(account, readBuffer)
 	in.server = &fasthttp.Server{Handler: in.handle, ErrorHandler: in.handleProtocolError, Logger: &in.log, StreamRequestBody: true,
-		HeaderReceived: headReceived, ExpectHandler: in.expectBody,
+		HeaderReceived:     headReceived,
 		MaxRequestBodySize: exchange.MaxBufferedBody, ReadBufferSize: readBuffer,
 		ReduceMemoryUsage: lowMemory,
 		IdleTimeout:       max(idleTimeoutMultiple*time.Duration(in.longestTimeout.Load())*time.Microsecond, connlimit.MessageTimeout),
@@ -147,7 +146,7 @@
 		}
 	}()
 	connlimit.ContinueTurn(ctx.Conn())
-	msg, err := takeMessage(ctx)
+	msg, err := parseMessage(ctx)
 	switch {
 	case err != nil:
 		in.refuse(ctx, fasthttp.StatusBadRequest, err.Error())
@@ -179,7 +178,7 @@
 	if msg != nil && msg.pipelined {
 		ctx.SetWriteDeadline(time.Now().Add(connlimit.MessageTimeout))
 	}
-	if (!in.Ready() || in.listener.TooManyIdle()) && !in.listener.HoldsNext(ctx.Conn()) { // what has been read is answered
+	if !in.Ready() || in.listener.TooManyIdle() {
 		ctx.SetConnectionClose()
 	}
 }
@@ -236,12 +235,7 @@
 		return
 	}
 	conn := ctx.Conn()
-	waiting := &wait{in: in, conn: conn, header: &ctx.Request.Header, request: request, began: time.Now(), timeout: time.Duration(request.TimeLeft) * time.Microsecond}
-	if request.Upload == nil { // the client has waited since the last byte came, if only for the answers to those before
-		now := waiting.began
-		waiting.began = connlimit.ArrivedAt(conn, now)
-		request.TimeLeft -= brain.Micros(now.Sub(waiting.began) / time.Microsecond)
-	}
+	waiting := &wait{in: in, conn: conn, request: request, began: time.Now(), timeout: time.Duration(request.TimeLeft) * time.Microsecond}
 	request.ClientGone = func() bool { return peek.PeerClosed(conn) }
 	endRequest, status, reason := in.dispatch(ctx, msg, request)
 	if endRequest == nil {
--- a/internal/inbound/lifecycle.go
+++ b/internal/inbound/lifecycle.go
@@ -10,7 +10,7 @@
 // phase says whether this sidecar accepts clients. /-/ready, each answer and Stop depend on it:
 //
 //	serving       ready; connections are kept open
-//	outOfService  not ready; requests are served, the last answer to what was read closes its connection, idle connections are closed
+//	outOfService  not ready; requests are served, each answer closes its connection, idle connections are closed
 //	stopping      like outOfService, and the listener closes; final
 type phase uint8
 
@@ -112,16 +112,6 @@
 	}
 }
 
-// isStopOver reports whether a stop no longer waits for answers.
-func (in *Inbound) isStopOver() bool {
-	select {
-	case <-in.stopExpired:
-		return true
-	default:
-		return false
-	}
-}
-
 // Stop shuts the server down. It accepts new connections for a short time, closes the listener, and returns
 // when all requests have been answered or a time limit is reached.
 func (in *Inbound) Stop() {
--- a/internal/inbound/message.go
+++ b/internal/inbound/message.go
@@ -96,22 +96,11 @@
 // dropFields frees the memory of a request's parsed fields, of which fasthttp keeps each apart: a head of very many short
 // ones takes twenty times its length. The message has what is needed of them.
 func dropFields(header *fasthttp.RequestHeader) {
-	method, protocol, uri, closes, length := header.Method(), header.Protocol(), header.RequestURI(), header.ConnectionClose(), header.ContentLength()
+	method, protocol, uri := header.Method(), header.Protocol(), header.RequestURI()
 	*header = fasthttp.RequestHeader{}
 	header.SetMethodBytes(method)
 	header.SetProtocolBytes(protocol)
 	header.SetRequestURIBytes(uri)
-	header.SetContentLength(length)
-	if closes {
-		header.SetConnectionClose()
-	}
-}
-
-// dropTrailers frees the memory of what followed the last chunk of a body that has been read. None of it is sent on.
-func dropTrailers(header *fasthttp.RequestHeader) {
-	if len(header.PeekTrailerKeys()) > 0 {
-		dropFields(header)
-	}
 }
 
 // chargeHead charges the memory of a long head, and returns the function that gives it back.
--- a/internal/inbound/settings.go
+++ b/internal/inbound/settings.go
@@ -58,8 +58,7 @@
 
 // dispatch hands a request to the relay and returns the function that counts its end. If the settings have
 // changed while the request's body was received, the request is classified again; endRequest is nil if it is
-// invalid now, and status and reason say why. A request whose time is over, since it waited behind others, is rejected here:
-// it has not run. So is one that could have no answer before the process ends.
+// invalid now, and status and reason say why.
 func (in *Inbound) dispatch(ctx *fasthttp.RequestCtx, msg *message, request *exchange.Exchange) (endRequest func(int), status int, reason string) {
 	in.settingsMu.RLock()
 	defer in.settingsMu.RUnlock()
@@ -71,10 +70,6 @@
 	}
 	in.counts.Add(counters.RequestsAccepted)
 	endRequest = in.accounts.Begin(msg.rules.accounts[request.Class])
-	if request.TimeLeft <= 0 || in.isStopOver() {
-		request.Reject(0)
-		return endRequest, 0, ""
-	}
 	in.requests.HandleRequest(request)
 	return endRequest, 0, ""
 }
--- a/internal/inbound/wait.go
+++ b/internal/inbound/wait.go
@@ -4,8 +4,6 @@
 	"net"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
@@ -16,7 +14,6 @@
 type wait struct {
 	in      *Inbound
 	conn    net.Conn
-	header  *fasthttp.RequestHeader
 	request *exchange.Exchange
 	began   time.Time     // when the client's timeout began
 	timeout time.Duration // the client timeout
@@ -55,10 +52,9 @@
 		case <-w.in.stopExpired:
 		case <-w.in.uploadTicker.next():
 		}
-		fullyRead := upload.FullyRead() // asked first: the last byte may be read in between, and the relay has to be told of it
 		w.observeBody()
 		switch {
-		case fullyRead:
+		case upload.FullyRead():
 			return w.stopReading(bodyRead)
 		case w.request.ClientGone():
 			w.abandon()
@@ -97,7 +93,6 @@
 func (w *wait) stopReading(end waitEnd) waitEnd {
 	if w.request.Upload.Stop() {
 		w.in.listener.EndMessage(w.conn, 0)
-		dropTrailers(w.header)
 		return end
 	}
 	if end == answered {
@@ -130,7 +125,7 @@
 	}
 	timeout := time.NewTimer(time.Until(w.began.Add(w.timeout + overdueGrace)))
 	defer timeout.Stop()
-	clientClosed, stopWatch := connlimit.WatchForClose(w.conn, w.in.Ready()) // what is read gets its answer on this connection, so a drain reads no more
+	clientClosed, stopWatch := connlimit.WatchForClose(w.conn)
 	defer stopWatch()
 	select {
 	case <-w.request.Done():
--- a/internal/outbound/outbound.go
+++ b/internal/outbound/outbound.go
@@ -56,7 +56,7 @@
 // charged to the account. Load reports have the fields loadFields, in this order.
 func New(idleTimeout, connectTimeout brain.Micros, maxConnections int, account *memory.Account, loadFields []string, counts *counters.Set, log zerolog.Logger) *Outbound {
 	o := &Outbound{Dial: dialTCP, workers: make(workers), account: account, counts: counts, log: log,
-		pool: pool{idle: map[brain.ServerID][]*conn{}, suspects: map[brain.ServerID]time.Time{}, maxOpen: maxConnections, account: account, counts: counts, log: log}}
+		pool: pool{idle: map[brain.ServerID][]*conn{}, maxOpen: maxConnections, account: account, counts: counts, log: log}}
 	o.Retune(idleTimeout, connectTimeout, loadFields)
 	return o
 }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -68,12 +68,9 @@
 	}
 }
 
-// state returns whether the server has sent data since the last answer, or has closed the connection.
-func (c *conn) state() peek.State {
-	if c.buffered() > 0 {
-		return peek.Readable
-	}
-	return peek.Inspect(c.Conn, false)
+// isQuiet reports whether the server has neither closed the connection nor sent unexpected data.
+func (c *conn) isQuiet() bool {
+	return c.buffered() == 0 && peek.Inspect(c.Conn, false) == peek.Empty
 }
 
 // connectionBytes is the memory of a connection: its buffer, the smallest piece of a body, and the stack of an attempt.
@@ -82,9 +79,8 @@
 // pool holds the idle connections and counts all open ones.
 type pool struct {
 	mu          sync.Mutex
-	idle        map[brain.ServerID][]*conn   // most recently used last
-	suspects    map[brain.ServerID]time.Time // servers that sent data unasked, and until when their connections rest longer
-	idleTimeout atomic.Int64                 // idle timeout in nanoseconds
+	idle        map[brain.ServerID][]*conn // most recently used last
+	idleTimeout atomic.Int64               // idle timeout in nanoseconds
 	openCount   int
 	maxOpen     int
 	account     *memory.Account
@@ -96,8 +92,7 @@
 const (
 	reasonMoved     = "the server has another address"
 	reasonIdle      = "idle timeout reached"
-	reasonStale     = "closed by the server"
-	reasonUnasked   = "unexpected data received"
+	reasonStale     = "closed by the server, or unexpected data received"
 	reasonEvicted   = "connection limit reached; closed for another server"
 	reasonForgotten = "server left the list, or another connection to it broke"
 )
@@ -113,17 +108,10 @@
 // the platform allows some milliseconds.
 const settleTime = 3 * time.Millisecond
 
-// A server that was seen to send data unasked may do so again, later after an answer than settleTime. Its connections rest for
-// suspectRest in place of that, for suspicionTime after the last time.
-const (
-	suspectRest   = 60 * time.Millisecond
-	suspicionTime = time.Minute
-)
-
 // takeIdle returns an idle connection, or nil. It skips those that the server has closed or is about to
 // close. A server may send a second answer some milliseconds after the first, and the next request would take
 // it for its own. takeIdle therefore waits until the connection has been idle for settleTime, by which such
-// an answer has arrived. For a suspect server it does not wait: the next request gets a new connection.
+// an answer has arrived.
 func (p *pool) takeIdle(server brain.ServerID, address string) *conn {
 	for {
 		connection := p.removeIdle(server)
@@ -131,16 +119,13 @@
 			return nil
 		}
 		time.Sleep(settleTime - time.Since(connection.idleSince))
-		reason, state := "", connection.state()
+		reason := ""
 		switch {
 		case connection.address != address:
 			reason = reasonMoved
 		case int64(time.Since(connection.idleSince)) >= p.idleTimeout.Load():
 			reason = reasonIdle
-		case state == peek.Readable:
-			reason = reasonUnasked
-			p.suspect(server, address)
-		case state != peek.Empty:
+		case !connection.isQuiet():
 			reason = reasonStale
 		default:
 			return connection
@@ -152,48 +137,20 @@
 	}
 }
 
-// suspect records that a server has sent data unasked.
-func (p *pool) suspect(server brain.ServerID, address string) {
-	p.mu.Lock()
-	_, known := p.suspects[server]
-	p.suspects[server] = time.Now().Add(suspicionTime)
-	p.mu.Unlock()
-	if !known {
-		p.log.Warn().Str("server", address).Msg("a server sent data unasked: its connections rest longer before they are used again")
-	}
-}
-
-// isSuspect reports whether a server has sent data unasked lately. The caller holds the lock.
-func (p *pool) isSuspect(server brain.ServerID) bool {
-	until, known := p.suspects[server]
-	if known && time.Now().After(until) {
-		delete(p.suspects, server)
-		return false
-	}
-	return known
-}
-
 // removeIdle removes an idle connection and returns it: the most recently used one that has been idle for
-// settleTime, or the one that has been idle longest if there is none. Of a suspect server it returns only one that has been
-// idle for suspectRest, or nil.
+// settleTime, or the one that has been idle longest if there is none.
 func (p *pool) removeIdle(server brain.ServerID) (connection *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	connections, rest := p.idle[server], settleTime
+	connections := p.idle[server]
 	if len(connections) == 0 {
 		return nil
 	}
-	suspect := p.isSuspect(server)
-	if suspect {
-		rest = suspectRest
-	}
 	i := len(connections) - 1
-	for i > 0 && time.Since(connections[i].idleSince) < rest {
+	for i > 0 && time.Since(connections[i].idleSince) < settleTime {
 		i--
 	}
-	if connection = connections[i]; suspect && time.Since(connection.idleSince) < rest {
-		return nil
-	}
+	connection = connections[i]
 	p.idle[server] = slices.Delete(connections, i, i+1)
 	return connection
 }
--- a/internal/races_test.go
+++ b/internal/races_test.go
@@ -397,52 +397,6 @@
 	tr.compare(t, strings.Repeat("true, the next got its own: true\n", 5))
 }
 
-// A server that was seen to send an answer twice may do so again, later than a connection settles. The next request to it goes
-// out on a connection that has rested for longer, or on a new one.
-func TestSecondAnswerOfSuspectServer(t *testing.T) {
-	const copyAfter, work = 20 * time.Millisecond, 30 * time.Millisecond
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(work)
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		reader, path := bufio.NewReader(conn), r.URL.Path
-		for {
-			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
-			io.WriteString(conn, answer)
-			time.AfterFunc(copyAfter, func() { io.WriteString(conn, answer) })
-			next, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			path = next.URL.Path
-			time.Sleep(work)
-		}
-	}))
-	counts := &counters.Set{}
-	out := newOutbound(10*second, 9, counts)
-	send := func(path string) string { return sendAttempt(out, path, ln.Addr().String(), second, noAction) }
-	send("/first")
-	time.Sleep(2 * copyAfter) // the copy comes while the connection is idle
-	for i := range 5 {
-		path := fmt.Sprint("/", i)
-		if got := send(path); !strings.Contains(got, `"`+path+`"`) {
-			t.Errorf("%s: %s", path, got)
-		}
-		time.Sleep(copyAfter / 4)
-	}
-	if n := counts[counters.ConnectionsReused].Load(); n != 0 {
-		t.Errorf("%d connections were used again", n)
-	}
-}
-
 // An answer without a length ends when the server closes the connection; a reset means that it is incomplete. If
 // nothing of it has reached the client, the attempt fails and the request may go to another server; if part of it
 // has, the client's connection is cut, so that the client can detect the loss.
--- a/internal/relay/lists.go
+++ b/internal/relay/lists.go
@@ -81,9 +81,5 @@
 	r.noneReady = ready == 0
 }
 
-// ReportServers has told called with all listed servers after each list that discovery delivers. It must be called before Run,
-// and told must not block.
-func (r *Relay) ReportServers(told func(*discovery.List)) { r.watcher.OnServers = told }
-
 // SetDiscovery makes the watcher ask for the list at another address from now on.
 func (r *Relay) SetDiscovery(discovery string) { r.watcher.SetAddress(discovery) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,9 +49,6 @@
 	effect      any
 	keyWindow   time.Duration // servers remember an idempotency key for this long
 	maxAttempts int
-
-	keyInZone, keyInCell bool // only the servers of a zone, or of a cell, know a key
-	mayDuplicate         bool // two attempts may be out at the same time
 }
 
 // attempt is an attempt that was handed to outbound.
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -19,8 +19,7 @@
 	r.classes = nil
 	for i := range int(manifest.Number("path_prefixes")) {
 		prefix := "path_prefixes." + strconv.Itoa(i)
-		pathClass := &class{name: prefix, effect: manifest.Settings[prefix+".effect"], maxAttempts: int(manifest.Number("allowed.max_backend_fetches")),
-			keyInZone: manifest.Settings[prefix+".group"] == "zone", keyInCell: manifest.Settings[prefix+".group"] == "cell", mayDuplicate: manifest.Settings["allowed.may_duplicate"] == true}
+		pathClass := &class{name: prefix, effect: manifest.Settings[prefix+".effect"], maxAttempts: int(manifest.Number("allowed.max_backend_fetches"))}
 		if name, named := manifest.Settings[prefix+".name"].(string); named {
 			pathClass.name = name
 		}
@@ -94,7 +93,6 @@
 func (c *class) tighten(latest *class) bool {
 	before := *c
 	c.maxAttempts = min(c.maxAttempts, latest.maxAttempts)
-	c.keyInZone, c.keyInCell, c.mayDuplicate = c.keyInZone || latest.keyInZone, c.keyInCell || latest.keyInCell, c.mayDuplicate && latest.mayDuplicate
 	switch {
 	case c.effect != latest.effect && latest.effect != "read_like": // includes keyed requests that came without an idempotency key
 		c.effect, c.keyWindow = "mutating", 1 // the window is over before a further attempt can send its first byte
--- a/internal/reload_test.go
+++ b/internal/reload_test.go
@@ -103,7 +103,6 @@
 		{"tagged becomes mutating", taggedRequest, func(text string) []string { return replaceClassSetting(text, "book", "effect", `"non_idempotent"`) }},
 		{"read-like becomes tagged", "GET /look HTTP/1.1\r\n" + longTimeoutFields + "\r\n",
 			func(text string) []string { return replaceClassSetting(text, "look", "effect", `"idempotency_key"`) }},
-		{"the key is known in a cell only", taggedRequest, func(text string) []string { return replaceClassSetting(text, "book", "group", `"cell"`) }},
 		{"one attempt", taggedRequest, func(string) []string { return []string{`"max_backend_fetches":5`, `"max_backend_fetches":1`} }},
 	} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -159,7 +158,6 @@
 a shorter window: 502 "no answer from the servers", 0 written
 tagged becomes mutating: 502 "no answer from the servers", 0 written
 read-like becomes tagged: 502 "no answer from the servers", 0 written
-the key is known in a cell only: 502 "no answer from the servers", 0 written
 one attempt: 503 "not now; a retry does no harm", 0 written
 `)
 }
--- a/internal/rollouts/store.go
+++ b/internal/rollouts/store.go
@@ -1,6 +1,6 @@
 package rollouts
 
-// store.go: durable storage of the newest configuration, of the one in force, and of what was stopped.
+// store.go: durable storage of the newest configuration and of the one in force.
 
 import (
 	"bytes"
@@ -17,24 +17,13 @@
 	"ledgespread/internal/durable"
 )
 
-// A sidecar keeps three files: the newest configuration that it has, the one in force, and the highest one whose rollout was
-// stopped. Each file is a line of JSON followed by the content; the last one has none.
+// A sidecar keeps two files: the newest configuration that it has, and the one in force. Each file is a line of JSON
+// followed by the content.
 const (
 	fileFormat              = "ledgespread rollout 1"
 	newestFile, inForceFile = "newest", "in_force"
-	outcomeFile             = "stopped"
 )
 
-// storedOutcome is the JSON line of the file that says what was stopped.
-type storedOutcome struct {
-	Format      string `json:"form"`
-	Sidecar     string `json:"sidecar"`
-	Number      uint64 `json:"number"`
-	Digest      string `json:"digest"`
-	Contested   bool   `json:"contested,omitempty"`
-	OtherDigest string `json:"other_digest,omitempty"`
-}
-
 // record is a stored configuration: the JSON line of a file, and the content.
 type record struct {
 	Format  string    `json:"form"`
@@ -88,11 +77,6 @@
 	if err != nil {
 		return err
 	}
-	return s.replace(kind, append(append(line, '\n'), r.Content...))
-}
-
-// replace replaces a file's text.
-func (s store) replace(kind string, text []byte) (err error) {
 	file, err := os.CreateTemp(s.folder, ".rollout-*")
 	if err != nil {
 		return err
@@ -102,7 +86,7 @@
 			os.Remove(file.Name())
 		}
 	}()
-	if err = durable.WriteAndClose(file, text); err != nil {
+	if err = durable.WriteAndClose(file, append(append(line, '\n'), r.Content...)); err != nil {
 		return err
 	}
 	if err = os.Rename(file.Name(), s.path(kind)); err != nil {
@@ -145,69 +129,3 @@
 	r.Content, r.identity = content, rollout.Version{Number: rollout.Number(r.Number), Digest: DigestOf(content)}
 	return &r, nil
 }
-
-// writeOutcome replaces the file that says what was stopped.
-func (s store) writeOutcome(outcome rollout.Outcome) error {
-	stored := storedOutcome{Format: fileFormat, Sidecar: s.sidecar, Number: uint64(outcome.Number), Digest: FormatDigest(outcome.Digest), Contested: outcome.Contested}
-	if outcome.Contested {
-		stored.OtherDigest = FormatDigest(outcome.OtherDigest)
-	}
-	line, err := json.Marshal(stored)
-	if err != nil {
-		return err
-	}
-	return s.replace(outcomeFile, append(line, '\n'))
-}
-
-// readOutcome reads that file; without one it returns the zero value.
-func (s store) readOutcome() (outcome rollout.Outcome, err error) {
-	text, err := os.ReadFile(s.path(outcomeFile))
-	if errors.Is(err, fs.ErrNotExist) {
-		return outcome, nil
-	}
-	if err != nil {
-		return outcome, err
-	}
-	var stored storedOutcome
-	if json.Unmarshal(text, &stored) != nil || stored.Format != fileFormat || stored.Number == 0 {
-		return outcome, fmt.Errorf("%s: it is no file of ours", s.path(outcomeFile))
-	}
-	if stored.Sidecar != s.sidecar {
-		return outcome, fmt.Errorf("%s: it is %q's", s.path(outcomeFile), stored.Sidecar)
-	}
-	outcome = rollout.Outcome{Version: rollout.Version{Number: rollout.Number(stored.Number)}, Contested: stored.Contested}
-	if err = parseDigest(stored.Digest, &outcome.Digest); err == nil && stored.Contested {
-		err = parseDigest(stored.OtherDigest, &outcome.OtherDigest)
-	}
-	if err != nil {
-		return rollout.Outcome{}, fmt.Errorf("%s: %w", s.path(outcomeFile), err)
-	}
-	return outcome, nil
-}
-
-// parseDigest parses a digest in hexadecimal.
-func parseDigest(text string, digest *rollout.Digest) error {
-	decoded, err := hex.DecodeString(text)
-	if err != nil || len(decoded) != len(digest) {
-		return fmt.Errorf("%q is no digest", text)
-	}
-	copy(digest[:], decoded)
-	return nil
-}
-
-// SaveOutcome stores that a rollout was stopped.
-func (r *Rollouts) SaveOutcome(outcome rollout.Outcome) { go r.storeOutcome(outcome) }
-
-// storeOutcome stores that a rollout was stopped. Outcomes may come in any order: the highest number counts, and a contested
-// one is never merely stopped.
-func (r *Rollouts) storeOutcome(outcome rollout.Outcome) {
-	r.changeMu.Lock()
-	defer r.changeMu.Unlock()
-	known, _ := r.store.readOutcome() // another process of this sidecar may have written it
-	if outcome.Number < known.Number || outcome.Number == known.Number && (known.Contested || outcome == known) {
-		return
-	}
-	if err := r.store.writeOutcome(outcome); err != nil {
-		r.log.Error().Err(err).Uint64("number", uint64(outcome.Number)).Msg("that a configuration was stopped can't be stored")
-	}
-}
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -11,6 +11,7 @@
 	"ledgespread/internal/console"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/handover"
+	"ledgespread/internal/inbound"
 	"ledgespread/internal/sharedids"
 )
 
@@ -21,29 +22,18 @@
 // finalWriteTimeout is how long the end of the process waits until changes of the servers out of service are written.
 const finalWriteTimeout = 100 * time.Millisecond
 
-// openState opens the file that the processes of this sidecar share, if a console is configured.
-func (p *process) openState() error {
-	if p.Manifest.Console != "" {
-		p.state, p.predecessor = handover.Open(os.TempDir(), p.Manifest.Name, p.Manifest.Listen, p.Log)
-		if !p.hasPredecessor() {
-			p.state.DropList()
-		}
-	}
-	return nil
-}
-
 // openConsole starts the operators' console, if one is configured, and restores which servers operators took
 // out of service. The console works before clients are served.
 func (p *process) openConsole() error {
-	state := p.state
-	if state == nil {
+	if p.Manifest.Console == "" {
 		return nil
 	}
+	state, predecessor := handover.Open(os.TempDir(), p.Manifest.Name, p.Manifest.Listen, p.Log)
+	p.predecessor = predecessor
 	p.shareIDs(state.Path() + ".ids")
 	p.relay.RestoreTakenOut(state.OutOfService())
 	state.Deliver = p.relay.SetTakenOut
 	state.Announce()
-	p.handOverList(state)
 	p.relay.PublishFleetEvery(brain.Micros(publishInterval.Microseconds()))
 	if p.hasPredecessor() {
 		p.limitHeap(2)
@@ -75,23 +65,28 @@
 
 // consoleCalls returns the functions behind the operators' calls.
 func (p *process) consoleCalls(state *handover.State) console.Sidecar {
+	whileServing := func(do func(*inbound.Inbound)) func() {
+		return func() {
+			if in := p.inbound.Load(); in != nil {
+				do(in)
+			}
+		}
+	}
 	return console.Sidecar{
 		Ready: func() bool {
 			in := p.inbound.Load()
 			return in != nil && in.Ready()
 		},
 		Figures: func(w io.Writer) {
-			if in := p.inbound.Load(); in != nil {
-				in.Accounts().WriteTo(w)
-			}
+			whileServing(func(in *inbound.Inbound) { in.Accounts().WriteTo(w) })()
 			listed, avoided := p.relay.Fleet()
 			fmt.Fprintf(w, "app.forwards=%d\napp.discovered=%d\napp.ejected=%d\n", p.counts[counters.AttemptsWritten].Load(), listed, avoided)
 		},
 		Server: func(ctx context.Context, id string, out bool) error {
 			return state.Update(ctx, id, out, func() error { return p.relay.SetOutOfService(id, out) })
 		},
-		OutOfService: func() { p.availability.set(true) },
-		InService:    func() { p.availability.set(false) },
+		OutOfService: whileServing((*inbound.Inbound).OutOfService),
+		InService:    whileServing((*inbound.Inbound).InService),
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -101,10 +101,8 @@
 	relay         *relay.Relay
 	members       *members.Members // nil: membership is off
 	inbound       atomic.Pointer[inbound.Inbound]
-	availability  availability
 	reloader      *reload.Reloader
 	reloaderReady chan struct{}    // closed when reloader is set
-	state         *handover.State  // shared with other processes of this sidecar; nil: there is no console
 	predecessor   handover.Process // an old process that still serves for this sidecar; zero: none
 	replaced      func() bool      // reports whether a newer process of this sidecar has started
 	closeState    func()           // writes the servers out of service before the process ends
@@ -119,7 +117,7 @@
 	reload.SetCores(proc.Manifest)
 	proc.limitHeap(1)
 	debug.SetGCPercent(gcPercent)
-	for _, start := range []func() error{proc.carryConfigurations, proc.openPeers, proc.openState, proc.openRelay, proc.openConsole, proc.joinMembers} {
+	for _, start := range []func() error{proc.carryConfigurations, proc.openPeers, proc.openRelay, proc.openConsole, proc.joinMembers} {
 		if err := start(); err != nil {
 			return err
 		}
@@ -161,7 +159,7 @@
 		servers.Dial = p.Machine.Dial
 	}
 	machine := relay.Machine{DialDiscovery: p.Machine.DialDiscovery, Wall: p.Machine.Wall}
-	if p.relay, err = relay.NewOn(machine, p.startManifest(), int(openRequestsShare*sockets), servers, p.peers, p.counts, p.Log); err != nil {
+	if p.relay, err = relay.NewOn(machine, manifest, int(openRequestsShare*sockets), servers, p.peers, p.counts, p.Log); err != nil {
 		return err
 	}
 	if p.Extensions.Messages != nil && p.peers != nil {
@@ -207,7 +205,6 @@
 	if p.rollouts != nil {
 		clients.ExtraCounters = twoParts{p.members, p.rollouts}
 	}
-	p.availability.begin(clients)
 	broken = make(chan error, 1)
 	go func() { broken <- clients.Serve() }()
 	p.steerClients(clients)
--- a/lab/depth/depth_test.go
+++ b/lab/depth/depth_test.go
@@ -108,12 +108,7 @@
 			rt.Fatal(figures.FirstBreak)
 		}
 		single := !retries || effect == 2 && way == Errors && !terms.PassesBounce
-		// The failure lasts from the second second to the third. Calls that were on the way when it began reach the last hop during it.
-		began, reached := 0, 0
-		for second := range 3 {
-			began, reached = began+figures.TopBySecond[second], reached+figures.BySecond[second]
-		}
-		if single && reached > began {
+		if onTheWay := 3 / float64(figures.Top); single && figures.Reach > 1+onTheWay {
 			rt.Fatalf("%.3f calls at the last hop for each one at the top", figures.Reach)
 		}
 		for i := 1; i < len(figures.Hops); i++ {
