Parsed fields of heads are packed before the HTTP server waits behind them

Cause: fasthttp keeps each parsed field apart, twenty times its length, and may wait for its client between a head and the handler, where the fields were dropped. Only one of these waits, for the first bytes of a body, was kept from heads with many fields, by holding their last byte back; heads with Expect were let through.

Now the server's hook for a received head, which comes before any wait, replaces the parsed fields by the bytes that came, whatever is waited for. The special cases in connlimit for many fields and for Expect are gone with it.

TestBoundaries: two of its rows said that a head with many fields is held back until the body begins. That was the way, not the aim: what may not be held is measured now, in more places. Its rows for the same messages say that nothing is held back.

--- a/cmd/ledgespread/memory_test.go
+++ b/cmd/ledgespread/memory_test.go
@@ -300,6 +300,9 @@
 		"a head without its body": func(number int) string {
 			return fmt.Sprintf(request, "POST /pay", number, "", fields+"Content-Length: 100000\r\n\r\n")
 		},
+		"a head whose client waits for 100 Continue": func(number int) string {
+			return fmt.Sprintf(request, "POST /pay", number, "", fields+"Expect: 100-continue\r\nContent-Length: 100\r\n\r\n")
+		},
 		"half a head behind a request": func(number int) string {
 			return fmt.Sprintf(request, "POST /pay", number, "first", "Content-Length: 3\r\n\r\nabc") + fmt.Sprintf(request, "GET /look", number, "", fields)
 		},
--- a/internal/bodies_test.go
+++ b/internal/bodies_test.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// manyShortFields are more fields than the sidecar keeps apart.
+var manyShortFields = strings.Repeat("a:\r\n", 100)
+
 // requestForms lists forms of HTTP/1.1 requests: the bytes that a client writes, and the answers that it gets on
 // that connection. docs/layout.md refers to this table.
 var requestForms = []struct{ name, request, answers string }{
@@ -54,6 +57,22 @@
 		"tRANSFER-eNCODING:   CHUNKED\t\r\nTrailer: T\r\n\r\n0002;a=\"b c\"\r\nhi\r\n0\r\nT: 1\r\n\r\n", `200 "POST /pay 2 d8932aac"`},
 	{"expects a 100", "POST /pay HTTP/1.1\r\n" + requestFields + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\nhi",
 		`100 "" 200 "POST /pay 2 d8932aac"`},
+	{"expects a 100, with many fields", "POST /pay HTTP/1.1\r\n" + requestFields + "Expect: 100-continue\r\n" + manyShortFields + "Content-Length: 2\r\n\r\nhi",
+		`100 "" 200 "POST /pay 2 d8932aac"`},
+	{"expects a 100, with many fields and chunks", "POST /pay HTTP/1.1\r\n" + requestFields + manyShortFields + "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		`100 "" 200 "POST /pay 2 d8932aac"`},
+	{"expects something else, with many fields", "POST /pay HTTP/1.1\r\n" + requestFields + "Expect: nothing\r\n" + manyShortFields + "Content-Length: 2\r\n\r\nhi",
+		`200 "POST /pay 2 d8932aac"`},
+	{"expects a 100 by HTTP/1.0, with many fields", "POST /pay HTTP/1.0\r\n" + requestFields + "Expect: 100-continue\r\n" + manyShortFields + "Content-Length: 2\r\n\r\nhi",
+		`200 "POST /pay 2 d8932aac" close`},
+	{"many fields and a close", "POST /pay HTTP/1.1\r\n" + requestFields + manyShortFields + "Connection: close\r\nContent-Length: 2\r\n\r\nhi",
+		`200 "POST /pay 2 d8932aac" close`},
+	{"many fields, no length, no body", "POST /pay HTTP/1.1\r\n" + requestFields + manyShortFields + "\r\n", `200 "POST /pay 0 0"`},
+	{"many fields and an absolute URI", "GET http://api.internal/look/x HTTP/1.1\r\n" + requestFields + manyShortFields + "\r\n", `200 "GET /look/x 0 0"`},
+	{"many fields, a line end that is none", "POST /pay HTTP/1.1\r\n" + requestFields + manyShortFields + "B: c\nContent-Length: 2\r\n\r\nhi",
+		`400 "a line of the head can't be read" close`},
+	{"many fields, the length twice", "POST /pay HTTP/1.1\r\n" + requestFields + manyShortFields + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nhi", `400 "Bad Request" close`},
+	{"a field by the name of packed ones", "GET /look HTTP/1.1\r\n" + requestFields + "packed fields: a\r\n\r\n", `400 "a line of the head can't be read" close`},
 	{"two in one packet", "GET /look/a HTTP/1.1\r\n" + requestFields + "\r\nGET /look/b HTTP/1.1\r\n" + strings.Replace(requestFields, "ID: 1", "ID: 1b", 1) + "\r\n",
 		`200 "GET /look/a 0 0" 200 "GET /look/b 0 0"`},
 	{"pipelined after a body", "POST /pay HTTP/1.1\r\n" + requestFields + "Content-Length: 2\r\n\r\nhiGET /look HTTP/1.1\r\n" +
--- a/internal/connlimit/boundaries.go
+++ b/internal/connlimit/boundaries.go
@@ -2,10 +2,6 @@
 
 import "bytes"
 
-// ManyFields is the number of header fields beyond which the parsed fields of a head take many times its length: the HTTP
-// server keeps each apart.
-const ManyFields = 64
-
 // part is a part of a message.
 type part uint8
 
@@ -23,23 +19,20 @@
 //   - Of a head that has not been received whole at first no more than one byte, after that the rest as it comes. The
 //     server parses the first piece of a head, and keeps its fields until the head is whole; of the pieces after that it
 //     parses none.
-//   - Of a head with many fields, before a body with a length, all but the last byte until the body begins. The server
-//     waits for the beginning of a body before it calls the handler, which drops the fields.
 //
-// Otherwise clients that stop in a head, or behind it, would each hold twenty times its length.
+// Otherwise clients that stop in a head would each hold twenty times its length.
 type boundaries struct {
 	part        part
 	begun       bool        // part of the head is passed on, not only blank lines before it
 	announced   bool        // the head was not whole when its first byte was passed on
 	mayHaveBody bool        // its method is not GET
-	awaited     bool        // the last byte of the head is held back until the body begins
 	scanner     headScanner // of what is passed on of the head
 	bodyLeft    int         // bytes of a sizedBody that are not passed on
 	tail        [2]byte     // what was passed on last of a chunkedBody
 }
 
-// next returns how many of the received bytes may be passed on to a reader with room for this many, and counts them as
-// passed on. It is 0 only if the first one has to wait for those behind it.
+// next returns how many of the received bytes, at least one, may be passed on to a reader with room for this many, and counts
+// them as passed on.
 func (b *boundaries) next(received []byte, room int) (n int) {
 	received = received[:min(len(received), room)]
 	switch b.part {
@@ -54,9 +47,6 @@
 	case unknownBody:
 		return len(received)
 	}
-	if b.awaited {
-		return b.nextAfterAwaited(received, room)
-	}
 	return b.nextOfHead(received, room)
 }
 
@@ -68,18 +58,6 @@
 	return n
 }
 
-// nextAfterAwaited passes on the last byte of the head with the first ones of the body.
-func (b *boundaries) nextAfterAwaited(received []byte, room int) (n int) {
-	if len(received) < 2 && room > 1 {
-		return 0
-	}
-	b.awaited, b.part = false, sizedBody
-	if len(received) < 2 {
-		return 1
-	}
-	return 1 + b.nextOfBody(received[1:])
-}
-
 func (b *boundaries) nextOfHead(received []byte, room int) (n int) {
 	start := 0
 	if !b.begun {
@@ -92,30 +70,19 @@
 		*b = boundaries{begun: true, mayHaveBody: received[start] != 'G'} // a GET has no body
 	}
 	scanner := b.scanner
-	size := scanner.scan(received[start:])
-	if size >= 0 && !b.mustAwaitBody(&scanner, start+size < len(received)) {
+	if size := scanner.scan(received[start:]); size >= 0 {
 		b.beginBody(&scanner)
 		return start + size
 	}
-	if n = len(received); size >= 0 {
-		n = start + size - 1 // the last byte is held back
-	}
+	n = len(received)
 	if !b.announced {
 		n = start + 1
-	} else if size >= 0 {
-		b.awaited, b.bodyLeft = true, scanner.length
 	}
 	b.announced = b.announced || room > 1 // the server reads a first byte apart if memory is short, and then parses nothing
 	b.scanner.scan(received[start:n])
 	return n
 }
 
-// mustAwaitBody reports whether the body has to begin before the last byte of a whole head is passed on.
-func (b *boundaries) mustAwaitBody(scanner *headScanner, bodyBegun bool) bool {
-	hasLength := b.mayHaveBody && !scanner.chunked && !scanner.unclear && scanner.length > 0
-	return hasLength && scanner.fields() > ManyFields && !bodyBegun && !scanner.expects
-}
-
 // beginBody records what follows a whole head.
 func (b *boundaries) beginBody(scanner *headScanner) {
 	mayHaveBody := b.mayHaveBody
--- a/internal/connlimit/boundaries_test.go
+++ b/internal/connlimit/boundaries_test.go
@@ -34,8 +34,7 @@
 		chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 		chunks  = "3\r\nabc\r\n0\r\n\r\n"
 	)
-	many := "POST / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", ManyFields) + "Content-Length: 7\r\n\r\n"
-	lastOfMany := len(many) - 1
+	many := "POST / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", 65) + "Content-Length: 7\r\n\r\n"
 	for _, test := range []struct {
 		name   string
 		pieces []string
@@ -50,8 +49,8 @@
 		{"a blank line in two pieces", []string{get[:len(get)-1], "\n" + get}, []string{"G", get[1 : len(get)-1], "\n", get, "held: "}},
 		{"half a head behind a message", []string{get + get[:20]}, []string{get, "G", get[1:20], "held: "}},
 		{"many fields and their body", []string{many + body + get}, []string{many, body, get, "held: "}},
-		{"many fields, then the body", []string{many, body + get}, []string{"P", many[1:lastOfMany], "\n" + body, get, "held: "}},
-		{"many fields without a body", []string{many}, []string{"P", many[1:lastOfMany], "held: \n"}},
+		{"many fields, then the body", []string{many, body + get}, []string{many, body, get, "held: "}},
+		{"many fields in two pieces, then the body", []string{many[:99], many[99:], body + get}, []string{"P", many[1:99], many[99:], body, get, "held: "}},
 		{"many fields, the body is awaited by the server", []string{strings.Replace(many, "a:", "Expect: 100-continue", 1)},
 			[]string{strings.Replace(many, "a:", "Expect: 100-continue", 1), "held: "}},
 		{"chunks", []string{chunked + chunks[:5], chunks[5:]}, []string{chunked, chunks[:5], chunks[5:], "held: "}},
--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -125,10 +125,9 @@
 	if c.messageBytes > shortMessage {
 		c.moveDeadline()
 	}
-	held := copy(p, c.pipelined) // a byte that waits for those behind it
-	n, err = c.input.Read(p[held:])
+	n, err = c.input.Read(p)
 	if n > 0 {
-		n = c.passOn(p[:held+n], len(p))
+		n = c.passOn(p[:n], len(p))
 	}
 	if c.messageBytes > shortMessage {
 		c.lastReadAt = time.Now()
--- a/internal/connlimit/headscanner.go
+++ b/internal/connlimit/headscanner.go
@@ -18,7 +18,6 @@
 	cut     bool   // partial lacks a part of the line
 	length  int    // Content-Length; 0: there is none
 	chunked bool
-	expects bool // its client waits for an answer before it sends the body
 	unclear bool // the length can't be read
 }
 
@@ -62,10 +61,5 @@
 		s.length, s.unclear = int(length), s.unclear || err != nil || s.cut
 	case framing.NameEquals(name, "Transfer-Encoding"):
 		s.chunked = true
-	case framing.NameEquals(name, "Expect"):
-		s.expects = true
 	}
 }
-
-// fields returns how many fields the head has so far.
-func (s *headScanner) fields() int { return s.lines - 1 }
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -3,7 +3,6 @@
 package inbound
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"math"
@@ -110,13 +109,14 @@
 	return func(connections int) { account.Add(memory.ClientConnections, int64(connections)*connectionBytes) }
 }
 
-// headReceived is the server's HeaderReceived hook. fasthttp reads the beginning of a body before it calls
-// the handler. The limit of one byte keeps that read from delaying the 413 for a body that is too long, and the handler
-// that drops the fields of a head with many.
-func headReceived(h *fasthttp.RequestHeader) (config fasthttp.RequestConfig) {
-	if h.ContentLength() > maxBody || bytes.Count(h.RawHeaders(), []byte("\n")) > connlimit.ManyFields {
+// headReceived is the server's HeaderReceived hook, which is called for each head, before anything is waited for behind it.
+// fasthttp reads the beginning of a body before it calls the handler. The limit of one byte keeps that read from delaying
+// the 413 for a body that is too long.
+func headReceived(header *fasthttp.RequestHeader) (config fasthttp.RequestConfig) {
+	if header.ContentLength() > maxBody {
 		config.MaxRequestBodySize = 1
 	}
+	packFields(header)
 	return config
 }
 
--- a/internal/inbound/message.go
+++ b/internal/inbound/message.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fasthttp"
 
 	"ledgespread/brain"
-	"ledgespread/internal/connlimit"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/framing"
 	"ledgespread/internal/memory"
@@ -58,8 +57,9 @@
 	if string(header.Protocol()) != "HTTP/1.1" && string(header.Protocol()) != "HTTP/1.0" {
 		return nil, errors.New("unknown protocol")
 	}
-	raw, blankLine := header.RawHeaders(), len("\r\n")
-	if len(raw) > 0 {
+	raw, packed := receivedFields(header)
+	blankLine := len("\r\n")
+	if packed || len(raw) > 0 {
 		blankLine = 0 // raw includes it
 	}
 	msg = &message{target: target, head: make([]byte, 0, len(raw)+len(target)+64)}
@@ -67,9 +67,7 @@
 	msg.head = append(append(append(msg.head, header.Method()...), ' '), target...)
 	msg.head = append(msg.head, " HTTP/1.1\r\n"...)
 	var seen [fieldCount]bool
-	fieldsSeen := 0
 	msg.body, err = framing.ParseFields(append(raw, "\r\n"[:blankLine]...), func(name, value, line []byte) error {
-		fieldsSeen++
 		for i, known := range fieldNames {
 			if !framing.NameEquals(name, known) {
 				continue
@@ -87,22 +85,12 @@
 	if err == nil && ctx.IsGet() && (msg.body.Length > 0 || msg.body.Chunked) {
 		err = errors.New("GET has no body")
 	}
-	if fieldsSeen > connlimit.ManyFields {
-		dropFields(header)
+	if packed { // the message has what is needed of them
+		replaceFields(header, nil)
 	}
 	return msg, err
 }
 
-// dropFields frees the memory of a request's parsed fields, of which fasthttp keeps each apart: a head of very many short
-// ones takes twenty times its length. The message has what is needed of them.
-func dropFields(header *fasthttp.RequestHeader) {
-	method, protocol, uri := header.Method(), header.Protocol(), header.RequestURI()
-	*header = fasthttp.RequestHeader{}
-	header.SetMethodBytes(method)
-	header.SetProtocolBytes(protocol)
-	header.SetRequestURIBytes(uri)
-}
-
 // chargeHead charges the memory of a long head, and returns the function that gives it back.
 func (in *Inbound) chargeHead(msg *message) (release func()) {
 	size := int64(cap(msg.head))
--- a/internal/inbound/stream.go
+++ b/internal/inbound/stream.go
@@ -9,7 +9,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"ledgespread/internal/connlimit"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
 	"ledgespread/internal/memory"
@@ -132,7 +131,7 @@
 func (w *bodyWriter) SupportsBodyWriteTo() bool { return true }
 
 // hasManyFields reports whether fasthttp's copy of the head takes much memory: it keeps each field apart.
-func (w *bodyWriter) hasManyFields() bool { return w.fieldCount > connlimit.ManyFields }
+func (w *bodyWriter) hasManyFields() bool { return w.fieldCount > manyFields }
 
 // freeHead frees the memory of the answer's head, which has been written.
 func (w *bodyWriter) freeHead() {
