Trailer fields of requests are skipped as they come

Nothing of them is used.

Now the connection skips them, and passes only the blank line behind them on. For that it follows the chunks in place of looking for blank lines. It reads trailer fields strictly, 16 KiB of them at the most. Names that don't belong there, as Content-Length, were refused with 400 and are skipped now (RFC 9110, 6.5.1).

--- a/cmd/ledgespread/memory_test.go
+++ b/cmd/ledgespread/memory_test.go
@@ -303,6 +303,9 @@
 		"a head whose client waits for 100 Continue": func(number int) string {
 			return fmt.Sprintf(request, "POST /pay", number, "", fields+"Expect: 100-continue\r\nContent-Length: 100\r\n\r\n")
 		},
+		"in trailers": func(number int) string {
+			return fmt.Sprintf(request, "POST /pay", number, "", "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"+fields)
+		},
 		"half a head behind a request": func(number int) string {
 			return fmt.Sprintf(request, "POST /pay", number, "first", "Content-Length: 3\r\n\r\nabc") + fmt.Sprintf(request, "GET /look", number, "", fields)
 		},
--- a/internal/bodies_test.go
+++ b/internal/bodies_test.go
@@ -55,6 +55,13 @@
 	{"chunks", "POST /pay HTTP/1.1\r\n" + requestFields + "Transfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n0\r\n\r\n", `200 "POST /pay 2 d8932aac"`},
 	{"chunks with extensions, trailers and odd case", "POST /pay HTTP/1.1\r\n" + requestFields +
 		"tRANSFER-eNCODING:   CHUNKED\t\r\nTrailer: T\r\n\r\n0002;a=\"b c\"\r\nhi\r\n0\r\nT: 1\r\n\r\n", `200 "POST /pay 2 d8932aac"`},
+	{"chunks and many trailers", "POST /pay HTTP/1.1\r\n" + requestFields + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n" + manyShortFields + "\r\n", `200 "POST /pay 2 d8932aac"`},
+	{"chunks, trailers and the next request", "POST /pay HTTP/1.1\r\n" + requestFields + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nA: b\r\nHost: c\r\n\r\nGET /look HTTP/1.1\r\n" +
+		strings.Replace(requestFields, "ID: 1", "ID: 1d", 1) + "\r\n", `200 "POST /pay 2 d8932aac" 200 "GET /look 0 0"`},
+	{"a trailer that is no field", "POST /pay HTTP/1.1\r\n" + requestFields + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nA\r\n\r\n", `400 "Bad Request" close`},
+	{"a trailer with a line end that is none", "POST /pay HTTP/1.1\r\n" + requestFields + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nA: b\n\r\n", `400 "Bad Request" close`},
+	{"half a blank line behind trailers", "POST /pay HTTP/1.1\r\n" + requestFields + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nA: b\r\n\rB: c\r\n\r\n", `400 "Bad Request" close`},
+	{"trailers that are too long", "POST /pay HTTP/1.1\r\n" + requestFields + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nA: " + strings.Repeat("b", 17<<10) + "\r\n\r\n", `400 "Bad Request" close`},
 	{"expects a 100", "POST /pay HTTP/1.1\r\n" + requestFields + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\nhi",
 		`100 "" 200 "POST /pay 2 d8932aac"`},
 	{"expects a 100, with many fields", "POST /pay HTTP/1.1\r\n" + requestFields + "Expect: 100-continue\r\n" + manyShortFields + "Content-Length: 2\r\n\r\nhi",
--- a/internal/connlimit/boundaries.go
+++ b/internal/connlimit/boundaries.go
@@ -1,15 +1,13 @@
 package connlimit
 
-import "bytes"
-
 // part is a part of a message.
 type part uint8
 
 const (
 	head        part = iota
 	sizedBody        // the head gives its length
-	chunkedBody      // it ends at a blank line, but not at each one
-	unknownBody      // the head can't be parsed: the message will be refused
+	chunkedBody      // its chunks give its length
+	unknownBody      // the message can't be parsed, and will be refused
 )
 
 // boundaries finds the ends of messages in the bytes of a connection. It decides how many of them may be passed on to the
@@ -19,8 +17,9 @@
 //   - Of a head that has not been received whole at first no more than one byte, after that the rest as it comes. The
 //     server parses the first piece of a head, and keeps its fields until the head is whole; of the pieces after that it
 //     parses none.
+//   - No trailer field behind a body in chunks. The server would keep all of them until the message has been handled.
 //
-// Otherwise clients that stop in a head would each hold twenty times its length.
+// Otherwise clients that stop there would each hold twenty times the length of what they have sent.
 type boundaries struct {
 	part        part
 	begun       bool        // part of the head is passed on, not only blank lines before it
@@ -28,7 +27,15 @@
 	mayHaveBody bool        // its method is not GET
 	scanner     headScanner // of what is passed on of the head
 	bodyLeft    int         // bytes of a sizedBody that are not passed on
-	tail        [2]byte     // what was passed on last of a chunkedBody
+	chunks      chunkScanner
+}
+
+// skip returns how many of the received bytes are not to be passed on at all. Those behind them are offered to next.
+func (b *boundaries) skip(received []byte) (n int, err error) {
+	if b.part != chunkedBody || !b.chunks.inTrailers() {
+		return 0, nil
+	}
+	return b.chunks.skipTrailers(received)
 }
 
 // next returns how many of the received bytes, at least one, may be passed on to a reader with room for this many, and counts
@@ -39,11 +46,7 @@
 	case sizedBody:
 		return b.nextOfBody(received)
 	case chunkedBody:
-		if n = blankLineEnd(b.tail, received); n < 0 {
-			n = len(received)
-		}
-		b.noteTail(received[:n])
-		return n
+		return b.nextOfChunks(received)
 	case unknownBody:
 		return len(received)
 	}
@@ -58,6 +61,18 @@
 	return n
 }
 
+func (b *boundaries) nextOfChunks(received []byte) (n int) {
+	n, ended, ok := b.chunks.next(received)
+	switch {
+	case ended:
+		*b = boundaries{}
+	case !ok:
+		b.part = unknownBody
+		return len(received)
+	}
+	return n
+}
+
 func (b *boundaries) nextOfHead(received []byte, room int) (n int) {
 	start := 0
 	if !b.begun {
@@ -100,24 +115,3 @@
 
 // endMessage records that a message has been handled.
 func (b *boundaries) endMessage() { *b = boundaries{} }
-
-func (b *boundaries) noteTail(passedOn []byte) {
-	for _, c := range passedOn[max(0, len(passedOn)-len(b.tail)):] {
-		b.tail = [2]byte{b.tail[1], c}
-	}
-}
-
-// blankLineEnd returns the end of the first blank line in received, which may have begun in the bytes before; -1: there is
-// none.
-func blankLineEnd(before [2]byte, received []byte) int {
-	switch {
-	case before[1] == '\n' && bytes.HasPrefix(received, []byte("\r\n")):
-		return 2
-	case before == [2]byte{'\n', '\r'} && bytes.HasPrefix(received, []byte("\n")):
-		return 1
-	}
-	if at := bytes.Index(received, []byte("\n\r\n")); at >= 0 {
-		return at + len("\n\r\n")
-	}
-	return -1
-}
--- a/internal/connlimit/boundaries_test.go
+++ b/internal/connlimit/boundaries_test.go
@@ -54,6 +54,9 @@
 		{"many fields, the body is awaited by the server", []string{strings.Replace(many, "a:", "Expect: 100-continue", 1)},
 			[]string{strings.Replace(many, "a:", "Expect: 100-continue", 1), "held: "}},
 		{"chunks", []string{chunked + chunks[:5], chunks[5:]}, []string{chunked, chunks[:5], chunks[5:], "held: "}},
+		{"chunks and the next message", []string{chunked + chunks + get}, []string{chunked, chunks, get, "held: "}},
+		{"blank lines in a chunk", []string{chunked + "9\r\n\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n" + get}, []string{chunked, "9\r\n\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n", get, "held: "}},
+		{"chunks that can't be read", []string{chunked + "x\r\n" + get}, []string{chunked, "x\r\n" + get, "held: "}},
 		{"a length that can't be read", []string{"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n" + get}, []string{"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", get, "held: "}},
 	} {
 		if diff := cmp.Diff(test.want, passOnAll(&boundaries{}, 1<<14, test.pieces...)); diff != "" {
--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -117,50 +117,53 @@
 	return n, err
 }
 
+// read returns bytes to pass on. It goes on until there are some, since all that was received may be skipped.
 func (c *clientConn) read(p []byte) (n int, err error) {
-	if n = c.takePipelined(p); n > 0 {
-		return n, nil
+	for n == 0 && err == nil && len(p) > 0 {
+		if len(c.pipelined) > 0 {
+			n, c.pipelined, err = c.passOn(c.pipelined, p)
+		} else {
+			n, err = c.receive(p)
+		}
+		if len(c.pipelined) == 0 {
+			c.pipelined = nil
+		}
 	}
+	return n, err
+}
+
+// receive reads the socket, and returns what of the received bytes is to be passed on. It keeps the rest.
+func (c *clientConn) receive(p []byte) (n int, err error) {
 	c.applyReadDeadline()
 	if c.messageBytes > shortMessage {
 		c.moveDeadline()
 	}
 	n, err = c.input.Read(p)
+	c.noteReadError(err)
 	if n > 0 {
-		n = c.passOn(p[:n], len(p))
+		var rest []byte
+		n, rest, err = c.passOn(p[:n], p)
+		c.pipelined = bytes.Clone(rest)
 	}
 	if c.messageBytes > shortMessage {
 		c.lastReadAt = time.Now()
 	}
-	c.noteReadError(err)
 	return n, err
 }
 
-// passOn returns how many of the received bytes are to be passed on to a reader with this room, and keeps the rest.
-func (c *clientConn) passOn(received []byte, room int) (n int) {
-	n = c.boundaries.next(received, room)
-	c.pipelined = nil
-	if n < len(received) {
-		c.pipelined = bytes.Clone(received[n:])
-	}
-	c.messageBytes += n
-	c.lastRead = received[:n]
-	return n
-}
-
-// takePipelined passes on bytes that have been read from the socket before.
-func (c *clientConn) takePipelined(p []byte) (n int) {
-	if len(c.pipelined) == 0 {
-		return 0
-	}
-	n = copy(p, c.pipelined[:c.boundaries.next(c.pipelined, len(p))])
-	c.pipelined = c.pipelined[n:]
-	if len(c.pipelined) == 0 {
-		c.pipelined = nil
+// passOn copies those of the received bytes to p that are to be passed on now, skips those in front of them that never are,
+// and returns the rest.
+func (c *clientConn) passOn(received, p []byte) (n int, rest []byte, err error) {
+	skipped, err := c.boundaries.skip(received)
+	c.messageBytes += skipped
+	received = received[skipped:]
+	if err != nil || len(received) == 0 {
+		return 0, nil, err
 	}
+	n = copy(p, received[:c.boundaries.next(received, len(p))])
 	c.messageBytes += n
 	c.lastRead = p[:n]
-	return n
+	return n, received[n:], nil
 }
 
 // applyReadDeadline sets the read deadline that was requested last, if it differs noticeably from the one in
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -92,6 +92,12 @@
 	return len(name) == len(known) && strings.EqualFold(string(name), known)
 }
 
+// IsTokenByte reports whether a byte is allowed in a field name.
+func IsTokenByte(char byte) bool { return tokenBytes[char] }
+
+// IsValueByte reports whether a byte is allowed in a field value.
+func IsValueByte(char byte) bool { return valueBytes[char] }
+
 // containsOnly reports whether all bytes of the text are in the set.
 func containsOnly(text []byte, set *[256]bool) bool {
 	for _, c := range text {
--- a/internal/waiting_clients_test.go
+++ b/internal/waiting_clients_test.go
@@ -108,6 +108,10 @@
 		{"with an expectation twice", post, sized + expect + expect + many + "\r\n", ""},
 		{"with an expectation, by HTTP/1.0", "POST /pay HTTP/1.0\r\n", sized + expect + many + "\r\n", ""},
 		{"with an expectation and a long path, by HTTP/1.0", "POST /pay/" + strings.Repeat("x", 300) + " HTTP/1.0\r\n", sized + expect + many + "\r\n", ""},
+		{"in trailers", post, chunked + "\r\n", "1\r\nx\r\n0\r\n" + many + "a"},
+		{"behind trailers, for its answer", post, chunked + "\r\n", "1\r\nx\r\n0\r\n" + many + "\r\n"},
+		{"in trailers of an expected body", post, chunked + expect + "\r\n", "1\r\nx\r\n0\r\n" + many + "a"},
+		{"in trailers of a long body", post, chunked + "\r\n", "30000\r\n" + strings.Repeat("x", 0x30000) + "\r\n0\r\n" + many + "a"},
 	} {
 		for _, way := range []struct {
 			name                string
