--- a/decide/rollout/rollout.go
+++ b/decide/rollout/rollout.go
@@ -1,11 +1,8 @@
 package rollout
 
-// rollout.go: the Node, its timers, the choice of canaries and the evaluation of their reports.
+// rollout.go: the Node, its state, its timers, and the publication of a configuration.
 
 import (
-	"encoding/binary"
-	"hash/fnv"
-	"slices"
 	"strconv"
 
 	"ledgespread/brain/due"
@@ -178,18 +175,6 @@
 	n.ports.OnEvent(Event{Kind: kind, Version: version, From: from, Reason: reason, OtherDigest: n.newest.otherDigest})
 }
 
-// rankOf computes the rank of a member for a configuration number. All members compute the same ranks, and the
-// canaries differ from number to number.
-func rankOf(number Number, name Name) Rank {
-	hash := fnv.New64a()
-	hash.Write(binary.BigEndian.AppendUint64(nil, uint64(number)))
-	hash.Write([]byte(name))
-	return Rank(membership.RandomBits(hash.Sum64(), uint64(number)) >> 32)
-}
-
-// ownRank returns this member's rank for the newest configuration.
-func (n *Node) ownRank() Rank { return rankOf(n.newest.Number, n.name) }
-
 // Publish accepts a configuration that an operator publishes at this member. The caller has validated and
 // saved its content. If it returns an error, the configuration was not accepted: its number is invalid or too
 // low.
@@ -238,163 +223,3 @@
 	n.announce()
 	n.evaluate()
 }
-
-// eachCanary calls do for every other live member that would be a canary as far as this member knows.
-func (n *Node) eachCanary(do func(Name)) {
-	quota, _ := n.canaries()
-	n.ports.EachLive(func(name Name) {
-		if n.canariesBelow(rankOf(n.newest.Number, name)) < quota {
-			do(name)
-		}
-	})
-}
-
-// canaries returns the number of canaries, and how many of them must find the configuration no worse. One
-// canary in spareDivisor may be missing, so that the rollout does not wait for a member that has failed meanwhile.
-func (n *Node) canaries() (count, required int) {
-	living := 1
-	n.ports.EachLive(func(Name) { living++ })
-	count = min(max(n.newest.policy.Canaries, 1), max(living/3, 1))
-	if n.config.DisabledSafeguard == "no-draw" {
-		count = living
-	}
-	return count, count - count/spareDivisor
-}
-
-// isAlone reports whether no other member is live.
-func (n *Node) isAlone() bool {
-	alone := true
-	n.ports.EachLive(func(Name) { alone = false })
-	return alone
-}
-
-// canariesBelow counts the members with a rank below limit that try the configuration or may be about
-// to. Idle members don't count. Members that reported nothing are passed over in waves: one wave per
-// canaryTimeout, lowest ranks first, each wave twice as large as the one before. The waves prevent all members
-// from trying the configuration at once when no reports of the canaries arrive. A member that announced a
-// trial counts even after it has failed; otherwise a configuration that crashes its canaries would crash one
-// member after another.
-func (n *Node) canariesBelow(limit Rank) (count int) {
-	quota, _ := n.canaries()
-	var lower []Rank
-	addLower := func(r Rank) {
-		if r < limit {
-			lower = append(lower, r)
-		}
-	}
-	n.ports.EachLive(func(name Name) { addLower(rankOf(n.newest.Number, name)) })
-	addLower(n.ownRank())
-	passedOver := 0
-	if waves := (n.now - n.newest.since) / n.probeIntervals(canaryTimeout); waves > 0 {
-		slices.Sort(lower)
-		passedOver = quota * (1<<min(waves, maxWaves) - 1)
-	}
-	for index, r := range lower {
-		if _, reported := n.newest.reports[r]; !reported && index >= passedOver {
-			count++
-		}
-	}
-	for r, v := range n.newest.reports {
-		if r < limit && v != Idle {
-			count++
-		}
-	}
-	return count
-}
-
-// membersBelow counts the live members with a rank below this member's, whatever they reported.
-func (n *Node) membersBelow() (count int) {
-	mine := n.ownRank()
-	n.ports.EachLive(func(name Name) {
-		if rankOf(n.newest.Number, name) < mine {
-			count++
-		}
-	})
-	return count
-}
-
-// evaluate decides the next action for the newest configuration from all reports received so far.
-func (n *Node) evaluate() {
-	newest := &n.newest
-	tally := map[Verdict]int{}
-	for _, v := range newest.reports {
-		tally[v]++
-	}
-	if tally[Worse]+tally[Refused] > 0 {
-		n.stop("")
-	}
-	if newest.Number == 0 || newest.contested || newest.stage != Spreading {
-		n.applyIfEverywhere()
-		return
-	}
-	if n.isAlone() && !newest.publishedHere { // the other members may have found it worse
-		return
-	}
-	quota, required := n.canaries()
-	silent := 0
-	n.ports.EachLive(func(name Name) {
-		if _, reported := newest.reports[rankOf(newest.Number, name)]; !reported {
-			silent++
-		}
-	})
-	_, reported := newest.reports[n.ownRank()]
-	if !reported {
-		silent++
-	}
-	// If fewer members than needed report, their results are enough once all others have had time to report.
-	done := tally[NotWorse] + tally[Unsure]
-	timedOut := n.now-newest.since > n.probeIntervals(3*canaryTimeout)+newest.policy.Watch && done < quota
-	finished := tally[Trial] == 0 && done+tally[Idle] > 0
-	if done+tally[Idle]/spareDivisor >= required || finished && (silent == 0 || timedOut) || n.config.DisabledSafeguard == "no-watch" {
-		newest.stage = Everywhere
-		n.emit("everywhere", newest.Version, "", "")
-		n.announce()
-		n.applyIfEverywhere()
-		return
-	}
-	if !newest.hasContent || reported || !n.isNewer(newest.Number, n.inForce.Number) {
-		return
-	}
-	if n.isIdle() {
-		if n.membersBelow() < spareDivisor*quota && n.recordReport(n.ownRank(), Idle) {
-			n.emit("idle", newest.Version, n.name, "")
-			n.evaluate()
-		}
-		return
-	}
-	if n.canariesBelow(n.ownRank()) < quota && (tally[Trial]+done < quota || n.config.DisabledSafeguard == "no-draw") {
-		if n.recordReport(n.ownRank(), Trial) { // startTrial saves and announces the trial before it applies anything
-			n.startTrial(n.pastResults())
-		}
-	}
-}
-
-// recordReport records a member's verdict on the newest configuration and announces it if it is new. The highest
-// verdict of a member is kept.
-func (n *Node) recordReport(rank Rank, verdict Verdict) (changed bool) {
-	if changed = n.newest.record(rank, verdict); changed {
-		n.announce()
-	}
-	return changed
-}
-
-// record records a verdict and returns false if it changes nothing or the limit of reports is reached.
-func (c *rolloutState) record(rank Rank, verdict Verdict) bool {
-	previous := c.reports[rank]
-	if previous >= verdict || previous == 0 && len(c.reports) >= maxReports {
-		return false
-	}
-	if previous == 0 {
-		c.sendOrder = append(c.sendOrder, rank)
-	}
-	c.reports[rank] = verdict
-	return true
-}
-
-// merge adds the stage and reports of a message about a configuration that is not downloaded yet.
-func (c *rolloutState) merge(received *message) {
-	c.stage = max(c.stage, received.stage)
-	for _, r := range received.reports {
-		c.record(r.Rank, r.Verdict)
-	}
-}
