Rollout: a process that has just started is not idle, and its first moments judge nothing

Cause: without a request in its first sample a process said idle, and idle of all means everywhere.

Now a process tries a configuration after 12 samples with clients, is idle after 40 without any, counts the time of a resumed trial from its first request, and holds nobody's silence against them before it could have spoken itself. A trial that was announced by the process before, and not stored, is begun anew: such a process went on only as it was taken for idle.

--- a/decide/rollout/canaries.go
+++ b/decide/rollout/canaries.go
@@ -68,7 +68,7 @@
 	n.ports.EachLive(func(name Name) { addLower(rankOf(n.newest.Number, name)) })
 	addLower(n.ownRank())
 	passedOver := 0
-	if waves := (n.now - n.newest.since) / n.probeIntervals(canaryTimeout); waves > 0 {
+	if waves := n.waited() / n.probeIntervals(canaryTimeout); waves > 0 {
 		slices.Sort(lower)
 		passedOver = quota * (1<<min(waves, maxWaves) - 1)
 	}
@@ -85,6 +85,15 @@
 	return count
 }
 
+// waited returns for how long this member has waited for the reports of others. Those that have started together with this one can't
+// report before it could.
+func (n *Node) waited() Micros {
+	if n.judgesSince == 0 {
+		return 0
+	}
+	return n.now - max(n.newest.since, n.judgesSince)
+}
+
 // membersBelow counts the live members with a rank below this member's, whatever they reported.
 func (n *Node) membersBelow() (count int) {
 	mine := n.ownRank()
--- a/decide/rollout/evaluate.go
+++ b/decide/rollout/evaluate.go
@@ -48,8 +48,13 @@
 	if _, reported := newest.reports[n.ownRank()]; !reported {
 		silent++
 	}
-	// If fewer members than needed report, their results are enough once all others have had time to report.
-	timedOut := n.now-newest.since > n.probeIntervals(3*canaryTimeout)+newest.policy.Watch && reports.tried() < quota
+	// If fewer members than needed report, their results are enough once all others have had time to report. Where all that did are
+	// idle, the others may have just started.
+	timeout := n.probeIntervals(reportTimeout) + newest.policy.Watch
+	if reports.tried() == 0 {
+		timeout += n.probeIntervals(baselineIntervals)
+	}
+	timedOut := n.waited() > timeout && reports.tried() < quota
 	finished := reports[Trial] == 0 && reports.tried()+reports[Idle] > 0
 	enough := reports.tried()+reports[Idle]/spareDivisor >= required
 	return enough || finished && (silent == 0 || timedOut) || n.config.DisabledSafeguard == "no-watch"
@@ -58,16 +63,20 @@
 // takePart reports that this member is idle, or begins a trial, if it is this member's turn.
 func (n *Node) takePart(reports tally) {
 	newest := &n.newest
-	if _, reported := newest.reports[n.ownRank()]; !newest.hasContent || reported || !n.isNewer(newest.Number, n.inForce.Number) {
+	own, reported := newest.reports[n.ownRank()]
+	lostTrial := own == Trial && n.trials == 0 // announced by an earlier process of this member, which ended before it was saved
+	if !newest.hasContent || reported && !lostTrial || !n.isNewer(newest.Number, n.inForce.Number) || n.judgesSince == 0 {
 		return
 	}
 	quota, _ := n.canaries()
 	switch {
 	case n.isIdle():
-		if n.membersBelow() < spareDivisor*quota && n.recordReport(n.ownRank(), Idle) {
+		if (lostTrial || n.membersBelow() < spareDivisor*quota) && n.recordReport(n.ownRank(), Idle) {
 			n.emit("idle", newest.Version, n.name, "")
 			n.evaluate()
 		}
+	case lostTrial:
+		n.startTrial(n.pastResults())
 	case n.canariesBelow(n.ownRank()) < quota && (reports[Trial]+reports.tried() < quota || n.config.DisabledSafeguard == "no-draw"):
 		if n.recordReport(n.ownRank(), Trial) { // startTrial saves and announces the trial before it applies anything
 			n.startTrial(n.pastResults())
--- a/decide/rollout/rollout.go
+++ b/decide/rollout/rollout.go
@@ -11,19 +11,20 @@
 
 // Delays and limits. Delays are in probe intervals.
 const (
-	trialDelay           = 0.2 // from announcing a trial to applying it, so that others know of it if this process crashes
-	secondTrialDelay     = 4.0 // the same for the second trial, by which time others may have reported a problem
-	canaryTimeout        = 6.0 // a canary that reported nothing for this long is replaced by the next rank
-	maxWaves             = 16  // maximum number of times that the number of replaced canaries doubles
-	announceDelay        = 0.1 // mean delay from a change to the extra messages that announce it
-	minAnnounceInterval  = 0.4 // minimum interval between two rounds of extra messages
-	announceFanout       = 2   // random members that receive an extra message in each round
-	announceRepeats      = 3   // additional rounds, one per probe interval
-	fetchRetryDelay      = 0.4 // mean delay before a failed download is retried
-	hedgeDelay           = 1.5 // a download that takes this long is started from another member too
-	maxConcurrentFetches = 3   // maximum number of simultaneous downloads of one content
-	maxSources           = 8   // maximum number of known members to download from
-	maxServes            = 2   // maximum number of downloads served within serveWindow
+	trialDelay           = 0.2  // from announcing a trial to applying it, so that others know of it if this process crashes
+	secondTrialDelay     = 4.0  // the same for the second trial, by which time others may have reported a problem
+	canaryTimeout        = 6.0  // a canary that reported nothing for this long is replaced by the next rank
+	reportTimeout        = 18.0 // beyond the time of a trial; what members report after it is not waited for
+	maxWaves             = 16   // maximum number of times that the number of replaced canaries doubles
+	announceDelay        = 0.1  // mean delay from a change to the extra messages that announce it
+	minAnnounceInterval  = 0.4  // minimum interval between two rounds of extra messages
+	announceFanout       = 2    // random members that receive an extra message in each round
+	announceRepeats      = 3    // additional rounds, one per probe interval
+	fetchRetryDelay      = 0.4  // mean delay before a failed download is retried
+	hedgeDelay           = 1.5  // a download that takes this long is started from another member too
+	maxConcurrentFetches = 3    // maximum number of simultaneous downloads of one content
+	maxSources           = 8    // maximum number of known members to download from
+	maxServes            = 2    // maximum number of downloads served within serveWindow
 	serveWindow          = 4.0
 	spareDivisor         = 4    // one canary in this many need not report; this many idle members count as one canary
 	checksPerTrial       = 8    // checks of the request counts during a trial of the set length
@@ -38,6 +39,7 @@
 	name              Name
 	seed, randomCalls uint64
 	now               Micros
+	startedAt         Micros
 	due               *due.Queue[Micros]
 	newest            rolloutState // the newest configuration that this member announces
 	inForce           Version
@@ -49,6 +51,8 @@
 	running           *trial
 	servedAt          []Micros // times of recently served downloads
 	samples           []sample
+	samplesInUse      int           // how many samples were recorded since this process had its first request
+	judgesSince       Micros        // when this process had enough samples to judge a configuration by; 0: it has not
 	lastCounts        RequestCounts // counts at the last sample
 	announcePending   bool          // a round of extra messages is scheduled
 	lastAnnounced     Micros        // time of the last round
@@ -89,7 +93,7 @@
 // New returns a Node that continues from the saved state of the member's previous process. seed makes its
 // random decisions reproducible.
 func New(now Micros, name Name, config Config, saved SavedState, seed uint64, ports Ports) *Node {
-	n := &Node{ports: ports, config: config, name: name, seed: seed, now: now, due: due.New[Micros](), inForce: saved.InForce, applied: saved.InForce}
+	n := &Node{ports: ports, config: config, name: name, seed: seed, now: now, startedAt: now, due: due.New[Micros](), inForce: saved.InForce, applied: saved.InForce}
 	if newest := saved.Newest; newest.Number > n.inForce.Number || newest == n.inForce {
 		n.newest = rolloutState{Version: newest, policy: saved.Policy, hasContent: newest.Number != 0, since: now, reports: map[Rank]Verdict{}}
 	} else {
@@ -110,6 +114,7 @@
 		n.reject(n.newest.Version, "the sidecar ended "+strconv.Itoa(n.trials)+" times while it tried it")
 		return
 	}
+	n.samples, n.judgesSince = []sample{{Results: saved.Baseline}}, n.now
 	n.recordReport(n.ownRank(), Trial)
 	n.startTrial(saved.Baseline)
 }
--- a/decide/rollout/sequences_test.go
+++ b/decide/rollout/sequences_test.go
@@ -11,16 +11,16 @@
 	"ledgespread/decide/rollout/fleet"
 )
 
-// Under random publications, restarts, pauses, broken network paths and packet loss: the number in force
-// never falls, a member that knows of a conflict does not put the contested number in force, and a harmful
-// configuration comes into force nowhere as long as members have requests to judge it by. Once the faults
-// end, a higher number is in force everywhere within 6 s.
+// Under random publications, restarts of one, some and all members, pauses, broken network paths and packet loss: the number
+// in force never falls, a member that knows of a conflict does not put the contested number in force, and a harmful
+// configuration comes into force nowhere, also where the clients of restarted members come some seconds after them. Once the
+// faults end, a higher number is in force everywhere within 6 s.
 func TestSequences(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const members = 6
 		group := newTestFleet(rapid.Uint64Range(1, 1<<40).Draw(t, "seed"), members, 40)
 		contestedAt := map[string]Micros{}
-		harmful, restarts := map[rollout.Version]bool{}, 0
+		harmful := map[rollout.Version]bool{}
 		group.OnEvent = func(at Micros, i int, event rollout.Event) {
 			key := fmt.Sprint(i, " ", event.Version.Number, " ", group.Sidecars[i].ProcessNumber())
 			if event.Kind == "contested" {
@@ -30,17 +30,31 @@
 			if event.Kind == "in_force" && contestedAt[key] > 0 && at-contestedAt[key] > 2*fleet.Disk {
 				t.Fatalf("n%d put %d in force after it knew that two contents have that number", i, event.Version.Number)
 			}
-			if event.Kind == "in_force" && harmful[event.Version] && restarts == 0 {
+			if event.Kind == "in_force" && harmful[event.Version] {
 				t.Fatalf("n%d put %d in force, which is harmful", i, event.Version.Number)
 			}
 		}
 		cuts := map[[2]int]bool{}
 		group.Cut = func(from, to int) bool { return cuts[[2]int{from, to}] }
 		drawMember := func(what string) int { return rapid.IntRange(0, members-1).Draw(t, what) }
-		highest, downUntil := rollout.Number(0), map[int]Micros{}
+		highest, downUntil, clientsFrom := rollout.Number(0), map[int]Micros{}, map[int]Micros{}
 		paused := map[int]bool{}
+		group.Rate = func(i int) float64 {
+			if group.Now < clientsFrom[i] {
+				return 0
+			}
+			return 40
+		}
+		restart := func(i int, clientsAfter Micros) {
+			if paused[i] || downUntil[i] > group.Now {
+				return
+			}
+			downUntil[i] = group.Now + 500_001
+			clientsFrom[i] = downUntil[i] + clientsAfter
+			group.Restart(i, 500_000)
+		}
 		for range rapid.IntRange(3, 20).Draw(t, "steps") {
-			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0, 1, 2:
 				number := highest + rollout.Number(rapid.IntRange(0, 2).Draw(t, "above"))
 				i, kind := drawMember("at"), rapid.IntRange(0, 4).Draw(t, "kind")
@@ -61,11 +75,7 @@
 					harmful[version] = kind == 0
 				}
 			case 3:
-				if i := drawMember("restarts"); !paused[i] && downUntil[i] <= group.Now {
-					restarts++
-					downUntil[i] = group.Now + 500_001
-					group.Restart(i, 500_000)
-				}
+				restart(drawMember("restarts"), 0)
 			case 4:
 				i := drawMember("stands still")
 				if downUntil[i] > group.Now {
@@ -81,6 +91,16 @@
 				cuts[[2]int{i, j}] = !cuts[[2]int{i, j}]
 			case 6:
 				group.Network.LossRate = 0.1 * float64(rapid.IntRange(0, 3).Draw(t, "lost"))
+			case 8, 9:
+				some, clientsAfter := rapid.IntRange(1, 1<<members-1).Draw(t, "restart"), Micros(rapid.IntRange(0, 5).Draw(t, "clients after"))*second
+				if rapid.Bool().Draw(t, "all") {
+					some = 1<<members - 1
+				}
+				for i := range members {
+					if some&(1<<i) != 0 {
+						restart(i, clientsAfter)
+					}
+				}
 			case 7:
 				k := drawMember("halves")
 				for i := range members {
--- a/decide/rollout/trial.go
+++ b/decide/rollout/trial.go
@@ -28,6 +28,7 @@
 // Limits of the comparison.
 const (
 	baselineIntervals    = 40   // probe intervals before the trial that it is compared with
+	minSamplesInUse      = 12   // of a process that has not run for so long
 	maxChanceProbability = 1e-5 // a drop counts only if its probability by chance is below this
 	minDrop              = 0.02 // and if the share of succeeded requests fell by at least this much
 	maxExtension         = 2    // maximum length of a trial with too few requests, as a multiple of the set length
@@ -43,6 +44,12 @@
 	}
 	n.samples = append(n.samples, sample{Results{now.Ended - last.Ended, now.Succeeded - last.Succeeded}, now.Started - now.Ended})
 	n.samples = n.samples[max(len(n.samples)-baselineIntervals, 0):]
+	if now.Started > 0 {
+		n.samplesInUse++
+	}
+	if n.judgesSince == 0 && n.hasEnoughSamples() {
+		n.judgesSince = n.now
+	}
 }
 
 // pastResults sums up the recent results under the configuration in force.
@@ -54,10 +61,19 @@
 	return total
 }
 
+// hasEnoughSamples reports whether this process can judge a configuration by its requests. One that has just started has nothing
+// to compare with, and without requests so far it is not idle: its clients may still be on their way.
+func (n *Node) hasEnoughSamples() bool {
+	return n.samplesInUse >= minSamplesInUse || len(n.samples) == baselineIntervals
+}
+
 // isIdle reports whether this member had no requests recently, and so can't measure the effect of a
 // configuration.
 func (n *Node) isIdle() bool { return n.pastResults().Ended == 0 }
 
+// isStarting reports whether the clients of this process may still be on their way.
+func (n *Node) isStarting() bool { return n.now < n.startedAt+n.probeIntervals(baselineIntervals) }
+
 // startWatch begins to observe the requests under a configuration that was applied on trial.
 func (n *Node) startWatch(baseline Results) {
 	watched := &trial{version: n.newest.Version, baseline: baseline, startCounts: n.ports.RequestCounts(), startedAt: n.now}
@@ -77,13 +93,15 @@
 		if n.running != watched || n.newest.Version != watched.version {
 			return
 		}
-		// This process was paused; requests that waited meanwhile don't count against the configuration.
-		if n.now-at > n.probeIntervals(1) {
-			watched.startCounts, watched.startedAt = n.ports.RequestCounts(), n.now
+		now := n.ports.RequestCounts()
+		// Requests that waited while this process was paused don't count against the configuration, and the time in which the clients
+		// of a process that has just started are on their way doesn't count for it.
+		paused := n.now-at > n.probeIntervals(1)
+		if paused || n.isStarting() && now.Started == 0 {
+			watched.startCounts, watched.startedAt = now, n.now
 			n.scheduleCheck(watched, 1)
 			return
 		}
-		now := n.ports.RequestCounts()
 		after := Results{now.Ended - watched.startCounts.Ended, now.Succeeded - watched.startCounts.Succeeded}
 		// Requests that hang, beyond the number in flight before the trial, count as failed.
 		if open := now.Started - now.Ended; open > watched.maxInFlight {
