Rollout: that a configuration was stopped or contested outlives those who know it

After all members were killed and started again, those that had found a configuration worse tried it again, and served nobody until a higher number was published.

Cause: contents, numbers and the beginning of a trial were on disk, the outcome of a rollout was in memory alone.

Now each member keeps the outcome of the highest number in a third file, also where it never had the content, and begins with it.

TestOutcomeSurvivesProcesses: 3 of 3 rows failed before. TestOrders has one more exploration (all restart between any two writes), and more states in two others, since the outcome is a write of its own.

--- a/decide/rollout/apply.go
+++ b/decide/rollout/apply.go
@@ -1,6 +1,6 @@
 package rollout
 
-// apply.go: trials of a configuration, and applying, rejecting and stopping it.
+// apply.go: trials of a configuration, and applying and rejecting it.
 
 // startTrial begins a trial: it is saved to disk first, then announced to other members, then applied.
 func (n *Node) startTrial(baseline Results) {
@@ -84,13 +84,3 @@
 	n.emit("refused", version, n.name, reason)
 	n.stop(n.name)
 }
-
-// stop ends the rollout of the newest configuration: members that have not applied it never will.
-func (n *Node) stop(from Name) {
-	if n.newest.stage == Stopped {
-		return
-	}
-	n.newest.stage = Stopped
-	n.emit("stopped", n.newest.Version, from, "")
-	n.announce()
-}
--- a/decide/rollout/exchange.go
+++ b/decide/rollout/exchange.go
@@ -15,15 +15,9 @@
 	case received.Number == newest.Number:
 		n.receiveSameNumber(received, from)
 	case received.contested:
-		n.newest = rolloutState{Version: received.Version, contested: true, otherDigest: received.otherDigest, since: n.now, reports: map[Rank]Verdict{}, stage: Stopped}
-		n.running, n.wanted = nil, wantedConfig{}
-		n.emit("contested", received.Version, from, "")
-		n.announce()
+		n.contestUnheld(received.Version, received.otherDigest, from)
 	case received.Number == n.wanted.Number && received.Digest != n.wanted.Digest && n.config.DisabledSafeguard != "no-contest":
-		n.newest = rolloutState{Version: n.wanted.Version, contested: true, otherDigest: received.Digest, since: n.now, reports: map[Rank]Verdict{}, stage: Stopped}
-		n.running, n.wanted = nil, wantedConfig{}
-		n.emit("contested", n.newest.Version, from, "")
-		n.announce()
+		n.contestUnheld(n.wanted.Version, received.Digest, from)
 	case received.Number >= n.wanted.Number:
 		if received.Number > n.wanted.Number {
 			n.wanted = wantedConfig{Version: received.Version, learned: rolloutState{reports: map[Rank]Verdict{}}}
@@ -44,13 +38,11 @@
 		return
 	}
 	if differs := received.Digest != newest.Digest; (differs || received.contested) && !newest.contested {
-		if newest.otherDigest = received.otherDigest; differs {
-			newest.otherDigest = received.Digest
+		other := received.otherDigest
+		if differs {
+			other = received.Digest
 		}
-		newest.contested = true
-		n.running = nil
-		n.emit("contested", newest.Version, from, "")
-		n.announce()
+		n.contest(other, from)
 	}
 	if newest.contested {
 		return
--- a/decide/rollout/fleet/fleet.go
+++ b/decide/rollout/fleet/fleet.go
@@ -242,6 +242,11 @@
 	}))
 }
 
+// SaveOutcome implements rollout.Ports.
+func (s *Sidecar) SaveOutcome(outcome rollout.Outcome) {
+	s.fleet.Schedule(Disk, s.run(func() { s.Saved.Outcome = outcome }))
+}
+
 // Apply implements rollout.Ports.
 func (s *Sidecar) Apply(version rollout.Version, trial bool) {
 	f := s.fleet
--- a/decide/rollout/orders_test.go
+++ b/decide/rollout/orders_test.go
@@ -91,6 +91,10 @@
 	})
 }
 
+func (s *sidecar) SaveOutcome(outcome rollout.Outcome) {
+	s.addPending(fmt.Sprint("outcome ", outcome.Number, outcome.Digest[0]), func() { s.saved.Outcome = outcome })
+}
+
 func (s *sidecar) Apply(v rollout.Version, trial bool) {
 	s.addPending(fmt.Sprint("apply ", v.Number, v.Digest[0], trial), func() {
 		s.updateCounts()
@@ -280,7 +284,7 @@
 
 // For every order of three members' messages, disk writes and clocks: a good configuration comes into force
 // everywhere. A harmful or unreadable one is applied by one member, plus one more for each wait in which no
-// report of the canary arrived. Of two contents with one number neither is applied by a member that knows
+// report of the canary arrived; a harmful one is in force nowhere, also where all processes end and start again. Of two contents with one number neither is applied by a member that knows
 // both. No number in force falls.
 func TestOrders(t *testing.T) {
 	maxDepth := 7
@@ -325,6 +329,19 @@
 		}
 		return ""
 	}))
+	restartAll := action{"restart all", func(g *testGroup) {
+		for _, sidecar := range g.sidecars {
+			sidecar.start()
+		}
+	}}
+	tr.AddLine("one that harms, and all restart: %d states", explore(t, func(g *testGroup) { g.harmful = 1; publish(g) }, actions(restartAll), maxDepth-1, func(g *testGroup) string {
+		for _, sidecar := range g.sidecars {
+			if sidecar.inForce == one {
+				return "in force"
+			}
+		}
+		return ""
+	}))
 	tr.AddLine("one that a member can't read: %d states", explore(t, func(g *testGroup) { g.unreadable = 1; publish(g) }, actions(), maxDepth, func(g *testGroup) string {
 		if g.sidecars[2].applied.Number != 0 {
 			return "applied by the member that can't read it"
--- a/decide/rollout/restart_test.go
+++ b/decide/rollout/restart_test.go
@@ -96,3 +96,71 @@
 		}
 	}
 }
+
+// Guards against a configuration that was stopped, or whose number is contested, and is tried again or put in force after all
+// processes that knew of it have ended.
+func TestOutcomeSurvivesProcesses(t *testing.T) {
+	harmful, other := content(1, harms), content(1, func(x *fleet.Content) { x.Size++ })
+	refused := content(1, func(x *fleet.Content) {
+		x.Refusal, x.Refuses = "fleet.json:1: no", func(i int) bool { return i == 11 }
+	})
+	for _, test := range []struct {
+		name     string
+		contents []fleet.Content
+		knows    func(rollout.Status) bool
+	}{
+		{"worse", []fleet.Content{harmful}, func(s rollout.Status) bool { return s.Stage == rollout.Stopped }},
+		{"refused", []fleet.Content{refused}, func(s rollout.Status) bool { return s.Stage == rollout.Stopped }},
+		{"contested", []fleet.Content{content(1), other}, func(s rollout.Status) bool { return s.Contested }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				group := newTestFleet(seed, 16, 40)
+				for i, x := range test.contents {
+					group.Publish(7*i, x)
+				}
+				group.RunFor(10 * second)
+				clear(group.events)
+				for i := range group.Sidecars {
+					group.Restart(i, second)
+				}
+				group.RunFor(second + second/100)
+				for i, sidecar := range group.Sidecars {
+					if status := sidecar.Status(); status.Newest.Number != 1 || !test.knows(status) {
+						t.Fatalf("seed %d: n%d begins with %+v", seed, i, status)
+					}
+				}
+				group.RunFor(30 * second)
+				if tried, in := group.events["1 tries"], group.events["1 in_force"]; tried+in > 0 {
+					t.Fatalf("seed %d: tried by %d, in force at %d members: %v", seed, tried, in, group.events)
+				}
+				if next := group.publish(0, content(2)); group.RunUntil(6*second, group.InForceEverywhere(next)) < 0 {
+					t.Fatalf("seed %d: the next one is not in force everywhere: %s", seed, group.appliedNumbers())
+				}
+			}
+		})
+	}
+}
+
+// Guards against members that begin to try a configuration which is in force at others: all processes end while it is being put
+// in force everywhere.
+func TestPutInForceGoesOnAfterRestart(t *testing.T) {
+	for seed := range uint64(10) {
+		group := newTestFleet(seed, 16, 40)
+		version := group.publish(0, content(1))
+		group.RunUntil(10*second, func() bool { return group.events["1 in_force"] > 0 })
+		before := group.events["1 in_force"]
+		clear(group.events)
+		for i := range group.Sidecars {
+			group.Restart(i, second)
+		}
+		group.RunFor(second)
+		elapsed := group.RunUntil(10*second, group.InForceEverywhere(version))
+		if elapsed < 0 || before == 16 {
+			t.Fatalf("seed %d: in force at %d before, everywhere after %d us: %v", seed, before, elapsed, group.events)
+		}
+		if tried := group.events["1 on_trial"]; elapsed > 3*second || tried > 5 {
+			t.Errorf("seed %d: after %d us, tried by %d: %v", seed, elapsed, tried, group.events)
+		}
+	}
+}
--- a/decide/rollout/rollout.go
+++ b/decide/rollout/rollout.go
@@ -99,7 +99,11 @@
 	} else {
 		n.newest = rolloutState{Version: n.inForce, hasContent: true, since: now, reports: map[Rank]Verdict{}}
 	}
-	if saved.Trials > 0 && n.newest.Version == saved.Newest && n.newest.Version != n.inForce {
+	if n.newest.Version == n.inForce && n.inForce.Number != 0 {
+		n.newest.stage = Everywhere // it would not be in force otherwise
+	}
+	n.restoreOutcome(saved.Outcome)
+	if saved.Trials > 0 && n.newest.Version == saved.Newest && n.newest.Version != n.inForce && n.newest.stage == Spreading {
 		n.resumeTrial(saved)
 	}
 	n.onProbe()
@@ -225,6 +229,9 @@
 	if n.newest.stage != Spreading { // other members have already decided
 		n.emit(n.newest.stage.String(), version, from, "")
 	}
+	if n.newest.stage == Stopped {
+		n.saveOutcome()
+	}
 	n.announce()
 	n.evaluate()
 }
--- a/decide/rollout/types.go
+++ b/decide/rollout/types.go
@@ -71,6 +71,14 @@
 	Policy          CanaryPolicy // canary policy of Newest
 	Trials          int          // number of trials of Newest that were started, if it is not in force
 	Baseline        Results      // request results before the first of these trials
+	Outcome         Outcome
+}
+
+// Outcome says that the rollout of a configuration ended without its being put in force everywhere. The zero value says nothing.
+type Outcome struct {
+	Version
+	Contested   bool   // another content has the same number; otherwise the rollout was stopped
+	OtherDigest Digest // if Contested: the digest of the other content
 }
 
 // Event is reported to operators.
@@ -92,6 +100,8 @@
 	Fetch(from Name, at Address, v Version)
 	// SaveTrial saves to disk that a trial of v starts. The result comes with Node.TrialSaved.
 	SaveTrial(v Version, trials int, baseline Results)
+	// SaveOutcome saves an outcome to disk, unless one of a higher number is there. It reports no result.
+	SaveOutcome(outcome Outcome)
 	// Apply applies v and, unless it is a trial, saves that v is in force. The result comes with Node.ApplyDone.
 	Apply(v Version, trial bool)
 	// SendTo sends a membership message, which carries the one of Node.EncodeMessage, to a member now.
--- a/internal/rollouts/rollouts.go
+++ b/internal/rollouts/rollouts.go
@@ -78,6 +78,10 @@
 	}
 	r.inForce, r.newest = read(inForceFile), read(newestFile)
 	r.initial = rollout.SavedState{InForce: r.inForce.version(), Newest: r.newest.version()}
+	var err error
+	if r.initial.Outcome, err = r.store.readOutcome(); err != nil {
+		r.log.Error().Err(err).Msg("the stored outcome of a rollout can't be read; passed over")
+	}
 	if kept := r.newest; kept != nil {
 		r.initial.Policy, _ = parsePath(kept.Content)
 		r.initial.Trials, r.initial.Baseline = kept.Tries, rollout.Results{Ended: kept.Before[0], Succeeded: kept.Before[1]}
--- a/internal/rollouts/store.go
+++ b/internal/rollouts/store.go
@@ -17,8 +17,8 @@
 	"ledgespread/internal/durable"
 )
 
-// A sidecar keeps two files: the newest configuration that it has, and the one in force. Each file is a line of JSON
-// followed by the content.
+// A sidecar keeps the newest configuration that it has and the one in force in a file each: a line of JSON followed by the
+// content. A third file says how a rollout ended, see outcomes.go.
 const (
 	fileFormat              = "ledgespread rollout 1"
 	newestFile, inForceFile = "newest", "in_force"
@@ -71,12 +71,17 @@
 // write replaces a file atomically and durably: it is on disk under its name once write returns without an error. A
 // crash leaves no partial file, and a number that this sidecar has reported as
 // stored or in force is not forgotten.
-func (s store) write(kind string, r record) (err error) {
+func (s store) write(kind string, r record) error {
 	r.Format, r.Sidecar, r.Digest = fileFormat, s.sidecar, FormatDigest(r.identity.Digest)
 	line, err := json.Marshal(r)
 	if err != nil {
 		return err
 	}
+	return s.replace(kind, append(append(line, '\n'), r.Content...))
+}
+
+// replace replaces the text of a file, as write does.
+func (s store) replace(kind string, text []byte) (err error) {
 	file, err := os.CreateTemp(s.folder, ".rollout-*")
 	if err != nil {
 		return err
@@ -86,7 +91,7 @@
 			os.Remove(file.Name())
 		}
 	}()
-	if err = durable.WriteAndClose(file, append(append(line, '\n'), r.Content...)); err != nil {
+	if err = durable.WriteAndClose(file, text); err != nil {
 		return err
 	}
 	if err = os.Rename(file.Name(), s.path(kind)); err != nil {
