Rollout: a new version begins with all that the old process stored until its end

Cause: the files are read at the start of the process, and read again as it takes the old one's place among the members only where another configuration has come in force.

Now they are always read again then. TestBeginsWithWhatTheOldProcessStored: 3 of 3 rows failed before.

--- a/internal/rollouts/outcomes_test.go
+++ b/internal/rollouts/outcomes_test.go
@@ -74,3 +74,44 @@
 		}
 	}
 }
+
+// Guards against a rollout that stands still after an upgrade, or is begun anew: the old process goes on until the new one takes its
+// place among the members, and what it has stored until then counts.
+func TestBeginsWithWhatTheOldProcessStored(t *testing.T) {
+	policy := []byte(`{"settings": {"allowed": {"max_backend_fetches": 2}}}`)
+	tried := newRecord(4, policy)
+	tried.Tries, tried.Before = 1, [2]uint64{200, 199}
+	for _, test := range []struct {
+		name  string
+		store func(old *Rollouts) error
+		want  func(rollout.Status) bool
+	}{
+		{"a newer one", func(old *Rollouts) error { return old.store.write(newestFile, *newRecord(4, policy)) },
+			func(s rollout.Status) bool { return s.Newest.Number == 4 && s.HasContent && len(s.Reports) == 0 }},
+		{"one that it tries", func(old *Rollouts) error { return old.store.write(newestFile, *tried) },
+			func(s rollout.Status) bool {
+				return s.Newest.Number == 4 && len(s.Reports) == 1 && s.Reports[0].Verdict == rollout.Trial
+			}},
+		{"one that was stopped", func(old *Rollouts) error {
+			old.storeOutcome(rollout.Outcome{Version: tried.version()})
+			return old.store.write(newestFile, *tried)
+		}, func(s rollout.Status) bool { return s.Newest.Number == 4 && s.Stage == rollout.Stopped }},
+	} {
+		folder := t.TempDir()
+		old, _ := openWithLog(t, folder, "n1")
+		if err := old.store.write(newestFile, *newRecord(3, policy)); err != nil {
+			t.Fatal(err)
+		}
+		next, _ := openWithLog(t, folder, "n1")
+		next.terms.RequestCounts = func() rollout.RequestCounts { return rollout.RequestCounts{} }
+		next.terms.ProbeInterval = 250_000
+		if err := test.store(old); err != nil {
+			t.Fatal(err)
+		}
+		next.changeMu.Lock() // for good: a trial that it goes on with is not stored
+		next.beginWith(1, emptyGroup{})
+		if status := next.node.Status(); !test.want(status) {
+			t.Errorf("%s: begins with %+v", test.name, status)
+		}
+	}
+}
--- a/internal/rollouts/rollouts.go
+++ b/internal/rollouts/rollouts.go
@@ -141,13 +141,13 @@
 // Begin starts the rollout node once the membership node exists.
 func (r *Rollouts) Begin(now membership.Micros, m *members.Members) { r.beginWith(now, m) }
 
-// beginWith is Begin for any Group. An earlier process of this sidecar may have put another configuration in force
-// since Open read the files; that one is then activated in the background.
+// beginWith is Begin for any Group. The process before this one may have gone on since Open read the files: it may have stored or
+// tried another configuration, stopped it, or put it in force. One in force is activated in the background.
 func (r *Rollouts) beginWith(now membership.Micros, group Group) {
 	r.group = group
-	if kept, err := r.store.read(inForceFile); err == nil && kept.version() != r.initial.InForce && kept != nil {
-		r.load()
-		stored := r.inForce
+	known := r.initial.InForce
+	r.load()
+	if stored := r.inForce; stored != nil && stored.version() != known {
 		go func() {
 			r.changeMu.Lock()
 			defer r.changeMu.Unlock()
