out-of-service and in-service hold at a process that does not serve yet

Cause: the console is up before the clients' address, passed these calls on to a server that was not there, and said yes. The new process never logs that it is out of service. Servers are taken out at once in that state; signals are buffered.

Now what was called for last is kept, and applied before the first client is accepted.

--- a/cmd/ledgespread/version_test.go
+++ b/cmd/ledgespread/version_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -59,7 +60,21 @@
 // upgrade is what the processes of one sidecar have in common while a new version is started beside the old one.
 type upgrade struct {
 	folder, listen, discovery string
-	servers                   string // their entries in the list
+	servers                   string      // their entries in the list
+	silent                    atomic.Bool // discovery does not answer
+}
+
+// upgradeProcess is one of the processes.
+type upgradeProcess struct {
+	program *exec.Cmd
+	console string
+	log     *logBuffer
+}
+
+// stop ends the process by SIGTERM.
+func (p upgradeProcess) stop() error {
+	p.program.Process.Signal(syscall.SIGTERM)
+	return p.program.Wait()
 }
 
 // newUpgrade starts a discovery service with a list of these servers, and sets $TMPDIR for the processes.
@@ -72,7 +87,7 @@
 	t.Cleanup(func() { ln.Close() })
 	u := &upgrade{folder: t.TempDir(), listen: freeAddress(t), discovery: ln.Addr().String(), servers: strings.Join(entries, ",")}
 	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("hold_ms") > "0" {
+		if r.URL.Query().Get("hold_ms") > "0" || u.silent.Load() {
 			<-r.Context().Done()
 			return
 		}
@@ -85,19 +100,23 @@
 // start starts a process with a console address of its own, and waits until it is ready.
 func (u *upgrade) start(t *testing.T, name string) (stop func() error, consoleAddress string, log *logBuffer) {
 	t.Helper()
-	consoleAddress = freeAddress(t)
+	process := u.launch(t, name)
+	eventually(t, name+" is ready", func() bool { return callConsole("GET", process.console, "ready") })
+	return process.stop, process.console, process.log
+}
+
+// launch starts a process with a console address of its own.
+func (u *upgrade) launch(t *testing.T, name string) (process upgradeProcess) {
+	t.Helper()
+	process.console = freeAddress(t)
 	file := filepath.Join(u.folder, name)
 	text := strings.Replace(fmt.Sprintf(minimalConfig, u.listen, u.discovery, 1), `"hosts":[]`, `"hosts":[`+u.servers+`]`, 1)
-	text = strings.Replace(text, `"seed"`, `"console":"`+consoleAddress+`","seed"`, 1)
+	text = strings.Replace(text, `"seed"`, `"console":"`+process.console+`","seed"`, 1)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	program, log := startProgram(t, file)
-	eventually(t, name+" is ready", func() bool { return callConsole("GET", consoleAddress, "ready") })
-	return func() error {
-		program.Process.Signal(syscall.SIGTERM)
-		return program.Wait()
-	}, consoleAddress, log
+	process.program, process.log = startProgram(t, file)
+	return process
 }
 
 // A new version starts under load beside the old one, with the same addresses, its own console address and a shared folder.
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -11,7 +11,6 @@
 	"ledgespread/internal/console"
 	"ledgespread/internal/counters"
 	"ledgespread/internal/handover"
-	"ledgespread/internal/inbound"
 	"ledgespread/internal/sharedids"
 )
 
@@ -65,28 +64,23 @@
 
 // consoleCalls returns the functions behind the operators' calls.
 func (p *process) consoleCalls(state *handover.State) console.Sidecar {
-	whileServing := func(do func(*inbound.Inbound)) func() {
-		return func() {
-			if in := p.inbound.Load(); in != nil {
-				do(in)
-			}
-		}
-	}
 	return console.Sidecar{
 		Ready: func() bool {
 			in := p.inbound.Load()
 			return in != nil && in.Ready()
 		},
 		Figures: func(w io.Writer) {
-			whileServing(func(in *inbound.Inbound) { in.Accounts().WriteTo(w) })()
+			if in := p.inbound.Load(); in != nil {
+				in.Accounts().WriteTo(w)
+			}
 			listed, avoided := p.relay.Fleet()
 			fmt.Fprintf(w, "app.forwards=%d\napp.discovered=%d\napp.ejected=%d\n", p.counts[counters.AttemptsWritten].Load(), listed, avoided)
 		},
 		Server: func(ctx context.Context, id string, out bool) error {
 			return state.Update(ctx, id, out, func() error { return p.relay.SetOutOfService(id, out) })
 		},
-		OutOfService: whileServing((*inbound.Inbound).OutOfService),
-		InService:    whileServing((*inbound.Inbound).InService),
+		OutOfService: p.availability.setOutOfService,
+		InService:    p.availability.setInService,
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -101,6 +101,7 @@
 	relay         *relay.Relay
 	members       *members.Members // nil: membership is off
 	inbound       atomic.Pointer[inbound.Inbound]
+	availability  availability
 	reloader      *reload.Reloader
 	reloaderReady chan struct{}    // closed when reloader is set
 	predecessor   handover.Process // an old process that still serves for this sidecar; zero: none
@@ -205,6 +206,7 @@
 	if p.rollouts != nil {
 		clients.ExtraCounters = twoParts{p.members, p.rollouts}
 	}
+	p.availability.serve(clients)
 	broken = make(chan error, 1)
 	go func() { broken <- clients.Serve() }()
 	p.steerClients(clients)
