in-service at a process that is stopping is answered with no

What callers would see: a yes, though a stop is final, and the process never serves new clients again.

Cause: the lifecycle ignores the call there, and had no way to say so. Now it returns an error, and the console answers 503.

TestServiceCallsDuringStop: yes before, no now; the other calls during a stop are as they were.

--- a/cmd/ledgespread/staff_calls_test.go
+++ b/cmd/ledgespread/staff_calls_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -129,3 +130,37 @@
 		}
 	}
 }
+
+// Guards against a yes to in-service at a process that is stopping: a stop is final. out-of-service holds there already.
+func TestServiceCallsDuringStop(t *testing.T) {
+	arrived, release := make(chan bool, 1), make(chan bool)
+	server := serveHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- true
+		<-release
+		io.WriteString(w, "done")
+	}))
+	processes := newUpgrade(t, []string{serverEntry("s0", server, "in_service")})
+	process := processes.launch(t, "old")
+	eventually(t, "it is ready", func() bool { return callConsole("GET", process.console, "ready") })
+	answer := make(chan string, 1)
+	go func() { answer <- sendRequest(processes.listen, "look", "1") }()
+	<-arrived
+	process.program.Process.Signal(syscall.SIGTERM)
+	eventually(t, "it stops", func() bool { return strings.Contains(process.log.text(), "stopping") })
+	eventually(t, "it isn't ready", func() bool { return !callConsole("GET", process.console, "ready") })
+	var got []bool
+	for _, call := range []string{outCall, inCall, inCall, outCall} {
+		got = append(got, callConsole("POST", process.console, call), callConsole("GET", process.console, "ready"))
+	}
+	if !slices.Equal(got, []bool{true, false, false, false, false, false, true, false}) {
+		t.Errorf("out, in, in, out, and ready after each: %v", got)
+	}
+	checkOtherCalls(t, process.console)
+	close(release)
+	if got := <-answer; got != "200 done" {
+		t.Errorf("the request that was out: %s", got)
+	}
+	if err := process.program.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -33,7 +33,7 @@
 	Figures      func(io.Writer)
 	Server       func(ctx context.Context, id string, out bool) error // takes a server out of service, or puts it back
 	OutOfService func()
-	InService    func()
+	InService    func() error
 }
 
 // Console is the server of the operators' address.
@@ -95,7 +95,11 @@
 	case path == "/control/out-of-service":
 		do = c.sidecar.OutOfService
 	case path == "/control/in-service":
-		do = c.sidecar.InService
+		do = func() {
+			if err := c.sidecar.InService(); err != nil {
+				connlimit.WriteText(ctx, fasthttp.StatusServiceUnavailable, err.Error())
+			}
+		}
 	default:
 		id, out := strings.CutSuffix(strings.TrimPrefix(path, "/control/servers/"), "/offline")
 		id, back := strings.CutSuffix(id, "/online")
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -52,7 +52,7 @@
 			note(fmt.Sprintf("%s out %v", id, out))()
 			return nil
 		},
-		OutOfService: note("away"), InService: note("back")}, &counters.Set{}, zerolog.Nop())
+		OutOfService: note("away"), InService: func() error { note("back")(); return nil }}, &counters.Set{}, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/inbound/lifecycle.go
+++ b/internal/inbound/lifecycle.go
@@ -43,6 +43,9 @@
 	maxStreamWait   = 20 * time.Second // a stop waits up to this long for answers that are being streamed
 )
 
+// ErrStopping is returned where a stop does not allow what was asked for.
+var ErrStopping = errors.New("this process is stopping")
+
 // lifecycle holds the current phase. Concurrent calls are safe, and the last one wins, except that stopping
 // is final.
 type lifecycle struct {
@@ -80,11 +83,16 @@
 	}
 }
 
-// InService ends OutOfService: the sidecar is ready again and keeps connections open.
-func (in *Inbound) InService() {
+// InService ends OutOfService: the sidecar is ready again and keeps connections open. A stop is final: InService then returns
+// ErrStopping.
+func (in *Inbound) InService() error {
 	if in.lifecycle.enter(serving) > 0 {
 		in.log.Info().Msg("in service")
 	}
+	if !in.Ready() {
+		return ErrStopping
+	}
+	return nil
 }
 
 // Ready reports whether the sidecar is in service.
--- a/internal/sidecar/availability.go
+++ b/internal/sidecar/availability.go
@@ -24,14 +24,15 @@
 	}
 }
 
-// setInService puts the process back.
-func (a *availability) setInService() {
+// setInService puts the process back. It returns an error if the process is stopping.
+func (a *availability) setInService() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.outOfService = false
-	if a.clients != nil {
-		a.clients.InService()
+	if a.clients == nil {
+		return nil
 	}
+	return a.clients.InService()
 }
 
 // serve applies the last call to the server of the clients, which must not have accepted any.
