Bytes that clients send ahead are in the account of memory

What callers would see: less memory left than the account says, 3 kB for each client that sends requests ahead; nobody reported it. Found by a row of TestWaitingClientsAreInTheAccount, for the places at which a client can make the process hold something.

Now it is charged as it grows and given back when it has been passed on, or with the connection's slot.

--- a/internal/connlimit/client.go
+++ b/internal/connlimit/client.go
@@ -1,7 +1,6 @@
 package connlimit
 
 import (
-	"bytes"
 	"errors"
 	"net"
 	"os"
@@ -49,6 +48,7 @@
 	peerClosed    atomic.Bool // the peer has closed the connection, or it broke; a drain asks for it as well
 	boundaries    boundaries
 	pipelined     []byte // bytes that have been read from the socket, but not passed on; most are of the next messages
+	readAhead     bufferCharge
 
 	// The deadlines in force, and a read deadline that the next read sets (zero: none).
 	readDeadline, nextReadDeadline, writeDeadline time.Time
@@ -121,13 +121,10 @@
 func (c *clientConn) read(p []byte) (n int, err error) {
 	for n == 0 && err == nil && len(p) > 0 {
 		if len(c.pipelined) > 0 {
-			n, c.pipelined, err = c.passOn(c.pipelined, p)
+			n, err = c.passOnPipelined(p)
 		} else {
 			n, err = c.receive(p)
 		}
-		if len(c.pipelined) == 0 {
-			c.pipelined = nil
-		}
 	}
 	return n, err
 }
@@ -143,7 +140,7 @@
 	if n > 0 {
 		var rest []byte
 		n, rest, err = c.passOn(p[:n], p)
-		c.pipelined = bytes.Clone(rest)
+		c.keepPipelined(rest)
 	}
 	if c.messageBytes > shortMessage {
 		c.lastReadAt = time.Now()
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -34,6 +34,9 @@
 	// Charge, if it is set, is called with 1 when a connection takes its slot, and with -1 when it frees it.
 	Charge func(connections int)
 
+	// ChargeReadAhead, if it is set, is called with the change of the memory for bytes that are read ahead.
+	ChargeReadAhead func(bytes int)
+
 	draining, drained atomic.Bool // of the backlog, see CloseWhenBacklogEmpty
 
 	mu    sync.Mutex
@@ -115,7 +118,9 @@
 	l.charge(1)
 	now := time.Now()
 	conn := &clientConn{TCPConn: tcp, input: newReceiver(tcp), acceptedAt: now, since: now}
+	conn.readAhead.charge = l.ChargeReadAhead
 	conn.releaseSlot = sync.OnceFunc(func() {
+		conn.readAhead.end()
 		l.mu.Lock()
 		delete(l.conns, conn)
 		l.setState(conn, connClosing) // takes it out of the count of idle connections
--- a/internal/connlimit/watch.go
+++ b/internal/connlimit/watch.go
@@ -2,17 +2,11 @@
 
 import (
 	"net"
-	"slices"
 	"time"
 
 	"ledgespread/internal/peek"
 )
 
-const (
-	maxPipelinedBytes = 16 << 10 // bytes of the next messages that are buffered while a request is in progress
-	pipelinedReadSize = 1 << 10  // bytes of one read into that buffer
-)
-
 // WatchForClose closes the channel closed when the peer closes the connection. Received bytes are a pipelined
 // request, whose client is still connected. WatchForClose buffers them for the next reader, up to
 // maxPipelinedBytes, because a close shows only behind them. stop ends the watch; until it has returned, the
@@ -51,16 +45,6 @@
 	}
 }
 
-// readPipelined reads bytes of the next messages into the buffer for the next reader.
-func (c *clientConn) readPipelined() {
-	n := len(c.pipelined)
-	c.pipelined = slices.Grow(c.pipelined, pipelinedReadSize)
-	read, err := c.TCPConn.Read(c.pipelined[n : n+pipelinedReadSize])
-	c.pipelined = c.pipelined[:n+read]
-	c.input.countRead(read)
-	c.noteReadError(err)
-}
-
 // pollForClose reports whether the peer closes the connection before stopped is closed. It polls, because
 // unread bytes beyond those that are buffered hide the close from a read.
 func pollForClose(conn net.Conn, stopped <-chan struct{}) bool {
--- a/internal/inbound/inbound.go
+++ b/internal/inbound/inbound.go
@@ -92,6 +92,7 @@
 		readBuffer /= 2
 	}
 	in.listener.Charge = chargeConnections(account, readBuffer)
+	in.listener.ChargeReadAhead = func(bytes int) { account.Add(memory.ClientConnections, int64(bytes)) }
 	in.server = &fasthttp.Server{Handler: in.handle, ErrorHandler: in.handleProtocolError, Logger: &in.log, StreamRequestBody: true,
 		HeaderReceived:     headReceived,
 		MaxRequestBodySize: exchange.MaxBufferedBody, ReadBufferSize: readBuffer,
--- a/internal/waiting_clients_test.go
+++ b/internal/waiting_clients_test.go
@@ -91,6 +91,7 @@
 		{"behind a head of one long field, for its answer", get, "A: " + strings.Repeat("b", len(many)) + "\r\n\r\n", ""},
 		{"in a second head", answered + get, many + "a", ""},
 		{"in a second head, for the first answer", get, "\r\n" + get + many + "a", ""},
+		{"behind many heads", get, "\r\n" + strings.Repeat(get+"Host: a\r\n\r\n", 1000), ""},
 		{"behind a head with a length", post, sized + many + "\r\n", ""},
 		{"in a body", post, sized + many + "\r\n", "x"},
 		{"behind a head with chunks", post, chunked + many + "\r\n", ""},
