--- a/internal/waiting_clients_test.go
+++ b/internal/waiting_clients_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,3 +129,50 @@
 		}
 	}
 }
+
+// measureUnreadAnswers returns how many bytes clients hold that ask again and again and read nothing, and how many the account has for
+// them.
+func measureUnreadAnswers(t *testing.T, head []byte) (held, accounted int64) {
+	const requests, ownBytes = 5000, 16 << 10 // requests are more than fit unread; a client, its goroutine and its buffer are in this process as well
+	account := memory.New(64 << 20)
+	var handled atomic.Int64
+	answer := fakeRelay{&trace{}, func(request *exchange.Exchange) {
+		handled.Add(1)
+		request.Deliver(&exchange.Answer{Head: head, Body: make([]byte, memory.FreeBytes)})
+	}}
+	_, address := startInboundWithAccount(t, parseConfiguration(t, configuration("", "")), 2*waitingClients, answer, account, &counters.Set{})
+	before := heapInUse()
+	for i := range waitingClients {
+		connection := dial(t, address)
+		go func() {
+			for j := range requests {
+				fields := strings.Replace(longTimeoutFields, "ID: 1\r", fmt.Sprintf("ID: %d-%d\r", i, j), 1)
+				if _, err := io.WriteString(connection, "GET /look HTTP/1.1\r\n"+fields+"\r\n"); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	for before := int64(-1); handled.Load() > before; time.Sleep(300 * time.Millisecond) { // until the kernel's buffers are full
+		before = handled.Load()
+	}
+	if handled.Load() == requests*waitingClients {
+		t.Fatal("all answers fit into the kernel's buffers")
+	}
+	return (heapInUse()-before)/waitingClients - ownBytes, account.Used() / waitingClients
+}
+
+// Guards against a process that is killed over its memory limit, by answers with very many fields to clients that read nothing: the
+// HTTP server keeps each field apart while it writes the head.
+func TestUnreadAnswersAreInTheAccount(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		fields int
+	}{{"few fields", 10}, {"many fields", 1500}} {
+		t.Run(test.name, func(t *testing.T) {
+			if held, accounted := measureUnreadAnswers(t, []byte(strings.Repeat("a: b\r\n", test.fields))); held > accounted {
+				t.Errorf("a client holds %d bytes, and the account has %d", held, accounted)
+			}
+		})
+	}
+}
