The tests that measure the heap run in a process of their own

What earlier tests left running in the process (relays, watchers, logs) allocates and frees meanwhile, and 40 clients share the difference.

The two tests stand in internal/inbound now, which has no others, with the same rows and bounds; what is counted as the client's own is 4 kB less, since these clients have no buffer.

--- a/internal/waiting_clients_test.go
+++ b/internal/inbound/memory_test.go
@@ -1,8 +1,9 @@
-package internal_test
+package inbound_test
 
 import (
 	"fmt"
 	"io"
+	"net"
 	"runtime"
 	"strings"
 	"sync"
@@ -10,11 +11,69 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"ledgespread/internal/counters"
 	"ledgespread/internal/exchange"
+	"ledgespread/internal/inbound"
 	"ledgespread/internal/memory"
+	"ledgespread/internal/site"
 )
 
+// These tests measure the heap of their process, so that no others may run in it.
+
+const configuration = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"a1",
+	"limits":{"cores":1,"memory_mb":64,"sockets":64},"known":{"seq":7,"whole":true,"hosts":[]},
+	"settings":{"my_zone":0,"azs":["here"],"discovery":"pushed","step_us":1000,"realms":[{"name":"acme","quota_per_s":99}],
+	"path_prefixes":[{"name":"look","effect":"read_like","group":"all","target_latency_us":400000,"client_timeout_us":800000,
+		"memory_span_us":0,"value":1,"late_value":0},
+		{"name":"pay","effect":"non_idempotent","group":"all","target_latency_us":400000,"client_timeout_us":800000,
+		"memory_span_us":0,"value":1,"late_value":0}],
+	"allowed":{"max_backend_fetches":5,"conn_idle_us":10000000,"connect_timeout_us":100000,"cancel":true,"multiplex":1},
+	"obligations":{"cold_from":0.3,"cold_us":8000000,"fall_multiple":3,"fall_us":1500000,"ask_every_us":10000000}}}`
+
+const requestFields = "Host: api\r\nX-Request-ID: 1\r\nX-Tenant-Id: acme\r\nX-Timeout: 30000m\r\n"
+
+// fakeRelay handles requests by a function.
+type fakeRelay func(*exchange.Exchange)
+
+func (handle fakeRelay) HandleRequest(request *exchange.Exchange)  { handle(request) }
+func (handle fakeRelay) BodyArrived(*exchange.Exchange, time.Time) {}
+func (handle fakeRelay) RequestEnded(*exchange.Exchange)           {}
+func (handle fakeRelay) RequestTimedOut(*exchange.Exchange)        {}
+
+// startInbound starts a server for the waiting clients, and returns its address.
+func startInbound(t *testing.T, memoryMB int, relay fakeRelay, account *memory.Account) (address string) {
+	t.Helper()
+	manifest, err := site.Parse([]byte(configuration))
+	if err != nil {
+		t.Fatal(err)
+	}
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	manifest.Listen, manifest.MemoryMB = free.Addr().String(), memoryMB
+	free.Close()
+	in, err := inbound.Listen(manifest, 2*waitingClients, relay, account, &counters.Set{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go in.Serve()
+	return manifest.Listen
+}
+
+// dial connects a client.
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { connection.Close() })
+	return connection
+}
+
 // heapInUse returns the bytes of all live objects.
 func heapInUse() int64 {
 	var stats runtime.MemStats
@@ -37,25 +96,24 @@
 
 // holdRequests returns a relay that answers only requests that are marked as a retry. It reads the bodies of the others.
 func holdRequests() fakeRelay {
-	return fakeRelay{&trace{}, func(request *exchange.Exchange) {
+	return func(request *exchange.Exchange) {
 		switch {
 		case request.Repeated:
-			deliverDone(request)
+			request.Deliver(&exchange.Answer{Body: []byte("done")})
 		case request.Upload != nil:
 			go io.Copy(io.Discard, request.Upload)
 		}
-	}}
+	}
 }
 
 // measureWaitingClients returns how many bytes clients that each send such a message hold, and how many the account has for
 // them. The head comes in pieces of this size; id is replaced in it.
 func measureWaitingClients(t *testing.T, memoryMB int, head, rest string, pieceSize int) (held, accounted int64) {
-	const ownBytes = 6 << 10 // of a client and its buffer, in this process as well
-	manifest, account := parseConfiguration(t, configuration("", "")), memory.New(64<<20)
-	manifest.MemoryMB = memoryMB
-	_, address := startInboundWithAccount(t, manifest, 2*waitingClients, holdRequests(), account, &counters.Set{})
+	const ownBytes = 2 << 10 // of a client, in this process as well
+	account := memory.New(64 << 20)
+	address := startInbound(t, memoryMB, holdRequests(), account)
 	before := heapInUse()
-	var connections []*client
+	var connections []net.Conn
 	var all sync.WaitGroup
 	for i := range waitingClients {
 		connection := dial(t, address)
@@ -71,7 +129,11 @@
 	for _, connection := range connections {
 		connection.Close()
 	}
-	waitUntil(t, "nothing is left in the account", func() bool { return account.Used() == 0 })
+	for began := time.Now(); account.Used() != 0; time.Sleep(time.Millisecond) {
+		if time.Since(began) > 20*time.Second {
+			t.Fatalf("%d bytes are left in the account", account.Used())
+		}
+	}
 	return held, accounted
 }
 
@@ -84,7 +146,7 @@
 		expect         = "Expect: 100-continue\r\n"
 	)
 	many := strings.Repeat("a:\r\n", 1900)
-	answered := get + strings.Replace(longTimeoutFields, "ID: 1", "ID: first", 1) + "X-Retried: 1\r\n\r\n"
+	answered := get + strings.Replace(requestFields, "ID: 1", "ID: first", 1) + "X-Retried: 1\r\n\r\n"
 	for _, test := range []struct{ name, start, fields, rest string }{
 		{"in a head", get, many + "a", ""},
 		{"in a line of a head", get, many + strings.Repeat("a", 4000), ""},
@@ -120,7 +182,7 @@
 			memoryMB, pieceSize int
 		}{{"at once", 64, 1 << 20}, {"in pieces, with little memory", 8, 1111}} {
 			t.Run(test.name+", "+way.name, func(t *testing.T) {
-				head := test.start + longTimeoutFields + test.fields
+				head := test.start + requestFields + test.fields
 				held, accounted := measureWaitingClients(t, way.memoryMB, head, test.rest, way.pieceSize)
 				if held > accounted {
 					t.Errorf("a client holds %d bytes, and the account has %d", held, accounted)
@@ -133,20 +195,19 @@
 // measureUnreadAnswers returns how many bytes clients hold that ask again and again and read nothing, and how many the account has for
 // them.
 func measureUnreadAnswers(t *testing.T, head []byte) (held, accounted int64) {
-	const requests, ownBytes = 5000, 16 << 10 // requests are more than fit unread; a client, its goroutine and its buffer are in this process as well
+	const requests, ownBytes = 5000, 12 << 10 // requests are more than fit unread; a client and its goroutine are in this process as well
 	account := memory.New(64 << 20)
 	var handled atomic.Int64
-	answer := fakeRelay{&trace{}, func(request *exchange.Exchange) {
+	address := startInbound(t, 64, func(request *exchange.Exchange) {
 		handled.Add(1)
 		request.Deliver(&exchange.Answer{Head: head, Body: make([]byte, memory.FreeBytes)})
-	}}
-	_, address := startInboundWithAccount(t, parseConfiguration(t, configuration("", "")), 2*waitingClients, answer, account, &counters.Set{})
+	}, account)
 	before := heapInUse()
 	for i := range waitingClients {
 		connection := dial(t, address)
 		go func() {
 			for j := range requests {
-				fields := strings.Replace(longTimeoutFields, "ID: 1\r", fmt.Sprintf("ID: %d-%d\r", i, j), 1)
+				fields := strings.Replace(requestFields, "ID: 1\r", fmt.Sprintf("ID: %d-%d\r", i, j), 1)
 				if _, err := io.WriteString(connection, "GET /look HTTP/1.1\r\n"+fields+"\r\n"); err != nil {
 					return
 				}
--- a/internal/requests_test.go
+++ b/internal/requests_test.go
@@ -80,12 +80,6 @@
 
 // startInbound starts an inbound listener on a free port, which it returns. Requests go to requestTaker.
 func startInbound(t *testing.T, manifest *site.Manifest, maxConns int, requestTaker inbound.RequestHandler,
-	counts *counters.Set) (*inbound.Inbound, string) {
-	t.Helper()
-	return startInboundWithAccount(t, manifest, maxConns, requestTaker, memory.New(4<<20), counts)
-}
-
-func startInboundWithAccount(t *testing.T, manifest *site.Manifest, maxConns int, requestTaker inbound.RequestHandler, account *memory.Account,
 	counts *counters.Set) (*inbound.Inbound, string) {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
@@ -94,7 +88,7 @@
 	}
 	manifest.Listen = free.Addr().String()
 	free.Close()
-	in, err := inbound.Listen(manifest, maxConns, requestTaker, account, counts, logShownOnFailure(t))
+	in, err := inbound.Listen(manifest, maxConns, requestTaker, memory.New(4<<20), counts, logShownOnFailure(t))
 	if err != nil {
 		t.Fatal(err)
 	}
