TestWorkers counts goroutines once those of earlier tests have ended

Traced by reading: the test counts the goroutines of the whole process before and after, and an idle worker that an earlier test had left was in the first count and not in the second. Now the first count is taken once it has stayed the same for longer than a worker may be idle. Nothing that the test asks for is less.

--- a/internal/outbound/workers_test.go
+++ b/internal/outbound/workers_test.go
@@ -10,9 +10,22 @@
 	"github.com/google/go-cmp/cmp"
 )
 
+// settledGoroutines returns the number of goroutines once it has stayed the same for as long as a worker may be idle: those that
+// earlier tests have left would end during the next one.
+func settledGoroutines() (count int) {
+	const settled = workerIdleTimeout + 200*time.Millisecond
+	count = runtime.NumGoroutine()
+	for since := time.Now(); time.Since(since) < settled; time.Sleep(10 * time.Millisecond) {
+		if now := runtime.NumGoroutine(); now != count {
+			count, since = now, time.Now()
+		}
+	}
+	return count
+}
+
 // Goroutines are reused, and those that a burst started end after it.
 func TestWorkers(t *testing.T) {
-	pool, goroutinesBefore := make(workers), runtime.NumGoroutine()
+	pool, goroutinesBefore := make(workers), settledGoroutines()
 	var burst sync.WaitGroup
 	release := make(chan bool)
 	for range 50 {
