A slow agent of a pushed list is heard: no call ends before its answer is due

Cause: calls were made eight times a second, and the connection of the first one was closed for a 17th, 2 s after its start; so no answer that took longer came until the intervals had grown. Evidence: the log of an agent in virtual time; calls 1 to 15 end 2.0 s after their starts, each as another connection is opened, and the first answer comes at 11.88 s. Ruled out: the timeout of 1 s (answers after it count, though it ends the sending, which an agent may take for the end of the call), and an answer not obeyed.

Calls start at most a call interval apart, answered or not, which leaves time for an answer that takes 3 s and for one lost call; no call ends before its answer is due; an answer gives up the calls that can't bring anything newer; only while answers are missing are calls made a quarter to half of a grace apart. A new process waits 3.5 s for its agent in place of 2 s. Log lines tell a connection that was closed for a newer call.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -18,6 +18,9 @@
 // errCallTimeout ends the wait for a call that asked for changes and got no answer in time.
 var errCallTimeout = errors.New("the call got no answer in time")
 
+// errReplaced is the error of a call whose connection was closed for that of a newer call.
+var errReplaced = errors.New("the connection was closed for a newer call")
+
 // errWholeListTimeout ends the wait for a call that asked for the whole list and got no answer in time.
 var errWholeListTimeout = errors.New("no answer in time")
 
@@ -48,8 +51,9 @@
 	done     chan result // buffered; receives the result once
 
 	mu         sync.Mutex
-	abandoned  bool // the call timed out; an answer that still arrives is delivered
+	abandoned  bool // the call timed out or is superseded; an answer that still arrives is delivered
 	connection *connection
+	number     int  // of the connection at its endpoint; 0: there was none yet
 	reused     bool // the connection had carried a call before
 }
 
@@ -92,16 +96,21 @@
 	w.log.WithLevel(level).EmbedObject(c).Bool("whole", c.whole).Dur("since_contact", c.began.Sub(lastContact)).Msg("call to discovery begins")
 }
 
-// abandon ends the wait for a call that timed out.
-func (w *Watcher) abandon(c *call) {
+// giveUp shows the service that nobody waits for the call any more. An answer that still arrives is delivered.
+func (c *call) giveUp() {
 	c.mu.Lock()
-	reused := c.reused
+	defer c.mu.Unlock()
 	c.abandoned = true
 	if c.connection != nil {
 		c.connection.endSending()
 	}
-	c.mu.Unlock()
-	w.log.Info().EmbedObject(c).Bool("whole", c.whole).Time("began", c.began).Bool("connection_reused", reused).
+}
+
+// abandon ends the wait for a call that timed out.
+func (w *Watcher) abandon(c *call) {
+	c.giveUp()
+	number, reused := c.connectionNumber()
+	w.log.Info().EmbedObject(c).Bool("whole", c.whole).Time("began", c.began).Int("connection", number).Bool("connection_reused", reused).
 		Msg("call to discovery timed out; a late answer is still accepted")
 	if c.whole {
 		c.done <- result{err: errWholeListTimeout}
@@ -118,12 +127,23 @@
 	defer c.mu.Unlock()
 	c.connection = conn
 	if conn != nil {
-		c.reused = conn.calls > 0
+		c.number, c.reused = conn.number, conn.calls > 0
 		conn.calls++
 	}
 	return !c.abandoned
 }
 
+// connectionNumber returns the number of the connection that carries or carried the call, and whether it had carried
+// another call before.
+func (c *call) connectionNumber() (number int, reused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.number, c.reused
+}
+
+// answerDue returns when the answer should have come, whatever time up to callTimeout the service takes.
+func (c *call) answerDue() time.Time { return c.began.Add(c.hold + callTimeout + schedulingReserve) }
+
 func (c *call) isAbandoned() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,13 +169,14 @@
 		outcome.newer = outcome.delivered && (c.whole || outcome.list.Version != c.from)
 		return
 	}
-	w.log.Info().Err(outcome.err).EmbedObject(c).Bool("whole", c.whole).Time("began", c.began).Bool("given_up", c.isAbandoned()).
+	number, _ := c.connectionNumber()
+	w.log.Info().Err(outcome.err).EmbedObject(c).Bool("whole", c.whole).Time("began", c.began).Int("connection", number).Bool("given_up", c.isAbandoned()).
 		Msg("call of discovery failed")
 }
 
 // request sends the HTTP request of a call and reads the answer.
 func (w *Watcher) request(c *call) (list *List, err error) {
-	connection, err := c.endpoint.acquire(c.purpose == longPoll)
+	connection, err := c.endpoint.acquire(c.purpose == longPoll, c.answerDue())
 	if err != nil {
 		return nil, err
 	}
@@ -172,6 +193,9 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + c.endpoint.address + "/api/targets" + c.query())
 	if err := connection.roundTrip(request, response, c.endpoint.maxAnswer); err != nil {
+		if c.endpoint.wasReplaced(connection) {
+			return nil, errReplaced
+		}
 		return nil, err
 	}
 	reusable = !response.ConnectionClose()
--- a/internal/discovery/endpoint.go
+++ b/internal/discovery/endpoint.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +16,12 @@
 	"ledgespread/internal/peek"
 )
 
+// Limits of the connections to one address. The schedule keeps the number of calls that may still be answered in time
+// below maxConnections.
 const (
-	maxConnections = 2 * maxParallelCalls // to one address, including those of abandoned calls
-	maxIdle        = time.Second          // an idle connection older than that is not reused
+	maxConnections        = 40
+	maxOverdueConnections = 16          // whose calls should have been answered by now
+	maxIdle               = time.Second // an idle connection older than that is not reused
 )
 
 // Dial connects to discovery within a timeout.
@@ -36,6 +41,7 @@
 
 	mu      sync.Mutex
 	retired bool // opens no new connections
+	opened  int  // connections so far
 	open    map[*connection]bool
 	idle    *connection // the one among open that carried the last answer, if nothing has used it since
 }
@@ -45,8 +51,13 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
-	calls  int       // carried so far; only the call that it carries changes it
-	since  time.Time // the start of its last call, or of its idle time; protected by the endpoint's lock
+	number int // at its endpoint, from 1 on
+	calls  int // carried so far; only the call that it carries changes it
+
+	// Protected by the endpoint's lock:
+	since     time.Time // the start of its last call, or of its idle time
+	answerDue time.Time // of its last call
+	replaced  bool      // it was closed for a newer one
 }
 
 // endSending closes the sending side to show the service that nobody waits for its answer any more. What the
@@ -83,9 +94,9 @@
 
 // acquire returns a connection for a call. A call that directly follows an answer may reuse the connection of that
 // answer; any other one gets a new connection, since those that are open may have fallen silent. If that makes too
-// many, acquire closes the connection whose call started first.
-func (e *endpoint) acquire(mayReuse bool) (*connection, error) {
-	if c := e.takeIdle(mayReuse); c != nil {
+// many, acquire closes another one. answerDue is when the answer to the call should have come.
+func (e *endpoint) acquire(mayReuse bool, answerDue time.Time) (*connection, error) {
+	if c := e.takeIdle(mayReuse, answerDue); c != nil {
 		return c, nil
 	}
 	tcp, err := machine.Retry(context.Background(), time.Now().Add(connectTimeout), func() (net.Conn, error) {
@@ -94,25 +105,34 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnreachable, err)
 	}
-	opened := &connection{Conn: tcp, reader: bufio.NewReader(tcp), writer: bufio.NewWriter(tcp), since: time.Now()}
+	opened := &connection{Conn: tcp, reader: bufio.NewReader(tcp), writer: bufio.NewWriter(tcp), since: time.Now(), answerDue: answerDue}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.retired {
 		tcp.Close()
 		return nil, net.ErrClosed
 	}
-	if len(e.open) >= maxConnections {
-		oldest := e.oldest()
-		delete(e.open, oldest)
-		oldest.Close()
+	if excess := e.dispensable(); excess != nil {
+		excess.replaced = true
+		delete(e.open, excess)
+		excess.Close()
 	}
+	e.opened++
+	opened.number = e.opened
 	e.open[opened] = true
 	return opened, nil
 }
 
+// wasReplaced reports whether the connection was closed for a newer one.
+func (e *endpoint) wasReplaced(c *connection) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return c.replaced
+}
+
 // takeIdle ends the idle time of the idle connection. It returns the connection if it may be reused and is usable,
 // and closes it otherwise.
-func (e *endpoint) takeIdle(mayReuse bool) *connection {
+func (e *endpoint) takeIdle(mayReuse bool, answerDue time.Time) *connection {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.idle
@@ -121,7 +141,7 @@
 	}
 	if mayReuse && c.isUsable() {
 		e.idle = nil
-		c.since = time.Now()
+		c.since, c.answerDue = time.Now(), answerDue
 		return c
 	}
 	e.closeIdle()
@@ -159,14 +179,28 @@
 	c.Close()
 }
 
-// oldest returns the open connection with the earliest start of its last call. The caller holds the lock.
-func (e *endpoint) oldest() (oldest *connection) {
-	for c := range e.open {
-		if oldest == nil || c.since.Before(oldest.since) {
-			oldest = c
+// dispensable returns the connection to be closed before another one is opened, or nil if there are few enough. A call
+// that may still be answered in time is not closed. Of the overdue ones the first are the next that a service answers which
+// handles calls one after another, so the last one is closed, unless the first has waited for too long. The caller holds
+// the lock.
+func (e *endpoint) dispensable() *connection {
+	now := time.Now()
+	connections := slices.SortedFunc(maps.Keys(e.open), func(a, b *connection) int { return a.since.Compare(b.since) })
+	var overdue []*connection
+	for _, c := range connections {
+		if c != e.idle && c.answerDue.Before(now) {
+			overdue = append(overdue, c)
 		}
 	}
-	return oldest
+	switch {
+	case len(overdue) >= maxOverdueConnections && now.Sub(overdue[0].since) > maxCallAge:
+		return overdue[0]
+	case len(overdue) >= maxOverdueConnections:
+		return overdue[len(overdue)-1]
+	case len(connections) >= maxConnections:
+		return connections[0]
+	}
+	return nil
 }
 
 // retire ends the calls at an address that is no longer used. Answers that the service writes until it
--- a/internal/discovery/fallback.go
+++ b/internal/discovery/fallback.go
@@ -11,8 +11,7 @@
 // parallelCalls starts up to maxCalls calls, one per interval, without waiting for the earlier ones to be
 // answered. It returns the first answer, or an error once the timeout is over or all calls have failed. The
 // other calls stay in flight for the timeout of their own and deliver what they return. Parallel calls tolerate
-// a lost answer where no further delay is acceptable: after an earlier call timed out, after discovery moved, and
-// while the agent of a pushed list is unreachable.
+// a lost answer where no further delay is acceptable: after an earlier call timed out, and after discovery moved.
 func (w *Watcher) parallelCalls(at *endpoint, planned plannedCall, interval, timeout time.Duration, maxCalls int) result {
 	results := make(chan result, maxCalls)
 	over, next := time.NewTimer(timeout), time.NewTicker(interval)
@@ -34,7 +33,7 @@
 			}
 			if !errors.Is(r.err, errCallTimeout) {
 				failed = r
-				if planned.purpose == pollAfterTimeout && !w.pushed {
+				if planned.purpose == pollAfterTimeout {
 					return failed // what follows is a retry, and retries are spread over all sidecars
 				}
 			}
--- a/internal/discovery/model_test.go
+++ b/internal/discovery/model_test.go
@@ -135,19 +135,22 @@
 
 var (
 	latencies = []time.Duration{0, 5 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond}
-	encodings = []string{byChanges, whole, withoutDraining, unknownZone, unknownHealth, nullHosts}
-	faults    = []string{noFault, noFault, noFault, late, stale, rejected, reset, truncated, garbage, unanswered, noHosts, unreachable}
-	durations = []time.Duration{time.Millisecond, 40 * time.Millisecond, 250 * time.Millisecond, time.Second, 3200 * time.Millisecond, 20 * time.Second}
+	// The agent of a pushed list may take up to the time for which a call without a hold is waited for, 3 s.
+	pushedLatencies = append([]time.Duration{1800 * time.Millisecond, 2500 * time.Millisecond, 2950 * time.Millisecond}, latencies...)
+	encodings       = []string{byChanges, whole, withoutDraining, unknownZone, unknownHealth, nullHosts}
+	faults          = []string{noFault, noFault, noFault, late, stale, rejected, reset, truncated, garbage, unanswered, noHosts, unreachable}
+	durations       = []time.Duration{time.Millisecond, 40 * time.Millisecond, 250 * time.Millisecond, time.Second, 3200 * time.Millisecond, 20 * time.Second}
 )
 
-// stepsWith returns a generator of steps that have these actions beside those of all sequences.
-func stepsWith(further ...string) *rapid.Generator[step] {
+// stepsWith returns a generator of steps that have these actions beside those of all sequences. Latencies are drawn from those
+// given.
+func stepsWith(latencies []time.Duration, further ...string) *rapid.Generator[step] {
 	actions := append(further, drain, leave, returnToService, restartServer, changeAddress, setEncoding, setFault, moveService, requestList,
 		wait, wait, wait)
-	return rapid.Custom(func(t *rapid.T) step { return drawStep(t, actions) })
+	return rapid.Custom(func(t *rapid.T) step { return drawStep(t, actions, latencies) })
 }
 
-func drawStep(t *rapid.T, actions []string) step {
+func drawStep(t *rapid.T, actions []string, latencies []time.Duration) step {
 	s := step{action: rapid.SampledFrom(actions).Draw(t, "action")}
 	switch s.action {
 	case setEncoding:
@@ -335,9 +338,13 @@
 	rapid.Check(t, func(r *rapid.T) {
 		pushed := rapid.Bool().Draw(r, "pushed")
 		sidecars := rapid.SampledFrom([]int{1, 3, 300}).Draw(r, "sidecars")
-		steps := rapid.SliceOfN(stepsWith(resetVersions), 1, 30)
+		agentLatencies := latencies
+		if pushed {
+			agentLatencies = pushedLatencies
+		}
+		steps := rapid.SliceOfN(stepsWith(nil, resetVersions), 1, 30)
 		if rapid.Bool().Draw(r, "silence") {
-			steps = rapid.SliceOfN(stepsWith(silence, setLatency), 1, 30)
+			steps = rapid.SliceOfN(stepsWith(agentLatencies, silence, setLatency), 1, 30)
 		}
 		if failure := runSequence(t, pushed, sidecars, steps.Draw(r, "steps")); failure != "" {
 			r.Fatal(failure)
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -20,6 +20,10 @@
 // may use the same connection, since the answer shows that nothing was missed until then. Therefore the next call
 // starts at most a call interval after the start of one that is not answered, whatever that one waits for, and what is
 // left of deliveryTimeout after the interval is for its answer.
+//
+// A pushed list keeps to the same rule more strictly, in pushed.go: its agent may take up to callTimeout for any call, one
+// call may be lost beside those that fall silent, and what is known at the start of a call is all that its answer shows.
+// So calls start at most a call interval apart, answered or not, and no call is given up while its answer may still come.
 const (
 	// maxCallInterval is the longest time from the start of an unanswered call to the start of the next.
 	maxCallInterval = deliveryTimeout * 3 / 4
@@ -65,12 +69,24 @@
 	defaultPollInterval = 10 * time.Second
 )
 
-// Parameters for a pushed list. All that discovery's agent knows counts as delivered, whether or not a call
-// is in flight, so calls are made in parallel until one is answered.
+// Parameters for a pushed list. All that discovery's agent knows counts as delivered, whether or not a call is in flight.
 const (
-	pushRetryDivisor     = 4 // fraction of the configured grace period from one call to the next
-	minPushRetryInterval = 50 * time.Millisecond
-	maxParallelCalls     = 8
+	searchIntervalDivisor = 4 // fraction of the configured grace period from one call to the next while none is answered
+	minSearchInterval     = 50 * time.Millisecond
+	maxSearchInterval     = deliveryTimeout / 24
+	// maxSearchIntervalGrowth is the factor by which that interval grows while no call is answered. At most half of the
+	// grace period passes between two calls, so that an agent that returns is heard within the grace period.
+	maxSearchIntervalGrowth = 2
+	// searchGrowthDivisor gives how fast it grows: to this fraction of the time without an answer.
+	searchGrowthDivisor = 12
+	// maxPushedCallInterval is the longest call interval. It leaves time for a lost call and for one that takes callTimeout.
+	maxPushedCallInterval = deliveryTimeout - schedulingReserve - callTimeout - maxSearchInterval
+	// openCallsInTurn limits the calls that an agent has at a time if it handles them one after another.
+	openCallsInTurn = 8
+	// maxCallAge is how long a call of a pushed list stays open: an agent that is overloaded may answer late.
+	maxCallAge = 5 * deliveryTimeout
+	// FirstListTimeout is how long after a start the agent of a pushed list may take to answer, with one call lost.
+	FirstListTimeout = callTimeout + maxSearchInterval + schedulingReserve
 )
 
 func (w *Watcher) pollIntervalFraction(fraction float64) time.Duration {
@@ -80,17 +96,24 @@
 // callInterval returns the longest time from the start of an unanswered call to the start of the next. It leaves time
 // for the next call, and for one that is made beside that one if it is not answered either.
 func (w *Watcher) callInterval() time.Duration {
+	if w.isPushed() {
+		return w.pushedCallInterval()
+	}
 	return min(max(deliveryTimeout-schedulingReserve-answerTimeout-w.currentLatency(), minCallInterval), maxCallInterval)
 }
 
 // answerDelayLimit returns how long after its hold a call may be answered before it counts as unanswered.
 func (w *Watcher) answerDelayLimit() time.Duration {
-	return min(max(w.currentLatency()+schedulingReserve, answerTimeout), maxAnswerTimeout)
+	limit := max(w.currentLatency()+schedulingReserve, answerTimeout)
+	if w.isPushed() {
+		return limit
+	}
+	return min(limit, maxAnswerTimeout)
 }
 
 // longestHold returns the longest hold with which an unanswered call is noticed within the call interval.
 func (w *Watcher) longestHold() time.Duration {
-	return min(w.callInterval()-w.answerDelayLimit(), w.pollIntervalFraction(maxHoldFraction)).Round(time.Millisecond)
+	return max(min(w.callInterval()-w.answerDelayLimit(), w.pollIntervalFraction(maxHoldFraction)), 0).Round(time.Millisecond)
 }
 
 // jitteredHold returns a hold that is shortened at random if there are several sidecars. It is for calls that all
@@ -112,8 +135,11 @@
 	return max(min(2*latency, timeLeft), answerTimeout)
 }
 
-// currentLatency returns how long the service currently takes for a call, apart from its hold.
-func (w *Watcher) currentLatency() time.Duration {
+// currentLatency returns how long the service currently takes for a call, apart from its hold, as far as it is waited for.
+func (w *Watcher) currentLatency() time.Duration { return min(w.longestLatency(), callTimeout) }
+
+// longestLatency is the same for an agent that takes longer than any call is waited for.
+func (w *Watcher) longestLatency() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.latency
@@ -122,12 +148,15 @@
 // recordLatency records how long the service took to answer a call: the time beyond its hold. A held call that was
 // answered sooner waited for a change and says nothing.
 func (w *Watcher) recordLatency(c *call) {
-	latency := min(time.Since(c.began)-c.hold, callTimeout)
+	latency := time.Since(c.began) - c.hold
 	if latency < 0 {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.pushed {
+		latency = min(latency, callTimeout)
+	}
 	w.latency = max(latency, w.latency-(w.latency-latency)/latencyDecayDivisor)
 }
 
@@ -137,17 +166,17 @@
 	return min(max(answerTimeout, 2*w.currentLatency()), callTimeout)
 }
 
-// parallelTimeout returns the timeout for the parallel calls of a pushed list. It grows with the latency of answers,
-// late ones among them, and with the time for which discovery has been unreachable, so that an agent or a sidecar
-// that is slow for a while gets an answer through in the end. The limit keeps the starts of two calls at most half a grace period apart.
-func (w *Watcher) parallelTimeout() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	timeout := max(answerTimeout, 2*w.latency)
-	if w.unreachable {
-		timeout = max(timeout, time.Since(w.unreachableSince)/maxParallelCalls)
-	}
-	return min(timeout, 2*maxParallelCalls*time.Duration(w.pushRetryInterval.Load()))
+// pushedCallInterval returns the longest time between the starts of two calls of a pushed list. Of two calls that start in
+// time one may be lost, and the other one's answer still comes by the deadline. An agent that is overloaded gets fewer calls.
+func (w *Watcher) pushedCallInterval() time.Duration {
+	forTwoCalls := (deliveryTimeout - schedulingReserve - w.currentLatency()) / 2
+	return min(max(forTwoCalls, w.longestLatency()/openCallsInTurn), maxPushedCallInterval)
+}
+
+// searchInterval returns the time between the starts of two calls of a pushed list after none was answered for some time.
+func (w *Watcher) searchInterval(silence time.Duration) time.Duration {
+	shortest := time.Duration(w.shortestSearchInterval.Load())
+	return min(max(shortest, silence/searchGrowthDivisor), maxSearchIntervalGrowth*shortest)
 }
 
 // retryDelay returns the delay from the start of a failed call to the start of the next. It is random within
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -20,16 +20,16 @@
 // Watcher follows the list at one address at a time, in rounds of calls. A round is one watch: a sequence of
 // calls, each for the changes since the one before, that ends when another round replaces it.
 type Watcher struct {
-	zones             map[string]int // numbers of the known zones by name
-	pollInterval      atomic.Int64   // nanoseconds; the longest time that the settings allow between two requests for the list
-	pushRetryInterval atomic.Int64   // nanoseconds from one call to the next while none is answered, if the list is pushed
-	sidecars          int            // that use the same service
-	maxAnswer         int            // bytes
-	seed              uint64
-	dial              Dial
-	onList            func(*List)
-	counts            *counters.Set
-	log               zerolog.Logger
+	zones                  map[string]int // numbers of the known zones by name
+	pollInterval           atomic.Int64   // nanoseconds; the longest time that the settings allow between two requests for the list
+	shortestSearchInterval atomic.Int64   // nanoseconds from one call to the next while none is answered, if the list is pushed
+	sidecars               int            // that use the same service
+	maxAnswer              int            // bytes
+	seed                   uint64
+	dial                   Dial
+	onList                 func(*List)
+	counts                 *counters.Set
+	log                    zerolog.Logger
 
 	delivery         sync.Mutex // held while onList runs; locked before mu
 	mu               sync.Mutex
@@ -91,7 +91,8 @@
 		interval = defaultPollInterval
 	}
 	w.pollInterval.Store(int64(interval))
-	w.pushRetryInterval.Store(int64(max(time.Duration(grace)*time.Microsecond/pushRetryDivisor, minPushRetryInterval)))
+	searchInterval := time.Duration(grace) * time.Microsecond / searchIntervalDivisor
+	w.shortestSearchInterval.Store(int64(min(max(searchInterval, minSearchInterval), maxSearchInterval)))
 }
 
 // Watch starts a round in place of the current one. Its first call asks for the changes so far, and its
@@ -171,9 +172,27 @@
 		return
 	}
 	w.round++
+	if w.pushed {
+		go newPushedRound(w, w.current, w.round, first).run()
+		return
+	}
 	go w.runRound(w.current, w.round, first)
 }
 
+// isPushed reports whether the list is pushed.
+func (w *Watcher) isPushed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pushed
+}
+
+// isCurrent reports whether no other round has replaced this one.
+func (w *Watcher) isCurrent(round int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return round == w.round
+}
+
 // purpose says what the next call of a round is for.
 type purpose uint8
 
@@ -185,10 +204,12 @@
 	longPoll                  // wait for the next change
 	pollAfterTimeout          // after a call of the watch timed out: get the changes that it missed
 	retryAfterFailure         // without being asked to
+	besideUnanswered          // beside calls for a pushed list that are not answered yet: get the changes so far
 )
 
 // purposeNames are the names of the purposes in the log, in the same order.
-var purposeNames = [...]string{"none", "start of a watch", "new address", "new address, again", "watch", "anew after a timeout", "retry after a failure"}
+var purposeNames = [...]string{"none", "start of a watch", "new address", "new address, again", "watch", "anew after a timeout", "retry after a failure",
+	"beside an unanswered call"}
 
 func (p purpose) String() string { return purposeNames[p] }
 
@@ -235,12 +256,18 @@
 	if !isCurrent {
 		return plannedCall{}
 	}
-	if result.err == nil && !result.newer && now.hold > 0 { // limits the call rate at a service that ignores the hold
-		time.Sleep(min(w.pollIntervalFraction(emptyAnswerFraction), continuationGap/2) - time.Since(began))
+	if result.err == nil && !result.newer && now.hold > 0 {
+		time.Sleep(w.emptyAnswerPause(began))
 	}
 	return w.waitBefore(round, next, took)
 }
 
+// emptyAnswerPause returns the pause after an answer without changes to a held call that began at the given time. It limits
+// the call rate at a service that ignores the hold.
+func (w *Watcher) emptyAnswerPause(began time.Time) time.Duration {
+	return min(w.pollIntervalFraction(emptyAnswerFraction), continuationGap/2) - time.Since(began)
+}
+
 // nextCall returns the call that follows one with the given result.
 func (w *Watcher) nextCall(now plannedCall, r result) plannedCall {
 	switch {
@@ -252,8 +279,6 @@
 		return plannedCall{purpose: retryAfterFailure} // without a hold, to be answered as soon as the service answers
 	case errors.Is(r.err, errCallTimeout):
 		return plannedCall{purpose: pollAfterTimeout} // not a failure of the service
-	case w.pushed:
-		return plannedCall{purpose: watchStart}
 	case errors.Is(r.err, errUnanswered) && now.purpose == pollAfterTimeout && w.sidecars == 1:
 		return now
 	case now.purpose.wantsWholeList() && gotNoAnswer(r.err):
@@ -264,10 +289,7 @@
 
 // waitBefore waits for the delay due before the next call. took is the duration of the call before.
 func (w *Watcher) waitBefore(round int, next plannedCall, took time.Duration) plannedCall {
-	switch next.purpose {
-	case watchStart: // a retry of a pushed list
-		time.Sleep(time.Duration(w.pushRetryInterval.Load()))
-	case retryAfterFailure:
+	if next.purpose == retryAfterFailure {
 		time.Sleep(w.retryDelay() - took)
 		if !w.startRetrying(round) {
 			return plannedCall{}
@@ -283,9 +305,6 @@
 		return <-w.startCall(at, now, retryDeadline).done
 	case now.hold > 0:
 		return <-w.startCall(at, now, now.hold+w.answerDelayLimit()).done
-	case w.pushed:
-		interval := max(time.Duration(w.pushRetryInterval.Load()), w.parallelTimeout()/maxParallelCalls)
-		return w.parallelCalls(at, now, interval, maxParallelCalls*interval, maxParallelCalls)
 	case now.purpose.wantsWholeList():
 		return w.parallelCalls(at, now, w.promptAnswerTimeout(), callTimeout, 2)
 	case now.purpose == pollAfterTimeout:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,8 +37,7 @@
 	gcPercent          = 400  // GOGC percentage, while the memory limit allows it
 )
 
-// firstListTimeout is how long to wait for the first list, if an agent pushes it or an old process still
-// serves.
+// firstListTimeout is how long to wait for the first list if an old process still serves.
 const firstListTimeout = 2 * time.Second
 
 // Options are the inputs of a sidecar process.
@@ -171,15 +170,20 @@
 
 // waitForFirstList waits for the first list, for a limited time, in two cases. While an old process still
 // serves there is no hurry, and this process should know the servers that the old one was given. If an agent
-// pushes the list, the saved one would send requests to servers that have left since. goOn is false if the
-// process was asked to stop meanwhile.
+// pushes the list, the saved one would send requests to servers that have left since, and what the agent has counts as
+// known from the first moment on; if the agent is silent for longer than it may take for an answer, it is out of reach.
+// goOn is false if the process was asked to stop meanwhile.
 func (p *process) waitForFirstList() (goOn bool) {
-	if !p.hasPredecessor() && !p.relay.Pushed() {
+	timeout := firstListTimeout
+	switch {
+	case p.relay.Pushed():
+		timeout = discovery.FirstListTimeout
+	case !p.hasPredecessor():
 		return true
 	}
 	select {
 	case <-p.relay.FirstList():
-	case <-time.After(firstListTimeout):
+	case <-time.After(timeout):
 	case received := <-p.Signals.stop: // no client has been accepted yet
 		p.Log.Info().Stringer("signal", received).Msg("stopped before serving")
 		return false
