A process begins with what any process of its sidecar was told, and goes on hearing it

Cause: what discovery tells was in the old process's memory alone. The new one decided by `known` of its configuration, the list that the first process had been started with.

A new process begins with it, and all read each other's files every 0.1 s while they run. The decisions know such a list as one that no call has returned, so that calls go on as they would without it.

--- a/brain/list_test.go
+++ b/brain/list_test.go
@@ -1,6 +1,9 @@
 package brain
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 // TestListCallRetryDelay checks the delay between a failed call to the list and the next call: at most 4.5
 // seconds, whatever the settings and the number of sidecars. A change of the list must reach the sidecars
@@ -48,3 +51,21 @@
 	}
 	all.compareTrace(t)
 }
+
+// A list that was taken over from another process of the sidecar is no answer of discovery: the call that is due after a failed
+// one is made all the same. A single sidecar makes it only if asked to, so it would never call again.
+func TestTakenOverListLeavesCalls(t *testing.T) {
+	driver := newDriver(t, testSettings("all", "discovery", "on_request", "balancers", 1.0, "obligations.ask_every_us", 10e6), "a b")
+	driver.advance(3000 * ms)
+	driver.balancer.BeginList(driver.now, ListCallFailed)
+	driver.balancer.EndList(driver.now)
+	before := strings.Count(driver.trace.String(), "subscribed")
+	driver.sendList(TakenOverList, "b")
+	driver.advance(5000 * ms)
+	if calls := strings.Count(driver.trace.String(), "subscribed") - before; calls != 1 {
+		t.Errorf("%d calls after a failed one, want 1", calls)
+	}
+	if state := driver.balancer.servers['a'].state; state != Gone {
+		t.Errorf("the server that the list leaves out has state %d", state)
+	}
+}
--- a/brain/model_test.go
+++ b/brain/model_test.go
@@ -144,7 +144,8 @@
 // sendList passes a list. Some of the attempts to servers that leave end without having been sent.
 func (c *caller) sendList(t *rapid.T, kind ListKind, state ServerState, servers []ServerID, started Micros) {
 	before := c.balancer.spentTokens
-	if kind == FullList && state == Ready {
+	isWhole := kind != ListChanges
+	if isWhole && state == Ready {
 		clear(c.ready)
 	}
 	c.balancer.BeginList(c.now, kind)
@@ -153,7 +154,7 @@
 		listed[server] = true
 		c.ready[server] = state == Ready
 	}
-	if kind == FullList && state != Ready { // the other servers keep their state
+	if isWhole && state != Ready { // the other servers keep their state
 		for server, ready := range c.ready {
 			if !listed[server] && ready {
 				c.balancer.ListServer(c.now, server, Zone(server%2), Cell(server%3), Ready, 1, 0)
@@ -239,11 +240,11 @@
 				caller.sendList(t, ListChanges, Ready, rapid.SampledFrom(serverSets).Draw(t, "return"),
 					rapid.SampledFrom([]Micros{0, caller.now}).Draw(t, "started"))
 			case 7:
-				kind := rapid.SampledFrom([]ListKind{ListChanges, FullList}).Draw(t, "news")
+				kind := rapid.SampledFrom([]ListKind{ListChanges, FullList, TakenOverList}).Draw(t, "news")
 				caller.sendList(t, kind, rapid.SampledFrom([]ServerState{Draining, Gone}).Draw(t, "standing"),
 					rapid.SampledFrom(serverSets).Draw(t, "leave"), 0)
 			case 8:
-				caller.sendList(t, FullList, Ready, rapid.SampledFrom(serverSets).Draw(t, "whole"),
+				caller.sendList(t, rapid.SampledFrom([]ListKind{FullList, TakenOverList}).Draw(t, "kind"), Ready, rapid.SampledFrom(serverSets).Draw(t, "whole"),
 					rapid.SampledFrom([]Micros{0, caller.now}).Draw(t, "started"))
 			case 9:
 				caller.bodiesArrive(func() bool { return rapid.Bool().Draw(t, "arrives") })
--- a/brain/ports.go
+++ b/brain/ports.go
@@ -47,6 +47,7 @@
 	FullList                       // the complete list
 	SavedList                      // the complete list as last saved locally, possibly outdated
 	ListCallFailed                 // a call to the list failed or the subscription broke
+	TakenOverList                  // the complete list of another process of this sidecar; no call has returned it
 )
 
 // MessageKind is the kind of a message between sidecars. Each kind carries some values.
--- a/brain/servers.go
+++ b/brain/servers.go
@@ -29,8 +29,10 @@
 		b.scheduleListCall()
 		return
 	}
-	b.listCalledAt = 0
-	b.listCallDelay = 0
+	if kind != TakenOverList { // calls go on as they would without it
+		b.listCalledAt = 0
+		b.listCallDelay = 0
+	}
 	for _, server := range b.sortedServers {
 		server.seenInList = kind == ListChanges
 	}
--- a/cmd/ledgespread/leaving_test.go
+++ b/cmd/ledgespread/leaving_test.go
@@ -102,12 +102,14 @@
 	unresponsive bool           // new calls get no answer either
 	heldCalls    map[string]int // by connection: the version that the call held there came with
 	calls        int
+	ignoresNew   bool            // connections that are opened from now on get no answer
+	known        map[string]bool // the connections that got an answer
 }
 
 // startDiscovery starts a fakeDiscovery with these entries as version 8.
 func startDiscovery(t *testing.T, entries ...string) *fakeDiscovery {
 	t.Helper()
-	d := &fakeDiscovery{heldCalls: map[string]int{}, version: 7}
+	d := &fakeDiscovery{heldCalls: map[string]int{}, known: map[string]bool{}, version: 7}
 	d.cond = sync.NewCond(&d.mu)
 	d.setList(entries...)
 	d.address = serveHTTP(t, d)
@@ -117,6 +119,13 @@
 // setList replaces the list. Calls that were dropped before stay without an answer.
 func (d *fakeDiscovery) setList(entries ...string) { d.publish(false, entries...) }
 
+// ignoreNewConnections has connections that are opened from now on get no answer.
+func (d *fakeDiscovery) ignoreNewConnections() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ignoresNew = true
+}
+
 // publish sets a new full list, or changes to the one before.
 func (d *fakeDiscovery) publish(changesOnly bool, entries ...string) {
 	d.mu.Lock()
@@ -140,6 +149,12 @@
 	deadline := time.Now().Add(time.Duration(holdMillis) * time.Millisecond)
 	timer := time.AfterFunc(time.Until(deadline), d.cond.Broadcast)
 	defer timer.Stop()
+	if d.ignoresNew && !d.known[r.RemoteAddr] {
+		d.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
+	d.known[r.RemoteAddr] = true
 	if holdMillis > 0 && !d.unresponsive {
 		d.heldCalls[r.RemoteAddr] = from
 	}
--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -44,8 +44,10 @@
 	if !outcome.accepted() {
 		return false
 	}
+	w.takenOver = false
 	w.servers.apply(list)
 	w.onList(list)
+	w.noteUpdate(list)
 	if outcome.needsRecheck() {
 		w.recheck()
 	}
@@ -92,6 +94,7 @@
 	}
 	if from == w.current && list.Whole && from.lowerVersionAt != 0 && c.sequence > from.lowerVersionAt {
 		from.acceptVersion(list.Version, w.nextSequence())
+		w.epoch++
 		return list, acceptedVersionReset
 	}
 	first := from.lowerVersionAt == 0
--- a/internal/discovery/model_test.go
+++ b/internal/discovery/model_test.go
@@ -183,26 +183,37 @@
 	log                   strings.Builder
 }
 
+// newSequenceRun returns a run whose watcher makes no calls yet.
+func newSequenceRun(pushed bool, sidecars int) *sequenceRun {
+	run := &sequenceRun{service: newSimulatedService(), received: map[string]bool{}, pushed: pushed}
+	run.model = model{ready: map[string]bool{}, current: "a0", addresses: map[string]*addressModel{}}
+	run.service.onWritten = func(call receivedCall, list *listAnswer) {
+		fmt.Fprintf(&run.log, "  %v written at %s to a call of %s, from %d, hold %v: %+v\n", time.Now().Format("05.000"), call.address,
+			call.began.Format("05.000"), call.from, call.hold, list)
+		run.model.write(call, list)
+	}
+	run.service.onProcessed = func(call receivedCall) { run.checkReceived("after an answer of " + call.address) }
+	run.service.set(run.serverStates(serverSubsets[4], "in_service", "")...)
+	run.watcher = discovery.New("a0", map[string]int{"here": 0}, 0, 10e6, sidecars, 1<<20, 7, run.onList, &counters.Set{}, zerolog.Nop())
+	run.watcher.SetDial(run.service.dial)
+	return run
+}
+
+// start starts the watch, which has the list a second later.
+func (r *sequenceRun) start() {
+	if r.pushed {
+		r.watcher.WatchPushed(500_000)
+	} else {
+		r.watcher.Watch()
+	}
+	time.Sleep(time.Second)
+}
+
 // runSequence runs the steps and returns a description of the first failure, or "".
 func runSequence(t *testing.T, pushed bool, sidecars int, steps []step) (failure string) {
 	synctest.Test(t, func(t *testing.T) {
-		run := &sequenceRun{service: newSimulatedService(), received: map[string]bool{}, pushed: pushed}
-		run.model = model{ready: map[string]bool{}, current: "a0", addresses: map[string]*addressModel{}}
-		run.service.onWritten = func(call receivedCall, list *listAnswer) {
-			fmt.Fprintf(&run.log, "  %v written at %s to a call of %s, from %d, hold %v: %+v\n", time.Now().Format("05.000"), call.address,
-				call.began.Format("05.000"), call.from, call.hold, list)
-			run.model.write(call, list)
-		}
-		run.service.onProcessed = func(call receivedCall) { run.checkReceived("after an answer of " + call.address) }
-		run.service.set(run.serverStates(serverSubsets[4], "in_service", "")...)
-		run.watcher = discovery.New("a0", map[string]int{"here": 0}, 0, 10e6, sidecars, 1<<20, 7, run.onList, &counters.Set{}, zerolog.Nop())
-		run.watcher.SetDial(run.service.dial)
-		if pushed {
-			run.watcher.WatchPushed(500_000)
-		} else {
-			run.watcher.Watch()
-		}
-		time.Sleep(time.Second)
+		run := newSequenceRun(pushed, sidecars)
+		run.start()
 		for _, s := range steps {
 			run.service.withLock(func() { fmt.Fprintf(&run.log, "%v %+v\n", time.Now().Format("05.000"), s) })
 			run.runStep(s)
--- a/internal/discovery/read.go
+++ b/internal/discovery/read.go
@@ -26,6 +26,9 @@
 // standings maps the health values of the protocol to the state of a server.
 var standings = map[string]brain.ServerState{"in_service": brain.Ready, "terminating": brain.Draining, "terminated": brain.Gone}
 
+// microsPerMilli converts the protocol's milliseconds.
+const microsPerMilli = 1000
+
 // maxExactInteger is the largest integer up to which a JSON number, decoded as a float64, is exact.
 const maxExactInteger = 1 << 53
 
@@ -188,7 +191,7 @@
 	if !ok {
 		return entry, errField("born_ms")
 	}
-	entry.Started = brain.Micros(born * 1000)
+	entry.Started = brain.Micros(born * microsPerMilli)
 	return entry, nil
 }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -20,6 +20,11 @@
 // Watcher follows the list at one address at a time, in rounds of calls. A round is one watch: a sequence of
 // calls, each for the changes since the one before, that ends when another round replaces it.
 type Watcher struct {
+	// OnTakenOver is called with the whole list after that of another process was taken over, and OnUpdate with each list
+	// that was delivered or taken over; it may be nil, and must not block. Both are set before the first call to discovery.
+	OnTakenOver func(*List)
+	OnUpdate    func(Update)
+
 	zones                  map[string]int // numbers of the known zones by name
 	pollInterval           atomic.Int64   // nanoseconds; the longest time that the settings allow between two requests for the list
 	shortestSearchInterval atomic.Int64   // nanoseconds from one call to the next while none is answered, if the list is pushed
@@ -36,6 +41,8 @@
 	servers          serverSet // after all lists delivered; written under both locks, read under delivery
 	sequence         uint64    // orders the starts of calls and the acceptance of answers
 	current          *endpoint
+	epoch            int           // how often versions began to count anew
+	takenOver        bool          // the list is that of another process, and no answer was accepted since; protected by delivery
 	retired          []*endpoint   // former addresses with calls in flight, whose answers are still read
 	pushed           bool          // the list is pushed: the watch continues after a failure
 	latency          time.Duration // of answers, beyond the holds of their calls
--- a/internal/handover/content.go
+++ b/internal/handover/content.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"ledgespread/internal/machine"
 )
 
 const (
@@ -32,13 +32,7 @@
 type machineTime int64
 
 // now returns the current machine time.
-func now() machineTime {
-	var reading unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &reading); err != nil {
-		return 0
-	}
-	return machineTime(reading.Nano() / int64(time.Microsecond))
-}
+func now() machineTime { return machineTime(machine.Uptime() / time.Microsecond) }
 
 // since returns the time that has passed.
 func (t machineTime) since(earlier machineTime) time.Duration {
--- a/internal/handover/process.go
+++ b/internal/handover/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"syscall"
 )
 
@@ -16,8 +17,23 @@
 	started uint64 // clock ticks from the start of the machine to that of the process; 0: unknown
 }
 
-// currentProcess returns this process.
-func currentProcess() Process { return Process{os.Getpid(), startOf(os.Getpid())} }
+// CurrentProcess returns this process.
+func CurrentProcess() Process { return Process{os.Getpid(), startOf(os.Getpid())} }
+
+// String returns the ID and the start, in a form that ParseProcess reads.
+func (p Process) String() string { return fmt.Sprintf("%d-%d", p.id, p.started) }
+
+// ParseProcess is the reverse of String.
+func ParseProcess(text string) (p Process, err error) {
+	id, started, _ := strings.Cut(text, "-")
+	if p.id, err = strconv.Atoi(id); err != nil {
+		return Process{}, err
+	}
+	if p.started, err = strconv.ParseUint(started, 10, 64); err != nil {
+		return Process{}, err
+	}
+	return p, nil
+}
 
 // Exists reports whether the process still runs. If its start is unknown, any process with its ID is taken for it.
 func (p Process) Exists() bool {
--- a/internal/handover/process_test.go
+++ b/internal/handover/process_test.go
@@ -34,7 +34,7 @@
 		}
 	}
 	state.Announce()
-	if read, err := state.read(); err != nil || read.process != currentProcess() || read.process.started == 0 {
+	if read, err := state.read(); err != nil || read.process != CurrentProcess() || read.process.started == 0 {
 		t.Errorf("announced %+v, %v", read.process, err)
 	}
 }
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -88,6 +88,13 @@
 	return err == nil && !latest.process.isCurrent() && latest.process.Exists()
 }
 
+// LatestProcess returns the process of this sidecar that was started last, as far as this one knows.
+func (s *State) LatestProcess() Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known.process
+}
+
 // OutOfService returns the servers out of service in this process, in order.
 func (s *State) OutOfService() []string {
 	s.mu.Lock()
--- a/internal/handover/write.go
+++ b/internal/handover/write.go
@@ -92,7 +92,7 @@
 	next := latest.with(changes, now())
 	next.number++
 	if announcing || readErr != nil {
-		next.process = currentProcess()
+		next.process = CurrentProcess()
 	}
 	if err = s.replaceFile(s.path, next, false); err == nil {
 		s.noteWritten(next, changes, announcing)
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -8,8 +8,19 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// Uptime returns the reading of the machine's monotonic clock, which all processes share; 0 if it can't be read.
+func Uptime() time.Duration {
+	var reading unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &reading); err != nil {
+		return 0
+	}
+	return time.Duration(reading.Nano())
+}
+
 const (
 	initialBackoff = 2 * time.Millisecond // doubles with each attempt
 	maxBackoff     = 32 * time.Millisecond
--- a/internal/relay/lists.go
+++ b/internal/relay/lists.go
@@ -81,5 +81,24 @@
 	r.noneReady = ready == 0
 }
 
+// BeginWith replaces the saved list by the list of another process of this sidecar. It must be called before Run.
+func (r *Relay) BeginWith(other discovery.Update) {
+	r.watcher.Begin(other)
+	r.applyList(brain.SavedList, other.List)
+	r.publishFleet()
+}
+
+// RecordLists has record called with each list that is received or taken over. It must be called before Run, and record must
+// not block.
+func (r *Relay) RecordLists(record func(discovery.Update)) { r.watcher.OnUpdate = record }
+
+// TakeOverList takes over the list of another process of this sidecar, if that is newer.
+func (r *Relay) TakeOverList(other discovery.Update) { r.watcher.TakeOver(other) }
+
+// receiveTakenOver receives the whole list after one was taken over. It is no answer of discovery.
+func (r *Relay) receiveTakenOver(list *discovery.List) {
+	r.urgentCalls <- func() { r.applyList(brain.TakenOverList, list) }
+}
+
 // SetDiscovery makes the watcher ask for the list at another address from now on.
 func (r *Relay) SetDiscovery(discovery string) { r.watcher.SetAddress(discovery) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -144,6 +144,7 @@
 		int(manifest.Number("balancers")), max(manifest.MemoryMB<<20/listMemoryDivisor, minListBytes), manifest.Seed,
 		relay.receiveList, counts, log)
 	relay.watcher.LoadSaved(saved)
+	relay.watcher.OnTakenOver = relay.receiveTakenOver
 	if machine.DialDiscovery != nil {
 		relay.watcher.SetDial(machine.DialDiscovery)
 	}
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -21,14 +21,24 @@
 // finalWriteTimeout is how long the end of the process waits until changes of the servers out of service are written.
 const finalWriteTimeout = 100 * time.Millisecond
 
+// openState opens what the processes of this sidecar share, if a console is configured: without one there is no second
+// process beside this one.
+func (p *process) openState() error {
+	if p.Manifest.Console == "" {
+		return nil
+	}
+	p.state, p.predecessor = handover.Open(os.TempDir(), p.Manifest.Name, p.Manifest.Listen, p.Log)
+	p.told.open(p.state.Path()+".list", p.Manifest, p.Log)
+	return nil
+}
+
 // openConsole starts the operators' console, if one is configured, and restores which servers operators took
 // out of service. The console works before clients are served.
 func (p *process) openConsole() error {
-	if p.Manifest.Console == "" {
+	state := p.state
+	if state == nil {
 		return nil
 	}
-	state, predecessor := handover.Open(os.TempDir(), p.Manifest.Name, p.Manifest.Listen, p.Log)
-	p.predecessor = predecessor
 	p.shareIDs(state.Path() + ".ids")
 	p.relay.RestoreTakenOut(state.OutOfService())
 	state.Deliver = p.relay.SetTakenOut
@@ -47,7 +57,10 @@
 		p.Log.Error().Err(err).Msg("console stopped serving")
 	}()
 	p.replaced = state.Replaced
-	p.closeState = func() { state.Close(finalWriteTimeout) }
+	p.closeState = func() {
+		state.Close(finalWriteTimeout)
+		p.told.close()
+	}
 	return nil
 }
 
@@ -84,15 +97,19 @@
 	}
 }
 
-// followOtherProcess reads which servers another process of this sidecar has taken out of service, and
-// notices when the previous process has ended. It has a goroutine of its own, so that a slow disk doesn't
+// followOtherProcess reads which servers another process of this sidecar has taken out of service, and what discovery
+// has told it, and notices when the previous process has ended. It has a goroutine of its own, so that a slow disk doesn't
 // delay requests.
 func (p *process) followOtherProcess(state *handover.State) {
+	go p.told.removeOld()
 	for limited := p.hasPredecessor(); ; time.Sleep(publishInterval) {
 		state.Refresh()
-		if limited && !p.predecessor.Exists() {
+		ended := limited && !p.predecessor.Exists()
+		p.told.follow(p.relay, p.predecessor, state.LatestProcess())
+		if ended {
 			limited = false
 			p.limitHeap(1)
+			go p.told.removeOld()
 		}
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -104,8 +104,10 @@
 	reloader      *reload.Reloader
 	reloaderReady chan struct{}    // closed when reloader is set
 	predecessor   handover.Process // an old process that still serves for this sidecar; zero: none
+	state         *handover.State  // shared with other processes of this sidecar; nil: there is no console
+	told          toldList         // what discovery told this process, for the others
 	replaced      func() bool      // reports whether a newer process of this sidecar has started
-	closeState    func()           // writes the servers out of service before the process ends
+	closeState    func()           // writes what other processes need before the process ends
 }
 
 // hasPredecessor reports whether an old process served for this sidecar when this one was started.
@@ -117,7 +119,7 @@
 	reload.SetCores(proc.Manifest)
 	proc.limitHeap(1)
 	debug.SetGCPercent(gcPercent)
-	for _, start := range []func() error{proc.carryConfigurations, proc.openPeers, proc.openRelay, proc.openConsole, proc.joinMembers} {
+	for _, start := range []func() error{proc.carryConfigurations, proc.openPeers, proc.openState, proc.openRelay, proc.openConsole, proc.joinMembers} {
 		if err := start(); err != nil {
 			return err
 		}
@@ -162,6 +164,7 @@
 	if p.relay, err = relay.NewOn(machine, manifest, int(openRequestsShare*sockets), servers, p.peers, p.counts, p.Log); err != nil {
 		return err
 	}
+	p.told.begin(p.relay)
 	if p.Extensions.Messages != nil && p.peers != nil {
 		p.relay.LimitMessages(manifest, float64(p.Extensions.Messages.BytesPerSecond))
 	}
