Two processes of a sidecar share its part of a cold server's budget

Change: the module is told how many processes of the sidecar run (SetProcesses), each takes that share of the credit, or draws tokens that much more seldom. A new process begins without credit, as before.

TestProcessesShareColdBudget: each of two earns half (and draws at most 0.6 of the tokens) of one; without the change both earn as much as one.

--- a/brain/cold_test.go
+++ b/brain/cold_test.go
@@ -205,3 +205,39 @@
 	}
 	results.compareTrace(t)
 }
+
+// During an upgrade two processes of a sidecar sent to a cold server, each as much as the whole sidecar may. Together they
+// have the budget of one, where it is divided equally and where sidecars draw tokens.
+func TestProcessesShareColdBudget(t *testing.T) {
+	driver := newDriver(t, testSettings("all"), "a")
+	driver.warmUp(60)
+	driver.sendList(ListChanges, "b*")
+	cold := driver.balancer.servers['b']
+	earned := func(processes int) float64 {
+		cold.credit = 0
+		driver.balancer.SetProcesses(processes)
+		driver.advance(50 * ms)
+		return cold.credit / driver.balancer.workPerWeight / driver.balancer.warmFraction(cold)
+	}
+	const tolerance = 0.05 // what is known of the work for each weight decays meanwhile
+	if one, two := earned(1), earned(2); one <= 0 || math.Abs(2*two-one) > tolerance*one {
+		t.Errorf("credit %v of each of two processes, %v of one", two, one)
+	}
+	const (
+		ticks    = 400
+		maxShare = 0.6 // tokens are drawn at random
+	)
+	drawn := func(processes int) (tokens int) {
+		for seed := range uint64(20) {
+			driver := newSeededDriver(t, seed, testSettings("all", "balancers", 40.0, "me", 0.0, "obligations.cold_us", 100e6), "a b")
+			driver.balancer.SetProcesses(processes)
+			driver.sendList(ListChanges, "c*")
+			driver.advance(ticks * 50 * ms)
+			tokens += int(driver.balancer.counters["cold_tokens"])
+		}
+		return tokens
+	}
+	if one, two := drawn(1), drawn(2); two == 0 || float64(two) > maxShare*float64(one) {
+		t.Errorf("tokens drawn by each of two processes: %d, by one: %d", two, one)
+	}
+}
--- a/brain/settings.go
+++ b/brain/settings.go
@@ -167,6 +167,10 @@
 // than the settings say.
 func (b *Balancer) SetActiveSidecars(count int) { b.activeSidecars = count }
 
+// SetProcesses sets how many processes of this sidecar may be sending, as during an upgrade. They share the sidecar's part of
+// what a cold server may be sent.
+func (b *Balancer) SetProcesses(count int) { b.processes = count }
+
 // random returns a pseudo-random number in [0, 1), derived from the seed and a counter.
 func (b *Balancer) random() float64 {
 	b.randomDraws++
--- a/brain/slowstart.go
+++ b/brain/slowstart.go
@@ -10,7 +10,9 @@
 	}
 	ratePerTick := b.workPerWeight * server.weight * b.warmFraction(server) * b.ramp.multiple
 	windowTicks := b.ramp.window / float64(firstBackoff)
+	processes := float64(max(b.processes, 1))
 	if !b.sidecarsOutnumberServers() {
+		ratePerTick /= processes
 		server.credit = min(server.credit+ratePerTick*coldBudgetFraction, ratePerTick*coldBudgetFraction*windowTicks/4)
 		return
 	}
@@ -20,7 +22,7 @@
 		server.credit = 0
 	}
 	sidecars := float64(max(b.sidecars, b.activeSidecars))
-	if b.random()*sidecars*windowTicks < coldTokensPerWindow*coldDrawnFraction {
+	if b.random()*sidecars*processes*windowTicks < coldTokensPerWindow*coldDrawnFraction {
 		b.counters["cold_tokens"]++
 		server.credit = ratePerTick * windowTicks * sidecars / coldTokensPerWindow
 		server.creditExpiry = b.now + Micros(windowTicks/4)*firstBackoff
--- a/brain/state.go
+++ b/brain/state.go
@@ -163,6 +163,7 @@
 	self           Peer
 	sidecars       int
 	activeSidecars int // sidecars that may be sending, as last reported; 0: as many as the settings say
+	processes      int // of this sidecar that may be sending; 0: one
 
 	servers       map[ServerID]*server
 	sortedServers []*server // the same servers, sorted by id
--- a/internal/handover/process.go
+++ b/internal/handover/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 )
 
@@ -18,7 +19,7 @@
 }
 
 // CurrentProcess returns this process.
-func CurrentProcess() Process { return Process{os.Getpid(), startOf(os.Getpid())} }
+var CurrentProcess = sync.OnceValue(func() Process { return Process{os.Getpid(), startOf(os.Getpid())} })
 
 // String returns the ID and the start, in a form that ParseProcess reads.
 func (p Process) String() string { return fmt.Sprintf("%d-%d", p.id, p.started) }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -339,5 +339,8 @@
 	ports.relay.log.Debug().Uint16("from", uint16(from)).Str("why", reason).Msg("summary refused")
 }
 
+// SetProcesses sets how many processes of this sidecar may be sending requests.
+func (r *Relay) SetProcesses(count int) { r.post(func() { r.balancer.SetProcesses(count) }) }
+
 // SetSenders sets how many sidecars may be sending requests.
 func (r *Relay) SetSenders(count int) { r.post(func() { r.balancer.SetActiveSidecars(count) }) }
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -98,18 +98,48 @@
 }
 
 // followOtherProcess reads which servers another process of this sidecar has taken out of service, and what discovery
-// has told it, and notices when the previous process has ended. It has a goroutine of its own, so that a slow disk doesn't
-// delay requests.
+// has told it, and notices when another process has started or the previous one has ended. It has a goroutine of its own, so
+// that a slow disk doesn't delay requests.
 func (p *process) followOtherProcess(state *handover.State) {
 	go p.told.removeOld()
-	for limited := p.hasPredecessor(); ; time.Sleep(publishInterval) {
+	running, limited := 1, p.hasPredecessor()
+	for ; ; time.Sleep(publishInterval) {
 		state.Refresh()
-		ended := limited && !p.predecessor.Exists()
-		p.told.follow(p.relay, p.predecessor, state.LatestProcess())
-		if ended {
+		others := p.otherProcesses(state)
+		count := 1 + countRunning(others)
+		p.told.follow(p.relay, others)
+		if count != running {
+			running = count
+			p.relay.SetProcesses(count)
+		}
+		if limited && !p.predecessor.Exists() {
 			limited = false
 			p.limitHeap(1)
+			p.told.follow(p.relay, others) // what it was told last
 			go p.told.removeOld()
 		}
 	}
 }
+
+// otherProcesses returns the processes of this sidecar that may run beside this one: the one before it, and the one that was
+// started last.
+func (p *process) otherProcesses(state *handover.State) (others []handover.Process) {
+	if p.hasPredecessor() {
+		others = append(others, p.predecessor)
+	}
+	latest := state.LatestProcess()
+	if latest != (handover.Process{}) && latest != p.predecessor && latest != handover.CurrentProcess() {
+		others = append(others, latest)
+	}
+	return others
+}
+
+// countRunning returns how many of the processes run.
+func countRunning(processes []handover.Process) (count int) {
+	for _, process := range processes {
+		if process.Exists() {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/sidecar/toldlist.go
+++ b/internal/sidecar/toldlist.go
@@ -82,14 +82,11 @@
 }
 
 // follow takes over what other processes were told since the last call.
-func (t *toldList) follow(r *relay.Relay, processes ...handover.Process) {
+func (t *toldList) follow(r *relay.Relay, processes []handover.Process) {
 	if t.reader == nil {
 		return
 	}
 	for _, process := range processes {
-		if process == (handover.Process{}) || process == handover.CurrentProcess() {
-			continue
-		}
 		if told := t.reader.Changed(process); told != nil {
 			r.TakeOverList(told.Update)
 		}
