One set of servers for discovery and the file of what it told

toldlist kept its own copy of discovery's set of listed servers, by name in place of ID. discovery.ServerSet is exported and serves both. Behaviour is unchanged; the tests of toldlist and discovery pass as they were.

--- a/internal/discovery/deliver.go
+++ b/internal/discovery/deliver.go
@@ -45,7 +45,7 @@
 		return false
 	}
 	w.takenOver = false
-	w.servers.apply(list)
+	w.servers.Apply(list)
 	w.onList(list)
 	w.noteUpdate(list)
 	if outcome.needsRecheck() {
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -47,11 +47,11 @@
 	return brain.ServerID((hash.Sum64() ^ hash.Sum64()>>48) & (1<<48 - 1))
 }
 
-// serverSet holds the listed servers, each with its latest entry, after all lists delivered so far.
-type serverSet map[brain.ServerID]Entry
+// ServerSet holds the listed servers, each with its latest entry, after all lists delivered so far.
+type ServerSet map[brain.ServerID]Entry
 
-// apply updates the set with a list that is delivered.
-func (s serverSet) apply(l *List) {
+// Apply updates the set with a list that is delivered.
+func (s ServerSet) Apply(l *List) {
 	if l.Whole {
 		clear(s)
 	}
@@ -67,7 +67,7 @@
 // resolve returns the list with an added entry for each unusable one whose server is in the set. Such a
 // server receives no new requests: it drains, or is gone if the unusable entry says so. Unusable entries of
 // other servers are ignored.
-func (s serverSet) resolve(l *List) *List {
+func (s ServerSet) resolve(l *List) *List {
 	if len(l.Unusable) == 0 {
 		return l
 	}
@@ -88,7 +88,7 @@
 
 // departures reduces a list to changes that take servers out of service. If the list is whole, a ready server
 // that it leaves out is among them: it drains until a list that is accepted in full says otherwise.
-func (s serverSet) departures(l *List) *List {
+func (s ServerSet) departures(l *List) *List {
 	changes := &List{Version: l.Version, Source: l.Source}
 	named := map[brain.ServerID]bool{}
 	for _, entry := range l.Entries {
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -33,7 +33,7 @@
 
 // Begin replaces the saved list by the whole list of another process. It must be called before the first call to discovery.
 func (w *Watcher) Begin(other Update) {
-	w.servers.apply(other.List)
+	w.servers.Apply(other.List)
 	w.epoch = other.Epoch
 	w.current.version = other.List.Version
 	w.current.unconfirmed = !other.Confirmed || other.Address != w.current.address
@@ -68,8 +68,8 @@
 	}
 	w.log.Info().Uint64("version", other.List.Version).Str("discovery", other.Address).Int("servers", len(other.List.Entries)).
 		Bool("whole", list.Whole).Msg("list taken over from another process of this sidecar")
-	w.servers.apply(list)
-	w.OnTakenOver(&List{Version: list.Version, Whole: true, Source: list.Source, Entries: w.servers.sorted()})
+	w.servers.Apply(list)
+	w.OnTakenOver(&List{Version: list.Version, Whole: true, Source: list.Source, Entries: w.servers.Sorted()})
 	w.noteUpdate(list)
 	if recheck {
 		w.recheck()
@@ -101,7 +101,7 @@
 }
 
 // drains reduces a list to the servers that drain by it and are ready in the set, without a later start.
-func (s serverSet) drains(l *List) *List {
+func (s ServerSet) drains(l *List) *List {
 	changes := &List{Version: l.Version, Source: l.Source}
 	for _, entry := range l.Entries {
 		own, listed := s[entry.ID]
@@ -115,15 +115,15 @@
 
 // WithDrains returns a whole list in which the servers drain that do so by another list and haven't started later.
 func (l *List) WithDrains(other *List) *List {
-	servers := serverSet{}
-	servers.apply(l)
-	servers.apply(servers.drains(other))
+	servers := ServerSet{}
+	servers.Apply(l)
+	servers.Apply(servers.drains(other))
 	merged := *l
-	merged.Entries = servers.sorted()
+	merged.Entries = servers.Sorted()
 	return &merged
 }
 
-// sorted returns the entries by the names of their servers.
-func (s serverSet) sorted() []Entry {
+// Sorted returns the entries by the names of their servers.
+func (s ServerSet) Sorted() []Entry {
 	return slices.SortedFunc(maps.Values(s), func(a, b Entry) int { return strings.Compare(a.Host, b.Host) })
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -38,7 +38,7 @@
 
 	delivery         sync.Mutex // held while onList runs; locked before mu
 	mu               sync.Mutex
-	servers          serverSet // after all lists delivered; written under both locks, read under delivery
+	servers          ServerSet // after all lists delivered; written under both locks, read under delivery
 	sequence         uint64    // orders the starts of calls and the acceptance of answers
 	current          *endpoint
 	epoch            int           // how often versions began to count anew
@@ -63,7 +63,7 @@
 func New(address string, zones map[string]int, version uint64, pollInterval brain.Micros, sidecars, maxAnswer int, seed uint64,
 	onList func(*List), counts *counters.Set, log zerolog.Logger) *Watcher {
 	w := &Watcher{zones: zones, sidecars: max(sidecars, 1), maxAnswer: maxAnswer, seed: seed, dial: fasthttp.DialTimeout, onList: onList,
-		counts: counts, log: log, lastContact: time.Now(), servers: serverSet{}}
+		counts: counts, log: log, lastContact: time.Now(), servers: ServerSet{}}
 	w.current = newEndpoint(address, maxAnswer, w.dial)
 	w.current.version = version
 	w.UpdateSettings(pollInterval, 0)
@@ -73,7 +73,7 @@
 // LoadSaved initializes the watcher's servers from the saved list that the sidecar started with. It must be called
 // before the first call to discovery.
 func (w *Watcher) LoadSaved(saved *List) {
-	w.servers.apply(saved)
+	w.servers.Apply(saved)
 	if len(saved.Unusable) > 0 {
 		w.recordUnusable(saved)
 	}
--- a/internal/toldlist/file.go
+++ b/internal/toldlist/file.go
@@ -93,7 +93,7 @@
 // parse decodes the content of a file.
 func parse(text []byte, sidecar string, zones map[string]int) (*Told, error) {
 	told := &Told{}
-	servers := map[string]discovery.Entry{}
+	servers := discovery.ServerSet{}
 	lines := bytes.SplitAfter(text, []byte("\n"))
 	for number, content := range lines[:len(lines)-1] { // what follows the last line end is not whole
 		var next line
@@ -111,14 +111,14 @@
 		case number == 0:
 			told.Known = next.Known
 		}
-		apply(servers, list)
+		servers.Apply(list)
 		told.At, told.Address, told.Confirmed, told.Epoch = next.At, next.Address, next.Confirmed, next.Epoch
 		told.List = &discovery.List{Version: list.Version, Whole: true, Source: next.Address}
 	}
 	if told.List == nil {
 		return nil, errNoLine
 	}
-	told.List.Entries = sortedEntries(servers)
+	told.List.Entries = servers.Sorted()
 	return told, nil
 }
 
--- a/internal/toldlist/recorder.go
+++ b/internal/toldlist/recorder.go
@@ -4,9 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"errors"
-	"maps"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +39,7 @@
 	log                 zerolog.Logger
 
 	mu      sync.Mutex
-	servers map[string]discovery.Entry // by name, after all updates
+	servers discovery.ServerSet // after all updates
 	latest  discovery.Update
 	at      time.Duration // of the latest update
 	pending []line        // to be appended
@@ -56,8 +54,8 @@
 // paths of all files. Nothing is written before the first update.
 func NewRecorder(path, sidecar string, zones map[string]int, known uint64, saved *discovery.List, log zerolog.Logger) *Recorder {
 	r := &Recorder{path: path, file: fileOf(path, handover.CurrentProcess()), sidecar: sidecar, zones: zones, known: known, log: log,
-		servers: map[string]discovery.Entry{}, rewrite: true}
-	apply(r.servers, saved)
+		servers: discovery.ServerSet{}, rewrite: true}
+	r.servers.Apply(saved)
 	return r
 }
 
@@ -70,7 +68,7 @@
 	if r.closed || !isFirst && len(changes.Entries) == 0 && r.latest.IsAsOf(update) {
 		return
 	}
-	apply(r.servers, changes)
+	r.servers.Apply(changes)
 	r.latest, r.at = update, machine.Uptime()
 	if next, err := r.encode(changes); err != nil || len(r.pending) >= maxPending {
 		r.rewrite = true
@@ -89,7 +87,7 @@
 	named := map[string]bool{}
 	for _, entry := range list.Entries {
 		named[entry.Host] = true
-		before, listed := r.servers[entry.Host]
+		before, listed := r.servers[entry.ID]
 		if !list.Whole && !listed && entry.Started == 0 {
 			// A server that is new among changes has started a moment ago, whether or not its entry says so.
 			entry.Started = brain.Micros(time.Now().UnixMilli()) * microsPerMilli
@@ -101,7 +99,7 @@
 		}
 	}
 	if list.Whole {
-		for _, entry := range sortedEntries(r.servers) {
+		for _, entry := range r.servers.Sorted() {
 			if !named[entry.Host] {
 				entry.Standing = brain.Gone
 				changes.Entries = append(changes.Entries, entry)
@@ -157,7 +155,7 @@
 		r.mu.Unlock()
 		return r.append(lines)
 	}
-	whole, err := r.encode(&discovery.List{Version: r.latest.List.Version, Whole: true, Entries: sortedEntries(r.servers)})
+	whole, err := r.encode(&discovery.List{Version: r.latest.List.Version, Whole: true, Entries: r.servers.Sorted()})
 	r.rewrite, r.pending = false, nil
 	r.mu.Unlock()
 	if err == nil {
@@ -251,26 +249,3 @@
 	defer r.mu.Unlock()
 	return r.writing
 }
-
-// apply updates a set of servers with a list.
-func apply(servers map[string]discovery.Entry, list *discovery.List) {
-	if list.Whole {
-		clear(servers)
-	}
-	for _, entry := range list.Entries {
-		if entry.Standing == brain.Gone {
-			delete(servers, entry.Host)
-			continue
-		}
-		servers[entry.Host] = entry
-	}
-}
-
-// sortedEntries returns the entries of a set of servers by name.
-func sortedEntries(servers map[string]discovery.Entry) []discovery.Entry {
-	entries := make([]discovery.Entry, 0, len(servers))
-	for _, name := range slices.Sorted(maps.Keys(servers)) {
-		entries = append(entries, servers[name])
-	}
-	return entries
-}
--- a/internal/toldlist/toldlist_test.go
+++ b/internal/toldlist/toldlist_test.go
@@ -66,8 +66,8 @@
 			r.Fatal(err)
 		}
 		recorder := newRecorder(folder, zerolog.Nop())
-		want := map[string]discovery.Entry{}
-		apply(want, list(true, entry("s0", brain.Ready, 0)))
+		want := discovery.ServerSet{}
+		want.Apply(list(true, entry("s0", brain.Ready, 0)))
 		for version := range uint64(rapid.IntRange(1, 30).Draw(r, "updates")) {
 			next := &discovery.List{Version: version, Whole: rapid.IntRange(0, 9).Draw(r, "whole") == 0}
 			for _, number := range rapid.SliceOfNDistinct(rapid.IntRange(0, 9), 0, 5, rapid.ID).Draw(r, "servers") {
@@ -75,7 +75,7 @@
 				next.Entries = append(next.Entries, entry(fmt.Sprint("s", number), standing, brain.Micros(1000*(version+1))))
 			}
 			recorder.Add(discovery.Update{Address: "a0", Confirmed: true, Epoch: int(version), List: next})
-			apply(want, next)
+			want.Apply(next)
 			if rapid.Bool().Draw(r, "flushes") {
 				recorder.Flush(flushTimeout)
 			}
@@ -87,7 +87,7 @@
 		}
 		recorder.Flush(flushTimeout)
 		told := readOwn(t, folder)
-		wantList := &discovery.List{Version: recorder.latest.List.Version, Whole: true, Source: "a0", Entries: sortedEntries(want)}
+		wantList := &discovery.List{Version: recorder.latest.List.Version, Whole: true, Source: "a0", Entries: want.Sorted()}
 		if diff := cmp.Diff(wantList, told.List); diff != "" {
 			r.Fatalf("-want +got:\n%s", diff)
 		}
