--- a/internal/discovery/update_test.go
+++ b/internal/discovery/update_test.go
@@ -250,9 +250,11 @@
 			watcher.Begin(discovery.Update{Address: address, Confirmed: true, List: &discovery.List{Version: 9, Whole: true}})
 			watcher.Watch()
 			time.Sleep(time.Second)
-			if got := strings.Join(calls, ", "); got != want {
-				t.Errorf("told at %s: %q, want %q", address, got, want)
-			}
+			service.withLock(func() {
+				if got := strings.Join(calls, ", "); got != want {
+					t.Errorf("told at %s: %q, want %q", address, got, want)
+				}
+			})
 			watcher.Close()
 			service.close()
 			time.Sleep(2 * time.Hour)
