--- a/internal/discovery/update_test.go
+++ b/internal/discovery/update_test.go
@@ -159,7 +159,7 @@
 		second = started
 		run.mu.Unlock()
 		for _, s := range after {
-			fmt.Fprintf(&run.log, "%+v\n", s)
+			run.service.withLock(func() { fmt.Fprintf(&run.log, "%+v\n", s) })
 			run.runStep(s)
 			if s.action == moveService {
 				second.watcher.SetAddress(run.model.current)
